Serve a thin whole path through separate processes

An online request and a batch job go from a caller through a door to a target and back. The decisions stand in a library without I/O; the door's tasks own sockets and state and talk by messages. Stand-ins take the platform's place.

The job's acceptance is the create of its header; results are committed in groups by conditional update and never replaced.

--- /dev/null
+++ b/crates/samphiredoor-embedded/src/service_http.rs
@@ -0,0 +1,41 @@
+//! A plain service over HTTP that records what it ran.
+//!
+//! `POST` on any path echoes the body after `delay_ms`; `GET /runs` counts runs by `x-request-id`.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use samphiredoor_net::{Body, body::read_whole};
+
+use crate::json;
+
+const MAX_BODY_BYTES: usize = 8_000_000;
+
+/// One plain service as a handler.
+#[derive(Clone)]
+pub struct PlainService {
+    delay: Duration,
+    runs: Rc<RefCell<BTreeMap<String, u32>>>,
+}
+
+impl PlainService {
+    /// Service that answers after `delay`.
+    pub fn new(delay: Duration) -> PlainService {
+        PlainService { delay, runs: Rc::default() }
+    }
+
+    /// Answers one request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        if request.method() == Method::GET && request.uri().path() == "/runs" {
+            return json::answer(StatusCode::OK, &*self.runs.borrow());
+        }
+        let id = request.headers().get("x-request-id").and_then(|it| it.to_str().ok());
+        let id = id.unwrap_or("unnamed").to_owned();
+        let Ok(body) = read_whole(request.into_body(), MAX_BODY_BYTES).await else {
+            return json::status(StatusCode::BAD_REQUEST, "BadRequest", "no body");
+        };
+        *self.runs.borrow_mut().entry(id).or_default() += 1;
+        compio::time::sleep(self.delay).await;
+        Response::new(Body::full(body))
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 over compio, shared by the doors and the stand-ins.
+//!
+//! `serve` takes connections with bounds on their number, headers and waits, and ends them gracefully. `pool` keeps
+//! connections towards one address and never reuses one that still owes an answer. `body` holds the one body type that
+//! both sides exchange.
+
+pub mod body;
+pub mod pool;
+pub mod serve;
+
+pub use body::Body;
+pub use pool::Pool;
+pub use serve::{ServeLimits, Server};
+
+/// Error of a body or connection; its text goes to logs.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
--- /dev/null
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -0,0 +1,194 @@
+//! Accepting connections and answering requests on them.
+//!
+//! Every wait has a bound: a client that sends its headers slowly is cut after `header_read_timeout`, and connections
+//! above `max_connections` are closed at once, so that slow and half-open clients cannot hold a place for ever.
+
+use std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::{FutureExt, StreamExt, future::Either};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+
+use crate::{Body, BoxError};
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bounds on the connections of one listener.
+#[derive(Debug, Clone)]
+pub struct ServeLimits {
+    /// Connections held at once.
+    pub max_connections: usize,
+    /// Longest wait for a request's headers, also between two requests.
+    pub header_read_timeout: Duration,
+    /// Bytes of a request's headers.
+    pub max_header_bytes: usize,
+}
+
+impl Default for ServeLimits {
+    fn default() -> ServeLimits {
+        ServeLimits {
+            max_connections: 8_192,
+            header_read_timeout: Duration::from_secs(60),
+            max_header_bytes: 32 * 1024,
+        }
+    }
+}
+
+/// Listener with its connections.
+pub struct Server {
+    listener: TcpListener,
+    limits: ServeLimits,
+    open: Rc<Cell<usize>>,
+    stop: flume::Receiver<()>,
+    // Every connection holds a clone; dropping this one tells them all to end after the request in hand.
+    stop_guard: Option<flume::Sender<()>>,
+}
+
+/// Ends a [`Server`] gracefully when dropped or told to.
+pub struct StopHandle {
+    _guard: flume::Sender<()>,
+    open: Rc<Cell<usize>>,
+}
+
+impl StopHandle {
+    /// Connections still open.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Counter of open connections that outlives the handle.
+    pub fn open_counter(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.open)
+    }
+}
+
+impl Server {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn bind(address: SocketAddr, limits: ServeLimits) -> std::io::Result<Server> {
+        let listener = TcpListener::bind(address).await?;
+        let (stop_guard, stop) = flume::bounded(0);
+        Ok(Server { listener, limits, open: Rc::default(), stop, stop_guard: Some(stop_guard) })
+    }
+
+    /// Address that was bound.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Handle that ends the server when dropped: no new connection is taken, each open one ends after the request in
+    /// hand. Can be taken once.
+    pub fn stop_handle(&mut self) -> Option<StopHandle> {
+        let guard = self.stop_guard.take()?;
+        Some(StopHandle { _guard: guard, open: Rc::clone(&self.open) })
+    }
+
+    /// Answers requests until stopped; returns when the last connection has ended.
+    pub async fn run<H, F>(self, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        let handler = Rc::new(handler);
+        let mut stopped = pin!(wait_for_stop(self.stop.clone()).fuse());
+        loop {
+            let accepted = {
+                let accept = pin!(self.listener.accept());
+                match futures_util::future::select(accept, &mut stopped).await {
+                    Either::Left((accepted, _)) => accepted,
+                    Either::Right(_) => break,
+                }
+            };
+            match accepted {
+                Ok((stream, _)) => self.take_connection(stream, &handler),
+                Err(err) => {
+                    log::warn!("serve: accept failed: {err}");
+                    compio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(self.listener);
+        while self.open.get() > 0 {
+            compio::time::sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
+    fn take_connection<H, F>(&self, stream: TcpStream, handler: &Rc<H>)
+    where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        if self.open.get() >= self.limits.max_connections {
+            log::warn!("serve: closed a connection above the limit");
+            return;
+        }
+        let handler = Rc::clone(handler);
+        let stop = self.stop.clone();
+        let limits = self.limits.clone();
+        let place = Place::new(&self.open);
+        compio::runtime::spawn(async move {
+            let _place = place;
+            if let Err(err) = answer_connection(stream, limits, stop, handler).await {
+                log::debug!("serve: connection ended: {err}");
+            }
+        })
+        .detach();
+    }
+}
+
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn new(open: &Rc<Cell<usize>>) -> Place {
+        open.set(open.get() + 1);
+        Place(Rc::clone(open))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn wait_for_stop(stop: flume::Receiver<()>) {
+    let mut stop = stop.into_stream();
+    while stop.next().await.is_some() {}
+}
+
+async fn answer_connection<H, F>(
+    stream: TcpStream,
+    limits: ServeLimits,
+    stop: flume::Receiver<()>,
+    handler: Rc<H>,
+) -> Result<(), BoxError>
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    stream.set_nodelay(true)?;
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, BoxError>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_read_timeout)
+        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .half_close(false)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let stopped = pin!(wait_for_stop(stop));
+    match futures_util::future::select(connection.as_mut(), stopped).await {
+        Either::Left((ended, _)) => ended?,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/samphiredoor-schema/src/lib.rs
@@ -0,0 +1,29 @@
+//! Schemas of samphiredoor's messages and settings, and the types generated from them.
+//!
+//! `schemas` holds the sources: Cap'n Proto for messages between doors, JSON Schema for settings, declarations and
+//! stored objects. `generate.sh` writes `src/generated` anew; its output is committed, so that a build needs no
+//! generator.
+
+/// Messages between doors.
+#[allow(missing_docs, clippy::all, clippy::unimplemented)]
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+pub mod peer_capnp;
+
+/// Settings of one door process.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/settings.rs"]
+pub mod settings;
+
+/// Declarations that run the service.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/manifest.rs"]
+pub mod manifest;
+
+/// Objects that the doors keep in the object API.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/objects.rs"]
+pub mod objects;
--- /dev/null
+++ b/crates/samphiredoor-standin/src/main.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for the platform and the targets, as processes of their own.
+
+mod cli;
+mod serve;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::Builder::new().filter_level(log::LevelFilter::Info).format_target(false).init();
+    match serve::run(cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("standin: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/answers.rs
@@ -0,0 +1,133 @@
+//! Answers of the doors themselves, as opposed to those of targets.
+
+use hyper::{Response, StatusCode, header};
+use samphiredoor_core::verdict::{Doubt, Refusal, Verdict};
+use samphiredoor_net::Body;
+use serde::Serialize;
+use serde_json::json;
+
+/// Answer with a JSON body.
+pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let mut response = Response::new(Body::full(serde_json::to_vec(value).unwrap_or_default()));
+    *response.status_mut() = status;
+    let content_type = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Answer to a request that is malformed; `field` names the place.
+pub fn bad_request(field: &str, problem: &str) -> Response<Body> {
+    let value = json!({
+        "error": {
+            "type": Refusal::BadRequest.label(),
+            "field": field,
+            "message": format!("{field}: {problem}"),
+            "ran": "not run",
+        }
+    });
+    json_answer(StatusCode::BAD_REQUEST, &value)
+}
+
+/// Answer for a path or object that does not exist.
+pub fn not_found(what: &str) -> Response<Body> {
+    let value = json!({ "error": { "type": "not_found", "message": what, "ran": "not run" } });
+    json_answer(StatusCode::NOT_FOUND, &value)
+}
+
+/// Answer to a request that got none from a target.
+pub fn verdict_answer(verdict: Verdict) -> Response<Body> {
+    match verdict {
+        Verdict::NotRun { retry_after_ms, reason } => not_run(retry_after_ms, reason),
+        Verdict::MayHaveRun { reason } => may_have_run(reason),
+        Verdict::Done => json_answer(StatusCode::OK, &json!({})),
+    }
+}
+
+/// JSON text of a verdict, for the error event of a stream.
+pub fn verdict_json(verdict: Verdict) -> serde_json::Value {
+    match verdict {
+        Verdict::NotRun { retry_after_ms, reason } => json!({
+            "error": {
+                "type": reason.label(),
+                "message": refusal_message(reason),
+                "ran": "not run",
+                "retry_after_ms": retry_after_ms,
+            }
+        }),
+        Verdict::MayHaveRun { reason } => json!({
+            "error": {
+                "type": reason.label(),
+                "message": doubt_message(reason),
+                "ran": "may have run",
+            }
+        }),
+        Verdict::Done => json!({}),
+    }
+}
+
+fn not_run(retry_after_ms: u64, reason: Refusal) -> Response<Body> {
+    let verdict = Verdict::NotRun { retry_after_ms, reason };
+    let mut response = json_answer(refusal_status(reason), &verdict_json(verdict));
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        if let Ok(value) = header::HeaderValue::from_str(&seconds.to_string()) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn may_have_run(reason: Doubt) -> Response<Body> {
+    let status = match reason {
+        Doubt::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Doubt::StoreAnswerLost => StatusCode::SERVICE_UNAVAILABLE,
+        Doubt::ConnectionLost | Doubt::AnswerCut | Doubt::IntentWithoutOutcome => {
+            StatusCode::BAD_GATEWAY
+        }
+    };
+    json_answer(status, &verdict_json(Verdict::MayHaveRun { reason }))
+}
+
+fn refusal_status(reason: Refusal) -> StatusCode {
+    match reason {
+        Refusal::BadRequest => StatusCode::BAD_REQUEST,
+        Refusal::UnknownService => StatusCode::NOT_FOUND,
+        Refusal::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::KeyReused => StatusCode::CONFLICT,
+        Refusal::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::NoTarget
+        | Refusal::Overloaded
+        | Refusal::DeadlineTooShort
+        | Refusal::ConnectFailed
+        | Refusal::StoreUnavailable
+        | Refusal::Stopping
+        | Refusal::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn refusal_message(reason: Refusal) -> &'static str {
+    match reason {
+        Refusal::BadRequest => "the request is malformed",
+        Refusal::UnknownService => "no such service is declared; check the model or path",
+        Refusal::NoTarget => "no target of the service takes work now",
+        Refusal::Overloaded => "all targets are busy; come back after the time given",
+        Refusal::WorkspaceLimit => "the workspace is at its own limit",
+        Refusal::DeadlineTooShort => "the answer would come after the deadline",
+        Refusal::ConnectFailed => "no target could be connected to",
+        Refusal::StoreUnavailable => "the object store is not reachable",
+        Refusal::Quarantined => "the request is suspected of crashing targets; ask their owner",
+        Refusal::KeyReused => "the idempotency key stands for another request",
+        Refusal::Stopping => "this process is stopping; send again",
+        Refusal::NotReady => "this process has no configuration yet",
+    }
+}
+
+fn doubt_message(reason: Doubt) -> &'static str {
+    match reason {
+        Doubt::ConnectionLost => "the target was lost before it answered",
+        Doubt::AnswerCut => "the target's answer was cut",
+        Doubt::DeadlinePassed => "the deadline passed before the answer came",
+        Doubt::IntentWithoutOutcome => "an earlier run of this request left no outcome",
+        Doubt::StoreAnswerLost => "the object store did not answer; sending again is safe",
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/callers.rs
@@ -0,0 +1,25 @@
+//! The callers' door: paths, and who answers them.
+
+use std::rc::Rc;
+
+use hyper::{Method, Request, Response, body::Incoming};
+use samphiredoor_net::Body;
+
+use crate::{answers::not_found, jobs, online, process::Door};
+
+/// Answers one request of a caller.
+pub async fn answer(door: Rc<Door>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if online::is_online(request.method(), &path) {
+        return online::answer(door, request).await;
+    }
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "batches"]) => jobs::submit(door, request).await,
+        (&Method::GET, ["v1", "batches", job]) => jobs::status(door, job).await,
+        (&Method::GET, ["v1", "batches", job, "results"]) => {
+            jobs::results(door, job, request.uri().query().unwrap_or_default()).await
+        }
+        _ => not_found("no such path; see the README for the callers' paths"),
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/cli.rs
@@ -0,0 +1,43 @@
+//! Command line of the process.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use bpaf::Bpaf;
+
+/// Door between callers and targets: online and batch inference on one fleet.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub enum Opts {
+    /// Runs a door with the settings in FILE
+    #[bpaf(command)]
+    Serve {
+        /// Settings in TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Checks the settings in FILE without starting
+    #[bpaf(command)]
+    Check {
+        /// Settings in TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Runs one door with an object API and two small engines inside; nothing is kept
+    #[bpaf(command)]
+    Dev {
+        /// Address for callers
+        #[bpaf(
+            argument("ADDRESS"),
+            fallback("127.0.0.1:8080".parse().expect("an address")),
+            display_fallback
+        )]
+        callers: SocketAddr,
+        /// Serves one completion and a job of ten items, shows them, and ends
+        demo: bool,
+    },
+}
+
+/// Parses the arguments; ends the process on `--help` and on errors.
+pub fn parse() -> Opts {
+    opts().run()
+}
--- /dev/null
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -0,0 +1,209 @@
+//! The task that owns the dispatcher, and the handles by which requests speak to it.
+
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use samphiredoor_core::{
+    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId},
+    manifest::Manifest,
+    time::Now,
+    verdict::{Refusal, Verdict},
+};
+use samphiredoor_net::pool::within;
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// Clock of the process, read once per event.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Clock that starts now.
+    pub fn new() -> Clock {
+        Clock { start: Instant::now() }
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Now {
+        let mono_ms = self.start.elapsed().as_millis() as u64;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Now::new(mono_ms, unix.as_millis() as u64)
+    }
+}
+
+/// What the dispatcher decided for a request.
+#[derive(Debug, Clone)]
+pub enum Placement {
+    /// Send it there.
+    Go {
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Cut the attempt in hand.
+    Abort,
+    /// It ends without an answer.
+    Refused(Verdict),
+}
+
+enum Message {
+    Ask(Ask, flume::Sender<Placement>),
+    Input(Input),
+}
+
+/// Handle to the dispatcher's task.
+#[derive(Clone)]
+pub struct Dispatch {
+    messages: flume::Sender<Message>,
+    next_request: Rc<Cell<u64>>,
+}
+
+impl Dispatch {
+    /// Starts the task.
+    pub fn start(clock: Clock, place: Place, seed: u64) -> Dispatch {
+        let (messages, inbox) = flume::unbounded();
+        let task =
+            Task { clock, dispatcher: Dispatcher::new(place, seed), waiting: HashMap::new() };
+        compio::runtime::spawn(task.run(inbox)).detach();
+        Dispatch { messages, next_request: Rc::new(Cell::new(1)) }
+    }
+
+    /// Puts a manifest in force.
+    pub fn apply(&self, manifest: Arc<Manifest>) {
+        self.input(Input::Manifest(manifest));
+    }
+
+    /// New identity for a request.
+    pub fn next_request(&self) -> RequestId {
+        let id = self.next_request.get();
+        self.next_request.set(id + 1);
+        RequestId(id)
+    }
+
+    /// Asks for a target.
+    pub fn ask(&self, ask: Ask) -> Ticket {
+        let (sender, placements) = flume::unbounded();
+        let ticket = Ticket {
+            request: ask.request,
+            placements,
+            messages: self.messages.clone(),
+            open: true,
+        };
+        let _ = self.messages.send(Message::Ask(ask, sender));
+        ticket
+    }
+
+    fn input(&self, input: Input) {
+        let _ = self.messages.send(Message::Input(input));
+    }
+}
+
+/// A request as the dispatcher knows it. Dropping it says that nobody waits any more.
+pub struct Ticket {
+    request: RequestId,
+    placements: flume::Receiver<Placement>,
+    messages: flume::Sender<Message>,
+    open: bool,
+}
+
+impl Ticket {
+    /// Waits for the next decision.
+    pub async fn placement(&mut self) -> Placement {
+        match self.placements.recv_async().await {
+            Ok(placement) => {
+                if matches!(placement, Placement::Refused(_)) {
+                    self.open = false;
+                }
+                placement
+            }
+            Err(_) => {
+                self.open = false;
+                let reason = Refusal::Stopping;
+                Placement::Refused(Verdict::NotRun { retry_after_ms: 1_000, reason })
+            }
+        }
+    }
+
+    /// Says how the attempt in hand ended. After `Done` and `Aborted` the ticket is closed; else a decision follows.
+    pub fn ended(&mut self, end: AttemptEnd) {
+        if matches!(end, AttemptEnd::Done | AttemptEnd::Aborted) {
+            self.open = false;
+        }
+        let input = Input::Ended { request: self.request, end };
+        let _ = self.messages.send(Message::Input(input));
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.open {
+            let input = Input::Gone { request: self.request };
+            let _ = self.messages.send(Message::Input(input));
+        }
+    }
+}
+
+struct Task {
+    clock: Clock,
+    dispatcher: Dispatcher,
+    waiting: HashMap<RequestId, flume::Sender<Placement>>,
+}
+
+impl Task {
+    async fn run(mut self, inbox: flume::Receiver<Message>) {
+        let mut actions = Vec::new();
+        let mut next_tick = Instant::now() + TICK;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            let input = match within(wait, inbox.recv_async()).await {
+                Some(Ok(Message::Ask(ask, reply))) => {
+                    self.waiting.insert(ask.request, reply);
+                    Input::Ask(ask)
+                }
+                Some(Ok(Message::Input(input))) => input,
+                Some(Err(_)) => return,
+                None => {
+                    next_tick = Instant::now() + TICK;
+                    Input::Tick
+                }
+            };
+            self.forget_ended(&input);
+            self.dispatcher.handle(self.clock.now(), input, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn forget_ended(&mut self, input: &Input) {
+        match input {
+            Input::Gone { request }
+            | Input::Ended { request, end: AttemptEnd::Done | AttemptEnd::Aborted } => {
+                self.waiting.remove(request);
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let (request, placement) = match action {
+            Action::Dispatch { request, address, .. } => (request, Placement::Go { address }),
+            Action::Abort { request } => (request, Placement::Abort),
+            Action::Refuse { request, verdict } => (request, Placement::Refused(verdict)),
+        };
+        let last = matches!(placement, Placement::Refused(_));
+        if let Some(reply) = self.waiting.get(&request) {
+            let _ = reply.send(placement);
+        }
+        if last {
+            self.waiting.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Counters, gauges and histograms.
+
+use std::rc::Rc;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use samphiredoor_core::{
+    dispatch::Class,
+    verdict::{Doubt, Refusal, Verdict},
+};
+
+/// Label of a reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Reason as in answers.
+    pub reason: &'static str,
+}
+
+/// Label of a class.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClassLabel {
+    /// `online` or `batch`.
+    pub class: &'static str,
+}
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    refusals: Family<ReasonLabel, Counter>,
+    doubts: Family<ReasonLabel, Counter>,
+    answered: Family<ClassLabel, Counter>,
+    latency_s: Family<ClassLabel, Histogram>,
+    running: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+impl Metrics {
+    /// Metrics with every reason at zero.
+    pub fn new() -> Rc<Metrics> {
+        let mut registry = Registry::with_prefix("samphiredoor");
+        let refusals = Family::<ReasonLabel, Counter>::default();
+        let doubts = Family::<ReasonLabel, Counter>::default();
+        let answered = Family::<ClassLabel, Counter>::default();
+        let latency_s = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        for reason in Refusal::ALL {
+            let _ = refusals.get_or_create(&ReasonLabel { reason: reason.label() });
+        }
+        for reason in Doubt::ALL {
+            let _ = doubts.get_or_create(&ReasonLabel { reason: reason.label() });
+        }
+        registry.register("refusals", "Requests refused before they ran", refusals.clone());
+        registry.register("doubts", "Requests that may have run", doubts.clone());
+        registry.register("answered", "Requests answered whole", answered.clone());
+        registry.register("latency_seconds", "Time to the whole answer", latency_s.clone());
+        let running = Gauge::default();
+        registry.register("running", "Online requests that are being answered", running.clone());
+        Rc::new(Metrics { registry, refusals, doubts, answered, latency_s, running })
+    }
+
+    /// Counts an online request as running until the guard is dropped.
+    pub fn running(&self) -> Running {
+        self.running.inc();
+        Running(self.running.clone())
+    }
+
+    /// Counts how a request ended.
+    pub fn ended(&self, class: Class, verdict: Verdict, elapsed_s: f64) {
+        let class = ClassLabel { class: class_label(class) };
+        match verdict {
+            Verdict::Done => {
+                self.answered.get_or_create(&class).inc();
+                self.latency_s.get_or_create(&class).observe(elapsed_s);
+            }
+            Verdict::NotRun { reason, .. } => {
+                self.refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+            }
+            Verdict::MayHaveRun { reason } => {
+                self.doubts.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+            }
+        }
+    }
+
+    /// Text in the exposition format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// One online request that is being answered.
+pub struct Running(Gauge);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn class_label(class: Class) -> &'static str {
+    match class {
+        Class::Online => "online",
+        Class::Batch => "batch",
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/store_client.rs
@@ -0,0 +1,202 @@
+//! Client of the platform's object API.
+//!
+//! Tells apart a call that had no effect (refused, or never sent) from one whose answer was lost and that may have
+//! taken effect. Connections are taken as needed, so that a slow call never holds up another.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::{Method, Request, StatusCode, header};
+use samphiredoor_core::store::{
+    Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version,
+};
+use samphiredoor_net::{
+    Body, Pool,
+    body::read_whole,
+    pool::{SendError, within},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+const ROOT: &str = "/apis/samphiredoor.dev/v1";
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Client of the object API; clones share connections.
+#[derive(Clone)]
+pub struct StoreClient {
+    pool: Pool,
+    timeout: Duration,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Metadata {
+    name: String,
+    #[serde(default)]
+    resource_version: String,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Object {
+    metadata: Metadata,
+    spec: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct ListMetadata {
+    #[serde(rename = "resourceVersion")]
+    resource_version: String,
+    #[serde(default, rename = "continue")]
+    next: String,
+}
+
+#[derive(Deserialize)]
+struct List {
+    metadata: ListMetadata,
+    items: Vec<Object>,
+}
+
+#[derive(Deserialize)]
+struct Status {
+    #[serde(default)]
+    reason: String,
+}
+
+impl StoreClient {
+    /// Client of the API at `address`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> StoreClient {
+        StoreClient { pool: Pool::new(address).with_connect_timeout(timeout), timeout }
+    }
+
+    /// Makes one call.
+    pub async fn call(&self, op: StoreOp) -> StoreAnswer {
+        let write = op.is_write();
+        let delete = matches!(op, StoreOp::Delete { .. });
+        let Some(request) = request(op) else { return StoreAnswer::Unavailable };
+        let lost = if write { StoreAnswer::Unknown } else { StoreAnswer::Unavailable };
+        match within(self.timeout, self.exchange(request)).await {
+            Some(Ok((StatusCode::OK, _))) if delete => StoreAnswer::Deleted,
+            Some(Ok((status, body))) => answer(status, &body, &lost),
+            Some(Err(SendError::NotSent(err))) => {
+                log::debug!("store: not reached: {err}");
+                StoreAnswer::Unavailable
+            }
+            Some(Err(SendError::MayHaveRun(err))) => {
+                log::debug!("store: answer lost: {err}");
+                lost
+            }
+            None => lost,
+        }
+    }
+
+    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, Vec<u8>), SendError> {
+        let response = self.pool.send(request).await?;
+        let status = response.status();
+        match read_whole(response.into_body(), MAX_ANSWER_BYTES).await {
+            Ok(body) => Ok((status, body.to_vec())),
+            Err(_) => Err(SendError::MayHaveRun("the answer was cut".into())),
+        }
+    }
+}
+
+fn request(op: StoreOp) -> Option<Request<Body>> {
+    let (method, path, body) = match op {
+        StoreOp::Get { key } => (Method::GET, object_path(&key), None),
+        StoreOp::Create { key, labels, value } => {
+            let body = object_json(&key, None, labels, &value)?;
+            (Method::POST, format!("{ROOT}/{}", key.kind.path()), Some(body))
+        }
+        StoreOp::Update { key, version, labels, value } => {
+            let body = object_json(&key, Some(version), labels, &value)?;
+            (Method::PUT, object_path(&key), Some(body))
+        }
+        StoreOp::Delete { key, version } => {
+            let version = version.map(|it| format!("?resourceVersion={}", it.0));
+            let path = format!("{}{}", object_path(&key), version.unwrap_or_default());
+            (Method::DELETE, path, None)
+        }
+        StoreOp::List { kind, prefix, labels, after, limit } => {
+            (Method::GET, list_path(kind, &prefix, &labels, after.as_deref(), limit), None)
+        }
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, "store")
+        .header(header::CONTENT_TYPE, "application/json");
+    request.body(body.map_or_else(Body::empty, Body::full)).ok()
+}
+
+fn object_path(key: &ObjectKey) -> String {
+    format!("{ROOT}/{}/{}", key.kind.path(), key.name)
+}
+
+fn list_path(
+    kind: Kind,
+    prefix: &str,
+    labels: &Labels,
+    after: Option<&str>,
+    limit: usize,
+) -> String {
+    let mut path = format!("{ROOT}/{}?limit={limit}&prefix={prefix}", kind.path());
+    if !labels.is_empty() {
+        let pairs: Vec<String> = labels.iter().map(|(k, v)| format!("{k}%3D{v}")).collect();
+        path.push_str("&labelSelector=");
+        path.push_str(&pairs.join("%2C"));
+    }
+    if let Some(after) = after {
+        path.push_str("&continue=");
+        path.push_str(after);
+    }
+    path
+}
+
+fn object_json(
+    key: &ObjectKey,
+    version: Option<Version>,
+    labels: Labels,
+    value: &Value,
+) -> Option<Vec<u8>> {
+    let resource_version = version.map(|it| it.0.to_string()).unwrap_or_default();
+    let metadata = Metadata { name: key.name.to_string(), resource_version, labels };
+    let text = std::str::from_utf8(value).ok()?.to_owned();
+    let object = Object { metadata, spec: RawValue::from_string(text).ok()? };
+    serde_json::to_vec(&object).ok()
+}
+
+fn answer(status: StatusCode, body: &[u8], lost: &StoreAnswer) -> StoreAnswer {
+    match status {
+        StatusCode::OK | StatusCode::CREATED => success(body).unwrap_or_else(|| lost.clone()),
+        StatusCode::NOT_FOUND => StoreAnswer::Absent,
+        StatusCode::CONFLICT => match serde_json::from_slice::<Status>(body) {
+            Ok(status) if status.reason == "AlreadyExists" => StoreAnswer::Taken,
+            _ => StoreAnswer::Conflict,
+        },
+        StatusCode::PAYLOAD_TOO_LARGE => StoreAnswer::TooLarge,
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::BAD_REQUEST => StoreAnswer::Unavailable,
+        _ => lost.clone(),
+    }
+}
+
+fn success(body: &[u8]) -> Option<StoreAnswer> {
+    if let Ok(object) = serde_json::from_slice::<Object>(body) {
+        return stored(object).map(StoreAnswer::Object);
+    }
+    let list = serde_json::from_slice::<List>(body).ok()?;
+    let items = list.items.into_iter().map(stored).collect::<Option<Vec<Stored>>>()?;
+    let next = (!list.metadata.next.is_empty()).then(|| Arc::from(list.metadata.next));
+    let version = Version(list.metadata.resource_version.parse().ok()?);
+    Some(StoreAnswer::Page { items, next, version })
+}
+
+fn stored(object: Object) -> Option<Stored> {
+    Some(Stored {
+        name: object.metadata.name.into(),
+        version: Version(object.metadata.resource_version.parse().ok()?),
+        labels: object.metadata.labels,
+        value: object.spec.get().as_bytes().into(),
+    })
+}
--- /dev/null
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -0,0 +1,259 @@
+//! What a test needs around the real processes.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::Duration,
+};
+
+use samphiredoor_embedded::{
+    engine::EngineConfig, engine_http::Engine, objects_http::ObjectApi, service_http::PlainService,
+};
+use samphiredoor_net::{Body, ServeLimits, Server};
+use serde_json::{Value, json};
+
+const TRIES: u32 = 2_000;
+const PAUSE: Duration = Duration::from_millis(10);
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// A store and any number of targets and doors, ended with the test.
+pub struct TestEnv {
+    pub store: SocketAddr,
+    folder: PathBuf,
+    doors: Vec<TestDoor>,
+}
+
+/// One door process.
+pub struct TestDoor {
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    child: Child,
+}
+
+impl TestDoor {
+    /// Ends the process at once, as a lost host would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by its name, as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
+        assert!(sent.success(), "signal {name} was not sent");
+    }
+
+    /// Waits for the end of the process; tells whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("the door can be waited for").success()
+    }
+}
+
+impl Drop for TestDoor {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Answer to a call.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+}
+
+impl TestEnv {
+    /// A store without doors or targets.
+    pub fn new() -> TestEnv {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("samphiredoor-test-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let store = start(|| {
+            let api = ObjectApi::new();
+            move |request| api.clone().handle(request)
+        });
+        TestEnv { store, folder, doors: Vec::new() }
+    }
+
+    /// Starts a door and waits until it listens; returns its number.
+    pub fn start_door(&mut self) -> usize {
+        let number = self.doors.len();
+        let file = self.folder.join(format!("door-{number}.toml"));
+        let settings = format!(
+            "name = \"door-{number}\"\n\
+             region = \"brisbane\"\n\
+             availability_zone = \"brisbane-north\"\n\
+             callers.address = \"127.0.0.1:0\"\n\
+             operators.address = \"127.0.0.1:0\"\n\
+             peers.address = \"127.0.0.1:0\"\n\
+             store.address = \"{}\"\n\
+             stopping.unready_ms = 50\n",
+            self.store
+        );
+        std::fs::write(&file, settings).expect("settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_samphiredoor"))
+            .arg("serve")
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the door starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("stderr is piped")).lines();
+        let callers = listening(&mut lines, "door: callers on ");
+        let operators = listening(&mut lines, "door: operators on ");
+        thread::spawn(move || lines.for_each(drop));
+        self.doors.push(TestDoor { callers, operators, child });
+        number
+    }
+
+    /// Door by its number.
+    pub fn door(&mut self, number: usize) -> &mut TestDoor {
+        &mut self.doors[number]
+    }
+
+    /// Puts declarations in force through door 0 and waits until all doors are ready.
+    pub fn declare(&self, manifest: &Value) {
+        let answer = self.put(self.doors[0].operators, "/manifest", manifest);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        for door in &self.doors {
+            wait_until("the door is ready", || get(door.operators, "/ready").status == 200);
+        }
+    }
+
+    /// Posts to the callers' listener of a door.
+    pub fn post(&self, door: usize, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+        post(self.doors[door].callers, path, headers, body)
+    }
+
+    /// Gets from the callers' listener of a door.
+    pub fn get(&self, door: usize, path: &str) -> Answer {
+        get(self.doors[door].callers, path)
+    }
+
+    fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
+        call(hyper::Method::PUT, address, path, &[], &value.to_string())
+    }
+}
+
+/// Starts an engine; returns where it listens.
+pub fn start_engine(config: EngineConfig) -> SocketAddr {
+    start(move || {
+        let engine = Engine::new(config);
+        compio::runtime::spawn(engine.clone().run_steps()).detach();
+        move |request| engine.clone().handle(request)
+    })
+}
+
+/// Starts a plain service; returns where it listens.
+pub fn start_service(delay: Duration) -> SocketAddr {
+    start(move || {
+        let service = PlainService::new(delay);
+        move |request| service.clone().handle(request)
+    })
+}
+
+/// Declaration of a target that lends half of its 64 places.
+pub fn target(name: &str, service: &str, address: SocketAddr) -> Value {
+    json!({
+        "name": name,
+        "service": service,
+        "address": address.to_string(),
+        "region": "brisbane",
+        "availability_zone": "brisbane-north",
+        "owner": "kitchen",
+        "concurrency_limit": 64,
+        "loan_limit": 32,
+    })
+}
+
+/// Posts a body.
+pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    call(hyper::Method::POST, address, path, headers, body)
+}
+
+/// Gets a path.
+pub fn get(address: SocketAddr, path: &str) -> Answer {
+    call(hyper::Method::GET, address, path, &[], "")
+}
+
+/// Waits for something that must come, without saying when.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if condition() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("never: {what}");
+}
+
+fn call(
+    method: hyper::Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let exchange = async {
+        let client = cyper::Client::new()?;
+        let mut request = client.request(method, format!("http://{address}{path}"))?;
+        for (name, value) in headers {
+            request = request.header(*name, *value)?;
+        }
+        let response = request.body(body.to_owned()).send().await?;
+        let status = response.status().as_u16();
+        Ok::<_, cyper::Error>(Answer { status, text: response.text().await? })
+    };
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    match runtime.block_on(exchange) {
+        Ok(answer) => answer,
+        Err(err) => Answer { status: 0, text: err.to_string() },
+    }
+}
+
+fn listening(lines: &mut impl Iterator<Item = std::io::Result<String>>, mark: &str) -> SocketAddr {
+    for line in lines {
+        let line = line.expect("the door's log is text");
+        if let Some((_, address)) = line.split_once(mark) {
+            return address.trim().parse().expect("an address in the log");
+        }
+    }
+    panic!("the door ended before it logged `{mark}`");
+}
+
+fn start<M, H, F>(make: M) -> SocketAddr
+where
+    M: FnOnce() -> H + Send + 'static,
+    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + 'static,
+    F: Future<Output = hyper::Response<Body>> + 'static,
+{
+    let (sender, receiver) = flume::bounded(1);
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let server = Server::bind(any, ServeLimits::default()).await.expect("a port");
+            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+            server.run(make()).await;
+        });
+    });
+    receiver.recv().expect("the stand-in starts")
+}
--- /dev/null
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests through the real process, with stand-ins in threads of the test.
+
+mod env;
+mod whole_path;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/whole_path.rs
@@ -0,0 +1,106 @@
+//! From a caller through a door to a target and back.
+
+use std::time::Duration;
+
+use samphiredoor_embedded::engine::EngineConfig;
+use serde_json::json;
+
+use crate::env::{TestEnv, start_engine, start_service, target, wait_until};
+
+fn one_door() -> TestEnv {
+    let mut env = TestEnv::new();
+    env.start_door();
+    let engine = start_engine(EngineConfig { step_ms: 1.0, ..EngineConfig::default() });
+    let service = start_service(Duration::ZERO);
+    env.declare(&json!({
+        "services": [
+            { "name": "small", "kind": "engine" },
+            { "name": "pickup", "kind": "plain" },
+        ],
+        "targets": [target("engine-0", "small", engine), target("pickup-0", "pickup", service)],
+    }));
+    env
+}
+
+macro_rules! cases {
+    ($($name:ident: $path:expr, $body:expr => $status:expr, $holds:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let env = one_door();
+                let answer = env.post(0, $path, &[], $body);
+                assert_eq!(answer.status, $status, "{}", answer.text);
+                assert!(answer.text.contains($holds), "{}", answer.text);
+            }
+        )*
+    };
+}
+
+cases! {
+    a_completion_is_answered_whole:
+        "/v1/completions", r#"{"model":"small","prompt":"hello","max_tokens":3}"#
+        => 200, "w0 w1 w2";
+    a_chat_completion_is_streamed_to_its_end:
+        "/v1/chat/completions", r#"{"model":"small","messages":[],"max_tokens":2,"stream":true}"#
+        => 200, "data: [DONE]";
+    a_plain_service_is_reached_by_path:
+        "/services/pickup/count", r#"{"coach":7}"# => 200, r#"{"coach":7}"#;
+    a_request_without_a_model_is_refused_with_the_field:
+        "/v1/completions", r#"{"prompt":"hello"}"# => 400, r#""field":"model""#;
+    a_request_for_an_undeclared_service_was_not_run:
+        "/v1/completions", r#"{"model":"large"}"# => 404, "not run";
+}
+
+#[test]
+fn a_job_is_completed_and_its_results_are_readable() {
+    let env = one_door();
+    let lines: Vec<String> = (0..600).map(item_line).collect();
+    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-7")], &lines.join("\n"));
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let job = answer.json()["id"].as_str().expect("an id").to_owned();
+    let path = format!("/v1/batches/{job}");
+    wait_until("the job is completed", || env.get(0, &path).json()["status"] == "completed");
+    assert_eq!(env.get(0, &path).json()["request_counts"]["completed"], 600);
+    let results = env.get(0, &format!("{path}/results"));
+    assert_eq!(results.text.lines().count(), 600);
+}
+
+#[test]
+fn a_job_with_a_bad_line_is_refused_whole_with_its_number() {
+    let env = one_door();
+    let lines = format!("{}\nnot json\n", item_line(0));
+    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-8")], &lines);
+    assert_eq!(answer.status, 400);
+    assert_eq!(answer.json()["error"]["field"], "line 2");
+}
+
+fn item_line(number: usize) -> String {
+    json!({
+        "custom_id": format!("order-{number}"),
+        "url": "/v1/completions",
+        "body": { "model": "small", "prompt": "no nuts", "max_tokens": 2 },
+    })
+    .to_string()
+}
+
+/// A tour desk's answer breaks off because the host is being replaced. The stream runs, the door gets SIGTERM, and the
+/// cause would be a process that ends while connections are still in use.
+#[test]
+fn a_planned_stop_lets_a_running_stream_finish() {
+    let mut env = one_door();
+    let callers = env.door(0).callers;
+    let call = r#"{"model":"small","prompt":"hello","max_tokens":300,"stream":true}"#;
+    let caller =
+        std::thread::spawn(move || crate::env::post(callers, "/v1/completions", &[], call));
+    wait_until("the stream runs", || metric(&mut env, "running") > 0);
+    env.door(0).signal("TERM");
+    let answer = caller.join().expect("the caller's thread ends");
+    assert!(answer.text.contains("data: [DONE]"), "{}", answer.text);
+    assert!(env.door(0).wait());
+}
+
+fn metric(env: &mut TestEnv, name: &str) -> u64 {
+    let text = crate::env::get(env.door(0).operators, "/metrics").text;
+    let line = text.lines().find(|it| it.starts_with(&format!("samphiredoor_{name} ")));
+    line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
