--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -104,6 +104,18 @@
         /// How.
         end: ItemEnd,
     },
+    /// The process's own lease is held until this monotonic time; 0 if it is lost.
+    Lease {
+        /// End of the lease.
+        valid_until_ms: u64,
+    },
+    /// The lease of another process has lapsed.
+    Lapsed {
+        /// Which process.
+        process: Name,
+        /// Which start of it.
+        incarnation: u64,
+    },
     /// Time passed.
     Tick,
 }
@@ -167,6 +179,7 @@
                 let job = Arc::clone(&item.job);
                 self.step(now, &job, Some(Event::Ended(item, end)), &mut ops, out);
             }
+            LedgerInput::Lease { .. } | LedgerInput::Lapsed { .. } => {}
             LedgerInput::Tick => {
                 let jobs: Vec<JobId> = self.runs.keys().cloned().collect();
                 for job in jobs {
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub enum Mode {
     /// Run a door.
-    Serve(DoorConfig),
+    Serve(Box<DoorConfig>),
     /// Only check the settings.
     Check,
     /// Run a door with everything it needs inside.
@@ -51,6 +51,8 @@
     pub callers: SocketAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
+    /// Listener for other doors.
+    pub peers: SocketAddr,
     /// The object API.
     pub store: SocketAddr,
     /// Longest wait for the store.
@@ -61,6 +63,10 @@
     pub max_connections: usize,
     /// Deadline of a request that names none.
     pub default_deadline: Duration,
+    /// Length of the process's lease.
+    pub lease: Duration,
+    /// Time between two renewals of the lease.
+    pub renew: Duration,
     /// Time between failing readiness and closing the callers' listener.
     pub unready: Duration,
     /// Longest wait for running requests in a planned stop.
@@ -77,7 +83,7 @@
         match opts {
             Opts::Serve { file } => {
                 let (door, log_level) = read_settings(&file)?;
-                Ok(Config { mode: Mode::Serve(door), log_level })
+                Ok(Config { mode: Mode::Serve(Box::new(door)), log_level })
             }
             Opts::Check { file } => {
                 let (_, log_level) = read_settings(&file)?;
@@ -128,6 +134,12 @@
                 );
             }
         }
+        let ownership = settings.ownership.clone().unwrap_or_default();
+        if ownership.renew_ms * 2 > ownership.lease_ms {
+            bail!(
+                "ownership.renew_ms: is above half of lease_ms; one lost renewal would end the lease"
+            );
+        }
         let stopping = settings.stopping.clone().unwrap_or_default();
         Ok(DoorConfig {
             name: checked_name("name", &settings.name)?,
@@ -135,11 +147,14 @@
             availability_zone: checked_name("availability_zone", &settings.availability_zone)?,
             callers,
             operators,
+            peers,
             store: address("store.address", &settings.store.address)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
             max_body_bytes: settings.callers.max_body_bytes as usize,
             max_connections: settings.callers.max_connections.get() as usize,
             default_deadline: Duration::from_millis(settings.callers.default_deadline_ms.get()),
+            lease: Duration::from_millis(ownership.lease_ms),
+            renew: Duration::from_millis(ownership.renew_ms),
             unready: Duration::from_millis(stopping.unready_ms),
             finish: Duration::from_millis(stopping.finish_ms),
         })
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -49,6 +49,16 @@
         self.input(LedgerInput::Owned { job, header, version });
     }
 
+    /// Says until when this process holds its lease, by its monotonic clock; 0 if it is lost.
+    pub fn lease(&self, valid_until_ms: u64) {
+        self.input(LedgerInput::Lease { valid_until_ms });
+    }
+
+    /// Says that the lease of a process has lapsed, so that its jobs may be taken.
+    pub fn lapsed(&self, process: Name, incarnation: u64) {
+        self.input(LedgerInput::Lapsed { process, incarnation });
+    }
+
     /// Progress of a job, if this process owns it.
     pub async fn progress(&self, job: &JobId) -> Option<Progress> {
         let (sender, receiver) = flume::bounded(1);
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -9,6 +9,7 @@
 mod exit_codes;
 mod jobs;
 mod jobs_task;
+mod lease_task;
 mod manifest_task;
 mod metrics;
 mod online;
@@ -40,7 +41,7 @@
         .format_target(false)
         .init();
     match config.mode {
-        Mode::Serve(door) => process::run(door),
+        Mode::Serve(door) => process::run(*door),
         Mode::Check => {
             println!("settings are in order");
             Ok(Exit::Success)
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -16,7 +16,7 @@
     dispatch_task::{Clock, Dispatch},
     exit_codes::Exit,
     jobs_task::{self, Jobs},
-    manifest_task,
+    lease_task, manifest_task,
     metrics::Metrics,
     operators,
     store_client::StoreClient,
@@ -77,6 +77,7 @@
     let stop_callers = callers.stop_handle();
     let (door, inbox) = new_door(config);
     compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inbox)).detach();
+    compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door))).detach();
     let for_operators = Rc::clone(&door);
     let answer_operator = move |request| operators::answer(Rc::clone(&for_operators), request);
