Ask and command the doors in a small language

Queries name a noun, conditions, an order and a limit; commands change one declared value by conditional update, so that two operators' changes are both kept. Errors point at the wrong word. The operators' listener wants a token unless it is on loopback.

--- a/crates/samphirectl/src/main.rs
+++ b/crates/samphirectl/src/main.rs
@@ -1,17 +1,25 @@
 //! The operator's command line.
 
 mod cli;
-mod client;
+mod config;
+mod declarations;
+mod door;
+mod exit_codes;
+mod run;
+mod table;
 
 use std::process::ExitCode;
 
+use exit_codes::{Exit, Failure};
+
 fn main() -> ExitCode {
-    let opts = cli::parse();
-    match client::run(opts) {
-        Ok(()) => ExitCode::SUCCESS,
+    let config = config::Config::new(cli::parse());
+    let exit = match config.and_then(run::run) {
+        Ok(()) => Exit::Success,
         Err(err) => {
             eprintln!("samphirectl: {err:#}");
-            ExitCode::FAILURE
+            err.downcast_ref::<Failure>().map_or(Exit::GeneralError, Failure::exit)
         }
-    }
+    };
+    exit.into()
 }
--- /dev/null
+++ b/crates/samphiredoor/src/access.rs
@@ -0,0 +1,44 @@
+//! Who may use the operators' listener.
+
+use std::path::Path;
+
+use anyhow::{Context, ensure};
+use hyper::{HeaderMap, header};
+
+const MIN_TOKEN_BYTES: usize = 16;
+
+/// Token that operators show; kept as its digest.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Token(blake3::Hash);
+
+impl Token {
+    /// Reads a token file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or its token is too short to keep anybody out.
+    pub fn read(file: &Path) -> anyhow::Result<Token> {
+        let text = std::fs::read_to_string(file)
+            .with_context(|| format!("{}: cannot be read", file.display()))?;
+        let token = text.trim();
+        ensure!(
+            token.len() >= MIN_TOKEN_BYTES,
+            "{}: the token is shorter than {MIN_TOKEN_BYTES} bytes",
+            file.display()
+        );
+        Ok(Token(blake3::hash(token.as_bytes())))
+    }
+
+    /// Whether the headers show this token. Digests are compared, in constant time, so that the time taken tells
+    /// nothing about the token.
+    pub fn admits(&self, headers: &HeaderMap) -> bool {
+        let value = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
+        let shown = value.and_then(|it| it.strip_prefix("Bearer "));
+        shown.is_some_and(|it| self.is(it.as_bytes()))
+    }
+
+    /// Whether `shown` is this token.
+    pub fn is(&self, shown: &[u8]) -> bool {
+        blake3::hash(shown.trim_ascii()) == self.0
+    }
+}
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -7,7 +7,7 @@
 use samphiredoor_core::{Name, manifest::checked_name};
 use samphiredoor_schema::settings::{LogLevel, Settings};
 
-use crate::cli::Opts;
+use crate::{access::Token, cli::Opts};
 
 /// What the process does.
 #[derive(Debug)]
@@ -51,6 +51,8 @@
     pub callers: SocketAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
+    /// Token that operators show; `None` lets all in, which is for loopback only.
+    pub operators_token: Option<Token>,
     /// Listener for other doors.
     pub peers: SocketAddr,
     /// The object API.
@@ -147,6 +149,7 @@
             availability_zone: checked_name("availability_zone", &settings.availability_zone)?,
             callers,
             operators,
+            operators_token: operators_token(settings, operators)?,
             peers,
             store: address("store.address", &settings.store.address)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
@@ -166,6 +169,14 @@
     }
 }
 
+fn operators_token(settings: &Settings, listener: SocketAddr) -> anyhow::Result<Option<Token>> {
+    match &settings.operators.token_file {
+        Some(file) => Token::read(Path::new(file)).context("operators.token_file").map(Some),
+        None if listener.ip().is_loopback() => Ok(None),
+        None => bail!("operators.token_file: is missing; only a loopback listener can do without"),
+    }
+}
+
 fn address(key: &str, text: &str) -> anyhow::Result<SocketAddr> {
     text.parse().with_context(|| format!("{key}: `{text}` is not an IP address with a port"))
 }
--- a/crates/samphiredoor/src/dev.rs
+++ b/crates/samphiredoor/src/dev.rs
@@ -92,6 +92,7 @@
         availability_zone: "dev-a".into(),
         callers: dev.callers,
         operators: next_port(1),
+        operators_token: None,
         peers: next_port(2),
         store,
         store_timeout: Duration::from_secs(2),
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -1,8 +1,10 @@
 //! The process on an entry host.
 
+mod access;
 mod answers;
 mod callers;
 mod cli;
+mod commands;
 mod config;
 mod dev;
 mod dispatch_task;
@@ -15,6 +17,7 @@
 mod online;
 mod operators;
 mod process;
+mod query_rows;
 mod store_client;
 mod targets;
 
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -38,7 +38,9 @@
         Ok(manifest) if manifest.revision > door.revision.get() => {
             log::info!("manifest: revision {} is in force", manifest.revision);
             door.revision.set(manifest.revision);
-            door.dispatch.apply(Arc::new(manifest));
+            let manifest = Arc::new(manifest);
+            door.manifest.replace(Arc::clone(&manifest));
+            door.dispatch.apply(manifest);
         }
         Ok(_) => {}
         Err(err) => log::error!("manifest: the stored one cannot be used: {err:#}"),
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -1,13 +1,14 @@
 //! The whole door: its listeners, its tasks, and its planned stop.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
+    sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
-use samphiredoor_core::{Name, dispatch::Place};
+use samphiredoor_core::{Name, dispatch::Place, manifest::Manifest};
 use samphiredoor_net::{ServeLimits, Server};
 
 use crate::{
@@ -41,6 +42,8 @@
     pub targets: TargetPools,
     /// Metrics.
     pub metrics: Rc<Metrics>,
+    /// Manifest in force; written by the manifest's task alone.
+    pub manifest: RefCell<Arc<Manifest>>,
     /// Revision of the manifest in force; 0 before the first.
     pub revision: Cell<u64>,
     /// Whether a planned stop is under way.
@@ -113,6 +116,7 @@
         store: StoreClient::new(config.store, config.store_timeout),
         targets: TargetPools::default(),
         metrics: Metrics::new(),
+        manifest: RefCell::default(),
         revision: Cell::new(0),
         stopping: Cell::new(false),
         next_unique: Cell::new(0),
--- /dev/null
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -0,0 +1,238 @@
+//! Rows that answer operators' queries.
+//!
+//! Equal conditions on a job's state, owner and workspace are left to the store, which selects by label; the rest is
+//! filtered here. A query reads a bounded number of headers and says when it stopped there.
+
+use std::rc::Rc;
+
+use samphiredoor_core::{
+    ledger::{chunk_key, header_key, results_key},
+    manifest::{Manifest, ServiceKind},
+    store::{Kind, Labels, StoreAnswer, StoreOp, Stored},
+};
+use samphiredoor_query::{Noun, Query, Row, select};
+use samphiredoor_schema::objects::{
+    Chunk, ChunkResults, ItemOutcome, JobHeader, JobState, ProcessLease,
+};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::process::Door;
+
+const PAGE: usize = 500;
+const MAX_READ: usize = 10_000;
+const JOB_LABELS: [&str; 3] = ["state", "owner", "workspace"];
+
+/// Answer to a query.
+pub struct Answer {
+    /// Rows in the query's order.
+    pub rows: Vec<Row>,
+    /// Whether more could not be read within the bound.
+    pub truncated: bool,
+}
+
+/// Why a query has no answer.
+pub enum Failure {
+    /// The store is not reachable.
+    StoreDown,
+    /// There is no such job.
+    NoJob,
+}
+
+/// Reads and selects rows.
+pub async fn answer(door: &Rc<Door>, query: &Query) -> Result<Answer, Failure> {
+    let (rows, truncated) = match query.noun {
+        Noun::Jobs => listed(door, Kind::Job, job_labels(query), job_row).await?,
+        Noun::Doors => listed(door, Kind::Process, Labels::new(), door_row).await?,
+        Noun::Items => items(door, query).await?,
+        Noun::Services => (service_rows(&door.manifest.borrow()), false),
+        Noun::Targets => (target_rows(&door.manifest.borrow()), false),
+        Noun::Workspaces => (workspace_rows(&door.manifest.borrow()), false),
+    };
+    Ok(Answer { rows: select(query, rows), truncated })
+}
+
+fn job_labels(query: &Query) -> Labels {
+    let equal = JOB_LABELS.iter().filter_map(|it| Some((*it, query.equal_to(it)?)));
+    equal.map(|(label, value)| (label.to_owned(), value.to_owned())).collect()
+}
+
+async fn listed(
+    door: &Door,
+    kind: Kind,
+    labels: Labels,
+    row: fn(&Stored) -> Option<Value>,
+) -> Result<(Vec<Row>, bool), Failure> {
+    let mut rows = Vec::new();
+    let mut after = None;
+    loop {
+        let prefix = "".into();
+        let op = StoreOp::List { kind, prefix, labels: labels.clone(), after, limit: PAGE };
+        let StoreAnswer::Page { items, next, .. } = door.store.call(op).await else {
+            return Err(Failure::StoreDown);
+        };
+        rows.extend(items.iter().filter_map(|it| to_row(row(it)?)));
+        after = next;
+        if after.is_none() {
+            return Ok((rows, false));
+        }
+        if rows.len() >= MAX_READ {
+            return Ok((rows, true));
+        }
+    }
+}
+
+fn to_row(value: Value) -> Option<Row> {
+    match value {
+        Value::Object(row) => Some(row),
+        _ => None,
+    }
+}
+
+fn job_row(stored: &Stored) -> Option<Value> {
+    let header: JobHeader = serde_json::from_slice(&stored.value).ok()?;
+    Some(json!({
+        "id": &*stored.name,
+        "state": state_word(header.state),
+        "workspace": header.workspace,
+        "service": header.service,
+        "items": header.items,
+        "completed": header.completed,
+        "failed": header.failed,
+        "owner": header.owner.process,
+        "due_unix_ms": header.due_unix_ms,
+        "accepted_unix_ms": header.accepted_unix_ms,
+    }))
+}
+
+fn state_word(state: JobState) -> &'static str {
+    match state {
+        JobState::Running => "running",
+        JobState::Cancelling => "cancelling",
+        JobState::Cancelled => "cancelled",
+        JobState::Finished => "finished",
+    }
+}
+
+fn door_row(stored: &Stored) -> Option<Value> {
+    let lease: ProcessLease = serde_json::from_slice(&stored.value).ok()?;
+    Some(json!({
+        "name": &*stored.name,
+        "state": if lease.stopping { "stopping" } else { "leased" },
+        "incarnation": lease.incarnation,
+        "region": lease.region,
+        "availability_zone": lease.availability_zone,
+        "peer_address": lease.peer_address,
+        "renewals": lease.renewals,
+    }))
+}
+
+fn service_rows(manifest: &Manifest) -> Vec<Row> {
+    let rows = manifest.services.values().map(|it| {
+        json!({
+            "name": &*it.name,
+            "kind": match it.kind {
+                ServiceKind::Engine => "engine",
+                ServiceKind::Plain => "plain",
+            },
+            "repeatable": it.repeatable,
+            "deadline_ms": it.deadline_ms,
+            "headroom_percent": it.headroom_percent,
+        })
+    });
+    rows.filter_map(to_row).collect()
+}
+
+fn target_rows(manifest: &Manifest) -> Vec<Row> {
+    let rows = manifest.targets.values().map(|it| {
+        json!({
+            "name": &*it.name,
+            "service": &*it.service,
+            "state": match (it.drained, it.reclaimed) {
+                (true, _) => "drained",
+                (false, true) => "reclaimed",
+                (false, false) => "in service",
+            },
+            "owner": &*it.owner,
+            "host": it.address.ip().to_string(),
+            "region": &*it.region,
+            "availability_zone": &*it.availability_zone,
+            "concurrency_limit": it.concurrency_limit,
+            "loan_limit": it.loan_limit,
+        })
+    });
+    rows.filter_map(to_row).collect()
+}
+
+fn workspace_rows(manifest: &Manifest) -> Vec<Row> {
+    let rows = manifest.workspaces.values().map(|it| {
+        json!({
+            "name": &*it.name,
+            "weight": it.weight,
+            "max_in_flight": it.max_in_flight,
+        })
+    });
+    rows.filter_map(to_row).collect()
+}
+
+async fn items(door: &Door, query: &Query) -> Result<(Vec<Row>, bool), Failure> {
+    let job = query.equal_to("job").unwrap_or_default().into();
+    let Some(header) = read::<JobHeader>(door, header_key(&job)).await? else {
+        return Err(Failure::NoJob);
+    };
+    let mut rows = Vec::new();
+    for number in 0..header.chunks {
+        let chunk = read::<Chunk>(door, chunk_key(&header.upload, number)).await?;
+        let results = read::<ChunkResults>(door, results_key(&job, number)).await?;
+        let Some(chunk) = chunk else { continue };
+        for (index, item) in chunk.items.iter().enumerate() {
+            let result = results.as_ref().and_then(|it| it.results.get(&index.to_string()));
+            let row = json!({
+                "job": &*job,
+                "custom_id": item.custom_id,
+                "state": result.map_or("waiting", |it| outcome_word(it.outcome)),
+                "status": result.map(|it| it.status),
+                "tries": result.map(|it| it.tries),
+                "reason": result.and_then(|it| failure_reason(it.outcome, it.body.as_ref())),
+            });
+            rows.extend(to_row(row));
+        }
+        if rows.len() >= MAX_READ {
+            return Ok((rows, number + 1 < header.chunks));
+        }
+    }
+    Ok((rows, false))
+}
+
+fn outcome_word(outcome: ItemOutcome) -> &'static str {
+    match outcome {
+        ItemOutcome::Answered => "answered",
+        ItemOutcome::Failed => "failed",
+        ItemOutcome::MayHaveRun => "may_have_run",
+    }
+}
+
+fn failure_reason(outcome: ItemOutcome, body: Option<&Value>) -> Option<Value> {
+    match outcome {
+        ItemOutcome::Answered => None,
+        ItemOutcome::Failed | ItemOutcome::MayHaveRun => body.cloned(),
+    }
+}
+
+async fn read<T: DeserializeOwned>(
+    door: &Door,
+    key: samphiredoor_core::store::ObjectKey,
+) -> Result<Option<T>, Failure> {
+    let name = key.name.clone();
+    match door.store.call(StoreOp::Get { key }).await {
+        StoreAnswer::Object(stored) => match serde_json::from_slice(&stored.value) {
+            Ok(read) => Ok(Some(read)),
+            Err(err) => {
+                log::error!("query: {name} cannot be read: {err}");
+                Ok(None)
+            }
+        },
+        StoreAnswer::Absent => Ok(None),
+        _ => Err(Failure::StoreDown),
+    }
+}
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -96,6 +96,11 @@
 
     /// Starts a door and waits until it listens; returns its number.
     pub fn start_door(&mut self) -> usize {
+        self.start_door_with("")
+    }
+
+    /// Starts a door with more lines of settings.
+    pub fn start_door_with(&mut self, more: &str) -> usize {
         let number = self.doors.len();
         let file = self.folder.join(format!("door-{number}.toml"));
         let settings = format!(
@@ -106,7 +111,8 @@
              operators.address = \"127.0.0.1:0\"\n\
              peers.address = \"127.0.0.1:0\"\n\
              store.address = \"{}\"\n\
-             stopping.unready_ms = 50\n",
+             stopping.unready_ms = 50\n\
+             {more}\n",
             self.store
         );
         std::fs::write(&file, settings).expect("settings are written");
@@ -148,6 +154,13 @@
         get(self.doors[door].callers, path)
     }
 
+    /// Writes a file into the folder of the test; returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let file = self.folder.join(name);
+        std::fs::write(&file, text).expect("a file is written");
+        file.display().to_string()
+    }
+
     fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
         call(hyper::Method::PUT, address, path, &[], &value.to_string())
     }
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Tests through the real process, with stand-ins in threads of the test.
 
 mod env;
+mod operators;
 mod whole_path;
