--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -2,12 +2,17 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use anyhow::{Context, bail};
 use log::LevelFilter;
 use samphiredoor_core::{Name, manifest::checked_name};
-use samphiredoor_schema::settings::{LogLevel, Settings};
+use samphiredoor_schema::settings::{LogLevel, OwnershipSettings, Settings};
 
-use crate::{access::Token, cli::Opts};
+use crate::{
+    access::Token,
+    cli::Opts,
+    settings::{self, SettingError},
+};
+
+const MIN_LEASE_MS: u64 = 500;
 
 /// What the process does.
 #[derive(Debug)]
@@ -100,12 +105,7 @@
 }
 
 fn read_settings(file: &Path) -> anyhow::Result<(DoorConfig, LevelFilter)> {
-    let text = std::fs::read_to_string(file)
-        .with_context(|| format!("{}: cannot be read; name a settings file", file.display()))?;
-    let settings: Settings =
-        toml::from_str(&text).map_err(|err| anyhow::anyhow!("{}: {err}", file.display()))?;
-    let door = DoorConfig::new(&settings).with_context(|| file.display().to_string())?;
-    Ok((door, log_level(&settings)))
+    settings::read(file, |settings| Ok((DoorConfig::new(settings)?, log_level(settings))))
 }
 
 fn log_level(settings: &Settings) -> LevelFilter {
@@ -124,29 +124,19 @@
     /// # Errors
     ///
     /// The first setting that makes no sense.
-    pub fn new(settings: &Settings) -> anyhow::Result<DoorConfig> {
+    pub fn new(settings: &Settings) -> Result<DoorConfig, SettingError> {
         let callers = address("callers.address", &settings.callers.address)?;
         let operators = address("operators.address", &settings.operators.address)?;
         let peers = address("peers.address", &settings.peers.address)?;
-        let listeners = [callers, operators, peers];
-        for (index, listener) in listeners.iter().enumerate() {
-            if listener.port() != 0 && listeners[..index].contains(listener) {
-                bail!(
-                    "{listener} is given to two listeners; callers, operators and peers are kept apart"
-                );
-            }
-        }
+        check_apart("operators.address", operators, &[callers])?;
+        check_apart("peers.address", peers, &[callers, operators])?;
         let ownership = settings.ownership.clone().unwrap_or_default();
-        if ownership.renew_ms * 2 > ownership.lease_ms {
-            bail!(
-                "ownership.renew_ms: is above half of lease_ms; one lost renewal would end the lease"
-            );
-        }
+        check_ownership(&ownership)?;
         let stopping = settings.stopping.clone().unwrap_or_default();
         Ok(DoorConfig {
-            name: checked_name("name", &settings.name)?,
-            region: checked_name("region", &settings.region)?,
-            availability_zone: checked_name("availability_zone", &settings.availability_zone)?,
+            name: name("name", &settings.name)?,
+            region: name("region", &settings.region)?,
+            availability_zone: name("availability_zone", &settings.availability_zone)?,
             callers,
             operators,
             operators_token: operators_token(settings, operators)?,
@@ -169,14 +159,50 @@
     }
 }
 
-fn operators_token(settings: &Settings, listener: SocketAddr) -> anyhow::Result<Option<Token>> {
+fn name(key: &'static str, text: &str) -> Result<Name, SettingError> {
+    checked_name(key, text).map_err(|err| SettingError::new(key, err.problem))
+}
+
+fn check_apart(
+    key: &'static str,
+    listener: SocketAddr,
+    others: &[SocketAddr],
+) -> Result<(), SettingError> {
+    if listener.port() == 0 || !others.contains(&listener) {
+        return Ok(());
+    }
+    let problem = format!("{listener} is given twice; callers, operators and peers are kept apart");
+    Err(SettingError::new(key, problem))
+}
+
+fn check_ownership(ownership: &OwnershipSettings) -> Result<(), SettingError> {
+    if ownership.lease_ms < MIN_LEASE_MS {
+        let problem = format!("is below {MIN_LEASE_MS}; the store's answers take that long");
+        return Err(SettingError::new("ownership.lease_ms", problem));
+    }
+    if ownership.renew_ms == 0 || ownership.renew_ms * 2 > ownership.lease_ms {
+        let problem = "use 1 to half of lease_ms, so that one lost renewal does not end the lease";
+        return Err(SettingError::new("ownership.renew_ms", problem));
+    }
+    Ok(())
+}
+
+fn operators_token(
+    settings: &Settings,
+    listener: SocketAddr,
+) -> Result<Option<Token>, SettingError> {
+    const KEY: &str = "operators.token_file";
     match &settings.operators.token_file {
-        Some(file) => Token::read(Path::new(file)).context("operators.token_file").map(Some),
+        Some(file) => match Token::read(Path::new(file)) {
+            Ok(token) => Ok(Some(token)),
+            Err(err) => Err(SettingError::new(KEY, format!("{err:#}"))),
+        },
         None if listener.ip().is_loopback() => Ok(None),
-        None => bail!("operators.token_file: is missing; only a loopback listener can do without"),
+        None => Err(SettingError::new(KEY, "is missing; only a loopback listener can do without")),
     }
 }
 
-fn address(key: &str, text: &str) -> anyhow::Result<SocketAddr> {
-    text.parse().with_context(|| format!("{key}: `{text}` is not an IP address with a port"))
+fn address(key: &'static str, text: &str) -> Result<SocketAddr, SettingError> {
+    let problem = || format!("`{text}` is not an IP address with a port, as 10.0.0.1:8080");
+    text.parse().map_err(|_| SettingError::new(key, problem()))
 }
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -18,6 +18,7 @@
 mod operators;
 mod process;
 mod query_rows;
+mod settings;
 mod store_client;
 mod targets;
 
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,4 +2,5 @@
 
 mod env;
 mod operators;
+mod settings;
 mod whole_path;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/settings.rs
@@ -0,0 +1,60 @@
+//! What `samphiredoor check` says of settings.
+
+use std::process::Command;
+
+use crate::env::TestEnv;
+
+const GOOD: &str = r#"name = "door-1"
+region = "finistere"
+availability_zone = "quimper"
+callers.address = "127.0.0.1:8080"
+operators.address = "127.0.0.1:8081"
+peers.address = "127.0.0.1:8082"
+store.address = "127.0.0.1:8083"
+"#;
+
+fn check(settings: &str) -> (bool, String) {
+    let env = TestEnv::new();
+    let file = env.write("door.toml", settings);
+    let binary = env!("CARGO_BIN_EXE_samphiredoor");
+    let output = Command::new(binary).args(["check", &file]).output().expect("it runs");
+    let text = format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    (output.status.success(), text)
+}
+
+macro_rules! refused {
+    ($($name:ident: $old:expr => $new:expr, $holds:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (good, text) = check(&GOOD.replace($old, $new));
+                assert!(!good, "{text}");
+                assert!(text.contains($holds), "{text}");
+            }
+        )*
+    };
+}
+
+refused! {
+    an_unknown_key: "callers.address" => "callers.adress", "line 4";
+    a_host_name_for_an_address: "127.0.0.1:8083" => "store:8083", "line 7: store.address";
+    one_address_for_two_listeners: "8081" => "8080", "line 5: operators.address";
+    a_name_with_spaces: "door-1" => "door 1", "line 1: name";
+    a_number_in_quotes:
+        "name = \"door-1\"" => "name = \"door-1\"\nstore.timeout_ms = \"2s\"", "line 2";
+    a_renewal_longer_than_half_a_lease:
+        "name = \"door-1\"" => "name = \"door-1\"\nownership.renew_ms = 20000",
+        "line 2: ownership.renew_ms";
+    an_open_operators_listener_without_a_token:
+        "127.0.0.1:8081" => "0.0.0.0:8081", "line 5: operators.token_file";
+}
+
+#[test]
+fn good_settings_are_in_order() {
+    let (good, text) = check(GOOD);
+    assert!(good, "{text}");
+}
