--- a/crates/samphiredoor/tests/it/settings.rs
+++ b/crates/samphiredoor/tests/it/settings.rs
@@ -58,3 +58,9 @@
     let (good, text) = check(GOOD);
     assert!(good, "{text}");
 }
+
+#[test]
+fn the_example_is_in_order() {
+    let (good, text) = check(include_str!("../../../../examples/door.toml"));
+    assert!(good, "{text}");
+}
