--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod manifest;
+pub mod orders;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -22,6 +22,10 @@
     Keys,
     /// Suspected requests.
     Suspects,
+    /// Orders to targets.
+    Orders,
+    /// Pace of loads from the weight store.
+    Pace,
 }
 
 impl Kind {
@@ -35,6 +39,8 @@
             Kind::Process => "processes",
             Kind::Keys => "keys",
             Kind::Suspects => "suspects",
+            Kind::Orders => "orders",
+            Kind::Pace => "paces",
         }
     }
 }
