Route, queue, retry and refuse with state of their own

Cause: the dispatcher scanned all targets for each request and all waiting items after each event, knew no limit but the declared one, queued nothing, retried nothing, ejected nothing, and refused with a constant time to come back.

Now each concern is a module: targets (bounded subset by rendezvous hash), load, health, limits, queue, batch, pace, retry, refusal, routing. No event but a new manifest looks at more than the subset of one service.

A target that is declared and out of work now stays known. Also found: a second refused connection during an ejection did not prolong it.

Ruled out: one random choice within the prefix's bound for all (spills land on the preferred target again; the test of the bound went red), a fixed pause before each retry (a tenth of traffic as tokens bounds it without a timer).

--- a/crates/samphiredoor-core/src/dispatch/attempt.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempt.rs
@@ -7,10 +7,31 @@
 pub enum AttemptEnd {
     /// The whole answer arrived.
     Done,
+    /// The whole answer arrived, and says that the target failed; the caller gets it as it is.
+    Failed,
     /// No byte of the request reached the target.
     NotSent,
-    /// The request was sent; its answer is lost or cut.
+    /// The target refused the request without running it, because it has too much to do.
+    Pushback {
+        /// When it asked to be called again, in milliseconds; 0 if it did not say.
+        retry_after_ms: u64,
+    },
+    /// The request was sent; its answer is lost, and nothing of it reached the caller.
     Lost(Doubt),
+    /// The answer was cut after a part of it had reached the caller, who has been told so.
+    Cut(Doubt),
     /// Cut by ourselves, so that the capacity is free again.
     Aborted,
 }
+
+impl AttemptEnd {
+    /// Whether the request ends with this attempt, without any further action of the dispatcher.
+    pub fn closes(self) -> bool {
+        match self {
+            AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
+                true
+            }
+            AttemptEnd::NotSent | AttemptEnd::Pushback { .. } | AttemptEnd::Lost(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-core/src/dispatch/health.rs
@@ -0,0 +1,153 @@
+//! Whether a target gets work: ejection after failures, with growing time, and slow start on its return.
+
+const FAILURES_TO_EJECT: u32 = 3;
+const FIRST_EJECTION_MS: u64 = 1_000;
+const LONGEST_EJECTION_MS: u64 = 60_000;
+const LONGEST_UNREACHABLE_MS: u64 = 10_000;
+const FORGIVEN_AFTER_MS: u64 = 60_000;
+const SLOW_START_MS: u64 = 10_000;
+const SLOW_START_SHARE: f64 = 0.1;
+const HOLD_MS: u64 = 100;
+const LONGEST_HOLD_MS: u64 = 5_000;
+
+/// Why a target gets no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Ejection {
+    /// It refuses connections.
+    Unreachable,
+    /// It lost answers or failed again and again.
+    Failing,
+    /// It said that it leaves.
+    Leaving,
+}
+
+impl Ejection {
+    /// All reasons, for counters that stand at zero.
+    pub const ALL: [Ejection; 3] = [Ejection::Unreachable, Ejection::Failing, Ejection::Leaving];
+
+    /// Label of the reason in counters and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Ejection::Unreachable => "unreachable",
+            Ejection::Failing => "failing",
+            Ejection::Leaving => "leaving",
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Ejected {
+    reason: Ejection,
+    until_ms: u64,
+}
+
+/// Health of one target.
+#[derive(Debug, Default)]
+pub(super) struct Health {
+    ejected: Option<Ejected>,
+    held_until_ms: u64,
+    failures: u32,
+    ejections: u32,
+    returned_ms: Option<u64>,
+}
+
+impl Health {
+    /// Health of a target that appeared while others already served: it starts slowly.
+    pub(super) fn newcomer(now_ms: u64) -> Health {
+        Health { returned_ms: Some(now_ms), ..Health::default() }
+    }
+
+    pub(super) fn takes_work(&self, now_ms: u64) -> bool {
+        now_ms >= self.held_until_ms && !self.is_ejected(now_ms)
+    }
+
+    pub(super) fn is_ejected(&self, now_ms: u64) -> bool {
+        self.ejected.is_some_and(|it| now_ms < it.until_ms)
+    }
+
+    /// When it takes work again, if it does not now.
+    pub(super) fn back_ms(&self, now_ms: u64) -> Option<u64> {
+        let ejected_until_ms = self.ejected.map_or(0, |it| it.until_ms);
+        let back_ms = ejected_until_ms.max(self.held_until_ms);
+        (back_ms > now_ms).then_some(back_ms)
+    }
+
+    /// Share of its limit that it gets, rising after its return.
+    pub(super) fn share(&self, now_ms: u64) -> f64 {
+        let from_ejection = self.ejected.map(|it| it.until_ms).filter(|it| *it <= now_ms);
+        match from_ejection.max(self.returned_ms) {
+            Some(since_ms) => {
+                let elapsed = now_ms.saturating_sub(since_ms) as f64;
+                (elapsed / SLOW_START_MS as f64).clamp(SLOW_START_SHARE, 1.0)
+            }
+            None => 1.0,
+        }
+    }
+
+    /// An answer came back whole and well.
+    pub(super) fn succeeded(&mut self, now_ms: u64) {
+        self.failures = 0;
+        let since_ms = self.ejected.map_or(0, |it| it.until_ms);
+        if now_ms.saturating_sub(since_ms) > FORGIVEN_AFTER_MS {
+            self.ejections = 0;
+        }
+    }
+
+    /// A connection was refused; nothing is sent there until it is tried again. Tells whether it is ejected by this.
+    pub(super) fn unreachable(&mut self, now_ms: u64) -> bool {
+        self.eject(now_ms, Ejection::Unreachable, LONGEST_UNREACHABLE_MS)
+    }
+
+    /// An answer was lost, or says that the target failed. Tells whether the target is to be ejected.
+    pub(super) fn failed(&mut self) -> bool {
+        self.failures += 1;
+        self.failures >= FAILURES_TO_EJECT
+    }
+
+    /// Ejects after failures. Tells whether it is ejected by this.
+    pub(super) fn eject_failing(&mut self, now_ms: u64) -> bool {
+        self.eject(now_ms, Ejection::Failing, LONGEST_EJECTION_MS)
+    }
+
+    /// The target said that it leaves. Tells whether it is ejected by this.
+    pub(super) fn leaving(&mut self) -> bool {
+        let already = self.ejected.is_some_and(|it| it.reason == Ejection::Leaving);
+        self.ejected = Some(Ejected { reason: Ejection::Leaving, until_ms: u64::MAX });
+        !already
+    }
+
+    /// The target was reached and speaks for itself: it neither leaves nor refuses connections.
+    pub(super) fn reached(&mut self, now_ms: u64) {
+        let Some(ejected) = self.ejected else { return };
+        match ejected.reason {
+            Ejection::Failing => {}
+            Ejection::Unreachable | Ejection::Leaving => {
+                if now_ms < ejected.until_ms {
+                    self.ejected = None;
+                    self.returned_ms = Some(now_ms);
+                }
+            }
+        }
+    }
+
+    /// The target asked to be spared for a moment.
+    pub(super) fn hold(&mut self, now_ms: u64, retry_after_ms: u64) {
+        let hold_ms = retry_after_ms.clamp(HOLD_MS, LONGEST_HOLD_MS);
+        self.held_until_ms = self.held_until_ms.max(now_ms + hold_ms);
+    }
+
+    fn eject(&mut self, now_ms: u64, reason: Ejection, longest_ms: u64) -> bool {
+        if let Some(ejected) = &mut self.ejected
+            && now_ms < ejected.until_ms
+        {
+            // One spell of failures is one ejection, which lasts a while beyond the last of them.
+            ejected.until_ms = ejected.until_ms.max(now_ms + FIRST_EJECTION_MS);
+            return false;
+        }
+        let length_ms = FIRST_EJECTION_MS.saturating_mul(1 << self.ejections.min(16));
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected = Some(Ejected { reason, until_ms: now_ms + length_ms.min(longest_ms) });
+        true
+    }
+}
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -1,246 +1,258 @@
-//! Who runs what, where and when: routing, limits, retries and lending behind one border.
+//! Who runs what, where and when: routing, limits, queues, retries and refusal behind one border.
 //!
 //! The dispatcher gets every request that wants a target, online or batch, and answers each with exactly one final
 //! action: it was dispatched and ended, or it was refused. One task owns it; events go in by [`Dispatcher::handle`],
 //! actions come out in order.
+//!
+//! No event looks at all requests or all targets: requests are found by their identity, each service has its own short
+//! queue, and this process uses a bounded subset of a service's targets. Only a new manifest is read whole.
 
+mod admission;
 mod attempt;
+mod attempts;
+mod batch;
+mod counters;
+mod health;
+mod limits;
+mod load;
+mod messages;
+mod pace;
+mod policy;
+mod queue;
+mod refusal;
+mod retry;
 mod routing;
+mod targets;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use rand::{SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
 
 pub use attempt::AttemptEnd;
+pub use counters::{Counters, Gauges};
+pub use health::Ejection;
+pub use messages::{Action, Ask, Class, Input, Place, RequestId};
+pub use policy::Policy;
+pub use retry::RetryReason;
 
 use crate::{
     Name,
     manifest::Manifest,
     time::Now,
-    verdict::{Refusal, Verdict},
+    verdict::{Doubt, Refusal},
 };
-use routing::Targets;
-
-/// Where a process stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Place {
-    /// Region.
-    pub region: Name,
-    /// Availability zone.
-    pub availability_zone: Name,
-}
+use batch::BatchQueue;
+use pace::Pace;
+use queue::{OnlineQueue, Tag};
+use refusal::ReturnTimes;
+use retry::RetryBudget;
+use targets::{TargetId, Targets};
 
-/// Identity of a request within one process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestId(pub u64);
-
-/// Whether a caller waits for the answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Class {
-    /// A caller waits.
-    Online,
-    /// An item of a job; runs on lent capacity only.
-    Batch,
+/// Where a request stands.
+#[derive(Debug, Clone, Copy)]
+enum Stage {
+    /// Online, between two places.
+    Arrived,
+    /// Online, in the queue of its service.
+    Queued(Tag),
+    /// Batch, waiting for lent capacity.
+    Waiting,
+    /// At a target.
+    Running { target: TargetId, started_ms: u64, recalled: bool },
 }
 
-/// A request that wants a target.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// Identity; not used again by this process.
-    pub request: RequestId,
-    /// Online or batch.
-    pub class: Class,
-    /// Service asked for.
-    pub service: Name,
-    /// Workspace that asks.
-    pub workspace: Name,
-    /// Monotonic time at which an answer is of no use any more.
-    pub deadline_ms: u64,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Hash of the beginning of the prompt, for routing to a target that may have it cached.
-    pub prefix_hash: u64,
-    /// Hash of the whole request, to know it again if it crashes targets.
-    pub fingerprint: u64,
-    /// Bytes of the body.
-    pub body_bytes: u32,
-    /// Job that the item belongs to; empty for online requests.
-    pub job: Name,
-    /// Wall-clock time at which the job is due, if it says so.
-    pub due_unix_ms: Option<u64>,
+#[derive(Debug)]
+struct Request {
+    ask: Ask,
+    stage: Stage,
+    tried: SmallVec<[Name; 2]>,
+    doubt: Option<Doubt>,
 }
 
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// A new revision of the declarations.
-    Manifest(Arc<Manifest>),
-    /// A request wants a target.
-    Ask(Ask),
-    /// The attempt in hand of a request ended.
-    Ended {
-        /// Which request.
-        request: RequestId,
-        /// How.
-        end: AttemptEnd,
-    },
-    /// Nobody waits for the request any more.
-    Gone {
-        /// Which request.
-        request: RequestId,
-    },
-    /// A target's own report of its load.
-    Load {
-        /// Which target.
-        target: Name,
-        /// Sequences running.
-        running: u32,
-        /// Sequences waiting.
-        waiting: u32,
-    },
-    /// Time passed.
-    Tick,
+impl Request {
+    fn new(ask: Ask, stage: Stage) -> Request {
+        Request { ask, stage, tried: SmallVec::new(), doubt: None }
+    }
 }
 
-/// What to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send the request to a target.
-    Dispatch {
-        /// Which request.
-        request: RequestId,
-        /// Which target.
-        target: Name,
-        /// Where it listens.
-        address: SocketAddr,
-    },
-    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`].
-    Abort {
-        /// Which request.
-        request: RequestId,
-    },
-    /// The request ends without an answer; this is final.
-    Refuse {
-        /// Which request.
-        request: RequestId,
-        /// Whether it may have run.
-        verdict: Verdict,
-    },
+/// What is kept for each service.
+#[derive(Debug)]
+struct ServiceState {
+    queue: OnlineQueue,
+    batch: BatchQueue,
+    pace: Pace,
+    retries: RetryBudget,
+    returns: ReturnTimes,
+    online: u32,
 }
 
-#[derive(Debug)]
-struct InFlight {
-    ask: Ask,
-    target: Name,
+impl ServiceState {
+    fn new(policy: &Policy) -> ServiceState {
+        ServiceState {
+            queue: OnlineQueue::default(),
+            batch: BatchQueue::default(),
+            pace: Pace::default(),
+            retries: RetryBudget::new(policy.retry_percent),
+            returns: ReturnTimes::default(),
+            online: 0,
+        }
+    }
+
+    fn drain_per_ms(&self, now_ms: u64) -> f64 {
+        self.pace.drain_per_ms(now_ms, self.online)
+    }
 }
 
 /// State of all dispatching in one process.
 #[derive(Debug)]
 pub struct Dispatcher {
+    policy: Policy,
     manifest: Arc<Manifest>,
     targets: Targets,
-    in_flight: BTreeMap<RequestId, InFlight>,
-    waiting_batch: VecDeque<Ask>,
+    services: BTreeMap<Name, ServiceState>,
+    requests: BTreeMap<RequestId, Request>,
+    workspaces: BTreeMap<Name, u32>,
+    counters: Counters,
     rng: SmallRng,
 }
 
 impl Dispatcher {
-    /// Dispatcher without declarations: it refuses everything until the first [`Input::Manifest`].
+    /// Dispatcher without declarations: it refuses everything until the first [`Input::Manifest`]. The seed also
+    /// decides which targets this process uses.
     pub fn new(place: Place, seed: u64) -> Dispatcher {
         Dispatcher {
+            policy: Policy::default(),
             manifest: Arc::default(),
-            targets: Targets::new(place),
-            in_flight: BTreeMap::new(),
-            waiting_batch: VecDeque::new(),
+            targets: Targets::new(place, seed),
+            services: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+            counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets the bounds; to be called before the first event.
+    pub fn with_policy(mut self, policy: Policy) -> Dispatcher {
+        self.policy = policy;
+        self
+    }
+
     /// Takes one event; appends what to do to `out`.
-    pub fn handle(&mut self, _now: Now, input: Input, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
+        let now_ms = now.mono_ms;
         match input {
-            Input::Manifest(manifest) => {
-                self.targets.apply(&manifest);
-                self.manifest = manifest;
-            }
-            Input::Ask(ask) => self.ask(ask, out),
-            Input::Ended { request, end } => self.ended(request, end, out),
-            Input::Gone { request } => self.gone(request),
+            Input::Manifest(manifest) => self.apply(now_ms, manifest, out),
+            Input::Ask(ask) => self.ask(now_ms, ask, out),
+            Input::Ended { request, end } => self.ended(now_ms, request, end, out),
+            Input::Gone { request } => self.gone(now_ms, request, out),
             Input::Load { target, running, waiting } => {
-                self.targets.report(&target, running, waiting);
+                self.reported(now_ms, &target, running.saturating_add(waiting), out);
             }
-            Input::Tick => {}
+            Input::Unreachable { target } => self.eject(now_ms, &target, Ejection::Unreachable),
+            Input::Leaving { target } => self.eject(now_ms, &target, Ejection::Leaving),
+            Input::Tick => self.tick(now_ms, out),
         }
-        self.lend(out);
     }
 
-    fn ask(&mut self, ask: Ask, out: &mut Vec<Action>) {
-        if self.manifest.revision == 0 {
-            return refuse(&ask, Refusal::NotReady, out);
+    /// Counts since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// State at this moment; looks at each target in use, so it is not for every event.
+    pub fn gauges(&self, now: Now) -> Gauges {
+        let mut gauges = Gauges { known: self.requests.len(), ..Gauges::default() };
+        for (name, service) in &self.services {
+            gauges.queued += service.queue.len();
+            gauges.waiting_batch += service.batch.len();
+            gauges.online += service.online as usize;
+            for (_, target) in self.targets.of_service(name) {
+                gauges.targets += 1;
+                gauges.ejected += usize::from(target.health.is_ejected(now.mono_ms));
+            }
         }
-        if !self.manifest.services.contains_key(&ask.service) {
-            return refuse(&ask, Refusal::UnknownService, out);
+        gauges
+    }
+
+    /// Targets whose load is worth asking for: name, address, and whether this process has work there.
+    pub fn targets_in_use(&self) -> impl Iterator<Item = (&Name, SocketAddr, bool)> {
+        self.targets.in_use()
+    }
+
+    fn apply(&mut self, now_ms: u64, manifest: Arc<Manifest>, out: &mut Vec<Action>) {
+        if manifest.revision < self.manifest.revision {
+            return;
         }
-        match ask.class {
-            Class::Online => self.dispatch_online(ask, out),
-            Class::Batch => self.waiting_batch.push_back(ask),
+        self.targets.apply(now_ms, &manifest);
+        for name in manifest.services.keys() {
+            if !self.services.contains_key(name) {
+                self.services.insert(Name::clone(name), ServiceState::new(&self.policy));
+            }
+        }
+        self.manifest = manifest;
+        for service in self.service_names() {
+            if !self.manifest.services.contains_key(&service) {
+                self.refuse_waiting(now_ms, &service, Refusal::UnknownService, out);
+                self.services.remove(&service);
+            }
         }
+        self.settle_all(now_ms, out);
     }
 
-    fn dispatch_online(&mut self, ask: Ask, out: &mut Vec<Action>) {
-        match self.targets.pick(&ask, &mut self.rng) {
-            Some((target, address)) => self.dispatch(ask, target, address, out),
-            None => refuse(&ask, Refusal::NoTarget, out),
+    fn reported(&mut self, now_ms: u64, target: &Name, total: u32, out: &mut Vec<Action>) {
+        let Some(target) = self.targets.find(target).and_then(|it| self.targets.get_mut(it)) else {
+            return;
+        };
+        target.health.reached(now_ms);
+        if target.load.report(now_ms, total) {
+            self.counters.reports_distrusted += 1;
         }
+        let service = Name::clone(&target.declared.service);
+        self.settle(now_ms, &service, out);
     }
 
-    fn dispatch(&mut self, ask: Ask, target: Name, address: SocketAddr, out: &mut Vec<Action>) {
-        let request = ask.request;
-        self.targets.started(&target, ask.class);
-        out.push(Action::Dispatch { request, target: Arc::clone(&target), address });
-        self.in_flight.insert(request, InFlight { ask, target });
+    fn eject(&mut self, now_ms: u64, target: &Name, reason: Ejection) {
+        if self.targets.eject(now_ms, target, reason) {
+            self.counters.ejected(reason);
+        }
     }
 
-    fn ended(&mut self, request: RequestId, end: AttemptEnd, out: &mut Vec<Action>) {
-        let Some(in_flight) = self.in_flight.remove(&request) else { return };
-        self.targets.ended(&in_flight.target, in_flight.ask.class);
-        match end {
-            AttemptEnd::Done | AttemptEnd::Aborted => {}
-            AttemptEnd::NotSent => refuse(&in_flight.ask, Refusal::ConnectFailed, out),
-            AttemptEnd::Lost(reason) => {
-                out.push(Action::Refuse { request, verdict: Verdict::MayHaveRun { reason } });
-            }
+    fn tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        for service in self.service_names() {
+            self.give_up_expired(now_ms, &service, out);
         }
+        self.settle_all(now_ms, out);
     }
 
-    fn gone(&mut self, request: RequestId) {
-        if let Some(in_flight) = self.in_flight.remove(&request) {
-            self.targets.ended(&in_flight.target, in_flight.ask.class);
+    fn settle_all(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        for service in self.service_names() {
+            self.settle(now_ms, &service, out);
         }
-        self.waiting_batch.retain(|it| it.request != request);
-    }
-
-    fn lend(&mut self, out: &mut Vec<Action>) {
-        for _ in 0..self.waiting_batch.len() {
-            let Some(ask) = self.waiting_batch.pop_front() else { return };
-            match self.targets.pick(&ask, &mut self.rng) {
-                Some((target, address)) => self.dispatch(ask, target, address, out),
-                None => {
-                    self.waiting_batch.push_front(ask);
-                    return;
-                }
+    }
+
+    /// Gives room to those who wait for it: online requests first.
+    fn settle(&mut self, now_ms: u64, service: &Name, out: &mut Vec<Action>) {
+        self.drain_queue(now_ms, service, out);
+        self.lend(now_ms, service, out);
+    }
+
+    /// Gives lent capacity to items of jobs, as long as no online request waits.
+    fn lend(&mut self, now_ms: u64, service: &Name, out: &mut Vec<Action>) {
+        loop {
+            let Some(state) = self.services.get(service) else { return };
+            if !state.queue.is_empty() {
+                return;
             }
+            let Some(request) = state.batch.next() else { return };
+            let target = self.targets.pick_batch(now_ms, service, &mut self.rng);
+            let Some(target) = target else { return };
+            self.dispatch(now_ms, request, target, out);
         }
     }
-}
 
-const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
-
-fn refuse(ask: &Ask, reason: Refusal, out: &mut Vec<Action>) {
-    let verdict = Verdict::NotRun { retry_after_ms: DEFAULT_RETRY_AFTER_MS, reason };
-    out.push(Action::Refuse { request: ask.request, verdict });
+    fn service_names(&self) -> SmallVec<[Name; 8]> {
+        self.services.keys().cloned().collect()
+    }
 }
--- a/crates/samphiredoor-core/src/dispatch/routing.rs
+++ b/crates/samphiredoor-core/src/dispatch/routing.rs
@@ -1,109 +1,134 @@
-//! Which target a request goes to: two choices by load over the targets that may take it.
-
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+//! Which target a request goes to.
+//!
+//! The nearest group with room is used: availability zone, then region, then the link between regions, which is slow
+//! and paid for by volume. Within the group a request goes where its prompt's beginning is likely to be cached, as long
+//! as that target's load stays within a bound of the group's mean; else to the less loaded of two drawn at random.
 
 use rand::{Rng, rngs::SmallRng};
 use smallvec::SmallVec;
 
-use super::{Ask, Class, Place};
-use crate::{
-    Name,
-    manifest::{self, Manifest},
-};
+use super::targets::{Target, TargetId, Targets, mix};
+use crate::Name;
 
-#[derive(Debug)]
-struct TargetState {
-    declared: manifest::Target,
-    online: u32,
-    batch: u32,
-    reported: u32,
-}
+/// Load that prefix affinity may put on a target, as a multiple of the group's mean.
+const AFFINITY_BOUND: f64 = 1.25;
 
-impl TargetState {
-    fn in_flight(&self) -> u32 {
-        self.online + self.batch
-    }
+struct Candidate {
+    id: TargetId,
+    hash: u64,
+    load: f64,
+    limit: f64,
+}
 
-    fn takes(&self, class: Class) -> bool {
-        if self.declared.drained || self.in_flight() >= self.declared.concurrency_limit {
-            return false;
-        }
-        match class {
-            Class::Online => true,
-            Class::Batch => !self.declared.reclaimed && self.batch < self.declared.loan_limit,
+impl Candidate {
+    fn new(now_ms: u64, id: TargetId, target: &Target) -> Candidate {
+        Candidate {
+            id,
+            hash: target.hash,
+            load: target.load.estimate(now_ms),
+            limit: f64::from(target.limit_now(now_ms)),
         }
     }
 
-    fn load(&self) -> f64 {
-        let known = self.in_flight().max(self.reported);
-        f64::from(known) / f64::from(self.declared.concurrency_limit)
+    fn relative_load(&self) -> f64 {
+        self.load / self.limit
     }
 }
 
-/// Targets with their load.
-#[derive(Debug)]
-pub(super) struct Targets {
-    place: Place,
-    by_name: BTreeMap<Name, TargetState>,
-}
+type Candidates = SmallVec<[Candidate; 36]>;
 
 impl Targets {
-    pub(super) fn new(place: Place) -> Targets {
-        Targets { place, by_name: BTreeMap::new() }
-    }
-
-    pub(super) fn apply(&mut self, manifest: &Manifest) {
-        self.by_name.retain(|name, _| manifest.targets.contains_key(name));
-        for (name, declared) in &manifest.targets {
-            let declared = declared.clone();
-            match self.by_name.get_mut(name) {
-                Some(state) => state.declared = declared,
-                None => {
-                    let state = TargetState { declared, online: 0, batch: 0, reported: 0 };
-                    self.by_name.insert(Arc::clone(name), state);
-                }
+    /// Target for an online request; `None` if all that were not tried are full or out of service.
+    pub(super) fn pick_online(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        prefix_hash: u64,
+        tried: &[Name],
+        rng: &mut SmallRng,
+    ) -> Option<TargetId> {
+        for group in self.groups(service)? {
+            let takes = |it: &Target| it.takes_online(now_ms) && !tried.contains(&it.declared.name);
+            let able = self.candidates(now_ms, group, takes);
+            if !able.is_empty() {
+                return choose(able, prefix_hash, rng);
             }
         }
+        None
     }
 
-    pub(super) fn pick(&self, ask: &Ask, rng: &mut SmallRng) -> Option<(Name, SocketAddr)> {
-        let of_service = self.by_name.values().filter(|it| it.declared.service == ask.service);
-        let mut able: SmallVec<[&TargetState; 16]> =
-            of_service.filter(|it| it.takes(ask.class)).collect();
-        let nearest = able.iter().map(|it| self.distance(it)).min()?;
-        able.retain(|it| self.distance(it) == nearest);
-        let first = able.get(rng.random_range(0..able.len()))?;
-        let second = able.get(rng.random_range(0..able.len()))?;
-        let chosen = if second.load() < first.load() { second } else { first };
-        Some((Arc::clone(&chosen.declared.name), chosen.declared.address))
+    /// Target for an item of a job. Items go to another region only if none is lent in the own one: there is always
+    /// more batch work, and it would fill the link.
+    pub(super) fn pick_batch(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        rng: &mut SmallRng,
+    ) -> Option<TargetId> {
+        let [zone, region, beyond] = self.groups(service)?;
+        let near = [zone, region];
+        let lends = |id: &TargetId| self.get(*id).is_some_and(|it| it.declared.loan_limit > 0);
+        let lent_nearby = near.iter().any(|group| group.iter().any(lends));
+        let groups = if lent_nearby { &near[..] } else { &[beyond] };
+        groups.iter().find_map(|group| {
+            let able = self.candidates(now_ms, group, |it| it.takes_batch(now_ms));
+            less_loaded_of_two(&able, rng)
+        })
     }
 
-    fn distance(&self, target: &TargetState) -> u8 {
-        if target.declared.region != self.place.region {
-            return 2;
-        }
-        u8::from(target.declared.availability_zone != self.place.availability_zone)
+    /// Target where an online request finds room if one item of a job is recalled; the one that lends most.
+    pub(super) fn pick_recall(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        tried: &[Name],
+    ) -> Option<TargetId> {
+        let groups = self.groups(service)?;
+        groups.iter().find_map(|group| {
+            let targets = group.iter().filter_map(|id| Some((*id, self.get(*id)?)));
+            let able = targets.filter(|(_, it)| {
+                it.takes_online_after_recall(now_ms) && !tried.contains(&it.declared.name)
+            });
+            able.max_by_key(|(_, it)| it.batch()).map(|(id, _)| id)
+        })
     }
 
-    pub(super) fn started(&mut self, target: &Name, class: Class) {
-        let Some(state) = self.by_name.get_mut(target) else { return };
-        match class {
-            Class::Online => state.online += 1,
-            Class::Batch => state.batch += 1,
-        }
+    fn candidates(
+        &self,
+        now_ms: u64,
+        group: &[TargetId],
+        takes: impl Fn(&Target) -> bool,
+    ) -> Candidates {
+        let targets = group.iter().filter_map(|id| Some((*id, self.get(*id)?)));
+        let able = targets.filter(|(_, it)| takes(it));
+        able.map(|(id, it)| Candidate::new(now_ms, id, it)).collect()
     }
+}
 
-    pub(super) fn ended(&mut self, target: &Name, class: Class) {
-        let Some(state) = self.by_name.get_mut(target) else { return };
-        match class {
-            Class::Online => state.online = state.online.saturating_sub(1),
-            Class::Batch => state.batch = state.batch.saturating_sub(1),
-        }
+fn less_loaded_of_two(able: &[Candidate], rng: &mut SmallRng) -> Option<TargetId> {
+    if able.len() < 2 {
+        return able.first().map(|it| it.id);
     }
+    let first = rng.random_range(0..able.len());
+    let second = (first + rng.random_range(1..able.len())) % able.len();
+    let (first, second) = (&able[first], &able[second]);
+    let chosen = if second.relative_load() < first.relative_load() { second } else { first };
+    Some(chosen.id)
+}
 
-    pub(super) fn report(&mut self, target: &Name, running: u32, waiting: u32) {
-        if let Some(state) = self.by_name.get_mut(target) {
-            state.reported = running + waiting;
-        }
+/// The target that all processes prefer for a prefix, if its load allows; else one of the others.
+fn choose(mut able: Candidates, prefix_hash: u64, rng: &mut SmallRng) -> Option<TargetId> {
+    if prefix_hash == 0 || able.len() < 2 {
+        return less_loaded_of_two(&able, rng);
+    }
+    let by_hash = able.iter().enumerate().max_by_key(|(_, it)| mix(prefix_hash, it.hash));
+    let (index, preferred) = by_hash?;
+    let load: f64 = able.iter().map(|it| it.load).sum();
+    let limit: f64 = able.iter().map(|it| it.limit).sum();
+    let fair = (load + 1.0) / limit * preferred.limit;
+    if preferred.load <= (fair * AFFINITY_BOUND).floor() {
+        return Some(preferred.id);
     }
+    able.swap_remove(index);
+    less_loaded_of_two(&able, rng)
 }
--- /dev/null
+++ b/crates/samphiredoor-core/tests/dispatch/promises.rs
@@ -0,0 +1,338 @@
+//! What holds after every event, whatever the order of events.
+//!
+//! A model beside the dispatcher knows what was declared, what runs where and what callers were told. Longer runs:
+//! `SAMPHIREDOOR_CASES=20000 cargo test -p samphiredoor-core --test dispatch`.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use samphiredoor_core::{
+    Name,
+    dispatch::{Action, AttemptEnd, Class, Dispatcher, Input, RequestId},
+    manifest::{Manifest, Target},
+    time::Now,
+    verdict::{Doubt, Verdict},
+};
+
+use crate::harness::{SEED, ask, manifest, place, target};
+
+const TARGETS: usize = 6;
+const RETRY_RESERVE: u64 = 10;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Online { large: bool, repeatable: bool, deadline_ms: u64, prefix_hash: u64, capped: bool },
+    Batch { large: bool, repeatable: bool, job: u8 },
+    End { which: usize, end: AttemptEnd },
+    Stray { which: u64, end: AttemptEnd },
+    Gone { which: u64 },
+    Load { target: usize, running: u32 },
+    Unreachable { target: usize },
+    Leaving { target: usize },
+    Declare { present: u8, drained: u8, reclaimed: u8, limit: u32 },
+    Wait { ms: u64 },
+}
+
+fn end() -> impl Strategy<Value = AttemptEnd> {
+    prop_oneof![
+        4 => Just(AttemptEnd::Done),
+        1 => Just(AttemptEnd::Failed),
+        2 => Just(AttemptEnd::NotSent),
+        2 => Just(AttemptEnd::Pushback { retry_after_ms: 200 }),
+        2 => Just(AttemptEnd::Lost(Doubt::ConnectionLost)),
+        1 => Just(AttemptEnd::Lost(Doubt::DeadlinePassed)),
+        1 => Just(AttemptEnd::Cut(Doubt::AnswerCut)),
+        1 => Just(AttemptEnd::Aborted),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let online = (any::<bool>(), any::<bool>(), 0..4_000_u64, 0..4_u64, any::<bool>());
+    prop_oneof![
+        6 => online.prop_map(|(large, repeatable, deadline_ms, prefix_hash, capped)| {
+            Step::Online { large, repeatable, deadline_ms, prefix_hash, capped }
+        }),
+        4 => (any::<bool>(), any::<bool>(), 0..3_u8)
+            .prop_map(|(large, repeatable, job)| Step::Batch { large, repeatable, job }),
+        8 => (any::<usize>(), end()).prop_map(|(which, end)| Step::End { which, end }),
+        1 => (0..60_u64, end()).prop_map(|(which, end)| Step::Stray { which, end }),
+        1 => (0..60_u64).prop_map(|which| Step::Gone { which }),
+        1 => (0..TARGETS, 0..9_u32).prop_map(|(target, running)| Step::Load { target, running }),
+        1 => (0..TARGETS).prop_map(|target| Step::Unreachable { target }),
+        1 => (0..TARGETS).prop_map(|target| Step::Leaving { target }),
+        1 => (any::<u8>(), any::<u8>(), any::<u8>(), 1..4_u32)
+            .prop_map(|(present, drained, reclaimed, limit)| {
+                Step::Declare { present, drained: drained & 0x11, reclaimed, limit }
+            }),
+        2 => (0..2_000_u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    class: Option<Class>,
+    service: String,
+    repeatable: bool,
+    deadline_ms: u64,
+    tried: Vec<Name>,
+    running: Option<Name>,
+    recalled: bool,
+    doubted: bool,
+    ended: bool,
+}
+
+struct Model {
+    dispatcher: Dispatcher,
+    now_ms: u64,
+    declared: Manifest,
+    out_of_work: BTreeMap<Name, u64>,
+    requests: BTreeMap<RequestId, Known>,
+    asked: BTreeMap<String, u64>,
+    retried: BTreeMap<String, u64>,
+}
+
+fn declare(revision: u64, present: u8, drained: u8, reclaimed: u8, limit: u32) -> Manifest {
+    let zones = ["north", "south", "port"];
+    let all = (0..TARGETS).filter(|it| present >> it & 1 == 1).map(|it| Target {
+        service: if it % 2 == 0 { "small".into() } else { "large".into() },
+        drained: drained >> it & 1 == 1,
+        reclaimed: reclaimed >> it & 1 == 1,
+        loan_limit: limit.div_ceil(2),
+        ..target(&format!("target-{it}"), zones[it / 2], limit)
+    });
+    manifest(revision, all.collect())
+}
+
+impl Model {
+    fn new() -> Model {
+        let mut model = Model {
+            dispatcher: Dispatcher::new(place(), SEED),
+            now_ms: 10_000,
+            declared: Manifest::default(),
+            out_of_work: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            retried: BTreeMap::new(),
+        };
+        model.declare(0xff, 0, 0, 2);
+        model
+    }
+
+    fn declare(&mut self, present: u8, drained: u8, reclaimed: u8, limit: u32) {
+        let revision = self.declared.revision + 1;
+        self.declared = declare(revision, present, drained, reclaimed, limit);
+        self.out_of_work.retain(|name, _| self.declared.targets.contains_key(name));
+        self.handle(Input::Manifest(Arc::new(self.declared.clone())));
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Online { large, repeatable, deadline_ms, prefix_hash, capped } => {
+                let mut ask = ask(self.requests.len() as u64, Class::Online);
+                ask.service = if large { "large".into() } else { "small".into() };
+                ask.repeatable = repeatable;
+                ask.deadline_ms = self.now_ms + deadline_ms;
+                ask.prefix_hash = prefix_hash;
+                ask.workspace = if capped { "capped".into() } else { "tours".into() };
+                *self.asked.entry(ask.service.to_string()).or_default() += 1;
+                self.ask(ask);
+            }
+            Step::Batch { large, repeatable, job } => {
+                let mut ask = ask(self.requests.len() as u64, Class::Batch);
+                ask.service = if large { "large".into() } else { "small".into() };
+                ask.repeatable = repeatable;
+                ask.job = format!("job-{job}").into();
+                self.ask(ask);
+            }
+            Step::End { which, end } => {
+                let running = self.running();
+                if !running.is_empty() {
+                    self.end(running[which % running.len()], end);
+                }
+            }
+            Step::Stray { which, end } => {
+                let request = RequestId(which);
+                if self.requests.get(&request).is_none_or(|it| it.running.is_none()) {
+                    self.handle(Input::Ended { request, end });
+                }
+            }
+            Step::Gone { which } => self.gone(RequestId(which)),
+            Step::Load { target, running } => {
+                let target = Name::from(format!("target-{target}"));
+                self.out_of_work.remove(&target);
+                self.handle(Input::Load { target, running, waiting: 0 });
+            }
+            Step::Unreachable { target } => {
+                let target = Name::from(format!("target-{target}"));
+                self.refuses_until(&target, self.now_ms + 1_000);
+                self.handle(Input::Unreachable { target });
+            }
+            Step::Leaving { target } => {
+                let target = Name::from(format!("target-{target}"));
+                self.refuses_until(&target, u64::MAX);
+                self.handle(Input::Leaving { target });
+            }
+            Step::Declare { present, drained, reclaimed, limit } => {
+                self.declare(present, drained, reclaimed, limit);
+            }
+            Step::Wait { ms } => {
+                self.now_ms += ms;
+                self.handle(Input::Tick);
+            }
+        }
+    }
+
+    fn refuses_until(&mut self, target: &Name, until_ms: u64) {
+        if self.declared.targets.get(target).is_some_and(|it| !it.drained) {
+            let until = self.out_of_work.entry(Name::clone(target)).or_default();
+            *until = (*until).max(until_ms);
+        }
+    }
+
+    fn running(&self) -> Vec<RequestId> {
+        self.requests.iter().filter(|(_, it)| it.running.is_some()).map(|(id, _)| *id).collect()
+    }
+
+    fn ask(&mut self, ask: samphiredoor_core::dispatch::Ask) {
+        let known = Known {
+            class: Some(ask.class),
+            service: ask.service.to_string(),
+            repeatable: ask.repeatable,
+            deadline_ms: ask.deadline_ms,
+            ..Known::default()
+        };
+        self.requests.insert(ask.request, known);
+        self.handle(Input::Ask(ask));
+    }
+
+    fn end(&mut self, request: RequestId, end: AttemptEnd) {
+        let known = self.requests.get_mut(&request).expect("it runs");
+        let target = known.running.take().expect("it runs");
+        known.ended |= end.closes();
+        known.doubted |= matches!(end, AttemptEnd::Lost(_));
+        if end == AttemptEnd::NotSent {
+            self.refuses_until(&target, self.now_ms + 1_000);
+        }
+        self.handle(Input::Ended { request, end });
+        let known = &self.requests[&request];
+        let batch_is_final = known.class == Some(Class::Online) || known.ended;
+        assert!(batch_is_final, "an item's failed attempt ends it at once");
+    }
+
+    fn gone(&mut self, request: RequestId) {
+        if let Some(known) = self.requests.get_mut(&request) {
+            known.running = None;
+            known.ended = true;
+        }
+        self.handle(Input::Gone { request });
+    }
+
+    fn handle(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.dispatcher.handle(Now::new(self.now_ms, 0), input, &mut out);
+        for action in out {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        match action {
+            Action::Dispatch { request, target, .. } => self.check_dispatch(request, &target),
+            Action::Abort { request } => {
+                let known = self.requests.get_mut(&request).expect("known");
+                assert_eq!(known.class, Some(Class::Batch), "only items are recalled");
+                assert!(known.running.is_some() && !known.recalled && known.repeatable);
+                known.recalled = true;
+            }
+            Action::Refuse { request, verdict } => {
+                let known = self.requests.get_mut(&request).expect("known");
+                assert!(!known.ended, "two final actions");
+                assert!(known.running.is_none(), "refused while it runs");
+                let not_run = matches!(verdict, Verdict::NotRun { .. });
+                assert_eq!(not_run, !known.doubted, "{verdict:?}");
+                known.ended = true;
+            }
+        }
+    }
+
+    fn check_dispatch(&mut self, request: RequestId, name: &Name) {
+        let declared = self.declared.targets.get(name).expect("a removed target gets no work");
+        let known = self.requests.get_mut(&request).expect("known");
+        assert!(
+            !known.ended && known.running.is_none(),
+            "dispatched while it runs or after its end"
+        );
+        assert!(!known.tried.contains(name), "twice to the same target");
+        assert!(!known.doubted || known.repeatable, "ran twice though not repeatable");
+        assert!(known.deadline_ms > self.now_ms, "dispatched past the deadline");
+        assert!(!declared.drained, "a drained target gets no work");
+        let out_of_work_until = self.out_of_work.get(name).copied().unwrap_or(0);
+        assert!(out_of_work_until <= self.now_ms, "a leaving or unreachable target gets no work");
+        if !known.tried.is_empty() {
+            *self.retried.entry(known.service.clone()).or_default() += 1;
+        }
+        known.tried.push(Name::clone(name));
+        known.running = Some(Name::clone(name));
+        let class = known.class;
+        let there = |it: &&Known| it.running.as_ref() == Some(name);
+        let at_target: Vec<&Known> = self.requests.values().filter(there).collect();
+        let taken = at_target.iter().filter(|it| !it.recalled).count();
+        assert!(taken <= declared.concurrency_limit as usize, "above the declared limit");
+        if class == Some(Class::Batch) {
+            assert!(!declared.reclaimed, "a reclaimed target gets no batch work");
+            let lent = at_target.iter().filter(|it| it.class == Some(Class::Batch)).count();
+            assert!(lent <= declared.loan_limit as usize, "above the loan");
+        }
+        let retried = self.retried.values().sum::<u64>();
+        let budget = self.asked.values().map(|it| RETRY_RESERVE + it / 10).sum::<u64>();
+        assert!(retried <= budget, "above the retry budget");
+    }
+
+    /// Ends everything: nothing is left open, and every slot is free.
+    fn finish(mut self) {
+        while let Some(request) = self.running().first().copied() {
+            self.end(request, AttemptEnd::Done);
+        }
+        self.now_ms += 10_000;
+        self.handle(Input::Tick);
+        while let Some(request) = self.running().first().copied() {
+            self.end(request, AttemptEnd::Done);
+        }
+        for (request, known) in &self.requests {
+            let answered = known.ended || known.class == Some(Class::Batch);
+            assert!(answered, "{request:?} got no final action");
+        }
+        for request in 0..self.requests.len() as u64 {
+            self.gone(RequestId(request));
+        }
+        let gauges = self.dispatcher.gauges(Now::new(self.now_ms, 0));
+        assert_eq!(
+            (gauges.known, gauges.online, gauges.queued, gauges.waiting_batch),
+            (0, 0, 0, 0)
+        );
+        assert!(self.dispatcher.targets_in_use().all(|(_, _, busy)| !busy), "a slot leaked");
+    }
+}
+
+#[test]
+fn promises_hold_under_any_order_of_events() {
+    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(1_000), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let steps = proptest::collection::vec(step(), 1..120);
+    let ran = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+        let mut model = Model::new();
+        for step in &steps {
+            model.step(step);
+        }
+        model.finish();
+        Ok(())
+    });
+    if let Err(err) = ran {
+        panic!("{err}");
+    }
+}
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -95,6 +95,7 @@
             placements,
             messages: self.messages.clone(),
             open: true,
+            at_target: false,
         };
         let _ = self.messages.send(Message::Ask(ask, sender));
         ticket
@@ -111,6 +112,7 @@
     placements: flume::Receiver<Placement>,
     messages: flume::Sender<Message>,
     open: bool,
+    at_target: bool,
 }
 
 impl Ticket {
@@ -118,8 +120,10 @@
     pub async fn placement(&mut self) -> Placement {
         match self.placements.recv_async().await {
             Ok(placement) => {
-                if matches!(placement, Placement::Refused(_)) {
-                    self.open = false;
+                match placement {
+                    Placement::Go { .. } => self.at_target = true,
+                    Placement::Refused(_) => self.open = false,
+                    Placement::Abort => {}
                 }
                 placement
             }
@@ -131,11 +135,13 @@
         }
     }
 
-    /// Says how the attempt in hand ended. After `Done` and `Aborted` the ticket is closed; else a decision follows.
+    /// Says how the attempt in hand ended, once for each attempt. An end that closes the request closes the ticket;
+    /// after any other a decision follows.
     pub fn ended(&mut self, end: AttemptEnd) {
-        if matches!(end, AttemptEnd::Done | AttemptEnd::Aborted) {
-            self.open = false;
+        if !std::mem::take(&mut self.at_target) {
+            return;
         }
+        self.open &= !end.closes();
         let input = Input::Ended { request: self.request, end };
         let _ = self.messages.send(Message::Input(input));
     }
@@ -184,8 +190,10 @@
 
     fn forget_ended(&mut self, input: &Input) {
         match input {
-            Input::Gone { request }
-            | Input::Ended { request, end: AttemptEnd::Done | AttemptEnd::Aborted } => {
+            Input::Gone { request } => {
+                self.waiting.remove(request);
+            }
+            Input::Ended { request, end } if end.closes() => {
                 self.waiting.remove(request);
             }
             _ => {}
