--- a/crates/samphiredoor-core/src/lease.rs
+++ b/crates/samphiredoor-core/src/lease.rs
@@ -5,7 +5,10 @@
 //! by theirs, and add a margin. So no clocks are compared, and a holder that was paused finds its lease over when it
 //! wakes. The lease only keeps two processes from doing the same work: results are safe without it.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use samphiredoor_schema::objects::ProcessLease;
 
@@ -220,7 +223,11 @@
                 self.held(now, sent_ms, out);
             }
             // The renewal may stand; only a read can tell, and the version is needed either way.
-            StoreAnswer::Unknown | StoreAnswer::Conflict | StoreAnswer::Taken => {
+            // A lease that lapsed long ago may have been removed; it is written anew.
+            StoreAnswer::Unknown
+            | StoreAnswer::Conflict
+            | StoreAnswer::Taken
+            | StoreAnswer::Absent => {
                 self.doubtful = Some((self.renewals, sent_ms));
                 self.read = false;
                 self.next_ms = now.mono_ms;
@@ -271,6 +278,19 @@
         self.leases.iter().map(|(name, it)| (name, &it.lease))
     }
 
+    /// Forgets all processes that a whole list did not name.
+    pub fn retain(&mut self, named: &BTreeSet<Name>) {
+        self.leases.retain(|name, _| named.contains(name));
+    }
+
+    /// Processes that hold their lease and are not stopping.
+    pub fn live(&self, now: Now) -> Vec<Name> {
+        let live =
+            |it: &Observed| now.mono_ms <= it.since_ms + it.lease.lease_ms && !it.lease.stopping;
+        let live = self.leases.iter().filter(|(_, it)| live(it));
+        live.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
     /// Processes whose lease has not changed for its length and `margin_ms`, with their incarnations.
     pub fn lapsed(&self, now: Now, margin_ms: u64) -> Vec<(Name, u64)> {
         let over = |it: &Observed| now.mono_ms > it.since_ms + it.lease.lease_ms + margin_ms;
--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -5,22 +5,38 @@
 //! changes by conditional update and never loses or replaces a result. That is the safety; owners, leases and commits
 //! in groups only keep the work from being done twice.
 
+mod backoff;
+mod cancellation;
+mod chunk;
+mod codec;
 mod commit;
+mod config;
+mod context;
 mod run;
 mod submission;
+mod takeover;
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use samphiredoor_schema::objects::{ItemOutcome, ItemResult, JobHeader};
+use rand::{SeedableRng, rngs::SmallRng};
+use samphiredoor_schema::objects::{ItemOutcome, JobHeader, JobState};
 
-pub use submission::{Acceptance, Accepting, BadLine, Submission, SubmissionStep, service_in_path};
+pub use cancellation::{CancelStep, Cancellation};
+pub use chunk::MAX_TRIES;
+pub use codec::{FREE_OWNER, ReadResults, Unreadable, read_header, read_results};
+pub use config::LedgerConfig;
+pub use submission::{
+    Acceptance, Accepting, BadLine, CHUNK_ITEMS, Submission, SubmissionStep, service_in_path,
+};
 
 use crate::{
     Name,
     store::{Kind, ObjectKey, StoreAnswer, StoreOp, Version},
     time::Now,
 };
+use context::{Context, LingerPace};
 use run::JobRun;
+use takeover::{Found, Takeover};
 
 /// Layout of the stored objects that this version writes.
 pub const FORMAT: u32 = 1;
@@ -32,11 +48,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
 
-/// One item of a job.
+/// One item of a job, as one owner runs it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ItemRef {
     /// Job.
     pub job: JobId,
+    /// Fencing number of the taking under which it runs.
+    pub epoch: u64,
     /// Chunk within the job.
     pub chunk: u32,
     /// Item within the chunk.
@@ -54,8 +72,8 @@
     pub workspace: Name,
     /// Path of the call.
     pub url: String,
-    /// Body of the call.
-    pub body: serde_json::Value,
+    /// Body of the call, as JSON text.
+    pub body: Arc<str>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Wall-clock time at which the job is due.
@@ -72,10 +90,18 @@
         /// Body.
         body: serde_json::Value,
     },
-    /// It did not run, or was cut for online requests; not counted as a try.
-    NotRun,
+    /// It did not run, or was cut for online requests and may run twice; not counted as a try.
+    NotRun {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
     /// It may have run, and left no answer.
     MayHaveRun,
+    /// It did not run, and never will: the request or its service is refused for good.
+    Refused {
+        /// Why.
+        reason: String,
+    },
 }
 
 /// What happened.
@@ -97,7 +123,7 @@
         /// Its answer.
         answer: StoreAnswer,
     },
-    /// The run of an item ended.
+    /// The run of an item ended. Each [`LedgerAction::Run`] is answered by one, also after a stop.
     ItemEnded {
         /// Which item.
         item: ItemRef,
@@ -109,13 +135,30 @@
         /// End of the lease.
         valid_until_ms: u64,
     },
-    /// The lease of another process has lapsed.
+    /// The lease of another process has lapsed. A hint: it may come again and again, and be wrong.
     Lapsed {
         /// Which process.
         process: Name,
         /// Which start of it.
         incarnation: u64,
     },
+    /// The processes whose leases are held, this one among them. A hint.
+    Live {
+        /// Their names.
+        processes: Vec<Name>,
+    },
+    /// A job that this process may own is cancelled. A hint.
+    CancelHint {
+        /// Which job.
+        job: JobId,
+    },
+    /// Another process has handed the job over. A hint.
+    Offered {
+        /// Which job.
+        job: JobId,
+    },
+    /// A planned stop has begun: all jobs are to be handed over.
+    Stopping,
     /// Time passed.
     Tick,
 }
@@ -132,8 +175,45 @@
     },
     /// Run an item when a target has room, and report how it ended.
     Run(Box<ItemWork>),
-    /// Stop the run of an item, if it goes on.
+    /// Stop the run of an item, if it goes on. A run that must not be repeated and may have begun is left to end.
     Stop(ItemRef),
+    /// The job is free to be taken by another process; tell them.
+    HandedOver(JobId),
+    /// Something to log and count.
+    Note(Note),
+}
+
+/// Something to log and count.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A job was taken from a process that no longer works on it.
+    Taken {
+        /// Which job.
+        job: JobId,
+        /// Fencing number of the taking.
+        epoch: u64,
+    },
+    /// A job was dropped: another process has taken it, or it was removed.
+    Dropped {
+        /// Which job.
+        job: JobId,
+    },
+    /// A job has ended.
+    Closed {
+        /// Which job.
+        job: JobId,
+        /// How.
+        state: JobState,
+    },
+    /// The own lease is over; nothing is handed out until it is held again.
+    LeaseOver,
+    /// A stored object cannot be read and is left alone.
+    Unreadable {
+        /// Which object.
+        key: ObjectKey,
+        /// Why.
+        fault: Unreadable,
+    },
 }
 
 /// Progress of a job that this process owns.
@@ -147,45 +227,99 @@
     pub running: u32,
 }
 
-/// Jobs that this process owns.
-#[derive(Debug, Default)]
+enum Event {
+    Stored(CallId, StoreAnswer),
+    Ended(ItemRef, ItemEnd),
+}
+
+#[derive(Debug)]
+enum Caller {
+    Job(JobId),
+    Takeover,
+}
+
+/// Load of one job on the process, as last seen.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    running: usize,
+    pending_bytes: usize,
+}
+
+/// What all parts of the ledger share, beside their own states.
+#[derive(Debug)]
+struct Shared {
+    config: LedgerConfig,
+    calls: BTreeMap<CallId, Caller>,
+    next_call: u64,
+    rng: SmallRng,
+    pace: LingerPace,
+    lease_held: bool,
+    stopping: bool,
+    load: Load,
+}
+
+/// Jobs that this process owns, and the search for those that nobody works on.
+#[derive(Debug)]
 pub struct Ledger {
+    shared: Shared,
     runs: BTreeMap<JobId, JobRun>,
-    calls: BTreeMap<CallId, JobId>,
-    next_call: u64,
-    writer: Name,
+    takeover: Takeover,
+    valid_until_ms: u64,
+    // Job that a tick begins with, so that none is always first.
+    first: Option<JobId>,
 }
 
 impl Ledger {
-    /// Ledger of the process named by `writer`, which must differ between any two starts of any process.
-    pub fn new(writer: Name) -> Ledger {
-        Ledger { writer, ..Ledger::default() }
+    /// Ledger without jobs. It hands out and takes nothing before its first [`LedgerInput::Lease`].
+    pub fn new(config: LedgerConfig) -> Ledger {
+        let shared = Shared {
+            calls: BTreeMap::new(),
+            next_call: 0,
+            rng: SmallRng::seed_from_u64(config.seed),
+            pace: LingerPace::new(config.commit_ms),
+            lease_held: false,
+            stopping: false,
+            load: Load::default(),
+            config,
+        };
+        Ledger {
+            runs: BTreeMap::new(),
+            takeover: Takeover::new(Arc::clone(&shared.config.process), shared.config.incarnation),
+            valid_until_ms: 0,
+            first: None,
+            shared,
+        }
     }
 
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: LedgerInput, out: &mut Vec<LedgerAction>) {
-        let mut ops = Vec::new();
+        if let LedgerInput::Lease { valid_until_ms } = input {
+            self.valid_until_ms = valid_until_ms;
+        }
+        self.check_lease(now, out);
         match input {
             LedgerInput::Owned { job, header, version } => {
-                let run = JobRun::new(Arc::clone(&job), *header, version, Arc::clone(&self.writer));
-                self.runs.insert(Arc::clone(&job), run);
-                self.step(now, &job, None, &mut ops, out);
-            }
-            LedgerInput::Stored { call, answer } => {
-                let Some(job) = self.calls.remove(&call) else { return };
-                self.step(now, &job, Some(Event::Stored(call, answer)), &mut ops, out);
+                self.owned(now, job, *header, version, out);
             }
+            LedgerInput::Stored { call, answer } => self.stored(now, call, answer, out),
             LedgerInput::ItemEnded { item, end } => {
                 let job = Arc::clone(&item.job);
-                self.step(now, &job, Some(Event::Ended(item, end)), &mut ops, out);
+                if self.runs.get(&job).is_some_and(|it| it.epoch() == item.epoch) {
+                    self.step(now, &job, Some(Event::Ended(item, end)), out);
+                }
+            }
+            LedgerInput::Lease { .. } | LedgerInput::Tick => self.tick(now, out),
+            LedgerInput::Lapsed { process, incarnation } => {
+                self.with_takeover(now, out, |it, _, ctx| it.lapsed(process, incarnation, ctx));
             }
-            LedgerInput::Lease { .. } | LedgerInput::Lapsed { .. } => {}
-            LedgerInput::Tick => {
-                let jobs: Vec<JobId> = self.runs.keys().cloned().collect();
-                for job in jobs {
-                    self.step(now, &job, None, &mut ops, out);
+            LedgerInput::Live { processes } => self.takeover.live(processes),
+            LedgerInput::CancelHint { job } => self.recheck(now, &job, out),
+            LedgerInput::Offered { job } => {
+                if !self.runs.contains_key(&job) {
+                    self.with_takeover(now, out, |it, _, ctx| it.offered(job, ctx));
                 }
             }
+            LedgerInput::Stopping => self.stop(now, out),
         }
     }
 
@@ -199,45 +333,180 @@
         self.runs.keys()
     }
 
-    fn step(
+    /// Notices the end of the own lease by the own clock, also after the process was paused.
+    fn check_lease(&mut self, now: Now, out: &mut Vec<LedgerAction>) {
+        let held = now.mono_ms + self.shared.config.lease_margin_ms < self.valid_until_ms;
+        let was_held = std::mem::replace(&mut self.shared.lease_held, held);
+        if was_held && !held {
+            out.push(LedgerAction::Note(Note::LeaseOver));
+            for job in self.job_ids() {
+                self.with_run(now, &job, out, JobRun::pause);
+            }
+        }
+    }
+
+    fn owned(
+        &mut self,
+        now: Now,
+        job: JobId,
+        header: JobHeader,
+        version: Version,
+        out: &mut Vec<LedgerAction>,
+    ) {
+        let epoch = header.owner.epoch;
+        let known = self.runs.get(&job).is_some_and(|it| it.epoch() >= epoch);
+        if !known && !self.takeover.is_taking(&job) {
+            self.start(now, job, header, version, out);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Now,
+        job: JobId,
+        header: JobHeader,
+        version: Version,
+        out: &mut Vec<LedgerAction>,
+    ) {
+        self.with_run(now, &job, out, JobRun::drop_job);
+        self.runs.insert(Arc::clone(&job), JobRun::new(Arc::clone(&job), header, version));
+        if self.shared.stopping {
+            self.with_run(now, &job, out, JobRun::hand_over);
+        }
+        self.step(now, &job, None, out);
+    }
+
+    fn stop(&mut self, now: Now, out: &mut Vec<LedgerAction>) {
+        self.shared.stopping = true;
+        for job in self.job_ids() {
+            self.with_run(now, &job, out, JobRun::hand_over);
+        }
+    }
+
+    fn recheck(&mut self, now: Now, job: &JobId, out: &mut Vec<LedgerAction>) {
+        if let Some(run) = self.runs.get_mut(job) {
+            run.recheck();
+            self.step(now, job, None, out);
+        }
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<LedgerAction>) {
+        let mut jobs = self.job_ids();
+        let first = self.first.as_ref();
+        let start = jobs.iter().position(|it| Some(it) > first).unwrap_or(0);
+        jobs.rotate_left(start);
+        self.first = jobs.first().cloned();
+        for job in jobs {
+            self.step(now, &job, None, out);
+        }
+        self.with_takeover(now, out, Takeover::step);
+    }
+
+    fn stored(&mut self, now: Now, call: CallId, answer: StoreAnswer, out: &mut Vec<LedgerAction>) {
+        match self.shared.calls.remove(&call) {
+            Some(Caller::Job(job)) => {
+                self.step(now, &job, Some(Event::Stored(call, answer)), out);
+            }
+            Some(Caller::Takeover) => {
+                let found = self
+                    .with_takeover(now, out, |it, runs, ctx| it.stored(call, answer, runs, ctx));
+                for found in found {
+                    self.found(now, found, out);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn found(&mut self, now: Now, found: Found, out: &mut Vec<LedgerAction>) {
+        match found {
+            Found::Taken { job, header, version } => {
+                let epoch = header.owner.epoch;
+                out.push(LedgerAction::Note(Note::Taken { job: Arc::clone(&job), epoch }));
+                self.start(now, job, *header, version, out);
+            }
+            Found::Cancelled { job } => self.recheck(now, &job, out),
+        }
+    }
+
+    fn job_ids(&self) -> Vec<JobId> {
+        self.runs.keys().cloned().collect()
+    }
+
+    fn step(&mut self, now: Now, job: &JobId, event: Option<Event>, out: &mut Vec<LedgerAction>) {
+        self.with_run(now, job, out, |run, ctx| run.step(event, ctx));
+    }
+
+    fn with_run(
         &mut self,
         now: Now,
         job: &JobId,
-        event: Option<Event>,
-        ops: &mut Vec<(CallId, StoreOp)>,
         out: &mut Vec<LedgerAction>,
+        act: impl FnOnce(&mut JobRun, &mut Context<'_>),
     ) {
+        let jobs = self.runs.len();
         let Some(run) = self.runs.get_mut(job) else { return };
-        let mut calls = Calls { next: &mut self.next_call, ops };
-        run.step(now, event, &mut calls, out);
-        let ended = run.ended();
-        for (call, op) in ops.drain(..) {
-            self.calls.insert(call, Arc::clone(job));
-            out.push(LedgerAction::Store { call, op });
-        }
-        if ended {
+        let before = run.load();
+        let mut ctx = self.shared.context(now, jobs, out);
+        act(run, &mut ctx);
+        let calls = ctx.new_calls;
+        let after = if run.ended() { Load::default() } else { run.load() };
+        self.shared.load.change(before, after);
+        self.shared.remember(&calls, || Caller::Job(Arc::clone(job)));
+        if run.ended() {
             self.runs.remove(job);
         }
     }
-}
 
-enum Event {
-    Stored(CallId, StoreAnswer),
-    Ended(ItemRef, ItemEnd),
+    fn with_takeover<T>(
+        &mut self,
+        now: Now,
+        out: &mut Vec<LedgerAction>,
+        act: impl FnOnce(&mut Takeover, &BTreeMap<JobId, JobRun>, &mut Context<'_>) -> T,
+    ) -> T {
+        let mut ctx = self.shared.context(now, 1, out);
+        let result = act(&mut self.takeover, &self.runs, &mut ctx);
+        let calls = ctx.new_calls;
+        self.shared.remember(&calls, || Caller::Takeover);
+        result
+    }
 }
 
-/// Numbers store calls and collects them.
-struct Calls<'a> {
-    next: &'a mut u64,
-    ops: &'a mut Vec<(CallId, StoreOp)>,
+impl Load {
+    fn change(&mut self, before: Load, after: Load) {
+        self.running = self.running + after.running - before.running;
+        self.pending_bytes = self.pending_bytes + after.pending_bytes - before.pending_bytes;
+    }
 }
 
-impl Calls<'_> {
-    fn add(&mut self, op: StoreOp) -> CallId {
-        let call = CallId(*self.next);
-        *self.next += 1;
-        self.ops.push((call, op));
-        call
+impl Shared {
+    fn context<'a>(
+        &'a mut self,
+        now: Now,
+        jobs: usize,
+        out: &'a mut Vec<LedgerAction>,
+    ) -> Context<'a> {
+        let keeps_up = self.load.pending_bytes < self.config.max_pending_bytes;
+        let fair_share = (self.config.max_running / jobs).max(1);
+        Context {
+            now,
+            config: &self.config,
+            rng: &mut self.rng,
+            lease_held: self.lease_held,
+            may_run: self.lease_held && !self.stopping && keeps_up,
+            room: self.config.max_running.saturating_sub(self.load.running),
+            job_room: fair_share.min(self.config.max_running_per_job),
+            pace: &mut self.pace,
+            next_call: &mut self.next_call,
+            new_calls: Vec::new(),
+            out,
+        }
+    }
+
+    fn remember(&mut self, calls: &[CallId], caller: impl Fn() -> Caller) {
+        for call in calls {
+            self.calls.insert(*call, caller());
+        }
     }
 }
 
@@ -261,16 +530,16 @@
     ObjectKey::new(Kind::Chunk, format!("{upload}-{chunk:05}"))
 }
 
-/// Key of a chunk's results.
-pub fn results_key(job: &str, chunk: u32) -> ObjectKey {
-    ObjectKey::new(Kind::Results, format!("{job}-{chunk:05}"))
+/// Key of a chunk's results. Named after the upload: a removed job's results are never those of a later job.
+pub fn results_key(upload: &str, chunk: u32) -> ObjectKey {
+    ObjectKey::new(Kind::Results, format!("{upload}-{chunk:05}"))
 }
 
-fn outcome_counts<'a>(results: impl Iterator<Item = &'a ItemResult>) -> (u32, u32) {
+fn outcome_counts(outcomes: impl Iterator<Item = ItemOutcome>) -> (u32, u32) {
     let mut completed = 0;
     let mut failed = 0;
-    for result in results {
-        match result.outcome {
+    for outcome in outcomes {
+        match outcome {
             ItemOutcome::Answered => completed += 1,
             ItemOutcome::Failed | ItemOutcome::MayHaveRun => failed += 1,
         }
--- a/crates/samphiredoor-core/src/ledger/run.rs
+++ b/crates/samphiredoor-core/src/ledger/run.rs
@@ -2,44 +2,45 @@
 //!
 //! A few chunks are open at a time, so that memory does not grow with the job. Each open chunk hands out its undecided
 //! items, takes their ends, and commits results in groups. When all chunks are complete the header is closed.
+//!
+//! The header names the chunks that may have results (`opened_chunks`); it is moved on before further ones are opened.
+//! So whoever ends a cancelled job knows which results objects a former owner could still write, and fences those.
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use samphiredoor_schema::objects::{Chunk, Item, ItemOutcome, ItemResult, JobHeader, JobState};
+use samphiredoor_schema::objects::{JobHeader, JobState};
 
 use super::{
-    CallId, Calls, Event, ItemEnd, ItemRef, ItemWork, JobId, LedgerAction, Progress, chunk_key,
-    commit::Commit, header_key, outcome_counts, results_key,
-};
-use crate::{
-    Name,
-    store::{Labels, StoreAnswer, StoreOp, Value, Version},
-    time::Now,
+    CallId, Event, JobId, LedgerAction, Load, Note, Progress,
+    backoff::Backoff,
+    chunk::OpenChunk,
+    codec::{header_labels, header_value, read_header},
+    context::Context,
+    header_key,
 };
+use crate::store::{StoreAnswer, StoreOp, Version};
 
+/// Chunks that may be opened before the header is written again.
+pub(super) const OPENED_STEP: u32 = 32;
 const OPEN_CHUNKS: usize = 2;
-const GROUP: usize = 250;
-const LINGER_MS: u64 = 200;
-const MAX_TRIES: u32 = 4;
-const RETRY_MS: u64 = 500;
+const SEALED_AT_ONCE: usize = 4;
+const CHECKPOINT_AHEAD: u32 = 4;
+const UNREADABLE_RETRY_MS: u64 = 60_000;
 
-#[derive(Debug)]
-struct OpenChunk {
-    items: Option<Vec<Item>>,
-    loading: Option<CallId>,
-    retry_at_ms: u64,
-    commit: Commit,
-    running: BTreeMap<u32, u32>,
-    tries: BTreeMap<u32, u32>,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Working,
+    Cancelling,
+    HandingOver,
+    Ended,
 }
 
 #[derive(Debug)]
-enum Closing {
-    No,
-    Writing(CallId),
-    Waiting { at_ms: u64 },
+enum HeaderCall {
+    Idle,
+    Writing { call: CallId, header: Box<JobHeader> },
     Reading(CallId),
-    Closed,
+    Waiting { at_ms: u64 },
 }
 
 /// One job at work.
@@ -48,284 +49,336 @@
     job: JobId,
     header: JobHeader,
     version: Version,
-    writer: Name,
+    phase: Phase,
+    // The header may have moved on; it is read before anything else is handed out.
+    recheck: bool,
+    header_call: HeaderCall,
+    backoff: Backoff,
     open: BTreeMap<u32, OpenChunk>,
     next_chunk: u32,
-    closing: Closing,
+    done_chunks: u32,
+    // Chunks done above the first that is not.
+    done: BTreeMap<u32, (u32, u32)>,
     completed: u32,
     failed: u32,
 }
 
 impl JobRun {
-    pub(super) fn new(job: JobId, header: JobHeader, version: Version, writer: Name) -> JobRun {
+    pub(super) fn new(job: JobId, header: JobHeader, version: Version) -> JobRun {
+        let phase = match header.state {
+            JobState::Running => Phase::Working,
+            JobState::Cancelling => Phase::Cancelling,
+            JobState::Cancelled | JobState::Finished => Phase::Ended,
+        };
         JobRun {
             job,
-            header,
             version,
-            writer,
+            phase,
+            recheck: false,
+            header_call: HeaderCall::Idle,
+            backoff: Backoff::new(),
             open: BTreeMap::new(),
-            next_chunk: 0,
-            closing: Closing::No,
-            completed: 0,
-            failed: 0,
+            next_chunk: header.done_chunks,
+            done_chunks: header.done_chunks,
+            done: BTreeMap::new(),
+            completed: header.completed,
+            failed: header.failed,
+            header,
         }
     }
 
     pub(super) fn ended(&self) -> bool {
-        matches!(self.closing, Closing::Closed)
+        self.phase == Phase::Ended
+    }
+
+    pub(super) fn epoch(&self) -> u64 {
+        self.header.owner.epoch
+    }
+
+    /// What the job takes of the process's bounds.
+    pub(super) fn load(&self) -> Load {
+        let pending_bytes = self.open.values().map(OpenChunk::pending_bytes).sum();
+        Load { running: self.running(), pending_bytes }
+    }
+
+    fn running(&self) -> usize {
+        self.open.values().map(OpenChunk::running).sum()
     }
 
     pub(super) fn progress(&self) -> Progress {
-        let mut progress = Progress { completed: self.completed, failed: self.failed, running: 0 };
+        let (completed, failed) = self.counts();
+        let mut progress = Progress { completed, failed, running: self.running() as u32 };
         for chunk in self.open.values() {
-            let (completed, failed) = outcome_counts(chunk.commit.standing().values());
+            let (completed, failed) = chunk.commit.counts();
             progress.completed += completed;
             progress.failed += failed;
-            progress.running += chunk.running.len() as u32;
         }
         progress
     }
 
-    pub(super) fn step(
-        &mut self,
-        now: Now,
-        event: Option<Event>,
-        calls: &mut Calls<'_>,
-        out: &mut Vec<LedgerAction>,
-    ) {
+    /// The header may have moved on: it is read again before more is handed out.
+    pub(super) fn recheck(&mut self) {
+        self.recheck = true;
+    }
+
+    /// Stops all runs because the lease is over; goes on after the header was read again.
+    pub(super) fn pause(&mut self, ctx: &mut Context<'_>) {
+        self.stop_runs(ctx);
+        self.recheck = true;
+    }
+
+    /// Begins to hand the job over. A cancelled job is closed instead.
+    pub(super) fn hand_over(&mut self, ctx: &mut Context<'_>) {
+        if self.phase == Phase::Working {
+            self.phase = Phase::HandingOver;
+            self.stop_runs(ctx);
+        }
+    }
+
+    /// Ends the work at once, as somebody else has the job.
+    pub(super) fn drop_job(&mut self, ctx: &mut Context<'_>) {
+        self.stop_runs(ctx);
+        self.phase = Phase::Ended;
+        ctx.note_dropped(&self.job);
+    }
+
+    pub(super) fn step(&mut self, event: Option<Event>, ctx: &mut Context<'_>) {
         match event {
-            Some(Event::Stored(call, answer)) => self.stored(now, call, &answer, calls),
-            Some(Event::Ended(item, end)) => self.item_ended(now, &item, end),
+            Some(Event::Stored(call, answer)) => self.stored(call, &answer, ctx),
+            Some(Event::Ended(item, end)) => {
+                let repeatable = self.header.repeatable;
+                if let Some(chunk) = self.open.get_mut(&item.chunk) {
+                    chunk.item_ended(item.index, end, repeatable, ctx);
+                }
+            }
             None => {}
         }
-        self.open_chunks();
-        let chunks: Vec<u32> = self.open.keys().copied().collect();
-        for chunk in chunks {
-            self.step_chunk(now, chunk, calls, out);
+        if self.open.values().any(|it| it.commit.is_fenced()) {
+            self.drop_job(ctx);
+        }
+        if self.recheck && (ctx.lease_held || self.phase != Phase::Working) {
+            self.read_header(ctx);
+        }
+        match self.phase {
+            Phase::Working => self.work(ctx),
+            Phase::Cancelling => self.cancel(ctx),
+            Phase::HandingOver => self.settle(ctx),
+            Phase::Ended => {}
         }
-        self.close_if_complete(now, calls);
     }
 
-    fn open_chunks(&mut self) {
-        while self.open.len() < OPEN_CHUNKS && self.next_chunk < self.header.chunks {
-            let chunk = self.next_chunk;
-            self.next_chunk += 1;
-            let key = results_key(&self.job, chunk);
-            let epoch = self.header.owner.epoch;
-            let open = OpenChunk {
-                items: None,
-                loading: None,
-                retry_at_ms: 0,
-                commit: Commit::new(key, epoch, Arc::clone(&self.writer)),
-                running: BTreeMap::new(),
-                tries: BTreeMap::new(),
-            };
-            self.open.insert(chunk, open);
+    fn work(&mut self, ctx: &mut Context<'_>) {
+        self.open_chunks(OPEN_CHUNKS, self.header.chunks);
+        let job_room = if self.recheck { 0 } else { ctx.job_room };
+        let mut room = job_room.saturating_sub(self.running()).min(ctx.room);
+        let mut complete = Vec::new();
+        for (number, chunk) in &mut self.open {
+            chunk.work(&self.job, &self.header, &mut room, ctx);
+            if chunk.commit.is_complete() {
+                complete.push(*number);
+            }
+        }
+        for number in &complete {
+            self.chunk_done(*number);
+        }
+        let opened = self.header.opened_chunks;
+        if self.open.is_empty() && self.next_chunk == self.header.chunks {
+            self.write_header(ctx, |header| header.state = JobState::Finished);
+        } else if opened < self.header.chunks && self.next_chunk + CHECKPOINT_AHEAD >= opened {
+            let opened = opened.saturating_add(OPENED_STEP).min(self.header.chunks);
+            self.write_header(ctx, |header| header.opened_chunks = opened);
         }
     }
 
-    fn step_chunk(
-        &mut self,
-        now: Now,
-        number: u32,
-        calls: &mut Calls<'_>,
-        out: &mut Vec<LedgerAction>,
-    ) {
-        let Some(chunk) = self.open.get_mut(&number) else { return };
-        if chunk.items.is_none() {
-            if chunk.loading.is_none() && now.mono_ms >= chunk.retry_at_ms {
-                let key = chunk_key(&self.header.upload, number);
-                chunk.loading = Some(calls.add(StoreOp::Get { key }));
+    fn cancel(&mut self, ctx: &mut Context<'_>) {
+        // The first owner knows which chunks it has opened; a later one fences all that a former one may have.
+        let last = match self.epoch() {
+            1 => self.next_chunk,
+            _ => self.header.opened_chunks,
+        };
+        self.open_chunks(SEALED_AT_ONCE, last);
+        let mut sealed = Vec::new();
+        for (number, chunk) in &mut self.open {
+            if chunk.seal(&self.header, ctx) {
+                sealed.push(*number);
             }
-            return;
         }
-        let undecided = chunk.undecided();
-        let group = GROUP.min(undecided + chunk.commit.pending_len());
-        chunk.commit.step(now, group.max(1), LINGER_MS, calls);
-        if chunk.commit.is_read() {
-            chunk.hand_out(number, &self.job, &self.header, out);
+        for number in &sealed {
+            self.chunk_done(*number);
         }
-        if chunk.is_complete() {
-            let (completed, failed) = outcome_counts(chunk.commit.standing().values());
-            self.completed += completed;
-            self.failed += failed;
-            self.open.remove(&number);
-            self.open_chunks();
+        if self.open.is_empty() && self.next_chunk >= last {
+            self.write_header(ctx, |header| header.state = JobState::Cancelled);
         }
     }
 
-    fn stored(&mut self, now: Now, call: CallId, answer: &StoreAnswer, calls: &mut Calls<'_>) {
+    fn settle(&mut self, ctx: &mut Context<'_>) {
         for chunk in self.open.values_mut() {
-            if chunk.loading == Some(call) {
-                chunk.loaded(now, answer);
-                return;
-            }
-            if chunk.commit.stored(now, call, answer) {
-                return;
-            }
+            chunk.settle(ctx);
+        }
+        if self.open.values().all(OpenChunk::is_settled) {
+            self.write_header(ctx, |header| header.owner.process.clear());
         }
-        self.header_answered(now, call, answer, calls);
     }
 
-    fn item_ended(&mut self, now: Now, item: &ItemRef, end: ItemEnd) {
-        let repeatable = self.header.repeatable;
-        if let Some(chunk) = self.open.get_mut(&item.chunk) {
-            chunk.item_ended(now, item.index, end, repeatable);
+    fn open_chunks(&mut self, at_once: usize, last: u32) {
+        let last = last.min(self.header.opened_chunks);
+        let mut going = self.open.values().filter(|it| !it.is_stuck()).count();
+        while going < at_once && self.next_chunk < last {
+            let number = self.next_chunk;
+            self.next_chunk += 1;
+            self.open.insert(number, OpenChunk::new(&self.header, number));
+            going += 1;
         }
     }
 
-    fn close_if_complete(&mut self, now: Now, calls: &mut Calls<'_>) {
-        if !self.open.is_empty() || self.next_chunk < self.header.chunks {
+    fn chunk_done(&mut self, number: u32) {
+        let Some(chunk) = self.open.remove(&number) else { return };
+        self.done.insert(number, chunk.commit.counts());
+        if self.phase != Phase::Working {
             return;
         }
-        match self.closing {
-            Closing::No => self.close(calls),
-            Closing::Waiting { at_ms } if now.mono_ms >= at_ms => {
-                let call = calls.add(StoreOp::Get { key: header_key(&self.job) });
-                self.closing = Closing::Reading(call);
-            }
-            _ => {}
+        while let Some((completed, failed)) = self.done.remove(&self.done_chunks) {
+            self.completed += completed;
+            self.failed += failed;
+            self.done_chunks += 1;
         }
     }
 
-    fn close(&mut self, calls: &mut Calls<'_>) {
-        let mut header = self.header.clone();
-        header.state = JobState::Finished;
-        header.completed = self.completed;
-        header.failed = self.failed;
-        let value: Value = serde_json::to_vec(&header).unwrap_or_default().into();
-        let labels = header_labels(&header);
-        let key = header_key(&self.job);
-        let call = calls.add(StoreOp::Update { key, version: self.version, labels, value });
-        self.closing = Closing::Writing(call);
+    fn counts(&self) -> (u32, u32) {
+        let above = self.done.values();
+        above.fold((self.completed, self.failed), |sum, it| (sum.0 + it.0, sum.1 + it.1))
     }
 
-    fn header_answered(
-        &mut self,
-        now: Now,
-        call: CallId,
-        answer: &StoreAnswer,
-        calls: &mut Calls<'_>,
-    ) {
-        match (&self.closing, answer) {
-            (Closing::Writing(own), StoreAnswer::Object(_)) if *own == call => {
-                self.closing = Closing::Closed;
-            }
-            (Closing::Writing(own), _) if *own == call => {
-                self.closing = Closing::Waiting { at_ms: now.mono_ms + RETRY_MS };
-            }
-            (Closing::Reading(own), StoreAnswer::Object(stored)) if *own == call => {
-                match serde_json::from_slice::<JobHeader>(&stored.value) {
-                    Ok(header) if header.state == JobState::Running => {
-                        self.version = stored.version;
-                        self.close(calls);
-                    }
-                    _ => self.closing = Closing::Closed,
-                }
-            }
-            (Closing::Reading(own), _) if *own == call => {
-                self.closing = Closing::Waiting { at_ms: now.mono_ms + RETRY_MS };
-            }
-            _ => {}
+    fn stop_runs(&mut self, ctx: &mut Context<'_>) {
+        let epoch = self.epoch();
+        for chunk in self.open.values_mut() {
+            chunk.stop(&self.job, epoch, ctx);
         }
     }
-}
 
-impl OpenChunk {
-    fn loaded(&mut self, now: Now, answer: &StoreAnswer) {
-        self.loading = None;
-        self.retry_at_ms = now.mono_ms + RETRY_MS;
-        let StoreAnswer::Object(stored) = answer else { return };
-        if let Ok(chunk) = serde_json::from_slice::<Chunk>(&stored.value) {
-            self.items = Some(chunk.items);
+    fn begin_cancelling(&mut self, ctx: &mut Context<'_>) {
+        self.stop_runs(ctx);
+        for chunk in self.open.values_mut() {
+            chunk.drop_runs();
         }
+        self.phase = Phase::Cancelling;
     }
 
-    fn len(&self) -> u32 {
-        self.items.as_ref().map_or(0, |it| it.len() as u32)
+    fn read_header(&mut self, ctx: &mut Context<'_>) {
+        match self.header_call {
+            HeaderCall::Idle => {}
+            HeaderCall::Waiting { at_ms } if ctx.now_ms() >= at_ms => {}
+            _ => return,
+        }
+        let call = ctx.call(StoreOp::Get { key: header_key(&self.job) });
+        self.header_call = HeaderCall::Reading(call);
     }
 
-    fn undecided(&self) -> usize {
-        (0..self.len()).filter(|it| !self.commit.is_decided(*it)).count()
+    fn write_header(&mut self, ctx: &mut Context<'_>, change: impl FnOnce(&mut JobHeader)) {
+        match self.header_call {
+            _ if self.recheck => return,
+            HeaderCall::Idle => {}
+            HeaderCall::Waiting { at_ms } if ctx.now_ms() >= at_ms => {}
+            _ => return,
+        }
+        let mut header = Box::new(self.header.clone());
+        header.done_chunks = self.done_chunks;
+        header.completed = self.completed;
+        header.failed = self.failed;
+        change(&mut header);
+        if matches!(header.state, JobState::Cancelled | JobState::Finished) {
+            (header.completed, header.failed) = self.counts();
+        }
+        let op = StoreOp::Update {
+            key: header_key(&self.job),
+            version: self.version,
+            labels: header_labels(&header),
+            value: header_value(&header),
+        };
+        self.header_call = HeaderCall::Writing { call: ctx.call(op), header };
     }
 
-    fn is_complete(&self) -> bool {
-        self.items.is_some() && self.commit.standing().len() as u32 == self.len()
+    fn stored(&mut self, call: CallId, answer: &StoreAnswer, ctx: &mut Context<'_>) {
+        match &self.header_call {
+            HeaderCall::Writing { call: own, .. } if *own == call => {
+                return self.header_written(answer, ctx);
+            }
+            HeaderCall::Reading(own) if *own == call => return self.header_read(answer, ctx),
+            _ => {}
+        }
+        for chunk in self.open.values_mut() {
+            if chunk.stored(call, answer, ctx) {
+                return;
+            }
+        }
     }
 
-    fn hand_out(
-        &mut self,
-        number: u32,
-        job: &JobId,
-        header: &JobHeader,
-        out: &mut Vec<LedgerAction>,
-    ) {
-        let Some(items) = &self.items else { return };
-        for (index, item) in (0..).zip(items) {
-            if self.running.contains_key(&index) || self.commit.is_decided(index) {
-                continue;
+    fn header_written(&mut self, answer: &StoreAnswer, ctx: &mut Context<'_>) {
+        let written = std::mem::replace(&mut self.header_call, HeaderCall::Idle);
+        let HeaderCall::Writing { header, .. } = written else { return };
+        match answer {
+            StoreAnswer::Object(stored) => {
+                self.backoff.reset();
+                self.version = stored.version;
+                self.header = *header;
+                self.take_state(ctx);
+            }
+            // The write may stand, or another's does (a cancel, a later owner): only a read can tell.
+            StoreAnswer::Unknown | StoreAnswer::Conflict | StoreAnswer::Absent => {
+                self.recheck = true;
             }
-            self.running.insert(index, 0);
-            let work = ItemWork {
-                item: ItemRef { job: Arc::clone(job), chunk: number, index },
-                service: header.service.as_str().into(),
-                workspace: header.workspace.as_str().into(),
-                url: item.url.clone(),
-                body: item.body.clone(),
-                repeatable: header.repeatable,
-                due_unix_ms: header.due_unix_ms,
-            };
-            out.push(LedgerAction::Run(Box::new(work)));
+            _ => self.wait(ctx),
         }
     }
 
-    fn item_ended(&mut self, now: Now, index: u32, end: ItemEnd, repeatable: bool) {
-        if self.running.remove(&index).is_none() {
-            return;
-        }
-        let custom_id = match self.items.as_ref().and_then(|it| it.get(index as usize)) {
-            Some(item) => item.custom_id.clone(),
-            None => return,
+    fn header_read(&mut self, answer: &StoreAnswer, ctx: &mut Context<'_>) {
+        self.header_call = HeaderCall::Idle;
+        let stored = match answer {
+            StoreAnswer::Object(stored) => stored,
+            StoreAnswer::Absent => return self.drop_job(ctx),
+            _ => return self.wait(ctx),
         };
-        let tries = self.tries.entry(index).or_default();
-        let (outcome, status, body) = match end {
-            ItemEnd::NotRun => return,
-            ItemEnd::Answered { status, body } => {
-                *tries += 1;
-                match status {
-                    200..=299 => (ItemOutcome::Answered, status, Some(body)),
-                    400..=499 => (ItemOutcome::Failed, status, Some(body)),
-                    _ if *tries < MAX_TRIES && repeatable => return,
-                    _ => (ItemOutcome::Failed, status, Some(body)),
-                }
+        match read_header(&stored.value) {
+            Ok(header) if !self.is_same_taking(&header) => self.drop_job(ctx),
+            Ok(header) => {
+                self.backoff.reset();
+                self.recheck = false;
+                self.version = stored.version;
+                self.header = header;
+                self.take_state(ctx);
             }
-            ItemEnd::MayHaveRun => {
-                *tries += 1;
-                match repeatable {
-                    true if *tries < MAX_TRIES => return,
-                    true => (ItemOutcome::Failed, 0, None),
-                    false => (ItemOutcome::MayHaveRun, 0, None),
-                }
+            Err(fault) => {
+                ctx.note_unreadable(header_key(&self.job), fault);
+                let at_ms = ctx.now_ms() + UNREADABLE_RETRY_MS;
+                self.header_call = HeaderCall::Waiting { at_ms };
             }
-        };
-        let tries = *tries;
-        let result = ItemResult { custom_id, outcome, status, body, tries };
-        self.commit.add(now, index, result);
+        }
+    }
+
+    /// Whether nobody has taken the job since, and it is not another job under the name of a removed one.
+    fn is_same_taking(&self, header: &JobHeader) -> bool {
+        header.owner.epoch == self.epoch() && header.upload == self.header.upload
+    }
+
+    /// Acts on the state that the header now has in the store.
+    fn take_state(&mut self, ctx: &mut Context<'_>) {
+        match self.header.state {
+            JobState::Cancelled | JobState::Finished => {
+                self.phase = Phase::Ended;
+                let (job, state) = (Arc::clone(&self.job), self.header.state);
+                ctx.out.push(LedgerAction::Note(Note::Closed { job, state }));
+            }
+            JobState::Cancelling if self.phase != Phase::Cancelling => self.begin_cancelling(ctx),
+            JobState::Running if self.header.owner.process.is_empty() => {
+                self.phase = Phase::Ended;
+                ctx.out.push(LedgerAction::HandedOver(Arc::clone(&self.job)));
+            }
+            JobState::Running | JobState::Cancelling => {}
+        }
     }
-}
 
-/// Labels by which headers are found.
-pub(super) fn header_labels(header: &JobHeader) -> Labels {
-    let state = match header.state {
-        JobState::Running => "running",
-        JobState::Cancelling => "cancelling",
-        JobState::Cancelled => "cancelled",
-        JobState::Finished => "finished",
-    };
-    let pairs = [
-        ("owner", header.owner.process.as_str()),
-        ("state", state),
-        ("workspace", header.workspace.as_str()),
-    ];
-    pairs.into_iter().map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+    fn wait(&mut self, ctx: &mut Context<'_>) {
+        let at_ms = ctx.now_ms() + self.backoff.wait_ms(ctx.rng);
+        self.header_call = HeaderCall::Waiting { at_ms };
+    }
 }
--- a/crates/samphiredoor-core/src/ledger/submission.rs
+++ b/crates/samphiredoor-core/src/ledger/submission.rs
@@ -13,7 +13,12 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use super::{FORMAT, JobId, chunk_key, header_key, job_id, run::header_labels};
+use super::{
+    FORMAT, JobId, chunk_key,
+    codec::{header_labels, header_value, read_header},
+    header_key, job_id,
+    run::OPENED_STEP,
+};
 use crate::{
     Name,
     store::{Labels, StoreAnswer, StoreOp, Value, Version},
@@ -117,21 +122,31 @@
         Ok(full)
     }
 
-    /// Ends the reading; returns the last chunk, if one is left.
+    /// Ends the reading; returns the last chunks.
     ///
     /// # Errors
     ///
     /// The last line cannot be an item, or there is no item at all.
-    pub fn finish(&mut self) -> Result<Option<(u32, Chunk)>, BadLine> {
+    pub fn finish(&mut self) -> Result<Vec<(u32, Chunk)>, BadLine> {
         let last = std::mem::take(&mut self.partial);
-        if let Some(full) = self.read_line(&last)? {
-            return Ok(Some(full));
-        }
+        let mut chunks = Vec::from_iter(self.read_line(&last)?);
         if self.items == 0 {
             self.line = 1;
             return Err(self.bad("there is no item; send one JSON object a line".to_owned()));
         }
-        Ok(self.cut_chunk())
+        // The last line may have cut the chunk before it and begun one of its own.
+        chunks.extend(self.cut_chunk());
+        Ok(chunks)
+    }
+
+    /// Chunks cut so far.
+    pub fn chunks(&self) -> u32 {
+        self.chunks
+    }
+
+    /// Service of the items; empty before the first.
+    pub fn service(&self) -> &str {
+        self.service.as_deref().unwrap_or_default()
     }
 
     /// Items read so far.
@@ -208,7 +223,7 @@
         self.chunks += 1;
         self.chunk_bytes = 0;
         let first_item = self.items - items.len() as u32;
-        Some((number, Chunk { first_item, items }))
+        Some((number, Chunk { format: FORMAT, first_item, items }))
     }
 
     fn bad(&self, problem: String) -> BadLine {
@@ -306,6 +321,8 @@
                 incarnation: accepting.incarnation,
                 epoch: 1,
             },
+            done_chunks: 0,
+            opened_chunks: submission.chunks.min(OPENED_STEP),
             completed: 0,
             failed: 0,
         };
@@ -316,7 +333,7 @@
     /// First call.
     pub fn start(&mut self) -> SubmissionStep {
         self.sent = true;
-        let value: Value = serde_json::to_vec(&self.header).unwrap_or_default().into();
+        let value = header_value(&self.header);
         let labels = header_labels(&self.header);
         SubmissionStep::Store(StoreOp::Create { key: header_key(&self.job), labels, value })
     }
@@ -324,7 +341,7 @@
     /// Takes an answer; says what comes next.
     pub fn answered(&mut self, answer: StoreAnswer) -> SubmissionStep {
         match answer {
-            StoreAnswer::Object(stored) => match serde_json::from_slice(&stored.value) {
+            StoreAnswer::Object(stored) => match read_header(&stored.value) {
                 Ok(header) => self.found(header, stored.version),
                 Err(_) => SubmissionStep::MayBeAccepted,
             },
--- a/crates/samphiredoor/src/callers.rs
+++ b/crates/samphiredoor/src/callers.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, Response, body::Incoming};
 use samphiredoor_net::Body;
 
-use crate::{answers::not_found, jobs, online, process::Door};
+use crate::{answers::not_found, job_control, job_reads, jobs, online, process::Door};
 
 /// Answers one request of a caller.
 pub async fn answer(door: Rc<Door>, request: Request<Incoming>) -> Response<Body> {
@@ -16,9 +16,12 @@
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (request.method(), parts.as_slice()) {
         (&Method::POST, ["v1", "batches"]) => jobs::submit(door, request).await,
-        (&Method::GET, ["v1", "batches", job]) => jobs::status(door, job).await,
+        (&Method::GET, ["v1", "batches", job]) => job_reads::status(door, job).await,
+        (&Method::DELETE, ["v1", "batches", job]) => job_control::remove(door, job).await,
+        (&Method::POST, ["v1", "batches", job, "cancel"]) => job_control::cancel(&door, job).await,
+        (&Method::GET, ["v1", "batches", _, "bodies", name]) => job_reads::body(door, name).await,
         (&Method::GET, ["v1", "batches", job, "results"]) => {
-            jobs::results(door, job, request.uri().query().unwrap_or_default()).await
+            job_reads::results(door, job, request.uri().query().unwrap_or_default()).await
         }
         _ => not_found("no such path; see the README for the callers' paths"),
     }
--- a/crates/samphiredoor/src/commands.rs
+++ b/crates/samphiredoor/src/commands.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     answers::{bad_request, json_answer},
+    job_control,
     manifest_task::{apply, manifest_key},
     process::Door,
 };
@@ -27,9 +28,7 @@
 /// Carries out a command.
 pub async fn run(door: &Rc<Door>, command: Command) -> Response<Body> {
     match command {
-        Command::Cancel { job } => {
-            bad_request("cancel", &format!("{job} cannot be cancelled by this version"))
-        }
+        Command::Cancel { job } => job_control::cancel(door, &job).await,
         Command::Drain { target } => set(door, "targets", &target, "drained", json!(true)).await,
         Command::Undrain { target } => set(door, "targets", &target, "drained", json!(false)).await,
         Command::Reclaim { target } => {
--- /dev/null
+++ b/crates/samphiredoor/src/job_control.rs
@@ -0,0 +1,96 @@
+//! Cancelling and removing batch jobs, from any door.
+
+use std::rc::Rc;
+
+use hyper::{Response, StatusCode};
+use samphiredoor_core::{
+    ledger::{CancelStep, Cancellation, JobId, chunk_key, header_key, results_key},
+    store::{Kind, ObjectKey, StoreAnswer, StoreOp},
+    verdict::{Doubt, Verdict},
+};
+use samphiredoor_net::Body;
+use samphiredoor_schema::objects::{JobHeader, JobState};
+use serde_json::json;
+
+use crate::{
+    answers::{json_answer, not_found, verdict_answer},
+    job_reads::{chunk_results, header_json, read_header, unreadable},
+    jobs::store_refusal,
+    process::Door,
+};
+
+/// Cancels a job; the answer says how far it came, or that it had finished before.
+pub async fn cancel(door: &Rc<Door>, job: &str) -> Response<Body> {
+    let job: JobId = job.into();
+    let mut cancellation = Cancellation::new(job.clone());
+    let mut step = cancellation.start();
+    loop {
+        match step {
+            CancelStep::Store(op) => step = cancellation.answered(door.store.call(op).await),
+            CancelStep::Cancelled { header } => {
+                log::info!("jobs: {job} is cancelled");
+                door.jobs.cancel_hint(job.clone());
+                return json_answer(StatusCode::OK, &header_json(&job, &header));
+            }
+            CancelStep::Finished { header } => {
+                let mut value = header_json(&job, &header);
+                value["error"] = json!("the job had finished before");
+                return json_answer(StatusCode::CONFLICT, &value);
+            }
+            CancelStep::Absent => return not_found("no such job"),
+            CancelStep::Unreadable => return unreadable(),
+            CancelStep::NotCancelled => return store_refusal(),
+            CancelStep::MayBeCancelled => {
+                let reason = Doubt::StoreAnswerLost;
+                return verdict_answer(Verdict::MayHaveRun { reason });
+            }
+        }
+    }
+}
+
+/// Removes a job that has ended, with its results.
+pub async fn remove(door: Rc<Door>, job: &str) -> Response<Body> {
+    let job: JobId = job.into();
+    let (header, version) = match read_header(&door, &job).await {
+        Ok(read) => read,
+        Err(answer) => return answer,
+    };
+    if !matches!(header.state, JobState::Cancelled | JobState::Finished) {
+        let mut value = header_json(&job, &header);
+        value["error"] = json!("the job has not ended; cancel it first");
+        return json_answer(StatusCode::CONFLICT, &value);
+    }
+    // The names of the bodies stand in the results, so they are read before anything is removed.
+    let bodies = match body_names(&door, &header).await {
+        Ok(bodies) => bodies,
+        Err(answer) => return answer,
+    };
+    let op = StoreOp::Delete { key: header_key(&job), version: Some(version) };
+    match door.store.call(op).await {
+        StoreAnswer::Deleted => {}
+        StoreAnswer::Absent => return not_found("no such job"),
+        _ => return store_refusal(),
+    }
+    log::info!("jobs: {job} is removed");
+    compio::runtime::spawn(remove_parts(door, header, bodies)).detach();
+    json_answer(StatusCode::OK, &json!({ "id": &*job, "deleted": true }))
+}
+
+async fn body_names(door: &Door, header: &JobHeader) -> Result<Vec<String>, Response<Body>> {
+    let mut names = Vec::new();
+    for chunk in 0..header.opened_chunks {
+        let read = chunk_results(door, header, chunk).await?;
+        let results = read.into_iter().flat_map(|it| it.results.into_values());
+        names.extend(results.filter_map(|it| it.body_object));
+    }
+    Ok(names)
+}
+
+async fn remove_parts(door: Rc<Door>, header: JobHeader, bodies: Vec<String>) {
+    let bodies = bodies.into_iter().map(|it| ObjectKey::new(Kind::Results, it));
+    let chunks = (0..header.chunks)
+        .flat_map(|it| [results_key(&header.upload, it), chunk_key(&header.upload, it)]);
+    for key in bodies.chain(chunks) {
+        door.store.call(StoreOp::Delete { key, version: None }).await;
+    }
+}
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -1,37 +1,43 @@
-//! The task that owns the ledger of jobs, and the runs of their items.
+//! The task that owns the ledger of jobs, and the handles by which others speak to it.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
 use samphiredoor_core::{
     Name,
-    dispatch::{Ask, AttemptEnd, Class},
-    ledger::{ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerInput, Progress},
+    ledger::{
+        ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerConfig, LedgerInput, Note,
+        Progress,
+    },
     store::Version,
-    verdict::{Doubt, Verdict},
-};
-use samphiredoor_net::{
-    body::read_whole,
-    pool::{SendError, within},
+    time::Now,
 };
-use samphiredoor_schema::objects::JobHeader;
+use samphiredoor_net::pool::within;
+use samphiredoor_schema::objects::{JobHeader, JobState};
 
-use crate::{dispatch_task::Placement, online::passed_headers, process::Door, targets::Call};
+use crate::{item_run, process::Door};
 
 const TICK: Duration = Duration::from_millis(100);
-const ITEM_DEADLINE: Duration = Duration::from_secs(600);
-const MAX_RESULT_BYTES: usize = 512 * 1024;
+const EMPTY_POLL: Duration = Duration::from_millis(20);
+/// The margin by which hand-outs stop before the lease ends, as a part of the lease.
+const LEASE_MARGIN_PART: u64 = 10;
+const MAX_LEASE_MARGIN_MS: u64 = 1_000;
 
 enum Message {
     Input(LedgerInput),
     Progress(JobId, flume::Sender<Option<Progress>>),
+    Len(flume::Sender<usize>),
 }
 
 /// Handle to the ledger's task.
 #[derive(Clone)]
 pub struct Jobs {
     messages: flume::Sender<Message>,
+    valid_until_ms: Rc<Cell<u64>>,
 }
 
 /// Inbox of the ledger's task, before the task starts.
@@ -41,7 +47,7 @@
     /// Handle and inbox.
     pub fn new() -> (Jobs, JobsInbox) {
         let (messages, inbox) = flume::unbounded();
-        (Jobs { messages }, JobsInbox(inbox))
+        (Jobs { messages, valid_until_ms: Rc::default() }, JobsInbox(inbox))
     }
 
     /// Hands over a job that this process owns.
@@ -51,14 +57,53 @@
 
     /// Says until when this process holds its lease, by its monotonic clock; 0 if it is lost.
     pub fn lease(&self, valid_until_ms: u64) {
+        self.valid_until_ms.set(valid_until_ms);
         self.input(LedgerInput::Lease { valid_until_ms });
     }
 
+    /// Whether this process holds its lease.
+    pub fn lease_held(&self, now: Now) -> bool {
+        now.mono_ms < self.valid_until_ms.get()
+    }
+
     /// Says that the lease of a process has lapsed, so that its jobs may be taken.
     pub fn lapsed(&self, process: Name, incarnation: u64) {
         self.input(LedgerInput::Lapsed { process, incarnation });
     }
 
+    /// Says which processes hold their leases.
+    pub fn live(&self, processes: Vec<Name>) {
+        self.input(LedgerInput::Live { processes });
+    }
+
+    /// Says that a job, which this process may own, is cancelled.
+    pub fn cancel_hint(&self, job: JobId) {
+        self.input(LedgerInput::CancelHint { job });
+    }
+
+    /// Says that another process has handed a job over.
+    #[allow(dead_code, reason = "called when news of peers arrives")]
+    pub fn offered(&self, job: JobId) {
+        self.input(LedgerInput::Offered { job });
+    }
+
+    /// Begins to hand all jobs over.
+    pub fn stopping(&self) {
+        self.input(LedgerInput::Stopping);
+    }
+
+    /// Waits until this process works on no job.
+    pub async fn empty(&self) {
+        loop {
+            let (sender, receiver) = flume::bounded(1);
+            let _ = self.messages.send(Message::Len(sender));
+            match receiver.recv_async().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => compio::time::sleep(EMPTY_POLL).await,
+            }
+        }
+    }
+
     /// Progress of a job, if this process owns it.
     pub async fn progress(&self, job: &JobId) -> Option<Progress> {
         let (sender, receiver) = flume::bounded(1);
@@ -73,144 +118,141 @@
 
 /// Runs the ledger until the process ends.
 pub async fn run(door: Rc<Door>, inbox: JobsInbox) {
+    let ledger = Ledger::new(ledger_config(&door));
+    Task { door, ledger, stops: HashMap::new(), actions: Vec::new() }.run(inbox).await;
+}
+
+fn ledger_config(door: &Door) -> LedgerConfig {
     let writer = door.unique_name(&door.config.name);
-    let mut ledger = Ledger::new(writer.into());
-    let mut actions = Vec::new();
-    loop {
-        let input = match within(TICK, inbox.0.recv_async()).await {
-            Some(Ok(Message::Input(input))) => input,
-            Some(Ok(Message::Progress(job, reply))) => {
-                let _ = reply.send(ledger.progress(&job));
-                continue;
+    let lease_ms = door.config.lease.as_millis() as u64;
+    let renew_ms = door.config.renew.as_millis() as u64;
+    LedgerConfig {
+        lease_margin_ms: (lease_ms / LEASE_MARGIN_PART).min(MAX_LEASE_MARGIN_MS),
+        sweep_ms: renew_ms,
+        free_list_ms: renew_ms,
+        ..LedgerConfig::new(door.config.name(), door.incarnation, writer.into())
+    }
+}
+
+struct Task {
+    door: Rc<Door>,
+    ledger: Ledger,
+    // Runs under way, and how to stop them.
+    stops: HashMap<ItemRef, flume::Sender<()>>,
+    actions: Vec<LedgerAction>,
+}
+
+impl Task {
+    async fn run(mut self, inbox: JobsInbox) {
+        let mut next_tick = Instant::now() + TICK;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match within(wait, inbox.0.recv_async()).await {
+                Some(Ok(Message::Input(input))) => self.handle(input),
+                Some(Ok(Message::Progress(job, reply))) => {
+                    let _ = reply.send(self.ledger.progress(&job));
+                }
+                Some(Ok(Message::Len(reply))) => {
+                    let _ = reply.send(self.ledger.jobs().count());
+                }
+                Some(Err(_)) => return,
+                None => {
+                    next_tick = Instant::now() + TICK;
+                    self.handle(LedgerInput::Tick);
+                }
             }
-            Some(Err(_)) => return,
-            None => LedgerInput::Tick,
-        };
-        ledger.handle(door.clock.now(), input, &mut actions);
-        for action in actions.drain(..) {
-            act(&door, action);
         }
     }
-}
 
-fn act(door: &Rc<Door>, action: LedgerAction) {
-    match action {
-        LedgerAction::Store { call, op } => {
-            let door = Rc::clone(door);
-            compio::runtime::spawn(async move {
-                let answer = door.store.call(op).await;
-                door.jobs.input(LedgerInput::Stored { call, answer });
-            })
-            .detach();
+    fn handle(&mut self, input: LedgerInput) {
+        if let LedgerInput::ItemEnded { item, end } = &input {
+            self.stops.remove(item);
+            self.door.metrics.item_ended(end_label(end));
         }
-        LedgerAction::Run(work) => {
-            let door = Rc::clone(door);
-            compio::runtime::spawn(async move {
-                let item = work.item.clone();
-                let end = run_item(&door, *work).await;
-                door.jobs.input(LedgerInput::ItemEnded { item, end });
-            })
-            .detach();
+        self.ledger.handle(self.door.clock.now(), input, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action);
         }
-        LedgerAction::Stop(_) => {}
     }
-}
 
-async fn run_item(door: &Rc<Door>, work: ItemWork) -> ItemEnd {
-    let started = std::time::Instant::now();
-    let request = door.dispatch.next_request();
-    let Ok(uri) = work.url.parse() else {
-        let body = serde_json::json!({ "error": "url is no path" });
-        return ItemEnd::Answered { status: 400, body };
-    };
-    let body: Bytes = work.body.to_string().into();
-    let mut headers = passed_headers(&HeaderMap::new(), door, request);
-    if let Ok(id) = header::HeaderValue::from_str(&item_id(&work.item)) {
-        headers.insert(crate::online::REQUEST_ID_HEADER, id);
-    }
-    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
-    let ask = batch_ask(door, &work, request, &body);
-    let call = Call { method: Method::POST, uri, headers, body };
-    let mut ticket = door.dispatch.ask(ask);
-    loop {
-        match ticket.placement().await {
-            Placement::Go { address } => {
-                let exchange = exchange(door, address, &call);
-                let mut exchange = std::pin::pin!(exchange);
-                let ended = {
-                    let placement = std::pin::pin!(ticket.placement());
-                    match futures_util::future::select(exchange.as_mut(), placement).await {
-                        futures_util::future::Either::Left((ended, _)) => Some(ended),
-                        futures_util::future::Either::Right(_) => None,
-                    }
-                };
-                match ended {
-                    Some(Ok(end)) => {
-                        ticket.ended(AttemptEnd::Done);
-                        let elapsed_s = started.elapsed().as_secs_f64();
-                        door.metrics.ended(Class::Batch, Verdict::Done, elapsed_s);
-                        return end;
-                    }
-                    Some(Err(end)) => ticket.ended(end),
-                    None => {
-                        ticket.ended(AttemptEnd::Aborted);
-                        return ItemEnd::NotRun;
-                    }
+    fn act(&mut self, action: LedgerAction) {
+        match action {
+            LedgerAction::Store { call, op } => {
+                let door = Rc::clone(&self.door);
+                compio::runtime::spawn(async move {
+                    let answer = door.store.call(op).await;
+                    door.jobs.input(LedgerInput::Stored { call, answer });
+                })
+                .detach();
+            }
+            LedgerAction::Run(work) => self.run_item(*work),
+            LedgerAction::Stop(item) => {
+                if let Some(stop) = self.stops.remove(&item) {
+                    let _ = stop.send(());
                 }
             }
-            Placement::Abort => {}
-            Placement::Refused(verdict) => {
-                door.metrics.ended(Class::Batch, verdict, 0.0);
-                return match verdict {
-                    Verdict::MayHaveRun { .. } => ItemEnd::MayHaveRun,
-                    Verdict::NotRun { .. } | Verdict::Done => ItemEnd::NotRun,
-                };
+            LedgerAction::HandedOver(job) => {
+                self.door.metrics.job_event("handed_over");
+                log::info!("jobs: {job} is handed over");
             }
+            LedgerAction::Note(note) => self.note(&note),
         }
     }
-}
 
-fn batch_ask(
-    door: &Door,
-    work: &ItemWork,
-    request: samphiredoor_core::dispatch::RequestId,
-    body: &Bytes,
-) -> Ask {
-    Ask {
-        request,
-        class: Class::Batch,
-        service: Name::clone(&work.service),
-        workspace: Name::clone(&work.workspace),
-        deadline_ms: door.clock.now().mono_ms + ITEM_DEADLINE.as_millis() as u64,
-        repeatable: work.repeatable,
-        prefix_hash: 0,
-        fingerprint: 0,
-        body_bytes: body.len() as u32,
-        job: Name::clone(&work.item.job),
-        due_unix_ms: work.due_unix_ms,
+    fn run_item(&mut self, work: ItemWork) {
+        let (stop, stopped) = flume::bounded(1);
+        self.stops.insert(work.item.clone(), stop);
+        let door = Rc::clone(&self.door);
+        compio::runtime::spawn(async move {
+            let item = work.item.clone();
+            let end = item_run::run(&door, work, stopped).await;
+            door.jobs.input(LedgerInput::ItemEnded { item, end });
+        })
+        .detach();
+    }
+
+    fn note(&self, note: &Note) {
+        let metrics = &self.door.metrics;
+        match note {
+            Note::Taken { job, epoch } => {
+                metrics.job_event("taken");
+                log::info!("jobs: {job} is taken with epoch {epoch}");
+            }
+            Note::Dropped { job } => {
+                metrics.job_event("dropped");
+                log::info!("jobs: {job} is dropped, another process has it");
+            }
+            Note::Closed { job, state } => {
+                metrics.job_event(state_label(*state));
+                log::info!("jobs: {job} is {}", state_label(*state));
+            }
+            Note::LeaseOver => {
+                metrics.job_event("lease_over");
+                log::warn!("jobs: the lease is over; nothing is run until it is held again");
+            }
+            Note::Unreadable { key, fault } => {
+                metrics.unreadable(*fault);
+                log::error!("jobs: {}/{} is refused: {fault}", key.kind.path(), key.name);
+            }
+        }
     }
 }
 
-async fn exchange(
-    door: &Door,
-    address: std::net::SocketAddr,
-    call: &Call,
-) -> Result<ItemEnd, AttemptEnd> {
-    let answered = within(ITEM_DEADLINE, async {
-        let response = door.targets.send(address, call).await.map_err(|err| match err {
-            SendError::NotSent(_) => AttemptEnd::NotSent,
-            SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
-        })?;
-        let status = response.status().as_u16();
-        let body = read_whole(response.into_body(), MAX_RESULT_BYTES).await;
-        let body = body.map_err(|_| AttemptEnd::Lost(Doubt::AnswerCut))?;
-        let text = || serde_json::Value::String(String::from_utf8_lossy(&body).into_owned());
-        let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
-        Ok(ItemEnd::Answered { status, body })
-    });
-    answered.await.unwrap_or(Err(AttemptEnd::Lost(Doubt::DeadlinePassed)))
+fn end_label(end: &ItemEnd) -> &'static str {
+    match end {
+        ItemEnd::Answered { status: 200..=299, .. } => "answered",
+        ItemEnd::Answered { .. } => "answered_with_an_error",
+        ItemEnd::NotRun { .. } => "not_run",
+        ItemEnd::MayHaveRun => "may_have_run",
+        ItemEnd::Refused { .. } => "refused",
+    }
 }
 
-fn item_id(item: &ItemRef) -> String {
-    format!("{}-{:05}-{}", item.job, item.chunk, item.index)
+fn state_label(state: JobState) -> &'static str {
+    match state {
+        JobState::Running => "running",
+        JobState::Cancelling => "cancelling",
+        JobState::Cancelled => "cancelled",
+        JobState::Finished => "finished",
+    }
 }
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -1,6 +1,6 @@
 //! The task that keeps the process's lease and observes the leases of others.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use samphiredoor_core::{
     Name,
@@ -58,6 +58,7 @@
     let mut table = LeaseTable::default();
     loop {
         list(&door, &mut table).await;
+        door.jobs.live(table.live(door.clock.now()));
         for (process, incarnation) in table.lapsed(door.clock.now(), LAPSE_MARGIN_MS) {
             if process != door.config.name {
                 door.jobs.lapsed(process, incarnation);
@@ -69,6 +70,7 @@
 
 async fn list(door: &Door, table: &mut LeaseTable) {
     let mut after = None;
+    let mut named = BTreeSet::new();
     loop {
         let op = StoreOp::List {
             kind: Kind::Process,
@@ -79,6 +81,7 @@
         };
         let StoreAnswer::Page { items, next, .. } = door.store.call(op).await else { return };
         for stored in items {
+            named.insert(Name::clone(&stored.name));
             match serde_json::from_slice(&stored.value) {
                 Ok(lease) => table.observe(door.clock.now(), &stored.name, lease),
                 Err(err) => log::warn!("lease: {} cannot be read: {err}", stored.name),
@@ -86,6 +89,7 @@
         }
         after = next;
         if after.is_none() {
+            table.retain(&named);
             return;
         }
     }
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -14,9 +14,15 @@
 };
 use samphiredoor_core::{
     dispatch::Class,
+    ledger::Unreadable,
     verdict::{Doubt, Refusal, Verdict},
 };
 
+const JOB_EVENTS: [&str; 6] =
+    ["taken", "dropped", "finished", "cancelled", "handed_over", "lease_over"];
+const ITEM_ENDS: [&str; 5] =
+    ["answered", "answered_with_an_error", "not_run", "may_have_run", "refused"];
+
 /// Label of a reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -39,6 +45,9 @@
     answered: Family<ClassLabel, Counter>,
     latency_s: Family<ClassLabel, Histogram>,
     running: Gauge,
+    job_events: Family<ReasonLabel, Counter>,
+    item_ends: Family<ReasonLabel, Counter>,
+    unreadable: Family<ReasonLabel, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -65,7 +74,21 @@
         registry.register("latency_seconds", "Time to the whole answer", latency_s.clone());
         let running = Gauge::default();
         registry.register("running", "Online requests that are being answered", running.clone());
-        Rc::new(Metrics { registry, refusals, doubts, answered, latency_s, running })
+        let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
+        let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
+        let faults = Unreadable::ALL.map(Unreadable::label);
+        let unreadable = counters(&mut registry, "unreadable", "Stored objects refused", &faults);
+        Rc::new(Metrics {
+            registry,
+            refusals,
+            doubts,
+            answered,
+            latency_s,
+            running,
+            job_events,
+            item_ends,
+            unreadable,
+        })
     }
 
     /// Counts an online request as running until the guard is dropped.
@@ -91,6 +114,21 @@
         }
     }
 
+    /// Counts what became of a job.
+    pub fn job_event(&self, event: &'static str) {
+        self.job_events.get_or_create(&ReasonLabel { reason: event }).inc();
+    }
+
+    /// Counts the end of a run of an item.
+    pub fn item_ended(&self, end: &'static str) {
+        self.item_ends.get_or_create(&ReasonLabel { reason: end }).inc();
+    }
+
+    /// Counts a stored object that cannot be read.
+    pub fn unreadable(&self, fault: Unreadable) {
+        self.unreadable.get_or_create(&ReasonLabel { reason: fault.label() }).inc();
+    }
+
     /// Text in the exposition format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -109,6 +147,20 @@
     }
 }
 
+fn counters(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    reasons: &[&'static str],
+) -> Family<ReasonLabel, Counter> {
+    let family = Family::<ReasonLabel, Counter>::default();
+    for reason in reasons {
+        let _ = family.get_or_create(&ReasonLabel { reason });
+    }
+    registry.register(name, help, family.clone());
+    family
+}
+
 fn class_label(class: Class) -> &'static str {
     match class {
         Class::Online => "online",
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -92,9 +92,14 @@
     wait_for_signal().await;
     log::info!("door: stopping");
     door.stopping.set(true);
+    door.jobs.stopping();
     compio::time::sleep(door.config.unready).await;
     drop(stop_callers);
-    let finished = compio::time::timeout(door.config.finish, serving).await.is_ok();
+    let all = async {
+        let _ = serving.await;
+        door.jobs.empty().await;
+    };
+    let finished = compio::time::timeout(door.config.finish, all).await.is_ok();
     log::info!("door: stopped, all requests finished: {finished}");
     Ok(Exit::Success)
 }
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -183,7 +183,7 @@
     let mut rows = Vec::new();
     for number in 0..header.chunks {
         let chunk = read::<Chunk>(door, chunk_key(&header.upload, number)).await?;
-        let results = read::<ChunkResults>(door, results_key(&job, number)).await?;
+        let results = read::<ChunkResults>(door, results_key(&header.upload, number)).await?;
         let Some(chunk) = chunk else { continue };
         for (index, item) in chunk.items.iter().enumerate() {
             let result = results.as_ref().and_then(|it| it.results.get(&index.to_string()));
