--- a/crates/samphiredoor-core/src/ledger/submission.rs
+++ b/crates/samphiredoor-core/src/ledger/submission.rs
@@ -69,6 +69,7 @@
 pub struct Submission {
     partial: Vec<u8>,
     chunk: Vec<Item>,
+    chunk_items: usize,
     chunk_bytes: usize,
     chunks: u32,
     items: u32,
@@ -90,6 +91,7 @@
         Submission {
             partial: Vec::new(),
             chunk: Vec::new(),
+            chunk_items: CHUNK_ITEMS,
             chunk_bytes: 0,
             chunks: 0,
             items: 0,
@@ -100,6 +102,12 @@
         }
     }
 
+    /// Cuts chunks of at most this many items.
+    pub fn with_chunk_items(mut self, chunk_items: usize) -> Submission {
+        self.chunk_items = chunk_items.clamp(1, CHUNK_ITEMS);
+        self
+    }
+
     /// Reads more bytes; returns the chunks that became full, with their numbers.
     ///
     /// # Errors
@@ -149,6 +157,11 @@
         self.service.as_deref().unwrap_or_default()
     }
 
+    /// Digest of the lines read so far, to tell a resent job from another one.
+    pub fn digest(&self) -> String {
+        self.digest.finalize().to_hex().to_string()
+    }
+
     /// Items read so far.
     pub fn items(&self) -> u32 {
         self.items
@@ -176,7 +189,7 @@
         if self.items > JOB_ITEMS {
             return Err(self.bad(format!("is above {JOB_ITEMS} items; split the job")));
         }
-        if self.chunk.len() == CHUNK_ITEMS { Ok(self.cut_chunk()) } else { Ok(cut) }
+        if self.chunk.len() == self.chunk_items { Ok(self.cut_chunk()) } else { Ok(cut) }
     }
 
     fn item(&mut self, line: &[u8]) -> Result<Item, BadLine> {
@@ -308,7 +321,7 @@
             workspace: accepting.workspace.to_string(),
             key: accepting.key.to_string(),
             service: submission.service.clone().unwrap_or_default(),
-            digest: submission.digest.finalize().to_hex().to_string(),
+            digest: submission.digest(),
             upload: accepting.upload.to_string(),
             items: submission.items,
             chunks: submission.chunks,
--- /dev/null
+++ b/crates/samphiredoor-core/tests/ledger/promises.rs
@@ -0,0 +1,129 @@
+//! What must hold of the store and of the target's record after each step.
+
+use std::collections::BTreeMap;
+
+use samphiredoor_core::{
+    ledger::{ItemRef, JobId, header_key, read_header, read_results, results_key},
+    store::{Kind, ObjectKey},
+};
+use samphiredoor_schema::objects::{JobHeader, JobState};
+use serde_json::Value;
+
+use crate::store::ModelStore;
+
+type Results = BTreeMap<u32, Value>;
+
+#[derive(Debug, Default)]
+pub struct Promises {
+    headers: BTreeMap<JobId, JobHeader>,
+    results: BTreeMap<ObjectKey, Results>,
+    uploads: BTreeMap<String, JobId>,
+    /// Runs of items that must not run twice: those that may have begun.
+    runs: BTreeMap<(JobId, u32, u32), u32>,
+    accepted: BTreeMap<JobId, String>,
+}
+
+impl Promises {
+    pub fn accepted(&mut self, store: &ModelStore, job: &JobId, digest: &str) {
+        self.accepted.insert(job.clone(), digest.to_owned());
+        let header = stored_header(store, job).expect("an accepted job stands");
+        assert_eq!(header.digest, digest, "{job} was accepted with other content");
+    }
+
+    pub fn all_ended(&self) -> bool {
+        let ended = |it: &JobHeader| matches!(it.state, JobState::Finished | JobState::Cancelled);
+        self.accepted.keys().all(|job| self.headers.get(job).is_some_and(ended))
+    }
+
+    pub fn open_jobs(&self) -> Vec<&JobHeader> {
+        let accepted = self.accepted.keys().filter_map(|job| self.headers.get(job));
+        accepted.filter(|it| matches!(it.state, JobState::Running | JobState::Cancelling)).collect()
+    }
+
+    pub fn started(&mut self, item: &ItemRef, repeatable: bool) {
+        if !repeatable {
+            let runs = self.runs.entry((item.job.clone(), item.chunk, item.index)).or_default();
+            *runs += 1;
+            assert_eq!(*runs, 1, "{item:?} must not run twice");
+        }
+    }
+
+    pub fn not_run(&mut self, item: &ItemRef, repeatable: bool) {
+        if !repeatable {
+            let runs = self.runs.entry((item.job.clone(), item.chunk, item.index)).or_default();
+            *runs -= 1;
+        }
+    }
+
+    pub fn check(&mut self, store: &mut ModelStore) {
+        for key in std::mem::take(&mut store.changed) {
+            match key.kind {
+                Kind::Job => self.check_header(store, &key),
+                Kind::Results => self.check_results(store, &key),
+                _ => {}
+            }
+        }
+    }
+
+    fn check_header(&mut self, store: &ModelStore, key: &ObjectKey) {
+        let job = key.name.clone();
+        let header = stored_header(store, &job).expect("a header never vanishes");
+        if let Some(before) = self.headers.get(&job) {
+            assert_eq!(before.digest, header.digest, "{job} became another job");
+            assert!(before.owner.epoch <= header.owner.epoch, "the epoch of {job} went back");
+            assert!(may_follow(before.state, header.state), "{job} went back to {header:?}");
+        }
+        if matches!(header.state, JobState::Finished | JobState::Cancelled) {
+            self.check_counts(store, &job, &header);
+        }
+        self.uploads.insert(header.upload.clone(), job.clone());
+        self.headers.insert(job, header);
+    }
+
+    fn check_counts(&self, store: &ModelStore, job: &JobId, header: &JobHeader) {
+        let all = (0..header.chunks).map(|it| stored_results(store, &header.upload, it).len());
+        let all: usize = all.sum();
+        let counted = (header.completed + header.failed) as usize;
+        assert_eq!(counted, all, "{job} ended with other counts than results: {header:?}");
+        if header.state == JobState::Finished {
+            assert_eq!(all, header.items as usize, "{job} finished without some results");
+        }
+    }
+
+    fn check_results(&mut self, store: &ModelStore, key: &ObjectKey) {
+        let results = parse_results(&store.get(key).expect("results never vanish").value);
+        let before = self.results.entry(key.clone()).or_default();
+        for (index, result) in before.iter() {
+            assert_eq!(results.get(index), Some(result), "a result of {key:?} was changed");
+        }
+        let upload = key.name.rsplit_once('-').map_or("", |it| it.0);
+        let state = self.uploads.get(upload).map(|job| self.headers[job].state);
+        if matches!(state, Some(JobState::Cancelled | JobState::Finished)) {
+            assert_eq!(before.len(), results.len(), "{key:?} was written after the job's end");
+        }
+        *before = results;
+    }
+}
+
+fn may_follow(before: JobState, after: JobState) -> bool {
+    match before {
+        JobState::Running => true,
+        JobState::Cancelling => matches!(after, JobState::Cancelling | JobState::Cancelled),
+        JobState::Cancelled | JobState::Finished => before == after,
+    }
+}
+
+pub fn stored_header(store: &ModelStore, job: &JobId) -> Option<JobHeader> {
+    store.get(&header_key(job)).map(|it| read_header(&it.value).expect("a header can be read"))
+}
+
+fn stored_results(store: &ModelStore, upload: &str, chunk: u32) -> Results {
+    let stored = store.get(&results_key(upload, chunk));
+    stored.map(|it| parse_results(&it.value)).unwrap_or_default()
+}
+
+fn parse_results(value: &[u8]) -> Results {
+    let read = read_results(value).expect("results can be read");
+    let values = read.results.into_iter();
+    values.map(|(index, it)| (index, serde_json::to_value(it).expect("a value"))).collect()
+}
--- /dev/null
+++ b/crates/samphiredoor-core/tests/ledger/store.rs
@@ -0,0 +1,78 @@
+//! The object store in small: versions, conditional updates, and writes that take effect late.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use samphiredoor_core::store::{Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version};
+
+#[derive(Debug, Default)]
+pub struct ModelStore {
+    objects: BTreeMap<ObjectKey, Stored>,
+    version: u64,
+    /// Objects written since they were last looked at.
+    pub changed: Vec<ObjectKey>,
+    /// Writes that took effect.
+    pub writes: u64,
+    /// All calls.
+    pub calls: u64,
+}
+
+impl ModelStore {
+    pub fn get(&self, key: &ObjectKey) -> Option<&Stored> {
+        self.objects.get(key)
+    }
+
+    pub fn apply(&mut self, op: &StoreOp) -> StoreAnswer {
+        self.calls += 1;
+        match op {
+            StoreOp::Get { key } => match self.objects.get(key) {
+                Some(stored) => StoreAnswer::Object(stored.clone()),
+                None => StoreAnswer::Absent,
+            },
+            StoreOp::Create { key, labels, value } => match self.objects.contains_key(key) {
+                true => StoreAnswer::Taken,
+                false => self.put(key, labels, value),
+            },
+            StoreOp::Update { key, version, labels, value } => match self.objects.get(key) {
+                None => StoreAnswer::Absent,
+                Some(stored) if stored.version != *version => StoreAnswer::Conflict,
+                Some(_) => self.put(key, labels, value),
+            },
+            StoreOp::Delete { key, version } => match self.objects.get(key) {
+                None => StoreAnswer::Absent,
+                Some(stored) if version.is_some_and(|it| it != stored.version) => {
+                    StoreAnswer::Conflict
+                }
+                Some(_) => {
+                    self.objects.remove(key);
+                    StoreAnswer::Deleted
+                }
+            },
+            StoreOp::List { kind, labels, after, limit, .. } => {
+                let fits = |it: &Stored| labels.iter().all(|(k, v)| it.labels.get(k) == Some(v));
+                let later = |it: &Stored| after.as_ref().is_none_or(|after| it.name > *after);
+                let of_kind = self.objects.iter().filter(|(key, _)| key.kind == *kind);
+                let mut items: Vec<Stored> = of_kind
+                    .map(|(_, it)| it)
+                    .filter(|it| fits(it) && later(it))
+                    .take(limit + 1)
+                    .cloned()
+                    .collect();
+                let more = items.len() > *limit;
+                items.truncate(*limit);
+                let next = items.last().filter(|_| more).map(|it| Arc::clone(&it.name));
+                StoreAnswer::Page { items, next, version: Version(self.version) }
+            }
+        }
+    }
+
+    fn put(&mut self, key: &ObjectKey, labels: &Labels, value: &Value) -> StoreAnswer {
+        self.version += 1;
+        self.writes += 1;
+        let version = Version(self.version);
+        let name = Arc::clone(&key.name);
+        let stored = Stored { name, version, labels: labels.clone(), value: Arc::clone(value) };
+        self.objects.insert(key.clone(), stored.clone());
+        self.changed.push(key.clone());
+        StoreAnswer::Object(stored)
+    }
+}
