--- a/crates/samphiredoor-core/src/ledger/submission.rs
+++ b/crates/samphiredoor-core/src/ledger/submission.rs
@@ -13,7 +13,12 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use super::{FORMAT, JobId, chunk_key, header_key, job_id, run::header_labels};
+use super::{
+    FORMAT, JobId, chunk_key,
+    codec::{header_labels, header_value, read_header},
+    header_key, job_id,
+    run::OPENED_STEP,
+};
 use crate::{
     Name,
     store::{Labels, StoreAnswer, StoreOp, Value, Version},
@@ -64,6 +69,7 @@
 pub struct Submission {
     partial: Vec<u8>,
     chunk: Vec<Item>,
+    chunk_items: usize,
     chunk_bytes: usize,
     chunks: u32,
     items: u32,
@@ -85,6 +91,7 @@
         Submission {
             partial: Vec::new(),
             chunk: Vec::new(),
+            chunk_items: CHUNK_ITEMS,
             chunk_bytes: 0,
             chunks: 0,
             items: 0,
@@ -95,6 +102,12 @@
         }
     }
 
+    /// Cuts chunks of at most this many items.
+    pub fn with_chunk_items(mut self, chunk_items: usize) -> Submission {
+        self.chunk_items = chunk_items.clamp(1, CHUNK_ITEMS);
+        self
+    }
+
     /// Reads more bytes; returns the chunks that became full, with their numbers.
     ///
     /// # Errors
@@ -117,21 +130,36 @@
         Ok(full)
     }
 
-    /// Ends the reading; returns the last chunk, if one is left.
+    /// Ends the reading; returns the last chunks.
     ///
     /// # Errors
     ///
     /// The last line cannot be an item, or there is no item at all.
-    pub fn finish(&mut self) -> Result<Option<(u32, Chunk)>, BadLine> {
+    pub fn finish(&mut self) -> Result<Vec<(u32, Chunk)>, BadLine> {
         let last = std::mem::take(&mut self.partial);
-        if let Some(full) = self.read_line(&last)? {
-            return Ok(Some(full));
-        }
+        let mut chunks = Vec::from_iter(self.read_line(&last)?);
         if self.items == 0 {
             self.line = 1;
             return Err(self.bad("there is no item; send one JSON object a line".to_owned()));
         }
-        Ok(self.cut_chunk())
+        // The last line may have cut the chunk before it and begun one of its own.
+        chunks.extend(self.cut_chunk());
+        Ok(chunks)
+    }
+
+    /// Chunks cut so far.
+    pub fn chunks(&self) -> u32 {
+        self.chunks
+    }
+
+    /// Service of the items; empty before the first.
+    pub fn service(&self) -> &str {
+        self.service.as_deref().unwrap_or_default()
+    }
+
+    /// Digest of the lines read so far, to tell a resent job from another one.
+    pub fn digest(&self) -> String {
+        self.digest.finalize().to_hex().to_string()
     }
 
     /// Items read so far.
@@ -161,7 +189,7 @@
         if self.items > JOB_ITEMS {
             return Err(self.bad(format!("is above {JOB_ITEMS} items; split the job")));
         }
-        if self.chunk.len() == CHUNK_ITEMS { Ok(self.cut_chunk()) } else { Ok(cut) }
+        if self.chunk.len() == self.chunk_items { Ok(self.cut_chunk()) } else { Ok(cut) }
     }
 
     fn item(&mut self, line: &[u8]) -> Result<Item, BadLine> {
@@ -208,7 +236,7 @@
         self.chunks += 1;
         self.chunk_bytes = 0;
         let first_item = self.items - items.len() as u32;
-        Some((number, Chunk { first_item, items }))
+        Some((number, Chunk { format: FORMAT, first_item, items }))
     }
 
     fn bad(&self, problem: String) -> BadLine {
@@ -293,7 +321,7 @@
             workspace: accepting.workspace.to_string(),
             key: accepting.key.to_string(),
             service: submission.service.clone().unwrap_or_default(),
-            digest: submission.digest.finalize().to_hex().to_string(),
+            digest: submission.digest(),
             upload: accepting.upload.to_string(),
             items: submission.items,
             chunks: submission.chunks,
@@ -306,6 +334,8 @@
                 incarnation: accepting.incarnation,
                 epoch: 1,
             },
+            done_chunks: 0,
+            opened_chunks: submission.chunks.min(OPENED_STEP),
             completed: 0,
             failed: 0,
         };
@@ -316,7 +346,7 @@
     /// First call.
     pub fn start(&mut self) -> SubmissionStep {
         self.sent = true;
-        let value: Value = serde_json::to_vec(&self.header).unwrap_or_default().into();
+        let value = header_value(&self.header);
         let labels = header_labels(&self.header);
         SubmissionStep::Store(StoreOp::Create { key: header_key(&self.job), labels, value })
     }
@@ -324,7 +354,7 @@
     /// Takes an answer; says what comes next.
     pub fn answered(&mut self, answer: StoreAnswer) -> SubmissionStep {
         match answer {
-            StoreAnswer::Object(stored) => match serde_json::from_slice(&stored.value) {
+            StoreAnswer::Object(stored) => match read_header(&stored.value) {
                 Ok(header) => self.found(header, stored.version),
                 Err(_) => SubmissionStep::MayBeAccepted,
             },
