Cut connections whose client does not read

A client that asked for a long stream and stopped reading held its connection and a place at a target for ever: no write ended, and nothing looked. The connection now notes since when its writes wait and ends after a limit.

--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod pool;
 pub mod serve;
+pub mod stall;
 
 pub use body::Body;
 pub use pool::Pool;
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -1,16 +1,17 @@
 //! Accepting connections and answering requests on them.
 //!
 //! Every wait has a bound: a client that sends its headers slowly is cut after `header_read_timeout`, and connections
-//! above `max_connections` are closed at once, so that slow and half-open clients cannot hold a place for ever.
+//! above `max_connections` are closed at once, and one whose client does not read is closed after `stall_timeout`, so
+//! that slow and half-open clients cannot hold a place for ever.
 
 use std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
-use futures_util::{FutureExt, StreamExt, future::Either};
+use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 
-use crate::{Body, BoxError};
+use crate::{Body, BoxError, stall::Watched};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -23,6 +24,8 @@
     pub header_read_timeout: Duration,
     /// Bytes of a request's headers.
     pub max_header_bytes: usize,
+    /// Longest wait for a client to take what it is sent.
+    pub stall_timeout: Duration,
 }
 
 impl Default for ServeLimits {
@@ -31,6 +34,7 @@
             max_connections: 8_192,
             header_read_timeout: Duration::from_secs(60),
             max_header_bytes: 32 * 1024,
+            stall_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -171,6 +175,7 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     stream.set_nodelay(true)?;
+    let (stream, stall) = Watched::new(HyperStream::new_plain(stream));
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, BoxError>(answer.await) }
@@ -180,15 +185,15 @@
         .header_read_timeout(limits.header_read_timeout)
         .max_buf_size(limits.max_header_bytes.max(8_192))
         .half_close(false)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(stream, service);
     let mut connection = pin!(connection);
-    let stopped = pin!(wait_for_stop(stop));
-    match futures_util::future::select(connection.as_mut(), stopped).await {
-        Either::Left((ended, _)) => ended?,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await?;
+    let mut stalled = pin!(stall.over(limits.stall_timeout).fuse());
+    let mut stopped = pin!(wait_for_stop(stop).fuse());
+    loop {
+        select_biased! {
+            ended = connection.as_mut().fuse() => return Ok(ended?),
+            () = stopped => connection.as_mut().graceful_shutdown(),
+            () = stalled => return Err("the client does not read".into()),
         }
     }
-    Ok(())
 }
