Retry, push back and poll loads in the door

Cause: the door took any answer of an engine as final, lost a stream that broke before its first token, told targets no deadline, treated every request as repeatable, and never asked a target for its load.

Now an engine's 503 and 429 count as not run and go to another target, a stream's head is passed on with its first piece (so nothing has reached the caller while another target can still be tried), `x-deadline-ms` carries the time left, repeatability is the service's, and the load of engines in use is asked at no more than eight calls a second in all. A placement that times out after a lost attempt is told as "may have run", not as "not run".

The test of the broken stream failed at first for a fault of its own: one prompt always went to the good engine by its prefix. Each call has a prompt of its own now.

--- a/crates/samphiredoor-core/tests/dispatch/limits.rs
+++ b/crates/samphiredoor-core/tests/dispatch/limits.rs
@@ -81,6 +81,19 @@
     assert!(sent_to(&actions, queued).is_some());
 }
 
+#[test]
+fn an_item_does_not_take_the_room_that_a_queued_online_request_is_about_to_get() {
+    let mut harness = Harness::new(targets(1, 1));
+    let (first, _) = harness.online();
+    harness.end(first, AttemptEnd::Pushback { retry_after_ms: 500 });
+    let (queued, actions) = harness.ask(|_| {});
+    assert!(actions.is_empty());
+    harness.now_ms += 500;
+    assert_eq!(harness.batch().1, None);
+    let actions = harness.handle(Input::Tick);
+    assert!(sent_to(&actions, queued).is_some());
+}
+
 #[test]
 fn items_are_bounded_for_each_job() {
     let mut harness = Harness::new(vec![]);
@@ -105,10 +118,11 @@
     assert_eq!(refusals.len(), 20);
     let times: Vec<u64> = refusals.iter().filter_map(|it| retry_after_ms(Some(*it))).collect();
     // After 20 queued at 25 ms a turn: each turn 25 ms after the one before it, and up to half as much later again.
-    for (index, time) in times.iter().enumerate() {
-        let turn_ms = 525 + 25 * index as u64;
-        assert!((turn_ms - 1..=turn_ms * 3 / 2).contains(time), "{index}: {time}");
+    let turns = (0..times.len() as u64).map(|it| 525 + 25 * it);
+    for (time, turn_ms) in times.iter().zip(turns.clone()) {
+        assert!((turn_ms - 1..=turn_ms * 3 / 2).contains(time), "{time} for {turn_ms}");
     }
+    assert!(times.iter().zip(turns).any(|(time, turn_ms)| *time > turn_ms + 50), "no jitter");
 }
 
 #[test]
@@ -124,13 +138,16 @@
 
 #[test]
 fn a_deadline_that_cannot_be_met_is_refused_at_once() {
-    let mut harness = full(4);
     let in_ms = |harness: &mut Harness, ms| {
         let deadline_ms = harness.now_ms + ms;
         let (request, actions) = harness.ask(|it| it.deadline_ms = deadline_ms);
         reason(refused(&actions, request))
     };
-    assert_eq!(in_ms(&mut harness, 90), Some(Refusal::DeadlineTooShort));
+    let mut harness = full(4);
+    harness.now_ms += 100;
+    harness.end(RequestId(21), AttemptEnd::Done);
+    assert_eq!(in_ms(&mut harness, 90), Some(Refusal::DeadlineTooShort), "though there is room");
+    harness.online();
     assert_eq!(in_ms(&mut harness, 200), None);
     for _ in 0..8 {
         harness.online();
--- /dev/null
+++ b/crates/samphiredoor/src/dispatch_metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics of routing, limits, queues and retries, as the dispatcher last reported them.
+
+use prometheus_client::{
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use samphiredoor_core::dispatch::{Counters, Ejection, Gauges, RetryReason};
+
+use crate::metrics::ReasonLabel;
+
+/// What the dispatcher counts, as of its last report.
+pub struct DispatcherMetrics {
+    retries: Family<ReasonLabel, Counter>,
+    retries_over_budget: Counter,
+    ejections: Family<ReasonLabel, Counter>,
+    reports_distrusted: Counter,
+    recalls: Counter,
+    bytes_to_other_regions: Counter,
+    queued: Gauge,
+    waiting_batch: Gauge,
+    dispatched_online: Gauge,
+    targets: Gauge,
+    targets_ejected: Gauge,
+}
+
+impl DispatcherMetrics {
+    /// Metrics at zero.
+    pub fn new(registry: &mut Registry) -> DispatcherMetrics {
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let retries_over_budget =
+            counter("retries_over_budget", "Retries that the budget did not allow");
+        let reports_distrusted =
+            counter("reports_distrusted", "Load reports found to be frozen or wrong");
+        let recalls = counter("recalls", "Items recalled to make room for online requests");
+        let bytes_to_other_regions =
+            counter("bytes_to_other_regions", "Bytes of bodies sent to targets of other regions");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let queued = gauge("queued", "Online requests in queues");
+        let waiting_batch = gauge("waiting_batch", "Items that wait for lent capacity");
+        let dispatched_online = gauge("dispatched_online", "Online requests at targets");
+        let targets = gauge("targets", "Targets that this process uses");
+        let targets_ejected = gauge("targets_ejected", "Those of them that get no work");
+        let retries = Family::<ReasonLabel, Counter>::default();
+        let ejections = Family::<ReasonLabel, Counter>::default();
+        registry.register("retries", "Requests tried again", retries.clone());
+        registry.register("ejections", "Targets taken out of work", ejections.clone());
+        DispatcherMetrics {
+            retries,
+            retries_over_budget,
+            ejections,
+            reports_distrusted,
+            recalls,
+            bytes_to_other_regions,
+            queued,
+            waiting_batch,
+            dispatched_online,
+            targets,
+            targets_ejected,
+        }
+    }
+
+    /// Takes what the dispatcher counts.
+    pub fn set(&self, counters: &Counters, gauges: &Gauges) {
+        for (reason, count) in RetryReason::ALL.into_iter().zip(counters.retries) {
+            let label = ReasonLabel { reason: reason.label() };
+            raise(&self.retries.get_or_create(&label), count);
+        }
+        for (reason, count) in Ejection::ALL.into_iter().zip(counters.ejections) {
+            let label = ReasonLabel { reason: reason.label() };
+            raise(&self.ejections.get_or_create(&label), count);
+        }
+        raise(&self.retries_over_budget, counters.retries_over_budget);
+        raise(&self.reports_distrusted, counters.reports_distrusted);
+        raise(&self.recalls, counters.recalls);
+        raise(&self.bytes_to_other_regions, counters.bytes_to_other_regions);
+        self.queued.set(gauges.queued as i64);
+        self.waiting_batch.set(gauges.waiting_batch as i64);
+        self.dispatched_online.set(gauges.online as i64);
+        self.targets.set(gauges.targets as i64);
+        self.targets_ejected.set(gauges.ejected as i64);
+    }
+}
+
+fn raise(counter: &Counter, to: u64) {
+    counter.inc_by(to.saturating_sub(counter.get()));
+}
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -10,6 +10,7 @@
 };
 
 use samphiredoor_core::{
+    Name,
     dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId},
     manifest::Manifest,
     time::Now,
@@ -17,7 +18,10 @@
 };
 use samphiredoor_net::pool::within;
 
+use crate::metrics::Metrics;
+
 const TICK: Duration = Duration::from_millis(10);
+const TICKS_BETWEEN_METRICS: u64 = 10;
 
 /// Clock of the process, read once per event.
 #[derive(Debug, Clone, Copy)]
@@ -53,9 +57,21 @@
     Refused(Verdict),
 }
 
+/// A target that this process uses.
+#[derive(Debug, Clone)]
+pub struct TargetInUse {
+    /// Name.
+    pub name: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether a request of this process runs there.
+    pub busy: bool,
+}
+
 enum Message {
     Ask(Ask, flume::Sender<Placement>),
     Input(Input),
+    TargetsInUse(flume::Sender<Vec<TargetInUse>>),
 }
 
 /// Handle to the dispatcher's task.
@@ -67,10 +83,10 @@
 
 impl Dispatch {
     /// Starts the task.
-    pub fn start(clock: Clock, place: Place, seed: u64) -> Dispatch {
+    pub fn start(clock: Clock, place: Place, seed: u64, metrics: Rc<Metrics>) -> Dispatch {
         let (messages, inbox) = flume::unbounded();
-        let task =
-            Task { clock, dispatcher: Dispatcher::new(place, seed), waiting: HashMap::new() };
+        let dispatcher = Dispatcher::new(place, seed);
+        let task = Task { clock, dispatcher, waiting: HashMap::new(), metrics, ticks: 0 };
         compio::runtime::spawn(task.run(inbox)).detach();
         Dispatch { messages, next_request: Rc::new(Cell::new(1)) }
     }
@@ -101,7 +117,15 @@
         ticket
     }
 
-    fn input(&self, input: Input) {
+    /// Targets that this process uses.
+    pub async fn targets_in_use(&self) -> Vec<TargetInUse> {
+        let (reply, receiver) = flume::bounded(1);
+        let _ = self.messages.send(Message::TargetsInUse(reply));
+        receiver.recv_async().await.unwrap_or_default()
+    }
+
+    /// Tells the dispatcher what happened.
+    pub fn input(&self, input: Input) {
         let _ = self.messages.send(Message::Input(input));
     }
 }
@@ -160,6 +184,8 @@
     clock: Clock,
     dispatcher: Dispatcher,
     waiting: HashMap<RequestId, flume::Sender<Placement>>,
+    metrics: Rc<Metrics>,
+    ticks: u64,
 }
 
 impl Task {
@@ -174,9 +200,14 @@
                     Input::Ask(ask)
                 }
                 Some(Ok(Message::Input(input))) => input,
+                Some(Ok(Message::TargetsInUse(reply))) => {
+                    let _ = reply.send(self.targets_in_use());
+                    continue;
+                }
                 Some(Err(_)) => return,
                 None => {
                     next_tick = Instant::now() + TICK;
+                    self.publish();
                     Input::Tick
                 }
             };
@@ -188,6 +219,20 @@
         }
     }
 
+    fn targets_in_use(&self) -> Vec<TargetInUse> {
+        let targets = self.dispatcher.targets_in_use();
+        let target = |(name, address, busy)| TargetInUse { name: Name::clone(name), address, busy };
+        targets.map(target).collect()
+    }
+
+    fn publish(&mut self) {
+        if self.ticks.is_multiple_of(TICKS_BETWEEN_METRICS) {
+            let gauges = self.dispatcher.gauges(self.clock.now());
+            self.metrics.dispatcher(self.dispatcher.counters(), &gauges);
+        }
+        self.ticks += 1;
+    }
+
     fn forget_ended(&mut self, input: &Input) {
         match input {
             Input::Gone { request } => {
--- /dev/null
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -0,0 +1,101 @@
+//! Asks the engines that this door uses how busy they are, at a bounded rate.
+//!
+//! One call at a time, with a pause between two, whatever the number of engines: so the traffic stays within what a
+//! node may spend for control, and the age of a report grows with the number of engines instead. Engines where this
+//! door has requests are asked in each round, the others by turns. A refused connection takes a target out of work
+//! before a request has to find out.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use samphiredoor_core::{dispatch::Input, manifest::ServiceKind};
+use samphiredoor_net::{
+    body::read_whole,
+    pool::{SendError, within},
+};
+use serde::Deserialize;
+
+use crate::{dispatch_task::TargetInUse, process::Door, targets::Call};
+
+const PAUSE: Duration = Duration::from_millis(125);
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+const IDLE_PER_ROUND: usize = 2;
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+const LOAD_PATH: &str = "/load";
+
+/// An engine's report, as far as it is used.
+#[derive(Debug, Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Asks again and again until the process ends.
+pub async fn run(door: Rc<Door>) {
+    let mut turn = 0;
+    loop {
+        let round = next_round(&door, &mut turn).await;
+        if round.is_empty() {
+            compio::time::sleep(PAUSE).await;
+        }
+        for target in round {
+            if let Some(input) = ask(&door, &target).await {
+                door.dispatch.input(input);
+            }
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn next_round(door: &Door, turn: &mut usize) -> Vec<TargetInUse> {
+    let mut targets = door.dispatch.targets_in_use().await;
+    targets.retain(|it| is_engine(door, it));
+    let (mut round, idle): (Vec<_>, Vec<_>) = targets.into_iter().partition(|it| it.busy);
+    let by_turns = idle.iter().cycle().skip(*turn % idle.len().max(1));
+    let taken = IDLE_PER_ROUND.min(idle.len());
+    round.extend(by_turns.take(taken).cloned());
+    *turn += taken;
+    round
+}
+
+fn is_engine(door: &Door, target: &TargetInUse) -> bool {
+    let manifest = door.manifest.borrow();
+    let service = manifest.targets.get(&target.name).map(|it| &it.service);
+    let service = service.and_then(|it| manifest.services.get(it));
+    service.is_some_and(|it| it.kind == ServiceKind::Engine)
+}
+
+async fn ask(door: &Door, target: &TargetInUse) -> Option<Input> {
+    let call = Call {
+        method: Method::GET,
+        uri: Uri::from_static(LOAD_PATH),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let exchange = async {
+        let response = match door.targets.send(target.address, &call).await {
+            Ok(response) if response.status() == StatusCode::OK => response,
+            Err(SendError::NotSent(_)) => {
+                return Some(Input::Unreachable { target: target.name.clone() });
+            }
+            Ok(_) | Err(SendError::MayHaveRun(_)) => return None,
+        };
+        let body = read_whole(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
+        let report: Report = serde_json::from_slice(&body).ok()?;
+        Some(input(target, &report))
+    };
+    within(TIMEOUT, exchange).await.flatten()
+}
+
+fn input(target: &TargetInUse, report: &Report) -> Input {
+    let target = target.name.clone();
+    match report.leaving {
+        true => Input::Leaving { target },
+        false => Input::Load { target, running: report.running, waiting: report.waiting },
+    }
+}
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -13,11 +13,13 @@
     registry::Registry,
 };
 use samphiredoor_core::{
-    dispatch::Class,
+    dispatch::{Class, Counters, Gauges},
     ledger::Unreadable,
     verdict::{Doubt, Refusal, Verdict},
 };
 
+use crate::dispatch_metrics::DispatcherMetrics;
+
 const JOB_EVENTS: [&str; 6] =
     ["taken", "dropped", "finished", "cancelled", "handed_over", "lease_over"];
 const ITEM_ENDS: [&str; 5] =
@@ -48,6 +50,7 @@
     job_events: Family<ReasonLabel, Counter>,
     item_ends: Family<ReasonLabel, Counter>,
     unreadable: Family<ReasonLabel, Counter>,
+    dispatcher: DispatcherMetrics,
 }
 
 fn latency_histogram() -> Histogram {
@@ -74,6 +77,7 @@
         registry.register("latency_seconds", "Time to the whole answer", latency_s.clone());
         let running = Gauge::default();
         registry.register("running", "Online requests that are being answered", running.clone());
+        let dispatcher = DispatcherMetrics::new(&mut registry);
         let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
         let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
         let faults = Unreadable::ALL.map(Unreadable::label);
@@ -88,6 +92,7 @@
             job_events,
             item_ends,
             unreadable,
+            dispatcher,
         })
     }
 
@@ -129,6 +134,11 @@
         self.unreadable.get_or_create(&ReasonLabel { reason: fault.label() }).inc();
     }
 
+    /// Takes what the dispatcher counts.
+    pub fn dispatcher(&self, counters: &Counters, gauges: &Gauges) {
+        self.dispatcher.set(counters, gauges);
+    }
+
     /// Text in the exposition format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -1,17 +1,24 @@
 //! One online request, from the caller's bytes to the whole answer.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use futures_util::{FutureExt, select_biased};
-use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming, header};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{self, HeaderValue},
+    http::response,
+};
 use samphiredoor_core::{
     Name,
     dispatch::{Ask, AttemptEnd, Class, RequestId},
     ledger::service_in_path,
+    manifest::ServiceKind,
     verdict::{Doubt, Refusal, Verdict},
 };
 use samphiredoor_net::{
@@ -74,7 +81,8 @@
         body,
     };
     let running = door.metrics.running();
-    let online = Online { door, call, stream: head.stream, started, deadline, running };
+    let is_engine = is_engine(&door, &ask.service);
+    let online = Online { door, call, is_engine, stream: head.stream, started, deadline, running };
     online.run(ask).await
 }
 
@@ -104,6 +112,8 @@
             Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
         },
     };
+    let manifest = door.manifest.borrow();
+    let service = manifest.services.get(head.model.as_str());
     let prefix = &body[..body.len().min(PREFIX_BYTES)];
     let ask = Ask {
         request: door.dispatch.next_request(),
@@ -111,8 +121,8 @@
         service: head.model.as_str().into(),
         workspace,
         deadline_ms: door.clock.now().mono_ms + deadline.as_millis() as u64,
-        repeatable: true,
-        prefix_hash: hash(prefix),
+        repeatable: service.is_none_or(|it| it.repeatable),
+        prefix_hash: if is_engine(door, &head.model) { hash(prefix) } else { 0 },
         fingerprint: hash(body),
         body_bytes: body.len() as u32,
         job: Name::from(""),
@@ -121,7 +131,13 @@
     Ok((ask, Instant::now() + deadline))
 }
 
-fn hash(bytes: &[u8]) -> u64 {
+fn is_engine(door: &Door, service: &str) -> bool {
+    let manifest = door.manifest.borrow();
+    manifest.services.get(service).is_none_or(|it| it.kind == ServiceKind::Engine)
+}
+
+/// Hash that is the same in every process.
+pub fn hash(bytes: &[u8]) -> u64 {
     let digest = blake3::hash(bytes);
     let (first, _) = digest.as_bytes().split_at(8);
     first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
@@ -153,48 +169,93 @@
 struct Online {
     door: Rc<Door>,
     call: Call,
+    is_engine: bool,
     stream: bool,
     started: Instant,
     deadline: Instant,
     running: Running,
 }
 
+/// How an attempt ended for the caller.
+enum Outcome {
+    /// With a whole answer.
+    Whole(Response<Body>, AttemptEnd),
+    /// With the beginning of a stream.
+    Begun(Box<response::Parts>, Answer, Bytes),
+    /// Without anything that the caller could get.
+    Nothing(AttemptEnd),
+}
+
 impl Online {
-    async fn run(self, ask: Ask) -> Response<Body> {
+    async fn run(mut self, ask: Ask) -> Response<Body> {
         let mut ticket = self.door.dispatch.ask(ask);
+        let mut doubt = None;
         loop {
-            match within(self.time_left(), ticket.placement()).await {
-                Some(Placement::Go { address }) => {
-                    let sent = self.door.targets.send(address, &self.call);
-                    match within(self.time_left(), sent).await {
-                        Some(Ok(response)) if self.stream => {
-                            return self.pass_on(response, ticket);
-                        }
-                        Some(Ok(response)) => match self.read_answer(response).await {
-                            Ok(response) => {
-                                ticket.ended(AttemptEnd::Done);
-                                self.count(Verdict::Done);
-                                return response;
-                            }
-                            Err(doubt) => ticket.ended(AttemptEnd::Lost(doubt)),
-                        },
-                        Some(Err(SendError::NotSent(_))) => ticket.ended(AttemptEnd::NotSent),
-                        Some(Err(SendError::MayHaveRun(_))) => {
-                            ticket.ended(AttemptEnd::Lost(Doubt::ConnectionLost));
-                        }
-                        None => ticket.ended(AttemptEnd::Lost(Doubt::DeadlinePassed)),
-                    }
-                }
-                Some(Placement::Abort) => {}
+            let address = match within(self.time_left(), ticket.placement()).await {
+                Some(Placement::Go { address }) => address,
+                Some(Placement::Abort) => continue,
                 Some(Placement::Refused(verdict)) => return self.refused(verdict),
-                None => {
-                    let reason = Refusal::DeadlineTooShort;
-                    return self.refused(Verdict::NotRun { retry_after_ms: 0, reason });
+                None => return self.refused(out_of_time(doubt)),
+            };
+            match self.attempt(address).await {
+                Outcome::Whole(response, end) => {
+                    ticket.ended(end);
+                    self.count(Verdict::Done);
+                    return response;
+                }
+                Outcome::Begun(parts, body, first) => {
+                    return self.pass_on(*parts, body, first, ticket);
+                }
+                Outcome::Nothing(end) => {
+                    if let AttemptEnd::Lost(reason) = end {
+                        doubt.get_or_insert(reason);
+                    }
+                    ticket.ended(end);
                 }
             }
         }
     }
 
+    async fn attempt(&mut self, address: SocketAddr) -> Outcome {
+        let left_ms = self.time_left().as_millis() as u64;
+        self.call.headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
+        let sent = self.door.targets.send(address, &self.call);
+        let response = match within(self.time_left(), sent).await {
+            Some(Ok(response)) => response,
+            Some(Err(SendError::NotSent(_))) => return Outcome::Nothing(AttemptEnd::NotSent),
+            Some(Err(SendError::MayHaveRun(_))) => {
+                return Outcome::Nothing(AttemptEnd::Lost(Doubt::ConnectionLost));
+            }
+            None => return Outcome::Nothing(AttemptEnd::Lost(Doubt::DeadlinePassed)),
+        };
+        let status = response.status();
+        if self.is_engine && is_pushback(status) {
+            let retry_after_ms = retry_after_ms(response.headers());
+            return Outcome::Nothing(AttemptEnd::Pushback { retry_after_ms });
+        }
+        if self.stream && status.is_success() {
+            return self.begin(response).await;
+        }
+        let end = if status.is_server_error() { AttemptEnd::Failed } else { AttemptEnd::Done };
+        match self.read_answer(response).await {
+            Ok(response) => Outcome::Whole(response, end),
+            Err(doubt) => Outcome::Nothing(AttemptEnd::Lost(doubt)),
+        }
+    }
+
+    /// Waits for a stream's first piece. Until then nothing has reached the caller, so that a request that may run
+    /// twice can still be sent to another target.
+    async fn begin(&self, response: Response<Answer>) -> Outcome {
+        let (parts, mut body) = response.into_parts();
+        match next_piece(&mut body, self.deadline).await {
+            Ok(Some(first)) => Outcome::Begun(Box::new(parts), body, first),
+            Ok(None) => {
+                Outcome::Whole(Response::from_parts(parts, Body::empty()), AttemptEnd::Done)
+            }
+            Err(doubt) => Outcome::Nothing(AttemptEnd::Lost(doubt)),
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -221,11 +282,17 @@
         }
     }
 
-    fn pass_on(self, response: Response<Answer>, ticket: Ticket) -> Response<Body> {
-        let (mut parts, body) = response.into_parts();
+    fn pass_on(
+        self,
+        mut parts: response::Parts,
+        body: Answer,
+        first: Bytes,
+        ticket: Ticket,
+    ) -> Response<Body> {
         strip_framing(&mut parts.headers);
         let passing = Passing {
             body,
+            first: Some(first),
             ticket,
             metrics: Rc::clone(&self.door.metrics),
             started: self.started,
@@ -237,6 +304,24 @@
     }
 }
 
+/// Verdict when the deadline passes while no target has the request: an earlier attempt may have run.
+fn out_of_time(doubt: Option<Doubt>) -> Verdict {
+    match doubt {
+        Some(reason) => Verdict::MayHaveRun { reason },
+        None => Verdict::NotRun { retry_after_ms: 0, reason: Refusal::DeadlineTooShort },
+    }
+}
+
+/// Whether an engine says by this that it refused the request without running it.
+fn is_pushback(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+fn retry_after_ms(headers: &HeaderMap) -> u64 {
+    let seconds = header_text(headers, header::RETRY_AFTER.as_str()).and_then(|it| it.parse().ok());
+    seconds.map_or(0, |it: u64| it.saturating_mul(1_000))
+}
+
 fn strip_framing(headers: &mut HeaderMap) {
     for name in [header::TRANSFER_ENCODING, header::CONTENT_LENGTH, header::CONNECTION] {
         headers.remove(name);
@@ -246,6 +331,7 @@
 /// A stream on its way to the caller. Dropping it (the caller has gone) closes the connection to the target.
 struct Passing {
     body: Answer,
+    first: Option<Bytes>,
     ticket: Ticket,
     metrics: Rc<Metrics>,
     started: Instant,
@@ -258,7 +344,11 @@
 impl Passing {
     async fn next(passing: Option<Passing>) -> Option<(Piece, Option<Passing>)> {
         let mut this = passing?;
-        match this.next_piece().await {
+        let piece = match this.first.take() {
+            Some(first) => Ok(Some(first)),
+            None => next_piece(&mut this.body, this.deadline).await,
+        };
+        match piece {
             Ok(Some(piece)) => Some((Ok(piece), Some(this))),
             Ok(None) => {
                 this.ticket.ended(AttemptEnd::Done);
@@ -266,7 +356,7 @@
                 None
             }
             Err(reason) => {
-                this.ticket.ended(AttemptEnd::Lost(reason));
+                this.ticket.ended(AttemptEnd::Cut(reason));
                 let verdict = Verdict::MayHaveRun { reason };
                 this.count(verdict);
                 // The caller is told that its answer is cut: an error event, and no `[DONE]` after it.
@@ -276,26 +366,27 @@
         }
     }
 
-    async fn next_piece(&mut self) -> Result<Option<Bytes>, Doubt> {
-        use http_body_util::BodyExt;
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let mut timeout = std::pin::pin!(compio::time::sleep(left).fuse());
-        let mut frame = self.body.frame().fuse();
-        select_biased! {
-            frame = frame => match frame {
-                Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-                Some(Err(_)) => Err(Doubt::AnswerCut),
-                None => Ok(None),
-            },
-            () = timeout => Err(Doubt::DeadlinePassed),
-        }
-    }
-
     fn count(&self, verdict: Verdict) {
         self.metrics.ended(Class::Online, verdict, self.started.elapsed().as_secs_f64());
     }
 }
 
+/// Next piece of an answer; `None` at the end of its framing.
+async fn next_piece(body: &mut Answer, deadline: Instant) -> Result<Option<Bytes>, Doubt> {
+    use http_body_util::BodyExt;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let mut timeout = std::pin::pin!(compio::time::sleep(left).fuse());
+    let mut frame = body.frame().fuse();
+    select_biased! {
+        frame = frame => match frame {
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Err(_)) => Err(Doubt::AnswerCut),
+            None => Ok(None),
+        },
+        () = timeout => Err(Doubt::DeadlinePassed),
+    }
+}
+
 /// Whether a path is for online requests.
 pub fn is_online(method: &Method, path: &str) -> bool {
     let completion = matches!(path, "/v1/completions" | "/v1/chat/completions");
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -17,9 +17,9 @@
     dispatch_task::{Clock, Dispatch},
     exit_codes::Exit,
     jobs_task::{self, Jobs},
-    lease_task, manifest_task,
+    lease_task, load_poll, manifest_task,
     metrics::Metrics,
-    operators,
+    online, operators,
     store_client::StoreClient,
     targets::TargetPools,
 };
@@ -82,6 +82,7 @@
     compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inbox)).detach();
     compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(load_poll::run(Rc::clone(&door))).detach();
     let for_operators = Rc::clone(&door);
     let answer_operator = move |request| operators::answer(Rc::clone(&for_operators), request);
     compio::runtime::spawn(operators.run(answer_operator)).detach();
@@ -113,14 +114,17 @@
         region: Name::clone(&config.region),
         availability_zone: Name::clone(&config.availability_zone),
     };
+    let metrics = Metrics::new();
+    // By name, so that a restarted door uses the same targets as before.
+    let seed = online::hash(config.name.as_bytes());
     let door = Door {
         clock,
         incarnation,
-        dispatch: Dispatch::start(clock, place, incarnation),
+        dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics)),
         jobs,
         store: StoreClient::new(config.store, config.store_timeout),
         targets: TargetPools::default(),
-        metrics: Metrics::new(),
+        metrics,
         manifest: RefCell::default(),
         revision: Cell::new(0),
         stopping: Cell::new(false),
--- /dev/null
+++ b/crates/samphiredoor/tests/it/dispatch.rs
@@ -0,0 +1,132 @@
+//! Requests that meet targets which refuse, push back or break off.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use samphiredoor_embedded::engine::EngineConfig;
+use samphiredoor_net::{Body, BoxError};
+use serde_json::json;
+
+use crate::env::{TestEnv, get, start, start_engine, target, wait_until};
+
+/// A call with a prompt of its own, as calls with the same prompt go to the same engine.
+fn call(number: usize, stream: bool) -> String {
+    let prompt = format!("order {number}");
+    json!({ "model": "small", "prompt": prompt, "max_tokens": 3, "stream": stream }).to_string()
+}
+
+/// A door with a good engine and a bad target of the same service.
+fn door_with(bad: SocketAddr) -> TestEnv {
+    let mut env = TestEnv::new();
+    env.start_door();
+    let engine = start_engine(EngineConfig { step_ms: 1.0, ..EngineConfig::default() });
+    env.declare(&json!({
+        "services": [{ "name": "small", "kind": "engine" }],
+        "targets": [target("bad", "small", bad), target("good", "small", engine)],
+    }));
+    env
+}
+
+fn metric(env: &mut TestEnv, line: &str) -> u64 {
+    let text = get(env.door(0).operators, "/metrics").text;
+    let line = format!("samphiredoor_{line} ");
+    let found = text.lines().find_map(|it| it.strip_prefix(&line));
+    found.and_then(|it| it.parse().ok()).unwrap_or(0)
+}
+
+fn server(
+    answer: impl Fn(&Request<Incoming>) -> Response<Body> + Copy + Send + 'static,
+) -> SocketAddr {
+    start(move || move |request| async move { answer(&request) })
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::full("{}"));
+    *response.status_mut() = status;
+    response
+}
+
+/// A host is gone and its target refuses connections. Callers would see errors for their share of requests until the
+/// declarations change, as the door goes on choosing it.
+#[test]
+fn a_target_that_refuses_connections_costs_no_caller_an_answer() {
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = unused.local_addr().expect("an address");
+    drop(unused);
+    let mut env = door_with(address);
+    for number in 0..20 {
+        let answer = env.post(0, "/v1/completions", &[], &call(number, false));
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+    let ejections = r#"ejections_total{reason="unreachable"}"#;
+    wait_until("the ejection is counted", || metric(&mut env, ejections) > 0);
+}
+
+/// An engine is full and says so with 503. The caller would get that answer, though another engine has room.
+#[test]
+fn an_engine_that_pushes_back_is_passed_over() {
+    let mut env = door_with(server(|request| match request.uri().path() {
+        "/load" => with_status(StatusCode::NOT_FOUND),
+        _ => with_status(StatusCode::SERVICE_UNAVAILABLE),
+    }));
+    let mut number = 0;
+    wait_until("a request has met the full engine", || {
+        number += 1;
+        let answer = env.post(0, "/v1/completions", &[], &call(number, false));
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        metric(&mut env, r#"retries_total{reason="pushback"}"#) > 0
+    });
+}
+
+/// An engine crashes after it has begun to answer a stream, and before its first token. The caller would get an empty
+/// stream, though nothing has reached it and the request may run again.
+#[test]
+fn a_stream_that_breaks_before_its_first_token_is_answered_by_another_engine() {
+    let mut env = door_with(server(|request| match request.uri().path() {
+        "/load" => with_status(StatusCode::NOT_FOUND),
+        _ => {
+            let broken = || Err::<Bytes, BoxError>("crashed".into());
+            Response::new(Body::stream(futures_util::stream::once(async move { broken() })))
+        }
+    }));
+    let mut number = 0;
+    wait_until("a request has met the broken engine", || {
+        number += 1;
+        let answer = env.post(0, "/v1/completions", &[], &call(number, true));
+        assert!(answer.text.contains("data: [DONE]"), "{} {}", answer.status, answer.text);
+        metric(&mut env, r#"retries_total{reason="answer_lost"}"#) > 0
+    });
+}
+
+#[test]
+fn a_target_is_told_the_time_that_is_left() {
+    let address = server(|request| {
+        let unknown = HeaderValue::from_static("none");
+        let left = request.headers().get("x-deadline-ms").unwrap_or(&unknown);
+        Response::new(Body::full(left.as_bytes().to_vec()))
+    });
+    let mut env = TestEnv::new();
+    env.start_door();
+    env.declare(&json!({
+        "services": [{ "name": "pickup", "kind": "plain" }],
+        "targets": [target("pickup-0", "pickup", address)],
+    }));
+    let answer = env.post(0, "/services/pickup/count", &[("x-deadline-ms", "30000")], "{}");
+    let left_ms: u64 = answer.text.parse().expect("a number");
+    assert!((1..=30_000).contains(&left_ms), "{left_ms}");
+}
+
+/// A plain service's own 503 is its answer: nobody but it knows whether the call ran.
+#[test]
+fn a_plain_services_own_refusal_is_passed_on() {
+    let address = server(|_| with_status(StatusCode::SERVICE_UNAVAILABLE));
+    let mut env = TestEnv::new();
+    env.start_door();
+    env.declare(&json!({
+        "services": [{ "name": "pickup", "kind": "plain" }],
+        "targets": [target("pickup-0", "pickup", address)],
+    }));
+    let answer = env.post(0, "/services/pickup/count", &[], "{}");
+    assert_eq!((answer.status, answer.text.as_str()), (503, "{}"));
+}
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -252,7 +252,8 @@
     panic!("the door ended before it logged `{mark}`");
 }
 
-fn start<M, H, F>(make: M) -> SocketAddr
+/// Starts a server with a handler of the test's own; returns where it listens.
+pub fn start<M, H, F>(make: M) -> SocketAddr
 where
     M: FnOnce() -> H + Send + 'static,
     H: Fn(hyper::Request<hyper::body::Incoming>) -> F + 'static,
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests through the real process, with stand-ins in threads of the test.
 
+mod dispatch;
 mod env;
 mod operators;
 mod settings;
