--- /dev/null
+++ b/crates/samphiredoor-core/examples/membership_slope.rs
@@ -0,0 +1,60 @@
+//! What membership costs a process at several sizes of the fleet: messages, reads of the store, time, state, and how
+//! long a crash takes to be known everywhere. Run it in release.
+
+#[allow(dead_code)]
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::time::Instant;
+
+use fleet::{Fleet, HEARTBEAT_MS, LEASE_MS, name};
+use samphiredoor_core::membership::MemberState;
+
+const SIZES: [usize; 3] = [9, 92, 920];
+const STEADY_MS: u64 = 60_000;
+
+fn main() {
+    println!(
+        "doors,beats_per_s,changes_per_s,reads_per_s,lists_per_s,links,cpu_percent,known_ms,lapse_ms"
+    );
+    for doors in SIZES {
+        measure(doors);
+    }
+}
+
+fn measure(doors: usize) {
+    let mut fleet = Fleet::new(if doors > 100 { 7 } else { 3 });
+    for number in 0..doors {
+        fleet.start(number);
+    }
+    fleet.run(30_000);
+    assert!(fleet.converged(), "the fleet has converged before it is measured");
+    let (beats, changes, reads, lists) = (fleet.beats, fleet.changes, fleet.reads, fleet.lists);
+    let start = Instant::now();
+    fleet.run(STEADY_MS);
+    let cpu_s = start.elapsed().as_secs_f64();
+    let seconds = STEADY_MS as f64 / 1_000.0;
+    let per_door = |count: u64| count as f64 / doors as f64 / seconds;
+    let links: usize = fleet.nodes.iter().map(|it| it.membership.linked().count()).sum();
+    // Beats are counted where they are sent; each answer is one too.
+    let beats = per_door(fleet.beats - beats);
+    let changes = per_door(fleet.changes - changes);
+    let reads = (fleet.reads - reads) as f64 / seconds;
+    let lists = (fleet.lists - lists) as f64 / seconds;
+    let cpu = 100.0 * cpu_s / doors as f64 / seconds;
+    let links = links as f64 / doors as f64;
+    let crashed = doors / 2;
+    fleet.crash(crashed);
+    let known = fleet.run_until(20 * HEARTBEAT_MS * 10, |it| {
+        it.up().all(|it| {
+            let known = it.membership.roster().get(&name(crashed));
+            known.is_none_or(|it| it.state == MemberState::Dead)
+        })
+    });
+    let lapse = fleet.run_until(4 * LEASE_MS, |it| it.up().any(|it| !it.lapsed.is_empty()));
+    let known_ms = known.unwrap_or_default();
+    let lapse_ms = known_ms + lapse.unwrap_or_default();
+    println!(
+        "{doors},{beats:.2},{changes:.2},{reads:.2},{lists:.2},{links:.1},{cpu:.4},{known_ms},{lapse_ms}"
+    );
+}
--- a/crates/samphiredoor-core/src/lease.rs
+++ b/crates/samphiredoor-core/src/lease.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Number of the last renewal.
+    pub fn renewals(&self) -> u64 {
+        self.renewals
+    }
+
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: LeaseInput, out: &mut Vec<LeaseAction>) {
         match input {
@@ -268,6 +273,22 @@
         }
     }
 
+    /// Takes a holder's own word, heard from it, that it has renewed its lease so often.
+    pub fn heard(&mut self, now: Now, process: &str, incarnation: u64, renewals: u64) {
+        let Some(known) = self.leases.get_mut(process) else { return };
+        if (known.lease.incarnation, known.lease.renewals) < (incarnation, renewals) {
+            known.lease.incarnation = incarnation;
+            known.lease.renewals = renewals;
+            known.since_ms = now.mono_ms;
+        }
+    }
+
+    /// When the lease of a process lapses if it is not renewed, by the observer's monotonic clock.
+    pub fn over_at(&self, process: &str, margin_ms: u64) -> Option<u64> {
+        let observed = self.leases.get(process)?;
+        Some(observed.since_ms + observed.lease.lease_ms + margin_ms + 1)
+    }
+
     /// Forgets a process whose lease object is gone.
     pub fn forget(&mut self, process: &str) {
         self.leases.remove(process);
--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -36,6 +36,7 @@
 };
 use context::{Context, LingerPace};
 use run::JobRun;
+pub use takeover::sweepers;
 use takeover::{Found, Takeover};
 
 /// Layout of the stored objects that this version writes.
--- a/crates/samphiredoor-core/src/ledger/takeover.rs
+++ b/crates/samphiredoor-core/src/ledger/takeover.rs
@@ -38,6 +38,14 @@
 /// A job that was found under the own name may be on its way from its acceptance to the ledger.
 const ADOPT_WAIT_MS: u64 = 5_000;
 
+/// The processes among `live` that look after the jobs of a lapsed one at first, those first that take more of them.
+pub fn sweepers(lapsed: &str, live: &[Name]) -> Vec<Name> {
+    let others = live.iter().filter(|it| ***it != *lapsed);
+    let mut order: Vec<(u64, &Name)> = others.map(|it| (weight(lapsed, it), it)).collect();
+    order.sort_by(|a, b| b.cmp(a));
+    order.into_iter().take(SWEEPERS).map(|(_, it)| Arc::clone(it)).collect()
+}
+
 /// Whose jobs a list looks for.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Source {
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -26,6 +26,8 @@
     Orders,
     /// Pace of loads from the weight store.
     Pace,
+    /// The platform's list of hosts, which the doors only read.
+    Hosts,
 }
 
 impl Kind {
@@ -41,6 +43,7 @@
             Kind::Suspects => "suspects",
             Kind::Orders => "orders",
             Kind::Pace => "paces",
+            Kind::Hosts => "hosts",
         }
     }
 }
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -8,7 +8,13 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::{FutureExt, StreamExt, future::Either};
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 
 use crate::{Body, BoxError};
 
@@ -40,6 +46,7 @@
     listener: TcpListener,
     limits: ServeLimits,
     open: Rc<Cell<usize>>,
+    draining: Rc<Cell<bool>>,
     stop: flume::Receiver<()>,
     // Every connection holds a clone; dropping this one tells them all to end after the request in hand.
     stop_guard: Option<flume::Sender<()>>,
@@ -49,9 +56,16 @@
 pub struct StopHandle {
     _guard: flume::Sender<()>,
     open: Rc<Cell<usize>>,
+    draining: Rc<Cell<bool>>,
 }
 
 impl StopHandle {
+    /// Has each connection close after its next answer, while new ones are still taken. A client that keeps its
+    /// connections is told so in the answer, and none of its requests meets a connection that closes under it.
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
     /// Connections still open.
     pub fn open_connections(&self) -> usize {
         self.open.get()
@@ -72,7 +86,14 @@
     pub async fn bind(address: SocketAddr, limits: ServeLimits) -> std::io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
         let (stop_guard, stop) = flume::bounded(0);
-        Ok(Server { listener, limits, open: Rc::default(), stop, stop_guard: Some(stop_guard) })
+        Ok(Server {
+            listener,
+            limits,
+            open: Rc::default(),
+            draining: Rc::default(),
+            stop,
+            stop_guard: Some(stop_guard),
+        })
     }
 
     /// Address that was bound.
@@ -84,7 +105,8 @@
     /// hand. Can be taken once.
     pub fn stop_handle(&mut self) -> Option<StopHandle> {
         let guard = self.stop_guard.take()?;
-        Some(StopHandle { _guard: guard, open: Rc::clone(&self.open) })
+        let (open, draining) = (Rc::clone(&self.open), Rc::clone(&self.draining));
+        Some(StopHandle { _guard: guard, open, draining })
     }
 
     /// Answers requests until stopped; returns when the last connection has ended.
@@ -111,12 +133,26 @@
                 }
             }
         }
+        self.take_pending(&handler).await;
         drop(self.listener);
         while self.open.get() > 0 {
             compio::time::sleep(ACCEPT_PAUSE).await;
         }
     }
 
+    // The system has completed connects that were not yet accepted; closing the listener would reset them.
+    async fn take_pending<H, F>(&self, handler: &Rc<H>)
+    where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        while let Ok(Ok((stream, _))) =
+            compio::time::timeout(ACCEPT_PAUSE, self.listener.accept()).await
+        {
+            self.take_connection(stream, handler);
+        }
+    }
+
     fn take_connection<H, F>(&self, stream: TcpStream, handler: &Rc<H>)
     where
         H: Fn(Request<Incoming>) -> F + 'static,
@@ -128,11 +164,12 @@
         }
         let handler = Rc::clone(handler);
         let stop = self.stop.clone();
+        let draining = Rc::clone(&self.draining);
         let limits = self.limits.clone();
         let place = Place::new(&self.open);
         compio::runtime::spawn(async move {
             let _place = place;
-            if let Err(err) = answer_connection(stream, limits, stop, handler).await {
+            if let Err(err) = answer_connection(stream, limits, stop, draining, handler).await {
                 log::debug!("serve: connection ended: {err}");
             }
         })
@@ -164,6 +201,7 @@
     stream: TcpStream,
     limits: ServeLimits,
     stop: flume::Receiver<()>,
+    draining: Rc<Cell<bool>>,
     handler: Rc<H>,
 ) -> Result<(), BoxError>
 where
@@ -173,7 +211,15 @@
     stream.set_nodelay(true)?;
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move { Ok::<_, BoxError>(answer.await) }
+        let draining = Rc::clone(&draining);
+        async move {
+            let mut answer = answer.await;
+            if draining.get() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, BoxError>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -1,40 +1,49 @@
 @0xd6a1c7e05f2b9a43;
 # Messages between doors. Every field is a hint: safety never rests on one.
 
+interface Gate {
+  # The first capability on a connection.
+
+  enter @0 (token :Data, self :Member, door :Door) -> (self :Member, door :Door);
+  # Both sides offer a door, so that one connection serves calls in both directions.
+}
+
 interface Door {
   # What a door offers to its peers once the token was accepted.
 
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
   # Liveness both ways, with the revisions that each side holds.
 
-  manifest @1 (aboveRevision :UInt64) -> (revision :UInt64, content :Data);
-  # The manifest as JSON if the answering door holds a higher revision; else empty content.
+  manifest @1 (aboveRevision :UInt64) -> (content :Data);
+  # The manifest's record as JSON if the answering door holds a higher revision; else empty content.
 
   tell @2 (news :List(News)) -> ();
   # Hints that are worth telling at once.
-}
 
-interface Gate {
-  # The first capability on a connection.
+  members @3 (after :Text) -> (members :List(Member));
+  # One page of the members that the answering door knows, in order of their names.
 
-  enter @0 (token :Data, name :Text) -> (door :Door);
+  hold @4 (content :Data) -> (revision :UInt64);
+  # Offers a manifest's record; answers the revision that the door holds after it.
 }
 
 struct Heartbeat {
-  name @0 :Text;
-  incarnation @1 :UInt64;
+  incarnation @0 :UInt64;
+  renewals @1 :UInt64;
+  # Renewals of the sender's lease, so that peers need not read it while they hear the sender.
   manifestRevision @2 :UInt64;
-  stopping @3 :Bool;
-  load @4 :List(TargetLoad);
-  members @5 :List(Member);
+  membersDigest @3 :UInt64;
+  # Equal on two doors that know the same members.
+  changes @4 :List(Member);
+  # Gossip: what changed lately.
 }
 
 struct Member {
-  # Gossip: the newest heartbeat that the sender knows of.
   name @0 :Text;
   address @1 :Text;
   incarnation @2 :UInt64;
   counter @3 :UInt64;
+  # Grows when the member contradicts a report of its death.
   state @4 :MemberState;
   zone @5 :Text;
   region @6 :Text;
@@ -64,7 +73,12 @@
     need @4 :TargetLoad;       # borrower to lender: online rose above its share
     revision @5 :UInt64;       # a newer manifest is in force
     handedOver @6 :Text;       # job id: free to be taken now
+    lapsed @9 :Lapse;          # the lease of a process has lapsed: its jobs are free to be taken
   }
+  origin @7 :Text;
+  # Door that spread the news to all; empty for news meant for the receiver alone.
+  number @8 :UInt64;
+  # Grows with each news that the origin spreads, so that each door passes it on once.
 }
 
 struct Suspect {
@@ -73,6 +87,11 @@
   lifted @2 :Bool;
 }
 
+struct Lapse {
+  process @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct SlotChange {
   target @0 :Text;
   batchSlots @1 :UInt32;
--- a/crates/samphiredoor/src/access.rs
+++ b/crates/samphiredoor/src/access.rs
@@ -1,4 +1,4 @@
-//! Who may use the operators' listener.
+//! Who may use the operators' and the peers' listeners.
 
 use std::path::Path;
 
@@ -18,15 +18,7 @@
     ///
     /// The file cannot be read, or its token is too short to keep anybody out.
     pub fn read(file: &Path) -> anyhow::Result<Token> {
-        let text = std::fs::read_to_string(file)
-            .with_context(|| format!("{}: cannot be read", file.display()))?;
-        let token = text.trim();
-        ensure!(
-            token.len() >= MIN_TOKEN_BYTES,
-            "{}: the token is shorter than {MIN_TOKEN_BYTES} bytes",
-            file.display()
-        );
-        Ok(Token(blake3::hash(token.as_bytes())))
+        Ok(Token(blake3::hash(read_token(file)?.as_bytes())))
     }
 
     /// Whether the headers show this token. Digests are compared, in constant time, so that the time taken tells
@@ -42,3 +34,20 @@
         blake3::hash(shown.trim_ascii()) == self.0
     }
 }
+
+/// Reads a token file for a process that has to show the token itself.
+///
+/// # Errors
+///
+/// As for [`Token::read`].
+pub fn read_token(file: &Path) -> anyhow::Result<String> {
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("{}: cannot be read", file.display()))?;
+    let token = text.trim();
+    ensure!(
+        token.len() >= MIN_TOKEN_BYTES,
+        "{}: the token is shorter than {MIN_TOKEN_BYTES} bytes",
+        file.display()
+    );
+    Ok(token.to_owned())
+}
--- a/crates/samphiredoor/src/commands.rs
+++ b/crates/samphiredoor/src/commands.rs
@@ -9,7 +9,8 @@
 use hyper::{Response, StatusCode};
 use samphiredoor_core::{
     manifest::Manifest,
-    store::{Labels, StoreAnswer, StoreOp, Value as StoredValue},
+    manifest_log::{ChangeEnd, manifest_key, read_record},
+    store::{StoreAnswer, StoreOp},
 };
 use samphiredoor_net::Body;
 use samphiredoor_query::{Command, Settable};
@@ -18,8 +19,7 @@
 
 use crate::{
     answers::{bad_request, json_answer},
-    job_control,
-    manifest_task::{apply, manifest_key},
+    job_control, manifest_change,
     process::Door,
 };
 
@@ -88,36 +88,40 @@
     door: &Rc<Door>,
     change: impl Fn(&mut ManifestRecord) -> Result<(), String>,
 ) -> Response<Body> {
+    let mut end = ChangeEnd::Unavailable;
     for _ in 0..TRIES {
-        let StoreAnswer::Object(stored) =
-            door.store.call(StoreOp::Get { key: manifest_key() }).await
-        else {
-            return no_manifest();
-        };
-        let Ok(mut record) = serde_json::from_slice::<ManifestRecord>(&stored.value) else {
-            return bad_request("manifest", "the stored one cannot be read");
+        let mut record = match last_record(door).await {
+            Ok(record) => record,
+            Err(answer) => return answer,
         };
         if let Err(problem) = change(&mut record) {
             return bad_request("name", &problem);
         }
-        record.revision += 1;
-        record.writer = door.unique_name(&door.config.name);
         if let Some(problem) = problem_of(&record) {
             return problem;
         }
-        let value: StoredValue = serde_json::to_vec(&record).unwrap_or_default().into();
-        let (key, version) = (manifest_key(), stored.version);
-        let op = StoreOp::Update { key, version, labels: Labels::new(), value };
-        match door.store.call(op).await {
-            StoreAnswer::Object(stored) => {
-                apply(door, &stored);
-                return json_answer(StatusCode::OK, &json!({ "revision": record.revision }));
-            }
-            StoreAnswer::Conflict => {}
-            _ => return no_manifest(),
+        let expected = Some(record.revision);
+        let operator = &door.config.name;
+        end = manifest_change::change(door, operator, record.manifest, expected).await;
+        if !matches!(end, ChangeEnd::Lost { .. }) {
+            break;
         }
     }
-    json_answer(StatusCode::CONFLICT, &json!({ "error": "other operators were first; try again" }))
+    manifest_change::answer(end)
+}
+
+// The store's record, or the one in force here where the store was set back to an earlier one.
+async fn last_record(door: &Door) -> Result<ManifestRecord, Response<Body>> {
+    let StoreAnswer::Object(stored) = door.store.call(StoreOp::Get { key: manifest_key() }).await
+    else {
+        return Err(no_manifest());
+    };
+    let unreadable = |_| bad_request("manifest", "the stored one cannot be read");
+    let record = read_record(&stored.value).map_err(unreadable)?;
+    match door.manifest.above(record.revision).await {
+        Some(held) => read_record(&held).map_err(unreadable),
+        None => Ok(record),
+    }
 }
 
 fn problem_of(record: &ManifestRecord) -> Option<Response<Body>> {
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -7,7 +7,7 @@
 use samphiredoor_schema::settings::{LogLevel, OwnershipSettings, Settings};
 
 use crate::{
-    access::Token,
+    access::{self, Token},
     cli::Opts,
     settings::{self, SettingError},
 };
@@ -60,6 +60,12 @@
     pub operators_token: Option<Token>,
     /// Listener for other doors.
     pub peers: SocketAddr,
+    /// Token that doors show each other.
+    pub peer_token: Arc<[u8]>,
+    /// Doors to ask while the store is down.
+    pub seeds: Vec<Arc<str>>,
+    /// Time between two heartbeats to a neighbour.
+    pub heartbeat: Duration,
     /// The object API.
     pub store: SocketAddr,
     /// Longest wait for the store.
@@ -141,6 +147,9 @@
             operators,
             operators_token: operators_token(settings, operators)?,
             peers,
+            peer_token: peer_token(settings, peers)?,
+            seeds: seeds(&settings.peers.seeds)?,
+            heartbeat: Duration::from_millis(settings.peers.heartbeat_ms),
             store: address("store.address", &settings.store.address)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
             max_body_bytes: settings.callers.max_body_bytes as usize,
@@ -206,3 +215,20 @@
     let problem = || format!("`{text}` is not an IP address with a port, as 10.0.0.1:8080");
     text.parse().map_err(|_| SettingError::new(key, problem()))
 }
+
+fn peer_token(settings: &Settings, listener: SocketAddr) -> Result<Arc<[u8]>, SettingError> {
+    const KEY: &str = "peers.token_file";
+    match &settings.peers.token_file {
+        Some(file) => match access::read_token(Path::new(file)) {
+            Ok(token) => Ok(token.as_bytes().into()),
+            Err(err) => Err(SettingError::new(KEY, format!("{err:#}"))),
+        },
+        None if listener.ip().is_loopback() => Ok(Arc::from([])),
+        None => Err(SettingError::new(KEY, "is missing; only a loopback listener can do without")),
+    }
+}
+
+fn seeds(seeds: &[String]) -> Result<Vec<Arc<str>>, SettingError> {
+    let checked = seeds.iter().map(|it| Ok(address("peers.seeds", it)?.to_string().into()));
+    checked.collect()
+}
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -10,6 +10,7 @@
 };
 
 use samphiredoor_core::{
+    Name,
     dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId},
     manifest::Manifest,
     time::Now,
@@ -80,6 +81,11 @@
         self.input(Input::Manifest(manifest));
     }
 
+    /// Gives the target no new work for a while.
+    pub fn leaving(&self, target: Name) {
+        self.input(Input::Leaving { target });
+    }
+
     /// New identity for a request.
     pub fn next_request(&self) -> RequestId {
         let id = self.next_request.get();
--- a/crates/samphiredoor/src/job_control.rs
+++ b/crates/samphiredoor/src/job_control.rs
@@ -4,7 +4,9 @@
 
 use hyper::{Response, StatusCode};
 use samphiredoor_core::{
+    Name,
     ledger::{CancelStep, Cancellation, JobId, chunk_key, header_key, results_key},
+    news::News,
     store::{Kind, ObjectKey, StoreAnswer, StoreOp},
     verdict::{Doubt, Verdict},
 };
@@ -30,6 +32,8 @@
             CancelStep::Cancelled { header } => {
                 log::info!("jobs: {job} is cancelled");
                 door.jobs.cancel_hint(job.clone());
+                let owner: Name = header.owner.process.as_str().into();
+                door.peers.tell(owner, News::Cancelled(job.clone()));
                 return json_answer(StatusCode::OK, &header_json(&job, &header));
             }
             CancelStep::Finished { header } => {
--- a/crates/samphiredoor/src/jobs.rs
+++ b/crates/samphiredoor/src/jobs.rs
@@ -48,7 +48,7 @@
         remove_chunks(&door, &accepting.upload, submission.chunks());
         return answer;
     }
-    let manifest = door.manifest.borrow().clone();
+    let manifest = door.manifest.current();
     let service = manifest.services.get(submission.service());
     accepting.repeatable &= service.is_none_or(|it| it.repeatable);
     accept(&door, &accepting, &submission).await
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -82,7 +82,6 @@
     }
 
     /// Says that another process has handed a job over.
-    #[allow(dead_code, reason = "called when news of peers arrives")]
     pub fn offered(&self, job: JobId) {
         self.input(LedgerInput::Offered { job });
     }
@@ -194,6 +193,7 @@
             LedgerAction::HandedOver(job) => {
                 self.door.metrics.job_event("handed_over");
                 log::info!("jobs: {job} is handed over");
+                self.door.peers.offer(job);
             }
             LedgerAction::Note(note) => self.note(&note),
         }
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -1,26 +1,24 @@
-//! The task that keeps the process's lease and observes the leases of others.
+//! The task that keeps the process's lease. Those of others are observed by the members task.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use samphiredoor_core::{
     Name,
-    lease::{LeaseAction, LeaseConfig, LeaseInput, LeaseTable, OwnLease},
+    lease::{LeaseAction, LeaseConfig, LeaseInput, OwnLease},
     ledger::CallId,
-    store::{Kind, Labels, StoreAnswer, StoreOp},
+    membership::MembershipInput,
+    store::StoreAnswer,
 };
 use samphiredoor_net::pool::within;
 
 use crate::process::Door;
 
 const TICK: Duration = Duration::from_millis(50);
-const LAPSE_MARGIN_MS: u64 = 500;
-const LIST_PAGE: usize = 500;
 
 /// Keeps the lease until the process ends.
 pub async fn run(door: Rc<Door>) {
     let mut lease = OwnLease::new(lease_config(&door));
     let (answers, answered) = flume::unbounded::<(CallId, StoreAnswer)>();
-    compio::runtime::spawn(observe(Rc::clone(&door))).detach();
     let mut actions = Vec::new();
     let mut told_stopping = false;
     loop {
@@ -43,7 +41,10 @@
                     })
                     .detach();
                 }
-                LeaseAction::Held { valid_until_ms } => door.jobs.lease(valid_until_ms),
+                LeaseAction::Held { valid_until_ms } => {
+                    door.jobs.lease(valid_until_ms);
+                    door.peers.input(MembershipInput::Renewed(lease.renewals()));
+                }
                 LeaseAction::Lost => {
                     log::error!("lease: a later process has this name; this one stops working");
                     door.jobs.lease(0);
@@ -54,54 +55,13 @@
     }
 }
 
-async fn observe(door: Rc<Door>) {
-    let mut table = LeaseTable::default();
-    loop {
-        list(&door, &mut table).await;
-        door.jobs.live(table.live(door.clock.now()));
-        for (process, incarnation) in table.lapsed(door.clock.now(), LAPSE_MARGIN_MS) {
-            if process != door.config.name {
-                door.jobs.lapsed(process, incarnation);
-            }
-        }
-        compio::time::sleep(door.config.renew / 2).await;
-    }
-}
-
-async fn list(door: &Door, table: &mut LeaseTable) {
-    let mut after = None;
-    let mut named = BTreeSet::new();
-    loop {
-        let op = StoreOp::List {
-            kind: Kind::Process,
-            prefix: Name::from(""),
-            labels: Labels::new(),
-            after,
-            limit: LIST_PAGE,
-        };
-        let StoreAnswer::Page { items, next, .. } = door.store.call(op).await else { return };
-        for stored in items {
-            named.insert(Name::clone(&stored.name));
-            match serde_json::from_slice(&stored.value) {
-                Ok(lease) => table.observe(door.clock.now(), &stored.name, lease),
-                Err(err) => log::warn!("lease: {} cannot be read: {err}", stored.name),
-            }
-        }
-        after = next;
-        if after.is_none() {
-            table.retain(&named);
-            return;
-        }
-    }
-}
-
 fn lease_config(door: &Door) -> LeaseConfig {
     LeaseConfig {
         process: door.config.name(),
         incarnation: door.incarnation,
         lease_ms: door.config.lease.as_millis() as u64,
         renew_ms: door.config.renew.as_millis() as u64,
-        peer_address: door.config.peers.to_string(),
+        peer_address: door.peers.address().to_string(),
         region: Name::clone(&door.config.region),
         availability_zone: Name::clone(&door.config.availability_zone),
     }
--- /dev/null
+++ b/crates/samphiredoor/src/manifest_change.rs
@@ -0,0 +1,104 @@
+//! Carries out an operator's change of the manifest, up to its acceptance.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use hyper::{Response, StatusCode};
+use samphiredoor_core::manifest_log::{
+    ChangeEnd, ChangeInput, ChangeStep, Holders, ManifestChange,
+};
+use samphiredoor_net::Body;
+use serde_json::json;
+
+use crate::{
+    answers::{bad_request, json_answer},
+    manifest_task::Source,
+    process::Door,
+};
+
+const HOLD_TRIES: u32 = 30;
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
+
+/// Changes the declarations to `declared`, in the name of `operator`; with an expected revision, only if it is the
+/// last one. Goes on when the operator's connection is lost, so that a change never stops half-way.
+pub async fn change(
+    door: &Rc<Door>,
+    operator: &str,
+    declared: serde_json::Value,
+    expected: Option<u64>,
+) -> ChangeEnd {
+    let change = ManifestChange::new(door.unique_name(operator).into(), declared, expected);
+    let door = Rc::clone(door);
+    let (sender, end) = flume::bounded(1);
+    compio::runtime::spawn(async move {
+        let _ = sender.send(carry_out(&door, change).await);
+    })
+    .detach();
+    end.recv_async().await.unwrap_or(ChangeEnd::Unavailable)
+}
+
+async fn carry_out(door: &Door, mut change: ManifestChange) -> ChangeEnd {
+    let mut input = ChangeInput::Start { held: door.revision.get() };
+    loop {
+        input = match change.step(input) {
+            ChangeStep::Call(op) => ChangeInput::Stored(door.store.call(op).await),
+            ChangeStep::Hold { record, revision } => {
+                door.manifest.offer(record.clone(), Source::Operator).await;
+                ChangeInput::Held(hold(door, record, revision).await)
+            }
+            ChangeStep::End(end) => return end,
+        };
+    }
+}
+
+// A link may just be being opened, or a lost member not yet be noticed.
+async fn hold(door: &Door, record: Arc<[u8]>, revision: u64) -> Holders {
+    for _ in 0..HOLD_TRIES {
+        let holders = door.peers.hold(record.clone(), revision).await;
+        if holders != Holders::Unconfirmed {
+            return holders;
+        }
+        compio::time::sleep(HOLD_PAUSE).await;
+    }
+    Holders::Unconfirmed
+}
+
+/// Answer to the operator.
+pub fn answer(end: ChangeEnd) -> Response<Body> {
+    let (status, value) = match end {
+        ChangeEnd::Accepted { revision } => {
+            return json_answer(StatusCode::OK, &json!({ "revision": revision }));
+        }
+        ChangeEnd::Lost { revision, winner } => (
+            StatusCode::CONFLICT,
+            json!({
+                "error": "another change was first; this one had no effect",
+                "winner": winner,
+                "revision": revision,
+            }),
+        ),
+        ChangeEnd::Unavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({ "error": "the store is not reachable; this change had no effect" }),
+        ),
+        ChangeEnd::MayBeWritten { revision } => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({
+                "error": "the store stopped answering; this change may have taken effect",
+                "may_be_revision": revision,
+            }),
+        ),
+        ChangeEnd::WrittenNotHeld { revision } => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            json!({
+                "error": "it stands in the store, but no other door confirmed that it holds it",
+                "written_revision": revision,
+            }),
+        ),
+        ChangeEnd::TooLarge => return bad_request("manifest", "is larger than the store takes"),
+        ChangeEnd::Unreadable(problem) => (
+            StatusCode::CONFLICT,
+            json!({ "error": format!("the stored manifest cannot be read: {problem}") }),
+        ),
+    };
+    json_answer(status, &value)
+}
--- /dev/null
+++ b/crates/samphiredoor/src/manifest_http.rs
@@ -0,0 +1,62 @@
+//! The manifest at the operators' door: read it, and change it.
+
+use std::rc::Rc;
+
+use hyper::{Request, Response, body::Incoming, header};
+use samphiredoor_core::manifest::Manifest;
+use samphiredoor_net::{Body, body::read_whole};
+
+use crate::{
+    answers::{bad_request, not_found},
+    manifest_change::{answer, change},
+    online::header_text,
+    process::Door,
+};
+
+const MAX_MANIFEST_BYTES: usize = 450_000;
+const OPERATOR_HEADER: &str = "x-samphiredoor-operator";
+
+/// Answers with the record in force.
+pub async fn get(door: &Door) -> Response<Body> {
+    match door.manifest.above(0).await {
+        Some(record) => {
+            let mut response = Response::new(Body::full(record.to_vec()));
+            let content_type = header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+            response
+        }
+        None => not_found("no manifest is in force yet"),
+    }
+}
+
+/// Changes the manifest. With `if-match` or `expected_revision` it has no effect unless that revision is the last one.
+pub async fn put(door: &Rc<Door>, request: Request<Incoming>) -> Response<Body> {
+    let expected = match expected_revision(&request) {
+        Ok(expected) => expected,
+        Err(answer) => return answer,
+    };
+    let operator = header_text(request.headers(), OPERATOR_HEADER).unwrap_or("operator").to_owned();
+    let Ok(body) = read_whole(request.into_body(), MAX_MANIFEST_BYTES).await else {
+        return bad_request("body", "is too large or was cut");
+    };
+    let declared = match serde_json::from_slice(&body) {
+        Ok(declared) => declared,
+        Err(err) => return bad_request("manifest", &err.to_string()),
+    };
+    if let Err(err) = Manifest::new(1, &declared) {
+        return bad_request(&err.field, &err.problem);
+    }
+    let declared = serde_json::from_slice(&body).unwrap_or_default();
+    answer(change(door, &operator, declared, expected).await)
+}
+
+fn expected_revision(request: &Request<Incoming>) -> Result<Option<u64>, Response<Body>> {
+    let query = request.uri().query().unwrap_or_default();
+    let in_query = query.split('&').find_map(|it| it.strip_prefix("expected_revision="));
+    let in_header = header_text(request.headers(), header::IF_MATCH.as_str());
+    let Some(text) = in_header.or(in_query) else { return Ok(None) };
+    match text.trim_matches('"').parse() {
+        Ok(revision) => Ok(Some(revision)),
+        Err(_) => Err(bad_request("if-match", "is no revision; give a number")),
+    }
+}
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -1,54 +1,193 @@
-//! Keeps the manifest in force up to date.
+//! The task that owns the manifest in force, and the watchers that learn of new ones.
+//!
+//! Only a few processes of each availability zone keep a watch on the store; all others learn of a new revision from
+//! their peers. Whatever the way, a record comes in by [`ManifestHandle::offer`] and is in force only if its revision
+//! is above the one that is.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use samphiredoor_core::{
     manifest::Manifest,
-    store::{Kind, ObjectKey, StoreAnswer, StoreOp, Stored},
+    manifest_log::{ManifestLog, Offered, manifest_key},
+    membership::{MembershipInput, preferred},
+    store::{Kind, StoreAnswer, StoreOp, Version},
 };
-use samphiredoor_schema::objects::ManifestRecord;
+use samphiredoor_net::pool::within;
 
-use crate::process::Door;
+use crate::{metrics::ManifestRefusal, process::Door, store_client::WatchEvent};
 
-const POLL: Duration = Duration::from_millis(500);
+const WATCHERS_PER_ZONE: usize = 2;
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+// A process that watches nothing looks this rarely, in case it is cut off from all peers.
+const IDLE_PAUSE: Duration = Duration::from_secs(60);
+const CHECK_PAUSE: Duration = Duration::from_secs(1);
 
-/// Name of the one manifest object.
-pub const MANIFEST_NAME: &str = "current";
+/// Where a record came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A read or a watch of the store.
+    Store,
+    /// A peer.
+    Peer,
+    /// An operator, through this door.
+    Operator,
+}
 
-/// Key of the one manifest object.
-pub fn manifest_key() -> ObjectKey {
-    ObjectKey::new(Kind::Manifest, MANIFEST_NAME)
+enum Message {
+    Offer { record: Arc<[u8]>, source: Source, reply: flume::Sender<u64> },
+    Above { revision: u64, reply: flume::Sender<Option<Arc<[u8]>>> },
 }
 
-/// Reads the manifest again and again, and puts higher revisions in force.
-pub async fn run(door: Rc<Door>) {
-    loop {
-        if let StoreAnswer::Object(stored) =
-            door.store.call(StoreOp::Get { key: manifest_key() }).await
-        {
-            apply(&door, &stored);
+/// Handle to the manifest's task.
+#[derive(Clone)]
+pub struct ManifestHandle {
+    messages: flume::Sender<Message>,
+    current: Rc<RefCell<Arc<Manifest>>>,
+}
+
+/// Inbox of the manifest's task, before the task starts.
+pub struct ManifestInbox(flume::Receiver<Message>);
+
+impl ManifestHandle {
+    /// Handle and inbox.
+    pub fn new() -> (ManifestHandle, ManifestInbox) {
+        let (messages, inbox) = flume::unbounded();
+        (ManifestHandle { messages, current: Rc::default() }, ManifestInbox(inbox))
+    }
+
+    /// The manifest in force; empty before the first.
+    pub fn current(&self) -> Arc<Manifest> {
+        Arc::clone(&self.current.borrow())
+    }
+
+    /// Offers a record; gives the revision in force after it.
+    pub async fn offer(&self, record: Arc<[u8]>, source: Source) -> u64 {
+        let (reply, answer) = flume::bounded(1);
+        let _ = self.messages.send(Message::Offer { record, source, reply });
+        answer.recv_async().await.unwrap_or_default()
+    }
+
+    /// The record in force, if its revision is above `revision`.
+    pub async fn above(&self, revision: u64) -> Option<Arc<[u8]>> {
+        let (reply, answer) = flume::bounded(1);
+        let _ = self.messages.send(Message::Above { revision, reply });
+        answer.recv_async().await.ok().flatten()
+    }
+}
+
+/// Runs the task until the process ends.
+pub async fn run(door: Rc<Door>, inbox: ManifestInbox) {
+    compio::runtime::spawn(watch(Rc::clone(&door))).detach();
+    let mut log = ManifestLog::default();
+    while let Ok(message) = inbox.0.recv_async().await {
+        match message {
+            Message::Offer { record, source, reply } => {
+                take(&door, &mut log, &record, source);
+                let _ = reply.send(log.revision());
+            }
+            Message::Above { revision, reply } => {
+                let newer = log.revision() > revision;
+                let _ = reply.send(log.record().filter(|_| newer).cloned());
+            }
         }
-        compio::time::sleep(POLL).await;
     }
 }
 
-/// Puts a stored manifest in force if its revision is above the one in force.
-pub fn apply(door: &Door, stored: &Stored) {
-    match read(stored) {
-        Ok(manifest) if manifest.revision > door.revision.get() => {
-            log::info!("manifest: revision {} is in force", manifest.revision);
-            door.revision.set(manifest.revision);
-            let manifest = Arc::new(manifest);
-            door.manifest.replace(Arc::clone(&manifest));
+fn take(door: &Door, log: &mut ManifestLog, record: &[u8], source: Source) {
+    let held = log.revision();
+    match log.offer(record) {
+        Offered::Applied(manifest) => {
+            let revision = manifest.revision;
+            log::info!("manifest: revision {revision} is in force");
+            door.revision.set(revision);
+            *door.manifest.current.borrow_mut() = Arc::clone(&manifest);
             door.dispatch.apply(manifest);
+            door.peers.input(MembershipInput::Revision(revision));
+        }
+        Offered::Known => {}
+        // From a peer it is only late. From the store it is a stale read, or the store was set back.
+        Offered::Older { revision } if source == Source::Store => {
+            door.metrics.manifest_refused(ManifestRefusal::Older);
+            log::error!("manifest: the store gives revision {revision}; {held} stays in force");
+        }
+        Offered::Older { .. } => door.metrics.manifest_refused(ManifestRefusal::Older),
+        Offered::Forked { revision } => {
+            door.metrics.manifest_refused(ManifestRefusal::Forked);
+            log::error!(
+                "manifest: there are two revisions {revision}; apply the declarations anew"
+            );
         }
-        Ok(_) => {}
-        Err(err) => log::error!("manifest: the stored one cannot be used: {err:#}"),
+        Offered::Unusable(problem) => {
+            door.metrics.manifest_refused(ManifestRefusal::Unusable);
+            log::error!(
+                "manifest: revision {held} stays in force, not one from {source:?}: {problem}"
+            );
+        }
+    }
+}
+
+/// Whether this process is to keep a watch of its own: a hint, so that a wrong answer costs a call and no more.
+pub fn is_watcher(door: &Door) -> bool {
+    let live = door.peers.live();
+    let zone = &door.config.availability_zone;
+    let in_zone = live.iter().filter(|it| it.availability_zone == *zone).map(|it| &it.name);
+    preferred("manifest", in_zone, WATCHERS_PER_ZONE).contains(&door.config.name)
+}
+
+async fn watch(door: Rc<Door>) {
+    // A process that has no revision asks the store again and again, also when others watch: it is not ready.
+    while door.revision.get() == 0 {
+        read(&door).await;
+        compio::time::sleep(FIRST_PAUSE).await;
+    }
+    let mut idle = Duration::ZERO;
+    loop {
+        if is_watcher(&door) {
+            follow(&door).await;
+            compio::time::sleep(WATCH_PAUSE).await;
+            continue;
+        }
+        compio::time::sleep(CHECK_PAUSE).await;
+        idle += CHECK_PAUSE;
+        if idle >= IDLE_PAUSE {
+            idle = Duration::ZERO;
+            read(&door).await;
+        }
+    }
+}
+
+// Gives the version of the store from which a watch goes on.
+async fn read(door: &Door) -> Option<Version> {
+    let op = StoreOp::List {
+        kind: Kind::Manifest,
+        prefix: manifest_key().name,
+        labels: Default::default(),
+        after: None,
+        limit: 1,
+    };
+    let StoreAnswer::Page { items, version, .. } = door.store.call(op).await else { return None };
+    for stored in items.into_iter().filter(|it| it.name == manifest_key().name) {
+        door.manifest.offer(stored.value, Source::Store).await;
     }
+    Some(version)
 }
 
-fn read(stored: &Stored) -> anyhow::Result<Manifest> {
-    let record: ManifestRecord = serde_json::from_slice(&stored.value)?;
-    let declared = serde_json::from_value(record.manifest)?;
-    Ok(Manifest::new(record.revision, &declared)?)
+// Ends when the watch does: at its length, at an error, or when its version has left the store's history.
+async fn follow(door: &Door) {
+    let Some(version) = read(door).await else { return };
+    let Some(mut watch) = door.store.watch(Kind::Manifest, version).await else { return };
+    loop {
+        match within(CHECK_PAUSE, watch.next()).await {
+            Some(Some(WatchEvent::Written(stored))) => {
+                door.manifest.offer(stored.value, Source::Store).await;
+            }
+            Some(Some(WatchEvent::Deleted(name))) => {
+                log::error!("manifest: {name} was deleted from the store; what is in force stays");
+            }
+            Some(None) => return,
+            None if !is_watcher(door) => return,
+            None => {}
+        }
+    }
 }
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -37,6 +37,77 @@
     pub class: &'static str,
 }
 
+/// Why something from a peer was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRefusal {
+    /// The token was wrong.
+    WrongToken,
+    /// A connection ended, or was ended, before its far side had entered.
+    NoEntry,
+    /// A message cannot be read.
+    Unreadable,
+    /// News of a kind that a newer version has added.
+    UnknownNews,
+    /// More links than are held at once.
+    TooManyLinks,
+    /// A peer is slow to answer, so that a message to it was dropped.
+    SlowPeer,
+    /// A process's lease object cannot be read.
+    UnreadableLease,
+    /// An entry of the host list cannot be read.
+    UnreadableHost,
+}
+
+impl PeerRefusal {
+    const ALL: [PeerRefusal; 8] = [
+        PeerRefusal::WrongToken,
+        PeerRefusal::NoEntry,
+        PeerRefusal::Unreadable,
+        PeerRefusal::UnknownNews,
+        PeerRefusal::TooManyLinks,
+        PeerRefusal::SlowPeer,
+        PeerRefusal::UnreadableLease,
+        PeerRefusal::UnreadableHost,
+    ];
+
+    fn label(self) -> &'static str {
+        match self {
+            PeerRefusal::WrongToken => "wrong_token",
+            PeerRefusal::NoEntry => "no_entry",
+            PeerRefusal::Unreadable => "unreadable",
+            PeerRefusal::UnknownNews => "unknown_news",
+            PeerRefusal::TooManyLinks => "too_many_links",
+            PeerRefusal::SlowPeer => "slow_peer",
+            PeerRefusal::UnreadableLease => "unreadable_lease",
+            PeerRefusal::UnreadableHost => "unreadable_host",
+        }
+    }
+}
+
+/// Why a manifest's record was not put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ManifestRefusal {
+    /// Its revision is below the one in force.
+    Older,
+    /// Its revision is the one in force, and its content another.
+    Forked,
+    /// It cannot be read, or a newer version wrote it.
+    Unusable,
+}
+
+impl ManifestRefusal {
+    const ALL: [ManifestRefusal; 3] =
+        [ManifestRefusal::Older, ManifestRefusal::Forked, ManifestRefusal::Unusable];
+
+    fn label(self) -> &'static str {
+        match self {
+            ManifestRefusal::Older => "older",
+            ManifestRefusal::Forked => "forked",
+            ManifestRefusal::Unusable => "unusable",
+        }
+    }
+}
+
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -48,6 +119,11 @@
     job_events: Family<ReasonLabel, Counter>,
     item_ends: Family<ReasonLabel, Counter>,
     unreadable: Family<ReasonLabel, Counter>,
+    peer_refusals: Family<ReasonLabel, Counter>,
+    manifest_refusals: Family<ReasonLabel, Counter>,
+    peer_bytes_received: Counter,
+    peer_bytes_sent: Counter,
+    members: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -78,6 +154,22 @@
         let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
         let faults = Unreadable::ALL.map(Unreadable::label);
         let unreadable = counters(&mut registry, "unreadable", "Stored objects refused", &faults);
+        let refusals_of_peers = PeerRefusal::ALL.map(PeerRefusal::label);
+        let peer_refusals =
+            counters(&mut registry, "peer_refusals", "Refused of peers", &refusals_of_peers);
+        let refusals_of_manifests = ManifestRefusal::ALL.map(ManifestRefusal::label);
+        let manifest_refusals = counters(
+            &mut registry,
+            "manifest_refusals",
+            "Manifests refused",
+            &refusals_of_manifests,
+        );
+        let peer_bytes_received = Counter::default();
+        let peer_bytes_sent = Counter::default();
+        let members = Gauge::default();
+        registry.register("peer_bytes_received", "From peers", peer_bytes_received.clone());
+        registry.register("peer_bytes_sent", "To peers", peer_bytes_sent.clone());
+        registry.register("members", "Doors not reported dead", members.clone());
         Rc::new(Metrics {
             registry,
             refusals,
@@ -88,9 +180,34 @@
             job_events,
             item_ends,
             unreadable,
+            peer_refusals,
+            manifest_refusals,
+            peer_bytes_received,
+            peer_bytes_sent,
+            members,
         })
     }
 
+    /// Counts something that was refused of a peer.
+    pub fn peer_refused(&self, reason: PeerRefusal) {
+        self.peer_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+    }
+
+    /// Counts a manifest's record that was not put in force.
+    pub fn manifest_refused(&self, reason: ManifestRefusal) {
+        self.manifest_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+    }
+
+    /// Counters of the bytes received from peers and sent to them.
+    pub fn peer_bytes(&self) -> (Counter, Counter) {
+        (self.peer_bytes_received.clone(), self.peer_bytes_sent.clone())
+    }
+
+    /// Sets the number of members that are not reported dead.
+    pub fn members(&self, members: usize) {
+        self.members.set(members as i64);
+    }
+
     /// Counts an online request as running until the guard is dropped.
     pub fn running(&self) -> Running {
         self.running.inc();
--- /dev/null
+++ b/crates/samphiredoor/src/news.rs
@@ -0,0 +1,20 @@
+//! Passes a peer's news on to the tasks that it concerns.
+
+use samphiredoor_core::{Name, news::News};
+
+use crate::process::Door;
+
+/// Passes one piece of news on.
+pub fn deliver(door: &Door, from: &Name, news: News) {
+    match news {
+        News::Cancelled(job) => door.jobs.cancel_hint(job),
+        News::HandedOver(job) => door.jobs.offered(job),
+        News::Lapsed { process, incarnation } => door.jobs.lapsed(process, incarnation),
+        News::Leaving(target) => door.dispatch.leaving(target),
+        // The members task handles revisions itself.
+        News::Revision(_) => {}
+        News::Suspect { .. } | News::Recall { .. } | News::Need(_) => {
+            log::debug!("news: {from} told {news:?}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor/src/peers/codec.rs
@@ -0,0 +1,174 @@
+//! Between the messages on the wire and the types of the decisions.
+
+use capnp::{Error, NotInSchema, struct_list};
+use samphiredoor_core::{
+    Name,
+    membership::{Beat, Member, MemberState},
+    news::{News, Origin, TargetLoad},
+};
+use samphiredoor_schema::peer_capnp::{self as wire, heartbeat, member, news, target_load};
+
+use super::Told;
+
+/// Most list entries that are read from one message.
+const MAX_ENTRIES: u32 = 1_000;
+
+pub(super) fn write_beat(beat: &Beat, mut builder: heartbeat::Builder<'_>) {
+    builder.set_incarnation(beat.incarnation);
+    builder.set_renewals(beat.renewals);
+    builder.set_manifest_revision(beat.revision);
+    builder.set_members_digest(beat.members_digest);
+    if !beat.changes.is_empty() {
+        write_members(&beat.changes, builder.init_changes(beat.changes.len() as u32));
+    }
+}
+
+pub(super) fn read_beat(reader: heartbeat::Reader<'_>) -> Result<Beat, Error> {
+    Ok(Beat {
+        incarnation: reader.get_incarnation(),
+        renewals: reader.get_renewals(),
+        revision: reader.get_manifest_revision(),
+        members_digest: reader.get_members_digest(),
+        changes: read_members(reader.get_changes()?)?,
+    })
+}
+
+pub(super) fn write_members(members: &[Member], mut list: struct_list::Builder<'_, member::Owned>) {
+    for (index, member) in members.iter().enumerate() {
+        write_member(member, list.reborrow().get(index as u32));
+    }
+}
+
+pub(super) fn read_members(
+    list: struct_list::Reader<'_, member::Owned>,
+) -> Result<Vec<Member>, Error> {
+    if list.len() > MAX_ENTRIES {
+        return Err(Error::failed("too many members in one message".to_owned()));
+    }
+    list.iter().map(read_member).collect()
+}
+
+pub(super) fn write_member(member: &Member, mut builder: member::Builder<'_>) {
+    builder.set_name(&*member.name);
+    builder.set_address(&*member.address);
+    builder.set_incarnation(member.incarnation);
+    builder.set_counter(member.counter);
+    builder.set_state(match member.state {
+        MemberState::Live => wire::MemberState::Live,
+        MemberState::Stopping => wire::MemberState::Stopping,
+        MemberState::Dead => wire::MemberState::Dead,
+    });
+    builder.set_zone(&*member.availability_zone);
+    builder.set_region(&*member.region);
+}
+
+pub(super) fn read_member(reader: member::Reader<'_>) -> Result<Member, Error> {
+    let name = name(reader.get_name()?)?;
+    if name.is_empty() {
+        return Err(Error::failed("a member without a name".to_owned()));
+    }
+    Ok(Member {
+        name,
+        address: self::name(reader.get_address()?)?,
+        incarnation: reader.get_incarnation(),
+        counter: reader.get_counter(),
+        state: match reader.get_state()? {
+            wire::MemberState::Live => MemberState::Live,
+            wire::MemberState::Stopping => MemberState::Stopping,
+            wire::MemberState::Dead => MemberState::Dead,
+        },
+        region: self::name(reader.get_region()?)?,
+        availability_zone: self::name(reader.get_zone()?)?,
+    })
+}
+
+pub(super) fn write_news(told: &Told, mut builder: news::Builder<'_>) {
+    if let Some(origin) = &told.origin {
+        builder.set_origin(&*origin.door);
+        builder.set_number(origin.number);
+    }
+    match &told.news {
+        News::Cancelled(job) => builder.set_cancelled(&**job),
+        News::Suspect { fingerprint, deaths, lifted } => {
+            let mut suspect = builder.init_suspect();
+            suspect.set_fingerprint(*fingerprint);
+            suspect.set_deaths(*deaths);
+            suspect.set_lifted(*lifted);
+        }
+        News::Leaving(target) => builder.set_leaving(&**target),
+        News::Recall { target, batch_slots, epoch } => {
+            let mut recall = builder.init_recall();
+            recall.set_target(&**target);
+            recall.set_batch_slots(*batch_slots);
+            recall.set_epoch(*epoch);
+        }
+        News::Need(load) => write_load(load, builder.init_need()),
+        News::Revision(revision) => builder.set_revision(*revision),
+        News::HandedOver(job) => builder.set_handed_over(&**job),
+        News::Lapsed { process, incarnation } => {
+            let mut lapse = builder.init_lapsed();
+            lapse.set_process(&**process);
+            lapse.set_incarnation(*incarnation);
+        }
+    }
+}
+
+/// News as told; `None` for a kind that a newer version has added.
+pub(super) fn read_news(reader: news::Reader<'_>) -> Result<Option<Told>, Error> {
+    let news = match reader.which() {
+        Ok(news::Cancelled(job)) => News::Cancelled(name(job?)?),
+        Ok(news::Suspect(suspect)) => {
+            let suspect = suspect?;
+            News::Suspect {
+                fingerprint: suspect.get_fingerprint(),
+                deaths: suspect.get_deaths(),
+                lifted: suspect.get_lifted(),
+            }
+        }
+        Ok(news::Leaving(target)) => News::Leaving(name(target?)?),
+        Ok(news::Recall(recall)) => {
+            let recall = recall?;
+            News::Recall {
+                target: name(recall.get_target()?)?,
+                batch_slots: recall.get_batch_slots(),
+                epoch: recall.get_epoch(),
+            }
+        }
+        Ok(news::Need(load)) => News::Need(read_load(load?)?),
+        Ok(news::Revision(revision)) => News::Revision(revision),
+        Ok(news::HandedOver(job)) => News::HandedOver(name(job?)?),
+        Ok(news::Lapsed(lapse)) => {
+            let lapse = lapse?;
+            News::Lapsed {
+                process: name(lapse.get_process()?)?,
+                incarnation: lapse.get_incarnation(),
+            }
+        }
+        Err(NotInSchema(_)) => return Ok(None),
+    };
+    let door = name(reader.get_origin()?)?;
+    let origin = (!door.is_empty()).then(|| Origin { door, number: reader.get_number() });
+    Ok(Some(Told { origin, news }))
+}
+
+fn write_load(load: &TargetLoad, mut builder: target_load::Builder<'_>) {
+    builder.set_target(&*load.target);
+    builder.set_online_in_flight(load.online_in_flight);
+    builder.set_online_envelope(load.online_envelope);
+    builder.set_batch_in_flight(load.batch_in_flight);
+    builder.set_batch_wanted(load.batch_wanted);
+}
+
+fn read_load(reader: target_load::Reader<'_>) -> Result<TargetLoad, Error> {
+    Ok(TargetLoad {
+        target: name(reader.get_target()?)?,
+        online_in_flight: reader.get_online_in_flight(),
+        online_envelope: reader.get_online_envelope(),
+        batch_in_flight: reader.get_batch_in_flight(),
+        batch_wanted: reader.get_batch_wanted(),
+    })
+}
+
+fn name(text: capnp::text::Reader<'_>) -> Result<Name, Error> {
+    Ok(text.to_str().map_err(|err| Error::failed(err.to_string()))?.into())
+}
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -1,25 +1,36 @@
 //! The whole door: its listeners, its tasks, and its planned stop.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::Cell,
+    net::SocketAddr,
+    pin::pin,
     rc::Rc,
-    sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
-use samphiredoor_core::{Name, dispatch::Place, manifest::Manifest};
-use samphiredoor_net::{ServeLimits, Server};
+use compio::{net::TcpListener, runtime::JoinHandle};
+use futures_util::future::{Either, select};
+use samphiredoor_core::{
+    Name,
+    dispatch::Place,
+    membership::{Member, MemberState, MembershipInput},
+};
+use samphiredoor_net::{ServeLimits, Server, serve::StopHandle};
 
 use crate::{
     callers,
     config::DoorConfig,
     dispatch_task::{Clock, Dispatch},
     exit_codes::Exit,
+    hosts_task,
     jobs_task::{self, Jobs},
-    lease_task, manifest_task,
+    lease_task,
+    manifest_task::{self, ManifestHandle},
+    members_task,
     metrics::Metrics,
     operators,
+    peers::{self, Peers},
     store_client::StoreClient,
     targets::TargetPools,
 };
@@ -36,14 +47,16 @@
     pub dispatch: Dispatch,
     /// The ledger's task.
     pub jobs: Jobs,
+    /// The manifest's task.
+    pub manifest: ManifestHandle,
+    /// The members task.
+    pub peers: Peers,
     /// The object API.
     pub store: StoreClient,
     /// Connections to targets.
     pub targets: TargetPools,
     /// Metrics.
     pub metrics: Rc<Metrics>,
-    /// Manifest in force; written by the manifest's task alone.
-    pub manifest: RefCell<Arc<Manifest>>,
     /// Revision of the manifest in force; 0 before the first.
     pub revision: Cell<u64>,
     /// Whether a planned stop is under way.
@@ -54,9 +67,28 @@
 impl Door {
     /// Name that no other door, and no other call, gives.
     pub fn unique_name(&self, prefix: &str) -> String {
+        let number = self.next_number();
+        format!("{prefix}-{}-{:x}-{number}", self.config.name, self.incarnation)
+    }
+
+    /// Number that no other call gives.
+    pub fn next_number(&self) -> u64 {
         let number = self.next_unique.get();
         self.next_unique.set(number + 1);
-        format!("{prefix}-{}-{:x}-{number}", self.config.name, self.incarnation)
+        number
+    }
+
+    /// This door as a member of the fleet.
+    pub fn own_member(&self) -> Member {
+        Member {
+            name: self.config.name(),
+            address: self.peers.address().to_string().into(),
+            incarnation: self.incarnation,
+            counter: 0,
+            state: if self.stopping.get() { MemberState::Stopping } else { MemberState::Live },
+            region: Name::clone(&self.config.region),
+            availability_zone: Name::clone(&self.config.availability_zone),
+        }
     }
 }
 
@@ -75,13 +107,21 @@
         Server::bind(config.operators, ServeLimits::default()).await.with_context(|| {
             format!("operators.address: {} cannot be listened on", config.operators)
         })?;
+    let peer_listener = TcpListener::bind(config.peers)
+        .await
+        .with_context(|| format!("peers.address: {} cannot be listened on", config.peers))?;
+    let peer_address = peer_listener.local_addr()?;
     log::info!("door: callers on {}", callers.local_addr()?);
     log::info!("door: operators on {}", operators.local_addr()?);
+    log::info!("door: peers on {peer_address}");
     let stop_callers = callers.stop_handle();
-    let (door, inbox) = new_door(config);
-    compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inbox)).detach();
+    let (door, inboxes) = new_door(config, peer_address);
+    compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inboxes.jobs)).detach();
     compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
-    compio::runtime::spawn(manifest_task::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(manifest_task::run(Rc::clone(&door), inboxes.manifest)).detach();
+    compio::runtime::spawn(members_task::run(Rc::clone(&door), inboxes.peers)).detach();
+    compio::runtime::spawn(hosts_task::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(peers::listen(Rc::clone(&door), peer_listener)).detach();
     let for_operators = Rc::clone(&door);
     let answer_operator = move |request| operators::answer(Rc::clone(&for_operators), request);
     compio::runtime::spawn(operators.run(answer_operator)).detach();
@@ -90,25 +130,49 @@
         callers.run(move |request| callers::answer(Rc::clone(&for_callers), request)),
     );
     wait_for_signal().await;
+    let stopping = pin!(stop(&door, stop_callers, serving));
+    match select(stopping, pin!(wait_for_signal())).await {
+        Either::Left(_) => Ok(Exit::Success),
+        Either::Right(_) => {
+            log::warn!("door: told to stop a second time, ending at once");
+            Ok(Exit::GeneralError)
+        }
+    }
+}
+
+/// A planned stop, in an order that cuts no request: the balancer and the peers are told first and given time, while
+/// callers are still answered; the listener closes last, and what runs then is finished.
+async fn stop(door: &Door, callers: Option<StopHandle>, serving: JoinHandle<()>) {
     log::info!("door: stopping");
     door.stopping.set(true);
+    door.peers.input(MembershipInput::Stopping);
     door.jobs.stopping();
+    if let Some(callers) = &callers {
+        callers.drain();
+    }
     compio::time::sleep(door.config.unready).await;
-    drop(stop_callers);
+    drop(callers);
     let all = async {
         let _ = serving.await;
         door.jobs.empty().await;
     };
     let finished = compio::time::timeout(door.config.finish, all).await.is_ok();
     log::info!("door: stopped, all requests finished: {finished}");
-    Ok(Exit::Success)
 }
 
-fn new_door(config: DoorConfig) -> (Rc<Door>, jobs_task::JobsInbox) {
+struct Inboxes {
+    jobs: jobs_task::JobsInbox,
+    manifest: manifest_task::ManifestInbox,
+    peers: peers::PeersInbox,
+}
+
+fn new_door(config: DoorConfig, peer_address: SocketAddr) -> (Rc<Door>, Inboxes) {
     let clock = Clock::new();
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = since.as_micros() as u64;
-    let (jobs, inbox) = Jobs::new();
+    let (jobs, jobs_inbox) = Jobs::new();
+    let (manifest, manifest_inbox) = ManifestHandle::new();
+    let (peers, peers_inbox) = Peers::new(peer_address);
     let place = Place {
         region: Name::clone(&config.region),
         availability_zone: Name::clone(&config.availability_zone),
@@ -118,20 +182,21 @@
         incarnation,
         dispatch: Dispatch::start(clock, place, incarnation),
         jobs,
+        manifest,
+        peers,
         store: StoreClient::new(config.store, config.store_timeout),
         targets: TargetPools::default(),
         metrics: Metrics::new(),
-        manifest: RefCell::default(),
         revision: Cell::new(0),
         stopping: Cell::new(false),
         next_unique: Cell::new(0),
         config,
     };
-    (Rc::new(door), inbox)
+    let inboxes = Inboxes { jobs: jobs_inbox, manifest: manifest_inbox, peers: peers_inbox };
+    (Rc::new(door), inboxes)
 }
 
 async fn wait_for_signal() {
-    use futures_util::future::{Either, select};
     let terminate = std::pin::pin!(compio::signal::unix::signal(15));
     let interrupt = std::pin::pin!(compio::signal::ctrl_c());
     match select(terminate, interrupt).await {
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -45,9 +45,9 @@
         Noun::Jobs => listed(door, Kind::Job, job_labels(query), job_row).await?,
         Noun::Doors => listed(door, Kind::Process, Labels::new(), door_row).await?,
         Noun::Items => items(door, query).await?,
-        Noun::Services => (service_rows(&door.manifest.borrow()), false),
-        Noun::Targets => (target_rows(&door.manifest.borrow()), false),
-        Noun::Workspaces => (workspace_rows(&door.manifest.borrow()), false),
+        Noun::Services => (service_rows(&door.manifest.current()), false),
+        Noun::Targets => (target_rows(&door.manifest.current()), false),
+        Noun::Workspaces => (workspace_rows(&door.manifest.current()), false),
     };
     Ok(Answer { rows: select(query, rows), truncated })
 }
--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode, header};
 use samphiredoor_core::store::{
     Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version,
@@ -12,12 +13,14 @@
 use samphiredoor_net::{
     Body, Pool,
     body::read_whole,
-    pool::{SendError, within},
+    pool::{Answer, SendError, within},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 const ROOT: &str = "/apis/samphiredoor.dev/v1";
+const WATCH_SECONDS: u32 = 240;
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Client of the object API; clones share connections.
@@ -63,6 +66,63 @@
     reason: String,
 }
 
+#[derive(Deserialize)]
+struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    object: Object,
+}
+
+/// What a watch saw.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WatchEvent {
+    /// The object was created or updated, to this.
+    Written(Stored),
+    /// The object of this name was deleted.
+    Deleted(Arc<str>),
+}
+
+/// A waiting watch. It may end at any time, and events may be missing or doubled.
+pub struct Watch {
+    body: Answer,
+    buffer: Vec<u8>,
+}
+
+impl Watch {
+    /// Waits for the next event; `None` when the watch has ended. May be dropped and called again.
+    pub async fn next(&mut self) -> Option<WatchEvent> {
+        loop {
+            while let Some(end) = self.buffer.iter().position(|it| *it == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                if let Some(event) = watch_event(&line) {
+                    return Some(event);
+                }
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                log::warn!("store: a watch's event is too large");
+                return None;
+            }
+            let frame = self.body.frame().await?.ok()?;
+            if let Ok(data) = frame.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+fn watch_event(line: &[u8]) -> Option<WatchEvent> {
+    match serde_json::from_slice::<Event>(line) {
+        Ok(event) if event.kind == "DELETED" => {
+            Some(WatchEvent::Deleted(event.object.metadata.name.into()))
+        }
+        Ok(event) => stored(event.object).map(WatchEvent::Written),
+        Err(err) => {
+            log::warn!("store: a watch's event cannot be read: {err}");
+            None
+        }
+    }
+}
+
 impl StoreClient {
     /// Client of the API at `address`.
     pub fn new(address: SocketAddr, timeout: Duration) -> StoreClient {
@@ -90,6 +150,19 @@
         }
     }
 
+    /// Watches a kind from a version on; `None` if the store refuses or cannot be reached.
+    pub async fn watch(&self, kind: Kind, version: Version) -> Option<Watch> {
+        let path = format!(
+            "{ROOT}/{}?watch=1&resourceVersion={}&timeoutSeconds={WATCH_SECONDS}",
+            kind.path(),
+            version.0
+        );
+        let request = Request::get(path).header(header::HOST, "store").body(Body::empty()).ok()?;
+        let response = within(self.timeout, self.pool.send(request)).await?.ok()?;
+        let watch = Watch { body: response.into_body(), buffer: Vec::new() };
+        Some(watch)
+    }
+
     async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, Vec<u8>), SendError> {
         let response = self.pool.send(request).await?;
         let status = response.status();
