--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -22,6 +22,8 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const TICKS_BETWEEN_METRICS: u64 = 10;
+/// Word that a target leaves is told again more often than this while it holds.
+const TOLD_LEAVING_MS: u64 = 30_000;
 
 /// Clock of the process, read once per event.
 #[derive(Debug, Clone, Copy)]
@@ -77,6 +79,7 @@
 /// Handle to the dispatcher's task.
 #[derive(Clone)]
 pub struct Dispatch {
+    clock: Clock,
     messages: flume::Sender<Message>,
     next_request: Rc<Cell<u64>>,
 }
@@ -88,7 +91,7 @@
         let dispatcher = Dispatcher::new(place, seed);
         let task = Task { clock, dispatcher, waiting: HashMap::new(), metrics, ticks: 0 };
         compio::runtime::spawn(task.run(inbox)).detach();
-        Dispatch { messages, next_request: Rc::new(Cell::new(1)) }
+        Dispatch { clock, messages, next_request: Rc::new(Cell::new(1)) }
     }
 
     /// Puts a manifest in force.
@@ -96,6 +99,12 @@
         self.input(Input::Manifest(manifest));
     }
 
+    /// Gives the target no new work for a while.
+    pub fn leaving(&self, target: Name) {
+        let until_ms = self.clock.now().mono_ms + TOLD_LEAVING_MS;
+        self.input(Input::ToldLeaving { target, until_ms });
+    }
+
     /// New identity for a request.
     pub fn next_request(&self) -> RequestId {
         let id = self.next_request.get();
--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -64,7 +64,7 @@
 }
 
 fn is_engine(door: &Door, target: &TargetInUse) -> bool {
-    let manifest = door.manifest.borrow();
+    let manifest = door.manifest.current();
     let service = manifest.targets.get(&target.name).map(|it| &it.service);
     let service = service.and_then(|it| manifest.services.get(it));
     service.is_some_and(|it| it.kind == ServiceKind::Engine)
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -112,7 +112,7 @@
             Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
         },
     };
-    let manifest = door.manifest.borrow();
+    let manifest = door.manifest.current();
     let service = manifest.services.get(head.model.as_str());
     let prefix = &body[..body.len().min(PREFIX_BYTES)];
     let ask = Ask {
@@ -132,7 +132,7 @@
 }
 
 fn is_engine(door: &Door, service: &str) -> bool {
-    let manifest = door.manifest.borrow();
+    let manifest = door.manifest.current();
     manifest.services.get(service).is_none_or(|it| it.kind == ServiceKind::Engine)
 }
 
