Give targets the orders that the declarations ask for

Each door looks after the targets that a ring by hash gives it. The process test kills a door and sees another take its targets over, with fencing numbers that never fall.

--- a/crates/samphiredoor-core/src/manifest.rs
+++ b/crates/samphiredoor-core/src/manifest.rs
@@ -1,11 +1,18 @@
 //! The declarations in force, checked and ready for lookups.
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use samphiredoor_schema::manifest as declared;
 
 use crate::Name;
 
+const MAX_WEIGHT_BYTES: usize = 128;
+
 /// How a service's targets are spoken to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServiceKind {
@@ -55,6 +62,23 @@
     pub drained: bool,
     /// Whether its owner has reclaimed the lent capacity.
     pub reclaimed: bool,
+    /// Weights that it is to hold; `None` where no orders are to be given.
+    pub weights: Option<BTreeSet<Name>>,
+}
+
+/// Bounds on orders to load weights.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WeightStore {
+    /// Loads at once, over all targets.
+    pub loads_at_once: usize,
+    /// Longest time from the sending of an order until it has no effect any more.
+    pub longest_order_ms: u64,
+}
+
+impl Default for WeightStore {
+    fn default() -> WeightStore {
+        WeightStore { loads_at_once: 4, longest_order_ms: 120_000 }
+    }
 }
 
 /// Limits of a workspace.
@@ -79,6 +103,8 @@
     pub targets: BTreeMap<Name, Target>,
     /// Workspaces by name.
     pub workspaces: BTreeMap<Name, Workspace>,
+    /// Bounds on orders to load weights.
+    pub weight_store: WeightStore,
 }
 
 /// What is wrong with a manifest, with the place in it.
@@ -115,6 +141,12 @@
         for (index, workspace) in declared.workspaces.iter().enumerate() {
             manifest.add_workspace(index, workspace)?;
         }
+        if let Some(bounds) = &declared.weight_store {
+            manifest.weight_store = WeightStore {
+                loads_at_once: bounds.loads_at_once.get() as usize,
+                longest_order_ms: bounds.longest_order_ms.get(),
+            };
+        }
         Ok(manifest)
     }
 
@@ -176,6 +208,7 @@
             checks_fencing: target.checks_fencing,
             drained: target.drained,
             reclaimed: target.reclaimed,
+            weights: checked_weights(index, target)?,
         };
         match self.targets.insert(name, checked) {
             None => Ok(()),
@@ -217,6 +250,28 @@
     Ok(name.into())
 }
 
+fn checked_weights(
+    index: usize,
+    target: &declared::Target,
+) -> Result<Option<BTreeSet<Name>>, ManifestError> {
+    let weights = &target.weights;
+    if weights.is_empty() {
+        return Ok(None);
+    }
+    let mut checked = BTreeSet::new();
+    for (place, weight) in weights.iter().enumerate() {
+        let field = format!("targets[{index}].weights[{place}]");
+        if weight.is_empty() || weight.len() > MAX_WEIGHT_BYTES {
+            let problem = format!("use 1 to {MAX_WEIGHT_BYTES} bytes");
+            return Err(ManifestError { field, problem });
+        }
+        if !checked.insert(Name::from(weight.as_str())) {
+            return Err(duplicate(field, weight));
+        }
+    }
+    Ok(Some(checked))
+}
+
 fn duplicate(field: String, name: &str) -> ManifestError {
     ManifestError { field, problem: format!("`{name}` is declared twice") }
 }
--- a/crates/samphiredoor-core/src/orders/giver.rs
+++ b/crates/samphiredoor-core/src/orders/giver.rs
@@ -13,6 +13,7 @@
 };
 
 const RETRY_MS: u64 = 500;
+const RETRY_MAX_MS: u64 = 30_000;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum State {
@@ -46,6 +47,7 @@
     // Until then no other giver's first order can be on its way.
     fresh_until_ms: u64,
     retry_at_ms: u64,
+    backoff_ms: u64,
     wants_slot: bool,
 }
 
@@ -63,6 +65,7 @@
             call_sent_ms: 0,
             fresh_until_ms: 0,
             retry_at_ms: 0,
+            backoff_ms: RETRY_MS,
             wants_slot: false,
         }
     }
@@ -72,6 +75,10 @@
         self.wants_slot &= self.wanted.is_some() || self.is_busy();
     }
 
+    pub(super) fn set_longest_order(&mut self, longest_order_ms: u64) {
+        self.config.longest_order_ms = longest_order_ms;
+    }
+
     pub(super) fn held(&self) -> Option<&BTreeSet<Name>> {
         self.is_ours().then_some(&self.held)
     }
@@ -129,12 +136,16 @@
             return;
         }
         match end {
-            OrderEnd::Done => self.state = State::Done,
+            OrderEnd::Done => {
+                self.backoff_ms = RETRY_MS;
+                self.state = State::Done;
+            }
             // Another process has taken over: its record tells the rest.
             OrderEnd::Fenced => self.state = State::Unread,
             OrderEnd::NotDone => {
                 self.state = State::Intended;
-                self.retry_at_ms = now.mono_ms + RETRY_MS;
+                self.retry_at_ms = now.mono_ms + self.backoff_ms;
+                self.backoff_ms = (self.backoff_ms * 2).min(RETRY_MAX_MS);
             }
             OrderEnd::Unknown => {
                 self.state = State::Intended;
--- a/crates/samphiredoor-core/src/orders/mod.rs
+++ b/crates/samphiredoor-core/src/orders/mod.rs
@@ -12,12 +12,15 @@
 
 mod giver;
 mod pace;
+mod ring;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
+pub use ring::Ring;
+
 use crate::{
     Name,
     ledger::CallId,
@@ -89,6 +92,13 @@
 pub enum OrdersInput {
     /// Targets for which this process wants to be the giver, and what each is to hold; replaces the former ones.
     Wanted(BTreeMap<Name, Wanted>),
+    /// Bounds that the declarations set.
+    Bounds {
+        /// Loads from the weight store at once, over all processes.
+        loads_at_once: usize,
+        /// Longest time from the sending of an order until it has no effect any more.
+        longest_order_ms: u64,
+    },
     /// The own lease is held until this monotonic time.
     Lease {
         /// End of the lease.
@@ -183,6 +193,13 @@
     pub fn handle(&mut self, now: Now, input: OrdersInput, out: &mut Vec<OrdersAction>) {
         match input {
             OrdersInput::Wanted(wanted) => self.givers_for(wanted),
+            OrdersInput::Bounds { loads_at_once, longest_order_ms } => {
+                self.config.longest_order_ms = longest_order_ms;
+                self.pace.set_limit(loads_at_once);
+                for giver in self.givers.values_mut() {
+                    giver.set_longest_order(longest_order_ms);
+                }
+            }
             OrdersInput::Lease { valid_until_ms } => self.lease_until_ms = valid_until_ms,
             OrdersInput::Lapsed { process, incarnation } => self.pace.lapsed(&process, incarnation),
             OrdersInput::Stored { call, answer } => {
--- a/crates/samphiredoor-core/src/orders/pace.rs
+++ b/crates/samphiredoor-core/src/orders/pace.rs
@@ -78,6 +78,10 @@
         self.wanted.retain(kept);
     }
 
+    pub(super) fn set_limit(&mut self, limit: usize) {
+        self.limit = limit.max(1);
+    }
+
     pub(super) fn lapsed(&mut self, process: &str, incarnation: u64) {
         self.gone.insert(holder(process, incarnation));
     }
--- a/crates/samphiredoor-core/tests/dispatch/harness.rs
+++ b/crates/samphiredoor-core/tests/dispatch/harness.rs
@@ -42,6 +42,7 @@
         checks_fencing: false,
         drained: false,
         reclaimed: false,
+        weights: None,
     }
 }
 
@@ -51,7 +52,7 @@
     let targets = targets.into_iter().map(|it| (Name::clone(&it.name), it)).collect();
     let light = Workspace { name: "capped".into(), weight: 1, max_in_flight: 2 };
     let workspaces = [(Name::from("capped"), light)].into();
-    Manifest { revision, services, targets, workspaces }
+    Manifest { revision, services, targets, workspaces, ..Manifest::default() }
 }
 
 pub fn ask(request: u64, class: Class) -> Ask {
--- a/crates/samphiredoor-embedded/src/lib.rs
+++ b/crates/samphiredoor-embedded/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod json;
 pub mod objects;
 pub mod objects_http;
+pub mod orders_http;
 pub mod service_http;
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -26,6 +26,7 @@
 mod news;
 mod online;
 mod operators;
+mod orders_task;
 mod peers;
 mod process;
 mod query_rows;
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -273,6 +273,7 @@
             self.tell(sweeper, News::Lapsed { process, incarnation });
         }
         self.door.jobs.lapsed(Name::clone(process), incarnation);
+        self.door.orders.lapsed(Name::clone(process), incarnation);
     }
 
     fn working(&self) -> Vec<Name> {
--- a/crates/samphiredoor/src/news.rs
+++ b/crates/samphiredoor/src/news.rs
@@ -9,7 +9,10 @@
     match news {
         News::Cancelled(job) => door.jobs.cancel_hint(job),
         News::HandedOver(job) => door.jobs.offered(job),
-        News::Lapsed { process, incarnation } => door.jobs.lapsed(process, incarnation),
+        News::Lapsed { process, incarnation } => {
+            door.jobs.lapsed(Name::clone(&process), incarnation);
+            door.orders.lapsed(process, incarnation);
+        }
         News::Leaving(target) => door.dispatch.leaving(target),
         // The members task handles revisions itself.
         News::Revision(_) => {}
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -30,6 +30,7 @@
     members_task,
     metrics::Metrics,
     online, operators,
+    orders_task::{self, OrdersHandle},
     peers::{self, Peers},
     store_client::StoreClient,
     targets::TargetPools,
@@ -57,6 +58,8 @@
     pub targets: TargetPools,
     /// Metrics.
     pub metrics: Rc<Metrics>,
+    /// The task that gives orders to targets.
+    pub orders: OrdersHandle,
     /// Revision of the manifest in force; 0 before the first.
     pub revision: Cell<u64>,
     /// Whether a planned stop is under way.
@@ -121,6 +124,7 @@
     compio::runtime::spawn(load_poll::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door), inboxes.manifest)).detach();
     compio::runtime::spawn(members_task::run(Rc::clone(&door), inboxes.peers)).detach();
+    compio::runtime::spawn(orders_task::run(Rc::clone(&door), inboxes.orders)).detach();
     compio::runtime::spawn(hosts_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(peers::listen(Rc::clone(&door), peer_listener)).detach();
     let for_operators = Rc::clone(&door);
@@ -165,6 +169,7 @@
     jobs: jobs_task::JobsInbox,
     manifest: manifest_task::ManifestInbox,
     peers: peers::PeersInbox,
+    orders: orders_task::OrdersInbox,
 }
 
 fn new_door(config: DoorConfig, peer_address: SocketAddr) -> (Rc<Door>, Inboxes) {
@@ -174,6 +179,7 @@
     let (jobs, jobs_inbox) = Jobs::new();
     let (manifest, manifest_inbox) = ManifestHandle::new();
     let (peers, peers_inbox) = Peers::new(peer_address);
+    let (orders, orders_inbox) = OrdersHandle::new();
     let place = Place {
         region: Name::clone(&config.region),
         availability_zone: Name::clone(&config.availability_zone),
@@ -190,13 +196,19 @@
         peers,
         store: StoreClient::new(config.store, config.store_timeout),
         targets: TargetPools::default(),
+        orders,
         metrics,
         revision: Cell::new(0),
         stopping: Cell::new(false),
         next_unique: Cell::new(0),
         config,
     };
-    let inboxes = Inboxes { jobs: jobs_inbox, manifest: manifest_inbox, peers: peers_inbox };
+    let inboxes = Inboxes {
+        jobs: jobs_inbox,
+        manifest: manifest_inbox,
+        peers: peers_inbox,
+        orders: orders_inbox,
+    };
     (Rc::new(door), inboxes)
 }
 
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -161,7 +161,8 @@
         file.display().to_string()
     }
 
-    fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
+    /// Puts a value to a path.
+    pub fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
         call(hyper::Method::PUT, address, path, &[], &value.to_string())
     }
 }
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -3,5 +3,6 @@
 mod dispatch;
 mod env;
 mod operators;
+mod orders;
 mod settings;
 mod whole_path;
