Keep ejection and limits from feeding an overload

Three causes, each seen in a trace of limits and ejections every 100 ms: 1. Three losses in a row ejected a target that was only too busy, and its work broke the next one. A target is ejected now when as many attempts in a row fail as ran beside them; a lost answer lowers the limit instead. 2. A target that had just returned, with a tenth of its limit, counted as a whole one, so all ten were ejected or returning at once. It counts by the share that it lacks now. 3. A deadline that passed shortly after a request was sent late lowered the target's limit, which made the next ones later. Only long runs count now.

Taking the attempts that run at the moment of the failure as the measure for 1: the test ejected a target whose burst was ending.

--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -1,7 +1,8 @@
 //! Attempts at targets: their start, their end, what is learned from it, and whether another one follows.
 
 use super::{
-    Action, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Stage,
+    Action, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Running,
+    Stage,
     targets::{Distance, TargetId},
 };
 use crate::{
@@ -26,7 +27,9 @@
         if chosen.distance == Distance::OtherRegion {
             self.counters.bytes_to_other_regions += u64::from(running.ask.body_bytes);
         }
-        running.stage = Stage::Running { target, started_ms: now_ms, recalled: false };
+        let beside = chosen.load.own();
+        let attempt = Running { target, started_ms: now_ms, beside, recalled: false };
+        running.stage = Stage::Running(attempt);
         running.tried.push(Name::clone(&name));
         let (class, recallable) = (running.ask.class, running.ask.repeatable);
         if class == Class::Online
@@ -66,9 +69,9 @@
     /// Recalls an item of a job. Tells whether it was running.
     fn recall(&mut self, now_ms: u64, item: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(running) = self.requests.get_mut(&item) else { return false };
-        let Stage::Running { target, recalled, .. } = &mut running.stage else { return false };
-        *recalled = true;
-        self.targets.recalled(now_ms, *target, item);
+        let Stage::Running(attempt) = &mut running.stage else { return false };
+        attempt.recalled = true;
+        self.targets.recalled(now_ms, attempt.target, item);
         self.counters.recalls += 1;
         out.push(Action::Abort { request: item });
         true
@@ -83,11 +86,11 @@
         out: &mut Vec<Action>,
     ) {
         let Some(ended) = self.requests.get(&request) else { return };
-        let Stage::Running { target, started_ms, .. } = ended.stage else { return };
+        let Stage::Running(attempt) = ended.stage else { return };
         let service = Name::clone(&ended.ask.service);
         let class = ended.ask.class;
         self.leave_target(now_ms, request);
-        self.learn(now_ms, target, class, now_ms.saturating_sub(started_ms), end);
+        self.learn(now_ms, attempt, class, end);
         match end {
             AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
                 self.close(now_ms, request);
@@ -130,7 +133,7 @@
 
     fn leave_target(&mut self, now_ms: u64, request: RequestId) {
         let Some(running) = self.requests.get_mut(&request) else { return };
-        let Stage::Running { target, recalled, .. } = running.stage else { return };
+        let Stage::Running(attempt) = running.stage else { return };
         running.stage = Stage::Arrived;
         let class = running.ask.class;
         if class == Class::Online
@@ -138,7 +141,7 @@
         {
             state.online = state.online.saturating_sub(1);
         }
-        self.targets.ended(now_ms, target, request, class, recalled);
+        self.targets.ended(now_ms, attempt.target, request, class, attempt.recalled);
     }
 
     fn take_turn(&mut self, request: RequestId) {
@@ -147,7 +150,7 @@
         match waiting.stage {
             Stage::Queued(tag) => state.queue.turn_of(tag, &waiting.ask.workspace),
             Stage::Waiting => state.batch.turn_of(&waiting.ask.job),
-            Stage::Arrived | Stage::Running { .. } => {}
+            Stage::Arrived | Stage::Running(_) => {}
         }
         self.leave_queue(request);
     }
@@ -158,7 +161,7 @@
         match waiting.stage {
             Stage::Queued(tag) => state.queue.remove(tag, &waiting.ask.workspace),
             Stage::Waiting => state.batch.remove(&waiting.ask.job, request),
-            Stage::Arrived | Stage::Running { .. } => return,
+            Stage::Arrived | Stage::Running(_) => return,
         }
         waiting.stage = Stage::Arrived;
     }
@@ -209,13 +212,14 @@
     }
 
     /// Learns from the end of an attempt about its target and its service.
-    fn learn(&mut self, now_ms: u64, id: TargetId, class: Class, latency_ms: u64, end: AttemptEnd) {
-        let Some(target) = self.targets.get_mut(id) else { return };
+    fn learn(&mut self, now_ms: u64, attempt: Running, class: Class, end: AttemptEnd) {
+        let Some(target) = self.targets.get_mut(attempt.target) else { return };
+        let latency_ms = now_ms.saturating_sub(attempt.started_ms);
         match end {
             AttemptEnd::Done => {
                 target.health.succeeded(now_ms);
-                let beside = target.load.own();
-                target.limit.sample(now_ms, latency_ms, beside + 1);
+                let in_flight = target.load.own() + 1;
+                target.limit.sample(now_ms, latency_ms, in_flight);
                 let service = self.services.get_mut(&target.declared.service);
                 if class == Class::Online
                     && let Some(state) = service
@@ -233,10 +237,15 @@
                 target.health.hold(now_ms, retry_after_ms);
             }
             AttemptEnd::Lost(Doubt::DeadlinePassed) | AttemptEnd::Cut(Doubt::DeadlinePassed) => {
-                target.limit.pushed_back(now_ms);
+                target.limit.timed_out(now_ms, latency_ms);
             }
             AttemptEnd::Failed | AttemptEnd::Lost(_) | AttemptEnd::Cut(_) => {
-                if target.health.failed() && self.targets.eject_failing(now_ms, id) {
+                if end != AttemptEnd::Failed {
+                    target.limit.pushed_back(now_ms);
+                }
+                if target.health.failed(attempt.beside)
+                    && self.targets.eject_failing(now_ms, attempt.target)
+                {
                     self.counters.ejected(Ejection::Failing);
                 }
             }
--- a/crates/samphiredoor-core/src/dispatch/health.rs
+++ b/crates/samphiredoor-core/src/dispatch/health.rs
@@ -5,7 +5,7 @@
 const LONGEST_EJECTION_MS: u64 = 60_000;
 const LONGEST_UNREACHABLE_MS: u64 = 10_000;
 const FORGIVEN_AFTER_MS: u64 = 60_000;
-const SLOW_START_MS: u64 = 10_000;
+const SLOW_START_MS: u64 = 5_000;
 const SLOW_START_SHARE: f64 = 0.1;
 const HOLD_MS: u64 = 100;
 const LONGEST_HOLD_MS: u64 = 5_000;
@@ -48,6 +48,7 @@
     held_until_ms: u64,
     told_leaving_until_ms: u64,
     failures: u32,
+    failures_to_eject: u32,
     ejections: u32,
     returned_ms: Option<u64>,
 }
@@ -73,8 +74,11 @@
         (back_ms > now_ms).then_some(back_ms)
     }
 
-    /// Share of its limit that it gets, rising after its return.
+    /// Share of its limit that it gets: none while ejected, rising after its return.
     pub(super) fn share(&self, now_ms: u64) -> f64 {
+        if self.is_ejected(now_ms) {
+            return 0.0;
+        }
         let from_ejection = self.ejected.map(|it| it.until_ms).filter(|it| *it <= now_ms);
         match from_ejection.max(self.returned_ms) {
             Some(since_ms) => {
@@ -99,10 +103,17 @@
         self.eject(now_ms, Ejection::Unreachable, LONGEST_UNREACHABLE_MS)
     }
 
-    /// An answer was lost, or says that the target failed. Tells whether the target is to be ejected.
-    pub(super) fn failed(&mut self) -> bool {
+    /// An answer was lost, or says that the target failed, to an attempt that began while `beside` others ran there.
+    /// Tells whether the target is to be ejected.
+    ///
+    /// A target that has too much to do loses some answers and gives others, and ejecting it would put its work on the
+    /// rest until they fail as well: its limit gives way instead. One that loses all that ran there, one after the other,
+    /// has failed.
+    pub(super) fn failed(&mut self, beside: u32) -> bool {
+        let already = if self.failures == 0 { FAILURES_TO_EJECT } else { self.failures_to_eject };
+        self.failures_to_eject = already.max(beside);
         self.failures += 1;
-        self.failures >= FAILURES_TO_EJECT
+        self.failures >= self.failures_to_eject
     }
 
     /// Ejects after failures. Tells whether it is ejected by this.
--- a/crates/samphiredoor-core/src/dispatch/limits.rs
+++ b/crates/samphiredoor-core/src/dispatch/limits.rs
@@ -1,7 +1,7 @@
 //! How many attempts a target gets at once: a limit below the declared one, which gives way when the target slows.
 //!
 //! Additive increase, multiplicative decrease. The sign of trouble is a latency far above the best that the target has
-//! shown, a refusal by the target, or a deadline that passed there. Engines batch, so that their latency rises by a few
+//! shown, a refusal by the target, a lost answer, or a deadline that passed there. Engines batch, so that their latency rises by a few
 //! times between an empty and a full batch while throughput still grows: the tolerance lies above that.
 
 const TOLERANCE: f64 = 4.0;
@@ -59,7 +59,15 @@
         }
     }
 
-    /// The target refused work, or let a deadline pass.
+    /// A deadline passed after an attempt had run for `elapsed_ms`. That says something about the target only if the
+    /// time was long: a request may have been sent with little time left.
+    pub(super) fn timed_out(&mut self, now_ms: u64, elapsed_ms: u64) {
+        if elapsed_ms as f64 > self.baseline_ms * TOLERANCE {
+            self.decrease(now_ms, PUSHBACK_DECREASE);
+        }
+    }
+
+    /// The target refused work, or lost an answer.
     pub(super) fn pushed_back(&mut self, now_ms: u64) {
         self.decrease(now_ms, PUSHBACK_DECREASE);
     }
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -59,7 +59,17 @@
     /// Batch, waiting for lent capacity.
     Waiting,
     /// At a target.
-    Running { target: TargetId, started_ms: u64, recalled: bool },
+    Running(Running),
+}
+
+/// An attempt in hand.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    target: TargetId,
+    started_ms: u64,
+    /// Attempts of this process that ran at the target when it started.
+    beside: u32,
+    recalled: bool,
 }
 
 #[derive(Debug)]
--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -26,7 +26,7 @@
 /// Targets of one service in the own availability zone, in the rest of the region, and beyond.
 const SUBSET: [usize; 3] = [20, 10, 6];
 const SUBSET_TOTAL: usize = SUBSET[0] + SUBSET[1] + SUBSET[2];
-const MAX_FAILING_SHARE: f64 = 0.5;
+const MAX_MISSING_SHARE: f64 = 0.5;
 
 /// Index of a target; valid while the target is in use or has an attempt running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -278,17 +278,18 @@
         }
     }
 
-    /// Ejects a target that fails, unless half of its service's targets are ejected already: a fault that all of them
-    /// show lies elsewhere. Tells whether it is ejected by this.
+    /// Ejects a target that fails, unless half of its service's targets would be missing then: a fault that all of them
+    /// show lies elsewhere. One that has just returned counts by the share that it does not get yet, as its work lies
+    /// on the others all the same. Tells whether it is ejected by this.
     pub(super) fn eject_failing(&mut self, now_ms: u64, id: TargetId) -> bool {
         let Some(target) = self.get(id) else { return false };
         let service = Name::clone(&target.declared.service);
-        let (mut all, mut ejected) = (0, 1);
+        let (mut all, mut missing) = (0.0, 1.0);
         for (other, target) in self.of_service(&service) {
-            all += 1;
-            ejected += u32::from(other != id && target.health.is_ejected(now_ms));
+            all += 1.0;
+            missing += if other == id { 0.0 } else { 1.0 - target.health.share(now_ms) };
         }
-        if f64::from(ejected) > MAX_FAILING_SHARE * f64::from(all) {
+        if missing > MAX_MISSING_SHARE * all {
             return false;
         }
         self.get_mut(id).is_some_and(|it| it.health.eject_failing(now_ms))
--- a/crates/samphiredoor-core/tests/dispatch/limits.rs
+++ b/crates/samphiredoor-core/tests/dispatch/limits.rs
@@ -1,6 +1,9 @@
 //! Who is let in, who waits, who is refused, and what is tried again.
 
+use std::collections::BTreeMap;
+
 use samphiredoor_core::{
+    Name,
     dispatch::{Action, AttemptEnd, Class, Input, Policy, RequestId, RetryReason},
     manifest::Target,
     verdict::{Doubt, Refusal, Verdict},
@@ -262,6 +265,53 @@
     assert!(again > 35, "{again}");
 }
 
+/// Requests wait, are sent with little time left, and their deadlines pass at the target. If that lowers the target's
+/// limit, the next ones wait longer, and goodput falls to half though the target is well.
+#[test]
+fn a_deadline_that_passes_soon_after_sending_is_not_held_against_the_target() {
+    let placed_after = |elapsed_ms: u64| {
+        let mut harness = full(10);
+        harness.now_ms += elapsed_ms;
+        for request in 21..31 {
+            let end = AttemptEnd::Lost(Doubt::DeadlinePassed);
+            harness.end(RequestId(request), end);
+        }
+        (0..10).filter(|_| harness.online().1.is_some()).count()
+    };
+    assert_eq!(placed_after(50), 10);
+    assert_eq!(placed_after(2_000), 7);
+}
+
+/// A target loses some answers and gives others, as it has more to do than it can. Ejecting it would put its work on the
+/// next one, which would break as well: its limit gives way instead.
+#[test]
+fn a_target_that_loses_some_answers_under_load_gets_less_work_and_is_not_ejected() {
+    let mut harness = Harness::new(targets(2, 20));
+    for _ in 0..20 {
+        let mut at = BTreeMap::<Name, usize>::new();
+        let mut ends = Vec::new();
+        for _ in 0..40 {
+            let (request, target) = harness.ask(|it| it.repeatable = false);
+            let Some(target) = sent_to(&target, request) else {
+                harness.handle(Input::Gone { request });
+                continue;
+            };
+            let beside = at.entry(target).or_default();
+            *beside += 1;
+            let lost = *beside > 10 && !beside.is_multiple_of(4);
+            let lost_end = AttemptEnd::Lost(Doubt::ConnectionLost);
+            ends.push((request, if lost { lost_end } else { AttemptEnd::Done }));
+        }
+        harness.now_ms += 100;
+        for (request, end) in ends {
+            harness.end(request, end);
+        }
+    }
+    assert_eq!(harness.dispatcher.counters().ejections, [0; 3]);
+    let placed = (0..40).filter(|_| harness.online().1.is_some()).count();
+    assert!((10..30).contains(&placed), "{placed}");
+}
+
 #[test]
 fn when_all_targets_are_lost_those_in_the_queue_are_refused_at_once() {
     let mut harness = full(1);
