--- a/crates/samphiredoor-core/examples/overload.rs
+++ b/crates/samphiredoor-core/examples/overload.rs
@@ -10,7 +10,6 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
-    net::SocketAddr,
     sync::Arc,
 };
 
@@ -18,10 +17,11 @@
 use samphiredoor_core::{
     Name,
     dispatch::{Action, Ask, AttemptEnd, Class, Dispatcher, Input, Place, Policy, RequestId},
-    manifest::{Manifest, Service, ServiceKind, Target},
+    manifest::Manifest,
     time::Now,
     verdict::{Doubt, Verdict},
 };
+use serde_json::json;
 
 const SEED: u64 = 1;
 const TARGETS: usize = 10;
@@ -87,33 +87,23 @@
 }
 
 fn manifest(breaking: bool) -> Manifest {
-    let service = Service {
-        name: "small".into(),
-        kind: ServiceKind::Engine,
-        repeatable: true,
-        deadline_ms: DEADLINE_MS,
-        headroom_percent: 100,
+    let target = |it: usize| {
+        json!({
+            "name": format!("target-{it}"),
+            "service": "small",
+            "address": "127.0.0.1:1",
+            "region": "region",
+            "availability_zone": if it.is_multiple_of(2) { "a" } else { "b" },
+            "owner": "owner",
+            "concurrency_limit": if breaking { 2 * ROOM } else { ROOM },
+        })
     };
-    let target = |it: usize| Target {
-        name: format!("target-{it}").into(),
-        service: "small".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        region: "region".into(),
-        availability_zone: if it.is_multiple_of(2) { "a".into() } else { "b".into() },
-        owner: "owner".into(),
-        concurrency_limit: if breaking { 2 * ROOM } else { ROOM },
-        loan_limit: 0,
-        checks_fencing: false,
-        drained: false,
-        reclaimed: false,
-    };
-    let targets = (0..TARGETS).map(target).map(|it| (Name::clone(&it.name), it));
-    Manifest {
-        revision: 1,
-        services: [(Name::from("small"), service)].into(),
-        targets: targets.collect(),
-        workspaces: BTreeMap::new(),
-    }
+    let declared = json!({
+        "services": [{ "name": "small", "kind": "engine" }],
+        "targets": (0..TARGETS).map(target).collect::<Vec<_>>(),
+    });
+    let declared = serde_json::from_value(declared).expect("the declarations have their shape");
+    Manifest::new(1, &declared).expect("the declarations make sense")
 }
 
 impl World {
