Measure doors under open-loop load with recording engines

It records what online tokens felt and what batch work got. 'standin load' sends a scenario's arrivals at their own times and counts latency from them; 'standin table' gives ratios to the first run.

--- a/crates/samphiredoor-embedded/src/engine_http.rs
+++ b/crates/samphiredoor-embedded/src/engine_http.rs
@@ -1,8 +1,8 @@
 //! An engine over HTTP: the usual completion calls, whole and streamed, a load report, and a record of what ran.
 //!
 //! `POST /v1/completions` and `POST /v1/chat/completions` answer with one word a token; closing the connection aborts
-//! the sequence. `GET /load` is the lagging report, `GET /runs` counts how often each `x-request-id` was run. A prompt
-//! that holds the text of `crash_on` ends the engine, as a broken request would.
+//! the sequence. `GET /load` is the lagging report, `GET /runs` counts how often each `x-request-id` was run, `GET /record`
+//! tells what the steps were like, and `DELETE /record` sets that to zero. A prompt that holds the text of `crash_on` ends the engine, as a broken request would.
 
 use std::{
     cell::RefCell,
@@ -18,7 +18,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    engine::{Batch, EngineConfig, LoadReport},
+    engine::{Admission, Batch, EngineConfig, LoadReport},
+    engine_record::EngineRecord,
     json,
 };
 
@@ -97,19 +98,26 @@
 
     /// Steps the batch until the process ends.
     pub async fn run_steps(self) {
+        // Ends of steps follow from each other, not from when the task woke: a late wake does not add up.
+        let mut step_end = Instant::now();
         loop {
             if self.state.borrow().batch.is_empty() {
                 self.record_load();
                 compio::time::sleep(IDLE_POLL).await;
+                step_end = Instant::now();
                 continue;
             }
             let step_ms = {
                 let state = &mut *self.state.borrow_mut();
                 state.batch.begin_step(&state.config)
             };
-            compio::time::sleep(Duration::from_secs_f64(step_ms / 1_000.0)).await;
-            self.state.borrow_mut().batch.end_step();
-            self.record_load();
+            step_end += Duration::from_secs_f64(step_ms / 1_000.0);
+            compio::time::sleep_until(step_end).await;
+            let late = Instant::now().saturating_duration_since(step_end);
+            let state = &mut *self.state.borrow_mut();
+            state.batch.record().late(late.as_micros() as u64);
+            state.batch.end_step();
+            record_load(state);
         }
     }
 
@@ -118,6 +126,13 @@
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/load") => json::answer(StatusCode::OK, &self.reported_load()),
             (Method::GET, "/runs") => json::answer(StatusCode::OK, &self.state.borrow().runs),
+            (Method::GET, "/record") => {
+                json::answer(StatusCode::OK, self.state.borrow_mut().batch.record())
+            }
+            (Method::DELETE, "/record") => {
+                *self.state.borrow_mut().batch.record() = EngineRecord::default();
+                json::status(StatusCode::OK, "Reset", "set to zero")
+            }
             (Method::GET, "/health") => json::status(StatusCode::OK, "Ready", "ready"),
             (Method::POST, "/v1/completions" | "/v1/chat/completions") => {
                 self.complete(request).await
@@ -150,7 +165,8 @@
         *state.runs.started.entry(id.to_owned()).or_default() += 1;
         let total = call.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1);
         let first = call.resume_from_token.min(total - 1);
-        let receiver = state.batch.admit(prompt.len(), first, total - first);
+        let admission = Admission { id, prompt, first_index: first, tokens: total - first };
+        let receiver = state.batch.admit(&state.config, admission);
         let tokens = Tokens {
             receiver,
             remaining: total - first,
@@ -169,13 +185,7 @@
     }
 
     fn record_load(&self) {
-        let state = &mut *self.state.borrow_mut();
-        let now = Instant::now();
-        let lag = Duration::from_millis(state.config.report_lag_ms);
-        state.reports.push_back((now, state.batch.load()));
-        while state.reports.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= lag) {
-            state.reports.pop_front();
-        }
+        record_load(&mut self.state.borrow_mut());
     }
 
     fn reported_load(&self) -> LoadReport {
@@ -183,6 +193,15 @@
     }
 }
 
+fn record_load(state: &mut State) {
+    let now = Instant::now();
+    let lag = Duration::from_millis(state.config.report_lag_ms);
+    state.reports.push_back((now, state.batch.load()));
+    while state.reports.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= lag) {
+        state.reports.pop_front();
+    }
+}
+
 struct Tokens {
     receiver: flume::Receiver<u32>,
     remaining: u32,
--- a/crates/samphiredoor-embedded/src/lib.rs
+++ b/crates/samphiredoor-embedded/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod engine;
 pub mod engine_http;
+pub mod engine_record;
 pub mod json;
 pub mod objects;
 pub mod objects_http;
+pub mod prefix_cache;
 pub mod service_http;
--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -1,6 +1,6 @@
 //! Command line of the stand-ins.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 
@@ -30,6 +30,15 @@
         /// Added time of a step for each sequence, in milliseconds
         #[bpaf(argument("MS"), fallback(0.2), display_fallback)]
         step_per_sequence_ms: f64,
+        /// Added time of a step for each 1,000 bytes of prompt that joins, in milliseconds
+        #[bpaf(argument("MS"), fallback(1.0), display_fallback)]
+        prefill_per_kilobyte_ms: f64,
+        /// Engines to run, on ports from the given one on
+        #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+        count: u16,
+        /// Time on the way to the engine and back, in milliseconds
+        #[bpaf(argument("MS"), fallback(0.0), display_fallback)]
+        delay_ms: f64,
         /// Sequences that run at once
         #[bpaf(argument("COUNT"), fallback(64), display_fallback)]
         max_running: usize,
@@ -47,6 +56,46 @@
         #[bpaf(argument("MS"), fallback(1), display_fallback)]
         delay_ms: u64,
     },
+    /// Sends the load of a scenario through doors and adds a row of figures to a file
+    #[bpaf(command)]
+    Load {
+        /// Label of the row
+        #[bpaf(argument("LABEL"))]
+        label: String,
+        /// File that gets the row
+        #[bpaf(argument("FILE"))]
+        out: PathBuf,
+        /// Callers' listeners of the doors, separated by commas
+        #[bpaf(argument("ADDRESSES"))]
+        doors: String,
+        /// Engines, separated by commas
+        #[bpaf(argument("ADDRESSES"))]
+        engines: String,
+        /// Submit no jobs
+        no_batch: bool,
+        /// Scenario
+        #[bpaf(positional("SCENARIO"))]
+        scenario: PathBuf,
+    },
+    /// Prints the rows of a file as ratios to the first
+    #[bpaf(command)]
+    Table {
+        /// Time of a step without sequences, in milliseconds
+        #[bpaf(argument("MS"))]
+        step_ms: f64,
+        /// Added time of a step for each sequence, in milliseconds
+        #[bpaf(argument("MS"))]
+        step_per_sequence_ms: f64,
+        /// Number of engines
+        #[bpaf(argument("COUNT"))]
+        engines: f64,
+        /// Most batch sequences at one engine
+        #[bpaf(argument("COUNT"))]
+        loan_limit: f64,
+        /// File with the rows
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
 }
 
 /// Parses the arguments; ends the process on `--help` and on errors.
--- /dev/null
+++ b/crates/samphiredoor-standin/src/load.rs
@@ -0,0 +1,176 @@
+//! Sends the requests of a scenario and measures what came back.
+//!
+//! Arrivals are open-loop: each request is sent at its time, whether or not earlier ones were answered, and its latency
+//! counts from the time at which it should have been sent. So a slow system cannot slow its own load down.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{Method, Request, header};
+use samphiredoor_embedded::engine_record::EngineRecord;
+use samphiredoor_net::{
+    Body, Pool,
+    body::read_whole,
+    pool::{Answer, within},
+};
+
+use crate::{
+    measured::{Measured, OnlineEnd},
+    scenario::{Arrival, Scenario},
+};
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_BODY_BYTES: usize = 64_000_000;
+
+/// Where a run's load goes, and who is asked about it.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    /// Callers' listeners of the doors.
+    pub doors: Vec<SocketAddr>,
+    /// Engines, for their records.
+    pub engines: Vec<SocketAddr>,
+}
+
+/// Runs a scenario once.
+pub async fn run(scenario: &Scenario, fleet: &Fleet, batch: bool) -> anyhow::Result<Measured> {
+    let arrivals = scenario.arrivals(fleet.doors.len());
+    let doors: Vec<Pool> = fleet.doors.iter().map(|it| Pool::new(*it)).collect();
+    let engines: Vec<Pool> = fleet.engines.iter().map(|it| Pool::new(*it)).collect();
+    if batch {
+        submit_jobs(scenario, &doors).await?;
+    }
+    let warmup = Duration::from_secs_f64(scenario.warmup_s);
+    let measured = Rc::new(RefCell::new(Measured::new(warmup)));
+    let start = Instant::now();
+    let service = scenario.service.as_str().into();
+    let sending = send_all(start, service, arrivals, doors, Rc::clone(&measured));
+    let sending = compio::runtime::spawn(sending);
+    compio::time::sleep_until(start + warmup).await;
+    for engine in &engines {
+        call(engine, Method::DELETE, "/record", &[], String::new()).await?;
+    }
+    let from = Instant::now();
+    compio::time::sleep_until(start + warmup + Duration::from_secs_f64(scenario.measure_s)).await;
+    let mut records = Vec::new();
+    for engine in &engines {
+        let answer = call(engine, Method::GET, "/record", &[], String::new()).await?;
+        records.push(serde_json::from_slice::<EngineRecord>(&answer)?);
+    }
+    let elapsed_s = from.elapsed().as_secs_f64();
+    let answers = sending.await.ok().context("the sender failed")?;
+    for answer in answers {
+        let _ = within(ANSWER_TIMEOUT, answer).await;
+    }
+    let mut measured = measured.take();
+    measured.engines(records, elapsed_s);
+    Ok(measured)
+}
+
+type Handle = compio::runtime::JoinHandle<()>;
+
+async fn send_all(
+    start: Instant,
+    service: Rc<str>,
+    arrivals: Vec<Arrival>,
+    doors: Vec<Pool>,
+    measured: Rc<RefCell<Measured>>,
+) -> Vec<Handle> {
+    let mut handles = Vec::new();
+    for arrival in arrivals {
+        compio::time::sleep_until(start + arrival.at).await;
+        let door = doors[arrival.door].clone();
+        let service = Rc::clone(&service);
+        let measured = Rc::clone(&measured);
+        handles.push(compio::runtime::spawn(async move {
+            let at = arrival.at;
+            let end = within(ANSWER_TIMEOUT, one(start, service, arrival, door)).await;
+            measured.borrow_mut().online(at, &end.unwrap_or(OnlineEnd::failed("no_answer")));
+        }));
+    }
+    handles
+}
+
+async fn one(start: Instant, service: Rc<str>, arrival: Arrival, door: Pool) -> OnlineEnd {
+    let body = serde_json::json!({
+        "model": &*service, "prompt": arrival.prompt, "max_tokens": arrival.tokens, "stream": true,
+    });
+    let request = request(Method::POST, "/v1/completions", &[], body.to_string());
+    let Ok(response) = door.send(request).await else { return OnlineEnd::failed("connection") };
+    if !response.status().is_success() {
+        let body = read_whole(response.into_body(), MAX_BODY_BYTES).await.unwrap_or_default();
+        let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        return OnlineEnd::failed(value["error"]["type"].as_str().unwrap_or("unnamed"));
+    }
+    read_stream(start + arrival.at, response.into_body()).await
+}
+
+async fn read_stream(due: Instant, mut body: Answer) -> OnlineEnd {
+    let mut end = OnlineEnd::default();
+    let mut last = due;
+    let mut done = false;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return OnlineEnd::failed("cut") };
+        let Ok(data) = frame.into_data() else { continue };
+        let now = Instant::now();
+        for event in data.split(|it| *it == b'\n').filter(|it| it.starts_with(b"data: ")) {
+            if event == b"data: [DONE]" {
+                done = true;
+                continue;
+            }
+            let gap_us = now.saturating_duration_since(last).as_micros() as u64;
+            match end.first_token_us {
+                None => end.first_token_us = Some(gap_us),
+                Some(_) => end.gaps_us.push(gap_us),
+            }
+            last = now;
+        }
+    }
+    end.whole_us = last.saturating_duration_since(due).as_micros() as u64;
+    if done { end } else { OnlineEnd::failed("cut") }
+}
+
+async fn submit_jobs(scenario: &Scenario, doors: &[Pool]) -> anyhow::Result<()> {
+    let mut number = 0;
+    for door in doors {
+        for _ in 0..scenario.batch.jobs_per_door {
+            let key = format!("load-{number}");
+            let workspace = format!("workspace-{}", number % 2);
+            let headers = [("idempotency-key", key.as_str()), ("x-workspace", &workspace)];
+            let body = scenario.job(number);
+            call(door, Method::POST, "/v1/batches", &headers, body).await?;
+            number += 1;
+        }
+    }
+    Ok(())
+}
+
+async fn call(
+    pool: &Pool,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> anyhow::Result<Bytes> {
+    let sent = pool.send(request(method, path, headers, body)).await;
+    let response = sent.map_err(|err| anyhow::anyhow!("{path}: {err:?}"))?;
+    let status = response.status();
+    let body = read_whole(response.into_body(), MAX_BODY_BYTES).await;
+    let body = body.map_err(|err| anyhow::anyhow!("{path}: {err:?}"))?;
+    ensure!(status.is_success(), "{path}: {status} {}", String::from_utf8_lossy(&body));
+    Ok(body)
+}
+
+fn request(method: Method, path: &str, headers: &[(&str, &str)], body: String) -> Request<Body> {
+    let mut request = Request::builder().method(method).uri(path).header(header::HOST, "load");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Body::full(body)).unwrap_or_else(|_| Request::new(Body::empty()))
+}
--- a/crates/samphiredoor-standin/src/main.rs
+++ b/crates/samphiredoor-standin/src/main.rs
@@ -1,7 +1,11 @@
 //! Stand-ins for the platform and the targets, as processes of their own.
 
 mod cli;
+mod load;
+mod measured;
+mod scenario;
 mod serve;
+mod table;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/samphiredoor-standin/src/measured.rs
@@ -0,0 +1,183 @@
+//! What a run measured, and its row in the table.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+use samphiredoor_embedded::engine_record::{EngineRecord, STEP_CLASS_US};
+
+/// How one online request ended.
+#[derive(Debug, Clone, Default)]
+pub struct OnlineEnd {
+    /// From the time it should have been sent to its first token.
+    pub first_token_us: Option<u64>,
+    /// Between tokens.
+    pub gaps_us: Vec<u64>,
+    /// From the time it should have been sent to its last token.
+    pub whole_us: u64,
+    /// Why it has no whole answer.
+    pub error: Option<String>,
+}
+
+impl OnlineEnd {
+    /// A request without a whole answer.
+    pub fn failed(why: &str) -> OnlineEnd {
+        OnlineEnd { error: Some(why.to_owned()), ..OnlineEnd::default() }
+    }
+}
+
+type Times = Histogram<u64>;
+
+fn times() -> Times {
+    // The arguments are constants that the library takes.
+    Histogram::new_with_bounds(1, 120_000_000, 3).expect("a histogram of up to two minutes")
+}
+
+/// Figures of a run.
+#[derive(Debug)]
+pub struct Measured {
+    from: Duration,
+    first_token: Times,
+    gap: Times,
+    whole: Times,
+    first_token_by_second: BTreeMap<u64, Times>,
+    gap_by_second: BTreeMap<u64, Times>,
+    errors: BTreeMap<String, u64>,
+    engines: Vec<EngineRecord>,
+    elapsed_s: f64,
+}
+
+impl Default for Measured {
+    fn default() -> Measured {
+        Measured::new(Duration::ZERO)
+    }
+}
+
+impl Measured {
+    /// Nothing measured; requests due before `from` will not count.
+    pub fn new(from: Duration) -> Measured {
+        Measured {
+            from,
+            first_token: times(),
+            gap: times(),
+            whole: times(),
+            first_token_by_second: BTreeMap::new(),
+            gap_by_second: BTreeMap::new(),
+            errors: BTreeMap::new(),
+            engines: Vec::new(),
+            elapsed_s: 0.0,
+        }
+    }
+
+    /// Adds an online request that was due at `at`.
+    pub fn online(&mut self, at: Duration, end: &OnlineEnd) {
+        let Some(measured_at) = at.checked_sub(self.from) else { return };
+        if let Some(error) = &end.error {
+            *self.errors.entry(error.clone()).or_default() += 1;
+            return;
+        }
+        let second = measured_at.as_secs();
+        let first_token_us = end.first_token_us.unwrap_or(end.whole_us);
+        self.first_token.saturating_record(first_token_us);
+        let by_second = self.first_token_by_second.entry(second).or_insert_with(times);
+        by_second.saturating_record(first_token_us);
+        self.whole.saturating_record(end.whole_us);
+        let by_second = self.gap_by_second.entry(second).or_insert_with(times);
+        for gap_us in &end.gaps_us {
+            self.gap.saturating_record(*gap_us);
+            by_second.saturating_record(*gap_us);
+        }
+    }
+
+    /// Adds what the engines recorded during `elapsed_s`.
+    pub fn engines(&mut self, records: Vec<EngineRecord>, elapsed_s: f64) {
+        self.engines = records;
+        self.elapsed_s = elapsed_s;
+    }
+
+    /// Row of the table.
+    pub fn row(&self, label: &str) -> Row {
+        let sum = |field: fn(&EngineRecord) -> u64| self.engines.iter().map(field).sum::<u64>();
+        let steps = self.steps();
+        let steps_done = sum(|it| it.steps).max(1);
+        let lost = sum(|it| it.batch_tokens_lost);
+        let batch_tokens = sum(|it| it.batch_tokens);
+        let mut row = Row { label: label.to_owned(), ..Row::default() };
+        let figures = &mut row.figures;
+        let mut add = |name: &str, value: f64| figures.push((name.to_owned(), value));
+        add("answered", self.whole.len() as f64);
+        add("errors", self.errors.values().sum::<u64>() as f64);
+        for (name, histogram) in
+            [("ttft", &self.first_token), ("gap", &self.gap), ("whole", &self.whole)]
+        {
+            for (quantile, at) in [("p50", 0.5), ("p99", 0.99), ("p999", 0.999)] {
+                let ms = histogram.value_at_quantile(at) as f64 / 1_000.0;
+                add(&format!("{name}_{quantile}_ms"), ms);
+            }
+        }
+        add("worst_second_ttft_p99_ms", worst_second(&self.first_token_by_second));
+        add("worst_second_gap_p99_ms", worst_second(&self.gap_by_second));
+        for (quantile, at) in [("p50", 0.5), ("p99", 0.99)] {
+            let ms = steps.value_at_quantile(at) as f64 / 1_000.0;
+            add(&format!("online_step_{quantile}_ms"), ms);
+        }
+        add("online_step_mean_ms", steps.mean() / 1_000.0);
+        add("online_tokens_per_s", sum(|it| it.online_tokens) as f64 / self.elapsed_s);
+        add("batch_tokens_per_s", (batch_tokens - lost.min(batch_tokens)) as f64 / self.elapsed_s);
+        add("batch_items_per_s", sum(|it| it.batch_completed) as f64 / self.elapsed_s);
+        add("batch_lost_percent", 100.0 * lost as f64 / batch_tokens.max(1) as f64);
+        add("batch_aborted", sum(|it| it.batch_aborted) as f64);
+        add("step_mean_ms", sum(|it| it.steps_us) as f64 / steps_done as f64 / 1_000.0);
+        add("step_late_mean_us", sum(|it| it.late_us) as f64 / steps_done as f64);
+        let worst_late_us = self.engines.iter().map(|it| it.worst_late_us).max();
+        add("step_late_worst_us", worst_late_us.unwrap_or(0) as f64);
+        add("load_average", load_average());
+        row
+    }
+
+    /// Errors by reason.
+    pub fn errors(&self) -> &BTreeMap<String, u64> {
+        &self.errors
+    }
+
+    fn steps(&self) -> Times {
+        let mut steps = times();
+        for (class, count) in self.engines.iter().flat_map(|it| &it.online_steps) {
+            let us = class * STEP_CLASS_US + STEP_CLASS_US / 2;
+            let _ = steps.record_n(us, *count);
+        }
+        steps
+    }
+}
+
+fn worst_second(by_second: &BTreeMap<u64, Times>) -> f64 {
+    let p99 = by_second.values().map(|it| it.value_at_quantile(0.99)).max();
+    p99.unwrap_or(0) as f64 / 1_000.0
+}
+
+fn load_average() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').next().and_then(|it| it.parse().ok()).unwrap_or(0.0)
+}
+
+/// One run as figures with names.
+#[derive(Debug, Clone, Default)]
+pub struct Row {
+    /// Variant that was run.
+    pub label: String,
+    /// Figures in order.
+    pub figures: Vec<(String, f64)>,
+}
+
+impl Row {
+    /// Names of the columns.
+    pub fn heading(&self) -> String {
+        let names: Vec<&str> = self.figures.iter().map(|(name, _)| name.as_str()).collect();
+        format!("label,{}", names.join(","))
+    }
+
+    /// Values, separated by commas.
+    pub fn line(&self) -> String {
+        let values: Vec<String> = self.figures.iter().map(|(_, it)| format!("{it:.3}")).collect();
+        format!("{},{}", self.label, values.join(","))
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/scenario.rs
@@ -0,0 +1,177 @@
+//! Scenario files of the load tool, and the arrivals drawn from them.
+
+use std::{path::Path, time::Duration};
+
+use anyhow::Context;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Deserialize;
+
+/// What is sent during a run.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Service that is asked for.
+    pub service: String,
+    /// Load before the measurement begins.
+    pub warmup_s: f64,
+    /// Length of the measurement.
+    pub measure_s: f64,
+    /// Online requests.
+    pub online: OnlineLoad,
+    /// Batch jobs.
+    pub batch: BatchLoad,
+}
+
+/// Online requests: Poisson arrivals with bursts, whether or not earlier ones were answered.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OnlineLoad {
+    /// Arrivals at all doors together.
+    pub rate_per_s: f64,
+    /// Factor on the rate during a burst.
+    #[serde(default = "one")]
+    pub burst_factor: f64,
+    /// Mean time between bursts; 0 for none.
+    #[serde(default)]
+    pub burst_every_s: f64,
+    /// Length of a burst.
+    #[serde(default)]
+    pub burst_s: f64,
+    /// Least and most bytes of a prompt.
+    pub prompt_bytes: [usize; 2],
+    /// Bytes at the beginning of a prompt that are shared with others.
+    #[serde(default)]
+    pub shared_prefix_bytes: usize,
+    /// Number of such beginnings.
+    #[serde(default = "one_prefix")]
+    pub prefixes: u64,
+    /// Least and most tokens of an answer.
+    pub tokens: [u32; 2],
+}
+
+/// Jobs that are submitted at the start.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BatchLoad {
+    /// Jobs at each door.
+    pub jobs_per_door: u32,
+    /// Items of each job.
+    pub items_per_job: u32,
+    /// Least and most bytes of a prompt.
+    pub prompt_bytes: [usize; 2],
+    /// Least and most tokens of an answer.
+    pub tokens: [u32; 2],
+}
+
+/// One online request.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it is to be sent, counted from the start.
+    pub at: Duration,
+    /// Which door.
+    pub door: usize,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens asked for.
+    pub tokens: u32,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn one_prefix() -> u64 {
+    1
+}
+
+impl Scenario {
+    /// Reads a scenario file.
+    pub fn read(file: &Path) -> anyhow::Result<Scenario> {
+        let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+        toml::from_str(&text).with_context(|| file.display().to_string())
+    }
+
+    /// All arrivals of a run, in order; the same for each run.
+    pub fn arrivals(&self, doors: usize) -> Vec<Arrival> {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let bursts = self.bursts(&mut rng);
+        let end_s = self.warmup_s + self.measure_s;
+        let peak = self.online.rate_per_s * self.online.burst_factor.max(1.0);
+        let mut arrivals = Vec::new();
+        let mut at_s = 0.0;
+        loop {
+            at_s += exponential(&mut rng, 1.0 / peak);
+            if at_s >= end_s {
+                return arrivals;
+            }
+            // Thinning: drawn at the peak rate, kept with the share that the rate of the moment has of it.
+            let bursting = bursts.iter().any(|it| (*it..*it + self.online.burst_s).contains(&at_s));
+            let factor = if bursting { self.online.burst_factor } else { 1.0 };
+            let kept = rng.random::<f64>() < factor * self.online.rate_per_s / peak;
+            let arrival = self.arrival(at_s, doors, &mut rng);
+            if kept {
+                arrivals.push(arrival);
+            }
+        }
+    }
+
+    /// Body of a job, as JSON lines.
+    pub fn job(&self, number: u32) -> String {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ u64::from(number + 1).rotate_left(32));
+        let mut lines = String::new();
+        for index in 0..self.batch.items_per_job {
+            let prompt = text(&mut rng, self.batch.prompt_bytes);
+            let tokens = between(&mut rng, self.batch.tokens);
+            let body = serde_json::json!({
+                "model": self.service, "prompt": prompt, "max_tokens": tokens,
+            });
+            let item = serde_json::json!({
+                "custom_id": format!("item-{index}"), "url": "/v1/completions", "body": body,
+            });
+            lines.push_str(&item.to_string());
+            lines.push('\n');
+        }
+        lines
+    }
+
+    fn bursts(&self, rng: &mut SmallRng) -> Vec<f64> {
+        let mut starts = Vec::new();
+        if self.online.burst_every_s <= 0.0 {
+            return starts;
+        }
+        let mut at_s = exponential(rng, self.online.burst_every_s);
+        while at_s < self.warmup_s + self.measure_s {
+            starts.push(at_s);
+            at_s += exponential(rng, self.online.burst_every_s);
+        }
+        starts
+    }
+
+    fn arrival(&self, at_s: f64, doors: usize, rng: &mut SmallRng) -> Arrival {
+        let prefix = rng.random_range(0..self.online.prefixes);
+        let mut prompt = format!("prefix {prefix} ").repeat(self.online.shared_prefix_bytes / 8);
+        prompt.truncate(self.online.shared_prefix_bytes);
+        prompt.push_str(&text(rng, self.online.prompt_bytes));
+        Arrival {
+            at: Duration::from_secs_f64(at_s),
+            door: rng.random_range(0..doors),
+            prompt,
+            tokens: between(rng, self.online.tokens),
+        }
+    }
+}
+
+fn exponential(rng: &mut SmallRng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+fn between(rng: &mut SmallRng, [least, most]: [u32; 2]) -> u32 {
+    rng.random_range(least..=most)
+}
+
+fn text(rng: &mut SmallRng, [least, most]: [usize; 2]) -> String {
+    let bytes = rng.random_range(least..=most);
+    (0..bytes).map(|_| char::from(rng.random_range(b'a'..=b'z'))).collect()
+}
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -1,6 +1,6 @@
-//! Runs one stand-in until the process is ended.
+//! Runs what the command line asked for: a stand-in until the process is ended, or one run of the load tool.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::Write, net::SocketAddr, path::Path, time::Duration};
 
 use anyhow::Context;
 use hyper::{Request, Response, body::Incoming};
@@ -9,7 +9,13 @@
 };
 use samphiredoor_net::{Body, ServeLimits, Server};
 
-use crate::cli::Opts;
+use crate::{
+    cli::Opts,
+    load::{self, Fleet},
+    measured::Row,
+    scenario::Scenario,
+    table::{self, Bound},
+};
 
 /// Runs what was asked for.
 pub fn run(opts: Opts) -> anyhow::Result<()> {
@@ -24,24 +30,44 @@
                 model,
                 step_ms,
                 step_per_sequence_ms,
+                prefill_per_kilobyte_ms,
                 max_running,
                 crash_on,
+                count,
+                delay_ms,
             } => {
                 let config = EngineConfig {
                     model,
                     step_ms,
                     step_per_sequence_ms,
+                    prefill_per_kilobyte_ms,
                     max_running,
                     ..EngineConfig::default()
                 };
-                let engine = Engine::new(config).with_crash_on(crash_on);
-                compio::runtime::spawn(engine.clone().run_steps()).detach();
-                serve("engine", address, move |request| engine.clone().handle(request)).await
+                let delay = Duration::from_secs_f64(delay_ms / 1_000.0);
+                for number in 1..count {
+                    let address = SocketAddr::new(address.ip(), address.port() + number);
+                    let engine = Engine::new(config.clone()).with_crash_on(crash_on.clone());
+                    compio::runtime::spawn(serve_engine(address, engine, delay)).detach();
+                }
+                serve_engine(address, Engine::new(config).with_crash_on(crash_on), delay).await
             }
             Opts::Service { address, delay_ms } => {
                 let service = PlainService::new(Duration::from_millis(delay_ms));
                 serve("service", address, move |request| service.clone().handle(request)).await
             }
+            Opts::Load { label, out, doors, engines, no_batch, scenario } => {
+                let fleet = Fleet { doors: addresses(&doors)?, engines: addresses(&engines)? };
+                let scenario = Scenario::read(&scenario)?;
+                let measured = load::run(&scenario, &fleet, !no_batch).await?;
+                for (reason, count) in measured.errors() {
+                    println!("{label}: {count} requests ended with {reason}");
+                }
+                add_row(&out, &measured.row(&label))
+            }
+            Opts::Table { step_ms, step_per_sequence_ms, engines, loan_limit, file } => {
+                table::print(&file, Bound { step_ms, step_per_sequence_ms, engines, loan_limit })
+            }
         }
     })
 }
@@ -58,3 +84,31 @@
     server.run(handler).await;
     Ok(())
 }
+
+async fn serve_engine(address: SocketAddr, engine: Engine, delay: Duration) -> anyhow::Result<()> {
+    compio::runtime::spawn(engine.clone().run_steps()).detach();
+    serve("engine", address, move |request| {
+        let engine = engine.clone();
+        async move {
+            if !delay.is_zero() {
+                compio::time::sleep(delay).await;
+            }
+            engine.handle(request).await
+        }
+    })
+    .await
+}
+
+fn addresses(list: &str) -> anyhow::Result<Vec<SocketAddr>> {
+    list.split(',').map(|it| it.parse().with_context(|| format!("`{it}` is no address"))).collect()
+}
+
+fn add_row(file: &Path, row: &Row) -> anyhow::Result<()> {
+    let new = !file.exists();
+    let mut file = std::fs::OpenOptions::new().create(true).append(true).open(file)?;
+    if new {
+        writeln!(file, "{}", row.heading())?;
+    }
+    writeln!(file, "{}", row.line())?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/table.rs
@@ -0,0 +1,80 @@
+//! The table of a whole experiment: figures of each variant as ratios to the run without batch.
+
+use std::{collections::BTreeMap, path::Path};
+
+use anyhow::Context;
+
+/// What an all-knowing scheduler could do is worked out from the engine's step time and the run without batch.
+#[derive(Debug, Clone, Copy)]
+pub struct Bound {
+    /// Time of a step with no sequence, in milliseconds.
+    pub step_ms: f64,
+    /// Added time of a step for each sequence, in milliseconds.
+    pub step_per_sequence_ms: f64,
+    /// Number of engines.
+    pub engines: f64,
+    /// Most batch sequences at one engine.
+    pub loan_limit: f64,
+}
+
+/// Slowdown of online tokens that counts as none.
+const ALLOWED_SLOWDOWN: f64 = 1.05;
+
+impl Bound {
+    /// Batch tokens a second that fit beside `online_tokens_per_s` if every step took exactly as long as the allowed
+    /// slowdown lets the 99th percentile of the run without batch be.
+    ///
+    /// More needs a longer step, which more than one token in a hundred would feel; so no scheduler can do better and
+    /// keep the goal, however much it knows of the arrivals to come.
+    pub fn batch_tokens_per_s(&self, baseline_step_p99_ms: f64, online_tokens_per_s: f64) -> f64 {
+        let step_ms = ALLOWED_SLOWDOWN * baseline_step_p99_ms;
+        let sequences = ((step_ms - self.step_ms) / self.step_per_sequence_ms).max(0.0);
+        let spare = self.engines * sequences * 1_000.0 / step_ms - online_tokens_per_s;
+        spare.clamp(0.0, self.engines * self.loan_limit * 1_000.0 / step_ms)
+    }
+}
+
+/// Prints the table of the rows in `file`, of which the first is the run without batch.
+pub fn print(file: &Path, bound: Bound) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+    let mut lines = text.lines();
+    let names: Vec<&str> = lines.next().context("no heading")?.split(',').collect();
+    let rows: Vec<BTreeMap<&str, &str>> =
+        lines.map(|line| names.iter().copied().zip(line.split(',')).collect()).collect();
+    let baseline = rows.first().context("no rows")?;
+    let figure = |row: &BTreeMap<&str, &str>, name: &str| -> f64 {
+        row.get(name).and_then(|it| it.parse().ok()).unwrap_or(0.0)
+    };
+    let ratio = |row: &BTreeMap<&str, &str>, name| figure(row, name) / figure(baseline, name);
+    let spare = bound.batch_tokens_per_s(
+        figure(baseline, "online_step_p99_ms"),
+        figure(baseline, "online_tokens_per_s"),
+    );
+    println!("All-knowing bound: {spare:.0} batch tokens/s beside the online load.");
+    println!();
+    println!(
+        "| variant | TTFT p50 | TTFT p99 | gap p50 | gap p99 | step p99 | whole p99 | worst second TTFT p99 \
+         | worst second gap p99 | batch tokens/s | of the bound | lost | errors | load |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for row in &rows {
+        let batch = figure(row, "batch_tokens_per_s");
+        println!(
+            "| {} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {batch:.0} | {:.2} | {:.1}% | {} | {} |",
+            row["label"],
+            ratio(row, "ttft_p50_ms"),
+            ratio(row, "ttft_p99_ms"),
+            ratio(row, "gap_p50_ms"),
+            ratio(row, "gap_p99_ms"),
+            ratio(row, "online_step_p99_ms"),
+            ratio(row, "whole_p99_ms"),
+            ratio(row, "worst_second_ttft_p99_ms"),
+            ratio(row, "worst_second_gap_p99_ms"),
+            batch / spare.max(1.0),
+            figure(row, "batch_lost_percent"),
+            figure(row, "errors"),
+            figure(row, "load_average"),
+        );
+    }
+    Ok(())
+}
