Lend what online requests leave free by measurement

Batch work was placed like online requests below a fixed limit, and was never taken back. Each target now has a loan: slots from the owner's limit, the level and the rise of online requests in flight, and the step's slope learnt from the engine's reports. A rise, a reclaim or a smaller share recalls the youngest attempts in the same turn.

--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -5,13 +5,16 @@
 //! actions come out in order.
 
 mod attempt;
+mod decayed;
+mod envelope;
+mod fairness;
+pub mod lender;
+mod lending;
+mod loan;
 mod routing;
+mod step_model;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -23,6 +26,7 @@
     time::Now,
     verdict::{Refusal, Verdict},
 };
+use lending::{Lending, Lent};
 use routing::Targets;
 
 /// Where a process stands.
@@ -102,6 +106,33 @@
         /// Sequences waiting.
         waiting: u32,
     },
+    /// A target's own report of the work it has done since its start.
+    Work {
+        /// Which target.
+        target: Name,
+        /// Steps.
+        steps: u64,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// The doors that are known to live, this one among them.
+    Doors {
+        /// Name of this door.
+        own_name: Name,
+        /// All names, in order.
+        live: Vec<Name>,
+    },
+    /// The lender of a target gives this door a share of its batch slots.
+    Share {
+        /// Which target.
+        target: Name,
+        /// The door that says so.
+        lender: Name,
+        /// Slots from now on.
+        slots: u32,
+        /// Number of the change; the highest one of a lender holds.
+        epoch: u64,
+    },
     /// Time passed.
     Tick,
 }
@@ -144,7 +175,8 @@
     manifest: Arc<Manifest>,
     targets: Targets,
     in_flight: BTreeMap<RequestId, InFlight>,
-    waiting_batch: VecDeque<Ask>,
+    lending: Lending,
+    lent: Vec<Lent>,
     rng: SmallRng,
 }
 
@@ -155,30 +187,45 @@
             manifest: Arc::default(),
             targets: Targets::new(place),
             in_flight: BTreeMap::new(),
-            waiting_batch: VecDeque::new(),
+            lending: Lending::new(),
+            lent: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// Takes one event; appends what to do to `out`.
-    pub fn handle(&mut self, _now: Now, input: Input, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
         match input {
             Input::Manifest(manifest) => {
                 self.targets.apply(&manifest);
+                self.lending.apply(now, &manifest, &mut self.lent);
                 self.manifest = manifest;
             }
-            Input::Ask(ask) => self.ask(ask, out),
-            Input::Ended { request, end } => self.ended(request, end, out),
-            Input::Gone { request } => self.gone(request),
+            Input::Ask(ask) => self.ask(now, ask, out),
+            Input::Ended { request, end } => self.ended(now, request, end, out),
+            Input::Gone { request } => self.gone(now, request),
             Input::Load { target, running, waiting } => {
                 self.targets.report(&target, running, waiting);
+                self.lending.report(now, &target, running, waiting, &mut self.lent);
+            }
+            Input::Work { target, steps, tokens } => {
+                self.lending.steps(now, &target, steps, tokens);
+            }
+            Input::Doors { own_name, live } => {
+                self.lending.doors(now, own_name, live, &mut self.lent);
+            }
+            Input::Share { target, lender, slots, epoch } => {
+                self.lending.share(now, &target, &lender, slots, epoch, &mut self.lent);
+            }
+            Input::Tick => {
+                let targets = &self.targets;
+                self.lending.tick(now, |it| targets.takes_batch(it), &mut self.lent);
             }
-            Input::Tick => {}
         }
-        self.lend(out);
+        self.act_on_lent(out);
     }
 
-    fn ask(&mut self, ask: Ask, out: &mut Vec<Action>) {
+    fn ask(&mut self, now: Now, ask: Ask, out: &mut Vec<Action>) {
         if self.manifest.revision == 0 {
             return refuse(&ask, Refusal::NotReady, out);
         }
@@ -186,14 +233,17 @@
             return refuse(&ask, Refusal::UnknownService, out);
         }
         match ask.class {
-            Class::Online => self.dispatch_online(ask, out),
-            Class::Batch => self.waiting_batch.push_back(ask),
+            Class::Online => self.dispatch_online(now, ask, out),
+            Class::Batch => self.lending.push(ask),
         }
     }
 
-    fn dispatch_online(&mut self, ask: Ask, out: &mut Vec<Action>) {
+    fn dispatch_online(&mut self, now: Now, ask: Ask, out: &mut Vec<Action>) {
         match self.targets.pick(&ask, &mut self.rng) {
-            Some((target, address)) => self.dispatch(ask, target, address, out),
+            Some((target, address)) => {
+                self.lending.online_started(now, &target, &mut self.lent);
+                self.dispatch(ask, target, address, out);
+            }
             None => refuse(&ask, Refusal::NoTarget, out),
         }
     }
@@ -205,9 +255,9 @@
         self.in_flight.insert(request, InFlight { ask, target });
     }
 
-    fn ended(&mut self, request: RequestId, end: AttemptEnd, out: &mut Vec<Action>) {
+    fn ended(&mut self, now: Now, request: RequestId, end: AttemptEnd, out: &mut Vec<Action>) {
         let Some(in_flight) = self.in_flight.remove(&request) else { return };
-        self.targets.ended(&in_flight.target, in_flight.ask.class);
+        self.release(now, &in_flight, Some(end));
         match end {
             AttemptEnd::Done | AttemptEnd::Aborted => {}
             AttemptEnd::NotSent => refuse(&in_flight.ask, Refusal::ConnectFailed, out),
@@ -217,24 +267,33 @@
         }
     }
 
-    fn gone(&mut self, request: RequestId) {
-        if let Some(in_flight) = self.in_flight.remove(&request) {
-            self.targets.ended(&in_flight.target, in_flight.ask.class);
+    fn gone(&mut self, now: Now, request: RequestId) {
+        match self.in_flight.remove(&request) {
+            Some(in_flight) => self.release(now, &in_flight, None),
+            None => self.lending.batch_ended(now, request, None),
+        }
+    }
+
+    fn release(&mut self, now: Now, in_flight: &InFlight, end: Option<AttemptEnd>) {
+        let InFlight { ask, target } = in_flight;
+        self.targets.ended(target, ask.class);
+        match ask.class {
+            Class::Online => self.lending.online_ended(target),
+            Class::Batch => self.lending.batch_ended(now, ask.request, end),
         }
-        self.waiting_batch.retain(|it| it.request != request);
+        let targets = &self.targets;
+        self.lending.start(now, &ask.service, |it| targets.takes_batch(it), &mut self.lent);
     }
 
-    fn lend(&mut self, out: &mut Vec<Action>) {
-        for _ in 0..self.waiting_batch.len() {
-            let Some(ask) = self.waiting_batch.pop_front() else { return };
-            match self.targets.pick(&ask, &mut self.rng) {
-                Some((target, address)) => self.dispatch(ask, target, address, out),
-                None => {
-                    self.waiting_batch.push_front(ask);
-                    return;
-                }
+    fn act_on_lent(&mut self, out: &mut Vec<Action>) {
+        let mut lent = std::mem::take(&mut self.lent);
+        for decision in lent.drain(..) {
+            match decision {
+                Lent::Start { ask, target, address } => self.dispatch(ask, target, address, out),
+                Lent::Recall(request) => out.push(Action::Abort { request }),
             }
         }
+        self.lent = lent;
     }
 }
 
--- a/crates/samphiredoor-core/src/dispatch/routing.rs
+++ b/crates/samphiredoor-core/src/dispatch/routing.rs
@@ -85,6 +85,11 @@
         u8::from(target.declared.availability_zone != self.place.availability_zone)
     }
 
+    /// Whether a target can be given batch work, as far as routing knows.
+    pub(super) fn takes_batch(&self, target: &Name) -> bool {
+        self.by_name.get(target).is_some_and(|it| it.takes(Class::Batch))
+    }
+
     pub(super) fn started(&mut self, target: &Name, class: Class) {
         let Some(state) = self.by_name.get_mut(target) else { return };
         match class {
--- a/crates/samphiredoor-core/src/manifest.rs
+++ b/crates/samphiredoor-core/src/manifest.rs
@@ -15,6 +15,16 @@
     Plain,
 }
 
+/// How much of a target's loan limit is lent to batch work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Lending {
+    /// What online requests leave free, by measurement.
+    #[default]
+    Measured,
+    /// All of it, always.
+    Fixed,
+}
+
 /// A declared service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -28,6 +38,8 @@
     pub deadline_ms: u64,
     /// Room for online bursts, in hundredths of their envelope.
     pub headroom_percent: u32,
+    /// How much is lent to batch work.
+    pub lending: Lending,
 }
 
 /// A declared target.
@@ -138,6 +150,10 @@
             repeatable: service.repeatable,
             deadline_ms: service.deadline_ms.get(),
             headroom_percent: service.headroom_percent,
+            lending: match service.lending.unwrap_or_default() {
+                declared::Lending::Measured => Lending::Measured,
+                declared::Lending::Fixed => Lending::Fixed,
+            },
         };
         match self.services.insert(name, checked) {
             None => Ok(()),
