Ask engines for their load and bound the asks of a job

The lender of a target, by rendezvous hash over the doors whose leases live, asks the engine four times a second how loaded it is and how many steps and tokens it has done. Items above a window of 128 a job wait outside the dispatcher.

--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -100,7 +100,8 @@
         ticket
     }
 
-    fn input(&self, input: Input) {
+    /// Tells the dispatcher what happened.
+    pub fn input(&self, input: Input) {
         let _ = self.messages.send(Message::Input(input));
     }
 }
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -104,15 +104,25 @@
             .detach();
         }
         LedgerAction::Run(work) => {
-            let door = Rc::clone(door);
-            compio::runtime::spawn(async move {
-                let item = work.item.clone();
-                let end = run_item(&door, *work).await;
-                door.jobs.input(LedgerInput::ItemEnded { item, end });
-            })
-            .detach();
+            if let Some(work) = door.batch_window.enter(work) {
+                compio::runtime::spawn(run_items(Rc::clone(door), work)).detach();
+            }
         }
-        LedgerAction::Stop(_) => {}
+        LedgerAction::Stop(item) => {
+            if door.batch_window.remove(&item) {
+                door.jobs.input(LedgerInput::ItemEnded { item, end: ItemEnd::NotRun });
+            }
+        }
+    }
+}
+
+async fn run_items(door: Rc<Door>, first: Box<ItemWork>) {
+    let mut next = Some(first);
+    while let Some(work) = next {
+        let item = work.item.clone();
+        let end = run_item(&door, *work).await;
+        next = door.batch_window.leave(&item.job);
+        door.jobs.input(LedgerInput::ItemEnded { item, end });
     }
 }
 
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -4,6 +4,7 @@
 
 use samphiredoor_core::{
     Name,
+    dispatch::Input,
     lease::{LeaseAction, LeaseConfig, LeaseInput, LeaseTable, OwnLease},
     ledger::CallId,
     store::{Kind, Labels, StoreAnswer, StoreOp},
@@ -63,10 +64,26 @@
                 door.jobs.lapsed(process, incarnation);
             }
         }
+        tell_live_doors(&door, &table);
         compio::time::sleep(door.config.renew / 2).await;
     }
 }
 
+/// Lending divides targets among the doors that live; a stopping one is left out, so that its part moves on in time.
+fn tell_live_doors(door: &Door, table: &LeaseTable) {
+    let lapsed = table.lapsed(door.clock.now(), LAPSE_MARGIN_MS);
+    let lives = |name: &Name| !lapsed.iter().any(|(it, _)| it == name);
+    let others =
+        table.iter().filter(|(name, it)| **name != door.config.name && !it.stopping && lives(name));
+    let mut live: Vec<Name> = others.map(|(name, _)| Name::clone(name)).collect();
+    if !door.stopping.get() {
+        live.push(door.config.name());
+    }
+    live.sort();
+    door.live_doors.replace(live.clone());
+    door.dispatch.input(Input::Doors { own_name: door.config.name(), live });
+}
+
 async fn list(door: &Door, table: &mut LeaseTable) {
     let mut after = None;
     loop {
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod answers;
+mod batch_window;
 mod callers;
 mod cli;
 mod commands;
@@ -12,6 +13,7 @@
 mod jobs;
 mod jobs_task;
 mod lease_task;
+mod load_task;
 mod manifest_task;
 mod metrics;
 mod online;
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -12,12 +12,13 @@
 use samphiredoor_net::{ServeLimits, Server};
 
 use crate::{
+    batch_window::BatchWindow,
     callers,
     config::DoorConfig,
     dispatch_task::{Clock, Dispatch},
     exit_codes::Exit,
     jobs_task::{self, Jobs},
-    lease_task, manifest_task,
+    lease_task, load_task, manifest_task,
     metrics::Metrics,
     operators,
     store_client::StoreClient,
@@ -36,6 +37,8 @@
     pub dispatch: Dispatch,
     /// The ledger's task.
     pub jobs: Jobs,
+    /// Bound on the items of a job that ask for a slot.
+    pub batch_window: BatchWindow,
     /// The object API.
     pub store: StoreClient,
     /// Connections to targets.
@@ -44,6 +47,8 @@
     pub metrics: Rc<Metrics>,
     /// Manifest in force; written by the manifest's task alone.
     pub manifest: RefCell<Arc<Manifest>>,
+    /// Doors that are known to live, this one among them; written by the lease's task alone.
+    pub live_doors: RefCell<Vec<Name>>,
     /// Revision of the manifest in force; 0 before the first.
     pub revision: Cell<u64>,
     /// Whether a planned stop is under way.
@@ -82,6 +87,7 @@
     compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inbox)).detach();
     compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(load_task::run(Rc::clone(&door))).detach();
     let for_operators = Rc::clone(&door);
     let answer_operator = move |request| operators::answer(Rc::clone(&for_operators), request);
     compio::runtime::spawn(operators.run(answer_operator)).detach();
@@ -113,10 +119,12 @@
         incarnation,
         dispatch: Dispatch::start(clock, place, incarnation),
         jobs,
+        batch_window: BatchWindow::default(),
         store: StoreClient::new(config.store, config.store_timeout),
         targets: TargetPools::default(),
         metrics: Metrics::new(),
         manifest: RefCell::default(),
+        live_doors: RefCell::default(),
         revision: Cell::new(0),
         stopping: Cell::new(false),
         next_unique: Cell::new(0),
