Resume items that lose their slot

Where a service says that its engines resume, an item's call is streamed, what arrived is kept, and the next attempt asks for the rest; it goes before the other items of its job, so that few answers stand half done. Starting an item now leaves room for its prefill, and only a rise above that room recalls, so that the next few online requests find slots free.

--- a/crates/samphiredoor-core/src/dispatch/attempt.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempt.rs
@@ -13,4 +13,6 @@
     Lost(Doubt),
     /// Cut by ourselves, so that the capacity is free again.
     Aborted,
+    /// Cut by ourselves as well, but the request waits for a slot again: a decision follows. For batch requests only.
+    Yielded,
 }
--- a/crates/samphiredoor-core/src/dispatch/fairness.rs
+++ b/crates/samphiredoor-core/src/dispatch/fairness.rs
@@ -67,6 +67,16 @@
     }
 
     pub(super) fn push(&mut self, ask: Ask) {
+        self.line(&ask).push_back(ask);
+    }
+
+    /// Adds an item that has run before: it goes before the others of its job, so that few answers stand half done.
+    pub(super) fn push_first(&mut self, ask: Ask) {
+        self.line(&ask).push_front(ask);
+    }
+
+    /// Line of an ask's job, with one more item counted.
+    fn line(&mut self, ask: &Ask) -> &mut VecDeque<Ask> {
         let floor_ms = self.least_clock_ms();
         let workspace = self.workspaces.entry(Name::clone(&ask.workspace)).or_default();
         if workspace.jobs.is_empty() {
@@ -78,9 +88,9 @@
             ..JobLine::default()
         });
         job.due_unix_ms = ask.due_unix_ms;
-        job.waiting.push_back(ask);
         workspace.waiting += 1;
         self.waiting += 1;
+        &mut job.waiting
     }
 
     /// Takes the next item; `weight` tells a workspace's share.
--- a/crates/samphiredoor-core/src/dispatch/lending.rs
+++ b/crates/samphiredoor-core/src/dispatch/lending.rs
@@ -142,13 +142,18 @@
         match end {
             Some(AttemptEnd::Done) => loan.succeeded(),
             Some(AttemptEnd::NotSent | AttemptEnd::Lost(_)) => loan.failed(now.mono_ms),
-            Some(AttemptEnd::Aborted) | None => {}
+            Some(AttemptEnd::Aborted | AttemptEnd::Yielded) | None => {}
         }
         let took_ms = now.mono_ms.saturating_sub(started_ms);
         let weight = weight(&self.manifest, &running.ask.workspace);
         if let Some(queue) = self.queues.get_mut(&running.ask.service) {
             queue.ended(&running.ask, running.charged_ms, took_ms, weight);
         }
+        if end == Some(AttemptEnd::Yielded) {
+            self.waiting.insert(request, running.ask.clone());
+            let queue = self.queues.entry(Name::clone(&running.ask.service)).or_default();
+            queue.push_first(running.ask);
+        }
         self.queues.retain(|_, it| !it.is_idle());
     }
 
@@ -194,9 +199,9 @@
         let Some(queue) = self.queues.get_mut(service) else { return };
         while queue.len() > 0 {
             let able = self.loans.iter_mut().filter(|(name, loan)| {
-                loan.target.service == *service && loan.has_room(now.mono_ms) && usable(name)
+                loan.target.service == *service && loan.room(now.mono_ms) > 0 && usable(name)
             });
-            let roomiest = able.max_by_key(|(_, it)| it.slots(now.mono_ms) - it.held());
+            let roomiest = able.max_by_key(|(_, it)| it.room(now.mono_ms));
             let Some((target, loan)) = roomiest else { return };
             let Some(next) = queue.pop(now, |it| weight(&self.manifest, it)) else { return };
             let request = next.ask.request;
--- a/crates/samphiredoor-core/src/dispatch/loan.rs
+++ b/crates/samphiredoor-core/src/dispatch/loan.rs
@@ -5,10 +5,16 @@
 
 /// Slowdown of online tokens that is allowed at a headroom of 100%.
 const ALLOWED_SLOWDOWN: f64 = 0.05;
+/// Part of the allowed slowdown that the prefill of joining batch work takes.
+const PREFILL_SLOWDOWN: f64 = 0.05;
+/// Part of the rise that is kept free at a headroom of 100%.
+const KEPT_FREE: f64 = 0.25;
+/// Time of a batch prefill against an empty step, about: room for it is kept free at a headroom of 100%.
+const PREFILL_TIME: f64 = 0.05;
 /// Without online requests for this long, at a headroom of 100%, the whole loan is lent.
 const QUIET_MS: u64 = 2_000;
 /// Share of a new report in the estimate of other doors' online requests.
-const REPORT_SHARE: f64 = 0.5;
+const REPORT_SHARE: f64 = 0.2;
 /// A target that failed an attempt gets no batch for this long; doubled with each failure in a row.
 const BACKOFF_MS: u64 = 500;
 const MAX_BACKOFF_MS: u64 = 10_000;
@@ -138,9 +144,9 @@
         }
     }
 
-    /// Batch attempts that may run here now, by the owner's limit and what online requests leave.
+    /// Batch attempts that may go on here now, by the owner's limit and what online requests leave.
     pub(super) fn slots(&self, now_ms: u64) -> u32 {
-        if self.target.reclaimed || self.target.drained || now_ms < self.blocked_until_ms {
+        if self.target.reclaimed || self.target.drained {
             return 0;
         }
         let limit = match &self.role {
@@ -148,11 +154,11 @@
             Role::Borrower(share) => share.slots(now_ms).min(self.target.loan_limit),
         };
         let online = self.online_everywhere();
-        let free = self.target.concurrency_limit.saturating_sub(online);
-        match self.rule {
-            LendingRule::Fixed => limit.min(free),
-            LendingRule::Measured => limit.min(free).min(self.spare(now_ms, online)),
-        }
+        let sequences = match self.rule {
+            LendingRule::Fixed => self.target.concurrency_limit,
+            LendingRule::Measured => self.sequences(now_ms).min(self.target.concurrency_limit),
+        };
+        limit.min(sequences.saturating_sub(online))
     }
 
     /// Attempts that hold a slot and were not told to end.
@@ -165,10 +171,18 @@
         self.held.len() as u32
     }
 
-    /// Whether another attempt may start now.
-    pub(super) fn has_room(&self, now_ms: u64) -> bool {
+    /// Attempts that may start now. Some slots are kept free, so that the next few online requests find them free
+    /// instead of recalling what has just begun.
+    pub(super) fn room(&self, now_ms: u64) -> u32 {
         let paced = self.rule == LendingRule::Measured && now_ms < self.next_admit_ms;
-        !paced && self.held() < self.slots(now_ms)
+        if paced || now_ms < self.blocked_until_ms {
+            return 0;
+        }
+        let kept_free = match self.rule {
+            LendingRule::Fixed => 0,
+            LendingRule::Measured => self.kept_free(now_ms),
+        };
+        self.slots(now_ms).saturating_sub(kept_free + self.held())
     }
 
     /// Marks the youngest attempts above the slots as recalled and returns them: the youngest have the least to lose.
@@ -190,21 +204,33 @@
         self.online + self.others_online.round() as u32
     }
 
-    fn spare(&self, now_ms: u64, online: u32) -> u32 {
-        let rise = (f64::from(self.envelope.rise()) * self.headroom).round() as u32;
-        let kept_free = online + rise;
-        if self.kind == ServiceKind::Plain || self.headroom == 0.0 {
-            return self.target.concurrency_limit.saturating_sub(kept_free);
+    fn is_quiet(&self, now_ms: u64) -> bool {
+        self.envelope.quiet_ms(now_ms) as f64 > QUIET_MS as f64 * self.headroom
+    }
+
+    fn kept_free(&self, now_ms: u64) -> u32 {
+        if self.is_quiet(now_ms) {
+            return 0;
+        }
+        let rise = f64::from(self.envelope.rise());
+        if self.kind == ServiceKind::Plain {
+            return (self.headroom * rise).round() as u32;
         }
-        if self.envelope.quiet_ms(now_ms) as f64 > QUIET_MS as f64 * self.headroom {
+        let rise = KEPT_FREE * rise;
+        let prefill = PREFILL_TIME / self.steps.slope();
+        (self.headroom * (rise + prefill)).round() as u32
+    }
+
+    /// Sequences, online and batch, at which online tokens are slowed down no more than allowed.
+    fn sequences(&self, now_ms: u64) -> u32 {
+        if self.kind == ServiceKind::Plain || self.headroom == 0.0 || self.is_quiet(now_ms) {
             return self.target.concurrency_limit;
         }
         // A step may be as long as the allowed slowdown makes a step at the level; that gives the number of sequences.
         let slope = self.steps.slope();
-        let slowdown = 1.0 + ALLOWED_SLOWDOWN / self.headroom;
+        let slowdown = 1.0 + ALLOWED_SLOWDOWN / self.headroom - PREFILL_SLOWDOWN;
         let step = slowdown * (1.0 + slope * f64::from(self.envelope.level()));
-        let sequences = ((step - 1.0) / slope) as u32;
-        sequences.saturating_sub(kept_free)
+        ((step - 1.0) / slope).max(0.0) as u32
     }
 
     fn pace(&mut self, now_ms: u64) {
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -149,7 +149,8 @@
         /// Where it listens.
         address: SocketAddr,
     },
-    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`].
+    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`], or as
+    /// [`AttemptEnd::Yielded`] if it is to go on later.
     Abort {
         /// Which request.
         request: RequestId,
@@ -259,7 +260,7 @@
         let Some(in_flight) = self.in_flight.remove(&request) else { return };
         self.release(now, &in_flight, Some(end));
         match end {
-            AttemptEnd::Done | AttemptEnd::Aborted => {}
+            AttemptEnd::Done | AttemptEnd::Aborted | AttemptEnd::Yielded => {}
             AttemptEnd::NotSent => refuse(&in_flight.ask, Refusal::ConnectFailed, out),
             AttemptEnd::Lost(reason) => {
                 out.push(Action::Refuse { request, verdict: Verdict::MayHaveRun { reason } });
--- a/crates/samphiredoor-core/src/manifest.rs
+++ b/crates/samphiredoor-core/src/manifest.rs
@@ -40,6 +40,8 @@
     pub headroom_percent: u32,
     /// How much is lent to batch work.
     pub lending: Lending,
+    /// Whether its engines go on from a given token.
+    pub resumable: bool,
 }
 
 /// A declared target.
@@ -150,6 +152,7 @@
             repeatable: service.repeatable,
             deadline_ms: service.deadline_ms.get(),
             headroom_percent: service.headroom_percent,
+            resumable: service.resumable,
             lending: match service.lending.unwrap_or_default() {
                 declared::Lending::Measured => Lending::Measured,
                 declared::Lending::Fixed => Lending::Fixed,
--- a/crates/samphiredoor-embedded/src/engine.rs
+++ b/crates/samphiredoor-embedded/src/engine.rs
@@ -159,7 +159,10 @@
             sequence.remaining = sequence.remaining.saturating_sub(1);
             if sequence.remaining == 0 {
                 match sequence.batch {
-                    true => record.batch_completed += 1,
+                    true => {
+                        record.batch_completed += 1;
+                        record.batch_tokens_completed += u64::from(sequence.next_index);
+                    }
                     false => record.online_completed += 1,
                 }
             }
@@ -193,7 +196,7 @@
             let aborted = sequence.output.is_disconnected();
             if aborted && sequence.batch {
                 record.batch_aborted += 1;
-                record.batch_tokens_lost += u64::from(sequence.generated);
+                record.batch_tokens_aborted += u64::from(sequence.generated);
             }
             !aborted
         };
--- a/crates/samphiredoor-embedded/src/engine_http.rs
+++ b/crates/samphiredoor-embedded/src/engine_http.rs
@@ -281,7 +281,11 @@
     let (shape, mut tokens) = streaming?;
     match tokens.next().await {
         Some(index) => {
-            let event = format!("data: {}\n\n", shape.piece(&word(index)));
+            let mut piece = shape.piece(&word(index));
+            if tokens.remaining == 0 {
+                piece["choices"][0]["finish_reason"] = "length".into();
+            }
+            let event = format!("data: {piece}\n\n");
             Some((Ok(event.into()), Some((shape, tokens))))
         }
         None => Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), None)),
--- a/crates/samphiredoor-embedded/src/engine_record.rs
+++ b/crates/samphiredoor-embedded/src/engine_record.rs
@@ -22,8 +22,10 @@
     pub online_steps: BTreeMap<u64, u64>,
     /// Tokens of batch sequences.
     pub batch_tokens: u64,
-    /// Tokens of batch sequences that were aborted.
-    pub batch_tokens_lost: u64,
+    /// Tokens of batch sequences that were aborted; not lost if the sequence is resumed.
+    pub batch_tokens_aborted: u64,
+    /// Tokens of batch answers that reached their last token, with those of earlier attempts that they resumed.
+    pub batch_tokens_completed: u64,
     /// Batch sequences that reached their last token.
     pub batch_completed: u64,
     /// Batch sequences that were aborted.
--- a/crates/samphiredoor-standin/src/measured.rs
+++ b/crates/samphiredoor-standin/src/measured.rs
@@ -99,7 +99,8 @@
         let sum = |field: fn(&EngineRecord) -> u64| self.engines.iter().map(field).sum::<u64>();
         let steps = self.steps();
         let steps_done = sum(|it| it.steps).max(1);
-        let lost = sum(|it| it.batch_tokens_lost);
+        let completed = sum(|it| it.batch_tokens_completed);
+        let aborted = sum(|it| it.batch_tokens_aborted);
         let batch_tokens = sum(|it| it.batch_tokens);
         let mut row = Row { label: label.to_owned(), ..Row::default() };
         let figures = &mut row.figures;
@@ -122,9 +123,12 @@
         }
         add("online_step_mean_ms", steps.mean() / 1_000.0);
         add("online_tokens_per_s", sum(|it| it.online_tokens) as f64 / self.elapsed_s);
-        add("batch_tokens_per_s", (batch_tokens - lost.min(batch_tokens)) as f64 / self.elapsed_s);
+        add("batch_tokens_per_s", completed as f64 / self.elapsed_s);
+        add("batch_generated_per_s", batch_tokens as f64 / self.elapsed_s);
         add("batch_items_per_s", sum(|it| it.batch_completed) as f64 / self.elapsed_s);
-        add("batch_lost_percent", 100.0 * lost as f64 / batch_tokens.max(1) as f64);
+        let percent_of_batch = |it: u64| 100.0 * it as f64 / batch_tokens.max(1) as f64;
+        add("batch_lost_percent", percent_of_batch(batch_tokens.saturating_sub(completed)));
+        add("batch_aborted_percent", percent_of_batch(aborted));
         add("batch_aborted", sum(|it| it.batch_aborted) as f64);
         add("step_mean_ms", sum(|it| it.steps_us) as f64 / steps_done as f64 / 1_000.0);
         add("step_late_mean_us", sum(|it| it.late_us) as f64 / steps_done as f64);
--- /dev/null
+++ b/crates/samphiredoor/src/item_call.rs
@@ -0,0 +1,217 @@
+//! The call of one item, through as many attempts as it takes.
+//!
+//! An item that loses its slot has often generated most of its answer. Where the service's engines can resume, the call
+//! is streamed, what has arrived is kept, and the next attempt asks for the rest only; so taking a slot back costs the
+//! engine a prefill and no tokens. The ledger knows nothing of it: it gets one whole answer.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, Uri};
+use samphiredoor_core::{
+    dispatch::AttemptEnd,
+    ledger::{ItemEnd, ItemWork},
+    verdict::Doubt,
+};
+use samphiredoor_net::{
+    body::read_whole,
+    pool::{Answer, SendError, within},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{process::Door, targets::Call};
+
+/// Longest time for one attempt.
+pub const ITEM_DEADLINE: Duration = Duration::from_secs(600);
+
+const MAX_RESULT_BYTES: usize = 512 * 1024;
+const RESUME_FIELD: &str = "resume_from_token";
+/// Fields of a call whose answer cannot be put together from the texts of its events.
+const UNRESUMABLE_FIELDS: [&str; 6] = ["stream", "n", "best_of", "logprobs", "echo", "tools"];
+
+/// What has arrived of an answer.
+#[derive(Debug, Default)]
+struct Partial {
+    text: String,
+    tokens: u32,
+    id: Value,
+    model: Value,
+    finish_reason: Value,
+    done: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Event {
+    #[serde(default)]
+    id: Value,
+    #[serde(default)]
+    model: Value,
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Value,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: String,
+}
+
+/// Call of one item.
+pub struct ItemCall {
+    uri: Uri,
+    headers: HeaderMap,
+    body: Value,
+    partial: Option<RefCell<Partial>>,
+}
+
+impl ItemCall {
+    /// Call of an item whose service's engines can resume if `resumable` says so.
+    pub fn new(work: ItemWork, uri: Uri, headers: HeaderMap, resumable: bool) -> ItemCall {
+        let is_simple = work.body.as_object().is_some_and(|it| {
+            uri.path().ends_with("/completions")
+                && !UNRESUMABLE_FIELDS.iter().any(|field| it.contains_key(*field))
+        });
+        let partial = (resumable && is_simple).then(RefCell::default);
+        ItemCall { uri, headers, body: work.body, partial }
+    }
+
+    /// Whether the next attempt goes on where the last one was cut.
+    pub fn resumes(&self) -> bool {
+        self.partial.is_some()
+    }
+
+    /// Bytes of the body, about.
+    pub fn body_bytes(&self) -> usize {
+        self.body.to_string().len()
+    }
+
+    /// Makes one attempt. What arrived stays here when the future is dropped.
+    pub async fn attempt(&self, door: &Door, address: SocketAddr) -> Result<ItemEnd, AttemptEnd> {
+        if let Some(whole) = self.finished() {
+            return Ok(whole);
+        }
+        let exchange = within(ITEM_DEADLINE, async {
+            let sent = door.targets.send(address, &self.call()).await;
+            let response = sent.map_err(|err| match err {
+                SendError::NotSent(_) => AttemptEnd::NotSent,
+                SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
+            })?;
+            let status = response.status().as_u16();
+            match &self.partial {
+                Some(partial) if status == 200 => {
+                    read_events(partial, response.into_body()).await?;
+                    Ok(ItemEnd::Answered { status, body: self.whole(&partial.borrow()) })
+                }
+                _ => read_answer(status, response.into_body()).await,
+            }
+        });
+        exchange.await.unwrap_or(Err(AttemptEnd::Lost(Doubt::DeadlinePassed)))
+    }
+
+    /// An attempt that was cut between its last token and the end of its framing has nothing left to ask for.
+    fn finished(&self) -> Option<ItemEnd> {
+        let partial = self.partial.as_ref()?.borrow();
+        let finished = !partial.finish_reason.is_null();
+        finished.then(|| ItemEnd::Answered { status: 200, body: self.whole(&partial) })
+    }
+
+    fn call(&self) -> Call {
+        let mut body = self.body.clone();
+        if let (Some(partial), Some(fields)) = (&self.partial, body.as_object_mut()) {
+            fields.insert("stream".to_owned(), Value::Bool(true));
+            let tokens = partial.borrow().tokens;
+            if tokens > 0 {
+                fields.insert(RESUME_FIELD.to_owned(), tokens.into());
+            }
+        }
+        Call {
+            method: Method::POST,
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: Bytes::from(body.to_string()),
+        }
+    }
+
+    /// The answer as an engine would have given it in one piece.
+    fn whole(&self, partial: &Partial) -> Value {
+        let chat = self.uri.path().contains("/chat/");
+        let reason = &partial.finish_reason;
+        let (object, choice) = match chat {
+            true => {
+                let message = json!({ "role": "assistant", "content": partial.text });
+                let choice = json!({ "index": 0, "message": message, "finish_reason": reason });
+                ("chat.completion", choice)
+            }
+            false => {
+                let choice = json!({ "index": 0, "text": partial.text, "finish_reason": reason });
+                ("text_completion", choice)
+            }
+        };
+        json!({
+            "id": partial.id,
+            "object": object,
+            "model": partial.model,
+            "choices": [choice],
+            "usage": { "completion_tokens": partial.tokens },
+        })
+    }
+}
+
+async fn read_answer(status: u16, body: Answer) -> Result<ItemEnd, AttemptEnd> {
+    let body = read_whole(body, MAX_RESULT_BYTES).await;
+    let body = body.map_err(|_| AttemptEnd::Lost(Doubt::AnswerCut))?;
+    let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
+    let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
+    Ok(ItemEnd::Answered { status, body })
+}
+
+async fn read_events(partial: &RefCell<Partial>, mut body: Answer) -> Result<(), AttemptEnd> {
+    let cut = AttemptEnd::Lost(Doubt::AnswerCut);
+    let mut unread = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| cut)?.into_data() else { continue };
+        unread.extend_from_slice(&data);
+        while let Some(end) = unread.windows(2).position(|it| it == b"\n\n") {
+            take_event(&mut partial.borrow_mut(), &unread[..end]);
+            unread.drain(..end + 2);
+        }
+        if unread.len() + partial.borrow().text.len() > MAX_RESULT_BYTES {
+            return Err(cut);
+        }
+    }
+    if partial.borrow().done { Ok(()) } else { Err(cut) }
+}
+
+fn take_event(partial: &mut Partial, event: &[u8]) {
+    let Some(data) = event.strip_prefix(b"data: ") else { return };
+    if data == b"[DONE]" {
+        partial.done = true;
+        return;
+    }
+    let Ok(event) = serde_json::from_slice::<Event>(data) else { return };
+    partial.id = event.id;
+    partial.model = event.model;
+    for choice in event.choices {
+        if choice.text.is_empty() && choice.delta.content.is_empty() {
+            continue;
+        }
+        partial.text.push_str(&choice.text);
+        partial.text.push_str(&choice.delta.content);
+        partial.tokens += 1;
+        if !choice.finish_reason.is_null() {
+            partial.finish_reason = choice.finish_reason;
+        }
+    }
+}
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -1,27 +1,27 @@
 //! The task that owns the ledger of jobs, and the runs of their items.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
+use futures_util::future::{Either, select};
+use hyper::{HeaderMap, Uri, header};
 use samphiredoor_core::{
     Name,
     dispatch::{Ask, AttemptEnd, Class},
     ledger::{ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerInput, Progress},
     store::Version,
-    verdict::{Doubt, Verdict},
-};
-use samphiredoor_net::{
-    body::read_whole,
-    pool::{SendError, within},
+    verdict::Verdict,
 };
+use samphiredoor_net::pool::within;
 use samphiredoor_schema::objects::JobHeader;
 
-use crate::{dispatch_task::Placement, online::passed_headers, process::Door, targets::Call};
+use crate::{
+    dispatch_task::{Placement, Ticket},
+    item_call::{ITEM_DEADLINE, ItemCall},
+    online::passed_headers,
+    process::Door,
+};
 
 const TICK: Duration = Duration::from_millis(100);
-const ITEM_DEADLINE: Duration = Duration::from_secs(600);
-const MAX_RESULT_BYTES: usize = 512 * 1024;
 
 enum Message {
     Input(LedgerInput),
@@ -128,46 +128,40 @@
 
 async fn run_item(door: &Rc<Door>, work: ItemWork) -> ItemEnd {
     let started = std::time::Instant::now();
-    let request = door.dispatch.next_request();
-    let Ok(uri) = work.url.parse() else {
+    let Ok(uri) = work.url.parse::<Uri>() else {
         let body = serde_json::json!({ "error": "url is no path" });
         return ItemEnd::Answered { status: 400, body };
     };
-    let body: Bytes = work.body.to_string().into();
-    let mut headers = passed_headers(&HeaderMap::new(), door, request);
+    let mut ask = batch_ask(door, &work);
+    let mut headers = passed_headers(&HeaderMap::new(), door, ask.request);
     if let Ok(id) = header::HeaderValue::from_str(&item_id(&work.item)) {
         headers.insert(crate::online::REQUEST_ID_HEADER, id);
     }
     headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
-    let ask = batch_ask(door, &work, request, &body);
-    let call = Call { method: Method::POST, uri, headers, body };
+    let resumable =
+        door.manifest.borrow().services.get(&work.service).is_some_and(|it| it.resumable);
+    let call = ItemCall::new(work, uri, headers, resumable);
+    ask.body_bytes = call.body_bytes() as u32;
     let mut ticket = door.dispatch.ask(ask);
     loop {
         match ticket.placement().await {
-            Placement::Go { address } => {
-                let exchange = exchange(door, address, &call);
-                let mut exchange = std::pin::pin!(exchange);
-                let ended = {
-                    let placement = std::pin::pin!(ticket.placement());
-                    match futures_util::future::select(exchange.as_mut(), placement).await {
-                        futures_util::future::Either::Left((ended, _)) => Some(ended),
-                        futures_util::future::Either::Right(_) => None,
-                    }
-                };
-                match ended {
-                    Some(Ok(end)) => {
-                        ticket.ended(AttemptEnd::Done);
-                        let elapsed_s = started.elapsed().as_secs_f64();
-                        door.metrics.ended(Class::Batch, Verdict::Done, elapsed_s);
-                        return end;
-                    }
-                    Some(Err(end)) => ticket.ended(end),
-                    None => {
-                        ticket.ended(AttemptEnd::Aborted);
-                        return ItemEnd::NotRun;
-                    }
+            Placement::Go { address } => match attempt(door, &call, address, &mut ticket).await {
+                Some(Ok(end)) => {
+                    ticket.ended(AttemptEnd::Done);
+                    door.metrics.ended(
+                        Class::Batch,
+                        Verdict::Done,
+                        started.elapsed().as_secs_f64(),
+                    );
+                    return end;
                 }
-            }
+                Some(Err(end)) => ticket.ended(end),
+                None if call.resumes() => ticket.ended(AttemptEnd::Yielded),
+                None => {
+                    ticket.ended(AttemptEnd::Aborted);
+                    return ItemEnd::NotRun;
+                }
+            },
             Placement::Abort => {}
             Placement::Refused(verdict) => {
                 door.metrics.ended(Class::Batch, verdict, 0.0);
@@ -180,14 +174,24 @@
     }
 }
 
-fn batch_ask(
+/// One attempt; `None` if it was cut because its slot is wanted back.
+async fn attempt(
     door: &Door,
-    work: &ItemWork,
-    request: samphiredoor_core::dispatch::RequestId,
-    body: &Bytes,
-) -> Ask {
+    call: &ItemCall,
+    address: SocketAddr,
+    ticket: &mut Ticket,
+) -> Option<Result<ItemEnd, AttemptEnd>> {
+    let exchange = std::pin::pin!(call.attempt(door, address));
+    let placement = std::pin::pin!(ticket.placement());
+    match select(exchange, placement).await {
+        Either::Left((ended, _)) => Some(ended),
+        Either::Right(_) => None,
+    }
+}
+
+fn batch_ask(door: &Door, work: &ItemWork) -> Ask {
     Ask {
-        request,
+        request: door.dispatch.next_request(),
         class: Class::Batch,
         service: Name::clone(&work.service),
         workspace: Name::clone(&work.workspace),
@@ -195,32 +199,12 @@
         repeatable: work.repeatable,
         prefix_hash: 0,
         fingerprint: 0,
-        body_bytes: body.len() as u32,
+        body_bytes: 0,
         job: Name::clone(&work.item.job),
         due_unix_ms: work.due_unix_ms,
     }
 }
 
-async fn exchange(
-    door: &Door,
-    address: std::net::SocketAddr,
-    call: &Call,
-) -> Result<ItemEnd, AttemptEnd> {
-    let answered = within(ITEM_DEADLINE, async {
-        let response = door.targets.send(address, call).await.map_err(|err| match err {
-            SendError::NotSent(_) => AttemptEnd::NotSent,
-            SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
-        })?;
-        let status = response.status().as_u16();
-        let body = read_whole(response.into_body(), MAX_RESULT_BYTES).await;
-        let body = body.map_err(|_| AttemptEnd::Lost(Doubt::AnswerCut))?;
-        let text = || serde_json::Value::String(String::from_utf8_lossy(&body).into_owned());
-        let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
-        Ok(ItemEnd::Answered { status, body })
-    });
-    answered.await.unwrap_or(Err(AttemptEnd::Lost(Doubt::DeadlinePassed)))
-}
-
 fn item_id(item: &ItemRef) -> String {
     format!("{}-{:05}-{}", item.job, item.chunk, item.index)
 }
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -10,6 +10,7 @@
 mod dev;
 mod dispatch_task;
 mod exit_codes;
+mod item_call;
 mod jobs;
 mod jobs_task;
 mod lease_task;
