--- a/crates/samphiredoor-core/src/dispatch/fairness.rs
+++ b/crates/samphiredoor-core/src/dispatch/fairness.rs
@@ -7,22 +7,25 @@
 //! each try. One that comes back after a pause starts level with the others and cannot claim the time it was away.
 //!
 //! A job that is due soon goes before the other jobs of its workspace, the earliest first. It does not take from other
-//! workspaces: due times are the workspace's own word.
+//! workspaces: due times are the workspace's own word. Within a job the oldest item goes first, so that one that lost
+//! its slot goes on before others begin, and few answers stand half done.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::Ask;
-use crate::{Name, time::Now};
+use super::{Ask, RequestId};
+use crate::Name;
 
 /// A job rises this long before it is due.
 pub(super) const DUE_SOON_MS: u64 = 600_000;
 
+const MAX_WAITING_PER_JOB: usize = 512;
+const MAX_WAITING: usize = 8_192;
 const FIRST_GUESS_MS: f64 = 1_000.0;
 const GUESS_SHARE: f64 = 0.2;
 
 #[derive(Debug, Default)]
 struct JobLine {
-    waiting: VecDeque<Ask>,
+    waiting: BTreeSet<RequestId>,
     running: u32,
     clock_ms: f64,
     guess_ms: Option<f64>,
@@ -30,8 +33,9 @@
 }
 
 impl JobLine {
-    fn due_soon(&self, now: Now) -> Option<u64> {
-        self.due_unix_ms.filter(|it| *it <= now.unix_ms + DUE_SOON_MS)
+    /// Due time of a job that is due soon; jobs that are not come after all that are.
+    fn due(&self, unix_ms: u64) -> u64 {
+        self.due_unix_ms.filter(|it| *it <= unix_ms + DUE_SOON_MS).unwrap_or(u64::MAX)
     }
 }
 
@@ -42,14 +46,7 @@
     waiting: usize,
 }
 
-/// The item that is next, and the slot time that its job was charged in advance.
-#[derive(Debug)]
-pub(super) struct Next {
-    pub(super) ask: Ask,
-    pub(super) charged_ms: f64,
-}
-
-/// Items of one service that wait for a slot.
+/// Items of one service that wait for a slot, bounded for each job and in all.
 #[derive(Debug, Default)]
 pub(super) struct FairQueue {
     workspaces: BTreeMap<Name, WorkspaceLine>,
@@ -61,26 +58,21 @@
         self.waiting
     }
 
-    /// Whether nothing waits and nothing runs.
-    pub(super) fn is_idle(&self) -> bool {
-        self.workspaces.is_empty()
-    }
-
-    pub(super) fn push(&mut self, ask: Ask) {
-        self.line(&ask).push_back(ask);
-    }
-
-    /// Adds an item that has run before: it goes before the others of its job, so that few answers stand half done.
-    pub(super) fn push_first(&mut self, ask: Ask) {
-        self.line(&ask).push_front(ask);
+    /// Adds an item, if there is room for it.
+    pub(super) fn push(&mut self, ask: &Ask) -> bool {
+        if self.waiting >= MAX_WAITING || self.waiting_of(ask) >= MAX_WAITING_PER_JOB {
+            return false;
+        }
+        self.push_again(ask);
+        true
     }
 
-    /// Line of an ask's job, with one more item counted.
-    fn line(&mut self, ask: &Ask) -> &mut VecDeque<Ask> {
+    /// Adds an item that was let in before.
+    pub(super) fn push_again(&mut self, ask: &Ask) {
         let floor_ms = self.least_clock_ms();
         let workspace = self.workspaces.entry(Name::clone(&ask.workspace)).or_default();
         if workspace.jobs.is_empty() {
-            workspace.clock_ms = workspace.clock_ms.max(floor_ms);
+            workspace.clock_ms = floor_ms;
         }
         let jobs_floor_ms = workspace.jobs.values().map(|it| it.clock_ms).reduce(f64::min);
         let job = workspace.jobs.entry(Name::clone(&ask.job)).or_insert_with(|| JobLine {
@@ -88,28 +80,33 @@
             ..JobLine::default()
         });
         job.due_unix_ms = ask.due_unix_ms;
+        job.waiting.insert(ask.request);
         workspace.waiting += 1;
         self.waiting += 1;
-        &mut job.waiting
     }
 
-    /// Takes the next item; `weight` tells a workspace's share.
-    pub(super) fn pop(&mut self, now: Now, weight: impl Fn(&str) -> u32) -> Option<Next> {
-        let with_items = self.workspaces.iter_mut().filter(|(_, it)| it.waiting > 0);
-        let (name, workspace) = with_items.min_by(|a, b| a.1.clock_ms.total_cmp(&b.1.clock_ms))?;
-        let with_items = workspace.jobs.values_mut().filter(|it| !it.waiting.is_empty());
+    /// The item that is next.
+    pub(super) fn next(&self, unix_ms: u64) -> Option<RequestId> {
+        let with_items = self.workspaces.values().filter(|it| it.waiting > 0);
+        let workspace = with_items.min_by(|a, b| a.clock_ms.total_cmp(&b.clock_ms))?;
+        let with_items = workspace.jobs.values().filter(|it| !it.waiting.is_empty());
         let job = with_items.min_by(|a, b| {
-            let due = |it: &JobLine| it.due_soon(now).unwrap_or(u64::MAX);
-            due(a).cmp(&due(b)).then(a.clock_ms.total_cmp(&b.clock_ms))
+            let by_due = a.due(unix_ms).cmp(&b.due(unix_ms));
+            by_due.then(a.clock_ms.total_cmp(&b.clock_ms))
         })?;
-        let ask = job.waiting.pop_front()?;
+        job.waiting.first().copied()
+    }
+
+    /// Starts an item that waits; returns the slot time that is charged in advance.
+    pub(super) fn start(&mut self, ask: &Ask, weight: u32) -> f64 {
+        let Some(workspace) = self.workspaces.get_mut(&ask.workspace) else { return 0.0 };
+        let Some(job) = workspace.jobs.get_mut(&ask.job) else { return 0.0 };
         let guess_ms = job.guess_ms.unwrap_or(FIRST_GUESS_MS);
         job.running += 1;
         job.clock_ms += guess_ms;
-        workspace.clock_ms += guess_ms / f64::from(weight(name).max(1));
-        workspace.waiting -= 1;
-        self.waiting -= 1;
-        Some(Next { ask, charged_ms: guess_ms })
+        workspace.clock_ms += guess_ms / f64::from(weight.max(1));
+        self.remove(ask);
+        guess_ms
     }
 
     /// Charges what an attempt took in place of what was charged at its start.
@@ -125,30 +122,34 @@
         self.forget_if_empty(ask);
     }
 
-    /// Takes out an item that nobody waits for; tells whether it was here.
-    pub(super) fn remove(&mut self, ask: &Ask) -> bool {
-        let Some(workspace) = self.workspaces.get_mut(&ask.workspace) else { return false };
-        let Some(job) = workspace.jobs.get_mut(&ask.job) else { return false };
-        let before = job.waiting.len();
-        job.waiting.retain(|it| it.request != ask.request);
-        let removed = before - job.waiting.len();
+    /// Takes out an item that waits.
+    pub(super) fn remove(&mut self, ask: &Ask) {
+        let Some(workspace) = self.workspaces.get_mut(&ask.workspace) else { return };
+        let Some(job) = workspace.jobs.get_mut(&ask.job) else { return };
+        let removed = usize::from(job.waiting.remove(&ask.request));
         workspace.waiting -= removed;
         self.waiting -= removed;
         self.forget_if_empty(ask);
-        removed > 0
+    }
+
+    fn waiting_of(&self, ask: &Ask) -> usize {
+        let workspace = self.workspaces.get(&ask.workspace);
+        workspace.and_then(|it| it.jobs.get(&ask.job)).map_or(0, |it| it.waiting.len())
     }
 
     fn least_clock_ms(&self) -> f64 {
-        let active = self.workspaces.values().filter(|it| !it.jobs.is_empty());
-        active.map(|it| it.clock_ms).reduce(f64::min).unwrap_or(0.0)
+        self.workspaces.values().map(|it| it.clock_ms).reduce(f64::min).unwrap_or(0.0)
     }
 
     /// Lines end with their last item, so that the state stays bounded by the work in hand.
     fn forget_if_empty(&mut self, ask: &Ask) {
         let Some(workspace) = self.workspaces.get_mut(&ask.workspace) else { return };
-        workspace
-            .jobs
-            .retain(|name, it| *name != ask.job || it.running > 0 || !it.waiting.is_empty());
+        if let Some(job) = workspace.jobs.get(&ask.job)
+            && job.running == 0
+            && job.waiting.is_empty()
+        {
+            workspace.jobs.remove(&ask.job);
+        }
         if workspace.jobs.is_empty() {
             self.workspaces.remove(&ask.workspace);
         }
--- a/crates/samphiredoor-core/src/dispatch/lender.rs
+++ b/crates/samphiredoor-core/src/dispatch/lender.rs
@@ -6,8 +6,9 @@
 //! stops lending within [`SHARE_TTL_MS`], the next one lends nothing for as long, and two at once lend at most twice the
 //! room for the time in which doors disagree on who lives. All of that costs speed, and none of it an answer.
 //!
-//! Traffic is per change, not per request: a door tells its demand when it grows from nothing, doubles or ends, and a
-//! share is sent when it changes, and once per [`RENEW_MS`].
+//! Traffic is bounded in time, not by requests: a door tells its traffic at a target at most five times a second and
+//! only when it has changed, a share that shrinks is told at once and one that grows four times a second, and each is
+//! repeated once per [`RENEW_MS`].
 
 use std::{
     collections::BTreeMap,
@@ -21,14 +22,31 @@
 
 /// A share that was not renewed for this long is over.
 pub const SHARE_TTL_MS: u64 = 3_000;
-/// Time between two renewals of a share.
+/// Time between two renewals of a share, and between two words of the same demand.
 pub const RENEW_MS: u64 = 1_000;
+/// A share that stands grows no more often.
+const GROW_MS: u64 = 250;
+/// A door tells of changes in its traffic no more often.
+const TELL_MS: u64 = 200;
 /// Most doors that share one target's loan; what others want is not heard.
 pub const MAX_BORROWERS: usize = 16;
 
-/// Door that lends the room of `target`; none if no door is known.
-pub fn lender_of<'a>(target: &str, doors: &'a [Name]) -> Option<&'a Name> {
-    doors.iter().max_by_key(|door| (weight(target, door), *door))
+/// A door that is known to live.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveDoor {
+    /// Name.
+    pub name: Name,
+    /// Region.
+    pub region: Name,
+}
+
+/// Door that lends the room of `target`, which stands in `region`: one of that region, if any lives there, so that
+/// lending goes on at both sides of a cut link. None if no door is known.
+pub fn lender_of<'a>(target: &str, region: &str, doors: &'a [LiveDoor]) -> Option<&'a Name> {
+    let names = |it: &'a LiveDoor| &it.name;
+    let near = doors.iter().filter(|it| &*it.region == region).map(names);
+    let heaviest = |it: &&Name| (weight(target, it), Name::clone(it));
+    near.max_by_key(heaviest).or_else(|| doors.iter().map(names).max_by_key(heaviest))
 }
 
 fn weight(target: &str, door: &str) -> u64 {
@@ -38,7 +56,7 @@
     hasher.finish()
 }
 
-/// Batch slots of a door at a target.
+/// Batch slots of another door at a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShareChange {
     /// Which door.
@@ -49,9 +67,20 @@
     pub epoch: u64,
 }
 
+/// What a borrower says of its own traffic at the target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Online requests in flight.
+    pub online: u32,
+    /// Batch requests in flight.
+    pub batch: u32,
+    /// Batch slots that it could use, those in use among them.
+    pub wanted: u32,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Borrower {
-    wanted: u32,
+    demand: Demand,
     slots: u32,
     heard_ms: u64,
     sent_ms: u64,
@@ -66,82 +95,88 @@
 }
 
 impl Lender {
-    /// Lender from `now_ms` on, after an earlier one if `succeeds` says so; `epoch` must be above any that an earlier
-    /// start of this process gave, such as its wall-clock time.
-    pub fn new(now_ms: u64, succeeds: bool, epoch: u64) -> Lender {
-        let since_ms = if succeeds { now_ms + SHARE_TTL_MS } else { now_ms };
+    /// Lender from `since_ms` on; `epoch` must be above any that an earlier start of this process gave, such as its
+    /// wall-clock time.
+    pub fn new(since_ms: u64, epoch: u64) -> Lender {
         Lender { borrowers: BTreeMap::new(), since_ms, epoch }
     }
 
-    /// A door tells how many slots it could use.
-    pub fn wanted(&mut self, now_ms: u64, door: &Name, wanted: u32) {
+    /// Another door tells its traffic.
+    pub fn told(&mut self, now_ms: u64, door: &Name, demand: Demand) {
         if !self.borrowers.contains_key(door) && self.borrowers.len() >= MAX_BORROWERS {
             return;
         }
         let borrower = self.borrowers.entry(Name::clone(door)).or_default();
-        borrower.wanted = wanted;
+        borrower.demand = demand;
         borrower.heard_ms = now_ms;
     }
 
-    /// A door is gone: its slots are free when they can no longer be in use.
-    pub fn gone(&mut self, door: &str) {
-        if let Some(borrower) = self.borrowers.get_mut(door) {
-            borrower.wanted = 0;
-        }
+    /// Whether there is room to give, which a new lender has only when all shares of an earlier one are over.
+    pub fn lends(&self, now_ms: u64) -> bool {
+        now_ms >= self.since_ms
     }
 
-    /// Divides `slots`; appends what is to be told.
-    pub fn divide(&mut self, now_ms: u64, slots: u32, out: &mut Vec<ShareChange>) {
-        self.forget_silent(now_ms);
-        let slots = if now_ms < self.since_ms { 0 } else { slots };
-        let shares = fair_shares(slots, self.borrowers.values().map(|it| it.wanted));
-        let mut spoken_for: u32 = self.borrowers.values().map(|it| it.slots).sum();
-        // Those that shrink come first. What they give up can be lent again in the same turn: they are told by the same
-        // message and recall at once.
-        let shrink_first =
-            |grows: bool| move |(it, share): &(&mut Borrower, u32)| (*share > it.slots) == grows;
-        for grows in [false, true] {
-            let pairs = self.borrowers.iter_mut().zip(&shares);
-            for ((door, borrower), share) in pairs {
-                if !shrink_first(grows)(&(&mut *borrower, *share)) {
-                    continue;
-                }
-                let room = slots.saturating_sub(spoken_for - borrower.slots);
-                let share = (*share).min(room);
-                let renew = now_ms >= borrower.sent_ms + RENEW_MS && borrower.slots > 0;
-                if share == borrower.slots && !renew {
-                    continue;
-                }
-                spoken_for = spoken_for - borrower.slots + share;
-                borrower.slots = share;
-                borrower.sent_ms = now_ms;
-                self.epoch += 1;
-                let door = Name::clone(door);
-                out.push(ShareChange { door, slots: share, epoch: self.epoch });
-            }
-        }
+    /// Online requests that other doors have at the target.
+    pub fn online(&self) -> u32 {
+        self.borrowers.values().map(|it| it.demand.online).sum()
     }
 
-    /// Slots given out.
+    /// Batch requests that other doors have at the target.
+    pub fn batch(&self) -> u32 {
+        self.borrowers.values().map(|it| it.demand.batch).sum()
+    }
+
+    /// Slots given to other doors.
     pub fn lent(&self) -> u32 {
         self.borrowers.values().map(|it| it.slots).sum()
     }
 
+    /// Divides `slots` among the other doors and this one, which could use `own_wanted`; appends what the others are
+    /// to be told. What they do not get is this door's own.
+    pub fn divide(&mut self, now_ms: u64, slots: u32, own_wanted: u32, out: &mut Vec<ShareChange>) {
+        self.forget_silent(now_ms);
+        if self.borrowers.is_empty() {
+            return;
+        }
+        let wanted = self.borrowers.values().map(|it| it.demand.wanted);
+        let shares = fair_shares(slots, wanted.chain([own_wanted]));
+        for ((door, borrower), share) in self.borrowers.iter_mut().zip(shares) {
+            let renew = borrower.slots > 0 && now_ms >= borrower.sent_ms + RENEW_MS;
+            if share == borrower.slots && !renew {
+                continue;
+            }
+            // One that grows can wait for the next renewal or a change worth a message; one that shrinks cannot.
+            let grows_little =
+                share > borrower.slots && now_ms < borrower.sent_ms + GROW_MS && borrower.slots > 0;
+            if grows_little {
+                continue;
+            }
+            borrower.slots = share;
+            borrower.sent_ms = now_ms;
+            self.epoch += 1;
+            let door = Name::clone(door);
+            out.push(ShareChange { door, slots: share, epoch: self.epoch });
+        }
+    }
+
     fn forget_silent(&mut self, now_ms: u64) {
         self.borrowers.retain(|_, it| {
             if now_ms >= it.heard_ms + SHARE_TTL_MS {
-                it.wanted = 0;
+                it.demand = Demand::default();
             }
-            it.wanted > 0 || it.slots > 0 || now_ms < it.sent_ms + SHARE_TTL_MS
+            // Its share may still be in use until it is over.
+            it.demand != Demand::default() || now_ms < it.sent_ms + SHARE_TTL_MS
         });
     }
 }
 
+type Shares = SmallVec<[u32; MAX_BORROWERS + 1]>;
+
 /// Max-min fair division: nobody gets more than it wants, and what one leaves is divided among the others.
-fn fair_shares(slots: u32, wanted: impl Iterator<Item = u32>) -> SmallVec<[u32; MAX_BORROWERS]> {
-    let wanted: SmallVec<[u32; MAX_BORROWERS]> = wanted.collect();
-    let mut shares: SmallVec<[u32; MAX_BORROWERS]> = wanted.iter().map(|_| 0).collect();
-    let mut order: SmallVec<[usize; MAX_BORROWERS]> = (0..wanted.len()).collect();
+fn fair_shares(slots: u32, wanted: impl Iterator<Item = u32>) -> Shares {
+    let wanted: Shares = wanted.collect();
+    let mut shares: Shares = wanted.iter().map(|_| 0).collect();
+    let mut order: SmallVec<[usize; MAX_BORROWERS + 1]> = (0..wanted.len()).collect();
     order.sort_by_key(|it| wanted[*it]);
     let mut left = slots;
     for (done, index) in order.iter().enumerate() {
@@ -153,13 +188,15 @@
     shares
 }
 
-/// The share that a door holds at a target of which another door is the lender.
+/// The share that a door holds at a target of which another door is the lender, and what it has told that one.
 #[derive(Debug, Clone, Default)]
 pub struct Share {
     slots: u32,
     epoch: u64,
     lender: Option<Name>,
     until_ms: u64,
+    told: Demand,
+    told_ms: u64,
 }
 
 impl Share {
@@ -169,16 +206,25 @@
         if same_lender && epoch <= self.epoch {
             return;
         }
-        *self = Share {
-            slots,
-            epoch,
-            lender: Some(Name::clone(lender)),
-            until_ms: now_ms + SHARE_TTL_MS,
-        };
+        self.slots = slots;
+        self.epoch = epoch;
+        self.lender = Some(Name::clone(lender));
+        self.until_ms = now_ms + SHARE_TTL_MS;
     }
 
     /// Slots that may be used now.
     pub fn slots(&self, now_ms: u64) -> u32 {
         if now_ms < self.until_ms { self.slots } else { 0 }
     }
+
+    /// Whether the lender is to be told of `demand` now; if so, it counts as told.
+    pub fn tells(&mut self, now_ms: u64, demand: Demand) -> bool {
+        let changed = demand != self.told && now_ms >= self.told_ms + TELL_MS;
+        let repeated = demand != Demand::default() && now_ms >= self.told_ms + RENEW_MS;
+        if changed || repeated {
+            self.told = demand;
+            self.told_ms = now_ms;
+        }
+        changed || repeated
+    }
 }
--- a/crates/samphiredoor-core/src/dispatch/lending.rs
+++ b/crates/samphiredoor-core/src/dispatch/lending.rs
@@ -1,248 +1,158 @@
-//! Spare capacity lent to batch work, and taken back at once.
+//! Spare capacity lent to batch work, and taken back at once: the dispatcher's side of it.
 //!
-//! Engines know no priorities, so batch work is held back here. Each target has a [`Loan`]: how many batch attempts may
-//! run at it now, from the owner's limit, from what online requests need by measurement, and from the share that the
-//! target's lender gives this door. When that number falls below what runs, by a rise of online requests, the owner's
-//! reclaim or a smaller share, the youngest attempts are recalled in the same turn; when it grows, batch work comes back
-//! one attempt a step. Items wait in a [`FairQueue`] for each service.
+//! What may run where follows from each target's [`Loan`](super::loan::Loan). Here items that wait get the slots that
+//! are free, items above the slots are recalled in the turn in which the slots fall, and the doors tell each other
+//! what they have and want.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use smallvec::SmallVec;
 
 use super::{
-    Ask, AttemptEnd, RequestId,
-    fairness::FairQueue,
-    lender::lender_of,
-    loan::{Loan, Role},
+    Action, Dispatcher, RequestId,
+    lender::{Demand, Lender, LiveDoor, SHARE_TTL_MS, lender_of},
+    loan::Role,
+    targets::TargetId,
 };
-use crate::{Name, manifest::Manifest, time::Now};
-
-/// What lending decided.
-#[derive(Debug)]
-pub(super) enum Lent {
-    /// A waiting item gets a slot.
-    Start { ask: Ask, target: Name, address: SocketAddr },
-    /// A running item loses its slot.
-    Recall(RequestId),
-}
-
-#[derive(Debug)]
-struct Running {
-    ask: Ask,
-    target: Name,
-    charged_ms: f64,
-}
-
-/// All lending of one door.
-#[derive(Debug)]
-pub(super) struct Lending {
-    manifest: Arc<Manifest>,
-    own_name: Name,
-    doors: Vec<Name>,
-    loans: BTreeMap<Name, Loan>,
-    queues: BTreeMap<Name, FairQueue>,
-    waiting: BTreeMap<RequestId, Ask>,
-    running: BTreeMap<RequestId, Running>,
-}
-
-impl Lending {
-    pub(super) fn new() -> Lending {
-        Lending {
-            manifest: Arc::default(),
-            own_name: Name::from(""),
-            doors: Vec::new(),
-            loans: BTreeMap::new(),
-            queues: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            running: BTreeMap::new(),
-        }
-    }
-
-    pub(super) fn apply(&mut self, now: Now, manifest: &Arc<Manifest>, out: &mut Vec<Lent>) {
-        self.manifest = Arc::clone(manifest);
-        self.loans.retain(|name, _| manifest.targets.contains_key(name));
-        for (name, target) in &manifest.targets {
-            let Some(service) = manifest.services.get(&target.service) else { continue };
-            match self.loans.get_mut(name) {
-                Some(loan) => loan.declare(target, service),
-                None => {
-                    let loan = Loan::new(now.mono_ms, target, service);
-                    self.loans.insert(Name::clone(name), loan);
-                }
+use crate::{Name, news::TargetLoad};
+
+impl Dispatcher {
+    /// Gives lent capacity to items of jobs, as long as no online request waits.
+    pub(super) fn lend(&mut self, now_ms: u64, service: &Name, out: &mut Vec<Action>) {
+        loop {
+            let Some(state) = self.services.get(service) else { return };
+            if !state.queue.is_empty() {
+                return;
             }
+            let Some(request) = state.batch.next(self.unix_ms) else { return };
+            let target = self.targets.pick_batch(now_ms, service, &mut self.rng);
+            let Some(target) = target else { return };
+            self.dispatch(now_ms, request, target, out);
         }
-        self.assign_roles();
-        self.recall_all(now, out);
     }
 
-    /// Takes the doors that are known to live, this one among them.
-    pub(super) fn doors(
+    /// Recalls the youngest items above the slots of a target: they have the least to lose.
+    pub(super) fn recall_above_slots(
         &mut self,
-        now: Now,
-        own_name: Name,
-        doors: Vec<Name>,
-        out: &mut Vec<Lent>,
+        now_ms: u64,
+        target: TargetId,
+        out: &mut Vec<Action>,
     ) {
-        if doors == self.doors {
-            return;
+        let Some(lent) = self.targets.get(target) else { return };
+        let over = lent.batch().saturating_sub(lent.slots(now_ms)) as usize;
+        let youngest: SmallVec<[RequestId; 16]> = lent.youngest_recallable(over).collect();
+        for item in youngest {
+            self.recall(now_ms, item, out);
         }
-        self.own_name = own_name;
-        self.doors = doors;
-        self.assign_roles();
-        self.recall_all(now, out);
     }
 
-    /// Takes a share from the lender of a target.
-    pub(super) fn share(
-        &mut self,
-        now: Now,
-        target: &Name,
-        lender: &Name,
-        slots: u32,
-        epoch: u64,
-        out: &mut Vec<Lent>,
-    ) {
-        if lender_of(target, &self.doors) != Some(lender) {
-            return;
-        }
-        let Some(loan) = self.loans.get_mut(target) else { return };
-        if let Role::Borrower(share) = &mut loan.role {
-            share.change(now.mono_ms, lender, slots, epoch);
+    /// Takes notice of the time: what is in flight, shares that are over, and what the doors are to tell each other.
+    pub(super) fn review_loans(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        for service in self.service_names() {
+            let waiting = self.services.get(&service).map_or(0, |it| it.batch.len()) as u32;
+            let targets: SmallVec<[TargetId; 36]> =
+                self.targets.of_service(&service).map(|(id, _)| id).collect();
+            for id in targets {
+                if let Some(target) = self.targets.get_mut(id) {
+                    target.observe_loan(now_ms);
+                }
+                self.recall_above_slots(now_ms, id, out);
+                self.tell_doors(now_ms, id, waiting, out);
+            }
         }
-        self.recall(now, target, out);
-    }
-
-    pub(super) fn push(&mut self, ask: Ask) {
-        self.waiting.insert(ask.request, ask.clone());
-        self.queues.entry(Name::clone(&ask.service)).or_default().push(ask);
-    }
-
-    pub(super) fn online_started(&mut self, now: Now, target: &Name, out: &mut Vec<Lent>) {
-        let Some(loan) = self.loans.get_mut(target) else { return };
-        loan.online_started(now.mono_ms);
-        self.recall(now, target, out);
     }
 
-    pub(super) fn online_ended(&mut self, target: &Name) {
-        if let Some(loan) = self.loans.get_mut(target) {
-            loan.online_ended();
+    /// Takes the doors that are known to live, this one among them.
+    pub(super) fn doors(&mut self, now_ms: u64, own_name: Name, live: Vec<LiveDoor>) {
+        if live == self.doors && own_name == self.own_name {
+            return;
         }
+        self.own_name = own_name;
+        self.doors = live;
+        self.assign_roles(now_ms);
     }
 
-    /// Ends an item, whether it runs or waits; `end` is `None` if nobody waits for it any more.
-    pub(super) fn batch_ended(&mut self, now: Now, request: RequestId, end: Option<AttemptEnd>) {
-        if let Some(ask) = self.waiting.remove(&request) {
-            if let Some(queue) = self.queues.get_mut(&ask.service) {
-                queue.remove(&ask);
+    pub(super) fn assign_roles(&mut self, now_ms: u64) {
+        // Without another door there is nobody whose shares could still be in use.
+        let alone = self.doors.iter().all(|it| it.name == self.own_name);
+        let since_ms = if alone { now_ms } else { now_ms + SHARE_TTL_MS };
+        for target in self.targets.all_mut() {
+            let lender = lender_of(&target.declared.name, &target.declared.region, &self.doors);
+            let is_lender = lender.is_none_or(|it| *it == self.own_name);
+            if is_lender == target.loan.is_lender() {
+                continue;
             }
-            return;
-        }
-        let Some(running) = self.running.remove(&request) else { return };
-        let Some(loan) = self.loans.get_mut(&running.target) else { return };
-        let Some(started_ms) = loan.batch_ended(request) else { return };
-        match end {
-            Some(AttemptEnd::Done) => loan.succeeded(),
-            Some(AttemptEnd::NotSent | AttemptEnd::Lost(_)) => loan.failed(now.mono_ms),
-            Some(AttemptEnd::Aborted | AttemptEnd::Yielded) | None => {}
-        }
-        let took_ms = now.mono_ms.saturating_sub(started_ms);
-        let weight = weight(&self.manifest, &running.ask.workspace);
-        if let Some(queue) = self.queues.get_mut(&running.ask.service) {
-            queue.ended(&running.ask, running.charged_ms, took_ms, weight);
-        }
-        if end == Some(AttemptEnd::Yielded) {
-            self.waiting.insert(request, running.ask.clone());
-            let queue = self.queues.entry(Name::clone(&running.ask.service)).or_default();
-            queue.push_first(running.ask);
+            *target.loan.role_mut() = match is_lender {
+                true => Role::Lender(Lender::new(since_ms, self.unix_ms)),
+                false => Role::Borrower(Default::default()),
+            };
         }
-        self.queues.retain(|_, it| !it.is_idle());
     }
 
-    pub(super) fn report(
+    /// Takes a share from the lender of a target.
+    pub(super) fn share(
         &mut self,
-        now: Now,
+        now_ms: u64,
         target: &Name,
-        running: u32,
-        waiting: u32,
-        out: &mut Vec<Lent>,
+        lender: &Name,
+        (slots, epoch): (u32, u64),
+        out: &mut Vec<Action>,
     ) {
-        let Some(loan) = self.loans.get_mut(target) else { return };
-        loan.report(running, waiting);
-        self.recall(now, target, out);
-    }
-
-    pub(super) fn steps(&mut self, now: Now, target: &Name, steps: u64, tokens: u64) {
-        if let Some(loan) = self.loans.get_mut(target) {
-            loan.steps(now.mono_ms, steps, tokens);
-        }
+        let Some(id) = self.targets.find(target) else { return };
+        if let Some(target) = self.targets.get_mut(id)
+            && let region = &target.declared.region
+            && lender_of(&target.declared.name, region, &self.doors) == Some(lender)
+            && let Role::Borrower(share) = target.loan.role_mut()
+        {
+            share.change(now_ms, lender, slots, epoch);
+        }
+        self.recall_above_slots(now_ms, id, out);
     }
 
-    /// Recalls what is above the slots, and starts what they have room for.
-    pub(super) fn tick(&mut self, now: Now, usable: impl Fn(&Name) -> bool, out: &mut Vec<Lent>) {
-        for loan in self.loans.values_mut() {
-            loan.observe(now.mono_ms);
-        }
-        self.recall_all(now, out);
-        let services: Vec<Name> = self.queues.keys().cloned().collect();
-        for service in services {
-            self.start(now, &service, &usable, out);
-        }
-    }
-
-    /// Starts what there is room for among a service's targets.
-    pub(super) fn start(
+    /// Takes another door's traffic at a target that this one lends.
+    pub(super) fn demand(
         &mut self,
-        now: Now,
-        service: &Name,
-        usable: impl Fn(&Name) -> bool,
-        out: &mut Vec<Lent>,
+        now_ms: u64,
+        door: &Name,
+        load: &TargetLoad,
+        out: &mut Vec<Action>,
     ) {
-        let Some(queue) = self.queues.get_mut(service) else { return };
-        while queue.len() > 0 {
-            let able = self.loans.iter_mut().filter(|(name, loan)| {
-                loan.target.service == *service && loan.room(now.mono_ms) > 0 && usable(name)
-            });
-            let roomiest = able.max_by_key(|(_, it)| it.room(now.mono_ms));
-            let Some((target, loan)) = roomiest else { return };
-            let Some(next) = queue.pop(now, |it| weight(&self.manifest, it)) else { return };
-            let request = next.ask.request;
-            loan.batch_started(now.mono_ms, request);
-            self.waiting.remove(&request);
-            let target = Name::clone(target);
-            let running = Running {
-                ask: next.ask.clone(),
-                target: Name::clone(&target),
-                charged_ms: next.charged_ms,
+        let Some(id) = self.targets.find(&load.target) else { return };
+        if let Some(target) = self.targets.get_mut(id)
+            && let Role::Lender(lender) = target.loan.role_mut()
+        {
+            let demand = Demand {
+                online: load.online_in_flight,
+                batch: load.batch_in_flight,
+                wanted: load.batch_in_flight.saturating_add(load.batch_wanted),
             };
-            self.running.insert(request, running);
-            out.push(Lent::Start { ask: next.ask, target, address: loan.target.address });
-        }
-    }
-
-    fn assign_roles(&mut self) {
-        for (name, loan) in &mut self.loans {
-            // A door that knows of no other lends alone.
-            let is_lender = lender_of(name, &self.doors).is_none_or(|it| *it == self.own_name);
-            match (&loan.role, is_lender) {
-                (Role::Borrower(_), true) => loan.role = Role::Lender,
-                (Role::Lender, false) => loan.role = Role::Borrower(Default::default()),
-                _ => {}
-            }
-        }
-    }
-
-    fn recall_all(&mut self, now: Now, out: &mut Vec<Lent>) {
-        for loan in self.loans.values_mut() {
-            out.extend(loan.recall(now.mono_ms).into_iter().map(Lent::Recall));
+            lender.told(now_ms, door, demand);
         }
+        self.recall_above_slots(now_ms, id, out);
     }
 
-    fn recall(&mut self, now: Now, target: &Name, out: &mut Vec<Lent>) {
-        if let Some(loan) = self.loans.get_mut(target) {
-            out.extend(loan.recall(now.mono_ms).into_iter().map(Lent::Recall));
+    fn tell_doors(&mut self, now_ms: u64, id: TargetId, waiting: u32, out: &mut Vec<Action>) {
+        let in_reach = self.targets.is_in_batch_reach(id);
+        let Some(target) = self.targets.get_mut(id) else { return };
+        let in_flight = target.in_flight(now_ms);
+        let name = Name::clone(&target.declared.name);
+        // More than a target can lend is no use to anyone.
+        let wanted = if in_reach { waiting.min(target.declared.loan_limit) } else { 0 };
+        let own_wanted = in_flight.batch + wanted;
+        for change in target.loan.divide(now_ms, &target.declared, in_flight, own_wanted) {
+            out.push(Action::Share { target: Name::clone(&name), change });
+        }
+        let demand =
+            Demand { online: in_flight.online, batch: in_flight.batch, wanted: own_wanted };
+        if target.loan.tells(now_ms, demand)
+            && let Some(lender) = lender_of(&name, &target.declared.region, &self.doors)
+        {
+            let load = TargetLoad {
+                target: name,
+                online_in_flight: in_flight.online,
+                online_envelope: 0,
+                batch_in_flight: in_flight.batch,
+                batch_wanted: wanted,
+            };
+            out.push(Action::Demand { lender: Name::clone(lender), load });
         }
     }
 }
-
-fn weight(manifest: &Manifest, workspace: &str) -> u32 {
-    manifest.workspaces.get(workspace).map_or(1, |it| it.weight)
-}
--- a/crates/samphiredoor-core/src/dispatch/loan.rs
+++ b/crates/samphiredoor-core/src/dispatch/loan.rs
@@ -1,9 +1,19 @@
-//! The batch work at one target: how many slots there are, and which attempts hold them.
-
-use super::{RequestId, envelope::Envelope, lender::Share, step_model::StepModel};
-use crate::manifest::{self, Lending as LendingRule, Service, ServiceKind};
-
-/// Slowdown of online tokens that is allowed at a headroom of 100%.
+//! How much batch work one target may have, and at which pace it comes.
+//!
+//! Engines know no priorities, so batch work is held back here. The slots follow from the owner's limit, from what
+//! online requests need by measurement, and from how the target's lender divides them among the doors. A fall recalls
+//! at once; a rise lets in one attempt a step.
+
+use smallvec::SmallVec;
+
+use super::{
+    envelope::Envelope,
+    lender::{Demand, Lender, Share, ShareChange},
+    step_model::StepModel,
+};
+use crate::manifest::{Lending as Rule, Service, ServiceKind, Target};
+
+/// Slowdown of online tokens that is allowed at a headroom of 100%, before the prefill of joining batch work.
 const ALLOWED_SLOWDOWN: f64 = 0.05;
 /// Part of the allowed slowdown that the prefill of joining batch work takes.
 const PREFILL_SLOWDOWN: f64 = 0.05;
@@ -13,195 +23,159 @@
 const PREFILL_TIME: f64 = 0.05;
 /// Without online requests for this long, at a headroom of 100%, the whole loan is lent.
 const QUIET_MS: u64 = 2_000;
-/// Share of a new report in the estimate of other doors' online requests.
-const REPORT_SHARE: f64 = 0.2;
-/// A target that failed an attempt gets no batch for this long; doubled with each failure in a row.
-const BACKOFF_MS: u64 = 500;
-const MAX_BACKOFF_MS: u64 = 10_000;
-/// Age of a report on arrival, as far as known.
-const REPORT_AGE_MS: u64 = 250;
-const OWN_SAMPLE_MS: u64 = 50;
-const OWN_SAMPLES: usize = 16;
-
-/// An attempt that holds a slot.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Held {
-    pub(super) request: RequestId,
-    pub(super) started_ms: u64,
-    pub(super) recalled: bool,
-}
+/// Sequences of a report that nobody accounts for and that are taken for noise.
+const REPORT_NOISE: f64 = 2.0;
 
 /// How a door comes by slots at a target.
 #[derive(Debug)]
 pub(super) enum Role {
     /// It is the target's lender.
-    Lender,
+    Lender(Lender),
     /// Another door lends it a share.
     Borrower(Share),
 }
 
-/// State of the batch work at one target.
+/// What runs at the target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct InFlight {
+    /// Online requests of this door.
+    pub(super) online: u32,
+    /// Batch attempts of this door that hold a slot.
+    pub(super) batch: u32,
+    /// Sequences of others, by the target's own report.
+    pub(super) others: f64,
+}
+
+/// Lending at one target.
 #[derive(Debug)]
 pub(super) struct Loan {
-    pub(super) target: manifest::Target,
-    pub(super) role: Role,
+    role: Role,
     kind: ServiceKind,
-    rule: LendingRule,
+    rule: Rule,
     headroom: f64,
-    online: u32,
-    others_online: f64,
-    own: Vec<u32>,
-    next_own_ms: u64,
-    held: Vec<Held>,
     envelope: Envelope,
     steps: StepModel,
     next_admit_ms: u64,
-    failures: u32,
-    blocked_until_ms: u64,
 }
 
 impl Loan {
-    pub(super) fn new(now_ms: u64, target: &manifest::Target, service: &Service) -> Loan {
+    /// Loan by a door that knows of no other.
+    pub(super) fn new(now_ms: u64, service: &Service) -> Loan {
         Loan {
-            target: target.clone(),
-            role: Role::Lender,
+            role: Role::Lender(Lender::new(now_ms, 0)),
             kind: service.kind,
             rule: service.lending,
             headroom: f64::from(service.headroom_percent) / 100.0,
-            online: 0,
-            others_online: 0.0,
-            own: Vec::new(),
-            next_own_ms: 0,
-            held: Vec::new(),
             envelope: Envelope::new(now_ms),
             steps: StepModel::new(),
             next_admit_ms: 0,
-            failures: 0,
-            blocked_until_ms: 0,
         }
     }
 
-    pub(super) fn declare(&mut self, target: &manifest::Target, service: &Service) {
-        self.target = target.clone();
+    pub(super) fn declare(&mut self, service: &Service) {
         self.kind = service.kind;
         self.rule = service.lending;
         self.headroom = f64::from(service.headroom_percent) / 100.0;
     }
 
-    pub(super) fn online_started(&mut self, now_ms: u64) {
-        self.online += 1;
-        // Its prefill makes one step longer; a batch prefill in the same step would come on top.
-        self.pace(now_ms);
-    }
-
-    pub(super) fn online_ended(&mut self) {
-        self.online = self.online.saturating_sub(1);
+    pub(super) fn role_mut(&mut self) -> &mut Role {
+        &mut self.role
     }
 
-    pub(super) fn batch_started(&mut self, now_ms: u64, request: RequestId) {
-        self.held.push(Held { request, started_ms: now_ms, recalled: false });
-        self.pace(now_ms);
+    pub(super) fn is_lender(&self) -> bool {
+        matches!(self.role, Role::Lender(_))
     }
 
-    /// Ends an attempt; returns when it had started.
-    pub(super) fn batch_ended(&mut self, request: RequestId) -> Option<u64> {
-        let index = self.held.iter().position(|it| it.request == request)?;
-        Some(self.held.remove(index).started_ms)
-    }
-
-    pub(super) fn succeeded(&mut self) {
-        self.failures = 0;
-    }
-
-    pub(super) fn failed(&mut self, now_ms: u64) {
-        let backoff_ms = (BACKOFF_MS << self.failures.min(8)).min(MAX_BACKOFF_MS);
-        self.failures = self.failures.saturating_add(1);
-        self.blocked_until_ms = now_ms + backoff_ms;
+    /// A request joins: its prefill makes one step longer, and a batch prefill in the same step would come on top.
+    pub(super) fn joined(&mut self, now_ms: u64, sequences: u32) {
+        let step_ms = self.steps.step_ms(sequences) as u64;
+        self.next_admit_ms = now_ms + step_ms.max(1);
     }
 
-    /// Takes the target's report of its load, which tells of other doors' requests.
-    pub(super) fn report(&mut self, running: u32, waiting: u32) {
-        let lag = (REPORT_AGE_MS / OWN_SAMPLE_MS) as usize;
-        let own = self.own.len().checked_sub(lag).and_then(|it| self.own.get(it));
-        let own = own.copied().unwrap_or(self.online + self.held.len() as u32);
-        let others = f64::from((running + waiting).saturating_sub(own));
-        self.others_online += REPORT_SHARE * (others - self.others_online);
+    /// Takes a report: steps and tokens since the target's start.
+    pub(super) fn worked(&mut self, now_ms: u64, steps: u64, tokens: u64) {
+        self.steps.report(now_ms, steps, tokens);
     }
 
-    pub(super) fn steps(&mut self, now_ms: u64, steps: u64, tokens: u64) {
-        self.steps.report(now_ms, steps, tokens);
+    pub(super) fn observe(&mut self, now_ms: u64, in_flight: InFlight) {
+        let batch = match &self.role {
+            Role::Lender(lender) => in_flight.batch + lender.batch(),
+            Role::Borrower(_) => in_flight.batch,
+        };
+        let online = self.online(in_flight);
+        self.envelope.observe(now_ms, online, batch, self.steps.slope());
     }
 
-    pub(super) fn observe(&mut self, now_ms: u64) {
-        let batch = self.held.len() as u32;
-        self.envelope.observe(now_ms, self.online_everywhere(), batch, self.steps.slope());
-        if now_ms >= self.next_own_ms {
-            self.next_own_ms = now_ms + OWN_SAMPLE_MS;
-            if self.own.len() == OWN_SAMPLES {
-                self.own.remove(0);
+    /// Batch attempts of this door that may go on here now.
+    pub(super) fn slots(&self, now_ms: u64, target: &Target, in_flight: InFlight) -> u32 {
+        match &self.role {
+            Role::Lender(lender) if lender.lends(now_ms) => {
+                self.room(now_ms, target, in_flight).saturating_sub(lender.lent())
+            }
+            Role::Lender(_) => 0,
+            Role::Borrower(share) => {
+                let free = target.concurrency_limit.saturating_sub(in_flight.online);
+                share.slots(now_ms).min(self.limit(target)).min(free)
             }
-            self.own.push(self.online + batch);
         }
     }
 
-    /// Batch attempts that may go on here now, by the owner's limit and what online requests leave.
-    pub(super) fn slots(&self, now_ms: u64) -> u32 {
-        if self.target.reclaimed || self.target.drained {
-            return 0;
+    /// Whether another attempt may start now. Some slots are kept free, so that the next few online requests find them
+    /// free instead of recalling what has just begun.
+    pub(super) fn may_start(&self, now_ms: u64, target: &Target, in_flight: InFlight) -> bool {
+        if self.rule == Rule::Measured && now_ms < self.next_admit_ms {
+            return false;
         }
-        let limit = match &self.role {
-            Role::Lender => self.target.loan_limit,
-            Role::Borrower(share) => share.slots(now_ms).min(self.target.loan_limit),
-        };
-        let online = self.online_everywhere();
-        let sequences = match self.rule {
-            LendingRule::Fixed => self.target.concurrency_limit,
-            LendingRule::Measured => self.sequences(now_ms).min(self.target.concurrency_limit),
-        };
-        limit.min(sequences.saturating_sub(online))
+        let kept_free = if self.is_lender() { self.kept_free(now_ms) } else { 0 };
+        in_flight.batch + kept_free < self.slots(now_ms, target, in_flight)
+    }
+
+    /// Divides the room among the doors that want it; returns what the others are to be told.
+    pub(super) fn divide(
+        &mut self,
+        now_ms: u64,
+        target: &Target,
+        in_flight: InFlight,
+        own_wanted: u32,
+    ) -> SmallVec<[ShareChange; 4]> {
+        let room = self.room(now_ms, target, in_flight).saturating_sub(self.kept_free(now_ms));
+        let mut changes = Vec::new();
+        if let Role::Lender(lender) = &mut self.role {
+            let room = if lender.lends(now_ms) { room } else { 0 };
+            lender.divide(now_ms, room, own_wanted, &mut changes);
+        }
+        changes.into()
     }
 
-    /// Attempts that hold a slot and were not told to end.
-    pub(super) fn running(&self) -> u32 {
-        self.held.iter().filter(|it| !it.recalled).count() as u32
+    /// What the target's lender is to be told, if that is another door and there is something to tell.
+    pub(super) fn tells(&mut self, now_ms: u64, demand: Demand) -> bool {
+        match &mut self.role {
+            Role::Lender(_) => false,
+            Role::Borrower(share) => share.tells(now_ms, demand),
+        }
     }
 
-    /// Attempts that hold a slot.
-    pub(super) fn held(&self) -> u32 {
-        self.held.len() as u32
+    fn limit(&self, target: &Target) -> u32 {
+        if target.reclaimed || target.drained { 0 } else { target.loan_limit }
     }
 
-    /// Attempts that may start now. Some slots are kept free, so that the next few online requests find them free
-    /// instead of recalling what has just begun.
-    pub(super) fn room(&self, now_ms: u64) -> u32 {
-        let paced = self.rule == LendingRule::Measured && now_ms < self.next_admit_ms;
-        if paced || now_ms < self.blocked_until_ms {
-            return 0;
-        }
-        let kept_free = match self.rule {
-            LendingRule::Fixed => 0,
-            LendingRule::Measured => self.kept_free(now_ms),
+    /// Batch attempts of all doors that may go on here now.
+    fn room(&self, now_ms: u64, target: &Target, in_flight: InFlight) -> u32 {
+        let sequences = match self.rule {
+            Rule::Fixed => target.concurrency_limit,
+            Rule::Measured => self.sequences(now_ms, target).min(target.concurrency_limit),
         };
-        self.slots(now_ms).saturating_sub(kept_free + self.held())
+        self.limit(target).min(sequences.saturating_sub(self.online(in_flight)))
     }
 
-    /// Marks the youngest attempts above the slots as recalled and returns them: the youngest have the least to lose.
-    pub(super) fn recall(&mut self, now_ms: u64) -> Vec<RequestId> {
-        let mut over = self.running().saturating_sub(self.slots(now_ms));
-        let mut recalled = Vec::new();
-        for held in self.held.iter_mut().rev().filter(|it| !it.recalled) {
-            if over == 0 {
-                break;
-            }
-            held.recalled = true;
-            recalled.push(held.request);
-            over -= 1;
-        }
-        recalled
-    }
-
-    fn online_everywhere(&self) -> u32 {
-        self.online + self.others_online.round() as u32
+    /// Online requests of all doors, and sequences that no door accounts for: the owner's own.
+    fn online(&self, in_flight: InFlight) -> u32 {
+        let Role::Lender(lender) = &self.role else { return in_flight.online };
+        let known = lender.online();
+        let others_batch = lender.batch().max(lender.lent());
+        let unknown = in_flight.others - f64::from(known + others_batch);
+        let unknown = if unknown > REPORT_NOISE { unknown.round() as u32 } else { 0 };
+        in_flight.online + known + unknown
     }
 
     fn is_quiet(&self, now_ms: u64) -> bool {
@@ -209,22 +183,21 @@
     }
 
     fn kept_free(&self, now_ms: u64) -> u32 {
-        if self.is_quiet(now_ms) {
+        if self.rule == Rule::Fixed || self.is_quiet(now_ms) {
             return 0;
         }
         let rise = f64::from(self.envelope.rise());
-        if self.kind == ServiceKind::Plain {
-            return (self.headroom * rise).round() as u32;
-        }
-        let rise = KEPT_FREE * rise;
-        let prefill = PREFILL_TIME / self.steps.slope();
-        (self.headroom * (rise + prefill)).round() as u32
+        let kept_free = match self.kind {
+            ServiceKind::Plain => rise,
+            ServiceKind::Engine => KEPT_FREE * rise + PREFILL_TIME / self.steps.slope(),
+        };
+        (self.headroom * kept_free).round() as u32
     }
 
     /// Sequences, online and batch, at which online tokens are slowed down no more than allowed.
-    fn sequences(&self, now_ms: u64) -> u32 {
+    fn sequences(&self, now_ms: u64, target: &Target) -> u32 {
         if self.kind == ServiceKind::Plain || self.headroom == 0.0 || self.is_quiet(now_ms) {
-            return self.target.concurrency_limit;
+            return target.concurrency_limit;
         }
         // A step may be as long as the allowed slowdown makes a step at the level; that gives the number of sequences.
         let slope = self.steps.slope();
@@ -232,9 +205,4 @@
         let step = slowdown * (1.0 + slope * f64::from(self.envelope.level()));
         ((step - 1.0) / slope).max(0.0) as u32
     }
-
-    fn pace(&mut self, now_ms: u64) {
-        let step_ms = self.steps.step_ms(self.online + self.held()) as u64;
-        self.next_admit_ms = now_ms + step_ms.max(1);
-    }
 }
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -1,306 +1,278 @@
-//! Who runs what, where and when: routing, limits, retries and lending behind one border.
+//! Who runs what, where and when: routing, limits, queues, retries and refusal behind one border.
 //!
 //! The dispatcher gets every request that wants a target, online or batch, and answers each with exactly one final
 //! action: it was dispatched and ended, or it was refused. One task owns it; events go in by [`Dispatcher::handle`],
 //! actions come out in order.
+//!
+//! No event looks at all requests or all targets: requests are found by their identity, each service has its own short
+//! queue, and this process uses a bounded subset of a service's targets. Only a new manifest is read whole.
 
+mod admission;
 mod attempt;
+mod attempts;
+mod counters;
 mod decayed;
 mod envelope;
 mod fairness;
+mod health;
 pub mod lender;
 mod lending;
+mod limits;
+mod load;
 mod loan;
+mod messages;
+mod pace;
+mod policy;
+mod queue;
+mod refusal;
+mod retry;
 mod routing;
 mod step_model;
+mod targets;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use rand::{SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
 
 pub use attempt::AttemptEnd;
+pub use counters::{Counters, Gauges};
+pub use health::Ejection;
+pub use messages::{Action, Ask, Class, Input, Place, RequestId};
+pub use policy::Policy;
+pub use retry::RetryReason;
 
 use crate::{
     Name,
     manifest::Manifest,
     time::Now,
-    verdict::{Refusal, Verdict},
+    verdict::{Doubt, Refusal},
 };
-use lending::{Lending, Lent};
-use routing::Targets;
+use fairness::FairQueue;
+use lender::LiveDoor;
+use pace::Pace;
+use queue::{OnlineQueue, Tag};
+use refusal::ReturnTimes;
+use retry::RetryBudget;
+use targets::{TargetId, Targets};
 
-/// Where a process stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Place {
-    /// Region.
-    pub region: Name,
-    /// Availability zone.
-    pub availability_zone: Name,
+/// Where a request stands.
+#[derive(Debug, Clone, Copy)]
+enum Stage {
+    /// Online, between two places.
+    Arrived,
+    /// Online, in the queue of its service.
+    Queued(Tag),
+    /// Batch, waiting for lent capacity.
+    Waiting,
+    /// At a target.
+    Running { target: TargetId, started_ms: u64, recalled: bool, charged_ms: f64 },
 }
 
-/// Identity of a request within one process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestId(pub u64);
-
-/// Whether a caller waits for the answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Class {
-    /// A caller waits.
-    Online,
-    /// An item of a job; runs on lent capacity only.
-    Batch,
+#[derive(Debug)]
+struct Request {
+    ask: Ask,
+    stage: Stage,
+    tried: SmallVec<[Name; 2]>,
+    doubt: Option<Doubt>,
 }
 
-/// A request that wants a target.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// Identity; not used again by this process.
-    pub request: RequestId,
-    /// Online or batch.
-    pub class: Class,
-    /// Service asked for.
-    pub service: Name,
-    /// Workspace that asks.
-    pub workspace: Name,
-    /// Monotonic time at which an answer is of no use any more.
-    pub deadline_ms: u64,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Hash of the beginning of the prompt, for routing to a target that may have it cached.
-    pub prefix_hash: u64,
-    /// Hash of the whole request, to know it again if it crashes targets.
-    pub fingerprint: u64,
-    /// Bytes of the body.
-    pub body_bytes: u32,
-    /// Job that the item belongs to; empty for online requests.
-    pub job: Name,
-    /// Wall-clock time at which the job is due, if it says so.
-    pub due_unix_ms: Option<u64>,
+impl Request {
+    fn new(ask: Ask, stage: Stage) -> Request {
+        Request { ask, stage, tried: SmallVec::new(), doubt: None }
+    }
 }
 
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// A new revision of the declarations.
-    Manifest(Arc<Manifest>),
-    /// A request wants a target.
-    Ask(Ask),
-    /// The attempt in hand of a request ended.
-    Ended {
-        /// Which request.
-        request: RequestId,
-        /// How.
-        end: AttemptEnd,
-    },
-    /// Nobody waits for the request any more.
-    Gone {
-        /// Which request.
-        request: RequestId,
-    },
-    /// A target's own report of its load.
-    Load {
-        /// Which target.
-        target: Name,
-        /// Sequences running.
-        running: u32,
-        /// Sequences waiting.
-        waiting: u32,
-    },
-    /// A target's own report of the work it has done since its start.
-    Work {
-        /// Which target.
-        target: Name,
-        /// Steps.
-        steps: u64,
-        /// Tokens.
-        tokens: u64,
-    },
-    /// The doors that are known to live, this one among them.
-    Doors {
-        /// Name of this door.
-        own_name: Name,
-        /// All names, in order.
-        live: Vec<Name>,
-    },
-    /// The lender of a target gives this door a share of its batch slots.
-    Share {
-        /// Which target.
-        target: Name,
-        /// The door that says so.
-        lender: Name,
-        /// Slots from now on.
-        slots: u32,
-        /// Number of the change; the highest one of a lender holds.
-        epoch: u64,
-    },
-    /// Time passed.
-    Tick,
+/// What is kept for each service.
+#[derive(Debug)]
+struct ServiceState {
+    queue: OnlineQueue,
+    batch: FairQueue,
+    pace: Pace,
+    retries: RetryBudget,
+    returns: ReturnTimes,
+    online: u32,
 }
 
-/// What to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send the request to a target.
-    Dispatch {
-        /// Which request.
-        request: RequestId,
-        /// Which target.
-        target: Name,
-        /// Where it listens.
-        address: SocketAddr,
-    },
-    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`], or as
-    /// [`AttemptEnd::Yielded`] if it is to go on later.
-    Abort {
-        /// Which request.
-        request: RequestId,
-    },
-    /// The request ends without an answer; this is final.
-    Refuse {
-        /// Which request.
-        request: RequestId,
-        /// Whether it may have run.
-        verdict: Verdict,
-    },
-}
+impl ServiceState {
+    fn new(policy: &Policy) -> ServiceState {
+        ServiceState {
+            queue: OnlineQueue::default(),
+            batch: FairQueue::default(),
+            pace: Pace::default(),
+            retries: RetryBudget::new(policy.retry_percent),
+            returns: ReturnTimes::default(),
+            online: 0,
+        }
+    }
 
-#[derive(Debug)]
-struct InFlight {
-    ask: Ask,
-    target: Name,
+    fn drain_per_ms(&self, now_ms: u64) -> f64 {
+        self.pace.drain_per_ms(now_ms, self.online)
+    }
 }
 
 /// State of all dispatching in one process.
 #[derive(Debug)]
 pub struct Dispatcher {
+    policy: Policy,
     manifest: Arc<Manifest>,
     targets: Targets,
-    in_flight: BTreeMap<RequestId, InFlight>,
-    lending: Lending,
-    lent: Vec<Lent>,
+    services: BTreeMap<Name, ServiceState>,
+    requests: BTreeMap<RequestId, Request>,
+    workspaces: BTreeMap<Name, u32>,
+    counters: Counters,
+    own_name: Name,
+    doors: Vec<LiveDoor>,
+    // Wall-clock time of the event in hand.
+    unix_ms: u64,
     rng: SmallRng,
 }
 
 impl Dispatcher {
-    /// Dispatcher without declarations: it refuses everything until the first [`Input::Manifest`].
+    /// Dispatcher without declarations: it refuses everything until the first [`Input::Manifest`]. The seed also
+    /// decides which targets this process uses.
     pub fn new(place: Place, seed: u64) -> Dispatcher {
         Dispatcher {
+            policy: Policy::default(),
             manifest: Arc::default(),
-            targets: Targets::new(place),
-            in_flight: BTreeMap::new(),
-            lending: Lending::new(),
-            lent: Vec::new(),
+            targets: Targets::new(place, seed),
+            services: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+            counters: Counters::default(),
+            own_name: Name::from(""),
+            doors: Vec::new(),
+            unix_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets the bounds; to be called before the first event.
+    pub fn with_policy(mut self, policy: Policy) -> Dispatcher {
+        self.policy = policy;
+        self
+    }
+
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
+        let now_ms = now.mono_ms;
+        self.unix_ms = now.unix_ms;
         match input {
-            Input::Manifest(manifest) => {
-                self.targets.apply(&manifest);
-                self.lending.apply(now, &manifest, &mut self.lent);
-                self.manifest = manifest;
-            }
-            Input::Ask(ask) => self.ask(now, ask, out),
-            Input::Ended { request, end } => self.ended(now, request, end, out),
-            Input::Gone { request } => self.gone(now, request),
+            Input::Manifest(manifest) => self.apply(now_ms, manifest, out),
+            Input::Ask(ask) => self.ask(now_ms, ask, out),
+            Input::Ended { request, end } => self.ended(now_ms, request, end, out),
+            Input::Gone { request } => self.gone(now_ms, request, out),
             Input::Load { target, running, waiting } => {
-                self.targets.report(&target, running, waiting);
-                self.lending.report(now, &target, running, waiting, &mut self.lent);
-            }
-            Input::Work { target, steps, tokens } => {
-                self.lending.steps(now, &target, steps, tokens);
-            }
-            Input::Doors { own_name, live } => {
-                self.lending.doors(now, own_name, live, &mut self.lent);
+                self.reported(now_ms, &target, running.saturating_add(waiting), out);
             }
+            Input::Work { target, steps, tokens } => self.worked(now_ms, &target, steps, tokens),
+            Input::Doors { own_name, live } => self.doors(now_ms, own_name, live),
             Input::Share { target, lender, slots, epoch } => {
-                self.lending.share(now, &target, &lender, slots, epoch, &mut self.lent);
-            }
-            Input::Tick => {
-                let targets = &self.targets;
-                self.lending.tick(now, |it| targets.takes_batch(it), &mut self.lent);
+                self.share(now_ms, &target, &lender, (slots, epoch), out);
             }
+            Input::Demand { door, load } => self.demand(now_ms, &door, &load, out),
+            Input::Unreachable { target } => self.eject(now_ms, &target, Ejection::Unreachable),
+            Input::Leaving { target } => self.eject(now_ms, &target, Ejection::Leaving),
+            Input::ToldLeaving { target, until_ms } => self.targets.told_leaving(&target, until_ms),
+            Input::Tick => self.tick(now_ms, out),
         }
-        self.act_on_lent(out);
     }
 
-    fn ask(&mut self, now: Now, ask: Ask, out: &mut Vec<Action>) {
-        if self.manifest.revision == 0 {
-            return refuse(&ask, Refusal::NotReady, out);
-        }
-        if !self.manifest.services.contains_key(&ask.service) {
-            return refuse(&ask, Refusal::UnknownService, out);
-        }
-        match ask.class {
-            Class::Online => self.dispatch_online(now, ask, out),
-            Class::Batch => self.lending.push(ask),
-        }
+    /// Counts since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
     }
 
-    fn dispatch_online(&mut self, now: Now, ask: Ask, out: &mut Vec<Action>) {
-        match self.targets.pick(&ask, &mut self.rng) {
-            Some((target, address)) => {
-                self.lending.online_started(now, &target, &mut self.lent);
-                self.dispatch(ask, target, address, out);
+    /// State at this moment; looks at each target in use, so it is not for every event.
+    pub fn gauges(&self, now: Now) -> Gauges {
+        let mut gauges = Gauges { known: self.requests.len(), ..Gauges::default() };
+        for (name, service) in &self.services {
+            gauges.queued += service.queue.len();
+            gauges.waiting_batch += service.batch.len();
+            gauges.online += service.online as usize;
+            for (_, target) in self.targets.of_service(name) {
+                gauges.targets += 1;
+                gauges.ejected += usize::from(target.health.is_ejected(now.mono_ms));
             }
-            None => refuse(&ask, Refusal::NoTarget, out),
         }
+        gauges
     }
 
-    fn dispatch(&mut self, ask: Ask, target: Name, address: SocketAddr, out: &mut Vec<Action>) {
-        let request = ask.request;
-        self.targets.started(&target, ask.class);
-        out.push(Action::Dispatch { request, target: Arc::clone(&target), address });
-        self.in_flight.insert(request, InFlight { ask, target });
+    /// Targets whose load is worth asking for: name, address, and whether this process has work there.
+    pub fn targets_in_use(&self) -> impl Iterator<Item = (&Name, SocketAddr, bool)> {
+        self.targets.in_use()
     }
 
-    fn ended(&mut self, now: Now, request: RequestId, end: AttemptEnd, out: &mut Vec<Action>) {
-        let Some(in_flight) = self.in_flight.remove(&request) else { return };
-        self.release(now, &in_flight, Some(end));
-        match end {
-            AttemptEnd::Done | AttemptEnd::Aborted | AttemptEnd::Yielded => {}
-            AttemptEnd::NotSent => refuse(&in_flight.ask, Refusal::ConnectFailed, out),
-            AttemptEnd::Lost(reason) => {
-                out.push(Action::Refuse { request, verdict: Verdict::MayHaveRun { reason } });
+    fn apply(&mut self, now_ms: u64, manifest: Arc<Manifest>, out: &mut Vec<Action>) {
+        if manifest.revision < self.manifest.revision {
+            return;
+        }
+        self.targets.apply(now_ms, &manifest);
+        for name in manifest.services.keys() {
+            if !self.services.contains_key(name) {
+                self.services.insert(Name::clone(name), ServiceState::new(&self.policy));
             }
         }
+        self.manifest = manifest;
+        self.assign_roles(now_ms);
+        self.review_loans(now_ms, out);
+        for service in self.service_names() {
+            if !self.manifest.services.contains_key(&service) {
+                self.refuse_waiting(now_ms, &service, Refusal::UnknownService, out);
+                self.services.remove(&service);
+            }
+        }
+        self.settle_all(now_ms, out);
     }
 
-    fn gone(&mut self, now: Now, request: RequestId) {
-        match self.in_flight.remove(&request) {
-            Some(in_flight) => self.release(now, &in_flight, None),
-            None => self.lending.batch_ended(now, request, None),
+    fn reported(&mut self, now_ms: u64, name: &Name, total: u32, out: &mut Vec<Action>) {
+        let Some(target) = self.targets.find(name).and_then(|it| self.targets.get_mut(it)) else {
+            return;
+        };
+        target.health.reached(now_ms);
+        if target.load.report(now_ms, total) {
+            self.counters.reports_distrusted += 1;
+        }
+        let service = Name::clone(&target.declared.service);
+        if let Some(id) = self.targets.find(name) {
+            self.recall_above_slots(now_ms, id, out);
         }
+        self.settle(now_ms, &service, out);
     }
 
-    fn release(&mut self, now: Now, in_flight: &InFlight, end: Option<AttemptEnd>) {
-        let InFlight { ask, target } = in_flight;
-        self.targets.ended(target, ask.class);
-        match ask.class {
-            Class::Online => self.lending.online_ended(target),
-            Class::Batch => self.lending.batch_ended(now, ask.request, end),
+    fn worked(&mut self, now_ms: u64, target: &Name, steps: u64, tokens: u64) {
+        if let Some(target) = self.targets.find(target).and_then(|it| self.targets.get_mut(it)) {
+            target.loan.worked(now_ms, steps, tokens);
         }
-        let targets = &self.targets;
-        self.lending.start(now, &ask.service, |it| targets.takes_batch(it), &mut self.lent);
     }
 
-    fn act_on_lent(&mut self, out: &mut Vec<Action>) {
-        let mut lent = std::mem::take(&mut self.lent);
-        for decision in lent.drain(..) {
-            match decision {
-                Lent::Start { ask, target, address } => self.dispatch(ask, target, address, out),
-                Lent::Recall(request) => out.push(Action::Abort { request }),
-            }
+    fn eject(&mut self, now_ms: u64, target: &Name, reason: Ejection) {
+        if self.targets.eject(now_ms, target, reason) {
+            self.counters.ejected(reason);
         }
-        self.lent = lent;
     }
-}
 
-const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+    fn tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        self.review_loans(now_ms, out);
+        for service in self.service_names() {
+            self.give_up_expired(now_ms, &service, out);
+        }
+        self.settle_all(now_ms, out);
+    }
+
+    fn settle_all(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        for service in self.service_names() {
+            self.settle(now_ms, &service, out);
+        }
+    }
+
+    /// Gives room to those who wait for it: online requests first.
+    fn settle(&mut self, now_ms: u64, service: &Name, out: &mut Vec<Action>) {
+        self.drain_queue(now_ms, service, out);
+        self.lend(now_ms, service, out);
+    }
 
-fn refuse(ask: &Ask, reason: Refusal, out: &mut Vec<Action>) {
-    let verdict = Verdict::NotRun { retry_after_ms: DEFAULT_RETRY_AFTER_MS, reason };
-    out.push(Action::Refuse { request: ask.request, verdict });
+    fn service_names(&self) -> SmallVec<[Name; 8]> {
+        self.services.keys().cloned().collect()
+    }
 }
--- a/crates/samphiredoor-core/src/lease.rs
+++ b/crates/samphiredoor-core/src/lease.rs
@@ -5,7 +5,10 @@
 //! by theirs, and add a margin. So no clocks are compared, and a holder that was paused finds its lease over when it
 //! wakes. The lease only keeps two processes from doing the same work: results are safe without it.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use samphiredoor_schema::objects::ProcessLease;
 
@@ -111,6 +114,11 @@
         }
     }
 
+    /// Number of the last renewal.
+    pub fn renewals(&self) -> u64 {
+        self.renewals
+    }
+
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: LeaseInput, out: &mut Vec<LeaseAction>) {
         match input {
@@ -220,7 +228,11 @@
                 self.held(now, sent_ms, out);
             }
             // The renewal may stand; only a read can tell, and the version is needed either way.
-            StoreAnswer::Unknown | StoreAnswer::Conflict | StoreAnswer::Taken => {
+            // A lease that lapsed long ago may have been removed; it is written anew.
+            StoreAnswer::Unknown
+            | StoreAnswer::Conflict
+            | StoreAnswer::Taken
+            | StoreAnswer::Absent => {
                 self.doubtful = Some((self.renewals, sent_ms));
                 self.read = false;
                 self.next_ms = now.mono_ms;
@@ -261,6 +273,22 @@
         }
     }
 
+    /// Takes a holder's own word, heard from it, that it has renewed its lease so often.
+    pub fn heard(&mut self, now: Now, process: &str, incarnation: u64, renewals: u64) {
+        let Some(known) = self.leases.get_mut(process) else { return };
+        if (known.lease.incarnation, known.lease.renewals) < (incarnation, renewals) {
+            known.lease.incarnation = incarnation;
+            known.lease.renewals = renewals;
+            known.since_ms = now.mono_ms;
+        }
+    }
+
+    /// When the lease of a process lapses if it is not renewed, by the observer's monotonic clock.
+    pub fn over_at(&self, process: &str, margin_ms: u64) -> Option<u64> {
+        let observed = self.leases.get(process)?;
+        Some(observed.since_ms + observed.lease.lease_ms + margin_ms + 1)
+    }
+
     /// Forgets a process whose lease object is gone.
     pub fn forget(&mut self, process: &str) {
         self.leases.remove(process);
@@ -271,6 +299,19 @@
         self.leases.iter().map(|(name, it)| (name, &it.lease))
     }
 
+    /// Forgets all processes that a whole list did not name.
+    pub fn retain(&mut self, named: &BTreeSet<Name>) {
+        self.leases.retain(|name, _| named.contains(name));
+    }
+
+    /// Processes that hold their lease and are not stopping.
+    pub fn live(&self, now: Now) -> Vec<Name> {
+        let live =
+            |it: &Observed| now.mono_ms <= it.since_ms + it.lease.lease_ms && !it.lease.stopping;
+        let live = self.leases.iter().filter(|(_, it)| live(it));
+        live.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
     /// Processes whose lease has not changed for its length and `margin_ms`, with their incarnations.
     pub fn lapsed(&self, now: Now, margin_ms: u64) -> Vec<(Name, u64)> {
         let over = |it: &Observed| now.mono_ms > it.since_ms + it.lease.lease_ms + margin_ms;
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -22,6 +22,12 @@
     Keys,
     /// Suspected requests.
     Suspects,
+    /// Orders to targets.
+    Orders,
+    /// Pace of loads from the weight store.
+    Pace,
+    /// The platform's list of hosts, which the doors only read.
+    Hosts,
 }
 
 impl Kind {
@@ -35,6 +41,9 @@
             Kind::Process => "processes",
             Kind::Keys => "keys",
             Kind::Suspects => "suspects",
+            Kind::Orders => "orders",
+            Kind::Pace => "paces",
+            Kind::Hosts => "hosts",
         }
     }
 }
--- a/crates/samphiredoor-embedded/src/lib.rs
+++ b/crates/samphiredoor-embedded/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod json;
 pub mod objects;
 pub mod objects_http;
+pub mod orders_http;
 pub mod prefix_cache;
 pub mod service_http;
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -10,14 +10,21 @@
 };
 
 use samphiredoor_core::{
-    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId},
+    Name,
+    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId, lender::ShareChange},
     manifest::Manifest,
+    news::News,
     time::Now,
     verdict::{Refusal, Verdict},
 };
 use samphiredoor_net::pool::within;
 
+use crate::metrics::Metrics;
+
 const TICK: Duration = Duration::from_millis(10);
+const TICKS_BETWEEN_METRICS: u64 = 10;
+/// Word that a target leaves is told again more often than this while it holds.
+const TOLD_LEAVING_MS: u64 = 30_000;
 
 /// Clock of the process, read once per event.
 #[derive(Debug, Clone, Copy)]
@@ -53,26 +60,45 @@
     Refused(Verdict),
 }
 
+/// A target that this process uses.
+#[derive(Debug, Clone)]
+pub struct TargetInUse {
+    /// Name.
+    pub name: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether a request of this process runs there.
+    pub busy: bool,
+}
+
 enum Message {
     Ask(Ask, flume::Sender<Placement>),
     Input(Input),
+    TargetsInUse(flume::Sender<Vec<TargetInUse>>),
 }
 
 /// Handle to the dispatcher's task.
 #[derive(Clone)]
 pub struct Dispatch {
+    clock: Clock,
     messages: flume::Sender<Message>,
     next_request: Rc<Cell<u64>>,
 }
 
 impl Dispatch {
-    /// Starts the task.
-    pub fn start(clock: Clock, place: Place, seed: u64) -> Dispatch {
+    /// Starts the task; what it has to tell other doors goes to `news`.
+    pub fn start(
+        clock: Clock,
+        place: Place,
+        seed: u64,
+        metrics: Rc<Metrics>,
+        news: flume::Sender<(Name, News)>,
+    ) -> Dispatch {
         let (messages, inbox) = flume::unbounded();
-        let task =
-            Task { clock, dispatcher: Dispatcher::new(place, seed), waiting: HashMap::new() };
+        let dispatcher = Dispatcher::new(place, seed);
+        let task = Task { clock, dispatcher, waiting: HashMap::new(), news, metrics, ticks: 0 };
         compio::runtime::spawn(task.run(inbox)).detach();
-        Dispatch { messages, next_request: Rc::new(Cell::new(1)) }
+        Dispatch { clock, messages, next_request: Rc::new(Cell::new(1)) }
     }
 
     /// Puts a manifest in force.
@@ -80,6 +106,12 @@
         self.input(Input::Manifest(manifest));
     }
 
+    /// Gives the target no new work for a while.
+    pub fn leaving(&self, target: Name) {
+        let until_ms = self.clock.now().mono_ms + TOLD_LEAVING_MS;
+        self.input(Input::ToldLeaving { target, until_ms });
+    }
+
     /// New identity for a request.
     pub fn next_request(&self) -> RequestId {
         let id = self.next_request.get();
@@ -95,11 +127,19 @@
             placements,
             messages: self.messages.clone(),
             open: true,
+            at_target: false,
         };
         let _ = self.messages.send(Message::Ask(ask, sender));
         ticket
     }
 
+    /// Targets that this process uses.
+    pub async fn targets_in_use(&self) -> Vec<TargetInUse> {
+        let (reply, receiver) = flume::bounded(1);
+        let _ = self.messages.send(Message::TargetsInUse(reply));
+        receiver.recv_async().await.unwrap_or_default()
+    }
+
     /// Tells the dispatcher what happened.
     pub fn input(&self, input: Input) {
         let _ = self.messages.send(Message::Input(input));
@@ -112,6 +152,7 @@
     placements: flume::Receiver<Placement>,
     messages: flume::Sender<Message>,
     open: bool,
+    at_target: bool,
 }
 
 impl Ticket {
@@ -119,8 +160,10 @@
     pub async fn placement(&mut self) -> Placement {
         match self.placements.recv_async().await {
             Ok(placement) => {
-                if matches!(placement, Placement::Refused(_)) {
-                    self.open = false;
+                match placement {
+                    Placement::Go { .. } => self.at_target = true,
+                    Placement::Refused(_) => self.open = false,
+                    Placement::Abort => {}
                 }
                 placement
             }
@@ -132,11 +175,13 @@
         }
     }
 
-    /// Says how the attempt in hand ended. After `Done` and `Aborted` the ticket is closed; else a decision follows.
+    /// Says how the attempt in hand ended, once for each attempt. An end that closes the request closes the ticket;
+    /// after any other a decision follows.
     pub fn ended(&mut self, end: AttemptEnd) {
-        if matches!(end, AttemptEnd::Done | AttemptEnd::Aborted) {
-            self.open = false;
+        if !std::mem::take(&mut self.at_target) {
+            return;
         }
+        self.open &= !end.closes();
         let input = Input::Ended { request: self.request, end };
         let _ = self.messages.send(Message::Input(input));
     }
@@ -155,6 +200,9 @@
     clock: Clock,
     dispatcher: Dispatcher,
     waiting: HashMap<RequestId, flume::Sender<Placement>>,
+    news: flume::Sender<(Name, News)>,
+    metrics: Rc<Metrics>,
+    ticks: u64,
 }
 
 impl Task {
@@ -169,9 +217,14 @@
                     Input::Ask(ask)
                 }
                 Some(Ok(Message::Input(input))) => input,
+                Some(Ok(Message::TargetsInUse(reply))) => {
+                    let _ = reply.send(self.targets_in_use());
+                    continue;
+                }
                 Some(Err(_)) => return,
                 None => {
                     next_tick = Instant::now() + TICK;
+                    self.publish();
                     Input::Tick
                 }
             };
@@ -183,21 +236,47 @@
         }
     }
 
+    fn targets_in_use(&self) -> Vec<TargetInUse> {
+        let targets = self.dispatcher.targets_in_use();
+        let target = |(name, address, busy)| TargetInUse { name: Name::clone(name), address, busy };
+        targets.map(target).collect()
+    }
+
+    fn publish(&mut self) {
+        if self.ticks.is_multiple_of(TICKS_BETWEEN_METRICS) {
+            let gauges = self.dispatcher.gauges(self.clock.now());
+            self.metrics.dispatcher(self.dispatcher.counters(), &gauges);
+        }
+        self.ticks += 1;
+    }
+
     fn forget_ended(&mut self, input: &Input) {
         match input {
-            Input::Gone { request }
-            | Input::Ended { request, end: AttemptEnd::Done | AttemptEnd::Aborted } => {
+            Input::Gone { request } => {
+                self.waiting.remove(request);
+            }
+            Input::Ended { request, end } if end.closes() => {
                 self.waiting.remove(request);
             }
             _ => {}
         }
     }
 
+    fn tell(&self, door: Name, news: News) {
+        let _ = self.news.send((door, news));
+    }
+
     fn act(&mut self, action: Action) {
         let (request, placement) = match action {
             Action::Dispatch { request, address, .. } => (request, Placement::Go { address }),
             Action::Abort { request } => (request, Placement::Abort),
             Action::Refuse { request, verdict } => (request, Placement::Refused(verdict)),
+            Action::Share { target, change } => {
+                let ShareChange { door, slots, epoch } = change;
+                let news = News::Recall { target, batch_slots: slots, epoch };
+                return self.tell(door, news);
+            }
+            Action::Demand { lender, load } => return self.tell(lender, News::Need(load)),
         };
         let last = matches!(placement, Placement::Refused(_));
         if let Some(reply) = self.waiting.get(&request) {
--- a/crates/samphiredoor/src/item_call.rs
+++ b/crates/samphiredoor/src/item_call.rs
@@ -8,18 +8,13 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Method, Uri};
-use samphiredoor_core::{
-    dispatch::AttemptEnd,
-    ledger::{ItemEnd, ItemWork},
-    verdict::Doubt,
-};
+use samphiredoor_core::{dispatch::AttemptEnd, ledger::ItemEnd, verdict::Doubt};
 use samphiredoor_net::{
     body::read_whole,
     pool::{Answer, SendError, within},
 };
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 
 use crate::{process::Door, targets::Call};
 
@@ -70,31 +65,41 @@
 
 /// Call of one item.
 pub struct ItemCall {
-    uri: Uri,
-    headers: HeaderMap,
-    body: Value,
-    partial: Option<RefCell<Partial>>,
+    call: Call,
+    resumable: Option<Resumable>,
+}
+
+struct Resumable {
+    fields: Map<String, Value>,
+    partial: RefCell<Partial>,
 }
 
 impl ItemCall {
-    /// Call of an item whose service's engines can resume if `resumable` says so.
-    pub fn new(work: ItemWork, uri: Uri, headers: HeaderMap, resumable: bool) -> ItemCall {
-        let is_simple = work.body.as_object().is_some_and(|it| {
-            uri.path().ends_with("/completions")
-                && !UNRESUMABLE_FIELDS.iter().any(|field| it.contains_key(*field))
-        });
-        let partial = (resumable && is_simple).then(RefCell::default);
-        ItemCall { uri, headers, body: work.body, partial }
+    /// Call of an item.
+    pub fn new(call: Call) -> ItemCall {
+        ItemCall { call, resumable: None }
+    }
+
+    /// Goes on where an attempt was cut, as far as the answer can be put together from its pieces.
+    pub fn with_resume(mut self) -> ItemCall {
+        if !self.call.uri.path().ends_with("/completions") {
+            return self;
+        }
+        let Ok(fields) = serde_json::from_slice::<Map<_, _>>(&self.call.body) else { return self };
+        if !UNRESUMABLE_FIELDS.iter().any(|it| fields.contains_key(*it)) {
+            self.resumable = Some(Resumable { fields, partial: RefCell::default() });
+        }
+        self
     }
 
     /// Whether the next attempt goes on where the last one was cut.
     pub fn resumes(&self) -> bool {
-        self.partial.is_some()
+        self.resumable.is_some()
     }
 
-    /// Bytes of the body, about.
+    /// Bytes of the body.
     pub fn body_bytes(&self) -> usize {
-        self.body.to_string().len()
+        self.call.body.len()
     }
 
     /// Makes one attempt. What arrived stays here when the future is dropped.
@@ -103,14 +108,14 @@
             return Ok(whole);
         }
         let exchange = within(ITEM_DEADLINE, async {
-            let sent = door.targets.send(address, &self.call()).await;
+            let sent = door.targets.send(address, &self.next_call()).await;
             let response = sent.map_err(|err| match err {
                 SendError::NotSent(_) => AttemptEnd::NotSent,
                 SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
             })?;
             let status = response.status().as_u16();
-            match &self.partial {
-                Some(partial) if status == 200 => {
+            match &self.resumable {
+                Some(Resumable { partial, .. }) if status == 200 => {
                     read_events(partial, response.into_body()).await?;
                     Ok(ItemEnd::Answered { status, body: self.whole(&partial.borrow()) })
                 }
@@ -122,31 +127,28 @@
 
     /// An attempt that was cut between its last token and the end of its framing has nothing left to ask for.
     fn finished(&self) -> Option<ItemEnd> {
-        let partial = self.partial.as_ref()?.borrow();
+        let partial = self.resumable.as_ref()?.partial.borrow();
         let finished = !partial.finish_reason.is_null();
         finished.then(|| ItemEnd::Answered { status: 200, body: self.whole(&partial) })
     }
 
-    fn call(&self) -> Call {
-        let mut body = self.body.clone();
-        if let (Some(partial), Some(fields)) = (&self.partial, body.as_object_mut()) {
+    fn next_call(&self) -> Call {
+        let mut call = self.call.clone();
+        if let Some(Resumable { fields, partial }) = &self.resumable {
+            let mut fields = fields.clone();
             fields.insert("stream".to_owned(), Value::Bool(true));
             let tokens = partial.borrow().tokens;
             if tokens > 0 {
                 fields.insert(RESUME_FIELD.to_owned(), tokens.into());
             }
+            call.body = Bytes::from(Value::Object(fields).to_string());
         }
-        Call {
-            method: Method::POST,
-            uri: self.uri.clone(),
-            headers: self.headers.clone(),
-            body: Bytes::from(body.to_string()),
-        }
+        call
     }
 
     /// The answer as an engine would have given it in one piece.
     fn whole(&self, partial: &Partial) -> Value {
-        let chat = self.uri.path().contains("/chat/");
+        let chat = self.call.uri.path().contains("/chat/");
         let reason = &partial.finish_reason;
         let (object, choice) = match chat {
             true => {
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -1,37 +1,43 @@
-//! The task that owns the ledger of jobs, and the runs of their items.
+//! The task that owns the ledger of jobs, and the handles by which others speak to it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use futures_util::future::{Either, select};
-use hyper::{HeaderMap, Uri, header};
 use samphiredoor_core::{
     Name,
-    dispatch::{Ask, AttemptEnd, Class},
-    ledger::{ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerInput, Progress},
+    ledger::{
+        ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerConfig, LedgerInput, Note,
+        Progress,
+    },
     store::Version,
-    verdict::Verdict,
+    time::Now,
 };
 use samphiredoor_net::pool::within;
-use samphiredoor_schema::objects::JobHeader;
+use samphiredoor_schema::objects::{JobHeader, JobState};
 
-use crate::{
-    dispatch_task::{Placement, Ticket},
-    item_call::{ITEM_DEADLINE, ItemCall},
-    online::passed_headers,
-    process::Door,
-};
+use crate::{item_run, process::Door};
 
 const TICK: Duration = Duration::from_millis(100);
+const EMPTY_POLL: Duration = Duration::from_millis(20);
+/// The margin by which hand-outs stop before the lease ends, as a part of the lease.
+const LEASE_MARGIN_PART: u64 = 10;
+const MAX_LEASE_MARGIN_MS: u64 = 1_000;
 
 enum Message {
     Input(LedgerInput),
     Progress(JobId, flume::Sender<Option<Progress>>),
+    Len(flume::Sender<usize>),
 }
 
 /// Handle to the ledger's task.
 #[derive(Clone)]
 pub struct Jobs {
     messages: flume::Sender<Message>,
+    valid_until_ms: Rc<Cell<u64>>,
 }
 
 /// Inbox of the ledger's task, before the task starts.
@@ -41,7 +47,7 @@
     /// Handle and inbox.
     pub fn new() -> (Jobs, JobsInbox) {
         let (messages, inbox) = flume::unbounded();
-        (Jobs { messages }, JobsInbox(inbox))
+        (Jobs { messages, valid_until_ms: Rc::default() }, JobsInbox(inbox))
     }
 
     /// Hands over a job that this process owns.
@@ -51,14 +57,52 @@
 
     /// Says until when this process holds its lease, by its monotonic clock; 0 if it is lost.
     pub fn lease(&self, valid_until_ms: u64) {
+        self.valid_until_ms.set(valid_until_ms);
         self.input(LedgerInput::Lease { valid_until_ms });
     }
 
+    /// Whether this process holds its lease.
+    pub fn lease_held(&self, now: Now) -> bool {
+        now.mono_ms < self.valid_until_ms.get()
+    }
+
     /// Says that the lease of a process has lapsed, so that its jobs may be taken.
     pub fn lapsed(&self, process: Name, incarnation: u64) {
         self.input(LedgerInput::Lapsed { process, incarnation });
     }
 
+    /// Says which processes hold their leases.
+    pub fn live(&self, processes: Vec<Name>) {
+        self.input(LedgerInput::Live { processes });
+    }
+
+    /// Says that a job, which this process may own, is cancelled.
+    pub fn cancel_hint(&self, job: JobId) {
+        self.input(LedgerInput::CancelHint { job });
+    }
+
+    /// Says that another process has handed a job over.
+    pub fn offered(&self, job: JobId) {
+        self.input(LedgerInput::Offered { job });
+    }
+
+    /// Begins to hand all jobs over.
+    pub fn stopping(&self) {
+        self.input(LedgerInput::Stopping);
+    }
+
+    /// Waits until this process works on no job.
+    pub async fn empty(&self) {
+        loop {
+            let (sender, receiver) = flume::bounded(1);
+            let _ = self.messages.send(Message::Len(sender));
+            match receiver.recv_async().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => compio::time::sleep(EMPTY_POLL).await,
+            }
+        }
+    }
+
     /// Progress of a job, if this process owns it.
     pub async fn progress(&self, job: &JobId) -> Option<Progress> {
         let (sender, receiver) = flume::bounded(1);
@@ -73,138 +117,142 @@
 
 /// Runs the ledger until the process ends.
 pub async fn run(door: Rc<Door>, inbox: JobsInbox) {
+    let ledger = Ledger::new(ledger_config(&door));
+    Task { door, ledger, stops: HashMap::new(), actions: Vec::new() }.run(inbox).await;
+}
+
+fn ledger_config(door: &Door) -> LedgerConfig {
     let writer = door.unique_name(&door.config.name);
-    let mut ledger = Ledger::new(writer.into());
-    let mut actions = Vec::new();
-    loop {
-        let input = match within(TICK, inbox.0.recv_async()).await {
-            Some(Ok(Message::Input(input))) => input,
-            Some(Ok(Message::Progress(job, reply))) => {
-                let _ = reply.send(ledger.progress(&job));
-                continue;
+    let lease_ms = door.config.lease.as_millis() as u64;
+    let renew_ms = door.config.renew.as_millis() as u64;
+    LedgerConfig {
+        lease_margin_ms: (lease_ms / LEASE_MARGIN_PART).min(MAX_LEASE_MARGIN_MS),
+        sweep_ms: renew_ms,
+        free_list_ms: renew_ms,
+        ..LedgerConfig::new(door.config.name(), door.incarnation, writer.into())
+    }
+}
+
+struct Task {
+    door: Rc<Door>,
+    ledger: Ledger,
+    // Runs under way, and how to stop them.
+    stops: HashMap<ItemRef, flume::Sender<()>>,
+    actions: Vec<LedgerAction>,
+}
+
+impl Task {
+    async fn run(mut self, inbox: JobsInbox) {
+        let mut next_tick = Instant::now() + TICK;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match within(wait, inbox.0.recv_async()).await {
+                Some(Ok(Message::Input(input))) => self.handle(input),
+                Some(Ok(Message::Progress(job, reply))) => {
+                    let _ = reply.send(self.ledger.progress(&job));
+                }
+                Some(Ok(Message::Len(reply))) => {
+                    let _ = reply.send(self.ledger.jobs().count());
+                }
+                Some(Err(_)) => return,
+                None => {
+                    next_tick = Instant::now() + TICK;
+                    self.handle(LedgerInput::Tick);
+                }
             }
-            Some(Err(_)) => return,
-            None => LedgerInput::Tick,
-        };
-        ledger.handle(door.clock.now(), input, &mut actions);
-        for action in actions.drain(..) {
-            act(&door, action);
         }
     }
-}
 
-fn act(door: &Rc<Door>, action: LedgerAction) {
-    match action {
-        LedgerAction::Store { call, op } => {
-            let door = Rc::clone(door);
-            compio::runtime::spawn(async move {
-                let answer = door.store.call(op).await;
-                door.jobs.input(LedgerInput::Stored { call, answer });
-            })
-            .detach();
+    fn handle(&mut self, input: LedgerInput) {
+        if let LedgerInput::ItemEnded { item, end } = &input {
+            self.stops.remove(item);
+            self.door.metrics.item_ended(end_label(end));
         }
-        LedgerAction::Run(work) => {
-            if let Some(work) = door.batch_window.enter(work) {
-                compio::runtime::spawn(run_items(Rc::clone(door), work)).detach();
-            }
+        self.ledger.handle(self.door.clock.now(), input, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.act(action);
         }
-        LedgerAction::Stop(item) => {
-            if door.batch_window.remove(&item) {
-                door.jobs.input(LedgerInput::ItemEnded { item, end: ItemEnd::NotRun });
+    }
+
+    fn act(&mut self, action: LedgerAction) {
+        match action {
+            LedgerAction::Store { call, op } => {
+                let door = Rc::clone(&self.door);
+                compio::runtime::spawn(async move {
+                    let answer = door.store.call(op).await;
+                    door.jobs.input(LedgerInput::Stored { call, answer });
+                })
+                .detach();
+            }
+            LedgerAction::Run(work) => self.run_item(*work),
+            LedgerAction::Stop(item) => {
+                if let Some(stop) = self.stops.remove(&item) {
+                    let _ = stop.send(());
+                }
+            }
+            LedgerAction::HandedOver(job) => {
+                self.door.metrics.job_event("handed_over");
+                log::info!("jobs: {job} is handed over");
+                self.door.peers.offer(job);
             }
+            LedgerAction::Note(note) => self.note(&note),
         }
     }
-}
 
-async fn run_items(door: Rc<Door>, first: Box<ItemWork>) {
-    let mut next = Some(first);
-    while let Some(work) = next {
-        let item = work.item.clone();
-        let end = run_item(&door, *work).await;
-        next = door.batch_window.leave(&item.job);
-        door.jobs.input(LedgerInput::ItemEnded { item, end });
+    fn run_item(&mut self, work: ItemWork) {
+        let (stop, stopped) = flume::bounded(1);
+        self.stops.insert(work.item.clone(), stop);
+        let door = Rc::clone(&self.door);
+        compio::runtime::spawn(async move {
+            let item = work.item.clone();
+            let end = item_run::run(&door, work, stopped).await;
+            door.jobs.input(LedgerInput::ItemEnded { item, end });
+        })
+        .detach();
     }
-}
 
-async fn run_item(door: &Rc<Door>, work: ItemWork) -> ItemEnd {
-    let started = std::time::Instant::now();
-    let Ok(uri) = work.url.parse::<Uri>() else {
-        let body = serde_json::json!({ "error": "url is no path" });
-        return ItemEnd::Answered { status: 400, body };
-    };
-    let mut ask = batch_ask(door, &work);
-    let mut headers = passed_headers(&HeaderMap::new(), door, ask.request);
-    if let Ok(id) = header::HeaderValue::from_str(&item_id(&work.item)) {
-        headers.insert(crate::online::REQUEST_ID_HEADER, id);
-    }
-    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
-    let resumable =
-        door.manifest.borrow().services.get(&work.service).is_some_and(|it| it.resumable);
-    let call = ItemCall::new(work, uri, headers, resumable);
-    ask.body_bytes = call.body_bytes() as u32;
-    let mut ticket = door.dispatch.ask(ask);
-    loop {
-        match ticket.placement().await {
-            Placement::Go { address } => match attempt(door, &call, address, &mut ticket).await {
-                Some(Ok(end)) => {
-                    ticket.ended(AttemptEnd::Done);
-                    door.metrics.ended(
-                        Class::Batch,
-                        Verdict::Done,
-                        started.elapsed().as_secs_f64(),
-                    );
-                    return end;
-                }
-                Some(Err(end)) => ticket.ended(end),
-                None if call.resumes() => ticket.ended(AttemptEnd::Yielded),
-                None => {
-                    ticket.ended(AttemptEnd::Aborted);
-                    return ItemEnd::NotRun;
-                }
-            },
-            Placement::Abort => {}
-            Placement::Refused(verdict) => {
-                door.metrics.ended(Class::Batch, verdict, 0.0);
-                return match verdict {
-                    Verdict::MayHaveRun { .. } => ItemEnd::MayHaveRun,
-                    Verdict::NotRun { .. } | Verdict::Done => ItemEnd::NotRun,
-                };
+    fn note(&self, note: &Note) {
+        let metrics = &self.door.metrics;
+        match note {
+            Note::Taken { job, epoch } => {
+                metrics.job_event("taken");
+                log::info!("jobs: {job} is taken with epoch {epoch}");
+            }
+            Note::Dropped { job } => {
+                metrics.job_event("dropped");
+                log::info!("jobs: {job} is dropped, another process has it");
+            }
+            Note::Closed { job, state } => {
+                metrics.job_event(state_label(*state));
+                log::info!("jobs: {job} is {}", state_label(*state));
+            }
+            Note::LeaseOver => {
+                metrics.job_event("lease_over");
+                log::warn!("jobs: the lease is over; nothing is run until it is held again");
+            }
+            Note::Unreadable { key, fault } => {
+                metrics.unreadable(*fault);
+                log::error!("jobs: {}/{} is refused: {fault}", key.kind.path(), key.name);
             }
         }
     }
 }
 
-/// One attempt; `None` if it was cut because its slot is wanted back.
-async fn attempt(
-    door: &Door,
-    call: &ItemCall,
-    address: SocketAddr,
-    ticket: &mut Ticket,
-) -> Option<Result<ItemEnd, AttemptEnd>> {
-    let exchange = std::pin::pin!(call.attempt(door, address));
-    let placement = std::pin::pin!(ticket.placement());
-    match select(exchange, placement).await {
-        Either::Left((ended, _)) => Some(ended),
-        Either::Right(_) => None,
+fn end_label(end: &ItemEnd) -> &'static str {
+    match end {
+        ItemEnd::Answered { status: 200..=299, .. } => "answered",
+        ItemEnd::Answered { .. } => "answered_with_an_error",
+        ItemEnd::NotRun { .. } => "not_run",
+        ItemEnd::MayHaveRun => "may_have_run",
+        ItemEnd::Refused { .. } => "refused",
     }
 }
 
-fn batch_ask(door: &Door, work: &ItemWork) -> Ask {
-    Ask {
-        request: door.dispatch.next_request(),
-        class: Class::Batch,
-        service: Name::clone(&work.service),
-        workspace: Name::clone(&work.workspace),
-        deadline_ms: door.clock.now().mono_ms + ITEM_DEADLINE.as_millis() as u64,
-        repeatable: work.repeatable,
-        prefix_hash: 0,
-        fingerprint: 0,
-        body_bytes: 0,
-        job: Name::clone(&work.item.job),
-        due_unix_ms: work.due_unix_ms,
+fn state_label(state: JobState) -> &'static str {
+    match state {
+        JobState::Running => "running",
+        JobState::Cancelling => "cancelling",
+        JobState::Cancelled => "cancelled",
+        JobState::Finished => "finished",
     }
 }
-
-fn item_id(item: &ItemRef) -> String {
-    format!("{}-{:05}-{}", item.job, item.chunk, item.index)
-}
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -13,10 +13,18 @@
     registry::Registry,
 };
 use samphiredoor_core::{
-    dispatch::Class,
+    dispatch::{Class, Counters, Gauges},
+    ledger::Unreadable,
     verdict::{Doubt, Refusal, Verdict},
 };
 
+use crate::dispatch_metrics::DispatcherMetrics;
+
+const JOB_EVENTS: [&str; 6] =
+    ["taken", "dropped", "finished", "cancelled", "handed_over", "lease_over"];
+const ITEM_ENDS: [&str; 5] =
+    ["answered", "answered_with_an_error", "not_run", "may_have_run", "refused"];
+
 /// Label of a reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -31,6 +39,77 @@
     pub class: &'static str,
 }
 
+/// Why something from a peer was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRefusal {
+    /// The token was wrong.
+    WrongToken,
+    /// A connection ended, or was ended, before its far side had entered.
+    NoEntry,
+    /// A message cannot be read.
+    Unreadable,
+    /// News of a kind that a newer version has added.
+    UnknownNews,
+    /// More links than are held at once.
+    TooManyLinks,
+    /// A peer is slow to answer, so that a message to it was dropped.
+    SlowPeer,
+    /// A process's lease object cannot be read.
+    UnreadableLease,
+    /// An entry of the host list cannot be read.
+    UnreadableHost,
+}
+
+impl PeerRefusal {
+    const ALL: [PeerRefusal; 8] = [
+        PeerRefusal::WrongToken,
+        PeerRefusal::NoEntry,
+        PeerRefusal::Unreadable,
+        PeerRefusal::UnknownNews,
+        PeerRefusal::TooManyLinks,
+        PeerRefusal::SlowPeer,
+        PeerRefusal::UnreadableLease,
+        PeerRefusal::UnreadableHost,
+    ];
+
+    fn label(self) -> &'static str {
+        match self {
+            PeerRefusal::WrongToken => "wrong_token",
+            PeerRefusal::NoEntry => "no_entry",
+            PeerRefusal::Unreadable => "unreadable",
+            PeerRefusal::UnknownNews => "unknown_news",
+            PeerRefusal::TooManyLinks => "too_many_links",
+            PeerRefusal::SlowPeer => "slow_peer",
+            PeerRefusal::UnreadableLease => "unreadable_lease",
+            PeerRefusal::UnreadableHost => "unreadable_host",
+        }
+    }
+}
+
+/// Why a manifest's record was not put in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ManifestRefusal {
+    /// Its revision is below the one in force.
+    Older,
+    /// Its revision is the one in force, and its content another.
+    Forked,
+    /// It cannot be read, or a newer version wrote it.
+    Unusable,
+}
+
+impl ManifestRefusal {
+    const ALL: [ManifestRefusal; 3] =
+        [ManifestRefusal::Older, ManifestRefusal::Forked, ManifestRefusal::Unusable];
+
+    fn label(self) -> &'static str {
+        match self {
+            ManifestRefusal::Older => "older",
+            ManifestRefusal::Forked => "forked",
+            ManifestRefusal::Unusable => "unusable",
+        }
+    }
+}
+
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -39,6 +118,15 @@
     answered: Family<ClassLabel, Counter>,
     latency_s: Family<ClassLabel, Histogram>,
     running: Gauge,
+    job_events: Family<ReasonLabel, Counter>,
+    item_ends: Family<ReasonLabel, Counter>,
+    unreadable: Family<ReasonLabel, Counter>,
+    dispatcher: DispatcherMetrics,
+    peer_refusals: Family<ReasonLabel, Counter>,
+    manifest_refusals: Family<ReasonLabel, Counter>,
+    peer_bytes_received: Counter,
+    peer_bytes_sent: Counter,
+    members: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -65,7 +153,64 @@
         registry.register("latency_seconds", "Time to the whole answer", latency_s.clone());
         let running = Gauge::default();
         registry.register("running", "Online requests that are being answered", running.clone());
-        Rc::new(Metrics { registry, refusals, doubts, answered, latency_s, running })
+        let dispatcher = DispatcherMetrics::new(&mut registry);
+        let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
+        let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
+        let faults = Unreadable::ALL.map(Unreadable::label);
+        let unreadable = counters(&mut registry, "unreadable", "Stored objects refused", &faults);
+        let refusals_of_peers = PeerRefusal::ALL.map(PeerRefusal::label);
+        let peer_refusals =
+            counters(&mut registry, "peer_refusals", "Refused of peers", &refusals_of_peers);
+        let refusals_of_manifests = ManifestRefusal::ALL.map(ManifestRefusal::label);
+        let manifest_refusals = counters(
+            &mut registry,
+            "manifest_refusals",
+            "Manifests refused",
+            &refusals_of_manifests,
+        );
+        let peer_bytes_received = Counter::default();
+        let peer_bytes_sent = Counter::default();
+        let members = Gauge::default();
+        registry.register("peer_bytes_received", "From peers", peer_bytes_received.clone());
+        registry.register("peer_bytes_sent", "To peers", peer_bytes_sent.clone());
+        registry.register("members", "Doors not reported dead", members.clone());
+        Rc::new(Metrics {
+            registry,
+            refusals,
+            doubts,
+            answered,
+            latency_s,
+            running,
+            job_events,
+            item_ends,
+            unreadable,
+            dispatcher,
+            peer_refusals,
+            manifest_refusals,
+            peer_bytes_received,
+            peer_bytes_sent,
+            members,
+        })
+    }
+
+    /// Counts something that was refused of a peer.
+    pub fn peer_refused(&self, reason: PeerRefusal) {
+        self.peer_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+    }
+
+    /// Counts a manifest's record that was not put in force.
+    pub fn manifest_refused(&self, reason: ManifestRefusal) {
+        self.manifest_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+    }
+
+    /// Counters of the bytes received from peers and sent to them.
+    pub fn peer_bytes(&self) -> (Counter, Counter) {
+        (self.peer_bytes_received.clone(), self.peer_bytes_sent.clone())
+    }
+
+    /// Sets the number of members that are not reported dead.
+    pub fn members(&self, members: usize) {
+        self.members.set(members as i64);
     }
 
     /// Counts an online request as running until the guard is dropped.
@@ -91,6 +236,26 @@
         }
     }
 
+    /// Counts what became of a job.
+    pub fn job_event(&self, event: &'static str) {
+        self.job_events.get_or_create(&ReasonLabel { reason: event }).inc();
+    }
+
+    /// Counts the end of a run of an item.
+    pub fn item_ended(&self, end: &'static str) {
+        self.item_ends.get_or_create(&ReasonLabel { reason: end }).inc();
+    }
+
+    /// Counts a stored object that cannot be read.
+    pub fn unreadable(&self, fault: Unreadable) {
+        self.unreadable.get_or_create(&ReasonLabel { reason: fault.label() }).inc();
+    }
+
+    /// Takes what the dispatcher counts.
+    pub fn dispatcher(&self, counters: &Counters, gauges: &Gauges) {
+        self.dispatcher.set(counters, gauges);
+    }
+
     /// Text in the exposition format.
     pub fn text(&self) -> String {
         let mut text = String::new();
@@ -109,6 +274,20 @@
     }
 }
 
+fn counters(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    reasons: &[&'static str],
+) -> Family<ReasonLabel, Counter> {
+    let family = Family::<ReasonLabel, Counter>::default();
+    for reason in reasons {
+        let _ = family.get_or_create(&ReasonLabel { reason });
+    }
+    registry.register(name, help, family.clone());
+    family
+}
+
 fn class_label(class: Class) -> &'static str {
     match class {
         Class::Online => "online",
--- /dev/null
+++ b/crates/samphiredoor/src/news.rs
@@ -0,0 +1,28 @@
+//! Passes a peer's news on to the tasks that it concerns.
+
+use samphiredoor_core::{Name, dispatch::Input, news::News};
+
+use crate::process::Door;
+
+/// Passes one piece of news on.
+pub fn deliver(door: &Door, from: &Name, news: News) {
+    match news {
+        News::Cancelled(job) => door.jobs.cancel_hint(job),
+        News::HandedOver(job) => door.jobs.offered(job),
+        News::Lapsed { process, incarnation } => {
+            door.jobs.lapsed(Name::clone(&process), incarnation);
+            door.orders.lapsed(process, incarnation);
+        }
+        News::Leaving(target) => door.dispatch.leaving(target),
+        // The members task handles revisions itself.
+        News::Revision(_) => {}
+        News::Recall { target, batch_slots, epoch } => {
+            let lender = Name::clone(from);
+            door.dispatch.input(Input::Share { target, lender, slots: batch_slots, epoch });
+        }
+        News::Need(load) => {
+            door.dispatch.input(Input::Demand { door: Name::clone(from), load });
+        }
+        News::Suspect { .. } => log::debug!("news: {from} told {news:?}"),
+    }
+}
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -45,9 +45,9 @@
         Noun::Jobs => listed(door, Kind::Job, job_labels(query), job_row).await?,
         Noun::Doors => listed(door, Kind::Process, Labels::new(), door_row).await?,
         Noun::Items => items(door, query).await?,
-        Noun::Services => (service_rows(&door.manifest.borrow()), false),
-        Noun::Targets => (target_rows(&door.manifest.borrow()), false),
-        Noun::Workspaces => (workspace_rows(&door.manifest.borrow()), false),
+        Noun::Services => (service_rows(&door.manifest.current()), false),
+        Noun::Targets => (target_rows(&door.manifest.current()), false),
+        Noun::Workspaces => (workspace_rows(&door.manifest.current()), false),
     };
     Ok(Answer { rows: select(query, rows), truncated })
 }
@@ -183,7 +183,7 @@
     let mut rows = Vec::new();
     for number in 0..header.chunks {
         let chunk = read::<Chunk>(door, chunk_key(&header.upload, number)).await?;
-        let results = read::<ChunkResults>(door, results_key(&job, number)).await?;
+        let results = read::<ChunkResults>(door, results_key(&header.upload, number)).await?;
         let Some(chunk) = chunk else { continue };
         for (index, item) in chunk.items.iter().enumerate() {
             let result = results.as_ref().and_then(|it| it.results.get(&index.to_string()));
