--- a/crates/samphiredoor-core/examples/overload.rs
+++ b/crates/samphiredoor-core/examples/overload.rs
@@ -254,7 +254,7 @@
                     };
                     self.give_up(request.0, retry_after_ms);
                 }
-                Action::Abort { .. } => {}
+                Action::Abort { .. } | Action::Share { .. } | Action::Demand { .. } => {}
             }
         }
     }
--- a/crates/samphiredoor-core/src/dispatch/admission.rs
+++ b/crates/samphiredoor-core/src/dispatch/admission.rs
@@ -63,7 +63,7 @@
         let Some(state) = self.services.get_mut(&ask.service) else {
             return Err(Refusal::UnknownService);
         };
-        match state.batch.push(&ask.job, ask.request) {
+        match state.batch.push(ask) {
             true => Ok(()),
             false => Err(Refusal::Overloaded),
         }
@@ -196,7 +196,7 @@
         out: &mut Vec<Action>,
     ) {
         self.refuse_queued(now_ms, service, reason, out);
-        while let Some(request) = self.services.get(service).and_then(|it| it.batch.next()) {
+        while let Some(request) = self.services.get(service).and_then(|it| it.batch.next(0)) {
             self.give_up(now_ms, request, reason, out);
         }
     }
--- a/crates/samphiredoor-core/src/dispatch/attempt.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempt.rs
@@ -22,6 +22,8 @@
     Cut(Doubt),
     /// Cut by ourselves, so that the capacity is free again.
     Aborted,
+    /// Cut by ourselves as well, but the request waits for a slot again: a decision follows. For batch requests only.
+    Yielded,
 }
 
 impl AttemptEnd {
@@ -31,7 +33,10 @@
             AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
                 true
             }
-            AttemptEnd::NotSent | AttemptEnd::Pushback { .. } | AttemptEnd::Lost(_) => false,
+            AttemptEnd::NotSent
+            | AttemptEnd::Pushback { .. }
+            | AttemptEnd::Lost(_)
+            | AttemptEnd::Yielded => false,
         }
     }
 }
--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -1,12 +1,13 @@
 //! Attempts at targets: their start, their end, what is learned from it, and whether another one follows.
 
 use super::{
-    Action, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Running,
+    Action, Ask, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Running,
     Stage,
     targets::{Distance, TargetId},
 };
 use crate::{
     Name,
+    manifest::Manifest,
     verdict::{Doubt, Refusal},
 };
 
@@ -19,7 +20,7 @@
         target: TargetId,
         out: &mut Vec<Action>,
     ) {
-        self.take_turn(request);
+        let charged_ms = self.take_turn(request);
         let Some(running) = self.requests.get_mut(&request) else { return };
         let Some(chosen) = self.targets.get(target) else { return };
         let name = Name::clone(&chosen.declared.name);
@@ -28,7 +29,7 @@
             self.counters.bytes_to_other_regions += u64::from(running.ask.body_bytes);
         }
         let beside = chosen.load.own();
-        let attempt = Running { target, started_ms: now_ms, beside, recalled: false };
+        let attempt = Running { target, started_ms: now_ms, beside, recalled: false, charged_ms };
         running.stage = Stage::Running(attempt);
         running.tried.push(Name::clone(&name));
         let (class, recallable) = (running.ask.class, running.ask.repeatable);
@@ -39,6 +40,9 @@
         }
         self.targets.started(now_ms, target, request, class, recallable);
         out.push(Action::Dispatch { request, target: name, address });
+        if class == Class::Online {
+            self.recall_above_slots(now_ms, target, out);
+        }
     }
 
     /// Target for an online request.
@@ -67,7 +71,7 @@
     }
 
     /// Recalls an item of a job. Tells whether it was running.
-    fn recall(&mut self, now_ms: u64, item: RequestId, out: &mut Vec<Action>) -> bool {
+    pub(super) fn recall(&mut self, now_ms: u64, item: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(running) = self.requests.get_mut(&item) else { return false };
         let Stage::Running(attempt) = &mut running.stage else { return false };
         attempt.recalled = true;
@@ -95,6 +99,7 @@
             AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
                 self.close(now_ms, request);
             }
+            AttemptEnd::Yielded => self.wait_again(request),
             AttemptEnd::NotSent => {
                 let (retry, reason) = (RetryReason::ConnectFailed, Refusal::ConnectFailed);
                 self.retry_or_give_up(now_ms, request, retry, reason, out);
@@ -135,6 +140,13 @@
         let Some(running) = self.requests.get_mut(&request) else { return };
         let Stage::Running(attempt) = running.stage else { return };
         running.stage = Stage::Arrived;
+        if running.ask.class == Class::Batch
+            && let Some(state) = self.services.get_mut(&running.ask.service)
+        {
+            let weight = weight(&self.manifest, &running.ask);
+            let took_ms = now_ms.saturating_sub(attempt.started_ms);
+            state.batch.ended(&running.ask, attempt.charged_ms, took_ms, weight);
+        }
         let class = running.ask.class;
         if class == Class::Online
             && let Some(state) = self.services.get_mut(&running.ask.service)
@@ -144,15 +156,29 @@
         self.targets.ended(now_ms, attempt.target, request, class, attempt.recalled);
     }
 
-    fn take_turn(&mut self, request: RequestId) {
-        let Some(waiting) = self.requests.get(&request) else { return };
-        let Some(state) = self.services.get_mut(&waiting.ask.service) else { return };
-        match waiting.stage {
-            Stage::Queued(tag) => state.queue.turn_of(tag, &waiting.ask.workspace),
-            Stage::Waiting => state.batch.turn_of(&waiting.ask.job),
-            Stage::Arrived | Stage::Running(_) => {}
-        }
+    /// Takes a request out of where it waits, as its turn has come; returns the slot time that an item is charged.
+    fn take_turn(&mut self, request: RequestId) -> f64 {
+        let Some(waiting) = self.requests.get(&request) else { return 0.0 };
+        let Some(state) = self.services.get_mut(&waiting.ask.service) else { return 0.0 };
+        let charged_ms = match waiting.stage {
+            Stage::Queued(tag) => {
+                state.queue.turn_of(tag, &waiting.ask.workspace);
+                0.0
+            }
+            Stage::Waiting => state.batch.start(&waiting.ask, weight(&self.manifest, &waiting.ask)),
+            Stage::Arrived | Stage::Running(_) => 0.0,
+        };
         self.leave_queue(request);
+        charged_ms
+    }
+
+    /// An item that lost its slot waits for another one.
+    fn wait_again(&mut self, request: RequestId) {
+        let Some(yielded) = self.requests.get_mut(&request) else { return };
+        let Some(state) = self.services.get_mut(&yielded.ask.service) else { return };
+        yielded.stage = Stage::Waiting;
+        yielded.tried.clear();
+        state.batch.push_again(&yielded.ask);
     }
 
     fn leave_queue(&mut self, request: RequestId) {
@@ -160,7 +186,7 @@
         let Some(state) = self.services.get_mut(&waiting.ask.service) else { return };
         match waiting.stage {
             Stage::Queued(tag) => state.queue.remove(tag, &waiting.ask.workspace),
-            Stage::Waiting => state.batch.remove(&waiting.ask.job, request),
+            Stage::Waiting => state.batch.remove(&waiting.ask),
             Stage::Arrived | Stage::Running(_) => return,
         }
         waiting.stage = Stage::Arrived;
@@ -249,7 +275,11 @@
                     self.counters.ejected(Ejection::Failing);
                 }
             }
-            AttemptEnd::Aborted => {}
+            AttemptEnd::Aborted | AttemptEnd::Yielded => {}
         }
     }
 }
+
+fn weight(manifest: &Manifest, ask: &Ask) -> u32 {
+    manifest.workspaces.get(&ask.workspace).map_or(1, |it| it.weight)
+}
--- a/crates/samphiredoor-core/src/dispatch/messages.rs
+++ b/crates/samphiredoor-core/src/dispatch/messages.rs
@@ -2,8 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use super::AttemptEnd;
-use crate::{Name, manifest::Manifest, verdict::Verdict};
+use super::{
+    AttemptEnd,
+    lender::{LiveDoor, ShareChange},
+};
+use crate::{Name, manifest::Manifest, news::TargetLoad, verdict::Verdict};
 
 /// Where a process stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,6 +85,40 @@
         /// Sequences waiting.
         waiting: u32,
     },
+    /// A target's own report of the work it has done since its start.
+    Work {
+        /// Which target.
+        target: Name,
+        /// Steps.
+        steps: u64,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// The doors that are known to live, this one among them.
+    Doors {
+        /// Name of this door.
+        own_name: Name,
+        /// All names, in order.
+        live: Vec<LiveDoor>,
+    },
+    /// The lender of a target gives this door a share of its batch slots.
+    Share {
+        /// Which target.
+        target: Name,
+        /// The door that says so.
+        lender: Name,
+        /// Slots from now on.
+        slots: u32,
+        /// Number of the change; the highest one of a lender holds.
+        epoch: u64,
+    },
+    /// Another door tells its traffic at a target that this one lends.
+    Demand {
+        /// Which door.
+        door: Name,
+        /// Its traffic.
+        load: TargetLoad,
+    },
     /// A target refused a connection outside of any request.
     Unreachable {
         /// Which target.
@@ -116,11 +153,26 @@
         /// Where it listens.
         address: SocketAddr,
     },
-    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`].
+    /// Cut the attempt in hand: its capacity is wanted back. Its end is to be reported as [`AttemptEnd::Aborted`],
+    /// or as [`AttemptEnd::Yielded`] if it is to go on later.
     Abort {
         /// Which request.
         request: RequestId,
     },
+    /// Tell another door which share it has of a target that this one lends.
+    Share {
+        /// Which target.
+        target: Name,
+        /// The share.
+        change: ShareChange,
+    },
+    /// Tell the lender of a target what this door has and wants there.
+    Demand {
+        /// Which door.
+        lender: Name,
+        /// The own traffic.
+        load: TargetLoad,
+    },
     /// The request ends without an answer; this is final.
     Refuse {
         /// Which request.
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -10,11 +10,16 @@
 mod admission;
 mod attempt;
 mod attempts;
-mod batch;
 mod counters;
+mod decayed;
+mod envelope;
+mod fairness;
 mod health;
+pub mod lender;
+mod lending;
 mod limits;
 mod load;
+mod loan;
 mod messages;
 mod pace;
 mod policy;
@@ -22,6 +27,7 @@
 mod refusal;
 mod retry;
 mod routing;
+mod step_model;
 mod targets;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -42,7 +48,8 @@
     time::Now,
     verdict::{Doubt, Refusal},
 };
-use batch::BatchQueue;
+use fairness::FairQueue;
+use lender::LiveDoor;
 use pace::Pace;
 use queue::{OnlineQueue, Tag};
 use refusal::ReturnTimes;
@@ -70,6 +77,8 @@
     /// Attempts of this process that ran at the target when it started.
     beside: u32,
     recalled: bool,
+    /// Slot time that the item was charged when it started.
+    charged_ms: f64,
 }
 
 #[derive(Debug)]
@@ -90,7 +99,7 @@
 #[derive(Debug)]
 struct ServiceState {
     queue: OnlineQueue,
-    batch: BatchQueue,
+    batch: FairQueue,
     pace: Pace,
     retries: RetryBudget,
     returns: ReturnTimes,
@@ -101,7 +110,7 @@
     fn new(policy: &Policy) -> ServiceState {
         ServiceState {
             queue: OnlineQueue::default(),
-            batch: BatchQueue::default(),
+            batch: FairQueue::default(),
             pace: Pace::default(),
             retries: RetryBudget::new(policy.retry_percent),
             returns: ReturnTimes::default(),
@@ -124,6 +133,10 @@
     requests: BTreeMap<RequestId, Request>,
     workspaces: BTreeMap<Name, u32>,
     counters: Counters,
+    own_name: Name,
+    doors: Vec<LiveDoor>,
+    // Wall-clock time of the event in hand.
+    unix_ms: u64,
     rng: SmallRng,
 }
 
@@ -139,6 +152,9 @@
             requests: BTreeMap::new(),
             workspaces: BTreeMap::new(),
             counters: Counters::default(),
+            own_name: Name::from(""),
+            doors: Vec::new(),
+            unix_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -152,6 +168,7 @@
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
         let now_ms = now.mono_ms;
+        self.unix_ms = now.unix_ms;
         match input {
             Input::Manifest(manifest) => self.apply(now_ms, manifest, out),
             Input::Ask(ask) => self.ask(now_ms, ask, out),
@@ -160,6 +177,12 @@
             Input::Load { target, running, waiting } => {
                 self.reported(now_ms, &target, running.saturating_add(waiting), out);
             }
+            Input::Work { target, steps, tokens } => self.worked(now_ms, &target, steps, tokens),
+            Input::Doors { own_name, live } => self.doors(now_ms, own_name, live),
+            Input::Share { target, lender, slots, epoch } => {
+                self.share(now_ms, &target, &lender, (slots, epoch), out);
+            }
+            Input::Demand { door, load } => self.demand(now_ms, &door, &load, out),
             Input::Unreachable { target } => self.eject(now_ms, &target, Ejection::Unreachable),
             Input::Leaving { target } => self.eject(now_ms, &target, Ejection::Leaving),
             Input::ToldLeaving { target, until_ms } => self.targets.told_leaving(&target, until_ms),
@@ -203,6 +226,8 @@
             }
         }
         self.manifest = manifest;
+        self.assign_roles(now_ms);
+        self.review_loans(now_ms, out);
         for service in self.service_names() {
             if !self.manifest.services.contains_key(&service) {
                 self.refuse_waiting(now_ms, &service, Refusal::UnknownService, out);
@@ -212,8 +237,8 @@
         self.settle_all(now_ms, out);
     }
 
-    fn reported(&mut self, now_ms: u64, target: &Name, total: u32, out: &mut Vec<Action>) {
-        let Some(target) = self.targets.find(target).and_then(|it| self.targets.get_mut(it)) else {
+    fn reported(&mut self, now_ms: u64, name: &Name, total: u32, out: &mut Vec<Action>) {
+        let Some(target) = self.targets.find(name).and_then(|it| self.targets.get_mut(it)) else {
             return;
         };
         target.health.reached(now_ms);
@@ -221,9 +246,18 @@
             self.counters.reports_distrusted += 1;
         }
         let service = Name::clone(&target.declared.service);
+        if let Some(id) = self.targets.find(name) {
+            self.recall_above_slots(now_ms, id, out);
+        }
         self.settle(now_ms, &service, out);
     }
 
+    fn worked(&mut self, now_ms: u64, target: &Name, steps: u64, tokens: u64) {
+        if let Some(target) = self.targets.find(target).and_then(|it| self.targets.get_mut(it)) {
+            target.loan.worked(now_ms, steps, tokens);
+        }
+    }
+
     fn eject(&mut self, now_ms: u64, target: &Name, reason: Ejection) {
         if self.targets.eject(now_ms, target, reason) {
             self.counters.ejected(reason);
@@ -231,6 +265,7 @@
     }
 
     fn tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        self.review_loans(now_ms, out);
         for service in self.service_names() {
             self.give_up_expired(now_ms, &service, out);
         }
@@ -249,20 +284,6 @@
         self.lend(now_ms, service, out);
     }
 
-    /// Gives lent capacity to items of jobs, as long as no online request waits.
-    fn lend(&mut self, now_ms: u64, service: &Name, out: &mut Vec<Action>) {
-        loop {
-            let Some(state) = self.services.get(service) else { return };
-            if !state.queue.is_empty() {
-                return;
-            }
-            let Some(request) = state.batch.next() else { return };
-            let target = self.targets.pick_batch(now_ms, service, &mut self.rng);
-            let Some(target) = target else { return };
-            self.dispatch(now_ms, request, target, out);
-        }
-    }
-
     fn service_names(&self) -> SmallVec<[Name; 8]> {
         self.services.keys().cloned().collect()
     }
--- a/crates/samphiredoor-core/src/dispatch/routing.rs
+++ b/crates/samphiredoor-core/src/dispatch/routing.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, rngs::SmallRng};
 use smallvec::SmallVec;
 
-use super::targets::{Target, TargetId, Targets, mix};
+use super::targets::{Distance, Target, TargetId, Targets, mix};
 use crate::Name;
 
 /// Load that prefix affinity may put on a target, as a multiple of the group's mean.
@@ -67,15 +67,25 @@
     ) -> Option<TargetId> {
         let [zone, region, beyond] = self.groups(service)?;
         let near = [zone, region];
-        let lends = |id: &TargetId| self.get(*id).is_some_and(|it| it.declared.loan_limit > 0);
-        let lent_nearby = near.iter().any(|group| group.iter().any(lends));
-        let groups = if lent_nearby { &near[..] } else { &[beyond] };
+        let groups = if self.lent_nearby(service) { &near[..] } else { &[beyond] };
         groups.iter().find_map(|group| {
             let able = self.candidates(now_ms, group, |it| it.takes_batch(now_ms));
             less_loaded_of_two(&able, rng)
         })
     }
 
+    /// Whether items of jobs may go to a target at all.
+    pub(super) fn is_in_batch_reach(&self, id: TargetId) -> bool {
+        let Some(target) = self.get(id) else { return false };
+        target.distance != Distance::OtherRegion || !self.lent_nearby(&target.declared.service)
+    }
+
+    fn lent_nearby(&self, service: &Name) -> bool {
+        let lends = |id: &TargetId| self.get(*id).is_some_and(|it| it.declared.loan_limit > 0);
+        let near = self.groups(service).into_iter().flat_map(|[zone, region, _]| [zone, region]);
+        near.flatten().any(lends)
+    }
+
     /// Target where an online request finds room if one item of a job is recalled; the one that lends most.
     pub(super) fn pick_recall(
         &self,
--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -17,10 +17,11 @@
     health::{Ejection, Health},
     limits::Limit,
     load::Load,
+    loan::{InFlight, Loan},
 };
 use crate::{
     Name,
-    manifest::{self, Manifest},
+    manifest::{self, Manifest, Service},
 };
 
 /// Targets of one service in the own availability zone, in the rest of the region, and beyond.
@@ -52,6 +53,7 @@
     pub(super) load: Load,
     pub(super) limit: Limit,
     pub(super) health: Health,
+    pub(super) loan: Loan,
     in_use: bool,
     batch: u32,
     recallable: BTreeSet<RequestId>,
@@ -59,7 +61,7 @@
 }
 
 impl Target {
-    fn new(declared: &manifest::Target, distance: Distance, health: Health) -> Target {
+    fn new(declared: &manifest::Target, distance: Distance, health: Health, loan: Loan) -> Target {
         Target {
             declared: declared.clone(),
             distance,
@@ -67,6 +69,7 @@
             load: Load::default(),
             limit: Limit::new(declared.concurrency_limit),
             health,
+            loan,
             in_use: true,
             batch: 0,
             recallable: BTreeSet::new(),
@@ -96,6 +99,7 @@
     pub(super) fn takes_batch(&self, now_ms: u64) -> bool {
         !self.declared.reclaimed
             && self.batch + self.recalled < self.declared.loan_limit
+            && self.loan.may_start(now_ms, &self.declared, self.in_flight(now_ms))
             && self.takes_online(now_ms)
     }
 
@@ -113,6 +117,28 @@
         self.recallable.last().copied()
     }
 
+    /// The items of jobs that started last and may run again.
+    pub(super) fn youngest_recallable(&self, count: usize) -> impl Iterator<Item = RequestId> {
+        self.recallable.iter().rev().take(count).copied()
+    }
+
+    /// What runs there, as the lending sees it.
+    pub(super) fn in_flight(&self, now_ms: u64) -> InFlight {
+        let online = self.load.own().saturating_sub(self.batch);
+        InFlight { online, batch: self.batch, others: self.load.others(now_ms) }
+    }
+
+    /// Batch attempts that may go on there now.
+    pub(super) fn slots(&self, now_ms: u64) -> u32 {
+        self.loan.slots(now_ms, &self.declared, self.in_flight(now_ms))
+    }
+
+    /// Takes notice of what is in flight.
+    pub(super) fn observe_loan(&mut self, now_ms: u64) {
+        let in_flight = self.in_flight(now_ms);
+        self.loan.observe(now_ms, in_flight);
+    }
+
     pub(super) fn batch(&self) -> u32 {
         self.batch
     }
@@ -134,7 +160,7 @@
         self.load.own() == 0 && self.recalled == 0
     }
 
-    fn declare(&mut self, declared: &manifest::Target, distance: Distance) {
+    fn declare(&mut self, declared: &manifest::Target, distance: Distance, service: &Service) {
         let other_machine =
             declared.address != self.declared.address || declared.service != self.declared.service;
         if other_machine {
@@ -143,6 +169,7 @@
             self.limit = Limit::new(declared.concurrency_limit);
         }
         self.limit.declare(declared.concurrency_limit);
+        self.loan.declare(service);
         self.declared = declared.clone();
         self.distance = distance;
         self.in_use = true;
@@ -181,8 +208,10 @@
         for (service, mut declared) in self.by_distance(manifest) {
             let newcomers_start_slowly = before.contains_key(&service);
             self.shrink_to_subset(&mut declared);
+            let Some(lending) = manifest.services.get(&service) else { continue };
             let groups = declared.map(|group| {
-                let place = |it: &manifest::Target| self.place(now_ms, it, newcomers_start_slowly);
+                let place =
+                    |it: &manifest::Target| self.place(now_ms, it, lending, newcomers_start_slowly);
                 group.into_iter().map(place).collect()
             });
             self.groups.insert(service, groups);
@@ -200,6 +229,11 @@
         self.slots.get_mut(id.0)?.as_mut()
     }
 
+    /// All targets, for what is done once and not per event.
+    pub(super) fn all_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.slots.iter_mut().flatten()
+    }
+
     pub(super) fn find(&self, name: &Name) -> Option<TargetId> {
         self.by_name.get(name).copied()
     }
@@ -238,6 +272,7 @@
     ) {
         let Some(target) = self.get_mut(id) else { return };
         target.load.started(now_ms);
+        target.loan.joined(now_ms, target.load.own());
         if class == Class::Batch {
             target.batch += 1;
             if recallable {
@@ -357,16 +392,22 @@
         mix(self.process, rapidhash_v3(target.as_bytes()))
     }
 
-    fn place(&mut self, now_ms: u64, declared: &manifest::Target, newcomer: bool) -> TargetId {
+    fn place(
+        &mut self,
+        now_ms: u64,
+        declared: &manifest::Target,
+        service: &Service,
+        newcomer: bool,
+    ) -> TargetId {
         let distance = self.distance(declared);
         if let Some(id) = self.find(&declared.name) {
             if let Some(target) = self.get_mut(id) {
-                target.declare(declared, distance);
+                target.declare(declared, distance, service);
             }
             return id;
         }
         let health = if newcomer { Health::newcomer(now_ms) } else { Health::default() };
-        let target = Target::new(declared, distance, health);
+        let target = Target::new(declared, distance, health, Loan::new(now_ms, service));
         let id = match self.free.pop() {
             Some(slot) => slot,
             None => {
--- a/crates/samphiredoor-core/tests/dispatch/harness.rs
+++ b/crates/samphiredoor-core/tests/dispatch/harness.rs
@@ -7,7 +7,7 @@
     dispatch::{
         Action, Ask, AttemptEnd, Class, Dispatcher, Gauges, Input, Place, Policy, RequestId,
     },
-    manifest::{Manifest, Service, ServiceKind, Target, Workspace},
+    manifest::{Lending, Manifest, Service, ServiceKind, Target, Workspace},
     time::Now,
     verdict::Verdict,
 };
@@ -25,6 +25,8 @@
         repeatable: true,
         deadline_ms: 60_000,
         headroom_percent: 100,
+        lending: Lending::Fixed,
+        resumable: false,
     }
 }
 
--- a/crates/samphiredoor-core/tests/dispatch/promises.rs
+++ b/crates/samphiredoor-core/tests/dispatch/promises.rs
@@ -240,6 +240,9 @@
 
     fn check(&mut self, action: Action) {
         match action {
+            Action::Share { .. } | Action::Demand { .. } => {
+                panic!("a door that knows of no other has nobody to tell")
+            }
             Action::Dispatch { request, target, .. } => self.check_dispatch(request, &target),
             Action::Abort { request } => {
                 let known = self.requests.get_mut(&request).expect("known");
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -11,8 +11,9 @@
 
 use samphiredoor_core::{
     Name,
-    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId},
+    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId, lender::ShareChange},
     manifest::Manifest,
+    news::News,
     time::Now,
     verdict::{Refusal, Verdict},
 };
@@ -85,11 +86,17 @@
 }
 
 impl Dispatch {
-    /// Starts the task.
-    pub fn start(clock: Clock, place: Place, seed: u64, metrics: Rc<Metrics>) -> Dispatch {
+    /// Starts the task; what it has to tell other doors goes to `news`.
+    pub fn start(
+        clock: Clock,
+        place: Place,
+        seed: u64,
+        metrics: Rc<Metrics>,
+        news: flume::Sender<(Name, News)>,
+    ) -> Dispatch {
         let (messages, inbox) = flume::unbounded();
         let dispatcher = Dispatcher::new(place, seed);
-        let task = Task { clock, dispatcher, waiting: HashMap::new(), metrics, ticks: 0 };
+        let task = Task { clock, dispatcher, waiting: HashMap::new(), news, metrics, ticks: 0 };
         compio::runtime::spawn(task.run(inbox)).detach();
         Dispatch { clock, messages, next_request: Rc::new(Cell::new(1)) }
     }
@@ -193,6 +200,7 @@
     clock: Clock,
     dispatcher: Dispatcher,
     waiting: HashMap<RequestId, flume::Sender<Placement>>,
+    news: flume::Sender<(Name, News)>,
     metrics: Rc<Metrics>,
     ticks: u64,
 }
@@ -254,11 +262,21 @@
         }
     }
 
+    fn tell(&self, door: Name, news: News) {
+        let _ = self.news.send((door, news));
+    }
+
     fn act(&mut self, action: Action) {
         let (request, placement) = match action {
             Action::Dispatch { request, address, .. } => (request, Placement::Go { address }),
             Action::Abort { request } => (request, Placement::Abort),
             Action::Refuse { request, verdict } => (request, Placement::Refused(verdict)),
+            Action::Share { target, change } => {
+                let ShareChange { door, slots, epoch } = change;
+                let news = News::Recall { target, batch_slots: slots, epoch };
+                return self.tell(door, news);
+            }
+            Action::Demand { lender, load } => return self.tell(lender, News::Need(load)),
         };
         let last = matches!(placement, Placement::Refused(_));
         if let Some(reply) = self.waiting.get(&request) {
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -1,7 +1,14 @@
 //! One run of one item at a target.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::rc::Rc;
 
+use crate::{
+    dispatch_task::{Placement, Ticket},
+    item_call::{ITEM_DEADLINE, ItemCall},
+    online::passed_headers,
+    process::Door,
+    targets::Call,
+};
 use bytes::Bytes;
 use futures_util::{FutureExt, select_biased};
 use hyper::{HeaderMap, Method, header};
@@ -9,23 +16,9 @@
     Name,
     dispatch::{Ask, AttemptEnd, Class, RequestId},
     ledger::{ItemEnd, ItemRef, ItemWork},
-    verdict::{Doubt, Refusal, Verdict},
-};
-use samphiredoor_net::{
-    body::read_whole,
-    pool::{SendError, within},
+    verdict::{Refusal, Verdict},
 };
 
-use crate::{
-    dispatch_task::{Placement, Ticket},
-    online::passed_headers,
-    process::Door,
-    targets::Call,
-};
-
-const ITEM_DEADLINE: Duration = Duration::from_secs(600);
-const MAX_RESULT_BYTES: usize = 512 * 1024;
-
 /// Runs an item to its end, or until it is stopped.
 ///
 /// A run that must not be repeated and has begun is not cut, neither by a stop nor for online requests: cutting it
@@ -34,10 +27,11 @@
     let started = std::time::Instant::now();
     let request = door.dispatch.next_request();
     let call = match call(door, &work, request) {
-        Ok(call) => call,
+        Ok(call) if is_resumable(door, &work) => ItemCall::new(call).with_resume(),
+        Ok(call) => ItemCall::new(call),
         Err(reason) => return ItemEnd::Refused { reason },
     };
-    let mut ticket = door.dispatch.ask(ask(door, &work, request, &call.body));
+    let mut ticket = door.dispatch.ask(ask(door, &work, request, call.body_bytes()));
     loop {
         let placement = select_biased! {
             _ = stop.recv_async().fuse() => return ItemEnd::NotRun { retry_after_ms: 0 },
@@ -45,20 +39,21 @@
         };
         match placement {
             Placement::Go { address } => {
-                let attempt = exchange(door, address, &call);
-                let ended = match work.repeatable {
+                let attempt = call.attempt(door, address);
+                let attempted = match work.repeatable {
                     true => until_cut(attempt, &mut ticket, &stop).await,
-                    false => Some(attempt.await),
+                    false => Attempted::Ended(attempt.await),
                 };
-                match ended {
-                    Some(Ok(end)) => {
+                match attempted {
+                    Attempted::Ended(Ok(end)) => {
                         ticket.ended(AttemptEnd::Done);
                         let elapsed_s = started.elapsed().as_secs_f64();
                         door.metrics.ended(Class::Batch, Verdict::Done, elapsed_s);
                         return end;
                     }
-                    Some(Err(end)) => ticket.ended(end),
-                    None => {
+                    Attempted::Ended(Err(end)) => ticket.ended(end),
+                    Attempted::Recalled if call.resumes() => ticket.ended(AttemptEnd::Yielded),
+                    Attempted::Recalled | Attempted::Stopped => {
                         ticket.ended(AttemptEnd::Aborted);
                         return ItemEnd::NotRun { retry_after_ms: 0 };
                     }
@@ -73,18 +68,27 @@
     }
 }
 
-/// Waits for the answer; `None` if the dispatcher wants the capacity back, or the item is stopped. Dropping the attempt
-/// closes its connection, which cancels it on an engine.
+/// What became of an attempt.
+enum Attempted {
+    /// It ended by itself.
+    Ended(Result<ItemEnd, AttemptEnd>),
+    /// The dispatcher wants the capacity back.
+    Recalled,
+    /// The item is stopped.
+    Stopped,
+}
+
+/// Waits for the answer, or for a word that the attempt is to be cut. Dropping the attempt closes its connection, which cancels it on an engine.
 async fn until_cut(
     attempt: impl Future<Output = Result<ItemEnd, AttemptEnd>>,
     ticket: &mut Ticket,
     stop: &flume::Receiver<()>,
-) -> Option<Result<ItemEnd, AttemptEnd>> {
+) -> Attempted {
     let mut attempt = std::pin::pin!(attempt.fuse());
     select_biased! {
-        ended = attempt => Some(ended),
-        _ = stop.recv_async().fuse() => None,
-        _ = ticket.placement().fuse() => None,
+        ended = attempt => Attempted::Ended(ended),
+        _ = stop.recv_async().fuse() => Attempted::Stopped,
+        _ = ticket.placement().fuse() => Attempted::Recalled,
     }
 }
 
@@ -128,7 +132,12 @@
     Ok(Call { method: Method::POST, uri, headers, body })
 }
 
-fn ask(door: &Door, work: &ItemWork, request: RequestId, body: &Bytes) -> Ask {
+fn is_resumable(door: &Door, work: &ItemWork) -> bool {
+    let manifest = door.manifest.current();
+    manifest.services.get(&work.service).is_some_and(|it| it.resumable)
+}
+
+fn ask(door: &Door, work: &ItemWork, request: RequestId, body_bytes: usize) -> Ask {
     Ask {
         request,
         class: Class::Batch,
@@ -138,28 +147,12 @@
         repeatable: work.repeatable,
         prefix_hash: 0,
         fingerprint: 0,
-        body_bytes: body.len() as u32,
+        body_bytes: body_bytes as u32,
         job: Name::clone(&work.item.job),
         due_unix_ms: work.due_unix_ms,
     }
 }
 
-async fn exchange(door: &Door, address: SocketAddr, call: &Call) -> Result<ItemEnd, AttemptEnd> {
-    let answered = within(ITEM_DEADLINE, async {
-        let response = door.targets.send(address, call).await.map_err(|err| match err {
-            SendError::NotSent(_) => AttemptEnd::NotSent,
-            SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
-        })?;
-        let status = response.status().as_u16();
-        let body = read_whole(response.into_body(), MAX_RESULT_BYTES).await;
-        let body = body.map_err(|_| AttemptEnd::Lost(Doubt::AnswerCut))?;
-        let text = || serde_json::Value::String(String::from_utf8_lossy(&body).into_owned());
-        let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
-        Ok(ItemEnd::Answered { status, body })
-    });
-    answered.await.unwrap_or(Err(AttemptEnd::Lost(Doubt::DeadlinePassed)))
-}
-
 fn item_id(item: &ItemRef) -> String {
     format!("{}-{:05}-{}", item.job, item.chunk, item.index)
 }
--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
-use samphiredoor_core::{dispatch::Input, manifest::ServiceKind};
+use samphiredoor_core::{Name, dispatch::Input, manifest::ServiceKind};
 use samphiredoor_net::{
     body::read_whole,
     pool::{SendError, within},
@@ -33,6 +33,10 @@
     waiting: u32,
     #[serde(default)]
     leaving: bool,
+    #[serde(default)]
+    steps: u64,
+    #[serde(default)]
+    tokens: u64,
 }
 
 /// Asks again and again until the process ends.
@@ -44,7 +48,7 @@
             compio::time::sleep(PAUSE).await;
         }
         for target in round {
-            if let Some(input) = ask(&door, &target).await {
+            for input in ask(&door, &target).await {
                 door.dispatch.input(input);
             }
             compio::time::sleep(PAUSE).await;
@@ -70,7 +74,7 @@
     service.is_some_and(|it| it.kind == ServiceKind::Engine)
 }
 
-async fn ask(door: &Door, target: &TargetInUse) -> Option<Input> {
+async fn ask(door: &Door, target: &TargetInUse) -> Vec<Input> {
     let call = Call {
         method: Method::GET,
         uri: Uri::from_static(LOAD_PATH),
@@ -81,21 +85,25 @@
         let response = match door.targets.send(target.address, &call).await {
             Ok(response) if response.status() == StatusCode::OK => response,
             Err(SendError::NotSent(_)) => {
-                return Some(Input::Unreachable { target: target.name.clone() });
+                return Some(vec![Input::Unreachable { target: target.name.clone() }]);
             }
             Ok(_) | Err(SendError::MayHaveRun(_)) => return None,
         };
         let body = read_whole(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
         let report: Report = serde_json::from_slice(&body).ok()?;
-        Some(input(target, &report))
+        Some(inputs(target, &report))
     };
-    within(TIMEOUT, exchange).await.flatten()
+    within(TIMEOUT, exchange).await.flatten().unwrap_or_default()
 }
 
-fn input(target: &TargetInUse, report: &Report) -> Input {
-    let target = target.name.clone();
+fn inputs(target: &TargetInUse, report: &Report) -> Vec<Input> {
+    let name = || Name::clone(&target.name);
+    let Report { running, waiting, steps, tokens, .. } = *report;
     match report.leaving {
-        true => Input::Leaving { target },
-        false => Input::Load { target, running: report.running, waiting: report.waiting },
+        true => vec![Input::Leaving { target: name() }],
+        false => vec![
+            Input::Load { target: name(), running, waiting },
+            Input::Work { target: name(), steps, tokens },
+        ],
     }
 }
--- a/crates/samphiredoor/src/news.rs
+++ b/crates/samphiredoor/src/news.rs
@@ -1,6 +1,6 @@
 //! Passes a peer's news on to the tasks that it concerns.
 
-use samphiredoor_core::{Name, news::News};
+use samphiredoor_core::{Name, dispatch::Input, news::News};
 
 use crate::process::Door;
 
@@ -16,8 +16,13 @@
         News::Leaving(target) => door.dispatch.leaving(target),
         // The members task handles revisions itself.
         News::Revision(_) => {}
-        News::Suspect { .. } | News::Recall { .. } | News::Need(_) => {
-            log::debug!("news: {from} told {news:?}")
+        News::Recall { target, batch_slots, epoch } => {
+            let lender = Name::clone(from);
+            door.dispatch.input(Input::Share { target, lender, slots: batch_slots, epoch });
         }
+        News::Need(load) => {
+            door.dispatch.input(Input::Demand { door: Name::clone(from), load });
+        }
+        News::Suspect { .. } => log::debug!("news: {from} told {news:?}"),
     }
 }
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -15,6 +15,7 @@
     Name,
     dispatch::Place,
     membership::{Member, MemberState, MembershipInput},
+    news::News,
 };
 use samphiredoor_net::{ServeLimits, Server, serve::StopHandle};
 
@@ -25,7 +26,7 @@
     exit_codes::Exit,
     hosts_task,
     jobs_task::{self, Jobs},
-    lease_task, load_poll,
+    lease_task, lending_task, load_poll,
     manifest_task::{self, ManifestHandle},
     members_task,
     metrics::Metrics,
@@ -122,6 +123,7 @@
     compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inboxes.jobs)).detach();
     compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(load_poll::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(lending_task::run(Rc::clone(&door), inboxes.lending)).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door), inboxes.manifest)).detach();
     compio::runtime::spawn(members_task::run(Rc::clone(&door), inboxes.peers)).detach();
     compio::runtime::spawn(orders_task::run(Rc::clone(&door), inboxes.orders)).detach();
@@ -170,6 +172,7 @@
     manifest: manifest_task::ManifestInbox,
     peers: peers::PeersInbox,
     orders: orders_task::OrdersInbox,
+    lending: flume::Receiver<(Name, News)>,
 }
 
 fn new_door(config: DoorConfig, peer_address: SocketAddr) -> (Rc<Door>, Inboxes) {
@@ -180,6 +183,7 @@
     let (manifest, manifest_inbox) = ManifestHandle::new();
     let (peers, peers_inbox) = Peers::new(peer_address);
     let (orders, orders_inbox) = OrdersHandle::new();
+    let (lending_news, lending_inbox) = flume::unbounded();
     let place = Place {
         region: Name::clone(&config.region),
         availability_zone: Name::clone(&config.availability_zone),
@@ -190,7 +194,7 @@
     let door = Door {
         clock,
         incarnation,
-        dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics)),
+        dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics), lending_news),
         jobs,
         manifest,
         peers,
@@ -208,6 +212,7 @@
         manifest: manifest_inbox,
         peers: peers_inbox,
         orders: orders_inbox,
+        lending: lending_inbox,
     };
     (Rc::new(door), inboxes)
 }
