Decide which keyed requests run, by intents in sharded objects

A booking confirmation that is sent again must not run again. Keys are hashed to shards; an intent is written by conditional update before the dispatch and is never taken over, the outcome after it. Late writes whose answers were lost are fenced off by a later write at the same version.

--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! heartbeats, load) is a hint that makes things fast and never makes them right.
 
 pub mod dispatch;
+pub mod keys;
 pub mod lease;
 pub mod ledger;
 pub mod manifest;
--- a/crates/samphiredoor-core/src/verdict.rs
+++ b/crates/samphiredoor-core/src/verdict.rs
@@ -47,6 +47,8 @@
     Quarantined,
     /// The same key came with other content.
     KeyReused,
+    /// There is no room to remember another key.
+    KeysFull,
     /// The process is stopping.
     Stopping,
     /// The process has no manifest yet.
@@ -55,7 +57,7 @@
 
 impl Refusal {
     /// All reasons, for counters that stand at zero.
-    pub const ALL: [Refusal; 12] = [
+    pub const ALL: [Refusal; 13] = [
         Refusal::BadRequest,
         Refusal::UnknownService,
         Refusal::NoTarget,
@@ -66,6 +68,7 @@
         Refusal::StoreUnavailable,
         Refusal::Quarantined,
         Refusal::KeyReused,
+        Refusal::KeysFull,
         Refusal::Stopping,
         Refusal::NotReady,
     ];
@@ -83,6 +86,7 @@
             Refusal::StoreUnavailable => "store_unavailable",
             Refusal::Quarantined => "quarantined",
             Refusal::KeyReused => "key_reused",
+            Refusal::KeysFull => "keys_full",
             Refusal::Stopping => "stopping",
             Refusal::NotReady => "not_ready",
         }
@@ -108,16 +112,25 @@
     IntentWithoutOutcome,
     /// A write to the store was not answered.
     StoreAnswerLost,
+    /// The same request, under the same key, is running now.
+    StillRunning,
+    /// The request ran; its answer was too large to be kept.
+    AnswerNotKept,
+    /// Targets died while the request ran on them.
+    TargetsDied,
 }
 
 impl Doubt {
     /// All reasons, for counters that stand at zero.
-    pub const ALL: [Doubt; 5] = [
+    pub const ALL: [Doubt; 8] = [
         Doubt::ConnectionLost,
         Doubt::AnswerCut,
         Doubt::DeadlinePassed,
         Doubt::IntentWithoutOutcome,
         Doubt::StoreAnswerLost,
+        Doubt::StillRunning,
+        Doubt::AnswerNotKept,
+        Doubt::TargetsDied,
     ];
 
     /// Label of the reason in answers, counters and logs.
@@ -128,10 +141,20 @@
             Doubt::DeadlinePassed => "deadline_passed",
             Doubt::IntentWithoutOutcome => "intent_without_outcome",
             Doubt::StoreAnswerLost => "store_answer_lost",
+            Doubt::StillRunning => "still_running",
+            Doubt::AnswerNotKept => "answer_not_kept",
+            Doubt::TargetsDied => "targets_died",
         }
     }
 }
 
+impl Doubt {
+    /// Reason by its label.
+    pub fn from_label(label: &str) -> Option<Doubt> {
+        Doubt::ALL.into_iter().find(|it| it.label() == label)
+    }
+}
+
 impl fmt::Display for Doubt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.label())
--- a/crates/samphiredoor/src/answers.rs
+++ b/crates/samphiredoor/src/answers.rs
@@ -35,12 +35,16 @@
 }
 
 /// Answer to a request that got none from a target.
+///
+/// The verdict goes along in the answer's extensions, for whoever records what came of the request.
 pub fn verdict_answer(verdict: Verdict) -> Response<Body> {
-    match verdict {
+    let mut response = match verdict {
         Verdict::NotRun { retry_after_ms, reason } => not_run(retry_after_ms, reason),
         Verdict::MayHaveRun { reason } => may_have_run(reason),
         Verdict::Done => json_answer(StatusCode::OK, &json!({})),
-    }
+    };
+    response.extensions_mut().insert(verdict);
+    response
 }
 
 /// JSON text of a verdict, for the error event of a stream.
@@ -79,13 +83,21 @@
 
 fn may_have_run(reason: Doubt) -> Response<Body> {
     let status = match reason {
+        Doubt::StillRunning => StatusCode::CONFLICT,
+        Doubt::TargetsDied => StatusCode::UNPROCESSABLE_ENTITY,
         Doubt::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Doubt::StoreAnswerLost => StatusCode::SERVICE_UNAVAILABLE,
-        Doubt::ConnectionLost | Doubt::AnswerCut | Doubt::IntentWithoutOutcome => {
-            StatusCode::BAD_GATEWAY
-        }
+        Doubt::ConnectionLost
+        | Doubt::AnswerCut
+        | Doubt::IntentWithoutOutcome
+        | Doubt::AnswerNotKept => StatusCode::BAD_GATEWAY,
     };
-    json_answer(status, &verdict_json(Verdict::MayHaveRun { reason }))
+    let mut response = json_answer(status, &verdict_json(Verdict::MayHaveRun { reason }));
+    if matches!(reason, Doubt::StillRunning | Doubt::StoreAnswerLost) {
+        let soon = header::HeaderValue::from_static("1");
+        response.headers_mut().insert(header::RETRY_AFTER, soon);
+    }
+    response
 }
 
 fn refusal_status(reason: Refusal) -> StatusCode {
@@ -94,6 +106,7 @@
         Refusal::UnknownService => StatusCode::NOT_FOUND,
         Refusal::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         Refusal::KeyReused => StatusCode::CONFLICT,
+        Refusal::KeysFull => StatusCode::SERVICE_UNAVAILABLE,
         Refusal::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
         Refusal::NoTarget
         | Refusal::Overloaded
@@ -114,9 +127,12 @@
         Refusal::WorkspaceLimit => "the workspace is at its own limit",
         Refusal::DeadlineTooShort => "the answer would come after the deadline",
         Refusal::ConnectFailed => "no target could be connected to",
-        Refusal::StoreUnavailable => "the object store is not reachable",
+        Refusal::StoreUnavailable => {
+            "the object store is not reachable; this sending was not run, an earlier one under the same key may have been"
+        }
         Refusal::Quarantined => "the request is suspected of crashing targets; ask their owner",
         Refusal::KeyReused => "the idempotency key stands for another request",
+        Refusal::KeysFull => "there is no room to remember another idempotency key",
         Refusal::Stopping => "this process is stopping; send again",
         Refusal::NotReady => "this process has no configuration yet",
     }
@@ -129,5 +145,8 @@
         Doubt::DeadlinePassed => "the deadline passed before the answer came",
         Doubt::IntentWithoutOutcome => "an earlier run of this request left no outcome",
         Doubt::StoreAnswerLost => "the object store did not answer; sending again is safe",
+        Doubt::StillRunning => "the same request is running; send again for its answer",
+        Doubt::AnswerNotKept => "the request ran; its answer was too large to be kept",
+        Doubt::TargetsDied => "targets died while the request ran; do not send it again",
     }
 }
