Run keyed requests at most once through the doors, and tell whole answers from cut ones

A confirmation under an idempotency key was run by every door that got it; a stream that ended in order without its last event was taken for whole; so was an answer that only the close of its connection ended.

The keys' task writes the intent before the dispatch and the outcome after it; a run goes on without its caller. An engine's stream is whole only with `data: [DONE]`, and an answer without length or chunks counts as cut.

Looked into and ruled out: hyper gives a request back only if its connection never took it from the queue, so "not sent" is true; a stray second answer on a kept connection ends that connection. Both have tests.

--- a/crates/samphiredoor-core/src/keys/mod.rs
+++ b/crates/samphiredoor-core/src/keys/mod.rs
@@ -229,6 +229,11 @@
         self.unsaved.len()
     }
 
+    /// Requests that run, and outcomes that wait for their write.
+    pub fn open_len(&self) -> usize {
+        self.runs.len() + self.unsaved.len()
+    }
+
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now: Now, input: KeysInput, out: &mut Vec<KeysAction>) {
         match input {
@@ -253,7 +258,7 @@
     fn arrived(&mut self, now: Now, arrival: Arrival, out: &mut Vec<KeysAction>) {
         let request = arrival.request;
         // Outcomes are never dropped while the store is down; new keys are refused instead.
-        let open = self.runs.len() + self.unsaved.len();
+        let open = self.open_len();
         let full =
             open >= self.config.max_open || self.unsaved_bytes >= self.config.max_unsaved_bytes;
         if full && !self.runs.contains_key(&arrival.key) && !self.unsaved.contains_key(&arrival.key)
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -21,6 +21,7 @@
     Request, Response,
     body::{Body as HttpBody, Frame, Incoming},
     client::conn::http1::{SendRequest, handshake},
+    header,
 };
 
 use crate::{Body, BoxError};
@@ -125,7 +126,10 @@
 
     fn answer(&self, connection: Connection, response: Response<Incoming>) -> Response<Answer> {
         let (head, body) = response.into_parts();
-        let mut answer = Answer { body, connection: Some(connection), idle: Rc::clone(&self.idle) };
+        let ends_by_close = !head.headers.contains_key(header::CONTENT_LENGTH)
+            && !head.headers.contains_key(header::TRANSFER_ENCODING);
+        let (connection, idle) = (Some(connection), Rc::clone(&self.idle));
+        let mut answer = Answer { body, connection, idle, ends_by_close };
         if answer.body.is_end_stream() {
             answer.release();
         }
@@ -138,6 +142,8 @@
     body: Incoming,
     connection: Option<Connection>,
     idle: Rc<RefCell<Vec<Connection>>>,
+    /// Whether the body has neither a length nor chunks, so that only the connection's end ends it.
+    ends_by_close: bool,
 }
 
 impl Answer {
@@ -161,6 +167,12 @@
         let this = self.get_mut();
         let polled = Pin::new(&mut this.body).poll_frame(cx);
         match polled {
+            // A target that dies in mid-answer closes the connection as well: such an end cannot be told from a cut,
+            // and a part would be taken for the whole.
+            Poll::Ready(None) if std::mem::take(&mut this.ends_by_close) => {
+                this.connection = None;
+                Poll::Ready(Some(Err("the answer has neither a length nor chunks".into())))
+            }
             Poll::Ready(None) => {
                 this.release();
                 Poll::Ready(None)
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -76,6 +76,8 @@
     pub max_connections: usize,
     /// Deadline of a request that names none.
     pub default_deadline: Duration,
+    /// How long an idempotency key is remembered.
+    pub remember_keys: Duration,
     /// Length of the process's lease.
     pub lease: Duration,
     /// Time between two renewals of the lease.
@@ -155,6 +157,7 @@
             max_body_bytes: settings.callers.max_body_bytes as usize,
             max_connections: settings.callers.max_connections.get() as usize,
             default_deadline: Duration::from_millis(settings.callers.default_deadline_ms.get()),
+            remember_keys: Duration::from_millis(settings.callers.remember_keys_ms),
             lease: Duration::from_millis(ownership.lease_ms),
             renew: Duration::from_millis(ownership.renew_ms),
             unready: Duration::from_millis(stopping.unready_ms),
--- a/crates/samphiredoor/src/dev.rs
+++ b/crates/samphiredoor/src/dev.rs
@@ -102,6 +102,7 @@
         max_body_bytes: 64 * 1024 * 1024,
         max_connections: 1_024,
         default_deadline: Duration::from_secs(60),
+        remember_keys: Duration::from_secs(86_400),
         lease: Duration::from_secs(30),
         renew: Duration::from_secs(10),
         unready: Duration::ZERO,
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     dispatch_task::{Placement, Ticket},
-    online::passed_headers,
+    online::{hash, passed_headers},
     process::Door,
     targets::Call,
 };
@@ -110,6 +110,7 @@
         | Refusal::Overloaded
         | Refusal::WorkspaceLimit
         | Refusal::DeadlineTooShort
+        | Refusal::KeysFull
         | Refusal::ConnectFailed
         | Refusal::StoreUnavailable
         | Refusal::Stopping
@@ -137,7 +138,7 @@
         deadline_ms: door.clock.now().mono_ms + ITEM_DEADLINE.as_millis() as u64,
         repeatable: work.repeatable,
         prefix_hash: 0,
-        fingerprint: 0,
+        fingerprint: hash(body),
         body_bytes: body.len() as u32,
         job: Name::clone(&work.item.job),
         due_unix_ms: work.due_unix_ms,
--- /dev/null
+++ b/crates/samphiredoor/src/keys_metrics.rs
@@ -0,0 +1,41 @@
+//! Counters and gauges of the idempotency keys.
+
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Metrics of the idempotency keys.
+pub struct KeysMetrics {
+    replayed: Counter,
+    unsaved: Gauge,
+    unreadable: Counter,
+}
+
+impl KeysMetrics {
+    /// Registers all at zero.
+    pub fn new(registry: &mut Registry) -> KeysMetrics {
+        let replayed = Counter::default();
+        let unsaved = Gauge::default();
+        let unreadable = Counter::default();
+        registry.register("answers_replayed", "Answers to resent requests", replayed.clone());
+        registry.register("outcomes_unsaved", "Outcomes that wait for the store", unsaved.clone());
+        registry.register("key_shards_unreadable", "Reads of damaged shards", unreadable.clone());
+        KeysMetrics { replayed, unsaved, unreadable }
+    }
+
+    /// Counts an answer that was replayed.
+    pub fn replayed(&self) {
+        self.replayed.inc();
+    }
+
+    /// Sets the number of outcomes that wait for the store.
+    pub fn set_unsaved(&self, outcomes: usize) {
+        self.unsaved.set(outcomes as i64);
+    }
+
+    /// Counts a shard that could not be read.
+    pub fn unreadable(&self) {
+        self.unreadable.inc();
+    }
+}
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -16,6 +16,9 @@
 mod job_reads;
 mod jobs;
 mod jobs_task;
+mod keyed;
+mod keys_metrics;
+mod keys_task;
 mod lease_task;
 mod load_poll;
 mod manifest_change;
@@ -32,6 +35,7 @@
 mod query_rows;
 mod settings;
 mod store_client;
+mod stream_end;
 mod targets;
 
 use std::process::ExitCode;
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -274,6 +274,7 @@
         }
         self.door.jobs.lapsed(Name::clone(process), incarnation);
         self.door.orders.lapsed(Name::clone(process), incarnation);
+        self.door.keys.lapsed(process, incarnation);
     }
 
     fn working(&self) -> Vec<Name> {
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -18,7 +18,7 @@
     verdict::{Doubt, Refusal, Verdict},
 };
 
-use crate::dispatch_metrics::DispatcherMetrics;
+use crate::{dispatch_metrics::DispatcherMetrics, keys_metrics::KeysMetrics};
 
 const JOB_EVENTS: [&str; 6] =
     ["taken", "dropped", "finished", "cancelled", "handed_over", "lease_over"];
@@ -118,6 +118,7 @@
     answered: Family<ClassLabel, Counter>,
     latency_s: Family<ClassLabel, Histogram>,
     running: Gauge,
+    keys: KeysMetrics,
     job_events: Family<ReasonLabel, Counter>,
     item_ends: Family<ReasonLabel, Counter>,
     unreadable: Family<ReasonLabel, Counter>,
@@ -154,6 +155,7 @@
         let running = Gauge::default();
         registry.register("running", "Online requests that are being answered", running.clone());
         let dispatcher = DispatcherMetrics::new(&mut registry);
+        let keys = KeysMetrics::new(&mut registry);
         let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
         let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
         let faults = Unreadable::ALL.map(Unreadable::label);
@@ -181,6 +183,7 @@
             answered,
             latency_s,
             running,
+            keys,
             job_events,
             item_ends,
             unreadable,
@@ -213,6 +216,11 @@
         self.members.set(members as i64);
     }
 
+    /// Metrics of the idempotency keys.
+    pub fn keys(&self) -> &KeysMetrics {
+        &self.keys
+    }
+
     /// Counts an online request as running until the guard is dropped.
     pub fn running(&self) -> Running {
         self.running.inc();
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -31,8 +31,10 @@
 use crate::{
     answers::{bad_request, verdict_answer, verdict_json},
     dispatch_task::{Placement, Ticket},
+    keyed,
     metrics::{Metrics, Running},
     process::Door,
+    stream_end::{DoneMark, StreamEnd},
     targets::Call,
 };
 
@@ -70,6 +72,10 @@
         Ok(head) => head,
         Err(problem) => return bad_request("model", &problem),
     };
+    let key = match keyed::caller_key(&parts.headers) {
+        Ok(key) => key,
+        Err(answer) => return answer,
+    };
     let (ask, deadline) = match make_ask(&door, &parts.headers, &head, &body) {
         Ok(ask) => ask,
         Err(answer) => return answer,
@@ -83,7 +89,10 @@
     let running = door.metrics.running();
     let is_engine = is_engine(&door, &ask.service);
     let online = Online { door, call, is_engine, stream: head.stream, started, deadline, running };
-    online.run(ask).await
+    match key {
+        Some(key) => keyed::answer(online, ask, key).await,
+        None => online.run(ask).await,
+    }
 }
 
 fn read_head(uri: &Uri, body: &Bytes) -> Result<Head, String> {
@@ -166,13 +175,18 @@
     passed
 }
 
-struct Online {
-    door: Rc<Door>,
-    call: Call,
+/// One online request with all that its attempts need.
+pub struct Online {
+    /// The door's tasks.
+    pub door: Rc<Door>,
+    /// Call to send.
+    pub call: Call,
     is_engine: bool,
     stream: bool,
-    started: Instant,
-    deadline: Instant,
+    /// When it arrived.
+    pub started: Instant,
+    /// When an answer is of no use any more.
+    pub deadline: Instant,
     running: Running,
 }
 
@@ -187,7 +201,9 @@
 }
 
 impl Online {
-    async fn run(mut self, ask: Ask) -> Response<Body> {
+    /// Places and sends the request until it has an answer or a verdict. An answer of the door itself has its verdict
+    /// in its extensions, a stream its [`StreamEnd`].
+    pub async fn run(mut self, ask: Ask) -> Response<Body> {
         let mut ticket = self.door.dispatch.ask(ask);
         let mut doubt = None;
         loop {
@@ -249,6 +265,7 @@
         let (parts, mut body) = response.into_parts();
         match next_piece(&mut body, self.deadline).await {
             Ok(Some(first)) => Outcome::Begun(Box::new(parts), body, first),
+            Ok(None) if self.is_engine => Outcome::Nothing(AttemptEnd::Lost(Doubt::AnswerCut)),
             Ok(None) => {
                 Outcome::Whole(Response::from_parts(parts, Body::empty()), AttemptEnd::Done)
             }
@@ -256,7 +273,8 @@
         }
     }
 
-    fn time_left(&self) -> Duration {
+    /// Time to the deadline.
+    pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
@@ -264,7 +282,8 @@
         self.door.metrics.ended(Class::Online, verdict, self.started.elapsed().as_secs_f64());
     }
 
-    fn refused(&self, verdict: Verdict) -> Response<Body> {
+    /// Counts a verdict and gives the answer that tells it.
+    pub fn refused(&self, verdict: Verdict) -> Response<Body> {
         self.count(verdict);
         verdict_answer(verdict)
     }
@@ -290,9 +309,13 @@
         ticket: Ticket,
     ) -> Response<Body> {
         strip_framing(&mut parts.headers);
+        let end = StreamEnd::default();
+        parts.extensions.insert(end.clone());
         let passing = Passing {
             body,
             first: Some(first),
+            done: self.is_engine.then(DoneMark::default),
+            end,
             ticket,
             metrics: Rc::clone(&self.door.metrics),
             started: self.started,
@@ -332,6 +355,9 @@
 struct Passing {
     body: Answer,
     first: Option<Bytes>,
+    /// Looks for the last event; only an engine's stream has one.
+    done: Option<DoneMark>,
+    end: StreamEnd,
     ticket: Ticket,
     metrics: Rc<Metrics>,
     started: Instant,
@@ -348,14 +374,21 @@
             Some(first) => Ok(Some(first)),
             None => next_piece(&mut this.body, this.deadline).await,
         };
+        let is_whole = this.done.as_ref().is_none_or(DoneMark::is_seen);
         match piece {
-            Ok(Some(piece)) => Some((Ok(piece), Some(this))),
-            Ok(None) => {
+            Ok(Some(piece)) => {
+                if let Some(done) = &mut this.done {
+                    done.push(&piece);
+                }
+                Some((Ok(piece), Some(this)))
+            }
+            Ok(None) if is_whole => {
                 this.ticket.ended(AttemptEnd::Done);
                 this.count(Verdict::Done);
                 None
             }
-            Err(reason) => {
+            cut => {
+                let reason = cut.err().unwrap_or(Doubt::AnswerCut);
                 this.ticket.ended(AttemptEnd::Cut(reason));
                 let verdict = Verdict::MayHaveRun { reason };
                 this.count(verdict);
@@ -367,6 +400,7 @@
     }
 
     fn count(&self, verdict: Verdict) {
+        self.end.set(verdict);
         self.metrics.ended(Class::Online, verdict, self.started.elapsed().as_secs_f64());
     }
 }
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -25,6 +25,7 @@
     exit_codes::Exit,
     hosts_task,
     jobs_task::{self, Jobs},
+    keys_task::{self, KeysHandle},
     lease_task, load_poll,
     manifest_task::{self, ManifestHandle},
     members_task,
@@ -48,6 +49,8 @@
     pub dispatch: Dispatch,
     /// The ledger's task.
     pub jobs: Jobs,
+    /// The idempotency keys' task.
+    pub keys: KeysHandle,
     /// The manifest's task.
     pub manifest: ManifestHandle,
     /// The members task.
@@ -120,6 +123,7 @@
     let stop_callers = callers.stop_handle();
     let (door, inboxes) = new_door(config, peer_address);
     compio::runtime::spawn(jobs_task::run(Rc::clone(&door), inboxes.jobs)).detach();
+    compio::runtime::spawn(keys_task::run(Rc::clone(&door), inboxes.keys)).detach();
     compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(load_poll::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door), inboxes.manifest)).detach();
@@ -160,6 +164,7 @@
     let all = async {
         let _ = serving.await;
         door.jobs.empty().await;
+        door.keys.empty().await;
     };
     let finished = compio::time::timeout(door.config.finish, all).await.is_ok();
     log::info!("door: stopped, all requests finished: {finished}");
@@ -167,6 +172,7 @@
 
 struct Inboxes {
     jobs: jobs_task::JobsInbox,
+    keys: keys_task::KeysInbox,
     manifest: manifest_task::ManifestInbox,
     peers: peers::PeersInbox,
     orders: orders_task::OrdersInbox,
@@ -177,6 +183,7 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = since.as_micros() as u64;
     let (jobs, jobs_inbox) = Jobs::new();
+    let (keys, keys_inbox) = KeysHandle::new();
     let (manifest, manifest_inbox) = ManifestHandle::new();
     let (peers, peers_inbox) = Peers::new(peer_address);
     let (orders, orders_inbox) = OrdersHandle::new();
@@ -192,6 +199,7 @@
         incarnation,
         dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics)),
         jobs,
+        keys,
         manifest,
         peers,
         store: StoreClient::new(config.store, config.store_timeout),
@@ -205,6 +213,7 @@
     };
     let inboxes = Inboxes {
         jobs: jobs_inbox,
+        keys: keys_inbox,
         manifest: manifest_inbox,
         peers: peers_inbox,
         orders: orders_inbox,
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -71,6 +71,7 @@
 #[derive(Debug)]
 pub struct Answer {
     pub status: u16,
+    pub headers: hyper::HeaderMap,
     pub text: String,
 }
 
@@ -234,12 +235,13 @@
         }
         let response = request.body(body.to_owned()).send().await?;
         let status = response.status().as_u16();
-        Ok::<_, cyper::Error>(Answer { status, text: response.text().await? })
+        let headers = response.headers().clone();
+        Ok::<_, cyper::Error>(Answer { status, headers, text: response.text().await? })
     };
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     match runtime.block_on(exchange) {
         Ok(answer) => answer,
-        Err(err) => Answer { status: 0, text: err.to_string() },
+        Err(err) => Answer { status: 0, headers: hyper::HeaderMap::new(), text: err.to_string() },
     }
 }
 
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,7 +2,10 @@
 
 mod dispatch;
 mod env;
+mod keys;
 mod operators;
 mod orders;
+mod raw_target;
 mod settings;
+mod whole_answers;
 mod whole_path;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/raw_target.rs
@@ -0,0 +1,162 @@
+//! A target on a bare socket, which answers as its script says and records what it ran.
+
+use std::{
+    collections::VecDeque,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+/// What becomes of one request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// The connection is closed before anything is read; the request does not run.
+    CloseUnread,
+    /// The request runs, and the connection is closed without an answer.
+    Close,
+    /// The request runs, and is answered whole with this body.
+    Whole(&'static str),
+    /// The request runs; these bytes are sent and the connection is closed.
+    SendAndClose(&'static str),
+    /// The request runs; these bytes are sent and the connection is kept.
+    Send(&'static str),
+    /// The request runs, and is answered with this body once the gate opens.
+    Gated(flume::Receiver<()>, &'static str),
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Reply>,
+    ran: Vec<String>,
+    connections: usize,
+    hung_up: usize,
+}
+
+/// The target.
+#[derive(Clone)]
+pub struct RawTarget {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl RawTarget {
+    /// Target that follows `script`, one reply a request, and answers `ok` after its end.
+    pub fn start(script: impl IntoIterator<Item = Reply>) -> RawTarget {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let state = State { script: script.into_iter().collect(), ..State::default() };
+        let target = RawTarget { address, state: Arc::new(Mutex::new(state)) };
+        let accepting = target.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let target = accepting.clone();
+                thread::spawn(move || target.serve(stream));
+            }
+        });
+        target
+    }
+
+    /// Bodies of the requests that ran, in order.
+    pub fn ran(&self) -> Vec<String> {
+        self.state.lock().expect("no panic").ran.clone()
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.state.lock().expect("no panic").connections
+    }
+
+    /// Connections that the far side closed.
+    pub fn hung_up(&self) -> usize {
+        self.state.lock().expect("no panic").hung_up
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        self.state.lock().expect("no panic").connections += 1;
+        if self.closes_unread() {
+            return;
+        }
+        while let Some(request) = read_request(&mut stream) {
+            // A look at the load is no run.
+            let Request::Call(body) = request else {
+                let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
+                continue;
+            };
+            let reply = {
+                let mut state = self.state.lock().expect("no panic");
+                state.ran.push(body);
+                state.script.pop_front().unwrap_or(Reply::Whole("ok"))
+            };
+            if !follow(reply, &mut stream) {
+                return;
+            }
+        }
+        self.state.lock().expect("no panic").hung_up += 1;
+    }
+
+    fn closes_unread(&self) -> bool {
+        let mut state = self.state.lock().expect("no panic");
+        let closes = matches!(state.script.front(), Some(Reply::CloseUnread));
+        if closes {
+            state.script.pop_front();
+        }
+        closes
+    }
+}
+
+/// Sends a reply; tells whether the connection is kept.
+fn follow(reply: Reply, stream: &mut TcpStream) -> bool {
+    match reply {
+        Reply::CloseUnread | Reply::Close => false,
+        Reply::Whole(body) => stream.write_all(whole(body).as_bytes()).is_ok(),
+        Reply::SendAndClose(text) => {
+            let _ = stream.write_all(text.as_bytes());
+            false
+        }
+        Reply::Send(text) => stream.write_all(text.as_bytes()).is_ok(),
+        Reply::Gated(gate, body) => {
+            let _ = gate.recv();
+            stream.write_all(whole(body).as_bytes()).is_ok()
+        }
+    }
+}
+
+fn whole(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+enum Request {
+    Look,
+    Call(String),
+}
+
+/// Next request; `None` once the far side has closed.
+fn read_request(stream: &mut TcpStream) -> Option<Request> {
+    let mut read = Vec::new();
+    loop {
+        if let Some(end) = read.windows(4).position(|it| it == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&read[..end]).to_lowercase();
+            let length = head.lines().find_map(|it| it.strip_prefix("content-length:"));
+            let length: usize = length.and_then(|it| it.trim().parse().ok()).unwrap_or(0);
+            while read.len() < end + 4 + length {
+                read_more(stream, &mut read)?;
+            }
+            if head.starts_with("get ") {
+                return Some(Request::Look);
+            }
+            return Some(Request::Call(String::from_utf8_lossy(&read[end + 4..]).into_owned()));
+        }
+        read_more(stream, &mut read)?;
+    }
+}
+
+fn read_more(stream: &mut TcpStream, read: &mut Vec<u8>) -> Option<()> {
+    let mut buffer = [0; 4_096];
+    let count = stream.read(&mut buffer).ok().filter(|it| *it > 0)?;
+    read.extend_from_slice(&buffer[..count]);
+    Some(())
+}
