--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod news;
 pub mod orders;
+pub mod quarantine;
 pub mod store;
 pub mod time;
 pub mod verdict;
