--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! heartbeats, load) is a hint that makes things fast and never makes them right.
 
 pub mod dispatch;
+pub mod keys;
 pub mod lease;
 pub mod ledger;
 pub mod manifest;
@@ -15,6 +16,7 @@
 pub mod membership;
 pub mod news;
 pub mod orders;
+pub mod quarantine;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -5,7 +5,7 @@
 use crate::{
     dispatch_task::{Placement, Ticket},
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::passed_headers,
+    online::{hash, passed_headers},
     process::Door,
     targets::Call,
 };
@@ -114,6 +114,7 @@
         | Refusal::Overloaded
         | Refusal::WorkspaceLimit
         | Refusal::DeadlineTooShort
+        | Refusal::KeysFull
         | Refusal::ConnectFailed
         | Refusal::StoreUnavailable
         | Refusal::Stopping
@@ -146,7 +147,7 @@
         deadline_ms: door.clock.now().mono_ms + ITEM_DEADLINE.as_millis() as u64,
         repeatable: work.repeatable,
         prefix_hash: 0,
-        fingerprint: 0,
+        fingerprint: hash(work.body.as_bytes()),
         body_bytes: body_bytes as u32,
         job: Name::clone(&work.item.job),
         due_unix_ms: work.due_unix_ms,
