Let lost answers lower a limit only where less work helps

Even one loss in a hundred would hold a limit of 64 at about a dozen.

Now losses are counted over 40 attempts, and when halving the work does not make their share smaller, the limit is restored and losses are passed over for 30 s. A target is ejected when more attempts in a row fail than ran beside them, and more than chance gives at the service's share of failures.

Loads are asked for four times a second, as eight calls of 199 bytes with their packets would take the 3 KB/s that a node may spend.

--- a/crates/samphiredoor-core/src/dispatch/attempt.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempt.rs
@@ -39,4 +39,17 @@
             | AttemptEnd::Yielded => false,
         }
     }
+
+    /// Whether it speaks against the target.
+    pub fn is_failure(self) -> bool {
+        match self {
+            AttemptEnd::Lost(doubt) | AttemptEnd::Cut(doubt) => doubt != Doubt::DeadlinePassed,
+            AttemptEnd::Failed => true,
+            AttemptEnd::Done
+            | AttemptEnd::NotSent
+            | AttemptEnd::Pushback { .. }
+            | AttemptEnd::Aborted
+            | AttemptEnd::Yielded => false,
+        }
+    }
 }
--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -241,6 +241,11 @@
     fn learn(&mut self, now_ms: u64, attempt: Running, class: Class, end: AttemptEnd) {
         let Some(target) = self.targets.get_mut(attempt.target) else { return };
         let latency_ms = now_ms.saturating_sub(attempt.started_ms);
+        let mut failures_to_eject = attempt.beside;
+        if let Some(state) = self.services.get_mut(&target.declared.service) {
+            state.pace.attempted(end.is_failure());
+            failures_to_eject = failures_to_eject.max(state.pace.failures_beyond_chance());
+        }
         match end {
             AttemptEnd::Done => {
                 target.health.succeeded(now_ms);
@@ -267,9 +272,9 @@
             }
             AttemptEnd::Failed | AttemptEnd::Lost(_) | AttemptEnd::Cut(_) => {
                 if end != AttemptEnd::Failed {
-                    target.limit.pushed_back(now_ms);
+                    target.limit.lost(now_ms);
                 }
-                if target.health.failed(attempt.beside)
+                if target.health.failed(failures_to_eject)
                     && self.targets.eject_failing(now_ms, attempt.target)
                 {
                     self.counters.ejected(Ejection::Failing);
--- a/crates/samphiredoor-core/src/dispatch/health.rs
+++ b/crates/samphiredoor-core/src/dispatch/health.rs
@@ -103,15 +103,14 @@
         self.eject(now_ms, Ejection::Unreachable, LONGEST_UNREACHABLE_MS)
     }
 
-    /// An answer was lost, or says that the target failed, to an attempt that began while `beside` others ran there.
-    /// Tells whether the target is to be ejected.
+    /// An answer was lost, or says that the target failed. Tells whether the target is to be ejected, as `needed` in a
+    /// row have failed.
     ///
-    /// A target that has too much to do loses some answers and gives others, and ejecting it would put its work on the
-    /// rest until they fail as well: its limit gives way instead. One that loses all that ran there, one after the other,
-    /// has failed.
-    pub(super) fn failed(&mut self, beside: u32) -> bool {
+    /// A target that has too much to do loses some answers and gives others; ejecting it would put its work on the rest
+    /// until they fail as well. So `needed` is not below what ran beside the attempt, nor below what happens by chance.
+    pub(super) fn failed(&mut self, needed: u32) -> bool {
         let already = if self.failures == 0 { FAILURES_TO_EJECT } else { self.failures_to_eject };
-        self.failures_to_eject = already.max(beside);
+        self.failures_to_eject = already.max(needed);
         self.failures += 1;
         self.failures >= self.failures_to_eject
     }
--- a/crates/samphiredoor-core/src/dispatch/limits.rs
+++ b/crates/samphiredoor-core/src/dispatch/limits.rs
@@ -1,9 +1,11 @@
 //! How many attempts a target gets at once: a limit below the declared one, which gives way when the target slows.
 //!
 //! Additive increase, multiplicative decrease. The sign of trouble is a latency far above the best that the target has
-//! shown, a refusal by the target, a lost answer, or a deadline that passed there. Engines batch, so that their latency rises by a few
+//! shown, a refusal by the target, a deadline that passed there, or many lost answers. Engines batch, so that their latency rises by a few
 //! times between an empty and a full batch while throughput still grows: the tolerance lies above that.
 
+use super::losses::{Advice, Losses};
+
 const TOLERANCE: f64 = 4.0;
 const RECENT_WEIGHT: f64 = 0.1;
 const BASELINE_DRIFT: f64 = 0.001;
@@ -19,12 +21,20 @@
     baseline_ms: f64,
     recent_ms: f64,
     decreased_at_ms: Option<u64>,
+    losses: Losses,
 }
 
 impl Limit {
     pub(super) fn new(declared: u32) -> Limit {
         let current = f64::from(declared);
-        Limit { declared, current, baseline_ms: 0.0, recent_ms: 0.0, decreased_at_ms: None }
+        Limit {
+            declared,
+            current,
+            baseline_ms: 0.0,
+            recent_ms: 0.0,
+            decreased_at_ms: None,
+            losses: Losses::default(),
+        }
     }
 
     /// Takes over a new declaration. A raised one is tried at once, as its owner asked for it.
@@ -51,9 +61,10 @@
         }
         self.recent_ms += (latency_ms - self.recent_ms) * RECENT_WEIGHT;
         self.baseline_ms = (self.baseline_ms * (1.0 + BASELINE_DRIFT)).min(self.recent_ms);
+        self.take_end(now_ms, false);
         if self.recent_ms > self.baseline_ms * TOLERANCE {
             self.decrease(now_ms, SLOW_DECREASE);
-        } else if f64::from(in_flight) * 2.0 >= self.current {
+        } else if f64::from(in_flight) * 2.0 >= self.current && !self.losses.on_trial() {
             let raised = self.current + 1.0 / self.current;
             self.current = raised.min(f64::from(self.declared));
         }
@@ -67,11 +78,24 @@
         }
     }
 
-    /// The target refused work, or lost an answer.
+    /// The target lost an answer.
+    pub(super) fn lost(&mut self, now_ms: u64) {
+        self.take_end(now_ms, true);
+    }
+
+    /// The target refused work.
     pub(super) fn pushed_back(&mut self, now_ms: u64) {
         self.decrease(now_ms, PUSHBACK_DECREASE);
     }
 
+    fn take_end(&mut self, now_ms: u64, lost: bool) {
+        match self.losses.ended(now_ms, lost, self.current, self.recent_ms) {
+            Advice::Keep => {}
+            Advice::Decrease => self.decrease(now_ms, PUSHBACK_DECREASE),
+            Advice::Restore(limit) => self.current = limit.min(f64::from(self.declared)),
+        }
+    }
+
     // One slow spell shows in all attempts that run through it; it is to count once.
     fn decrease(&mut self, now_ms: u64, factor: f64) {
         let pause_ms = self.recent_ms.max(MIN_DECREASE_PAUSE_MS) as u64;
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod load;
 mod loan;
+mod losses;
 mod messages;
 mod pace;
 mod policy;
--- a/crates/samphiredoor-core/src/dispatch/pace.rs
+++ b/crates/samphiredoor-core/src/dispatch/pace.rs
@@ -2,6 +2,9 @@
 
 const WEIGHT: f64 = 0.1;
 const RATE_WINDOW_MS: f64 = 2_000.0;
+const LOST_WEIGHT: f64 = 0.02;
+const MOST_LOST: f64 = 0.6;
+const CHANCE: f64 = 1e-6;
 const STALE_HALF_LIFE_MS: f64 = 10_000.0;
 
 /// Measured pace of one service.
@@ -12,6 +15,7 @@
     rate_per_ms: f64,
     ended_at_ms: u64,
     measured: bool,
+    lost_share: f64,
 }
 
 impl Pace {
@@ -29,6 +33,17 @@
         self.deviation_ms += (error_ms.abs() - self.deviation_ms) * WEIGHT;
     }
 
+    /// Takes whether an attempt failed.
+    pub(super) fn attempted(&mut self, failed: bool) {
+        self.lost_share += (f64::from(u8::from(failed)) - self.lost_share) * LOST_WEIGHT;
+    }
+
+    /// Failures in a row that do not happen to a target by chance, given how often attempts fail anywhere.
+    pub(super) fn failures_beyond_chance(&self) -> u32 {
+        let share = self.lost_share.clamp(f64::EPSILON, MOST_LOST);
+        (CHANCE.ln() / share.ln()).ceil() as u32
+    }
+
     /// Time that even a quick answer takes. It shrinks while nothing is measured, so that a service that has become
     /// faster is not refused for ever by an old figure.
     pub(super) fn quick_ms(&self, now_ms: u64) -> f64 {
--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -18,7 +18,7 @@
 
 use crate::{dispatch_task::TargetInUse, process::Door, targets::Call};
 
-const PAUSE: Duration = Duration::from_millis(125);
+const PAUSE: Duration = Duration::from_millis(250);
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 const IDLE_PER_ROUND: usize = 2;
 const MAX_REPORT_BYTES: usize = 16 * 1024;
