Judge a decrease for slowness as one for losses

Cause: the best latency ever seen rose by a thousandth with each answer, so at 800 answers a second it doubled in under a second and the limit ignored slowness, while at a few answers a second it stayed for hours and a target whose answers had become longer would have ended at one request at a time.

Now the best latency doubles in ten minutes, and slowness is judged as losses are: if halving the work does not shorten the answers, the limit is restored and the latency of now is the best one. Both use one module.

--- a/crates/samphiredoor-core/src/dispatch/limits.rs
+++ b/crates/samphiredoor-core/src/dispatch/limits.rs
@@ -1,16 +1,17 @@
 //! How many attempts a target gets at once: a limit below the declared one, which gives way when the target slows.
 //!
-//! Additive increase, multiplicative decrease. The sign of trouble is a latency far above the best that the target has
-//! shown, a refusal by the target, a deadline that passed there, or many lost answers. Engines batch, so that their latency rises by a few
-//! times between an empty and a full batch while throughput still grows: the tolerance lies above that.
+//! Additive increase, multiplicative decrease. The signs of trouble are a latency far above the best that the target has
+//! shown, many lost answers, a deadline that passed there, and a refusal by the target. Engines batch, so that their
+//! latency rises by a few times between an empty and a full batch while throughput still grows: the tolerance lies above
+//! that.
 
-use super::losses::{Advice, Losses};
+use super::trial::{Advice, Trial};
 
 const TOLERANCE: f64 = 4.0;
+const LARGE_LOSS: f64 = 0.1;
 const RECENT_WEIGHT: f64 = 0.1;
-const BASELINE_DRIFT: f64 = 0.001;
-const SLOW_DECREASE: f64 = 0.9;
-const PUSHBACK_DECREASE: f64 = 0.7;
+const BASELINE_DOUBLES_MS: f64 = 600_000.0;
+const DECREASE: f64 = 0.7;
 const MIN_DECREASE_PAUSE_MS: f64 = 100.0;
 
 /// Concurrency limit of one target.
@@ -20,20 +21,23 @@
     current: f64,
     baseline_ms: f64,
     recent_ms: f64,
+    sampled_at_ms: u64,
     decreased_at_ms: Option<u64>,
-    losses: Losses,
+    losses: Trial,
+    slowness: Trial,
 }
 
 impl Limit {
     pub(super) fn new(declared: u32) -> Limit {
-        let current = f64::from(declared);
         Limit {
             declared,
-            current,
+            current: f64::from(declared),
             baseline_ms: 0.0,
             recent_ms: 0.0,
+            sampled_at_ms: 0,
             decreased_at_ms: None,
-            losses: Losses::default(),
+            losses: Trial::default(),
+            slowness: Trial::default(),
         }
     }
 
@@ -60,11 +64,14 @@
             self.baseline_ms = latency_ms;
         }
         self.recent_ms += (latency_ms - self.recent_ms) * RECENT_WEIGHT;
-        self.baseline_ms = (self.baseline_ms * (1.0 + BASELINE_DRIFT)).min(self.recent_ms);
-        self.take_end(now_ms, false);
-        if self.recent_ms > self.baseline_ms * TOLERANCE {
-            self.decrease(now_ms, SLOW_DECREASE);
-        } else if f64::from(in_flight) * 2.0 >= self.current && !self.losses.on_trial() {
+        let elapsed_ms = now_ms.saturating_sub(self.sampled_at_ms) as f64;
+        self.sampled_at_ms = now_ms;
+        let drifted_ms = self.baseline_ms * (elapsed_ms / BASELINE_DOUBLES_MS).exp2();
+        self.baseline_ms = drifted_ms.min(self.recent_ms);
+        self.take_loss(now_ms, 0.0);
+        self.take_latency(now_ms, latency_ms);
+        let is_used = f64::from(in_flight) * 2.0 >= self.current;
+        if is_used && !self.losses.runs() && !self.slowness.runs() {
             let raised = self.current + 1.0 / self.current;
             self.current = raised.min(f64::from(self.declared));
         }
@@ -74,35 +81,51 @@
     /// time was long: a request may have been sent with little time left.
     pub(super) fn timed_out(&mut self, now_ms: u64, elapsed_ms: u64) {
         if elapsed_ms as f64 > self.baseline_ms * TOLERANCE {
-            self.decrease(now_ms, PUSHBACK_DECREASE);
+            self.take_latency(now_ms, elapsed_ms as f64);
         }
     }
 
     /// The target lost an answer.
     pub(super) fn lost(&mut self, now_ms: u64) {
-        self.take_end(now_ms, true);
+        self.take_loss(now_ms, 1.0);
     }
 
     /// The target refused work.
     pub(super) fn pushed_back(&mut self, now_ms: u64) {
-        self.decrease(now_ms, PUSHBACK_DECREASE);
+        // One full spell shows in all attempts that meet it; it is to count once.
+        let pause_ms = self.recent_ms.max(MIN_DECREASE_PAUSE_MS) as u64;
+        if self.decreased_at_ms.is_none_or(|at| now_ms >= at.saturating_add(pause_ms)) {
+            self.decreased_at_ms = Some(now_ms);
+            self.decrease();
+        }
     }
 
-    fn take_end(&mut self, now_ms: u64, lost: bool) {
-        match self.losses.ended(now_ms, lost, self.current, self.recent_ms) {
+    fn take_loss(&mut self, now_ms: u64, share: f64) {
+        let usual_ms = self.recent_ms;
+        let advice = self.losses.take(now_ms, share, LARGE_LOSS, self.current, usual_ms);
+        self.follow(advice);
+    }
+
+    fn take_latency(&mut self, now_ms: u64, latency_ms: f64) {
+        let slow_ms = self.baseline_ms * TOLERANCE;
+        let usual_ms = self.recent_ms;
+        let advice = self.slowness.take(now_ms, latency_ms, slow_ms, self.current, usual_ms);
+        if let Advice::Restore(_) = advice {
+            // Answers take longer now, whatever the load.
+            self.baseline_ms = self.recent_ms;
+        }
+        self.follow(advice);
+    }
+
+    fn follow(&mut self, advice: Advice) {
+        match advice {
             Advice::Keep => {}
-            Advice::Decrease => self.decrease(now_ms, PUSHBACK_DECREASE),
+            Advice::Decrease => self.decrease(),
             Advice::Restore(limit) => self.current = limit.min(f64::from(self.declared)),
         }
     }
 
-    // One slow spell shows in all attempts that run through it; it is to count once.
-    fn decrease(&mut self, now_ms: u64, factor: f64) {
-        let pause_ms = self.recent_ms.max(MIN_DECREASE_PAUSE_MS) as u64;
-        if self.decreased_at_ms.is_some_and(|at| now_ms < at.saturating_add(pause_ms)) {
-            return;
-        }
-        self.decreased_at_ms = Some(now_ms);
-        self.current = (self.current * factor).max(1.0);
+    fn decrease(&mut self) {
+        self.current = (self.current * DECREASE).max(1.0);
     }
 }
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -20,7 +20,6 @@
 mod limits;
 mod load;
 mod loan;
-mod losses;
 mod messages;
 mod pace;
 mod policy;
@@ -30,6 +29,7 @@
 mod routing;
 mod step_model;
 mod targets;
+mod trial;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
