Eject by chance alone

Cause: the number of attempts that ran beside a failed one stood in each attempt only to hold back an ejection.

--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -28,8 +28,7 @@
         if chosen.distance == Distance::OtherRegion {
             self.counters.bytes_to_other_regions += u64::from(running.ask.body_bytes);
         }
-        let beside = chosen.load.own();
-        let attempt = Running { target, started_ms: now_ms, beside, recalled: false, charged_ms };
+        let attempt = Running { target, started_ms: now_ms, recalled: false, charged_ms };
         running.stage = Stage::Running(attempt);
         running.tried.push(Name::clone(&name));
         let (class, recallable) = (running.ask.class, running.ask.repeatable);
@@ -241,10 +240,10 @@
     fn learn(&mut self, now_ms: u64, attempt: Running, class: Class, end: AttemptEnd) {
         let Some(target) = self.targets.get_mut(attempt.target) else { return };
         let latency_ms = now_ms.saturating_sub(attempt.started_ms);
-        let mut failures_to_eject = attempt.beside;
+        let mut beyond_chance = 0;
         if let Some(state) = self.services.get_mut(&target.declared.service) {
             state.pace.attempted(end.is_failure());
-            failures_to_eject = failures_to_eject.max(state.pace.failures_beyond_chance());
+            beyond_chance = state.pace.failures_beyond_chance();
         }
         match end {
             AttemptEnd::Done => {
@@ -274,7 +273,7 @@
                 if end != AttemptEnd::Failed {
                     target.limit.lost(now_ms);
                 }
-                if target.health.failed(failures_to_eject)
+                if target.health.failed(beyond_chance)
                     && self.targets.eject_failing(now_ms, attempt.target)
                 {
                     self.counters.ejected(Ejection::Failing);
--- a/crates/samphiredoor-core/src/dispatch/health.rs
+++ b/crates/samphiredoor-core/src/dispatch/health.rs
@@ -48,7 +48,6 @@
     held_until_ms: u64,
     told_leaving_until_ms: u64,
     failures: u32,
-    failures_to_eject: u32,
     ejections: u32,
     returned_ms: Option<u64>,
 }
@@ -103,16 +102,14 @@
         self.eject(now_ms, Ejection::Unreachable, LONGEST_UNREACHABLE_MS)
     }
 
-    /// An answer was lost, or says that the target failed. Tells whether the target is to be ejected, as `needed` in a
-    /// row have failed.
+    /// An answer was lost, or says that the target failed. Tells whether the target is to be ejected: when more have
+    /// failed in a row than `beyond_chance`.
     ///
     /// A target that has too much to do loses some answers and gives others; ejecting it would put its work on the rest
-    /// until they fail as well. So `needed` is not below what ran beside the attempt, nor below what happens by chance.
-    pub(super) fn failed(&mut self, needed: u32) -> bool {
-        let already = if self.failures == 0 { FAILURES_TO_EJECT } else { self.failures_to_eject };
-        self.failures_to_eject = already.max(needed);
+    /// until they fail as well. Its limit gives way instead.
+    pub(super) fn failed(&mut self, beyond_chance: u32) -> bool {
         self.failures += 1;
-        self.failures >= self.failures_to_eject
+        self.failures >= FAILURES_TO_EJECT.max(beyond_chance)
     }
 
     /// Ejects after failures. Tells whether it is ejected by this.
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -75,8 +75,6 @@
 struct Running {
     target: TargetId,
     started_ms: u64,
-    /// Attempts of this process that ran at the target when it started.
-    beside: u32,
     recalled: bool,
     /// Slot time that the item was charged when it started.
     charged_ms: f64,
