--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -28,8 +28,7 @@
         if chosen.distance == Distance::OtherRegion {
             self.counters.bytes_to_other_regions += u64::from(running.ask.body_bytes);
         }
-        let beside = chosen.load.own();
-        let attempt = Running { target, started_ms: now_ms, beside, recalled: false, charged_ms };
+        let attempt = Running { target, started_ms: now_ms, recalled: false, charged_ms };
         running.stage = Stage::Running(attempt);
         running.tried.push(Name::clone(&name));
         let (class, recallable) = (running.ask.class, running.ask.repeatable);
@@ -241,6 +240,11 @@
     fn learn(&mut self, now_ms: u64, attempt: Running, class: Class, end: AttemptEnd) {
         let Some(target) = self.targets.get_mut(attempt.target) else { return };
         let latency_ms = now_ms.saturating_sub(attempt.started_ms);
+        let mut beyond_chance = 0;
+        if let Some(state) = self.services.get_mut(&target.declared.service) {
+            state.pace.attempted(end.is_failure());
+            beyond_chance = state.pace.failures_beyond_chance();
+        }
         match end {
             AttemptEnd::Done => {
                 target.health.succeeded(now_ms);
@@ -267,9 +271,9 @@
             }
             AttemptEnd::Failed | AttemptEnd::Lost(_) | AttemptEnd::Cut(_) => {
                 if end != AttemptEnd::Failed {
-                    target.limit.pushed_back(now_ms);
+                    target.limit.lost(now_ms);
                 }
-                if target.health.failed(attempt.beside)
+                if target.health.failed(beyond_chance)
                     && self.targets.eject_failing(now_ms, attempt.target)
                 {
                     self.counters.ejected(Ejection::Failing);
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -29,6 +29,7 @@
 mod routing;
 mod step_model;
 mod targets;
+mod trial;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -74,8 +75,6 @@
 struct Running {
     target: TargetId,
     started_ms: u64,
-    /// Attempts of this process that ran at the target when it started.
-    beside: u32,
     recalled: bool,
     /// Slot time that the item was charged when it started.
     charged_ms: f64,
