Hand over and cancel without doubt for items that were not run

A hand-over with a lost write of intents waited for ever, as nothing wrote again what was in doubt; and a cancel wrote intents that it then had to call doubtful. Now a flush resolves doubt, and both withdraw the intents of items not in flight.

--- a/crates/samphiredoor-core/src/ledger/chunk.rs
+++ b/crates/samphiredoor-core/src/ledger/chunk.rs
@@ -123,7 +123,7 @@
     pub(super) fn settle(&mut self, ctx: &mut Context<'_>) {
         self.step_spills(ctx);
         if self.running.is_empty() && self.spills.is_empty() {
-            self.commit.withdraw_intents();
+            self.commit.withdraw_intents(&self.running);
         }
         self.commit.step(Urgency::Flush, ctx);
     }
@@ -159,6 +159,7 @@
 
     /// Forgets everything that is not on its way to the store: later results are dropped.
     pub(super) fn drop_runs(&mut self) {
+        self.commit.withdraw_intents(&self.running);
         self.running.clear();
         self.ready.clear();
         self.delayed.clear();
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -157,7 +157,8 @@
 
     /// All intents without a result.
     pub(super) fn unanswered_intents(&self) -> Vec<u32> {
-        self.intents.iter().copied().filter(|it| !self.is_decided(*it)).collect()
+        let standing = self.intents.difference(&self.withdrawn).copied();
+        standing.filter(|it| !self.is_decided(*it)).collect()
     }
 
     /// Items completed and failed, as they stand.
@@ -175,11 +176,11 @@
         !self.own_intents.contains(&index) && self.wanted.insert(index)
     }
 
-    /// Takes back the intents of items that this owner has not run and will not run, for the next owner to run them.
-    pub(super) fn withdraw_intents(&mut self) {
+    /// Takes back the intents of items that this owner has not run and will not run: all but those that are `running`.
+    pub(super) fn withdraw_intents(&mut self, running: &BTreeSet<u32>) {
         self.wanted.clear();
-        let unrun = self.own_intents.iter().copied().filter(|it| !self.is_decided(*it));
-        let unrun: Vec<u32> = unrun.collect();
+        let unrun = self.own_intents.difference(running).copied();
+        let unrun: Vec<u32> = unrun.filter(|it| !self.is_decided(*it)).collect();
         self.withdrawn.extend(unrun);
     }
 
@@ -279,7 +280,7 @@
         }
         match urgency {
             Urgency::Seal => !self.is_sealed(),
-            Urgency::Flush => !self.pending.is_empty(),
+            Urgency::Flush => !self.pending.is_empty() || self.doubtful.is_some(),
             Urgency::Group if self.pending.is_empty() => false,
             Urgency::Group => ctx.lingered(self.since_ms),
         }
--- a/crates/samphiredoor-core/tests/ledger/main.rs
+++ b/crates/samphiredoor-core/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod promises;
 mod store;
+mod stories;
 mod world;
 
 use proptest::{
--- a/crates/samphiredoor-core/tests/ledger/promises.rs
+++ b/crates/samphiredoor-core/tests/ledger/promises.rs
@@ -1,6 +1,6 @@
 //! What must hold of the store and of the target's record after each step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use samphiredoor_core::{
     ledger::{ItemRef, JobId, header_key, read_header, read_results, results_key},
@@ -22,6 +22,7 @@
     /// Runs of items that must not run twice: those that may have begun.
     runs: BTreeMap<(JobId, u32, u32), u32>,
     accepted: BTreeMap<JobId, String>,
+    taken: BTreeSet<(JobId, u64)>,
 }
 
 impl Promises {
@@ -31,6 +32,11 @@
         assert_eq!(header.digest, digest, "{job} was accepted with other content");
     }
 
+    pub fn taken(&mut self, job: &JobId, epoch: u64) {
+        let first = self.taken.insert((job.clone(), epoch));
+        assert!(first, "two processes have taken {job} with epoch {epoch}");
+    }
+
     pub fn all_ended(&self) -> bool {
         let ended = |it: &JobHeader| matches!(it.state, JobState::Finished | JobState::Cancelled);
         self.accepted.keys().all(|job| self.headers.get(job).is_some_and(ended))
@@ -104,7 +110,7 @@
         let upload = key.name.rsplit_once('-').map_or("", |it| it.0);
         let state = self.uploads.get(upload).map(|job| self.headers[job].state);
         if matches!(state, Some(JobState::Cancelled | JobState::Finished)) {
-            assert_eq!(before.len(), results.len(), "{key:?} was written after the job's end");
+            panic!("{key:?} was written after the job's end");
         }
         *before = results;
     }
--- a/crates/samphiredoor-core/tests/ledger/world.rs
+++ b/crates/samphiredoor-core/tests/ledger/world.rs
@@ -6,12 +6,12 @@
     Name,
     ledger::{
         Acceptance, Accepting, CallId, CancelStep, Cancellation, ItemEnd, ItemRef, JobId, Ledger,
-        LedgerAction, LedgerConfig, LedgerInput, Submission, SubmissionStep, job_id,
+        LedgerAction, LedgerConfig, LedgerInput, Note, Submission, SubmissionStep, job_id,
     },
     store::{StoreAnswer, StoreOp},
     time::Now,
 };
-use samphiredoor_schema::objects::JobState;
+use samphiredoor_schema::objects::{JobHeader, JobState};
 
 use crate::{
     promises::{Promises, stored_header},
@@ -153,6 +153,7 @@
     next_incarnation: u64,
     uploads: u64,
     pub ran: u64,
+    pub handed_over: u32,
 }
 
 impl World {
@@ -168,6 +169,7 @@
             next_incarnation: 1,
             uploads: 0,
             ran: 0,
+            handed_over: 0,
         };
         for number in 0..PROCESSES {
             let name = format!("door-{number}").into();
@@ -264,8 +266,13 @@
 
     /// The process renews its lease, all its calls are answered, all its runs end well, and some time passes.
     pub fn go_on(&mut self, process: usize) {
+        self.go_on_holding(process, |_| false);
+    }
+
+    /// As [`World::go_on`], but some calls hang; tells whether any does.
+    pub fn go_on_holding(&mut self, process: usize, hold: fn(&StoreOp) -> bool) -> bool {
         self.renew(process);
-        let is_own = |it: &mut PendingCall| it.process == process;
+        let is_own = |it: &mut PendingCall| it.process == process && !hold(&it.op);
         let calls: Vec<PendingCall> = self.calls.extract_if(.., is_own).collect();
         for call in calls {
             self.call(call, Fate::Answered);
@@ -276,6 +283,35 @@
             self.run_ends(run, RunEnd::Answered(200));
         }
         self.pass(100);
+        self.calls.iter().any(|it| it.process == process && hold(&it.op))
+    }
+
+    /// Ends some calls of a process.
+    pub fn release(&mut self, process: usize, which: fn(&StoreOp) -> bool, fate: Fate) {
+        let is_own = |it: &mut PendingCall| it.process == process && which(&it.op);
+        let calls: Vec<PendingCall> = self.calls.extract_if(.., is_own).collect();
+        for call in calls {
+            self.call(call, fate);
+        }
+    }
+
+    /// Answers calls, and lets runs hang.
+    pub fn answer_calls(&mut self, process: usize, rounds: u32) {
+        for _ in 0..rounds {
+            self.renew(process);
+            self.release(process, |_| true, Fate::Answered);
+            self.pass(100);
+        }
+    }
+
+    /// Whether runs of a process hang.
+    pub fn has_running(&self, process: usize) -> bool {
+        self.running.iter().any(|it| it.process == process)
+    }
+
+    /// Header of the job of a key.
+    pub fn header(&self, key: u8) -> JobHeader {
+        stored_header(&self.store, &job(key)).expect("the job stands")
     }
 
     pub fn submit(&mut self, process: usize, key: u8, content: u8, repeatable: bool) {
@@ -517,7 +553,9 @@
                 let (incarnation, repeatable) = (slot.incarnation, work.repeatable);
                 self.running.push(Running { process, incarnation, item: work.item, repeatable });
             }
-            LedgerAction::Stop(_) | LedgerAction::HandedOver(_) | LedgerAction::Note(_) => {}
+            LedgerAction::Note(Note::Taken { job, epoch }) => self.promises.taken(&job, epoch),
+            LedgerAction::HandedOver(_) => self.handed_over += 1,
+            LedgerAction::Stop(_) | LedgerAction::Note(_) => {}
         }
     }
 
