Prove jobs through processes that are killed, frozen and cut from their store

Kill of the owner in mid-job and right after the acknowledgement, freeze past the lease and wake, one job at two doors at once, store outage, lost answers, cancel at another door and with a frozen owner, planned stop, and bookings that may not run twice.

--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -161,6 +161,22 @@
         file.display().to_string()
     }
 
+    /// Deletes at the callers' listener of a door.
+    pub fn delete(&self, door: usize, path: &str) -> Answer {
+        call(hyper::Method::DELETE, self.doors[door].callers, path, &[], "")
+    }
+
+    /// Callers' listener of a door.
+    pub fn callers(&self, door: usize) -> SocketAddr {
+        self.doors[door].callers
+    }
+
+    /// Switches faults of the store on or off.
+    pub fn faults(&self, faults: &Value) {
+        let answer = self.put(self.store, "/faults", faults);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+
     /// Puts a value to a path.
     pub fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
         call(hyper::Method::PUT, address, path, &[], &value.to_string())
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod env;
+mod jobs;
 mod operators;
 mod orders;
 mod settings;
