--- a/crates/samphiredoor-core/src/ledger/config.rs
+++ b/crates/samphiredoor-core/src/ledger/config.rs
@@ -52,7 +52,7 @@
             cancel_list_ms: 3_000,
             own_list_ms: 60_000,
             linger_ms: 500,
-            commit_ms: 5_000,
+            commit_ms: 10_000,
             max_running: 4_096,
             max_running_per_job: 256,
             max_pending_bytes: 16 * 1024 * 1024,
--- a/crates/samphiredoor-core/tests/ledger/main.rs
+++ b/crates/samphiredoor-core/tests/ledger/main.rs
@@ -1,5 +1,6 @@
 //! The ledger's promises, under anything that may happen to its processes and its store.
 
+mod bounds;
 mod promises;
 mod store;
 mod stories;
--- a/crates/samphiredoor-core/tests/ledger/store.rs
+++ b/crates/samphiredoor-core/tests/ledger/store.rs
@@ -21,6 +21,13 @@
         self.objects.get(key)
     }
 
+    /// Puts text in place of an object's value, as a broken or a later writer would.
+    pub fn damage(&mut self, key: &ObjectKey, text: &str) {
+        let value: Value = text.as_bytes().into();
+        self.put(key, &Labels::new(), &value);
+        self.changed.clear();
+    }
+
     pub fn apply(&mut self, op: &StoreOp) -> StoreAnswer {
         self.calls += 1;
         match op {
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -177,6 +177,11 @@
         assert_eq!(answer.status, 200, "{}", answer.text);
     }
 
+    /// Calls that the store has counted, by verb and kind.
+    pub fn calls(&self) -> std::collections::BTreeMap<String, u64> {
+        serde_json::from_str(&get(self.store, "/calls").text).expect("the store counts its calls")
+    }
+
     /// Puts a value to a path.
     pub fn put(&self, address: SocketAddr, path: &str, value: &Value) -> Answer {
         call(hyper::Method::PUT, address, path, &[], &value.to_string())
--- a/crates/samphiredoor/tests/it/jobs.rs
+++ b/crates/samphiredoor/tests/it/jobs.rs
@@ -299,3 +299,23 @@
     case.wait_for(1, &job, "completed");
     case.assert_whole(0, &job);
 }
+
+/// A job's calls to the store are counted by the store: its chunks, its header twice, and a write of results for each
+/// group; besides, at most eight writes for results that fill no group, and one in ten seconds from then on.
+#[test]
+fn a_job_takes_a_bounded_number_of_writes() {
+    const CHUNKS: u64 = 4;
+    const LINGERING: u64 = 8;
+    let case = Case::new(LONG_LEASE);
+    let before = case.env.calls();
+    let job = case.submit(0, "tour-11", &lines(1_000, 2));
+    case.wait_for(0, &job, "completed");
+    let after = case.env.calls();
+    let made = |call: &str| after.get(call).unwrap_or(&0) - before.get(call).unwrap_or(&0);
+    assert_eq!(made("create chunks"), CHUNKS);
+    assert_eq!((made("create jobs"), made("update jobs")), (1, 1));
+    assert_eq!(made("create results"), CHUNKS);
+    assert!(made("update results") <= CHUNKS + LINGERING, "{}", made("update results"));
+    assert_eq!(made("get chunks"), CHUNKS);
+    assert_eq!(made("get results"), CHUNKS);
+}
