--- a/crates/samphiredoor-core/tests/ledger/main.rs
+++ b/crates/samphiredoor-core/tests/ledger/main.rs
@@ -1,7 +1,9 @@
 //! The ledger's promises, under anything that may happen to its processes and its store.
 
+mod bounds;
 mod promises;
 mod store;
+mod stories;
 mod world;
 
 use proptest::{
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod env;
 mod keys;
+mod jobs;
 mod operators;
 mod orders;
 mod raw_target;
