Stop doors without cutting a request, and prove the fleet through processes

A stopping door says `connection: close` in its answers from the first moment, takes connects that the system had completed before it closes its listener, and gives idle connections a second before it closes them.

--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -3,7 +3,14 @@
 //! Every wait has a bound: a client that sends its headers slowly is cut after `header_read_timeout`, and connections
 //! above `max_connections` are closed at once, so that slow and half-open clients cannot hold a place for ever.
 
-use std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -19,6 +26,8 @@
 use crate::{Body, BoxError};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const PENDING_LIMIT: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_secs(1);
 
 /// Bounds on the connections of one listener.
 #[derive(Debug, Clone)]
@@ -140,14 +149,17 @@
         }
     }
 
-    // The system has completed connects that were not yet accepted; closing the listener would reset them.
+    // The system has completed connects that were not yet accepted; closing the listener would reset them. Clients that
+    // connect again and again must not keep it open for ever.
     async fn take_pending<H, F>(&self, handler: &Rc<H>)
     where
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        while let Ok(Ok((stream, _))) =
-            compio::time::timeout(ACCEPT_PAUSE, self.listener.accept()).await
+        let until = Instant::now() + PENDING_LIMIT;
+        while Instant::now() < until
+            && let Ok(Ok((stream, _))) =
+                compio::time::timeout(ACCEPT_PAUSE, self.listener.accept()).await
         {
             self.take_connection(stream, handler);
         }
@@ -209,9 +221,10 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     stream.set_nodelay(true)?;
+    let drained = Rc::clone(&draining);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        let draining = Rc::clone(&draining);
+        let draining = Rc::clone(&drained);
         async move {
             let mut answer = answer.await;
             if draining.get() {
@@ -232,6 +245,11 @@
     match futures_util::future::select(connection.as_mut(), stopped).await {
         Either::Left((ended, _)) => ended?,
         Either::Right(_) => {
+            // A request may be on its way on a connection that is new or idle; to close it now would cut that request.
+            draining.set(true);
+            if let Ok(ended) = compio::time::timeout(LINGER, connection.as_mut()).await {
+                return Ok(ended?);
+            }
             connection.as_mut().graceful_shutdown();
             connection.await?;
         }
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -85,8 +85,7 @@
 
     /// Gives the target no new work for a while.
     pub fn leaving(&self, target: Name) {
-        let until_ms = self.clock.now().mono_ms + TOLD_LEAVING_MS;
-        self.input(Input::ToldLeaving { target, until_ms });
+        self.input(Input::ToldLeaving { target, for_ms: TOLD_LEAVING_MS });
     }
 
     /// New identity for a request.
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -1,6 +1,9 @@
 //! Tests through the real process, with stand-ins in threads of the test.
 
 mod env;
+mod fleet;
 mod operators;
+mod relay;
 mod settings;
+mod stop;
 mod whole_path;
