--- a/crates/samphiredoor-core/src/keys/shard.rs
+++ b/crates/samphiredoor-core/src/keys/shard.rs
@@ -193,6 +193,12 @@
                 Change::Intent(_) => self.held.push(arrival),
             };
         }
+        // An outcome on its way to the store is known here, whatever becomes of the write.
+        if let Some((record, answer)) = self.outcome_in_flight(&arrival.key)
+            && !matches!(record.state, KeyState::NotRun)
+        {
+            return self.offer_to_outcome(arrival, &record, answer, cx, effects);
+        }
         if self.in_flight.is_some() {
             self.held.push(arrival);
             return;
@@ -217,6 +223,16 @@
         }
     }
 
+    fn outcome_in_flight(&self, key: &str) -> Option<(KeyRecord, Option<KeptAnswer>)> {
+        let Some(InFlight::Write { changes, .. }) = &self.in_flight else { return None };
+        match changes.get(key) {
+            Some(Change::Outcome(outcome)) => {
+                Some((outcome.record.clone(), outcome.answer.clone()))
+            }
+            _ => None,
+        }
+    }
+
     fn offer_to_outcome(
         &mut self,
         arrival: Arrival,
--- a/crates/samphiredoor-core/tests/keys.rs
+++ b/crates/samphiredoor-core/tests/keys.rs
@@ -508,3 +508,37 @@
     assert!(actions.iter().any(refused), "{actions:?}");
     assert_eq!(store.objects[&shard].1, damaged);
 }
+
+/// A clerk sends a confirmed booking again while the store is down and is told to come back, although the door has the
+/// answer: the resend came while the outcome was on its way to the store, waited for that write, and was refused with
+/// it.
+#[test]
+fn a_resend_during_the_outcomes_write_gets_the_answer() {
+    let now = Now::new(0, 1_000_000_000);
+    let mut keys = Keys::new(KeysConfig::new(holder_name("door-0", 1), REMEMBER_MS));
+    let mut store = Store::default();
+    let mut actions = Vec::new();
+    let arrival = |number| Arrival {
+        request: RequestId(number),
+        key: key_id("tours", "0"),
+        digest: "usual".into(),
+    };
+    keys.handle(now, KeysInput::Arrived(arrival(0)), &mut actions);
+    while let Some(KeysAction::Store { call, op }) = actions.pop() {
+        let answer = store.call(&op);
+        keys.handle(now, KeysInput::Stored { call, answer }, &mut actions);
+    }
+    let kept = KeptAnswer {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: Some(b"confirmed".as_slice().into()),
+    };
+    let outcome = KeyOutcome::Answered(kept.clone());
+    keys.handle(now, KeysInput::Ended { request: RequestId(0), outcome }, &mut actions);
+    let Some(KeysAction::Store { call, .. }) = actions.pop() else { panic!("no write") };
+    keys.handle(now, KeysInput::Arrived(arrival(1)), &mut actions);
+    let answer = StoreAnswer::Unavailable;
+    keys.handle(now, KeysInput::Stored { call, answer }, &mut actions);
+    let replayed = KeysAction::Replay { request: RequestId(1), answer: kept };
+    assert!(actions.contains(&replayed), "{actions:?}");
+}
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,11 +2,14 @@
 
 mod dispatch;
 mod env;
-mod keys;
+mod fleet;
 mod jobs;
+mod keys;
 mod operators;
 mod orders;
 mod raw_target;
+mod relay;
 mod settings;
+mod stop;
 mod whole_answers;
 mod whole_path;
