Keep requests that crash targets away from them, online and as items

Each attempt enters the quarantine before it is sent and leaves it when it has ended; after a lost connection the target is probed before another attempt. Peers are told, the blamed stand in the store, and operators list and lift.

Three faults that the process tests showed on the way, each mended: a second death within the first one's millisecond was not counted, so three targets died; ticks waited for an idle inbox and never came under load, so a new door never read the list; and an intent of a killed door was told as still running for an hour where no lapsed lease was heard of, so a record now says when its run ends at the latest.

--- a/crates/samphiredoor-core/src/keys/arrival.rs
+++ b/crates/samphiredoor-core/src/keys/arrival.rs
@@ -16,6 +16,8 @@
     pub key: KeyId,
     /// Digest of the request, to tell a resend from another request under the same key.
     pub digest: Name,
+    /// Wall-clock time at which a run of it ends at the latest.
+    pub deadline_unix_ms: u64,
 }
 
 /// Hashed key of a request: the same for every resend under the same workspace and key.
--- a/crates/samphiredoor-core/src/keys/record.rs
+++ b/crates/samphiredoor-core/src/keys/record.rs
@@ -9,8 +9,8 @@
 
 /// Longest difference between the wall clocks of two doors that expiry allows for.
 pub const CLOCK_MARGIN_MS: u64 = 60_000;
-/// Age from which an intent without outcome is taken for a dead holder's. Only a hint: the request is not run again.
-const ORPHAN_MS: u64 = 3_600_000;
+/// How long after a run's deadline its outcome is waited for.
+const ORPHAN_MARGIN_MS: u64 = 2_000;
 
 /// An answer as it is kept for resends.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -85,9 +85,10 @@
     }
 }
 
-/// Whether an intent is so old that its holder must be gone.
+/// Whether an intent is so old that its holder must be gone, or cut off from the store. Only a hint: the request is not
+/// run again.
 pub(super) fn is_orphaned(record: &KeyRecord, now: Now) -> bool {
-    now.unix_ms > record.since_unix_ms.saturating_add(ORPHAN_MS)
+    now.unix_ms > record.deadline_unix_ms.saturating_add(ORPHAN_MARGIN_MS)
 }
 
 /// Whether a record is no longer remembered, by any door's clock within the margin.
@@ -107,6 +108,7 @@
         state: KeyState::Intended,
         since_unix_ms,
         holder: config.holder.to_string(),
+        deadline_unix_ms: arrival.deadline_unix_ms,
         status: 0,
         content_type: String::new(),
         body: None,
--- a/crates/samphiredoor-core/src/quarantine/mod.rs
+++ b/crates/samphiredoor-core/src/quarantine/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that crash targets: whom to suspect, and whom to refuse.
 //!
 //! Every request in flight on a target that dies is suspected, by its fingerprint; a whole answer from any target
-//! clears it. Suspects run one at a time, so that two of them never share a death. A fingerprint that was in flight at
+//! clears it. A target gets one suspect of this door at a time, so that two of them never share a death. A fingerprint that was in flight at
 //! two deaths is blamed and refused at once, until its time is over or an owner lifts it.
 //!
 //! A target counts as dead when a request on it was lost and a new connection is refused: a host that is cut off
@@ -154,11 +154,22 @@
     },
 }
 
+/// Number of an attempt's entry. Two events of one millisecond can be told apart by it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Entry(u64);
+
+#[derive(Debug, Clone, Copy)]
+struct Death {
+    at_ms: u64,
+    /// The last attempt that had entered by then.
+    last_entry: Entry,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
     fingerprint: u64,
     target: SocketAddr,
-    entered_ms: u64,
+    entry: Entry,
 }
 
 /// State of the quarantine in one process.
@@ -167,13 +178,15 @@
     suspects: Suspects,
     list: BlamedList,
     attempts: BTreeMap<RequestId, Attempt>,
-    /// The one suspect that runs.
-    apart: Option<RequestId>,
-    waiting: VecDeque<RequestId>,
+    /// The one suspect that runs on a target.
+    apart: BTreeMap<SocketAddr, RequestId>,
+    /// Suspects that wait for their target.
+    waiting: BTreeMap<SocketAddr, VecDeque<RequestId>>,
     /// Attempts lost at targets that are being probed.
     lost: BTreeMap<SocketAddr, Vec<(RequestId, Attempt)>>,
-    /// Monotonic times of the last deaths.
-    died_ms: BTreeMap<SocketAddr, u64>,
+    /// The last deaths.
+    deaths: BTreeMap<SocketAddr, Death>,
+    last_entry: Entry,
 }
 
 impl Quarantine {
@@ -183,10 +196,11 @@
             list: BlamedList::new(&config),
             suspects: Suspects::new(config),
             attempts: BTreeMap::new(),
-            apart: None,
-            waiting: VecDeque::new(),
+            apart: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             lost: BTreeMap::new(),
-            died_ms: BTreeMap::new(),
+            deaths: BTreeMap::new(),
+            last_entry: Entry::default(),
         }
     }
 
@@ -204,14 +218,15 @@
     pub fn handle(&mut self, now: Now, input: QuarantineInput, out: &mut Vec<QuarantineAction>) {
         match input {
             QuarantineInput::Enter { attempt, fingerprint, target } => {
-                let entered_ms = now.mono_ms;
-                self.attempts.insert(attempt, Attempt { fingerprint, target, entered_ms });
+                self.last_entry = Entry(self.last_entry.0 + 1);
+                let entry = self.last_entry;
+                self.attempts.insert(attempt, Attempt { fingerprint, target, entry });
                 self.enter(attempt, out);
             }
             QuarantineInput::Left { attempt, how } => self.left(now, attempt, how, out),
             QuarantineInput::Probed { target, refused } => self.probed(now, target, refused, out),
             QuarantineInput::Told(told) => {
-                let change = self.suspects.told(now, told);
+                let change = self.suspects.told(now, told, self.last_entry);
                 self.changed(now, change, false, out);
             }
             QuarantineInput::Lift { fingerprint } => {
@@ -225,7 +240,7 @@
             }
             QuarantineInput::Tick => {
                 self.suspects.forget_old(now);
-                self.died_ms.retain(|_, died_ms| *died_ms + DEATH_ECHO_MS > now.mono_ms);
+                self.deaths.retain(|_, it| it.at_ms + DEATH_ECHO_MS > now.mono_ms);
                 self.list.handle(now, ListInput::Tick, &mut self.suspects, out);
             }
         }
@@ -241,26 +256,28 @@
         }
         if deaths > 0 {
             // Two suspects on one target would both be blamed for its death, the innocent with the guilty.
-            if self.apart.is_some() {
-                self.waiting.push_back(attempt);
+            if self.apart.contains_key(&entered.target) {
+                self.waiting.entry(entered.target).or_default().push_back(attempt);
                 return;
             }
-            self.apart = Some(attempt);
+            self.apart.insert(entered.target, attempt);
         }
         out.push(QuarantineAction::Go { attempt });
     }
 
     fn left(&mut self, now: Now, attempt: RequestId, how: Left, out: &mut Vec<QuarantineAction>) {
-        self.waiting.retain(|it| *it != attempt);
         let Some(left) = self.attempts.remove(&attempt) else { return };
+        if let Some(waiting) = self.waiting.get_mut(&left.target) {
+            waiting.retain(|it| *it != attempt);
+        }
         match how {
             Left::Answered => {
                 let change = self.suspects.clear(left.fingerprint);
                 self.changed(now, change, true, out);
-                self.leave_apart(attempt, out);
+                self.leave_apart(attempt, left.target, out);
             }
             Left::Lost => self.lose(now, attempt, left, out),
-            Left::Otherwise => self.leave_apart(attempt, out),
+            Left::Otherwise => self.leave_apart(attempt, left.target, out),
         }
     }
 
@@ -272,7 +289,7 @@
         out: &mut Vec<QuarantineAction>,
     ) {
         // The target died while this request was on it, and another request's loss has shown it.
-        if self.died_ms.get(&lost.target).is_some_and(|died_ms| lost.entered_ms <= *died_ms) {
+        if self.deaths.get(&lost.target).is_some_and(|it| lost.entry <= it.last_entry) {
             self.suspect(now, attempt, lost, out);
             return;
         }
@@ -291,14 +308,15 @@
         out: &mut Vec<QuarantineAction>,
     ) {
         if refused {
-            self.died_ms.insert(target, now.mono_ms);
+            let (at_ms, last_entry) = (now.mono_ms, self.last_entry);
+            self.deaths.insert(target, Death { at_ms, last_entry });
         }
         for (attempt, lost) in self.lost.remove(&target).unwrap_or_default() {
             if refused {
                 self.suspect(now, attempt, lost, out);
             } else {
                 out.push(QuarantineAction::Settled { attempt });
-                self.leave_apart(attempt, out);
+                self.leave_apart(attempt, target, out);
             }
         }
     }
@@ -310,18 +328,27 @@
         lost: Attempt,
         out: &mut Vec<QuarantineAction>,
     ) {
-        let change = self.suspects.died(now, lost.fingerprint, lost.entered_ms);
+        let change = self.suspects.died(now, lost.fingerprint, lost.entry, self.last_entry);
         self.changed(now, change, true, out);
         out.push(QuarantineAction::Settled { attempt });
-        self.leave_apart(attempt, out);
+        self.leave_apart(attempt, lost.target, out);
     }
 
-    fn leave_apart(&mut self, attempt: RequestId, out: &mut Vec<QuarantineAction>) {
-        if self.apart == Some(attempt) {
-            self.apart = None;
+    fn leave_apart(
+        &mut self,
+        attempt: RequestId,
+        target: SocketAddr,
+        out: &mut Vec<QuarantineAction>,
+    ) {
+        if self.apart.get(&target) == Some(&attempt) {
+            self.apart.remove(&target);
         }
-        while self.apart.is_none() {
-            let Some(next) = self.waiting.pop_front() else { return };
+        while !self.apart.contains_key(&target) {
+            let next = self.waiting.get_mut(&target).and_then(VecDeque::pop_front);
+            let Some(next) = next else {
+                self.waiting.remove(&target);
+                return;
+            };
             self.enter(next, out);
         }
     }
@@ -348,16 +375,16 @@
     }
 
     fn refuse_blamed_waiting(&mut self, out: &mut Vec<QuarantineAction>) {
-        let waiting = std::mem::take(&mut self.waiting);
-        for attempt in waiting {
-            let fingerprint = self.attempts.get(&attempt).map(|it| it.fingerprint);
-            let blamed = fingerprint.is_some_and(|it| self.suspects.deaths(it) >= BLAMED_DEATHS);
-            if blamed {
-                self.attempts.remove(&attempt);
-                out.push(QuarantineAction::Refuse { attempt });
-            } else {
-                self.waiting.push_back(attempt);
-            }
+        for waiting in self.waiting.values_mut() {
+            waiting.retain(|attempt| {
+                let fingerprint = self.attempts.get(attempt).map(|it| it.fingerprint);
+                let deaths = fingerprint.map_or(0, |it| self.suspects.deaths(it));
+                if deaths >= BLAMED_DEATHS {
+                    self.attempts.remove(attempt);
+                    out.push(QuarantineAction::Refuse { attempt: *attempt });
+                }
+                deaths < BLAMED_DEATHS
+            });
         }
     }
 }
--- a/crates/samphiredoor-core/src/quarantine/suspects.rs
+++ b/crates/samphiredoor-core/src/quarantine/suspects.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_schema::objects::SuspectRecord;
 
-use super::QuarantineConfig;
+use super::{Entry, QuarantineConfig};
 use crate::time::Now;
 
 /// Deaths from which a fingerprint is refused.
@@ -33,15 +33,15 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Entry {
+struct Record {
     deaths: u32,
     lifted: bool,
     since_unix_ms: u64,
-    /// Monotonic time at which this process learned of the last death.
-    known_ms: u64,
+    /// The last attempt that had entered when this process learned of the last death.
+    known_at: Entry,
 }
 
-impl Entry {
+impl Record {
     /// Entries that go first when there are too many: those that refuse nothing, then the oldest.
     fn rank(&self) -> (bool, u64) {
         (self.deaths >= BLAMED_DEATHS, self.since_unix_ms)
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 pub(super) struct Suspects {
     config: QuarantineConfig,
-    entries: BTreeMap<u64, Entry>,
+    entries: BTreeMap<u64, Record>,
 }
 
 impl Suspects {
@@ -73,17 +73,23 @@
         self.entries.get(&fingerprint).map_or(0, |it| it.deaths)
     }
 
-    /// A target died with the request in flight, which had entered it at `entered_ms`.
+    /// A target died with the request in flight, as `entry`; `last` is the last attempt that has entered.
     ///
     /// An attempt that began before the last death was known does not count: the same request is often in flight
     /// several times, here and at other doors, and one death would look like many.
-    pub(super) fn died(&mut self, now: Now, fingerprint: u64, entered_ms: u64) -> Option<Change> {
-        let entry = self.entries.get(&fingerprint);
-        if entry.is_some_and(|it| it.deaths > 0 && entered_ms <= it.known_ms) {
+    pub(super) fn died(
+        &mut self,
+        now: Now,
+        fingerprint: u64,
+        entry: Entry,
+        last: Entry,
+    ) -> Option<Change> {
+        let known = self.entries.get(&fingerprint);
+        if known.is_some_and(|it| it.deaths > 0 && entry <= it.known_at) {
             return None;
         }
         let deaths = self.deaths(fingerprint) + 1;
-        self.set(now, fingerprint, deaths, false)
+        self.set(now, fingerprint, deaths, false, last)
     }
 
     /// The request has finished. One that is blamed stays so: it was let through before the blame was known.
@@ -99,11 +105,11 @@
 
     /// An owner lifts it. The entry stays, so that late news does not bring the blame back.
     pub(super) fn lift(&mut self, now: Now, fingerprint: u64) -> Option<Change> {
-        self.set(now, fingerprint, 0, true)
+        self.set(now, fingerprint, 0, true, Entry::default())
     }
 
     /// A peer told of it.
-    pub(super) fn told(&mut self, now: Now, told: Suspect) -> Option<Change> {
+    pub(super) fn told(&mut self, now: Now, told: Suspect, last: Entry) -> Option<Change> {
         let own = self.entries.get(&told.fingerprint).copied();
         match (told, own) {
             (Suspect { lifted: true, .. }, _) => self.lift(now, told.fingerprint),
@@ -111,7 +117,7 @@
             // Told by one that has not heard of the lifting yet; deaths after it are told with their number anew.
             (_, Some(own)) if own.lifted && told.deaths >= BLAMED_DEATHS => None,
             (_, Some(own)) if own.deaths >= told.deaths => None,
-            _ => self.set(now, told.fingerprint, told.deaths, false),
+            _ => self.set(now, told.fingerprint, told.deaths, false, last),
         }
     }
 
@@ -121,14 +127,14 @@
         if record.since_unix_ms > own_ms {
             let deaths = if record.lifted { 0 } else { record.deaths };
             let now = Now::new(0, record.since_unix_ms);
-            self.set(now, fingerprint, deaths, record.lifted);
+            self.set(now, fingerprint, deaths, record.lifted, Entry::default());
         }
     }
 
     /// Records for the stored list: the blamed and the lifted.
     pub(super) fn records(&self) -> BTreeMap<String, SuspectRecord> {
         let kept = self.entries.iter().filter(|(_, it)| is_kept(it));
-        let record = |it: &Entry| SuspectRecord {
+        let record = |it: &Record| SuspectRecord {
             deaths: it.deaths,
             lifted: it.lifted,
             since_unix_ms: it.since_unix_ms,
@@ -145,9 +151,16 @@
         });
     }
 
-    fn set(&mut self, now: Now, fingerprint: u64, deaths: u32, lifted: bool) -> Option<Change> {
-        let (since_unix_ms, known_ms) = (now.unix_ms, now.mono_ms);
-        let entry = Entry { deaths, lifted, since_unix_ms, known_ms };
+    fn set(
+        &mut self,
+        now: Now,
+        fingerprint: u64,
+        deaths: u32,
+        lifted: bool,
+        known_at: Entry,
+    ) -> Option<Change> {
+        let since_unix_ms = now.unix_ms;
+        let entry = Record { deaths, lifted, since_unix_ms, known_at };
         let before = self.entries.insert(fingerprint, entry);
         if self.entries.len() > self.config.max_suspects {
             let least = self.entries.iter().min_by_key(|(_, it)| it.rank());
@@ -164,10 +177,10 @@
     }
 }
 
-fn is_kept(entry: &Entry) -> bool {
+fn is_kept(entry: &Record) -> bool {
     entry.lifted || entry.deaths >= BLAMED_DEATHS
 }
 
-fn suspect(fingerprint: u64, entry: &Entry) -> Suspect {
+fn suspect(fingerprint: u64, entry: &Record) -> Suspect {
     Suspect { fingerprint, deaths: entry.deaths, lifted: entry.lifted }
 }
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -5,7 +5,7 @@
 use crate::{
     dispatch_task::{Placement, Ticket},
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::{hash, passed_headers},
+    online::{fingerprint, is_loss, passed_headers},
     process::Door,
     targets::Call,
 };
@@ -31,7 +31,9 @@
         Ok(call) => ItemCall::new(call),
         Err(reason) => return ItemEnd::Refused { reason },
     };
-    let mut ticket = door.dispatch.ask(ask(door, &work, request, call.body_bytes()));
+    let ask = ask(door, &work, request, call.body_bytes());
+    let fingerprint = ask.fingerprint;
+    let mut ticket = door.dispatch.ask(ask);
     loop {
         let placement = select_biased! {
             _ = stop.recv_async().fuse() => return ItemEnd::NotRun { retry_after_ms: 0 },
@@ -39,6 +41,15 @@
         };
         match placement {
             Placement::Go { address } => {
+                let entered = door.quarantine.enter(request, fingerprint, address);
+                let pass = match until_cut(entered, &mut ticket, &stop).await {
+                    Attempted::Ended(Some(pass)) => pass,
+                    Attempted::Ended(None) => return quarantined(door),
+                    Attempted::Recalled | Attempted::Stopped => {
+                        ticket.ended(AttemptEnd::Aborted);
+                        return ItemEnd::NotRun { retry_after_ms: 0 };
+                    }
+                };
                 let attempt = call.attempt(door, address);
                 let attempted = match work.repeatable {
                     true => until_cut(attempt, &mut ticket, &stop).await,
@@ -46,12 +57,18 @@
                 };
                 match attempted {
                     Attempted::Ended(Ok(end)) => {
+                        pass.answered();
                         ticket.ended(AttemptEnd::Done);
                         let elapsed_s = started.elapsed().as_secs_f64();
                         door.metrics.ended(Class::Batch, Verdict::Done, elapsed_s);
                         return end;
                     }
-                    Attempted::Ended(Err(end)) => ticket.ended(end),
+                    Attempted::Ended(Err(end)) => {
+                        if matches!(end, AttemptEnd::Lost(reason) if is_loss(reason)) {
+                            pass.lost().await;
+                        }
+                        ticket.ended(end);
+                    }
                     Attempted::Recalled if call.resumes() => ticket.ended(AttemptEnd::Yielded),
                     Attempted::Recalled | Attempted::Stopped => {
                         ticket.ended(AttemptEnd::Aborted);
@@ -69,21 +86,22 @@
 }
 
 /// What became of an attempt.
-enum Attempted {
+enum Attempted<T> {
     /// It ended by itself.
-    Ended(Result<ItemEnd, AttemptEnd>),
+    Ended(T),
     /// The dispatcher wants the capacity back.
     Recalled,
     /// The item is stopped.
     Stopped,
 }
 
-/// Waits for the answer, or for a word that the attempt is to be cut. Dropping the attempt closes its connection, which cancels it on an engine.
-async fn until_cut(
-    attempt: impl Future<Output = Result<ItemEnd, AttemptEnd>>,
+/// Waits for the answer, or for a word that the attempt is to be cut. Dropping the attempt closes its connection, which
+/// cancels it on an engine.
+async fn until_cut<T>(
+    attempt: impl Future<Output = T>,
     ticket: &mut Ticket,
     stop: &flume::Receiver<()>,
-) -> Attempted {
+) -> Attempted<T> {
     let mut attempt = std::pin::pin!(attempt.fuse());
     select_biased! {
         ended = attempt => Attempted::Ended(ended),
@@ -92,6 +110,14 @@
     }
 }
 
+/// End of an item that is blamed for the death of targets. It is final also where a run of it was lost: the item can
+/// never be done.
+fn quarantined(door: &Door) -> ItemEnd {
+    let reason = Refusal::Quarantined;
+    door.metrics.ended(Class::Batch, Verdict::NotRun { retry_after_ms: 0, reason }, 0.0);
+    ItemEnd::Refused { reason: reason.to_string() }
+}
+
 fn refused(verdict: Verdict) -> ItemEnd {
     match verdict {
         Verdict::MayHaveRun { .. } => ItemEnd::MayHaveRun,
@@ -139,6 +165,7 @@
 }
 
 fn ask(door: &Door, work: &ItemWork, request: RequestId, body_bytes: usize) -> Ask {
+    let path = work.url.split('?').next().unwrap_or_default();
     Ask {
         request,
         class: Class::Batch,
@@ -147,7 +174,7 @@
         deadline_ms: door.clock.now().mono_ms + ITEM_DEADLINE.as_millis() as u64,
         repeatable: work.repeatable,
         prefix_hash: 0,
-        fingerprint: hash(work.body.as_bytes()),
+        fingerprint: fingerprint(path, work.body.as_bytes()),
         body_bytes: body_bytes as u32,
         job: Name::clone(&work.item.job),
         due_unix_ms: work.due_unix_ms,
--- a/crates/samphiredoor/src/keyed.rs
+++ b/crates/samphiredoor/src/keyed.rs
@@ -54,6 +54,7 @@
         request: ask.request,
         key: key_id(&ask.workspace, &key),
         digest: digest(&ask.service, &online.call),
+        deadline_unix_ms: online.door.clock.now().unix_ms + online.time_left().as_millis() as u64,
     };
     let mut ticket = online.door.keys.arrive(arrival);
     let mut joined = false;
--- a/crates/samphiredoor/src/keys_task.rs
+++ b/crates/samphiredoor/src/keys_task.rs
@@ -7,9 +7,11 @@
     keys::{Arrival, KeptAnswer, KeyOutcome, Keys, KeysAction, KeysConfig, KeysInput, holder_name},
     verdict::{Refusal, Verdict},
 };
-use samphiredoor_net::pool::within;
 
-use crate::process::Door;
+use crate::{
+    process::Door,
+    ticking::{Next, Ticking},
+};
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
@@ -120,15 +122,16 @@
         door,
     };
     let mut actions = Vec::new();
+    let mut inbox = Ticking::new(inbox.0, TICK);
     loop {
-        let input = match within(TICK, inbox.0.recv_async()).await {
-            Some(Ok(Message::Arrived(arrival, reply))) => {
+        let input = match inbox.next().await {
+            Next::Message(Message::Arrived(arrival, reply)) => {
                 task.waiting.insert(arrival.request, reply);
                 KeysInput::Arrived(arrival)
             }
-            Some(Ok(Message::Input(input))) => input,
-            Some(Err(_)) => return,
-            None => KeysInput::Tick,
+            Next::Message(Message::Input(input)) => input,
+            Next::Closed => return,
+            Next::Tick => KeysInput::Tick,
         };
         if let KeysInput::Ended { request, .. } | KeysInput::Gone { request } = &input {
             task.waiting.remove(request);
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -34,11 +34,15 @@
 mod orders_task;
 mod peers;
 mod process;
+mod quarantine_http;
+mod quarantine_metrics;
+mod quarantine_task;
 mod query_rows;
 mod settings;
 mod store_client;
 mod stream_end;
 mod targets;
+mod ticking;
 
 use std::process::ExitCode;
 
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -18,7 +18,10 @@
     verdict::{Doubt, Refusal, Verdict},
 };
 
-use crate::{dispatch_metrics::DispatcherMetrics, keys_metrics::KeysMetrics};
+use crate::{
+    dispatch_metrics::DispatcherMetrics, keys_metrics::KeysMetrics,
+    quarantine_metrics::QuarantineMetrics,
+};
 
 const JOB_EVENTS: [&str; 6] =
     ["taken", "dropped", "finished", "cancelled", "handed_over", "lease_over"];
@@ -119,6 +122,7 @@
     latency_s: Family<ClassLabel, Histogram>,
     running: Gauge,
     keys: KeysMetrics,
+    quarantine: QuarantineMetrics,
     job_events: Family<ReasonLabel, Counter>,
     item_ends: Family<ReasonLabel, Counter>,
     unreadable: Family<ReasonLabel, Counter>,
@@ -156,6 +160,7 @@
         registry.register("running", "Online requests that are being answered", running.clone());
         let dispatcher = DispatcherMetrics::new(&mut registry);
         let keys = KeysMetrics::new(&mut registry);
+        let quarantine = QuarantineMetrics::new(&mut registry);
         let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
         let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
         let faults = Unreadable::ALL.map(Unreadable::label);
@@ -184,6 +189,7 @@
             latency_s,
             running,
             keys,
+            quarantine,
             job_events,
             item_ends,
             unreadable,
@@ -221,6 +227,11 @@
         &self.keys
     }
 
+    /// Metrics of the quarantine.
+    pub fn quarantine(&self) -> &QuarantineMetrics {
+        &self.quarantine
+    }
+
     /// Counts an online request as running until the guard is dropped.
     pub fn running(&self) -> Running {
         self.running.inc();
--- a/crates/samphiredoor/src/news.rs
+++ b/crates/samphiredoor/src/news.rs
@@ -1,6 +1,6 @@
 //! Passes a peer's news on to the tasks that it concerns.
 
-use samphiredoor_core::{Name, dispatch::Input, news::News};
+use samphiredoor_core::{Name, dispatch::Input, news::News, quarantine::Suspect};
 
 use crate::process::Door;
 
@@ -11,6 +11,7 @@
         News::HandedOver(job) => door.jobs.offered(job),
         News::Lapsed { process, incarnation } => {
             door.jobs.lapsed(Name::clone(&process), incarnation);
+            door.keys.lapsed(&process, incarnation);
             door.orders.lapsed(process, incarnation);
         }
         News::Leaving(target) => door.dispatch.leaving(target),
@@ -23,6 +24,8 @@
         News::Need(load) => {
             door.dispatch.input(Input::Demand { door: Name::clone(from), load });
         }
-        News::Suspect { .. } => log::debug!("news: {from} told {news:?}"),
+        News::Suspect { fingerprint, deaths, lifted } => {
+            door.quarantine.told(Suspect { fingerprint, deaths, lifted });
+        }
     }
 }
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -34,6 +34,7 @@
     keyed,
     metrics::{Metrics, Running},
     process::Door,
+    quarantine_task::Pass,
     stream_end::{DoneMark, StreamEnd},
     targets::Call,
 };
@@ -76,7 +77,7 @@
         Ok(key) => key,
         Err(answer) => return answer,
     };
-    let (ask, deadline) = match make_ask(&door, &parts.headers, &head, &body) {
+    let (ask, deadline) = match make_ask(&door, &parts.headers, &head, &parts.uri, &body) {
         Ok(ask) => ask,
         Err(answer) => return answer,
     };
@@ -110,6 +111,7 @@
     door: &Door,
     headers: &HeaderMap,
     head: &Head,
+    uri: &Uri,
     body: &Bytes,
 ) -> Result<(Ask, Instant), Response<Body>> {
     let workspace: Name =
@@ -132,7 +134,7 @@
         deadline_ms: door.clock.now().mono_ms + deadline.as_millis() as u64,
         repeatable: service.is_none_or(|it| it.repeatable),
         prefix_hash: if is_engine(door, &head.model) { hash(prefix) } else { 0 },
-        fingerprint: hash(body),
+        fingerprint: fingerprint(uri.path(), body),
         body_bytes: body.len() as u32,
         job: Name::from(""),
         due_unix_ms: None,
@@ -152,6 +154,11 @@
     first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
 }
 
+/// Hash by which a request is known again if it crashes targets: its path and its body.
+pub fn fingerprint(path: &str, body: &[u8]) -> u64 {
+    hash(&[path.as_bytes(), &[0], body].concat())
+}
+
 /// Text of a header, if it stands and is text.
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|it| it.to_str().ok())
@@ -204,7 +211,7 @@
     /// Places and sends the request until it has an answer or a verdict. An answer of the door itself has its verdict
     /// in its extensions, a stream its [`StreamEnd`].
     pub async fn run(mut self, ask: Ask) -> Response<Body> {
-        let mut ticket = self.door.dispatch.ask(ask);
+        let mut ticket = self.door.dispatch.ask(ask.clone());
         let mut doubt = None;
         loop {
             let address = match within(self.time_left(), ticket.placement()).await {
@@ -213,18 +220,29 @@
                 Some(Placement::Refused(verdict)) => return self.refused(verdict),
                 None => return self.refused(out_of_time(doubt)),
             };
+            let entered = self.door.quarantine.enter(ask.request, ask.fingerprint, address);
+            let pass = match within(self.time_left(), entered).await {
+                Some(Some(pass)) => pass,
+                Some(None) => return self.refused(quarantined(doubt)),
+                None => return self.refused(out_of_time(doubt)),
+            };
             match self.attempt(address).await {
                 Outcome::Whole(response, end) => {
+                    pass.answered();
                     ticket.ended(end);
                     self.count(Verdict::Done);
                     return response;
                 }
                 Outcome::Begun(parts, body, first) => {
-                    return self.pass_on(*parts, body, first, ticket);
+                    return self.pass_on(*parts, body, first, ticket, pass);
                 }
                 Outcome::Nothing(end) => {
                     if let AttemptEnd::Lost(reason) = end {
                         doubt.get_or_insert(reason);
+                        if is_loss(reason) {
+                            // Before another attempt, so that it is not sent to a second target unsuspected.
+                            pass.lost().await;
+                        }
                     }
                     ticket.ended(end);
                 }
@@ -307,6 +325,7 @@
         body: Answer,
         first: Bytes,
         ticket: Ticket,
+        pass: Pass,
     ) -> Response<Body> {
         strip_framing(&mut parts.headers);
         let end = StreamEnd::default();
@@ -317,6 +336,7 @@
             done: self.is_engine.then(DoneMark::default),
             end,
             ticket,
+            pass: Some(pass),
             metrics: Rc::clone(&self.door.metrics),
             started: self.started,
             deadline: self.deadline,
@@ -335,6 +355,19 @@
     }
 }
 
+/// Verdict on a request that is blamed for the death of targets; final in either case.
+fn quarantined(doubt: Option<Doubt>) -> Verdict {
+    match doubt {
+        Some(_) => Verdict::MayHaveRun { reason: Doubt::TargetsDied },
+        None => Verdict::NotRun { retry_after_ms: 0, reason: Refusal::Quarantined },
+    }
+}
+
+/// Whether a doubt comes from a connection that was lost, as by a target's death.
+pub fn is_loss(reason: Doubt) -> bool {
+    matches!(reason, Doubt::ConnectionLost | Doubt::AnswerCut)
+}
+
 /// Whether an engine says by this that it refused the request without running it.
 fn is_pushback(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
@@ -359,6 +392,7 @@
     done: Option<DoneMark>,
     end: StreamEnd,
     ticket: Ticket,
+    pass: Option<Pass>,
     metrics: Rc<Metrics>,
     started: Instant,
     deadline: Instant,
@@ -383,12 +417,18 @@
                 Some((Ok(piece), Some(this)))
             }
             Ok(None) if is_whole => {
+                if let Some(pass) = this.pass.take() {
+                    pass.answered();
+                }
                 this.ticket.ended(AttemptEnd::Done);
                 this.count(Verdict::Done);
                 None
             }
             cut => {
                 let reason = cut.err().unwrap_or(Doubt::AnswerCut);
+                if let Some(pass) = this.pass.take_if(|_| is_loss(reason)) {
+                    pass.lost_at_the_end();
+                }
                 this.ticket.ended(AttemptEnd::Cut(reason));
                 let verdict = Verdict::MayHaveRun { reason };
                 this.count(verdict);
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -34,6 +34,7 @@
     online, operators,
     orders_task::{self, OrdersHandle},
     peers::{self, Peers},
+    quarantine_task::{self, QuarantineHandle},
     store_client::StoreClient,
     targets::TargetPools,
 };
@@ -56,6 +57,8 @@
     pub manifest: ManifestHandle,
     /// The members task.
     pub peers: Peers,
+    /// The quarantine's task.
+    pub quarantine: QuarantineHandle,
     /// The object API.
     pub store: StoreClient,
     /// Connections to targets.
@@ -131,6 +134,7 @@
     compio::runtime::spawn(manifest_task::run(Rc::clone(&door), inboxes.manifest)).detach();
     compio::runtime::spawn(members_task::run(Rc::clone(&door), inboxes.peers)).detach();
     compio::runtime::spawn(orders_task::run(Rc::clone(&door), inboxes.orders)).detach();
+    compio::runtime::spawn(quarantine_task::run(Rc::clone(&door), inboxes.quarantine)).detach();
     compio::runtime::spawn(hosts_task::run(Rc::clone(&door))).detach();
     compio::runtime::spawn(peers::listen(Rc::clone(&door), peer_listener)).detach();
     let for_operators = Rc::clone(&door);
@@ -175,6 +179,7 @@
 struct Inboxes {
     jobs: jobs_task::JobsInbox,
     keys: keys_task::KeysInbox,
+    quarantine: quarantine_task::QuarantineInbox,
     manifest: manifest_task::ManifestInbox,
     peers: peers::PeersInbox,
     orders: orders_task::OrdersInbox,
@@ -187,6 +192,7 @@
     let incarnation = since.as_micros() as u64;
     let (jobs, jobs_inbox) = Jobs::new();
     let (keys, keys_inbox) = KeysHandle::new();
+    let (quarantine, quarantine_inbox) = QuarantineHandle::new();
     let (manifest, manifest_inbox) = ManifestHandle::new();
     let (peers, peers_inbox) = Peers::new(peer_address);
     let (orders, orders_inbox) = OrdersHandle::new();
@@ -204,6 +210,7 @@
         dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics), lending_news),
         jobs,
         keys,
+        quarantine,
         manifest,
         peers,
         store: StoreClient::new(config.store, config.store_timeout),
@@ -218,6 +225,7 @@
     let inboxes = Inboxes {
         jobs: jobs_inbox,
         keys: keys_inbox,
+        quarantine: quarantine_inbox,
         manifest: manifest_inbox,
         peers: peers_inbox,
         orders: orders_inbox,
--- /dev/null
+++ b/crates/samphiredoor/src/ticking.rs
@@ -0,0 +1,47 @@
+//! Messages of a task's inbox, with ticks between them.
+
+use std::time::{Duration, Instant};
+
+use samphiredoor_net::pool::within;
+
+/// Inbox that also ticks. Ticks come in time under load too: a task that waited for an idle inbox would never get to
+/// what it does by time.
+pub struct Ticking<T> {
+    inbox: flume::Receiver<T>,
+    tick: Duration,
+    next: Instant,
+}
+
+/// What comes next.
+pub enum Next<T> {
+    /// A message.
+    Message(T),
+    /// The time of a tick has come.
+    Tick,
+    /// All senders are gone.
+    Closed,
+}
+
+impl<T> Ticking<T> {
+    /// Inbox that ticks each `tick`.
+    pub fn new(inbox: flume::Receiver<T>, tick: Duration) -> Ticking<T> {
+        Ticking { inbox, tick, next: Instant::now() + tick }
+    }
+
+    /// Waits for the next message or tick.
+    pub async fn next(&mut self) -> Next<T> {
+        let left = self.next.saturating_duration_since(Instant::now());
+        let received = match left.is_zero() {
+            true => None,
+            false => within(left, self.inbox.recv_async()).await,
+        };
+        match received {
+            Some(Ok(message)) => Next::Message(message),
+            Some(Err(_)) => Next::Closed,
+            None => {
+                self.next = Instant::now() + self.tick;
+                Next::Tick
+            }
+        }
+    }
+}
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,10 +2,11 @@
 
 mod dispatch;
 mod env;
-mod keys;
 mod jobs;
+mod keys;
 mod operators;
 mod orders;
+mod quarantine;
 mod raw_target;
 mod settings;
 mod whole_answers;
