--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod operators;
 mod orders;
+mod quarantine;
 mod raw_target;
 mod relay;
 mod settings;
