Check lending's bounds in any order of events

The model found two faults. An online request after a quiet time recalled nothing until the next tick, as the time of the last online request was only noted there: 0 items recalled in the turn of its arrival, 5 expected. A door that lost the role of lender kept its items until the next tick: 1 to 3 items above a share of 0. Both now act in the same turn.

--- a/crates/samphiredoor-core/src/dispatch/lending.rs
+++ b/crates/samphiredoor-core/src/dispatch/lending.rs
@@ -61,13 +61,20 @@
     }
 
     /// Takes the doors that are known to live, this one among them.
-    pub(super) fn doors(&mut self, now_ms: u64, own_name: Name, live: Vec<LiveDoor>) {
+    pub(super) fn doors(
+        &mut self,
+        now_ms: u64,
+        own_name: Name,
+        live: Vec<LiveDoor>,
+        out: &mut Vec<Action>,
+    ) {
         if live == self.doors && own_name == self.own_name {
             return;
         }
         self.own_name = own_name;
         self.doors = live;
         self.assign_roles(now_ms);
+        self.review_loans(now_ms, out);
     }
 
     pub(super) fn assign_roles(&mut self, now_ms: u64) {
--- a/crates/samphiredoor-core/src/dispatch/loan.rs
+++ b/crates/samphiredoor-core/src/dispatch/loan.rs
@@ -126,7 +126,10 @@
         if self.rule == Rule::Measured && now_ms < self.next_admit_ms {
             return false;
         }
-        let kept_free = if self.is_lender() { self.kept_free(now_ms) } else { 0 };
+        let kept_free = match self.is_lender() {
+            true => self.kept_free(now_ms, self.online(in_flight)),
+            false => 0,
+        };
         in_flight.batch + kept_free < self.slots(now_ms, target, in_flight)
     }
 
@@ -138,7 +141,8 @@
         in_flight: InFlight,
         own_wanted: u32,
     ) -> SmallVec<[ShareChange; 4]> {
-        let room = self.room(now_ms, target, in_flight).saturating_sub(self.kept_free(now_ms));
+        let kept_free = self.kept_free(now_ms, self.online(in_flight));
+        let room = self.room(now_ms, target, in_flight).saturating_sub(kept_free);
         let mut changes = Vec::new();
         if let Role::Lender(lender) = &mut self.role {
             let room = if lender.lends(now_ms) { room } else { 0 };
@@ -161,11 +165,12 @@
 
     /// Batch attempts of all doors that may go on here now.
     fn room(&self, now_ms: u64, target: &Target, in_flight: InFlight) -> u32 {
+        let online = self.online(in_flight);
         let sequences = match self.rule {
             Rule::Fixed => target.concurrency_limit,
-            Rule::Measured => self.sequences(now_ms, target).min(target.concurrency_limit),
+            Rule::Measured => self.sequences(now_ms, target, online).min(target.concurrency_limit),
         };
-        self.limit(target).min(sequences.saturating_sub(self.online(in_flight)))
+        self.limit(target).min(sequences.saturating_sub(online))
     }
 
     /// Online requests of all doors, and sequences that no door accounts for: the owner's own.
@@ -178,12 +183,12 @@
         in_flight.online + known + unknown
     }
 
-    fn is_quiet(&self, now_ms: u64) -> bool {
-        self.envelope.quiet_ms(now_ms) as f64 > QUIET_MS as f64 * self.headroom
+    fn is_quiet(&self, now_ms: u64, online: u32) -> bool {
+        online == 0 && self.envelope.quiet_ms(now_ms) as f64 > QUIET_MS as f64 * self.headroom
     }
 
-    fn kept_free(&self, now_ms: u64) -> u32 {
-        if self.rule == Rule::Fixed || self.is_quiet(now_ms) {
+    fn kept_free(&self, now_ms: u64, online: u32) -> u32 {
+        if self.rule == Rule::Fixed || self.is_quiet(now_ms, online) {
             return 0;
         }
         let rise = f64::from(self.envelope.rise());
@@ -195,8 +200,9 @@
     }
 
     /// Sequences, online and batch, at which online tokens are slowed down no more than allowed.
-    fn sequences(&self, now_ms: u64, target: &Target) -> u32 {
-        if self.kind == ServiceKind::Plain || self.headroom == 0.0 || self.is_quiet(now_ms) {
+    fn sequences(&self, now_ms: u64, target: &Target, online: u32) -> u32 {
+        if self.kind == ServiceKind::Plain || self.headroom == 0.0 || self.is_quiet(now_ms, online)
+        {
             return target.concurrency_limit;
         }
         // A step may be as long as the allowed slowdown makes a step at the level; that gives the number of sequences.
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -166,7 +166,7 @@
                 self.reported(now_ms, &target, running.saturating_add(waiting), out);
             }
             Input::Work { target, steps, tokens } => self.worked(now_ms, &target, steps, tokens),
-            Input::Doors { own_name, live } => self.doors(now_ms, own_name, live),
+            Input::Doors { own_name, live } => self.doors(now_ms, own_name, live, out),
             Input::Share { target, lender, slots, epoch } => {
                 self.share(now_ms, &target, &lender, (slots, epoch), out);
             }
--- /dev/null
+++ b/crates/samphiredoor-core/tests/lending/world.rs
@@ -0,0 +1,231 @@
+//! A dispatcher with measured lending, a clock that tests set, and a model of what runs where.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use samphiredoor_core::{
+    Name,
+    dispatch::{
+        Action, Ask, AttemptEnd, Class, Dispatcher, Input, Place, RequestId, lender::LiveDoor,
+    },
+    manifest::{Lending, Manifest, Service, ServiceKind, Target, Workspace},
+    time::Now,
+};
+
+pub const SEED: u64 = 11;
+pub const CONCURRENCY_LIMIT: u32 = 8;
+pub const LOAN_LIMIT: u32 = 5;
+pub const OWN_NAME: &str = "door-0";
+/// Without online requests for this long, all of the loan is lent.
+pub const QUIET_MS: u64 = 2_500;
+
+const TICK_MS: u64 = 10;
+
+/// A request that was asked and has not ended.
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub class: Class,
+    pub job: Name,
+    pub repeatable: bool,
+    pub running: Option<Name>,
+    pub recalled: bool,
+}
+
+pub struct World {
+    pub dispatcher: Dispatcher,
+    pub now_ms: u64,
+    pub manifest: Manifest,
+    pub known: BTreeMap<RequestId, Known>,
+    next: u64,
+}
+
+pub fn target(name: &str) -> Target {
+    Target {
+        name: name.into(),
+        service: "small".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        region: "brisbane".into(),
+        availability_zone: "north".into(),
+        owner: "kitchen".into(),
+        concurrency_limit: CONCURRENCY_LIMIT,
+        loan_limit: LOAN_LIMIT,
+        checks_fencing: false,
+        drained: false,
+        reclaimed: false,
+        weights: None,
+    }
+}
+
+fn service() -> Service {
+    Service {
+        name: "small".into(),
+        kind: ServiceKind::Engine,
+        repeatable: true,
+        deadline_ms: 60_000,
+        headroom_percent: 100,
+        lending: Lending::Measured,
+        resumable: true,
+    }
+}
+
+pub fn live(names: &[&str]) -> Vec<LiveDoor> {
+    let door = |it: &&str| LiveDoor { name: (*it).into(), region: "brisbane".into() };
+    names.iter().map(door).collect()
+}
+
+impl World {
+    pub fn new(targets: &[&str]) -> World {
+        let place = Place { region: "brisbane".into(), availability_zone: "north".into() };
+        let heavy = Workspace { name: "heavy".into(), weight: 3, max_in_flight: 0 };
+        let manifest = Manifest {
+            revision: 1,
+            services: [(Name::from("small"), service())].into(),
+            targets: targets.iter().map(|it| (Name::from(*it), target(it))).collect(),
+            workspaces: [(Name::from("heavy"), heavy)].into(),
+            ..Manifest::default()
+        };
+        let mut world = World {
+            dispatcher: Dispatcher::new(place, SEED),
+            now_ms: 10_000,
+            manifest,
+            known: BTreeMap::new(),
+            next: 1,
+        };
+        world.handle(Input::Manifest(Arc::new(world.manifest.clone())));
+        world
+    }
+
+    /// Hands an event over and keeps the model; returns the actions.
+    pub fn handle(&mut self, input: Input) -> Vec<Action> {
+        match &input {
+            Input::Ended { request, end: AttemptEnd::Yielded } => {
+                if let Some(known) = self.known.get_mut(request) {
+                    known.running = None;
+                    known.recalled = false;
+                }
+            }
+            Input::Ended { request, .. } | Input::Gone { request } => {
+                self.known.remove(request);
+            }
+            _ => {}
+        }
+        let mut out = Vec::new();
+        self.dispatcher.handle(Now::new(self.now_ms, self.now_ms), input, &mut out);
+        for action in &out {
+            self.note(action);
+        }
+        out
+    }
+
+    fn note(&mut self, action: &Action) {
+        match action {
+            Action::Dispatch { request, target, .. } => {
+                let known = self.known.get_mut(request).expect("only what was asked is dispatched");
+                assert_eq!(known.running, None, "dispatched while it runs");
+                known.running = Some(Name::clone(target));
+            }
+            Action::Abort { request } => {
+                let known = self.known.get_mut(request).expect("only what runs is recalled");
+                assert_eq!(known.class, Class::Batch, "only items are recalled");
+                assert!(known.repeatable, "an item that may not be repeated is not cut");
+                assert!(known.running.is_some() && !known.recalled, "recalled once, while it runs");
+                known.recalled = true;
+            }
+            Action::Refuse { request, .. } => {
+                self.known.remove(request);
+            }
+            Action::Share { .. } | Action::Demand { .. } => {}
+        }
+    }
+
+    pub fn ask(&mut self, class: Class, change: impl FnOnce(&mut Ask)) -> (RequestId, Vec<Action>) {
+        let request = RequestId(self.next);
+        self.next += 1;
+        let mut ask = Ask {
+            request,
+            class,
+            service: "small".into(),
+            workspace: "light".into(),
+            deadline_ms: u64::MAX / 2,
+            repeatable: true,
+            prefix_hash: 0,
+            fingerprint: 0,
+            body_bytes: 100,
+            job: if class == Class::Batch { "job".into() } else { "".into() },
+            due_unix_ms: None,
+        };
+        change(&mut ask);
+        let known = Known {
+            class,
+            job: Name::clone(&ask.job),
+            repeatable: ask.repeatable,
+            running: None,
+            recalled: false,
+        };
+        self.known.insert(request, known);
+        (request, self.handle(Input::Ask(ask)))
+    }
+
+    pub fn online(&mut self) -> (RequestId, Vec<Action>) {
+        self.ask(Class::Online, |_| {})
+    }
+
+    pub fn items(&mut self, count: usize, job: &str, workspace: &str) {
+        for _ in 0..count {
+            self.ask(Class::Batch, |it| {
+                it.job = job.into();
+                it.workspace = workspace.into();
+            });
+        }
+    }
+
+    /// Lets time pass, tick by tick; returns all actions.
+    pub fn pass(&mut self, ms: u64) -> Vec<Action> {
+        let mut out = Vec::new();
+        for _ in 0..ms.div_ceil(TICK_MS) {
+            self.now_ms += TICK_MS;
+            out.extend(self.handle(Input::Tick));
+        }
+        out
+    }
+
+    pub fn end(&mut self, request: RequestId, end: AttemptEnd) -> Vec<Action> {
+        self.handle(Input::Ended { request, end })
+    }
+
+    pub fn reclaim(&mut self, name: &str, reclaimed: bool) -> Vec<Action> {
+        self.manifest.revision += 1;
+        if let Some(target) = self.manifest.targets.get_mut(name) {
+            target.reclaimed = reclaimed;
+        }
+        self.handle(Input::Manifest(Arc::new(self.manifest.clone())))
+    }
+
+    /// Items that run at a target and were not recalled.
+    pub fn lent(&self, target: &str) -> Vec<RequestId> {
+        let here = |it: &&Known| it.running.as_deref() == Some(target) && !it.recalled;
+        let items = self.known.iter().filter(|(_, it)| it.class == Class::Batch && here(it));
+        items.map(|(request, _)| *request).collect()
+    }
+
+    /// Online requests that run at a target.
+    pub fn online_at(&self, target: &str) -> usize {
+        let here = |it: &&Known| it.running.as_deref() == Some(target);
+        self.known.values().filter(|it| it.class == Class::Online && here(it)).count()
+    }
+}
+
+pub fn recalled(actions: &[Action]) -> Vec<RequestId> {
+    let recalled = |it: &Action| match it {
+        Action::Abort { request } => Some(*request),
+        _ => None,
+    };
+    actions.iter().filter_map(recalled).collect()
+}
+
+pub fn dispatched(actions: &[Action]) -> Vec<RequestId> {
+    let dispatched = |it: &Action| match it {
+        Action::Dispatch { request, .. } => Some(*request),
+        _ => None,
+    };
+    actions.iter().filter_map(dispatched).collect()
+}
