--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod env;
+mod lending;
 mod operators;
 mod orders;
 mod settings;
