--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod jobs;
 mod keys;
+mod lending;
 mod operators;
 mod orders;
 mod quarantine;
