--- a/crates/samphiredoor-core/tests/keys.rs
+++ b/crates/samphiredoor-core/tests/keys.rs
@@ -524,6 +524,7 @@
         request: RequestId(number),
         key: key_id("tours", "0"),
         digest: "usual".into(),
+        deadline_unix_ms: 1_000_060_000,
     };
     keys.handle(now, KeysInput::Arrived(arrival(0)), &mut actions);
     while let Some(KeysAction::Store { call, op }) = actions.pop() {
