--- a/crates/samphiredoor-query/src/ast.rs
+++ b/crates/samphiredoor-query/src/ast.rs
@@ -24,12 +24,21 @@
     Doors,
     /// Declared workspaces.
     Workspaces,
+    /// Requests that are suspected of crashing targets.
+    Suspects,
 }
 
 impl Noun {
     /// All nouns.
-    pub const ALL: [Noun; 6] =
-        [Noun::Jobs, Noun::Items, Noun::Services, Noun::Targets, Noun::Doors, Noun::Workspaces];
+    pub const ALL: [Noun; 7] = [
+        Noun::Jobs,
+        Noun::Items,
+        Noun::Services,
+        Noun::Targets,
+        Noun::Doors,
+        Noun::Workspaces,
+        Noun::Suspects,
+    ];
 
     /// Word of the noun.
     pub fn word(self) -> &'static str {
@@ -40,6 +49,7 @@
             Noun::Targets => "targets",
             Noun::Doors => "doors",
             Noun::Workspaces => "workspaces",
+            Noun::Suspects => "suspects",
         }
     }
 
@@ -83,6 +93,7 @@
                 "renewals",
             ],
             Noun::Workspaces => &["name", "weight", "max_in_flight"],
+            Noun::Suspects => &["fingerprint", "state", "deaths"],
         }
     }
 }
@@ -193,6 +204,11 @@
         /// New value.
         value: String,
     },
+    /// Lets a request run again that is suspected of crashing targets.
+    Lift {
+        /// Fingerprint of the request, in hexadecimal digits.
+        suspect: String,
+    },
     /// Goes back to the declarations before the last change, as a new revision.
     Rollback,
 }
--- a/crates/samphiredoor-query/src/parse.rs
+++ b/crates/samphiredoor-query/src/parse.rs
@@ -8,7 +8,8 @@
     token::{Token, tokens},
 };
 
-const VERBS: [&str; 7] = ["cancel", "drain", "undrain", "reclaim", "release", "set", "rollback"];
+const VERBS: [&str; 8] =
+    ["cancel", "drain", "undrain", "reclaim", "release", "set", "lift", "rollback"];
 
 /// Reads one statement.
 ///
@@ -90,6 +91,7 @@
             "reclaim" => Command::Reclaim { target: self.named("target")? },
             "release" => Command::Release { target: self.named("target")? },
             "set" => self.set()?,
+            "lift" => Command::Lift { suspect: self.named("suspect")? },
             _ => Command::Rollback,
         })
     }
--- a/crates/samphiredoor-query/tests/language.rs
+++ b/crates/samphiredoor-query/tests/language.rs
@@ -107,6 +107,7 @@
         ]],
     );
     check("rollback", expect!["Command(Rollback)"]);
+    check("lift suspect 00ab", expect![[r#"Command(Lift { suspect: "00ab" })"#]]);
 }
 
 #[test]
--- a/crates/samphiredoor/src/commands.rs
+++ b/crates/samphiredoor/src/commands.rs
@@ -41,6 +41,7 @@
             let value = value.parse::<u64>().unwrap_or_default();
             set(door, section(object), &name, field, json!(value)).await
         }
+        Command::Lift { suspect } => lift(door, &suspect),
         Command::Rollback => {
             edit(door, |record| match record.previous.take() {
                 Some(previous) => {
@@ -54,6 +55,15 @@
     }
 }
 
+fn lift(door: &Door, suspect: &str) -> Response<Body> {
+    let Ok(fingerprint) = u64::from_str_radix(suspect, 16) else {
+        return bad_request("suspect", "use the hexadecimal digits that `suspects` shows");
+    };
+    log::info!("quarantine: an operator lifts {fingerprint:016x}");
+    door.quarantine.lift(fingerprint);
+    json_answer(StatusCode::OK, &json!({ "lifted": format!("{fingerprint:016x}") }))
+}
+
 fn section(object: Settable) -> &'static str {
     match object {
         Settable::Service => "services",
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -34,7 +34,6 @@
 mod orders_task;
 mod peers;
 mod process;
-mod quarantine_http;
 mod quarantine_metrics;
 mod quarantine_task;
 mod query_rows;
--- a/crates/samphiredoor/src/operators.rs
+++ b/crates/samphiredoor/src/operators.rs
@@ -13,11 +13,9 @@
     answers::{bad_request, json_answer, not_found},
     commands, manifest_http,
     process::Door,
-    quarantine_http,
     query_rows::{self, Failure},
 };
 
-const SUSPECTS: &str = "/suspects/";
 const MAX_STATEMENT_BYTES: usize = 16 * 1024;
 
 /// Answers one request of an operator.
@@ -39,10 +37,6 @@
     match (request.method(), request.uri().path()) {
         (&Method::POST, "/statement") => statement(&door, request).await,
         (&Method::GET, "/metrics") => Response::new(Body::full(door.metrics.text())),
-        (&Method::GET, "/suspects") => quarantine_http::list(&door).await,
-        (&Method::DELETE, path) if path.starts_with(SUSPECTS) => {
-            quarantine_http::lift(&door, &path[SUSPECTS.len()..])
-        }
         (&Method::GET, "/manifest") => manifest_http::get(&door).await,
         (&Method::PUT, "/manifest") => manifest_http::put(&door, request).await,
         _ => not_found("no such path; see docs/OPERATING.md"),
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -8,6 +8,7 @@
 use samphiredoor_core::{
     ledger::{chunk_key, header_key, results_key},
     manifest::{Manifest, ServiceKind},
+    quarantine::{BLAMED_DEATHS, Suspect},
     store::{Kind, Labels, StoreAnswer, StoreOp, Stored},
 };
 use samphiredoor_query::{Noun, Query, Row, select};
@@ -47,6 +48,7 @@
         Noun::Items => items(door, query).await?,
         Noun::Services => (service_rows(&door.manifest.current()), false),
         Noun::Targets => (target_rows(&door.manifest.current()), false),
+        Noun::Suspects => (suspect_rows(&door.quarantine.list().await), false),
         Noun::Workspaces => (workspace_rows(&door.manifest.current()), false),
     };
     Ok(Answer { rows: select(query, rows), truncated })
@@ -175,6 +177,21 @@
     rows.filter_map(to_row).collect()
 }
 
+fn suspect_rows(suspects: &[Suspect]) -> Vec<Row> {
+    let rows = suspects.iter().map(|it| {
+        json!({
+            "fingerprint": format!("{:016x}", it.fingerprint),
+            "state": match (it.lifted, it.deaths >= BLAMED_DEATHS) {
+                (true, _) => "lifted",
+                (false, true) => "refused",
+                (false, false) => "suspected",
+            },
+            "deaths": it.deaths,
+        })
+    });
+    rows.filter_map(to_row).collect()
+}
+
 async fn items(door: &Door, query: &Query) -> Result<(Vec<Row>, bool), Failure> {
     let job = query.equal_to("job").unwrap_or_default().into();
     let Some(header) = read::<JobHeader>(door, header_key(&job)).await? else {
--- a/crates/samphiredoor/tests/it/quarantine.rs
+++ b/crates/samphiredoor/tests/it/quarantine.rs
@@ -1,11 +1,11 @@
 //! A request that crashes each target that runs it, through real doors.
 
-use std::thread;
+use std::{net::SocketAddr, thread};
 
 use serde_json::json;
 
 use crate::{
-    env::{Answer, TestEnv, get, post, target, wait_until},
+    env::{Answer, TestEnv, post, target, wait_until},
     raw_target::{RawTarget, Reply},
 };
 
@@ -88,18 +88,34 @@
     assert_eq!((again.status, error(&again).as_str()), (422, "quarantined"));
     assert!(again.text.contains(r#""not run""#), "{}", again.text);
     let operators = env.door(1).operators;
-    wait_until("the other door knows", || {
-        get(operators, "/suspects").json()["suspects"][0]["refused"] == true
-    });
+    wait_until("the other door knows", || suspects(operators)[0]["state"] == "refused");
     assert_eq!(env.post(1, PATH, &[], POISON).status, 422);
     let late = env.start_door();
     let operators = env.door(late).operators;
-    wait_until("a door that starts later knows", || {
-        get(operators, "/suspects").json()["suspects"][0]["refused"] == true
-    });
+    wait_until("a door that starts later knows", || suspects(operators)[0]["state"] == "refused");
     assert_eq!(dead(&targets), 2);
 }
 
+/// An owner has mended the engines and lifts the suspicion at one door; the request may run again at another.
+#[test]
+fn a_lifted_request_may_run_again() {
+    let targets: Vec<RawTarget> =
+        (0..4).map(|_| RawTarget::start([]).with_crash_on("poison")).collect();
+    let mut env = doors_with(&targets);
+    env.post(0, PATH, &[], POISON);
+    wait_until("it is refused", || env.post(1, PATH, &[], POISON).status == 422);
+    let operators = env.door(0).operators;
+    let fingerprint = suspects(operators)[0]["fingerprint"].as_str().expect("text").to_owned();
+    let lifted = post(operators, "/statement", &[], &format!("lift suspect {fingerprint}"));
+    assert_eq!(lifted.status, 200, "{}", lifted.text);
+    wait_until("it is not refused", || env.post(1, PATH, &[], POISON).status != 422);
+    assert!(dead(&targets) > 2);
+}
+
+fn suspects(operators: SocketAddr) -> serde_json::Value {
+    post(operators, "/statement", &[], "suspects").json()["rows"].clone()
+}
+
 /// The same as an item of a job: it ends as a failure, and the others of its job complete.
 #[test]
 fn an_item_that_kills_its_targets_ends_as_failed() {
