--- a/crates/samphiredoor/tests/it/dispatch.rs
+++ b/crates/samphiredoor/tests/it/dispatch.rs
@@ -1,6 +1,6 @@
 //! Requests that meet targets which refuse, push back or break off.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
@@ -86,8 +86,12 @@
     let mut env = door_with(server(|request| match request.uri().path() {
         "/load" => with_status(StatusCode::NOT_FOUND),
         _ => {
-            let broken = || Err::<Bytes, BoxError>("crashed".into());
-            Response::new(Body::stream(futures_util::stream::once(async move { broken() })))
+            let broken = async {
+                // Lets the head go out first.
+                compio::time::sleep(Duration::from_millis(20)).await;
+                Err::<Bytes, BoxError>("crashed".into())
+            };
+            Response::new(Body::stream(futures_util::stream::once(broken)))
         }
     }));
     let mut number = 0;
