--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -1,7 +1,8 @@
 //! Attempts at targets: their start, their end, what is learned from it, and whether another one follows.
 
 use super::{
-    Action, Ask, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Stage,
+    Action, Ask, AttemptEnd, Class, Dispatcher, Ejection, Request, RequestId, RetryReason, Running,
+    Stage,
     targets::{Distance, TargetId},
 };
 use crate::{
@@ -27,7 +28,8 @@
         if chosen.distance == Distance::OtherRegion {
             self.counters.bytes_to_other_regions += u64::from(running.ask.body_bytes);
         }
-        running.stage = Stage::Running { target, started_ms: now_ms, recalled: false, charged_ms };
+        let attempt = Running { target, started_ms: now_ms, recalled: false, charged_ms };
+        running.stage = Stage::Running(attempt);
         running.tried.push(Name::clone(&name));
         let (class, recallable) = (running.ask.class, running.ask.repeatable);
         if class == Class::Online
@@ -70,9 +72,9 @@
     /// Recalls an item of a job. Tells whether it was running.
     pub(super) fn recall(&mut self, now_ms: u64, item: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(running) = self.requests.get_mut(&item) else { return false };
-        let Stage::Running { target, recalled, .. } = &mut running.stage else { return false };
-        *recalled = true;
-        self.targets.recalled(now_ms, *target, item);
+        let Stage::Running(attempt) = &mut running.stage else { return false };
+        attempt.recalled = true;
+        self.targets.recalled(now_ms, attempt.target, item);
         self.counters.recalls += 1;
         out.push(Action::Abort { request: item });
         true
@@ -87,11 +89,11 @@
         out: &mut Vec<Action>,
     ) {
         let Some(ended) = self.requests.get(&request) else { return };
-        let Stage::Running { target, started_ms, .. } = ended.stage else { return };
+        let Stage::Running(attempt) = ended.stage else { return };
         let service = Name::clone(&ended.ask.service);
         let class = ended.ask.class;
         self.leave_target(now_ms, request);
-        self.learn(now_ms, target, class, now_ms.saturating_sub(started_ms), end);
+        self.learn(now_ms, attempt, class, end);
         match end {
             AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
                 self.close(now_ms, request);
@@ -135,16 +137,14 @@
 
     fn leave_target(&mut self, now_ms: u64, request: RequestId) {
         let Some(running) = self.requests.get_mut(&request) else { return };
-        let Stage::Running { target, recalled, started_ms, charged_ms } = running.stage else {
-            return;
-        };
+        let Stage::Running(attempt) = running.stage else { return };
         running.stage = Stage::Arrived;
         if running.ask.class == Class::Batch
             && let Some(state) = self.services.get_mut(&running.ask.service)
         {
             let weight = weight(&self.manifest, &running.ask);
-            let took_ms = now_ms.saturating_sub(started_ms);
-            state.batch.ended(&running.ask, charged_ms, took_ms, weight);
+            let took_ms = now_ms.saturating_sub(attempt.started_ms);
+            state.batch.ended(&running.ask, attempt.charged_ms, took_ms, weight);
         }
         let class = running.ask.class;
         if class == Class::Online
@@ -152,7 +152,7 @@
         {
             state.online = state.online.saturating_sub(1);
         }
-        self.targets.ended(now_ms, target, request, class, recalled);
+        self.targets.ended(now_ms, attempt.target, request, class, attempt.recalled);
     }
 
     /// Takes a request out of where it waits, as its turn has come; returns the slot time that an item is charged.
@@ -165,7 +165,7 @@
                 0.0
             }
             Stage::Waiting => state.batch.start(&waiting.ask, weight(&self.manifest, &waiting.ask)),
-            Stage::Arrived | Stage::Running { .. } => 0.0,
+            Stage::Arrived | Stage::Running(_) => 0.0,
         };
         self.leave_queue(request);
         charged_ms
@@ -186,7 +186,7 @@
         match waiting.stage {
             Stage::Queued(tag) => state.queue.remove(tag, &waiting.ask.workspace),
             Stage::Waiting => state.batch.remove(&waiting.ask),
-            Stage::Arrived | Stage::Running { .. } => return,
+            Stage::Arrived | Stage::Running(_) => return,
         }
         waiting.stage = Stage::Arrived;
     }
@@ -237,13 +237,19 @@
     }
 
     /// Learns from the end of an attempt about its target and its service.
-    fn learn(&mut self, now_ms: u64, id: TargetId, class: Class, latency_ms: u64, end: AttemptEnd) {
-        let Some(target) = self.targets.get_mut(id) else { return };
+    fn learn(&mut self, now_ms: u64, attempt: Running, class: Class, end: AttemptEnd) {
+        let Some(target) = self.targets.get_mut(attempt.target) else { return };
+        let latency_ms = now_ms.saturating_sub(attempt.started_ms);
+        let mut beyond_chance = 0;
+        if let Some(state) = self.services.get_mut(&target.declared.service) {
+            state.pace.attempted(end.is_failure());
+            beyond_chance = state.pace.failures_beyond_chance();
+        }
         match end {
             AttemptEnd::Done => {
                 target.health.succeeded(now_ms);
-                let beside = target.load.own();
-                target.limit.sample(now_ms, latency_ms, beside + 1);
+                let in_flight = target.load.own() + 1;
+                target.limit.sample(now_ms, latency_ms, in_flight);
                 let service = self.services.get_mut(&target.declared.service);
                 if class == Class::Online
                     && let Some(state) = service
@@ -261,10 +267,15 @@
                 target.health.hold(now_ms, retry_after_ms);
             }
             AttemptEnd::Lost(Doubt::DeadlinePassed) | AttemptEnd::Cut(Doubt::DeadlinePassed) => {
-                target.limit.pushed_back(now_ms);
+                target.limit.timed_out(now_ms, latency_ms);
             }
             AttemptEnd::Failed | AttemptEnd::Lost(_) | AttemptEnd::Cut(_) => {
-                if target.health.failed() && self.targets.eject_failing(now_ms, id) {
+                if end != AttemptEnd::Failed {
+                    target.limit.lost(now_ms);
+                }
+                if target.health.failed(beyond_chance)
+                    && self.targets.eject_failing(now_ms, attempt.target)
+                {
                     self.counters.ejected(Ejection::Failing);
                 }
             }
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -29,6 +29,7 @@
 mod routing;
 mod step_model;
 mod targets;
+mod trial;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -66,7 +67,17 @@
     /// Batch, waiting for lent capacity.
     Waiting,
     /// At a target.
-    Running { target: TargetId, started_ms: u64, recalled: bool, charged_ms: f64 },
+    Running(Running),
+}
+
+/// An attempt in hand.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    target: TargetId,
+    started_ms: u64,
+    recalled: bool,
+    /// Slot time that the item was charged when it started.
+    charged_ms: f64,
 }
 
 #[derive(Debug)]
@@ -173,7 +184,9 @@
             Input::Demand { door, load } => self.demand(now_ms, &door, &load, out),
             Input::Unreachable { target } => self.eject(now_ms, &target, Ejection::Unreachable),
             Input::Leaving { target } => self.eject(now_ms, &target, Ejection::Leaving),
-            Input::ToldLeaving { target, until_ms } => self.targets.told_leaving(&target, until_ms),
+            Input::ToldLeaving { target, for_ms } => {
+                self.targets.told_leaving(&target, now_ms + for_ms);
+            }
             Input::Tick => self.tick(now_ms, out),
         }
     }
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -4,7 +4,14 @@
 //! above `max_connections` are closed at once, and one whose client does not read is closed after `stall_timeout`, so
 //! that slow and half-open clients cannot hold a place for ever.
 
-use std::{cell::Cell, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
@@ -20,6 +27,8 @@
 use crate::{Body, BoxError, stall::Watched};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const PENDING_LIMIT: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_secs(1);
 
 /// Bounds on the connections of one listener.
 #[derive(Debug, Clone)]
@@ -144,14 +153,17 @@
         }
     }
 
-    // The system has completed connects that were not yet accepted; closing the listener would reset them.
+    // The system has completed connects that were not yet accepted; closing the listener would reset them. Clients that
+    // connect again and again must not keep it open for ever.
     async fn take_pending<H, F>(&self, handler: &Rc<H>)
     where
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        while let Ok(Ok((stream, _))) =
-            compio::time::timeout(ACCEPT_PAUSE, self.listener.accept()).await
+        let until = Instant::now() + PENDING_LIMIT;
+        while Instant::now() < until
+            && let Ok(Ok((stream, _))) =
+                compio::time::timeout(ACCEPT_PAUSE, self.listener.accept()).await
         {
             self.take_connection(stream, handler);
         }
@@ -214,9 +226,10 @@
 {
     stream.set_nodelay(true)?;
     let (stream, stall) = Watched::new(HyperStream::new_plain(stream));
+    let drained = Rc::clone(&draining);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        let draining = Rc::clone(&draining);
+        let draining = Rc::clone(&drained);
         async move {
             let mut answer = answer.await;
             if draining.get() {
@@ -234,11 +247,17 @@
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let mut stalled = pin!(stall.over(limits.stall_timeout).fuse());
-    let mut stopped = pin!(wait_for_stop(stop).fuse());
+    // A request may be on its way on a connection that is new or idle; to close it now would cut that request.
+    let closing = async {
+        wait_for_stop(stop).await;
+        draining.set(true);
+        compio::time::sleep(LINGER).await;
+    };
+    let mut closing = pin!(closing.fuse());
     loop {
         select_biased! {
             ended = connection.as_mut().fuse() => return Ok(ended?),
-            () = stopped => connection.as_mut().graceful_shutdown(),
+            () = closing => connection.as_mut().graceful_shutdown(),
             () = stalled => return Err("the client does not read".into()),
         }
     }
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -17,6 +17,9 @@
 mod job_reads;
 mod jobs;
 mod jobs_task;
+mod keyed;
+mod keys_metrics;
+mod keys_task;
 mod lease_task;
 mod lending_task;
 mod load_poll;
@@ -34,6 +37,7 @@
 mod query_rows;
 mod settings;
 mod store_client;
+mod stream_end;
 mod targets;
 
 use std::process::ExitCode;
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -2,8 +2,15 @@
 
 mod dispatch;
 mod env;
+mod fleet;
+mod jobs;
+mod keys;
 mod lending;
 mod operators;
 mod orders;
+mod raw_target;
+mod relay;
 mod settings;
+mod stop;
+mod whole_answers;
 mod whole_path;
