--- a/crates/samphiredoor-core/tests/lending/division.rs
+++ b/crates/samphiredoor-core/tests/lending/division.rs
@@ -88,7 +88,7 @@
         let (lender, lender_name) =
             if now_ms < 100 { (&mut first, "first") } else { (&mut second, "second") };
         // Two doors have not yet heard of the change and still use what the first gave them.
-        let heard = if now_ms < 100 || now_ms > SHARE_TTL_MS + 200 { 0 } else { 2 };
+        let heard = if (100..=SHARE_TTL_MS + 200).contains(&now_ms) { 2 } else { 0 };
         for door in heard..DOORS {
             lender.told(now_ms, &name(door), wants);
         }
