Split the changes of a shard from the shard, and hold two guards by tests

Taken out on purpose, two guards of the quarantine left all tests green: one suspect a target at a time, and the probe after a lost connection. Each has a test now. The property of the keys now compares the digest of a replay too.

--- a/crates/samphiredoor-core/src/keys/mod.rs
+++ b/crates/samphiredoor-core/src/keys/mod.rs
@@ -9,6 +9,7 @@
 //! end with [`KeysInput::Ended`].
 
 mod arrival;
+mod change;
 mod record;
 mod shard;
 
@@ -31,8 +32,9 @@
     verdict::{Doubt, Refusal, Verdict},
 };
 use arrival::shard_of;
+use change::Outcome;
 use record::{body_bytes, kept_body};
-use shard::{Context, Effect, Outcome, Shard};
+use shard::{Context, Effect, Shard};
 
 /// Shards of all doors together; every door must use the same number.
 pub const SHARDS: u32 = 65_536;
--- a/crates/samphiredoor-core/src/keys/shard.rs
+++ b/crates/samphiredoor-core/src/keys/shard.rs
@@ -6,18 +6,19 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use samphiredoor_schema::objects::{KeyRecord, KeyShard, KeyState};
+use samphiredoor_schema::objects::{KeyRecord, KeyShard};
 
 use super::{
     KeysConfig,
     arrival::{Arrival, KeyId},
+    change::{Change, Intent, Outcome, conclude, landed, reconcile, refuse, reused, taken_back},
     record::{self, KeptAnswer, Standing, is_expired, is_orphaned},
 };
 use crate::{
     Name,
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version},
     time::Now,
-    verdict::{Doubt, Refusal, Verdict},
+    verdict::{Refusal, Verdict},
 };
 
 /// Bytes from which a shard takes no new intents. The rest, up to the store's megabyte, is room for the outcomes of
@@ -50,34 +51,6 @@
     Unreadable,
 }
 
-/// An intent that is to be written.
-#[derive(Debug)]
-struct Intent {
-    arrival: Arrival,
-    since_unix_ms: u64,
-    /// Whether the request still waits; if not, the intent is taken back once it is known to stand.
-    wanted: bool,
-    /// Whether an earlier write of it may have taken effect, or may yet.
-    doubtful: bool,
-}
-
-/// An outcome that is to be written.
-#[derive(Debug)]
-pub(super) struct Outcome {
-    /// Record to write.
-    pub(super) record: KeyRecord,
-    /// The answer, for resends that come before the write.
-    pub(super) answer: Option<KeptAnswer>,
-    /// Whether the body must be written to an object of its own first.
-    pub(super) upload: bool,
-}
-
-#[derive(Debug)]
-enum Change {
-    Intent(Intent),
-    Outcome(Outcome),
-}
-
 #[derive(Debug)]
 struct Content {
     version: Option<Version>,
@@ -411,7 +384,7 @@
             return Vec::new();
         };
         for (key, change) in std::mem::take(&mut self.pending) {
-            if let Some(change) = reconcile(&content, &key, change, cx, effects) {
+            if let Some(change) = reconcile(content.keys.get(&*key), &key, change, cx, effects) {
                 self.pending.insert(key, change);
             }
         }
@@ -526,103 +499,3 @@
     const FIELDS_BYTES: usize = 300;
     FIELDS_BYTES + record.body.as_ref().map_or(0, |it| it.content.len())
 }
-
-/// Decides a change anew after a read; `None` if it is settled.
-fn reconcile(
-    content: &Content,
-    key: &KeyId,
-    change: Change,
-    cx: &Context<'_>,
-    effects: &mut Vec<Effect>,
-) -> Option<Change> {
-    let record = content.keys.get(&**key);
-    match change {
-        Change::Intent(intent) => {
-            let standing = Standing::of(record, &intent.arrival.digest, cx.config, cx.now);
-            match standing {
-                Standing::Free => Some(Change::Intent(intent)),
-                // The write whose answer was lost took effect.
-                Standing::Own => landed(Arc::clone(key), Change::Intent(intent), cx, effects),
-                other => {
-                    if intent.wanted {
-                        let orphaned = record.is_some_and(|it| is_orphaned(it, cx.now));
-                        effects.push(conclude(intent.arrival, other, orphaned, cx));
-                    }
-                    None
-                }
-            }
-        }
-        Change::Outcome(outcome) => {
-            let stands = record.is_some_and(|it| same_outcome(it, &outcome.record));
-            let foreign = record.is_some_and(|it| *it.holder != *cx.config.holder);
-            let other_process = foreign && record.is_some_and(|it| it.state != KeyState::NotRun);
-            if stands || other_process {
-                effects.push(Effect::Saved(Arc::clone(key)));
-                return None;
-            }
-            Some(Change::Outcome(outcome))
-        }
-    }
-}
-
-fn same_outcome(a: &KeyRecord, b: &KeyRecord) -> bool {
-    (a.state, &a.holder, a.since_unix_ms) == (b.state, &b.holder, b.since_unix_ms)
-}
-
-/// A change stands in the store; returns what must be written next for its key.
-fn landed(
-    key: KeyId,
-    change: Change,
-    cx: &Context<'_>,
-    effects: &mut Vec<Effect>,
-) -> Option<Change> {
-    match change {
-        Change::Intent(intent) if intent.wanted => {
-            let Intent { arrival, since_unix_ms, .. } = intent;
-            effects.push(Effect::Run { arrival, since_unix_ms });
-            None
-        }
-        Change::Intent(intent) => Some(Change::Outcome(taken_back(&intent, cx.config))),
-        Change::Outcome(_) => {
-            effects.push(Effect::Saved(key));
-            None
-        }
-    }
-}
-
-/// Outcome of an intent that led to no run.
-fn taken_back(intent: &Intent, config: &KeysConfig) -> Outcome {
-    let mut record = record::intent(&intent.arrival, config, intent.since_unix_ms);
-    record.state = KeyState::NotRun;
-    Outcome { record, answer: None, upload: false }
-}
-
-fn conclude(arrival: Arrival, standing: Standing, orphaned: bool, cx: &Context<'_>) -> Effect {
-    match standing {
-        Standing::Answered(answer) => Effect::Replay { arrival, answer },
-        Standing::AnsweredApart(answer, object) => Effect::Fetch { arrival, answer, object },
-        Standing::MayHaveRun(reason) => doubt(arrival, reason),
-        // A lapsed lease is only a hint, so the intent is not taken over: a wrong guess tells "may have run" early,
-        // and the holder's outcome is replayed to the next resend.
-        Standing::Intended(holder) if orphaned || cx.lapsed.contains(&holder) => {
-            doubt(arrival, Doubt::IntentWithoutOutcome)
-        }
-        Standing::Intended(_) => doubt(arrival, Doubt::StillRunning),
-        Standing::OtherRequest => reused(arrival),
-        Standing::Free | Standing::Own => doubt(arrival, Doubt::StoreAnswerLost),
-    }
-}
-
-fn doubt(arrival: Arrival, reason: Doubt) -> Effect {
-    Effect::Refuse { arrival, verdict: Verdict::MayHaveRun { reason } }
-}
-
-fn reused(arrival: Arrival) -> Effect {
-    let verdict = Verdict::NotRun { retry_after_ms: 0, reason: Refusal::KeyReused };
-    Effect::Refuse { arrival, verdict }
-}
-
-fn refuse(arrival: &Arrival, reason: Refusal, retry_after_ms: u64) -> Effect {
-    let verdict = Verdict::NotRun { retry_after_ms, reason };
-    Effect::Refuse { arrival: arrival.clone(), verdict }
-}
--- a/crates/samphiredoor-core/tests/keys.rs
+++ b/crates/samphiredoor-core/tests/keys.rs
@@ -141,7 +141,8 @@
     running: Vec<RequestId>,
     /// Request that ran, or may yet, by key.
     ran: BTreeMap<Name, RequestId>,
-    answers: BTreeMap<Name, KeptAnswer>,
+    /// Digest and answer of the request that was answered, by key.
+    answers: BTreeMap<Name, (Name, KeptAnswer)>,
 }
 
 impl World {
@@ -287,7 +288,8 @@
             End::MayHaveRun => KeyOutcome::MayHaveRun(Doubt::AnswerCut),
         };
         if let KeyOutcome::Answered(answer) = &outcome {
-            self.answers.insert(arrival.key.clone(), answer.clone());
+            let answered = (arrival.digest.clone(), answer.clone());
+            self.answers.insert(arrival.key.clone(), answered);
         }
         self.input(door, KeysInput::Ended { request, outcome })
     }
@@ -310,8 +312,9 @@
             }
             KeysAction::Joined { .. } => {}
             KeysAction::Replay { request, answer } => {
-                let key = &self.sent[&request].1.key;
-                prop_assert_eq!(self.answers.get(key), Some(&answer));
+                let arrival = &self.sent[&request].1;
+                let replayed = (arrival.digest.clone(), answer);
+                prop_assert_eq!(self.answers.get(&arrival.key), Some(&replayed));
                 self.told(request)?;
             }
             KeysAction::Refuse { request, verdict } => {
--- a/crates/samphiredoor-core/tests/quarantine.rs
+++ b/crates/samphiredoor-core/tests/quarantine.rs
@@ -253,6 +253,31 @@
     assert!(!quarantine.suspects_any());
 }
 
+/// The broken order and an innocent one have both lost their target, and both are tried again at the next. If they ran
+/// there together, the innocent one would be blamed for the second death as well.
+#[test]
+fn a_target_gets_one_suspect_at_a_time() {
+    let (mut quarantine, mut now) = (quarantine(0), Now::new(0, 1_000_000_000));
+    kill(&mut quarantine, &mut now, 1, 7);
+    kill(&mut quarantine, &mut now, 2, 8);
+    let enter = |number: u64, fingerprint: u64, target: usize| QuarantineInput::Enter {
+        attempt: RequestId(number),
+        fingerprint,
+        target: address(target),
+    };
+    let go = |number: u64| QuarantineAction::Go { attempt: RequestId(number) };
+    let mut out = Vec::new();
+    quarantine.handle(now, enter(3, 7, 1), &mut out);
+    quarantine.handle(now, enter(4, 8, 1), &mut out);
+    quarantine.handle(now, enter(5, 8, 2), &mut out);
+    quarantine.handle(now, enter(6, 9, 1), &mut out);
+    assert_eq!(out, [go(3), go(5), go(6)]);
+    out.clear();
+    let left = QuarantineInput::Left { attempt: RequestId(3), how: Left::Otherwise };
+    quarantine.handle(now, left, &mut out);
+    assert_eq!(out, [go(4)]);
+}
+
 /// An owner has mended the engine and lifts the blame; late news of a peer must not bring it back.
 #[test]
 fn an_owner_lifts_the_blame() {
--- a/crates/samphiredoor/tests/it/quarantine.rs
+++ b/crates/samphiredoor/tests/it/quarantine.rs
@@ -119,3 +119,20 @@
     assert_eq!((counts["completed"].as_u64(), counts["failed"].as_u64()), (Some(2), Some(1)));
     assert_eq!(dead(&targets), 2);
 }
+
+/// A target breaks connections and goes on, as one behind a faulty cable. No request is to blame: the sender may send
+/// it again, and it is answered once the target answers.
+#[test]
+fn a_lost_connection_to_a_living_target_blames_nobody() {
+    let target = RawTarget::start([Reply::Close, Reply::Close, Reply::Close, Reply::Close]);
+    let mut env = doors_with(std::slice::from_ref(&target));
+    let call = r#"{"model":"small","prompt":"order 1"}"#;
+    wait_until("the request is answered", || {
+        let answer = env.post(0, PATH, &[], call);
+        assert_ne!(answer.status, 422, "{}", answer.text);
+        answer.status == 200
+    });
+    assert!(target.ran().len() >= 5);
+    let operators = env.door(0).operators;
+    assert_eq!(get(operators, "/suspects").json()["suspects"], json!([]));
+}
