--- a/crates/samphiredoor-core/src/membership/mod.rs
+++ b/crates/samphiredoor-core/src/membership/mod.rs
@@ -144,10 +144,12 @@
         /// Where.
         address: Arc<str>,
     },
-    /// Close the link to a member.
+    /// Close the links to a member.
     Close {
         /// Which.
         peer: Name,
+        /// Whether also those that the member opened.
+        accepted: bool,
     },
     /// Send a heartbeat; its answer is to be reported as [`MembershipInput::Beat`].
     Beat {
@@ -375,7 +377,7 @@
         }
         for (name, link) in &self.links {
             if link.opened && !self.wanted.contains(name) {
-                out.push(MembershipAction::Close { peer: Arc::clone(name) });
+                out.push(MembershipAction::Close { peer: Arc::clone(name), accepted: false });
             }
         }
     }
@@ -490,8 +492,13 @@
         let near_ms = self.beat_ms();
         let far_ms = if self.gossip.is_empty() { near_ms * FAR_BEAT_FACTOR } else { near_ms };
         let mut to = Vec::new();
-        for (name, link) in self.links.iter_mut().filter(|(_, it)| it.opened) {
-            let pause_ms = if self.watched.contains(name) { near_ms } else { far_ms };
+        for (name, link) in &mut self.links {
+            // Whoever opened a link beats on it, and whoever watches the far side does.
+            let watched = self.watched.contains(name);
+            if !link.opened && !watched {
+                continue;
+            }
+            let pause_ms = if watched { near_ms } else { far_ms };
             if link.beat_ms.is_none_or(|it| now.mono_ms >= it + pause_ms) {
                 link.beat_ms = Some(now.mono_ms);
                 to.push(Arc::clone(name));
@@ -512,10 +519,10 @@
                 self.silent.entry(Arc::clone(name)).or_insert(since);
                 continue;
             };
-            if link.opened && quiet(link) && !self.silent.contains_key(name) {
+            if quiet(link) && !self.silent.contains_key(name) {
                 let since = Silent { since_ms: link.heard_ms, next_read_ms: now.mono_ms };
                 self.silent.insert(Arc::clone(name), since);
-                out.push(MembershipAction::Close { peer: Arc::clone(name) });
+                out.push(MembershipAction::Close { peer: Arc::clone(name), accepted: true });
             }
         }
         self.close_quiet_far(now, patience_ms, out);
@@ -536,7 +543,7 @@
         for (name, link) in &self.links {
             let quiet = now.mono_ms > link.heard_ms + patience_ms * FAR_BEAT_FACTOR;
             if link.opened && quiet && !self.watched.contains(name) {
-                out.push(MembershipAction::Close { peer: Arc::clone(name) });
+                out.push(MembershipAction::Close { peer: Arc::clone(name), accepted: true });
             }
         }
     }
--- a/crates/samphiredoor-core/tests/fleet/mod.rs
+++ b/crates/samphiredoor-core/tests/fleet/mod.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Freezes a process: its links stand, and it neither answers nor renews its lease.
+    pub fn freeze(&mut self, number: usize) {
+        self.nodes[number].up = false;
+    }
+
     /// Begins a planned stop.
     pub fn stop(&mut self, number: usize) {
         self.renew(number, true);
@@ -233,7 +238,7 @@
     fn act(&mut self, own: usize, action: MembershipAction) -> Vec<MembershipInput> {
         match action {
             MembershipAction::Connect { peer, .. } => return vec![self.connect(own, peer)],
-            MembershipAction::Close { peer } => self.unlink(own, number(&peer)),
+            MembershipAction::Close { peer, .. } => self.unlink(own, number(&peer)),
             MembershipAction::Beat { to, beat } => {
                 if self.links.contains(&link(own, number(&to))) {
                     self.send(own, number(&to), beat, true);
@@ -302,6 +307,9 @@
         }
         let delay_ms = if fate == Fate::IsLate { 7 * STEP_MS } else { 0 };
         let input = MembershipInput::Beat { from: name(from), beat };
+        if !self.nodes[to].up {
+            return;
+        }
         let inbox = &mut self.nodes[to].inbox;
         if fate == Fate::IsDoubled {
             inbox.push_back((self.now_ms + 3 * STEP_MS, input.clone(), false));
--- a/crates/samphiredoor-core/tests/membership.rs
+++ b/crates/samphiredoor-core/tests/membership.rs
@@ -88,11 +88,11 @@
     runner().run(&steps(), converge).expect("all cases hold");
 }
 
-/// The jobs of a lost door are never taken up. The door dies, others notice its silence, and the cause would be a
-/// death that none of those who are left watches until its lease is over.
+/// The jobs of a lost door are never taken up. The door dies, or freezes with its connections open, and the cause would
+/// be a silence that none of those who are left notices and watches until the lease is over.
 #[test]
-fn the_lapse_of_each_crashed_door_is_noticed_by_another() {
-    let noticed = |(doors, crashed): (usize, Vec<usize>)| {
+fn the_lapse_of_each_lost_door_is_noticed_by_another() {
+    let noticed = |(doors, crashed, frozen): (usize, Vec<usize>, bool)| {
         let mut fleet = Fleet::new(3);
         for number in 0..doors {
             fleet.start(number);
@@ -101,7 +101,10 @@
         let lost: Vec<usize> = crashed.into_iter().map(|it| it % doors).collect();
         for number in &lost {
             if fleet.up().count() > 1 {
-                fleet.crash(*number);
+                match frozen {
+                    true => fleet.freeze(*number),
+                    false => fleet.crash(*number),
+                }
             }
         }
         fleet.run(2 * LEASE_MS);
@@ -111,7 +114,9 @@
         }
         Ok(())
     };
-    runner().run(&(2..12_usize, vec(0..12_usize, 1..6)), noticed).expect("all cases hold");
+    runner()
+        .run(&(2..12_usize, vec(0..12_usize, 1..6), any::<bool>()), noticed)
+        .expect("all cases hold");
 }
 
 /// Two doors work on one job although both are well. A cut parts the fleet, each side holds the other for dead, and the
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -18,6 +18,7 @@
 
 const WATCHERS_PER_ZONE: usize = 2;
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_FIRST_PAUSE: Duration = Duration::from_secs(5);
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 // A process that watches nothing looks this rarely, in case it is cut off from all peers.
 const IDLE_PAUSE: Duration = Duration::from_secs(60);
@@ -136,10 +137,13 @@
 }
 
 async fn watch(door: Rc<Door>) {
-    // A process that has no revision asks the store again and again, also when others watch: it is not ready.
+    // A process that has no revision asks the store again and again, also when others watch: it is not ready. It asks
+    // ever more seldom, since a whole fleet may be doing so, and its peers tell it of a revision at once.
+    let mut pause = FIRST_PAUSE;
     while door.revision.get() == 0 {
         read(&door).await;
-        compio::time::sleep(FIRST_PAUSE).await;
+        compio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_FIRST_PAUSE);
     }
     let mut idle = Duration::ZERO;
     loop {
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -122,10 +122,10 @@
         match action {
             MembershipAction::Connect { peer, address } => self.connect(Some(peer), &address),
             MembershipAction::ConnectSeed { address } => self.connect(None, &address),
-            MembershipAction::Close { peer } => {
+            MembershipAction::Close { peer, accepted } => {
                 // The link ends when its commands' sender is gone, and then says so.
                 if let Some(links) = self.links.get_mut(&peer) {
-                    for link in links.iter_mut().filter(|it| it.opened) {
+                    for link in links.iter_mut().filter(|it| it.opened || accepted) {
                         link.commands = peers::command_channel().0;
                     }
                 }
