--- a/crates/samphiredoor-core/src/dispatch/lending.rs
+++ b/crates/samphiredoor-core/src/dispatch/lending.rs
@@ -10,7 +10,7 @@
     Action, Dispatcher, RequestId,
     lender::{Demand, Lender, LiveDoor, SHARE_TTL_MS, lender_of},
     loan::Role,
-    targets::TargetId,
+    targets::{Distance, Target, TargetId},
 };
 use crate::{Name, news::TargetLoad};
 
@@ -48,6 +48,7 @@
     pub(super) fn review_loans(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         for service in self.service_names() {
             let waiting = self.services.get(&service).map_or(0, |it| it.batch.len()) as u32;
+            let lent_nearby = self.targets.lent_nearby(&service);
             let targets: SmallVec<[TargetId; 36]> =
                 self.targets.of_service(&service).map(|(id, _)| id).collect();
             for id in targets {
@@ -55,7 +56,9 @@
                     target.observe_loan(now_ms);
                 }
                 self.recall_above_slots(now_ms, id, out);
-                self.tell_doors(now_ms, id, waiting, out);
+                let is_near = |it: &Target| it.distance != Distance::OtherRegion;
+                let in_reach = !lent_nearby || self.targets.get(id).is_some_and(is_near);
+                self.tell_doors(now_ms, id, if in_reach { waiting } else { 0 }, out);
             }
         }
     }
@@ -137,12 +140,11 @@
     }
 
     fn tell_doors(&mut self, now_ms: u64, id: TargetId, waiting: u32, out: &mut Vec<Action>) {
-        let in_reach = self.targets.is_in_batch_reach(id);
         let Some(target) = self.targets.get_mut(id) else { return };
         let in_flight = target.in_flight(now_ms);
         let name = Name::clone(&target.declared.name);
         // More than a target can lend is no use to anyone.
-        let wanted = if in_reach { waiting.min(target.declared.loan_limit) } else { 0 };
+        let wanted = waiting.min(target.declared.loan_limit);
         let own_wanted = in_flight.batch + wanted;
         for change in target.loan.divide(now_ms, &target.declared, in_flight, own_wanted) {
             out.push(Action::Share { target: Name::clone(&name), change });
--- a/crates/samphiredoor-core/src/dispatch/routing.rs
+++ b/crates/samphiredoor-core/src/dispatch/routing.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, rngs::SmallRng};
 use smallvec::SmallVec;
 
-use super::targets::{Distance, Target, TargetId, Targets, mix};
+use super::targets::{Target, TargetId, Targets, mix};
 use crate::Name;
 
 /// Load that prefix affinity may put on a target, as a multiple of the group's mean.
@@ -74,13 +74,8 @@
         })
     }
 
-    /// Whether items of jobs may go to a target at all.
-    pub(super) fn is_in_batch_reach(&self, id: TargetId) -> bool {
-        let Some(target) = self.get(id) else { return false };
-        target.distance != Distance::OtherRegion || !self.lent_nearby(&target.declared.service)
-    }
-
-    fn lent_nearby(&self, service: &Name) -> bool {
+    /// Whether a target of the service is lent in the own region; if so, items of jobs go to no other region.
+    pub(super) fn lent_nearby(&self, service: &Name) -> bool {
         let lends = |id: &TargetId| self.get(*id).is_some_and(|it| it.declared.loan_limit > 0);
         let near = self.groups(service).into_iter().flat_map(|[zone, region, _]| [zone, region]);
         near.flatten().any(lends)
