Take a full engine's refusal of an item as not run, and bound deadlines

Cause: an item that an engine refused with 503 counted as tried, so that four refusals ended it as failed though it never ran. And a deadline of 2^64-1 ms in the header overflowed the sum with the clock: a panic in a debug build, a deadline in the past in a release build.

Both tests went red with their guard taken out on a scratch copy.

--- a/crates/samphiredoor/src/item_call.rs
+++ b/crates/samphiredoor/src/item_call.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 
-use crate::{process::Door, targets::Call};
+use crate::{online::pushback, process::Door, targets::Call};
 
 /// Longest time for one attempt.
 pub const ITEM_DEADLINE: Duration = Duration::from_secs(600);
@@ -103,7 +103,12 @@
     }
 
     /// Makes one attempt. What arrived stays here when the future is dropped.
-    pub async fn attempt(&self, door: &Door, address: SocketAddr) -> Result<ItemEnd, AttemptEnd> {
+    pub async fn attempt(
+        &self,
+        door: &Door,
+        address: SocketAddr,
+        is_engine: bool,
+    ) -> Result<ItemEnd, AttemptEnd> {
         if let Some(whole) = self.finished() {
             return Ok(whole);
         }
@@ -113,6 +118,9 @@
                 SendError::NotSent(_) => AttemptEnd::NotSent,
                 SendError::MayHaveRun(_) => AttemptEnd::Lost(Doubt::ConnectionLost),
             })?;
+            if let Some(pushback) = pushback(is_engine, &response) {
+                return Err(pushback);
+            }
             let status = response.status().as_u16();
             match &self.resumable {
                 Some(Resumable { partial, .. }) if status == 200 => {
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -5,7 +5,7 @@
 use crate::{
     dispatch_task::{Placement, Ticket},
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::{fingerprint, is_loss, passed_headers},
+    online::{fingerprint, is_engine, is_loss, passed_headers},
     process::Door,
     targets::Call,
 };
@@ -50,7 +50,7 @@
                         return ItemEnd::NotRun { retry_after_ms: 0 };
                     }
                 };
-                let attempt = call.attempt(door, address);
+                let attempt = call.attempt(door, address, is_engine(door, &work.service));
                 let attempted = match work.repeatable {
                     true => until_cut(attempt, &mut ticket, &stop).await,
                     false => Attempted::Ended(attempt.await),
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -50,6 +50,7 @@
 
 const DEFAULT_WORKSPACE: &str = "default";
 const MAX_WHOLE_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
 const PREFIX_BYTES: usize = 256;
 
 #[derive(Debug, Default, Deserialize)]
@@ -119,7 +120,7 @@
     let deadline = match header_text(headers, DEADLINE_HEADER) {
         None => door.config.default_deadline,
         Some(text) => match text.parse() {
-            Ok(deadline_ms) => Duration::from_millis(deadline_ms),
+            Ok(deadline_ms) => Duration::from_millis(deadline_ms).min(LONGEST_DEADLINE),
             Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
         },
     };
@@ -142,7 +143,8 @@
     Ok((ask, Instant::now() + deadline))
 }
 
-fn is_engine(door: &Door, service: &str) -> bool {
+/// Whether a service is a model engine.
+pub fn is_engine(door: &Door, service: &str) -> bool {
     let manifest = door.manifest.current();
     manifest.services.get(service).is_none_or(|it| it.kind == ServiceKind::Engine)
 }
@@ -263,9 +265,8 @@
             None => return Outcome::Nothing(AttemptEnd::Lost(Doubt::DeadlinePassed)),
         };
         let status = response.status();
-        if self.is_engine && is_pushback(status) {
-            let retry_after_ms = retry_after_ms(response.headers());
-            return Outcome::Nothing(AttemptEnd::Pushback { retry_after_ms });
+        if let Some(pushback) = pushback(self.is_engine, &response) {
+            return Outcome::Nothing(pushback);
         }
         if self.stream && status.is_success() {
             return self.begin(response).await;
@@ -368,14 +369,17 @@
     matches!(reason, Doubt::ConnectionLost | Doubt::AnswerCut)
 }
 
-/// Whether an engine says by this that it refused the request without running it.
-fn is_pushback(status: StatusCode) -> bool {
-    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
-}
-
-fn retry_after_ms(headers: &HeaderMap) -> u64 {
-    let seconds = header_text(headers, header::RETRY_AFTER.as_str()).and_then(|it| it.parse().ok());
-    seconds.map_or(0, |it: u64| it.saturating_mul(1_000))
+/// What an engine says by 503 or 429: that it refused the request without running it.
+pub fn pushback<B>(is_engine: bool, response: &Response<B>) -> Option<AttemptEnd> {
+    let refuses = matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    (is_engine && refuses).then(|| {
+        let after = header_text(response.headers(), header::RETRY_AFTER.as_str());
+        let seconds: u64 = after.and_then(|it| it.parse().ok()).unwrap_or(0);
+        AttemptEnd::Pushback { retry_after_ms: seconds.saturating_mul(1_000) }
+    })
 }
 
 fn strip_framing(headers: &mut HeaderMap) {
--- a/crates/samphiredoor/tests/it/dispatch.rs
+++ b/crates/samphiredoor/tests/it/dispatch.rs
@@ -1,6 +1,10 @@
 //! Requests that meet targets which refuse, push back or break off.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
@@ -134,3 +138,43 @@
     let answer = env.post(0, "/services/pickup/count", &[], "{}");
     assert_eq!((answer.status, answer.text.as_str()), (503, "{}"));
 }
+
+/// An engine is full for a while and refuses the items of a job. If each refusal counts as a try, the items end as
+/// failed after four of them, though none has run.
+#[test]
+fn an_item_that_a_full_engine_refuses_is_run_later() {
+    static REFUSALS: AtomicU32 = AtomicU32::new(0);
+    let address = server(|request| match request.uri().path() {
+        "/load" => with_status(StatusCode::NOT_FOUND),
+        _ if REFUSALS.fetch_add(1, Ordering::Relaxed) < 4 => {
+            with_status(StatusCode::SERVICE_UNAVAILABLE)
+        }
+        _ => with_status(StatusCode::OK),
+    });
+    let mut env = TestEnv::new();
+    env.start_door();
+    env.declare(&json!({
+        "services": [{ "name": "small", "kind": "engine" }],
+        "targets": [target("engine-0", "small", address)],
+    }));
+    let line =
+        json!({ "custom_id": "one", "url": "/v1/completions", "body": { "model": "small" } });
+    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "full")], &line.to_string());
+    let path = format!("/v1/batches/{}", answer.json()["id"].as_str().expect("an id"));
+    wait_until("the job is completed", || env.get(0, &path).json()["status"] == "completed");
+    assert_eq!(env.get(0, &path).json()["request_counts"]["completed"], 1);
+}
+
+#[test]
+fn a_deadline_beyond_all_measure_is_taken_for_a_long_one() {
+    let mut env = TestEnv::new();
+    env.start_door();
+    let engine = start_engine(EngineConfig::default());
+    env.declare(&json!({
+        "services": [{ "name": "small", "kind": "engine" }],
+        "targets": [target("engine-0", "small", engine)],
+    }));
+    let headers = [("x-deadline-ms", "18446744073709551615")];
+    let answer = env.post(0, "/v1/completions", &headers, &call(0, false));
+    assert_eq!(answer.status, 200, "{}", answer.text);
+}
