--- a/crates/samphiredoor-core/src/keys/shard.rs
+++ b/crates/samphiredoor-core/src/keys/shard.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use samphiredoor_schema::objects::{KeyRecord, KeyShard};
+use samphiredoor_schema::objects::{KeyRecord, KeyShard, KeyState};
 
 use super::{
     KeysConfig,
--- a/crates/samphiredoor/tests/it/quarantine.rs
+++ b/crates/samphiredoor/tests/it/quarantine.rs
@@ -150,5 +150,5 @@
     });
     assert!(target.ran().len() >= 5);
     let operators = env.door(0).operators;
-    assert_eq!(get(operators, "/suspects").json()["suspects"], json!([]));
+    assert_eq!(suspects(operators), json!([]));
 }
