Bound the wait for a request's body

A client on a broken link that had sent half of a body held its connection and what was read for ever: only headers had a bound. Each piece must now come within callers.body_timeout_ms; the answer is 408, not run, and the connection is closed. Without the bound the two tests do not end.

--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -72,6 +72,8 @@
     pub store_timeout: Duration,
     /// Largest body of a request.
     pub max_body_bytes: usize,
+    /// Longest wait for more of a request's body.
+    pub body_timeout: Duration,
     /// Connections of callers held at once.
     pub max_connections: usize,
     /// Deadline of a request that names none.
@@ -155,6 +157,7 @@
             store: address("store.address", &settings.store.address)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
             max_body_bytes: settings.callers.max_body_bytes as usize,
+            body_timeout: Duration::from_millis(settings.callers.body_timeout_ms.get()),
             max_connections: settings.callers.max_connections.get() as usize,
             default_deadline: Duration::from_millis(settings.callers.default_deadline_ms.get()),
             remember_keys: Duration::from_millis(settings.callers.remember_keys_ms),
--- a/crates/samphiredoor/src/dev.rs
+++ b/crates/samphiredoor/src/dev.rs
@@ -100,6 +100,7 @@
         store,
         store_timeout: Duration::from_secs(2),
         max_body_bytes: 64 * 1024 * 1024,
+        body_timeout: Duration::from_secs(30),
         max_connections: 1_024,
         default_deadline: Duration::from_secs(60),
         remember_keys: Duration::from_secs(86_400),
--- a/crates/samphiredoor/src/jobs.rs
+++ b/crates/samphiredoor/src/jobs.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use http_body_util::BodyExt;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use samphiredoor_core::{
     ledger::{Acceptance, Accepting, BadLine, Submission, SubmissionStep, chunk_key},
@@ -18,6 +17,7 @@
     job_reads::header_json,
     online::{KEY_HEADER, WORKSPACE_HEADER, header_text},
     process::Door,
+    request_body::RequestBody,
 };
 
 /// Header that says whether an item may be run more than once.
@@ -98,19 +98,13 @@
 async fn upload(
     door: &Rc<Door>,
     accepting: &Accepting,
-    mut body: Incoming,
+    body: Incoming,
     submission: &mut Submission,
 ) -> Result<(), Response<Body>> {
     let mut writes = FuturesUnordered::new();
-    let mut bytes = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| bad_request("body", "was cut; nothing was accepted"))?;
-        let Ok(data) = frame.into_data() else { continue };
-        bytes += data.len();
-        if bytes > door.config.max_body_bytes {
-            return Err(bad_request("body", "is larger than this door takes; split the job"));
-        }
-        for (number, chunk) in submission.push(&data).map_err(|bad| bad_line(&bad))? {
+    let mut body = RequestBody::new(body, door.config.max_body_bytes, door.config.body_timeout);
+    while let Some(piece) = body.piece().await.map_err(|err| err.answer())? {
+        for (number, chunk) in submission.push(&piece).map_err(|bad| bad_line(&bad))? {
             writes.push(write_chunk(door, accepting, number, chunk));
             if writes.len() >= CHUNKS_AT_ONCE {
                 writes.next().await.unwrap_or(Ok(()))?;
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -37,6 +37,7 @@
 mod quarantine_metrics;
 mod quarantine_task;
 mod query_rows;
+mod request_body;
 mod settings;
 mod store_client;
 mod stream_end;
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -23,7 +23,7 @@
 };
 use samphiredoor_net::{
     Body, BoxError,
-    body::{ReadError, read_whole},
+    body::read_whole,
     pool::{Answer, SendError, within},
 };
 use serde::Deserialize;
@@ -35,6 +35,7 @@
     metrics::{Metrics, Running},
     process::Door,
     quarantine_task::Pass,
+    request_body::RequestBody,
     stream_end::{DoneMark, StreamEnd},
     targets::Call,
 };
@@ -65,10 +66,10 @@
 pub async fn answer(door: Rc<Door>, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
     let (parts, body) = request.into_parts();
-    let body = match read_whole(body, door.config.max_body_bytes).await {
+    let body = RequestBody::new(body, door.config.max_body_bytes, door.config.body_timeout);
+    let body = match body.whole().await {
         Ok(body) => body,
-        Err(ReadError::TooLarge) => return bad_request("body", "is larger than this door takes"),
-        Err(ReadError::Cut(_)) => return bad_request("body", "was cut"),
+        Err(err) => return err.answer(),
     };
     let head = match read_head(&parts.uri, &body) {
         Ok(head) => head,
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod raw_target;
 mod relay;
 mod settings;
+mod slow_clients;
 mod stop;
 mod whole_answers;
 mod whole_path;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/slow_clients.rs
@@ -0,0 +1,42 @@
+//! Clients that send half of a request.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use crate::env::TestEnv;
+
+fn half_sent(callers: SocketAddr, path: &str) -> String {
+    let mut client = TcpStream::connect(callers).expect("a connection");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nidempotency-key: half\r\ncontent-length: 100\r\n\r\nhalf"
+    );
+    client.write_all(head.as_bytes()).expect("half of a request");
+    let mut answer = String::new();
+    // Ends when the door closes the connection, as it must: the rest of the body would be taken for a request.
+    client.read_to_string(&mut answer).expect("an answer, and the end");
+    answer
+}
+
+macro_rules! half_sent {
+    ($($name:ident: $path:expr;)*) => {
+        $(
+            /// A door runs out of connections and memory: clients on a broken link have sent half of their bodies and
+            /// hold what they have, for ever.
+            #[test]
+            fn $name() {
+                let mut env = TestEnv::new();
+                let door = env.start_door_with("callers.body_timeout_ms = 100");
+                let answer = half_sent(env.door(door).callers, $path);
+                assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+                assert!(answer.contains("not run"), "{answer}");
+            }
+        )*
+    };
+}
+
+half_sent! {
+    half_an_online_request_is_answered_and_cut: "/v1/completions";
+    half_a_job_is_answered_and_cut: "/v1/batches";
+}
