--- a/crates/samphiredoor-core/src/ledger/takeover.rs
+++ b/crates/samphiredoor-core/src/ledger/takeover.rs
@@ -30,8 +30,8 @@
 const PAGE: usize = 100;
 const TAKES_AT_ONCE: usize = 8;
 const MAX_CANDIDATES: usize = 1_000;
-/// A lapsed process is forgotten when no hint has come for this many times the time between looks.
-const FORGET_SWEEPS: u64 = 4;
+/// A lapsed process is forgotten when no hint has come for so long; hints may come only each half of a lease.
+const FORGET_MS: u64 = 120_000;
 const MAX_EMPTY_DOUBLINGS: u32 = 6;
 /// Lists without a job after which the lease of a lapsed process is removed.
 const EMPTY_LISTS: u32 = 6;
@@ -238,7 +238,7 @@
     fn plan_sweeps(&mut self, ctx: &mut Context<'_>) {
         let now_ms = ctx.now_ms();
         let sweep_ms = ctx.config.sweep_ms;
-        self.sweeps.retain(|_, it| now_ms < it.last_hint_ms + FORGET_SWEEPS * sweep_ms);
+        self.sweeps.retain(|_, it| now_ms < it.last_hint_ms + FORGET_MS);
         let due = self.sweeps.iter().filter(|(_, it)| now_ms >= it.next_ms);
         let due: Vec<Name> = due.map(|(process, _)| Arc::clone(process)).collect();
         for process in due {
