Return warm from short outages, and keep the line to those it is for

Cause, found by reading: a switch that cuts off all targets for a second would leave them with a tenth of their limits at once, for 5 s. And refusals for a workspace's own limit or for a deadline that cannot be met took a place in the line of those who come back, so that one careless caller moved all others back by up to 10 s.

Now a target that could not be reached returns with more of its limit the shorter it was away, and only refusals for want of room take a place. Both tests went red with their guard taken out on a scratch copy. The test of the slow start uses a failing target now, which still returns with a tenth.

--- a/crates/samphiredoor-core/src/dispatch/admission.rs
+++ b/crates/samphiredoor-core/src/dispatch/admission.rs
@@ -4,7 +4,10 @@
 
 use smallvec::SmallVec;
 
-use super::{Action, Ask, Class, Dispatcher, Request, RequestId, Stage, refusal::jittered};
+use super::{
+    Action, Ask, Class, Dispatcher, Policy, Request, RequestId, ServiceState, Stage,
+    refusal::jittered,
+};
 use crate::{
     Name,
     verdict::{Refusal, Verdict},
@@ -15,6 +18,25 @@
 const LOOK_AHEAD: usize = 4;
 const LATER_MS: f64 = 1_000.0;
 
+impl ServiceState {
+    /// About how long a new request of the workspace waits in the queue.
+    fn expected_wait_ms(&self, now_ms: u64, workspace: &Name) -> f64 {
+        let drain_per_ms = self.drain_per_ms(now_ms);
+        let ahead = self.queue.ahead_of(workspace) as f64;
+        if drain_per_ms > 0.0 { ahead / drain_per_ms } else { 0.0 }
+    }
+
+    /// Most requests that can be served within the wait that is allowed.
+    fn queue_bound(&self, now_ms: u64, policy: &Policy) -> usize {
+        let drain_per_ms = self.drain_per_ms(now_ms);
+        let served_in_time = match drain_per_ms > 0.0 {
+            true => (drain_per_ms * policy.queue_wait_ms as f64) as usize,
+            false => UNMEASURED_QUEUED,
+        };
+        served_in_time.max(MIN_QUEUED).min(policy.max_queued)
+    }
+}
+
 impl Dispatcher {
     pub(super) fn ask(&mut self, now_ms: u64, ask: Ask, out: &mut Vec<Action>) {
         if self.requests.contains_key(&ask.request) {
@@ -120,7 +142,7 @@
         request: RequestId,
         out: &mut Vec<Action>,
     ) -> Result<(), Refusal> {
-        let Some(waiting) = self.requests.get(&request) else { return Ok(()) };
+        let Some(waiting) = self.requests.get_mut(&request) else { return Ok(()) };
         let ask = &waiting.ask;
         if !self.targets.any_expected(now_ms, &ask.service, &waiting.tried) {
             return Err(Refusal::NoTarget);
@@ -129,19 +151,12 @@
         let Some(state) = self.services.get_mut(&ask.service) else {
             return Err(Refusal::UnknownService);
         };
-        let drain_per_ms = state.drain_per_ms(now_ms);
         let quick_ms = state.pace.quick_ms(now_ms);
-        let ahead = state.queue.ahead_of(&ask.workspace);
-        let wait_ms = if drain_per_ms > 0.0 { ahead as f64 / drain_per_ms } else { 0.0 };
+        let wait_ms = state.expected_wait_ms(now_ms, &ask.workspace);
         if now_ms as f64 + wait_ms + quick_ms >= ask.deadline_ms as f64 {
             return Err(Refusal::DeadlineTooShort);
         }
-        let served_in_time = match drain_per_ms > 0.0 {
-            true => (drain_per_ms * self.policy.queue_wait_ms as f64) as usize,
-            false => UNMEASURED_QUEUED,
-        };
-        let bound = served_in_time.max(MIN_QUEUED).min(self.policy.max_queued);
-        let full = state.queue.len() >= bound;
+        let full = state.queue.len() >= state.queue_bound(now_ms, &self.policy);
         if full && !state.queue.goes_before_last(&ask.workspace, weight) {
             return Err(Refusal::Overloaded);
         }
@@ -150,9 +165,7 @@
         let latest_ms = now_ms.saturating_add(self.policy.queue_wait_ms.saturating_mul(2));
         let expires_ms = latest_ms.min(ask.deadline_ms.saturating_sub(quick_ms as u64));
         let tag = state.queue.push(request, &ask.workspace, weight, expires_ms);
-        if let Some(waiting) = self.requests.get_mut(&request) {
-            waiting.stage = Stage::Queued(tag);
-        }
+        waiting.stage = Stage::Queued(tag);
         if let Some(given_up) = given_up {
             self.give_up(now_ms, given_up, Refusal::Overloaded, out);
         }
@@ -231,27 +244,35 @@
     }
 
     fn refuse(&mut self, now_ms: u64, ask: &Ask, reason: Refusal, out: &mut Vec<Action>) {
-        let retry_after_ms = self.retry_after_ms(now_ms, &ask.service, reason);
+        let retry_after_ms = self.retry_after_ms(now_ms, ask, reason);
         let verdict = Verdict::NotRun { retry_after_ms, reason };
         out.push(Action::Refuse { request: ask.request, verdict });
     }
 
-    fn retry_after_ms(&mut self, now_ms: u64, service: &Name, reason: Refusal) -> u64 {
-        let Some(state) = self.services.get_mut(service) else {
+    fn retry_after_ms(&mut self, now_ms: u64, ask: &Ask, reason: Refusal) -> u64 {
+        let Some(state) = self.services.get_mut(&ask.service) else {
             return jittered(LATER_MS, &mut self.rng);
         };
-        match reason {
-            Refusal::Overloaded | Refusal::DeadlineTooShort | Refusal::WorkspaceLimit => {
-                let drain_per_ms = state.drain_per_ms(now_ms);
+        let drain_per_ms = state.drain_per_ms(now_ms);
+        let wait_ms = match reason {
+            Refusal::Overloaded => {
                 let queued = state.queue.len();
-                state.returns.next(now_ms, queued, drain_per_ms, &mut self.rng)
+                return state.returns.next(now_ms, queued, drain_per_ms, &mut self.rng);
+            }
+            // Neither takes a place in the line: the one is not held up by others, the other would not stand in it.
+            Refusal::WorkspaceLimit => {
+                let in_hand = self.workspaces.get(&ask.workspace).copied().unwrap_or(0);
+                state.pace.mean_ms() / f64::from(in_hand.max(1))
+            }
+            Refusal::DeadlineTooShort if drain_per_ms > 0.0 => {
+                state.queue.len() as f64 / drain_per_ms
             }
             _ => {
-                let targets = self.targets.of_service(service);
+                let targets = self.targets.of_service(&ask.service);
                 let back_ms = targets.filter_map(|(_, it)| it.health.back_ms(now_ms)).min();
-                let wait_ms = back_ms.map_or(LATER_MS, |it| it.saturating_sub(now_ms) as f64);
-                jittered(wait_ms, &mut self.rng)
+                back_ms.map_or(LATER_MS, |it| it.saturating_sub(now_ms) as f64)
             }
-        }
+        };
+        jittered(wait_ms, &mut self.rng)
     }
 }
--- a/crates/samphiredoor-core/src/dispatch/health.rs
+++ b/crates/samphiredoor-core/src/dispatch/health.rs
@@ -5,8 +5,10 @@
 const LONGEST_EJECTION_MS: u64 = 60_000;
 const LONGEST_UNREACHABLE_MS: u64 = 10_000;
 const FORGIVEN_AFTER_MS: u64 = 60_000;
-const SLOW_START_MS: u64 = 5_000;
+const SLOW_START_MS: f64 = 5_000.0;
 const SLOW_START_SHARE: f64 = 0.1;
+/// A target that was away for this long has nothing cached any more.
+const COLD_AFTER_MS: f64 = 10_000.0;
 const HOLD_MS: u64 = 100;
 const LONGEST_HOLD_MS: u64 = 5_000;
 
@@ -38,9 +40,31 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Ejected {
     reason: Ejection,
+    from_ms: u64,
     until_ms: u64,
 }
 
+impl Ejected {
+    /// Share of the limit with which the target returns. One that only could not be reached for a moment has lost
+    /// nothing; where a switch cuts off all targets at once, a slow start of all of them would prolong the outage.
+    fn returns(&self, now_ms: u64) -> Return {
+        let until_ms = self.until_ms.min(now_ms);
+        let away_ms = until_ms.saturating_sub(self.from_ms) as f64;
+        let share = match self.reason {
+            Ejection::Unreachable => 1.0 - away_ms / COLD_AFTER_MS,
+            Ejection::Failing | Ejection::Leaving => SLOW_START_SHARE,
+        };
+        Return { at_ms: until_ms, share: share.max(SLOW_START_SHARE) }
+    }
+}
+
+/// Return to work, with the share of the limit at that moment.
+#[derive(Debug, Clone, Copy)]
+struct Return {
+    at_ms: u64,
+    share: f64,
+}
+
 /// Health of one target.
 #[derive(Debug, Default)]
 pub(super) struct Health {
@@ -49,13 +73,14 @@
     told_leaving_until_ms: u64,
     failures: u32,
     ejections: u32,
-    returned_ms: Option<u64>,
+    returned: Option<Return>,
 }
 
 impl Health {
     /// Health of a target that appeared while others already served: it starts slowly.
     pub(super) fn newcomer(now_ms: u64) -> Health {
-        Health { returned_ms: Some(now_ms), ..Health::default() }
+        let returned = Return { at_ms: now_ms, share: SLOW_START_SHARE };
+        Health { returned: Some(returned), ..Health::default() }
     }
 
     pub(super) fn takes_work(&self, now_ms: u64) -> bool {
@@ -78,11 +103,10 @@
         if self.is_ejected(now_ms) {
             return 0.0;
         }
-        let from_ejection = self.ejected.map(|it| it.until_ms).filter(|it| *it <= now_ms);
-        match from_ejection.max(self.returned_ms) {
-            Some(since_ms) => {
-                let elapsed = now_ms.saturating_sub(since_ms) as f64;
-                (elapsed / SLOW_START_MS as f64).clamp(SLOW_START_SHARE, 1.0)
+        match self.ejected.map(|it| it.returns(now_ms)).or(self.returned) {
+            Some(returned) => {
+                let elapsed = now_ms.saturating_sub(returned.at_ms) as f64;
+                (returned.share + elapsed / SLOW_START_MS).min(1.0)
             }
             None => 1.0,
         }
@@ -118,9 +142,10 @@
     }
 
     /// The target said that it leaves. Tells whether it is ejected by this.
-    pub(super) fn leaving(&mut self) -> bool {
+    pub(super) fn leaving(&mut self, now_ms: u64) -> bool {
         let already = self.ejected.is_some_and(|it| it.reason == Ejection::Leaving);
-        self.ejected = Some(Ejected { reason: Ejection::Leaving, until_ms: u64::MAX });
+        self.ejected =
+            Some(Ejected { reason: Ejection::Leaving, from_ms: now_ms, until_ms: u64::MAX });
         !already
     }
 
@@ -137,8 +162,8 @@
             Ejection::Failing => {}
             Ejection::Unreachable | Ejection::Leaving => {
                 if now_ms < ejected.until_ms {
+                    self.returned = Some(ejected.returns(now_ms));
                     self.ejected = None;
-                    self.returned_ms = Some(now_ms);
                 }
             }
         }
@@ -161,7 +186,8 @@
         let length_ms = FIRST_EJECTION_MS.saturating_mul(1 << self.ejections.min(16));
         self.ejections += 1;
         self.failures = 0;
-        self.ejected = Some(Ejected { reason, until_ms: now_ms + length_ms.min(longest_ms) });
+        let until_ms = now_ms + length_ms.min(longest_ms);
+        self.ejected = Some(Ejected { reason, from_ms: now_ms, until_ms });
         true
     }
 }
--- a/crates/samphiredoor-core/src/dispatch/pace.rs
+++ b/crates/samphiredoor-core/src/dispatch/pace.rs
@@ -44,6 +44,11 @@
         (CHANCE.ln() / share.ln()).ceil() as u32
     }
 
+    /// Mean time of an answer; 0 before the first.
+    pub(super) fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+
     /// Time that even a quick answer takes. It shrinks while nothing is measured, so that a service that has become
     /// faster is not refused for ever by an old figure.
     pub(super) fn quick_ms(&self, now_ms: u64) -> f64 {
--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -334,7 +334,7 @@
     pub(super) fn eject(&mut self, now_ms: u64, name: &Name, reason: Ejection) -> bool {
         let Some(target) = self.find(name).and_then(|id| self.get_mut(id)) else { return false };
         match reason {
-            Ejection::Leaving => target.health.leaving(),
+            Ejection::Leaving => target.health.leaving(now_ms),
             Ejection::Unreachable => target.health.unreachable(now_ms),
             Ejection::Failing => target.health.eject_failing(now_ms),
         }
--- a/crates/samphiredoor-core/tests/dispatch/limits.rs
+++ b/crates/samphiredoor-core/tests/dispatch/limits.rs
@@ -187,6 +187,30 @@
     assert!(sent_to(&actions, fourth).is_some());
 }
 
+/// One workspace runs into its own limit again and again, and another caller asks with deadlines that cannot be met. If
+/// each of their refusals takes a place in the line, all others are told to come back later than there is room.
+#[test]
+fn refusals_that_are_not_for_want_of_room_do_not_make_others_wait() {
+    let mut harness = full(4);
+    harness.ask(|it| it.workspace = "capped".into());
+    harness.ask(|it| it.workspace = "capped".into());
+    for _ in 0..100 {
+        let (request, actions) = harness.ask(|it| it.workspace = "capped".into());
+        assert_eq!(reason(refused(&actions, request)), Some(Refusal::WorkspaceLimit));
+        let deadline_ms = harness.now_ms + 1;
+        let (request, actions) = harness.ask(|it| it.deadline_ms = deadline_ms);
+        assert_eq!(reason(refused(&actions, request)), Some(Refusal::DeadlineTooShort));
+    }
+    let verdicts: Vec<_> = (0..40)
+        .filter_map(|_| {
+            let (request, actions) = harness.ask(|_| {});
+            refused(&actions, request)
+        })
+        .collect();
+    let first_ms = retry_after_ms(verdicts.first().copied());
+    assert!(first_ms.is_some_and(|it| it <= 525 * 3 / 2), "{first_ms:?}");
+}
+
 #[test]
 fn a_target_that_pushes_back_is_spared_and_another_one_tried() {
     let mut harness = Harness::new(targets(2, 10));
--- a/crates/samphiredoor-core/tests/dispatch/routing.rs
+++ b/crates/samphiredoor-core/tests/dispatch/routing.rs
@@ -77,23 +77,43 @@
     assert_eq!(harness.dispatcher.counters().ejections[Ejection::Unreachable as usize], 2);
 }
 
+fn fail(harness: &mut Harness, bad: &str) {
+    while harness.gauges().ejected == 0 {
+        let (request, target) = harness.online();
+        let fails = target.is_some_and(|it| &*it == bad);
+        harness.end(request, if fails { AttemptEnd::Failed } else { AttemptEnd::Done });
+    }
+}
+
 #[test]
 fn an_ejected_target_returns_slowly_and_stays_away_longer_the_second_time() {
     let mut harness = Harness::new(targets(2, 40));
-    let bad = Name::from("target-0");
-    harness.handle(Input::Unreachable { target: Name::clone(&bad) });
-    assert_eq!(of(&spread(&mut harness, 4), &bad), 0);
+    fail(&mut harness, "target-0");
+    assert_eq!(of(&spread(&mut harness, 4), "target-0"), 0);
     harness.now_ms += 1_000;
-    assert_eq!(of(&spread(&mut harness, 36 + 4), &bad), 4, "a tenth of its limit");
+    assert_eq!(of(&spread(&mut harness, 36 + 4), "target-0"), 4, "a tenth of its limit");
     harness.now_ms += 2_500;
-    assert_eq!(of(&spread(&mut harness, 18), &bad), 16, "half of its limit");
-    harness.handle(Input::Unreachable { target: Name::clone(&bad) });
+    assert_eq!(of(&spread(&mut harness, 22), "target-0"), 20, "six tenths of its limit");
+    harness.handle(Input::Unreachable { target: "target-0".into() });
     harness.now_ms += 1_999;
     assert_eq!(harness.gauges().ejected, 1);
     harness.now_ms += 1;
     assert_eq!(harness.gauges().ejected, 0);
 }
 
+/// A switch is cut off for a second, and no target can be reached. If each of them starts slowly after that, a second's
+/// outage becomes one of several.
+#[test]
+fn targets_that_were_out_of_reach_for_a_moment_return_with_most_of_their_limit() {
+    let mut harness = Harness::new(targets(2, 40));
+    for target in ["target-0", "target-1"] {
+        harness.handle(Input::Unreachable { target: target.into() });
+    }
+    assert_eq!(harness.online().1, None);
+    harness.now_ms += 1_000;
+    assert_eq!(spread(&mut harness, 80).values().sum::<usize>(), 72);
+}
+
 #[test]
 fn a_target_that_loses_answers_again_and_again_is_ejected() {
     let mut harness = Harness::new(targets(3, 100));
