--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod pool;
 pub mod serve;
 pub mod stall;
+pub mod stream;
 
 pub use body::Body;
 pub use pool::Pool;
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -16,17 +16,17 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
-use cyper_core::HyperStream;
 use hyper::{
     Request, Response,
     body::{Body as HttpBody, Frame, Incoming},
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
     header,
 };
 
-use crate::{Body, BoxError};
+use crate::{Body, BoxError, stream::Stream};
 
 const MAX_IDLE: usize = 256;
+const READ_BUFFER_BYTES: usize = 4_096;
 
 /// Why a request got no answer.
 #[derive(Debug)]
@@ -115,7 +115,10 @@
         let stream =
             compio::time::timeout(self.connect_timeout, TcpStream::connect(self.address)).await??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = handshake(HyperStream::new_plain(stream)).await?;
+        let (sender, driver) = Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
+            .handshake(Stream::new(stream))
+            .await?;
         let driver = compio::runtime::spawn(async move {
             if let Err(err) = driver.await {
                 log::debug!("pool: connection ended: {err}");
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -14,7 +14,7 @@
 };
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{
     Request, Response,
@@ -24,7 +24,7 @@
     service::service_fn,
 };
 
-use crate::{Body, BoxError, stall::Watched};
+use crate::{Body, BoxError, stall::Watched, stream::Stream};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const PENDING_LIMIT: Duration = Duration::from_millis(200);
@@ -225,10 +225,11 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     stream.set_nodelay(true)?;
-    let (stream, stall) = Watched::new(HyperStream::new_plain(stream));
+    let (stream, stall) = Watched::new(Stream::new(stream));
     let drained = Rc::clone(&draining);
     let service = service_fn(move |request| {
-        let answer = handler(request);
+        // Boxed, so that its memory is free while its answer is being streamed.
+        let answer = Box::pin(handler(request));
         let draining = Rc::clone(&drained);
         async move {
             let mut answer = answer.await;
--- /dev/null
+++ b/crates/samphiredoor-net/src/stream.rs
@@ -0,0 +1,71 @@
+//! A TCP connection as hyper wants it, with small buffers.
+//!
+//! A door holds two connections for each open stream, and what it reads from one it writes to the other at once. Buffers
+//! of the usual 8 KB each way would be most of a door's memory; larger bodies only take more reads.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use compio::{io::compat::AsyncStream, net::TcpStream};
+use futures_util::{AsyncRead, AsyncWrite};
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+const BUFFER_BYTES: usize = 2_048;
+const SCRATCH_BYTES: usize = 2_048;
+
+/// Connection for hyper.
+pub struct Stream(Pin<Box<AsyncStream<TcpStream>>>);
+
+impl Stream {
+    /// Connection over a socket.
+    pub fn new(socket: TcpStream) -> Stream {
+        Stream(Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, socket)))
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut scratch = [0; SCRATCH_BYTES];
+        let wanted = buf.remaining().min(SCRATCH_BYTES);
+        let read = ready!(self.0.as_mut().poll_read(cx, &mut scratch[..wanted]))?;
+        buf.put_slice(&scratch[..read]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.0.as_mut().poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0.as_mut().poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.as_mut().poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.as_mut().poll_close(cx)
+    }
+}
