Heed a service's own deadline, and close connections to targets that have gone

Cause: the declaration's `deadline_ms` was read and never used, so a service with short answers kept its callers' default of a minute; the shorter of the two counts now for requests that name none.

--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -58,6 +58,8 @@
 
 async fn next_round(door: &Door, turn: &mut usize) -> Vec<TargetInUse> {
     let mut targets = door.dispatch.targets_in_use().await;
+    // Targets come and go for as long as the process runs; connections to those that have gone would pile up.
+    door.targets.keep_only(&targets.iter().map(|it| it.address).collect());
     targets.retain(|it| is_engine(door, it));
     let (mut round, idle): (Vec<_>, Vec<_>) = targets.into_iter().partition(|it| it.busy);
     let by_turns = idle.iter().cycle().skip(*turn % idle.len().max(1));
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -118,15 +118,16 @@
 ) -> Result<(Ask, Instant), Response<Body>> {
     let workspace: Name =
         header_text(headers, WORKSPACE_HEADER).unwrap_or(DEFAULT_WORKSPACE).into();
+    let manifest = door.manifest.current();
+    let service = manifest.services.get(head.model.as_str());
+    let default = door.config.default_deadline;
     let deadline = match header_text(headers, DEADLINE_HEADER) {
-        None => door.config.default_deadline,
+        None => service.map_or(default, |it| default.min(Duration::from_millis(it.deadline_ms))),
         Some(text) => match text.parse() {
             Ok(deadline_ms) => Duration::from_millis(deadline_ms).min(LONGEST_DEADLINE),
             Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
         },
     };
-    let manifest = door.manifest.current();
-    let service = manifest.services.get(head.model.as_str());
     let prefix = &body[..body.len().min(PREFIX_BYTES)];
     let ask = Ask {
         request: door.dispatch.next_request(),
--- a/crates/samphiredoor/src/targets.rs
+++ b/crates/samphiredoor/src/targets.rs
@@ -1,6 +1,11 @@
 //! Connections to targets.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Request, Response, Uri, header};
@@ -50,6 +55,11 @@
         pool.send(request).await
     }
 
+    /// Closes the idle connections to all addresses but those. Calls that run keep theirs.
+    pub fn keep_only(&self, addresses: &HashSet<SocketAddr>) {
+        self.pools.borrow_mut().retain(|address, _| addresses.contains(address));
+    }
+
     fn pool(&self, address: SocketAddr) -> Pool {
         let mut pools = self.pools.borrow_mut();
         pools.entry(address).or_insert_with(|| Pool::new(address)).clone()
--- a/crates/samphiredoor/tests/it/dispatch.rs
+++ b/crates/samphiredoor/tests/it/dispatch.rs
@@ -117,12 +117,17 @@
     let mut env = TestEnv::new();
     env.start_door();
     env.declare(&json!({
-        "services": [{ "name": "pickup", "kind": "plain" }],
+        "services": [{ "name": "pickup", "kind": "plain", "deadline_ms": 20_000 }],
         "targets": [target("pickup-0", "pickup", address)],
     }));
-    let answer = env.post(0, "/services/pickup/count", &[("x-deadline-ms", "30000")], "{}");
-    let left_ms: u64 = answer.text.parse().expect("a number");
-    assert!((1..=30_000).contains(&left_ms), "{left_ms}");
+    let left_ms = |headers: &[(&str, &str)]| -> u64 {
+        let answer = env.post(0, "/services/pickup/count", headers, "{}");
+        answer.text.parse().expect("a number")
+    };
+    let named = left_ms(&[("x-deadline-ms", "30000")]);
+    assert!((20_001..=30_000).contains(&named), "{named}");
+    let of_the_service = left_ms(&[]);
+    assert!((1..=20_000).contains(&of_the_service), "{of_the_service}");
 }
 
 /// A plain service's own 503 is its answer: nobody but it knows whether the call ran.
