--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -210,9 +210,10 @@
             self.shrink_to_subset(&mut declared);
             let Some(lending) = manifest.services.get(&service) else { continue };
             let groups = declared.map(|group| {
-                let place =
-                    |it: &manifest::Target| self.place(now_ms, it, lending, newcomers_start_slowly);
-                group.into_iter().map(place).collect()
+                let take_in = |it: &manifest::Target| {
+                    self.take_in(now_ms, it, lending, newcomers_start_slowly)
+                };
+                group.into_iter().map(take_in).collect()
             });
             self.groups.insert(service, groups);
         }
@@ -249,8 +250,7 @@
         ids.filter_map(|id| Some((*id, self.get(*id)?)))
     }
 
-    /// Whether a target of the service, other than those tried, can be expected to take work
-    /// soon.
+    /// Whether a target of the service, other than those tried, can be expected to take work soon.
     pub(super) fn any_expected(&self, now_ms: u64, service: &Name, tried: &[Name]) -> bool {
         let mut targets = self.of_service(service);
         targets.any(|(_, it)| it.is_expected(now_ms) && !tried.contains(&it.declared.name))
@@ -392,7 +392,7 @@
         mix(self.process, rapidhash_v3(target.as_bytes()))
     }
 
-    fn place(
+    fn take_in(
         &mut self,
         now_ms: u64,
         declared: &manifest::Target,
