--- a/crates/samphiredoor-core/src/ledger/chunk.rs
+++ b/crates/samphiredoor-core/src/ledger/chunk.rs
@@ -251,7 +251,7 @@
         };
         match read_items(&stored.value) {
             Ok(items) => {
-                self.commit.with_items(items.len() as u32);
+                self.commit.set_items(items.len() as u32);
                 self.ready = (0..items.len() as u32).collect();
                 let commit = &self.commit;
                 self.ready.retain(|it| !commit.is_decided(*it));
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -123,7 +123,7 @@
     }
 
     /// Says how many items the chunk has.
-    pub(super) fn with_items(&mut self, items: u32) {
+    pub(super) fn set_items(&mut self, items: u32) {
         self.items = items;
     }
 
