Tell an intent from a former one under the same key

The property of the keys, run at 5,000 cases instead of 400, found a second run: a sending did not run, the write that said so was late, a second sending took the first's intent for its own and ran, the late write freed the key, and after a crash a third sending ran. Each intent now has a number, only its own record shows that it stands, and writing it shuts the late write out.

A request whose caller went away while a kept body was read is told nothing, instead of a second last word.

--- a/crates/samphiredoor-core/src/keys/change.rs
+++ b/crates/samphiredoor-core/src/keys/change.rs
@@ -7,7 +7,7 @@
 use super::{
     KeysConfig,
     arrival::{Arrival, KeyId},
-    record::{self, KeptAnswer, Standing, is_orphaned},
+    record::{self, KeptAnswer, Stamp, Standing, is_orphaned},
     shard::{Context, Effect},
 };
 use crate::verdict::{Doubt, Refusal, Verdict};
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(super) struct Intent {
     pub(super) arrival: Arrival,
-    pub(super) since_unix_ms: u64,
+    pub(super) stamp: Stamp,
     /// Whether the request still waits; if not, the intent is taken back once it is known to stand.
     pub(super) wanted: bool,
     /// Whether an earlier write of it may have taken effect, or may yet.
@@ -54,6 +54,9 @@
             let standing = Standing::of(record, &intent.arrival.digest, cx.config, cx.now);
             match standing {
                 Standing::Free => Some(Change::Intent(intent)),
+                Standing::Own if !record.is_some_and(|it| intent.stamp.is_of(it)) => {
+                    Some(Change::Intent(intent))
+                }
                 // The write whose answer was lost took effect.
                 Standing::Own => landed(Arc::clone(key), Change::Intent(intent), cx, effects),
                 other => {
@@ -79,7 +82,7 @@
 }
 
 fn same_outcome(a: &KeyRecord, b: &KeyRecord) -> bool {
-    (a.state, &a.holder, a.since_unix_ms) == (b.state, &b.holder, b.since_unix_ms)
+    (a.state, &a.holder, a.intent) == (b.state, &b.holder, b.intent)
 }
 
 /// A change stands in the store; returns what must be written next for its key.
@@ -91,8 +94,8 @@
 ) -> Option<Change> {
     match change {
         Change::Intent(intent) if intent.wanted => {
-            let Intent { arrival, since_unix_ms, .. } = intent;
-            effects.push(Effect::Run { arrival, since_unix_ms });
+            let Intent { arrival, stamp, .. } = intent;
+            effects.push(Effect::Run { arrival, stamp });
             None
         }
         Change::Intent(intent) => Some(Change::Outcome(taken_back(&intent, cx.config))),
@@ -105,7 +108,7 @@
 
 /// Outcome of an intent that led to no run.
 pub(super) fn taken_back(intent: &Intent, config: &KeysConfig) -> Outcome {
-    let mut record = record::intent(&intent.arrival, config, intent.since_unix_ms);
+    let mut record = record::intent(&intent.arrival, config, intent.stamp);
     record.state = KeyState::NotRun;
     Outcome { record, answer: None, upload: false }
 }
--- a/crates/samphiredoor-core/src/keys/mod.rs
+++ b/crates/samphiredoor-core/src/keys/mod.rs
@@ -15,6 +15,7 @@
 mod shard;
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -35,7 +36,7 @@
 };
 use arrival::shard_of;
 use change::Outcome;
-use record::{body_bytes, kept_body};
+use record::{Stamp, body_bytes, kept_body};
 use shard::{Context, Effect, Shard};
 
 /// Shards of all doors together; every door must use the same number.
@@ -87,7 +88,7 @@
 #[derive(Debug)]
 struct Run {
     arrival: Arrival,
-    since_unix_ms: u64,
+    stamp: Stamp,
     joined: Vec<RequestId>,
 }
 
@@ -116,7 +117,7 @@
     next_call: u64,
     lapsed: BTreeSet<Name>,
     due: BTreeSet<(u64, u32)>,
-    writes: u64,
+    numbers: Cell<u64>,
 }
 
 impl Keys {
@@ -134,7 +135,7 @@
             next_call: 0,
             lapsed: BTreeSet::new(),
             due: BTreeSet::new(),
-            writes: 0,
+            numbers: Cell::new(0),
         }
     }
 
@@ -242,8 +243,7 @@
     fn tell_joined(&mut self, request: RequestId, outcome: &KeyOutcome, out: &mut Vec<KeysAction>) {
         match outcome {
             KeyOutcome::Answered(answer) => {
-                self.requests.remove(&request);
-                out.push(KeysAction::Replay { request, answer: answer.clone() });
+                self.replay(request, answer.clone(), out);
             }
             KeyOutcome::NotRun { retry_after_ms, reason } => {
                 let (retry_after_ms, reason) = (*retry_after_ms, *reason);
@@ -256,7 +256,7 @@
     }
 
     fn outcome_of(&self, run: &Run, outcome: KeyOutcome) -> Outcome {
-        let mut record = record::intent(&run.arrival, &self.config, run.since_unix_ms);
+        let mut record = record::intent(&run.arrival, &self.config, run.stamp);
         let mut upload = false;
         let answer = match outcome {
             KeyOutcome::NotRun { .. } => {
@@ -341,16 +341,13 @@
         for effect in effects {
             match effect {
                 Effect::Call(op) => self.call(CallFor::Shard(number), op, out),
-                Effect::Run { arrival, since_unix_ms } => {
+                Effect::Run { arrival, stamp } => {
                     let request = arrival.request;
                     let key = Arc::clone(&arrival.key);
-                    self.runs.insert(key, Run { arrival, since_unix_ms, joined: Vec::new() });
+                    self.runs.insert(key, Run { arrival, stamp, joined: Vec::new() });
                     out.push(KeysAction::Run { request });
                 }
-                Effect::Replay { arrival, answer } => {
-                    self.requests.remove(&arrival.request);
-                    out.push(KeysAction::Replay { request: arrival.request, answer });
-                }
+                Effect::Replay { arrival, answer } => self.replay(arrival.request, answer, out),
                 Effect::Fetch { arrival, answer, object } => {
                     let op = StoreOp::Get { key: ObjectKey::new(Kind::Keys, object) };
                     self.call(CallFor::Fetch { arrival, answer }, op, out);
@@ -371,8 +368,16 @@
     }
 
     fn finish(&mut self, request: RequestId, verdict: Verdict, out: &mut Vec<KeysAction>) {
-        self.requests.remove(&request);
-        out.push(KeysAction::Refuse { request, verdict });
+        // A request whose caller went away in the meantime is told nothing.
+        if self.requests.remove(&request).is_some() {
+            out.push(KeysAction::Refuse { request, verdict });
+        }
+    }
+
+    fn replay(&mut self, request: RequestId, answer: KeptAnswer, out: &mut Vec<KeysAction>) {
+        if self.requests.remove(&request).is_some() {
+            out.push(KeysAction::Replay { request, answer });
+        }
     }
 
     fn saved(&mut self, key: &str) {
@@ -428,10 +433,8 @@
             StoreAnswer::Object(stored) => {
                 let body = serde_json::from_slice::<KeptBody>(&stored.value).ok();
                 if let Some(body) = body.as_ref().and_then(body_bytes) {
-                    self.requests.remove(&arrival.request);
                     let answer = KeptAnswer { body: Some(body), ..kept };
-                    out.push(KeysAction::Replay { request: arrival.request, answer });
-                    return;
+                    return self.replay(arrival.request, answer, out);
                 }
                 Doubt::AnswerNotKept
             }
@@ -476,7 +479,7 @@
         let shard = self.shards.entry(number).or_insert_with(|| Shard::new(number));
         let before = shard.bytes();
         let mut cx =
-            Context { config: &self.config, now, lapsed: &self.lapsed, writes: &mut self.writes };
+            Context { config: &self.config, now, lapsed: &self.lapsed, numbers: &self.numbers };
         let result = step(shard, &mut cx);
         self.cached_bytes = self.cached_bytes + shard.bytes() - before;
         result
--- a/crates/samphiredoor-core/src/keys/record.rs
+++ b/crates/samphiredoor-core/src/keys/record.rs
@@ -101,13 +101,30 @@
     !own && now.unix_ms > until
 }
 
+/// Which intent of this process a record is of.
+///
+/// A record of this process under a key may be of a former sending, with a write of its outcome still on the way. Only
+/// the record of the very intent shows that it stands: its write has moved the version, and shut the late one out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Stamp {
+    pub(super) since_unix_ms: u64,
+    pub(super) number: u64,
+}
+
+impl Stamp {
+    pub(super) fn is_of(self, record: &KeyRecord) -> bool {
+        (self.since_unix_ms, self.number) == (record.since_unix_ms, record.intent)
+    }
+}
+
 /// Record of an intent.
-pub(super) fn intent(arrival: &Arrival, config: &KeysConfig, since_unix_ms: u64) -> KeyRecord {
+pub(super) fn intent(arrival: &Arrival, config: &KeysConfig, stamp: Stamp) -> KeyRecord {
     KeyRecord {
         digest: arrival.digest.to_string(),
         state: KeyState::Intended,
-        since_unix_ms,
+        since_unix_ms: stamp.since_unix_ms,
         holder: config.holder.to_string(),
+        intent: stamp.number,
         deadline_unix_ms: arrival.deadline_unix_ms,
         status: 0,
         content_type: String::new(),
--- a/crates/samphiredoor-core/src/keys/shard.rs
+++ b/crates/samphiredoor-core/src/keys/shard.rs
@@ -4,7 +4,7 @@
 //! version that was read, so whatever another door wrote in between is never overwritten: the shard is read again and
 //! each change decided anew.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{cell::Cell, collections::BTreeMap, sync::Arc};
 
 use samphiredoor_schema::objects::{KeyRecord, KeyShard, KeyState};
 
@@ -12,7 +12,7 @@
     KeysConfig,
     arrival::{Arrival, KeyId},
     change::{Change, Intent, Outcome, conclude, landed, reconcile, refuse, reused, taken_back},
-    record::{self, KeptAnswer, Standing, is_expired, is_orphaned},
+    record::{self, KeptAnswer, Stamp, Standing, is_expired, is_orphaned},
 };
 use crate::{
     Name,
@@ -34,7 +34,7 @@
     /// Make the shard's store call.
     Call(StoreOp),
     /// The intent stands: run the request.
-    Run { arrival: Arrival, since_unix_ms: u64 },
+    Run { arrival: Arrival, stamp: Stamp },
     /// Answer as before.
     Replay { arrival: Arrival, answer: KeptAnswer },
     /// Answer as before, once the body is read.
@@ -229,8 +229,8 @@
             effects.push(Effect::Saved(Arc::clone(&arrival.key)));
         }
         let key = Arc::clone(&arrival.key);
-        let since_unix_ms = cx.now.unix_ms;
-        let intent = Intent { arrival, since_unix_ms, wanted: true, doubtful };
+        let stamp = Stamp { since_unix_ms: cx.now.unix_ms, number: cx.next_number() };
+        let intent = Intent { arrival, stamp, wanted: true, doubtful };
         self.pending.insert(key, Change::Intent(intent));
     }
 
@@ -340,7 +340,7 @@
                 return None;
             }
             Change::Intent(intent) => {
-                let record = record::intent(&intent.arrival, cx.config, intent.since_unix_ms);
+                let record = record::intent(&intent.arrival, cx.config, intent.stamp);
                 (Change::Intent(intent), record)
             }
             Change::Outcome(outcome) if outcome.upload => {
@@ -475,14 +475,18 @@
     pub(super) now: Now,
     /// Whether a holder is believed dead.
     pub(super) lapsed: &'a std::collections::BTreeSet<Name>,
-    /// Number of writes so far.
-    pub(super) writes: &'a mut u64,
+    /// Number of writes and intents so far.
+    pub(super) numbers: &'a Cell<u64>,
 }
 
 impl Context<'_> {
-    fn writer_token(&mut self) -> String {
-        *self.writes += 1;
-        format!("{}/{}", self.config.holder, self.writes)
+    fn next_number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    fn writer_token(&self) -> String {
+        format!("{}/{}", self.config.holder, self.next_number())
     }
 }
 
--- a/crates/samphiredoor-core/tests/keys.rs
+++ b/crates/samphiredoor-core/tests/keys.rs
@@ -413,6 +413,26 @@
     }
 }
 
+/// A sending truly did not run, and the write that says so is still on its way when the clerk sends again to the same
+/// door. The record that stands is the first sending's intent; if it were taken for the second's, the late write would
+/// free the key while the second runs, and a third sending would run as well.
+#[test]
+fn a_late_write_does_not_free_a_key_that_runs() {
+    let steps = [
+        Step::Send { door: 2, key: 2, other: false },
+        Step::Answer { which: 0, how: How::Answered },
+        Step::Answer { which: 0, how: How::Answered },
+        Step::Finish { which: 0, end: End::NotRun },
+        Step::Answer { which: 0, how: How::Late },
+        Step::Send { door: 2, key: 2, other: false },
+        Step::Answer { which: 0, how: How::Answered },
+        Step::Answer { which: 0, how: How::Answered },
+        Step::LandLate { which: 0 },
+        Step::Crash { door: 2 },
+    ];
+    check(&steps, 1_000_000).expect("one run");
+}
+
 struct Single {
     world: World,
 }
--- a/crates/samphiredoor/tests/it/keys.rs
+++ b/crates/samphiredoor/tests/it/keys.rs
@@ -173,6 +173,18 @@
     lost_answers_at_intent_and_outcome_lead_to_one_run: 6;
 }
 
+/// An answer is too large for its record. The other door must give it out whole, from the object that holds its body.
+#[test]
+fn a_large_answer_is_replayed_whole_by_another_door() {
+    let large: &'static str = Box::leak("confirmed ".repeat(4_000).into_boxed_str());
+    let target = RawTarget::start([Reply::Whole(large)]);
+    let env = booking(2, &target);
+    assert_eq!(confirm(&env, 0).text, large);
+    wait_until("the other door replays it", || confirm(&env, 1).status == 200);
+    assert_eq!(confirm(&env, 1).text, large);
+    assert_eq!(target.ran(), ["monday"]);
+}
+
 /// A streamed answer under a key is sent again whole, and only because it ended with its last event.
 #[test]
 fn a_streamed_answer_is_replayed_whole() {
