Refuse an item that lost its slot when its service is gone

Its end came after the manifest without its service: it waited where nobody looked, and its job hung. The test saw no action at all for the item; now it is refused in the turn of its end.

--- a/crates/samphiredoor-core/src/dispatch/attempts.rs
+++ b/crates/samphiredoor-core/src/dispatch/attempts.rs
@@ -98,7 +98,7 @@
             AttemptEnd::Done | AttemptEnd::Failed | AttemptEnd::Cut(_) | AttemptEnd::Aborted => {
                 self.close(now_ms, request);
             }
-            AttemptEnd::Yielded => self.wait_again(request),
+            AttemptEnd::Yielded => self.wait_again(now_ms, request, out),
             AttemptEnd::NotSent => {
                 let (retry, reason) = (RetryReason::ConnectFailed, Refusal::ConnectFailed);
                 self.retry_or_give_up(now_ms, request, retry, reason, out);
@@ -171,10 +171,13 @@
         charged_ms
     }
 
-    /// An item that lost its slot waits for another one.
-    fn wait_again(&mut self, request: RequestId) {
+    /// An item that lost its slot waits for another one. If its service was taken out of the declarations meanwhile,
+    /// nobody would look at it again: its job would hang at it for ever, so it is given up.
+    fn wait_again(&mut self, now_ms: u64, request: RequestId, out: &mut Vec<Action>) {
         let Some(yielded) = self.requests.get_mut(&request) else { return };
-        let Some(state) = self.services.get_mut(&yielded.ask.service) else { return };
+        let Some(state) = self.services.get_mut(&yielded.ask.service) else {
+            return self.give_up(now_ms, request, Refusal::UnknownService, out);
+        };
         yielded.stage = Stage::Waiting;
         yielded.tried.clear();
         state.batch.push_again(&yielded.ask);
--- a/crates/samphiredoor-core/tests/lending/situations.rs
+++ b/crates/samphiredoor-core/tests/lending/situations.rs
@@ -1,10 +1,10 @@
 //! What lending does in named situations.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use samphiredoor_core::{
     Name,
-    dispatch::{AttemptEnd, Class, Input, RequestId, lender::SHARE_TTL_MS},
+    dispatch::{Action, AttemptEnd, Class, Input, RequestId, lender::SHARE_TTL_MS},
 };
 
 use crate::world::{LOAN_LIMIT, QUIET_MS, World, dispatched, live, recalled};
@@ -87,6 +87,24 @@
     assert_eq!(again, expected);
 }
 
+/// A list hangs for ever at its last item. Its service was taken out of the declarations while the item was being
+/// recalled; the cause would be an item that waits where nobody looks any more.
+#[test]
+fn an_item_that_lost_its_slot_is_refused_if_its_service_is_gone() {
+    let mut world = filled();
+    let lost = recalled(&world.online().1);
+    world.manifest.revision += 1;
+    world.manifest.services.clear();
+    world.manifest.targets.clear();
+    world.handle(Input::Manifest(Arc::new(world.manifest.clone())));
+    for request in lost {
+        let actions = world.end(request, AttemptEnd::Yielded);
+        let refused =
+            |it: &Action| matches!(it, Action::Refuse { request: it, .. } if *it == request);
+        assert!(actions.iter().any(refused), "{actions:?}");
+    }
+}
+
 /// Two doors fill one target, each with the whole loan. The lender is lost or cut off; the cause would be shares that
 /// are kept for ever.
 #[test]
