--- /dev/null
+++ b/crates/samphiredoor-standin/src/calls.rs
@@ -0,0 +1,123 @@
+//! Small calls at a plain service, one by one or at a rate, for the time that a door adds and the rate that it bears.
+//!
+//! Without a rate, each connection sends its next call when the last is answered: that gives the top rate. With one,
+//! calls are due at fixed times whatever became of the others, and each is timed from when it was due, so that a slow
+//! answer is not left out of the figures of those behind it.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+use hyper::{Method, Request};
+use samphiredoor_net::{Body, Pool, body::read_whole};
+
+const BODY: &str = r#"{"boxes":41}"#;
+const MAX_ANSWER_BYTES: usize = 1_024;
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Calls to make.
+#[derive(Debug, Clone)]
+pub struct Calls {
+    /// Where to send them.
+    pub address: SocketAddr,
+    /// Path of each call.
+    pub path: String,
+    /// Calls under way at once, where no rate is given.
+    pub connections: usize,
+    /// Calls a second, due at fixed times.
+    pub rate_per_s: Option<f64>,
+    /// How long.
+    pub duration: Duration,
+}
+
+struct Measured {
+    latency_us: RefCell<Histogram<u64>>,
+    failed: RefCell<u64>,
+}
+
+/// Makes the calls and prints one line: rate, latencies in milliseconds, failures.
+pub async fn run(calls: Calls) -> anyhow::Result<()> {
+    let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)?;
+    let measured =
+        Rc::new(Measured { latency_us: RefCell::new(histogram), failed: RefCell::new(0) });
+    let pool = Pool::new(calls.address);
+    let began = Instant::now();
+    match calls.rate_per_s {
+        None => closed(&calls, &pool, &measured).await,
+        Some(rate) => open(&calls, rate, &pool, &measured).await,
+    }
+    let elapsed_s = began.elapsed().as_secs_f64();
+    let latency = measured.latency_us.borrow();
+    let ms = |quantile: f64| latency.value_at_quantile(quantile) as f64 / 1_000.0;
+    println!(
+        "{:.0} calls/s, p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms, failed {}",
+        latency.len() as f64 / elapsed_s,
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+        measured.failed.borrow()
+    );
+    Ok(())
+}
+
+async fn closed(calls: &Calls, pool: &Pool, measured: &Rc<Measured>) {
+    let end = Instant::now() + calls.duration;
+    let workers = (0..calls.connections).map(|_| async {
+        while Instant::now() < end {
+            call(calls, pool, measured, Instant::now()).await;
+        }
+    });
+    futures_util::future::join_all(workers).await;
+}
+
+async fn open(calls: &Calls, rate: f64, pool: &Pool, measured: &Rc<Measured>) {
+    let began = Instant::now();
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        let due = began + Duration::from_secs_f64(f64::from(number) / rate);
+        if due >= began + calls.duration {
+            break;
+        }
+        let wait = due.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            compio::time::sleep(wait).await;
+        }
+        let (calls, pool, measured) = (calls.clone(), pool.clone(), Rc::clone(measured));
+        tasks.push(compio::runtime::spawn(async move {
+            call(&calls, &pool, &measured, due).await;
+        }));
+    }
+    futures_util::future::join_all(tasks).await;
+}
+
+async fn call(calls: &Calls, pool: &Pool, measured: &Measured, due: Instant) {
+    match exchange(calls, pool).await {
+        Ok(()) => {
+            let us = due.elapsed().as_micros() as u64;
+            measured.latency_us.borrow_mut().saturating_record(us.max(1));
+        }
+        Err(err) => {
+            log::debug!("calls: {err:#}");
+            *measured.failed.borrow_mut() += 1;
+        }
+    }
+}
+
+async fn exchange(calls: &Calls, pool: &Pool) -> anyhow::Result<()> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(&calls.path)
+        .header("host", "bench")
+        .body(Body::full(BODY))?;
+    let sent = pool.send(request).await;
+    let response = sent.map_err(|err| anyhow::anyhow!("{err:?}"))?;
+    anyhow::ensure!(response.status().is_success(), "status {}", response.status());
+    let read = read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+    read.map_err(|err| anyhow::anyhow!("{err:?}")).context("the answer was cut")?;
+    Ok(())
+}
--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -77,6 +77,25 @@
         #[bpaf(positional("SCENARIO"))]
         scenario: PathBuf,
     },
+    /// Makes small calls at a plain service and prints their rate and latency
+    #[bpaf(command)]
+    Calls {
+        /// Where to send them
+        #[bpaf(argument("ADDRESS"))]
+        address: SocketAddr,
+        /// Path of each call
+        #[bpaf(argument("PATH"), fallback("/".to_owned()), display_fallback)]
+        path: String,
+        /// Calls under way at once, where no rate is given
+        #[bpaf(argument("COUNT"), fallback(64), display_fallback)]
+        connections: usize,
+        /// Calls a second; without it, as many as can be
+        #[bpaf(argument("RATE"))]
+        rate_per_s: Option<f64>,
+        /// How long, in seconds
+        #[bpaf(argument("SECONDS"), fallback(5.0), display_fallback)]
+        seconds: f64,
+    },
     /// Prints the rows of a file as ratios to the first
     #[bpaf(command)]
     Table {
--- a/crates/samphiredoor-standin/src/main.rs
+++ b/crates/samphiredoor-standin/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform and the targets, as processes of their own.
 
+mod calls;
 mod cli;
 mod load;
 mod measured;
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -10,6 +10,7 @@
 use samphiredoor_net::{Body, ServeLimits, Server};
 
 use crate::{
+    calls::{self, Calls},
     cli::Opts,
     load::{self, Fleet},
     measured::Row,
@@ -65,6 +66,10 @@
                 }
                 add_row(&out, &measured.row(&label))
             }
+            Opts::Calls { address, path, connections, rate_per_s, seconds } => {
+                let duration = Duration::from_secs_f64(seconds);
+                calls::run(Calls { address, path, connections, rate_per_s, duration }).await
+            }
             Opts::Table { step_ms, step_per_sequence_ms, engines, loan_limit, file } => {
                 table::print(&file, Bound { step_ms, step_per_sequence_ms, engines, loan_limit })
             }
