--- a/crates/samphiredoor-core/src/dispatch/lender.rs
+++ b/crates/samphiredoor-core/src/dispatch/lender.rs
@@ -6,8 +6,8 @@
 //! stops lending within [`SHARE_TTL_MS`], the next one lends nothing for as long, and two at once lend at most twice the
 //! room for the time in which doors disagree on who lives. All of that costs speed, and none of it an answer.
 //!
-//! Traffic is bounded in time, not by requests: a door tells its traffic at a target at most five times a second, or
-//! sooner when its online requests there have risen by [`URGENT_RISE`], and only when it has changed, a share that shrinks is told at once and one that grows four times a second, and each is
+//! Traffic is bounded in time, not by requests: a door tells its traffic at a target at most five times a second and
+//! only when it has changed, a share that shrinks is told at once and one that grows four times a second, and each is
 //! repeated once per [`RENEW_MS`].
 
 use std::{
@@ -28,10 +28,6 @@
 const GROW_MS: u64 = 250;
 /// A door tells of changes in its traffic no more often.
 const TELL_MS: u64 = 200;
-/// A door tells of so many more online requests sooner, as the target is slowed until its lender knows.
-const URGENT_RISE: u32 = 2;
-/// Least time between two words of a rise.
-const TELL_RISE_MS: u64 = 20;
 /// Most doors that share one target's loan; what others want is not heard.
 pub const MAX_BORROWERS: usize = 16;
 
@@ -229,9 +225,7 @@
 
     /// Whether the lender is to be told of `demand` now; if so, it counts as told.
     pub fn tells(&mut self, now_ms: u64, demand: Demand) -> bool {
-        let rises = demand.online >= self.told.online + URGENT_RISE;
-        let gap_ms = if rises { TELL_RISE_MS } else { TELL_MS };
-        let changed = demand != self.told && now_ms >= self.told_ms + gap_ms;
+        let changed = demand != self.told && now_ms >= self.told_ms + TELL_MS;
         let repeated = demand != Demand::default() && now_ms >= self.told_ms + RENEW_MS;
         if changed || repeated {
             self.told = demand;
