Settle every lost attempt, and let the late door's test start after the blame is kept

One run in twelve of the quarantine's process test took a minute: the door that starts later read the list before it was written and again only at its next read. Ruled out on the way: the poison's own requests, answered in 58 ms in that run. Found by reading: an attempt that was sent without waiting and refused meanwhile never got its end settled, and its request would have waited for ever.

--- a/crates/samphiredoor-core/src/quarantine/mod.rs
+++ b/crates/samphiredoor-core/src/quarantine/mod.rs
@@ -266,7 +266,13 @@
     }
 
     fn left(&mut self, now: Now, attempt: RequestId, how: Left, out: &mut Vec<QuarantineAction>) {
-        let Some(left) = self.attempts.remove(&attempt) else { return };
+        let Some(left) = self.attempts.remove(&attempt) else {
+            // It was refused after it had been sent without waiting; whoever waits for its end must not wait for ever.
+            if how == Left::Lost {
+                out.push(QuarantineAction::Settled { attempt });
+            }
+            return;
+        };
         if let Some(waiting) = self.waiting.get_mut(&left.target) {
             waiting.retain(|it| *it != attempt);
         }
--- a/crates/samphiredoor/tests/it/quarantine.rs
+++ b/crates/samphiredoor/tests/it/quarantine.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use crate::{
-    env::{Answer, TestEnv, post, target, wait_until},
+    env::{Answer, TestEnv, get, post, target, wait_until},
     raw_target::{RawTarget, Reply},
 };
 
@@ -90,6 +90,9 @@
     let operators = env.door(1).operators;
     wait_until("the other door knows", || suspects(operators)[0]["state"] == "refused");
     assert_eq!(env.post(1, PATH, &[], POISON).status, 422);
+    // A door that reads the list before it is written reads it again a minute later only.
+    let list = "/apis/samphiredoor.dev/v1/suspects";
+    wait_until("the blame is kept", || get(env.store, list).text.contains("\"deaths\":2"));
     let late = env.start_door();
     let operators = env.door(late).operators;
     wait_until("a door that starts later knows", || suspects(operators)[0]["state"] == "refused");
--- a/crates/samphiredoor/tests/it/raw_target.rs
+++ b/crates/samphiredoor/tests/it/raw_target.rs
@@ -30,6 +30,7 @@
     /// Text in a request that ends the target, as a broken request would.
     crash_on: Option<&'static str>,
     dead: bool,
+    listener_closed: bool,
     streams: Vec<TcpStream>,
     script: VecDeque<Reply>,
     ran: Vec<String>,
@@ -55,11 +56,13 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if accepting.is_dead() {
-                    return;
+                    break;
                 }
                 let target = accepting.clone();
                 thread::spawn(move || target.serve(stream));
             }
+            drop(listener);
+            accepting.state.lock().expect("no panic").listener_closed = true;
         });
         target
     }
@@ -131,7 +134,7 @@
         };
         // Wakes the listener's thread, which then drops the listener; only then are the connections closed.
         let _ = TcpStream::connect(self.address);
-        while TcpStream::connect(self.address).is_ok() {
+        while !self.state.lock().expect("no panic").listener_closed {
             thread::yield_now();
         }
         for stream in streams {
