Let all tasks tick in time while messages come

Cause, found for the keys' and the quarantine's tasks: an inbox that waits a whole tick for its next message never ticks while messages come faster. The tasks of leases and orders waited so, too; those of the dispatcher and of jobs kept a time of their own, the same lines twice. All now use one inbox, which stands where a test can reach it.

--- a/crates/samphiredoor/src/ticking.rs
+++ b/crates/samphiredoor-net/src/ticking.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use samphiredoor_net::pool::within;
+use crate::pool::within;
 
 /// Inbox that also ticks. Ticks come in time under load too: a task that waited for an idle inbox would never get to
 /// what it does by time.
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -17,7 +17,7 @@
     time::Now,
     verdict::{Refusal, Verdict},
 };
-use samphiredoor_net::pool::within;
+use samphiredoor_net::ticking::{Next, Ticking};
 
 use crate::metrics::Metrics;
 
@@ -215,22 +215,20 @@
 impl Task {
     async fn run(mut self, inbox: flume::Receiver<Message>) {
         let mut actions = Vec::new();
-        let mut next_tick = Instant::now() + TICK;
+        let mut inbox = Ticking::new(inbox, TICK);
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
-            let input = match within(wait, inbox.recv_async()).await {
-                Some(Ok(Message::Ask(ask, reply))) => {
+            let input = match inbox.next().await {
+                Next::Message(Message::Ask(ask, reply)) => {
                     self.waiting.insert(ask.request, reply);
                     Input::Ask(ask)
                 }
-                Some(Ok(Message::Input(input))) => input,
-                Some(Ok(Message::TargetsInUse(reply))) => {
+                Next::Message(Message::Input(input)) => input,
+                Next::Message(Message::TargetsInUse(reply)) => {
                     let _ = reply.send(self.targets_in_use());
                     continue;
                 }
-                Some(Err(_)) => return,
-                None => {
-                    next_tick = Instant::now() + TICK;
+                Next::Closed => return,
+                Next::Tick => {
                     self.publish();
                     Input::Tick
                 }
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -1,11 +1,6 @@
 //! The task that owns the ledger of jobs, and the handles by which others speak to it.
 
-use std::{
-    cell::Cell,
-    collections::HashMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
 
 use samphiredoor_core::{
     Name,
@@ -16,7 +11,7 @@
     store::Version,
     time::Now,
 };
-use samphiredoor_net::pool::within;
+use samphiredoor_net::ticking::{Next, Ticking};
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
 use crate::{item_run, process::Door};
@@ -143,22 +138,18 @@
 
 impl Task {
     async fn run(mut self, inbox: JobsInbox) {
-        let mut next_tick = Instant::now() + TICK;
+        let mut inbox = Ticking::new(inbox.0, TICK);
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
-            match within(wait, inbox.0.recv_async()).await {
-                Some(Ok(Message::Input(input))) => self.handle(input),
-                Some(Ok(Message::Progress(job, reply))) => {
+            match inbox.next().await {
+                Next::Message(Message::Input(input)) => self.handle(input),
+                Next::Message(Message::Progress(job, reply)) => {
                     let _ = reply.send(self.ledger.progress(&job));
                 }
-                Some(Ok(Message::Len(reply))) => {
+                Next::Message(Message::Len(reply)) => {
                     let _ = reply.send(self.ledger.jobs().count());
                 }
-                Some(Err(_)) => return,
-                None => {
-                    next_tick = Instant::now() + TICK;
-                    self.handle(LedgerInput::Tick);
-                }
+                Next::Closed => return,
+                Next::Tick => self.handle(LedgerInput::Tick),
             }
         }
     }
--- a/crates/samphiredoor/src/keys_task.rs
+++ b/crates/samphiredoor/src/keys_task.rs
@@ -7,11 +7,9 @@
     keys::{Arrival, KeptAnswer, KeyOutcome, Keys, KeysAction, KeysConfig, KeysInput, holder_name},
     verdict::{Refusal, Verdict},
 };
+use samphiredoor_net::ticking::{Next, Ticking};
 
-use crate::{
-    process::Door,
-    ticking::{Next, Ticking},
-};
+use crate::process::Door;
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -9,7 +9,7 @@
     membership::MembershipInput,
     store::StoreAnswer,
 };
-use samphiredoor_net::pool::within;
+use samphiredoor_net::ticking::{Next, Ticking};
 
 use crate::process::Door;
 
@@ -21,15 +21,16 @@
     let (answers, answered) = flume::unbounded::<(CallId, StoreAnswer)>();
     let mut actions = Vec::new();
     let mut told_stopping = false;
+    let mut inbox = Ticking::new(answered, TICK);
     loop {
-        let input = match within(TICK, answered.recv_async()).await {
-            Some(Ok((call, answer))) => LeaseInput::Stored { call, answer },
-            Some(Err(_)) => return,
-            None if door.stopping.get() && !told_stopping => {
+        let input = match inbox.next().await {
+            Next::Message((call, answer)) => LeaseInput::Stored { call, answer },
+            Next::Closed => return,
+            Next::Tick if door.stopping.get() && !told_stopping => {
                 told_stopping = true;
                 LeaseInput::Stopping
             }
-            None => LeaseInput::Tick,
+            Next::Tick => LeaseInput::Tick,
         };
         lease.handle(door.clock.now(), input, &mut actions);
         for action in actions.drain(..) {
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -42,7 +42,6 @@
 mod store_client;
 mod stream_end;
 mod targets;
-mod ticking;
 
 use std::process::ExitCode;
 
--- a/crates/samphiredoor/src/orders_task.rs
+++ b/crates/samphiredoor/src/orders_task.rs
@@ -15,6 +15,7 @@
 use samphiredoor_net::{
     body::read_whole,
     pool::{SendError, within},
+    ticking::{Next, Ticking},
 };
 use serde_json::json;
 
@@ -62,11 +63,12 @@
     let mut orders = Orders::new(config(&door));
     let mut seen = Seen::default();
     let mut actions = Vec::new();
+    let mut inbox = Ticking::new(inbox.0, TICK);
     loop {
-        let input = match within(TICK, inbox.0.recv_async()).await {
-            Some(Ok(input)) => input,
-            Some(Err(_)) => return,
-            None => OrdersInput::Tick,
+        let input = match inbox.next().await {
+            Next::Message(input) => input,
+            Next::Closed => return,
+            Next::Tick => OrdersInput::Tick,
         };
         let now = door.clock.now();
         for input in seen.changes(&door) {
--- a/crates/samphiredoor/src/quarantine_task.rs
+++ b/crates/samphiredoor/src/quarantine_task.rs
@@ -12,13 +12,13 @@
     news::News,
     quarantine::{Left, Quarantine, QuarantineAction, QuarantineConfig, QuarantineInput, Suspect},
 };
-use samphiredoor_net::pool::within;
-
-use crate::{
-    process::Door,
+use samphiredoor_net::{
+    pool::within,
     ticking::{Next, Ticking},
 };
 
+use crate::process::Door;
+
 const TICK: Duration = Duration::from_millis(250);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause before the second probe: a process that ends may close its connections before its listener.
