Part the reading, sending and passing on of online requests; show operators the load of targets

online.rs had grown to three jobs in 470 lines. The columns online and batch of the targets' table were always empty; they now hold what the asked door has there, and a target that it has ejected says so. The revision in force is read from the manifest instead of being kept twice.

--- a/crates/samphiredoor-core/src/dispatch/counters.rs
+++ b/crates/samphiredoor-core/src/dispatch/counters.rs
@@ -1,6 +1,7 @@
 //! What the dispatcher counts for operators.
 
 use super::{health::Ejection, retry::RetryReason};
+use crate::Name;
 
 /// Counts since the start of the process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -45,3 +46,16 @@
     /// Targets in use that get no work, as they are ejected.
     pub ejected: usize,
 }
+
+/// A target that this process uses, as it sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetView {
+    /// Name.
+    pub name: Name,
+    /// Online requests of this process.
+    pub online: u32,
+    /// Items of jobs of this process.
+    pub batch: u32,
+    /// Whether it gets no work, as it failed, could not be reached or leaves.
+    pub is_ejected: bool,
+}
--- a/crates/samphiredoor-core/src/dispatch/mod.rs
+++ b/crates/samphiredoor-core/src/dispatch/mod.rs
@@ -37,7 +37,7 @@
 use smallvec::SmallVec;
 
 pub use attempt::AttemptEnd;
-pub use counters::{Counters, Gauges};
+pub use counters::{Counters, Gauges, TargetView};
 pub use health::Ejection;
 pub use messages::{Action, Ask, Class, Input, Place, RequestId};
 pub use policy::Policy;
@@ -216,6 +216,11 @@
         self.targets.in_use()
     }
 
+    /// Targets in use as this process sees them; for operators, not for every event.
+    pub fn target_views(&self, now: Now) -> Vec<TargetView> {
+        self.targets.views(now.mono_ms).collect()
+    }
+
     fn apply(&mut self, now_ms: u64, manifest: Arc<Manifest>, out: &mut Vec<Action>) {
         if manifest.revision < self.manifest.revision {
             return;
--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -14,6 +14,7 @@
 
 use super::{
     Class, Place, RequestId,
+    counters::TargetView,
     health::{Ejection, Health},
     limits::Limit,
     load::Load,
@@ -262,6 +263,17 @@
         targets.map(|it| (&it.declared.name, it.declared.address, !it.is_idle()))
     }
 
+    /// All targets in use, as this process sees them.
+    pub(super) fn views(&self, now_ms: u64) -> impl Iterator<Item = TargetView> {
+        let targets = self.slots.iter().flatten().filter(|it| it.in_use);
+        targets.map(move |it| TargetView {
+            name: Name::clone(&it.declared.name),
+            online: it.load.own().saturating_sub(it.batch),
+            batch: it.batch,
+            is_ejected: it.health.is_ejected(now_ms),
+        })
+    }
+
     pub(super) fn started(
         &mut self,
         now_ms: u64,
--- /dev/null
+++ b/crates/samphiredoor/src/ask.rs
@@ -0,0 +1,138 @@
+//! What an online request asks for, read from its path, headers and body.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Response, Uri, header};
+use samphiredoor_core::{
+    Name,
+    dispatch::{Ask, Class, RequestId},
+    ledger::service_in_path,
+    manifest::ServiceKind,
+};
+use samphiredoor_net::Body;
+use serde::Deserialize;
+
+use crate::{answers::bad_request, process::Door};
+
+/// Header that names the workspace.
+pub const WORKSPACE_HEADER: &str = "x-workspace";
+/// Header that names the deadline, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header that carries the caller's key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header by which targets know a request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const DEFAULT_WORKSPACE: &str = "default";
+const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+const PREFIX_BYTES: usize = 256;
+
+/// Beginning of a completion call, as far as a door reads it.
+#[derive(Debug, Default, Deserialize)]
+pub struct Head {
+    #[serde(default)]
+    /// Service asked for.
+    pub model: String,
+    #[serde(default)]
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+}
+
+/// Reads the service and the form of the answer.
+///
+/// # Errors
+///
+/// What is wrong with the body.
+pub fn read_head(uri: &Uri, body: &Bytes) -> Result<Head, String> {
+    if let Some(service) = service_in_path(uri.path()) {
+        return Ok(Head { model: service.to_owned(), stream: false });
+    }
+    let head: Head = serde_json::from_slice(body).map_err(|err| err.to_string())?;
+    if head.model.is_empty() {
+        return Err("name the service to ask".to_owned());
+    }
+    Ok(head)
+}
+
+/// Makes the dispatcher's view of the request, with the deadline by this process's clock.
+///
+/// # Errors
+///
+/// The answer to a request whose headers make no sense.
+pub fn make_ask(
+    door: &Door,
+    headers: &HeaderMap,
+    head: &Head,
+    uri: &Uri,
+    body: &Bytes,
+) -> Result<(Ask, Instant), Response<Body>> {
+    let workspace: Name =
+        header_text(headers, WORKSPACE_HEADER).unwrap_or(DEFAULT_WORKSPACE).into();
+    let manifest = door.manifest.current();
+    let service = manifest.services.get(head.model.as_str());
+    let default = door.config.default_deadline;
+    let deadline = match header_text(headers, DEADLINE_HEADER) {
+        None => service.map_or(default, |it| default.min(Duration::from_millis(it.deadline_ms))),
+        Some(text) => match text.parse() {
+            Ok(deadline_ms) => Duration::from_millis(deadline_ms).min(LONGEST_DEADLINE),
+            Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
+        },
+    };
+    let prefix = &body[..body.len().min(PREFIX_BYTES)];
+    let ask = Ask {
+        request: door.dispatch.next_request(),
+        class: Class::Online,
+        service: head.model.as_str().into(),
+        workspace,
+        deadline_ms: door.clock.now().mono_ms + deadline.as_millis() as u64,
+        repeatable: service.is_none_or(|it| it.repeatable),
+        prefix_hash: if is_engine(door, &head.model) { hash(prefix) } else { 0 },
+        fingerprint: fingerprint(uri.path(), body),
+        body_bytes: body.len() as u32,
+        job: Name::from(""),
+        due_unix_ms: None,
+    };
+    Ok((ask, Instant::now() + deadline))
+}
+
+/// Whether a service is a model engine.
+pub fn is_engine(door: &Door, service: &str) -> bool {
+    let manifest = door.manifest.current();
+    manifest.services.get(service).is_none_or(|it| it.kind == ServiceKind::Engine)
+}
+
+/// Hash that is the same in every process.
+pub fn hash(bytes: &[u8]) -> u64 {
+    let digest = blake3::hash(bytes);
+    let (first, _) = digest.as_bytes().split_at(8);
+    first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
+/// Hash by which a request is known again if it crashes targets: its path and its body.
+pub fn fingerprint(path: &str, body: &[u8]) -> u64 {
+    hash(&[path.as_bytes(), &[0], body].concat())
+}
+
+/// Text of a header, if it stands and is text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|it| it.to_str().ok())
+}
+
+/// Headers of a call to a target: what the caller sent about the content, and an id that is unique among all doors.
+pub fn passed_headers(headers: &HeaderMap, door: &Door, request: RequestId) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for name in [header::CONTENT_TYPE, header::ACCEPT, header::AUTHORIZATION] {
+        if let Some(value) = headers.get(&name) {
+            passed.insert(name, value.clone());
+        }
+    }
+    let id = match header_text(headers, REQUEST_ID_HEADER) {
+        Some(id) => id.to_owned(),
+        None => format!("{}-{:x}-{}", door.config.name, door.incarnation, request.0),
+    };
+    if let Ok(value) = header::HeaderValue::from_str(&id) {
+        passed.insert(REQUEST_ID_HEADER, value);
+    }
+    passed
+}
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -11,7 +11,10 @@
 
 use samphiredoor_core::{
     Name,
-    dispatch::{Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId, lender::ShareChange},
+    dispatch::{
+        Action, Ask, AttemptEnd, Dispatcher, Input, Place, RequestId, TargetView,
+        lender::ShareChange,
+    },
     manifest::Manifest,
     news::News,
     time::Now,
@@ -23,7 +26,7 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const TICKS_BETWEEN_METRICS: u64 = 10;
-/// Word that a target leaves is told again more often than this while it holds.
+// Word that a target leaves is told again more often than this while it holds.
 const TOLD_LEAVING_MS: u64 = 30_000;
 
 /// Clock of the process, read once per event.
@@ -75,6 +78,7 @@
     Ask(Ask, flume::Sender<Placement>),
     Input(Input),
     TargetsInUse(flume::Sender<Vec<TargetInUse>>),
+    TargetViews(flume::Sender<Vec<TargetView>>),
 }
 
 /// Handle to the dispatcher's task.
@@ -146,6 +150,13 @@
         receiver.recv_async().await.unwrap_or_default()
     }
 
+    /// Targets that this process uses, as it sees them.
+    pub async fn target_views(&self) -> Vec<TargetView> {
+        let (reply, receiver) = flume::bounded(1);
+        let _ = self.messages.send(Message::TargetViews(reply));
+        receiver.recv_async().await.unwrap_or_default()
+    }
+
     /// Tells the dispatcher what happened.
     pub fn input(&self, input: Input) {
         let _ = self.messages.send(Message::Input(input));
@@ -223,6 +234,10 @@
                     Input::Ask(ask)
                 }
                 Next::Message(Message::Input(input)) => input,
+                Next::Message(Message::TargetViews(reply)) => {
+                    let _ = reply.send(self.dispatcher.target_views(self.clock.now()));
+                    continue;
+                }
                 Next::Message(Message::TargetsInUse(reply)) => {
                     let _ = reply.send(self.targets_in_use());
                     continue;
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 
 use crate::{
+    ask::{REQUEST_ID_HEADER, fingerprint, is_engine, passed_headers},
     dispatch_task::{Placement, Ticket},
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::{fingerprint, is_engine, is_loss, passed_headers},
+    online::is_loss,
     process::Door,
     targets::Call,
 };
@@ -152,7 +153,7 @@
     let uri = work.url.parse().map_err(|_| "url: is no path".to_owned())?;
     let mut headers = passed_headers(&HeaderMap::new(), door, request);
     if let Ok(id) = header::HeaderValue::from_str(&item_id(&work.item)) {
-        headers.insert(crate::online::REQUEST_ID_HEADER, id);
+        headers.insert(REQUEST_ID_HEADER, id);
     }
     headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     let body = Bytes::copy_from_slice(work.body.as_bytes());
--- a/crates/samphiredoor/src/jobs.rs
+++ b/crates/samphiredoor/src/jobs.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     answers::{bad_request, json_answer, verdict_answer},
+    ask::{KEY_HEADER, WORKSPACE_HEADER, header_text},
     job_reads::header_json,
-    online::{KEY_HEADER, WORKSPACE_HEADER, header_text},
     process::Door,
     request_body::RequestBody,
 };
--- a/crates/samphiredoor/src/keyed.rs
+++ b/crates/samphiredoor/src/keyed.rs
@@ -18,8 +18,9 @@
 
 use crate::{
     answers::{bad_request, verdict_answer},
+    ask::{KEY_HEADER, header_text},
     keys_task::{KeyDecision, KeyTicket},
-    online::{KEY_HEADER, Online, header_text},
+    online::Online,
     stream_end::StreamEnd,
     targets::Call,
 };
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod answers;
+mod ask;
 mod callers;
 mod cli;
 mod commands;
@@ -32,6 +33,7 @@
 mod online;
 mod operators;
 mod orders_task;
+mod passing;
 mod peers;
 mod process;
 mod quarantine_metrics;
--- a/crates/samphiredoor/src/manifest_change.rs
+++ b/crates/samphiredoor/src/manifest_change.rs
@@ -37,7 +37,7 @@
 }
 
 async fn carry_out(door: &Door, mut change: ManifestChange) -> ChangeEnd {
-    let mut input = ChangeInput::Start { held: door.revision.get() };
+    let mut input = ChangeInput::Start { held: door.manifest.current().revision };
     loop {
         input = match change.step(input) {
             ChangeStep::Call(op) => ChangeInput::Stored(door.store.call(op).await),
--- a/crates/samphiredoor/src/manifest_http.rs
+++ b/crates/samphiredoor/src/manifest_http.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     answers::{bad_request, not_found},
+    ask::header_text,
     manifest_change::{answer, change},
-    online::header_text,
     process::Door,
 };
 
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -101,7 +101,6 @@
         Offered::Applied(manifest) => {
             let revision = manifest.revision;
             log::info!("manifest: revision {revision} is in force");
-            door.revision.set(revision);
             *door.manifest.current.borrow_mut() = Arc::clone(&manifest);
             door.dispatch.apply(manifest);
             door.peers.input(MembershipInput::Revision(revision));
@@ -140,7 +139,7 @@
     // A process that has no revision asks the store again and again, also when others watch: it is not ready. It asks
     // ever more seldom, since a whole fleet may be doing so, and its peers tell it of a revision at once.
     let mut pause = FIRST_PAUSE;
-    while door.revision.get() == 0 {
+    while door.manifest.current().revision == 0 {
         read(&door).await;
         compio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_FIRST_PAUSE);
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -7,32 +7,30 @@
 };
 
 use bytes::Bytes;
-use futures_util::{FutureExt, select_biased};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
     header::{self, HeaderValue},
     http::response,
 };
 use samphiredoor_core::{
-    Name,
-    dispatch::{Ask, AttemptEnd, Class, RequestId},
+    dispatch::{Ask, AttemptEnd, Class},
     ledger::service_in_path,
-    manifest::ServiceKind,
     verdict::{Doubt, Refusal, Verdict},
 };
 use samphiredoor_net::{
-    Body, BoxError,
+    Body,
     body::read_whole,
     pool::{Answer, SendError, within},
 };
-use serde::Deserialize;
 
 use crate::{
-    answers::{bad_request, verdict_answer, verdict_json},
+    answers::{bad_request, verdict_answer},
+    ask::{DEADLINE_HEADER, header_text, is_engine, make_ask, passed_headers, read_head},
     dispatch_task::{Placement, Ticket},
     keyed,
-    metrics::{Metrics, Running},
+    metrics::Running,
+    passing::{Passing, next_piece},
     process::Door,
     quarantine_task::Pass,
     request_body::RequestBody,
@@ -40,28 +38,7 @@
     targets::Call,
 };
 
-/// Header that names the workspace.
-pub const WORKSPACE_HEADER: &str = "x-workspace";
-/// Header that names the deadline, in milliseconds from now.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// Header that carries the caller's key.
-pub const KEY_HEADER: &str = "idempotency-key";
-/// Header by which targets know a request.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-
-const DEFAULT_WORKSPACE: &str = "default";
 const MAX_WHOLE_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
-const PREFIX_BYTES: usize = 256;
-
-#[derive(Debug, Default, Deserialize)]
-struct Head {
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    stream: bool,
-}
-
 /// Reads, places and answers one online request.
 pub async fn answer(door: Rc<Door>, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
@@ -98,94 +75,6 @@
     }
 }
 
-fn read_head(uri: &Uri, body: &Bytes) -> Result<Head, String> {
-    if let Some(service) = service_in_path(uri.path()) {
-        return Ok(Head { model: service.to_owned(), stream: false });
-    }
-    let head: Head = serde_json::from_slice(body).map_err(|err| err.to_string())?;
-    if head.model.is_empty() {
-        return Err("name the service to ask".to_owned());
-    }
-    Ok(head)
-}
-
-fn make_ask(
-    door: &Door,
-    headers: &HeaderMap,
-    head: &Head,
-    uri: &Uri,
-    body: &Bytes,
-) -> Result<(Ask, Instant), Response<Body>> {
-    let workspace: Name =
-        header_text(headers, WORKSPACE_HEADER).unwrap_or(DEFAULT_WORKSPACE).into();
-    let manifest = door.manifest.current();
-    let service = manifest.services.get(head.model.as_str());
-    let default = door.config.default_deadline;
-    let deadline = match header_text(headers, DEADLINE_HEADER) {
-        None => service.map_or(default, |it| default.min(Duration::from_millis(it.deadline_ms))),
-        Some(text) => match text.parse() {
-            Ok(deadline_ms) => Duration::from_millis(deadline_ms).min(LONGEST_DEADLINE),
-            Err(_) => return Err(bad_request(DEADLINE_HEADER, "is no number of milliseconds")),
-        },
-    };
-    let prefix = &body[..body.len().min(PREFIX_BYTES)];
-    let ask = Ask {
-        request: door.dispatch.next_request(),
-        class: Class::Online,
-        service: head.model.as_str().into(),
-        workspace,
-        deadline_ms: door.clock.now().mono_ms + deadline.as_millis() as u64,
-        repeatable: service.is_none_or(|it| it.repeatable),
-        prefix_hash: if is_engine(door, &head.model) { hash(prefix) } else { 0 },
-        fingerprint: fingerprint(uri.path(), body),
-        body_bytes: body.len() as u32,
-        job: Name::from(""),
-        due_unix_ms: None,
-    };
-    Ok((ask, Instant::now() + deadline))
-}
-
-/// Whether a service is a model engine.
-pub fn is_engine(door: &Door, service: &str) -> bool {
-    let manifest = door.manifest.current();
-    manifest.services.get(service).is_none_or(|it| it.kind == ServiceKind::Engine)
-}
-
-/// Hash that is the same in every process.
-pub fn hash(bytes: &[u8]) -> u64 {
-    let digest = blake3::hash(bytes);
-    let (first, _) = digest.as_bytes().split_at(8);
-    first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
-}
-
-/// Hash by which a request is known again if it crashes targets: its path and its body.
-pub fn fingerprint(path: &str, body: &[u8]) -> u64 {
-    hash(&[path.as_bytes(), &[0], body].concat())
-}
-
-/// Text of a header, if it stands and is text.
-pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|it| it.to_str().ok())
-}
-
-/// Headers of a call to a target: what the caller sent about the content, and an id that is unique among all doors.
-pub fn passed_headers(headers: &HeaderMap, door: &Door, request: RequestId) -> HeaderMap {
-    let mut passed = HeaderMap::new();
-    for name in [header::CONTENT_TYPE, header::ACCEPT, header::AUTHORIZATION] {
-        if let Some(value) = headers.get(&name) {
-            passed.insert(name, value.clone());
-        }
-    }
-    let id = match header_text(headers, REQUEST_ID_HEADER) {
-        Some(id) => id.to_owned(),
-        None => format!("{}-{:x}-{}", door.config.name, door.incarnation, request.0),
-    };
-    if let Ok(value) = header::HeaderValue::from_str(&id) {
-        passed.insert(REQUEST_ID_HEADER, value);
-    }
-    passed
-}
-
 /// One online request with all that its attempts need.
 pub struct Online {
     /// The door's tasks.
@@ -390,83 +279,6 @@
     }
 }
 
-/// A stream on its way to the caller. Dropping it (the caller has gone) closes the connection to the target.
-struct Passing {
-    body: Answer,
-    first: Option<Bytes>,
-    /// Looks for the last event; only an engine's stream has one.
-    done: Option<DoneMark>,
-    end: StreamEnd,
-    ticket: Ticket,
-    pass: Option<Pass>,
-    metrics: Rc<Metrics>,
-    started: Instant,
-    deadline: Instant,
-    _running: Running,
-}
-
-type Piece = Result<Bytes, BoxError>;
-
-impl Passing {
-    async fn next(passing: Option<Passing>) -> Option<(Piece, Option<Passing>)> {
-        let mut this = passing?;
-        let piece = match this.first.take() {
-            Some(first) => Ok(Some(first)),
-            None => next_piece(&mut this.body, this.deadline).await,
-        };
-        let is_whole = this.done.as_ref().is_none_or(DoneMark::is_seen);
-        match piece {
-            Ok(Some(piece)) => {
-                if let Some(done) = &mut this.done {
-                    done.push(&piece);
-                }
-                Some((Ok(piece), Some(this)))
-            }
-            Ok(None) if is_whole => {
-                if let Some(pass) = this.pass.take() {
-                    pass.answered();
-                }
-                this.ticket.ended(AttemptEnd::Done);
-                this.count(Verdict::Done);
-                None
-            }
-            cut => {
-                let reason = cut.err().unwrap_or(Doubt::AnswerCut);
-                if let Some(pass) = this.pass.take_if(|_| is_loss(reason)) {
-                    pass.lost_at_the_end();
-                }
-                this.ticket.ended(AttemptEnd::Cut(reason));
-                let verdict = Verdict::MayHaveRun { reason };
-                this.count(verdict);
-                // The caller is told that its answer is cut: an error event, and no `[DONE]` after it.
-                let event = format!("event: error\ndata: {}\n\n", verdict_json(verdict));
-                Some((Ok(event.into()), None))
-            }
-        }
-    }
-
-    fn count(&self, verdict: Verdict) {
-        self.end.set(verdict);
-        self.metrics.ended(Class::Online, verdict, self.started.elapsed().as_secs_f64());
-    }
-}
-
-/// Next piece of an answer; `None` at the end of its framing.
-async fn next_piece(body: &mut Answer, deadline: Instant) -> Result<Option<Bytes>, Doubt> {
-    use http_body_util::BodyExt;
-    let left = deadline.saturating_duration_since(Instant::now());
-    let mut timeout = std::pin::pin!(compio::time::sleep(left).fuse());
-    let mut frame = body.frame().fuse();
-    select_biased! {
-        frame = frame => match frame {
-            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(_)) => Err(Doubt::AnswerCut),
-            None => Ok(None),
-        },
-        () = timeout => Err(Doubt::DeadlinePassed),
-    }
-}
-
 /// Whether a path is for online requests.
 pub fn is_online(method: &Method, path: &str) -> bool {
     let completion = matches!(path, "/v1/completions" | "/v1/chat/completions");
--- a/crates/samphiredoor/src/operators.rs
+++ b/crates/samphiredoor/src/operators.rs
@@ -44,9 +44,10 @@
 }
 
 fn ready(door: &Door) -> Response<Body> {
-    let ready = door.revision.get() > 0 && !door.stopping.get();
+    let revision = door.manifest.current().revision;
+    let ready = revision > 0 && !door.stopping.get();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    json_answer(status, &json!({ "ready": ready, "revision": door.revision.get() }))
+    json_answer(status, &json!({ "ready": ready, "revision": revision }))
 }
 
 async fn statement(door: &Rc<Door>, request: Request<Incoming>) -> Response<Body> {
--- /dev/null
+++ b/crates/samphiredoor/src/passing.rs
@@ -0,0 +1,108 @@
+//! A stream on its way from a target to a caller.
+
+use std::{rc::Rc, time::Instant};
+
+use bytes::Bytes;
+use futures_util::{FutureExt, select_biased};
+use http_body_util::BodyExt;
+use samphiredoor_core::{
+    dispatch::{AttemptEnd, Class},
+    verdict::{Doubt, Verdict},
+};
+use samphiredoor_net::{BoxError, pool::Answer};
+
+use crate::{
+    answers::verdict_json,
+    dispatch_task::Ticket,
+    metrics::{Metrics, Running},
+    online::is_loss,
+    quarantine_task::Pass,
+    stream_end::{DoneMark, StreamEnd},
+};
+
+/// A stream on its way to the caller. Dropping it (the caller has gone) closes the connection to the target.
+pub struct Passing {
+    /// Rest of the answer.
+    pub body: Answer,
+    /// Piece that was waited for before the answer began.
+    pub first: Option<Bytes>,
+    /// Looks for the last event; only an engine's stream has one.
+    pub done: Option<DoneMark>,
+    /// Told how the stream ended.
+    pub end: StreamEnd,
+    /// The request as the dispatcher knows it.
+    pub ticket: Ticket,
+    /// The attempt as the quarantine knows it.
+    pub pass: Option<Pass>,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+    /// When the request arrived.
+    pub started: Instant,
+    /// When the answer is of no use any more.
+    pub deadline: Instant,
+    /// Counts the request as running.
+    pub _running: Running,
+}
+
+/// Piece of a stream.
+pub type Piece = Result<Bytes, BoxError>;
+
+impl Passing {
+    /// Next piece for the caller; an error event where the answer was cut.
+    pub async fn next(passing: Option<Passing>) -> Option<(Piece, Option<Passing>)> {
+        let mut this = passing?;
+        let piece = match this.first.take() {
+            Some(first) => Ok(Some(first)),
+            None => next_piece(&mut this.body, this.deadline).await,
+        };
+        let is_whole = this.done.as_ref().is_none_or(DoneMark::is_seen);
+        match piece {
+            Ok(Some(piece)) => {
+                if let Some(done) = &mut this.done {
+                    done.push(&piece);
+                }
+                Some((Ok(piece), Some(this)))
+            }
+            Ok(None) if is_whole => {
+                if let Some(pass) = this.pass.take() {
+                    pass.answered();
+                }
+                this.ticket.ended(AttemptEnd::Done);
+                this.count(Verdict::Done);
+                None
+            }
+            cut => {
+                let reason = cut.err().unwrap_or(Doubt::AnswerCut);
+                if let Some(pass) = this.pass.take_if(|_| is_loss(reason)) {
+                    pass.lost_at_the_end();
+                }
+                this.ticket.ended(AttemptEnd::Cut(reason));
+                let verdict = Verdict::MayHaveRun { reason };
+                this.count(verdict);
+                // The caller is told that its answer is cut: an error event, and no `[DONE]` after it.
+                let event = format!("event: error\ndata: {}\n\n", verdict_json(verdict));
+                Some((Ok(event.into()), None))
+            }
+        }
+    }
+
+    fn count(&self, verdict: Verdict) {
+        self.end.set(verdict);
+        self.metrics.ended(Class::Online, verdict, self.started.elapsed().as_secs_f64());
+    }
+}
+
+/// Next piece of an answer; `None` at the end of its framing.
+pub async fn next_piece(body: &mut Answer, deadline: Instant) -> Result<Option<Bytes>, Doubt> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let mut timeout = std::pin::pin!(compio::time::sleep(left).fuse());
+    let mut frame = body.frame().fuse();
+    select_biased! {
+        frame = frame => match frame {
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Err(_)) => Err(Doubt::AnswerCut),
+            None => Ok(None),
+        },
+        () = timeout => Err(Doubt::DeadlinePassed),
+    }
+}
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -20,7 +20,7 @@
 use samphiredoor_net::{ServeLimits, Server, serve::StopHandle};
 
 use crate::{
-    callers,
+    ask, callers,
     config::DoorConfig,
     dispatch_task::{Clock, Dispatch},
     exit_codes::Exit,
@@ -31,7 +31,7 @@
     manifest_task::{self, ManifestHandle},
     members_task,
     metrics::Metrics,
-    online, operators,
+    operators,
     orders_task::{self, OrdersHandle},
     peers::{self, Peers},
     quarantine_task::{self, QuarantineHandle},
@@ -67,8 +67,6 @@
     pub metrics: Rc<Metrics>,
     /// The task that gives orders to targets.
     pub orders: OrdersHandle,
-    /// Revision of the manifest in force; 0 before the first.
-    pub revision: Cell<u64>,
     /// Whether a planned stop is under way.
     pub stopping: Cell<bool>,
     next_unique: Cell<u64>,
@@ -203,7 +201,7 @@
     };
     let metrics = Metrics::new();
     // By name, so that a restarted door uses the same targets as before.
-    let seed = online::hash(config.name.as_bytes());
+    let seed = ask::hash(config.name.as_bytes());
     let door = Door {
         clock,
         incarnation,
@@ -217,7 +215,6 @@
         targets: TargetPools::default(),
         orders,
         metrics,
-        revision: Cell::new(0),
         stopping: Cell::new(false),
         next_unique: Cell::new(0),
         config,
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -3,9 +3,10 @@
 //! Equal conditions on a job's state, owner and workspace are left to the store, which selects by label; the rest is
 //! filtered here. A query reads a bounded number of headers and says when it stopped there.
 
-use std::rc::Rc;
+use std::{collections::HashMap, rc::Rc};
 
 use samphiredoor_core::{
+    dispatch::TargetView,
     ledger::{chunk_key, header_key, results_key},
     manifest::{Manifest, ServiceKind},
     quarantine::{BLAMED_DEATHS, Suspect},
@@ -47,7 +48,10 @@
         Noun::Doors => listed(door, Kind::Process, Labels::new(), door_row).await?,
         Noun::Items => items(door, query).await?,
         Noun::Services => (service_rows(&door.manifest.current()), false),
-        Noun::Targets => (target_rows(&door.manifest.current()), false),
+        Noun::Targets => {
+            let views = door.dispatch.target_views().await;
+            (target_rows(&door.manifest.current(), &views), false)
+        }
         Noun::Suspects => (suspect_rows(&door.quarantine.list().await), false),
         Noun::Workspaces => (workspace_rows(&door.manifest.current()), false),
     };
@@ -145,16 +149,18 @@
     rows.filter_map(to_row).collect()
 }
 
-fn target_rows(manifest: &Manifest) -> Vec<Row> {
+/// Rows of all targets; the load and the ejection only of those that the asked door uses.
+fn target_rows(manifest: &Manifest, views: &[TargetView]) -> Vec<Row> {
+    let views: HashMap<&str, &TargetView> = views.iter().map(|it| (&*it.name, it)).collect();
     let rows = manifest.targets.values().map(|it| {
+        let view = views.get(&*it.name);
+        let is_ejected = view.is_some_and(|it| it.is_ejected);
         json!({
             "name": &*it.name,
             "service": &*it.service,
-            "state": match (it.drained, it.reclaimed) {
-                (true, _) => "drained",
-                (false, true) => "reclaimed",
-                (false, false) => "in service",
-            },
+            "state": target_state(it.drained, it.reclaimed, is_ejected),
+            "online": view.map(|it| it.online),
+            "batch": view.map(|it| it.batch),
             "owner": &*it.owner,
             "host": it.address.ip().to_string(),
             "region": &*it.region,
@@ -166,6 +172,15 @@
     rows.filter_map(to_row).collect()
 }
 
+fn target_state(drained: bool, reclaimed: bool, is_ejected: bool) -> &'static str {
+    match (drained, is_ejected, reclaimed) {
+        (true, _, _) => "drained",
+        (false, true, _) => "ejected",
+        (false, false, true) => "reclaimed",
+        (false, false, false) => "in service",
+    }
+}
+
 fn workspace_rows(manifest: &Manifest) -> Vec<Row> {
     let rows = manifest.workspaces.values().map(|it| {
         json!({
--- a/crates/samphiredoor/tests/it/operators.rs
+++ b/crates/samphiredoor/tests/it/operators.rs
@@ -53,6 +53,8 @@
     assert_eq!(say(&mut env, "drain target engine-0").status, 200);
     let drained = say(&mut env, "targets where state = drained");
     assert_eq!(names(&drained), ["engine-0"]);
+    let all = say(&mut env, "targets").json();
+    assert_eq!((&all["rows"][1]["online"], &all["rows"][1]["batch"]), (&json!(0), &json!(0)));
     assert_eq!(say(&mut env, "drain target engine-1").status, 200);
     let call = r#"{"model":"small","prompt":"hello"}"#;
     let answer = env.post(0, "/v1/completions", &[], call);
