--- a/crates/samphirectl/src/cli.rs
+++ b/crates/samphirectl/src/cli.rs
@@ -5,7 +5,8 @@
 use bpaf::Bpaf;
 
 /// Asks and commands the doors
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub struct Opts {
     /// Operators' address of any door
@@ -37,7 +38,8 @@
 }
 
 /// What to do.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub enum Request {
     /// Puts the declarations in FILE in force
     #[bpaf(command)]
--- a/crates/samphiredoor-core/src/ledger/codec.rs
+++ b/crates/samphiredoor-core/src/ledger/codec.rs
@@ -90,7 +90,8 @@
 }
 
 /// One chunk's results, for a caller.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct ReadResults {
     /// Items of the chunk.
     #[serde(default)]
@@ -136,7 +137,8 @@
 }
 
 /// One item of a chunk as its owner keeps it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct StoredItem {
     pub(super) custom_id: String,
     pub(super) url: String,
--- a/crates/samphiredoor-embedded/src/engine.rs
+++ b/crates/samphiredoor-embedded/src/engine.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How an engine behaves.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineConfig {
     /// Model it answers for.
@@ -46,7 +47,8 @@
 }
 
 /// Load as an engine reports it, `report_lag_ms` late.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Sequences running.
     pub running: u32,
--- a/crates/samphiredoor-embedded/src/engine_http.rs
+++ b/crates/samphiredoor-embedded/src/engine_http.rs
@@ -28,7 +28,8 @@
 const DEFAULT_MAX_TOKENS: u32 = 16;
 
 /// Body of a completion call, as far as the engine reads it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Completion {
     #[serde(default)]
     model: String,
@@ -55,7 +56,8 @@
 }
 
 /// How often each request was run, by its id.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Runs {
     /// Starts by request id.
     pub started: BTreeMap<String, u32>,
--- a/crates/samphiredoor-embedded/src/engine_record.rs
+++ b/crates/samphiredoor-embedded/src/engine_record.rs
@@ -16,7 +16,8 @@
 }
 
 /// Counts since start or since they were last set to zero.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineRecord {
     /// Tokens of online sequences by the time of their step, in classes of [`STEP_CLASS_US`].
     pub online_steps: BTreeMap<u64, u64>,
--- a/crates/samphiredoor-embedded/src/objects.rs
+++ b/crates/samphiredoor-embedded/src/objects.rs
@@ -15,7 +15,8 @@
 pub type Labels = BTreeMap<String, String>;
 
 /// Name, version and labels of an object.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Metadata {
     /// Name, unique within its kind.
@@ -27,7 +28,8 @@
 }
 
 /// One object.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Object {
     /// Name, version and labels.
     pub metadata: Metadata,
@@ -37,7 +39,8 @@
 }
 
 /// What happened to an object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum EventKind {
     /// Created.
@@ -49,7 +52,8 @@
 }
 
 /// One event of a watch.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// What happened.
     #[serde(rename = "type")]
--- a/crates/samphiredoor-embedded/src/objects_http.rs
+++ b/crates/samphiredoor-embedded/src/objects_http.rs
@@ -22,7 +22,8 @@
 const WATCH_POLL: Duration = Duration::from_millis(5);
 
 /// Faults that a test switches on.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Refuse every call with 503.
--- a/crates/samphiredoor-embedded/src/orders_http.rs
+++ b/crates/samphiredoor-embedded/src/orders_http.rs
@@ -20,7 +20,8 @@
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// One order as it arrives.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// Fencing number.
     pub fence: u64,
--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -5,7 +5,8 @@
 use bpaf::Bpaf;
 
 /// Stand-ins for the platform and the targets
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options)]
 pub enum Opts {
     /// Runs an object API
--- a/crates/samphiredoor-standin/src/scenario.rs
+++ b/crates/samphiredoor-standin/src/scenario.rs
@@ -7,7 +7,8 @@
 use serde::Deserialize;
 
 /// What is sent during a run.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// Seed of all that is drawn.
@@ -25,7 +26,8 @@
 }
 
 /// Online requests: Poisson arrivals with bursts, whether or not earlier ones were answered.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OnlineLoad {
     /// Arrivals at all doors together.
@@ -52,7 +54,8 @@
 }
 
 /// Jobs that are submitted at the start.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BatchLoad {
     /// Jobs at each door.
--- a/crates/samphiredoor/src/ask.rs
+++ b/crates/samphiredoor/src/ask.rs
@@ -29,7 +29,8 @@
 const PREFIX_BYTES: usize = 256;
 
 /// Beginning of a completion call, as far as a door reads it.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub struct Head {
     #[serde(default)]
     /// Service asked for.
--- a/crates/samphiredoor/src/cli.rs
+++ b/crates/samphiredoor/src/cli.rs
@@ -5,7 +5,8 @@
 use bpaf::Bpaf;
 
 /// Door between callers and targets: online and batch inference on one fleet.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum Opts {
     /// Runs a door with the settings in FILE
--- a/crates/samphiredoor/src/item_call.rs
+++ b/crates/samphiredoor/src/item_call.rs
@@ -37,7 +37,8 @@
     done: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Event {
     #[serde(default)]
     id: Value,
@@ -47,7 +48,8 @@
     choices: Vec<Choice>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Choice {
     #[serde(default)]
     text: String,
@@ -57,7 +59,8 @@
     finish_reason: Value,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct Delta {
     #[serde(default)]
     content: String,
--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -25,7 +25,8 @@
 const LOAD_PATH: &str = "/load";
 
 /// An engine's report, as far as it is used.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct Report {
     #[serde(default)]
     running: u32,
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -29,14 +29,16 @@
     ["answered", "answered_with_an_error", "not_run", "may_have_run", "refused"];
 
 /// Label of a reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub struct ReasonLabel {
     /// Reason as in answers.
     pub reason: &'static str,
 }
 
 /// Label of a class.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub struct ClassLabel {
     /// `online` or `batch`.
     pub class: &'static str,
