--- /dev/null
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -0,0 +1,174 @@
+//! The log of a job's results, as one of its writers sees it.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use super::{JobName, codec, segment_key};
+use crate::store::{Labels, StoreAnswer, StoreOp};
+
+/// Bytes of texts in one segment; an object holds a megabyte, and escapes within texts take some of it.
+const SEGMENT_BYTES: usize = 500_000;
+
+/// How an item ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// With its whole output.
+    Completed,
+    /// Without; it will not be run again.
+    Failed,
+}
+
+/// Result of one item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemResult {
+    /// Item by its place in the submission.
+    pub item: u32,
+    /// Name of the item.
+    pub id: Arc<str>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Data of all its events in order, separated by line feeds.
+    pub text: Arc<str>,
+}
+
+/// What a log needs next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LogStep {
+    /// Make this call and report its answer.
+    Store(StoreOp),
+    /// The store is of no help now; step again after a pause.
+    Pause,
+    /// Nothing to do until there is another result.
+    Idle,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// Read the next segment, which may stand.
+    Read,
+    /// All segments that stood are read; append.
+    Append,
+}
+
+/// A job's results: those that stand, and those that this process wants to append.
+///
+/// After an answer that was lost, or a create that found the segment taken, the segment is read before anything is
+/// appended. A create that takes effect late can only put its segment where it was tried, with items that no earlier
+/// segment holds.
+#[derive(Debug)]
+pub struct ResultLog {
+    job: JobName,
+    standing: Vec<ItemResult>,
+    decided: BTreeSet<u32>,
+    pending: Vec<ItemResult>,
+    segments: u32,
+    next: Next,
+    /// Results in the create that is in flight.
+    in_flight: usize,
+    foreign: bool,
+}
+
+impl ResultLog {
+    /// Log of a job that no other process can have worked on.
+    pub fn new(job: JobName) -> ResultLog {
+        ResultLog {
+            job,
+            standing: Vec::new(),
+            decided: BTreeSet::new(),
+            pending: Vec::new(),
+            segments: 0,
+            next: Next::Append,
+            in_flight: 0,
+            foreign: false,
+        }
+    }
+
+    /// Log of a job that may have results.
+    pub fn to_be_read(job: JobName) -> ResultLog {
+        ResultLog { next: Next::Read, ..ResultLog::new(job) }
+    }
+
+    /// Results that stand, in the order of their positions.
+    pub fn standing(&self) -> &[ItemResult] {
+        &self.standing
+    }
+
+    /// Whether an item's result stands.
+    pub fn is_decided(&self, item: u32) -> bool {
+        self.decided.contains(&item)
+    }
+
+    /// Whether every segment that stood at the first read is read.
+    pub fn is_read(&self) -> bool {
+        self.next == Next::Append
+    }
+
+    /// Whether nothing waits to be appended.
+    pub fn is_settled(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Whether another writer was met since the last call.
+    pub fn take_foreign(&mut self) -> bool {
+        std::mem::take(&mut self.foreign)
+    }
+
+    /// Adds a result to append; the first one of an item counts.
+    pub fn push(&mut self, result: ItemResult) {
+        let known = self.decided.contains(&result.item);
+        if !known && self.pending.iter().all(|it| it.item != result.item) {
+            self.pending.push(result);
+        }
+    }
+
+    /// Next call to make; one is in flight at a time.
+    pub fn step(&mut self) -> LogStep {
+        let key = segment_key(&self.job, self.segments);
+        match self.next {
+            Next::Read => LogStep::Store(StoreOp::Get { key }),
+            Next::Append if self.pending.is_empty() => LogStep::Idle,
+            Next::Append => {
+                self.in_flight = self.fitting();
+                let value = codec::segment_value(&self.pending[..self.in_flight]);
+                LogStep::Store(StoreOp::Create { key, labels: Labels::new(), value })
+            }
+        }
+    }
+
+    /// Takes the answer to the call of the last [`ResultLog::step`].
+    pub fn answered(&mut self, answer: &StoreAnswer) -> LogStep {
+        match (self.next, answer) {
+            (Next::Append, StoreAnswer::Object(_)) => {
+                let written = self.pending.drain(..self.in_flight).collect();
+                self.stand(written);
+            }
+            (Next::Append, StoreAnswer::Taken | StoreAnswer::Unknown) => self.next = Next::Read,
+            (Next::Read, StoreAnswer::Object(stored)) => match codec::read_segment(stored) {
+                Ok(results) => {
+                    self.foreign |= results != self.pending[..self.in_flight];
+                    self.stand(results);
+                }
+                Err(_) => return LogStep::Pause,
+            },
+            (Next::Read, StoreAnswer::Absent) => self.next = Next::Append,
+            _ => return LogStep::Pause,
+        }
+        self.step()
+    }
+
+    fn stand(&mut self, results: Vec<ItemResult>) {
+        self.decided.extend(results.iter().map(|it| it.item));
+        self.pending.retain(|it| !self.decided.contains(&it.item));
+        self.in_flight = 0;
+        self.standing.extend(results);
+        self.segments += 1;
+    }
+
+    fn fitting(&self) -> usize {
+        let mut bytes = 0;
+        let fits = self.pending.iter().take_while(|it| {
+            bytes += it.text.len();
+            bytes <= SEGMENT_BYTES
+        });
+        fits.count().max(1)
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -0,0 +1,164 @@
+//! What goes into the placement and what comes out.
+
+use std::net::SocketAddr;
+
+use smallvec::SmallVec;
+
+use crate::{
+    Name,
+    dispatch::{Class, Place, RequestId},
+    verdict::Refusal,
+};
+
+/// What a target says of itself, or what is said of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// A target as discovery knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Identity; a target that starts anew mostly has another one.
+    pub name: Name,
+    /// Service that it serves.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub place: Place,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: TargetState,
+    /// Wall-clock start, in milliseconds since 1970; tells a restart under the same name.
+    pub started_unix_ms: u64,
+}
+
+/// A request that wants a target.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Identity; not used again by this process.
+    pub request: RequestId,
+    /// Online or batch.
+    pub class: Class,
+    /// Service asked for.
+    pub service: Name,
+    /// Urgency among online requests; 0 is the highest.
+    pub priority: u32,
+    /// Hash of the prompt's shared beginning, for routing to a target that may have it cached; 0 for none.
+    pub affinity: u64,
+    /// Targets on which it must not be tried again.
+    pub tried: SmallVec<[Name; 2]>,
+    /// Monotonic time: until when an online request may wait for room, or when an item is due.
+    pub until_ms: u64,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target answered, be it with a failure of its own.
+    Answered,
+    /// The target said that it did not run the request.
+    Refused,
+    /// Another target has the address by now.
+    WrongTarget,
+    /// The connection could not be made.
+    Unreachable,
+    /// The request was sent and its answer was lost or cut.
+    Lost,
+    /// The request was sent, and nothing came for too long.
+    Silent,
+    /// Cut on this side: recalled, or its caller has gone.
+    Cut,
+}
+
+/// Load that a target tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Requests of one door at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DoorLoad {
+    /// Target, by [`super::target_key`].
+    pub target: u64,
+    /// Online requests.
+    pub online: u32,
+    /// Items of jobs.
+    pub batch: u32,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// All targets as discovery knows them now.
+    Targets(Vec<TargetEntry>),
+    /// A request wants a target.
+    Ask(Ask),
+    /// The attempt in hand ended; said once for each [`Action::Dispatch`].
+    Ended {
+        /// Which request.
+        request: RequestId,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// A request that waits is given up by its caller.
+    Gone {
+        /// Which request.
+        request: RequestId,
+    },
+    /// A target told its load.
+    Load {
+        /// Which target.
+        target: Name,
+        /// What it said.
+        load: ReportedLoad,
+    },
+    /// Another door tells all of its requests at targets.
+    Peer {
+        /// Which door.
+        door: Name,
+        /// Its requests; targets without any are left out.
+        loads: Vec<DoorLoad>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send the request to a target.
+    Dispatch {
+        /// Which request.
+        request: RequestId,
+        /// Which target.
+        target: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Cut the attempt in hand: online requests need its room.
+    Recall {
+        /// Which request.
+        request: RequestId,
+    },
+    /// The request gets no target; this is final.
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// Why.
+        reason: Refusal,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
--- /dev/null
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -0,0 +1,410 @@
+//! Which target gets a request, now or a little later, and what is refused at once.
+//!
+//! Engines admit requests in order of arrival and know no priorities, so a request that is sent to a full target waits
+//! behind whatever is there. What matters is to know where places are free. Each door counts its own requests exactly
+//! and tells all of them to the other doors of its neighbourhood whenever they change; a target's own word, in the
+//! headers of its answers, shows what no door accounts for. Stale knowledge costs a short wait at a target, never a
+//! wrong answer.
+//!
+//! Online requests go to the nearest free place, then to a place that an item of a job holds, whose door then recalls
+//! the item. Items of jobs start only where some places stay free for online requests.
+
+mod health;
+mod messages;
+mod queue;
+mod target;
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+pub use messages::{
+    Action, Ask, AttemptEnd, DoorLoad, Input, ReportedLoad, TargetEntry, TargetState,
+};
+pub use target::{Distance, Load};
+
+use crate::{
+    Name,
+    dispatch::{Class, Place, RequestId},
+    verdict::Refusal,
+};
+use queue::Queue;
+use target::Target;
+
+/// Requests that may wait at a target beyond its places. With eight places and streams of 0.7 s one ends each 90 ms, so
+/// two waiting requests begin well within an objective of 300 ms.
+const WAITING_AT_TARGET: u32 = 2;
+/// Places of a target that items of jobs leave free, so that the first requests of a burst need no recall.
+const FREE_FOR_ONLINE: u32 = 2;
+/// The same beyond the link between regions, whose bytes are paid for.
+const FREE_FOR_ONLINE_FAR: u32 = 4;
+/// How much more loaded than the least loaded target one may be that probably has the prompt's beginning cached.
+const AFFINITY_SLACK: u32 = 2;
+/// Silence of a door after which its requests count as ended; doors speak at least each 500 ms.
+const PEER_SILENT_MS: u64 = 1_600;
+/// Shortest time to come back after a refusal; below it a caller meets the same full targets.
+const MIN_RETRY_AFTER_MS: u64 = 120;
+/// Longest time to come back after a refusal; paused targets are tried again within it.
+const MAX_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Key by which doors name a target to each other.
+pub fn target_key(name: &str) -> u64 {
+    rapidhash::v3::rapidhash_v3(name.as_bytes())
+}
+
+#[derive(Debug)]
+struct Running {
+    class: Class,
+    target: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heard_ms: u64,
+    targets: Vec<u64>,
+}
+
+/// Requests of one service that wait for room.
+#[derive(Debug, Default)]
+struct ServiceQueues {
+    online: Queue,
+    batch: Queue,
+}
+
+/// How well a target would take an online request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Room {
+    /// A place is free.
+    Free,
+    /// An item of a job holds a place that can be taken back.
+    Recallable,
+    /// The request would wait for another online one.
+    Waiting,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counters {
+    /// Requests sent to a target.
+    pub dispatched: u64,
+    /// Items recalled for online requests.
+    pub recalled: u64,
+    /// Online requests refused because all targets were full.
+    pub refused_full: u64,
+    /// Online requests refused because no target was usable.
+    pub refused_no_target: u64,
+}
+
+/// State of all placing in one process.
+#[derive(Debug)]
+pub struct Placement {
+    own_name: Name,
+    place: Place,
+    targets: BTreeMap<u64, Target>,
+    peers: HashMap<Name, Peer>,
+    running: HashMap<RequestId, Running>,
+    queues: BTreeMap<Name, ServiceQueues>,
+    counters: Counters,
+    changed: bool,
+    rng: SmallRng,
+}
+
+impl Placement {
+    /// Placement without targets: requests wait for the first [`Input::Targets`] and are refused if it is late.
+    pub fn new(own_name: Name, place: Place, seed: u64) -> Placement {
+        Placement {
+            own_name,
+            place,
+            targets: BTreeMap::new(),
+            peers: HashMap::new(),
+            running: HashMap::new(),
+            queues: BTreeMap::new(),
+            counters: Counters::default(),
+            changed: false,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes one event; appends what to do to `out`.
+    pub fn handle(&mut self, now_ms: u64, input: Input, out: &mut Vec<Action>) {
+        match input {
+            Input::Targets(entries) => self.targets(entries),
+            Input::Ask(ask) => self.ask(now_ms, ask, out),
+            Input::Ended { request, end } => self.ended(now_ms, request, end),
+            Input::Gone { request } => {
+                for queues in self.queues.values_mut() {
+                    queues.online.remove(request);
+                    queues.batch.remove(request);
+                }
+            }
+            Input::Load { target, load } => {
+                if let Some(target) = self.targets.get_mut(&target_key(&target)) {
+                    target.reported(now_ms, load);
+                }
+            }
+            Input::Peer { door, loads } => self.peer(now_ms, door, &loads),
+            Input::Tick => self.forget_silent_peers(now_ms),
+        }
+        self.recall(out);
+        self.settle(now_ms, out);
+    }
+
+    /// Own requests at all targets, if they have changed since the last call.
+    pub fn take_changed_loads(&mut self) -> Option<Vec<DoorLoad>> {
+        std::mem::take(&mut self.changed).then(|| self.loads())
+    }
+
+    /// Own requests at all targets.
+    pub fn loads(&self) -> Vec<DoorLoad> {
+        self.targets.iter().filter_map(|(key, it)| it.told(*key)).collect()
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Requests that wait for room: online, batch.
+    pub fn waiting(&self) -> (usize, usize) {
+        let queues = self.queues.values();
+        queues.fold((0, 0), |sum, it| (sum.0 + it.online.len(), sum.1 + it.batch.len()))
+    }
+
+    /// Number of targets that discovery knows.
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
+    fn targets(&mut self, entries: Vec<TargetEntry>) {
+        let mut gone = std::mem::take(&mut self.targets);
+        for entry in entries {
+            let key = target_key(&entry.name);
+            let target = match gone.remove(&key) {
+                Some(mut known) => {
+                    known.update(entry);
+                    known
+                }
+                None => Target::new(entry, &self.place),
+            };
+            self.targets.insert(key, target);
+        }
+        self.changed = true;
+    }
+
+    fn ask(&mut self, now_ms: u64, ask: Ask, out: &mut Vec<Action>) {
+        match ask.class {
+            Class::Batch => self.queues_of(&ask).batch.push(ask),
+            Class::Online => match self.best_online(now_ms, &ask) {
+                Some(key) => self.dispatch(key, &ask, out),
+                None if !self.has_usable(now_ms, &ask) => self.refuse_no_target(now_ms, &ask, out),
+                None => self.queues_of(&ask).online.push(ask),
+            },
+        }
+    }
+
+    fn queues_of(&mut self, ask: &Ask) -> &mut ServiceQueues {
+        self.queues.entry(Name::clone(&ask.service)).or_default()
+    }
+
+    fn ended(&mut self, now_ms: u64, request: RequestId, end: AttemptEnd) {
+        let Some(running) = self.running.remove(&request) else { return };
+        if let Some(target) = self.targets.get_mut(&running.target) {
+            target.end(now_ms, request, running.class, end);
+        }
+        self.changed = true;
+    }
+
+    fn peer(&mut self, now_ms: u64, door: Name, loads: &[DoorLoad]) {
+        if door == self.own_name {
+            return;
+        }
+        let targets = loads.iter().map(|it| it.target).collect();
+        let before = self.peers.insert(Name::clone(&door), Peer { heard_ms: now_ms, targets });
+        for key in before.into_iter().flat_map(|it| it.targets) {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.set_other(&door, Load::default());
+            }
+        }
+        for load in loads {
+            if let Some(target) = self.targets.get_mut(&load.target) {
+                target.set_other(&door, Load { online: load.online, batch: load.batch });
+            }
+        }
+    }
+
+    fn forget_silent_peers(&mut self, now_ms: u64) {
+        let targets = &mut self.targets;
+        self.peers.retain(|door, peer| {
+            let silent = now_ms >= peer.heard_ms + PEER_SILENT_MS;
+            for key in peer.targets.iter().filter(|_| silent) {
+                if let Some(target) = targets.get_mut(key) {
+                    target.set_other(door, Load::default());
+                }
+            }
+            !silent
+        });
+    }
+
+    fn recall(&mut self, out: &mut Vec<Action>) {
+        for target in self.targets.values_mut().filter(|it| it.own().batch > 0) {
+            for request in target.recall(&self.own_name) {
+                self.counters.recalled += 1;
+                out.push(Action::Recall { request });
+            }
+        }
+    }
+
+    /// Gives room to those who wait for it: online requests first.
+    fn settle(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let mut queues = std::mem::take(&mut self.queues);
+        for waiting in queues.values_mut() {
+            self.settle_online(now_ms, &mut waiting.online, out);
+            if waiting.online.is_empty() {
+                self.settle_batch(now_ms, &mut waiting.batch, out);
+            }
+        }
+        self.queues = queues;
+    }
+
+    fn settle_online(&mut self, now_ms: u64, queue: &mut Queue, out: &mut Vec<Action>) {
+        for ask in queue.take_all() {
+            if let Some(key) = self.best_online(now_ms, &ask) {
+                self.dispatch(key, &ask, out);
+            } else if now_ms >= ask.until_ms {
+                self.refuse_full(&ask, out);
+            } else {
+                queue.push(ask);
+            }
+        }
+    }
+
+    // Items have no targets that they must avoid: where the first finds no room, none does.
+    fn settle_batch(&mut self, now_ms: u64, queue: &mut Queue, out: &mut Vec<Action>) {
+        while let Some(ask) = queue.pop_first() {
+            let Some(key) = self.best_batch(now_ms, &ask) else {
+                queue.push(ask);
+                return;
+            };
+            self.dispatch(key, &ask, out);
+        }
+    }
+
+    fn dispatch(&mut self, key: u64, ask: &Ask, out: &mut Vec<Action>) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        target.begin(ask.request, ask.class);
+        self.running.insert(ask.request, Running { class: ask.class, target: key });
+        self.counters.dispatched += 1;
+        self.changed = true;
+        let (target, address) = (Name::clone(&target.entry.name), target.entry.address);
+        out.push(Action::Dispatch { request: ask.request, target, address });
+    }
+
+    /// Targets of the service that take work and were not tried. Paused ones are left out unless all are paused: then
+    /// a guess is better than a refusal.
+    fn usable<'a>(
+        &'a self,
+        now_ms: u64,
+        ask: &'a Ask,
+    ) -> impl Iterator<Item = (u64, &'a Target)> + 'a {
+        let listed = move |target: &Target| {
+            target.entry.service == ask.service
+                && target.entry.state == TargetState::Ready
+                && !ask.tried.contains(&target.entry.name)
+        };
+        let healthy = move |target: &Target| listed(target) && !target.health.is_paused(now_ms);
+        let any_healthy = self.targets.values().any(healthy);
+        let usable = self.targets.iter().map(|(key, it)| (*key, it));
+        usable.filter(move |(_, it)| if any_healthy { healthy(it) } else { listed(it) })
+    }
+
+    fn has_usable(&self, now_ms: u64, ask: &Ask) -> bool {
+        self.usable(now_ms, ask).next().is_some()
+    }
+
+    fn best_online(&mut self, now_ms: u64, ask: &Ask) -> Option<u64> {
+        let ranked: Vec<_> = self
+            .usable(now_ms, ask)
+            .filter(|(_, it)| !it.health.is_full(now_ms))
+            .filter_map(|(key, it)| {
+                let (room, load) = online_room(now_ms, it)?;
+                Some(((room, it.distance), load, key))
+            })
+            .collect();
+        let best = ranked.iter().map(|(rank, ..)| *rank).min()?;
+        let group = ranked.into_iter().filter(|(rank, ..)| *rank == best);
+        let group: Vec<(u32, u64)> = group.map(|(_, load, key)| (load, key)).collect();
+        self.among(ask.affinity, &group)
+    }
+
+    fn best_batch(&mut self, now_ms: u64, ask: &Ask) -> Option<u64> {
+        let free: Vec<_> = self
+            .usable(now_ms, ask)
+            .filter(|(_, it)| !it.health.is_full(now_ms))
+            .filter_map(|(key, it)| {
+                let kept = match it.distance {
+                    Distance::Zone | Distance::Region => FREE_FOR_ONLINE,
+                    Distance::Far => FREE_FOR_ONLINE_FAR,
+                };
+                let total = it.total(now_ms);
+                (total + kept < it.entry.slots.max(kept + 1)).then_some((it.distance, total, key))
+            })
+            .collect();
+        let nearest = free.iter().map(|(distance, ..)| *distance).min()?;
+        let group = free.into_iter().filter(|(distance, ..)| *distance == nearest);
+        let group: Vec<(u32, u64)> = group.map(|(_, total, key)| (total, key)).collect();
+        self.among(ask.affinity, &group)
+    }
+
+    /// One of the least loaded; with an affinity the one among them that all doors prefer for it.
+    fn among(&mut self, affinity: u64, group: &[(u32, u64)]) -> Option<u64> {
+        let least = group.iter().map(|(load, _)| *load).min()?;
+        let slack = if affinity == 0 { 0 } else { AFFINITY_SLACK };
+        let near = group.iter().filter(|(load, _)| *load <= least + slack);
+        if affinity != 0 {
+            return near.map(|(_, key)| *key).max_by_key(|key| preference(affinity, *key));
+        }
+        let near: Vec<u64> = near.map(|(_, key)| *key).collect();
+        Some(near[self.rng.random_range(0..near.len())])
+    }
+
+    fn refuse_full(&mut self, ask: &Ask, out: &mut Vec<Action>) {
+        self.counters.refused_full += 1;
+        // Spread, so that those refused together do not come back together.
+        let retry_after_ms = self.rng.random_range(MIN_RETRY_AFTER_MS..=2 * MIN_RETRY_AFTER_MS);
+        let (request, reason) = (ask.request, Refusal::Overloaded);
+        out.push(Action::Refuse { request, reason, retry_after_ms });
+    }
+
+    fn refuse_no_target(&mut self, now_ms: u64, ask: &Ask, out: &mut Vec<Action>) {
+        self.counters.refused_no_target += 1;
+        let of_service = self.targets.values().filter(|it| it.entry.service == ask.service);
+        let first_back = of_service.map(|it| it.health.paused_until_ms()).min();
+        let retry_after_ms = first_back.map_or(MAX_RETRY_AFTER_MS, |it| it.saturating_sub(now_ms));
+        let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        let (request, reason) = (ask.request, Refusal::NoTarget);
+        out.push(Action::Refuse { request, reason, retry_after_ms });
+    }
+}
+
+/// Room for one more online request, and the load that decides among equals.
+fn online_room(now_ms: u64, target: &Target) -> Option<(Room, u32)> {
+    let slots = target.entry.slots;
+    let total = target.total(now_ms);
+    let load = target.load();
+    if total < slots {
+        Some((Room::Free, total))
+    } else if load.batch > 0 && load.online < slots {
+        Some((Room::Recallable, load.online))
+    } else if total < slots + WAITING_AT_TARGET {
+        Some((Room::Waiting, total))
+    } else {
+        None
+    }
+}
+
+fn preference(affinity: u64, key: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&affinity.to_le_bytes());
+    bytes[8..].copy_from_slice(&key.to_le_bytes());
+    rapidhash::v3::rapidhash_v3(&bytes)
+}
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -28,6 +28,22 @@
     Pace,
     /// The platform's list of hosts, which the doors only read.
     Hosts,
+    /// Addresses of doors, for each other.
+    Door,
+    /// Headers of ordered jobs.
+    OrderedJob,
+    /// Parts of the submissions of ordered jobs.
+    JobPart,
+    /// Segments of the results of ordered jobs.
+    JobSegment,
+    /// Ends of ordered jobs by their callers.
+    JobEnd,
+    /// Routes, as the operators write them.
+    Routes,
+    /// Targets, as they register themselves.
+    Targets,
+    /// Requests to empty a storage host.
+    Retirement,
 }
 
 impl Kind {
@@ -44,6 +60,14 @@
             Kind::Orders => "orders",
             Kind::Pace => "paces",
             Kind::Hosts => "hosts",
+            Kind::Door => "doors",
+            Kind::OrderedJob => "orderedjobs",
+            Kind::JobPart => "jobparts",
+            Kind::JobSegment => "jobsegments",
+            Kind::JobEnd => "jobends",
+            Kind::Routes => "routes",
+            Kind::Targets => "targets",
+            Kind::Retirement => "retirements",
         }
     }
 }
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/events.rs
@@ -0,0 +1,97 @@
+//! Streams of numbered events, cut into whole events.
+//!
+//! A target may stop in the middle of an event. Only whole events are passed on, so that another target can continue
+//! after the last one.
+
+use bytes::{Bytes, BytesMut};
+use hyper::{HeaderMap, header};
+
+/// Content type of an event stream.
+const CONTENT_TYPE: &str = "text/event-stream";
+
+/// Whether an answer is a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE).and_then(|it| it.to_str().ok());
+    content_type.is_some_and(|it| it.starts_with(CONTENT_TYPE))
+}
+
+/// One whole event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes, the blank line that ends it included.
+    pub raw: Bytes,
+    /// Its number, if it has one.
+    pub id: Option<u64>,
+}
+
+impl Event {
+    fn new(raw: Bytes) -> Event {
+        let id = fields(&raw).filter(|(name, _)| *name == b"id").last();
+        let id = id.and_then(|(_, value)| std::str::from_utf8(value).ok()?.trim().parse().ok());
+        Event { raw, id }
+    }
+
+    /// Appends the event's data to a text, after a line feed if the text has some already.
+    pub fn append_data(&self, text: &mut Vec<u8>, is_first: bool) {
+        let mut first = is_first;
+        for (_, data) in fields(&self.raw).filter(|(name, _)| *name == b"data") {
+            if !std::mem::take(&mut first) {
+                text.push(b'\n');
+            }
+            text.extend_from_slice(data);
+        }
+    }
+
+    /// Whether the event carries data.
+    pub fn has_data(&self) -> bool {
+        fields(&self.raw).any(|(name, _)| name == b"data")
+    }
+}
+
+/// Fields of an event: name and value of each line, one space after the colon left out.
+fn fields(raw: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
+    raw.split(|it| *it == b'\n').filter_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let colon = line.iter().position(|it| *it == b':')?;
+        let (name, value) = (&line[..colon], &line[colon + 1..]);
+        Some((name, value.strip_prefix(b" ").unwrap_or(value)))
+    })
+}
+
+/// Cuts bytes as they arrive into whole events.
+#[derive(Debug, Default)]
+pub struct EventBuffer {
+    rest: BytesMut,
+}
+
+impl EventBuffer {
+    /// Adds bytes.
+    pub fn push(&mut self, data: &[u8]) {
+        self.rest.extend_from_slice(data);
+    }
+
+    /// Whether a whole event has arrived.
+    pub fn has_event(&self) -> bool {
+        end_of_event(&self.rest).is_some()
+    }
+
+    /// Next whole event.
+    pub fn next(&mut self) -> Option<Event> {
+        let end = end_of_event(&self.rest)?;
+        Some(Event::new(self.rest.split_to(end).freeze()))
+    }
+
+    /// Takes the bytes after the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.rest.split().freeze()
+    }
+}
+
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let feeds = bytes.iter().enumerate().filter(|(_, it)| **it == b'\n').map(|(at, _)| at);
+    feeds.into_iter().find_map(|at| match &bytes[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] => Some(at + 3),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/front/answers.rs
@@ -0,0 +1,38 @@
+//! Answers of the gateway itself, as opposed to those of targets.
+
+use hyper::{
+    Response, StatusCode,
+    header::{self, HeaderValue},
+};
+use samphiredoor_core::verdict::{Doubt, Refusal};
+use samphiredoor_net::Body;
+use serde_json::json;
+
+/// Answer with a short text.
+pub fn plain(status: StatusCode, message: &str) -> Response<Body> {
+    let text = json!({ "error": message }).to_string();
+    let mut response = Response::new(Body::full(text));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Answer that promises that the request has not run, with the time to come back, in milliseconds.
+pub fn refused(reason: Refusal, retry_after_ms: u64) -> Response<Body> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason.label());
+    let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Answer to a request that may have run.
+pub fn in_doubt(reason: Doubt) -> Response<Body> {
+    let status = match reason {
+        Doubt::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    plain(status, reason.label())
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -0,0 +1,163 @@
+//! One attempt of a request at one target, up to its first piece.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, header::HeaderValue, http::response};
+use samphiredoor_core::{Name, placement::AttemptEnd, verdict::Doubt};
+use samphiredoor_net::pool::{Answer, SendError, within};
+
+use crate::{
+    edge::HeaderNames,
+    events::{EventBuffer, is_event_stream},
+    target_client::{Call, TargetClient},
+};
+
+/// Bytes of an answer that is held whole before it is passed on.
+pub const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
+/// A stream that has begun.
+pub struct Begun {
+    /// Rest of the answer.
+    pub body: Answer,
+    /// What has arrived, at least one whole event.
+    pub events: EventBuffer,
+}
+
+/// What became of an attempt.
+pub enum Attempt {
+    /// A stream of events has begun.
+    Stream(Box<response::Parts>, Begun),
+    /// A whole answer.
+    Whole(Box<response::Parts>, bytes::Bytes),
+    /// It is certain that the target did not run it.
+    NotRun(AttemptEnd),
+    /// The target may have run it.
+    Doubt(AttemptEnd, Doubt),
+}
+
+/// How long an attempt may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// When the request is of no use any more.
+    pub deadline: Instant,
+    /// Longest silence of the target, where the request can be sent to another one.
+    pub silence: Duration,
+}
+
+impl Patience {
+    /// Time until the deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// What a wait that was too long means.
+    pub fn over(&self) -> (AttemptEnd, Doubt) {
+        match self.left().is_zero() {
+            true => (AttemptEnd::Cut, Doubt::DeadlinePassed),
+            false => (AttemptEnd::Silent, Doubt::ConnectionLost),
+        }
+    }
+
+    /// Longest wait for the next piece.
+    pub fn wait(&self) -> Duration {
+        self.left().min(self.silence)
+    }
+}
+
+/// Sends a call to a target and waits for the beginning of its answer.
+pub async fn attempt(
+    client: &TargetClient,
+    names: &HeaderNames,
+    (target, address): (&Name, SocketAddr),
+    call: &mut Call,
+    patience: Patience,
+) -> Attempt {
+    set_headers(call, names, target, patience);
+    let response = match within(patience.wait(), client.send(target, address, call)).await {
+        Some(Ok(response)) => response,
+        Some(Err(SendError::NotSent(err))) => {
+            log::info!(target = &**target, problem:% = err; "target: not reached");
+            return Attempt::NotRun(AttemptEnd::Unreachable);
+        }
+        Some(Err(SendError::MayHaveRun(err))) => {
+            log::info!(target = &**target, problem:% = err; "target: answer lost");
+            return Attempt::Doubt(AttemptEnd::Lost, Doubt::ConnectionLost);
+        }
+        None => {
+            let (end, doubt) = patience.over();
+            return Attempt::Doubt(end, doubt);
+        }
+    };
+    if let Some(end) = not_run(names, &response) {
+        return Attempt::NotRun(end);
+    }
+    read(response, patience).await
+}
+
+fn set_headers(call: &mut Call, names: &HeaderNames, target: &Name, patience: Patience) {
+    let left_ms = patience.left().as_millis() as u64;
+    call.headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+    match HeaderValue::from_str(target) {
+        Ok(target) => {
+            call.headers.insert(names.expect_target.clone(), target);
+        }
+        // Names come from the store; one that fits into no header is refused where entries are read.
+        Err(err) => log::error!(target = &**target, problem:% = err; "target: name not sent"),
+    }
+}
+
+/// Whether the target says that it did not run the request.
+fn not_run(names: &HeaderNames, response: &Response<Answer>) -> Option<AttemptEnd> {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Some(AttemptEnd::WrongTarget);
+    }
+    response.headers().contains_key(&names.not_run).then_some(AttemptEnd::Refused)
+}
+
+async fn read(response: Response<Answer>, patience: Patience) -> Attempt {
+    let (parts, body) = response.into_parts();
+    if parts.status.is_success() && is_event_stream(&parts.headers) {
+        return first_event(Box::new(parts), body, patience).await;
+    }
+    let whole = samphiredoor_net::body::read_whole(body, MAX_WHOLE_BYTES);
+    match within(patience.left(), whole).await {
+        Some(Ok(body)) => Attempt::Whole(Box::new(parts), body),
+        Some(Err(_)) => Attempt::Doubt(AttemptEnd::Lost, Doubt::AnswerCut),
+        None => Attempt::Doubt(AttemptEnd::Cut, Doubt::DeadlinePassed),
+    }
+}
+
+/// Waits for a stream's first event. Until then nothing has reached the caller, so that a request that may run twice
+/// can still be sent to another target.
+async fn first_event(parts: Box<response::Parts>, mut body: Answer, patience: Patience) -> Attempt {
+    let mut events = EventBuffer::default();
+    loop {
+        match next_piece(&mut body, patience).await {
+            Ok(Some(data)) => {
+                events.push(&data);
+                if events.has_event() {
+                    return Attempt::Stream(parts, Begun { body, events });
+                }
+            }
+            Ok(None) => return Attempt::Whole(parts, events.take_rest()),
+            Err((end, doubt)) => return Attempt::Doubt(end, doubt),
+        }
+    }
+}
+
+/// Next piece of an answer; `None` at the end of its framing.
+pub async fn next_piece(
+    body: &mut Answer,
+    patience: Patience,
+) -> Result<Option<bytes::Bytes>, (AttemptEnd, Doubt)> {
+    match within(patience.wait(), body.frame()).await {
+        Some(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        Some(Some(Err(_))) => Err((AttemptEnd::Lost, Doubt::AnswerCut)),
+        Some(None) => Ok(None),
+        None => Err(patience.over()),
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -0,0 +1,135 @@
+//! The callers' door: reads a request, finds its route, and hands it to whatever answers it.
+
+mod answers;
+mod attempt;
+mod online;
+mod passing;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
+use samphiredoor_core::{
+    routes::{RouteKind, RouteTable},
+    verdict::Refusal,
+};
+use samphiredoor_net::{
+    Body,
+    body::{ReadError, read_whole},
+    clock::Clock,
+    pool::within,
+};
+
+pub use answers::{plain, refused};
+
+use crate::{
+    edge::Dialect,
+    jobs::{Jobs, Submitted},
+    metrics::Metrics,
+    placement::Placer,
+    routes::Routes,
+    target_client::TargetClient,
+};
+use online::Online;
+
+/// Longest wait for a whole body, beyond the operators' bound on the pauses within it.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When to come back to a process that knows no routes yet: it asks the store more often than this.
+const NOT_READY_RETRY_MS: u64 = 300;
+
+/// What answers callers.
+pub struct Front {
+    /// Names and formats.
+    pub dialect: Rc<dyn Dialect>,
+    /// Routes in force.
+    pub routes: Routes,
+    /// Places at targets.
+    pub placer: Placer,
+    /// Connections to targets.
+    pub targets: TargetClient,
+    /// Batch jobs.
+    pub jobs: Jobs,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Online requests that are being answered.
+    pub open: Rc<Cell<usize>>,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(front: Rc<Front>, request: Request<Incoming>) -> Response<Body> {
+    let id = request.headers().get(&front.dialect.headers().request_id).cloned();
+    let mut response = dispatch(&front, request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(front.dialect.headers().request_id.clone(), id);
+    }
+    response
+}
+
+async fn dispatch(front: &Rc<Front>, request: Request<Incoming>) -> Response<Body> {
+    if let Some(call) = front.dialect.job_call(request.method(), request.uri()) {
+        let wait = wait_of(&*front.dialect, request.headers());
+        return front.jobs.answer(call, wait).await;
+    }
+    let Some(table) = front.routes.current() else {
+        front.metrics.refused(Refusal::NotReady);
+        return refused(Refusal::NotReady, NOT_READY_RETRY_MS);
+    };
+    let host = host_of(&request).unwrap_or_default().to_owned();
+    let Some(route) = table.find(&host, request.uri().path()).cloned() else {
+        log::info!(host, path = request.uri().path(), routes_version = table.version; "front: no route");
+        return plain(StatusCode::NOT_FOUND, "no route serves this host and path");
+    };
+    let (parts, body) = request.into_parts();
+    let body = match read_body(&table, body).await {
+        Ok(body) => body,
+        Err(answer) => return *answer,
+    };
+    match route.kind {
+        RouteKind::Batch(rule) => {
+            let id = parts.headers.get(&front.dialect.headers().request_id);
+            let Some(job) = id.and_then(|it| it.to_str().ok()) else {
+                return plain(StatusCode::BAD_REQUEST, "a submission needs an id");
+            };
+            let path = parts.uri.path().to_owned();
+            front.jobs.submit(Submitted { job: job.into(), host, path, rule, body }).await
+        }
+        RouteKind::Repeatable | RouteKind::Once | RouteKind::Stream { .. } => {
+            Online::new(Rc::clone(front), route, parts, body).answer().await
+        }
+    }
+}
+
+async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Box<Response<Body>>> {
+    match within(BODY_TIMEOUT, read_whole(body, table.limits.body_bytes)).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(ReadError::TooLarge)) => {
+            Err(Box::new(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is above the limit")))
+        }
+        Some(Err(ReadError::Cut(err))) => {
+            log::info!(problem:% = err; "front: body cut");
+            Err(Box::new(plain(StatusCode::BAD_REQUEST, "the body was cut")))
+        }
+        None => Err(Box::new(plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"))),
+    }
+}
+
+fn host_of<B>(request: &Request<B>) -> Option<&str> {
+    let header = request.headers().get(header::HOST).and_then(|it| it.to_str().ok());
+    header.or_else(|| request.uri().host())
+}
+
+fn wait_of(dialect: &dyn Dialect, headers: &HeaderMap) -> Duration {
+    let wait_ms = header_number(headers.get(&dialect.headers().wait_ms));
+    Duration::from_millis(wait_ms.unwrap_or(0))
+}
+
+/// Number that a header holds, if it does.
+fn header_number(value: Option<&HeaderValue>) -> Option<u64> {
+    value?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -0,0 +1,494 @@
+//! The task that owns one job: it runs the items, appends their results, and answers readers.
+//!
+//! Everything that must hold rests on the log's conditional creates. The task only works while it believes that the job
+//! is its own; a wrong belief costs runs.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use compio::runtime::JoinHandle;
+use samphiredoor_core::{
+    ordered::{
+        Item, ItemEnd, ItemResult, ItemStep, Items, JobHeader, JobName, LogStep, ResultLog,
+        header_key, read_header,
+    },
+    store::{Labels, StoreAnswer, StoreOp, Version},
+};
+use samphiredoor_net::pool::within;
+
+use super::{JobEnv, STORE_PAUSE, directory::Directory, item_run, submit::until};
+use crate::edge::ResultsPage;
+
+/// Time that a result waits for others before it is written. Callers ask twice a second; a write costs as much as a
+/// hundredth of an item.
+const GATHER: Duration = Duration::from_millis(250);
+/// How long a finished job is kept in memory for those who read it; later reads come from the store.
+const LINGER: Duration = Duration::from_secs(12);
+/// Bytes of texts in one page of results.
+const PAGE_BYTES: usize = 900_000;
+/// How long runs may go on after a planned stop has begun, if they are all that is left of a job.
+const STOP_RUNS: Duration = Duration::from_millis(3_500);
+const FOREVER: Duration = Duration::from_secs(3_600);
+
+/// A job that this process owns.
+pub struct OwnedJob {
+    /// Name.
+    pub job: JobName,
+    /// Header as it stands.
+    pub header: JobHeader,
+    /// Version of the header.
+    pub version: Version,
+}
+
+/// What a job's task is told.
+pub enum JobMessage {
+    /// Read results.
+    Read {
+        /// Number of results that the reader has.
+        after: usize,
+        /// Until when to wait for one more.
+        until: Instant,
+        /// Where the answer goes.
+        reply: flume::Sender<ReadReply>,
+    },
+    /// Read an item as it was submitted, unless its result stands.
+    Item {
+        /// Name of the item.
+        id: String,
+        /// Where the answer goes.
+        reply: flume::Sender<Option<Arc<Item>>>,
+    },
+    /// A run of an item ended.
+    RunEnded {
+        /// Which item.
+        item: u32,
+        /// How.
+        end: ItemEnd,
+    },
+    /// The log's call was answered.
+    Stored(StoreAnswer),
+    /// The header was read, to see whose the job is.
+    Header(StoreAnswer),
+    /// The last write of the header was answered.
+    HeaderWritten(StoreAnswer),
+    /// The caller has ended the job.
+    Ended,
+    /// Another process owns the job.
+    Lost,
+    /// A planned stop has begun.
+    Release,
+}
+
+/// Answer to a reader.
+pub enum ReadReply {
+    /// Results.
+    Page(ResultsPage),
+    /// The reader knows more than this process: read the store.
+    Elsewhere,
+}
+
+struct Reader {
+    after: usize,
+    until: Instant,
+    reply: flume::Sender<ReadReply>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Items run.
+    Working,
+    /// Nothing new is run; what is left of the runs is awaited until then.
+    Releasing(Instant),
+    /// All results stand, or the caller has ended it; the header is being written.
+    Closing,
+    /// Only readers are answered, until then.
+    Lingering(Instant),
+    /// The task ends.
+    Over,
+}
+
+/// The task of one job.
+pub struct JobTask {
+    env: Rc<JobEnv>,
+    owned: OwnedJob,
+    items: Items,
+    log: ResultLog,
+    messages: flume::Sender<JobMessage>,
+    runs: HashMap<u32, JoinHandle<()>>,
+    again: Vec<(Instant, u32)>,
+    readers: Vec<Reader>,
+    phase: Phase,
+    calling: bool,
+    write_at: Option<Instant>,
+    give_up_at: Instant,
+    due_at_ms: u64,
+    started: bool,
+}
+
+impl JobTask {
+    /// Task of a job; `messages` is its own inbox.
+    pub fn new(
+        env: Rc<JobEnv>,
+        owned: OwnedJob,
+        items: Items,
+        log: ResultLog,
+        messages: flume::Sender<JobMessage>,
+    ) -> JobTask {
+        let give_up_at = Instant::now() + until(&env, owned.header.give_up_unix_ms);
+        let due_in = until(&env, owned.header.due_unix_ms).as_millis() as u64;
+        let due_at_ms = env.clock.now().mono_ms + due_in;
+        JobTask {
+            env,
+            owned,
+            items,
+            log,
+            messages,
+            runs: HashMap::new(),
+            again: Vec::new(),
+            readers: Vec::new(),
+            phase: Phase::Working,
+            calling: false,
+            write_at: None,
+            give_up_at,
+            due_at_ms,
+            started: false,
+        }
+    }
+
+    /// Works until the job is over, lost or handed over.
+    pub async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
+        self.proceed();
+        while self.phase != Phase::Over {
+            let left = self.next_time().saturating_duration_since(Instant::now());
+            match within(left, inbox.recv_async()).await {
+                Some(Ok(message)) => self.take(message),
+                Some(Err(_)) => break,
+                None => {}
+            }
+            self.proceed();
+        }
+        directory.close(&self.owned.job);
+        for reader in self.readers.drain(..) {
+            // A reader that has gone needs no answer.
+            let _ = reader.reply.send(ReadReply::Elsewhere);
+        }
+    }
+
+    fn take(&mut self, message: JobMessage) {
+        match message {
+            JobMessage::Read { after, until, reply } => {
+                self.readers.push(Reader { after, until, reply });
+            }
+            JobMessage::Item { id, reply } => {
+                let found = self.items.find(&id).filter(|(item, _)| !self.log.is_decided(*item));
+                let _ = reply.send(found.map(|(_, it)| Arc::clone(it)));
+            }
+            JobMessage::RunEnded { item, end } => self.run_ended(item, end),
+            JobMessage::Stored(answer) => self.stored(&answer),
+            JobMessage::Header(answer) => self.header_read(&answer),
+            JobMessage::HeaderWritten(answer) => self.header_written(&answer),
+            JobMessage::Ended => self.ended(),
+            JobMessage::Lost => self.lost(),
+            JobMessage::Release => self.release(),
+        }
+    }
+
+    /// Does what time and state ask for.
+    fn proceed(&mut self) {
+        let now = Instant::now();
+        if self.phase == Phase::Working {
+            self.start_items();
+            self.run_again(now);
+            if now >= self.give_up_at {
+                self.give_up_rest();
+            }
+        }
+        self.step_log(now);
+        self.answer_readers(now);
+        match self.phase {
+            Phase::Working if self.is_complete() => self.close("finished"),
+            Phase::Releasing(until) => self.hand_over(now, until),
+            Phase::Lingering(until) if now >= until => self.phase = Phase::Over,
+            _ => {}
+        }
+    }
+
+    fn next_time(&self) -> Instant {
+        let phase = match self.phase {
+            Phase::Working => Some(self.give_up_at),
+            Phase::Releasing(until) | Phase::Lingering(until) => Some(until),
+            Phase::Closing | Phase::Over => None,
+        };
+        let again = self.again.iter().map(|(at, _)| *at).min();
+        let reader = self.readers.iter().map(|it| it.until).min();
+        let times = [phase, again, reader, self.write_at];
+        times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FOREVER)
+    }
+
+    fn is_complete(&self) -> bool {
+        self.log.standing().len() as u32 == self.items.len()
+    }
+
+    // Runs
+
+    fn start_items(&mut self) {
+        if self.started || !self.log.is_read() {
+            return;
+        }
+        self.started = true;
+        let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.is_decided(*it)).collect();
+        for item in open {
+            self.start_run(item);
+        }
+    }
+
+    fn start_run(&mut self, number: u32) {
+        let Some(item) = self.items.get(number) else { return };
+        let run = item_run::ItemRun {
+            env: Rc::clone(&self.env),
+            job: JobName::clone(&self.owned.job),
+            host: self.owned.header.host.clone(),
+            route_path: self.owned.header.path.clone(),
+            item: Arc::clone(item),
+            due_at_ms: self.due_at_ms,
+            give_up_at: self.give_up_at,
+        };
+        let messages = self.messages.clone();
+        let handle = compio::runtime::spawn(async move {
+            let end = run.run().await;
+            // Fails only when the job's task has ended, which needs no result any more.
+            let _ = messages.send(JobMessage::RunEnded { item: number, end });
+        });
+        self.runs.insert(number, handle);
+    }
+
+    fn run_again(&mut self, now: Instant) {
+        let (ready, later): (Vec<_>, Vec<_>) = self.again.drain(..).partition(|(at, _)| *at <= now);
+        self.again = later;
+        for (_, item) in ready {
+            self.start_run(item);
+        }
+    }
+
+    fn run_ended(&mut self, item: u32, end: ItemEnd) {
+        self.runs.remove(&item);
+        if self.log.is_decided(item) || matches!(self.phase, Phase::Closing | Phase::Lingering(_)) {
+            return;
+        }
+        match self.items.ended(item, end) {
+            ItemStep::Record(result) => self.record(result),
+            ItemStep::Again { pause_ms } => {
+                self.again.push((Instant::now() + Duration::from_millis(pause_ms), item));
+            }
+        }
+    }
+
+    fn record(&mut self, result: ItemResult) {
+        self.log.push(result);
+        let is_last = self.runs.is_empty() && self.again.is_empty();
+        let pause = if is_last { Duration::ZERO } else { GATHER };
+        self.write_at.get_or_insert(Instant::now() + pause);
+        if is_last {
+            self.write_at = Some(Instant::now());
+        }
+    }
+
+    fn give_up_rest(&mut self) {
+        self.runs.clear();
+        self.again.clear();
+        self.give_up_at = Instant::now() + FOREVER;
+        for item in 0..self.items.len() {
+            if let ItemStep::Record(result) = self.items.give_up(item)
+                && !self.log.is_decided(item)
+            {
+                log::warn!(job = &*self.owned.job, item = &*result.id; "job: item given up, its time is over");
+                self.record(result);
+            }
+        }
+    }
+
+    // Results
+
+    fn step_log(&mut self, now: Instant) {
+        let due = self.write_at.is_some_and(|it| it <= now);
+        let reading = !self.log.is_read() && self.write_at.is_none();
+        let active = !matches!(self.phase, Phase::Closing | Phase::Lingering(_) | Phase::Over);
+        if self.calling || !active || !(due || reading) {
+            return;
+        }
+        self.write_at = None;
+        let step = self.log.step();
+        self.make_step(step);
+    }
+
+    fn make_step(&mut self, step: LogStep) {
+        match step {
+            LogStep::Store(op) => {
+                self.calling = true;
+                self.call(op, JobMessage::Stored);
+            }
+            LogStep::Pause => self.write_at = Some(Instant::now() + STORE_PAUSE),
+            LogStep::Idle => {}
+        }
+    }
+
+    fn call(&self, op: StoreOp, message: fn(StoreAnswer) -> JobMessage) {
+        let (env, messages) = (Rc::clone(&self.env), self.messages.clone());
+        compio::runtime::spawn(async move {
+            let answer = env.call(op).await;
+            // Fails only when the job's task has ended.
+            let _ = messages.send(message(answer));
+        })
+        .detach();
+    }
+
+    fn stored(&mut self, answer: &StoreAnswer) {
+        self.calling = false;
+        let before = self.log.standing().len();
+        let step = self.log.answered(answer);
+        // Results that have come meanwhile wait for others again.
+        match step {
+            LogStep::Store(StoreOp::Create { .. }) => {
+                self.write_at.get_or_insert(Instant::now() + GATHER / 2);
+            }
+            step => self.make_step(step),
+        }
+        let standing = self.log.standing().len();
+        if standing > before {
+            log::info!(job = &*self.owned.job, standing, items = self.items.len(); "job: results stand");
+        }
+        if self.log.take_foreign() && self.started {
+            self.call(StoreOp::Get { key: header_key(&self.owned.job) }, JobMessage::Header);
+        }
+    }
+
+    fn header_read(&mut self, answer: &StoreAnswer) {
+        let StoreAnswer::Object(stored) = answer else { return };
+        match read_header(stored) {
+            Ok(header) if !self.env.owns(&header.owner) => self.lost(),
+            Ok(_) => {}
+            Err(fault) => {
+                log::warn!(job = &*self.owned.job, fault:% = fault; "job: header cannot be read");
+            }
+        }
+    }
+
+    fn answer_readers(&mut self, now: Instant) {
+        if !self.log.is_read() && !self.started {
+            return;
+        }
+        let readers = std::mem::take(&mut self.readers);
+        for reader in readers {
+            let standing = self.log.standing().len();
+            let is_final = standing as u32 == self.items.len() || self.phase == Phase::Closing;
+            if reader.after > standing {
+                let _ = reader.reply.send(ReadReply::Elsewhere);
+            } else if reader.after < standing || is_final || now >= reader.until {
+                let _ = reader.reply.send(ReadReply::Page(self.page(reader.after)));
+            } else {
+                self.readers.push(reader);
+            }
+        }
+    }
+
+    fn page(&self, after: usize) -> ResultsPage {
+        let results = page_of(&self.log.standing()[after..]);
+        ResultsPage { total: self.items.len() as usize, next: after + results.len(), results }
+    }
+
+    // The end
+
+    fn ended(&mut self) {
+        if matches!(self.phase, Phase::Working | Phase::Releasing(_)) {
+            self.stop_runs();
+            self.close("ended");
+        }
+    }
+
+    fn lost(&mut self) {
+        log::info!(job = &*self.owned.job; "job: another process owns it");
+        self.env.metrics.job("lost");
+        self.stop_runs();
+        self.phase = Phase::Over;
+    }
+
+    fn stop_runs(&mut self) {
+        self.runs.clear();
+        self.again.clear();
+    }
+
+    /// Marks the job as one that nobody needs to take.
+    fn close(&mut self, how: &'static str) {
+        log::info!(job = &*self.owned.job, how, results = self.log.standing().len(); "job: closed");
+        self.env.metrics.job(how);
+        self.phase = Phase::Closing;
+        self.owned.header.finished = true;
+        self.write_header();
+    }
+
+    fn release(&mut self) {
+        if self.phase != Phase::Working {
+            return;
+        }
+        let waiting = !self.started || !self.again.is_empty();
+        let until = if waiting { Instant::now() } else { Instant::now() + STOP_RUNS };
+        self.phase = Phase::Releasing(until);
+    }
+
+    fn hand_over(&mut self, now: Instant, until: Instant) {
+        if self.is_complete() {
+            return self.close("finished");
+        }
+        if now < until {
+            return;
+        }
+        self.stop_runs();
+        if self.calling || !self.log.is_settled() && self.write_at.is_some() {
+            self.phase = Phase::Releasing(now + STORE_PAUSE);
+            return;
+        }
+        log::info!(job = &*self.owned.job; "job: handed over");
+        self.env.metrics.job("handed_over");
+        self.phase = Phase::Closing;
+        self.owned.header.owner.process.clear();
+        self.write_header();
+    }
+
+    fn write_header(&self) {
+        let (key, version) = (header_key(&self.owned.job), self.owned.version);
+        let (labels, value) = (Labels::new(), self.owned.header.value());
+        self.call(StoreOp::Update { key, version, labels, value }, JobMessage::HeaderWritten);
+    }
+
+    fn header_written(&mut self, answer: &StoreAnswer) {
+        let handed_over = self.owned.header.owner.process.is_empty();
+        match answer {
+            StoreAnswer::Object(_) if handed_over => {
+                self.phase = Phase::Over;
+                let (env, job) = (Rc::clone(&self.env), JobName::clone(&self.owned.job));
+                compio::runtime::spawn(super::sweep::offer(env, job)).detach();
+            }
+            // In doubt or refused: a job that stays marked as open is only looked at once more by a later owner.
+            _ if handed_over => self.phase = Phase::Over,
+            StoreAnswer::Unavailable | StoreAnswer::Unknown => {
+                log::info!(job = &*self.owned.job; "job: not marked as finished");
+                self.phase = Phase::Lingering(Instant::now() + LINGER);
+            }
+            _ => self.phase = Phase::Lingering(Instant::now() + LINGER),
+        }
+    }
+}
+
+/// As many results as fit into one page, at least one if there is one.
+pub fn page_of(results: &[ItemResult]) -> Vec<ItemResult> {
+    let mut bytes = 0;
+    let fitting = results.iter().enumerate().take_while(|(index, it)| {
+        bytes += it.text.len();
+        *index == 0 || bytes <= PAGE_BYTES
+    });
+    fitting.map(|(_, it)| it.clone()).collect()
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -0,0 +1,89 @@
+//! Batch jobs: taken once, run by one gateway, readable at all.
+//!
+//! `submit` makes a job durable, `job_task` owns it, `item_run` runs one item, `reads` answers callers about it,
+//! `stored` reads what the store has of it, `sweep` takes jobs whose owner is gone, and `ends` hears of those that their
+//! callers ended.
+
+mod directory;
+mod ends;
+mod item_run;
+mod job_task;
+mod reads;
+mod stored;
+mod submit;
+mod sweep;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use samphiredoor_core::{
+    Name,
+    dispatch::Place,
+    ordered::JobOwner,
+    store::{StoreAnswer, StoreOp},
+};
+use samphiredoor_net::clock::Clock;
+
+pub use reads::Jobs;
+pub use submit::Submitted;
+
+use crate::{
+    edge::Platform, metrics::Metrics, peers::Roster, placement::Placer, routes::Routes,
+    target_client::TargetClient,
+};
+use directory::Directory;
+use stored::StoredJobs;
+
+/// Pause before a store call is made again that had no usable answer.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the parts that work on jobs share: handles, no state of their own.
+pub struct JobEnv {
+    /// Name of the process.
+    pub name: Name,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub place: Place,
+    /// The platform.
+    pub platform: Platform,
+    /// Routes in force.
+    pub routes: Routes,
+    /// Places at targets.
+    pub placer: Placer,
+    /// Connections to targets.
+    pub targets: TargetClient,
+    /// Other gateways.
+    pub roster: Roster,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// How long a job is kept after its submission.
+    pub keep: Duration,
+    /// Whether a planned stop is under way.
+    pub stopping: Rc<Cell<bool>>,
+}
+
+impl JobEnv {
+    fn owner(&self) -> JobOwner {
+        JobOwner { process: self.name.to_string(), incarnation: self.incarnation }
+    }
+
+    fn owns(&self, owner: &JobOwner) -> bool {
+        *owner == self.owner()
+    }
+
+    async fn call(&self, op: StoreOp) -> StoreAnswer {
+        self.platform.store.call(op).await
+    }
+}
+
+/// Starts everything that works on jobs.
+pub fn start(env: JobEnv, ends: crate::watch::Follower) -> Jobs {
+    let env = Rc::new(env);
+    let directory = Directory::default();
+    let stored = StoredJobs::new(Rc::clone(&env));
+    compio::runtime::spawn(ends::run(directory.clone(), ends)).detach();
+    compio::runtime::spawn(sweep::run(Rc::clone(&env), directory.clone(), stored.clone())).detach();
+    Jobs::new(env, directory, stored)
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -0,0 +1,363 @@
+//! Calls about jobs, at the process that owns the job and at all others.
+//!
+//! The owner has everything in memory, so others pass the call on to it. Where it is gone, cut off or has lost the job,
+//! the store tells what stands; it alone says that there is no such job.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Response, StatusCode, Uri, header};
+use samphiredoor_core::{
+    ordered::{JobHeader, JobName, end_key},
+    store::{Labels, StoreAnswer, StoreOp, Value},
+    verdict::Refusal,
+};
+use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
+
+use super::{
+    JobEnv, STORE_PAUSE,
+    directory::Directory,
+    job_task::{JobMessage, ReadReply},
+    stored::{StoredJobs, Unread},
+    submit::{self, Submitted},
+    sweep,
+};
+use crate::{
+    edge::{JobCall, ResultsPage},
+    front::{plain, refused},
+    peers::Liveness,
+};
+
+/// Longest wait for a result, whatever the caller asks for.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// Time beyond the wait within which another gateway answers.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a connection to another gateway.
+const PEER_CONNECT: Duration = Duration::from_millis(250);
+/// Longest answer of another gateway.
+const MAX_PEER_BYTES: usize = 4 * 1024 * 1024;
+/// Pause between two reads of the store for one waiting reader; callers ask about twice a second.
+const STORE_WAIT: Duration = Duration::from_millis(500);
+/// When to come back if the store is of no help.
+const RETRY_AFTER_MS: u64 = 300;
+/// Calls for the end of a job until it is left to the caller.
+const END_TRIES: u32 = 3;
+
+/// Handle by which callers and other gateways reach the jobs.
+#[derive(Clone)]
+pub struct Jobs {
+    env: Rc<JobEnv>,
+    directory: Directory,
+    stored: StoredJobs,
+    pools: Rc<RefCell<HashMap<SocketAddr, Pool>>>,
+}
+
+impl Jobs {
+    pub(super) fn new(env: Rc<JobEnv>, directory: Directory, stored: StoredJobs) -> Jobs {
+        Jobs { env, directory, stored, pools: Rc::default() }
+    }
+
+    /// Accepts a submission.
+    pub async fn submit(&self, submitted: Submitted) -> Response<Body> {
+        submit::submit(&self.env, &self.directory, submitted).await
+    }
+
+    /// Answers a caller.
+    pub async fn answer(&self, call: JobCall, wait: Duration) -> Response<Body> {
+        let wait = wait.min(LONGEST_WAIT);
+        let until = Instant::now() + wait;
+        match call {
+            JobCall::Read { job, after } => self.read(&job, after, until).await,
+            JobCall::Body { job, item } => self.body(&job, &item).await,
+            JobCall::End { job } => self.end(&job).await,
+        }
+    }
+
+    /// Answers another gateway: from what is here, or from the store.
+    pub async fn answer_peer(&self, method: &Method, uri: &Uri) -> Response<Body> {
+        let Some(call) = PeerCall::parse(method, uri) else {
+            return plain(StatusCode::NOT_FOUND, "no such call");
+        };
+        match call {
+            PeerCall::Read { job, after, wait_ms } => {
+                let until = Instant::now() + Duration::from_millis(wait_ms).min(LONGEST_WAIT);
+                match self.read_here(&job, after, until).await {
+                    Some(page) => self.page_answer(&page),
+                    None => self.read_store(&job, after, until).await,
+                }
+            }
+            PeerCall::Item { job, item } => match self.item_here(&job, &item).await {
+                Some(answer) => answer,
+                None => self.item_from_store(&job, &item).await,
+            },
+            PeerCall::Ended { job } => {
+                self.directory.tell(&job, JobMessage::Ended);
+                plain(StatusCode::OK, "heard")
+            }
+            PeerCall::Offer { job } => {
+                let (env, directory, stored) =
+                    (Rc::clone(&self.env), self.directory.clone(), self.stored.clone());
+                compio::runtime::spawn(async move {
+                    sweep::take_if_free(&env, &directory, &stored, &job).await;
+                })
+                .detach();
+                plain(StatusCode::OK, "heard")
+            }
+        }
+    }
+
+    /// Hands all jobs over, and waits until that is done or `limit` is over.
+    pub async fn release(&self, limit: Duration) {
+        self.directory.release_all();
+        let until = Instant::now() + limit;
+        while self.directory.len() > 0 && Instant::now() < until {
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn read(&self, job: &JobName, after: usize, until: Instant) -> Response<Body> {
+        if let Some(page) = self.read_here(job, after, until).await {
+            return self.page_answer(&page);
+        }
+        let header = match self.stored.header(job).await {
+            Ok(header) => header,
+            Err(unread) => return unread_answer(unread),
+        };
+        if let Some(address) = self.owner_elsewhere(&header) {
+            let wait = until.saturating_duration_since(Instant::now());
+            let call = PeerCall::Read { job: job.clone(), after, wait_ms: wait.as_millis() as u64 };
+            if let Some(answer) = self.ask_peer(address, &call, wait + PEER_TIMEOUT).await {
+                return answer;
+            }
+            // The owner may be another one by now.
+            if let Err(unread) = self.stored.current_header(job).await {
+                return unread_answer(unread);
+            }
+        }
+        self.read_store(job, after, until).await
+    }
+
+    async fn read_here(&self, job: &str, after: usize, until: Instant) -> Option<ResultsPage> {
+        let (reply, answer) = flume::bounded(1);
+        if !self.directory.tell(job, JobMessage::Read { after, until, reply }) {
+            return None;
+        }
+        match answer.recv_async().await {
+            Ok(ReadReply::Page(page)) => Some(page),
+            Ok(ReadReply::Elsewhere) | Err(_) => None,
+        }
+    }
+
+    async fn read_store(&self, job: &JobName, after: usize, until: Instant) -> Response<Body> {
+        loop {
+            let page = match self.stored.results(job, after).await {
+                Ok(page) => page,
+                Err(unread) => return unread_answer(unread),
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            if !page.results.is_empty() || after >= page.total || left < STORE_WAIT {
+                return self.page_answer(&page);
+            }
+            compio::time::sleep(STORE_WAIT).await;
+        }
+    }
+
+    fn page_answer(&self, page: &ResultsPage) -> Response<Body> {
+        let mut response = Response::new(Body::full(self.env.platform.dialect.results(page)));
+        let content_type = header::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+        response
+    }
+
+    async fn body(&self, job: &JobName, item: &str) -> Response<Body> {
+        if let Some(answer) = self.item_here(job, item).await {
+            return answer;
+        }
+        let header = match self.stored.header(job).await {
+            Ok(header) => header,
+            Err(unread) => return unread_answer(unread),
+        };
+        if let Some(address) = self.owner_elsewhere(&header) {
+            let call = PeerCall::Item { job: job.clone(), item: item.to_owned() };
+            if let Some(answer) = self.ask_peer(address, &call, PEER_TIMEOUT).await {
+                return answer;
+            }
+        }
+        self.item_from_store(job, item).await
+    }
+
+    async fn item_here(&self, job: &str, id: &str) -> Option<Response<Body>> {
+        let (reply, answer) = flume::bounded(1);
+        let message = JobMessage::Item { id: id.to_owned(), reply };
+        if !self.directory.tell(job, message) {
+            return None;
+        }
+        let item = answer.recv_async().await.ok()?;
+        Some(match item {
+            Some(item) => self.item_answer(&item),
+            None => plain(StatusCode::NOT_FOUND, "no such item, or its result stands"),
+        })
+    }
+
+    async fn item_from_store(&self, job: &JobName, id: &str) -> Response<Body> {
+        match self.stored.item(job, id).await {
+            Ok(item) => self.item_answer(&item),
+            Err(unread) => unread_answer(unread),
+        }
+    }
+
+    fn item_answer(&self, item: &samphiredoor_core::ordered::Item) -> Response<Body> {
+        match self.env.platform.dialect.item_body(item) {
+            Ok(body) => Response::new(Body::full(body)),
+            Err(problem) => plain(StatusCode::INTERNAL_SERVER_ERROR, &problem),
+        }
+    }
+
+    async fn end(&self, job: &JobName) -> Response<Body> {
+        let header = match self.stored.header(job).await {
+            Ok(header) => header,
+            Err(unread) => return unread_answer(unread),
+        };
+        if !self.write_end(job).await {
+            log::warn!(job = &**job; "job: its end could not be written");
+            return plain(StatusCode::GATEWAY_TIMEOUT, "the end may not stand; send it again");
+        }
+        log::info!(job = &**job; "job: ended by its caller");
+        if !self.directory.tell(job, JobMessage::Ended)
+            && let Some(address) = self.owner_elsewhere(&header)
+        {
+            // The owner also follows the ends in the store, so this only makes it sooner.
+            self.ask_peer(address, &PeerCall::Ended { job: job.clone() }, PEER_TIMEOUT).await;
+        }
+        plain(StatusCode::OK, "ended")
+    }
+
+    async fn write_end(&self, job: &JobName) -> bool {
+        let value: Value = b"{}".as_slice().into();
+        let create = StoreOp::Create { key: end_key(job), labels: Labels::new(), value };
+        for _ in 0..END_TRIES {
+            match self.env.call(create.clone()).await {
+                StoreAnswer::Object(_) | StoreAnswer::Taken => return true,
+                _ => compio::time::sleep(STORE_PAUSE).await,
+            }
+        }
+        false
+    }
+
+    fn owner_elsewhere(&self, header: &JobHeader) -> Option<SocketAddr> {
+        let owner = &header.owner;
+        if self.env.owns(owner) {
+            return None;
+        }
+        let alive = self.env.roster.liveness(&owner.process, owner.incarnation) == Liveness::Works;
+        alive.then(|| self.env.roster.address(&owner.process)).flatten()
+    }
+
+    /// Asks another gateway; `None` unless it answers with success or that there is nothing.
+    async fn ask_peer(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        timeout: Duration,
+    ) -> Option<Response<Body>> {
+        let pool = self.pool(address);
+        let (status, body) = within(timeout, exchange(&pool, call)).await??;
+        if status != StatusCode::OK && status != StatusCode::NOT_FOUND {
+            return None;
+        }
+        let mut response = Response::new(Body::full(body));
+        *response.status_mut() = status;
+        Some(response)
+    }
+
+    fn pool(&self, address: SocketAddr) -> Pool {
+        let mut pools = self.pools.borrow_mut();
+        let new = || Pool::new(address).with_connect_timeout(PEER_CONNECT);
+        pools.entry(address).or_insert_with(new).clone()
+    }
+}
+
+/// Makes one call to another gateway.
+pub async fn exchange(pool: &Pool, call: &PeerCall) -> Option<(StatusCode, Bytes)> {
+    let (method, uri) = call.request();
+    let request = Request::builder().method(method).uri(uri).header(header::HOST, "gateway");
+    let response = pool.send(request.body(Body::empty()).ok()?).await.ok()?;
+    let status = response.status();
+    let body = read_whole(response.into_body(), MAX_PEER_BYTES).await.ok()?;
+    Some((status, body))
+}
+
+fn unread_answer(unread: Unread) -> Response<Body> {
+    match unread {
+        Unread::Absent => plain(StatusCode::NOT_FOUND, "no such job or item"),
+        Unread::Unavailable => refused(Refusal::StoreUnavailable, RETRY_AFTER_MS),
+    }
+}
+
+/// A call of one gateway to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerCall {
+    /// Read results.
+    Read {
+        /// Which job.
+        job: JobName,
+        /// Number of results that the reader has.
+        after: usize,
+        /// Longest wait for one more.
+        wait_ms: u64,
+    },
+    /// Read an item's body.
+    Item {
+        /// Which job.
+        job: JobName,
+        /// Which item.
+        item: String,
+    },
+    /// The caller has ended a job.
+    Ended {
+        /// Which job.
+        job: JobName,
+    },
+    /// A job was handed over and is free to be taken.
+    Offer {
+        /// Which job.
+        job: JobName,
+    },
+}
+
+impl PeerCall {
+    fn request(&self) -> (Method, String) {
+        match self {
+            PeerCall::Read { job, after, wait_ms } => {
+                (Method::GET, format!("/jobs/{job}/results/{after}/{wait_ms}"))
+            }
+            PeerCall::Item { job, item } => (Method::GET, format!("/jobs/{job}/items/{item}")),
+            PeerCall::Ended { job } => (Method::POST, format!("/jobs/{job}/ended")),
+            PeerCall::Offer { job } => (Method::POST, format!("/jobs/{job}/offer")),
+        }
+    }
+
+    fn parse(method: &Method, uri: &Uri) -> Option<PeerCall> {
+        let segments: Vec<&str> = uri.path().trim_start_matches('/').split('/').collect();
+        let call = match (method, segments.as_slice()) {
+            (&Method::GET, ["jobs", job, "results", after, wait_ms]) => PeerCall::Read {
+                job: (*job).into(),
+                after: after.parse().ok()?,
+                wait_ms: wait_ms.parse().ok()?,
+            },
+            (&Method::GET, ["jobs", job, "items", item]) => {
+                PeerCall::Item { job: (*job).into(), item: (*item).to_owned() }
+            }
+            (&Method::POST, ["jobs", job, "ended"]) => PeerCall::Ended { job: (*job).into() },
+            (&Method::POST, ["jobs", job, "offer"]) => PeerCall::Offer { job: (*job).into() },
+            _ => return None,
+        };
+        Some(call)
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -0,0 +1,204 @@
+//! From a submission to a durable job.
+//!
+//! The parts of the submission are written first, under names of its content, and the header last: its create is the
+//! acceptance. A submission that comes again finds the header and is told the same.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+use samphiredoor_core::{
+    ordered::{
+        Item, Items, JobHeader, JobName, ResultLog, cut_parts, header_key, part_key, read_header,
+    },
+    routes::BatchRule,
+    store::{Labels, StoreAnswer, StoreOp, Version},
+    verdict::{Doubt, Refusal},
+};
+use samphiredoor_net::Body;
+
+use super::{
+    JobEnv, STORE_PAUSE,
+    directory::Directory,
+    job_task::{JobTask, OwnedJob},
+};
+use crate::front::{plain, refused};
+
+/// Calls for one object until the submission is refused or left in doubt; each takes up to the store's time limit, and
+/// the caller gives up after some seconds.
+const STORE_TRIES: u32 = 3;
+/// Jobs that one process works on at once; beyond it submissions are refused, as their items would not run in time.
+const MAX_OPEN_JOBS: usize = 400;
+/// When to come back after a refusal.
+const RETRY_AFTER_MS: u64 = 300;
+/// Longest digest that names the parts; 64 bits tell two submissions under one name apart.
+const DIGEST_CHARS: usize = 16;
+
+/// A submission as it was read.
+pub struct Submitted {
+    /// Name of the job.
+    pub job: JobName,
+    /// Host that the caller named.
+    pub host: String,
+    /// Path that the caller named.
+    pub path: String,
+    /// Times of its route.
+    pub rule: BatchRule,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// What became of an acceptance.
+enum Accepted {
+    /// The header stands, in this version, and is ours.
+    New(Version),
+    /// The job was accepted before.
+    Before(JobHeader),
+    /// Nothing of the job stands that this attempt could have accepted.
+    No,
+    /// The header may stand.
+    Perhaps,
+}
+
+/// Accepts a submission, and starts to work on it.
+pub async fn submit(
+    env: &Rc<JobEnv>,
+    directory: &Directory,
+    submitted: Submitted,
+) -> Response<Body> {
+    if directory.has(&submitted.job) {
+        return accepted();
+    }
+    let items = match env.platform.dialect.submission(&submitted.body) {
+        Ok(items) => items,
+        Err(problem) => {
+            log::info!(job = &*submitted.job, problem; "job: submission cannot be read");
+            return plain(StatusCode::BAD_REQUEST, &problem);
+        }
+    };
+    if env.stopping.get() || directory.len() >= MAX_OPEN_JOBS {
+        let reason = if env.stopping.get() { Refusal::Stopping } else { Refusal::Overloaded };
+        return refuse(env, &submitted.job, reason);
+    }
+    let header = new_header(env, &submitted, items.len());
+    match accept(env, &submitted, &header).await {
+        Accepted::New(version) => {
+            start(env, directory, OwnedJob { job: submitted.job, header, version }, items);
+            accepted()
+        }
+        Accepted::Before(found) if found.digest == header.digest => accepted(),
+        Accepted::Before(_) => plain(StatusCode::CONFLICT, "another job has this id"),
+        Accepted::No => refuse(env, &submitted.job, Refusal::StoreUnavailable),
+        Accepted::Perhaps => {
+            log::warn!(job = &*submitted.job; "job: acceptance in doubt");
+            plain(StatusCode::GATEWAY_TIMEOUT, Doubt::StoreAnswerLost.label())
+        }
+    }
+}
+
+fn accepted() -> Response<Body> {
+    plain(StatusCode::ACCEPTED, "accepted")
+}
+
+fn refuse(env: &JobEnv, job: &str, reason: Refusal) -> Response<Body> {
+    log::info!(job, reason:% = reason; "job: refused");
+    env.metrics.refused(reason);
+    refused(reason, RETRY_AFTER_MS)
+}
+
+fn new_header(env: &JobEnv, submitted: &Submitted, items: usize) -> JobHeader {
+    let now_ms = env.clock.now().unix_ms;
+    let mut digest = blake3::hash(&submitted.body).to_hex().to_string();
+    digest.truncate(DIGEST_CHARS);
+    let parts = submitted.body.len().div_ceil(samphiredoor_core::ordered::PART_BYTES);
+    JobHeader {
+        format: JobHeader::FORMAT,
+        host: submitted.host.clone(),
+        path: submitted.path.clone(),
+        items: items as u32,
+        parts: parts as u32,
+        digest,
+        accepted_unix_ms: now_ms,
+        due_unix_ms: now_ms + submitted.rule.due_ms,
+        give_up_unix_ms: now_ms + submitted.rule.give_up_ms,
+        owner: env.owner(),
+        finished: false,
+    }
+}
+
+async fn accept(env: &JobEnv, submitted: &Submitted, header: &JobHeader) -> Accepted {
+    // Read as JSON before, so it is text.
+    let text = String::from_utf8_lossy(&submitted.body);
+    for (part, value) in cut_parts(&text).into_iter().enumerate() {
+        let key = part_key(&submitted.job, &header.digest, part as u32);
+        let create = StoreOp::Create { key, labels: Labels::new(), value };
+        if !create_part(env, create).await {
+            return Accepted::No;
+        }
+    }
+    create_header(env, &submitted.job, header).await
+}
+
+/// Creates a part. Its name tells its content, so that a part that stands is this one.
+async fn create_part(env: &JobEnv, create: StoreOp) -> bool {
+    for _ in 0..STORE_TRIES {
+        match env.call(create.clone()).await {
+            StoreAnswer::Object(_) | StoreAnswer::Taken => return true,
+            _ => compio::time::sleep(STORE_PAUSE).await,
+        }
+    }
+    false
+}
+
+async fn create_header(env: &JobEnv, job: &JobName, header: &JobHeader) -> Accepted {
+    let mut doubtful = false;
+    for _ in 0..STORE_TRIES {
+        let (key, value) = (header_key(job), header.value());
+        match env.call(StoreOp::Create { key, labels: Labels::new(), value }).await {
+            StoreAnswer::Object(stored) => return Accepted::New(stored.version),
+            StoreAnswer::Taken => return found(env, job, header).await,
+            StoreAnswer::Unknown => doubtful = true,
+            _ => {}
+        }
+        compio::time::sleep(STORE_PAUSE).await;
+    }
+    if doubtful { Accepted::Perhaps } else { Accepted::No }
+}
+
+/// Reads the header that stands: an earlier call of this process whose answer was lost may have written it.
+async fn found(env: &JobEnv, job: &JobName, header: &JobHeader) -> Accepted {
+    for _ in 0..STORE_TRIES {
+        if let StoreAnswer::Object(stored) = env.call(StoreOp::Get { key: header_key(job) }).await {
+            return match read_header(&stored) {
+                Ok(found) if found == *header => Accepted::New(stored.version),
+                Ok(found) => Accepted::Before(found),
+                Err(_) => Accepted::Perhaps,
+            };
+        }
+        compio::time::sleep(STORE_PAUSE).await;
+    }
+    Accepted::Perhaps
+}
+
+fn start(env: &Rc<JobEnv>, directory: &Directory, owned: OwnedJob, items: Vec<Item>) {
+    let count = items.len();
+    let Some((messages, inbox)) = directory.open(&owned.job) else { return };
+    log::info!(job = &*owned.job, items = count; "job: accepted");
+    env.metrics.job("accepted");
+    let log = ResultLog::new(JobName::clone(&owned.job));
+    let attempts = attempts_of(env, &owned.header);
+    let task = JobTask::new(Rc::clone(env), owned, Items::new(items, attempts), log, messages);
+    let directory = directory.clone();
+    compio::runtime::spawn(task.run(inbox, directory)).detach();
+}
+
+/// Attempts that the route allows for an item.
+pub fn attempts_of(env: &JobEnv, header: &JobHeader) -> u32 {
+    let table = env.routes.current();
+    table.and_then(|it| Some(it.find(&header.host, &header.path)?.attempts)).unwrap_or(1)
+}
+
+/// Time from now to a wall-clock time.
+pub fn until(env: &JobEnv, unix_ms: u64) -> Duration {
+    Duration::from_millis(unix_ms.saturating_sub(env.clock.now().unix_ms))
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -0,0 +1,178 @@
+//! Taking jobs whose owner is gone.
+//!
+//! Each process looks through the headers of all jobs now and then, from a list that may be seconds old and costs little.
+//! A job is taken by conditional update of its header; whoever loses the race leaves it alone.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::seq::SliceRandom;
+use samphiredoor_core::{
+    Name,
+    ordered::{Items, JobHeader, JobName, ResultLog, header_key, read_header},
+    store::{Kind, Labels, StoreAnswer, StoreOp, Version},
+};
+use samphiredoor_net::{Pool, pool::within};
+
+use super::{
+    JobEnv,
+    directory::Directory,
+    job_task::{JobMessage, JobTask, OwnedJob},
+    reads::{PeerCall, exchange},
+    stored::StoredJobs,
+    submit::attempts_of,
+};
+use crate::{edge::Freshness, peers::Liveness};
+
+/// Time between two sweeps of the whole fleet; a job is due within tens of seconds, and its owner is taken for gone
+/// after 2.5 s.
+const FLEET_PAUSE: Duration = Duration::from_millis(350);
+/// Shortest time between two sweeps of one process.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(2_000);
+/// First sweep: by then others are heard, and the jobs of an earlier start of this process are waiting.
+const FIRST_PAUSE: Duration = Duration::from_millis(800);
+/// Jobs that one sweep takes, so that the jobs of a lost process are shared among the others.
+const TAKEN_AT_ONCE: usize = 6;
+/// Longest time for offering a job to another process.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Sweeps for as long as the process runs.
+pub async fn run(env: Rc<JobEnv>, directory: Directory, stored: StoredJobs) {
+    compio::time::sleep(FIRST_PAUSE).await;
+    loop {
+        if !env.stopping.get() {
+            sweep(&env, &directory, &stored).await;
+        }
+        let processes = env.roster.heard_count() as u32 + 1;
+        compio::time::sleep(FLEET_PAUSE.saturating_mul(processes).max(SHORTEST_PAUSE)).await;
+    }
+}
+
+async fn sweep(env: &Rc<JobEnv>, directory: &Directory, stored: &StoredJobs) {
+    let mut free = Vec::new();
+    let mut after: Option<Name> = None;
+    loop {
+        let store = &env.platform.store;
+        let page = store.list(Kind::OrderedJob, after.take(), Freshness::MayBeStale).await;
+        let Some(page) = page else { return };
+        for object in &page.items {
+            match read_header(object) {
+                Ok(header) if !header.finished => {
+                    look(env, directory, &object.name, &header, &mut free);
+                }
+                Ok(_) => {}
+                Err(fault) => {
+                    env.metrics.foreign("job");
+                    log::warn!(job = &*object.name, fault:% = fault; "job: header ignored");
+                }
+            }
+        }
+        after = page.items.last().map(|it| Name::clone(&it.name));
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    free.shuffle(&mut rand::rng());
+    for job in free.into_iter().take(TAKEN_AT_ONCE) {
+        take_if_free(env, directory, stored, &job).await;
+    }
+}
+
+fn look(
+    env: &JobEnv,
+    directory: &Directory,
+    job: &Name,
+    header: &JobHeader,
+    free: &mut Vec<JobName>,
+) {
+    let here = directory.has(job);
+    if here && !env.owns(&header.owner) {
+        // The list may be older than the taking of this process: the task looks at the header itself.
+        recheck(env, directory, job);
+    } else if !here && !directory.was_closed(job) && is_free(env, header) {
+        free.push(JobName::clone(job));
+    }
+}
+
+fn recheck(env: &JobEnv, directory: &Directory, job: &Name) {
+    let (store, directory, job) =
+        (Rc::clone(&env.platform.store), directory.clone(), Name::clone(job));
+    compio::runtime::spawn(async move {
+        let answer = store.call(StoreOp::Get { key: header_key(&job) }).await;
+        directory.tell(&job, JobMessage::Header(answer));
+    })
+    .detach();
+}
+
+/// Whether nobody works on a job, as far as can be told.
+fn is_free(env: &JobEnv, header: &JobHeader) -> bool {
+    let owner = &header.owner;
+    if owner.process.is_empty() || *owner.process == *env.name {
+        // Handed over, or of an earlier start of this process, or accepted by a call of it that was given up.
+        return true;
+    }
+    let gone = env.roster.liveness(&owner.process, owner.incarnation) == Liveness::Gone;
+    gone && env.roster.hears_most()
+}
+
+/// Takes a job if nobody works on it.
+pub async fn take_if_free(
+    env: &Rc<JobEnv>,
+    directory: &Directory,
+    stored: &StoredJobs,
+    job: &JobName,
+) {
+    let Ok((header, version)) = stored.current_header(job).await else { return };
+    if header.finished || directory.has(job) || !is_free(env, &header) {
+        return;
+    }
+    let Ok(ended) = stored.is_ended(job).await else { return };
+    if let Some(owned) = take(env, job, header, version, ended).await
+        && !ended
+    {
+        start(env, directory, stored, owned).await;
+    }
+}
+
+async fn take(
+    env: &JobEnv,
+    job: &JobName,
+    header: JobHeader,
+    version: Version,
+    ended: bool,
+) -> Option<OwnedJob> {
+    let before = header.owner.clone();
+    let header = JobHeader { owner: env.owner(), finished: ended, ..header };
+    let (key, value) = (header_key(job), header.value());
+    let update = StoreOp::Update { key, version, labels: Labels::new(), value };
+    let StoreAnswer::Object(stored) = env.call(update).await else { return None };
+    log::info!(
+        job = &**job, from = before.process, from_incarnation = before.incarnation, ended;
+        "job: taken"
+    );
+    env.metrics.job("taken");
+    Some(OwnedJob { job: JobName::clone(job), header, version: stored.version })
+}
+
+async fn start(env: &Rc<JobEnv>, directory: &Directory, stored: &StoredJobs, owned: OwnedJob) {
+    let Ok(items) = stored.items(&owned.job, &owned.header).await else {
+        // The header names this process, so its next sweep takes the job again.
+        return;
+    };
+    let Some((messages, inbox)) = directory.open(&owned.job) else { return };
+    let log = ResultLog::to_be_read(JobName::clone(&owned.job));
+    let items = Items::new(items, attempts_of(env, &owned.header));
+    let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
+    compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
+}
+
+/// Tells the nearest process that works that a job was handed over.
+pub async fn offer(env: Rc<JobEnv>, job: JobName) {
+    for address in env.roster.takers(&env.place).into_iter().take(3) {
+        let pool = Pool::new(address).with_connect_timeout(OFFER_TIMEOUT);
+        let call = PeerCall::Offer { job: JobName::clone(&job) };
+        if let Some(Some(_)) = within(OFFER_TIMEOUT, exchange(&pool, &call)).await {
+            return;
+        }
+    }
+    log::info!(job = &*job; "job: offered to nobody, left to the sweeps");
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The gateway: callers' requests and batch jobs, routed to targets that register themselves.
+//!
+//! Where a thing goes:
+//!
+//! - a **request** comes in at `front`, gets its target from `placement`, goes out through `target_client`, and comes
+//!   back event by event through `front::passing`;
+//! - a **job** comes in at `jobs::submit`, is owned by a `jobs::job_task`, its items run through `jobs::item_run`, and
+//!   its results are read through `jobs::reads` at any gateway;
+//! - **routes** and **targets** come from the store through `discovery`, which watches it;
+//! - **other gateways** are met in `peers`.
+//!
+//! `edge` holds the traits by which the platform is met; no name of the platform stands in this package. `process` puts
+//! all parts together from a [`config::GatewayConfig`].
+
+pub mod config;
+pub mod edge;
+pub mod logging;
+pub mod process;
+pub mod storage;
+
+mod discovery;
+mod events;
+mod front;
+mod jobs;
+mod metrics;
+mod peers;
+mod placement;
+mod routes;
+mod target_client;
+mod watch;
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -0,0 +1,146 @@
+//! Which other gateways there are, and which of them are heard.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use samphiredoor_core::{Name, dispatch::Place};
+
+use super::status::Status;
+
+/// Silence after which a gateway counts as gone. Statuses come at least twice a second and some are lost; jobs of a
+/// gateway that was taken for gone too early are run twice.
+const GONE: Duration = Duration::from_millis(2_500);
+/// How long a gateway is remembered that is not heard, in the count of those that there should be.
+const FORGOTTEN: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    place: Place,
+    heard: Option<Instant>,
+    incarnation: u64,
+    store_reached: bool,
+    stopping: bool,
+}
+
+/// Handle to what is known of other gateways.
+#[derive(Clone)]
+pub struct Roster {
+    started: Instant,
+    peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
+}
+
+/// Whether another gateway works on its jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It is heard, and reaches the store.
+    Works,
+    /// It is gone, has started anew, is stopping, or does not reach the store.
+    Gone,
+    /// This process cannot tell yet.
+    Unknown,
+}
+
+impl Roster {
+    /// Roster without peers.
+    pub fn new() -> Roster {
+        Roster { started: Instant::now(), peers: Rc::default() }
+    }
+
+    /// Takes a gateway's registered address.
+    pub fn register(&self, name: Name, address: SocketAddr, place: Place) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(name).or_insert_with(|| Peer {
+            address,
+            place: place.clone(),
+            heard: None,
+            incarnation: 0,
+            store_reached: true,
+            stopping: false,
+        });
+        peer.address = address;
+        peer.place = place;
+    }
+
+    /// Forgets a gateway that is no longer registered.
+    pub fn remove(&self, name: &Name) {
+        self.peers.borrow_mut().remove(name);
+    }
+
+    /// Takes a status; says whether its gateway is registered.
+    pub fn heard(&self, status: &Status) -> bool {
+        let mut peers = self.peers.borrow_mut();
+        let Some(peer) = peers.get_mut(status.name.as_str()) else { return false };
+        if peer.heard.is_none_or(|it| it.elapsed() >= GONE)
+            || peer.incarnation != status.incarnation
+        {
+            log::info!(peer = status.name, incarnation = status.incarnation; "peers: heard");
+        }
+        peer.heard = Some(Instant::now());
+        peer.incarnation = status.incarnation;
+        peer.store_reached = status.store_reached;
+        peer.stopping = status.stopping;
+        true
+    }
+
+    /// Whether a process, in one start of it, works on its jobs.
+    pub fn liveness(&self, name: &str, incarnation: u64) -> Liveness {
+        let peers = self.peers.borrow();
+        let heard = peers.get(name).and_then(|it| it.heard.map(|heard| (it, heard)));
+        match heard {
+            Some((peer, heard)) if heard.elapsed() < GONE => {
+                let works = peer.incarnation == incarnation && peer.store_reached && !peer.stopping;
+                if works { Liveness::Works } else { Liveness::Gone }
+            }
+            _ if self.started.elapsed() < GONE => Liveness::Unknown,
+            _ => Liveness::Gone,
+        }
+    }
+
+    /// Whether this process hears at least half of the gateways that there should be. One that hears fewer is cut off
+    /// itself: it would take the jobs of all others, and they would take them back.
+    pub fn hears_most(&self) -> bool {
+        let peers = self.peers.borrow();
+        let expected = |it: &&Peer| match it.heard {
+            Some(heard) => heard.elapsed() < FORGOTTEN,
+            None => self.started.elapsed() < FORGOTTEN,
+        };
+        let expected = peers.values().filter(expected).count();
+        let heard = self.heard_count();
+        heard * 2 >= expected
+    }
+
+    /// Number of gateways that are heard.
+    pub fn heard_count(&self) -> usize {
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.heard.is_some_and(|heard| heard.elapsed() < GONE)).count()
+    }
+
+    /// Address of a gateway.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.borrow().get(name).map(|it| it.address)
+    }
+
+    /// Addresses of all gateways, with whether each stands in the given availability zone.
+    pub fn addresses(&self, own: &Place) -> Vec<(SocketAddr, bool)> {
+        let peers = self.peers.borrow();
+        peers.values().map(|it| (it.address, it.place == *own)).collect()
+    }
+
+    /// Gateways that could take a job over: heard, reaching the store and not stopping; nearest first.
+    pub fn takers(&self, own: &Place) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let takes = |it: &&Peer| {
+            let heard = it.heard.is_some_and(|heard| heard.elapsed() < GONE);
+            heard && it.store_reached && !it.stopping
+        };
+        let mut takers: Vec<&Peer> = peers.values().filter(takes).collect();
+        takers.sort_by_key(|it| (it.place != *own, it.place.region != own.region));
+        takers.into_iter().map(|it| it.address).collect()
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/peers/status.rs
@@ -0,0 +1,76 @@
+//! The datagram by which gateways tell each other their state.
+
+use capnp::{message, serialize_packed};
+use samphiredoor_core::placement::DoorLoad;
+use samphiredoor_schema::peer_capnp::gateway_status;
+
+/// Bytes of the largest datagram; one packet on common links.
+pub const MAX_BYTES: usize = 1_400;
+/// Targets in one datagram: eight to ten bytes each, packed.
+const MAX_LOADS: usize = 120;
+
+/// State of a gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Its name.
+    pub name: String,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// Version of the routes that it has in force.
+    pub routes_version: u64,
+    /// Whether the store answers it.
+    pub store_reached: bool,
+    /// Whether a planned stop is under way.
+    pub stopping: bool,
+    /// Its requests at targets.
+    pub loads: Vec<DoorLoad>,
+}
+
+impl Status {
+    /// Bytes of the datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = message::Builder::new_default();
+        let mut root = message.init_root::<gateway_status::Builder<'_>>();
+        root.set_name(&self.name);
+        root.set_incarnation(self.incarnation);
+        root.set_routes_version(self.routes_version);
+        root.set_store_reached(self.store_reached);
+        root.set_stopping(self.stopping);
+        let shown = self.loads.len().min(MAX_LOADS);
+        let mut loads = root.init_loads(shown as u32);
+        for (index, load) in self.loads.iter().take(shown).enumerate() {
+            let mut it = loads.reborrow().get(index as u32);
+            it.set_target(load.target);
+            it.set_online(load.online.min(u32::from(u16::MAX)) as u16);
+            it.set_batch(load.batch.min(u32::from(u16::MAX)) as u16);
+        }
+        let mut bytes = Vec::with_capacity(MAX_BYTES);
+        // Writing to a vector cannot fail.
+        let _ = serialize_packed::write_message(&mut bytes, &message);
+        bytes
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// It is no status.
+    pub fn decode(bytes: &[u8]) -> capnp::Result<Status> {
+        let options = message::ReaderOptions::new();
+        let message = serialize_packed::read_message(bytes, options)?;
+        let root = message.get_root::<gateway_status::Reader<'_>>()?;
+        let loads = root.get_loads()?.iter().map(|it| DoorLoad {
+            target: it.get_target(),
+            online: u32::from(it.get_online()),
+            batch: u32::from(it.get_batch()),
+        });
+        Ok(Status {
+            name: root.get_name()?.to_str()?.to_owned(),
+            incarnation: root.get_incarnation(),
+            routes_version: root.get_routes_version(),
+            store_reached: root.get_store_reached(),
+            stopping: root.get_stopping(),
+            loads: loads.collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -0,0 +1,95 @@
+//! The process on a storage host.
+//!
+//! What has to last lives in the platform's store, so a storage host keeps nothing of the system. Its process only
+//! answers requests to empty hosts: they are empty at any time, and every process says so for all of them.
+
+use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
+
+use anyhow::Context;
+use futures_util::future::{Either, select};
+use samphiredoor_core::{
+    Name,
+    store::{Kind, ObjectKey, StoreAnswer, Stored},
+};
+
+use crate::{
+    config::CommonConfig,
+    edge::{Change, Platform},
+    process::wait_for_stop,
+    watch::{Follower, Seen},
+};
+
+/// Pause before a status is written again that was not taken.
+const WRITE_PAUSE: Duration = Duration::from_millis(300);
+/// Tries for one status; whatever then fails is tried again at the next list.
+const WRITE_TRIES: u32 = 20;
+
+/// Runs until told to stop.
+///
+/// # Errors
+///
+/// What keeps it from starting.
+pub fn run(
+    config: &CommonConfig,
+    platform: impl FnOnce(&CommonConfig) -> Platform,
+) -> anyhow::Result<()> {
+    let runtime = compio::runtime::Runtime::new().context("the runtime cannot start")?;
+    let platform = platform(config);
+    runtime.block_on(async {
+        log::info!(name = &*config.name; "storage: started, keeps nothing");
+        let follower = Follower::new(Rc::clone(&platform.store), Kind::Retirement, config.watch);
+        let following = std::pin::pin!(follow(platform, follower));
+        if let Either::Left(_) = select(following, std::pin::pin!(wait_for_stop())).await {
+            log::error!("storage: no longer follows requests to empty hosts");
+        }
+        log::info!("storage: stopped");
+    });
+    Ok(())
+}
+
+async fn follow(platform: Platform, mut follower: Follower) {
+    // Requests that were answered; the answer itself is seen as a change of the request.
+    let answered: Rc<RefCell<HashSet<Name>>> = Rc::default();
+    loop {
+        match follower.next().await {
+            Seen::All(all) => all.iter().for_each(|it| answer(&platform, &answered, it)),
+            Seen::Changes(changes) => changes.iter().for_each(|it| match it {
+                Change::Written(stored) => answer(&platform, &answered, stored),
+                Change::Deleted(name) => {
+                    answered.borrow_mut().remove(name);
+                }
+            }),
+            Seen::Lost => log::warn!("storage: store lost"),
+            Seen::Regained => log::info!("storage: store regained"),
+        }
+    }
+}
+
+fn answer(platform: &Platform, answered: &Rc<RefCell<HashSet<Name>>>, stored: &Stored) {
+    let name = Name::clone(&stored.name);
+    if !answered.borrow_mut().insert(Name::clone(&name)) {
+        return;
+    }
+    let (platform, answered) = (platform.clone(), Rc::clone(answered));
+    compio::runtime::spawn(async move {
+        if !say_emptied(&platform, &name).await {
+            log::error!(host = &*name; "storage: could not say that the host is empty");
+            answered.borrow_mut().remove(&name);
+        }
+    })
+    .detach();
+}
+
+async fn say_emptied(platform: &Platform, name: &Name) -> bool {
+    for _ in 0..WRITE_TRIES {
+        let key = ObjectKey::new(Kind::Retirement, Name::clone(name));
+        match platform.store.set_status(key, platform.dialect.emptied()).await {
+            StoreAnswer::Object(_) | StoreAnswer::Absent => {
+                log::info!(host = &**name; "storage: host is empty");
+                return true;
+            }
+            _ => compio::time::sleep(WRITE_PAUSE).await,
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -0,0 +1,94 @@
+//! Connections to targets.
+//!
+//! Connections belong to a target, not to its address: the address of one that is gone is used again by another.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Request, Response, Uri, header::HeaderName};
+use samphiredoor_core::Name;
+use samphiredoor_net::{
+    Body, Pool,
+    pool::{Answer, CloseMeans, SendError},
+};
+
+/// Longest wait for a connection. A round trip between regions takes 24 ms; a target that does not answer in this time
+/// has lost its power or its link, and another one can still answer within the caller's objective.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a connection is kept idle towards targets that announce no time of their own; they count in whole seconds,
+/// so it may be shorter than one.
+const IDLE_LIMIT: Duration = Duration::from_millis(700);
+
+/// A request to a target, kept so that it can be sent again.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Pools of connections, one for each target.
+#[derive(Clone)]
+pub struct TargetClient {
+    echoed: HeaderName,
+    pools: Rc<RefCell<HashMap<Name, Pool>>>,
+}
+
+impl TargetClient {
+    /// Client without connections; `echoed` names the header by which answers tell their request.
+    pub fn new(echoed: HeaderName) -> TargetClient {
+        TargetClient { echoed, pools: Rc::default() }
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Whether the call can have reached the target.
+    pub async fn send(
+        &self,
+        target: &Name,
+        address: SocketAddr,
+        call: &Call,
+    ) -> Result<Response<Answer>, SendError> {
+        let pool = self.pool(target, address);
+        let mut request = Request::new(Body::full(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = call.headers.clone();
+        pool.send(request).await
+    }
+
+    /// Closes the idle connections to all other targets. Calls that run keep theirs.
+    pub fn keep_only(&self, targets: &HashSet<Name>) {
+        self.pools.borrow_mut().retain(|target, _| targets.contains(target));
+    }
+
+    fn pool(&self, target: &Name, address: SocketAddr) -> Pool {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(Name::clone(target)).or_insert_with(|| self.new_pool(address));
+        if pool.address() != address {
+            *pool = self.new_pool(address);
+        }
+        pool.clone()
+    }
+
+    fn new_pool(&self, address: SocketAddr) -> Pool {
+        Pool::new(address)
+            .with_connect_timeout(CONNECT_TIMEOUT)
+            .with_close_means(CloseMeans::Whole)
+            .with_echoed(self.echoed.clone())
+            .with_idle_limit(IDLE_LIMIT)
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -0,0 +1,130 @@
+//! Following all objects of one kind in the store.
+//!
+//! A follower lists a kind once and then watches it. Whenever the history that it needs is gone, or the store did not
+//! answer, it goes on from what it has, or lists anew; so it may miss changes in between, but never the state that
+//! stands after them.
+
+use std::{rc::Rc, time::Duration};
+
+use futures_util::future::{Either, select};
+use samphiredoor_core::{
+    Name,
+    store::{Kind, Stored, Version},
+};
+
+use crate::edge::{Change, Freshness, ObjectStore, WatchAnswer};
+
+/// First pause after a call that got no usable answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause: what was accepted while the store could not be reached has to be in force soon after.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// What a follower learns.
+#[derive(Debug, Clone)]
+pub enum Seen {
+    /// All objects of the kind, as they stood at one moment.
+    All(Vec<Stored>),
+    /// Changes since, in order.
+    Changes(Vec<Change>),
+    /// The store gives no usable answers from now on.
+    Lost,
+    /// The store answers again; [`Seen::All`] or [`Seen::Changes`] may follow.
+    Regained,
+}
+
+/// Follows one kind of objects.
+pub struct Follower {
+    store: Rc<dyn ObjectStore>,
+    kind: Kind,
+    wait: Duration,
+    since: Option<Version>,
+    failures: u32,
+    queued: Option<Seen>,
+    hints: Option<flume::Receiver<()>>,
+}
+
+impl Follower {
+    /// Follower that has seen nothing. A watch waits for events at most for `wait`.
+    pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, wait: Duration) -> Follower {
+        Follower { store, kind, wait, since: None, failures: 0, queued: None, hints: None }
+    }
+
+    /// Reads the kind at once whenever `hints` has a message: somebody knows of a change that this follower missed.
+    pub fn with_hints(mut self, hints: flume::Receiver<()>) -> Follower {
+        self.hints = Some(hints);
+        self
+    }
+
+    /// Waits for the next thing to learn.
+    pub async fn next(&mut self) -> Seen {
+        if let Some(seen) = self.queued.take() {
+            return seen;
+        }
+        loop {
+            let seen = match self.since {
+                None => self.list().await,
+                Some(since) => self.watch(since).await,
+            };
+            let Some(seen) = seen else {
+                self.failures += 1;
+                compio::time::sleep(self.pause()).await;
+                if self.failures == 1 {
+                    return Seen::Lost;
+                }
+                continue;
+            };
+            let news = !matches!(&seen, Seen::Changes(changes) if changes.is_empty());
+            if std::mem::take(&mut self.failures) > 0 {
+                self.queued = news.then_some(seen);
+                return Seen::Regained;
+            }
+            if news {
+                return seen;
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        FIRST_PAUSE.saturating_mul(1 << self.failures.min(4)).min(LONGEST_PAUSE)
+    }
+
+    async fn list(&mut self) -> Option<Seen> {
+        let mut all = Vec::new();
+        let mut after: Option<Name> = None;
+        let mut first_version = None;
+        loop {
+            let page = self.store.list(self.kind, after.take(), Freshness::Current).await?;
+            // Changes during the list are seen again from the version of its first page on.
+            first_version.get_or_insert(page.version);
+            after = page.items.last().map(|it| Name::clone(&it.name));
+            all.extend(page.items);
+            if !page.has_more || after.is_none() {
+                break;
+            }
+        }
+        self.since = first_version;
+        Some(Seen::All(all))
+    }
+
+    async fn watch(&mut self, since: Version) -> Option<Seen> {
+        let watch = self.store.watch(self.kind, since, self.wait);
+        let answer = match &self.hints {
+            None => watch.await,
+            Some(hints) => match select(watch, hints.recv_async()).await {
+                Either::Left((answer, _)) => answer,
+                Either::Right(_) => WatchAnswer::HistoryGone,
+            },
+        };
+        match answer {
+            WatchAnswer::Changes { changes, version } => {
+                self.since = Some(version);
+                Some(Seen::Changes(changes))
+            }
+            WatchAnswer::HistoryGone => {
+                self.since = None;
+                Some(Seen::Changes(Vec::new()))
+            }
+            WatchAnswer::Unavailable => None,
+        }
+    }
+}
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! `serve` takes connections with bounds on their number, headers and waits, and ends them gracefully. `pool` keeps
 //! connections towards one address and never reuses one that still owes an answer. `body` holds the one body type that
-//! both sides exchange. `ticking` is the inbox of a task that also has to act by time.
+//! both sides exchange. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time.
 
 pub mod body;
+pub mod clock;
 pub mod pool;
 pub mod serve;
+pub mod socket;
 pub mod stall;
 pub mod stream;
 pub mod ticking;
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -5,7 +5,7 @@
 //! that slow and half-open clients cannot hold a place for ever.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     future::Future,
     net::SocketAddr,
     pin::pin,
@@ -24,7 +24,12 @@
     service::service_fn,
 };
 
-use crate::{Body, BoxError, stall::Watched, stream::Stream};
+use crate::{
+    Body, BoxError,
+    socket::{self, SilenceLimits},
+    stall::Watched,
+    stream::Stream,
+};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const PENDING_LIMIT: Duration = Duration::from_millis(200);
@@ -57,7 +62,7 @@
 /// Listener with its connections.
 pub struct Server {
     listener: TcpListener,
-    limits: ServeLimits,
+    limits: Rc<RefCell<ServeLimits>>,
     open: Rc<Cell<usize>>,
     draining: Rc<Cell<bool>>,
     stop: flume::Receiver<()>,
@@ -90,7 +95,7 @@
         let (stop_guard, stop) = flume::bounded(0);
         Ok(Server {
             listener,
-            limits,
+            limits: Rc::new(RefCell::new(limits)),
             open: Rc::default(),
             draining: Rc::default(),
             stop,
@@ -103,6 +108,11 @@
         self.listener.local_addr()
     }
 
+    /// Bounds of the connections that are taken from now on.
+    pub fn limits(&self) -> Rc<RefCell<ServeLimits>> {
+        Rc::clone(&self.limits)
+    }
+
     /// Handle that ends the server when dropped: no new connection is taken, each open one ends after the request in
     /// hand. Can be taken once.
     pub fn stop_handle(&mut self) -> Option<StopHandle> {
@@ -162,14 +172,14 @@
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        if self.open.get() >= self.limits.max_connections {
+        let limits = self.limits.borrow().clone();
+        if self.open.get() >= limits.max_connections {
             log::warn!("serve: closed a connection above the limit");
             return;
         }
         let handler = Rc::clone(handler);
         let stop = self.stop.clone();
         let draining = Rc::clone(&self.draining);
-        let limits = self.limits.clone();
         let place = Place::new(&self.open);
         compio::runtime::spawn(async move {
             let _place = place;
@@ -212,7 +222,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    stream.set_nodelay(true)?;
+    socket::prepare(&stream, SilenceLimits::default())?;
     let (stream, stall) = Watched::new(Stream::new(stream));
     let drained = Rc::clone(&draining);
     let service = service_fn(move |request| {
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -97,3 +97,24 @@
   batchSlots @1 :UInt32;
   epoch @2 :UInt64;
 }
+
+struct GatewayStatus {
+  # One datagram of a gateway to its neighbours: sent when its requests at targets change, and at least twice a second.
+
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  routesVersion @2 :UInt64;
+  # Version of the routes that it has in force, so that a neighbour that missed one can ask for it.
+  storeReached @3 :Bool;
+  # Whether its last calls to the store were answered.
+  stopping @4 :Bool;
+  loads @5 :List(RequestsAtTarget);
+  # All its requests at targets.
+}
+
+struct RequestsAtTarget {
+  target @0 :UInt64;
+  # Hash of the target's name.
+  online @1 :UInt16;
+  batch @2 :UInt16;
+}
--- a/crates/samphiredoor-schema/src/lib.rs
+++ b/crates/samphiredoor-schema/src/lib.rs
@@ -16,6 +16,12 @@
 #[path = "generated/settings.rs"]
 pub mod settings;
 
+/// Settings of one gateway.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/gateway_settings.rs"]
+pub mod gateway_settings;
+
 /// Declarations that run the service.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/crates/samphiredoor/src/cli.rs
+++ b/crates/samphiredoor/src/cli.rs
@@ -16,6 +16,20 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Runs a gateway on the users' platform with the settings in FILE
+    #[bpaf(command)]
+    Gateway {
+        /// Settings in TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Runs the process on a storage host of the users' platform with the settings in FILE
+    #[bpaf(command)]
+    Storage {
+        /// Settings in TOML
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Checks the settings in FILE without starting
     #[bpaf(command)]
     Check {
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -1,9 +1,16 @@
 //! All that was decided before the process starts.
 
-use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
+use anyhow::Context;
 use log::LevelFilter;
 use samphiredoor_core::{Name, manifest::checked_name};
+use samphiredoor_gateway::config::{CommonConfig, GatewayConfig, read_settings as read_gateway};
 use samphiredoor_schema::settings::{LogLevel, OwnershipSettings, Settings};
 
 use crate::{
@@ -19,6 +26,10 @@
 pub enum Mode {
     /// Run a door.
     Serve(Box<DoorConfig>),
+    /// Run a gateway on the users' platform, with the file that its settings are read from again.
+    Gateway(Box<GatewayConfig>, PathBuf),
+    /// Run the process on a storage host of the users' platform.
+    Storage(Box<CommonConfig>),
     /// Only check the settings.
     Check,
     /// Run a door with everything it needs inside.
@@ -102,6 +113,16 @@
                 let (door, log_level) = read_settings(&file)?;
                 Ok(Config { mode: Mode::Serve(Box::new(door)), log_level })
             }
+            Opts::Gateway { file } => {
+                let gateway = gateway_config(&file)?;
+                let log_level = gateway.common.log.level;
+                Ok(Config { mode: Mode::Gateway(Box::new(gateway), file), log_level })
+            }
+            Opts::Storage { file } => {
+                let common = at_file(&file, |text| CommonConfig::new(&read_gateway(text)?))?;
+                let log_level = common.log.level;
+                Ok(Config { mode: Mode::Storage(Box::new(common)), log_level })
+            }
             Opts::Check { file } => {
                 let (_, log_level) = read_settings(&file)?;
                 Ok(Config { mode: Mode::Check, log_level })
@@ -114,6 +135,22 @@
     }
 }
 
+/// Reads and checks the settings of a gateway.
+///
+/// # Errors
+///
+/// Settings that cannot be read or make no sense; one sentence with the place and a hint.
+pub fn gateway_config(file: &Path) -> anyhow::Result<GatewayConfig> {
+    at_file(file, |text| GatewayConfig::new(&read_gateway(text)?))
+}
+
+fn at_file<T>(file: &Path, read: impl FnOnce(&str) -> anyhow::Result<T>) -> anyhow::Result<T> {
+    let shown = file.display();
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("{shown}: cannot be read; name a settings file"))?;
+    read(&text).with_context(|| format!("{shown}"))
+}
+
 fn read_settings(file: &Path) -> anyhow::Result<(DoorConfig, LevelFilter)> {
     settings::read(file, |settings| Ok((DoorConfig::new(settings)?, log_level(settings))))
 }
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use samphiredoor_core::{
@@ -17,10 +17,12 @@
     },
     manifest::Manifest,
     news::News,
-    time::Now,
     verdict::{Refusal, Verdict},
 };
-use samphiredoor_net::ticking::{Next, Ticking};
+use samphiredoor_net::{
+    clock::Clock,
+    ticking::{Next, Ticking},
+};
 
 use crate::metrics::Metrics;
 
@@ -29,26 +31,6 @@
 // Word that a target leaves is told again more often than this while it holds.
 const TOLD_LEAVING_MS: u64 = 30_000;
 
-/// Clock of the process, read once per event.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    /// Clock that starts now.
-    pub fn new() -> Clock {
-        Clock { start: Instant::now() }
-    }
-
-    /// The present moment.
-    pub fn now(&self) -> Now {
-        let mono_ms = self.start.elapsed().as_millis() as u64;
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Now::new(mono_ms, unix.as_millis() as u64)
-    }
-}
-
 /// What the dispatcher decided for a request.
 #[derive(Debug, Clone)]
 pub enum Placement {
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -45,7 +45,14 @@
 mod stream_end;
 mod targets;
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
+
+use log::LevelFilter;
+use samphiredoor_gateway::{
+    config::{CommonConfig, GatewayConfig},
+    edge::Platform,
+    logging, process as gateway_process, storage,
+};
 
 use config::{Config, Mode};
 use exit_codes::Exit;
@@ -62,17 +69,40 @@
 }
 
 fn run(config: Config) -> anyhow::Result<Exit> {
+    match config.mode {
+        Mode::Gateway(gateway, file) => run_gateway(*gateway, file),
+        Mode::Storage(common) => {
+            logging::start(common.log);
+            storage::run(&common, platform_of)?;
+            Ok(Exit::Success)
+        }
+        mode => run_door(mode, config.log_level),
+    }
+}
+
+fn run_gateway(gateway: GatewayConfig, file: PathBuf) -> anyhow::Result<Exit> {
+    logging::start(gateway.common.log);
+    gateway_process::run(gateway, platform_of, move || config::gateway_config(&file))?;
+    Ok(Exit::Success)
+}
+
+fn platform_of(common: &CommonConfig) -> Platform {
+    samphiredoor_platform::platform(common.store, common.store_timeout, common.regions.clone())
+}
+
+fn run_door(mode: Mode, log_level: LevelFilter) -> anyhow::Result<Exit> {
     env_logger::Builder::new()
-        .filter_level(config.log_level)
+        .filter_level(log_level)
         .parse_default_env()
         .format_target(false)
         .init();
-    match config.mode {
+    match mode {
         Mode::Serve(door) => process::run(*door),
         Mode::Check => {
             println!("settings are in order");
             Ok(Exit::Success)
         }
         Mode::Dev(dev) => dev::run(dev),
+        Mode::Gateway(..) | Mode::Storage(_) => unreachable!("started before"),
     }
 }
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -17,12 +17,12 @@
     membership::{Member, MemberState, MembershipInput},
     news::News,
 };
-use samphiredoor_net::{ServeLimits, Server, serve::StopHandle};
+use samphiredoor_net::{ServeLimits, Server, clock::Clock, serve::StopHandle};
 
 use crate::{
     ask, callers,
     config::DoorConfig,
-    dispatch_task::{Clock, Dispatch},
+    dispatch_task::Dispatch,
     exit_codes::Exit,
     hosts_task,
     jobs_task::{self, Jobs},
