Do not spin in a job's task while the store is silent; look for segments of former owners

The job's task waited for a time that had passed (a write that was due while the store call before it was still out), and a wait of no length lets no other task run. (3) the storage process ended at SIGHUP (code 129). Ruled out: the store client (its calls end after 1.5 s), the placement's queue, a lost segment in the store. Change: times that cannot be acted on wake nobody, and no wait is shorter than 1 ms; a job that was taken, or whose owner does not hear all others, is read on in the store before a reader is told that there is no more; storage waits for SIGHUP.

--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -102,6 +102,12 @@
         self.next == Next::Append
     }
 
+    /// Reads the next segment before anything else: another writer may have appended it. To be called while no call is in
+    /// flight.
+    pub fn reread(&mut self) {
+        self.next = Next::Read;
+    }
+
     /// Whether nothing waits to be appended.
     pub fn is_settled(&self) -> bool {
         self.pending.is_empty()
--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -28,10 +28,14 @@
 const GATHER: Duration = Duration::from_millis(250);
 /// How long a finished job is kept in memory for those who read it; later reads come from the store.
 const LINGER: Duration = Duration::from_secs(12);
+/// Shortest time between two looks for segments of other processes; callers ask twice a second.
+const CHECK_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes of texts in one page of results.
 const PAGE_BYTES: usize = 900_000;
 /// How long runs may go on after a planned stop has begun, if they are all that is left of a job.
 const STOP_RUNS: Duration = Duration::from_millis(3_500);
+/// A wait of no length does not let other tasks run: with a time that has passed the task would hold the whole process.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 const FOREVER: Duration = Duration::from_secs(3_600);
 
 /// A job that this process owns.
@@ -93,6 +97,7 @@
 
 struct Reader {
     after: usize,
+    arrived: Instant,
     until: Instant,
     reply: flume::Sender<ReadReply>,
 }
@@ -127,6 +132,12 @@
     give_up_at: Instant,
     due_at_ms: u64,
     started: bool,
+    /// Whether the job had another owner, who may still append.
+    taken: bool,
+    /// Start of the last read that found no further segment.
+    checked_at: Instant,
+    /// Start of the last look for segments of other processes.
+    checking_since: Option<Instant>,
 }
 
 impl JobTask {
@@ -142,6 +153,9 @@
         let due_in = until(&env, owned.header.due_unix_ms).as_millis() as u64;
         let due_at_ms = env.clock.now().mono_ms + due_in;
         JobTask {
+            taken: !log.is_read(),
+            checked_at: Instant::now(),
+            checking_since: None,
             env,
             owned,
             items,
@@ -164,7 +178,7 @@
         self.proceed();
         while self.phase != Phase::Over {
             let left = self.next_time().saturating_duration_since(Instant::now());
-            match within(left, inbox.recv_async()).await {
+            match within(left.max(SHORTEST_WAIT), inbox.recv_async()).await {
                 Some(Ok(message)) => self.take(message),
                 Some(Err(_)) => break,
                 None => {}
@@ -181,7 +195,7 @@
     fn take(&mut self, message: JobMessage) {
         match message {
             JobMessage::Read { after, until, reply } => {
-                self.readers.push(Reader { after, until, reply });
+                self.readers.push(Reader { after, arrived: Instant::now(), until, reply });
             }
             JobMessage::Item { id, reply } => {
                 let found = self.items.find(&id).filter(|(item, _)| !self.log.is_decided(*item));
@@ -217,6 +231,8 @@
         }
     }
 
+    /// When there is something to do without a message. What cannot be done yet has no time: the message that makes it
+    /// possible wakes the task.
     fn next_time(&self) -> Instant {
         let phase = match self.phase {
             Phase::Working => Some(self.give_up_at),
@@ -224,8 +240,10 @@
             Phase::Closing | Phase::Over => None,
         };
         let again = self.again.iter().map(|(at, _)| *at).min();
+        let again = again.filter(|_| self.phase == Phase::Working);
         let reader = self.readers.iter().map(|it| it.until).min();
-        let times = [phase, again, reader, self.write_at];
+        let write_at = self.write_at.filter(|_| self.is_active() && !self.calling);
+        let times = [phase, again, reader, write_at];
         times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FOREVER)
     }
 
@@ -316,8 +334,7 @@
     fn step_log(&mut self, now: Instant) {
         let due = self.write_at.is_some_and(|it| it <= now);
         let reading = !self.log.is_read() && self.write_at.is_none();
-        let active = !matches!(self.phase, Phase::Closing | Phase::Lingering(_) | Phase::Over);
-        if self.calling || !active || !(due || reading) {
+        if self.calling || !self.is_active() || !(due || reading) {
             return;
         }
         self.write_at = None;
@@ -350,6 +367,11 @@
         self.calling = false;
         let before = self.log.standing().len();
         let step = self.log.answered(answer);
+        if let Some(since) = self.checking_since
+            && *answer == StoreAnswer::Absent
+        {
+            self.checked_at = since;
+        }
         // Results that have come meanwhile wait for others again.
         match step {
             LogStep::Store(StoreOp::Create { .. }) => {
@@ -383,16 +405,50 @@
         }
         let readers = std::mem::take(&mut self.readers);
         for reader in readers {
-            let standing = self.log.standing().len();
-            let is_final = standing as u32 == self.items.len() || self.phase == Phase::Closing;
-            if reader.after > standing {
-                let _ = reader.reply.send(ReadReply::Elsewhere);
-            } else if reader.after < standing || is_final || now >= reader.until {
-                let _ = reader.reply.send(ReadReply::Page(self.page(reader.after)));
-            } else {
-                self.readers.push(reader);
+            match self.reply_to(&reader, now) {
+                // A reader that has gone needs no answer.
+                Some(reply) => drop(reader.reply.send(reply)),
+                None => self.readers.push(reader),
             }
         }
+        self.check_for_others();
+    }
+
+    fn reply_to(&self, reader: &Reader, now: Instant) -> Option<ReadReply> {
+        let standing = self.log.standing().len();
+        if reader.after < standing || self.is_complete() {
+            return Some(ReadReply::Page(self.page(reader.after.min(standing))));
+        }
+        let is_checked = !self.may_have_others() || self.checked_at >= reader.arrived;
+        let is_over = now >= reader.until || !self.is_active();
+        match (is_over, is_checked && reader.after == standing) {
+            (true, true) => Some(ReadReply::Page(self.page(reader.after))),
+            (true, false) => Some(ReadReply::Elsewhere),
+            (false, _) => None,
+        }
+    }
+
+    /// Whether another process may append to the log. A former owner does until it learns that it is one, and readers
+    /// that have seen its results there must find them here. A process that was away, or does not hear all others, may
+    /// itself be such a former owner.
+    fn may_have_others(&self) -> bool {
+        self.taken || !self.env.roster.hears_all()
+    }
+
+    /// Looks for segments of others while somebody waits for more results.
+    fn check_for_others(&mut self) {
+        let wanted = self.readers.iter().any(|it| it.arrived > self.checked_at);
+        let paused = self.checking_since.is_some_and(|it| it.elapsed() < CHECK_PAUSE);
+        if wanted && !paused && self.may_have_others() && self.is_active() && !self.calling {
+            self.checking_since = Some(Instant::now());
+            self.log.reread();
+            let step = self.log.step();
+            self.make_step(step);
+        }
+    }
+
+    fn is_active(&self) -> bool {
+        matches!(self.phase, Phase::Working | Phase::Releasing(_))
     }
 
     fn page(&self, after: usize) -> ResultsPage {
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -105,14 +105,20 @@
     /// Whether this process hears at least half of the gateways that there should be. One that hears fewer is cut off
     /// itself: it would take the jobs of all others, and they would take them back.
     pub fn hears_most(&self) -> bool {
-        let peers = self.peers.borrow();
+        self.heard_count() * 2 >= self.expected_count()
+    }
+
+    /// Whether this process hears all gateways that there should be.
+    pub fn hears_all(&self) -> bool {
+        self.heard_count() >= self.expected_count()
+    }
+
+    fn expected_count(&self) -> usize {
         let expected = |it: &&Peer| match it.heard {
             Some(heard) => heard.elapsed() < FORGOTTEN,
             None => self.started.elapsed() < FORGOTTEN,
         };
-        let expected = peers.values().filter(expected).count();
-        let heard = self.heard_count();
-        heard * 2 >= expected
+        self.peers.borrow().values().filter(expected).count()
     }
 
     /// Number of gateways that are heard.
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -34,7 +34,7 @@
 const SIDE_HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// How often the operators' bounds on callers are taken over by the listener.
 const LIMITS_PAUSE: Duration = Duration::from_secs(1);
-const SIGHUP: i32 = 1;
+pub(crate) const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
 /// Runs a gateway until it is told to stop. `reload` reads the settings again.
@@ -319,7 +319,8 @@
     }
 }
 
-async fn wait_for(signal: i32) {
+/// Waits for one signal; for ever if that is not possible.
+pub(crate) async fn wait_for(signal: i32) {
     if let Err(err) = compio::signal::unix::signal(signal).await {
         log::error!(signal, problem:% = err; "gateway: signal cannot be waited for");
         std::future::pending::<()>().await;
--- a/crates/samphiredoor-gateway/src/storage.rs
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::CommonConfig,
     edge::{Change, Platform},
-    process::wait_for_stop,
+    process::{SIGHUP, wait_for, wait_for_stop},
     watch::{Follower, Seen},
 };
 
@@ -37,6 +37,7 @@
     let platform = platform(config);
     runtime.block_on(async {
         log::info!(name = &*config.name; "storage: started, keeps nothing");
+        compio::runtime::spawn(ignore_reloads()).detach();
         let follower = Follower::new(Rc::clone(&platform.store), Kind::Retirement, config.watch);
         let following = std::pin::pin!(follow(platform, follower));
         if let Either::Left(_) = select(following, std::pin::pin!(wait_for_stop())).await {
@@ -47,6 +48,14 @@
     Ok(())
 }
 
+/// A signal that nobody waits for would end the process.
+async fn ignore_reloads() {
+    loop {
+        wait_for(SIGHUP).await;
+        log::info!("storage: told to reload, its settings hold until the next start");
+    }
+}
+
 async fn follow(platform: Platform, mut follower: Follower) {
     // Requests that were answered; the answer itself is seen as a change of the request.
     let answered: Rc<RefCell<HashSet<Name>>> = Rc::default();
