--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -51,7 +51,7 @@
     pub priority: u32,
     /// Hash of the prompt's shared beginning, for routing to a target that may have it cached; 0 for none.
     pub affinity: u64,
-    /// Targets on which it must not be tried again.
+    /// Targets on which it was tried before; others come first.
     pub tried: SmallVec<[Name; 2]>,
     /// Monotonic time: until when an online request may wait for room, or when an item is due.
     pub until_ms: u64,
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -299,22 +299,21 @@
         out.push(Action::Dispatch { request: ask.request, target, address });
     }
 
-    /// Targets of the service that take work and were not tried. Paused ones are left out unless all are paused: then
-    /// a guess is better than a refusal.
+    /// Targets of the service that take work: of those that are not paused the ones that were not tried, as long as
+    /// there are any. Where all are paused or were tried, a guess is better than a refusal.
     fn usable<'a>(
         &'a self,
         now_ms: u64,
         ask: &'a Ask,
     ) -> impl Iterator<Item = (u64, &'a Target)> + 'a {
-        let listed = move |target: &Target| {
-            target.entry.service == ask.service
-                && target.entry.state == TargetState::Ready
-                && !ask.tried.contains(&target.entry.name)
+        let doubts = move |target: &Target| {
+            (target.health.is_paused(now_ms), ask.tried.contains(&target.entry.name))
         };
-        let healthy = move |target: &Target| listed(target) && !target.health.is_paused(now_ms);
-        let any_healthy = self.targets.values().any(healthy);
-        let usable = self.targets.iter().map(|(key, it)| (*key, it));
-        usable.filter(move |(_, it)| if any_healthy { healthy(it) } else { listed(it) })
+        let listed = self.targets.iter().filter(|(_, target)| {
+            target.entry.service == ask.service && target.entry.state == TargetState::Ready
+        });
+        let least = listed.clone().map(|(_, it)| doubts(it)).min();
+        listed.filter(move |(_, it)| Some(doubts(it)) == least).map(|(key, it)| (*key, it))
     }
 
     fn has_usable(&self, now_ms: u64, ask: &Ask) -> bool {
--- a/crates/samphiredoor-gateway/src/discovery.rs
+++ b/crates/samphiredoor-gateway/src/discovery.rs
@@ -63,8 +63,15 @@
 }
 
 impl RoutesTask {
+    /// Puts in force what other gateways have, for as long as the process runs.
+    pub async fn run_relay(self: Rc<Self>, relayed: flume::Receiver<Stored>) {
+        while let Ok(stored) = relayed.recv_async().await {
+            self.offer(stored);
+        }
+    }
+
     /// Follows the routes for as long as the process runs.
-    pub async fn run(self, mut follower: Follower) {
+    pub async fn run(self: Rc<Self>, mut follower: Follower) {
         loop {
             match follower.next().await {
                 Seen::All(all) => all.into_iter().for_each(|it| self.offer(it)),
@@ -84,7 +91,7 @@
         match self.platform.dialect.routes(&stored) {
             Ok(Some(table)) => {
                 let (version, before, count) = (table.version, self.routes.version(), table.len());
-                if self.routes.offer(table) {
+                if self.routes.offer(table, &stored) {
                     self.metrics.routes_version(version);
                     log::info!(version, before, routes = count; "routes: in force");
                 }
--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -81,8 +81,6 @@
     HeaderWritten(StoreAnswer),
     /// The caller has ended the job.
     Ended,
-    /// Another process owns the job.
-    Lost,
     /// A planned stop has begun.
     Release,
 }
@@ -206,7 +204,6 @@
             JobMessage::Header(answer) => self.header_read(&answer),
             JobMessage::HeaderWritten(answer) => self.header_written(&answer),
             JobMessage::Ended => self.ended(),
-            JobMessage::Lost => self.lost(),
             JobMessage::Release => self.release(),
         }
     }
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -8,8 +8,11 @@
 use rand::seq::SliceRandom;
 use samphiredoor_core::{
     Name,
-    ordered::{Items, JobHeader, JobName, ResultLog, header_key, read_header},
-    store::{Kind, Labels, StoreAnswer, StoreOp, Version},
+    ordered::{
+        Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, read_header,
+        segment_key,
+    },
+    store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
 use samphiredoor_net::{Pool, pool::within};
 
@@ -32,6 +35,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(800);
 /// Jobs that one sweep takes, so that the jobs of a lost process are shared among the others.
 const TAKEN_AT_ONCE: usize = 6;
+/// Time beyond that for which jobs are kept; clocks of hosts may differ by seconds.
+const REMOVE_MARGIN: Duration = Duration::from_secs(600);
+/// Old jobs that one sweep removes; a job takes about ten calls.
+const REMOVED_AT_ONCE: usize = 2;
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -48,7 +55,7 @@
 }
 
 async fn sweep(env: &Rc<JobEnv>, directory: &Directory, stored: &StoredJobs) {
-    let mut free = Vec::new();
+    let (mut free, mut old) = (Vec::new(), Vec::new());
     let mut after: Option<Name> = None;
     loop {
         let store = &env.platform.store;
@@ -59,6 +66,7 @@
                 Ok(header) if !header.finished => {
                     look(env, directory, &object.name, &header, &mut free);
                 }
+                Ok(header) if is_forgotten(env, &header) => old.push((object.name.clone(), header)),
                 Ok(_) => {}
                 Err(fault) => {
                     env.metrics.foreign("job");
@@ -71,12 +79,48 @@
             break;
         }
     }
+    for (job, header) in old.into_iter().take(REMOVED_AT_ONCE) {
+        remove(env, &job, &header).await;
+    }
     free.shuffle(&mut rand::rng());
     for job in free.into_iter().take(TAKEN_AT_ONCE) {
         take_if_free(env, directory, stored, &job).await;
     }
 }
 
+/// Whether a finished job is so old that nobody may read it any more.
+fn is_forgotten(env: &JobEnv, header: &JobHeader) -> bool {
+    let kept = env.keep + REMOVE_MARGIN;
+    env.clock.now().unix_ms > header.accepted_unix_ms + kept.as_millis() as u64
+}
+
+/// Removes all objects of a job, the header last: a removal that is cut short is done again.
+async fn remove(env: &JobEnv, job: &JobName, header: &JobHeader) {
+    let parts = (0..header.parts).map(|it| part_key(job, &header.digest, it));
+    for key in parts.chain([end_key(job)]) {
+        if !delete(env, key).await {
+            return;
+        }
+    }
+    for segment in 0.. {
+        let key = segment_key(job, segment);
+        match env.call(StoreOp::Get { key: key.clone() }).await {
+            StoreAnswer::Object(_) if delete(env, key).await => {}
+            StoreAnswer::Absent => break,
+            _ => return,
+        }
+    }
+    if delete(env, header_key(job)).await {
+        log::info!(job = &**job; "job: removed, its time is over");
+        env.metrics.job("removed");
+    }
+}
+
+async fn delete(env: &JobEnv, key: ObjectKey) -> bool {
+    let answer = env.call(StoreOp::Delete { key, version: None }).await;
+    matches!(answer, StoreAnswer::Deleted | StoreAnswer::Absent)
+}
+
 fn look(
     env: &JobEnv,
     directory: &Directory,
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! datagrams: to those of its own availability zone at once, as they share their targets, to others a little later.
 //! Everything here is a hint; a datagram that is lost is made good by the next one.
 
+pub mod relay;
 mod roster;
 mod status;
 
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -26,6 +26,7 @@
     incarnation: u64,
     store_reached: bool,
     stopping: bool,
+    routes_version: u64,
 }
 
 /// Handle to what is known of other gateways.
@@ -62,6 +63,7 @@
             incarnation: 0,
             store_reached: true,
             stopping: false,
+            routes_version: 0,
         });
         peer.address = address;
         peer.place = place;
@@ -85,6 +87,7 @@
         peer.incarnation = status.incarnation;
         peer.store_reached = status.store_reached;
         peer.stopping = status.stopping;
+        peer.routes_version = status.routes_version;
         true
     }
 
@@ -138,6 +141,14 @@
         peers.values().map(|it| (it.address, it.place == *own)).collect()
     }
 
+    /// The newest routes that a gateway which is heard has in force, and where it listens.
+    pub fn newest_routes(&self) -> Option<(u64, SocketAddr)> {
+        let peers = self.peers.borrow();
+        let heard =
+            peers.values().filter(|it| it.heard.is_some_and(|heard| heard.elapsed() < GONE));
+        heard.map(|it| (it.routes_version, it.address)).max()
+    }
+
     /// Gateways that could take a job over: heard, reaching the store and not stopping; nearest first.
     pub fn takers(&self, own: &Place) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    net::SocketAddr,
     pin::pin,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -71,13 +72,16 @@
     let mut callers = bind("callers", config.callers, limits).await?;
     let readiness = bind("readiness", config.readiness, side_limits()).await?;
     let peer_calls = bind("peers", config.peers, side_limits()).await?;
-    let socket = UdpSocket::bind(config.peers)
+    // Ports may be left to the system; others have to know which they are.
+    let peers = peer_calls.local_addr()?;
+    let socket = UdpSocket::bind(peers)
         .await
-        .with_context(|| format!("peers.address: {} takes no datagrams", config.peers))?;
+        .with_context(|| format!("peers.address: {peers} takes no datagrams"))?;
     let stop_callers = callers.stop_handle();
-    let parts = start(&config, &platform, Rc::new(socket));
+    let parts = start(&config, &platform, peers, Rc::new(socket));
     log::info!(
-        name = &*config.common.name, callers:% = config.callers, peers:% = config.peers;
+        name = &*config.common.name, callers:% = callers.local_addr()?,
+        readiness:% = readiness.local_addr()?, peers:% = peers;
         "gateway: started"
     );
     serve_side(&config, &parts, Rc::clone(&platform.dialect), readiness, peer_calls).await?;
@@ -92,11 +96,7 @@
     Ok(())
 }
 
-async fn bind(
-    key: &str,
-    address: std::net::SocketAddr,
-    limits: ServeLimits,
-) -> anyhow::Result<Server> {
+async fn bind(key: &str, address: SocketAddr, limits: ServeLimits) -> anyhow::Result<Server> {
     let bound = Server::bind(address, limits).await;
     bound.with_context(|| format!("{key}.address: {address} cannot be listened on"))
 }
@@ -105,7 +105,12 @@
     ServeLimits { header_read_timeout: SIDE_HEADER_TIMEOUT, ..ServeLimits::default() }
 }
 
-fn start(config: &GatewayConfig, platform: &Platform, socket: Rc<UdpSocket>) -> Parts {
+fn start(
+    config: &GatewayConfig,
+    platform: &Platform,
+    peers: SocketAddr,
+    socket: Rc<UdpSocket>,
+) -> Parts {
     let common = &config.common;
     let clock = Clock::new();
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -113,7 +118,7 @@
         name: common.name.clone(),
         incarnation: since.as_micros() as u64,
         place: common.place.clone(),
-        address: config.peers,
+        address: peers,
     };
     let metrics = Metrics::new();
     let (routes, health, roster) = (Routes::default(), StoreHealth::default(), Roster::new());
@@ -127,13 +132,16 @@
     let targets_known = Rc::new(Cell::new(None));
     let follow = |kind| Follower::new(Rc::clone(&platform.store), kind, common.watch);
 
-    let routes_task = RoutesTask {
+    let routes_task = Rc::new(RoutesTask {
         platform: platform.clone(),
         routes: routes.clone(),
         health: health.clone(),
         metrics: Rc::clone(&metrics),
-    };
+    });
+    let (relayed, relay) = flume::unbounded();
+    compio::runtime::spawn(Rc::clone(&routes_task).run_relay(relay)).detach();
     compio::runtime::spawn(routes_task.run(follow(Kind::Routes))).detach();
+    compio::runtime::spawn(peers::relay::run(roster.clone(), routes.clone(), relayed)).detach();
     let targets_task = TargetsTask {
         platform: platform.clone(),
         placer: placer.clone(),
@@ -206,10 +214,15 @@
         async move { ready.answer(&request) }
     };
     compio::runtime::spawn(readiness.run(answer_readiness)).detach();
-    let jobs = parts.jobs.clone();
+    let (jobs, routes) = (parts.jobs.clone(), parts.routes.clone());
     let answer_peers = move |request: Request<Incoming>| {
-        let jobs = jobs.clone();
-        async move { jobs.answer_peer(request.method(), request.uri()).await }
+        let (jobs, routes) = (jobs.clone(), routes.clone());
+        async move {
+            match request.uri().path() {
+                peers::relay::PATH => peers::relay::answer(&routes),
+                _ => jobs.answer_peer(request.method(), request.uri()).await,
+            }
+        }
     };
     compio::runtime::spawn(peer_calls.run(answer_peers)).detach();
     if let Some(address) = config.common.metrics {
--- a/crates/samphiredoor-gateway/src/routes.rs
+++ b/crates/samphiredoor-gateway/src/routes.rs
@@ -2,12 +2,16 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use samphiredoor_core::routes::{RouteLog, RouteTable};
+use samphiredoor_core::{
+    routes::{RouteLog, RouteTable},
+    store::Stored,
+};
 
 /// Handle to the routes in force; written by discovery alone.
 #[derive(Clone, Default)]
 pub struct Routes {
     log: Rc<RefCell<RouteLog>>,
+    source: Rc<RefCell<Option<Stored>>>,
 }
 
 impl Routes {
@@ -21,8 +25,17 @@
         self.log.borrow().current().map_or(0, |it| it.version)
     }
 
-    /// Puts a table in force if it is newer; says whether it did.
-    pub fn offer(&self, table: RouteTable) -> bool {
-        self.log.borrow_mut().offer(table)
+    /// Puts a table in force if it is newer; says whether it did. `source` is the object that it was read from.
+    pub fn offer(&self, table: RouteTable, source: &Stored) -> bool {
+        let taken = self.log.borrow_mut().offer(table);
+        if taken {
+            *self.source.borrow_mut() = Some(source.clone());
+        }
+        taken
+    }
+
+    /// Object that the table in force was read from, for other gateways.
+    pub fn source(&self) -> Option<Stored> {
+        self.source.borrow().clone()
     }
 }
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -6,7 +6,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use futures_util::future::{Either, select};
 use samphiredoor_core::{
     Name,
     store::{Kind, Stored, Version},
@@ -40,19 +39,12 @@
     since: Option<Version>,
     failures: u32,
     queued: Option<Seen>,
-    hints: Option<flume::Receiver<()>>,
 }
 
 impl Follower {
     /// Follower that has seen nothing. A watch waits for events at most for `wait`.
     pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, wait: Duration) -> Follower {
-        Follower { store, kind, wait, since: None, failures: 0, queued: None, hints: None }
-    }
-
-    /// Reads the kind at once whenever `hints` has a message: somebody knows of a change that this follower missed.
-    pub fn with_hints(mut self, hints: flume::Receiver<()>) -> Follower {
-        self.hints = Some(hints);
-        self
+        Follower { store, kind, wait, since: None, failures: 0, queued: None }
     }
 
     /// Waits for the next thing to learn.
@@ -107,14 +99,7 @@
     }
 
     async fn watch(&mut self, since: Version) -> Option<Seen> {
-        let watch = self.store.watch(self.kind, since, self.wait);
-        let answer = match &self.hints {
-            None => watch.await,
-            Some(hints) => match select(watch, hints.recv_async()).await {
-                Either::Left((answer, _)) => answer,
-                Either::Right(_) => WatchAnswer::HistoryGone,
-            },
-        };
+        let answer = self.store.watch(self.kind, since, self.wait).await;
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
--- /dev/null
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -0,0 +1,289 @@
+//! The platform's store in memory: objects by kind and name, one revision counter, watches and their history.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use samphiredoor_net::{Body, body::read_whole};
+use serde_json::{Value, json};
+
+const ROOT: &str = "/samphiredoor/objects/";
+const MAX_BYTES: usize = 4 * 1024 * 1024;
+const WATCH_STEP: Duration = Duration::from_millis(5);
+/// Longer than any call of the tests waits.
+const SILENCE: Duration = Duration::from_secs(120);
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers nothing and does nothing.
+    Silent,
+    /// It refuses with 503 and does nothing.
+    Busy,
+    /// It does what writes ask for and does not answer them.
+    WritesUnanswered,
+    /// It does what writes ask for a second later, and does not answer them.
+    WritesLate,
+}
+
+#[derive(Debug, Clone)]
+struct Object {
+    revision: u64,
+    created: u64,
+    spec: Value,
+    status: Value,
+}
+
+impl Object {
+    fn json(&self, name: &str) -> Value {
+        json!({
+            "meta": {
+                "name": name, "revision": self.revision, "created": self.created,
+                "finalizers": [], "deleting": false,
+            },
+            "spec": self.spec,
+            "status": self.status,
+        })
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Event {
+    revision: u64,
+    kind: String,
+    object: Value,
+    deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    kinds: BTreeMap<String, BTreeMap<String, Object>>,
+    history: Vec<Event>,
+    /// Revisions up to this one are no longer told to watches.
+    forgotten: u64,
+    fault: StoreFault,
+    calls: BTreeMap<String, u64>,
+}
+
+/// Handle to the store; clones share its state.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformStore {
+    state: Arc<Mutex<State>>,
+}
+
+impl PlatformStore {
+    /// Empty store.
+    pub fn new() -> PlatformStore {
+        PlatformStore::default()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Has the store misbehave from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state().fault = fault;
+    }
+
+    /// Forgets all history, so that watches have to list anew.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
+    /// Writes an object as its own writer would.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.state().write(kind, name, |object| object.spec = spec);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.state().remove(kind, name);
+    }
+
+    /// Spec of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        self.state().kinds.get(kind)?.get(name).map(|it| it.spec.clone())
+    }
+
+    /// Status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        self.state().kinds.get(kind)?.get(name).map(|it| it.status.clone())
+    }
+
+    /// Names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        self.state().kinds.get(kind).map(|it| it.keys().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Calls so far, by method and kind.
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        self.state().calls.clone()
+    }
+
+    /// Answers one call.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().strip_prefix(ROOT).unwrap_or_default().to_owned();
+        let query = query(parts.uri.query().unwrap_or_default());
+        let Ok(body) = read_whole(body, MAX_BYTES).await else {
+            return answer(StatusCode::PAYLOAD_TOO_LARGE, &Value::Null);
+        };
+        let segments: Vec<&str> = path.split('/').filter(|it| !it.is_empty()).collect();
+        let kind = segments.first().copied().unwrap_or_default();
+        *self.state().calls.entry(format!("{} {kind}", parts.method)).or_default() += 1;
+        let fault = self.state().fault;
+        let is_write = parts.method != Method::GET;
+        match fault {
+            StoreFault::Silent => compio::time::sleep(SILENCE).await,
+            StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            StoreFault::WritesLate if is_write => {
+                compio::time::sleep(Duration::from_secs(1)).await;
+            }
+            _ => {}
+        }
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let response = match parts.method {
+            Method::GET if query.contains_key("watch") => self.watch(kind, &query).await,
+            Method::GET => self.state().read(&segments, &query),
+            Method::POST => self.state().create(kind, &body),
+            Method::PUT => self.state().replace(&segments, &body),
+            Method::DELETE => self.state().delete(&segments),
+            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+        };
+        let unanswered = matches!(fault, StoreFault::WritesUnanswered | StoreFault::WritesLate);
+        if unanswered && is_write {
+            compio::time::sleep(SILENCE).await;
+        }
+        response
+    }
+
+    async fn watch(&self, kind: &str, query: &BTreeMap<String, String>) -> Response<Body> {
+        let number = |key: &str| query.get(key).and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
+        let since = number("watch");
+        let until = Instant::now() + Duration::from_millis(number("waitMs"));
+        loop {
+            {
+                let state = self.state();
+                if since < state.forgotten {
+                    return answer(StatusCode::GONE, &Value::Null);
+                }
+                let events = state.history.iter();
+                let events = events.filter(|it| it.revision > since && it.kind == kind);
+                let events: Vec<Value> = events
+                    .map(|it| json!({ "object": it.object, "deleted": it.deleted }))
+                    .collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    let answered = json!({ "events": events, "currentRev": state.revision });
+                    return answer(StatusCode::OK, &answered);
+                }
+            }
+            compio::time::sleep(WATCH_STEP).await;
+        }
+    }
+}
+
+impl State {
+    fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Object)) -> Value {
+        self.revision += 1;
+        let revision = self.revision;
+        let objects = self.kinds.entry(kind.to_owned()).or_default();
+        let object = objects.entry(name.to_owned()).or_insert_with(|| Object {
+            revision,
+            created: revision,
+            spec: Value::Null,
+            status: Value::Null,
+        });
+        change(object);
+        object.revision = revision;
+        let object = object.json(name);
+        let kind = kind.to_owned();
+        self.history.push(Event { revision, kind, object: object.clone(), deleted: false });
+        object
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) -> bool {
+        let Some(object) = self.kinds.get_mut(kind).and_then(|it| it.remove(name)) else {
+            return false;
+        };
+        self.revision += 1;
+        let (revision, kind, object) = (self.revision, kind.to_owned(), object.json(name));
+        self.history.push(Event { revision, kind, object, deleted: true });
+        true
+    }
+
+    fn read(&self, segments: &[&str], query: &BTreeMap<String, String>) -> Response<Body> {
+        match segments {
+            [kind] => {
+                let empty = BTreeMap::new();
+                let after = query.get("after").map_or("", String::as_str);
+                let objects = self.kinds.get(*kind).unwrap_or(&empty).iter();
+                let objects = objects.filter(|(name, _)| name.as_str() > after);
+                let items: Vec<Value> = objects.map(|(name, it)| it.json(name)).collect();
+                let list = json!({ "items": items, "hasMore": false, "currentRev": self.revision });
+                answer(StatusCode::OK, &list)
+            }
+            [kind, name] => match self.kinds.get(*kind).and_then(|it| it.get(*name)) {
+                Some(object) => answer(StatusCode::OK, &object.json(name)),
+                None => answer(StatusCode::NOT_FOUND, &Value::Null),
+            },
+            _ => answer(StatusCode::BAD_REQUEST, &Value::Null),
+        }
+    }
+
+    fn create(&mut self, kind: &str, body: &Value) -> Response<Body> {
+        let Some(name) = body["meta"]["name"].as_str() else {
+            return answer(StatusCode::BAD_REQUEST, &Value::Null);
+        };
+        if let Some(object) = self.kinds.get(kind).and_then(|it| it.get(name)) {
+            return answer(StatusCode::CONFLICT, &object.json(name));
+        }
+        let spec = body["spec"].clone();
+        let object = self.write(kind, name, |object| object.spec = spec);
+        answer(StatusCode::OK, &object)
+    }
+
+    fn replace(&mut self, segments: &[&str], body: &Value) -> Response<Body> {
+        let (kind, name) = match segments {
+            [kind, name] | [kind, name, "status"] => (*kind, *name),
+            _ => return answer(StatusCode::BAD_REQUEST, &Value::Null),
+        };
+        let Some(object) = self.kinds.get(kind).and_then(|it| it.get(name)) else {
+            return answer(StatusCode::NOT_FOUND, &Value::Null);
+        };
+        if body["meta"]["revision"].as_u64().is_some_and(|it| it != object.revision) {
+            return answer(StatusCode::CONFLICT, &object.json(name));
+        }
+        let is_status = segments.len() == 3;
+        let object = self.write(kind, name, |object| match is_status {
+            true => object.status = body["status"].clone(),
+            false => object.spec = body["spec"].clone(),
+        });
+        answer(StatusCode::OK, &object)
+    }
+
+    fn delete(&mut self, segments: &[&str]) -> Response<Body> {
+        let deleted = matches!(segments, [kind, name] if self.remove(kind, name));
+        answer(if deleted { StatusCode::OK } else { StatusCode::NOT_FOUND }, &Value::Null)
+    }
+}
+
+fn query(text: &str) -> BTreeMap<String, String> {
+    let pairs = text.split('&').filter_map(|it| it.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn answer(status: StatusCode, value: &Value) -> Response<Body> {
+    let mut response = Response::new(Body::full(value.to_string()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -0,0 +1,300 @@
+//! A replica of the platform, over plain sockets, so that it can answer in ways that no HTTP library would.
+
+use std::{
+    io::{self, Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+
+/// Longer than any request of the tests waits.
+const SILENCE: Duration = Duration::from_secs(120);
+const MAX_HEADERS: usize = 64;
+
+/// How the next requests are answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum TargetFault {
+    /// As they should be.
+    #[default]
+    None,
+    /// The connection ends after so many events.
+    CutAfter(u64),
+    /// The request runs, and its connection is reset without an answer.
+    AnswerLost,
+    /// The request is refused, and the answer says that it did not run.
+    Full,
+    /// The request runs and fails.
+    Fails,
+    /// The request can never be done.
+    Impossible,
+    /// A second answer, to an earlier request, comes before the one that is due.
+    Stray,
+    /// The request runs and no answer comes.
+    Silent,
+    /// The answer has no length and ends with its connection.
+    Unframed,
+}
+
+/// One request that began to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Its id.
+    pub id: String,
+    /// Event after which it goes on.
+    pub after: Option<u64>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct State {
+    fault: TargetFault,
+    /// Requests that are still answered with the fault; then none are.
+    faulty: u32,
+    runs: Vec<Run>,
+    events: u64,
+    pause: Duration,
+}
+
+/// A replica that listens until the process ends.
+#[derive(Debug, Clone)]
+pub struct PlatformTarget {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    gone: Arc<AtomicBool>,
+}
+
+impl PlatformTarget {
+    /// Replica that makes so many events, with a pause between them.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened on.
+    pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let state = State { fault: TargetFault::None, faulty: 0, runs: Vec::new(), events, pause };
+        let target = PlatformTarget {
+            name: name.to_owned(),
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(state)),
+            gone: Arc::default(),
+        };
+        let accepting = target.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let target = accepting.clone();
+                if target.gone.load(Ordering::Relaxed) {
+                    return;
+                }
+                // The end of a connection, orderly or not, is no failure of the replica.
+                thread::spawn(move || drop(target.serve(stream)));
+            }
+        });
+        Ok(target)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Has the next requests answered with a fault.
+    pub fn fail_next(&self, count: u32, fault: TargetFault) {
+        let mut state = self.state();
+        state.fault = fault;
+        state.faulty = count;
+    }
+
+    /// Requests that began to run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    /// Ends it as a crash would: nothing is taken any more.
+    pub fn crash(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+        // Wakes the accepting thread, which then closes the listener.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Entry by which it registers itself.
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+        json!({
+            "service": service, "addr": self.address.to_string(), "zone": zone, "version": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
+        })
+    }
+
+    /// Output of a whole run, as the text of an item's result.
+    pub fn text(&self) -> String {
+        let events = self.state().events;
+        (1..=events).map(data).collect::<Vec<String>>().join("\n")
+    }
+
+    fn next_fault(&self) -> TargetFault {
+        let mut state = self.state();
+        match state.faulty {
+            0 => TargetFault::None,
+            _ => {
+                state.faulty -= 1;
+                state.fault
+            }
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut buffer = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut buffer)? {
+            if self.gone.load(Ordering::Relaxed) || !self.answer(&mut stream, &request)? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a request; says whether the connection goes on.
+    fn answer(&self, stream: &mut TcpStream, request: &HttpRequest) -> io::Result<bool> {
+        let id = request.header("x-request-id").unwrap_or_default();
+        if request.header("x-expect-instance").is_some_and(|it| it != self.name) {
+            whole(stream, "421 Misdirected Request", id, "", "")?;
+            return Ok(true);
+        }
+        let fault = self.next_fault();
+        if fault == TargetFault::Full {
+            whole(stream, "503 Service Unavailable", id, "X-Not-Run: 1\r\n", "")?;
+            return Ok(true);
+        }
+        let after = request.header("last-event-id").and_then(|it| it.parse().ok());
+        let run = Run { id: id.to_owned(), after, body: request.body.clone() };
+        self.state().runs.push(run);
+        match fault {
+            TargetFault::Fails => {
+                whole(stream, "500 Internal Server Error", id, &stamp(id), "failed")?
+            }
+            TargetFault::Impossible => {
+                whole(stream, "422 Unprocessable Entity", id, &stamp(id), "impossible")?;
+            }
+            TargetFault::AnswerLost => return Ok(false),
+            TargetFault::Silent => {
+                thread::sleep(SILENCE);
+                return Ok(false);
+            }
+            TargetFault::Stray => {
+                whole(
+                    stream,
+                    "200 OK",
+                    "of-another-request",
+                    &stamp("of-another-request"),
+                    "stray",
+                )?;
+                self.stream_events(stream, id, after, fault)?;
+            }
+            _ => return self.stream_events(stream, id, after, fault),
+        }
+        Ok(true)
+    }
+
+    fn stream_events(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        after: Option<u64>,
+        fault: TargetFault,
+    ) -> io::Result<bool> {
+        let (events, pause) = {
+            let state = self.state();
+            (state.events, state.pause)
+        };
+        let unframed = fault == TargetFault::Unframed;
+        let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}X-Request-Id: {id}\r\n\
+             X-Server-Load: 1,0,8\r\n{}\r\n",
+            stamp(id)
+        )?;
+        let first = after.unwrap_or(0) + 1;
+        for (sent, number) in (first..=events).enumerate() {
+            if fault == TargetFault::CutAfter(sent as u64) {
+                // A part of an event may be out already.
+                write!(stream, "8\r\nid: {number}\r\n")?;
+                return Ok(false);
+            }
+            let event = format!("id: {number}\ndata: {}\n\n", data(number));
+            match unframed {
+                true => stream.write_all(event.as_bytes())?,
+                false => write!(stream, "{:x}\r\n{event}\r\n", event.len())?,
+            }
+            thread::sleep(pause);
+        }
+        if !unframed {
+            stream.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(!unframed)
+    }
+}
+
+fn data(number: u64) -> String {
+    format!("piece-{number}")
+}
+
+fn stamp(id: &str) -> String {
+    format!("X-Server-Stamp: stamp-{id}\r\n")
+}
+
+fn whole(stream: &mut TcpStream, status: &str, id: &str, more: &str, body: &str) -> io::Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 {status}\r\nContent-Length: {}\r\nX-Request-Id: {id}\r\n{more}\r\n{body}",
+        body.len()
+    )
+}
+
+struct HttpRequest {
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl HttpRequest {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(it, _)| it.eq_ignore_ascii_case(name)).map(|(_, it)| it.as_str())
+    }
+}
+
+/// Next request of a connection; `None` at its end.
+fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<HttpRequest>> {
+    loop {
+        if let Some((request, len)) = parse(buffer) {
+            buffer.drain(..len);
+            return Ok(Some(request));
+        }
+        let mut chunk = [0; 4_096];
+        let read = stream.read(&mut chunk)?;
+        if read == 0 {
+            return Ok(None);
+        }
+        buffer.extend_from_slice(&chunk[..read]);
+    }
+}
+
+fn parse(buffer: &[u8]) -> Option<(HttpRequest, usize)> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let httparse::Status::Complete(head) = request.parse(buffer).ok()? else { return None };
+    let text = |it: &[u8]| String::from_utf8_lossy(it).into_owned();
+    let headers: Vec<(String, String)> =
+        request.headers.iter().map(|it| (it.name.to_owned(), text(it.value))).collect();
+    let mut request = HttpRequest { headers, body: Vec::new() };
+    let length = request.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+    request.body = buffer.get(head..head + length)?.to_vec();
+    Some((request, head + length))
+}
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -286,7 +286,8 @@
     panic!("never: {what}");
 }
 
-fn call(
+/// Makes one call on a connection of its own; status 0 if its answer was cut.
+pub fn call(
     method: hyper::Method,
     address: SocketAddr,
     path: &str,
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod lending;
 mod operators;
 mod orders;
+mod platform;
 mod quarantine;
 mod raw_target;
 mod relay;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -0,0 +1,116 @@
+//! Routes and targets as they change.
+
+use std::time::Duration;
+
+use samphiredoor_standin::platform_store::StoreFault;
+use serde_json::json;
+
+use super::env::{Platform, route};
+use crate::env::{get, wait_until};
+
+const FAST: Duration = Duration::from_millis(2);
+
+// A gateway that knows no routes cannot tell a wrong request from a proper one: it must not answer 404.
+#[test]
+fn without_routes_nothing_is_refused_for_good() {
+    let mut platform = Platform::without_routes();
+    platform.start_target("t-1", FAST);
+    platform.spawn_gateway();
+    let readiness = platform.gateway(0).readiness;
+    assert_eq!(get(readiness, "/samphiredoor/ready").status, 503);
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 503);
+    platform.put_routes(1, 2);
+    platform.wait_ready(0);
+    assert_eq!(platform.send(0, "/stream/check", "id-2", "").status, 200);
+}
+
+// An older configuration is written after a newer one was seen. It must not come back into force.
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    let with = |version: u64, path: &str| {
+        let mut new = route("stream", 1, false);
+        new["pathPrefix"] = json!(path);
+        platform.store.put("config", "main", json!({ "version": version, "routes": [new] }));
+    };
+    with(9, "/new/");
+    wait_until("the new route serves", || platform.send(0, "/new/check", "id-1", "").status == 200);
+    with(5, "/old/");
+    with(12, "/newest/");
+    wait_until("the newest serves", || platform.send(0, "/newest/check", "id-2", "").status == 200);
+    assert_eq!(platform.send(0, "/old/check", "id-3", "").status, 404);
+}
+
+#[test]
+fn a_configuration_is_found_where_the_history_is_gone() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    platform.store.set_fault(StoreFault::Busy);
+    std::thread::sleep(Duration::from_millis(300));
+    let mut new = route("stream", 1, false);
+    new["pathPrefix"] = json!("/new/");
+    platform.store.put("config", "main", json!({ "version": 7, "routes": [new] }));
+    platform.store.forget_history();
+    platform.store.set_fault(StoreFault::None);
+    wait_until("the new route serves", || platform.send(0, "/new/check", "id-1", "").status == 200);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let mut platform = Platform::new();
+    let leaving = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
+    platform.register(&leaving, "draining");
+    wait_until("it gets none", || platform.send(0, "/stream/check", "id-2", "").status == 503);
+    let runs = leaving.runs().len();
+    platform.start_target("t-2", FAST);
+    wait_until("another serves", || platform.send(0, "/stream/check", "id-3", "").status == 200);
+    assert_eq!(leaving.runs().len(), runs);
+}
+
+// Entries of another writer stand among those of targets: fields missing, of another type, a state that nobody knows.
+// They name no target to use, and the others hold.
+#[test]
+fn foreign_entries_name_no_target() {
+    let mut platform = Platform::new();
+    let foreign = [
+        json!("text"),
+        json!({ "service": "reader" }),
+        json!({ "service": 7, "addr": "127.0.0.1:1", "zone": "z", "slots": 8, "state": "ready" }),
+        json!({ "service": "reader", "addr": "nowhere", "zone": "z", "slots": 8, "state": "ready" }),
+        json!({ "service": "reader", "addr": "127.0.0.1:1", "zone": "z", "slots": 8, "state": "asleep" }),
+    ];
+    for (number, entry) in foreign.into_iter().enumerate() {
+        platform.store.put("servers", &format!("foreign-{number}"), entry);
+    }
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    for number in 0..5 {
+        assert_eq!(platform.send(0, "/unsafe/book", &format!("id-{number}"), "").status, 200);
+    }
+}
+
+// The store is away, all entries lapse, and the targets write theirs anew about two seconds after its return. To drop
+// them all at once would leave no target to use.
+#[test]
+fn targets_that_lapsed_with_the_store_still_serve() {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    platform.store.set_fault(StoreFault::Busy);
+    std::thread::sleep(Duration::from_millis(1_500));
+    platform.store.remove("servers", "t-1");
+    platform.store.set_fault(StoreFault::None);
+    for number in 0..8 {
+        let answer = platform.send(0, "/unsafe/book", &format!("id-{number}"), "");
+        assert_eq!(answer.status, 200);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    platform.register(&target, "ready");
+    std::thread::sleep(Duration::from_millis(1_800));
+    assert_eq!(platform.send(0, "/unsafe/book", "id-9", "").status, 200);
+}
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -0,0 +1,268 @@
+//! Gateways, a store and replicas, ended with the test.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hyper::Method;
+use samphiredoor_standin::{platform_store::PlatformStore, platform_target::PlatformTarget};
+use serde_json::{Value, json};
+
+use crate::env::{Answer, call, get, start, wait_until};
+
+pub const HOST: &str = "desk.example";
+pub const EVENTS: u64 = 6;
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// The platform with any number of gateways.
+pub struct Platform {
+    pub store: PlatformStore,
+    address: SocketAddr,
+    folder: PathBuf,
+    gateways: Vec<Gateway>,
+}
+
+/// One gateway process.
+pub struct Gateway {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    child: Child,
+}
+
+impl Gateway {
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
+        assert!(sent.success(), "signal {name} was not sent");
+    }
+
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("the gateway can be waited for").success()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Route of the given kind under `/kind/`.
+pub fn route(kind: &str, attempts: u32, resumable: bool) -> Value {
+    json!({
+        "name": format!("r-{kind}-{resumable}"), "host": HOST,
+        "pathPrefix": if resumable { format!("/{kind}-resumable/") } else { format!("/{kind}/") },
+        "kind": kind, "timeoutMs": 20_000, "sloMs": 2_000, "prio": 0, "service": "reader",
+        "attempts": attempts, "sticky": true, "resumable": resumable, "gapAimMs": 400,
+        "batchSloMs": 20_000, "maxWaitS": 60,
+    })
+}
+
+impl Platform {
+    /// A store with routes of all kinds, and neither gateways nor replicas.
+    pub fn new() -> Platform {
+        let platform = Platform::without_routes();
+        platform.put_routes(1, 3);
+        platform
+    }
+
+    /// An empty store.
+    pub fn without_routes() -> Platform {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("samphiredoor-platform-test-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let store = PlatformStore::new();
+        let serving = store.clone();
+        let address = start(move || move |request| serving.clone().handle(request));
+        Platform { store, address, folder, gateways: Vec::new() }
+    }
+
+    /// Writes routes of all kinds under one version.
+    pub fn put_routes(&self, version: u64, attempts: u32) {
+        let routes = [
+            route("stream", 1, false),
+            route("stream", attempts, true),
+            route("safe", attempts, false),
+            route("unsafe", attempts, false),
+            route("batch", attempts, false),
+        ];
+        let limits = json!({
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 5_000,
+            "idleTimeoutMs": 15_000,
+        });
+        let config =
+            json!({ "version": version, "routes": routes, "services": [], "limits": limits });
+        self.store.put("config", "main", config);
+    }
+
+    /// Starts a replica and registers it.
+    pub fn start_target(&self, name: &str, pause: Duration) -> PlatformTarget {
+        let target = PlatformTarget::start(name, EVENTS, pause).expect("a replica starts");
+        self.register(&target, "ready");
+        target
+    }
+
+    /// Writes the entry of a replica.
+    pub fn register(&self, target: &PlatformTarget, state: &str) {
+        let entry = target.entry("reader", "brisbane-north", state);
+        self.store.put("servers", &target.name, entry);
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub fn start_gateway(&mut self) -> usize {
+        let number = self.spawn_gateway();
+        self.wait_ready(number);
+        number
+    }
+
+    pub fn wait_ready(&self, number: usize) {
+        let readiness = self.gateways[number].readiness;
+        wait_until("the gateway is ready", || get(readiness, "/samphiredoor/ready").status == 200);
+    }
+
+    /// Starts a gateway and waits until it listens.
+    pub fn spawn_gateway(&mut self) -> usize {
+        let number = self.gateways.len();
+        let settings = format!(
+            "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
+             callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
+             peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
+             store.watch_ms = 2000\nstopping.unready_ms = 300\nstopping.finish_ms = 10000\n\
+             regions.brisbane-north = \"brisbane\"\n",
+            self.address
+        );
+        let (child, line) = self.spawn("gateway", &format!("gateway-{number}"), &settings);
+        let field = |key: &str| {
+            let (_, rest) = line.split_once(&format!(" {key}=")).expect("the field is logged");
+            rest.split_whitespace().next().expect("a value").parse().expect("an address")
+        };
+        let (callers, readiness) = (field("callers"), field("readiness"));
+        self.gateways.push(Gateway { callers, readiness, child });
+        number
+    }
+
+    /// Starts the process of a storage host.
+    pub fn start_storage(&self, name: &str) -> Gateway {
+        let settings = format!(
+            "name = \"{name}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
+             store.address = \"{}\"\n",
+            self.address
+        );
+        let (child, _) = self.spawn("storage", name, &settings);
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        Gateway { callers: nowhere, readiness: nowhere, child }
+    }
+
+    fn spawn(&self, role: &str, name: &str, settings: &str) -> (Child, String) {
+        let file = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&file, settings).expect("settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_samphiredoor"))
+            .arg(role)
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
+        let mark = format!("{role}: started");
+        let started = lines.find_map(|it| it.ok().filter(|line| line.contains(&mark)));
+        let started = started.expect("the process says that it started");
+        thread::spawn(move || lines.for_each(drop));
+        (child, started)
+    }
+
+    pub fn signal(&self, number: usize, name: &str) {
+        self.gateways[number].signal(name);
+    }
+
+    pub fn gateway(&mut self, number: usize) -> &mut Gateway {
+        &mut self.gateways[number]
+    }
+
+    /// Sends a request of a caller.
+    pub fn send(&self, gateway: usize, path: &str, id: &str, body: &str) -> Answer {
+        self.send_with(gateway, path, id, &[], body)
+    }
+
+    /// Sends a request of a caller with more headers.
+    pub fn send_with(
+        &self,
+        gateway: usize,
+        path: &str,
+        id: &str,
+        more: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut headers = vec![("host", HOST), ("x-request-id", id)];
+        headers.extend_from_slice(more);
+        call(Method::POST, self.gateways[gateway].callers, path, &headers, body)
+    }
+
+    /// Submits a job of items whose bodies are their names.
+    pub fn submit(&self, gateway: usize, job: &str, items: &[&str]) -> Answer {
+        let items: Vec<Value> = items
+            .iter()
+            .map(|id| {
+                json!({
+                    "id": id, "path": "/batch/item", "headers": { "X-Model": "m" },
+                    "body": STANDARD.encode(id), "tokenCount": 10,
+                })
+            })
+            .collect();
+        self.send(gateway, "/batch/submit", job, &json!({ "items": items }).to_string())
+    }
+
+    /// Reads results from a position on.
+    pub fn results(&self, gateway: usize, job: &str, after: usize) -> Answer {
+        let path = format!("/samphiredoor/lots/{job}?after={after}");
+        let headers = [("host", HOST), ("x-wait-ms", "100")];
+        call(Method::GET, self.gateways[gateway].callers, &path, &headers, "")
+    }
+
+    /// Reads all results once all stand.
+    pub fn all_results(&self, gateway: usize, job: &str, count: usize) -> Vec<Value> {
+        let mut all = Vec::new();
+        wait_until("all results stand", || {
+            let page = self.results(gateway, job, 0).json();
+            all = page["outputs"].as_array().cloned().unwrap_or_default();
+            all.len() == count
+        });
+        all
+    }
+
+    /// Reads the body of an item.
+    pub fn item(&self, gateway: usize, job: &str, item: &str) -> Answer {
+        let path = format!("/samphiredoor/items/{job}?id={item}");
+        call(Method::GET, self.gateways[gateway].callers, &path, &[("host", HOST)], "")
+    }
+
+    /// Ends a job.
+    pub fn end(&self, gateway: usize, job: &str) -> Answer {
+        let path = format!("/samphiredoor/lots/{job}");
+        call(Method::DELETE, self.gateways[gateway].callers, &path, &[("host", HOST)], "")
+    }
+}
+
+/// The stream that a whole run gives its caller.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(|it| format!("id: {it}\ndata: piece-{it}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -0,0 +1,186 @@
+//! Batch jobs: accepted once, each item completed once, results readable everywhere and never moving.
+
+use std::time::Duration;
+
+use samphiredoor_standin::{
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, TargetFault},
+};
+use serde_json::Value;
+
+use super::env::{Platform, whole_stream};
+use crate::env::wait_until;
+
+const FAST: Duration = Duration::from_millis(2);
+const SLOW: Duration = Duration::from_millis(150);
+const ITEMS: [&str; 4] = ["item-a", "item-b", "item-c", "item-d"];
+
+fn two_gateways(pause: Duration) -> (Platform, PlatformTarget) {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", pause);
+    platform.start_gateway();
+    platform.start_gateway();
+    (platform, target)
+}
+
+fn ids(results: &[Value]) -> Vec<String> {
+    let mut ids: Vec<String> =
+        results.iter().map(|it| it["id"].as_str().unwrap_or_default().to_owned()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_job_is_done_and_read_at_any_gateway() {
+    let (platform, target) = two_gateways(FAST);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    let results = platform.all_results(0, "job-1", ITEMS.len());
+    assert_eq!(ids(&results), ITEMS);
+    assert!(results.iter().all(|it| it["state"] == "completed" && it["text"] == target.text()));
+    assert_eq!(platform.all_results(1, "job-1", ITEMS.len()), results);
+    assert_eq!(platform.results(1, "job-1", 2).json()["outputs"].as_array().map(Vec::len), Some(2));
+}
+
+#[test]
+fn a_job_that_comes_again_is_accepted_once() {
+    let (platform, target) = two_gateways(FAST);
+    for gateway in [0, 1, 0] {
+        assert_eq!(platform.submit(gateway, "job-1", &ITEMS).status, 202);
+    }
+    platform.all_results(1, "job-1", ITEMS.len());
+    assert_eq!(target.runs().len(), ITEMS.len());
+}
+
+#[test]
+fn an_unknown_job_is_not_found() {
+    let (platform, _target) = two_gateways(FAST);
+    assert_eq!(platform.results(0, "job-9", 0).status, 404);
+    assert_eq!(platform.end(0, "job-9").status, 404);
+    assert_eq!(platform.item(0, "job-9", "item-a").status, 404);
+}
+
+#[test]
+fn an_item_that_is_not_done_gives_its_body_at_any_gateway() {
+    let (platform, target) = two_gateways(FAST);
+    target.fail_next(100, TargetFault::Full);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    for gateway in [0, 1] {
+        let answer = platform.item(gateway, "job-1", "item-b");
+        assert_eq!((answer.status, answer.text.as_str()), (200, "item-b"));
+    }
+}
+
+// What a target fails for good, or as often as the route allows, is listed as failed and not run again.
+#[test]
+fn items_that_cannot_be_done_are_listed_as_failed() {
+    let (platform, target) = two_gateways(FAST);
+    target.fail_next(100, TargetFault::Impossible);
+    assert_eq!(platform.submit(0, "job-1", &["item-a"]).status, 202);
+    let results = platform.all_results(0, "job-1", 1);
+    assert_eq!(results[0]["state"], "errored");
+    assert_eq!(target.runs().len(), 1);
+    target.fail_next(100, TargetFault::Fails);
+    assert_eq!(platform.submit(0, "job-2", &["item-b"]).status, 202);
+    platform.all_results(0, "job-2", 1);
+    assert_eq!(target.runs().len(), 1 + 3);
+}
+
+// A target breaks off in the middle of an item. The text must go on after the last whole event.
+#[test]
+fn a_cut_item_goes_on_after_its_last_event() {
+    let (platform, target) = two_gateways(FAST);
+    target.fail_next(1, TargetFault::CutAfter(3));
+    assert_eq!(platform.submit(0, "job-1", &["item-a"]).status, 202);
+    let results = platform.all_results(0, "job-1", 1);
+    assert_eq!(results[0]["text"], target.text());
+    let after: Vec<_> = target.runs().iter().map(|it| it.after).collect();
+    assert_eq!(after, [None, Some(3)]);
+}
+
+#[test]
+fn an_ended_job_stops_also_where_another_gateway_heard_of_it() {
+    let (platform, target) = two_gateways(SLOW);
+    target.fail_next(1_000, TargetFault::Full);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    assert_eq!(platform.end(1, "job-1").status, 200);
+    assert_eq!(platform.end(0, "job-1").status, 200);
+    wait_until("the job is closed", || {
+        platform.store.spec("orderedjobs", "job-1").is_some_and(|it| it["finished"] == true)
+    });
+    target.fail_next(0, TargetFault::None);
+    assert!(target.runs().is_empty());
+}
+
+// The gateway that accepted a job is killed before an item is done. Another one takes the job, and the results stand
+// once.
+#[test]
+fn a_job_outlives_the_gateway_that_accepted_it() {
+    let (mut platform, _target) = two_gateways(SLOW);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    platform.gateway(0).kill();
+    let results = platform.all_results(1, "job-1", ITEMS.len());
+    assert_eq!(ids(&results), ITEMS);
+}
+
+// The owner of a job sleeps, another gateway takes the job and finishes it, and the owner wakes with results of its own.
+// Both must tell the same results at the same positions.
+#[test]
+fn a_former_owner_that_wakes_moves_no_result() {
+    let (mut platform, _target) = two_gateways(SLOW);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    platform.gateway(0).signal("STOP");
+    let results = platform.all_results(1, "job-1", ITEMS.len());
+    platform.gateway(0).signal("CONT");
+    wait_until("the former owner tells the same", || {
+        platform.results(0, "job-1", 0).json()["outputs"] == Value::Array(results.clone())
+    });
+    assert_eq!(platform.all_results(1, "job-1", ITEMS.len()), results);
+}
+
+// A job's results are due while the store answers nothing. The task of the job waited for a time that had passed, held
+// the whole process, and no caller was answered any more.
+#[test]
+fn online_requests_are_answered_while_results_cannot_be_written() {
+    let (platform, target) = two_gateways(FAST);
+    target.fail_next(4, TargetFault::CutAfter(2));
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    platform.store.set_fault(StoreFault::Silent);
+    wait_until("all items have run", || target.runs().len() >= 2 * ITEMS.len());
+    for number in 0..20 {
+        let answer = platform.send(0, "/stream/check", &format!("id-{number}"), "");
+        assert_eq!((answer.status, answer.text), (200, whole_stream()));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    platform.store.set_fault(StoreFault::None);
+    assert_eq!(ids(&platform.all_results(0, "job-1", ITEMS.len())), ITEMS);
+}
+
+macro_rules! lost_answers {
+    ($($name:ident: $fault:expr;)*) => {
+        $(
+            // Answers of the store are lost, some calls take effect long after they were given up. Items must stand
+            // once, and the job must be accepted once.
+            #[test]
+            fn $name() {
+                let (platform, _target) = two_gateways(FAST);
+                platform.store.set_fault($fault);
+                let first = platform.submit(0, "job-1", &ITEMS);
+                assert!([202, 503, 504].contains(&first.status), "{}", first.status);
+                platform.store.set_fault(StoreFault::None);
+                wait_until("the job is accepted", || platform.submit(1, "job-1", &ITEMS).status == 202);
+                platform.store.set_fault($fault);
+                std::thread::sleep(Duration::from_millis(700));
+                platform.store.set_fault(StoreFault::None);
+                let results = platform.all_results(0, "job-1", ITEMS.len());
+                assert_eq!(ids(&results), ITEMS);
+                assert_eq!(platform.all_results(1, "job-1", ITEMS.len()), results);
+            }
+        )*
+    };
+}
+
+lost_answers! {
+    a_job_stands_once_where_writes_are_not_answered: StoreFault::WritesUnanswered;
+    a_job_stands_once_where_writes_come_late: StoreFault::WritesLate;
+    a_job_stands_once_where_the_store_refuses: StoreFault::Busy;
+}
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of gateways on the users' platform, through the real process, with stand-ins of the platform.
+
+mod discovery;
+mod env;
+mod jobs;
+mod stops;
+mod streams;
