Ask the store less: gateways tell each other the owners of jobs, ends go to the owner, results wait for others

Ruled out: fewer watchers that tell the others (a silent one would hide a leaving target). Change: owners ride in the gateways' datagrams; an end is acknowledged when the owner has it; results wait 1 s for others, 0.15 s when due; a watch rests 0.7 s after changes; datagrams beyond the region go each 0.45 s.

--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -23,9 +23,13 @@
 use super::{JobEnv, STORE_PAUSE, directory::Directory, item_run, submit::until};
 use crate::edge::ResultsPage;
 
-/// Time that a result waits for others before it is written. Callers ask twice a second; a write costs as much as a
-/// hundredth of an item.
-const GATHER: Duration = Duration::from_millis(250);
+/// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
+/// a write costs as much as a hundredth of an item.
+const GATHER: Duration = Duration::from_millis(1_000);
+/// The same shortly before the results are due.
+const GATHER_WHEN_DUE: Duration = Duration::from_millis(150);
+/// How long before the results are due that is; callers read twice a second.
+const DUE_SOON_MS: u64 = 2_500;
 /// How long a finished job is kept in memory for those who read it; later reads come from the store.
 const LINGER: Duration = Duration::from_secs(12);
 /// Shortest time between two looks for segments of other processes; callers ask twice a second.
@@ -305,11 +309,14 @@
     fn record(&mut self, result: ItemResult) {
         self.log.push(result);
         let is_last = self.runs.is_empty() && self.again.is_empty();
-        let pause = if is_last { Duration::ZERO } else { GATHER };
-        self.write_at.get_or_insert(Instant::now() + pause);
-        if is_last {
-            self.write_at = Some(Instant::now());
-        }
+        let pause = if is_last { Duration::ZERO } else { self.gather() };
+        let at = Instant::now() + pause;
+        self.write_at = Some(self.write_at.map_or(at, |it| it.min(at)));
+    }
+
+    fn gather(&self) -> Duration {
+        let due_soon = self.env.clock.now().mono_ms + DUE_SOON_MS >= self.due_at_ms;
+        if due_soon { GATHER_WHEN_DUE } else { GATHER }
     }
 
     fn give_up_rest(&mut self) {
@@ -372,7 +379,8 @@
         // Results that have come meanwhile wait for others again.
         match step {
             LogStep::Store(StoreOp::Create { .. }) => {
-                self.write_at.get_or_insert(Instant::now() + GATHER / 2);
+                let at = Instant::now() + self.gather();
+                self.write_at.get_or_insert(at);
             }
             step => self.make_step(step),
         }
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -1,11 +1,9 @@
 //! Batch jobs: taken once, run by one gateway, readable at all.
 //!
 //! `submit` makes a job durable, `job_task` owns it, `item_run` runs one item, `reads` answers callers about it,
-//! `stored` reads what the store has of it, `sweep` takes jobs whose owner is gone, and `ends` hears of those that their
-//! callers ended.
+//! `stored` reads what the store has of it, and `sweep` takes jobs whose owner is gone.
 
 mod directory;
-mod ends;
 mod item_run;
 mod job_task;
 mod reads;
@@ -18,7 +16,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Place,
-    ordered::JobOwner,
+    ordered::{JobName, JobOwner},
     store::{StoreAnswer, StoreOp},
 };
 use samphiredoor_net::clock::Clock;
@@ -27,7 +25,11 @@
 pub use submit::Submitted;
 
 use crate::{
-    edge::Platform, metrics::Metrics, peers::Roster, placement::Placer, routes::Routes,
+    edge::Platform,
+    metrics::Metrics,
+    peers::{OwnedJob, Owners, Roster},
+    placement::Placer,
+    routes::Routes,
     target_client::TargetClient,
 };
 use directory::Directory;
@@ -54,6 +56,10 @@
     pub targets: TargetClient,
     /// Other gateways.
     pub roster: Roster,
+    /// Owners of jobs, as others tell.
+    pub owners: Owners,
+    /// Where the jobs that this process comes to own are told, for others.
+    pub owned: flume::Sender<OwnedJob>,
     /// Counters.
     pub metrics: Rc<Metrics>,
     /// Clock of the process.
@@ -73,17 +79,22 @@
         *owner == self.owner()
     }
 
+    /// Tells others that this process owns a job.
+    fn tell_owned(&self, job: &JobName, items: u32) {
+        // Fails only when the process ends.
+        let _ = self.owned.send(OwnedJob { name: JobName::clone(job), items });
+    }
+
     async fn call(&self, op: StoreOp) -> StoreAnswer {
         self.platform.store.call(op).await
     }
 }
 
 /// Starts everything that works on jobs.
-pub fn start(env: JobEnv, ends: crate::watch::Follower) -> Jobs {
+pub fn start(env: JobEnv) -> Jobs {
     let env = Rc::new(env);
     let directory = Directory::default();
     let stored = StoredJobs::new(Rc::clone(&env));
-    compio::runtime::spawn(ends::run(directory.clone(), ends)).detach();
     compio::runtime::spawn(sweep::run(Rc::clone(&env), directory.clone(), stored.clone())).detach();
     Jobs::new(env, directory, stored)
 }
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -31,7 +31,7 @@
 use crate::{
     edge::{JobCall, ResultsPage},
     front::{plain, refused},
-    peers::Liveness,
+    peers::{Liveness, Owner},
 };
 
 /// Longest wait for a result, whatever the caller asks for.
@@ -97,8 +97,11 @@
                 None => self.item_from_store(&job, &item).await,
             },
             PeerCall::Ended { job } => {
-                self.directory.tell(&job, JobMessage::Ended);
-                plain(StatusCode::OK, "heard")
+                let here = self.directory.tell(&job, JobMessage::Ended);
+                match here || self.directory.was_closed(&job) {
+                    true => plain(StatusCode::OK, "ended"),
+                    false => plain(StatusCode::NOT_FOUND, "not here"),
+                }
             }
             PeerCall::Offer { job } => {
                 let (env, directory, stored) =
@@ -125,11 +128,11 @@
         if let Some(page) = self.read_here(job, after, until).await {
             return self.page_answer(&page);
         }
-        let header = match self.stored.header(job).await {
-            Ok(header) => header,
+        let owner = match self.owner_of(job).await {
+            Ok(owner) => owner,
             Err(unread) => return unread_answer(unread),
         };
-        if let Some(address) = self.owner_elsewhere(&header) {
+        if let Some(address) = self.elsewhere(&owner) {
             let wait = until.saturating_duration_since(Instant::now());
             let call = PeerCall::Read { job: job.clone(), after, wait_ms: wait.as_millis() as u64 };
             if let Some(answer) = self.ask_peer(address, &call, wait + PEER_TIMEOUT).await {
@@ -179,11 +182,11 @@
         if let Some(answer) = self.item_here(job, item).await {
             return answer;
         }
-        let header = match self.stored.header(job).await {
-            Ok(header) => header,
+        let owner = match self.owner_of(job).await {
+            Ok(owner) => owner,
             Err(unread) => return unread_answer(unread),
         };
-        if let Some(address) = self.owner_elsewhere(&header) {
+        if let Some(address) = self.elsewhere(&owner) {
             let call = PeerCall::Item { job: job.clone(), item: item.to_owned() };
             if let Some(answer) = self.ask_peer(address, &call, PEER_TIMEOUT).await {
                 return answer;
@@ -220,22 +223,48 @@
     }
 
     async fn end(&self, job: &JobName) -> Response<Body> {
-        let header = match self.stored.header(job).await {
-            Ok(header) => header,
-            Err(unread) => return unread_answer(unread),
-        };
+        if let Err(unread) = self.owner_of(job).await {
+            return unread_answer(unread);
+        }
         if !self.write_end(job).await {
             log::warn!(job = &**job; "job: its end could not be written");
             return plain(StatusCode::GATEWAY_TIMEOUT, "the end may not stand; send it again");
         }
+        if !self.tell_end(job).await {
+            log::warn!(job = &**job; "job: its end stands, but its owner could not be told");
+            return plain(StatusCode::GATEWAY_TIMEOUT, "the job may still run; send the end again");
+        }
         log::info!(job = &**job; "job: ended by its caller");
-        if !self.directory.tell(job, JobMessage::Ended)
-            && let Some(address) = self.owner_elsewhere(&header)
+        plain(StatusCode::OK, "ended")
+    }
+
+    /// Tells the owner of a job that it is ended; says whether nobody runs the job any more. Where the owner is gone, the
+    /// next one finds the end before it starts. A process that does not hear most others may be the one that is cut off,
+    /// and the owner may live.
+    async fn tell_end(&self, job: &JobName) -> bool {
+        if self.directory.tell(job, JobMessage::Ended) {
+            return true;
+        }
+        let call = PeerCall::Ended { job: job.clone() };
+        if let Some(owner) = self.env.owners.of(job)
+            && let Some(address) = self.elsewhere(&owner)
+            && self
+                .ask_peer(address, &call, PEER_TIMEOUT)
+                .await
+                .is_some_and(|it| it.status() == StatusCode::OK)
         {
-            // The owner also follows the ends in the store, so this only makes it sooner.
-            self.ask_peer(address, &PeerCall::Ended { job: job.clone() }, PEER_TIMEOUT).await;
+            return true;
+        }
+        // What others have told may be older than the last taking of the job.
+        let Ok((header, _)) = self.stored.current_header(job).await else { return false };
+        let owner = owner_in(&header);
+        match self.elsewhere(&owner) {
+            Some(address) => {
+                let answer = self.ask_peer(address, &call, PEER_TIMEOUT).await;
+                answer.is_some_and(|it| it.status() == StatusCode::OK)
+            }
+            None => header.finished || self.env.roster.hears_most(),
         }
-        plain(StatusCode::OK, "ended")
     }
 
     async fn write_end(&self, job: &JobName) -> bool {
@@ -250,9 +279,17 @@
         false
     }
 
-    fn owner_elsewhere(&self, header: &JobHeader) -> Option<SocketAddr> {
-        let owner = &header.owner;
-        if self.env.owns(owner) {
+    /// Last known owner of a job; the store is asked only where nobody has told it.
+    async fn owner_of(&self, job: &JobName) -> Result<Owner, Unread> {
+        match self.env.owners.of(job) {
+            Some(owner) => Ok(owner),
+            None => Ok(owner_in(&self.stored.header(job).await?)),
+        }
+    }
+
+    /// Address of an owner that is another process and works.
+    fn elsewhere(&self, owner: &Owner) -> Option<SocketAddr> {
+        if owner.process == self.env.name {
             return None;
         }
         let alive = self.env.roster.liveness(&owner.process, owner.incarnation) == Liveness::Works;
@@ -293,6 +330,11 @@
     Some((status, body))
 }
 
+fn owner_in(header: &JobHeader) -> Owner {
+    let owner = &header.owner;
+    Owner { process: owner.process.as_str().into(), incarnation: owner.incarnation }
+}
+
 fn unread_answer(unread: Unread) -> Response<Body> {
     match unread {
         Unread::Absent => plain(StatusCode::NOT_FOUND, "no such job or item"),
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -185,6 +185,7 @@
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     log::info!(job = &*owned.job, items = count; "job: accepted");
     env.metrics.job("accepted");
+    env.tell_owned(&owned.job, owned.header.items);
     let log = ResultLog::new(JobName::clone(&owned.job));
     let attempts = attempts_of(env, &owned.header);
     let task = JobTask::new(Rc::clone(env), owned, Items::new(items, attempts), log, messages);
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -39,6 +39,8 @@
 const REMOVE_MARGIN: Duration = Duration::from_secs(600);
 /// Old jobs that one sweep removes; a job takes about ten calls.
 const REMOVED_AT_ONCE: usize = 2;
+/// Time after which an end that crossed the taking of its job stands in the store.
+const END_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -203,12 +205,25 @@
         return;
     };
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
+    env.tell_owned(&owned.job, owned.header.items);
+    watch_for_end(directory.clone(), stored.clone(), JobName::clone(&owned.job));
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
     let items = Items::new(items, attempts_of(env, &owned.header));
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
 
+/// Looks once more for the end of a job that was just taken: whoever took the end meanwhile knew only the former owner.
+fn watch_for_end(directory: Directory, stored: StoredJobs, job: JobName) {
+    compio::runtime::spawn(async move {
+        compio::time::sleep(END_PAUSE).await;
+        if directory.has(&job) && matches!(stored.is_ended(&job).await, Ok(true)) {
+            directory.tell(&job, JobMessage::Ended);
+        }
+    })
+    .detach();
+}
+
 /// Tells the nearest process that works that a job was handed over.
 pub async fn offer(env: Rc<JobEnv>, job: JobName) {
     for address in env.roster.takers(&env.place).into_iter().take(3) {
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -1,9 +1,10 @@
 //! Other gateways: how they find each other, and what they tell each other all the time.
 //!
 //! Each gateway registers its address in the store and follows the others' entries. Its state goes to all of them as
-//! datagrams: to those of its own availability zone at once, as they share their targets, to others a little later.
+//! datagrams: to those of its own availability zone at once, as they share their targets, to others more seldom.
 //! Everything here is a hint; a datagram that is lost is made good by the next one.
 
+mod owners;
 pub mod relay;
 mod roster;
 mod status;
@@ -19,13 +20,15 @@
 use samphiredoor_core::{
     Name,
     dispatch::Place,
-    placement::DoorLoad,
+    placement::{Distance, DoorLoad},
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value},
 };
 use samphiredoor_net::pool::within;
 use serde_json::json;
 
+pub use owners::{Owner, Owners};
 pub use roster::{Liveness, Roster};
+pub use status::OwnedJob;
 use status::{MAX_BYTES, Status};
 
 use crate::{
@@ -37,8 +40,15 @@
     watch::{Follower, Seen},
 };
 
-/// Shortest time between two datagrams beyond the own availability zone, where bytes are paid for.
-const FAR_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest time between two datagrams to gateways of the own region, whose targets are used when the own ones are full.
+const REGION_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest time between two datagrams beyond the region, where bytes are dear and targets are the last choice.
+const FAR_PAUSE: Duration = Duration::from_millis(450);
+/// Datagrams at each distance that name a job; one of them arrives even where some are lost.
+const JOB_REPEATS: u32 = 3;
+/// Wait of the first list of all gateways: those that start together have registered by then, and are not seen one by
+/// one.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(1_200);
 const FOREVER: Duration = Duration::from_secs(3_600);
 /// Pause before registering is tried again.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
@@ -95,6 +105,7 @@
 
 /// Follows the entries of all gateways.
 pub async fn follow(own: Name, roster: Roster, mut follower: Follower) {
+    compio::time::sleep(FOLLOW_PAUSE).await;
     loop {
         match follower.next().await {
             Seen::All(all) => all.iter().for_each(|it| take_entry(&own, &roster, it)),
@@ -128,29 +139,51 @@
 }
 
 /// Takes the statuses of other gateways.
-pub async fn listen(socket: Rc<UdpSocket>, roster: Roster, placer: Placer, metrics: Rc<Metrics>) {
-    loop {
-        let compio::BufResult(received, buffer) =
-            socket.recv_from(Vec::with_capacity(MAX_BYTES)).await;
-        match received {
-            Ok(_) => take_status(&buffer, &roster, &placer, &metrics),
-            Err(err) => log::warn!(problem:% = err; "peers: datagram lost"),
+pub struct Listener {
+    /// Socket to receive from.
+    pub socket: Rc<UdpSocket>,
+    /// Other gateways.
+    pub roster: Roster,
+    /// Where their loads are told.
+    pub placer: Placer,
+    /// Where the owners of jobs are told.
+    pub owners: Owners,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+}
+
+impl Listener {
+    /// Listens for as long as the process runs.
+    pub async fn run(self) {
+        loop {
+            let buffer = Vec::with_capacity(MAX_BYTES);
+            let compio::BufResult(received, buffer) = self.socket.recv_from(buffer).await;
+            match received {
+                Ok(_) => self.take(&buffer),
+                Err(err) => log::warn!(problem:% = err; "peers: datagram lost"),
+            }
         }
     }
-}
 
-fn take_status(bytes: &[u8], roster: &Roster, placer: &Placer, metrics: &Metrics) {
-    match Status::decode(bytes) {
-        Ok(status) => {
-            if roster.heard(&status) {
-                metrics.peers(roster.heard_count());
-                placer.peer(status.name.into(), status.loads);
+    fn take(&self, bytes: &[u8]) {
+        let status = match Status::decode(bytes) {
+            Ok(status) => status,
+            Err(err) => {
+                self.metrics.foreign("status");
+                log::warn!(problem:% = err; "peers: datagram ignored");
+                return;
             }
+        };
+        if !self.roster.heard(&status) {
+            return;
         }
-        Err(err) => {
-            metrics.foreign("status");
-            log::warn!(problem:% = err; "peers: datagram ignored");
+        self.metrics.peers(self.roster.heard_count());
+        let name = Name::from(status.name);
+        for job in &status.jobs {
+            let owner = Owner { process: Name::clone(&name), incarnation: status.incarnation };
+            self.owners.learn(&job.name, owner);
         }
+        self.placer.peer(name, status.loads);
     }
 }
 
@@ -170,52 +203,90 @@
     pub stopping: Rc<Cell<bool>>,
 }
 
+/// What is told to the gateways at one distance.
+struct Audience {
+    distance: Distance,
+    pause: Duration,
+    told_at: Instant,
+    /// Whether there is something that they were not told.
+    behind: bool,
+    jobs: Vec<(OwnedJob, u32)>,
+}
+
+impl Audience {
+    fn new(distance: Distance, pause: Duration) -> Audience {
+        Audience { distance, pause, told_at: Instant::now(), behind: false, jobs: Vec::new() }
+    }
+
+    /// Time until they may be told.
+    fn left(&self) -> Duration {
+        match self.behind {
+            true => self.pause.saturating_sub(self.told_at.elapsed()),
+            false => FOREVER,
+        }
+    }
+
+    /// Jobs to name this time; each is named a few times.
+    fn take_jobs(&mut self) -> Vec<OwnedJob> {
+        let named: Vec<OwnedJob> = self.jobs.iter().map(|(job, _)| job.clone()).collect();
+        for (_, left) in &mut self.jobs {
+            *left -= 1;
+        }
+        self.jobs.retain(|(_, left)| *left > 0);
+        named
+    }
+}
+
 impl Teller {
-    /// Sends a status for each change of the own loads.
-    pub async fn run(self, told: flume::Receiver<Vec<DoorLoad>>) {
-        let mut far_at = Instant::now();
-        let mut for_far = None;
+    /// Sends a status for each change of the own loads, and for each job that this process comes to own.
+    pub async fn run(self, told: flume::Receiver<Vec<DoorLoad>>, owned: flume::Receiver<OwnedJob>) {
+        let mut audiences = [
+            Audience::new(Distance::Zone, Duration::ZERO),
+            Audience::new(Distance::Region, REGION_PAUSE),
+            Audience::new(Distance::Far, FAR_PAUSE),
+        ];
+        let mut loads = Vec::new();
         loop {
-            let pause = match for_far {
-                Some(_) => FAR_PAUSE.saturating_sub(far_at.elapsed()),
-                None => FOREVER,
-            };
-            match within(pause, told.recv_async()).await {
-                Some(Ok(loads)) => {
-                    let bytes = self.status(loads).encode();
-                    self.send(&bytes, true).await;
-                    for_far = Some(bytes);
+            let left = audiences.iter().map(Audience::left).min().unwrap_or(FOREVER);
+            match within(left, told.recv_async()).await {
+                Some(Ok(new)) => {
+                    loads = new;
+                    audiences.iter_mut().for_each(|it| it.behind = true);
                 }
                 Some(Err(_)) => return,
                 None => {}
             }
-            if far_at.elapsed() >= FAR_PAUSE
-                && let Some(bytes) = for_far.take()
-            {
-                far_at = Instant::now();
-                self.send(&bytes, false).await;
+            for job in owned.try_iter() {
+                audiences.iter_mut().for_each(|it| it.jobs.push((job.clone(), JOB_REPEATS)));
+            }
+            for audience in audiences.iter_mut().filter(|it| it.left().is_zero()) {
+                audience.behind = false;
+                audience.told_at = Instant::now();
+                let jobs = audience.take_jobs();
+                let bytes = self.status(&loads, jobs).encode();
+                self.send(bytes, audience.distance).await;
             }
         }
     }
 
-    fn status(&self, loads: Vec<DoorLoad>) -> Status {
+    fn status(&self, loads: &[DoorLoad], jobs: Vec<OwnedJob>) -> Status {
         Status {
             name: self.own.name.to_string(),
             incarnation: self.own.incarnation,
             routes_version: self.routes.version(),
             store_reached: !self.health.is_lost_for(STORE_LOST),
             stopping: self.stopping.get(),
-            loads,
+            loads: loads.to_vec(),
+            jobs,
         }
     }
 
-    async fn send(&self, bytes: &[u8], near: bool) {
-        for (address, is_near) in self.roster.addresses(&self.own.place) {
-            if is_near == near {
-                let compio::BufResult(sent, _) = self.socket.send_to(bytes.to_vec(), address).await;
-                if let Err(err) = sent {
-                    log::debug!(peer:% = address, problem:% = err; "peers: status not sent");
-                }
+    async fn send(&self, mut bytes: Vec<u8>, distance: Distance) {
+        for address in self.roster.addresses(&self.own.place, distance) {
+            let compio::BufResult(sent, back) = self.socket.send_to(bytes, address).await;
+            bytes = back;
+            if let Err(err) = sent {
+                log::debug!(peer:% = address, problem:% = err; "peers: status not sent");
             }
         }
     }
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use samphiredoor_core::{Name, dispatch::Place};
+use samphiredoor_core::{Name, dispatch::Place, placement::Distance};
 
 use super::status::Status;
 
@@ -135,10 +135,11 @@
         self.peers.borrow().get(name).map(|it| it.address)
     }
 
-    /// Addresses of all gateways, with whether each stands in the given availability zone.
-    pub fn addresses(&self, own: &Place) -> Vec<(SocketAddr, bool)> {
+    /// Addresses of the gateways at a distance.
+    pub fn addresses(&self, own: &Place, distance: Distance) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        peers.values().map(|it| (it.address, it.place == *own)).collect()
+        let at = peers.values().filter(|it| Distance::between(own, &it.place) == distance);
+        at.map(|it| it.address).collect()
     }
 
     /// The newest routes that a gateway which is heard has in force, and where it listens.
@@ -157,7 +158,7 @@
             heard && it.store_reached && !it.stopping
         };
         let mut takers: Vec<&Peer> = peers.values().filter(takes).collect();
-        takers.sort_by_key(|it| (it.place != *own, it.place.region != own.region));
+        takers.sort_by_key(|it| Distance::between(own, &it.place));
         takers.into_iter().map(|it| it.address).collect()
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/status.rs
+++ b/crates/samphiredoor-gateway/src/peers/status.rs
@@ -1,13 +1,25 @@
 //! The datagram by which gateways tell each other their state.
 
 use capnp::{message, serialize_packed};
-use samphiredoor_core::placement::DoorLoad;
+use samphiredoor_core::{ordered::JobName, placement::DoorLoad};
 use samphiredoor_schema::peer_capnp::gateway_status;
 
 /// Bytes of the largest datagram; one packet on common links.
 pub const MAX_BYTES: usize = 1_400;
 /// Targets in one datagram: eight to ten bytes each, packed.
-const MAX_LOADS: usize = 120;
+const MAX_LOADS: usize = 100;
+
+/// Jobs in one datagram.
+const MAX_JOBS: usize = 8;
+
+/// A job that a gateway has come to own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnedJob {
+    /// Its name.
+    pub name: JobName,
+    /// Number of its items.
+    pub items: u32,
+}
 
 /// State of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +36,8 @@
     pub stopping: bool,
     /// Its requests at targets.
     pub loads: Vec<DoorLoad>,
+    /// Jobs that it has come to own lately.
+    pub jobs: Vec<OwnedJob>,
 }
 
 impl Status {
@@ -36,6 +50,13 @@
         root.set_routes_version(self.routes_version);
         root.set_store_reached(self.store_reached);
         root.set_stopping(self.stopping);
+        let told = self.jobs.len().min(MAX_JOBS);
+        let mut jobs = root.reborrow().init_jobs(told as u32);
+        for (index, job) in self.jobs.iter().take(told).enumerate() {
+            let mut it = jobs.reborrow().get(index as u32);
+            it.set_name(&*job.name);
+            it.set_items(job.items);
+        }
         let shown = self.loads.len().min(MAX_LOADS);
         let mut loads = root.init_loads(shown as u32);
         for (index, load) in self.loads.iter().take(shown).enumerate() {
@@ -64,7 +85,13 @@
             online: u32::from(it.get_online()),
             batch: u32::from(it.get_batch()),
         });
+        let mut jobs = Vec::new();
+        for job in root.get_jobs()? {
+            let name = job.get_name()?.to_str()?.into();
+            jobs.push(OwnedJob { name, items: job.get_items() });
+        }
         Ok(Status {
+            jobs,
             name: root.get_name()?.to_str()?.to_owned(),
             incarnation: root.get_incarnation(),
             routes_version: root.get_routes_version(),
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -22,7 +22,7 @@
     front::{self, Front, plain},
     jobs::{self, JobEnv, Jobs},
     metrics::Metrics,
-    peers::{self, Own, Roster, Teller},
+    peers::{self, Own, Owners, Roster, Teller},
     placement::{PlacementTask, Placer},
     routes::Routes,
     target_client::TargetClient,
@@ -154,9 +154,16 @@
     compio::runtime::spawn(peers::register(own.clone(), Rc::clone(&platform.store))).detach();
     let follow_peers = peers::follow(own.name.clone(), roster.clone(), follow(Kind::Door));
     compio::runtime::spawn(follow_peers).detach();
-    let listen =
-        peers::listen(Rc::clone(&socket), roster.clone(), placer.clone(), Rc::clone(&metrics));
-    compio::runtime::spawn(listen).detach();
+    let owners = Owners::default();
+    let listener = peers::Listener {
+        socket: Rc::clone(&socket),
+        roster: roster.clone(),
+        placer: placer.clone(),
+        owners: owners.clone(),
+        metrics: Rc::clone(&metrics),
+    };
+    compio::runtime::spawn(listener.run()).detach();
+    let (owned, tell_owned) = flume::unbounded();
     let teller = Teller {
         own: own.clone(),
         socket,
@@ -165,7 +172,7 @@
         health,
         stopping: Rc::clone(&stopping),
     };
-    compio::runtime::spawn(teller.run(tell)).detach();
+    compio::runtime::spawn(teller.run(tell, tell_owned)).detach();
 
     let env = JobEnv {
         name: own.name.clone(),
@@ -176,12 +183,14 @@
         placer: placer.clone(),
         targets: client.clone(),
         roster,
+        owners,
+        owned,
         metrics: Rc::clone(&metrics),
         clock,
         keep: config.keep_jobs,
         stopping: Rc::clone(&stopping),
     };
-    let jobs = jobs::start(env, follow(Kind::JobEnd));
+    let jobs = jobs::start(env);
     let front = Front {
         dialect: Rc::clone(&platform.dialect),
         routes: routes.clone(),
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -18,6 +18,11 @@
 /// Longest pause: what was accepted while the store could not be reached has to be in force soon after.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Pause after changes before the next watch. Changes come in rows, as when all targets of a service are replaced, and
+/// each watch is a call that is paid for; what is seen later by this much is still seen well within the time in which a
+/// change has to be in force.
+const AFTER_CHANGES: Duration = Duration::from_millis(700);
+
 /// What a follower learns.
 #[derive(Debug, Clone)]
 pub enum Seen {
@@ -39,12 +44,13 @@
     since: Option<Version>,
     failures: u32,
     queued: Option<Seen>,
+    changed: bool,
 }
 
 impl Follower {
     /// Follower that has seen nothing. A watch waits for events at most for `wait`.
     pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, wait: Duration) -> Follower {
-        Follower { store, kind, wait, since: None, failures: 0, queued: None }
+        Follower { store, kind, wait, since: None, failures: 0, queued: None, changed: false }
     }
 
     /// Waits for the next thing to learn.
@@ -53,6 +59,9 @@
             return seen;
         }
         loop {
+            if std::mem::take(&mut self.changed) {
+                compio::time::sleep(AFTER_CHANGES).await;
+            }
             let seen = match self.since {
                 None => self.list().await,
                 Some(since) => self.watch(since).await,
@@ -65,6 +74,7 @@
                 }
                 continue;
             };
+            self.changed = matches!(&seen, Seen::Changes(changes) if !changes.is_empty());
             let news = !matches!(&seen, Seen::Changes(changes) if changes.is_empty());
             if std::mem::take(&mut self.failures) > 0 {
                 self.queued = news.then_some(seen);
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -110,6 +110,13 @@
   stopping @4 :Bool;
   loads @5 :List(RequestsAtTarget);
   # All its requests at targets.
+  jobs @6 :List(OwnedJob);
+  # Jobs that it has come to own lately, so that others need not ask the store whose they are.
+}
+
+struct OwnedJob {
+  name @0 :Text;
+  items @1 :UInt32;
 }
 
 struct RequestsAtTarget {
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -172,6 +172,13 @@
         let since = number("watch");
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         loop {
+            // A watch that waits is cut off with the store.
+            let fault = self.state().fault;
+            match fault {
+                StoreFault::Silent => compio::time::sleep(SILENCE).await,
+                StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+                _ => {}
+            }
             {
                 let state = self.state();
                 if since < state.forgotten {
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -186,7 +186,13 @@
         let mark = format!("{role}: started");
         let started = lines.find_map(|it| it.ok().filter(|line| line.contains(&mark)));
         let started = started.expect("the process says that it started");
-        thread::spawn(move || lines.for_each(drop));
+        let shown = std::env::var_os("SAMPHIREDOOR_TEST_LOG").is_some();
+        let name = name.to_owned();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok).filter(|_| shown) {
+                eprintln!("{name} {line}");
+            }
+        });
         (child, started)
     }
 
