Keep counting what runs at a target whose entry was away, and hold the placement and the log to their promises

Cause: found by the new property test promises_hold_after_every_event: a target that left discovery and came back counted as empty while requests still ran there, and its recalled items were recalled again. A target that leaves told refused callers to come back in 120 ms, although nothing says that it will be back then (a_leaving_target_gets_nothing). Change: own counts are rebuilt from what runs; only paused targets shorten the time to come back.

--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -56,6 +56,7 @@
 struct Running {
     class: Class,
     target: u64,
+    recalled: bool,
 }
 
 #[derive(Debug)]
@@ -184,13 +185,22 @@
                     known.update(entry);
                     known
                 }
-                None => Target::new(entry, &self.place),
+                None => self.new_target(key, entry),
             };
             self.targets.insert(key, target);
         }
         self.changed = true;
     }
 
+    // A target whose entry was away for a moment still runs what it had.
+    fn new_target(&self, key: u64, entry: TargetEntry) -> Target {
+        let mut target = Target::new(entry, &self.place);
+        for (request, running) in self.running.iter().filter(|(_, it)| it.target == key) {
+            target.begin(*request, running.class, running.recalled);
+        }
+        target
+    }
+
     fn ask(&mut self, now_ms: u64, ask: Ask, out: &mut Vec<Action>) {
         match ask.class {
             Class::Batch => self.queues_of(&ask).batch.push(ask),
@@ -249,6 +259,9 @@
         for target in self.targets.values_mut().filter(|it| it.own().batch > 0) {
             for request in target.recall(&self.own_name) {
                 self.counters.recalled += 1;
+                if let Some(running) = self.running.get_mut(&request) {
+                    running.recalled = true;
+                }
                 out.push(Action::Recall { request });
             }
         }
@@ -291,8 +304,9 @@
 
     fn dispatch(&mut self, key: u64, ask: &Ask, out: &mut Vec<Action>) {
         let Some(target) = self.targets.get_mut(&key) else { return };
-        target.begin(ask.request, ask.class);
-        self.running.insert(ask.request, Running { class: ask.class, target: key });
+        target.begin(ask.request, ask.class, false);
+        let running = Running { class: ask.class, target: key, recalled: false };
+        self.running.insert(ask.request, running);
         self.counters.dispatched += 1;
         self.changed = true;
         let (target, address) = (Name::clone(&target.entry.name), target.entry.address);
@@ -376,8 +390,12 @@
 
     fn refuse_no_target(&mut self, now_ms: u64, ask: &Ask, out: &mut Vec<Action>) {
         self.counters.refused_no_target += 1;
-        let of_service = self.targets.values().filter(|it| it.entry.service == ask.service);
-        let first_back = of_service.map(|it| it.health.paused_until_ms()).min();
+        let paused = self.targets.values().filter(|it| {
+            it.entry.service == ask.service
+                && it.entry.state == TargetState::Ready
+                && it.health.is_paused(now_ms)
+        });
+        let first_back = paused.map(|it| it.health.paused_until_ms()).min();
         let retry_after_ms = first_back.map_or(MAX_RETRY_AFTER_MS, |it| it.saturating_sub(now_ms));
         let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
         let (request, reason) = (ask.request, Refusal::NoTarget);
--- a/crates/samphiredoor-core/src/placement/target.rs
+++ b/crates/samphiredoor-core/src/placement/target.rs
@@ -122,13 +122,13 @@
         self.surplus_at_ms = now_ms;
     }
 
-    /// Counts a request that is sent there.
-    pub fn begin(&mut self, request: RequestId, class: Class) {
+    /// Counts a request that is sent there, or that runs there already and may be recalled.
+    pub fn begin(&mut self, request: RequestId, class: Class, recalled: bool) {
         match class {
             Class::Online => self.own.online += 1,
             Class::Batch => {
                 self.own.batch += 1;
-                self.items.push((request, false));
+                self.items.push((request, recalled));
             }
         }
     }
--- /dev/null
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -0,0 +1,210 @@
+//! Several processes believe that they own one job and append to its log. The store loses answers, and calls take effect
+//! long after they were given up. Positions must never move, and no item may stand twice.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use samphiredoor_core::{
+    ordered::{ItemResult, LogStep, Outcome, ResultLog},
+    store::{Labels, StoreAnswer, StoreOp, Stored, Value, Version},
+};
+
+const SEED: [u8; 32] = *b"samphiredoor-ordered-log-writers";
+const WRITERS: usize = 3;
+const ITEMS: u32 = 12;
+
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    /// Done and answered.
+    Answered,
+    /// Done, and the answer is lost.
+    Unanswered,
+    /// Not answered, and done later.
+    Late,
+    /// Refused.
+    Refused,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Push(usize, u32),
+    Call(usize, Fate),
+    TakeEffect,
+    Reread(usize),
+    Restart(usize),
+}
+
+#[derive(Default)]
+struct Store {
+    objects: BTreeMap<String, Value>,
+    late: Vec<StoreOp>,
+}
+
+impl Store {
+    fn apply(&mut self, op: &StoreOp) -> StoreAnswer {
+        match op {
+            StoreOp::Get { key } => match self.objects.get(&*key.name) {
+                Some(value) => StoreAnswer::Object(stored(&key.name, value)),
+                None => StoreAnswer::Absent,
+            },
+            StoreOp::Create { key, value, .. } => {
+                if self.objects.contains_key(&*key.name) {
+                    return StoreAnswer::Taken;
+                }
+                self.objects.insert(key.name.to_string(), value.clone());
+                StoreAnswer::Object(stored(&key.name, value))
+            }
+            other => panic!("a log never makes {other:?}"),
+        }
+    }
+}
+
+fn stored(name: &str, value: &Value) -> Stored {
+    let (name, value) = (Arc::from(name), value.clone());
+    Stored { name, version: Version(1), labels: Labels::new(), value }
+}
+
+struct Writer {
+    log: ResultLog,
+    /// Call in hand, as its last step gave it.
+    step: LogStep,
+    seen: Vec<ItemResult>,
+}
+
+impl Writer {
+    fn new() -> Writer {
+        let mut log = ResultLog::to_be_read("job".into());
+        let step = log.step();
+        Writer { log, step, seen: Vec::new() }
+    }
+
+    /// What a reader was told stays a beginning of what stands.
+    fn check(&mut self) {
+        let standing = self.log.standing();
+        assert!(standing.starts_with(&self.seen), "a position moved");
+        self.seen = standing.to_vec();
+    }
+}
+
+fn result(writer: usize, item: u32) -> ItemResult {
+    ItemResult {
+        item,
+        id: format!("item-{item}").into(),
+        outcome: Outcome::Completed,
+        text: format!("by {writer}").into(),
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop::sample::select(vec![
+        Fate::Answered,
+        Fate::Answered,
+        Fate::Answered,
+        Fate::Unanswered,
+        Fate::Late,
+        Fate::Refused,
+    ]);
+    prop_oneof![
+        4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Push(writer, item)),
+        8 => (0..WRITERS, fate).prop_map(|(writer, fate)| Step::Call(writer, fate)),
+        2 => Just(Step::TakeEffect),
+        1 => (0..WRITERS).prop_map(Step::Reread),
+        1 => (0..WRITERS).prop_map(Step::Restart),
+    ]
+}
+
+fn call(store: &mut Store, writer: &mut Writer, fate: Fate) {
+    if !matches!(writer.step, LogStep::Store(_)) {
+        writer.step = writer.log.step();
+    }
+    let LogStep::Store(op) = writer.step.clone() else { return };
+    let answer = match fate {
+        Fate::Answered => store.apply(&op),
+        Fate::Unanswered => {
+            store.apply(&op);
+            StoreAnswer::Unknown
+        }
+        Fate::Late => {
+            store.late.push(op);
+            StoreAnswer::Unknown
+        }
+        Fate::Refused => StoreAnswer::Unavailable,
+    };
+    writer.step = writer.log.answered(&answer);
+}
+
+fn play(steps: Vec<Step>) {
+    let mut store = Store::default();
+    let mut writers: Vec<Writer> = (0..WRITERS).map(|_| Writer::new()).collect();
+    for step in steps {
+        match step {
+            Step::Push(writer, item) => writers[writer].log.push(result(writer, item)),
+            Step::Call(writer, fate) => call(&mut store, &mut writers[writer], fate),
+            Step::TakeEffect => {
+                if let Some(op) = store.late.pop() {
+                    store.apply(&op);
+                }
+            }
+            Step::Reread(writer) if !matches!(writers[writer].step, LogStep::Store(_)) => {
+                writers[writer].log.reread();
+            }
+            Step::Reread(_) => {}
+            Step::Restart(writer) => writers[writer] = Writer::new(),
+        }
+        writers.iter_mut().for_each(Writer::check);
+    }
+    for op in std::mem::take(&mut store.late) {
+        store.apply(&op);
+    }
+    check_end(&mut store);
+}
+
+/// Whoever reads all at the end finds each item once, and can finish the job.
+fn check_end(store: &mut Store) {
+    let mut last = Writer::new();
+    for item in 0..ITEMS {
+        last.log.push(result(WRITERS, item));
+    }
+    for _ in 0..200 {
+        call(store, &mut last, Fate::Answered);
+    }
+    let mut items: Vec<u32> = last.log.standing().iter().map(|it| it.item).collect();
+    items.sort();
+    assert_eq!(items, (0..ITEMS).collect::<Vec<u32>>());
+}
+
+#[test]
+fn positions_never_move_whoever_writes() {
+    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..150);
+    runner
+        .run(&steps, |steps| {
+            play(steps);
+            Ok(())
+        })
+        .unwrap();
+}
+
+// A job is taken while its former owner still appends. The next owner must find that segment before it tells a reader
+// that there is no more.
+#[test]
+fn a_reread_finds_what_a_former_owner_appended() {
+    let mut store = Store::default();
+    let (mut former, mut next) = (Writer::new(), Writer::new());
+    call(&mut store, &mut next, Fate::Answered);
+    call(&mut store, &mut former, Fate::Answered);
+    former.log.push(result(0, 4));
+    call(&mut store, &mut former, Fate::Answered);
+    assert!(next.log.standing().is_empty());
+    next.log.reread();
+    call(&mut store, &mut next, Fate::Answered);
+    assert_eq!(next.log.standing(), former.log.standing());
+    assert!(next.log.take_foreign());
+}
--- /dev/null
+++ b/crates/samphiredoor-core/tests/placement/harness.rs
@@ -0,0 +1,110 @@
+//! A placement with its targets, and short names for its events.
+
+use samphiredoor_core::{
+    Name,
+    dispatch::{Class, Place, RequestId},
+    placement::{
+        Action, Ask, AttemptEnd, DoorLoad, Input, Placement, ReportedLoad, TargetEntry,
+        TargetState, target_key,
+    },
+};
+use smallvec::SmallVec;
+
+pub const SLOTS: u32 = 8;
+const SEED: u64 = 11;
+
+/// A placement under a clock of its own.
+pub struct World {
+    pub placement: Placement,
+    pub now_ms: u64,
+    next: u64,
+}
+
+pub fn place(region: &str, zone: &str) -> Place {
+    Place { region: region.into(), availability_zone: zone.into() }
+}
+
+pub fn entry(name: &str, place: Place) -> TargetEntry {
+    TargetEntry {
+        name: name.into(),
+        service: "reader".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        place,
+        slots: SLOTS,
+        state: TargetState::Ready,
+        started_unix_ms: 1,
+    }
+}
+
+impl World {
+    /// Door `door-m` in `north`, with the given targets.
+    pub fn new(entries: Vec<TargetEntry>) -> World {
+        let placement = Placement::new("door-m".into(), place("brisbane", "north"), SEED);
+        let mut world = World { placement, now_ms: 1_000, next: 1 };
+        world.input(Input::Targets(entries));
+        world
+    }
+
+    /// Door with so many targets in its own zone, named `t-0` and so on.
+    pub fn with_targets(count: usize) -> World {
+        let entries = (0..count).map(|it| entry(&format!("t-{it}"), place("brisbane", "north")));
+        World::new(entries.collect())
+    }
+
+    pub fn input(&mut self, input: Input) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.placement.handle(self.now_ms, input, &mut out);
+        out
+    }
+
+    pub fn wait(&mut self, ms: u64) -> Vec<Action> {
+        self.now_ms += ms;
+        self.input(Input::Tick)
+    }
+
+    pub fn ask(&mut self, class: Class) -> (RequestId, Vec<Action>) {
+        self.ask_without(class, &[])
+    }
+
+    pub fn ask_without(&mut self, class: Class, tried: &[&str]) -> (RequestId, Vec<Action>) {
+        let request = RequestId(self.next);
+        self.next += 1;
+        let ask = Ask {
+            request,
+            class,
+            service: "reader".into(),
+            priority: 0,
+            affinity: 0,
+            tried: tried.iter().map(|it| Name::from(*it)).collect::<SmallVec<[Name; 2]>>(),
+            until_ms: self.now_ms + 60,
+        };
+        (request, self.input(Input::Ask(ask)))
+    }
+
+    pub fn end(&mut self, request: RequestId, end: AttemptEnd) -> Vec<Action> {
+        self.input(Input::Ended { request, end })
+    }
+
+    pub fn peer(&mut self, door: &str, loads: &[(&str, u32, u32)]) -> Vec<Action> {
+        let load = |&(target, online, batch): &(&str, u32, u32)| DoorLoad {
+            target: target_key(target),
+            online,
+            batch,
+        };
+        let loads = loads.iter().map(load).collect();
+        self.input(Input::Peer { door: door.into(), loads })
+    }
+
+    pub fn report(&mut self, target: &str, running: u32, waiting: u32) -> Vec<Action> {
+        let load = ReportedLoad { running, waiting, slots: SLOTS };
+        self.input(Input::Load { target: target.into(), load })
+    }
+}
+
+/// Target that a request was sent to, if it was.
+pub fn sent_to(request: RequestId, actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|action| match action {
+        Action::Dispatch { request: it, target, .. } if *it == request => Some(target.to_string()),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/samphiredoor-core/tests/placement/promises.rs
@@ -0,0 +1,170 @@
+//! What holds after every event, whatever the order of events.
+//!
+//! Longer runs: `SAMPHIREDOOR_CASES=20000 cargo test -p samphiredoor-core --test placement`.
+
+use std::collections::{HashMap, HashSet};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use samphiredoor_core::{
+    dispatch::{Class, RequestId},
+    placement::{Action, AttemptEnd, Input, TargetState},
+};
+
+use crate::harness::{SLOTS, World, entry, place};
+
+const SEED: [u8; 32] = *b"samphiredoor-placement-promises-";
+const TARGETS: usize = 4;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask(bool),
+    End(usize, AttemptEnd),
+    Gone(usize),
+    Peer(u8, u32, u32),
+    Report(usize, u32),
+    Targets(u8, u8),
+    Wait(u64),
+}
+
+fn end() -> impl Strategy<Value = AttemptEnd> {
+    prop::sample::select(vec![
+        AttemptEnd::Answered,
+        AttemptEnd::Refused,
+        AttemptEnd::WrongTarget,
+        AttemptEnd::Unreachable,
+        AttemptEnd::Lost,
+        AttemptEnd::Silent,
+        AttemptEnd::Cut,
+    ])
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => any::<bool>().prop_map(Step::Ask),
+        6 => (any::<usize>(), end()).prop_map(|(which, end)| Step::End(which, end)),
+        1 => any::<usize>().prop_map(Step::Gone),
+        2 => (0..3_u8, 0..12_u32, 0..6_u32).prop_map(|(d, o, b)| Step::Peer(d, o, b)),
+        1 => (0..TARGETS, 0..20_u32).prop_map(|(target, load)| Step::Report(target, load)),
+        1 => (any::<u8>(), any::<u8>()).prop_map(|(present, ready)| Step::Targets(present, ready)),
+        2 => (0..2_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// What callers were told, beside the placement.
+#[derive(Default)]
+struct Model {
+    online: HashSet<RequestId>,
+    waiting: Vec<RequestId>,
+    running: Vec<(RequestId, String)>,
+    recalled: HashSet<RequestId>,
+    ready: HashSet<String>,
+}
+
+impl Model {
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Dispatch { request, target, .. } => {
+                    assert!(self.waiting.contains(&request), "sent only what waits, once");
+                    assert!(self.ready.contains(&*target), "sent only to targets that take work");
+                    self.waiting.retain(|it| *it != request);
+                    self.running.push((request, target.to_string()));
+                }
+                Action::Refuse { request, retry_after_ms, .. } => {
+                    assert!(self.waiting.contains(&request), "refused only what waits, once");
+                    assert!(self.online.contains(&request), "items wait and are never refused");
+                    assert!((1..=1_000).contains(&retry_after_ms), "a true time to come back");
+                    self.waiting.retain(|it| *it != request);
+                }
+                Action::Recall { request } => {
+                    assert!(!self.online.contains(&request), "only items are recalled");
+                    assert!(self.running.iter().any(|(it, _)| *it == request), "only what runs");
+                    assert!(self.recalled.insert(request), "recalled once");
+                }
+            }
+        }
+    }
+
+    fn check_own_loads(&self, world: &World) {
+        let loads = world.placement.loads();
+        let total: u32 = loads.iter().map(|it| it.online + it.batch).sum();
+        assert!(total as usize <= self.running.len(), "no request is counted twice");
+        let mut items: HashMap<&str, u32> = HashMap::new();
+        let kept = |it: &RequestId| !self.online.contains(it) && !self.recalled.contains(it);
+        for (_, target) in self.running.iter().filter(|(request, _)| kept(request)) {
+            *items.entry(target).or_default() += 1;
+        }
+        let most = items.values().max().copied().unwrap_or(0);
+        assert!(most <= SLOTS, "items that are kept never fill more than the places of a target");
+    }
+}
+
+fn play(steps: Vec<Step>) {
+    let mut world = World::with_targets(TARGETS);
+    let mut model =
+        Model { ready: (0..TARGETS).map(|it| format!("t-{it}")).collect(), ..Model::default() };
+    for step in steps {
+        let actions = match step {
+            Step::Ask(online) => {
+                let class = if online { Class::Online } else { Class::Batch };
+                let (request, actions) = world.ask(class);
+                model.waiting.push(request);
+                if online {
+                    model.online.insert(request);
+                }
+                actions
+            }
+            Step::End(which, end) if !model.running.is_empty() => {
+                let (request, _) = model.running.remove(which % model.running.len());
+                world.end(request, end)
+            }
+            Step::Gone(which) if !model.waiting.is_empty() => {
+                let request = model.waiting.remove(which % model.waiting.len());
+                world.input(Input::Gone { request })
+            }
+            Step::End(..) | Step::Gone(_) => Vec::new(),
+            Step::Peer(door, online, batch) => world
+                .peer(["a", "p", "z"][usize::from(door)], &[("t-0", online, batch), ("t-9", 1, 1)]),
+            Step::Report(target, load) => world.report(&format!("t-{target}"), load, 0),
+            Step::Targets(present, ready) => {
+                let present = (0..TARGETS).filter(|it| present & (1 << it) != 0);
+                let entries: Vec<_> = present
+                    .map(|it| {
+                        let mut entry = entry(&format!("t-{it}"), place("brisbane", "north"));
+                        if ready & (1 << it) == 0 {
+                            entry.state = TargetState::Leaving;
+                        }
+                        entry
+                    })
+                    .collect();
+                let ready = entries.iter().filter(|it| it.state == TargetState::Ready);
+                model.ready = ready.map(|it| it.name.to_string()).collect();
+                world.input(Input::Targets(entries))
+            }
+            Step::Wait(ms) => world.wait(ms),
+        };
+        model.take(actions);
+        model.check_own_loads(&world);
+    }
+    model.take(world.wait(10_000));
+    assert!(model.waiting.iter().all(|it| !model.online.contains(it)), "no caller waits for ever");
+}
+
+#[test]
+fn promises_hold_after_every_event() {
+    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(400), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..120);
+    runner
+        .run(&steps, |steps| {
+            play(steps);
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/crates/samphiredoor-core/tests/placement/situations.rs
@@ -0,0 +1,194 @@
+//! Where requests go in named situations.
+
+use samphiredoor_core::{
+    dispatch::Class,
+    placement::{Action, AttemptEnd, Input, TargetState},
+    verdict::Refusal,
+};
+
+use crate::harness::{SLOTS, World, entry, place, sent_to};
+
+#[test]
+fn the_nearest_free_target_is_used_first() {
+    let mut world = World::new(vec![
+        entry("far", place("cairns", "port")),
+        entry("region", place("brisbane", "south")),
+        entry("zone", place("brisbane", "north")),
+    ]);
+    let mut used = Vec::new();
+    for _ in 0..2 * SLOTS + 1 {
+        let (request, actions) = world.ask(Class::Online);
+        used.push(sent_to(request, &actions).unwrap());
+    }
+    let slots = SLOTS as usize;
+    assert!(used[..slots].iter().all(|it| it == "zone"));
+    assert!(used[slots..2 * slots].iter().all(|it| it == "region"));
+    assert_eq!(used[2 * slots], "far");
+}
+
+// Two doors share a target. Each would fill it alone, and requests of one would wait behind those of the other.
+#[test]
+fn what_other_doors_run_takes_places() {
+    let mut world = World::with_targets(2);
+    world.peer("door-a", &[("t-0", SLOTS, 0)]);
+    for _ in 0..SLOTS {
+        let (request, actions) = world.ask(Class::Online);
+        assert_eq!(sent_to(request, &actions).as_deref(), Some("t-1"));
+    }
+}
+
+// A door died, and its requests with it; what it told last must not hold places for ever.
+#[test]
+fn a_silent_door_holds_no_places() {
+    let mut world = World::with_targets(1);
+    world.peer("door-a", &[("t-0", 2 * SLOTS, 0)]);
+    let (request, actions) = world.ask(Class::Online);
+    assert_eq!(sent_to(request, &actions), None);
+    world.wait(1_600);
+    let (request, actions) = world.ask(Class::Online);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+}
+
+// A target tells more load than all doors account for: somebody uses it whom nobody knows.
+#[test]
+fn load_that_nobody_accounts_for_takes_places_for_a_while() {
+    let mut world = World::with_targets(2);
+    world.report("t-0", SLOTS, 0);
+    let (request, actions) = world.ask(Class::Online);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-1"));
+    world.wait(600);
+    for _ in 0..SLOTS {
+        world.ask(Class::Online);
+    }
+    let (request, actions) = world.ask(Class::Online);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+}
+
+#[test]
+fn items_leave_places_for_online_requests() {
+    let mut world = World::with_targets(1);
+    let mut sent = 0;
+    for _ in 0..SLOTS {
+        let (request, actions) = world.ask(Class::Batch);
+        sent += usize::from(sent_to(request, &actions).is_some());
+    }
+    assert_eq!(sent, SLOTS as usize - 2);
+}
+
+// A burst of online requests meets a target that items hold. The youngest items must leave, one for each request that
+// has no place, and no more.
+#[test]
+fn online_requests_take_places_back_from_the_youngest_items() {
+    let mut world = World::with_targets(1);
+    let items: Vec<_> = (0..6).map(|_| world.ask(Class::Batch).0).collect();
+    for _ in 0..2 {
+        let (request, actions) = world.ask(Class::Online);
+        assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+        assert!(!actions.iter().any(|it| matches!(it, Action::Recall { .. })));
+    }
+    let (request, actions) = world.ask(Class::Online);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+    assert!(actions.contains(&Action::Recall { request: items[5] }));
+    assert_eq!(actions.iter().filter(|it| matches!(it, Action::Recall { .. })).count(), 1);
+}
+
+// Two doors have items at a target, and both see that it is overfull by two. Together they recall two, not four.
+#[test]
+fn doors_share_out_what_is_recalled() {
+    let mut world = World::with_targets(1);
+    for _ in 0..3 {
+        world.ask(Class::Batch);
+    }
+    let recalled = |actions: &[Action]| {
+        actions.iter().filter(|it| matches!(it, Action::Recall { .. })).count()
+    };
+    assert_eq!(recalled(&world.peer("door-a", &[("t-0", 6, 1)])), 1);
+    let mut world = World::with_targets(1);
+    for _ in 0..3 {
+        world.ask(Class::Batch);
+    }
+    assert_eq!(recalled(&world.peer("door-z", &[("t-0", 6, 1)])), 2);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let mut world = World::with_targets(1);
+    let leaving = samphiredoor_core::placement::TargetEntry {
+        state: TargetState::Leaving,
+        ..entry("t-0", place("brisbane", "north"))
+    };
+    world.input(Input::Targets(vec![leaving]));
+    let (request, actions) = world.ask(Class::Online);
+    let refused = Action::Refuse { request, reason: Refusal::NoTarget, retry_after_ms: 1_000 };
+    assert_eq!(actions, [refused]);
+}
+
+#[test]
+fn a_request_that_finds_all_full_waits_a_little_and_is_then_refused() {
+    let mut world = World::with_targets(1);
+    for _ in 0..SLOTS + 2 {
+        world.ask(Class::Online);
+    }
+    let (request, actions) = world.ask(Class::Online);
+    assert!(actions.is_empty());
+    let actions = world.wait(60);
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse { request: it, reason: Refusal::Overloaded, .. }] if it == request
+    ));
+}
+
+macro_rules! left_alone {
+    ($($name:ident: $end:expr, $times:expr => $alone_ms:expr;)*) => {
+        $(
+            // A target that does not serve is left alone for a while, and found again after it.
+            #[test]
+            fn $name() {
+                let mut world = World::new(vec![
+                    entry("bad", place("brisbane", "north")),
+                    entry("good", place("brisbane", "south")),
+                ]);
+                for _ in 0..$times {
+                    let (request, actions) = world.ask(Class::Online);
+                    assert_eq!(sent_to(request, &actions).as_deref(), Some("bad"));
+                    world.end(request, $end);
+                }
+                let (request, actions) = world.ask(Class::Online);
+                assert_eq!(sent_to(request, &actions).as_deref(), Some("good"));
+                world.wait($alone_ms);
+                let (request, actions) = world.ask(Class::Online);
+                assert_eq!(sent_to(request, &actions).as_deref(), Some("bad"));
+            }
+        )*
+    };
+}
+
+left_alone! {
+    an_unreachable_target_is_left_at_once: AttemptEnd::Unreachable, 1 => 250;
+    a_silent_target_is_left_at_once: AttemptEnd::Silent, 1 => 1_000;
+    a_target_that_loses_answers_is_left_after_three: AttemptEnd::Lost, 3 => 250;
+    a_target_that_refused_counts_as_full: AttemptEnd::Refused, 1 => 80;
+    a_target_whose_address_moved_is_left_until_discovery_knows: AttemptEnd::WrongTarget, 1 => 5_000;
+}
+
+// All targets look sick at once, as after a cut of the own host. A guess is better than refusing everything.
+#[test]
+fn where_all_targets_are_paused_one_is_tried() {
+    let mut world = World::with_targets(2);
+    for _ in 0..2 {
+        let (request, _) = world.ask(Class::Online);
+        world.end(request, AttemptEnd::Unreachable);
+    }
+    let (request, actions) = world.ask(Class::Online);
+    assert!(sent_to(request, &actions).is_some());
+}
+
+// A request that may run again was tried on every target. Refusing it now would throw away the attempts that it has.
+#[test]
+fn targets_that_were_tried_come_last() {
+    let mut world = World::with_targets(2);
+    let (request, actions) = world.ask_without(Class::Online, &["t-0"]);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-1"));
+    let (request, actions) = world.ask_without(Class::Online, &["t-0", "t-1"]);
+    assert!(sent_to(request, &actions).is_some());
+}
