Hand outputs over with a job, and acknowledge an end only when the job is over for everybody

By reading: (1) a gateway that had handed a job over, or was just doing so, answered that the job was over; (2) after one lost call a gateway told others for up to 25 s that the store does not reach it, since the next watch waited that long, so others took its jobs while it went on running them; (3) the look for an end after a taking was not repeated when the store failed. Ruled out: deletion of the end, two acceptances (the header's create decides), a drop of the run's handle. Change: the owner answers whether the end holds for everybody; a watch after failures waits 50 ms; a process that alone misses the store holds its runs back and looks whose its jobs are; the look is repeated. Tests: an_end_after_a_hand_over_stops_the_next_owner and outputs_are_handed_over_with_their_job; the first was not shown red, as the window is some milliseconds wide.

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -50,6 +50,9 @@
     pub owner: JobOwner,
     /// Whether all items are listed, so that nobody needs to take the job.
     pub finished: bool,
+    /// Name of the outputs that an owner handed over last.
+    #[serde(default)]
+    pub progress: Option<String>,
 }
 
 impl JobHeader {
@@ -156,3 +159,40 @@
     });
     Ok(results.collect())
 }
+
+/// Output of an item whose run was cut.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartialOutput {
+    /// Item by its place in the submission.
+    pub item: u32,
+    /// Number of the last event that was received.
+    pub last: u64,
+    /// Data of the events so far, separated by line feeds.
+    pub text: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Progress {
+    format: u32,
+    outputs: Vec<PartialOutput>,
+}
+
+/// Text of the outputs that are handed over; those that do not fit into an object are left out.
+pub fn progress_value(outputs: Vec<PartialOutput>) -> Value {
+    let mut bytes = 0;
+    let fitting = outputs.into_iter().take_while(|it| {
+        bytes += it.text.len();
+        bytes <= PART_BYTES
+    });
+    to_value(&Progress { format: FORMAT, outputs: fitting.collect() })
+}
+
+/// Reads outputs that were handed over.
+///
+/// # Errors
+///
+/// Why they cannot be read.
+pub fn read_progress(stored: &Stored) -> Result<Vec<PartialOutput>, Unreadable> {
+    read::<Progress>(&stored.value).map(|it| it.outputs)
+}
--- a/crates/samphiredoor-gateway/src/jobs/directory.rs
+++ b/crates/samphiredoor-gateway/src/jobs/directory.rs
@@ -37,15 +37,20 @@
         Some((messages, inbox))
     }
 
-    /// Removes a job whose task has ended.
-    pub fn close(&self, job: &JobName) {
+    /// Removes a job whose task has ended because another process has or may have it.
+    pub fn leave(&self, job: &JobName) {
         self.open.borrow_mut().remove(job);
+    }
+
+    /// Removes a job that is over for everybody.
+    pub fn close(&self, job: &JobName) {
+        self.leave(job);
         let mut closed = self.closed.borrow_mut();
         closed.retain(|_, at| at.elapsed() < CLOSED_FOR);
         closed.insert(JobName::clone(job), Instant::now());
     }
 
-    /// Whether a job was closed here lately.
+    /// Whether a job that is over was closed here lately.
     pub fn was_closed(&self, job: &str) -> bool {
         self.closed.borrow().get(job).is_some_and(|it| it.elapsed() < CLOSED_FOR)
     }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -1,6 +1,7 @@
 //! One run of an item: it waits for a place, is recalled for online requests, and goes on after its last event.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -15,7 +16,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Class,
-    ordered::{Item, ItemEnd, JobName},
+    ordered::{Item, ItemEnd, JobName, PartialOutput},
     placement::{Ask, AttemptEnd},
     routes::{Route, RouteKind},
 };
@@ -58,16 +59,21 @@
     pub due_at_ms: u64,
     /// When the item is of no use any more.
     pub give_up_at: Instant,
+    /// What has arrived of it.
+    pub output: SharedOutput,
 }
 
 /// Output of an item as far as it has arrived.
-#[derive(Default)]
-struct Output {
+#[derive(Debug, Default)]
+pub struct Output {
     text: Vec<u8>,
     has_data: bool,
     last: Option<u64>,
 }
 
+/// Output that the run of an item fills, and that its job can hand over.
+pub type SharedOutput = Rc<RefCell<Output>>;
+
 /// What became of one send.
 enum Sent {
     /// The item is over.
@@ -91,14 +97,13 @@
             }
         };
         let Some(mut call) = self.call(body) else { return ItemEnd::Impossible };
-        let mut output = Output::default();
         loop {
             let Some(route) = self.route() else { return self.ended(ItemEnd::NoRoute) };
-            match self.send(&route, &mut call, &mut output).await {
+            match self.send(&route, &mut call).await {
                 Sent::Over(end) => return self.ended(end),
                 Sent::GoOn => {}
                 Sent::Later => compio::time::sleep(NOT_RUN_PAUSE).await,
-                Sent::Lost if output.last.is_some() => {}
+                Sent::Lost if self.last().is_some() => {}
                 Sent::Lost => return self.ended(ItemEnd::NoAnswer),
             }
         }
@@ -136,7 +141,11 @@
         Some(Call { method: Method::POST, uri, headers, body })
     }
 
-    async fn send(&self, route: &Route, call: &mut Call, output: &mut Output) -> Sent {
+    fn last(&self) -> Option<u64> {
+        self.output.borrow().last
+    }
+
+    async fn send(&self, route: &Route, call: &mut Call) -> Sent {
         let Some(service) = route.service(rand::random()) else { return Sent::Later };
         let mut ticket = self.env.placer.ask(self.ask(service, &call.headers));
         let (target, address) = match ticket.placed().await {
@@ -144,7 +153,7 @@
             Placed::Refused { .. } => return Sent::Later,
             Placed::Recalled => return Sent::GoOn,
         };
-        self.set_headers(call, &target, output);
+        self.set_headers(call, &target);
         let sending = within(SILENCE, self.env.targets.send(&target, address, call));
         let (sent, end) = match or_recall(&mut ticket, sending).await {
             None => (Sent::GoOn, AttemptEnd::Cut),
@@ -152,7 +161,7 @@
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placer.reported(&target, load);
                 }
-                self.read(response, &mut ticket, output).await
+                self.read(response, &mut ticket).await
             }
             Some(Some(Err(SendError::NotSent(_)))) => (Sent::Later, AttemptEnd::Unreachable),
             Some(Some(Err(SendError::MayHaveRun(_)))) => (Sent::Lost, AttemptEnd::Lost),
@@ -161,7 +170,7 @@
         if end != AttemptEnd::Answered {
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &*target, end:? = end,
-                after = output.last.unwrap_or(0);
+                after = self.last().unwrap_or(0);
                 "item: attempt ended"
             );
         }
@@ -181,7 +190,7 @@
         }
     }
 
-    fn set_headers(&self, call: &mut Call, target: &Name, output: &Output) {
+    fn set_headers(&self, call: &mut Call, target: &Name) {
         let names = self.env.platform.dialect.headers();
         let left = self.give_up_at.saturating_duration_since(Instant::now()).min(LONGEST_SEND);
         let left_ms = HeaderValue::from(left.as_millis() as u64);
@@ -189,7 +198,7 @@
         if let Ok(target) = HeaderValue::from_str(target) {
             call.headers.insert(names.expect_target.clone(), target);
         }
-        if let Some(last) = output.last {
+        if let Some(last) = self.last() {
             call.headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
         }
     }
@@ -198,7 +207,6 @@
         &self,
         response: hyper::Response<Answer>,
         ticket: &mut Ticket,
-        output: &mut Output,
     ) -> (Sent, AttemptEnd) {
         let (parts, body) = response.into_parts();
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -208,7 +216,7 @@
             return (Sent::Later, AttemptEnd::Refused);
         }
         if parts.status.is_success() && is_event_stream(&parts.headers) {
-            return self.read_events(body, ticket, output).await;
+            return self.read_events(body, ticket).await;
         }
         let whole = within(SILENCE, read_whole(body, MAX_FAILURE_BYTES)).await;
         if !matches!(whole, Some(Ok(_))) {
@@ -225,12 +233,7 @@
         (sent, AttemptEnd::Answered)
     }
 
-    async fn read_events(
-        &self,
-        mut body: Answer,
-        ticket: &mut Ticket,
-        output: &mut Output,
-    ) -> (Sent, AttemptEnd) {
+    async fn read_events(&self, mut body: Answer, ticket: &mut Ticket) -> (Sent, AttemptEnd) {
         use http_body_util::BodyExt;
         let mut events = EventBuffer::default();
         loop {
@@ -240,11 +243,11 @@
                 Some(None) => return (Sent::Lost, AttemptEnd::Silent),
                 Some(Some(Some(Ok(frame)))) => {
                     events.push(&frame.into_data().unwrap_or_default());
-                    output.take(&mut events);
+                    self.output.borrow_mut().take(&mut events);
                 }
                 Some(Some(Some(Err(_)))) => return (Sent::Lost, AttemptEnd::Lost),
                 Some(Some(None)) if events.take_rest().is_empty() => {
-                    return (Sent::Over(output.complete()), AttemptEnd::Answered);
+                    return (Sent::Over(self.output.borrow().complete()), AttemptEnd::Answered);
                 }
                 Some(Some(None)) => return (Sent::Lost, AttemptEnd::Lost),
             }
@@ -264,7 +267,19 @@
         }
     }
 
-    fn complete(&mut self) -> ItemEnd {
+    /// Output that another owner handed over.
+    pub fn handed_over(partial: PartialOutput) -> Output {
+        let has_data = !partial.text.is_empty();
+        Output { text: partial.text.into_bytes(), has_data, last: Some(partial.last) }
+    }
+
+    /// Output to hand over, if there is any.
+    pub fn partial(&self, item: u32) -> Option<PartialOutput> {
+        let text = String::from_utf8_lossy(&self.text).into_owned();
+        Some(PartialOutput { item, last: self.last?, text })
+    }
+
+    fn complete(&self) -> ItemEnd {
         let text = String::from_utf8_lossy(&self.text);
         ItemEnd::Completed { text: Arc::from(&*text) }
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -4,6 +4,7 @@
 //! is its own; a wrong belief costs runs.
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -13,14 +14,19 @@
 use compio::runtime::JoinHandle;
 use samphiredoor_core::{
     ordered::{
-        Item, ItemEnd, ItemResult, ItemStep, Items, JobHeader, JobName, LogStep, ResultLog,
-        header_key, read_header,
+        Item, ItemEnd, ItemResult, ItemStep, Items, JobHeader, JobName, LogStep, PartialOutput,
+        ResultLog, header_key, progress_key, progress_value, read_header,
     },
     store::{Labels, StoreAnswer, StoreOp, Version},
 };
 use samphiredoor_net::pool::within;
 
-use super::{JobEnv, STORE_PAUSE, directory::Directory, item_run, submit::until};
+use super::{
+    JobEnv, STORE_PAUSE,
+    directory::Directory,
+    item_run::{self, Output, SharedOutput},
+    submit::until,
+};
 use crate::edge::ResultsPage;
 
 /// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
@@ -36,8 +42,8 @@
 const CHECK_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes of texts in one page of results.
 const PAGE_BYTES: usize = 900_000;
-/// How long runs may go on after a planned stop has begun, if they are all that is left of a job.
-const STOP_RUNS: Duration = Duration::from_millis(3_500);
+/// How often a working job looks whether its process still reaches the store.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
 /// A wait of no length does not let other tasks run: with a time that has passed the task would hold the whole process.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 const FOREVER: Duration = Duration::from_secs(3_600);
@@ -81,10 +87,15 @@
     Stored(StoreAnswer),
     /// The header was read, to see whose the job is.
     Header(StoreAnswer),
+    /// The write of the outputs that are handed over was answered.
+    ProgressWritten(StoreAnswer),
     /// The last write of the header was answered.
     HeaderWritten(StoreAnswer),
     /// The caller has ended the job.
-    Ended,
+    Ended {
+        /// Told whether nothing of the job is run here any more, nor by an owner to whom this process hands it.
+        reply: Option<flume::Sender<bool>>,
+    },
     /// A planned stop has begun.
     Release,
 }
@@ -108,7 +119,7 @@
 enum Phase {
     /// Items run.
     Working,
-    /// Nothing new is run; what is left of the runs is awaited until then.
+    /// Nothing is run any more; results that wait are written, and the job is handed over then.
     Releasing(Instant),
     /// All results stand, or the caller has ended it; the header is being written.
     Closing,
@@ -126,6 +137,7 @@
     log: ResultLog,
     messages: flume::Sender<JobMessage>,
     runs: HashMap<u32, JoinHandle<()>>,
+    outputs: HashMap<u32, SharedOutput>,
     again: Vec<(Instant, u32)>,
     readers: Vec<Reader>,
     phase: Phase,
@@ -136,6 +148,10 @@
     started: bool,
     /// Whether the job had another owner, who may still append.
     taken: bool,
+    /// Whether runs are held back until it is known whose the job is.
+    suspended: bool,
+    /// Whether the header is being read to learn that.
+    looking: bool,
     /// Start of the last read that found no further segment.
     checked_at: Instant,
     /// Start of the last look for segments of other processes.
@@ -156,6 +172,8 @@
         let due_at_ms = env.clock.now().mono_ms + due_in;
         JobTask {
             taken: !log.is_read(),
+            suspended: false,
+            looking: false,
             checked_at: Instant::now(),
             checking_since: None,
             env,
@@ -164,6 +182,7 @@
             log,
             messages,
             runs: HashMap::new(),
+            outputs: HashMap::new(),
             again: Vec::new(),
             readers: Vec::new(),
             phase: Phase::Working,
@@ -175,6 +194,13 @@
         }
     }
 
+    /// Goes on with outputs that another owner handed over.
+    pub fn with_progress(mut self, outputs: Vec<PartialOutput>) -> JobTask {
+        let shared = |it: PartialOutput| (it.item, Rc::new(RefCell::new(Output::handed_over(it))));
+        self.outputs = outputs.into_iter().map(shared).collect();
+        self
+    }
+
     /// Works until the job is over, lost or handed over.
     pub async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
         self.proceed();
@@ -187,7 +213,10 @@
             }
             self.proceed();
         }
-        directory.close(&self.owned.job);
+        match self.owned.header.finished {
+            true => directory.close(&self.owned.job),
+            false => directory.leave(&self.owned.job),
+        }
         for reader in self.readers.drain(..) {
             // A reader that has gone needs no answer.
             let _ = reader.reply.send(ReadReply::Elsewhere);
@@ -206,8 +235,15 @@
             JobMessage::RunEnded { item, end } => self.run_ended(item, end),
             JobMessage::Stored(answer) => self.stored(&answer),
             JobMessage::Header(answer) => self.header_read(&answer),
+            JobMessage::ProgressWritten(answer) => self.progress_written(&answer),
             JobMessage::HeaderWritten(answer) => self.header_written(&answer),
-            JobMessage::Ended => self.ended(),
+            JobMessage::Ended { reply } => {
+                let is_over = self.ended();
+                if let Some(reply) = reply {
+                    // Whoever has gone needs no answer.
+                    let _ = reply.send(is_over);
+                }
+            }
             JobMessage::Release => self.release(),
         }
     }
@@ -216,6 +252,7 @@
     fn proceed(&mut self) {
         let now = Instant::now();
         if self.phase == Phase::Working {
+            self.suspend_if_displaced();
             self.start_items();
             self.run_again(now);
             if now >= self.give_up_at {
@@ -241,10 +278,11 @@
             Phase::Closing | Phase::Over => None,
         };
         let again = self.again.iter().map(|(at, _)| *at).min();
-        let again = again.filter(|_| self.phase == Phase::Working);
+        let again = again.filter(|_| self.phase == Phase::Working && !self.suspended);
         let reader = self.readers.iter().map(|it| it.until).min();
         let write_at = self.write_at.filter(|_| self.is_active() && !self.calling);
-        let times = [phase, again, reader, write_at];
+        let look = (self.phase == Phase::Working).then(|| Instant::now() + LOOK_PAUSE);
+        let times = [phase, again, reader, write_at, look];
         times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FOREVER)
     }
 
@@ -254,8 +292,23 @@
 
     // Runs
 
+    /// Stops the runs while this process alone does not reach the store. Others take its jobs then, and it could hear
+    /// neither of that nor of the jobs' ends.
+    fn suspend_if_displaced(&mut self) {
+        let displaced = self.env.is_displaced();
+        if displaced && !self.suspended {
+            log::info!(job = &*self.owned.job; "job: runs held back, only this process misses the store");
+            self.suspended = true;
+            self.taken = true;
+            self.stop_runs();
+        } else if !displaced && self.suspended && !self.looking {
+            self.looking = true;
+            self.call(StoreOp::Get { key: header_key(&self.owned.job) }, JobMessage::Header);
+        }
+    }
+
     fn start_items(&mut self) {
-        if self.started || !self.log.is_read() {
+        if self.started || self.suspended || !self.log.is_read() {
             return;
         }
         self.started = true;
@@ -267,7 +320,9 @@
 
     fn start_run(&mut self, number: u32) {
         let Some(item) = self.items.get(number) else { return };
+        let output = Rc::clone(self.outputs.entry(number).or_default());
         let run = item_run::ItemRun {
+            output,
             env: Rc::clone(&self.env),
             job: JobName::clone(&self.owned.job),
             host: self.owned.header.host.clone(),
@@ -307,6 +362,7 @@
     }
 
     fn record(&mut self, result: ItemResult) {
+        self.outputs.remove(&result.item);
         self.log.push(result);
         let is_last = self.runs.is_empty() && self.again.is_empty();
         let pause = if is_last { Duration::ZERO } else { self.gather() };
@@ -394,9 +450,14 @@
     }
 
     fn header_read(&mut self, answer: &StoreAnswer) {
+        self.looking = false;
         let StoreAnswer::Object(stored) = answer else { return };
         match read_header(stored) {
             Ok(header) if !self.env.owns(&header.owner) => self.lost(),
+            Ok(_) if self.suspended => {
+                self.suspended = false;
+                self.started = false;
+            }
             Ok(_) => {}
             Err(fault) => {
                 log::warn!(job = &*self.owned.job, fault:% = fault; "job: header cannot be read");
@@ -463,11 +524,13 @@
 
     // The end
 
-    fn ended(&mut self) {
-        if matches!(self.phase, Phase::Working | Phase::Releasing(_)) {
+    /// Ends the job; says whether that holds for everybody. A job that is being handed over is not this process's to end.
+    fn ended(&mut self) -> bool {
+        if self.is_active() {
             self.stop_runs();
             self.close("ended");
         }
+        self.owned.header.finished
     }
 
     fn lost(&mut self) {
@@ -491,13 +554,12 @@
         self.write_header();
     }
 
+    /// Cuts all runs: what they have put out goes to the next owner, where they go on after their last event.
     fn release(&mut self) {
-        if self.phase != Phase::Working {
-            return;
+        if self.phase == Phase::Working {
+            self.stop_runs();
+            self.phase = Phase::Releasing(Instant::now());
         }
-        let waiting = !self.started || !self.again.is_empty();
-        let until = if waiting { Instant::now() } else { Instant::now() + STOP_RUNS };
-        self.phase = Phase::Releasing(until);
     }
 
     fn hand_over(&mut self, now: Instant, until: Instant) {
@@ -507,15 +569,36 @@
         if now < until {
             return;
         }
-        self.stop_runs();
-        if self.calling || !self.log.is_settled() && self.write_at.is_some() {
+        if self.calling || !self.log.is_settled() {
+            self.write_at.get_or_insert(now);
             self.phase = Phase::Releasing(now + STORE_PAUSE);
             return;
         }
-        log::info!(job = &*self.owned.job; "job: handed over");
+        let outputs = self.outputs.iter().filter_map(|(item, it)| it.borrow().partial(*item));
+        let outputs: Vec<PartialOutput> = outputs.collect();
+        log::info!(job = &*self.owned.job, outputs = outputs.len(); "job: handed over");
         self.env.metrics.job("handed_over");
         self.phase = Phase::Closing;
         self.owned.header.owner.process.clear();
+        match outputs.is_empty() {
+            true => self.write_header(),
+            false => self.write_progress(outputs),
+        }
+    }
+
+    fn write_progress(&mut self, outputs: Vec<PartialOutput>) {
+        let name = format!("{}-{:x}", self.owned.job, self.env.incarnation);
+        let (key, value) = (progress_key(&name), progress_value(outputs));
+        self.owned.header.progress = Some(name);
+        let create = StoreOp::Create { key, labels: Labels::new(), value };
+        self.call(create, JobMessage::ProgressWritten);
+    }
+
+    fn progress_written(&mut self, answer: &StoreAnswer) {
+        // Without the outputs the items run from their beginning.
+        if !matches!(answer, StoreAnswer::Object(_)) {
+            self.owned.header.progress = None;
+        }
         self.write_header();
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -25,6 +25,7 @@
 pub use submit::Submitted;
 
 use crate::{
+    discovery::StoreHealth,
     edge::Platform,
     metrics::Metrics,
     peers::{OwnedJob, Owners, Roster},
@@ -38,6 +39,10 @@
 /// Pause before a store call is made again that had no usable answer.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
+/// Silence of the store after which others are taken to work on the jobs of this process: they are told after a second,
+/// and their next sweep is at most some seconds later.
+const DISPLACED: Duration = Duration::from_millis(1_500);
+
 /// What the parts that work on jobs share: handles, no state of their own.
 pub struct JobEnv {
     /// Name of the process.
@@ -58,6 +63,8 @@
     pub roster: Roster,
     /// Owners of jobs, as others tell.
     pub owners: Owners,
+    /// Whether the store answers this process.
+    pub health: StoreHealth,
     /// Where the jobs that this process comes to own are told, for others.
     pub owned: flume::Sender<OwnedJob>,
     /// Counters.
@@ -79,6 +86,11 @@
         *owner == self.owner()
     }
 
+    /// Whether the store answers others, and not this process.
+    fn is_displaced(&self) -> bool {
+        self.health.is_lost_for(DISPLACED) && self.roster.any_reaches_store()
+    }
+
     /// Tells others that this process owns a job.
     fn tell_owned(&self, job: &JobName, items: u32) {
         // Fails only when the process ends.
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -96,13 +96,10 @@
                 Some(answer) => answer,
                 None => self.item_from_store(&job, &item).await,
             },
-            PeerCall::Ended { job } => {
-                let here = self.directory.tell(&job, JobMessage::Ended);
-                match here || self.directory.was_closed(&job) {
-                    true => plain(StatusCode::OK, "ended"),
-                    false => plain(StatusCode::NOT_FOUND, "not here"),
-                }
-            }
+            PeerCall::Ended { job } => match self.end_here(&job).await {
+                true => plain(StatusCode::OK, "ended"),
+                false => plain(StatusCode::NOT_FOUND, "not here"),
+            },
             PeerCall::Offer { job } => {
                 let (env, directory, stored) =
                     (Rc::clone(&self.env), self.directory.clone(), self.stored.clone());
@@ -242,7 +239,7 @@
     /// next one finds the end before it starts. A process that does not hear most others may be the one that is cut off,
     /// and the owner may live.
     async fn tell_end(&self, job: &JobName) -> bool {
-        if self.directory.tell(job, JobMessage::Ended) {
+        if self.end_here(job).await {
             return true;
         }
         let call = PeerCall::Ended { job: job.clone() };
@@ -267,6 +264,15 @@
         }
     }
 
+    /// Ends a job that this process works on, or has closed; says whether that holds for everybody.
+    async fn end_here(&self, job: &JobName) -> bool {
+        let (reply, answer) = flume::bounded(1);
+        match self.directory.tell(job, JobMessage::Ended { reply: Some(reply) }) {
+            true => answer.recv_async().await.unwrap_or(false),
+            false => self.directory.was_closed(job),
+        }
+    }
+
     async fn write_end(&self, job: &JobName) -> bool {
         let value: Value = b"{}".as_slice().into();
         let create = StoreOp::Create { key: end_key(job), labels: Labels::new(), value };
--- a/crates/samphiredoor-gateway/src/jobs/stored.rs
+++ b/crates/samphiredoor-gateway/src/jobs/stored.rs
@@ -9,8 +9,8 @@
 
 use samphiredoor_core::{
     ordered::{
-        Item, ItemResult, JobHeader, JobName, end_key, header_key, part_key, read_header,
-        read_part, read_segment, segment_key,
+        Item, ItemResult, JobHeader, JobName, PartialOutput, end_key, header_key, part_key,
+        progress_key, read_header, read_part, read_progress, read_segment, segment_key,
     },
     store::{StoreAnswer, StoreOp, Version},
 };
@@ -178,6 +178,20 @@
         })
     }
 
+    /// Outputs that an owner of the job handed over; none where they cannot be read, as the items can run anew.
+    pub async fn progress(&self, header: &JobHeader) -> Vec<PartialOutput> {
+        let Some(name) = &header.progress else { return Vec::new() };
+        let answer = self.env.call(StoreOp::Get { key: progress_key(name) }).await;
+        let read = match &answer {
+            StoreAnswer::Object(stored) => read_progress(stored).ok(),
+            _ => None,
+        };
+        read.unwrap_or_else(|| {
+            log::warn!(progress = name; "job: outputs that were handed over cannot be read");
+            Vec::new()
+        })
+    }
+
     /// One item, unless its result stands.
     ///
     /// # Errors
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -123,6 +123,7 @@
         give_up_unix_ms: now_ms + submitted.rule.give_up_ms,
         owner: env.owner(),
         finished: false,
+        progress: None,
     }
 }
 
@@ -188,7 +189,8 @@
     env.tell_owned(&owned.job, owned.header.items);
     let log = ResultLog::new(JobName::clone(&owned.job));
     let attempts = attempts_of(env, &owned.header);
-    let task = JobTask::new(Rc::clone(env), owned, Items::new(items, attempts), log, messages);
+    let items = Items::new(items, attempts);
+    let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     let directory = directory.clone();
     compio::runtime::spawn(task.run(inbox, directory)).detach();
 }
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -9,8 +9,8 @@
 use samphiredoor_core::{
     Name,
     ordered::{
-        Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, read_header,
-        segment_key,
+        Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, progress_key,
+        read_header, segment_key,
     },
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
@@ -40,7 +40,7 @@
 /// Old jobs that one sweep removes; a job takes about ten calls.
 const REMOVED_AT_ONCE: usize = 2;
 /// Time after which an end that crossed the taking of its job stands in the store.
-const END_PAUSE: Duration = Duration::from_millis(1_500);
+const END_PAUSE: Duration = Duration::from_millis(1_000);
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -99,7 +99,8 @@
 /// Removes all objects of a job, the header last: a removal that is cut short is done again.
 async fn remove(env: &JobEnv, job: &JobName, header: &JobHeader) {
     let parts = (0..header.parts).map(|it| part_key(job, &header.digest, it));
-    for key in parts.chain([end_key(job)]) {
+    let progress = header.progress.iter().map(|it| progress_key(it));
+    for key in parts.chain(progress).chain([end_key(job)]) {
         if !delete(env, key).await {
             return;
         }
@@ -204,12 +205,13 @@
         // The header names this process, so its next sweep takes the job again.
         return;
     };
+    let progress = stored.progress(&owned.header).await;
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.tell_owned(&owned.job, owned.header.items);
     watch_for_end(directory.clone(), stored.clone(), JobName::clone(&owned.job));
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
     let items = Items::new(items, attempts_of(env, &owned.header));
-    let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
+    let task = JobTask::new(Rc::clone(env), owned, items, log, messages).with_progress(progress);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
 
@@ -217,8 +219,15 @@
 fn watch_for_end(directory: Directory, stored: StoredJobs, job: JobName) {
     compio::runtime::spawn(async move {
         compio::time::sleep(END_PAUSE).await;
-        if directory.has(&job) && matches!(stored.is_ended(&job).await, Ok(true)) {
-            directory.tell(&job, JobMessage::Ended);
+        while directory.has(&job) {
+            match stored.is_ended(&job).await {
+                Ok(false) => return,
+                Ok(true) => {
+                    directory.tell(&job, JobMessage::Ended { reply: None });
+                    return;
+                }
+                Err(_) => compio::time::sleep(END_PAUSE).await,
+            }
         }
     })
     .detach();
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -150,6 +150,14 @@
         heard.map(|it| (it.routes_version, it.address)).max()
     }
 
+    /// Whether a gateway that is heard reaches the store.
+    pub fn any_reaches_store(&self) -> bool {
+        let peers = self.peers.borrow();
+        let mut heard =
+            peers.values().filter(|it| it.heard.is_some_and(|heard| heard.elapsed() < GONE));
+        heard.any(|it| it.store_reached)
+    }
+
     /// Gateways that could take a job over: heard, reaching the store and not stopping; nearest first.
     pub fn takers(&self, own: &Place) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -169,7 +169,7 @@
         socket,
         roster: roster.clone(),
         routes: routes.clone(),
-        health,
+        health: health.clone(),
         stopping: Rc::clone(&stopping),
     };
     compio::runtime::spawn(teller.run(tell, tell_owned)).detach();
@@ -184,6 +184,7 @@
         targets: client.clone(),
         roster,
         owners,
+        health,
         owned,
         metrics: Rc::clone(&metrics),
         clock,
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -18,6 +18,9 @@
 /// Longest pause: what was accepted while the store could not be reached has to be in force soon after.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Wait of the first watch after failures. An answer is what shows that the store is back, and a watch gives none while
+/// nothing changes.
+const RETURNING_WAIT: Duration = Duration::from_millis(50);
 /// Pause after changes before the next watch. Changes come in rows, as when all targets of a service are replaced, and
 /// each watch is a call that is paid for; what is seen later by this much is still seen well within the time in which a
 /// change has to be in force.
@@ -109,7 +112,8 @@
     }
 
     async fn watch(&mut self, since: Version) -> Option<Seen> {
-        let answer = self.store.watch(self.kind, since, self.wait).await;
+        let wait = if self.failures > 0 { RETURNING_WAIT } else { self.wait };
+        let answer = self.store.watch(self.kind, since, wait).await;
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -28,6 +28,8 @@
     address: SocketAddr,
     folder: PathBuf,
     gateways: Vec<Gateway>,
+    /// Time between failing readiness and closing the listener, for gateways that are started next.
+    pub unready_ms: u64,
 }
 
 /// One gateway process.
@@ -94,7 +96,7 @@
         let store = PlatformStore::new();
         let serving = store.clone();
         let address = start(move || move |request| serving.clone().handle(request));
-        Platform { store, address, folder, gateways: Vec::new() }
+        Platform { store, address, folder, gateways: Vec::new(), unready_ms: 300 }
     }
 
     /// Writes routes of all kinds under one version.
@@ -147,9 +149,9 @@
             "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
              peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
-             store.watch_ms = 2000\nstopping.unready_ms = 300\nstopping.finish_ms = 10000\n\
+             store.watch_ms = 2000\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
              regions.brisbane-north = \"brisbane\"\n",
-            self.address
+            self.address, self.unready_ms
         );
         let (child, line) = self.spawn("gateway", &format!("gateway-{number}"), &settings);
         let field = |key: &str| {
--- a/crates/samphiredoor/tests/it/platform/stops.rs
+++ b/crates/samphiredoor/tests/it/platform/stops.rs
@@ -61,3 +61,45 @@
     });
     assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
 }
+
+// A gateway that stops has handed a job over, and a caller ends the job there. The end must reach the next owner: a
+// gateway that only knew that the job was over for itself told the caller that it was ended, and the items ran on.
+#[test]
+fn an_end_after_a_hand_over_stops_the_next_owner() {
+    let mut platform = Platform::new();
+    platform.unready_ms = 4_000;
+    let target = platform.start_target("t-1", SLOW);
+    platform.start_gateway();
+    platform.start_gateway();
+    let items: Vec<String> = (0..20).map(|it| format!("item-{it}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(platform.submit(0, "job-1", &items).status, 202);
+    platform.signal(0, "TERM");
+    let owner = |spec: serde_json::Value| spec["owner"]["process"] == "gateway-1";
+    wait_until("the job has its next owner", || {
+        platform.store.spec("orderedjobs", "job-1").is_some_and(owner)
+    });
+    wait_until("the end is acknowledged", || platform.end(0, "job-1").status == 200);
+    wait_until("the job is closed", || {
+        platform.store.spec("orderedjobs", "job-1").is_some_and(|it| it["finished"] == true)
+    });
+    let runs = target.runs().len();
+    thread::sleep(SLOW * 5);
+    assert_eq!(target.runs().len(), runs);
+}
+
+// Items are cut by a planned stop in the middle of their output. The next owner goes on after their last events.
+#[test]
+fn outputs_are_handed_over_with_their_job() {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", SLOW);
+    platform.start_gateway();
+    platform.start_gateway();
+    assert_eq!(platform.submit(0, "job-1", &["item-a", "item-b"]).status, 202);
+    wait_until("both run", || target.runs().len() == 2);
+    thread::sleep(SLOW * 2);
+    platform.signal(0, "TERM");
+    let results = platform.all_results(1, "job-1", 2);
+    assert!(results.iter().all(|it| it["text"] == target.text()));
+    assert!(target.runs()[2..].iter().all(|it| it.after.is_some_and(|after| after > 0)));
+}
