--- a/crates/samphiredoor/src/operators.rs
+++ b/crates/samphiredoor/src/operators.rs
@@ -39,7 +39,7 @@
         (&Method::GET, "/metrics") => Response::new(Body::full(door.metrics.text())),
         (&Method::GET, "/manifest") => manifest_http::get(&door).await,
         (&Method::PUT, "/manifest") => manifest_http::put(&door, request).await,
-        _ => not_found("no such path; see docs/OPERATING.md"),
+        _ => not_found("no such path; see docs/OPERATIONS.md"),
     }
 }
 
