--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -145,6 +145,17 @@
     /// Starts a gateway and waits until it listens.
     pub fn spawn_gateway(&mut self) -> usize {
         let number = self.gateways.len();
+        let gateway = self.run_gateway(number);
+        self.gateways.push(gateway);
+        number
+    }
+
+    /// Starts a gateway anew under its former name, after the former process has ended.
+    pub fn restart_gateway(&mut self, number: usize) {
+        self.gateways[number] = self.run_gateway(number);
+    }
+
+    fn run_gateway(&self, number: usize) -> Gateway {
         let settings = format!(
             "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
@@ -159,8 +170,7 @@
             rest.split_whitespace().next().expect("a value").parse().expect("an address")
         };
         let (callers, readiness) = (field("callers"), field("readiness"));
-        self.gateways.push(Gateway { callers, readiness, child });
-        number
+        Gateway { callers, readiness, child }
     }
 
     /// Starts the process of a storage host.
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -3,5 +3,6 @@
 mod discovery;
 mod env;
 mod jobs;
+mod soak;
 mod stops;
 mod streams;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -0,0 +1,296 @@
+//! Random faults from outside, in series and overlapping, against real processes.
+//!
+//! What is checked while it runs: an answer is whole and the caller's own, or visibly none; what was refused never runs; what
+//! may run once runs once; a result that was read stays where it was. At the end, with all faults over: each accepted job
+//! that nobody ended has each item once, the same at every gateway.
+//!
+//! More seeds: `SAMPHIREDOOR_SOAK=100..150 cargo test -p samphiredoor --test it soak`.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    thread,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use samphiredoor_standin::{
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, TargetFault},
+};
+use serde_json::Value;
+
+use super::env::{Platform, whole_stream};
+
+const GATEWAYS: usize = 3;
+const TARGETS: usize = 3;
+const STEPS: usize = 60;
+const PAUSE: Duration = Duration::from_millis(15);
+/// Tries for what must come once all faults are over; a taking of jobs needs some seconds.
+const SETTLE_TRIES: u32 = 600;
+const SETTLE_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Default)]
+struct Job {
+    items: Vec<String>,
+    accepted: bool,
+    ended: bool,
+    seen: Vec<Value>,
+}
+
+struct Soak {
+    rng: SmallRng,
+    platform: Platform,
+    targets: Vec<PlatformTarget>,
+    paused: [bool; GATEWAYS],
+    jobs: BTreeMap<String, Job>,
+    refused: Vec<String>,
+    once: Vec<String>,
+    routes: u64,
+    next: u64,
+}
+
+impl Soak {
+    fn new(seed: u64) -> Soak {
+        let mut platform = Platform::new();
+        let targets = (0..TARGETS).map(|it| platform.start_target(&format!("t-{it}"), PAUSE));
+        let targets = targets.collect();
+        for _ in 0..GATEWAYS {
+            platform.start_gateway();
+        }
+        Soak {
+            rng: SmallRng::seed_from_u64(seed),
+            platform,
+            targets,
+            paused: [false; GATEWAYS],
+            jobs: BTreeMap::new(),
+            refused: Vec::new(),
+            once: Vec::new(),
+            routes: 1,
+            next: 0,
+        }
+    }
+
+    fn name(&mut self, prefix: &str) -> String {
+        self.next += 1;
+        format!("{prefix}-{}", self.next)
+    }
+
+    /// A gateway that is not paused; the first is never paused or stopped for long.
+    fn any_gateway(&mut self) -> usize {
+        let running: Vec<usize> = (0..GATEWAYS).filter(|it| !self.paused[*it]).collect();
+        *running.choose(&mut self.rng).expect("one always runs")
+    }
+
+    fn step(&mut self) {
+        match self.rng.random_range(0..20) {
+            0..=3 => self.submit(),
+            4..=7 => self.send(),
+            8..=10 => self.read(),
+            11 => self.end_a_job(),
+            12 | 13 => self.fault_of_store(),
+            14 | 15 => self.fault_of_target(),
+            16 => self.kill(),
+            17 => self.pause_or_wake(),
+            18 => self.stop(),
+            _ => self.change_routes(),
+        }
+    }
+
+    fn submit(&mut self) {
+        let job = self.name("job");
+        let items: Vec<String> =
+            (0..self.rng.random_range(1..6)).map(|it| format!("{job}-{it}")).collect();
+        let ids: Vec<&str> = items.iter().map(String::as_str).collect();
+        let gateway = self.any_gateway();
+        let accepted = self.platform.submit(gateway, &job, &ids).status == 202;
+        self.jobs.insert(job, Job { items, accepted, ..Job::default() });
+    }
+
+    fn send(&mut self) {
+        let id = self.name("request");
+        let gateway = self.any_gateway();
+        let path = *["/unsafe/book", "/safe/ask", "/stream-resumable/check", "/stream/check"]
+            .choose(&mut self.rng)
+            .expect("a path");
+        let answer = self.platform.send_with(gateway, path, &id, &[("x-deadline-ms", "3000")], "");
+        match answer.status {
+            200 => {
+                assert_eq!(answer.text, whole_stream(), "{id} at {path}");
+                assert_eq!(answer.headers["x-server-stamp"], format!("stamp-{id}").as_str());
+            }
+            503 => self.refused.push(id.clone()),
+            0 | 422 | 500 | 502 | 504 => {}
+            status => panic!("{id} at {path}: {status} {}", answer.text),
+        }
+        if path.starts_with("/unsafe") || path.starts_with("/stream/") {
+            self.once.push(id);
+        }
+    }
+
+    fn read(&mut self) {
+        let gateway = self.any_gateway();
+        let Some(name) =
+            self.jobs.keys().cloned().collect::<Vec<_>>().choose(&mut self.rng).cloned()
+        else {
+            return;
+        };
+        let answer = self.platform.results(gateway, &name, 0);
+        let job = self.jobs.get_mut(&name).expect("a job");
+        if answer.status == 200 {
+            let outputs = answer.json()["outputs"].as_array().cloned().unwrap_or_default();
+            let common = outputs.len().min(job.seen.len());
+            assert_eq!(outputs[..common], job.seen[..common], "{name} at gateway {gateway}");
+            if outputs.len() > job.seen.len() {
+                job.seen = outputs;
+            }
+        }
+        assert!(
+            !(job.accepted && answer.status == 404),
+            "{name} is not known at gateway {gateway}"
+        );
+    }
+
+    fn end_a_job(&mut self) {
+        let gateway = self.any_gateway();
+        let Some(name) =
+            self.jobs.keys().cloned().collect::<Vec<_>>().choose(&mut self.rng).cloned()
+        else {
+            return;
+        };
+        self.platform.end(gateway, &name);
+        self.jobs.get_mut(&name).expect("a job").ended = true;
+    }
+
+    fn fault_of_store(&mut self) {
+        let faults = [
+            StoreFault::None,
+            StoreFault::None,
+            StoreFault::Silent,
+            StoreFault::Busy,
+            StoreFault::WritesUnanswered,
+            StoreFault::WritesLate,
+        ];
+        let fault = *faults.choose(&mut self.rng).expect("a fault");
+        self.platform.store.set_fault(fault);
+        if self.rng.random_bool(0.3) {
+            self.platform.store.forget_history();
+        }
+    }
+
+    fn fault_of_target(&mut self) {
+        let faults = [
+            TargetFault::CutAfter(2),
+            TargetFault::AnswerLost,
+            TargetFault::Full,
+            TargetFault::Fails,
+            TargetFault::Stray,
+            TargetFault::Unframed,
+        ];
+        let fault = *faults.choose(&mut self.rng).expect("a fault");
+        let count = self.rng.random_range(1..6);
+        self.targets.choose(&mut self.rng).expect("a target").fail_next(count, fault);
+    }
+
+    fn kill(&mut self) {
+        let gateway = self.rng.random_range(1..GATEWAYS);
+        self.platform.gateway(gateway).kill();
+        self.paused[gateway] = false;
+        self.platform.restart_gateway(gateway);
+    }
+
+    fn pause_or_wake(&mut self) {
+        let gateway = self.rng.random_range(1..GATEWAYS);
+        self.paused[gateway] = !self.paused[gateway];
+        self.platform.signal(gateway, if self.paused[gateway] { "STOP" } else { "CONT" });
+    }
+
+    fn stop(&mut self) {
+        let gateway = self.rng.random_range(1..GATEWAYS);
+        if !self.paused[gateway] {
+            self.platform.signal(gateway, "TERM");
+            self.platform.gateway(gateway).wait();
+            self.platform.restart_gateway(gateway);
+        }
+    }
+
+    fn change_routes(&mut self) {
+        self.routes += self.rng.random_range(1..4);
+        self.platform.put_routes(self.routes, 3);
+    }
+
+    /// Ends all faults and checks what must hold then.
+    fn settle(&mut self) {
+        self.platform.store.set_fault(StoreFault::None);
+        self.targets.iter().for_each(|it| it.fail_next(0, TargetFault::None));
+        for gateway in 0..GATEWAYS {
+            if std::mem::take(&mut self.paused[gateway]) {
+                self.platform.signal(gateway, "CONT");
+            }
+            self.platform.wait_ready(gateway);
+        }
+        for (name, job) in self.jobs.iter().filter(|(_, it)| it.accepted && !it.ended) {
+            let results = self.whole(name, job);
+            assert_eq!(results[..job.seen.len()], job.seen[..], "{name}: a result moved");
+            for gateway in 1..GATEWAYS {
+                let others = self.platform.all_results(gateway, name, job.items.len());
+                assert_eq!(others, results, "{name} at gateway {gateway}");
+            }
+        }
+        self.check_runs();
+    }
+
+    fn whole(&self, name: &str, job: &Job) -> Vec<Value> {
+        for _ in 0..SETTLE_TRIES {
+            let page = self.platform.results(0, name, 0).json();
+            let results = page["outputs"].as_array().cloned().unwrap_or_default();
+            if results.len() == job.items.len() {
+                let mut ids: Vec<&str> =
+                    results.iter().filter_map(|it| it["id"].as_str()).collect();
+                ids.sort_unstable();
+                assert_eq!(ids, job.items, "{name}: each item once");
+                let text = self.targets[0].text();
+                let whole = |it: &&Value| it["state"] == "errored" || it["text"] == text.as_str();
+                assert!(results.iter().all(|it| whole(&it)), "{name}: whole texts");
+                return results;
+            }
+            thread::sleep(SETTLE_PAUSE);
+        }
+        panic!("{name}: its items never stood");
+    }
+
+    fn check_runs(&self) {
+        let mut runs: HashMap<String, usize> = HashMap::new();
+        for run in self.targets.iter().flat_map(|it| it.runs()) {
+            *runs.entry(run.id).or_default() += 1;
+        }
+        for id in &self.once {
+            assert!(runs.get(id).copied().unwrap_or(0) <= 1, "{id} ran twice");
+        }
+        for id in &self.refused {
+            assert_eq!(runs.get(id), None, "{id} was refused as not run");
+        }
+    }
+}
+
+fn play(seed: u64) {
+    println!("seed {seed}");
+    let mut soak = Soak::new(seed);
+    for _ in 0..STEPS {
+        soak.step();
+    }
+    soak.settle();
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let given = std::env::var("SAMPHIREDOOR_SOAK").ok();
+    let parsed = given
+        .as_deref()
+        .and_then(|it| it.split_once(".."))
+        .and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    parsed.unwrap_or(1..3)
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    seeds().for_each(play);
+}
