Rest after changes by the operators' bounds, and ask a lost store less often

Ruled out: watching by a few gateways only, as a silent one would hide a leaving target. Change: one follower tries and the others wait for it; a job's pauses grow to 1.2 s; a follower rests 0.4 of the time in which a change has to be in force; only a gateway that hears few others doubts its own view of a job's results.

--- a/crates/samphiredoor-gateway/src/config.rs
+++ b/crates/samphiredoor-gateway/src/config.rs
@@ -32,6 +32,10 @@
     pub store_timeout: Duration,
     /// How long a watch waits for an event.
     pub watch: Duration,
+    /// Within which time new routes have to be in force.
+    pub routes_within: Duration,
+    /// Within which time a leaving target may get no new work.
+    pub targets_within: Duration,
     /// Listener for metrics.
     pub metrics: Option<SocketAddr>,
     /// Logs.
@@ -96,6 +100,8 @@
             store: address("store.address", &settings.store.address)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
             watch: Duration::from_millis(settings.store.watch_ms),
+            routes_within: Duration::from_millis(settings.store.routes_within_ms),
+            targets_within: Duration::from_millis(settings.store.targets_within_ms),
             metrics: match &settings.metrics {
                 Some(listener) => Some(address("metrics.address", &listener.address)?),
                 None => None,
--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -40,6 +40,8 @@
 const LINGER: Duration = Duration::from_secs(12);
 /// Shortest time between two looks for segments of other processes; callers ask twice a second.
 const CHECK_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause before the store is asked again.
+const LONGEST_STORE_PAUSE: Duration = Duration::from_millis(1_200);
 /// Bytes of texts in one page of results.
 const PAGE_BYTES: usize = 900_000;
 /// How often a working job looks whether its process still reaches the store.
@@ -150,6 +152,8 @@
     taken: bool,
     /// Whether runs are held back until it is known whose the job is.
     suspended: bool,
+    /// Calls of the log in a row that got no usable answer.
+    failures: u32,
     /// Whether the header is being read to learn that.
     looking: bool,
     /// Start of the last read that found no further segment.
@@ -173,6 +177,7 @@
         JobTask {
             taken: !log.is_read(),
             suspended: false,
+            failures: 0,
             looking: false,
             checked_at: Instant::now(),
             checking_since: None,
@@ -408,11 +413,19 @@
                 self.calling = true;
                 self.call(op, JobMessage::Stored);
             }
-            LogStep::Pause => self.write_at = Some(Instant::now() + STORE_PAUSE),
+            LogStep::Pause => {
+                self.failures += 1;
+                self.write_at = Some(Instant::now() + self.store_pause());
+            }
             LogStep::Idle => {}
         }
     }
 
+    /// Pause before the store is asked again. A call that is refused is paid for as well, and each job makes its own.
+    fn store_pause(&self) -> Duration {
+        STORE_PAUSE.saturating_mul(1 << self.failures.min(4)).min(LONGEST_STORE_PAUSE)
+    }
+
     fn call(&self, op: StoreOp, message: fn(StoreAnswer) -> JobMessage) {
         let (env, messages) = (Rc::clone(&self.env), self.messages.clone());
         compio::runtime::spawn(async move {
@@ -441,6 +454,9 @@
             step => self.make_step(step),
         }
         let standing = self.log.standing().len();
+        if !matches!(answer, StoreAnswer::Unavailable | StoreAnswer::Unknown) {
+            self.failures = 0;
+        }
         if standing > before {
             log::info!(job = &*self.owned.job, standing, items = self.items.len(); "job: results stand");
         }
@@ -495,10 +511,10 @@
     }
 
     /// Whether another process may append to the log. A former owner does until it learns that it is one, and readers
-    /// that have seen its results there must find them here. A process that was away, or does not hear all others, may
-    /// itself be such a former owner.
+    /// that have seen its results there must find them here. A process that does not hear most others may itself be such
+    /// a former owner.
     fn may_have_others(&self) -> bool {
-        self.taken || !self.env.roster.hears_all()
+        self.taken || !self.env.roster.hears_most()
     }
 
     /// Looks for segments of others while somebody waits for more results.
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -111,11 +111,6 @@
         self.heard_count() * 2 >= self.expected_count()
     }
 
-    /// Whether this process hears all gateways that there should be.
-    pub fn hears_all(&self) -> bool {
-        self.heard_count() >= self.expected_count()
-    }
-
     fn expected_count(&self) -> usize {
         let expected = |it: &&Peer| match it.heard {
             Some(heard) => heard.elapsed() < FORGOTTEN,
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -131,6 +131,7 @@
     let client = TargetClient::new(platform.dialect.headers().request_id.clone());
     let targets_known = Rc::new(Cell::new(None));
     let follow = |kind| Follower::new(Rc::clone(&platform.store), kind, common.watch);
+    let gated = |kind| follow(kind).with_gate(health.clone());
 
     let routes_task = Rc::new(RoutesTask {
         platform: platform.clone(),
@@ -138,9 +139,10 @@
         health: health.clone(),
         metrics: Rc::clone(&metrics),
     });
+    let follow_routes = follow(Kind::Routes).with_in_force_within(common.routes_within);
     let (relayed, relay) = flume::unbounded();
     compio::runtime::spawn(Rc::clone(&routes_task).run_relay(relay)).detach();
-    compio::runtime::spawn(routes_task.run(follow(Kind::Routes))).detach();
+    compio::runtime::spawn(routes_task.run(follow_routes)).detach();
     compio::runtime::spawn(peers::relay::run(roster.clone(), routes.clone(), relayed)).detach();
     let targets_task = TargetsTask {
         platform: platform.clone(),
@@ -149,10 +151,11 @@
         known: Rc::clone(&targets_known),
         metrics: Rc::clone(&metrics),
     };
-    compio::runtime::spawn(targets_task.run(follow(Kind::Targets))).detach();
+    let follow_targets = gated(Kind::Targets).with_in_force_within(common.targets_within);
+    compio::runtime::spawn(targets_task.run(follow_targets)).detach();
 
     compio::runtime::spawn(peers::register(own.clone(), Rc::clone(&platform.store))).detach();
-    let follow_peers = peers::follow(own.name.clone(), roster.clone(), follow(Kind::Door));
+    let follow_peers = peers::follow(own.name.clone(), roster.clone(), gated(Kind::Door));
     compio::runtime::spawn(follow_peers).detach();
     let owners = Owners::default();
     let listener = peers::Listener {
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -4,14 +4,20 @@
 //! answer, it goes on from what it has, or lists anew; so it may miss changes in between, but never the state that
 //! stands after them.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use samphiredoor_core::{
     Name,
     store::{Kind, Stored, Version},
 };
 
-use crate::edge::{Change, Freshness, ObjectStore, WatchAnswer};
+use crate::{
+    discovery::StoreHealth,
+    edge::{Change, Freshness, ObjectStore, WatchAnswer},
+};
 
 /// First pause after a call that got no usable answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -21,10 +27,13 @@
 /// Wait of the first watch after failures. An answer is what shows that the store is back, and a watch gives none while
 /// nothing changes.
 const RETURNING_WAIT: Duration = Duration::from_millis(50);
-/// Pause after changes before the next watch. Changes come in rows, as when all targets of a service are replaced, and
-/// each watch is a call that is paid for; what is seen later by this much is still seen well within the time in which a
-/// change has to be in force.
-const AFTER_CHANGES: Duration = Duration::from_millis(700);
+/// Part of the time within which a change has to be in force for which a follower rests after changes. Changes come in
+/// rows, as when all targets of a service are replaced, and each watch is a call that is paid for.
+const REST_PART: f64 = 0.4;
+/// How often a follower that waits for another one to reach the store looks.
+const GATE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for that.
+const GATE_LIMIT: Duration = Duration::from_secs(3);
 
 /// What a follower learns.
 #[derive(Debug, Clone)]
@@ -48,12 +57,36 @@
     failures: u32,
     queued: Option<Seen>,
     changed: bool,
+    rest: Duration,
+    gate: Option<StoreHealth>,
 }
 
 impl Follower {
     /// Follower that has seen nothing. A watch waits for events at most for `wait`.
     pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, wait: Duration) -> Follower {
-        Follower { store, kind, wait, since: None, failures: 0, queued: None, changed: false }
+        Follower {
+            store,
+            kind,
+            wait,
+            since: None,
+            failures: 0,
+            queued: None,
+            changed: false,
+            rest: Duration::ZERO,
+            gate: None,
+        }
+    }
+
+    /// Sets within which time a change has to be in force; the follower rests for a part of it after changes.
+    pub fn with_in_force_within(mut self, within: Duration) -> Follower {
+        self.rest = within.mul_f64(REST_PART);
+        self
+    }
+
+    /// Has the follower wait while the store is known to be lost: one follower that tries is enough.
+    pub fn with_gate(mut self, gate: StoreHealth) -> Follower {
+        self.gate = Some(gate);
+        self
     }
 
     /// Waits for the next thing to learn.
@@ -63,7 +96,7 @@
         }
         loop {
             if std::mem::take(&mut self.changed) {
-                compio::time::sleep(AFTER_CHANGES).await;
+                compio::time::sleep(self.rest).await;
             }
             let seen = match self.since {
                 None => self.list().await,
@@ -72,6 +105,7 @@
             let Some(seen) = seen else {
                 self.failures += 1;
                 compio::time::sleep(self.pause()).await;
+                self.wait_at_gate().await;
                 if self.failures == 1 {
                     return Seen::Lost;
                 }
@@ -89,6 +123,14 @@
         }
     }
 
+    async fn wait_at_gate(&self) {
+        let Some(gate) = &self.gate else { return };
+        let until = Instant::now() + GATE_LIMIT;
+        while gate.is_lost_for(Duration::ZERO) && Instant::now() < until {
+            compio::time::sleep(GATE_PAUSE).await;
+        }
+    }
+
     fn pause(&self) -> Duration {
         FIRST_PAUSE.saturating_mul(1 << self.failures.min(4)).min(LONGEST_PAUSE)
     }
