Let items wait for routes that are not known yet, and tell an end to every owner that is heard

By reading: a gateway that starts, or has older routes than those of a job's acceptance, listed items as failed since it found no route, and took one attempt for the route's; an end was acknowledged without telling an owner that missed the store or stopped, though it is heard and runs on. Change: a job's header holds its attempts and the version of its routes, and items wait for routes as new; an end goes to any owner that is heard. Finished jobs stay in memory for 60 s, results gather for 1.5 s, an equal entry is not written. Test: items_wait_where_no_routes_are_known_yet, red without the wait.

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -40,6 +40,11 @@
     pub parts: u32,
     /// Digest of the submission.
     pub digest: String,
+    /// Version of the routes under which it was accepted; a process that has only older ones cannot tell its route.
+    #[serde(default)]
+    pub routes_version: u64,
+    /// Failures at targets after which an item is given up.
+    pub attempts: u32,
     /// Wall-clock time of acceptance, in milliseconds since 1970.
     pub accepted_unix_ms: u64,
     /// When all results are due.
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -97,7 +97,16 @@
                 return plain(StatusCode::BAD_REQUEST, "a submission needs an id");
             };
             let path = parts.uri.path().to_owned();
-            front.jobs.submit(Submitted { job: job.into(), host, path, rule, body }).await
+            let submitted = Submitted {
+                job: job.into(),
+                host,
+                path,
+                rule,
+                attempts: route.attempts,
+                routes_version: table.version,
+                body,
+            };
+            front.jobs.submit(submitted).await
         }
         RouteKind::Repeatable | RouteKind::Once | RouteKind::Stream { .. } => {
             Online::new(Rc::clone(front), route, parts, body).answer().await
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -18,7 +18,7 @@
     dispatch::Class,
     ordered::{Item, ItemEnd, JobName, PartialOutput},
     placement::{Ask, AttemptEnd},
-    routes::{Route, RouteKind},
+    routes::{Route, RouteKind, RouteTable},
 };
 use samphiredoor_net::{
     body::read_whole,
@@ -38,6 +38,8 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// Pause before an item is sent again that did not run.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before looking again for routes that are not known yet.
+const NO_ROUTES_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time that a target is asked to work on one send.
 const LONGEST_SEND: Duration = Duration::from_secs(30);
 /// Bytes of a failed answer that are read so that the connection can be kept.
@@ -53,6 +55,8 @@
     pub host: String,
     /// Path of the submission, by which the route is found.
     pub route_path: String,
+    /// Version of the routes under which the job was accepted.
+    pub routes_version: u64,
     /// The item.
     pub item: Arc<Item>,
     /// When the job is due, by the monotonic clock.
@@ -98,7 +102,11 @@
         };
         let Some(mut call) = self.call(body) else { return ItemEnd::Impossible };
         loop {
-            let Some(route) = self.route() else { return self.ended(ItemEnd::NoRoute) };
+            let Some(table) = self.routes() else {
+                compio::time::sleep(NO_ROUTES_PAUSE).await;
+                continue;
+            };
+            let Some(route) = self.route(&table) else { return self.ended(ItemEnd::NoRoute) };
             match self.send(&route, &mut call).await {
                 Sent::Over(end) => return self.ended(end),
                 Sent::GoOn => {}
@@ -122,9 +130,14 @@
         end
     }
 
+    /// Routes that can tell the job's: a process that has just started may have none, or older ones than those under
+    /// which the job was accepted elsewhere, and would give up items whose route it does not know yet.
+    fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.env.routes.current().filter(|it| it.version >= self.routes_version)
+    }
+
     /// Route of the job now; the operators may have moved it since the submission.
-    fn route(&self) -> Option<Arc<Route>> {
-        let table = self.env.routes.current()?;
+    fn route(&self, table: &RouteTable) -> Option<Arc<Route>> {
         let route = table.find(&self.host, &self.route_path)?;
         matches!(route.kind, RouteKind::Batch(_)).then(|| Arc::clone(route))
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task.rs
@@ -31,13 +31,14 @@
 
 /// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
 /// a write costs as much as a hundredth of an item.
-const GATHER: Duration = Duration::from_millis(1_000);
+const GATHER: Duration = Duration::from_millis(1_500);
 /// The same shortly before the results are due.
 const GATHER_WHEN_DUE: Duration = Duration::from_millis(150);
 /// How long before the results are due that is; callers read twice a second.
 const DUE_SOON_MS: u64 = 2_500;
-/// How long a finished job is kept in memory for those who read it; later reads come from the store.
-const LINGER: Duration = Duration::from_secs(12);
+/// How long a finished job is kept in memory for those who read it; later reads come from the store, a call for each
+/// segment at each gateway that is asked.
+const LINGER: Duration = Duration::from_secs(60);
 /// Shortest time between two looks for segments of other processes; callers ask twice a second.
 const CHECK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause before the store is asked again.
@@ -332,6 +333,7 @@
             job: JobName::clone(&self.owned.job),
             host: self.owned.header.host.clone(),
             route_path: self.owned.header.path.clone(),
+            routes_version: self.owned.header.routes_version,
             item: Arc::clone(item),
             due_at_ms: self.due_at_ms,
             give_up_at: self.give_up_at,
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -242,26 +242,24 @@
         if self.end_here(job).await {
             return true;
         }
-        let call = PeerCall::Ended { job: job.clone() };
         if let Some(owner) = self.env.owners.of(job)
-            && let Some(address) = self.elsewhere(&owner)
-            && self
-                .ask_peer(address, &call, PEER_TIMEOUT)
-                .await
-                .is_some_and(|it| it.status() == StatusCode::OK)
+            && self.end_elsewhere(job, &owner).await == Some(true)
         {
             return true;
         }
         // What others have told may be older than the last taking of the job.
         let Ok((header, _)) = self.stored.current_header(job).await else { return false };
-        let owner = owner_in(&header);
-        match self.elsewhere(&owner) {
-            Some(address) => {
-                let answer = self.ask_peer(address, &call, PEER_TIMEOUT).await;
-                answer.is_some_and(|it| it.status() == StatusCode::OK)
-            }
-            None => header.finished || self.env.roster.hears_most(),
-        }
+        let gone = || header.finished || self.env.roster.hears_most();
+        self.end_elsewhere(job, &owner_in(&header)).await.unwrap_or_else(gone)
+    }
+
+    /// Tells an owner that is heard that its job is ended, also one that stops or misses the store: its runs go on.
+    /// `None` if it is not heard.
+    async fn end_elsewhere(&self, job: &JobName, owner: &Owner) -> Option<bool> {
+        let address = self.env.roster.heard_address(&owner.process, owner.incarnation)?;
+        let call = PeerCall::Ended { job: job.clone() };
+        let answer = self.ask_peer(address, &call, PEER_TIMEOUT).await;
+        Some(answer.is_some_and(|it| it.status() == StatusCode::OK))
     }
 
     /// Ends a job that this process works on, or has closed; says whether that holds for everybody.
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -44,6 +44,10 @@
     pub path: String,
     /// Times of its route.
     pub rule: BatchRule,
+    /// Failures at targets that its route allows for an item.
+    pub attempts: u32,
+    /// Version of the routes by which it was read.
+    pub routes_version: u64,
     /// Whole body.
     pub body: Bytes,
 }
@@ -118,6 +122,8 @@
         items: items as u32,
         parts: parts as u32,
         digest,
+        routes_version: submitted.routes_version,
+        attempts: submitted.attempts,
         accepted_unix_ms: now_ms,
         due_unix_ms: now_ms + submitted.rule.due_ms,
         give_up_unix_ms: now_ms + submitted.rule.give_up_ms,
@@ -188,19 +194,12 @@
     env.metrics.job("accepted");
     env.tell_owned(&owned.job, owned.header.items);
     let log = ResultLog::new(JobName::clone(&owned.job));
-    let attempts = attempts_of(env, &owned.header);
-    let items = Items::new(items, attempts);
+    let items = Items::new(items, owned.header.attempts);
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     let directory = directory.clone();
     compio::runtime::spawn(task.run(inbox, directory)).detach();
 }
 
-/// Attempts that the route allows for an item.
-pub fn attempts_of(env: &JobEnv, header: &JobHeader) -> u32 {
-    let table = env.routes.current();
-    table.and_then(|it| Some(it.find(&header.host, &header.path)?.attempts)).unwrap_or(1)
-}
-
 /// Time from now to a wall-clock time.
 pub fn until(env: &JobEnv, unix_ms: u64) -> Duration {
     Duration::from_millis(unix_ms.saturating_sub(env.clock.now().unix_ms))
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -22,7 +22,6 @@
     job_task::{JobMessage, JobTask, OwnedJob},
     reads::{PeerCall, exchange},
     stored::StoredJobs,
-    submit::attempts_of,
 };
 use crate::{edge::Freshness, peers::Liveness};
 
@@ -210,7 +209,7 @@
     env.tell_owned(&owned.job, owned.header.items);
     watch_for_end(directory.clone(), stored.clone(), JobName::clone(&owned.job));
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
-    let items = Items::new(items, attempts_of(env, &owned.header));
+    let items = Items::new(items, owned.header.attempts);
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages).with_progress(progress);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -90,6 +90,9 @@
 async fn replace(store: &dyn ObjectStore, key: &ObjectKey, value: &Value) -> StoreAnswer {
     let found = store.call(StoreOp::Get { key: key.clone() }).await;
     let StoreAnswer::Object(stored) = found else { return found };
+    if stored.value == *value {
+        return StoreAnswer::Object(stored);
+    }
     let (key, version) = (key.clone(), stored.version);
     store.call(StoreOp::Update { key, version, labels: Labels::new(), value: value.clone() }).await
 }
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -125,6 +125,13 @@
         peers.values().filter(|it| it.heard.is_some_and(|heard| heard.elapsed() < GONE)).count()
     }
 
+    /// Address of a process, in one start of it, if it is heard, whatever it can do now.
+    pub fn heard_address(&self, name: &str, incarnation: u64) -> Option<SocketAddr> {
+        let peers = self.peers.borrow();
+        let peer = peers.get(name).filter(|it| it.incarnation == incarnation)?;
+        peer.heard.is_some_and(|it| it.elapsed() < GONE).then_some(peer.address)
+    }
+
     /// Address of a gateway.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         self.peers.borrow().get(name).map(|it| it.address)
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -155,6 +155,28 @@
     assert_eq!(ids(&platform.all_results(0, "job-1", ITEMS.len())), ITEMS);
 }
 
+// A gateway that has just started takes a job before it knows any routes. It cannot tell that the job has none: the items
+// must wait, and not be listed as failed.
+#[test]
+fn items_wait_where_no_routes_are_known_yet() {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", SLOW);
+    platform.start_gateway();
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    let config = platform.store.spec("config", "main").expect("a configuration");
+    platform.store.remove("config", "main");
+    let next = platform.spawn_gateway();
+    platform.gateway(0).kill();
+    wait_until("the job has its next owner", || {
+        let spec = platform.store.spec("orderedjobs", "job-1");
+        spec.is_some_and(|it| it["owner"]["process"] == "gateway-1")
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    platform.store.put("config", "main", config);
+    let results = platform.all_results(next, "job-1", ITEMS.len());
+    assert!(results.iter().all(|it| it["text"] == target.text()));
+}
+
 macro_rules! lost_answers {
     ($($name:ident: $fault:expr;)*) => {
         $(
