--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -30,8 +30,8 @@
 const FLEET_PAUSE: Duration = Duration::from_millis(350);
 /// Shortest time between two sweeps of one process.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(2_000);
-/// First sweep: by then others are heard, and the jobs of an earlier start of this process are waiting.
-const FIRST_PAUSE: Duration = Duration::from_millis(800);
+/// First sweep: by then others are heard, and their requests at targets are known.
+const FIRST_PAUSE: Duration = Duration::from_millis(1_200);
 /// Jobs that one sweep takes, so that the jobs of a lost process are shared among the others.
 const TAKEN_AT_ONCE: usize = 6;
 /// Time beyond that for which jobs are kept; clocks of hosts may differ by seconds.
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -68,15 +68,19 @@
     pub address: SocketAddr,
 }
 
-/// Registers this process until the store has it.
-pub async fn register(own: Own, store: Rc<dyn ObjectStore>) {
+/// Registers this process until the store has it. `known` is told if it was registered before, as after a restart.
+pub async fn register(own: Own, store: Rc<dyn ObjectStore>, known: flume::Sender<()>) {
     let key = ObjectKey::new(Kind::Door, Name::clone(&own.name));
     let value: Value = entry(&own);
     loop {
         let create =
             StoreOp::Create { key: key.clone(), labels: Labels::new(), value: value.clone() };
         let answer = match store.call(create).await {
-            StoreAnswer::Taken => replace(&*store, &key, &value).await,
+            StoreAnswer::Taken => {
+                // Nobody waits for it any more if the other entries are followed already.
+                let _ = known.try_send(());
+                replace(&*store, &key, &value).await
+            }
             answer => answer,
         };
         match answer {
@@ -106,9 +110,11 @@
     entry.to_string().into_bytes().into()
 }
 
-/// Follows the entries of all gateways.
-pub async fn follow(own: Name, roster: Roster, mut follower: Follower) {
-    compio::time::sleep(FOLLOW_PAUSE).await;
+/// Follows the entries of all gateways: at once after a restart, when the others are registered already.
+pub async fn follow(own: Name, roster: Roster, mut follower: Follower, known: flume::Receiver<()>) {
+    if let Some(Err(_)) = within(FOLLOW_PAUSE, known.recv_async()).await {
+        compio::time::sleep(FOLLOW_PAUSE).await;
+    }
     loop {
         match follower.next().await {
             Seen::All(all) => all.iter().for_each(|it| take_entry(&own, &roster, it)),
@@ -177,15 +183,16 @@
                 return;
             }
         };
-        if !self.roster.heard(&status) {
-            return;
-        }
-        self.metrics.peers(self.roster.heard_count());
-        let name = Name::from(status.name);
-        for job in &status.jobs {
-            let owner = Owner { process: Name::clone(&name), incarnation: status.incarnation };
-            self.owners.learn(&job.name, owner);
+        let name = Name::from(&*status.name);
+        if self.roster.heard(&status) {
+            self.metrics.peers(self.roster.heard_count());
+            for job in &status.jobs {
+                let owner = Owner { process: Name::clone(&name), incarnation: status.incarnation };
+                self.owners.learn(&job.name, owner);
+            }
         }
+        // Also of gateways whose entries were not read yet: a process that has just started would take their places for
+        // free and fill targets that are full.
         self.placer.peer(name, status.loads);
     }
 }
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -154,8 +154,11 @@
     let follow_targets = gated(Kind::Targets).with_in_force_within(common.targets_within);
     compio::runtime::spawn(targets_task.run(follow_targets)).detach();
 
-    compio::runtime::spawn(peers::register(own.clone(), Rc::clone(&platform.store))).detach();
-    let follow_peers = peers::follow(own.name.clone(), roster.clone(), gated(Kind::Door));
+    let (known, wait_known) = flume::bounded(1);
+    let register = peers::register(own.clone(), Rc::clone(&platform.store), known);
+    compio::runtime::spawn(register).detach();
+    let follow_peers =
+        peers::follow(own.name.clone(), roster.clone(), gated(Kind::Door), wait_known);
     compio::runtime::spawn(follow_peers).detach();
     let owners = Owners::default();
     let listener = peers::Listener {
