--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -0,0 +1,122 @@
+//! How a job ends here: finished, ended by its caller, lost to another process, or handed over.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use samphiredoor_core::{
+    ordered::{JobName, PartialOutput, header_key, progress_key, progress_value},
+    store::{Labels, StoreAnswer, StoreOp},
+};
+
+use super::{JobMessage, JobTask, Phase};
+use crate::jobs::{STORE_PAUSE, sweep};
+
+/// How long a finished job is kept in memory for those who read it; later reads come from the store, a call for each
+/// segment at each gateway that is asked.
+const LINGER: Duration = Duration::from_secs(60);
+
+impl JobTask {
+    /// Ends the job; says whether that holds for everybody. A job that is being handed over is not this process's to end.
+    pub(super) fn ended(&mut self) -> bool {
+        if self.is_active() {
+            self.stop_runs();
+            self.close("ended");
+        }
+        self.owned.header.finished
+    }
+
+    pub(super) fn lost(&mut self) {
+        log::info!(job = &*self.owned.job; "job: another process owns it");
+        self.env.metrics.job("lost");
+        self.stop_runs();
+        self.phase = Phase::Over;
+    }
+
+    pub(super) fn stop_runs(&mut self) {
+        self.runs.clear();
+        self.again.clear();
+    }
+
+    /// Marks the job as one that nobody needs to take.
+    pub(super) fn close(&mut self, how: &'static str) {
+        log::info!(job = &*self.owned.job, how, results = self.log.standing().len(); "job: closed");
+        self.env.metrics.job(how);
+        self.phase = Phase::Closing;
+        self.owned.header.finished = true;
+        self.write_header();
+    }
+
+    /// Cuts all runs: what they have put out goes to the next owner, where they go on after their last event.
+    pub(super) fn release(&mut self) {
+        if self.phase == Phase::Working {
+            self.stop_runs();
+            self.phase = Phase::Releasing(Instant::now());
+        }
+    }
+
+    pub(super) fn hand_over(&mut self, now: Instant, until: Instant) {
+        if self.is_complete() {
+            return self.close("finished");
+        }
+        if now < until {
+            return;
+        }
+        if self.calling || !self.log.is_settled() {
+            self.write_at.get_or_insert(now);
+            self.phase = Phase::Releasing(now + STORE_PAUSE);
+            return;
+        }
+        let outputs = self.outputs.iter().filter_map(|(item, it)| it.borrow().partial(*item));
+        let outputs: Vec<PartialOutput> = outputs.collect();
+        log::info!(job = &*self.owned.job, outputs = outputs.len(); "job: handed over");
+        self.env.metrics.job("handed_over");
+        self.phase = Phase::Closing;
+        self.owned.header.owner.process.clear();
+        match outputs.is_empty() {
+            true => self.write_header(),
+            false => self.write_progress(outputs),
+        }
+    }
+
+    pub(super) fn write_progress(&mut self, outputs: Vec<PartialOutput>) {
+        let name = format!("{}-{:x}", self.owned.job, self.env.incarnation);
+        let (key, value) = (progress_key(&name), progress_value(outputs));
+        self.owned.header.progress = Some(name);
+        let create = StoreOp::Create { key, labels: Labels::new(), value };
+        self.call(create, JobMessage::ProgressWritten);
+    }
+
+    pub(super) fn progress_written(&mut self, answer: &StoreAnswer) {
+        // Without the outputs the items run from their beginning.
+        if !matches!(answer, StoreAnswer::Object(_)) {
+            self.owned.header.progress = None;
+        }
+        self.write_header();
+    }
+
+    pub(super) fn write_header(&self) {
+        let (key, version) = (header_key(&self.owned.job), self.owned.version);
+        let (labels, value) = (Labels::new(), self.owned.header.value());
+        self.call(StoreOp::Update { key, version, labels, value }, JobMessage::HeaderWritten);
+    }
+
+    pub(super) fn header_written(&mut self, answer: &StoreAnswer) {
+        let handed_over = self.owned.header.owner.process.is_empty();
+        match answer {
+            StoreAnswer::Object(_) if handed_over => {
+                self.phase = Phase::Over;
+                let (env, job) = (Rc::clone(&self.env), JobName::clone(&self.owned.job));
+                compio::runtime::spawn(sweep::offer(env, job)).detach();
+            }
+            // In doubt or refused: a job that stays marked as open is only looked at once more by a later owner.
+            _ if handed_over => self.phase = Phase::Over,
+            StoreAnswer::Unavailable | StoreAnswer::Unknown => {
+                log::info!(job = &*self.owned.job; "job: not marked as finished");
+                self.phase = Phase::Lingering(Instant::now() + LINGER);
+            }
+            _ => self.phase = Phase::Lingering(Instant::now() + LINGER),
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -0,0 +1,287 @@
+//! The task that owns one job: it runs the items, appends their results, and answers readers.
+//!
+//! Everything that must hold rests on the log's conditional creates. The task only works while it believes that the job
+//! is its own; a wrong belief costs runs.
+//!
+//! `runs` holds what is done with the items, `results` the log and its readers, `ending` how the job leaves this process.
+
+mod ending;
+mod results;
+mod runs;
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use compio::runtime::JoinHandle;
+use samphiredoor_core::{
+    ordered::{Item, ItemEnd, Items, JobHeader, JobName, PartialOutput, ResultLog},
+    store::{StoreAnswer, Version},
+};
+use samphiredoor_net::pool::within;
+
+pub use results::page_of;
+
+use super::{
+    JobEnv,
+    directory::Directory,
+    item_run::{Output, SharedOutput},
+    submit::until,
+};
+use crate::edge::ResultsPage;
+
+/// How often a working job looks whether its process still reaches the store.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// A wait of no length does not let other tasks run: with a time that has passed the task would hold the whole process.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+const FOREVER: Duration = Duration::from_secs(3_600);
+
+/// A job that this process owns.
+pub struct OwnedJob {
+    /// Name.
+    pub job: JobName,
+    /// Header as it stands.
+    pub header: JobHeader,
+    /// Version of the header.
+    pub version: Version,
+}
+
+/// What a job's task is told.
+pub enum JobMessage {
+    /// Read results.
+    Read {
+        /// Number of results that the reader has.
+        after: usize,
+        /// Until when to wait for one more.
+        until: Instant,
+        /// Where the answer goes.
+        reply: flume::Sender<ReadReply>,
+    },
+    /// Read an item as it was submitted, unless its result stands.
+    Item {
+        /// Name of the item.
+        id: String,
+        /// Where the answer goes.
+        reply: flume::Sender<Option<Arc<Item>>>,
+    },
+    /// A run of an item ended.
+    RunEnded {
+        /// Which item.
+        item: u32,
+        /// How.
+        end: ItemEnd,
+    },
+    /// The log's call was answered.
+    Stored(StoreAnswer),
+    /// The header was read, to see whose the job is.
+    Header(StoreAnswer),
+    /// The write of the outputs that are handed over was answered.
+    ProgressWritten(StoreAnswer),
+    /// The last write of the header was answered.
+    HeaderWritten(StoreAnswer),
+    /// The caller has ended the job.
+    Ended {
+        /// Told whether nothing of the job is run here any more, nor by an owner to whom this process hands it.
+        reply: Option<flume::Sender<bool>>,
+    },
+    /// A planned stop has begun.
+    Release,
+}
+
+/// Answer to a reader.
+pub enum ReadReply {
+    /// Results.
+    Page(ResultsPage),
+    /// The reader knows more than this process: read the store.
+    Elsewhere,
+}
+
+struct Reader {
+    after: usize,
+    arrived: Instant,
+    until: Instant,
+    reply: flume::Sender<ReadReply>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Items run.
+    Working,
+    /// Nothing is run any more; results that wait are written, and the job is handed over then.
+    Releasing(Instant),
+    /// All results stand, or the caller has ended it; the header is being written.
+    Closing,
+    /// Only readers are answered, until then.
+    Lingering(Instant),
+    /// The task ends.
+    Over,
+}
+
+/// The task of one job.
+pub struct JobTask {
+    env: Rc<JobEnv>,
+    owned: OwnedJob,
+    items: Items,
+    log: ResultLog,
+    messages: flume::Sender<JobMessage>,
+    runs: HashMap<u32, JoinHandle<()>>,
+    outputs: HashMap<u32, SharedOutput>,
+    again: Vec<(Instant, u32)>,
+    readers: Vec<Reader>,
+    phase: Phase,
+    calling: bool,
+    write_at: Option<Instant>,
+    give_up_at: Instant,
+    due_at_ms: u64,
+    started: bool,
+    /// Whether the job had another owner, who may still append.
+    taken: bool,
+    /// Whether runs are held back until it is known whose the job is.
+    suspended: bool,
+    /// Calls of the log in a row that got no usable answer.
+    failures: u32,
+    /// Whether the header is being read to learn that.
+    looking: bool,
+    /// Start of the last read that found no further segment.
+    checked_at: Instant,
+    /// Start of the last look for segments of other processes.
+    checking_since: Option<Instant>,
+}
+
+impl JobTask {
+    /// Task of a job; `messages` is its own inbox.
+    pub fn new(
+        env: Rc<JobEnv>,
+        owned: OwnedJob,
+        items: Items,
+        log: ResultLog,
+        messages: flume::Sender<JobMessage>,
+    ) -> JobTask {
+        let give_up_at = Instant::now() + until(&env, owned.header.give_up_unix_ms);
+        let due_in = until(&env, owned.header.due_unix_ms).as_millis() as u64;
+        let due_at_ms = env.clock.now().mono_ms + due_in;
+        JobTask {
+            taken: !log.is_read(),
+            suspended: false,
+            failures: 0,
+            looking: false,
+            checked_at: Instant::now(),
+            checking_since: None,
+            env,
+            owned,
+            items,
+            log,
+            messages,
+            runs: HashMap::new(),
+            outputs: HashMap::new(),
+            again: Vec::new(),
+            readers: Vec::new(),
+            phase: Phase::Working,
+            calling: false,
+            write_at: None,
+            give_up_at,
+            due_at_ms,
+            started: false,
+        }
+    }
+
+    /// Goes on with outputs that another owner handed over.
+    pub fn with_progress(mut self, outputs: Vec<PartialOutput>) -> JobTask {
+        let shared = |it: PartialOutput| (it.item, Rc::new(RefCell::new(Output::handed_over(it))));
+        self.outputs = outputs.into_iter().map(shared).collect();
+        self
+    }
+
+    /// Works until the job is over, lost or handed over.
+    pub async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
+        self.proceed();
+        while self.phase != Phase::Over {
+            let left = self.next_time().saturating_duration_since(Instant::now());
+            match within(left.max(SHORTEST_WAIT), inbox.recv_async()).await {
+                Some(Ok(message)) => self.take(message),
+                Some(Err(_)) => break,
+                None => {}
+            }
+            self.proceed();
+        }
+        match self.owned.header.finished {
+            true => directory.close(&self.owned.job),
+            false => directory.leave(&self.owned.job),
+        }
+        for reader in self.readers.drain(..) {
+            // A reader that has gone needs no answer.
+            let _ = reader.reply.send(ReadReply::Elsewhere);
+        }
+    }
+
+    fn take(&mut self, message: JobMessage) {
+        match message {
+            JobMessage::Read { after, until, reply } => {
+                self.readers.push(Reader { after, arrived: Instant::now(), until, reply });
+            }
+            JobMessage::Item { id, reply } => {
+                let found = self.items.find(&id).filter(|(item, _)| !self.log.is_decided(*item));
+                let _ = reply.send(found.map(|(_, it)| Arc::clone(it)));
+            }
+            JobMessage::RunEnded { item, end } => self.run_ended(item, end),
+            JobMessage::Stored(answer) => self.stored(&answer),
+            JobMessage::Header(answer) => self.header_read(&answer),
+            JobMessage::ProgressWritten(answer) => self.progress_written(&answer),
+            JobMessage::HeaderWritten(answer) => self.header_written(&answer),
+            JobMessage::Ended { reply } => {
+                let is_over = self.ended();
+                if let Some(reply) = reply {
+                    // Whoever has gone needs no answer.
+                    let _ = reply.send(is_over);
+                }
+            }
+            JobMessage::Release => self.release(),
+        }
+    }
+
+    /// Does what time and state ask for.
+    fn proceed(&mut self) {
+        let now = Instant::now();
+        if self.phase == Phase::Working {
+            self.suspend_if_displaced();
+            self.start_items();
+            self.run_again(now);
+            if now >= self.give_up_at {
+                self.give_up_rest();
+            }
+        }
+        self.step_log(now);
+        self.answer_readers(now);
+        match self.phase {
+            Phase::Working if self.is_complete() => self.close("finished"),
+            Phase::Releasing(until) => self.hand_over(now, until),
+            Phase::Lingering(until) if now >= until => self.phase = Phase::Over,
+            _ => {}
+        }
+    }
+
+    /// When there is something to do without a message. What cannot be done yet has no time: the message that makes it
+    /// possible wakes the task.
+    fn next_time(&self) -> Instant {
+        let phase = match self.phase {
+            Phase::Working => Some(self.give_up_at),
+            Phase::Releasing(until) | Phase::Lingering(until) => Some(until),
+            Phase::Closing | Phase::Over => None,
+        };
+        let again = self.again.iter().map(|(at, _)| *at).min();
+        let again = again.filter(|_| self.phase == Phase::Working && !self.suspended);
+        let reader = self.readers.iter().map(|it| it.until).min();
+        let write_at = self.write_at.filter(|_| self.is_active() && !self.calling);
+        let look = (self.phase == Phase::Working).then(|| Instant::now() + LOOK_PAUSE);
+        let times = [phase, again, reader, write_at, look];
+        times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FOREVER)
+    }
+
+    fn is_complete(&self) -> bool {
+        self.log.standing().len() as u32 == self.items.len()
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -0,0 +1,123 @@
+//! The runs of a job's items.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use samphiredoor_core::{
+    ordered::{ItemEnd, ItemResult, ItemStep, JobName, header_key},
+    store::StoreOp,
+};
+
+use super::{FOREVER, JobMessage, JobTask, Phase};
+use crate::jobs::item_run;
+
+/// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
+/// a write costs as much as a hundredth of an item.
+const GATHER: Duration = Duration::from_millis(1_500);
+/// The same shortly before the results are due.
+const GATHER_WHEN_DUE: Duration = Duration::from_millis(150);
+/// How long before the results are due that is; callers read twice a second.
+const DUE_SOON_MS: u64 = 2_500;
+
+impl JobTask {
+    /// Stops the runs while this process alone does not reach the store. Others take its jobs then, and it could hear
+    /// neither of that nor of the jobs' ends.
+    pub(super) fn suspend_if_displaced(&mut self) {
+        let displaced = self.env.is_displaced();
+        if displaced && !self.suspended {
+            log::info!(job = &*self.owned.job; "job: runs held back, only this process misses the store");
+            self.suspended = true;
+            self.taken = true;
+            self.stop_runs();
+        } else if !displaced && self.suspended && !self.looking {
+            self.looking = true;
+            self.call(StoreOp::Get { key: header_key(&self.owned.job) }, JobMessage::Header);
+        }
+    }
+
+    pub(super) fn start_items(&mut self) {
+        if self.started || self.suspended || !self.log.is_read() {
+            return;
+        }
+        self.started = true;
+        let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.is_decided(*it)).collect();
+        for item in open {
+            self.start_run(item);
+        }
+    }
+
+    pub(super) fn start_run(&mut self, number: u32) {
+        let Some(item) = self.items.get(number) else { return };
+        let output = Rc::clone(self.outputs.entry(number).or_default());
+        let run = item_run::ItemRun {
+            output,
+            env: Rc::clone(&self.env),
+            job: JobName::clone(&self.owned.job),
+            host: self.owned.header.host.clone(),
+            route_path: self.owned.header.path.clone(),
+            routes_version: self.owned.header.routes_version,
+            item: Arc::clone(item),
+            due_at_ms: self.due_at_ms,
+            give_up_at: self.give_up_at,
+        };
+        let messages = self.messages.clone();
+        let handle = compio::runtime::spawn(async move {
+            let end = run.run().await;
+            // Fails only when the job's task has ended, which needs no result any more.
+            let _ = messages.send(JobMessage::RunEnded { item: number, end });
+        });
+        self.runs.insert(number, handle);
+    }
+
+    pub(super) fn run_again(&mut self, now: Instant) {
+        let (ready, later): (Vec<_>, Vec<_>) = self.again.drain(..).partition(|(at, _)| *at <= now);
+        self.again = later;
+        for (_, item) in ready {
+            self.start_run(item);
+        }
+    }
+
+    pub(super) fn run_ended(&mut self, item: u32, end: ItemEnd) {
+        self.runs.remove(&item);
+        if self.log.is_decided(item) || matches!(self.phase, Phase::Closing | Phase::Lingering(_)) {
+            return;
+        }
+        match self.items.ended(item, end) {
+            ItemStep::Record(result) => self.record(result),
+            ItemStep::Again { pause_ms } => {
+                self.again.push((Instant::now() + Duration::from_millis(pause_ms), item));
+            }
+        }
+    }
+
+    pub(super) fn record(&mut self, result: ItemResult) {
+        self.outputs.remove(&result.item);
+        self.log.push(result);
+        let is_last = self.runs.is_empty() && self.again.is_empty();
+        let pause = if is_last { Duration::ZERO } else { self.gather() };
+        let at = Instant::now() + pause;
+        self.write_at = Some(self.write_at.map_or(at, |it| it.min(at)));
+    }
+
+    pub(super) fn gather(&self) -> Duration {
+        let due_soon = self.env.clock.now().mono_ms + DUE_SOON_MS >= self.due_at_ms;
+        if due_soon { GATHER_WHEN_DUE } else { GATHER }
+    }
+
+    pub(super) fn give_up_rest(&mut self) {
+        self.runs.clear();
+        self.again.clear();
+        self.give_up_at = Instant::now() + FOREVER;
+        for item in 0..self.items.len() {
+            if let ItemStep::Record(result) = self.items.give_up(item)
+                && !self.log.is_decided(item)
+            {
+                log::warn!(job = &*self.owned.job, item = &*result.id; "job: item given up, its time is over");
+                self.record(result);
+            }
+        }
+    }
+}
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -50,35 +50,55 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
-    child: Child,
+    process: TestProcess,
 }
 
-impl TestDoor {
+/// A process of a test, ended with it.
+pub struct TestProcess(pub Child);
+
+impl TestProcess {
     /// Ends the process at once, as a lost host would.
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.0.kill();
+        let _ = self.0.wait();
     }
 
     /// Sends a signal by its name, as `STOP`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.0.id().to_string();
         let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
         assert!(sent.success(), "signal {name} was not sent");
     }
 
     /// Waits for the end of the process; tells whether it ended well.
     pub fn wait(&mut self) -> bool {
-        self.child.wait().expect("the door can be waited for").success()
+        self.0.wait().expect("the process can be waited for").success()
     }
 }
 
-impl Drop for TestDoor {
+impl Drop for TestProcess {
     fn drop(&mut self) {
         self.kill();
     }
 }
 
+impl TestDoor {
+    /// Ends the process at once, as a lost host would.
+    pub fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Sends a signal by its name, as `STOP`.
+    pub fn signal(&self, name: &str) {
+        self.process.signal(name);
+    }
+
+    /// Waits for the end of the process; tells whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.process.wait()
+    }
+}
+
 impl Drop for TestEnv {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
@@ -166,7 +186,7 @@
         let operators = listening(&mut lines, "door: operators on ");
         let peers = listening(&mut lines, "door: peers on ");
         thread::spawn(move || lines.for_each(drop));
-        TestDoor { callers, operators, peers, child }
+        TestDoor { callers, operators, peers, process: TestProcess(child) }
     }
 
     /// Door by its number.
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -16,7 +16,7 @@
     let mut platform = Platform::without_routes();
     platform.start_target("t-1", FAST);
     platform.spawn_gateway();
-    let readiness = platform.gateway(0).readiness;
+    let readiness = platform.readiness(0);
     assert_eq!(get(readiness, "/samphiredoor/ready").status, 503);
     assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 503);
     platform.put_routes(1, 2);
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -15,7 +15,7 @@
 use samphiredoor_standin::{platform_store::PlatformStore, platform_target::PlatformTarget};
 use serde_json::{Value, json};
 
-use crate::env::{Answer, call, get, start, wait_until};
+use crate::env::{Answer, TestProcess, call, get, start, wait_until};
 
 pub const HOST: &str = "desk.example";
 pub const EVENTS: u64 = 6;
@@ -34,32 +34,9 @@
 
 /// One gateway process.
 pub struct Gateway {
-    pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    child: Child,
-}
-
-impl Gateway {
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
-        assert!(sent.success(), "signal {name} was not sent");
-    }
-
-    pub fn wait(&mut self) -> bool {
-        self.child.wait().expect("the gateway can be waited for").success()
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        self.kill();
-    }
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    process: TestProcess,
 }
 
 impl Drop for Platform {
@@ -170,19 +147,18 @@
             rest.split_whitespace().next().expect("a value").parse().expect("an address")
         };
         let (callers, readiness) = (field("callers"), field("readiness"));
-        Gateway { callers, readiness, child }
+        Gateway { callers, readiness, process: TestProcess(child) }
     }
 
     /// Starts the process of a storage host.
-    pub fn start_storage(&self, name: &str) -> Gateway {
+    pub fn start_storage(&self, name: &str) -> TestProcess {
         let settings = format!(
             "name = \"{name}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
              store.address = \"{}\"\n",
             self.address
         );
         let (child, _) = self.spawn("storage", name, &settings);
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-        Gateway { callers: nowhere, readiness: nowhere, child }
+        TestProcess(child)
     }
 
     fn spawn(&self, role: &str, name: &str, settings: &str) -> (Child, String) {
@@ -209,11 +185,17 @@
     }
 
     pub fn signal(&self, number: usize, name: &str) {
-        self.gateways[number].signal(name);
+        self.gateways[number].process.signal(name);
     }
 
-    pub fn gateway(&mut self, number: usize) -> &mut Gateway {
-        &mut self.gateways[number]
+    /// Process of a gateway.
+    pub fn gateway(&mut self, number: usize) -> &mut TestProcess {
+        &mut self.gateways[number].process
+    }
+
+    /// Where a gateway tells whether it is ready.
+    pub fn readiness(&self, number: usize) -> SocketAddr {
+        self.gateways[number].readiness
     }
 
     /// Sends a request of a caller.
@@ -249,6 +231,13 @@
         self.send(gateway, "/batch/submit", job, &json!({ "items": items }).to_string())
     }
 
+    /// Submits a job of so many items.
+    pub fn submit_many(&self, gateway: usize, job: &str, count: usize) -> Answer {
+        let items: Vec<String> = (0..count).map(|it| format!("item-{it}")).collect();
+        let items: Vec<&str> = items.iter().map(String::as_str).collect();
+        self.submit(gateway, job, &items)
+    }
+
     /// Reads results from a position on.
     pub fn results(&self, gateway: usize, job: &str, after: usize) -> Answer {
         let path = format!("/samphiredoor/lots/{job}?after={after}");
--- a/crates/samphiredoor/tests/it/platform/stops.rs
+++ b/crates/samphiredoor/tests/it/platform/stops.rs
@@ -15,7 +15,7 @@
     let mut platform = Platform::new();
     platform.start_target("t-1", SLOW);
     platform.start_gateway();
-    let readiness = platform.gateway(0).readiness;
+    let readiness = platform.readiness(0);
     thread::scope(|scope| {
         let answer = scope.spawn(|| platform.send(0, "/stream/check", "id-1", ""));
         thread::sleep(SLOW);
@@ -36,12 +36,10 @@
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     platform.start_gateway();
-    let items: Vec<String> = (0..20).map(|it| format!("item-{it}")).collect();
-    let items: Vec<&str> = items.iter().map(String::as_str).collect();
-    assert_eq!(platform.submit(0, "job-1", &items).status, 202);
+    assert_eq!(platform.submit_many(0, "job-1", 20).status, 202);
     platform.signal(0, "TERM");
     assert!(platform.gateway(0).wait(), "the gateway ends well");
-    let results = platform.all_results(1, "job-1", items.len());
+    let results = platform.all_results(1, "job-1", 20);
     assert!(results.iter().all(|it| it["text"] == target.text()));
 }
 
@@ -71,9 +69,7 @@
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     platform.start_gateway();
-    let items: Vec<String> = (0..20).map(|it| format!("item-{it}")).collect();
-    let items: Vec<&str> = items.iter().map(String::as_str).collect();
-    assert_eq!(platform.submit(0, "job-1", &items).status, 202);
+    assert_eq!(platform.submit_many(0, "job-1", 20).status, 202);
     platform.signal(0, "TERM");
     let owner = |spec: serde_json::Value| spec["owner"]["process"] == "gateway-1";
     wait_until("the job has its next owner", || {
