Tell other gateways at once when online requests need the places that their items hold

Ruled out: prompts that are read again by resumed items (20 ms), targets that go on with cut requests. Change: such a placing is told to all at once. Test: a_door_says_when_it_needs_the_places_of_others.

--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -107,6 +107,7 @@
     queues: BTreeMap<Name, ServiceQueues>,
     counters: Counters,
     changed: bool,
+    needs_others: bool,
     rng: SmallRng,
 }
 
@@ -122,6 +123,7 @@
             queues: BTreeMap::new(),
             counters: Counters::default(),
             changed: false,
+            needs_others: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -155,6 +157,11 @@
         std::mem::take(&mut self.changed).then(|| self.loads())
     }
 
+    /// Whether, since the last call, an online request was sent to a place that only another door can give back.
+    pub fn take_needs_others(&mut self) -> bool {
+        std::mem::take(&mut self.needs_others)
+    }
+
     /// Own requests at all targets.
     pub fn loads(&self) -> Vec<DoorLoad> {
         self.targets.iter().filter_map(|(key, it)| it.told(*key)).collect()
@@ -309,6 +316,7 @@
         self.running.insert(ask.request, running);
         self.counters.dispatched += 1;
         self.changed = true;
+        self.needs_others |= ask.class == Class::Online && target.lacks_places();
         let (target, address) = (Name::clone(&target.entry.name), target.entry.address);
         out.push(Action::Dispatch { request: ask.request, target, address });
     }
--- a/crates/samphiredoor-core/src/placement/target.rs
+++ b/crates/samphiredoor-core/src/placement/target.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Whether online requests have fewer places than they need even if all own items leave.
+    pub fn lacks_places(&self) -> bool {
+        let load = self.load();
+        let kept = self.items.iter().filter(|(_, recalled)| !*recalled).count() as u32;
+        load.total() > self.entry.slots + kept && load.batch > kept
+    }
+
     /// The items to recall so that online requests have room, youngest first.
     ///
     /// Every door with items at the target sees the same excess and would recall for all of it. So doors stand in an
--- a/crates/samphiredoor-core/tests/placement/situations.rs
+++ b/crates/samphiredoor-core/tests/placement/situations.rs
@@ -110,6 +110,27 @@
     assert_eq!(recalled(&world.peer("door-z", &[("t-0", 6, 1)])), 2);
 }
 
+// Items of another door hold a target that online requests need. That door has to hear of it at once: with the seldom word
+// to doors of other zones, requests waited up to half a second.
+#[test]
+fn a_door_says_when_it_needs_the_places_of_others() {
+    let mut world = World::with_targets(1);
+    world.peer("door-a", &[("t-0", 0, 6)]);
+    for needs_others in [false, false, true] {
+        let (request, actions) = world.ask(Class::Online);
+        assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+        assert_eq!(world.placement.take_needs_others(), needs_others);
+    }
+    let mut world = World::with_targets(1);
+    for _ in 0..6 {
+        world.ask(Class::Batch);
+    }
+    for _ in 0..4 {
+        world.ask(Class::Online);
+        assert!(!world.placement.take_needs_others());
+    }
+}
+
 #[test]
 fn a_leaving_target_gets_nothing() {
     let mut world = World::with_targets(1);
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -35,7 +35,7 @@
     discovery::StoreHealth,
     edge::{Change, ObjectStore},
     metrics::Metrics,
-    placement::Placer,
+    placement::{Placer, Told},
     routes::Routes,
     watch::{Follower, Seen},
 };
@@ -220,17 +220,33 @@
     told_at: Instant,
     /// Whether there is something that they were not told.
     behind: bool,
+    /// Whether they hold places that are waited for, so that they are told without a pause.
+    urgent: bool,
     jobs: Vec<(OwnedJob, u32)>,
 }
 
 impl Audience {
     fn new(distance: Distance, pause: Duration) -> Audience {
-        Audience { distance, pause, told_at: Instant::now(), behind: false, jobs: Vec::new() }
+        Audience {
+            distance,
+            pause,
+            told_at: Instant::now(),
+            behind: false,
+            urgent: false,
+            jobs: Vec::new(),
+        }
+    }
+
+    /// Notes that there is something to tell.
+    fn behind(&mut self, urgent: bool) {
+        self.behind = true;
+        self.urgent |= urgent;
     }
 
     /// Time until they may be told.
     fn left(&self) -> Duration {
         match self.behind {
+            true if self.urgent => Duration::ZERO,
             true => self.pause.saturating_sub(self.told_at.elapsed()),
             false => FOREVER,
         }
@@ -249,7 +265,7 @@
 
 impl Teller {
     /// Sends a status for each change of the own loads, and for each job that this process comes to own.
-    pub async fn run(self, told: flume::Receiver<Vec<DoorLoad>>, owned: flume::Receiver<OwnedJob>) {
+    pub async fn run(self, told: flume::Receiver<Told>, owned: flume::Receiver<OwnedJob>) {
         let mut audiences = [
             Audience::new(Distance::Zone, Duration::ZERO),
             Audience::new(Distance::Region, REGION_PAUSE),
@@ -260,8 +276,8 @@
             let left = audiences.iter().map(Audience::left).min().unwrap_or(FOREVER);
             match within(left, told.recv_async()).await {
                 Some(Ok(new)) => {
-                    loads = new;
-                    audiences.iter_mut().for_each(|it| it.behind = true);
+                    loads = new.loads;
+                    audiences.iter_mut().for_each(|it| it.behind(new.urgent));
                 }
                 Some(Err(_)) => return,
                 None => {}
@@ -271,6 +287,7 @@
             }
             for audience in audiences.iter_mut().filter(|it| it.left().is_zero()) {
                 audience.behind = false;
+                audience.urgent = false;
                 audience.told_at = Instant::now();
                 let jobs = audience.take_jobs();
                 let bytes = self.status(&loads, jobs).encode();
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -59,6 +59,15 @@
     next_request: Rc<Cell<u64>>,
 }
 
+/// The own requests at targets, as other gateways are told.
+#[derive(Debug, Clone, Default)]
+pub struct Told {
+    /// Requests at each target that has any.
+    pub loads: Vec<DoorLoad>,
+    /// Whether others hold places that online requests of this gateway wait for.
+    pub urgent: bool,
+}
+
 /// What the task needs beside its state.
 pub struct PlacementTask {
     /// Clock of the process.
@@ -68,7 +77,7 @@
     /// Counters.
     pub metrics: Rc<Metrics>,
     /// Where changes of the own loads go, for other gateways.
-    pub told: flume::Sender<Vec<DoorLoad>>,
+    pub told: flume::Sender<Told>,
 }
 
 impl Placer {
@@ -246,7 +255,8 @@
         let loads = changed.or_else(|| heartbeat.then(|| self.task.placement.loads()));
         if let Some(loads) = loads {
             self.told_at = Instant::now();
-            let _ = self.task.told.send(loads);
+            let urgent = self.task.placement.take_needs_others();
+            let _ = self.task.told.send(Told { loads, urgent });
             let (online, batch) = self.task.placement.waiting();
             self.task.metrics.placement(self.task.placement.counters(), online, batch);
         }
