--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -70,13 +70,24 @@
 
 fn run(config: Config) -> anyhow::Result<Exit> {
     match config.mode {
+        Mode::Serve(door) => {
+            log_to_stderr(config.log_level);
+            process::run(*door)
+        }
         Mode::Gateway(gateway, file) => run_gateway(*gateway, file),
         Mode::Storage(common) => {
             logging::start(common.log);
             storage::run(&common, platform_of)?;
             Ok(Exit::Success)
         }
-        mode => run_door(mode, config.log_level),
+        Mode::Check => {
+            println!("settings are in order");
+            Ok(Exit::Success)
+        }
+        Mode::Dev(dev) => {
+            log_to_stderr(config.log_level);
+            dev::run(dev)
+        }
     }
 }
 
@@ -90,19 +101,10 @@
     samphiredoor_platform::platform(common.store, common.store_timeout, common.regions.clone())
 }
 
-fn run_door(mode: Mode, log_level: LevelFilter) -> anyhow::Result<Exit> {
+fn log_to_stderr(log_level: LevelFilter) {
     env_logger::Builder::new()
         .filter_level(log_level)
         .parse_default_env()
         .format_target(false)
         .init();
-    match mode {
-        Mode::Serve(door) => process::run(*door),
-        Mode::Check => {
-            println!("settings are in order");
-            Ok(Exit::Success)
-        }
-        Mode::Dev(dev) => dev::run(dev),
-        Mode::Gateway(..) | Mode::Storage(_) => unreachable!("started before"),
-    }
 }
