Ask the store whose a job is before its end is acknowledged

A gateway that had lost the job meanwhile, without knowing it yet, was still named as its owner by others, and answered for itself alone. Ruled out: the store (the end stood before the answer). Change: after the end stands, the owner is read from the store and told; one more read for each end.

--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -235,21 +235,18 @@
         plain(StatusCode::OK, "ended")
     }
 
-    /// Tells the owner of a job that it is ended; says whether nobody runs the job any more. Where the owner is gone, the
-    /// next one finds the end before it starts. A process that does not hear most others may be the one that is cut off,
-    /// and the owner may live.
+    /// Tells the owner of a job that it is ended; says whether nobody runs the job any more.
+    ///
+    /// The owner is read from the store after the end stands there: one that was told of before may have lost the job
+    /// without knowing it, and would answer for itself alone, while whoever takes the job later finds the end. Where the
+    /// owner is not heard it is gone, unless this process hears few others and is the one that is cut off.
     async fn tell_end(&self, job: &JobName) -> bool {
-        if self.end_here(job).await {
-            return true;
-        }
-        if let Some(owner) = self.env.owners.of(job)
-            && self.end_elsewhere(job, &owner).await == Some(true)
-        {
-            return true;
-        }
-        // What others have told may be older than the last taking of the job.
+        let here = self.end_here(job).await;
         let Ok((header, _)) = self.stored.current_header(job).await else { return false };
-        let gone = || header.finished || self.env.roster.hears_most();
+        if header.finished || self.env.owns(&header.owner) {
+            return here || header.finished;
+        }
+        let gone = || self.env.roster.hears_most();
         self.end_elsewhere(job, &owner_in(&header)).await.unwrap_or_else(gone)
     }
 
