Say once what was said twice: calls to targets, known creates, listing a kind

Read of the whole change; behaviour stays. Gone: a count of targets that nobody read, and a condition written twice in the follower.

--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -178,11 +178,6 @@
         queues.fold((0, 0), |sum, it| (sum.0 + it.online.len(), sum.1 + it.batch.len()))
     }
 
-    /// Number of targets that discovery knows.
-    pub fn target_count(&self) -> usize {
-        self.targets.len()
-    }
-
     fn targets(&mut self, entries: Vec<TargetEntry>) {
         let mut gone = std::mem::take(&mut self.targets);
         for entry in entries {
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -6,14 +6,17 @@
 };
 
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, header::HeaderValue, http::response};
+use hyper::{Response, http::response};
 use samphiredoor_core::{Name, placement::AttemptEnd, verdict::Doubt};
-use samphiredoor_net::pool::{Answer, SendError, within};
+use samphiredoor_net::{
+    Call,
+    pool::{Answer, SendError, within},
+};
 
 use crate::{
     edge::HeaderNames,
     events::{EventBuffer, is_event_stream},
-    target_client::{Call, TargetClient},
+    target_client::{self, TargetClient},
 };
 
 /// Bytes of an answer that is held whole before it is passed on.
@@ -76,7 +79,7 @@
     call: &mut Call,
     patience: Patience,
 ) -> Attempt {
-    set_headers(call, names, target, patience);
+    target_client::address(call, names, target, patience.left());
     let response = match within(patience.wait(), client.send(target, address, call)).await {
         Some(Ok(response)) => response,
         Some(Err(SendError::NotSent(err))) => {
@@ -92,32 +95,12 @@
             return Attempt::Doubt(end, doubt);
         }
     };
-    if let Some(end) = not_run(names, &response) {
+    if let Some(end) = target_client::not_run(names, &response) {
         return Attempt::NotRun(end);
     }
     read(response, patience).await
 }
 
-fn set_headers(call: &mut Call, names: &HeaderNames, target: &Name, patience: Patience) {
-    let left_ms = patience.left().as_millis() as u64;
-    call.headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
-    match HeaderValue::from_str(target) {
-        Ok(target) => {
-            call.headers.insert(names.expect_target.clone(), target);
-        }
-        // Names come from the store; one that fits into no header is refused where entries are read.
-        Err(err) => log::error!(target = &**target, problem:% = err; "target: name not sent"),
-    }
-}
-
-/// Whether the target says that it did not run the request.
-fn not_run(names: &HeaderNames, response: &Response<Answer>) -> Option<AttemptEnd> {
-    if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Some(AttemptEnd::WrongTarget);
-    }
-    response.headers().contains_key(&names.not_run).then_some(AttemptEnd::Refused)
-}
-
 async fn read(response: Response<Answer>, patience: Patience) -> Attempt {
     let (parts, body) = response.into_parts();
     if parts.status.is_success() && is_event_stream(&parts.headers) {
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -20,7 +20,7 @@
     routes::Route,
     verdict::{Doubt, Refusal},
 };
-use samphiredoor_net::Body;
+use samphiredoor_net::{Body, Call};
 use smallvec::SmallVec;
 
 use super::{
@@ -30,10 +30,7 @@
     header_number,
     passing::Passing,
 };
-use crate::{
-    placement::{Placed, Ticket},
-    target_client::Call,
-};
+use crate::placement::{Placed, Ticket};
 
 /// Deadline of a caller that names none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -21,6 +21,7 @@
     routes::{Route, RouteKind, RouteTable},
 };
 use samphiredoor_net::{
+    Call,
     body::read_whole,
     pool::{Answer, SendError, within},
 };
@@ -30,7 +31,7 @@
 use crate::{
     events::{EventBuffer, is_event_stream},
     placement::{Placed, Ticket},
-    target_client::Call,
+    target_client,
 };
 
 /// Silence after which an item is sent to another target. Online requests that join a batch hold up its events for some
@@ -206,11 +207,7 @@
     fn set_headers(&self, call: &mut Call, target: &Name) {
         let names = self.env.platform.dialect.headers();
         let left = self.give_up_at.saturating_duration_since(Instant::now()).min(LONGEST_SEND);
-        let left_ms = HeaderValue::from(left.as_millis() as u64);
-        call.headers.insert(names.deadline_ms.clone(), left_ms);
-        if let Ok(target) = HeaderValue::from_str(target) {
-            call.headers.insert(names.expect_target.clone(), target);
-        }
+        target_client::address(call, names, target, left);
         if let Some(last) = self.last() {
             call.headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
         }
@@ -221,13 +218,10 @@
         response: hyper::Response<Answer>,
         ticket: &mut Ticket,
     ) -> (Sent, AttemptEnd) {
-        let (parts, body) = response.into_parts();
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return (Sent::Later, AttemptEnd::WrongTarget);
-        }
-        if parts.headers.contains_key(&self.env.platform.dialect.headers().not_run) {
-            return (Sent::Later, AttemptEnd::Refused);
+        if let Some(end) = target_client::not_run(self.env.platform.dialect.headers(), &response) {
+            return (Sent::Later, end);
         }
+        let (parts, body) = response.into_parts();
         if parts.status.is_success() && is_event_stream(&parts.headers) {
             return self.read_events(body, ticket).await;
         }
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -39,6 +39,10 @@
 /// Pause before a store call is made again that had no usable answer.
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
+/// Calls for one object until a caller is refused or left in doubt; each takes up to the store's time limit, and callers
+/// give up after some seconds.
+const STORE_TRIES: u32 = 3;
+
 /// Silence of the store after which others are taken to work on the jobs of this process: they are told after a second,
 /// and their next sweep is at most some seconds later.
 const DISPLACED: Duration = Duration::from_millis(1_500);
@@ -97,6 +101,17 @@
         let _ = self.owned.send(OwnedJob { name: JobName::clone(job), items });
     }
 
+    /// Creates an object whose name tells its content, so that one that stands is as good; says whether it stands.
+    async fn create_known(&self, create: StoreOp) -> bool {
+        for _ in 0..STORE_TRIES {
+            match self.call(create.clone()).await {
+                StoreAnswer::Object(_) | StoreAnswer::Taken => return true,
+                _ => compio::time::sleep(STORE_PAUSE).await,
+            }
+        }
+        false
+    }
+
     async fn call(&self, op: StoreOp) -> StoreAnswer {
         self.platform.store.call(op).await
     }
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -15,13 +15,13 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use samphiredoor_core::{
     ordered::{JobHeader, JobName, end_key},
-    store::{Labels, StoreAnswer, StoreOp, Value},
+    store::{Labels, StoreOp, Value},
     verdict::Refusal,
 };
 use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
 
 use super::{
-    JobEnv, STORE_PAUSE,
+    JobEnv,
     directory::Directory,
     job_task::{JobMessage, ReadReply},
     stored::{StoredJobs, Unread},
@@ -46,8 +46,6 @@
 const STORE_WAIT: Duration = Duration::from_millis(500);
 /// When to come back if the store is of no help.
 const RETRY_AFTER_MS: u64 = 300;
-/// Calls for the end of a job until it is left to the caller.
-const END_TRIES: u32 = 3;
 
 /// Handle by which callers and other gateways reach the jobs.
 #[derive(Clone)]
@@ -271,13 +269,7 @@
     async fn write_end(&self, job: &JobName) -> bool {
         let value: Value = b"{}".as_slice().into();
         let create = StoreOp::Create { key: end_key(job), labels: Labels::new(), value };
-        for _ in 0..END_TRIES {
-            match self.env.call(create.clone()).await {
-                StoreAnswer::Object(_) | StoreAnswer::Taken => return true,
-                _ => compio::time::sleep(STORE_PAUSE).await,
-            }
-        }
-        false
+        self.env.create_known(create).await
     }
 
     /// Last known owner of a job; the store is asked only where nobody has told it.
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -18,15 +18,12 @@
 use samphiredoor_net::Body;
 
 use super::{
-    JobEnv, STORE_PAUSE,
+    JobEnv, STORE_PAUSE, STORE_TRIES,
     directory::Directory,
     job_task::{JobTask, OwnedJob},
 };
 use crate::front::{plain, refused};
 
-/// Calls for one object until the submission is refused or left in doubt; each takes up to the store's time limit, and
-/// the caller gives up after some seconds.
-const STORE_TRIES: u32 = 3;
 /// Jobs that one process works on at once; beyond it submissions are refused, as their items would not run in time.
 const MAX_OPEN_JOBS: usize = 400;
 /// When to come back after a refusal.
@@ -139,24 +136,13 @@
     for (part, value) in cut_parts(&text).into_iter().enumerate() {
         let key = part_key(&submitted.job, &header.digest, part as u32);
         let create = StoreOp::Create { key, labels: Labels::new(), value };
-        if !create_part(env, create).await {
+        if !env.create_known(create).await {
             return Accepted::No;
         }
     }
     create_header(env, &submitted.job, header).await
 }
 
-/// Creates a part. Its name tells its content, so that a part that stands is this one.
-async fn create_part(env: &JobEnv, create: StoreOp) -> bool {
-    for _ in 0..STORE_TRIES {
-        match env.call(create.clone()).await {
-            StoreAnswer::Object(_) | StoreAnswer::Taken => return true,
-            _ => compio::time::sleep(STORE_PAUSE).await,
-        }
-    }
-    false
-}
-
 async fn create_header(env: &JobEnv, job: &JobName, header: &JobHeader) -> Accepted {
     let mut doubtful = false;
     for _ in 0..STORE_TRIES {
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -23,7 +23,7 @@
     reads::{PeerCall, exchange},
     stored::StoredJobs,
 };
-use crate::{edge::Freshness, peers::Liveness};
+use crate::{edge::Freshness, peers::Liveness, watch::list_all};
 
 /// Time between two sweeps of the whole fleet; a job is due within tens of seconds, and its owner is taken for gone
 /// after 2.5 s.
@@ -57,27 +57,20 @@
 
 async fn sweep(env: &Rc<JobEnv>, directory: &Directory, stored: &StoredJobs) {
     let (mut free, mut old) = (Vec::new(), Vec::new());
-    let mut after: Option<Name> = None;
-    loop {
-        let store = &env.platform.store;
-        let page = store.list(Kind::OrderedJob, after.take(), Freshness::MayBeStale).await;
-        let Some(page) = page else { return };
-        for object in &page.items {
-            match read_header(object) {
-                Ok(header) if !header.finished => {
-                    look(env, directory, &object.name, &header, &mut free);
-                }
-                Ok(header) if is_forgotten(env, &header) => old.push((object.name.clone(), header)),
-                Ok(_) => {}
-                Err(fault) => {
-                    env.metrics.foreign("job");
-                    log::warn!(job = &*object.name, fault:% = fault; "job: header ignored");
-                }
+    let store = &*env.platform.store;
+    let listed = list_all(store, Kind::OrderedJob, Freshness::MayBeStale).await;
+    let Some((objects, _)) = listed else { return };
+    for object in &objects {
+        match read_header(object) {
+            Ok(header) if !header.finished => {
+                look(env, directory, &object.name, &header, &mut free);
+            }
+            Ok(header) if is_forgotten(env, &header) => old.push((object.name.clone(), header)),
+            Ok(_) => {}
+            Err(fault) => {
+                env.metrics.foreign("job");
+                log::warn!(job = &*object.name, fault:% = fault; "job: header ignored");
             }
-        }
-        after = page.items.last().map(|it| Name::clone(&it.name));
-        if !page.has_more || after.is_none() {
-            break;
         }
     }
     for (job, header) in old.into_iter().take(REMOVED_AT_ONCE) {
--- a/crates/samphiredoor-gateway/src/target_client.rs
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -10,14 +10,18 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, Request, Response, Uri, header::HeaderName};
-use samphiredoor_core::Name;
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use samphiredoor_core::{Name, placement::AttemptEnd};
 use samphiredoor_net::{
-    Body, Pool,
+    Call, Pool,
     pool::{Answer, CloseMeans, SendError},
 };
 
+use crate::edge::HeaderNames;
+
 /// Longest wait for a connection. A round trip between regions takes 24 ms; a target that does not answer in this time
 /// has lost its power or its link, and another one can still answer within the caller's objective.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -25,17 +29,25 @@
 /// so it may be shorter than one.
 const IDLE_LIMIT: Duration = Duration::from_millis(700);
 
-/// A request to a target, kept so that it can be sent again.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// Method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Whole body.
-    pub body: Bytes,
+/// Addresses a call to one target: which one is meant, and how long it may work.
+pub fn address(call: &mut Call, names: &HeaderNames, target: &Name, left: Duration) {
+    let left_ms = left.as_millis() as u64;
+    call.headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+    match HeaderValue::from_str(target) {
+        Ok(target) => {
+            call.headers.insert(names.expect_target.clone(), target);
+        }
+        // Names come from the store; one that fits into no header is refused where entries are read.
+        Err(err) => log::error!(target = &**target, problem:% = err; "target: name not sent"),
+    }
+}
+
+/// Whether a target says that it did not run the request, and why.
+pub fn not_run(names: &HeaderNames, response: &Response<Answer>) -> Option<AttemptEnd> {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Some(AttemptEnd::WrongTarget);
+    }
+    response.headers().contains_key(&names.not_run).then_some(AttemptEnd::Refused)
 }
 
 /// Pools of connections, one for each target.
@@ -63,11 +75,7 @@
         call: &Call,
     ) -> Result<Response<Answer>, SendError> {
         let pool = self.pool(target, address);
-        let mut request = Request::new(Body::full(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = call.headers.clone();
-        pool.send(request).await
+        pool.send(call.request()).await
     }
 
     /// Closes the idle connections to all other targets. Calls that run keep theirs.
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -111,8 +111,8 @@
                 }
                 continue;
             };
-            self.changed = matches!(&seen, Seen::Changes(changes) if !changes.is_empty());
             let news = !matches!(&seen, Seen::Changes(changes) if changes.is_empty());
+            self.changed = news && matches!(seen, Seen::Changes(_));
             if std::mem::take(&mut self.failures) > 0 {
                 self.queued = news.then_some(seen);
                 return Seen::Regained;
@@ -136,20 +136,8 @@
     }
 
     async fn list(&mut self) -> Option<Seen> {
-        let mut all = Vec::new();
-        let mut after: Option<Name> = None;
-        let mut first_version = None;
-        loop {
-            let page = self.store.list(self.kind, after.take(), Freshness::Current).await?;
-            // Changes during the list are seen again from the version of its first page on.
-            first_version.get_or_insert(page.version);
-            after = page.items.last().map(|it| Name::clone(&it.name));
-            all.extend(page.items);
-            if !page.has_more || after.is_none() {
-                break;
-            }
-        }
-        self.since = first_version;
+        let (all, version) = list_all(&*self.store, self.kind, Freshness::Current).await?;
+        self.since = Some(version);
         Some(Seen::All(all))
     }
 
@@ -169,3 +157,21 @@
         }
     }
 }
+
+/// Reads all pages of a kind, and the version from which a watch goes on; `None` if a page could not be read.
+pub async fn list_all(
+    store: &dyn ObjectStore,
+    kind: Kind,
+    freshness: Freshness,
+) -> Option<(Vec<Stored>, Version)> {
+    let first = store.list(kind, None, freshness).await?;
+    // Changes during the list are seen again from the version of its first page on.
+    let version = first.version;
+    let (mut all, mut has_more) = (first.items, first.has_more);
+    while has_more && let Some(last) = all.last() {
+        let page = store.list(kind, Some(Name::clone(&last.name)), freshness).await?;
+        has_more = page.has_more && !page.items.is_empty();
+        all.extend(page.items);
+    }
+    Some((all, version))
+}
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! `serve` takes connections with bounds on their number, headers and waits, and ends them gracefully. `pool` keeps
 //! connections towards one address and never reuses one that still owes an answer. `body` holds the one body type that
-//! both sides exchange. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time.
+//! both sides exchange, `call` what is sent to a target and may be sent again. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time.
 
 pub mod body;
+pub mod call;
 pub mod clock;
 pub mod pool;
 pub mod serve;
@@ -14,6 +15,7 @@
 pub mod ticking;
 
 pub use body::Body;
+pub use call::Call;
 pub use pool::Pool;
 pub use serve::{ServeLimits, Server};
 
--- a/crates/samphiredoor/src/targets.rs
+++ b/crates/samphiredoor/src/targets.rs
@@ -7,26 +7,13 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, Request, Response, Uri, header};
+use hyper::{Response, header};
+pub use samphiredoor_net::Call;
 use samphiredoor_net::{
-    Body, Pool,
+    Pool,
     pool::{Answer, SendError},
 };
 
-/// A call to a target, kept so that it can be sent again.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// Method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Headers that are passed on.
-    pub headers: HeaderMap,
-    /// Whole body.
-    pub body: Bytes,
-}
-
 /// Pools of connections, one for each address.
 #[derive(Clone, Default)]
 pub struct TargetPools {
@@ -45,10 +32,7 @@
         call: &Call,
     ) -> Result<Response<Answer>, SendError> {
         let pool = self.pool(address);
-        let mut request = Request::new(Body::full(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = call.headers.clone();
+        let mut request = call.request();
         if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
