Pause before asking a lost store again whose a job is

Cause: a job whose runs are held back asks for its header as soon as the fleet as a whole misses the store. Change: no read while the store is known to be lost, and a pause after one without a usable answer.

--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -146,6 +146,8 @@
     failures: u32,
     /// Whether the header is being read to learn that.
     looking: bool,
+    /// Earliest next read of the header, after one that got no usable answer.
+    look_at: Instant,
     /// Start of the last read that found no further segment.
     checked_at: Instant,
     /// Start of the last look for segments of other processes.
@@ -169,6 +171,7 @@
             suspended: false,
             failures: 0,
             looking: false,
+            look_at: Instant::now(),
             checked_at: Instant::now(),
             checking_since: None,
             env,
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -92,7 +92,10 @@
 
     pub(super) fn header_read(&mut self, answer: &StoreAnswer) {
         self.looking = false;
-        let StoreAnswer::Object(stored) = answer else { return };
+        let StoreAnswer::Object(stored) = answer else {
+            self.look_at = Instant::now() + STORE_PAUSE;
+            return;
+        };
         match read_header(stored) {
             Ok(header) if !self.env.owns(&header.owner) => self.lost(),
             Ok(_) if self.suspended => {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -32,12 +32,18 @@
             self.suspended = true;
             self.taken = true;
             self.stop_runs();
-        } else if !displaced && self.suspended && !self.looking {
+        } else if !displaced && self.suspended && self.may_look() {
             self.looking = true;
             self.call(StoreOp::Get { key: header_key(&self.owned.job) }, JobMessage::Header);
         }
     }
 
+    /// Whether the header is worth a read. When the store is lost for all, each job of each process would ask again as
+    /// soon as it is refused: 2,000 calls within two seconds with eight gateways.
+    fn may_look(&self) -> bool {
+        !self.looking && !self.env.health.is_lost() && Instant::now() >= self.look_at
+    }
+
     pub(super) fn start_items(&mut self) {
         if self.started || self.suspended || !self.log.is_read() {
             return;
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -155,6 +155,27 @@
     assert_eq!(ids(&platform.all_results(0, "job-1", ITEMS.len())), ITEMS);
 }
 
+// A gateway alone misses the store and holds its runs back; then the store is lost for all. The job's task asked whose the
+// job is again as soon as it was refused, a thousand times a second, and each call is paid for.
+#[test]
+fn a_lost_store_is_not_asked_all_the_time_whose_a_job_is() {
+    let (platform, _target) = two_gateways(Duration::from_secs(2));
+    platform.wait_logged(0, "peers: heard");
+    platform.wait_logged(1, "peers: heard");
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    platform.set_way_fault(0, StoreFault::Busy);
+    platform.wait_logged(0, "runs held back");
+    platform.store.set_fault(StoreFault::Busy);
+    platform.wait_logged(1, "store: lost");
+    // Until the other gateway's word is heard that it misses the store as well.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let reads = || platform.store.calls().get("GET orderedjobs").copied().unwrap_or(0);
+    let before = reads();
+    std::thread::sleep(Duration::from_secs(1));
+    // One each 150 ms, and the sweeps of two gateways.
+    assert!(reads() - before <= 10, "{} reads in a second", reads() - before);
+}
+
 // A gateway that has just started takes a job before it knows any routes. It cannot tell that the job has none: the items
 // must wait, and not be listed as failed.
 #[test]
