Hand jobs over at once at a planned stop, and let nobody take them before

Ruled out: outputs that cannot be read (no such line in the logs); a late stop signal. Change: results that wait are written at once when a job is handed over; a process that stops and is heard keeps its jobs. Test: six runs began for three items before.

--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -64,7 +64,8 @@
             return;
         }
         if self.calling || !self.log.is_settled() {
-            self.write_at.get_or_insert(now);
+            // Results wait for others to share a write; now everything waits for them.
+            self.write_at = Some(now);
             self.phase = Phase::Releasing(now + STORE_PAUSE);
             return;
         }
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -35,9 +35,15 @@
         self.heard.is_some_and(|it| it.elapsed() < GONE)
     }
 
-    /// Whether it works on jobs, and may take others.
-    fn works(&self) -> bool {
-        self.is_heard() && self.store_reached && !self.stopping
+    /// Whether it works on its jobs, or is about to hand them over. A job that is taken from a process that stops loses
+    /// what its items have put out: with twenty items half done, as much work as ten whole ones.
+    fn has_jobs(&self) -> bool {
+        self.is_heard() && self.store_reached
+    }
+
+    /// Whether it may take jobs of others.
+    fn takes_jobs(&self) -> bool {
+        self.has_jobs() && !self.stopping
     }
 }
 
@@ -51,9 +57,9 @@
 /// Whether another gateway works on its jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Liveness {
-    /// It is heard, and reaches the store.
+    /// It is heard, and reaches the store; one that stops hands its jobs over itself.
     Works,
-    /// It is gone, has started anew, is stopping, or does not reach the store.
+    /// It is gone, has started anew, or does not reach the store.
     Gone,
     /// This process cannot tell yet.
     Unknown,
@@ -105,7 +111,7 @@
     pub fn liveness(&self, name: &str, incarnation: u64) -> Liveness {
         let peers = self.peers.borrow();
         match peers.get(name).filter(|it| it.is_heard()) {
-            Some(peer) if peer.incarnation == incarnation && peer.works() => Liveness::Works,
+            Some(peer) if peer.incarnation == incarnation && peer.has_jobs() => Liveness::Works,
             Some(_) => Liveness::Gone,
             _ if self.started.elapsed() < GONE => Liveness::Unknown,
             _ => Liveness::Gone,
@@ -168,7 +174,7 @@
     /// distance in any order, so that jobs are spread over them.
     pub fn takers(&self, own: &Place) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let mut takers: Vec<&Peer> = peers.values().filter(|it| it.works()).collect();
+        let mut takers: Vec<&Peer> = peers.values().filter(|it| it.takes_jobs()).collect();
         takers.shuffle(&mut rand::rng());
         takers.sort_by_key(|it| Distance::between(own, &it.place));
         takers.into_iter().map(|it| it.address).collect()
--- a/crates/samphiredoor/tests/it/platform/stops.rs
+++ b/crates/samphiredoor/tests/it/platform/stops.rs
@@ -2,6 +2,7 @@
 
 use std::{thread, time::Duration};
 
+use samphiredoor_standin::platform_target::TargetFault;
 use serde_json::json;
 
 use super::env::{Platform, whole_stream};
@@ -99,3 +100,23 @@
     assert!(results.iter().all(|it| it["text"] == target.text()));
     assert!(target.runs()[2..].iter().all(|it| it.after.is_some_and(|after| after > 0)));
 }
+
+// A gateway stops while a result waits to be written with others, and another one looks for jobs to take meanwhile. It took
+// the job before its outputs were handed over, and its items ran from their beginning.
+#[test]
+fn a_job_is_not_taken_before_its_outputs_are_handed_over() {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", SLOW * 3);
+    platform.start_gateway();
+    platform.start_gateway();
+    // The other gateway looks for jobs each two seconds; its next look falls between the stop and the write.
+    thread::sleep(Duration::from_millis(4_000));
+    target.fail_next(1, TargetFault::Impossible);
+    assert_eq!(platform.submit(0, "job-1", &["item-a", "item-b", "item-c"]).status, 202);
+    wait_until("all run", || target.runs().len() == 3);
+    thread::sleep(SLOW * 4);
+    platform.signal(0, "TERM");
+    platform.all_results(1, "job-1", 3);
+    let begun = target.runs().iter().filter(|it| it.after.is_none()).count();
+    assert_eq!(begun, 3, "each item began once");
+}
