Keep in the log what items have put out, so that a kill loses seconds of it

Cause: what runs have put out was known to their process alone. Chosen: the segments of the log carry the events since the last one, each event once, no read more at a takeover; the handover's own objects and their reads are gone. Tests: the log's property test with outputs; a killed gateway's items begin once.

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, Outcome};
+use super::{ItemResult, Outcome, OutputPart};
 use crate::{
     ledger::Unreadable,
     store::{Stored, Value},
@@ -55,9 +55,6 @@
     pub owner: JobOwner,
     /// Whether all items are listed, so that nobody needs to take the job.
     pub finished: bool,
-    /// Name of the outputs that an owner handed over last.
-    #[serde(default)]
-    pub progress: Option<String>,
 }
 
 impl JobHeader {
@@ -133,20 +130,32 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Segment {
+struct StoredSegment {
     format: u32,
     results: Vec<SegmentItem>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    outputs: Vec<OutputPart>,
+}
+
+/// What one segment adds to a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Segment {
+    /// Results, in the order of their positions.
+    pub results: Vec<ItemResult>,
+    /// What items have put out that still run.
+    pub outputs: Vec<OutputPart>,
 }
 
 /// Text of a segment.
-pub(super) fn segment_value(results: &[ItemResult]) -> Value {
+pub(super) fn segment_value(results: &[ItemResult], outputs: &[OutputPart]) -> Value {
     let results = results.iter().map(|it| SegmentItem {
         item: it.item,
         id: Arc::clone(&it.id),
         completed: it.outcome == Outcome::Completed,
         text: Arc::clone(&it.text),
     });
-    to_value(&Segment { format: FORMAT, results: results.collect() })
+    let (results, outputs) = (results.collect(), outputs.to_vec());
+    to_value(&StoredSegment { format: FORMAT, results, outputs })
 }
 
 /// Reads a segment.
@@ -154,50 +163,13 @@
 /// # Errors
 ///
 /// Why it cannot be read.
-pub fn read_segment(stored: &Stored) -> Result<Vec<ItemResult>, Unreadable> {
-    let segment: Segment = read(&stored.value)?;
+pub fn read_segment(stored: &Stored) -> Result<Segment, Unreadable> {
+    let segment: StoredSegment = read(&stored.value)?;
     let results = segment.results.into_iter().map(|it| ItemResult {
         item: it.item,
         id: it.id,
         outcome: if it.completed { Outcome::Completed } else { Outcome::Failed },
         text: it.text,
     });
-    Ok(results.collect())
-}
-
-/// Output of an item whose run was cut.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct PartialOutput {
-    /// Item by its place in the submission.
-    pub item: u32,
-    /// Number of the last event that was received.
-    pub last: u64,
-    /// Data of the events so far, separated by line feeds.
-    pub text: String,
-}
-
-#[derive(Serialize, Deserialize)]
-struct Progress {
-    format: u32,
-    outputs: Vec<PartialOutput>,
-}
-
-/// Text of the outputs that are handed over; those that do not fit into an object are left out.
-pub fn progress_value(outputs: Vec<PartialOutput>) -> Value {
-    let mut bytes = 0;
-    let fitting = outputs.into_iter().take_while(|it| {
-        bytes += it.text.len();
-        bytes <= PART_BYTES
-    });
-    to_value(&Progress { format: FORMAT, outputs: fitting.collect() })
-}
-
-/// Reads outputs that were handed over.
-///
-/// # Errors
-///
-/// Why they cannot be read.
-pub fn read_progress(stored: &Stored) -> Result<Vec<PartialOutput>, Unreadable> {
-    read::<Progress>(&stored.value).map(|it| it.outputs)
+    Ok(Segment { results: results.collect(), outputs: segment.outputs })
 }
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -1,8 +1,16 @@
 //! The log of a job's results, as one of its writers sees it.
 
-use std::{collections::BTreeSet, sync::Arc};
-
-use super::{JobName, codec, segment_key};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use super::{
+    JobName, OutputPart, PartialOutput,
+    codec::{self, Segment},
+    outputs::{self, KeptOutputs},
+    segment_key,
+};
 use crate::store::{Labels, StoreAnswer, StoreOp};
 
 /// Bytes of texts in one segment; an object holds a megabyte, and escapes within texts take some of it.
@@ -62,9 +70,11 @@
     pending: Vec<ItemResult>,
     segments: u32,
     next: Next,
-    /// Results in the create that is in flight.
-    in_flight: usize,
+    /// What the create that is in flight holds.
+    in_flight: Segment,
     foreign: bool,
+    outputs: Vec<OutputPart>,
+    kept: KeptOutputs,
 }
 
 impl ResultLog {
@@ -77,8 +87,10 @@
             pending: Vec::new(),
             segments: 0,
             next: Next::Append,
-            in_flight: 0,
+            in_flight: Segment::default(),
             foreign: false,
+            outputs: Vec::new(),
+            kept: KeptOutputs::default(),
         }
     }
 
@@ -110,7 +122,24 @@
 
     /// Whether nothing waits to be appended.
     pub fn is_settled(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.is_empty() && self.outputs.is_empty()
+    }
+
+    /// Adds what an item that still runs has put out since its last part.
+    pub fn push_output(&mut self, part: OutputPart) {
+        if !self.decided.contains(&part.item) {
+            self.outputs.push(part);
+        }
+    }
+
+    /// Whether outputs wait to be appended.
+    pub fn has_outputs(&self) -> bool {
+        !self.outputs.is_empty()
+    }
+
+    /// Takes the outputs of items without a result that were read from segments.
+    pub fn take_kept(&mut self) -> BTreeMap<u32, PartialOutput> {
+        self.kept.take()
     }
 
     /// Whether another writer was met since the last call.
@@ -120,6 +149,7 @@
 
     /// Adds a result to append; the first one of an item counts.
     pub fn push(&mut self, result: ItemResult) {
+        self.outputs.retain(|it| it.item != result.item);
         let known = self.decided.contains(&result.item);
         if !known && self.pending.iter().all(|it| it.item != result.item) {
             self.pending.push(result);
@@ -131,10 +161,10 @@
         let key = segment_key(&self.job, self.segments);
         match self.next {
             Next::Read => LogStep::Store(StoreOp::Get { key }),
-            Next::Append if self.pending.is_empty() => LogStep::Idle,
+            Next::Append if self.is_settled() => LogStep::Idle,
             Next::Append => {
                 self.in_flight = self.fitting();
-                let value = codec::segment_value(&self.pending[..self.in_flight]);
+                let value = codec::segment_value(&self.in_flight.results, &self.in_flight.outputs);
                 LogStep::Store(StoreOp::Create { key, labels: Labels::new(), value })
             }
         }
@@ -144,14 +174,17 @@
     pub fn answered(&mut self, answer: &StoreAnswer) -> LogStep {
         match (self.next, answer) {
             (Next::Append, StoreAnswer::Object(_)) => {
-                let written = self.pending.drain(..self.in_flight).collect();
+                let written = std::mem::take(&mut self.in_flight);
                 self.stand(written);
             }
             (Next::Append, StoreAnswer::Taken | StoreAnswer::Unknown) => self.next = Next::Read,
             (Next::Read, StoreAnswer::Object(stored)) => match codec::read_segment(stored) {
-                Ok(results) => {
-                    self.foreign |= results != self.pending[..self.in_flight];
-                    self.stand(results);
+                Ok(segment) => {
+                    self.foreign |= segment != self.in_flight;
+                    for part in &segment.outputs {
+                        self.kept.add(part.clone());
+                    }
+                    self.stand(segment);
                 }
                 Err(_) => return LogStep::Pause,
             },
@@ -161,20 +194,30 @@
         self.step()
     }
 
-    fn stand(&mut self, results: Vec<ItemResult>) {
-        self.decided.extend(results.iter().map(|it| it.item));
+    fn stand(&mut self, segment: Segment) {
+        for result in &segment.results {
+            self.decided.insert(result.item);
+            self.kept.remove(result.item);
+        }
         self.pending.retain(|it| !self.decided.contains(&it.item));
-        self.in_flight = 0;
-        self.standing.extend(results);
+        let stands = |it: &OutputPart| segment.outputs.contains(it);
+        self.outputs.retain(|it| !self.decided.contains(&it.item) && !stands(it));
+        self.in_flight = Segment::default();
+        self.standing.extend(segment.results);
         self.segments += 1;
     }
 
-    fn fitting(&self) -> usize {
+    fn fitting(&self) -> Segment {
         let mut bytes = 0;
         let fits = self.pending.iter().take_while(|it| {
             bytes += it.text.len();
             bytes <= SEGMENT_BYTES
         });
-        fits.count().max(1)
+        let results = fits.count().max(self.pending.len().min(1));
+        let outputs = outputs::fitting(&self.outputs);
+        Segment {
+            results: self.pending[..results].to_vec(),
+            outputs: self.outputs[..outputs].to_vec(),
+        }
     }
 }
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -5,8 +5,8 @@
 //! must have read all before it, and only one create of `n` can succeed; so however many processes believe that they
 //! own the job, no item stands twice and no position ever changes. Ownership only keeps the work from being done twice.
 //!
-//! A planned stop hands over what its runs have put out so far: an item goes on after its last event wherever it runs, and
-//! nothing is made twice. That, too, is no part of what must hold.
+//! The log also keeps what items have put out that are not done (`outputs`): an item goes on after its last event wherever
+//! it runs next. That, too, is no part of what must hold.
 //!
 //! The names of all objects begin with the job's name. A job is ended by its caller with an object of its own, so that
 //! every process can watch the few ends there are.
@@ -14,15 +14,16 @@
 mod codec;
 mod items;
 mod log;
+mod outputs;
 
 use std::sync::Arc;
 
 pub use codec::{
-    JobHeader, JobOwner, PART_BYTES, PartialOutput, cut_parts, progress_value, read_header,
-    read_part, read_progress, read_segment,
+    JobHeader, JobOwner, PART_BYTES, Segment, cut_parts, read_header, read_part, read_segment,
 };
 pub use items::{ItemEnd, ItemStep, Items};
 pub use log::{ItemResult, LogStep, Outcome, ResultLog};
+pub use outputs::{OutputPart, PartialOutput};
 
 use crate::{
     Name,
@@ -60,11 +61,6 @@
     ObjectKey::new(Kind::JobSegment, format!("{job}-{segment:05}"))
 }
 
-/// Key of the outputs that one owner of a job handed over.
-pub fn progress_key(name: &str) -> ObjectKey {
-    ObjectKey::new(Kind::JobProgress, name)
-}
-
 /// Key of the object that ends a job.
 pub fn end_key(job: &str) -> ObjectKey {
     ObjectKey::new(Kind::JobEnd, job)
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -38,8 +38,6 @@
     JobSegment,
     /// Ends of ordered jobs by their callers.
     JobEnd,
-    /// Outputs of items that were cut when their job was handed over.
-    JobProgress,
     /// Routes, as the operators write them.
     Routes,
     /// Targets, as they register themselves.
@@ -67,7 +65,6 @@
             Kind::JobPart => "jobparts",
             Kind::JobSegment => "jobsegments",
             Kind::JobEnd => "jobends",
-            Kind::JobProgress => "jobprogress",
             Kind::Routes => "routes",
             Kind::Targets => "targets",
             Kind::Retirement => "retirements",
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -1,5 +1,6 @@
 //! Several processes believe that they own one job and append to its log. The store loses answers, and calls take effect
-//! long after they were given up. Positions must never move, and no item may stand twice.
+//! long after they were given up. Positions must never move, no item may stand twice, and an output that is read back is the
+//! beginning of what its item puts out.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -8,7 +9,7 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 use samphiredoor_core::{
-    ordered::{ItemResult, LogStep, Outcome, ResultLog},
+    ordered::{ItemResult, LogStep, Outcome, OutputPart, PartialOutput, ResultLog},
     store::{Labels, StoreAnswer, StoreOp, Stored, Value, Version},
 };
 
@@ -31,6 +32,8 @@
 #[derive(Debug, Clone)]
 enum Step {
     Push(usize, u32),
+    /// The item puts out one more event, which is given to the log.
+    Output(usize, u32),
     Call(usize, Fate),
     TakeEffect,
     Reread(usize),
@@ -72,13 +75,28 @@
     /// Call in hand, as its last step gave it.
     step: LogStep,
     seen: Vec<ItemResult>,
+    /// Last event of each item that this writer runs; `None` before the log is read.
+    events: Option<BTreeMap<u32, u64>>,
 }
 
 impl Writer {
     fn new() -> Writer {
         let mut log = ResultLog::to_be_read("job".into());
         let step = log.step();
-        Writer { log, step, seen: Vec::new() }
+        Writer { log, step, seen: Vec::new(), events: None }
+    }
+
+    /// Runs an item for one event more, from what the log has kept of it on.
+    fn output(&mut self, item: u32) {
+        if !self.log.is_read() {
+            return;
+        }
+        let log = &mut self.log;
+        let events = self.events.get_or_insert_with(|| last_events(log));
+        let after = events.get(&item).copied();
+        let last = after.unwrap_or(0) + 1;
+        events.insert(item, last);
+        log.push_output(OutputPart { item, after, last, text: event(last) });
     }
 
     /// What a reader was told stays a beginning of what stands.
@@ -89,6 +107,19 @@
     }
 }
 
+fn event(number: u64) -> String {
+    format!("<{number}>")
+}
+
+/// Last events of the outputs that a log has kept, each of which has to be whole up to there.
+fn last_events(log: &mut ResultLog) -> BTreeMap<u32, u64> {
+    let last = |(item, PartialOutput { last, text })| {
+        assert_eq!(text, (1..=last).map(event).collect::<String>(), "item {item}");
+        (item, last)
+    };
+    log.take_kept().into_iter().map(last).collect()
+}
+
 fn result(writer: usize, item: u32) -> ItemResult {
     ItemResult {
         item,
@@ -109,6 +140,7 @@
     ]);
     prop_oneof![
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Push(writer, item)),
+        4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Output(writer, item)),
         8 => (0..WRITERS, fate).prop_map(|(writer, fate)| Step::Call(writer, fate)),
         2 => Just(Step::TakeEffect),
         1 => (0..WRITERS).prop_map(Step::Reread),
@@ -142,6 +174,7 @@
     for step in steps {
         match step {
             Step::Push(writer, item) => writers[writer].log.push(result(writer, item)),
+            Step::Output(writer, item) => writers[writer].output(item),
             Step::Call(writer, fate) => call(&mut store, &mut writers[writer], fate),
             Step::TakeEffect => {
                 if let Some(op) = store.late.pop() {
@@ -159,9 +192,18 @@
     for op in std::mem::take(&mut store.late) {
         store.apply(&op);
     }
+    check_outputs(&mut store);
     check_end(&mut store);
 }
 
+fn check_outputs(store: &mut Store) {
+    let mut reader = Writer::new();
+    while !reader.log.is_read() {
+        call(store, &mut reader, Fate::Answered);
+    }
+    last_events(&mut reader.log);
+}
+
 /// Whoever reads all at the end finds each item once, and can finish the job.
 fn check_end(store: &mut Store) {
     let mut last = Writer::new();
@@ -208,3 +250,22 @@
     assert_eq!(next.log.standing(), former.log.standing());
     assert!(next.log.take_foreign());
 }
+
+// An owner is killed while its items are half done. What they had put out stands in the log, in several parts, and the next
+// owner goes on from there.
+#[test]
+fn outputs_are_read_back_as_far_as_they_stand() {
+    let mut store = Store::default();
+    let mut owner = Writer::new();
+    call(&mut store, &mut owner, Fate::Answered);
+    for events in [3, 2] {
+        (0..events).for_each(|_| owner.output(7));
+        call(&mut store, &mut owner, Fate::Answered);
+    }
+    owner.output(7);
+    let mut next = Writer::new();
+    while !next.log.is_read() {
+        call(&mut store, &mut next, Fate::Answered);
+    }
+    assert_eq!(last_events(&mut next.log), BTreeMap::from([(7, 5)]));
+}
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -16,7 +16,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Class,
-    ordered::{Item, ItemEnd, JobName, PartialOutput},
+    ordered::{Item, ItemEnd, JobName, OutputPart, PartialOutput},
     placement::{Ask, AttemptEnd},
     routes::{Route, RouteKind, RouteTable},
 };
@@ -74,6 +74,9 @@
     text: Vec<u8>,
     has_data: bool,
     last: Option<u64>,
+    /// Bytes of the text that the job's log keeps, and the event up to which it does.
+    kept_bytes: usize,
+    kept_last: Option<u64>,
 }
 
 /// Output that the run of an item fills, and that its job can hand over.
@@ -274,16 +277,25 @@
         }
     }
 
-    /// Output that another owner handed over.
-    pub fn handed_over(partial: PartialOutput) -> Output {
-        let has_data = !partial.text.is_empty();
-        Output { text: partial.text.into_bytes(), has_data, last: Some(partial.last) }
+    /// Output that the job's log has kept.
+    pub fn kept(partial: PartialOutput) -> Output {
+        let (last, kept_bytes) = (Some(partial.last), partial.text.len());
+        Output {
+            text: partial.text.into_bytes(),
+            has_data: kept_bytes > 0,
+            last,
+            kept_bytes,
+            kept_last: last,
+        }
     }
 
-    /// Output to hand over, if there is any.
-    pub fn partial(&self, item: u32) -> Option<PartialOutput> {
-        let text = String::from_utf8_lossy(&self.text).into_owned();
-        Some(PartialOutput { item, last: self.last?, text })
+    /// What has come since the last part that was taken.
+    pub fn take_part(&mut self, item: u32) -> Option<OutputPart> {
+        let last = self.last.filter(|it| Some(*it) > self.kept_last)?;
+        let text = String::from_utf8_lossy(&self.text[self.kept_bytes..]).into_owned();
+        let after = self.kept_last.replace(last);
+        self.kept_bytes = self.text.len();
+        Some(OutputPart { item, after, last, text })
     }
 
     fn complete(&self) -> ItemEnd {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -6,7 +6,7 @@
 };
 
 use samphiredoor_core::{
-    ordered::{JobName, PartialOutput, header_key, progress_key, progress_value},
+    ordered::{JobName, header_key},
     store::{Labels, StoreAnswer, StoreOp},
 };
 
@@ -63,37 +63,16 @@
         if now < until {
             return;
         }
-        if self.calling || !self.log.is_settled() {
+        if self.calling || self.give_outputs(now) || !self.log.is_settled() {
             // Results wait for others to share a write; now everything waits for them.
             self.write_at = Some(now);
             self.phase = Phase::Releasing(now + STORE_PAUSE);
             return;
         }
-        let outputs = self.outputs.iter().filter_map(|(item, it)| it.borrow().partial(*item));
-        let outputs: Vec<PartialOutput> = outputs.collect();
-        log::info!(job = &*self.owned.job, outputs = outputs.len(); "job: handed over");
+        log::info!(job = &*self.owned.job, outputs = self.outputs.len(); "job: handed over");
         self.env.metrics.job("handed_over");
         self.phase = Phase::Closing;
         self.owned.header.owner.process.clear();
-        match outputs.is_empty() {
-            true => self.write_header(),
-            false => self.write_progress(outputs),
-        }
-    }
-
-    pub(super) fn write_progress(&mut self, outputs: Vec<PartialOutput>) {
-        let name = format!("{}-{:x}", self.owned.job, self.env.incarnation);
-        let (key, value) = (progress_key(&name), progress_value(outputs));
-        self.owned.header.progress = Some(name);
-        let create = StoreOp::Create { key, labels: Labels::new(), value };
-        self.call(create, JobMessage::ProgressWritten);
-    }
-
-    pub(super) fn progress_written(&mut self, answer: &StoreAnswer) {
-        // Without the outputs the items run from their beginning.
-        if !matches!(answer, StoreAnswer::Object(_)) {
-            self.owned.header.progress = None;
-        }
         self.write_header();
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -10,7 +10,6 @@
 mod runs;
 
 use std::{
-    cell::RefCell,
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -19,19 +18,14 @@
 
 use compio::runtime::JoinHandle;
 use samphiredoor_core::{
-    ordered::{Item, ItemEnd, Items, JobHeader, JobName, PartialOutput, ResultLog},
+    ordered::{Item, ItemEnd, Items, JobHeader, JobName, ResultLog},
     store::{StoreAnswer, Version},
 };
 use samphiredoor_net::pool::within;
 
 pub use results::page_of;
 
-use super::{
-    JobEnv,
-    directory::Directory,
-    item_run::{Output, SharedOutput},
-    submit::until,
-};
+use super::{JobEnv, directory::Directory, item_run::SharedOutput, submit::until};
 use crate::edge::ResultsPage;
 
 /// How often a working job looks whether its process still reaches the store.
@@ -79,8 +73,6 @@
     Stored(StoreAnswer),
     /// The header was read, to see whose the job is.
     Header(StoreAnswer),
-    /// The write of the outputs that are handed over was answered.
-    ProgressWritten(StoreAnswer),
     /// The last write of the header was answered.
     HeaderWritten(StoreAnswer),
     /// The caller has ended the job.
@@ -135,6 +127,8 @@
     phase: Phase,
     calling: bool,
     write_at: Option<Instant>,
+    /// When outputs were last given to the log.
+    kept_at: Instant,
     give_up_at: Instant,
     due_at_ms: u64,
     started: bool,
@@ -186,19 +180,13 @@
             phase: Phase::Working,
             calling: false,
             write_at: None,
+            kept_at: Instant::now(),
             give_up_at,
             due_at_ms,
             started: false,
         }
     }
 
-    /// Goes on with outputs that another owner handed over.
-    pub fn with_progress(mut self, outputs: Vec<PartialOutput>) -> JobTask {
-        let shared = |it: PartialOutput| (it.item, Rc::new(RefCell::new(Output::handed_over(it))));
-        self.outputs = outputs.into_iter().map(shared).collect();
-        self
-    }
-
     /// Works until the job is over, lost or handed over.
     pub async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
         self.proceed();
@@ -233,7 +221,6 @@
             JobMessage::RunEnded { item, end } => self.run_ended(item, end),
             JobMessage::Stored(answer) => self.stored(&answer),
             JobMessage::Header(answer) => self.header_read(&answer),
-            JobMessage::ProgressWritten(answer) => self.progress_written(&answer),
             JobMessage::HeaderWritten(answer) => self.header_written(&answer),
             JobMessage::Ended { reply } => {
                 let is_over = self.ended();
@@ -253,6 +240,7 @@
             self.suspend_if_displaced();
             self.start_items();
             self.run_again(now);
+            self.keep_outputs(now);
             if now >= self.give_up_at {
                 self.give_up_rest();
             }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -28,6 +28,9 @@
             return;
         }
         self.write_at = None;
+        if due {
+            self.give_outputs(now);
+        }
         let step = self.log.step();
         self.make_step(step);
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -1,6 +1,7 @@
 //! The runs of a job's items.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,7 +13,7 @@
 };
 
 use super::{FOREVER, JobMessage, JobTask, Phase};
-use crate::jobs::item_run;
+use crate::jobs::item_run::{self, Output};
 
 /// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
 /// a write costs as much as a hundredth of an item.
@@ -22,6 +23,11 @@
 /// How long before the results are due that is; callers read twice a second.
 const DUE_SOON_MS: u64 = 2_500;
 
+/// Time between two writes of what items have put out, where no result is written meanwhile. A process that is killed loses
+/// half of it for each place that its items hold; a write costs as much as a hundredth of an item, whose run takes some
+/// seconds.
+const KEEP_PAUSE: Duration = Duration::from_millis(3_000);
+
 impl JobTask {
     /// Stops the runs while this process alone does not reach the store. Others take its jobs then, and it could hear
     /// neither of that nor of the jobs' ends.
@@ -49,6 +55,9 @@
             return;
         }
         self.started = true;
+        for (item, output) in self.log.take_kept() {
+            self.outputs.entry(item).or_insert_with(|| Rc::new(RefCell::new(Output::kept(output))));
+        }
         let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.is_decided(*it)).collect();
         for item in open {
             self.start_run(item);
@@ -108,6 +117,28 @@
         self.write_at = Some(self.write_at.map_or(at, |it| it.min(at)));
     }
 
+    /// Has the log keep what items have put out, now and then.
+    pub(super) fn keep_outputs(&mut self, now: Instant) {
+        if self.started && now >= self.kept_at + KEEP_PAUSE && self.give_outputs(now) {
+            self.write_at = Some(self.write_at.map_or(now, |it| it.min(now)));
+        }
+    }
+
+    /// Gives the log what items have put out since the last time; says whether there was any. Not while the log has some:
+    /// parts of one item must come in order.
+    pub(super) fn give_outputs(&mut self, now: Instant) -> bool {
+        if self.log.has_outputs() {
+            return false;
+        }
+        self.kept_at = now;
+        for (item, output) in &self.outputs {
+            if let Some(part) = output.borrow_mut().take_part(*item) {
+                self.log.push_output(part);
+            }
+        }
+        self.log.has_outputs()
+    }
+
     pub(super) fn gather(&self) -> Duration {
         let due_soon = self.env.clock.now().mono_ms + DUE_SOON_MS >= self.due_at_ms;
         if due_soon { GATHER_WHEN_DUE } else { GATHER }
--- a/crates/samphiredoor-gateway/src/jobs/stored.rs
+++ b/crates/samphiredoor-gateway/src/jobs/stored.rs
@@ -9,8 +9,7 @@
 
 use samphiredoor_core::{
     ordered::{
-        Item, ItemResult, JobHeader, JobName, PartialOutput, part_key, progress_key, read_part,
-        read_progress, read_segment, segment_key,
+        Item, ItemResult, JobHeader, JobName, part_key, read_part, read_segment, segment_key,
     },
     store::{StoreAnswer, StoreOp, Version},
 };
@@ -133,11 +132,11 @@
             };
             match self.env.call(StoreOp::Get { key: segment_key(job, segment) }).await {
                 StoreAnswer::Object(stored) => {
-                    let Ok(results) = read_segment(&stored) else {
+                    let Ok(read) = read_segment(&stored) else {
                         log::error!(job = &**job, segment; "job: segment cannot be read");
                         return Err(Unread::Unavailable);
                     };
-                    self.cache.borrow_mut().add(job, segment, results);
+                    self.cache.borrow_mut().add(job, segment, read.results);
                 }
                 StoreAnswer::Absent => {
                     return Ok(ResultsPage { total, next: after, results: Vec::new() });
@@ -170,20 +169,6 @@
         })
     }
 
-    /// Outputs that an owner of the job handed over; none where they cannot be read, as the items can run anew.
-    pub async fn progress(&self, header: &JobHeader) -> Vec<PartialOutput> {
-        let Some(name) = &header.progress else { return Vec::new() };
-        let answer = self.env.call(StoreOp::Get { key: progress_key(name) }).await;
-        let read = match &answer {
-            StoreAnswer::Object(stored) => read_progress(stored).ok(),
-            _ => None,
-        };
-        read.unwrap_or_else(|| {
-            log::warn!(progress = name; "job: outputs that were handed over cannot be read");
-            Vec::new()
-        })
-    }
-
     /// One item, unless its result stands.
     ///
     /// # Errors
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -234,7 +234,6 @@
         give_up_unix_ms: now_ms + submitted.rule.give_up_ms,
         owner: env.owner(),
         finished: false,
-        progress: None,
     }
 }
 
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -9,8 +9,8 @@
 use samphiredoor_core::{
     Name,
     ordered::{
-        Item, Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, progress_key,
-        read_header, segment_key,
+        Item, Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, read_header,
+        segment_key,
     },
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
@@ -91,8 +91,7 @@
 /// Removes all objects of a job, the header last: a removal that is cut short is done again.
 async fn remove(env: &JobEnv, job: &JobName, header: &JobHeader) {
     let parts = (0..header.parts).map(|it| part_key(job, &header.digest, it));
-    let progress = header.progress.iter().map(|it| progress_key(it));
-    for key in parts.chain(progress).chain([end_key(job)]) {
+    for key in parts.chain([end_key(job)]) {
         if !delete(env, key).await {
             return;
         }
@@ -176,7 +175,7 @@
     };
     let owned = take(env, job, header, version, items.is_none()).await;
     if let (Some(owned), Some(items)) = (owned, items) {
-        start(env, directory, stored, owned, items).await;
+        start(env, directory, owned, items);
     }
 }
 
@@ -208,20 +207,13 @@
     Some(OwnedJob { job: JobName::clone(job), header, version })
 }
 
-async fn start(
-    env: &Rc<JobEnv>,
-    directory: &Directory,
-    stored: &StoredJobs,
-    owned: OwnedJob,
-    items: Vec<Item>,
-) {
-    let progress = stored.progress(&owned.header).await;
+fn start(env: &Rc<JobEnv>, directory: &Directory, owned: OwnedJob, items: Vec<Item>) {
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.tell_owned(&owned.job, owned.header.items);
     watch_for_end(env, directory, &owned.job);
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
     let items = Items::new(items, owned.header.attempts);
-    let task = JobTask::new(Rc::clone(env), owned, items, log, messages).with_progress(progress);
+    let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
 
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -122,6 +122,23 @@
     assert_eq!(ids(&results), ITEMS);
 }
 
+// The gateway that owns a job is killed while its items are half done. Their outputs were lost with it, and the items ran
+// from their beginning: where a hundred were half done, the fleet worked half a minute for nothing.
+#[test]
+fn items_go_on_where_a_killed_gateway_left_them() {
+    let (mut platform, target) = two_gateways(Duration::from_millis(1_200));
+    // Of three, the two that are left know that they are not the ones that are cut off.
+    platform.start_gateway();
+    platform.wait_logged(2, "peers: heard");
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    wait_until("outputs are kept", || !platform.store.names("jobsegments").is_empty());
+    platform.gateway(0).kill();
+    let results = platform.all_results(1, "job-1", ITEMS.len());
+    assert!(results.iter().all(|it| it["text"] == target.text()));
+    let begun = target.runs().iter().filter(|it| it.after.is_none()).count();
+    assert_eq!(begun, ITEMS.len(), "each item began once");
+}
+
 // The owner of a job sleeps, another gateway takes the job and finishes it, and the owner wakes with results of its own.
 // Both must tell the same results at the same positions.
 #[test]
