Share the places for items by the number of items at each gateway

Change: statuses tell how many items wait, and a gateway starts only its part of the places by the number of its items.

--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -90,7 +90,7 @@
 /// Requests of one door at one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DoorLoad {
-    /// Target, by [`super::target_key`].
+    /// Target, by [`super::key_of`].
     pub target: u64,
     /// Online requests.
     pub online: u32,
@@ -98,6 +98,24 @@
     pub batch: u32,
 }
 
+/// Items of one service that wait for room at one door.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingItems {
+    /// Service, by [`super::key_of`].
+    pub service: u64,
+    /// How many wait.
+    pub items: u32,
+}
+
+/// What a door tells others of its requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DoorState {
+    /// Requests at targets; targets without any are left out.
+    pub loads: Vec<DoorLoad>,
+    /// Items that wait; services without any are left out.
+    pub waiting: Vec<WaitingItems>,
+}
+
 /// What happened.
 #[derive(Debug, Clone)]
 pub enum Input {
@@ -124,12 +142,12 @@
         /// What it said.
         load: ReportedLoad,
     },
-    /// Another door tells all of its requests at targets.
+    /// Another door tells its requests.
     Peer {
         /// Which door.
         door: Name,
-        /// Its requests; targets without any are left out.
-        loads: Vec<DoorLoad>,
+        /// Its requests.
+        state: DoorState,
     },
     /// Time passed.
     Tick,
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod messages;
 mod queue;
+mod shares;
 mod target;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,7 +20,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 pub use messages::{
-    Action, Ask, AttemptEnd, DoorLoad, Input, ReportedLoad, TargetEntry, TargetState,
+    Action, Ask, AttemptEnd, DoorLoad, DoorState, Input, ReportedLoad, TargetEntry, TargetState,
+    WaitingItems,
 };
 pub use target::{Distance, Load};
 
@@ -29,6 +31,7 @@
     verdict::Refusal,
 };
 use queue::Queue;
+use shares::Demand;
 use target::Target;
 
 /// Requests that may wait at a target beyond its places. With eight places and streams of 0.7 s one ends each 90 ms, so
@@ -47,8 +50,8 @@
 /// Longest time to come back after a refusal; paused targets are tried again within it.
 const MAX_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Key by which doors name a target to each other.
-pub fn target_key(name: &str) -> u64 {
+/// Key by which doors name a target or a service to each other.
+pub fn key_of(name: &str) -> u64 {
     rapidhash::v3::rapidhash_v3(name.as_bytes())
 }
 
@@ -63,6 +66,7 @@
 struct Peer {
     heard_ms: u64,
     targets: Vec<u64>,
+    waiting: Vec<WaitingItems>,
 }
 
 /// Requests of one service that wait for room.
@@ -135,22 +139,23 @@
                     queues.online.remove(request);
                     queues.batch.remove(request);
                 }
+                self.changed = true;
             }
             Input::Load { target, load } => {
-                if let Some(target) = self.targets.get_mut(&target_key(&target)) {
+                if let Some(target) = self.targets.get_mut(&key_of(&target)) {
                     target.reported(now_ms, load);
                 }
             }
-            Input::Peer { door, loads } => self.peer(now_ms, door, &loads),
+            Input::Peer { door, state } => self.peer(now_ms, door, state),
             Input::Tick => self.forget_silent_peers(now_ms),
         }
         self.recall(out);
         self.settle(now_ms, out);
     }
 
-    /// Own requests at all targets, if they have changed since the last call.
-    pub fn take_changed_loads(&mut self) -> Option<Vec<DoorLoad>> {
-        std::mem::take(&mut self.changed).then(|| self.loads())
+    /// Own requests, if they have changed since the last call.
+    pub fn take_changed_state(&mut self) -> Option<DoorState> {
+        std::mem::take(&mut self.changed).then(|| self.state())
     }
 
     /// Whether, since the last call, an online request was sent to a place that only another door can give back.
@@ -158,9 +163,15 @@
         std::mem::take(&mut self.needs_others)
     }
 
-    /// Own requests at all targets.
-    pub fn loads(&self) -> Vec<DoorLoad> {
-        self.targets.iter().filter_map(|(key, it)| it.told(*key)).collect()
+    /// Own requests, as other doors are told.
+    pub fn state(&self) -> DoorState {
+        let loads = self.targets.iter().filter_map(|(key, it)| it.told(*key)).collect();
+        let waiting = self.queues.iter().filter(|(_, it)| !it.batch.is_empty());
+        let waiting = waiting.map(|(service, it)| WaitingItems {
+            service: key_of(service),
+            items: it.batch.len() as u32,
+        });
+        DoorState { loads, waiting: waiting.collect() }
     }
 
     /// Counts since the start.
@@ -177,7 +188,7 @@
     fn targets(&mut self, entries: Vec<TargetEntry>) {
         let mut gone = std::mem::take(&mut self.targets);
         for entry in entries {
-            let key = target_key(&entry.name);
+            let key = key_of(&entry.name);
             let target = match gone.remove(&key) {
                 Some(mut known) => {
                     known.update(entry);
@@ -201,7 +212,10 @@
 
     fn ask(&mut self, now_ms: u64, ask: Ask, out: &mut Vec<Action>) {
         match ask.class {
-            Class::Batch => self.queues_of(&ask).batch.push(ask),
+            Class::Batch => {
+                self.queues_of(&ask).batch.push(ask);
+                self.changed = true;
+            }
             Class::Online => match self.best_online(now_ms, &ask) {
                 Some(key) => self.dispatch(key, &ask, out),
                 None if !self.has_usable(now_ms, &ask) => self.refuse_no_target(now_ms, &ask, out),
@@ -222,18 +236,20 @@
         self.changed = true;
     }
 
-    fn peer(&mut self, now_ms: u64, door: Name, loads: &[DoorLoad]) {
+    fn peer(&mut self, now_ms: u64, door: Name, state: DoorState) {
         if door == self.own_name {
             return;
         }
+        let DoorState { loads, waiting } = state;
         let targets = loads.iter().map(|it| it.target).collect();
-        let before = self.peers.insert(Name::clone(&door), Peer { heard_ms: now_ms, targets });
+        let peer = Peer { heard_ms: now_ms, targets, waiting };
+        let before = self.peers.insert(Name::clone(&door), peer);
         for key in before.into_iter().flat_map(|it| it.targets) {
             if let Some(target) = self.targets.get_mut(&key) {
                 target.set_other(&door, Load::default());
             }
         }
-        for load in loads {
+        for load in &loads {
             if let Some(target) = self.targets.get_mut(&load.target) {
                 target.set_other(&door, Load { online: load.online, batch: load.batch });
             }
@@ -268,10 +284,10 @@
     /// Gives room to those who wait for it: online requests first.
     fn settle(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let mut queues = std::mem::take(&mut self.queues);
-        for waiting in queues.values_mut() {
+        for (service, waiting) in &mut queues {
             self.settle_online(now_ms, &mut waiting.online, out);
-            if waiting.online.is_empty() {
-                self.settle_batch(now_ms, &mut waiting.batch, out);
+            if waiting.online.is_empty() && !waiting.batch.is_empty() {
+                self.settle_batch(now_ms, service, &mut waiting.batch, out);
             }
         }
         self.queues = queues;
@@ -290,8 +306,16 @@
     }
 
     // Items have no targets that they must avoid: where the first finds no room, none does.
-    fn settle_batch(&mut self, now_ms: u64, queue: &mut Queue, out: &mut Vec<Action>) {
-        while let Some(ask) = queue.pop_first() {
+    fn settle_batch(
+        &mut self,
+        now_ms: u64,
+        service: &Name,
+        queue: &mut Queue,
+        out: &mut Vec<Action>,
+    ) {
+        let more = self.own_share(now_ms, service, queue.len() as u32);
+        for _ in 0..more {
+            let Some(ask) = queue.pop_first() else { return };
             let Some(key) = self.best_batch(now_ms, &ask) else {
                 queue.push(ask);
                 return;
@@ -300,6 +324,26 @@
         }
     }
 
+    /// How many more items of a service this door may start now.
+    fn own_share(&self, now_ms: u64, service: &Name, waiting: u32) -> u32 {
+        let targets = self.targets.values().filter(|it| {
+            it.entry.service == *service
+                && it.entry.state == TargetState::Ready
+                && !it.health.is_paused(now_ms)
+        });
+        let key = key_of(service);
+        let of_service = self.peers.values().flat_map(|it| &it.waiting);
+        let of_service = of_service.filter(|it| it.service == key).map(|it| it.items);
+        let mut demand = Demand { waiting, others: of_service.sum(), ..Demand::default() };
+        for target in targets {
+            let (own, all) = (target.own(), target.load());
+            demand.running += own.batch;
+            demand.others += all.batch.saturating_sub(own.batch);
+            demand.places += target.entry.slots.saturating_sub(FREE_FOR_ONLINE + all.online);
+        }
+        demand.more()
+    }
+
     fn dispatch(&mut self, key: u64, ask: &Ask, out: &mut Vec<Action>) {
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.begin(ask.request, ask.class, false);
--- a/crates/samphiredoor-core/tests/placement/harness.rs
+++ b/crates/samphiredoor-core/tests/placement/harness.rs
@@ -4,8 +4,8 @@
     Name,
     dispatch::{Class, Place, RequestId},
     placement::{
-        Action, Ask, AttemptEnd, DoorLoad, Input, Placement, ReportedLoad, TargetEntry,
-        TargetState, target_key,
+        Action, Ask, AttemptEnd, DoorLoad, DoorState, Input, Placement, ReportedLoad, TargetEntry,
+        TargetState, WaitingItems, key_of,
     },
 };
 use smallvec::SmallVec;
@@ -87,12 +87,19 @@
 
     pub fn peer(&mut self, door: &str, loads: &[(&str, u32, u32)]) -> Vec<Action> {
         let load = |&(target, online, batch): &(&str, u32, u32)| DoorLoad {
-            target: target_key(target),
+            target: key_of(target),
             online,
             batch,
         };
-        let loads = loads.iter().map(load).collect();
-        self.input(Input::Peer { door: door.into(), loads })
+        let state = DoorState { loads: loads.iter().map(load).collect(), waiting: Vec::new() };
+        self.input(Input::Peer { door: door.into(), state })
+    }
+
+    /// Another door tells that so many items wait at it.
+    pub fn peer_waits(&mut self, door: &str, items: u32) -> Vec<Action> {
+        let waiting = vec![WaitingItems { service: key_of("reader"), items }];
+        let state = DoorState { loads: Vec::new(), waiting };
+        self.input(Input::Peer { door: door.into(), state })
     }
 
     pub fn report(&mut self, target: &str, running: u32, waiting: u32) -> Vec<Action> {
--- a/crates/samphiredoor-core/tests/placement/promises.rs
+++ b/crates/samphiredoor-core/tests/placement/promises.rs
@@ -89,7 +89,7 @@
     }
 
     fn check_own_loads(&self, world: &World) {
-        let loads = world.placement.loads();
+        let loads = world.placement.state().loads;
         let total: u32 = loads.iter().map(|it| it.online + it.batch).sum();
         assert!(total as usize <= self.running.len(), "no request is counted twice");
         let mut items: HashMap<&str, u32> = HashMap::new();
--- a/crates/samphiredoor-core/tests/placement/situations.rs
+++ b/crates/samphiredoor-core/tests/placement/situations.rs
@@ -211,3 +211,30 @@
     let (request, actions) = world.ask_without(Class::Online, &["t-0", "t-1"]);
     assert!(sent_to(request, &actions).is_some());
 }
+
+fn started(actions: &[Action]) -> usize {
+    actions.iter().filter(|it| matches!(it, Action::Dispatch { .. })).count()
+}
+
+// Ten items wait at this door and thirty at another, and each filled whatever place it saw free: jobs of one door were late
+// while those of the other were done long before they were due, and both recalled what the other had begun.
+#[test]
+fn places_are_shared_by_the_number_of_items() {
+    let mut world = World::with_targets(1);
+    world.peer_waits("door-a", 30);
+    let before: usize = (0..10).map(|_| started(&world.ask(Class::Batch).1)).sum();
+    // A quarter of seven places, rounded up.
+    assert_eq!(before, 2);
+    // The other door has none any more: all places but the one for online requests.
+    assert_eq!(started(&world.peer_waits("door-a", 0)), 5);
+}
+
+// The door that told of its items is gone; places are not left free for it.
+#[test]
+fn items_of_a_silent_door_hold_no_share() {
+    let mut world = World::with_targets(1);
+    world.peer_waits("door-a", 70);
+    let before: usize = (0..7).map(|_| started(&world.ask(Class::Batch).1)).sum();
+    assert_eq!(before, 1);
+    assert_eq!(started(&world.wait(1_600)), 6);
+}
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -20,7 +20,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Place,
-    placement::{Distance, DoorLoad},
+    placement::{Distance, DoorState},
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value},
 };
 use samphiredoor_net::pool::within;
@@ -194,7 +194,7 @@
         }
         // Also of gateways whose entries were not read yet: a process that has just started would take their places for
         // free and fill targets that are full.
-        self.placer.peer(name, status.loads);
+        self.placer.peer(name, status.requests);
     }
 }
 
@@ -272,12 +272,12 @@
             Audience::new(Distance::Region, REGION_PAUSE),
             Audience::new(Distance::Far, FAR_PAUSE),
         ];
-        let mut loads = Vec::new();
+        let mut requests = DoorState::default();
         loop {
             let left = audiences.iter().map(Audience::left).min().unwrap_or(FOREVER);
             match within(left, told.recv_async()).await {
                 Some(Ok(new)) => {
-                    loads = new.loads;
+                    requests = new.state;
                     audiences.iter_mut().for_each(|it| it.behind(new.urgent));
                 }
                 Some(Err(_)) => return,
@@ -291,20 +291,20 @@
                 audience.urgent = false;
                 audience.told_at = Instant::now();
                 let jobs = audience.take_jobs();
-                let bytes = self.status(&loads, jobs).encode();
+                let bytes = self.status(&requests, jobs).encode();
                 self.send(bytes, audience.distance).await;
             }
         }
     }
 
-    fn status(&self, loads: &[DoorLoad], jobs: Vec<OwnedJob>) -> Status {
+    fn status(&self, requests: &DoorState, jobs: Vec<OwnedJob>) -> Status {
         Status {
             name: self.own.name.to_string(),
             incarnation: self.own.incarnation,
             routes_version: self.routes.version(),
             store_reached: !self.health.is_lost_for(STORE_LOST),
             stopping: self.stopping.get(),
-            loads: loads.to_vec(),
+            requests: requests.clone(),
             jobs,
         }
     }
--- a/crates/samphiredoor-gateway/src/peers/status.rs
+++ b/crates/samphiredoor-gateway/src/peers/status.rs
@@ -1,13 +1,18 @@
 //! The datagram by which gateways tell each other their state.
 
 use capnp::{message, serialize_packed};
-use samphiredoor_core::{ordered::JobName, placement::DoorLoad};
+use samphiredoor_core::{
+    ordered::JobName,
+    placement::{DoorLoad, DoorState, WaitingItems},
+};
 use samphiredoor_schema::peer_capnp::gateway_status;
 
 /// Bytes of the largest datagram; one packet on common links.
 pub const MAX_BYTES: usize = 1_400;
 /// Targets in one datagram: eight to ten bytes each, packed.
 const MAX_LOADS: usize = 100;
+/// Services in one datagram for which items wait.
+const MAX_SERVICES: usize = 8;
 
 /// Jobs in one datagram.
 const MAX_JOBS: usize = 8;
@@ -34,8 +39,8 @@
     pub store_reached: bool,
     /// Whether a planned stop is under way.
     pub stopping: bool,
-    /// Its requests at targets.
-    pub loads: Vec<DoorLoad>,
+    /// Its requests at targets, and its items that wait.
+    pub requests: DoorState,
     /// Jobs that it has come to own lately.
     pub jobs: Vec<OwnedJob>,
 }
@@ -57,9 +62,16 @@
             it.set_name(&*job.name);
             it.set_items(job.items);
         }
-        let shown = self.loads.len().min(MAX_LOADS);
+        let services = self.requests.waiting.len().min(MAX_SERVICES);
+        let mut waiting = root.reborrow().init_waiting(services as u32);
+        for (index, of_service) in self.requests.waiting.iter().take(services).enumerate() {
+            let mut it = waiting.reborrow().get(index as u32);
+            it.set_service(of_service.service);
+            it.set_items(of_service.items.min(u32::from(u16::MAX)) as u16);
+        }
+        let shown = self.requests.loads.len().min(MAX_LOADS);
         let mut loads = root.init_loads(shown as u32);
-        for (index, load) in self.loads.iter().take(shown).enumerate() {
+        for (index, load) in self.requests.loads.iter().take(shown).enumerate() {
             let mut it = loads.reborrow().get(index as u32);
             it.set_target(load.target);
             it.set_online(load.online.min(u32::from(u16::MAX)) as u16);
@@ -85,6 +97,11 @@
             online: u32::from(it.get_online()),
             batch: u32::from(it.get_batch()),
         });
+        let waiting = root
+            .get_waiting()?
+            .iter()
+            .map(|it| WaitingItems { service: it.get_service(), items: u32::from(it.get_items()) });
+        let requests = DoorState { loads: loads.collect(), waiting: waiting.collect() };
         let mut jobs = Vec::new();
         for job in root.get_jobs()? {
             let name = job.get_name()?.to_str()?.into();
@@ -97,7 +114,7 @@
             routes_version: root.get_routes_version(),
             store_reached: root.get_store_reached(),
             stopping: root.get_stopping(),
-            loads: loads.collect(),
+            requests,
         })
     }
 }
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -11,7 +11,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::RequestId,
-    placement::{Action, Ask, AttemptEnd, DoorLoad, Input, Placement, ReportedLoad, TargetEntry},
+    placement::{Action, Ask, AttemptEnd, DoorState, Input, Placement, ReportedLoad, TargetEntry},
     verdict::Refusal,
 };
 use samphiredoor_net::{clock::Clock, pool::within};
@@ -59,11 +59,11 @@
     next_request: Rc<Cell<u64>>,
 }
 
-/// The own requests at targets, as other gateways are told.
+/// The own requests, as other gateways are told.
 #[derive(Debug, Clone, Default)]
 pub struct Told {
-    /// Requests at each target that has any.
-    pub loads: Vec<DoorLoad>,
+    /// Requests at targets, and items that wait.
+    pub state: DoorState,
     /// Whether others hold places that online requests of this gateway wait for.
     pub urgent: bool,
 }
@@ -121,8 +121,8 @@
     }
 
     /// Tells the requests of another gateway.
-    pub fn peer(&self, door: Name, loads: Vec<DoorLoad>) {
-        self.send(Message::Input(Input::Peer { door, loads }));
+    pub fn peer(&self, door: Name, state: DoorState) {
+        self.send(Message::Input(Input::Peer { door, state }));
     }
 
     // The task ends only with the process.
@@ -250,13 +250,13 @@
             self.told = false;
             return;
         }
-        let changed = self.task.placement.take_changed_loads();
+        let changed = self.task.placement.take_changed_state();
         let heartbeat = self.told_at.elapsed() >= IDLE_TICK;
-        let loads = changed.or_else(|| heartbeat.then(|| self.task.placement.loads()));
-        if let Some(loads) = loads {
+        let state = changed.or_else(|| heartbeat.then(|| self.task.placement.state()));
+        if let Some(state) = state {
             self.told_at = Instant::now();
             let urgent = self.task.placement.take_needs_others();
-            let _ = self.task.told.send(Told { loads, urgent });
+            let _ = self.task.told.send(Told { state, urgent });
             let (online, batch) = self.task.placement.waiting();
             self.task.metrics.placement(self.task.placement.counters(), online, batch);
         }
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -112,6 +112,14 @@
   # All its requests at targets.
   jobs @6 :List(OwnedJob);
   # Jobs that it has come to own lately, so that others need not ask the store whose they are.
+  waiting @7 :List(WaitingItems);
+  # Items of jobs that wait at it for room, so that places are shared by the number of items.
+}
+
+struct WaitingItems {
+  service @0 :UInt64;
+  # Hash of the service's name.
+  items @1 :UInt16;
 }
 
 struct OwnedJob {
