Tell gateways that start while the store is lost what storage hosts saw last

It is a hint as old as the outage; versions, names of targets and the store's first answer correct it. Tests: a fleet that restarts while the store is silent serves (never ready before); the store's word replaces what was told.

--- a/crates/samphiredoor-gateway/src/config.rs
+++ b/crates/samphiredoor-gateway/src/config.rs
@@ -28,6 +28,8 @@
     pub regions: BTreeMap<Name, Name>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Processes that tell what they saw last of the store.
+    pub mirrors: Vec<SocketAddr>,
     /// Longest wait for the store's answer.
     pub store_timeout: Duration,
     /// How long a watch waits for an event.
@@ -98,6 +100,7 @@
                 .map(|(zone, region)| (Name::from(&**zone), Name::from(&**region)))
                 .collect(),
             store: address("store.address", &settings.store.address)?,
+            mirrors: mirrors(settings)?,
             store_timeout: Duration::from_millis(settings.store.timeout_ms),
             watch: Duration::from_millis(settings.store.watch_ms),
             routes_within: Duration::from_millis(settings.store.routes_within_ms),
@@ -111,6 +114,27 @@
     }
 }
 
+/// Options of the process on a storage host.
+#[derive(Debug, Clone)]
+pub struct StorageConfig {
+    /// What every process needs.
+    pub common: CommonConfig,
+    /// Listener for gateways that start while the store is lost.
+    pub mirror: Option<SocketAddr>,
+}
+
+impl StorageConfig {
+    /// Checks settings of the process on a storage host.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that makes no sense.
+    pub fn new(settings: &GatewaySettings) -> anyhow::Result<StorageConfig> {
+        let mirror = settings.mirror.as_ref().map(|it| address("mirror.address", &it.address));
+        Ok(StorageConfig { common: CommonConfig::new(settings)?, mirror: mirror.transpose()? })
+    }
+}
+
 impl GatewayConfig {
     /// Checks settings of a gateway.
     ///
@@ -144,6 +168,11 @@
     GatewayJobs { keep_ms: 120_000 }
 }
 
+fn mirrors(settings: &GatewaySettings) -> anyhow::Result<Vec<SocketAddr>> {
+    let listed = settings.mirrors.iter().flat_map(|it| &it.addresses);
+    listed.map(|it| address("mirrors.addresses", it)).collect()
+}
+
 fn listener(key: &str, listener: Option<&GatewayListener>) -> anyhow::Result<SocketAddr> {
     match listener {
         Some(listener) => address(&format!("{key}.address"), &listener.address),
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! - a **job** comes in at `jobs::submit`, is owned by a `jobs::job_task`, its items run through `jobs::item_run`, and
 //!   its results are read through `jobs::reads` at any gateway;
 //! - **routes** and **targets** come from the store through `discovery`, which watches it;
-//! - **other gateways** are met in `peers`.
+//! - **other gateways** are met in `peers`;
+//! - what a process needs to start while the store is lost comes from `mirror`, which `storage` runs.
 //!
 //! `edge` holds the traits by which the platform is met; no name of the platform stands in this package. `process` puts
 //! all parts together from a [`config::GatewayConfig`].
@@ -23,6 +24,7 @@
 mod front;
 mod jobs;
 mod metrics;
+mod mirror;
 mod peers;
 mod placement;
 mod routes;
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -0,0 +1,150 @@
+//! What a process needs of the store to serve, from whoever saw it last.
+//!
+//! A gateway that starts while the store is lost knows neither routes nor targets nor other gateways, and refuses every
+//! caller until the store is back; where many are killed at once no gateway is left that could tell it. So the processes
+//! on storage hosts look at these kinds now and then and tell what they saw last. It is a hint as old as the outage: routes are put in
+//! force by their version only, a target at an address that is used again refuses by its name, and the store's own word
+//! replaces everything as soon as it comes.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, Uri, header};
+use rand::seq::SliceRandom;
+use samphiredoor_core::{
+    Name,
+    store::{Kind, Labels, Stored, Version},
+};
+use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    edge::{Freshness, ObjectStore},
+    front::plain,
+    watch::list_all,
+};
+
+/// Kinds that a process needs to serve.
+pub const KINDS: [Kind; 3] = [Kind::Routes, Kind::Targets, Kind::Door];
+/// Time between two looks, by lists that may be stale and cost a tenth of a call: a start during an outage is rare, and what is
+/// told then is older by as much.
+const LOOK_PAUSE: Duration = Duration::from_secs(3);
+const ROOT: &str = "/mirror/";
+/// Longest wait for a connection; a round trip between regions takes 24 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Entries of a few thousand targets take less than a megabyte, a configuration up to one.
+const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// One object, as it is told.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Told {
+    name: Name,
+    value: String,
+}
+
+/// Objects of the kinds above, as they stood when the store was last heard.
+#[derive(Clone, Default)]
+pub struct Mirror {
+    kinds: Rc<RefCell<BTreeMap<&'static str, Vec<Stored>>>>,
+}
+
+impl Mirror {
+    /// Looks at all kinds for as long as the process runs.
+    pub async fn run(self, store: Rc<dyn ObjectStore>) {
+        loop {
+            for kind in KINDS {
+                if let Some((objects, _)) = list_all(&*store, kind, Freshness::MayBeStale).await {
+                    self.kinds.borrow_mut().insert(kind.path(), objects);
+                }
+            }
+            compio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Answers another process.
+    pub fn answer(&self, uri: &Uri) -> Response<Body> {
+        let kinds = self.kinds.borrow();
+        let kind = uri.path().strip_prefix(ROOT).and_then(|it| kinds.get(it));
+        let Some(objects) = kind else {
+            return plain(StatusCode::NOT_FOUND, "nothing is known of this kind");
+        };
+        let told = objects.iter().map(|it| Told {
+            name: Name::clone(&it.name),
+            value: String::from_utf8_lossy(&it.value).into_owned(),
+        });
+        // Plain structs of text: writing them as JSON cannot fail.
+        let text = serde_json::to_vec(&told.collect::<Vec<Told>>()).unwrap_or_default();
+        Response::new(Body::full(text))
+    }
+}
+
+/// The mirrors that a process may ask.
+#[derive(Debug, Clone)]
+pub struct Mirrors {
+    addresses: Rc<[SocketAddr]>,
+}
+
+impl Mirrors {
+    /// Mirrors at these addresses.
+    pub fn new(addresses: &[SocketAddr]) -> Mirrors {
+        Mirrors { addresses: addresses.into() }
+    }
+
+    /// Whether there is none to ask.
+    pub fn is_empty(&self) -> bool {
+        self.addresses.is_empty()
+    }
+
+    /// All objects of a kind, from the first mirror that answers.
+    pub async fn list(&self, kind: Kind) -> Option<Vec<Stored>> {
+        let mut addresses = self.addresses.to_vec();
+        addresses.shuffle(&mut rand::rng());
+        for address in addresses {
+            let asked = Instant::now();
+            match within(TIMEOUT, fetch(address, kind)).await.flatten() {
+                Some(objects) => {
+                    log::info!(
+                        kind = kind.path(), mirror:% = address, objects = objects.len(),
+                        elapsed_ms = asked.elapsed().as_millis() as u64;
+                        "mirror: the store does not answer, taken what another process saw last"
+                    );
+                    return Some(objects);
+                }
+                None => {
+                    log::info!(kind = kind.path(), mirror:% = address; "mirror: no answer");
+                }
+            }
+        }
+        None
+    }
+}
+
+async fn fetch(address: SocketAddr, kind: Kind) -> Option<Vec<Stored>> {
+    let request = Request::get(format!("{ROOT}{}", kind.path()))
+        .header(header::HOST, "mirror")
+        .body(Body::empty())
+        .ok()?;
+    let pool = Pool::new(address).with_connect_timeout(CONNECT_TIMEOUT);
+    let response = pool.send(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body: Bytes = read_whole(response.into_body(), MAX_BYTES).await.ok()?;
+    let told: Vec<Told> = serde_json::from_slice(&body).ok()?;
+    let objects = told.into_iter().map(|it| Stored {
+        name: it.name,
+        version: Version::default(),
+        labels: Labels::new(),
+        value: it.value.into_bytes().into(),
+    });
+    Some(objects.collect())
+}
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -22,6 +22,7 @@
     front::{self, Front, plain},
     jobs::{self, JobEnv, Jobs},
     metrics::Metrics,
+    mirror::Mirrors,
     peers::{self, Own, Owners, Roster, Teller},
     placement::{PlacementTask, Placer},
     routes::Routes,
@@ -96,12 +97,16 @@
     Ok(())
 }
 
-async fn bind(key: &str, address: SocketAddr, limits: ServeLimits) -> anyhow::Result<Server> {
+pub(crate) async fn bind(
+    key: &str,
+    address: SocketAddr,
+    limits: ServeLimits,
+) -> anyhow::Result<Server> {
     let bound = Server::bind(address, limits).await;
     bound.with_context(|| format!("{key}.address: {address} cannot be listened on"))
 }
 
-fn side_limits() -> ServeLimits {
+pub(crate) fn side_limits() -> ServeLimits {
     ServeLimits { header_read_timeout: SIDE_HEADER_TIMEOUT, ..ServeLimits::default() }
 }
 
@@ -130,7 +135,11 @@
     let placer = Placer::start(PlacementTask { clock, placement, metrics: metrics_of_task, told });
     let client = TargetClient::new(platform.dialect.headers().request_id.clone());
     let targets_known = Rc::new(Cell::new(None));
-    let follow = |kind| Follower::new(Rc::clone(&platform.store), kind, common.watch);
+    let mirrors = Mirrors::new(&common.mirrors);
+    let follow = |kind| {
+        let follower = Follower::new(Rc::clone(&platform.store), kind, common.watch);
+        follower.with_mirrors(mirrors.clone())
+    };
     let gated = |kind| follow(kind).with_gate(health.clone());
 
     let routes_task = Rc::new(RoutesTask {
--- a/crates/samphiredoor-gateway/src/storage.rs
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -1,21 +1,24 @@
 //! The process on a storage host.
 //!
-//! What has to last lives in the platform's store, so a storage host keeps nothing of the system. Its process only
-//! answers requests to empty hosts: they are empty at any time, and every process says so for all of them.
+//! What has to last lives in the platform's store, so a storage host keeps nothing of the system. Its process answers
+//! requests to empty hosts: they are empty at any time, and every process says so for all of them. And it tells gateways
+//! that start while the store is lost what it saw last (`mirror`).
 
-use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use futures_util::future::{Either, select};
+use hyper::{Request, body::Incoming};
 use samphiredoor_core::{
     Name,
     store::{Kind, ObjectKey, StoreAnswer, Stored},
 };
 
 use crate::{
-    config::CommonConfig,
+    config::{CommonConfig, StorageConfig},
     edge::{Change, Platform},
-    process::{SIGHUP, wait_for, wait_for_stop},
+    mirror::Mirror,
+    process::{SIGHUP, bind, side_limits, wait_for, wait_for_stop},
     watch::{Follower, Seen},
 };
 
@@ -30,22 +33,41 @@
 ///
 /// What keeps it from starting.
 pub fn run(
-    config: &CommonConfig,
+    config: &StorageConfig,
     platform: impl FnOnce(&CommonConfig) -> Platform,
 ) -> anyhow::Result<()> {
     let runtime = compio::runtime::Runtime::new().context("the runtime cannot start")?;
-    let platform = platform(config);
+    let platform = platform(&config.common);
     runtime.block_on(async {
-        log::info!(name = &*config.name; "storage: started, keeps nothing");
+        let mirror = match config.mirror {
+            Some(address) => serve_mirror(&platform, address).await?.to_string(),
+            None => "none".to_owned(),
+        };
+        log::info!(name = &*config.common.name, mirror; "storage: started, keeps nothing");
         compio::runtime::spawn(ignore_reloads()).detach();
-        let follower = Follower::new(Rc::clone(&platform.store), Kind::Retirement, config.watch);
+        let follower =
+            Follower::new(Rc::clone(&platform.store), Kind::Retirement, config.common.watch);
         let following = std::pin::pin!(follow(platform, follower));
         if let Either::Left(_) = select(following, std::pin::pin!(wait_for_stop())).await {
             log::error!("storage: no longer follows requests to empty hosts");
         }
         log::info!("storage: stopped");
-    });
-    Ok(())
+        Ok(())
+    })
+}
+
+/// Looks at what gateways need, and tells it; returns the address.
+async fn serve_mirror(platform: &Platform, address: SocketAddr) -> anyhow::Result<SocketAddr> {
+    let server = bind("mirror", address, side_limits()).await?;
+    let address = server.local_addr()?;
+    let mirror = Mirror::default();
+    compio::runtime::spawn(mirror.clone().run(Rc::clone(&platform.store))).detach();
+    let answer = move |request: Request<Incoming>| {
+        let response = mirror.answer(request.uri());
+        async move { response }
+    };
+    compio::runtime::spawn(server.run(answer)).detach();
+    Ok(address)
 }
 
 /// A signal that nobody waits for would end the process.
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -13,10 +13,12 @@
     Name,
     store::{Kind, Stored, Version},
 };
+use samphiredoor_net::pool::within;
 
 use crate::{
     discovery::StoreHealth,
     edge::{Change, Freshness, ObjectStore, WatchAnswer},
+    mirror::Mirrors,
 };
 
 /// First pause after a call that got no usable answer.
@@ -34,6 +36,9 @@
 const GATE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for that.
 const GATE_LIMIT: Duration = Duration::from_secs(3);
+/// How long the first list is waited for before others are asked what they saw last. The store answers in a few
+/// milliseconds, and a caller that is refused comes back within some hundred.
+const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(250);
 
 /// What a follower learns.
 #[derive(Debug, Clone)]
@@ -59,6 +64,8 @@
     changed: bool,
     rest: Duration,
     gate: Option<StoreHealth>,
+    /// Who is asked for the first list if the store does not answer; taken when it was asked.
+    mirrors: Option<Mirrors>,
 }
 
 impl Follower {
@@ -74,9 +81,16 @@
             changed: false,
             rest: Duration::ZERO,
             gate: None,
+            mirrors: None,
         }
     }
 
+    /// Has the first list come from a mirror if the store does not answer.
+    pub fn with_mirrors(mut self, mirrors: Mirrors) -> Follower {
+        self.mirrors = Some(mirrors).filter(|it| !it.is_empty());
+        self
+    }
+
     /// Sets within which time a change has to be in force; the follower rests for a part of it after changes.
     pub fn with_in_force_within(mut self, within: Duration) -> Follower {
         self.rest = within.mul_f64(REST_PART);
@@ -94,6 +108,9 @@
         if let Some(seen) = self.queued.take() {
             return seen;
         }
+        if let Some(seen) = self.first().await {
+            return seen;
+        }
         loop {
             if std::mem::take(&mut self.changed) {
                 compio::time::sleep(self.rest).await;
@@ -123,6 +140,15 @@
         }
     }
 
+    /// The first list, from the store or from a mirror; the store is listed anew after a mirror's.
+    async fn first(&mut self) -> Option<Seen> {
+        let mirrors = self.mirrors.take()?;
+        match within(FIRST_LIST_PATIENCE, self.list()).await.flatten() {
+            Some(seen) => Some(seen),
+            None => mirrors.list(self.kind).await.map(Seen::All),
+        }
+    }
+
     async fn wait_at_gate(&self) {
         let Some(gate) = &self.gate else { return };
         let until = Instant::now() + GATE_LIMIT;
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -10,7 +10,7 @@
 use anyhow::Context;
 use log::LevelFilter;
 use samphiredoor_core::{Name, manifest::checked_name};
-use samphiredoor_gateway::config::{CommonConfig, GatewayConfig, read_settings as read_gateway};
+use samphiredoor_gateway::config::{GatewayConfig, StorageConfig, read_settings as read_gateway};
 use samphiredoor_schema::settings::{LogLevel, OwnershipSettings, Settings};
 
 use crate::{
@@ -29,7 +29,7 @@
     /// Run a gateway on the users' platform, with the file that its settings are read from again.
     Gateway(Box<GatewayConfig>, PathBuf),
     /// Run the process on a storage host of the users' platform.
-    Storage(Box<CommonConfig>),
+    Storage(Box<StorageConfig>),
     /// Only check the settings.
     Check,
     /// Run a door with everything it needs inside.
@@ -119,9 +119,9 @@
                 Ok(Config { mode: Mode::Gateway(Box::new(gateway), file), log_level })
             }
             Opts::Storage { file } => {
-                let common = at_file(&file, |text| CommonConfig::new(&read_gateway(text)?))?;
-                let log_level = common.log.level;
-                Ok(Config { mode: Mode::Storage(Box::new(common)), log_level })
+                let storage = at_file(&file, |text| StorageConfig::new(&read_gateway(text)?))?;
+                let log_level = storage.common.log.level;
+                Ok(Config { mode: Mode::Storage(Box::new(storage)), log_level })
             }
             Opts::Check { file } => {
                 let (_, log_level) = read_settings(&file)?;
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -75,9 +75,9 @@
             process::run(*door)
         }
         Mode::Gateway(gateway, file) => run_gateway(*gateway, file),
-        Mode::Storage(common) => {
-            logging::start(common.log);
-            storage::run(&common, platform_of)?;
+        Mode::Storage(storage_config) => {
+            logging::start(storage_config.common.log);
+            storage::run(&storage_config, platform_of)?;
             Ok(Exit::Success)
         }
         Mode::Check => {
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -114,3 +114,48 @@
     std::thread::sleep(Duration::from_millis(1_800));
     assert_eq!(platform.send(0, "/unsafe/book", "id-9", "").status, 200);
 }
+
+// All gateways are killed while the store answers nothing. They came back knowing neither routes nor targets, and refused
+// every caller until the store was back; now a storage host's process tells them what it saw last.
+#[test]
+fn a_fleet_that_restarts_without_the_store_serves() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    let _storage = platform.start_storage("store-1");
+    platform.start_gateway();
+    platform.start_gateway();
+    // The storage host's process looks each three seconds.
+    std::thread::sleep(Duration::from_millis(3_500));
+    platform.store.set_fault(StoreFault::Silent);
+    for number in 0..2 {
+        platform.gateway(number).kill();
+        platform.restart_gateway(number);
+        platform.wait_ready(number);
+        assert_eq!(platform.send(number, "/stream/check", &format!("id-{number}"), "").status, 200);
+    }
+    platform.store.set_fault(StoreFault::None);
+    platform.put_routes(2, 3);
+    platform.wait_logged(1, "version=2");
+}
+
+// A configuration is written while the store does not answer gateways, and one of them starts. What a storage host's process
+// saw last, an older configuration, is in force until the store answers, and never after that.
+#[test]
+fn what_the_store_says_replaces_what_was_seen_last() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    let _storage = platform.start_storage("store-1");
+    platform.start_gateway();
+    std::thread::sleep(Duration::from_millis(500));
+    platform.store.set_fault(StoreFault::Silent);
+    let mut new = route("stream", 1, false);
+    new["pathPrefix"] = json!("/new/");
+    platform.store.put("config", "main", json!({ "version": 7, "routes": [new] }));
+    platform.gateway(0).kill();
+    platform.restart_gateway(0);
+    platform.wait_ready(0);
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
+    platform.store.set_fault(StoreFault::None);
+    wait_until("the new route serves", || platform.send(0, "/new/check", "id-2", "").status == 200);
+    assert_eq!(platform.send(0, "/stream/check", "id-3", "").status, 404);
+}
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -36,6 +36,8 @@
     gateways: Vec<Gateway>,
     /// Time between failing readiness and closing the listener, for gateways that are started next.
     pub unready_ms: u64,
+    /// Storage hosts' processes that gateways may ask which are started next.
+    mirrors: Vec<SocketAddr>,
 }
 
 /// One gateway process.
@@ -85,7 +87,14 @@
         let store = PlatformStore::new();
         let serving = store.clone();
         let address = start(move || move |request| serving.clone().handle(request));
-        Platform { store, address, folder, gateways: Vec::new(), unready_ms: 300 }
+        Platform {
+            store,
+            address,
+            folder,
+            gateways: Vec::new(),
+            unready_ms: 300,
+            mirrors: Vec::new(),
+        }
     }
 
     /// Writes routes of all kinds under one version.
@@ -153,8 +162,10 @@
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
              peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
              store.watch_ms = 2000\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
-             regions.brisbane-north = \"brisbane\"\n",
-            store, self.unready_ms
+             regions.brisbane-north = \"brisbane\"\nmirrors.addresses = {:?}\n",
+            store,
+            self.unready_ms,
+            self.mirrors.iter().map(SocketAddr::to_string).collect::<Vec<String>>(),
         );
         let (child, line, lines) = self.spawn("gateway", &format!("gateway-{number}"), &settings);
         let field = |key: &str| {
@@ -166,13 +177,15 @@
     }
 
     /// Starts the process of a storage host.
-    pub fn start_storage(&self, name: &str) -> TestProcess {
+    pub fn start_storage(&mut self, name: &str) -> TestProcess {
         let settings = format!(
             "name = \"{name}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
-             store.address = \"{}\"\n",
+             store.address = \"{}\"\nmirror.address = \"127.0.0.1:0\"\n",
             self.address
         );
-        let (child, ..) = self.spawn("storage", name, &settings);
+        let (child, line, _) = self.spawn("storage", name, &settings);
+        let (_, mirror) = line.split_once(" mirror=").expect("the address is logged");
+        self.mirrors.push(mirror.trim().parse().expect("an address"));
         TestProcess(child)
     }
 
