Acknowledge an end at a gateway that has just started only when the owner is known to be gone

A gateway on a new host had read the store, but had no list of the others yet; hearing none of none counted as hearing most, so it took the owner, which it had not heard, for gone and told the caller that the job was ended. The owner ran on. Ruled out: the owner looked (its runs were held back and it read its header, not the end); the end's object stood late. Change: who has not listed the others hears nobody, silence counts from that list on, and an owner of which nothing can be told yet is not gone; the caller is told to send the end again. The read of the end by an owner whose runs were held back is left as it is.

--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -237,15 +237,21 @@
     ///
     /// The owner is read from the store after the end stands there: one that was told of before may have lost the job
     /// without knowing it, and would answer for itself alone, while whoever takes the job later finds the end. Where the
-    /// owner is not heard it is gone, unless this process hears few others and is the one that is cut off.
+    /// owner is not heard it is gone, unless this process hears few others and is the one that is cut off, or has started
+    /// too lately to have heard it: the items would run on while the caller is told that they do not.
     async fn tell_end(&self, job: &JobName) -> bool {
         let here = self.end_here(job).await;
         let Ok((header, _)) = self.stored.current_header(job).await else { return false };
         if header.finished || self.env.owns(&header.owner) {
             return here || header.finished;
         }
-        let gone = || self.env.roster.hears_most();
-        self.end_elsewhere(job, &owner_in(&header)).await.unwrap_or_else(gone)
+        let owner = owner_in(&header);
+        let gone = || {
+            let roster = &self.env.roster;
+            let liveness = roster.liveness(&owner.process, owner.incarnation);
+            liveness == Liveness::Gone && roster.hears_most()
+        };
+        self.end_elsewhere(job, &owner).await.unwrap_or_else(gone)
     }
 
     /// Tells an owner that is heard that its job is ended, also one that stops or misses the store: its runs go on.
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -118,7 +118,10 @@
     }
     loop {
         match follower.next().await {
-            Seen::All(all) => all.iter().for_each(|it| take_entry(&own, &roster, it)),
+            Seen::All(all) => {
+                all.iter().for_each(|it| take_entry(&own, &roster, it));
+                roster.listed();
+            }
             Seen::Changes(changes) => changes.iter().for_each(|it| match it {
                 Change::Written(stored) => take_entry(&own, &roster, stored),
                 Change::Deleted(name) => roster.remove(name),
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -1,7 +1,7 @@
 //! Which other gateways there are, and which of them are heard.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -51,6 +51,8 @@
 #[derive(Clone)]
 pub struct Roster {
     started: Instant,
+    /// When all gateways were first listed.
+    listed: Rc<Cell<Option<Instant>>>,
     peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
 }
 
@@ -68,7 +70,12 @@
 impl Roster {
     /// Roster without peers.
     pub fn new() -> Roster {
-        Roster { started: Instant::now(), peers: Rc::default() }
+        Roster { started: Instant::now(), listed: Rc::default(), peers: Rc::default() }
+    }
+
+    /// Notes that all gateways are registered here that were when this process began to follow them.
+    pub fn listed(&self) {
+        self.listed.set(self.listed.get().or(Some(Instant::now())));
     }
 
     /// Takes a gateway's registered address.
@@ -113,15 +120,22 @@
         match peers.get(name).filter(|it| it.is_heard()) {
             Some(peer) if peer.incarnation == incarnation && peer.has_jobs() => Liveness::Works,
             Some(_) => Liveness::Gone,
-            _ if self.started.elapsed() < GONE => Liveness::Unknown,
+            _ if self.listed.get().is_none_or(|it| it.elapsed() < GONE) => Liveness::Unknown,
             _ => Liveness::Gone,
         }
     }
 
+    /// Whether a process was heard in a later start than this one.
+    pub fn has_restarted(&self, name: &str, incarnation: u64) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(name).is_some_and(|it| it.heard.is_some() && it.incarnation > incarnation)
+    }
+
     /// Whether this process hears at least half of the gateways that there should be. One that hears fewer is cut off
-    /// itself: it would take the jobs of all others, and they would take them back.
+    /// itself: it would take the jobs of all others, and they would take them back. One that does not know yet which there
+    /// are hears nobody.
     pub fn hears_most(&self) -> bool {
-        self.heard_count() * 2 >= self.expected_count()
+        self.listed.get().is_some() && self.heard_count() * 2 >= self.expected_count()
     }
 
     fn expected_count(&self) -> usize {
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -139,6 +139,46 @@
     assert_eq!(begun, ITEMS.len(), "each item began once");
 }
 
+// A caller ends a job at a gateway that has just started and has heard of no other yet. It took the owner for gone and
+// acknowledged the end, and the items ran on.
+#[test]
+fn an_end_at_a_gateway_that_has_just_started_reaches_the_owner() {
+    let (mut platform, target) = two_gateways(SLOW);
+    assert_eq!(platform.submit_many(0, "job-1", 40).status, 202);
+    wait_until("items run", || !target.runs().is_empty());
+    let started = platform.start_gateway();
+    wait_until("the end is acknowledged", || platform.end(started, "job-1").status == 200);
+    std::thread::sleep(SLOW);
+    let runs = target.runs().len();
+    std::thread::sleep(SLOW * 10);
+    assert_eq!(target.runs().len(), runs);
+}
+
+// A job was taken from a gateway that was killed and has started anew. Nobody but its owner can append to its log, and the
+// owner still looked into the store for others at each read, three times a second for each job that is read.
+#[test]
+fn reads_of_a_job_whose_former_owner_is_gone_cost_no_store_calls() {
+    let (mut platform, _target) = two_gateways(Duration::from_millis(1_800));
+    platform.start_gateway();
+    platform.wait_logged(2, "peers: heard");
+    assert_eq!(platform.submit_many(0, "job-1", 16).status, 202);
+    platform.gateway(0).kill();
+    platform.restart_gateway(0);
+    let owner = || platform.store.spec("orderedjobs", "job-1").map(|it| it["owner"].clone());
+    let first = owner();
+    wait_until("the job is taken", || owner() != first);
+    // A last write of the former owner may take effect late.
+    std::thread::sleep(Duration::from_secs(7));
+    let reads = || platform.store.calls().get("GET jobsegments").copied().unwrap_or(0);
+    let before = reads();
+    for _ in 0..10 {
+        let page = platform.results(1, "job-1", 0);
+        assert_eq!(page.status, 200);
+        assert_ne!(page.json()["next"], 16, "the job is still open");
+    }
+    assert_eq!(reads() - before, 0);
+}
+
 // The owner of a job sleeps, another gateway takes the job and finishes it, and the owner wakes with results of its own.
 // Both must tell the same results at the same positions.
 #[test]
