--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -55,6 +55,9 @@
     pub owner: JobOwner,
     /// Whether all items are listed, so that nobody needs to take the job.
     pub finished: bool,
+    /// Last owner that lost the job without handing it over; as long as it lives it may still append.
+    #[serde(default)]
+    pub former: Option<JobOwner>,
 }
 
 impl JobHeader {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -132,8 +132,10 @@
     give_up_at: Instant,
     due_at_ms: u64,
     started: bool,
-    /// Whether the job had another owner, who may still append.
-    taken: bool,
+    /// When the task began.
+    began: Instant,
+    /// Whether others may have taken the job while this process alone missed the store.
+    displaced: bool,
     /// Whether runs are held back until it is known whose the job is.
     suspended: bool,
     /// Calls of the log in a row that got no usable answer.
@@ -161,7 +163,8 @@
         let due_in = until(&env, owned.header.due_unix_ms).as_millis() as u64;
         let due_at_ms = env.clock.now().mono_ms + due_in;
         JobTask {
-            taken: !log.is_read(),
+            began: Instant::now(),
+            displaced: false,
             suspended: false,
             failures: 0,
             looking: false,
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -15,6 +15,8 @@
 
 /// Shortest time between two looks for segments of other processes; callers ask twice a second.
 const CHECK_PAUSE: Duration = Duration::from_millis(300);
+/// How late a write that was not answered may take effect.
+const LATE_WRITE: Duration = Duration::from_secs(6);
 /// Longest pause before the store is asked again.
 const LONGEST_STORE_PAUSE: Duration = Duration::from_millis(1_200);
 /// Bytes of texts in one page of results.
@@ -96,7 +98,8 @@
     pub(super) fn header_read(&mut self, answer: &StoreAnswer) {
         self.looking = false;
         let StoreAnswer::Object(stored) = answer else {
-            self.look_at = Instant::now() + STORE_PAUSE;
+            self.failures += 1;
+            self.look_at = Instant::now() + self.store_pause();
             return;
         };
         match read_header(stored) {
@@ -145,7 +148,16 @@
     /// that have seen its results there must find them here. A process that does not hear most others may itself be such
     /// a former owner.
     pub(super) fn may_have_others(&self) -> bool {
-        self.taken || !self.env.roster.hears_most()
+        self.displaced || self.has_former() || !self.env.roster.hears_most()
+    }
+
+    /// Whether a former owner may still append. One that has started anew does not, but for a last write that may take
+    /// effect late.
+    fn has_former(&self) -> bool {
+        let Some(former) = &self.owned.header.former else { return false };
+        let is_gone = former.process == *self.env.name
+            || self.env.roster.has_restarted(&former.process, former.incarnation);
+        !is_gone || self.began.elapsed() < LATE_WRITE
     }
 
     /// Looks for segments of others while somebody waits for more results.
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -36,7 +36,7 @@
         if displaced && !self.suspended {
             log::info!(job = &*self.owned.job; "job: runs held back, only this process misses the store");
             self.suspended = true;
-            self.taken = true;
+            self.displaced = true;
             self.stop_runs();
         } else if !displaced && self.suspended && self.may_look() {
             self.looking = true;
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -234,6 +234,7 @@
         give_up_unix_ms: now_ms + submitted.rule.give_up_ms,
         owner: env.owner(),
         finished: false,
+        former: None,
     }
 }
 
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -126,7 +126,7 @@
     if here && !env.owns(&header.owner) {
         // The list may be older than the taking of this process: the task looks at the header itself.
         recheck(env, directory, job);
-    } else if !here && !directory.was_closed(job) && is_free(env, header) {
+    } else if !here && !directory.was_closed(job) && is_free(env, job, header) {
         free.push(JobName::clone(job));
     }
 }
@@ -142,14 +142,21 @@
 }
 
 /// Whether nobody works on a job, as far as can be told.
-fn is_free(env: &JobEnv, header: &JobHeader) -> bool {
+fn is_free(env: &JobEnv, job: &JobName, header: &JobHeader) -> bool {
     let owner = &header.owner;
     if owner.process.is_empty() || *owner.process == *env.name {
         // Handed over, or of an earlier start of this process, or accepted by a call of it that was given up.
         return true;
     }
     let gone = env.roster.liveness(&owner.process, owner.incarnation) == Liveness::Gone;
-    gone && env.roster.hears_most()
+    gone && env.roster.hears_most() && !has_told_owner(env, job)
+}
+
+/// Whether a process that works has told that it owns the job. The list of jobs may be seconds older than that, and each
+/// process of the fleet would read the job's header once more to learn it.
+fn has_told_owner(env: &JobEnv, job: &JobName) -> bool {
+    let owner = env.owners.of(job);
+    owner.is_some_and(|it| env.roster.liveness(&it.process, it.incarnation) == Liveness::Works)
 }
 
 /// Takes a job if nobody works on it.
@@ -160,7 +167,7 @@
     job: &JobName,
 ) {
     let Ok((header, version)) = stored.current_header(job).await else { return };
-    if header.finished || directory.has(job) || !is_free(env, &header) {
+    if header.finished || directory.has(job) || !is_free(env, job, &header) {
         return;
     }
     let Ok(ended) = env.is_ended(job).await else { return };
@@ -187,7 +194,11 @@
     ended: bool,
 ) -> Option<OwnedJob> {
     let before = header.owner.clone();
-    let header = JobHeader { owner: env.owner(), finished: ended, ..header };
+    let former = match before.process.as_str() {
+        "" => header.former.clone(),
+        _ => Some(before.clone()),
+    };
+    let header = JobHeader { owner: env.owner(), finished: ended, former, ..header };
     let (key, value) = (header_key(job), header.value());
     let update = StoreOp::Update { key, version, labels: Labels::new(), value };
     let version = match env.call(update).await {
