Make the metrics of doors and gateways of the same parts

Cause: the label, the counters by reason, the gauges and the text stood three times, in the door's metrics, its dispatcher's and the gateway's. Names, help and labels of all metrics are as before.

--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -3,36 +3,26 @@
 use std::{rc::Rc, time::Duration};
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
     metrics::{
-        counter::Counter,
-        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
 use samphiredoor_core::{placement::Counters, verdict::Refusal};
-
-/// Label of a reason or an outcome.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-pub struct ReasonLabel {
-    /// As in logs.
-    pub reason: &'static str,
-}
+use samphiredoor_net::metrics::{self, ReasonCounters, gauge};
 
 /// All metrics of a gateway.
 pub struct Metrics {
     registry: Registry,
-    refusals: Family<ReasonLabel, Counter>,
-    retries: Family<ReasonLabel, Counter>,
-    ends: Family<ReasonLabel, Counter>,
+    refusals: ReasonCounters,
+    retries: ReasonCounters,
+    ends: ReasonCounters,
     first_piece_s: Histogram,
     whole_s: Histogram,
-    item_ends: Family<ReasonLabel, Counter>,
-    job_events: Family<ReasonLabel, Counter>,
-    foreign: Family<ReasonLabel, Counter>,
+    item_ends: ReasonCounters,
+    job_events: ReasonCounters,
+    foreign: ReasonCounters,
     dispatched: Gauge,
     recalled: Gauge,
     waiting_online: Gauge,
@@ -46,23 +36,28 @@
     /// Metrics with every refusal reason at zero.
     pub fn new() -> Rc<Metrics> {
         let mut registry = Registry::with_prefix("samphiredoor_gateway");
-        let refusals = family(&mut registry, "refusals", "Requests refused before they ran");
-        for reason in Refusal::ALL {
-            let _ = Family::get_or_create(&refusals, &ReasonLabel { reason: reason.label() });
-        }
+        let reasons = Refusal::ALL.map(Refusal::label);
+        let help = "Requests refused before they ran";
+        let refusals = ReasonCounters::new(&mut registry, "refusals", help, &reasons);
+        let mut family = |name, help| ReasonCounters::new(&mut registry, name, help, &[]);
+        let retries = family("retries", "Requests sent again, by reason");
+        let ends = family("ends", "Ends of requests that were sent");
+        let item_ends = family("item_ends", "Ends of runs of items");
+        let job_events = family("job_events", "What became of jobs");
+        let foreign = family("foreign_entries", "Stored objects that were ignored");
         let latency = || Histogram::new(exponential_buckets(0.002, 2.0, 13));
         let (first_piece_s, whole_s) = (latency(), latency());
         registry.register("first_piece_seconds", "Time to the first piece", first_piece_s.clone());
         registry.register("whole_seconds", "Time to the whole answer", whole_s.clone());
         Rc::new(Metrics {
             refusals,
-            retries: family(&mut registry, "retries", "Requests sent again, by reason"),
-            ends: family(&mut registry, "ends", "Ends of requests that were sent"),
+            retries,
+            ends,
             first_piece_s,
             whole_s,
-            item_ends: family(&mut registry, "item_ends", "Ends of runs of items"),
-            job_events: family(&mut registry, "job_events", "What became of jobs"),
-            foreign: family(&mut registry, "foreign_entries", "Stored objects that were ignored"),
+            item_ends,
+            job_events,
+            foreign,
             dispatched: gauge(&mut registry, "dispatched", "Requests sent to targets"),
             recalled: gauge(&mut registry, "recalled", "Items recalled for online requests"),
             waiting_online: gauge(&mut registry, "waiting_online", "Online requests in the queue"),
@@ -80,17 +75,17 @@
 
     /// Counts a refusal.
     pub fn refused(&self, reason: Refusal) {
-        self.refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+        self.refusals.count(reason.label());
     }
 
     /// Counts a request that is sent again.
     pub fn retried(&self, reason: &'static str) {
-        self.retries.get_or_create(&ReasonLabel { reason }).inc();
+        self.retries.count(reason);
     }
 
     /// Counts the end of a request that was sent.
     pub fn ended(&self, end: &'static str) {
-        self.ends.get_or_create(&ReasonLabel { reason: end }).inc();
+        self.ends.count(end);
     }
 
     /// Takes the time to the first piece of an answer.
@@ -105,17 +100,17 @@
 
     /// Counts the end of a run of an item.
     pub fn item_ended(&self, end: &'static str) {
-        self.item_ends.get_or_create(&ReasonLabel { reason: end }).inc();
+        self.item_ends.count(end);
     }
 
     /// Counts what became of a job.
     pub fn job(&self, event: &'static str) {
-        self.job_events.get_or_create(&ReasonLabel { reason: event }).inc();
+        self.job_events.count(event);
     }
 
     /// Counts a stored object that names nothing to use.
     pub fn foreign(&self, kind: &'static str) {
-        self.foreign.get_or_create(&ReasonLabel { reason: kind }).inc();
+        self.foreign.count(kind);
     }
 
     /// Takes what the placement counts.
@@ -143,21 +138,6 @@
 
     /// Text in the exposition format.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // Writing to a string cannot fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        metrics::text(&self.registry)
     }
 }
-
-fn family(registry: &mut Registry, name: &str, help: &str) -> Family<ReasonLabel, Counter> {
-    let family = Family::default();
-    registry.register(name, help, Family::clone(&family));
-    family
-}
-
-fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
-    let gauge = Gauge::default();
-    registry.register(name, help, gauge.clone());
-    gauge
-}
--- a/crates/samphiredoor/src/dispatch_metrics.rs
+++ b/crates/samphiredoor/src/dispatch_metrics.rs
@@ -3,21 +3,19 @@
 use prometheus_client::{
     metrics::{
         counter::Counter,
-        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
 use samphiredoor_core::dispatch::{Counters, Ejection, Gauges, RetryReason};
-
-use crate::metrics::ReasonLabel;
+use samphiredoor_net::metrics::{ReasonCounters, counter, gauge, raise};
 
 /// What the dispatcher counts, as of its last report.
 pub struct DispatcherMetrics {
-    retries: Family<ReasonLabel, Counter>,
+    retries: ReasonCounters,
     retries_over_budget: Counter,
-    ejections: Family<ReasonLabel, Counter>,
+    ejections: ReasonCounters,
     reports_distrusted: Counter,
     recalls: Counter,
     recall_s: Histogram,
@@ -32,11 +30,7 @@
 impl DispatcherMetrics {
     /// Metrics at zero.
     pub fn new(registry: &mut Registry) -> DispatcherMetrics {
-        let mut counter = |name: &str, help: &str| {
-            let counter = Counter::default();
-            registry.register(name, help, counter.clone());
-            counter
-        };
+        let mut counter = |name, help| counter(registry, name, help);
         let retries_over_budget =
             counter("retries_over_budget", "Retries that the budget did not allow");
         let reports_distrusted =
@@ -48,20 +42,15 @@
         let recall_s = Histogram::new(exponential_buckets(0.000_1, 2.0, 15));
         let help = "Time from the decision to take a slot back to its being free at this process";
         registry.register("recall_seconds", help, recall_s.clone());
-        let mut gauge = |name: &str, help: &str| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let mut gauge = |name, help| gauge(registry, name, help);
         let queued = gauge("queued", "Online requests in queues");
         let waiting_batch = gauge("waiting_batch", "Items that wait for lent capacity");
         let dispatched_online = gauge("dispatched_online", "Online requests at targets");
         let targets = gauge("targets", "Targets that this process uses");
         let targets_ejected = gauge("targets_ejected", "Those of them that get no work");
-        let retries = Family::<ReasonLabel, Counter>::default();
-        let ejections = Family::<ReasonLabel, Counter>::default();
-        registry.register("retries", "Requests tried again", retries.clone());
-        registry.register("ejections", "Targets taken out of work", ejections.clone());
+        let retries = ReasonCounters::new(registry, "retries", "Requests tried again", &[]);
+        let help = "Targets taken out of work";
+        let ejections = ReasonCounters::new(registry, "ejections", help, &[]);
         DispatcherMetrics {
             retries,
             retries_over_budget,
@@ -86,12 +75,10 @@
     /// Takes what the dispatcher counts.
     pub fn set(&self, counters: &Counters, gauges: &Gauges) {
         for (reason, count) in RetryReason::ALL.into_iter().zip(counters.retries) {
-            let label = ReasonLabel { reason: reason.label() };
-            raise(&self.retries.get_or_create(&label), count);
+            self.retries.raise(reason.label(), count);
         }
         for (reason, count) in Ejection::ALL.into_iter().zip(counters.ejections) {
-            let label = ReasonLabel { reason: reason.label() };
-            raise(&self.ejections.get_or_create(&label), count);
+            self.ejections.raise(reason.label(), count);
         }
         raise(&self.retries_over_budget, counters.retries_over_budget);
         raise(&self.reports_distrusted, counters.reports_distrusted);
@@ -104,7 +91,3 @@
         self.targets_ejected.set(gauges.ejected as i64);
     }
 }
-
-fn raise(counter: &Counter, to: u64) {
-    counter.inc_by(to.saturating_sub(counter.get()));
-}
--- a/crates/samphiredoor/src/keys_metrics.rs
+++ b/crates/samphiredoor/src/keys_metrics.rs
@@ -4,6 +4,7 @@
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
 };
+use samphiredoor_net::metrics::{counter, gauge};
 
 /// Metrics of the idempotency keys.
 pub struct KeysMetrics {
@@ -15,12 +16,9 @@
 impl KeysMetrics {
     /// Registers all at zero.
     pub fn new(registry: &mut Registry) -> KeysMetrics {
-        let replayed = Counter::default();
-        let unsaved = Gauge::default();
-        let unreadable = Counter::default();
-        registry.register("answers_replayed", "Answers to resent requests", replayed.clone());
-        registry.register("outcomes_unsaved", "Outcomes that wait for the store", unsaved.clone());
-        registry.register("key_shards_unreadable", "Reads of damaged shards", unreadable.clone());
+        let replayed = counter(registry, "answers_replayed", "Answers to resent requests");
+        let unsaved = gauge(registry, "outcomes_unsaved", "Outcomes that wait for the store");
+        let unreadable = counter(registry, "key_shards_unreadable", "Reads of damaged shards");
         KeysMetrics { replayed, unsaved, unreadable }
     }
 
--- a/crates/samphiredoor/src/metrics.rs
+++ b/crates/samphiredoor/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
         family::Family,
@@ -17,6 +17,7 @@
     ledger::Unreadable,
     verdict::{Doubt, Refusal, Verdict},
 };
+use samphiredoor_net::metrics::{self, ReasonCounters, counter, gauge};
 
 use crate::{
     dispatch_metrics::DispatcherMetrics, keys_metrics::KeysMetrics,
@@ -28,14 +29,6 @@
 const ITEM_ENDS: [&str; 5] =
     ["answered", "answered_with_an_error", "not_run", "may_have_run", "refused"];
 
-/// Label of a reason.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-pub struct ReasonLabel {
-    /// Reason as in answers.
-    pub reason: &'static str,
-}
-
 /// Label of a class.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -118,19 +111,19 @@
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
-    refusals: Family<ReasonLabel, Counter>,
-    doubts: Family<ReasonLabel, Counter>,
+    refusals: ReasonCounters,
+    doubts: ReasonCounters,
     answered: Family<ClassLabel, Counter>,
     latency_s: Family<ClassLabel, Histogram>,
     running: Gauge,
     keys: KeysMetrics,
     quarantine: QuarantineMetrics,
-    job_events: Family<ReasonLabel, Counter>,
-    item_ends: Family<ReasonLabel, Counter>,
-    unreadable: Family<ReasonLabel, Counter>,
+    job_events: ReasonCounters,
+    item_ends: ReasonCounters,
+    unreadable: ReasonCounters,
     dispatcher: DispatcherMetrics,
-    peer_refusals: Family<ReasonLabel, Counter>,
-    manifest_refusals: Family<ReasonLabel, Counter>,
+    peer_refusals: ReasonCounters,
+    manifest_refusals: ReasonCounters,
     peer_bytes_received: Counter,
     peer_bytes_sent: Counter,
     members: Gauge,
@@ -144,45 +137,32 @@
     /// Metrics with every reason at zero.
     pub fn new() -> Rc<Metrics> {
         let mut registry = Registry::with_prefix("samphiredoor");
-        let refusals = Family::<ReasonLabel, Counter>::default();
-        let doubts = Family::<ReasonLabel, Counter>::default();
         let answered = Family::<ClassLabel, Counter>::default();
         let latency_s = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
-        for reason in Refusal::ALL {
-            let _ = refusals.get_or_create(&ReasonLabel { reason: reason.label() });
-        }
-        for reason in Doubt::ALL {
-            let _ = doubts.get_or_create(&ReasonLabel { reason: reason.label() });
-        }
-        registry.register("refusals", "Requests refused before they ran", refusals.clone());
-        registry.register("doubts", "Requests that may have run", doubts.clone());
+        let mut counters = |name, help, reasons: &[&'static str]| {
+            ReasonCounters::new(&mut registry, name, help, reasons)
+        };
+        let refusals = Refusal::ALL.map(Refusal::label);
+        let refusals = counters("refusals", "Requests refused before they ran", &refusals);
+        let doubts = Doubt::ALL.map(Doubt::label);
+        let doubts = counters("doubts", "Requests that may have run", &doubts);
+        let job_events = counters("job_events", "What became of jobs", &JOB_EVENTS);
+        let item_ends = counters("item_ends", "Ends of runs of items", &ITEM_ENDS);
+        let faults = Unreadable::ALL.map(Unreadable::label);
+        let unreadable = counters("unreadable", "Stored objects refused", &faults);
+        let reasons = PeerRefusal::ALL.map(PeerRefusal::label);
+        let peer_refusals = counters("peer_refusals", "Refused of peers", &reasons);
+        let reasons = ManifestRefusal::ALL.map(ManifestRefusal::label);
+        let manifest_refusals = counters("manifest_refusals", "Manifests refused", &reasons);
         registry.register("answered", "Requests answered whole", answered.clone());
         registry.register("latency_seconds", "Time to the whole answer", latency_s.clone());
-        let running = Gauge::default();
-        registry.register("running", "Online requests that are being answered", running.clone());
+        let running = gauge(&mut registry, "running", "Online requests that are being answered");
         let dispatcher = DispatcherMetrics::new(&mut registry);
         let keys = KeysMetrics::new(&mut registry);
         let quarantine = QuarantineMetrics::new(&mut registry);
-        let job_events = counters(&mut registry, "job_events", "What became of jobs", &JOB_EVENTS);
-        let item_ends = counters(&mut registry, "item_ends", "Ends of runs of items", &ITEM_ENDS);
-        let faults = Unreadable::ALL.map(Unreadable::label);
-        let unreadable = counters(&mut registry, "unreadable", "Stored objects refused", &faults);
-        let refusals_of_peers = PeerRefusal::ALL.map(PeerRefusal::label);
-        let peer_refusals =
-            counters(&mut registry, "peer_refusals", "Refused of peers", &refusals_of_peers);
-        let refusals_of_manifests = ManifestRefusal::ALL.map(ManifestRefusal::label);
-        let manifest_refusals = counters(
-            &mut registry,
-            "manifest_refusals",
-            "Manifests refused",
-            &refusals_of_manifests,
-        );
-        let peer_bytes_received = Counter::default();
-        let peer_bytes_sent = Counter::default();
-        let members = Gauge::default();
-        registry.register("peer_bytes_received", "From peers", peer_bytes_received.clone());
-        registry.register("peer_bytes_sent", "To peers", peer_bytes_sent.clone());
-        registry.register("members", "Doors not reported dead", members.clone());
+        let peer_bytes_received = counter(&mut registry, "peer_bytes_received", "From peers");
+        let peer_bytes_sent = counter(&mut registry, "peer_bytes_sent", "To peers");
+        let members = gauge(&mut registry, "members", "Doors not reported dead");
         Rc::new(Metrics {
             registry,
             refusals,
@@ -206,12 +186,12 @@
 
     /// Counts something that was refused of a peer.
     pub fn peer_refused(&self, reason: PeerRefusal) {
-        self.peer_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+        self.peer_refusals.count(reason.label());
     }
 
     /// Counts a manifest's record that was not put in force.
     pub fn manifest_refused(&self, reason: ManifestRefusal) {
-        self.manifest_refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+        self.manifest_refusals.count(reason.label());
     }
 
     /// Counters of the bytes received from peers and sent to them.
@@ -249,27 +229,27 @@
                 self.latency_s.get_or_create(&class).observe(elapsed_s);
             }
             Verdict::NotRun { reason, .. } => {
-                self.refusals.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+                self.refusals.count(reason.label());
             }
             Verdict::MayHaveRun { reason } => {
-                self.doubts.get_or_create(&ReasonLabel { reason: reason.label() }).inc();
+                self.doubts.count(reason.label());
             }
         }
     }
 
     /// Counts what became of a job.
     pub fn job_event(&self, event: &'static str) {
-        self.job_events.get_or_create(&ReasonLabel { reason: event }).inc();
+        self.job_events.count(event);
     }
 
     /// Counts the end of a run of an item.
     pub fn item_ended(&self, end: &'static str) {
-        self.item_ends.get_or_create(&ReasonLabel { reason: end }).inc();
+        self.item_ends.count(end);
     }
 
     /// Counts a stored object that cannot be read.
     pub fn unreadable(&self, fault: Unreadable) {
-        self.unreadable.get_or_create(&ReasonLabel { reason: fault.label() }).inc();
+        self.unreadable.count(fault.label());
     }
 
     /// Counts the time from the decision to take a slot back to its being free.
@@ -284,10 +264,7 @@
 
     /// Text in the exposition format.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // Writing to a string cannot fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        metrics::text(&self.registry)
     }
 }
 
@@ -300,20 +277,6 @@
     }
 }
 
-fn counters(
-    registry: &mut Registry,
-    name: &str,
-    help: &str,
-    reasons: &[&'static str],
-) -> Family<ReasonLabel, Counter> {
-    let family = Family::<ReasonLabel, Counter>::default();
-    for reason in reasons {
-        let _ = family.get_or_create(&ReasonLabel { reason });
-    }
-    registry.register(name, help, family.clone());
-    family
-}
-
 fn class_label(class: Class) -> &'static str {
     match class {
         Class::Online => "online",
--- a/crates/samphiredoor/src/quarantine_metrics.rs
+++ b/crates/samphiredoor/src/quarantine_metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of the quarantine.
 
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use samphiredoor_net::metrics::counter;
 
 /// Metrics of the quarantine.
 pub struct QuarantineMetrics {
@@ -10,9 +11,9 @@
 impl QuarantineMetrics {
     /// Registers all at zero.
     pub fn new(registry: &mut Registry) -> QuarantineMetrics {
-        let blamed = Counter::default();
-        registry.register("requests_blamed", "Requests blamed for deaths", blamed.clone());
-        QuarantineMetrics { blamed }
+        QuarantineMetrics {
+            blamed: counter(registry, "requests_blamed", "Requests blamed for deaths"),
+        }
     }
 
     /// Counts a request that is refused from now on.
