Tell the registered owner of an end where no gateway has been heard yet

Change: while it cannot tell, it reads where the owner is registered and tells it there: one store call. Before/after: the test red / green; the test of the just started gateway stays green.

--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -31,7 +31,7 @@
 use crate::{
     edge::{JobCall, ResultsPage},
     front::{plain, refused},
-    peers::{Liveness, Owner},
+    peers::{Liveness, Owner, registered_address},
 };
 
 /// Longest wait for a result, whatever the caller asks for.
@@ -257,12 +257,24 @@
     /// Tells an owner that is heard that its job is ended, also one that stops or misses the store: its runs go on.
     /// `None` if it is not heard.
     async fn end_elsewhere(&self, job: &JobName, owner: &Owner) -> Option<bool> {
-        let address = self.env.roster.heard_address(&owner.process, owner.incarnation)?;
+        let address = self.owner_address(owner).await?;
         let call = PeerCall::Ended { job: job.clone() };
         let answer = self.ask_peer(address, &call, PEER_TIMEOUT).await;
         Some(answer.is_some_and(|it| it.status() == StatusCode::OK))
     }
 
+    /// Where an owner listens: one that is heard, or, while this process cannot tell yet, where the store has it.
+    async fn owner_address(&self, owner: &Owner) -> Option<SocketAddr> {
+        let roster = &self.env.roster;
+        let heard = roster.heard_address(&owner.process, owner.incarnation);
+        if heard.is_some()
+            || roster.liveness(&owner.process, owner.incarnation) != Liveness::Unknown
+        {
+            return heard;
+        }
+        registered_address(&*self.env.platform.store, &owner.process).await
+    }
+
     /// Ends a job that this process works on, or has closed; says whether that holds for everybody.
     async fn end_here(&self, job: &JobName) -> bool {
         let (reply, answer) = flume::bounded(1);
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -131,6 +131,15 @@
     }
 }
 
+/// Where a gateway listens, as it has registered in the store.
+pub async fn registered_address(store: &dyn ObjectStore, name: &Name) -> Option<SocketAddr> {
+    let key = ObjectKey::new(Kind::Door, Name::clone(name));
+    match store.call(StoreOp::Get { key }).await {
+        StoreAnswer::Object(stored) => Some(read_entry(&stored.value)?.0),
+        _ => None,
+    }
+}
+
 fn take_entry(own: &Name, roster: &Roster, stored: &Stored) {
     if stored.name == *own {
         return;
