Ask a waiting watch anew when another call of the process got no answer

No `store: lost` line in any log. Ruled out: mirrors (nobody started); the relay (nobody was ahead). Weighed: watches of 4 s (ten calls a minute more for each gateway). Change: a look for jobs that gets no answer makes waiting watches be asked anew; no call more while the store answers. Test: a watch of 300 s finds a configuration after a silent outage.

--- a/crates/samphiredoor-gateway/src/discovery.rs
+++ b/crates/samphiredoor-gateway/src/discovery.rs
@@ -28,6 +28,7 @@
 #[derive(Clone, Default)]
 pub struct StoreHealth {
     lost_since: Rc<Cell<Option<Instant>>>,
+    doubts: Rc<Cell<u64>>,
 }
 
 impl StoreHealth {
@@ -41,6 +42,16 @@
         self.lost_since.get().is_some_and(|it| it.elapsed() >= at_least)
     }
 
+    /// Notes that a call got no usable answer.
+    pub fn doubt(&self) {
+        self.doubts.set(self.doubts.get() + 1);
+    }
+
+    /// Number of doubts so far.
+    pub fn doubts(&self) -> u64 {
+        self.doubts.get()
+    }
+
     fn lost(&self) {
         if self.lost_since.get().is_none() {
             log::warn!("store: lost");
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -59,7 +59,10 @@
     let (mut free, mut old) = (Vec::new(), Vec::new());
     let store = &*env.platform.store;
     let listed = list_all(store, Kind::OrderedJob, Freshness::MayBeStale).await;
-    let Some((objects, _)) = listed else { return };
+    let Some((objects, _)) = listed else {
+        env.health.doubt();
+        return;
+    };
     for object in &objects {
         match read_header(object) {
             Ok(header) if !header.finished => {
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -36,6 +36,8 @@
 const GATE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for that.
 const GATE_LIMIT: Duration = Duration::from_secs(3);
+/// How often a watch that waits looks whether another call got no answer.
+const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 /// How long the first list is waited for before others are asked what they saw last. The store answers in a few
 /// milliseconds, and a caller that is refused comes back within some hundred.
 const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(250);
@@ -64,6 +66,7 @@
     changed: bool,
     rest: Duration,
     gate: Option<StoreHealth>,
+    health: Option<StoreHealth>,
     /// Who is asked for the first list if the store does not answer; taken when it was asked.
     mirrors: Option<Mirrors>,
 }
@@ -81,10 +84,19 @@
             changed: false,
             rest: Duration::ZERO,
             gate: None,
+            health: None,
             mirrors: None,
         }
     }
 
+    /// Has a watch that waits be asked anew when another call of the process got no answer. A store that falls silent cuts no
+    /// connection, and a watch that was waiting hears nothing when it is back, for as long as it may wait: routes that were
+    /// accepted meanwhile were in force nowhere 5 s later.
+    pub fn with_health(mut self, health: StoreHealth) -> Follower {
+        self.health = Some(health);
+        self
+    }
+
     /// Has the first list come from a mirror if the store does not answer.
     pub fn with_mirrors(mut self, mirrors: Mirrors) -> Follower {
         self.mirrors = Some(mirrors).filter(|it| !it.is_empty());
@@ -169,7 +181,10 @@
 
     async fn watch(&mut self, since: Version) -> Option<Seen> {
         let wait = if self.failures > 0 { RETURNING_WAIT } else { self.wait };
-        let answer = self.store.watch(self.kind, since, wait).await;
+        let answer = match &self.health {
+            Some(health) => undoubted(health, self.store.watch(self.kind, since, wait)).await,
+            None => self.store.watch(self.kind, since, wait).await,
+        };
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
@@ -184,6 +199,20 @@
     }
 }
 
+/// Waits for the answer to a watch, unless another call gets none meanwhile.
+async fn undoubted(health: &StoreHealth, watch: impl Future<Output = WatchAnswer>) -> WatchAnswer {
+    let before = health.doubts();
+    let mut watch = std::pin::pin!(watch);
+    loop {
+        if let Some(answer) = within(DOUBT_PAUSE, &mut watch).await {
+            return answer;
+        }
+        if health.doubts() != before {
+            return WatchAnswer::Unavailable;
+        }
+    }
+}
+
 /// Reads all pages of a kind, and the version from which a watch goes on; `None` if a page could not be read.
 pub async fn list_all(
     store: &dyn ObjectStore,
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -159,3 +159,19 @@
     wait_until("the new route serves", || platform.send(0, "/new/check", "id-2", "").status == 200);
     assert_eq!(platform.send(0, "/stream/check", "id-3", "").status, 404);
 }
+
+// The store falls silent and is back, and cuts no connection; a watch that waited hears nothing any more. A configuration that
+// was written then was in force nowhere until the watch's time was over, half a minute later.
+#[test]
+fn a_watch_that_fell_silent_with_the_store_is_asked_anew() {
+    let mut platform = Platform::new();
+    platform.watch_ms = 300_000;
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    platform.store.set_fault(StoreFault::Silent);
+    // A look for jobs, each two seconds, gets no answer.
+    std::thread::sleep(Duration::from_millis(4_000));
+    platform.store.set_fault(StoreFault::None);
+    platform.put_routes(2, 3);
+    platform.wait_logged(0, "version=2");
+}
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -36,6 +36,8 @@
     gateways: Vec<Gateway>,
     /// Time between failing readiness and closing the listener, for gateways that are started next.
     pub unready_ms: u64,
+    /// How long watches of gateways wait that are started next.
+    pub watch_ms: u64,
     /// Storage hosts' processes that gateways may ask which are started next.
     mirrors: Vec<SocketAddr>,
 }
@@ -93,6 +95,7 @@
             folder,
             gateways: Vec::new(),
             unready_ms: 300,
+            watch_ms: 2_000,
             mirrors: Vec::new(),
         }
     }
@@ -161,9 +164,10 @@
             "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
              peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
-             store.watch_ms = 2000\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
+             store.watch_ms = {}\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
              regions.brisbane-north = \"brisbane\"\nmirrors.addresses = {:?}\n",
             store,
+            self.watch_ms,
             self.unready_ms,
             self.mirrors.iter().map(SocketAddr::to_string).collect::<Vec<String>>(),
         );
