Say once which targets are ready and what fits into a segment

The shares asked which targets of a service are ready as the choice of a target and the refusal did already: one iterator serves the three. Results and outputs were cut to a segment's bytes by two copies of one loop. Parts that are read are borrowed instead of copied.

--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -8,7 +8,7 @@
 use super::{
     JobName, OutputPart, PartialOutput,
     codec::{self, Segment},
-    outputs::{self, KeptOutputs},
+    outputs::{KeptOutputs, OUTPUT_BYTES},
     segment_key,
 };
 use crate::store::{Labels, StoreAnswer, StoreOp};
@@ -182,7 +182,7 @@
                 Ok(segment) => {
                     self.foreign |= segment != self.in_flight;
                     for part in &segment.outputs {
-                        self.kept.add(part.clone());
+                        self.kept.add(part);
                     }
                     self.stand(segment);
                 }
@@ -208,16 +208,22 @@
     }
 
     fn fitting(&self) -> Segment {
-        let mut bytes = 0;
-        let fits = self.pending.iter().take_while(|it| {
-            bytes += it.text.len();
-            bytes <= SEGMENT_BYTES
-        });
-        let results = fits.count().max(self.pending.len().min(1));
-        let outputs = outputs::fitting(&self.outputs);
+        let results = fitting(self.pending.iter().map(|it| it.text.len()), SEGMENT_BYTES);
+        let outputs = fitting(self.outputs.iter().map(|it| it.text.len()), OUTPUT_BYTES);
         Segment {
             results: self.pending[..results].to_vec(),
             outputs: self.outputs[..outputs].to_vec(),
         }
     }
 }
+
+/// How many of these texts, by their bytes, fit into a limit; at least one if there is one.
+fn fitting(bytes: impl ExactSizeIterator<Item = usize>, limit: usize) -> usize {
+    let least = bytes.len().min(1);
+    let mut sum = 0;
+    let fits = bytes.take_while(|it| {
+        sum += it;
+        sum <= limit
+    });
+    fits.count().max(least)
+}
--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Bytes of outputs in one segment, beside its results.
-const OUTPUT_BYTES: usize = 250_000;
+pub(super) const OUTPUT_BYTES: usize = 250_000;
 
 /// Events of an item that came after those of an earlier part.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,16 +46,18 @@
 
 impl KeptOutputs {
     /// Adds a part that goes on where the known output ends; any other is of no use.
-    pub fn add(&mut self, part: OutputPart) {
-        let OutputPart { item, after, last, text } = part;
-        match (self.by_item.get_mut(&item), after) {
+    pub fn add(&mut self, part: &OutputPart) {
+        let (item, last, text) = (part.item, part.last, &part.text);
+        match (self.by_item.get_mut(&item), part.after) {
             (Some(known), Some(after)) if known.last == after => {
-                known.text.push_str(&text);
+                known.text.push_str(text);
                 known.last = last;
             }
-            (Some(known), None) if known.last < last => *known = PartialOutput { last, text },
+            (Some(known), None) if known.last < last => {
+                *known = PartialOutput { last, text: text.clone() };
+            }
             (None, None) => {
-                self.by_item.insert(item, PartialOutput { last, text });
+                self.by_item.insert(item, PartialOutput { last, text: text.clone() });
             }
             _ => {}
         }
@@ -71,13 +73,3 @@
         std::mem::take(&mut self.by_item)
     }
 }
-
-/// Number of parts that fit into one segment, at least one if there is one.
-pub(super) fn fitting(parts: &[OutputPart]) -> usize {
-    let mut bytes = 0;
-    let fits = parts.iter().take_while(|it| {
-        bytes += it.text.len();
-        bytes <= OUTPUT_BYTES
-    });
-    fits.count().max(parts.len().min(1))
-}
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -326,16 +326,12 @@
 
     /// How many more items of a service this door may start now.
     fn own_share(&self, now_ms: u64, service: &Name, waiting: u32) -> u32 {
-        let targets = self.targets.values().filter(|it| {
-            it.entry.service == *service
-                && it.entry.state == TargetState::Ready
-                && !it.health.is_paused(now_ms)
-        });
+        let targets = self.ready(service).filter(|(_, it)| !it.health.is_paused(now_ms));
         let key = key_of(service);
         let of_service = self.peers.values().flat_map(|it| &it.waiting);
         let of_service = of_service.filter(|it| it.service == key).map(|it| it.items);
         let mut demand = Demand { waiting, others: of_service.sum(), ..Demand::default() };
-        for target in targets {
+        for (_, target) in targets {
             let (own, all) = (target.own(), target.load());
             demand.running += own.batch;
             demand.others += all.batch.saturating_sub(own.batch);
@@ -366,11 +362,20 @@
         let doubts = move |target: &Target| {
             (target.health.is_paused(now_ms), ask.tried.contains(&target.entry.name))
         };
-        let listed = self.targets.iter().filter(|(_, target)| {
-            target.entry.service == ask.service && target.entry.state == TargetState::Ready
-        });
-        let least = listed.clone().map(|(_, it)| doubts(it)).min();
-        listed.filter(move |(_, it)| Some(doubts(it)) == least).map(|(key, it)| (*key, it))
+        let ready = self.ready(&ask.service);
+        let least = ready.clone().map(|(_, it)| doubts(it)).min();
+        ready.filter(move |(_, it)| Some(doubts(it)) == least)
+    }
+
+    /// Targets of a service that take work as far as discovery knows.
+    fn ready<'a>(
+        &'a self,
+        service: &'a Name,
+    ) -> impl Iterator<Item = (u64, &'a Target)> + Clone + 'a {
+        let all = self.targets.iter().map(|(key, it)| (*key, it));
+        all.filter(move |(_, it)| {
+            it.entry.service == *service && it.entry.state == TargetState::Ready
+        })
     }
 
     fn has_usable(&self, now_ms: u64, ask: &Ask) -> bool {
@@ -428,12 +433,8 @@
     }
 
     fn refuse_no_target(&mut self, now_ms: u64, ask: &Ask, out: &mut Vec<Action>) {
-        let paused = self.targets.values().filter(|it| {
-            it.entry.service == ask.service
-                && it.entry.state == TargetState::Ready
-                && it.health.is_paused(now_ms)
-        });
-        let first_back = paused.map(|it| it.health.paused_until_ms()).min();
+        let paused = self.ready(&ask.service).filter(|(_, it)| it.health.is_paused(now_ms));
+        let first_back = paused.map(|(_, it)| it.health.paused_until_ms()).min();
         let retry_after_ms = first_back.map_or(MAX_RETRY_AFTER_MS, |it| it.saturating_sub(now_ms));
         let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
         let (request, reason) = (ask.request, Refusal::NoTarget);
