Say when the store was last heard, and how watches end

Sight for the late configuration: nothing told a follower that hears nothing from one that has nothing to hear. Now a gauge holds the time since the store last answered a list or watch of each kind, a counter the ends of watches, and the first watch of a row without an answer is logged with how long it had waited. No logic is changed.

--- a/crates/samphiredoor-gateway/src/edge.rs
+++ b/crates/samphiredoor-gateway/src/edge.rs
@@ -66,8 +66,23 @@
     },
     /// The history before the given version is gone; list anew.
     HistoryGone,
-    /// The store gave no usable answer.
-    Unavailable,
+    /// The store refused.
+    Refused,
+    /// There was no answer, or none that can be read.
+    NoAnswer,
+}
+
+impl WatchAnswer {
+    /// How the watch ended, as it stands in logs and metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            WatchAnswer::Changes { changes, .. } if changes.is_empty() => "nothing_new",
+            WatchAnswer::Changes { .. } => "changes",
+            WatchAnswer::HistoryGone => "history_gone",
+            WatchAnswer::Refused => "refused",
+            WatchAnswer::NoAnswer => "no_answer",
+        }
+    }
 }
 
 /// The platform's object store.
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -1,17 +1,38 @@
 //! Counters, gauges and histograms of a gateway.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use prometheus_client::{
+    encoding::EncodeLabelSet,
     metrics::{
+        counter::Counter,
+        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
-use samphiredoor_core::{placement::Counters, verdict::Refusal};
+use samphiredoor_core::{placement::Counters, store::Kind, verdict::Refusal};
 use samphiredoor_net::metrics::{self, ReasonCounters, gauge};
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct WatchLabel {
+    kind: &'static str,
+    end: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
 /// All metrics of a gateway.
 pub struct Metrics {
     registry: Registry,
@@ -30,6 +51,10 @@
     targets: Gauge,
     peers: Gauge,
     routes_version: Gauge,
+    watch_ends: Family<WatchLabel, Counter>,
+    store_silent_ms: Family<KindLabel, Gauge>,
+    /// When the store was last heard of each kind that is followed.
+    heard: RefCell<BTreeMap<&'static str, Instant>>,
 }
 
 impl Metrics {
@@ -49,6 +74,11 @@
         let (first_piece_s, whole_s) = (latency(), latency());
         registry.register("first_piece_seconds", "Time to the first piece", first_piece_s.clone());
         registry.register("whole_seconds", "Time to the whole answer", whole_s.clone());
+        let (watch_ends, store_silent_ms) = (Family::default(), Family::default());
+        let help = "Ends of watches in the store, by kind of object";
+        registry.register("watch_ends", help, Family::clone(&watch_ends));
+        let help = "Time since the store last answered a list or watch, by kind of object";
+        registry.register("store_silent_ms", help, Family::clone(&store_silent_ms));
         Rc::new(Metrics {
             refusals,
             retries,
@@ -69,6 +99,9 @@
                 "routes_version",
                 "Version of the routes in force",
             ),
+            watch_ends,
+            store_silent_ms,
+            heard: RefCell::default(),
             registry,
         })
     }
@@ -136,8 +169,22 @@
         self.routes_version.set(version as i64);
     }
 
+    /// Counts the end of a watch.
+    pub fn watch_ended(&self, kind: Kind, end: &'static str) {
+        self.watch_ends.get_or_create(&WatchLabel { kind: kind.path(), end }).inc();
+    }
+
+    /// Notes that the store has answered a list or watch.
+    pub fn store_heard(&self, kind: Kind) {
+        self.heard.borrow_mut().insert(kind.path(), Instant::now());
+    }
+
     /// Text in the exposition format.
     pub fn text(&self) -> String {
+        for (kind, heard) in &*self.heard.borrow() {
+            let silent_ms = heard.elapsed().as_millis() as i64;
+            self.store_silent_ms.get_or_create(&KindLabel { kind }).set(silent_ms);
+        }
         metrics::text(&self.registry)
     }
 }
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -138,6 +138,7 @@
     let mirrors = Mirrors::new(&common.mirrors);
     let follow = |kind| {
         let follower = Follower::new(Rc::clone(&platform.store), kind, common.watch);
+        let follower = follower.with_metrics(Rc::clone(&metrics));
         follower.with_mirrors(mirrors.clone()).with_health(health.clone())
     };
     let gated = |kind| follow(kind).with_gate(health.clone());
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -18,6 +18,7 @@
 use crate::{
     discovery::StoreHealth,
     edge::{Change, Freshness, ObjectStore, WatchAnswer},
+    metrics::Metrics,
     mirror::Mirrors,
 };
 
@@ -69,6 +70,9 @@
     health: Option<StoreHealth>,
     /// Who is asked for the first list if the store does not answer; taken when it was asked.
     mirrors: Option<Mirrors>,
+    metrics: Option<Rc<Metrics>>,
+    /// When the store last answered.
+    heard: Instant,
 }
 
 impl Follower {
@@ -86,9 +90,17 @@
             gate: None,
             health: None,
             mirrors: None,
+            metrics: None,
+            heard: Instant::now(),
         }
     }
 
+    /// Has the follower count what it hears of the store.
+    pub fn with_metrics(mut self, metrics: Rc<Metrics>) -> Follower {
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Has a watch that waits be asked anew when another call of the process got no answer. A store that falls silent cuts no
     /// connection, and a watch that was waiting hears nothing when it is back, for as long as it may wait: routes that were
     /// accepted meanwhile were in force nowhere 5 s later.
@@ -176,15 +188,48 @@
     async fn list(&mut self) -> Option<Seen> {
         let (all, version) = list_all(&*self.store, self.kind, Freshness::Current).await?;
         self.since = Some(version);
+        self.heard();
         Some(Seen::All(all))
     }
 
+    /// Notes that the store has answered. A store that falls silent cuts no connection, and nothing else shows a follower
+    /// that hears nothing any more.
+    fn heard(&mut self) {
+        let silent = std::mem::replace(&mut self.heard, Instant::now()).elapsed();
+        if self.failures > 0 {
+            let silent_ms = silent.as_millis() as u64;
+            log::info!(kind = self.kind.path(), silent_ms; "store: heard again");
+        }
+        if let Some(metrics) = &self.metrics {
+            metrics.store_heard(self.kind);
+        }
+    }
+
+    /// Notes how a watch ended that was asked at some moment; the first of a row without an answer is logged.
+    fn watch_ended(&mut self, asked: Instant, answer: &WatchAnswer) {
+        if let Some(metrics) = &self.metrics {
+            metrics.watch_ended(self.kind, answer.label());
+        }
+        match answer {
+            WatchAnswer::Changes { .. } | WatchAnswer::HistoryGone => self.heard(),
+            WatchAnswer::Refused | WatchAnswer::NoAnswer if self.failures == 0 => log::warn!(
+                kind = self.kind.path(), end = answer.label(),
+                waited_ms = asked.elapsed().as_millis() as u64,
+                heard_ms_ago = self.heard.elapsed().as_millis() as u64;
+                "store: watch failed"
+            ),
+            WatchAnswer::Refused | WatchAnswer::NoAnswer => {}
+        }
+    }
+
     async fn watch(&mut self, since: Version) -> Option<Seen> {
         let wait = if self.failures > 0 { RETURNING_WAIT } else { self.wait };
+        let asked = Instant::now();
         let answer = match &self.health {
             Some(health) => undoubted(health, self.store.watch(self.kind, since, wait)).await,
             None => self.store.watch(self.kind, since, wait).await,
         };
+        self.watch_ended(asked, &answer);
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
@@ -194,7 +239,7 @@
                 self.since = None;
                 Some(Seen::Changes(Vec::new()))
             }
-            WatchAnswer::Unavailable => None,
+            WatchAnswer::Refused | WatchAnswer::NoAnswer => None,
         }
     }
 }
@@ -208,7 +253,7 @@
             return answer;
         }
         if health.doubts() != before {
-            return WatchAnswer::Unavailable;
+            return WatchAnswer::NoAnswer;
         }
     }
 }
