Red: watches that the store has swallowed hide changes for as long as they may wait

Symptom: after a silence of the store of less than a second, callers are served by routes that were replaced more than ten seconds before, and a target that leaves goes on getting requests.

--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -18,7 +18,7 @@
 const MAX_BYTES: usize = 4 * 1024 * 1024;
 const WATCH_STEP: Duration = Duration::from_millis(5);
 /// Longer than any call of the tests waits.
-const SILENCE: Duration = Duration::from_secs(120);
+const SILENCE: Duration = Duration::from_secs(600);
 
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -28,6 +28,8 @@
     None,
     /// It answers nothing and does nothing.
     Silent,
+    /// It never answers watches that are asked or wait now, and all else.
+    WatchesSilent,
     /// It refuses with 503 and does nothing.
     Busy,
     /// It does what writes ask for and does not answer them.
@@ -219,7 +221,9 @@
             // A watch that waits is cut off with the store.
             let fault = self.fault();
             match fault {
-                StoreFault::Silent => compio::time::sleep(SILENCE).await,
+                StoreFault::Silent | StoreFault::WatchesSilent => {
+                    compio::time::sleep(SILENCE).await;
+                }
                 StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
                 _ => {}
             }
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -175,3 +175,36 @@
     platform.put_routes(2, 3);
     platform.wait_logged(0, "version=2");
 }
+
+// Callers were served by routes that operators had replaced more than ten seconds before. The store had been silent for less than a
+// second; the watches that gateways asked just then were never answered, and no other call fell into the silence.
+#[test]
+fn deaf_watches_do_not_keep_routes_from_being_in_force() {
+    let mut platform = Platform::new();
+    platform.watch_ms = 300_000;
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    deafen(&platform);
+    platform.put_routes(2, 3);
+    platform.wait_logged(0, "version=2");
+}
+
+// A target says that it leaves after such a silence, and goes on getting requests until it is gone.
+#[test]
+fn deaf_watches_do_not_keep_a_target_from_leaving() {
+    let mut platform = Platform::new();
+    platform.watch_ms = 300_000;
+    let leaving = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
+    deafen(&platform);
+    platform.register(&leaving, "draining");
+    wait_until("it gets none", || platform.send(0, "/stream/check", "id-2", "").status == 503);
+}
+
+/// Has no watch answered that waits now, and all that are asked later.
+fn deafen(platform: &Platform) {
+    platform.store.set_fault(StoreFault::WatchesSilent);
+    std::thread::sleep(Duration::from_millis(1_500));
+    platform.store.set_fault(StoreFault::None);
+}
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -38,6 +38,8 @@
     pub unready_ms: u64,
     /// How long watches of gateways wait that are started next.
     pub watch_ms: u64,
+    /// Within which time changes of routes and targets have to be in force at gateways that are started next.
+    pub within_ms: u64,
     /// Storage hosts' processes that gateways may ask which are started next.
     mirrors: Vec<SocketAddr>,
 }
@@ -96,6 +98,7 @@
             gateways: Vec::new(),
             unready_ms: 300,
             watch_ms: 2_000,
+            within_ms: 2_000,
             mirrors: Vec::new(),
         }
     }
@@ -164,10 +167,12 @@
             "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
              peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
-             store.watch_ms = {}\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
+             store.watch_ms = {}\nstore.routes_within_ms = {}\nstore.targets_within_ms = {}\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
              regions.brisbane-north = \"brisbane\"\nmirrors.addresses = {:?}\n",
             store,
             self.watch_ms,
+            self.within_ms,
+            self.within_ms,
             self.unready_ms,
             self.mirrors.iter().map(SocketAddr::to_string).collect::<Vec<String>>(),
         );
