Renew watches in turns, and ask anew when another gateway has seen more

What callers saw: after a silence of the store of less than a second they were served by routes that had been replaced more than ten seconds before, and requests went to targets that were leaving.

Cause: a watch that is asked while the store is silent is never answered. It hears nothing and cannot tell that from a store without changes, so it waited 25 s and 1.5 s beyond. Class: the absence of an event taken for the absence of a change. Ruled out: late return after a noticed outage (regained 0.7 s after it), the relay between gateways (all were equally behind).

Change: watches end in turns (samphiredoor_core::renewal). Statuses tell the newest change of each kind that a gateway has seen; whoever has not seen it asks anew. A watch that gets no answer has the process's other watches asked anew. A follower that had been deaf gives lapsed entries the same grace as after an outage.

--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod orders;
 pub mod placement;
 pub mod quarantine;
+pub mod renewal;
 pub mod routes;
 pub mod store;
 pub mod time;
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -28,5 +28,6 @@
 mod peers;
 mod placement;
 mod routes;
+mod sightings;
 mod target_client;
 mod watch;
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -318,6 +318,7 @@
             stopping: self.stopping.get(),
             requests: requests.clone(),
             jobs,
+            seen: self.roster.sightings().own(),
         }
     }
 
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -9,9 +9,10 @@
 };
 
 use rand::seq::SliceRandom;
-use samphiredoor_core::{Name, dispatch::Place, placement::Distance};
+use samphiredoor_core::{Name, dispatch::Place, placement::Distance, renewal::FleetPlace};
 
 use super::status::Status;
+use crate::sightings::Sightings;
 
 /// Silence after which a gateway counts as gone. Statuses come at least twice a second and some are lost; jobs of a
 /// gateway that was taken for gone too early are run twice.
@@ -54,6 +55,7 @@
     /// When all gateways were first listed.
     listed: Rc<Cell<Option<Instant>>>,
     peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
+    sightings: Sightings,
 }
 
 /// Whether another gateway works on its jobs.
@@ -70,7 +72,17 @@
 impl Roster {
     /// Roster without peers.
     pub fn new() -> Roster {
-        Roster { started: Instant::now(), listed: Rc::default(), peers: Rc::default() }
+        Roster {
+            started: Instant::now(),
+            listed: Rc::default(),
+            peers: Rc::default(),
+            sightings: Sightings::default(),
+        }
+    }
+
+    /// Newest changes of the store that this process and others have seen.
+    pub fn sightings(&self) -> &Sightings {
+        &self.sightings
     }
 
     /// Notes that all gateways are registered here that were when this process began to follow them.
@@ -111,6 +123,7 @@
         peer.store_reached = status.store_reached;
         peer.stopping = status.stopping;
         peer.routes_version = status.routes_version;
+        self.sightings.told(&status.seen);
         true
     }
 
@@ -152,6 +165,18 @@
         peers.values().filter(|it| it.is_heard()).count()
     }
 
+    /// Place of a process among those that are heard, itself included, in the order of their names.
+    pub fn place_of(&self, own: &Name) -> FleetPlace {
+        let peers = self.peers.borrow();
+        let heard = peers.iter().filter(|(_, it)| it.is_heard());
+        let (mut position, mut processes) = (0, 1);
+        for (name, _) in heard {
+            processes += 1;
+            position += usize::from(name < own);
+        }
+        FleetPlace { position, processes }
+    }
+
     /// Address of a process, in one start of it, if it is heard, whatever it can do now.
     pub fn heard_address(&self, name: &str, incarnation: u64) -> Option<SocketAddr> {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-gateway/src/peers/status.rs
+++ b/crates/samphiredoor-gateway/src/peers/status.rs
@@ -4,9 +4,12 @@
 use samphiredoor_core::{
     ordered::JobName,
     placement::{DoorLoad, DoorState, WaitingItems},
+    store::Version,
 };
 use samphiredoor_schema::peer_capnp::gateway_status;
 
+use crate::sightings::SeenChanges;
+
 /// Bytes of the largest datagram; one packet on common links.
 pub const MAX_BYTES: usize = 1_400;
 /// Targets in one datagram: eight to ten bytes each, packed.
@@ -43,6 +46,8 @@
     pub requests: DoorState,
     /// Jobs that it has come to own lately.
     pub jobs: Vec<OwnedJob>,
+    /// Newest changes that it has seen in the store.
+    pub seen: SeenChanges,
 }
 
 impl Status {
@@ -55,6 +60,10 @@
         root.set_routes_version(self.routes_version);
         root.set_store_reached(self.store_reached);
         root.set_stopping(self.stopping);
+        let mut seen = root.reborrow().init_seen();
+        seen.set_routes(self.seen.routes.0);
+        seen.set_targets(self.seen.targets.0);
+        seen.set_gateways(self.seen.gateways.0);
         let told = self.jobs.len().min(MAX_JOBS);
         let mut jobs = root.reborrow().init_jobs(told as u32);
         for (index, job) in self.jobs.iter().take(told).enumerate() {
@@ -107,8 +116,15 @@
             let name = job.get_name()?.to_str()?.into();
             jobs.push(OwnedJob { name, items: job.get_items() });
         }
+        let seen = root.get_seen()?;
+        let seen = SeenChanges {
+            routes: Version(seen.get_routes()),
+            targets: Version(seen.get_targets()),
+            gateways: Version(seen.get_gateways()),
+        };
         Ok(Status {
             jobs,
+            seen,
             name: root.get_name()?.to_str()?.to_owned(),
             incarnation: root.get_incarnation(),
             routes_version: root.get_routes_version(),
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -26,6 +26,7 @@
     peers::{self, Own, Owners, Roster, Teller},
     placement::{PlacementTask, Placer},
     routes::Routes,
+    sightings::Sighting,
     target_client::TargetClient,
     watch::Follower,
 };
@@ -36,6 +37,8 @@
 const SIDE_HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// How often the operators' bounds on callers are taken over by the listener.
 const LIMITS_PAUSE: Duration = Duration::from_secs(1);
+/// Within which time a gateway that starts has to be known to the others.
+const GATEWAYS_WITHIN: Duration = Duration::from_secs(5);
 pub(crate) const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
@@ -136,12 +139,15 @@
     let client = TargetClient::new(platform.dialect.headers().request_id.clone());
     let targets_known = Rc::new(Cell::new(None));
     let mirrors = Mirrors::new(&common.mirrors);
-    let follow = |kind| {
-        let follower = Follower::new(Rc::clone(&platform.store), kind, common.watch);
-        let follower = follower.with_metrics(Rc::clone(&metrics));
-        follower.with_mirrors(mirrors.clone()).with_health(health.clone())
+    let follow = |kind, within, sighting: &Sighting| {
+        let (name, sighting) = (own.name.clone(), sighting.clone());
+        Follower::new(Rc::clone(&platform.store), kind, common.watch)
+            .with_metrics(Rc::clone(&metrics))
+            .with_mirrors(mirrors.clone())
+            .with_health(health.clone())
+            .with_fleet(roster.clone(), name, within, sighting)
     };
-    let gated = |kind| follow(kind).with_gate(health.clone());
+    let sightings = roster.sightings();
 
     let routes_task = Rc::new(RoutesTask {
         platform: platform.clone(),
@@ -149,7 +155,8 @@
         health: health.clone(),
         metrics: Rc::clone(&metrics),
     });
-    let follow_routes = follow(Kind::Routes).with_in_force_within(common.routes_within);
+    let follow_routes = follow(Kind::Routes, common.routes_within, &sightings.routes)
+        .with_rest_after_changes(common.routes_within);
     let (relayed, relay) = flume::unbounded();
     compio::runtime::spawn(Rc::clone(&routes_task).run_relay(relay)).detach();
     compio::runtime::spawn(routes_task.run(follow_routes)).detach();
@@ -161,14 +168,17 @@
         known: Rc::clone(&targets_known),
         metrics: Rc::clone(&metrics),
     };
-    let follow_targets = gated(Kind::Targets).with_in_force_within(common.targets_within);
+    let follow_targets = follow(Kind::Targets, common.targets_within, &sightings.targets)
+        .with_gate(health.clone())
+        .with_rest_after_changes(common.targets_within);
     compio::runtime::spawn(targets_task.run(follow_targets)).detach();
 
     let (known, wait_known) = flume::bounded(1);
     let register = peers::register(own.clone(), Rc::clone(&platform.store), known);
     compio::runtime::spawn(register).detach();
-    let follow_peers =
-        peers::follow(own.name.clone(), roster.clone(), gated(Kind::Door), wait_known);
+    let follow_gateways =
+        follow(Kind::Door, GATEWAYS_WITHIN, &sightings.gateways).with_gate(health.clone());
+    let follow_peers = peers::follow(own.name.clone(), roster.clone(), follow_gateways, wait_known);
     compio::runtime::spawn(follow_peers).detach();
     let owners = Owners::default();
     let listener = peers::Listener {
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -3,6 +3,9 @@
 //! A follower lists a kind once and then watches it. Whenever the history that it needs is gone, or the store did not
 //! answer, it goes on from what it has, or lists anew; so it may miss changes in between, but never the state that
 //! stands after them.
+//!
+//! A watch that was asked while the store was silent is never answered. It ends in its turn (`renewal`), or sooner when
+//! another call of the process gets no answer, or when another process has seen a change that this one has not.
 
 use std::{
     rc::Rc,
@@ -11,6 +14,7 @@
 
 use samphiredoor_core::{
     Name,
+    renewal::{LastAnswer, Renewal},
     store::{Kind, Stored, Version},
 };
 use samphiredoor_net::pool::within;
@@ -20,6 +24,8 @@
     edge::{Change, Freshness, ObjectStore, WatchAnswer},
     metrics::Metrics,
     mirror::Mirrors,
+    peers::Roster,
+    sightings::Sighting,
 };
 
 /// First pause after a call that got no usable answer.
@@ -37,8 +43,11 @@
 const GATE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for that.
 const GATE_LIMIT: Duration = Duration::from_secs(3);
-/// How often a watch that waits looks whether another call got no answer.
-const DOUBT_PAUSE: Duration = Duration::from_millis(500);
+/// How often a watch that waits looks whether it may be deaf.
+const DOUBT_PAUSE: Duration = Duration::from_millis(250);
+/// Looks in a row at which others have to be ahead; the word of a change may come from them a little sooner than from the
+/// store.
+const LOOKS_BEHIND: u32 = 2;
 /// How long the first list is waited for before others are asked what they saw last. The store answers in a few
 /// milliseconds, and a caller that is refused comes back within some hundred.
 const FIRST_LIST_PATIENCE: Duration = Duration::from_millis(250);
@@ -56,6 +65,23 @@
     Regained,
 }
 
+/// The other processes that follow the same kind.
+struct Fleet {
+    roster: Roster,
+    own: Name,
+    renewal: Renewal,
+    sighting: Sighting,
+}
+
+/// Why a watch that waits may be deaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    /// Another call of the process got no answer.
+    CallLost,
+    /// Another process has seen a change that this one has not.
+    OthersAhead,
+}
+
 /// Follows one kind of objects.
 pub struct Follower {
     store: Rc<dyn ObjectStore>,
@@ -68,6 +94,13 @@
     rest: Duration,
     gate: Option<StoreHealth>,
     health: Option<StoreHealth>,
+    /// The other processes that follow the kind.
+    fleet: Option<Fleet>,
+    last: LastAnswer,
+    /// Whether the last watch was given up because another process is ahead.
+    behind: bool,
+    /// The newest change of others that was asked for; each is asked for once.
+    asked_for: Version,
     /// Who is asked for the first list if the store does not answer; taken when it was asked.
     mirrors: Option<Mirrors>,
     metrics: Option<Rc<Metrics>>,
@@ -89,6 +122,10 @@
             rest: Duration::ZERO,
             gate: None,
             health: None,
+            fleet: None,
+            last: LastAnswer::Nothing,
+            behind: false,
+            asked_for: Version::default(),
             mirrors: None,
             metrics: None,
             heard: Instant::now(),
@@ -101,9 +138,7 @@
         self
     }
 
-    /// Has a watch that waits be asked anew when another call of the process got no answer. A store that falls silent cuts no
-    /// connection, and a watch that was waiting hears nothing when it is back, for as long as it may wait: routes that were
-    /// accepted meanwhile were in force nowhere 5 s later.
+    /// Has a watch that waits be asked anew when another call of the process got no answer.
     pub fn with_health(mut self, health: StoreHealth) -> Follower {
         self.health = Some(health);
         self
@@ -115,8 +150,23 @@
         self
     }
 
-    /// Sets within which time a change has to be in force; the follower rests for a part of it after changes.
-    pub fn with_in_force_within(mut self, within: Duration) -> Follower {
+    /// Has the follower take turns with the other processes that follow the kind, for changes that have to be in force within
+    /// some time, and ask anew when one of them has seen more. Without it a watch that the store has swallowed hides all
+    /// changes for as long as it may wait, from every process at once: callers are served by routes that were replaced,
+    /// and targets that leave get new requests.
+    pub fn with_fleet(
+        mut self,
+        roster: Roster,
+        own: Name,
+        within: Duration,
+        sighting: Sighting,
+    ) -> Follower {
+        self.fleet = Some(Fleet { roster, own, renewal: Renewal::new(within), sighting });
+        self
+    }
+
+    /// Has the follower rest after changes, for a part of the time within which a change has to be in force.
+    pub fn with_rest_after_changes(mut self, within: Duration) -> Follower {
         self.rest = within.mul_f64(REST_PART);
         self
     }
@@ -154,7 +204,9 @@
             };
             let news = !matches!(&seen, Seen::Changes(changes) if changes.is_empty());
             self.changed = news && matches!(seen, Seen::Changes(_));
-            if std::mem::take(&mut self.failures) > 0 {
+            // News that only others told of had been missed: entries may have lapsed with the store, as after a failure.
+            let was_deaf = std::mem::take(&mut self.behind) && news;
+            if std::mem::take(&mut self.failures) > 0 || was_deaf {
                 self.queued = news.then_some(seen);
                 return Seen::Regained;
             }
@@ -188,6 +240,10 @@
     async fn list(&mut self) -> Option<Seen> {
         let (all, version) = list_all(&*self.store, self.kind, Freshness::Current).await?;
         self.since = Some(version);
+        if let Some(fleet) = &self.fleet {
+            all.iter().for_each(|it| fleet.sighting.saw(it.version));
+        }
+        self.last = LastAnswer::Changes;
         self.heard();
         Some(Seen::All(all))
     }
@@ -205,34 +261,52 @@
         }
     }
 
-    /// Notes how a watch ended that was asked at some moment; the first of a row without an answer is logged.
+    /// Notes how a watch ended that was asked at some moment.
     fn watch_ended(&mut self, asked: Instant, answer: &WatchAnswer) {
+        match answer {
+            WatchAnswer::Changes { .. } | WatchAnswer::HistoryGone => {
+                if let Some(metrics) = &self.metrics {
+                    metrics.watch_ended(self.kind, answer.label());
+                }
+                self.heard();
+            }
+            WatchAnswer::Refused => self.watch_failed(asked, answer.label()),
+            WatchAnswer::NoAnswer => {
+                // What swallowed this watch may have swallowed the others of the process.
+                if let (0, Some(health)) = (self.failures, &self.health) {
+                    health.doubt();
+                }
+                self.watch_failed(asked, answer.label());
+            }
+        }
+    }
+
+    /// Notes that a watch ended without a usable answer; the first of a row is logged.
+    fn watch_failed(&mut self, asked: Instant, end: &'static str) {
         if let Some(metrics) = &self.metrics {
-            metrics.watch_ended(self.kind, answer.label());
+            metrics.watch_ended(self.kind, end);
         }
-        match answer {
-            WatchAnswer::Changes { .. } | WatchAnswer::HistoryGone => self.heard(),
-            WatchAnswer::Refused | WatchAnswer::NoAnswer if self.failures == 0 => log::warn!(
-                kind = self.kind.path(), end = answer.label(),
-                waited_ms = asked.elapsed().as_millis() as u64,
-                heard_ms_ago = self.heard.elapsed().as_millis() as u64;
-                "store: watch failed"
-            ),
-            WatchAnswer::Refused | WatchAnswer::NoAnswer => {}
+        if self.failures > 0 {
+            return;
         }
+        log::warn!(
+            kind = self.kind.path(), end, waited_ms = asked.elapsed().as_millis() as u64,
+            heard_ms_ago = self.heard.elapsed().as_millis() as u64;
+            "store: watch failed"
+        );
     }
 
     async fn watch(&mut self, since: Version) -> Option<Seen> {
-        let wait = if self.failures > 0 { RETURNING_WAIT } else { self.wait };
-        let asked = Instant::now();
-        let answer = match &self.health {
-            Some(health) => undoubted(health, self.store.watch(self.kind, since, wait)).await,
-            None => self.store.watch(self.kind, since, wait).await,
-        };
-        self.watch_ended(asked, &answer);
+        let mut asked = self.undoubted(since).await;
+        if matches!(asked, Err(Doubt::OthersAhead)) {
+            self.behind = true;
+            asked = self.undoubted(since).await;
+        }
+        let answer = asked.unwrap_or(WatchAnswer::NoAnswer);
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
+                self.saw(&changes, version);
                 Some(Seen::Changes(changes))
             }
             WatchAnswer::HistoryGone => {
@@ -242,18 +316,71 @@
             WatchAnswer::Refused | WatchAnswer::NoAnswer => None,
         }
     }
-}
 
-/// Waits for the answer to a watch, unless another call gets none meanwhile.
-async fn undoubted(health: &StoreHealth, watch: impl Future<Output = WatchAnswer>) -> WatchAnswer {
-    let before = health.doubts();
-    let mut watch = std::pin::pin!(watch);
-    loop {
-        if let Some(answer) = within(DOUBT_PAUSE, &mut watch).await {
-            return answer;
+    /// Waits for the answer to a watch, until it may be deaf.
+    async fn undoubted(&mut self, since: Version) -> Result<WatchAnswer, Doubt> {
+        let (asked, store) = (Instant::now(), Rc::clone(&self.store));
+        let doubts = self.health.as_ref().map(StoreHealth::doubts);
+        let mut watch = std::pin::pin!(store.watch(self.kind, since, self.wait()));
+        let mut looks_behind = 0;
+        loop {
+            if let Some(answer) = within(DOUBT_PAUSE, &mut watch).await {
+                self.watch_ended(asked, &answer);
+                return Ok(answer);
+            }
+            let doubt = if self.health.as_ref().map(StoreHealth::doubts) != doubts {
+                Some(Doubt::CallLost)
+            } else {
+                looks_behind = if self.is_behind(since) { looks_behind + 1 } else { 0 };
+                (looks_behind >= LOOKS_BEHIND).then_some(Doubt::OthersAhead)
+            };
+            if let Some(doubt) = doubt {
+                self.doubted(asked, doubt);
+                return Err(doubt);
+            }
+        }
+    }
+
+    /// How long the next watch may wait for a change.
+    fn wait(&self) -> Duration {
+        if self.failures > 0 || self.behind {
+            return RETURNING_WAIT;
         }
-        if health.doubts() != before {
-            return WatchAnswer::NoAnswer;
+        match &self.fleet {
+            Some(fleet) => fleet.renewal.wait(fleet.roster.place_of(&fleet.own), self.last),
+            None => self.wait,
+        }
+        .min(self.wait)
+    }
+
+    /// Whether others have seen a change that this process has not, and that it has not asked for yet.
+    fn is_behind(&self, since: Version) -> bool {
+        let others = self.fleet.as_ref().map_or(Version::default(), |it| it.sighting.others());
+        others > since.max(self.asked_for)
+    }
+
+    /// Notes what a list or watch told, for the others.
+    fn saw(&mut self, changes: &[Change], version: Version) {
+        self.last = if changes.is_empty() { LastAnswer::Nothing } else { LastAnswer::Changes };
+        let Some(fleet) = &self.fleet else { return };
+        for change in changes {
+            fleet.sighting.saw(match change {
+                Change::Written(stored) => stored.version,
+                // The store does not tell at which version an object was deleted: at this one at the latest.
+                Change::Deleted(_) => version,
+            });
+        }
+    }
+
+    /// Notes that a watch is given up that was asked at some moment.
+    fn doubted(&mut self, asked: Instant, doubt: Doubt) {
+        let label = match doubt {
+            Doubt::CallLost => "call_lost",
+            Doubt::OthersAhead => "others_ahead",
+        };
+        self.watch_failed(asked, label);
+        if let (Doubt::OthersAhead, Some(fleet)) = (doubt, &self.fleet) {
+            self.asked_for = fleet.sighting.others();
         }
     }
 }
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -114,6 +114,16 @@
   # Jobs that it has come to own lately, so that others need not ask the store whose they are.
   waiting @7 :List(WaitingItems);
   # Items of jobs that wait at it for room, so that places are shared by the number of items.
+  seen @8 :SeenChanges;
+  # Newest changes that it has seen in the store, so that a neighbour whose watch is deaf learns it.
+}
+
+struct SeenChanges {
+  # Versions of the store.
+
+  routes @0 :UInt64;
+  targets @1 :UInt64;
+  gateways @2 :UInt64;
 }
 
 struct WaitingItems {
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -177,7 +177,9 @@
 }
 
 // Callers were served by routes that operators had replaced more than ten seconds before. The store had been silent for less than a
-// second; the watches that gateways asked just then were never answered, and no other call fell into the silence.
+// second; the watches that gateways asked just then were never answered, and no other call fell into the silence. Cause: a watch
+// that hears nothing cannot tell a silent store from one without changes, and waited for 25 s. Evidence: a gateway's routes' watch
+// failed with waited_ms=16001 while its targets' watch was answered twice.
 #[test]
 fn deaf_watches_do_not_keep_routes_from_being_in_force() {
     let mut platform = Platform::new();
@@ -202,6 +204,27 @@
     wait_until("it gets none", || platform.send(0, "/stream/check", "id-2", "").status == 503);
 }
 
+// One gateway's watch is deaf and the other's is not. The deaf one went on sending requests to a target that leaves for as long as
+// its watch might wait; the other's statuses now tell that there is a change it has not seen. Turns of watches are far too long here
+// to help.
+#[test]
+fn a_deaf_watch_is_asked_anew_when_another_gateway_is_ahead() {
+    let mut platform = Platform::new();
+    platform.watch_ms = 300_000;
+    platform.within_ms = 600_000;
+    let leaving = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    platform.start_gateway();
+    platform.wait_logged(0, "peers: heard");
+    platform.wait_logged(1, "peers: heard");
+    platform.set_way_fault(1, StoreFault::WatchesSilent);
+    std::thread::sleep(Duration::from_millis(100));
+    platform.set_way_fault(1, StoreFault::None);
+    platform.register(&leaving, "draining");
+    platform.wait_logged(1, "others_ahead");
+    wait_until("it gets none", || platform.send(1, "/stream/check", "id-1", "").status == 503);
+}
+
 /// Has no watch answered that waits now, and all that are asked later.
 fn deafen(platform: &Platform) {
     platform.store.set_fault(StoreFault::WatchesSilent);
