--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -120,6 +120,12 @@
         self.idle.borrow().len()
     }
 
+    /// Closes all idle connections, as when one of them went silent: what silenced it may have silenced the others, and
+    /// each would cost another request its whole time limit.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Sends a request and waits for the head of its answer. Dropping the future or the answer's body closes the
     /// connection.
     ///
