Bound the wait of storage hosts' watches

It waits 5 s now. These processes are one a zone; three of them cost some 60 calls in 100 s.

Test: deaf_watches_do_not_keep_a_storage_host_from_being_emptied, red before (never in 90 s).

--- a/crates/samphiredoor-gateway/src/storage.rs
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -22,6 +22,9 @@
     watch::{Follower, Seen},
 };
 
+/// Longest wait of a watch for requests to empty hosts. A watch that the store has swallowed hides them for as long, and the
+/// platform waits for the answer before it takes a host away; these processes are few, so that turns are not needed.
+const RETIREMENT_WATCH: Duration = Duration::from_secs(5);
 /// Pause before a status is written again that was not taken.
 const WRITE_PAUSE: Duration = Duration::from_millis(300);
 /// Tries for one status; whatever then fails is tried again at the next list.
@@ -45,8 +48,8 @@
         };
         log::info!(name = &*config.common.name, mirror; "storage: started, keeps nothing");
         compio::runtime::spawn(ignore_reloads()).detach();
-        let follower =
-            Follower::new(Rc::clone(&platform.store), Kind::Retirement, config.common.watch);
+        let watch = config.common.watch.min(RETIREMENT_WATCH);
+        let follower = Follower::new(Rc::clone(&platform.store), Kind::Retirement, watch);
         let following = std::pin::pin!(follow(platform, follower));
         if let Either::Left(_) = select(following, std::pin::pin!(wait_for_stop())).await {
             log::error!("storage: no longer follows requests to empty hosts");
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -225,6 +225,20 @@
     wait_until("it gets none", || platform.send(1, "/stream/check", "id-1", "").status == 503);
 }
 
+// An operator asks for a storage host to be emptied, and the answer comes half a minute later: the store had been silent for a
+// moment, and the watches of the storage hosts' processes were never answered.
+#[test]
+fn deaf_watches_do_not_keep_a_storage_host_from_being_emptied() {
+    let mut platform = Platform::new();
+    platform.watch_ms = 300_000;
+    let _storage = platform.start_storage("store-1");
+    deafen(&platform);
+    platform.store.put("retirements", "store-1", json!({ "overS": 5 }));
+    wait_until("the host is empty", || {
+        platform.store.status("retirements", "store-1").is_some_and(|it| it["state"] == "completed")
+    });
+}
+
 /// Has no watch answered that waits now, and all that are asked later.
 fn deafen(platform: &Platform) {
     platform.store.set_fault(StoreFault::WatchesSilent);
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -36,7 +36,7 @@
     gateways: Vec<Gateway>,
     /// Time between failing readiness and closing the listener, for gateways that are started next.
     pub unready_ms: u64,
-    /// How long watches of gateways wait that are started next.
+    /// How long watches of processes wait at most that are started next.
     pub watch_ms: u64,
     /// Within which time changes of routes and targets have to be in force at gateways that are started next.
     pub within_ms: u64,
@@ -189,8 +189,8 @@
     pub fn start_storage(&mut self, name: &str) -> TestProcess {
         let settings = format!(
             "name = \"{name}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
-             store.address = \"{}\"\nmirror.address = \"127.0.0.1:0\"\n",
-            self.address
+             store.address = \"{}\"\nstore.watch_ms = {}\nmirror.address = \"127.0.0.1:0\"\n",
+            self.address, self.watch_ms
         );
         let (child, line, _) = self.spawn("storage", name, &settings);
         let (_, mirror) = line.split_once(" mirror=").expect("the address is logged");
