Give the fleet that a follower is part of a module of its own

No behaviour changes: what a follower knows of the other processes (turns, newest changes, what was asked for) leaves watch.rs for fleet.rs.

--- /dev/null
+++ b/crates/samphiredoor-gateway/src/fleet.rs
@@ -0,0 +1,74 @@
+//! A follower among the processes that follow the same kind of objects.
+//!
+//! They take turns in ending their watches (`renewal`), and tell each other the newest change that they have seen.
+
+use std::{cell::Cell, time::Duration};
+
+use samphiredoor_core::{
+    Name,
+    renewal::{LastAnswer, Renewal},
+    store::{Stored, Version},
+};
+
+use crate::{edge::Change, peers::Roster, sightings::Sighting};
+
+/// The fleet, as the follower of one kind meets it.
+pub struct Fleet {
+    roster: Roster,
+    own: Name,
+    renewal: Renewal,
+    sighting: Sighting,
+    last: Cell<LastAnswer>,
+    /// The newest change of others that was asked for; each is asked for once.
+    asked_for: Cell<Version>,
+}
+
+impl Fleet {
+    /// The fleet of process `own`, for changes that have to be in force `within` some time.
+    pub fn new(roster: Roster, own: Name, within: Duration, sighting: Sighting) -> Fleet {
+        Fleet {
+            roster,
+            own,
+            renewal: Renewal::new(within),
+            sighting,
+            last: Cell::new(LastAnswer::Nothing),
+            asked_for: Cell::default(),
+        }
+    }
+
+    /// How long the next watch waits for a change.
+    pub fn wait(&self) -> Duration {
+        self.renewal.wait(self.roster.place_of(&self.own), self.last.get())
+    }
+
+    /// Notes what a list told.
+    pub fn listed(&self, all: &[Stored]) {
+        self.last.set(LastAnswer::Changes);
+        all.iter().for_each(|it| self.sighting.saw(it.version));
+    }
+
+    /// Notes what a watch told, up to a version of the store.
+    pub fn watched(&self, changes: &[Change], version: Version) {
+        self.last.set(match changes {
+            [] => LastAnswer::Nothing,
+            _ => LastAnswer::Changes,
+        });
+        for change in changes {
+            self.sighting.saw(match change {
+                Change::Written(stored) => stored.version,
+                // The store does not tell at which version an object was deleted: at this one at the latest.
+                Change::Deleted(_) => version,
+            });
+        }
+    }
+
+    /// Whether others have seen a change after a version that was not asked for yet.
+    pub fn is_ahead_of(&self, since: Version) -> bool {
+        self.sighting.others() > since.max(self.asked_for.get())
+    }
+
+    /// Notes that the others' newest change is asked for.
+    pub fn ask(&self) {
+        self.asked_for.set(self.sighting.others());
+    }
+}
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //!   back event by event through `front::passing`;
 //! - a **job** comes in at `jobs::submit`, is owned by a `jobs::job_task`, its items run through `jobs::item_run`, and
 //!   its results are read through `jobs::reads` at any gateway;
-//! - **routes** and **targets** come from the store through `discovery`, which watches it;
+//! - **routes** and **targets** come from the store through `discovery`, which watches it (`watch`, in turns with other
+//!   gateways: `fleet`); `store_health` knows whether it answers;
 //! - **other gateways** are met in `peers`;
 //! - what a process needs to start while the store is lost comes from `mirror`, which `storage` runs.
 //!
@@ -21,6 +22,7 @@
 
 mod discovery;
 mod events;
+mod fleet;
 mod front;
 mod jobs;
 mod metrics;
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -19,6 +19,7 @@
     config::{CommonConfig, GatewayConfig},
     discovery::{RoutesTask, TargetsTask},
     edge::{Dialect, Platform},
+    fleet::Fleet,
     front::{self, Front, plain},
     jobs::{self, JobEnv, Jobs},
     metrics::Metrics,
@@ -141,12 +142,12 @@
     let targets_known = Rc::new(Cell::new(None));
     let mirrors = Mirrors::new(&common.mirrors);
     let follow = |kind, within, sighting: &Sighting| {
-        let (name, sighting) = (own.name.clone(), sighting.clone());
+        let fleet = Fleet::new(roster.clone(), own.name.clone(), within, sighting.clone());
         Follower::new(Rc::clone(&platform.store), kind, common.watch)
             .with_metrics(Rc::clone(&metrics))
             .with_mirrors(mirrors.clone())
             .with_health(health.clone())
-            .with_fleet(roster.clone(), name, within, sighting)
+            .with_fleet(fleet)
     };
     let sightings = roster.sightings();
 
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -14,17 +14,15 @@
 
 use samphiredoor_core::{
     Name,
-    renewal::{LastAnswer, Renewal},
     store::{Kind, Stored, Version},
 };
 use samphiredoor_net::pool::within;
 
 use crate::{
     edge::{Change, Freshness, ObjectStore, WatchAnswer},
+    fleet::Fleet,
     metrics::Metrics,
     mirror::Mirrors,
-    peers::Roster,
-    sightings::Sighting,
     store_health::StoreHealth,
 };
 
@@ -65,14 +63,6 @@
     Regained,
 }
 
-/// The other processes that follow the same kind.
-struct Fleet {
-    roster: Roster,
-    own: Name,
-    renewal: Renewal,
-    sighting: Sighting,
-}
-
 /// Why a watch that waits may be deaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Doubt {
@@ -96,11 +86,8 @@
     health: Option<StoreHealth>,
     /// The other processes that follow the kind.
     fleet: Option<Fleet>,
-    last: LastAnswer,
     /// Whether the last watch was given up because another process is ahead.
     behind: bool,
-    /// The newest change of others that was asked for; each is asked for once.
-    asked_for: Version,
     /// Who is asked for the first list if the store does not answer; taken when it was asked.
     mirrors: Option<Mirrors>,
     metrics: Option<Rc<Metrics>>,
@@ -123,9 +110,7 @@
             gate: None,
             health: None,
             fleet: None,
-            last: LastAnswer::Nothing,
             behind: false,
-            asked_for: Version::default(),
             mirrors: None,
             metrics: None,
             heard: Instant::now(),
@@ -150,18 +135,11 @@
         self
     }
 
-    /// Has the follower take turns with the other processes that follow the kind, for changes that have to be in force within
-    /// some time, and ask anew when one of them has seen more. Without it a watch that the store has swallowed hides all
+    /// Has the follower take turns with the other processes that follow the kind, and ask anew when one of them has seen more. Without it a watch that the store has swallowed hides all
     /// changes for as long as it may wait, from every process at once: callers are served by routes that were replaced,
     /// and targets that leave get new requests.
-    pub fn with_fleet(
-        mut self,
-        roster: Roster,
-        own: Name,
-        within: Duration,
-        sighting: Sighting,
-    ) -> Follower {
-        self.fleet = Some(Fleet { roster, own, renewal: Renewal::new(within), sighting });
+    pub fn with_fleet(mut self, fleet: Fleet) -> Follower {
+        self.fleet = Some(fleet);
         self
     }
 
@@ -246,9 +224,8 @@
         let (all, version) = listed?;
         self.since = Some(version);
         if let Some(fleet) = &self.fleet {
-            all.iter().for_each(|it| fleet.sighting.saw(it.version));
+            fleet.listed(&all);
         }
-        self.last = LastAnswer::Changes;
         self.heard();
         Some(Seen::All(all))
     }
@@ -292,7 +269,7 @@
     }
 
     /// Notes that a watch ended without a usable answer; the first of a row is logged.
-    fn watch_failed(&mut self, asked: Instant, end: &'static str) {
+    fn watch_failed(&self, asked: Instant, end: &'static str) {
         if let Some(metrics) = &self.metrics {
             metrics.watch_ended(self.kind, end);
         }
@@ -316,7 +293,9 @@
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.since = Some(version);
-                self.saw(&changes, version);
+                if let Some(fleet) = &self.fleet {
+                    fleet.watched(&changes, version);
+                }
                 Some(Seen::Changes(changes))
             }
             WatchAnswer::HistoryGone => {
@@ -341,7 +320,8 @@
             let doubt = if self.health.as_ref().map(StoreHealth::doubts) != doubts {
                 Some(Doubt::CallLost)
             } else {
-                looks_behind = if self.is_behind(since) { looks_behind + 1 } else { 0 };
+                let behind = self.fleet.as_ref().is_some_and(|it| it.is_ahead_of(since));
+                looks_behind = if behind { looks_behind + 1 } else { 0 };
                 (looks_behind >= LOOKS_BEHIND).then_some(Doubt::OthersAhead)
             };
             if let Some(doubt) = doubt {
@@ -356,41 +336,17 @@
         if self.failures > 0 || self.behind {
             return RETURNING_WAIT;
         }
-        match &self.fleet {
-            Some(fleet) => fleet.renewal.wait(fleet.roster.place_of(&fleet.own), self.last),
-            None => self.wait,
-        }
-        .min(self.wait)
-    }
-
-    /// Whether others have seen a change that this process has not, and that it has not asked for yet.
-    fn is_behind(&self, since: Version) -> bool {
-        let others = self.fleet.as_ref().map_or(Version::default(), |it| it.sighting.others());
-        others > since.max(self.asked_for)
-    }
-
-    /// Notes what a list or watch told, for the others.
-    fn saw(&mut self, changes: &[Change], version: Version) {
-        self.last = if changes.is_empty() { LastAnswer::Nothing } else { LastAnswer::Changes };
-        let Some(fleet) = &self.fleet else { return };
-        for change in changes {
-            fleet.sighting.saw(match change {
-                Change::Written(stored) => stored.version,
-                // The store does not tell at which version an object was deleted: at this one at the latest.
-                Change::Deleted(_) => version,
-            });
-        }
+        self.fleet.as_ref().map_or(self.wait, |it| it.wait().min(self.wait))
     }
 
     /// Notes that a watch is given up that was asked at some moment.
-    fn doubted(&mut self, asked: Instant, doubt: Doubt) {
-        let label = match doubt {
-            Doubt::CallLost => "call_lost",
-            Doubt::OthersAhead => "others_ahead",
-        };
-        self.watch_failed(asked, label);
-        if let (Doubt::OthersAhead, Some(fleet)) = (doubt, &self.fleet) {
-            self.asked_for = fleet.sighting.others();
+    fn doubted(&self, asked: Instant, doubt: Doubt) {
+        match (doubt, &self.fleet) {
+            (Doubt::CallLost, _) => self.watch_failed(asked, "call_lost"),
+            (Doubt::OthersAhead, fleet) => {
+                self.watch_failed(asked, "others_ahead");
+                fleet.iter().for_each(Fleet::ask);
+            }
         }
     }
 }
