--- /dev/null
+++ b/crates/samphiredoor-standin/src/link.rs
@@ -0,0 +1,157 @@
+//! A link on loopback that misbehaves on demand.
+//!
+//! It stands between a process and one address, and passes bytes both ways. Bytes are never left out of a direction that
+//! goes on: a direction that has lost a byte stays silent for as long as its connection lasts, as behind a router that
+//! has forgotten it, while new connections work as soon as the fault is over.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, MutexGuard, Weak},
+    thread,
+    time::Duration,
+};
+
+/// Time by which a slow link delays each piece.
+const SLOW: Duration = Duration::from_millis(150);
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// How a link misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LinkFault {
+    /// It does not.
+    #[default]
+    None,
+    /// Each piece is late.
+    Slow,
+    /// Nothing passes.
+    Silent,
+    /// Nothing passes towards the far side.
+    SilentThere,
+    /// Nothing passes back.
+    SilentBack,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    There,
+    Back,
+}
+
+impl LinkFault {
+    fn silences(self, direction: Direction) -> bool {
+        match self {
+            LinkFault::None | LinkFault::Slow => false,
+            LinkFault::Silent => true,
+            LinkFault::SilentThere => direction == Direction::There,
+            LinkFault::SilentBack => direction == Direction::Back,
+        }
+    }
+}
+
+/// The two halves of a connection through the link; closed when nothing passes any more.
+struct Connection {
+    near: TcpStream,
+    far: TcpStream,
+}
+
+impl Connection {
+    fn ends(&self, direction: Direction) -> (&TcpStream, &TcpStream) {
+        match direction {
+            Direction::There => (&self.near, &self.far),
+            Direction::Back => (&self.far, &self.near),
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    fault: LinkFault,
+    open: Vec<Weak<Connection>>,
+}
+
+/// Handle to a link; it lasts as long as the process.
+#[derive(Clone)]
+pub struct Link {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Link {
+    /// Starts a link to `far`.
+    ///
+    /// # Errors
+    ///
+    /// Why it cannot listen.
+    pub fn start(far: SocketAddr) -> std::io::Result<Link> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let link = Link { address: listener.local_addr()?, state: Arc::default() };
+        let accepting = link.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                accepting.connect(near, far);
+            }
+        });
+        Ok(link)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Has the link misbehave from now on.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.state().fault = fault;
+    }
+
+    /// Ends all open connections.
+    pub fn cut(&self) {
+        for connection in self.state().open.drain(..).filter_map(|it| it.upgrade()) {
+            // One that has ended already needs no end.
+            let _ = connection.near.shutdown(Shutdown::Both);
+            let _ = connection.far.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn connect(&self, near: TcpStream, far: SocketAddr) {
+        // A far side that is gone closes the near one, too.
+        let Ok(far) = TcpStream::connect(far) else { return };
+        let connection = Arc::new(Connection { near, far });
+        {
+            let mut state = self.state();
+            state.open.retain(|it| it.strong_count() > 0);
+            state.open.push(Arc::downgrade(&connection));
+        }
+        for direction in [Direction::There, Direction::Back] {
+            let (link, connection) = (self.clone(), Arc::clone(&connection));
+            thread::spawn(move || link.pass(&connection, direction));
+        }
+    }
+
+    /// Passes bytes one way until the connection ends.
+    fn pass(&self, connection: &Connection, direction: Direction) {
+        let (mut from, mut to) = connection.ends(direction);
+        let mut piece = vec![0; PIECE_BYTES];
+        let mut silent = false;
+        while let Ok(read @ 1..) = from.read(&mut piece) {
+            let fault = self.state().fault;
+            silent |= fault.silences(direction);
+            if fault == LinkFault::Slow {
+                thread::sleep(SLOW);
+            }
+            if !silent && to.write_all(&piece[..read]).is_err() {
+                break;
+            }
+        }
+        silent |= self.state().fault.silences(direction);
+        if !silent {
+            // One that has ended already needs no end.
+            let _ = to.shutdown(Shutdown::Write);
+        }
+    }
+}
