--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -261,10 +261,13 @@
 
     /// Waits until a gateway has logged something.
     pub fn wait_logged(&self, number: usize, text: &str) {
-        wait_until(text, || {
-            let lines = self.gateways[number].lines.lock().expect("nobody panicked");
-            lines.iter().any(|it| it.contains(text))
-        });
+        wait_until(text, || self.times_logged(number, text) > 0);
+    }
+
+    /// How often a gateway has logged something.
+    pub fn times_logged(&self, number: usize, text: &str) -> usize {
+        let lines = self.gateways[number].lines.lock().expect("nobody panicked");
+        lines.iter().filter(|it| it.contains(text)).count()
     }
 
     /// Process of a gateway.
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways on the users' platform, through the real process, with stand-ins of the platform.
 
+mod cells;
 mod discovery;
 mod env;
 mod jobs;
