Begin to follow targets and gateways from lists that may be stale

Its pages may be of different ages: the watch goes on from the oldest, where it went on from the first. Test red before that.

--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -173,6 +173,7 @@
         metrics: Rc::clone(&metrics),
     };
     let follow_targets = follow(Kind::Targets, common.targets_within, &sightings.targets)
+        .with_stale_start()
         .with_gate(health.clone())
         .with_rest_after_changes(common.targets_within);
     compio::runtime::spawn(targets_task.run(follow_targets)).detach();
@@ -180,8 +181,9 @@
     let (known, wait_known) = flume::bounded(1);
     let register = peers::register(own.clone(), Rc::clone(&platform.store), known);
     compio::runtime::spawn(register).detach();
-    let follow_gateways =
-        follow(Kind::Door, GATEWAYS_WITHIN, &sightings.gateways).with_gate(health.clone());
+    let follow_gateways = follow(Kind::Door, GATEWAYS_WITHIN, &sightings.gateways)
+        .with_stale_start()
+        .with_gate(health.clone());
     let follow_peers = peers::follow(roster.clone(), placer.clone(), follow_gateways, wait_known);
     compio::runtime::spawn(follow_peers).detach();
     let (owners, mates) = (Owners::default(), Mates::default());
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -78,6 +78,8 @@
     kind: Kind,
     wait: Duration,
     since: Option<Version>,
+    /// How current the first list has to be; later ones are read because history was missed.
+    first_list: Freshness,
     failures: u32,
     queued: Option<Seen>,
     changed: bool,
@@ -103,6 +105,7 @@
             kind,
             wait,
             since: None,
+            first_list: Freshness::Current,
             failures: 0,
             queued: None,
             changed: false,
@@ -123,6 +126,13 @@
         self
     }
 
+    /// Has the first list be one that may be stale, and costs little. The watch from its version on tells what has changed
+    /// since.
+    pub fn with_stale_start(mut self) -> Follower {
+        self.first_list = Freshness::MayBeStale;
+        self
+    }
+
     /// Has a watch that waits be asked anew when another call of the process got no answer.
     pub fn with_health(mut self, health: StoreHealth) -> Follower {
         self.health = Some(health);
@@ -217,12 +227,13 @@
 
     async fn list(&mut self) -> Option<Seen> {
         let asked = Instant::now();
-        let listed = list_all(&*self.store, self.kind, Freshness::Current).await;
+        let listed = list_all(&*self.store, self.kind, self.first_list).await;
         if let (None, Some(health)) = (&listed, &self.health) {
             health.failed(asked);
         }
         let (all, version) = listed?;
         self.since = Some(version);
+        self.first_list = Freshness::Current;
         if let Some(fleet) = &self.fleet {
             fleet.listed(&all);
         }
@@ -352,18 +363,20 @@
 }
 
 /// Reads all pages of a kind, and the version from which a watch goes on; `None` if a page could not be read.
+///
+/// Changes between the pages are seen again from the oldest page's version on: those of a list that may be stale can be of
+/// any age.
 pub async fn list_all(
     store: &dyn ObjectStore,
     kind: Kind,
     freshness: Freshness,
 ) -> Option<(Vec<Stored>, Version)> {
     let first = store.list(kind, None, freshness).await?;
-    // Changes during the list are seen again from the version of its first page on.
-    let version = first.version;
-    let (mut all, mut has_more) = (first.items, first.has_more);
+    let (mut all, mut version, mut has_more) = (first.items, first.version, first.has_more);
     while has_more && let Some(last) = all.last() {
         let page = store.list(kind, Some(Name::clone(&last.name)), freshness).await?;
         has_more = page.has_more && !page.items.is_empty();
+        version = version.min(page.version);
         all.extend(page.items);
     }
     Some((all, version))
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -73,10 +73,21 @@
     deleted: bool,
 }
 
+type Kinds = BTreeMap<String, BTreeMap<String, Object>>;
+
+/// The store as it stood at a revision.
+#[derive(Debug, Clone)]
+struct Snapshot {
+    revision: u64,
+    kinds: Kinds,
+}
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
-    kinds: BTreeMap<String, BTreeMap<String, Object>>,
+    kinds: Kinds,
+    /// What lists that may be stale are read from, oldest first; the present state where there is none.
+    snapshots: Vec<Snapshot>,
     history: Vec<Event>,
     /// Revisions up to this one are no longer told to watches.
     forgotten: u64,
@@ -129,6 +140,14 @@
         state.history.clear();
     }
 
+    /// Has lists that may be stale show, from now on, the store as it stands now. After several calls they come in pages of
+    /// one object, the first from the newest of these states, each next one from an older one.
+    pub fn keep_for_stale_lists(&self) {
+        let mut state = self.state();
+        let snapshot = Snapshot { revision: state.revision, kinds: state.kinds.clone() };
+        state.snapshots.push(snapshot);
+    }
+
     /// Writes an object as its own writer would.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.state().write(kind, name, |object| object.spec = spec);
@@ -279,13 +298,12 @@
     fn read(&self, segments: &[&str], query: &BTreeMap<String, String>) -> Response<Body> {
         match segments {
             [kind] => {
-                let empty = BTreeMap::new();
                 let after = query.get("after").map_or("", String::as_str);
-                let objects = self.kinds.get(*kind).unwrap_or(&empty).iter();
-                let objects = objects.filter(|(name, _)| name.as_str() > after);
-                let items: Vec<Value> = objects.map(|(name, it)| it.json(name)).collect();
-                let list = json!({ "items": items, "hasMore": false, "currentRev": self.revision });
-                answer(StatusCode::OK, &list)
+                let may_be_stale = query.contains_key("isStale") && !self.snapshots.is_empty();
+                match may_be_stale {
+                    true => self.stale_page(kind, after),
+                    false => list(&self.kinds, self.revision, kind, after, usize::MAX),
+                }
             }
             [kind, name] => match self.kinds.get(*kind).and_then(|it| it.get(*name)) {
                 Some(object) => answer(StatusCode::OK, &object.json(name)),
@@ -295,6 +313,18 @@
         }
     }
 
+    fn stale_page(&self, kind: &str, after: &str) -> Response<Body> {
+        let names =
+            self.kinds.get(kind).map(|it| it.keys().filter(|it| it.as_str() <= after).count());
+        let pages_before = names.unwrap_or(0);
+        let Some(newest) = self.snapshots.len().checked_sub(1) else {
+            return answer(StatusCode::NOT_FOUND, &Value::Null);
+        };
+        let snapshot = &self.snapshots[newest.saturating_sub(pages_before)];
+        let most = if newest == 0 { usize::MAX } else { 1 };
+        list(&snapshot.kinds, snapshot.revision, kind, after, most)
+    }
+
     fn create(&mut self, kind: &str, body: &Value) -> Response<Body> {
         let Some(name) = body["meta"]["name"].as_str() else {
             return answer(StatusCode::BAD_REQUEST, &Value::Null);
@@ -332,6 +362,16 @@
     }
 }
 
+fn list(kinds: &Kinds, revision: u64, kind: &str, after: &str, most: usize) -> Response<Body> {
+    let empty = BTreeMap::new();
+    let objects = kinds.get(kind).unwrap_or(&empty).iter();
+    let mut objects = objects.filter(|(name, _)| name.as_str() > after);
+    let items: Vec<Value> = objects.by_ref().take(most).map(|(name, it)| it.json(name)).collect();
+    let has_more = objects.next().is_some();
+    let list = json!({ "items": items, "hasMore": has_more, "currentRev": revision });
+    answer(StatusCode::OK, &list)
+}
+
 fn query(text: &str) -> BTreeMap<String, String> {
     let pairs = text.split('&').filter_map(|it| it.split_once('='));
     pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -245,3 +245,33 @@
     std::thread::sleep(Duration::from_millis(1_500));
     platform.store.set_fault(StoreFault::None);
 }
+
+// A gateway starts from a list that is older than a target's leaving. It would send requests to that target for as long as
+// it runs.
+#[test]
+fn what_has_changed_since_an_old_list_is_found() {
+    let mut platform = Platform::new();
+    let leaving = platform.start_target("t-1", FAST);
+    platform.store.keep_for_stale_lists();
+    platform.register(&leaving, "draining");
+    platform.start_target("t-2", FAST);
+    platform.start_gateway();
+    platform.wait_logged(0, "targets: changed target=t-2 ");
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
+    assert!(leaving.runs().is_empty());
+}
+
+// The pages of an old list are of different ages. Changes between the oldest and the first one would be missed.
+#[test]
+fn what_has_changed_between_the_pages_of_an_old_list_is_found() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    let leaving = platform.start_target("t-2", FAST);
+    platform.store.keep_for_stale_lists();
+    platform.register(&leaving, "draining");
+    platform.store.keep_for_stale_lists();
+    platform.start_gateway();
+    platform.wait_logged(0, "state=leaving");
+    assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
+    assert!(leaving.runs().is_empty());
+}
