Watch the store through one gateway of each cell

Ruled out: to wait with the first watch until cells are known (a target that left before a start would be used for 1.2 s); two followers a zone, as they would have to be agreed on apart from the cells.

Change: the first gateway of a cell that is heard and reaches the store follows it and keeps what it has seen (core/watch_cache); the others watch through it. A gateway that has missed the store tells so, as lapsed entries of targets need their grace everywhere. Turns of watches are taken by cells, not by gateways. A fleet that is one cell: as before.

Found on the way by the property test, before it ran anywhere: an object that came and went between two lists of the follower was never taken from those who had read it directly. A new list now forgets the changes before it.

Tests: property test of the cache; a change costs a call of each cell; it is found with the follower killed, frozen, turned away, deaf, and with all but one gateway turned away.

--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod store;
 pub mod time;
 pub mod verdict;
+pub mod watch_cache;
 
 use std::sync::Arc;
 
--- a/crates/samphiredoor-gateway/src/fleet.rs
+++ b/crates/samphiredoor-gateway/src/fleet.rs
@@ -5,7 +5,6 @@
 use std::{cell::Cell, time::Duration};
 
 use samphiredoor_core::{
-    Name,
     renewal::{LastAnswer, Renewal},
     store::{Stored, Version},
 };
@@ -15,7 +14,6 @@
 /// The fleet, as the follower of one kind meets it.
 pub struct Fleet {
     roster: Roster,
-    own: Name,
     renewal: Renewal,
     sighting: Sighting,
     last: Cell<LastAnswer>,
@@ -24,11 +22,10 @@
 }
 
 impl Fleet {
-    /// The fleet of process `own`, for changes that have to be in force `within` some time.
-    pub fn new(roster: Roster, own: Name, within: Duration, sighting: Sighting) -> Fleet {
+    /// The fleet, for changes that have to be in force `within` some time.
+    pub fn new(roster: Roster, within: Duration, sighting: Sighting) -> Fleet {
         Fleet {
             roster,
-            own,
             renewal: Renewal::new(within),
             sighting,
             last: Cell::new(LastAnswer::Nothing),
@@ -38,7 +35,7 @@
 
     /// How long the next watch waits for a change.
     pub fn wait(&self) -> Duration {
-        self.renewal.wait(self.roster.place_of(&self.own), self.last.get())
+        self.renewal.wait(self.roster.place(), self.last.get())
     }
 
     /// Notes what a list told.
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! a hint; a datagram that is lost is made good by the next one.
 
 mod datagram;
+pub mod followed;
 mod listener;
 mod mates;
 mod owners;
@@ -20,6 +21,7 @@
 
 use samphiredoor_core::{Name, dispatch::Place};
 
+pub use followed::Followed;
 pub use listener::Listener;
 pub use mates::Mates;
 pub use owners::{Owner, Owners};
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -221,11 +221,23 @@
     /// Whether this process speaks for its cell: the first one does that is heard, by their names.
     pub fn speaks(&self) -> bool {
         let listens = self.listed.get().is_some_and(|it| it.elapsed() >= SPEAKS_AFTER);
-        let Some(own) = self.own_cell().filter(|_| listens) else { return false };
+        listens && self.own_cell().is_some() && self.first_before(|_| true).is_none()
+    }
+
+    /// Address of the gateway that follows the store for the own cell, if it is another one: the first one does that is
+    /// heard and reaches the store. `None` where the whole fleet is one cell.
+    pub fn follower(&self) -> Option<SocketAddr> {
+        if self.cells().len() < 2 { None } else { self.first_before(|it| it.store_reached) }
+    }
+
+    /// Address of the first gateway of the own cell, by their names, that stands before this one, is heard and suits.
+    fn first_before(&self, suits: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+        let own = self.own_cell()?;
         let (cells, peers) = (self.cells(), self.peers.borrow());
-        let mut before = cells.doors(own).iter().filter(|it| **it < self.own.name);
+        let before = cells.doors(own).iter().filter(|it| **it < self.own.name);
+        let mut before = before.filter_map(|it| peers.get(it));
         let is_heard = |it: &Peer| it.heard.is_some_and(|it| it.elapsed() < SPEAKER_SILENT);
-        !before.any(|it| peers.get(it).is_some_and(is_heard))
+        before.find(|it| is_heard(it) && suits(it)).map(|it| it.address)
     }
 
     /// Takes what a cell says of one of its gateways; the gateway's name, if it is registered.
@@ -298,14 +310,20 @@
         peers.values().filter(|it| it.is_heard()).count()
     }
 
-    /// Place of a process among those that are heard, itself included, in the order of their names.
-    pub fn place_of(&self, own: &Name) -> FleetPlace {
+    /// Place of this process among those that follow the store: all that are heard, or, in a fleet of several cells, one of
+    /// each.
+    pub fn place(&self) -> FleetPlace {
+        let cells = self.cells();
+        if let Some(own) = self.own_cell().filter(|_| cells.len() > 1) {
+            let position = cells.ids().take_while(|it| *it != own).count();
+            return FleetPlace { position, processes: cells.len() };
+        }
         let peers = self.peers.borrow();
         let heard = peers.iter().filter(|(_, it)| it.is_heard());
         let (mut position, mut processes) = (0, 1);
         for (name, _) in heard {
             processes += 1;
-            position += usize::from(name < own);
+            position += usize::from(*name < self.own.name);
         }
         FleetPlace { position, processes }
     }
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -24,7 +24,7 @@
     jobs::{self, JobEnv, Jobs},
     metrics::Metrics,
     mirror::Mirrors,
-    peers::{self, Mates, Own, Owners, Roster, Speaker, Teller},
+    peers::{self, Followed, Mates, Own, Owners, Roster, Speaker, Teller},
     placement::{PlacementTask, Placer},
     routes::Routes,
     sightings::Sighting,
@@ -65,6 +65,7 @@
     jobs: Jobs,
     metrics: Rc<Metrics>,
     routes: Routes,
+    followed: Followed,
     targets_known: Rc<Cell<Option<usize>>>,
     stopping: Rc<Cell<bool>>,
 }
@@ -142,13 +143,15 @@
     let client = TargetClient::new(platform.dialect.headers().request_id.clone());
     let targets_known = Rc::new(Cell::new(None));
     let mirrors = Mirrors::new(&common.mirrors);
+    let followed = Followed::new(roster.clone());
     let follow = |kind, within, sighting: &Sighting| {
-        let fleet = Fleet::new(roster.clone(), own.name.clone(), within, sighting.clone());
+        let fleet = Fleet::new(roster.clone(), within, sighting.clone());
         Follower::new(Rc::clone(&platform.store), kind, common.watch)
             .with_metrics(Rc::clone(&metrics))
             .with_mirrors(mirrors.clone())
             .with_health(health.clone())
             .with_fleet(fleet)
+            .with_followed(followed.clone(), within)
     };
     let sightings = roster.sightings();
 
@@ -240,7 +243,7 @@
         clock,
         open: Rc::default(),
     };
-    Parts { front: Rc::new(front), jobs, metrics, routes, targets_known, stopping }
+    Parts { front: Rc::new(front), jobs, metrics, routes, followed, targets_known, stopping }
 }
 
 async fn serve_side(
@@ -263,12 +266,16 @@
     };
     compio::runtime::spawn(readiness.run(answer_readiness)).detach();
     let (front, routes) = (Rc::clone(&parts.front), parts.routes.clone());
+    let followed = parts.followed.clone();
     let answer_peers = move |request: Request<Incoming>| {
-        let (front, routes) = (Rc::clone(&front), routes.clone());
+        let (front, routes, followed) = (Rc::clone(&front), routes.clone(), followed.clone());
         async move {
             let jobs = &front.jobs;
             match request.uri().path() {
                 peers::relay::PATH => peers::relay::answer(&routes),
+                path if path.starts_with(peers::followed::ROOT) => {
+                    followed.answer(request.uri()).await
+                }
                 path if path.starts_with(jobs::pass_on::ROOT) => {
                     front::passed_on(Rc::clone(&front), request).await
                 }
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -6,6 +6,8 @@
 //!
 //! A watch that was asked while the store was silent is never answered. It ends in its turn (`renewal`), or sooner when
 //! another call of the process gets no answer, or when another process has seen a change that this one has not.
+//!
+//! In a large fleet most processes watch through another one, and ask the store as soon as that one fails them.
 
 use std::{
     rc::Rc,
@@ -15,6 +17,7 @@
 use samphiredoor_core::{
     Name,
     store::{Kind, Stored, Version},
+    watch_cache::News,
 };
 use samphiredoor_net::pool::within;
 
@@ -23,6 +26,10 @@
     fleet::Fleet,
     metrics::Metrics,
     mirror::Mirrors,
+    peers::{
+        Followed,
+        followed::{self, Told},
+    },
     store_health::StoreHealth,
 };
 
@@ -41,6 +48,12 @@
 const GATE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for that.
 const GATE_LIMIT: Duration = Duration::from_secs(3);
+/// Wait of a watch in the place of one through another process that did not answer; by then another one speaks for the
+/// cell.
+const INSTEAD_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of the time within which a change has to be in force for which a watch through another process waits; one that is
+/// silent is found out in it.
+const RELAYED_PART: f64 = 0.4;
 /// How often a watch that waits looks whether it may be deaf.
 const DOUBT_PAUSE: Duration = Duration::from_millis(250);
 /// Looks in a row at which others have to be ahead; the word of a change may come from them a little sooner than from the
@@ -72,6 +85,16 @@
     OthersAhead,
 }
 
+/// What became of a watch through another process.
+enum Relayed {
+    /// It told this.
+    Seen(Seen),
+    /// It may be deaf.
+    Doubted(Doubt),
+    /// There is none, or it did not answer, or the store has to be asked.
+    Not,
+}
+
 /// Follows one kind of objects.
 pub struct Follower {
     store: Rc<dyn ObjectStore>,
@@ -90,6 +113,15 @@
     fleet: Option<Fleet>,
     /// Whether the last watch was given up because another process is ahead.
     behind: bool,
+    /// What this process has seen, and the one through which it may watch.
+    followed: Option<Followed>,
+    relayed_wait: Duration,
+    /// Who told the last changes that came through another process.
+    told_by: Option<followed::Teller>,
+    /// Whether that one has missed the store since, or is another one.
+    relay_regained: bool,
+    /// Whether the process that was to be watched through has just not answered.
+    relay_silent: bool,
     /// Who is asked for the first list if the store does not answer; taken when it was asked.
     mirrors: Option<Mirrors>,
     metrics: Option<Rc<Metrics>>,
@@ -114,6 +146,11 @@
             health: None,
             fleet: None,
             behind: false,
+            followed: None,
+            relayed_wait: Duration::ZERO,
+            told_by: None,
+            relay_regained: false,
+            relay_silent: false,
             mirrors: None,
             metrics: None,
             heard: Instant::now(),
@@ -153,6 +190,14 @@
         self
     }
 
+    /// Has the follower watch through the process that follows the store for its cell, and keep what it sees for others. A
+    /// change has to be in force `within` some time.
+    pub fn with_followed(mut self, followed: Followed, within: Duration) -> Follower {
+        self.followed = Some(followed);
+        self.relayed_wait = within.mul_f64(RELAYED_PART);
+        self
+    }
+
     /// Has the follower rest after changes, for a part of the time within which a change has to be in force.
     pub fn with_rest_after_changes(mut self, within: Duration) -> Follower {
         self.rest = within.mul_f64(REST_PART);
@@ -194,7 +239,8 @@
             self.changed = news && matches!(seen, Seen::Changes(_));
             // News that only others told of had been missed: entries may have lapsed with the store, as after a failure.
             let was_deaf = std::mem::take(&mut self.behind) && news;
-            if std::mem::take(&mut self.failures) > 0 || was_deaf {
+            let relay_regained = std::mem::take(&mut self.relay_regained);
+            if std::mem::take(&mut self.failures) > 0 || was_deaf || relay_regained {
                 self.queued = news.then_some(seen);
                 return Seen::Regained;
             }
@@ -234,9 +280,7 @@
         let (all, version) = listed?;
         self.since = Some(version);
         self.first_list = Freshness::Current;
-        if let Some(fleet) = &self.fleet {
-            fleet.listed(&all);
-        }
+        self.note_listed(&all, version);
         self.heard();
         Some(Seen::All(all))
     }
@@ -295,18 +339,19 @@
     }
 
     async fn watch(&mut self, since: Version) -> Option<Seen> {
-        let mut asked = self.undoubted(since).await;
+        let mut asked = match self.watch_relayed(since).await {
+            Relayed::Seen(seen) => return Some(seen),
+            Relayed::Doubted(doubt) => Err(doubt),
+            Relayed::Not => self.watch_store(since).await,
+        };
         if matches!(asked, Err(Doubt::OthersAhead)) {
             self.behind = true;
-            asked = self.undoubted(since).await;
+            asked = self.watch_store(since).await;
         }
         let answer = asked.unwrap_or(WatchAnswer::NoAnswer);
         match answer {
             WatchAnswer::Changes { changes, version } => {
-                self.since = Some(version);
-                if let Some(fleet) = &self.fleet {
-                    fleet.watched(&changes, version);
-                }
+                self.note_changes(&changes, version);
                 Some(Seen::Changes(changes))
             }
             WatchAnswer::HistoryGone => {
@@ -317,36 +362,125 @@
         }
     }
 
-    /// Waits for the answer to a watch, until it may be deaf.
-    async fn undoubted(&mut self, since: Version) -> Result<WatchAnswer, Doubt> {
-        let (asked, store) = (Instant::now(), Rc::clone(&self.store));
+    /// Watches through the process that follows the store for this one, unless there is a reason to ask the store.
+    async fn watch_relayed(&mut self, since: Version) -> Relayed {
+        if self.failures > 0 || self.behind {
+            return Relayed::Not;
+        }
+        let Some(followed) = self.followed.clone() else { return Relayed::Not };
+        let Some(address) = followed.follower() else { return Relayed::Not };
+        let (asked, wait) = (Instant::now(), self.relayed_wait);
+        let watch = followed.watch(address, self.kind, since, wait);
+        match self.until_doubted(since, watch).await {
+            Ok(Some(told)) => Relayed::Seen(self.take_told(told)),
+            Ok(None) => {
+                self.watch_failed(asked, "relay_silent");
+                self.relay_silent = true;
+                Relayed::Not
+            }
+            Err(doubt) => {
+                self.doubted(asked, doubt);
+                Relayed::Doubted(doubt)
+            }
+        }
+    }
+
+    /// Takes what another process has seen. One that has missed the store meanwhile may tell of entries that have lapsed.
+    fn take_told(&mut self, told: Told) -> Seen {
+        let before = self.told_by.replace(told.by);
+        self.relay_regained = before.is_some_and(|it| it != told.by);
+        match told.news {
+            News::None => Seen::Changes(Vec::new()),
+            News::Touched { objects, version } => {
+                let changes = objects.into_iter().map(|(name, stored)| match stored {
+                    Some(stored) => Change::Written(stored),
+                    None => Change::Deleted(name),
+                });
+                let changes: Vec<Change> = changes.collect();
+                self.note_changes(&changes, version);
+                Seen::Changes(changes)
+            }
+            News::All { objects, version } => {
+                self.note_listed(&objects, version);
+                self.since = Some(version);
+                Seen::All(objects)
+            }
+        }
+    }
+
+    fn note_listed(&self, all: &[Stored], version: Version) {
+        if let Some(fleet) = &self.fleet {
+            fleet.listed(all);
+        }
+        if let Some(followed) = &self.followed {
+            self.note_regained(followed);
+            followed.listed(self.kind, all, version);
+        }
+    }
+
+    fn note_changes(&mut self, changes: &[Change], version: Version) {
+        self.since = Some(version);
+        if let Some(fleet) = &self.fleet {
+            fleet.watched(changes, version);
+        }
+        if let Some(followed) = &self.followed {
+            self.note_regained(followed);
+            followed.changed(self.kind, changes, version);
+        }
+    }
+
+    /// Those that watch through this process have to know that it had missed the store, before they see what has lapsed.
+    fn note_regained(&self, followed: &Followed) {
+        if self.failures > 0 || self.behind || self.relay_regained {
+            followed.regained(self.kind);
+        }
+    }
+
+    async fn watch_store(&mut self, since: Version) -> Result<WatchAnswer, Doubt> {
+        let asked = Instant::now();
+        let store = Rc::clone(&self.store);
+        let watch = store.watch(self.kind, since, self.wait());
+        let answer = self.until_doubted(since, watch).await;
+        match &answer {
+            Ok(answer) => self.watch_ended(asked, answer),
+            Err(doubt) => self.doubted(asked, *doubt),
+        }
+        answer
+    }
+
+    /// Waits for the end of a watch, until it may be deaf.
+    async fn until_doubted<T>(
+        &self,
+        since: Version,
+        watch: impl Future<Output = T>,
+    ) -> Result<T, Doubt> {
         let doubts = self.health.as_ref().map(StoreHealth::doubts);
-        let mut watch = std::pin::pin!(store.watch(self.kind, since, self.wait()));
+        let mut watch = std::pin::pin!(watch);
         let mut looks_behind = 0;
         loop {
             if let Some(answer) = within(DOUBT_PAUSE, &mut watch).await {
-                self.watch_ended(asked, &answer);
                 return Ok(answer);
             }
-            let doubt = if self.health.as_ref().map(StoreHealth::doubts) != doubts {
-                Some(Doubt::CallLost)
-            } else {
-                let behind = self.fleet.as_ref().is_some_and(|it| it.is_ahead_of(since));
-                looks_behind = if behind { looks_behind + 1 } else { 0 };
-                (looks_behind >= LOOKS_BEHIND).then_some(Doubt::OthersAhead)
-            };
-            if let Some(doubt) = doubt {
-                self.doubted(asked, doubt);
-                return Err(doubt);
+            if self.health.as_ref().map(StoreHealth::doubts) != doubts {
+                return Err(Doubt::CallLost);
+            }
+            let behind = self.fleet.as_ref().is_some_and(|it| it.is_ahead_of(since));
+            looks_behind = if behind { looks_behind + 1 } else { 0 };
+            if looks_behind >= LOOKS_BEHIND {
+                return Err(Doubt::OthersAhead);
             }
         }
     }
 
     /// How long the next watch may wait for a change.
-    fn wait(&self) -> Duration {
+    fn wait(&mut self) -> Duration {
+        let relay_silent = std::mem::take(&mut self.relay_silent);
         if self.failures > 0 || self.behind {
             return RETURNING_WAIT;
         }
+        if relay_silent {
+            return INSTEAD_WAIT.min(self.wait);
+        }
         self.fleet.as_ref().map_or(self.wait, |it| it.wait().min(self.wait))
     }
 
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -167,6 +167,27 @@
   # Time since the store last answered it anything, so that a neighbour learns whether it alone misses the store.
 }
 
+struct FollowedNews {
+  # What a gateway that follows the store has seen of a kind, for one that watches through it.
+
+  incarnation @0 :UInt64;
+  # Which start of the gateway that tells it.
+  outages @1 :UInt64;
+  # How often it has missed the store: entries of targets may have lapsed meanwhile.
+  version @2 :UInt64;
+  # Version of the store up to which everything is told; 0 if there is nothing new.
+  isWhole @3 :Bool;
+  # Whether the objects are all that there are.
+  objects @4 :List(FollowedObject);
+}
+
+struct FollowedObject {
+  name @0 :Text;
+  version @1 :UInt64;
+  isGone @2 :Bool;
+  value @3 :Data;
+}
+
 struct SeenChanges {
   # Versions of the store.
 
--- a/crates/samphiredoor/tests/it/platform/cells.rs
+++ b/crates/samphiredoor/tests/it/platform/cells.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::env::Platform;
+use samphiredoor_standin::platform_store::StoreFault;
+use serde_json::json;
+
+use super::env::{Platform, route};
 use crate::env::wait_until;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -62,3 +65,75 @@
         platform.times_logged(IN_FIRST_CELL, "peers: heard peer=gateway-3 ") >= 2
     });
 }
+
+/// Puts routes in force that serve only a path of this version.
+fn put_path(platform: &Platform, version: u64) {
+    let mut new = route("stream", 1, false);
+    new["pathPrefix"] = json!(format!("/path-{version}/"));
+    platform.store.put("config", "main", json!({ "version": version, "routes": [new] }));
+}
+
+fn wait_in_force(platform: &Platform, by: usize, version: u64) {
+    let path = format!("/path-{version}/check");
+    wait_until("the new routes are in force", || {
+        platform.send(by, &path, &format!("id-{by}-{version}"), "").status == 200
+    });
+}
+
+/// Two cells that have heard each other and follow the store through their first gateways.
+fn following_cells() -> Platform {
+    let mut platform = two_cells();
+    platform.start_target("t-1", FAST);
+    wait_heard(&platform, IN_FIRST_CELL, IN_SECOND_CELL);
+    for number in 0..GATEWAYS {
+        platform.wait_logged(number, "targets: changed target=t-1 ");
+    }
+    put_path(&platform, 2);
+    for number in 0..GATEWAYS {
+        wait_in_force(&platform, number, 2);
+    }
+    platform
+}
+
+// Each change would cost a call of each gateway.
+#[test]
+fn a_change_costs_a_call_of_each_cell() {
+    let platform = following_cells();
+    let calls = |platform: &Platform| platform.store.calls()["GET config"];
+    let before = calls(&platform);
+    put_path(&platform, 3);
+    for number in 0..GATEWAYS {
+        wait_in_force(&platform, number, 3);
+    }
+    let asked = calls(&platform) - before;
+    assert!(asked < GATEWAYS as u64, "calls for one change: {asked}");
+}
+
+macro_rules! change_found {
+    ($($name:ident: $harm:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut platform = following_cells();
+            let harm: fn(&mut Platform) = $harm;
+            harm(&mut platform);
+            put_path(&platform, 3);
+            wait_in_force(&platform, IN_SECOND_CELL, 3);
+            wait_in_force(&platform, IN_FIRST_CELL, 3);
+        }
+    )*};
+}
+
+// What follows the store for a cell fails it; the others of the cell must still hear of changes.
+change_found! {
+    a_change_is_found_whose_follower_is_killed: |it| it.gateway(FIRST_OF_SECOND_CELL).kill();
+    a_change_is_found_whose_follower_is_frozen: |it| it.signal(FIRST_OF_SECOND_CELL, "STOP");
+    a_change_is_found_whose_follower_is_turned_away: |it| {
+        it.set_way_fault(FIRST_OF_SECOND_CELL, StoreFault::Busy);
+    };
+    a_change_is_found_whose_follower_is_deaf: |it| {
+        it.set_way_fault(FIRST_OF_SECOND_CELL, StoreFault::WatchesSilent);
+    };
+    a_change_is_found_where_all_but_one_are_turned_away: |it| {
+        (0..GATEWAYS - 1).for_each(|number| it.set_way_fault(number, StoreFault::Busy));
+    };
+}
