--- a/crates/samphiredoor-gateway/src/peers/registration.rs
+++ b/crates/samphiredoor-gateway/src/peers/registration.rs
@@ -87,7 +87,11 @@
             }),
             Seen::Lost | Seen::Regained => continue,
         }
-        placer.own_targets(roster.own_targets());
+        let own_targets = roster.own_targets();
+        let (cells, mates, targets) =
+            (roster.cells().len(), roster.mates().len(), own_targets.len());
+        log::info!(cells, mates, targets; "peers: cells worked out");
+        placer.own_targets(own_targets);
     }
 }
 
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -10,6 +10,7 @@
 //! In a large fleet most processes watch through another one, and ask the store as soon as that one fails them.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -116,6 +117,8 @@
     /// What this process has seen, and the one through which it may watch.
     followed: Option<Followed>,
     relayed_wait: Duration,
+    /// Process that was last watched through.
+    relay: Option<SocketAddr>,
     /// Who told the last changes that came through another process.
     told_by: Option<followed::Teller>,
     /// Whether that one has missed the store since, or is another one.
@@ -148,6 +151,7 @@
             behind: false,
             followed: None,
             relayed_wait: Duration::ZERO,
+            relay: None,
             told_by: None,
             relay_regained: false,
             relay_silent: false,
@@ -369,6 +373,9 @@
         }
         let Some(followed) = self.followed.clone() else { return Relayed::Not };
         let Some(address) = followed.follower() else { return Relayed::Not };
+        if self.relay.replace(address) != Some(address) {
+            log::info!(kind = self.kind.path(), peer:% = address; "store: followed through another gateway");
+        }
         let (asked, wait) = (Instant::now(), self.relayed_wait);
         let watch = followed.watch(address, self.kind, since, wait);
         match self.until_doubted(since, watch).await {
