--- a/crates/samphiredoor/tests/it/platform/cells.rs
+++ b/crates/samphiredoor/tests/it/platform/cells.rs
@@ -137,3 +137,20 @@
         (0..GATEWAYS - 1).for_each(|number| it.set_way_fault(number, StoreFault::Busy));
     };
 }
+
+// The gateways that follow the store miss it for a moment, and entries lapse meanwhile. Those that watch through them missed
+// nothing themselves, and would drop all targets at once.
+#[test]
+fn targets_that_lapsed_while_the_followers_missed_the_store_still_serve() {
+    let platform = following_cells();
+    let followers = [IN_FIRST_CELL, FIRST_OF_SECOND_CELL];
+    followers.iter().for_each(|it| platform.set_way_fault(*it, StoreFault::Busy));
+    std::thread::sleep(Duration::from_millis(700));
+    platform.store.remove("servers", "t-1");
+    followers.iter().for_each(|it| platform.set_way_fault(*it, StoreFault::None));
+    for number in 0..8 {
+        let answer = platform.send(IN_SECOND_CELL, "/path-2/check", &format!("id-{number}"), "");
+        assert_eq!(answer.status, 200);
+        std::thread::sleep(Duration::from_millis(150));
+    }
+}
