Spare the calls of starts: read the own entry, ask mates before they are heard

Change: the list of gateways, which may be stale, comes first and tells whether the own entry stands; routes are listed so, too; in its first 1.2 s a process takes for heard whom it has not heard yet, and watches through it. An entry that the store has written in another form is no longer replaced.

Test: a_gateway_that_starts_again_does_not_register_again, red before (two creates).

--- a/crates/samphiredoor-gateway/src/peers/registration.rs
+++ b/crates/samphiredoor-gateway/src/peers/registration.rs
@@ -7,7 +7,6 @@
     dispatch::Place,
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value},
 };
-use samphiredoor_net::pool::within;
 use serde_json::json;
 
 use super::{Own, Roster};
@@ -17,26 +16,21 @@
     watch::{Follower, Seen},
 };
 
-/// Wait of the first list of all gateways: those that start together have registered by then, and are not seen one by
-/// one.
+/// Wait of a process that was not registered before it looks for the others: those that start together have registered by
+/// then, and are not seen one by one.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pause before registering is tried again.
 const REGISTER_PAUSE: Duration = Duration::from_millis(500);
 
-/// Registers this process until the store has it. `known` is told if it was registered before, as after a restart.
-pub async fn register(own: Own, store: Rc<dyn ObjectStore>, known: flume::Sender<()>) {
+/// Registers this process until the store has it.
+async fn register(own: Own, store: Rc<dyn ObjectStore>, found: Found) {
     let key = ObjectKey::new(Kind::Door, Name::clone(&own.name));
     let value: Value = entry(&own);
     loop {
-        let create =
-            StoreOp::Create { key: key.clone(), labels: Labels::new(), value: value.clone() };
-        let answer = match store.call(create).await {
-            StoreAnswer::Taken => {
-                // Nobody waits for it any more if the other entries are followed already.
-                let _ = known.try_send(());
-                replace(&*store, &key, &value).await
-            }
-            answer => answer,
+        let answer = match found {
+            Found::Nothing => create(&*store, &key, &value).await,
+            Found::Other => replace(&*store, &key, &value).await,
+            Found::Same => return,
         };
         match answer {
             StoreAnswer::Object(_) => return,
@@ -46,10 +40,37 @@
     }
 }
 
+/// What a list has of the own entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    Nothing,
+    /// An entry of an earlier start that tells something else.
+    Other,
+    Same,
+}
+
+fn find(own: &Own, all: &[Stored]) -> Found {
+    match all.iter().find(|it| it.name == own.name) {
+        None => Found::Nothing,
+        Some(stored) if read_entry(&stored.value) == read_entry(&entry(own)) => Found::Same,
+        Some(_) => Found::Other,
+    }
+}
+
+async fn create(store: &dyn ObjectStore, key: &ObjectKey, value: &Value) -> StoreAnswer {
+    let (labels, value) = (Labels::new(), value.clone());
+    let create = StoreOp::Create { key: key.clone(), labels, value: value.clone() };
+    match store.call(create).await {
+        StoreAnswer::Taken => replace(store, key, &value).await,
+        answer => answer,
+    }
+}
+
 async fn replace(store: &dyn ObjectStore, key: &ObjectKey, value: &Value) -> StoreAnswer {
     let found = store.call(StoreOp::Get { key: key.clone() }).await;
     let StoreAnswer::Object(stored) = found else { return found };
-    if stored.value == *value {
+    // The store may have written it in another form.
+    if read_entry(&stored.value) == read_entry(value) {
         return StoreAnswer::Object(stored);
     }
     let (key, version) = (key.clone(), stored.version);
@@ -65,21 +86,26 @@
     entry.to_string().into_bytes().into()
 }
 
-/// Follows the entries of all gateways: at once after a restart, when the others are registered already.
-pub async fn follow(
+/// Registers this process if it is not registered yet, and follows the entries of all gateways: at once after a restart, when
+/// the others are registered already.
+pub async fn run(
     roster: Roster,
     placer: Placer,
+    store: Rc<dyn ObjectStore>,
     mut follower: Follower,
-    known: flume::Receiver<()>,
 ) {
-    if let Some(Err(_)) = within(FOLLOW_PAUSE, known.recv_async()).await {
-        compio::time::sleep(FOLLOW_PAUSE).await;
-    }
+    let mut registering = false;
     loop {
         match follower.next().await {
             Seen::All(all) => {
                 all.iter().for_each(|it| take_entry(&roster, it));
-                roster.listed();
+                let found = find(roster.own(), &all);
+                if !std::mem::replace(&mut registering, true) && found != Found::Same {
+                    let register = register(roster.own().clone(), Rc::clone(&store), found);
+                    compio::runtime::spawn(register).detach();
+                    compio::time::sleep(FOLLOW_PAUSE).await;
+                    continue;
+                }
             }
             Seen::Changes(changes) => changes.iter().for_each(|it| match it {
                 Change::Written(stored) => take_entry(&roster, stored),
@@ -87,6 +113,7 @@
             }),
             Seen::Lost | Seen::Regained => continue,
         }
+        roster.listed();
         let own_targets = roster.own_targets();
         let (cells, mates, targets) =
             (roster.cells().len(), roster.mates().len(), own_targets.len());
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -45,6 +45,11 @@
         self.heard.is_some_and(|it| it.elapsed() < GONE)
     }
 
+    /// Whether it was heard so lately that it may do something for its cell.
+    fn was_just_heard(&self) -> bool {
+        self.heard.is_some_and(|it| it.elapsed() < SPEAKER_SILENT)
+    }
+
     /// Whether it works on its jobs, or is about to hand them over. A job that is taken from a process that stops loses
     /// what its items have put out: with twenty items half done, as much work as ten whole ones.
     fn has_jobs(&self) -> bool {
@@ -221,23 +226,28 @@
     /// Whether this process speaks for its cell: the first one does that is heard, by their names.
     pub fn speaks(&self) -> bool {
         let listens = self.listed.get().is_some_and(|it| it.elapsed() >= SPEAKS_AFTER);
-        listens && self.own_cell().is_some() && self.first_before(|_| true).is_none()
+        listens && self.own_cell().is_some() && self.first_before(Peer::was_just_heard).is_none()
     }
 
     /// Address of the gateway that follows the store for the own cell, if it is another one: the first one does that is
-    /// heard and reaches the store. `None` where the whole fleet is one cell.
+    /// heard and reaches the store. A process that has just started takes for heard whom it has not heard yet. `None` where
+    /// the whole fleet is one cell.
     pub fn follower(&self) -> Option<SocketAddr> {
-        if self.cells().len() < 2 { None } else { self.first_before(|it| it.store_reached) }
+        if self.cells().len() < 2 {
+            return None;
+        }
+        let listens = self.listed.get().is_some_and(|it| it.elapsed() >= SPEAKER_SILENT);
+        let is_heard = |it: &Peer| it.was_just_heard() || (it.heard.is_none() && !listens);
+        self.first_before(|it| is_heard(it) && it.store_reached)
     }
 
-    /// Address of the first gateway of the own cell, by their names, that stands before this one, is heard and suits.
+    /// Address of the first gateway of the own cell, by their names, that stands before this one and suits.
     fn first_before(&self, suits: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
         let own = self.own_cell()?;
         let (cells, peers) = (self.cells(), self.peers.borrow());
         let before = cells.doors(own).iter().filter(|it| **it < self.own.name);
         let mut before = before.filter_map(|it| peers.get(it));
-        let is_heard = |it: &Peer| it.heard.is_some_and(|it| it.elapsed() < SPEAKER_SILENT);
-        before.find(|it| is_heard(it) && suits(it)).map(|it| it.address)
+        before.find(|it| suits(it)).map(|it| it.address)
     }
 
     /// Takes what a cell says of one of its gateways; the gateway's name, if it is registered.
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -162,6 +162,7 @@
         metrics: Rc::clone(&metrics),
     });
     let follow_routes = follow(Kind::Routes, common.routes_within, &sightings.routes)
+        .with_stale_start()
         .with_rest_after_changes(common.routes_within);
     let (relayed, relay) = flume::unbounded();
     compio::runtime::spawn(Rc::clone(&routes_task).run_relay(relay)).detach();
@@ -181,14 +182,16 @@
         .with_rest_after_changes(common.targets_within);
     compio::runtime::spawn(targets_task.run(follow_targets)).detach();
 
-    let (known, wait_known) = flume::bounded(1);
-    let register = peers::register(own.clone(), Rc::clone(&platform.store), known);
-    compio::runtime::spawn(register).detach();
     let follow_gateways = follow(Kind::Door, GATEWAYS_WITHIN, &sightings.gateways)
         .with_stale_start()
         .with_gate(health.clone());
-    let follow_peers = peers::follow(roster.clone(), placer.clone(), follow_gateways, wait_known);
-    compio::runtime::spawn(follow_peers).detach();
+    let registration = peers::registration::run(
+        roster.clone(),
+        placer.clone(),
+        Rc::clone(&platform.store),
+        follow_gateways,
+    );
+    compio::runtime::spawn(registration).detach();
     let (owners, mates) = (Owners::default(), Mates::default());
     let listener = peers::Listener {
         socket: Rc::clone(&socket),
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -275,3 +275,19 @@
     assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
     assert!(leaving.runs().is_empty());
 }
+
+// All gateways are killed and start again. Each would write its entry, which stands already, and read it.
+#[test]
+fn a_gateway_that_starts_again_does_not_register_again() {
+    let mut platform = Platform::new();
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    wait_until("it is registered", || !platform.store.names("doors").is_empty());
+    let creates = |platform: &Platform| platform.store.calls()["POST doors"];
+    let before = creates(&platform);
+    platform.gateway(0).kill();
+    platform.restart_gateway(0);
+    platform.wait_ready(0);
+    platform.wait_logged(0, "peers: cells worked out");
+    assert_eq!(creates(&platform), before);
+}
