--- a/crates/samphiredoor-gateway/src/peers/speaker.rs
+++ b/crates/samphiredoor-gateway/src/peers/speaker.rs
@@ -13,6 +13,9 @@
 
 use super::{Mates, Roster, datagram::Datagram, listener::send_to_all};
 
+/// How often a process whose fleet is one cell looks whether there are others by now.
+const ALONE_PAUSE: Duration = Duration::from_millis(800);
+
 /// Speaks for the own cell while that is this process's part.
 pub struct Speaker {
     /// Socket to send from.
@@ -29,6 +32,10 @@
         let mut far_told = Instant::now();
         loop {
             let (near, far) = self.other_cells();
+            if near.is_empty() && far.is_empty() {
+                compio::time::sleep(ALONE_PAUSE).await;
+                continue;
+            }
             compio::time::sleep(pause(Distance::Region, &near)).await;
             if !self.roster.speaks() {
                 continue;
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -186,9 +186,9 @@
         self
     }
 
-    /// Has the follower take turns with the other processes that follow the kind, and ask anew when one of them has seen more. Without it a watch that the store has swallowed hides all
-    /// changes for as long as it may wait, from every process at once: callers are served by routes that were replaced,
-    /// and targets that leave get new requests.
+    /// Has the follower take turns with the other processes that follow the kind, and ask anew when one of them has seen
+    /// more. Without it a watch that the store has swallowed hides all changes for as long as it may wait, from every process
+    /// at once: callers are served by routes that were replaced, and targets that leave get new requests.
     pub fn with_fleet(mut self, fleet: Fleet) -> Follower {
         self.fleet = Some(fleet);
         self
