Have two gateways speak for a cell, and wait longer for those of other cells

Cause, by reading: where the one speaker of a cell is killed or frozen, gateways beyond the region hear nothing of its cell for up to 3.3 s (0.5 s between statuses, 0.8 s of pause, 1.2 s until it is noticed, 0.8 s of pause), and took its gateways for gone after 2.5 s: their jobs are taken, and an end of a job of theirs is acknowledged that they were not told of.

Change: two speak; who is heard through another cell counts as gone 1.2 s later.

Test: a cell whose speakers freeze is heard all the while. It was not red before: within a region summaries come each 0.1 s.

--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -24,6 +24,11 @@
 pub(super) const GONE: Duration = Duration::from_millis(2_500);
 /// Silence after which the next gateway of a cell speaks for it. Statuses come at least twice a second.
 const SPEAKER_SILENT: Duration = Duration::from_millis(1_200);
+/// Gateways of a cell that speak for it: where one is lost, the others are still heard.
+const SPEAKERS: usize = 2;
+/// Silence after which a gateway of another cell counts as gone. All that speak for its cell may be lost at once, and the
+/// next ones begin later by the time in which that is noticed.
+const GONE_ELSEWHERE: Duration = GONE.saturating_add(SPEAKER_SILENT);
 /// Time after the first list of gateways from which this one speaks for its cell; by then it has heard the others.
 const SPEAKS_AFTER: Duration = Duration::from_millis(1_000);
 /// How long a gateway is remembered that is not heard, in the count of those that there should be.
@@ -34,6 +39,8 @@
     address: SocketAddr,
     place: Place,
     heard: Option<Instant>,
+    /// Silence after which it counts as gone.
+    gone_after: Duration,
     incarnation: u64,
     store_reached: bool,
     stopping: bool,
@@ -42,7 +49,7 @@
 
 impl Peer {
     fn is_heard(&self) -> bool {
-        self.heard.is_some_and(|it| it.elapsed() < GONE)
+        self.heard.is_some_and(|it| it.elapsed() < self.gone_after)
     }
 
     /// Whether it was heard so lately that it may do something for its cell.
@@ -131,6 +138,7 @@
             address,
             place: place.clone(),
             heard: None,
+            gone_after: GONE,
             incarnation: 0,
             store_reached: true,
             stopping: false,
@@ -223,10 +231,11 @@
         among.choose(&mut rand::rng()).map(|it| it.address)
     }
 
-    /// Whether this process speaks for its cell: the first one does that is heard, by their names.
+    /// Whether this process speaks for its cell: the first ones do that are heard, by their names.
     pub fn speaks(&self) -> bool {
         let listens = self.listed.get().is_some_and(|it| it.elapsed() >= SPEAKS_AFTER);
-        listens && self.own_cell().is_some() && self.first_before(Peer::was_just_heard).is_none()
+        let before = self.before(Peer::was_just_heard);
+        listens && before.is_some_and(|it| it.len() < SPEAKERS)
     }
 
     /// Address of the gateway that follows the store for the own cell, if it is another one: the first one does that is
@@ -238,16 +247,16 @@
         }
         let listens = self.listed.get().is_some_and(|it| it.elapsed() >= SPEAKER_SILENT);
         let is_heard = |it: &Peer| it.was_just_heard() || (it.heard.is_none() && !listens);
-        self.first_before(|it| is_heard(it) && it.store_reached)
+        self.before(|it| is_heard(it) && it.store_reached)?.first().copied()
     }
 
-    /// Address of the first gateway of the own cell, by their names, that stands before this one and suits.
-    fn first_before(&self, suits: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+    /// Addresses of the gateways of the own cell that stand before this one, by their names, and suit; `None` without a cell.
+    fn before(&self, suits: impl Fn(&Peer) -> bool) -> Option<Vec<SocketAddr>> {
         let own = self.own_cell()?;
         let (cells, peers) = (self.cells(), self.peers.borrow());
         let before = cells.doors(own).iter().filter(|it| **it < self.own.name);
-        let mut before = before.filter_map(|it| peers.get(it));
-        before.find(|it| suits(it)).map(|it| it.address)
+        let suiting = before.filter_map(|it| peers.get(it)).filter(|it| suits(it));
+        Some(suiting.map(|it| it.address).collect())
     }
 
     /// Takes what a cell says of one of its gateways; the gateway's name, if it is registered.
@@ -260,6 +269,7 @@
         if heard > peer.heard {
             note_heard(&name, peer, member.incarnation);
             peer.heard = heard;
+            peer.gone_after = GONE_ELSEWHERE;
             peer.incarnation = member.incarnation;
             peer.store_reached = member.store_reached;
             peer.stopping = member.stopping;
@@ -270,10 +280,12 @@
 
     /// Takes a status; says whether its gateway is registered.
     pub fn heard(&self, status: &Status) -> bool {
+        let gone_after = if self.is_mate(&status.name) { GONE } else { GONE_ELSEWHERE };
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(status.name.as_str()) else { return false };
         note_heard(&status.name, peer, status.incarnation);
         peer.heard = Some(Instant::now());
+        peer.gone_after = gone_after;
         peer.incarnation = status.incarnation;
         peer.store_reached = status.store_reached;
         peer.stopping = status.stopping;
--- a/crates/samphiredoor-gateway/src/peers/speaker.rs
+++ b/crates/samphiredoor-gateway/src/peers/speaker.rs
@@ -1,7 +1,7 @@
 //! Tells other cells what the own cell's gateways have told each other.
 //!
-//! One gateway of each cell speaks for it, and the next one as soon as that is not heard any more. It tells one gateway of
-//! each other cell, which passes it on in its own.
+//! Two gateways of each cell speak for it, and the next one as soon as one of them is not heard any more. Each tells one
+//! gateway of each other cell, which passes it on in its own.
 
 use std::{
     rc::Rc,
--- a/crates/samphiredoor/tests/it/platform/cells.rs
+++ b/crates/samphiredoor/tests/it/platform/cells.rs
@@ -66,6 +66,20 @@
     });
 }
 
+// Those that speak for a cell freeze. The other cell would take all others of it for gone, take their jobs, and acknowledge
+// ends of jobs that run on.
+#[test]
+fn a_cell_whose_speakers_freeze_is_not_taken_for_gone() {
+    let platform = two_cells();
+    wait_heard(&platform, IN_FIRST_CELL, IN_SECOND_CELL);
+    for speaker in [FIRST_OF_SECOND_CELL, FIRST_OF_SECOND_CELL + 1] {
+        platform.signal(speaker, "STOP");
+    }
+    std::thread::sleep(Duration::from_secs(6));
+    let heard = format!("peers: heard peer=gateway-{IN_SECOND_CELL} ");
+    assert_eq!(platform.times_logged(IN_FIRST_CELL, &heard), 1, "it was heard all the while");
+}
+
 /// Puts routes in force that serve only a path of this version.
 fn put_path(platform: &Platform, version: u64) {
     let mut new = route("stream", 1, false);
