Do not believe a cell that tells of starts that are over

Cause, by reading: a speaker that was frozen wakes with what it knew before, its clock not having counted the sleep. Its summary would put a mate's former start in the place of the present one, for up to 0.8 s, in which that mate's jobs count as nobody's.

Change: a lower start is believed only of a gateway that is not heard. A clock that was set back delays a new start's being heard by 3.7 s. No test: it needs two regions, a freeze and a restart in it.

Source instead of Teller for who told of the store: the name stood for two things.

--- a/crates/samphiredoor-gateway/src/peers/followed.rs
+++ b/crates/samphiredoor-gateway/src/peers/followed.rs
@@ -37,7 +37,7 @@
 
 /// Which start of a gateway told something, and how often it had missed the store by then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Teller {
+pub struct Source {
     /// Which start of it.
     pub incarnation: u64,
     /// How often it has missed the store.
@@ -48,7 +48,7 @@
 #[derive(Debug)]
 pub struct Told {
     /// Who told it.
-    pub by: Teller,
+    pub by: Source,
     /// What is new.
     pub news: News,
 }
@@ -135,7 +135,7 @@
         of_kind.waiting.retain(|it| !it.is_disconnected());
         of_kind.waiting.push(waiting);
         let incarnation = self.roster.own().incarnation;
-        let by = Teller { incarnation, outages: of_kind.outages };
+        let by = Source { incarnation, outages: of_kind.outages };
         Some((Told { by, news }, changed))
     }
 
@@ -239,7 +239,7 @@
     let options = message::ReaderOptions::new();
     let message = serialize_packed::read_message(bytes, options)?;
     let root = message.get_root::<followed_news::Reader<'_>>()?;
-    let by = Teller { incarnation: root.get_incarnation(), outages: root.get_outages() };
+    let by = Source { incarnation: root.get_incarnation(), outages: root.get_outages() };
     let version = Version(root.get_version());
     let mut objects: BTreeMap<Name, Option<Stored>> = BTreeMap::new();
     for object in root.get_objects()? {
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -265,8 +265,10 @@
         let mut peers = self.peers.borrow_mut();
         let peer = peers.get_mut(&name)?;
         let heard = Instant::now().checked_sub(Duration::from_millis(member.heard_ms.into()));
+        // A cell whose speaker has been frozen tells of starts that are over.
+        let is_over = member.incarnation < peer.incarnation && peer.is_heard();
         // What it has told itself since is newer.
-        if heard > peer.heard {
+        if heard > peer.heard && !is_over {
             note_heard(&name, peer, member.incarnation);
             peer.heard = heard;
             peer.gone_after = GONE_ELSEWHERE;
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -120,7 +120,7 @@
     /// Process that was last watched through.
     relay: Option<SocketAddr>,
     /// Who told the last changes that came through another process.
-    told_by: Option<followed::Teller>,
+    told_by: Option<followed::Source>,
     /// Whether that one has missed the store since, or is another one.
     relay_regained: bool,
     /// Whether the process that was to be watched through has just not answered.
