Wait for gateways of other cells that were never heard before they count as gone

Cause, by reading and not proved by a trace: a gateway that has just started took whom it had not heard 2.5 s after its first list of gateways for gone. Those of other cells it hears only when their speakers have begun, 1 s after their own first list, and after pauses. An end that reaches it meanwhile is acknowledged without the owner, which runs on.

Change: those of other cells count as unknown for 5.9 s, in which the owner is asked where it is registered. Within a cell, and in a fleet of one cell: 2.5 s as before.

--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -31,6 +31,10 @@
 const GONE_ELSEWHERE: Duration = GONE.saturating_add(SPEAKER_SILENT);
 /// Time after the first list of gateways from which this one speaks for its cell; by then it has heard the others.
 const SPEAKS_AFTER: Duration = Duration::from_millis(1_000);
+/// Time after the first list of gateways from which one of another cell that was never heard counts as gone. Its cell may
+/// have started as lately, and begins to speak later.
+const UNHEARD_ELSEWHERE: Duration =
+    GONE_ELSEWHERE.saturating_add(SPEAKS_AFTER).saturating_add(SPEAKER_SILENT);
 /// How long a gateway is remembered that is not heard, in the count of those that there should be.
 const FORGOTTEN: Duration = Duration::from_secs(30);
 
@@ -298,11 +302,13 @@
 
     /// Whether a process, in one start of it, works on its jobs.
     pub fn liveness(&self, name: &str, incarnation: u64) -> Liveness {
+        let is_near = self.cells().len() < 2 || self.is_mate(name);
+        let unheard_for = if is_near { GONE } else { UNHEARD_ELSEWHERE };
         let peers = self.peers.borrow();
         match peers.get(name).filter(|it| it.is_heard()) {
             Some(peer) if peer.incarnation == incarnation && peer.has_jobs() => Liveness::Works,
             Some(_) => Liveness::Gone,
-            _ if self.listed.get().is_none_or(|it| it.elapsed() < GONE) => Liveness::Unknown,
+            _ if self.listed.get().is_none_or(|it| it.elapsed() < unheard_for) => Liveness::Unknown,
             _ => Liveness::Gone,
         }
     }
