Test, red: gateways behind a line that they share never get a large configuration

Eight gateways reach the store through one line of 1 MB a second; the routes take a megabyte. None ever has them: each call is given up after its time limit and what came of the answer is thrown away.

--- a/crates/samphiredoor-standin/src/link.rs
+++ b/crates/samphiredoor-standin/src/link.rs
@@ -9,7 +9,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex, MutexGuard, Weak},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time by which a slow link delays each piece.
@@ -64,9 +64,37 @@
     }
 }
 
+/// Bytes a second that several links share, as the hosts of a region share its line. Pieces pass in the order in which they
+/// come, so that each busy connection gets an equal part.
+#[derive(Clone)]
+pub struct SharedRate {
+    bytes_per_s: u64,
+    /// When the line is free again.
+    free_at: Arc<Mutex<Instant>>,
+}
+
+impl SharedRate {
+    /// A line that carries so much.
+    pub fn new(bytes_per_s: u64) -> SharedRate {
+        SharedRate { bytes_per_s, free_at: Arc::new(Mutex::new(Instant::now())) }
+    }
+
+    /// Waits until the line has carried a piece.
+    fn carry(&self, bytes: usize) {
+        let takes = Duration::from_secs(1).mul_f64(bytes as f64 / self.bytes_per_s as f64);
+        let carried_at = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            *free_at = (*free_at).max(Instant::now()) + takes;
+            *free_at
+        };
+        thread::sleep(carried_at.saturating_duration_since(Instant::now()));
+    }
+}
+
 #[derive(Default)]
 struct State {
     fault: LinkFault,
+    rate: Option<SharedRate>,
     open: Vec<Weak<Connection>>,
 }
 
@@ -105,6 +133,11 @@
         self.state().fault = fault;
     }
 
+    /// Has the link share a line with others, for what comes back.
+    pub fn share(&self, rate: &SharedRate) {
+        self.state().rate = Some(rate.clone());
+    }
+
     /// Ends all open connections.
     pub fn cut(&self) {
         for connection in self.state().open.drain(..).filter_map(|it| it.upgrade()) {
@@ -139,8 +172,14 @@
         let mut piece = vec![0; PIECE_BYTES];
         let mut silent = false;
         while let Ok(read @ 1..) = from.read(&mut piece) {
-            let fault = self.state().fault;
+            let (fault, rate) = {
+                let state = self.state();
+                (state.fault, state.rate.clone().filter(|_| direction == Direction::Back))
+            };
             silent |= fault.silences(direction);
+            if let Some(rate) = rate {
+                rate.carry(read);
+            }
             if fault == LinkFault::Slow {
                 thread::sleep(SLOW);
             }
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -17,7 +17,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use hyper::Method;
 use samphiredoor_standin::{
-    link::Link,
+    link::{Link, SharedRate},
     platform_store::{PlatformStore, StoreFault},
     platform_target::PlatformTarget,
 };
@@ -44,6 +44,8 @@
     pub within_ms: u64,
     /// Whether gateways and targets that are started next are reached through links.
     pub linked: bool,
+    /// Line that the links of gateways to the store share which are started next.
+    pub line: Option<SharedRate>,
     /// Links to targets, by their names.
     target_links: BTreeMap<String, Link>,
     /// Storage hosts' processes that gateways may ask which are started next.
@@ -108,6 +110,7 @@
             watch_ms: 2_000,
             within_ms: 2_000,
             linked: false,
+            line: None,
             target_links: BTreeMap::new(),
             mirrors: Vec::new(),
         }
@@ -181,6 +184,9 @@
         let serving = way.clone();
         let store = start(move || move |request| serving.clone().handle(request));
         let link = self.linked.then(|| Link::start(store).expect("a link starts"));
+        if let (Some(link), Some(line)) = (&link, &self.line) {
+            link.share(line);
+        }
         let store = link.as_ref().map_or(store, Link::address);
         let settings = format!(
             "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod env;
 mod jobs;
+mod narrow_line;
 mod soak;
 mod stops;
 mod streams;
