Read answers of the store for as long as they come

Callers of a region got nothing for 47 s after all processes were killed at once, and jobs could not be read there. Cause: the time limit of a call held for its whole answer. Where many share a narrow line, a large answer takes longer than that, is thrown away and asked for again, and the line stays full of answers that nobody gets. The limit holds for the silence before the head and between two pieces now, and the body of a call gets time of its own on the line.

--- a/crates/samphiredoor-gateway/src/edge.rs
+++ b/crates/samphiredoor-gateway/src/edge.rs
@@ -3,7 +3,10 @@
 //!
 //! Implementations translate and decide nothing.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -98,6 +101,9 @@
         freshness: Freshness,
     ) -> LocalBoxFuture<'_, Option<Page>>;
 
+    /// When something of an answer last came; a large one comes for a while.
+    fn heard(&self) -> Option<Instant>;
+
     /// Waits at most `wait` for changes of a kind after a version.
     fn watch(&self, kind: Kind, since: Version, wait: Duration) -> LocalBoxFuture<'_, WatchAnswer>;
 
--- a/crates/samphiredoor-net/src/body.rs
+++ b/crates/samphiredoor-net/src/body.rs
@@ -4,12 +4,11 @@
 //! the same turn of the scheduler in which it arrived.
 
 use std::{
-    cell::Cell,
-    pin::{Pin, pin},
+    pin::Pin,
     task::{Context, Poll},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
@@ -109,28 +108,3 @@
         Err(err) => Err(ReadError::Cut(err)),
     }
 }
-
-/// Reads a whole body of at most `max_bytes`. `received` counts its bytes as they come, so that whoever gives up knows how
-/// far it got.
-pub async fn read_counted<B>(
-    body: B,
-    max_bytes: usize,
-    received: &Cell<usize>,
-) -> Result<Bytes, ReadError>
-where
-    B: HttpBody<Data = Bytes>,
-    B::Error: Into<BoxError>,
-{
-    let mut body = pin!(body);
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|err| ReadError::Cut(err.into()))?;
-        let Ok(piece) = frame.into_data() else { continue };
-        if whole.len() + piece.len() > max_bytes {
-            return Err(ReadError::TooLarge);
-        }
-        whole.extend_from_slice(&piece);
-        received.set(whole.len());
-    }
-    Ok(whole.freeze())
-}
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! `serve` takes connections with bounds on their number, headers and waits, and ends them gracefully. `pool` keeps
 //! connections towards one address and never reuses one that still owes an answer. `body` holds the one body type that
-//! both sides exchange, `call` what is sent to a target and may be sent again. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time. `metrics` is what
+//! both sides exchange, `fetch` reads whole answers for as long as they come, `call` what is sent to a target and may be sent again. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time. `metrics` is what
 //! the metrics of all processes are made of.
 
 pub mod body;
 pub mod call;
 pub mod clock;
+pub mod fetch;
 pub mod metrics;
 pub mod pool;
 pub mod serve;
