Take routes from a gateway of the own region, and few at a time beyond it

In the incident, gateways of a region that had no routes asked a gateway of the other region for them 93 times, each within half a second for a megabyte, over the line that was full already: all asked the one with the highest address. Now: the nearest that has them, any of those at one distance; beyond the region about one asks at a time, and none to which the store's own answer is coming; who tells them tells three in half a second, who can tell them then.

--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -16,7 +16,6 @@
 
 use samphiredoor_core::{
     Name,
-    dispatch::Place,
     ordered::{JobHeader, JobName, JobOwner, end_key, header_key, read_header},
     store::{StoreAnswer, StoreOp, Version},
 };
@@ -50,8 +49,6 @@
     pub name: Name,
     /// Which start of it.
     pub incarnation: u64,
-    /// Where it stands.
-    pub place: Place,
     /// The platform.
     pub platform: Platform,
     /// Routes in force.
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -254,7 +254,7 @@
 
 /// Tells the nearest process that works that a job was handed over.
 pub async fn offer(env: Rc<JobEnv>, job: JobName) {
-    for address in env.roster.takers(&env.place).into_iter().take(3) {
+    for address in env.roster.takers().into_iter().take(3) {
         let pool = Pool::new(address).with_connect_timeout(OFFER_TIMEOUT);
         let call = PeerCall::Offer { job: JobName::clone(&job) };
         if let Some(Some(_)) = within(OFFER_TIMEOUT, exchange(&pool, &call)).await {
--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -17,14 +17,13 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, Uri, header};
 use rand::seq::SliceRandom;
 use samphiredoor_core::{
     Name,
     store::{Kind, Labels, Stored, Version},
 };
-use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
+use samphiredoor_net::{Body, Pool, fetch::FetchLimits};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -41,8 +40,8 @@
 const ROOT: &str = "/mirror/";
 /// Longest wait for a connection; a round trip between regions takes 24 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Longest wait for an answer.
-const TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for an answer to begin, and longest silence within it.
+const SILENCE: Duration = Duration::from_millis(300);
 /// Entries of a few thousand targets take less than a megabyte, a configuration up to one.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
 
@@ -113,7 +112,7 @@
         addresses.shuffle(&mut rand::rng());
         for address in addresses {
             let asked = Instant::now();
-            match within(TIMEOUT, fetch(address, kind)).await.flatten() {
+            match fetch(address, kind).await {
                 Some(objects) => {
                     log::info!(
                         kind = kind.path(), mirror:% = address, objects = objects.len(),
@@ -137,12 +136,12 @@
         .body(Body::empty())
         .ok()?;
     let pool = Pool::new(address).with_connect_timeout(CONNECT_TIMEOUT);
-    let response = pool.send(request).await.ok()?;
-    if response.status() != StatusCode::OK {
+    let limits = FetchLimits { head: SILENCE, silence: SILENCE, max_bytes: MAX_BYTES };
+    let fetched = pool.fetch(request, limits).await.ok()?;
+    if fetched.status != StatusCode::OK {
         return None;
     }
-    let body: Bytes = read_whole(response.into_body(), MAX_BYTES).await.ok()?;
-    let told: Vec<Told> = serde_json::from_slice(&body).ok()?;
+    let told: Vec<Told> = serde_json::from_slice(&fetched.body).ok()?;
     let objects = told.into_iter().map(|it| Stored {
         name: it.name,
         version: Version::default(),
--- a/crates/samphiredoor-gateway/src/peers/followed.rs
+++ b/crates/samphiredoor-gateway/src/peers/followed.rs
@@ -12,7 +12,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use capnp::{message, serialize_packed};
 use hyper::{Request, Response, StatusCode, Uri, header};
 use samphiredoor_core::{
@@ -20,7 +19,7 @@
     store::{Kind, Labels, Stored, Version},
     watch_cache::{News, WatchCache},
 };
-use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
+use samphiredoor_net::{Body, Pool, fetch::FetchLimits, pool::within};
 use samphiredoor_schema::peer_capnp::followed_news;
 
 use super::Roster;
@@ -30,8 +29,11 @@
 pub const ROOT: &str = "/followed/";
 /// Longest wait for a connection within an availability zone.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time beyond the wait within which the other gateway answers.
+/// Time beyond the wait within which the other gateway begins to answer.
 const MARGIN: Duration = Duration::from_millis(300);
+/// Longest silence within its answer; it tells all of its cell at once, and a small host's link carries a large
+/// configuration to each in turn.
+const SILENCE: Duration = Duration::from_millis(1_000);
 /// Entries of a few thousand targets take less than a megabyte, a configuration up to one.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
 
@@ -156,7 +158,7 @@
         let path = format!("{ROOT}{}?since={}&wait_ms={}", kind.path(), since.0, wait.as_millis());
         let request =
             Request::get(path).header(header::HOST, "gateway").body(Body::empty()).ok()?;
-        within(wait + MARGIN, exchange(&pool, request)).await.flatten()
+        exchange(&pool, request, wait + MARGIN).await
     }
 
     fn pool(&self, at: SocketAddr) -> Pool {
@@ -188,13 +190,13 @@
     }
 }
 
-async fn exchange(pool: &Pool, request: Request<Body>) -> Option<Told> {
-    let response = pool.send(request).await.ok()?;
-    if response.status() != StatusCode::OK {
+async fn exchange(pool: &Pool, request: Request<Body>, head: Duration) -> Option<Told> {
+    let limits = FetchLimits { head, silence: SILENCE, max_bytes: MAX_BYTES };
+    let fetched = pool.fetch(request, limits).await.ok()?;
+    if fetched.status != StatusCode::OK {
         return None;
     }
-    let body: Bytes = read_whole(response.into_body(), MAX_BYTES).await.ok()?;
-    match decode(&body) {
+    match decode(&fetched.body) {
         Ok(told) => Some(told),
         Err(err) => {
             log::warn!(problem:% = err; "peers: what another gateway has seen cannot be read");
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// A gateway that has the newest routes in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoutesHolder {
+    /// Version of the routes.
+    pub version: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How far it is.
+    pub distance: Distance,
+}
+
 /// Handle to what is known of other gateways.
 #[derive(Clone)]
 pub struct Roster {
@@ -370,21 +381,38 @@
         self.peers.borrow().get(name).map(|it| it.address)
     }
 
-    /// The newest routes that a gateway which is heard has in force, and where it listens.
-    pub fn newest_routes(&self) -> Option<(u64, SocketAddr)> {
+    /// The newest routes that a gateway which is heard has in force, and the nearest one that has them; any of those that
+    /// stand at one distance, so that many who ask do not all ask the same.
+    pub fn newest_routes(&self) -> Option<RoutesHolder> {
+        let peers = self.peers.borrow();
+        let heard: Vec<&Peer> = peers.values().filter(|it| it.is_heard()).collect();
+        let version = heard.iter().map(|it| it.routes_version).max()?;
+        let holders = heard.into_iter().filter(|it| it.routes_version == version).collect();
+        let nearest = *self.nearest_first(holders).first()?;
+        let distance = Distance::between(&self.own.place, &nearest.place);
+        Some(RoutesHolder { version, address: nearest.address, distance })
+    }
+
+    /// Number of gateways of the own region that are heard, this one included.
+    pub fn heard_in_region(&self) -> usize {
         let peers = self.peers.borrow();
-        let heard = peers.values().filter(|it| it.is_heard());
-        heard.map(|it| (it.routes_version, it.address)).max()
+        let near = |it: &&Peer| it.is_heard() && it.place.region == self.own.place.region;
+        1 + peers.values().filter(near).count()
     }
 
     /// Gateways that could take a job over: heard, reaching the store and not stopping; nearest first, and those at one
     /// distance in any order, so that jobs are spread over them.
-    pub fn takers(&self, own: &Place) -> Vec<SocketAddr> {
+    pub fn takers(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let mut takers: Vec<&Peer> = peers.values().filter(|it| it.takes_jobs()).collect();
-        takers.shuffle(&mut rand::rng());
-        takers.sort_by_key(|it| Distance::between(own, &it.place));
-        takers.into_iter().map(|it| it.address).collect()
+        let takers = peers.values().filter(|it| it.takes_jobs()).collect();
+        self.nearest_first(takers).into_iter().map(|it| it.address).collect()
+    }
+
+    /// Peers by their distance, those at one distance in any order.
+    fn nearest_first<'a>(&self, mut peers: Vec<&'a Peer>) -> Vec<&'a Peer> {
+        peers.shuffle(&mut rand::rng());
+        peers.sort_by_key(|it| Distance::between(&self.own.place, &it.place));
+        peers
     }
 }
 
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -24,7 +24,7 @@
     jobs::{self, JobEnv, Jobs},
     metrics::Metrics,
     mirror::Mirrors,
-    peers::{self, Followed, Mates, Own, Owners, Roster, Speaker, Teller},
+    peers::{self, Followed, Mates, Own, Owners, Roster, Speaker, Teller, relay::RoutesRelay},
     placement::{PlacementTask, Placer},
     routes::Routes,
     sightings::Sighting,
@@ -167,7 +167,9 @@
     let (relayed, relay) = flume::unbounded();
     compio::runtime::spawn(Rc::clone(&routes_task).run_relay(relay)).detach();
     compio::runtime::spawn(routes_task.run(follow_routes)).detach();
-    compio::runtime::spawn(peers::relay::run(roster.clone(), routes.clone(), relayed)).detach();
+    let asking =
+        peers::relay::run(roster.clone(), routes.clone(), Rc::clone(&platform.store), relayed);
+    compio::runtime::spawn(asking).detach();
     let targets_task = TargetsTask {
         platform: platform.clone(),
         placer: placer.clone(),
@@ -221,7 +223,6 @@
     let env = JobEnv {
         name: own.name.clone(),
         incarnation: own.incarnation,
-        place: own.place.clone(),
         platform: platform.clone(),
         routes: routes.clone(),
         placer: placer.clone(),
@@ -268,14 +269,14 @@
         async move { ready.answer(&request) }
     };
     compio::runtime::spawn(readiness.run(answer_readiness)).detach();
-    let (front, routes) = (Rc::clone(&parts.front), parts.routes.clone());
-    let followed = parts.followed.clone();
+    let (front, followed) = (Rc::clone(&parts.front), parts.followed.clone());
+    let relay = RoutesRelay::new(parts.routes.clone());
     let answer_peers = move |request: Request<Incoming>| {
-        let (front, routes, followed) = (Rc::clone(&front), routes.clone(), followed.clone());
+        let (front, relay, followed) = (Rc::clone(&front), relay.clone(), followed.clone());
         async move {
             let jobs = &front.jobs;
             match request.uri().path() {
-                peers::relay::PATH => peers::relay::answer(&routes),
+                peers::relay::PATH => relay.answer(),
                 path if path.starts_with(peers::followed::ROOT) => {
                     followed.answer(request.uri()).await
                 }
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -11,6 +11,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -257,9 +258,19 @@
     /// The first list, from the store or from a mirror; the store is listed anew after a mirror's.
     async fn first(&mut self) -> Option<Seen> {
         let mirrors = self.mirrors.take()?;
-        match within(FIRST_LIST_PATIENCE, self.list()).await.flatten() {
+        let (kind, store) = (self.kind, Rc::clone(&self.store));
+        let mut list = pin!(self.list());
+        // A large list comes for a while, and a mirror's would only share the line with it.
+        let listed = loop {
+            match within(FIRST_LIST_PATIENCE, &mut list).await {
+                Some(listed) => break listed,
+                None if was_heard(&*store, FIRST_LIST_PATIENCE) => {}
+                None => break None,
+            }
+        };
+        match listed {
             Some(seen) => Some(seen),
-            None => mirrors.list(self.kind).await.map(Seen::All),
+            None => mirrors.list(kind).await.map(Seen::All),
         }
     }
 
@@ -462,7 +473,7 @@
         watch: impl Future<Output = T>,
     ) -> Result<T, Doubt> {
         let doubts = self.health.as_ref().map(StoreHealth::doubts);
-        let mut watch = std::pin::pin!(watch);
+        let mut watch = pin!(watch);
         let mut looks_behind = 0;
         loop {
             if let Some(answer) = within(DOUBT_PAUSE, &mut watch).await {
@@ -503,6 +514,11 @@
     }
 }
 
+/// Whether something of an answer of the store has come lately.
+pub fn was_heard(store: &dyn ObjectStore, lately: Duration) -> bool {
+    store.heard().is_some_and(|it| it.elapsed() < lately)
+}
+
 /// Reads all pages of a kind, and the version from which a watch goes on; `None` if a page could not be read.
 ///
 /// Changes between the pages are seen again from the oldest page's version on: those of a list that may be stale can be of
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -46,6 +46,10 @@
     pub linked: bool,
     /// Line that the links of gateways to the store share which are started next.
     pub line: Option<SharedRate>,
+    /// Region of gateways that are started next, with one availability zone of that name and `-north`.
+    pub region: &'static str,
+    /// Where gateways that are started next listen for others.
+    pub peers_ip: &'static str,
     /// Links to targets, by their names.
     target_links: BTreeMap<String, Link>,
     /// Storage hosts' processes that gateways may ask which are started next.
@@ -111,6 +115,8 @@
             within_ms: 2_000,
             linked: false,
             line: None,
+            region: "brisbane",
+            peers_ip: "127.0.0.1",
             target_links: BTreeMap::new(),
             mirrors: Vec::new(),
         }
@@ -188,12 +194,13 @@
             link.share(line);
         }
         let store = link.as_ref().map_or(store, Link::address);
+        let (region, peers_ip) = (self.region, self.peers_ip);
         let settings = format!(
-            "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
+            "name = \"gateway-{number}\"\nregion = \"{region}\"\navailability_zone = \"{region}-north\"\n\
              callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
-             peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
+             peers.address = \"{peers_ip}:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
              store.watch_ms = {}\nstore.routes_within_ms = {}\nstore.targets_within_ms = {}\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
-             regions.brisbane-north = \"brisbane\"\nmirrors.addresses = {:?}\n",
+             regions.brisbane-north = \"brisbane\"\nregions.cairns-north = \"cairns\"\nmirrors.addresses = {:?}\n",
             store,
             self.watch_ms,
             self.within_ms,
--- a/crates/samphiredoor/tests/it/platform/narrow_line.rs
+++ b/crates/samphiredoor/tests/it/platform/narrow_line.rs
@@ -1,6 +1,6 @@
 //! Gateways that share a narrow line to the store, as those of a region that is far from it.
 
-use samphiredoor_standin::link::SharedRate;
+use samphiredoor_standin::{link::SharedRate, platform_store::StoreFault};
 use serde_json::json;
 
 use super::env::{Platform, route};
@@ -36,3 +36,22 @@
         platform.wait_ready(number);
     }
 }
+
+// All that are behind would ask the same gateway, beyond the line that they share.
+#[test]
+fn routes_are_taken_from_a_gateway_of_the_own_region() {
+    let mut platform = Platform::new();
+    platform.peers_ip = "127.0.0.9";
+    platform.start_gateway();
+    (platform.region, platform.peers_ip) = ("cairns", "127.0.0.1");
+    platform.start_gateway();
+    let turned_away = platform.start_gateway();
+    for peer in ["gateway-0", "gateway-1"] {
+        platform.wait_logged(turned_away, &format!("peers: heard peer={peer} "));
+    }
+    platform.set_way_fault(turned_away, StoreFault::Busy);
+    platform.put_routes(2, 1);
+    platform.wait_logged(turned_away, "routes: in force version=2 ");
+    let taken = "routes: taken from another gateway version=2 peer=127.0.0.1:";
+    assert_eq!(platform.times_logged(turned_away, taken), 1, "taken from its own region");
+}
