--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -12,8 +12,8 @@
 };
 use samphiredoor_net::{
     Body, Pool,
-    body::read_whole,
-    pool::{Answer, SendError, within},
+    fetch::{FetchError, FetchLimits},
+    pool::{Answer, within},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -135,18 +135,20 @@
         let delete = matches!(op, StoreOp::Delete { .. });
         let Some(request) = request(op) else { return StoreAnswer::Unavailable };
         let lost = if write { StoreAnswer::Unknown } else { StoreAnswer::Unavailable };
-        match within(self.timeout, self.exchange(request)).await {
-            Some(Ok((StatusCode::OK, _))) if delete => StoreAnswer::Deleted,
-            Some(Ok((status, body))) => answer(status, &body, &lost),
-            Some(Err(SendError::NotSent(err))) => {
+        let limits =
+            FetchLimits { head: self.timeout, silence: self.timeout, max_bytes: MAX_ANSWER_BYTES };
+        match self.pool.fetch(request, limits).await {
+            Ok(fetched) if fetched.status == StatusCode::OK && delete => StoreAnswer::Deleted,
+            Ok(fetched) => answer(fetched.status, &fetched.body, &lost),
+            Err(FetchError::NotSent(err)) => {
                 log::debug!("store: not reached: {err}");
                 StoreAnswer::Unavailable
             }
-            Some(Err(SendError::MayHaveRun(err))) => {
+            Err(FetchError::MayHaveRun(err)) => {
                 log::debug!("store: answer lost: {err}");
                 lost
             }
-            None => lost,
+            Err(FetchError::Silent { .. }) => lost,
         }
     }
 
@@ -162,15 +164,6 @@
         let watch = Watch { body: response.into_body(), buffer: Vec::new() };
         Some(watch)
     }
-
-    async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, Vec<u8>), SendError> {
-        let response = self.pool.send(request).await?;
-        let status = response.status();
-        match read_whole(response.into_body(), MAX_ANSWER_BYTES).await {
-            Ok(body) => Ok((status, body.to_vec())),
-            Err(_) => Err(SendError::MayHaveRun("the answer was cut".into())),
-        }
-    }
 }
 
 fn request(op: StoreOp) -> Option<Request<Body>> {
