Go on from what a storage host has told, without fetching it from the store as well

A gateway that started from a mirror's list listed the store anew as soon as it answered: a configuration of a megabyte came over the line a second time, for every gateway at once. A mirror tells the version of the store at which its list stood now, and the gateway watches from there, as after any list that may be stale. what_a_storage_host_has_told_is_not_fetched_from_the_store failed before (704,064 bytes fetched, limit 200,000), passes now.

--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -2,9 +2,10 @@
 //!
 //! A gateway that starts while the store is lost knows neither routes nor targets nor other gateways, and refuses every
 //! caller until the store is back; where many are killed at once no gateway is left that could tell it. So the processes
-//! on storage hosts look at these kinds now and then and tell what they saw last. It is a hint as old as the outage: routes are put in
-//! force by their version only, a target at an address that is used again refuses by its name, and the store's own word
-//! replaces everything as soon as it comes.
+//! on storage hosts look at these kinds now and then and tell what they saw last. It is a hint as old as the outage: routes
+//! are put in force by their version only, and a target at an address that is used again refuses by its name. What has
+//! changed since is watched for from the version at which the store stood then, as after any list that may be stale, so
+//! that a large list does not come over the line once more.
 //!
 //! Gain: where all gateways are killed within seconds of an outage, callers are served meanwhile; it costs a few calls a minute for
 //! each storage host, at a tenth of a call's price.
@@ -50,13 +51,31 @@
 #[derive(Serialize, Deserialize)]
 struct Told {
     name: Name,
+    version: u64,
     value: String,
 }
 
+/// All objects of a kind, as they are told.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct ToldList {
+    version: u64,
+    objects: Vec<Told>,
+}
+
+/// All objects of a kind, and the version of the store from which a watch goes on.
+#[derive(Debug, Clone)]
+pub struct MirroredList {
+    /// The objects.
+    pub objects: Vec<Stored>,
+    /// Where a watch goes on.
+    pub version: Version,
+}
+
 /// Objects of the kinds above, as they stood when the store was last heard.
 #[derive(Clone, Default)]
 pub struct Mirror {
-    kinds: Rc<RefCell<BTreeMap<&'static str, Vec<Stored>>>>,
+    kinds: Rc<RefCell<BTreeMap<&'static str, MirroredList>>>,
 }
 
 impl Mirror {
@@ -64,8 +83,10 @@
     pub async fn run(self, store: Rc<dyn ObjectStore>) {
         loop {
             for kind in KINDS {
-                if let Some((objects, _)) = list_all(&*store, kind, Freshness::MayBeStale).await {
-                    self.kinds.borrow_mut().insert(kind.path(), objects);
+                let listed = list_all(&*store, kind, Freshness::MayBeStale).await;
+                if let Some((objects, version)) = listed {
+                    let list = MirroredList { objects, version };
+                    self.kinds.borrow_mut().insert(kind.path(), list);
                 }
             }
             compio::time::sleep(LOOK_PAUSE).await;
@@ -76,16 +97,17 @@
     pub fn answer(&self, uri: &Uri) -> Response<Body> {
         let kinds = self.kinds.borrow();
         let kind = uri.path().strip_prefix(ROOT).and_then(|it| kinds.get(it));
-        let Some(objects) = kind else {
+        let Some(list) = kind else {
             return plain(StatusCode::NOT_FOUND, "nothing is known of this kind");
         };
-        let told = objects.iter().map(|it| Told {
+        let told = list.objects.iter().map(|it| Told {
             name: Name::clone(&it.name),
+            version: it.version.0,
             value: String::from_utf8_lossy(&it.value).into_owned(),
         });
-        // Plain structs of text: writing them as JSON cannot fail.
-        let text = serde_json::to_vec(&told.collect::<Vec<Told>>()).unwrap_or_default();
-        Response::new(Body::full(text))
+        let told = ToldList { version: list.version.0, objects: told.collect() };
+        // Plain structs of numbers and text: writing them as JSON cannot fail.
+        Response::new(Body::full(serde_json::to_vec(&told).unwrap_or_default()))
     }
 }
 
@@ -107,19 +129,19 @@
     }
 
     /// All objects of a kind, from the first mirror that answers.
-    pub async fn list(&self, kind: Kind) -> Option<Vec<Stored>> {
+    pub async fn list(&self, kind: Kind) -> Option<MirroredList> {
         let mut addresses = self.addresses.to_vec();
         addresses.shuffle(&mut rand::rng());
         for address in addresses {
             let asked = Instant::now();
             match fetch(address, kind).await {
-                Some(objects) => {
+                Some(list) => {
                     log::info!(
-                        kind = kind.path(), mirror:% = address, objects = objects.len(),
+                        kind = kind.path(), mirror:% = address, objects = list.objects.len(),
                         elapsed_ms = asked.elapsed().as_millis() as u64;
                         "mirror: the store does not answer, taken what another process saw last"
                     );
-                    return Some(objects);
+                    return Some(list);
                 }
                 None => {
                     log::info!(kind = kind.path(), mirror:% = address; "mirror: no answer");
@@ -130,7 +152,7 @@
     }
 }
 
-async fn fetch(address: SocketAddr, kind: Kind) -> Option<Vec<Stored>> {
+async fn fetch(address: SocketAddr, kind: Kind) -> Option<MirroredList> {
     let request = Request::get(format!("{ROOT}{}", kind.path()))
         .header(header::HOST, "mirror")
         .body(Body::empty())
@@ -141,12 +163,12 @@
     if fetched.status != StatusCode::OK {
         return None;
     }
-    let told: Vec<Told> = serde_json::from_slice(&fetched.body).ok()?;
-    let objects = told.into_iter().map(|it| Stored {
+    let told: ToldList = serde_json::from_slice(&fetched.body).ok()?;
+    let objects = told.objects.into_iter().map(|it| Stored {
         name: it.name,
-        version: Version::default(),
+        version: Version(it.version),
         labels: Labels::new(),
         value: it.value.into_bytes().into(),
     });
-    Some(objects.collect())
+    Some(MirroredList { objects: objects.collect(), version: Version(told.version) })
 }
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -255,22 +255,30 @@
         }
     }
 
-    /// The first list, from the store or from a mirror; the store is listed anew after a mirror's.
+    /// The first list, from the store or from a mirror; after a mirror's the store tells what has changed since.
     async fn first(&mut self) -> Option<Seen> {
         let mirrors = self.mirrors.take()?;
-        let (kind, store) = (self.kind, Rc::clone(&self.store));
+        if let Some(seen) = self.list_while_it_comes().await {
+            return Some(seen);
+        }
+        let list = mirrors.list(self.kind).await?;
+        self.since = Some(list.version);
+        self.first_list = Freshness::Current;
+        self.note_listed(&list.objects, list.version);
+        Some(Seen::All(list.objects))
+    }
+
+    /// A list that is given up as soon as nothing of it comes. A large one comes for a while, and a mirror's would only share
+    /// the line with it.
+    async fn list_while_it_comes(&mut self) -> Option<Seen> {
+        let store = Rc::clone(&self.store);
         let mut list = pin!(self.list());
-        // A large list comes for a while, and a mirror's would only share the line with it.
-        let listed = loop {
+        loop {
             match within(FIRST_LIST_PATIENCE, &mut list).await {
-                Some(listed) => break listed,
+                Some(listed) => return listed,
                 None if was_heard(&*store, FIRST_LIST_PATIENCE) => {}
-                None => break None,
+                None => return None,
             }
-        };
-        match listed {
-            Some(seen) => Some(seen),
-            None => mirrors.list(kind).await.map(Seen::All),
         }
     }
 
--- a/crates/samphiredoor-standin/src/link.rs
+++ b/crates/samphiredoor-standin/src/link.rs
@@ -69,23 +69,38 @@
 #[derive(Clone)]
 pub struct SharedRate {
     bytes_per_s: u64,
-    /// When the line is free again.
-    free_at: Arc<Mutex<Instant>>,
+    line: Arc<Mutex<Line>>,
+}
+
+struct Line {
+    free_at: Instant,
+    carried_bytes: usize,
 }
 
 impl SharedRate {
     /// A line that carries so much.
     pub fn new(bytes_per_s: u64) -> SharedRate {
-        SharedRate { bytes_per_s, free_at: Arc::new(Mutex::new(Instant::now())) }
+        let line = Line { free_at: Instant::now(), carried_bytes: 0 };
+        SharedRate { bytes_per_s, line: Arc::new(Mutex::new(line)) }
+    }
+
+    /// Bytes that it has carried so far.
+    pub fn carried_bytes(&self) -> usize {
+        self.line().carried_bytes
+    }
+
+    fn line(&self) -> MutexGuard<'_, Line> {
+        self.line.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// Waits until the line has carried a piece.
     fn carry(&self, bytes: usize) {
         let takes = Duration::from_secs(1).mul_f64(bytes as f64 / self.bytes_per_s as f64);
         let carried_at = {
-            let mut free_at = self.free_at.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-            *free_at = (*free_at).max(Instant::now()) + takes;
-            *free_at
+            let mut line = self.line();
+            line.carried_bytes += bytes;
+            line.free_at = line.free_at.max(Instant::now()) + takes;
+            line.free_at
         };
         thread::sleep(carried_at.saturating_duration_since(Instant::now()));
     }
--- a/crates/samphiredoor/tests/it/platform/narrow_line.rs
+++ b/crates/samphiredoor/tests/it/platform/narrow_line.rs
@@ -1,13 +1,18 @@
 //! Gateways that share a narrow line to the store, as those of a region that is far from it.
 
+use std::time::Duration;
+
 use samphiredoor_standin::{link::SharedRate, platform_store::StoreFault};
 use serde_json::json;
 
 use super::env::{Platform, route};
+use crate::env::wait_until;
 
 const GATEWAYS: usize = 8;
 /// Each route takes some 350 bytes.
 const ROUTES: usize = 3_000;
+/// Less than the routes take, and more than all else that one gateway is told.
+const FEW_BYTES: usize = 200_000;
 /// The routes take about a second, longer than the time limit of the gateways' calls.
 const LINE_BYTES_PER_S: u64 = 1_000_000;
 
@@ -55,3 +60,23 @@
     let taken = "routes: taken from another gateway version=2 peer=127.0.0.1:";
     assert_eq!(platform.times_logged(turned_away, taken), 1, "taken from its own region");
 }
+
+// A gateway that has started from what a storage host saw last would fetch the same once more as soon as the store answers.
+#[test]
+fn what_a_storage_host_has_told_is_not_fetched_from_the_store() {
+    let mut platform = Platform::without_routes();
+    put_many_routes(&platform);
+    let _storage = platform.start_storage("store-1");
+    std::thread::sleep(Duration::from_millis(1_000));
+    let line = SharedRate::new(LINE_BYTES_PER_S);
+    platform.linked = true;
+    platform.line = Some(line.clone());
+    platform.store.set_fault(StoreFault::Silent);
+    platform.start_gateway();
+    platform.store.set_fault(StoreFault::None);
+    let asked = || platform.store.calls()["GET config"];
+    let before = asked();
+    wait_until("the routes are watched", || asked() >= before + 3);
+    let carried = line.carried_bytes();
+    assert!(carried < FEW_BYTES, "bytes that were fetched: {carried}");
+}
