Move the fleet of the platform's tests into the stand-ins

A soak outside of the tests needs the same store, targets, links and processes. The fleet, the single calls and the child processes are now in the library of the stand-ins, and take the path of the program; the tests import them. It also finds all log lines that name an id, also of processes that were replaced.

--- /dev/null
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -0,0 +1,419 @@
+//! A store, replicas and processes of gateways and storage hosts, all on loopback and ended with their owner.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::{
+    http::{Answer, call, get, start, wait_until},
+    link::Link,
+    platform_store::{PlatformStore, StoreFault},
+    platform_target::PlatformTarget,
+    process::ChildProcess,
+};
+
+/// Host of all routes.
+pub const HOST: &str = "desk.example";
+/// Events of a whole run.
+pub const EVENTS: u64 = 6;
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// The platform with any number of gateways.
+pub struct Platform {
+    /// Its store.
+    pub store: PlatformStore,
+    /// The `samphiredoor` program.
+    binary: PathBuf,
+    address: SocketAddr,
+    folder: PathBuf,
+    gateways: Vec<Gateway>,
+    /// Time between failing readiness and closing the listener, for gateways that are started next.
+    pub unready_ms: u64,
+    /// How long watches of processes wait at most that are started next.
+    pub watch_ms: u64,
+    /// Within which time changes of routes and targets have to be in force at gateways that are started next.
+    pub within_ms: u64,
+    /// Whether gateways and targets that are started next are reached through links.
+    pub linked: bool,
+    /// Links to targets, by their names.
+    target_links: BTreeMap<String, Link>,
+    /// Storage hosts' processes that gateways may ask which are started next.
+    mirrors: Vec<SocketAddr>,
+    /// Logs of all processes that were started, by their names.
+    logs: Vec<(String, Lines)>,
+}
+
+/// One gateway process.
+pub struct Gateway {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    process: ChildProcess,
+    /// Its own way to the store.
+    way: PlatformStore,
+    /// Its link to the store, if it has one.
+    link: Option<Link>,
+    lines: Lines,
+}
+
+/// What a process has logged since it started.
+type Lines = Arc<Mutex<Vec<String>>>;
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Route of the given kind under `/kind/`.
+pub fn route(kind: &str, attempts: u32, resumable: bool) -> Value {
+    json!({
+        "name": format!("r-{kind}-{resumable}"), "host": HOST,
+        "pathPrefix": if resumable { format!("/{kind}-resumable/") } else { format!("/{kind}/") },
+        "kind": kind, "timeoutMs": 20_000, "sloMs": 2_000, "prio": 0, "service": "reader",
+        "attempts": attempts, "sticky": true, "resumable": resumable, "gapAimMs": 400,
+        "batchSloMs": 20_000, "maxWaitS": 60,
+    })
+}
+
+impl Platform {
+    /// A store with routes of all kinds, and neither gateways nor replicas.
+    pub fn new(binary: impl AsRef<Path>) -> Platform {
+        let platform = Platform::without_routes(binary);
+        platform.put_routes(1, 3);
+        platform
+    }
+
+    /// An empty store.
+    pub fn without_routes(binary: impl AsRef<Path>) -> Platform {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("samphiredoor-fleet-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let store = PlatformStore::new();
+        let serving = store.clone();
+        let address = start(move || move |request| serving.clone().handle(request));
+        Platform {
+            store,
+            binary: binary.as_ref().to_owned(),
+            address,
+            folder,
+            gateways: Vec::new(),
+            unready_ms: 300,
+            watch_ms: 2_000,
+            within_ms: 2_000,
+            linked: false,
+            target_links: BTreeMap::new(),
+            mirrors: Vec::new(),
+            logs: Vec::new(),
+        }
+    }
+
+    /// Writes routes of all kinds under one version.
+    pub fn put_routes(&self, version: u64, attempts: u32) {
+        let routes = [
+            route("stream", 1, false),
+            route("stream", attempts, true),
+            route("safe", attempts, false),
+            route("unsafe", attempts, false),
+            route("batch", attempts, false),
+        ];
+        let limits = json!({
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 5_000,
+            "idleTimeoutMs": 15_000,
+        });
+        let config =
+            json!({ "version": version, "routes": routes, "services": [], "limits": limits });
+        self.store.put("config", "main", config);
+    }
+
+    /// Starts a replica and registers it.
+    pub fn start_target(&mut self, name: &str, pause: Duration) -> PlatformTarget {
+        let target = PlatformTarget::start(name, EVENTS, pause).expect("a replica starts");
+        if self.linked {
+            let link = Link::start(target.address).expect("a link starts");
+            self.target_links.insert(name.to_owned(), link);
+        }
+        self.register(&target, "ready");
+        target
+    }
+
+    /// Writes the entry of a replica.
+    pub fn register(&self, target: &PlatformTarget, state: &str) {
+        let mut entry = target.entry("reader", "brisbane-north", state);
+        if let Some(link) = self.target_links.get(&target.name) {
+            entry["addr"] = json!(link.address().to_string());
+        }
+        self.store.put("servers", &target.name, entry);
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub fn start_gateway(&mut self) -> usize {
+        let number = self.spawn_gateway();
+        self.wait_ready(number);
+        number
+    }
+
+    /// Waits until a gateway says that it is ready.
+    pub fn wait_ready(&self, number: usize) {
+        let readiness = self.gateways[number].readiness;
+        wait_until("the gateway is ready", || get(readiness, "/samphiredoor/ready").status == 200);
+    }
+
+    /// Starts a gateway and waits until it listens.
+    pub fn spawn_gateway(&mut self) -> usize {
+        let number = self.gateways.len();
+        let gateway = self.run_gateway(number);
+        self.gateways.push(gateway);
+        number
+    }
+
+    /// Starts a gateway anew under its former name, after the former process has ended.
+    pub fn restart_gateway(&mut self, number: usize) {
+        self.gateways[number] = self.run_gateway(number);
+    }
+
+    fn run_gateway(&mut self, number: usize) -> Gateway {
+        let way = self.store.another_way();
+        let serving = way.clone();
+        let store = start(move || move |request| serving.clone().handle(request));
+        let link = self.linked.then(|| Link::start(store).expect("a link starts"));
+        let store = link.as_ref().map_or(store, Link::address);
+        let settings = format!(
+            "name = \"gateway-{number}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
+             callers.address = \"127.0.0.1:0\"\nreadiness.address = \"127.0.0.1:0\"\n\
+             peers.address = \"127.0.0.1:0\"\nstore.address = \"{}\"\nstore.timeout_ms = 500\n\
+             store.watch_ms = {}\nstore.routes_within_ms = {}\nstore.targets_within_ms = {}\nstopping.unready_ms = {}\nstopping.finish_ms = 10000\n\
+             regions.brisbane-north = \"brisbane\"\nmirrors.addresses = {:?}\n",
+            store,
+            self.watch_ms,
+            self.within_ms,
+            self.within_ms,
+            self.unready_ms,
+            self.mirrors.iter().map(SocketAddr::to_string).collect::<Vec<String>>(),
+        );
+        let (child, line, lines) = self.spawn("gateway", &format!("gateway-{number}"), &settings);
+        let field = |key: &str| {
+            let (_, rest) = line.split_once(&format!(" {key}=")).expect("the field is logged");
+            rest.split_whitespace().next().expect("a value").parse().expect("an address")
+        };
+        let (callers, readiness) = (field("callers"), field("readiness"));
+        Gateway { callers, readiness, process: ChildProcess(child), way, link, lines }
+    }
+
+    /// Starts the process of a storage host.
+    pub fn start_storage(&mut self, name: &str) -> ChildProcess {
+        let settings = format!(
+            "name = \"{name}\"\nregion = \"brisbane\"\navailability_zone = \"brisbane-north\"\n\
+             store.address = \"{}\"\nstore.watch_ms = {}\nmirror.address = \"127.0.0.1:0\"\n",
+            self.address, self.watch_ms
+        );
+        let (child, line, _) = self.spawn("storage", name, &settings);
+        let (_, mirror) = line.split_once(" mirror=").expect("the address is logged");
+        self.mirrors.push(mirror.trim().parse().expect("an address"));
+        ChildProcess(child)
+    }
+
+    fn spawn(&mut self, role: &str, name: &str, settings: &str) -> (Child, String, Lines) {
+        let file = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&file, settings).expect("settings are written");
+        let mut child = Command::new(&self.binary)
+            .arg(role)
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
+        let mark = format!("{role}: started");
+        let started = lines.find_map(|it| it.ok().filter(|line| line.contains(&mark)));
+        let started = started.expect("the process says that it started");
+        let shown = std::env::var_os("SAMPHIREDOOR_TEST_LOG").is_some();
+        let (name, logged) = (name.to_owned(), Lines::default());
+        let log = Arc::clone(&logged);
+        self.logs.push((name.clone(), Arc::clone(&logged)));
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if shown {
+                    eprintln!("{name} {line}");
+                }
+                log.lock().expect("nobody panicked").push(line);
+            }
+        });
+        (child, started, logged)
+    }
+
+    /// Sends a signal to a gateway by its name, as `STOP`.
+    pub fn signal(&self, number: usize, name: &str) {
+        self.gateways[number].process.signal(name);
+    }
+
+    /// Has a gateway's way to the store misbehave from now on.
+    pub fn set_way_fault(&self, number: usize, fault: StoreFault) {
+        self.gateways[number].way.set_way_fault(fault);
+    }
+
+    /// All links: of gateways to the store, and to targets.
+    pub fn links(&self) -> Vec<&Link> {
+        let of_gateways = self.gateways.iter().filter_map(|it| it.link.as_ref());
+        of_gateways.chain(self.target_links.values()).collect()
+    }
+
+    /// Waits until a gateway has logged something.
+    pub fn wait_logged(&self, number: usize, text: &str) {
+        wait_until(text, || self.times_logged(number, text) > 0);
+    }
+
+    /// How often a gateway has logged something.
+    pub fn times_logged(&self, number: usize, text: &str) -> usize {
+        let lines = self.gateways[number].lines.lock().expect("nobody panicked");
+        lines.iter().filter(|it| it.contains(text)).count()
+    }
+
+    /// What processes have logged that names an id, each line behind the name of its process.
+    pub fn lines_with(&self, id: &str) -> Vec<String> {
+        let mut found = Vec::new();
+        for (name, lines) in &self.logs {
+            let lines = lines.lock().expect("nobody panicked");
+            let naming = lines.iter().filter(|it| names(it, id));
+            found.extend(naming.map(|it| format!("{name} {it}")));
+        }
+        found
+    }
+
+    /// Link of a gateway to the store, if it has one.
+    pub fn gateway_link(&self, number: usize) -> Option<&Link> {
+        self.gateways[number].link.as_ref()
+    }
+
+    /// Link to a target, if it has one.
+    pub fn target_link(&self, name: &str) -> Option<&Link> {
+        self.target_links.get(name)
+    }
+
+    /// Where a gateway takes callers' connections.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.gateways[number].callers
+    }
+
+    /// Process of a gateway.
+    pub fn gateway(&mut self, number: usize) -> &mut ChildProcess {
+        &mut self.gateways[number].process
+    }
+
+    /// Where a gateway tells whether it is ready.
+    pub fn readiness(&self, number: usize) -> SocketAddr {
+        self.gateways[number].readiness
+    }
+
+    /// Sends a request of a caller.
+    pub fn send(&self, gateway: usize, path: &str, id: &str, body: &str) -> Answer {
+        self.send_with(gateway, path, id, &[], body)
+    }
+
+    /// Sends a request of a caller with more headers.
+    pub fn send_with(
+        &self,
+        gateway: usize,
+        path: &str,
+        id: &str,
+        more: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut headers = vec![("host", HOST), ("x-request-id", id)];
+        headers.extend_from_slice(more);
+        call(Method::POST, self.gateways[gateway].callers, path, &headers, body)
+    }
+
+    /// Submits a job of items whose bodies are their names.
+    pub fn submit(&self, gateway: usize, job: &str, items: &[&str]) -> Answer {
+        let items: Vec<Value> = items
+            .iter()
+            .map(|id| {
+                json!({
+                    "id": id, "path": "/batch/item", "headers": { "X-Model": "m" },
+                    "body": STANDARD.encode(id), "tokenCount": 10,
+                })
+            })
+            .collect();
+        self.send(gateway, "/batch/submit", job, &json!({ "items": items }).to_string())
+    }
+
+    /// Submits a job of so many items.
+    pub fn submit_many(&self, gateway: usize, job: &str, count: usize) -> Answer {
+        let items: Vec<String> = (0..count).map(|it| format!("item-{it}")).collect();
+        let items: Vec<&str> = items.iter().map(String::as_str).collect();
+        self.submit(gateway, job, &items)
+    }
+
+    /// Reads results from a position on.
+    pub fn results(&self, gateway: usize, job: &str, after: usize) -> Answer {
+        let path = format!("/samphiredoor/lots/{job}?after={after}");
+        let headers = [("host", HOST), ("x-wait-ms", "100")];
+        call(Method::GET, self.gateways[gateway].callers, &path, &headers, "")
+    }
+
+    /// Reads all results once all stand.
+    pub fn all_results(&self, gateway: usize, job: &str, count: usize) -> Vec<Value> {
+        let mut all = Vec::new();
+        wait_until("all results stand", || {
+            all = self.standing_results(gateway, job);
+            all.len() == count
+        });
+        all
+    }
+
+    /// Reads the results that stand, page by page from the first one.
+    pub fn standing_results(&self, gateway: usize, job: &str) -> Vec<Value> {
+        let mut all: Vec<Value> = Vec::new();
+        loop {
+            let page = self.results(gateway, job, all.len()).json();
+            let outputs = page["outputs"].as_array().cloned().unwrap_or_default();
+            if outputs.is_empty() {
+                return all;
+            }
+            all.extend(outputs);
+            if page["total"] == json!(all.len()) {
+                return all;
+            }
+        }
+    }
+
+    /// Reads the body of an item.
+    pub fn item(&self, gateway: usize, job: &str, item: &str) -> Answer {
+        let path = format!("/samphiredoor/items/{job}?id={item}");
+        call(Method::GET, self.gateways[gateway].callers, &path, &[("host", HOST)], "")
+    }
+
+    /// Ends a job.
+    pub fn end(&self, gateway: usize, job: &str) -> Answer {
+        let path = format!("/samphiredoor/lots/{job}");
+        call(Method::DELETE, self.gateways[gateway].callers, &path, &[("host", HOST)], "")
+    }
+}
+
+/// Whether a line holds an id that goes on on neither side.
+fn names(line: &str, id: &str) -> bool {
+    let ends = |it: Option<char>| it.is_none_or(|it| !it.is_alphanumeric() && it != '-');
+    line.match_indices(id).any(|(at, _)| {
+        ends(line[..at].chars().next_back()) && ends(line[at + id.len()..].chars().next())
+    })
+}
+
+/// The stream that a whole run gives its caller.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(|it| format!("id: {it}\ndata: piece-{it}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/http.rs
@@ -0,0 +1,94 @@
+//! Single calls over HTTP, and servers for the stand-ins.
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use samphiredoor_net::{Body, ServeLimits, Server};
+use serde_json::Value;
+
+const TRIES: u32 = 9_000;
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Answer to a call.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status; 0 if the answer was cut.
+    pub status: u16,
+    /// Headers.
+    pub headers: hyper::HeaderMap,
+    /// Body, or what went wrong.
+    pub text: String,
+}
+
+impl Answer {
+    /// Body as JSON; null if it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+}
+
+/// Posts a body.
+pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    call(hyper::Method::POST, address, path, headers, body)
+}
+
+/// Gets a path.
+pub fn get(address: SocketAddr, path: &str) -> Answer {
+    call(hyper::Method::GET, address, path, &[], "")
+}
+
+/// Waits for something that must come, without saying when.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if condition() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("never: {what}");
+}
+
+/// Makes one call on a connection of its own; status 0 if its answer was cut.
+pub fn call(
+    method: hyper::Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let exchange = async {
+        let client = cyper::Client::new()?;
+        let mut request = client.request(method, format!("http://{address}{path}"))?;
+        for (name, value) in headers {
+            request = request.header(*name, *value)?;
+        }
+        let response = request.body(body.to_owned()).send().await?;
+        let status = response.status().as_u16();
+        let headers = response.headers().clone();
+        Ok::<_, cyper::Error>(Answer { status, headers, text: response.text().await? })
+    };
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    match runtime.block_on(exchange) {
+        Ok(answer) => answer,
+        Err(err) => Answer { status: 0, headers: hyper::HeaderMap::new(), text: err.to_string() },
+    }
+}
+
+/// Starts a server with a handler of the test's own; returns where it listens.
+pub fn start<M, H, F>(make: M) -> SocketAddr
+where
+    M: FnOnce() -> H + Send + 'static,
+    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + 'static,
+    F: Future<Output = hyper::Response<Body>> + 'static,
+{
+    let (sender, receiver) = flume::bounded(1);
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let server = Server::bind(any, ServeLimits::default()).await.expect("a port");
+            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+            server.run(make()).await;
+        });
+    });
+    receiver.recv().expect("the stand-in starts")
+}
--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -4,7 +4,7 @@
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     thread,
     time::Duration,
@@ -13,12 +13,12 @@
 use samphiredoor_embedded::{
     engine::EngineConfig, engine_http::Engine, objects_http::ObjectApi, service_http::PlainService,
 };
-use samphiredoor_net::{Body, ServeLimits, Server};
+pub use samphiredoor_standin::{
+    http::{Answer, call, get, post, start, wait_until},
+    process::ChildProcess,
+};
 use serde_json::{Value, json};
 
-const TRIES: u32 = 9_000;
-const PAUSE: Duration = Duration::from_millis(10);
-
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
 /// A store and any number of targets and doors, ended with the test.
@@ -50,36 +50,7 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
-    process: TestProcess,
-}
-
-/// A process of a test, ended with it.
-pub struct TestProcess(pub Child);
-
-impl TestProcess {
-    /// Ends the process at once, as a lost host would.
-    pub fn kill(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-
-    /// Sends a signal by its name, as `STOP`.
-    pub fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
-        assert!(sent.success(), "signal {name} was not sent");
-    }
-
-    /// Waits for the end of the process; tells whether it ended well.
-    pub fn wait(&mut self) -> bool {
-        self.0.wait().expect("the process can be waited for").success()
-    }
-}
-
-impl Drop for TestProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
+    process: ChildProcess,
 }
 
 impl TestDoor {
@@ -105,20 +76,6 @@
     }
 }
 
-/// Answer to a call.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: hyper::HeaderMap,
-    pub text: String,
-}
-
-impl Answer {
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.text).unwrap_or(Value::Null)
-    }
-}
-
 impl TestEnv {
     /// A store without doors or targets.
     pub fn new() -> TestEnv {
@@ -186,7 +143,7 @@
         let operators = listening(&mut lines, "door: operators on ");
         let peers = listening(&mut lines, "door: peers on ");
         thread::spawn(move || lines.for_each(drop));
-        TestDoor { callers, operators, peers, process: TestProcess(child) }
+        TestDoor { callers, operators, peers, process: ChildProcess(child) }
     }
 
     /// Door by its number.
@@ -285,53 +242,6 @@
     })
 }
 
-/// Posts a body.
-pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
-    call(hyper::Method::POST, address, path, headers, body)
-}
-
-/// Gets a path.
-pub fn get(address: SocketAddr, path: &str) -> Answer {
-    call(hyper::Method::GET, address, path, &[], "")
-}
-
-/// Waits for something that must come, without saying when.
-pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    for _ in 0..TRIES {
-        if condition() {
-            return;
-        }
-        thread::sleep(PAUSE);
-    }
-    panic!("never: {what}");
-}
-
-/// Makes one call on a connection of its own; status 0 if its answer was cut.
-pub fn call(
-    method: hyper::Method,
-    address: SocketAddr,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Answer {
-    let exchange = async {
-        let client = cyper::Client::new()?;
-        let mut request = client.request(method, format!("http://{address}{path}"))?;
-        for (name, value) in headers {
-            request = request.header(*name, *value)?;
-        }
-        let response = request.body(body.to_owned()).send().await?;
-        let status = response.status().as_u16();
-        let headers = response.headers().clone();
-        Ok::<_, cyper::Error>(Answer { status, headers, text: response.text().await? })
-    };
-    let runtime = compio::runtime::Runtime::new().expect("a runtime");
-    match runtime.block_on(exchange) {
-        Ok(answer) => answer,
-        Err(err) => Answer { status: 0, headers: hyper::HeaderMap::new(), text: err.to_string() },
-    }
-}
-
 fn listening(lines: &mut impl Iterator<Item = std::io::Result<String>>, mark: &str) -> SocketAddr {
     for line in lines {
         let line = line.expect("the door's log is text");
@@ -341,23 +251,3 @@
     }
     panic!("the door ended before it logged `{mark}`");
 }
-
-/// Starts a server with a handler of the test's own; returns where it listens.
-pub fn start<M, H, F>(make: M) -> SocketAddr
-where
-    M: FnOnce() -> H + Send + 'static,
-    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + 'static,
-    F: Future<Output = hyper::Response<Body>> + 'static,
-{
-    let (sender, receiver) = flume::bounded(1);
-    thread::spawn(move || {
-        let runtime = compio::runtime::Runtime::new().expect("a runtime");
-        runtime.block_on(async move {
-            let any = SocketAddr::from(([127, 0, 0, 1], 0));
-            let server = Server::bind(any, ServeLimits::default()).await.expect("a port");
-            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
-            server.run(make()).await;
-        });
-    });
-    receiver.recv().expect("the stand-in starts")
-}
--- a/crates/samphiredoor/tests/it/platform/cells.rs
+++ b/crates/samphiredoor/tests/it/platform/cells.rs
@@ -5,7 +5,7 @@
 use samphiredoor_standin::platform_store::StoreFault;
 use serde_json::json;
 
-use super::env::{Platform, route};
+use super::env::{BINARY, Platform, route};
 use crate::env::wait_until;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -18,7 +18,7 @@
 const ITEMS: [&str; 4] = ["item-a", "item-b", "item-c", "item-d"];
 
 fn two_cells() -> Platform {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     for _ in 0..GATEWAYS {
         platform.spawn_gateway();
     }
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -5,7 +5,7 @@
 use samphiredoor_standin::platform_store::StoreFault;
 use serde_json::json;
 
-use super::env::{Platform, route};
+use super::env::{BINARY, Platform, route};
 use crate::env::{get, wait_until};
 
 const FAST: Duration = Duration::from_millis(2);
@@ -13,7 +13,7 @@
 // A gateway that knows no routes cannot tell a wrong request from a proper one: it must not answer 404.
 #[test]
 fn without_routes_nothing_is_refused_for_good() {
-    let mut platform = Platform::without_routes();
+    let mut platform = Platform::without_routes(BINARY);
     platform.start_target("t-1", FAST);
     platform.spawn_gateway();
     let readiness = platform.readiness(0);
@@ -27,7 +27,7 @@
 // An older configuration is written after a newer one was seen. It must not come back into force.
 #[test]
 fn an_older_configuration_never_comes_back() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     platform.start_gateway();
     let with = |version: u64, path: &str| {
@@ -45,7 +45,7 @@
 
 #[test]
 fn a_configuration_is_found_where_the_history_is_gone() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     platform.start_gateway();
     platform.store.set_fault(StoreFault::Busy);
@@ -60,7 +60,7 @@
 
 #[test]
 fn a_leaving_target_gets_no_new_work() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let leaving = platform.start_target("t-1", FAST);
     platform.start_gateway();
     assert_eq!(platform.send(0, "/stream/check", "id-1", "").status, 200);
@@ -76,7 +76,7 @@
 // They name no target to use, and the others hold.
 #[test]
 fn foreign_entries_name_no_target() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let foreign = [
         json!("text"),
         json!({ "service": "reader" }),
@@ -98,7 +98,7 @@
 // them all at once would leave no target to use.
 #[test]
 fn targets_that_lapsed_with_the_store_still_serve() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", FAST);
     platform.start_gateway();
     platform.store.set_fault(StoreFault::Busy);
@@ -119,7 +119,7 @@
 // every caller until the store was back; now a storage host's process tells them what it saw last.
 #[test]
 fn a_fleet_that_restarts_without_the_store_serves() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     let _storage = platform.start_storage("store-1");
     platform.start_gateway();
@@ -142,7 +142,7 @@
 // saw last, an older configuration, is in force until the store answers, and never after that.
 #[test]
 fn what_the_store_says_replaces_what_was_seen_last() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     let _storage = platform.start_storage("store-1");
     platform.start_gateway();
@@ -164,7 +164,7 @@
 // was written then was in force nowhere until the watch's time was over, half a minute later.
 #[test]
 fn a_watch_that_fell_silent_with_the_store_is_asked_anew() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.watch_ms = 300_000;
     platform.start_target("t-1", FAST);
     platform.start_gateway();
@@ -182,7 +182,7 @@
 // failed with waited_ms=16001 while its targets' watch was answered twice.
 #[test]
 fn deaf_watches_do_not_keep_routes_from_being_in_force() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.watch_ms = 300_000;
     platform.start_target("t-1", FAST);
     platform.start_gateway();
@@ -194,7 +194,7 @@
 // A target says that it leaves after such a silence, and goes on getting requests until it is gone.
 #[test]
 fn deaf_watches_do_not_keep_a_target_from_leaving() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.watch_ms = 300_000;
     let leaving = platform.start_target("t-1", FAST);
     platform.start_gateway();
@@ -209,7 +209,7 @@
 // to help.
 #[test]
 fn a_deaf_watch_is_asked_anew_when_another_gateway_is_ahead() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.watch_ms = 300_000;
     platform.within_ms = 600_000;
     let leaving = platform.start_target("t-1", FAST);
@@ -229,7 +229,7 @@
 // moment, and the watches of the storage hosts' processes were never answered.
 #[test]
 fn deaf_watches_do_not_keep_a_storage_host_from_being_emptied() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.watch_ms = 300_000;
     let _storage = platform.start_storage("store-1");
     deafen(&platform);
@@ -250,7 +250,7 @@
 // it runs.
 #[test]
 fn what_has_changed_since_an_old_list_is_found() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let leaving = platform.start_target("t-1", FAST);
     platform.store.keep_for_stale_lists();
     platform.register(&leaving, "draining");
@@ -264,7 +264,7 @@
 // The pages of an old list are of different ages. Changes between the oldest and the first one would be missed.
 #[test]
 fn what_has_changed_between_the_pages_of_an_old_list_is_found() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     let leaving = platform.start_target("t-2", FAST);
     platform.store.keep_for_stale_lists();
@@ -279,7 +279,7 @@
 // All gateways are killed and start again. Each would write its entry, which stands already, and read it.
 #[test]
 fn a_gateway_that_starts_again_does_not_register_again() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", FAST);
     platform.start_gateway();
     wait_until("it is registered", || !platform.store.names("doors").is_empty());
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::Value;
 
-use super::env::{Platform, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 use crate::env::wait_until;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -16,7 +16,7 @@
 const ITEMS: [&str; 4] = ["item-a", "item-b", "item-c", "item-d"];
 
 fn two_gateways(pause: Duration) -> (Platform, PlatformTarget) {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", pause);
     platform.start_gateway();
     platform.start_gateway();
@@ -239,7 +239,7 @@
 // nine gateways in a silence of three seconds.
 #[test]
 fn a_store_that_is_silent_for_all_stops_no_item() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", Duration::from_millis(1_000));
     platform.start_gateway();
     // Its own watches tell it nothing of the silence.
@@ -260,7 +260,7 @@
 // must wait, and not be listed as failed.
 #[test]
 fn items_wait_where_no_routes_are_known_yet() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -20,7 +20,7 @@
 };
 use serde_json::{Value, json};
 
-use super::env::{Platform, route, whole_stream};
+use super::env::{BINARY, Platform, route, whole_stream};
 use crate::env::wait_until;
 
 const GATEWAYS: usize = 3;
@@ -53,7 +53,7 @@
 
 impl Soak {
     fn new(seed: u64) -> Soak {
-        let mut platform = Platform::new();
+        let mut platform = Platform::new(BINARY);
         platform.linked = true;
         // A watch that is deaf stays so for longer than a run lasts, unless the gateway itself finds out.
         platform.watch_ms = 300_000;
--- a/crates/samphiredoor/tests/it/platform/stops.rs
+++ b/crates/samphiredoor/tests/it/platform/stops.rs
@@ -5,7 +5,7 @@
 use samphiredoor_standin::platform_target::TargetFault;
 use serde_json::json;
 
-use super::env::{Platform, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 use crate::env::{get, wait_until};
 
 const SLOW: Duration = Duration::from_millis(120);
@@ -13,7 +13,7 @@
 // A gateway is told to stop while it passes a stream on. The caller gets its whole answer, and the balancer is told first.
 #[test]
 fn a_planned_stop_cuts_no_stream() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", SLOW);
     platform.start_gateway();
     let readiness = platform.readiness(0);
@@ -33,7 +33,7 @@
 // A gateway that stops hands its jobs over; another one goes on with them at once.
 #[test]
 fn a_planned_stop_hands_jobs_over() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     platform.start_gateway();
@@ -47,7 +47,7 @@
 // A signal to read the settings again comes to processes that have nothing to change; it must not end them.
 #[test]
 fn a_signal_to_reload_ends_no_process() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.start_target("t-1", Duration::from_millis(2));
     platform.start_gateway();
     let storage = platform.start_storage("store-1");
@@ -65,7 +65,7 @@
 // gateway that only knew that the job was over for itself told the caller that it was ended, and the items ran on.
 #[test]
 fn an_end_after_a_hand_over_stops_the_next_owner() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.unready_ms = 4_000;
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
@@ -88,7 +88,7 @@
 // Items are cut by a planned stop in the middle of their output. The next owner goes on after their last events.
 #[test]
 fn outputs_are_handed_over_with_their_job() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     platform.start_gateway();
@@ -105,7 +105,7 @@
 // the job before its outputs were handed over, and its items ran from their beginning.
 #[test]
 fn a_job_is_not_taken_before_its_outputs_are_handed_over() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW * 3);
     platform.start_gateway();
     platform.start_gateway();
--- a/crates/samphiredoor/tests/it/platform/streams.rs
+++ b/crates/samphiredoor/tests/it/platform/streams.rs
@@ -4,13 +4,13 @@
 
 use samphiredoor_standin::platform_target::TargetFault;
 
-use super::env::{Platform, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 
 const FAST: Duration = Duration::from_millis(2);
 
 /// Platform with two replicas and one gateway.
 fn two_targets() -> (Platform, [samphiredoor_standin::platform_target::PlatformTarget; 2]) {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let targets = [platform.start_target("t-1", FAST), platform.start_target("t-2", FAST)];
     platform.start_gateway();
     (platform, targets)
@@ -138,7 +138,7 @@
 // The address of a replica that is gone is used again by another one. Its work must not reach the newcomer.
 #[test]
 fn a_target_at_a_reused_address_gets_nothing() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let newcomer = platform.start_target("newcomer", FAST);
     platform.store.remove("servers", "newcomer");
     let entry = newcomer.entry("reader", "brisbane-north", "ready");
