Add a soak with planned faults: standin soak

The short soak does one thing after the other: it sees nothing of clients that go on while processes are paused or killed. standin soak runs gateways, a storage host's process, the stand-in store and targets, and clients that keep their connections, send jobs again, read from earlier positions and end them, while the faults of a seeded plan come in series and overlap. Promises are judged while it runs and at rest; plan and trace are written, a plan can be played again and shortened.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -97,6 +97,33 @@
         #[bpaf(argument("SECONDS"), fallback(5.0), display_fallback)]
         seconds: f64,
     },
+    /// Runs gateways under random faults and checks what callers and targets see
+    #[bpaf(command)]
+    Soak {
+        /// Folder for plans, traces and logs
+        #[bpaf(argument("FOLDER"))]
+        folder: PathBuf,
+        /// Time over which faults are spread
+        #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+        seconds: u64,
+        /// Gateway processes
+        #[bpaf(argument("COUNT"), fallback(3), display_fallback)]
+        gateways: usize,
+        /// Seed to play
+        #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Seeds to play one after the other, as `100..150`, instead of one
+        #[bpaf(argument("FROM..TO"))]
+        seeds: Option<String>,
+        /// Plan to play instead of the seed's own
+        #[bpaf(argument("FILE"))]
+        plan: Option<PathBuf>,
+        /// Leave out faults for as long as the same promise breaks
+        shrink: bool,
+        /// The `samphiredoor` program
+        #[bpaf(positional("PROGRAM"))]
+        binary: PathBuf,
+    },
     /// Prints the rows of a file as ratios to the first
     #[bpaf(command)]
     Table {
--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -141,6 +141,13 @@
         self.store.put("config", "main", config);
     }
 
+    /// Replaces all routes by one under `/newest/`.
+    pub fn put_newest_route(&self, version: u64) {
+        let mut newest = route("safe", 3, false);
+        newest["pathPrefix"] = json!("/newest/");
+        self.store.put("config", "main", json!({ "version": version, "routes": [newest] }));
+    }
+
     /// Starts a replica and registers it.
     pub fn start_target(&mut self, name: &str, pause: Duration) -> PlatformTarget {
         let target = PlatformTarget::start(name, EVENTS, pause).expect("a replica starts");
@@ -294,6 +301,22 @@
         found
     }
 
+    /// Writes what each process has logged into a file of its name; lines of later starts follow those of earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be written.
+    pub fn write_logs(&self, folder: &Path) -> std::io::Result<()> {
+        let mut logs: BTreeMap<&str, String> = BTreeMap::new();
+        for (name, lines) in &self.logs {
+            let lines = lines.lock().expect("nobody panicked");
+            let log = logs.entry(name).or_default();
+            lines.iter().for_each(|it| log.extend([it.as_str(), "\n"]));
+        }
+        logs.iter()
+            .try_for_each(|(name, log)| std::fs::write(folder.join(format!("{name}.log")), log))
+    }
+
     /// Link of a gateway to the store, if it has one.
     pub fn gateway_link(&self, number: usize) -> Option<&Link> {
         self.gateways[number].link.as_ref()
@@ -340,16 +363,7 @@
 
     /// Submits a job of items whose bodies are their names.
     pub fn submit(&self, gateway: usize, job: &str, items: &[&str]) -> Answer {
-        let items: Vec<Value> = items
-            .iter()
-            .map(|id| {
-                json!({
-                    "id": id, "path": "/batch/item", "headers": { "X-Model": "m" },
-                    "body": STANDARD.encode(id), "tokenCount": 10,
-                })
-            })
-            .collect();
-        self.send(gateway, "/batch/submit", job, &json!({ "items": items }).to_string())
+        self.send(gateway, "/batch/submit", job, &submission(items))
     }
 
     /// Submits a job of so many items.
@@ -405,6 +419,17 @@
     }
 }
 
+/// Body of a submission; the body of each item is its name.
+pub fn submission(items: &[impl AsRef<str>]) -> String {
+    let items = items.iter().map(AsRef::as_ref).map(|id| {
+        json!({
+            "id": id, "path": "/batch/item", "headers": { "X-Model": "m" },
+            "body": STANDARD.encode(id), "tokenCount": 10,
+        })
+    });
+    json!({ "items": items.collect::<Vec<Value>>() }).to_string()
+}
+
 /// Whether a line holds an id that goes on on neither side.
 fn names(line: &str, id: &str) -> bool {
     let ends = |it: Option<char>| it.is_none_or(|it| !it.is_alphanumeric() && it != '-');
--- a/crates/samphiredoor-standin/src/lib.rs
+++ b/crates/samphiredoor-standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform_store;
 pub mod platform_target;
 pub mod process;
+pub mod soak;
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -8,6 +8,7 @@
 
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use samphiredoor_net::{Body, body::read_whole};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 const ROOT: &str = "/samphiredoor/objects/";
@@ -22,6 +23,8 @@
 
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum StoreFault {
     /// It does not.
     #[default]
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -8,9 +8,10 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 /// Longer than any request of the tests waits.
@@ -19,6 +20,8 @@
 
 /// How the next requests are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum TargetFault {
     /// As they should be.
     #[default]
@@ -50,6 +53,8 @@
     pub after: Option<u64>,
     /// Body.
     pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
@@ -174,7 +179,7 @@
             return Ok(true);
         }
         let after = request.header("last-event-id").and_then(|it| it.parse().ok());
-        let run = Run { id: id.to_owned(), after, body: request.body.clone() };
+        let run = Run { id: id.to_owned(), after, body: request.body.clone(), at: Instant::now() };
         self.state().runs.push(run);
         match fault {
             TargetFault::Fails => {
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -1,6 +1,6 @@
 //! Runs what the command line asked for: a stand-in until the process is ended, or one run of the load tool.
 
-use std::{io::Write, net::SocketAddr, path::Path, time::Duration};
+use std::{io::Write, net::SocketAddr, ops::Range, path::Path, time::Duration};
 
 use anyhow::Context;
 use hyper::{Request, Response, body::Incoming};
@@ -8,6 +8,7 @@
     engine::EngineConfig, engine_http::Engine, objects_http::ObjectApi, service_http::PlainService,
 };
 use samphiredoor_net::{Body, ServeLimits, Server};
+use samphiredoor_standin::soak::{self, Plan};
 
 use crate::{
     calls::{self, Calls},
@@ -20,6 +21,10 @@
 
 /// Runs what was asked for.
 pub fn run(opts: Opts) -> anyhow::Result<()> {
+    if let Opts::Soak { folder, seconds, gateways, seed, seeds, plan, shrink, binary } = opts {
+        let options = soak::Options { binary, folder, seconds, gateways };
+        return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
+    }
     compio::runtime::Runtime::new()?.block_on(async {
         match opts {
             Opts::Store { address } => {
@@ -70,6 +75,7 @@
                 let duration = Duration::from_secs_f64(seconds);
                 calls::run(Calls { address, path, connections, rate_per_s, duration }).await
             }
+            Opts::Soak { .. } => unreachable!("soaks run on threads of their own"),
             Opts::Table { step_ms, step_per_sequence_ms, engines, loan_limit, file } => {
                 table::print(&file, Bound { step_ms, step_per_sequence_ms, engines, loan_limit })
             }
@@ -77,6 +83,27 @@
     })
 }
 
+fn run_soak(
+    options: &soak::Options,
+    seed: u64,
+    seeds: Option<&str>,
+    plan: Option<&Path>,
+    shrink: bool,
+) -> anyhow::Result<()> {
+    soak::end_on_signals();
+    match (plan, shrink) {
+        (Some(file), true) => soak::shrink(options, seed, Plan::read(file)?),
+        (Some(file), false) => soak::replay(options, seed, file),
+        (None, true) => soak::shrink(options, seed, options.plan(seed)),
+        (None, false) => soak::play_seeds(options, seeds.map_or(Ok(seed..seed + 1), range)?),
+    }
+}
+
+fn range(text: &str) -> anyhow::Result<Range<u64>> {
+    let (from, to) = text.split_once("..").with_context(|| format!("`{text}` is no range"))?;
+    Ok(from.parse()?..to.parse()?)
+}
+
 async fn serve<H, F>(name: &str, address: SocketAddr, handler: H) -> anyhow::Result<()>
 where
     H: Fn(Request<Incoming>) -> F + 'static,
--- /dev/null
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -0,0 +1,212 @@
+//! The processes of a run, and the faults that are done to them from outside.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use super::{
+    plan::{Fault, LinkTrouble, Sizes, Step},
+    trace::Shared,
+};
+use crate::{
+    fleet::Platform,
+    link::{Link, LinkFault},
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, Run, TargetFault},
+    process::ChildProcess,
+};
+
+/// Pause of targets between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// Longer than any run: a watch that is deaf stays so, unless the gateway itself finds out.
+const WATCH_MS: u64 = 300_000;
+const ATTEMPTS: u32 = 3;
+/// Time from SIGTERM after which a process is killed, as the platform would.
+const GRACE: Duration = Duration::from_secs(15);
+
+/// Store, targets, gateways and a storage host's process, all ended with this value.
+pub struct Injector<'a> {
+    shared: &'a Shared,
+    /// The processes.
+    pub platform: Platform,
+    sizes: Sizes,
+    storage: ChildProcess,
+    storages: usize,
+    targets: Vec<PlatformTarget>,
+    /// Target that has each of the numbers of a plan now.
+    current: Vec<usize>,
+    /// Gateways that were told to end, since when.
+    ending: Vec<(usize, Instant)>,
+    /// Version of the newest configuration.
+    pub routes_version: u64,
+}
+
+impl<'a> Injector<'a> {
+    /// Starts all processes and waits until the gateways are ready.
+    pub fn start(shared: &'a Shared, binary: &Path, sizes: Sizes) -> Injector<'a> {
+        let mut platform = Platform::new(binary);
+        platform.linked = true;
+        platform.watch_ms = WATCH_MS;
+        let targets =
+            (0..sizes.targets).map(|it| platform.start_target(&format!("t-{it}"), EVENT_PAUSE));
+        let targets = targets.collect();
+        let storage = platform.start_storage("storage-0");
+        for _ in 0..sizes.gateways {
+            platform.start_gateway();
+        }
+        let current = (0..sizes.targets).collect();
+        let injector = Injector {
+            shared,
+            platform,
+            sizes,
+            storage,
+            storages: 1,
+            targets,
+            current,
+            ending: Vec::new(),
+            routes_version: 1,
+        };
+        injector.tell_addresses();
+        injector
+    }
+
+    fn tell_addresses(&self) {
+        let addresses = (0..self.sizes.gateways).map(|it| self.platform.callers(it)).collect();
+        self.shared.set_gateways(addresses);
+    }
+
+    /// All runs at targets so far.
+    pub fn runs(&self) -> Vec<Run> {
+        let mut runs: Vec<Run> = self.targets.iter().flat_map(PlatformTarget::runs).collect();
+        runs.sort_by_key(|it| it.at);
+        runs
+    }
+
+    /// Begins a fault.
+    pub fn begin(&mut self, step: &Step) {
+        self.shared.trace("fault", json!(step));
+        let now = Instant::now();
+        self.shared.checks().disturbed(now, now + Duration::from_millis(step.for_ms));
+        match step.fault {
+            Fault::PauseGateway(gateway) => self.signal(gateway, "STOP"),
+            Fault::KillGateway(gateway) => self.platform.gateway(gateway).kill(),
+            Fault::StopGateway(gateway) => {
+                self.signal(gateway, "TERM");
+                self.ending.push((gateway, now));
+            }
+            Fault::PauseStorage => self.signal_storage("STOP"),
+            Fault::KillStorage => self.storage.kill(),
+            Fault::GatewayLink(gateway, trouble) => {
+                self.platform.gateway_link(gateway).into_iter().for_each(|it| disturb(it, trouble));
+            }
+            Fault::TargetLink(target, trouble) => {
+                self.target_link(target).into_iter().for_each(|it| disturb(it, trouble));
+            }
+            Fault::Store(fault) => self.platform.store.set_fault(fault),
+            Fault::StoreTowards(gateway, fault) => self.platform.set_way_fault(gateway, fault),
+            Fault::ForgetHistory => self.platform.store.forget_history(),
+            Fault::Target(target, fault, count) => self.target(target).fail_next(count, fault),
+            Fault::ReplaceTarget(target) => self.platform.register(self.target(target), "draining"),
+            Fault::ChangeRoutes => {
+                self.routes_version += 1;
+                self.platform.put_routes(self.routes_version, ATTEMPTS);
+            }
+        }
+    }
+
+    /// Ends a fault.
+    pub fn end(&mut self, step: &Step) {
+        self.shared.trace("fault over", json!(step));
+        match step.fault {
+            Fault::PauseGateway(gateway) => self.signal(gateway, "CONT"),
+            Fault::KillGateway(gateway) => self.restart_gateway(gateway),
+            Fault::PauseStorage => self.signal_storage("CONT"),
+            Fault::KillStorage => self.restart_storage(),
+            Fault::GatewayLink(gateway, _) => {
+                self.platform
+                    .gateway_link(gateway)
+                    .into_iter()
+                    .for_each(|it| it.set_fault(LinkFault::None));
+            }
+            Fault::TargetLink(target, _) => {
+                self.target_link(target).into_iter().for_each(|it| it.set_fault(LinkFault::None));
+            }
+            Fault::Store(_) => self.platform.store.set_fault(StoreFault::None),
+            Fault::StoreTowards(gateway, _) => {
+                self.platform.set_way_fault(gateway, StoreFault::None);
+            }
+            Fault::Target(target, ..) => self.target(target).fail_next(0, TargetFault::None),
+            Fault::ReplaceTarget(target) => self.replace(target),
+            Fault::StopGateway(_) | Fault::ForgetHistory | Fault::ChangeRoutes => {}
+        }
+    }
+
+    /// Starts gateways anew that have ended after SIGTERM; says whether none is ending any more.
+    pub fn tick(&mut self) -> bool {
+        for (gateway, since) in std::mem::take(&mut self.ending) {
+            if since.elapsed() > GRACE {
+                self.platform.gateway(gateway).kill();
+            }
+            match self.platform.gateway(gateway).has_ended() {
+                true => {
+                    self.shared.checks().disturbed(since, Instant::now());
+                    self.restart_gateway(gateway);
+                }
+                false => self.ending.push((gateway, since)),
+            }
+        }
+        self.ending.is_empty()
+    }
+
+    fn restart_gateway(&mut self, gateway: usize) {
+        self.ending.retain(|(it, _)| *it != gateway);
+        self.platform.restart_gateway(gateway);
+        self.shared.checks().disturbed(Instant::now(), Instant::now());
+        self.tell_addresses();
+    }
+
+    fn restart_storage(&mut self) {
+        self.storage = self.platform.start_storage(&format!("storage-{}", self.storages));
+        self.storages += 1;
+    }
+
+    fn signal(&mut self, gateway: usize, name: &str) {
+        if !self.platform.gateway(gateway).has_ended() {
+            self.platform.signal(gateway, name);
+        }
+    }
+
+    fn signal_storage(&mut self, name: &str) {
+        if !self.storage.has_ended() {
+            self.storage.signal(name);
+        }
+    }
+
+    fn target(&self, number: usize) -> &PlatformTarget {
+        &self.targets[self.current[number]]
+    }
+
+    fn target_link(&self, number: usize) -> Option<&Link> {
+        self.platform.target_link(&self.target(number).name)
+    }
+
+    fn replace(&mut self, number: usize) {
+        let former = self.target(number);
+        former.crash();
+        self.platform.store.remove("servers", &former.name);
+        let name = format!("t-{}", self.targets.len());
+        let target = self.platform.start_target(&name, EVENT_PAUSE);
+        self.current[number] = self.targets.len();
+        self.targets.push(target);
+    }
+}
+
+fn disturb(link: &Link, trouble: LinkTrouble) {
+    match trouble {
+        LinkTrouble::Cut => link.cut(),
+        _ => link.set_fault(trouble.fault()),
+    }
+}
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -17,10 +17,11 @@
     link::LinkFault,
     platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
+    soak,
 };
-use serde_json::{Value, json};
+use serde_json::Value;
 
-use super::env::{BINARY, Platform, route, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 use crate::env::wait_until;
 
 const GATEWAYS: usize = 3;
@@ -268,10 +269,7 @@
 
     /// Replaces all routes, and waits until each gateway serves the new one and none of the old ones.
     fn check_routes(&self) {
-        let mut newest = route("safe", 3, false);
-        newest["pathPrefix"] = json!("/newest/");
-        let config = json!({ "version": self.routes + 1, "routes": [newest] });
-        self.platform.store.put("config", "main", config);
+        self.platform.put_newest_route(self.routes + 1);
         for gateway in 0..GATEWAYS {
             wait_until("the newest route is in force", || {
                 self.platform.send(gateway, "/newest/ask", "newest", "").status == 200
@@ -335,3 +333,16 @@
 fn promises_hold_under_random_faults() {
     seeds().for_each(play);
 }
+
+#[test]
+fn promises_hold_while_clients_go_on() {
+    let folder = std::env::temp_dir().join(format!("samphiredoor-soak-{}", std::process::id()));
+    let options = soak::Options {
+        binary: BINARY.into(),
+        folder: folder.clone(),
+        seconds: 20,
+        gateways: GATEWAYS,
+    };
+    soak::play_seeds(&options, 1..3).expect("every promise holds");
+    std::fs::remove_dir_all(folder).expect("the traces are removed");
+}
