--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -32,7 +32,8 @@
     shared: &'a Shared,
     /// The processes.
     pub platform: Platform,
-    sizes: Sizes,
+    /// How many of each there are.
+    pub sizes: Sizes,
     storage: ChildProcess,
     storages: usize,
     targets: Vec<PlatformTarget>,
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -29,6 +29,7 @@
 use clients::Client;
 use injector::Injector;
 use report::Recovery;
+use settle::Settle;
 use trace::Shared;
 
 const SIGHUP: i32 = 1;
@@ -139,15 +140,7 @@
     plan.write(&folder.join("plan.jsonl"))?;
     let shared = Shared::new(&folder.join("trace.jsonl"))?;
     let mut injector = Injector::start(&shared, &options.binary, options.sizes());
-    let calm_since = run(&shared, &mut injector, plan, seed, options.gateways);
-    settle::Settle {
-        shared: &shared,
-        injector: &injector,
-        gateways: options.gateways,
-        calm_since,
-        recovery,
-    }
-    .check();
+    run(&shared, &mut injector, plan, seed, recovery);
     shared.flush();
     anyhow::ensure!(!trace::is_interrupted(), "told to end");
     let breach = shared.checks().breach().cloned();
@@ -162,15 +155,16 @@
     Ok(breach)
 }
 
-/// Has clients go on while the faults of a plan are done; tells when the last one was over.
+/// Does the faults of a plan while clients go on, and checks all promises.
 fn run(
     shared: &Shared,
     injector: &mut Injector<'_>,
     plan: &Plan,
     seed: u64,
-    gateways: usize,
-) -> Instant {
-    thread::scope(|scope| {
+    recovery: &mut Recovery,
+) {
+    let gateways = injector.sizes.gateways;
+    let settle = thread::scope(|scope| {
         let client = |number: usize, name: String| {
             Client::new(shared, seed.wrapping_add(number as u64), name, gateways)
         };
@@ -185,10 +179,15 @@
             scope.spawn(move || client.send_jobs());
         }
         inject(shared, injector, plan);
-        let calm_since = Instant::now();
-        wait(shared, injector, calm_since + CALM);
-        calm_since
-    })
+        let settle = Settle::new(shared, gateways);
+        settle.served_again(&mut recovery.served_ms);
+        wait(shared, injector, Instant::now() + CALM);
+        settle
+    });
+    settle.jobs_stand();
+    let runs = injector.runs();
+    shared.checks().check_runs(&runs);
+    settle.configuration_is_in_force(injector, &mut recovery.in_force_ms);
 }
 
 struct StopOnDrop<'a>(&'a Shared);
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -9,6 +9,9 @@
 /// Lines of a log that are shown for a promise that broke.
 const SHOWN_LINES: usize = 40;
 
+/// Longest time that is told apart; all waits are shorter.
+const LONGEST_MS: u64 = 120_000;
+
 /// Times to recover, over all runs of a command.
 #[derive(Debug, Default)]
 pub struct Recovery {
@@ -24,7 +27,7 @@
 
 impl Default for Times {
     fn default() -> Times {
-        Times(Histogram::new(3).expect("three digits are allowed"))
+        Times(Histogram::new_with_max(LONGEST_MS, 3).expect("the bounds are allowed"))
     }
 }
 
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -154,7 +154,7 @@
     assert_eq!(target.runs().len(), runs);
 }
 
-// Guards against items that run on at an owner that the others had not heard when they took its job and closed it.
+// Guards against items that run on at an owner that the others had not heard when its job was ended.
 #[test]
 fn an_end_reaches_an_owner_that_was_not_heard_before() {
     let mut platform = Platform::new(BINARY);
