--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -1,6 +1,7 @@
 //! A replica of the platform, over plain sockets, so that it can answer in ways that no HTTP library would.
 
 use std::{
+    collections::VecDeque,
     io::{self, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -8,9 +9,10 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 /// Longer than any request of the tests waits.
@@ -19,6 +21,8 @@
 
 /// How the next requests are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum TargetFault {
     /// As they should be.
     #[default]
@@ -50,13 +54,14 @@
     pub after: Option<u64>,
     /// Body.
     pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
 struct State {
-    fault: TargetFault,
-    /// Requests that are still answered with the fault; then none are.
-    faulty: u32,
+    /// Faults of the next requests.
+    faults: VecDeque<TargetFault>,
     runs: Vec<Run>,
     events: u64,
     pause: Duration,
@@ -81,7 +86,7 @@
     /// No port can be listened on.
     pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let state = State { fault: TargetFault::None, faulty: 0, runs: Vec::new(), events, pause };
+        let state = State { faults: VecDeque::new(), runs: Vec::new(), events, pause };
         let target = PlatformTarget {
             name: name.to_owned(),
             address: listener.local_addr()?,
@@ -108,9 +113,13 @@
 
     /// Has the next requests answered with a fault.
     pub fn fail_next(&self, count: u32, fault: TargetFault) {
-        let mut state = self.state();
-        state.fault = fault;
-        state.faulty = count;
+        self.state().faults.clear();
+        self.fail_then(count, fault);
+    }
+
+    /// Has requests answered with a fault that come after those that were told of before.
+    pub fn fail_then(&self, count: u32, fault: TargetFault) {
+        self.state().faults.extend((0..count).map(|_| fault));
     }
 
     /// Requests that began to run.
@@ -140,14 +149,7 @@
     }
 
     fn next_fault(&self) -> TargetFault {
-        let mut state = self.state();
-        match state.faulty {
-            0 => TargetFault::None,
-            _ => {
-                state.faulty -= 1;
-                state.fault
-            }
-        }
+        self.state().faults.pop_front().unwrap_or_default()
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -174,7 +176,7 @@
             return Ok(true);
         }
         let after = request.header("last-event-id").and_then(|it| it.parse().ok());
-        let run = Run { id: id.to_owned(), after, body: request.body.clone() };
+        let run = Run { id: id.to_owned(), after, body: request.body.clone(), at: Instant::now() };
         self.state().runs.push(run);
         match fault {
             TargetFault::Fails => {
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::Value;
 
-use super::env::{Platform, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 use crate::env::wait_until;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -16,7 +16,7 @@
 const ITEMS: [&str; 4] = ["item-a", "item-b", "item-c", "item-d"];
 
 fn two_gateways(pause: Duration) -> (Platform, PlatformTarget) {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", pause);
     platform.start_gateway();
     platform.start_gateway();
@@ -154,6 +154,28 @@
     assert_eq!(target.runs().len(), runs);
 }
 
+// Guards against items that run on at an owner that the others had not heard when its job was ended.
+#[test]
+fn an_end_reaches_an_owner_that_was_not_heard_before() {
+    let mut platform = Platform::new(BINARY);
+    platform.watch_ms = 30_000;
+    let target = platform.start_target("t-0", Duration::from_millis(300));
+    platform.start_gateway();
+    platform.set_way_fault(0, StoreFault::WatchesSilent);
+    platform.start_gateway();
+    platform.start_gateway();
+    // The owner counts as gone where it was not heard for so long.
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(platform.submit_many(0, "job-1", 200).status, 202);
+    wait_until("the end is acknowledged", || platform.end(1, "job-1").status == 200);
+    platform.set_way_fault(0, StoreFault::None);
+    platform.wait_logged(1, "peers: heard peer=gateway-0");
+    std::thread::sleep(Duration::from_secs(6));
+    let runs = target.runs().len();
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(target.runs().len(), runs, "of 200 items");
+}
+
 // A job was taken from a gateway that was killed and has started anew. Nobody but its owner can append to its log, and the
 // owner still looked into the store for others at each read, three times a second for each job that is read.
 #[test]
@@ -239,7 +261,7 @@
 // nine gateways in a silence of three seconds.
 #[test]
 fn a_store_that_is_silent_for_all_stops_no_item() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", Duration::from_millis(1_000));
     platform.start_gateway();
     // Its own watches tell it nothing of the silence.
@@ -260,7 +282,7 @@
 // must wait, and not be listed as failed.
 #[test]
 fn items_wait_where_no_routes_are_known_yet() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW);
     platform.start_gateway();
     assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
--- a/crates/samphiredoor/tests/it/platform/narrow_line.rs
+++ b/crates/samphiredoor/tests/it/platform/narrow_line.rs
@@ -5,7 +5,7 @@
 use samphiredoor_standin::{link::SharedRate, platform_store::StoreFault};
 use serde_json::json;
 
-use super::env::{Platform, route};
+use super::env::{BINARY, Platform, route};
 use crate::env::wait_until;
 
 const GATEWAYS: usize = 8;
@@ -30,7 +30,7 @@
 // Each would throw away what came of a large answer when its time is over, and ask for it again.
 #[test]
 fn gateways_that_start_together_all_get_the_routes() {
-    let mut platform = Platform::without_routes();
+    let mut platform = Platform::without_routes(BINARY);
     put_many_routes(&platform);
     platform.linked = true;
     platform.line = Some(SharedRate::new(LINE_BYTES_PER_S));
@@ -45,7 +45,7 @@
 // All that are behind would ask the same gateway, beyond the line that they share.
 #[test]
 fn routes_are_taken_from_a_gateway_of_the_own_region() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     platform.peers_ip = "127.0.0.9";
     platform.start_gateway();
     (platform.region, platform.peers_ip) = ("cairns", "127.0.0.1");
@@ -64,7 +64,7 @@
 // A gateway that has started from what a storage host saw last would fetch the same once more as soon as the store answers.
 #[test]
 fn what_a_storage_host_has_told_is_not_fetched_from_the_store() {
-    let mut platform = Platform::without_routes();
+    let mut platform = Platform::without_routes(BINARY);
     put_many_routes(&platform);
     let _storage = platform.start_storage("store-1");
     std::thread::sleep(Duration::from_millis(1_000));
--- a/crates/samphiredoor/tests/it/platform/streams.rs
+++ b/crates/samphiredoor/tests/it/platform/streams.rs
@@ -4,13 +4,13 @@
 
 use samphiredoor_standin::platform_target::TargetFault;
 
-use super::env::{Platform, whole_stream};
+use super::env::{BINARY, Platform, whole_stream};
 
 const FAST: Duration = Duration::from_millis(2);
 
 /// Platform with two replicas and one gateway.
 fn two_targets() -> (Platform, [samphiredoor_standin::platform_target::PlatformTarget; 2]) {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let targets = [platform.start_target("t-1", FAST), platform.start_target("t-2", FAST)];
     platform.start_gateway();
     (platform, targets)
@@ -109,6 +109,19 @@
     assert!(targets.iter().all(|it| it.runs().is_empty()));
 }
 
+// Guards against a refusal as "not run" of a request that failed at one target and that the others do not take.
+#[test]
+fn a_request_that_ran_and_failed_is_not_refused_as_not_run() {
+    let (platform, targets) = two_targets();
+    for target in &targets {
+        target.fail_next(1, TargetFault::Fails);
+        target.fail_then(100, TargetFault::Full);
+    }
+    let answer = platform.send(0, "/safe/ask", "id-1", "");
+    assert!(targets.iter().any(|it| !it.runs().is_empty()), "it ran");
+    assert!(![408, 421, 429, 503].contains(&answer.status), "{} {}", answer.status, answer.text);
+}
+
 // On a kept connection a replica first sends a second answer to an earlier request, then the one that is due. Paired by
 // order alone, the caller would get the answer of somebody else.
 #[test]
@@ -138,7 +151,7 @@
 // The address of a replica that is gone is used again by another one. Its work must not reach the newcomer.
 #[test]
 fn a_target_at_a_reused_address_gets_nothing() {
-    let mut platform = Platform::new();
+    let mut platform = Platform::new(BINARY);
     let newcomer = platform.start_target("newcomer", FAST);
     platform.store.remove("servers", "newcomer");
     let entry = newcomer.entry("reader", "brisbane-north", "ready");
