Ask mirrors again while nothing was listed, and pass on the failure of a target that ran a request

A gateway that started while the store was silent asked the mirrors once; one that was busy for a moment left it without routes until the store was back (seen under load in what_a_storage_host_has_told_is_not_fetched_from_the_store: never ready). They are asked after each failed list now.

--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -69,6 +69,8 @@
     sends: u32,
     tried: SmallVec<[Name; 2]>,
     doubt: Option<Doubt>,
+    /// What a target answered that ran it and failed.
+    failed: Option<(Box<response::Parts>, Bytes)>,
     _open: Open,
 }
 
@@ -140,6 +142,7 @@
             sends: 0,
             tried: SmallVec::new(),
             doubt: None,
+            failed: None,
         }
     }
 
@@ -222,16 +225,18 @@
     async fn next(&mut self) -> Next {
         loop {
             if self.sends >= MAX_SENDS || self.patience().left() < SHORTEST_SEND {
-                return Next::Over(self.no_more(Refusal::DeadlineTooShort));
+                let over = self.no_more(Refusal::DeadlineTooShort);
+                return self.over(over);
             }
             let mut ticket = self.front.placer.ask(self.ask());
             let (target, address) = match ticket.placed().await {
                 Placed::Go { target, address } => (target, address),
                 Placed::Refused { reason, retry_after_ms } => {
-                    return Next::Over(match self.doubt {
+                    let over = match self.doubt {
                         Some(doubt) => Over::Doubt(doubt),
                         None => Over::Refused { reason, retry_after_ms },
-                    });
+                    };
+                    return self.over(over);
                 }
                 // Only items of jobs are recalled.
                 Placed::Recalled => continue,
@@ -263,6 +268,7 @@
                 if parts.status.is_server_error() && self.may_run_again() {
                     self.front.metrics.retried("target_failed");
                     self.tried.push(target);
+                    self.failed = Some((parts, body));
                     return None;
                 }
                 Some(Next::Whole(parts, body))
@@ -307,6 +313,15 @@
         }
     }
 
+    /// End of a request that no target has any more. One that ran and failed is told so: it is no longer true that it did
+    /// not run.
+    fn over(&mut self, over: Over) -> Next {
+        match self.failed.take() {
+            Some((parts, body)) => Next::Whole(parts, body),
+            None => Next::Over(over),
+        }
+    }
+
     fn no_more(&self, reason: Refusal) -> Over {
         match self.doubt {
             Some(doubt) => Over::Doubt(doubt),
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -126,7 +126,7 @@
     relay_regained: bool,
     /// Whether the process that was to be watched through has just not answered.
     relay_silent: bool,
-    /// Who is asked for the first list if the store does not answer; taken when it was asked.
+    /// Who is asked for the first list if the store does not answer; nobody after it.
     mirrors: Option<Mirrors>,
     metrics: Option<Rc<Metrics>>,
     /// When the store last answered.
@@ -220,18 +220,19 @@
         if let Some(seen) = self.queued.take() {
             return seen;
         }
-        if let Some(seen) = self.first().await {
-            return seen;
-        }
         loop {
             if std::mem::take(&mut self.changed) {
                 compio::time::sleep(self.rest).await;
             }
             let seen = match self.since {
+                None if self.mirrors.is_some() => self.list_while_it_comes().await,
                 None => self.list().await,
                 Some(since) => self.watch(since).await,
             };
             let Some(seen) = seen else {
+                if let Some(seen) = self.mirrored().await {
+                    return seen;
+                }
                 self.failures += 1;
                 compio::time::sleep(self.pause()).await;
                 self.wait_at_gate().await;
@@ -255,13 +256,10 @@
         }
     }
 
-    /// The first list, from the store or from a mirror; after a mirror's the store tells what has changed since.
-    async fn first(&mut self) -> Option<Seen> {
-        let mirrors = self.mirrors.take()?;
-        if let Some(seen) = self.list_while_it_comes().await {
-            return Some(seen);
-        }
-        let list = mirrors.list(self.kind).await?;
+    /// What a mirror tells in the place of the first list; the store tells what has changed since.
+    async fn mirrored(&mut self) -> Option<Seen> {
+        let list = self.mirrors.as_ref()?.list(self.kind).await?;
+        self.mirrors = None;
         self.since = Some(list.version);
         self.first_list = Freshness::Current;
         self.note_listed(&list.objects, list.version);
@@ -303,6 +301,7 @@
         let (all, version) = listed?;
         self.since = Some(version);
         self.first_list = Freshness::Current;
+        self.mirrors = None;
         self.note_listed(&all, version);
         self.heard();
         Some(Seen::All(all))
