Part what the door's tasks share from what puts them together

Hypothesis: most of the door's one circle of files comes from `process`, which holds both `Door` and the assembly that names every task.

`door` now holds the handles, `process` the assembly. Nobody names `process` but `main`.

--- a/crates/samphiredoor/src/ask.rs
+++ b/crates/samphiredoor/src/ask.rs
@@ -13,7 +13,7 @@
 use samphiredoor_net::Body;
 use serde::Deserialize;
 
-use crate::{answers::bad_request, process::Door};
+use crate::{answers::bad_request, door::Door};
 
 /// Header that names the workspace.
 pub const WORKSPACE_HEADER: &str = "x-workspace";
--- a/crates/samphiredoor/src/callers.rs
+++ b/crates/samphiredoor/src/callers.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, Response, body::Incoming};
 use samphiredoor_net::Body;
 
-use crate::{answers::not_found, job_control, job_reads, jobs, online, process::Door};
+use crate::{answers::not_found, door::Door, job_control, job_reads, jobs, online};
 
 /// Answers one request of a caller.
 pub async fn answer(door: Rc<Door>, request: Request<Incoming>) -> Response<Body> {
--- a/crates/samphiredoor/src/commands.rs
+++ b/crates/samphiredoor/src/commands.rs
@@ -19,8 +19,8 @@
 
 use crate::{
     answers::{bad_request, json_answer},
+    door::Door,
     job_control, manifest_change,
-    process::Door,
 };
 
 const TRIES: u32 = 5;
--- a/crates/samphiredoor/src/hosts_task.rs
+++ b/crates/samphiredoor/src/hosts_task.rs
@@ -15,7 +15,7 @@
 use samphiredoor_net::pool::within;
 use samphiredoor_schema::objects::HostEntry;
 
-use crate::{metrics::PeerRefusal, process::Door};
+use crate::{door::Door, metrics::PeerRefusal};
 
 const READERS: usize = 2;
 const PAGE: usize = 500;
--- a/crates/samphiredoor/src/item_call.rs
+++ b/crates/samphiredoor/src/item_call.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 
-use crate::{online::pushback, process::Door, targets::Call};
+use crate::{door::Door, online::pushback, targets::Call};
 
 /// Longest time for one attempt.
 pub const ITEM_DEADLINE: Duration = Duration::from_secs(600);
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -5,9 +5,9 @@
 use crate::{
     ask::{REQUEST_ID_HEADER, fingerprint, is_engine, passed_headers},
     dispatch_task::{Placement, Ticket},
+    door::Door,
     item_call::{ITEM_DEADLINE, ItemCall},
     online::is_loss,
-    process::Door,
     targets::Call,
 };
 use bytes::Bytes;
--- a/crates/samphiredoor/src/job_control.rs
+++ b/crates/samphiredoor/src/job_control.rs
@@ -16,9 +16,9 @@
 
 use crate::{
     answers::{json_answer, not_found, verdict_answer},
+    door::Door,
     job_reads::{chunk_results, header_json, read_header, unreadable},
     jobs::store_refusal,
-    process::Door,
 };
 
 /// Cancels a job; the answer says how far it came, or that it had finished before.
--- a/crates/samphiredoor/src/job_reads.rs
+++ b/crates/samphiredoor/src/job_reads.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     answers::{bad_request, json_answer, not_found},
+    door::Door,
     jobs::store_refusal,
-    process::Door,
 };
 
 /// Prefix of the objects that hold large bodies.
--- a/crates/samphiredoor/src/jobs.rs
+++ b/crates/samphiredoor/src/jobs.rs
@@ -15,8 +15,8 @@
 use crate::{
     answers::{bad_request, json_answer, verdict_answer},
     ask::{KEY_HEADER, WORKSPACE_HEADER, header_text},
+    door::Door,
     job_reads::header_json,
-    process::Door,
     request_body::RequestBody,
 };
 
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -14,7 +14,7 @@
 use samphiredoor_net::ticking::{Next, Ticking};
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
-use crate::{item_run, process::Door};
+use crate::{door::Door, item_run};
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
--- a/crates/samphiredoor/src/keys_task.rs
+++ b/crates/samphiredoor/src/keys_task.rs
@@ -9,7 +9,7 @@
 };
 use samphiredoor_net::ticking::{Next, Ticking};
 
-use crate::process::Door;
+use crate::door::Door;
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -11,7 +11,7 @@
 };
 use samphiredoor_net::ticking::{Next, Ticking};
 
-use crate::process::Door;
+use crate::door::Door;
 
 const TICK: Duration = Duration::from_millis(50);
 
--- a/crates/samphiredoor/src/lending_task.rs
+++ b/crates/samphiredoor/src/lending_task.rs
@@ -9,7 +9,7 @@
 };
 use samphiredoor_net::pool::within;
 
-use crate::process::Door;
+use crate::door::Door;
 
 const PERIOD: Duration = Duration::from_millis(250);
 
--- a/crates/samphiredoor/src/load_poll.rs
+++ b/crates/samphiredoor/src/load_poll.rs
@@ -16,7 +16,7 @@
 };
 use serde::Deserialize;
 
-use crate::{dispatch_task::TargetInUse, process::Door, targets::Call};
+use crate::{dispatch_task::TargetInUse, door::Door, targets::Call};
 
 const PAUSE: Duration = Duration::from_millis(250);
 const TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -10,6 +10,7 @@
 mod dev;
 mod dispatch_metrics;
 mod dispatch_task;
+mod door;
 mod exit_codes;
 mod hosts_task;
 mod item_call;
--- a/crates/samphiredoor/src/manifest_change.rs
+++ b/crates/samphiredoor/src/manifest_change.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     answers::{bad_request, json_answer},
+    door::Door,
     manifest_task::Source,
-    process::Door,
 };
 
 const HOLD_TRIES: u32 = 30;
--- a/crates/samphiredoor/src/manifest_http.rs
+++ b/crates/samphiredoor/src/manifest_http.rs
@@ -9,8 +9,8 @@
 use crate::{
     answers::{bad_request, not_found},
     ask::header_text,
+    door::Door,
     manifest_change::{answer, change},
-    process::Door,
 };
 
 const MAX_MANIFEST_BYTES: usize = 450_000;
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -14,7 +14,7 @@
 };
 use samphiredoor_net::pool::within;
 
-use crate::{metrics::ManifestRefusal, process::Door, store_client::WatchEvent};
+use crate::{door::Door, metrics::ManifestRefusal, store_client::WatchEvent};
 
 const WATCHERS_PER_ZONE: usize = 2;
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -16,10 +16,10 @@
 use samphiredoor_schema::objects::ProcessLease;
 
 use crate::{
+    door::Door,
     metrics::PeerRefusal,
     news,
     peers::{self, CALL_TIMEOUT, LinkCommand, LinkId, LinkUp, PeerMessage, PeersInbox, Told},
-    process::Door,
 };
 
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/samphiredoor/src/news.rs
+++ b/crates/samphiredoor/src/news.rs
@@ -2,7 +2,7 @@
 
 use samphiredoor_core::{Name, dispatch::Input, news::News, quarantine::Suspect};
 
-use crate::process::Door;
+use crate::door::Door;
 
 /// Passes one piece of news on.
 pub fn deliver(door: &Door, from: &Name, news: News) {
--- a/crates/samphiredoor/src/operators.rs
+++ b/crates/samphiredoor/src/operators.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     answers::{bad_request, json_answer, not_found},
-    commands, manifest_http,
-    process::Door,
+    commands,
+    door::Door,
+    manifest_http,
     query_rows::{self, Failure},
 };
 
--- a/crates/samphiredoor/src/orders_task.rs
+++ b/crates/samphiredoor/src/orders_task.rs
@@ -19,7 +19,7 @@
 };
 use serde_json::json;
 
-use crate::{process::Door, targets::Call};
+use crate::{door::Door, targets::Call};
 
 const TICK: Duration = Duration::from_millis(100);
 // Part of the lease that is left unused, for clocks that run differently.
--- a/crates/samphiredoor/src/peers/link.rs
+++ b/crates/samphiredoor/src/peers/link.rs
@@ -32,7 +32,7 @@
     counted::Counted,
     service::{DoorService, FarSide, GateService},
 };
-use crate::{manifest_task::Source, metrics::PeerRefusal, process::Door};
+use crate::{door::Door, manifest_task::Source, metrics::PeerRefusal};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/samphiredoor/src/peers/service.rs
+++ b/crates/samphiredoor/src/peers/service.rs
@@ -12,7 +12,7 @@
 use samphiredoor_schema::peer_capnp::{door, gate};
 
 use super::{PeerMessage, codec};
-use crate::{manifest_task::Source, metrics::PeerRefusal, process::Door};
+use crate::{door::Door, manifest_task::Source, metrics::PeerRefusal};
 
 const MAX_NEWS: u32 = 1_000;
 
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -1,4 +1,4 @@
-//! The whole door: its listeners, its tasks, and its planned stop.
+//! The process of a door: puts its parts together, starts their tasks and listeners, and stops them as planned.
 
 use std::{
     cell::Cell,
@@ -11,18 +11,14 @@
 use anyhow::Context;
 use compio::{net::TcpListener, runtime::JoinHandle};
 use futures_util::future::{Either, select};
-use samphiredoor_core::{
-    Name,
-    dispatch::Place,
-    membership::{Member, MemberState, MembershipInput},
-    news::News,
-};
+use samphiredoor_core::{Name, dispatch::Place, membership::MembershipInput, news::News};
 use samphiredoor_net::{ServeLimits, Server, clock::Clock, serve::StopHandle};
 
 use crate::{
     ask, callers,
     config::DoorConfig,
     dispatch_task::Dispatch,
+    door::Door,
     exit_codes::Exit,
     hosts_task,
     jobs_task::{self, Jobs},
@@ -39,67 +35,6 @@
     targets::TargetPools,
 };
 
-/// Everything that the tasks of a door share: handles, no state of their own.
-pub struct Door {
-    /// Decided options.
-    pub config: DoorConfig,
-    /// Clock of the process.
-    pub clock: Clock,
-    /// Start of the process, to tell it from an earlier one of the same name.
-    pub incarnation: u64,
-    /// The dispatcher's task.
-    pub dispatch: Dispatch,
-    /// The ledger's task.
-    pub jobs: Jobs,
-    /// The idempotency keys' task.
-    pub keys: KeysHandle,
-    /// The manifest's task.
-    pub manifest: ManifestHandle,
-    /// The members task.
-    pub peers: Peers,
-    /// The quarantine's task.
-    pub quarantine: QuarantineHandle,
-    /// The object API.
-    pub store: StoreClient,
-    /// Connections to targets.
-    pub targets: TargetPools,
-    /// Metrics.
-    pub metrics: Rc<Metrics>,
-    /// The task that gives orders to targets.
-    pub orders: OrdersHandle,
-    /// Whether a planned stop is under way.
-    pub stopping: Cell<bool>,
-    next_unique: Cell<u64>,
-}
-
-impl Door {
-    /// Name that no other door, and no other call, gives.
-    pub fn unique_name(&self, prefix: &str) -> String {
-        let number = self.next_number();
-        format!("{prefix}-{}-{:x}-{number}", self.config.name, self.incarnation)
-    }
-
-    /// Number that no other call gives.
-    pub fn next_number(&self) -> u64 {
-        let number = self.next_unique.get();
-        self.next_unique.set(number + 1);
-        number
-    }
-
-    /// This door as a member of the fleet.
-    pub fn own_member(&self) -> Member {
-        Member {
-            name: self.config.name(),
-            address: self.peers.address().to_string().into(),
-            incarnation: self.incarnation,
-            counter: 0,
-            state: if self.stopping.get() { MemberState::Stopping } else { MemberState::Live },
-            region: Name::clone(&self.config.region),
-            availability_zone: Name::clone(&self.config.availability_zone),
-        }
-    }
-}
-
 /// Runs a door until it is told to stop.
 pub fn run(config: DoorConfig) -> anyhow::Result<Exit> {
     let runtime = compio::runtime::Runtime::new().context("the runtime cannot start")?;
--- a/crates/samphiredoor/src/quarantine_task.rs
+++ b/crates/samphiredoor/src/quarantine_task.rs
@@ -17,7 +17,7 @@
     ticking::{Next, Ticking},
 };
 
-use crate::process::Door;
+use crate::door::Door;
 
 const TICK: Duration = Duration::from_millis(250);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -19,7 +19,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
-use crate::process::Door;
+use crate::door::Door;
 
 const PAGE: usize = 500;
 const MAX_READ: usize = 10_000;
