Part the links to other doors from the members task's handle

`Door` holds `Peers`, whose module also held the links, which need `Door`. `passing` and `item_run` used `online` for one question about a doubt.

`links` now holds the tasks of a connection and its wire format, `peers` the handle and the messages. `online::is_loss` is `Doubt::is_loss`.

--- a/crates/samphiredoor-core/src/verdict.rs
+++ b/crates/samphiredoor-core/src/verdict.rs
@@ -149,6 +149,11 @@
 }
 
 impl Doubt {
+    /// Whether a connection was lost, as by a target's death.
+    pub fn is_loss(self) -> bool {
+        matches!(self, Doubt::ConnectionLost | Doubt::AnswerCut)
+    }
+
     /// Reason by its label.
     pub fn from_label(label: &str) -> Option<Doubt> {
         Doubt::ALL.into_iter().find(|it| it.label() == label)
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -7,7 +7,6 @@
     dispatch_task::{Placement, Ticket},
     door::Door,
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::is_loss,
     targets::Call,
 };
 use bytes::Bytes;
@@ -65,7 +64,7 @@
                         return end;
                     }
                     Attempted::Ended(Err(end)) => {
-                        if matches!(end, AttemptEnd::Lost(reason) if is_loss(reason)) {
+                        if matches!(end, AttemptEnd::Lost(reason) if reason.is_loss()) {
                             pass.lost().await;
                         }
                         ticket.ended(end);
--- a/crates/samphiredoor/src/peers/codec.rs
+++ b/crates/samphiredoor/src/links/codec.rs
@@ -8,7 +8,7 @@
 };
 use samphiredoor_schema::peer_capnp::{self as wire, heartbeat, member, news, target_load};
 
-use super::Told;
+use crate::peers::Told;
 
 /// Most list entries that are read from one message.
 const MAX_ENTRIES: u32 = 1_000;
--- a/crates/samphiredoor/src/peers/link.rs
+++ b/crates/samphiredoor/src/links/link.rs
@@ -28,11 +28,16 @@
 use samphiredoor_schema::peer_capnp::{door, gate};
 
 use super::{
-    CALL_TIMEOUT, LinkCommand, LinkId, LinkUp, PeerMessage, codec, command_channel,
+    codec,
     counted::Counted,
     service::{DoorService, FarSide, GateService},
 };
-use crate::{door::Door, manifest_task::Source, metrics::PeerRefusal};
+use crate::{
+    door::Door,
+    manifest_task::Source,
+    metrics::PeerRefusal,
+    peers::{CALL_TIMEOUT, LinkCommand, LinkId, LinkUp, PeerMessage, command_channel},
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/samphiredoor/src/peers/service.rs
+++ b/crates/samphiredoor/src/links/service.rs
@@ -11,8 +11,8 @@
 use samphiredoor_core::{Name, membership::Member};
 use samphiredoor_schema::peer_capnp::{door, gate};
 
-use super::{PeerMessage, codec};
-use crate::{door::Door, manifest_task::Source, metrics::PeerRefusal};
+use super::codec;
+use crate::{door::Door, manifest_task::Source, metrics::PeerRefusal, peers::PeerMessage};
 
 const MAX_NEWS: u32 = 1_000;
 
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -24,6 +24,7 @@
 mod keys_task;
 mod lease_task;
 mod lending_task;
+mod links;
 mod load_poll;
 mod manifest_change;
 mod manifest_http;
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     door::Door,
+    links,
     metrics::PeerRefusal,
     news,
     peers::{self, CALL_TIMEOUT, LinkCommand, LinkId, LinkUp, PeerMessage, PeersInbox, Told},
@@ -152,7 +153,7 @@
 
     fn connect(&self, peer: Option<Name>, address: &str) {
         let door = Rc::clone(&self.door);
-        compio::runtime::spawn(peers::connect(door, peer, address.to_owned())).detach();
+        compio::runtime::spawn(links::connect(door, peer, address.to_owned())).detach();
     }
 
     fn command(&self, peer: &Name, command: LinkCommand) {
--- a/crates/samphiredoor/src/online.rs
+++ b/crates/samphiredoor/src/online.rs
@@ -132,7 +132,7 @@
                 Outcome::Nothing(end) => {
                     if let AttemptEnd::Lost(reason) = end {
                         doubt.get_or_insert(reason);
-                        if is_loss(reason) {
+                        if reason.is_loss() {
                             // Before another attempt, so that it is not sent to a second target unsuspected.
                             pass.lost().await;
                         }
@@ -255,11 +255,6 @@
     }
 }
 
-/// Whether a doubt comes from a connection that was lost, as by a target's death.
-pub fn is_loss(reason: Doubt) -> bool {
-    matches!(reason, Doubt::ConnectionLost | Doubt::AnswerCut)
-}
-
 /// What an engine says by 503 or 429: that it refused the request without running it.
 pub fn pushback<B>(is_engine: bool, response: &Response<B>) -> Option<AttemptEnd> {
     let refuses = matches!(
--- a/crates/samphiredoor/src/passing.rs
+++ b/crates/samphiredoor/src/passing.rs
@@ -15,7 +15,6 @@
     answers::verdict_json,
     dispatch_task::Ticket,
     metrics::{Metrics, Running},
-    online::is_loss,
     quarantine_task::Pass,
     stream_end::{DoneMark, StreamEnd},
 };
@@ -73,7 +72,7 @@
             }
             cut => {
                 let reason = cut.err().unwrap_or(Doubt::AnswerCut);
-                if let Some(pass) = this.pass.take_if(|_| is_loss(reason)) {
+                if let Some(pass) = this.pass.take_if(|_| reason.is_loss()) {
                     pass.lost_at_the_end();
                 }
                 this.ticket.ended(AttemptEnd::Cut(reason));
--- a/crates/samphiredoor/src/peers/mod.rs
+++ b/crates/samphiredoor/src/peers.rs
@@ -1,13 +1,7 @@
-//! Links between doors: Cap'n Proto RPC over TCP, one connection for calls in both directions.
+//! The members task as others speak to it: its handle, and the messages between it and the links.
 //!
-//! A link's tasks own its socket. The members task owns what is known of members and decides which links there are;
-//! the two talk by messages: [`PeerMessage`] towards the members task, [`LinkCommand`] towards a link. Every wait and
-//! every size has a bound, and what cannot be read is refused with a log line and a counter.
-
-mod codec;
-mod counted;
-mod link;
-mod service;
+//! The members task owns what is known of members and decides which links there are. The two talk by messages:
+//! [`PeerMessage`] towards the members task, [`LinkCommand`] towards a link.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -18,8 +12,6 @@
     news::{News, Origin},
 };
 
-pub use link::{connect, listen};
-
 /// Longest wait for a peer's answer to one call.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/samphiredoor/src/process.rs
+++ b/crates/samphiredoor/src/process.rs
@@ -23,7 +23,7 @@
     hosts_task,
     jobs_task::{self, Jobs},
     keys_task::{self, KeysHandle},
-    lease_task, lending_task, load_poll,
+    lease_task, lending_task, links, load_poll,
     manifest_task::{self, ManifestHandle},
     members_task,
     metrics::Metrics,
@@ -69,7 +69,7 @@
     compio::runtime::spawn(orders_task::run(Rc::clone(&door), inboxes.orders)).detach();
     compio::runtime::spawn(quarantine_task::run(Rc::clone(&door), inboxes.quarantine)).detach();
     compio::runtime::spawn(hosts_task::run(Rc::clone(&door))).detach();
-    compio::runtime::spawn(peers::listen(Rc::clone(&door), peer_listener)).detach();
+    compio::runtime::spawn(links::listen(Rc::clone(&door), peer_listener)).detach();
     let for_operators = Rc::clone(&door);
     let answer_operator = move |request| operators::answer(Rc::clone(&for_operators), request);
     compio::runtime::spawn(operators.run(answer_operator)).detach();
