Give the door's tasks the handles that they use

The tasks of keys, manifest, orders, quarantine and jobs got the whole `Door`, which holds their own handles: that was the rest of the door's circle of files. What a task really used could only be found by reading it.

Each now has a struct of what it uses, filled in `parts`, which also starts the tasks; `process` keeps the listeners and the planned stop. The ledger's task gets the run of an item as a function, so that it does not know `item_run`. A call of the store whose answer goes back to a task stood five times; it is `StoreClient::call_and_tell`.

--- a/crates/samphiredoor/src/door.rs
+++ b/crates/samphiredoor/src/door.rs
@@ -17,7 +17,7 @@
 /// Handles to all tasks of a door.
 pub struct Door {
     /// Decided options.
-    pub config: DoorConfig,
+    pub config: Rc<DoorConfig>,
     /// Clock of the process.
     pub clock: Clock,
     /// Start of the process, to tell it from an earlier one of the same name.
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -23,15 +23,15 @@
 ///
 /// A run that must not be repeated and has begun is not cut, neither by a stop nor for online requests: cutting it
 /// would leave an item that may have run and has no answer.
-pub async fn run(door: &Rc<Door>, work: ItemWork, stop: flume::Receiver<()>) -> ItemEnd {
+pub async fn run(door: Rc<Door>, work: ItemWork, stop: flume::Receiver<()>) -> ItemEnd {
     let started = std::time::Instant::now();
     let request = door.dispatch.next_request();
-    let call = match call(door, &work, request) {
-        Ok(call) if is_resumable(door, &work) => ItemCall::new(call).with_resume(),
+    let call = match call(&door, &work, request) {
+        Ok(call) if is_resumable(&door, &work) => ItemCall::new(call).with_resume(),
         Ok(call) => ItemCall::new(call),
         Err(reason) => return ItemEnd::Refused { reason },
     };
-    let ask = ask(door, &work, request, call.body_bytes());
+    let ask = ask(&door, &work, request, call.body_bytes());
     let fingerprint = ask.fingerprint;
     let mut ticket = door.dispatch.ask(ask);
     loop {
@@ -44,13 +44,13 @@
                 let entered = door.quarantine.enter(request, fingerprint, address);
                 let pass = match until_cut(entered, &mut ticket, &stop).await {
                     Attempted::Ended(Some(pass)) => pass,
-                    Attempted::Ended(None) => return quarantined(door),
+                    Attempted::Ended(None) => return quarantined(&door),
                     Attempted::Recalled | Attempted::Stopped => {
                         ticket.ended(AttemptEnd::Aborted);
                         return ItemEnd::NotRun { retry_after_ms: 0 };
                     }
                 };
-                let attempt = call.attempt(door, address, is_engine(door, &work.service));
+                let attempt = call.attempt(&door, address, is_engine(&door, &work.service));
                 let attempted = match work.repeatable {
                     true => until_cut(attempt, &mut ticket, &stop).await,
                     false => Attempted::Ended(attempt.await),
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -11,10 +11,13 @@
     store::Version,
     time::Now,
 };
-use samphiredoor_net::ticking::{Next, Ticking};
+use samphiredoor_net::{
+    clock::Clock,
+    ticking::{Next, Ticking},
+};
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
-use crate::{door::Door, item_run};
+use crate::{config::DoorConfig, metrics::Metrics, peers::Peers, store_client::StoreClient};
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
@@ -110,33 +113,59 @@
     }
 }
 
+/// What the ledger's task uses.
+pub struct JobsEnv<R> {
+    /// How the ledger works.
+    pub config: LedgerConfig,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The task's own handle.
+    pub handle: Jobs,
+    /// Other doors, which are offered jobs that are handed over.
+    pub peers: Peers,
+    /// The object API.
+    pub store: StoreClient,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+    /// Runs an item to its end, or until it is told to stop.
+    pub run_item: R,
+}
+
 /// Runs the ledger until the process ends.
-pub async fn run(door: Rc<Door>, inbox: JobsInbox) {
-    let ledger = Ledger::new(ledger_config(&door));
-    Task { door, ledger, stops: HashMap::new(), actions: Vec::new() }.run(inbox).await;
+pub async fn run<R, F>(env: JobsEnv<R>, inbox: JobsInbox)
+where
+    R: Fn(ItemWork, flume::Receiver<()>) -> F,
+    F: Future<Output = ItemEnd> + 'static,
+{
+    let ledger = Ledger::new(env.config.clone());
+    Task { env, ledger, stops: HashMap::new(), actions: Vec::new() }.run(inbox).await;
 }
 
-fn ledger_config(door: &Door) -> LedgerConfig {
-    let writer = door.unique_name(&door.config.name);
-    let lease_ms = door.config.lease.as_millis() as u64;
-    let renew_ms = door.config.renew.as_millis() as u64;
+/// How the ledger of a process works; `writer` is its name in records.
+pub fn ledger_config(config: &DoorConfig, incarnation: u64, writer: Name) -> LedgerConfig {
+    let lease_ms = config.lease.as_millis() as u64;
+    let renew_ms = config.renew.as_millis() as u64;
     LedgerConfig {
         lease_margin_ms: (lease_ms / LEASE_MARGIN_PART).min(MAX_LEASE_MARGIN_MS),
         sweep_ms: renew_ms,
         free_list_ms: renew_ms,
-        ..LedgerConfig::new(door.config.name(), door.incarnation, writer.into())
+        ..LedgerConfig::new(config.name(), incarnation, writer)
     }
 }
 
-struct Task {
-    door: Rc<Door>,
+struct Task<R> {
+    env: JobsEnv<R>,
     ledger: Ledger,
     // Runs under way, and how to stop them.
     stops: HashMap<ItemRef, flume::Sender<()>>,
     actions: Vec<LedgerAction>,
 }
 
-impl Task {
+impl<R, F> Task<R>
+where
+    R: Fn(ItemWork, flume::Receiver<()>) -> F,
+    F: Future<Output = ItemEnd> + 'static,
+{
     async fn run(mut self, inbox: JobsInbox) {
         let mut inbox = Ticking::new(inbox.0, TICK);
         loop {
@@ -157,9 +186,9 @@
     fn handle(&mut self, input: LedgerInput) {
         if let LedgerInput::ItemEnded { item, end } = &input {
             self.stops.remove(item);
-            self.door.metrics.item_ended(end_label(end));
+            self.env.metrics.item_ended(end_label(end));
         }
-        self.ledger.handle(self.door.clock.now(), input, &mut self.actions);
+        self.ledger.handle(self.env.clock.now(), input, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
             self.act(action);
         }
@@ -168,12 +197,10 @@
     fn act(&mut self, action: LedgerAction) {
         match action {
             LedgerAction::Store { call, op } => {
-                let door = Rc::clone(&self.door);
-                compio::runtime::spawn(async move {
-                    let answer = door.store.call(op).await;
-                    door.jobs.input(LedgerInput::Stored { call, answer });
-                })
-                .detach();
+                let handle = self.env.handle.clone();
+                self.env.store.call_and_tell(op, move |answer| {
+                    handle.input(LedgerInput::Stored { call, answer });
+                });
             }
             LedgerAction::Run(work) => self.run_item(*work),
             LedgerAction::Stop(item) => {
@@ -182,9 +209,9 @@
                 }
             }
             LedgerAction::HandedOver(job) => {
-                self.door.metrics.job_event("handed_over");
+                self.env.metrics.job_event("handed_over");
                 log::info!("jobs: {job} is handed over");
-                self.door.peers.offer(job);
+                self.env.peers.offer(job);
             }
             LedgerAction::Note(note) => self.note(&note),
         }
@@ -193,17 +220,17 @@
     fn run_item(&mut self, work: ItemWork) {
         let (stop, stopped) = flume::bounded(1);
         self.stops.insert(work.item.clone(), stop);
-        let door = Rc::clone(&self.door);
+        let (handle, item) = (self.env.handle.clone(), work.item.clone());
+        let running = (self.env.run_item)(work, stopped);
         compio::runtime::spawn(async move {
-            let item = work.item.clone();
-            let end = item_run::run(&door, work, stopped).await;
-            door.jobs.input(LedgerInput::ItemEnded { item, end });
+            let end = running.await;
+            handle.input(LedgerInput::ItemEnded { item, end });
         })
         .detach();
     }
 
     fn note(&self, note: &Note) {
-        let metrics = &self.door.metrics;
+        let metrics = &self.env.metrics;
         match note {
             Note::Taken { job, epoch } => {
                 metrics.job_event("taken");
--- a/crates/samphiredoor/src/keys_task.rs
+++ b/crates/samphiredoor/src/keys_task.rs
@@ -7,9 +7,12 @@
     keys::{Arrival, KeptAnswer, KeyOutcome, Keys, KeysAction, KeysConfig, KeysInput, holder_name},
     verdict::{Refusal, Verdict},
 };
-use samphiredoor_net::ticking::{Next, Ticking};
+use samphiredoor_net::{
+    clock::Clock,
+    ticking::{Next, Ticking},
+};
 
-use crate::door::Door;
+use crate::{metrics::Metrics, store_client::StoreClient};
 
 const TICK: Duration = Duration::from_millis(100);
 const EMPTY_POLL: Duration = Duration::from_millis(20);
@@ -110,15 +113,24 @@
     }
 }
 
+/// What the keys' task uses.
+pub struct KeysEnv {
+    /// Bounds, and the name of this process in records.
+    pub config: KeysConfig,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The task's own handle.
+    pub handle: KeysHandle,
+    /// The object API.
+    pub store: StoreClient,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+}
+
 /// Runs the keys until the process ends.
-pub async fn run(door: Rc<Door>, inbox: KeysInbox) {
-    let holder = holder_name(&door.config.name, door.incarnation);
-    let remember_ms = door.config.remember_keys.as_millis() as u64;
-    let mut task = Task {
-        keys: Keys::new(KeysConfig::new(holder, remember_ms)),
-        waiting: HashMap::new(),
-        door,
-    };
+pub async fn run(env: KeysEnv, inbox: KeysInbox) {
+    let keys = Keys::new(env.config.clone());
+    let mut task = Task { keys, waiting: HashMap::new(), env };
     let mut actions = Vec::new();
     let mut inbox = Ticking::new(inbox.0, TICK);
     loop {
@@ -134,17 +146,17 @@
         if let KeysInput::Ended { request, .. } | KeysInput::Gone { request } = &input {
             task.waiting.remove(request);
         }
-        task.keys.handle(task.door.clock.now(), input, &mut actions);
+        task.keys.handle(task.env.clock.now(), input, &mut actions);
         for action in actions.drain(..) {
             task.act(action);
         }
-        task.door.keys.open.set(task.keys.open_len());
-        task.door.metrics.keys().set_unsaved(task.keys.unsaved_len());
+        task.env.handle.open.set(task.keys.open_len());
+        task.env.metrics.keys().set_unsaved(task.keys.unsaved_len());
     }
 }
 
 struct Task {
-    door: Rc<Door>,
+    env: KeysEnv,
     keys: Keys,
     waiting: HashMap<RequestId, flume::Sender<KeyDecision>>,
 }
@@ -153,17 +165,15 @@
     fn act(&mut self, action: KeysAction) {
         match action {
             KeysAction::Store { call, op } => {
-                let (store, messages) = (self.door.store.clone(), self.door.keys.messages.clone());
-                compio::runtime::spawn(async move {
-                    let answer = store.call(op).await;
+                let messages = self.env.handle.messages.clone();
+                self.env.store.call_and_tell(op, move |answer| {
                     let _ = messages.send(Message::Input(KeysInput::Stored { call, answer }));
-                })
-                .detach();
+                });
             }
             KeysAction::Run { request } => self.tell(request, KeyDecision::Run),
             KeysAction::Joined { request } => self.tell(request, KeyDecision::Joined),
             KeysAction::Replay { request, answer } => {
-                self.door.metrics.keys().replayed();
+                self.env.metrics.keys().replayed();
                 self.tell(request, KeyDecision::Replay(answer));
                 self.waiting.remove(&request);
             }
@@ -172,7 +182,7 @@
                 self.waiting.remove(&request);
             }
             KeysAction::Unreadable { object } => {
-                self.door.metrics.keys().unreadable();
+                self.env.metrics.keys().unreadable();
                 log::error!("keys: {object} cannot be read; its keys are refused");
             }
         }
--- a/crates/samphiredoor/src/lease_task.rs
+++ b/crates/samphiredoor/src/lease_task.rs
@@ -36,11 +36,10 @@
         for action in actions.drain(..) {
             match action {
                 LeaseAction::Store { call, op } => {
-                    let (store, answers) = (door.store.clone(), answers.clone());
-                    compio::runtime::spawn(async move {
-                        let _ = answers.send((call, store.call(op).await));
-                    })
-                    .detach();
+                    let answers = answers.clone();
+                    door.store.call_and_tell(op, move |answer| {
+                        let _ = answers.send((call, answer));
+                    });
                 }
                 LeaseAction::Held { valid_until_ms } => {
                     door.jobs.lease(valid_until_ms);
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -35,6 +35,7 @@
 mod online;
 mod operators;
 mod orders_task;
+mod parts;
 mod passing;
 mod peers;
 mod process;
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -14,7 +14,13 @@
 };
 use samphiredoor_net::pool::within;
 
-use crate::{door::Door, metrics::ManifestRefusal, store_client::WatchEvent};
+use crate::{
+    config::DoorConfig,
+    dispatch_task::Dispatch,
+    metrics::{ManifestRefusal, Metrics},
+    peers::Peers,
+    store_client::{StoreClient, WatchEvent},
+};
 
 const WATCHERS_PER_ZONE: usize = 2;
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -77,14 +83,31 @@
     }
 }
 
+/// What the manifest's task uses.
+pub struct ManifestEnv {
+    /// Decided options.
+    pub config: Rc<DoorConfig>,
+    /// The task's own handle.
+    pub handle: ManifestHandle,
+    /// The dispatcher, which works by the manifest in force.
+    pub dispatch: Dispatch,
+    /// Other doors.
+    pub peers: Peers,
+    /// The object API.
+    pub store: StoreClient,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+}
+
 /// Runs the task until the process ends.
-pub async fn run(door: Rc<Door>, inbox: ManifestInbox) {
-    compio::runtime::spawn(watch(Rc::clone(&door))).detach();
+pub async fn run(env: ManifestEnv, inbox: ManifestInbox) {
+    let env = Rc::new(env);
+    compio::runtime::spawn(watch(Rc::clone(&env))).detach();
     let mut log = ManifestLog::default();
     while let Ok(message) = inbox.0.recv_async().await {
         match message {
             Message::Offer { record, source, reply } => {
-                take(&door, &mut log, &record, source);
+                take(&env, &mut log, &record, source);
                 let _ = reply.send(log.covers(&record));
             }
             Message::Above { revision, reply } => {
@@ -95,31 +118,31 @@
     }
 }
 
-fn take(door: &Door, log: &mut ManifestLog, record: &[u8], source: Source) {
+fn take(env: &ManifestEnv, log: &mut ManifestLog, record: &[u8], source: Source) {
     let held = log.revision();
     match log.offer(record) {
         Offered::Applied(manifest) => {
             let revision = manifest.revision;
             log::info!("manifest: revision {revision} is in force");
-            *door.manifest.current.borrow_mut() = Arc::clone(&manifest);
-            door.dispatch.apply(manifest);
-            door.peers.input(MembershipInput::Revision(revision));
+            *env.handle.current.borrow_mut() = Arc::clone(&manifest);
+            env.dispatch.apply(manifest);
+            env.peers.input(MembershipInput::Revision(revision));
         }
         Offered::Known => {}
         // From a peer it is only late. From the store it is a stale read, or the store was set back.
         Offered::Older { revision } if source == Source::Store => {
-            door.metrics.manifest_refused(ManifestRefusal::Older);
+            env.metrics.manifest_refused(ManifestRefusal::Older);
             log::error!("manifest: the store gives revision {revision}; {held} stays in force");
         }
-        Offered::Older { .. } => door.metrics.manifest_refused(ManifestRefusal::Older),
+        Offered::Older { .. } => env.metrics.manifest_refused(ManifestRefusal::Older),
         Offered::Forked { revision } => {
-            door.metrics.manifest_refused(ManifestRefusal::Forked);
+            env.metrics.manifest_refused(ManifestRefusal::Forked);
             log::error!(
                 "manifest: there are two revisions {revision}; apply the declarations anew"
             );
         }
         Offered::Unusable(problem) => {
-            door.metrics.manifest_refused(ManifestRefusal::Unusable);
+            env.metrics.manifest_refused(ManifestRefusal::Unusable);
             log::error!(
                 "manifest: revision {held} stays in force, not one from {source:?}: {problem}"
             );
@@ -128,26 +151,26 @@
 }
 
 /// Whether this process is to keep a watch of its own: a hint, so that a wrong answer costs a call and no more.
-pub fn is_watcher(door: &Door) -> bool {
-    let live = door.peers.live();
-    let zone = &door.config.availability_zone;
+fn is_watcher(env: &ManifestEnv) -> bool {
+    let live = env.peers.live();
+    let zone = &env.config.availability_zone;
     let in_zone = live.iter().filter(|it| it.availability_zone == *zone).map(|it| &it.name);
-    preferred("manifest", in_zone, WATCHERS_PER_ZONE).contains(&door.config.name)
+    preferred("manifest", in_zone, WATCHERS_PER_ZONE).contains(&env.config.name)
 }
 
-async fn watch(door: Rc<Door>) {
+async fn watch(env: Rc<ManifestEnv>) {
     // A process that has no revision asks the store again and again, also when others watch: it is not ready. It asks
     // ever more seldom, since a whole fleet may be doing so, and its peers tell it of a revision at once.
     let mut pause = FIRST_PAUSE;
-    while door.manifest.current().revision == 0 {
-        read(&door).await;
+    while env.handle.current().revision == 0 {
+        read(&env).await;
         compio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_FIRST_PAUSE);
     }
     let mut idle = Duration::ZERO;
     loop {
-        if is_watcher(&door) {
-            follow(&door).await;
+        if is_watcher(&env) {
+            follow(&env).await;
             compio::time::sleep(WATCH_PAUSE).await;
             continue;
         }
@@ -155,13 +178,13 @@
         idle += CHECK_PAUSE;
         if idle >= IDLE_PAUSE {
             idle = Duration::ZERO;
-            read(&door).await;
+            read(&env).await;
         }
     }
 }
 
 // Gives the version of the store from which a watch goes on.
-async fn read(door: &Door) -> Option<Version> {
+async fn read(env: &ManifestEnv) -> Option<Version> {
     let op = StoreOp::List {
         kind: Kind::Manifest,
         prefix: manifest_key().name,
@@ -169,27 +192,27 @@
         after: None,
         limit: 1,
     };
-    let StoreAnswer::Page { items, version, .. } = door.store.call(op).await else { return None };
+    let StoreAnswer::Page { items, version, .. } = env.store.call(op).await else { return None };
     for stored in items.into_iter().filter(|it| it.name == manifest_key().name) {
-        door.manifest.offer(stored.value, Source::Store).await;
+        env.handle.offer(stored.value, Source::Store).await;
     }
     Some(version)
 }
 
 // Ends when the watch does: at its length, at an error, or when its version has left the store's history.
-async fn follow(door: &Door) {
-    let Some(version) = read(door).await else { return };
-    let Some(mut watch) = door.store.watch(Kind::Manifest, version).await else { return };
+async fn follow(env: &ManifestEnv) {
+    let Some(version) = read(env).await else { return };
+    let Some(mut watch) = env.store.watch(Kind::Manifest, version).await else { return };
     loop {
         match within(CHECK_PAUSE, watch.next()).await {
             Some(Some(WatchEvent::Written(stored))) => {
-                door.manifest.offer(stored.value, Source::Store).await;
+                env.handle.offer(stored.value, Source::Store).await;
             }
             Some(Some(WatchEvent::Deleted(name))) => {
                 log::error!("manifest: {name} was deleted from the store; what is in force stays");
             }
             Some(None) => return,
-            None if !is_watcher(door) => return,
+            None if !is_watcher(env) => return,
             None => {}
         }
     }
--- a/crates/samphiredoor/src/orders_task.rs
+++ b/crates/samphiredoor/src/orders_task.rs
@@ -14,12 +14,19 @@
 };
 use samphiredoor_net::{
     body::read_whole,
+    clock::Clock,
     pool::{SendError, within},
     ticking::{Next, Ticking},
 };
 use serde_json::json;
 
-use crate::{door::Door, targets::Call};
+use crate::{
+    config::DoorConfig,
+    manifest_task::ManifestHandle,
+    peers::Peers,
+    store_client::StoreClient,
+    targets::{Call, TargetPools},
+};
 
 const TICK: Duration = Duration::from_millis(100);
 // Part of the lease that is left unused, for clocks that run differently.
@@ -58,9 +65,30 @@
     }
 }
 
+/// What the orders' task uses.
+pub struct OrdersEnv {
+    /// Decided options.
+    pub config: Rc<DoorConfig>,
+    /// Start of the process.
+    pub incarnation: u64,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The task's own handle.
+    pub handle: OrdersHandle,
+    /// Declarations in force.
+    pub manifest: ManifestHandle,
+    /// Other doors, some of which look after targets of their own.
+    pub peers: Peers,
+    /// The object API.
+    pub store: StoreClient,
+    /// Connections to targets.
+    pub targets: TargetPools,
+}
+
 /// Gives orders until the process ends.
-pub async fn run(door: Rc<Door>, inbox: OrdersInbox) {
-    let mut orders = Orders::new(config(&door));
+pub async fn run(env: OrdersEnv, inbox: OrdersInbox) {
+    let env = Rc::new(env);
+    let mut orders = Orders::new(config(&env));
     let mut seen = Seen::default();
     let mut actions = Vec::new();
     let mut inbox = Ticking::new(inbox.0, TICK);
@@ -70,23 +98,23 @@
             Next::Closed => return,
             Next::Tick => OrdersInput::Tick,
         };
-        let now = door.clock.now();
-        for input in seen.changes(&door) {
+        let now = env.clock.now();
+        for input in seen.changes(&env) {
             orders.handle(now, input, &mut actions);
         }
         orders.handle(now, input, &mut actions);
         for action in actions.drain(..) {
-            act(&door, action);
+            act(&env, action);
         }
     }
 }
 
-fn config(door: &Door) -> OrdersConfig {
+fn config(env: &OrdersEnv) -> OrdersConfig {
     let bounds = Manifest::default().weight_store;
-    let lease_ms = door.config.lease.as_millis() as u64;
+    let lease_ms = env.config.lease.as_millis() as u64;
     OrdersConfig {
-        process: door.config.name(),
-        incarnation: door.incarnation,
+        process: env.config.name(),
+        incarnation: env.incarnation,
         lease_ms,
         margin_ms: lease_ms / LEASE_MARGIN_PART,
         longest_order_ms: bounds.longest_order_ms,
@@ -102,13 +130,13 @@
 }
 
 impl Seen {
-    fn changes(&mut self, door: &Door) -> Vec<OrdersInput> {
-        let (manifest, live) = (door.manifest.current(), door.peers.live());
+    fn changes(&mut self, env: &OrdersEnv) -> Vec<OrdersInput> {
+        let (manifest, live) = (env.manifest.current(), env.peers.live());
         let same_members = self.live.as_ref().is_some_and(|it| Arc::ptr_eq(it, &live));
         if manifest.revision == self.revision && same_members {
             return Vec::new();
         }
-        let wanted = wanted(door, &manifest, &live);
+        let wanted = wanted(&env.config.name, &manifest, &live);
         self.revision = manifest.revision;
         self.live = Some(live);
         let bounds = OrdersInput::Bounds {
@@ -119,13 +147,13 @@
     }
 }
 
-fn wanted(door: &Door, manifest: &Manifest, live: &[Member]) -> BTreeMap<Name, Wanted> {
+fn wanted(own: &Name, manifest: &Manifest, live: &[Member]) -> BTreeMap<Name, Wanted> {
     let givers = live.iter().filter(|it| it.state == MemberState::Live).map(|it| &it.name);
     let ring = Ring::new(givers);
     let mut wanted = BTreeMap::new();
     for (name, target) in &manifest.targets {
         let Some(weights) = &target.weights else { continue };
-        if ring.giver(name).is_some_and(|it| *it == door.config.name) {
+        if ring.giver(name).is_some_and(|it| it == own) {
             let checks_fencing = target.checks_fencing;
             let weights = weights.clone();
             wanted.insert(Arc::clone(name), Wanted { weights, checks_fencing });
@@ -134,33 +162,32 @@
     wanted
 }
 
-fn act(door: &Rc<Door>, action: OrdersAction) {
-    let door = Rc::clone(door);
+fn act(env: &Rc<OrdersEnv>, action: OrdersAction) {
     match action {
         OrdersAction::Store { call, op } => {
-            compio::runtime::spawn(async move {
-                let answer = door.store.call(op).await;
-                door.orders.input(OrdersInput::Stored { call, answer });
-            })
-            .detach();
+            let handle = env.handle.clone();
+            env.store.call_and_tell(op, move |answer| {
+                handle.input(OrdersInput::Stored { call, answer });
+            });
         }
         OrdersAction::Send { target, fence, order } => {
+            let env = Rc::clone(env);
             compio::runtime::spawn(async move {
-                let end = send(&door, &target, fence, &order).await;
+                let end = send(&env, &target, fence, &order).await;
                 log::info!("orders: {order:?} to {target} under {fence}: {end:?}");
-                door.orders.input(OrdersInput::Ended { target, fence, end });
+                env.handle.input(OrdersInput::Ended { target, fence, end });
             })
             .detach();
         }
     }
 }
 
-async fn send(door: &Door, target: &Name, fence: u64, order: &Order) -> OrderEnd {
-    let manifest = door.manifest.current();
+async fn send(env: &OrdersEnv, target: &Name, fence: u64, order: &Order) -> OrderEnd {
+    let manifest = env.manifest.current();
     let Some(declared) = manifest.targets.get(target) else { return OrderEnd::NotDone };
     let call = call(fence, order);
     let limit = Duration::from_millis(manifest.weight_store.longest_order_ms);
-    let sent = within(limit, door.targets.send(declared.address, &call)).await;
+    let sent = within(limit, env.targets.send(declared.address, &call)).await;
     match sent {
         Some(Ok(response)) => {
             let status = response.status();
--- /dev/null
+++ b/crates/samphiredoor/src/parts.rs
@@ -0,0 +1,176 @@
+//! The parts of a door: which there are, and what each gets of the others.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use samphiredoor_core::{
+    Name,
+    dispatch::Place,
+    keys::{KeysConfig, holder_name},
+    news::News,
+    quarantine::QuarantineConfig,
+};
+use samphiredoor_net::clock::Clock;
+
+use crate::{
+    ask,
+    config::DoorConfig,
+    dispatch_task::Dispatch,
+    door::Door,
+    hosts_task, item_run,
+    jobs_task::{self, Jobs, JobsEnv, JobsInbox},
+    keys_task::{self, KeysEnv, KeysHandle, KeysInbox},
+    lease_task, lending_task, load_poll,
+    manifest_task::{self, ManifestEnv, ManifestHandle, ManifestInbox},
+    members_task,
+    metrics::Metrics,
+    orders_task::{self, OrdersEnv, OrdersHandle, OrdersInbox},
+    peers::{Peers, PeersInbox},
+    quarantine_task::{self, QuarantineEnv, QuarantineHandle, QuarantineInbox},
+    store_client::StoreClient,
+    targets::TargetPools,
+};
+
+struct Inboxes {
+    jobs: JobsInbox,
+    keys: KeysInbox,
+    quarantine: QuarantineInbox,
+    manifest: ManifestInbox,
+    peers: PeersInbox,
+    orders: OrdersInbox,
+    lending: flume::Receiver<(Name, News)>,
+}
+
+/// Starts all tasks of a door that listens for peers on `peer_address`.
+pub fn start(config: DoorConfig, peer_address: SocketAddr) -> Rc<Door> {
+    let (door, inboxes) = new_door(config, peer_address);
+    let runner = Rc::clone(&door);
+    let run_item = move |work, stop| item_run::run(Rc::clone(&runner), work, stop);
+    compio::runtime::spawn(jobs_task::run(jobs_env(&door, run_item), inboxes.jobs)).detach();
+    compio::runtime::spawn(keys_task::run(keys_env(&door), inboxes.keys)).detach();
+    compio::runtime::spawn(lease_task::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(load_poll::run(Rc::clone(&door))).detach();
+    compio::runtime::spawn(lending_task::run(Rc::clone(&door), inboxes.lending)).detach();
+    compio::runtime::spawn(manifest_task::run(manifest_env(&door), inboxes.manifest)).detach();
+    compio::runtime::spawn(members_task::run(Rc::clone(&door), inboxes.peers)).detach();
+    compio::runtime::spawn(orders_task::run(orders_env(&door), inboxes.orders)).detach();
+    let quarantine = quarantine_task::run(quarantine_env(&door), inboxes.quarantine);
+    compio::runtime::spawn(quarantine).detach();
+    compio::runtime::spawn(hosts_task::run(Rc::clone(&door))).detach();
+    door
+}
+
+fn new_door(config: DoorConfig, peer_address: SocketAddr) -> (Rc<Door>, Inboxes) {
+    let clock = Clock::new();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = since.as_micros() as u64;
+    let (jobs, jobs_inbox) = Jobs::new();
+    let (keys, keys_inbox) = KeysHandle::new();
+    let (quarantine, quarantine_inbox) = QuarantineHandle::new();
+    let (manifest, manifest_inbox) = ManifestHandle::new();
+    let (peers, peers_inbox) = Peers::new(peer_address);
+    let (orders, orders_inbox) = OrdersHandle::new();
+    let (lending_news, lending_inbox) = flume::unbounded();
+    let place = Place {
+        region: Name::clone(&config.region),
+        availability_zone: Name::clone(&config.availability_zone),
+    };
+    let metrics = Metrics::new();
+    // By name, so that a restarted door uses the same targets as before.
+    let seed = ask::hash(config.name.as_bytes());
+    let door = Door {
+        clock,
+        incarnation,
+        dispatch: Dispatch::start(clock, place, seed, Rc::clone(&metrics), lending_news),
+        jobs,
+        keys,
+        quarantine,
+        manifest,
+        peers,
+        store: StoreClient::new(config.store, config.store_timeout),
+        targets: TargetPools::default(),
+        orders,
+        metrics,
+        stopping: Cell::new(false),
+        next_unique: Cell::new(0),
+        config: Rc::new(config),
+    };
+    let inboxes = Inboxes {
+        jobs: jobs_inbox,
+        keys: keys_inbox,
+        quarantine: quarantine_inbox,
+        manifest: manifest_inbox,
+        peers: peers_inbox,
+        orders: orders_inbox,
+        lending: lending_inbox,
+    };
+    (Rc::new(door), inboxes)
+}
+
+fn jobs_env<R>(door: &Door, run_item: R) -> JobsEnv<R> {
+    let writer = door.unique_name(&door.config.name).into();
+    JobsEnv {
+        config: jobs_task::ledger_config(&door.config, door.incarnation, writer),
+        clock: door.clock,
+        handle: door.jobs.clone(),
+        peers: door.peers.clone(),
+        store: door.store.clone(),
+        metrics: Rc::clone(&door.metrics),
+        run_item,
+    }
+}
+
+fn keys_env(door: &Door) -> KeysEnv {
+    let remember_ms = door.config.remember_keys.as_millis() as u64;
+    KeysEnv {
+        config: KeysConfig::new(holder(door), remember_ms),
+        clock: door.clock,
+        handle: door.keys.clone(),
+        store: door.store.clone(),
+        metrics: Rc::clone(&door.metrics),
+    }
+}
+
+fn manifest_env(door: &Door) -> ManifestEnv {
+    ManifestEnv {
+        config: Rc::clone(&door.config),
+        handle: door.manifest.clone(),
+        dispatch: door.dispatch.clone(),
+        peers: door.peers.clone(),
+        store: door.store.clone(),
+        metrics: Rc::clone(&door.metrics),
+    }
+}
+
+fn orders_env(door: &Door) -> OrdersEnv {
+    OrdersEnv {
+        config: Rc::clone(&door.config),
+        incarnation: door.incarnation,
+        clock: door.clock,
+        handle: door.orders.clone(),
+        manifest: door.manifest.clone(),
+        peers: door.peers.clone(),
+        store: door.store.clone(),
+        targets: door.targets.clone(),
+    }
+}
+
+fn quarantine_env(door: &Door) -> QuarantineEnv {
+    QuarantineEnv {
+        config: QuarantineConfig::new(holder(door)),
+        clock: door.clock,
+        handle: door.quarantine.clone(),
+        peers: door.peers.clone(),
+        store: door.store.clone(),
+        metrics: Rc::clone(&door.metrics),
+    }
+}
+
+/// Name of this run of the process in records.
+fn holder(door: &Door) -> Name {
+    holder_name(&door.config.name, door.incarnation)
+}
--- a/crates/samphiredoor/src/quarantine_task.rs
+++ b/crates/samphiredoor/src/quarantine_task.rs
@@ -8,16 +8,16 @@
 use compio::net::TcpStream;
 use samphiredoor_core::{
     dispatch::RequestId,
-    keys::holder_name,
     news::News,
     quarantine::{Left, Quarantine, QuarantineAction, QuarantineConfig, QuarantineInput, Suspect},
 };
 use samphiredoor_net::{
+    clock::Clock,
     pool::within,
     ticking::{Next, Ticking},
 };
 
-use crate::door::Door;
+use crate::{metrics::Metrics, peers::Peers, store_client::StoreClient};
 
 const TICK: Duration = Duration::from_millis(250);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -132,14 +132,29 @@
     }
 }
 
+/// What the quarantine's task uses.
+pub struct QuarantineEnv {
+    /// Bounds, and the name of this process in records.
+    pub config: QuarantineConfig,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// The task's own handle.
+    pub handle: QuarantineHandle,
+    /// Other doors, which are told of suspects.
+    pub peers: Peers,
+    /// The object API.
+    pub store: StoreClient,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+}
+
 /// Runs the quarantine until the process ends.
-pub async fn run(door: Rc<Door>, inbox: QuarantineInbox) {
-    let writer = holder_name(&door.config.name, door.incarnation);
+pub async fn run(env: QuarantineEnv, inbox: QuarantineInbox) {
     let mut task = Task {
-        quarantine: Quarantine::new(QuarantineConfig::new(writer)),
+        quarantine: Quarantine::new(env.config.clone()),
         entering: HashMap::new(),
         settling: HashMap::new(),
-        door,
+        env,
     };
     let mut actions = Vec::new();
     let mut inbox = Ticking::new(inbox.0, TICK);
@@ -150,16 +165,16 @@
             Next::Tick => Some(QuarantineInput::Tick),
         };
         let Some(input) = input else { continue };
-        task.quarantine.handle(task.door.clock.now(), input, &mut actions);
+        task.quarantine.handle(task.env.clock.now(), input, &mut actions);
         for action in actions.drain(..) {
             task.act(action);
         }
-        task.door.quarantine.suspects_any.set(task.quarantine.suspects_any());
+        task.env.handle.suspects_any.set(task.quarantine.suspects_any());
     }
 }
 
 struct Task {
-    door: Rc<Door>,
+    env: QuarantineEnv,
     quarantine: Quarantine,
     entering: HashMap<RequestId, flume::Sender<bool>>,
     settling: HashMap<RequestId, flume::Sender<()>>,
@@ -194,7 +209,7 @@
             QuarantineAction::Go { attempt } => self.entered(attempt, true),
             QuarantineAction::Refuse { attempt } => self.entered(attempt, false),
             QuarantineAction::Probe { target } => {
-                let messages = self.door.quarantine.messages.clone();
+                let messages = self.env.handle.messages.clone();
                 compio::runtime::spawn(async move {
                     let refused = is_refused(target).await;
                     let probed = QuarantineInput::Probed { target, refused };
@@ -208,22 +223,19 @@
                 }
             }
             QuarantineAction::Tell(Suspect { fingerprint, deaths, lifted }) => {
-                self.door.peers.tell_all(News::Suspect { fingerprint, deaths, lifted });
+                self.env.peers.tell_all(News::Suspect { fingerprint, deaths, lifted });
             }
             QuarantineAction::Blamed { fingerprint } => {
-                self.door.metrics.quarantine().blamed();
+                self.env.metrics.quarantine().blamed();
                 log::warn!(
                     "quarantine: request {fingerprint:016x} is refused, targets died with it"
                 );
             }
             QuarantineAction::Store { call, op } => {
-                let store = self.door.store.clone();
-                let messages = self.door.quarantine.messages.clone();
-                compio::runtime::spawn(async move {
-                    let answer = store.call(op).await;
+                let messages = self.env.handle.messages.clone();
+                self.env.store.call_and_tell(op, move |answer| {
                     let _ = messages.send(Message::Input(QuarantineInput::Stored { call, answer }));
-                })
-                .detach();
+                });
             }
         }
     }
--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Makes one call in a task of its own, which tells the answer.
+    pub fn call_and_tell(&self, op: StoreOp, tell: impl FnOnce(StoreAnswer) + 'static) {
+        let store = self.clone();
+        compio::runtime::spawn(async move { tell(store.call(op).await) }).detach();
+    }
+
     /// Watches a kind from a version on; `None` if the store refuses or cannot be reached.
     pub async fn watch(&self, kind: Kind, version: Version) -> Option<Watch> {
         let path = format!(
