Read pieces of bodies and answer in JSON in one place

A timed wait for the next piece of a body stood three times (the door's request bodies and streams, the gateway's streams), each with its own view of trailers and of a piece that arrives at the deadline. An answer in JSON was put together by hand five times.

`net/body.rs` holds `next_piece`: trailers are no piece, and a piece that has arrived is given also when no time is left, as the door's streams did; for the door's request bodies and the gateway's streams that was left to chance. `net/answers.rs` holds `json`.

--- a/crates/samphiredoor-embedded/src/json.rs
+++ b/crates/samphiredoor-embedded/src/json.rs
@@ -1,17 +1,12 @@
 //! Answers in JSON.
 
-use hyper::{Response, StatusCode, header};
-use samphiredoor_net::Body;
+use hyper::{Response, StatusCode};
+use samphiredoor_net::{Body, answers};
 use serde::Serialize;
 
 /// Answer with a JSON body.
 pub fn answer<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Body::full(body));
-    *response.status_mut() = status;
-    let content_type = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-    response
+    answers::json(status, serde_json::to_vec(value).unwrap_or_default())
 }
 
 /// Status object, as the object API's convention has it.
--- a/crates/samphiredoor-gateway/src/front/answers.rs
+++ b/crates/samphiredoor-gateway/src/front/answers.rs
@@ -5,17 +5,13 @@
     header::{self, HeaderValue},
 };
 use samphiredoor_core::verdict::{Doubt, Refusal};
-use samphiredoor_net::Body;
+use samphiredoor_net::{Body, answers};
 use serde_json::json;
 
 /// Answer with a short text.
 pub fn plain(status: StatusCode, message: &str) -> Response<Body> {
     let text = json!({ "error": message }).to_string();
-    let mut response = Response::new(Body::full(text));
-    *response.status_mut() = status;
-    let content_type = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-    response
+    answers::json(status, text)
 }
 
 /// Answer that promises that the request has not run, with the time to come back, in milliseconds.
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::BodyExt;
 use hyper::{Response, http::response};
 use samphiredoor_core::{Name, placement::AttemptEnd, verdict::Doubt};
 use samphiredoor_net::{
     Call,
+    body::{self, PieceError, read_whole},
     pool::{Answer, SendError, within},
 };
 
@@ -106,7 +106,7 @@
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         return first_event(Box::new(parts), body, patience).await;
     }
-    let whole = samphiredoor_net::body::read_whole(body, MAX_WHOLE_BYTES);
+    let whole = read_whole(body, MAX_WHOLE_BYTES);
     match within(patience.left(), whole).await {
         Some(Ok(body)) => Attempt::Whole(Box::new(parts), body),
         Some(Err(_)) => Attempt::Doubt(AttemptEnd::Lost, Doubt::AnswerCut),
@@ -134,13 +134,11 @@
 
 /// Next piece of an answer; `None` at the end of its framing.
 pub async fn next_piece(
-    body: &mut Answer,
+    answer: &mut Answer,
     patience: Patience,
 ) -> Result<Option<bytes::Bytes>, (AttemptEnd, Doubt)> {
-    match within(patience.wait(), body.frame()).await {
-        Some(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
-        Some(Some(Err(_))) => Err((AttemptEnd::Lost, Doubt::AnswerCut)),
-        Some(None) => Ok(None),
-        None => Err(patience.over()),
-    }
+    body::next_piece(answer, patience.wait()).await.map_err(|err| match err {
+        PieceError::Cut => (AttemptEnd::Lost, Doubt::AnswerCut),
+        PieceError::Late => patience.over(),
+    })
 }
--- a/crates/samphiredoor-net/src/body.rs
+++ b/crates/samphiredoor-net/src/body.rs
@@ -4,16 +4,18 @@
 //! the same turn of the scheduler in which it arrived.
 
 use std::{
-    pin::Pin,
+    pin::{Pin, pin},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt};
+use futures_util::{FutureExt, Stream, StreamExt, select_biased};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::BoxError;
+/// Error of a body or connection; its text goes to logs.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 type BoxedBody = Pin<Box<dyn HttpBody<Data = Bytes, Error = BoxError>>>;
 
@@ -108,3 +110,33 @@
         Err(err) => Err(ReadError::Cut(err)),
     }
 }
+
+/// Why a body gave no next piece.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PieceError {
+    /// The connection failed or the framing was cut.
+    Cut,
+    /// Nothing came in time.
+    Late,
+}
+
+/// Next piece of a body, waited for no longer than `wait`; `None` at the end of its framing. A piece that has arrived
+/// is given also when no time is left.
+pub async fn next_piece<B>(body: &mut B, wait: Duration) -> Result<Option<Bytes>, PieceError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let mut timeout = pin!(compio::time::sleep(wait).fuse());
+    loop {
+        let frame = select_biased! {
+            frame = body.frame().fuse() => frame,
+            () = timeout => return Err(PieceError::Late),
+        };
+        match frame.transpose().map_err(|_| PieceError::Cut)?.map(Frame::into_data) {
+            Some(Ok(piece)) => return Ok(Some(piece)),
+            // Trailers are no piece.
+            Some(Err(_)) => {}
+            None => return Ok(None),
+        }
+    }
+}
--- a/crates/samphiredoor-net/src/call.rs
+++ b/crates/samphiredoor-net/src/call.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Request, Uri};
 
-use crate::Body;
+use crate::body::Body;
 
 /// What is sent to a target.
 #[derive(Debug, Clone)]
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! `serve` takes connections with bounds on their number, headers and waits, and ends them gracefully. `pool` keeps
 //! connections towards one address and never reuses one that still owes an answer. `body` holds the one body type that
-//! both sides exchange, `call` what is sent to a target and may be sent again. `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time. `metrics` is what
-//! the metrics of all processes are made of.
+//! both sides exchange, `call` what is sent to a target and may be sent again, `answers` what a process answers itself.
+//! `socket` finds far sides that fell silent. `ticking` is the inbox of a task that also has to act by time. `metrics`
+//! is what the metrics of all processes are made of.
 
+pub mod answers;
 pub mod body;
 pub mod call;
 pub mod clock;
@@ -16,10 +18,7 @@
 pub mod stream;
 pub mod ticking;
 
-pub use body::Body;
+pub use body::{Body, BoxError};
 pub use call::Call;
 pub use pool::Pool;
 pub use serve::{ServeLimits, Server};
-
-/// Error of a body or connection; its text goes to logs.
-pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    Body, BoxError,
+    body::{Body, BoxError},
     socket::{self, SilenceLimits},
     stall::Watched,
     stream::Stream,
--- a/crates/samphiredoor/src/answers.rs
+++ b/crates/samphiredoor/src/answers.rs
@@ -2,17 +2,13 @@
 
 use hyper::{Response, StatusCode, header};
 use samphiredoor_core::verdict::{Doubt, Refusal, Verdict};
-use samphiredoor_net::Body;
+use samphiredoor_net::{Body, answers};
 use serde::Serialize;
 use serde_json::json;
 
 /// Answer with a JSON body.
 pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
-    let mut response = Response::new(Body::full(serde_json::to_vec(value).unwrap_or_default()));
-    *response.status_mut() = status;
-    let content_type = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-    response
+    answers::json(status, serde_json::to_vec(value).unwrap_or_default())
 }
 
 /// Answer to a request that is malformed; `field` names the place.
--- a/crates/samphiredoor/src/job_reads.rs
+++ b/crates/samphiredoor/src/job_reads.rs
@@ -9,7 +9,7 @@
     },
     store::{Kind, ObjectKey, StoreAnswer, StoreOp, Version},
 };
-use samphiredoor_net::Body;
+use samphiredoor_net::{Body, answers};
 use samphiredoor_schema::objects::{ItemResult, JobHeader, JobState};
 use serde_json::{Value, json};
 
@@ -104,12 +104,7 @@
         return not_found("no such body");
     }
     match door.store.call(StoreOp::Get { key: ObjectKey::new(Kind::Results, name) }).await {
-        StoreAnswer::Object(stored) => {
-            let mut response = Response::new(Body::full(stored.value.to_vec()));
-            let json = header::HeaderValue::from_static("application/json");
-            response.headers_mut().insert(header::CONTENT_TYPE, json);
-            response
-        }
+        StoreAnswer::Object(stored) => answers::json(StatusCode::OK, stored.value.to_vec()),
         StoreAnswer::Absent => not_found("no such body"),
         _ => store_refusal(),
     }
--- a/crates/samphiredoor/src/manifest_http.rs
+++ b/crates/samphiredoor/src/manifest_http.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use samphiredoor_core::manifest::Manifest;
-use samphiredoor_net::{Body, body::read_whole};
+use samphiredoor_net::{Body, answers, body::read_whole};
 
 use crate::{
     answers::{bad_request, not_found},
@@ -19,12 +19,7 @@
 /// Answers with the record in force.
 pub async fn get(door: &Door) -> Response<Body> {
     match door.manifest.above(0).await {
-        Some(record) => {
-            let mut response = Response::new(Body::full(record.to_vec()));
-            let content_type = header::HeaderValue::from_static("application/json");
-            response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-            response
-        }
+        Some(record) => answers::json(StatusCode::OK, record.to_vec()),
         None => not_found("no manifest is in force yet"),
     }
 }
--- a/crates/samphiredoor/src/passing.rs
+++ b/crates/samphiredoor/src/passing.rs
@@ -3,13 +3,15 @@
 use std::{rc::Rc, time::Instant};
 
 use bytes::Bytes;
-use futures_util::{FutureExt, select_biased};
-use http_body_util::BodyExt;
 use samphiredoor_core::{
     dispatch::{AttemptEnd, Class},
     verdict::{Doubt, Verdict},
 };
-use samphiredoor_net::{BoxError, pool::Answer};
+use samphiredoor_net::{
+    BoxError,
+    body::{self, PieceError},
+    pool::Answer,
+};
 
 use crate::{
     answers::verdict_json,
@@ -92,16 +94,10 @@
 }
 
 /// Next piece of an answer; `None` at the end of its framing.
-pub async fn next_piece(body: &mut Answer, deadline: Instant) -> Result<Option<Bytes>, Doubt> {
+pub async fn next_piece(answer: &mut Answer, deadline: Instant) -> Result<Option<Bytes>, Doubt> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let mut timeout = std::pin::pin!(compio::time::sleep(left).fuse());
-    let mut frame = body.frame().fuse();
-    select_biased! {
-        frame = frame => match frame {
-            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(_)) => Err(Doubt::AnswerCut),
-            None => Ok(None),
-        },
-        () = timeout => Err(Doubt::DeadlinePassed),
-    }
+    body::next_piece(answer, left).await.map_err(|err| match err {
+        PieceError::Cut => Doubt::AnswerCut,
+        PieceError::Late => Doubt::DeadlinePassed,
+    })
 }
--- a/crates/samphiredoor/src/request_body.rs
+++ b/crates/samphiredoor/src/request_body.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming};
-use samphiredoor_net::{Body, pool::within};
+use samphiredoor_net::{
+    Body,
+    body::{PieceError, next_piece},
+};
 use serde_json::json;
 
 use crate::answers::{bad_request, json_answer};
@@ -55,20 +57,16 @@
 
     /// The next piece; `None` at the end.
     pub async fn piece(&mut self) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            let frame = match within(self.wait, self.incoming.frame()).await {
-                Some(Some(frame)) => frame.map_err(|_| BodyError::Cut)?,
-                Some(None) => return Ok(None),
-                None => return Err(BodyError::TooSlow),
-            };
-            // Trailers are no piece.
-            let Ok(piece) = frame.into_data() else { continue };
-            self.bytes += piece.len();
-            if self.bytes > self.max_bytes {
-                return Err(BodyError::TooLarge);
-            }
-            return Ok(Some(piece));
+        let piece = match next_piece(&mut self.incoming, self.wait).await {
+            Ok(piece) => piece,
+            Err(PieceError::Cut) => return Err(BodyError::Cut),
+            Err(PieceError::Late) => return Err(BodyError::TooSlow),
+        };
+        self.bytes += piece.as_ref().map_or(0, Bytes::len);
+        if self.bytes > self.max_bytes {
+            return Err(BodyError::TooLarge);
         }
+        Ok(piece)
     }
 
     /// The whole body.
