Read settings files of all processes in one place

Operators saw the line of a wrong setting from `serve` and `check`, but not from `gateway` and `storage`: the door and the gateway each read files and checked addresses by themselves.

`settings` moves from the door into the gateway's package, which the door uses already, and reads either kind. A gateway's or storage process's wrong setting is now told with its line; a missing listener is told at `callers.address` instead of `callers`. `serve` and `check` say what they said.

Tests: four new cases of wrong settings of a gateway.

--- a/crates/samphiredoor-gateway/src/config.rs
+++ b/crates/samphiredoor-gateway/src/config.rs
@@ -8,6 +8,8 @@
     GatewayJobs, GatewayListener, GatewayLog, GatewayLogLevel, GatewaySettings, GatewayStopping,
 };
 
+use crate::settings::{SettingError, address};
+
 /// How logs are written.
 #[derive(Debug, Clone, Copy)]
 pub struct LogConfig {
@@ -63,24 +65,15 @@
     pub keep_jobs: Duration,
 }
 
-/// Reads settings of any process from the text of a file.
-///
-/// # Errors
-///
-/// What cannot be read, with its place.
-pub fn read_settings(text: &str) -> anyhow::Result<GatewaySettings> {
-    toml::from_str(text).map_err(|err| anyhow::anyhow!("{err}"))
-}
-
 impl CommonConfig {
     /// Checks the settings that every process needs.
     ///
     /// # Errors
     ///
     /// The first setting that makes no sense.
-    pub fn new(settings: &GatewaySettings) -> anyhow::Result<CommonConfig> {
+    pub fn new(settings: &GatewaySettings) -> Result<CommonConfig, SettingError> {
         if settings.name.is_empty() {
-            anyhow::bail!("name: is empty; name the process");
+            return Err(SettingError::new("name", "is empty; name the process"));
         }
         let regions = settings.regions.iter();
         let log = settings.log.clone().unwrap_or_else(default_log);
@@ -129,7 +122,7 @@
     /// # Errors
     ///
     /// The first setting that makes no sense.
-    pub fn new(settings: &GatewaySettings) -> anyhow::Result<StorageConfig> {
+    pub fn new(settings: &GatewaySettings) -> Result<StorageConfig, SettingError> {
         let mirror = settings.mirror.as_ref().map(|it| address("mirror.address", &it.address));
         Ok(StorageConfig { common: CommonConfig::new(settings)?, mirror: mirror.transpose()? })
     }
@@ -141,14 +134,14 @@
     /// # Errors
     ///
     /// The first setting that is missing or makes no sense.
-    pub fn new(settings: &GatewaySettings) -> anyhow::Result<GatewayConfig> {
+    pub fn new(settings: &GatewaySettings) -> Result<GatewayConfig, SettingError> {
         let stopping = settings.stopping.clone().unwrap_or_else(default_stopping);
         let jobs = settings.jobs.clone().unwrap_or_else(default_jobs);
         Ok(GatewayConfig {
             common: CommonConfig::new(settings)?,
-            callers: listener("callers", settings.callers.as_ref())?,
-            readiness: listener("readiness", settings.readiness.as_ref())?,
-            peers: listener("peers", settings.peers.as_ref())?,
+            callers: listener("callers.address", settings.callers.as_ref())?,
+            readiness: listener("readiness.address", settings.readiness.as_ref())?,
+            peers: listener("peers.address", settings.peers.as_ref())?,
             unready: Duration::from_millis(stopping.unready_ms),
             finish: Duration::from_millis(stopping.finish_ms),
             keep_jobs: Duration::from_millis(jobs.keep_ms),
@@ -168,20 +161,17 @@
     GatewayJobs { keep_ms: 120_000 }
 }
 
-fn mirrors(settings: &GatewaySettings) -> anyhow::Result<Vec<SocketAddr>> {
+fn mirrors(settings: &GatewaySettings) -> Result<Vec<SocketAddr>, SettingError> {
     let listed = settings.mirrors.iter().flat_map(|it| &it.addresses);
     listed.map(|it| address("mirrors.addresses", it)).collect()
 }
 
-fn listener(key: &str, listener: Option<&GatewayListener>) -> anyhow::Result<SocketAddr> {
+fn listener(
+    key: &'static str,
+    listener: Option<&GatewayListener>,
+) -> Result<SocketAddr, SettingError> {
     match listener {
-        Some(listener) => address(&format!("{key}.address"), &listener.address),
-        None => anyhow::bail!("{key}: is missing; give it an address, as 10.0.0.1:8080"),
+        Some(listener) => address(key, &listener.address),
+        None => Err(SettingError::new(key, "is missing; use an address, as 10.0.0.1:8080")),
     }
 }
-
-fn address(key: &str, text: &str) -> anyhow::Result<SocketAddr> {
-    text.parse().map_err(|_| {
-        anyhow::anyhow!("{key}: `{text}` is not an IP address with a port, as 10.0.0.1:8080")
-    })
-}
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -12,12 +12,13 @@
 //! - what a process needs to start while the store is lost comes from `mirror`, which `storage` runs.
 //!
 //! `edge` holds the traits by which the platform is met; no name of the platform stands in this package. `process` puts
-//! all parts together from a [`config::GatewayConfig`].
+//! all parts together from a [`config::GatewayConfig`]. `settings` reads settings files of any process.
 
 pub mod config;
 pub mod edge;
 pub mod logging;
 pub mod process;
+pub mod settings;
 pub mod storage;
 
 mod discovery;
--- a/crates/samphiredoor/src/config.rs
+++ b/crates/samphiredoor/src/config.rs
@@ -7,16 +7,17 @@
     time::Duration,
 };
 
-use anyhow::Context;
 use log::LevelFilter;
 use samphiredoor_core::{Name, manifest::checked_name};
-use samphiredoor_gateway::config::{GatewayConfig, StorageConfig, read_settings as read_gateway};
+use samphiredoor_gateway::{
+    config::{GatewayConfig, StorageConfig},
+    settings::{self, SettingError, address},
+};
 use samphiredoor_schema::settings::{LogLevel, OwnershipSettings, Settings};
 
 use crate::{
     access::{self, Token},
     cli::Opts,
-    settings::{self, SettingError},
 };
 
 const MIN_LEASE_MS: u64 = 500;
@@ -119,7 +120,7 @@
                 Ok(Config { mode: Mode::Gateway(Box::new(gateway), file), log_level })
             }
             Opts::Storage { file } => {
-                let storage = at_file(&file, |text| StorageConfig::new(&read_gateway(text)?))?;
+                let storage = settings::read(&file, StorageConfig::new)?;
                 let log_level = storage.common.log.level;
                 Ok(Config { mode: Mode::Storage(Box::new(storage)), log_level })
             }
@@ -141,14 +142,7 @@
 ///
 /// Settings that cannot be read or make no sense; one sentence with the place and a hint.
 pub fn gateway_config(file: &Path) -> anyhow::Result<GatewayConfig> {
-    at_file(file, |text| GatewayConfig::new(&read_gateway(text)?))
-}
-
-fn at_file<T>(file: &Path, read: impl FnOnce(&str) -> anyhow::Result<T>) -> anyhow::Result<T> {
-    let shown = file.display();
-    let text = std::fs::read_to_string(file)
-        .with_context(|| format!("{shown}: cannot be read; name a settings file"))?;
-    read(&text).with_context(|| format!("{shown}"))
+    settings::read(file, GatewayConfig::new)
 }
 
 fn read_settings(file: &Path) -> anyhow::Result<(DoorConfig, LevelFilter)> {
@@ -254,11 +248,6 @@
     }
 }
 
-fn address(key: &'static str, text: &str) -> Result<SocketAddr, SettingError> {
-    let problem = || format!("`{text}` is not an IP address with a port, as 10.0.0.1:8080");
-    text.parse().map_err(|_| SettingError::new(key, problem()))
-}
-
 fn peer_token(settings: &Settings, listener: SocketAddr) -> Result<Arc<[u8]>, SettingError> {
     const KEY: &str = "peers.token_file";
     match &settings.peers.token_file {
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -43,7 +43,6 @@
 mod quarantine_task;
 mod query_rows;
 mod request_body;
-mod settings;
 mod store_client;
 mod stream_end;
 mod targets;
--- a/crates/samphiredoor/tests/it/settings.rs
+++ b/crates/samphiredoor/tests/it/settings.rs
@@ -1,4 +1,4 @@
-//! What `samphiredoor check` says of settings.
+//! What is said of settings that make no sense.
 
 use std::process::Command;
 
@@ -13,11 +13,24 @@
 store.address = "127.0.0.1:8083"
 "#;
 
+const GATEWAY: &str = r#"name = "gateway-1"
+region = "brisbane"
+availability_zone = "brisbane-north"
+callers.address = "127.0.0.1:8080"
+readiness.address = "127.0.0.1:8081"
+peers.address = "127.0.0.1:8082"
+store.address = "127.0.0.1:8083"
+"#;
+
 fn check(settings: &str) -> (bool, String) {
+    run("check", settings)
+}
+
+fn run(command: &str, settings: &str) -> (bool, String) {
     let env = TestEnv::new();
-    let file = env.write("door.toml", settings);
+    let file = env.write("settings.toml", settings);
     let binary = env!("CARGO_BIN_EXE_samphiredoor");
-    let output = Command::new(binary).args(["check", &file]).output().expect("it runs");
+    let output = Command::new(binary).args([command, &file]).output().expect("it runs");
     let text = format!(
         "{}{}",
         String::from_utf8_lossy(&output.stdout),
@@ -27,11 +40,11 @@
 }
 
 macro_rules! refused {
-    ($($name:ident: $old:expr => $new:expr, $holds:expr;)*) => {
+    ($command:expr, $good:expr; $($name:ident: $old:expr => $new:expr, $holds:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                let (good, text) = check(&GOOD.replace($old, $new));
+                let (good, text) = run($command, &$good.replace($old, $new));
                 assert!(!good, "{text}");
                 assert!(text.contains($holds), "{text}");
             }
@@ -40,6 +53,7 @@
 }
 
 refused! {
+    "check", GOOD;
     an_unknown_key: "callers.address" => "callers.adress", "line 4";
     a_host_name_for_an_address: "127.0.0.1:8083" => "store:8083", "line 7: store.address";
     one_address_for_two_listeners: "8081" => "8080", "line 5: operators.address";
@@ -53,6 +67,15 @@
         "127.0.0.1:8081" => "0.0.0.0:8081", "line 5: operators.token_file";
 }
 
+refused! {
+    "gateway", GATEWAY;
+    a_gateways_unknown_key: "callers.address" => "callers.adress", "line 4";
+    a_gateways_address_without_a_port: "127.0.0.1:8083" => "127.0.0.1", "line 7: store.address";
+    a_gateway_without_a_name: "gateway-1" => "", "line 1: name";
+    a_gateway_without_a_listener:
+        "readiness.address = \"127.0.0.1:8081\"\n" => "", "readiness.address: is missing";
+}
+
 #[test]
 fn good_settings_are_in_order() {
     let (good, text) = check(GOOD);
