Let no file of core use what its own module puts together

Types that several files of a module share stood in its `mod.rs`, beside the code that puts those files together: each such module was one circle, and its `mod.rs` held 240 to 520 lines.

They move into files of their own: messages of orders and quarantine, options of keys and quarantine, a shard's context and effects, names of jobs and their objects (`ledger/names.rs`, `ordered/job.rs`), the outbox of orders. Users of the modules see the same names; `fairness`, `queue` and others name the file that holds what they use.

--- a/crates/samphiredoor-core/src/dispatch/fairness.rs
+++ b/crates/samphiredoor-core/src/dispatch/fairness.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Ask, RequestId};
+use super::messages::{Ask, RequestId};
 use crate::Name;
 
 /// A job rises this long before it is due.
--- a/crates/samphiredoor-core/src/dispatch/messages.rs
+++ b/crates/samphiredoor-core/src/dispatch/messages.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use super::{
-    AttemptEnd,
+    attempt::AttemptEnd,
     lender::{LiveDoor, ShareChange},
 };
 use crate::{Name, manifest::Manifest, news::TargetLoad, verdict::Verdict};
--- a/crates/samphiredoor-core/src/dispatch/queue.rs
+++ b/crates/samphiredoor-core/src/dispatch/queue.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::RequestId;
+use super::messages::RequestId;
 use crate::Name;
 
 const TURN: u64 = 1 << 20;
--- a/crates/samphiredoor-core/src/dispatch/targets.rs
+++ b/crates/samphiredoor-core/src/dispatch/targets.rs
@@ -13,12 +13,12 @@
 use rapidhash::v3::rapidhash_v3;
 
 use super::{
-    Class, Place, RequestId,
     counters::TargetView,
     health::{Ejection, Health},
     limits::Limit,
     load::Load,
     loan::{InFlight, Loan},
+    messages::{Class, Place, RequestId},
 };
 use crate::{
     Name,
--- a/crates/samphiredoor-core/src/keys/change.rs
+++ b/crates/samphiredoor-core/src/keys/change.rs
@@ -5,10 +5,10 @@
 use samphiredoor_schema::objects::{KeyRecord, KeyState};
 
 use super::{
-    KeysConfig,
     arrival::{Arrival, KeyId},
+    config::KeysConfig,
+    context::{Context, Effect},
     record::{self, KeptAnswer, Stamp, Standing, is_orphaned},
-    shard::{Context, Effect},
 };
 use crate::verdict::{Doubt, Refusal, Verdict};
 
--- a/crates/samphiredoor-core/src/keys/messages.rs
+++ b/crates/samphiredoor-core/src/keys/messages.rs
@@ -1,6 +1,6 @@
 //! What goes into the machine of the keys, and what comes out.
 
-use super::{Arrival, KeptAnswer};
+use super::{arrival::Arrival, record::KeptAnswer};
 use crate::{
     Name,
     dispatch::RequestId,
@@ -51,7 +51,7 @@
     },
     /// A process is believed dead; a hint.
     Lapsed {
-        /// Name as in [`super::KeysConfig::holder`].
+        /// Name as in [`KeysConfig::holder`](super::config::KeysConfig::holder).
         holder: Name,
     },
     /// Time passed.
--- a/crates/samphiredoor-core/src/keys/mod.rs
+++ b/crates/samphiredoor-core/src/keys/mod.rs
@@ -10,6 +10,8 @@
 
 mod arrival;
 mod change;
+mod config;
+mod context;
 mod messages;
 mod record;
 mod shard;
@@ -23,6 +25,7 @@
 use samphiredoor_schema::objects::{KeptBody, KeyRecord, KeyState};
 
 pub use arrival::{Arrival, KeyId, key_id};
+pub use config::{KeysConfig, SHARDS, holder_name};
 pub use messages::{KeyOutcome, KeysAction, KeysInput};
 pub use record::{CLOCK_MARGIN_MS, KeptAnswer};
 
@@ -36,11 +39,10 @@
 };
 use arrival::shard_of;
 use change::Outcome;
+use context::{Context, Effect};
 use record::{Stamp, body_bytes, kept_body};
-use shard::{Context, Effect, Shard};
+use shard::Shard;
 
-/// Shards of all doors together; every door must use the same number.
-pub const SHARDS: u32 = 65_536;
 /// Largest body that stands in the record itself.
 pub const INLINE_BODY_BYTES: usize = 16 * 1024;
 /// Largest body that is kept at all, in an object of its own.
@@ -49,42 +51,6 @@
 const MAX_LAPSED: usize = 10_000;
 const BUSY_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Options of the machine.
-#[derive(Debug, Clone)]
-pub struct KeysConfig {
-    /// Process and incarnation, as made by [`holder_name`].
-    pub holder: Name,
-    /// Shards of all doors together.
-    pub shards: u32,
-    /// How long a key is remembered, by wall clock.
-    pub remember_ms: u64,
-    /// Requests that may run or wait for their outcome's write at once.
-    pub max_open: usize,
-    /// Bytes of answers that may wait for their write at once.
-    pub max_unsaved_bytes: usize,
-    /// Bytes of shards that are kept in memory.
-    pub cache_bytes: usize,
-}
-
-impl KeysConfig {
-    /// Usual options.
-    pub fn new(holder: Name, remember_ms: u64) -> KeysConfig {
-        KeysConfig {
-            holder,
-            shards: SHARDS,
-            remember_ms,
-            max_open: 10_000,
-            max_unsaved_bytes: 8 * 1024 * 1024,
-            cache_bytes: 8 * 1024 * 1024,
-        }
-    }
-}
-
-/// Name under which a process writes intents.
-pub fn holder_name(process: &str, incarnation: u64) -> Name {
-    format!("{process}/{incarnation}").into()
-}
-
 #[derive(Debug)]
 struct Run {
     arrival: Arrival,
--- a/crates/samphiredoor-core/src/keys/record.rs
+++ b/crates/samphiredoor-core/src/keys/record.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_schema::objects::{KeptBody, KeyRecord, KeyState};
 
-use super::{KeysConfig, arrival::Arrival};
+use super::{arrival::Arrival, config::KeysConfig};
 use crate::{Name, time::Now, verdict::Doubt};
 
 /// Longest difference between the wall clocks of two doors that expiry allows for.
--- a/crates/samphiredoor-core/src/keys/shard.rs
+++ b/crates/samphiredoor-core/src/keys/shard.rs
@@ -4,21 +4,21 @@
 //! version that was read, so whatever another door wrote in between is never overwritten: the shard is read again and
 //! each change decided anew.
 
-use std::{cell::Cell, collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use samphiredoor_schema::objects::{KeyRecord, KeyShard, KeyState};
 
 use super::{
-    KeysConfig,
     arrival::{Arrival, KeyId},
     change::{Change, Intent, Outcome, conclude, landed, reconcile, refuse, reused, taken_back},
+    context::{Context, Effect},
     record::{self, KeptAnswer, Stamp, Standing, is_expired, is_orphaned},
 };
 use crate::{
     Name,
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version},
     time::Now,
-    verdict::{Refusal, Verdict},
+    verdict::Refusal,
 };
 
 /// Bytes from which a shard takes no new intents. The rest, up to the store's megabyte, is room for the outcomes of
@@ -28,29 +28,6 @@
 const STORE_RETRY_AFTER_MS: u64 = 1_000;
 const FULL_RETRY_AFTER_MS: u64 = 60_000;
 
-/// What follows from a step of a shard.
-#[derive(Debug)]
-pub(super) enum Effect {
-    /// Make the shard's store call.
-    Call(StoreOp),
-    /// The intent stands: run the request.
-    Run { arrival: Arrival, stamp: Stamp },
-    /// Answer as before.
-    Replay { arrival: Arrival, answer: KeptAnswer },
-    /// Answer as before, once the body is read.
-    Fetch { arrival: Arrival, answer: KeptAnswer, object: Name },
-    /// End the request.
-    Refuse { arrival: Arrival, verdict: Verdict },
-    /// The outcome stands in the store.
-    Saved(KeyId),
-    /// Write the body of an outcome to an object of its own first.
-    Upload(KeyId),
-    /// Nothing refers to the object of a body any more.
-    DropBody(Name),
-    /// The stored shard cannot be read.
-    Unreadable,
-}
-
 #[derive(Debug)]
 struct Content {
     version: Option<Version>,
@@ -467,29 +444,6 @@
     }
 }
 
-/// What a step of a shard may use.
-pub(super) struct Context<'a> {
-    /// Options.
-    pub(super) config: &'a KeysConfig,
-    /// The present moment.
-    pub(super) now: Now,
-    /// Whether a holder is believed dead.
-    pub(super) lapsed: &'a std::collections::BTreeSet<Name>,
-    /// Number of writes and intents so far.
-    pub(super) numbers: &'a Cell<u64>,
-}
-
-impl Context<'_> {
-    fn next_number(&self) -> u64 {
-        self.numbers.set(self.numbers.get() + 1);
-        self.numbers.get()
-    }
-
-    fn writer_token(&self) -> String {
-        format!("{}/{}", self.config.holder, self.next_number())
-    }
-}
-
 fn content_of(stored: &Stored, effects: &mut Vec<Effect>) -> Option<Content> {
     match serde_json::from_slice::<KeyShard>(&stored.value) {
         Ok(shard) => {
--- a/crates/samphiredoor-core/src/ledger/cancellation.rs
+++ b/crates/samphiredoor-core/src/ledger/cancellation.rs
@@ -6,9 +6,8 @@
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
 use super::{
-    JobId,
     codec::{header_labels, header_value, read_header},
-    header_key,
+    names::{JobId, header_key},
 };
 use crate::store::{StoreAnswer, StoreOp};
 
--- a/crates/samphiredoor-core/src/ledger/chunk.rs
+++ b/crates/samphiredoor-core/src/ledger/chunk.rs
@@ -8,13 +8,12 @@
 use samphiredoor_schema::objects::{ItemOutcome, ItemResult, JobHeader};
 
 use super::{
-    CallId, ItemEnd, ItemRef, ItemWork, JobId, LedgerAction,
     backoff::{Backoff, jittered},
-    chunk_key,
     codec::{Recorded, StoredItem, read_items},
     commit::{Commit, Urgency},
     context::Context,
-    results_key,
+    messages::{ItemEnd, ItemRef, ItemWork, LedgerAction},
+    names::{CallId, JobId, chunk_key, results_key},
 };
 use crate::store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Value};
 
--- a/crates/samphiredoor-core/src/ledger/codec.rs
+++ b/crates/samphiredoor-core/src/ledger/codec.rs
@@ -13,9 +13,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use super::FORMAT;
 use crate::store::{Labels, Value};
 
+/// Layout of the stored objects that this version writes.
+pub const FORMAT: u32 = 1;
 /// Largest object that is read.
 pub const MAX_OBJECT_BYTES: usize = 1_000_000;
 /// Label of the owner where a job is free to be taken.
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -11,14 +11,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use samphiredoor_schema::objects::ItemResult;
+use samphiredoor_schema::objects::{ItemOutcome, ItemResult};
 
 use super::{
-    CallId, Unreadable,
     backoff::Backoff,
-    codec::{Recorded, read_stored_results, results_value},
+    codec::{Recorded, Unreadable, read_stored_results, results_value},
     context::Context,
-    outcome_counts,
+    names::CallId,
 };
 use crate::store::{ObjectKey, StoreAnswer, StoreOp, Stored, Version};
 
@@ -400,3 +399,15 @@
         self.state = State::Waiting { at_ms, reread };
     }
 }
+
+fn outcome_counts(outcomes: impl Iterator<Item = ItemOutcome>) -> (u32, u32) {
+    let mut completed = 0;
+    let mut failed = 0;
+    for outcome in outcomes {
+        match outcome {
+            ItemOutcome::Answered => completed += 1,
+            ItemOutcome::Failed | ItemOutcome::MayHaveRun => failed += 1,
+        }
+    }
+    (completed, failed)
+}
--- a/crates/samphiredoor-core/src/ledger/context.rs
+++ b/crates/samphiredoor-core/src/ledger/context.rs
@@ -2,7 +2,12 @@
 
 use rand::rngs::SmallRng;
 
-use super::{CallId, JobId, LedgerAction, LedgerConfig, Note, Unreadable};
+use super::{
+    codec::Unreadable,
+    config::LedgerConfig,
+    messages::{LedgerAction, Note},
+    names::{CallId, JobId},
+};
 use crate::{
     store::{ObjectKey, StoreOp},
     time::Now,
--- a/crates/samphiredoor-core/src/ledger/messages.rs
+++ b/crates/samphiredoor-core/src/ledger/messages.rs
@@ -4,7 +4,10 @@
 
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
-use super::{CallId, JobId, Unreadable};
+use super::{
+    codec::Unreadable,
+    names::{CallId, JobId},
+};
 use crate::{
     Name,
     store::{ObjectKey, StoreAnswer, StoreOp, Version},
--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -13,6 +13,7 @@
 mod config;
 mod context;
 mod messages;
+mod names;
 mod run;
 mod submission;
 mod takeover;
@@ -20,55 +21,33 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use rand::{SeedableRng, rngs::SmallRng};
-use samphiredoor_schema::objects::{ItemOutcome, JobHeader};
+use samphiredoor_schema::objects::JobHeader;
 
 pub use cancellation::{CancelStep, Cancellation};
 pub use chunk::MAX_TRIES;
-pub use codec::{FREE_OWNER, ReadResults, Unreadable, read_header, read_results};
+pub use codec::{FORMAT, FREE_OWNER, ReadResults, Unreadable, read_header, read_results};
 pub use config::LedgerConfig;
 pub use messages::{ItemEnd, ItemRef, ItemWork, LedgerAction, LedgerInput, Note, Progress};
+pub use names::{CallId, JobId, chunk_key, header_key, job_id, results_key};
 pub use submission::{
     Acceptance, Accepting, BadLine, CHUNK_ITEMS, Submission, SubmissionStep, service_in_path,
 };
 
 use crate::{
-    Name,
-    store::{Kind, ObjectKey, StoreAnswer, Version},
+    store::{StoreAnswer, Version},
     time::Now,
 };
 use context::{Context, LingerPace};
-use run::JobRun;
+use run::{Event, JobRun, Load};
 pub use takeover::sweepers;
 use takeover::{Found, Takeover};
 
-/// Layout of the stored objects that this version writes.
-pub const FORMAT: u32 = 1;
-
-/// Identity of a job: the name of its header.
-pub type JobId = Name;
-
-/// Identity of a store call within one state machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CallId(pub u64);
-
-enum Event {
-    Stored(CallId, StoreAnswer),
-    Ended(ItemRef, ItemEnd),
-}
-
 #[derive(Debug)]
 enum Caller {
     Job(JobId),
     Takeover,
 }
 
-/// Load of one job on the process, as last seen.
-#[derive(Debug, Clone, Copy, Default)]
-struct Load {
-    running: usize,
-    pending_bytes: usize,
-}
-
 /// What all parts of the ledger share, beside their own states.
 #[derive(Debug)]
 struct Shared {
@@ -296,13 +275,6 @@
     }
 }
 
-impl Load {
-    fn change(&mut self, before: Load, after: Load) {
-        self.running = self.running + after.running - before.running;
-        self.pending_bytes = self.pending_bytes + after.pending_bytes - before.pending_bytes;
-    }
-}
-
 impl Shared {
     fn context<'a>(
         &'a mut self,
@@ -333,40 +305,3 @@
         }
     }
 }
-
-/// Name of a job: the same for every resend under the same workspace and key.
-pub fn job_id(workspace: &str, key: &str) -> JobId {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(workspace.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(key.as_bytes());
-    let digest = hasher.finalize().to_hex();
-    format!("job-{}", &digest[..24]).into()
-}
-
-/// Key of a job's header.
-pub fn header_key(job: &JobId) -> ObjectKey {
-    ObjectKey::new(Kind::Job, Arc::clone(job))
-}
-
-/// Key of a chunk.
-pub fn chunk_key(upload: &str, chunk: u32) -> ObjectKey {
-    ObjectKey::new(Kind::Chunk, format!("{upload}-{chunk:05}"))
-}
-
-/// Key of a chunk's results. Named after the upload: a removed job's results are never those of a later job.
-pub fn results_key(upload: &str, chunk: u32) -> ObjectKey {
-    ObjectKey::new(Kind::Results, format!("{upload}-{chunk:05}"))
-}
-
-fn outcome_counts(outcomes: impl Iterator<Item = ItemOutcome>) -> (u32, u32) {
-    let mut completed = 0;
-    let mut failed = 0;
-    for outcome in outcomes {
-        match outcome {
-            ItemOutcome::Answered => completed += 1,
-            ItemOutcome::Failed | ItemOutcome::MayHaveRun => failed += 1,
-        }
-    }
-    (completed, failed)
-}
--- a/crates/samphiredoor-core/src/ledger/run.rs
+++ b/crates/samphiredoor-core/src/ledger/run.rs
@@ -11,12 +11,12 @@
 use samphiredoor_schema::objects::{JobHeader, JobState};
 
 use super::{
-    CallId, Event, JobId, LedgerAction, Load, Note, Progress,
     backoff::Backoff,
     chunk::OpenChunk,
     codec::{header_labels, header_value, read_header},
     context::Context,
-    header_key,
+    messages::{ItemEnd, ItemRef, LedgerAction, Note, Progress},
+    names::{CallId, JobId, header_key},
 };
 use crate::store::{StoreAnswer, StoreOp, Version};
 
@@ -43,6 +43,26 @@
     Waiting { at_ms: u64 },
 }
 
+/// What happened to a job.
+pub(super) enum Event {
+    Stored(CallId, StoreAnswer),
+    Ended(ItemRef, ItemEnd),
+}
+
+/// Load of one job on the process, as last seen.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Load {
+    pub(super) running: usize,
+    pub(super) pending_bytes: usize,
+}
+
+impl Load {
+    pub(super) fn change(&mut self, before: Load, after: Load) {
+        self.running = self.running + after.running - before.running;
+        self.pending_bytes = self.pending_bytes + after.pending_bytes - before.pending_bytes;
+    }
+}
+
 /// One job at work.
 #[derive(Debug)]
 pub(super) struct JobRun {
--- a/crates/samphiredoor-core/src/ledger/submission.rs
+++ b/crates/samphiredoor-core/src/ledger/submission.rs
@@ -14,9 +14,8 @@
 use serde_json::value::RawValue;
 
 use super::{
-    FORMAT, JobId, chunk_key,
-    codec::{header_labels, header_value, read_header},
-    header_key, job_id,
+    codec::{FORMAT, header_labels, header_value, read_header},
+    names::{JobId, chunk_key, header_key, job_id},
     run::OPENED_STEP,
 };
 use crate::{
--- a/crates/samphiredoor-core/src/ledger/takeover.rs
+++ b/crates/samphiredoor-core/src/ledger/takeover.rs
@@ -14,10 +14,9 @@
 use samphiredoor_schema::objects::{JobHeader, JobOwner, JobState, ProcessLease};
 
 use super::{
-    CallId, JobId, Unreadable,
-    codec::{FREE_OWNER, header_labels, header_value, read_header, state_label},
+    codec::{FREE_OWNER, Unreadable, header_labels, header_value, read_header, state_label},
     context::Context,
-    header_key,
+    names::{CallId, JobId, header_key},
     run::JobRun,
 };
 use crate::{
--- a/crates/samphiredoor-core/src/membership/messages.rs
+++ b/crates/samphiredoor-core/src/membership/messages.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_schema::objects::ProcessLease;
 
-use super::Member;
+use super::roster::Member;
 use crate::Name;
 
 /// What a process knows of itself.
--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ItemResult, Outcome, OutputPart};
+use super::{
+    job::{ItemResult, Outcome},
+    outputs::OutputPart,
+};
 use crate::{
     ledger::Unreadable,
     store::{Stored, Value},
--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::{Item, ItemResult, Outcome};
+use super::job::{Item, ItemResult, Outcome};
 
 /// First pause before an item is tried again; doubles with each try.
 const FIRST_PAUSE_MS: u64 = 100;
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -1,43 +1,17 @@
 //! The log of a job's results, as one of its writers sees it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    JobName, OutputPart, PartialOutput,
     codec::{self, Segment},
-    outputs::{KeptOutputs, OUTPUT_BYTES},
-    segment_key,
+    job::{ItemResult, JobName, segment_key},
+    outputs::{KeptOutputs, OUTPUT_BYTES, OutputPart, PartialOutput},
 };
 use crate::store::{Labels, StoreAnswer, StoreOp};
 
 /// Bytes of texts in one segment; an object holds a megabyte, and escapes within texts take some of it.
 const SEGMENT_BYTES: usize = 500_000;
 
-/// How an item ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// With its whole output.
-    Completed,
-    /// Without; it will not be run again.
-    Failed,
-}
-
-/// Result of one item.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ItemResult {
-    /// Item by its place in the submission.
-    pub item: u32,
-    /// Name of the item.
-    pub id: Arc<str>,
-    /// How it ended.
-    pub outcome: Outcome,
-    /// Data of all its events in order, separated by line feeds.
-    pub text: Arc<str>,
-}
-
 /// What a log needs next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LogStep {
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -13,55 +13,14 @@
 
 mod codec;
 mod items;
+mod job;
 mod log;
 mod outputs;
 
-use std::sync::Arc;
-
 pub use codec::{
     JobHeader, JobOwner, PART_BYTES, Segment, cut_parts, read_header, read_part, read_segment,
 };
 pub use items::{ItemEnd, ItemStep, Items};
-pub use log::{ItemResult, LogStep, Outcome, ResultLog};
+pub use job::{Item, ItemResult, JobName, Outcome, end_key, header_key, part_key, segment_key};
+pub use log::{LogStep, ResultLog};
 pub use outputs::{OutputPart, PartialOutput};
-
-use crate::{
-    Name,
-    store::{Kind, ObjectKey},
-};
-
-/// Name of a job, as its caller gave it.
-pub type JobName = Name;
-
-/// One item as it was submitted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Item {
-    /// Name of the item, unique within its job.
-    pub id: Arc<str>,
-    /// Path and query of its request.
-    pub path: String,
-    /// Headers of its request.
-    pub headers: Vec<(String, String)>,
-    /// Body, still in the text form in which it came.
-    pub encoded_body: String,
-}
-
-/// Key of a job's header.
-pub fn header_key(job: &str) -> ObjectKey {
-    ObjectKey::new(Kind::OrderedJob, job)
-}
-
-/// Key of one part of a submission. The digest keeps apart two submissions under one name, of which one is accepted.
-pub fn part_key(job: &str, digest: &str, part: u32) -> ObjectKey {
-    ObjectKey::new(Kind::JobPart, format!("{job}-{digest}-{part}"))
-}
-
-/// Key of one segment of a job's results.
-pub fn segment_key(job: &str, segment: u32) -> ObjectKey {
-    ObjectKey::new(Kind::JobSegment, format!("{job}-{segment:05}"))
-}
-
-/// Key of the object that ends a job.
-pub fn end_key(job: &str) -> ObjectKey {
-    ObjectKey::new(Kind::JobEnd, job)
-}
--- a/crates/samphiredoor-core/src/orders/giver.rs
+++ b/crates/samphiredoor-core/src/orders/giver.rs
@@ -4,7 +4,11 @@
 
 use samphiredoor_schema::objects::{PendingOrder, TargetOrders};
 
-use super::{Order, OrderEnd, OrdersConfig, Outbox, Wanted, pace::Pace};
+use super::{
+    messages::{Order, OrderEnd, OrdersAction, OrdersConfig, Wanted},
+    outbox::Outbox,
+    pace::Pace,
+};
 use crate::{
     Name,
     ledger::CallId,
@@ -223,7 +227,7 @@
         let weight = Name::from(pending.weight.as_str());
         let order = if pending.load { Order::Load(weight) } else { Order::Unload(weight) };
         let (target, fence) = (Arc::clone(&self.target), record.epoch);
-        outbox.out.push(super::OrdersAction::Send { target, fence, order });
+        outbox.out.push(OrdersAction::Send { target, fence, order });
         self.state = State::Sent;
     }
 
--- a/crates/samphiredoor-core/src/orders/pace.rs
+++ b/crates/samphiredoor-core/src/orders/pace.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_schema::objects::LoadPace;
 
-use super::{OrdersConfig, Outbox};
+use super::{messages::OrdersConfig, outbox::Outbox};
 use crate::{
     Name,
     ledger::CallId,
--- a/crates/samphiredoor-core/src/quarantine/list.rs
+++ b/crates/samphiredoor-core/src/quarantine/list.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_schema::objects::SuspectList;
 
-use super::{QuarantineAction, QuarantineConfig, suspects::Suspects};
+use super::{config::QuarantineConfig, messages::QuarantineAction, suspects::Suspects};
 use crate::{
     Name,
     ledger::CallId,
--- a/crates/samphiredoor-core/src/quarantine/mod.rs
+++ b/crates/samphiredoor-core/src/quarantine/mod.rs
@@ -8,7 +8,9 @@
 //! refuses nothing, and no request is to blame for it. Peers are told at once, and the blamed stand in one object of
 //! the store for doors that start later. All of that is bounded in number and age.
 
+mod config;
 mod list;
+mod messages;
 mod suspects;
 
 use std::{
@@ -16,148 +18,18 @@
     net::SocketAddr,
 };
 
+pub use config::QuarantineConfig;
 pub use list::ListInput;
+pub use messages::{Left, QuarantineAction, QuarantineInput};
 pub use suspects::{BLAMED_DEATHS, Suspect};
 
-use crate::{
-    Name,
-    dispatch::RequestId,
-    ledger::CallId,
-    store::{StoreAnswer, StoreOp},
-    time::Now,
-};
+use crate::{dispatch::RequestId, time::Now};
 use list::BlamedList;
-use suspects::{Change, Suspects};
+use suspects::{Change, Entry, Suspects};
 
 /// How long after a target's death its other requests may still be found lost.
 const DEATH_ECHO_MS: u64 = 5_000;
 
-/// Bounds of the quarantine.
-#[derive(Debug, Clone)]
-pub struct QuarantineConfig {
-    /// Process and incarnation, for the store's writer token.
-    pub writer: Name,
-    /// Most fingerprints that are remembered.
-    pub max_suspects: usize,
-    /// How long a suspicion is remembered.
-    pub suspect_ms: u64,
-    /// How long a blamed fingerprint is refused.
-    pub blamed_ms: u64,
-    /// Time between two reads of the stored list.
-    pub read_ms: u64,
-}
-
-impl QuarantineConfig {
-    /// Usual bounds.
-    pub fn new(writer: Name) -> QuarantineConfig {
-        QuarantineConfig {
-            writer,
-            max_suspects: 1_000,
-            suspect_ms: 3_600_000,
-            blamed_ms: 86_400_000,
-            read_ms: 60_000,
-        }
-    }
-}
-
-/// How an attempt left its target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Left {
-    /// With a whole answer.
-    Answered,
-    /// The connection was lost after the request was sent.
-    Lost,
-    /// In any other way; it says nothing about the request.
-    Otherwise,
-}
-
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum QuarantineInput {
-    /// A request is about to be sent to a target.
-    Enter {
-        /// Which attempt; one at a time for a request.
-        attempt: RequestId,
-        /// Hash of the request.
-        fingerprint: u64,
-        /// Where the target listens.
-        target: SocketAddr,
-    },
-    /// An attempt left its target.
-    Left {
-        /// Which attempt.
-        attempt: RequestId,
-        /// How.
-        how: Left,
-    },
-    /// A connection was tried as [`QuarantineAction::Probe`] asked.
-    Probed {
-        /// Where the target listens.
-        target: SocketAddr,
-        /// Whether the connection was refused.
-        refused: bool,
-    },
-    /// A peer told of a request.
-    Told(Suspect),
-    /// An owner lifts the suspicion.
-    Lift {
-        /// Hash of the request.
-        fingerprint: u64,
-    },
-    /// A store call was answered.
-    Stored {
-        /// Which call.
-        call: CallId,
-        /// Its answer.
-        answer: StoreAnswer,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// What to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum QuarantineAction {
-    /// The attempt may be sent.
-    Go {
-        /// Which attempt.
-        attempt: RequestId,
-    },
-    /// The request is blamed; this is final.
-    Refuse {
-        /// Which attempt.
-        attempt: RequestId,
-    },
-    /// Try a connection to a target, and report it.
-    Probe {
-        /// Where the target listens.
-        target: SocketAddr,
-    },
-    /// It is known what the loss of an attempt means; the request may be tried elsewhere.
-    Settled {
-        /// Which attempt.
-        attempt: RequestId,
-    },
-    /// Tell all peers.
-    Tell(Suspect),
-    /// A request is blamed from now on.
-    Blamed {
-        /// Hash of the request.
-        fingerprint: u64,
-    },
-    /// Make a store call.
-    Store {
-        /// Which call.
-        call: CallId,
-        /// The call.
-        op: StoreOp,
-    },
-}
-
-/// Number of an attempt's entry. Two events of one millisecond can be told apart by it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Entry(u64);
-
 #[derive(Debug, Clone, Copy)]
 struct Death {
     at_ms: u64,
--- a/crates/samphiredoor-core/src/quarantine/suspects.rs
+++ b/crates/samphiredoor-core/src/quarantine/suspects.rs
@@ -4,12 +4,16 @@
 
 use samphiredoor_schema::objects::SuspectRecord;
 
-use super::{Entry, QuarantineConfig};
+use super::config::QuarantineConfig;
 use crate::time::Now;
 
 /// Deaths from which a fingerprint is refused.
 pub const BLAMED_DEATHS: u32 = 2;
 
+/// Number of an attempt's entry. Two events of one millisecond can be told apart by it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Entry(pub(super) u64);
+
 /// What is known of a fingerprint, as doors tell each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspect {
