Set up like tests of the door in one place

The same set-up stood in several tests: a booking that runs (three times), an engine and a plain service (twice), lines of a job (twice), switching faults of the store on (twice).

`running` in tests/it/keys.rs, `declare_small_and_pickup`, `job_lines` and the existing `faults` of tests/it/env.rs hold them. What the tests do and check is as before.

--- a/crates/samphiredoor/tests/it/env.rs
+++ b/crates/samphiredoor/tests/it/env.rs
@@ -230,6 +230,19 @@
         self.doors[door].callers
     }
 
+    /// Declares an engine `small` and a plain service `pickup`, each with one target.
+    pub fn declare_small_and_pickup(&self, step_ms: f64, delay: Duration) {
+        let engine = start_engine(EngineConfig { step_ms, ..EngineConfig::default() });
+        let service = start_service(delay);
+        self.declare(&json!({
+            "services": [
+                { "name": "small", "kind": "engine" },
+                { "name": "pickup", "kind": "plain" },
+            ],
+            "targets": [target("engine-0", "small", engine), target("pickup-0", "pickup", service)],
+        }));
+    }
+
     /// Switches faults of the store on or off.
     pub fn faults(&self, faults: &Value) {
         let answer = self.put(self.store, "/faults", faults);
@@ -285,6 +298,19 @@
     })
 }
 
+/// Lines of a job of completions.
+pub fn job_lines(items: usize, max_tokens: usize) -> String {
+    let line = |number| {
+        json!({
+            "custom_id": format!("order-{number}"),
+            "url": "/v1/completions",
+            "body": { "model": "small", "prompt": "no nuts", "max_tokens": max_tokens },
+        })
+        .to_string()
+    };
+    (0..items).map(line).collect::<Vec<_>>().join("\n")
+}
+
 /// Posts a body.
 pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
     call(hyper::Method::POST, address, path, headers, body)
--- a/crates/samphiredoor/tests/it/keys.rs
+++ b/crates/samphiredoor/tests/it/keys.rs
@@ -1,9 +1,9 @@
 //! Requests under an idempotency key, through real doors.
 
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 use samphiredoor_embedded::engine::EngineConfig;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::{
     env::{Answer, TestEnv, post, start_engine, target, wait_until},
@@ -31,8 +31,22 @@
     (open, Reply::Gated(gate, "confirmed"))
 }
 
-fn faults(env: &TestEnv, faults: &Value) {
-    assert_eq!(env.put(env.store, "/faults", faults).status, 200);
+/// A booking that runs, sent to the first door by a caller that waits; its target answers when `open` is told.
+struct Running {
+    env: TestEnv,
+    target: RawTarget,
+    open: flume::Sender<()>,
+    first: JoinHandle<Answer>,
+}
+
+fn running(doors: usize, headers: &'static [(&'static str, &'static str)]) -> Running {
+    let (open, reply) = gated();
+    let target = RawTarget::start([reply]);
+    let env = booking(doors, &target);
+    let callers = env.callers(0);
+    let first = thread::spawn(move || post(callers, PATH, headers, "monday"));
+    wait_until("the first runs", || target.ran().len() == 1);
+    Running { env, target, open, first }
 }
 
 fn confirm(env: &TestEnv, door: usize) -> Answer {
@@ -47,12 +61,7 @@
 /// still runs. Two farriers would stand at one yard if the second door ran it as well.
 #[test]
 fn a_resend_to_another_door_does_not_run_during_or_after_the_first_run() {
-    let (open, reply) = gated();
-    let target = RawTarget::start([reply]);
-    let mut env = booking(2, &target);
-    let callers = env.door(0).callers;
-    let first = thread::spawn(move || post(callers, PATH, &[KEY], "monday"));
-    wait_until("the first runs", || target.ran().len() == 1);
+    let Running { env, target, open, first } = running(2, &[KEY]);
     let during = confirm(&env, 1);
     assert_eq!((during.status, error(&during).as_str()), (409, "still_running"));
     assert!(during.text.contains("may have run"), "{}", during.text);
@@ -96,13 +105,8 @@
 /// often it is sent; first it counts as running, and once its lease or deadline is over as one that may have run.
 #[test]
 fn a_resend_after_the_door_was_killed_is_not_run_again() {
-    let (_open, reply) = gated();
-    let target = RawTarget::start([reply]);
-    let mut env = booking(2, &target);
-    let callers = env.door(0).callers;
-    let first =
-        thread::spawn(move || post(callers, PATH, &[KEY, ("x-deadline-ms", "1000")], "monday"));
-    wait_until("the first runs", || target.ran().len() == 1);
+    let Running { mut env, target, open: _open, first } =
+        running(2, &[KEY, ("x-deadline-ms", "1000")]);
     env.door(0).kill();
     assert_eq!(first.join().expect("cut off").status, 0);
     wait_until("the other door gives the holder up", || {
@@ -119,13 +123,13 @@
 fn a_request_that_cannot_be_recorded_is_refused_and_not_run() {
     let target = RawTarget::start([]);
     let env = booking(1, &target);
-    faults(&env, &json!({ "outage": true }));
+    env.faults(&json!({ "outage": true }));
     let refused = confirm(&env, 0);
     assert_eq!((refused.status, error(&refused).as_str()), (503, "store_unavailable"));
     assert!(refused.text.contains("not run"), "{}", refused.text);
     assert!(refused.headers.contains_key("retry-after"));
     assert!(target.ran().is_empty());
-    faults(&env, &json!({}));
+    env.faults(&json!({}));
     assert_eq!(confirm(&env, 0).status, 200);
     assert_eq!(target.ran(), ["monday"]);
 }
@@ -134,18 +138,13 @@
 /// it too, and the other door learns of it when the store is back.
 #[test]
 fn an_outcome_is_kept_until_the_store_is_back() {
-    let (open, reply) = gated();
-    let target = RawTarget::start([reply]);
-    let mut env = booking(2, &target);
-    let callers = env.door(0).callers;
-    let first = thread::spawn(move || post(callers, PATH, &[KEY], "monday"));
-    wait_until("the first runs", || target.ran().len() == 1);
-    faults(&env, &json!({ "outage": true }));
+    let Running { env, target, open, first } = running(2, &[KEY]);
+    env.faults(&json!({ "outage": true }));
     open.send(()).expect("the target waits");
     assert_eq!(first.join().expect("answered").text, "confirmed");
     assert_eq!(confirm(&env, 0).text, "confirmed");
     assert_eq!(error(&confirm(&env, 1)), "store_unavailable");
-    faults(&env, &json!({}));
+    env.faults(&json!({}));
     wait_until("the other door replays it", || confirm(&env, 1).text == "confirmed");
     assert_eq!(target.ran(), ["monday"]);
 }
@@ -159,7 +158,7 @@
             fn $name() {
                 let target = RawTarget::start([]);
                 let env = booking(2, &target);
-                faults(&env, &json!({ "lose_answers": $lost }));
+                env.faults(&json!({ "lose_answers": $lost }));
                 assert_eq!(confirm(&env, 0).text, "ok");
                 wait_until("the other door replays it", || confirm(&env, 1).text == "ok");
                 assert_eq!(target.ran(), ["monday"]);
@@ -209,7 +208,7 @@
 fn a_planned_stop_writes_the_outcomes_first() {
     let target = RawTarget::start([]);
     let mut env = booking(2, &target);
-    faults(&env, &json!({ "latency_ms": 100 }));
+    env.faults(&json!({ "latency_ms": 100 }));
     assert_eq!(confirm(&env, 0).status, 200);
     env.door(0).signal("TERM");
     assert!(env.door(0).wait());
--- a/crates/samphiredoor/tests/it/stop.rs
+++ b/crates/samphiredoor/tests/it/stop.rs
@@ -13,11 +13,9 @@
 
 use bytes::Bytes;
 use hyper::{Request, header};
-use samphiredoor_embedded::engine::EngineConfig;
 use samphiredoor_net::{Body, Pool, body::read_whole, pool::SendError};
-use serde_json::json;
 
-use crate::env::{TestEnv, get, post, start_engine, start_service, target, wait_until};
+use crate::env::{TestEnv, get, job_lines, post, wait_until};
 
 const DOORS: usize = 3;
 const CALLERS: usize = 6;
@@ -145,35 +143,18 @@
     for _ in 0..DOORS {
         env.start_door_with(SETTINGS);
     }
-    let engine = start_engine(EngineConfig { step_ms: 2.0, ..EngineConfig::default() });
-    let service = start_service(Duration::from_millis(5));
-    env.declare(&json!({
-        "services": [
-            { "name": "small", "kind": "engine" },
-            { "name": "pickup", "kind": "plain" },
-        ],
-        "targets": [target("engine-0", "small", engine), target("pickup-0", "pickup", service)],
-    }));
+    env.declare_small_and_pickup(2.0, Duration::from_millis(5));
     env
 }
 
-fn item_line(number: usize) -> String {
-    json!({
-        "custom_id": format!("order-{number}"),
-        "url": "/v1/completions",
-        "body": { "model": "small", "prompt": "no nuts", "max_tokens": 20 },
-    })
-    .to_string()
-}
-
 /// Drivers see errors each time the hosts are replaced, and an excursion list stands still until a lease has lapsed.
 /// All doors are stopped and started one after another under load while a job runs. The causes would be connections
 /// closed under a request, or jobs that are not handed over; the lease is so long that only a handing over helps.
 #[test]
 fn a_rolling_restart_under_load_cuts_no_request_and_ends_the_job() {
     let mut env = three_doors();
-    let lines: Vec<String> = (0..1_000).map(item_line).collect();
-    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-9")], &lines.join("\n"));
+    let lines = job_lines(1_000, 20);
+    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-9")], &lines);
     assert_eq!(answer.status, 200, "{}", answer.text);
     let path = format!("/v1/batches/{}", answer.json()["id"].as_str().expect("an id"));
     let doors = (0..DOORS).map(|it| (env.door(it).callers, env.door(it).operators, true));
--- a/crates/samphiredoor/tests/it/whole_path.rs
+++ b/crates/samphiredoor/tests/it/whole_path.rs
@@ -2,23 +2,12 @@
 
 use std::time::Duration;
 
-use samphiredoor_embedded::engine::EngineConfig;
-use serde_json::json;
-
-use crate::env::{TestEnv, start_engine, start_service, target, wait_until};
+use crate::env::{TestEnv, job_lines, wait_until};
 
 fn one_door() -> TestEnv {
     let mut env = TestEnv::new();
     env.start_door();
-    let engine = start_engine(EngineConfig { step_ms: 1.0, ..EngineConfig::default() });
-    let service = start_service(Duration::ZERO);
-    env.declare(&json!({
-        "services": [
-            { "name": "small", "kind": "engine" },
-            { "name": "pickup", "kind": "plain" },
-        ],
-        "targets": [target("engine-0", "small", engine), target("pickup-0", "pickup", service)],
-    }));
+    env.declare_small_and_pickup(1.0, Duration::ZERO);
     env
 }
 
@@ -54,8 +43,8 @@
 #[test]
 fn a_job_is_completed_and_its_results_are_readable() {
     let env = one_door();
-    let lines: Vec<String> = (0..600).map(item_line).collect();
-    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-7")], &lines.join("\n"));
+    let lines = job_lines(600, 2);
+    let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-7")], &lines);
     assert_eq!(answer.status, 200, "{}", answer.text);
     let job = answer.json()["id"].as_str().expect("an id").to_owned();
     let path = format!("/v1/batches/{job}");
@@ -68,21 +57,12 @@
 #[test]
 fn a_job_with_a_bad_line_is_refused_whole_with_its_number() {
     let env = one_door();
-    let lines = format!("{}\nnot json\n", item_line(0));
+    let lines = format!("{}\nnot json\n", job_lines(1, 2));
     let answer = env.post(0, "/v1/batches", &[("idempotency-key", "tour-8")], &lines);
     assert_eq!(answer.status, 400);
     assert_eq!(answer.json()["error"]["field"], "line 2");
 }
 
-fn item_line(number: usize) -> String {
-    json!({
-        "custom_id": format!("order-{number}"),
-        "url": "/v1/completions",
-        "body": { "model": "small", "prompt": "no nuts", "max_tokens": 2 },
-    })
-    .to_string()
-}
-
 /// A tour desk's answer breaks off because the host is being replaced. The stream runs, the door gets SIGTERM, and the
 /// cause would be a process that ends while connections are still in use.
 #[test]
