--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -5,9 +5,8 @@
 use crate::{
     ask::{REQUEST_ID_HEADER, fingerprint, is_engine, passed_headers},
     dispatch_task::{Placement, Ticket},
+    door::Door,
     item_call::{ITEM_DEADLINE, ItemCall},
-    online::is_loss,
-    process::Door,
     targets::Call,
 };
 use bytes::Bytes;
@@ -24,15 +23,15 @@
 ///
 /// A run that must not be repeated and has begun is not cut, neither by a stop nor for online requests: cutting it
 /// would leave an item that may have run and has no answer.
-pub async fn run(door: &Rc<Door>, work: ItemWork, stop: flume::Receiver<()>) -> ItemEnd {
+pub async fn run(door: Rc<Door>, work: ItemWork, stop: flume::Receiver<()>) -> ItemEnd {
     let started = std::time::Instant::now();
     let request = door.dispatch.next_request();
-    let call = match call(door, &work, request) {
-        Ok(call) if is_resumable(door, &work) => ItemCall::new(call).with_resume(),
+    let call = match call(&door, &work, request) {
+        Ok(call) if is_resumable(&door, &work) => ItemCall::new(call).with_resume(),
         Ok(call) => ItemCall::new(call),
         Err(reason) => return ItemEnd::Refused { reason },
     };
-    let ask = ask(door, &work, request, call.body_bytes());
+    let ask = ask(&door, &work, request, call.body_bytes());
     let fingerprint = ask.fingerprint;
     let mut ticket = door.dispatch.ask(ask);
     loop {
@@ -45,13 +44,13 @@
                 let entered = door.quarantine.enter(request, fingerprint, address);
                 let pass = match until_cut(entered, &mut ticket, &stop).await {
                     Attempted::Ended(Some(pass)) => pass,
-                    Attempted::Ended(None) => return quarantined(door),
+                    Attempted::Ended(None) => return quarantined(&door),
                     Attempted::Recalled | Attempted::Stopped => {
                         ticket.ended(AttemptEnd::Aborted);
                         return ItemEnd::NotRun { retry_after_ms: 0 };
                     }
                 };
-                let attempt = call.attempt(door, address, is_engine(door, &work.service));
+                let attempt = call.attempt(&door, address, is_engine(&door, &work.service));
                 let attempted = match work.repeatable {
                     true => until_cut(attempt, &mut ticket, &stop).await,
                     false => Attempted::Ended(attempt.await),
@@ -65,7 +64,7 @@
                         return end;
                     }
                     Attempted::Ended(Err(end)) => {
-                        if matches!(end, AttemptEnd::Lost(reason) if is_loss(reason)) {
+                        if matches!(end, AttemptEnd::Lost(reason) if reason.is_loss()) {
                             pass.lost().await;
                         }
                         ticket.ended(end);
