Red: an end is acknowledged without asking an owner that lives and was never heard

What callers see: they end a job at one gateway and are told that it is ended, and all 200 items of it still run at the gateway that owns it.

The tests bring it about with real gateways: the stand-in store hides the list of gateways from the owner, so that it tells nobody that it lives; it reaches the store and listens. That shows red what was open by reading alone.

--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -15,6 +15,10 @@
 const PARTS: &str = "jobparts";
 /// Kind of the headers of jobs.
 const HEADERS: &str = "orderedjobs";
+/// Kind of the entries of gateways.
+const GATEWAYS: &str = "doors";
+/// A kind of which there are no objects.
+const NOTHING: &str = "";
 const MAX_BYTES: usize = 4 * 1024 * 1024;
 const WATCH_STEP: Duration = Duration::from_millis(5);
 /// Longer than any call of the tests waits.
@@ -42,6 +46,8 @@
     PartsHeld,
     /// It refuses creates of parts of submissions with 503 and does nothing.
     PartsRefused,
+    /// It lists no gateways, and tells watches of none.
+    GatewaysHidden,
 }
 
 #[derive(Debug, Clone)]
@@ -211,8 +217,12 @@
             _ => {}
         }
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let is_hidden = fault == StoreFault::GatewaysHidden && segments == [GATEWAYS];
         let response = match parts.method {
-            Method::GET if query.contains_key("watch") => self.watch(kind, &query).await,
+            Method::GET if query.contains_key("watch") => {
+                self.watch(if is_hidden { NOTHING } else { kind }, &query).await
+            }
+            Method::GET if is_hidden => self.state().read(&[NOTHING], &query),
             Method::GET => self.state().read(&segments, &query),
             Method::POST => self.state().create(kind, &body),
             Method::PUT => self.state().replace(&segments, &body),
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/ends.rs
@@ -0,0 +1,104 @@
+//! Ends of jobs whose owner is not heard by the gateway that acknowledges them.
+
+use std::time::Duration;
+
+use samphiredoor_standin::{platform_store::StoreFault, platform_target::PlatformTarget};
+
+use super::env::Platform;
+use crate::env::wait_until;
+
+const SLOW: Duration = Duration::from_millis(150);
+/// So many that they run for some twenty seconds.
+const ITEMS: usize = 200;
+/// After this time a gateway that was never heard counts as gone in its own cell.
+const UNHEARD: Duration = Duration::from_millis(3_200);
+/// Gateways of two cells, and the first one of the second cell.
+const TWO_CELLS: usize = 14;
+const IN_SECOND_CELL: usize = 9;
+
+/// Gateways that hear each other, before a target that is slow enough for a job to last.
+fn gateways(count: usize) -> (Platform, PlatformTarget) {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", SLOW);
+    for _ in 0..count {
+        platform.start_gateway();
+    }
+    for by in 0..count {
+        for of in (0..count).filter(|it| *it != by) {
+            platform.wait_logged(by, &format!("peers: heard peer=gateway-{of} "));
+        }
+    }
+    (platform, target)
+}
+
+/// Submits a job that no other gateway finds by looking through all jobs.
+fn submit_unseen(platform: &Platform, target: &PlatformTarget, owner: usize) {
+    platform.store.keep_for_stale_lists();
+    assert_eq!(platform.submit_many(owner, "job-1", ITEMS).status, 202);
+    wait_until("items run", || !target.runs().is_empty());
+}
+
+fn wait_ended(platform: &Platform, at: usize) {
+    wait_until("the end is acknowledged", || platform.end(at, "job-1").status == 200);
+}
+
+/// Waits until the owner is done with the job, and checks that it did not run on to its last item.
+fn assert_stopped(platform: &Platform, target: &PlatformTarget, owner: usize) {
+    let ways = ["job: closed", "job: another process owns it"];
+    wait_until("the owner is done with the job", || {
+        ways.iter().any(|it| platform.times_logged(owner, it) > 0)
+    });
+    assert_eq!(platform.times_logged(owner, "how=finished"), 0, "the job ran on to its end");
+    let runs = target.runs().len();
+    std::thread::sleep(SLOW * 10);
+    assert_eq!(target.runs().len(), runs);
+}
+
+// The owner lives and reaches the store, and others have never heard it. They took it for gone and acknowledged the end without it.
+#[test]
+fn an_end_reaches_an_owner_that_was_never_heard() {
+    let (mut platform, target) = gateways(2);
+    std::thread::sleep(UNHEARD);
+    platform.way_fault = StoreFault::GatewaysHidden;
+    let owner = platform.start_gateway();
+    submit_unseen(&platform, &target, owner);
+    wait_ended(&platform, 0);
+    assert_stopped(&platform, &target, owner);
+}
+
+// The same in another cell, at a gateway that has started lately.
+#[test]
+fn an_end_reaches_an_owner_of_another_cell_that_was_never_heard() {
+    let mut platform = Platform::new();
+    let target = platform.start_target("t-1", SLOW);
+    for number in 0..TWO_CELLS {
+        platform.way_fault = match number {
+            IN_SECOND_CELL => StoreFault::GatewaysHidden,
+            _ => StoreFault::None,
+        };
+        platform.spawn_gateway();
+    }
+    (0..TWO_CELLS).for_each(|number| platform.wait_ready(number));
+    platform.way_fault = StoreFault::None;
+    platform.gateway(0).kill();
+    platform.restart_gateway(0);
+    platform.wait_ready(0);
+    platform.wait_logged(0, "peers: cells worked out cells=2");
+    std::thread::sleep(UNHEARD);
+    submit_unseen(&platform, &target, IN_SECOND_CELL);
+    wait_ended(&platform, 0);
+    assert_stopped(&platform, &target, IN_SECOND_CELL);
+}
+
+// The owner has started anew, and others still know its former start alone.
+#[test]
+fn an_end_reaches_an_owner_that_has_just_started_anew() {
+    let (mut platform, target) = gateways(3);
+    platform.gateway(1).kill();
+    platform.way_fault = StoreFault::GatewaysHidden;
+    platform.restart_gateway(1);
+    platform.wait_ready(1);
+    submit_unseen(&platform, &target, 1);
+    wait_ended(&platform, 0);
+    assert_stopped(&platform, &target, 1);
+}
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -42,6 +42,8 @@
     pub watch_ms: u64,
     /// Within which time changes of routes and targets have to be in force at gateways that are started next.
     pub within_ms: u64,
+    /// How the store misbehaves towards gateways that are started next.
+    pub way_fault: StoreFault,
     /// Whether gateways and targets that are started next are reached through links.
     pub linked: bool,
     /// Links to targets, by their names.
@@ -107,6 +109,7 @@
             unready_ms: 300,
             watch_ms: 2_000,
             within_ms: 2_000,
+            way_fault: StoreFault::None,
             linked: false,
             target_links: BTreeMap::new(),
             mirrors: Vec::new(),
@@ -178,6 +181,7 @@
 
     fn run_gateway(&self, number: usize) -> Gateway {
         let way = self.store.another_way();
+        way.set_way_fault(self.way_fault);
         let serving = way.clone();
         let store = start(move || move |request| serving.clone().handle(request));
         let link = self.linked.then(|| Link::start(store).expect("a link starts"));
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod cells;
 mod discovery;
+mod ends;
 mod env;
 mod jobs;
 mod soak;
