Ask an owner that is not heard before its job's end is acknowledged without it

What callers see: an end is acknowledged, and the job's items run on at an owner that lives, reaches the store and is in touch.

Cause: silence was taken for proof. Whoever was never heard for 2.5 s (5.9 s in another cell), and whoever was still heard in its former start, counted as gone, and its jobs' ends were acknowledged without asking it; its jobs were also taken.

Change: an end is told to the owner where the store has it registered, whatever was heard of it. An owner counts as gone if its process answers that this start of it is over (410; the call now names the start), if it was heard in a later start, or if it can neither be heard nor reached for its time of silence by a gateway that hears most others. A job that was handed over needs no question. Of a process that is heard in an earlier start than the owner's nothing can be told; it takes jobs of its own other starts itself. The log names who confirmed an end (by=Owner, OwnerOver, OwnerSilent, NoOwner, Closed).

--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -47,6 +47,24 @@
 /// When to come back if the store is of no help.
 const RETRY_AFTER_MS: u64 = 300;
 
+/// Why nobody runs a job any more that its caller has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndedBy {
+    /// It was closed here, or its header says that it is.
+    Closed,
+    /// Its owner has ended it.
+    Owner,
+    /// It was handed over; whoever takes it finds the end.
+    NoOwner,
+    /// The owner's start is over, as the process itself tells.
+    OwnerOver,
+    /// The owner can neither be heard nor reached.
+    OwnerSilent,
+}
+
+/// A process could not be reached.
+struct Unreached;
+
 /// Handle by which callers and other gateways reach the jobs.
 #[derive(Clone)]
 pub struct Jobs {
@@ -94,10 +112,7 @@
                 Some(answer) => answer,
                 None => self.item_from_store(&job, &item).await,
             },
-            PeerCall::Ended { job } => match self.end_here(&job).await {
-                true => plain(StatusCode::OK, "ended"),
-                false => plain(StatusCode::NOT_FOUND, "not here"),
-            },
+            PeerCall::Ended { job, incarnation } => self.answer_ended(&job, incarnation).await,
             PeerCall::Offer { job } => {
                 let (env, directory, stored) =
                     (Rc::clone(&self.env), self.directory.clone(), self.stored.clone());
@@ -225,58 +240,85 @@
             log::warn!(job = &**job; "job: its end could not be written");
             return plain(StatusCode::GATEWAY_TIMEOUT, "the end may not stand; send it again");
         }
-        if !self.tell_end(job).await {
+        let Some(by) = self.tell_end(job).await else {
             log::warn!(job = &**job; "job: its end stands, but its owner could not be told");
             return plain(StatusCode::GATEWAY_TIMEOUT, "the job may still run; send the end again");
-        }
-        log::info!(job = &**job; "job: ended by its caller");
+        };
+        log::info!(job = &**job, by:? = by; "job: ended by its caller");
         plain(StatusCode::OK, "ended")
     }
 
-    /// Tells the owner of a job that it is ended; says whether nobody runs the job any more.
+    /// Tells the owner of a job that it is ended; `None` if somebody may still run the job.
     ///
     /// The owner is read from the store after the end stands there: one that was told of before may have lost the job
-    /// without knowing it, and would answer for itself alone, while whoever takes the job later finds the end. Where the
-    /// owner is not heard it is gone, unless this process hears few others and is the one that is cut off, or has started
-    /// too lately to have heard it: the items would run on while the caller is told that they do not.
-    async fn tell_end(&self, job: &JobName) -> bool {
+    /// without knowing it, and would answer for itself alone, while whoever takes the job later finds the end.
+    async fn tell_end(&self, job: &JobName) -> Option<EndedBy> {
         let here = self.end_here(job).await;
-        let Ok((header, _)) = self.stored.current_header(job).await else { return false };
+        let (header, _) = self.stored.current_header(job).await.ok()?;
         if header.finished || self.env.owns(&header.owner) {
-            return here || header.finished;
+            return (here || header.finished).then_some(EndedBy::Closed);
+        }
+        if header.owner.process.is_empty() {
+            return Some(EndedBy::NoOwner);
         }
         let owner = owner_in(&header);
-        let gone = || {
-            let roster = &self.env.roster;
-            let liveness = roster.liveness(&owner.process, owner.incarnation);
-            liveness == Liveness::Gone && roster.hears_most()
-        };
-        self.end_elsewhere(job, &owner).await.unwrap_or_else(gone)
+        if self.env.roster.has_restarted(&owner.process, owner.incarnation) {
+            return Some(EndedBy::OwnerOver);
+        }
+        match self.ask_owner(job, &owner).await {
+            Ok(ended_by) => ended_by,
+            Err(Unreached) => self.is_gone(&owner).then_some(EndedBy::OwnerSilent),
+        }
     }
 
-    /// Tells an owner that is heard that its job is ended, also one that stops or misses the store: its runs go on.
-    /// `None` if it is not heard.
-    async fn end_elsewhere(&self, job: &JobName, owner: &Owner) -> Option<bool> {
-        let address = self.owner_address(owner).await?;
-        let call = PeerCall::Ended { job: job.clone() };
-        let answer = self.ask_peer(address, &call, PEER_TIMEOUT).await;
-        Some(answer.is_some_and(|it| it.status() == StatusCode::OK))
+    /// Whether an owner that cannot be reached is gone. It is not if this process hears few others and is the one that is cut
+    /// off, or has started too lately to have heard it.
+    fn is_gone(&self, owner: &Owner) -> bool {
+        let (process, incarnation) = (&*owner.process, owner.incarnation);
+        let roster = &self.env.roster;
+        let is_heard = roster.heard_address(process, incarnation).is_some();
+        let liveness = roster.liveness(process, incarnation);
+        !is_heard && liveness == Liveness::Gone && roster.hears_most()
     }
 
-    /// Where an owner listens: one that is heard, or, while this process cannot tell yet, where the store has it.
+    /// Has an owner end its job, also one that stops, misses the store or is not heard: its runs go on. `None` if it does not
+    /// say that it has.
+    async fn ask_owner(&self, job: &JobName, owner: &Owner) -> Result<Option<EndedBy>, Unreached> {
+        let address = self.owner_address(owner).await.ok_or(Unreached)?;
+        let call = PeerCall::Ended { job: JobName::clone(job), incarnation: owner.incarnation };
+        let answered = within(PEER_TIMEOUT, exchange(&self.pool(address), &call)).await;
+        let (status, _) = answered.flatten().ok_or(Unreached)?;
+        Ok(match status {
+            StatusCode::OK => Some(EndedBy::Owner),
+            StatusCode::GONE => Some(EndedBy::OwnerOver),
+            _ => None,
+        })
+    }
+
+    /// Where an owner listens: one that is heard, or else where the store has it now.
     async fn owner_address(&self, owner: &Owner) -> Option<SocketAddr> {
         let roster = &self.env.roster;
         let heard = roster.heard_address(&owner.process, owner.incarnation);
-        if heard.is_some()
-            || roster.liveness(&owner.process, owner.incarnation) != Liveness::Unknown
-        {
+        if heard.is_some() {
             return heard;
         }
-        registered_address(&*self.env.platform.store, &owner.process).await
+        let registered = registered_address(&*self.env.platform.store, &owner.process).await;
+        registered.or_else(|| roster.address(&owner.process))
+    }
+
+    /// Answers a gateway that takes one start of this process for the owner of a job that is ended.
+    async fn answer_ended(&self, job: &str, incarnation: u64) -> Response<Body> {
+        match self.end_here(job).await {
+            true => plain(StatusCode::OK, "ended"),
+            false if incarnation != self.env.incarnation => {
+                plain(StatusCode::GONE, "that start is over")
+            }
+            false => plain(StatusCode::NOT_FOUND, "not here"),
+        }
     }
 
     /// Ends a job that this process works on, or has closed; says whether that holds for everybody.
-    async fn end_here(&self, job: &JobName) -> bool {
+    async fn end_here(&self, job: &str) -> bool {
         let (reply, answer) = flume::bounded(1);
         match self.directory.tell(job, JobMessage::Ended { reply: Some(reply) }) {
             true => answer.recv_async().await.unwrap_or(false),
@@ -376,6 +418,8 @@
     Ended {
         /// Which job.
         job: JobName,
+        /// Which start of the process that is called owns it.
+        incarnation: u64,
     },
     /// A job was handed over and is free to be taken.
     Offer {
@@ -391,7 +435,9 @@
                 (Method::GET, format!("/jobs/{job}/results/{after}/{wait_ms}"))
             }
             PeerCall::Item { job, item } => (Method::GET, format!("/jobs/{job}/items/{item}")),
-            PeerCall::Ended { job } => (Method::POST, format!("/jobs/{job}/ended")),
+            PeerCall::Ended { job, incarnation } => {
+                (Method::POST, format!("/jobs/{job}/ended/{incarnation}"))
+            }
             PeerCall::Offer { job } => (Method::POST, format!("/jobs/{job}/offer")),
         }
     }
@@ -407,7 +453,9 @@
             (&Method::GET, ["jobs", job, "items", item]) => {
                 PeerCall::Item { job: (*job).into(), item: (*item).to_owned() }
             }
-            (&Method::POST, ["jobs", job, "ended"]) => PeerCall::Ended { job: (*job).into() },
+            (&Method::POST, ["jobs", job, "ended", incarnation]) => {
+                PeerCall::Ended { job: (*job).into(), incarnation: incarnation.parse().ok()? }
+            }
             (&Method::POST, ["jobs", job, "offer"]) => PeerCall::Offer { job: (*job).into() },
             _ => return None,
         };
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -307,6 +307,8 @@
         let peers = self.peers.borrow();
         match peers.get(name).filter(|it| it.is_heard()) {
             Some(peer) if peer.incarnation == incarnation && peer.has_jobs() => Liveness::Works,
+            // It has started anew and was not heard since; what is heard may be its former start's last word.
+            Some(peer) if peer.incarnation < incarnation => Liveness::Unknown,
             Some(_) => Liveness::Gone,
             _ if self.listed.get().is_none_or(|it| it.elapsed() < unheard_for) => Liveness::Unknown,
             _ => Liveness::Gone,
--- a/crates/samphiredoor/tests/it/platform/ends.rs
+++ b/crates/samphiredoor/tests/it/platform/ends.rs
@@ -49,6 +49,8 @@
         ways.iter().any(|it| platform.times_logged(owner, it) > 0)
     });
     assert_eq!(platform.times_logged(owner, "how=finished"), 0, "the job ran on to its end");
+    // What was on its way to the target has arrived then.
+    std::thread::sleep(SLOW);
     let runs = target.runs().len();
     std::thread::sleep(SLOW * 10);
     assert_eq!(target.runs().len(), runs);
