Red: owners run items of ended jobs when they wake, and while they take a job

Likewise where another gateway has taken the job before it was ended.

A gateway that takes a job looks for its end before it writes the header and once more a second later; what is ended in between runs for a second, longer if the second look fails.

The stand-in store can hold updates of headers.

--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -46,6 +46,8 @@
     PartsHeld,
     /// It refuses creates of parts of submissions with 503 and does nothing.
     PartsRefused,
+    /// It keeps updates of headers of jobs waiting until it no longer does.
+    HeaderUpdatesHeld,
     /// It lists no gateways, and tells watches of none.
     GatewaysHidden,
 }
@@ -207,9 +209,10 @@
                 self.wait_for_header().await
             }
             StoreFault::PartsHeld if kind == PARTS && is_write => {
-                while self.fault() == StoreFault::PartsHeld {
-                    compio::time::sleep(WATCH_STEP).await;
-                }
+                self.wait_while(StoreFault::PartsHeld).await;
+            }
+            StoreFault::HeaderUpdatesHeld if kind == HEADERS && parts.method == Method::PUT => {
+                self.wait_while(StoreFault::HeaderUpdatesHeld).await;
             }
             StoreFault::PartsRefused if kind == PARTS && is_write => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
@@ -236,6 +239,12 @@
         response
     }
 
+    async fn wait_while(&self, fault: StoreFault) {
+        while self.fault() == fault {
+            compio::time::sleep(WATCH_STEP).await;
+        }
+    }
+
     async fn wait_for_header(&self) {
         while self.names(HEADERS).is_empty() {
             compio::time::sleep(WATCH_STEP).await;
--- a/crates/samphiredoor/tests/it/platform/ends.rs
+++ b/crates/samphiredoor/tests/it/platform/ends.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use samphiredoor_standin::{platform_store::StoreFault, platform_target::PlatformTarget};
+use samphiredoor_standin::{
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, TargetFault},
+};
 
 use super::env::Platform;
 use crate::env::wait_until;
@@ -104,3 +107,50 @@
     wait_ended(&platform, 0);
     assert_stopped(&platform, &target, 1);
 }
+
+// The owner freezes, its job is ended without it, and it wakes with items that wait.
+#[test]
+fn an_owner_that_wakes_runs_no_item_of_a_job_that_was_ended() {
+    let (mut platform, target) = gateways(3);
+    submit_unseen(&platform, &target, 0);
+    platform.gateway(0).signal("STOP");
+    wait_ended(&platform, 1);
+    platform.gateway(0).signal("CONT");
+    assert_stopped(&platform, &target, 0);
+}
+
+// The same where another gateway has taken the job before it is ended.
+#[test]
+fn an_owner_that_wakes_runs_no_item_of_a_job_that_was_taken_and_ended() {
+    let (mut platform, target) = gateways(3);
+    assert_eq!(platform.submit_many(0, "job-1", ITEMS).status, 202);
+    wait_until("items run", || !target.runs().is_empty());
+    platform.gateway(0).signal("STOP");
+    wait_until("the job is taken", || {
+        let header = platform.store.spec("orderedjobs", "job-1").expect("the job stands");
+        header["owner"]["process"] != "gateway-0"
+    });
+    wait_ended(&platform, 1);
+    platform.gateway(0).signal("CONT");
+    assert_stopped(&platform, &target, 0);
+}
+
+// The job's owner is killed, and its end crosses the taking of the job by another gateway.
+#[test]
+fn a_job_that_is_ended_while_it_is_taken_is_not_run() {
+    let (mut platform, target) = gateways(3);
+    target.fail_next(1_000_000, TargetFault::Full);
+    assert_eq!(platform.submit_many(0, "job-1", ITEMS).status, 202);
+    platform.gateway(0).kill();
+    let updates = || platform.store.calls().get("PUT orderedjobs").copied().unwrap_or(0);
+    let before = updates();
+    platform.store.set_fault(StoreFault::HeaderUpdatesHeld);
+    wait_until("the job is being taken", || updates() > before);
+    assert_eq!(platform.end(1, "job-1").status, 200);
+    target.fail_next(0, TargetFault::None);
+    platform.store.set_fault(StoreFault::None);
+    wait_until("the job is closed", || {
+        platform.store.spec("orderedjobs", "job-1").is_some_and(|it| it["finished"] == true)
+    });
+    assert!(target.runs().is_empty());
+}
