Look for a job in the store before its items are sent after a gap

What callers see: the end of a job is acknowledged while its owner is frozen or cut off, or while another gateway takes the job, and its items run on: all that is left of them at an owner that wakes, for a second and more at one that takes.

Cause: an owner worked on what it believed. It read the end only before it wrote the header and once a second later, the header only after an outage of the store that it alone had, and neither after a sleep or a cut.

Change: items are sent under a clearance (jobs/clearance.rs). It is given by a read of end and header, and is void after each gap (jobs/gaps.rs): a sleep by either clock, a store that was lost and is back, a time in which half of the others are not heard, and once more 2.5 s after each, when all have heard this process again. A taken job, and one whose acceptance took long, is looked for after its header stands; the look a second later is gone. Either whoever acknowledges an end reads the new owner, or the owner reads the end.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -27,7 +27,7 @@
 };
 use smallvec::SmallVec;
 
-use super::JobEnv;
+use super::{JobEnv, clearance::Clearance};
 use crate::{
     events::{EventBuffer, is_event_stream},
     placement::{Placed, Ticket},
@@ -66,6 +66,8 @@
     pub give_up_at: Instant,
     /// What has arrived of it.
     pub output: SharedOutput,
+    /// Whether it may be sent.
+    pub clearance: Rc<Clearance>,
 }
 
 /// Output of an item as far as it has arrived.
@@ -111,6 +113,7 @@
                 continue;
             };
             let Some(route) = self.route(&table) else { return self.ended(ItemEnd::NoRoute) };
+            self.clearance.wait().await;
             match self.send(&route, &mut call).await {
                 Sent::Over(end) => return self.ended(end),
                 Sent::GoOn => {}
@@ -170,6 +173,9 @@
             Placed::Refused { .. } => return Sent::Later,
             Placed::Recalled => return Sent::GoOn,
         };
+        if !self.clearance.holds() {
+            return Sent::GoOn;
+        }
         self.set_headers(call, &target);
         let sending = within(SILENCE, self.env.targets.send(&target, address, call));
         let (sent, end) = match or_recall(&mut ticket, sending).await {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -25,7 +25,10 @@
 
 pub use results::page_of;
 
-use super::{JobEnv, directory::Directory, item_run::SharedOutput, submit::until};
+use super::{
+    JobEnv, clearance::Clearance, directory::Directory, item_run::SharedOutput, stored::Unread,
+    submit::until,
+};
 use crate::edge::ResultsPage;
 
 /// How often a working job looks whether its process still reaches the store.
@@ -42,6 +45,20 @@
     pub header: JobHeader,
     /// Version of the header.
     pub version: Version,
+    /// Gaps of this process before the header was written.
+    pub gaps: u64,
+    /// Whether its end need not be looked for: nobody else has heard of the job.
+    pub is_new: bool,
+}
+
+/// What the store has of a job after a gap.
+pub struct Look {
+    /// Gaps of this process before it was asked.
+    gaps: u64,
+    /// Answer to the read of the header; `None` if it is known.
+    header: Option<StoreAnswer>,
+    /// Whether the job is ended.
+    ended: Result<bool, Unread>,
 }
 
 /// What a job's task is told.
@@ -73,6 +90,10 @@
     Stored(StoreAnswer),
     /// The header was read, to see whose the job is.
     Header(StoreAnswer),
+    /// An item waits until it may be sent.
+    Held,
+    /// The store was asked whether items may be sent.
+    Looked(Look),
     /// The last write of the header was answered.
     HeaderWritten(StoreAnswer),
     /// The caller has ended the job.
@@ -140,9 +161,11 @@
     suspended: bool,
     /// Calls of the log in a row that got no usable answer.
     failures: u32,
-    /// Whether the header is being read to learn that.
+    /// Whether items may be sent.
+    clearance: Rc<Clearance>,
+    /// Whether the store is being asked for that.
     looking: bool,
-    /// Earliest next read of the header, after one that got no usable answer.
+    /// Earliest next time, after an answer that was of no use.
     look_at: Instant,
     /// Start of the last read that found no further segment.
     checked_at: Instant,
@@ -162,7 +185,11 @@
         let give_up_at = Instant::now() + until(&env, owned.header.give_up_unix_ms);
         let due_in = until(&env, owned.header.due_unix_ms).as_millis() as u64;
         let due_at_ms = env.clock.now().mono_ms + due_in;
+        let given = owned.is_new.then_some(owned.gaps);
+        let (gaps, health) = (env.gaps.clone(), env.health.clone());
+        let clearance = Rc::new(Clearance::new(gaps, health, messages.clone(), given));
         JobTask {
+            clearance,
             began: Instant::now(),
             displaced: false,
             suspended: false,
@@ -224,6 +251,9 @@
             JobMessage::RunEnded { item, end } => self.run_ended(item, end),
             JobMessage::Stored(answer) => self.stored(&answer),
             JobMessage::Header(answer) => self.header_read(&answer),
+            // What waits is looked at after each message.
+            JobMessage::Held => {}
+            JobMessage::Looked(look) => self.looked(&look),
             JobMessage::HeaderWritten(answer) => self.header_written(&answer),
             JobMessage::Ended { reply } => {
                 let is_over = self.ended();
@@ -240,7 +270,7 @@
     fn proceed(&mut self) {
         let now = Instant::now();
         if self.phase == Phase::Working {
-            self.suspend_if_displaced();
+            self.hold_or_look();
             self.start_items();
             self.run_again(now);
             self.keep_outputs(now);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -6,7 +6,7 @@
 };
 
 use samphiredoor_core::{
-    ordered::{ItemResult, LogStep, header_key, read_header},
+    ordered::{ItemResult, LogStep, header_key},
     store::{StoreAnswer, StoreOp},
 };
 
@@ -96,22 +96,8 @@
     }
 
     pub(super) fn header_read(&mut self, answer: &StoreAnswer) {
-        self.looking = false;
-        let StoreAnswer::Object(stored) = answer else {
-            self.failures += 1;
-            self.look_at = Instant::now() + self.store_pause();
-            return;
-        };
-        match read_header(stored) {
-            Ok(header) if !self.env.owns(&header.owner) => self.lost(),
-            Ok(_) if self.suspended => {
-                self.suspended = false;
-                self.started = false;
-            }
-            Ok(_) => {}
-            Err(fault) => {
-                log::warn!(job = &*self.owned.job, fault:% = fault; "job: header cannot be read");
-            }
+        if self.is_own(answer) == Some(false) {
+            self.lost();
         }
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -7,12 +7,13 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join;
 use samphiredoor_core::{
-    ordered::{ItemEnd, ItemResult, ItemStep, JobName, header_key},
-    store::StoreOp,
+    ordered::{ItemEnd, ItemResult, ItemStep, JobName, header_key, read_header},
+    store::{StoreAnswer, StoreOp},
 };
 
-use super::{FOREVER, JobMessage, JobTask, Phase};
+use super::{FOREVER, JobMessage, JobTask, Look, Phase};
 use crate::jobs::item_run::{self, Output};
 
 /// Time that a result waits for others before it is written: items of a job end over some seconds and are due later, and
@@ -29,22 +30,76 @@
 const KEEP_PAUSE: Duration = Duration::from_millis(3_000);
 
 impl JobTask {
-    /// Stops the runs while this process alone does not reach the store. Others take its jobs then, and it could hear
-    /// neither of that nor of the jobs' ends.
-    pub(super) fn suspend_if_displaced(&mut self) {
+    /// Stops the runs while this process alone does not reach the store: others take its jobs then, and it could hear
+    /// neither of that nor of the jobs' ends. Looks for the job where runs are held back.
+    pub(super) fn hold_or_look(&mut self) {
         let displaced = self.env.is_displaced();
         if displaced && !self.suspended {
             log::info!(job = &*self.owned.job; "job: runs held back, only this process misses the store");
             self.suspended = true;
             self.displaced = true;
             self.stop_runs();
-        } else if !displaced && self.suspended && self.may_look() {
-            self.looking = true;
-            self.call(StoreOp::Get { key: header_key(&self.owned.job) }, JobMessage::Header);
+        } else if !displaced && (self.suspended || self.clearance.is_awaited()) && self.may_look() {
+            self.look();
         }
     }
 
-    /// Whether the header is worth a read. When the store is lost for all, each job of each process would ask again as
+    /// Reads whether the job is ended, and whose it is unless this process has just written that.
+    fn look(&mut self) {
+        self.looking = true;
+        let (env, messages) = (Rc::clone(&self.env), self.messages.clone());
+        let (job, gaps) = (JobName::clone(&self.owned.job), self.env.gaps.count());
+        let is_known = gaps == self.owned.gaps;
+        compio::runtime::spawn(async move {
+            let header = async {
+                match is_known {
+                    true => None,
+                    false => Some(env.call(StoreOp::Get { key: header_key(&job) }).await),
+                }
+            };
+            let (header, ended) = join(header, env.is_ended(&job)).await;
+            // Fails only when the job's task has ended.
+            let _ = messages.send(JobMessage::Looked(Look { gaps, header, ended }));
+        })
+        .detach();
+    }
+
+    pub(super) fn looked(&mut self, look: &Look) {
+        self.looking = false;
+        if !self.is_active() {
+            return;
+        }
+        match (look.header.as_ref().map(|it| self.is_own(it)), look.ended) {
+            (Some(Some(false)), _) => self.lost(),
+            (_, Ok(true)) => drop(self.ended()),
+            (None | Some(Some(true)), Ok(false)) => self.cleared(look.gaps),
+            (Some(None), _) | (_, Err(_)) => {
+                self.failures += 1;
+                self.look_at = Instant::now() + self.store_pause();
+            }
+        }
+    }
+
+    fn cleared(&mut self, gaps: u64) {
+        self.clearance.give(gaps);
+        if std::mem::take(&mut self.suspended) {
+            self.started = false;
+        }
+    }
+
+    /// Whether a header that was read names this process; `None` if that cannot be told.
+    pub(super) fn is_own(&self, answer: &StoreAnswer) -> Option<bool> {
+        let StoreAnswer::Object(stored) = answer else { return None };
+        match read_header(stored) {
+            Ok(header) => Some(self.env.owns(&header.owner)),
+            Err(fault) => {
+                log::warn!(job = &*self.owned.job, fault:% = fault; "job: header cannot be read");
+                None
+            }
+        }
+    }
+
+    /// Whether a look is worth its calls. When the store is lost for all, each job of each process would ask again as
     /// soon as it is refused, a thousand times a second.
     fn may_look(&self) -> bool {
         !self.looking && !self.env.health.is_lost() && Instant::now() >= self.look_at
@@ -77,6 +132,7 @@
             item: Arc::clone(item),
             due_at_ms: self.due_at_ms,
             give_up_at: self.give_up_at,
+            clearance: Rc::clone(&self.clearance),
         };
         let messages = self.messages.clone();
         let handle = compio::runtime::spawn(async move {
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -1,9 +1,12 @@
 //! Batch jobs: taken once, run by one gateway, readable at all.
 //!
-//! `submit` makes a job durable, `pass_on` has another gateway do that, `job_task` owns it, `item_run` runs one item, `reads` answers callers about it,
-//! `stored` reads what the store has of it, and `sweep` takes jobs whose owner is gone.
+//! `submit` makes a job durable, `pass_on` has another gateway do that, `job_task` owns it, `item_run` runs one item,
+//! `reads` answers callers about it, `stored` reads what the store has of it, and `sweep` takes jobs whose owner is gone.
+//! `clearance` holds items back after `gaps` in which others may have ended or taken the job.
 
+mod clearance;
 mod directory;
+mod gaps;
 mod item_run;
 mod job_task;
 pub mod pass_on;
@@ -22,6 +25,7 @@
 };
 use samphiredoor_net::clock::Clock;
 
+pub use gaps::Gaps;
 pub use reads::Jobs;
 pub use submit::{Acceptors, Submitted};
 
@@ -66,6 +70,8 @@
     pub owners: Owners,
     /// Whether the store answers this process.
     pub health: StoreHealth,
+    /// Times in which others may have taken this process for gone.
+    pub gaps: Gaps,
     /// Where the jobs that this process comes to own are told, for others.
     pub owned: flume::Sender<OwnedJob>,
     /// Counters.
@@ -155,6 +161,7 @@
     let env = Rc::new(env);
     let directory = Directory::default();
     let stored = StoredJobs::new(Rc::clone(&env));
+    compio::runtime::spawn(env.gaps.clone().run()).detach();
     compio::runtime::spawn(sweep::run(Rc::clone(&env), directory.clone(), stored.clone())).detach();
     Jobs::new(env, directory, stored)
 }
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -25,7 +25,6 @@
     directory::Directory,
     job_task::{JobTask, OwnedJob},
     pass_on::pass_on,
-    sweep,
 };
 use crate::front::{plain, refused};
 
@@ -179,18 +178,16 @@
     let (env, directory) = (Rc::clone(env), directory.clone());
     let submitted = Rc::clone(submitted);
     compio::runtime::spawn(async move {
-        let (began, header) = (Instant::now(), new_header(&env, &submitted, items.len()));
+        let (began, gaps) = (Instant::now(), env.gaps.count());
+        let header = new_header(&env, &submitted, items.len());
         let end = match accept(&env, &submitted, &header).await {
             Accepted::New(version) => {
                 let job = JobName::clone(&submitted.job);
                 let elapsed_ms = began.elapsed().as_millis() as u64;
                 log::info!(job = &*job, items = items.len(), elapsed_ms; "job: accepted");
-                let owned = OwnedJob { job: JobName::clone(&job), header, version };
-                start(&env, &directory, owned, items);
                 // After that time another gateway may have told the caller, who may have ended the job there.
-                if began.elapsed() >= STORE_PATIENCE {
-                    sweep::watch_for_end(&env, &directory, &job);
-                }
+                let is_new = began.elapsed() < STORE_PATIENCE;
+                start(&env, &directory, OwnedJob { job, header, version, gaps, is_new }, items);
                 SubmissionEnd::Accepted
             }
             Accepted::Before(found) if found.digest == header.digest => SubmissionEnd::Accepted,
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -38,8 +38,6 @@
 const REMOVE_MARGIN: Duration = Duration::from_secs(600);
 /// Old jobs that one sweep removes; a job takes about ten calls.
 const REMOVED_AT_ONCE: usize = 2;
-/// Time after which an end that crossed the taking of its job stands in the store.
-const END_PAUSE: Duration = Duration::from_millis(1_000);
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -66,7 +64,8 @@
     env.health.heard();
     for object in &objects {
         match read_header(object) {
-            Ok(header) if !header.finished => {
+            // One that another process has finished may still be worked on here.
+            Ok(header) if !header.finished || directory.has(&object.name) => {
                 look(env, directory, &object.name, &header, &mut free);
             }
             Ok(header) if is_forgotten(env, &header) => old.push((object.name.clone(), header)),
@@ -197,7 +196,7 @@
     version: Version,
     ended: bool,
 ) -> Option<OwnedJob> {
-    let before = header.owner.clone();
+    let (before, gaps) = (header.owner.clone(), env.gaps.count());
     let former = match before.process.as_str() {
         "" => header.former.clone(),
         _ => Some(before.clone()),
@@ -219,39 +218,18 @@
         "job: taken"
     );
     env.metrics.job("taken");
-    Some(OwnedJob { job: JobName::clone(job), header, version })
+    Some(OwnedJob { job: JobName::clone(job), header, version, gaps, is_new: false })
 }
 
 fn start(env: &Rc<JobEnv>, directory: &Directory, owned: OwnedJob, items: Vec<Item>) {
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.tell_owned(&owned.job, owned.header.items);
-    watch_for_end(env, directory, &owned.job);
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
     let items = Items::new(items, owned.header.attempts);
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
 
-/// Looks once more for the end of a job that this process has just begun to work on: whoever took the end meanwhile could
-/// not tell it here.
-pub fn watch_for_end(env: &Rc<JobEnv>, directory: &Directory, job: &JobName) {
-    let (env, directory, job) = (Rc::clone(env), directory.clone(), JobName::clone(job));
-    compio::runtime::spawn(async move {
-        compio::time::sleep(END_PAUSE).await;
-        while directory.has(&job) {
-            match env.is_ended(&job).await {
-                Ok(false) => return,
-                Ok(true) => {
-                    directory.tell(&job, JobMessage::Ended { reply: None });
-                    return;
-                }
-                Err(_) => compio::time::sleep(END_PAUSE).await,
-            }
-        }
-    })
-    .detach();
-}
-
 /// Tells the nearest process that works that a job was handed over.
 pub async fn offer(env: Rc<JobEnv>, job: JobName) {
     for address in env.roster.takers(&env.place).into_iter().take(3) {
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -35,6 +35,9 @@
 /// have started as lately, and begins to speak later.
 const UNHEARD_ELSEWHERE: Duration =
     GONE_ELSEWHERE.saturating_add(SPEAKS_AFTER).saturating_add(SPEAKER_SILENT);
+/// Time by which this process takes itself for cut off before others take it for gone: each last heard the other at a
+/// moment of its own.
+const CUT_OFF_MARGIN: Duration = Duration::from_millis(1_000);
 /// How long a gateway is remembered that is not heard, in the count of those that there should be.
 const FORGOTTEN: Duration = Duration::from_secs(30);
 
@@ -56,6 +59,11 @@
         self.heard.is_some_and(|it| it.elapsed() < self.gone_after)
     }
 
+    /// Whether it was heard at a moment from which it cannot have taken this process for gone yet.
+    fn is_heard_with_margin(&self) -> bool {
+        self.heard.is_some_and(|it| it.elapsed() + CUT_OFF_MARGIN < self.gone_after)
+    }
+
     /// Whether it was heard so lately that it may do something for its cell.
     fn was_just_heard(&self) -> bool {
         self.heard.is_some_and(|it| it.elapsed() < SPEAKER_SILENT)
@@ -328,6 +336,12 @@
         self.listed.get().is_some() && self.heard_count() * 2 >= self.expected_count()
     }
 
+    /// Whether this process is about to hear less than half of the gateways that there should be.
+    pub fn is_cut_off(&self) -> bool {
+        let heard = self.peers.borrow().values().filter(|it| it.is_heard_with_margin()).count();
+        self.listed.get().is_none() || heard * 2 < self.expected_count()
+    }
+
     fn expected_count(&self) -> usize {
         let expected = |it: &&Peer| match it.heard {
             Some(heard) => heard.elapsed() < FORGOTTEN,
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -21,7 +21,7 @@
     edge::{Dialect, Platform},
     fleet::Fleet,
     front::{self, Front, plain},
-    jobs::{self, JobEnv, Jobs},
+    jobs::{self, Gaps, JobEnv, Jobs},
     metrics::Metrics,
     mirror::Mirrors,
     peers::{self, Followed, Mates, Own, Owners, Roster, Speaker, Teller},
@@ -218,6 +218,7 @@
     };
     compio::runtime::spawn(teller.run(tell, tell_owned)).detach();
 
+    let gaps = Gaps::new(clock, roster.clone(), health.clone());
     let env = JobEnv {
         name: own.name.clone(),
         incarnation: own.incarnation,
@@ -229,6 +230,7 @@
         roster,
         owners,
         health,
+        gaps,
         owned,
         metrics: Rc::clone(&metrics),
         clock,
--- a/crates/samphiredoor-gateway/src/store_health.rs
+++ b/crates/samphiredoor-gateway/src/store_health.rs
@@ -20,6 +20,7 @@
     others_heard: Cell<Option<Instant>>,
     alone: Cell<bool>,
     doubts: Cell<u64>,
+    regains: Cell<u64>,
 }
 
 /// Handle to what is known of the store.
@@ -79,6 +80,11 @@
         self.state.doubts.get()
     }
 
+    /// Number of times that the store was lost and answered again.
+    pub fn regains(&self) -> u64 {
+        self.state.regains.get()
+    }
+
     /// Notes that the store does not answer.
     pub fn lost(&self) {
         if self.state.lost_since.get().is_none() {
@@ -91,6 +97,7 @@
     pub fn regained(&self) {
         if let Some(since) = self.state.lost_since.take() {
             let alone = self.state.alone.take();
+            self.state.regains.set(self.state.regains.get() + 1);
             self.state.others_heard.set(None);
             log::info!(away_ms = since.elapsed().as_millis() as u64, alone; "store: regained");
         }
--- a/crates/samphiredoor/tests/it/platform/ends.rs
+++ b/crates/samphiredoor/tests/it/platform/ends.rs
@@ -7,6 +7,8 @@
     platform_target::{PlatformTarget, TargetFault},
 };
 
+use serde_json::json;
+
 use super::env::Platform;
 use crate::env::wait_until;
 
@@ -154,3 +156,37 @@
     });
     assert!(target.runs().is_empty());
 }
+
+macro_rules! end_found {
+    ($($name:ident: $gap:expr, $over:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (mut platform, target) = gateways(3);
+            submit_unseen(&platform, &target, 0);
+            let (gap, over): (fn(&mut Platform), fn(&mut Platform)) = ($gap, $over);
+            gap(&mut platform);
+            platform.store.put("jobends", "job-1", json!({}));
+            over(&mut platform);
+            assert_stopped(&platform, &target, 0);
+        }
+    )*};
+}
+
+// Others may have acknowledged the end without the owner: it was cut off from them or from the store. It has to find the end itself.
+end_found! {
+    an_owner_that_hears_nobody_finds_the_end:
+        |it| [1, 2].iter().for_each(|number| it.signal(*number, "STOP")),
+        |_| {};
+    an_owner_finds_the_end_after_an_outage_of_the_store:
+        |it| {
+            it.store.set_fault(StoreFault::Busy);
+            it.wait_logged(0, "store: lost");
+        },
+        |it| it.store.set_fault(StoreFault::None);
+    an_owner_that_alone_missed_the_store_finds_the_end:
+        |it| {
+            it.set_way_fault(0, StoreFault::Busy);
+            it.wait_logged(0, "runs held back");
+        },
+        |it| it.set_way_fault(0, StoreFault::None);
+}
