Red: a job is taken from an owner that lives and was never heard

What callers see: nothing, unless the job is ended: the former owner is not told, and runs its items on. Each item runs twice.

A gateway that is new in the fleet is known to others up to 5 s later, and its jobs are free to them until then. The test hides the list of gateways from the owner, so that it is never heard.

--- a/crates/samphiredoor/tests/it/platform/ends.rs
+++ b/crates/samphiredoor/tests/it/platform/ends.rs
@@ -15,6 +15,8 @@
 const SLOW: Duration = Duration::from_millis(150);
 /// So many that they run for some twenty seconds.
 const ITEMS: usize = 200;
+/// So many that others look for jobs three times meanwhile.
+const FEW_ITEMS: usize = 60;
 /// After this time a gateway that was never heard counts as gone in its own cell.
 const UNHEARD: Duration = Duration::from_millis(3_200);
 /// Gateways of two cells, and the first one of the second cell.
@@ -110,6 +112,20 @@
     assert_stopped(&platform, &target, 1);
 }
 
+// Its entry has been read by nobody yet. They took its jobs, and each item ran twice.
+#[test]
+fn a_job_is_not_taken_from_an_owner_that_was_never_heard() {
+    let (mut platform, _target) = gateways(2);
+    std::thread::sleep(UNHEARD);
+    platform.way_fault = StoreFault::GatewaysHidden;
+    let owner = platform.start_gateway();
+    assert_eq!(platform.submit_many(owner, "job-1", FEW_ITEMS).status, 202);
+    platform.all_results(owner, "job-1", FEW_ITEMS);
+    for other in [0, 1] {
+        assert_eq!(platform.times_logged(other, "job: taken"), 0, "taken by gateway-{other}");
+    }
+}
+
 // The owner freezes, its job is ended without it, and it wakes with items that wait.
 #[test]
 fn an_owner_that_wakes_runs_no_item_of_a_job_that_was_ended() {
