Ask an owner that was never heard whether it works before its job is taken

Cause: who has no entry yet, or was never heard, counts as gone once the others are listed. A gateway that is new in the fleet works before all have read its entry (up to 5 s).

Change: the taker asks such an owner where it listens; it answers for its start, and not while the store does not answer it. Of an owner that is heard or was heard nothing is asked. Cost: for each job of an owner that was never heard a connection, and a read of its entry where that is not known.

--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -31,7 +31,7 @@
 use crate::{
     edge::{JobCall, ResultsPage},
     front::{plain, refused},
-    peers::{Liveness, Owner, registered_address},
+    peers::{Liveness, Owner, STORE_LOST, registered_address},
 };
 
 /// Longest wait for a result, whatever the caller asks for.
@@ -122,6 +122,14 @@
                 .detach();
                 plain(StatusCode::OK, "heard")
             }
+            PeerCall::Works { incarnation } => {
+                match incarnation == self.env.incarnation
+                    && !self.env.health.is_lost_for(STORE_LOST)
+                {
+                    true => plain(StatusCode::OK, "works"),
+                    false => plain(StatusCode::NOT_FOUND, "does not work"),
+                }
+            }
         }
     }
 
@@ -426,6 +434,11 @@
         /// Which job.
         job: JobName,
     },
+    /// Does a process work on its jobs?
+    Works {
+        /// Which start of it.
+        incarnation: u64,
+    },
 }
 
 impl PeerCall {
@@ -439,6 +452,7 @@
                 (Method::POST, format!("/jobs/{job}/ended/{incarnation}"))
             }
             PeerCall::Offer { job } => (Method::POST, format!("/jobs/{job}/offer")),
+            PeerCall::Works { incarnation } => (Method::GET, format!("/starts/{incarnation}")),
         }
     }
 
@@ -457,6 +471,9 @@
                 PeerCall::Ended { job: (*job).into(), incarnation: incarnation.parse().ok()? }
             }
             (&Method::POST, ["jobs", job, "offer"]) => PeerCall::Offer { job: (*job).into() },
+            (&Method::GET, ["starts", incarnation]) => {
+                PeerCall::Works { incarnation: incarnation.parse().ok()? }
+            }
             _ => return None,
         };
         Some(call)
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -5,12 +5,13 @@
 
 use std::{rc::Rc, time::Duration};
 
+use hyper::StatusCode;
 use rand::seq::SliceRandom;
 use samphiredoor_core::{
     Name,
     ordered::{
-        Item, Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, read_header,
-        segment_key,
+        Item, Items, JobHeader, JobName, JobOwner, ResultLog, end_key, header_key, part_key,
+        read_header, segment_key,
     },
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
@@ -23,7 +24,11 @@
     reads::{PeerCall, exchange},
     stored::{StoredJobs, Unread},
 };
-use crate::{edge::Freshness, peers::Liveness, watch::list_all};
+use crate::{
+    edge::Freshness,
+    peers::{Liveness, registered_address},
+    watch::list_all,
+};
 
 /// Time between two sweeps of the whole fleet; a job is due within tens of seconds, and its owner is taken for gone
 /// after 2.5 s.
@@ -38,6 +43,8 @@
 const REMOVE_MARGIN: Duration = Duration::from_secs(600);
 /// Old jobs that one sweep removes; a job takes about ten calls.
 const REMOVED_AT_ONCE: usize = 2;
+/// Longest wait for an owner that was never heard.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -162,6 +169,24 @@
     owner.is_some_and(|it| env.roster.liveness(&it.process, it.incarnation) == Liveness::Works)
 }
 
+/// Whether an owner says that it works on its jobs. Asked where it was never heard: a gateway that is new in the fleet is
+/// known to others only when they have read its entry.
+async fn says_it_works(env: &JobEnv, owner: &JobOwner) -> bool {
+    let (process, incarnation) = (Name::from(&*owner.process), owner.incarnation);
+    if process.is_empty() || process == env.name || env.roster.was_heard(&process, incarnation) {
+        return false;
+    }
+    let address = match env.roster.address(&process) {
+        Some(address) => Some(address),
+        None => registered_address(&*env.platform.store, &process).await,
+    };
+    let Some(address) = address else { return false };
+    let pool = Pool::new(address).with_connect_timeout(ASK_TIMEOUT);
+    let call = PeerCall::Works { incarnation };
+    let answered = within(ASK_TIMEOUT, exchange(&pool, &call)).await.flatten();
+    answered.is_some_and(|(status, _)| status == StatusCode::OK)
+}
+
 /// Takes a job if nobody works on it.
 pub async fn take_if_free(
     env: &Rc<JobEnv>,
@@ -173,6 +198,9 @@
     if header.finished || directory.has(job) || !is_free(env, job, &header) {
         return;
     }
+    if says_it_works(env, &header.owner).await {
+        return;
+    }
     let Ok(ended) = env.is_ended(job).await else { return };
     let items = match ended {
         true => None,
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -329,6 +329,12 @@
         peers.get(name).is_some_and(|it| it.heard.is_some() && it.incarnation > incarnation)
     }
 
+    /// Whether a process was heard in this start or a later one.
+    pub fn was_heard(&self, name: &str, incarnation: u64) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(name).is_some_and(|it| it.heard.is_some() && it.incarnation >= incarnation)
+    }
+
     /// Whether this process hears at least half of the gateways that there should be. One that hears fewer is cut off
     /// itself: it would take the jobs of all others, and they would take them back. One that does not know yet which there
     /// are hears nobody.
