--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -5,12 +5,13 @@
 
 use std::{rc::Rc, time::Duration};
 
+use hyper::StatusCode;
 use rand::seq::SliceRandom;
 use samphiredoor_core::{
     Name,
     ordered::{
-        Item, Items, JobHeader, JobName, ResultLog, end_key, header_key, part_key, read_header,
-        segment_key,
+        Item, Items, JobHeader, JobName, JobOwner, ResultLog, end_key, header_key, part_key,
+        read_header, segment_key,
     },
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
@@ -23,7 +24,11 @@
     reads::{PeerCall, exchange},
     stored::{StoredJobs, Unread},
 };
-use crate::{edge::Freshness, peers::Liveness, watch::list_all};
+use crate::{
+    edge::Freshness,
+    peers::{Liveness, registered_address},
+    watch::list_all,
+};
 
 /// Time between two sweeps of the whole fleet; a job is due within tens of seconds, and its owner is taken for gone
 /// after 2.5 s.
@@ -38,8 +43,8 @@
 const REMOVE_MARGIN: Duration = Duration::from_secs(600);
 /// Old jobs that one sweep removes; a job takes about ten calls.
 const REMOVED_AT_ONCE: usize = 2;
-/// Time after which an end that crossed the taking of its job stands in the store.
-const END_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest wait for an owner that was never heard.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for offering a job to another process.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -66,7 +71,8 @@
     env.health.heard();
     for object in &objects {
         match read_header(object) {
-            Ok(header) if !header.finished => {
+            // One that another process has finished may still be worked on here.
+            Ok(header) if !header.finished || directory.has(&object.name) => {
                 look(env, directory, &object.name, &header, &mut free);
             }
             Ok(header) if is_forgotten(env, &header) => old.push((object.name.clone(), header)),
@@ -163,6 +169,24 @@
     owner.is_some_and(|it| env.roster.liveness(&it.process, it.incarnation) == Liveness::Works)
 }
 
+/// Whether an owner says that it works on its jobs. Asked where it was never heard: a gateway that is new in the fleet is
+/// known to others only when they have read its entry.
+async fn says_it_works(env: &JobEnv, owner: &JobOwner) -> bool {
+    let (process, incarnation) = (Name::from(&*owner.process), owner.incarnation);
+    if process.is_empty() || process == env.name || env.roster.was_heard(&process, incarnation) {
+        return false;
+    }
+    let address = match env.roster.address(&process) {
+        Some(address) => Some(address),
+        None => registered_address(&*env.platform.store, &process).await,
+    };
+    let Some(address) = address else { return false };
+    let pool = Pool::new(address).with_connect_timeout(ASK_TIMEOUT);
+    let call = PeerCall::Works { incarnation };
+    let answered = within(ASK_TIMEOUT, exchange(&pool, &call)).await.flatten();
+    answered.is_some_and(|(status, _)| status == StatusCode::OK)
+}
+
 /// Takes a job if nobody works on it.
 pub async fn take_if_free(
     env: &Rc<JobEnv>,
@@ -174,6 +198,9 @@
     if header.finished || directory.has(job) || !is_free(env, job, &header) {
         return;
     }
+    if says_it_works(env, &header.owner).await {
+        return;
+    }
     let Ok(ended) = env.is_ended(job).await else { return };
     let items = match ended {
         true => None,
@@ -197,7 +224,7 @@
     version: Version,
     ended: bool,
 ) -> Option<OwnedJob> {
-    let before = header.owner.clone();
+    let (before, gaps) = (header.owner.clone(), env.gaps.count());
     let former = match before.process.as_str() {
         "" => header.former.clone(),
         _ => Some(before.clone()),
@@ -219,39 +246,18 @@
         "job: taken"
     );
     env.metrics.job("taken");
-    Some(OwnedJob { job: JobName::clone(job), header, version })
+    Some(OwnedJob { job: JobName::clone(job), header, version, gaps, is_new: false })
 }
 
 fn start(env: &Rc<JobEnv>, directory: &Directory, owned: OwnedJob, items: Vec<Item>) {
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.tell_owned(&owned.job, owned.header.items);
-    watch_for_end(env, directory, &owned.job);
     let log = ResultLog::to_be_read(JobName::clone(&owned.job));
     let items = Items::new(items, owned.header.attempts);
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
 
-/// Looks once more for the end of a job that this process has just begun to work on: whoever took the end meanwhile could
-/// not tell it here.
-pub fn watch_for_end(env: &Rc<JobEnv>, directory: &Directory, job: &JobName) {
-    let (env, directory, job) = (Rc::clone(env), directory.clone(), JobName::clone(job));
-    compio::runtime::spawn(async move {
-        compio::time::sleep(END_PAUSE).await;
-        while directory.has(&job) {
-            match env.is_ended(&job).await {
-                Ok(false) => return,
-                Ok(true) => {
-                    directory.tell(&job, JobMessage::Ended { reply: None });
-                    return;
-                }
-                Err(_) => compio::time::sleep(END_PAUSE).await,
-            }
-        }
-    })
-    .detach();
-}
-
 /// Tells the nearest process that works that a job was handed over.
 pub async fn offer(env: Rc<JobEnv>, job: JobName) {
     for address in env.roster.takers().into_iter().take(3) {
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -16,6 +16,10 @@
 const PARTS: &str = "jobparts";
 /// Kind of the headers of jobs.
 const HEADERS: &str = "orderedjobs";
+/// Kind of the entries of gateways.
+const GATEWAYS: &str = "doors";
+/// A kind of which there are no objects.
+const NOTHING: &str = "";
 const MAX_BYTES: usize = 4 * 1024 * 1024;
 const WATCH_STEP: Duration = Duration::from_millis(5);
 /// Longer than any call of the tests waits.
@@ -45,6 +49,10 @@
     PartsHeld,
     /// It refuses creates of parts of submissions with 503 and does nothing.
     PartsRefused,
+    /// It keeps updates of headers of jobs waiting until it no longer does.
+    HeaderUpdatesHeld,
+    /// It lists no gateways, and tells watches of none.
+    GatewaysHidden,
 }
 
 #[derive(Debug, Clone)]
@@ -204,9 +212,10 @@
                 self.wait_for_header().await
             }
             StoreFault::PartsHeld if kind == PARTS && is_write => {
-                while self.fault() == StoreFault::PartsHeld {
-                    compio::time::sleep(WATCH_STEP).await;
-                }
+                self.wait_while(StoreFault::PartsHeld).await;
+            }
+            StoreFault::HeaderUpdatesHeld if kind == HEADERS && parts.method == Method::PUT => {
+                self.wait_while(StoreFault::HeaderUpdatesHeld).await;
             }
             StoreFault::PartsRefused if kind == PARTS && is_write => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
@@ -214,8 +223,12 @@
             _ => {}
         }
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let is_hidden = fault == StoreFault::GatewaysHidden && segments == [GATEWAYS];
         let response = match parts.method {
-            Method::GET if query.contains_key("watch") => self.watch(kind, &query).await,
+            Method::GET if query.contains_key("watch") => {
+                self.watch(if is_hidden { NOTHING } else { kind }, &query).await
+            }
+            Method::GET if is_hidden => self.state().read(&[NOTHING], &query),
             Method::GET => self.state().read(&segments, &query),
             Method::POST => self.state().create(kind, &body),
             Method::PUT => self.state().replace(&segments, &body),
@@ -229,6 +242,12 @@
         response
     }
 
+    async fn wait_while(&self, fault: StoreFault) {
+        while self.fault() == fault {
+            compio::time::sleep(WATCH_STEP).await;
+        }
+    }
+
     async fn wait_for_header(&self) {
         while self.names(HEADERS).is_empty() {
             compio::time::sleep(WATCH_STEP).await;
