--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -1,7 +1,8 @@
 //! Batch jobs: taken once, run by one gateway, readable at all.
 //!
 //! `submit` makes a job durable, `pass_on` has another gateway do that, `job_task` owns it, `item_run` runs one item,
-//! `reads` answers callers about it, `stored` reads what the store has of it, and `sweep` takes jobs whose owner is gone.
+//! `reads` answers callers about it, `peer_call` is what gateways ask each other about it, `stored` reads what the store has
+//! of it, and `sweep` takes jobs whose owner is gone.
 //! `clearance` holds items back after `gaps` in which others may have ended or taken the job.
 
 mod clearance;
@@ -10,6 +11,7 @@
 mod item_run;
 mod job_task;
 pub mod pass_on;
+mod peer_call;
 mod reads;
 mod stored;
 mod submit;
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -11,19 +11,19 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use hyper::{Method, Request, Response, StatusCode, Uri, header};
+use hyper::{Method, Response, StatusCode, Uri, header};
 use samphiredoor_core::{
     ordered::{JobHeader, JobName, end_key},
     store::{Labels, StoreOp, Value},
     verdict::Refusal,
 };
-use samphiredoor_net::{Body, Pool, body::read_whole, pool::within};
+use samphiredoor_net::{Body, Pool};
 
 use super::{
     JobEnv,
     directory::Directory,
     job_task::{JobMessage, ReadReply},
+    peer_call::{PeerCall, exchange},
     stored::{StoredJobs, Unread},
     submit::{self, Acceptors, Submitted},
     sweep,
@@ -40,8 +40,6 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for a connection to another gateway.
 const PEER_CONNECT: Duration = Duration::from_millis(250);
-/// Longest answer of another gateway.
-const MAX_PEER_BYTES: usize = 4 * 1024 * 1024;
 /// Pause between two reads of the store for one waiting reader; callers ask about twice a second.
 const STORE_WAIT: Duration = Duration::from_millis(500);
 /// When to come back if the store is of no help.
@@ -294,8 +292,8 @@
     async fn ask_owner(&self, job: &JobName, owner: &Owner) -> Result<Option<EndedBy>, Unreached> {
         let address = self.owner_address(owner).await.ok_or(Unreached)?;
         let call = PeerCall::Ended { job: JobName::clone(job), incarnation: owner.incarnation };
-        let answered = within(PEER_TIMEOUT, exchange(&self.pool(address), &call)).await;
-        let (status, _) = answered.flatten().ok_or(Unreached)?;
+        let answered = exchange(&self.pool(address), &call, PEER_TIMEOUT).await;
+        let (status, _) = answered.ok_or(Unreached)?;
         Ok(match status {
             StatusCode::OK => Some(EndedBy::Owner),
             StatusCode::GONE => Some(EndedBy::OwnerOver),
@@ -365,7 +363,7 @@
         timeout: Duration,
     ) -> Option<Response<Body>> {
         let pool = self.pool(address);
-        let (status, body) = within(timeout, exchange(&pool, call)).await??;
+        let (status, body) = exchange(&pool, call, timeout).await?;
         if status != StatusCode::OK && status != StatusCode::NOT_FOUND {
             return None;
         }
@@ -381,16 +379,6 @@
     }
 }
 
-/// Makes one call to another gateway.
-pub async fn exchange(pool: &Pool, call: &PeerCall) -> Option<(StatusCode, Bytes)> {
-    let (method, uri) = call.request();
-    let request = Request::builder().method(method).uri(uri).header(header::HOST, "gateway");
-    let response = pool.send(request.body(Body::empty()).ok()?).await.ok()?;
-    let status = response.status();
-    let body = read_whole(response.into_body(), MAX_PEER_BYTES).await.ok()?;
-    Some((status, body))
-}
-
 fn owner_in(header: &JobHeader) -> Owner {
     let owner = &header.owner;
     Owner { process: owner.process.as_str().into(), incarnation: owner.incarnation }
@@ -402,80 +390,3 @@
         Unread::Unavailable => refused(Refusal::StoreUnavailable, RETRY_AFTER_MS),
     }
 }
-
-/// A call of one gateway to another.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PeerCall {
-    /// Read results.
-    Read {
-        /// Which job.
-        job: JobName,
-        /// Number of results that the reader has.
-        after: usize,
-        /// Longest wait for one more.
-        wait_ms: u64,
-    },
-    /// Read an item's body.
-    Item {
-        /// Which job.
-        job: JobName,
-        /// Which item.
-        item: String,
-    },
-    /// The caller has ended a job.
-    Ended {
-        /// Which job.
-        job: JobName,
-        /// Which start of the process that is called owns it.
-        incarnation: u64,
-    },
-    /// A job was handed over and is free to be taken.
-    Offer {
-        /// Which job.
-        job: JobName,
-    },
-    /// Does a process work on its jobs?
-    Works {
-        /// Which start of it.
-        incarnation: u64,
-    },
-}
-
-impl PeerCall {
-    fn request(&self) -> (Method, String) {
-        match self {
-            PeerCall::Read { job, after, wait_ms } => {
-                (Method::GET, format!("/jobs/{job}/results/{after}/{wait_ms}"))
-            }
-            PeerCall::Item { job, item } => (Method::GET, format!("/jobs/{job}/items/{item}")),
-            PeerCall::Ended { job, incarnation } => {
-                (Method::POST, format!("/jobs/{job}/ended/{incarnation}"))
-            }
-            PeerCall::Offer { job } => (Method::POST, format!("/jobs/{job}/offer")),
-            PeerCall::Works { incarnation } => (Method::GET, format!("/starts/{incarnation}")),
-        }
-    }
-
-    fn parse(method: &Method, uri: &Uri) -> Option<PeerCall> {
-        let segments: Vec<&str> = uri.path().trim_start_matches('/').split('/').collect();
-        let call = match (method, segments.as_slice()) {
-            (&Method::GET, ["jobs", job, "results", after, wait_ms]) => PeerCall::Read {
-                job: (*job).into(),
-                after: after.parse().ok()?,
-                wait_ms: wait_ms.parse().ok()?,
-            },
-            (&Method::GET, ["jobs", job, "items", item]) => {
-                PeerCall::Item { job: (*job).into(), item: (*item).to_owned() }
-            }
-            (&Method::POST, ["jobs", job, "ended", incarnation]) => {
-                PeerCall::Ended { job: (*job).into(), incarnation: incarnation.parse().ok()? }
-            }
-            (&Method::POST, ["jobs", job, "offer"]) => PeerCall::Offer { job: (*job).into() },
-            (&Method::GET, ["starts", incarnation]) => {
-                PeerCall::Works { incarnation: incarnation.parse().ok()? }
-            }
-            _ => return None,
-        };
-        Some(call)
-    }
-}
--- a/crates/samphiredoor-gateway/src/jobs/sweep.rs
+++ b/crates/samphiredoor-gateway/src/jobs/sweep.rs
@@ -15,13 +15,13 @@
     },
     store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Version},
 };
-use samphiredoor_net::{Pool, pool::within};
+use samphiredoor_net::Pool;
 
 use super::{
     JobEnv,
     directory::Directory,
     job_task::{JobMessage, JobTask, OwnedJob},
-    reads::{PeerCall, exchange},
+    peer_call::{PeerCall, exchange},
     stored::{StoredJobs, Unread},
 };
 use crate::{
@@ -183,7 +183,7 @@
     let Some(address) = address else { return false };
     let pool = Pool::new(address).with_connect_timeout(ASK_TIMEOUT);
     let call = PeerCall::Works { incarnation };
-    let answered = within(ASK_TIMEOUT, exchange(&pool, &call)).await.flatten();
+    let answered = exchange(&pool, &call, ASK_TIMEOUT).await;
     answered.is_some_and(|(status, _)| status == StatusCode::OK)
 }
 
@@ -263,7 +263,7 @@
     for address in env.roster.takers().into_iter().take(3) {
         let pool = Pool::new(address).with_connect_timeout(OFFER_TIMEOUT);
         let call = PeerCall::Offer { job: JobName::clone(&job) };
-        if let Some(Some(_)) = within(OFFER_TIMEOUT, exchange(&pool, &call)).await {
+        if exchange(&pool, &call, OFFER_TIMEOUT).await.is_some() {
             return;
         }
     }
