An emulator that plays fleets in simulated time, and a bound

`standin emulate FILE` plays a scenario in simulated time: a real placement in each gateway, its messages to others with their pauses, losses and delays, targets with continuous batching, callers that come back, jobs whose items are recalled, kept and taken over, and kills of gateways and targets. Variants without a mechanism or with another value of a field are played with the same seeds and compared seed by seed.

The bound is a relaxation: engine time that can be divided at will, and prices for it.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
+use samphiredoor_standin::emulate::command::{Emulate, emulate};
 
 /// Stand-ins for the platform and the targets
 #[derive(Debug, Clone)]
@@ -116,6 +117,9 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Plays a scenario in simulated time, with the real decisions, and compares variants of it
+    #[bpaf(command)]
+    Emulate(#[bpaf(external(emulate))] Emulate),
 }
 
 /// Parses the arguments; ends the process on `--help` and on errors.
--- /dev/null
+++ b/crates/samphiredoor-standin/src/emulate/traffic.rs
@@ -0,0 +1,153 @@
+//! Requests drawn from a scenario and a seed; the same for each run, whatever is switched off.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphiredoor_core::dispatch::Class;
+
+use super::scenario::{Batch, Bursts, Online, Scenario, Span};
+
+/// An online request or an item of a job.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Online or batch.
+    pub class: Class,
+    /// When it is first sent.
+    pub arrives_us: u64,
+    /// Which gateway it reaches first.
+    pub gateway: usize,
+    /// Until when it has its full worth: an online request by its first token, an item by its last.
+    pub aim_us: u64,
+    /// Until when it is of any use, by its last token.
+    pub deadline_us: u64,
+    /// Time from its arrival to its aim.
+    pub aim_after_ms: u64,
+    /// Urgency; 0 is the highest.
+    pub priority: u32,
+    /// Shared beginning of its prompt; 0 for none.
+    pub beginning: u64,
+    /// Tokens of that beginning.
+    pub shared_tokens: u32,
+    /// Tokens of the rest of its prompt.
+    pub own_tokens: u32,
+    /// Tokens that it puts out.
+    pub output_tokens: u32,
+    /// Worth in the aim.
+    pub worth: f64,
+    /// Worth later.
+    pub worth_late: f64,
+}
+
+/// All requests of a run, in order of their arrival.
+pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Request> {
+    let mut draw = Draw { rng: SmallRng::seed_from_u64(seed), scenario, requests: Vec::new() };
+    let phase = draw.rng.random::<f64>() * scenario.bursts.every_s;
+    for (number, online) in scenario.online.iter().enumerate() {
+        draw.online(number, online, phase);
+    }
+    for (number, batch) in scenario.batch.iter().enumerate() {
+        draw.batch(scenario.online.len() + number, batch);
+    }
+    draw.requests.sort_by_key(|it| it.arrives_us);
+    draw.requests
+}
+
+struct Draw<'a> {
+    rng: SmallRng,
+    scenario: &'a Scenario,
+    requests: Vec<Request>,
+}
+
+impl Draw<'_> {
+    // Thinning: drawn at the highest rate, kept with the part that the rate of the moment has of it.
+    fn online(&mut self, kind: usize, online: &Online, phase_s: f64) {
+        let bursts = &self.scenario.bursts;
+        let highest = bursts.factor.max(1.0);
+        let mut at_s = 0.0;
+        while self.next_arrival(&mut at_s, online.rate_per_s * highest) {
+            let kept = self.rng.random::<f64>() * highest < factor(bursts, phase_s, at_s);
+            let request = self.online_request(kind, online, at_s);
+            if kept {
+                self.requests.push(request);
+            }
+        }
+    }
+
+    fn online_request(&mut self, kind: usize, online: &Online, at_s: f64) -> Request {
+        let arrives_us = micros(at_s);
+        Request {
+            class: Class::Online,
+            arrives_us,
+            gateway: self.rng.random_range(0..self.scenario.gateways.count),
+            aim_us: arrives_us + online.aim_ms * 1_000,
+            deadline_us: arrives_us + online.deadline_ms * 1_000,
+            aim_after_ms: online.aim_ms,
+            priority: online.priority,
+            beginning: self.beginning(kind, online.shared_tokens, online.beginnings),
+            shared_tokens: online.shared_tokens,
+            own_tokens: self.span(online.prompt_tokens),
+            output_tokens: self.span(online.output_tokens),
+            worth: online.worth,
+            worth_late: online.worth_late,
+        }
+    }
+
+    fn batch(&mut self, kind: usize, batch: &Batch) {
+        let mut at_s = 0.0;
+        while self.next_arrival(&mut at_s, batch.jobs_per_s) {
+            self.job(kind, batch, at_s);
+        }
+        for _ in 0..batch.rush_jobs {
+            self.job(kind, batch, batch.rush_at_s);
+        }
+    }
+
+    fn job(&mut self, kind: usize, batch: &Batch, at_s: f64) {
+        let arrives_us = micros(at_s);
+        let gateway = self.rng.random_range(0..self.scenario.gateways.count);
+        let beginning = self.beginning(kind, batch.shared_tokens, batch.beginnings);
+        for _ in 0..self.span(batch.items) {
+            let item = Request {
+                class: Class::Batch,
+                arrives_us,
+                gateway,
+                aim_us: arrives_us + micros(batch.due_s),
+                deadline_us: arrives_us + micros(batch.give_up_s),
+                aim_after_ms: micros(batch.due_s) / 1_000,
+                priority: 0,
+                beginning,
+                shared_tokens: batch.shared_tokens,
+                own_tokens: self.span(batch.prompt_tokens),
+                output_tokens: self.span(batch.output_tokens),
+                worth: batch.worth,
+                worth_late: batch.worth_late,
+            };
+            self.requests.push(item);
+        }
+    }
+
+    fn next_arrival(&mut self, at_s: &mut f64, rate_per_s: f64) -> bool {
+        if rate_per_s <= 0.0 {
+            return false;
+        }
+        *at_s -= (1.0 - self.rng.random::<f64>()).ln() / rate_per_s;
+        *at_s < self.scenario.duration_s
+    }
+
+    fn beginning(&mut self, kind: usize, shared_tokens: u32, beginnings: u32) -> u64 {
+        let number = u64::from(self.rng.random_range(0..beginnings));
+        if shared_tokens == 0 { 0 } else { ((kind as u64 + 1) << 32) + number }
+    }
+
+    fn span(&mut self, [least, most]: Span) -> u32 {
+        self.rng.random_range(least..=most)
+    }
+}
+
+fn factor(bursts: &Bursts, phase_s: f64, at_s: f64) -> f64 {
+    let bursting = bursts.every_s > 0.0 && (at_s + phase_s) % bursts.every_s < bursts.lasts_s;
+    if bursting { bursts.factor } else { 1.0 }
+}
+
+/// Time in whole microseconds.
+pub fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6).round() as u64
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/emulate/variants.rs
@@ -0,0 +1,157 @@
+//! Plays one scenario in several variants and with many seeds, on a few threads.
+
+use std::{
+    ops::Range,
+    path::Path,
+    str::FromStr,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use anyhow::Context;
+
+use super::{
+    bound::bound, mechanism::Mechanism, outcome::Outcome, scenario::Scenario, traffic, world::World,
+};
+
+/// Seeds from one up to, and without, another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seeds(pub Range<u64>);
+
+impl FromStr for Seeds {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Seeds> {
+        let (from, until) = text.split_once("..").context("seeds are written as A..B")?;
+        let number = |it: &str| it.parse::<u64>().with_context(|| format!("`{it}` is no seed"));
+        let seeds = number(from)?..number(until)?;
+        anyhow::ensure!(!seeds.is_empty(), "`{text}` holds no seed; B itself is left out");
+        Ok(Seeds(seeds))
+    }
+}
+
+/// A field of the scenario, and the values that it takes one after the other.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Vary {
+    key: String,
+    values: Vec<toml::Value>,
+}
+
+impl FromStr for Vary {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Vary> {
+        let (key, values) = text.split_once('=').context("it is written as KEY=V1,V2")?;
+        Ok(Vary { key: key.to_owned(), values: values.split(',').map(value).collect() })
+    }
+}
+
+// What is no number, truth value or the like is taken as text.
+fn value(text: &str) -> toml::Value {
+    let table: Result<toml::Table, _> = toml::from_str(&format!("value = {text}"));
+    let value = table.ok().and_then(|mut it| it.remove("value"));
+    value.unwrap_or_else(|| toml::Value::String(text.to_owned()))
+}
+
+/// One way to play a scenario.
+#[derive(Debug, Clone)]
+pub struct Variant {
+    /// Name in tables and plots.
+    pub label: String,
+    /// Number of its scenario.
+    pub scenario: usize,
+    /// What it does without.
+    pub without: Vec<Mechanism>,
+}
+
+/// All variants of an experiment; the first is what the others are compared to.
+#[derive(Debug, Clone)]
+pub struct Variants {
+    /// Scenarios of the variants.
+    pub scenarios: Vec<Scenario>,
+    /// Variants.
+    pub variants: Vec<Variant>,
+}
+
+impl Variants {
+    /// The scenario of a file as it is, without each of some mechanisms, and with each of some values.
+    pub fn read(file: &Path, without: &[Mechanism], vary: &[Vary]) -> anyhow::Result<Variants> {
+        let mut scenarios = vec![Scenario::read(file, &[])?];
+        let variant = |label: String, scenario, without| Variant { label, scenario, without };
+        let mut variants = vec![variant("as it is".to_owned(), 0, Vec::new())];
+        for mechanism in without {
+            variants.push(variant(format!("without {mechanism}"), 0, vec![*mechanism]));
+        }
+        for Vary { key, values } in vary {
+            for value in values {
+                variants.push(variant(format!("{key} = {value}"), scenarios.len(), Vec::new()));
+                scenarios.push(Scenario::read(file, &[(key.clone(), value.clone())])?);
+            }
+        }
+        Ok(Variants { scenarios, variants })
+    }
+}
+
+/// A variant played with a seed.
+#[derive(Debug, Clone)]
+pub struct Played {
+    /// Number of the variant.
+    pub variant: usize,
+    /// Seed.
+    pub seed: u64,
+    /// What callers got.
+    pub outcome: Outcome,
+    /// Most worth that any scheduler could have earned.
+    pub bound: f64,
+    /// Time that the play took, without that of the bound.
+    pub took_s: f64,
+}
+
+impl Played {
+    /// Part of the bound that was earned.
+    pub fn of_bound(&self) -> f64 {
+        if self.bound > 0.0 { self.outcome.earned / self.bound } else { 1.0 }
+    }
+}
+
+/// Plays all variants with all seeds; in order of variants, then seeds.
+pub fn play(variants: &Variants, seeds: &Seeds, threads: usize) -> Vec<Played> {
+    let next = AtomicU64::new(seeds.0.start);
+    let played = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if !seeds.0.contains(&seed) {
+                        return;
+                    }
+                    let all = play_seed(variants, seed);
+                    played.lock().unwrap_or_else(PoisonError::into_inner).extend(all);
+                }
+            });
+        }
+    });
+    let mut played = played.into_inner().unwrap_or_else(PoisonError::into_inner);
+    played.sort_by_key(|it| (it.variant, it.seed));
+    played
+}
+
+fn play_seed(variants: &Variants, seed: u64) -> Vec<Played> {
+    let mut played = Vec::new();
+    for (number, scenario) in variants.scenarios.iter().enumerate() {
+        let requests = traffic::draw(scenario, seed);
+        let bound = bound(scenario, &requests);
+        let of_scenario = variants.variants.iter().enumerate();
+        for (variant, it) in of_scenario.filter(|(_, it)| it.scenario == number) {
+            let began = Instant::now();
+            let outcome = World::new(scenario, &it.without, &requests, seed).run();
+            let took_s = began.elapsed().as_secs_f64();
+            played.push(Played { variant, seed, outcome, bound, took_s });
+        }
+    }
+    played
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/emulate/world/faults.rs
@@ -0,0 +1,54 @@
+//! What goes wrong, and what processes learn of it.
+
+use samphiredoor_core::placement::Input;
+
+use super::{Event, World};
+use crate::emulate::scenario::FaultKind;
+
+impl World<'_> {
+    pub(super) fn fault(&mut self, number: usize, begins: bool) {
+        let scenario = self.scenario;
+        match &scenario.faults[number].what {
+            FaultKind::TargetsDown(them) => {
+                for target in them {
+                    match begins {
+                        true => self.stop_target(*target),
+                        false => self.start_target(*target),
+                    }
+                }
+                let known_us = self.after_ms(scenario.targets.discovery_ms);
+                self.events.push(known_us, Event::Discovery);
+            }
+            FaultKind::GatewaysDown(them) => {
+                for gateway in them {
+                    match begins {
+                        true => self.stop_gateway(*gateway),
+                        false => self.restart_gateway(*gateway),
+                    }
+                }
+            }
+            FaultKind::MessagesLateMs(ms) => self.network.late_ms = if begins { *ms } else { 0.0 },
+            FaultKind::MessagesLostPart(part) => {
+                self.network.lost_part = if begins { *part } else { 0.0 };
+            }
+        }
+    }
+
+    pub(super) fn discovery(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            if self.gateways[gateway].is_up() {
+                let entries = self.entries(gateway);
+                self.input(gateway, Input::Targets(entries));
+            }
+        }
+    }
+
+    fn stop_gateway(&mut self, gateway: usize) {
+        self.gateways[gateway].stop();
+        for request in 0..self.runs.len() {
+            if self.runs[request].gateway == gateway {
+                self.orphaned(request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/emulate/world/gateways.rs
@@ -0,0 +1,156 @@
+//! Gateways: a real placement each.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use samphiredoor_core::{
+    Name,
+    dispatch::Place,
+    placement::{CellId, Cells, DoorState, Input, Placement, TargetEntry, key_of},
+};
+
+use super::{
+    Event, World,
+    targets::Target,
+    telling::{Audience, IDLE_MS, TELL_PAUSE_MS, ToldCell, audiences},
+    zone,
+};
+use crate::emulate::{mechanism::Mechanism, scenario::Scenario};
+
+/// A gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    pub name: Name,
+    pub place: Place,
+    pub placement: Placement,
+    /// Faults that keep it down.
+    down: u32,
+    start: u64,
+    ticked_ms: u64,
+    pub told_ms: u64,
+    pub told: Rc<DoorState>,
+    pub audiences: [Audience; 3],
+    pub told_cells: BTreeMap<CellId, ToldCell>,
+    /// What the gateways of its cell told it last and when, its own word among them.
+    pub heard: BTreeMap<Name, (u64, Rc<DoorState>)>,
+}
+
+fn name_of(number: usize) -> Name {
+    format!("gateway-{number:03}").into()
+}
+
+/// Number of a gateway by its name.
+pub fn number_of(name: &str) -> Option<usize> {
+    name.strip_prefix("gateway-")?.parse().ok()
+}
+
+impl Gateway {
+    /// All gateways of a fleet, and their cells.
+    pub fn all(scenario: &Scenario, targets: &[Target]) -> (Vec<Gateway>, Cells) {
+        let count = scenario.gateways.count;
+        let gateways: Vec<Gateway> = (0..count)
+            .map(|number| {
+                Gateway::new(name_of(number), zone(&scenario.gateways.zones, number, count))
+            })
+            .collect();
+        let places = gateways.iter().map(|it| (Name::clone(&it.name), it.place.clone())).collect();
+        let keys = targets.iter().map(|it| (key_of(&it.name), it.place.clone())).collect();
+        let cells = Cells::new(&places, &keys);
+        (gateways, cells)
+    }
+
+    fn new(name: Name, place: Place) -> Gateway {
+        Gateway {
+            placement: Placement::new(Name::clone(&name), place.clone(), 0),
+            name,
+            place,
+            down: 0,
+            start: 0,
+            ticked_ms: 0,
+            told_ms: 0,
+            told: Rc::default(),
+            audiences: audiences(),
+            told_cells: BTreeMap::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Whether it runs.
+    pub fn is_up(&self) -> bool {
+        self.down == 0
+    }
+
+    /// Kills it.
+    pub fn stop(&mut self) {
+        self.down += 1;
+        self.start += 1;
+    }
+}
+
+impl World<'_> {
+    pub(super) fn start_gateway(&mut self, number: usize) {
+        let seed = rand::Rng::random(&mut self.rng);
+        let gateway = &mut self.gateways[number];
+        let (name, place) = (Name::clone(&gateway.name), gateway.place.clone());
+        let before = std::mem::replace(gateway, Gateway::new(Name::clone(&name), place.clone()));
+        gateway.down = before.down;
+        gateway.start = before.start;
+        gateway.placement = Placement::new(Name::clone(&name), place, seed);
+        let start = gateway.start;
+        let entries = self.entries(number);
+        self.input(number, Input::Targets(entries));
+        if let Some(cell) = self.cells.of_door(&name) {
+            let own = self.cells.targets(cell).collect();
+            self.input(number, Input::OwnTargets(own));
+        }
+        let phase_us = (number as u64 * 1_013) % (TELL_PAUSE_MS * 1_000);
+        self.events.push(self.now_us + phase_us, Event::Tick { gateway: number, start });
+    }
+
+    pub(super) fn restart_gateway(&mut self, number: usize) {
+        self.gateways[number].down -= 1;
+        if self.gateways[number].is_up() {
+            self.start_gateway(number);
+        }
+    }
+
+    /// Targets as discovery tells them to a gateway.
+    pub(super) fn entries(&self, number: usize) -> Vec<TargetEntry> {
+        let slots = self.scenario.targets.slots;
+        let up = self.targets.iter().filter(|it| it.is_up());
+        up.map(|it| match self.has(Mechanism::NearestFirst) {
+            true => it.entry(slots, &it.place),
+            false => it.entry(slots, &self.gateways[number].place),
+        })
+        .collect()
+    }
+
+    /// Gives an event to a gateway's placement and does what it says.
+    pub(super) fn input(&mut self, number: usize, input: Input) {
+        if !self.gateways[number].is_up() {
+            return;
+        }
+        let mut out = Vec::new();
+        let now_ms = self.now_ms();
+        self.gateways[number].placement.handle(now_ms, input, &mut out);
+        for action in out {
+            self.act(number, action);
+        }
+        self.tell(number);
+    }
+
+    pub(super) fn tick(&mut self, number: usize, start: u64) {
+        let now_ms = self.now_ms();
+        let gateway = &mut self.gateways[number];
+        if gateway.start != start || !gateway.is_up() {
+            return;
+        }
+        let (online, _) = gateway.placement.waiting();
+        if online > 0 || now_ms >= gateway.ticked_ms + IDLE_MS {
+            gateway.ticked_ms = now_ms;
+            self.input(number, Input::Tick);
+        } else {
+            self.tell(number);
+        }
+        self.events.push(self.after_ms(TELL_PAUSE_MS), Event::Tick { gateway: number, start });
+    }
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/src/emulate/world/mod.rs
@@ -0,0 +1,221 @@
+//! A fleet in simulated time: real placements in gateways, engines, callers, and what goes wrong.
+
+mod faults;
+mod gateways;
+mod requests;
+mod targets;
+mod telling;
+
+use std::rc::Rc;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphiredoor_core::{
+    Name,
+    dispatch::Place,
+    placement::{AttemptEnd, Cells, DoorState},
+};
+
+use super::{
+    events::Events,
+    mechanism::Mechanism,
+    network::Network,
+    outcome::{End, Outcome},
+    scenario::Scenario,
+    traffic::{Request, micros},
+};
+use gateways::Gateway;
+use requests::{Attempt, Run};
+use targets::Target;
+
+/// All that is drawn in a run differs from what traffic is drawn from.
+const RUN_SEED: u64 = 0x5eed_0001;
+/// The service that all targets serve.
+const SERVICE: &str = "service";
+/// Time of the first event; a clock of processes does not begin at 0.
+const START_US: u64 = 10_000_000;
+
+/// What happens.
+#[derive(Debug)]
+enum Event {
+    /// A caller's request, or the item of a job, reaches a gateway.
+    Arrives(usize),
+    /// A gateway asks its placement for a target.
+    Asks { request: usize, turn: u32 },
+    /// A request reaches a target.
+    AtTarget { attempt: Attempt, target: usize },
+    /// A cut reaches a target.
+    CutAtTarget { attempt: Attempt, target: usize },
+    /// A target ends a step.
+    Step { target: usize, start: u64 },
+    /// A gateway sees the first token of an attempt.
+    Begun { attempt: Attempt, load: (u32, u32) },
+    /// A gateway sees an attempt end.
+    Ended { attempt: Attempt, end: AttemptEnd },
+    /// A request is of no use any more.
+    Deadline(usize),
+    /// A gateway looks after what waits.
+    Tick { gateway: usize, start: u64 },
+    /// A message of a gateway or a cell reaches a gateway, which may pass it on in its cell.
+    Message { to: usize, from: Name, state: Rc<DoorState>, passes_on: bool },
+    /// Cells tell each other sums.
+    Summaries { is_far: bool },
+    /// A fault begins or ends.
+    Fault { number: usize, begins: bool },
+    /// Gateways learn which targets there are.
+    Discovery,
+    /// The output of unfinished items is kept.
+    KeepOutput,
+}
+
+/// A fleet in simulated time.
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    without: &'a [Mechanism],
+    requests: &'a [Request],
+    now_us: u64,
+    events: Events<Event>,
+    rng: SmallRng,
+    network: Network,
+    cells: Cells,
+    gateways: Vec<Gateway>,
+    targets: Vec<Target>,
+    runs: Vec<Run>,
+    open: usize,
+    outcome: Outcome,
+}
+
+impl<'a> World<'a> {
+    /// A fleet that has just started, and the requests that will reach it.
+    pub fn new(
+        scenario: &'a Scenario,
+        without: &'a [Mechanism],
+        requests: &'a [Request],
+        seed: u64,
+    ) -> World<'a> {
+        let mut rng = SmallRng::seed_from_u64(seed ^ RUN_SEED);
+        let network = Network::new(scenario.network.clone(), rng.random());
+        let targets = Target::all(&scenario.targets);
+        let (gateways, cells) = Gateway::all(scenario, &targets);
+        let mut world = World {
+            scenario,
+            without,
+            requests,
+            now_us: START_US,
+            events: Events::new(),
+            rng,
+            network,
+            cells,
+            gateways,
+            targets,
+            runs: requests.iter().map(Run::new).collect(),
+            open: requests.len(),
+            outcome: Outcome::default(),
+        };
+        world.begin();
+        world
+    }
+
+    /// Plays until all requests are over or the time is up.
+    pub fn run(mut self) -> Outcome {
+        let end_us = START_US + micros(self.scenario.whole_s());
+        while let Some((at_us, event)) = self.events.pop()
+            && at_us <= end_us
+            && self.open > 0
+        {
+            self.now_us = at_us;
+            self.outcome.events += 1;
+            self.happen(event);
+        }
+        for request in 0..self.requests.len() {
+            self.over(request, End::Left);
+        }
+        let gateway_s = self.gateways.len() as f64 * (self.now_us - START_US) as f64 / 1e6;
+        self.outcome.messages_per_gateway_s = self.outcome.messages as f64 / gateway_s.max(1e-9);
+        self.outcome
+    }
+
+    fn begin(&mut self) {
+        for (number, request) in self.requests.iter().enumerate() {
+            self.events.push(START_US + request.arrives_us, Event::Arrives(number));
+            self.events.push(START_US + request.deadline_us, Event::Deadline(number));
+        }
+        for (number, fault) in self.scenario.faults.iter().enumerate() {
+            let begins_us = START_US + micros(fault.at_s);
+            self.events.push(begins_us, Event::Fault { number, begins: true });
+            let ends_us = begins_us + micros(fault.lasts_s);
+            self.events.push(ends_us, Event::Fault { number, begins: false });
+        }
+        for gateway in 0..self.gateways.len() {
+            self.start_gateway(gateway);
+        }
+        if self.cells.len() > 1 {
+            self.events.push(START_US, Event::Summaries { is_far: false });
+            self.events.push(START_US, Event::Summaries { is_far: true });
+        }
+        if self.keeps_output() {
+            self.events.push(START_US, Event::KeepOutput);
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrives(request) => self.arrives(request),
+            Event::Asks { request, turn } => self.asks(request, turn),
+            Event::AtTarget { attempt, target } => self.at_target(attempt, target),
+            Event::CutAtTarget { attempt, target } => self.cut_at_target(attempt, target),
+            Event::Step { target, start } => self.step(target, start),
+            Event::Begun { attempt, load } => self.begun(attempt, load),
+            Event::Ended { attempt, end } => self.ended(attempt, end),
+            Event::Deadline(request) => self.deadline(request),
+            Event::Tick { gateway, start } => self.tick(gateway, start),
+            Event::Message { to, from, state, passes_on } => {
+                self.message(to, from, state, passes_on);
+            }
+            Event::Summaries { is_far } => self.summaries(is_far),
+            Event::Fault { number, begins } => self.fault(number, begins),
+            Event::Discovery => self.discovery(),
+            Event::KeepOutput => self.keep_output(),
+        }
+    }
+
+    fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+
+    fn keeps_output(&self) -> bool {
+        self.scenario.jobs.keep_output_ms > 0 && self.has(Mechanism::KeptOutput)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now_us / 1_000
+    }
+
+    fn after_ms(&self, ms: u64) -> u64 {
+        self.now_us + ms * 1_000
+    }
+
+    /// Time since the start of the traffic.
+    fn since_start_us(&self) -> u64 {
+        self.now_us - START_US
+    }
+
+    fn way_us(&self, gateway: usize, target: usize) -> u64 {
+        self.network.way_us(&self.gateways[gateway].place, &self.targets[target].place)
+    }
+
+    fn live_gateway(&mut self) -> Option<usize> {
+        let live: Vec<usize> =
+            (0..self.gateways.len()).filter(|it| self.gateways[*it].is_up()).collect();
+        if live.is_empty() {
+            return None;
+        }
+        Some(live[self.rng.random_range(0..live.len())])
+    }
+}
+
+/// Zone of one of so many, if they are spread evenly over the zones.
+fn zone(zones: &[String], number: usize, count: usize) -> Place {
+    let zone = &zones[number * zones.len() / count];
+    let (region, zone) = zone.split_once('/').unwrap_or((zone, zone));
+    Place { region: region.into(), availability_zone: zone.into() }
+}
--- a/crates/samphiredoor-standin/src/lib.rs
+++ b/crates/samphiredoor-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They keep everything in memory and can be told to misbehave in the ways that the pages allow, so that the gateway is
 //! tested against them without the platform.
 
+pub mod emulate;
 pub mod link;
 pub mod platform_store;
 pub mod platform_target;
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -70,6 +70,7 @@
                 let duration = Duration::from_secs_f64(seconds);
                 calls::run(Calls { address, path, connections, rate_per_s, duration }).await
             }
+            Opts::Emulate(emulate) => emulate.run(),
             Opts::Table { step_ms, step_per_sequence_ms, engines, loan_limit, file } => {
                 table::print(&file, Bound { step_ms, step_per_sequence_ms, engines, loan_limit })
             }
--- /dev/null
+++ b/crates/samphiredoor-standin/tests/emulate/engine.rs
@@ -0,0 +1,88 @@
+//! Engines: how long steps take, and in which order requests run.
+
+use samphiredoor_standin::emulate::{
+    engine::{Engine, Progress, Sequence},
+    scenario::{Scenario, Targets},
+};
+
+const STEP_US: u64 = 4_000;
+const STEP_PER_REQUEST_US: u64 = 1_000;
+
+fn targets() -> Targets {
+    let text = include_str!("../../../../examples/emulate/eight_before_twelve.toml");
+    Targets {
+        slots: 2,
+        queue: 1,
+        step_ms: 4.0,
+        step_per_request_ms: 1.0,
+        prompt_tokens_per_ms: 10.0,
+        chunk_tokens: 100,
+        kept_beginnings: 1,
+        ..Scenario::parse(text, &[]).unwrap().targets
+    }
+}
+
+fn request(attempt: u64, own_tokens: u32, output_tokens: u32) -> Sequence {
+    Sequence::new(attempt, (0, 0), own_tokens, (0, output_tokens))
+}
+
+#[test]
+fn a_step_is_longer_the_more_requests_run() {
+    let mut engine = Engine::new(targets());
+    engine.offer(request(1, 0, 9));
+    assert_eq!(engine.begin_step(), Some(STEP_US + STEP_PER_REQUEST_US));
+    engine.end_step();
+    engine.offer(request(2, 0, 9));
+    assert_eq!(engine.begin_step(), Some(STEP_US + 2 * STEP_PER_REQUEST_US));
+}
+
+#[test]
+fn a_long_prompt_is_read_between_the_tokens_of_others() {
+    let mut engine = Engine::new(targets());
+    engine.offer(request(1, 0, 9));
+    engine.offer(request(2, 250, 9));
+    let reading_us = [10_000, 10_000, 5_000];
+    for (step, reading_us) in reading_us.into_iter().enumerate() {
+        let whole_us = STEP_US + 2 * STEP_PER_REQUEST_US + reading_us;
+        assert_eq!(engine.begin_step(), Some(whole_us));
+        let begins = engine.end_step().contains(&(2, Progress::Begun));
+        assert_eq!(begins, step == 2);
+        assert_eq!(engine.made(1), Some(step as u32 + 1));
+    }
+}
+
+#[test]
+fn requests_run_in_order_of_arrival_and_the_last_is_refused() {
+    let mut engine = Engine::new(targets());
+    assert!((1..=3).all(|it| engine.offer(request(it, 0, 1))));
+    assert!(!engine.offer(request(4, 0, 1)));
+    engine.begin_step();
+    let ended = [(1, Progress::Begun), (1, Progress::Ended), (2, Progress::Begun)];
+    assert_eq!(engine.end_step()[..3], ended);
+    engine.begin_step();
+    assert_eq!(engine.end_step(), [(3, Progress::Begun), (3, Progress::Ended)]);
+    assert_eq!(engine.begin_step(), None);
+}
+
+#[test]
+fn a_beginning_is_read_again_only_once_another_has_taken_its_room() {
+    let mut engine = Engine::new(targets());
+    let mut reads = Vec::new();
+    for (attempt, beginning) in [(1, 7), (2, 7), (3, 8), (4, 7)] {
+        engine.offer(Sequence::new(attempt, (beginning, 50), 0, (0, 1)));
+        reads.push(engine.begin_step().unwrap() > STEP_US + STEP_PER_REQUEST_US);
+        engine.end_step();
+    }
+    assert_eq!(reads, [true, false, true, true]);
+}
+
+#[test]
+fn a_request_that_is_cut_leaves_its_place_and_tells_what_it_made() {
+    let mut engine = Engine::new(targets());
+    (1..=3).for_each(|it| assert!(engine.offer(request(it, 0, 9))));
+    engine.begin_step();
+    engine.end_step();
+    assert_eq!(engine.drop_attempt(1), Some(1));
+    engine.begin_step();
+    assert!(engine.end_step().contains(&(3, Progress::Begun)));
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/tests/emulate/scenario.rs
@@ -0,0 +1,79 @@
+//! Scenario files: what they may hold, and what is said of what they may not.
+
+use std::path::Path;
+
+use samphiredoor_standin::emulate::{
+    mechanism::Mechanism,
+    scenario::{ItemOrder, Scenario},
+    variants::{Seeds, Variants, Vary},
+};
+
+const EIGHT: &str = include_str!("../../../../examples/emulate/eight_before_twelve.toml");
+
+fn file(name: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/emulate").join(name)
+}
+
+fn problem(change: &str) -> String {
+    let (key, value) = change.split_once(" = ").unwrap();
+    let value: toml::Table = toml::from_str(&format!("value = {value}")).unwrap();
+    let changes = [(key.to_owned(), value["value"].clone())];
+    format!("{:#}", Scenario::parse(EIGHT, &changes).unwrap_err())
+}
+
+macro_rules! refused {
+    ($($name:ident: $change:literal => $said:literal,)*) => {$(
+        #[test]
+        fn $name() {
+            let said = problem($change);
+            assert!(said.contains($said), "{said}");
+        }
+    )*};
+}
+
+refused! {
+    refuses_a_field_it_does_not_know: "targets.seats = 8" => "unknown field `seats`",
+    refuses_an_aim_after_the_deadline: "online.0.aim_ms = 9000" => "`online.0.aim_ms` must not be above",
+    refuses_a_late_worth_above_the_worth: "batch.0.worth_late = 6.0" => "`batch.0.worth_late`",
+    refuses_a_span_that_runs_backwards: "batch.0.items = [9, 3]" => "`batch.0.items` must have its least first",
+    refuses_an_answer_without_tokens: "online.0.output_tokens = [0, 3]" => "must be 1 or more",
+    refuses_a_zone_without_a_region: "gateways.zones = [\"west\"]" => "must be written as region/zone",
+    refuses_a_fleet_without_targets: "targets.count = 0" => "`targets.count` must be above 0",
+    refuses_a_fault_at_no_target: "faults.0.what = { targets_down = [12] }" => "there is no number 12 among 12",
+    refuses_a_part_above_one: "network.lost_part = 1.5" => "must be from 0 to 1",
+    refuses_a_step_without_time: "targets.step_ms = 0.0" => "`targets.step_ms` must be above 0",
+    refuses_a_number_that_is_no_list: "online.7.aim_ms = 1" => "no number 7",
+}
+
+#[test]
+fn reads_the_examples() {
+    let names = ["eight_before_twelve", "long_requests", "short_requests"];
+    for name in names.into_iter().chain(["sixty_before_twenty", "six_before_sixty"]) {
+        Scenario::read(&file(&format!("{name}.toml")), &[]).unwrap();
+    }
+}
+
+#[test]
+fn makes_a_variant_for_each_mechanism_and_value() {
+    let vary: Vary = "jobs.order=newest,least_left".parse().unwrap();
+    let without = [Mechanism::Queue];
+    let variants = Variants::read(&file("eight_before_twelve.toml"), &without, &[vary]).unwrap();
+    let labels: Vec<&str> = variants.variants.iter().map(|it| &*it.label).collect();
+    let expected =
+        ["as it is", "without queue", "jobs.order = \"newest\"", "jobs.order = \"least_left\""];
+    assert_eq!(labels, expected);
+    assert_eq!(variants.scenarios[1].jobs.order, ItemOrder::Newest);
+}
+
+#[test]
+fn refuses_a_mechanism_it_does_not_know() {
+    let said = "luck".parse::<Mechanism>().unwrap_err().to_string();
+    assert!(said.contains("`luck` is no mechanism; there are recalls, "), "{said}");
+}
+
+#[test]
+fn refuses_seeds_that_are_none() {
+    assert_eq!("3..5".parse::<Seeds>().unwrap(), Seeds(3..5));
+    assert!("5..5".parse::<Seeds>().unwrap_err().to_string().contains("holds no seed"));
+    assert!("five".parse::<Seeds>().unwrap_err().to_string().contains("A..B"));
+}
--- /dev/null
+++ b/crates/samphiredoor-standin/tests/emulate/world.rs
@@ -0,0 +1,103 @@
+//! Fleets: what callers get, and that each request ends once.
+
+use samphiredoor_standin::emulate::{
+    mechanism::Mechanism,
+    outcome::{Ends, Outcome},
+    scenario::Scenario,
+    traffic,
+    world::World,
+};
+
+const EIGHT: &str = include_str!("../../../../examples/emulate/eight_before_twelve.toml");
+const SIXTY: &str = include_str!("../../../../examples/emulate/sixty_before_twenty.toml");
+const SEEDS: [u64; 3] = [41, 42, 43];
+
+fn scenario(text: &str, changes: &str) -> Scenario {
+    let changes: toml::Table = toml::from_str(changes).unwrap();
+    let changes: Vec<(String, toml::Value)> =
+        changes["set"].as_table().unwrap().clone().into_iter().collect();
+    Scenario::parse(text, &changes).unwrap()
+}
+
+fn short(text: &str) -> Scenario {
+    scenario(text, "set = { duration_s = 12.0 }")
+}
+
+fn play(scenario: &Scenario, without: &[Mechanism], seed: u64) -> Outcome {
+    let requests = traffic::draw(scenario, seed);
+    let outcome = World::new(scenario, without, &requests, seed).run();
+    assert_eq!(outcome.online.all + outcome.items.all, requests.len() as u64);
+    for Ends { all, in_aim, late, refused, lost, left } in [outcome.online, outcome.items] {
+        assert_eq!(all, in_aim + late + refused + lost + left);
+    }
+    outcome
+}
+
+fn worth(scenario: &Scenario, without: &[Mechanism]) -> f64 {
+    SEEDS.map(|it| play(scenario, without, it).worth()).iter().sum::<f64>() / SEEDS.len() as f64
+}
+
+#[test]
+fn the_same_seed_gives_the_same_outcome() {
+    for text in [EIGHT, SIXTY] {
+        let scenario = short(text);
+        let seen = [7, 7, 8].map(|it| format!("{:?}", play(&scenario, &[], it)));
+        assert_eq!(seen[0], seen[1]);
+        assert_ne!(seen[0], seen[2]);
+    }
+}
+
+#[test]
+fn nothing_is_refused_or_late_where_places_abound() {
+    let changes = "set = { duration_s = 8.0, faults = [], 'online.0.rate_per_s' = 20.0, \
+                   'batch.0.rush_jobs' = 0, 'batch.0.jobs_per_s' = 0.2 }";
+    let outcome = play(&scenario(EIGHT, changes), &[], 5);
+    assert_eq!(outcome.online.in_aim, outcome.online.all);
+    assert_eq!(outcome.items.in_aim, outcome.items.all);
+    assert_eq!(outcome.rejected, 0);
+}
+
+#[test]
+fn items_outlive_killed_targets_and_gateways() {
+    let changes = "set = { duration_s = 4.0, online = [], 'batch.0.rush_at_s' = 0.5, faults = [\
+                   { at_s = 1.0, lasts_s = 3.0, what = { targets_down = [0, 1, 2, 3] } }, \
+                   { at_s = 1.5, lasts_s = 3.0, what = { gateways_down = [0, 1, 2, 3, 4, 5, 6, 7] } }] }";
+    let outcome = play(&scenario(EIGHT, changes), &[], 5);
+    assert!(outcome.items.all > 60);
+    assert_eq!(outcome.items.in_aim + outcome.items.late, outcome.items.all);
+}
+
+#[test]
+fn streams_of_killed_targets_and_gateways_are_lost_and_others_served() {
+    let changes = "set = { duration_s = 6.0, batch = [], faults = [\
+                   { at_s = 2.0, lasts_s = 2.0, what = { targets_down = [0] } }, \
+                   { at_s = 2.0, lasts_s = 2.0, what = { gateways_down = [7] } }] }";
+    let Outcome { online, .. } = play(&scenario(EIGHT, changes), &[], 5);
+    assert!(online.lost > 0 && online.lost < online.all / 20, "{online:?}");
+    assert!(online.in_aim > online.all * 8 / 10, "{online:?}");
+}
+
+#[test]
+fn a_fleet_without_recalls_earns_less() {
+    let scenario = short(EIGHT);
+    let (with, without) = (worth(&scenario, &[]), worth(&scenario, &[Mechanism::Recalls]));
+    assert!(with > without + 0.05, "{with} with, {without} without");
+}
+
+#[test]
+fn late_messages_cost_worth_in_bursts() {
+    let changes = "set = { duration_s = 12.0, faults = \
+                   [{ at_s = 0.0, lasts_s = 12.0, what = { messages_late_ms = 800.0 } }] }";
+    let late = worth(&scenario(EIGHT, changes), &[]);
+    let usual = worth(&scenario(EIGHT, "set = { duration_s = 12.0, faults = [] }"), &[]);
+    assert!(late < usual - 0.01, "{late} with late messages, {usual} without");
+}
+
+#[test]
+fn cells_tell_each_other_less_than_every_gateway_would() {
+    let scenario = short(SIXTY);
+    let outcome = play(&scenario, &[], 5);
+    let gateways = scenario.gateways.count as f64;
+    assert!(outcome.messages_per_gateway_s > 1.0);
+    assert!(outcome.messages_per_gateway_s < 10.0 * gateways);
+}
