Margins of a placement that a tool can set; two mechanisms more in the emulator

Whether one place kept free for online requests and waiting at a target beyond its places are worth anything could not be asked: both are constants of the placement, and nothing at its edge switches them off. `Placement::with_margins` sets them; no shipped code calls it, and without it the placement decides as before. `--without` takes several mechanisms joined by +, as the queue and waiting at a target stand in for each other.

--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -98,6 +98,21 @@
     Waiting,
 }
 
+/// What placing keeps back at a target, and gives beyond its places. Tools that compare variants set it.
+#[derive(Debug, Clone, Copy)]
+pub struct Margins {
+    /// Requests that may wait at a target beyond its places.
+    pub waiting_at_target: u32,
+    /// Places of a target that items of jobs leave free.
+    pub free_for_online: u32,
+}
+
+impl Default for Margins {
+    fn default() -> Margins {
+        Margins { waiting_at_target: WAITING_AT_TARGET, free_for_online: FREE_FOR_ONLINE }
+    }
+}
+
 /// Counts since the start.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counters {
@@ -121,6 +136,7 @@
     counters: Counters,
     changed: bool,
     needs_others: bool,
+    margins: Margins,
     rng: SmallRng,
 }
 
@@ -138,10 +154,16 @@
             counters: Counters::default(),
             changed: false,
             needs_others: false,
+            margins: Margins::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// The same with other margins.
+    pub fn with_margins(self, margins: Margins) -> Placement {
+        Placement { margins, ..self }
+    }
+
     /// Takes one event; appends what to do to `out`.
     pub fn handle(&mut self, now_ms: u64, input: Input, out: &mut Vec<Action>) {
         match input {
@@ -358,7 +380,8 @@
             let (own, all) = (target.own(), target.load());
             demand.running += own.batch;
             demand.others += all.batch.saturating_sub(own.batch);
-            demand.places += target.entry.slots.saturating_sub(kept_free(target) + all.online);
+            demand.places +=
+                target.entry.slots.saturating_sub(kept_free(self.margins, target) + all.online);
         }
         demand.more()
     }
@@ -410,7 +433,7 @@
             .usable(now_ms, ask)
             .filter(|(_, it)| !it.health.is_full(now_ms))
             .filter_map(|(key, it)| {
-                let (room, load) = online_room(now_ms, it)?;
+                let (room, load) = online_room(self.margins, now_ms, it)?;
                 Some(((room, it.distance()), load, key))
             })
             .collect();
@@ -426,7 +449,7 @@
             .filter(|(_, it)| !it.health.is_full(now_ms))
             .filter_map(|(key, it)| {
                 let total = it.total(now_ms);
-                let kept = kept_free(it);
+                let kept = kept_free(self.margins, it);
                 let is_free = total + kept < it.entry.slots.max(kept + 1);
                 is_free.then_some((it.distance(), total, key))
             })
@@ -473,12 +496,12 @@
 }
 
 /// Places of a target that items leave free.
-fn kept_free(target: &Target) -> u32 {
-    if target.is_own { FREE_FOR_ONLINE } else { FREE_FOR_OTHER_CELL }
+fn kept_free(margins: Margins, target: &Target) -> u32 {
+    if target.is_own { margins.free_for_online } else { FREE_FOR_OTHER_CELL }
 }
 
 /// Room for one more online request, and the load that decides among equals.
-fn online_room(now_ms: u64, target: &Target) -> Option<(Room, u32)> {
+fn online_room(margins: Margins, now_ms: u64, target: &Target) -> Option<(Room, u32)> {
     let slots = target.entry.slots;
     let total = target.total(now_ms);
     let load = target.load();
@@ -487,7 +510,7 @@
         Some((Room::Free, total))
     } else if load.batch > 0 && load.online < slots {
         Some((Room::Recallable, load.online))
-    } else if total < slots + WAITING_AT_TARGET {
+    } else if total < slots + margins.waiting_at_target {
         Some((Room::Waiting, total))
     } else {
         None
--- a/crates/samphiredoor-standin/src/emulate/command.rs
+++ b/crates/samphiredoor-standin/src/emulate/command.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 
 use super::{
-    mechanism::Mechanism,
+    mechanism::Without,
     plot, report,
     variants::{self, Seeds, Variants, Vary},
 };
@@ -19,9 +19,9 @@
     /// Seeds to play, from A up to and without B
     #[bpaf(argument("A..B"), fallback(Seeds(1..21)))]
     seeds: Seeds,
-    /// A variant without a mechanism; may be given several times
+    /// A variant without a mechanism, or without some, joined by +; may be given several times
     #[bpaf(argument("MECHANISM"))]
-    without: Vec<Mechanism>,
+    without: Vec<Without>,
     /// Variants with other values of a field; may be given several times
     #[bpaf(argument("KEY=V1,V2"))]
     vary: Vec<Vary>,
--- a/crates/samphiredoor-standin/src/emulate/mechanism.rs
+++ b/crates/samphiredoor-standin/src/emulate/mechanism.rs
@@ -1,6 +1,7 @@
 //! Mechanisms of the decision that a run can do without.
 //!
-//! Each is switched off at the placement's edge: by what goes into it, or by what is done with what comes out.
+//! Most are switched off at the placement's edge: by what goes into it, or by what is done with what comes out. Two are
+//! margins of the placement.
 
 use std::{fmt, str::FromStr};
 
@@ -29,11 +30,15 @@
     Shares,
     /// The output of unfinished items is kept.
     KeptOutput,
+    /// Items leave a place of each target free for online requests.
+    FreePlace,
+    /// Online requests wait at targets beyond their places.
+    WaitingAtTarget,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Mechanism; 10] = [
+    pub const ALL: [Mechanism; 12] = [
         Mechanism::Recalls,
         Mechanism::NearestFirst,
         Mechanism::Affinity,
@@ -44,6 +49,8 @@
         Mechanism::ReportedLoad,
         Mechanism::Shares,
         Mechanism::KeptOutput,
+        Mechanism::FreePlace,
+        Mechanism::WaitingAtTarget,
     ];
 
     /// Name on the command line.
@@ -59,6 +66,8 @@
             Mechanism::ReportedLoad => "reported-load",
             Mechanism::Shares => "shares",
             Mechanism::KeptOutput => "kept-output",
+            Mechanism::FreePlace => "free-place",
+            Mechanism::WaitingAtTarget => "waiting-at-target",
         }
     }
 }
@@ -75,8 +84,21 @@
     }
 }
 
-impl fmt::Display for Mechanism {
+/// Mechanisms that one variant does without.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Without(pub Vec<Mechanism>);
+
+impl FromStr for Without {
+    type Err = anyhow::Error;
+
+    fn from_str(names: &str) -> anyhow::Result<Without> {
+        names.split('+').map(str::parse).collect::<Result<_, _>>().map(Without)
+    }
+}
+
+impl fmt::Display for Without {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
+        let names: Vec<&str> = self.0.iter().map(|it| it.name()).collect();
+        f.write_str(&names.join("+"))
     }
 }
--- a/crates/samphiredoor-standin/src/emulate/plot.rs
+++ b/crates/samphiredoor-standin/src/emulate/plot.rs
@@ -9,7 +9,7 @@
 };
 
 const HEIGHT: u32 = 420;
-const WIDTH_EACH: u32 = 110;
+const WIDTH_EACH: u32 = 200;
 const MARGINS: u32 = 120;
 /// Part of a variant's width over which its dots are spread.
 const DOTS: f64 = 0.5;
--- a/crates/samphiredoor-standin/src/emulate/variants.rs
+++ b/crates/samphiredoor-standin/src/emulate/variants.rs
@@ -13,7 +13,12 @@
 use anyhow::Context;
 
 use super::{
-    bound::bound, mechanism::Mechanism, outcome::Outcome, scenario::Scenario, traffic, world::World,
+    bound::bound,
+    mechanism::{Mechanism, Without},
+    outcome::Outcome,
+    scenario::Scenario,
+    traffic,
+    world::World,
 };
 
 /// Seeds from one up to, and without, another.
@@ -76,13 +81,13 @@
 }
 
 impl Variants {
-    /// The scenario of a file as it is, without each of some mechanisms, and with each of some values.
-    pub fn read(file: &Path, without: &[Mechanism], vary: &[Vary]) -> anyhow::Result<Variants> {
+    /// The scenario of a file as it is, without some mechanisms, and with each of some values.
+    pub fn read(file: &Path, without: &[Without], vary: &[Vary]) -> anyhow::Result<Variants> {
         let mut scenarios = vec![Scenario::read(file, &[])?];
         let variant = |label: String, scenario, without| Variant { label, scenario, without };
         let mut variants = vec![variant("as it is".to_owned(), 0, Vec::new())];
-        for mechanism in without {
-            variants.push(variant(format!("without {mechanism}"), 0, vec![*mechanism]));
+        for without in without {
+            variants.push(variant(format!("without {without}"), 0, without.0.clone()));
         }
         for Vary { key, values } in vary {
             for value in values {
--- a/crates/samphiredoor-standin/src/emulate/world/gateways.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/gateways.rs
@@ -5,7 +5,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Place,
-    placement::{CellId, Cells, DoorState, Input, Placement, TargetEntry, key_of},
+    placement::{CellId, Cells, DoorState, Input, Margins, Placement, TargetEntry, key_of},
 };
 
 use super::{
@@ -89,12 +89,14 @@
 impl World<'_> {
     pub(super) fn start_gateway(&mut self, number: usize) {
         let seed = rand::Rng::random(&mut self.rng);
+        let margins = self.margins();
         let gateway = &mut self.gateways[number];
         let (name, place) = (Name::clone(&gateway.name), gateway.place.clone());
         let before = std::mem::replace(gateway, Gateway::new(Name::clone(&name), place.clone()));
         gateway.down = before.down;
         gateway.start = before.start;
-        gateway.placement = Placement::new(Name::clone(&name), place, seed);
+        let placement = Placement::new(Name::clone(&name), place, seed);
+        gateway.placement = placement.with_margins(margins);
         let start = gateway.start;
         let entries = self.entries(number);
         self.input(number, Input::Targets(entries));
@@ -113,6 +115,17 @@
         }
     }
 
+    fn margins(&self) -> Margins {
+        let mut margins = Margins::default();
+        if !self.has(Mechanism::FreePlace) {
+            margins.free_for_online = 0;
+        }
+        if !self.has(Mechanism::WaitingAtTarget) {
+            margins.waiting_at_target = 0;
+        }
+        margins
+    }
+
     /// Targets as discovery tells them to a gateway.
     pub(super) fn entries(&self, number: usize) -> Vec<TargetEntry> {
         let slots = self.scenario.targets.slots;
--- a/crates/samphiredoor-standin/tests/emulate/scenario.rs
+++ b/crates/samphiredoor-standin/tests/emulate/scenario.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use samphiredoor_standin::emulate::{
-    mechanism::Mechanism,
+    mechanism::{Mechanism, Without},
     scenario::{ItemOrder, Scenario},
     variants::{Seeds, Variants, Vary},
 };
@@ -56,11 +56,17 @@
 #[test]
 fn makes_a_variant_for_each_mechanism_and_value() {
     let vary: Vary = "jobs.order=newest,least_left".parse().unwrap();
-    let without = [Mechanism::Queue];
+    let without: [Without; 2] = ["queue", "queue+recalls"].map(|it| it.parse().unwrap());
     let variants = Variants::read(&file("eight_before_twelve.toml"), &without, &[vary]).unwrap();
     let labels: Vec<&str> = variants.variants.iter().map(|it| &*it.label).collect();
-    let expected =
-        ["as it is", "without queue", "jobs.order = \"newest\"", "jobs.order = \"least_left\""];
+    assert_eq!(variants.variants[2].without, [Mechanism::Queue, Mechanism::Recalls]);
+    let expected = [
+        "as it is",
+        "without queue",
+        "without queue+recalls",
+        "jobs.order = \"newest\"",
+        "jobs.order = \"least_left\"",
+    ];
     assert_eq!(labels, expected);
     assert_eq!(variants.scenarios[1].jobs.order, ItemOrder::Newest);
 }
--- a/crates/samphiredoor-standin/tests/emulate/world.rs
+++ b/crates/samphiredoor-standin/tests/emulate/world.rs
@@ -19,8 +19,8 @@
     Scenario::parse(text, &changes).unwrap()
 }
 
-fn short(text: &str) -> Scenario {
-    scenario(text, "set = { duration_s = 12.0 }")
+fn busy() -> Scenario {
+    scenario(EIGHT, "set = { duration_s = 12.0 }")
 }
 
 fn play(scenario: &Scenario, without: &[Mechanism], seed: u64) -> Outcome {
@@ -40,7 +40,7 @@
 #[test]
 fn the_same_seed_gives_the_same_outcome() {
     for text in [EIGHT, SIXTY] {
-        let scenario = short(text);
+        let scenario = scenario(text, "set = { duration_s = 5.0 }");
         let seen = [7, 7, 8].map(|it| format!("{:?}", play(&scenario, &[], it)));
         assert_eq!(seen[0], seen[1]);
         assert_ne!(seen[0], seen[2]);
@@ -102,11 +102,31 @@
 
 #[test]
 fn a_fleet_without_recalls_earns_less() {
-    let scenario = short(EIGHT);
+    let scenario = busy();
     let (with, without) = (worth(&scenario, &[]), worth(&scenario, &[Mechanism::Recalls]));
     assert!(with > without + 0.05, "{with} with, {without} without");
 }
 
+#[test]
+fn a_fleet_that_keeps_no_place_free_cuts_more_items() {
+    let scenario = busy();
+    let cut = |without: &[Mechanism]| {
+        SEEDS.map(|it| play(&scenario, without, it).cut).iter().sum::<u64>()
+    };
+    let (with, without) = (cut(&[]), cut(&[Mechanism::FreePlace]));
+    assert!(2 * without > 3 * with, "{with} with, {without} without");
+}
+
+#[test]
+fn a_fleet_that_lets_nobody_wait_at_targets_refuses_more() {
+    let scenario = busy();
+    let refused = |without: &[Mechanism]| {
+        SEEDS.map(|it| play(&scenario, without, it).online.refused).iter().sum::<u64>()
+    };
+    let (with, without) = (refused(&[]), refused(&[Mechanism::WaitingAtTarget]));
+    assert!(without > with, "{with} with, {without} without");
+}
+
 #[test]
 fn late_messages_cost_worth_in_bursts() {
     let changes = "set = { duration_s = 12.0, faults = \
@@ -118,7 +138,7 @@
 
 #[test]
 fn cells_tell_each_other_less_than_every_gateway_would() {
-    let scenario = short(SIXTY);
+    let scenario = scenario(SIXTY, "set = { duration_s = 5.0 }");
     let outcome = play(&scenario, &[], 5);
     let gateways = scenario.gateways.count as f64;
     assert!(outcome.messages_per_gateway_s > 1.0);
