--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -76,6 +76,7 @@
                 calls::run(Calls { address, path, connections, rate_per_s, duration }).await
             }
             Opts::Soak { .. } => unreachable!("soaks run on threads of their own"),
+            Opts::Emulate(emulate) => emulate.run(),
             Opts::Table { step_ms, step_per_sequence_ms, engines, loan_limit, file } => {
                 table::print(&file, Bound { step_ms, step_per_sequence_ms, engines, loan_limit })
             }
