Take times to recover from single faults in the soak

--drills kills the owner of a job and takes the store away from a fleet at rest, and prints the distributions beside those that each run gives: gateways serving after the last fault, a configuration in force.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -120,6 +120,8 @@
         plan: Option<PathBuf>,
         /// Leave out faults for as long as the same promise breaks
         shrink: bool,
+        /// Take times to recover from single faults, too
+        drills: bool,
         /// The `samphiredoor` program
         #[bpaf(positional("PROGRAM"))]
         binary: PathBuf,
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -21,8 +21,10 @@
 
 /// Runs what was asked for.
 pub fn run(opts: Opts) -> anyhow::Result<()> {
-    if let Opts::Soak { folder, seconds, gateways, seed, seeds, plan, shrink, binary } = opts {
-        let options = soak::Options { binary, folder, seconds, gateways };
+    if let Opts::Soak { folder, seconds, gateways, seed, seeds, plan, shrink, drills, binary } =
+        opts
+    {
+        let options = soak::Options { binary, folder, seconds, gateways, drills };
         return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
     }
     compio::runtime::Runtime::new()?.block_on(async {
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -162,7 +162,8 @@
         self.ending.is_empty()
     }
 
-    fn restart_gateway(&mut self, gateway: usize) {
+    /// Starts a gateway anew whose process has ended.
+    pub fn restart_gateway(&mut self, gateway: usize) {
         self.ending.retain(|(it, _)| *it != gateway);
         self.platform.restart_gateway(gateway);
         self.tell_addresses();
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod clients;
 mod connection;
+mod drills;
 mod injector;
 mod plan;
 mod report;
@@ -56,6 +57,8 @@
     pub seconds: u64,
     /// Gateway processes.
     pub gateways: usize,
+    /// Whether times to recover from single faults are taken, too.
+    pub drills: bool,
 }
 
 impl Options {
@@ -84,8 +87,7 @@
         }
     }
     println!("{kept} seeds kept every promise, broken: {broken:?}");
-    println!("served again after the last fault: {}", recovery.served_ms);
-    println!("configuration in force at all gateways: {}", recovery.in_force_ms);
+    recovery.print();
     anyhow::ensure!(broken.is_empty(), "promises were broken by seeds {broken:?}");
     Ok(())
 }
@@ -140,7 +142,7 @@
     plan.write(&folder.join("plan.jsonl"))?;
     let shared = Shared::new(&folder.join("trace.jsonl"))?;
     let mut injector = Injector::start(&shared, &options.binary, options.sizes());
-    run(&shared, &mut injector, plan, seed, recovery);
+    run(&shared, &mut injector, plan, seed, options.drills, recovery);
     shared.flush();
     anyhow::ensure!(!trace::is_interrupted(), "told to end");
     let breach = shared.checks().breach().cloned();
@@ -161,6 +163,7 @@
     injector: &mut Injector<'_>,
     plan: &Plan,
     seed: u64,
+    drills: bool,
     recovery: &mut Recovery,
 ) {
     let gateways = injector.sizes.gateways;
@@ -184,6 +187,9 @@
         wait(shared, injector, Instant::now() + CALM);
         settle
     });
+    if drills && !shared.is_over() {
+        drills::measure(&settle, injector, recovery);
+    }
     settle.jobs_stand();
     let runs = injector.runs();
     shared.checks().check_runs(&runs);
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -19,6 +19,26 @@
     pub served_ms: Times,
     /// From the acknowledgement of a configuration until all gateways served its new route.
     pub in_force_ms: Times,
+    /// From the return of the store to a new job that was accepted.
+    pub accepted_ms: Times,
+    /// From the kill of a job's owner to the next of its items that began to run.
+    pub items_ms: Times,
+}
+
+impl Recovery {
+    /// Prints all times that were taken.
+    pub fn print(&self) {
+        for (what, times) in [
+            ("gateway serves after the last fault", &self.served_ms),
+            ("configuration in force at all gateways", &self.in_force_ms),
+            ("job accepted after the store's return", &self.accepted_ms),
+            ("items run after the kill of their owner", &self.items_ms),
+        ] {
+            if !times.0.is_empty() {
+                println!("{what}: {times}");
+            }
+        }
+    }
 }
 
 /// Distribution of times.
--- a/crates/samphiredoor-standin/src/soak/settle.rs
+++ b/crates/samphiredoor-standin/src/soak/settle.rs
@@ -15,6 +15,7 @@
     report::Times,
     trace::Shared,
 };
+use crate::fleet::submission;
 
 /// Time from the last fault within which each gateway serves again.
 const SERVED_WITHIN: Duration = Duration::from_secs(12);
@@ -28,7 +29,8 @@
 /// A fleet at rest.
 pub struct Settle<'a> {
     shared: &'a Shared,
-    gateways: usize,
+    /// Number of gateways.
+    pub gateways: usize,
     began: Instant,
 }
 
@@ -42,9 +44,7 @@
     pub fn served_again(&self, times: &mut Times) {
         for gateway in 0..self.gateways {
             let id = format!("settle-{gateway}");
-            self.shared.checks().sending(&id, true);
-            let serves = || self.send(gateway, "/safe/ask", &id).status == 200;
-            if !self.comes(self.began + SERVED_WITHIN, serves) {
+            if !self.comes(self.began + SERVED_WITHIN, || self.sends(gateway, &id)) {
                 let seen = format!("gateway {gateway} does not serve");
                 return self.broke(Promise::ServedAgain, &id, seen);
             }
@@ -110,7 +110,23 @@
         }
     }
 
-    fn comes(&self, until: Instant, mut condition: impl FnMut() -> bool) -> bool {
+    /// Submits a job; says whether it is accepted.
+    pub fn submits(&self, gateway: usize, job: &str, items: &[String]) -> bool {
+        self.shared.checks().submitting(job, items);
+        let headers = [("X-Request-Id", job)];
+        let reply = self.call(gateway, "POST", "/batch/submit", &headers, &submission(items));
+        self.shared.checks().submitted(job, &reply);
+        reply.status == 202
+    }
+
+    /// Sends a request that may be repeated; says whether it is served.
+    pub fn sends(&self, gateway: usize, id: &str) -> bool {
+        self.shared.checks().sending(id, true);
+        self.send(gateway, "/safe/ask", id).status == 200
+    }
+
+    /// Waits for something until then; says whether it came.
+    pub fn comes(&self, until: Instant, mut condition: impl FnMut() -> bool) -> bool {
         while Instant::now() < until && !self.shared.is_over() {
             if condition() {
                 return true;
@@ -122,16 +138,23 @@
 
     fn send(&self, gateway: usize, path: &str, id: &str) -> Reply {
         let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
-        self.call(gateway, "POST", path, &headers)
+        self.call(gateway, "POST", path, &headers, "")
     }
 
     fn read(&self, gateway: usize, job: &str, after: usize) -> Reply {
         let path = format!("/samphiredoor/lots/{job}?after={after}");
-        self.call(gateway, "GET", &path, &[("X-Wait-Ms", "100")])
+        self.call(gateway, "GET", &path, &[("X-Wait-Ms", "100")], "")
     }
 
-    fn call(&self, gateway: usize, method: &str, path: &str, headers: &[(&str, &str)]) -> Reply {
-        let request = Request { method, path, headers, body: "", limit: CALL_LIMIT };
+    fn call(
+        &self,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let request = Request { method, path, headers, body, limit: CALL_LIMIT };
         let reply = call(self.shared.gateway(gateway), &request);
         let told = json!({ "gateway": gateway, "path": path, "status": reply.status });
         self.shared.trace("settle", told);
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -342,6 +342,7 @@
         folder: folder.clone(),
         seconds: 20,
         gateways: GATEWAYS,
+        drills: false,
     };
     soak::play_seeds(&options, 1..3).expect("every promise holds");
     std::fs::remove_dir_all(folder).expect("the traces are removed");
