Have the soak's plans hold more, and some long faults

A quarter of the faults now last 4 to 8 s, faults begin until the end, and targets misbehave more often.

--- a/crates/samphiredoor-standin/src/soak/plan.rs
+++ b/crates/samphiredoor-standin/src/soak/plan.rs
@@ -14,9 +14,11 @@
 const GAP_MS: std::ops::Range<u64> = 20..500;
 /// Calm between two series, long enough for checks that hold while no fault is on.
 const CALM_MS: std::ops::Range<u64> = 4_000..6_000;
-const SHORTEST_MS: u64 = 100;
-/// Longest fault; a gateway that is silent for some seconds loses its jobs to others.
-const LONGEST_MS: u64 = 6_000;
+const SHORT_MS: std::ops::Range<u64> = 100..2_500;
+/// Lengths after which a gateway that is silent has lost its jobs to others.
+const LONG_MS: std::ops::Range<u64> = 4_000..8_000;
+/// Chance that a fault is a long one.
+const IS_LONG: f64 = 0.25;
 /// Chance that a series ends after a fault.
 const SERIES_ENDS: f64 = 0.1;
 
@@ -113,8 +115,11 @@
     pub fn of_seed(seed: u64, seconds: u64, sizes: Sizes) -> Plan {
         let mut rng = SmallRng::seed_from_u64(seed);
         let (mut at_ms, mut steps) = (FIRST_MS, Vec::new());
-        while at_ms + LONGEST_MS < seconds * 1_000 {
-            let (fault, for_ms) = (any_fault(&mut rng, sizes), any_length(&mut rng));
+        let end_ms = seconds * 1_000;
+        while at_ms + SHORT_MS.start < end_ms {
+            let lengths = if rng.random_bool(IS_LONG) { LONG_MS } else { SHORT_MS };
+            let for_ms = rng.random_range(lengths).min(end_ms - at_ms);
+            let fault = any_fault(&mut rng, sizes);
             steps.push(Step { at_ms, for_ms, fault });
             let series_ends = rng.random_bool(SERIES_ENDS);
             at_ms += rng.random_range(if series_ends { CALM_MS } else { GAP_MS });
@@ -155,28 +160,22 @@
     }
 }
 
-/// Length of a fault, more often short than long.
-fn any_length(rng: &mut SmallRng) -> u64 {
-    let longest = rng.random_range(SHORTEST_MS + 1..LONGEST_MS);
-    rng.random_range(SHORTEST_MS..longest)
-}
-
 fn any_fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
     let gateway = rng.random_range(0..sizes.gateways);
     let target = rng.random_range(0..sizes.targets);
-    match rng.random_range(0..22) {
-        0 | 1 => Fault::PauseGateway(gateway),
-        2 | 3 => Fault::KillGateway(gateway),
-        4 => Fault::StopGateway(gateway),
-        5 => Fault::PauseStorage,
-        6 => Fault::KillStorage,
-        7..=9 => Fault::GatewayLink(gateway, any_link_trouble(rng)),
-        10 | 11 => Fault::TargetLink(target, any_link_trouble(rng)),
-        12 | 13 | 20 => Fault::Store(any_store_fault(rng)),
-        14 => Fault::StoreTowards(gateway, any_store_fault(rng)),
-        15 => Fault::ForgetHistory,
-        16..=18 => Fault::Target(target, any_target_fault(rng), rng.random_range(1..20)),
-        19 => Fault::ReplaceTarget(target),
+    match rng.random_range(0..24) {
+        0..=2 => Fault::PauseGateway(gateway),
+        3..=5 => Fault::KillGateway(gateway),
+        6 => Fault::StopGateway(gateway),
+        7 => Fault::PauseStorage,
+        8 => Fault::KillStorage,
+        9..=11 => Fault::GatewayLink(gateway, any_link_trouble(rng)),
+        12 | 13 => Fault::TargetLink(target, any_link_trouble(rng)),
+        14 | 15 => Fault::Store(any_store_fault(rng)),
+        16 => Fault::StoreTowards(gateway, any_store_fault(rng)),
+        17 => Fault::ForgetHistory,
+        18..=21 => Fault::Target(target, any_target_fault(rng), rng.random_range(1..20)),
+        22 => Fault::ReplaceTarget(target),
         _ => Fault::ChangeRoutes,
     }
 }
