--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -170,6 +170,11 @@
             whole(stream, "421 Misdirected Request", id, "", "")?;
             return Ok(true);
         }
+        if id.is_empty() {
+            // Refused as not run, as by every replica; a call to a process that had this port before may be such a one.
+            whole(stream, "400 Bad Request", id, "X-Not-Run: 1\r\n", "")?;
+            return Ok(true);
+        }
         let fault = self.next_fault();
         if fault == TargetFault::Full {
             whole(stream, "503 Service Unavailable", id, "X-Not-Run: 1\r\n", "")?;
