--- a/crates/samphiredoor-standin/src/emulate/check.rs
+++ b/crates/samphiredoor-standin/src/emulate/check.rs
@@ -1,4 +1,4 @@
-//! What a scenario's values have to be, beside of the right type.
+//! What a scenario's values have to be, besides being of the right type.
 
 use anyhow::ensure;
 
--- a/crates/samphiredoor-standin/src/emulate/world/gateways.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/gateways.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
+use rand::Rng;
 use samphiredoor_core::{
     Name,
     dispatch::Place,
@@ -88,7 +89,7 @@
 
 impl World<'_> {
     pub(super) fn start_gateway(&mut self, number: usize) {
-        let seed = rand::Rng::random(&mut self.rng);
+        let seed = self.rng.random();
         let margins = self.margins();
         let gateway = &mut self.gateways[number];
         let (name, place) = (Name::clone(&gateway.name), gateway.place.clone());
--- a/crates/samphiredoor-standin/src/emulate/world/targets.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/targets.rs
@@ -6,7 +6,11 @@
     placement::{AttemptEnd, TargetEntry, TargetState},
 };
 
-use super::{Event, SERVICE, World, requests::Attempt, zone};
+use super::{
+    Event, SERVICE, World,
+    requests::{Attempt, Stage},
+    zone,
+};
 use crate::emulate::{
     engine::{Engine, Progress, Sequence},
     scenario,
@@ -75,7 +79,7 @@
             return;
         }
         // It was cut on its way.
-        if run.attempt != attempt || run.stage != super::requests::Stage::Sent(target) {
+        if run.attempt != attempt || run.stage != Stage::Sent(target) {
             return;
         }
         let asked = &self.requests[request];
@@ -137,7 +141,7 @@
             let attempt = Attempt(attempt);
             let request = attempt.request();
             let run = &mut self.runs[request];
-            if run.attempt != attempt || run.stage != super::requests::Stage::Sent(target) {
+            if run.attempt != attempt || run.stage != Stage::Sent(target) {
                 continue;
             }
             if self.requests[request].class == Class::Batch {
--- a/crates/samphiredoor-standin/src/emulate/world/telling.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/telling.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use rand::Rng;
 use samphiredoor_core::{
     Name,
     placement::{CellId, Distance, DoorLoad, DoorState, Input, sum_of, summary_pause_ms},
@@ -202,7 +203,7 @@
         let Some(name) = self.cells.name(cell) else { return };
         let members = self.members(to);
         if !members.is_empty() {
-            let receiver = members[rand::Rng::random_range(&mut self.rng, 0..members.len())];
+            let receiver = members[self.rng.random_range(0..members.len())];
             self.send(speaker, receiver, name, &sum, true);
         }
     }
