Items that can end in time go before those that cannot

What callers saw: while three times as much batch work arrives as the places can carry, nearly all items are late, though the places are used and a third of the items could be in time.

Cause: items go by due time alone, so from the moment on at which the first one has waited until it is due, each begins when it is too late.

Ruled out: lost work (a run that is cut goes on after its last event), unused places (88 in 100 of the time that online requests leave ends items with 8 doors).

Change: once the first item cannot end in time any more, those that can go first, begun ones before others, and the first one each tenth turn. The run time is learnt from items that ended; an ask says how long earlier runs took.

The model of a fleet in virtual time plays a load that is given, its items go on where they were cut, as in the gateway, and keep their due time.

--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -55,6 +55,8 @@
     pub tried: SmallVec<[Name; 2]>,
     /// Monotonic time: until when an online request may wait for room, or when an item is due.
     pub until_ms: u64,
+    /// How long earlier runs of an item took, after whose last event it goes on.
+    pub ran_ms: u64,
 }
 
 /// How an attempt ended.
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -14,6 +14,7 @@
 
 mod cells;
 mod health;
+mod items;
 mod messages;
 mod queue;
 mod shares;
@@ -35,6 +36,7 @@
     dispatch::{Class, Place, RequestId},
     verdict::Refusal,
 };
+use items::ItemQueue;
 use queue::Queue;
 use shares::Demand;
 use target::Target;
@@ -69,8 +71,12 @@
 #[derive(Debug)]
 struct Running {
     class: Class,
+    service: Name,
     target: u64,
     recalled: bool,
+    began_ms: u64,
+    /// How long earlier runs of the item took.
+    ran_ms: u64,
 }
 
 #[derive(Debug)]
@@ -84,7 +90,7 @@
 #[derive(Debug, Default)]
 struct ServiceQueues {
     online: Queue,
-    batch: Queue,
+    batch: ItemQueue,
 }
 
 /// How well a target would take an online request.
@@ -240,7 +246,7 @@
                 self.changed = true;
             }
             Class::Online => match self.best_online(now_ms, &ask) {
-                Some(key) => self.dispatch(key, &ask, out),
+                Some(key) => self.dispatch(now_ms, key, &ask, out),
                 None if !self.has_usable(now_ms, &ask) => self.refuse_no_target(now_ms, &ask, out),
                 None => self.queues_of(&ask).online.push(ask),
             },
@@ -256,6 +262,10 @@
         if let Some(target) = self.targets.get_mut(&running.target) {
             target.end(now_ms, request, running.class, end);
         }
+        if running.class == Class::Batch && end == AttemptEnd::Answered {
+            let run_ms = running.ran_ms + now_ms.saturating_sub(running.began_ms);
+            self.queues.entry(running.service).or_default().batch.learn(run_ms);
+        }
         self.changed = true;
     }
 
@@ -319,7 +329,7 @@
     fn settle_online(&mut self, now_ms: u64, queue: &mut Queue, out: &mut Vec<Action>) {
         for ask in queue.take_all() {
             if let Some(key) = self.best_online(now_ms, &ask) {
-                self.dispatch(key, &ask, out);
+                self.dispatch(now_ms, key, &ask, out);
             } else if now_ms >= ask.until_ms {
                 self.refuse_full(&ask, out);
             } else {
@@ -333,17 +343,16 @@
         &mut self,
         now_ms: u64,
         service: &Name,
-        queue: &mut Queue,
+        queue: &mut ItemQueue,
         out: &mut Vec<Action>,
     ) {
         let more = self.own_share(now_ms, service, queue.len() as u32);
         for _ in 0..more {
-            let Some(ask) = queue.pop_first() else { return };
-            let Some(key) = self.best_batch(now_ms, &ask) else {
-                queue.push(ask);
-                return;
-            };
-            self.dispatch(key, &ask, out);
+            let Some(next) = queue.next(now_ms) else { return };
+            let Some(key) = self.best_batch(now_ms, next) else { return };
+            let request = next.request;
+            let Some(ask) = queue.take(now_ms, request) else { return };
+            self.dispatch(now_ms, key, &ask, out);
         }
     }
 
@@ -363,10 +372,17 @@
         demand.more()
     }
 
-    fn dispatch(&mut self, key: u64, ask: &Ask, out: &mut Vec<Action>) {
+    fn dispatch(&mut self, now_ms: u64, key: u64, ask: &Ask, out: &mut Vec<Action>) {
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.begin(ask.request, ask.class, false);
-        let running = Running { class: ask.class, target: key, recalled: false };
+        let running = Running {
+            class: ask.class,
+            service: Name::clone(&ask.service),
+            target: key,
+            recalled: false,
+            began_ms: now_ms,
+            ran_ms: ask.ran_ms,
+        };
         self.running.insert(ask.request, running);
         self.counters.dispatched += 1;
         self.changed = true;
--- a/crates/samphiredoor-core/src/placement/queue.rs
+++ b/crates/samphiredoor-core/src/placement/queue.rs
@@ -32,13 +32,6 @@
         }
     }
 
-    /// Takes the most urgent request.
-    pub fn pop_first(&mut self) -> Option<Ask> {
-        let (_, ask) = self.waiting.pop_first()?;
-        self.ranks.remove(&ask.request);
-        Some(ask)
-    }
-
     /// Takes all requests, the most urgent first.
     pub fn take_all(&mut self) -> impl Iterator<Item = Ask> + use<> {
         self.ranks.clear();
--- a/crates/samphiredoor-core/tests/placement/fleet.rs
+++ b/crates/samphiredoor-core/tests/placement/fleet.rs
@@ -19,15 +19,16 @@
 
 const SEED: u64 = 71;
 const STEP_MS: u64 = 5;
-const RUN_MS: u64 = 7_000;
 /// Requests of the first second find doors that know nothing of each other.
 const MEASURED_FROM_MS: u64 = 1_000;
 const ONLINE_MS: u64 = 600;
-const ITEM_MS: u64 = 2_000;
 const ITEMS_A_JOB: usize = 10;
-/// Part of all places that online requests take in the mean, and items.
-const ONLINE_PART: f64 = 0.4;
-const ITEM_PART: f64 = 0.25;
+/// How long after its submission an item is due.
+const DUE_MS: u64 = 18_000;
+/// Part of all places that online requests take in the mean.
+pub const ONLINE_PART: f64 = 0.4;
+/// Fewer items than the places can carry beside online requests.
+const CARRIED: Load = Load { item_part: 0.25, item_ms: 2_000, arrivals_ms: 7_000 };
 /// Bursts: in so much of each period online requests come so many times as often as in the mean, else so many times.
 const BURST_MS: u64 = 1_200;
 const BURST_PERIOD_MS: u64 = 3_000;
@@ -35,15 +36,15 @@
 const ELSE: f64 = 0.4;
 const AIM_MS: u64 = 300;
 /// Part of online requests that has its first piece in the aim, also in bursts.
-const IN_AIM: f64 = 0.95;
+pub const IN_AIM: f64 = 0.95;
 /// Part that may be refused where the places suffice for all.
-const REFUSED: f64 = 0.001;
+pub const REFUSED: f64 = 0.001;
 /// How many more runs may be cut for each item in a large fleet than in one whose doors all hear each other.
 const MORE_CUT: f64 = 0.3;
 /// How many times as much a door may send where there are five times as many.
 const MORE_SENT: f64 = 1.5;
-/// Time of an online request at its target until its first piece.
-const BEGIN_MS: u64 = 40;
+/// Time of a request at its target until its first piece, also where a run goes on that was cut.
+pub const BEGIN_MS: u64 = 40;
 const TELL_MS: u64 = 20;
 const REPEAT_MS: u64 = 500;
 const SPEAKERS: usize = 2;
@@ -57,10 +58,23 @@
     ("cairns", "beaches"),
 ];
 
+/// What arrives, and for how long.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Part of all places that items want in the mean.
+    pub item_part: f64,
+    /// Time that a whole item takes at its target.
+    pub item_ms: u64,
+    /// How long requests and items arrive.
+    pub arrivals_ms: u64,
+}
+
 struct Request {
     door: usize,
     class: Class,
     asked_ms: u64,
+    /// Time that its target still has to work on it; a run goes on where the one before was cut.
+    left_ms: u64,
 }
 
 /// A target that runs so many requests at once, in the order of their arrival.
@@ -88,7 +102,9 @@
     mates: BTreeMap<usize, DoorState>,
 }
 
-struct Fleet {
+pub struct Fleet {
+    seed: u64,
+    load: Load,
     now_ms: u64,
     rng: SmallRng,
     doors: Vec<Door>,
@@ -104,13 +120,17 @@
 
 /// What callers got, and what it took.
 #[derive(Debug, Default)]
-struct Outcome {
-    online: u32,
-    in_aim: u32,
-    refused: u32,
-    refused_with_places: u32,
-    items_done: u32,
-    items_cut: u32,
+pub struct Outcome {
+    pub online: u32,
+    pub in_aim: u32,
+    pub refused: u32,
+    pub refused_with_places: u32,
+    pub items_done: u32,
+    /// Items done in time.
+    pub items_in_time: u32,
+    pub items_cut: u32,
+    /// Time for which online requests did not hold places, summed over all places.
+    pub left_to_items_ms: u64,
     sent: u64,
 }
 
@@ -120,7 +140,7 @@
 }
 
 impl Fleet {
-    fn new(doors: usize, targets: usize) -> Fleet {
+    pub fn new(seed: u64, doors: usize, targets: usize, load: Load) -> Fleet {
         let places = (0..doors).map(|it| (Name::from(format!("door-{it:03}")), zone(it, doors)));
         let places: BTreeMap<Name, Place> = places.collect();
         let targets: Vec<(Name, Place)> =
@@ -128,8 +148,10 @@
         let keys = targets.iter().map(|(name, place)| (key_of(name), place.clone())).collect();
         let cells = Cells::new(&places, &keys);
         let mut fleet = Fleet {
+            seed,
+            load,
             now_ms: 10_000,
-            rng: SmallRng::seed_from_u64(SEED),
+            rng: SmallRng::seed_from_u64(seed),
             doors: Vec::new(),
             cells,
             engines: targets.iter().map(|(it, _)| (Name::clone(it), Engine::default())).collect(),
@@ -147,7 +169,8 @@
     }
 
     fn add_door(&mut self, number: usize, name: Name, place: Place) {
-        let mut placement = Placement::new(Name::clone(&name), place.clone(), SEED + number as u64);
+        let mut placement =
+            Placement::new(Name::clone(&name), place.clone(), self.seed + number as u64);
         let entries = self.targets.iter().map(|(name, place)| entry(name, place.clone()));
         let own = self.cells.of_door(&name).unwrap();
         let mut out = Vec::new();
@@ -165,25 +188,55 @@
         });
     }
 
-    fn run(mut self) -> Outcome {
-        let end_ms = self.now_ms + RUN_MS;
+    /// Plays until nothing arrives any more.
+    pub fn run(&mut self) -> Outcome {
         let measured_from_ms = self.now_ms + MEASURED_FROM_MS;
+        let end_ms = self.now_ms + self.load.arrivals_ms;
         while self.now_ms < end_ms {
-            self.now_ms += STEP_MS;
-            if self.now_ms == measured_from_ms {
+            if self.now_ms + STEP_MS == measured_from_ms {
                 self.outcome = Outcome::default();
             }
-            self.finish();
-            self.deliver();
+            self.step(true);
+            self.outcome.left_to_items_ms += STEP_MS * self.left_to_items();
+        }
+        std::mem::take(&mut self.outcome)
+    }
+
+    /// Plays on without arrivals until all items are done, at most so long; says how many are not.
+    pub fn drain(&mut self, most_ms: u64) -> usize {
+        let end_ms = self.now_ms + most_ms;
+        while self.now_ms < end_ms && self.open_items() > 0 {
+            self.step(false);
+        }
+        self.open_items()
+    }
+
+    /// Items that are not done.
+    pub fn open_items(&self) -> usize {
+        self.requests.values().filter(|it| it.class == Class::Batch).count()
+    }
+
+    fn step(&mut self, arrivals: bool) {
+        self.now_ms += STEP_MS;
+        self.finish();
+        self.deliver();
+        if arrivals {
             self.arrive();
-            self.tell();
-            self.summarise(Distance::Region);
-            self.summarise(Distance::Far);
         }
-        self.outcome
+        self.tell();
+        self.summarise(Distance::Region);
+        self.summarise(Distance::Far);
     }
 
-    fn places(&self) -> f64 {
+    /// Places that online requests do not hold.
+    fn left_to_items(&self) -> u64 {
+        let running = self.engines.values().flat_map(|it| &it.running);
+        let online = running.filter(|(it, _)| self.requests[it].class == Class::Online).count();
+        u64::from(SLOTS) * self.targets.len() as u64 - online as u64
+    }
+
+    /// Number of all places.
+    pub fn places(&self) -> f64 {
         f64::from(SLOTS) * self.targets.len() as f64
     }
 
@@ -202,7 +255,8 @@
             self.outcome.online += 1;
             self.ask(door, Class::Online);
         }
-        let items = places * ITEM_PART * STEP_MS as f64 / ITEM_MS as f64;
+        let Load { item_part, item_ms, .. } = self.load;
+        let items = places * item_part * STEP_MS as f64 / item_ms as f64;
         for _ in 0..self.chance(items / ITEMS_A_JOB as f64) {
             let door = self.rng.random_range(0..self.doors.len());
             for _ in 0..ITEMS_A_JOB {
@@ -214,13 +268,15 @@
     fn ask(&mut self, door: usize, class: Class) {
         let request = RequestId(self.next);
         self.next += 1;
-        self.requests.insert(request, Request { door, class, asked_ms: self.now_ms });
+        let left_ms = if class == Class::Online { ONLINE_MS } else { self.load.item_ms };
+        self.requests.insert(request, Request { door, class, asked_ms: self.now_ms, left_ms });
         self.ask_again(request);
     }
 
     fn ask_again(&mut self, request: RequestId) {
-        let Request { door, class, .. } = self.requests[&request];
-        let patience_ms = if class == Class::Online { AIM_MS / 5 } else { 18_000 };
+        let Request { door, class, asked_ms, left_ms } = self.requests[&request];
+        let whole_ms = if class == Class::Online { ONLINE_MS } else { self.load.item_ms };
+        let patience_ms = if class == Class::Online { AIM_MS / 5 } else { DUE_MS };
         let ask = Ask {
             request,
             class,
@@ -228,7 +284,8 @@
             priority: 0,
             affinity: 0,
             tried: SmallVec::new(),
-            until_ms: self.now_ms + patience_ms,
+            until_ms: asked_ms + patience_ms,
+            ran_ms: whole_ms - left_ms,
         };
         self.input(door, Input::Ask(ask));
     }
@@ -251,7 +308,11 @@
             Action::Recall { request } => {
                 let Some(target) = self.at.remove(&request) else { return };
                 let engine = self.engines.get_mut(&target).unwrap();
-                engine.running.retain(|(it, _)| *it != request);
+                if let Some(at) = engine.running.iter().position(|(it, _)| *it == request) {
+                    let (_, until_ms) = engine.running.swap_remove(at);
+                    let asked = self.requests.get_mut(&request).unwrap();
+                    asked.left_ms = asked.left_ms.min(until_ms - self.now_ms);
+                }
                 engine.queue.retain(|it| *it != request);
                 self.outcome.items_cut += 1;
                 self.admit(&target);
@@ -273,10 +334,7 @@
             && let Some(request) = engine.queue.pop_front()
         {
             let asked = &self.requests[&request];
-            let lasts_ms = match asked.class {
-                Class::Online => ONLINE_MS,
-                Class::Batch => ITEM_MS,
-            };
+            let lasts_ms = asked.left_ms + if asked.class == Class::Batch { BEGIN_MS } else { 0 };
             if asked.class == Class::Online {
                 let begins_ms = self.now_ms + BEGIN_MS;
                 self.outcome.in_aim += u32::from(begins_ms - asked.asked_ms <= AIM_MS);
@@ -295,7 +353,10 @@
             for request in over {
                 self.at.remove(&request);
                 let ended = self.requests.remove(&request).unwrap();
-                self.outcome.items_done += u32::from(ended.class == Class::Batch);
+                if ended.class == Class::Batch {
+                    self.outcome.items_done += 1;
+                    self.outcome.items_in_time += u32::from(now_ms <= ended.asked_ms + DUE_MS);
+                }
                 self.input(ended.door, Input::Ended { request, end: AttemptEnd::Answered });
             }
             self.admit(&target);
@@ -419,14 +480,14 @@
 /// Plays a fleet, checks what its callers got, and returns the items cut for each one done, and the messages that a door
 /// sends in a second.
 fn play(doors: usize, targets: usize) -> (f64, f64) {
-    let outcome = Fleet::new(doors, targets).run();
+    let outcome = Fleet::new(SEED, doors, targets, CARRIED).run();
     println!("{doors} doors before {targets} targets: {outcome:?}");
     let part = |count: u32| f64::from(count) / f64::from(outcome.online);
     assert_eq!(outcome.refused_with_places, 0, "nobody is refused while places are free");
     assert!(part(outcome.refused) < REFUSED, "refused: {outcome:?}");
     assert!(part(outcome.in_aim) >= IN_AIM, "in the aim: {outcome:?}");
     let cut_each = f64::from(outcome.items_cut) / f64::from(outcome.items_done);
-    let seconds = (RUN_MS - MEASURED_FROM_MS) as f64 / 1_000.0;
+    let seconds = (CARRIED.arrivals_ms - MEASURED_FROM_MS) as f64 / 1_000.0;
     (cut_each, outcome.sent as f64 / doors as f64 / seconds)
 }
 
--- a/crates/samphiredoor-core/tests/placement/harness.rs
+++ b/crates/samphiredoor-core/tests/placement/harness.rs
@@ -67,18 +67,30 @@
     }
 
     pub fn ask_without(&mut self, class: Class, tried: &[&str]) -> (RequestId, Vec<Action>) {
+        let mut ask = self.new_ask(class, self.now_ms + 60);
+        ask.tried = tried.iter().map(|it| Name::from(*it)).collect::<SmallVec<[Name; 2]>>();
+        (ask.request, self.input(Input::Ask(ask)))
+    }
+
+    /// An item that is due in so long and has run for so long.
+    pub fn ask_item(&mut self, due_in_ms: u64, ran_ms: u64) -> (RequestId, Vec<Action>) {
+        let ask = Ask { ran_ms, ..self.new_ask(Class::Batch, self.now_ms + due_in_ms) };
+        (ask.request, self.input(Input::Ask(ask)))
+    }
+
+    fn new_ask(&mut self, class: Class, until_ms: u64) -> Ask {
         let request = RequestId(self.next);
         self.next += 1;
-        let ask = Ask {
+        Ask {
             request,
             class,
             service: "reader".into(),
             priority: 0,
             affinity: 0,
-            tried: tried.iter().map(|it| Name::from(*it)).collect::<SmallVec<[Name; 2]>>(),
-            until_ms: self.now_ms + 60,
-        };
-        (request, self.input(Input::Ask(ask)))
+            tried: SmallVec::new(),
+            until_ms,
+            ran_ms: 0,
+        }
     }
 
     pub fn end(&mut self, request: RequestId, end: AttemptEnd) -> Vec<Action> {
--- a/crates/samphiredoor-core/tests/placement/main.rs
+++ b/crates/samphiredoor-core/tests/placement/main.rs
@@ -3,5 +3,6 @@
 mod cells;
 mod fleet;
 mod harness;
+mod overload;
 mod promises;
 mod situations;
--- a/crates/samphiredoor-core/tests/placement/situations.rs
+++ b/crates/samphiredoor-core/tests/placement/situations.rs
@@ -1,13 +1,22 @@
 //! Where requests go in named situations.
 
 use samphiredoor_core::{
-    dispatch::Class,
+    dispatch::{Class, RequestId},
     placement::{Action, AttemptEnd, Input, TargetState},
     verdict::Refusal,
 };
 
 use crate::harness::{SLOTS, World, entry, place, sent_to};
 
+/// Run time of an item.
+const RUN_MS: u64 = 1_000;
+/// Time to the due time of an item that is not urgent.
+const LATER_MS: u64 = 60_000;
+/// Places of a target that items leave free.
+const FREE: u32 = 1;
+/// Items that may begin before one that is late.
+const LONGEST_TURNS: u32 = 25;
+
 #[test]
 fn the_nearest_free_target_is_used_first() {
     let mut world = World::new(vec![
@@ -238,3 +247,51 @@
     assert_eq!(before, 1);
     assert_eq!(started(&world.wait(1_600)), 6);
 }
+
+/// A door that has seen how long an item runs, and whose only target is full of items.
+fn full_of_items() -> (World, Vec<RequestId>) {
+    let mut world = World::with_targets(1);
+    let (first, _) = world.ask_item(LATER_MS, 0);
+    world.wait(RUN_MS);
+    world.end(first, AttemptEnd::Answered);
+    let running = (0..SLOTS - FREE).map(|_| world.ask_item(LATER_MS, 0).0).collect();
+    (world, running)
+}
+
+// In order of due time an item that is late anyway takes the place of one that then is late, too.
+#[test]
+fn an_item_that_cannot_end_in_time_goes_behind_one_that_can() {
+    let (mut world, running) = full_of_items();
+    world.ask_item(RUN_MS, 0);
+    let (in_time, _) = world.ask_item(4 * RUN_MS, 0);
+    let actions = world.end(running[0], AttemptEnd::Cut);
+    assert_eq!(sent_to(in_time, &actions).as_deref(), Some("t-0"));
+}
+
+// Where not all can be in time, places that go to new items leave begun ones late.
+#[test]
+fn items_that_have_begun_go_on_before_others_begin_in_an_overload() {
+    let (mut world, running) = full_of_items();
+    world.ask_item(0, 0);
+    world.ask_item(4 * RUN_MS, 0);
+    let (begun, _) = world.ask_item(5 * RUN_MS, RUN_MS / 2);
+    let actions = world.end(running[0], AttemptEnd::Cut);
+    assert_eq!(sent_to(begun, &actions).as_deref(), Some("t-0"));
+}
+
+// While items that can end in time come without end, those that cannot would wait for ever.
+#[test]
+fn a_late_item_gets_its_turn_while_others_can_be_in_time() {
+    let (mut world, mut running) = full_of_items();
+    let (late, _) = world.ask_item(0, 0);
+    for _ in 0..LONGEST_TURNS {
+        let (in_time, _) = world.ask_item(LATER_MS, 0);
+        let actions = world.end(running.remove(0), AttemptEnd::Cut);
+        if sent_to(late, &actions).is_some() {
+            return;
+        }
+        assert!(sent_to(in_time, &actions).is_some());
+        running.push(in_time);
+    }
+    panic!("the late item never began");
+}
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -324,6 +324,7 @@
             affinity: self.affinity,
             tried: self.tried.clone(),
             until_ms: self.front.clock.now().mono_ms + queue_ms,
+            ran_ms: 0,
         }
     }
 }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -77,6 +77,8 @@
     /// Bytes of the text that the job's log keeps, and the event up to which it does.
     kept_bytes: usize,
     kept_last: Option<u64>,
+    /// How long the runs in this process took that put it out.
+    ran_ms: u64,
 }
 
 /// Output that the run of an item fills, and that its job can hand over.
@@ -171,6 +173,7 @@
             Placed::Recalled => return Sent::GoOn,
         };
         self.set_headers(call, &target);
+        let (began_ms, before) = (self.env.clock.now().mono_ms, self.last());
         let sending = within(SILENCE, self.env.targets.send(&target, address, call));
         let (sent, end) = match or_recall(&mut ticket, sending).await {
             None => (Sent::GoOn, AttemptEnd::Cut),
@@ -191,6 +194,10 @@
                 "item: attempt ended"
             );
         }
+        if self.last() > before {
+            let ran_ms = self.env.clock.now().mono_ms - began_ms;
+            self.output.borrow_mut().ran_ms += ran_ms;
+        }
         ticket.ended(end);
         sent
     }
@@ -204,6 +211,7 @@
             affinity: self.env.platform.dialect.affinity(headers),
             tried: SmallVec::new(),
             until_ms: self.due_at_ms,
+            ran_ms: self.output.borrow().ran_ms,
         }
     }
 
@@ -286,6 +294,7 @@
             last,
             kept_bytes,
             kept_last: last,
+            ran_ms: 0,
         }
     }
 
