--- a/crates/samphiredoor-standin/src/emulate/world/requests.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/requests.rs
@@ -70,6 +70,9 @@
     pub made: u32,
     /// Tokens that are kept for when its gateway dies.
     pub kept: u32,
+    /// How long earlier runs of an item took, as far as its gateway knows.
+    ran_us: u64,
+    sent_us: u64,
     attempts: u64,
     sends: u32,
     retries: u32,
@@ -86,6 +89,8 @@
             attempt: Attempt(0),
             made: 0,
             kept: 0,
+            ran_us: 0,
+            sent_us: 0,
             attempts: 0,
             sends: 0,
             retries: 0,
@@ -93,6 +98,11 @@
             begun_us: None,
         }
     }
+
+    /// Notes the time of a run that was cut and goes on later.
+    pub fn was_cut(&mut self, now_us: u64) {
+        self.ran_us += now_us - self.sent_us;
+    }
 }
 
 impl World<'_> {
@@ -141,6 +151,7 @@
             affinity,
             tried: run.tried.clone(),
             until_ms: self.until_ms(request),
+            ran_ms: run.ran_us / 1_000,
         }
     }
 
@@ -178,6 +189,7 @@
         let run = &mut self.runs[attempt.request()];
         run.stage = Stage::Sent(target);
         run.sends += 1;
+        run.sent_us = self.now_us;
         self.outcome.sends += 1;
         let at_us = self.now_us + self.way_us(gateway, target);
         self.events.push(at_us, Event::AtTarget { attempt, target });
@@ -187,6 +199,7 @@
         let request = attempt.request();
         let Stage::Sent(target) = self.runs[request].stage else { return };
         self.take_output(request, target);
+        self.runs[request].was_cut(self.now_us);
         self.outcome.cut += 1;
         let cut_us = self.now_us + self.way_us(gateway, target);
         self.events.push(cut_us, Event::CutAtTarget { attempt, target });
@@ -334,6 +347,7 @@
         run.turn += 1;
         run.stage = Stage::Away;
         run.made = run.kept;
+        run.ran_us = 0;
         let taken_us = self.after_ms(self.scenario.jobs.takeover_ms.max(1));
         self.events.push(taken_us, Event::Arrives(request));
     }
--- a/crates/samphiredoor-standin/src/emulate/world/targets.rs
+++ b/crates/samphiredoor-standin/src/emulate/world/targets.rs
@@ -146,6 +146,7 @@
             }
             if self.requests[request].class == Class::Batch {
                 run.made = made.min(self.requests[request].output_tokens - 1);
+                run.was_cut(self.now_us);
             }
             let gateway = run.gateway;
             self.answer(gateway, target, attempt, AttemptEnd::Lost);
