Find an item's route when it may be sent

A run that is held back while the job is looked for found its route before, and would have sent the item by routes that were replaced meanwhile. No test; ends and jobs pass.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -108,12 +108,12 @@
         };
         let Some(mut call) = self.call(body) else { return ItemEnd::Impossible };
         loop {
+            self.clearance.wait().await;
             let Some(table) = self.routes() else {
                 compio::time::sleep(NO_ROUTES_PAUSE).await;
                 continue;
             };
             let Some(route) = self.route(&table) else { return self.ended(ItemEnd::NoRoute) };
-            self.clearance.wait().await;
             match self.send(&route, &mut call).await {
                 Sent::Over(end) => return self.ended(end),
                 Sent::GoOn => {}
