--- a/crates/samphiredoor-gateway/src/edge.rs
+++ b/crates/samphiredoor-gateway/src/edge.rs
@@ -101,7 +101,7 @@
         freshness: Freshness,
     ) -> LocalBoxFuture<'_, Option<Page>>;
 
-    /// When something of an answer last came; a large one comes for a while.
+    /// When something of an answer last came that was no refusal; a large one comes for a while.
     fn heard(&self) -> Option<Instant>;
 
     /// Waits at most `wait` for changes of a kind after a version.
--- a/crates/samphiredoor-gateway/src/peers/relay.rs
+++ b/crates/samphiredoor-gateway/src/peers/relay.rs
@@ -4,8 +4,8 @@
 //! ahead; the routes are the same object that the store holds, and only a higher version is put in force.
 //!
 //! Many processes may be behind at once, as after the loss of a whole region, and the routes may be large. So a process
-//! asks beyond its region only now and then, such that about one of the region's does at a time, and tells a few others
-//! at once, who then have the routes to tell as well.
+//! asks beyond its region only now and then, such that about one of the region's begins at each look, and tells a few
+//! others at once, who then have the routes to tell as well.
 
 use std::{
     cell::Cell,
@@ -34,8 +34,8 @@
 const SILENCE: Duration = Duration::from_millis(500);
 /// A configuration fits into one object of the store.
 const MAX_BYTES: usize = 2 * 1024 * 1024;
-/// Processes that are told the routes within one look; a small host's link carries a few large configurations in that time.
-const TOLD_AT_ONCE: u32 = 3;
+/// Processes that are told the routes within the time of one look; a small host's link carries a few large configurations in that time.
+const TOLD_IN_A_LOOK: u32 = 3;
 
 /// Asks others for newer routes for as long as the process runs.
 pub async fn run(
@@ -64,7 +64,7 @@
 }
 
 /// Whether this process asks beyond its region now. One to which the store's answer is coming does not, as both would share
-/// the line, and of the others about one at a time.
+/// the line, and of the others about one at each look.
 fn may_ask_beyond(roster: &Roster, store: &dyn ObjectStore) -> bool {
     let chance = 1.0 / roster.heard_in_region() as f64;
     !was_heard(store, LOOK_PAUSE) && rand::random_bool(chance)
@@ -136,6 +136,6 @@
             told => told,
         };
         self.told.set((began, count + 1));
-        count < TOLD_AT_ONCE
+        count < TOLD_IN_A_LOOK
     }
 }
--- a/crates/samphiredoor-net/src/fetch.rs
+++ b/crates/samphiredoor-net/src/fetch.rs
@@ -15,6 +15,9 @@
     pool::{Answer, SendError, within},
 };
 
+/// Longest time for a body, whatever comes of it; nobody waits for it any more.
+const LONGEST_BODY: Duration = Duration::from_secs(30);
+
 /// How long an answer is waited for, and how large it may be.
 #[derive(Debug, Clone, Copy)]
 pub struct FetchLimits {
@@ -74,7 +77,7 @@
         self.fetch_noting(request, limits, || {}).await
     }
 
-    /// As [`Pool::fetch`], and calls `on_piece` whenever something of the answer has come.
+    /// As [`Pool::fetch`], and calls `on_piece` whenever something of an answer has come that is no refusal.
     ///
     /// # Errors
     ///
@@ -89,8 +92,15 @@
             return Err(FetchError::Silent { received_bytes: 0 });
         };
         let (head, body) = response?.into_parts();
-        on_piece();
-        let body = read(body, limits, on_piece).await?;
+        let is_success = head.status.is_success();
+        let note = || {
+            if is_success {
+                on_piece()
+            }
+        };
+        note();
+        let reading = within(LONGEST_BODY, read(body, limits, note)).await;
+        let body = reading.unwrap_or_else(|| Err(FetchError::MayHaveRun("it trickled".into())))?;
         Ok(Fetched { status: head.status, headers: head.headers, body })
     }
 }
--- a/crates/samphiredoor/tests/it/platform/narrow_line.rs
+++ b/crates/samphiredoor/tests/it/platform/narrow_line.rs
@@ -16,6 +16,9 @@
 /// The routes take about a second, longer than the time limit of the gateways' calls.
 const LINE_BYTES_PER_S: u64 = 1_000_000;
 
+/// Gateways tell each other what they have at least twice a second.
+const TOLD_BY: Duration = Duration::from_millis(1_200);
+
 fn put_many_routes(platform: &Platform) {
     let routes = (0..ROUTES).map(|number| {
         let mut route = route("stream", 1, false);
@@ -55,7 +58,14 @@
         platform.wait_logged(turned_away, &format!("peers: heard peer={peer} "));
     }
     platform.set_way_fault(turned_away, StoreFault::Busy);
+    // It looks for routes only when both others have told it that they have them.
+    platform.signal(turned_away, "STOP");
     platform.put_routes(2, 1);
+    for holder in [0, 1] {
+        platform.wait_logged(holder, "routes: in force version=2 ");
+    }
+    std::thread::sleep(TOLD_BY);
+    platform.signal(turned_away, "CONT");
     platform.wait_logged(turned_away, "routes: in force version=2 ");
     let taken = "routes: taken from another gateway version=2 peer=127.0.0.1:";
     assert_eq!(platform.times_logged(turned_away, taken), 1, "taken from its own region");
@@ -67,7 +77,8 @@
     let mut platform = Platform::without_routes(BINARY);
     put_many_routes(&platform);
     let _storage = platform.start_storage("store-1");
-    std::thread::sleep(Duration::from_millis(1_000));
+    let looked = || platform.store.calls().contains_key("GET doors");
+    wait_until("the storage host's process has seen all kinds", looked);
     let line = SharedRate::new(LINE_BYTES_PER_S);
     platform.linked = true;
     platform.line = Some(line.clone());
@@ -76,7 +87,7 @@
     platform.store.set_fault(StoreFault::None);
     let asked = || platform.store.calls()["GET config"];
     let before = asked();
-    wait_until("the routes are watched", || asked() >= before + 3);
+    wait_until("the routes are watched", || asked() >= before + 6);
     let carried = line.carried_bytes();
     assert!(carried < FEW_BYTES, "bytes that were fetched: {carried}");
 }
