Tests of cells wait until the cells follow the store through one gateway

Trace: a gateway dropped the target from a watch of its own in the store, 0.8 s before it began to follow targets through another one. The stage waited for routes alone; it waits for both kinds now, and so does a_change_costs_a_call_of_each_cell. The checks are as they were.

--- a/crates/samphiredoor/tests/it/platform/cells.rs
+++ b/crates/samphiredoor/tests/it/platform/cells.rs
@@ -106,6 +106,13 @@
     for number in 0..GATEWAYS {
         wait_in_force(&platform, number, 2);
     }
+    let followers = [IN_FIRST_CELL, FIRST_OF_SECOND_CELL];
+    for number in (0..GATEWAYS).filter(|it| !followers.contains(it)) {
+        for kind in ["routes", "targets"] {
+            let followed = format!("store: followed through another gateway kind={kind} ");
+            platform.wait_logged(number, &followed);
+        }
+    }
     platform
 }
 
