Limits of a fetch by new and with_head; a follower's first try is known by its failures

Whether a follower has asked for nothing yet was kept beside the count of its failures, which tells the same: the mirrors are gone after the first list, and a failed one counts.

--- a/crates/samphiredoor-gateway/src/jobs/peer_call.rs
+++ b/crates/samphiredoor-gateway/src/jobs/peer_call.rs
@@ -98,7 +98,7 @@
 ) -> Option<(StatusCode, Bytes)> {
     let (method, uri) = call.request();
     let request = Request::builder().method(method).uri(uri).header(header::HOST, "gateway");
-    let limits = FetchLimits { head: timeout, silence: SILENCE, max_bytes: MAX_PEER_BYTES };
+    let limits = FetchLimits::new(SILENCE, MAX_PEER_BYTES).with_head(timeout);
     let fetched = pool.fetch(request.body(Body::empty()).ok()?, limits).await.ok()?;
     Some((fetched.status, fetched.body))
 }
--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -158,7 +158,7 @@
         .body(Body::empty())
         .ok()?;
     let pool = Pool::new(address).with_connect_timeout(CONNECT_TIMEOUT);
-    let limits = FetchLimits { head: SILENCE, silence: SILENCE, max_bytes: MAX_BYTES };
+    let limits = FetchLimits::new(SILENCE, MAX_BYTES);
     let fetched = pool.fetch(request, limits).await.ok()?;
     if fetched.status != StatusCode::OK {
         return None;
--- a/crates/samphiredoor-gateway/src/peers/followed.rs
+++ b/crates/samphiredoor-gateway/src/peers/followed.rs
@@ -191,7 +191,7 @@
 }
 
 async fn exchange(pool: &Pool, request: Request<Body>, head: Duration) -> Option<Told> {
-    let limits = FetchLimits { head, silence: SILENCE, max_bytes: MAX_BYTES };
+    let limits = FetchLimits::new(SILENCE, MAX_BYTES).with_head(head);
     let fetched = pool.fetch(request, limits).await.ok()?;
     if fetched.status != StatusCode::OK {
         return None;
--- a/crates/samphiredoor-gateway/src/peers/relay.rs
+++ b/crates/samphiredoor-gateway/src/peers/relay.rs
@@ -86,7 +86,7 @@
 
 async fn fetch(address: SocketAddr) -> Option<Stored> {
     let request = Request::get(PATH).header(header::HOST, "gateway").body(Body::empty()).ok()?;
-    let limits = FetchLimits { head: SILENCE, silence: SILENCE, max_bytes: MAX_BYTES };
+    let limits = FetchLimits::new(SILENCE, MAX_BYTES);
     let pool = Pool::new(address).with_connect_timeout(SILENCE);
     let fetched = pool.fetch(request, limits).await.ok()?;
     let name = fetched.headers.get(header::CONTENT_LOCATION)?.to_str().ok()?.into();
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -126,8 +126,6 @@
     relay_regained: bool,
     /// Whether the process that was to be watched through has just not answered.
     relay_silent: bool,
-    /// Whether nothing was asked for yet.
-    is_first: bool,
     /// Who is asked for the first list if the store does not answer; nobody after it.
     mirrors: Option<Mirrors>,
     metrics: Option<Rc<Metrics>>,
@@ -158,7 +156,6 @@
             told_by: None,
             relay_regained: false,
             relay_silent: false,
-            is_first: true,
             mirrors: None,
             metrics: None,
             heard: Instant::now(),
@@ -228,7 +225,9 @@
                 compio::time::sleep(self.rest).await;
             }
             let seen = match self.since {
-                None if self.is_first && self.mirrors.is_some() => self.list_while_it_comes().await,
+                None if self.failures == 0 && self.mirrors.is_some() => {
+                    self.list_while_it_comes().await
+                }
                 None => self.list().await,
                 Some(since) => self.watch(since).await,
             };
@@ -276,7 +275,6 @@
     /// The first list, given up as soon as nothing of it comes, so that a mirror is asked. A large one comes for a while, and a
     /// mirror's would only share the line with it.
     async fn list_while_it_comes(&mut self) -> Option<Seen> {
-        self.is_first = false;
         let store = Rc::clone(&self.store);
         let mut list = pin!(self.list());
         loop {
--- a/crates/samphiredoor-net/src/fetch.rs
+++ b/crates/samphiredoor-net/src/fetch.rs
@@ -29,6 +29,18 @@
     pub max_bytes: usize,
 }
 
+impl FetchLimits {
+    /// Limits that allow as much silence before the head as within the body.
+    pub fn new(silence: Duration, max_bytes: usize) -> FetchLimits {
+        FetchLimits { head: silence, silence, max_bytes }
+    }
+
+    /// Sets the longest wait for the head.
+    pub fn with_head(self, head: Duration) -> FetchLimits {
+        FetchLimits { head, ..self }
+    }
+}
+
 /// An answer that came whole.
 #[derive(Debug)]
 pub struct Fetched {
--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -135,8 +135,7 @@
         let delete = matches!(op, StoreOp::Delete { .. });
         let Some(request) = request(op) else { return StoreAnswer::Unavailable };
         let lost = if write { StoreAnswer::Unknown } else { StoreAnswer::Unavailable };
-        let limits =
-            FetchLimits { head: self.timeout, silence: self.timeout, max_bytes: MAX_ANSWER_BYTES };
+        let limits = FetchLimits::new(self.timeout, MAX_ANSWER_BYTES);
         match self.pool.fetch(request, limits).await {
             Ok(fetched) if fetched.status == StatusCode::OK && delete => StoreAnswer::Deleted,
             Ok(fetched) => answer(fetched.status, &fetched.body, &lost),
