jobs: a read that returns nothing logs what decided it

Callers found none of four results that they had read. The logs of a read told neither its source (memory of the owner, another gateway, the store) nor how much was known there and how old that knowledge was, so that three hypotheses on the incident could not be told apart. A read at the owner that returns nothing, a read from the store, and a gateway that does not answer another one now log that; answers with results from memory only in detail, as they are many. No other behaviour changes.

--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use log::Level;
 use samphiredoor_core::{
     ordered::{ItemResult, LogStep, header_key},
     store::{StoreAnswer, StoreOp},
@@ -111,14 +112,35 @@
         let readers = std::mem::take(&mut self.readers);
         for reader in readers {
             match self.reply_to(&reader, now) {
-                // Fails if the reader has disconnected.
-                Some(reply) => drop(reader.reply.send(reply)),
+                Some(reply) => {
+                    self.log_reply(&reader, &reply);
+                    // Fails if the reader has disconnected.
+                    drop(reader.reply.send(reply));
+                }
                 None => self.readers.push(reader),
             }
         }
         self.check_for_other_writers();
     }
 
+    /// Logs what decided an answer: how many results are known here, and how old the last read is that found no more.
+    /// Answers with results are logged in detail only, as they are many and cannot be wrong.
+    fn log_reply(&self, reader: &Reader, reply: &ReadReply) {
+        let (source, results) = match reply {
+            ReadReply::Page(page) => ("memory", page.results.len()),
+            ReadReply::UseStore => ("store", 0),
+        };
+        let level = if results > 0 { Level::Debug } else { Level::Info };
+        log::log!(
+            level, job = &*self.ownership.job, after = reader.after, source, results,
+            known = self.log.committed().len(), items = self.items.len(),
+            caught_up = self.log.is_caught_up(), is_active = self.is_active(),
+            end_seen_ms_ago = self.log_end_seen_at.elapsed().as_millis() as u64,
+            other_writers = self.may_have_other_writers();
+            "job: read at its owner"
+        );
+    }
+
     pub(super) fn reply_to(&self, reader: &Reader, now: Instant) -> Option<ReadReply> {
         let committed = self.log.committed().len();
         if reader.after < committed || self.is_complete() {
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -222,6 +222,8 @@
             };
             let left = until.saturating_duration_since(Instant::now());
             if !page.results.is_empty() || after >= page.total || left < STORE_POLL_INTERVAL {
+                let (results, total) = (page.results.len(), page.total);
+                log::info!(job = &**job, after, results, total; "job: read from the store");
                 return self.page_response(&page);
             }
             compio::time::sleep(STORE_POLL_INTERVAL).await;
@@ -426,7 +428,11 @@
         timeout: Duration,
     ) -> Option<Response<Body>> {
         let pool = self.pool(address);
-        let (status, body) = exchange(&pool, call, timeout).await?;
+        let (status, body) = exchange(&pool, call, timeout).await.or_else(|| {
+            log::info!(call:? = call, peer:% = address; "job: another gateway did not answer");
+            None
+        })?;
+        log::debug!(call:? = call, peer:% = address, status = status.as_u16(); "job: another gateway answered");
         if status != StatusCode::OK && status != StatusCode::NOT_FOUND {
             return None;
         }
