--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -19,6 +19,8 @@
 const PARTS: &str = "jobparts";
 /// Kind of job headers.
 const HEADERS: &str = "orderedjobs";
+/// Kind of segments of job results.
+const SEGMENTS: &str = "jobsegments";
 /// Kind of gateway entries.
 const GATEWAYS: &str = "doors";
 /// Kind without objects, read instead of [`GATEWAYS`] while these are hidden.
@@ -54,6 +56,8 @@
     PartsRefused,
     /// Delays updates of job headers while this fault is set.
     HeaderUpdatesHeld,
+    /// Applies writes of result segments only after this fault is over, and does not answer them.
+    SegmentsLate,
     /// Hides gateway entries from lists and watches.
     GatewaysHidden,
 }
@@ -228,6 +232,7 @@
         let kind = segments.first().copied().unwrap_or_default();
         *self.state().calls.entry(format!("{} {kind}", parts.method)).or_default() += 1;
         self.record_list(query.get("after").map_or("", String::as_str));
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let fault = self.fault();
         let is_write = parts.method != Method::GET;
         match fault {
@@ -245,12 +250,15 @@
             StoreFault::HeaderUpdatesHeld if kind == HEADERS && parts.method == Method::PUT => {
                 self.wait_while(StoreFault::HeaderUpdatesHeld).await;
             }
+            StoreFault::SegmentsLate if kind == SEGMENTS && is_write => {
+                self.apply_late(body.clone());
+                compio::time::sleep(NO_ANSWER_TIME).await;
+            }
             StoreFault::PartsRefused if kind == PARTS && is_write => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
             }
             _ => {}
         }
-        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let is_hidden = fault == StoreFault::GatewaysHidden && segments == [GATEWAYS];
         let response = match parts.method {
             Method::GET if query.contains_key("watch") => {
@@ -270,6 +278,16 @@
         response
     }
 
+    /// Creates a segment after the fault is over, also if the caller has closed its connection by then.
+    fn apply_late(&self, body: Value) {
+        let store = self.clone();
+        compio::runtime::spawn(async move {
+            store.wait_while(StoreFault::SegmentsLate).await;
+            store.state().create(SEGMENTS, &body);
+        })
+        .detach();
+    }
+
     async fn wait_while(&self, fault: StoreFault) {
         while self.fault() == fault {
             compio::time::sleep(POLL_INTERVAL).await;
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod env;
 mod jobs;
+mod reads_after_cancellation;
 mod slow_link;
 mod soak;
 mod stops;
