jobs: an owner says that there are no more results only if it knows the end of the log

What callers saw: four results of a cancelled job had been read, and 21 s after the cancellation two gateways had none at position 0.

Cause: an owner answers readers from memory. Whether its memory is whole was judged by whether others could append now, not by whether it had read the log since they last could. So a job that was taken over from a live process, and closed before that process's last segment took effect, was answered from the store until that process had restarted, and from outdated memory after it: a closed task took no step of its log. The same class without another process: a create of the owner's own that got no answer, followed by a refused read, counted as never done once the job was cancelled; and a write under way may have taken effect before its answer. Also an owner that slept, or was isolated, answered from memory until something made it look at the header.

Ruled out: a stale read or an outdated cache at a reader (reads of segments are linearizable, a cache only grows, and two gateways were wrong at once).

Change: LogEnd (core/ordered) holds when the end of the log was seen and until when segments that were not read may have been appended: while a former owner lives and 6 s beyond, 6 s after a write of its own without an answer. An owner returns an empty page only if it has seen the end since, or after the reader arrived, and has owned the job without a liveness gap; else the store is read, or 503 is answered while the store is lost. A closed job's log is read on (never written) until its end is settled, with one read. A header that cannot be marked as finished because another process has written it ends the task. Readers of a log that is still being read after a takeover are answered within their wait; they waited up to 60 s.

--- a/crates/samphiredoor-core/tests/ordered/main.rs
+++ b/crates/samphiredoor-core/tests/ordered/main.rs
@@ -2,3 +2,4 @@
 
 mod items;
 mod log;
+mod log_end;
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -46,6 +46,7 @@
         log::info!(job = &*self.ownership.job, how, results = self.log.committed().len(); "job: closed");
         self.env.metrics.job_event(how);
         self.phase = Phase::Closing;
+        self.log.discard_pending();
         self.ownership.header.finished = true;
         self.write_header();
     }
@@ -98,11 +99,15 @@
             // The write was refused or its outcome is unknown. That is harmless: a later owner checks a job that stays
             // open once more, and continues it if items are left.
             _ if handed_over => self.phase = Phase::Done,
-            StoreAnswer::Unavailable | StoreAnswer::Unknown => {
+            StoreAnswer::Conflict | StoreAnswer::Absent => self.lose_ownership(),
+            StoreAnswer::Object(_) => {
+                self.finish_written = true;
+                self.phase = Phase::Retained(Instant::now() + FINISHED_JOB_RETENTION);
+            }
+            _ => {
                 log::info!(job = &*self.ownership.job; "job: could not be marked as finished");
                 self.phase = Phase::Retained(Instant::now() + FINISHED_JOB_RETENTION);
             }
-            _ => self.phase = Phase::Retained(Instant::now() + FINISHED_JOB_RETENTION),
         }
     }
 }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -19,7 +19,7 @@
 
 use compio::runtime::JoinHandle;
 use samphiredoor_core::{
-    ordered::{Item, ItemEnd, Items, JobHeader, JobName, ResultLog},
+    ordered::{Item, ItemEnd, Items, JobHeader, JobName, LogEnd, ResultLog},
     store::{StoreAnswer, Version},
 };
 use samphiredoor_net::pool::within;
@@ -114,11 +114,13 @@
     Page(ResultsPage),
     /// The results here may be outdated or the job has left this process; read the store.
     UseStore,
+    /// The results here may be outdated, and the store does not answer this process.
+    Unsure,
 }
 
 struct Reader {
     after: usize,
-    arrived: Instant,
+    arrived_ms: u64,
     until: Instant,
     reply: flume::Sender<ReadReply>,
 }
@@ -159,10 +161,6 @@
     due_at_ms: u64,
     /// Whether runs of all items without a result were started.
     items_started: bool,
-    /// When the task was created.
-    started_at: Instant,
-    /// Whether other processes may have taken over the job while only this one was isolated from the store.
-    may_have_been_taken_over: bool,
     /// Whether runs are stopped until the store confirms that this process owns the job.
     suspended: bool,
     /// Consecutive store calls without a usable answer, for the retry backoff.
@@ -173,10 +171,16 @@
     checking: bool,
     /// Earliest time of the next such read, after one without a usable answer.
     next_check_at: Instant,
-    /// Start of the last read that found no further segment at the end of the log.
-    log_end_seen_at: Instant,
-    /// Start of the last read for segments of other processes.
-    other_writers_checked_at: Option<Instant>,
+    /// Number of liveness gaps before the last read or write of the header that named this process as the owner.
+    owned_at_gap_count: u64,
+    /// Whether the header is written that marks the job as finished, so that no process can take it over any more.
+    finish_written: bool,
+    /// What is known of the end of the log, for readers that wait for more results.
+    log_end: LogEnd,
+    /// When the log's last call was sent.
+    log_call_sent_ms: u64,
+    /// Earliest time of the next read for segments of other processes.
+    next_reread_at: Instant,
 }
 
 impl JobTask {
@@ -194,16 +198,21 @@
         let granted = ownership.is_new.then_some(ownership.gap_count);
         let (gaps, health) = (env.liveness_gaps.clone(), env.health.clone());
         let permit = Rc::new(SendPermit::new(gaps, health, messages.clone(), granted));
+        let log_end = match log.is_caught_up() {
+            true => LogEnd::of_new_job(),
+            false => LogEnd::unread(env.clock.now().mono_ms, ownership.header.former.is_some()),
+        };
         JobTask {
             permit,
-            started_at: Instant::now(),
-            may_have_been_taken_over: false,
             suspended: false,
             store_failures: 0,
             checking: false,
             next_check_at: Instant::now(),
-            log_end_seen_at: Instant::now(),
-            other_writers_checked_at: None,
+            owned_at_gap_count: ownership.gap_count,
+            finish_written: false,
+            log_end,
+            log_call_sent_ms: 0,
+            next_reread_at: Instant::now(),
             env,
             ownership,
             items,
@@ -248,7 +257,8 @@
     fn handle(&mut self, message: JobMessage) {
         match message {
             JobMessage::Read { after, until, reply } => {
-                self.readers.push(Reader { after, arrived: Instant::now(), until, reply });
+                let arrived_ms = self.env.clock.now().mono_ms;
+                self.readers.push(Reader { after, arrived_ms, until, reply });
             }
             JobMessage::Item { id, reply } => {
                 let found = self.items.find(&id).filter(|(item, _)| !self.log.has_result(*item));
@@ -284,6 +294,7 @@
                 self.give_up_remaining();
             }
         }
+        self.update_log_end();
         self.advance_log(now);
         self.answer_readers(now);
         match self.phase {
@@ -305,9 +316,10 @@
         let retry = self.retries.iter().map(|(at, _)| *at).min();
         let retry = retry.filter(|_| self.phase == Phase::Running && !self.suspended);
         let reader = self.readers.iter().map(|it| it.until).min();
-        let write_at = self.write_at.filter(|_| self.is_active() && !self.log_call_in_flight);
+        let write_at = self.write_at.filter(|_| !self.log_call_in_flight);
+        let reread_at = self.reread_at();
         let check = (self.phase == Phase::Running).then(|| Instant::now() + STORE_CHECK_INTERVAL);
-        let times = [phase, retry, reader, write_at, check];
+        let times = [phase, retry, reader, write_at, reread_at, check];
         times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FAR_FUTURE)
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -12,26 +12,25 @@
 };
 
 use super::{JobMessage, JobTask, Phase, ReadReply, Reader};
-use crate::{jobs::STORE_RETRY_PAUSE, platform_api::ResultsPage};
+use crate::{jobs::STORE_RETRY_PAUSE, peers::STORE_LOST_AFTER, platform_api::ResultsPage};
 
 /// Minimum time between two reads for segments of other processes; callers poll twice a second.
-const OTHER_WRITERS_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Time after which a write that was not answered can no longer take effect.
-const LATE_WRITE_WINDOW: Duration = Duration::from_secs(6);
+const REREAD_INTERVAL: Duration = Duration::from_millis(300);
 /// Upper limit of the backoff between store calls.
 const MAX_STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 /// Maximum total size of the output texts in one page of results, unless a single one is larger.
 const PAGE_BYTES: usize = 900_000;
 
 impl JobTask {
+    /// Takes the log's next step if it is due. After the job is closed the log only reads on.
     pub(super) fn advance_log(&mut self, now: Instant) {
         let due = self.write_at.is_some_and(|it| it <= now);
         let reading = !self.log.is_caught_up() && self.write_at.is_none();
-        if self.log_call_in_flight || !self.is_active() || !(due || reading) {
+        if self.log_call_in_flight || !(due || reading) {
             return;
         }
         self.write_at = None;
-        if due {
+        if due && self.is_active() {
             self.queue_outputs(now);
         }
         let step = self.log.step();
@@ -42,6 +41,7 @@
         match step {
             LogStep::Store(op) => {
                 self.log_call_in_flight = true;
+                self.log_call_sent_ms = self.env.clock.now().mono_ms;
                 self.spawn_store_call(op, JobMessage::LogCallAnswered);
             }
             LogStep::Pause => {
@@ -70,12 +70,8 @@
     pub(super) fn log_call_answered(&mut self, answer: &StoreAnswer) {
         self.log_call_in_flight = false;
         let before = self.log.committed().len();
+        self.note_log_end(answer);
         let step = self.log.answered(answer);
-        if let Some(since) = self.other_writers_checked_at
-            && *answer == StoreAnswer::Absent
-        {
-            self.log_end_seen_at = since;
-        }
         // Results that arrived during the call are batched again instead of being written at once.
         match step {
             LogStep::Store(StoreOp::Create { .. }) => {
@@ -99,6 +95,24 @@
         }
     }
 
+    /// Notes what the answer to the log's call says about the end of the log.
+    fn note_log_end(&mut self, answer: &StoreAnswer) {
+        let was_write = self.log.is_caught_up();
+        match answer {
+            StoreAnswer::Object(_) => {
+                self.log_end.segment_known();
+                if was_write {
+                    self.log_end.seen(self.log_call_sent_ms);
+                }
+            }
+            StoreAnswer::Absent => self.log_end.seen(self.log_call_sent_ms),
+            StoreAnswer::Unknown if was_write => {
+                self.log_end.write_unanswered(self.env.clock.now().mono_ms);
+            }
+            _ => {}
+        }
+    }
+
     pub(super) fn header_answered(&mut self, answer: &StoreAnswer) {
         if self.names_this_process(answer) == Some(false) {
             self.lose_ownership();
@@ -106,9 +120,6 @@
     }
 
     pub(super) fn answer_readers(&mut self, now: Instant) {
-        if !self.log.is_caught_up() && !self.items_started {
-            return;
-        }
         let readers = std::mem::take(&mut self.readers);
         for reader in readers {
             match self.reply_to(&reader, now) {
@@ -120,78 +131,108 @@
                 None => self.readers.push(reader),
             }
         }
-        self.check_for_other_writers();
+        self.reread_log(now);
     }
 
-    /// Logs what decided an answer: how many results are known here, and how old the last read is that found no more.
-    /// Answers with results are logged in detail only, as they are many and cannot be wrong.
+    /// Logs what decided an answer: how many results are known here, and whether there may be more. Answers with results
+    /// are logged in detail only, as they are many and cannot be wrong.
     fn log_reply(&self, reader: &Reader, reply: &ReadReply) {
         let (source, results) = match reply {
             ReadReply::Page(page) => ("memory", page.results.len()),
             ReadReply::UseStore => ("store", 0),
+            ReadReply::Unsure => ("none", 0),
         };
         let level = if results > 0 { Level::Debug } else { Level::Info };
         log::log!(
             level, job = &*self.ownership.job, after = reader.after, source, results,
             known = self.log.committed().len(), items = self.items.len(),
             caught_up = self.log.is_caught_up(), is_active = self.is_active(),
-            end_seen_ms_ago = self.log_end_seen_at.elapsed().as_millis() as u64,
-            other_writers = self.may_have_other_writers();
+            is_owner = self.owns_since_last_gap(), end:? = self.log_end;
             "job: read at its owner"
         );
     }
 
-    pub(super) fn reply_to(&self, reader: &Reader, now: Instant) -> Option<ReadReply> {
+    fn reply_to(&self, reader: &Reader, now: Instant) -> Option<ReadReply> {
         let committed = self.log.committed().len();
         if reader.after < committed || self.is_complete() {
             return Some(ReadReply::Page(self.page(reader.after.min(committed))));
         }
-        let is_checked = !self.may_have_other_writers() || self.log_end_seen_at >= reader.arrived;
         let is_over = now >= reader.until || !self.is_active();
-        match (is_over, is_checked && reader.after == committed) {
-            (true, true) => Some(ReadReply::Page(self.page(reader.after))),
-            (true, false) => Some(ReadReply::UseStore),
-            (false, _) => None,
+        if !is_over {
+            return None;
         }
+        Some(match reader.after == committed && self.knows_end_for(reader) {
+            true => ReadReply::Page(self.page(reader.after)),
+            false if self.env.health.is_lost() => ReadReply::Unsure,
+            false => ReadReply::UseStore,
+        })
+    }
+
+    /// Whether no caller can have been given more results than are known here when a reader arrived. A write under way
+    /// may have taken effect already, and another owner appends without the knowledge of this process.
+    fn knows_end_for(&self, reader: &Reader) -> bool {
+        let is_writing = self.log_call_in_flight && self.log.is_caught_up();
+        !is_writing
+            && match self.owns_since_last_gap() {
+                true => self.log_end.is_known_to(reader.arrived_ms),
+                false => self.log_end.is_seen_since(reader.arrived_ms),
+            }
+    }
+
+    /// Whether no process can have taken the job over: none while this one is live to the others and they see that the
+    /// store answers it, and none after the job was marked as finished.
+    pub(super) fn owns_since_last_gap(&self) -> bool {
+        let (gaps, health) = (&self.env.liveness_gaps, &self.env.health);
+        let is_live = gaps.is_settled()
+            && gaps.count() == self.owned_at_gap_count
+            && !health.is_lost_for(STORE_LOST_AFTER)
+            && self.env.roster.at_least_half_live();
+        self.finish_written || is_live
     }
 
-    /// Whether another process may append to the log. A former owner does so until it finds out that it lost the job,
-    /// and readers that got its results from it must also get them here. A process that receives heartbeats from less
-    /// than half of the fleet may itself be such a former owner.
-    pub(super) fn may_have_other_writers(&self) -> bool {
-        self.may_have_been_taken_over
-            || self.former_owner_may_write()
-            || !self.env.roster.at_least_half_live()
-    }
-
-    /// Whether a former owner may still append. After a restart it does not, except for a last write that takes effect
-    /// late.
-    fn former_owner_may_write(&self) -> bool {
-        let Some(former) = &self.ownership.header.former else { return false };
-        let has_ended = former.process == *self.env.name
-            || self.env.roster.has_restarted(&former.process, former.incarnation);
-        !has_ended || self.started_at.elapsed() < LATE_WRITE_WINDOW
-    }
-
-    /// Reads the log for segments of other processes while a reader waits for more results.
-    pub(super) fn check_for_other_writers(&mut self) {
-        let wanted = self.readers.iter().any(|it| it.arrived > self.log_end_seen_at);
-        let paused = self
-            .other_writers_checked_at
-            .is_some_and(|it| it.elapsed() < OTHER_WRITERS_CHECK_INTERVAL);
-        if wanted
-            && !paused
-            && self.may_have_other_writers()
-            && self.is_active()
-            && !self.log_call_in_flight
-        {
-            self.other_writers_checked_at = Some(Instant::now());
+    /// Notes whether a former owner may still append to the log. It does so until it finds out that it lost the job, and
+    /// readers that got its results from it must also get them here.
+    pub(super) fn update_log_end(&mut self) {
+        let former = self.ownership.header.former.as_ref();
+        let may_append = former.is_some_and(|it| {
+            let has_ended = it.process == *self.env.name
+                || self.env.roster.has_restarted(&it.process, it.incarnation);
+            !has_ended
+        });
+        self.log_end.set_others_append(may_append, self.env.clock.now().mono_ms);
+    }
+
+    /// Reads on in the log if it is due.
+    fn reread_log(&mut self, now: Instant) {
+        if self.reread_at().is_none_or(|it| it > now) {
+            return;
+        }
+        self.next_reread_at = now + REREAD_INTERVAL;
+        if !self.env.health.is_lost() {
             self.log.request_reread();
             let step = self.log.step();
             self.run_log_step(step);
         }
     }
 
+    /// When to read on in the log: at once for a reader to whom others may have given more results, or when such a read
+    /// settles the end of the log for all later readers. `None` if neither is needed or a call is under way.
+    pub(super) fn reread_at(&self) -> Option<Instant> {
+        if self.is_complete() || self.log_call_in_flight || !self.log.is_caught_up() {
+            return None;
+        }
+        let reader_waits = self.readers.iter().any(|it| !self.knows_end_for(it));
+        let at = match reader_waits {
+            true => self.next_reread_at,
+            false => {
+                let now_ms = self.env.clock.now().mono_ms;
+                let left_ms = self.log_end.settles_at_ms()?.saturating_sub(now_ms);
+                Instant::now() + Duration::from_millis(left_ms)
+            }
+        };
+        Some(at.max(self.next_reread_at))
+    }
+
     pub(super) fn is_active(&self) -> bool {
         matches!(self.phase, Phase::Running | Phase::HandingOver(_))
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -38,13 +38,19 @@
         if isolated && !self.suspended {
             log::info!(job = &*self.ownership.job; "job: runs stopped, the store answers other gateways but not this one");
             self.suspended = true;
-            self.may_have_been_taken_over = true;
             self.stop_runs();
-        } else if !isolated && (self.suspended || self.permit.is_wanted()) && self.may_check() {
+        } else if !isolated && self.wants_ownership_check() && self.may_check() {
             self.check_ownership();
         }
     }
 
+    /// Whether items or readers wait until it is known that this process still owns the job.
+    fn wants_ownership_check(&self) -> bool {
+        let had_gap = self.env.liveness_gaps.count() != self.owned_at_gap_count;
+        let readers_wait = had_gap && !self.readers.is_empty();
+        self.suspended || self.permit.is_wanted() || readers_wait
+    }
+
     /// Reads whether the job was cancelled, and also its owner unless there was no gap since this process wrote itself
     /// as the owner.
     fn check_ownership(&mut self) {
@@ -76,7 +82,11 @@
         if !self.is_active() {
             return;
         }
-        match (check.header.as_ref().map(|it| self.names_this_process(it)), check.cancelled) {
+        let names_this_process = check.header.as_ref().map(|it| self.names_this_process(it));
+        if names_this_process == Some(Some(true)) {
+            self.owned_at_gap_count = check.gap_count;
+        }
+        match (names_this_process, check.cancelled) {
             (Some(Some(false)), _) => self.lose_ownership(),
             (_, Ok(true)) => drop(self.cancel()),
             (None | Some(Some(true)), Ok(false)) => self.permit_items(check.gap_count),
--- a/crates/samphiredoor-gateway/src/jobs/liveness_gaps.rs
+++ b/crates/samphiredoor-gateway/src/jobs/liveness_gaps.rs
@@ -76,6 +76,13 @@
         self.state.recorded.get() + self.state.health.recoveries()
     }
 
+    /// Whether the last gap is so long over that all peers have received a heartbeat of this process since.
+    pub fn is_settled(&self) -> bool {
+        self.check_clocks();
+        self.check_store();
+        self.state.settles_at.get().is_none()
+    }
+
     /// Checks for gaps periodically for as long as the process runs.
     pub async fn run(self) {
         loop {
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -104,7 +104,7 @@
             PeerCall::Read { job, after, wait_ms } => {
                 let until = Instant::now() + Duration::from_millis(wait_ms).min(MAX_RESULT_WAIT);
                 match self.read_local(&job, after, until).await {
-                    Some(page) => self.page_response(&page),
+                    Some(answer) => answer,
                     None => self.read_from_store(&job, after, until).await,
                 }
             }
@@ -115,7 +115,7 @@
             PeerCall::ReadFor { job, after, wait_ms } => {
                 let until = Instant::now() + Duration::from_millis(wait_ms).min(MAX_RESULT_WAIT);
                 match self.read_local(&job, after, until).await {
-                    Some(page) => self.page_response(&page),
+                    Some(answer) => answer,
                     None => self.read_at_owner_or_store(&job, after, until).await,
                 }
             }
@@ -156,8 +156,8 @@
     }
 
     async fn read(&self, job: &JobName, after: usize, until: Instant) -> Response<Body> {
-        if let Some(page) = self.read_local(job, after, until).await {
-            return self.page_response(&page);
+        if let Some(answer) = self.read_local(job, after, until).await {
+            return answer;
         }
         if let Some(reader) = self.reader_without_owner(job) {
             let wait = until.saturating_duration_since(Instant::now());
@@ -195,6 +195,9 @@
             if let Some(answer) = self.forward_to_peer(address, &call, wait + PEER_TIMEOUT).await {
                 return answer;
             }
+            if self.env.health.is_lost() {
+                return error_response(ReadError::Unavailable);
+            }
             // Refreshes the cached header, as the owner may have changed.
             if let Err(error) = self.stored.current_header(job).await {
                 return error_response(error);
@@ -203,13 +206,15 @@
         self.read_from_store(job, after, until).await
     }
 
-    async fn read_local(&self, job: &str, after: usize, until: Instant) -> Option<ResultsPage> {
+    /// Reads results at the job's task here; `None` if there is none, or if the store has to be read.
+    async fn read_local(&self, job: &str, after: usize, until: Instant) -> Option<Response<Body>> {
         let (reply, answer) = flume::bounded(1);
         if !self.directory.send(job, JobMessage::Read { after, until, reply }) {
             return None;
         }
         match answer.recv_async().await {
-            Ok(ReadReply::Page(page)) => Some(page),
+            Ok(ReadReply::Page(page)) => Some(self.page_response(&page)),
+            Ok(ReadReply::Unsure) => Some(error_response(ReadError::Unavailable)),
             Ok(ReadReply::UseStore) | Err(_) => None,
         }
     }
