ordered: a job's header keeps all owners that lost the job without handing it over

What callers would see: as before, results that were read are gone. When a job is taken over twice, the first owner may still live (paused, or isolated) while the second has ended; the third knew of the second alone, counted as the only process that appends, and answered from memory while the first appended once more.

Change: `earlier_formers` beside `former`; a takeover appends to the list, a handover keeps it, and an owner takes its log as settled only when all of them have ended. An older build ignores the new field.

The core test fails without it (only the last former owner is listed).

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -66,12 +66,30 @@
     /// Last owner that lost the job without handing it over; it may append results as long as it runs.
     #[serde(default)]
     pub former: Option<JobOwner>,
+    /// Owners that lost the job before `former`; any of them may append results as long as it runs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier_formers: Vec<JobOwner>,
 }
 
 impl JobHeader {
     /// Layout version that this build writes.
     pub const FORMAT: u32 = FORMAT;
 
+    /// Header after a takeover by another process. An owner that has not handed the job over becomes a former one.
+    pub fn taken_over_by(&self, owner: JobOwner) -> JobHeader {
+        let mut formers: Vec<JobOwner> = self.formers().cloned().collect();
+        let handed_over = self.owner.process.is_empty();
+        if !handed_over && !formers.contains(&self.owner) {
+            formers.push(self.owner.clone());
+        }
+        JobHeader { owner, former: formers.pop(), earlier_formers: formers, ..self.clone() }
+    }
+
+    /// Owners that lost the job without handing it over.
+    pub fn formers(&self) -> impl Iterator<Item = &JobOwner> {
+        self.earlier_formers.iter().chain(&self.former)
+    }
+
     /// Encodes the header as a stored value.
     pub fn value(&self) -> Value {
         to_value(self)
--- a/crates/samphiredoor-core/tests/ordered/main.rs
+++ b/crates/samphiredoor-core/tests/ordered/main.rs
@@ -1,5 +1,6 @@
 //! Tests of ordered jobs: concurrent writers of one log on a store that loses answers, and retries of items.
 
+mod header;
 mod items;
 mod log;
 mod log_end;
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -200,7 +200,10 @@
         let permit = Rc::new(SendPermit::new(gaps, health, messages.clone(), granted));
         let log_end = match log.is_caught_up() {
             true => LogEnd::of_new_job(),
-            false => LogEnd::unread(env.clock.now().mono_ms, ownership.header.former.is_some()),
+            false => {
+                let has_former = ownership.header.formers().next().is_some();
+                LogEnd::unread(env.clock.now().mono_ms, has_former)
+            }
         };
         JobTask {
             permit,
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -7,7 +7,7 @@
 
 use log::Level;
 use samphiredoor_core::{
-    ordered::{ItemResult, LogStep, header_key},
+    ordered::{ItemResult, JobOwner, LogStep, header_key},
     store::{StoreAnswer, StoreOp},
 };
 
@@ -193,12 +193,11 @@
     /// Notes whether a former owner may still append to the log. It does so until it finds out that it lost the job, and
     /// readers that got its results from it must also get them here.
     pub(super) fn update_log_end(&mut self) {
-        let former = self.ownership.header.former.as_ref();
-        let may_append = former.is_some_and(|it| {
-            let has_ended = it.process == *self.env.name
-                || self.env.roster.has_restarted(&it.process, it.incarnation);
-            !has_ended
-        });
+        let has_ended = |it: &JobOwner| {
+            it.process == *self.env.name
+                || self.env.roster.has_restarted(&it.process, it.incarnation)
+        };
+        let may_append = !self.ownership.header.formers().all(has_ended);
         self.log_end.set_others_append(may_append, self.env.clock.now().mono_ms);
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -228,11 +228,7 @@
     closed: bool,
 ) -> Option<JobOwnership> {
     let (previous, gap_count) = (header.owner.clone(), env.liveness_gaps.count());
-    let former = match previous.process.as_str() {
-        "" => header.former.clone(),
-        _ => Some(previous.clone()),
-    };
-    let header = JobHeader { owner: env.owner(), finished: closed, former, ..header };
+    let header = JobHeader { finished: closed, ..header.taken_over_by(env.owner()) };
     let (key, value) = (header_key(job), header.value());
     let update = StoreOp::Update { key, version, labels: Labels::new(), value };
     let version = match env.call(update).await {
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -250,6 +250,7 @@
         owner: env.owner(),
         finished: false,
         former: None,
+        earlier_formers: Vec::new(),
     }
 }
 
