jobs: the read that settles the end of a closed log happens

What would be seen: a gateway with a closed job whose former owner had lived woke about every millisecond for up to a minute, and sent each read of the job to the store. Found by the review (1,708 context switches in 2 s, 40 at an idle gateway; no read of a segment after the time at which the end can be settled) and by a test that should have been red and was not.

Cause: the time of the read was computed from a clock read after the `now` that it was compared with, so that it was always a little in the future, and the task was woken at once again.

Change: a read that is due has a time that does not move. The check of results that stay is stricter: each gateway must be sure at the end.

--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -220,16 +220,14 @@
         if self.is_complete() || self.log_call_in_flight || !self.log.is_caught_up() {
             return None;
         }
-        let reader_waits = self.readers.iter().any(|it| !self.knows_end_for(it));
-        let at = match reader_waits {
-            true => self.next_reread_at,
-            false => {
-                let now_ms = self.env.clock.now().mono_ms;
-                let left_ms = self.log_end.settles_at_ms()?.saturating_sub(now_ms);
-                Instant::now() + Duration::from_millis(left_ms)
-            }
-        };
-        Some(at.max(self.next_reread_at))
+        if self.readers.iter().any(|it| !self.knows_end_for(it)) {
+            return Some(self.next_reread_at);
+        }
+        let left_ms = self.log_end.settles_at_ms()?.saturating_sub(self.env.clock.now().mono_ms);
+        match left_ms {
+            0 => Some(self.next_reread_at),
+            _ => Some(Instant::now() + Duration::from_millis(left_ms)),
+        }
     }
 
     pub(super) fn is_active(&self) -> bool {
--- a/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
+++ b/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
@@ -12,17 +12,19 @@
 /// Enough to run for about twenty seconds.
 const ITEMS: usize = 200;
 const PAUSE: Duration = Duration::from_millis(150);
+/// Time in which an owner reads a short log after its takeover. It writes results seconds later.
+const LOG_IS_READ: Duration = Duration::from_millis(300);
 /// Longer than a write that was not answered can still take effect.
 const LATE_WRITES_OVER: Duration = Duration::from_secs(8);
 
-fn three_gateways() -> (Platform, PlatformTarget) {
+fn gateways(count: usize) -> (Platform, PlatformTarget) {
     let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", PAUSE);
-    for _ in 0..3 {
+    for _ in 0..count {
         platform.start_gateway();
     }
-    for by in 0..3 {
-        for of in (0..3).filter(|it| *it != by) {
+    for by in 0..count {
+        for of in (0..count).filter(|it| *it != by) {
             platform.wait_logged(by, &format!("peers: peer is live peer=gateway-{of} "));
         }
     }
@@ -41,6 +43,28 @@
     wait_until("results are written", || calls(platform, "POST jobsegments") > 0);
 }
 
+fn owner(platform: &Platform) -> Value {
+    platform.store.spec("orderedjobs", JOB).expect("the job exists")["owner"].clone()
+}
+
+/// Waits until a job has another owner that has read its log, and returns the number of its gateway.
+fn wait_taken_over(platform: &Platform, from: &Value) -> usize {
+    wait_until("the job is taken over", || owner(platform) != *from);
+    std::thread::sleep(LOG_IS_READ);
+    let name = owner(platform)["process"].as_str().unwrap_or_default().to_owned();
+    name.trim_start_matches("gateway-").parse().expect("the name of a gateway")
+}
+
+/// Freezes gateway 0, whose segment is late, and cancels its job when another gateway has taken it over. Returns the
+/// number of that gateway.
+fn cancel_at_next_owner(platform: &Platform) -> usize {
+    let first = owner(platform);
+    platform.signal(0, "STOP");
+    let next = wait_taken_over(platform, &first);
+    wait_cancelled(platform, next);
+    next
+}
+
 fn wait_cancelled(platform: &Platform, at: usize) {
     wait_until("the cancellation is acknowledged", || platform.cancel(at, JOB).status == 200);
 }
@@ -56,41 +80,64 @@
 }
 
 /// Reads the job at each gateway until late writes are over, and checks that all results are there. A gateway may say
-/// that it is not sure.
+/// that it is not sure, but not at the end.
 fn assert_results_stay(platform: &Platform, results: &[Value]) {
     let until = Instant::now() + LATE_WRITES_OVER;
     while Instant::now() < until {
-        for gateway in 0..3 {
-            let answer = platform.results(gateway, JOB, 0);
-            assert!([200, 503].contains(&answer.status), "{}: {}", answer.status, answer.text);
-            if answer.status == 200 {
-                let outputs = answer.json()["outputs"].clone();
-                assert_eq!(outputs, Value::Array(results.to_vec()), "at gateway-{gateway}");
-            }
-        }
+        (0..3).for_each(|gateway| drop(reads_all(platform, gateway, results)));
+    }
+    for gateway in 0..3 {
+        wait_until("the gateway is sure", || reads_all(platform, gateway, results));
     }
 }
 
+/// Reads the job at a gateway, and checks that all results are there unless the gateway says that it is not sure.
+/// Returns whether it was sure.
+fn reads_all(platform: &Platform, gateway: usize, results: &[Value]) -> bool {
+    let answer = platform.results(gateway, JOB, 0);
+    assert!([200, 503].contains(&answer.status), "{}: {}", answer.status, answer.text);
+    if answer.status == 200 {
+        assert_eq!(
+            answer.json()["outputs"],
+            Value::Array(results.to_vec()),
+            "at gateway-{gateway}"
+        );
+    }
+    answer.status == 200
+}
+
 // Guards against an owner that answers from a log which it has not read since its former owner could last append.
 #[test]
 fn results_of_a_former_owner_stay_readable_after_it_has_restarted() {
-    let (mut platform, _target) = three_gateways();
+    let (mut platform, _target) = gateways(3);
     submit_with_a_late_segment(&platform);
-    let reads = calls(&platform, "GET jobsegments");
-    platform.signal(0, "STOP");
-    wait_until("the next owner has read the log", || calls(&platform, "GET jobsegments") > reads);
-    wait_cancelled(&platform, 1);
+    let next = cancel_at_next_owner(&platform);
     platform.set_store_path_fault(0, StoreFault::None);
-    let results = wait_results(&platform, 1);
+    let results = wait_results(&platform, next);
     platform.gateway(0).kill();
     platform.restart_gateway(0);
     assert_results_stay(&platform, &results);
 }
 
+// Guards against a closed job whose log is never read to its end, so that each read goes to the store.
+#[test]
+fn a_cancelled_job_is_answered_from_memory_once_its_former_owner_has_ended() {
+    let (mut platform, _target) = gateways(3);
+    submit_with_a_late_segment(&platform);
+    let next = cancel_at_next_owner(&platform);
+    platform.gateway(0).kill();
+    platform.restart_gateway(0);
+    wait_until("reads make no store calls", || {
+        let before = calls(&platform, "GET jobsegments");
+        (0..5).for_each(|_| drop(platform.results(next, JOB, 0)));
+        calls(&platform, "GET jobsegments") == before
+    });
+}
+
 // Guards against an owner that answers from memory although its last write may have taken effect.
 #[test]
 fn results_of_an_unanswered_write_stay_readable_after_a_cancellation() {
-    let (platform, _target) = three_gateways();
+    let (platform, _target) = gateways(3);
     submit_with_a_late_segment(&platform);
     platform.set_store_path_fault(0, StoreFault::Busy);
     platform.wait_logged(0, "store: lost");
@@ -101,3 +148,22 @@
     platform.set_store_path_fault(0, StoreFault::None);
     assert_results_stay(&platform, &results);
 }
+
+// Guards against an owner that does not know of a former owner before its direct predecessor.
+#[test]
+fn results_of_an_earlier_former_owner_are_readable() {
+    let (mut platform, _target) = gateways(4);
+    submit_with_a_late_segment(&platform);
+    let first = owner(&platform);
+    platform.signal(0, "STOP");
+    let number = wait_taken_over(&platform, &first);
+    let second = owner(&platform);
+    platform.gateway(number).kill();
+    platform.restart_gateway(number);
+    let third = wait_taken_over(&platform, &second);
+    wait_cancelled(&platform, third);
+    std::thread::sleep(LATE_WRITES_OVER);
+    platform.set_store_path_fault(0, StoreFault::None);
+    wait_until("the segment is stored", || !platform.store.names("jobsegments").is_empty());
+    assert!(!platform.available_results(third, JOB).is_empty());
+}
