jobs: an owner appends nothing after a liveness gap until it has read its header

Cause: writes were not held back by a gap (a pause, an outage, an isolation), only sends of items were.

Change: a step of the log that would write waits until the header names this process since the last gap (one or two reads for each job with something to write, after a gap); reads go on in every phase, writes only while the job is active. The check of the header happens in a handover too. A job that is lost is no longer remembered as closed here, so that it can be taken over again.

Before: `a_resumed_owner_appends_nothing_before_it_has_checked_its_ownership` fails (a segment with 7 results in the store). After: green, 114 tests of gateway processes green. `a_resumed_owner_returns_the_results_of_the_next_owner` fails if `owns_since_last_gap` is always true (0 results); no test did before.

--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -103,12 +103,6 @@
         self.pending.is_empty() && self.outputs.is_empty()
     }
 
-    /// Drops all that waits to be appended, so that the log is only read from now on.
-    pub fn discard_pending(&mut self) {
-        self.pending.clear();
-        self.outputs.clear();
-    }
-
     /// Adds the output of a running item since its last part; ignored if the item has a committed result.
     pub fn push_output(&mut self, part: OutputPart) {
         if !self.committed_items.contains(&part.item) {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -32,6 +32,7 @@
     pub(super) fn lose_ownership(&mut self) {
         log::info!(job = &*self.ownership.job; "job: another process owns it");
         self.env.metrics.job_event("lost");
+        self.ownership.header.finished = false;
         self.stop_runs();
         self.phase = Phase::Done;
     }
@@ -46,7 +47,6 @@
         log::info!(job = &*self.ownership.job, how, results = self.log.committed().len(); "job: closed");
         self.env.metrics.job_event(how);
         self.phase = Phase::Closing;
-        self.log.discard_pending();
         self.ownership.header.finished = true;
         self.write_header();
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -171,7 +171,8 @@
     checking: bool,
     /// Earliest time of the next such read, after one without a usable answer.
     next_check_at: Instant,
-    /// Number of liveness gaps before the last read or write of the header that named this process as the owner.
+    /// Number of liveness gaps before the last read or write of the header that named this process as the owner. After a
+    /// further gap nothing is appended until the header is read again: other owners answer readers from memory.
     owned_at_gap_count: u64,
     /// Whether the header is written that marks the job as finished, so that no process can take it over any more.
     finish_written: bool,
@@ -288,8 +289,10 @@
     /// Takes all steps that are due in the current state.
     fn advance(&mut self) {
         let now = Instant::now();
+        if self.is_active() {
+            self.recheck_ownership(now);
+        }
         if self.phase == Phase::Running {
-            self.suspend_or_recheck();
             self.start_items();
             self.start_due_retries(now);
             self.save_outputs(now);
@@ -319,10 +322,10 @@
         let retry = self.retries.iter().map(|(at, _)| *at).min();
         let retry = retry.filter(|_| self.phase == Phase::Running && !self.suspended);
         let reader = self.readers.iter().map(|it| it.until).min();
-        let write_at = self.write_at.filter(|_| !self.log_call_in_flight);
+        let log_step_at = self.log_step_at(Instant::now());
         let reread_at = self.reread_at();
         let check = (self.phase == Phase::Running).then(|| Instant::now() + STORE_CHECK_INTERVAL);
-        let times = [phase, retry, reader, write_at, reread_at, check];
+        let times = [phase, retry, reader, log_step_at, reread_at, check];
         times.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + FAR_FUTURE)
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -22,21 +22,36 @@
 const PAGE_BYTES: usize = 900_000;
 
 impl JobTask {
-    /// Takes the log's next step if it is due. After the job is closed the log only reads on.
+    /// Takes the log's next step if it is due.
     pub(super) fn advance_log(&mut self, now: Instant) {
-        let due = self.write_at.is_some_and(|it| it <= now);
-        let reading = !self.log.is_caught_up() && self.write_at.is_none();
-        if self.log_call_in_flight || !(due || reading) {
+        if self.log_step_at(now).is_none_or(|it| it > now) {
             return;
         }
-        self.write_at = None;
-        if due && self.is_active() {
+        if self.write_at.take().is_some() && self.is_active() {
             self.queue_outputs(now);
         }
         let step = self.log.step();
         self.run_log_step(step);
     }
 
+    /// When the log takes its next step, unless a message has to come first. Segments are read in each phase, and written
+    /// only while this process works on the job and knows that it owns it.
+    pub(super) fn log_step_at(&self, now: Instant) -> Option<Instant> {
+        if self.log_call_in_flight {
+            return None;
+        }
+        match self.log.is_caught_up() {
+            true if self.write_must_wait() => None,
+            true => self.write_at.filter(|_| self.is_active()),
+            false => self.write_at.or(Some(now)),
+        }
+    }
+
+    /// Whether a write has to wait until it is known that this process still owns the job.
+    pub(super) fn write_must_wait(&self) -> bool {
+        self.log.is_caught_up() && self.is_active() && self.had_gap()
+    }
+
     pub(super) fn run_log_step(&mut self, step: LogStep) {
         match step {
             LogStep::Store(op) => {
@@ -184,7 +199,7 @@
     pub(super) fn owns_since_last_gap(&self) -> bool {
         let (gaps, health) = (&self.env.liveness_gaps, &self.env.health);
         let is_live = gaps.is_settled()
-            && gaps.count() == self.owned_at_gap_count
+            && !self.had_gap()
             && !health.is_lost_for(STORE_LOST_AFTER)
             && self.env.roster.at_least_half_live();
         self.finish_written || is_live
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -31,24 +31,29 @@
 
 impl JobTask {
     /// Stops the runs while only this process does not reach the store: other gateways take over its jobs then, and it
-    /// could notice neither that nor a cancellation. Afterwards, and whenever an item waits for its permit, reads from
-    /// the store whether the job may run.
-    pub(super) fn suspend_or_recheck(&mut self) {
+    /// could notice neither that nor a cancellation. Afterwards, and whenever something waits for it, reads from the store
+    /// whether this process still owns the job and may run it.
+    pub(super) fn recheck_ownership(&mut self, now: Instant) {
         let isolated = self.env.is_isolated_from_store();
-        if isolated && !self.suspended {
+        if isolated && !self.suspended && self.phase == Phase::Running {
             log::info!(job = &*self.ownership.job; "job: runs stopped, the store answers other gateways but not this one");
             self.suspended = true;
             self.stop_runs();
-        } else if !isolated && self.wants_ownership_check() && self.may_check() {
+        } else if !isolated && self.wants_ownership_check(now) && self.may_check() {
             self.check_ownership();
         }
     }
 
-    /// Whether items or readers wait until it is known that this process still owns the job.
-    fn wants_ownership_check(&self) -> bool {
-        let had_gap = self.env.liveness_gaps.count() != self.owned_at_gap_count;
-        let readers_wait = had_gap && !self.readers.is_empty();
-        self.suspended || self.permit.is_wanted() || readers_wait
+    /// Whether items, readers or results to be written wait until it is known that this process still owns the job.
+    fn wants_ownership_check(&self, now: Instant) -> bool {
+        let write_waits = self.write_at.is_some_and(|it| it <= now) && self.write_must_wait();
+        let reader_waits = !self.readers.is_empty() && self.had_gap();
+        self.suspended || self.permit.is_wanted() || write_waits || reader_waits
+    }
+
+    /// Whether other processes may have taken the job over since this one was last known to own it.
+    pub(super) fn had_gap(&self) -> bool {
+        self.env.liveness_gaps.count() != self.owned_at_gap_count
     }
 
     /// Reads whether the job was cancelled, and also its owner unless there was no gap since this process wrote itself
@@ -58,7 +63,7 @@
         let (env, messages) = (Rc::clone(&self.env), self.messages.clone());
         let (job, gap_count) =
             (JobName::clone(&self.ownership.job), self.env.liveness_gaps.count());
-        let is_known = gap_count == self.ownership.gap_count;
+        let is_known = gap_count == self.owned_at_gap_count;
         compio::runtime::spawn(async move {
             let header = async {
                 match is_known {
--- a/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
+++ b/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
@@ -12,6 +12,8 @@
 /// Enough to run for about twenty seconds.
 const ITEMS: usize = 200;
 const PAUSE: Duration = Duration::from_millis(150);
+/// More runs than the target does at a time, so that the first ones have ended.
+const RUNS_AFTER_FIRST_RESULTS: usize = 10;
 /// Time in which an owner reads a short log after its takeover. It writes results seconds later.
 const LOG_IS_READ: Duration = Duration::from_millis(300);
 /// Longer than a write that was not answered can still take effect.
@@ -43,6 +45,15 @@
     wait_until("results are written", || calls(platform, "POST jobsegments") > 0);
 }
 
+/// Submits a job at gateway 0, and freezes the gateway when it has results that it has not written.
+fn freeze_with_unwritten_results(platform: &Platform, target: &PlatformTarget) -> Value {
+    assert_eq!(platform.submit_many(0, JOB, ITEMS).status, 202);
+    wait_until("items have run", || target.runs().len() >= RUNS_AFTER_FIRST_RESULTS);
+    platform.signal(0, "STOP");
+    assert!(platform.store.names("jobsegments").is_empty(), "no result is written");
+    owner(platform)
+}
+
 fn owner(platform: &Platform) -> Value {
     platform.store.spec("orderedjobs", JOB).expect("the job exists")["owner"].clone()
 }
@@ -84,7 +95,9 @@
 fn assert_results_stay(platform: &Platform, results: &[Value]) {
     let until = Instant::now() + LATE_WRITES_OVER;
     while Instant::now() < until {
-        (0..3).for_each(|gateway| drop(reads_all(platform, gateway, results)));
+        for gateway in 0..3 {
+            reads_all(platform, gateway, results);
+        }
     }
     for gateway in 0..3 {
         wait_until("the gateway is sure", || reads_all(platform, gateway, results));
@@ -167,3 +180,30 @@
     wait_until("the segment is stored", || !platform.store.names("jobsegments").is_empty());
     assert!(!platform.available_results(third, JOB).is_empty());
 }
+
+// Guards against an owner that appends results after a pause, in which others have taken over its job and closed it.
+#[test]
+fn a_resumed_owner_appends_nothing_before_it_has_checked_its_ownership() {
+    let (platform, target) = gateways(3);
+    let first = freeze_with_unwritten_results(&platform, &target);
+    let next = wait_taken_over(&platform, &first);
+    wait_cancelled(&platform, next);
+    platform.signal(0, "CONT");
+    platform.wait_logged(0, "job: another process owns it");
+    assert!(platform.store.names("jobsegments").is_empty());
+}
+
+// Guards against an owner that answers from memory after a pause, in which another one has written results.
+#[test]
+fn a_resumed_owner_returns_the_results_of_the_next_owner() {
+    let (platform, target) = gateways(3);
+    let first = freeze_with_unwritten_results(&platform, &target);
+    let next = wait_taken_over(&platform, &first);
+    let results = wait_results(&platform, next);
+    platform.signal(0, "CONT");
+    while platform.times_logged(0, "job: another process owns it") == 0 {
+        let answer = platform.results(0, JOB, 0);
+        let returned = answer.json()["outputs"].as_array().map_or(0, Vec::len);
+        assert!(answer.status != 200 || returned >= results.len(), "{returned} results");
+    }
+}
