core: what a reader is answered from memory is one decision without a network

What: ordered/reader.rs decides from what a process knows (committed and all items, the end of the log, a write under way, whether another process can be the owner) and from the reader (position, arrival) whether it gets a page, waits, is sent to the store, or is told that nothing is certain. LogEnd::answered notes what the answer to a call of the log says about its end; LogCall is that call with its kind and time.

Why: the job's task combined LogEnd with ownership in four places between its I/O, where a model cannot reach it.

Ownership has an age: HeldUntil is the last time at which no other process had taken the job over, and an answer rests on it only for readers that arrived before. A bool, taken now, is the case HeldUntil(now).

One answer differs from the task's: an end that was seen after the reader arrived is known to it even while a later write is under way. The write began after the end was seen, so what it adds is not older than the read. Others need the store less often by it. All other answers are those of reply_to and knows_end_for.

Ruled out: to keep the arrival out of the decision (a reader could then be answered from an end that was seen before it came), and to let ResultLog hold LogEnd (it knows no time).

--- a/crates/samphiredoor-core/src/ordered/log_end.rs
+++ b/crates/samphiredoor-core/src/ordered/log_end.rs
@@ -7,9 +7,43 @@
 //! answer. Both can take effect some time after their process has ended or given up on the answer. A process that answers
 //! from memory without this check takes back results that a caller was given elsewhere.
 
+use crate::store::{StoreAnswer, StoreOp};
+
 /// Time after which a write without an answer can no longer take effect.
 pub const LATE_WRITE_MS: u64 = 6_000;
 
+/// Kind of a call of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LogCallKind {
+    /// Reads the next segment.
+    Read,
+    /// Creates the next segment.
+    Write,
+}
+
+/// A call of the log that is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogCall {
+    kind: LogCallKind,
+    sent_ms: u64,
+}
+
+impl LogCall {
+    /// The call that is sent at a time.
+    pub fn new(op: &StoreOp, sent_ms: u64) -> LogCall {
+        let kind = match op {
+            StoreOp::Create { .. } => LogCallKind::Write,
+            _ => LogCallKind::Read,
+        };
+        LogCall { kind, sent_ms }
+    }
+
+    /// Whether it may append to the log.
+    pub fn is_write(&self) -> bool {
+        self.kind == LogCallKind::Write
+    }
+}
+
 /// What a process knows of the end of a job's log. All times are in milliseconds of its monotonic clock.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogEnd {
@@ -52,6 +86,21 @@
         self.others_append = others_append;
     }
 
+    /// Notes what the answer to a call of the log says about its end.
+    pub fn answered(&mut self, call: &LogCall, answer: &StoreAnswer, now_ms: u64) {
+        match (call.kind, answer) {
+            // The segment exists since a moment after the call was sent, and there was none after it then.
+            (LogCallKind::Write, StoreAnswer::Object(_)) => {
+                self.segment_known();
+                self.seen(call.sent_ms);
+            }
+            (LogCallKind::Write, StoreAnswer::Unknown) => self.write_unanswered(now_ms),
+            (LogCallKind::Read, StoreAnswer::Object(_)) => self.segment_known(),
+            (LogCallKind::Read, StoreAnswer::Absent) => self.seen(call.sent_ms),
+            _ => {}
+        }
+    }
+
     /// Notes that a write of this process got no answer.
     pub fn write_unanswered(&mut self, now_ms: u64) {
         self.doubt_until_ms = Some(now_ms + LATE_WRITE_MS);
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -8,7 +8,8 @@
 //! The log also holds partial outputs of items that are still running (`outputs`), so that an item resumes after its last
 //! event wherever it runs next. Like ownership, this only saves work; correctness does not depend on it.
 //!
-//! `log_end` decides when an owner that holds the results in memory may tell a reader that there are no more.
+//! `reader` decides what a process that holds the results in memory answers to a reader, and `log_end` whether it knows
+//! that there are no more.
 //!
 //! The names of all objects begin with the job's name. A caller cancels a job by creating a separate object, so that every
 //! process can watch these few objects alone.
@@ -19,6 +20,7 @@
 mod log;
 mod log_end;
 mod outputs;
+mod reader;
 
 pub use codec::{
     JobHeader, JobOwner, PART_BYTES, Segment, read_header, read_part, read_segment,
@@ -30,5 +32,6 @@
     segment_key,
 };
 pub use log::{LogStep, ResultLog};
-pub use log_end::{LATE_WRITE_MS, LogEnd};
+pub use log_end::{LATE_WRITE_MS, LogCall, LogEnd};
 pub use outputs::{OutputPart, PartialOutput};
+pub use reader::{Answer, KnownResults, Ownership, Reader};
--- a/crates/samphiredoor-core/tests/ordered/main.rs
+++ b/crates/samphiredoor-core/tests/ordered/main.rs
@@ -3,3 +3,4 @@
 mod items;
 mod log;
 mod log_end;
+mod reader;
