--- a/crates/samphiredoor-core/tests/ordered/main.rs
+++ b/crates/samphiredoor-core/tests/ordered/main.rs
@@ -4,3 +4,4 @@
 mod items;
 mod log;
 mod log_end;
+mod reader;
