jobs: the task answers readers by the decision in core, which also counts signs of other writers

`KnownResults::answer` (core/ordered) decides what a reader gets; the task only gathers what it knows. A create that found its segment taken, a segment of another process, and a reader that has more results than are known here each show that others append: the end of the log is not settled before a late write of theirs is over.

--- a/crates/samphiredoor-core/src/ordered/log_end.rs
+++ b/crates/samphiredoor-core/src/ordered/log_end.rs
@@ -95,12 +95,18 @@
                 self.seen(call.sent_ms);
             }
             (LogCallKind::Write, StoreAnswer::Unknown) => self.write_unanswered(now_ms),
+            (LogCallKind::Write, StoreAnswer::Taken) => self.other_writer_seen(now_ms),
             (LogCallKind::Read, StoreAnswer::Object(_)) => self.segment_known(),
             (LogCallKind::Read, StoreAnswer::Absent) => self.seen(call.sent_ms),
             _ => {}
         }
     }
 
+    /// Notes that another process has appended. Its last write may still take effect.
+    pub fn other_writer_seen(&mut self, now_ms: u64) {
+        self.others_until_ms = Some(now_ms + LATE_WRITE_MS);
+    }
+
     /// Notes that a write of this process got no answer.
     pub fn write_unanswered(&mut self, now_ms: u64) {
         self.doubt_until_ms = Some(now_ms + LATE_WRITE_MS);
--- a/crates/samphiredoor-core/tests/ordered/log_end.rs
+++ b/crates/samphiredoor-core/tests/ordered/log_end.rs
@@ -89,3 +89,13 @@
     end.seen(READ_MS);
     assert!(end.is_known_to(RESTARTED_MS));
 }
+
+#[test]
+fn a_segment_of_another_process_makes_the_end_unknown() {
+    let mut end = LogEnd::of_new_job();
+    end.other_writer_seen(READ_MS);
+    end.seen(READ_MS);
+    assert!(end.is_known_to(READ_MS));
+    assert!(!end.is_known_to(READ_MS + 1));
+    assert_eq!(end.settles_at_ms(), Some(READ_MS + LATE_WRITE_MS));
+}
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -66,7 +66,7 @@
         if now < until {
             return;
         }
-        if self.log_call_in_flight || self.queue_outputs(now) || !self.log.is_flushed() {
+        if self.log_call.is_some() || self.queue_outputs(now) || !self.log.is_flushed() {
             // Writes the pending results at once instead of batching them, as the handover waits for them.
             self.write_at = Some(now);
             self.phase = Phase::HandingOver(now + STORE_RETRY_PAUSE);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -19,7 +19,7 @@
 
 use compio::runtime::JoinHandle;
 use samphiredoor_core::{
-    ordered::{Item, ItemEnd, Items, JobHeader, JobName, LogEnd, ResultLog},
+    ordered::{Item, ItemEnd, Items, JobHeader, JobName, LogCall, LogEnd, Reader, ResultLog},
     store::{StoreAnswer, Version},
 };
 use samphiredoor_net::pool::within;
@@ -118,9 +118,8 @@
     Unsure,
 }
 
-struct Reader {
-    after: usize,
-    arrived_ms: u64,
+struct WaitingReader {
+    read: Reader,
     until: Instant,
     reply: flume::Sender<ReadReply>,
 }
@@ -150,9 +149,10 @@
     outputs: HashMap<u32, SharedOutput>,
     /// Items that are to be run again, and when.
     retries: Vec<(Instant, u32)>,
-    readers: Vec<Reader>,
+    readers: Vec<WaitingReader>,
     phase: Phase,
-    log_call_in_flight: bool,
+    /// Call of the log that is under way.
+    log_call: Option<LogCall>,
     /// When the log takes its next step; `None` if no write or retry is pending.
     write_at: Option<Instant>,
     /// When partial outputs were last passed to the log.
@@ -178,8 +178,6 @@
     finish_written: bool,
     /// What is known of the end of the log, for readers that wait for more results.
     log_end: LogEnd,
-    /// When the log's last call was sent.
-    log_call_sent_ms: u64,
     /// Earliest time of the next read for segments of other processes.
     next_reread_at: Instant,
 }
@@ -215,7 +213,6 @@
             owned_at_gap_count: ownership.gap_count,
             finish_written: false,
             log_end,
-            log_call_sent_ms: 0,
             next_reread_at: Instant::now(),
             env,
             ownership,
@@ -227,7 +224,7 @@
             retries: Vec::new(),
             readers: Vec::new(),
             phase: Phase::Running,
-            log_call_in_flight: false,
+            log_call: None,
             write_at: None,
             saved_at: Instant::now(),
             give_up_at,
@@ -262,7 +259,11 @@
         match message {
             JobMessage::Read { after, until, reply } => {
                 let arrived_ms = self.env.clock.now().mono_ms;
-                self.readers.push(Reader { after, arrived_ms, until, reply });
+                if after > self.log.committed().len() && after <= self.items.len() as usize {
+                    self.log_end.other_writer_seen(arrived_ms);
+                }
+                let read = Reader { after, arrived_ms };
+                self.readers.push(WaitingReader { read, until, reply });
             }
             JobMessage::Item { id, reply } => {
                 let found = self.items.find(&id).filter(|(item, _)| !self.log.has_result(*item));
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -7,11 +7,13 @@
 
 use log::Level;
 use samphiredoor_core::{
-    ordered::{ItemResult, JobOwner, LogStep, header_key},
+    ordered::{
+        Answer, ItemResult, JobOwner, KnownResults, LogCall, LogStep, Ownership, header_key,
+    },
     store::{StoreAnswer, StoreOp},
 };
 
-use super::{JobMessage, JobTask, Phase, ReadReply, Reader};
+use super::{JobMessage, JobTask, Phase, ReadReply, WaitingReader};
 use crate::{jobs::STORE_RETRY_PAUSE, peers::STORE_LOST_AFTER, platform_api::ResultsPage};
 
 /// Minimum time between two reads for segments of other processes; callers poll twice a second.
@@ -37,7 +39,7 @@
     /// When the log takes its next step, unless a message has to come first. Segments are read in each phase, and written
     /// only while this process works on the job and knows that it owns it.
     pub(super) fn log_step_at(&self, now: Instant) -> Option<Instant> {
-        if self.log_call_in_flight {
+        if self.log_call.is_some() {
             return None;
         }
         match self.log.is_caught_up() {
@@ -55,8 +57,7 @@
     pub(super) fn run_log_step(&mut self, step: LogStep) {
         match step {
             LogStep::Store(op) => {
-                self.log_call_in_flight = true;
-                self.log_call_sent_ms = self.env.clock.now().mono_ms;
+                self.log_call = Some(LogCall::new(&op, self.env.clock.now().mono_ms));
                 self.spawn_store_call(op, JobMessage::LogCallAnswered);
             }
             LogStep::Pause => {
@@ -83,9 +84,11 @@
     }
 
     pub(super) fn log_call_answered(&mut self, answer: &StoreAnswer) {
-        self.log_call_in_flight = false;
         let before = self.log.committed().len();
-        self.note_log_end(answer);
+        let now_ms = self.env.clock.now().mono_ms;
+        if let Some(call) = self.log_call.take() {
+            self.log_end.answered(&call, answer, now_ms);
+        }
         let step = self.log.answered(answer);
         // Results that arrived during the call are batched again instead of being written at once.
         match step {
@@ -102,7 +105,11 @@
         if committed > before {
             log::info!(job = &*self.ownership.job, standing = committed, items = self.items.len(); "job: results committed");
         }
-        if self.log.take_other_writer_seen() && self.items_started {
+        let other_writer_seen = self.log.take_other_writer_seen();
+        if other_writer_seen {
+            self.log_end.other_writer_seen(now_ms);
+        }
+        if other_writer_seen && self.items_started {
             self.spawn_store_call(
                 StoreOp::Get { key: header_key(&self.ownership.job) },
                 JobMessage::HeaderRead,
@@ -110,24 +117,6 @@
         }
     }
 
-    /// Notes what the answer to the log's call says about the end of the log.
-    fn note_log_end(&mut self, answer: &StoreAnswer) {
-        let was_write = self.log.is_caught_up();
-        match answer {
-            StoreAnswer::Object(_) => {
-                self.log_end.segment_known();
-                if was_write {
-                    self.log_end.seen(self.log_call_sent_ms);
-                }
-            }
-            StoreAnswer::Absent => self.log_end.seen(self.log_call_sent_ms),
-            StoreAnswer::Unknown if was_write => {
-                self.log_end.write_unanswered(self.env.clock.now().mono_ms);
-            }
-            _ => {}
-        }
-    }
-
     pub(super) fn header_answered(&mut self, answer: &StoreAnswer) {
         if self.names_this_process(answer) == Some(false) {
             self.lose_ownership();
@@ -151,7 +140,7 @@
 
     /// Logs what decided an answer: how many results are known here, and whether there may be more. Answers with results
     /// are logged in detail only, as they are many and cannot be wrong.
-    fn log_reply(&self, reader: &Reader, reply: &ReadReply) {
+    fn log_reply(&self, reader: &WaitingReader, reply: &ReadReply) {
         let (source, results) = match reply {
             ReadReply::Page(page) => ("memory", page.results.len()),
             ReadReply::UseStore => ("store", 0),
@@ -159,50 +148,50 @@
         };
         let level = if results > 0 { Level::Debug } else { Level::Info };
         log::log!(
-            level, job = &*self.ownership.job, after = reader.after, source, results,
+            level, job = &*self.ownership.job, after = reader.read.after, source, results,
             known = self.log.committed().len(), items = self.items.len(),
             caught_up = self.log.is_caught_up(), is_active = self.is_active(),
-            is_owner = self.owns_since_last_gap(), end:? = self.log_end;
+            ownership:? = self.known_results().ownership, end:? = self.log_end;
             "job: read at its owner"
         );
     }
 
-    fn reply_to(&self, reader: &Reader, now: Instant) -> Option<ReadReply> {
-        let committed = self.log.committed().len();
-        if reader.after < committed || self.is_complete() {
-            return Some(ReadReply::Page(self.page(reader.after.min(committed))));
-        }
-        let is_over = now >= reader.until || !self.is_active();
-        if !is_over {
-            return None;
+    fn reply_to(&self, reader: &WaitingReader, now: Instant) -> Option<ReadReply> {
+        let wait_is_over = now >= reader.until || !self.is_active();
+        let store_is_lost = self.env.health.is_lost();
+        match self.known_results().answer(&reader.read, wait_is_over, store_is_lost) {
+            Answer::Page { from } => Some(ReadReply::Page(self.page(from))),
+            Answer::Wait => None,
+            Answer::UseStore => Some(ReadReply::UseStore),
+            Answer::Unsure => Some(ReadReply::Unsure),
         }
-        Some(match reader.after == committed && self.knows_end_for(reader) {
-            true => ReadReply::Page(self.page(reader.after)),
-            false if self.env.health.is_lost() => ReadReply::Unsure,
-            false => ReadReply::UseStore,
-        })
     }
 
-    /// Whether no caller can have been given more results than are known here when a reader arrived. A write under way
-    /// may have taken effect already, and another owner appends without the knowledge of this process.
-    fn knows_end_for(&self, reader: &Reader) -> bool {
-        let is_writing = self.log_call_in_flight && self.log.is_caught_up();
-        !is_writing
-            && match self.owns_since_last_gap() {
-                true => self.log_end.is_known_to(reader.arrived_ms),
-                false => self.log_end.is_seen_since(reader.arrived_ms),
-            }
+    /// What is known here of the job's results now.
+    fn known_results(&self) -> KnownResults<'_> {
+        let now_ms = self.env.clock.now().mono_ms;
+        let ownership = match self.owns_since_last_gap() {
+            _ if self.finish_written => Ownership::Final,
+            true => Ownership::HeldUntil(now_ms),
+            false => Ownership::InDoubt,
+        };
+        KnownResults {
+            committed: self.log.committed().len(),
+            total: self.items.len() as usize,
+            end: &self.log_end,
+            is_writing: self.log_call.is_some_and(|it| it.is_write()),
+            ownership,
+        }
     }
 
     /// Whether no process can have taken the job over: none while this one is live to the others and they see that the
-    /// store answers it, and none after the job was marked as finished.
+    /// store answers it.
     pub(super) fn owns_since_last_gap(&self) -> bool {
         let (gaps, health) = (&self.env.liveness_gaps, &self.env.health);
-        let is_live = gaps.is_settled()
+        gaps.is_settled()
             && !self.had_gap()
             && !health.is_lost_for(STORE_LOST_AFTER)
-            && self.env.roster.at_least_half_live();
-        self.finish_written || is_live
+            && self.env.roster.at_least_half_live()
     }
 
     /// Notes whether a former owner may still append to the log. It does so until it finds out that it lost the job, and
@@ -232,10 +221,11 @@
     /// When to read on in the log: at once for a reader to whom others may have given more results, or when such a read
     /// settles the end of the log for all later readers. `None` if neither is needed or a call is under way.
     pub(super) fn reread_at(&self) -> Option<Instant> {
-        if self.is_complete() || self.log_call_in_flight || !self.log.is_caught_up() {
+        if self.is_complete() || self.log_call.is_some() || !self.log.is_caught_up() {
             return None;
         }
-        if self.readers.iter().any(|it| !self.knows_end_for(it)) {
+        let known = self.known_results();
+        if self.readers.iter().any(|it| !known.has_all_for(&it.read)) {
             return Some(self.next_reread_at);
         }
         let left_ms = self.log_end.settles_at_ms()?.saturating_sub(self.env.clock.now().mono_ms);
