standin: the soak reads every job again at each gateway, and a drill isolates the owner of a job that is cancelled

A caller that had read results of a cancelled job found none at a position later. The soak compared positions, but only its own caller read a job, until it cancelled it or all was there, and an empty page was taken for an answer that comes later.

Now one client per gateway reads accepted jobs again until the run ends, ended ones too, half of the time from the first result on, else from a random one, and reads on until all that callers had read has come. Results are compared by position and bytes. An empty page at a position that had been read when the read was sent is a violation at a gateway in touch (no fault of its own, of its path or of the store for 4 s); at others it is counted (stale_reads). The message names job, position, bytes, gateways and times. Jobs are cancelled within 400 ms, in the middle, before the last results, or at any time. The drill (--drills): the owner's write is held by the store, nothing reaches it then, the job is cancelled just after its takeover or before, the write takes effect, the former owner is killed and restarted. The stand-in store got the fault WritesHeld; it applies writes whose sender has disconnected.

Changed in existing checks: a job was cancelled after 0 to 19 reads with probability 0.4, now as above with 0.6; jobs are of up to 20 or up to 150 items; check_page takes the read that was sent, and violations of results name the job.

Tests: 14 new ones in soak_checks.

--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -46,6 +46,8 @@
     WritesUnanswered,
     /// Applies writes one second later and does not answer them.
     WritesLate,
+    /// Applies writes when this fault is over and does not answer them.
+    WritesHeld,
     /// Delays writes of submission parts until there is a job header.
     PartsAfterHeaders,
     /// Delays writes of submission parts while this fault is set.
@@ -251,6 +253,11 @@
             _ => {}
         }
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        if fault == StoreFault::WritesHeld && is_write {
+            self.apply_when_released(parts.method.clone(), path.clone(), body);
+            compio::time::sleep(NO_ANSWER_TIME).await;
+            return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+        }
         let is_hidden = fault == StoreFault::GatewaysHidden && segments == [GATEWAYS];
         let response = match parts.method {
             Method::GET if query.contains_key("watch") => {
@@ -258,10 +265,7 @@
             }
             Method::GET if is_hidden => self.state().read(&[EMPTY_KIND], &query),
             Method::GET => self.state().read(&segments, &query),
-            Method::POST => self.state().create(kind, &body),
-            Method::PUT => self.state().replace(&segments, &body),
-            Method::DELETE => self.state().delete(&segments),
-            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+            method => self.state().apply(&method, &segments, &body),
         };
         let is_unanswered = matches!(fault, StoreFault::WritesUnanswered | StoreFault::WritesLate);
         if is_unanswered && is_write {
@@ -270,6 +274,17 @@
         response
     }
 
+    /// Applies a write when [`StoreFault::WritesHeld`] is over, also if its sender has disconnected.
+    fn apply_when_released(&self, method: Method, path: String, body: Value) {
+        let store = self.clone();
+        compio::runtime::spawn(async move {
+            store.wait_while(StoreFault::WritesHeld).await;
+            let segments: Vec<&str> = path.split('/').filter(|it| !it.is_empty()).collect();
+            store.state().apply(&method, &segments, &body);
+        })
+        .detach();
+    }
+
     async fn wait_while(&self, fault: StoreFault) {
         while self.fault() == fault {
             compio::time::sleep(POLL_INTERVAL).await;
@@ -375,6 +390,15 @@
         list(&snapshot.kinds, snapshot.revision, kind, after, limit)
     }
 
+    fn apply(&mut self, method: &Method, segments: &[&str], body: &Value) -> Response<Body> {
+        match *method {
+            Method::POST => self.create(segments.first().copied().unwrap_or_default(), body),
+            Method::PUT => self.replace(segments, body),
+            Method::DELETE => self.delete(segments),
+            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+        }
+    }
+
     fn create(&mut self, kind: &str, body: &Value) -> Response<Body> {
         let Some(name) = body["meta"]["name"].as_str() else {
             return answer(StatusCode::BAD_REQUEST, &Value::Null);
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -6,13 +6,20 @@
     time::{Duration, Instant},
 };
 
-use serde_json::Value;
+use serde::Deserialize;
+use serde_json::{Value, value::RawValue};
 
-use super::connection::Reply;
+use super::{
+    connection::Reply,
+    plan::Disturbed,
+    read_history::{ReadHistory, SentRead},
+};
 use crate::{fleet::whole_stream, platform_target::Run};
 
 /// Time after the acknowledgement of a job's cancellation within which its items may still reach a target.
 const CANCELLATION_GRACE: Duration = Duration::from_secs(3);
+/// Time after a fault of a gateway, or of its path to the store, until it counts as in touch with the store again.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(4);
 /// Separates the name of a job from the number of an item.
 pub const ITEM_SEPARATOR: char = '.';
 
@@ -33,6 +40,8 @@
     NoPermanentError,
     /// A result keeps its position and content, and each item has at most one.
     ResultsStable,
+    /// A result that was read is returned by each later read of its position, at any gateway that is in touch.
+    ReadsMonotonic,
     /// An accepted job can be read at every gateway, with all of its items.
     JobReadable,
     /// After the cancellation of a job none of its items starts.
@@ -53,6 +62,7 @@
             Invariant::AnswerMatchesRequest => "an answer belongs to its request",
             Invariant::NoPermanentError => "an allowed request gets no permanent error",
             Invariant::ResultsStable => "a result keeps its position and content",
+            Invariant::ReadsMonotonic => "a result that was read can be read again",
             Invariant::JobReadable => "an accepted job can be read at every gateway",
             Invariant::CancellationStopsRuns => "no item of a job starts after its cancellation",
             Invariant::ServesAfterFaults => "requests are served again after the last fault",
@@ -83,8 +93,8 @@
 pub struct Job {
     /// Ids of its items.
     pub items: BTreeSet<String>,
-    /// Results that were read, in the order of their positions.
-    pub results: Vec<Value>,
+    /// Results that were read.
+    pub results: ReadHistory,
     /// Whether a gateway has accepted it.
     pub accepted: bool,
     /// Whether its cancellation was requested.
@@ -112,18 +122,32 @@
     pub doubtful: u64,
     /// Distinct results of jobs that were read.
     pub results: u64,
+    /// Reads of a job's results that were answered.
+    pub reads: u64,
+    /// Pages that ended before a result that had been read.
+    pub short_pages: u64,
+    /// Reads at gateways that were out of touch and did not return a result that had been read.
+    pub stale_reads: u64,
     /// Jobs whose cancellation was acknowledged.
     pub ended: u64,
     /// Requests that targets ran.
     pub runs: u64,
 }
 
+/// Time in which a fault was or will be active.
+#[derive(Debug, Clone, Copy)]
+struct FaultWindow {
+    disturbed: Disturbed,
+    from: Instant,
+    until: Instant,
+}
+
 /// Observations of clients so far, and the first invariant that they violate.
 #[derive(Debug, Default)]
 pub struct Checks {
     requests: HashMap<String, Request>,
     jobs: BTreeMap<String, Job>,
-    fault_windows: Vec<(Instant, Instant)>,
+    fault_windows: Vec<FaultWindow>,
     violation: Option<Violation>,
     counts: Counts,
 }
@@ -159,8 +183,19 @@
     }
 
     /// Records a time in which a fault was or will be active.
-    pub fn add_fault_window(&mut self, from: Instant, until: Instant) {
-        self.fault_windows.push((from, until));
+    pub fn add_fault_window(&mut self, disturbed: Disturbed, from: Instant, until: Instant) {
+        self.fault_windows.push(FaultWindow { disturbed, from, until });
+    }
+
+    /// Whether a gateway has been in touch with the store since a point in time, and for [`IN_TOUCH_AFTER`] before it.
+    fn is_in_touch(&self, gateway: usize, since: Instant) -> bool {
+        let disturbs = |it: &FaultWindow| match it.disturbed {
+            Disturbed::None => false,
+            Disturbed::Gateway(disturbed) => disturbed == gateway,
+            Disturbed::All => true,
+        };
+        let (now, settled_at) = (Instant::now(), since - IN_TOUCH_AFTER);
+        !self.fault_windows.iter().any(|it| disturbs(it) && it.until > settled_at && it.from < now)
     }
 
     /// Records that a request is about to be sent.
@@ -241,35 +276,49 @@
         self.jobs.entry(name.to_owned()).or_default().cancelled_at.get_or_insert_with(Instant::now);
     }
 
-    /// Records and checks results of a job, read from position `after` on; returns their number.
-    pub fn check_page(&mut self, name: &str, after: usize, reply: &Reply) -> usize {
-        let job = self.jobs.entry(name.to_owned()).or_default();
-        match reply.status {
-            200 if reply.is_complete => {}
+    /// Records that a read of a job's results is about to be sent.
+    pub fn record_read(&self, job: &str, gateway: usize, after: usize) -> SentRead {
+        let known = self.jobs.get(job).map_or(0, |it| it.results.len());
+        SentRead { job: job.to_owned(), gateway, after, known, sent_at: Instant::now() }
+    }
+
+    /// Records and checks the answer to a read; returns the number of results in it.
+    pub fn check_page(&mut self, read: &SentRead, reply: &Reply) -> usize {
+        let job = self.jobs.entry(read.job.clone()).or_default();
+        let page = match reply.status {
+            200 if reply.is_complete => Page::parse(&reply.body),
             404 | 410 if job.accepted => {
-                self.record_violation(
-                    Invariant::JobReadable,
-                    name,
-                    format!("read: status {}", reply.status),
-                );
+                let observed = format!("gateway {}: status {}", read.gateway, reply.status);
+                self.record_violation(Invariant::JobReadable, &read.job, observed);
                 return 0;
             }
             _ => return 0,
-        }
-        let page: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
-        let outputs = page["outputs"].as_array().cloned().unwrap_or_default();
-        if page["total"].as_u64() != Some(job.items.len() as u64) {
-            self.record_violation(Invariant::JobReadable, name, format!("total {}", page["total"]));
+        };
+        if page.total != Some(job.items.len()) {
+            let observed = format!("gateway {}: total {:?}", read.gateway, page.total);
+            self.record_violation(Invariant::JobReadable, &read.job, observed);
             return 0;
         }
-        let violation = outputs.iter().enumerate().find_map(|(at, output)| {
-            let (invariant, observed) = job.check_result(after + at, output)?;
-            Some((invariant, output["id"].as_str().unwrap_or(name), observed))
-        });
-        if let Some((invariant, id, observed)) = violation {
-            self.record_violation(invariant, id, observed);
+        let missing = job.results.missing(read, page.outputs.len());
+        let violation = job.check_outputs(read, &page.outputs);
+        let cancellation = job.cancellation();
+        self.counts.reads += 1;
+        self.counts.short_pages += u64::from(read.is_short(page.outputs.len()));
+        if let Some((invariant, observed)) = violation {
+            self.record_violation(invariant, &read.job, format!("{observed}; {cancellation}"));
+        }
+        if let Some(missing) = missing {
+            self.record_missing(read, format!("{missing}; {cancellation}"));
+        }
+        page.outputs.len()
+    }
+
+    /// Records that a read did not return a result that had been read before.
+    fn record_missing(&mut self, read: &SentRead, observed: String) {
+        match self.is_in_touch(read.gateway, read.sent_at) {
+            true => self.record_violation(Invariant::ReadsMonotonic, &read.job, observed),
+            false => self.counts.stale_reads += 1,
         }
-        outputs.len()
     }
 
     /// Checks all runs at targets so far.
@@ -313,7 +362,7 @@
     }
 
     fn was_fault_free(&self, from: Instant, until: Instant) -> bool {
-        self.fault_windows.iter().all(|(began, ended)| *ended < from || *began > until)
+        self.fault_windows.iter().all(|it| it.until < from || it.from > until)
     }
 }
 
@@ -326,26 +375,61 @@
 }
 
 impl Job {
+    /// Checks and records the results in the answer to a read.
+    fn check_outputs(
+        &mut self,
+        read: &SentRead,
+        outputs: &[Box<RawValue>],
+    ) -> Option<(Invariant, String)> {
+        let mut outputs = outputs.iter().zip(read.after..);
+        outputs.find_map(|(output, position)| self.check_result(read, position, output.get()))
+    }
+
     /// Checks and records the result at a position.
-    fn check_result(&mut self, at: usize, output: &Value) -> Option<(Invariant, String)> {
-        if let Some(earlier) = self.results.get(at) {
-            let changed = earlier != output;
-            return changed
-                .then(|| (Invariant::ResultsStable, format!("at {at}: {earlier}, now {output}")));
+    fn check_result(
+        &mut self,
+        read: &SentRead,
+        position: usize,
+        bytes: &str,
+    ) -> Option<(Invariant, String)> {
+        if let Some(compared) = self.results.compare(read, position, bytes) {
+            return compared.err().map(|it| (Invariant::ResultsStable, it));
         }
+        let output: Value = serde_json::from_str(bytes).unwrap_or(Value::Null);
         let id = output["id"].as_str().unwrap_or_default();
-        if !self.items.contains(id) || self.results.iter().any(|it| it["id"] == id) {
-            return Some((
-                Invariant::ResultsStable,
-                format!("at {at}: {id} was not expected there"),
-            ));
+        let observed =
+            || format!("position {position}: {bytes} was not expected at gateway {}", read.gateway);
+        if !self.items.contains(id) || self.results.has_item(id) {
+            return Some((Invariant::ResultsStable, observed()));
         }
         if output["state"] == "completed" && output["text"] != complete_text().as_str() {
-            return Some((Invariant::AnswerComplete, format!("at {at}: {output}")));
+            return Some((Invariant::AnswerComplete, observed()));
         }
-        self.results.push(output.clone());
+        self.results.push(id, bytes, read.gateway);
         None
     }
+
+    fn cancellation(&self) -> String {
+        match self.cancelled_at {
+            Some(at) => format!("cancelled {} ms before", at.elapsed().as_millis()),
+            None if self.cancelling => "cancelled without an acknowledgement".to_owned(),
+            None => "not cancelled".to_owned(),
+        }
+    }
+}
+
+/// Page of results, with the bytes of each result.
+#[derive(Debug, Default, Deserialize)]
+struct Page {
+    total: Option<usize>,
+    #[serde(default)]
+    outputs: Vec<Box<RawValue>>,
+}
+
+impl Page {
+    fn parse(body: &[u8]) -> Page {
+        serde_json::from_slice(body).unwrap_or_default()
+    }
 }
 
 /// Data of all events of a complete run.
--- a/crates/samphiredoor-standin/src/soak/clients.rs
+++ b/crates/samphiredoor-standin/src/soak/clients.rs
@@ -1,5 +1,5 @@
 //! Clients of the soak test: some send single requests on keep-alive connections, others submit jobs, read their
-//! results and cancel some.
+//! results and cancel some, and others read the results of all jobs again, also of those that have ended.
 
 use std::{
     net::SocketAddr,
@@ -7,7 +7,11 @@
     time::{Duration, Instant},
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{
+    Rng, SeedableRng,
+    rngs::SmallRng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 use serde_json::{Value, json};
 
 use super::{
@@ -32,17 +36,49 @@
 
 const SUBMISSION_TRIES: usize = 6;
 const JOB_CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-const MAX_ITEMS: usize = 150;
+/// Maximum numbers of items of small and large jobs.
+const MAX_ITEMS: [usize; 2] = [20, 150];
 /// Probability that a job is submitted again after it was accepted.
 const RESUBMIT_PROBABILITY: f64 = 0.3;
 /// Probability that a job is cancelled while it runs.
-const CANCEL_PROBABILITY: f64 = 0.4;
+const CANCEL_PROBABILITY: f64 = 0.6;
+/// Time from the acceptance of a job to its cancellation, if it is cancelled at its start.
+const CANCEL_AT_START_MS: std::ops::Range<u64> = 0..400;
+/// The same for a job that is cancelled at any moment.
+const CANCEL_ANY_TIME_MS: std::ops::Range<u64> = 0..5_000;
+/// Number of missing results at which a job is cancelled just before its end.
+const LAST_RESULTS: usize = 2;
 /// Probability that a read starts at an earlier position.
 const REREAD_PROBABILITY: f64 = 0.3;
+/// Probability that a job that is read again is read from its first result on.
+const FROM_START_PROBABILITY: f64 = 0.5;
+/// Pause between two reads of [`Client::read_again`].
+const READ_AGAIN_PAUSE_MS: std::ops::Range<u64> = 0..60;
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum time for which a client reads the results of one job.
 const MAX_READ_TIME: Duration = Duration::from_secs(10);
 
+/// Moment at which a caller cancels its job.
+#[derive(Debug, Clone, Copy)]
+enum CancelMoment {
+    /// This long after the acceptance.
+    AfterAcceptance(Duration),
+    /// When half of the results were read.
+    HalfDone,
+    /// When all but the last results were read.
+    BeforeLast,
+}
+
+impl CancelMoment {
+    fn has_come(self, since_acceptance: Duration, available: usize, items: usize) -> bool {
+        match self {
+            CancelMoment::AfterAcceptance(delay) => since_acceptance >= delay,
+            CancelMoment::HalfDone => available * 2 >= items,
+            CancelMoment::BeforeLast => available + LAST_RESULTS >= items,
+        }
+    }
+}
+
 /// Client of a run, with its own random number generator.
 pub struct Client<'a> {
     shared: &'a RunState,
@@ -124,7 +160,8 @@
     pub fn send_jobs(mut self) {
         while !self.shared.is_stopped() {
             let job = self.next_id();
-            let count = self.rng.random_range(1..=MAX_ITEMS);
+            let most = *MAX_ITEMS.choose(&mut self.rng).expect("a number");
+            let count = self.rng.random_range(1..=most);
             let items: Vec<String> =
                 (0..count).map(|it| format!("{job}{ITEM_SEPARATOR}{it}")).collect();
             if self.submit(&job, &items) {
@@ -155,29 +192,88 @@
 
     /// Reads the results of a job until all are there; may submit it again and cancel it meanwhile.
     fn read_results(&mut self, job: &str, items: &[String]) {
-        let until = Instant::now() + MAX_READ_TIME;
-        let cancel_after_reads =
-            self.rng.random_bool(CANCEL_PROBABILITY).then(|| self.rng.random_range(0..20));
-        let (mut reads, mut available) = (0, 0);
+        let accepted_at = Instant::now();
+        let cancellation = self.random_cancel_moment();
+        let mut available = 0;
         if self.rng.random_bool(RESUBMIT_PROBABILITY) {
             self.submit_once(job, items, &submission(items));
         }
-        while available < items.len() && Instant::now() < until && !self.shared.is_stopped() {
+        while available < items.len()
+            && accepted_at.elapsed() < MAX_READ_TIME
+            && !self.shared.is_stopped()
+        {
+            let has_come =
+                |it: CancelMoment| it.has_come(accepted_at.elapsed(), available, items.len());
+            if cancellation.is_some_and(has_come) {
+                return self.cancel(job);
+            }
             let is_reread = available > 0 && self.rng.random_bool(REREAD_PROBABILITY);
             let after = if is_reread { self.rng.random_range(0..available) } else { available };
             available = available.max(after + self.read(job, after));
-            reads += 1;
-            if cancel_after_reads.is_some_and(|it| reads >= it) {
-                return self.cancel(job);
-            }
             thread::sleep(READ_INTERVAL);
         }
+        // The last results may have come in one page.
+        if matches!(cancellation, Some(CancelMoment::BeforeLast)) && available == items.len() {
+            self.cancel(job);
+        }
+    }
+
+    fn random_cancel_moment(&mut self) -> Option<CancelMoment> {
+        let mut random_ms = |range| Duration::from_millis(self.rng.random_range(range));
+        let moments = [
+            CancelMoment::AfterAcceptance(random_ms(CANCEL_AT_START_MS)),
+            CancelMoment::AfterAcceptance(random_ms(CANCEL_ANY_TIME_MS)),
+            CancelMoment::HalfDone,
+            CancelMoment::BeforeLast,
+        ];
+        let moment = *moments.choose(&mut self.rng).expect("a moment");
+        self.rng.random_bool(CANCEL_PROBABILITY).then_some(moment)
+    }
+
+    /// Reads results of all jobs again at one gateway, until the run ends. Each gateway has a client of its own, so
+    /// that one that does not answer delays no reads at others.
+    pub fn read_again(mut self, gateway: usize) {
+        while !self.shared.is_stopped() {
+            if let Some((job, known)) = self.random_job() {
+                let is_from_start = known == 0 || self.rng.random_bool(FROM_START_PROBABILITY);
+                let after = if is_from_start { 0 } else { self.rng.random_range(0..known) };
+                self.read_known(gateway, &job, after, known);
+            }
+            let pause = self.rng.random_range(READ_AGAIN_PAUSE_MS);
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+
+    /// Reads page by page from a position on, until all results that callers had read before have come again.
+    fn read_known(&mut self, gateway: usize, job: &str, mut after: usize, known: usize) {
+        loop {
+            let count = self.read_at(gateway, job, after);
+            after += count;
+            if count == 0 || after >= known {
+                return;
+            }
+        }
+    }
+
+    /// Random accepted job, with the number of its results that were read.
+    fn random_job(&mut self) -> Option<(String, usize)> {
+        let checks = self.shared.checks();
+        let accepted = checks.jobs().iter().filter(|(_, it)| it.accepted);
+        let (name, job) = accepted.choose(&mut self.rng)?;
+        Some((name.clone(), job.results.len()))
     }
 
     fn read(&mut self, job: &str, after: usize) -> usize {
+        let (gateway, _) = self.random_gateway();
+        self.read_at(gateway, job, after)
+    }
+
+    fn read_at(&mut self, gateway: usize, job: &str, after: usize) -> usize {
         let path = format!("/samphiredoor/lots/{job}?after={after}");
-        let reply = self.call_job("GET", &path, &[("X-Wait-Ms", "200")], "", job);
-        self.shared.checks().check_page(job, after, &reply)
+        let read = self.shared.checks().record_read(job, gateway, after);
+        let headers = [("X-Wait-Ms", "200")];
+        let reply = self.call_job_at(gateway, "GET", &path, &headers, "", job);
+        self.shared.checks().check_page(&read, &reply)
     }
 
     /// Cancels a job; retries until the cancellation is acknowledged, at most [`SUBMISSION_TRIES`] times.
@@ -200,7 +296,20 @@
         body: &str,
         job: &str,
     ) -> Reply {
-        let (gateway, address) = self.random_gateway();
+        let (gateway, _) = self.random_gateway();
+        self.call_job_at(gateway, method, path, headers, body, job)
+    }
+
+    fn call_job_at(
+        &self,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+        job: &str,
+    ) -> Reply {
+        let address = self.shared.gateway(gateway);
         let reply =
             call(address, &Request { method, path, headers, body, timeout: JOB_CALL_TIMEOUT });
         self.shared.trace(method, reply_details(job, gateway, path, &reply));
--- a/crates/samphiredoor-standin/src/soak/drills.rs
+++ b/crates/samphiredoor-standin/src/soak/drills.rs
@@ -78,11 +78,12 @@
 
 /// Gateway that owns a job; it may differ from the one that got the submission, because a gateway without access to the
 /// store forwards submissions.
-fn owner(injector: &Injector<'_>, job: &str, gateways: usize) -> Option<usize> {
+pub fn owner(injector: &Injector<'_>, job: &str, gateways: usize) -> Option<usize> {
     let owner = injector.platform.store.spec("orderedjobs", job)?["owner"].to_string();
     (0..gateways).find(|it| owner.contains(&format!("\"gateway-{it}\"")))
 }
 
-fn items(job: &str, count: usize) -> Vec<String> {
+/// Ids of the items of a job.
+pub fn items(job: &str, count: usize) -> Vec<String> {
     (0..count).map(|it| format!("{job}{ITEM_SEPARATOR}{it}")).collect()
 }
--- a/crates/samphiredoor-standin/src/soak/final_checks.rs
+++ b/crates/samphiredoor-standin/src/soak/final_checks.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 
 use super::{
@@ -28,7 +29,8 @@
 
 /// Checks of a fleet without active faults.
 pub struct FinalChecks<'a> {
-    shared: &'a RunState,
+    /// State of the run.
+    pub shared: &'a RunState,
     /// Number of gateways.
     pub gateways: usize,
     started_at: Instant,
@@ -52,13 +54,19 @@
         }
     }
 
-    /// Checks that all accepted jobs can be read at all gateways.
-    pub fn check_jobs(&self) {
+    /// Checks that all accepted jobs can be read at all gateways, from their first result on and again from a random
+    /// earlier one.
+    pub fn check_jobs(&self, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
         let deadline = Instant::now() + RESULTS_TIMEOUT;
         let jobs = self.shared.checks().jobs().clone();
         for (name, job) in jobs.iter().filter(|(_, it)| it.accepted) {
             for gateway in 0..self.gateways {
+                if self.shared.is_over() {
+                    return;
+                }
                 self.check_job(deadline, gateway, name, job);
+                self.read(gateway, name, rng.random_range(0..=job.results.len()));
             }
         }
     }
@@ -69,9 +77,9 @@
         let mut available = 0;
         let expected = if job.cancelling { job.results.len() } else { job.items.len() };
         let is_complete = self.wait_for(deadline, || {
-            let reply = self.read(gateway, name, available);
-            available += self.shared.checks().check_page(name, available, &reply);
-            reply.status == 200 && available >= expected
+            let read = self.read(gateway, name, available);
+            available += read.unwrap_or(0);
+            read.is_some() && available >= expected
         });
         if !is_complete {
             let observed = format!("gateway {gateway} has {available} of {expected} results");
@@ -144,9 +152,24 @@
         self.call(gateway, "POST", path, &headers, "")
     }
 
-    fn read(&self, gateway: usize, job: &str, after: usize) -> Reply {
+    /// Reads and checks results of a job; returns their number, or `None` if the gateway returned no page.
+    pub fn read(&self, gateway: usize, job: &str, after: usize) -> Option<usize> {
         let path = format!("/samphiredoor/lots/{job}?after={after}");
-        self.call(gateway, "GET", &path, &[("X-Wait-Ms", "100")], "")
+        let read = self.shared.checks().record_read(job, gateway, after);
+        let reply = self.call(gateway, "GET", &path, &[("X-Wait-Ms", "100")], "");
+        let count = self.shared.checks().check_page(&read, &reply);
+        (reply.status == 200).then_some(count)
+    }
+
+    /// Cancels a job; returns whether the cancellation was acknowledged.
+    pub fn cancel(&self, gateway: usize, job: &str) -> bool {
+        self.shared.checks().record_cancellation(job);
+        let path = format!("/samphiredoor/lots/{job}");
+        let is_acknowledged = self.call(gateway, "DELETE", &path, &[], "").status == 200;
+        if is_acknowledged {
+            self.shared.checks().record_cancelled(job);
+        }
+        is_acknowledged
     }
 
     fn call(
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use super::{
-    plan::{Fault, PlannedLinkFault, Sizes, Step},
+    plan::{Disturbed, Fault, PlannedLinkFault, Sizes, Step},
     trace::RunState,
 };
 use crate::{
@@ -91,7 +91,11 @@
     pub fn begin(&mut self, step: &Step) {
         self.shared.trace("fault", json!(step));
         let now = Instant::now();
-        self.shared.checks().add_fault_window(now, now + Duration::from_millis(step.for_ms));
+        self.shared.checks().add_fault_window(
+            step.fault.disturbs(),
+            now,
+            now + Duration::from_millis(step.for_ms),
+        );
         match step.fault {
             Fault::PauseGateway(gateway) => self.signal(gateway, "STOP"),
             Fault::KillGateway(gateway) => self.platform.gateway(gateway).kill(),
@@ -160,7 +164,8 @@
             }
             match self.platform.gateway(gateway).has_ended() {
                 true => {
-                    self.shared.checks().add_fault_window(since, Instant::now());
+                    let disturbed = Disturbed::Gateway(gateway);
+                    self.shared.checks().add_fault_window(disturbed, since, Instant::now());
                     self.restart_gateway(gateway);
                 }
                 false => self.stopping.push((gateway, since)),
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -10,7 +10,9 @@
 mod drills;
 mod final_checks;
 mod injector;
+mod isolation;
 mod plan;
+mod read_history;
 mod report;
 mod trace;
 
@@ -25,7 +27,8 @@
 
 pub use checks::{Checks, Invariant, Violation};
 pub use connection::Reply;
-pub use plan::{Fault, Plan, PlannedLinkFault, Sizes, Step};
+pub use plan::{Disturbed, Fault, Plan, PlannedLinkFault, Sizes, Step};
+pub use read_history::SentRead;
 
 use clients::Client;
 use final_checks::FinalChecks;
@@ -185,6 +188,10 @@
             let client = client(ONLINE_CLIENTS + number, format!("b{number}"));
             scope.spawn(move || client.send_jobs());
         }
+        for gateway in 0..gateways {
+            let client = client(ONLINE_CLIENTS + BATCH_CLIENTS + gateway, format!("r{gateway}"));
+            scope.spawn(move || client.read_again(gateway));
+        }
         inject_faults(shared, injector, plan);
         let final_checks = FinalChecks::new(shared, gateways);
         final_checks.check_gateways_serve(&mut recovery.served_ms);
@@ -193,8 +200,9 @@
     });
     if drills && !shared.is_over() {
         drills::measure(&final_checks, injector, recovery);
+        isolation::check(&final_checks, injector, seed);
     }
-    final_checks.check_jobs();
+    final_checks.check_jobs(seed);
     let runs = injector.runs();
     shared.checks().check_runs(&runs);
     final_checks.check_new_configuration(injector, &mut recovery.config_active_ms);
@@ -226,7 +234,8 @@
             injector.end(step);
             // The fault may have ended later than planned, if a process was slow to start.
             let fault_started_at = started_at + Duration::from_millis(step.at_ms);
-            shared.checks().add_fault_window(fault_started_at, Instant::now());
+            let disturbed = step.fault.disturbs();
+            shared.checks().add_fault_window(disturbed, fault_started_at, Instant::now());
         }
     }
     while !injector.tick() && !shared.is_over() {
--- a/crates/samphiredoor-standin/src/soak/plan.rs
+++ b/crates/samphiredoor-standin/src/soak/plan.rs
@@ -85,6 +85,38 @@
     ChangeRoutes,
 }
 
+/// Gateways whose processes or paths to the store a fault disturbs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disturbed {
+    /// None: the fault affects other processes, or calls that reads of results don't need.
+    None,
+    /// One gateway.
+    Gateway(usize),
+    /// All gateways.
+    All,
+}
+
+impl Fault {
+    /// Gateways that this fault disturbs.
+    pub fn disturbs(self) -> Disturbed {
+        match self {
+            Fault::PauseGateway(gateway)
+            | Fault::KillGateway(gateway)
+            | Fault::StopGateway(gateway)
+            | Fault::GatewayLink(gateway, _)
+            | Fault::StoreTowards(gateway, _) => Disturbed::Gateway(gateway),
+            Fault::Store(_) => Disturbed::All,
+            Fault::PauseStorage
+            | Fault::KillStorage
+            | Fault::TargetLink(..)
+            | Fault::ForgetHistory
+            | Fault::Target(..)
+            | Fault::ReplaceTarget(_)
+            | Fault::ChangeRoutes => Disturbed::None,
+        }
+    }
+}
+
 /// One fault of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -68,10 +68,12 @@
 
 /// Prints the counters of a run without a violation.
 pub fn print_passed(seed: u64, faults: usize, counts: Counts) {
-    let Counts { served, refused, doubtful, results, ended, runs } = counts;
+    let Counts { served, refused, doubtful, results, ended, runs, .. } = counts;
+    let Counts { reads, short_pages, stale_reads, .. } = counts;
     println!(
         "seed {seed}: kept, faults={faults} served={served} refused={refused} doubtful={doubtful} \
-         results={results} ended={ended} runs={runs}"
+         results={results} reads={reads} short_pages={short_pages} stale_reads={stale_reads} \
+         ended={ended} runs={runs}"
     );
 }
 
--- a/crates/samphiredoor-standin/tests/soak_checks.rs
+++ b/crates/samphiredoor-standin/tests/soak_checks.rs
@@ -1,12 +1,18 @@
 //! Tests of the soak test's checks: each invariant against observations that violate it, and against similar ones that
 //! don't.
 
-use std::time::{Duration, Instant};
+use std::{
+    io::Write,
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 use samphiredoor_standin::{
     fleet::whole_stream,
+    http::{start, wait_until},
+    platform_store::{PlatformStore, StoreFault},
     platform_target::Run,
-    soak::{Checks, Invariant, Plan, Reply, Sizes},
+    soak::{Checks, Disturbed, Invariant, Plan, Reply, Sizes},
 };
 use serde_json::{Value, json};
 
@@ -41,6 +47,17 @@
     checks
 }
 
+/// Reads a page of results at a gateway, from position `after` on.
+fn read(checks: &mut Checks, gateway: usize, after: usize, reply: &Reply) {
+    let read = checks.record_read("job", gateway, after);
+    checks.check_page(&read, reply);
+}
+
+/// Observations of a job whose both results were read at gateway 0.
+fn both_read(checks: &mut Checks) {
+    read(checks, 0, 0, &page(2, &[result("job.0"), result("job.1")]));
+}
+
 /// Declares a test: the observations violate the given invariant, or none.
 macro_rules! checks_find {
     ($name:ident: $invariant:expr, |$checks:ident| $observations:block) => {
@@ -117,25 +134,121 @@
 });
 
 checks_find!(a_result_that_changed: Some(Invariant::ResultsStable), |checks| {
-    checks.check_page("job", 0, &page(2, &[result("job.0")]));
-    checks.check_page("job", 0, &page(2, &[result("job.1")]));
+    read(&mut checks, 0, 0, &page(2, &[result("job.0")]));
+    read(&mut checks, 0, 0, &page(2, &[result("job.1")]));
 });
 
 checks_find!(an_item_at_two_positions: Some(Invariant::ResultsStable), |checks| {
-    checks.check_page("job", 0, &page(2, &[result("job.0"), result("job.0")]));
+    read(&mut checks, 0, 0, &page(2, &[result("job.0"), result("job.0")]));
 });
 
 checks_find!(an_item_of_another_job: Some(Invariant::ResultsStable), |checks| {
-    checks.check_page("job", 0, &page(2, &[result("other.0")]));
+    read(&mut checks, 0, 0, &page(2, &[result("other.0")]));
 });
 
 checks_find!(an_item_with_a_part_of_its_text: Some(Invariant::AnswerComplete), |checks| {
     let output = json!({ "id": "job.0", "state": "completed", "text": "piece-1" });
-    checks.check_page("job", 0, &page(2, &[output]));
+    read(&mut checks, 0, 0, &page(2, &[output]));
+});
+
+checks_find!(a_result_with_other_bytes_at_another_gateway: Some(Invariant::ResultsStable), |checks| {
+    both_read(&mut checks);
+    let changed = json!({ "id": "job.1", "state": "completed", "text": "" });
+    read(&mut checks, 1, 1, &page(2, &[changed]));
+});
+
+checks_find!(the_same_results_from_any_position_at_any_gateway_are_fine: None, |checks| {
+    both_read(&mut checks);
+    read(&mut checks, 1, 0, &page(2, &[result("job.0"), result("job.1")]));
+    read(&mut checks, 2, 1, &page(2, &[result("job.1")]));
+    read(&mut checks, 2, 2, &page(2, &[]));
+});
+
+checks_find!(a_result_that_is_gone_at_another_gateway: Some(Invariant::ReadsMonotonic), |checks| {
+    both_read(&mut checks);
+    read(&mut checks, 1, 0, &page(2, &[]));
+});
+
+checks_find!(a_result_that_is_gone_after_a_cancellation: Some(Invariant::ReadsMonotonic), |checks| {
+    both_read(&mut checks);
+    checks.record_cancellation("job");
+    checks.record_cancelled("job");
+    read(&mut checks, 0, 0, &page(2, &[]));
+});
+
+checks_find!(a_last_result_that_is_gone: Some(Invariant::ReadsMonotonic), |checks| {
+    both_read(&mut checks);
+    read(&mut checks, 1, 0, &page(2, &[result("job.0")]));
+    read(&mut checks, 1, 1, &page(2, &[]));
+});
+
+checks_find!(a_short_page_whose_next_page_has_the_rest_is_fine: None, |checks| {
+    both_read(&mut checks);
+    read(&mut checks, 1, 0, &page(2, &[result("job.0")]));
+    read(&mut checks, 1, 1, &page(2, &[result("job.1")]));
+});
+
+checks_find!(an_empty_page_of_a_read_that_was_sent_before_is_fine: None, |checks| {
+    let sent = checks.record_read("job", 1, 0);
+    both_read(&mut checks);
+    checks.check_page(&sent, &page(2, &[]));
 });
 
+checks_find!(refusals_and_lost_answers_after_a_read_are_fine: None, |checks| {
+    both_read(&mut checks);
+    for status in [503, 504, 0] {
+        read(&mut checks, 1, 0, &reply(status, ""));
+    }
+    let lost = Reply { is_complete: false, ..page(2, &[]) };
+    read(&mut checks, 1, 0, &lost);
+});
+
+checks_find!(an_empty_page_of_a_gateway_out_of_touch_is_fine: None, |checks| {
+    both_read(&mut checks);
+    let now = Instant::now();
+    checks.add_fault_window(Disturbed::Gateway(1), now - Duration::from_secs(2), now);
+    read(&mut checks, 1, 0, &page(2, &[]));
+    assert_eq!(checks.counts().stale_reads, 1);
+});
+
+checks_find!(other_bytes_from_a_gateway_out_of_touch: Some(Invariant::ResultsStable), |checks| {
+    both_read(&mut checks);
+    checks.add_fault_window(Disturbed::All, Instant::now(), Instant::now());
+    read(&mut checks, 1, 0, &page(2, &[result("job.1")]));
+});
+
+checks_find!(an_empty_page_while_others_are_out_of_touch: Some(Invariant::ReadsMonotonic), |checks| {
+    both_read(&mut checks);
+    let now = Instant::now();
+    for disturbed in [Disturbed::Gateway(0), Disturbed::None] {
+        checks.add_fault_window(disturbed, now, now + Duration::from_secs(9));
+    }
+    read(&mut checks, 1, 0, &page(2, &[]));
+});
+
+checks_find!(an_empty_page_of_a_gateway_that_is_in_touch_again: Some(Invariant::ReadsMonotonic), |checks| {
+    both_read(&mut checks);
+    let now = Instant::now();
+    checks.add_fault_window(Disturbed::All, now - Duration::from_secs(9), now - Duration::from_secs(5));
+    read(&mut checks, 1, 0, &page(2, &[]));
+});
+
+#[test]
+fn a_result_that_is_gone_is_described() {
+    let mut checks = accepted();
+    both_read(&mut checks);
+    checks.record_cancelled("job");
+    read(&mut checks, 2, 1, &page(2, &[]));
+    let violation = checks.violation().expect("a result is gone");
+    assert_eq!(violation.id, "job");
+    for part in ["position 1: read at gateway 0", "job.1", "now nothing at gateway 2", "cancelled "]
+    {
+        assert!(violation.observed.contains(part), "{part} in {}", violation.observed);
+    }
+}
+
 checks_find!(an_accepted_job_that_is_not_found: Some(Invariant::JobReadable), |checks| {
-    checks.check_page("job", 0, &reply(404, ""));
+    read(&mut checks, 0, 0, &reply(404, ""));
 });
 
 checks_find!(a_late_run_after_a_cancellation: Some(Invariant::CancellationStopsRuns), |checks| {
@@ -146,10 +259,31 @@
 checks_find!(a_late_run_after_a_cancellation_during_a_fault_is_fine: None, |checks| {
     checks.record_cancelled("job");
     let late = Instant::now() + Duration::from_secs(4);
-    checks.add_fault_window(late - Duration::from_secs(1), late);
+    checks.add_fault_window(Disturbed::None, late - Duration::from_secs(1), late);
     checks.check_runs(&[run("job.0", late)]);
 });
 
+/// The isolation drill needs a write that takes effect after the process that sent it was killed.
+#[test]
+fn a_held_write_takes_effect_after_its_sender_has_disconnected() {
+    let store = PlatformStore::new();
+    let serving = store.clone();
+    let address = start(move || move |request| serving.clone().handle(request));
+    store.set_fault(StoreFault::WritesHeld);
+    let body = json!({ "meta": { "name": "a" }, "spec": 1 }).to_string();
+    let request = format!(
+        "POST /samphiredoor/objects/config HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut sender = TcpStream::connect(address).expect("the store is reached");
+    sender.write_all(request.as_bytes()).expect("the write is sent");
+    wait_until("the write is received", || !store.calls().is_empty());
+    drop(sender);
+    assert_eq!(store.spec("config", "a"), None);
+    store.set_fault(StoreFault::None);
+    wait_until("the write takes effect", || store.spec("config", "a").is_some());
+}
+
 #[test]
 fn a_plan_is_the_same_after_writing_and_reading() {
     let plan = Plan::of_seed(7, 60, SIZES);
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -32,6 +32,8 @@
 /// Polls for the results of a job after all faults are over; a takeover of jobs needs some seconds.
 const SETTLE_POLLS: u32 = 600;
 const SETTLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// A seed whose drill cancels the job just after its takeover, before the next owner has written a result.
+const DRILL_SEED: u64 = 27;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -341,16 +343,22 @@
     seeds().for_each(run_seed);
 }
 
+/// Runs the soak for some seeds, with faults for this many seconds.
+fn run_soak(name: &str, seconds: u64, drills: bool, seeds: std::ops::Range<u64>) {
+    let folder = format!("samphiredoor-soak-{name}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(folder);
+    let (binary, gateways) = (BINARY.into(), GATEWAYS);
+    let options = soak::Options { binary, folder: folder.clone(), seconds, gateways, drills };
+    soak::run_seeds(&options, seeds).expect("every guarantee holds");
+    std::fs::remove_dir_all(folder).expect("the traces are removed");
+}
+
 #[test]
 fn guarantees_hold_under_continuous_load() {
-    let folder = std::env::temp_dir().join(format!("samphiredoor-soak-{}", std::process::id()));
-    let options = soak::Options {
-        binary: BINARY.into(),
-        folder: folder.clone(),
-        seconds: 20,
-        gateways: GATEWAYS,
-        drills: false,
-    };
-    soak::run_seeds(&options, 1..3).expect("every guarantee holds");
-    std::fs::remove_dir_all(folder).expect("the traces are removed");
+    run_soak("load", 20, false, 1..3);
+}
+
+#[test]
+fn results_that_were_read_stay_readable_when_the_owner_of_a_cancelled_job_is_isolated() {
+    run_soak("drills", 1, true, DRILL_SEED..DRILL_SEED + 1);
 }
