standin: late writes of the store take effect also when their sender has disconnected

`StoreFault::WritesLate` waited a second inside the handler of the call. A gateway stops waiting after 500 ms and closes the connection; the server drops the handler then, so the write never took effect. Plans of the soak and the test of late writes in it/platform/jobs had no late write at all, only lost ones. It is applied by a task of its own now, as held writes are.

Test: a_late_write_takes_effect_after_its_sender_has_disconnected, seen red before (not there after 3 s). Ruled out: half-open connections in the server, which would change all stand-ins.

--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -25,6 +25,8 @@
 const EMPTY_KIND: &str = "";
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Delay of [`StoreFault::WritesLate`]; longer than gateways wait for an answer.
+const LATE_WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Time without an answer; longer than the timeout of any call in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(600);
 
@@ -235,9 +237,6 @@
         match fault {
             StoreFault::Silent => compio::time::sleep(NO_ANSWER_TIME).await,
             StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
-            StoreFault::WritesLate if is_write => {
-                compio::time::sleep(Duration::from_secs(1)).await;
-            }
             StoreFault::PartsAfterHeaders if kind == PARTS && is_write => {
                 self.wait_for_header().await
             }
@@ -253,8 +252,8 @@
             _ => {}
         }
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        if fault == StoreFault::WritesHeld && is_write {
-            self.apply_when_released(parts.method.clone(), path.clone(), body);
+        if is_write && matches!(fault, StoreFault::WritesLate | StoreFault::WritesHeld) {
+            self.apply_late(fault, parts.method.clone(), path.clone(), body);
             compio::time::sleep(NO_ANSWER_TIME).await;
             return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
         }
@@ -267,18 +266,20 @@
             Method::GET => self.state().read(&segments, &query),
             method => self.state().apply(&method, &segments, &body),
         };
-        let is_unanswered = matches!(fault, StoreFault::WritesUnanswered | StoreFault::WritesLate);
-        if is_unanswered && is_write {
+        if fault == StoreFault::WritesUnanswered && is_write {
             compio::time::sleep(NO_ANSWER_TIME).await;
         }
         response
     }
 
-    /// Applies a write when [`StoreFault::WritesHeld`] is over, also if its sender has disconnected.
-    fn apply_when_released(&self, method: Method, path: String, body: Value) {
+    /// Applies a write when its fault lets it take effect, also if its sender has disconnected.
+    fn apply_late(&self, fault: StoreFault, method: Method, path: String, body: Value) {
         let store = self.clone();
         compio::runtime::spawn(async move {
-            store.wait_while(StoreFault::WritesHeld).await;
+            match fault {
+                StoreFault::WritesHeld => store.wait_while(fault).await,
+                _ => compio::time::sleep(LATE_WRITE_DELAY).await,
+            }
             let segments: Vec<&str> = path.split('/').filter(|it| !it.is_empty()).collect();
             store.state().apply(&method, &segments, &body);
         })
--- a/crates/samphiredoor-standin/tests/soak_checks.rs
+++ b/crates/samphiredoor-standin/tests/soak_checks.rs
@@ -1,5 +1,5 @@
 //! Tests of the soak test's checks: each invariant against observations that violate it, and against similar ones that
-//! don't.
+//! don't. Also of the late writes of the store that it uses.
 
 use std::{
     io::Write,
@@ -263,27 +263,37 @@
     checks.check_runs(&[run("job.0", late)]);
 });
 
-/// The isolation drill needs a write that takes effect after the process that sent it was killed.
-#[test]
-fn a_held_write_takes_effect_after_its_sender_has_disconnected() {
+/// Sends a write whose sender disconnects before it can take effect, and checks that it does so after `release`.
+fn check_write_of_a_disconnected_sender(fault: StoreFault, release: impl Fn(&PlatformStore)) {
     let store = PlatformStore::new();
     let serving = store.clone();
     let address = start(move || move |request| serving.clone().handle(request));
-    store.set_fault(StoreFault::WritesHeld);
+    store.set_fault(fault);
     let body = json!({ "meta": { "name": "a" }, "spec": 1 }).to_string();
-    let request = format!(
-        "POST /samphiredoor/objects/config HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let head = "POST /samphiredoor/objects/config HTTP/1.1\r\nhost: a\r\ncontent-length: ";
+    let request = format!("{head}{}\r\n\r\n{body}", body.len());
     let mut sender = TcpStream::connect(address).expect("the store is reached");
     sender.write_all(request.as_bytes()).expect("the write is sent");
     wait_until("the write is received", || !store.calls().is_empty());
     drop(sender);
     assert_eq!(store.spec("config", "a"), None);
-    store.set_fault(StoreFault::None);
+    release(&store);
     wait_until("the write takes effect", || store.spec("config", "a").is_some());
 }
 
+/// The isolation drill needs a write that takes effect after the process that sent it was killed.
+#[test]
+fn a_held_write_takes_effect_after_its_sender_has_disconnected() {
+    let release = |store: &PlatformStore| store.set_fault(StoreFault::None);
+    check_write_of_a_disconnected_sender(StoreFault::WritesHeld, release);
+}
+
+/// A gateway stops waiting for an answer, and disconnects, before a late write takes effect.
+#[test]
+fn a_late_write_takes_effect_after_its_sender_has_disconnected() {
+    check_write_of_a_disconnected_sender(StoreFault::WritesLate, |_| {});
+}
+
 #[test]
 fn a_plan_is_the_same_after_writing_and_reading() {
     let plan = Plan::of_seed(7, 60, SIZES);
