--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -19,14 +19,14 @@
 const PARTS: &str = "jobparts";
 /// Kind of job headers.
 const HEADERS: &str = "orderedjobs";
-/// Kind of segments of job results.
-const SEGMENTS: &str = "jobsegments";
 /// Kind of gateway entries.
 const GATEWAYS: &str = "doors";
 /// Kind without objects, read instead of [`GATEWAYS`] while these are hidden.
 const EMPTY_KIND: &str = "";
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Delay of [`StoreFault::WritesLate`]; longer than gateways wait for an answer.
+const LATE_WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Time without an answer; longer than the timeout of any call in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(600);
 
@@ -48,6 +48,8 @@
     WritesUnanswered,
     /// Applies writes one second later and does not answer them.
     WritesLate,
+    /// Applies writes when this fault is over and does not answer them.
+    WritesHeld,
     /// Delays writes of submission parts until there is a job header.
     PartsAfterHeaders,
     /// Delays writes of submission parts while this fault is set.
@@ -56,8 +58,6 @@
     PartsRefused,
     /// Delays updates of job headers while this fault is set.
     HeaderUpdatesHeld,
-    /// Applies writes of result segments only after this fault is over, and does not answer them.
-    SegmentsLate,
     /// Hides gateway entries from lists and watches.
     GatewaysHidden,
 }
@@ -232,15 +232,11 @@
         let kind = segments.first().copied().unwrap_or_default();
         *self.state().calls.entry(format!("{} {kind}", parts.method)).or_default() += 1;
         self.record_list(query.get("after").map_or("", String::as_str));
-        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let fault = self.fault();
         let is_write = parts.method != Method::GET;
         match fault {
             StoreFault::Silent => compio::time::sleep(NO_ANSWER_TIME).await,
             StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
-            StoreFault::WritesLate if is_write => {
-                compio::time::sleep(Duration::from_secs(1)).await;
-            }
             StoreFault::PartsAfterHeaders if kind == PARTS && is_write => {
                 self.wait_for_header().await
             }
@@ -250,15 +246,17 @@
             StoreFault::HeaderUpdatesHeld if kind == HEADERS && parts.method == Method::PUT => {
                 self.wait_while(StoreFault::HeaderUpdatesHeld).await;
             }
-            StoreFault::SegmentsLate if kind == SEGMENTS && is_write => {
-                self.apply_late(body.clone());
-                compio::time::sleep(NO_ANSWER_TIME).await;
-            }
             StoreFault::PartsRefused if kind == PARTS && is_write => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
             }
             _ => {}
         }
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        if is_write && matches!(fault, StoreFault::WritesLate | StoreFault::WritesHeld) {
+            self.apply_late(fault, parts.method.clone(), path.clone(), body);
+            compio::time::sleep(NO_ANSWER_TIME).await;
+            return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+        }
         let is_hidden = fault == StoreFault::GatewaysHidden && segments == [GATEWAYS];
         let response = match parts.method {
             Method::GET if query.contains_key("watch") => {
@@ -266,24 +264,24 @@
             }
             Method::GET if is_hidden => self.state().read(&[EMPTY_KIND], &query),
             Method::GET => self.state().read(&segments, &query),
-            Method::POST => self.state().create(kind, &body),
-            Method::PUT => self.state().replace(&segments, &body),
-            Method::DELETE => self.state().delete(&segments),
-            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+            method => self.state().apply(&method, &segments, &body),
         };
-        let is_unanswered = matches!(fault, StoreFault::WritesUnanswered | StoreFault::WritesLate);
-        if is_unanswered && is_write {
+        if fault == StoreFault::WritesUnanswered && is_write {
             compio::time::sleep(NO_ANSWER_TIME).await;
         }
         response
     }
 
-    /// Creates a segment after the fault is over, also if the caller has closed its connection by then.
-    fn apply_late(&self, body: Value) {
+    /// Applies a write when its fault lets it take effect, also if its sender has disconnected.
+    fn apply_late(&self, fault: StoreFault, method: Method, path: String, body: Value) {
         let store = self.clone();
         compio::runtime::spawn(async move {
-            store.wait_while(StoreFault::SegmentsLate).await;
-            store.state().create(SEGMENTS, &body);
+            match fault {
+                StoreFault::WritesHeld => store.wait_while(fault).await,
+                _ => compio::time::sleep(LATE_WRITE_DELAY).await,
+            }
+            let segments: Vec<&str> = path.split('/').filter(|it| !it.is_empty()).collect();
+            store.state().apply(&method, &segments, &body);
         })
         .detach();
     }
@@ -393,6 +391,15 @@
         list(&snapshot.kinds, snapshot.revision, kind, after, limit)
     }
 
+    fn apply(&mut self, method: &Method, segments: &[&str], body: &Value) -> Response<Body> {
+        match *method {
+            Method::POST => self.create(segments.first().copied().unwrap_or_default(), body),
+            Method::PUT => self.replace(segments, body),
+            Method::DELETE => self.delete(segments),
+            _ => answer(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+        }
+    }
+
     fn create(&mut self, kind: &str, body: &Value) -> Response<Body> {
         let Some(name) = body["meta"]["name"].as_str() else {
             return answer(StatusCode::BAD_REQUEST, &Value::Null);
--- a/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
+++ b/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
@@ -40,8 +40,8 @@
 /// Submits a job at gateway 0, and waits until its first segment with results has been sent to the store, which applies
 /// it later.
 fn submit_with_a_late_segment(platform: &Platform) {
-    platform.set_store_path_fault(0, StoreFault::SegmentsLate);
     assert_eq!(platform.submit_many(0, JOB, ITEMS).status, 202);
+    platform.set_store_path_fault(0, StoreFault::WritesHeld);
     wait_until("results are written", || calls(platform, "POST jobsegments") > 0);
 }
 
