peers: coordinators of a rate limit in one walk over the peers, with one reading of the clock

For each request with a limit, Roster::coordinators went through all peers three times (live ones, expected ones, candidates), and read the clock at each of them. The decision itself, none with less than half of the expected gateways and otherwise two of those that do not stop, stood in the network code, where no test reached it. Coordinators::among in samphiredoor-core now makes it in one walk over what the gateway knows of each peer; the roster reads the clock once. Peer::is_expected_at is what expected_count had as a closure.

No behaviour changes, but that all peers are judged by the same moment.

--- a/crates/samphiredoor-core/src/rate_limit/mod.rs
+++ b/crates/samphiredoor-core/src/rate_limit/mod.rs
@@ -21,7 +21,7 @@
 
 pub use bucket::TokenBucket;
 pub use coordinator::RateCoordinator;
-pub use requester::{Coordinators, RunRequester, RunTicket, Step};
+pub use requester::{Coordinators, OtherGateway, RunRequester, RunTicket, Step};
 
 /// Largest rate and burst of a limit; the platform serves far less.
 const MAX_VALUE: f64 = 1e9;
--- a/crates/samphiredoor-core/src/rate_limit/requester.rs
+++ b/crates/samphiredoor-core/src/rate_limit/requester.rs
@@ -38,6 +38,19 @@
     pub gateways: u32,
 }
 
+/// What a gateway knows of another one when it chooses coordinators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OtherGateway {
+    /// Hash of its name.
+    pub key: u64,
+    /// Whether it counts as live.
+    pub is_live: bool,
+    /// Whether it is one of the gateways of which at least half have to be live.
+    pub is_expected: bool,
+    /// Whether it is stopping; it coordinates nothing then.
+    pub is_stopping: bool,
+}
+
 /// What the caller of the requester has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Step {
@@ -71,6 +84,26 @@
         let chosen = rendezvous::choose(workspace, counted, COORDINATORS);
         Coordinators { chosen, gateways }
     }
+
+    /// Coordinators of a workspace as a gateway sees the others, in one walk over them; none while it reaches less than
+    /// half of the expected gateways, as the others coordinate without it then.
+    pub fn among(
+        workspace: u64,
+        own: u64,
+        others: impl Iterator<Item = OtherGateway>,
+    ) -> Coordinators {
+        let (mut live, mut expected) = (1, 1);
+        let counted = others.inspect(|it| {
+            live += u32::from(it.is_live);
+            expected += u32::from(it.is_expected);
+        });
+        let candidates = counted.filter(|it| it.is_live && !it.is_stopping).map(|it| it.key);
+        let coordinators = Coordinators::new(workspace, candidates.chain([own]));
+        if live * 2 < expected {
+            return Coordinators { gateways: expected, ..Coordinators::default() };
+        }
+        coordinators
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/samphiredoor-core/tests/rate_limit/main.rs
+++ b/crates/samphiredoor-core/tests/rate_limit/main.rs
@@ -2,6 +2,7 @@
 
 mod bucket;
 mod coordinator;
+mod coordinators;
 mod fleet;
 mod promises;
 mod requester;
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -13,7 +13,7 @@
     Name,
     dispatch::Location,
     placement::{CellId, Cells, Distance, TargetEntry, name_hash},
-    rate_limit::Coordinators,
+    rate_limit::{Coordinators, OtherGateway},
     rendezvous,
     renewal::FleetPosition,
 };
@@ -66,7 +66,17 @@
 
 impl Peer {
     fn is_live(&self) -> bool {
-        self.last_seen.is_some_and(|it| it.elapsed() < self.dead_after)
+        self.is_live_at(Instant::now())
+    }
+
+    fn is_live_at(&self, now: Instant) -> bool {
+        self.last_seen.is_some_and(|it| now.saturating_duration_since(it) < self.dead_after)
+    }
+
+    /// Whether it was seen recently enough to count among the expected gateways. The time of one that was never seen
+    /// counts from the start of this process.
+    fn is_expected_at(&self, now: Instant, started: Instant) -> bool {
+        now.saturating_duration_since(self.last_seen.unwrap_or(started)) < FORGET_AFTER
     }
 
     /// Whether its last status is so recent that it cannot have declared this process dead yet.
@@ -387,17 +397,16 @@
         let Some(listed) = self.listed.get() else {
             return Coordinators { gateways: UNKNOWN_GATEWAYS, ..Coordinators::default() };
         };
-        let count_unseen = listed.elapsed() < COORDINATORS_UNSEEN;
+        let now = Instant::now();
+        let count_unseen = now.saturating_duration_since(listed) < COORDINATORS_UNSEEN;
         let peers = self.peers.borrow();
-        let is_live = |it: &&Peer| it.is_live() || (it.last_seen.is_none() && count_unseen);
-        let live = 1 + peers.values().filter(is_live).count();
-        let expected = 1 + self.expected_count();
-        if live * 2 < expected {
-            return Coordinators { gateways: expected as u32, ..Coordinators::default() };
-        }
-        let others = peers.iter().filter(|(_, it)| is_live(it) && !it.stopping);
-        let own = name_hash(&self.local.name);
-        Coordinators::new(workspace, others.map(|(name, _)| name_hash(name)).chain([own]))
+        let others = peers.iter().map(|(name, it)| OtherGateway {
+            key: name_hash(name),
+            is_live: it.is_live_at(now) || (it.last_seen.is_none() && count_unseen),
+            is_expected: it.is_expected_at(now, self.started),
+            is_stopping: it.stopping,
+        });
+        Coordinators::among(workspace, name_hash(&self.local.name), others)
     }
 
     /// Address of the gateway that reads a job from the store for the own region, unless it is this one: the one that
@@ -421,11 +430,9 @@
 
     /// Number of peers that are registered and not forgotten, live or not.
     fn expected_count(&self) -> usize {
-        let expected = |it: &&Peer| match it.last_seen {
-            Some(last_seen) => last_seen.elapsed() < FORGET_AFTER,
-            None => self.started.elapsed() < FORGET_AFTER,
-        };
-        self.peers.borrow().values().filter(expected).count()
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.is_expected_at(now, self.started)).count()
     }
 
     /// Number of live gateways, without this one.
