peers: the roster in modules of one job each

They now stand in roster/{peer,cells,liveness,choices}.rs. roster.rs keeps the table, what updates it, and the roles of this process (sends_summaries, watch_relay_address, fleet_position). Functions moved word for word; Peer::new is the literal that register had.

No behaviour changes.

--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -1,116 +1,42 @@
-//! Table of the other gateways (peers): their addresses and cells, and which of them are live.
+//! Table of the other gateways (peers), kept up to date by their registrations, statuses and summaries, and the roles
+//! that this process has among them.
+//!
+//! `peer` is one row of the table, `liveness` tells which gateways are live, `cells` which belong together, and `choices`
+//! which one this process turns to for a task.
+
+mod cells;
+mod choices;
+mod liveness;
+mod peer;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashSet},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use rand::seq::{IndexedRandom, SliceRandom};
 use samphiredoor_core::{
     Name,
     dispatch::Location,
-    placement::{CellId, Cells, Distance, TargetEntry, name_hash},
-    rate_limit::{Coordinators, OtherGateway},
-    rendezvous,
+    placement::{Cells, TargetEntry, name_hash},
     renewal::FleetPosition,
 };
 
+use self::peer::{DEAD_AFTER_OTHER_CELL, FAILOVER_TIMEOUT, Peer};
 use super::{LocalGateway, status::Status, summary::Member};
 use crate::seen_versions::SeenVersions;
 
-/// Time without a status after which a gateway counts as dead. Statuses are sent at least twice a second and some are
-/// lost; jobs of a gateway that is declared dead too early run twice.
-pub(super) const DEAD_AFTER: Duration = Duration::from_millis(2_500);
-/// Time without a status after which the next gateway of a cell takes over sending the cell's summaries or watching the
-/// store for it. Statuses are sent at least twice a second.
-const FAILOVER_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub use choices::RoutesHolder;
+pub use liveness::Liveness;
+pub use peer::DEAD_AFTER;
+
 /// Gateways of a cell that send its summaries, so that the loss of one does not interrupt them.
 const SUMMARY_SENDERS: usize = 2;
-/// Time without a report on a gateway of another cell after which it counts as dead. All summary senders of its cell
-/// may fail at once, and their successors start only after the failover timeout.
-const DEAD_AFTER_OTHER_CELL: Duration = DEAD_AFTER.saturating_add(FAILOVER_TIMEOUT);
 /// Time after the first list of gateways from which this process may send summaries. By then it has received statuses
 /// of the other gateways of its cell.
 const SUMMARIES_START_AFTER: Duration = Duration::from_millis(1_000);
-/// Time after the first list of gateways from which a gateway of another cell that was never seen counts as dead. Its
-/// cell may have started at the same time, and starts to send summaries later.
-const NEVER_SEEN_DEAD_AFTER_OTHER_CELL: Duration =
-    DEAD_AFTER_OTHER_CELL.saturating_add(SUMMARIES_START_AFTER).saturating_add(FAILOVER_TIMEOUT);
-/// Time by which this process treats itself as isolated before its peers can declare it dead. The last datagrams of the
-/// two directions arrive at different moments.
-const ISOLATION_MARGIN: Duration = Duration::from_millis(1_000);
-/// Time after the first list of gateways in which those that were not seen yet may coordinate rate limits: after a
-/// start of all, their first statuses and summaries are still to come.
-const COORDINATORS_UNSEEN: Duration = DEAD_AFTER;
-/// Number of gateways that a process assumes before it knows them. It has the smallest budget for rate limits then.
-const UNKNOWN_GATEWAYS: u32 = u32::MAX;
-/// Time without a status after which a gateway no longer counts among the expected ones.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-
-#[derive(Debug, Clone)]
-struct Peer {
-    address: SocketAddr,
-    location: Location,
-    /// When its newest known status was received, by this process or, for another cell, by a gateway of that cell.
-    last_seen: Option<Instant>,
-    /// Time without a status after which it counts as dead.
-    dead_after: Duration,
-    incarnation: u64,
-    store_reached: bool,
-    stopping: bool,
-    routes_version: u64,
-}
-
-impl Peer {
-    fn is_live(&self) -> bool {
-        self.is_live_at(Instant::now())
-    }
-
-    fn is_live_at(&self, now: Instant) -> bool {
-        self.last_seen.is_some_and(|it| now.saturating_duration_since(it) < self.dead_after)
-    }
-
-    /// Whether it was seen recently enough to count among the expected gateways. The time of one that was never seen
-    /// counts from the start of this process.
-    fn is_expected_at(&self, now: Instant, started: Instant) -> bool {
-        now.saturating_duration_since(self.last_seen.unwrap_or(started)) < FORGET_AFTER
-    }
-
-    /// Whether its last status is so recent that it cannot have declared this process dead yet.
-    fn is_live_with_margin(&self) -> bool {
-        self.last_seen.is_some_and(|it| it.elapsed() + ISOLATION_MARGIN < self.dead_after)
-    }
-
-    /// Whether its last status is recent enough for it to send summaries or watch the store for its cell.
-    fn was_seen_recently(&self) -> bool {
-        self.last_seen.is_some_and(|it| it.elapsed() < FAILOVER_TIMEOUT)
-    }
-
-    /// Whether it works on its jobs, or is about to hand them over. Taking a job over from a process that is stopping
-    /// would lose the partial output of its items: with twenty items half done, the work of ten whole items.
-    fn is_working(&self) -> bool {
-        self.is_live() && self.store_reached
-    }
-
-    /// Whether it can take over jobs of other gateways.
-    fn accepts_jobs(&self) -> bool {
-        self.is_working() && !self.stopping
-    }
-}
-
-/// A live gateway that has the newest active routes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RoutesHolder {
-    /// Version of its routes.
-    pub version: u64,
-    /// Address for calls to it.
-    pub address: SocketAddr,
-    /// Distance from this process.
-    pub distance: Distance,
-}
 
 /// Handle to the table of peers; clones share it.
 #[derive(Clone)]
@@ -129,17 +55,6 @@
     seen_versions: SeenVersions,
 }
 
-/// Whether one incarnation of another gateway works on its jobs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Liveness {
-    /// It is live and reaches the store. A gateway that is stopping counts too, as it hands its jobs over itself.
-    Alive,
-    /// It timed out, has restarted, or does not reach the store.
-    Dead,
-    /// This process has not been running long enough to decide, or a restarted gateway has not sent a status yet.
-    Unknown,
-}
-
 impl Roster {
     /// Empty table.
     pub fn new(local: LocalGateway) -> Roster {
@@ -178,16 +93,7 @@
         self.cells.take();
         self.names.borrow_mut().insert(name_hash(&name), Name::clone(&name));
         let mut peers = self.peers.borrow_mut();
-        let peer = peers.entry(name).or_insert_with(|| Peer {
-            address,
-            location: location.clone(),
-            last_seen: None,
-            dead_after: DEAD_AFTER,
-            incarnation: 0,
-            store_reached: true,
-            stopping: false,
-            routes_version: 0,
-        });
+        let peer = peers.entry(name).or_insert_with(|| Peer::new(address, location.clone()));
         peer.address = address;
         peer.location = location;
     }
@@ -209,74 +115,6 @@
         }
     }
 
-    /// Assignment of the known gateways and targets to cells.
-    pub fn cells(&self) -> Rc<Cells> {
-        let mut cells = self.cells.borrow_mut();
-        let cells = cells.get_or_insert_with(|| {
-            let peers = self.peers.borrow();
-            let others = peers.iter().map(|(name, it)| (Name::clone(name), it.location.clone()));
-            let own = (Name::clone(&self.local.name), self.local.location.clone());
-            let gateways = others.chain([own]).collect();
-            Rc::new(Cells::new(&gateways, &self.targets.borrow()))
-        });
-        Rc::clone(cells)
-    }
-
-    /// Cell that this process belongs to.
-    pub fn own_cell(&self) -> Option<CellId> {
-        self.cells().cell_of_gateway(&self.local.name)
-    }
-
-    /// Whether the own cell has this name.
-    pub fn is_own_cell(&self, name: &str) -> bool {
-        let own = self.own_cell().and_then(|it| self.cells().name(it));
-        own.is_some_and(|it| *it == *name)
-    }
-
-    /// Targets assigned to the own cell, by [`name_hash`].
-    pub fn own_cell_targets(&self) -> HashSet<u64> {
-        let cells = self.cells();
-        self.own_cell().map(|it| cells.targets(it).collect()).unwrap_or_default()
-    }
-
-    /// Whether a gateway belongs to the own cell.
-    pub fn is_in_own_cell(&self, name: &str) -> bool {
-        let own = self.own_cell();
-        own.is_some() && self.cells().cell_of_gateway(name) == own
-    }
-
-    /// Addresses of the other gateways of the own cell.
-    pub fn cell_peers(&self) -> Vec<SocketAddr> {
-        self.own_cell().map(|it| self.addresses_in(it)).unwrap_or_default()
-    }
-
-    /// Addresses of the other gateways of the own cell that are at this distance.
-    pub fn cell_peers_at(&self, distance: Distance) -> Vec<SocketAddr> {
-        let Some(own) = self.own_cell() else { return Vec::new() };
-        let (cells, peers) = (self.cells(), self.peers.borrow());
-        let cell_peers = cells.gateways(own).iter().filter_map(|it| peers.get(it));
-        let at = cell_peers
-            .filter(|it| Distance::between(&self.local.location, &it.location) == distance);
-        at.map(|it| it.address).collect()
-    }
-
-    /// Addresses of the gateways of a cell, except this one.
-    pub fn addresses_in(&self, cell: CellId) -> Vec<SocketAddr> {
-        let (cells, peers) = (self.cells(), self.peers.borrow());
-        let gateways = cells.gateways(cell).iter().filter_map(|it| peers.get(it));
-        gateways.map(|it| it.address).collect()
-    }
-
-    /// Address of a random gateway of a cell: of a live one if there is any.
-    pub fn random_address_in(&self, cell: CellId) -> Option<SocketAddr> {
-        let (cells, peers) = (self.cells(), self.peers.borrow());
-        let gateways: Vec<&Peer> =
-            cells.gateways(cell).iter().filter_map(|it| peers.get(it)).collect();
-        let live: Vec<&Peer> = gateways.iter().copied().filter(|it| it.is_live()).collect();
-        let candidates = if live.is_empty() { &gateways } else { &live };
-        candidates.choose(&mut rand::rng()).map(|it| it.address)
-    }
-
     /// Whether this process sends its cell's summaries: the first live gateways in order of name do.
     pub fn sends_summaries(&self) -> bool {
         let has_statuses =
@@ -347,100 +185,11 @@
         true
     }
 
-    /// Whether one incarnation of a gateway works on its jobs.
-    pub fn liveness(&self, name: &str, incarnation: u64) -> Liveness {
-        let is_near = self.cells().len() < 2 || self.is_in_own_cell(name);
-        let never_seen_dead_after =
-            if is_near { DEAD_AFTER } else { NEVER_SEEN_DEAD_AFTER_OTHER_CELL };
-        let peers = self.peers.borrow();
-        match peers.get(name).filter(|it| it.is_live()) {
-            Some(peer) if peer.incarnation == incarnation && peer.is_working() => Liveness::Alive,
-            // It has restarted, and the last status came from its previous incarnation.
-            Some(peer) if peer.incarnation < incarnation => Liveness::Unknown,
-            Some(_) => Liveness::Dead,
-            _ if self.listed.get().is_none_or(|it| it.elapsed() < never_seen_dead_after) => {
-                Liveness::Unknown
-            }
-            _ => Liveness::Dead,
-        }
-    }
-
-    /// Whether a later incarnation of a gateway has been seen.
-    pub fn has_restarted(&self, name: &str, incarnation: u64) -> bool {
-        let peers = self.peers.borrow();
-        peers.get(name).is_some_and(|it| it.last_seen.is_some() && it.incarnation > incarnation)
-    }
-
-    /// Whether this incarnation of a gateway or a later one has been seen.
-    pub fn has_been_seen(&self, name: &str, incarnation: u64) -> bool {
-        let peers = self.peers.borrow();
-        peers.get(name).is_some_and(|it| it.last_seen.is_some() && it.incarnation >= incarnation)
-    }
-
-    /// Whether at least half of the expected gateways are live. A process for which fewer are live is isolated itself:
-    /// it would take over the jobs of all others, and they would take them back. `false` before the first list of
-    /// gateways.
-    pub fn at_least_half_live(&self) -> bool {
-        self.listed.get().is_some() && self.live_count() * 2 >= self.expected_count()
-    }
-
-    /// Whether this process has lost, or is about to lose, contact with more than half of the expected gateways;
-    /// `true` before the first list of gateways.
-    pub fn is_isolated(&self) -> bool {
-        let live = self.peers.borrow().values().filter(|it| it.is_live_with_margin()).count();
-        self.listed.get().is_none() || live * 2 < self.expected_count()
-    }
-
-    /// Coordinators of a workspace's rate limit; none while this process reaches less than half of the expected gateways,
-    /// as the others coordinate without it then.
-    pub fn coordinators(&self, workspace: u64) -> Coordinators {
-        let Some(listed) = self.listed.get() else {
-            return Coordinators { gateways: UNKNOWN_GATEWAYS, ..Coordinators::default() };
-        };
-        let now = Instant::now();
-        let count_unseen = now.saturating_duration_since(listed) < COORDINATORS_UNSEEN;
-        let peers = self.peers.borrow();
-        let others = peers.iter().map(|(name, it)| OtherGateway {
-            key: name_hash(name),
-            is_live: it.is_live_at(now) || (it.last_seen.is_none() && count_unseen),
-            is_expected: it.is_expected_at(now, self.started),
-            is_stopping: it.stopping,
-        });
-        Coordinators::among(workspace, name_hash(&self.local.name), others)
-    }
-
-    /// Address of the gateway that reads a job from the store for the own region, unless it is this one: the one that
-    /// rendezvous hashing prefers among those that are live and reach the store.
-    pub fn reader_of(&self, job: &str) -> Option<SocketAddr> {
-        let region = &self.local.location.region;
-        let peers = self.peers.borrow();
-        let readers =
-            peers.iter().filter(|(_, it)| it.accepts_jobs() && it.location.region == *region);
-        let own = name_hash(&self.local.name);
-        let candidates = readers.map(|(name, _)| name_hash(name)).chain([own]);
-        let chosen = rendezvous::choose(name_hash(job), candidates, 1).first().copied();
-        drop(peers);
-        chosen.filter(|it| *it != own).and_then(|it| self.address_of_hash(it))
-    }
-
     /// Registered address of the gateway whose name has this hash.
     pub fn address_of_hash(&self, hash: u64) -> Option<SocketAddr> {
         self.names.borrow().get(&hash).and_then(|it| self.address(it))
     }
 
-    /// Number of peers that are registered and not forgotten, live or not.
-    fn expected_count(&self) -> usize {
-        let now = Instant::now();
-        let peers = self.peers.borrow();
-        peers.values().filter(|it| it.is_expected_at(now, self.started)).count()
-    }
-
-    /// Number of live gateways, without this one.
-    pub fn live_count(&self) -> usize {
-        let peers = self.peers.borrow();
-        peers.values().filter(|it| it.is_live()).count()
-    }
-
     /// Position of this process among those that watch the store: all live gateways, or one of each cell in a fleet of
     /// several cells.
     pub fn fleet_position(&self) -> FleetPosition {
@@ -470,40 +219,6 @@
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         self.peers.borrow().get(name).map(|it| it.address)
     }
-
-    /// The nearest live gateway that has the newest active routes, chosen at random among those at the same distance so
-    /// that requests of many processes are spread over them.
-    pub fn newest_routes(&self) -> Option<RoutesHolder> {
-        let peers = self.peers.borrow();
-        let live: Vec<&Peer> = peers.values().filter(|it| it.is_live()).collect();
-        let version = live.iter().map(|it| it.routes_version).max()?;
-        let holders = live.into_iter().filter(|it| it.routes_version == version).collect();
-        let nearest = *self.nearest_first(holders).first()?;
-        let distance = Distance::between(&self.local.location, &nearest.location);
-        Some(RoutesHolder { version, address: nearest.address, distance })
-    }
-
-    /// Number of live gateways in this process's region, including this one.
-    pub fn live_in_region(&self) -> usize {
-        let peers = self.peers.borrow();
-        let near = |it: &&Peer| it.is_live() && it.location.region == self.local.location.region;
-        1 + peers.values().filter(near).count()
-    }
-
-    /// Addresses of the gateways that can take over a job (live, reaching the store and not stopping): nearest first,
-    /// and in random order at the same distance so that jobs are spread over them.
-    pub fn takeover_candidates(&self) -> Vec<SocketAddr> {
-        let peers = self.peers.borrow();
-        let candidates = peers.values().filter(|it| it.accepts_jobs()).collect();
-        self.nearest_first(candidates).into_iter().map(|it| it.address).collect()
-    }
-
-    /// Sorts peers by distance, in random order at the same distance.
-    fn nearest_first<'a>(&self, mut peers: Vec<&'a Peer>) -> Vec<&'a Peer> {
-        peers.shuffle(&mut rand::rng());
-        peers.sort_by_key(|it| Distance::between(&self.local.location, &it.location));
-        peers
-    }
 }
 
 /// Logs that a gateway, or a new incarnation of it, has become live.
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
@@ -0,0 +1,90 @@
+//! Which gateways are live, and whether this process is isolated from them.
+
+use std::time::{Duration, Instant};
+
+use super::{
+    Roster, SUMMARIES_START_AFTER,
+    peer::{DEAD_AFTER, DEAD_AFTER_OTHER_CELL, FAILOVER_TIMEOUT, Peer},
+};
+
+/// Time after the first list of gateways from which a gateway of another cell that was never seen counts as dead. Its
+/// cell may have started at the same time, and starts to send summaries later.
+const NEVER_SEEN_DEAD_AFTER_OTHER_CELL: Duration =
+    DEAD_AFTER_OTHER_CELL.saturating_add(SUMMARIES_START_AFTER).saturating_add(FAILOVER_TIMEOUT);
+
+/// Whether one incarnation of another gateway works on its jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It is live and reaches the store. A gateway that is stopping counts too, as it hands its jobs over itself.
+    Alive,
+    /// It timed out, has restarted, or does not reach the store.
+    Dead,
+    /// This process has not been running long enough to decide, or a restarted gateway has not sent a status yet.
+    Unknown,
+}
+
+impl Roster {
+    /// Whether one incarnation of a gateway works on its jobs.
+    pub fn liveness(&self, name: &str, incarnation: u64) -> Liveness {
+        let is_near = self.cells().len() < 2 || self.is_in_own_cell(name);
+        let never_seen_dead_after =
+            if is_near { DEAD_AFTER } else { NEVER_SEEN_DEAD_AFTER_OTHER_CELL };
+        let peers = self.peers.borrow();
+        match peers.get(name).filter(|it| it.is_live()) {
+            Some(peer) if peer.incarnation == incarnation && peer.is_working() => Liveness::Alive,
+            // It has restarted, and the last status came from its previous incarnation.
+            Some(peer) if peer.incarnation < incarnation => Liveness::Unknown,
+            Some(_) => Liveness::Dead,
+            _ if self.listed.get().is_none_or(|it| it.elapsed() < never_seen_dead_after) => {
+                Liveness::Unknown
+            }
+            _ => Liveness::Dead,
+        }
+    }
+
+    /// Whether a later incarnation of a gateway has been seen.
+    pub fn has_restarted(&self, name: &str, incarnation: u64) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(name).is_some_and(|it| it.last_seen.is_some() && it.incarnation > incarnation)
+    }
+
+    /// Whether this incarnation of a gateway or a later one has been seen.
+    pub fn has_been_seen(&self, name: &str, incarnation: u64) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(name).is_some_and(|it| it.last_seen.is_some() && it.incarnation >= incarnation)
+    }
+
+    /// Whether at least half of the expected gateways are live. A process for which fewer are live is isolated itself:
+    /// it would take over the jobs of all others, and they would take them back. `false` before the first list of
+    /// gateways.
+    pub fn at_least_half_live(&self) -> bool {
+        self.listed.get().is_some() && self.live_count() * 2 >= self.expected_count()
+    }
+
+    /// Whether this process has lost, or is about to lose, contact with more than half of the expected gateways;
+    /// `true` before the first list of gateways.
+    pub fn is_isolated(&self) -> bool {
+        let live = self.peers.borrow().values().filter(|it| it.is_live_with_margin()).count();
+        self.listed.get().is_none() || live * 2 < self.expected_count()
+    }
+
+    /// Number of peers that are registered and not forgotten, live or not.
+    fn expected_count(&self) -> usize {
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.is_expected_at(now, self.started)).count()
+    }
+
+    /// Number of live gateways, without this one.
+    pub fn live_count(&self) -> usize {
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.is_live()).count()
+    }
+
+    /// Number of live gateways in this process's region, including this one.
+    pub fn live_in_region(&self) -> usize {
+        let peers = self.peers.borrow();
+        let near = |it: &&Peer| it.is_live() && it.location.region == self.local.location.region;
+        1 + peers.values().filter(near).count()
+    }
+}
