schema: comments in the project's terms

The docs of samphiredoor-schema and the comments of peer.capnp still used words that the glossary lists as former ones (doors, hears, tells, deaf, room, lender and borrower), and one comment told of a use that has gone (a need is the sender's own load, see Hint::Demand). Comments only: no name, number or type in a schema changes, the generated code has no comments, and it is untouched.

No behaviour changes.

--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -1,41 +1,44 @@
 @0xd6a1c7e05f2b9a43;
-# Messages between doors. Every field is a hint: safety never rests on one.
+# Messages between gateways. Every field is a hint: correctness does not depend on any.
+#
+# `Gate` and `Door` are the calls between `samphiredoor serve` processes, `GatewayDatagram` and `FollowedNews` the
+# messages between `samphiredoor gateway` processes.
 
 interface Gate {
   # The first capability on a connection.
 
   enter @0 (token :Data, self :Member, door :Door) -> (self :Member, door :Door);
-  # Both sides offer a door, so that one connection serves calls in both directions.
+  # Both sides pass a `Door`, so that one connection serves calls in both directions.
 }
 
 interface Door {
-  # What a door offers to its peers once the token was accepted.
+  # Calls that a process offers to its peers once they have shown the token.
 
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
-  # Liveness both ways, with the revisions that each side holds.
+  # Shows both sides that the other one is live, and which revisions it holds.
 
   manifest @1 (aboveRevision :UInt64) -> (content :Data);
-  # The manifest's record as JSON if the answering door holds a higher revision; else empty content.
+  # Record of the manifest as JSON if the called process has a higher revision; otherwise empty.
 
   tell @2 (news :List(News)) -> ();
-  # Hints that are worth telling at once.
+  # Hints that are sent without waiting for the next heartbeat.
 
   members @3 (after :Text) -> (members :List(Member));
-  # One page of the members that the answering door knows, in order of their names.
+  # One page of the members that the called process knows, in order of their names.
 
   hold @4 (content :Data) -> (held :Bool);
-  # Offers a manifest's record; answers whether it, or the change right on top of it, is in force there.
+  # Offers the record of a manifest; returns whether it, or the change that follows it directly, is active there.
 }
 
 struct Heartbeat {
   incarnation @0 :UInt64;
   renewals @1 :UInt64;
-  # Renewals of the sender's lease, so that peers need not read it while they hear the sender.
+  # Renewals of the sender's lease; peers need not read the lease while they receive heartbeats.
   manifestRevision @2 :UInt64;
   membersDigest @3 :UInt64;
-  # Equal on two doors that know the same members.
+  # Equal for two processes that know the same members.
   changes @4 :List(Member);
-  # Gossip: what changed lately.
+  # Gossip: members that have changed recently.
 }
 
 struct Member {
@@ -43,7 +46,7 @@
   address @1 :Text;
   incarnation @2 :UInt64;
   counter @3 :UInt64;
-  # Grows when the member contradicts a report of its death.
+  # Incremented when the member refutes a report of its death.
   state @4 :MemberState;
   zone @5 :Text;
   region @6 :Text;
@@ -56,7 +59,7 @@
 }
 
 struct TargetLoad {
-  # One door's own traffic at one target.
+  # Requests of one process at one target.
   target @0 :Text;
   onlineInFlight @1 :UInt32;
   onlineEnvelope @2 :UInt32;
@@ -66,19 +69,19 @@
 
 struct News {
   union {
-    cancelled @0 :Text;        # job id: its header says so
+    cancelled @0 :Text;        # job ID: its header says that it was cancelled
     suspect @1 :Suspect;       # a request that may crash targets
-    leaving @2 :Text;          # target: refused connections or said that it leaves
-    recall @3 :SlotChange;     # lender to borrower: at most so many batch slots
-    need @4 :TargetLoad;       # borrower to lender: online rose above its share
-    revision @5 :UInt64;       # a newer manifest is in force
-    handedOver @6 :Text;       # job id: free to be taken now
-    lapsed @9 :Lapse;          # the lease of a process has lapsed: its jobs are free to be taken
+    leaving @2 :Text;          # target: it refused connections or reported that it leaves
+    recall @3 :SlotChange;     # slot allocator to leaseholder: the batch slots that it may use
+    need @4 :TargetLoad;       # leaseholder to slot allocator: its own requests at the target
+    revision @5 :UInt64;       # a newer manifest is active
+    handedOver @6 :Text;       # job ID: it can be taken over now
+    lapsed @9 :Lapse;          # the lease of a process has expired: its jobs can be taken over
   }
   origin @7 :Text;
-  # Door that spread the news to all; empty for news meant for the receiver alone.
+  # Process that sent the hint to all; empty if it is for the receiver alone.
   number @8 :UInt64;
-  # Grows with each news that the origin spreads, so that each door passes it on once.
+  # Sequence number of the hint at its origin, so that each process passes it on once.
 }
 
 struct Suspect {
@@ -99,7 +102,7 @@
 }
 
 struct GatewayDatagram {
-  # All that gateways tell each other without being asked.
+  # All datagrams between gateways.
 
   union {
     status @0 :GatewayStatus;
@@ -118,7 +121,7 @@
   # Hash of the gateway's name.
   incarnation @2 :UInt64;
   sequence @3 :UInt32;
-  # Grows with each report of the gateway on this workspace.
+  # Sequence number of the report, for this gateway and workspace.
   used @4 :UInt32;
   # Runs since the gateway started.
   wanted @5 :UInt32;
@@ -147,23 +150,23 @@
 }
 
 struct CellSummary {
-  # What a cell tells each other cell: sums of what its gateways have told each other.
+  # Summary that a cell sends to each other cell: sums of the statuses of its gateways.
 
   cell @0 :Text;
   # Name of the cell.
   forward @1 :Bool;
   # Whether the receiver passes it on to the other gateways of its own cell.
   members @2 :List(CellMember);
-  # Gateways of the cell that are heard in it.
+  # Gateways of the cell that are live.
   loads @3 :List(RequestsAtTarget);
-  # Their requests at targets, without those at the targets of the receiver's cell, which it is told directly.
+  # Their requests at targets, without those at the targets of the receiver's cell, which gets their statuses.
   waiting @4 :List(WaitingItems);
   jobs @5 :List(JobOfMember);
-  # Jobs that they have come to own lately.
+  # Jobs that they have recently become the owners of.
   seen @6 :SeenChanges;
   # Newest changes that one of them has seen in the store.
   storeSilentMs @7 :UInt32;
-  # Least time since the store last answered one of them.
+  # Shortest time since the store last answered one of them.
 }
 
 struct CellMember {
@@ -172,14 +175,14 @@
   incarnation @1 :UInt64;
   routesVersion @2 :UInt64;
   heardMs @3 :UInt16;
-  # Time since the cell last heard it.
+  # Age of its newest status.
   storeReached @4 :Bool;
   stopping @5 :Bool;
 }
 
 struct JobOfMember {
   member @0 :UInt16;
-  # Place of the owner among the members.
+  # Index of the owner in the list of members.
   name @1 :Text;
 }
 
@@ -190,33 +193,33 @@
   name @0 :Text;
   incarnation @1 :UInt64;
   routesVersion @2 :UInt64;
-  # Version of the routes that it has in force, so that a neighbour that missed one can ask for it.
+  # Version of its active routes, so that a peer that missed a change can fetch them.
   storeReached @3 :Bool;
   # Whether its last calls to the store were answered.
   stopping @4 :Bool;
   loads @5 :List(RequestsAtTarget);
   # Its requests at targets: all for its own cell, those at a cell's targets for another one.
   jobs @6 :List(OwnedJob);
-  # Jobs that it has come to own lately, so that others need not ask the store whose they are.
+  # Jobs that it has recently become the owner of, so that peers need not read the owner from the store.
   waiting @7 :List(WaitingItems);
-  # Items of jobs that wait at it for room, so that places are shared by the number of items.
+  # Items that wait at it for a slot: the slots of a target are shared in proportion to them.
   seen @8 :SeenChanges;
-  # Newest changes that it has seen in the store, so that a neighbour whose watch is deaf learns it.
+  # Newest changes that it has seen in the store, so that a peer whose watch is stalled notices it.
   storeSilentMs @9 :UInt32;
-  # Time since the store last answered it anything, so that a neighbour learns whether it alone misses the store.
+  # Time since the store last answered it, so that a peer can tell whether it alone has lost the store.
 }
 
 struct FollowedNews {
-  # What a gateway that follows the store has seen of a kind, for one that watches through it.
+  # Changes of one kind from a watch relay, for a gateway that watches the store through it.
 
   incarnation @0 :UInt64;
-  # Which start of the gateway that tells it.
+  # Incarnation of the watch relay.
   outages @1 :UInt64;
-  # How often it has missed the store: entries of targets may have lapsed meanwhile.
+  # Number of interruptions of its watch: entries of targets may have expired meanwhile.
   version @2 :UInt64;
-  # Version of the store up to which everything is told; 0 if there is nothing new.
+  # Version of the store up to which all changes are included; 0 if there are none.
   isWhole @3 :Bool;
-  # Whether the objects are all that there are.
+  # Whether these are all objects of the kind, not only changed ones.
   objects @4 :List(FollowedObject);
 }
 
@@ -228,7 +231,7 @@
 }
 
 struct SeenChanges {
-  # Versions of the store.
+  # Newest version of the store that was seen for each kind.
 
   routes @0 :UInt64;
   targets @1 :UInt64;
