core: StoreOp::write for an object that is created by its first write

The choice between an update of the version that was read and a create stood in seven state machines (lease, manifest, quarantine list, order leader, load slots, results of a chunk, shard of keys), five times with the same four lines. StoreOp::write is that choice.

No behaviour changes.

--- a/crates/samphiredoor-core/src/idempotency/shard.rs
+++ b/crates/samphiredoor-core/src/idempotency/shard.rs
@@ -296,11 +296,7 @@
         let value: Value = serde_json::to_vec(&shard).unwrap_or_default().into();
         new_content.keys = shard.keys;
         new_content.bytes = value.len();
-        let (key, labels) = (self.object.clone(), Labels::new());
-        let op = match new_content.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(self.object.clone(), new_content.version, Labels::new(), value);
         self.in_flight = Some(InFlight::Write { changes, new_content, obsolete_bodies });
         effects.push(Effect::Call(op));
     }
--- a/crates/samphiredoor-core/src/lease.rs
+++ b/crates/samphiredoor-core/src/lease.rs
@@ -167,11 +167,7 @@
             stopping: self.stopping,
         };
         let value: Value = serde_json::to_vec(&content).unwrap_or_default().into();
-        let (key, labels) = (self.key(), Labels::new());
-        let op = match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(self.key(), self.version, Labels::new(), value);
         self.state = State::Writing { call: self.call(op, out), sent_ms: now.mono_ms };
     }
 
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -20,7 +20,7 @@
     context::Context,
     names::CallId,
 };
-use crate::store::{ObjectKey, StoreAnswer, StoreOp, Stored, Version};
+use crate::store::{Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Version};
 
 /// Number of pending results that are written without waiting for more.
 pub(super) const GROUP_RESULTS: usize = 250;
@@ -301,12 +301,7 @@
         self.own_intents.append(&mut self.unwritten_intents);
         let results = self.committed.iter().chain(&self.pending);
         let value = results_value(self.epoch, &ctx.config.writer, self.items, &intents, results);
-        let key = self.key.clone();
-        let labels = Default::default();
-        let op = match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(self.key.clone(), self.version, Labels::new(), value);
         self.state = State::Writing(ctx.call(op));
     }
 
--- a/crates/samphiredoor-core/src/manifest_revisions.rs
+++ b/crates/samphiredoor-core/src/manifest_revisions.rs
@@ -383,11 +383,9 @@
             previous_writer,
         };
         let value: Arc<[u8]> = serde_json::to_vec(&record).unwrap_or_default().into();
-        let (key, labels, record) = (manifest_key(), Labels::new(), Arc::clone(&value));
-        let op = match stored {
-            Some(it) => StoreOp::Update { key, version: it.version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let record = Arc::clone(&value);
+        let version = stored.map(|it| it.version);
+        let op = StoreOp::write(manifest_key(), version, Labels::new(), value);
         Write { revision, op, record, tries: 0, unknown_outcome: false }
     }
 
--- a/crates/samphiredoor-core/src/orders/leader.rs
+++ b/crates/samphiredoor-core/src/orders/leader.rs
@@ -255,11 +255,7 @@
         self.call_sent_ms = now.mono_ms;
         record.writer = format!("{}-{}", self.config.process, self.config.incarnation);
         let value: Value = serde_json::to_vec(&record).unwrap_or_default().into();
-        let (key, labels) = (self.key(), Labels::new());
-        let op = match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(self.key(), self.version, Labels::new(), value);
         self.state = State::Writing(outbox.store(op));
     }
 
--- a/crates/samphiredoor-core/src/orders/load_slots.rs
+++ b/crates/samphiredoor-core/src/orders/load_slots.rs
@@ -162,11 +162,7 @@
     fn write(&mut self, mut record: LoadPace, outbox: &mut Outbox<'_>) {
         record.writer.clone_from(&self.holder);
         let value: Value = serde_json::to_vec(&record).unwrap_or_default().into();
-        let (key, labels) = (key(), Labels::new());
-        let op = match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(key(), self.version, Labels::new(), value);
         self.state = State::Writing(outbox.store(op));
     }
 
--- a/crates/samphiredoor-core/src/quarantine/list.rs
+++ b/crates/samphiredoor-core/src/quarantine/list.rs
@@ -96,11 +96,7 @@
         let writer = format!("{}/{}", self.writer, self.next_call);
         let content = SuspectList { writer, suspects: suspects.records() };
         let value: Value = serde_json::to_vec(&content).unwrap_or_default().into();
-        let labels = Labels::new();
-        match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        }
+        StoreOp::write(key, self.version, Labels::new(), value)
     }
 
     fn stored(&mut self, now: Now, call: CallId, answer: StoreAnswer, suspects: &mut Suspects) {
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -162,6 +162,19 @@
 }
 
 impl StoreOp {
+    /// Writes an object that was read with this version, or creates it if there was none.
+    pub fn write(
+        key: ObjectKey,
+        version: Option<Version>,
+        labels: Labels,
+        value: Value,
+    ) -> StoreOp {
+        match version {
+            Some(version) => StoreOp::Update { key, version, labels, value },
+            None => StoreOp::Create { key, labels, value },
+        }
+    }
+
     /// Whether the call changes the store.
     pub fn is_write(&self) -> bool {
         match self {
