core: one retry delay of unreadable objects, one label of a job's state, one digest of a caller's key

Each stood two or three times: the delay in chunk, commit and run of the ledger, the label in the ledger, in jobs_task and in query_rows, and the digest of workspace and key for jobs and for idempotency keys. The digits of a job's identifier have a name now.

No behaviour changes.

--- a/crates/samphiredoor-core/src/idempotency/keyed_request.rs
+++ b/crates/samphiredoor-core/src/idempotency/keyed_request.rs
@@ -1,8 +1,6 @@
 //! A request that carries an idempotency key, and how keys are hashed to shards.
 
-use std::sync::Arc;
-
-use crate::{Name, dispatch::RequestId};
+use crate::{Name, dispatch::RequestId, key_digest::key_digest};
 
 /// Hash of a workspace and an idempotency key, in hexadecimal digits; the first digits select the shard.
 pub type KeyId = Name;
@@ -22,12 +20,7 @@
 
 /// Hashes an idempotency key within its workspace; each resend with the same workspace and key has the same id.
 pub fn key_id(workspace: &str, key: &str) -> KeyId {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(workspace.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(key.as_bytes());
-    let digest = hasher.finalize().to_hex();
-    Arc::from(&digest[..KEY_DIGITS])
+    key_digest(workspace, key, KEY_DIGITS)
 }
 
 const KEY_DIGITS: usize = 32;
--- a/crates/samphiredoor-core/src/ledger/chunk.rs
+++ b/crates/samphiredoor-core/src/ledger/chunk.rs
@@ -29,8 +29,6 @@
 /// Base of the exponential backoff after a run that ended as not run.
 const NOT_RUN_WAIT_MS: u64 = 100;
 const MAX_NOT_RUN_WAIT_MS: u64 = 5_000;
-/// Delay before an unreadable chunk is read again.
-const UNREADABLE_RETRY_MS: u64 = 60_000;
 
 /// Items of the chunk, which are read from the store before any of them is started.
 #[derive(Debug)]
@@ -270,7 +268,7 @@
             Err(fault) => {
                 let key = ObjectKey::new(Kind::Chunk, Arc::clone(&stored.name));
                 ctx.note_unreadable(key, fault);
-                self.items = Items::Unreadable { at_ms: ctx.now_ms() + UNREADABLE_RETRY_MS };
+                self.items = Items::Unreadable { at_ms: ctx.unreadable_retry_ms() };
             }
         }
     }
--- a/crates/samphiredoor-core/src/ledger/codec.rs
+++ b/crates/samphiredoor-core/src/ledger/codec.rs
@@ -129,7 +129,7 @@
 }
 
 /// Value of the `state` label of a header.
-pub(super) fn state_label(state: JobState) -> &'static str {
+pub fn state_label(state: JobState) -> &'static str {
     match state {
         JobState::Running => "running",
         JobState::Cancelling => "cancelling",
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -28,8 +28,6 @@
 const MAX_INLINE_BYTES: usize = 700_000;
 /// Bytes of the object reserved for each item without a result.
 const RESERVED_BYTES_PER_ITEM: usize = 1_000;
-/// Delay before an unreadable object is read again.
-const UNREADABLE_RETRY_MS: u64 = 60_000;
 
 #[derive(Debug)]
 enum State {
@@ -395,7 +393,7 @@
             ctx.note_unreadable(self.key.clone(), fault);
         }
         self.discard_pending();
-        let at_ms = ctx.now_ms() + UNREADABLE_RETRY_MS;
+        let at_ms = ctx.unreadable_retry_ms();
         self.state = State::Waiting { at_ms, reread: true };
     }
 
--- a/crates/samphiredoor-core/src/ledger/context.rs
+++ b/crates/samphiredoor-core/src/ledger/context.rs
@@ -14,6 +14,8 @@
 };
 
 const MAX_BURST_WRITES: u64 = 8;
+/// Delay before an unreadable object is read again.
+const UNREADABLE_RETRY_MS: u64 = 60_000;
 
 /// Token bucket that limits the writes of incomplete groups of results.
 ///
@@ -74,6 +76,11 @@
         self.now.mono_ms
     }
 
+    /// Time at which an object that is unreadable now is read again.
+    pub(super) fn unreadable_retry_ms(&self) -> u64 {
+        self.now_ms() + UNREADABLE_RETRY_MS
+    }
+
     /// Issues a store call and returns its identifier.
     pub(super) fn call(&mut self, op: StoreOp) -> CallId {
         let call = CallId(*self.next_call);
--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -25,7 +25,9 @@
 
 pub use cancellation::{CancelStep, Cancellation};
 pub use chunk::MAX_TRIES;
-pub use codec::{FORMAT, FREE_OWNER, ReadResults, Unreadable, read_header, read_results};
+pub use codec::{
+    FORMAT, FREE_OWNER, ReadResults, Unreadable, read_header, read_results, state_label,
+};
 pub use config::LedgerConfig;
 pub use messages::{ItemEnd, ItemRef, ItemWork, LedgerAction, LedgerInput, Note, Progress};
 pub use names::{CallId, JobId, chunk_key, header_key, job_id, results_key};
--- a/crates/samphiredoor-core/src/ledger/names.rs
+++ b/crates/samphiredoor-core/src/ledger/names.rs
@@ -4,9 +4,13 @@
 
 use crate::{
     Name,
+    key_digest::key_digest,
     store::{Kind, ObjectKey},
 };
 
+/// Digits of the digest in a job's identifier.
+const JOB_DIGITS: usize = 24;
+
 /// Identifier of a job: the name of its header object.
 pub type JobId = Name;
 
@@ -16,12 +20,7 @@
 
 /// Derives a job's identifier. Every submission with the same workspace and key has the same one.
 pub fn job_id(workspace: &str, key: &str) -> JobId {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(workspace.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(key.as_bytes());
-    let digest = hasher.finalize().to_hex();
-    format!("job-{}", &digest[..24]).into()
+    format!("job-{}", key_digest(workspace, key, JOB_DIGITS)).into()
 }
 
 /// Object key of a job's header.
--- a/crates/samphiredoor-core/src/ledger/run.rs
+++ b/crates/samphiredoor-core/src/ledger/run.rs
@@ -29,8 +29,6 @@
 const MAX_SEALING_CHUNKS: usize = 4;
 /// Number of chunks left below `opened_chunks` at which it is raised.
 const CHECKPOINT_AHEAD: u32 = 4;
-/// Delay before an unreadable header is read again.
-const UNREADABLE_RETRY_MS: u64 = 60_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -383,7 +381,7 @@
             }
             Err(fault) => {
                 ctx.note_unreadable(header_key(&self.job), fault);
-                let at_ms = ctx.now_ms() + UNREADABLE_RETRY_MS;
+                let at_ms = ctx.unreadable_retry_ms();
                 self.header_call = HeaderCall::Waiting { at_ms };
             }
         }
--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod dispatch;
 pub mod hints;
 pub mod idempotency;
-
+mod key_digest;
 pub mod lease;
 pub mod ledger;
 pub mod manifest;
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -7,7 +7,7 @@
     Name,
     ledger::{
         ItemEnd, ItemRef, ItemWork, JobId, Ledger, LedgerAction, LedgerConfig, LedgerInput, Note,
-        Progress,
+        Progress, state_label,
     },
     store::Version,
     time::Now,
@@ -16,7 +16,7 @@
     clock::Clock,
     timed_inbox::{InboxEvent, TimedInbox},
 };
-use samphiredoor_schema::objects::{JobHeader, JobState};
+use samphiredoor_schema::objects::JobHeader;
 
 use crate::{config::DoorConfig, metrics::Metrics, peers::Peers, store_client::StoreClient};
 
@@ -266,12 +266,3 @@
         ItemEnd::Refused { .. } => "refused",
     }
 }
-
-fn state_label(state: JobState) -> &'static str {
-    match state {
-        JobState::Running => "running",
-        JobState::Cancelling => "cancelling",
-        JobState::Cancelled => "cancelled",
-        JobState::Finished => "finished",
-    }
-}
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -7,15 +7,13 @@
 
 use samphiredoor_core::{
     dispatch::TargetView,
-    ledger::{chunk_key, header_key, results_key},
+    ledger::{chunk_key, header_key, results_key, state_label},
     manifest::{Manifest, ServiceKind},
     quarantine::{QUARANTINE_DEATHS, Suspect},
     store::{Kind, Labels, StoreAnswer, StoreOp, Stored},
 };
 use samphiredoor_query::{Noun, Query, Row, select};
-use samphiredoor_schema::objects::{
-    Chunk, ChunkResults, ItemOutcome, JobHeader, JobState, ProcessLease,
-};
+use samphiredoor_schema::objects::{Chunk, ChunkResults, ItemOutcome, JobHeader, ProcessLease};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -99,7 +97,7 @@
     let header: JobHeader = serde_json::from_slice(&stored.value).ok()?;
     Some(json!({
         "id": &*stored.name,
-        "state": job_state_name(header.state),
+        "state": state_label(header.state),
         "workspace": header.workspace,
         "service": header.service,
         "items": header.items,
@@ -111,15 +109,6 @@
     }))
 }
 
-fn job_state_name(state: JobState) -> &'static str {
-    match state {
-        JobState::Running => "running",
-        JobState::Cancelling => "cancelling",
-        JobState::Cancelled => "cancelled",
-        JobState::Finished => "finished",
-    }
-}
-
 fn door_row(stored: &Stored) -> Option<Value> {
     let lease: ProcessLease = serde_json::from_slice(&stored.value).ok()?;
     Some(json!({
