--- a/crates/samphiredoor-embedded/src/engine_http.rs
+++ b/crates/samphiredoor-embedded/src/engine_http.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
-use samphiredoor_net::{Body, BoxError, body::read_whole};
+use samphiredoor_net::{Body, BoxError};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -148,21 +148,10 @@
     async fn complete(&self, request: Request<Incoming>) -> Response<Body> {
         let chat = request.uri().path().contains("chat");
         let id = request_id(&request);
-        let body = match read_whole(request.into_body(), MAX_BODY_BYTES).await {
-            Ok(body) => body,
-            Err(_) => {
-                return json::status(
-                    StatusCode::BAD_REQUEST,
-                    "BadRequest",
-                    "the request body cannot be read",
-                );
-            }
-        };
-        let call = match serde_json::from_slice::<CompletionRequest>(&body) {
+        let body = json::read_body(request.into_body(), MAX_BODY_BYTES).await;
+        let call: CompletionRequest = match body.and_then(|it| json::parse(&it)) {
             Ok(call) => call,
-            Err(err) => {
-                return json::status(StatusCode::BAD_REQUEST, "BadRequest", &err.to_string());
-            }
+            Err(response) => return response,
         };
         let prompt = call.prompt_text();
         self.crash_if_requested(&prompt);
--- a/crates/samphiredoor-embedded/src/objects_http.rs
+++ b/crates/samphiredoor-embedded/src/objects_http.rs
@@ -103,19 +103,13 @@
     }
 
     async fn set_faults(&self, request: Request<Incoming>) -> Response<Body> {
-        let Ok(body) = read_whole(request.into_body(), MAX_BODY_BYTES).await else {
-            return json::status(
-                StatusCode::BAD_REQUEST,
-                "BadRequest",
-                "the request body cannot be read",
-            );
-        };
-        match serde_json::from_slice::<Faults>(&body) {
+        let body = json::read_body(request.into_body(), MAX_BODY_BYTES).await;
+        match body.and_then(|it| json::parse(&it)) {
             Ok(faults) => {
                 self.state.borrow_mut().faults = faults;
                 json::status(StatusCode::OK, "Set", "faults are set")
             }
-            Err(err) => json::status(StatusCode::BAD_REQUEST, "BadRequest", &err.to_string()),
+            Err(response) => response,
         }
     }
 
--- a/crates/samphiredoor-embedded/src/orders_http.rs
+++ b/crates/samphiredoor-embedded/src/orders_http.rs
@@ -12,7 +12,7 @@
 };
 
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use samphiredoor_net::{Body, body::read_whole};
+use samphiredoor_net::Body;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -66,16 +66,10 @@
             });
             return json::answer(StatusCode::OK, &value);
         }
-        let Ok(body) = read_whole(request.into_body(), MAX_BODY_BYTES).await else {
-            return json::status(
-                StatusCode::BAD_REQUEST,
-                "BadRequest",
-                "the request body cannot be read",
-            );
-        };
-        match serde_json::from_slice::<Order>(&body) {
+        let body = json::read_body(request.into_body(), MAX_BODY_BYTES).await;
+        match body.and_then(|it| json::parse(&it)) {
             Ok(order) => self.execute(order).await,
-            Err(err) => json::status(StatusCode::BAD_REQUEST, "BadRequest", &err.to_string()),
+            Err(response) => response,
         }
     }
 
--- a/crates/samphiredoor-embedded/src/service_http.rs
+++ b/crates/samphiredoor-embedded/src/service_http.rs
@@ -6,7 +6,7 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use samphiredoor_net::{Body, body::read_whole};
+use samphiredoor_net::Body;
 
 use crate::json;
 
@@ -32,12 +32,9 @@
         }
         let id = request.headers().get("x-request-id").and_then(|it| it.to_str().ok());
         let id = id.unwrap_or("unnamed").to_owned();
-        let Ok(body) = read_whole(request.into_body(), MAX_BODY_BYTES).await else {
-            return json::status(
-                StatusCode::BAD_REQUEST,
-                "BadRequest",
-                "the request body cannot be read",
-            );
+        let body = match json::read_body(request.into_body(), MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(response) => return response,
         };
         *self.runs.borrow_mut().entry(id).or_default() += 1;
         compio::time::sleep(self.delay).await;
