--- a/crates/samphiredoor-core/tests/ledger/bounds.rs
+++ b/crates/samphiredoor-core/tests/ledger/bounds.rs
@@ -5,30 +5,20 @@
         BadLine, Ledger, LedgerAction, LedgerConfig, LedgerInput, MAX_TRIES, Submission,
         Unreadable, chunk_key, results_key,
     },
-    store::{Kind, ObjectKey, StoreOp},
+    store::{Kind, ObjectKey},
     time::Now,
 };
 use samphiredoor_schema::objects::{ChunkResults, ItemOutcome, ItemResult, JobState};
 
 use crate::{
     simulation::{CallOutcome, RunEnd, Simulation, Step},
-    store::ModelStore,
+    store::{ModelStore, is_results_write},
 };
 
 const MAX_RUNNING: usize = 4_096;
 const MAX_RUNNING_PER_JOB: usize = 256;
 const GROUP: u64 = 250;
 
-fn any(_: &StoreOp) -> bool {
-    true
-}
-
-fn is_results_write(op: &StoreOp) -> bool {
-    op.is_write()
-        && matches!(op, StoreOp::Create { key, .. } | StoreOp::Update { key, .. }
-            if key.kind == Kind::Results)
-}
-
 fn with_job(items: u32, chunk_items: usize) -> Simulation {
     let mut simulation = Simulation::new();
     simulation.submit_items(0, 0, 0, (items, chunk_items), true);
@@ -71,7 +61,7 @@
         simulation.advance_holding(0, is_results_write);
     }
     assert_eq!(simulation.runs_started, 500);
-    simulation.complete_calls(0, any, CallOutcome::Refused);
+    simulation.complete_calls(0, |_| true, CallOutcome::Refused);
     advance(&mut simulation, 100);
     assert_eq!(
         (simulation.header(0).state, simulation.header(0).completed),
--- a/crates/samphiredoor-core/tests/ledger/scenarios.rs
+++ b/crates/samphiredoor-core/tests/ledger/scenarios.rs
@@ -6,29 +6,22 @@
 };
 use samphiredoor_schema::objects::{ChunkResults, ItemOutcome, JobState};
 
-use crate::simulation::{CallOutcome, Simulation, Step};
+use crate::{
+    simulation::{CallOutcome, Simulation, Step},
+    store::is_results_write,
+};
 
 const ROUNDS: u32 = 200;
 const FIRST_OPENED_CHUNKS: u32 = 32;
 
-fn any(_: &StoreOp) -> bool {
-    true
-}
-
 fn is_header_write(op: &StoreOp) -> bool {
     matches!(op, StoreOp::Update { key, .. } if key.kind == Kind::Job)
 }
 
-fn is_results_write(op: &StoreOp) -> bool {
-    op.is_write()
-        && matches!(op, StoreOp::Create { key, .. } | StoreOp::Update { key, .. }
-            if key.kind == Kind::Results)
-}
-
 fn with_job(content: u8, repeatable: bool) -> Simulation {
     let mut simulation = Simulation::new();
     simulation.submit(0, 0, content, repeatable);
-    simulation.complete_calls(0, any, CallOutcome::Answered);
+    simulation.complete_calls(0, |_| true, CallOutcome::Answered);
     simulation
 }
 
@@ -118,8 +111,8 @@
     let mut simulation = with_job(1, false);
     advance_until_held(&mut simulation, is_results_write);
     simulation.apply_step(&Step::Cancel { process: 1, key: 0 });
-    simulation.complete_calls(1, any, CallOutcome::Answered);
-    simulation.complete_calls(1, any, CallOutcome::Answered);
+    simulation.complete_calls(1, |_| true, CallOutcome::Answered);
+    simulation.complete_calls(1, |_| true, CallOutcome::Answered);
     simulation.apply_step(&Step::CancelHint { process: 0, key: 0 });
     simulation.answer_calls(0, 20);
     assert_eq!(simulation.header(0).state, JobState::Cancelled);
--- a/crates/samphiredoor-core/tests/ledger/simulation/mod.rs
+++ b/crates/samphiredoor-core/tests/ledger/simulation/mod.rs
@@ -1,116 +1,33 @@
 //! Simulation of processes, a store and a target, driven step by step.
 
+mod requests;
+mod steps;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use samphiredoor_core::{
     Name,
     ledger::{
-        Acceptance, AcceptanceParams, CallId, CancelStep, Cancellation, ItemEnd, ItemRef, JobId,
-        Ledger, LedgerAction, LedgerConfig, LedgerInput, Note, Submission, SubmissionStep,
-        Unreadable, job_id,
+        Acceptance, CallId, Cancellation, ItemEnd, ItemRef, JobId, Ledger, LedgerAction,
+        LedgerConfig, LedgerInput, Note, Unreadable, job_id,
     },
     store::{ObjectKey, StoreAnswer, StoreOp},
     time::Now,
 };
-use samphiredoor_schema::objects::{JobHeader, JobState};
+use samphiredoor_schema::objects::JobHeader;
 
 use crate::{
     invariants::{Invariants, stored_header},
     store::ModelStore,
 };
 
+pub use steps::{CallOutcome, RunEnd, Step, step};
+
 pub const PROCESSES: usize = 3;
 const LEASE_MS: u64 = 3_000;
 const MARGIN_MS: u64 = 300;
 const RECOVERY_ROUNDS: u32 = 4_000;
 
-/// Outcome of a store call.
-#[derive(Debug, Clone, Copy)]
-pub enum CallOutcome {
-    /// The call takes effect and is answered.
-    Answered,
-    /// The call takes effect, but its answer is lost.
-    AnswerLost,
-    /// The call is refused without effect.
-    Refused,
-    /// The answer is lost, and the call may take effect later.
-    Late,
-}
-
-/// End of an item's run.
-#[derive(Debug, Clone, Copy)]
-pub enum RunEnd {
-    Answered(u16),
-    /// A complete response with a body of this many bytes.
-    Large(usize),
-    NotRun,
-    MayHaveRun,
-}
-
-/// One event of the simulation.
-#[derive(Debug, Clone)]
-pub enum Step {
-    Submit {
-        process: usize,
-        key: u8,
-        content: u8,
-        repeatable: bool,
-    },
-    CompleteCall {
-        which: usize,
-        outcome: CallOutcome,
-    },
-    LateWrite {
-        which: usize,
-    },
-    EndRun {
-        which: usize,
-        end: RunEnd,
-    },
-    AdvanceClock {
-        ms: u64,
-    },
-    Renew {
-        process: usize,
-    },
-    Pause {
-        process: usize,
-    },
-    Resume {
-        process: usize,
-    },
-    Kill {
-        process: usize,
-    },
-    Start {
-        process: usize,
-    },
-    LeaseExpired {
-        observer: usize,
-        process: usize,
-    },
-    Offered {
-        process: usize,
-        key: u8,
-    },
-    Cancel {
-        process: usize,
-        key: u8,
-    },
-    CancelHint {
-        process: usize,
-        key: u8,
-    },
-    Stop {
-        process: usize,
-    },
-    /// One process makes progress while the calls and runs of the others remain pending.
-    RunUndisturbed {
-        process: usize,
-        rounds: u8,
-    },
-}
-
 #[derive(Debug)]
 enum CallOrigin {
     Ledger(CallId),
@@ -193,56 +110,6 @@
         simulation
     }
 
-    pub fn apply_step(&mut self, step: &Step) {
-        match step.clone() {
-            Step::Submit { process, key, content, repeatable } => {
-                self.submit(process, key, content, repeatable);
-            }
-            Step::CompleteCall { which, outcome } => {
-                if !self.calls.is_empty() {
-                    let call = self.calls.remove(which % self.calls.len());
-                    self.complete_call(call, outcome);
-                }
-            }
-            Step::LateWrite { which } => {
-                if !self.late_writes.is_empty() {
-                    let op = self.late_writes.remove(which % self.late_writes.len());
-                    self.apply(&op);
-                }
-            }
-            Step::EndRun { which, end } => {
-                if !self.running.is_empty() {
-                    let run = self.running.remove(which % self.running.len());
-                    self.end_run(run, end);
-                }
-            }
-            Step::AdvanceClock { ms } => self.advance_clock(ms),
-            Step::Renew { process } => self.renew(process),
-            Step::Pause { process } => {
-                let process = &mut self.processes[process];
-                process.paused = process.ledger.is_some();
-            }
-            Step::Resume { process } => self.resume(process),
-            Step::Kill { process } => self.kill(process),
-            Step::Start { process } => self.start(process),
-            Step::LeaseExpired { observer, process } => self.lease_expired(observer, process),
-            Step::Offered { process, key } => {
-                self.input(process, LedgerInput::Offered { job: job(key) });
-            }
-            Step::Cancel { process, key } => self.cancel(process, key),
-            Step::CancelHint { process, key } => {
-                self.input(process, LedgerInput::CancelHint { job: job(key) });
-            }
-            Step::Stop { process } => {
-                self.processes[process].stopping = true;
-                self.input(process, LedgerInput::Stopping);
-            }
-            Step::RunUndisturbed { process, rounds } => {
-                (0..rounds).for_each(|_| self.advance(process))
-            }
-        }
-    }
-
     /// Ends all failures; all accepted jobs must then end. With `restart` a single restarted process does the work,
     /// otherwise all processes continue with their state.
     pub fn recover(&mut self, restart: bool) {
@@ -346,109 +213,6 @@
         stored_header(&self.store, &job(key)).expect("the job has a header")
     }
 
-    pub fn submit(&mut self, process: usize, key: u8, content: u8, repeatable: bool) {
-        if self.processes[process].ledger.is_none() || self.processes[process].paused {
-            return;
-        }
-        // Content 0 has more chunks than the header covers at first, so that `opened_chunks` is raised while the job
-        // runs.
-        let (items, chunk_items) = if content == 0 { (36, 1) } else { (4 + u32::from(content), 2) };
-        self.submit_items(process, key, content, (items, chunk_items), repeatable);
-    }
-
-    /// Submits a job of `items` items in chunks of `chunk_items`.
-    pub fn submit_items(
-        &mut self,
-        process: usize,
-        key: u8,
-        content: u8,
-        (items, chunk_items): (u32, usize),
-        repeatable: bool,
-    ) {
-        let mut submission = Submission::new().with_chunk_items(chunk_items);
-        let line = |it| {
-            format!(r#"{{"custom_id":"{content}-{it}","url":"/services/pickup/x","body":{{}}}}"#)
-        };
-        let lines: Vec<String> = (0..items).map(line).collect();
-        let mut chunks = submission.push(lines.join("\n").as_bytes()).expect("lines are items");
-        chunks.extend(submission.finish().expect("the last line is an item"));
-        self.uploads += 1;
-        let params = AcceptanceParams {
-            workspace: "desk".into(),
-            key: format!("key-{key}").into(),
-            upload: format!("up{}", self.uploads).into(),
-            process: self.processes[process].name.clone(),
-            incarnation: self.processes[process].incarnation,
-            due_unix_ms: None,
-            repeatable,
-        };
-        for (number, chunk) in chunks {
-            self.apply(&Acceptance::chunk_op(&params.upload, number, &chunk));
-        }
-        let mut acceptance = Acceptance::new(self.now(), &params, &submission);
-        let step = acceptance.start();
-        let digest = submission.digest();
-        self.handle_submission_step(process, Box::new(acceptance), digest, step);
-    }
-
-    fn handle_submission_step(
-        &mut self,
-        process: usize,
-        acceptance: Box<Acceptance>,
-        digest: String,
-        step: SubmissionStep,
-    ) {
-        match step {
-            SubmissionStep::Store(op) => {
-                self.add_call(process, CallOrigin::Acceptance(acceptance, digest), op);
-            }
-            SubmissionStep::Accepted { job, header, version, resent } => {
-                self.invariants.accepted(&self.store, &job, &digest);
-                if !resent {
-                    self.input(process, LedgerInput::Owned { job, header, version });
-                }
-            }
-            SubmissionStep::Conflicting { job } => {
-                let header =
-                    stored_header(&self.store, &job).expect("the conflicting job has a header");
-                assert_ne!(header.digest, digest, "a job conflicts with the same content");
-            }
-            SubmissionStep::NotAccepted | SubmissionStep::MayBeAccepted => {}
-        }
-    }
-
-    fn cancel(&mut self, process: usize, key: u8) {
-        if self.processes[process].ledger.is_none() || self.processes[process].paused {
-            return;
-        }
-        let mut cancellation = Cancellation::new(job(key));
-        let step = cancellation.start();
-        self.handle_cancel_step(process, cancellation, job(key), step);
-    }
-
-    fn handle_cancel_step(
-        &mut self,
-        process: usize,
-        it: Cancellation,
-        job: JobId,
-        step: CancelStep,
-    ) {
-        match step {
-            CancelStep::Store(op) => self.add_call(process, CallOrigin::Cancellation(it, job), op),
-            CancelStep::Cancelled { .. } => {
-                let header =
-                    stored_header(&self.store, &job).expect("a cancelled job has a header");
-                let state = header.state;
-                assert!(matches!(state, JobState::Cancelling | JobState::Cancelled), "{state:?}");
-            }
-            CancelStep::Finished { .. } => {
-                let header = stored_header(&self.store, &job).expect("a finished job has a header");
-                assert_eq!(header.state, JobState::Finished);
-            }
-            _ => {}
-        }
-    }
-
     fn add_call(&mut self, process: usize, origin: CallOrigin, op: StoreOp) {
         let incarnation = self.processes[process].incarnation;
         self.calls.push(PendingCall { process, incarnation, origin, op });
--- a/crates/samphiredoor-core/tests/ledger/store.rs
+++ b/crates/samphiredoor-core/tests/ledger/store.rs
@@ -2,7 +2,16 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use samphiredoor_core::store::{Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version};
+use samphiredoor_core::store::{
+    Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version,
+};
+
+/// Whether a call writes the results object of a chunk.
+pub fn is_results_write(op: &StoreOp) -> bool {
+    op.is_write()
+        && matches!(op, StoreOp::Create { key, .. } | StoreOp::Update { key, .. }
+            if key.kind == Kind::Results)
+}
 
 #[derive(Debug, Default)]
 pub struct ModelStore {
