gateway: signals and readiness checks in modules of their own

process.rs had 443 lines: it starts the parts, serves the internal listeners, answers readiness checks and waits for signals, also for storage.rs.

No behaviour changes.

--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -3,22 +3,20 @@
 use std::{
     cell::Cell,
     net::SocketAddr,
-    pin::pin,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
 use compio::{net::UdpSocket, runtime::JoinHandle};
-use futures_util::future::{Either, select};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, body::Incoming};
 use samphiredoor_core::{Name, placement::Placement, store::Kind};
 use samphiredoor_net::{Body, ServeLimits, Server, clock::Clock, serve::StopHandle};
 
 use crate::{
     config::{CommonConfig, GatewayConfig},
     discovery::{RoutesTask, TargetsTask},
-    front::{self, Front, json_message},
+    front::{self, Front},
     jobs::{self, JobEnv, Jobs, LivenessGaps},
     metrics::Metrics,
     mirror::Mirrors,
@@ -28,8 +26,10 @@
     },
     placement::{PlacementHandle, PlacementTask},
     platform_api::{Dialect, Platform},
+    readiness::Readiness,
     routes::Routes,
     seen_versions::SeenVersion,
+    signals::{SIGHUP, wait_for, wait_for_stop},
     store_health::StoreHealth,
     target_client::TargetClient,
     watch::Watcher,
@@ -44,8 +44,6 @@
 const LIMITS_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which a gateway that starts has to be known to its peers.
 const GATEWAYS_WITHIN: Duration = Duration::from_secs(5);
-pub(crate) const SIGHUP: i32 = 1;
-const SIGTERM: i32 = 15;
 
 /// Runs a gateway until it gets a signal to stop. `reload` reads the settings file again.
 ///
@@ -278,7 +276,7 @@
     Parts { front: Rc::new(front), jobs, metrics, routes, watch_relay, targets_known, stopping }
 }
 
-/// Serves the internal listeners: health checks, calls of peers, and metrics if configured.
+/// Serves the internal listeners: readiness checks, calls of peers, and metrics if configured.
 async fn serve_internal(
     config: &GatewayConfig,
     parts: &Parts,
@@ -301,20 +299,7 @@
     let (front, watch_relay) = (Rc::clone(&parts.front), parts.watch_relay.clone());
     let relay = RoutesRelay::new(parts.routes.clone());
     let answer_peers = move |request: Request<Incoming>| {
-        let (front, relay, watch_relay) = (Rc::clone(&front), relay.clone(), watch_relay.clone());
-        async move {
-            let jobs = &front.jobs;
-            match request.uri().path() {
-                peers::routes_relay::PATH => relay.answer(),
-                path if path.starts_with(peers::watch_relay::PATH_PREFIX) => {
-                    watch_relay.answer(request.uri()).await
-                }
-                path if path.starts_with(jobs::forward::PATH_PREFIX) => {
-                    front::answer_forwarded(Rc::clone(&front), request).await
-                }
-                _ => jobs.handle_peer(request.method(), request.uri()).await,
-            }
-        }
+        answer_peer(Rc::clone(&front), relay.clone(), watch_relay.clone(), request)
     };
     compio::runtime::spawn(peer_calls.run(answer_peers)).detach();
     if let Some(address) = config.common.metrics {
@@ -329,36 +314,22 @@
     Ok(())
 }
 
-/// State behind the readiness checks of the load balancer.
-struct Readiness {
-    dialect: Rc<dyn Dialect>,
-    routes: Routes,
-    targets_known: Rc<Cell<Option<usize>>>,
-    stopping: Rc<Cell<bool>>,
-}
-
-impl Readiness {
-    fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
-        if !self.dialect.is_readiness_check(request.method(), request.uri().path()) {
-            return json_message(StatusCode::NOT_FOUND, "only readiness is asked for here");
-        }
-        match self.problem() {
-            None => json_message(StatusCode::OK, "ready"),
-            Some(problem) => json_message(StatusCode::SERVICE_UNAVAILABLE, problem),
+/// Answers a call of a peer.
+async fn answer_peer(
+    front: Rc<Front>,
+    relay: RoutesRelay,
+    watch_relay: WatchRelay,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    match request.uri().path() {
+        peers::routes_relay::PATH => relay.answer(),
+        path if path.starts_with(peers::watch_relay::PATH_PREFIX) => {
+            watch_relay.answer(request.uri()).await
         }
-    }
-
-    /// Why the gateway is not ready; `None` if it is.
-    fn problem(&self) -> Option<&'static str> {
-        if self.stopping.get() {
-            Some("stopping")
-        } else if self.routes.current().is_none() {
-            Some("no routes yet")
-        } else if self.targets_known.get().is_none() {
-            Some("no targets yet")
-        } else {
-            None
+        path if path.starts_with(jobs::forward::PATH_PREFIX) => {
+            front::answer_forwarded(front, request).await
         }
+        _ => front.jobs.handle_peer(request.method(), request.uri()).await,
     }
 }
 
@@ -424,20 +395,3 @@
         }
     }
 }
-
-/// Waits for one signal; waits forever if the signal handler cannot be installed.
-pub(crate) async fn wait_for(signal: i32) {
-    if let Err(err) = compio::signal::unix::signal(signal).await {
-        log::error!(signal, problem:% = err; "gateway: cannot wait for signal");
-        std::future::pending::<()>().await;
-    }
-}
-
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_stop() {
-    let terminate = pin!(wait_for(SIGTERM));
-    let interrupt = pin!(compio::signal::ctrl_c());
-    if let Either::Right((Err(err), _)) = select(terminate, interrupt).await {
-        log::error!(problem:% = err; "process: cannot wait for SIGINT");
-    }
-}
--- a/crates/samphiredoor-gateway/src/storage.rs
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -18,7 +18,8 @@
     config::{CommonConfig, StorageConfig},
     mirror::Mirror,
     platform_api::{Change, Platform},
-    process::{SIGHUP, bind, internal_limits, wait_for, wait_for_stop},
+    process::{bind, internal_limits},
+    signals::{SIGHUP, wait_for, wait_for_stop},
     watch::{StoreEvent, Watcher},
 };
 
