--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -98,10 +98,7 @@
             },
             _ => NoAnswer::MayHaveRun(cause),
         };
-        let outcome = match why {
-            NoAnswer::Refused { reason, .. } => reason.label(),
-            NoAnswer::MayHaveRun(cause) => cause.label(),
-        };
+        let outcome = why.label();
         self.request.log_end(outcome, 0);
         Some(format!("the stream was cut: {outcome}").into())
     }
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod attempt;
 mod forwarded_stream;
+mod hop_by_hop;
 mod online;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Response,
-    header::{self, HeaderName, HeaderValue},
+    header::{self, HeaderValue},
     http::{request, response},
 };
 use samphiredoor_core::{
@@ -32,6 +32,7 @@
     attempt::{AttemptOutcome, StartedStream, Timeouts, run_attempt},
     forwarded_stream::ForwardedStream,
     header_number,
+    hop_by_hop::strip_hop_by_hop_headers,
 };
 use crate::{
     metrics::Stage,
@@ -52,16 +53,6 @@
 /// output every 25 ms and a full one starts within 300 ms.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Hop-by-hop headers, which are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 6] = [
-    header::CONNECTION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// An online request and the state of its retries.
 pub struct OnlineRequest {
     pub(super) front: Rc<Front>,
@@ -136,6 +127,16 @@
     MayHaveRun(MayHaveRunReason),
 }
 
+impl NoAnswer {
+    /// Label in metrics and logs.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            NoAnswer::Refused { reason, .. } => reason.label(),
+            NoAnswer::MayHaveRun(cause) => cause.label(),
+        }
+    }
+}
+
 impl OnlineRequest {
     /// Creates a request from its parts as received; hop-by-hop headers are removed.
     pub fn new(
@@ -239,11 +240,7 @@
             }
             NoAnswer::MayHaveRun(cause) => may_have_run_response(cause),
         };
-        let outcome = match why {
-            NoAnswer::Refused { reason, .. } => reason.label(),
-            NoAnswer::MayHaveRun(cause) => cause.label(),
-        };
-        self.log_end(outcome, response.status().as_u16());
+        self.log_end(why.label(), response.status().as_u16());
         response
     }
 
@@ -296,8 +293,7 @@
     async fn try_targets(&mut self) -> Outcome {
         loop {
             if self.sends >= MAX_SENDS || self.timeouts().remaining() < MIN_TIME_TO_SEND {
-                let why = self.refused_or_may_have_run(Refusal::DeadlineTooShort);
-                return self.final_outcome(why);
+                return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             let mut ticket = self.front.placement.request(self.request_spec());
             let queued = Instant::now();
@@ -306,11 +302,7 @@
             let (target, address) = match decision {
                 Decision::Dispatch { target, address } => (target, address),
                 Decision::Refused { reason, retry_after_ms } => {
-                    let why = match self.may_have_run {
-                        Some(cause) => NoAnswer::MayHaveRun(cause),
-                        None => NoAnswer::Refused { reason, retry_after_ms },
-                    };
-                    return self.final_outcome(why);
+                    return self.final_outcome(reason, retry_after_ms);
                 }
                 // Not reached: only items of batch jobs are preempted.
                 Decision::Preempted => continue,
@@ -405,19 +397,12 @@
     }
 
     /// Outcome of a request that is not sent again. If a target ran it and failed, the caller gets that answer: a refusal
-    /// would claim that the request did not run.
-    fn final_outcome(&mut self, why: NoAnswer) -> Outcome {
-        match self.server_error.take() {
-            Some((parts, body)) => Outcome::Whole(parts, body),
-            None => Outcome::NoAnswer(why),
-        }
-    }
-
-    /// A refusal, unless an earlier attempt may have run.
-    fn refused_or_may_have_run(&self, reason: Refusal) -> NoAnswer {
-        match self.may_have_run {
-            Some(cause) => NoAnswer::MayHaveRun(cause),
-            None => NoAnswer::Refused { reason, retry_after_ms: 0 },
+    /// would claim that the request did not run. It is not refused either if an earlier attempt may have run.
+    fn final_outcome(&mut self, reason: Refusal, retry_after_ms: u64) -> Outcome {
+        match (self.server_error.take(), self.may_have_run) {
+            (Some((parts, body)), _) => Outcome::Whole(parts, body),
+            (None, Some(cause)) => Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)),
+            (None, None) => Outcome::NoAnswer(NoAnswer::Refused { reason, retry_after_ms }),
         }
     }
 
@@ -435,17 +420,3 @@
         }
     }
 }
-
-/// Removes the hop-by-hop headers, and those that the `Connection` header lists.
-fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .filter_map(|it| it.trim().parse().ok())
-        .collect();
-    for name in listed.iter().chain(&HOP_BY_HOP_HEADERS) {
-        headers.remove(name);
-    }
-}
