membership: links and lease checks in modules of their own

membership/mod.rs had 507 lines and three jobs: merging reports into the roster, the links with their heartbeats, and the lists and reads of leases. The latter two are in links.rs and lease_checks.rs; the literal of an unresponsive member stood twice. What describes an item is a doc comment now, as elsewhere.

No behaviour changes.

--- a/crates/samphiredoor-core/src/membership/mod.rs
+++ b/crates/samphiredoor-core/src/membership/mod.rs
@@ -9,6 +9,8 @@
 //! Membership is a hint. A live member that is reported dead refutes the report, and a false report costs only speed.
 
 mod gossip;
+mod lease_checks;
+mod links;
 mod messages;
 mod rendezvous;
 mod roster;
@@ -18,58 +20,27 @@
     sync::Arc,
 };
 
-use samphiredoor_schema::objects::ProcessLease;
-
 pub use messages::{Heartbeat, MembershipAction, MembershipConfig, MembershipInput};
 pub use rendezvous::rendezvous_select;
 pub use roster::{Member, MemberState, Roster};
 
 use crate::{Name, lease::LeaseTable, time::Now};
 use gossip::Gossip;
+use lease_checks::{EXPIRY_MARGIN_MS, Unresponsive};
+use links::Link;
 
 /// Members in one page of the answer to a peer that pulls all members.
 pub const MEMBERS_PAGE_LEN: usize = 200;
 
-// How long an observer waits beyond the length of a lease before it declares the lease expired.
-const EXPIRY_MARGIN_MS: u64 = 500;
-const READ_RETRY_MS: u64 = 1_000;
-// A monitored member is reported dead after this many heartbeat intervals without an answer.
+/// A monitored member is reported dead after this many heartbeat intervals without an answer.
 const MISSED_HEARTBEATS: u64 = 3;
-// Factor of the heartbeat interval on links that only spread gossip, compared with links that monitor a member.
-// While there is gossip to send, all links use the same interval.
-const GOSSIP_LINK_INTERVAL_FACTOR: u64 = 16;
-// Above this many members the heartbeat interval doubles, which bounds the control traffic.
+/// Above this many members the heartbeat interval doubles, which bounds the control traffic.
 const SLOW_HEARTBEAT_ABOVE_MEMBERS: usize = 100;
-// Heartbeat intervals between two attempts to connect to a seed or to a dead member.
-const PROBE_HEARTBEATS: u64 = 4;
-// The changes of a page are gossiped only up to this number; a longer page holds what other members have already.
+/// The changes of a page are gossiped only up to this number; a longer page holds what other members have already.
 const MAX_GOSSIPED_PER_PAGE: usize = 8;
-// Interval between two lists of the leases: `LIST_PER_MEMBER_MS` for each member, but at least `LIST_MIN_MS`.
-const LIST_MIN_MS: u64 = 60_000;
-const LIST_PER_MEMBER_MS: u64 = 2_000;
-// A dead member is removed from the roster after this many lengths of the lease.
+/// A dead member is removed from the roster after this many lengths of the lease.
 const FORGET_LEASES: u64 = 10;
 
-#[derive(Debug)]
-struct Link {
-    // Whether this process opened it, not the peer.
-    opened: bool,
-    last_received_ms: u64,
-    // When the last heartbeat was sent; `None` before the first.
-    last_sent_ms: Option<u64>,
-    // Consecutive heartbeats whose digest differed from that of the own roster.
-    digest_mismatches: u32,
-}
-
-// A monitored member without a link or without answers.
-#[derive(Debug)]
-struct Unresponsive {
-    // When the last heartbeat was received, or when the missing link was noticed.
-    since_ms: u64,
-    // When its lease object is to be read next.
-    next_read_ms: u64,
-}
-
 /// Membership as seen by one process.
 #[derive(Debug)]
 pub struct Membership {
@@ -82,16 +53,16 @@
     monitored: BTreeSet<Name>,
     neighbours: BTreeSet<Name>,
     unresponsive: BTreeMap<Name, Unresponsive>,
-    // Renewals of the own lease.
+    /// Renewals of the own lease.
     renewals: u64,
-    // Revision of the active manifest.
+    /// Revision of the active manifest.
     revision: u64,
     listed_ms: Option<u64>,
     list_failed: bool,
     next_list_ms: u64,
     next_probe_ms: u64,
     next_seed: usize,
-    // The dead member that was probed last.
+    /// The dead member that was probed last.
     probed: Option<Name>,
 }
 
@@ -137,17 +108,10 @@
             }
             MembershipInput::Members(members) => self.apply_page(now, members, out),
             MembershipInput::Leases(leases) => self.leases_listed(now, leases, out),
-            MembershipInput::ListFailed => {
-                self.list_failed = true;
-                self.next_list_ms = now.mono_ms + READ_RETRY_MS;
-            }
+            MembershipInput::ListFailed => self.list_failed(now),
             MembershipInput::Lease { process, lease } => self.lease_read(now, process, *lease, out),
             MembershipInput::LeaseDeleted { process } => self.lease_deleted(now, &process),
-            MembershipInput::LeaseReadFailed { process } => {
-                if let Some(unresponsive) = self.unresponsive.get_mut(&process) {
-                    unresponsive.next_read_ms = now.mono_ms + READ_RETRY_MS;
-                }
-            }
+            MembershipInput::LeaseReadFailed { process } => self.lease_read_failed(now, &process),
             MembershipInput::LeaseRenewed(renewals) => self.renewals = renewals,
             MembershipInput::OwnRevision(revision) => self.revision = self.revision.max(revision),
             MembershipInput::Stopping => {
@@ -205,8 +169,10 @@
         }
     }
 
-    // A page with many changes is what a process gets at its start. Its peers have these members already, so only a
-    // change of the own one is gossiped.
+    /// Merges a page of members.
+    ///
+    /// A page with many changes is what a process gets at its start. Its peers have these members already, so only a
+    /// change of the own one is gossiped.
     fn apply_page(&mut self, now: Now, page: Vec<Member>, out: &mut Vec<MembershipAction>) {
         let mut changed = Vec::new();
         for member in page {
@@ -227,7 +193,7 @@
         out.push(MembershipAction::LiveMembersChanged);
     }
 
-    // Returns whether the report changed the roster.
+    /// Merges a report; returns whether it changed the roster.
     fn merge_report(&mut self, member: Member, out: &mut Vec<MembershipAction>) -> bool {
         let name = Arc::clone(&member.name);
         let before = self.roster.get(&name).map(|it| it.incarnation);
@@ -245,48 +211,6 @@
         true
     }
 
-    fn choose_links(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
-        self.monitored = self.roster.monitored();
-        self.neighbours = self.roster.neighbours();
-        self.unresponsive.retain(|name, _| self.monitored.contains(name));
-        for name in &self.monitored {
-            if !self.links.contains_key(name) {
-                let entry = Unresponsive { since_ms: now.mono_ms, next_read_ms: now.mono_ms };
-                self.unresponsive.entry(Arc::clone(name)).or_insert(entry);
-            }
-        }
-        for (name, link) in &self.links {
-            if link.opened && !self.neighbours.contains(name) {
-                out.push(MembershipAction::Close { peer: Arc::clone(name), accepted: false });
-            }
-        }
-    }
-
-    fn link_up(&mut self, now: Now, peer: Member, opened: bool, out: &mut Vec<MembershipAction>) {
-        let name = Arc::clone(&peer.name);
-        self.connecting.remove(&name);
-        if self.probed.as_ref() == Some(&name) {
-            self.probed = None;
-        }
-        let known = self.roster.get(&name).map(Member::rank);
-        let link = Link {
-            opened: opened || self.links.get(&name).is_some_and(|it| it.opened),
-            last_received_ms: now.mono_ms,
-            last_sent_ms: None,
-            digest_mismatches: 0,
-        };
-        self.links.insert(Arc::clone(&name), link);
-        self.unresponsive.remove(&name);
-        // A connection alone does not revive a member that is reported dead. It receives the report and refutes it.
-        if known.is_some_and(|it| it > peer.rank()) {
-            self.gossip.add(&name, self.roster.len());
-        }
-        self.apply_report(now, peer, out);
-        if known.is_none() {
-            out.push(MembershipAction::PullMembers { from: name });
-        }
-    }
-
     fn heartbeat_received(
         &mut self,
         now: Now,
@@ -315,49 +239,6 @@
         }
     }
 
-    fn leases_listed(
-        &mut self,
-        now: Now,
-        leases: Vec<(Name, ProcessLease)>,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let page = leases.iter().map(|(process, lease)| Member::new(process, lease)).collect();
-        for (process, lease) in leases {
-            self.leases.observe(now, &process, lease);
-        }
-        self.apply_page(now, page, out);
-    }
-
-    fn lease_read(
-        &mut self,
-        now: Now,
-        process: Name,
-        lease: ProcessLease,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let member = Member::new(&process, &lease);
-        let incarnation = lease.incarnation;
-        let lease_ms = lease.lease_ms;
-        self.leases.observe(now, &process, lease);
-        self.apply_report(now, member, out);
-        let Some(unresponsive) = self.unresponsive.get_mut(&process) else { return };
-        match self.leases.expires_at(&process, EXPIRY_MARGIN_MS) {
-            Some(expires_ms) if now.mono_ms >= expires_ms => {
-                unresponsive.next_read_ms = now.mono_ms + lease_ms / 2;
-                out.push(MembershipAction::LeaseExpired { process, incarnation });
-            }
-            Some(expires_ms) => unresponsive.next_read_ms = expires_ms,
-            None => {}
-        }
-    }
-
-    fn lease_deleted(&mut self, now: Now, process: &Name) {
-        self.leases.forget(process);
-        if let Some(unresponsive) = self.unresponsive.get_mut(process) {
-            unresponsive.next_read_ms = now.mono_ms + self.config.lease_ms;
-        }
-    }
-
     fn tick(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
         self.list_leases(now, out);
         self.send_heartbeats(now, out);
@@ -366,58 +247,12 @@
         self.connect(now, out);
     }
 
-    // The first list waits until the own lease is written. So of two processes that start at the same time, the one
-    // whose lease was written later finds the other's, and neither stays unknown until the next list.
-    //
-    // The interval of later lists grows with the number of members, which bounds the lists per second of the fleet.
-    fn list_leases(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
-        // Few members may have been known at the last list, so the interval follows from their present number.
-        let listed_long_ago =
-            self.listed_ms.is_none_or(|it| now.mono_ms >= it + self.list_interval_ms());
-        let due = now.mono_ms >= self.next_list_ms;
-        if due && (listed_long_ago || self.list_failed) && self.renewals > 0 {
-            self.list_failed = false;
-            self.listed_ms = Some(now.mono_ms);
-            out.push(MembershipAction::ListLeases);
-        }
-    }
-
-    fn list_interval_ms(&self) -> u64 {
-        LIST_MIN_MS.max(LIST_PER_MEMBER_MS * self.roster.len() as u64)
-    }
-
-    fn send_heartbeats(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
-        let monitor_ms = self.heartbeat_interval_ms();
-        let gossip_ms = if self.gossip.is_empty() {
-            monitor_ms * GOSSIP_LINK_INTERVAL_FACTOR
-        } else {
-            monitor_ms
-        };
-        let mut to = Vec::new();
-        for (name, link) in &mut self.links {
-            // Both the side that opened a link and a side that monitors the other send heartbeats on it.
-            let monitored = self.monitored.contains(name);
-            if !link.opened && !monitored {
-                continue;
-            }
-            let interval_ms = if monitored { monitor_ms } else { gossip_ms };
-            if link.last_sent_ms.is_none_or(|it| now.mono_ms >= it + interval_ms) {
-                link.last_sent_ms = Some(now.mono_ms);
-                to.push(Arc::clone(name));
-            }
-        }
-        for to in to {
-            let heartbeat = self.next_heartbeat();
-            out.push(MembershipAction::SendHeartbeat { to, heartbeat });
-        }
-    }
-
     fn report_timed_out(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
         let timeout_ms = self.heartbeat_interval_ms() * MISSED_HEARTBEATS;
         for name in &self.monitored {
             let timed_out = |it: &Link| now.mono_ms > it.last_received_ms + timeout_ms;
             let Some(link) = self.links.get(name) else {
-                let entry = Unresponsive { since_ms: now.mono_ms, next_read_ms: now.mono_ms };
+                let entry = Unresponsive::new(now);
                 self.unresponsive.entry(Arc::clone(name)).or_insert(entry);
                 continue;
             };
@@ -441,62 +276,6 @@
         }
     }
 
-    // Other processes monitor these members; here only a half-open link has to be closed.
-    fn close_timed_out_links(&self, now: Now, timeout_ms: u64, out: &mut Vec<MembershipAction>) {
-        for (name, link) in &self.links {
-            let timed_out =
-                now.mono_ms > link.last_received_ms + timeout_ms * GOSSIP_LINK_INTERVAL_FACTOR;
-            if link.opened && timed_out && !self.monitored.contains(name) {
-                out.push(MembershipAction::Close { peer: Arc::clone(name), accepted: true });
-            }
-        }
-    }
-
-    fn read_unresponsive_leases(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
-        for (name, unresponsive) in &mut self.unresponsive {
-            if now.mono_ms >= unresponsive.next_read_ms {
-                unresponsive.next_read_ms = now.mono_ms + self.config.lease_ms;
-                out.push(MembershipAction::ReadLease { process: Arc::clone(name) });
-            }
-        }
-    }
-
-    fn connect(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
-        for name in &self.neighbours {
-            if self.links.contains_key(name) || !self.connecting.insert(Arc::clone(name)) {
-                continue;
-            }
-            let Some(member) = self.roster.get(name) else { continue };
-            let (peer, address) = (Arc::clone(name), Arc::clone(&member.address));
-            out.push(MembershipAction::Connect { peer, address });
-        }
-        if now.mono_ms >= self.next_probe_ms {
-            self.next_probe_ms = now.mono_ms + self.heartbeat_interval_ms() * PROBE_HEARTBEATS;
-            self.probe(out);
-            self.forget_dead(now, out);
-        }
-    }
-
-    // After a network partition each side has the other marked as dead; only a connection attempt shows its end.
-    fn probe(&mut self, out: &mut Vec<MembershipAction>) {
-        if self.links.is_empty() && !self.config.seeds.is_empty() {
-            let address = Arc::clone(&self.config.seeds[self.next_seed % self.config.seeds.len()]);
-            self.next_seed += 1;
-            out.push(MembershipAction::ConnectSeed { address });
-        }
-        let Some(member) = self.roster.dead_after(self.probed.as_deref().unwrap_or_default())
-        else {
-            self.probed = None;
-            return;
-        };
-        let peer = Arc::clone(&member.name);
-        self.probed = Some(Arc::clone(&peer));
-        if !self.links.contains_key(&peer) && self.connecting.insert(Arc::clone(&peer)) {
-            let address = Arc::clone(&member.address);
-            out.push(MembershipAction::Connect { peer, address });
-        }
-    }
-
     fn forget_dead(&mut self, now: Now, out: &mut Vec<MembershipAction>) {
         let keep_ms = FORGET_LEASES * self.config.lease_ms + EXPIRY_MARGIN_MS;
         if self.roster.forget_dead(now, keep_ms) {
