--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -20,7 +20,7 @@
     context::Context,
     names::CallId,
 };
-use crate::store::{ObjectKey, StoreAnswer, StoreOp, Stored, Version};
+use crate::store::{Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Version};
 
 /// Number of pending results that are written without waiting for more.
 pub(super) const GROUP_RESULTS: usize = 250;
@@ -28,8 +28,6 @@
 const MAX_INLINE_BYTES: usize = 700_000;
 /// Bytes of the object reserved for each item without a result.
 const RESERVED_BYTES_PER_ITEM: usize = 1_000;
-/// Delay before an unreadable object is read again.
-const UNREADABLE_RETRY_MS: u64 = 60_000;
 
 #[derive(Debug)]
 enum State {
@@ -301,12 +299,7 @@
         self.own_intents.append(&mut self.unwritten_intents);
         let results = self.committed.iter().chain(&self.pending);
         let value = results_value(self.epoch, &ctx.config.writer, self.items, &intents, results);
-        let key = self.key.clone();
-        let labels = Default::default();
-        let op = match self.version {
-            Some(version) => StoreOp::Update { key, version, labels, value },
-            None => StoreOp::Create { key, labels, value },
-        };
+        let op = StoreOp::write(self.key.clone(), self.version, Labels::new(), value);
         self.state = State::Writing(ctx.call(op));
     }
 
@@ -400,7 +393,7 @@
             ctx.note_unreadable(self.key.clone(), fault);
         }
         self.discard_pending();
-        let at_ms = ctx.now_ms() + UNREADABLE_RETRY_MS;
+        let at_ms = ctx.unreadable_retry_ms();
         self.state = State::Waiting { at_ms, reread: true };
     }
 
