front: a read of results from an invalid position is rejected

What a caller saw: `after=x` or `after=-1` was taken for 0, so that results it had came again as if they were further ones; a position beyond the last item of a finished job came back as `next` of the last one.

Change: 400 with the name of the parameter, without a store call; a position beyond the end gives an empty page with that position as `next`, as reads from the store did. Test: `a_read_from_an_invalid_position_is_rejected`, red before (200 for -1; `next` 4 for 99).

--- a/crates/samphiredoor-core/src/ordered/reader.rs
+++ b/crates/samphiredoor-core/src/ordered/reader.rs
@@ -30,7 +30,8 @@
 /// Answer to a reader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
-    /// The results from a position on, as far as they are held here; there may be none.
+    /// The results from a position on, as far as they are held here; there may be none, and the position may be beyond the
+    /// last item.
     Page {
         /// Position of the first result.
         from: usize,
@@ -62,7 +63,7 @@
     /// Answers a reader. Its wait is over if its time is up or if the job is closed here.
     pub fn answer(&self, reader: &Reader, wait_is_over: bool, store_is_lost: bool) -> Answer {
         if reader.after < self.committed || self.is_complete() {
-            return Answer::Page { from: reader.after.min(self.committed) };
+            return Answer::Page { from: reader.after };
         }
         match wait_is_over {
             false => Answer::Wait,
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -84,8 +84,10 @@
         front.metrics.refused(Refusal::NotReady);
         return refusal_response(Refusal::NotReady, NOT_READY_RETRY_MS);
     };
-    if let Some(call) = front.dialect.job_call(request.method(), request.uri()) {
-        return answer_job_call(front, &table, call, &request).await;
+    match front.dialect.job_call(request.method(), request.uri()) {
+        Some(Ok(call)) => return answer_job_call(front, &table, call, &request).await,
+        Some(Err(problem)) => return json_message(StatusCode::BAD_REQUEST, problem),
+        None => {}
     }
     let host = request_host(&request).unwrap_or_default().to_owned();
     let Some(route) = table.find(&host, request.uri().path()).cloned() else {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -240,7 +240,7 @@
     }
 
     pub(super) fn page(&self, after: usize) -> ResultsPage {
-        let results = page_of(&self.log.committed()[after..]);
+        let results = page_of(self.log.committed().get(after..).unwrap_or_default());
         ResultsPage { total: self.items.len() as usize, next: after + results.len(), results }
     }
 }
--- a/crates/samphiredoor-gateway/src/platform_api.rs
+++ b/crates/samphiredoor-gateway/src/platform_api.rs
@@ -186,8 +186,9 @@
     /// Whether a request is a readiness check.
     fn is_readiness_check(&self, method: &Method, path: &str) -> bool;
 
-    /// Parses the method and URI of a job call; `None` for any other request.
-    fn job_call(&self, method: &Method, uri: &Uri) -> Option<JobCall>;
+    /// Parses the method and URI of a job call; `None` for any other request. The error names the problem of a call with
+    /// an invalid parameter.
+    fn job_call(&self, method: &Method, uri: &Uri) -> Option<Result<JobCall, &'static str>>;
 
     /// Parses the body of a job submission.
     ///
--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -419,6 +419,11 @@
 
     /// Reads one page of results, from position `after` on.
     pub fn results(&self, gateway: usize, job: &str, after: usize) -> Answer {
+        self.results_after(gateway, job, &after.to_string())
+    }
+
+    /// Reads one page of results from a position that may be invalid.
+    pub fn results_after(&self, gateway: usize, job: &str, after: &str) -> Answer {
         let path = format!("/samphiredoor/lots/{job}?after={after}");
         let mut headers = vec![("host", HOST), ("x-wait-ms", "100")];
         headers.extend(self.key_header());
--- a/crates/samphiredoor/tests/it/platform/jobs.rs
+++ b/crates/samphiredoor/tests/it/platform/jobs.rs
@@ -7,7 +7,7 @@
     platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::env::{BINARY, Platform, whole_stream};
 use crate::env::wait_until;
@@ -60,6 +60,22 @@
     assert_eq!(platform.item(0, "job-9", "item-a").status, 404);
 }
 
+// Guards against a read that starts from the first result because its position cannot be parsed.
+#[test]
+fn a_read_from_an_invalid_position_is_rejected() {
+    let (platform, _target) = two_gateways(FAST);
+    assert_eq!(platform.submit(0, "job-1", &ITEMS).status, 202);
+    platform.all_results(0, "job-1", ITEMS.len());
+    let before = platform.store.calls().get("GET jobsegments").copied();
+    for (after, status) in [("-1", 400), ("x", 400), ("", 400), ("4", 200), ("99", 200)] {
+        let answer = platform.results_after(0, "job-1", after);
+        assert_eq!(answer.status, status, "after {after}: {}", answer.text);
+    }
+    let beyond = platform.results_after(0, "job-1", "99").json();
+    assert_eq!((&beyond["next"], &beyond["outputs"]), (&json!(99), &json!([])));
+    assert_eq!(platform.store.calls().get("GET jobsegments").copied(), before, "no store call");
+}
+
 #[test]
 fn the_body_of_an_unfinished_item_is_readable_at_every_gateway() {
     let (platform, target) = two_gateways(FAST);
