--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -322,7 +322,7 @@
         };
         let retry = self.retries.iter().map(|(at, _)| *at).min();
         let retry = retry.filter(|_| self.phase == Phase::Running && !self.suspended);
-        let reader = self.readers.iter().map(|it| it.until).min();
+        let reader = self.readers.iter().map(|it| self.waits_until(it)).min();
         let log_step_at = self.log_step_at(Instant::now());
         let reread_at = self.reread_at();
         let check = (self.phase == Phase::Running).then(|| Instant::now() + STORE_CHECK_INTERVAL);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -18,6 +18,9 @@
 
 /// Minimum time between two reads for segments of other processes; callers poll twice a second.
 const REREAD_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest time that a reader waits beyond its own limit for the answer to a write. Gateways that forward a read wait longer
+/// than this for its answer, and the store answers in some milliseconds.
+const WRITE_ANSWER_WAIT: Duration = Duration::from_millis(200);
 /// Upper limit of the backoff between store calls.
 const MAX_STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 /// Maximum total size of the output texts in one page of results, unless a single one is larger.
@@ -157,7 +160,7 @@
     }
 
     fn reply_to(&self, reader: &WaitingReader, now: Instant) -> Option<ReadReply> {
-        let wait_is_over = now >= reader.until || !self.is_active();
+        let wait_is_over = now >= self.waits_until(reader) || !self.is_active();
         let store_is_lost = self.env.health.is_lost();
         match self.known_results().answer(&reader.read, wait_is_over, store_is_lost) {
             Answer::Page { from } => Some(ReadReply::Page(self.page(from))),
@@ -167,6 +170,13 @@
         }
     }
 
+    /// Until when a reader waits. The answer to a write under way mostly comes sooner than a read of the store could be
+    /// answered, which costs several calls.
+    pub(super) fn waits_until(&self, reader: &WaitingReader) -> Instant {
+        let is_writing = self.log_call.is_some_and(|it| it.is_write());
+        reader.until + if is_writing { WRITE_ANSWER_WAIT } else { Duration::ZERO }
+    }
+
     /// What is known here of the job's results now.
     fn known_results(&self) -> KnownResults<'_> {
         let now_ms = self.env.clock.now().mono_ms;
