--- a/crates/samphiredoor-standin/src/soak/final_checks.rs
+++ b/crates/samphiredoor-standin/src/soak/final_checks.rs
@@ -115,7 +115,7 @@
     }
 
     /// Records a violation unless the run is already ending.
-    fn record_violation(&self, invariant: Invariant, id: &str, observed: String) {
+    pub fn record_violation(&self, invariant: Invariant, id: &str, observed: String) {
         if !self.shared.is_over() {
             self.shared.checks().record_violation(invariant, id, observed);
         }
--- a/crates/samphiredoor-standin/src/soak/isolation.rs
+++ b/crates/samphiredoor-standin/src/soak/isolation.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::{
+    checks::Invariant,
     drills,
     final_checks::FinalChecks,
     injector::Injector,
@@ -40,6 +41,7 @@
 const DOWN_TIME: Duration = Duration::from_secs(1);
 /// Time after the restart for which the job is read again.
 const READ_AGAIN_TIME: Duration = Duration::from_secs(10);
+/// Time within which the first results of the job are there.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// When the job is cancelled.
@@ -111,7 +113,13 @@
             self.read_at(GATEWAY);
             self.known >= RESULTS_BEFORE
         });
-        has_results.then(|| drills::owner(injector, JOB, final_checks.gateways)).flatten()
+        let owner = drills::owner(injector, JOB, final_checks.gateways).filter(|_| has_results);
+        if owner.is_none() {
+            let observed =
+                format!("{} results in {} s without faults", self.known, TIMEOUT.as_secs());
+            final_checks.record_violation(Invariant::JobReadable, JOB, observed);
+        }
+        owner
     }
 
     /// Isolates the owner from the store with a write under way, and cancels the job meanwhile.
