core tests: one runner of property tests

The lines that read SAMPHIREDOOR_CASES and set up a runner with a fixed seed stood in eight test files. tests/property has them. Seeds, numbers of cases, strategies and assertions are as they were.

No behaviour changes.

--- a/crates/samphiredoor-core/tests/dispatch/invariants.rs
+++ b/crates/samphiredoor-core/tests/dispatch/invariants.rs
@@ -7,7 +7,7 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::{
     Name,
@@ -17,7 +17,10 @@
     verdict::{MayHaveRunReason, Verdict},
 };
 
-use crate::harness::{SEED, location, manifest, request_spec, target};
+use crate::{
+    harness::{SEED, location, manifest, request_spec, target},
+    property,
+};
 
 const TARGETS: usize = 6;
 const RETRY_RESERVE: u64 = 10;
@@ -322,12 +325,9 @@
 
 #[test]
 fn invariants_hold_under_any_order_of_events() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(1_000), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = property::runner(1_000, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
     let steps = proptest::collection::vec(step(), 1..120);
-    let ran = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+    let ran = runner.run(&steps, |steps| {
         let mut model = Model::new();
         for step in &steps {
             model.step(step);
--- a/crates/samphiredoor-core/tests/dispatch/main.rs
+++ b/crates/samphiredoor-core/tests/dispatch/main.rs
@@ -4,4 +4,6 @@
 mod invariants;
 mod leaving;
 mod limits;
+#[path = "../property/mod.rs"]
+mod property;
 mod routing;
--- a/crates/samphiredoor-core/tests/idempotency.rs
+++ b/crates/samphiredoor-core/tests/idempotency.rs
@@ -1,11 +1,13 @@
 //! Keyed requests run at most once: several gateways share one store, under lost answers, delayed writes, outages,
 //! crashes and resends.
 
+mod property;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::{
     Name,
@@ -408,18 +410,11 @@
     world.replay_everywhere()
 }
 
-fn cases() -> u32 {
-    std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok()).unwrap_or(CASES)
-}
-
 /// A keyed request is resent to any gateway while gateways crash and the store loses answers. It would run twice if an
 /// intent were taken over, or overwritten by a delayed write.
 #[test]
 fn a_request_runs_at_most_once_whatever_fails() {
-    let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
-    let algorithm = proptest::test_runner::RngAlgorithm::ChaCha;
-    let rng = TestRng::deterministic_rng(algorithm);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = property::runner(CASES, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
     let steps = prop::collection::vec(step(), 1..80);
     let cache = prop_oneof![Just(0), Just(1_000_000)];
     let checked = runner.run(&(steps, cache), |(steps, cache)| check(&steps, cache));
--- a/crates/samphiredoor-core/tests/lending/invariants.rs
+++ b/crates/samphiredoor-core/tests/lending/invariants.rs
@@ -2,7 +2,7 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::{
     dispatch::{
@@ -12,7 +12,10 @@
     verdict::{Refusal, Verdict},
 };
 
-use crate::world::{CONCURRENCY_LIMIT, LOAN_LIMIT, OWN_NAME, World, live};
+use crate::{
+    property,
+    world::{CONCURRENCY_LIMIT, LOAN_LIMIT, OWN_NAME, World, live},
+};
 
 const TARGETS: [&str; 3] = ["engine-0", "engine-1", "engine-2"];
 const GATEWAYS: [&str; 3] = ["gateway-0", "gateway-1", "gateway-2"];
@@ -229,12 +232,9 @@
 
 #[test]
 fn batch_capacity_stays_within_its_bounds_under_any_order_of_events() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(400), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = property::runner(400, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
     let steps = proptest::collection::vec(step(), 1..80);
-    let ran = TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+    let ran = runner.run(&steps, |steps| {
         let mut model = Model::new();
         for step in &steps {
             model.step(step);
--- a/crates/samphiredoor-core/tests/lending/main.rs
+++ b/crates/samphiredoor-core/tests/lending/main.rs
@@ -2,5 +2,7 @@
 
 mod division;
 mod invariants;
+#[path = "../property/mod.rs"]
+mod property;
 mod scenarios;
 mod world;
--- a/crates/samphiredoor-core/tests/manifest.rs
+++ b/crates/samphiredoor-core/tests/manifest.rs
@@ -1,12 +1,14 @@
 //! Revisions of the manifest under replayed records, concurrent changes, lost answers of the store, stale reads, and a
 //! store that is restored to an earlier state.
 
+mod property;
+
 use std::{collections::BTreeSet, sync::Arc};
 
 use proptest::{
     collection::vec,
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
 };
 use samphiredoor_core::{
     manifest_revisions::{
@@ -19,12 +21,8 @@
 
 const PROCESSES: usize = 3;
 
-/// Runner with a fixed seed; `SAMPHIREDOOR_CASES` lengthens the run.
 fn runner() -> TestRunner {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(512), failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+    property::runner(512, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
 
 /// How the store handles the next call of a change.
--- a/crates/samphiredoor-core/tests/membership.rs
+++ b/crates/samphiredoor-core/tests/membership.rs
@@ -1,11 +1,12 @@
 //! Membership under joins, shutdowns, crashes, network partitions, and lost, delayed or duplicated heartbeats.
 
 mod fleet;
+mod property;
 
 use proptest::{
     collection::vec,
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
 };
 use samphiredoor_core::{
     membership::{
@@ -51,12 +52,8 @@
     vec(step, 1..25)
 }
 
-/// Runner with a fixed seed; `SAMPHIREDOOR_CASES` lengthens the run.
 fn runner() -> TestRunner {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(128), failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+    property::runner(128, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
 
 fn apply(fleet: &mut Fleet, step: Step) {
--- a/crates/samphiredoor-core/tests/placement/invariants.rs
+++ b/crates/samphiredoor-core/tests/placement/invariants.rs
@@ -6,14 +6,17 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::{
     dispatch::{Class, RequestId},
     placement::{Action, AttemptEnd, Input, TargetState},
 };
 
-use crate::harness::{Fixture, SLOTS, entry, location};
+use crate::{
+    harness::{Fixture, SLOTS, entry, location},
+    property,
+};
 
 const SEED: [u8; 32] = *b"samphiredoor-placement-promises-";
 const TARGETS: usize = 4;
@@ -170,11 +173,7 @@
 
 #[test]
 fn invariants_hold_after_every_event() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(400), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = property::runner(400, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
     let steps = prop::collection::vec(step(), 1..120);
     runner
         .run(&steps, |steps| {
--- a/crates/samphiredoor-core/tests/placement/main.rs
+++ b/crates/samphiredoor-core/tests/placement/main.rs
@@ -5,4 +5,6 @@
 mod harness;
 mod invariants;
 mod overload;
+#[path = "../property/mod.rs"]
+mod property;
 mod scenarios;
--- a/crates/samphiredoor-core/tests/quarantine.rs
+++ b/crates/samphiredoor-core/tests/quarantine.rs
@@ -1,6 +1,8 @@
 //! A request that crashes each target that runs it, among harmless requests, at gateways whose reports to each other
 //! are delayed.
 
+mod property;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -8,7 +10,7 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
 };
 use samphiredoor_core::{
     dispatch::RequestId,
@@ -171,10 +173,7 @@
 }
 
 fn runner() -> TestRunner {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let cases = cases.unwrap_or(CASES);
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+    property::runner(CASES, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
 
 /// A request crashes each target that runs it, and its caller keeps resending it to both gateways. Once two targets
--- a/crates/samphiredoor-core/tests/rate_limit/main.rs
+++ b/crates/samphiredoor-core/tests/rate_limit/main.rs
@@ -5,4 +5,6 @@
 mod coordinators;
 mod fleet;
 mod promises;
+#[path = "../property/mod.rs"]
+mod property;
 mod requester;
--- a/crates/samphiredoor-core/tests/rate_limit/promises.rs
+++ b/crates/samphiredoor-core/tests/rate_limit/promises.rs
@@ -4,11 +4,14 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
 };
 use samphiredoor_core::rate_limit::{RateLimit, TokenBucket};
 
-use crate::fleet::{Fault, Outcome, Plan, TOLERANCE, simulate};
+use crate::{
+    fleet::{Fault, Outcome, Plan, TOLERANCE, simulate},
+    property,
+};
 
 const SEED: [u8; 32] = *b"samphiredoor-rate-limit-promises";
 /// Runs of a fleet whose gateways reach each other, as a part of those that a single bucket would allow.
@@ -18,10 +21,7 @@
 const LEAST_BURST_FOR_RETURNS: f64 = 4.0;
 
 fn runner() -> TestRunner {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(24), failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
+    property::runner(24, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
 }
 
 fn limit() -> impl Strategy<Value = RateLimit> {
