idempotency: bodies of saved answers in a module of their own

Saving a body in the record or in an object of its own, with the uploads and fetches that this takes, is in bodies.rs. Functions moved word for word.

No behaviour changes.

--- a/crates/samphiredoor-core/src/idempotency/mod.rs
+++ b/crates/samphiredoor-core/src/idempotency/mod.rs
@@ -9,6 +9,7 @@
 //! [`Keys`] is a state machine without I/O that one task owns. Each arriving request gets exactly one final action; a
 //! request that is to run ([`KeysAction::Run`]) reports its end with [`KeysInput::RunEnded`].
 
+mod bodies;
 mod change;
 mod config;
 mod context;
@@ -23,8 +24,9 @@
     sync::Arc,
 };
 
-use samphiredoor_schema::objects::{KeptBody, KeyRecord, KeyState};
+use samphiredoor_schema::objects::KeyState;
 
+pub use bodies::{INLINE_BODY_BYTES, MAX_BODY_BYTES};
 pub use config::{KeysConfig, SHARDS, holder_name};
 pub use keyed_request::{KeyId, KeyedRequest, key_id};
 pub use messages::{KeyOutcome, KeysAction, KeysInput};
@@ -34,21 +36,17 @@
     Name,
     dispatch::RequestId,
     ledger::CallId,
-    store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Value},
+    store::{Kind, ObjectKey, StoreAnswer, StoreOp},
     time::Now,
     verdict::{MayHaveRunReason, Refusal, Verdict},
 };
+use bodies::save_answer;
 use change::Outcome;
 use context::{Context, Effect};
 use keyed_request::shard_of;
-use record::{IntentId, decode_body, encode_body};
+use record::IntentId;
 use shard::Shard;
 
-/// Largest encoded body that is saved in the record itself.
-pub const INLINE_BODY_BYTES: usize = 16 * 1024;
-/// Largest body that is saved at all; above [`INLINE_BODY_BYTES`] it has an object of its own.
-pub const MAX_BODY_BYTES: usize = 400_000;
-const MAX_OBJECT_BYTES: usize = 900_000;
 const MAX_EXPIRED_HOLDERS: usize = 10_000;
 const BUSY_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -369,65 +367,6 @@
         self.unsaved_bytes -= bytes;
     }
 
-    fn upload_body(&mut self, number: u32, key: KeyId, out: &mut Vec<KeysAction>) {
-        let outcome = self.shards.get(&number).and_then(|it| it.pending_outcome(&key));
-        let Some(outcome) = outcome.filter(|it| it.needs_upload) else { return };
-        let body = outcome.answer.as_ref().and_then(|it| it.body.as_ref());
-        let value: Value = match body.map(|it| serde_json::to_vec(&encode_body(it))) {
-            Some(Ok(value)) => value.into(),
-            _ => return,
-        };
-        // Each run has a name of its own: a key that has expired and is used again must not get an old body.
-        let object: Name = format!("body-{key}-{:x}", outcome.record.since_unix_ms).into();
-        let stored_key = ObjectKey::new(Kind::Keys, Arc::clone(&object));
-        let op = StoreOp::Create { key: stored_key, labels: Labels::new(), value };
-        self.call(CallPurpose::UploadBody { key, object }, op, out);
-    }
-
-    fn upload_answered(
-        &mut self,
-        now: Now,
-        key: KeyId,
-        object: &str,
-        answer: StoreAnswer,
-        out: &mut Vec<KeysAction>,
-    ) {
-        let number = shard_of(&key, self.config.shards);
-        match answer {
-            StoreAnswer::Object(_) | StoreAnswer::Taken => {
-                self.with_shard(now, number, |shard, _| shard.body_uploaded(&key, object));
-                self.advance(now, number, out);
-            }
-            StoreAnswer::Unknown => self.upload_body(number, key, out),
-            _ => {
-                self.with_shard(now, number, |shard, _| shard.back_off(now));
-                self.advance(now, number, out);
-            }
-        }
-    }
-
-    fn fetch_answered(
-        &mut self,
-        arrival: KeyedRequest,
-        saved: SavedAnswer,
-        answer: StoreAnswer,
-        out: &mut Vec<KeysAction>,
-    ) {
-        let reason = match answer {
-            StoreAnswer::Object(stored) => {
-                let body = serde_json::from_slice::<KeptBody>(&stored.value).ok();
-                if let Some(body) = body.as_ref().and_then(decode_body) {
-                    let answer = SavedAnswer { body: Some(body), ..saved };
-                    return self.replay(arrival.request, answer, out);
-                }
-                MayHaveRunReason::AnswerNotKept
-            }
-            StoreAnswer::Absent => MayHaveRunReason::AnswerNotKept,
-            _ => MayHaveRunReason::StoreAnswerLost,
-        };
-        self.refuse(arrival.request, Verdict::MayHaveRun { reason }, out);
-    }
-
     fn tick(&mut self, now: Now, out: &mut Vec<KeysAction>) {
         let later = self.due.split_off(&(now.mono_ms + 1, 0));
         for (_, number) in std::mem::replace(&mut self.due, later) {
@@ -441,11 +380,6 @@
         }
     }
 
-    fn is_uploading_body(&self, key: &str) -> bool {
-        let uploads_key = |it: &CallPurpose| matches!(it, CallPurpose::UploadBody { key: of, .. } if **of == *key);
-        self.calls.values().any(uploads_key)
-    }
-
     fn call(&mut self, purpose: CallPurpose, op: StoreOp, out: &mut Vec<KeysAction>) {
         let call = CallId(self.next_call);
         self.next_call += 1;
@@ -489,18 +423,3 @@
         }
     }
 }
-
-/// Puts an answer into a record; returns whether its body needs an object of its own.
-fn save_answer(record: &mut KeyRecord, answer: &SavedAnswer) -> bool {
-    record.state = KeyState::Answered;
-    record.status = answer.status;
-    record.content_type = answer.content_type.to_string();
-    let Some(body) = &answer.body else { return false };
-    let saved = encode_body(body);
-    let bytes = serde_json::to_vec(&saved).map_or(usize::MAX, |it| it.len());
-    if bytes <= INLINE_BODY_BYTES {
-        record.body = Some(saved);
-        return false;
-    }
-    body.len() <= MAX_BODY_BYTES && bytes <= MAX_OBJECT_BYTES
-}
