core, serve: comments that describe an item are doc comments

In the older parts constants, fields and functions had their descriptions in plain comments, which neither an editor nor cargo doc shows. The descriptions are unchanged but for two that were hard to read (rendezvous, REPEAT_INTERVAL); comments that give the reason for a function's body stay as they were. Comments only.

No behaviour changes.

--- a/crates/samphiredoor-core/src/lease.rs
+++ b/crates/samphiredoor-core/src/lease.rs
@@ -19,7 +19,7 @@
     time::Now,
 };
 
-// Backoff after a store call that failed.
+/// Backoff after a store call that failed.
 const RETRY_MS: u64 = 500;
 
 /// What a process writes into its lease.
@@ -90,12 +90,12 @@
     config: LeaseConfig,
     state: State,
     version: Option<Version>,
-    // Whether `version` is that of the stored object; if not, a read precedes the next write.
+    /// Whether `version` is that of the stored object; if not, a read precedes the next write.
     version_known: bool,
     renewals: u64,
     stopping: bool,
     next_ms: u64,
-    // Number and send time of a renewal with unknown outcome.
+    /// Number and send time of a renewal with unknown outcome.
     unconfirmed: Option<(u64, u64)>,
     next_call: u64,
 }
@@ -249,7 +249,7 @@
 #[derive(Debug)]
 struct Observed {
     lease: ProcessLease,
-    // When its latest renewal was first seen.
+    /// When its latest renewal was first seen.
     since_ms: u64,
 }
 
--- a/crates/samphiredoor-core/src/ledger/chunk.rs
+++ b/crates/samphiredoor-core/src/ledger/chunk.rs
@@ -69,7 +69,7 @@
     items: Items,
     pub(super) results: ResultWriter,
     ready: VecDeque<u32>,
-    // Items in backoff, by the time at which they become ready.
+    /// Items in backoff, by the time at which they become ready.
     delayed: BTreeSet<(u64, u32)>,
     running: BTreeSet<u32>,
     attempts: BTreeMap<u32, Attempts>,
--- a/crates/samphiredoor-core/src/ledger/commit.rs
+++ b/crates/samphiredoor-core/src/ledger/commit.rs
@@ -70,16 +70,16 @@
     unreadable: Option<Unreadable>,
     committed: BTreeMap<u32, EncodedResult>,
     committed_bytes: usize,
-    // Intents of all owners in the stored object.
+    /// Intents of all owners in the stored object.
     intents: BTreeSet<u32>,
-    // Intents that this owner has sent, whether or not they are stored.
+    /// Intents that this owner has sent, whether or not they are stored.
     own_intents: BTreeSet<u32>,
     unwritten_intents: BTreeSet<u32>,
     withdrawn_intents: BTreeSet<u32>,
     pending: BTreeMap<u32, EncodedResult>,
     pending_bytes: usize,
     pending_since_ms: u64,
-    // Version that a write with unknown outcome was based on (`None` for a create); the write may still take effect.
+    /// Version that a write with unknown outcome was based on (`None` for a create); the write may still take effect.
     unknown_write: Option<Option<Version>>,
     backoff: Backoff,
 }
--- a/crates/samphiredoor-core/src/ledger/context.rs
+++ b/crates/samphiredoor-core/src/ledger/context.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(super) struct LingerLimiter {
     linger_write_interval_ms: u64,
-    // Tokens times linger_write_interval_ms, so that the refill is exact.
+    /// Tokens times linger_write_interval_ms, so that the refill is exact.
     credit_ms: u64,
     at_ms: u64,
 }
--- a/crates/samphiredoor-core/src/ledger/mod.rs
+++ b/crates/samphiredoor-core/src/ledger/mod.rs
@@ -71,7 +71,7 @@
     runs: BTreeMap<JobId, JobRun>,
     takeover: Takeover,
     valid_until_ms: u64,
-    // Job that the last tick started with; rotated, so that no job always comes first.
+    /// Job that the last tick started with; rotated, so that no job always comes first.
     first_job: Option<JobId>,
 }
 
--- a/crates/samphiredoor-core/src/ledger/run.rs
+++ b/crates/samphiredoor-core/src/ledger/run.rs
@@ -80,14 +80,14 @@
     header: JobHeader,
     version: Version,
     phase: Phase,
-    // The stored header may have changed; it is read before further items are started.
+    /// The stored header may have changed; it is read before further items are started.
     header_stale: bool,
     header_call: HeaderCall,
     backoff: Backoff,
     open: BTreeMap<u32, OpenChunk>,
     next_chunk: u32,
     done_chunks: u32,
-    // Numbers of completed and failed items in finished chunks after the first unfinished one.
+    /// Numbers of completed and failed items in finished chunks after the first unfinished one.
     done_out_of_order: BTreeMap<u32, (u32, u32)>,
     completed: u32,
     failed: u32,
--- a/crates/samphiredoor-core/src/ledger/takeover.rs
+++ b/crates/samphiredoor-core/src/ledger/takeover.rs
@@ -93,7 +93,7 @@
     incarnation: u64,
     next_ms: u64,
     last_hint_ms: u64,
-    // Consecutive empty lists; each doubles the interval to the next one.
+    /// Consecutive empty lists; each doubles the interval to the next one.
     empty_lists: u32,
 }
 
--- a/crates/samphiredoor-core/src/manifest_revisions.rs
+++ b/crates/samphiredoor-core/src/manifest_revisions.rs
@@ -234,7 +234,7 @@
     writer: Name,
     expected: Option<u64>,
     declared: serde_json::Value,
-    // Active revision in this process when the change began.
+    /// Active revision in this process when the change began.
     active_revision: u64,
     state: State,
 }
--- a/crates/samphiredoor-core/src/membership/gossip.rs
+++ b/crates/samphiredoor-core/src/membership/gossip.rs
@@ -6,13 +6,13 @@
 use crate::Name;
 
 const CHANGES_PER_HEARTBEAT: usize = 8;
-// A change is sent this many times the binary logarithm of the number of members.
+/// A change is sent this many times the binary logarithm of the number of members.
 const SENDS_PER_LOG2: u32 = 3;
 
 /// Members whose latest state is still to be sent in heartbeats.
 #[derive(Debug, Default)]
 pub(super) struct Gossip {
-    // In how many more heartbeats the state of each member is sent.
+    /// In how many more heartbeats the state of each member is sent.
     remaining: BTreeMap<Name, u32>,
 }
 
--- a/crates/samphiredoor-core/src/membership/roster.rs
+++ b/crates/samphiredoor-core/src/membership/roster.rs
@@ -10,9 +10,9 @@
 
 use crate::{Name, time::Now};
 
-// Live successors on the ring that each process monitors.
+/// Live successors on the ring that each process monitors.
 const SUCCESSORS: usize = 2;
-// Further points on the ring, derived from the name, whose next live member each process links to.
+/// Further points on the ring, derived from the name, whose next live member each process links to.
 const LONG_RANGE_POINTS: u8 = 2;
 
 /// Reported state of a member. Among reports of the same incarnation and counter, the later variant wins.
@@ -69,7 +69,7 @@
 struct Entry {
     member: Member,
     hash: u64,
-    // When `forget_dead` first found the member dead; `None` before that.
+    /// When `forget_dead` first found the member dead; `None` before that.
     dead_since_ms: Option<u64>,
 }
 
@@ -79,7 +79,7 @@
     own: Name,
     entries: BTreeMap<Name, Entry>,
     ring: BTreeSet<(u64, Name)>,
-    // Members on the ring that are not reported dead, by availability zone.
+    /// Members on the ring that are not reported dead, by availability zone.
     zones: BTreeMap<Name, BTreeSet<(u64, Name)>>,
     digest: u64,
 }
--- a/crates/samphiredoor-core/src/placement/target.rs
+++ b/crates/samphiredoor-core/src/placement/target.rs
@@ -66,7 +66,7 @@
     /// Backoff state from the outcomes of this gateway's attempts.
     pub health: Health,
     own: Load,
-    // Items of this gateway, oldest first, and whether each is being preempted.
+    /// Items of this gateway, oldest first, and whether each is being preempted.
     items: Vec<(RequestId, bool)>,
     /// Loads of peers, by peer.
     peers: BTreeMap<Name, Load>,
--- a/crates/samphiredoor-core/src/rate_limit/mod.rs
+++ b/crates/samphiredoor-core/src/rate_limit/mod.rs
@@ -11,7 +11,8 @@
 //! granted. A message that is lost, repeated or overtaken therefore does no harm, and a run that was granted but not
 //! used is returned by the next total.
 //!
-//! A gateway that reaches no coordinator but itself has a small budget of its own. Its runs are charged when it reaches one again.
+//! A gateway that reaches no coordinator but itself has a small budget of its own. Its runs are charged when it reaches
+//! one again.
 
 mod bucket;
 mod coordinator;
--- a/crates/samphiredoor-core/src/rendezvous.rs
+++ b/crates/samphiredoor-core/src/rendezvous.rs
@@ -1,4 +1,4 @@
-//! Rendezvous hashing over hashed names, and the selection that any such hashing needs: processes that know the same candidates choose the same ones, and few keys move
+//! Rendezvous hashing over hashed names: processes that know the same candidates choose the same ones, and few keys move
 //! when a candidate joins or leaves.
 
 use smallvec::SmallVec;
--- a/crates/samphiredoor-core/src/routes.rs
+++ b/crates/samphiredoor-core/src/routes.rs
@@ -125,7 +125,7 @@
     pub limits: CallerLimits,
     /// Workspaces whose keys callers need; `None` if none are declared, and callers need no key.
     pub workspaces: Option<Workspaces>,
-    // Longest prefix first, so that the first match is the most specific route.
+    /// Longest prefix first, so that the first match is the most specific route.
     by_host: HashMap<Name, Vec<Arc<Route>>>,
 }
 
--- a/crates/samphiredoor/src/commands.rs
+++ b/crates/samphiredoor/src/commands.rs
@@ -124,7 +124,7 @@
     manifest_change::change_response(end)
 }
 
-// The stored record, or the active one if its revision is higher because the store was restored from an older copy.
+/// The stored record, or the active one if its revision is higher because the store was restored from an older copy.
 async fn latest_record(door: &Door) -> Result<ManifestRecord, Response<Body>> {
     let StoreAnswer::Object(stored) = door.store.call(StoreOp::Get { key: manifest_key() }).await
     else {
@@ -138,7 +138,7 @@
     }
 }
 
-// Response that names the first problem of a manifest; `None` if it is valid.
+/// Response that names the first problem of a manifest; `None` if it is valid.
 fn invalid_manifest(record: &ManifestRecord) -> Option<Response<Body>> {
     let declared = match serde_json::from_value(record.manifest.clone()) {
         Ok(declared) => declared,
--- a/crates/samphiredoor/src/dispatch_task.rs
+++ b/crates/samphiredoor/src/dispatch_task.rs
@@ -28,7 +28,7 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const TICKS_BETWEEN_METRICS: u64 = 10;
-// How long a report that a target is leaving counts. Reports are repeated more often than this while they are true.
+/// How long a report that a target is leaving counts. Reports are repeated more often than this while they are true.
 const REPORTED_LEAVING_MS: u64 = 30_000;
 
 /// Decision of the dispatcher on a request.
--- a/crates/samphiredoor/src/hosts_task.rs
+++ b/crates/samphiredoor/src/hosts_task.rs
@@ -20,7 +20,7 @@
 
 const READERS: usize = 2;
 const PAGE_LEN: usize = 500;
-// The hint that a target is leaving expires after 30 s.
+/// Interval of the hint that a target is leaving; it expires after 30 s.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
--- a/crates/samphiredoor/src/jobs_task.rs
+++ b/crates/samphiredoor/src/jobs_task.rs
@@ -157,7 +157,7 @@
 struct Task<R> {
     env: JobsEnv<R>,
     ledger: Ledger,
-    // Senders that stop running items.
+    /// Senders that stop running items.
     stop_senders: HashMap<ItemRef, flume::Sender<()>>,
     actions: Vec<LedgerAction>,
 }
--- a/crates/samphiredoor/src/links/link.rs
+++ b/crates/samphiredoor/src/links/link.rs
@@ -41,13 +41,13 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-// Delay after a failed accept, between two checks whether a peer has authenticated, and for sending a refusal.
+/// Delay after a failed accept, between two checks whether a peer has authenticated, and for sending a refusal.
 const ACCEPT_DELAY: Duration = Duration::from_millis(20);
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const MAX_ACCEPTED_LINKS: usize = 512;
 const MAX_CONCURRENT_CALLS: usize = 64;
-// An accepted link that has received nothing for this many heartbeat intervals is considered half-open. Links that do
-// not monitor a neighbour send a heartbeat only every 16th interval, or every 32nd in a large fleet.
+/// An accepted link that has received nothing for this many heartbeat intervals is considered half-open. Links that do
+/// not monitor a neighbour send a heartbeat only every 16th interval, or every 32nd in a large fleet.
 const TIMEOUT_INTERVALS: u32 = 128;
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 const BUFFER_BYTES: usize = 8 * 1024;
@@ -169,7 +169,7 @@
     serve(door, &remote, system, peer, client, true).await
 }
 
-// Authenticates to the peer; returns the peer as a member and the capability to call it.
+/// Authenticates to the peer; returns the peer as a member and the capability to call it.
 async fn enter(
     door: &Door,
     gate: &gate::Client,
@@ -216,7 +216,7 @@
     Ok(ended?)
 }
 
-// Ends when nothing has been received from the peer for the timeout.
+/// Ends when nothing has been received from the peer for the timeout.
 async fn wait_for_timeout(door: &Door, remote: &RemoteSide) {
     let timeout = door.config.heartbeat * TIMEOUT_INTERVALS;
     remote.last_received.set(Instant::now());
@@ -225,7 +225,7 @@
     }
 }
 
-// Makes a call for each command; ends when the members task drops the sender of the commands.
+/// Makes a call for each command; ends when the members task drops the sender of the commands.
 async fn execute_commands(
     door: Rc<Door>,
     peer: Name,
--- a/crates/samphiredoor/src/links/service.rs
+++ b/crates/samphiredoor/src/links/service.rs
@@ -92,13 +92,13 @@
         *self.peer.borrow_mut() = Name::clone(peer);
     }
 
-    // Records that the peer made a call; returns the peer's name.
+    /// Records that the peer made a call; returns the peer's name.
     fn record_call(&self) -> Name {
         self.remote.last_received.set(Instant::now());
         Name::clone(&self.peer.borrow())
     }
 
-    // Counts and logs a message that cannot be read.
+    /// Counts and logs a message that cannot be read.
     fn checked<T>(&self, read: Result<T, Error>) -> Result<T, Error> {
         read.inspect_err(|err| {
             self.door.metrics.count_peer_refusal(PeerRefusal::Unreadable);
--- a/crates/samphiredoor/src/manifest_task.rs
+++ b/crates/samphiredoor/src/manifest_task.rs
@@ -23,11 +23,11 @@
 };
 
 const WATCHERS_PER_ZONE: usize = 2;
-// Backoff between reads of the store while no manifest is active.
+/// Backoff between reads of the store while no manifest is active.
 const MIN_READ_BACKOFF: Duration = Duration::from_millis(250);
 const MAX_READ_BACKOFF: Duration = Duration::from_secs(5);
 const WATCH_RESTART_DELAY: Duration = Duration::from_millis(500);
-// Processes that do not watch read the store this often, in case they are isolated from all peers.
+/// Processes that do not watch read the store this often, in case they are isolated from all peers.
 const POLL_INTERVAL: Duration = Duration::from_secs(60);
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -119,7 +119,7 @@
     }
 }
 
-// Makes an offered record active if it is newer; counts and logs why it was refused otherwise.
+/// Makes an offered record active if it is newer; counts and logs why it was refused otherwise.
 fn apply(env: &ManifestEnv, active: &mut ActiveManifest, record: &[u8], source: Source) {
     let held = active.revision();
     match active.update_if_newer(record) {
@@ -189,7 +189,7 @@
     }
 }
 
-// Offers the stored record; returns the store's version, from which a watch can continue.
+/// Offers the stored record; returns the store's version, from which a watch can continue.
 async fn read_store(env: &ManifestEnv) -> Option<Version> {
     let op = StoreOp::List {
         kind: Kind::Manifest,
@@ -205,8 +205,8 @@
     Some(version)
 }
 
-// Watches until the watch ends (at its time limit, at an error, or because the store's history no longer holds its
-// version), or until this process is no longer a watcher.
+/// Watches until the watch ends (at its time limit, at an error, or because the store's history no longer holds its
+/// version), or until this process is no longer a watcher.
 async fn run_watch(env: &ManifestEnv) {
     let Some(version) = read_store(env).await else { return };
     let Some(mut watch) = env.store.watch(Kind::Manifest, version).await else { return };
--- a/crates/samphiredoor/src/members_task.rs
+++ b/crates/samphiredoor/src/members_task.rs
@@ -41,17 +41,17 @@
     door: Rc<Door>,
     membership: Membership,
     links: HashMap<Name, Vec<Link>>,
-    // Hints to members without a link, sent as soon as the link that is being opened is up.
+    /// Hints to members without a link, sent as soon as the link that is being opened is up.
     pending_hints: HashMap<Name, Vec<Hint>>,
     seen_hints: SeenHints,
-    // Name of this process in the origins of its broadcasts.
+    /// Name of this process in the origins of its broadcasts.
     own_origin: Name,
     next_hint_number: u64,
-    // Highest manifest revision that has been active here.
+    /// Highest manifest revision that has been active here.
     revision: u64,
-    // Until this time a manifest pull may be in progress, and no other is started.
+    /// Until this time a manifest pull may be in progress, and no other is started.
     pulling_until_ms: u64,
-    // Whether lease objects have been listed; before that, a lone process cannot conclude that it has no peers.
+    /// Whether lease objects have been listed; before that, a lone process cannot conclude that it has no peers.
     leases_listed: bool,
 }
 
@@ -168,7 +168,7 @@
         compio::runtime::spawn(links::connect(door, peer, address.to_owned())).detach();
     }
 
-    // Sends a command over the newest link to a peer; drops it if there is none, or if the link's queue is full.
+    /// Sends a command over the newest link to a peer; drops it if there is none, or if the link's queue is full.
     fn send_command(&self, peer: &Name, command: LinkCommand) {
         let Some(link) = self.links.get(peer).and_then(|it| it.last()) else { return };
         if let Err(flume::TrySendError::Full(_)) = link.commands.try_send(command) {
@@ -223,7 +223,7 @@
         }
     }
 
-    // Sends a hint to one member, over a new link if there is none yet.
+    /// Sends a hint to one member, over a new link if there is none yet.
     fn send_hint(&mut self, to: Name, hint: Hint) {
         if to == self.door.config.name {
             return hints::deliver(&self.door, &to, hint);
@@ -258,7 +258,7 @@
         }
     }
 
-    // Replies as soon as one linked peer confirms the record, or once all have declined or failed.
+    /// Replies as soon as one linked peer confirms the record, or once all have declined or failed.
     fn replicate_manifest(&self, record: Arc<[u8]>, reply: flume::Sender<PeerConfirmation>) {
         if self.leases_listed && self.membership.live().count() == 1 {
             let _ = reply.send(PeerConfirmation::NoPeers);
@@ -296,13 +296,13 @@
         self.door.keys.lease_expired(process, incarnation);
     }
 
-    // Live members that are not shutting down, and so can take over jobs.
+    /// Live members that are not shutting down, and so can take over jobs.
     fn not_stopping(&self) -> Vec<Name> {
         let live = self.membership.live().filter(|it| it.state == MemberState::Live);
         live.map(|it| Name::clone(&it.name)).collect()
     }
 
-    // Passes the live members to the other tasks and the metrics.
+    /// Passes the live members to the other tasks and the metrics.
     fn publish_live(&self) {
         let live: Vec<Member> = self.membership.live().cloned().collect();
         self.door.jobs.set_live_processes(self.not_stopping());
--- a/crates/samphiredoor/src/orders_task.rs
+++ b/crates/samphiredoor/src/orders_task.rs
@@ -31,7 +31,7 @@
 };
 
 const TICK: Duration = Duration::from_millis(100);
-// One tenth of the lease is a safety margin, for clocks that run at different rates.
+/// One tenth of the lease is a safety margin, for clocks that run at different rates.
 const LEASE_MARGIN_DIVISOR: u64 = 10;
 const ORDERS_PATH: &str = "/v1/orders";
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
@@ -132,7 +132,7 @@
 }
 
 impl DesiredStateSource {
-    // Recomputes the desired state if the manifest or the live members have changed; empty otherwise.
+    /// Recomputes the desired state if the manifest or the live members have changed; empty otherwise.
     fn changed_inputs(&mut self, env: &OrdersEnv) -> Vec<OrdersInput> {
         let (manifest, live) = (env.manifest.current(), env.peers.live());
         let same_members = self.live.as_ref().is_some_and(|it| Arc::ptr_eq(it, &live));
@@ -150,7 +150,7 @@
     }
 }
 
-// Desired state of the targets that `own` leads.
+/// Desired state of the targets that `own` leads.
 fn desired_states(
     own: &Name,
     manifest: &Manifest,
--- a/crates/samphiredoor/src/query_rows.rs
+++ b/crates/samphiredoor/src/query_rows.rs
@@ -242,7 +242,7 @@
     }
 }
 
-// Reads and parses an object; an unreadable one is logged and treated as absent.
+/// Reads and parses an object; an unreadable one is logged and treated as absent.
 async fn read_object<T: DeserializeOwned>(
     door: &Door,
     key: samphiredoor_core::store::ObjectKey,
