gateway: a cell leaves the changes to its relay, also at the start and after a failed watch

Seen: 297 gateways and 3,000 targets start, 99 of the gateways behind 30 Mbit/s. All of these lost the store 3 s after the start and for most of the next 9 s; new routes were in force 2.9 to 4.3 s after their acceptance.

Cause: each gateway asked the store itself for all changes of targets, for three reasons. (1) Before the list of gateways is read, a process knows no relay: 250 new targets a second cross the link 99 times. (2) After a failed watch it watched the store until an answer came, though its cell has a relay: the answers grow, begin later than the time limit, are given up and asked for again. (3) A gateway that saw peers ahead bypassed its relay after 250 ms, while a relay that has had changes pauses for a second: in a fleet with steady changes whole cells asked the store.

Change: (1) the watch of targets starts once the gateways are known, or after 5 s, and fails at once if the store is lost meanwhile. (2) After a failure, a gateway that others of its cell precede asks for a page after all names, which is empty; if it comes, the watch goes on through the relay. If no relay reaches the store, it asks for changes itself after three answered probes. (3) Peers may be ahead for as long as the relay pauses, if it has had changes lately; the relay is bypassed only if a small read is answered within 400 ms.

Test: new_routes_arrive_while_all_targets_register, 26 gateways and 800 targets behind 250 KB/s. Without the wait (1) it fails; the test does not need (3) once (1) is there.

--- a/crates/samphiredoor-gateway/src/lists.rs
+++ b/crates/samphiredoor-gateway/src/lists.rs
@@ -9,6 +9,9 @@
 
 use crate::platform_api::{Freshness, ObjectStore};
 
+/// Greater than all names of objects.
+const AFTER_ALL_NAMES: &str = "~";
+
 /// All objects of a kind, at one version of the store.
 #[derive(Debug, Clone)]
 pub struct ObjectList {
@@ -65,6 +68,12 @@
     Some(Listed::All(ObjectList { objects, version }))
 }
 
+/// Version of the store, by a read without objects: a page after all names.
+pub async fn current_version(store: &dyn ObjectStore, kind: Kind) -> Option<Version> {
+    let page = store.list(kind, Some(AFTER_ALL_NAMES.into()), Freshness::Current).await;
+    page.map(|it| it.version)
+}
+
 /// Whether bytes of an answer of the store have arrived within the last `lately`.
 pub fn received_within(store: &dyn ObjectStore, lately: Duration) -> bool {
     store.last_received_at().is_some_and(|it| it.elapsed() < lately)
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -28,7 +28,7 @@
 pub use listener::Listener;
 pub use owners::{JobOwners, Owner};
 pub use registration::registered_address;
-pub use roster::{Liveness, Roster};
+pub use roster::{Liveness, Roster, WatchRole};
 pub use run_limits::{OverLimit, RunLimits, RunLimitsTask, RunPermit};
 pub use status::OwnedJob;
 pub use status_sender::StatusSender;
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -119,6 +119,17 @@
     seen_versions: SeenVersions,
 }
 
+/// Part of a gateway in the watches of its cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchRole {
+    /// It watches the store.
+    First,
+    /// It watches through the gateway at this address.
+    Through(SocketAddr),
+    /// Live gateways precede it, but none of them reaches the store.
+    AfterOthers,
+}
+
 /// Whether one incarnation of another gateway works on its jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Liveness {
@@ -160,6 +171,11 @@
         self.listed.set(self.listed.get().or(Some(Instant::now())));
     }
 
+    /// Whether the first complete list of gateways was applied.
+    pub fn is_listed(&self) -> bool {
+        self.listed.get().is_some()
+    }
+
     /// Adds a gateway, or updates its registered address and location.
     pub fn register(&self, name: Name, address: SocketAddr, location: Location) {
         if name == self.local.name {
@@ -275,17 +291,24 @@
         has_statuses && before.is_some_and(|it| it.len() < SUMMARY_SENDERS)
     }
 
-    /// Address of the gateway that watches the store for the own cell, unless it is this process: the first live
-    /// gateway in order of name that reaches the store. Shortly after its start a process counts gateways that it has
-    /// not seen yet as live. `None` if the whole fleet is one cell.
-    pub fn watch_relay_address(&self) -> Option<SocketAddr> {
+    /// Part of this process in the watches of its cell: the first live gateway in order of name that reaches the store
+    /// watches it for the others. Shortly after its start a process counts gateways that it has not seen yet as live. If the
+    /// whole fleet is one cell, each gateway watches the store.
+    pub fn watch_role(&self) -> WatchRole {
         if self.cells().len() < 2 {
-            return None;
+            return WatchRole::First;
         }
         let has_statuses = self.listed.get().is_some_and(|it| it.elapsed() >= FAILOVER_TIMEOUT);
         let is_live =
             |it: &Peer| it.was_seen_recently() || (it.last_seen.is_none() && !has_statuses);
-        self.preceding_peers(|it| is_live(it) && it.store_reached)?.first().copied()
+        let reaching = self.preceding_peers(|it| is_live(it) && it.store_reached);
+        match reaching.unwrap_or_default().first() {
+            Some(address) => WatchRole::Through(*address),
+            None if self.preceding_peers(is_live).unwrap_or_default().is_empty() => {
+                WatchRole::First
+            }
+            None => WatchRole::AfterOthers,
+        }
     }
 
     /// Addresses of the gateways of the own cell whose names come before this one's and which match; `None` without a
--- a/crates/samphiredoor-gateway/src/peers/watch_relay.rs
+++ b/crates/samphiredoor-gateway/src/peers/watch_relay.rs
@@ -22,7 +22,7 @@
 use samphiredoor_net::{Body, Pool, fetch::FetchLimits, pool::within};
 use samphiredoor_schema::peer_capnp::followed_news;
 
-use super::Roster;
+use super::{Roster, WatchRole};
 use crate::{front::json_message, platform_api::Change};
 
 /// Prefix of the paths of relayed watches; the kind follows it.
@@ -145,9 +145,14 @@
         Some((RelayedChanges { epoch, delta }, changed))
     }
 
-    /// Address of the gateway that watches the store for the own cell, unless it is this one.
-    pub fn relay_address(&self) -> Option<SocketAddr> {
-        self.roster.watch_relay_address()
+    /// Whether the list of gateways has been read.
+    pub fn knows_fleet(&self) -> bool {
+        self.roster.is_listed()
+    }
+
+    /// Part of this process in the watches of its cell.
+    pub fn role(&self) -> WatchRole {
+        self.roster.watch_role()
     }
 
     /// Waits at most `wait` for changes of a kind after a version, through the gateway at an address; `None` if that
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -195,6 +195,7 @@
     let targets_watcher = new_watcher(Kind::Targets, common.targets_within, &seen_versions.targets)
         .with_stale_start()
         .with_recovery_by_another(health.clone())
+        .with_wait_for_fleet()
         .with_pause_after_changes(common.targets_within);
     compio::runtime::spawn(targets_task.run(targets_watcher)).detach();
 
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -8,7 +8,10 @@
 //! change.
 //!
 //! In a large deployment most gateways watch through a peer of their cell, the watch relay, and query the store themselves
-//! as soon as the relay fails.
+//! as soon as the relay fails. A watch through a narrow link may be answered late only because many answers share that link.
+//! If every gateway then asked for all changes itself, the answers would grow while they are given up and asked for again, and
+//! fill the link for good. So a gateway that other gateways of its cell precede checks with a small read whether the store
+//! answers, and leaves the changes to them; it asks for them itself only if none of them reaches the store.
 
 use std::{
     net::SocketAddr,
@@ -24,11 +27,11 @@
 use samphiredoor_net::pool::within;
 
 use crate::{
-    lists::{Listed, ObjectList, list_all, list_pages, received_within},
+    lists::{Listed, ObjectList, current_version, list_all, list_pages, received_within},
     metrics::Metrics,
     mirror::{MirrorUse, Mirrors},
     peers::{
-        WatchRelay,
+        WatchRelay, WatchRole,
         watch_relay::{self, RelayedChanges},
     },
     platform_api::{Change, Freshness, ObjectStore, WatchAnswer},
@@ -58,9 +61,19 @@
 const RELAY_WATCH_PART: f64 = 0.4;
 /// How often a waiting watch is checked for signs that the store has dropped it.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Consecutive checks in which peers must be ahead before a watch counts as stalled; their reports of a change may arrive
-/// slightly before the store's.
-const CHECKS_BEHIND: u32 = 2;
+/// How long peers must be ahead before a watch counts as stalled; their reports of a change may arrive slightly before the
+/// store's.
+const BEHIND_TOLERANCE: Duration = STALL_CHECK_INTERVAL;
+/// Small reads that the store has to answer before a gateway asks for changes in place of those that precede it. By then one
+/// of them has reported that it reaches the store, if it does.
+const PROBES_BEFORE_TURN: u32 = 3;
+/// Longest time from the start of a process in which its watch of targets waits for the list of gateways, and how often it
+/// checks for that. Until then it does not know the relay of its cell.
+const MAX_FLEET_WAIT: Duration = Duration::from_secs(5);
+const FLEET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time of a small read after which a gateway may ask the store for what its relay does not have yet. A store that is
+/// slow answers within some hundred milliseconds.
+const BYPASS_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the first list may send nothing before mirrors are queried. The store answers in a few milliseconds, and a
 /// caller that is refused retries after some hundred.
 const FIRST_LIST_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -124,11 +137,19 @@
     schedule: Option<WatchSchedule>,
     /// Whether the last watch was cancelled because a peer is ahead.
     is_behind: bool,
+    /// Since when peers have been ahead of a watch that waits.
+    behind_since: Option<Instant>,
+    /// Consecutive small reads that the store has answered since it was lost.
+    answered_probes: u32,
     /// Access to the relay of the cell, and a cache of what this process has seen for peers that use it as their relay.
     watch_relay: Option<WatchRelay>,
     relay_wait: Duration,
+    /// Until when watches wait for the list of gateways.
+    fleet_wait_until: Option<Instant>,
     /// Relay of the last watch through one.
     relay: Option<SocketAddr>,
+    /// When the relay last answered with changes, or was chosen.
+    relayed_changes_at: Option<Instant>,
     /// Epoch of the relay in its last answer.
     relay_epoch: Option<watch_relay::RelayEpoch>,
     /// Whether the last answer came from another relay than the one before, or from one that has restarted or lost the store
@@ -160,9 +181,13 @@
             health: None,
             schedule: None,
             is_behind: false,
+            behind_since: None,
+            answered_probes: 0,
             watch_relay: None,
             relay_wait: Duration::ZERO,
+            fleet_wait_until: None,
             relay: None,
+            relayed_changes_at: None,
             relay_epoch: None,
             relay_epoch_changed: false,
             relay_failed: false,
@@ -213,6 +238,12 @@
         self
     }
 
+    /// Starts to watch once the gateways are known, and with them the relay of the cell.
+    pub fn with_wait_for_fleet(mut self) -> Watcher {
+        self.fleet_wait_until = Some(Instant::now() + MAX_FLEET_WAIT);
+        self
+    }
+
     /// Pauses after changes, for a part of the time `within` which a change has to take effect.
     pub fn with_pause_after_changes(mut self, within: Duration) -> Watcher {
         self.pause_after_changes = within.mul_f64(PAUSE_AFTER_CHANGES_PART);
@@ -261,6 +292,7 @@
             // Changes that only peers had seen were missed here as in an outage, so entries may have expired meanwhile.
             let missed_changes = std::mem::take(&mut self.is_behind) && has_content;
             let relay_epoch_changed = std::mem::take(&mut self.relay_epoch_changed);
+            self.answered_probes = 0;
             if std::mem::take(&mut self.failures) > 0 || missed_changes || relay_epoch_changed {
                 self.queued = has_content.then_some(event);
                 return StoreEvent::Recovered;
@@ -404,14 +436,40 @@
         );
     }
 
+    /// Waits until the gateways are known; returns whether the store was not lost meanwhile.
+    async fn wait_for_fleet(&mut self) -> bool {
+        let (Some(until), Some(watch_relay)) = (self.fleet_wait_until, &self.watch_relay) else {
+            return true;
+        };
+        while !watch_relay.knows_fleet() && Instant::now() < until {
+            if self.health.as_ref().is_some_and(StoreHealth::is_lost) {
+                return false;
+            }
+            compio::time::sleep(FLEET_CHECK_INTERVAL).await;
+        }
+        self.fleet_wait_until = None;
+        true
+    }
+
     async fn watch(&mut self, since: Version) -> Option<StoreEvent> {
+        if !self.wait_for_fleet().await {
+            return None;
+        }
+        if self.failures > 0 && !self.may_resume().await {
+            return None;
+        }
         let mut result = match self.watch_through_relay(since).await {
             RelayWatch::Event(event) => return Some(event),
             RelayWatch::Stalled(reason) => Err(reason),
             RelayWatch::Unavailable => self.watch_store(since).await,
         };
         if matches!(result, Err(StallReason::PeersAhead)) {
+            if !self.may_bypass_relay().await {
+                self.behind_since = None;
+                return Some(StoreEvent::Changes(Vec::new()));
+            }
             self.is_behind = true;
+            self.record_query();
             result = self.watch_store(since).await;
         }
         let answer = result.unwrap_or(WatchAnswer::NoAnswer);
@@ -428,19 +486,58 @@
         }
     }
 
+    /// Whether the watch may go on after failures. A gateway that no other precedes finds that out by its next watch.
+    async fn may_resume(&mut self) -> bool {
+        let role = self.role();
+        if role == WatchRole::First {
+            return true;
+        }
+        self.is_behind = false;
+        self.answered_probes = if self.probe_store().await { self.answered_probes + 1 } else { 0 };
+        match role {
+            WatchRole::First => true,
+            WatchRole::Through(_) => self.answered_probes > 0,
+            WatchRole::AfterOthers => self.answered_probes >= PROBES_BEFORE_TURN,
+        }
+    }
+
+    /// Whether the store can be asked for changes that the relay does not have yet. Where even a small read takes long, the
+    /// answers of the whole cell would only delay those to its relay.
+    async fn may_bypass_relay(&self) -> bool {
+        self.role() == WatchRole::First
+            || within(BYPASS_PROBE_TIMEOUT, self.probe_store()).await == Some(true)
+    }
+
+    fn role(&self) -> WatchRole {
+        self.watch_relay.as_ref().map_or(WatchRole::First, WatchRelay::role)
+    }
+
+    /// Whether the store answers a small read.
+    async fn probe_store(&self) -> bool {
+        let sent = Instant::now();
+        let is_answered = current_version(&*self.store, self.kind).await.is_some();
+        if !is_answered {
+            self.record_list_failure(sent);
+        }
+        is_answered
+    }
+
     /// Watches through the relay of the cell, unless the store has to be queried directly.
     async fn watch_through_relay(&mut self, since: Version) -> RelayWatch {
-        if self.failures > 0 || self.is_behind {
+        if self.is_behind {
             return RelayWatch::Unavailable;
         }
         let Some(watch_relay) = self.watch_relay.clone() else { return RelayWatch::Unavailable };
-        let Some(address) = watch_relay.relay_address() else { return RelayWatch::Unavailable };
+        let WatchRole::Through(address) = watch_relay.role() else {
+            return RelayWatch::Unavailable;
+        };
         if self.relay.replace(address) != Some(address) {
+            self.relayed_changes_at = Some(Instant::now());
             log::info!(kind = self.kind.path(), peer:% = address; "store: watched through another gateway");
         }
         let (sent, wait) = (Instant::now(), self.relay_wait);
         let watch = watch_relay.watch(address, self.kind, since, wait);
-        match self.until_stalled(since, watch).await {
+        match self.until_stalled(since, watch, self.relay_tolerance()).await {
             Ok(Some(relayed)) => RelayWatch::Event(self.apply_relayed_changes(relayed)),
             Ok(None) => {
                 self.record_watch_failure(sent, "relay_silent");
@@ -467,6 +564,7 @@
                     None => Change::Deleted(name),
                 });
                 let changes: Vec<Change> = changes.collect();
+                self.relayed_changes_at = Some(Instant::now());
                 self.record_changes(&changes, version);
                 StoreEvent::Changes(changes)
             }
@@ -492,6 +590,7 @@
     /// Passes changes to the schedule and to the cache for peers, and continues from `version`.
     fn record_changes(&mut self, changes: &[Change], version: Version) {
         self.since = Some(version);
+        self.behind_since = None;
         if let Some(schedule) = &self.schedule {
             schedule.record_changes(changes, version);
         }
@@ -512,7 +611,8 @@
         let sent = Instant::now();
         let store = Rc::clone(&self.store);
         let watch = store.watch(self.kind, since, self.next_wait());
-        let answer = self.until_stalled(since, watch).await;
+        self.behind_since = None;
+        let answer = self.until_stalled(since, watch, BEHIND_TOLERANCE).await;
         match &answer {
             Ok(answer) => self.record_watch_end(sent, answer),
             Err(reason) => self.record_stall(sent, *reason),
@@ -520,15 +620,27 @@
         answer
     }
 
+    /// How long peers may be ahead of a watch through the relay. A relay that has had changes pauses before its next watch,
+    /// and sees by itself that its peers are ahead; if the whole cell asked the store meanwhile, each change would cost one
+    /// answer per gateway again.
+    fn relay_tolerance(&self) -> Duration {
+        let has_changes_lately =
+            self.relayed_changes_at.is_some_and(|it| it.elapsed() < self.pause_after_changes * 3);
+        match has_changes_lately {
+            true => self.pause_after_changes + BEHIND_TOLERANCE * 2,
+            false => BEHIND_TOLERANCE,
+        }
+    }
+
     /// Waits for the answer to a watch; fails if there are signs that the store has dropped it.
     async fn until_stalled<T>(
-        &self,
+        &mut self,
         since: Version,
         watch: impl Future<Output = T>,
+        behind_tolerance: Duration,
     ) -> Result<T, StallReason> {
         let suspicions = self.health.as_ref().map(StoreHealth::suspicions);
         let mut watch = pin!(watch);
-        let mut checks_behind = 0;
         loop {
             if let Some(answer) = within(STALL_CHECK_INTERVAL, &mut watch).await {
                 return Ok(answer);
@@ -537,8 +649,11 @@
                 return Err(StallReason::CallLost);
             }
             let behind = self.schedule.as_ref().is_some_and(|it| it.peers_ahead_of(since));
-            checks_behind = if behind { checks_behind + 1 } else { 0 };
-            if checks_behind >= CHECKS_BEHIND {
+            if !behind {
+                self.behind_since = None;
+                continue;
+            }
+            if self.behind_since.get_or_insert_with(Instant::now).elapsed() >= behind_tolerance {
                 return Err(StallReason::PeersAhead);
             }
         }
@@ -558,12 +673,19 @@
 
     /// Records that a watch that was sent at some time is cancelled.
     fn record_stall(&self, sent: Instant, reason: StallReason) {
-        match (reason, &self.schedule) {
-            (StallReason::CallLost, _) => self.record_watch_failure(sent, "call_lost"),
-            (StallReason::PeersAhead, schedule) => {
+        match reason {
+            StallReason::CallLost => self.record_watch_failure(sent, "call_lost"),
+            StallReason::PeersAhead => {
                 self.record_watch_failure(sent, "others_ahead");
-                schedule.iter().for_each(WatchSchedule::record_query);
+                if self.is_behind {
+                    self.record_query();
+                }
             }
         }
     }
+
+    /// Records that the store is queried for the newest version of the peers.
+    fn record_query(&self) {
+        self.schedule.iter().for_each(WatchSchedule::record_query);
+    }
 }
--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -1,6 +1,6 @@
 //! Gateways that share a link of low bandwidth to the store, as in a region far from it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use samphiredoor_standin::{link::SharedBandwidth, platform_store::StoreFault};
 use serde_json::json;
@@ -21,6 +21,26 @@
 /// Time after which peers have received a status; gateways send one at least twice a second.
 const STATUS_SENT_WITHIN: Duration = Duration::from_millis(1_200);
 
+/// Three cells.
+const FLEET: usize = 26;
+/// The changes of targets that all gateways of the fleet would transfer themselves take three times as much.
+const FLEET_LINK_BYTES_PER_S: u64 = 250_000;
+const STARTING_TARGETS: usize = 800;
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(10);
+/// Bytes of the changes that all targets make by their registration.
+const CHANGES_BYTES: usize = 200_000;
+/// Time within which new routes have to be active.
+const ROUTES_WITHIN: Duration = Duration::from_millis(2_000);
+
+fn put_target(platform: &Platform, number: usize) {
+    let name = format!("target-{number:05}");
+    let entry = json!({
+        "service": "reader", "addr": "127.0.0.1:9", "zone": "brisbane-north", "version": "v1",
+        "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", &name, entry);
+}
+
 fn put_many_routes(platform: &Platform) {
     let routes = (0..ROUTES).map(|number| {
         let mut route = route("stream", 1, false);
@@ -103,12 +123,7 @@
 fn gateways_take_many_targets_from_the_mirror_of_their_region() {
     let mut platform = Platform::new(BINARY);
     for number in 0..MANY_TARGETS {
-        let name = format!("target-{number:05}");
-        let entry = json!({
-            "service": "reader", "addr": "127.0.0.1:9", "zone": "brisbane-north", "version": "v1",
-            "slots": 8, "state": "ready", "born": 1,
-        });
-        platform.store.put("servers", &name, entry);
+        put_target(&platform, number);
     }
     // The mirror starts together with the gateways, and has no copy yet when they ask for it.
     platform.store.set_fault(StoreFault::Busy);
@@ -130,3 +145,29 @@
         assert!(*listed_after < *"target-01500", "gateway {number} read beyond {listed_after}");
     }
 }
+
+// A fleet and its targets start at once behind a narrow link. If each gateway asked the store for all changes of targets, the
+// answers would begin later than their time limit, be given up and asked for again.
+#[test]
+fn new_routes_arrive_while_all_targets_register() {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let link = SharedBandwidth::new(FLEET_LINK_BYTES_PER_S);
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..FLEET {
+        platform.spawn_gateway();
+    }
+    for number in 0..STARTING_TARGETS {
+        put_target(&platform, number);
+        std::thread::sleep(REGISTRATION_INTERVAL);
+    }
+    let written_at = Instant::now();
+    platform.put_routes(2, 1);
+    for number in 0..FLEET {
+        platform.wait_logged(number, "routes: activated version=2 ");
+    }
+    let late = written_at.elapsed();
+    assert!(late < ROUTES_WITHIN, "routes were active after {late:?}");
+    let transferred = link.transferred_bytes();
+    assert!(transferred < CHANGES_BYTES * FLEET / 3, "transferred bytes: {transferred}");
+}
