gateway: hundreds of gateways that start read the list of gateways through the first that has it

The watches of the routes were answered later than their time limit; all 99 lost the store.

Ruled out: reads that are spread over three seconds alone (trial: the link still stays full, as the targets report over it too); a first page of the list to see how many there are (trial: a page holds all 297 entries, so that they cross twice).

Change: before the entries are read, the store's version from an empty page tells how much has changed since the first list. After more than a hundred changes a gateway waits, up to a random time within three seconds, for the status of a peer that has read the list, and reads it there through the relayed watch. A status carries the newest entry that its sender has seen only once that one knows all gateways.

Test: entries_of_many_gateways_come_through_one_that_has_read_them, 14 gateways behind a link among 400 others.

Check changed: the stand-in of the store recorded the greatest name after which any page was read, also an empty one; gateways now read an empty page to learn the version.

--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -7,7 +7,7 @@
 };
 
 use compio::net::UdpSocket;
-use samphiredoor_core::Name;
+use samphiredoor_core::{Name, store::Version};
 
 use super::{
     CellStatuses, JobOwners, Owner, Roster, RunLimits,
@@ -52,7 +52,12 @@
 
     async fn apply(&self, bytes: &[u8], from: SocketAddr) {
         match Datagram::decode(bytes) {
-            Ok(Datagram::Status(status)) => self.apply_status(status),
+            Ok(Datagram::Status(status)) => {
+                if status.seen.gateways != Version::default() {
+                    self.roster.record_introducer(from);
+                }
+                self.apply_status(status);
+            }
             Ok(Datagram::Summary(summary)) => self.apply_summary(summary).await,
             Ok(Datagram::RunReport(report)) => self.run_limits.reported(report, from),
             Ok(Datagram::RunGrant(grant)) => self.run_limits.granted(grant),
--- a/crates/samphiredoor-gateway/src/peers/registration.rs
+++ b/crates/samphiredoor-gateway/src/peers/registration.rs
@@ -1,16 +1,21 @@
 //! Registration of gateways in the store, through which they discover each other.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use samphiredoor_core::{
     Name,
     dispatch::Location,
-    store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value},
+    store::{Kind, Labels, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version},
 };
 use serde_json::json;
 
 use super::{LocalGateway, Roster};
 use crate::{
+    lists::current_version,
     placement::PlacementHandle,
     platform_api::{Change, ObjectStore},
     watch::{StoreEvent, Watcher},
@@ -19,6 +24,12 @@
 /// Time that a newly registered process waits before it reads changes of the other entries. Gateways that start
 /// together have registered by then, so their entries arrive in one batch instead of one by one.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// Changes of the store up to which all gateways that start together may read them: a few ten kilobytes.
+const FEW_CHANGES: u64 = 100;
+/// Longest time that a process of a large fleet waits for a gateway that has read the list of gateways, and how often it
+/// checks for one. The wait is random, so that a few gateways read the list first.
+const MAX_INTRODUCTION_WAIT: Duration = Duration::from_secs(3);
+const INTRODUCTION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between attempts to register.
 const REGISTER_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -105,7 +116,7 @@
                 if !std::mem::replace(&mut registering, true) && found != OwnEntry::Current {
                     let register = register(roster.local().clone(), Rc::clone(&store), found);
                     compio::runtime::spawn(register).detach();
-                    compio::time::sleep(STARTUP_SETTLE_TIME).await;
+                    wait_for_others(&roster, &*store, watcher.version()).await;
                     continue;
                 }
             }
@@ -125,6 +136,23 @@
     }
 }
 
+/// Waits until gateways that started together have registered. If the store has changed so often since the first list of
+/// gateways that there may be many, also waits until one that has read their entries sends its status, at most for a random
+/// time. If all gateways of a region read many entries at the same moment, they would fill a link to another region, and every
+/// other answer would be late.
+async fn wait_for_others(roster: &Roster, store: &dyn ObjectStore, listed: Option<Version>) {
+    compio::time::sleep(STARTUP_SETTLE_TIME).await;
+    let current = current_version(store, Kind::Door).await;
+    let changes = current.zip(listed).map(|(current, listed)| current.0.saturating_sub(listed.0));
+    if changes.is_some_and(|it| it <= FEW_CHANGES) {
+        return;
+    }
+    let until = Instant::now() + MAX_INTRODUCTION_WAIT.mul_f64(rand::random());
+    while !roster.has_introducer() && Instant::now() < until {
+        compio::time::sleep(INTRODUCTION_CHECK_INTERVAL).await;
+    }
+}
+
 /// Address that a gateway has registered in the store.
 pub async fn registered_address(store: &dyn ObjectStore, name: &Name) -> Option<SocketAddr> {
     let key = ObjectKey::new(Kind::Door, Name::clone(name));
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -109,6 +109,8 @@
     started: Instant,
     /// When the first complete list of gateways was applied.
     listed: Rc<Cell<Option<Instant>>>,
+    /// Gateway that knew the gateways before this process.
+    introducer: Rc<Cell<Option<SocketAddr>>>,
     peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
     /// Names of the peers by [`name_hash`], which summaries identify gateways by.
     names: Rc<RefCell<BTreeMap<u64, Name>>>,
@@ -148,6 +150,7 @@
             local: Rc::new(local),
             started: Instant::now(),
             listed: Rc::default(),
+            introducer: Rc::default(),
             peers: Rc::default(),
             names: Rc::default(),
             targets: Rc::default(),
@@ -176,6 +179,18 @@
         self.listed.get().is_some()
     }
 
+    /// Records a gateway that knows the gateways, for the time in which this process does not.
+    pub fn record_introducer(&self, address: SocketAddr) {
+        if !self.is_listed() {
+            self.introducer.set(Some(address));
+        }
+    }
+
+    /// Whether there is a gateway through which this process can read the entries of the gateways.
+    pub fn has_introducer(&self) -> bool {
+        self.introducer.get().is_some()
+    }
+
     /// Adds a gateway, or updates its registered address and location.
     pub fn register(&self, name: Name, address: SocketAddr, location: Location) {
         if name == self.local.name {
@@ -293,8 +308,12 @@
 
     /// Part of this process in the watches of its cell: the first live gateway in order of name that reaches the store
     /// watches it for the others. Shortly after its start a process counts gateways that it has not seen yet as live. If the
-    /// whole fleet is one cell, each gateway watches the store.
+    /// whole fleet is one cell, each gateway watches the store. A process that does not know the gateways watches through its
+    /// introducer, if it has one.
     pub fn watch_role(&self) -> WatchRole {
+        if let Some(introducer) = self.introducer.get().filter(|_| !self.is_listed()) {
+            return WatchRole::Through(introducer);
+        }
         if self.cells().len() < 2 {
             return WatchRole::First;
         }
--- a/crates/samphiredoor-gateway/src/peers/status_sender.rs
+++ b/crates/samphiredoor-gateway/src/peers/status_sender.rs
@@ -12,7 +12,10 @@
 };
 
 use compio::net::UdpSocket;
-use samphiredoor_core::placement::{CellId, Distance, GatewayLoad, GatewayState};
+use samphiredoor_core::{
+    placement::{CellId, Distance, GatewayLoad, GatewayState},
+    store::Version,
+};
 use samphiredoor_net::pool::within;
 
 use super::{
@@ -21,7 +24,9 @@
     listener::send_to_all,
     status::{OwnedJob, Status},
 };
-use crate::{placement::OwnLoad, routes::Routes, store_health::StoreHealth};
+use crate::{
+    placement::OwnLoad, routes::Routes, seen_versions::SeenChanges, store_health::StoreHealth,
+};
 
 /// Shortest time between two datagrams to other zones of the own region, whose targets are used only when those of the
 /// own zone are full.
@@ -175,6 +180,15 @@
         }
     }
 
+    /// Newest changes that this process has seen; none of gateways before it knows all of them.
+    fn seen(&self) -> SeenChanges {
+        let mut seen = self.roster.seen_versions().own();
+        if !self.roster.is_listed() {
+            seen.gateways = Version::default();
+        }
+        seen
+    }
+
     fn status(&self, requests: GatewayState, jobs: Vec<OwnedJob>) -> Status {
         Status {
             name: self.local.name.to_string(),
@@ -184,7 +198,7 @@
             stopping: self.stopping.get(),
             requests,
             jobs,
-            seen: self.roster.seen_versions().own(),
+            seen: self.seen(),
             store_silent_ms: self
                 .health
                 .time_since_answer()
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -257,6 +257,11 @@
         self
     }
 
+    /// Version up to which the events of this watcher include all changes.
+    pub fn version(&self) -> Option<Version> {
+        self.since
+    }
+
     /// Waits for the next event.
     pub async fn next(&mut self) -> StoreEvent {
         if let Some(event) = self.queued.take() {
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -116,7 +116,7 @@
     state: Arc<Mutex<State>>,
     /// Fault of the access path of this handle; takes precedence over the store's own fault.
     path_fault: Arc<Mutex<StoreFault>>,
-    /// Greatest name after which a page of a list was read through the access path of this handle.
+    /// Greatest name after which a page with objects was read through the access path of this handle.
     listed_after: Arc<Mutex<String>>,
 }
 
@@ -135,12 +135,16 @@
         PlatformStore { state: Arc::clone(&self.state), ..PlatformStore::default() }
     }
 
-    /// Greatest name after which a page of a list was read through the access path of this handle.
+    /// Greatest name after which a page with objects was read through the access path of this handle.
     pub fn listed_after(&self) -> String {
         self.listed_after.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
     }
 
-    fn record_list(&self, after: &str) {
+    fn record_list(&self, kind: &str, after: &str) {
+        let last_name = |objects: &BTreeMap<String, Object>| objects.keys().next_back().cloned();
+        if self.state().kinds.get(kind).and_then(last_name).is_none_or(|it| *it <= *after) {
+            return;
+        }
         let mut listed = self.listed_after.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         if after > listed.as_str() {
             *listed = after.to_owned();
@@ -227,7 +231,7 @@
         let segments: Vec<&str> = path.split('/').filter(|it| !it.is_empty()).collect();
         let kind = segments.first().copied().unwrap_or_default();
         *self.state().calls.entry(format!("{} {kind}", parts.method)).or_default() += 1;
-        self.record_list(query.get("after").map_or("", String::as_str));
+        self.record_list(kind, query.get("after").map_or("", String::as_str));
         let fault = self.fault();
         let is_write = parts.method != Method::GET;
         match fault {
--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -29,6 +29,12 @@
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(10);
 /// Bytes of the changes that all targets make by their registration.
 const CHANGES_BYTES: usize = 200_000;
+/// Gateways behind the link among hundreds, in two cells.
+const FEW_OF_MANY: usize = 14;
+/// Gateways of another region that register at the same moment, the bytes of their entries, and the cells of all gateways.
+const FAR_GATEWAYS: usize = 400;
+const ENTRIES_BYTES: usize = 80_000;
+const CELLS: usize = 2 + FAR_GATEWAYS.div_ceil(12);
 /// Time within which new routes have to be active.
 const ROUTES_WITHIN: Duration = Duration::from_millis(2_000);
 
@@ -171,3 +177,27 @@
     let transferred = link.transferred_bytes();
     assert!(transferred < CHANGES_BYTES * FLEET / 3, "transferred bytes: {transferred}");
 }
+
+// Hundreds of gateways start at once, some of them behind a narrow link. If each of those read the entries of all others from
+// the store, the link would be full for seconds.
+#[test]
+fn entries_of_many_gateways_come_through_one_that_has_read_them() {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..FEW_OF_MANY {
+        platform.spawn_gateway();
+    }
+    for number in 0..FAR_GATEWAYS {
+        let entry = json!({
+            "address": "127.0.0.1:9", "region": "cairns", "availability_zone": "cairns-north",
+        });
+        platform.store.put("doors", &format!("far-{number:03}"), entry);
+    }
+    for number in 0..FEW_OF_MANY {
+        platform.wait_logged(number, &format!("peers: cells computed cells={CELLS} "));
+    }
+    let transferred = link.transferred_bytes();
+    assert!(transferred < ENTRIES_BYTES * FEW_OF_MANY * 3 / 4, "transferred bytes: {transferred}");
+}
