gateway: a process that starts takes large copies from a mirror of its region before it asks the store

Seen: all of 297 gateways are killed among 3,000 targets. Those behind 30 Mbit/s had lost the store from 0.3 s after their start for 7.3 s more; reports of the targets beside them failed meanwhile, so that entries expired.

Cause: a page of the store holds 500 objects. The first page of targets has 150 KB and the one of gateways 90 KB; for 99 gateways that is 24 MB, 6.3 s of the link, before any of them knows that the list is large.

Change: the first list of a kind is asked for at the mirror of the own region that answers first, which sends its copy if it has at least 32 KB. In any other case the store is asked as before; nothing waits for a copy that is not there.

Test: gateways_that_restart_together_take_large_lists_from_the_mirror_first, eight gateways and 2,600 targets.

--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -7,8 +7,9 @@
 //! another target. The gateway then watches for changes from the store version of the copy, as after any stale list, so
 //! that a large list is not transferred again.
 //!
-//! Where a kind has so many objects that a gateway reads only its first pages from the store, gateways start from the
-//! copy of their own region. A copy of that size is refreshed by the changes since the last one instead of a new list.
+//! A gateway that starts takes a large copy from a mirror of its region before it asks the store: if all gateways of a region
+//! are killed at once, even the first page of a list would fill a link to another region for seconds. Where a kind has so many
+//! objects that a gateway reads only its first pages from the store, gateways wait for the copy of their own region. A copy of that size is refreshed by the changes since the last one instead of a new list.
 //!
 //! If all gateways are killed within seconds of an outage, callers are served nevertheless. The cost is a few calls a
 //! minute for each storage host, at a tenth of a call's price.
@@ -22,7 +23,7 @@
 };
 
 use bytes::Bytes;
-use futures_util::future::join_all;
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use hyper::{Request, Response, StatusCode, Uri, header};
 use rand::seq::SliceRandom;
 use samphiredoor_core::{
@@ -60,6 +61,10 @@
 /// the pause between two attempts. A mirror reads thousands of objects from another region within some seconds.
 const FIRST_COPY_TIMEOUT: Duration = Duration::from_secs(8);
 const FIRST_COPY_PAUSE: Duration = Duration::from_millis(400);
+/// Size of a copy from which on a gateway takes it before it asks the store.
+const LARGE_COPY_BYTES: usize = 32 * 1024;
+/// Query with which a gateway asks for a copy of at least that size.
+const LARGE_ONLY: &str = "large";
 /// Longest name of a region.
 const MAX_REGION_BYTES: usize = 1_024;
 /// Size limit of a copy. Entries of a few thousand targets take less than a megabyte, a configuration up to one.
@@ -113,6 +118,10 @@
         self.version = version;
     }
 
+    fn is_large(&self) -> bool {
+        self.encoded().len() >= LARGE_COPY_BYTES
+    }
+
     fn encoded(&self) -> Bytes {
         let encoded = self.encoded.get_or_init(|| {
             let objects = self.objects.values().map(|it| MirroredObject {
@@ -188,6 +197,9 @@
         let kinds = self.kinds.borrow();
         let kind = uri.path().strip_prefix(ROOT).and_then(|it| kinds.get(it));
         match kind {
+            Some(copy) if uri.query() == Some(LARGE_ONLY) && !copy.is_large() => {
+                json_message(StatusCode::NOT_FOUND, "this kind is small")
+            }
             Some(copy) => Response::new(Body::full(copy.encoded())),
             None => json_message(StatusCode::NOT_FOUND, "nothing is known of this kind"),
         }
@@ -197,6 +209,8 @@
 /// Why a gateway starts from a mirror.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MirrorUse {
+    /// It is the first source, if the copy is large.
+    LargeCopy,
     /// The store does not answer.
     StoreLost,
     /// The store has so many objects that they are fetched within the region.
@@ -206,6 +220,7 @@
 impl MirrorUse {
     fn label(self) -> &'static str {
         match self {
+            MirrorUse::LargeCopy => "large_copy",
             MirrorUse::StoreLost => "store_lost",
             MirrorUse::LargeList => "large_list",
         }
@@ -234,6 +249,10 @@
     /// mirrors in the own region, as soon as one of them has it.
     pub async fn list(&self, kind: Kind, mirror_use: MirrorUse) -> Option<ObjectList> {
         match mirror_use {
+            MirrorUse::LargeCopy => {
+                let address = self.first_in_own_region().await?;
+                fetch(address, kind, mirror_use).await
+            }
             MirrorUse::StoreLost => self.fetch_any(&self.addresses, kind, mirror_use).await,
             MirrorUse::LargeList => {
                 let addresses = self.in_own_region().await;
@@ -276,6 +295,18 @@
         None
     }
 
+    /// The mirror of the own region that answers first.
+    async fn first_in_own_region(&self) -> Option<SocketAddr> {
+        let ask = async |address: &SocketAddr| (*address, fetch_region(*address).await);
+        let mut answers: FuturesUnordered<_> = self.addresses.iter().map(ask).collect();
+        while let Some((address, region)) = answers.next().await {
+            if region.is_some_and(|it| *it == *self.region.as_bytes()) {
+                return Some(address);
+            }
+        }
+        None
+    }
+
     async fn in_own_region(&self) -> Vec<SocketAddr> {
         let regions = join_all(self.addresses.iter().map(|it| fetch_region(*it))).await;
         let own = self.addresses.iter().zip(regions).filter(|(_, region)| {
@@ -295,14 +326,18 @@
 }
 
 async fn fetch(address: SocketAddr, kind: Kind, mirror_use: MirrorUse) -> Option<ObjectList> {
-    let request = Request::get(format!("{ROOT}{}", kind.path()))
+    let query = match mirror_use {
+        MirrorUse::LargeCopy => format!("?{LARGE_ONLY}"),
+        MirrorUse::StoreLost | MirrorUse::LargeList => String::new(),
+    };
+    let request = Request::get(format!("{ROOT}{}{query}", kind.path()))
         .header(header::HOST, "mirror")
         .body(Body::empty())
         .ok()?;
     let pool = Pool::new(address).with_connect_timeout(CONNECT_TIMEOUT);
     let idle_timeout = match mirror_use {
         MirrorUse::StoreLost => IDLE_TIMEOUT,
-        MirrorUse::LargeList => LARGE_IDLE_TIMEOUT,
+        MirrorUse::LargeCopy | MirrorUse::LargeList => LARGE_IDLE_TIMEOUT,
     };
     let limits = FetchLimits::new(idle_timeout, MAX_BYTES);
     let fetched = pool.fetch(request, limits).await.ok()?;
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -320,6 +320,11 @@
 
     /// Lists the kind, or takes the list from a mirror if it is large.
     async fn first_list(&mut self) -> Option<StoreEvent> {
+        if self.failures == 0
+            && let Some(event) = self.list_from_mirror(MirrorUse::LargeCopy).await
+        {
+            return Some(event);
+        }
         let sent = Instant::now();
         match self.first_pages().await {
             Some(Listed::All(list)) => Some(self.accept_list(list)),
--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -18,6 +18,8 @@
 
 /// Targets of which a list has more pages than a gateway reads.
 const MANY_TARGETS: usize = 2_600;
+/// Less than a page of targets; a start without lists of targets transfers a tenth of it.
+const LESS_THAN_A_PAGE_BYTES: usize = 50_000;
 /// Time after which peers have received a status; gateways send one at least twice a second.
 const STATUS_SENT_WITHIN: Duration = Duration::from_millis(1_200);
 
@@ -152,6 +154,30 @@
     }
 }
 
+// All gateways of a region are killed and restart among thousands of targets. The first pages of their lists alone would fill
+// the link to the store for seconds.
+#[test]
+fn gateways_that_restart_together_take_large_lists_from_the_mirror_first() {
+    let mut platform = Platform::new(BINARY);
+    for number in 0..MANY_TARGETS {
+        put_target(&platform, number);
+    }
+    let _storage = platform.start_storage("store-1");
+    let has_copied = || platform.store.calls().contains_key("GET doors");
+    wait_until("the mirror has copied all kinds", has_copied);
+    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
+    platform.linked = true;
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..GATEWAYS {
+        platform.spawn_gateway();
+    }
+    for number in 0..GATEWAYS {
+        platform.wait_ready(number);
+    }
+    let transferred = link.transferred_bytes();
+    assert!(transferred < LESS_THAN_A_PAGE_BYTES * GATEWAYS, "transferred bytes: {transferred}");
+}
+
 // A fleet and its targets start at once behind a narrow link. If each gateway asked the store for all changes of targets, the
 // answers would begin later than their time limit, be given up and asked for again.
 #[test]
