--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -45,6 +45,8 @@
     started: Instant,
     /// When the first complete list of gateways was applied.
     listed: Rc<Cell<Option<Instant>>>,
+    /// Gateway that knew the gateways before this process.
+    introducer: Rc<Cell<Option<SocketAddr>>>,
     peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
     /// Names of the peers by [`name_hash`], which summaries identify gateways by.
     names: Rc<RefCell<BTreeMap<u64, Name>>>,
@@ -55,6 +57,17 @@
     seen_versions: SeenVersions,
 }
 
+/// Part of a gateway in the watches of its cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchRole {
+    /// It watches the store.
+    First,
+    /// It watches through the gateway at this address.
+    Through(SocketAddr),
+    /// Live gateways precede it, but none of them reaches the store.
+    AfterOthers,
+}
+
 impl Roster {
     /// Empty table.
     pub fn new(local: LocalGateway) -> Roster {
@@ -62,6 +75,7 @@
             local: Rc::new(local),
             started: Instant::now(),
             listed: Rc::default(),
+            introducer: Rc::default(),
             peers: Rc::default(),
             names: Rc::default(),
             targets: Rc::default(),
@@ -85,6 +99,23 @@
         self.listed.set(self.listed.get().or(Some(Instant::now())));
     }
 
+    /// Whether the first complete list of gateways was applied.
+    pub fn is_listed(&self) -> bool {
+        self.listed.get().is_some()
+    }
+
+    /// Records a gateway that knows the gateways, for the time in which this process does not.
+    pub fn record_introducer(&self, address: SocketAddr) {
+        if !self.is_listed() {
+            self.introducer.set(Some(address));
+        }
+    }
+
+    /// Whether there is a gateway through which this process can read the entries of the gateways.
+    pub fn has_introducer(&self) -> bool {
+        self.introducer.get().is_some()
+    }
+
     /// Adds a gateway, or updates its registered address and location.
     pub fn register(&self, name: Name, address: SocketAddr, location: Location) {
         if name == self.local.name {
@@ -123,17 +154,28 @@
         has_statuses && before.is_some_and(|it| it.len() < SUMMARY_SENDERS)
     }
 
-    /// Address of the gateway that watches the store for the own cell, unless it is this process: the first live
-    /// gateway in order of name that reaches the store. Shortly after its start a process counts gateways that it has
-    /// not seen yet as live. `None` if the whole fleet is one cell.
-    pub fn watch_relay_address(&self) -> Option<SocketAddr> {
+    /// Part of this process in the watches of its cell: the first live gateway in order of name that reaches the store
+    /// watches it for the others. Shortly after its start a process counts gateways that it has not seen yet as live. If the
+    /// whole fleet is one cell, each gateway watches the store. A process that does not know the gateways watches through its
+    /// introducer, if it has one.
+    pub fn watch_role(&self) -> WatchRole {
+        if let Some(introducer) = self.introducer.get().filter(|_| !self.is_listed()) {
+            return WatchRole::Through(introducer);
+        }
         if self.cells().len() < 2 {
-            return None;
+            return WatchRole::First;
         }
         let has_statuses = self.listed.get().is_some_and(|it| it.elapsed() >= FAILOVER_TIMEOUT);
         let is_live =
             |it: &Peer| it.was_seen_recently() || (it.last_seen.is_none() && !has_statuses);
-        self.preceding_peers(|it| is_live(it) && it.store_reached)?.first().copied()
+        let reaching = self.preceding_peers(|it| is_live(it) && it.store_reached);
+        match reaching.unwrap_or_default().first() {
+            Some(address) => WatchRole::Through(*address),
+            None if self.preceding_peers(is_live).unwrap_or_default().is_empty() => {
+                WatchRole::First
+            }
+            None => WatchRole::AfterOthers,
+        }
     }
 
     /// Addresses of the gateways of the own cell whose names come before this one's and which match; `None` without a
--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -1,6 +1,6 @@
 //! Gateways that share a link of low bandwidth to the store, as in a region far from it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use samphiredoor_standin::{link::SharedBandwidth, platform_store::StoreFault};
 use serde_json::json;
@@ -18,9 +18,37 @@
 
 /// Targets of which a list has more pages than a gateway reads.
 const MANY_TARGETS: usize = 2_600;
+/// Less than a page of targets; a start without lists of targets transfers a tenth of it.
+const LESS_THAN_A_PAGE_BYTES: usize = 50_000;
 /// Time after which peers have received a status; gateways send one at least twice a second.
 const STATUS_SENT_WITHIN: Duration = Duration::from_millis(1_200);
 
+/// Three cells.
+const FLEET: usize = 26;
+/// The changes of targets that all gateways of the fleet would transfer themselves take three times as much.
+const FLEET_LINK_BYTES_PER_S: u64 = 250_000;
+const STARTING_TARGETS: usize = 800;
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(10);
+/// Bytes of the changes that all targets make by their registration.
+const CHANGES_BYTES: usize = 200_000;
+/// Gateways behind the link among hundreds, in two cells.
+const FEW_OF_MANY: usize = 14;
+/// Gateways of another region that register at the same moment, the bytes of their entries, and the cells of all gateways.
+const FAR_GATEWAYS: usize = 400;
+const ENTRIES_BYTES: usize = 80_000;
+const CELLS: usize = 2 + FAR_GATEWAYS.div_ceil(12);
+/// Time within which new routes have to be active.
+const ROUTES_WITHIN: Duration = Duration::from_millis(2_000);
+
+fn put_target(platform: &Platform, number: usize) {
+    let name = format!("target-{number:05}");
+    let entry = json!({
+        "service": "reader", "addr": "127.0.0.1:9", "zone": "brisbane-north", "version": "v1",
+        "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", &name, entry);
+}
+
 fn put_many_routes(platform: &Platform) {
     let routes = (0..ROUTES).map(|number| {
         let mut route = route("stream", 1, false);
@@ -103,12 +131,7 @@
 fn gateways_take_many_targets_from_the_mirror_of_their_region() {
     let mut platform = Platform::new(BINARY);
     for number in 0..MANY_TARGETS {
-        let name = format!("target-{number:05}");
-        let entry = json!({
-            "service": "reader", "addr": "127.0.0.1:9", "zone": "brisbane-north", "version": "v1",
-            "slots": 8, "state": "ready", "born": 1,
-        });
-        platform.store.put("servers", &name, entry);
+        put_target(&platform, number);
     }
     // The mirror starts together with the gateways, and has no copy yet when they ask for it.
     platform.store.set_fault(StoreFault::Busy);
@@ -130,3 +153,77 @@
         assert!(*listed_after < *"target-01500", "gateway {number} read beyond {listed_after}");
     }
 }
+
+// All gateways of a region are killed and restart among thousands of targets. The first pages of their lists alone would fill
+// the link to the store for seconds.
+#[test]
+fn gateways_that_restart_together_take_large_lists_from_the_mirror_first() {
+    let mut platform = Platform::new(BINARY);
+    for number in 0..MANY_TARGETS {
+        put_target(&platform, number);
+    }
+    let _storage = platform.start_storage("store-1");
+    let has_copied = || platform.store.calls().contains_key("GET doors");
+    wait_until("the mirror has copied all kinds", has_copied);
+    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
+    platform.linked = true;
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..GATEWAYS {
+        platform.spawn_gateway();
+    }
+    for number in 0..GATEWAYS {
+        platform.wait_ready(number);
+    }
+    let transferred = link.transferred_bytes();
+    assert!(transferred < LESS_THAN_A_PAGE_BYTES * GATEWAYS, "transferred bytes: {transferred}");
+}
+
+// A fleet and its targets start at once behind a narrow link. If each gateway asked the store for all changes of targets, the
+// answers would begin later than their time limit, be given up and asked for again.
+#[test]
+fn new_routes_arrive_while_all_targets_register() {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let link = SharedBandwidth::new(FLEET_LINK_BYTES_PER_S);
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..FLEET {
+        platform.spawn_gateway();
+    }
+    for number in 0..STARTING_TARGETS {
+        put_target(&platform, number);
+        std::thread::sleep(REGISTRATION_INTERVAL);
+    }
+    let written_at = Instant::now();
+    platform.put_routes(2, 1);
+    for number in 0..FLEET {
+        platform.wait_logged(number, "routes: activated version=2 ");
+    }
+    let late = written_at.elapsed();
+    assert!(late < ROUTES_WITHIN, "routes were active after {late:?}");
+    let transferred = link.transferred_bytes();
+    assert!(transferred < CHANGES_BYTES * FLEET / 3, "transferred bytes: {transferred}");
+}
+
+// Hundreds of gateways start at once, some of them behind a narrow link. If each of those read the entries of all others from
+// the store, the link would be full for seconds.
+#[test]
+fn entries_of_many_gateways_come_through_one_that_has_read_them() {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..FEW_OF_MANY {
+        platform.spawn_gateway();
+    }
+    for number in 0..FAR_GATEWAYS {
+        let entry = json!({
+            "address": "127.0.0.1:9", "region": "cairns", "availability_zone": "cairns-north",
+        });
+        platform.store.put("doors", &format!("far-{number:03}"), entry);
+    }
+    for number in 0..FEW_OF_MANY {
+        platform.wait_logged(number, &format!("peers: cells computed cells={CELLS} "));
+    }
+    let transferred = link.transferred_bytes();
+    assert!(transferred < ENTRIES_BYTES * FEW_OF_MANY * 3 / 4, "transferred bytes: {transferred}");
+}
