--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -112,6 +112,9 @@
     discarded_revision: u64,
     fault: StoreFault,
     calls: BTreeMap<String, u64>,
+    answers: BTreeMap<String, u64>,
+    /// Watches that a fault has left without an answer, by kind.
+    silenced_watches: BTreeMap<String, u64>,
 }
 
 /// Handle to the store; clones share its state.
@@ -224,8 +227,27 @@
         self.state().calls.clone()
     }
 
+    /// Number of calls that were answered so far, by method and kind.
+    pub fn answers(&self) -> BTreeMap<String, u64> {
+        self.state().answers.clone()
+    }
+
+    /// Number of watches so far that a fault has left without an answer, by kind.
+    pub fn silenced_watches(&self) -> BTreeMap<String, u64> {
+        self.state().silenced_watches.clone()
+    }
+
     /// Handles one call.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().strip_prefix(ROOT).unwrap_or_default();
+        let kind = path.split('/').next().unwrap_or_default();
+        let call = format!("{} {kind}", request.method());
+        let response = self.clone().answer_call(request).await;
+        *self.state().answers.entry(call).or_default() += 1;
+        response
+    }
+
+    async fn answer_call(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().strip_prefix(ROOT).unwrap_or_default().to_owned();
         let query = query(parts.uri.query().unwrap_or_default());
@@ -311,6 +333,7 @@
             let fault = self.fault();
             match fault {
                 StoreFault::Silent | StoreFault::WatchesSilent => {
+                    *self.state().silenced_watches.entry(kind.to_owned()).or_default() += 1;
                     compio::time::sleep(NO_ANSWER_TIME).await;
                 }
                 StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -223,7 +223,8 @@
     platform.wait_logged(0, "peers: peer is live");
     platform.wait_logged(1, "peers: peer is live");
     platform.set_store_path_fault(1, StoreFault::WatchesSilent);
-    std::thread::sleep(Duration::from_millis(100));
+    let silenced = || platform.store.silenced_watches().contains_key("servers");
+    wait_until("the watch of targets is dropped", silenced);
     platform.set_store_path_fault(1, StoreFault::None);
     platform.register(&leaving, "draining");
     platform.wait_logged(1, "others_ahead");
--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -108,7 +108,7 @@
     let mut platform = Platform::without_routes(BINARY);
     put_many_routes(&platform);
     let _storage = platform.start_storage("store-1");
-    let has_copied = || platform.store.calls().contains_key("GET doors");
+    let has_copied = || platform.store.answers().contains_key("GET doors");
     wait_until("the mirror has copied all kinds", has_copied);
     let link = SharedBandwidth::new(LINK_BYTES_PER_S);
     platform.linked = true;
@@ -160,7 +160,7 @@
         put_target(&platform, number);
     }
     let _storage = platform.start_storage("store-1");
-    let has_copied = || platform.store.calls().contains_key("GET doors");
+    let has_copied = || platform.store.answers().contains_key("GET doors");
     wait_until("the mirror has copied all kinds", has_copied);
     let link = SharedBandwidth::new(LINK_BYTES_PER_S);
     platform.linked = true;
