Tests: a model of reads, explored exhaustively, on the real log, its end and the decision on an answer

What: core `tests/reads` goes breadth first through all states of a log in a store, three processes of which each may own the job, be a former owner that still runs, be frozen or without the store, restart, take over, hand over and close; creates that are late (6 s), unanswered or refused; a caller that cancels; and readers at different gateways. It calls ResultLog, LogEnd, LogCall, KnownResults and JobHeader::taken_over_by; what the task and the store do around them is written down in the model. Types of core/ordered derive Clone and Hash for it. Two invariants: what a process holds is a prefix of the stored log, and an empty page at a position is never answered to a reader that arrived after a result there could be read.

An owner that has read its header after a gap counts as the only one, though a takeover that was sent before takes effect after it. A test shows the violation; another that it is gone if owners rewrite their headers instead. Not shown on gateways.

Conclusion: the promise holds within the bounds, apart from that one violation.

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -19,7 +19,7 @@
 const FORMAT: u32 = 1;
 
 /// Process that runs a job's items.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct JobOwner {
     /// Name of the process.
@@ -29,7 +29,7 @@
 }
 
 /// Stored header of a job: everything beside its items and results.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct JobHeader {
     /// Version of the object's layout.
@@ -167,7 +167,7 @@
 }
 
 /// Content of one segment of a job's log.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Segment {
     /// Results, in the order of their positions.
     pub results: Vec<ItemResult>,
--- a/crates/samphiredoor-core/src/ordered/job.rs
+++ b/crates/samphiredoor-core/src/ordered/job.rs
@@ -40,7 +40,7 @@
 }
 
 /// Final outcome of an item.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// The whole output is in the result.
     Completed,
@@ -49,7 +49,7 @@
 }
 
 /// Result of one item.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ItemResult {
     /// Index of the item in the submission.
     pub item: u32,
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -23,7 +23,7 @@
     Idle,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Next {
     /// Read the next segment, which another writer may have created.
     Read,
@@ -36,7 +36,7 @@
 /// After a lost answer, or a create that found the segment taken, the segment is read before anything is appended. A
 /// create that takes effect late can only write the segment number that it was sent with, and holds only items without a
 /// result in any earlier segment.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ResultLog {
     job: JobName,
     committed: Vec<ItemResult>,
--- a/crates/samphiredoor-core/src/ordered/log_end.rs
+++ b/crates/samphiredoor-core/src/ordered/log_end.rs
@@ -13,7 +13,7 @@
 pub const LATE_WRITE_MS: u64 = 6_000;
 
 /// Kind of a call of the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum LogCallKind {
     /// Reads the next segment.
     Read,
@@ -22,7 +22,7 @@
 }
 
 /// A call of the log that is under way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LogCall {
     kind: LogCallKind,
     sent_ms: u64,
@@ -45,7 +45,7 @@
 }
 
 /// What a process knows of the end of a job's log. All times are in milliseconds of its monotonic clock.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LogEnd {
     /// When the last call was sent that found the end of the log.
     seen_at_ms: Option<u64>,
--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -16,7 +16,7 @@
 pub(super) const OUTPUT_BYTES: usize = 250_000;
 
 /// Events of an item that follow those of an earlier part.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct OutputPart {
     /// Index of the item in the submission.
@@ -30,7 +30,7 @@
 }
 
 /// Saved output of an unfinished item.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct PartialOutput {
     /// Number of the last saved event.
     pub last: u64,
@@ -39,7 +39,7 @@
 }
 
 /// Partial outputs that were read from a log, by item.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct PartialOutputs {
     by_item: BTreeMap<u32, PartialOutput>,
 }
--- a/crates/samphiredoor-core/src/ordered/reader.rs
+++ b/crates/samphiredoor-core/src/ordered/reader.rs
@@ -8,7 +8,7 @@
 use super::LogEnd;
 
 /// A reader that waits for results.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Reader {
     /// Number of results that it already has.
     pub after: usize,
