ordered: a position at or beyond the number of items is answered at once

A reader that has as many results as the job has items needs neither a wait nor the store; before, a waiting reader with such a position made the owner read its log every 300 ms. Test: a_position_beyond_the_last_item_needs_no_wait_and_no_store (waited before).

--- a/crates/samphiredoor-core/src/ordered/reader.rs
+++ b/crates/samphiredoor-core/src/ordered/reader.rs
@@ -62,7 +62,7 @@
 impl KnownResults<'_> {
     /// Answers a reader. Its wait is over if its time is up or if the job is closed here.
     pub fn answer(&self, reader: &Reader, wait_is_over: bool, store_is_lost: bool) -> Answer {
-        if reader.after < self.committed || self.is_complete() {
+        if reader.after < self.committed || reader.after >= self.total {
             return Answer::Page { from: reader.after };
         }
         match wait_is_over {
@@ -78,12 +78,7 @@
         let is_end_known = self.end.is_seen_since(reader.arrived_ms)
             || self.is_only_writer_until(reader.arrived_ms)
                 && self.end.is_known_to(reader.arrived_ms);
-        self.is_complete() || reader.after <= self.committed && is_end_known
-    }
-
-    /// Whether all items have a result.
-    fn is_complete(&self) -> bool {
-        self.committed == self.total
+        reader.after >= self.total || reader.after <= self.committed && is_end_known
     }
 
     /// Whether only writes whose answers are known can have been made by owners until a time. Former owners count in
--- a/crates/samphiredoor-core/tests/ordered/reader.rs
+++ b/crates/samphiredoor-core/tests/ordered/reader.rs
@@ -63,6 +63,16 @@
     assert_eq!(answer(&known, TOTAL + 1), Answer::Page { from: TOTAL + 1 });
 }
 
+#[test]
+fn a_position_beyond_the_last_item_needs_no_wait_and_no_store() {
+    let end = LogEnd::unread(0, true);
+    let known = KnownResults { ownership: Ownership::InDoubt, ..owner(&end) };
+    for after in [TOTAL, TOTAL + 1] {
+        let answered = known.answer(&reader_after(after), false, true);
+        assert_eq!(answered, Answer::Page { from: after });
+    }
+}
+
 #[test]
 fn a_reader_that_has_all_waits_until_its_time_is_over() {
     let end = LogEnd::of_new_job();
