--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -9,7 +9,8 @@
 //!
 //! A gateway that starts takes a large copy from a mirror of its region before it asks the store: if all gateways of a region
 //! are killed at once, even the first page of a list would fill a link to another region for seconds. Where a kind has so many
-//! objects that a gateway reads only its first pages from the store, gateways wait for the copy of their own region. A copy of that size is refreshed by the changes since the last one instead of a new list.
+//! objects that a gateway reads only its first pages from the store, gateways wait for the copy of their own region. A copy of
+//! that size is refreshed by the changes since the last one instead of a new list.
 //!
 //! If all gateways are killed within seconds of an outage, callers are served nevertheless. The cost is a few calls a
 //! minute for each storage host, at a tenth of a call's price.
