gateway: a reload signal never ends a process

Seen once: a_reload_signal_ends_no_process at a load of 32, the storage process confirmed nothing after SIGHUP. By reading: the handler was installed some time after the process had logged its start, and the signal library restores the default action between two waits, so that a signal before or between them ends the process. The test sends 20 in a row now; it was green three times without the change as well, so that the red run is not reproduced.

--- a/crates/samphiredoor-gateway/src/signals.rs
+++ b/crates/samphiredoor-gateway/src/signals.rs
@@ -2,12 +2,24 @@
 
 use std::pin::pin;
 
-use futures_util::future::{Either, select};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
 
 /// Reload of the settings.
 pub const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
+/// Keeps a signal from ending the process from now on. [`wait_for`] installs a handler only while it waits, so that without
+/// this a signal that arrives before or between two waits ends the process.
+pub fn keep_handled(signal: i32) {
+    let mut kept = Box::pin(wait_for(signal));
+    if kept.as_mut().now_or_never().is_none() {
+        std::mem::forget(kept);
+    }
+}
+
 /// Waits for one signal; waits forever if the signal handler cannot be installed.
 pub async fn wait_for(signal: i32) {
     if let Err(err) = compio::signal::unix::signal(signal).await {
--- a/crates/samphiredoor/tests/it/platform/stops.rs
+++ b/crates/samphiredoor/tests/it/platform/stops.rs
@@ -45,6 +45,9 @@
     assert!(results.iter().all(|it| it["text"] == target.text()));
 }
 
+/// Reload signals in a row.
+const RELOADS: usize = 20;
+
 // SIGHUP reloads the settings. It must not end a gateway whose settings have not changed, nor a storage process, which does
 // not reload.
 #[test]
@@ -53,8 +56,10 @@
     platform.start_target("t-1", Duration::from_millis(2));
     platform.start_gateway();
     let storage = platform.start_storage("store-1");
-    platform.signal(0, "HUP");
-    storage.signal("HUP");
+    for _ in 0..RELOADS {
+        platform.signal(0, "HUP");
+        storage.signal("HUP");
+    }
     thread::sleep(Duration::from_millis(100));
     platform.store.put("retirements", "store-2", json!({ "overS": 5 }));
     wait_until("the storage process still confirms requests", || {
