placement: an item cancelled while it is dispatched frees its slot

Cause: a ticket that is dropped before its holder has read the decision sends `Cancelled`, and the placement removed such a request from its queues only. If it had been dispatched meanwhile it counted as running for ever. A gateway that loses a job drops all its runs at once: each one at a target frees its slot, which the placement gives to the next item, whose `Cancelled` is behind in the channel. So all slots for items went to items that nobody ran, and stayed theirs: 3 targets, 7 items each. The gateway sent these loads to its peers in every status, so the owners of jobs saw full targets as well, until the first gateway restarts.

Ruled out by the traces: stale numbers of waiting items (the share was not the limit), backoff, targets not ready or of another cell, unaccounted load, preemptions that the peers wait for, slots of the stand-in's targets (no gateway sent anything).

Change: `Cancelled` of a request that was dispatched ends its attempt as cut, as the drop of a ticket that has read its decision does.

Tests: an_item_that_is_cancelled_while_it_is_dispatched_frees_its_slot (red before: 7 items counted at the target), and the invariants of random events also cancel dispatched requests (red before: "no request is counted twice" after 8 items and one cancellation).

Conclusion: the items waited for slots that the former owner had lost track of.

--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -134,9 +134,9 @@
         /// Outcome of the attempt.
         end: AttemptEnd,
     },
-    /// The caller no longer waits for a queued request.
+    /// The caller no longer waits for a decision on a request, which may have been dispatched meanwhile.
     Cancelled {
-        /// Request to remove from its queue.
+        /// Request to remove from its queue, or whose slot to free.
         request: RequestId,
     },
     /// A target reported its load.
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -141,13 +141,7 @@
             Input::CellTargets(targets) => self.set_cell_targets(targets),
             Input::Request(spec) => self.place_request(now_ms, spec, out),
             Input::Ended { request, end } => self.attempt_ended(now_ms, request, end),
-            Input::Cancelled { request } => {
-                for queues in self.queues.values_mut() {
-                    queues.online.remove(request);
-                    queues.batch.remove(request);
-                }
-                self.state_changed = true;
-            }
+            Input::Cancelled { request } => self.cancel(now_ms, request),
             Input::LoadReport { target, load } => {
                 if let Some(target) = self.targets.get_mut(&name_hash(&target)) {
                     target.record_report(now_ms, load);
@@ -245,6 +239,16 @@
         self.queues.entry(Name::clone(&spec.service)).or_default()
     }
 
+    // The request may have been dispatched before its caller, who did not know, gave it up.
+    fn cancel(&mut self, now_ms: u64, request: RequestId) {
+        for queues in self.queues.values_mut() {
+            queues.online.remove(request);
+            queues.batch.remove(request);
+        }
+        self.attempt_ended(now_ms, request, AttemptEnd::Cut);
+        self.state_changed = true;
+    }
+
     fn attempt_ended(&mut self, now_ms: u64, request: RequestId, end: AttemptEnd) {
         let Some(running) = self.running.remove(&request) else { return };
         if let Some(target) = self.targets.get_mut(&running.target) {
--- a/crates/samphiredoor-core/tests/placement/invariants.rs
+++ b/crates/samphiredoor-core/tests/placement/invariants.rs
@@ -26,6 +26,7 @@
     Request(bool),
     End(usize, AttemptEnd),
     Cancel(usize),
+    CancelDispatched(usize),
     Peer(u8, u32, u32),
     Report(usize, u32),
     Targets(u8, u8),
@@ -49,6 +50,7 @@
         8 => any::<bool>().prop_map(Step::Request),
         6 => (any::<usize>(), end()).prop_map(|(which, end)| Step::End(which, end)),
         1 => any::<usize>().prop_map(Step::Cancel),
+        1 => any::<usize>().prop_map(Step::CancelDispatched),
         2 => (0..3_u8, 0..12_u32, 0..6_u32).prop_map(|(d, o, b)| Step::Peer(d, o, b)),
         1 => (0..TARGETS, 0..20_u32).prop_map(|(target, load)| Step::Report(target, load)),
         1 => (any::<u8>(), any::<u8>()).prop_map(|(present, ready)| Step::Targets(present, ready)),
@@ -140,7 +142,12 @@
                 let request = model.waiting.remove(which % model.waiting.len());
                 fixture.input(Input::Cancelled { request })
             }
-            Step::End(..) | Step::Cancel(_) => Vec::new(),
+            // The caller does not know yet that the request was dispatched.
+            Step::CancelDispatched(which) if !model.running.is_empty() => {
+                let (request, _) = model.running.remove(which % model.running.len());
+                fixture.input(Input::Cancelled { request })
+            }
+            Step::End(..) | Step::Cancel(_) | Step::CancelDispatched(_) => Vec::new(),
             Step::Peer(peer, online, batch) => fixture
                 .peer(["a", "p", "z"][usize::from(peer)], &[("t-0", online, batch), ("t-9", 1, 1)]),
             Step::Report(target, load) => fixture.report(&format!("t-{target}"), load, 0),
--- a/crates/samphiredoor-core/tests/placement/scenarios.rs
+++ b/crates/samphiredoor-core/tests/placement/scenarios.rs
@@ -2,7 +2,7 @@
 
 use samphiredoor_core::{
     dispatch::{Class, RequestId},
-    placement::{Action, AttemptEnd, Input, TargetState},
+    placement::{Action, AttemptEnd, GatewayState, Input, TargetState},
     verdict::Refusal,
 };
 
@@ -250,6 +250,25 @@
     assert_eq!(started(&fixture.wait(1_600)), 6);
 }
 
+// A job leaves the gateway: each of its runs that ends gives its slot to an item whose cancellation is already under way.
+#[test]
+fn an_item_that_is_cancelled_while_it_is_dispatched_frees_its_slot() {
+    let mut fixture = Fixture::with_targets(1);
+    let items: Vec<_> = (0..3 * SLOTS).map(|_| fixture.request(Class::Batch)).collect();
+    let (running, waiting): (Vec<_>, Vec<_>) =
+        items.into_iter().partition(|(_, actions)| started(actions) > 0);
+    assert_eq!(running.len(), (SLOTS - RESERVED) as usize);
+    for (request, _) in running {
+        assert_eq!(started(&fixture.end(request, AttemptEnd::Cut)), 1);
+    }
+    for (request, _) in waiting {
+        fixture.input(Input::Cancelled { request });
+    }
+    assert_eq!(fixture.placement.state(), GatewayState::default());
+    let (request, actions) = fixture.request(Class::Batch);
+    assert_eq!(sent_to(request, &actions).as_deref(), Some("t-0"));
+}
+
 /// A gateway that has recorded the run time of an item, and whose only target is full of items.
 fn full_of_items() -> (Fixture, Vec<RequestId>) {
     let mut fixture = Fixture::with_targets(1);
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -151,7 +151,7 @@
 }
 
 /// A request that waits for a slot at a target or holds one. Dropping it frees the slot and records the attempt as cut,
-/// or removes the request from the queue.
+/// or removes the request from the queue. A slot that was given meanwhile, in a decision that was not read, is freed too.
 pub struct Ticket {
     request: RequestId,
     decisions: flume::Receiver<Decision>,
