--- a/crates/samphiredoor-core/tests/reads/scenarios.rs
+++ b/crates/samphiredoor-core/tests/reads/scenarios.rs
@@ -1,8 +1,9 @@
 //! Bounds under which all states are explored.
 
 use super::{
+    actions::{Action, Bounds, Rules},
     explorer::{Explored, Model, explore},
-    world::{Action, Bounds, Rules, World},
+    world::World,
 };
 
 /// What gateways do.
@@ -146,12 +147,11 @@
     assert_eq!(found, "no result at position 0, where 1 had been read");
 }
 
-// An owner that reads its header after a gap counts as the only one, while a takeover that was sent before is under way.
+// Guards against an owner that reads its header after a gap, before a takeover that was sent earlier takes effect.
 #[test]
-fn a_takeover_that_takes_effect_after_the_owner_has_read_its_header_is_found() {
+fn reads_never_go_back_after_a_late_takeover() {
     let bounds = Bounds { results: 1, gaps: 1, late_takeovers: 1, reads: 1, ..Bounds::default() };
-    let found = violation(RULES, bounds);
-    assert_eq!(found, "no result at position 0, where 1 had been read");
+    assert!(check(RULES, bounds, usize::MAX).is_complete);
 }
 
 // A task that does not read on after its job was closed answers less, and nothing wrong.
