What a newcomer stumbled over: names, comments, steps of functions; a start from a large copy is logged

The check of the ownership and the stop of runs of an isolated gateway are two functions; a reread of the log is a step of the task; whether a write is under way, and whether a peer has read the list of gateways, are asked in one place; the role in the watches is decided once. A gateway that starts from a large copy of a mirror logs that as other starts do.

--- a/crates/samphiredoor-core/src/ordered/log_end.rs
+++ b/crates/samphiredoor-core/src/ordered/log_end.rs
@@ -9,7 +9,7 @@
 
 use crate::store::{StoreAnswer, StoreOp};
 
-/// Time after which a write without an answer can no longer take effect.
+/// Time after a write was given up, or its process has ended, from which it can no longer take effect.
 pub const LATE_WRITE_MS: u64 = 6_000;
 
 /// Kind of a call of the log.
@@ -139,7 +139,7 @@
     }
 
     /// Whether no segment can have been appended since the end was seen.
-    fn is_settled(&self) -> bool {
+    pub fn is_settled(&self) -> bool {
         !self.others_append && self.unread_until_ms().is_none_or(|it| self.seen_at_ms >= Some(it))
     }
 
--- a/crates/samphiredoor-core/src/ordered/reader.rs
+++ b/crates/samphiredoor-core/src/ordered/reader.rs
@@ -75,10 +75,9 @@
 
     /// Whether no caller can have been given a result that is not held here before a reader arrived.
     pub fn has_all_for(&self, reader: &Reader) -> bool {
-        let is_end_known = self.end.is_seen_since(reader.arrived_ms)
-            || self.is_only_writer_until(reader.arrived_ms)
-                && self.end.is_known_to(reader.arrived_ms);
-        reader.after >= self.total || reader.after <= self.committed && is_end_known
+        let is_settled = self.end.is_settled() && self.is_only_writer_until(reader.arrived_ms);
+        let is_end_known = is_settled || self.end.is_seen_since(reader.arrived_ms);
+        reader.after >= self.total || (reader.after <= self.committed && is_end_known)
     }
 
     /// Whether only writes whose answers are known can have been made by owners until a time. Former owners count in
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -239,7 +239,7 @@
         self.queues.entry(Name::clone(&spec.service)).or_default()
     }
 
-    // The request may have been dispatched before its caller, who did not know, gave it up.
+    /// Removes a request that its caller gave up from its queue, or frees its slot if it was dispatched meanwhile.
     fn cancel(&mut self, now_ms: u64, request: RequestId) {
         for queues in self.queues.values_mut() {
             queues.online.remove(request);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -32,6 +32,7 @@
     pub(super) fn lose_ownership(&mut self) {
         log::info!(job = &*self.ownership.job; "job: another process owns it");
         self.env.metrics.job_event("lost");
+        // This process no longer knows whether the job is closed; its owner answers cancellations.
         self.ownership.header.finished = false;
         self.stop_runs();
         self.phase = Phase::Done;
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -259,10 +259,8 @@
         match message {
             JobMessage::Read { after, until, reply } => {
                 let arrived_ms = self.env.clock.now().mono_ms;
-                if after > self.log.committed().len() && after <= self.items.len() as usize {
-                    self.log_end.other_writer_seen(arrived_ms);
-                }
                 let read = Reader { after, arrived_ms };
+                self.note_reader(&read);
                 self.readers.push(WaitingReader { read, until, reply });
             }
             JobMessage::Item { id, reply } => {
@@ -290,6 +288,9 @@
     /// Takes all steps that are due in the current state.
     fn advance(&mut self) {
         let now = Instant::now();
+        if self.phase == Phase::Running {
+            self.suspend_if_isolated();
+        }
         if self.is_active() {
             self.recheck_ownership(now);
         }
@@ -304,6 +305,7 @@
         self.update_log_end();
         self.advance_log(now);
         self.answer_readers(now);
+        self.reread_log(now);
         match self.phase {
             Phase::Running if self.is_complete() => self.close("finished"),
             Phase::HandingOver(until) => self.hand_over(now, until),
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -8,7 +8,7 @@
 use log::Level;
 use samphiredoor_core::{
     ordered::{
-        Answer, ItemResult, JobOwner, KnownResults, LogCall, LogStep, Ownership, header_key,
+        Answer, ItemResult, JobOwner, KnownResults, LogCall, LogStep, Ownership, Reader, header_key,
     },
     store::{StoreAnswer, StoreOp},
 };
@@ -138,7 +138,14 @@
                 None => self.readers.push(reader),
             }
         }
-        self.reread_log(now);
+    }
+
+    /// Notes a reader that has more results than are held here: it got them from another writer.
+    pub(super) fn note_reader(&mut self, read: &Reader) {
+        let (committed, total) = (self.log.committed().len(), self.items.len() as usize);
+        if committed < read.after && read.after <= total {
+            self.log_end.other_writer_seen(read.arrived_ms);
+        }
     }
 
     /// Logs what decided an answer: how many results are known here, and whether there may be more. Answers with results
@@ -173,23 +180,29 @@
     /// Until when a reader waits. The answer to a write under way mostly comes sooner than a read of the store could be
     /// answered, which costs several calls.
     pub(super) fn waits_until(&self, reader: &WaitingReader) -> Instant {
-        let is_writing = self.log_call.is_some_and(|it| it.is_write());
-        reader.until + if is_writing { WRITE_ANSWER_WAIT } else { Duration::ZERO }
+        reader.until + if self.is_writing() { WRITE_ANSWER_WAIT } else { Duration::ZERO }
+    }
+
+    /// Whether a write of the log is under way.
+    fn is_writing(&self) -> bool {
+        self.log_call.is_some_and(|it| it.is_write())
     }
 
     /// What is known here of the job's results now.
     fn known_results(&self) -> KnownResults<'_> {
         let now_ms = self.env.clock.now().mono_ms;
-        let ownership = match self.owns_since_last_gap() {
-            _ if self.finish_written => Ownership::Final,
-            true => Ownership::HeldUntil(now_ms),
-            false => Ownership::InDoubt,
+        let ownership = if self.finish_written {
+            Ownership::Final
+        } else if self.owns_since_last_gap() {
+            Ownership::HeldUntil(now_ms)
+        } else {
+            Ownership::InDoubt
         };
         KnownResults {
             committed: self.log.committed().len(),
             total: self.items.len() as usize,
             end: &self.log_end,
-            is_writing: self.log_call.is_some_and(|it| it.is_write()),
+            is_writing: self.is_writing(),
             ownership,
         }
     }
@@ -216,7 +229,7 @@
     }
 
     /// Reads on in the log if it is due.
-    fn reread_log(&mut self, now: Instant) {
+    pub(super) fn reread_log(&mut self, now: Instant) {
         if self.reread_at().is_none_or(|it| it > now) {
             return;
         }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -31,15 +31,19 @@
 
 impl JobTask {
     /// Stops the runs while only this process does not reach the store: other gateways take over its jobs then, and it
-    /// could notice neither that nor a cancellation. Afterwards, and whenever something waits for it, reads from the store
-    /// whether this process still owns the job and may run it.
-    pub(super) fn recheck_ownership(&mut self, now: Instant) {
-        let isolated = self.env.is_isolated_from_store();
-        if isolated && !self.suspended && self.phase == Phase::Running {
+    /// would notice neither that nor a cancellation.
+    pub(super) fn suspend_if_isolated(&mut self) {
+        if self.env.is_isolated_from_store() && !self.suspended {
             log::info!(job = &*self.ownership.job; "job: runs stopped, the store answers other gateways but not this one");
             self.suspended = true;
             self.stop_runs();
-        } else if !isolated && self.wants_ownership_check(now) && self.may_check() {
+        }
+    }
+
+    /// Reads from the store whether this process still owns the job and may run it, if something waits for that.
+    pub(super) fn recheck_ownership(&mut self, now: Instant) {
+        let is_isolated = self.env.is_isolated_from_store();
+        if !is_isolated && self.wants_ownership_check(now) && self.may_check() {
             self.check_ownership();
         }
     }
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -4,7 +4,7 @@
 //! one. `job_task` runs a job that this process owns, `item_run` runs one of its items. `reads` answers callers and
 //! other gateways, `peer_call` is the protocol between gateways, and `stored` reads jobs from the store. `orphan_scan`
 //! takes over jobs whose owner is dead. After `liveness_gaps`, in which other gateways may have taken over or cancelled
-//! a job, `send_permit` holds its items back until the store has been read again.
+//! a job, `send_permit` holds its items back, and `job_task` its writes, until the store has been read again.
 
 mod directory;
 pub mod forward;
--- a/crates/samphiredoor-gateway/src/jobs/reads.rs
+++ b/crates/samphiredoor-gateway/src/jobs/reads.rs
@@ -433,10 +433,10 @@
         timeout: Duration,
     ) -> Option<Response<Body>> {
         let pool = self.pool(address);
-        let (status, body) = exchange(&pool, call, timeout).await.or_else(|| {
+        let Some((status, body)) = exchange(&pool, call, timeout).await else {
             log::info!(call:? = call, peer:% = address; "job: another gateway did not answer");
-            None
-        })?;
+            return None;
+        };
         log::debug!(call:? = call, peer:% = address, status = status.as_u16(); "job: another gateway answered");
         if status != StatusCode::OK && status != StatusCode::NOT_FOUND {
             return None;
--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -278,16 +278,8 @@
         let mut addresses = addresses.to_vec();
         addresses.shuffle(&mut rand::rng());
         for address in addresses {
-            let sent = Instant::now();
             match fetch(address, kind, mirror_use).await {
-                Some(list) => {
-                    log::info!(
-                        kind = kind.path(), mirror:% = address, objects = list.objects.len(),
-                        reason = mirror_use.label(), elapsed_ms = sent.elapsed().as_millis() as u64;
-                        "mirror: starting from the last copy of another process"
-                    );
-                    return Some(list);
-                }
+                Some(list) => return Some(list),
                 None => {
                     log::info!(kind = kind.path(), mirror:% = address; "mirror: no answer");
                 }
@@ -326,7 +318,19 @@
     (fetched.status == StatusCode::OK).then_some(fetched.body)
 }
 
+/// Fetches a copy, and logs that this process starts from it.
 async fn fetch(address: SocketAddr, kind: Kind, mirror_use: MirrorUse) -> Option<ObjectList> {
+    let sent = Instant::now();
+    let list = fetch_copy(address, kind, mirror_use).await?;
+    log::info!(
+        kind = kind.path(), mirror:% = address, objects = list.objects.len(),
+        reason = mirror_use.label(), elapsed_ms = sent.elapsed().as_millis() as u64;
+        "mirror: starting from the last copy of another process"
+    );
+    Some(list)
+}
+
+async fn fetch_copy(address: SocketAddr, kind: Kind, mirror_use: MirrorUse) -> Option<ObjectList> {
     let query = match mirror_use {
         MirrorUse::LargeCopy => format!("?{LARGE_ONLY}"),
         MirrorUse::StoreLost | MirrorUse::LargeList => String::new(),
--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -7,7 +7,7 @@
 };
 
 use compio::net::UdpSocket;
-use samphiredoor_core::{Name, store::Version};
+use samphiredoor_core::Name;
 
 use super::{
     CellStatuses, JobOwners, Owner, Roster, RunLimits,
@@ -53,7 +53,7 @@
     async fn apply(&self, bytes: &[u8], from: SocketAddr) {
         match Datagram::decode(bytes) {
             Ok(Datagram::Status(status)) => {
-                if status.seen.gateways != Version::default() {
+                if status.knows_gateways() {
                     self.roster.record_introducer(from);
                 }
                 self.apply_status(status);
--- a/crates/samphiredoor-gateway/src/peers/registration.rs
+++ b/crates/samphiredoor-gateway/src/peers/registration.rs
@@ -24,7 +24,8 @@
 /// Time that a newly registered process waits before it reads changes of the other entries. Gateways that start
 /// together have registered by then, so their entries arrive in one batch instead of one by one.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(1_200);
-/// Changes of the store up to which all gateways that start together may read them: a few ten kilobytes.
+/// Number of changes of the store since the first list of gateways up to which each gateway reads them at once. They take
+/// some tens of kilobytes.
 const FEW_CHANGES: u64 = 100;
 /// Longest time that a process of a large fleet waits for a gateway that has read the list of gateways, and how often it
 /// checks for one. The wait is random, so that a few gateways read the list first.
--- a/crates/samphiredoor-gateway/src/peers/roster.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster.rs
@@ -45,7 +45,8 @@
     started: Instant,
     /// When the first complete list of gateways was applied.
     listed: Rc<Cell<Option<Instant>>>,
-    /// Gateway that knew the gateways before this process.
+    /// Last gateway that reported that it has read the list of gateways, while this process has not; its watches go through
+    /// that one.
     introducer: Rc<Cell<Option<SocketAddr>>>,
     peers: Rc<RefCell<BTreeMap<Name, Peer>>>,
     /// Names of the peers by [`name_hash`], which summaries identify gateways by.
--- a/crates/samphiredoor-gateway/src/peers/status.rs
+++ b/crates/samphiredoor-gateway/src/peers/status.rs
@@ -51,6 +51,11 @@
 }
 
 impl Status {
+    /// Whether its sender has read the list of gateways.
+    pub fn knows_gateways(&self) -> bool {
+        self.seen.gateways != Version::default()
+    }
+
     /// Writes the status into a datagram, up to the limits of its lists.
     pub fn write(&self, mut root: gateway_status::Builder<'_>) {
         root.set_name(&self.name);
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -29,7 +29,7 @@
     readiness::Readiness,
     routes::Routes,
     seen_versions::SeenVersion,
-    signals::{SIGHUP, keep_handled, wait_for, wait_for_stop},
+    signals::{SIGHUP, keep_from_ending, wait_for, wait_for_stop},
     store_health::StoreHealth,
     target_client::TargetClient,
     watch::Watcher,
@@ -87,7 +87,7 @@
         .with_context(|| format!("peers.address: cannot bind {peers} for UDP"))?;
     let stop_callers = callers.stop_handle();
     let parts = start(&config, &platform, peers, Rc::new(socket));
-    keep_handled(SIGHUP);
+    keep_from_ending(SIGHUP);
     log::info!(
         name = &*config.common.name, callers:% = callers.local_addr()?,
         readiness:% = readiness.local_addr()?, peers:% = peers;
--- a/crates/samphiredoor-gateway/src/storage.rs
+++ b/crates/samphiredoor-gateway/src/storage.rs
@@ -19,7 +19,7 @@
     mirror::Mirror,
     platform_api::{Change, Platform},
     process::{bind, internal_limits},
-    signals::{SIGHUP, keep_handled, wait_for, wait_for_stop},
+    signals::{SIGHUP, keep_from_ending, wait_for, wait_for_stop},
     watch::{StoreEvent, Watcher},
 };
 
@@ -44,7 +44,7 @@
     let runtime = compio::runtime::Runtime::new().context("the runtime cannot start")?;
     let platform = platform(&config.common);
     runtime.block_on(async {
-        keep_handled(SIGHUP);
+        keep_from_ending(SIGHUP);
         let mirror = match config.mirror {
             Some(address) => {
                 let region = Name::clone(&config.common.location.region);
--- a/crates/samphiredoor-gateway/src/watch.rs
+++ b/crates/samphiredoor-gateway/src/watch.rs
@@ -67,12 +67,12 @@
 /// Small reads that the store has to answer before a gateway asks for changes in place of those that precede it. By then one
 /// of them has reported that it reaches the store, if it does.
 const PROBES_BEFORE_TURN: u32 = 3;
-/// Longest time from the start of a process in which its watch of targets waits for the list of gateways, and how often it
-/// checks for that. Until then it does not know the relay of its cell.
+/// Longest wait of a watch for the list of gateways after the start of a process, and the interval of its checks. Until then
+/// the relay of its cell is unknown.
 const MAX_FLEET_WAIT: Duration = Duration::from_secs(5);
 const FLEET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Longest time of a small read after which a gateway may ask the store for what its relay does not have yet. A store that is
-/// slow answers within some hundred milliseconds.
+/// Time limit of the small read before a gateway asks the store for what its relay does not have yet. A slow store answers
+/// within some hundred milliseconds.
 const BYPASS_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the first list may send nothing before mirrors are queried. The store answers in a few milliseconds, and a
 /// caller that is refused retries after some hundred.
@@ -498,17 +498,14 @@
 
     /// Whether the watch may go on after failures. A gateway that no other precedes finds that out by its next watch.
     async fn may_resume(&mut self) -> bool {
-        let role = self.role();
-        if role == WatchRole::First {
-            return true;
-        }
+        let probes_needed = match self.role() {
+            WatchRole::First => return true,
+            WatchRole::Through(_) => 1,
+            WatchRole::AfterOthers => PROBES_BEFORE_TURN,
+        };
         self.is_behind = false;
         self.answered_probes = if self.probe_store().await { self.answered_probes + 1 } else { 0 };
-        match role {
-            WatchRole::First => true,
-            WatchRole::Through(_) => self.answered_probes > 0,
-            WatchRole::AfterOthers => self.answered_probes >= PROBES_BEFORE_TURN,
-        }
+        self.answered_probes >= probes_needed
     }
 
     /// Whether the store can be asked for changes that the relay does not have yet. Where even a small read takes long, the
