--- a/crates/samphiredoor-standin/src/soak/isolation.rs
+++ b/crates/samphiredoor-standin/src/soak/isolation.rs
@@ -1,5 +1,5 @@
-//! Drill: the owner of a job is isolated from the store while the job is cancelled, a write of it takes effect late, and
-//! it is killed and restarted some seconds later. What callers have read of the job before, meanwhile and after it is
+//! Drill: the owner of a job is isolated from the store while the job is cancelled, a write of the owner takes effect
+//! late, and the owner is killed and restarted some seconds later. What callers have read of the job before, meanwhile and after it is
 //! checked at all gateways.
 
 use std::time::{Duration, Instant};
@@ -163,13 +163,11 @@
         });
     }
 
-    /// Reads the job until the store has received another object.
+    /// Reads the job until the store has received a segment of results, which only the owner sends.
     fn read_until_write(&mut self, injector: &Injector<'_>, owner: usize) {
         let gateways = self.final_checks.gateways;
-        let writes = || -> u64 {
-            let calls = injector.platform.store.calls();
-            calls.iter().filter(|(call, _)| call.starts_with("POST")).map(|(_, count)| count).sum()
-        };
+        let writes =
+            || injector.platform.store.calls().get("POST jobsegments").copied().unwrap_or(0);
         let before = writes();
         self.final_checks.wait_for(Instant::now() + HELD_WRITE_TIMEOUT, || {
             self.read_at((owner + 1) % gateways);
--- a/crates/samphiredoor-standin/src/soak/read_history.rs
+++ b/crates/samphiredoor-standin/src/soak/read_history.rs
@@ -64,7 +64,8 @@
         self.0.push(FirstRead { id, bytes, gateway, at: Instant::now() });
     }
 
-    /// Whether a position was read before with the same bytes; describes the difference if there is one.
+    /// Compares a result with the first read of its position; the error describes the difference. `None` if the position
+    /// was not read before.
     pub fn compare(
         &self,
         read: &SentRead,
