--- a/crates/samphiredoor/tests/it/platform/cancellations.rs
+++ b/crates/samphiredoor/tests/it/platform/cancellations.rs
@@ -26,7 +26,7 @@
 
 /// Starts gateways that receive each other's heartbeats, with a target that is slow enough for a job to run for a
 /// while.
-fn gateways(count: usize) -> (Platform, PlatformTarget) {
+pub fn gateways(count: usize) -> (Platform, PlatformTarget) {
     let mut platform = Platform::new(BINARY);
     let target = platform.start_target("t-1", SLOW);
     for _ in 0..count {
--- a/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
+++ b/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
@@ -5,13 +5,12 @@
 use samphiredoor_standin::{platform_store::StoreFault, platform_target::PlatformTarget};
 use serde_json::Value;
 
-use super::env::{BINARY, Platform};
+use super::{cancellations::gateways, env::Platform};
 use crate::env::wait_until;
 
 const JOB: &str = "job-1";
 /// Enough to run for about twenty seconds.
 const ITEMS: usize = 200;
-const PAUSE: Duration = Duration::from_millis(150);
 /// More runs than the target does at a time, so that the first ones have ended.
 const RUNS_AFTER_FIRST_RESULTS: usize = 10;
 /// Time in which an owner reads a short log after its takeover. It writes results seconds later.
@@ -19,20 +18,6 @@
 /// Longer than a write that was not answered can still take effect.
 const LATE_WRITES_OVER: Duration = Duration::from_secs(8);
 
-fn gateways(count: usize) -> (Platform, PlatformTarget) {
-    let mut platform = Platform::new(BINARY);
-    let target = platform.start_target("t-1", PAUSE);
-    for _ in 0..count {
-        platform.start_gateway();
-    }
-    for by in 0..count {
-        for of in (0..count).filter(|it| *it != by) {
-            platform.wait_logged(by, &format!("peers: peer is live peer=gateway-{of} "));
-        }
-    }
-    (platform, target)
-}
-
 fn calls(platform: &Platform, call: &str) -> u64 {
     platform.store.calls().get(call).copied().unwrap_or(0)
 }
