--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -39,12 +39,13 @@
     },
 }
 
-#[derive(Debug, Default)]
-struct Tries {
+/// How often an item was run without a final result.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tries {
     /// Runs that failed at a target.
-    failed: u32,
+    pub failed: u32,
     /// Runs without an answer.
-    unanswered: u32,
+    pub unanswered: u32,
 }
 
 /// The items of one job, and how often each was tried.
@@ -84,6 +85,11 @@
         Some((at as u32, &self.items[at]))
     }
 
+    /// How often an item was run so far without a final result.
+    pub fn tries(&self, item: u32) -> Tries {
+        self.tries.get(&item).copied().unwrap_or_default()
+    }
+
     /// Records the outcome of a run. Only failures reported by targets count against the limit: a lost answer is no evidence
     /// about the item.
     pub fn run_ended(&mut self, item: u32, end: ItemEnd) -> ItemStep {
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -82,6 +82,11 @@
         &self.committed
     }
 
+    /// Results that are yet to be appended.
+    pub fn pending(&self) -> &[ItemResult] {
+        &self.pending
+    }
+
     /// Whether an item has a committed result.
     pub fn has_result(&self, item: u32) -> bool {
         self.committed_items.contains(&item)
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -26,7 +26,7 @@
     JobHeader, JobOwner, PART_BYTES, Segment, read_header, read_part, read_segment,
     split_into_parts,
 };
-pub use items::{ItemEnd, ItemStep, Items};
+pub use items::{ItemEnd, ItemStep, Items, Tries};
 pub use job::{
     Item, ItemResult, JobName, Outcome, cancellation_key, header_key, job_name, part_key,
     segment_key,
--- a/crates/samphiredoor-core/src/quarantine/mod.rs
+++ b/crates/samphiredoor-core/src/quarantine/mod.rs
@@ -11,6 +11,7 @@
 //! the age of the entries are bounded.
 
 mod config;
+mod fingerprint;
 mod list;
 mod messages;
 mod suspects;
@@ -21,6 +22,7 @@
 };
 
 pub use config::QuarantineConfig;
+pub use fingerprint::fingerprint;
 pub use list::ListInput;
 pub use messages::{AttemptOutcome, QuarantineAction, QuarantineInput};
 pub use suspects::{QUARANTINE_DEATHS, Suspect};
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -20,6 +20,7 @@
     access::Workspace,
     dispatch::Class,
     placement::{AttemptEnd, RequestSpec},
+    quarantine,
     routes::Route,
     verdict::{MayHaveRunReason, Refusal},
 };
@@ -384,12 +385,26 @@
             AttemptEnd::Cut => "deadline",
         };
         self.front.metrics.retried(label);
+        // Finds all requests with the same content, which each have an id of their own.
+        let fingerprint = match end {
+            AttemptEnd::Lost | AttemptEnd::Silent => format!("{:016x}", self.fingerprint()),
+            _ => String::new(),
+        };
         log::info!(
-            request = self.id, target = &**target, end = label, sends = self.sends, runs = self.runs;
+            request = self.id, target = &**target, end = label, sends = self.sends, runs = self.runs,
+            attempts = self.route.attempts, fingerprint;
             "front: attempt ended"
         );
     }
 
+    /// Hash of what stays the same when the caller sends the request again.
+    fn fingerprint(&self) -> u64 {
+        let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+        let workspace = header(&self.front.dialect.headers().workspace);
+        let path = self.call.uri.path().as_bytes();
+        quarantine::fingerprint([workspace, header(&header::HOST), path, &self.call.body])
+    }
+
     fn report_load(&self, target: &Name, headers: &HeaderMap) {
         if let Some(load) = self.front.dialect.reported_load(headers) {
             self.front.placement.report_load(target, load);
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -203,7 +203,7 @@
             Some(Some(Err(SendError::MayHaveRun(_)))) => (Outcome::ResponseLost, AttemptEnd::Lost),
             Some(None) => (Outcome::ResponseLost, AttemptEnd::Silent),
         };
-        if end != AttemptEnd::Answered {
+        if !matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. })) {
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &*target, end:? = end,
                 after = self.last_event().unwrap_or(0);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -142,6 +142,11 @@
                 .or_insert_with(|| Rc::new(RefCell::new(Output::from_saved(output))));
         }
         let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.has_result(*it)).collect();
+        log::info!(
+            job = &*self.ownership.job, open = open.len(), standing = self.log.committed().len(),
+            unwritten = self.log.pending().len(), gap_count = self.owned_at_gap_count;
+            "job: items started"
+        );
         for item in open {
             self.start_run(item);
         }
@@ -186,14 +191,27 @@
         if self.log.has_result(item) || matches!(self.phase, Phase::Closing | Phase::Retained(_)) {
             return;
         }
+        let reason = if end == ItemEnd::Failed { "item_failed" } else { "item_unanswered" };
         match self.items.run_ended(item, end) {
             ItemStep::Record(result) => self.record(result),
             ItemStep::Retry { backoff_ms } => {
+                self.env.metrics.retried(reason);
+                self.log_retry(item, backoff_ms);
                 self.retries.push((Instant::now() + Duration::from_millis(backoff_ms), item));
             }
         }
     }
 
+    /// Logs what is known here of an item that is run again.
+    fn log_retry(&self, item: u32, backoff_ms: u64) {
+        let (tries, id) = (self.items.tries(item), self.items.get(item).map(|it| &*it.id));
+        log::info!(
+            job = &*self.ownership.job, item = id.unwrap_or_default(), failed = tries.failed,
+            unanswered = tries.unanswered, backoff_ms;
+            "job: item is run again"
+        );
+    }
+
     pub(super) fn record(&mut self, result: ItemResult) {
         self.outputs.remove(&result.item);
         self.log.push(result);
--- a/crates/samphiredoor/src/request_spec.rs
+++ b/crates/samphiredoor/src/request_spec.rs
@@ -9,6 +9,7 @@
     dispatch::{Class, RequestId, RequestSpec},
     ledger::service_in_path,
     manifest::ServiceKind,
+    quarantine,
 };
 use samphiredoor_net::Body;
 use serde::Deserialize;
@@ -105,19 +106,12 @@
 
 /// Hash that has the same value in every process and incarnation.
 pub fn hash(bytes: &[u8]) -> u64 {
-    high_bits(&blake3::hash(bytes))
-}
-
-fn high_bits(digest: &blake3::Hash) -> u64 {
-    let (first, _) = digest.as_bytes().split_at(8);
-    first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+    quarantine::fingerprint([bytes])
 }
 
 /// Hash of a request's path and body, which identifies the request in the quarantine if it crashes targets.
 pub fn fingerprint(path: &str, body: &[u8]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(path.as_bytes()).update(&[0]).update(body);
-    high_bits(&hasher.finalize())
+    quarantine::fingerprint([path.as_bytes(), body])
 }
 
 /// Value of a header, if it is present and visible ASCII.
