--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -2,7 +2,7 @@
 //! answers.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     io::{self, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -73,6 +73,8 @@
 struct State {
     /// Faults of the next requests, in order.
     faults: VecDeque<TargetFault>,
+    /// Faults of requests with an id, at each run.
+    faults_by_id: BTreeMap<String, TargetFault>,
     runs: Vec<Run>,
     events: u64,
     pause: Duration,
@@ -97,7 +99,8 @@
     /// No port can be listened on.
     pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let state = State { faults: VecDeque::new(), runs: Vec::new(), events, pause };
+        let (faults, faults_by_id) = (VecDeque::new(), BTreeMap::new());
+        let state = State { faults, faults_by_id, runs: Vec::new(), events, pause };
         let target = PlatformTarget {
             name: name.to_owned(),
             address: listener.local_addr()?,
@@ -133,6 +136,16 @@
         self.state().faults.extend((0..count).map(|_| fault));
     }
 
+    /// Sets the fault of all requests with this id, before any other; [`TargetFault::None`] ends it.
+    pub fn fail_always(&self, id: &str, fault: TargetFault) {
+        self.state().faults_by_id.insert(id.to_owned(), fault);
+    }
+
+    /// Number of runs of requests with this id.
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.state().runs.iter().filter(|it| it.id == id).count()
+    }
+
     /// Requests that started to run, in order.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -159,8 +172,10 @@
         (1..=events).map(event_data).collect::<Vec<String>>().join("\n")
     }
 
-    fn next_fault(&self) -> TargetFault {
-        self.state().faults.pop_front().unwrap_or_default()
+    fn next_fault(&self, id: &str) -> TargetFault {
+        let mut state = self.state();
+        let by_id = state.faults_by_id.get(id).copied();
+        by_id.or_else(|| state.faults.pop_front()).unwrap_or_default()
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -186,7 +201,7 @@
             write_answer(stream, "400 Bad Request", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
         }
-        let fault = self.next_fault();
+        let fault = self.next_fault(id);
         if fault == TargetFault::Full {
             write_answer(stream, "503 Service Unavailable", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -6,6 +6,7 @@
 mod env;
 mod jobs;
 mod reads_after_cancellation;
+mod repeats;
 mod slow_link;
 mod soak;
 mod stops;
