--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    failures::ItemFailure,
     job::{ItemResult, Outcome},
     outputs::OutputPart,
 };
@@ -164,6 +165,8 @@
     results: Vec<SegmentItem>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     outputs: Vec<OutputPart>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    failures: Vec<ItemFailure>,
 }
 
 /// Content of one segment of a job's log.
@@ -173,18 +176,20 @@
     pub results: Vec<ItemResult>,
     /// Partial outputs of items that were still running.
     pub outputs: Vec<OutputPart>,
+    /// Failures of items at targets since the segment before of the same writer.
+    pub failures: Vec<ItemFailure>,
 }
 
 /// Encodes a segment as a stored value.
-pub(super) fn segment_value(results: &[ItemResult], outputs: &[OutputPart]) -> Value {
-    let results = results.iter().map(|it| SegmentItem {
+pub(super) fn segment_value(segment: &Segment) -> Value {
+    let results = segment.results.iter().map(|it| SegmentItem {
         item: it.item,
         id: Arc::clone(&it.id),
         completed: it.outcome == Outcome::Completed,
         text: Arc::clone(&it.text),
     });
-    let (results, outputs) = (results.collect(), outputs.to_vec());
-    to_value(&StoredSegment { format: FORMAT, results, outputs })
+    let (outputs, failures) = (segment.outputs.clone(), segment.failures.clone());
+    to_value(&StoredSegment { format: FORMAT, results: results.collect(), outputs, failures })
 }
 
 /// Decodes a segment.
@@ -200,5 +205,6 @@
         outcome: if it.completed { Outcome::Completed } else { Outcome::Failed },
         text: it.text,
     });
-    Ok(Segment { results: results.collect(), outputs: segment.outputs })
+    let (outputs, failures) = (segment.outputs, segment.failures);
+    Ok(Segment { results: results.collect(), outputs, failures })
 }
--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -39,29 +39,21 @@
     },
 }
 
-/// How often an item was run without a final result.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Tries {
-    /// Runs that failed at a target.
-    pub failed: u32,
-    /// Runs without an answer.
-    pub unanswered: u32,
-}
-
 /// The items of one job, and how often each was tried.
 #[derive(Debug)]
 pub struct Items {
     items: Vec<Arc<Item>>,
     /// Number of failures at targets after which an item fails permanently.
     attempts: u32,
-    tries: BTreeMap<u32, Tries>,
+    /// Number of runs without an answer in this process, by item.
+    unanswered: BTreeMap<u32, u32>,
 }
 
 impl Items {
     /// Creates the state of these items, each of which fails permanently after this many failures at targets.
     pub fn new(items: Vec<Item>, attempts: u32) -> Items {
         let items = items.into_iter().map(Arc::new).collect();
-        Items { items, attempts: attempts.max(1), tries: BTreeMap::new() }
+        Items { items, attempts: attempts.max(1), unanswered: BTreeMap::new() }
     }
 
     /// Item with an index.
@@ -85,28 +77,23 @@
         Some((at as u32, &self.items[at]))
     }
 
-    /// How often an item was run so far without a final result.
-    pub fn tries(&self, item: u32) -> Tries {
-        self.tries.get(&item).copied().unwrap_or_default()
+    /// Number of runs of an item without an answer in this process.
+    pub fn unanswered(&self, item: u32) -> u32 {
+        self.unanswered.get(&item).copied().unwrap_or_default()
     }
 
-    /// Records the outcome of a run. Only failures reported by targets count against the limit: a lost answer is no evidence
-    /// about the item.
-    pub fn run_ended(&mut self, item: u32, end: ItemEnd) -> ItemStep {
-        let tries = self.tries.entry(item).or_default();
+    /// Records the outcome of a run. `failures` is the number of failures that targets reported of the item, by any owner
+    /// and with this run. Only these count against the limit: a lost answer is no evidence about the item.
+    pub fn run_ended(&mut self, item: u32, end: ItemEnd, failures: u32) -> ItemStep {
         match end {
             ItemEnd::Completed { text } => self.record(item, Outcome::Completed, text),
             ItemEnd::Impossible | ItemEnd::NoRoute => self.give_up(item),
-            ItemEnd::Failed => {
-                tries.failed += 1;
-                match tries.failed >= self.attempts {
-                    true => self.give_up(item),
-                    false => ItemStep::Retry { backoff_ms: backoff_ms(tries.failed) },
-                }
-            }
+            ItemEnd::Failed if failures >= self.attempts => self.give_up(item),
+            ItemEnd::Failed => ItemStep::Retry { backoff_ms: backoff_ms(failures) },
             ItemEnd::NoAnswer => {
-                tries.unanswered += 1;
-                ItemStep::Retry { backoff_ms: backoff_ms(tries.unanswered) }
+                let unanswered = self.unanswered.entry(item).or_default();
+                *unanswered += 1;
+                ItemStep::Retry { backoff_ms: backoff_ms(*unanswered) }
             }
         }
     }
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -4,6 +4,7 @@
 
 use super::{
     codec::{self, Segment},
+    failures::{Failures, ItemFailure},
     job::{ItemResult, JobName, segment_key},
     outputs::{OUTPUT_BYTES, OutputPart, PartialOutput, PartialOutputs},
 };
@@ -53,6 +54,7 @@
     outputs: Vec<OutputPart>,
     /// Outputs of unfinished items that were read from segments.
     partial_outputs: PartialOutputs,
+    failures: Failures,
 }
 
 impl ResultLog {
@@ -69,6 +71,7 @@
             other_writer_seen: false,
             outputs: Vec::new(),
             partial_outputs: PartialOutputs::default(),
+            failures: Failures::default(),
         }
     }
 
@@ -103,9 +106,26 @@
         self.next = Next::Read;
     }
 
-    /// Whether no result and no output waits to be appended.
+    /// Whether no result, output or failure waits to be appended.
     pub fn is_flushed(&self) -> bool {
-        self.pending.is_empty() && self.outputs.is_empty()
+        self.pending.is_empty() && self.outputs.is_empty() && self.failures.is_flushed()
+    }
+
+    /// Adds a failure of an item at a target; ignored if the item has a committed result.
+    pub fn push_failure(&mut self, failure: ItemFailure) {
+        if !self.committed_items.contains(&failure.item) {
+            self.failures.push(failure);
+        }
+    }
+
+    /// Number of failures of an item at targets, as far as the log was read and with those that are yet to be appended.
+    pub fn failures(&self, item: u32) -> u32 {
+        self.failures.count(item)
+    }
+
+    /// Whether a failure of an item waits to be appended. Until then no other owner knows of it.
+    pub fn has_pending_failure(&self, item: u32) -> bool {
+        self.failures.is_pending(item)
     }
 
     /// Adds the output of a running item since its last part; ignored if the item has a committed result.
@@ -147,7 +167,7 @@
             Next::Append if self.is_flushed() => LogStep::Idle,
             Next::Append => {
                 self.in_flight = self.next_segment();
-                let value = codec::segment_value(&self.in_flight.results, &self.in_flight.outputs);
+                let value = codec::segment_value(&self.in_flight);
                 LogStep::Store(StoreOp::Create { key, labels: Labels::new(), value })
             }
         }
@@ -182,7 +202,9 @@
         for result in &segment.results {
             self.committed_items.insert(result.item);
             self.partial_outputs.remove(result.item);
+            self.failures.remove_pending(result.item);
         }
+        self.failures.commit(&segment.failures);
         self.pending.retain(|it| !self.committed_items.contains(&it.item));
         let is_stored = |it: &OutputPart| segment.outputs.contains(it);
         self.outputs.retain(|it| !self.committed_items.contains(&it.item) && !is_stored(it));
@@ -198,6 +220,7 @@
         Segment {
             results: self.pending[..results].to_vec(),
             outputs: self.outputs[..outputs].to_vec(),
+            failures: self.failures.next_segment(),
         }
     }
 }
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -6,7 +6,8 @@
 //! ever changes, even if several processes act as the job's owner. Ownership only avoids duplicate work.
 //!
 //! The log also holds partial outputs of items that are still running (`outputs`), so that an item resumes after its last
-//! event wherever it runs next. Like ownership, this only saves work; correctness does not depend on it.
+//! event wherever it runs next. Like ownership, this only saves work; correctness does not depend on it. And it holds the
+//! failures of items at targets (`failures`), which bound how often an item is sent by all owners together.
 //!
 //! `reader` decides what a process that holds the results in memory answers to a reader, and `log_end` whether it knows
 //! that there are no more.
@@ -15,6 +16,7 @@
 //! process can watch these few objects alone.
 
 mod codec;
+mod failures;
 mod items;
 mod job;
 mod log;
@@ -26,7 +28,8 @@
     JobHeader, JobOwner, PART_BYTES, Segment, read_header, read_part, read_segment,
     split_into_parts,
 };
-pub use items::{ItemEnd, ItemStep, Items, Tries};
+pub use failures::ItemFailure;
+pub use items::{ItemEnd, ItemStep, Items};
 pub use job::{
     Item, ItemResult, JobName, Outcome, cancellation_key, header_key, job_name, part_key,
     segment_key,
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -20,10 +20,11 @@
             #[test]
             fn $name() {
                 let mut items = items(3);
-                let mut outcome = None;
+                let (mut outcome, mut failures) = (None, 0);
                 for end in $ends {
                     assert_eq!(outcome, None, "an item with a final result is not run again");
-                    if let ItemStep::Record(result) = items.run_ended(0, end) {
+                    failures += u32::from(end == ItemEnd::Failed);
+                    if let ItemStep::Record(result) = items.run_ended(0, end, failures) {
                         outcome = Some(result.outcome);
                     }
                 }
@@ -48,7 +49,7 @@
     let mut items = items(3);
     let mut backoffs = Vec::new();
     for _ in 0..10 {
-        if let ItemStep::Retry { backoff_ms } = items.run_ended(0, ItemEnd::NoAnswer) {
+        if let ItemStep::Retry { backoff_ms } = items.run_ended(0, ItemEnd::NoAnswer, 0) {
             backoffs.push(backoff_ms);
         }
     }
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -2,33 +2,22 @@
 //! after they timed out. Positions must never change, no item may have two results, and a partial output that is read back
 //! must be a prefix of the item's output.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
-use samphiredoor_core::{
-    ordered::{ItemResult, LogStep, Outcome, OutputPart, PartialOutput, ResultLog},
-    store::{Labels, StoreAnswer, StoreOp, Stored, Value, Version},
+use samphiredoor_core::ordered::{
+    ItemResult, LogStep, Outcome, OutputPart, PartialOutput, ResultLog,
 };
 
+use super::store::{CallOutcome, Store, call_outcome};
+
 const SEED: [u8; 32] = *b"samphiredoor-ordered-log-writers";
 const WRITERS: usize = 3;
 const ITEMS: u32 = 12;
 
-#[derive(Debug, Clone, Copy)]
-enum CallOutcome {
-    /// Takes effect and is answered.
-    Answered,
-    /// Takes effect, but its answer is lost.
-    AnswerLost,
-    /// Is not answered, and takes effect later.
-    Delayed,
-    /// Is refused without effect.
-    Refused,
-}
-
 #[derive(Debug, Clone)]
 enum Step {
     Push(usize, u32),
@@ -40,37 +29,6 @@
     Restart(usize),
 }
 
-#[derive(Default)]
-struct Store {
-    objects: BTreeMap<String, Value>,
-    /// Unanswered calls that are yet to take effect.
-    delayed: Vec<StoreOp>,
-}
-
-impl Store {
-    fn apply(&mut self, op: &StoreOp) -> StoreAnswer {
-        match op {
-            StoreOp::Get { key } => match self.objects.get(&*key.name) {
-                Some(value) => StoreAnswer::Object(stored(&key.name, value)),
-                None => StoreAnswer::Absent,
-            },
-            StoreOp::Create { key, value, .. } => {
-                if self.objects.contains_key(&*key.name) {
-                    return StoreAnswer::Taken;
-                }
-                self.objects.insert(key.name.to_string(), value.clone());
-                StoreAnswer::Object(stored(&key.name, value))
-            }
-            other => panic!("unexpected store call: {other:?}"),
-        }
-    }
-}
-
-fn stored(name: &str, value: &Value) -> Stored {
-    let (name, value) = (Arc::from(name), value.clone());
-    Stored { name, version: Version(1), labels: Labels::new(), value }
-}
-
 struct Writer {
     log: ResultLog,
     /// Last step that the log returned.
@@ -132,18 +90,10 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let outcome = prop::sample::select(vec![
-        CallOutcome::Answered,
-        CallOutcome::Answered,
-        CallOutcome::Answered,
-        CallOutcome::AnswerLost,
-        CallOutcome::Delayed,
-        CallOutcome::Refused,
-    ]);
     prop_oneof![
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Push(writer, item)),
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Output(writer, item)),
-        8 => (0..WRITERS, outcome).prop_map(|(writer, outcome)| Step::Call(writer, outcome)),
+        8 => (0..WRITERS, call_outcome()).prop_map(|(writer, outcome)| Step::Call(writer, outcome)),
         2 => Just(Step::ApplyDelayed),
         1 => (0..WRITERS).prop_map(Step::Reread),
         1 => (0..WRITERS).prop_map(Step::Restart),
@@ -151,23 +101,7 @@
 }
 
 fn call(store: &mut Store, writer: &mut Writer, outcome: CallOutcome) {
-    if !matches!(writer.step, LogStep::Store(_)) {
-        writer.step = writer.log.step();
-    }
-    let LogStep::Store(op) = writer.step.clone() else { return };
-    let answer = match outcome {
-        CallOutcome::Answered => store.apply(&op),
-        CallOutcome::AnswerLost => {
-            store.apply(&op);
-            StoreAnswer::Unknown
-        }
-        CallOutcome::Delayed => {
-            store.delayed.push(op);
-            StoreAnswer::Unknown
-        }
-        CallOutcome::Refused => StoreAnswer::Unavailable,
-    };
-    writer.step = writer.log.answered(&answer);
+    store.call(&mut writer.log, &mut writer.step, outcome);
 }
 
 fn play(steps: Vec<Step>) {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -295,7 +295,7 @@
             self.recheck_ownership(now);
         }
         if self.phase == Phase::Running {
-            self.start_items();
+            self.start_items(now);
             self.start_due_retries(now);
             self.save_outputs(now);
             if now >= self.give_up_at {
@@ -322,8 +322,8 @@
             Phase::HandingOver(until) | Phase::Retained(until) => Some(until),
             Phase::Closing | Phase::Done => None,
         };
-        let retry = self.retries.iter().map(|(at, _)| *at).min();
-        let retry = retry.filter(|_| self.phase == Phase::Running && !self.suspended);
+        let retry =
+            self.next_retry_at().filter(|_| self.phase == Phase::Running && !self.suspended);
         let reader = self.readers.iter().map(|it| self.waits_until(it)).min();
         let log_step_at = self.log_step_at(Instant::now());
         let reread_at = self.reread_at();
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -9,7 +9,9 @@
 
 use futures_util::future::join;
 use samphiredoor_core::{
-    ordered::{ItemEnd, ItemResult, ItemStep, JobName, header_key, read_header},
+    ordered::{
+        ItemEnd, ItemFailure, ItemResult, ItemStep, JobName, Outcome, header_key, read_header,
+    },
     store::{StoreAnswer, StoreOp},
 };
 
@@ -131,7 +133,7 @@
         !self.checking && !self.env.health.is_lost() && Instant::now() >= self.next_check_at
     }
 
-    pub(super) fn start_items(&mut self) {
+    pub(super) fn start_items(&mut self, now: Instant) {
         if self.items_started || self.suspended || !self.log.is_caught_up() {
             return;
         }
@@ -147,9 +149,7 @@
             unwritten = self.log.pending().len(), gap_count = self.owned_at_gap_count;
             "job: items started"
         );
-        for item in open {
-            self.start_run(item);
-        }
+        self.retries.extend(open.into_iter().map(|it| (now, it)));
     }
 
     pub(super) fn start_run(&mut self, number: u32) {
@@ -178,46 +178,76 @@
     }
 
     pub(super) fn start_due_retries(&mut self, now: Instant) {
-        let (ready, later): (Vec<_>, Vec<_>) =
-            self.retries.drain(..).partition(|(at, _)| *at <= now);
+        let (ready, later): (Vec<_>, Vec<_>) = self
+            .retries
+            .drain(..)
+            .partition(|(at, item)| *at <= now && !self.log.has_pending_failure(*item));
         self.retries = later;
         for (_, item) in ready {
             self.start_run(item);
         }
     }
 
+    /// When the next item is run again. Those with a failure that is not in the log yet wait for the answer to its write.
+    pub(super) fn next_retry_at(&self) -> Option<Instant> {
+        let retries = self.retries.iter().filter(|(_, item)| !self.log.has_pending_failure(*item));
+        retries.map(|(at, _)| *at).min()
+    }
+
     pub(super) fn run_ended(&mut self, item: u32, end: ItemEnd) {
         self.runs.remove(&item);
         if self.log.has_result(item) || matches!(self.phase, Phase::Closing | Phase::Retained(_)) {
             return;
         }
-        let reason = if end == ItemEnd::Failed { "item_failed" } else { "item_unanswered" };
-        match self.items.run_ended(item, end) {
+        let has_failed = end == ItemEnd::Failed;
+        if has_failed {
+            self.push_failure(item);
+        }
+        match self.items.run_ended(item, end, self.log.failures(item)) {
             ItemStep::Record(result) => self.record(result),
             ItemStep::Retry { backoff_ms } => {
-                self.env.metrics.retried(reason);
+                self.env.metrics.retried(if has_failed {
+                    "item_failed"
+                } else {
+                    "item_unanswered"
+                });
                 self.log_retry(item, backoff_ms);
                 self.retries.push((Instant::now() + Duration::from_millis(backoff_ms), item));
             }
         }
     }
 
+    /// Passes a failure of an item to the log, which is written at once: the item waits for that before it is sent again.
+    fn push_failure(&mut self, item: u32) {
+        let (owner, number) = (self.env.owner(), self.log.failures(item) + 1);
+        let (process, incarnation) = (owner.process, owner.incarnation);
+        self.log.push_failure(ItemFailure { item, process, incarnation, number });
+        self.write_within(Duration::ZERO);
+    }
+
     /// Logs what is known here of an item that is run again.
     fn log_retry(&self, item: u32, backoff_ms: u64) {
-        let (tries, id) = (self.items.tries(item), self.items.get(item).map(|it| &*it.id));
+        let id = self.items.get(item).map_or("", |it| &*it.id);
         log::info!(
-            job = &*self.ownership.job, item = id.unwrap_or_default(), failed = tries.failed,
-            unanswered = tries.unanswered, backoff_ms;
+            job = &*self.ownership.job, item = id, failed = self.log.failures(item),
+            unanswered = self.items.unanswered(item), backoff_ms;
             "job: item is run again"
         );
     }
 
+    /// Passes a result to the log. One that says that an item failed is written at once: until then, another owner would
+    /// send the item again.
     pub(super) fn record(&mut self, result: ItemResult) {
         self.outputs.remove(&result.item);
+        let has_failed = result.outcome == Outcome::Failed;
         self.log.push(result);
         let is_last = self.runs.is_empty() && self.retries.is_empty();
-        let pause = if is_last { Duration::ZERO } else { self.write_delay() };
-        let at = Instant::now() + pause;
+        self.write_within(if is_last || has_failed { Duration::ZERO } else { self.write_delay() });
+    }
+
+    /// Lets the log take its next step after this time at the latest.
+    fn write_within(&mut self, delay: Duration) {
+        let at = Instant::now() + delay;
         self.write_at = Some(self.write_at.map_or(at, |it| it.min(at)));
     }
 
@@ -227,7 +257,7 @@
             && now >= self.saved_at + OUTPUT_SAVE_INTERVAL
             && self.queue_outputs(now)
         {
-            self.write_at = Some(self.write_at.map_or(now, |it| it.min(now)));
+            self.write_within(Duration::ZERO);
         }
     }
 
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -17,6 +17,8 @@
 const ROOT: &str = "/samphiredoor/objects/";
 /// Kind of objects that hold parts of job submissions.
 const PARTS: &str = "jobparts";
+/// Kind of objects that hold results of jobs.
+const SEGMENTS: &str = "jobsegments";
 /// Kind of job headers.
 const HEADERS: &str = "orderedjobs";
 /// Kind of gateway entries.
@@ -56,6 +58,8 @@
     PartsHeld,
     /// Rejects writes of submission parts with 503.
     PartsRefused,
+    /// Rejects writes of results with 503.
+    SegmentsRefused,
     /// Delays updates of job headers while this fault is set.
     HeaderUpdatesHeld,
     /// Hides gateway entries from lists and watches.
@@ -275,6 +279,9 @@
             StoreFault::PartsRefused if kind == PARTS && is_write => {
                 return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
             }
+            StoreFault::SegmentsRefused if kind == SEGMENTS && is_write => {
+                return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+            }
             _ => {}
         }
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
