--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -23,6 +23,9 @@
 const WRITE_DELAY: Duration = Duration::from_millis(1_500);
 /// Time that a result waits for others shortly before the results are due.
 const WRITE_DELAY_NEAR_DUE: Duration = Duration::from_millis(150);
+/// Time that a failure of an item waits for others to share a write, if the item is to be sent again; as long as the shortest
+/// backoff before that.
+const FAILURE_WRITE_DELAY: Duration = Duration::from_millis(100);
 /// How long before the due time the shorter delay applies; callers poll twice a second.
 const NEAR_DUE_MS: u64 = 2_500;
 
@@ -217,12 +220,12 @@
         }
     }
 
-    /// Passes a failure of an item to the log, which is written at once: the item waits for that before it is sent again.
+    /// Passes a failure of an item to the log. The item waits until that is written before it is sent again.
     fn push_failure(&mut self, item: u32) {
         let (owner, number) = (self.env.owner(), self.log.failures(item) + 1);
         let (process, incarnation) = (owner.process, owner.incarnation);
         self.log.push_failure(ItemFailure { item, process, incarnation, number });
-        self.write_within(Duration::ZERO);
+        self.write_within(FAILURE_WRITE_DELAY);
     }
 
     /// Logs what is known here of an item that is run again.
