--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -85,9 +85,14 @@
         &self.committed
     }
 
-    /// Results that are yet to be appended.
-    pub fn pending(&self) -> &[ItemResult] {
-        &self.pending
+    /// Number of results that are yet to be appended.
+    pub fn pending_results(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether the outcome of an item is known here: its result is committed or yet to be appended.
+    pub fn is_decided(&self, item: u32) -> bool {
+        self.has_result(item) || self.pending.iter().any(|it| it.item == item)
     }
 
     /// Whether an item has a committed result.
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -146,10 +146,10 @@
                 .entry(item)
                 .or_insert_with(|| Rc::new(RefCell::new(Output::from_saved(output))));
         }
-        let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.has_result(*it)).collect();
+        let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.is_decided(*it)).collect();
         log::info!(
             job = &*self.ownership.job, open = open.len(), standing = self.log.committed().len(),
-            unwritten = self.log.pending().len(), gap_count = self.owned_at_gap_count;
+            unwritten = self.log.pending_results(), gap_count = self.owned_at_gap_count;
             "job: items started"
         );
         self.retries.extend(open.into_iter().map(|it| (now, it)));
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use samphiredoor_standin::platform_target::{PlatformTarget, TargetFault};
+use samphiredoor_standin::{
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, TargetFault},
+};
 
 use super::env::{BINARY, Platform};
 use crate::env::wait_until;
@@ -79,3 +82,23 @@
     let runs = runs_over_all_owners(TargetFault::Fails, ATTEMPTS);
     assert!(runs <= MOST_FAILED, "{runs} runs");
 }
+
+// Guards against an owner that forgets outcomes which it could not write yet when it resumes the job's items.
+#[test]
+fn an_outcome_that_waits_to_be_written_is_not_forgotten_by_its_owner() {
+    let (platform, target) = fleet(2);
+    target.fail_always(FAILING, TargetFault::Full);
+    platform.wait_logged(0, "peers: peer is live");
+    platform.wait_logged(1, "peers: peer is live");
+    assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
+    // Keeps the other gateway from taking the job over.
+    platform.set_store_path_fault(1, StoreFault::HeaderUpdatesHeld);
+    platform.set_store_path_fault(0, StoreFault::Busy);
+    target.fail_always(FAILING, TargetFault::Impossible);
+    wait_until("the item fails", || target.runs_of(FAILING) == 1);
+    platform.wait_logged(0, "runs stopped, the store answers other gateways but not this one");
+    platform.set_store_path_fault(0, StoreFault::SegmentsRefused);
+    wait_until("the items are resumed", || platform.times_logged(0, "job: items started") > 1);
+    thread::sleep(RECORDED_WITHIN);
+    assert_eq!(target.runs_of(FAILING), 1);
+}
