--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -6,8 +6,11 @@
 
 /// First backoff before an item is tried again; it doubles with each retry.
 const FIRST_BACKOFF_MS: u64 = 100;
-/// Longest backoff between two tries; short because items are due within tens of seconds.
-const MAX_BACKOFF_MS: u64 = 2_000;
+/// Longest backoff between two tries. Nothing but the backoff bounds the runs without an answer: with this one, an item is
+/// sent eight times in the first half minute, and twice a minute after that.
+const MAX_BACKOFF_MS: u64 = 30_000;
+/// Doublings after which the backoff is above [`MAX_BACKOFF_MS`].
+const MAX_DOUBLINGS: u32 = 9;
 
 /// Outcome of a run of an item.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,8 +24,10 @@
     Failed,
     /// The target reported that the item can never succeed.
     Impossible,
-    /// The item did not run, or its answer was lost.
+    /// The item did not run, or its answer was lost before any new event.
     NoAnswer,
+    /// The answer was lost after at least one new event.
+    Interrupted,
     /// No route allows the item any more.
     NoRoute,
 }
@@ -91,13 +96,22 @@
             ItemEnd::Failed if failures >= self.attempts => self.give_up(item),
             ItemEnd::Failed => ItemStep::Retry { backoff_ms: backoff_ms(failures) },
             ItemEnd::NoAnswer => {
-                let unanswered = self.unanswered.entry(item).or_default();
-                *unanswered += 1;
-                ItemStep::Retry { backoff_ms: backoff_ms(*unanswered) }
+                ItemStep::Retry { backoff_ms: backoff_ms(self.count_unanswered(item)) }
             }
+            // Most interruptions have causes outside of the item, which another target does not share.
+            ItemEnd::Interrupted => match self.count_unanswered(item) {
+                1 => ItemStep::Retry { backoff_ms: 0 },
+                unanswered => ItemStep::Retry { backoff_ms: backoff_ms(unanswered) },
+            },
         }
     }
 
+    fn count_unanswered(&mut self, item: u32) -> u32 {
+        let unanswered = self.unanswered.entry(item).or_default();
+        *unanswered += 1;
+        *unanswered
+    }
+
     /// Failed result of an item that is given up, with an empty text.
     pub fn give_up(&self, item: u32) -> ItemStep {
         self.record(item, Outcome::Failed, Arc::from(""))
@@ -110,5 +124,5 @@
 }
 
 fn backoff_ms(tries: u32) -> u64 {
-    (FIRST_BACKOFF_MS << tries.saturating_sub(1).min(5)).min(MAX_BACKOFF_MS)
+    (FIRST_BACKOFF_MS << tries.saturating_sub(1).min(MAX_DOUBLINGS)).min(MAX_BACKOFF_MS)
 }
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -42,17 +42,41 @@
     an_impossible_item_fails_without_a_retry: [ItemEnd::Impossible] => Some(Outcome::Failed);
     an_item_without_a_route_fails: [ItemEnd::NoRoute] => Some(Outcome::Failed);
     lost_answers_do_not_count_as_failures: vec![ItemEnd::NoAnswer; 50] => None;
+    interruptions_do_not_count_as_failures: vec![ItemEnd::Interrupted; 50] => None;
 }
 
-#[test]
-fn backoff_grows_up_to_a_limit() {
+/// Backoffs of an item whose runs all end in the same way, until `total_ms` have passed.
+fn backoffs_within(total_ms: u64, end: &ItemEnd) -> Vec<u64> {
     let mut items = items(3);
     let mut backoffs = Vec::new();
-    for _ in 0..10 {
-        if let ItemStep::Retry { backoff_ms } = items.run_ended(0, ItemEnd::NoAnswer, 0) {
-            backoffs.push(backoff_ms);
+    while backoffs.iter().sum::<u64>() < total_ms {
+        match items.run_ended(0, end.clone(), 0) {
+            ItemStep::Retry { backoff_ms } => backoffs.push(backoff_ms),
+            ItemStep::Record(result) => panic!("{result:?}"),
         }
     }
+    backoffs
+}
+
+#[test]
+fn backoff_grows_up_to_a_limit() {
+    let backoffs = backoffs_within(120_000, &ItemEnd::NoAnswer);
     assert!(backoffs.is_sorted());
-    assert_eq!((backoffs[0], backoffs[9]), (100, 2_000));
+    assert_eq!((backoffs[0], backoffs.last()), (100, Some(&30_000)));
+}
+
+// Guards against an item that takes its target down at each run, or whose failures are lost on their way, sent at short
+// intervals for as long as its job may last.
+#[test]
+fn an_item_that_is_never_answered_is_sent_ten_times_a_minute_at_most() {
+    for end in [ItemEnd::NoAnswer, ItemEnd::Interrupted] {
+        let sent = backoffs_within(60_000, &end).len();
+        assert!(sent <= 10, "{end:?}: {sent} times");
+    }
+}
+
+#[test]
+fn an_item_is_resumed_at_once_after_its_first_interruption_only() {
+    let backoffs = backoffs_within(1_000, &ItemEnd::Interrupted);
+    assert_eq!(backoffs[..3], [0, 200, 400]);
 }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -106,7 +106,7 @@
 }
 
 impl ItemRun {
-    /// Runs the item until it has a result, or until a response without any event was lost.
+    /// Runs the item until it has a result, or until a response was lost.
     pub async fn run(self) -> ItemEnd {
         let body = match self.env.platform.dialect.item_body(&self.item) {
             Ok(body) => body,
@@ -116,6 +116,7 @@
             }
         };
         let Some(mut call) = self.build_call(body) else { return ItemEnd::Impossible };
+        let first_event = self.last_event();
         loop {
             self.permit.wait().await;
             let Some(table) = self.routes() else {
@@ -127,8 +128,11 @@
                 Outcome::Finished(end) => return self.finish(end),
                 Outcome::Resume => {}
                 Outcome::RetryLater => compio::time::sleep(RETRY_PAUSE).await,
-                Outcome::ResponseLost if self.last_event().is_some() => {}
-                Outcome::ResponseLost => return self.finish(ItemEnd::NoAnswer),
+                Outcome::ResponseLost => {
+                    let is_resumed = self.last_event() > first_event;
+                    let end = if is_resumed { ItemEnd::Interrupted } else { ItemEnd::NoAnswer };
+                    return self.finish(end);
+                }
             }
         }
     }
@@ -139,6 +143,7 @@
             ItemEnd::Failed => "failed",
             ItemEnd::Impossible => "impossible",
             ItemEnd::NoAnswer => "no_answer",
+            ItemEnd::Interrupted => "interrupted",
             ItemEnd::NoRoute => "no_route",
         };
         self.env.metrics.item_ended(label);
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -36,6 +36,8 @@
     Full,
     /// The request runs and fails with 500.
     Fails,
+    /// The request runs and crashes the target: its connection and the listener are closed.
+    Crashes,
     /// The request runs and is answered with 422: it can never succeed.
     Impossible,
     /// An answer that names another request is sent before the correct one.
@@ -73,8 +75,8 @@
 struct State {
     /// Faults of the next requests, in order.
     faults: VecDeque<TargetFault>,
-    /// Faults of requests with an id, at each run.
-    faults_by_id: BTreeMap<String, TargetFault>,
+    /// Faults of requests with a body, at each run.
+    faults_by_body: BTreeMap<Vec<u8>, TargetFault>,
     runs: Vec<Run>,
     events: u64,
     pause: Duration,
@@ -99,8 +101,8 @@
     /// No port can be listened on.
     pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let (faults, faults_by_id) = (VecDeque::new(), BTreeMap::new());
-        let state = State { faults, faults_by_id, runs: Vec::new(), events, pause };
+        let (faults, faults_by_body) = (VecDeque::new(), BTreeMap::new());
+        let state = State { faults, faults_by_body, runs: Vec::new(), events, pause };
         let target = PlatformTarget {
             name: name.to_owned(),
             address: listener.local_addr()?,
@@ -136,14 +138,14 @@
         self.state().faults.extend((0..count).map(|_| fault));
     }
 
-    /// Sets the fault of all requests with this id, before any other; [`TargetFault::None`] ends it.
-    pub fn fail_always(&self, id: &str, fault: TargetFault) {
-        self.state().faults_by_id.insert(id.to_owned(), fault);
+    /// Sets the fault of all requests with this body, before any other; [`TargetFault::None`] ends it.
+    pub fn fail_always(&self, body: &str, fault: TargetFault) {
+        self.state().faults_by_body.insert(body.as_bytes().to_vec(), fault);
     }
 
-    /// Number of runs of requests with this id.
-    pub fn runs_of(&self, id: &str) -> usize {
-        self.state().runs.iter().filter(|it| it.id == id).count()
+    /// Number of runs of requests with this body.
+    pub fn runs_of(&self, body: &str) -> usize {
+        self.state().runs.iter().filter(|it| it.body == body.as_bytes()).count()
     }
 
     /// Requests that started to run, in order.
@@ -172,10 +174,10 @@
         (1..=events).map(event_data).collect::<Vec<String>>().join("\n")
     }
 
-    fn next_fault(&self, id: &str) -> TargetFault {
+    fn next_fault(&self, body: &[u8]) -> TargetFault {
         let mut state = self.state();
-        let by_id = state.faults_by_id.get(id).copied();
-        by_id.or_else(|| state.faults.pop_front()).unwrap_or_default()
+        let by_body = state.faults_by_body.get(body).copied();
+        by_body.or_else(|| state.faults.pop_front()).unwrap_or_default()
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -201,7 +203,7 @@
             write_answer(stream, "400 Bad Request", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
         }
-        let fault = self.next_fault(id);
+        let fault = self.next_fault(&request.body);
         if fault == TargetFault::Full {
             write_answer(stream, "503 Service Unavailable", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
@@ -229,6 +231,10 @@
                 )?;
             }
             TargetFault::AnswerLost => return Ok(false),
+            TargetFault::Crashes => {
+                self.crash();
+                return Ok(false);
+            }
             TargetFault::Silent => {
                 thread::sleep(NO_ANSWER_TIME);
                 return Ok(false);
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -24,7 +24,14 @@
 const MOST_IMPOSSIBLE: usize = 3;
 /// Most runs of an item that answers 500.
 const MOST_FAILED: usize = 3 * ATTEMPTS;
+const CRASHING: &str = "crashes its target";
+/// Crashes after which all gateways in touch have to know the request, within a time, and how many more it may cause.
+const CRASHES_KNOWN: usize = 3;
+const CRASHES_TOLD_WITHIN: Duration = Duration::from_secs(4);
+const MOST_LATER_CRASHES: usize = 3;
 const OWNERS: usize = 5;
+/// Enough targets that ejections and crashes do not limit the runs.
+const TARGETS: usize = 12;
 /// Time after a run in which its outcome is recorded, unless it waits for something else; results wait for 1.5 s to share
 /// a write.
 const RECORDED_WITHIN: Duration = Duration::from_secs(1);
@@ -39,6 +46,16 @@
     (platform, target)
 }
 
+fn fleet_of_targets(gateways: usize) -> (Platform, Vec<PlatformTarget>) {
+    let mut platform = Platform::new(BINARY);
+    let targets = (0..TARGETS).map(|it| platform.start_target(&format!("t-{it}"), PAUSE));
+    let targets = targets.collect();
+    for _ in 0..gateways {
+        platform.start_gateway();
+    }
+    (platform, targets)
+}
+
 /// Waits until the item has a result in the store, for at most [`RECORDED_WITHIN`].
 fn wait_recorded(platform: &Platform) {
     let until = Instant::now() + RECORDED_WITHIN;
@@ -102,3 +119,35 @@
     thread::sleep(RECORDED_WITHIN);
     assert_eq!(target.runs_of(FAILING), 1);
 }
+
+// Guards against an item whose response breaks off at the same event at each run, sent again without a pause.
+#[test]
+fn an_item_that_breaks_off_at_the_same_event_is_sent_ever_more_seldom() {
+    let (platform, targets) = fleet_of_targets(1);
+    let runs = || targets.iter().map(|it| it.runs_of(FAILING)).sum::<usize>();
+    let fail = |fault| targets.iter().for_each(|it| it.fail_always(FAILING, fault));
+    fail(TargetFault::CutAfter(1));
+    assert_eq!(platform.submit(0, "job-1", &[FAILING]).status, 202);
+    wait_until("the item has sent an event", || runs() > 0);
+    fail(TargetFault::CutAfter(0));
+    thread::sleep(Duration::from_secs(3));
+    assert!(runs() <= MOST_FAILED, "{} runs", runs());
+}
+
+// Guards against a request that crashes each target that runs it, and that its caller sends again, each time under a new
+// id and at another gateway.
+#[test]
+fn a_request_that_crashes_targets_is_not_sent_to_ever_more_of_them() {
+    let (platform, targets) = fleet_of_targets(2);
+    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::Crashes));
+    let crashed = || targets.iter().map(|it| it.runs_of(CRASHING)).sum::<usize>();
+    let send = |number: usize| {
+        platform.send(number % 2, "/stream/check", &format!("id-{number}"), CRASHING)
+    };
+    (0..CRASHES_KNOWN).for_each(|number| drop(send(number)));
+    assert_eq!(crashed(), CRASHES_KNOWN);
+    thread::sleep(CRASHES_TOLD_WITHIN);
+    (CRASHES_KNOWN..TARGETS).for_each(|number| drop(send(number)));
+    let later = crashed() - CRASHES_KNOWN;
+    assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
+}
