--- /dev/null
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -0,0 +1,66 @@
+//! The suspected and quarantined requests that this process was told of.
+
+use std::collections::BTreeMap;
+
+use super::{CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, remembered_ms};
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    crashes: u32,
+    told_at_ms: u64,
+}
+
+/// Suspected and quarantined requests, by fingerprint.
+#[derive(Debug, Default)]
+pub struct KnownSuspects {
+    suspects: BTreeMap<u64, Known>,
+}
+
+impl KnownSuspects {
+    /// Whether there are none, so that no request has to be compared.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Whether a request must not be sent.
+    pub fn is_quarantined(&self, now_ms: u64, fingerprint: u64) -> bool {
+        self.get(now_ms, fingerprint).is_some_and(|it| it.crashes >= QUARANTINE_CRASHES)
+    }
+
+    /// Whether a request is suspected, so that its next whole answer clears it.
+    pub fn is_suspected(&self, now_ms: u64, fingerprint: u64) -> bool {
+        self.get(now_ms, fingerprint).is_some_and(|it| it.crashes < QUARANTINE_CRASHES)
+    }
+
+    /// Takes over what a coordinator tells. Returns whether the request is quarantined by it and was not before.
+    pub fn apply(&mut self, now_ms: u64, verdict: CrashVerdict) -> bool {
+        self.suspects.retain(|_, it| it.told_at_ms + remembered_ms(it.crashes) > now_ms);
+        let was_quarantined = self.is_quarantined(now_ms, verdict.fingerprint);
+        if verdict.crashes == 0 {
+            // The two coordinators may have counted differently; a quarantine stands.
+            if !was_quarantined {
+                self.suspects.remove(&verdict.fingerprint);
+            }
+            return false;
+        }
+        let known = self.suspects.entry(verdict.fingerprint);
+        let known = known.or_insert(Known { crashes: 0, told_at_ms: now_ms });
+        known.crashes = known.crashes.max(verdict.crashes);
+        known.told_at_ms = now_ms;
+        self.limit_len();
+        !was_quarantined && verdict.crashes >= QUARANTINE_CRASHES
+    }
+
+    fn get(&self, now_ms: u64, fingerprint: u64) -> Option<&Known> {
+        let known = self.suspects.get(&fingerprint)?;
+        (known.told_at_ms + remembered_ms(known.crashes) > now_ms).then_some(known)
+    }
+
+    fn limit_len(&mut self) {
+        while self.suspects.len() > MAX_SUSPECTS {
+            let least = self.suspects.iter().min_by_key(|(_, it)| (it.crashes, it.told_at_ms));
+            let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! other state (leases, heartbeats, load) is advisory: it makes the system faster, and correctness never depends on it.
 
 pub mod access;
+pub mod crash_reports;
 pub mod dispatch;
 pub mod hints;
 pub mod idempotency;
--- /dev/null
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -0,0 +1,162 @@
+//! Requests that crash targets: which crashes count, who is told, and what clears a request.
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use samphiredoor_core::crash_reports::{
+    CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
+};
+
+const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
+const REQUEST: u64 = 7;
+/// Crashes after which a request is not sent any more.
+const CRASHES: u32 = 3;
+const GATEWAYS: usize = 3;
+
+fn crash(fingerprint: u64, sent_ago_ms: u32) -> CrashReport {
+    CrashReport { fingerprint, sent_ago_ms, lost_ago_ms: 0 }
+}
+
+fn crashes(verdict: Option<CrashVerdict>) -> Option<u32> {
+    verdict.map(|it| it.crashes)
+}
+
+#[test]
+fn gateways_are_told_from_the_second_crash_on() {
+    let mut coordinator = CrashCoordinator::default();
+    let told = [1_000, 2_000, 3_000, 4_000].map(|it| coordinator.report(it, &crash(REQUEST, 50)));
+    assert_eq!(told.map(crashes), [None, Some(2), Some(3), Some(4)]);
+}
+
+// Guards against blame for one loss of several targets: the same content was on its way to each of them.
+#[test]
+fn targets_that_crash_at_the_same_time_count_once() {
+    let mut coordinator = CrashCoordinator::default();
+    for after_ms in 0..10 {
+        assert_eq!(coordinator.report(1_000 + after_ms, &crash(REQUEST, 50)), None);
+    }
+}
+
+#[test]
+fn a_whole_answer_clears_a_suspected_request() {
+    let mut coordinator = CrashCoordinator::default();
+    let mut known = KnownSuspects::default();
+    coordinator.report(1_000, &crash(REQUEST, 50));
+    let told = coordinator.report(2_000, &crash(REQUEST, 50)).expect("it is suspected");
+    known.apply(2_000, told);
+    assert!(known.is_suspected(2_000, REQUEST) && !known.is_quarantined(2_000, REQUEST));
+    let cleared = coordinator.clear(REQUEST).expect("it was suspected");
+    known.apply(2_100, cleared);
+    assert!(known.is_empty());
+    assert_eq!(coordinator.report(3_000, &crash(REQUEST, 50)), None, "counted from the start");
+}
+
+#[test]
+fn a_quarantined_request_is_not_cleared_by_an_earlier_run() {
+    let mut coordinator = CrashCoordinator::default();
+    for at_ms in [1_000, 2_000, 3_000] {
+        coordinator.report(at_ms, &crash(REQUEST, 50));
+    }
+    assert_eq!(coordinator.clear(REQUEST), None);
+}
+
+#[test]
+fn suspicion_and_quarantine_expire() {
+    let mut known = KnownSuspects::default();
+    known.apply(0, CrashVerdict { fingerprint: 1, crashes: 2 });
+    known.apply(0, CrashVerdict { fingerprint: 2, crashes: CRASHES });
+    assert!(known.is_suspected(59_999, 1) && !known.is_suspected(60_000, 1));
+    assert!(known.is_quarantined(599_999, 2) && !known.is_quarantined(600_000, 2));
+}
+
+// Guards against memory that grows with the number of different requests that crash targets.
+#[test]
+fn requests_with_the_fewest_crashes_are_forgotten_first() {
+    let mut coordinator = CrashCoordinator::default();
+    let mut known = KnownSuspects::default();
+    for at_ms in [1_000, 2_000, 3_000] {
+        if let Some(told) = coordinator.report(at_ms, &crash(REQUEST, 50)) {
+            known.apply(at_ms, told);
+        }
+    }
+    for other in 100..10_100 {
+        coordinator.report(4_000, &crash(other, 50));
+        known.apply(4_000, CrashVerdict { fingerprint: other, crashes: 2 });
+    }
+    assert_eq!(crashes(coordinator.report(5_000, &crash(REQUEST, 50))), Some(4));
+    assert!(known.is_quarantined(5_000, REQUEST));
+    assert!(!known.is_suspected(5_000, 100));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// The caller sends the request to a gateway, which sends it to a target unless it is quarantined there.
+    Send(usize),
+    /// Time passes, and messages on their way arrive.
+    Wait(u64),
+    /// As `Wait`, but the messages of the last verdict are lost on their way to a gateway.
+    WaitWithout(usize, u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..GATEWAYS).prop_map(Step::Send),
+        3 => (40_u64..3_000).prop_map(Step::Wait),
+        1 => (0..GATEWAYS, 40_u64..3_000).prop_map(|(lost, ms)| Step::WaitWithout(lost, ms)),
+    ]
+}
+
+/// Plays a request that crashes each target at once, and checks how many it crashes.
+fn play(steps: Vec<Step>) {
+    let mut coordinator = CrashCoordinator::default();
+    let mut gateways: Vec<KnownSuspects> =
+        (0..GATEWAYS).map(|_| KnownSuspects::default()).collect();
+    let (mut now_ms, mut told, mut sent) = (1_000, None, 0);
+    // Crashes while a report or a verdict is on its way, and those at gateways that were not told.
+    let (mut allowed, mut concurrent) = (CRASHES, 0);
+    for step in steps {
+        let (lost, passed_ms) = match step {
+            Step::Send(gateway) => {
+                if gateways[gateway].is_quarantined(now_ms, REQUEST) {
+                    continue;
+                }
+                sent += 1;
+                concurrent += 1;
+                told = coordinator.report(now_ms, &crash(REQUEST, 1)).or(told);
+                continue;
+            }
+            Step::Wait(ms) => (None, ms),
+            Step::WaitWithout(lost, ms) => (Some(lost), ms),
+        };
+        now_ms += passed_ms;
+        allowed += u32::saturating_sub(concurrent, 1);
+        concurrent = 0;
+        for (number, gateway) in gateways.iter_mut().enumerate() {
+            match told {
+                Some(verdict) if lost != Some(number) => drop(gateway.apply(now_ms, verdict)),
+                Some(_) => allowed += 1,
+                None => {}
+            }
+        }
+        told = None;
+    }
+    allowed += u32::saturating_sub(concurrent, 1);
+    assert!(sent <= allowed, "{sent} targets crashed, {allowed} allowed");
+}
+
+#[test]
+fn a_request_crashes_three_targets_and_those_of_gateways_that_were_not_told() {
+    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..60);
+    runner
+        .run(&steps, |steps| {
+            play(steps);
+            Ok(())
+        })
+        .unwrap();
+}
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -64,6 +64,7 @@
     fn finish(&mut self) -> Option<Piece> {
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
+        self.request.note_answered();
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
         metrics.stage(Stage::Rest, self.started.elapsed());
@@ -80,6 +81,7 @@
     ) -> Option<BoxError> {
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
+        self.request.note_lost(end, active.address, active.sent);
         log::info!(
             request = self.request.id, target = &*active.target, after = self.last_event.unwrap_or(0),
             reason = cause.label();
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -33,7 +33,7 @@
 use crate::{
     jobs::{Forwarding, Jobs, SubmittedJob, forward},
     metrics::Metrics,
-    peers::RunLimits,
+    peers::{CrashReports, RunLimits},
     placement::PlacementHandle,
     platform_api::{Dialect, JobCall},
     routes::Routes,
@@ -61,6 +61,8 @@
     pub jobs: Jobs,
     /// Rate limits of workspaces.
     pub run_limits: RunLimits,
+    /// Requests that crash targets.
+    pub crash_reports: CrashReports,
     /// Metrics of the process.
     pub metrics: Rc<Metrics>,
     /// Clock of the process.
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::Cell,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -37,7 +38,7 @@
 };
 use crate::{
     metrics::Stage,
-    peers::{OverLimit, RunPermit},
+    peers::{Hex, OverLimit, RunPermit},
     placement::{Decision, Ticket},
 };
 
@@ -50,6 +51,8 @@
 const MIN_TIME_TO_SEND: Duration = Duration::from_millis(30);
 /// Most times that one request is sent, in case every target refuses it.
 const MAX_SENDS: u32 = 8;
+/// `Retry-After` of a request that crashes targets: its quarantine lasts longer than any caller waits.
+const QUARANTINED_RETRY_MS: u64 = 600_000;
 /// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
 /// output every 25 ms and a full one starts within 300 ms.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -77,6 +80,8 @@
     tried: SmallVec<[Name; 2]>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     may_have_run: Option<MayHaveRunReason>,
+    /// Fingerprint of the request, once it was needed.
+    fingerprint: Cell<Option<u64>>,
     /// The last 5xx answer of a target; it becomes the answer if no other target answers.
     server_error: Option<(Box<response::Parts>, Bytes)>,
     _open: OpenRequestGuard,
@@ -111,6 +116,9 @@
     pub(super) started: StartedStream,
     pub(super) ticket: Ticket,
     pub(super) target: Name,
+    pub(super) address: SocketAddr,
+    /// When the request was sent to the target.
+    pub(super) sent: Instant,
 }
 
 /// Result of sending a request to one target after another.
@@ -172,6 +180,7 @@
             sends: 0,
             tried: SmallVec::new(),
             may_have_run: None,
+            fingerprint: Cell::default(),
             server_error: None,
         }
     }
@@ -225,6 +234,7 @@
             Outcome::Whole(mut parts, body) => {
                 strip_hop_by_hop_headers(&mut parts.headers);
                 parts.headers.remove(header::CONTENT_LENGTH);
+                self.note_answered();
                 self.log_end("answered", parts.status.as_u16());
                 self.front.metrics.answer_completed(self.started.elapsed());
                 Response::from_parts(*parts, Body::full(body))
@@ -296,6 +306,9 @@
             if self.sends >= MAX_SENDS || self.timeouts().remaining() < MIN_TIME_TO_SEND {
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
+            if self.is_quarantined() {
+                return self.final_outcome(Refusal::Quarantined, QUARANTINED_RETRY_MS);
+            }
             let mut ticket = self.front.placement.request(self.request_spec());
             let queued = Instant::now();
             let decision = ticket.next_decision().await;
@@ -317,7 +330,7 @@
             let outcome =
                 run_attempt(&self.front.targets, names, at, &mut self.call, timeouts).await;
             self.stages.first_event += sent.elapsed();
-            match self.handle_attempt(outcome, ticket, target) {
+            match self.handle_attempt(outcome, ticket, (target, address, sent)) {
                 Some(outcome) => return outcome,
                 None => continue,
             }
@@ -329,13 +342,16 @@
         &mut self,
         outcome: AttemptOutcome,
         mut ticket: Ticket,
-        target: Name,
+        (target, address, sent): (Name, SocketAddr, Instant),
     ) -> Option<Outcome> {
         match outcome {
             AttemptOutcome::Stream(parts, started) => {
                 self.runs += 1;
                 self.report_load(&target, &parts.headers);
-                Some(Outcome::Stream(parts, ActiveStream { started, ticket, target }))
+                Some(Outcome::Stream(
+                    parts,
+                    ActiveStream { started, ticket, target, address, sent },
+                ))
             }
             AttemptOutcome::Whole(parts, body) => {
                 self.runs += 1;
@@ -361,6 +377,7 @@
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
+                self.note_lost(end, address, sent);
                 self.tried.push(target);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
@@ -387,7 +404,7 @@
         self.front.metrics.retried(label);
         // Finds all requests with the same content, which each have an id of their own.
         let fingerprint = match end {
-            AttemptEnd::Lost | AttemptEnd::Silent => format!("{:016x}", self.fingerprint()),
+            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.fingerprint()).to_string(),
             _ => String::new(),
         };
         log::info!(
@@ -399,10 +416,35 @@
 
     /// Hash of what stays the same when the caller sends the request again.
     fn fingerprint(&self) -> u64 {
+        if let Some(known) = self.fingerprint.get() {
+            return known;
+        }
         let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
         let workspace = header(&self.front.dialect.headers().workspace);
         let path = self.call.uri.path().as_bytes();
-        quarantine::fingerprint([workspace, header(&header::HOST), path, &self.call.body])
+        let fingerprint =
+            quarantine::fingerprint([workspace, header(&header::HOST), path, &self.call.body]);
+        self.fingerprint.set(Some(fingerprint));
+        fingerprint
+    }
+
+    fn is_quarantined(&self) -> bool {
+        let reports = &self.front.crash_reports;
+        reports.has_suspects() && reports.is_quarantined(self.fingerprint())
+    }
+
+    /// Notes that the request got a whole answer.
+    pub(super) fn note_answered(&self) {
+        if self.front.crash_reports.has_suspects() {
+            self.front.crash_reports.answered(self.fingerprint());
+        }
+    }
+
+    /// Notes the end of an attempt that may have crashed its target.
+    pub(super) fn note_lost(&self, end: AttemptEnd, target: SocketAddr, sent: Instant) {
+        if end == AttemptEnd::Lost {
+            self.front.crash_reports.connection_lost(self.fingerprint(), target, sent);
+        }
     }
 
     fn report_load(&self, target: &Name, headers: &HeaderMap) {
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     item_ends: ReasonCounters,
     job_events: ReasonCounters,
     invalid_entries: ReasonCounters,
+    target_crashes: Counter,
+    quarantined: Counter,
     dispatched: Gauge,
     recalled: Gauge,
     waiting_online: Gauge,
@@ -101,6 +103,11 @@
         let item_ends = family("item_ends", "Ends of runs of items");
         let job_events = family("job_events", "What became of jobs");
         let invalid_entries = family("foreign_entries", "Stored objects that were ignored");
+        let (target_crashes, quarantined) = (Counter::default(), Counter::default());
+        let help = "Requests that were lost together with their target";
+        registry.register("target_crashes", help, target_crashes.clone());
+        let help = "Requests that were quarantined, as they crash targets";
+        registry.register("quarantined", help, quarantined.clone());
         let (first_piece_s, whole_s) = (latency(), latency());
         registry.register("first_piece_seconds", "Time to the first piece", first_piece_s.clone());
         registry.register("whole_seconds", "Time to the whole answer", whole_s.clone());
@@ -122,6 +129,8 @@
             item_ends,
             job_events,
             invalid_entries,
+            target_crashes,
+            quarantined,
             dispatched: gauge(&mut registry, "dispatched", "Requests sent to targets"),
             recalled: gauge(&mut registry, "recalled", "Items recalled for online requests"),
             waiting_online: gauge(&mut registry, "waiting_online", "Online requests in the queue"),
@@ -186,6 +195,16 @@
         self.invalid_entries.count(kind);
     }
 
+    /// Counts a request that was lost together with its target.
+    pub fn target_crashed(&self) {
+        self.target_crashes.inc();
+    }
+
+    /// Counts a request that is quarantined.
+    pub fn quarantined(&self) {
+        self.quarantined.inc();
+    }
+
     /// Updates the counters and queue lengths of the placement.
     pub fn placement(&self, counters: Counters, waiting_online: usize, waiting_batch: usize) {
         self.dispatched.set(counters.dispatched as i64);
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -0,0 +1,213 @@
+//! The task that finds out which requests crash targets, and the handle by which requests use it.
+//!
+//! It owns both roles of this process: it reports lost requests to their coordinators and holds what these tell, and it
+//! is the coordinator of the requests that rendezvous hashing assigns to this process.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::net::{TcpStream, UdpSocket};
+use samphiredoor_core::{
+    crash_reports::{CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
+    placement::name_hash,
+};
+use samphiredoor_net::{clock::Clock, pool::within};
+
+use super::{
+    LocalGateway, Roster, crash_messages::CrashNews, datagram::Datagram, listener::send_to_all,
+};
+use crate::metrics::Metrics;
+
+/// Time for a connection to be refused; a target of the other region is 24 ms away.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Delay before the second probe: a process that ends may close its connections before its listening socket.
+const SECOND_PROBE_DELAY: Duration = Duration::from_millis(20);
+
+enum Message {
+    News(CrashNews),
+    /// News of this process, which go to all coordinators.
+    Own(CrashNews),
+}
+
+/// Handle to the task.
+#[derive(Clone)]
+pub struct CrashReports {
+    messages: flume::Sender<Message>,
+    known: Rc<RefCell<KnownSuspects>>,
+    clock: Clock,
+    metrics: Rc<Metrics>,
+}
+
+/// Configuration of the task.
+pub struct CrashReportsTask {
+    /// Identity of this process.
+    pub local: LocalGateway,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Socket that messages are sent from.
+    pub socket: Rc<UdpSocket>,
+    /// Other gateways, of which coordinators are chosen.
+    pub roster: Roster,
+    /// Metrics of the process.
+    pub metrics: Rc<Metrics>,
+}
+
+impl CrashReports {
+    /// Spawns the task on the runtime of the calling thread.
+    pub fn start(task: CrashReportsTask) -> CrashReports {
+        let (messages, inbox) = flume::unbounded();
+        let handle = CrashReports {
+            messages,
+            known: Rc::default(),
+            clock: task.clock,
+            metrics: Rc::clone(&task.metrics),
+        };
+        let coordinator = CrashCoordinator::default();
+        let own_key = name_hash(&task.local.name);
+        let running = Running { task, own_key, coordinator, handle: handle.clone() };
+        compio::runtime::spawn(running.run(inbox)).detach();
+        handle
+    }
+
+    /// Whether any request is suspected or quarantined. If none is, no fingerprint has to be computed.
+    pub fn has_suspects(&self) -> bool {
+        !self.known.borrow().is_empty()
+    }
+
+    /// Whether a request must not be sent, as it crashes targets.
+    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
+        self.known.borrow().is_quarantined(self.clock.now().mono_ms, fingerprint)
+    }
+
+    /// Notes a whole answer to a request, which clears it if it is suspected.
+    pub fn answered(&self, fingerprint: u64) {
+        if self.known.borrow().is_suspected(self.clock.now().mono_ms, fingerprint) {
+            self.send(Message::Own(CrashNews::Answered(fingerprint)));
+        }
+    }
+
+    /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
+    /// connections.
+    pub fn connection_lost(&self, fingerprint: u64, target: SocketAddr, sent_at: Instant) {
+        let (handle, lost_at) = (self.clone(), Instant::now());
+        compio::runtime::spawn(async move {
+            if !refuses_connections(target).await {
+                return;
+            }
+            handle.metrics.target_crashed();
+            log::info!(fingerprint:% = Hex(fingerprint), target:% = target; "crashes: target crashed under a request");
+            let report = CrashReport {
+                fingerprint,
+                sent_ago_ms: elapsed_ms(sent_at),
+                lost_ago_ms: elapsed_ms(lost_at),
+            };
+            handle.send(Message::Own(CrashNews::Lost(report)));
+        })
+        .detach();
+    }
+
+    /// Passes on the news of another gateway.
+    pub(super) fn reported(&self, news: CrashNews) {
+        self.send(Message::News(news));
+    }
+
+    /// Takes over what a coordinator tells.
+    pub(super) fn told(&self, verdict: CrashVerdict) {
+        let now_ms = self.clock.now().mono_ms;
+        let is_new = self.known.borrow_mut().apply(now_ms, verdict);
+        if is_new {
+            self.metrics.quarantined();
+            log::warn!(
+                fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes;
+                "crashes: request is quarantined"
+            );
+        }
+    }
+
+    // The task runs until the process ends, so the channel is never closed.
+    fn send(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+}
+
+struct Running {
+    task: CrashReportsTask,
+    own_key: u64,
+    coordinator: CrashCoordinator,
+    handle: CrashReports,
+}
+
+impl Running {
+    async fn run(mut self, inbox: flume::Receiver<Message>) {
+        while let Ok(message) = inbox.recv_async().await {
+            match message {
+                Message::News(news) => self.coordinate(news).await,
+                Message::Own(news) => self.report(news).await,
+            }
+        }
+    }
+
+    /// Sends news to the coordinators of the request; this process may be one of them.
+    async fn report(&mut self, news: CrashNews) {
+        let (CrashNews::Lost(CrashReport { fingerprint, .. }) | CrashNews::Answered(fingerprint)) =
+            news;
+        let coordinators = self.task.roster.coordinators(fingerprint).chosen;
+        let others = coordinators.iter().filter(|it| **it != self.own_key);
+        let others = others.filter_map(|it| self.task.roster.address_of_hash(*it)).collect();
+        send_to_all(&self.task.socket, Datagram::CrashReport(news).encode(), others).await;
+        // A gateway that reaches too few others has no coordinators, and counts for itself.
+        if coordinators.is_empty() || coordinators.contains(&self.own_key) {
+            self.coordinate(news).await;
+        }
+    }
+
+    /// Handles news as the coordinator of the request, and tells all gateways what follows.
+    async fn coordinate(&mut self, news: CrashNews) {
+        let now_ms = self.task.clock.now().mono_ms;
+        let verdict = match news {
+            CrashNews::Lost(report) => self.coordinator.report(now_ms, &report),
+            CrashNews::Answered(fingerprint) => self.coordinator.clear(fingerprint),
+        };
+        let Some(verdict) = verdict else { return };
+        log::info!(
+            fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes, news:? = news;
+            "crashes: all gateways are told"
+        );
+        self.handle.told(verdict);
+        let bytes = Datagram::CrashVerdict(verdict).encode();
+        send_to_all(&self.task.socket, bytes, self.task.roster.live_addresses()).await;
+    }
+}
+
+/// A fingerprint as it is written in logs.
+pub struct Hex(pub u64);
+
+impl std::fmt::Display for Hex {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+fn elapsed_ms(since: Instant) -> u32 {
+    u32::try_from(since.elapsed().as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Whether a target refuses connections in one of two probes.
+async fn refuses_connections(target: SocketAddr) -> bool {
+    if refuses_connection(target).await {
+        return true;
+    }
+    compio::time::sleep(SECOND_PROBE_DELAY).await;
+    refuses_connection(target).await
+}
+
+async fn refuses_connection(target: SocketAddr) -> bool {
+    match within(PROBE_TIMEOUT, TcpStream::connect(target)).await {
+        Some(Err(err)) => err.kind() == std::io::ErrorKind::ConnectionRefused,
+        Some(Ok(_)) | None => false,
+    }
+}
--- a/crates/samphiredoor-gateway/src/peers/datagram.rs
+++ b/crates/samphiredoor-gateway/src/peers/datagram.rs
@@ -1,10 +1,11 @@
 //! Encoding of the datagrams that gateways push to each other.
 
 use capnp::{message, serialize_packed};
-use samphiredoor_core::rate_limit::RunReport;
+use samphiredoor_core::{crash_reports::CrashVerdict, rate_limit::RunReport};
 use samphiredoor_schema::peer_capnp::gateway_datagram;
 
 use super::{
+    crash_messages::{CrashNews, read_news, read_verdict, write_news, write_verdict},
     run_messages::{AddressedGrant, read_grant, read_report, write_grant, write_report},
     status::Status,
     summary::Summary,
@@ -24,6 +25,10 @@
     RunReport(RunReport),
     /// Answer to a report.
     RunGrant(AddressedGrant),
+    /// News of a request that may crash targets, for its coordinators.
+    CrashReport(CrashNews),
+    /// What a coordinator tells of such a request.
+    CrashVerdict(CrashVerdict),
 }
 
 impl Datagram {
@@ -36,6 +41,8 @@
             Datagram::Summary(summary) => summary.write(root.init_summary()),
             Datagram::RunReport(report) => write_report(report, root.init_run_report()),
             Datagram::RunGrant(grant) => write_grant(grant, root.init_run_grant()),
+            Datagram::CrashReport(news) => write_news(news, root.init_crash_report()),
+            Datagram::CrashVerdict(verdict) => write_verdict(verdict, root.init_crash_verdict()),
         }
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         // Writing to a vector cannot fail.
@@ -57,6 +64,8 @@
             gateway_datagram::Summary(summary) => Datagram::Summary(Summary::read(summary?)?),
             gateway_datagram::RunReport(report) => Datagram::RunReport(read_report(report?)?),
             gateway_datagram::RunGrant(grant) => Datagram::RunGrant(read_grant(grant?)),
+            gateway_datagram::CrashReport(news) => Datagram::CrashReport(read_news(news?)),
+            gateway_datagram::CrashVerdict(it) => Datagram::CrashVerdict(read_verdict(it?)),
         })
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -10,7 +10,7 @@
 use samphiredoor_core::Name;
 
 use super::{
-    CellStatuses, JobOwners, Owner, Roster, RunLimits,
+    CellStatuses, CrashReports, JobOwners, Owner, Roster, RunLimits,
     datagram::{Datagram, MAX_BYTES},
     status::Status,
     summary::Summary,
@@ -31,6 +31,8 @@
     pub owners: JobOwners,
     /// Gets the messages on rate limits.
     pub run_limits: RunLimits,
+    /// Gets the messages on requests that crash targets.
+    pub crash_reports: CrashReports,
     /// Updated with the time since the store last responded to others.
     pub health: StoreHealth,
     /// Counts unreadable datagrams and live peers.
@@ -61,6 +63,8 @@
             Ok(Datagram::Summary(summary)) => self.apply_summary(summary).await,
             Ok(Datagram::RunReport(report)) => self.run_limits.reported(report, from),
             Ok(Datagram::RunGrant(grant)) => self.run_limits.granted(grant),
+            Ok(Datagram::CrashReport(news)) => self.crash_reports.reported(news),
+            Ok(Datagram::CrashVerdict(verdict)) => self.crash_reports.told(verdict),
             Err(err) => {
                 self.metrics.invalid_entry("datagram");
                 log::warn!(problem:% = err; "peers: unreadable datagram ignored");
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -6,6 +6,8 @@
 //! next one, and the store remains authoritative.
 
 mod cell_statuses;
+mod crash_messages;
+mod crash_reports;
 mod datagram;
 mod listener;
 mod owners;
@@ -25,6 +27,7 @@
 use samphiredoor_core::{Name, dispatch::Location};
 
 pub use cell_statuses::CellStatuses;
+pub use crash_reports::{CrashReports, CrashReportsTask, Hex};
 pub use listener::Listener;
 pub use owners::{JobOwners, Owner};
 pub use registration::registered_address;
--- a/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
@@ -1,6 +1,9 @@
 //! Which gateways are live, and whether this process is isolated from them.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::{
     Roster, SUMMARIES_START_AFTER,
@@ -81,6 +84,12 @@
         peers.values().filter(|it| it.is_live()).count()
     }
 
+    /// Addresses of all live gateways, without this one.
+    pub fn live_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        peers.values().filter(|it| it.is_live()).map(|it| it.address).collect()
+    }
+
     /// Number of live gateways in this process's region, including this one.
     pub fn live_in_region(&self) -> usize {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -21,8 +21,9 @@
     metrics::Metrics,
     mirror::Mirrors,
     peers::{
-        self, CellStatuses, JobOwners, LocalGateway, Roster, RunLimits, RunLimitsTask,
-        StatusSender, SummarySender, WatchRelay, routes_relay::RoutesRelay,
+        self, CellStatuses, CrashReports, CrashReportsTask, JobOwners, LocalGateway, Roster,
+        RunLimits, RunLimitsTask, StatusSender, SummarySender, WatchRelay,
+        routes_relay::RoutesRelay,
     },
     placement::{PlacementHandle, PlacementTask},
     platform_api::{Dialect, Platform},
@@ -215,6 +216,13 @@
         roster: roster.clone(),
         tolerance: config.rate_tolerance,
     });
+    let crash_reports = CrashReports::start(CrashReportsTask {
+        local: local.clone(),
+        clock,
+        socket: Rc::clone(&socket),
+        roster: roster.clone(),
+        metrics: Rc::clone(&metrics),
+    });
     let (owners, cell_statuses) = (JobOwners::default(), CellStatuses::default());
     let listener = peers::Listener {
         socket: Rc::clone(&socket),
@@ -223,6 +231,7 @@
         placement: placement.clone(),
         owners: owners.clone(),
         run_limits: run_limits.clone(),
+        crash_reports: crash_reports.clone(),
         health: health.clone(),
         metrics: Rc::clone(&metrics),
     };
@@ -271,6 +280,7 @@
         targets: client,
         jobs: jobs.clone(),
         run_limits,
+        crash_reports,
         metrics: Rc::clone(&metrics),
         clock,
         open_requests: Rc::default(),
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -109,9 +109,29 @@
     summary @1 :CellSummary;
     runReport @2 :RunReport;
     runGrant @3 :RunGrant;
+    crashReport @4 :CrashReport;
+    crashVerdict @5 :CrashVerdict;
   }
 }
 
+struct CrashReport {
+  # A request that was lost together with its target, or a whole answer to one that is suspected; for its coordinators.
+
+  fingerprint @0 :UInt64;
+  sentAgoMs @1 :UInt32;
+  lostAgoMs @2 :UInt32;
+  isAnswered @3 :Bool;
+  # Whether it got a whole answer; the times are 0 then.
+}
+
+struct CrashVerdict {
+  # What a coordinator tells all gateways of a request that crashes targets.
+
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt32;
+  # Number of targets that it has crashed; 0 if it is cleared.
+}
+
 struct RunReport {
   # Runs of one workspace at one gateway, for the coordinators of its rate limit.
 
