--- a/crates/samphiredoor-core/tests/reads/actions.rs
+++ b/crates/samphiredoor-core/tests/reads/actions.rs
@@ -36,6 +36,8 @@
     pub reads_on_after_close: bool,
     /// Whether an owner rewrites its header after a gap, so that no earlier takeover takes effect, or only reads it.
     pub rewrites_after_gap: bool,
+    /// Whether an owner is in doubt after a gap until no earlier takeover can take effect any more.
+    pub waits_for_late_takeovers: bool,
 }
 
 /// What becomes of the write of the header that marks a job as finished.
--- a/crates/samphiredoor-core/tests/reads/process.rs
+++ b/crates/samphiredoor-core/tests/reads/process.rs
@@ -20,6 +20,8 @@
     pub incarnation: u64,
     /// Whether others may take over its jobs: it is frozen, isolated, or does not reach the store.
     pub suspect: bool,
+    /// When takeovers that were sent during its last gap can no longer take effect.
+    pub late_takeovers_until_ms: u64,
     /// Whether it has ever owned the job.
     pub has_owned: bool,
     /// Its task of the job.
--- a/crates/samphiredoor-core/tests/reads/scenarios.rs
+++ b/crates/samphiredoor-core/tests/reads/scenarios.rs
@@ -7,8 +7,12 @@
 };
 
 /// What gateways do.
-const RULES: Rules =
-    Rules { names_all_formers: true, reads_on_after_close: true, rewrites_after_gap: false };
+const RULES: Rules = Rules {
+    names_all_formers: true,
+    reads_on_after_close: true,
+    rewrites_after_gap: false,
+    waits_for_late_takeovers: true,
+};
 
 /// A job that was taken over from its owner, process 0, whose create of a segment is under way.
 const TAKEN_WHILE_WRITING: [Action; 4] =
@@ -134,7 +138,7 @@
 #[test]
 fn reads_never_go_back_after_a_late_takeover_if_owners_rewrite_their_headers() {
     let bounds = Bounds { results: 1, gaps: 1, late_takeovers: 1, reads: 1, ..Bounds::default() };
-    let rules = Rules { rewrites_after_gap: true, ..RULES };
+    let rules = Rules { rewrites_after_gap: true, waits_for_late_takeovers: false, ..RULES };
     assert!(check(rules, bounds, usize::MAX).is_complete);
 }
 
@@ -154,6 +158,20 @@
     assert!(check(RULES, bounds, usize::MAX).is_complete);
 }
 
+#[test]
+fn reads_never_go_back_once_late_takeovers_are_over() {
+    let bounds =
+        Bounds { ticks: 1, results: 1, gaps: 1, late_takeovers: 1, reads: 1, ..Bounds::default() };
+    assert!(check(RULES, bounds, usize::MAX).is_complete);
+}
+
+#[test]
+fn a_late_takeover_is_found_where_owners_do_not_wait_for_it() {
+    let bounds = Bounds { results: 1, gaps: 1, late_takeovers: 1, reads: 1, ..Bounds::default() };
+    let found = violation(Rules { waits_for_late_takeovers: false, ..RULES }, bounds);
+    assert_eq!(found, "no result at position 0, where 1 had been read");
+}
+
 // A task that does not read on after its job was closed answers less, and nothing wrong.
 #[test]
 fn reads_never_go_back_although_a_closed_job_is_not_read_on() {
--- a/crates/samphiredoor-core/tests/reads/world.rs
+++ b/crates/samphiredoor-core/tests/reads/world.rs
@@ -203,8 +203,10 @@
             true => {
                 self.header_version += u8::from(self.rules.rewrites_after_gap);
                 let version = self.header_version;
+                let is_over = self.now_ms >= self.processes[process].late_takeovers_until_ms;
+                let is_confirmed = is_over || !self.rules.waits_for_late_takeovers;
                 let task = self.task(process);
-                task.is_confirmed = true;
+                task.is_confirmed = is_confirmed;
                 task.header_version = version;
             }
             false => self.end_task(process),
@@ -296,7 +298,10 @@
 
     /// Whether a read of the header changes what its reader does.
     fn check_matters(&self, process: usize) -> bool {
-        !(self.is_owner(process) && self.processes[process].suspect)
+        let checked = &self.processes[process];
+        let is_over = self.now_ms >= checked.late_takeovers_until_ms;
+        let is_early = self.rules.waits_for_late_takeovers && !is_over;
+        !(self.is_owner(process) && (checked.suspect || is_early))
     }
 
     /// Forgets calls that can no longer change anything.
@@ -437,7 +442,11 @@
                     task.is_confirmed = false;
                 }
             }
-            Action::EndGap(process) => self.processes[process].suspect = false,
+            Action::EndGap(process) => {
+                let process = &mut self.processes[process];
+                process.suspect = false;
+                process.late_takeovers_until_ms = now_ms + LATE_WRITE_MS;
+            }
             Action::CheckHeader(process) => self.check_header(process),
             Action::Restart(process) => self.restart(process),
             Action::TakeOver(process) => self.take_over(process),
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -50,6 +50,8 @@
     pub version: Version,
     /// Number of liveness gaps before the header was written.
     pub gap_count: u64,
+    /// Time before the header was written.
+    pub written_after: Instant,
     /// Whether no caller can have cancelled the job yet, because no gateway has reported it as accepted.
     pub is_new: bool,
 }
@@ -58,6 +60,8 @@
 pub struct OwnershipCheck {
     /// Number of liveness gaps before the store was read.
     gap_count: u64,
+    /// Time before the store was read.
+    sent_at: Instant,
     /// Answer to the read of the header; `None` if there was no gap since this process wrote it.
     header: Option<StoreAnswer>,
     /// Whether the caller has cancelled the job.
@@ -174,6 +178,8 @@
     /// Number of liveness gaps before the last read or write of the header that named this process as the owner. After a
     /// further gap nothing is appended until the header is read again: other owners answer readers from memory.
     owned_at_gap_count: u64,
+    /// Time before that read or write.
+    owned_at: Instant,
     /// Whether the header is written that marks the job as finished, so that no process can take it over any more.
     finish_written: bool,
     /// What is known of the end of the log, for readers that wait for more results.
@@ -211,6 +217,7 @@
             checking: false,
             next_check_at: Instant::now(),
             owned_at_gap_count: ownership.gap_count,
+            owned_at: ownership.written_after,
             finish_written: false,
             log_end,
             next_reread_at: Instant::now(),
--- a/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/results.rs
@@ -213,6 +213,7 @@
         let (gaps, health) = (&self.env.liveness_gaps, &self.env.health);
         gaps.is_settled()
             && !self.had_gap()
+            && !self.may_be_taken_late()
             && !health.is_lost_for(STORE_LOST_AFTER)
             && self.env.roster.at_least_half_live()
     }
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -56,7 +56,9 @@
     /// Whether items, readers or results to be written wait until it is known that this process still owns the job.
     fn wants_ownership_check(&self, now: Instant) -> bool {
         let write_waits = self.write_at.is_some_and(|it| it <= now) && self.write_must_wait();
-        let reader_waits = !self.readers.is_empty() && self.had_gap();
+        let is_in_doubt =
+            self.had_gap() || (self.may_be_taken_late() && self.late_takeovers_are_over());
+        let reader_waits = !self.readers.is_empty() && is_in_doubt;
         self.suspended || self.permit.is_wanted() || write_waits || reader_waits
     }
 
@@ -65,6 +67,17 @@
         self.env.liveness_gaps.count() != self.owned_at_gap_count
     }
 
+    /// Whether a takeover that was sent because of an earlier gap may have taken effect since this process was last known to
+    /// own the job.
+    pub(super) fn may_be_taken_late(&self) -> bool {
+        self.env.liveness_gaps.late_takeovers_until().is_some_and(|it| self.owned_at < it)
+    }
+
+    /// Whether no such takeover can take effect any more.
+    fn late_takeovers_are_over(&self) -> bool {
+        self.env.liveness_gaps.late_takeovers_until().is_none_or(|it| it <= Instant::now())
+    }
+
     /// Reads whether the job was cancelled, and also its owner unless there was no gap since this process wrote itself
     /// as the owner.
     fn check_ownership(&mut self) {
@@ -72,7 +85,8 @@
         let (env, messages) = (Rc::clone(&self.env), self.messages.clone());
         let (job, gap_count) =
             (JobName::clone(&self.ownership.job), self.env.liveness_gaps.count());
-        let is_known = gap_count == self.owned_at_gap_count;
+        let sent_at = Instant::now();
+        let is_known = gap_count == self.owned_at_gap_count && !self.may_be_taken_late();
         compio::runtime::spawn(async move {
             let header = async {
                 match is_known {
@@ -84,6 +98,7 @@
             // Fails only if the job's task has ended.
             let _ = messages.send(JobMessage::OwnershipChecked(OwnershipCheck {
                 gap_count,
+                sent_at,
                 header,
                 cancelled,
             }));
@@ -99,6 +114,7 @@
         let names_this_process = check.header.as_ref().map(|it| self.names_this_process(it));
         if names_this_process == Some(Some(true)) {
             self.owned_at_gap_count = check.gap_count;
+            self.owned_at = check.sent_at;
         }
         match (names_this_process, check.cancelled) {
             (Some(Some(false)), _) => self.lose_ownership(),
--- a/crates/samphiredoor-gateway/src/jobs/liveness_gaps.rs
+++ b/crates/samphiredoor-gateway/src/jobs/liveness_gaps.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use samphiredoor_core::time::Now;
+use samphiredoor_core::{ordered::LATE_WRITE_MS, time::Now};
 use samphiredoor_net::clock::Clock;
 
 use crate::{peers::Roster, store_health::StoreHealth};
@@ -29,6 +29,10 @@
 /// again.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time after a gap from which no takeover of its time can take effect any more: the last one may have been sent before the
+/// gap was settled, and a write may take effect late.
+const LATE_TAKEOVERS: Duration = SETTLE_TIME.saturating_add(Duration::from_millis(LATE_WRITE_MS));
+
 /// Shared handle to the gap detector of this process.
 #[derive(Clone)]
 pub struct LivenessGaps {
@@ -47,6 +51,8 @@
     handled_recoveries: Cell<u64>,
     /// When the gap after the last one is counted.
     settles_at: Cell<Option<Instant>>,
+    /// Until when takeovers of the last gap may take effect; `None` before the first gap.
+    late_takeovers_until: Cell<Option<Instant>>,
     /// Whether heartbeats of at least half of the fleet have arrived since the start.
     was_connected: Cell<bool>,
     /// When the process was last recorded as isolated; `None` while it is not.
@@ -64,6 +70,7 @@
             recorded: Cell::default(),
             handled_recoveries: Cell::default(),
             settles_at: Cell::default(),
+            late_takeovers_until: Cell::default(),
             was_connected: Cell::default(),
             isolated_since: Cell::default(),
         };
@@ -83,6 +90,14 @@
         self.state.settles_at.get().is_none()
     }
 
+    /// Until when takeovers may take effect that were sent because of the last gap; `None` if there was no gap. Only a read
+    /// of a job's header that was sent later shows whether this process has lost the job.
+    pub fn late_takeovers_until(&self) -> Option<Instant> {
+        self.check_clocks();
+        self.check_store();
+        self.state.late_takeovers_until.get()
+    }
+
     /// Checks for gaps periodically for as long as the process runs.
     pub async fn run(self) {
         loop {
@@ -109,10 +124,16 @@
     fn check_store(&self) {
         let recoveries = self.state.health.recoveries();
         if self.state.handled_recoveries.replace(recoveries) != recoveries {
-            self.state.settles_at.set(Some(Instant::now() + SETTLE_TIME));
+            self.settle_later();
         }
     }
 
+    fn settle_later(&self) {
+        let now = Instant::now();
+        self.state.settles_at.set(Some(now + SETTLE_TIME));
+        self.state.late_takeovers_until.set(Some(now + LATE_TAKEOVERS));
+    }
+
     fn check_peers(&self) {
         let state = &self.state;
         let is_over = |at: Instant| at.elapsed() >= ISOLATION_REPEAT;
@@ -132,7 +153,7 @@
 
     fn record(&self, why: &'static str) {
         log::info!(why; "jobs: peers may have declared this process dead");
-        self.state.settles_at.set(Some(Instant::now() + SETTLE_TIME));
+        self.settle_later();
         self.increment();
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -3,7 +3,10 @@
 //! Each process periodically goes through the headers of all jobs, from a list that may be seconds old and is cheap. A
 //! job is taken over by a conditional update of its header, which only one gateway can win.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
 use rand::seq::SliceRandom;
@@ -228,6 +231,7 @@
     closed: bool,
 ) -> Option<JobOwnership> {
     let (previous, gap_count) = (header.owner.clone(), env.liveness_gaps.count());
+    let written_after = Instant::now();
     let header = JobHeader { finished: closed, ..header.taken_over_by(env.owner()) };
     let (key, value) = (header_key(job), header.value());
     let update = StoreOp::Update { key, version, labels: Labels::new(), value };
@@ -245,7 +249,8 @@
         "job: taken over"
     );
     env.metrics.job_event("taken");
-    Some(JobOwnership { job: JobName::clone(job), header, version, gap_count, is_new: false })
+    let job = JobName::clone(job);
+    Some(JobOwnership { job, header, version, gap_count, written_after, is_new: false })
 }
 
 fn start(env: &Rc<JobEnv>, directory: &Directory, owned: JobOwnership, items: Vec<Item>) {
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -197,12 +197,9 @@
                 // After this delay the submission is forwarded. The caller may have got its answer from the other
                 // gateway and cancelled the job there.
                 let is_new = began.elapsed() < FORWARD_DELAY;
-                start(
-                    &env,
-                    &directory,
-                    JobOwnership { job, header, version, gap_count, is_new },
-                    items,
-                );
+                let written_after = began;
+                let owned = JobOwnership { job, header, version, gap_count, written_after, is_new };
+                start(&env, &directory, owned, items);
                 SubmissionOutcome::Accepted
             }
             Acceptance::Earlier(found) if found.digest == header.digest => {
