--- a/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
+++ b/crates/samphiredoor/tests/it/platform/reads_after_cancellation.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use samphiredoor_standin::{platform_store::StoreFault, platform_target::PlatformTarget};
+use samphiredoor_standin::{
+    platform_store::StoreFault,
+    platform_target::{PlatformTarget, TargetFault},
+};
 use serde_json::Value;
 
 use super::{cancellations::gateways, env::Platform};
@@ -17,6 +20,10 @@
 const LOG_IS_READ: Duration = Duration::from_millis(300);
 /// Longer than a write that was not answered can still take effect.
 const LATE_WRITES_OVER: Duration = Duration::from_secs(8);
+/// Pause after which a process counts as one that others may have declared dead.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time after a pause in which others hear from the process again; a late takeover takes some seconds more.
+const SETTLED_AFTER: Duration = Duration::from_secs(4);
 
 fn calls(platform: &Platform, call: &str) -> u64 {
     platform.store.calls().get(call).copied().unwrap_or(0)
@@ -192,3 +199,26 @@
         assert!(answer.status != 200 || returned >= results.len(), "{returned} results");
     }
 }
+
+// Guards against an owner that answers from memory soon after a pause: a takeover that was sent during the pause may take
+// effect seconds later, and another one then writes results.
+#[test]
+fn a_resumed_owner_sends_readers_to_the_store_until_no_takeover_can_be_late() {
+    let (platform, target) = gateways(1);
+    target.fail_next(100_000, TargetFault::Full);
+    assert_eq!(platform.submit(0, JOB, &["item-a"]).status, 202);
+    platform.signal(0, "STOP");
+    std::thread::sleep(PAUSE);
+    platform.signal(0, "CONT");
+    platform.wait_logged(0, "peers may have declared this process dead");
+    std::thread::sleep(SETTLED_AFTER);
+    let reads_store = || {
+        let before = calls(&platform, "GET jobsegments");
+        assert_eq!(platform.results(0, JOB, 0).status, 200);
+        calls(&platform, "GET jobsegments") > before
+    };
+    for _ in 0..3 {
+        assert!(reads_store(), "the page is from memory alone");
+    }
+    wait_until("the owner answers from memory", || !reads_store());
+}
