--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -3,30 +3,20 @@
 //! It owns both roles of this process: it reports lost requests to their coordinators and holds what these tell, and it
 //! is the coordinator of the requests that rendezvous hashing assigns to this process.
 
-use std::{
-    cell::RefCell,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
 
-use compio::net::{TcpStream, UdpSocket};
+use compio::net::UdpSocket;
 use samphiredoor_core::{
     crash_reports::{CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
     placement::name_hash,
 };
-use samphiredoor_net::{clock::Clock, pool::within};
+use samphiredoor_net::{clock::Clock, probe::refuses_connections};
 
 use super::{
     LocalGateway, Roster, crash_messages::CrashNews, datagram::Datagram, listener::send_to_all,
 };
 use crate::metrics::Metrics;
 
-/// Time for a connection to be refused; a target of the other region is 24 ms away.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay before the second probe: a process that ends may close its connections before its listening socket.
-const SECOND_PROBE_DELAY: Duration = Duration::from_millis(20);
-
 enum Message {
     News(CrashNews),
     /// News of this process, which go to all coordinators.
@@ -195,19 +185,3 @@
 fn elapsed_ms(since: Instant) -> u32 {
     u32::try_from(since.elapsed().as_millis()).unwrap_or(u32::MAX)
 }
-
-/// Whether a target refuses connections in one of two probes.
-async fn refuses_connections(target: SocketAddr) -> bool {
-    if refuses_connection(target).await {
-        return true;
-    }
-    compio::time::sleep(SECOND_PROBE_DELAY).await;
-    refuses_connection(target).await
-}
-
-async fn refuses_connection(target: SocketAddr) -> bool {
-    match within(PROBE_TIMEOUT, TcpStream::connect(target)).await {
-        Some(Err(err)) => err.kind() == std::io::ErrorKind::ConnectionRefused,
-        Some(Ok(_)) | None => false,
-    }
-}
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fetch;
 pub mod metrics;
 pub mod pool;
+pub mod probe;
 pub mod serve;
 pub mod socket;
 pub mod stall;
--- a/crates/samphiredoor/src/quarantine_task.rs
+++ b/crates/samphiredoor/src/quarantine_task.rs
@@ -5,7 +5,6 @@
 
 use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use compio::net::TcpStream;
 use samphiredoor_core::{
     dispatch::RequestId,
     hints::Hint,
@@ -15,16 +14,13 @@
 };
 use samphiredoor_net::{
     clock::Clock,
-    pool::within,
+    probe::refuses_connections,
     timed_inbox::{InboxEvent, TimedInbox},
 };
 
 use crate::{metrics::Metrics, peers::Peers, store_client::StoreClient};
 
 const TICK: Duration = Duration::from_millis(250);
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay before the second probe: a process that ends may close its connections before its listening socket.
-const SECOND_PROBE_DELAY: Duration = Duration::from_millis(20);
 
 enum Message {
     Admit { attempt: RequestId, fingerprint: u64, target: SocketAddr, reply: flume::Sender<bool> },
@@ -249,20 +245,3 @@
         }
     }
 }
-
-/// Whether a target refuses connections in one of two probes. A target that does not answer is unreachable, which is no
-/// proof that it died.
-async fn refuses_connections(target: SocketAddr) -> bool {
-    if refuses_connection(target).await {
-        return true;
-    }
-    compio::time::sleep(SECOND_PROBE_DELAY).await;
-    refuses_connection(target).await
-}
-
-async fn refuses_connection(target: SocketAddr) -> bool {
-    match within(PROBE_TIMEOUT, TcpStream::connect(target)).await {
-        Some(Err(err)) => err.kind() == std::io::ErrorKind::ConnectionRefused,
-        Some(Ok(_)) | None => false,
-    }
-}
