--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -1,8 +1,10 @@
 //! Requests that crash targets: which crashes count, who is told, and what clears a request.
 
+mod property;
+
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::crash_reports::{
     CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
@@ -147,11 +149,7 @@
 
 #[test]
 fn a_request_crashes_three_targets_and_those_of_gateways_that_were_not_told() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = property::runner(600, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
     let steps = prop::collection::vec(step(), 1..60);
     runner
         .run(&steps, |steps| {
--- a/crates/samphiredoor-core/tests/ordered/failures.rs
+++ b/crates/samphiredoor-core/tests/ordered/failures.rs
@@ -3,11 +3,14 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::ordered::{ItemFailure, LogStep, OutputPart, ResultLog};
 
-use super::store::{CallOutcome, Store, call_outcome};
+use super::{
+    property,
+    store::{CallOutcome, Store, call_outcome},
+};
 
 const SEED: [u8; 32] = *b"samphiredoor-item-failures-owner";
 const OWNERS: usize = 3;
@@ -118,11 +121,7 @@
 
 #[test]
 fn an_item_that_always_fails_is_sent_a_bounded_number_of_times() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = property::runner(600, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
     let steps = prop::collection::vec(step(), 1..150);
     runner
         .run(&steps, |steps| {
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -6,13 +6,16 @@
 
 use proptest::{
     prelude::*,
-    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::ordered::{
     ItemResult, LogStep, Outcome, OutputPart, PartialOutput, ResultLog,
 };
 
-use super::store::{CallOutcome, Store, call_outcome};
+use super::{
+    property,
+    store::{CallOutcome, Store, call_outcome},
+};
 
 const SEED: [u8; 32] = *b"samphiredoor-ordered-log-writers";
 const WRITERS: usize = 3;
@@ -156,11 +159,7 @@
 
 #[test]
 fn positions_never_change_with_concurrent_writers() {
-    let cases = std::env::var("SAMPHIREDOOR_CASES").ok().and_then(|it| it.parse().ok());
-    let config =
-        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    let mut runner = property::runner(600, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
     let steps = prop::collection::vec(step(), 1..150);
     runner
         .run(&steps, |steps| {
--- a/crates/samphiredoor-core/tests/ordered/main.rs
+++ b/crates/samphiredoor-core/tests/ordered/main.rs
@@ -5,5 +5,7 @@
 mod items;
 mod log;
 mod log_end;
+#[path = "../property/mod.rs"]
+mod property;
 mod reader;
 mod store;
