--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -129,8 +129,8 @@
                 Outcome::Resume => {}
                 Outcome::RetryLater => compio::time::sleep(RETRY_PAUSE).await,
                 Outcome::ResponseLost => {
-                    let is_resumed = self.last_event() > first_event;
-                    let end = if is_resumed { ItemEnd::Interrupted } else { ItemEnd::NoAnswer };
+                    let has_new_event = self.last_event() > first_event;
+                    let end = if has_new_event { ItemEnd::Interrupted } else { ItemEnd::NoAnswer };
                     return self.finish(end);
                 }
             }
