--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, SUSPECTED_CRASHES, remembered_ms};
+use super::{CrashVerdict, QUARANTINE_CRASHES, SUSPECTED_CRASHES, limit_len, remembered_ms};
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +43,7 @@
             crashes.last_at_ms = lost_at_ms;
         }
         let verdict = CrashVerdict { fingerprint: report.fingerprint, crashes: crashes.count };
-        self.limit_len();
+        limit_len(&mut self.crashes, |it| (it.count, it.last_at_ms));
         (verdict.crashes >= SUSPECTED_CRASHES).then_some(verdict)
     }
 
@@ -60,12 +60,4 @@
     fn forget(&mut self, now_ms: u64) {
         self.crashes.retain(|_, it| it.last_at_ms + remembered_ms(it.count) > now_ms);
     }
-
-    fn limit_len(&mut self) {
-        while self.crashes.len() > MAX_SUSPECTS {
-            let least = self.crashes.iter().min_by_key(|(_, it)| (it.count, it.last_at_ms));
-            let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
-            self.crashes.remove(&fingerprint);
-        }
-    }
 }
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, remembered_ms};
+use super::{CrashVerdict, QUARANTINE_CRASHES, limit_len, remembered_ms};
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -47,7 +47,7 @@
         let known = known.or_insert(Known { crashes: 0, told_at_ms: now_ms });
         known.crashes = known.crashes.max(verdict.crashes);
         known.told_at_ms = now_ms;
-        self.limit_len();
+        limit_len(&mut self.suspects, |it| (it.crashes, it.told_at_ms));
         !was_quarantined && verdict.crashes >= QUARANTINE_CRASHES
     }
 
@@ -55,12 +55,4 @@
         let known = self.suspects.get(&fingerprint)?;
         (known.told_at_ms + remembered_ms(known.crashes) > now_ms).then_some(known)
     }
-
-    fn limit_len(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let least = self.suspects.iter().min_by_key(|(_, it)| (it.crashes, it.told_at_ms));
-            let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
-            self.suspects.remove(&fingerprint);
-        }
-    }
 }
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -16,6 +16,8 @@
 mod coordinator;
 mod known;
 
+use std::collections::BTreeMap;
+
 pub use coordinator::{CrashCoordinator, CrashReport};
 pub use known::KnownSuspects;
 
@@ -27,7 +29,7 @@
 /// seconds.
 const SUSPICION_MS: u64 = 60_000;
 /// Time since its last crash for which a request is quarantined. After that it may crash three more targets.
-const QUARANTINE_MS: u64 = 600_000;
+pub const QUARANTINE_MS: u64 = 600_000;
 /// Most requests that are remembered; those with the fewest crashes are dropped first, of these the oldest.
 const MAX_SUSPECTS: usize = 1_000;
 
@@ -44,3 +46,12 @@
 fn remembered_ms(crashes: u32) -> u64 {
     if crashes >= QUARANTINE_CRASHES { QUARANTINE_MS } else { SUSPICION_MS }
 }
+
+/// Drops entries above [`MAX_SUSPECTS`], those with the fewest crashes and the oldest time first.
+fn limit_len<T>(entries: &mut BTreeMap<u64, T>, crashes_and_time: impl Fn(&T) -> (u32, u64)) {
+    while entries.len() > MAX_SUSPECTS {
+        let least = entries.iter().min_by_key(|(_, it)| crashes_and_time(it));
+        let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
+        entries.remove(&fingerprint);
+    }
+}
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -19,6 +19,7 @@
 use samphiredoor_core::{
     Name,
     access::Workspace,
+    crash_reports::QUARANTINE_MS,
     dispatch::Class,
     placement::{AttemptEnd, RequestSpec},
     quarantine,
@@ -51,8 +52,6 @@
 const MIN_TIME_TO_SEND: Duration = Duration::from_millis(30);
 /// Most times that one request is sent, in case every target refuses it.
 const MAX_SENDS: u32 = 8;
-/// `Retry-After` of a request that crashes targets: its quarantine lasts longer than any caller waits.
-const QUARANTINED_RETRY_MS: u64 = 600_000;
 /// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
 /// output every 25 ms and a full one starts within 300 ms.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -307,7 +306,7 @@
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if self.is_quarantined() {
-                return self.final_outcome(Refusal::Quarantined, QUARANTINED_RETRY_MS);
+                return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
             }
             let mut ticket = self.front.placement.request(self.request_spec());
             let queued = Instant::now();
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -57,8 +57,8 @@
     fn wants_ownership_check(&self, now: Instant) -> bool {
         let write_waits = self.write_at.is_some_and(|it| it <= now) && self.write_must_wait();
         let is_in_doubt =
-            self.had_gap() || (self.may_be_taken_late() && self.late_takeovers_are_over());
-        let reader_waits = !self.readers.is_empty() && is_in_doubt;
+            || self.had_gap() || (self.may_be_taken_late() && self.late_takeovers_are_over());
+        let reader_waits = !self.readers.is_empty() && is_in_doubt();
         self.suspended || self.permit.is_wanted() || write_waits || reader_waits
     }
 
