--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -43,6 +43,8 @@
     Crashes,
     /// The request runs and is answered with 422: it can never succeed.
     Impossible,
+    /// The same, but the connection is closed before the end of the answer's body.
+    ImpossibleCut,
     /// An answer that names another request is sent before the correct one.
     Stray,
     /// The request runs and is not answered.
@@ -306,6 +308,14 @@
                     "impossible",
                 )?;
             }
+            TargetFault::ImpossibleCut => {
+                write!(
+                    stream,
+                    "HTTP/1.1 422 Unprocessable Entity\r\nContent-Length: 100\r\nX-Request-Id: {id}\r\n{}\r\nimposs",
+                    stamp_header(id)
+                )?;
+                return Ok(false);
+            }
             TargetFault::AnswerLost => return Ok(false),
             TargetFault::Crashes => {
                 self.crash();
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -7,6 +7,7 @@
 };
 
 use samphiredoor_standin::{
+    link::LinkFault,
     platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
 };
@@ -56,6 +57,41 @@
     (platform, targets)
 }
 
+/// Time within which an interrupted item is run again, by the next owner if there is another.
+const RUN_AGAIN_WITHIN: Duration = Duration::from_secs(4);
+/// Online requests that together take all slots of a target.
+const SURGE: usize = 8;
+
+/// Fleet whose target answers the failing item with 422, over a slow link: its answers are on their way for a while.
+fn fleet_with_slow_link(gateways: usize) -> (Platform, PlatformTarget) {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let target = platform.start_target("t-1", PAUSE);
+    target.fail_always(OPEN, TargetFault::Full);
+    target.fail_always(FAILING, TargetFault::Impossible);
+    platform.target_link(&target.name).expect("a link").set_fault(LinkFault::Slow);
+    for _ in 0..gateways {
+        platform.start_gateway();
+    }
+    (platform, target)
+}
+
+/// Interrupts each run of the failing item while its answer is on the way, until the item is not run again or was run
+/// more often than allowed; returns the number of runs.
+fn runs_if_interrupted(target: &PlatformTarget, mut interrupt: impl FnMut(usize)) -> usize {
+    for number in 1..=MOST_IMPOSSIBLE + 1 {
+        let until = Instant::now() + RUN_AGAIN_WITHIN;
+        while target.runs_of(FAILING) < number {
+            if Instant::now() > until {
+                return target.runs_of(FAILING);
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        interrupt(number);
+    }
+    target.runs_of(FAILING)
+}
+
 /// Waits until the item has a result in the store, for at most [`RECORDED_WITHIN`].
 fn wait_recorded(platform: &Platform) {
     let until = Instant::now() + RECORDED_WITHIN;
@@ -151,3 +187,31 @@
     let later = crashed() - CRASHES_KNOWN;
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
 }
+
+// Guards against an item that is sent again without a bound because each of its answers crosses a preemption.
+#[test]
+fn failures_that_cross_preemptions_do_not_repeat_an_item_without_a_bound() {
+    let (platform, target) = fleet_with_slow_link(1);
+    assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
+    let runs = runs_if_interrupted(&target, |number| {
+        thread::scope(|scope| {
+            for request in 0..SURGE {
+                let id = format!("online-{number}-{request}");
+                let platform = &platform;
+                scope.spawn(move || platform.send(0, "/stream/check", &id, ""));
+            }
+        });
+    });
+    assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
+}
+
+// Guards against an item that is sent again and again because the bodies of its failures break off.
+#[test]
+fn failures_without_a_whole_body_do_not_repeat_an_item_without_a_bound() {
+    let (platform, target) = fleet(1);
+    target.fail_always(FAILING, TargetFault::ImpossibleCut);
+    assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
+    thread::sleep(Duration::from_secs(3));
+    let runs = target.runs_of(FAILING);
+    assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
+}
