Items: an answer that crosses a preemption no longer repeats an item without a bound

Cause: a preempted item was sent again at once and was not counted, whatever its target had answered meanwhile. The youngest items are preempted first, which are those whose failure is due, so the same item was hit again and again.

A run that is preempted before its target has answered ends now, and counts as one without an answer. The next run of that item, and runs of items that a former owner may have run, are not preempted before their target has answered, for a second at most; the second and later ones follow after the backoff. So each owner lets one answer cross a preemption at most, and after one unread failure the next one is read. Online requests wait for such a slot until the item's first event, some 20 ms on an engine.

Considered: not to preempt any item before its first event (keeps online requests waiting for every young item), and to read on for a moment after each preemption (does not cover answers on the way between regions).

--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -28,6 +28,8 @@
     NoAnswer,
     /// The answer was lost after at least one new event.
     Interrupted,
+    /// The run was preempted before its target had answered: it may have failed there.
+    Preempted,
     /// No route allows the item any more.
     NoRoute,
 }
@@ -52,13 +54,22 @@
     attempts: u32,
     /// Number of runs without an answer in this process, by item.
     unanswered: BTreeMap<u32, u32>,
+    /// Whether an earlier owner may have run any of the items.
+    had_former_owner: bool,
 }
 
 impl Items {
     /// Creates the state of these items, each of which fails permanently after this many failures at targets.
     pub fn new(items: Vec<Item>, attempts: u32) -> Items {
         let items = items.into_iter().map(Arc::new).collect();
-        Items { items, attempts: attempts.max(1), unanswered: BTreeMap::new() }
+        let (attempts, unanswered) = (attempts.max(1), BTreeMap::new());
+        Items { items, attempts, unanswered, had_former_owner: false }
+    }
+
+    /// Notes that an earlier owner may have run any of the items.
+    pub fn with_former_owner(mut self) -> Items {
+        self.had_former_owner = true;
+        self
     }
 
     /// Item with an index.
@@ -87,6 +98,12 @@
         self.unanswered.get(&item).copied().unwrap_or_default()
     }
 
+    /// Whether an item may have failed in a run whose answer nobody read. Its next run must not be preempted before its target
+    /// has answered: otherwise an item that always fails would be sent again and again.
+    pub fn must_be_answered(&self, item: u32) -> bool {
+        self.had_former_owner || self.unanswered(item) > 0
+    }
+
     /// Records the outcome of a run. `failures` is the number of failures that targets reported of the item, by any owner
     /// and with this run. Only these count against the limit: a lost answer is no evidence about the item.
     pub fn run_ended(&mut self, item: u32, end: ItemEnd, failures: u32) -> ItemStep {
@@ -99,7 +116,7 @@
                 ItemStep::Retry { backoff_ms: backoff_ms(self.count_unanswered(item)) }
             }
             // Most interruptions have causes outside of the item, which another target does not share.
-            ItemEnd::Interrupted => match self.count_unanswered(item) {
+            ItemEnd::Interrupted | ItemEnd::Preempted => match self.count_unanswered(item) {
                 1 => ItemStep::Retry { backoff_ms: 0 },
                 unanswered => ItemStep::Retry { backoff_ms: backoff_ms(unanswered) },
             },
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -43,6 +43,7 @@
     an_item_without_a_route_fails: [ItemEnd::NoRoute] => Some(Outcome::Failed);
     lost_answers_do_not_count_as_failures: vec![ItemEnd::NoAnswer; 50] => None;
     interruptions_do_not_count_as_failures: vec![ItemEnd::Interrupted; 50] => None;
+    preemptions_do_not_count_as_failures: vec![ItemEnd::Preempted; 50] => None;
 }
 
 /// Backoffs of an item whose runs all end in the same way, until `total_ms` have passed.
@@ -69,7 +70,7 @@
 // intervals for as long as its job may last.
 #[test]
 fn an_item_that_is_never_answered_is_sent_ten_times_a_minute_at_most() {
-    for end in [ItemEnd::NoAnswer, ItemEnd::Interrupted] {
+    for end in [ItemEnd::NoAnswer, ItemEnd::Interrupted, ItemEnd::Preempted] {
         let sent = backoffs_within(60_000, &end).len();
         assert!(sent <= 10, "{end:?}: {sent} times");
     }
@@ -80,3 +81,19 @@
     let backoffs = backoffs_within(1_000, &ItemEnd::Interrupted);
     assert_eq!(backoffs[..3], [0, 200, 400]);
 }
+
+// Guards against an item that always fails and whose failures all cross preemptions.
+#[test]
+fn an_item_must_be_answered_after_a_run_without_an_answer() {
+    for end in [ItemEnd::NoAnswer, ItemEnd::Interrupted, ItemEnd::Preempted] {
+        let mut items = items(3);
+        assert!(!items.must_be_answered(0));
+        items.run_ended(0, end, 0);
+        assert!(items.must_be_answered(0));
+    }
+}
+
+#[test]
+fn an_item_that_a_former_owner_may_have_run_must_be_answered() {
+    assert!(items(3).with_former_owner().must_be_answered(0));
+}
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -42,6 +43,9 @@
 /// requests that join a batch delay its events by a few hundred milliseconds at most; an engine short of memory may
 /// delay one for longer.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after the preemption of an item that must be answered until it is cut. A target that has a slot for it answers in a
+/// few ten milliseconds; meanwhile an online request may wait for that slot.
+pub const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause before an item is sent again that was not run by the target, or got no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval at which an item checks for routes while this process has none that are recent enough.
@@ -75,6 +79,10 @@
     pub output: SharedOutput,
     /// Permit that must be valid whenever the item is sent.
     pub permit: Rc<SendPermit>,
+    /// Whether an earlier run of the item may have failed unread, see [`Items::must_be_answered`].
+    ///
+    /// [`Items::must_be_answered`]: samphiredoor_core::ordered::Items::must_be_answered
+    pub must_be_answered: bool,
 }
 
 /// Output of an item received so far.
@@ -91,8 +99,6 @@
     ran_ms: u64,
     /// Whether the item is at a target that has not answered yet: it may have failed there.
     awaits_answer: bool,
-    /// Number of attempts in this process that ended without an answer.
-    unanswered: u32,
     /// Account of the text in the buffer budget; `None` without a budget or text.
     held: Option<HeldOutput>,
 }
@@ -104,14 +110,37 @@
 enum Outcome {
     /// The run ends with this result.
     Finished(ItemEnd),
-    /// The attempt was preempted or not sent; the item can be sent again at once.
+    /// The attempt was preempted after its target had answered, or not sent; the item can be sent again at once.
     Resume,
+    /// The attempt was preempted before its target had answered.
+    Preempted,
     /// The target did not run the item, or there was none; retry after a short pause.
     RetryLater,
     /// The response was cut off or did not arrive; the item may have run.
     ResponseLost,
 }
 
+/// Why the head of a response did not arrive.
+enum NoResponse {
+    /// The item was not sent.
+    NotSent,
+    /// The connection failed after the item was sent.
+    Lost,
+    /// Nothing arrived in time.
+    Silent,
+    /// The attempt was preempted first.
+    Preempted,
+}
+
+impl From<SendError> for NoResponse {
+    fn from(err: SendError) -> NoResponse {
+        match err {
+            SendError::NotSent(_) => NoResponse::NotSent,
+            SendError::MayHaveRun(_) => NoResponse::Lost,
+        }
+    }
+}
+
 impl ItemRun {
     /// Runs the item until it has a result, or until a response was lost.
     pub async fn run(self) -> ItemEnd {
@@ -134,6 +163,8 @@
             match self.attempt(&route, &mut call).await {
                 Outcome::Finished(end) => return self.finish(end),
                 Outcome::Resume => {}
+                Outcome::Preempted if self.last_event().is_some() => {}
+                Outcome::Preempted => return self.finish(ItemEnd::Preempted),
                 Outcome::RetryLater => compio::time::sleep(RETRY_PAUSE).await,
                 Outcome::ResponseLost => {
                     let has_new_event = self.last_event() > first_event;
@@ -152,6 +183,7 @@
             ItemEnd::NoAnswer => "no_answer",
             ItemEnd::Interrupted => "interrupted",
             ItemEnd::NoRoute => "no_route",
+            ItemEnd::Preempted => "preempted",
         };
         self.env.metrics.item_ended(label);
         log::info!(job = &*self.job, item = &*self.item.id, end = label; "item: run ended");
@@ -201,22 +233,23 @@
         self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
         self.output.borrow_mut().awaits_answer = true;
-        let sending = within(IDLE_TIMEOUT, self.env.targets.send(&target, address, call));
-        let (outcome, end) = match or_preempted(&mut ticket, sending).await {
-            None => (Outcome::Resume, AttemptEnd::Cut),
-            Some(Some(Ok(response))) => {
+        let mut is_preempted = false;
+        let sent = self.send(&mut ticket, (&target, address), call, &mut is_preempted).await;
+        let (outcome, end) = match sent {
+            Ok(response) => {
                 self.output.borrow_mut().awaits_answer = false;
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placement.report_load(&target, load);
                 }
-                self.read_response(response, &mut ticket).await
+                self.read_response(response, &mut ticket, is_preempted).await
             }
-            Some(Some(Err(SendError::NotSent(_)))) => {
+            Err(NoResponse::NotSent) => {
                 self.output.borrow_mut().awaits_answer = false;
                 (Outcome::RetryLater, AttemptEnd::Unreachable)
             }
-            Some(Some(Err(SendError::MayHaveRun(_)))) => (Outcome::ResponseLost, AttemptEnd::Lost),
-            Some(None) => (Outcome::ResponseLost, AttemptEnd::Silent),
+            Err(NoResponse::Lost) => (Outcome::ResponseLost, AttemptEnd::Lost),
+            Err(NoResponse::Silent) => (Outcome::ResponseLost, AttemptEnd::Silent),
+            Err(NoResponse::Preempted) => (Outcome::Preempted, AttemptEnd::Cut),
         };
         let was_answered = self.output.borrow_mut().end_attempt();
         if !was_answered {
@@ -225,8 +258,7 @@
         if !matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. })) {
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &*target, end:? = end,
-                after = self.last_event().unwrap_or(0), was_answered,
-                unanswered = self.output.borrow().unanswered;
+                after = self.last_event().unwrap_or(0), was_answered;
                 "item: attempt ended"
             );
         }
@@ -238,6 +270,29 @@
         outcome
     }
 
+    /// Sends the item and waits for the head of its response. A preemption ends the wait, but later if an answer to an earlier
+    /// run may have crossed one already; it is noted in `is_preempted`.
+    async fn send(
+        &self,
+        ticket: &mut Ticket,
+        (target, address): (&Name, SocketAddr),
+        call: &Call,
+        is_preempted: &mut bool,
+    ) -> Result<hyper::Response<ResponseBody>, NoResponse> {
+        let mut send = std::pin::pin!(self.env.targets.send(target, address, call));
+        let in_time = or_preempted(ticket, within(IDLE_TIMEOUT, send.as_mut())).await;
+        *is_preempted = in_time.is_none();
+        let (sent, missing) = match in_time {
+            Some(Some(sent)) => (Some(sent), NoResponse::Silent),
+            Some(None) => (None, NoResponse::Silent),
+            None if self.must_be_answered && self.last_event().is_none() => {
+                (within(ANSWER_WAIT, send).await, NoResponse::Preempted)
+            }
+            None => (None, NoResponse::Preempted),
+        };
+        Ok(sent.ok_or(missing)??)
+    }
+
     fn request_spec(&self, service: &Name, headers: &HeaderMap) -> RequestSpec {
         RequestSpec {
             request: self.env.placement.next_request(),
@@ -265,6 +320,7 @@
         &self,
         response: hyper::Response<ResponseBody>,
         ticket: &mut Ticket,
+        is_preempted: bool,
     ) -> (Outcome, AttemptEnd) {
         if let Some(end) =
             target_client::not_run_reason(self.env.platform.dialect.headers(), &response)
@@ -273,7 +329,10 @@
         }
         let (parts, body) = response.into_parts();
         if parts.status.is_success() && is_event_stream(&parts.headers) {
-            return self.read_events(body, ticket).await;
+            return match is_preempted {
+                true => (Outcome::Resume, AttemptEnd::Cut),
+                false => self.read_events(body, ticket).await,
+            };
         }
         let whole = within(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
         if !matches!(whole, Some(Ok(_))) {
@@ -344,7 +403,6 @@
             saved_event: last_event,
             ran_ms: 0,
             awaits_answer: false,
-            unanswered: 0,
             held: None,
         }
     }
@@ -373,9 +431,7 @@
 
     /// Ends an attempt, and returns whether the target had answered, or did not get it.
     fn end_attempt(&mut self) -> bool {
-        let is_unanswered = std::mem::take(&mut self.awaits_answer);
-        self.unanswered += u32::from(is_unanswered);
-        !is_unanswered
+        !std::mem::take(&mut self.awaits_answer)
     }
 
     /// Takes the output received since the last call; `None` if there was no new event.
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -188,6 +188,7 @@
             due_at_ms: self.due_at_ms,
             give_up_at: self.give_up_at,
             permit: Rc::clone(&self.permit),
+            must_be_answered: self.items.must_be_answered(number),
         };
         let messages = self.messages.clone();
         let handle = compio::runtime::spawn(async move {
--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -257,7 +257,7 @@
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.announce_ownership(&owned.job, owned.header.items);
     let log = ResultLog::unread(JobName::clone(&owned.job));
-    let items = Items::new(items, owned.header.attempts);
+    let items = Items::new(items, owned.header.attempts).with_former_owner();
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
 }
