Items: a failure counts by its status, also if its body breaks off

An item whose failures broke off in their bodies was sent again as if nobody had answered, with a backoff as its only bound: 5 runs in 3 s of an item that answers 422, 3 are allowed. The status line is the target's verdict; the body of a failure is not used. Health of the target still records a lost answer.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -335,18 +335,19 @@
             };
         }
         let whole = within(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
-        if !matches!(whole, Some(Ok(_))) {
-            return (Outcome::ResponseLost, AttemptEnd::Lost);
-        }
+        let is_whole = matches!(whole, Some(Ok(_)));
+        let end = if is_whole { AttemptEnd::Answered } else { AttemptEnd::Lost };
         let outcome = match parts.status {
+            // The status suffices: an item whose failures break off would be sent without a bound.
             StatusCode::INTERNAL_SERVER_ERROR => Outcome::Finished(ItemEnd::Failed),
             StatusCode::UNPROCESSABLE_ENTITY => Outcome::Finished(ItemEnd::Impossible),
+            _ if !is_whole => Outcome::ResponseLost,
             status => {
                 log::warn!(job = &*self.job, item = &*self.item.id, status = status.as_u16(); "item: unexpected response");
                 Outcome::Finished(ItemEnd::NoAnswer)
             }
         };
-        (outcome, AttemptEnd::Answered)
+        (outcome, end)
     }
 
     async fn read_events(
