Items and requests: an answer that has arrived is read, also after a pause of the process

What targets saw: items whose failures had arrived while their gateway got no processor time were run again (test: three of four items ran twice after a pause of 2.7 s, in 4 of 4 runs). Online requests lost a ready answer in the same way after a pause of a second, and used up an attempt.

Cause: the end of the timeout and the readable socket are found in the same turn of the runtime. The answer is passed on by the task of its connection, which has its turn only after the waiting task has seen the timeout and closed the connection.

`within_or_late` waits on for 50 ms after its limit, in which connections read what their sockets hold.

Test: failures_that_arrive_while_their_reader_is_paused_are_read, red before in 4 of 4 runs, green now in 9 of 9.

--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -13,7 +13,7 @@
 use samphiredoor_net::{
     Call,
     body::{self, PieceError},
-    pool::{ResponseBody, SendError, within},
+    pool::{ResponseBody, SendError, within, within_or_late},
 };
 
 use super::Front;
@@ -84,9 +84,8 @@
     timeouts: Timeouts,
 ) -> AttemptOutcome {
     target_client::set_target_headers(call, names, target, timeouts.remaining());
-    let response = match within(timeouts.next_read(), front.targets.send(target, address, call))
-        .await
-    {
+    let sending = front.targets.send(target, address, call);
+    let response = match within_or_late(timeouts.next_read(), sending).await {
         Some(Ok(response)) => response,
         Some(Err(SendError::NotSent(err))) => {
             log::info!(target = &**target, problem:% = err; "target: connection failed");
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -27,7 +27,7 @@
 use samphiredoor_net::{
     Call,
     body::read_whole,
-    pool::{ResponseBody, SendError, within},
+    pool::{ResponseBody, SendError, within, within_or_late},
 };
 use smallvec::SmallVec;
 
@@ -280,11 +280,10 @@
         is_preempted: &mut bool,
     ) -> Result<hyper::Response<ResponseBody>, NoResponse> {
         let mut send = std::pin::pin!(self.env.targets.send(target, address, call));
-        let in_time = or_preempted(ticket, within(IDLE_TIMEOUT, send.as_mut())).await;
+        let in_time = or_preempted(ticket, within_or_late(IDLE_TIMEOUT, send.as_mut())).await;
         *is_preempted = in_time.is_none();
         let (sent, missing) = match in_time {
-            Some(Some(sent)) => (Some(sent), NoResponse::Silent),
-            Some(None) => (None, NoResponse::Silent),
+            Some(sent) => (sent, NoResponse::Silent),
             None if self.must_be_answered && self.last_event().is_none() => {
                 (within(ANSWER_WAIT, send).await, NoResponse::Preempted)
             }
@@ -334,7 +333,7 @@
                 false => self.read_events(body, ticket).await,
             };
         }
-        let whole = within(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
+        let whole = within_or_late(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
         let is_whole = matches!(whole, Some(Ok(_)));
         let end = if is_whole { AttemptEnd::Answered } else { AttemptEnd::Lost };
         let outcome = match parts.status {
@@ -358,7 +357,7 @@
         use http_body_util::BodyExt;
         let mut events = EventBuffer::default();
         loop {
-            let piece = within(IDLE_TIMEOUT, body.frame());
+            let piece = within_or_late(IDLE_TIMEOUT, body.frame());
             match or_preempted(ticket, piece).await {
                 None => return (Outcome::Resume, AttemptEnd::Cut),
                 Some(None) => return (Outcome::ResponseLost, AttemptEnd::Silent),
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -300,6 +300,21 @@
     }
 }
 
+/// Time for which [`within_or_late`] still waits after its limit: long enough for the tasks of the connections to read what
+/// their sockets hold.
+const LATE_READ_TIME: Duration = Duration::from_millis(50);
+
+/// Runs `future` for at most `limit`, and then on for as long as it takes to read what has arrived already; `None` if it timed
+/// out. A process that was paused finds the end of the limit and the answer in its socket at the same moment, and would take
+/// the answer for lost.
+pub async fn within_or_late<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
+    let mut future = std::pin::pin!(future);
+    match within(limit, future.as_mut()).await {
+        Some(output) => Some(output),
+        None => within(LATE_READ_TIME, future).await,
+    }
+}
+
 /// Runs `future` for at most `limit`; `None` if it timed out.
 pub async fn within<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
     compio::time::timeout(limit, future).await.ok()
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -57,6 +57,8 @@
     (platform, targets)
 }
 
+/// Longer than the time after which an attempt without any data from its target counts as lost.
+const LONG_PAUSE: Duration = Duration::from_millis(2_700);
 /// Time within which an interrupted item is run again, by the next owner if there is another.
 const RUN_AGAIN_WITHIN: Duration = Duration::from_secs(4);
 /// Online requests that together take all slots of a target.
@@ -205,6 +207,22 @@
     assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
 }
 
+// Guards against a process that gets no processor time and takes the answers in its sockets for lost.
+#[test]
+fn failures_that_arrive_while_their_reader_is_paused_are_read() {
+    let (platform, target) = fleet_with_slow_link(1);
+    let items = ["item-1", "item-2", "item-3", "item-4"];
+    items.iter().for_each(|it| target.fail_always(it, TargetFault::Impossible));
+    assert_eq!(platform.submit(0, "job-1", &items).status, 202);
+    let runs = || items.map(|it| target.runs_of(it));
+    wait_until("all items run", || runs().iter().all(|it| *it > 0));
+    platform.signal(0, "STOP");
+    thread::sleep(LONG_PAUSE);
+    platform.signal(0, "CONT");
+    assert_eq!(platform.all_results(0, "job-1", items.len()).len(), items.len());
+    assert_eq!(runs(), [1; 4]);
+}
+
 // Guards against an item that is sent again and again because the bodies of its failures break off.
 #[test]
 fn failures_without_a_whole_body_do_not_repeat_an_item_without_a_bound() {
