Jobs: a handover and an isolation wait for answers that are on their way

Cause: an owner that hands a job over, or that alone does not reach the store, dropped all runs. A failure on its way was read by nobody, and the next owner started the item anew.

Runs whose targets have not answered yet, of items without output, go on until they are answered, at a handover for a second at most. Their failures are written before the job leaves. No item is sent meanwhile. Other runs are dropped as before, and a cancellation and a lost job still stop all.

--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -32,6 +32,8 @@
     Preempted,
     /// No route allows the item any more.
     NoRoute,
+    /// The run was stopped on request, and its target has not failed.
+    Stopped,
 }
 
 /// What follows from the end of a run.
@@ -112,6 +114,7 @@
             ItemEnd::Impossible | ItemEnd::NoRoute => self.give_up(item),
             ItemEnd::Failed if failures >= self.attempts => self.give_up(item),
             ItemEnd::Failed => ItemStep::Retry { backoff_ms: backoff_ms(failures) },
+            ItemEnd::Stopped => ItemStep::Retry { backoff_ms: 0 },
             ItemEnd::NoAnswer => {
                 ItemStep::Retry { backoff_ms: backoff_ms(self.count_unanswered(item)) }
             }
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -43,6 +43,7 @@
     an_item_without_a_route_fails: [ItemEnd::NoRoute] => Some(Outcome::Failed);
     lost_answers_do_not_count_as_failures: vec![ItemEnd::NoAnswer; 50] => None;
     interruptions_do_not_count_as_failures: vec![ItemEnd::Interrupted; 50] => None;
+    stopped_runs_do_not_count_as_failures: vec![ItemEnd::Stopped; 50] => None;
     preemptions_do_not_count_as_failures: vec![ItemEnd::Preempted; 50] => None;
 }
 
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -99,6 +99,8 @@
     ran_ms: u64,
     /// Whether the item is at a target that has not answered yet: it may have failed there.
     awaits_answer: bool,
+    /// Whether the run ends once the target has answered.
+    is_stopping: bool,
     /// Account of the text in the buffer budget; `None` without a budget or text.
     held: Option<HeldOutput>,
 }
@@ -154,6 +156,9 @@
         let Some(mut call) = self.build_call(body) else { return ItemEnd::Impossible };
         let first_event = self.last_event();
         loop {
+            if self.output.borrow().is_stopping {
+                return self.finish(ItemEnd::Stopped);
+            }
             self.permit.wait().await;
             let Some(table) = self.routes() else {
                 compio::time::sleep(NO_ROUTES_PAUSE).await;
@@ -184,6 +189,7 @@
             ItemEnd::Interrupted => "interrupted",
             ItemEnd::NoRoute => "no_route",
             ItemEnd::Preempted => "preempted",
+            ItemEnd::Stopped => "stopped",
         };
         self.env.metrics.item_ended(label);
         log::info!(job = &*self.job, item = &*self.item.id, end = label; "item: run ended");
@@ -328,7 +334,7 @@
         }
         let (parts, body) = response.into_parts();
         if parts.status.is_success() && is_event_stream(&parts.headers) {
-            return match is_preempted {
+            return match is_preempted || self.output.borrow().is_stopping {
                 true => (Outcome::Resume, AttemptEnd::Cut),
                 false => self.read_events(body, ticket).await,
             };
@@ -403,6 +409,7 @@
             saved_event: last_event,
             ran_ms: 0,
             awaits_answer: false,
+            is_stopping: false,
             held: None,
         }
     }
@@ -429,6 +436,18 @@
         self.awaits_answer
     }
 
+    /// Lets the run end once the target has answered; returns whether it goes on until then. An item with output does not
+    /// fail at each run, and its run can be dropped.
+    pub fn stop_once_answered(&mut self) -> bool {
+        self.is_stopping = self.awaits_answer && self.last_event.is_none();
+        self.is_stopping
+    }
+
+    /// Lets the run go on after the target has answered.
+    pub fn continue_run(&mut self) {
+        self.is_stopping = false;
+    }
+
     /// Ends an attempt, and returns whether the target had answered, or did not get it.
     fn end_attempt(&mut self) -> bool {
         !std::mem::take(&mut self.awaits_answer)
--- a/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/ending.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{JobMessage, JobTask, Phase};
-use crate::jobs::{STORE_RETRY_PAUSE, orphan_scan};
+use crate::jobs::{STORE_RETRY_PAUSE, item_run::ANSWER_WAIT, orphan_scan};
 
 /// How long a finished job stays in memory for its readers. Later reads are served from the store, with one call for
 /// each segment at each gateway that is asked.
@@ -54,6 +54,16 @@
         self.retries.clear();
     }
 
+    /// Stops the runs, except those whose targets have not answered yet. Those end with the answer: if it is a failure that nobody
+    /// reads, the item would be sent again.
+    pub(super) fn interrupt_runs(&mut self) {
+        self.retries.clear();
+        let outputs = &self.outputs;
+        self.runs.retain(|item, _| {
+            outputs.get(item).is_some_and(|it| it.borrow_mut().stop_once_answered())
+        });
+    }
+
     /// Marks the job as finished in its header, so that no process takes it over.
     pub(super) fn close(&mut self, how: &'static str) {
         log::info!(job = &*self.ownership.job, how, results = self.log.committed().len(); "job: closed");
@@ -64,11 +74,13 @@
         self.write_header();
     }
 
-    /// Stops all runs. Their partial outputs are saved, and the next owner resumes the items after their last event.
+    /// Stops all runs, and waits a moment for the answers of targets that have not answered yet. Partial outputs are saved, and
+    /// the next owner resumes the items after their last event.
     pub(super) fn begin_handover(&mut self) {
         if self.phase == Phase::Running {
-            self.stop_runs();
-            self.phase = Phase::HandingOver(Instant::now());
+            self.interrupt_runs();
+            let wait = if self.runs.is_empty() { Duration::ZERO } else { ANSWER_WAIT };
+            self.phase = Phase::HandingOver(Instant::now() + wait);
         }
     }
 
@@ -79,6 +91,7 @@
         if now < until {
             return;
         }
+        self.stop_runs();
         if self.log_call.is_some() || self.queue_outputs(now) || !self.log.is_flushed() {
             // Writes the pending results at once instead of batching them, as the handover waits for them.
             self.write_at = Some(now);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -41,7 +41,7 @@
         if self.env.is_isolated_from_store() && !self.suspended {
             log::info!(job = &*self.ownership.job; "job: runs stopped, the store answers other gateways but not this one");
             self.suspended = true;
-            self.stop_runs();
+            self.interrupt_runs();
         }
     }
 
@@ -164,7 +164,15 @@
                 .or_insert_with(|| Rc::new(RefCell::new(Output::from_saved(output))));
             restored.borrow_mut().count(self.env.buffers.as_ref());
         }
-        let open: Vec<u32> = (0..self.items.len()).filter(|it| !self.log.is_decided(*it)).collect();
+        // Runs that were to end with their answers go on instead.
+        for item in self.runs.keys() {
+            self.outputs.get(item).inspect(|it| it.borrow_mut().continue_run());
+        }
+        let waits = |item: u32| self.retries.iter().any(|(_, it)| *it == item);
+        let is_open = |item: &u32| {
+            !self.log.is_decided(*item) && !self.runs.contains_key(item) && !waits(*item)
+        };
+        let open: Vec<u32> = (0..self.items.len()).filter(is_open).collect();
         log::info!(
             job = &*self.ownership.job, open = open.len(), standing = self.log.committed().len(),
             unwritten = self.log.pending_results(), gap_count = self.owned_at_gap_count;
@@ -176,6 +184,7 @@
     pub(super) fn start_run(&mut self, number: u32) {
         let Some(item) = self.items.get(number) else { return };
         let output = Rc::clone(self.outputs.entry(number).or_default());
+        output.borrow_mut().continue_run();
         let run = item_run::ItemRun {
             output,
             env: Rc::clone(&self.env),
@@ -200,6 +209,9 @@
     }
 
     pub(super) fn start_due_retries(&mut self, now: Instant) {
+        if self.suspended {
+            return;
+        }
         let (ready, later): (Vec<_>, Vec<_>) = self
             .retries
             .drain(..)
@@ -218,21 +230,20 @@
 
     pub(super) fn run_ended(&mut self, item: u32, end: ItemEnd) {
         self.runs.remove(&item);
+        if matches!(self.phase, Phase::HandingOver(_)) && self.runs.is_empty() {
+            self.phase = Phase::HandingOver(Instant::now());
+        }
         if self.log.has_result(item) || matches!(self.phase, Phase::Closing | Phase::Retained(_)) {
             return;
         }
-        let has_failed = end == ItemEnd::Failed;
-        if has_failed {
+        let reason = retry_reason(&end);
+        if end == ItemEnd::Failed {
             self.push_failure(item);
         }
         match self.items.run_ended(item, end, self.log.failures(item)) {
             ItemStep::Record(result) => self.record(result),
             ItemStep::Retry { backoff_ms } => {
-                self.env.metrics.retried(if has_failed {
-                    "item_failed"
-                } else {
-                    "item_unanswered"
-                });
+                self.env.metrics.retried(reason);
                 self.log_retry(item, backoff_ms);
                 self.retries.push((Instant::now() + Duration::from_millis(backoff_ms), item));
             }
@@ -342,3 +353,13 @@
         }
     }
 }
+
+/// Label in metrics of an item that is run again.
+fn retry_reason(end: &ItemEnd) -> &'static str {
+    match end {
+        ItemEnd::Failed => "item_failed",
+        ItemEnd::Preempted => "item_preempted",
+        ItemEnd::Stopped => "item_stopped",
+        _ => "item_unanswered",
+    }
+}
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -223,6 +223,27 @@
     assert_eq!(runs(), [1; 4]);
 }
 
+// Guards against owners that hand a job over while failures of its items are on the way.
+#[test]
+fn failures_that_cross_handovers_do_not_repeat_an_item_without_a_bound() {
+    let (mut platform, target) = fleet_with_slow_link(0);
+    platform.unready_ms = 0;
+    for _ in 0..2 {
+        platform.start_gateway();
+    }
+    platform.wait_logged(0, "peers: peer is live");
+    platform.wait_logged(1, "peers: peer is live");
+    assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
+    let runs = runs_if_interrupted(&target, |number| {
+        let owner = (number + 1) % 2;
+        platform.signal(owner, "TERM");
+        platform.gateway(owner).wait();
+        platform.restart_gateway(owner);
+        platform.wait_ready(owner);
+    });
+    assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
+}
+
 // Guards against an item that is sent again and again because the bodies of its failures break off.
 #[test]
 fn failures_without_a_whole_body_do_not_repeat_an_item_without_a_bound() {
