Jobs: after an outage of the store no job is taken over from a live owner

Callers lost work, too: with a job went all results that its owner held because it could not write them.

Cause: a live gateway whose status says that it does not reach the store counted as dead. Gateways notice the return of the store up to two seconds apart, and whoever noticed it first took over the jobs of all others.

Such a gateway loses its jobs only once its statuses say so for 1.5 s and the other one has itself reached the store for 4 s. A gateway that alone is cut off from the store, which the rule was made for, keeps its jobs a second and a half longer. A gateway that is silent or has restarted counts as dead as before.

--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -46,6 +46,11 @@
 const RETENTION_MARGIN: Duration = Duration::from_secs(600);
 /// Most expired jobs that one scan removes; each takes about ten store calls.
 const MAX_REMOVALS: usize = 2;
+/// Time for which this process must have reached the store before it takes over jobs of a live gateway that does not. After an
+/// outage gateways notice the return of the store up to two seconds apart, and each holds results that it could not write.
+const STORE_SETTLED: Duration = Duration::from_millis(4_000);
+/// Time for which the statuses of that gateway must say so. In a short outage not all gateways miss the store.
+const STORE_LOST_CONFIRMED: Duration = Duration::from_millis(1_500);
 /// Timeout for asking an owner without heartbeats whether it is alive.
 const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for offering a job to one other process.
@@ -163,8 +168,14 @@
         // store call whose outcome it gave up on.
         return true;
     }
-    let dead = env.roster.liveness(&owner.process, owner.incarnation) == Liveness::Dead;
-    dead && env.roster.at_least_half_live() && !has_live_announced_owner(env, job)
+    let is_gone = match env.roster.liveness(&owner.process, owner.incarnation) {
+        Liveness::Alive | Liveness::Unknown => false,
+        Liveness::StoreLost(since) => {
+            since.elapsed() >= STORE_LOST_CONFIRMED && env.health.is_reached_for(STORE_SETTLED)
+        }
+        Liveness::Dead => true,
+    };
+    is_gone && env.roster.at_least_half_live() && !has_live_announced_owner(env, job)
 }
 
 /// Whether a live process has announced that it owns the job. The list of jobs may be seconds older than the
--- a/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
@@ -20,7 +20,9 @@
 pub enum Liveness {
     /// It is live and reaches the store. A gateway that is stopping counts too, as it hands its jobs over itself.
     Alive,
-    /// It timed out, has restarted, or does not reach the store.
+    /// It is live, and its statuses say since this time that it does not reach the store.
+    StoreLost(Instant),
+    /// It timed out or has restarted.
     Dead,
     /// This process has not been running long enough to decide, or a restarted gateway has not sent a status yet.
     Unknown,
@@ -34,7 +36,9 @@
             if is_near { DEAD_AFTER } else { NEVER_SEEN_DEAD_AFTER_OTHER_CELL };
         let peers = self.peers.borrow();
         match peers.get(name).filter(|it| it.is_live()) {
-            Some(peer) if peer.incarnation == incarnation && peer.is_working() => Liveness::Alive,
+            Some(peer) if peer.incarnation == incarnation => {
+                peer.store_lost_since.map_or(Liveness::Alive, Liveness::StoreLost)
+            }
             // It has restarted, and the last status came from its previous incarnation.
             Some(peer) if peer.incarnation < incarnation => Liveness::Unknown,
             Some(_) => Liveness::Dead,
--- a/crates/samphiredoor-gateway/src/peers/roster/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/mod.rs
@@ -169,7 +169,7 @@
         let has_statuses = self.listed.get().is_some_and(|it| it.elapsed() >= FAILOVER_TIMEOUT);
         let is_live =
             |it: &Peer| it.was_seen_recently() || (it.last_seen.is_none() && !has_statuses);
-        let reaching = self.preceding_peers(|it| is_live(it) && it.store_reached);
+        let reaching = self.preceding_peers(|it| is_live(it) && it.store_lost_since.is_none());
         match reaching.unwrap_or_default().first() {
             Some(address) => WatchRole::Through(*address),
             None if self.preceding_peers(is_live).unwrap_or_default().is_empty() => {
@@ -204,7 +204,7 @@
             peer.last_seen = last_seen;
             peer.dead_after = DEAD_AFTER_OTHER_CELL;
             peer.incarnation = member.incarnation;
-            peer.store_reached = member.store_reached;
+            peer.set_store_reached(member.store_reached);
             peer.stopping = member.stopping;
             peer.routes_version = member.routes_version;
         }
@@ -221,7 +221,7 @@
         peer.last_seen = Some(Instant::now());
         peer.dead_after = dead_after;
         peer.incarnation = status.incarnation;
-        peer.store_reached = status.store_reached;
+        peer.set_store_reached(status.store_reached);
         peer.stopping = status.stopping;
         peer.routes_version = status.routes_version;
         self.seen_versions.record_peers(&status.seen);
--- a/crates/samphiredoor-gateway/src/peers/roster/peer.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/peer.rs
@@ -32,7 +32,8 @@
     /// Time without a status after which it counts as dead.
     pub dead_after: Duration,
     pub incarnation: u64,
-    pub store_reached: bool,
+    /// Since when its statuses say that it does not reach the store; `None` while it does.
+    pub store_lost_since: Option<Instant>,
     pub stopping: bool,
     pub routes_version: u64,
 }
@@ -46,12 +47,18 @@
             last_seen: None,
             dead_after: DEAD_AFTER,
             incarnation: 0,
-            store_reached: true,
+            store_lost_since: None,
             stopping: false,
             routes_version: 0,
         }
     }
 
+    /// Sets whether it reaches the store, by its newest status.
+    pub fn set_store_reached(&mut self, reached: bool) {
+        self.store_lost_since =
+            if reached { None } else { self.store_lost_since.or_else(|| Some(Instant::now())) };
+    }
+
     pub fn is_live(&self) -> bool {
         self.is_live_at(Instant::now())
     }
@@ -79,7 +86,7 @@
     /// Whether it works on its jobs, or is about to hand them over. Taking a job over from a process that is stopping
     /// would lose the partial output of its items: with twenty items half done, the work of ten whole items.
     pub fn is_working(&self) -> bool {
-        self.is_live() && self.store_reached
+        self.is_live() && self.store_lost_since.is_none()
     }
 
     /// Whether it can take over jobs of other gateways.
--- a/crates/samphiredoor-gateway/src/store_health.rs
+++ b/crates/samphiredoor-gateway/src/store_health.rs
@@ -17,6 +17,8 @@
     /// When the store last answered a call of this process.
     answered_at: Cell<Option<Instant>>,
     lost_since: Cell<Option<Instant>>,
+    /// When the store became reachable again; `None` before the first time.
+    recovered_at: Cell<Option<Instant>>,
     /// When the store first answered another process after this one had lost it.
     peer_answered_at: Cell<Option<Instant>>,
     lost_only_here: Cell<bool>,
@@ -41,6 +43,12 @@
         self.state.lost_since.get().is_some_and(|it| it.elapsed() >= at_least)
     }
 
+    /// Whether the store has been reachable for at least some time.
+    pub fn is_reached_for(&self, at_least: Duration) -> bool {
+        let recovered_at = self.state.recovered_at.get();
+        !self.is_lost() && recovered_at.is_none_or(|it| it.elapsed() >= at_least)
+    }
+
     /// Whether the store answers other processes while this one cannot reach it.
     pub fn is_lost_only_here(&self) -> bool {
         self.state.lost_only_here.get()
@@ -98,6 +106,7 @@
     pub fn mark_recovered(&self) {
         if let Some(since) = self.state.lost_since.take() {
             let alone = self.state.lost_only_here.take();
+            self.state.recovered_at.set(Some(Instant::now()));
             self.state.recoveries.set(self.state.recoveries.get() + 1);
             self.state.peer_answered_at.set(None);
             log::info!(away_ms = since.elapsed().as_millis() as u64, alone; "store: recovered");
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -61,6 +61,9 @@
 const LONG_PAUSE: Duration = Duration::from_millis(2_700);
 /// Time within which an interrupted item is run again, by the next owner if there is another.
 const RUN_AGAIN_WITHIN: Duration = Duration::from_secs(4);
+/// Gateways of a fleet that sees an outage of the store, and how much later than the others the owner sees its end.
+const OUTAGE_GATEWAYS: usize = 5;
+const SEEN_LATER: Duration = Duration::from_millis(800);
 /// Online requests that together take all slots of a target.
 const SURGE: usize = 8;
 
@@ -223,6 +226,35 @@
     assert_eq!(runs(), [1; 4]);
 }
 
+// Guards against the first gateway that sees the store after an outage, which takes over the jobs of live gateways and
+// with them discards the failures that these could not write.
+#[test]
+fn failures_known_during_an_outage_of_the_store_are_not_lost_with_it() {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let target = platform.start_target("t-1", PAUSE);
+    target.fail_always(FAILING, TargetFault::Full);
+    for _ in 0..OUTAGE_GATEWAYS {
+        platform.start_gateway();
+    }
+    for gateway in 0..OUTAGE_GATEWAYS {
+        wait_until("all gateways know each other", || {
+            platform.times_logged(gateway, "peers: peer is live") >= OUTAGE_GATEWAYS - 1
+        });
+    }
+    assert_eq!(platform.submit(0, "job-1", &[FAILING]).status, 202);
+    platform.store.set_fault(StoreFault::Silent);
+    (0..OUTAGE_GATEWAYS).for_each(|it| platform.wait_logged(it, "store: lost"));
+    target.fail_always(FAILING, TargetFault::Impossible);
+    wait_until("the item fails", || target.runs_of(FAILING) == 1);
+    platform.gateway_link(0).expect("a link").set_fault(LinkFault::Silent);
+    platform.store.set_fault(StoreFault::None);
+    thread::sleep(SEEN_LATER);
+    platform.gateway_link(0).expect("a link").set_fault(LinkFault::None);
+    assert_eq!(platform.all_results(1, "job-1", 1)[0]["state"], "errored");
+    assert_eq!(target.runs_of(FAILING), 1);
+}
+
 // Guards against owners that hand a job over while failures of its items are on the way.
 #[test]
 fn failures_that_cross_handovers_do_not_repeat_an_item_without_a_bound() {
