Jobs: an item that has failed as often as allowed is not run by the next owner

An owner started all items without a result. If the log held all failures of an item but not its result, which a former and a new owner that both count can bring about, each next owner ran the item once more. It gets its result now without a run.

--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -132,14 +132,23 @@
         *unanswered
     }
 
+    /// Result of an item that has failed as often as allowed, whichever owners saw that; `None` if it may be run.
+    pub fn failed_result(&self, item: u32, failures: u32) -> Option<ItemResult> {
+        (failures >= self.attempts).then(|| self.result(item, Outcome::Failed, Arc::from("")))
+    }
+
     /// Failed result of an item that is given up, with an empty text.
     pub fn give_up(&self, item: u32) -> ItemStep {
         self.record(item, Outcome::Failed, Arc::from(""))
     }
 
     fn record(&self, item: u32, outcome: Outcome, text: Arc<str>) -> ItemStep {
+        ItemStep::Record(self.result(item, outcome, text))
+    }
+
+    fn result(&self, item: u32, outcome: Outcome, text: Arc<str>) -> ItemResult {
         let id = self.items.get(item as usize).map_or_else(|| Arc::from(""), |it| it.id.clone());
-        ItemStep::Record(ItemResult { item, id, outcome, text })
+        ItemResult { item, id, outcome, text }
     }
 }
 
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -98,3 +98,10 @@
 fn an_item_that_a_former_owner_may_have_run_must_be_answered() {
     assert!(items(3).with_former_owner().must_be_answered(0));
 }
+
+#[test]
+fn an_item_with_as_many_failures_as_attempts_has_its_result_before_it_is_run() {
+    let items = items(3);
+    assert_eq!(items.failed_result(0, 2), None);
+    assert_eq!(items.failed_result(0, 3).map(|it| it.outcome), Some(Outcome::Failed));
+}
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -178,7 +178,13 @@
             unwritten = self.log.pending_results(), gap_count = self.owned_at_gap_count;
             "job: items started"
         );
-        self.retries.extend(open.into_iter().map(|it| (now, it)));
+        for item in open {
+            // An earlier owner may have written the last failure and not the result.
+            match self.items.failed_result(item, self.log.failures(item)) {
+                Some(result) => self.record(result),
+                None => self.retries.push((now, item)),
+            }
+        }
     }
 
     pub(super) fn start_run(&mut self, number: u32) {
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -12,6 +12,8 @@
     platform_target::{PlatformTarget, TargetFault},
 };
 
+use serde_json::{Value, json};
+
 use super::env::{BINARY, Platform};
 use crate::env::wait_until;
 
@@ -255,6 +257,24 @@
     assert_eq!(target.runs_of(FAILING), 1);
 }
 
+// Guards against an owner that starts an item with all its failures in the log and no result.
+#[test]
+fn an_item_that_has_failed_as_often_as_allowed_is_not_run_by_the_next_owner() {
+    let (mut platform, target) = fleet(1);
+    target.fail_always(FAILING, TargetFault::Full);
+    assert_eq!(platform.submit(0, "job-1", &[FAILING]).status, 202);
+    platform.gateway(0).kill();
+    let failure =
+        |number| json!({ "item": 0, "process": "gateway-9", "incarnation": 1, "number": number });
+    let failures: Vec<Value> = (1..=ATTEMPTS).map(failure).collect();
+    let segment = json!({ "format": 1, "results": [], "failures": failures });
+    platform.store.put("jobsegments", "job-1-00000", segment);
+    target.fail_always(FAILING, TargetFault::Fails);
+    platform.restart_gateway(0);
+    assert_eq!(platform.all_results(0, "job-1", 1)[0]["state"], "errored");
+    assert_eq!(target.runs_of(FAILING), 0);
+}
+
 // Guards against owners that hand a job over while failures of its items are on the way.
 #[test]
 fn failures_that_cross_handovers_do_not_repeat_an_item_without_a_bound() {
