--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -34,6 +34,8 @@
 const SETTLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// A seed whose drill cancels the job just after its takeover, before the next owner has written a result.
 const DRILL_SEED: u64 = 27;
+/// A seed that broke the bound on repeats while preempted items were not counted, and jobs were taken over after outages.
+const REPEATS_SEED: u64 = 7904;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -343,24 +345,40 @@
     seeds().for_each(run_seed);
 }
 
-/// Runs the soak for some seeds, with faults for this many seconds.
-fn run_soak(name: &str, seconds: u64, drills: bool, seeds: std::ops::Range<u64>) {
+/// Options of a soak that lasts for this many seconds.
+fn options(name: &str, seconds: u64) -> soak::Options {
     let folder = format!("samphiredoor-soak-{name}-{}", std::process::id());
-    let folder = std::env::temp_dir().join(folder);
-    let (binary, gateways) = (BINARY.into(), GATEWAYS);
-    let pressure = soak::Pressure::Usual;
-    let options =
-        soak::Options { binary, folder: folder.clone(), seconds, gateways, drills, pressure };
-    soak::run_seeds(&options, seeds).expect("every guarantee holds");
-    std::fs::remove_dir_all(folder).expect("the traces are removed");
+    soak::Options {
+        binary: BINARY.into(),
+        folder: std::env::temp_dir().join(folder),
+        seconds,
+        gateways: GATEWAYS,
+        drills: false,
+        pressure: soak::Pressure::Usual,
+    }
+}
+
+/// Runs the soak for some seeds.
+fn run_soak(options: &soak::Options, seeds: std::ops::Range<u64>) {
+    soak::run_seeds(options, seeds).expect("every guarantee holds");
+    std::fs::remove_dir_all(&options.folder).expect("the traces are removed");
 }
 
 #[test]
 fn guarantees_hold_under_continuous_load() {
-    run_soak("load", 20, false, 1..3);
+    run_soak(&options("load", 20), 1..3);
 }
 
 #[test]
 fn results_that_were_read_stay_readable_when_the_owner_of_a_cancelled_job_is_isolated() {
-    run_soak("drills", 1, true, DRILL_SEED..DRILL_SEED + 1);
+    let options = soak::Options { drills: true, ..options("drills", 1) };
+    run_soak(&options, DRILL_SEED..DRILL_SEED + 1);
+}
+
+// Guards against failures that nobody reads, and with them repeats of items without a bound.
+#[test]
+fn repeats_stay_bounded_while_gateways_get_too_little_processor_time() {
+    let pressure = soak::Pressure::Repeats;
+    let options = soak::Options { pressure, gateways: 6, ..options("repeats", 25) };
+    run_soak(&options, REPEATS_SEED..REPEATS_SEED + 1);
 }
