--- /dev/null
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -0,0 +1,142 @@
+//! Output of a batch item: what its runs have received, what of it is saved, and whether its target has answered.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use samphiredoor_core::ordered::{ItemEnd, OutputPart, PartialOutput};
+
+use crate::{
+    buffers::{Buffers, HeldOutput},
+    events::EventBuffer,
+};
+
+/// Output of an item received so far.
+#[derive(Default)]
+pub struct Output {
+    text: Vec<u8>,
+    has_data: bool,
+    last_event: Option<u64>,
+    /// Length of the text that was passed to the job's log to be saved.
+    saved_bytes: usize,
+    /// Last event that was passed to the job's log.
+    saved_event: Option<u64>,
+    /// Total time of the attempts in this process that produced output.
+    ran_ms: u64,
+    /// Whether the item is at a target that has not answered yet: it may have failed there.
+    awaits_answer: bool,
+    /// Whether the run ends once the target has answered.
+    is_stopping: bool,
+    /// Account of the text in the buffer budget; `None` without a budget or text.
+    held: Option<HeldOutput>,
+}
+
+/// Output that the run of an item appends to, and that the job's task reads to save it.
+pub type SharedOutput = Rc<RefCell<Output>>;
+
+impl Output {
+    /// Appends the data of events that have not been received before.
+    pub fn consume(&mut self, events: &mut EventBuffer) {
+        while let Some(event) = events.next() {
+            if event.id.is_some() && event.id <= self.last_event {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            event.append_data(&mut self.text, !self.has_data);
+            self.has_data |= event.has_data();
+        }
+    }
+
+    /// Restores the output that was read from the job's log.
+    pub fn from_saved(partial: PartialOutput) -> Output {
+        let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
+        Output {
+            text: partial.text.into_bytes(),
+            has_data: saved_bytes > 0,
+            last_event,
+            saved_bytes,
+            saved_event: last_event,
+            ran_ms: 0,
+            awaits_answer: false,
+            is_stopping: false,
+            held: None,
+        }
+    }
+
+    /// Counts the text in the buffer budget, if there is one.
+    pub fn count(&mut self, buffers: Option<&Buffers>) {
+        let Some(buffers) = buffers.filter(|_| !self.text.is_empty()) else { return };
+        self.held.get_or_insert_with(|| buffers.item_output()).grow_to(self.text.len());
+    }
+
+    /// Takes the account of the text, which is released once that is dropped.
+    pub fn take_held(&mut self) -> Option<HeldOutput> {
+        self.held.take()
+    }
+
+    /// Time of earlier runs. An item that holds memory counts as partly done even if its runs were stopped before their
+    /// time was known: it must resume while new items wait for memory.
+    pub fn prior_run_ms(&self) -> u64 {
+        self.ran_ms.max(u64::from(self.held.is_some()))
+    }
+
+    /// Whether the item is at a target that has not answered yet.
+    pub fn awaits_answer(&self) -> bool {
+        self.awaits_answer
+    }
+
+    /// Lets the run end once the target has answered; returns whether it goes on until then. An item with output does not
+    /// fail at each run, and its run can be dropped.
+    pub fn stop_once_answered(&mut self) -> bool {
+        self.is_stopping = self.awaits_answer && self.last_event.is_none();
+        self.is_stopping
+    }
+
+    /// Lets the run go on after the target has answered.
+    pub fn continue_run(&mut self) {
+        self.is_stopping = false;
+    }
+
+    /// Whether the run ends once the target has answered.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
+    /// Number of the last event that was received.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Notes that the item is about to be sent to a target.
+    pub fn begin_attempt(&mut self) {
+        self.awaits_answer = true;
+    }
+
+    /// Notes that the target has answered, or did not get the item.
+    pub fn note_answered(&mut self) {
+        self.awaits_answer = false;
+    }
+
+    /// Ends an attempt, and returns whether the target had answered, or did not get it.
+    pub fn end_attempt(&mut self) -> bool {
+        !std::mem::take(&mut self.awaits_answer)
+    }
+
+    /// Adds the time of an attempt that produced output.
+    pub fn add_run_time(&mut self, ran_ms: u64) {
+        self.ran_ms += ran_ms;
+    }
+
+    /// Takes the output received since the last call; `None` if there was no new event.
+    pub fn take_unsaved(&mut self, item: u32) -> Option<OutputPart> {
+        let last = self.last_event.filter(|it| Some(*it) > self.saved_event)?;
+        let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
+        let after = self.saved_event.replace(last);
+        self.saved_bytes = self.text.len();
+        Some(OutputPart { item, after, last, text })
+    }
+
+    /// Outcome of the item whose output this is the whole of.
+    pub fn complete(&self) -> ItemEnd {
+        let text = String::from_utf8_lossy(&self.text);
+        ItemEnd::Completed { text: Arc::from(&*text) }
+    }
+}
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -4,7 +4,6 @@
 //! that it has received.
 
 use std::{
-    cell::RefCell,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -20,7 +19,7 @@
 use samphiredoor_core::{
     Name,
     dispatch::Class,
-    ordered::{Item, ItemEnd, JobName, OutputPart, PartialOutput},
+    ordered::{Item, ItemEnd, JobName},
     placement::{AttemptEnd, CallerTerms, RequestSpec},
     routes::{Route, RouteKind, RouteTable},
 };
@@ -31,9 +30,8 @@
 };
 use smallvec::SmallVec;
 
-use super::{JobEnv, send_permit::SendPermit};
+use super::{JobEnv, item_output::SharedOutput, send_permit::SendPermit};
 use crate::{
-    buffers::{Buffers, HeldOutput},
     events::{EventBuffer, is_event_stream},
     placement::{Decision, Ticket},
     target_client,
@@ -85,29 +83,6 @@
     pub must_be_answered: bool,
 }
 
-/// Output of an item received so far.
-#[derive(Default)]
-pub struct Output {
-    text: Vec<u8>,
-    has_data: bool,
-    last_event: Option<u64>,
-    /// Length of the text that was passed to the job's log to be saved.
-    saved_bytes: usize,
-    /// Last event that was passed to the job's log.
-    saved_event: Option<u64>,
-    /// Total time of the attempts in this process that produced output.
-    ran_ms: u64,
-    /// Whether the item is at a target that has not answered yet: it may have failed there.
-    awaits_answer: bool,
-    /// Whether the run ends once the target has answered.
-    is_stopping: bool,
-    /// Account of the text in the buffer budget; `None` without a budget or text.
-    held: Option<HeldOutput>,
-}
-
-/// Output that the run of an item appends to, and that the job's task reads to save it.
-pub type SharedOutput = Rc<RefCell<Output>>;
-
 /// Outcome of one attempt to run the item at a target.
 enum Outcome {
     /// The run ends with this result.
@@ -122,6 +97,13 @@
     ResponseLost,
 }
 
+/// How the wait for the head of a response ended.
+struct Sent {
+    head: Result<hyper::Response<ResponseBody>, NoResponse>,
+    /// Whether the attempt was preempted meanwhile.
+    is_preempted: bool,
+}
+
 /// Why the head of a response did not arrive.
 enum NoResponse {
     /// The item was not sent.
@@ -156,7 +138,7 @@
         let Some(mut call) = self.build_call(body) else { return ItemEnd::Impossible };
         let first_event = self.last_event();
         loop {
-            if self.output.borrow().is_stopping {
+            if self.output.borrow().is_stopping() {
                 return self.finish(ItemEnd::Stopped);
             }
             self.permit.wait().await;
@@ -222,7 +204,7 @@
     }
 
     fn last_event(&self) -> Option<u64> {
-        self.output.borrow().last_event
+        self.output.borrow().last_event()
     }
 
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
@@ -238,19 +220,18 @@
         }
         self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
-        self.output.borrow_mut().awaits_answer = true;
-        let mut is_preempted = false;
-        let sent = self.send(&mut ticket, (&target, address), call, &mut is_preempted).await;
-        let (outcome, end) = match sent {
+        self.output.borrow_mut().begin_attempt();
+        let sent = self.send(&mut ticket, (&target, address), call).await;
+        let (outcome, end) = match sent.head {
             Ok(response) => {
-                self.output.borrow_mut().awaits_answer = false;
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placement.report_load(&target, load);
                 }
-                self.read_response(response, &mut ticket, is_preempted).await
+                self.output.borrow_mut().note_answered();
+                self.read_response(response, &mut ticket, sent.is_preempted).await
             }
             Err(NoResponse::NotSent) => {
-                self.output.borrow_mut().awaits_answer = false;
+                self.output.borrow_mut().note_answered();
                 (Outcome::RetryLater, AttemptEnd::Unreachable)
             }
             Err(NoResponse::Lost) => (Outcome::ResponseLost, AttemptEnd::Lost),
@@ -270,32 +251,32 @@
         }
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
-            self.output.borrow_mut().ran_ms += ran_ms;
+            self.output.borrow_mut().add_run_time(ran_ms);
         }
         ticket.report_end(end);
         outcome
     }
 
-    /// Sends the item and waits for the head of its response. A preemption ends the wait, but later if an answer to an earlier
-    /// run may have crossed one already; it is noted in `is_preempted`.
+    /// Sends the item and waits for the head of its response. A preemption ends the wait, but not at once if an earlier run of
+    /// the item may have failed unread.
     async fn send(
         &self,
         ticket: &mut Ticket,
         (target, address): (&Name, SocketAddr),
         call: &Call,
-        is_preempted: &mut bool,
-    ) -> Result<hyper::Response<ResponseBody>, NoResponse> {
+    ) -> Sent {
         let mut send = std::pin::pin!(self.env.targets.send(target, address, call));
         let in_time = or_preempted(ticket, within_or_late(IDLE_TIMEOUT, send.as_mut())).await;
-        *is_preempted = in_time.is_none();
-        let (sent, missing) = match in_time {
-            Some(sent) => (sent, NoResponse::Silent),
+        let is_preempted = in_time.is_none();
+        let (head, missing) = match in_time {
+            Some(head) => (head, NoResponse::Silent),
             None if self.must_be_answered && self.last_event().is_none() => {
                 (within(ANSWER_WAIT, send).await, NoResponse::Preempted)
             }
             None => (None, NoResponse::Preempted),
         };
-        Ok(sent.ok_or(missing)??)
+        let head = head.map_or(Err(missing), |it| it.map_err(NoResponse::from));
+        Sent { head, is_preempted }
     }
 
     fn request_spec(&self, service: &Name, headers: &HeaderMap) -> RequestSpec {
@@ -334,7 +315,7 @@
         }
         let (parts, body) = response.into_parts();
         if parts.status.is_success() && is_event_stream(&parts.headers) {
-            return match is_preempted || self.output.borrow().is_stopping {
+            return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
                 false => self.read_events(body, ticket).await,
             };
@@ -386,88 +367,6 @@
     }
 }
 
-impl Output {
-    fn consume(&mut self, events: &mut EventBuffer) {
-        while let Some(event) = events.next() {
-            if event.id.is_some() && event.id <= self.last_event {
-                continue;
-            }
-            self.last_event = event.id.or(self.last_event);
-            event.append_data(&mut self.text, !self.has_data);
-            self.has_data |= event.has_data();
-        }
-    }
-
-    /// Restores the output that was read from the job's log.
-    pub fn from_saved(partial: PartialOutput) -> Output {
-        let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
-        Output {
-            text: partial.text.into_bytes(),
-            has_data: saved_bytes > 0,
-            last_event,
-            saved_bytes,
-            saved_event: last_event,
-            ran_ms: 0,
-            awaits_answer: false,
-            is_stopping: false,
-            held: None,
-        }
-    }
-
-    /// Counts the text in the buffer budget, if there is one.
-    pub fn count(&mut self, buffers: Option<&Buffers>) {
-        let Some(buffers) = buffers.filter(|_| !self.text.is_empty()) else { return };
-        self.held.get_or_insert_with(|| buffers.item_output()).grow_to(self.text.len());
-    }
-
-    /// Takes the account of the text, which is released once that is dropped.
-    pub fn take_held(&mut self) -> Option<HeldOutput> {
-        self.held.take()
-    }
-
-    /// Time of earlier runs. An item that holds memory counts as partly done even if its runs were stopped before their
-    /// time was known: it must resume while new items wait for memory.
-    fn prior_run_ms(&self) -> u64 {
-        self.ran_ms.max(u64::from(self.held.is_some()))
-    }
-
-    /// Whether the item is at a target that has not answered yet.
-    pub fn awaits_answer(&self) -> bool {
-        self.awaits_answer
-    }
-
-    /// Lets the run end once the target has answered; returns whether it goes on until then. An item with output does not
-    /// fail at each run, and its run can be dropped.
-    pub fn stop_once_answered(&mut self) -> bool {
-        self.is_stopping = self.awaits_answer && self.last_event.is_none();
-        self.is_stopping
-    }
-
-    /// Lets the run go on after the target has answered.
-    pub fn continue_run(&mut self) {
-        self.is_stopping = false;
-    }
-
-    /// Ends an attempt, and returns whether the target had answered, or did not get it.
-    fn end_attempt(&mut self) -> bool {
-        !std::mem::take(&mut self.awaits_answer)
-    }
-
-    /// Takes the output received since the last call; `None` if there was no new event.
-    pub fn take_unsaved(&mut self, item: u32) -> Option<OutputPart> {
-        let last = self.last_event.filter(|it| Some(*it) > self.saved_event)?;
-        let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
-        let after = self.saved_event.replace(last);
-        self.saved_bytes = self.text.len();
-        Some(OutputPart { item, after, last, text })
-    }
-
-    fn complete(&self) -> ItemEnd {
-        let text = String::from_utf8_lossy(&self.text);
-        ItemEnd::Completed { text: Arc::from(&*text) }
-    }
-}
-
 /// Label in metrics of an attempt that ended before its target had answered.
 fn unanswered_label(end: AttemptEnd) -> &'static str {
     match end {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -27,7 +27,7 @@
 pub use results::page_of;
 
 use super::{
-    JobEnv, directory::Directory, item_run::SharedOutput, send_permit::SendPermit,
+    JobEnv, directory::Directory, item_output::SharedOutput, send_permit::SendPermit,
     stored::ReadError, submit::duration_until,
 };
 use crate::{buffers::HeldOutput, platform_api::ResultsPage};
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{FAR_FUTURE, JobMessage, JobTask, OwnershipCheck, Phase};
-use crate::jobs::item_run::{self, Output};
+use crate::jobs::{item_output::Output, item_run};
 
 /// Time that a result waits for others to share a write: items of a job finish over a period of seconds and are due
 /// later, and a write costs as much as a hundredth of an item.
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 
 mod directory;
 pub mod forward;
+mod item_output;
 mod item_run;
 mod job_task;
 mod liveness_gaps;
