Jobs: a failure that is being read at a handover is counted

A run counted as answered from the status line on, and a handover dropped it while the body of a failure arrived.

A run counts as answered once its failure is read, or its stream begins.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -227,8 +227,9 @@
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placement.report_load(&target, load);
                 }
+                let ended = self.read_response(response, &mut ticket, sent.is_preempted).await;
                 self.output.borrow_mut().note_answered();
-                self.read_response(response, &mut ticket, sent.is_preempted).await
+                ended
             }
             Err(NoResponse::NotSent) => {
                 self.output.borrow_mut().note_answered();
@@ -315,6 +316,7 @@
         }
         let (parts, body) = response.into_parts();
         if parts.status.is_success() && is_event_stream(&parts.headers) {
+            self.output.borrow_mut().note_answered();
             return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
                 false => self.read_events(body, ticket).await,
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -66,6 +66,9 @@
 /// Gateways of a fleet that sees an outage of the store, and how much later than the others the owner sees its end.
 const OUTAGE_GATEWAYS: usize = 5;
 const SEEN_LATER: Duration = Duration::from_millis(800);
+/// Size of a failure's body that takes several times longer over a slow link than its status line, and when it is being read.
+const FAILURE_BYTES: usize = 60_000;
+const READING_AFTER: Duration = Duration::from_millis(450);
 /// Online requests that together take all slots of a target.
 const SURGE: usize = 8;
 
@@ -275,10 +278,11 @@
     assert_eq!(target.runs_of(FAILING), 0);
 }
 
-// Guards against owners that hand a job over while failures of its items are on the way.
-#[test]
-fn failures_that_cross_handovers_do_not_repeat_an_item_without_a_bound() {
+/// Two gateways, of which each hands the job over when the item has run for `delay`; returns the number of runs.
+fn runs_over_handovers(failure: TargetFault, delay: Duration) -> usize {
     let (mut platform, target) = fleet_with_slow_link(0);
+    let target = target.with_failure_bytes(FAILURE_BYTES);
+    target.fail_always(FAILING, failure);
     platform.unready_ms = 0;
     for _ in 0..2 {
         platform.start_gateway();
@@ -286,16 +290,30 @@
     platform.wait_logged(0, "peers: peer is live");
     platform.wait_logged(1, "peers: peer is live");
     assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
-    let runs = runs_if_interrupted(&target, |number| {
+    runs_if_interrupted(&target, |number| {
         let owner = (number + 1) % 2;
+        thread::sleep(delay);
         platform.signal(owner, "TERM");
         platform.gateway(owner).wait();
         platform.restart_gateway(owner);
         platform.wait_ready(owner);
-    });
+    })
+}
+
+// Guards against owners that hand a job over while failures of its items are on the way.
+#[test]
+fn failures_that_cross_handovers_do_not_repeat_an_item_without_a_bound() {
+    let runs = runs_over_handovers(TargetFault::Impossible, Duration::ZERO);
     assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
 }
 
+// Guards against owners that hand a job over after the status line of a failure and before the end of its body.
+#[test]
+fn failures_that_are_being_read_at_handovers_are_counted() {
+    let runs = runs_over_handovers(TargetFault::Fails, READING_AFTER);
+    assert!(runs <= ATTEMPTS, "{runs} runs");
+}
+
 // Guards against an item that is sent again and again because the bodies of its failures break off.
 #[test]
 fn failures_without_a_whole_body_do_not_repeat_an_item_without_a_bound() {
