--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -162,6 +162,15 @@
         self.store.put("config", "main", config);
     }
 
+    /// Writes a configuration with routes of all kinds, whose items are given up after this time only.
+    pub fn put_routes_with_max_wait(&self, version: u64, max_wait_s: u64) {
+        let mut config = Platform::config(version, 3);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["maxWaitS"] = json!(max_wait_s);
+        }
+        self.store.put("config", "main", config);
+    }
+
     fn config(version: u64, attempts: u32) -> Value {
         let routes = [
             route("stream", 1, false),
