Items: a run that begins awaits no answer

The mark that a target has not answered stayed after a run was dropped at its target. By reading: no run shows harm, as outputs of such runs are dropped, too, or have events already.

--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -90,7 +90,13 @@
         self.is_stopping
     }
 
-    /// Lets the run go on after the target has answered.
+    /// Notes that a run begins. An earlier one may have been dropped at its target.
+    pub fn begin_run(&mut self) {
+        self.awaits_answer = false;
+        self.is_stopping = false;
+    }
+
+    /// Lets a run that was to end with the answer go on after it.
     pub fn continue_run(&mut self) {
         self.is_stopping = false;
     }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -41,8 +41,8 @@
 /// requests that join a batch delay its events by a few hundred milliseconds at most; an engine short of memory may
 /// delay one for longer.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time after the preemption of an item that must be answered until it is cut. A target that has a slot for it answers in a
-/// few ten milliseconds; meanwhile an online request may wait for that slot.
+/// How long a run whose answer must not be missed goes on after its preemption or the handover of its job. A target that has
+/// a slot for the item answers in some tens of milliseconds; meanwhile an online request may wait for that slot.
 pub const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause before an item is sent again that was not run by the target, or got no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -190,7 +190,7 @@
     pub(super) fn start_run(&mut self, number: u32) {
         let Some(item) = self.items.get(number) else { return };
         let output = Rc::clone(self.outputs.entry(number).or_default());
-        output.borrow_mut().continue_run();
+        output.borrow_mut().begin_run();
         let run = item_run::ItemRun {
             output,
             env: Rc::clone(&self.env),
