--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -63,11 +63,13 @@
 const LONG_PAUSE: Duration = Duration::from_millis(2_700);
 /// Time within which an interrupted item is run again, by the next owner if there is another.
 const RUN_AGAIN_WITHIN: Duration = Duration::from_secs(4);
-/// Gateways of a fleet that sees an outage of the store, and how much later than the others the owner sees its end.
+/// Gateways of a fleet that sees an outage of the store.
 const OUTAGE_GATEWAYS: usize = 5;
+/// How much later than the others the owner of a job sees the end of the outage.
 const SEEN_LATER: Duration = Duration::from_millis(800);
-/// Size of a failure's body that takes several times longer over a slow link than its status line, and when it is being read.
+/// Size of a failure's body that takes several times longer over a slow link than its status line.
 const FAILURE_BYTES: usize = 60_000;
+/// Time after which the body of such a failure is being read.
 const READING_AFTER: Duration = Duration::from_millis(450);
 /// Online requests that together take all slots of a target.
 const SURGE: usize = 8;
