--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -220,13 +220,18 @@
 
     /// Whether a gateway has been in touch with the store since a point in time, and for [`IN_TOUCH_AFTER`] before it.
     fn is_in_touch(&self, gateway: usize, since: Instant) -> bool {
-        let disturbs = |it: &FaultWindow| match it.disturbed {
+        !self.was_disturbed(since, |it| match it {
             Disturbed::None => false,
             Disturbed::Gateway(disturbed) => disturbed == gateway,
             Disturbed::All => true,
-        };
+        })
+    }
+
+    /// Whether a fault that disturbs these gateways was active since a point in time, or for [`IN_TOUCH_AFTER`] before it.
+    fn was_disturbed(&self, since: Instant, disturbs: impl Fn(Disturbed) -> bool) -> bool {
         let (now, settled_at) = (Instant::now(), since - IN_TOUCH_AFTER);
-        !self.fault_windows.iter().any(|it| disturbs(it) && it.until > settled_at && it.from < now)
+        let mut windows = self.fault_windows.iter();
+        windows.any(|it| disturbs(it.disturbed) && it.until > settled_at && it.from < now)
     }
 
     /// Records that a request is about to be sent.
@@ -446,11 +451,7 @@
     fn is_sender_in_touch(&self, sender: Option<usize>, at: Instant) -> bool {
         match sender {
             Some(gateway) => self.is_in_touch(gateway, at),
-            None => !self.fault_windows.iter().any(|it| {
-                it.disturbed != Disturbed::None
-                    && it.until > at - IN_TOUCH_AFTER
-                    && it.from < Instant::now()
-            }),
+            None => !self.was_disturbed(at, |it| it != Disturbed::None),
         }
     }
 
