Streams of targets: logs and metrics of how they end

The hypotheses of the incident could not be told apart: no log line had the framing of a target's answer, or whether bytes were left after its last whole event. Lines are written for streams that end by their connection or inside an event only; _stream_ends counts all.

--- a/crates/samphiredoor-gateway/src/events.rs
+++ b/crates/samphiredoor-gateway/src/events.rs
@@ -82,6 +82,16 @@
         Some(Event::new(self.rest.split_to(end).freeze()))
     }
 
+    /// Label in logs and metrics of the end of a stream whose body has ended here.
+    pub fn end_label(&self) -> &'static str {
+        if self.rest.is_empty() { "between_events" } else { "inside_event" }
+    }
+
+    /// Number of bytes after the last whole event.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Takes all bytes that are left, as at the end of the stream.
     pub fn take_rest(&mut self) -> Bytes {
         self.rest.split().freeze()
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -103,17 +103,23 @@
     if let Some(end) = target_client::not_run_reason(names, &response) {
         return AttemptOutcome::NotRun(end);
     }
-    read_answer(front, response, timeouts).await
+    read_answer(front, request_id(names, call), response, timeouts).await
+}
+
+/// Id of a request, for logs.
+fn request_id<'a>(names: &HeaderNames, call: &'a Call) -> &'a str {
+    call.headers.get(&names.request_id).and_then(|it| it.to_str().ok()).unwrap_or_default()
 }
 
 async fn read_answer(
     front: &Front,
+    request: &str,
     response: Response<ResponseBody>,
     timeouts: Timeouts,
 ) -> AttemptOutcome {
     let (parts, body) = response.into_parts();
     if parts.status.is_success() && is_event_stream(&parts.headers) {
-        return read_first_event(Box::new(parts), body, timeouts).await;
+        return read_first_event(front, request, Box::new(parts), body, timeouts).await;
     }
     let is_waiting = Cell::new(false);
     let whole = front.read_whole(Holder::WholeAnswer, body, MAX_WHOLE_BYTES, &is_waiting);
@@ -127,6 +133,8 @@
 /// Reads a stream up to its first event. Nothing is sent to the caller before that, so a repeatable request can still
 /// be retried at another target.
 async fn read_first_event(
+    front: &Front,
+    request: &str,
     parts: Box<response::Parts>,
     mut body: ResponseBody,
     timeouts: Timeouts,
@@ -140,7 +148,15 @@
                     return AttemptOutcome::Stream(parts, StartedStream { body, events });
                 }
             }
-            Ok(None) => return AttemptOutcome::Whole(parts, events.take_rest()),
+            Ok(None) => {
+                let (framing, end) = (body.framing(), events.end_label());
+                front.metrics.stream_ended(framing, end);
+                log::info!(
+                    request, framing = framing.label(), end, unfinished_bytes = events.unfinished_bytes();
+                    "front: stream ended without an event"
+                );
+                return AttemptOutcome::Whole(parts, events.take_rest());
+            }
             Err((end, cause)) => return AttemptOutcome::MayHaveRun(end, cause),
         }
     }
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -6,10 +6,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use samphiredoor_core::{placement::AttemptEnd, routes::RouteKind, verdict::MayHaveRunReason};
-use samphiredoor_net::{Body, BoxError};
+use samphiredoor_net::{Body, BoxError, pool::Framing};
 
 use super::{
-    attempt::next_piece,
+    attempt::{StartedStream, next_piece},
     online::{ActiveStream, NoAnswer, OnlineRequest},
 };
 use crate::metrics::Stage;
@@ -75,6 +75,7 @@
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
         self.request.note_answered();
+        self.note_end(&active);
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
         metrics.stage(Stage::Rest, self.started.elapsed());
@@ -83,6 +84,20 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Counts the end of the target's stream, and logs it unless the stream has ended by its framing after an event.
+    fn note_end(&self, active: &ActiveStream) {
+        let StartedStream { body, events } = &active.started;
+        let (framing, end) = (body.framing(), events.end_label());
+        self.request.front.metrics.stream_ended(framing, end);
+        if framing == Framing::Close || events.unfinished_bytes() > 0 {
+            log::info!(
+                request = self.request.id, target = &*active.target, framing = framing.label(), end,
+                after = self.last_event.unwrap_or(0), unfinished_bytes = events.unfinished_bytes();
+                "front: stream ended"
+            );
+        }
+    }
+
     /// Resumes an interrupted stream at another target; returns the error that ends the answer if it cannot be resumed.
     async fn resume_or_fail(
         &mut self,
@@ -92,9 +107,12 @@
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
         self.request.note_lost(end, active.address, active.sent);
+        let framing = active.started.body.framing();
+        self.request.front.metrics.stream_ended(framing, cause.label());
         log::info!(
             request = self.request.id, target = &*active.target, after = self.last_event.unwrap_or(0),
-            reason = cause.label();
+            reason = cause.label(), framing = framing.label(),
+            unfinished_bytes = active.started.events.unfinished_bytes();
             "front: stream interrupted"
         );
         // Closes the connection, so that the target stops before another one continues the stream.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -26,7 +26,7 @@
 use samphiredoor_net::{
     Call,
     body::read_whole,
-    pool::{ResponseBody, SendError, within, within_or_late},
+    pool::{Framing, ResponseBody, SendError, within, within_or_late},
 };
 use smallvec::SmallVec;
 
@@ -338,6 +338,19 @@
         (outcome, end)
     }
 
+    /// Counts and logs the end of a stream whose body has ended in order, unless it has ended by its framing after an event.
+    fn note_stream_end(&self, body: &ResponseBody, events: &EventBuffer) {
+        let (framing, end) = (body.framing(), events.end_label());
+        self.env.metrics.stream_ended(framing, end);
+        if framing == Framing::Close || events.unfinished_bytes() > 0 {
+            log::info!(
+                job = &*self.job, item = &*self.item.id, framing = framing.label(), end,
+                after = self.last_event().unwrap_or(0), unfinished_bytes = events.unfinished_bytes();
+                "item: stream ended"
+            );
+        }
+    }
+
     async fn read_events(
         &self,
         mut body: ResponseBody,
@@ -357,13 +370,17 @@
                     output.count(self.env.buffers.as_ref());
                 }
                 Some(Some(Some(Err(_)))) => return (Outcome::ResponseLost, AttemptEnd::Lost),
-                Some(Some(None)) if events.take_rest().is_empty() => {
+                Some(Some(None)) if events.unfinished_bytes() == 0 => {
+                    self.note_stream_end(&body, &events);
                     return (
                         Outcome::Finished(self.output.borrow().complete()),
                         AttemptEnd::Answered,
                     );
                 }
-                Some(Some(None)) => return (Outcome::ResponseLost, AttemptEnd::Lost),
+                Some(Some(None)) => {
+                    self.note_stream_end(&body, &events);
+                    return (Outcome::ResponseLost, AttemptEnd::Lost);
+                }
             }
         }
     }
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -24,7 +24,10 @@
     store::Kind,
     verdict::Refusal,
 };
-use samphiredoor_net::metrics::{self, ReasonCounters, gauge};
+use samphiredoor_net::{
+    metrics::{self, ReasonCounters, gauge},
+    pool::Framing,
+};
 
 use crate::{
     buffers::Buffers,
@@ -81,6 +84,13 @@
     stage: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct StreamLabel {
+    framing: &'static str,
+    end: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct TargetLabel {
@@ -97,6 +107,7 @@
     first_piece_s: Histogram,
     whole_s: Histogram,
     stage_s: Family<StageLabel, Histogram>,
+    stream_ends: Family<StreamLabel, Counter>,
     item_ends: ReasonCounters,
     unanswered_attempts: ReasonCounters,
     job_events: ReasonCounters,
@@ -163,6 +174,9 @@
         let stage_s = Family::new_with_constructor(latency as fn() -> Histogram);
         let help = "Time of online requests in each stage";
         registry.register("stage_seconds", help, Family::clone(&stage_s));
+        let stream_ends = Family::default();
+        let help = "Ends of event streams of targets, by how the end of the body is marked";
+        registry.register("stream_ends", help, Family::clone(&stream_ends));
         let (watch_ends, store_silent_ms) = (Family::default(), Family::default());
         let help = "Ends of watches in the store, by kind of object";
         registry.register("watch_ends", help, Family::clone(&watch_ends));
@@ -195,6 +209,7 @@
             first_piece_s,
             whole_s,
             stage_s,
+            stream_ends,
             item_ends,
             unanswered_attempts,
             job_events,
@@ -286,6 +301,11 @@
         self.stage_s.get_or_create(&label).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts the end of an event stream that a target sent.
+    pub fn stream_ended(&self, framing: Framing, end: &'static str) {
+        self.stream_ends.get_or_create(&StreamLabel { framing: framing.label(), end }).inc();
+    }
+
     /// Counts the end of a run of an item.
     pub fn item_ended(&self, end: &'static str) {
         self.item_ends.count(end);
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -54,6 +54,39 @@
     Complete,
 }
 
+/// How the end of a response body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Framing {
+    /// By its length, which the headers tell; also of bodies that are empty by their status.
+    Length,
+    /// By chunks.
+    Chunked,
+    /// By the close of the connection, which a server that fails also causes.
+    Close,
+}
+
+impl Framing {
+    /// Framing of a body, by the headers of its response.
+    fn of(headers: &HeaderMap, body: &Incoming) -> Framing {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Chunked
+        } else if headers.contains_key(header::CONTENT_LENGTH) || body.is_end_stream() {
+            Framing::Length
+        } else {
+            Framing::Close
+        }
+    }
+
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunked => "chunked",
+            Framing::Close => "close",
+        }
+    }
+}
+
 struct Connection {
     sender: SendRequest<Body>,
     // Dropping the handle cancels the task that drives the connection, which closes the socket.
@@ -212,14 +245,14 @@
             // Dropping the connection closes it and so cancels this request, whose own response has not arrived yet.
             return Err(SendError::MayHaveRun("the response belongs to another request".into()));
         }
-        let is_close_delimited = !head.headers.contains_key(header::CONTENT_LENGTH)
-            && !head.headers.contains_key(header::TRANSFER_ENCODING);
+        let framing = Framing::of(&head.headers, &body);
         let announced = keep_alive_timeout(&head.headers).map(|it| it.saturating_sub(CLOSE_MARGIN));
         let idle_for = announced.or(self.idle_limit);
         let (connection, idle) = (Some(connection), Rc::clone(&self.idle));
         let is_cut_by_close =
-            is_close_delimited && self.close_delimited == CloseDelimited::Incomplete;
-        let mut response_body = ResponseBody { body, connection, idle, idle_for, is_cut_by_close };
+            framing == Framing::Close && self.close_delimited == CloseDelimited::Incomplete;
+        let mut response_body =
+            ResponseBody { body, connection, idle, idle_for, framing, is_cut_by_close };
         if response_body.body.is_end_stream() {
             response_body.release();
         }
@@ -242,11 +275,17 @@
     idle: Rc<RefCell<Vec<Connection>>>,
     /// How long the connection may stay idle in the pool; `None` for no limit.
     idle_for: Option<Duration>,
+    framing: Framing,
     /// Whether the body ends only by the close of the connection, and this counts as a truncation.
     is_cut_by_close: bool,
 }
 
 impl ResponseBody {
+    /// How its end is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Returns the connection to the pool.
     fn release(&mut self) {
         let Some(mut connection) = self.connection.take() else { return };
