--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -51,6 +51,27 @@
     Silent,
     /// The answer has neither a length nor chunked framing; it ends with the connection.
     Unframed,
+    /// The same, but the connection is closed in order inside the event after this number of events.
+    UnframedCutAfter(u64),
+    /// The chunks end in order inside the event after this number of events.
+    ChunksEndAfter(u64),
+}
+
+impl TargetFault {
+    /// Whether the answer has neither a length nor chunks.
+    fn is_unframed(self) -> bool {
+        matches!(self, TargetFault::Unframed | TargetFault::UnframedCutAfter(_))
+    }
+
+    /// Number of events after which the answer breaks off, if it does.
+    fn breaks_off_after(self) -> Option<u64> {
+        match self {
+            TargetFault::CutAfter(events)
+            | TargetFault::UnframedCutAfter(events)
+            | TargetFault::ChunksEndAfter(events) => Some(events),
+            _ => None,
+        }
+    }
 }
 
 /// Request that the target started to run.
@@ -386,7 +407,7 @@
             let is_padded = request.body.is_empty();
             (state.events, state.pause, if is_padded { state.event_bytes } else { 0 })
         };
-        let is_unframed = fault == TargetFault::Unframed;
+        let is_unframed = fault.is_unframed();
         let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
         write!(
             stream,
@@ -396,10 +417,8 @@
         )?;
         let first = after.unwrap_or(0) + 1;
         for (sent, number) in (first..=events).enumerate() {
-            if fault == TargetFault::CutAfter(sent as u64) {
-                // Also sends a part of the next event.
-                write!(stream, "8\r\nid: {number}\r\n")?;
-                return Ok(false);
+            if fault.breaks_off_after() == Some(sent as u64) {
+                return break_off(stream, fault, number);
             }
             let event = format!("id: {number}\ndata: {}\n\n", event_data(number, event_bytes));
             match is_unframed {
@@ -415,6 +434,21 @@
     }
 }
 
+/// Sends a part of an event and ends the answer; returns whether the connection stays open.
+fn break_off(stream: &mut TcpStream, fault: TargetFault, number: u64) -> io::Result<bool> {
+    let part = format!("id: {number}\n");
+    match fault {
+        TargetFault::UnframedCutAfter(_) => stream.write_all(part.as_bytes())?,
+        TargetFault::ChunksEndAfter(_) => {
+            write!(stream, "{:x}\r\n{part}\r\n0\r\n\r\n", part.len())?;
+            return Ok(true);
+        }
+        // The chunk is longer than what follows.
+        _ => write!(stream, "{:x}\r\n{part}", part.len() + 1)?,
+    }
+    Ok(false)
+}
+
 /// Data of an event, padded to a size.
 pub fn event_data(number: u64, bytes: usize) -> String {
     padded(format!("piece-{number}"), bytes)
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes on the users' platform, with stand-ins for its store, targets and callers.
 
+mod broken_off_streams;
 mod cancellations;
 mod cells;
 mod discovery;
