Soak: answers that end inside an event although their bodies end in order

The soak's callers took any end of an answer without a length for its whole end; now only an orderly one.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -128,6 +128,8 @@
         drills: bool,
         /// Also bring about repeats of items: most fail, surges preempt them, gateways get too little processor time
         repeats: bool,
+        /// Also let targets send answers that end inside an event although their bodies end in order
+        broken_answers: bool,
         /// The `samphiredoor` program
         #[bpaf(positional("PROGRAM"))]
         binary: PathBuf,
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -31,11 +31,13 @@
         shrink,
         drills,
         repeats,
+        broken_answers,
         binary,
     } = opts
     {
         let pressure = if repeats { soak::Pressure::Repeats } else { soak::Pressure::Usual };
-        let options = soak::Options { binary, folder, seconds, gateways, drills, pressure };
+        let options =
+            soak::Options { binary, folder, seconds, gateways, drills, pressure, broken_answers };
         return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
     }
     compio::runtime::Runtime::new()?.block_on(async {
--- a/crates/samphiredoor-standin/src/soak/connection.rs
+++ b/crates/samphiredoor-standin/src/soak/connection.rs
@@ -125,24 +125,29 @@
     pub fn receive(&mut self, timeout: Duration) -> (Reply, bool) {
         let deadline = Instant::now() + timeout;
         let mut reply = Reply::default();
-        let stopped = loop {
+        let end = loop {
             match parse(&self.buffer, &mut reply) {
                 Parsed::Complete(used) => {
                     self.buffer.drain(..used);
-                    break false;
+                    break AnswerEnd::Framing;
                 }
                 Parsed::Incomplete => {}
             }
-            if !self.read_more(deadline) {
-                break true;
+            match self.read_more(deadline) {
+                Ok(0) => break AnswerEnd::Closed,
+                Ok(_) => {}
+                Err(_) => break AnswerEnd::Failed,
             }
         };
         let has_length = reply.header("content-length").is_some() || is_chunked(&reply);
-        reply.is_complete =
-            !stopped || (reply.status > 0 && !has_length && Instant::now() < deadline);
+        reply.is_complete = match end {
+            AnswerEnd::Framing => true,
+            AnswerEnd::Closed => reply.status > 0 && !has_length,
+            AnswerEnd::Failed => false,
+        };
         let is_closing =
             reply.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
-        let is_reusable = !stopped && !is_closing;
+        let is_reusable = end == AnswerEnd::Framing && !is_closing;
         (reply, is_reusable)
     }
 
@@ -155,19 +160,17 @@
         has_unread || !self.buffer.is_empty()
     }
 
-    fn read_more(&mut self, deadline: Instant) -> bool {
+    /// Reads more bytes; returns their number, 0 after the connection was closed in order.
+    fn read_more(&mut self, deadline: Instant) -> io::Result<usize> {
         let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
-            return false;
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
         }
+        self.stream.set_read_timeout(Some(left))?;
         let mut chunk = [0; BUFFER_BYTES];
-        match self.stream.read(&mut chunk) {
-            Ok(read @ 1..) => {
-                self.buffer.extend_from_slice(&chunk[..read]);
-                true
-            }
-            _ => false,
-        }
+        let read = self.stream.read(&mut chunk)?;
+        self.buffer.extend_from_slice(&chunk[..read]);
+        Ok(read)
     }
 }
 
@@ -188,6 +191,17 @@
     }
 }
 
+/// How the receipt of an answer has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerEnd {
+    /// At the end of its length or chunks.
+    Framing,
+    /// The connection was closed in order.
+    Closed,
+    /// The connection was reset, or the time is over.
+    Failed,
+}
+
 enum Parsed {
     /// The answer is complete and takes this number of bytes.
     Complete(usize),
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -68,6 +68,8 @@
     pub drills: bool,
     /// What the load is to bring about beside the faults.
     pub pressure: Pressure,
+    /// Whether targets also send answers that end inside an event although their bodies end in order.
+    pub broken_answers: bool,
 }
 
 /// What the load of a run is to bring about beside its faults.
@@ -83,7 +85,9 @@
 impl Options {
     /// Generates the plan of a seed.
     pub fn plan(&self, seed: u64) -> Plan {
-        Plan::of_seed(seed, self.seconds, self.sizes())
+        let (seconds, sizes) = (self.seconds, self.sizes());
+        let plan = Plan::of_seed(seed, seconds, sizes);
+        if self.broken_answers { plan.with_broken_answers(seed, seconds, sizes) } else { plan }
     }
 
     fn sizes(&self) -> Sizes {
--- a/crates/samphiredoor-standin/src/soak/plan.rs
+++ b/crates/samphiredoor-standin/src/soak/plan.rs
@@ -22,6 +22,13 @@
 /// Probability that a series ends after a fault.
 const SERIES_END_PROBABILITY: f64 = 0.1;
 
+/// Time between two faults of targets that [`Plan::with_broken_answers`] adds.
+const BROKEN_ANSWERS_INTERVAL_MS: std::ops::Range<u64> = 100..400;
+/// Duration of each of them.
+const BROKEN_ANSWERS_MS: std::ops::Range<u64> = 200..1_500;
+/// Events of an answer before it breaks off; 0 is inside the first one.
+const EVENTS_BEFORE_BREAK: std::ops::Range<u64> = 0..6;
+
 /// Fault of a link, as written in plans.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -160,6 +167,27 @@
         Plan(steps)
     }
 
+    /// The plan with further faults of targets: answers that end inside an event although their bodies end in order. Their
+    /// generator is one of its own, so that the other faults of a seed do not depend on them.
+    pub fn with_broken_answers(mut self, seed: u64, seconds: u64, sizes: Sizes) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(!seed);
+        let (mut at_ms, end_ms) = (FIRST_FAULT_MS, seconds * 1_000);
+        while at_ms + BROKEN_ANSWERS_MS.start < end_ms {
+            let events = rng.random_range(EVENTS_BEFORE_BREAK);
+            let fault = match rng.random_bool(0.5) {
+                true => TargetFault::UnframedCutAfter(events),
+                false => TargetFault::ChunksEndAfter(events),
+            };
+            let target = rng.random_range(0..sizes.targets);
+            let fault = Fault::Target(target, fault, rng.random_range(1..20));
+            let for_ms = rng.random_range(BROKEN_ANSWERS_MS).min(end_ms - at_ms);
+            self.0.push(Step { at_ms, for_ms, fault });
+            at_ms += rng.random_range(BROKEN_ANSWERS_INTERVAL_MS);
+        }
+        self.0.sort_by_key(|it| it.at_ms);
+        self
+    }
+
     /// Reads a plan from a file.
     ///
     /// # Errors
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -355,6 +355,7 @@
         gateways: GATEWAYS,
         drills: false,
         pressure: soak::Pressure::Usual,
+        broken_answers: false,
     }
 }
 
