Streams: one that ends inside an event has been broken off, however its body ends

Callers saw 200, framed as complete, with a part of the answer. Resumable streams were not resumed.

Cause: the end of the body counted as the end of the stream. A target that fails may close its connection in order, which is also how an answer without a length or chunks ends; chunks may end in order inside an event as well. Batch items looked at what was left after the last event, online streams forwarded it, and an answer that ended inside its first event became a whole one.

Change: online requests and items read streams through EventStream, where StreamEnd::of_body decides: inside an event is broken off by any framing; without any event an answer that only the close of its connection ends is no proof either. Blank lines and whole comments after the last event are not inside one. A broken-off stream takes the same way as a reset one: it is resumed, or the caller's answer ends with an error, or 502 before its first event.

What can't be told: a target that fails exactly between two events of an answer that its connection ends.

--- /dev/null
+++ b/crates/samphiredoor-gateway/src/event_stream.rs
@@ -0,0 +1,123 @@
+//! Reads event streams of targets, and decides whether a stream is whole when its body ends.
+//!
+//! The end of a body is no proof: a target that fails may close its connection in order, which is also how a body without
+//! a length or chunks ends, and a proxy in front of it may end the chunks in order. Online requests and items of jobs read
+//! streams through this module, so that both decide alike.
+
+use http_body_util::BodyExt;
+use samphiredoor_net::pool::{Framing, ResponseBody};
+
+use crate::events::{Event, EventBuffer};
+
+/// Event stream that a target sends.
+pub struct EventStream {
+    body: ResponseBody,
+    buffer: EventBuffer,
+    /// Whether an event was taken.
+    has_taken: bool,
+}
+
+/// What was received of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Received {
+    /// Bytes, which may end an event.
+    Data,
+    /// The end of the stream.
+    End(StreamEnd),
+}
+
+/// How a stream has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// All of it was received.
+    Whole,
+    /// It has been broken off.
+    BrokenOff(BreakOff),
+}
+
+/// Why a stream counts as broken off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakOff {
+    /// The connection failed before the end of the body.
+    ConnectionFailed,
+    /// The body ended in order, but inside an event.
+    InsideEvent,
+    /// The connection was closed in order before the first event, and nothing but its close marks the end of the body.
+    NoEvent,
+}
+
+impl StreamEnd {
+    /// Decides on a stream whose body has ended in order. `rest` is what came after its last whole event.
+    pub fn of_body(framing: Framing, has_event: bool, rest: &EventBuffer) -> StreamEnd {
+        if rest.is_inside_event() {
+            return StreamEnd::BrokenOff(BreakOff::InsideEvent);
+        }
+        match framing {
+            Framing::Close if !has_event => StreamEnd::BrokenOff(BreakOff::NoEvent),
+            Framing::Close | Framing::Length | Framing::Chunked => StreamEnd::Whole,
+        }
+    }
+
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            StreamEnd::Whole => "whole",
+            StreamEnd::BrokenOff(BreakOff::ConnectionFailed) => "connection_failed",
+            StreamEnd::BrokenOff(BreakOff::InsideEvent) => "inside_event",
+            StreamEnd::BrokenOff(BreakOff::NoEvent) => "no_event",
+        }
+    }
+}
+
+impl EventStream {
+    /// Stream in the body of a response.
+    pub fn new(body: ResponseBody) -> EventStream {
+        EventStream { body, buffer: EventBuffer::default(), has_taken: false }
+    }
+
+    /// Waits for further bytes or the end of the stream. Nothing is lost if the future is dropped.
+    pub async fn receive(&mut self) -> Received {
+        match self.body.frame().await {
+            Some(Ok(frame)) => {
+                // Trailers are skipped.
+                self.buffer.push(&frame.into_data().unwrap_or_default());
+                Received::Data
+            }
+            Some(Err(err)) => {
+                log::debug!("stream: connection failed: {err}");
+                Received::End(StreamEnd::BrokenOff(BreakOff::ConnectionFailed))
+            }
+            None => {
+                let has_event = self.has_taken || self.has_event();
+                Received::End(StreamEnd::of_body(self.framing(), has_event, &self.buffer))
+            }
+        }
+    }
+
+    /// Whether a whole event can be taken.
+    pub fn has_event(&self) -> bool {
+        self.buffer.has_event()
+    }
+
+    /// Takes the next whole event; `None` until it has been received.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let event = self.buffer.take_event()?;
+        self.has_taken = true;
+        Some(event)
+    }
+
+    /// Takes the blank lines and comments after the last event of a whole stream.
+    pub fn take_rest(&mut self) -> bytes::Bytes {
+        self.buffer.take_rest()
+    }
+
+    /// How the end of its body is marked.
+    pub fn framing(&self) -> Framing {
+        self.body.framing()
+    }
+
+    /// Number of bytes after the last whole event.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.buffer.unfinished_bytes()
+    }
+}
--- a/crates/samphiredoor-gateway/src/events.rs
+++ b/crates/samphiredoor-gateway/src/events.rs
@@ -77,14 +77,19 @@
     }
 
     /// Takes the next whole event; `None` until it has arrived.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take_event(&mut self) -> Option<Event> {
         let end = end_of_event(&self.rest)?;
         Some(Event::new(self.rest.split_to(end).freeze()))
     }
 
-    /// Label in logs and metrics of the end of a stream whose body has ended here.
-    pub fn end_label(&self) -> &'static str {
-        if self.rest.is_empty() { "between_events" } else { "inside_event" }
+    /// Whether the bytes that are left are a part of an event. Blank lines and whole comments are none.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.rest.split_inclusive(|it| *it == b'\n');
+        lines.any(|line| {
+            let Some(line) = line.strip_suffix(b"\n") else { return true };
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            !line.is_empty() && !line.starts_with(b":")
+        })
     }
 
     /// Number of bytes after the last whole event.
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -12,13 +12,13 @@
 };
 use samphiredoor_net::{
     Call,
-    body::{self, PieceError},
-    pool::{ResponseBody, SendError, within, within_or_late},
+    pool::{ResponseBody, SendError, within, within_or_late, within_or_ready},
 };
 
 use super::Front;
 use crate::{
-    events::{EventBuffer, is_event_stream},
+    event_stream::{EventStream, Received, StreamEnd},
+    events::is_event_stream,
     platform_api::HeaderNames,
     target_client,
 };
@@ -26,18 +26,10 @@
 /// Size limit of answers that are buffered before they are forwarded: all but event streams.
 pub const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
 
-/// An event stream of which the first event has arrived.
-pub struct StartedStream {
-    /// Body of the answer that is not read yet.
-    pub body: ResponseBody,
-    /// Received bytes, at least one whole event.
-    pub events: EventBuffer,
-}
-
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
-    /// The target started an event stream.
-    Stream(Box<response::Parts>, StartedStream),
+    /// The target started an event stream, of which the first event has arrived.
+    Stream(Box<response::Parts>, EventStream),
     /// The target sent a whole answer.
     Whole(Box<response::Parts>, bytes::Bytes),
     /// The target certainly did not run the request.
@@ -136,39 +128,45 @@
     front: &Front,
     request: &str,
     parts: Box<response::Parts>,
-    mut body: ResponseBody,
+    body: ResponseBody,
     timeouts: Timeouts,
 ) -> AttemptOutcome {
-    let mut events = EventBuffer::default();
+    let mut stream = EventStream::new(body);
     loop {
-        match next_piece(&mut body, timeouts).await {
-            Ok(Some(data)) => {
-                events.push(&data);
-                if events.has_event() {
-                    return AttemptOutcome::Stream(parts, StartedStream { body, events });
-                }
-            }
-            Ok(None) => {
-                let (framing, end) = (body.framing(), events.end_label());
-                front.metrics.stream_ended(framing, end);
-                log::info!(
-                    request, framing = framing.label(), end, unfinished_bytes = events.unfinished_bytes();
-                    "front: stream ended without an event"
-                );
-                return AttemptOutcome::Whole(parts, events.take_rest());
+        if stream.has_event() {
+            return AttemptOutcome::Stream(parts, stream);
+        }
+        match receive(&mut stream, timeouts).await {
+            Ok(Received::Data) => {}
+            Ok(Received::End(end)) => {
+                note_empty_stream(front, request, &stream, end);
+                return match end {
+                    StreamEnd::Whole => AttemptOutcome::Whole(parts, stream.take_rest()),
+                    StreamEnd::BrokenOff(_) => {
+                        AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
+                    }
+                };
             }
             Err((end, cause)) => return AttemptOutcome::MayHaveRun(end, cause),
         }
     }
 }
 
-/// Reads the next bytes of an answer; `None` after its last byte.
-pub async fn next_piece(
-    answer: &mut ResponseBody,
+/// Counts and logs the end of a stream without a whole event.
+fn note_empty_stream(front: &Front, request: &str, stream: &EventStream, end: StreamEnd) {
+    let framing = stream.framing();
+    front.metrics.stream_ended(framing, end.label());
+    log::info!(
+        request, framing = framing.label(), end = end.label(), unfinished_bytes = stream.unfinished_bytes();
+        "front: stream ended without an event"
+    );
+}
+
+/// Waits for the next part of a stream; the error tells why none came in time.
+pub async fn receive(
+    stream: &mut EventStream,
     timeouts: Timeouts,
-) -> Result<Option<bytes::Bytes>, (AttemptEnd, MayHaveRunReason)> {
-    body::next_piece(answer, timeouts.next_read()).await.map_err(|err| match err {
-        PieceError::Cut => (AttemptEnd::Lost, MayHaveRunReason::AnswerCut),
-        PieceError::TimedOut => timeouts.expired(),
-    })
+) -> Result<Received, (AttemptEnd, MayHaveRunReason)> {
+    let received = within_or_ready(timeouts.next_read(), stream.receive()).await;
+    received.ok_or_else(|| timeouts.expired())
 }
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -9,10 +9,13 @@
 use samphiredoor_net::{Body, BoxError, pool::Framing};
 
 use super::{
-    attempt::{StartedStream, next_piece},
+    attempt::receive,
     online::{ActiveStream, NoAnswer, OnlineRequest},
 };
-use crate::metrics::Stage;
+use crate::{
+    event_stream::{Received, StreamEnd},
+    metrics::Stage,
+};
 
 /// A stream that is being forwarded. Dropping it, as when the caller disconnects, closes the connection to the target.
 pub struct ForwardedStream {
@@ -59,14 +62,16 @@
                 return Some(Ok(piece));
             }
             let timeouts = self.request.timeouts();
-            match next_piece(&mut active.started.body, timeouts).await {
-                Ok(Some(data)) => active.started.events.push(&data),
-                Ok(None) => return self.finish(),
-                Err((end, cause)) => {
-                    if let Some(err) = self.resume_or_fail(end, cause).await {
-                        return Some(Err(err));
-                    }
+            let (end, cause, label) = match receive(&mut active.stream, timeouts).await {
+                Ok(Received::Data) => continue,
+                Ok(Received::End(StreamEnd::Whole)) => return self.finish(),
+                Ok(Received::End(end)) => {
+                    (AttemptEnd::Lost, MayHaveRunReason::AnswerCut, end.label())
                 }
+                Err((end, cause)) => (end, cause, cause.label()),
+            };
+            if let Some(err) = self.resume_or_fail(end, cause, label).await {
+                return Some(Err(err));
             }
         }
     }
@@ -75,24 +80,23 @@
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
         self.request.note_answered();
-        self.note_end(&active);
+        self.note_whole(&active);
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
         metrics.stage(Stage::Rest, self.started.elapsed());
         self.request.log_end("streamed", 200);
-        let rest = active.started.events.take_rest();
+        let rest = active.stream.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    /// Counts the end of the target's stream, and logs it unless the stream has ended by its framing after an event.
-    fn note_end(&self, active: &ActiveStream) {
-        let StartedStream { body, events } = &active.started;
-        let (framing, end) = (body.framing(), events.end_label());
-        self.request.front.metrics.stream_ended(framing, end);
-        if framing == Framing::Close || events.unfinished_bytes() > 0 {
+    /// Counts a whole stream, and logs it if nothing but the close of its connection says that it is whole.
+    fn note_whole(&self, active: &ActiveStream) {
+        let framing = active.stream.framing();
+        self.request.front.metrics.stream_ended(framing, StreamEnd::Whole.label());
+        if framing == Framing::Close {
             log::info!(
-                request = self.request.id, target = &*active.target, framing = framing.label(), end,
-                after = self.last_event.unwrap_or(0), unfinished_bytes = events.unfinished_bytes();
+                request = self.request.id, target = &*active.target, framing = framing.label(),
+                after = self.last_event.unwrap_or(0);
                 "front: stream ended"
             );
         }
@@ -103,16 +107,17 @@
         &mut self,
         end: AttemptEnd,
         cause: MayHaveRunReason,
+        label: &'static str,
     ) -> Option<BoxError> {
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
         self.request.note_lost(end, active.address, active.sent);
-        let framing = active.started.body.framing();
-        self.request.front.metrics.stream_ended(framing, cause.label());
+        let framing = active.stream.framing();
+        self.request.front.metrics.stream_ended(framing, label);
         log::info!(
             request = self.request.id, target = &*active.target, after = self.last_event.unwrap_or(0),
-            reason = cause.label(), framing = framing.label(),
-            unfinished_bytes = active.started.events.unfinished_bytes();
+            reason = cause.label(), framing = framing.label(), end = label,
+            unfinished_bytes = active.stream.unfinished_bytes();
             "front: stream interrupted"
         );
         // Closes the connection, so that the target stops before another one continues the stream.
@@ -138,7 +143,7 @@
 fn take_events(active: &mut ActiveStream, last: &mut Option<u64>) -> Option<Bytes> {
     let mut first: Option<Bytes> = None;
     let mut more = BytesMut::new();
-    while let Some(event) = active.started.events.next() {
+    while let Some(event) = active.stream.next_event() {
         if event.id.is_some() && event.id <= *last {
             continue;
         }
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -36,12 +36,13 @@
 use super::{
     Front,
     answers::{may_have_run_response, refusal_response},
-    attempt::{AttemptOutcome, StartedStream, Timeouts, run_attempt},
+    attempt::{AttemptOutcome, Timeouts, run_attempt},
     forwarded_stream::ForwardedStream,
     header_number,
     hop_by_hop::strip_hop_by_hop_headers,
 };
 use crate::{
+    event_stream::EventStream,
     metrics::Stage,
     peers::{Hex, OverLimit, RunPermit},
     placement::{Decision, Ticket},
@@ -118,7 +119,7 @@
 
 /// A stream in progress, and the slot that it holds at its target.
 pub(super) struct ActiveStream {
-    pub(super) started: StartedStream,
+    pub(super) stream: EventStream,
     pub(super) ticket: Ticket,
     pub(super) target: Name,
     pub(super) address: SocketAddr,
@@ -128,7 +129,7 @@
 
 /// Result of sending a request to one target after another.
 enum Outcome {
-    Stream(Box<response::Parts>, ActiveStream),
+    Stream(Box<response::Parts>, Box<ActiveStream>),
     Whole(Box<response::Parts>, Bytes),
     /// No target answered, and the request is not sent again.
     NoAnswer(NoAnswer),
@@ -238,7 +239,7 @@
                 strip_hop_by_hop_headers(&mut parts.headers);
                 parts.headers.remove(header::CONTENT_LENGTH);
                 self.front.metrics.first_piece(self.started.elapsed());
-                Response::from_parts(*parts, ForwardedStream::new(self, stream).into_body())
+                Response::from_parts(*parts, ForwardedStream::new(self, *stream).into_body())
             }
             Outcome::Whole(mut parts, body) => {
                 strip_hop_by_hop_headers(&mut parts.headers);
@@ -298,7 +299,7 @@
         let name = self.front.dialect.headers().last_event_id.clone();
         self.call.headers.insert(name, HeaderValue::from(after));
         match self.try_targets().await {
-            Outcome::Stream(_, stream) => Ok(stream),
+            Outcome::Stream(_, stream) => Ok(*stream),
             // The headers of the stream have been sent to the caller, so another answer cannot be forwarded.
             Outcome::Whole(..) => Err(NoAnswer::MayHaveRun(cause)),
             Outcome::NoAnswer(why) => Err(why),
@@ -356,14 +357,12 @@
         (target, address, sent): (Name, SocketAddr, Instant),
     ) -> Option<Outcome> {
         match outcome {
-            AttemptOutcome::Stream(parts, started) => {
+            AttemptOutcome::Stream(parts, stream) => {
                 self.runs += 1;
                 ticket.report_first_event();
                 self.report_load(&target, &parts.headers);
-                Some(Outcome::Stream(
-                    parts,
-                    ActiveStream { started, ticket, target, address, sent },
-                ))
+                let active = ActiveStream { stream, ticket, target, address, sent };
+                Some(Outcome::Stream(parts, Box::new(active)))
             }
             AttemptOutcome::Whole(parts, body) => {
                 self.runs += 1;
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     buffers::{Buffers, HeldOutput},
-    events::EventBuffer,
+    event_stream::EventStream,
 };
 
 /// Output of an item received so far.
@@ -34,8 +34,8 @@
 
 impl Output {
     /// Appends the data of events that have not been received before.
-    pub fn consume(&mut self, events: &mut EventBuffer) {
-        while let Some(event) = events.next() {
+    pub fn consume(&mut self, stream: &mut EventStream) {
+        while let Some(event) = stream.next_event() {
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -32,7 +32,8 @@
 
 use super::{JobEnv, item_output::SharedOutput, send_permit::SendPermit};
 use crate::{
-    events::{EventBuffer, is_event_stream},
+    event_stream::{BreakOff, EventStream, Received, StreamEnd},
+    events::is_event_stream,
     placement::{Decision, Ticket},
     target_client,
 };
@@ -338,48 +339,41 @@
         (outcome, end)
     }
 
-    /// Counts and logs the end of a stream whose body has ended in order, unless it has ended by its framing after an event.
-    fn note_stream_end(&self, body: &ResponseBody, events: &EventBuffer) {
-        let (framing, end) = (body.framing(), events.end_label());
-        self.env.metrics.stream_ended(framing, end);
-        if framing == Framing::Close || events.unfinished_bytes() > 0 {
+    /// Counts the end of a stream, and logs it if the stream has ended in order and nothing but that says that it is whole.
+    fn note_stream_end(&self, stream: &EventStream, end: StreamEnd) {
+        let framing = stream.framing();
+        self.env.metrics.stream_ended(framing, end.label());
+        let has_failed = end == StreamEnd::BrokenOff(BreakOff::ConnectionFailed);
+        if !has_failed && (framing == Framing::Close || end != StreamEnd::Whole) {
             log::info!(
-                job = &*self.job, item = &*self.item.id, framing = framing.label(), end,
-                after = self.last_event().unwrap_or(0), unfinished_bytes = events.unfinished_bytes();
+                job = &*self.job, item = &*self.item.id, framing = framing.label(), end = end.label(),
+                after = self.last_event().unwrap_or(0), unfinished_bytes = stream.unfinished_bytes();
                 "item: stream ended"
             );
         }
     }
 
-    async fn read_events(
-        &self,
-        mut body: ResponseBody,
-        ticket: &mut Ticket,
-    ) -> (Outcome, AttemptEnd) {
-        use http_body_util::BodyExt;
-        let mut events = EventBuffer::default();
+    async fn read_events(&self, body: ResponseBody, ticket: &mut Ticket) -> (Outcome, AttemptEnd) {
+        let mut stream = EventStream::new(body);
         loop {
-            let piece = within_or_late(IDLE_TIMEOUT, body.frame());
-            match or_preempted(ticket, piece).await {
+            let received = within_or_late(IDLE_TIMEOUT, stream.receive());
+            match or_preempted(ticket, received).await {
                 None => return (Outcome::Resume, AttemptEnd::Cut),
                 Some(None) => return (Outcome::ResponseLost, AttemptEnd::Silent),
-                Some(Some(Some(Ok(frame)))) => {
-                    events.push(&frame.into_data().unwrap_or_default());
+                Some(Some(Received::Data)) => {
                     let mut output = self.output.borrow_mut();
-                    output.consume(&mut events);
+                    output.consume(&mut stream);
                     output.count(self.env.buffers.as_ref());
                 }
-                Some(Some(Some(Err(_)))) => return (Outcome::ResponseLost, AttemptEnd::Lost),
-                Some(Some(None)) if events.unfinished_bytes() == 0 => {
-                    self.note_stream_end(&body, &events);
-                    return (
-                        Outcome::Finished(self.output.borrow().complete()),
-                        AttemptEnd::Answered,
-                    );
-                }
-                Some(Some(None)) => {
-                    self.note_stream_end(&body, &events);
-                    return (Outcome::ResponseLost, AttemptEnd::Lost);
+                Some(Some(Received::End(end))) => {
+                    self.note_stream_end(&stream, end);
+                    return match end {
+                        StreamEnd::Whole => {
+                            let complete = self.output.borrow().complete();
+                            (Outcome::Finished(complete), AttemptEnd::Answered)
+                        }
+                        StreamEnd::BrokenOff(_) => (Outcome::ResponseLost, AttemptEnd::Lost),
+                    };
                 }
             }
         }
--- /dev/null
+++ b/crates/samphiredoor-gateway/tests/event_stream.rs
@@ -0,0 +1,73 @@
+//! Checks which streams count as whole when their body ends.
+
+use proptest::{
+    collection::vec,
+    prelude::{any, prop_assert_eq},
+    sample::{Index, select},
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use samphiredoor_gateway::{
+    event_stream::{BreakOff, StreamEnd},
+    events::EventBuffer,
+};
+use samphiredoor_net::pool::Framing;
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::Close];
+
+/// End of a stream whose body has these bytes, and the number of its whole events.
+fn end_of(framing: Framing, body: &[u8]) -> (StreamEnd, usize) {
+    let mut buffer = EventBuffer::default();
+    buffer.push(body);
+    let events = std::iter::from_fn(|| buffer.take_event()).count();
+    (StreamEnd::of_body(framing, events > 0, &buffer), events)
+}
+
+macro_rules! ends {
+    ($($name:ident: $body:expr, $framing:ident => $end:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(end_of(Framing::$framing, $body).0, $end);
+            }
+        )*
+    };
+}
+
+const INSIDE: StreamEnd = StreamEnd::BrokenOff(BreakOff::InsideEvent);
+
+ends! {
+    after_an_event_the_close_of_the_connection_ends_a_stream: b"id: 1\ndata: a\n\n", Close => StreamEnd::Whole;
+    without_an_event_the_close_of_the_connection_proves_nothing:
+        b"", Close => StreamEnd::BrokenOff(BreakOff::NoEvent);
+    a_comment_is_no_event: b": ping\n", Close => StreamEnd::BrokenOff(BreakOff::NoEvent);
+    an_empty_stream_with_chunks_is_whole: b"", Chunked => StreamEnd::Whole;
+    a_last_comment_and_blank_lines_are_not_inside_an_event:
+        b"data: a\n\n: done\n\r\n\n", Chunked => StreamEnd::Whole;
+    an_event_without_its_blank_line_is_broken_off: b"data: a\n\ndata: b\n", Length => INSIDE;
+    a_line_without_its_end_is_broken_off: b"data: a\n\ni", Close => INSIDE;
+    a_comment_without_its_end_is_broken_off: b"data: a\n\n: d", Chunked => INSIDE;
+}
+
+/// Guards against streams that break off anywhere and count as whole: a stream that is cut at any byte is whole only
+/// between two events.
+#[test]
+fn a_stream_that_is_cut_inside_an_event_is_never_whole() {
+    let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cases =
+        (vec("[a-z:\\r ]{0,12}", 1..6), any::<bool>(), any::<Index>(), select(&FRAMINGS[..]));
+    let result = TestRunner::new_with_rng(config, rng).run(&cases, |(data, crlf, cut, framing)| {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event =
+            |(number, data): (usize, &String)| format!("id: {number}{end}data: {data}{end}{end}");
+        let events: Vec<String> = data.iter().enumerate().map(event).collect();
+        let body = events.concat();
+        let cut = cut.index(body.len() + 1);
+        let (stream_end, whole_events) = end_of(framing, &body.as_bytes()[..cut]);
+        let is_between = events[..whole_events].concat().len() == cut;
+        let is_whole = is_between && (whole_events > 0 || framing != Framing::Close);
+        prop_assert_eq!(stream_end == StreamEnd::Whole, is_whole);
+        Ok(())
+    });
+    result.expect("each cut is judged by its place");
+}
--- a/crates/samphiredoor-net/src/body.rs
+++ b/crates/samphiredoor-net/src/body.rs
@@ -4,17 +4,20 @@
 //! in the same scheduler turn in which it arrived.
 
 use std::{
-    pin::{Pin, pin},
+    pin::Pin,
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
-use futures_util::{FutureExt, Stream, StreamExt, select_biased};
+use futures_util::{Stream, StreamExt};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::read_ahead::{ReadAhead, ReadAheadBody, ReadAheadLimit};
+use crate::{
+    pool::within_or_ready,
+    read_ahead::{ReadAhead, ReadAheadBody, ReadAheadLimit},
+};
 
 /// Error of a body or connection; its text is written to logs.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -151,13 +154,16 @@
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
-    let mut timeout = pin!(compio::time::sleep(wait).fuse());
+    within_or_ready(wait, read_piece(body)).await.unwrap_or(Err(PieceError::TimedOut))
+}
+
+async fn read_piece<B>(body: &mut B) -> Result<Option<Bytes>, PieceError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     loop {
-        let frame = select_biased! {
-            frame = body.frame().fuse() => frame,
-            () = timeout => return Err(PieceError::TimedOut),
-        };
-        match frame.transpose().map_err(|_| PieceError::Cut)?.map(Frame::into_data) {
+        let frame = body.frame().await.transpose().map_err(|_| PieceError::Cut)?;
+        match frame.map(Frame::into_data) {
             Some(Ok(piece)) => return Ok(Some(piece)),
             // Trailers are skipped.
             Some(Err(_)) => {}
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
+use futures_util::{FutureExt, select_biased};
 use hyper::{
     Request, Response,
     body::{Body as HttpBody, Frame, Incoming},
@@ -354,6 +355,16 @@
     }
 }
 
+/// Runs `future` for at most `limit`; `None` if it timed out. An output that is ready is returned even if `limit` is zero.
+pub async fn within_or_ready<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
+    let mut future = std::pin::pin!(future.fuse());
+    let mut timeout = std::pin::pin!(compio::time::sleep(limit).fuse());
+    select_biased! {
+        output = future => Some(output),
+        () = timeout => None,
+    }
+}
+
 /// Runs `future` for at most `limit`; `None` if it timed out.
 pub async fn within<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
     compio::time::timeout(limit, future).await.ok()
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -36,6 +36,8 @@
 const DRILL_SEED: u64 = 27;
 /// A seed that broke the bound on repeats while preempted items were not counted, and jobs were taken over after outages.
 const REPEATS_SEED: u64 = 7904;
+/// A seed whose streams reached callers as complete although they had ended inside an event.
+const BROKEN_ANSWERS_SEED: u64 = 8001;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -383,3 +385,10 @@
     let options = soak::Options { pressure, gateways: 6, ..options("repeats", 25) };
     run_soak(&options, REPEATS_SEED..REPEATS_SEED + 1);
 }
+
+// Guards against streams that a target breaks off in order and that look complete.
+#[test]
+fn answers_that_end_inside_an_event_are_never_passed_on_as_complete() {
+    let options = soak::Options { broken_answers: true, ..options("broken-answers", 15) };
+    run_soak(&options, BROKEN_ANSWERS_SEED..BROKEN_ANSWERS_SEED + 1);
+}
