Server: a response to an HTTP/1.0 client that breaks off resets its connection

The same class as broken-off streams that look complete: such a client has no chunks, so that the close of the connection ends its response, and the server closed in order after an error. A test of it was red (the client read 'part' and the end). The connection is reset now; for other clients nothing changes, as a reset may drop bytes that they have not read yet.

--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -18,7 +18,7 @@
 use cyper_core::CompioTimer;
 use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::Incoming,
     header::{self, HeaderValue},
     server::conn::http1,
@@ -274,12 +274,16 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     socket::configure(&stream, limits.socket_timeouts)?;
+    let socket = stream.clone();
+    let is_close_delimited = Rc::new(Cell::new(false));
+    let by_close = Rc::clone(&is_close_delimited);
     let (stream, stall) = MonitoredStream::new(Stream::new(stream));
     let is_draining = Rc::clone(&draining);
     let read_ahead = Rc::new(RefCell::new(ReadAhead::default()));
     let current = Rc::clone(&read_ahead);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(PeerAddress(peer));
+        by_close.set(request.version() == Version::HTTP_10);
         // Boxed, so that its memory is freed before the response body is streamed.
         let response = Box::pin(handler(request));
         let (draining, current) = (Rc::clone(&is_draining), Rc::clone(&current));
@@ -308,11 +312,16 @@
         compio::time::sleep(LINGER).await;
     };
     let mut closing = pin!(closing.fuse());
-    loop {
+    let ended = loop {
         select_biased! {
-            ended = or_aborted(connection.as_mut(), &read_ahead, &stall).fuse() => return ended,
+            ended = or_aborted(connection.as_mut(), &read_ahead, &stall).fuse() => break ended,
             () = closing => connection.as_mut().graceful_shutdown(),
-            () = stalled => return Err("the client does not read its response".into()),
+            () = stalled => break Err("the client does not read its response".into()),
         }
+    };
+    // An orderly close would mark the end of the response, so that one that was cut would look complete.
+    if ended.is_err() && is_close_delimited.get() {
+        socket::reset_on_close(&socket)?;
     }
+    ended
 }
--- a/crates/samphiredoor-net/src/socket.rs
+++ b/crates/samphiredoor-net/src/socket.rs
@@ -47,6 +47,15 @@
     socket.set_send_buffer_size(bytes)
 }
 
+/// Makes the close of a connection reset it. Bytes that the remote end has not read are lost.
+///
+/// # Errors
+///
+/// The system rejects the option.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Configures a connection to send small writes at once and to detect an unreachable remote end.
 ///
 /// # Errors
--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -187,3 +187,34 @@
         assert_eq!(cut, 0);
     }
 }
+
+/// Server whose responses break off after a part of their body.
+fn serve_broken_off() -> SocketAddr {
+    let (sender, receiver) = flume::bounded(1);
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let server = Server::bind(any, ServeLimits::default()).await.expect("a port");
+            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+            let handler = |_| async {
+                let cut: BoxError = "the response has been broken off".into();
+                let pieces = [Ok(Bytes::from_static(b"part")), Err(cut)];
+                Response::new(Body::stream(futures_util::stream::iter(pieces)))
+            };
+            server.run(handler).await;
+        });
+    });
+    receiver.recv().expect("the server starts")
+}
+
+/// Guards against responses that look complete to clients for which the close of the connection ends a response.
+#[test]
+fn a_response_that_breaks_off_resets_the_connection_of_an_http_1_0_client() {
+    let address = serve_broken_off();
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client.write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n").expect("a request");
+    let mut response = Vec::new();
+    let read = client.read_to_end(&mut response);
+    assert!(read.is_err(), "{}", String::from_utf8_lossy(&response));
+}
