Answers: JSON that ends inside a value without a length has been broken off

The same class as broken-off streams: an answer without a length or chunks counted as whole after an orderly close of its connection, which a target that fails also causes. Its test was red: 200 with half of a JSON value for a request that must not run twice. It gets 502 now (it may have run), and a request that may run again goes to another target. Of other content nothing but the close tells.

--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -21,6 +21,7 @@
     events::is_event_stream,
     platform_api::HeaderNames,
     target_client,
+    whole_answer::is_broken_off,
 };
 
 /// Size limit of answers that are buffered before they are forwarded: all but event streams.
@@ -113,9 +114,14 @@
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         return read_first_event(front, request, Box::new(parts), body, timeouts).await;
     }
+    let framing = body.framing();
     let is_waiting = Cell::new(false);
     let whole = front.read_whole(Holder::WholeAnswer, body, MAX_WHOLE_BYTES, &is_waiting);
     match within(timeouts.remaining(), whole).await {
+        Some(Ok(body)) if is_broken_off(framing, &parts.headers, &body) => {
+            log::info!(request, framing = framing.label(), bytes = body.len(); "front: answer ended inside its value");
+            AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
+        }
         Some(Ok(body)) => AttemptOutcome::Whole(Box::new(parts), body),
         Some(Err(_)) => AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut),
         None => AttemptOutcome::MayHaveRun(AttemptEnd::Cut, MayHaveRunReason::DeadlinePassed),
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - a **request** arrives at `front`, gets its target from `placement`, is sent by `target_client`, and its answer is
 //!   forwarded event by event by `front::forwarded_stream`;
 //! - `event_stream` reads the **answers** of targets that are event streams, and decides whether they are whole;
+//!   `whole_answer` does so for others;
 //! - a **job** arrives at `jobs::submit`, is owned by a `jobs::job_task`, its items run through `jobs::item_run`, and
 //!   its results can be read through `jobs::reads` at any gateway;
 //! - **routes** and **targets** come from the store through `discovery`, which watches them with `watch`;
@@ -45,3 +46,4 @@
 mod target_state;
 mod watch;
 mod watch_schedule;
+mod whole_answer;
--- a/crates/samphiredoor/tests/it/platform/broken_off_streams.rs
+++ b/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
@@ -1,11 +1,13 @@
-//! Streams that end inside an event although the body of their answer ends in order: they have been broken off, and must
-//! not look complete.
+//! Answers that end inside an event, or inside a JSON value, although their body ends in order: they have been broken off,
+//! and must not look complete.
 
 use std::time::Duration;
 
 use samphiredoor_standin::platform_target::{PlatformTarget, Run, TargetFault};
+use serde_json::json;
 
 use super::env::{BINARY, Platform, whole_stream};
+use crate::raw_target::{RawTarget, Reply};
 
 const FAST: Duration = Duration::from_millis(2);
 
@@ -84,3 +86,35 @@
     let results = platform.all_results(0, "job", 1);
     assert_eq!(results[0]["text"], targets[0].text());
 }
+
+macro_rules! answers_without_a_length {
+    ($($name:ident: $content_type:expr, $body:expr => $status:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let answer = concat!("HTTP/1.1 200 OK\r\ncontent-type: ", $content_type, "\r\n\r\n", $body);
+                let target = RawTarget::start([Reply::SendAndClose(answer)]);
+                let mut platform = Platform::new(BINARY);
+                let entry = json!({
+                    "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
+                    "version": "v1", "slots": 8, "state": "ready", "born": 1,
+                });
+                platform.store.put("servers", "raw", entry);
+                platform.start_gateway();
+                let answer = platform.send(0, "/unsafe/book", "id-1", "monday");
+                assert_eq!(answer.status, $status, "{}", answer.text);
+                if $status == 200 {
+                    assert_eq!(answer.text, $body);
+                }
+                assert_eq!(target.ran(), ["monday"]);
+            }
+        )*
+    };
+}
+
+answers_without_a_length! {
+    json_that_its_connection_ends_inside_a_value_is_no_answer: "application/json", r#"{"seats": [1, 2"# => 502;
+    whole_json_that_its_connection_ends_is_an_answer:
+        "application/json; charset=utf-8", r#"{"seats": [1, 2]}"# => 200;
+    text_that_its_connection_ends_is_an_answer: "text/plain", r#"{"seats": [1, 2"# => 200;
+}
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -1,6 +1,6 @@
 //! Tests of gateway processes on the users' platform, with stand-ins for its store, targets and callers.
 
-mod broken_off_streams;
+mod broken_off_answers;
 mod cancellations;
 mod cells;
 mod discovery;
