serve: the end of a stream is judged by its last event, or by its framing where it has none

A broken-off stream of a plain service ended in order, after an error event that its callers need not know: its connection is cut now. A stream of an engine that its connection ends after [DONE] got an error event after it, as any end without a length counted as a cut: after the last event the end of the connection does not matter. An engine's stream without [DONE] still ends with an error event.

--- a/crates/samphiredoor/src/stream_forwarding.rs
+++ b/crates/samphiredoor/src/stream_forwarding.rs
@@ -50,7 +50,8 @@
 pub type Piece = Result<Bytes, BoxError>;
 
 impl ForwardedStream {
-    /// Next piece for the caller. A truncated answer ends with an error event.
+    /// Next piece for the caller. A truncated answer of an engine ends with an error event, any other with an error, as no
+    /// last event shows that it is incomplete.
     pub async fn next(
         forwarded: Option<ForwardedStream>,
     ) -> Option<(Piece, Option<ForwardedStream>)> {
@@ -59,37 +60,52 @@
             Some(first) => Ok(Some(first)),
             None => next_piece(&mut this.body, this.deadline).await,
         };
-        let is_complete = this.done_detector.as_ref().is_none_or(DoneDetector::is_seen);
-        match piece {
+        let ended = match piece {
             Ok(Some(piece)) => {
                 if let Some(detector) = &mut this.done_detector {
                     detector.push(&piece);
                 }
-                Some((Ok(piece), Some(this)))
-            }
-            Ok(None) if is_complete => {
-                if let Some(admitted) = this.admitted.take() {
-                    admitted.answered();
-                }
-                this.handle.ended(AttemptEnd::Completed);
-                this.record_verdict(Verdict::Done);
-                None
-            }
-            truncated => {
-                let reason = truncated.err().unwrap_or(MayHaveRunReason::AnswerCut);
-                if let Some(admitted) = this.admitted.take_if(|_| reason.is_loss()) {
-                    admitted.connection_lost_without_retry();
-                }
-                this.handle.ended(AttemptEnd::AnswerTruncated(reason));
-                let verdict = Verdict::MayHaveRun { reason };
-                this.record_verdict(verdict);
-                // An error event without `[DONE]` after it reports the truncation to the caller.
-                let event = format!("event: error\ndata: {}\n\n", verdict_json(verdict));
-                Some((Ok(event.into()), None))
+                return Some((Ok(piece), Some(this)));
             }
+            Ok(None) => Ok(()),
+            Err(reason) => Err(reason),
+        };
+        let truncated = match &this.done_detector {
+            // After the last event it does not matter how the connection ends.
+            Some(detector) if detector.is_seen() => None,
+            Some(_) => Some(ended.err().unwrap_or(MayHaveRunReason::AnswerCut)),
+            None => ended.err(),
+        };
+        match truncated {
+            None => this.completed(),
+            Some(reason) => this.truncated(reason),
         }
     }
 
+    fn completed(mut self) -> Option<(Piece, Option<ForwardedStream>)> {
+        if let Some(admitted) = self.admitted.take() {
+            admitted.answered();
+        }
+        self.handle.ended(AttemptEnd::Completed);
+        self.record_verdict(Verdict::Done);
+        None
+    }
+
+    fn truncated(mut self, reason: MayHaveRunReason) -> Option<(Piece, Option<ForwardedStream>)> {
+        if let Some(admitted) = self.admitted.take_if(|_| reason.is_loss()) {
+            admitted.connection_lost_without_retry();
+        }
+        self.handle.ended(AttemptEnd::AnswerTruncated(reason));
+        let verdict = Verdict::MayHaveRun { reason };
+        self.record_verdict(verdict);
+        let last = match self.done_detector {
+            // An error event without `[DONE]` after it reports the truncation to the caller.
+            Some(_) => Ok(format!("event: error\ndata: {}\n\n", verdict_json(verdict)).into()),
+            None => Err("the target's answer was cut off".into()),
+        };
+        Some((last, None))
+    }
+
     fn record_verdict(&self, verdict: Verdict) {
         self.end.set(verdict);
         self.metrics.count_outcome(Class::Online, verdict, self.started.elapsed().as_secs_f64());
--- a/crates/samphiredoor/tests/it/whole_answers.rs
+++ b/crates/samphiredoor/tests/it/whole_answers.rs
@@ -120,6 +120,29 @@
     an_empty_stream_is_cut: "0\r\n\r\n", whole: false;
 }
 
+const CALL: &str = r#"{"model":"small","prompt":"nuts?","stream":true}"#;
+
+/// Guards against errors after whole answers: the connection ends a stream without a length or chunks, after its last event.
+#[test]
+fn a_stream_that_its_connection_ends_after_its_last_event_is_whole() {
+    let text =
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\ndata: [DONE]\n\n";
+    let target = RawTarget::start([Reply::SendAndClose(text)]);
+    let env = gateway_with("small", "engine", target.address);
+    let answer = env.post(0, "/v1/completions", &[], CALL);
+    assert_eq!((answer.status, answer.text.as_str()), (200, "data: a\n\ndata: [DONE]\n\n"));
+}
+
+/// Guards against truncated answers that look complete: streams of plain services have no last event that shows it.
+#[test]
+fn a_broken_off_stream_of_a_plain_service_cuts_the_connection() {
+    let text: &'static str = Box::leak(format!("{STREAM}9\r\ndata: a\n\n\r\n").into_boxed_str());
+    let target = RawTarget::start([Reply::SendAndClose(text)]);
+    let env = gateway_with("small", "plain", target.address);
+    let answer = env.post(0, "/v1/completions", &[], CALL);
+    assert_eq!(answer.status, 0, "{}", answer.text);
+}
+
 /// Each refusal that happens before a target is called: the target has run nothing, and the answer reports that.
 #[test]
 fn requests_reported_as_not_run_did_not_run() {
