Streams: logs and metrics of the software versions at which they go on

The hypotheses of the incident could not be told apart: the adapter did not read the version of a target's entry, a resumption had no line, and a stream that a caller takes up looked like a new one. No change of which target is chosen.

--- a/crates/samphiredoor-core/examples/overload_state.rs
+++ b/crates/samphiredoor-core/examples/overload_state.rs
@@ -92,6 +92,7 @@
         location: location.clone(),
         slots: SLOTS,
         state: TargetState::Ready,
+        software_version: "v1".into(),
         started_unix_ms: 1,
     });
     let cell = (0..CELL_TARGETS).map(|it| name_hash(&target_name(it))).collect();
--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod rendezvous;
 pub mod renewal;
 pub mod routes;
+pub mod software_versions;
 pub mod store;
 pub mod time;
 pub mod verdict;
--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -4,10 +4,12 @@
 
 use smallvec::SmallVec;
 
+use super::name_hash;
 use crate::{
     Name,
     dispatch::{Class, Location, RequestId},
     overload::OverloadNews,
+    software_versions::StreamOrigin,
     verdict::Refusal,
 };
 
@@ -35,10 +37,23 @@
     pub slots: u32,
     /// Whether it accepts work.
     pub state: TargetState,
+    /// Version of its software; empty if its entry tells none.
+    pub software_version: Name,
     /// Wall-clock start time, in milliseconds since 1970; a change means a restart under the same name.
     pub started_unix_ms: u64,
 }
 
+impl TargetEntry {
+    /// Origin of a stream that begins at the target.
+    pub fn stream_origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            version: Name::clone(&self.software_version),
+            target: name_hash(&self.name),
+            target_started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
+
 /// A request that needs a target.
 #[derive(Debug, Clone)]
 pub struct RequestSpec {
@@ -203,6 +218,8 @@
         target: Name,
         /// Address of the target.
         address: SocketAddr,
+        /// Origin of a stream that begins with this attempt.
+        origin: StreamOrigin,
     },
     /// Cancel the attempt in progress, because online requests need its slot.
     Preempt {
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -498,8 +498,10 @@
         self.counters.dispatched += 1;
         self.state_changed = true;
         self.needs_peer_preemption |= spec.class == Class::Online && target.needs_peer_preemption();
-        let (target, address) = (Name::clone(&target.entry.name), target.entry.address);
-        out.push(Action::Dispatch { request: spec.request, target, address });
+        let entry = &target.entry;
+        let (target, address) = (Name::clone(&entry.name), entry.address);
+        let origin = entry.stream_origin();
+        out.push(Action::Dispatch { request: spec.request, target, address, origin });
     }
 
     fn refuse_full(&mut self, spec: &RequestSpec, out: &mut Vec<Action>) {
--- a/crates/samphiredoor-core/tests/admission_control/placement.rs
+++ b/crates/samphiredoor-core/tests/admission_control/placement.rs
@@ -27,6 +27,7 @@
         location: location(zone),
         slots: SLOTS,
         state: TargetState::Ready,
+        software_version: "v1".into(),
         started_unix_ms: 1,
     }
 }
--- a/crates/samphiredoor-core/tests/placement/harness.rs
+++ b/crates/samphiredoor-core/tests/placement/harness.rs
@@ -32,6 +32,7 @@
         location,
         slots: SLOTS,
         state: TargetState::Ready,
+        software_version: "v1".into(),
         started_unix_ms: 1,
     }
 }
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod forwarded_stream;
 mod hop_by_hop;
 mod online;
+mod resumption;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -28,6 +28,7 @@
     placement::{AttemptEnd, CallerTerms, RequestSpec},
     quarantine,
     routes::Route,
+    software_versions::StreamOrigin,
     verdict::{MayHaveRunReason, Refusal},
 };
 use samphiredoor_net::{Body, Call, PeerAddress};
@@ -40,6 +41,7 @@
     forwarded_stream::ForwardedStream,
     header_number,
     hop_by_hop::strip_hop_by_hop_headers,
+    resumption::{ResumedBy, TakenUp, version_label},
 };
 use crate::{
     event_stream::EventStream,
@@ -88,6 +90,10 @@
     may_have_run: Option<MayHaveRunReason>,
     /// Fingerprint of the request, once it was needed.
     fingerprint: Cell<Option<u64>>,
+    /// The stream that the caller takes up, if it does.
+    taken_up: Option<TakenUp>,
+    /// Origin of the answer's stream, once it is known.
+    origin: Option<StreamOrigin>,
     /// The last 5xx answer of a target; it becomes the answer if no other target answers.
     server_error: Option<(Box<response::Parts>, Bytes)>,
     _open: OpenRequestGuard,
@@ -166,6 +172,7 @@
         let deadline_ms = header_number(parts.headers.get(&names.deadline_ms));
         let deadline_ms = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
         let affinity = front.dialect.affinity(&parts.headers);
+        let taken_up = TakenUp::of_request(&route.kind, names, &parts.headers);
         let caller = parts.extensions.get::<PeerAddress>().map(|it| it.0.ip());
         strip_hop_by_hop_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -189,6 +196,8 @@
             tried: SmallVec::new(),
             may_have_run: None,
             fingerprint: Cell::default(),
+            taken_up,
+            origin: None,
             server_error: None,
         }
     }
@@ -323,8 +332,8 @@
             let queued = Instant::now();
             let decision = ticket.next_decision().await;
             self.stages.queue += queued.elapsed();
-            let (target, address) = match decision {
-                Decision::Dispatch { target, address } => (target, address),
+            let (target, address, origin) = match decision {
+                Decision::Dispatch { target, address, origin } => (target, address, origin),
                 Decision::Refused { reason, retry_after_ms, rejection } => {
                     if let Some(rejection) = rejection {
                         self.log_rejection(&rejection, retry_after_ms);
@@ -342,7 +351,7 @@
             let sent = Instant::now();
             let outcome = run_attempt(&self.front, names, at, &mut self.call, timeouts).await;
             self.stages.first_event += sent.elapsed();
-            match self.handle_attempt(outcome, ticket, (target, address, sent)) {
+            match self.handle_attempt(outcome, ticket, (target, address, sent), origin) {
                 Some(outcome) => return outcome,
                 None => continue,
             }
@@ -355,12 +364,14 @@
         outcome: AttemptOutcome,
         mut ticket: Ticket,
         (target, address, sent): (Name, SocketAddr, Instant),
+        origin: StreamOrigin,
     ) -> Option<Outcome> {
         match outcome {
             AttemptOutcome::Stream(parts, stream) => {
                 self.runs += 1;
                 ticket.report_first_event();
                 self.report_load(&target, &parts.headers);
+                self.note_version(&target, origin);
                 let active = ActiveStream { stream, ticket, target, address, sent };
                 Some(Outcome::Stream(parts, Box::new(active)))
             }
@@ -413,6 +424,29 @@
         );
     }
 
+    /// Notes the version at which a stream begins or goes on.
+    fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
+        let resumed_by = match (&self.origin, &self.taken_up) {
+            (Some(_), _) => ResumedBy::Gateway,
+            (None, Some(_)) => ResumedBy::Caller,
+            (None, None) => {
+                self.origin = Some(origin);
+                return;
+            }
+        };
+        let label = version_label(self.origin.as_ref(), &origin);
+        self.front.metrics.stream_resumed(resumed_by.label(), label);
+        let taken_up = self.taken_up.as_ref();
+        log::info!(
+            request = self.id, target = &**target, by = resumed_by.label(), version = &*origin.version,
+            began_at_version = self.origin.as_ref().map_or("", |it| &*it.version), compared = label,
+            resumes = taken_up.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default(),
+            after = taken_up.map_or(0, |it| it.after);
+            "front: stream resumed"
+        );
+        self.origin.get_or_insert(origin);
+    }
+
     /// Notes for the rate limit whether the request may have run.
     fn note_run(&mut self, may_have_run: bool) {
         if let Some(permit) = &mut self.permit {
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -212,7 +212,7 @@
         let Some(service) = route.service(rand::random()) else { return Outcome::RetryLater };
         let mut ticket = self.env.placement.request(self.request_spec(service, &call.headers));
         let (target, address) = match ticket.next_decision().await {
-            Decision::Dispatch { target, address } => (target, address),
+            Decision::Dispatch { target, address, .. } => (target, address),
             Decision::Refused { .. } => return Outcome::RetryLater,
             Decision::Preempted => return Outcome::Resume,
         };
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -91,6 +91,13 @@
     end: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ResumptionLabel {
+    by: &'static str,
+    version: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct TargetLabel {
@@ -108,6 +115,7 @@
     whole_s: Histogram,
     stage_s: Family<StageLabel, Histogram>,
     stream_ends: Family<StreamLabel, Counter>,
+    stream_resumptions: Family<ResumptionLabel, Counter>,
     item_ends: ReasonCounters,
     unanswered_attempts: ReasonCounters,
     job_events: ReasonCounters,
@@ -177,6 +185,9 @@
         let stream_ends = Family::default();
         let help = "Ends of event streams of targets, by how the end of the body is marked";
         registry.register("stream_ends", help, Family::clone(&stream_ends));
+        let stream_resumptions = Family::default();
+        let help = "Streams that went on after an interruption, by the software version of the target compared to the first";
+        registry.register("stream_resumptions", help, Family::clone(&stream_resumptions));
         let (watch_ends, store_silent_ms) = (Family::default(), Family::default());
         let help = "Ends of watches in the store, by kind of object";
         registry.register("watch_ends", help, Family::clone(&watch_ends));
@@ -210,6 +221,7 @@
             whole_s,
             stage_s,
             stream_ends,
+            stream_resumptions,
             item_ends,
             unanswered_attempts,
             job_events,
@@ -306,6 +318,11 @@
         self.stream_ends.get_or_create(&StreamLabel { framing: framing.label(), end }).inc();
     }
 
+    /// Counts a stream that goes on after an interruption.
+    pub fn stream_resumed(&self, by: &'static str, version: &'static str) {
+        self.stream_resumptions.get_or_create(&ResumptionLabel { by, version }).inc();
+    }
+
     /// Counts the end of a run of an item.
     pub fn item_ended(&self, end: &'static str) {
         self.item_ends.count(end);
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -19,6 +19,7 @@
     placement::{
         Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec, TargetEntry,
     },
+    software_versions::StreamOrigin,
     verdict::Refusal,
 };
 use samphiredoor_net::{clock::Clock, pool::within};
@@ -48,6 +49,8 @@
         target: Name,
         /// Address at which it listens.
         address: SocketAddr,
+        /// Origin of a stream that begins with this attempt.
+        origin: StreamOrigin,
     },
     /// The request gets no target.
     Refused {
@@ -322,8 +325,8 @@
 
     fn send_decision(&mut self, action: Action, rejections: &[(RequestId, Rejection)]) {
         let (request, decision) = match action {
-            Action::Dispatch { request, target, address } => {
-                (request, Decision::Dispatch { target, address })
+            Action::Dispatch { request, target, address, origin } => {
+                (request, Decision::Dispatch { target, address, origin })
             }
             Action::Preempt { request } => (request, Decision::Preempted),
             Action::Refuse { request, reason, retry_after_ms } => {
--- a/crates/samphiredoor-gateway/src/platform_api.rs
+++ b/crates/samphiredoor-gateway/src/platform_api.rs
@@ -120,6 +120,8 @@
     pub deadline_ms: HeaderName,
     /// Number of the last event that was received; the stream resumes after it.
     pub last_event_id: HeaderName,
+    /// Id of the caller's attempt that brought the first event of the stream that it takes up.
+    pub resumes: HeaderName,
     /// Name of the target that the request is for; any other target refuses it.
     pub expect_target: HeaderName,
     /// Present on the answer of a target that did not run the request.
--- a/crates/samphiredoor-standin/src/batch_rates/fleet.rs
+++ b/crates/samphiredoor-standin/src/batch_rates/fleet.rs
@@ -379,6 +379,7 @@
         location: location(),
         slots: TARGET_SLOTS,
         state: TargetState::Ready,
+        software_version: "v1".into(),
         started_unix_ms: 1,
     }
 }
--- a/crates/samphiredoor-standin/src/emulate/simulation/targets.rs
+++ b/crates/samphiredoor-standin/src/emulate/simulation/targets.rs
@@ -56,6 +56,7 @@
             location: location.clone(),
             slots,
             state: TargetState::Ready,
+            software_version: "v1".into(),
             started_unix_ms: self.incarnation,
         }
     }
