Incident, streams at another version: four red tests

Two targets of v1 and two of v2, each breaking off after two events: streams are resumed at both versions within one answer (the first of 16), go on at the other version when their callers take them up at another gateway, and items of jobs are resumed at both, also by another owner.

--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -200,6 +200,19 @@
         target
     }
 
+    /// Starts a replica with a version of its software and registers it as ready.
+    pub fn start_target_at(
+        &mut self,
+        version: &str,
+        name: &str,
+        pause: Duration,
+    ) -> PlatformTarget {
+        let target = PlatformTarget::start(name, EVENTS, pause).expect("a replica starts");
+        let target = target.with_version(version);
+        self.add_target(&target);
+        target
+    }
+
     /// Registers a replica as ready, behind a link if targets have one.
     pub fn add_target(&mut self, target: &PlatformTarget) {
         if self.linked {
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -131,6 +131,8 @@
     pub name: String,
     /// Address of its listener.
     pub address: SocketAddr,
+    /// Version of its software, as in its entry.
+    pub version: Arc<str>,
     state: Arc<Mutex<State>>,
     is_crashed: Arc<AtomicBool>,
 }
@@ -161,6 +163,7 @@
         let target = PlatformTarget {
             name: name.to_owned(),
             address: listener.local_addr()?,
+            version: Arc::from("v1"),
             state: Arc::new(Mutex::new(state)),
             is_crashed: Arc::default(),
         };
@@ -204,6 +207,11 @@
         self
     }
 
+    /// Sets the version of its software.
+    pub fn with_version(self, version: &str) -> PlatformTarget {
+        PlatformTarget { version: Arc::from(version), ..self }
+    }
+
     /// Pads the data of each event to a size in answers to requests without a body; batch items have bodies.
     pub fn with_event_bytes(self, bytes: usize) -> PlatformTarget {
         self.state().event_bytes = bytes;
@@ -222,6 +230,11 @@
         self
     }
 
+    /// Sets the wait after each event of answers that begin from now on.
+    pub fn set_pause(&self, pause: Duration) {
+        self.state().pause = pause;
+    }
+
     /// Aborts answers that stay unread for this time.
     pub fn with_unread_limit(self, limit: Duration) -> PlatformTarget {
         self.state().unread_limit = Some(limit);
@@ -263,8 +276,8 @@
     /// Entry in the store that registers it.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
         json!({
-            "service": service, "addr": self.address.to_string(), "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
+            "service": service, "addr": self.address.to_string(), "zone": zone,
+            "version": &*self.version, "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
         })
     }
 
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -13,6 +13,7 @@
 mod slow_callers;
 mod slow_link;
 mod soak;
+mod software_versions;
 mod stops;
 mod streams;
 mod workspaces;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -0,0 +1,116 @@
+//! Targets of two software versions side by side in one service: a stream goes on only at the version that began it, and
+//! the text of an item is by one version.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use samphiredoor_standin::platform_target::{PlatformTarget, TargetFault};
+
+use super::env::{BINARY, Platform, whole_stream};
+use crate::env::wait_until;
+
+const FAST: Duration = Duration::from_millis(2);
+const STREAMS: usize = 16;
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+const RESUMABLE: &str = "/stream-resumable/check";
+
+/// Starts a platform with two targets of each version and this many gateways. A request may run at `attempts` targets.
+fn two_versions(attempts: u32, gateways: usize) -> (Platform, Vec<PlatformTarget>) {
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, attempts);
+    let start = |number: usize| {
+        platform.start_target_at(VERSIONS[number % 2], &format!("t-{number}"), FAST)
+    };
+    let targets = (0..4).map(start).collect();
+    (0..gateways).for_each(|_| _ = platform.start_gateway());
+    (platform, targets)
+}
+
+/// Versions of the targets that ran requests with one of these ids.
+fn versions_of(targets: &[PlatformTarget], ids: &[&str]) -> BTreeSet<String> {
+    let ran = |it: &&PlatformTarget| it.runs().iter().any(|run| ids.contains(&run.id.as_str()));
+    targets.iter().filter(ran).map(|it| it.version.to_string()).collect()
+}
+
+fn fail_each_run(targets: &[PlatformTarget], fault: TargetFault) {
+    targets.iter().for_each(|it| it.fail_next(10_000, fault));
+}
+
+/// Guards against answers whose events are by two versions.
+#[test]
+fn a_stream_is_resumed_within_its_answer_at_the_version_that_began_it() {
+    let (platform, targets) = two_versions(3, 1);
+    fail_each_run(&targets, TargetFault::CutAfter(2));
+    for number in 0..STREAMS {
+        let id = format!("id-{number}");
+        let answer = platform.send(0, RESUMABLE, &id, "");
+        assert_eq!((answer.status, answer.text), (200, whole_stream()), "{id}");
+        assert_eq!(versions_of(&targets, &[&id]).len(), 1, "{id}");
+    }
+    assert_eq!(versions_of_all(&targets).len(), 2, "new streams begin at both versions");
+}
+
+/// Guards against streams that go on at another version when their callers take them up at another gateway.
+#[test]
+fn a_stream_that_its_caller_takes_up_at_another_gateway_goes_on_at_its_version() {
+    let (platform, targets) = two_versions(1, 2);
+    for number in 0..STREAMS {
+        let (first, second) = (format!("first-{number}"), format!("second-{number}"));
+        fail_each_run(&targets, TargetFault::CutAfter(2));
+        assert_eq!(platform.send(0, RESUMABLE, &first, "").status, 0);
+        fail_each_run(&targets, TargetFault::None);
+        let headers = [("last-event-id", "2"), ("resumes", &*first)];
+        let answer = platform.send_with(1, RESUMABLE, &second, &headers, "");
+        assert_eq!(answer.status, 200, "{second}: {}", answer.text);
+        assert_eq!(versions_of(&targets, &[&first, &second]).len(), 1, "{second}");
+    }
+}
+
+/// Guards against results whose text is by two versions.
+#[test]
+fn the_text_of_an_item_is_by_one_version() {
+    let (platform, targets) = two_versions(3, 1);
+    fail_each_run(&targets, TargetFault::CutAfter(2));
+    platform.submit_many(0, "job", STREAMS);
+    platform.all_results(0, "job", STREAMS);
+    for number in 0..STREAMS {
+        assert_item_of_one_version(&targets, &format!("item-{number}"));
+    }
+}
+
+/// Guards against the same when another owner goes on with the saved text.
+#[test]
+fn the_text_of_an_item_that_another_owner_resumes_is_by_one_version() {
+    let (mut platform, targets) = two_versions(3, 3);
+    platform.wait_logged(2, "peers: peer is live");
+    targets.iter().for_each(|it| it.set_pause(Duration::from_millis(700)));
+    platform.submit_many(0, "job", STREAMS);
+    wait_until("outputs are saved", || !platform.store.names("jobsegments").is_empty());
+    platform.gateway(0).kill();
+    targets.iter().for_each(|it| it.set_pause(FAST));
+    platform.all_results(1, "job", STREAMS);
+    for number in 0..STREAMS {
+        assert_item_of_one_version(&targets, &format!("item-{number}"));
+    }
+}
+
+fn versions_of_all(targets: &[PlatformTarget]) -> BTreeSet<String> {
+    let ran = targets.iter().filter(|it| !it.runs().is_empty());
+    ran.map(|it| it.version.to_string()).collect()
+}
+
+/// Each run that resumes an item has to be at the version of the run before it.
+fn assert_item_of_one_version(targets: &[PlatformTarget], id: &str) {
+    let runs = targets.iter().flat_map(|target| {
+        let runs = target.runs().into_iter().filter(|it| it.id == id);
+        runs.map(|run| (run.at, run.after, target.version.to_string()))
+    });
+    let mut runs: Vec<_> = runs.collect();
+    runs.sort();
+    let mut version = None;
+    for (_, after, ran_at) in runs {
+        match after {
+            None => version = Some(ran_at),
+            Some(_) => assert_eq!(version.as_deref(), Some(&*ran_at), "{id}"),
+        }
+    }
+}
