Soak: two software versions side by side, and callers who take streams up at other gateways

Of twelve or more streams that are taken up at gateways in touch at least half as many must go on as new requests are served.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -130,6 +130,8 @@
         repeats: bool,
         /// Also let targets send answers that end inside an event although their bodies end in order
         broken_answers: bool,
+        /// Also let targets of two software versions serve side by side, and callers take interrupted streams up again
+        releases: bool,
         /// The `samphiredoor` program
         #[bpaf(positional("PROGRAM"))]
         binary: PathBuf,
--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -23,7 +23,7 @@
     http::{Answer, call, get, start, wait_until},
     link::{Link, SharedBandwidth},
     platform_store::{PlatformStore, StoreFault},
-    platform_target::{PlatformTarget, event_data},
+    platform_target::{FIRST_VERSION, PlatformTarget, event_data, text_of},
     process::ChildProcess,
 };
 
@@ -545,6 +545,16 @@
 
 /// Event stream of a complete run, with the data of each event padded to a size.
 pub fn padded_stream(event_bytes: usize) -> String {
-    let event = |it| format!("id: {it}\ndata: {}\n\n", event_data(it, event_bytes));
-    (1..=EVENTS).map(event).collect()
+    stream_after(FIRST_VERSION, event_bytes, 0)
+}
+
+/// Events of a run at a version after the one with a number, with the data of each padded to a size.
+pub fn stream_after(version: &str, event_bytes: usize, after: u64) -> String {
+    let event = |it| format!("id: {it}\ndata: {}\n\n", event_data(version, it, event_bytes));
+    (after + 1..=EVENTS).map(event).collect()
+}
+
+/// Text of an item of a complete run at a version.
+pub fn whole_text(version: &str) -> String {
+    text_of(version, EVENTS)
 }
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -22,6 +22,8 @@
 /// Send buffer of a target that aborts unread answers. By default the kernel takes megabytes that nobody has read.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
+/// Version of targets that are started without one. The data of its events does not name it.
+pub const FIRST_VERSION: &str = "v1";
 
 /// Fault with which a request is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -99,6 +101,8 @@
 
 #[derive(Debug)]
 struct State {
+    /// Version of its software, as in its entry.
+    version: Arc<str>,
     /// Faults of the next requests, in order.
     faults: VecDeque<TargetFault>,
     /// Faults of requests with a body, at each run.
@@ -131,8 +135,6 @@
     pub name: String,
     /// Address of its listener.
     pub address: SocketAddr,
-    /// Version of its software, as in its entry.
-    pub version: Arc<str>,
     state: Arc<Mutex<State>>,
     is_crashed: Arc<AtomicBool>,
 }
@@ -146,6 +148,7 @@
     pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let state = State {
+            version: Arc::from(FIRST_VERSION),
             faults: VecDeque::new(),
             faults_by_body: BTreeMap::new(),
             faults_by_last_byte: BTreeMap::new(),
@@ -163,7 +166,6 @@
         let target = PlatformTarget {
             name: name.to_owned(),
             address: listener.local_addr()?,
-            version: Arc::from("v1"),
             state: Arc::new(Mutex::new(state)),
             is_crashed: Arc::default(),
         };
@@ -207,9 +209,15 @@
         self
     }
 
+    /// Version of its software.
+    pub fn version(&self) -> Arc<str> {
+        Arc::clone(&self.state().version)
+    }
+
     /// Sets the version of its software.
     pub fn with_version(self, version: &str) -> PlatformTarget {
-        PlatformTarget { version: Arc::from(version), ..self }
+        self.state().version = Arc::from(version);
+        self
     }
 
     /// Pads the data of each event to a size in answers to requests without a body; batch items have bodies.
@@ -277,14 +285,14 @@
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
         json!({
             "service": service, "addr": self.address.to_string(), "zone": zone,
-            "version": &*self.version, "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
+            "version": &*self.version(), "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
         })
     }
 
     /// Output of a complete run, as the text of an item's result.
     pub fn text(&self) -> String {
         let events = self.state().events;
-        (1..=events).map(|it| event_data(it, 0)).collect::<Vec<String>>().join("\n")
+        text_of(&self.version(), events)
     }
 
     fn next_fault(&self, body: &[u8]) -> TargetFault {
@@ -415,10 +423,11 @@
         fault: TargetFault,
     ) -> io::Result<bool> {
         let id = request.header("x-request-id").unwrap_or_default();
-        let (events, pause, event_bytes) = {
+        let (version, events, pause, event_bytes) = {
             let state = self.state();
             let is_padded = request.body.is_empty();
-            (state.events, state.pause, if is_padded { state.event_bytes } else { 0 })
+            let version = Arc::clone(&state.version);
+            (version, state.events, state.pause, if is_padded { state.event_bytes } else { 0 })
         };
         let is_unframed = fault.is_unframed();
         let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
@@ -433,7 +442,8 @@
             if fault.breaks_off_after() == Some(sent as u64) {
                 return break_off(stream, fault, number);
             }
-            let event = format!("id: {number}\ndata: {}\n\n", event_data(number, event_bytes));
+            let event =
+                format!("id: {number}\ndata: {}\n\n", event_data(&version, number, event_bytes));
             match is_unframed {
                 true => stream.write_all(event.as_bytes())?,
                 false => write!(stream, "{:x}\r\n{event}\r\n", event.len())?,
@@ -462,9 +472,15 @@
     Ok(false)
 }
 
-/// Data of an event, padded to a size.
-pub fn event_data(number: u64, bytes: usize) -> String {
-    padded(format!("piece-{number}"), bytes)
+/// Data of an event that a version writes, padded to a size.
+pub fn event_data(version: &str, number: u64, bytes: usize) -> String {
+    let mark = if version == FIRST_VERSION { String::new() } else { format!("@{version}") };
+    padded(format!("piece-{number}{mark}"), bytes)
+}
+
+/// Text of an item that a version has run.
+pub fn text_of(version: &str, events: u64) -> String {
+    (1..=events).map(|it| event_data(version, it, 0)).collect::<Vec<String>>().join("\n")
 }
 
 fn padded(text: String, bytes: usize) -> String {
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -32,12 +32,21 @@
         drills,
         repeats,
         broken_answers,
+        releases,
         binary,
     } = opts
     {
         let pressure = if repeats { soak::Pressure::Repeats } else { soak::Pressure::Usual };
-        let options =
-            soak::Options { binary, folder, seconds, gateways, drills, pressure, broken_answers };
+        let options = soak::Options {
+            binary,
+            folder,
+            seconds,
+            gateways,
+            drills,
+            pressure,
+            broken_answers,
+            releases,
+        };
         return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
     }
     compio::runtime::Runtime::new()?.block_on(async {
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -14,11 +14,9 @@
     plan::Disturbed,
     read_history::{ReadHistory, SentRead},
     repeats::{self, Allowance, Owners, job_of, most_runs},
+    versions::Versions,
 };
-use crate::{
-    fleet::{padded_stream, whole_stream},
-    platform_target::Run,
-};
+use crate::platform_target::Run;
 
 /// Time after the acknowledgement of a job's cancellation within which its items may still reach a target.
 const CANCELLATION_GRACE: Duration = Duration::from_secs(3);
@@ -62,6 +60,8 @@
     DeadlinesKept,
     /// Every gateway serves requests again after the last fault.
     ServesAfterFaults,
+    /// Streams that callers take up go on.
+    StreamsGoOn,
     /// An acknowledged configuration becomes active at every gateway, and no older one becomes active again.
     ConfigurationActive,
 }
@@ -81,6 +81,7 @@
             Invariant::CancellationStopsRuns => "no item of a job starts after its cancellation",
             Invariant::RepeatsBounded => "the same work is not repeated without a bound",
             Invariant::DeadlinesKept => "targets are not handed more time than is left",
+            Invariant::StreamsGoOn => "streams that callers take up go on",
             Invariant::ServesAfterFaults => "requests are served again after the last fault",
             Invariant::ConfigurationActive => "a configuration is active at every gateway",
         })
@@ -174,14 +175,29 @@
     owners: Owners,
     violation: Option<Violation>,
     counts: Counts,
-    /// Size to which the data of the events in answers to requests is padded.
-    event_bytes: usize,
+    /// Streams and the software versions that wrote them.
+    versions: Versions,
 }
 
 impl Checks {
-    /// Sets the size to which the data of the events in answers to requests is padded.
-    pub fn set_event_bytes(&mut self, bytes: usize) {
-        self.event_bytes = bytes;
+    /// Streams and the software versions that wrote them.
+    pub fn versions(&mut self) -> &mut Versions {
+        &mut self.versions
+    }
+
+    /// Checks how many of the streams that callers took up went on.
+    pub fn check_take_ups(&mut self) {
+        let Counts { served, refused, doubtful, .. } = self.counts;
+        if let Some(observed) = self.versions.take_up_problem(served, refused + doubtful) {
+            self.record_violation(Invariant::StreamsGoOn, "all streams", observed);
+        }
+    }
+
+    /// Counts the answer to a request that takes up a stream, if its gateway was in touch since it was sent.
+    pub fn count_take_up(&mut self, gateway: usize, sent_at: Instant, reply: &Reply) {
+        if self.is_in_touch(gateway, sent_at) {
+            self.versions.count_take_up(reply.status == 200);
+        }
     }
 
     /// First violation, if any.
@@ -278,10 +294,8 @@
 
     fn check_success(&mut self, id: &str, reply: &Reply) {
         self.counts.served += 1;
-        let whole = padded_stream(self.event_bytes);
-        let body = String::from_utf8_lossy(&reply.body);
-        let fits = if reply.is_complete { body == whole } else { whole.starts_with(&*body) };
-        if !fits {
+        if !self.versions.check_body(id, reply) {
+            let body = String::from_utf8_lossy(&reply.body);
             self.record_violation(
                 Invariant::AnswerComplete,
                 id,
@@ -354,7 +368,7 @@
             return 0;
         }
         let missing = job.results.missing(read, page.outputs.len());
-        let violation = job.check_outputs(read, &page.outputs);
+        let violation = job.check_outputs(read, &self.versions, &page.outputs);
         let cancellation = job.cancellation();
         self.counts.reads += 1;
         self.counts.short_pages += u64::from(read.is_short(page.outputs.len()));
@@ -476,18 +490,21 @@
     fn check_outputs(
         &mut self,
         read: &SentRead,
+        versions: &Versions,
         outputs: &[Box<RawValue>],
     ) -> Option<(Invariant, String)> {
         let mut outputs = outputs.iter().zip(read.after..);
-        outputs.find_map(|(output, position)| self.check_result(read, position, output.get()))
+        outputs.find_map(|(output, position)| {
+            self.check_result(read, versions, (position, output.get()))
+        })
     }
 
     /// Checks and records the result at a position.
     fn check_result(
         &mut self,
         read: &SentRead,
-        position: usize,
-        bytes: &str,
+        versions: &Versions,
+        (position, bytes): (usize, &str),
     ) -> Option<(Invariant, String)> {
         if let Some(compared) = self.results.compare(read, position, bytes) {
             return compared.err().map(|it| (Invariant::ResultsStable, it));
@@ -499,7 +516,8 @@
         if !self.items.contains(id) || self.results.has_item(id) {
             return Some((Invariant::ResultsStable, observed()));
         }
-        if output["state"] == "completed" && output["text"] != complete_text().as_str() {
+        let is_text_of_one = output["text"].as_str().is_some_and(|it| versions.is_text_of_one(it));
+        if output["state"] == "completed" && !is_text_of_one {
             return Some((Invariant::AnswerComplete, observed()));
         }
         self.results.push(id, bytes, read.gateway);
@@ -528,10 +546,3 @@
         serde_json::from_slice(body).unwrap_or_default()
     }
 }
-
-/// Data of all events of a complete run.
-fn complete_text() -> String {
-    let stream = whole_stream();
-    let data = stream.lines().filter_map(|it| it.strip_prefix("data: "));
-    data.collect::<Vec<&str>>().join("\n")
-}
--- a/crates/samphiredoor-standin/src/soak/clients.rs
+++ b/crates/samphiredoor-standin/src/soak/clients.rs
@@ -19,9 +19,12 @@
     checks::{FAILS, IMPOSSIBLE, ITEM_SEPARATOR, Invariant},
     connection::{Connection, Reply, Request, call},
     trace::RunState,
+    versions::TakeUp,
 };
 use crate::fleet::submission;
 
+/// Path of streams that may be resumed.
+const RESUMABLE_PATH: &str = "/stream-resumable/check";
 /// Deadlines of requests; the shorter ones expire before a run at a target ends.
 const DEADLINES_MS: [u64; 4] = [60, 300, 1_000, 3_000];
 /// Time after a deadline for which a client still waits for the answer.
@@ -36,6 +39,10 @@
 /// This time; targets abort answers that stay unread for a part of it.
 const SLOW_PAUSE_MS: std::ops::Range<u64> = 200..4_000;
 const REQUEST_PAUSE_MS: std::ops::Range<u64> = 0..200;
+/// Requests by which a caller takes up a stream at most.
+const MAX_TAKE_UPS: usize = 2;
+/// Least time until the deadline for which a stream is taken up.
+const MIN_TAKE_UP_TIME: Duration = Duration::from_millis(100);
 /// Delay after a failed connection attempt.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -100,6 +107,7 @@
     name: String,
     gateways: usize,
     fails_probability: f64,
+    takes_up: bool,
     next: u64,
 }
 
@@ -114,6 +122,7 @@
             name,
             gateways,
             fails_probability: FAILS_PROBABILITY,
+            takes_up: false,
             next: 0,
         }
     }
@@ -127,6 +136,11 @@
         self
     }
 
+    /// Sets whether the client takes interrupted streams up again.
+    pub fn with_take_ups(self, takes_up: bool) -> Client<'a> {
+        Client { takes_up, ..self }
+    }
+
     fn next_id(&mut self) -> String {
         self.next += 1;
         format!("{}-{}", self.name, self.next)
@@ -164,8 +178,9 @@
 
     /// Sends one request; returns whether the connection can be reused.
     fn send_one(&mut self, gateway: usize, connection: &mut Connection) -> bool {
-        let paths = ["/unsafe/book", "/safe/ask", "/stream-resumable/check", "/stream/check"];
+        let paths = ["/unsafe/book", "/safe/ask", RESUMABLE_PATH, "/stream/check"];
         let path = *paths.choose(&mut self.rng).expect("a path");
+        let sent_at = Instant::now();
         let is_repeatable = path.starts_with("/safe") || path.starts_with("/stream-resumable");
         let deadline_ms = *DEADLINES_MS.choose(&mut self.rng).expect("a deadline");
         let timeout = Duration::from_millis(deadline_ms) + ANSWER_GRACE;
@@ -195,9 +210,53 @@
             if sent { connection.receive(timeout) } else { (Reply::default(), false) };
         self.shared.trace("answered", reply_details(&id, gateway, path, &reply));
         self.shared.checks().check_answer(&id, &reply);
+        if self.takes_up && path == RESUMABLE_PATH {
+            self.take_up(&id, gateway, &reply, sent_at + deadline);
+        }
         is_reusable
     }
 
+    /// Takes an interrupted stream up at other gateways, until it is complete or refused.
+    fn take_up(&mut self, first: &str, mut gateway: usize, cut: &Reply, deadline: Instant) {
+        let mut cut = cut.clone();
+        let mut after = None;
+        for _ in 0..MAX_TAKE_UPS {
+            after = last_event(&cut.body).or(after);
+            let left = deadline.saturating_duration_since(Instant::now());
+            let is_interrupted = cut.status == 200 && !cut.is_complete;
+            let Some(after) = after.filter(|_| is_interrupted && left > MIN_TAKE_UP_TIME) else {
+                return;
+            };
+            gateway = (gateway + self.rng.random_range(1..self.gateways)) % self.gateways;
+            cut = self.send_take_up(first, after, gateway, left);
+        }
+    }
+
+    fn send_take_up(&mut self, first: &str, after: u64, gateway: usize, left: Duration) -> Reply {
+        let (id, sent_at) = (self.next_id(), Instant::now());
+        let (after_text, left_ms) = (after.to_string(), left.as_millis().to_string());
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Deadline-Ms", &left_ms),
+            ("Last-Event-Id", &after_text),
+            ("Resumes", first),
+        ];
+        self.shared.checks().record_request(&id, true);
+        self.shared.checks().record_deadline(&id, left);
+        let take_up = TakeUp { first: first.to_owned(), after };
+        self.shared.checks().versions().record_take_up(&id, take_up);
+        let timeout = left + ANSWER_GRACE;
+        let request =
+            Request { method: "POST", path: RESUMABLE_PATH, headers: &headers, body: "", timeout };
+        let reply = call(self.shared.gateway(gateway), &request);
+        self.shared.trace("taken up", json!({ "first": first, "after": after, "id": id }));
+        self.shared.trace("answered", reply_details(&id, gateway, RESUMABLE_PATH, &reply));
+        let mut checks = self.shared.checks();
+        checks.check_answer(&id, &reply);
+        checks.count_take_up(gateway, sent_at, &reply);
+        reply
+    }
+
     /// Sends one request at a time together with all other clients that do so, until the run ends.
     pub fn send_surges(mut self) {
         while !self.shared.is_stopped() {
@@ -380,6 +439,14 @@
     }
 }
 
+/// Number of the last whole event in the received part of a stream.
+fn last_event(body: &[u8]) -> Option<u64> {
+    let text = String::from_utf8_lossy(body);
+    let (whole, _) = text.rsplit_once("\n\n")?;
+    let (_, last) = whole.rsplit_once("id: ")?;
+    last.lines().next()?.parse().ok()
+}
+
 fn reply_details(id: &str, gateway: usize, path: &str, reply: &Reply) -> Value {
     json!({
         "id": id, "gateway": gateway, "path": path, "status": reply.status,
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -51,6 +51,8 @@
     targets: Vec<PlatformTarget>,
     /// Index into `targets` for each target number of the plan; changes when a target is replaced.
     current: Vec<usize>,
+    /// Software versions of targets, by turns.
+    versions: &'static [&'static str],
     /// Gateways that received SIGTERM, with the time of the signal.
     stopping: Vec<(usize, Instant)>,
     /// Gateways that are paused by a fault.
@@ -69,15 +71,18 @@
         binary: &Path,
         sizes: Sizes,
         has_budget: bool,
+        versions: &'static [&'static str],
     ) -> Injector<'a> {
         let mut platform = Platform::new(binary);
         if has_budget {
             platform.more_settings = BUDGET_SETTINGS.to_owned();
         }
-        shared.checks().set_event_bytes(EVENT_BYTES);
+        shared.checks().versions().set_event_bytes(EVENT_BYTES);
+        shared.checks().versions().set_versions(versions);
         platform.linked = true;
         platform.watch_ms = WATCH_MS;
-        let targets = (0..sizes.targets).map(|it| start_target(&mut platform, it)).collect();
+        let targets =
+            (0..sizes.targets).map(|it| start_target(&mut platform, it, versions)).collect();
         let storage = platform.start_storage("storage-0");
         for _ in 0..sizes.gateways {
             platform.start_gateway();
@@ -91,6 +96,7 @@
             storages_started: 1,
             targets,
             current,
+            versions,
             stopping: Vec::new(),
             paused: BTreeSet::new(),
             starvation: None,
@@ -268,16 +274,16 @@
         let previous = self.target(number);
         previous.crash();
         self.platform.store.remove("servers", &previous.name);
-        let target = start_target(&mut self.platform, self.targets.len());
+        let target = start_target(&mut self.platform, self.targets.len(), self.versions);
         self.current[number] = self.targets.len();
         self.targets.push(target);
     }
 }
 
 /// Starts a target that some items always fail at.
-fn start_target(platform: &mut Platform, number: usize) -> PlatformTarget {
+fn start_target(platform: &mut Platform, number: usize, versions: &[&str]) -> PlatformTarget {
     platform
-        .start_target(&format!("t-{number}"), EVENT_PAUSE)
+        .start_target_at(versions[number % versions.len()], &format!("t-{number}"), EVENT_PAUSE)
         .with_event_bytes(EVENT_BYTES)
         .with_unread_limit(UNREAD_LIMIT)
         .with_failure_pause(FAILURE_PAUSE)
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod report;
 mod starvation;
 mod trace;
+mod versions;
 
 use std::{
     fs,
@@ -38,10 +39,16 @@
 use report::Recovery;
 use trace::RunState;
 
+use crate::platform_target::FIRST_VERSION;
+
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 const TARGETS: usize = 3;
+/// Software versions of targets; only the first one without [`Options::releases`].
+const VERSIONS: [&str; 2] = [FIRST_VERSION, "v2"];
+/// Targets where two versions serve: two of one of them at least.
+const TARGETS_OF_TWO_VERSIONS: usize = 4;
 const ONLINE_CLIENTS: usize = 24;
 const BATCH_CLIENTS: usize = 4;
 /// Clients whose requests come together, as many as the targets have slots.
@@ -70,6 +77,8 @@
     pub pressure: Pressure,
     /// Whether targets also send answers that end inside an event although their bodies end in order.
     pub broken_answers: bool,
+    /// Whether targets of two software versions serve side by side, streams are interrupted, and callers take them up again.
+    pub releases: bool,
 }
 
 /// What the load of a run is to bring about beside its faults.
@@ -86,12 +95,19 @@
     /// Generates the plan of a seed.
     pub fn plan(&self, seed: u64) -> Plan {
         let (seconds, sizes) = (self.seconds, self.sizes());
-        let plan = Plan::of_seed(seed, seconds, sizes);
-        if self.broken_answers { plan.with_broken_answers(seed, seconds, sizes) } else { plan }
+        let mut plan = Plan::of_seed(seed, seconds, sizes);
+        if self.broken_answers {
+            plan = plan.with_broken_answers(seed, seconds, sizes);
+        }
+        if self.releases {
+            plan = plan.with_interrupted_streams(seed, seconds, sizes);
+        }
+        plan
     }
 
     fn sizes(&self) -> Sizes {
-        Sizes { gateways: self.gateways, targets: TARGETS }
+        let targets = if self.releases { TARGETS_OF_TWO_VERSIONS } else { TARGETS };
+        Sizes { gateways: self.gateways, targets }
     }
 }
 
@@ -168,7 +184,10 @@
         .with_context(|| format!("{} cannot be created", folder.display()))?;
     plan.write(&folder.join("plan.jsonl"))?;
     let shared = RunState::new(&folder.join("trace.jsonl"))?;
-    let mut injector = Injector::start(&shared, &options.binary, options.sizes(), seed % 2 == 1);
+    let versions = if options.releases { &VERSIONS[..] } else { &VERSIONS[..1] };
+    let has_budget = seed % 2 == 1;
+    let mut injector =
+        Injector::start(&shared, &options.binary, options.sizes(), has_budget, versions);
     if options.pressure == Pressure::Repeats {
         injector.begin_starvation(seed);
     }
@@ -177,7 +196,13 @@
     anyhow::ensure!(!trace::is_interrupted(), "ended by a signal");
     let violation = shared.checks().violation().cloned();
     match &violation {
-        None => report::print_passed(seed, plan.0.len(), shared.checks().counts()),
+        None => {
+            let (counts, take_ups) = {
+                let mut checks = shared.checks();
+                (checks.counts(), checks.versions().counts())
+            };
+            report::print_passed(seed, plan.0.len(), counts, take_ups)
+        }
         Some(violation) => {
             let lines = injector.platform.log_lines_with(&violation.id);
             injector.platform.write_logs(&folder)?;
@@ -201,6 +226,7 @@
         let client = |number: usize, name: String| {
             Client::new(shared, seed.wrapping_add(number as u64), name, gateways)
                 .with_pressure(options.pressure)
+                .with_take_ups(options.releases)
         };
         // Stops the clients also when this thread panics, because the scope waits for all of them.
         let _stop = StopOnDrop(shared);
@@ -238,6 +264,7 @@
     }
     final_checks.check_jobs(seed);
     check_runs(shared, injector);
+    shared.checks().check_take_ups();
     final_checks.check_new_configuration(injector, &mut recovery.config_active_ms);
 }
 
--- a/crates/samphiredoor-standin/src/soak/plan.rs
+++ b/crates/samphiredoor-standin/src/soak/plan.rs
@@ -29,6 +29,13 @@
 /// Events of an answer before it breaks off; 0 is inside the first one.
 const EVENTS_BEFORE_BREAK: std::ops::Range<u64> = 0..6;
 
+/// Time between two faults that [`Plan::with_interrupted_streams`] adds.
+const INTERRUPTIONS_INTERVAL_MS: std::ops::Range<u64> = 100..500;
+/// Duration of each of them; a gateway that is killed starts again within that time.
+const INTERRUPTION_MS: std::ops::Range<u64> = 200..800;
+/// Probability that such a fault is the kill of a gateway, after which callers take their streams up at others.
+const KILL_PROBABILITY: f64 = 0.4;
+
 /// Fault of a link, as written in plans.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -188,6 +195,26 @@
         self
     }
 
+    /// The plan with further faults that interrupt streams: targets break their answers off, and gateways are killed. Their
+    /// generator is one of its own, too.
+    pub fn with_interrupted_streams(mut self, seed: u64, seconds: u64, sizes: Sizes) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+        let (mut at_ms, end_ms) = (FIRST_FAULT_MS, seconds * 1_000);
+        while at_ms + INTERRUPTION_MS.start < end_ms {
+            let fault = if rng.random_bool(KILL_PROBABILITY) {
+                Fault::KillGateway(rng.random_range(0..sizes.gateways))
+            } else {
+                let fault = TargetFault::CutAfter(rng.random_range(EVENTS_BEFORE_BREAK));
+                Fault::Target(rng.random_range(0..sizes.targets), fault, rng.random_range(1..20))
+            };
+            let for_ms = rng.random_range(INTERRUPTION_MS).min(end_ms - at_ms);
+            self.0.push(Step { at_ms, for_ms, fault });
+            at_ms += rng.random_range(INTERRUPTIONS_INTERVAL_MS);
+        }
+        self.0.sort_by_key(|it| it.at_ms);
+        self
+    }
+
     /// Reads a plan from a file.
     ///
     /// # Errors
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -4,7 +4,10 @@
 
 use hdrhistogram::Histogram;
 
-use super::checks::{Counts, Violation};
+use super::{
+    checks::{Counts, Violation},
+    versions::TakeUps,
+};
 
 /// Maximum number of log lines that are printed for a violation.
 const MAX_LOG_LINES: usize = 40;
@@ -67,7 +70,7 @@
 }
 
 /// Prints the counters of a run without a violation.
-pub fn print_passed(seed: u64, faults: usize, counts: Counts) {
+pub fn print_passed(seed: u64, faults: usize, counts: Counts, take_ups: TakeUps) {
     let Counts { served, refused, doubtful, results, ended, runs, .. } = counts;
     let Counts { reads, short_pages, stale_reads, .. } = counts;
     let Counts { excused_repeats, most_repeats, late_deadlines, .. } = counts;
@@ -75,7 +78,8 @@
         "seed {seed}: kept, faults={faults} served={served} refused={refused} doubtful={doubtful} \
          results={results} reads={reads} short_pages={short_pages} stale_reads={stale_reads} \
          ended={ended} runs={runs} excused_repeats={excused_repeats} most_repeats={most_repeats:?} \
-         late_deadlines={late_deadlines}"
+         late_deadlines={late_deadlines} taken_up={} went_on={}",
+        take_ups.sent, take_ups.went_on
     );
 }
 
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -358,6 +358,7 @@
         drills: false,
         pressure: soak::Pressure::Usual,
         broken_answers: false,
+        releases: false,
     }
 }
 
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -28,7 +28,7 @@
 /// Versions of the targets that ran requests with one of these ids.
 fn versions_of(targets: &[PlatformTarget], ids: &[&str]) -> BTreeSet<String> {
     let ran = |it: &&PlatformTarget| it.runs().iter().any(|run| ids.contains(&run.id.as_str()));
-    targets.iter().filter(ran).map(|it| it.version.to_string()).collect()
+    targets.iter().filter(ran).map(|it| it.version().to_string()).collect()
 }
 
 fn fail_each_run(targets: &[PlatformTarget], fault: TargetFault) {
@@ -95,14 +95,14 @@
 
 fn versions_of_all(targets: &[PlatformTarget]) -> BTreeSet<String> {
     let ran = targets.iter().filter(|it| !it.runs().is_empty());
-    ran.map(|it| it.version.to_string()).collect()
+    ran.map(|it| it.version().to_string()).collect()
 }
 
 /// Each run that resumes an item has to be at the version of the run before it.
 fn assert_item_of_one_version(targets: &[PlatformTarget], id: &str) {
     let runs = targets.iter().flat_map(|target| {
         let runs = target.runs().into_iter().filter(|it| it.id == id);
-        runs.map(|run| (run.at, run.after, target.version.to_string()))
+        runs.map(|run| (run.at, run.after, target.version().to_string()))
     });
     let mut runs: Vec<_> = runs.collect();
     runs.sort();
