--- a/crates/samphiredoor-core/examples/overload_state.rs
+++ b/crates/samphiredoor-core/examples/overload_state.rs
@@ -180,6 +180,7 @@
         tried_targets: SmallVec::new(),
         deadline_ms: now_ms + 60,
         prior_run_ms: 0,
+        resumes: None,
         terms: CallerTerms {
             share_key: number % WORKSPACES + 1,
             arrived_ms: now_ms,
--- a/crates/samphiredoor-core/src/placement/choice.rs
+++ b/crates/samphiredoor-core/src/placement/choice.rs
@@ -74,7 +74,11 @@
         let penalty = move |target: &Target| {
             (target.health.in_backoff(now_ms), spec.tried_targets.contains(&target.entry.name))
         };
+        let version = self.required_version(now_ms, spec);
         let ready = self.ready(&spec.service);
+        let ready = ready.filter(move |(_, it)| {
+            version.is_none_or(|version| it.entry.software_version == *version)
+        });
         let least = ready.clone().map(|(_, it)| penalty(it)).min();
         ready.filter(move |(_, it)| Some(penalty(it)) == least)
     }
--- a/crates/samphiredoor-core/src/placement/items.rs
+++ b/crates/samphiredoor-core/src/placement/items.rs
@@ -64,18 +64,22 @@
         };
     }
 
-    /// The item to start next.
-    pub fn next(&self, now_ms: u64) -> Option<&RequestSpec> {
-        let first = self.first()?;
+    /// The item to start next, of those that may start.
+    pub fn next(
+        &self,
+        now_ms: u64,
+        may_start: impl Fn(&RequestSpec) -> bool,
+    ) -> Option<&RequestSpec> {
+        let first = self.first(&may_start)?;
         if self.in_time_streak >= MAX_IN_TIME_STREAK || self.is_in_time(now_ms, first) {
             return Some(first);
         }
-        self.first_in_time(now_ms).or(Some(first))
+        self.first_in_time(now_ms, &may_start).or(Some(first))
     }
 
     /// The item to resume next while no further item may start.
-    pub fn next_started(&self) -> Option<&RequestSpec> {
-        self.started.values().next()
+    pub fn next_started(&self, may_start: impl Fn(&RequestSpec) -> bool) -> Option<&RequestSpec> {
+        self.started.values().find(|it| may_start(it))
     }
 
     /// Takes an item that [`ItemQueue::next`] or [`ItemQueue::next_started`] returned.
@@ -112,15 +116,21 @@
     }
 
     /// First item that can finish in time; started ones come first.
-    fn first_in_time(&self, now_ms: u64) -> Option<&RequestSpec> {
+    fn first_in_time(
+        &self,
+        now_ms: u64,
+        may_start: impl Fn(&RequestSpec) -> bool,
+    ) -> Option<&RequestSpec> {
         let not_overdue = (now_ms, 0)..;
         let all = self.started.range(not_overdue.clone()).chain(self.unstarted.range(not_overdue));
-        all.map(|(_, spec)| spec).find(|it| self.is_in_time(now_ms, it))
+        all.map(|(_, spec)| spec).find(|it| may_start(it) && self.is_in_time(now_ms, it))
     }
 
     /// Item with the earliest due time.
-    fn first(&self) -> Option<&RequestSpec> {
-        let firsts = [self.started.first_key_value(), self.unstarted.first_key_value()];
+    fn first(&self, may_start: impl Fn(&RequestSpec) -> bool) -> Option<&RequestSpec> {
+        let started = self.started.iter().find(|(_, it)| may_start(it));
+        let unstarted = self.unstarted.iter().find(|(_, it)| may_start(it));
+        let firsts = [started, unstarted];
         firsts.into_iter().flatten().min_by_key(|(rank, _)| **rank).map(|(_, spec)| spec)
     }
 
--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -75,6 +75,17 @@
     pub prior_run_ms: u64,
     /// What overload control uses to admit an online request.
     pub terms: CallerTerms,
+    /// The stream with which the request goes on; `None` if it begins one.
+    pub resumes: Option<Resumption>,
+}
+
+/// A stream with which a request goes on.
+#[derive(Debug, Clone)]
+pub struct Resumption {
+    /// Run that began the stream.
+    pub origin: StreamOrigin,
+    /// Monotonic time from which an item begins anew at any version; online requests never do.
+    pub until_ms: u64,
 }
 
 /// What is known of the caller of an online request, for overload control. All times are monotonic.
@@ -220,6 +231,8 @@
         address: SocketAddr,
         /// Origin of a stream that begins with this attempt.
         origin: StreamOrigin,
+        /// Whether the request goes on with its stream; `false` if it begins one, or begins it anew.
+        goes_on: bool,
     },
     /// Cancel the attempt in progress, because online requests need its slot.
     Preempt {
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -24,19 +24,21 @@
 mod messages;
 mod predictions;
 mod queue;
+mod resumption;
 mod shares;
 mod target;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
 
 pub use cells::{CellId, Cells, is_cell_name, sum_states, summary_interval_ms};
 pub use choice::Margins;
 pub use fairness::ShareReport;
 pub use messages::{
     Action, AttemptEnd, CallerTerms, GatewayLoad, GatewayState, Input, ReportedLoad, RequestSpec,
-    TargetEntry, TargetState, WaitingItems,
+    Resumption, TargetEntry, TargetState, WaitingItems,
 };
 pub use predictions::ServicePrediction;
 pub use target::{Distance, Load};
@@ -316,6 +318,7 @@
                 self.queues_of(&spec).batch.push(spec);
                 self.state_changed = true;
             }
+            Class::Online if spec.resumes.is_some() => self.place_resumption(now_ms, spec, out),
             Class::Online if self.overload_of(&spec.service).is_some() => {
                 self.admit_online(now_ms, spec, out)
             }
@@ -415,6 +418,7 @@
     fn dispatch_waiting(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let mut queues = std::mem::take(&mut self.queues);
         for (service, waiting) in &mut queues {
+            self.dispatch_resumptions(now_ms, &mut waiting.online, out);
             match self.overload_of(service) {
                 Some(_) => self.admit_waiting(now_ms, service, &mut waiting.online, out),
                 None => self.dispatch_online(now_ms, &mut waiting.online, out),
@@ -438,7 +442,7 @@
         }
     }
 
-    // All items may go to the same targets: if the first one finds no free slot, none does.
+    // All items may go to the same targets but those that go on at a version: if the first one finds no free slot, none does.
     fn dispatch_batch(
         &mut self,
         now_ms: u64,
@@ -447,14 +451,28 @@
         out: &mut Vec<Action>,
     ) {
         let waiting = self.startable_len(queue) as u32;
-        let startable = self.startable_items(now_ms, service, waiting);
-        for _ in 0..startable {
-            let next = if self.holds_new_items { queue.next_started() } else { queue.next(now_ms) };
+        let mut startable = self.startable_items(now_ms, service, waiting);
+        let mut full_versions: SmallVec<[Name; 2]> = SmallVec::new();
+        while startable > 0 {
+            let may_start = |it: &RequestSpec| {
+                self.required_version(now_ms, it).is_none_or(|it| !full_versions.contains(it))
+            };
+            let next = match self.holds_new_items {
+                true => queue.next_started(may_start),
+                false => queue.next(now_ms, may_start),
+            };
             let Some(next) = next else { return };
-            let Some(key) = self.best_batch(now_ms, next) else { return };
-            let request = next.request;
-            let Some(spec) = queue.take(now_ms, request) else { return };
-            self.dispatch(now_ms, key, &spec, out);
+            let (request, version) =
+                (next.request, self.required_version(now_ms, next).map(Name::clone));
+            match (self.best_batch(now_ms, next), version) {
+                (Some(key), _) => {
+                    let Some(spec) = queue.take(now_ms, request) else { return };
+                    self.dispatch(now_ms, key, &spec, out);
+                    startable -= 1;
+                }
+                (None, Some(version)) => full_versions.push(version),
+                (None, None) => return,
+            }
         }
     }
 
@@ -501,7 +519,9 @@
         let entry = &target.entry;
         let (target, address) = (Name::clone(&entry.name), entry.address);
         let origin = entry.stream_origin();
-        out.push(Action::Dispatch { request: spec.request, target, address, origin });
+        let goes_on = self.goes_on_at(spec, &origin);
+        let request = spec.request;
+        out.push(Action::Dispatch { request, target, address, origin, goes_on });
     }
 
     fn refuse_full(&mut self, spec: &RequestSpec, out: &mut Vec<Action>) {
--- a/crates/samphiredoor-core/src/placement/queue.rs
+++ b/crates/samphiredoor-core/src/placement/queue.rs
@@ -1,6 +1,6 @@
 //! Online requests that wait for capacity, most urgent first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::{RequestSpec, fair_queue::FairQueue};
 use crate::{
@@ -18,6 +18,8 @@
     waiting: BTreeMap<Rank, RequestSpec>,
     ranks: HashMap<RequestId, Rank>,
     arrivals: u64,
+    /// Requests that go on with a stream; they precede all others.
+    resumptions: VecDeque<RequestSpec>,
     fair: FairQueue,
     /// Requests of retrying callers, while overload control is active.
     retries: FairQueue,
@@ -34,6 +36,16 @@
         self.waiting.insert(rank, spec);
     }
 
+    /// Adds a request that goes on with a stream.
+    pub fn push_resumption(&mut self, spec: RequestSpec) {
+        self.resumptions.push_back(spec);
+    }
+
+    /// Takes the requests that go on with a stream, in order of arrival.
+    pub fn take_resumptions(&mut self) -> VecDeque<RequestSpec> {
+        std::mem::take(&mut self.resumptions)
+    }
+
     /// Requests in the order that is fair among workspaces, by `terms.share_key`.
     pub fn fair(&mut self, standing: Standing) -> &mut FairQueue {
         match standing {
@@ -47,6 +59,7 @@
         if let Some(rank) = self.ranks.remove(&request) {
             self.waiting.remove(&rank);
         }
+        self.resumptions.retain(|it| it.request != request);
         self.fair.remove(request);
         self.retries.remove(request);
     }
@@ -70,7 +83,7 @@
 
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
-        self.waiting.len() + self.fair.len() + self.retries.len()
+        self.waiting.len() + self.resumptions.len() + self.fair.len() + self.retries.len()
     }
 
     /// Whether no request waits.
--- a/crates/samphiredoor-core/src/verdict.rs
+++ b/crates/samphiredoor-core/src/verdict.rs
@@ -57,11 +57,15 @@
     NotReady,
     /// A batch job could not be done by its due time.
     JobTooLate,
+    /// It is not known which software version began the stream that the request takes up.
+    VersionUnknown,
+    /// No target is left of the software version that began the stream.
+    VersionGone,
 }
 
 impl Refusal {
     /// All reasons, so that their counters are exported before they first occur.
-    pub const ALL: [Refusal; 15] = [
+    pub const ALL: [Refusal; 17] = [
         Refusal::BadRequest,
         Refusal::UnknownService,
         Refusal::NoTarget,
@@ -77,6 +81,8 @@
         Refusal::Stopping,
         Refusal::NotReady,
         Refusal::JobTooLate,
+        Refusal::VersionUnknown,
+        Refusal::VersionGone,
     ];
 
     /// Label of the reason in answers, counters and logs.
@@ -97,6 +103,8 @@
             Refusal::Stopping => "stopping",
             Refusal::NotReady => "not_ready",
             Refusal::JobTooLate => "job_too_late",
+            Refusal::VersionUnknown => "version_unknown",
+            Refusal::VersionGone => "version_gone",
         }
     }
 }
--- a/crates/samphiredoor-core/tests/admission_control/main.rs
+++ b/crates/samphiredoor-core/tests/admission_control/main.rs
@@ -38,6 +38,7 @@
         tried_targets: SmallVec::new(),
         deadline_ms: now_ms + OBJECTIVE_MS / 5,
         prior_run_ms: 0,
+        resumes: None,
         terms: CallerTerms {
             share_key: 0,
             arrived_ms: now_ms,
--- a/crates/samphiredoor-core/tests/placement/fair_shares.rs
+++ b/crates/samphiredoor-core/tests/placement/fair_shares.rs
@@ -280,6 +280,7 @@
             tried_targets: SmallVec::new(),
             deadline_ms: self.now_ms + OBJECTIVE_MS / 5,
             prior_run_ms: 0,
+            resumes: None,
             terms: CallerTerms {
                 share_key: key(self.setup, caller.workspace),
                 arrived_ms: self.now_ms,
@@ -539,6 +540,7 @@
         tried_targets: SmallVec::new(),
         deadline_ms: 100_000,
         prior_run_ms: 0,
+        resumes: None,
         terms: CallerTerms {
             share_key: workspace_key(workspace),
             deadline_ms,
--- a/crates/samphiredoor-core/tests/placement/fleet.rs
+++ b/crates/samphiredoor-core/tests/placement/fleet.rs
@@ -513,6 +513,7 @@
             tried_targets: SmallVec::new(),
             deadline_ms: arrived_ms + wait_ms,
             prior_run_ms: whole_ms - left_ms,
+            resumes: None,
             terms: self.terms(&self.requests[&request]),
         };
         self.input(gateway, Input::Request(spec));
--- a/crates/samphiredoor-core/tests/placement/main.rs
+++ b/crates/samphiredoor-core/tests/placement/main.rs
@@ -10,6 +10,7 @@
 #[path = "../property/mod.rs"]
 mod property;
 mod reserved_slots;
+mod resumptions;
 mod risk;
 mod scenarios;
 mod speed;
--- a/crates/samphiredoor-core/tests/placement/reserved_slots.rs
+++ b/crates/samphiredoor-core/tests/placement/reserved_slots.rs
@@ -87,6 +87,7 @@
         tried_targets: SmallVec::new(),
         deadline_ms: REFRESHED_MS + OBJECTIVE_MS / 5,
         prior_run_ms: 0,
+        resumes: None,
         terms: CallerTerms {
             share_key: workspace_key(workspace),
             arrived_ms: REFRESHED_MS,
--- a/crates/samphiredoor-core/tests/placement/risk.rs
+++ b/crates/samphiredoor-core/tests/placement/risk.rs
@@ -68,6 +68,7 @@
         tried_targets: SmallVec::new(),
         deadline_ms: u64::MAX,
         prior_run_ms: 0,
+        resumes: None,
         terms: CallerTerms { is_repeatable, ..CallerTerms::default() },
     }
 }
--- a/crates/samphiredoor-core/tests/placement/speed.rs
+++ b/crates/samphiredoor-core/tests/placement/speed.rs
@@ -169,6 +169,7 @@
             tried_targets: SmallVec::new(),
             deadline_ms: u64::MAX,
             prior_run_ms: 0,
+            resumes: None,
             terms: CallerTerms::default(),
         };
         let request = spec.request;
--- a/crates/samphiredoor-core/tests/placement/uneven_fleet.rs
+++ b/crates/samphiredoor-core/tests/placement/uneven_fleet.rs
@@ -381,6 +381,7 @@
             tried_targets: SmallVec::new(),
             deadline_ms: self.now_ms + wait_ms,
             prior_run_ms: 0,
+            resumes: None,
             terms: CallerTerms {
                 share_key: 0,
                 arrived_ms: self.now_ms,
--- /dev/null
+++ b/crates/samphiredoor-core/tests/software_versions/history.rs
@@ -0,0 +1,65 @@
+//! When the version of a stream follows from the targets alone.
+
+use samphiredoor_core::{
+    Name,
+    software_versions::{HISTORY_MS, VersionHistory},
+};
+
+const SERVICE: u64 = 3;
+
+fn list(history: &mut VersionHistory, now_ms: u64, versions: &[&str]) {
+    let versions: Vec<Name> = versions.iter().map(|it| Name::from(*it)).collect();
+    history.set_current(now_ms, true);
+    history.set_listed(now_ms, versions.iter().map(|it| (SERVICE, it)));
+}
+
+fn sole(history: &VersionHistory, now_ms: u64) -> Option<&str> {
+    history.sole(now_ms, SERVICE).map(|it| &**it)
+}
+
+fn only_known(history: &VersionHistory, now_ms: u64) -> Option<&str> {
+    history.only_known(now_ms, SERVICE).map(|it| &**it)
+}
+
+/// Guards against a process that has just started and takes the version that is left for that of all streams.
+#[test]
+fn a_version_is_sole_only_after_it_was_known_for_longer_than_streams_last() {
+    let mut history = VersionHistory::default();
+    list(&mut history, 1_000, &["v1", "v1"]);
+    assert_eq!(sole(&history, 1_000 + HISTORY_MS - 1), None);
+    assert_eq!(only_known(&history, 1_000), Some("v1"));
+    assert_eq!(sole(&history, 1_000 + HISTORY_MS), Some("v1"));
+}
+
+/// Guards against streams of a version whose last target has just gone.
+#[test]
+fn a_version_is_remembered_after_its_last_target_has_gone() {
+    let mut history = VersionHistory::default();
+    list(&mut history, 0, &["v1"]);
+    list(&mut history, 30_000, &["v1", "v2"]);
+    assert_eq!(sole(&history, 30_000), None);
+    list(&mut history, 40_000, &["v2"]);
+    assert_eq!(sole(&history, 40_000 + HISTORY_MS - 1), None);
+    assert_eq!(only_known(&history, 40_000 + HISTORY_MS - 1), None);
+    assert_eq!(sole(&history, 40_000 + HISTORY_MS), Some("v2"));
+}
+
+/// Guards against lists that are out of date while the store is lost.
+#[test]
+fn nothing_follows_while_changes_may_be_missed() {
+    let mut history = VersionHistory::default();
+    list(&mut history, 0, &["v1"]);
+    history.set_current(50_000, false);
+    assert_eq!(sole(&history, 50_000), None);
+    assert_eq!(only_known(&history, 50_000), Some("v1"));
+    history.set_current(60_000, true);
+    assert_eq!(sole(&history, 60_000 + HISTORY_MS - 1), None);
+    assert_eq!(sole(&history, 60_000 + HISTORY_MS), Some("v1"));
+}
+
+#[test]
+fn a_service_without_targets_has_no_version() {
+    let mut history = VersionHistory::default();
+    list(&mut history, 0, &[]);
+    assert_eq!((sole(&history, 90_000), only_known(&history, 90_000)), (None, None));
+}
--- a/crates/samphiredoor-gateway/src/discovery.rs
+++ b/crates/samphiredoor-gateway/src/discovery.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     metrics::Metrics,
-    peers::Roster,
+    peers::{Roster, StreamOrigins},
     placement::PlacementHandle,
     platform_api::{Change, Dialect, Platform},
     readiness::KnownTargets,
@@ -100,6 +100,8 @@
     pub client: TargetClient,
     /// Updated with what is known of the targets.
     pub known: Rc<RefCell<KnownTargets>>,
+    /// Remembers the software versions of targets.
+    pub stream_origins: StreamOrigins,
     /// Metrics of the process.
     pub metrics: Rc<Metrics>,
 }
@@ -159,6 +161,7 @@
         let names: HashSet<Name> = table.entries.keys().cloned().collect();
         self.client.keep_only(&names);
         self.roster.set_targets(targets.iter());
+        self.stream_origins.set_targets(&targets);
         self.placement.set_targets(targets);
         self.placement.set_cell_targets(self.roster.own_cell_targets());
     }
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -36,7 +36,7 @@
     buffers::Buffers,
     jobs::{Forwarding, Jobs, SubmittedJob, forward},
     metrics::Metrics,
-    peers::{CrashReports, RunLimits},
+    peers::{CrashReports, RunLimits, StreamOrigins},
     placement::PlacementHandle,
     platform_api::{Dialect, JobCall},
     routes::Routes,
@@ -73,6 +73,8 @@
     pub run_limits: RunLimits,
     /// Requests that crash targets.
     pub crash_reports: CrashReports,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
     /// Metrics of the process.
     pub metrics: Rc<Metrics>,
     /// Clock of the process.
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -25,10 +25,10 @@
         admission::Rejection,
         fair_share::{caller_key, workspace_key},
     },
-    placement::{AttemptEnd, CallerTerms, RequestSpec},
+    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
     quarantine,
-    routes::Route,
-    software_versions::StreamOrigin,
+    routes::{Route, RouteKind},
+    software_versions::{Found, StreamOrigin},
     verdict::{MayHaveRunReason, Refusal},
 };
 use samphiredoor_net::{Body, Call, PeerAddress};
@@ -59,6 +59,13 @@
 const MIN_TIME_TO_SEND: Duration = Duration::from_millis(30);
 /// Most times that one request is sent, in case every target refuses it.
 const MAX_SENDS: u32 = 8;
+/// A request that goes on with a stream may wait for a slot at a target of its version for this time: the work that the
+/// stream has cost would be lost, and callers bear a pause of about this length.
+const RESUMPTION_WAIT_MS: u64 = 500;
+/// `Retry-After` of a caller whose stream's version is unknown here; another gateway may know more.
+const VERSION_RETRY_MS: u64 = 120;
+/// Longest time for which the version of a stream is remembered.
+const MAX_KEEP_MS: u64 = 60_000;
 /// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
 /// output every 25 ms and a full one starts within 300 ms.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -94,6 +101,8 @@
     taken_up: Option<TakenUp>,
     /// Origin of the answer's stream, once it is known.
     origin: Option<StreamOrigin>,
+    /// Whether the stream that the caller takes up has gone on here.
+    has_begun: bool,
     /// The last 5xx answer of a target; it becomes the answer if no other target answers.
     server_error: Option<(Box<response::Parts>, Bytes)>,
     _open: OpenRequestGuard,
@@ -198,6 +207,7 @@
             fingerprint: Cell::default(),
             taken_up,
             origin: None,
+            has_begun: false,
             server_error: None,
         }
     }
@@ -240,7 +250,10 @@
 
     /// Sends the request to targets and returns the answer for the caller.
     pub async fn answer(mut self) -> Response<Body> {
-        let outcome = self.try_targets().await;
+        let outcome = match self.find_origin().await {
+            Ok(()) => self.try_targets().await,
+            Err(why) => Outcome::NoAnswer(why),
+        };
         self.front.metrics.stage(Stage::Queue, self.stages.queue);
         self.front.metrics.stage(Stage::FirstEvent, self.stages.first_event);
         match outcome {
@@ -262,6 +275,38 @@
         }
     }
 
+    /// Finds out at which version the stream was begun that the caller takes up, if it does.
+    async fn find_origin(&mut self) -> Result<(), NoAnswer> {
+        let Some(taken_up) = &self.taken_up else { return Ok(()) };
+        let service = self.service.as_deref().unwrap_or_default();
+        let origins = &self.front.stream_origins;
+        let found = match &taken_up.first_attempt {
+            Some(first) => origins.find(first, service).await,
+            // The caller does not know of versions.
+            None => match origins.only_known_version(service) {
+                Some(version) => Found::Origin(StreamOrigin::of_version(version)),
+                None => Found::Unknown,
+            },
+        };
+        match found {
+            Found::Origin(origin) => {
+                self.origin = Some(origin);
+                Ok(())
+            }
+            Found::Unknown => {
+                log::info!(
+                    request = self.id, resumes = taken_up.first_attempt.as_deref().unwrap_or_default(),
+                    after = taken_up.after;
+                    "front: version of a stream is unknown"
+                );
+                Err(NoAnswer::Refused {
+                    reason: Refusal::VersionUnknown,
+                    retry_after_ms: VERSION_RETRY_MS,
+                })
+            }
+        }
+    }
+
     fn give_up(&self, why: NoAnswer) -> Response<Body> {
         let response = match why {
             NoAnswer::Refused { reason, retry_after_ms } => {
@@ -333,7 +378,7 @@
             let decision = ticket.next_decision().await;
             self.stages.queue += queued.elapsed();
             let (target, address, origin) = match decision {
-                Decision::Dispatch { target, address, origin } => (target, address, origin),
+                Decision::Dispatch { target, address, origin, .. } => (target, address, origin),
                 Decision::Refused { reason, retry_after_ms, rejection } => {
                     if let Some(rejection) = rejection {
                         self.log_rejection(&rejection, retry_after_ms);
@@ -427,12 +472,18 @@
     /// Notes the version at which a stream begins or goes on.
     fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
         let resumed_by = match (&self.origin, &self.taken_up) {
-            (Some(_), _) => ResumedBy::Gateway,
-            (None, Some(_)) => ResumedBy::Caller,
-            (None, None) => {
+            (None, _) => {
+                self.remember_origin(&self.id, &origin);
                 self.origin = Some(origin);
                 return;
             }
+            (Some(began), Some(taken_up)) if !self.has_begun => {
+                if let Some(first) = &taken_up.first_attempt {
+                    self.remember_origin(first, began);
+                }
+                ResumedBy::Caller
+            }
+            (Some(_), _) => ResumedBy::Gateway,
         };
         let label = version_label(self.origin.as_ref(), &origin);
         self.front.metrics.stream_resumed(resumed_by.label(), label);
@@ -444,7 +495,17 @@
             after = taken_up.map_or(0, |it| it.after);
             "front: stream resumed"
         );
-        self.origin.get_or_insert(origin);
+        self.has_begun = true;
+    }
+
+    /// Lets other gateways know at which version a stream was begun, so that its caller can take it up there.
+    fn remember_origin(&self, first_attempt: &str, origin: &StreamOrigin) {
+        if !matches!(self.route.kind, RouteKind::Stream { resumable: true }) {
+            return;
+        }
+        let service = self.service.as_deref().unwrap_or_default();
+        let keep = Duration::from_millis(self.route.timeout_ms.min(MAX_KEEP_MS));
+        self.front.stream_origins.begun(first_attempt, service, origin, keep);
     }
 
     /// Notes for the rate limit whether the request may have run.
@@ -539,7 +600,11 @@
     }
 
     fn request_spec(&self) -> RequestSpec {
-        let queue_ms = self.route.objective_ms / QUEUE_WAIT_DIVISOR;
+        let resumes = self.origin.clone().map(|origin| Resumption { origin, until_ms: u64::MAX });
+        let queue_ms = match resumes {
+            Some(_) => RESUMPTION_WAIT_MS.min(self.timeouts().remaining().as_millis() as u64),
+            None => self.route.objective_ms / QUEUE_WAIT_DIVISOR,
+        };
         let now = self.front.clock.now();
         RequestSpec {
             request: self.front.placement.next_request(),
@@ -551,6 +616,7 @@
             deadline_ms: now.mono_ms + queue_ms,
             prior_run_ms: 0,
             terms: self.terms(now.mono_ms),
+            resumes,
         }
     }
 }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -292,6 +292,7 @@
             deadline_ms: self.due_at_ms,
             prior_run_ms: self.output.borrow().prior_run_ms(),
             terms: CallerTerms::default(),
+            resumes: None,
         }
     }
 
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -116,6 +116,7 @@
     stage_s: Family<StageLabel, Histogram>,
     stream_ends: Family<StreamLabel, Counter>,
     stream_resumptions: Family<ResumptionLabel, Counter>,
+    stream_records_sent: Counter,
     item_ends: ReasonCounters,
     unanswered_attempts: ReasonCounters,
     job_events: ReasonCounters,
@@ -188,6 +189,9 @@
         let stream_resumptions = Family::default();
         let help = "Streams that went on after an interruption, by the software version of the target compared to the first";
         registry.register("stream_resumptions", help, Family::clone(&stream_resumptions));
+        let stream_records_sent = Counter::default();
+        let help = "Records of the software versions of streams that were sent to other gateways";
+        registry.register("stream_records_sent", help, stream_records_sent.clone());
         let (watch_ends, store_silent_ms) = (Family::default(), Family::default());
         let help = "Ends of watches in the store, by kind of object";
         registry.register("watch_ends", help, Family::clone(&watch_ends));
@@ -222,6 +226,7 @@
             stage_s,
             stream_ends,
             stream_resumptions,
+            stream_records_sent,
             item_ends,
             unanswered_attempts,
             job_events,
@@ -323,6 +328,11 @@
         self.stream_resumptions.get_or_create(&ResumptionLabel { by, version }).inc();
     }
 
+    /// Counts records of software versions that were sent to this many gateways.
+    pub fn stream_records_sent(&self, gateways: usize) {
+        self.stream_records_sent.inc_by(gateways as u64);
+    }
+
     /// Counts the end of a run of an item.
     pub fn item_ended(&self, end: &'static str) {
         self.item_ends.count(end);
--- a/crates/samphiredoor-gateway/src/peers/datagram.rs
+++ b/crates/samphiredoor-gateway/src/peers/datagram.rs
@@ -8,6 +8,10 @@
 
 use super::{
     crash_messages::{CrashNews, read_news, read_verdict, write_news, write_verdict},
+    origin_messages::{
+        OriginAnswer, OriginQuestion, OriginRecord, read_answer, read_question, read_record,
+        write_answer, write_question, write_record,
+    },
     run_messages::{AddressedGrant, read_grant, read_report, write_grant, write_report},
     status::Status,
     summary::Summary,
@@ -31,6 +35,12 @@
     CrashReport(CrashNews),
     /// What a coordinator tells of such a request.
     CrashVerdict(CrashVerdict),
+    /// At which software version a stream was begun, for its holders.
+    StreamOrigin(OriginRecord),
+    /// Question for that.
+    OriginQuestion(OriginQuestion),
+    /// Answer of a holder.
+    OriginAnswer(OriginAnswer),
 }
 
 impl Datagram {
@@ -58,6 +68,11 @@
             Datagram::RunGrant(grant) => write_grant(grant, root.init_run_grant()),
             Datagram::CrashReport(news) => write_news(news, root.init_crash_report()),
             Datagram::CrashVerdict(verdict) => write_verdict(verdict, root.init_crash_verdict()),
+            Datagram::StreamOrigin(record) => write_record(record, root.init_stream_origin()),
+            Datagram::OriginQuestion(question) => {
+                write_question(question, root.init_origin_question())
+            }
+            Datagram::OriginAnswer(answer) => write_answer(answer, root.init_origin_answer()),
         }
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         // Writing to a vector cannot fail.
@@ -81,6 +96,9 @@
             gateway_datagram::RunGrant(grant) => Datagram::RunGrant(read_grant(grant?)),
             gateway_datagram::CrashReport(news) => Datagram::CrashReport(read_news(news?)),
             gateway_datagram::CrashVerdict(it) => Datagram::CrashVerdict(read_verdict(it?)),
+            gateway_datagram::StreamOrigin(it) => Datagram::StreamOrigin(read_record(it?)?),
+            gateway_datagram::OriginQuestion(it) => Datagram::OriginQuestion(read_question(it?)),
+            gateway_datagram::OriginAnswer(it) => Datagram::OriginAnswer(read_answer(it?)?),
         })
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -10,7 +10,7 @@
 use samphiredoor_core::Name;
 
 use super::{
-    CellStatuses, CrashReports, JobOwners, Owner, Roster, RunLimits,
+    CellStatuses, CrashReports, JobOwners, Owner, Roster, RunLimits, StreamOrigins,
     datagram::{Datagram, MAX_BYTES},
     status::Status,
     summary::Summary,
@@ -33,6 +33,8 @@
     pub run_limits: RunLimits,
     /// Gets the messages on requests that crash targets.
     pub crash_reports: CrashReports,
+    /// Gets the messages on the origins of streams.
+    pub stream_origins: StreamOrigins,
     /// Updated with the time since the store last responded to others.
     pub health: StoreHealth,
     /// Counts unreadable datagrams and live peers.
@@ -65,6 +67,9 @@
             Ok(Datagram::RunGrant(grant)) => self.run_limits.granted(grant),
             Ok(Datagram::CrashReport(news)) => self.crash_reports.reported(news),
             Ok(Datagram::CrashVerdict(verdict)) => self.crash_reports.told(verdict),
+            Ok(Datagram::StreamOrigin(record)) => self.stream_origins.recorded(record),
+            Ok(Datagram::OriginQuestion(question)) => self.stream_origins.asked(question, from),
+            Ok(Datagram::OriginAnswer(answer)) => self.stream_origins.answered(answer),
             Err(err) => {
                 self.metrics.invalid_entry("datagram");
                 log::warn!(problem:% = err; "peers: unreadable datagram ignored");
--- a/crates/samphiredoor-gateway/src/peers/roster/choices.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/choices.rs
@@ -45,6 +45,13 @@
         candidates.choose(&mut rand::rng()).map(|it| it.address)
     }
 
+    /// Hashes of the names of all registered gateways, live or not, and of this one.
+    pub fn registered_keys(&self) -> impl Iterator<Item = u64> {
+        let names = self.names.borrow();
+        let others: Vec<u64> = names.keys().copied().collect();
+        others.into_iter().chain([name_hash(&self.local.name)])
+    }
+
     /// Coordinators of a workspace's rate limit; none while this process reaches less than half of the expected gateways,
     /// as the others coordinate without it then.
     pub fn coordinators(&self, workspace: u64) -> Coordinators {
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -0,0 +1,355 @@
+//! The task that remembers at which software version streams were begun, and the handle by which requests use it.
+//!
+//! It records the streams that this process begins, sends the records to their holders, holds those of other gateways, and
+//! asks the holders of a stream that a caller takes up here.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::net::UdpSocket;
+use samphiredoor_core::{
+    Name,
+    placement::{TargetEntry, name_hash},
+    software_versions::{
+        Answer, Found, HOLDERS, Lookup, OriginRecords, Record, StreamOrigin, VersionHistory,
+        holders,
+    },
+};
+use samphiredoor_net::{clock::Clock, pool::within};
+
+use super::{
+    LocalGateway, Roster,
+    datagram::Datagram,
+    listener::send_to_all,
+    origin_messages::{OriginAnswer, OriginQuestion, OriginRecord},
+};
+use crate::{metrics::Metrics, store_health::StoreHealth};
+
+/// Time after which holders that have not answered are asked again. A round trip between regions takes 24 ms.
+const ASK_AGAIN_MS: u64 = 40;
+/// Time after which a lookup ends without further answers.
+const LOOKUP_TIMEOUT_MS: u64 = 120;
+/// Wait while no lookup is due; any message ends it.
+const FOREVER: Duration = Duration::from_secs(3_600);
+
+enum Message {
+    Begun { stream: u64, record: Record },
+    Find { stream: u64, service: u64, reply: flume::Sender<Found> },
+    Listed(Vec<TargetEntry>),
+    Record(OriginRecord),
+    Question(OriginQuestion, SocketAddr),
+    Answer(OriginAnswer),
+}
+
+/// Handle to the task.
+#[derive(Clone)]
+pub struct StreamOrigins {
+    messages: flume::Sender<Message>,
+    history: Rc<RefCell<VersionHistory>>,
+    clock: Clock,
+}
+
+/// Configuration of the task.
+pub struct StreamOriginsTask {
+    /// Identity of this process.
+    pub local: LocalGateway,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Socket that messages are sent from.
+    pub socket: Rc<UdpSocket>,
+    /// Other gateways, of which holders are chosen.
+    pub roster: Roster,
+    /// Whether the store answers, without which changes of the targets are missed.
+    pub health: StoreHealth,
+    /// Metrics of the process.
+    pub metrics: Rc<Metrics>,
+}
+
+impl StreamOrigins {
+    /// Spawns the task on the runtime of the calling thread.
+    pub fn start(task: StreamOriginsTask) -> StreamOrigins {
+        let (messages, inbox) = flume::unbounded();
+        let history = Rc::<RefCell<VersionHistory>>::default();
+        let handle = StreamOrigins { messages, history: Rc::clone(&history), clock: task.clock };
+        let running = Running {
+            own_key: name_hash(&task.local.name),
+            task,
+            history,
+            records: OriginRecords::default(),
+            lookups: HashMap::new(),
+            targets: BTreeMap::new(),
+            is_listed: false,
+        };
+        compio::runtime::spawn(running.run(inbox)).detach();
+        handle
+    }
+
+    /// Records that this process begins a stream, or goes on with it: `first_attempt` is the id of the caller's attempt that
+    /// brings or brought its first event, which the caller may take up within `keep`.
+    pub fn begun(&self, first_attempt: &str, service: &str, origin: &StreamOrigin, keep: Duration) {
+        let until_ms = self.clock.now().mono_ms + keep.as_millis() as u64;
+        let origin = Some(origin.clone());
+        let record = Record { service: name_hash(service), origin, until_ms, is_unsent: true };
+        self.send(Message::Begun { stream: name_hash(first_attempt), record });
+    }
+
+    /// Finds out at which version a stream was begun.
+    pub async fn find(&self, first_attempt: &str, service: &str) -> Found {
+        let (reply, found) = flume::bounded(1);
+        let (stream, service) = (name_hash(first_attempt), name_hash(service));
+        self.send(Message::Find { stream, service, reply });
+        // The task runs until the process ends, and answers each lookup.
+        found.recv_async().await.unwrap_or(Found::Unknown)
+    }
+
+    /// The only version that targets of a service have, as far as is known.
+    pub fn only_known_version(&self, service: &str) -> Option<Name> {
+        let history = self.history.borrow();
+        history.only_known(self.clock.now().mono_ms, name_hash(service)).cloned()
+    }
+
+    /// Takes over the list of all targets.
+    pub fn set_targets(&self, targets: &[TargetEntry]) {
+        self.send(Message::Listed(targets.to_vec()));
+    }
+
+    /// Passes on the record of another gateway.
+    pub(super) fn recorded(&self, record: OriginRecord) {
+        self.send(Message::Record(record));
+    }
+
+    /// Passes on the question of another gateway.
+    pub(super) fn asked(&self, question: OriginQuestion, from: SocketAddr) {
+        self.send(Message::Question(question, from));
+    }
+
+    /// Passes on the answer of a holder.
+    pub(super) fn answered(&self, answer: OriginAnswer) {
+        self.send(Message::Answer(answer));
+    }
+
+    // The task runs until the process ends, so the channel is never closed.
+    fn send(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+}
+
+/// A lookup that waits for answers.
+struct WaitingLookup {
+    lookup: Lookup,
+    service: u64,
+    replies: Vec<flume::Sender<Found>>,
+    ask_again_ms: Option<u64>,
+    ends_ms: u64,
+}
+
+struct Running {
+    task: StreamOriginsTask,
+    own_key: u64,
+    history: Rc<RefCell<VersionHistory>>,
+    records: OriginRecords,
+    lookups: HashMap<u64, WaitingLookup>,
+    /// Start time and version of each listed target.
+    targets: BTreeMap<u64, StreamOrigin>,
+    is_listed: bool,
+}
+
+impl Running {
+    async fn run(mut self, inbox: flume::Receiver<Message>) {
+        loop {
+            match within(self.time_to_tick(), inbox.recv_async()).await {
+                Some(Ok(message)) => self.handle(message).await,
+                Some(Err(_)) => return,
+                None => {}
+            }
+            self.tick().await;
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.task.clock.now().mono_ms
+    }
+
+    async fn handle(&mut self, message: Message) {
+        match message {
+            Message::Begun { stream, record } => self.begun(stream, record).await,
+            Message::Find { stream, service, reply } => self.find(stream, service, reply).await,
+            Message::Listed(targets) => self.set_targets(&targets).await,
+            Message::Record(record) => self.hold(record),
+            Message::Question(question, from) => {
+                let answer = self.own_answer(question.stream, question.service);
+                let answer = OriginAnswer { stream: question.stream, holder: self.own_key, answer };
+                let bytes = Datagram::OriginAnswer(answer).encode();
+                send_to_all(&self.task.socket, bytes, vec![from]).await;
+            }
+            Message::Answer(OriginAnswer { stream, holder, answer }) => {
+                let Some(waiting) = self.lookups.get_mut(&stream) else { return };
+                if let Some(found) = waiting.lookup.answered(holder, answer) {
+                    self.end_lookup(stream, found);
+                }
+            }
+        }
+    }
+
+    /// Whether each stream of a service is of a version that follows without a record.
+    fn is_sole(&self, service: u64) -> bool {
+        self.sole(service).is_some()
+    }
+
+    fn sole(&self, service: u64) -> Option<Name> {
+        let (now_ms, is_current) = (self.now_ms(), self.is_listed && !self.task.health.is_lost());
+        let mut history = self.history.borrow_mut();
+        history.set_current(now_ms, is_current);
+        history.sole(now_ms, service).cloned()
+    }
+
+    async fn begun(&mut self, stream: u64, mut record: Record) {
+        record.is_unsent = self.is_sole(record.service);
+        let (now_ms, is_unsent) = (self.now_ms(), record.is_unsent);
+        self.records.insert(now_ms, stream, record.clone());
+        if !is_unsent {
+            self.send_record(stream, &record).await;
+        }
+    }
+
+    /// Sends a record to its holders.
+    async fn send_record(&self, stream: u64, record: &Record) {
+        let Some(origin) = record.origin.clone() else { return };
+        let keep_ms = record.until_ms.saturating_sub(self.now_ms()) as u32;
+        let message = OriginRecord { stream, service: record.service, origin, keep_ms };
+        let addresses = self.holder_addresses(stream, HOLDERS);
+        self.task.metrics.stream_records_sent(addresses.len());
+        let bytes = Datagram::StreamOrigin(message).encode();
+        send_to_all(&self.task.socket, bytes, addresses.into_iter().map(|(_, it)| it).collect())
+            .await;
+    }
+
+    /// The first other holders of a stream, with their addresses.
+    fn holder_addresses(&self, stream: u64, count: usize) -> Vec<(u64, SocketAddr)> {
+        let all = holders(stream, self.task.roster.registered_keys());
+        let others = all.into_iter().filter(|it| *it != self.own_key).take(count);
+        let roster = &self.task.roster;
+        others.filter_map(|it| Some((it, roster.address_of_hash(it)?))).collect()
+    }
+
+    /// Adds the record of another gateway.
+    fn hold(&mut self, record: OriginRecord) {
+        let OriginRecord { stream, service, origin, keep_ms } = record;
+        let now_ms = self.now_ms();
+        let until_ms = now_ms + u64::from(keep_ms);
+        let origin = Some(origin).filter(|it| !self.is_ambiguous(it));
+        self.records.insert(now_ms, stream, Record { service, origin, until_ms, is_unsent: false });
+    }
+
+    /// Whether the target of an origin is listed here with another start and version.
+    fn is_ambiguous(&self, origin: &StreamOrigin) -> bool {
+        self.targets.get(&origin.target).is_some_and(|it| origin.is_ambiguous_after(it))
+    }
+
+    /// What this process knows of a stream.
+    fn own_answer(&self, stream: u64, service: u64) -> Answer {
+        match self.records.get(self.now_ms(), stream) {
+            Some(Record { origin: Some(origin), .. }) if !self.is_ambiguous(origin) => {
+                Answer::Recorded(origin.clone())
+            }
+            Some(_) => Answer::Ambiguous,
+            None => Answer::NoRecord(self.sole(service)),
+        }
+    }
+
+    async fn find(&mut self, stream: u64, service: u64, reply: flume::Sender<Found>) {
+        if let Some(waiting) = self.lookups.get_mut(&stream) {
+            waiting.replies.push(reply);
+            return;
+        }
+        let asked = self.holder_addresses(stream, HOLDERS + 1);
+        let own = self.own_answer(stream, service);
+        match Lookup::new(asked.iter().map(|(key, _)| *key).collect(), own) {
+            Err(found) => _ = reply.send(found),
+            Ok(lookup) => {
+                let now_ms = self.now_ms();
+                let waiting = WaitingLookup {
+                    lookup,
+                    service,
+                    replies: vec![reply],
+                    ask_again_ms: Some(now_ms + ASK_AGAIN_MS),
+                    ends_ms: now_ms + LOOKUP_TIMEOUT_MS,
+                };
+                self.lookups.insert(stream, waiting);
+                self.ask(stream, service, asked.into_iter().map(|(_, it)| it).collect()).await;
+            }
+        }
+    }
+
+    async fn ask(&self, stream: u64, service: u64, addresses: Vec<SocketAddr>) {
+        let bytes = Datagram::OriginQuestion(OriginQuestion { stream, service }).encode();
+        send_to_all(&self.task.socket, bytes, addresses).await;
+    }
+
+    fn end_lookup(&mut self, stream: u64, found: Found) {
+        let Some(waiting) = self.lookups.remove(&stream) else { return };
+        for reply in waiting.replies {
+            // Fails if the caller has left.
+            let _ = reply.send(found.clone());
+        }
+    }
+
+    fn time_to_tick(&self) -> Duration {
+        let due = self.lookups.values().map(|it| it.ask_again_ms.unwrap_or(it.ends_ms)).min();
+        due.map_or(FOREVER, |it| Duration::from_millis(it.saturating_sub(self.now_ms())))
+    }
+
+    /// Asks holders again that have not answered, and ends lookups whose time is over.
+    async fn tick(&mut self) {
+        let now_ms = self.now_ms();
+        let mut ended = Vec::new();
+        let mut asked_again = Vec::new();
+        for (stream, waiting) in &mut self.lookups {
+            if now_ms >= waiting.ends_ms {
+                ended.push((*stream, waiting.lookup.conclude()));
+            } else if waiting.ask_again_ms.take_if(|it| now_ms >= *it).is_some() {
+                asked_again.push((*stream, waiting.service, waiting.lookup.waiting().to_vec()));
+            }
+        }
+        for (stream, found) in ended {
+            self.end_lookup(stream, found);
+        }
+        for (stream, service, holders) in asked_again {
+            let roster = &self.task.roster;
+            let addresses = holders.iter().filter_map(|it| roster.address_of_hash(*it)).collect();
+            self.ask(stream, service, addresses).await;
+        }
+    }
+
+    /// Takes over the list of all targets. Records of streams that were begun while there was one version are sent once
+    /// there are several.
+    async fn set_targets(&mut self, targets: &[TargetEntry]) {
+        let now_ms = self.now_ms();
+        self.is_listed = true;
+        let listed = targets.iter().map(|it| (name_hash(&it.service), &it.software_version));
+        self.history.borrow_mut().set_listed(now_ms, listed);
+        let origins: Vec<StreamOrigin> = targets.iter().map(TargetEntry::stream_origin).collect();
+        let restarted: Vec<StreamOrigin> = origins
+            .iter()
+            .filter(|it| self.targets.get(&it.target).is_some_and(|known| known != *it))
+            .cloned()
+            .collect();
+        if !restarted.is_empty() {
+            self.records.mark_ambiguous(&restarted);
+        }
+        self.targets = origins.into_iter().map(|it| (it.target, it)).collect();
+        let mixed: Vec<u64> = {
+            let services = targets.iter().map(|it| name_hash(&it.service));
+            let services: std::collections::BTreeSet<u64> = services.collect();
+            services.into_iter().filter(|it| !self.is_sole(*it)).collect()
+        };
+        for (stream, record) in self.records.take_unsent(now_ms, |it| mixed.contains(&it.service)) {
+            self.send_record(stream, &record).await;
+        }
+    }
+}
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -51,6 +51,8 @@
         address: SocketAddr,
         /// Origin of a stream that begins with this attempt.
         origin: StreamOrigin,
+        /// Whether the request goes on with its stream; `false` if it begins one, or begins it anew.
+        goes_on: bool,
     },
     /// The request gets no target.
     Refused {
@@ -325,8 +327,8 @@
 
     fn send_decision(&mut self, action: Action, rejections: &[(RequestId, Rejection)]) {
         let (request, decision) = match action {
-            Action::Dispatch { request, target, address, origin } => {
-                (request, Decision::Dispatch { target, address, origin })
+            Action::Dispatch { request, target, address, origin, goes_on } => {
+                (request, Decision::Dispatch { target, address, origin, goes_on })
             }
             Action::Preempt { request } => (request, Decision::Preempted),
             Action::Refuse { request, reason, retry_after_ms } => {
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -25,8 +25,8 @@
     mirror::Mirrors,
     peers::{
         self, CellStatuses, CrashReports, CrashReportsTask, JobOwners, LocalGateway, Roster,
-        RunLimits, RunLimitsTask, StatusSender, SummarySender, WatchRelay,
-        routes_relay::RoutesRelay,
+        RunLimits, RunLimitsTask, StatusSender, StreamOrigins, StreamOriginsTask, SummarySender,
+        WatchRelay, routes_relay::RoutesRelay,
     },
     placement::{PlacementHandle, PlacementTask},
     platform_api::{Dialect, Platform},
@@ -213,12 +213,21 @@
         peer_routes,
     );
     compio::runtime::spawn(fetch_routes).detach();
+    let stream_origins = StreamOrigins::start(StreamOriginsTask {
+        local: local.clone(),
+        clock,
+        socket: Rc::clone(&socket),
+        roster: roster.clone(),
+        health: health.clone(),
+        metrics: Rc::clone(&metrics),
+    });
     let targets_task = TargetsTask {
         platform: platform.clone(),
         placement: placement.clone(),
         roster: roster.clone(),
         client: client.clone(),
         known: Rc::clone(&known_targets),
+        stream_origins: stream_origins.clone(),
         metrics: Rc::clone(&metrics),
     };
     let targets_watcher = new_watcher(Kind::Targets, common.targets_within, &seen_versions.targets)
@@ -262,6 +271,7 @@
         owners: owners.clone(),
         run_limits: run_limits.clone(),
         crash_reports: crash_reports.clone(),
+        stream_origins: stream_origins.clone(),
         health: health.clone(),
         metrics: Rc::clone(&metrics),
     };
@@ -312,6 +322,7 @@
         jobs: jobs.clone(),
         run_limits,
         crash_reports,
+        stream_origins,
         metrics: Rc::clone(&metrics),
         clock,
         open_requests: Rc::default(),
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -111,6 +111,48 @@
     runGrant @3 :RunGrant;
     crashReport @4 :CrashReport;
     crashVerdict @5 :CrashVerdict;
+    streamOrigin @6 :StreamOrigin;
+    originQuestion @7 :OriginQuestion;
+    originAnswer @8 :OriginAnswer;
+  }
+}
+
+struct StreamOrigin {
+  # At which software version a stream was begun; for the holders of its record.
+
+  stream @0 :UInt64;
+  # Hash of the request id of the caller's attempt that brought its first event.
+  service @1 :UInt64;
+  # Hash of the service's name.
+  version @2 :Text;
+  target @3 :UInt64;
+  # Hash of the target's name.
+  targetStartedUnixMs @4 :UInt64;
+  keepMs @5 :UInt32;
+  # How long its caller may take it up.
+}
+
+struct OriginQuestion {
+  # Asks a holder at which software version a stream was begun.
+
+  stream @0 :UInt64;
+  service @1 :UInt64;
+}
+
+struct OriginAnswer {
+  # What a gateway knows of a stream.
+
+  stream @0 :UInt64;
+  holder @1 :UInt64;
+  # Hash of the gateway's name.
+  union {
+    noRecord @2 :Void;
+    # It has no record of it.
+    soleVersion @3 :Text;
+    # It has no record of it, and all targets of the service have been of this version for longer than a stream lasts.
+    ambiguous @4 :Void;
+    # It is uncertain which version has begun it.
+    recorded @5 :StreamOrigin;
   }
 }
 
--- a/crates/samphiredoor-standin/src/batch_rates/fleet.rs
+++ b/crates/samphiredoor-standin/src/batch_rates/fleet.rs
@@ -347,6 +347,7 @@
             tried_targets: SmallVec::new(),
             deadline_ms,
             prior_run_ms: self.done_ms,
+            resumes: None,
             terms: CallerTerms {
                 arrived_ms: self.arrived_ms,
                 objective_ms: OBJECTIVE_MS,
--- a/crates/samphiredoor-standin/src/emulate/simulation/requests.rs
+++ b/crates/samphiredoor-standin/src/emulate/simulation/requests.rs
@@ -153,6 +153,7 @@
             tried_targets: state.tried_targets.clone(),
             deadline_ms: self.deadline_or_order(request),
             prior_run_ms: state.prior_run_us / 1_000,
+            resumes: None,
             terms: CallerTerms::default(),
         }
     }
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -193,11 +193,12 @@
         }
     }
 
-    /// Counts the answer to a request that takes up a stream, if its gateway was in touch since it was sent.
-    pub fn count_take_up(&mut self, gateway: usize, sent_at: Instant, reply: &Reply) {
-        if self.is_in_touch(gateway, sent_at) {
-            self.versions.count_take_up(reply.status == 200);
-        }
+    /// Counts the answer to a request that takes up a stream; returns whether its gateway was in touch since it was sent.
+    pub fn count_take_up(&mut self, gateway: usize, sent_at: Instant, reply: &Reply) -> bool {
+        let is_in_touch = self.is_in_touch(gateway, sent_at)
+            && self.versions.has_run_for(sent_at, IN_TOUCH_AFTER);
+        self.versions.count_take_up(is_in_touch, reply.status == 200);
+        is_in_touch
     }
 
     /// First violation, if any.
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -53,6 +53,8 @@
 const BATCH_CLIENTS: usize = 4;
 /// Clients whose requests come together, as many as the targets have slots.
 const SURGE_CLIENTS: usize = 24;
+/// Clients that only send streams that may be resumed, with two software versions: kills and breaks have to interrupt many.
+const STREAM_CLIENTS: usize = 16;
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the last fault for which clients continue.
@@ -195,6 +197,7 @@
     shared.flush();
     anyhow::ensure!(!trace::is_interrupted(), "ended by a signal");
     let violation = shared.checks().violation().cloned();
+    injector.platform.write_logs(&folder)?;
     match &violation {
         None => {
             let (counts, take_ups) = {
@@ -205,7 +208,6 @@
         }
         Some(violation) => {
             let lines = injector.platform.log_lines_with(&violation.id);
-            injector.platform.write_logs(&folder)?;
             report::print_violation(seed, violation, &lines, &folder);
         }
     }
@@ -251,6 +253,12 @@
             let client = client(offset + number, format!("s{number}"));
             scope.spawn(move || client.send_surges());
         }
+        let stream_clients = if options.releases { STREAM_CLIENTS } else { 0 };
+        for number in 0..stream_clients {
+            let offset = ONLINE_CLIENTS + BATCH_CLIENTS + gateways + surge_clients;
+            let client = client(offset + number, format!("v{number}")).with_streams_only();
+            scope.spawn(move || client.send_requests());
+        }
         inject_faults(shared, injector, plan);
         injector.end_starvation();
         let final_checks = FinalChecks::new(shared, gateways);
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -78,8 +78,8 @@
         "seed {seed}: kept, faults={faults} served={served} refused={refused} doubtful={doubtful} \
          results={results} reads={reads} short_pages={short_pages} stale_reads={stale_reads} \
          ended={ended} runs={runs} excused_repeats={excused_repeats} most_repeats={most_repeats:?} \
-         late_deadlines={late_deadlines} taken_up={} went_on={}",
-        take_ups.sent, take_ups.went_on
+         late_deadlines={late_deadlines} taken_up={} went_on={} in_touch={}/{}",
+        take_ups.sent, take_ups.went_on, take_ups.went_on_in_touch, take_ups.sent_in_touch
     );
 }
 
--- a/crates/samphiredoor-standin/src/soak/versions.rs
+++ b/crates/samphiredoor-standin/src/soak/versions.rs
@@ -3,7 +3,10 @@
 //! The data of an event names the version that wrote it. A stream, and the text of an item, must be by one version, also
 //! if a caller takes the stream up with another request.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use super::connection::Reply;
 use crate::fleet::{stream_after, whole_text};
@@ -20,13 +23,17 @@
     pub after: u64,
 }
 
-/// What became of streams that callers took up at gateways in touch.
+/// What became of streams that callers took up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct TakeUps {
     /// Streams that were taken up.
     pub sent: u64,
     /// Those that went on.
     pub went_on: u64,
+    /// Streams that were taken up at gateways in touch.
+    pub sent_in_touch: u64,
+    /// Those of them that went on.
+    pub went_on_in_touch: u64,
 }
 
 /// Versions of all targets, and the streams that callers have begun and taken up.
@@ -38,6 +45,8 @@
     /// Version of the first event of each stream, by the id of the attempt that brought it.
     begun: HashMap<String, &'static str>,
     taken_up: HashMap<String, TakeUp>,
+    /// When the first stream began.
+    first_begun_at: Option<Instant>,
     counts: TakeUps,
 }
 
@@ -48,6 +57,7 @@
             event_bytes: 0,
             begun: HashMap::new(),
             taken_up: HashMap::new(),
+            first_begun_at: None,
             counts: TakeUps::default(),
         }
     }
@@ -69,6 +79,11 @@
         self.taken_up.insert(id.to_owned(), take_up);
     }
 
+    /// Whether the first stream began this long before a moment; until then gateways may not know each other.
+    pub fn has_run_for(&self, at: Instant, time: Duration) -> bool {
+        self.first_begun_at.is_some_and(|it| at.saturating_duration_since(it) >= time)
+    }
+
     /// What became of streams that were taken up.
     pub fn counts(&self) -> TakeUps {
         self.counts
@@ -79,10 +94,12 @@
         self.taken_up.contains_key(id)
     }
 
-    /// Counts a stream that was taken up at a gateway in touch.
-    pub fn count_take_up(&mut self, went_on: bool) {
+    /// Counts a stream that was taken up.
+    pub fn count_take_up(&mut self, is_in_touch: bool, went_on: bool) {
         self.counts.sent += 1;
         self.counts.went_on += u64::from(went_on);
+        self.counts.sent_in_touch += u64::from(is_in_touch);
+        self.counts.went_on_in_touch += u64::from(is_in_touch && went_on);
     }
 
     /// Whether the body of a success is that of one version, from the event on that the request asked for; notes the version
@@ -102,6 +119,7 @@
         let fitting: Vec<&'static str> = self.versions.iter().filter(fits).copied().collect();
         if let (None, [version]) = (take_up, &fitting[..]) {
             self.begun.insert(id.to_owned(), version);
+            self.first_begun_at.get_or_insert_with(Instant::now);
         }
         match began_at {
             Some(version) => fitting.contains(&version),
@@ -116,7 +134,7 @@
 
     /// What is wrong with the share of streams that went on: under half of the share of requests that were served.
     pub fn take_up_problem(&self, served: u64, not_served: u64) -> Option<String> {
-        let TakeUps { sent, went_on } = self.counts;
+        let TakeUps { sent_in_touch: sent, went_on_in_touch: went_on, .. } = self.counts;
         let served_share = served as f64 / (served + not_served).max(1) as f64;
         let share = went_on as f64 / sent.max(1) as f64;
         let is_too_low = sent >= MIN_JUDGED && share < served_share / 2.0;
--- a/crates/samphiredoor/src/answers.rs
+++ b/crates/samphiredoor/src/answers.rs
@@ -112,7 +112,9 @@
         | Refusal::StoreUnavailable
         | Refusal::Stopping
         | Refusal::NotReady
-        | Refusal::JobTooLate => StatusCode::SERVICE_UNAVAILABLE,
+        | Refusal::JobTooLate
+        | Refusal::VersionUnknown
+        | Refusal::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -135,6 +137,8 @@
         Refusal::Stopping => "this process is stopping; send the request again",
         Refusal::NotReady => "this process has no configuration yet",
         Refusal::JobTooLate => "the job could not be done by its due time",
+        Refusal::VersionUnknown => "it is not known which software version began the stream",
+        Refusal::VersionGone => "no target is left of the software version that began the stream",
     }
 }
 
--- a/crates/samphiredoor/src/item_run.rs
+++ b/crates/samphiredoor/src/item_run.rs
@@ -148,7 +148,9 @@
         | Refusal::StoreUnavailable
         | Refusal::Stopping
         | Refusal::NotReady
-        | Refusal::JobTooLate => false,
+        | Refusal::JobTooLate
+        | Refusal::VersionUnknown
+        | Refusal::VersionGone => false,
     }
 }
 
