Items: a text is by one software version

The saved output carries its version, and only a part of the same one continues it; a first part of another one replaces it, as its item was begun anew. An item that goes on gets a target of its version; if there is none, or none has a free slot for about as long as the work would take again (a second at least), it begins anew at any. Outputs that earlier builds saved name no version, and begin anew.

--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -12,6 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Name;
+
 /// Maximum bytes of partial outputs in one segment, in addition to its results.
 pub(super) const OUTPUT_BYTES: usize = 250_000;
 
@@ -27,6 +29,9 @@
     pub last: u64,
     /// Bytes that these events add to the item's text.
     pub text: String,
+    /// Software version that wrote the item's text; `None` in parts of builds that did not know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Name>,
 }
 
 /// Saved output of an unfinished item.
@@ -36,6 +41,8 @@
     pub last: u64,
     /// Data of all events up to the last, separated by line feeds.
     pub text: String,
+    /// Software version that wrote it, if that is known.
+    pub version: Option<Name>,
 }
 
 /// Partial outputs that were read from a log, by item.
@@ -45,20 +52,23 @@
 }
 
 impl PartialOutputs {
-    /// Adds a part that continues the known output; a first part that reaches further replaces it, others are ignored.
+    /// Adds a part that continues the known output. A first part that reaches further replaces it, or one of another version:
+    /// the item was begun anew. Others are ignored.
     pub fn add(&mut self, part: &OutputPart) {
-        let (item, last, text) = (part.item, part.last, &part.text);
-        match (self.by_item.get_mut(&item), part.after) {
-            (Some(known), Some(after)) if known.last == after => {
-                known.text.push_str(text);
-                known.last = last;
-            }
-            (Some(known), None) if known.last < last => {
-                *known = PartialOutput { last, text: text.clone() };
+        let first = || PartialOutput {
+            last: part.last,
+            text: part.text.clone(),
+            version: part.version.clone(),
+        };
+        match (self.by_item.get_mut(&part.item), part.after) {
+            (Some(known), Some(after)) if known.last == after && known.version == part.version => {
+                known.text.push_str(&part.text);
+                known.last = part.last;
             }
-            (None, None) => {
-                self.by_item.insert(item, PartialOutput { last, text: text.clone() });
+            (Some(known), None) if known.last < part.last || known.version != part.version => {
+                *known = first();
             }
+            (None, None) => _ = self.by_item.insert(part.item, first()),
             _ => {}
         }
     }
--- a/crates/samphiredoor-core/tests/ordered/failures.rs
+++ b/crates/samphiredoor-core/tests/ordered/failures.rs
@@ -172,7 +172,8 @@
 fn a_segment_without_failures_is_read() {
     let mut store = Store::default();
     let mut owner = owner_with_failures(&mut store, 1, 0);
-    owner.log.push_output(OutputPart { item: 1, after: None, last: 1, text: "text".to_owned() });
+    let text = "text".to_owned();
+    owner.log.push_output(OutputPart { item: 1, after: None, last: 1, text, version: None });
     store.call(&mut owner.log, &mut owner.step, CallOutcome::Answered);
     let written = store.texts();
     assert!(written.iter().all(|it| !it.contains("failures")), "{written:?}");
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -20,12 +20,15 @@
 const SEED: [u8; 32] = *b"samphiredoor-ordered-log-writers";
 const WRITERS: usize = 3;
 const ITEMS: u32 = 12;
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 #[derive(Debug, Clone)]
 enum Step {
     Push(usize, u32),
     /// The item emits one more event, which is pushed to the log.
     Output(usize, u32),
+    /// The item is begun anew at a version.
+    BeginAnew(usize, u32, usize),
     Call(usize, CallOutcome),
     ApplyDelayed,
     Reread(usize),
@@ -38,8 +41,8 @@
     step: LogStep,
     /// Committed results at the last check.
     seen: Vec<ItemResult>,
-    /// Last event of each item that this writer runs; `None` before the log is read.
-    events: Option<BTreeMap<u32, u64>>,
+    /// Last event of each item that this writer runs, and the version that runs it; `None` before the log is read.
+    events: Option<BTreeMap<u32, (u64, usize)>>,
 }
 
 impl Writer {
@@ -56,10 +59,21 @@
         }
         let log = &mut self.log;
         let events = self.events.get_or_insert_with(|| last_saved_events(log));
-        let after = events.get(&item).copied();
-        let last = after.unwrap_or(0) + 1;
-        events.insert(item, last);
-        log.push_output(OutputPart { item, after, last, text: event(last) });
+        let (last, version) = events.get(&item).copied().unwrap_or_default();
+        let after = Some(last).filter(|it| *it > 0);
+        events.insert(item, (last + 1, version));
+        let text = event(version, last + 1);
+        let version = Some(VERSIONS[version].into());
+        log.push_output(OutputPart { item, after, last: last + 1, text, version });
+    }
+
+    /// Begins an item anew at a version.
+    fn begin_anew(&mut self, item: u32, version: usize) {
+        if self.log.is_caught_up() {
+            let log = &mut self.log;
+            let events = self.events.get_or_insert_with(|| last_saved_events(log));
+            events.insert(item, (0, version));
+        }
     }
 
     /// Checks that earlier reads are a prefix of the committed results.
@@ -70,15 +84,19 @@
     }
 }
 
-fn event(number: u64) -> String {
-    format!("<{number}>")
+fn event(version: usize, number: u64) -> String {
+    format!("<{}-{number}>", VERSIONS[version])
 }
 
-/// Last event of each partial output that a log has read; checks that the output is complete up to it.
-fn last_saved_events(log: &mut ResultLog) -> BTreeMap<u32, u64> {
-    let last = |(item, PartialOutput { last, text })| {
-        assert_eq!(text, (1..=last).map(event).collect::<String>(), "item {item}");
-        (item, last)
+/// Last event of each partial output that a log has read, and its version; checks that the output is complete up to it, and
+/// by one version.
+fn last_saved_events(log: &mut ResultLog) -> BTreeMap<u32, (u64, usize)> {
+    let last = |(item, PartialOutput { last, text, version })| {
+        let version = VERSIONS.iter().position(|it| version.as_deref() == Some(it));
+        let version = version.expect("a version that was written");
+        let whole: String = (1..=last).map(|it| event(version, it)).collect();
+        assert_eq!(text, whole, "item {item}");
+        (item, (last, version))
     };
     log.take_saved_outputs().into_iter().map(last).collect()
 }
@@ -96,6 +114,8 @@
     prop_oneof![
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Push(writer, item)),
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Output(writer, item)),
+        1 => (0..WRITERS, 0..ITEMS, 0..VERSIONS.len())
+            .prop_map(|(writer, item, version)| Step::BeginAnew(writer, item, version)),
         8 => (0..WRITERS, call_outcome()).prop_map(|(writer, outcome)| Step::Call(writer, outcome)),
         2 => Just(Step::ApplyDelayed),
         1 => (0..WRITERS).prop_map(Step::Reread),
@@ -114,6 +134,7 @@
         match step {
             Step::Push(writer, item) => writers[writer].log.push(result(writer, item)),
             Step::Output(writer, item) => writers[writer].emit_event(item),
+            Step::BeginAnew(writer, item, version) => writers[writer].begin_anew(item, version),
             Step::Call(writer, outcome) => call(&mut store, &mut writers[writer], outcome),
             Step::ApplyDelayed => {
                 if let Some(op) = store.delayed.pop() {
@@ -202,5 +223,30 @@
     while !next.log.is_caught_up() {
         call(&mut store, &mut next, CallOutcome::Answered);
     }
-    assert_eq!(last_saved_events(&mut next.log), BTreeMap::from([(7, 5)]));
+    assert_eq!(last_saved_events(&mut next.log), BTreeMap::from([(7, (5, 0))]));
+}
+
+// An owner begins an item anew at another version, and a former one still appends what the first version writes. Guards
+// against a saved text of two versions.
+#[test]
+fn parts_of_another_version_do_not_continue_a_text() {
+    let mut store = Store::default();
+    let (mut former, mut owner) = (Writer::new(), Writer::new());
+    for writer in [&mut former, &mut owner] {
+        call(&mut store, writer, CallOutcome::Answered);
+    }
+    let append = |store: &mut Store, writer: &mut Writer, events: u64| {
+        (0..events).for_each(|_| writer.emit_event(7));
+        (0..4).for_each(|_| call(store, writer, CallOutcome::Answered));
+    };
+    append(&mut store, &mut former, 2);
+    owner.begin_anew(7, 1);
+    append(&mut store, &mut owner, 2);
+    append(&mut store, &mut former, 1);
+    append(&mut store, &mut owner, 1);
+    let mut next = Writer::new();
+    while !next.log.is_caught_up() {
+        call(&mut store, &mut next, CallOutcome::Answered);
+    }
+    assert_eq!(last_saved_events(&mut next.log), BTreeMap::from([(7, (3, 1))]));
 }
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -2,7 +2,11 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use samphiredoor_core::ordered::{ItemEnd, OutputPart, PartialOutput};
+use samphiredoor_core::{
+    Name,
+    ordered::{ItemEnd, OutputPart, PartialOutput},
+    software_versions::StreamOrigin,
+};
 
 use crate::{
     buffers::{Buffers, HeldOutput},
@@ -15,6 +19,8 @@
     text: Vec<u8>,
     has_data: bool,
     last_event: Option<u64>,
+    /// Run that began the text; `None` before its first event.
+    origin: Option<StreamOrigin>,
     /// Length of the text that was passed to the job's log to be saved.
     saved_bytes: usize,
     /// Last event that was passed to the job's log.
@@ -45,13 +51,16 @@
         }
     }
 
-    /// Restores the output that was read from the job's log.
+    /// Restores the output that was read from the job's log. Without its version it can't be continued, and the item begins
+    /// anew.
     pub fn from_saved(partial: PartialOutput) -> Output {
+        let Some(version) = partial.version else { return Output::default() };
         let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
         Output {
             text: partial.text.into_bytes(),
             has_data: saved_bytes > 0,
             last_event,
+            origin: Some(StreamOrigin::of_version(version)),
             saved_bytes,
             saved_event: last_event,
             ran_ms: 0,
@@ -61,6 +70,24 @@
         }
     }
 
+    /// Run that began the text.
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        self.origin.as_ref()
+    }
+
+    /// Sets the run that begins the text, unless one has begun it already.
+    pub fn begin_text(&mut self, origin: StreamOrigin) {
+        if self.last_event.is_none() {
+            self.origin = Some(origin);
+        }
+    }
+
+    /// Drops the text, so that the item begins anew.
+    pub fn drop_text(&mut self) {
+        let (awaits_answer, is_stopping) = (self.awaits_answer, self.is_stopping);
+        *self = Output { awaits_answer, is_stopping, ..Output::default() };
+    }
+
     /// Counts the text in the buffer budget, if there is one.
     pub fn count(&mut self, buffers: Option<&Buffers>) {
         let Some(buffers) = buffers.filter(|_| !self.text.is_empty()) else { return };
@@ -137,7 +164,8 @@
         let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
         let after = self.saved_event.replace(last);
         self.saved_bytes = self.text.len();
-        Some(OutputPart { item, after, last, text })
+        let version = self.origin.as_ref().map(|it| Name::clone(&it.version));
+        Some(OutputPart { item, after, last, text, version })
     }
 
     /// Outcome of the item whose output this is the whole of.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -20,8 +20,9 @@
     Name,
     dispatch::Class,
     ordered::{Item, ItemEnd, JobName},
-    placement::{AttemptEnd, CallerTerms, RequestSpec},
+    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
     routes::{Route, RouteKind, RouteTable},
+    software_versions::StreamOrigin,
 };
 use samphiredoor_net::{
     Call,
@@ -45,6 +46,9 @@
 /// How long a run whose answer must not be missed goes on after its preemption or the handover of its job. A target that has
 /// a slot for the item answers in some tens of milliseconds; meanwhile an online request may wait for that slot.
 pub const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
+/// Shortest time for which an item waits for a target of the version that wrote its text, before it begins anew at another
+/// one.
+const MIN_VERSION_WAIT_MS: u64 = 1_000;
 /// Pause before an item is sent again that was not run by the target, or got no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval at which an item checks for routes while this process has none that are recent enough.
@@ -211,14 +215,17 @@
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
         let Some(service) = route.service(rand::random()) else { return Outcome::RetryLater };
         let mut ticket = self.env.placement.request(self.request_spec(service, &call.headers));
-        let (target, address) = match ticket.next_decision().await {
-            Decision::Dispatch { target, address, .. } => (target, address),
+        let (target, address, origin, goes_on) = match ticket.next_decision().await {
+            Decision::Dispatch { target, address, origin, goes_on } => {
+                (target, address, origin, goes_on)
+            }
             Decision::Refused { .. } => return Outcome::RetryLater,
             Decision::Preempted => return Outcome::Resume,
         };
         if !self.permit.is_valid() {
             return Outcome::Resume;
         }
+        self.begin_or_go_on(&target, origin, goes_on);
         self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
         self.output.borrow_mut().begin_attempt();
@@ -292,16 +299,44 @@
             deadline_ms: self.due_at_ms,
             prior_run_ms: self.output.borrow().prior_run_ms(),
             terms: CallerTerms::default(),
-            resumes: None,
+            resumes: self.resumption(),
         }
     }
 
+    /// The text with which the next run goes on. A target of its version is waited for about as long as it takes to do the work
+    /// again.
+    fn resumption(&self) -> Option<Resumption> {
+        let output = self.output.borrow();
+        let origin = output.origin().filter(|_| output.last_event().is_some())?.clone();
+        let wait_ms = output.prior_run_ms().max(MIN_VERSION_WAIT_MS);
+        Some(Resumption { origin, until_ms: self.env.clock.now().mono_ms + wait_ms })
+    }
+
+    /// Drops the text of an earlier run if the target has another version than the one that wrote it.
+    fn begin_or_go_on(&self, target: &Name, origin: StreamOrigin, goes_on: bool) {
+        let mut output = self.output.borrow_mut();
+        if let Some(after) = output.last_event().filter(|_| !goes_on) {
+            let began = output.origin().map(|it| Name::clone(&it.version)).unwrap_or_default();
+            log::info!(
+                job = &*self.job, item = &*self.item.id, target = &**target, after,
+                began_at_version = &*began, version = &*origin.version;
+                "item: begun anew at another version"
+            );
+            self.env.metrics.job_event("item_begun_anew");
+            output.drop_text();
+        }
+        output.begin_text(origin);
+    }
+
     fn set_headers(&self, call: &mut Call, target: &Name) {
         let names = self.env.platform.dialect.headers();
         let left = self.give_up_at.saturating_duration_since(Instant::now()).min(MAX_ATTEMPT_TIME);
         target_client::set_target_headers(call, names, target, left);
-        if let Some(last) = self.last_event() {
-            call.headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
+        match self.last_event() {
+            Some(last) => {
+                call.headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
+            }
+            None => _ = call.headers.remove(&names.last_event_id),
         }
     }
 
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -38,6 +38,8 @@
 const REPEATS_SEED: u64 = 7904;
 /// A seed whose streams reached callers as complete although they had ended inside an event.
 const BROKEN_ANSWERS_SEED: u64 = 8001;
+/// A seed whose streams went on at another software version while targets were chosen without regard to it.
+const RELEASES_SEED: u64 = 8102;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -393,3 +395,10 @@
     let options = soak::Options { broken_answers: true, ..options("broken-answers", 15) };
     run_soak(&options, BROKEN_ANSWERS_SEED..BROKEN_ANSWERS_SEED + 1);
 }
+
+// Guards against streams, and texts of items, that go on at another software version than the one that began them.
+#[test]
+fn streams_and_texts_are_of_one_software_version() {
+    let options = soak::Options { releases: true, gateways: 6, ..options("releases", 15) };
+    run_soak(&options, RELEASES_SEED..RELEASES_SEED + 1);
+}
