Streams: what a gateway says and remembers of a resumption has a file of its own; a test that one version costs nothing

Lists of targets are passed on as origins, without the rest of their entries. No change of behaviour.

--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -27,8 +27,8 @@
     },
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
     quarantine,
-    routes::{Route, RouteKind},
-    software_versions::{Found, StreamOrigin},
+    routes::Route,
+    software_versions::StreamOrigin,
     verdict::{MayHaveRunReason, Refusal},
 };
 use samphiredoor_net::{Body, Call, PeerAddress};
@@ -41,7 +41,7 @@
     forwarded_stream::ForwardedStream,
     header_number,
     hop_by_hop::strip_hop_by_hop_headers,
-    resumption::{ResumedBy, TakenUp, version_label},
+    resumption::TakenUp,
 };
 use crate::{
     event_stream::EventStream,
@@ -62,10 +62,6 @@
 /// A request that goes on with a stream may wait for a slot at a target of its version for this time: the work that the
 /// stream has cost would be lost, and callers bear a pause of about this length.
 const RESUMPTION_WAIT_MS: u64 = 500;
-/// `Retry-After` of a caller whose stream's version is unknown here; another gateway may know more.
-const VERSION_RETRY_MS: u64 = 120;
-/// Longest time for which the version of a stream is remembered.
-const MAX_KEEP_MS: u64 = 60_000;
 /// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
 /// output every 25 ms and a full one starts within 300 ms.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -81,7 +77,7 @@
     /// Time spent in each stage so far.
     pub(super) stages: StageTimes,
     call: Call,
-    service: Option<Name>,
+    pub(super) service: Option<Name>,
     affinity: u64,
     deadline: Instant,
     /// 0 is the highest.
@@ -98,11 +94,11 @@
     /// Fingerprint of the request, once it was needed.
     fingerprint: Cell<Option<u64>>,
     /// The stream that the caller takes up, if it does.
-    taken_up: Option<TakenUp>,
+    pub(super) taken_up: Option<TakenUp>,
     /// Origin of the answer's stream, once it is known.
-    origin: Option<StreamOrigin>,
+    pub(super) origin: Option<StreamOrigin>,
     /// Whether the stream that the caller takes up has gone on here.
-    has_begun: bool,
+    pub(super) has_begun: bool,
     /// The last 5xx answer of a target; it becomes the answer if no other target answers.
     server_error: Option<(Box<response::Parts>, Bytes)>,
     _open: OpenRequestGuard,
@@ -275,38 +271,6 @@
         }
     }
 
-    /// Finds out at which version the stream was begun that the caller takes up, if it does.
-    async fn find_origin(&mut self) -> Result<(), NoAnswer> {
-        let Some(taken_up) = &self.taken_up else { return Ok(()) };
-        let service = self.service.as_deref().unwrap_or_default();
-        let origins = &self.front.stream_origins;
-        let found = match &taken_up.first_attempt {
-            Some(first) => origins.find(first, service).await,
-            // The caller does not know of versions.
-            None => match origins.only_known_version(service) {
-                Some(version) => Found::Origin(StreamOrigin::of_version(version)),
-                None => Found::Unknown,
-            },
-        };
-        match found {
-            Found::Origin(origin) => {
-                self.origin = Some(origin);
-                Ok(())
-            }
-            Found::Unknown => {
-                log::info!(
-                    request = self.id, resumes = taken_up.first_attempt.as_deref().unwrap_or_default(),
-                    after = taken_up.after;
-                    "front: version of a stream is unknown"
-                );
-                Err(NoAnswer::Refused {
-                    reason: Refusal::VersionUnknown,
-                    retry_after_ms: VERSION_RETRY_MS,
-                })
-            }
-        }
-    }
-
     fn give_up(&self, why: NoAnswer) -> Response<Body> {
         let response = match why {
             NoAnswer::Refused { reason, retry_after_ms } => {
@@ -469,45 +433,6 @@
         );
     }
 
-    /// Notes the version at which a stream begins or goes on.
-    fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
-        let resumed_by = match (&self.origin, &self.taken_up) {
-            (None, _) => {
-                self.remember_origin(&self.id, &origin);
-                self.origin = Some(origin);
-                return;
-            }
-            (Some(began), Some(taken_up)) if !self.has_begun => {
-                if let Some(first) = &taken_up.first_attempt {
-                    self.remember_origin(first, began);
-                }
-                ResumedBy::Caller
-            }
-            (Some(_), _) => ResumedBy::Gateway,
-        };
-        let label = version_label(self.origin.as_ref(), &origin);
-        self.front.metrics.stream_resumed(resumed_by.label(), label);
-        let taken_up = self.taken_up.as_ref();
-        log::info!(
-            request = self.id, target = &**target, by = resumed_by.label(), version = &*origin.version,
-            began_at_version = self.origin.as_ref().map_or("", |it| &*it.version), compared = label,
-            resumes = taken_up.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default(),
-            after = taken_up.map_or(0, |it| it.after);
-            "front: stream resumed"
-        );
-        self.has_begun = true;
-    }
-
-    /// Lets other gateways know at which version a stream was begun, so that its caller can take it up there.
-    fn remember_origin(&self, first_attempt: &str, origin: &StreamOrigin) {
-        if !matches!(self.route.kind, RouteKind::Stream { resumable: true }) {
-            return;
-        }
-        let service = self.service.as_deref().unwrap_or_default();
-        let keep = Duration::from_millis(self.route.timeout_ms.min(MAX_KEEP_MS));
-        self.front.stream_origins.begun(first_attempt, service, origin, keep);
-    }
-
     /// Notes for the rate limit whether the request may have run.
     fn note_run(&mut self, may_have_run: bool) {
         if let Some(permit) = &mut self.permit {
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -1,11 +1,27 @@
-//! Resumptions of streams: what a caller says of the stream that it takes up, and what is logged of each.
+//! Resumptions of streams: what a caller says of the stream that it takes up, at which software version it may go on, and what
+//! other gateways have to know of a stream that begins here.
+
+use std::time::Duration;
 
 use hyper::{HeaderMap, header::HeaderName};
-use samphiredoor_core::{routes::RouteKind, software_versions::StreamOrigin};
+use samphiredoor_core::{
+    Name,
+    routes::RouteKind,
+    software_versions::{Found, StreamOrigin},
+    verdict::Refusal,
+};
 
-use super::header_number;
+use super::{
+    header_number,
+    online::{NoAnswer, OnlineRequest},
+};
 use crate::platform_api::HeaderNames;
 
+/// `Retry-After` of a caller whose stream's version is unknown here; another gateway may know more.
+const VERSION_RETRY_MS: u64 = 120;
+/// Longest time for which the version of a stream is remembered.
+const MAX_KEEP_MS: u64 = 60_000;
+
 /// A stream that its caller takes up again after a broken connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakenUp {
@@ -37,7 +53,7 @@
 
 /// Who has a stream go on after an interruption.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ResumedBy {
+enum ResumedBy {
     /// The gateway, within its answer.
     Gateway,
     /// The caller, with another request.
@@ -46,7 +62,7 @@
 
 impl ResumedBy {
     /// Label in logs and metrics.
-    pub fn label(self) -> &'static str {
+    fn label(self) -> &'static str {
         match self {
             ResumedBy::Gateway => "gateway",
             ResumedBy::Caller => "caller",
@@ -55,10 +71,83 @@
 }
 
 /// Label in logs and metrics of the version at which a stream goes on, compared to the one that began it.
-pub fn version_label(began: Option<&StreamOrigin>, goes_on: &StreamOrigin) -> &'static str {
+fn version_label(began: Option<&StreamOrigin>, goes_on: &StreamOrigin) -> &'static str {
     match began {
         None => "unknown",
         Some(began) if began.version == goes_on.version => "same",
         Some(_) => "other",
     }
 }
+
+impl OnlineRequest {
+    /// Finds out at which version the stream was begun that the caller takes up, if it does.
+    pub(super) async fn find_origin(&mut self) -> Result<(), NoAnswer> {
+        let Some(taken_up) = &self.taken_up else { return Ok(()) };
+        let service = self.service.as_deref().unwrap_or_default();
+        let origins = &self.front.stream_origins;
+        let found = match &taken_up.first_attempt {
+            Some(first) => origins.find(first, service).await,
+            // The caller does not know of versions.
+            None => match origins.only_known_version(service) {
+                Some(version) => Found::Origin(StreamOrigin::of_version(version)),
+                None => Found::Unknown,
+            },
+        };
+        match found {
+            Found::Origin(origin) => {
+                self.origin = Some(origin);
+                Ok(())
+            }
+            Found::Unknown => {
+                log::info!(
+                    request = self.id, resumes = taken_up.first_attempt.as_deref().unwrap_or_default(),
+                    after = taken_up.after;
+                    "front: version of a stream is unknown"
+                );
+                Err(NoAnswer::Refused {
+                    reason: Refusal::VersionUnknown,
+                    retry_after_ms: VERSION_RETRY_MS,
+                })
+            }
+        }
+    }
+
+    /// Notes the version at which a stream begins or goes on.
+    pub(super) fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
+        let resumed_by = match (&self.origin, &self.taken_up) {
+            (None, _) => {
+                self.remember_origin(&self.id, &origin);
+                self.origin = Some(origin);
+                return;
+            }
+            (Some(began), Some(taken_up)) if !self.has_begun => {
+                if let Some(first) = &taken_up.first_attempt {
+                    self.remember_origin(first, began);
+                }
+                ResumedBy::Caller
+            }
+            (Some(_), _) => ResumedBy::Gateway,
+        };
+        let label = version_label(self.origin.as_ref(), &origin);
+        self.front.metrics.stream_resumed(resumed_by.label(), label);
+        let taken_up = self.taken_up.as_ref();
+        log::info!(
+            request = self.id, target = &**target, by = resumed_by.label(), version = &*origin.version,
+            began_at_version = self.origin.as_ref().map_or("", |it| &*it.version), compared = label,
+            resumes = taken_up.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default(),
+            after = taken_up.map_or(0, |it| it.after);
+            "front: stream resumed"
+        );
+        self.has_begun = true;
+    }
+
+    /// Lets other gateways know at which version a stream was begun, so that its caller can take it up there.
+    fn remember_origin(&self, first_attempt: &str, origin: &StreamOrigin) {
+        if !matches!(self.route.kind, RouteKind::Stream { resumable: true }) {
+            return;
+        }
+        let service = self.service.as_deref().unwrap_or_default();
+        let keep = Duration::from_millis(self.route.timeout_ms.min(MAX_KEEP_MS));
+        self.front.stream_origins.begun(first_attempt, service, origin, keep);
+    }
+}
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -38,9 +38,17 @@
 const FOREVER: Duration = Duration::from_secs(3_600);
 
 enum Message {
-    Begun { stream: u64, record: Record },
-    Find { stream: u64, service: u64, reply: flume::Sender<Found> },
-    Listed(Vec<TargetEntry>),
+    Begun {
+        stream: u64,
+        record: Record,
+    },
+    Find {
+        stream: u64,
+        service: u64,
+        reply: flume::Sender<Found>,
+    },
+    /// Service and origin of each listed target.
+    Listed(Vec<(u64, StreamOrigin)>),
     Record(OriginRecord),
     Question(OriginQuestion, SocketAddr),
     Answer(OriginAnswer),
@@ -115,7 +123,8 @@
 
     /// Takes over the list of all targets.
     pub fn set_targets(&self, targets: &[TargetEntry]) {
-        self.send(Message::Listed(targets.to_vec()));
+        let listed = targets.iter().map(|it| (name_hash(&it.service), it.stream_origin()));
+        self.send(Message::Listed(listed.collect()));
     }
 
     /// Passes on the record of another gateway.
@@ -179,7 +188,7 @@
         match message {
             Message::Begun { stream, record } => self.begun(stream, record).await,
             Message::Find { stream, service, reply } => self.find(stream, service, reply).await,
-            Message::Listed(targets) => self.set_targets(&targets).await,
+            Message::Listed(targets) => self.set_targets(targets).await,
             Message::Record(record) => self.hold(record),
             Message::Question(question, from) => {
                 let answer = self.own_answer(question.stream, question.service);
@@ -328,26 +337,21 @@
 
     /// Takes over the list of all targets. Records of streams that were begun while there was one version are sent once
     /// there are several.
-    async fn set_targets(&mut self, targets: &[TargetEntry]) {
+    async fn set_targets(&mut self, listed: Vec<(u64, StreamOrigin)>) {
         let now_ms = self.now_ms();
         self.is_listed = true;
-        let listed = targets.iter().map(|it| (name_hash(&it.service), &it.software_version));
-        self.history.borrow_mut().set_listed(now_ms, listed);
-        let origins: Vec<StreamOrigin> = targets.iter().map(TargetEntry::stream_origin).collect();
-        let restarted: Vec<StreamOrigin> = origins
-            .iter()
-            .filter(|it| self.targets.get(&it.target).is_some_and(|known| known != *it))
-            .cloned()
-            .collect();
+        let versions = listed.iter().map(|(service, it)| (*service, &it.version));
+        self.history.borrow_mut().set_listed(now_ms, versions);
+        let is_new_start =
+            |it: &StreamOrigin| self.targets.get(&it.target).is_some_and(|known| known != it);
+        let restarted = listed.iter().map(|(_, it)| it).filter(|it| is_new_start(it));
+        let restarted: Vec<StreamOrigin> = restarted.cloned().collect();
         if !restarted.is_empty() {
             self.records.mark_ambiguous(&restarted);
         }
-        self.targets = origins.into_iter().map(|it| (it.target, it)).collect();
-        let mixed: Vec<u64> = {
-            let services = targets.iter().map(|it| name_hash(&it.service));
-            let services: std::collections::BTreeSet<u64> = services.collect();
-            services.into_iter().filter(|it| !self.is_sole(*it)).collect()
-        };
+        let services: BTreeSet<u64> = listed.iter().map(|(service, _)| *service).collect();
+        self.targets = listed.into_iter().map(|(_, it)| (it.target, it)).collect();
+        let mixed: Vec<u64> = services.into_iter().filter(|it| !self.is_sole(*it)).collect();
         for (stream, record) in self.records.take_unsent(now_ms, |it| mixed.contains(&it.service)) {
             self.send_record(stream, &record).await;
         }
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -9,7 +9,7 @@
     soak,
 };
 
-use super::env::{BINARY, Platform};
+use super::env::{BINARY, Platform, metric, metrics_address};
 use crate::env::wait_until;
 
 const FAST: Duration = Duration::from_millis(2);
@@ -213,3 +213,36 @@
     let answer = platform.send_with(0, RESUMABLE, "id-1", &[("last-event-id", "2")], "");
     assert_eq!((answer.status, answer.text), (200, stream_after("v1", 0, 2)));
 }
+
+/// A deployment whose targets have been of one version for long pays nothing for versions, and its streams go on although
+/// nobody remembers them.
+#[test]
+fn no_records_are_sent_once_there_was_one_version_for_long() {
+    let mut platform = Platform::new(BINARY);
+    let metrics = metrics_address();
+    let _target = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    platform.more_settings = format!("metrics.address = \"{metrics}\"");
+    platform.start_gateway();
+    wait_for_peers(&platform, 2);
+    let records_sent =
+        || metric::<u64>(metrics, "stream_records_sent_total").expect("it is exported");
+    assert_eq!(platform.send(1, RESUMABLE, "early", "").status, 200);
+    wait_until("a record is sent", || records_sent() == 1);
+    let mut number = 0;
+    wait_until("a stream begins without a record", || {
+        number += 1;
+        let before = records_sent();
+        assert_eq!(platform.send(1, RESUMABLE, &format!("id-{number}"), "").status, 200);
+        thread::sleep(Duration::from_millis(50));
+        records_sent() == before
+    });
+    let before = records_sent();
+    for number in 0..STREAMS {
+        assert_eq!(platform.send(1, RESUMABLE, &format!("late-{number}"), "").status, 200);
+    }
+    let headers = [("last-event-id", "2"), ("resumes", "unknown")];
+    let answer = platform.send_with(0, RESUMABLE, "resumed", &headers, "");
+    assert_eq!((answer.status, answer.text), (200, stream_after("v1", 0, 2)));
+    assert_eq!(records_sent(), before);
+}
