--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -16,8 +16,8 @@
     Name,
     placement::{TargetEntry, name_hash},
     software_versions::{
-        Answer, Found, HOLDERS, Lookup, OriginRecords, Record, StreamOrigin, VersionHistory,
-        holders,
+        Answer, Found, HISTORY_MS, HOLDERS, Lookup, OriginRecords, Record, StreamOrigin,
+        VersionHistory, holders,
     },
 };
 use samphiredoor_net::{clock::Clock, pool::within};
@@ -214,7 +214,9 @@
         let (now_ms, is_current) = (self.now_ms(), self.is_listed && !self.task.health.is_lost());
         let mut history = self.history.borrow_mut();
         history.set_current(now_ms, is_current);
-        history.sole(now_ms, service).cloned()
+        // A loss of the store between two calls of this function is not in the history.
+        let is_seen = self.task.health.is_reached_for(Duration::from_millis(HISTORY_MS));
+        history.sole(now_ms, service).filter(|_| is_seen).cloned()
     }
 
     async fn begun(&mut self, stream: u64, mut record: Record) {
