Core: no circle of files between overload and placement

What both use of a request, a target's entry and names has modules of its own; placement exports it under its former paths. No change of behaviour.

--- a/crates/samphiredoor-core/src/overload/admission.rs
+++ b/crates/samphiredoor-core/src/overload/admission.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, rngs::SmallRng};
 
 use super::OverloadPolicy;
-use crate::{Name, placement::RequestSpec};
+use crate::{Name, requests::RequestSpec};
 
 /// Longest queue of new requests while the completion rate is unknown.
 const UNMEASURED_QUEUE: usize = 16;
--- a/crates/samphiredoor-core/src/overload/caller_buckets.rs
+++ b/crates/samphiredoor-core/src/overload/caller_buckets.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::IpAddr};
 
-use crate::placement::name_hash;
+use crate::names::name_hash;
 
 /// Bit that is set in the keys of callers without a workspace, and in no others.
 const ADDRESS_BIT: u64 = 1 << 63;
--- a/crates/samphiredoor-core/src/overload/messages.rs
+++ b/crates/samphiredoor-core/src/overload/messages.rs
@@ -8,7 +8,7 @@
 /// How long work takes at a target, as it last reported to the sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SpeedReport {
-    /// Hash of the target's name, from [`crate::placement::name_hash`].
+    /// Hash of the target's name, from [`crate::names::name_hash`].
     pub target: u64,
     /// Duration of work, in percent of the usual one.
     pub percent: u32,
@@ -19,7 +19,7 @@
 /// A target that has failed requests of the sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FailingTarget {
-    /// Hash of the target's name, from [`crate::placement::name_hash`].
+    /// Hash of the target's name, from [`crate::names::name_hash`].
     pub target: u64,
     /// Failed attempts that later whole answers have not outweighed yet.
     pub failures: u32,
@@ -41,7 +41,7 @@
 /// Callers of one service that the sender has rejected and that are expected to retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExpectedReturns {
-    /// Hash of the service's name, from [`crate::placement::name_hash`].
+    /// Hash of the service's name, from [`crate::names::name_hash`].
     pub service: u64,
     /// Number of callers.
     pub callers: u32,
@@ -52,7 +52,7 @@
 /// Work left in the batch items of the sender that are due in the same interval.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwedItems {
-    /// Hash of the service's name, from [`crate::placement::name_hash`].
+    /// Hash of the service's name, from [`crate::names::name_hash`].
     pub service: u64,
     /// Time until the end of the interval; 0 for overdue items.
     pub due_in_ms: u32,
@@ -63,7 +63,7 @@
 /// How long an item of one service runs, as the sender has observed it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ItemRunTime {
-    /// Hash of the service's name, from [`crate::placement::name_hash`].
+    /// Hash of the service's name, from [`crate::names::name_hash`].
     pub service: u64,
     /// Mean run time of a whole item.
     pub run_ms: u32,
--- a/crates/samphiredoor-core/src/overload/mod.rs
+++ b/crates/samphiredoor-core/src/overload/mod.rs
@@ -33,7 +33,9 @@
 use crate::{
     Name,
     dispatch::Class,
-    placement::{AttemptEnd, TargetEntry, is_cell_name, name_hash},
+    names::{is_cell_name, name_hash},
+    requests::AttemptEnd,
+    target_entry::TargetEntry,
 };
 use admission::Admission;
 use batch_admission::BatchAdmission;
--- a/crates/samphiredoor-core/src/overload/retry_schedule.rs
+++ b/crates/samphiredoor-core/src/overload/retry_schedule.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, rngs::SmallRng};
 
 use super::{ExpectedReturns, MAX_ENTRIES};
-use crate::{Name, placement::name_hash};
+use crate::{Name, names::name_hash};
 
 /// Largest deviation from the scheduled time, in either direction, as a fraction of it.
 const JITTER: f64 = 0.15;
--- a/crates/samphiredoor-core/src/overload/target_risk.rs
+++ b/crates/samphiredoor-core/src/overload/target_risk.rs
@@ -18,10 +18,7 @@
 use smallvec::SmallVec;
 
 use super::{FailingTarget, MAX_ENTRIES, NEWS_TIMEOUT_MS};
-use crate::{
-    Name,
-    placement::{AttemptEnd, name_hash},
-};
+use crate::{Name, names::name_hash, requests::AttemptEnd};
 
 /// Time in which a doubt halves without attempts.
 const HALF_DOUBT_MS: f32 = 5_000.0;
--- a/crates/samphiredoor-core/src/overload/target_speed.rs
+++ b/crates/samphiredoor-core/src/overload/target_speed.rs
@@ -166,7 +166,7 @@
         (1..=MAX_PERCENT).contains(&percent)
     }
 
-    /// Sets the targets whose speeds are kept, by [`crate::placement::name_hash`].
+    /// Sets the targets whose speeds are kept, by [`crate::names::name_hash`].
     pub fn set_targets(&mut self, targets: &HashSet<u64>) {
         self.speeds.retain(|it, _| targets.contains(it));
         for target in targets {
--- a/crates/samphiredoor-core/src/placement/cells.rs
+++ b/crates/samphiredoor-core/src/placement/cells.rs
@@ -15,15 +15,12 @@
 };
 
 use super::{Distance, GatewayLoad, GatewayState, WaitingItems};
-use crate::{Name, dispatch::Location};
+use crate::{Name, dispatch::Location, names::CELL_NAME_PREFIX};
 
 /// Maximum number of gateways in a cell. A larger cell would have current loads of more targets, and send proportionally
 /// more messages.
 const MAX_GATEWAYS: usize = 12;
 
-/// Start of a cell's name; names of gateways contain no space.
-const NAME_PREFIX: &str = "cell ";
-
 /// Interval between two summaries, for each receiving cell of the own region.
 const REGION_INTERVAL_PER_CELL_MS: u64 = 40;
 /// Interval between two summaries, for each receiving cell of other regions.
@@ -132,7 +129,9 @@
     /// Name of a cell; the same at every gateway that has the same lists.
     pub fn name(&self, cell: CellId) -> Option<Name> {
         let cell = self.cells.get(cell.0)?;
-        Some(format!("{NAME_PREFIX}{} {}", cell.location.availability_zone, cell.number).into())
+        Some(
+            format!("{CELL_NAME_PREFIX}{} {}", cell.location.availability_zone, cell.number).into(),
+        )
     }
 
     /// Divides gateways of one zone, or of the whole fleet, into this many cells.
@@ -186,11 +185,6 @@
     zones
 }
 
-/// Whether a peer is a cell that sends summaries, and not a gateway.
-pub fn is_cell_name(peer: &str) -> bool {
-    peer.starts_with(NAME_PREFIX)
-}
-
 /// Range of the part with this index when `len` elements are divided into `count` parts of nearly equal size.
 fn part(len: usize, number: usize, count: usize) -> Range<usize> {
     len * number / count..len * (number + 1) / count
--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -2,146 +2,20 @@
 
 use std::{collections::HashSet, net::SocketAddr};
 
-use smallvec::SmallVec;
-
-use super::name_hash;
 use crate::{
     Name,
-    dispatch::{Class, Location, RequestId},
+    dispatch::RequestId,
     overload::OverloadNews,
+    requests::{AttemptEnd, RequestSpec},
     software_versions::StreamOrigin,
+    target_entry::{ReportedLoad, TargetEntry},
     verdict::Refusal,
 };
 
-/// Whether a target accepts work, as reported by discovery.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetState {
-    /// Accepts work.
-    Ready,
-    /// Draining: finishes its requests and accepts no new ones.
-    Leaving,
-}
-
-/// Entry of a target in discovery.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetEntry {
-    /// Unique name; a target usually gets another one when it restarts.
-    pub name: Name,
-    /// Service that it serves.
-    pub service: Name,
-    /// Address on which it accepts connections.
-    pub address: SocketAddr,
-    /// Region and availability zone.
-    pub location: Location,
-    /// Maximum number of requests that it runs at once.
-    pub slots: u32,
-    /// Whether it accepts work.
-    pub state: TargetState,
-    /// Version of its software; empty if its entry tells none.
-    pub software_version: Name,
-    /// Wall-clock start time, in milliseconds since 1970; a change means a restart under the same name.
-    pub started_unix_ms: u64,
-}
-
-impl TargetEntry {
-    /// Origin of a stream that begins at the target.
-    pub fn stream_origin(&self) -> StreamOrigin {
-        StreamOrigin {
-            version: Name::clone(&self.software_version),
-            target: name_hash(&self.name),
-            target_started_unix_ms: self.started_unix_ms,
-        }
-    }
-}
-
-/// A request that needs a target.
-#[derive(Debug, Clone)]
-pub struct RequestSpec {
-    /// Unique within this process; not reused for another request.
-    pub request: RequestId,
-    /// Online or batch.
-    pub class: Class,
-    /// Requested service.
-    pub service: Name,
-    /// Priority among online requests; 0 is the highest.
-    pub priority: u32,
-    /// Hash of the prompt's shared prefix, for routing to a target that may have it cached; 0 for none.
-    pub affinity: u64,
-    /// Targets of earlier attempts; other targets are preferred.
-    pub tried_targets: SmallVec<[Name; 2]>,
-    /// Monotonic time until which an online request may wait for capacity, or at which an item is due.
-    pub deadline_ms: u64,
-    /// Total time of earlier runs of an item; the next run resumes after their last event.
-    pub prior_run_ms: u64,
-    /// What overload control uses to admit an online request.
-    pub terms: CallerTerms,
-    /// The stream with which the request goes on; `None` if it begins one.
-    pub resumes: Option<Resumption>,
-}
-
-/// A stream with which a request goes on.
-#[derive(Debug, Clone)]
-pub struct Resumption {
-    /// Run that began the stream.
-    pub origin: StreamOrigin,
-    /// Monotonic time from which an item begins anew at any version; online requests never do.
-    pub until_ms: u64,
-}
-
-/// What is known of the caller of an online request, for overload control. All times are monotonic.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct CallerTerms {
-    /// Key of the caller's fair share, from [`crate::overload::fair_share::workspace_key`] of its workspace; 0 if it has
-    /// none.
-    pub share_key: u64,
-    /// When the request arrived.
-    pub arrived_ms: u64,
-    /// Time from its arrival within which its first event should reach the caller.
-    pub objective_ms: u64,
-    /// When the caller stops waiting.
-    pub deadline_ms: u64,
-    /// How long callers of the route wait in total; one that has less time left at its arrival is retrying.
-    pub full_wait_ms: u64,
-    /// Whether the request may run again at another target after a failed attempt.
-    pub is_repeatable: bool,
-}
-
-/// Outcome of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptEnd {
-    /// The target answered, possibly with an error.
-    Answered,
-    /// The target reported that it did not run the request.
-    Refused,
-    /// Another target now has the address.
-    WrongTarget,
-    /// The connection could not be established.
-    Unreachable,
-    /// The request was sent, and its answer was lost or truncated.
-    Lost,
-    /// The request was sent, and its answer timed out.
-    Silent,
-    /// Cancelled by this gateway: preempted, or its caller disconnected.
-    Cut,
-}
-
-/// Load that a target reports in its answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests that it is running.
-    pub running: u32,
-    /// Requests that wait at the target for a slot.
-    pub waiting: u32,
-    /// Maximum number of requests that it runs at once.
-    pub slots: u32,
-    /// How long work takes on its host at this moment, in percent of the usual time; `None` if it does not report it.
-    pub work_percent: Option<u32>,
-}
-
 /// Number of requests that one gateway has at one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GatewayLoad {
-    /// Hash of the target's name, from [`super::name_hash`].
+    /// Hash of the target's name, from [`crate::names::name_hash`].
     pub target: u64,
     /// Online requests.
     pub online: u32,
@@ -152,7 +26,7 @@
 /// Number of items of one service that wait for a slot at one gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingItems {
-    /// Hash of the service's name, from [`super::name_hash`].
+    /// Hash of the service's name, from [`crate::names::name_hash`].
     pub service: u64,
     /// Number of waiting items.
     pub items: u32,
@@ -172,7 +46,7 @@
 pub enum Input {
     /// All targets that discovery lists now.
     Targets(Vec<TargetEntry>),
-    /// Targets assigned to the own cell, by [`super::name_hash`]. Until the first such event the fleet counts as one cell.
+    /// Targets assigned to the own cell, by [`crate::names::name_hash`]. Until the first such event the fleet counts as one cell.
     CellTargets(HashSet<u64>),
     /// A request needs a target.
     Request(RequestSpec),
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -33,13 +33,10 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use smallvec::SmallVec;
 
-pub use cells::{CellId, Cells, is_cell_name, sum_states, summary_interval_ms};
+pub use cells::{CellId, Cells, sum_states, summary_interval_ms};
 pub use choice::Margins;
 pub use fairness::ShareReport;
-pub use messages::{
-    Action, AttemptEnd, CallerTerms, GatewayLoad, GatewayState, Input, ReportedLoad, RequestSpec,
-    Resumption, TargetEntry, TargetState, WaitingItems,
-};
+pub use messages::{Action, GatewayLoad, GatewayState, Input, WaitingItems};
 pub use predictions::ServicePrediction;
 pub use target::{Distance, Load};
 
@@ -49,6 +46,11 @@
     overload::{Overload, OverloadNews, OverloadPolicy, admission::Rejection},
     verdict::Refusal,
 };
+pub use crate::{
+    names::{is_cell_name, name_hash},
+    requests::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
+    target_entry::{ReportedLoad, TargetEntry, TargetState},
+};
 use choice::slots_for_items;
 use items::ItemQueue;
 use queue::Queue;
@@ -62,11 +64,6 @@
 /// Longest retry-after of a refusal, so that targets in backoff are tried again within it.
 const MAX_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Hash that identifies a target or a service in messages between gateways.
-pub fn name_hash(name: &str) -> u64 {
-    rapidhash::v3::rapidhash_v3(name.as_bytes())
-}
-
 #[derive(Debug)]
 struct RunningRequest {
     class: Class,
--- a/crates/samphiredoor-core/src/software_versions/mod.rs
+++ b/crates/samphiredoor-core/src/software_versions/mod.rs
@@ -28,7 +28,7 @@
 pub struct StreamOrigin {
     /// Software version of its target; empty if the target's entry told none.
     pub version: Name,
-    /// Hash of the target's name, from [`crate::placement::name_hash`]; 0 if only the version is known.
+    /// Hash of the target's name, from [`crate::names::name_hash`]; 0 if only the version is known.
     pub target: u64,
     /// Wall-clock start time of the target, in milliseconds since 1970.
     pub target_started_unix_ms: u64,
