Streams: bounded time for which records of other gateways are kept

The time in a record's message was taken as it came; it is now bounded as at the gateway that sends it. The two names of one Retry-After are one. No change of what is answered.

--- a/crates/samphiredoor-core/src/placement/resumption.rs
+++ b/crates/samphiredoor-core/src/placement/resumption.rs
@@ -5,10 +5,11 @@
 //! for about as long as it takes to do the work again.
 
 use super::{Action, Class, Placement, RequestSpec, queue::Queue};
-use crate::{Name, software_versions::StreamOrigin, verdict::Refusal};
-
-/// `Retry-After` of a request whose version is gone or unknown, in milliseconds; another gateway may know more.
-const RETRY_AFTER_MS: u64 = 120;
+use crate::{
+    Name,
+    software_versions::{RETRY_AFTER_MS, StreamOrigin},
+    verdict::Refusal,
+};
 
 impl Placement {
     /// Places a request that goes on with a stream, or refuses it at once if no target can.
--- a/crates/samphiredoor-core/src/software_versions/mod.rs
+++ b/crates/samphiredoor-core/src/software_versions/mod.rs
@@ -22,6 +22,10 @@
 /// Gateways to which a record is sent. If half of many gateways are killed at once, an eighth of the streams that they had
 /// begun is known to none of the others.
 pub const HOLDERS: usize = 3;
+/// Longest time for which the version of a stream is remembered after it began or went on.
+pub const MAX_KEEP_MS: u64 = 60_000;
+/// `Retry-After` of a request whose version is gone or unknown; another gateway may know more.
+pub const RETRY_AFTER_MS: u64 = 120;
 
 /// The run that began a stream, as far as it decides where the stream may go on.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -7,7 +7,7 @@
 use samphiredoor_core::{
     Name,
     routes::RouteKind,
-    software_versions::{Found, StreamOrigin},
+    software_versions::{Found, MAX_KEEP_MS, RETRY_AFTER_MS, StreamOrigin},
     verdict::Refusal,
 };
 
@@ -17,11 +17,6 @@
 };
 use crate::platform_api::HeaderNames;
 
-/// `Retry-After` of a caller whose stream's version is unknown here; another gateway may know more.
-const VERSION_RETRY_MS: u64 = 120;
-/// Longest time for which the version of a stream is remembered.
-const MAX_KEEP_MS: u64 = 60_000;
-
 /// A stream that its caller takes up again after a broken connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakenUp {
@@ -71,12 +66,8 @@
 }
 
 /// Label in logs and metrics of the version at which a stream goes on, compared to the one that began it.
-fn version_label(began: Option<&StreamOrigin>, goes_on: &StreamOrigin) -> &'static str {
-    match began {
-        None => "unknown",
-        Some(began) if began.version == goes_on.version => "same",
-        Some(_) => "other",
-    }
+fn version_label(began: &StreamOrigin, goes_on: &StreamOrigin) -> &'static str {
+    if began.version == goes_on.version { "same" } else { "other" }
 }
 
 impl OnlineRequest {
@@ -106,7 +97,7 @@
                 );
                 Err(NoAnswer::Refused {
                     reason: Refusal::VersionUnknown,
-                    retry_after_ms: VERSION_RETRY_MS,
+                    retry_after_ms: RETRY_AFTER_MS,
                 })
             }
         }
@@ -114,26 +105,26 @@
 
     /// Notes the version at which a stream begins or goes on.
     pub(super) fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
-        let resumed_by = match (&self.origin, &self.taken_up) {
-            (None, _) => {
-                self.remember_origin(&self.id, &origin);
-                self.origin = Some(origin);
-                return;
-            }
-            (Some(began), Some(taken_up)) if !self.has_begun => {
+        let Some(began) = &self.origin else {
+            self.remember_origin(&self.id, &origin);
+            self.origin = Some(origin);
+            return;
+        };
+        let resumed_by = match &self.taken_up {
+            Some(taken_up) if !self.has_begun => {
                 if let Some(first) = &taken_up.first_attempt {
                     self.remember_origin(first, began);
                 }
                 ResumedBy::Caller
             }
-            (Some(_), _) => ResumedBy::Gateway,
+            _ => ResumedBy::Gateway,
         };
-        let label = version_label(self.origin.as_ref(), &origin);
+        let label = version_label(began, &origin);
         self.front.metrics.stream_resumed(resumed_by.label(), label);
         let taken_up = self.taken_up.as_ref();
         log::info!(
             request = self.id, target = &**target, by = resumed_by.label(), version = &*origin.version,
-            began_at_version = self.origin.as_ref().map_or("", |it| &*it.version), compared = label,
+            began_at_version = &*began.version, compared = label,
             resumes = taken_up.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default(),
             after = taken_up.map_or(0, |it| it.after);
             "front: stream resumed"
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -16,8 +16,8 @@
     Name,
     placement::{TargetEntry, name_hash},
     software_versions::{
-        Answer, Found, HISTORY_MS, HOLDERS, Lookup, OriginRecords, Record, StreamOrigin,
-        VersionHistory, holders,
+        Answer, Found, HISTORY_MS, HOLDERS, Lookup, MAX_KEEP_MS, OriginRecords, Record,
+        StreamOrigin, VersionHistory, holders,
     },
 };
 use samphiredoor_net::{clock::Clock, pool::within};
@@ -252,7 +252,7 @@
     fn hold(&mut self, record: OriginRecord) {
         let OriginRecord { stream, service, origin, keep_ms } = record;
         let now_ms = self.now_ms();
-        let until_ms = now_ms + u64::from(keep_ms);
+        let until_ms = now_ms + u64::from(keep_ms).min(MAX_KEEP_MS);
         let origin = Some(origin).filter(|it| !self.is_ambiguous(it));
         self.records.insert(now_ms, stream, Record { service, origin, until_ms, is_unsent: false });
     }
