--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -262,7 +262,7 @@
             Outcome::Whole(mut parts, body) => {
                 strip_hop_by_hop_headers(&mut parts.headers);
                 parts.headers.remove(header::CONTENT_LENGTH);
-                self.note_answered();
+                self.note_answered(parts.status.as_u16());
                 self.log_end("answered", parts.status.as_u16());
                 self.front.metrics.answer_completed(self.started.elapsed());
                 Response::from_parts(*parts, Body::full(body))
@@ -335,6 +335,7 @@
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if self.is_quarantined() {
+                log::info!(request = self.id, fingerprint:% = Hex(self.fingerprint()); "front: request is quarantined");
                 return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
             }
             let mut ticket = self.front.placement.request(self.request_spec());
@@ -483,9 +484,13 @@
     }
 
     /// Notes that the request got a whole answer.
-    pub(super) fn note_answered(&self) {
-        if self.front.crash_reports.has_suspects() {
-            self.front.crash_reports.answered(self.fingerprint());
+    pub(super) fn note_answered(&self, status: u16) {
+        let reports = &self.front.crash_reports;
+        if reports.has_suspects() && reports.answered(self.fingerprint()) {
+            log::info!(
+                request = self.id, fingerprint:% = Hex(self.fingerprint()), status;
+                "front: suspected request was answered"
+            );
         }
     }
 
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -73,11 +73,13 @@
         self.known.borrow().is_quarantined(self.clock.now().mono_ms, fingerprint)
     }
 
-    /// Notes a whole answer to a request, which clears it if it is suspected.
-    pub fn answered(&self, fingerprint: u64) {
-        if self.known.borrow().is_suspected(self.clock.now().mono_ms, fingerprint) {
+    /// Notes a whole answer to a request, which clears it if it is suspected. Returns whether it is.
+    pub fn answered(&self, fingerprint: u64) -> bool {
+        let is_suspected = self.known.borrow().is_suspected(self.clock.now().mono_ms, fingerprint);
+        if is_suspected {
             self.send(Message::Own(CrashNews::Answered(fingerprint)));
         }
+        is_suspected
     }
 
     /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -43,6 +43,8 @@
     Fails,
     /// The request runs and crashes the target: its connection and the listener are closed.
     Crashes,
+    /// The same after this number of events of an answer without a length or chunks: its connection is closed in order.
+    UnframedCrashAfter(u64),
     /// The request runs and is answered with 422: it can never succeed.
     Impossible,
     /// The same, but the connection is closed before the end of the answer's body.
@@ -62,7 +64,12 @@
 impl TargetFault {
     /// Whether the answer has neither a length nor chunks.
     fn is_unframed(self) -> bool {
-        matches!(self, TargetFault::Unframed | TargetFault::UnframedCutAfter(_))
+        matches!(
+            self,
+            TargetFault::Unframed
+                | TargetFault::UnframedCutAfter(_)
+                | TargetFault::UnframedCrashAfter(_)
+        )
     }
 
     /// Number of events after which the answer breaks off, if it does.
@@ -439,6 +446,10 @@
         )?;
         let first = after.unwrap_or(0) + 1;
         for (sent, number) in (first..=events).enumerate() {
+            if fault == TargetFault::UnframedCrashAfter(sent as u64) {
+                self.crash();
+                return Ok(false);
+            }
             if fault.breaks_off_after() == Some(sent as u64) {
                 return break_off(stream, fault, number);
             }
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -182,12 +182,11 @@
     assert!(runs() <= MOST_FAILED, "{} runs", runs());
 }
 
-// Guards against a request that crashes each target that runs it, and that its caller sends again, each time under a new
-// id and at another gateway.
-#[test]
-fn a_request_that_crashes_targets_is_not_sent_to_ever_more_of_them() {
+/// Sends a request that crashes each target that runs it, each time under a new id and at another gateway; checks how many
+/// targets crash after all gateways have to know the request.
+fn crashes_are_bounded(fault: TargetFault) {
     let (platform, targets) = fleet_of_targets(2);
-    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::Crashes));
+    targets.iter().for_each(|it| it.fail_always(CRASHING, fault));
     let crashed = || targets.iter().map(|it| it.runs_of(CRASHING)).sum::<usize>();
     let send = |number: usize| {
         platform.send(number % 2, "/stream/check", &format!("id-{number}"), CRASHING)
@@ -200,6 +199,37 @@
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
 }
 
+// Guards against a request that crashes each target that runs it, and that its caller sends again.
+#[test]
+fn a_request_that_crashes_targets_is_not_sent_to_ever_more_of_them() {
+    crashes_are_bounded(TargetFault::Crashes);
+}
+
+// Guards against answers that only the close of their connection ends, and that look whole when the target has crashed.
+#[test]
+fn a_request_that_crashes_targets_between_two_events_is_not_sent_to_ever_more_of_them() {
+    crashes_are_bounded(TargetFault::UnframedCrashAfter(2));
+}
+
+// Guards against failures of targets that do not run the request, taken for proof that it is sound.
+#[test]
+fn failures_between_its_crashes_do_not_clear_a_request_that_crashes_targets() {
+    let (platform, targets) = fleet_of_targets(2);
+    (0..2).for_each(|it| platform.wait_logged(it, "peers: peer is live"));
+    let crashed = || targets.iter().map(|it| it.runs_of(CRASHING)).sum::<usize>();
+    let mut failed = 0;
+    let faults = [TargetFault::Crashes, TargetFault::Crashes, TargetFault::Fails];
+    for (number, fault) in faults.into_iter().cycle().take(4 * faults.len()).enumerate() {
+        targets.iter().for_each(|it| it.fail_always(CRASHING, fault));
+        let id = format!("id-{number}");
+        let answer = platform.send(number % 2, "/stream/check", &id, CRASHING);
+        failed += usize::from(answer.status == 500);
+        thread::sleep(CRASHES_TOLD_WITHIN / 8);
+    }
+    let later = (crashed() - failed).saturating_sub(CRASHES_KNOWN);
+    assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
+}
+
 // Guards against an item that is sent again without a bound because each of its answers crosses a preemption.
 #[test]
 fn failures_that_cross_preemptions_do_not_repeat_an_item_without_a_bound() {
