Answers: one that only its connection's close ends is whole only if the target still accepts connections

A target that crashes between two events of an answer without a length or chunks closes its connections in order. The answer counted as whole: its caller got a part of a stream as complete, the crash was not reported, and the suspected request was cleared. The end of such an answer is checked at the target for online streams, other online answers and items of jobs alike; a target that refuses connections has cut it.

--- a/crates/samphiredoor-gateway/src/event_stream.rs
+++ b/crates/samphiredoor-gateway/src/event_stream.rs
@@ -3,15 +3,24 @@
 //! The end of a body is no proof: a target that fails may close its connection in order, which is also how a body without
 //! a length or chunks ends, and a proxy in front of it may end the chunks in order. Online requests and items of jobs read
 //! streams through this module, so that both decide alike.
+//!
+//! A body that only the close of its connection ends, after a whole event, looks the same whether the target has finished
+//! it or has crashed. A target that has crashed refuses new connections, so such an end is whole only if it accepts one.
+
+use std::net::SocketAddr;
 
 use http_body_util::BodyExt;
-use samphiredoor_net::pool::{Framing, ResponseBody};
+use samphiredoor_net::{
+    pool::{Framing, ResponseBody},
+    probe::refuses_connections,
+};
 
 use crate::events::{Event, EventBuffer};
 
 /// Event stream that a target sends.
 pub struct EventStream {
     body: ResponseBody,
+    target: SocketAddr,
     buffer: EventBuffer,
     /// Whether an event was taken.
     has_taken: bool,
@@ -44,6 +53,8 @@
     InsideEvent,
     /// The connection was closed in order before the first event, and nothing but its close marks the end of the body.
     NoEvent,
+    /// The connection was closed in order after a whole event, which may be the end of the body, and the target is gone.
+    TargetGone,
 }
 
 impl StreamEnd {
@@ -65,14 +76,15 @@
             StreamEnd::BrokenOff(BreakOff::ConnectionFailed) => "connection_failed",
             StreamEnd::BrokenOff(BreakOff::InsideEvent) => "inside_event",
             StreamEnd::BrokenOff(BreakOff::NoEvent) => "no_event",
+            StreamEnd::BrokenOff(BreakOff::TargetGone) => "target_gone",
         }
     }
 }
 
 impl EventStream {
-    /// Stream in the body of a response.
-    pub fn new(body: ResponseBody) -> EventStream {
-        EventStream { body, buffer: EventBuffer::default(), has_taken: false }
+    /// Stream in the body of a response of a target.
+    pub fn new(body: ResponseBody, target: SocketAddr) -> EventStream {
+        EventStream { body, target, buffer: EventBuffer::default(), has_taken: false }
     }
 
     /// Waits for further bytes or the end of the stream. Nothing is lost if the future is dropped.
@@ -87,10 +99,18 @@
                 log::debug!("stream: connection failed: {err}");
                 Received::End(StreamEnd::BrokenOff(BreakOff::ConnectionFailed))
             }
-            None => {
-                let has_event = self.has_taken || self.has_event();
-                Received::End(StreamEnd::of_body(self.framing(), has_event, &self.buffer))
+            None => Received::End(self.end().await),
+        }
+    }
+
+    /// Decides whether the stream is whole, after its body has ended in order.
+    async fn end(&self) -> StreamEnd {
+        let has_event = self.has_taken || self.has_event();
+        match StreamEnd::of_body(self.framing(), has_event, &self.buffer) {
+            StreamEnd::Whole if is_cut_by_crash(self.framing(), self.target).await => {
+                StreamEnd::BrokenOff(BreakOff::TargetGone)
             }
+            end => end,
         }
     }
 
@@ -121,3 +141,8 @@
         self.buffer.unfinished_bytes()
     }
 }
+
+/// Whether a body that has ended in order may have been cut by a crash of its target.
+pub async fn is_cut_by_crash(framing: Framing, target: SocketAddr) -> bool {
+    framing == Framing::Close && refuses_connections(target).await
+}
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -17,7 +17,7 @@
 
 use super::Front;
 use crate::{
-    event_stream::{EventStream, Received, StreamEnd},
+    event_stream::{EventStream, Received, StreamEnd, is_cut_by_crash},
     events::is_event_stream,
     platform_api::HeaderNames,
     target_client,
@@ -96,7 +96,7 @@
     if let Some(end) = target_client::not_run_reason(names, &response) {
         return AttemptOutcome::NotRun(end);
     }
-    read_answer(front, request_id(names, call), response, timeouts).await
+    read_answer(front, request_id(names, call), address, response, timeouts).await
 }
 
 /// Id of a request, for logs.
@@ -107,12 +107,14 @@
 async fn read_answer(
     front: &Front,
     request: &str,
+    target: SocketAddr,
     response: Response<ResponseBody>,
     timeouts: Timeouts,
 ) -> AttemptOutcome {
     let (parts, body) = response.into_parts();
     if parts.status.is_success() && is_event_stream(&parts.headers) {
-        return read_first_event(front, request, Box::new(parts), body, timeouts).await;
+        let stream = EventStream::new(body, target);
+        return read_first_event(front, request, Box::new(parts), stream, timeouts).await;
     }
     let framing = body.framing();
     let is_waiting = Cell::new(false);
@@ -122,6 +124,10 @@
             log::info!(request, framing = framing.label(), bytes = body.len(); "front: answer ended inside its value");
             AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
         }
+        Some(Ok(_)) if is_cut_by_crash(framing, target).await => {
+            log::info!(request, framing = framing.label(); "front: target gone at the end of its answer");
+            AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
+        }
         Some(Ok(body)) => AttemptOutcome::Whole(Box::new(parts), body),
         Some(Err(_)) => AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut),
         None => AttemptOutcome::MayHaveRun(AttemptEnd::Cut, MayHaveRunReason::DeadlinePassed),
@@ -134,10 +140,9 @@
     front: &Front,
     request: &str,
     parts: Box<response::Parts>,
-    body: ResponseBody,
+    mut stream: EventStream,
     timeouts: Timeouts,
 ) -> AttemptOutcome {
-    let mut stream = EventStream::new(body);
     loop {
         if stream.has_event() {
             return AttemptOutcome::Stream(parts, stream);
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -235,7 +235,8 @@
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placement.report_load(&target, load);
                 }
-                let ended = self.read_response(response, &mut ticket, sent.is_preempted).await;
+                let ended =
+                    self.read_response(response, address, &mut ticket, sent.is_preempted).await;
                 self.output.borrow_mut().note_answered();
                 ended
             }
@@ -343,6 +344,7 @@
     async fn read_response(
         &self,
         response: hyper::Response<ResponseBody>,
+        target: SocketAddr,
         ticket: &mut Ticket,
         is_preempted: bool,
     ) -> (Outcome, AttemptEnd) {
@@ -356,7 +358,7 @@
             self.output.borrow_mut().note_answered();
             return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
-                false => self.read_events(body, ticket).await,
+                false => self.read_events(EventStream::new(body, target), ticket).await,
             };
         }
         let whole = within_or_late(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
@@ -389,8 +391,11 @@
         }
     }
 
-    async fn read_events(&self, body: ResponseBody, ticket: &mut Ticket) -> (Outcome, AttemptEnd) {
-        let mut stream = EventStream::new(body);
+    async fn read_events(
+        &self,
+        mut stream: EventStream,
+        ticket: &mut Ticket,
+    ) -> (Outcome, AttemptEnd) {
         loop {
             let received = within_or_late(IDLE_TIMEOUT, stream.receive());
             match or_preempted(ticket, received).await {
