--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -79,7 +79,7 @@
     fn finish(&mut self) -> Option<Piece> {
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
-        self.request.note_answered(200);
+        self.request.note_answered();
         self.note_whole(&active);
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -262,7 +262,10 @@
             Outcome::Whole(mut parts, body) => {
                 strip_hop_by_hop_headers(&mut parts.headers);
                 parts.headers.remove(header::CONTENT_LENGTH);
-                self.note_answered(parts.status.as_u16());
+                // A target may fail a request that it does not run, so a failure proves nothing of the request.
+                if parts.status.is_success() {
+                    self.note_answered();
+                }
                 self.log_end("answered", parts.status.as_u16());
                 self.front.metrics.answer_completed(self.started.elapsed());
                 Response::from_parts(*parts, Body::full(body))
@@ -483,12 +486,12 @@
         reports.has_suspects() && reports.is_quarantined(self.fingerprint())
     }
 
-    /// Notes that the request got a whole answer.
-    pub(super) fn note_answered(&self, status: u16) {
+    /// Notes that the request got a whole answer with success.
+    pub(super) fn note_answered(&self) {
         let reports = &self.front.crash_reports;
         if reports.has_suspects() && reports.answered(self.fingerprint()) {
             log::info!(
-                request = self.id, fingerprint:% = Hex(self.fingerprint()), status;
+                request = self.id, fingerprint:% = Hex(self.fingerprint());
                 "front: suspected request was answered"
             );
         }
