Requests that crash targets: crashes are counted by target, and requests beside the cause are not blamed

A crash counted only if its request was sent after the crash before. Copies that wait at targets for seconds were all sent before the first crash, so that of any number only one counted (the new test has three crashes, one second apart: 1 counted before, 3 now).

All requests on a target are lost with it.

--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -10,15 +10,16 @@
 //! gateways ([`KnownSuspects`]). A whole answer clears a suspected request. So requests with the same content, of which
 //! many are on the way at once, are not blamed for targets that crash beneath them.
 //!
-//! A crash counts only if the request was sent after the crash before: targets that crash at the same time, as in the loss
-//! of a rack, are one reason for suspicion, not several.
+//! All requests on a target are lost with its crash, so those that were lost beside its cause are only blamed for crashes
+//! that no other request explains. A crash is judged when all its reports have had time to arrive. Targets that crash at
+//! the same time, as in the loss of a rack, are one reason for suspicion, not several.
 
 mod coordinator;
 mod known;
 
 use std::collections::BTreeMap;
 
-pub use coordinator::{CrashCoordinator, CrashReport};
+pub use coordinator::{CrashCoordinator, CrashReport, SETTLE_MS};
 pub use known::KnownSuspects;
 
 /// Crashes after which all gateways are told that a request is suspected.
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -7,7 +7,7 @@
     test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::crash_reports::{
-    CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
+    CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, SETTLE_MS,
 };
 
 const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
@@ -16,8 +16,20 @@
 const CRASHES: u32 = 3;
 const GATEWAYS: usize = 3;
 
-fn crash(fingerprint: u64, sent_ago_ms: u32) -> CrashReport {
-    CrashReport { fingerprint, sent_ago_ms, lost_ago_ms: 0 }
+/// A request that is lost just now with a target.
+fn crash(fingerprint: u64, target: u64, sent_ago_ms: u32) -> CrashReport {
+    CrashReport { fingerprint, target, sent_ago_ms, lost_ago_ms: 0 }
+}
+
+/// Reports a loss, and returns what is told of the request when it is judged.
+fn judged(
+    coordinator: &mut CrashCoordinator,
+    at_ms: u64,
+    report: CrashReport,
+) -> Option<CrashVerdict> {
+    coordinator.report(at_ms, &report);
+    let verdicts = coordinator.verdicts(at_ms + SETTLE_MS);
+    verdicts.into_iter().find(|it| it.fingerprint == report.fingerprint)
 }
 
 fn crashes(verdict: Option<CrashVerdict>) -> Option<u32> {
@@ -27,7 +39,8 @@
 #[test]
 fn gateways_are_told_from_the_second_crash_on() {
     let mut coordinator = CrashCoordinator::default();
-    let told = [1_000, 2_000, 3_000, 4_000].map(|it| coordinator.report(it, &crash(REQUEST, 50)));
+    let told =
+        [1_000, 2_000, 3_000, 4_000].map(|it| judged(&mut coordinator, it, crash(REQUEST, it, 50)));
     assert_eq!(told.map(crashes), [None, Some(2), Some(3), Some(4)]);
 }
 
@@ -36,29 +49,56 @@
 fn targets_that_crash_at_the_same_time_count_once() {
     let mut coordinator = CrashCoordinator::default();
     for after_ms in 0..10 {
-        assert_eq!(coordinator.report(1_000 + after_ms, &crash(REQUEST, 50)), None);
+        coordinator.report(1_000 + after_ms, &crash(REQUEST, after_ms, 50));
+    }
+    assert_eq!(coordinator.verdicts(1_010 + SETTLE_MS), []);
+}
+
+// Guards against copies of a request that wait at targets for seconds, and of which all but the first were not counted.
+#[test]
+fn copies_that_were_sent_before_the_first_crash_count_when_they_crash_later() {
+    let mut coordinator = CrashCoordinator::default();
+    let told = [1_000, 2_000, 3_000]
+        .map(|it| judged(&mut coordinator, it, crash(REQUEST, it, it as u32 - 900)));
+    assert_eq!(told.map(crashes), [None, Some(2), Some(3)]);
+}
+
+// Guards against blame for a request that was lost beside the one that crashes targets, and reported first.
+#[test]
+fn a_request_that_is_lost_beside_the_cause_is_not_blamed() {
+    const BESIDE: u64 = 8;
+    let mut coordinator = CrashCoordinator::default();
+    judged(&mut coordinator, 500, crash(REQUEST, 500, 50));
+    for at_ms in [1_000, 2_000, 3_000] {
+        coordinator.report(at_ms, &crash(BESIDE, at_ms, 50));
+        let told = judged(&mut coordinator, at_ms + 20, crash(REQUEST, at_ms, 50));
+        assert!(told.is_some());
     }
+    assert_eq!(crashes(judged(&mut coordinator, 4_000, crash(REQUEST, 4_000, 50))), Some(5));
+    let told = judged(&mut coordinator, 5_000, crash(BESIDE, 5_000, 50));
+    assert_eq!(crashes(told), Some(2), "suspected, not quarantined");
 }
 
 #[test]
 fn a_whole_answer_clears_a_suspected_request() {
     let mut coordinator = CrashCoordinator::default();
     let mut known = KnownSuspects::default();
-    coordinator.report(1_000, &crash(REQUEST, 50));
-    let told = coordinator.report(2_000, &crash(REQUEST, 50)).expect("it is suspected");
+    judged(&mut coordinator, 1_000, crash(REQUEST, 1, 50));
+    let told = judged(&mut coordinator, 2_000, crash(REQUEST, 2, 50)).expect("it is suspected");
     known.apply(2_000, told);
     assert!(known.is_suspected(2_000, REQUEST) && !known.is_quarantined(2_000, REQUEST));
     let cleared = coordinator.clear(REQUEST).expect("it was suspected");
     known.apply(2_100, cleared);
     assert!(known.is_empty());
-    assert_eq!(coordinator.report(3_000, &crash(REQUEST, 50)), None, "counted from the start");
+    let told = judged(&mut coordinator, 3_000, crash(REQUEST, 3, 50));
+    assert_eq!(told, None, "counted from the start");
 }
 
 #[test]
 fn a_quarantined_request_is_not_cleared_by_an_earlier_run() {
     let mut coordinator = CrashCoordinator::default();
     for at_ms in [1_000, 2_000, 3_000] {
-        coordinator.report(at_ms, &crash(REQUEST, 50));
+        judged(&mut coordinator, at_ms, crash(REQUEST, at_ms, 50));
     }
     assert_eq!(coordinator.clear(REQUEST), None);
 }
@@ -78,15 +118,15 @@
     let mut coordinator = CrashCoordinator::default();
     let mut known = KnownSuspects::default();
     for at_ms in [1_000, 2_000, 3_000] {
-        if let Some(told) = coordinator.report(at_ms, &crash(REQUEST, 50)) {
+        if let Some(told) = judged(&mut coordinator, at_ms, crash(REQUEST, at_ms, 50)) {
             known.apply(at_ms, told);
         }
     }
     for other in 100..10_100 {
-        coordinator.report(4_000, &crash(other, 50));
+        coordinator.report(4_000, &crash(other, 4, 50));
         known.apply(4_000, CrashVerdict { fingerprint: other, crashes: 2 });
     }
-    assert_eq!(crashes(coordinator.report(5_000, &crash(REQUEST, 50))), Some(4));
+    assert_eq!(crashes(judged(&mut coordinator, 5_000, crash(REQUEST, 5, 50))), Some(4));
     assert!(known.is_quarantined(5_000, REQUEST));
     assert!(!known.is_suspected(5_000, 100));
 }
@@ -95,7 +135,7 @@
 enum Step {
     /// The caller sends the request to a gateway, which sends it to a target unless it is quarantined there.
     Send(usize),
-    /// Time passes, and messages on their way arrive.
+    /// Crashes are judged, more time passes, and messages on their way arrive.
     Wait(u64),
     /// As `Wait`, but the messages of the last verdict are lost on their way to a gateway.
     WaitWithout(usize, u64),
@@ -114,7 +154,7 @@
     let mut coordinator = CrashCoordinator::default();
     let mut gateways: Vec<KnownSuspects> =
         (0..GATEWAYS).map(|_| KnownSuspects::default()).collect();
-    let (mut now_ms, mut told, mut sent) = (1_000, None, 0);
+    let (mut now_ms, mut sent) = (1_000, 0);
     // Crashes while a report or a verdict is on its way, and those at gateways that were not told.
     let (mut allowed, mut concurrent) = (CRASHES, 0);
     for step in steps {
@@ -125,12 +165,14 @@
                 }
                 sent += 1;
                 concurrent += 1;
-                told = coordinator.report(now_ms, &crash(REQUEST, 1)).or(told);
+                coordinator.report(now_ms, &crash(REQUEST, sent.into(), 1));
                 continue;
             }
             Step::Wait(ms) => (None, ms),
             Step::WaitWithout(lost, ms) => (Some(lost), ms),
         };
+        now_ms += SETTLE_MS;
+        let told = coordinator.verdicts(now_ms).first().copied();
         now_ms += passed_ms;
         allowed += u32::saturating_sub(concurrent, 1);
         concurrent = 0;
@@ -141,7 +183,6 @@
                 None => {}
             }
         }
-        told = None;
     }
     allowed += u32::saturating_sub(concurrent, 1);
     assert!(sent <= allowed, "{sent} targets crashed, {allowed} allowed");
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -16,6 +16,7 @@
     match news {
         CrashNews::Lost(report) => {
             root.set_fingerprint(report.fingerprint);
+            root.set_target(report.target);
             root.set_sent_ago_ms(report.sent_ago_ms);
             root.set_lost_ago_ms(report.lost_ago_ms);
         }
@@ -32,6 +33,7 @@
         true => CrashNews::Answered(fingerprint),
         false => CrashNews::Lost(CrashReport {
             fingerprint,
+            target: root.get_target(),
             sent_ago_ms: root.get_sent_ago_ms(),
             lost_ago_ms: root.get_lost_ago_ms(),
         }),
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -3,14 +3,19 @@
 //! It owns both roles of this process: it reports lost requests to their coordinators and holds what these tell, and it
 //! is the coordinator of the requests that rendezvous hashing assigns to this process.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::net::UdpSocket;
 use samphiredoor_core::{
     crash_reports::{CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
     placement::name_hash,
 };
-use samphiredoor_net::{clock::Clock, probe::refuses_connections};
+use samphiredoor_net::{clock::Clock, pool::within, probe::refuses_connections};
 
 use super::{
     LocalGateway, Roster, crash_messages::CrashNews, datagram::Datagram, listener::send_to_all,
@@ -94,6 +99,7 @@
             log::info!(fingerprint:% = Hex(fingerprint), target:% = target; "crashes: target crashed under a request");
             let report = CrashReport {
                 fingerprint,
+                target: name_hash(&target.to_string()),
                 sent_ago_ms: elapsed_ms(sent_at),
                 lost_ago_ms: elapsed_ms(lost_at),
             };
@@ -135,14 +141,37 @@
 
 impl Running {
     async fn run(mut self, inbox: flume::Receiver<Message>) {
-        while let Ok(message) = inbox.recv_async().await {
-            match message {
-                Message::News(news) => self.coordinate(news).await,
-                Message::Own(news) => self.report(news).await,
+        loop {
+            match self.next_message(&inbox).await {
+                Some(Ok(Message::News(news))) => self.coordinate(news).await,
+                Some(Ok(Message::Own(news))) => self.report(news).await,
+                Some(Err(flume::RecvError::Disconnected)) => return,
+                None => {}
+            }
+            for verdict in self.coordinator.verdicts(self.now_ms()) {
+                self.tell_all(verdict).await;
             }
         }
     }
 
+    /// Waits for a message; `None` if reports are to be judged first.
+    async fn next_message(
+        &self,
+        inbox: &flume::Receiver<Message>,
+    ) -> Option<Result<Message, flume::RecvError>> {
+        match self.coordinator.due_ms() {
+            Some(due_ms) => {
+                let left = Duration::from_millis(due_ms.saturating_sub(self.now_ms()));
+                within(left, inbox.recv_async()).await
+            }
+            None => Some(inbox.recv_async().await),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.task.clock.now().mono_ms
+    }
+
     /// Sends news to the coordinators of the request; this process may be one of them.
     async fn report(&mut self, news: CrashNews) {
         let (CrashNews::Lost(CrashReport { fingerprint, .. }) | CrashNews::Answered(fingerprint)) =
@@ -157,16 +186,21 @@
         }
     }
 
-    /// Handles news as the coordinator of the request, and tells all gateways what follows.
+    /// Handles news as the coordinator of the request.
     async fn coordinate(&mut self, news: CrashNews) {
-        let now_ms = self.task.clock.now().mono_ms;
-        let verdict = match news {
-            CrashNews::Lost(report) => self.coordinator.report(now_ms, &report),
-            CrashNews::Answered(fingerprint) => self.coordinator.clear(fingerprint),
-        };
-        let Some(verdict) = verdict else { return };
+        match news {
+            CrashNews::Lost(report) => self.coordinator.report(self.now_ms(), &report),
+            CrashNews::Answered(fingerprint) => {
+                if let Some(cleared) = self.coordinator.clear(fingerprint) {
+                    self.tell_all(cleared).await;
+                }
+            }
+        }
+    }
+
+    async fn tell_all(&self, verdict: CrashVerdict) {
         log::info!(
-            fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes, news:? = news;
+            fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes;
             "crashes: all gateways are told"
         );
         self.handle.told(verdict);
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -163,7 +163,9 @@
   sentAgoMs @1 :UInt32;
   lostAgoMs @2 :UInt32;
   isAnswered @3 :Bool;
-  # Whether it got a whole answer; the times are 0 then.
+  # Whether it got a whole answer; the times and the target are 0 then.
+  target @4 :UInt64;
+  # Hash of the target's address.
 }
 
 struct CrashVerdict {
