Requests that crash targets: what was answered lately is not blamed

Content that many callers send was quarantined for ten minutes when targets crashed beneath it three times before answers that had been given elsewhere were counted (sound content with answers before six crashes: refused from the fourth on). Each gateway remembers what it answered lately, in at most 8,192 hashes; it does not report that, and clears it when a coordinator tells of a suspicion. The stand-in's crash cuts all answers of the target.

--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -8,17 +8,20 @@
 //!
 //! At its second crash a request is suspected, and at its third it is quarantined; only then does the coordinator tell all
 //! gateways ([`KnownSuspects`]). A whole answer clears a suspected request. So requests with the same content, of which
-//! many are on the way at once, are not blamed for targets that crash beneath them.
+//! many are on the way at once, are not blamed for targets that crash beneath them. Each gateway remembers what was answered
+//! lately ([`AnsweredKeys`]): it does not report it, and clears it if others do.
 //!
 //! All requests on a target are lost with its crash, so those that were lost beside its cause are only blamed for crashes
 //! that no other request explains. A crash is judged when all its reports have had time to arrive. Targets that crash at
 //! the same time, as in the loss of a rack, are one reason for suspicion, not several.
 
+mod answered;
 mod coordinator;
 mod known;
 
 use std::collections::BTreeMap;
 
+pub use answered::AnsweredKeys;
 pub use coordinator::{CrashCoordinator, CrashReport, SETTLE_MS};
 pub use known::KnownSuspects;
 
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -7,7 +7,7 @@
     test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::crash_reports::{
-    CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, SETTLE_MS,
+    AnsweredKeys, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, SETTLE_MS,
 };
 
 const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
@@ -131,6 +131,21 @@
     assert!(!known.is_suspected(5_000, 100));
 }
 
+// Guards against memory that grows with the number of different requests, and against an outage of all targets in which
+// sound requests are forgotten.
+#[test]
+fn answered_requests_are_remembered_until_enough_others_follow() {
+    let mut answered = AnsweredKeys::default();
+    answered.insert(0, REQUEST);
+    answered.insert(100_000, 1);
+    assert!(answered.contains(REQUEST));
+    (1_000..101_000).for_each(|it| answered.insert(100_000, it));
+    assert!(!answered.contains(REQUEST));
+    answered.insert(130_000, 1);
+    answered.insert(160_000, 2);
+    assert!(answered.contains(1) && !answered.contains(100_999));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     /// The caller sends the request to a gateway, which sends it to a target unless it is quarantined there.
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -489,7 +489,7 @@
     /// Notes that the request got a whole answer with success.
     pub(super) fn note_answered(&self) {
         let reports = &self.front.crash_reports;
-        if reports.has_suspects() && reports.answered(self.fingerprint()) {
+        if reports.answered(self.fingerprint()) {
             log::info!(
                 request = self.id, fingerprint:% = Hex(self.fingerprint());
                 "front: suspected request was answered"
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -12,7 +12,7 @@
 
 use compio::net::UdpSocket;
 use samphiredoor_core::{
-    crash_reports::{CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
+    crash_reports::{AnsweredKeys, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
     placement::name_hash,
 };
 use samphiredoor_net::{clock::Clock, pool::within, probe::refuses_connections};
@@ -33,6 +33,7 @@
 pub struct CrashReports {
     messages: flume::Sender<Message>,
     known: Rc<RefCell<KnownSuspects>>,
+    answered: Rc<RefCell<AnsweredKeys>>,
     clock: Clock,
     metrics: Rc<Metrics>,
 }
@@ -58,6 +59,7 @@
         let handle = CrashReports {
             messages,
             known: Rc::default(),
+            answered: Rc::default(),
             clock: task.clock,
             metrics: Rc::clone(&task.metrics),
         };
@@ -80,7 +82,9 @@
 
     /// Notes a whole answer to a request, which clears it if it is suspected. Returns whether it is.
     pub fn answered(&self, fingerprint: u64) -> bool {
-        let is_suspected = self.known.borrow().is_suspected(self.clock.now().mono_ms, fingerprint);
+        let now_ms = self.clock.now().mono_ms;
+        self.answered.borrow_mut().insert(now_ms, fingerprint);
+        let is_suspected = self.known.borrow().is_suspected(now_ms, fingerprint);
         if is_suspected {
             self.send(Message::Own(CrashNews::Answered(fingerprint)));
         }
@@ -96,7 +100,14 @@
                 return;
             }
             handle.metrics.target_crashed();
-            log::info!(fingerprint:% = Hex(fingerprint), target:% = target; "crashes: target crashed under a request");
+            let was_answered = handle.answered.borrow().contains(fingerprint);
+            log::info!(
+                fingerprint:% = Hex(fingerprint), target:% = target, was_answered;
+                "crashes: target crashed under a request"
+            );
+            if was_answered {
+                return;
+            }
             let report = CrashReport {
                 fingerprint,
                 target: name_hash(&target.to_string()),
@@ -117,6 +128,10 @@
     pub(super) fn told(&self, verdict: CrashVerdict) {
         let now_ms = self.clock.now().mono_ms;
         let is_new = self.known.borrow_mut().apply(now_ms, verdict);
+        let is_suspected = self.known.borrow().is_suspected(now_ms, verdict.fingerprint);
+        if is_suspected && self.answered.borrow().contains(verdict.fingerprint) {
+            self.send(Message::Own(CrashNews::Answered(verdict.fingerprint)));
+        }
         if is_new {
             self.metrics.quarantined();
             log::warn!(
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -281,7 +281,7 @@
         self.state().runs.clone()
     }
 
-    /// Simulates a crash: closes the listener and handles no further requests.
+    /// Simulates a crash: closes the listener, cuts the answers in progress and handles no further requests.
     pub fn crash(&self) {
         self.is_crashed.store(true, Ordering::Relaxed);
         // This connection wakes the accepting thread, which then closes the listener.
@@ -460,6 +460,9 @@
                 false => write!(stream, "{:x}\r\n{event}\r\n", event.len())?,
             }
             thread::sleep(pause);
+            if self.is_crashed.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
         }
         if !is_unframed {
             stream.write_all(b"0\r\n\r\n")?;
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -230,6 +230,25 @@
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
 }
 
+// Guards against sound content that many callers send, blamed for targets that crash beneath it.
+#[test]
+fn content_that_was_answered_is_not_quarantined_for_crashes_beneath_it() {
+    let (platform, targets) = fleet_of_targets(2);
+    (0..2).for_each(|it| platform.wait_logged(it, "peers: peer is live"));
+    let send = |number: usize| {
+        let id = format!("id-{number}");
+        platform.send(number % 2, "/stream/check", &id, CRASHING).status
+    };
+    assert_eq!([send(0), send(1)], [200, 200]);
+    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::Crashes));
+    for number in 0..2 * CRASHES_KNOWN {
+        assert_eq!(send(number), 502, "crash {number}");
+        thread::sleep(CRASHES_TOLD_WITHIN / 16);
+    }
+    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::None));
+    assert_eq!([send(0), send(1)], [200, 200]);
+}
+
 // Guards against an item that is sent again without a bound because each of its answers crosses a preemption.
 #[test]
 fn failures_that_cross_preemptions_do_not_repeat_an_item_without_a_bound() {
