Requests that crash targets: gateways that start or return are told of the quarantined ones

A verdict was one datagram to the gateways that lived, repeated only with the next crash. The coordinators tell gateways that appear, and repeat a new verdict within a second, as datagrams may be lost. Verdicts carry their age, so that a quarantine ends at the same time everywhere.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -133,7 +133,7 @@
                 count.min(SUSPECTED_CRASHES)
             };
             if crashes >= SUSPECTED_CRASHES && std::mem::take(&mut evidence.is_reported) {
-                verdicts.push(CrashVerdict { fingerprint: *fingerprint, crashes });
+                verdicts.push(CrashVerdict { fingerprint: *fingerprint, crashes, age_ms: 0 });
             }
         }
         let unsettled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
@@ -148,7 +148,7 @@
             return None;
         }
         self.evidence.remove(&fingerprint);
-        Some(CrashVerdict { fingerprint, crashes: 0 })
+        Some(CrashVerdict { fingerprint, crashes: 0, age_ms: 0 })
     }
 
     /// The crash of a target at a time; it is new if no loss was reported of it.
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     crashes: u32,
-    told_at_ms: u64,
+    judged_at_ms: u64,
 }
 
 /// Suspected and quarantined requests, by fingerprint.
@@ -32,9 +32,20 @@
         self.get(now_ms, fingerprint).is_some_and(|it| it.crashes < QUARANTINE_CRASHES)
     }
 
+    /// The quarantined requests, for gateways that may not know them.
+    pub fn quarantined(&mut self, now_ms: u64) -> impl Iterator<Item = CrashVerdict> {
+        self.forget(now_ms);
+        let quarantined = self.suspects.iter().filter(|(_, it)| it.crashes >= QUARANTINE_CRASHES);
+        quarantined.map(move |(fingerprint, it)| CrashVerdict {
+            fingerprint: *fingerprint,
+            crashes: it.crashes,
+            age_ms: now_ms.saturating_sub(it.judged_at_ms) as u32,
+        })
+    }
+
     /// Takes over what a coordinator tells. Returns whether the request is quarantined by it and was not before.
     pub fn apply(&mut self, now_ms: u64, verdict: CrashVerdict) -> bool {
-        self.suspects.retain(|_, it| it.told_at_ms + remembered_ms(it.crashes) > now_ms);
+        self.forget(now_ms);
         let was_quarantined = self.is_quarantined(now_ms, verdict.fingerprint);
         if verdict.crashes == 0 {
             // The two coordinators may have counted differently; a quarantine stands.
@@ -44,15 +55,20 @@
             return false;
         }
         let known = self.suspects.entry(verdict.fingerprint);
-        let known = known.or_insert(Known { crashes: 0, told_at_ms: now_ms });
+        let judged_at_ms = now_ms.saturating_sub(verdict.age_ms.into());
+        let known = known.or_insert(Known { crashes: 0, judged_at_ms });
         known.crashes = known.crashes.max(verdict.crashes);
-        known.told_at_ms = now_ms;
-        limit_len(&mut self.suspects, |it| (it.crashes, it.told_at_ms));
+        known.judged_at_ms = known.judged_at_ms.max(judged_at_ms);
+        limit_len(&mut self.suspects, |it| (it.crashes, it.judged_at_ms));
         !was_quarantined && verdict.crashes >= QUARANTINE_CRASHES
     }
 
+    fn forget(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, it| it.judged_at_ms + remembered_ms(it.crashes) > now_ms);
+    }
+
     fn get(&self, now_ms: u64, fingerprint: u64) -> Option<&Known> {
         let known = self.suspects.get(&fingerprint)?;
-        (known.told_at_ms + remembered_ms(known.crashes) > now_ms).then_some(known)
+        (known.judged_at_ms + remembered_ms(known.crashes) > now_ms).then_some(known)
     }
 }
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -44,6 +44,8 @@
     pub fingerprint: u64,
     /// Number of targets that it has crashed; 0 if it is cleared.
     pub crashes: u32,
+    /// Time since this was judged.
+    pub age_ms: u32,
 }
 
 /// How long a request with this number of crashes is remembered.
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -106,12 +106,23 @@
 #[test]
 fn suspicion_and_quarantine_expire() {
     let mut known = KnownSuspects::default();
-    known.apply(0, CrashVerdict { fingerprint: 1, crashes: 2 });
-    known.apply(0, CrashVerdict { fingerprint: 2, crashes: CRASHES });
+    known.apply(0, CrashVerdict { fingerprint: 1, crashes: 2, age_ms: 0 });
+    known.apply(0, CrashVerdict { fingerprint: 2, crashes: CRASHES, age_ms: 0 });
     assert!(known.is_suspected(59_999, 1) && !known.is_suspected(60_000, 1));
     assert!(known.is_quarantined(599_999, 2) && !known.is_quarantined(600_000, 2));
 }
 
+// Guards against quarantines that never end because gateways tell each other of them.
+#[test]
+fn a_quarantine_that_is_told_later_ends_at_the_same_time() {
+    let (mut first, mut second) = (KnownSuspects::default(), KnownSuspects::default());
+    first.apply(0, CrashVerdict { fingerprint: REQUEST, crashes: CRASHES, age_ms: 0 });
+    first.quarantined(400_000).for_each(|it| _ = second.apply(400_000, it));
+    second.quarantined(500_000).for_each(|it| _ = first.apply(500_000, it));
+    assert!(second.is_quarantined(599_999, REQUEST) && first.is_quarantined(599_999, REQUEST));
+    assert!(!second.is_quarantined(600_000, REQUEST) && !first.is_quarantined(600_000, REQUEST));
+}
+
 // Guards against memory that grows with the number of different requests that crash targets.
 #[test]
 fn requests_with_the_fewest_crashes_are_forgotten_first() {
@@ -124,7 +135,7 @@
     }
     for other in 100..10_100 {
         coordinator.report(4_000, &crash(other, 4, 50));
-        known.apply(4_000, CrashVerdict { fingerprint: other, crashes: 2 });
+        known.apply(4_000, CrashVerdict { fingerprint: other, crashes: 2, age_ms: 0 });
     }
     assert_eq!(crashes(judged(&mut coordinator, 5_000, crash(REQUEST, 5, 50))), Some(4));
     assert!(known.is_quarantined(5_000, REQUEST));
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -43,8 +43,13 @@
 pub(super) fn write_verdict(verdict: &CrashVerdict, mut root: crash_verdict::Builder<'_>) {
     root.set_fingerprint(verdict.fingerprint);
     root.set_crashes(verdict.crashes);
+    root.set_age_ms(verdict.age_ms);
 }
 
 pub(super) fn read_verdict(root: crash_verdict::Reader<'_>) -> CrashVerdict {
-    CrashVerdict { fingerprint: root.get_fingerprint(), crashes: root.get_crashes() }
+    CrashVerdict {
+        fingerprint: root.get_fingerprint(),
+        crashes: root.get_crashes(),
+        age_ms: root.get_age_ms(),
+    }
 }
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -22,6 +23,10 @@
 };
 use crate::metrics::Metrics;
 
+/// Interval at which gateways that may not know the quarantined requests are told: those that have started or returned, and
+/// all others of what was judged within this time, as datagrams may be lost.
+const TELL_AGAIN: Duration = Duration::from_millis(500);
+
 enum Message {
     News(CrashNews),
     /// News of this process, which go to all coordinators.
@@ -65,7 +70,10 @@
         };
         let coordinator = CrashCoordinator::default();
         let own_key = name_hash(&task.local.name);
-        let running = Running { task, own_key, coordinator, handle: handle.clone() };
+        let told = BTreeSet::new();
+        let tell_again_at = Instant::now();
+        let running =
+            Running { task, own_key, coordinator, handle: handle.clone(), told, tell_again_at };
         compio::runtime::spawn(running.run(inbox)).detach();
         handle
     }
@@ -152,6 +160,9 @@
     own_key: u64,
     coordinator: CrashCoordinator,
     handle: CrashReports,
+    /// Live gateways, by address and incarnation, that were told of the quarantined requests.
+    told: BTreeSet<(SocketAddr, u64)>,
+    tell_again_at: Instant,
 }
 
 impl Running {
@@ -166,19 +177,45 @@
             for verdict in self.coordinator.verdicts(self.now_ms()) {
                 self.tell_all(verdict).await;
             }
+            if Instant::now() >= self.tell_again_at {
+                self.tell_again().await;
+                self.tell_again_at = Instant::now() + TELL_AGAIN;
+            }
+        }
+    }
+
+    /// Tells those gateways of the quarantined requests which may not know them.
+    async fn tell_again(&mut self) {
+        let live: BTreeSet<_> = self.task.roster.live_incarnations().into_iter().collect();
+        let is_new = |it: &&(SocketAddr, u64)| !self.told.contains(it);
+        let new: Vec<SocketAddr> = live.iter().filter(is_new).map(|(it, _)| *it).collect();
+        let all: Vec<SocketAddr> = live.iter().map(|(it, _)| *it).collect();
+        self.told = live;
+        let quarantined: Vec<CrashVerdict> =
+            self.handle.known.borrow_mut().quarantined(self.now_ms()).collect();
+        for verdict in quarantined.into_iter().filter(|it| self.is_coordinator(it.fingerprint)) {
+            let is_recent = u128::from(verdict.age_ms) < TELL_AGAIN.as_millis();
+            let to = if is_recent { &all } else { &new };
+            let bytes = Datagram::CrashVerdict(verdict).encode();
+            send_to_all(&self.task.socket, bytes, to.clone()).await;
         }
     }
 
-    /// Waits for a message; `None` if reports are to be judged first.
+    fn is_coordinator(&self, fingerprint: u64) -> bool {
+        self.task.roster.coordinators(fingerprint).chosen.contains(&self.own_key)
+    }
+
+    /// Waits for a message; `None` if reports are to be judged or others to be told first.
     async fn next_message(
         &self,
         inbox: &flume::Receiver<Message>,
     ) -> Option<Result<Message, flume::RecvError>> {
-        match self.coordinator.due_ms() {
-            Some(due_ms) => {
-                let left = Duration::from_millis(due_ms.saturating_sub(self.now_ms()));
-                within(left, inbox.recv_async()).await
-            }
+        let due_ms = self.coordinator.due_ms();
+        let judged_in = due_ms.map(|it| Duration::from_millis(it.saturating_sub(self.now_ms())));
+        let tells = self.handle.has_suspects();
+        let told_in = tells.then(|| self.tell_again_at.saturating_duration_since(Instant::now()));
+        match judged_in.into_iter().chain(told_in).min() {
+            Some(left) => within(left, inbox.recv_async()).await,
             None => Some(inbox.recv_async().await),
         }
     }
--- a/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
@@ -55,6 +55,13 @@
         peers.get(name).is_some_and(|it| it.last_seen.is_some() && it.incarnation > incarnation)
     }
 
+    /// Addresses and incarnations of the live gateways.
+    pub fn live_incarnations(&self) -> Vec<(SocketAddr, u64)> {
+        let peers = self.peers.borrow();
+        let live = peers.values().filter(|it| it.is_live());
+        live.map(|it| (it.address, it.incarnation)).collect()
+    }
+
     /// Whether this incarnation of a gateway or a later one has been seen.
     pub fn has_been_seen(&self, name: &str, incarnation: u64) -> bool {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -174,6 +174,8 @@
   fingerprint @0 :UInt64;
   crashes @1 :UInt32;
   # Number of targets that it has crashed; 0 if it is cleared.
+  ageMs @2 :UInt32;
+  # Time since this was judged.
 }
 
 struct RunReport {
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -230,6 +230,26 @@
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
 }
 
+// Guards against gateways that start after a request was quarantined, and learn of it by a crash each.
+#[test]
+fn a_gateway_that_starts_is_told_of_quarantined_requests() {
+    let (mut platform, targets) = fleet_of_targets(2);
+    (0..2).for_each(|it| platform.wait_logged(it, "peers: peer is live"));
+    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::Crashes));
+    let crashed = || targets.iter().map(|it| it.runs_of(CRASHING)).sum::<usize>();
+    for number in 0..CRASHES_KNOWN {
+        platform.send(0, "/stream/check", &format!("id-{number}"), CRASHING);
+    }
+    for restart in 0..MOST_LATER_CRASHES + 1 {
+        platform.gateway(1).kill();
+        platform.restart_gateway(1);
+        platform.wait_logged(1, "peers: peer is live");
+        thread::sleep(CRASHES_TOLD_WITHIN / 4);
+        platform.send(1, "/stream/check", &format!("later-{restart}"), CRASHING);
+    }
+    assert_eq!(crashed(), CRASHES_KNOWN);
+}
+
 // Guards against sound content that many callers send, blamed for targets that crash beneath it.
 #[test]
 fn content_that_was_answered_is_not_quarantined_for_crashes_beneath_it() {
