Prompt parts that crash targets: logs of the parts of lost requests; a red test

Nothing counts by part: of eight requests with a part under which five targets had crashed, each under a new body and a new last part, eight crashed a target. The adapter reads the parts of a prompt that other requests may share; the line of a request that was lost with its target names them. The stand-in's targets crash by a part.

--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -500,7 +500,8 @@
     /// Notes the end of an attempt that may have crashed its target.
     pub(super) fn note_lost(&self, end: AttemptEnd, target: SocketAddr, sent: Instant) {
         if end == AttemptEnd::Lost {
-            self.front.crash_reports.connection_lost(self.fingerprint(), target, sent);
+            let parts = self.front.dialect.shared_parts(&self.call.headers);
+            self.front.crash_reports.connection_lost(self.fingerprint(), parts, target, sent);
         }
     }
 
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -21,7 +21,7 @@
 use super::{
     LocalGateway, Roster, crash_messages::CrashNews, datagram::Datagram, listener::send_to_all,
 };
-use crate::metrics::Metrics;
+use crate::{metrics::Metrics, platform_api::SharedParts};
 
 /// Interval at which gateways that may not know the quarantined requests are told: those that have started or returned, and
 /// all others of what was judged within this time, as datagrams may be lost.
@@ -101,7 +101,13 @@
 
     /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
     /// connections.
-    pub fn connection_lost(&self, fingerprint: u64, target: SocketAddr, sent_at: Instant) {
+    pub fn connection_lost(
+        &self,
+        fingerprint: u64,
+        parts: SharedParts,
+        target: SocketAddr,
+        sent_at: Instant,
+    ) {
         let (handle, lost_at) = (self.clone(), Instant::now());
         compio::runtime::spawn(async move {
             if !refuses_connections(target).await {
@@ -110,7 +116,7 @@
             handle.metrics.target_crashed();
             let was_answered = handle.answered.borrow().contains(fingerprint);
             log::info!(
-                fingerprint:% = Hex(fingerprint), target:% = target, was_answered;
+                fingerprint:% = Hex(fingerprint), parts:% = HexList(&parts), target:% = target, was_answered;
                 "crashes: target crashed under a request"
             );
             if was_answered {
@@ -270,6 +276,19 @@
     }
 }
 
+/// Hashes as they are written in logs.
+pub struct HexList<'a>(pub &'a [u64]);
+
+impl std::fmt::Display for HexList<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (number, hash) in self.0.iter().enumerate() {
+            let separator = if number > 0 { "," } else { "" };
+            write!(f, "{separator}{}", Hex(*hash))?;
+        }
+        Ok(())
+    }
+}
+
 fn elapsed_ms(since: Instant) -> u32 {
     u32::try_from(since.elapsed().as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/samphiredoor-gateway/src/platform_api.rs
+++ b/crates/samphiredoor-gateway/src/platform_api.rs
@@ -18,6 +18,7 @@
     routes::RouteTable,
     store::{Kind, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version},
 };
+use smallvec::SmallVec;
 
 /// Connection of one process to the platform.
 #[derive(Clone)]
@@ -28,6 +29,9 @@
     pub dialect: Rc<dyn Dialect>,
 }
 
+/// Hashes of the parts of a prompt that other requests may share, in order.
+pub type SharedParts = SmallVec<[u64; 4]>;
+
 /// How current a list has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -221,6 +225,9 @@
     /// Hash of the prompt prefix that a request shares with others; 0 if there is none.
     fn affinity(&self, headers: &HeaderMap) -> u64;
 
+    /// Hashes of the parts of a request's prompt that other requests may share, in order.
+    fn shared_parts(&self, headers: &HeaderMap) -> SharedParts;
+
     /// Parses the routes; `None` for an object that holds no routes.
     ///
     /// # Errors
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -116,6 +116,8 @@
     faults_by_body: BTreeMap<Vec<u8>, TargetFault>,
     /// Faults of requests by the last byte of their body, at each run.
     faults_by_last_byte: BTreeMap<u8, TargetFault>,
+    /// Faults of requests by a part of their prompt other than the last, at each run.
+    faults_by_part: BTreeMap<String, TargetFault>,
     runs: Vec<Run>,
     events: u64,
     pause: Duration,
@@ -159,6 +161,7 @@
             faults: VecDeque::new(),
             faults_by_body: BTreeMap::new(),
             faults_by_last_byte: BTreeMap::new(),
+            faults_by_part: BTreeMap::new(),
             runs: Vec::new(),
             events,
             pause,
@@ -210,6 +213,11 @@
         self.state().faults_by_body.insert(body.as_bytes().to_vec(), fault);
     }
 
+    /// Sets the fault of all requests with this part in their prompts, unless it is the last, before any other.
+    pub fn fail_part(&self, part: &str, fault: TargetFault) {
+        self.state().faults_by_part.insert(part.to_owned(), fault);
+    }
+
     /// Sets the fault of all requests whose body ends with a character.
     pub fn with_fault_of_bodies_ending(self, last: char, fault: TargetFault) -> PlatformTarget {
         self.state().faults_by_last_byte.insert(last as u8, fault);
@@ -302,10 +310,12 @@
         text_of(&self.version(), events)
     }
 
-    fn next_fault(&self, body: &[u8]) -> TargetFault {
+    fn next_fault(&self, request: &HttpRequest) -> TargetFault {
         let mut state = self.state();
+        let body = request.body.as_slice();
+        let by_part = request.shared_parts().find_map(|it| state.faults_by_part.get(it));
         let by_last_byte = body.last().and_then(|it| state.faults_by_last_byte.get(it));
-        let by_body = state.faults_by_body.get(body).or(by_last_byte).copied();
+        let by_body = by_part.or(state.faults_by_body.get(body)).or(by_last_byte).copied();
         by_body.or_else(|| state.faults.pop_front()).unwrap_or_default()
     }
 
@@ -337,7 +347,7 @@
             write_answer(stream, "400 Bad Request", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
         }
-        let fault = self.next_fault(&request.body);
+        let fault = self.next_fault(request);
         if fault == TargetFault::Full {
             write_answer(stream, "503 Service Unavailable", id, "X-Not-Run: 1\r\n", "")?;
             return Ok(true);
@@ -531,6 +541,15 @@
     }
 }
 
+impl HttpRequest {
+    /// Ids of the parts of its prompt but the last.
+    fn shared_parts(&self) -> impl Iterator<Item = &str> {
+        let parts = self.header("x-prompt-prefix").unwrap_or_default();
+        let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
+        shared.split(',').filter_map(|it| it.split(':').next())
+    }
+}
+
 /// Reads the next request of a connection; `None` at its end.
 fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<HttpRequest>> {
     loop {
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -8,6 +8,7 @@
 mod item_outputs;
 mod jobs;
 mod overload_metrics;
+mod prompt_parts;
 mod reads_after_cancellation;
 mod repeats;
 mod slow_callers;
