Prompt parts that crash targets are quarantined

Requests and parts are suspects of one mechanism. A gateway reports a lost request with those parts of its prompt that it has not lately seen in a whole answer, to the two coordinators of its service, which see all suspects of a crash. A part is blamed from its fourth crash on if no one request explains all but one of them, and if nothing else explains more; of parts that are always together the deeper one is blamed, and released once another one explains its crashes. A whole answer releases a part. A request is checked again after it has waited for a slot.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -1,29 +1,30 @@
-//! Counts the crashes of the requests that rendezvous hashing assigns to this process.
+//! Counts the crashes of targets of the services that rendezvous hashing assigns to this process, and finds their causes.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use smallvec::SmallVec;
 
 use super::{
-    CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, SUSPECTED_CRASHES, limit_len, remembered_ms,
+    Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES,
+    SUSPECTED_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms,
 };
 
-/// Time after the first report of a crash in which its other reports arrive, and answers that clear requests. Judged
-/// earlier, a request that was lost beside the cause of a crash may be the only one that is known of it.
+/// Time after the first report of a crash in which its other reports arrive, and answers that clear suspects. Judged
+/// earlier, a suspect that was lost beside the cause of a crash may be the only one that is known of it.
 pub const SETTLE_MS: u64 = 150;
 /// Losses at one target within this time are of one crash: a target takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
-/// Crashes count for a request that was on several targets at once only if they are this far apart. The loss of a rack is
+/// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
 /// one crash, which gateways notice within less.
 const SEPARATE_MS: u64 = 250;
-/// Most crashes that are remembered of one request.
+/// Most crashes that are remembered of one suspect.
 const MAX_CRASHES: usize = 16;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
+    /// What the request consists of; without the parts that its gateway has lately seen in a whole answer.
+    pub content: Content,
     /// Hash of the target's address.
     pub target: u64,
     /// Time since it was sent to the target.
@@ -43,20 +44,22 @@
     reported_ms: u64,
 }
 
-/// What speaks against a request.
+/// What speaks against a suspect.
 #[derive(Debug, Default)]
 struct Evidence {
     /// Crashes that count for it, in order.
     crashes: SmallVec<[CrashId; 4]>,
     last_at_ms: u64,
+    /// Position of a part in the prompt. Deeper parts are shared by fewer requests.
+    depth: usize,
     /// Whether it has been quarantined.
     is_quarantined: bool,
-    /// Whether it was reported since the last verdicts.
+    /// Whether it was reported or quarantined since it was last told.
     is_reported: bool,
 }
 
 impl Evidence {
-    /// Counts a crash under which the request was lost, unless it is one loss of several targets.
+    /// Counts a crash under which a request was lost, unless it is one loss of several targets.
     fn count(&mut self, crash: CrashId, sent_at_ms: u64, at_ms: u64) {
         self.is_reported = true;
         let is_separate = self.crashes.is_empty()
@@ -78,12 +81,12 @@
     }
 }
 
-/// Crashes of targets, and the requests that were lost with them.
+/// Crashes of targets, and what was lost with them.
 #[derive(Debug, Default)]
 pub struct CrashCoordinator {
     crashes: BTreeMap<CrashId, Crash>,
     last_crash: CrashId,
-    evidence: BTreeMap<u64, Evidence>,
+    evidence: BTreeMap<Suspect, Evidence>,
     /// When reports are to be judged.
     due_ms: Option<u64>,
 }
@@ -97,9 +100,14 @@
         let crash = self.crash(now_ms, report.target, lost_at_ms);
         // Both times are late by the delays of their reports. So a request that was sent up to the delay between regions before
         // the last crash may count as sent after it, which is rare and needs to happen twice for a false quarantine.
-        let evidence = self.evidence.entry(report.fingerprint).or_default();
-        evidence.count(crash, sent_at_ms, lost_at_ms);
-        let wait_ms = if self.has_rival(report.fingerprint) { SETTLE_MS } else { 0 };
+        for (depth, suspect) in report.content.suspects().enumerate() {
+            let evidence = self.evidence.entry(suspect).or_default();
+            evidence.depth = depth;
+            evidence.count(crash, sent_at_ms, lost_at_ms);
+        }
+        let request = Suspect::request(report.content.service, report.content.fingerprint);
+        let must_wait = !report.content.parts.is_empty() || self.has_rival(request);
+        let wait_ms = if must_wait { SETTLE_MS } else { 0 };
         limit_len(&mut self.evidence, Evidence::rank);
         let due_ms = now_ms + wait_ms;
         self.due_ms = Some(self.due_ms.map_or(due_ms, |it| it.min(due_ms)));
@@ -110,22 +118,23 @@
         self.due_ms
     }
 
-    /// Judges the requests that were reported. Returns what all gateways have to be told, also if they were told before: a
-    /// request that is still reported is not known to one of them.
+    /// Judges the suspects that were reported. Returns what all gateways have to be told, also if they were told before: one
+    /// that is still reported is not known to one of them.
     pub fn verdicts(&mut self, now_ms: u64) -> Vec<CrashVerdict> {
         if self.due_ms.is_none_or(|it| now_ms < it) {
             return Vec::new();
         }
         let settled = self.settled(now_ms);
         let mut causes = self.causes(&settled);
+        let mut verdicts = self.lift_explained_parts(&causes);
         causes.extend(self.evidence.keys().filter(|it| self.is_sole_cause(**it)));
-        for fingerprint in causes {
-            if let Some(evidence) = self.evidence.get_mut(&fingerprint) {
+        for suspect in causes {
+            if let Some(evidence) = self.evidence.get_mut(&suspect) {
+                evidence.is_reported |= !evidence.is_quarantined;
                 evidence.is_quarantined = true;
             }
         }
-        let mut verdicts = Vec::new();
-        for (fingerprint, evidence) in &mut self.evidence {
+        for (suspect, evidence) in &mut self.evidence {
             let count = evidence.crashes.len() as u32;
             let crashes = if evidence.is_quarantined {
                 count.max(QUARANTINE_CRASHES)
@@ -133,7 +142,7 @@
                 count.min(SUSPECTED_CRASHES)
             };
             if crashes >= SUSPECTED_CRASHES && std::mem::take(&mut evidence.is_reported) {
-                verdicts.push(CrashVerdict { fingerprint: *fingerprint, crashes, age_ms: 0 });
+                verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms: 0 });
             }
         }
         let unsettled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
@@ -141,14 +150,33 @@
         verdicts
     }
 
-    /// Clears a request that got a whole answer. A quarantined one stays: that answer is of a run that began before.
-    pub fn clear(&mut self, fingerprint: u64) -> Option<CrashVerdict> {
-        let evidence = self.evidence.get(&fingerprint)?;
-        if evidence.is_quarantined {
+    /// Clears a suspect that got a whole answer. A quarantined request stays: that answer is of a run that began before. A part
+    /// is shared by many requests, and an answer to any of them shows that it is sound.
+    pub fn clear(&mut self, suspect: Suspect) -> Option<CrashVerdict> {
+        let evidence = self.evidence.get(&suspect)?;
+        if evidence.is_quarantined && suspect.kind == SuspectKind::Request {
             return None;
         }
-        self.evidence.remove(&fingerprint);
-        Some(CrashVerdict { fingerprint, crashes: 0, age_ms: 0 })
+        self.evidence.remove(&suspect);
+        Some(CrashVerdict { suspect, crashes: 0, age_ms: 0 })
+    }
+
+    /// Ends the quarantine of parts that were taken for a cause, and all of whose crashes other causes explain by now.
+    fn lift_explained_parts(&mut self, causes: &[Suspect]) -> Vec<CrashVerdict> {
+        let explained: BTreeSet<CrashId> =
+            causes.iter().flat_map(|it| self.evidence[it].crashes.iter().copied()).collect();
+        let mut lifted = Vec::new();
+        for (suspect, evidence) in &mut self.evidence {
+            let is_lifted = evidence.is_quarantined
+                && suspect.kind == SuspectKind::Part
+                && !causes.contains(suspect)
+                && evidence.crashes.iter().all(|it| explained.contains(it));
+            if is_lifted {
+                evidence.is_quarantined = false;
+                lifted.push(CrashVerdict { suspect: *suspect, crashes: 0, age_ms: 0 });
+            }
+        }
+        lifted
     }
 
     /// The crash of a target at a time; it is new if no loss was reported of it.
@@ -165,18 +193,24 @@
         self.last_crash
     }
 
-    /// Whether another request was lost in two or more of the crashes that count for this one, and may be their cause.
-    fn has_rival(&self, fingerprint: u64) -> bool {
-        let Some(own) = self.evidence.get(&fingerprint) else { return false };
+    /// Whether another request was lost in two or more of the crashes that count for a request, and may be their cause.
+    fn has_rival(&self, request: Suspect) -> bool {
+        let Some(own) = self.evidence.get(&request) else { return false };
         let crashes = own.crashes.iter().copied().collect();
-        let mut others = self.evidence.iter().filter(|(it, _)| **it != fingerprint);
+        let mut others = self.requests().filter(|(it, _)| **it != request);
         others.any(|(_, it)| count_of(it, &crashes) >= SUSPECTED_CRASHES)
     }
 
     /// Whether a request was lost in enough crashes, of which no other one may be the cause.
-    fn is_sole_cause(&self, fingerprint: u64) -> bool {
-        let count = self.evidence.get(&fingerprint).map_or(0, |it| it.crashes.len());
-        count >= QUARANTINE_CRASHES as usize && !self.has_rival(fingerprint)
+    fn is_sole_cause(&self, suspect: Suspect) -> bool {
+        let count = self.evidence.get(&suspect).map_or(0, |it| it.crashes.len());
+        suspect.kind == SuspectKind::Request
+            && count >= QUARANTINE_CRASHES as usize
+            && !self.has_rival(suspect)
+    }
+
+    fn requests(&self) -> impl Iterator<Item = (&Suspect, &Evidence)> {
+        self.evidence.iter().filter(|(it, _)| it.kind == SuspectKind::Request)
     }
 
     /// Crashes of which all reports are expected to have arrived.
@@ -185,20 +219,42 @@
         settled.map(|(id, _)| *id).collect()
     }
 
-    /// The fewest requests that explain the crashes: the one that was lost with most of them, then the one that was lost with
-    /// most of the others, and so on. Requests that are only lost beside it are left out.
-    fn causes(&self, settled: &BTreeSet<CrashId>) -> Vec<u64> {
+    /// The fewest suspects that explain the crashes: the one that was lost with most of them, then the one that was lost with
+    /// most of the others, and so on. Suspects that are only lost beside it are left out.
+    fn causes(&self, settled: &BTreeSet<CrashId>) -> Vec<Suspect> {
         let mut unexplained = settled.clone();
         let mut causes = Vec::new();
         loop {
-            let counts = self.evidence.iter().map(|(it, by)| (count_of(by, &unexplained), *it));
-            let Some((count, cause)) = counts.max() else { return causes };
-            if count < QUARANTINE_CRASHES {
-                return causes;
-            }
-            self.evidence[&cause].crashes.iter().for_each(|it| _ = unexplained.remove(it));
-            causes.push(cause);
+            let possible =
+                self.evidence.iter().filter(|(it, by)| self.suffices(it, by, &unexplained));
+            // At the same count a request is more specific than a part, and a deeper part than one before it.
+            let rank = |it: &Suspect, by: &Evidence| {
+                (count_of(by, &unexplained), it.kind == SuspectKind::Request, by.depth)
+            };
+            let best = possible.max_by_key(|(it, by)| rank(it, by));
+            let Some((cause, evidence)) = best else { return causes };
+            causes.push(*cause);
+            evidence.crashes.iter().for_each(|it| _ = unexplained.remove(it));
+        }
+    }
+
+    /// Whether there is enough evidence in these crashes for a quarantine.
+    fn suffices(
+        &self,
+        suspect: &Suspect,
+        evidence: &Evidence,
+        crashes: &BTreeSet<CrashId>,
+    ) -> bool {
+        let count = count_of(evidence, crashes);
+        if suspect.kind == SuspectKind::Request {
+            return count >= QUARANTINE_CRASHES;
         }
+        let own = || evidence.crashes.iter().filter(|it| crashes.contains(it)).copied().collect();
+        let by_one_request = || {
+            let own = own();
+            self.requests().map(|(_, it)| count_of(it, &own)).max().unwrap_or(0)
+        };
+        count >= PART_QUARANTINE_CRASHES && count >= by_one_request() + PART_MARGIN
     }
 
     fn forget(&mut self, now_ms: u64) {
@@ -208,7 +264,7 @@
     }
 }
 
-/// Number of these crashes that count for a request.
+/// Number of these crashes that count for a suspect.
 fn count_of(evidence: &Evidence, among: &BTreeSet<CrashId>) -> u32 {
     evidence.crashes.iter().filter(|it| among.contains(it)).count() as u32
 }
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -1,8 +1,8 @@
-//! The suspected and quarantined requests that this process was told of.
+//! The suspects, suspected and quarantined, that this process was told of.
 
 use std::collections::BTreeMap;
 
-use super::{CrashVerdict, QUARANTINE_CRASHES, limit_len, remembered_ms};
+use super::{CrashVerdict, QUARANTINE_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms};
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -10,10 +10,10 @@
     judged_at_ms: u64,
 }
 
-/// Suspected and quarantined requests, by fingerprint.
+/// Suspected and quarantined requests and parts.
 #[derive(Debug, Default)]
 pub struct KnownSuspects {
-    suspects: BTreeMap<u64, Known>,
+    suspects: BTreeMap<Suspect, Known>,
 }
 
 impl KnownSuspects {
@@ -22,39 +22,40 @@
         self.suspects.is_empty()
     }
 
-    /// Whether a request must not be sent.
-    pub fn is_quarantined(&self, now_ms: u64, fingerprint: u64) -> bool {
-        self.get(now_ms, fingerprint).is_some_and(|it| it.crashes >= QUARANTINE_CRASHES)
+    /// Whether requests must not be sent that are this suspect, or have it in their prompts.
+    pub fn is_quarantined(&self, now_ms: u64, suspect: Suspect) -> bool {
+        self.get(now_ms, suspect).is_some_and(|it| it.crashes >= QUARANTINE_CRASHES)
     }
 
-    /// Whether a request is suspected, so that its next whole answer clears it.
-    pub fn is_suspected(&self, now_ms: u64, fingerprint: u64) -> bool {
-        self.get(now_ms, fingerprint).is_some_and(|it| it.crashes < QUARANTINE_CRASHES)
+    /// Whether it is suspected, so that the next whole answer clears it.
+    pub fn is_suspected(&self, now_ms: u64, suspect: Suspect) -> bool {
+        self.get(now_ms, suspect).is_some_and(|it| it.crashes < QUARANTINE_CRASHES)
     }
 
-    /// The quarantined requests, for gateways that may not know them.
+    /// The quarantined ones, for gateways that may not know them.
     pub fn quarantined(&mut self, now_ms: u64) -> impl Iterator<Item = CrashVerdict> {
         self.forget(now_ms);
         let quarantined = self.suspects.iter().filter(|(_, it)| it.crashes >= QUARANTINE_CRASHES);
-        quarantined.map(move |(fingerprint, it)| CrashVerdict {
-            fingerprint: *fingerprint,
+        quarantined.map(move |(suspect, it)| CrashVerdict {
+            suspect: *suspect,
             crashes: it.crashes,
             age_ms: now_ms.saturating_sub(it.judged_at_ms) as u32,
         })
     }
 
-    /// Takes over what a coordinator tells. Returns whether the request is quarantined by it and was not before.
+    /// Takes over what a coordinator tells. Returns whether the suspect is quarantined by it and was not
+    /// before.
     pub fn apply(&mut self, now_ms: u64, verdict: CrashVerdict) -> bool {
         self.forget(now_ms);
-        let was_quarantined = self.is_quarantined(now_ms, verdict.fingerprint);
+        let was_quarantined = self.is_quarantined(now_ms, verdict.suspect);
         if verdict.crashes == 0 {
-            // The two coordinators may have counted differently; a quarantine stands.
-            if !was_quarantined {
-                self.suspects.remove(&verdict.fingerprint);
+            // The two coordinators may have counted differently; the quarantine of a request stands.
+            if !was_quarantined || verdict.suspect.kind == SuspectKind::Part {
+                self.suspects.remove(&verdict.suspect);
             }
             return false;
         }
-        let known = self.suspects.entry(verdict.fingerprint);
+        let known = self.suspects.entry(verdict.suspect);
         let judged_at_ms = now_ms.saturating_sub(verdict.age_ms.into());
         let known = known.or_insert(Known { crashes: 0, judged_at_ms });
         known.crashes = known.crashes.max(verdict.crashes);
@@ -67,8 +68,8 @@
         self.suspects.retain(|_, it| it.judged_at_ms + remembered_ms(it.crashes) > now_ms);
     }
 
-    fn get(&self, now_ms: u64, fingerprint: u64) -> Option<&Known> {
-        let known = self.suspects.get(&fingerprint)?;
+    fn get(&self, now_ms: u64, suspect: Suspect) -> Option<&Known> {
+        let known = self.suspects.get(&suspect)?;
         (known.judged_at_ms + remembered_ms(known.crashes) > now_ms).then_some(known)
     }
 }
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -1,4 +1,4 @@
-//! Requests that crash targets: which crashes count, who is told, and what clears a request.
+//! Requests and parts of prompts that crash targets: which crashes count, who is told, and what clears them.
 
 mod property;
 
@@ -7,10 +7,12 @@
     test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::crash_reports::{
-    AnsweredKeys, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, SETTLE_MS,
+    AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, Parts,
+    SETTLE_MS, Suspect,
 };
 
 const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
+const SERVICE: u64 = 5;
 const REQUEST: u64 = 7;
 /// Crashes after which a request is not sent any more.
 const CRASHES: u32 = 3;
@@ -18,7 +20,38 @@
 
 /// A request that is lost just now with a target.
 fn crash(fingerprint: u64, target: u64, sent_ago_ms: u32) -> CrashReport {
-    CrashReport { fingerprint, target, sent_ago_ms, lost_ago_ms: 0 }
+    let content = Content { service: SERVICE, fingerprint, parts: Parts::new() };
+    CrashReport { content, target, sent_ago_ms, lost_ago_ms: 0 }
+}
+
+fn request(fingerprint: u64) -> Suspect {
+    Suspect::request(SERVICE, fingerprint)
+}
+
+fn verdict(fingerprint: u64, crashes: u32) -> CrashVerdict {
+    CrashVerdict { suspect: request(fingerprint), crashes, age_ms: 0 }
+}
+
+/// A request with parts in its prompt that is lost just now.
+fn crash_with(fingerprint: u64, parts: &[u64], target: u64) -> CrashReport {
+    let mut report = crash(fingerprint, target, 50);
+    report.content.parts.extend_from_slice(parts);
+    report
+}
+
+/// Reports the losses of one crash each second, and returns the suspects that are quarantined by them.
+fn quarantined_after(crashes: &[&[(u64, &[u64])]]) -> Vec<Suspect> {
+    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    let mut now_ms = 0;
+    for lost in crashes {
+        now_ms += 1_000;
+        for (fingerprint, parts) in *lost {
+            coordinator.report(now_ms, &crash_with(*fingerprint, parts, now_ms));
+        }
+        let verdicts = coordinator.verdicts(now_ms + SETTLE_MS);
+        verdicts.into_iter().for_each(|it| _ = known.apply(now_ms, it));
+    }
+    known.quarantined(now_ms).map(|it| it.suspect).collect()
 }
 
 /// Reports a loss, and returns what is told of the request when it is judged.
@@ -29,7 +62,7 @@
 ) -> Option<CrashVerdict> {
     coordinator.report(at_ms, &report);
     let verdicts = coordinator.verdicts(at_ms + SETTLE_MS);
-    verdicts.into_iter().find(|it| it.fingerprint == report.fingerprint)
+    verdicts.into_iter().find(|it| it.suspect == request(report.content.fingerprint))
 }
 
 fn crashes(verdict: Option<CrashVerdict>) -> Option<u32> {
@@ -86,8 +119,11 @@
     judged(&mut coordinator, 1_000, crash(REQUEST, 1, 50));
     let told = judged(&mut coordinator, 2_000, crash(REQUEST, 2, 50)).expect("it is suspected");
     known.apply(2_000, told);
-    assert!(known.is_suspected(2_000, REQUEST) && !known.is_quarantined(2_000, REQUEST));
-    let cleared = coordinator.clear(REQUEST).expect("it was suspected");
+    assert!(
+        known.is_suspected(2_000, request(REQUEST))
+            && !known.is_quarantined(2_000, request(REQUEST))
+    );
+    let cleared = coordinator.clear(request(REQUEST)).expect("it was suspected");
     known.apply(2_100, cleared);
     assert!(known.is_empty());
     let told = judged(&mut coordinator, 3_000, crash(REQUEST, 3, 50));
@@ -100,27 +136,35 @@
     for at_ms in [1_000, 2_000, 3_000] {
         judged(&mut coordinator, at_ms, crash(REQUEST, at_ms, 50));
     }
-    assert_eq!(coordinator.clear(REQUEST), None);
+    assert_eq!(coordinator.clear(request(REQUEST)), None);
 }
 
 #[test]
 fn suspicion_and_quarantine_expire() {
     let mut known = KnownSuspects::default();
-    known.apply(0, CrashVerdict { fingerprint: 1, crashes: 2, age_ms: 0 });
-    known.apply(0, CrashVerdict { fingerprint: 2, crashes: CRASHES, age_ms: 0 });
-    assert!(known.is_suspected(59_999, 1) && !known.is_suspected(60_000, 1));
-    assert!(known.is_quarantined(599_999, 2) && !known.is_quarantined(600_000, 2));
+    known.apply(0, verdict(1, 2));
+    known.apply(0, verdict(2, CRASHES));
+    assert!(known.is_suspected(59_999, request(1)) && !known.is_suspected(60_000, request(1)));
+    assert!(
+        known.is_quarantined(599_999, request(2)) && !known.is_quarantined(600_000, request(2))
+    );
 }
 
 // Guards against quarantines that never end because gateways tell each other of them.
 #[test]
 fn a_quarantine_that_is_told_later_ends_at_the_same_time() {
     let (mut first, mut second) = (KnownSuspects::default(), KnownSuspects::default());
-    first.apply(0, CrashVerdict { fingerprint: REQUEST, crashes: CRASHES, age_ms: 0 });
+    first.apply(0, verdict(REQUEST, CRASHES));
     first.quarantined(400_000).for_each(|it| _ = second.apply(400_000, it));
     second.quarantined(500_000).for_each(|it| _ = first.apply(500_000, it));
-    assert!(second.is_quarantined(599_999, REQUEST) && first.is_quarantined(599_999, REQUEST));
-    assert!(!second.is_quarantined(600_000, REQUEST) && !first.is_quarantined(600_000, REQUEST));
+    assert!(
+        second.is_quarantined(599_999, request(REQUEST))
+            && first.is_quarantined(599_999, request(REQUEST))
+    );
+    assert!(
+        !second.is_quarantined(600_000, request(REQUEST))
+            && !first.is_quarantined(600_000, request(REQUEST))
+    );
 }
 
 // Guards against memory that grows with the number of different requests that crash targets.
@@ -135,11 +179,90 @@
     }
     for other in 100..10_100 {
         coordinator.report(4_000, &crash(other, 4, 50));
-        known.apply(4_000, CrashVerdict { fingerprint: other, crashes: 2, age_ms: 0 });
+        known.apply(4_000, verdict(other, 2));
     }
     assert_eq!(crashes(judged(&mut coordinator, 5_000, crash(REQUEST, 5, 50))), Some(4));
-    assert!(known.is_quarantined(5_000, REQUEST));
-    assert!(!known.is_suspected(5_000, 100));
+    assert!(known.is_quarantined(5_000, request(REQUEST)));
+    assert!(!known.is_suspected(5_000, request(100)));
+}
+
+const FIRST: u64 = 100;
+const BAD: u64 = 200;
+const SOUND: u64 = 300;
+
+fn part(hash: u64) -> Suspect {
+    Suspect::part(SERVICE, hash)
+}
+
+macro_rules! quarantines {
+    ($($(#[doc = $guards:literal])+ $name:ident: [$($lost:expr),* $(,)?] => $expected:expr;)*) => {
+        $(
+            $(#[doc = $guards])+
+            #[test]
+            fn $name() {
+                assert_eq!(quarantined_after(&[$(&$lost),*]), $expected);
+            }
+        )*
+    };
+}
+
+quarantines! {
+    /// Guards against a part that crashes targets under requests of which no two are alike.
+    a_part_that_different_requests_have_in_common_is_quarantined: [
+        [(1, &[BAD])], [(2, &[BAD])], [(3, &[BAD])], [(4, &[BAD])],
+    ] => [part(BAD)];
+    /// Guards against blame for the first part, which most requests share, while no gateway has answered any.
+    of_parts_that_are_always_together_the_deeper_one_is_quarantined: [
+        [(1, &[FIRST, BAD])], [(2, &[FIRST, BAD])], [(3, &[FIRST, BAD])], [(4, &[FIRST, BAD])],
+    ] => [part(BAD)];
+    /// Guards against blame for a part of sound requests that are lost beside the cause.
+    a_part_that_is_lost_beside_the_cause_is_not_quarantined: [
+        [(11, &[SOUND]), (1, &[BAD])], [(2, &[BAD])], [(12, &[SOUND]), (3, &[BAD])],
+        [(13, &[SOUND]), (4, &[BAD])], [(14, &[SOUND]), (5, &[BAD])], [(15, &[SOUND]), (6, &[BAD])],
+    ] => [part(BAD)];
+    /// Guards against blame for the parts of one request that crashes targets each time it is sent.
+    the_parts_of_a_request_that_crashes_targets_are_not_quarantined: [
+        [(1, &[SOUND])], [(1, &[SOUND])], [(1, &[SOUND])], [(1, &[SOUND]), (2, &[SOUND])],
+        [(1, &[SOUND])],
+    ] => [request(1)];
+    /// Guards against a wrong guess between parts that were together at first, which refuses sound requests for long.
+    a_part_is_released_once_another_one_explains_its_crashes: [
+        [(1, &[BAD, SOUND])], [(2, &[BAD, SOUND])], [(3, &[BAD, SOUND])], [(4, &[BAD, SOUND])],
+        [(5, &[BAD])],
+    ] => [part(BAD)];
+    /// Guards against a part whose requests are each sent again and crash several targets by themselves.
+    a_part_is_quarantined_beside_the_requests_that_have_it: [
+        [(1, &[BAD])], [(1, &[BAD])], [(1, &[BAD])], [(2, &[BAD])], [(2, &[BAD])],
+    ] => [request(1), part(BAD)];
+}
+
+// Guards against a part that was told as suspected before all its crashes were judged, and is not told again.
+#[test]
+fn a_part_is_told_as_quarantined_as_soon_as_all_its_crashes_are_judged() {
+    let mut coordinator = CrashCoordinator::default();
+    for number in 1..=4 {
+        let report = CrashReport { target: number, ..crash_with(number, &[BAD], number) };
+        coordinator.report(1_000 + number * 10, &CrashReport { sent_ago_ms: 2, ..report });
+    }
+    let mut told = Vec::new();
+    while let Some(due_ms) = coordinator.due_ms() {
+        told.extend(coordinator.verdicts(due_ms).into_iter().map(|it| (it.suspect, it.crashes)));
+    }
+    assert_eq!(told, [(part(BAD), 2), (part(BAD), 4)]);
+}
+
+// Guards against a quarantine of a sound part that lasts although requests with it are answered.
+#[test]
+fn a_whole_answer_ends_the_quarantine_of_a_part() {
+    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    for number in 1..=4 {
+        coordinator.report(number * 1_000, &crash_with(number, &[SOUND], number));
+        let verdicts = coordinator.verdicts(number * 1_000 + SETTLE_MS);
+        verdicts.into_iter().for_each(|it| _ = known.apply(number * 1_000, it));
+    }
+    assert!(known.is_quarantined(4_000, part(SOUND)));
+    known.apply(4_100, coordinator.clear(part(SOUND)).expect("it was quarantined"));
+    assert!(!known.is_quarantined(4_100, part(SOUND)));
 }
 
 // Guards against memory that grows with the number of different requests, and against an outage of all targets in which
@@ -186,7 +309,7 @@
     for step in steps {
         let (lost, passed_ms) = match step {
             Step::Send(gateway) => {
-                if gateways[gateway].is_quarantined(now_ms, REQUEST) {
+                if gateways[gateway].is_quarantined(now_ms, request(REQUEST)) {
                     continue;
                 }
                 sent += 1;
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -3,7 +3,7 @@
 //! A request that may have run is sent again only on a repeatable route.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, OnceCell},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -19,13 +19,13 @@
 use samphiredoor_core::{
     Name,
     access::Workspace,
-    crash_reports::QUARANTINE_MS,
+    crash_reports::{Content, QUARANTINE_MS},
     dispatch::Class,
     overload::{
         admission::Rejection,
         fair_share::{caller_key, workspace_key},
     },
-    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
+    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
     quarantine,
     routes::Route,
     software_versions::StreamOrigin,
@@ -91,8 +91,8 @@
     tried: SmallVec<[Name; 2]>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     may_have_run: Option<MayHaveRunReason>,
-    /// Fingerprint of the request, once it was needed.
-    fingerprint: Cell<Option<u64>>,
+    /// What stays the same when the request comes again, once it was needed.
+    content: OnceCell<Content>,
     /// The stream that the caller takes up, if it does.
     pub(super) taken_up: Option<TakenUp>,
     /// Origin of the answer's stream, once it is known.
@@ -200,7 +200,7 @@
             sends: 0,
             tried: SmallVec::new(),
             may_have_run: None,
-            fingerprint: Cell::default(),
+            content: OnceCell::new(),
             taken_up,
             origin: None,
             has_begun: false,
@@ -338,7 +338,6 @@
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if self.is_quarantined() {
-                log::info!(request = self.id, fingerprint:% = Hex(self.fingerprint()); "front: request is quarantined");
                 return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
             }
             let mut ticket = self.front.placement.request(self.request_spec());
@@ -356,6 +355,10 @@
                 // Not reached: only items of batch jobs are preempted.
                 Decision::Preempted => continue,
             };
+            // It may have been quarantined while it waited.
+            if self.is_quarantined() {
+                return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
+            }
             self.sends += 1;
             self.note_run(true);
             let names = self.front.dialect.headers();
@@ -457,7 +460,7 @@
         self.front.metrics.retried(label);
         // Finds all requests with the same content, which each have an id of their own.
         let fingerprint = match end {
-            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.fingerprint()).to_string(),
+            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.content().fingerprint).to_string(),
             _ => String::new(),
         };
         log::info!(
@@ -467,31 +470,40 @@
         );
     }
 
-    /// Hash of what stays the same when the caller sends the request again.
-    fn fingerprint(&self) -> u64 {
-        if let Some(known) = self.fingerprint.get() {
-            return known;
-        }
-        let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
-        let workspace = header(&self.front.dialect.headers().workspace);
-        let path = self.call.uri.path().as_bytes();
-        let fingerprint =
-            quarantine::fingerprint([workspace, header(&header::HOST), path, &self.call.body]);
-        self.fingerprint.set(Some(fingerprint));
-        fingerprint
+    /// What stays the same when the caller sends the request again, or others send a part of its prompt.
+    fn content(&self) -> &Content {
+        self.content.get_or_init(|| {
+            let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+            let workspace = header(&self.front.dialect.headers().workspace);
+            let path = self.call.uri.path().as_bytes();
+            let host = header(&header::HOST);
+            Content {
+                service: name_hash(self.service.as_deref().unwrap_or_default()),
+                fingerprint: quarantine::fingerprint([workspace, host, path, &self.call.body]),
+                parts: self.front.dialect.shared_parts(&self.call.headers),
+            }
+        })
     }
 
+    /// Whether the request must not be sent, as it or a part of its prompt crashes targets.
     fn is_quarantined(&self) -> bool {
         let reports = &self.front.crash_reports;
-        reports.has_suspects() && reports.is_quarantined(self.fingerprint())
+        if !reports.has_suspects() {
+            return false;
+        }
+        let Some(suspect) = reports.quarantined(self.content()) else { return false };
+        log::info!(
+            request = self.id, kind = suspect.kind.label(), fingerprint:% = Hex(suspect.hash);
+            "front: request is quarantined"
+        );
+        true
     }
 
     /// Notes that the request got a whole answer with success.
     pub(super) fn note_answered(&self) {
-        let reports = &self.front.crash_reports;
-        if reports.answered(self.fingerprint()) {
+        if self.front.crash_reports.answered(self.content()) {
             log::info!(
-                request = self.id, fingerprint:% = Hex(self.fingerprint());
+                request = self.id, fingerprint:% = Hex(self.content().fingerprint);
                 "front: suspected request was answered"
             );
         }
@@ -500,8 +512,7 @@
     /// Notes the end of an attempt that may have crashed its target.
     pub(super) fn note_lost(&self, end: AttemptEnd, target: SocketAddr, sent: Instant) {
         if end == AttemptEnd::Lost {
-            let parts = self.front.dialect.shared_parts(&self.call.headers);
-            self.front.crash_reports.connection_lost(self.fingerprint(), parts, target, sent);
+            self.front.crash_reports.connection_lost(self.content().clone(), target, sent);
         }
     }
 
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -1,7 +1,8 @@
-//! The task that finds out which requests crash targets, and the handle by which requests use it.
+//! The task that finds out which requests, and which parts of prompts, crash targets, and the handle by which requests and
+//! items use it.
 //!
-//! It owns both roles of this process: it reports lost requests to their coordinators and holds what these tell, and it
-//! is the coordinator of the requests that rendezvous hashing assigns to this process.
+//! It owns both roles of this process: it reports lost requests to the coordinators of their services and holds what these
+//! tell, and it is the coordinator of the services that rendezvous hashing assigns to this process.
 
 use std::{
     cell::RefCell,
@@ -13,17 +14,23 @@
 
 use compio::net::UdpSocket;
 use samphiredoor_core::{
-    crash_reports::{AnsweredKeys, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects},
+    crash_reports::{
+        AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, Suspect,
+        SuspectKind,
+    },
     placement::name_hash,
 };
 use samphiredoor_net::{clock::Clock, pool::within, probe::refuses_connections};
 
 use super::{
-    LocalGateway, Roster, crash_messages::CrashNews, datagram::Datagram, listener::send_to_all,
+    LocalGateway, Roster,
+    crash_messages::{CrashNews, Suspects},
+    datagram::Datagram,
+    listener::send_to_all,
 };
-use crate::{metrics::Metrics, platform_api::SharedParts};
+use crate::metrics::Metrics;
 
-/// Interval at which gateways that may not know the quarantined requests are told: those that have started or returned, and
+/// Interval at which gateways that may not know what is quarantined are told: those that have started or returned, and
 /// all others of what was judged within this time, as datagrams may be lost.
 const TELL_AGAIN: Duration = Duration::from_millis(500);
 
@@ -33,12 +40,35 @@
     Own(CrashNews),
 }
 
+/// What was lately in whole answers. Different requests are many, and must not drive out the parts that they share.
+#[derive(Default)]
+struct Answered {
+    requests: AnsweredKeys,
+    parts: AnsweredKeys,
+}
+
+impl Answered {
+    fn keys(&mut self, kind: SuspectKind) -> &mut AnsweredKeys {
+        match kind {
+            SuspectKind::Request => &mut self.requests,
+            SuspectKind::Part => &mut self.parts,
+        }
+    }
+
+    fn contains(&self, suspect: Suspect) -> bool {
+        match suspect.kind {
+            SuspectKind::Request => self.requests.contains(suspect.hash),
+            SuspectKind::Part => self.parts.contains(suspect.hash),
+        }
+    }
+}
+
 /// Handle to the task.
 #[derive(Clone)]
 pub struct CrashReports {
     messages: flume::Sender<Message>,
     known: Rc<RefCell<KnownSuspects>>,
-    answered: Rc<RefCell<AnsweredKeys>>,
+    answered: Rc<RefCell<Answered>>,
     clock: Clock,
     metrics: Rc<Metrics>,
 }
@@ -78,52 +108,55 @@
         handle
     }
 
-    /// Whether any request is suspected or quarantined. If none is, no fingerprint has to be computed.
+    /// Whether anything is suspected or quarantined. If not, no fingerprint has to be computed.
     pub fn has_suspects(&self) -> bool {
         !self.known.borrow().is_empty()
     }
 
-    /// Whether a request must not be sent, as it crashes targets.
-    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
-        self.known.borrow().is_quarantined(self.clock.now().mono_ms, fingerprint)
+    /// Why a request must not be sent, if it or a part of its prompt crashes targets.
+    pub fn quarantined(&self, content: &Content) -> Option<Suspect> {
+        let (known, now_ms) = (self.known.borrow(), self.now_ms());
+        content.suspects().find(|it| known.is_quarantined(now_ms, *it))
     }
 
-    /// Notes a whole answer to a request, which clears it if it is suspected. Returns whether it is.
-    pub fn answered(&self, fingerprint: u64) -> bool {
-        let now_ms = self.clock.now().mono_ms;
-        self.answered.borrow_mut().insert(now_ms, fingerprint);
-        let is_suspected = self.known.borrow().is_suspected(now_ms, fingerprint);
-        if is_suspected {
-            self.send(Message::Own(CrashNews::Answered(fingerprint)));
+    /// Notes a whole answer to a request, which clears it and the parts of its prompt. Returns whether any was suspected.
+    pub fn answered(&self, content: &Content) -> bool {
+        let now_ms = self.now_ms();
+        let mut answered = self.answered.borrow_mut();
+        content.suspects().for_each(|it| answered.keys(it.kind).insert(now_ms, it.hash));
+        let known = self.known.borrow();
+        let is_suspect = |it: &Suspect| {
+            let is_part = it.kind == SuspectKind::Part;
+            known.is_suspected(now_ms, *it) || is_part && known.is_quarantined(now_ms, *it)
+        };
+        let suspects: Suspects = content.suspects().filter(is_suspect).collect();
+        let is_any = !suspects.is_empty();
+        if is_any {
+            self.send(Message::Own(CrashNews::Answered(suspects)));
         }
-        is_suspected
+        is_any
     }
 
     /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
     /// connections.
-    pub fn connection_lost(
-        &self,
-        fingerprint: u64,
-        parts: SharedParts,
-        target: SocketAddr,
-        sent_at: Instant,
-    ) {
+    pub fn connection_lost(&self, content: Content, target: SocketAddr, sent_at: Instant) {
         let (handle, lost_at) = (self.clone(), Instant::now());
         compio::runtime::spawn(async move {
             if !refuses_connections(target).await {
                 return;
             }
             handle.metrics.target_crashed();
-            let was_answered = handle.answered.borrow().contains(fingerprint);
+            let (content, was_answered) = handle.without_answered(content);
             log::info!(
-                fingerprint:% = Hex(fingerprint), parts:% = HexList(&parts), target:% = target, was_answered;
+                fingerprint:% = Hex(content.fingerprint), parts:% = HexList(&content.parts), target:% = target,
+                was_answered;
                 "crashes: target crashed under a request"
             );
             if was_answered {
                 return;
             }
             let report = CrashReport {
-                fingerprint,
+                content,
                 target: name_hash(&target.to_string()),
                 sent_ago_ms: elapsed_ms(sent_at),
                 lost_ago_ms: elapsed_ms(lost_at),
@@ -133,6 +166,19 @@
         .detach();
     }
 
+    /// Takes away the parts that were in whole answers lately, and tells whether the request itself had one.
+    fn without_answered(&self, mut content: Content) -> (Content, bool) {
+        let answered = self.answered.borrow();
+        let service = content.service;
+        content.parts.retain(|it| !answered.contains(Suspect::part(service, *it)));
+        let was_answered = answered.contains(Suspect::request(service, content.fingerprint));
+        (content, was_answered)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.clock.now().mono_ms
+    }
+
     /// Passes on the news of another gateway.
     pub(super) fn reported(&self, news: CrashNews) {
         self.send(Message::News(news));
@@ -140,17 +186,16 @@
 
     /// Takes over what a coordinator tells.
     pub(super) fn told(&self, verdict: CrashVerdict) {
-        let now_ms = self.clock.now().mono_ms;
+        let (now_ms, suspect) = (self.now_ms(), verdict.suspect);
         let is_new = self.known.borrow_mut().apply(now_ms, verdict);
-        let is_suspected = self.known.borrow().is_suspected(now_ms, verdict.fingerprint);
-        if is_suspected && self.answered.borrow().contains(verdict.fingerprint) {
-            self.send(Message::Own(CrashNews::Answered(verdict.fingerprint)));
+        if verdict.crashes > 0 && self.answered.borrow().contains(suspect) {
+            self.send(Message::Own(CrashNews::Answered(Suspects::from_elem(suspect, 1))));
         }
         if is_new {
             self.metrics.quarantined();
             log::warn!(
-                fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes;
-                "crashes: request is quarantined"
+                kind = suspect.kind.label(), fingerprint:% = Hex(suspect.hash), crashes = verdict.crashes;
+                "crashes: quarantined"
             );
         }
     }
@@ -166,7 +211,7 @@
     own_key: u64,
     coordinator: CrashCoordinator,
     handle: CrashReports,
-    /// Live gateways, by address and incarnation, that were told of the quarantined requests.
+    /// Live gateways, by address and incarnation, that were told what is quarantined.
     told: BTreeSet<(SocketAddr, u64)>,
     tell_again_at: Instant,
 }
@@ -190,7 +235,7 @@
         }
     }
 
-    /// Tells those gateways of the quarantined requests which may not know them.
+    /// Tells those gateways what is quarantined which may not know it.
     async fn tell_again(&mut self) {
         let live: BTreeSet<_> = self.task.roster.live_incarnations().into_iter().collect();
         let is_new = |it: &&(SocketAddr, u64)| !self.told.contains(it);
@@ -199,7 +244,8 @@
         self.told = live;
         let quarantined: Vec<CrashVerdict> =
             self.handle.known.borrow_mut().quarantined(self.now_ms()).collect();
-        for verdict in quarantined.into_iter().filter(|it| self.is_coordinator(it.fingerprint)) {
+        for verdict in quarantined.into_iter().filter(|it| self.is_coordinator(it.suspect.service))
+        {
             let is_recent = u128::from(verdict.age_ms) < TELL_AGAIN.as_millis();
             let to = if is_recent { &all } else { &new };
             let bytes = Datagram::CrashVerdict(verdict).encode();
@@ -207,8 +253,8 @@
         }
     }
 
-    fn is_coordinator(&self, fingerprint: u64) -> bool {
-        self.task.roster.coordinators(fingerprint).chosen.contains(&self.own_key)
+    fn is_coordinator(&self, service: u64) -> bool {
+        self.task.roster.coordinators(service).chosen.contains(&self.own_key)
     }
 
     /// Waits for a message; `None` if reports are to be judged or others to be told first.
@@ -230,27 +276,27 @@
         self.task.clock.now().mono_ms
     }
 
-    /// Sends news to the coordinators of the request; this process may be one of them.
+    /// Sends news to the coordinators of the service; this process may be one of them.
     async fn report(&mut self, news: CrashNews) {
-        let (CrashNews::Lost(CrashReport { fingerprint, .. }) | CrashNews::Answered(fingerprint)) =
-            news;
-        let coordinators = self.task.roster.coordinators(fingerprint).chosen;
+        let coordinators = self.task.roster.coordinators(news.service()).chosen;
         let others = coordinators.iter().filter(|it| **it != self.own_key);
         let others = others.filter_map(|it| self.task.roster.address_of_hash(*it)).collect();
-        send_to_all(&self.task.socket, Datagram::CrashReport(news).encode(), others).await;
+        send_to_all(&self.task.socket, Datagram::CrashReport(news.clone()).encode(), others).await;
         // A gateway that reaches too few others has no coordinators, and counts for itself.
         if coordinators.is_empty() || coordinators.contains(&self.own_key) {
             self.coordinate(news).await;
         }
     }
 
-    /// Handles news as the coordinator of the request.
+    /// Handles news as the coordinator of the service.
     async fn coordinate(&mut self, news: CrashNews) {
         match news {
             CrashNews::Lost(report) => self.coordinator.report(self.now_ms(), &report),
-            CrashNews::Answered(fingerprint) => {
-                if let Some(cleared) = self.coordinator.clear(fingerprint) {
-                    self.tell_all(cleared).await;
+            CrashNews::Answered(suspects) => {
+                for suspect in suspects {
+                    if let Some(cleared) = self.coordinator.clear(suspect) {
+                        self.tell_all(cleared).await;
+                    }
                 }
             }
         }
@@ -258,7 +304,8 @@
 
     async fn tell_all(&self, verdict: CrashVerdict) {
         log::info!(
-            fingerprint:% = Hex(verdict.fingerprint), crashes = verdict.crashes;
+            kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
+            crashes = verdict.crashes;
             "crashes: all gateways are told"
         );
         self.handle.told(verdict);
--- a/crates/samphiredoor-gateway/src/peers/datagram.rs
+++ b/crates/samphiredoor-gateway/src/peers/datagram.rs
@@ -31,9 +31,9 @@
     RunReport(RunReport),
     /// Answer to a report.
     RunGrant(AddressedGrant),
-    /// News of a request that may crash targets, for its coordinators.
+    /// News of a request that may crash targets, for the coordinators of its service.
     CrashReport(CrashNews),
-    /// What a coordinator tells of such a request.
+    /// What a coordinator tells of such a request, or of a part of its prompt.
     CrashVerdict(CrashVerdict),
     /// At which software version a stream was begun, for its holders.
     StreamOrigin(OriginRecord),
@@ -94,7 +94,7 @@
             gateway_datagram::Summary(summary) => Datagram::Summary(Summary::read(summary?)?),
             gateway_datagram::RunReport(report) => Datagram::RunReport(read_report(report?)?),
             gateway_datagram::RunGrant(grant) => Datagram::RunGrant(read_grant(grant?)),
-            gateway_datagram::CrashReport(news) => Datagram::CrashReport(read_news(news?)),
+            gateway_datagram::CrashReport(news) => Datagram::CrashReport(read_news(news?)?),
             gateway_datagram::CrashVerdict(it) => Datagram::CrashVerdict(read_verdict(it?)),
             gateway_datagram::StreamOrigin(it) => Datagram::StreamOrigin(read_record(it?)?),
             gateway_datagram::OriginQuestion(it) => Datagram::OriginQuestion(read_question(it?)),
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -30,6 +30,7 @@
 use samphiredoor_core::{Name, dispatch::Location};
 
 pub use cell_statuses::CellStatuses;
+pub use crash_messages::CrashNews;
 pub use crash_reports::{CrashReports, CrashReportsTask, Hex};
 pub use listener::Listener;
 pub use origin_messages::{OriginAnswer, OriginQuestion, OriginRecord};
--- a/crates/samphiredoor-gateway/src/platform_api.rs
+++ b/crates/samphiredoor-gateway/src/platform_api.rs
@@ -13,12 +13,12 @@
 use hyper::{HeaderMap, Method, Uri, header::HeaderName};
 use samphiredoor_core::{
     Name,
+    crash_reports::Parts,
     ordered::{Item, ItemResult, JobName, job_name},
     placement::{ReportedLoad, TargetEntry},
     routes::RouteTable,
     store::{Kind, ObjectKey, StoreAnswer, StoreOp, Stored, Value, Version},
 };
-use smallvec::SmallVec;
 
 /// Connection of one process to the platform.
 #[derive(Clone)]
@@ -29,9 +29,6 @@
     pub dialect: Rc<dyn Dialect>,
 }
 
-/// Hashes of the parts of a prompt that other requests may share, in order.
-pub type SharedParts = SmallVec<[u64; 4]>;
-
 /// How current a list has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -225,8 +222,9 @@
     /// Hash of the prompt prefix that a request shares with others; 0 if there is none.
     fn affinity(&self, headers: &HeaderMap) -> u64;
 
-    /// Hashes of the parts of a request's prompt that other requests may share, in order.
-    fn shared_parts(&self, headers: &HeaderMap) -> SharedParts;
+    /// Hashes of the parts of a request's prompt that other requests may share, in order;
+    /// [`MAX_PARTS`](samphiredoor_core::crash_reports::MAX_PARTS) at most.
+    fn shared_parts(&self, headers: &HeaderMap) -> Parts;
 
     /// Parses the routes; `None` for an object that holds no routes.
     ///
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -1,6 +1,7 @@
 //! Datagrams between gateways.
 
 use samphiredoor_core::{
+    crash_reports::{Content, CrashReport, CrashVerdict, MAX_PARTS, Parts, Suspect},
     overload::{
         ExpectedReturns, FailingTarget, ItemRunTime, MAX_ENTRIES, OverloadNews, OwedItems,
         SpeedReport, WorkspaceUsage,
@@ -9,7 +10,7 @@
     software_versions::{Answer, StreamOrigin},
 };
 use samphiredoor_gateway::peers::{
-    OriginAnswer, OriginQuestion, OriginRecord, Status,
+    CrashNews, OriginAnswer, OriginQuestion, OriginRecord, Status,
     datagram::{Datagram, MAX_BYTES},
 };
 
@@ -72,11 +73,15 @@
     assert_eq!(Datagram::decode(&bytes).ok(), Some(Datagram::Status(small)));
 }
 
+fn parts(count: usize) -> Parts {
+    (0..count).map(hash).collect()
+}
+
 fn origin() -> StreamOrigin {
     StreamOrigin { version: "v1.2".into(), target: hash(3), target_started_unix_ms: u64::MAX }
 }
 
-macro_rules! origin_messages {
+macro_rules! messages {
     ($($name:ident: $message:expr;)*) => {
         $(
             #[test]
@@ -92,7 +97,7 @@
     Datagram::OriginAnswer(OriginAnswer { stream: hash(1), holder: hash(2), answer })
 }
 
-origin_messages! {
+messages! {
     a_record_of_a_stream_arrives_as_it_was_sent: Datagram::StreamOrigin(OriginRecord {
         stream: hash(1), service: hash(2), origin: origin(), keep_ms: 5_000,
     });
@@ -104,4 +109,21 @@
         answer(Answer::NoRecord(Some("v1.2".into())));
     an_answer_of_no_version_is_not_one_without_a_record: answer(Answer::NoRecord(Some("".into())));
     an_uncertain_answer_arrives_as_it_was_sent: answer(Answer::Ambiguous);
+    a_report_of_a_crash_arrives_as_it_was_sent:
+        Datagram::CrashReport(CrashNews::Lost(CrashReport {
+            content: Content { service: hash(1), fingerprint: hash(2), parts: parts(MAX_PARTS) },
+            target: hash(3), sent_ago_ms: 70_000, lost_ago_ms: 3,
+        }));
+    an_answer_to_suspects_arrives_as_it_was_sent:
+        Datagram::CrashReport(CrashNews::Answered(
+            [Suspect::request(hash(1), hash(2)), Suspect::part(hash(1), hash(3))].into(),
+        ));
+    an_answer_with_a_suspected_part_arrives_as_it_was_sent:
+        Datagram::CrashReport(CrashNews::Answered([Suspect::part(hash(1), hash(3))].as_slice().into()));
+    a_verdict_on_a_part_arrives_as_it_was_sent: Datagram::CrashVerdict(CrashVerdict {
+        suspect: Suspect::part(hash(1), hash(2)), crashes: 5, age_ms: 77_000,
+    });
+    a_verdict_on_a_request_arrives_as_it_was_sent: Datagram::CrashVerdict(CrashVerdict {
+        suspect: Suspect::request(hash(1), hash(2)), crashes: 0, age_ms: 0,
+    });
 }
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -157,7 +157,8 @@
 }
 
 struct CrashReport {
-  # A request that was lost together with its target, or a whole answer to one that is suspected; for its coordinators.
+  # A request that was lost together with its target, or a whole answer to one that is suspected or has a suspected part in
+  # its prompt; for the coordinators of its service.
 
   fingerprint @0 :UInt64;
   sentAgoMs @1 :UInt32;
@@ -166,16 +167,25 @@
   # Whether it got a whole answer; the times and the target are 0 then.
   target @4 :UInt64;
   # Hash of the target's address.
+  service @5 :UInt64;
+  # Hash of the service's name.
+  parts @6 :List(UInt64);
+  # Hashes of parts of its prompt that may be to blame, in order; of an answer, those that are suspected. The fingerprint
+  # of an answer is 0 if the request itself is not suspected.
 }
 
 struct CrashVerdict {
-  # What a coordinator tells all gateways of a request that crashes targets.
+  # What a coordinator tells all gateways of a request, or a part of prompts, that crashes targets.
 
   fingerprint @0 :UInt64;
+  # Of the request, or the hash of the part.
   crashes @1 :UInt32;
   # Number of targets that it has crashed; 0 if it is cleared.
   ageMs @2 :UInt32;
   # Time since this was judged.
+  service @3 :UInt64;
+  # Hash of the service's name.
+  isPart @4 :Bool;
 }
 
 struct RunReport {
