Items of jobs: those that crash targets, or have a part in their prompts that does, are reported and held

Items report and are cleared as online requests are; a quarantined one is held, takes no slot, and goes on when it may.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -18,9 +18,11 @@
 };
 use samphiredoor_core::{
     Name,
+    crash_reports::{Content, Suspect},
     dispatch::Class,
     ordered::{Item, ItemEnd, JobName},
-    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption},
+    placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
+    quarantine,
     routes::{Route, RouteKind, RouteTable},
     software_versions::StreamOrigin,
 };
@@ -35,6 +37,7 @@
 use crate::{
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
+    peers::Hex,
     placement::{Decision, Ticket},
     target_client,
 };
@@ -51,6 +54,8 @@
 const MIN_VERSION_WAIT_MS: u64 = 1_000;
 /// Pause before an item is sent again that was not run by the target, or got no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Interval at which an item that crashes targets, or a part of whose prompt does, checks whether it may be sent again.
+const HELD_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which an item checks for routes while this process has none that are recent enough.
 const NO_ROUTES_PAUSE: Duration = Duration::from_millis(200);
 /// Upper limit of the deadline that is sent to a target with one attempt.
@@ -98,6 +103,8 @@
     Preempted,
     /// The target did not run the item, or there was none; retry after a short pause.
     RetryLater,
+    /// The item was not sent, as this crashes targets: the item or a part of its prompt.
+    Held(Suspect),
     /// The response was cut off or did not arrive; the item may have run.
     ResponseLost,
 }
@@ -142,6 +149,7 @@
         };
         let Some(mut call) = self.build_call(body) else { return ItemEnd::Impossible };
         let first_event = self.last_event();
+        let mut was_held = false;
         loop {
             if self.output.borrow().is_stopping() {
                 return self.finish(ItemEnd::Stopped);
@@ -158,6 +166,12 @@
                 Outcome::Preempted if self.last_event().is_some() => {}
                 Outcome::Preempted => return self.finish(ItemEnd::Preempted),
                 Outcome::RetryLater => compio::time::sleep(RETRY_PAUSE).await,
+                Outcome::Held(suspect) => {
+                    if !std::mem::replace(&mut was_held, true) {
+                        self.log_held(suspect);
+                    }
+                    compio::time::sleep(HELD_PAUSE).await;
+                }
                 Outcome::ResponseLost => {
                     let has_new_event = self.last_event() > first_event;
                     let end = if has_new_event { ItemEnd::Interrupted } else { ItemEnd::NoAnswer };
@@ -214,6 +228,10 @@
 
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
         let Some(service) = route.service(rand::random()) else { return Outcome::RetryLater };
+        let content = self.content(service, call);
+        if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
+            return Outcome::Held(suspect);
+        }
         let mut ticket = self.env.placement.request(self.request_spec(service, &call.headers));
         let (target, address, origin, goes_on) = match ticket.next_decision().await {
             Decision::Dispatch { target, address, origin, goes_on } => {
@@ -225,9 +243,14 @@
         if !self.permit.is_valid() {
             return Outcome::Resume;
         }
+        // It may have been quarantined while it waited.
+        if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
+            return Outcome::Held(suspect);
+        }
         self.begin_or_go_on(&target, origin, goes_on);
         self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
+        let sent_at = Instant::now();
         self.output.borrow_mut().begin_attempt();
         let sent = self.send(&mut ticket, (&target, address), call).await;
         let (outcome, end) = match sent.head {
@@ -259,6 +282,11 @@
                 "item: attempt ended"
             );
         }
+        if end == AttemptEnd::Lost {
+            self.env.crash_reports.connection_lost(content, address, sent_at);
+        } else if matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. })) {
+            self.env.crash_reports.answered(&content);
+        }
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
@@ -267,6 +295,26 @@
         outcome
     }
 
+    /// What stays the same when the item is sent again, or others have a part of its prompt.
+    fn content(&self, service: &Name, call: &Call) -> Content {
+        let workspace = self.workspace.as_deref().unwrap_or_default().as_bytes();
+        let (host, path) = (self.host.as_bytes(), call.uri.path().as_bytes());
+        Content {
+            service: name_hash(service),
+            fingerprint: quarantine::fingerprint([workspace, host, path, &call.body]),
+            parts: self.env.platform.dialect.shared_parts(&call.headers),
+        }
+    }
+
+    fn log_held(&self, suspect: Suspect) {
+        log::info!(
+            job = &*self.job, item = &*self.item.id, kind = suspect.kind.label(),
+            fingerprint:% = Hex(suspect.hash);
+            "item: held, as it is quarantined"
+        );
+        self.env.metrics.job_event("item_held");
+    }
+
     /// Sends the item and waits for the head of its response. A preemption ends the wait, but not at once if an earlier run of
     /// the item may have failed unread.
     async fn send(
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -35,7 +35,7 @@
 use crate::{
     buffers::Buffers,
     metrics::Metrics,
-    peers::{JobOwners, OwnedJob, Roster, STORE_LOST_AFTER},
+    peers::{CrashReports, JobOwners, OwnedJob, Roster, STORE_LOST_AFTER},
     placement::PlacementHandle,
     platform_api::Platform,
     routes::Routes,
@@ -66,6 +66,8 @@
     pub placement: PlacementHandle,
     /// Connections to targets.
     pub targets: TargetClient,
+    /// Requests, items and parts of prompts that crash targets.
+    pub crash_reports: CrashReports,
     /// Other gateways and their liveness.
     pub roster: Roster,
     /// Owners of jobs as announced by other gateways.
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -302,6 +302,7 @@
         routes: routes.clone(),
         placement: placement.clone(),
         targets: client.clone(),
+        crash_reports: crash_reports.clone(),
         roster,
         owners,
         health,
--- a/crates/samphiredoor/tests/it/platform/prompt_parts.rs
+++ b/crates/samphiredoor/tests/it/platform/prompt_parts.rs
@@ -3,9 +3,12 @@
 
 use std::{thread, time::Duration};
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use samphiredoor_standin::platform_target::{PlatformTarget, TargetFault};
+use serde_json::{Value, json};
 
 use super::env::{BINARY, Platform};
+use crate::env::wait_until;
 
 const PAUSE: Duration = Duration::from_millis(2);
 const GATEWAYS: usize = 2;
@@ -50,6 +53,21 @@
         self.platform.send_with(gateway, "/stream/check", &id, &headers, &own).status
     }
 
+    /// Submits a job of items that each have one of these parts after the first, and one of their own.
+    fn submit(&self, job: &str, parts: &[&str]) {
+        let item = |(number, part): (usize, &&str)| {
+            let id = format!("{job}-{number}");
+            let prompt = format!("{FIRST}:100,{part}:100,e{number}:100");
+            json!({
+                "id": id, "path": "/batch/item", "body": STANDARD.encode(&id), "tokenCount": 10,
+                "headers": { "X-Model": "m", "X-Prompt-Prefix": prompt },
+            })
+        };
+        let items: Vec<Value> = parts.iter().enumerate().map(item).collect();
+        let body = json!({ "items": items }).to_string();
+        assert_eq!(self.platform.send(0, "/batch/submit", job, &body).status, 202);
+    }
+
     /// Number of targets that have crashed.
     fn crashed(&self) -> usize {
         let runs = self.targets.iter().flat_map(PlatformTarget::runs);
@@ -70,3 +88,30 @@
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the fifth");
     assert_eq!([fleet.send(&["b1"]), fleet.send(&["b3"])], [200, 200]);
 }
+
+// Guards against items of jobs with such a part, each of which is sent again until its time is up.
+#[test]
+fn items_with_a_part_that_crashes_targets_are_not_sent_to_ever_more_of_them() {
+    let mut fleet = Fleet::new();
+    (0..CRASHES_KNOWN).for_each(|_| _ = fleet.send(&[CRASHING]));
+    thread::sleep(CRASHES_TOLD_WITHIN);
+    fleet.submit("job-1", &[CRASHING, "b1", CRASHING, CRASHING, CRASHING, "b2", CRASHING]);
+    assert_eq!(fleet.platform.all_results(0, "job-1", 2).len(), 2);
+    thread::sleep(CRASHES_TOLD_WITHIN);
+    let later = fleet.crashed() - CRASHES_KNOWN;
+    assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the fifth");
+}
+
+// Guards against a part whose only requests are items, whose lost answers were not reported.
+#[test]
+fn a_part_that_crashes_targets_under_items_is_quarantined() {
+    let mut fleet = Fleet::new();
+    for number in 0..CRASHES_KNOWN {
+        fleet.submit(&format!("job-{number}"), &[CRASHING]);
+        wait_until("a target crashes", || fleet.crashed() > number);
+    }
+    thread::sleep(CRASHES_TOLD_WITHIN);
+    let known = fleet.crashed();
+    assert_eq!(fleet.send(&[CRASHING]), 503);
+    assert_eq!((fleet.crashed(), fleet.send(&["b1"])), (known, 200));
+}
