Soak: requests, and a part of prompts, that crash targets

Callers send content, and requests with one part, that crash each target at once or after an event of an answer without a length or chunks; targets start again after 1.5 s; sound callers share the other parts. Checked: targets crashed by gateways in touch that had to know (four seconds after the third crash by content, the fifth by a part), sound requests refused for them, and answers of crashed targets that look whole.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -132,6 +132,8 @@
         broken_answers: bool,
         /// Also let targets of two software versions serve side by side, and callers take interrupted streams up again
         releases: bool,
+        /// Also let callers send content, and a part of prompts, that crash targets
+        crashes: bool,
         /// The `samphiredoor` program
         #[bpaf(positional("PROGRAM"))]
         binary: PathBuf,
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -296,6 +296,11 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.is_crashed.load(Ordering::Relaxed)
+    }
+
     /// Entry in the store that registers it.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
         json!({
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -33,6 +33,7 @@
         repeats,
         broken_answers,
         releases,
+        crashes,
         binary,
     } = opts
     {
@@ -46,6 +47,7 @@
             pressure,
             broken_answers,
             releases,
+            crashes,
         };
         return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
     }
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -11,6 +11,7 @@
 
 use super::{
     connection::Reply,
+    crashes::Crashes,
     plan::Disturbed,
     read_history::{ReadHistory, SentRead},
     repeats::{self, Allowance, Owners, job_of, most_runs},
@@ -177,9 +178,30 @@
     counts: Counts,
     /// Streams and the software versions that wrote them.
     versions: Versions,
+    /// Requests that crash targets, and sound ones beside them.
+    crashes: Crashes,
 }
 
 impl Checks {
+    /// Requests that crash targets, and sound ones beside them.
+    pub fn crashes(&mut self) -> &mut Crashes {
+        &mut self.crashes
+    }
+
+    /// Checks how many targets were crashed by requests that gateways had to know.
+    pub fn check_crashes(&mut self, runs: &[Run]) {
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.note_runs(runs, |gateway, at| self.is_in_touch(gateway, at));
+        if let Some(observed) = crashes.problem() {
+            self.record_violation(
+                Invariant::RepeatsBounded,
+                "requests that crash targets",
+                observed,
+            );
+        }
+        self.crashes = crashes;
+    }
+
     /// Streams and the software versions that wrote them.
     pub fn versions(&mut self) -> &mut Versions {
         &mut self.versions
@@ -276,6 +298,7 @@
 
     /// Records and checks the answer to a request.
     pub fn check_answer(&mut self, id: &str, reply: &Reply) {
+        self.crashes.count_answer(id, reply);
         match reply.status {
             200 => self.check_success(id, reply),
             _ if reply.is_refusal() => {
@@ -293,6 +316,18 @@
         }
     }
 
+    /// Records and checks the answer to a request that crashes each target before the end of its answer.
+    pub fn check_crashing_answer(&mut self, id: &str, reply: &Reply) {
+        match reply.status {
+            200 if reply.is_complete => {
+                let observed = "an answer of a target that crashed looks whole";
+                self.record_violation(Invariant::AnswerComplete, id, observed);
+            }
+            200 => self.counts.doubtful += 1,
+            _ => self.check_answer(id, reply),
+        }
+    }
+
     fn check_success(&mut self, id: &str, reply: &Reply) {
         self.counts.served += 1;
         if !self.versions.check_body(id, reply) {
--- a/crates/samphiredoor-standin/src/soak/clients.rs
+++ b/crates/samphiredoor-standin/src/soak/clients.rs
@@ -18,6 +18,7 @@
     Pressure,
     checks::{FAILS, IMPOSSIBLE, ITEM_SEPARATOR, Invariant},
     connection::{Connection, Reply, Request, call},
+    crashes::Effect,
     trace::RunState,
     versions::TakeUp,
 };
@@ -28,6 +29,9 @@
 /// Deadlines of requests; the shorter ones expire before a run at a target ends.
 const DEADLINES_MS: [u64; 4] = [60, 300, 1_000, LONGEST_DEADLINE_MS];
 const LONGEST_DEADLINE_MS: u64 = 3_000;
+const LONGEST_DEADLINE: Duration = Duration::from_millis(LONGEST_DEADLINE_MS);
+/// Pause between two requests of [`Client::send_crashing`].
+const CRASHING_PAUSE_MS: std::ops::Range<u64> = 100..800;
 /// Time after a deadline for which a client still waits for the answer.
 const ANSWER_GRACE: Duration = Duration::from_secs(2);
 /// Probability that a client closes a connection that it could reuse.
@@ -110,6 +114,7 @@
     fails_probability: f64,
     takes_up: bool,
     sends_streams_only: bool,
+    has_prompts: bool,
     next: u64,
 }
 
@@ -126,6 +131,7 @@
             fails_probability: FAILS_PROBABILITY,
             takes_up: false,
             sends_streams_only: false,
+            has_prompts: false,
             next: 0,
         }
     }
@@ -149,6 +155,11 @@
         Client { sends_streams_only: true, ..self }
     }
 
+    /// Sets whether requests name the parts of their prompts.
+    pub fn with_prompts(self, has_prompts: bool) -> Client<'a> {
+        Client { has_prompts, ..self }
+    }
+
     fn next_id(&mut self) -> String {
         self.next += 1;
         format!("{}-{}", self.name, self.next)
@@ -197,7 +208,12 @@
         let timeout = Duration::from_millis(deadline_ms) + ANSWER_GRACE;
         let deadline = Duration::from_millis(deadline_ms);
         let (id, deadline_ms) = (self.next_id(), deadline_ms.to_string());
-        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", &deadline_ms)];
+        let mut headers = vec![("X-Request-Id", id.as_str()), ("X-Deadline-Ms", &deadline_ms)];
+        let prompt = Effect::Sound.prompt(self.next);
+        if self.has_prompts {
+            headers.push(("X-Prompt-Prefix", &prompt));
+            self.shared.checks().crashes().record(&id, Effect::Sound, gateway);
+        }
         let request = Request { method: "POST", path, headers: &headers, body: "", timeout };
         if connection.has_stray_bytes() {
             let observed = "bytes were received on its connection before it was sent";
@@ -272,6 +288,36 @@
         reply
     }
 
+    /// Sends requests that crash targets until the run ends, by their content and by a part of their prompts in turn.
+    pub fn send_crashing(mut self) {
+        while !self.shared.is_stopped() {
+            let pause_ms = self.rng.random_range(CRASHING_PAUSE_MS);
+            thread::sleep(Duration::from_millis(pause_ms));
+            let effect = if self.next.is_multiple_of(2) {
+                Effect::CrashesByBody
+            } else {
+                Effect::CrashesByPart
+            };
+            let path = *[RESUMABLE_PATH, "/stream/check"].choose(&mut self.rng).expect("a path");
+            let ((gateway, address), id) = (self.random_gateway(), self.next_id());
+            let (prompt, timeout) = (effect.prompt(self.next), LONGEST_DEADLINE);
+            let deadline_ms = LONGEST_DEADLINE_MS.to_string();
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Deadline-Ms", &deadline_ms),
+                ("X-Prompt-Prefix", &prompt),
+            ];
+            let body = effect.body(&id);
+            let request = Request { method: "POST", path, headers: &headers, body, timeout };
+            self.shared.checks().record_request(&id, path == RESUMABLE_PATH);
+            self.shared.checks().record_deadline(&id, timeout);
+            self.shared.checks().crashes().record(&id, effect, gateway);
+            let reply = call(address, &request);
+            self.shared.trace("answered", reply_details(&id, gateway, path, &reply));
+            self.shared.checks().check_crashing_answer(&id, &reply);
+        }
+    }
+
     /// Sends one request at a time together with all other clients that do so, until the run ends.
     pub fn send_surges(mut self) {
         while !self.shared.is_stopped() {
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -2,14 +2,15 @@
 
 use std::{
     collections::BTreeSet,
-    path::Path,
     time::{Duration, Instant},
 };
 
 use serde_json::json;
 
 use super::{
+    Options,
     checks::{FAILS, IMPOSSIBLE, ROUTE_ATTEMPTS},
+    crashes::set_faults,
     plan::{Disturbed, Fault, PlannedLinkFault, Sizes, Step},
     starvation::{Starvation, Switch},
     trace::RunState,
@@ -35,9 +36,22 @@
                                overload.memory_limit_bytes = 2000000";
 /// Longer than any run: a stalled watch never times out, so that the gateway has to detect it in another way.
 const WATCH_MS: u64 = 300_000;
+/// Time after which a target that has crashed starts again.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
 /// Time from SIGTERM to SIGKILL, as on the platform.
 const TERM_GRACE: Duration = Duration::from_secs(15);
 
+/// How requests crash targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Crashing {
+    /// They don't.
+    Off,
+    /// Before the first event.
+    AtOnce,
+    /// At some targets between two events.
+    Mixed,
+}
+
 /// Store, targets, gateways and the process of a storage host; the child processes are killed when this value is
 /// dropped.
 pub struct Injector<'a> {
@@ -53,6 +67,10 @@
     current: Vec<usize>,
     /// Software versions of targets, by turns.
     versions: &'static [&'static str],
+    /// How requests crash targets.
+    crashes: Crashing,
+    /// Since when each target number of the plan has been down.
+    crashed: Vec<Option<Instant>>,
     /// Gateways that received SIGTERM, with the time of the signal.
     stopping: Vec<(usize, Instant)>,
     /// Gateways that are paused by a fault.
@@ -64,25 +82,34 @@
 }
 
 impl<'a> Injector<'a> {
-    /// Starts all processes and waits until the gateways are ready; the gateways have a budget for buffered data if
-    /// `has_budget` is set.
+    /// Starts all processes and waits until the gateways are ready; the gateways have a budget for buffered data with odd seeds,
+    /// with which targets also crash at once only.
     pub fn start(
         shared: &'a RunState,
-        binary: &Path,
-        sizes: Sizes,
-        has_budget: bool,
+        options: &Options,
+        seed: u64,
         versions: &'static [&'static str],
     ) -> Injector<'a> {
-        let mut platform = Platform::new(binary);
+        let mut platform = Platform::new(&options.binary);
+        let sizes = options.sizes();
+        let crashes = match (options.crashes, seed % 2) {
+            (false, _) => Crashing::Off,
+            (true, 1) => Crashing::AtOnce,
+            (true, _) => Crashing::Mixed,
+        };
+        let has_budget = seed % 2 == 1;
         if has_budget {
             platform.more_settings = BUDGET_SETTINGS.to_owned();
         }
         shared.checks().versions().set_event_bytes(EVENT_BYTES);
         shared.checks().versions().set_versions(versions);
-        platform.linked = true;
+        // A link would accept connections for a target that has crashed.
+        platform.linked = crashes == Crashing::Off;
         platform.watch_ms = WATCH_MS;
-        let targets =
-            (0..sizes.targets).map(|it| start_target(&mut platform, it, versions)).collect();
+        let targets = (0..sizes.targets)
+            .map(|it| start_target(&mut platform, it, versions, crashes))
+            .collect();
+        platform.linked = true;
         let storage = platform.start_storage("storage-0");
         for _ in 0..sizes.gateways {
             platform.start_gateway();
@@ -97,6 +124,8 @@
             targets,
             current,
             versions,
+            crashes,
+            crashed: vec![None; sizes.targets],
             stopping: Vec::new(),
             paused: BTreeSet::new(),
             starvation: None,
@@ -196,6 +225,9 @@
     /// gateway is still shutting down.
     pub fn tick(&mut self) -> bool {
         self.starve();
+        if self.crashes != Crashing::Off {
+            self.restart_targets();
+        }
         for (gateway, since) in std::mem::take(&mut self.stopping) {
             if since.elapsed() > TERM_GRACE {
                 self.platform.gateway(gateway).kill();
@@ -212,6 +244,17 @@
         self.stopping.is_empty()
     }
 
+    /// Starts a target anew for each one that has been down long enough.
+    fn restart_targets(&mut self) {
+        for number in 0..self.sizes.targets {
+            if !self.target(number).has_crashed() {
+                self.crashed[number] = None;
+            } else if self.crashed[number].get_or_insert_with(Instant::now).elapsed() > DOWN_TIME {
+                self.replace(number);
+            }
+        }
+    }
+
     /// Lets gateways get no processor time by turns, from now on.
     pub fn begin_starvation(&mut self, seed: u64) {
         self.starvation = Some(Starvation::new(seed, self.sizes.gateways));
@@ -274,21 +317,35 @@
         let previous = self.target(number);
         previous.crash();
         self.platform.store.remove("servers", &previous.name);
-        let target = start_target(&mut self.platform, self.targets.len(), self.versions);
+        let number_of_all = self.targets.len();
+        self.platform.linked = self.crashes == Crashing::Off;
+        let target = start_target(&mut self.platform, number_of_all, self.versions, self.crashes);
+        self.platform.linked = true;
         self.current[number] = self.targets.len();
         self.targets.push(target);
     }
 }
 
 /// Starts a target that some items always fail at.
-fn start_target(platform: &mut Platform, number: usize, versions: &[&str]) -> PlatformTarget {
-    platform
+fn start_target(
+    platform: &mut Platform,
+    number: usize,
+    versions: &[&str],
+    crashes: Crashing,
+) -> PlatformTarget {
+    let target = platform
         .start_target_at(versions[number % versions.len()], &format!("t-{number}"), EVENT_PAUSE)
         .with_event_bytes(EVENT_BYTES)
         .with_unread_limit(UNREAD_LIMIT)
         .with_failure_pause(FAILURE_PAUSE)
         .with_fault_of_bodies_ending(FAILS, TargetFault::Fails)
-        .with_fault_of_bodies_ending(IMPOSSIBLE, TargetFault::Impossible)
+        .with_fault_of_bodies_ending(IMPOSSIBLE, TargetFault::Impossible);
+    match crashes {
+        Crashing::Off => {}
+        Crashing::AtOnce => set_faults(&target, true),
+        Crashing::Mixed => set_faults(&target, number.is_multiple_of(2)),
+    }
+    target
 }
 
 fn apply_link_fault(link: &Link, fault: PlannedLinkFault) {
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod clients;
 mod connection;
+mod crashes;
 mod drills;
 mod final_checks;
 mod injector;
@@ -49,6 +50,10 @@
 const VERSIONS: [&str; 2] = [FIRST_VERSION, "v2"];
 /// Targets where two versions serve: two of one of them at least.
 const TARGETS_OF_TWO_VERSIONS: usize = 4;
+/// Targets where some requests crash them: enough that they are not all down at once.
+const TARGETS_THAT_CRASH: usize = 8;
+/// Clients that send requests that crash targets.
+const CRASHING_CLIENTS: usize = 4;
 const ONLINE_CLIENTS: usize = 24;
 const BATCH_CLIENTS: usize = 4;
 /// Clients whose requests come together, as many as the targets have slots.
@@ -81,6 +86,8 @@
     pub broken_answers: bool,
     /// Whether targets of two software versions serve side by side, streams are interrupted, and callers take them up again.
     pub releases: bool,
+    /// Whether callers send content, and a part of prompts, that crash targets, which start again.
+    pub crashes: bool,
 }
 
 /// What the load of a run is to bring about beside its faults.
@@ -108,7 +115,11 @@
     }
 
     fn sizes(&self) -> Sizes {
-        let targets = if self.releases { TARGETS_OF_TWO_VERSIONS } else { TARGETS };
+        let targets = match (self.crashes, self.releases) {
+            (true, _) => TARGETS_THAT_CRASH,
+            (false, true) => TARGETS_OF_TWO_VERSIONS,
+            (false, false) => TARGETS,
+        };
         Sizes { gateways: self.gateways, targets }
     }
 }
@@ -187,9 +198,7 @@
     plan.write(&folder.join("plan.jsonl"))?;
     let shared = RunState::new(&folder.join("trace.jsonl"))?;
     let versions = if options.releases { &VERSIONS[..] } else { &VERSIONS[..1] };
-    let has_budget = seed % 2 == 1;
-    let mut injector =
-        Injector::start(&shared, &options.binary, options.sizes(), has_budget, versions);
+    let mut injector = Injector::start(&shared, options, seed, versions);
     if options.pressure == Pressure::Repeats {
         injector.begin_starvation(seed);
     }
@@ -200,11 +209,12 @@
     injector.platform.write_logs(&folder)?;
     match &violation {
         None => {
-            let (counts, take_ups) = {
-                let mut checks = shared.checks();
-                (checks.counts(), checks.versions().counts())
-            };
-            report::print_passed(seed, plan.0.len(), counts, take_ups)
+            let mut checks = shared.checks();
+            let (counts, take_ups) = (checks.counts(), checks.versions().counts());
+            report::print_passed(seed, plan.0.len(), counts, take_ups);
+            if options.crashes {
+                report::print_crashes(checks.crashes());
+            }
         }
         Some(violation) => {
             let lines = injector.platform.log_lines_with(&violation.id);
@@ -229,6 +239,7 @@
             Client::new(shared, seed.wrapping_add(number as u64), name, gateways)
                 .with_pressure(options.pressure)
                 .with_take_ups(options.releases)
+                .with_prompts(options.crashes)
         };
         // Stops the clients also when this thread panics, because the scope waits for all of them.
         let _stop = StopOnDrop(shared);
@@ -259,6 +270,12 @@
             let client = client(offset + number, format!("v{number}")).with_streams_only();
             scope.spawn(move || client.send_requests());
         }
+        let crashing_clients = if options.crashes { CRASHING_CLIENTS } else { 0 };
+        for number in 0..crashing_clients {
+            let offset = ONLINE_CLIENTS + BATCH_CLIENTS + gateways + surge_clients + stream_clients;
+            let client = client(offset + number, format!("x{number}"));
+            scope.spawn(move || client.send_crashing());
+        }
         inject_faults(shared, injector, plan);
         injector.end_starvation();
         let final_checks = FinalChecks::new(shared, gateways);
@@ -336,6 +353,7 @@
     let mut checks = shared.checks();
     checks.update_owners(owners);
     checks.check_runs(&runs);
+    checks.check_crashes(&runs);
 }
 
 /// Ends the current run on SIGHUP, SIGINT and SIGTERM, so that no child process outlives this one.
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -6,6 +6,7 @@
 
 use super::{
     checks::{Counts, Violation},
+    crashes::Crashes,
     versions::TakeUps,
 };
 
@@ -95,3 +96,13 @@
     }
     println!("  trace, plan and logs: {}", folder.display());
 }
+
+/// Prints how many targets were crashed by requests, and how many sound ones were refused for them.
+pub fn print_crashes(crashes: &Crashes) {
+    println!(
+        "  crashed={} of_gateways_that_had_to_know={} refused_sound={}",
+        crashes.crashed,
+        crashes.late(),
+        crashes.all_refused_sound
+    );
+}
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -361,6 +361,7 @@
         pressure: soak::Pressure::Usual,
         broken_answers: false,
         releases: false,
+        crashes: false,
     }
 }
 
