Requests that crash targets: a suspect is quarantined only after gateways that answered it could say so

A suspect has been told for 150 ms before it is quarantined. A crash that is reported twice is not told again.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -12,6 +12,9 @@
 /// Time after the first report of a crash in which its other reports arrive, and answers that clear suspects. Judged
 /// earlier, a suspect that was lost beside the cause of a crash may be the only one that is known of it.
 pub const SETTLE_MS: u64 = 150;
+/// Time for which a suspect has been told to all gateways before it is quarantined, so that those which have answered it can
+/// say so.
+const CONFIRM_MS: u64 = SETTLE_MS;
 /// Losses at one target within this time are of one crash: a target takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
 /// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
@@ -52,6 +55,8 @@
     last_at_ms: u64,
     /// Position of a part in the prompt. Deeper parts are shared by fewer requests.
     depth: usize,
+    /// When it was first told as suspected.
+    suspected_at_ms: Option<u64>,
     /// Whether it has been quarantined.
     is_quarantined: bool,
     /// Whether it was reported or quarantined since it was last told.
@@ -61,11 +66,14 @@
 impl Evidence {
     /// Counts a crash under which a request was lost, unless it is one loss of several targets.
     fn count(&mut self, crash: CrashId, sent_at_ms: u64, at_ms: u64) {
+        if self.crashes.contains(&crash) {
+            return;
+        }
         self.is_reported = true;
         let is_separate = self.crashes.is_empty()
             || sent_at_ms > self.last_at_ms
             || at_ms >= self.last_at_ms + SEPARATE_MS;
-        if !is_separate || self.crashes.contains(&crash) {
+        if !is_separate {
             return;
         }
         if self.crashes.len() == MAX_CRASHES {
@@ -75,6 +83,11 @@
         self.last_at_ms = at_ms;
     }
 
+    /// Whether no gateway has cleared it although all had time to.
+    fn is_confirmed(&self, now_ms: u64) -> bool {
+        self.suspected_at_ms.is_some_and(|it| it + CONFIRM_MS <= now_ms)
+    }
+
     /// Rank by which entries above the limit are dropped.
     fn rank(&self) -> (u32, u64) {
         (self.crashes.len() as u32, self.last_at_ms)
@@ -113,6 +126,11 @@
         self.due_ms = Some(self.due_ms.map_or(due_ms, |it| it.min(due_ms)));
     }
 
+    /// Whether it was quarantined here.
+    pub fn has_quarantined(&self, suspect: Suspect) -> bool {
+        self.evidence.get(&suspect).is_some_and(|it| it.is_quarantined)
+    }
+
     /// When reports are to be judged next, if there are any.
     pub fn due_ms(&self) -> Option<u64> {
         self.due_ms
@@ -129,9 +147,10 @@
         let mut verdicts = self.lift_explained_parts(&causes);
         causes.extend(self.evidence.keys().filter(|it| self.is_sole_cause(**it)));
         for suspect in causes {
-            if let Some(evidence) = self.evidence.get_mut(&suspect) {
-                evidence.is_reported |= !evidence.is_quarantined;
-                evidence.is_quarantined = true;
+            if let Some(evidence) = self.evidence.get_mut(&suspect).filter(|it| !it.is_quarantined)
+            {
+                evidence.is_quarantined = evidence.is_confirmed(now_ms);
+                evidence.is_reported |= evidence.is_quarantined;
             }
         }
         for (suspect, evidence) in &mut self.evidence {
@@ -142,11 +161,14 @@
                 count.min(SUSPECTED_CRASHES)
             };
             if crashes >= SUSPECTED_CRASHES && std::mem::take(&mut evidence.is_reported) {
+                evidence.suspected_at_ms.get_or_insert(now_ms);
                 verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms: 0 });
             }
         }
-        let unsettled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
-        self.due_ms = unsettled.filter(|it| *it > now_ms).min();
+        let settled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
+        let suspected = self.evidence.values().filter_map(|it| it.suspected_at_ms);
+        let due = settled.chain(suspected.map(|it| it + CONFIRM_MS));
+        self.due_ms = due.filter(|it| *it > now_ms).min();
         verdicts
     }
 
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -167,6 +167,21 @@
     );
 }
 
+// Guards against sound content that is lost with three targets at once at a gateway that has just started and has answered
+// nothing, although others have.
+#[test]
+fn a_request_is_quarantined_only_after_gateways_that_answered_it_could_say_so() {
+    let mut coordinator = CrashCoordinator::default();
+    for at_ms in [1_000, 1_020, 1_040] {
+        coordinator.report(at_ms, &crash(REQUEST, at_ms, 5));
+    }
+    let told = coordinator.verdicts(1_040);
+    assert_eq!(told, [verdict(REQUEST, 2)]);
+    assert_eq!(coordinator.verdicts(1_040 + SETTLE_MS - 1), []);
+    assert_eq!(coordinator.clear(request(REQUEST)), Some(verdict(REQUEST, 0)));
+    assert_eq!(coordinator.verdicts(3_000), []);
+}
+
 // Guards against memory that grows with the number of different requests that crash targets.
 #[test]
 fn requests_with_the_fewest_crashes_are_forgotten_first() {
