--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -97,6 +97,8 @@
     pub(super) taken_up: Option<TakenUp>,
     /// Origin of the answer's stream, once it is known.
     pub(super) origin: Option<StreamOrigin>,
+    /// Whether another run has begun the answer's stream.
+    is_resumed: bool,
     /// Whether the stream that the caller takes up has gone on here.
     pub(super) has_begun: bool,
     /// The last 5xx answer of a target; it becomes the answer if no other target answers.
@@ -178,6 +180,7 @@
         let deadline_ms = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
         let affinity = front.dialect.affinity(&parts.headers);
         let taken_up = TakenUp::of_request(&route.kind, names, &parts.headers);
+        let taken_up_before = taken_up.is_some();
         let caller = parts.extensions.get::<PeerAddress>().map(|it| it.0.ip());
         strip_hop_by_hop_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -203,6 +206,7 @@
             content: OnceCell::new(),
             taken_up,
             origin: None,
+            is_resumed: taken_up_before,
             has_begun: false,
             server_error: None,
         }
@@ -313,6 +317,7 @@
         cause: MayHaveRunReason,
     ) -> Result<ActiveStream, NoAnswer> {
         self.may_have_run = Some(cause);
+        self.is_resumed = true;
         if !self.may_run_again() {
             return Err(NoAnswer::MayHaveRun(cause));
         }
@@ -499,9 +504,10 @@
         true
     }
 
-    /// Notes that the request got a whole answer with success.
+    /// Notes that the request got a whole answer with success. One that several runs make up proves nothing: the others may
+    /// have crashed their targets.
     pub(super) fn note_answered(&self) {
-        if self.front.crash_reports.answered(self.content()) {
+        if !self.is_resumed && self.front.crash_reports.answered(self.content()) {
             log::info!(
                 request = self.id, fingerprint:% = Hex(self.content().fingerprint);
                 "front: suspected request was answered"
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -284,7 +284,10 @@
         }
         if end == AttemptEnd::Lost {
             self.env.crash_reports.connection_lost(content, address, sent_at);
-        } else if matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. })) {
+        } else if before.is_none()
+            && matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }))
+        {
+            // A text that several runs make up proves nothing: the others may have crashed their targets.
             self.env.crash_reports.answered(&content);
         }
         if self.last_event() > before {
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -7,6 +7,7 @@
 };
 
 use samphiredoor_standin::{
+    fleet::EVENTS,
     link::LinkFault,
     platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
@@ -230,6 +231,24 @@
     assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
 }
 
+// Guards against an answer that was made up from runs at several targets, some of which crashed, taken for proof that its
+// request is sound.
+#[test]
+fn an_answer_of_several_runs_does_not_clear_a_request_that_crashes_targets() {
+    let (platform, targets) = fleet_of_targets(2);
+    (0..2).for_each(|it| platform.wait_logged(it, "peers: peer is live"));
+    let crash = TargetFault::UnframedCrashAfter(EVENTS - 2);
+    targets.iter().for_each(|it| it.fail_always(CRASHING, crash));
+    let crashed = || targets.iter().filter(|it| it.has_crashed()).count();
+    for number in 0..TARGETS - 1 {
+        let id = format!("id-{number}");
+        platform.send(number % 2, "/stream-resumable/check", &id, CRASHING);
+        thread::sleep(CRASHES_TOLD_WITHIN / 8);
+    }
+    let later = crashed().saturating_sub(CRASHES_KNOWN);
+    assert!(later <= MOST_LATER_CRASHES, "{later} targets crashed after the third");
+}
+
 // Guards against gateways that start after a request was quarantined, and learn of it by a crash each.
 #[test]
 fn a_gateway_that_starts_is_told_of_quarantined_requests() {
