Requests that crash targets: what was counted and judged outlives the gateways that did it

Crashes were counted in the memory of two coordinators, and a gateway that had judged alone, as at the start of all, told nobody who came later. Gateways keep their own reports for a minute (256 at most) and send them to coordinators that have started anew or were chosen since; reports of the same crash count once. Who has judged a quarantine tells gateways that appear, besides the coordinators. Times of reports may lie before the start of a process.

--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -15,8 +15,8 @@
 use compio::net::UdpSocket;
 use samphiredoor_core::{
     crash_reports::{
-        AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, Suspect,
-        SuspectKind,
+        AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
+        QUARANTINE_MS, Suspect, SuspectKind,
     },
     placement::name_hash,
 };
@@ -34,6 +34,11 @@
 /// all others of what was judged within this time, as datagrams may be lost.
 const TELL_AGAIN: Duration = Duration::from_millis(500);
 
+/// Time for which own reports are sent again to coordinators that have not got them.
+const REPORT_AGAIN: Duration = Duration::from_secs(60);
+/// Most reports that are kept for that.
+const MAX_KEPT_REPORTS: usize = 256;
+
 enum Message {
     News(CrashNews),
     /// News of this process, which go to all coordinators.
@@ -102,8 +107,16 @@
         let own_key = name_hash(&task.local.name);
         let told = BTreeSet::new();
         let tell_again_at = Instant::now();
-        let running =
-            Running { task, own_key, coordinator, handle: handle.clone(), told, tell_again_at };
+        let running = Running {
+            task,
+            own_key,
+            coordinator,
+            handle: handle.clone(),
+            kept: VecDeque::new(),
+            reported_to: BTreeMap::new(),
+            told,
+            tell_again_at,
+        };
         compio::runtime::spawn(running.run(inbox)).detach();
         handle
     }
@@ -175,8 +188,9 @@
         (content, was_answered)
     }
 
+    /// Time since the start of the process, from a number on that reports and verdicts of before the start don't reach.
     fn now_ms(&self) -> u64 {
-        self.clock.now().mono_ms
+        self.clock.now().mono_ms + QUARANTINE_MS
     }
 
     /// Passes on the news of another gateway.
@@ -211,6 +225,10 @@
     own_key: u64,
     coordinator: CrashCoordinator,
     handle: CrashReports,
+    /// Own reports of the last minute, with the times at which they were true.
+    kept: VecDeque<(Instant, CrashReport)>,
+    /// Gateways, by address and incarnation, that got the kept reports of a service.
+    reported_to: BTreeMap<u64, BTreeSet<(SocketAddr, u64)>>,
     /// Live gateways, by address and incarnation, that were told what is quarantined.
     told: BTreeSet<(SocketAddr, u64)>,
     tell_again_at: Instant,
@@ -230,6 +248,7 @@
             }
             if Instant::now() >= self.tell_again_at {
                 self.tell_again().await;
+                self.report_again().await;
                 self.tell_again_at = Instant::now() + TELL_AGAIN;
             }
         }
@@ -244,8 +263,7 @@
         self.told = live;
         let quarantined: Vec<CrashVerdict> =
             self.handle.known.borrow_mut().quarantined(self.now_ms()).collect();
-        for verdict in quarantined.into_iter().filter(|it| self.is_coordinator(it.suspect.service))
-        {
+        for verdict in quarantined.into_iter().filter(|it| self.is_responsible(it.suspect)) {
             let is_recent = u128::from(verdict.age_ms) < TELL_AGAIN.as_millis();
             let to = if is_recent { &all } else { &new };
             let bytes = Datagram::CrashVerdict(verdict).encode();
@@ -253,8 +271,55 @@
         }
     }
 
-    fn is_coordinator(&self, service: u64) -> bool {
-        self.task.roster.coordinators(service).chosen.contains(&self.own_key)
+    /// Whether this process tells others of a quarantine: as a coordinator of its service, or as it has judged it while it
+    /// knew no other gateways.
+    fn is_responsible(&self, suspect: Suspect) -> bool {
+        let coordinators = self.task.roster.coordinators(suspect.service).chosen;
+        coordinators.contains(&self.own_key) || self.coordinator.has_quarantined(suspect)
+    }
+
+    /// Sends own reports to coordinators that have not got them, as they have started anew or others were chosen: what a
+    /// coordinator has counted ends with its process. Those that were chosen before get them twice, as datagrams may be lost.
+    async fn report_again(&mut self) {
+        self.kept.retain(|(at, _)| at.elapsed() < REPORT_AGAIN);
+        let services: BTreeSet<u64> = self.kept.iter().map(|(_, it)| it.content.service).collect();
+        self.reported_to.retain(|it, _| services.contains(it));
+        for service in services {
+            let coordinators = self.coordinators(service);
+            let known = self.reported_to.insert(service, coordinators.clone()).unwrap_or_default();
+            let new: Vec<SocketAddr> =
+                coordinators.difference(&known).map(|(address, _)| *address).collect();
+            if !new.is_empty() {
+                self.report_kept(service, new).await;
+            }
+        }
+    }
+
+    async fn report_kept(&mut self, service: u64, mut to: Vec<SocketAddr>) {
+        let is_self = |it: &SocketAddr| *it == self.task.local.address;
+        let is_own = to.iter().any(is_self);
+        to.retain(|it| !is_self(it));
+        let of_service = self.kept.iter().filter(|(_, it)| it.content.service == service);
+        let reports: Vec<CrashReport> =
+            of_service.map(|(at, it)| aged(it, elapsed_ms(*at))).collect();
+        for report in reports {
+            if is_own {
+                self.coordinator.report(self.now_ms(), &report);
+            }
+            let bytes = Datagram::CrashReport(CrashNews::Lost(report)).encode();
+            send_to_all(&self.task.socket, bytes, to.clone()).await;
+        }
+    }
+
+    /// Addresses and incarnations of the coordinators of a service.
+    fn coordinators(&self, service: u64) -> BTreeSet<(SocketAddr, u64)> {
+        let (roster, local) = (&self.task.roster, &self.task.local);
+        let chosen = roster.coordinators(service).chosen;
+        let addresses: Vec<SocketAddr> =
+            chosen.iter().filter_map(|it| roster.address_of_hash(*it)).collect();
+        let live = roster.live_incarnations().into_iter();
+        let own = chosen.contains(&self.own_key).then_some((local.address, local.incarnation));
+        live.filter(|(address, _)| addresses.contains(address)).chain(own).collect()
     }
 
     /// Waits for a message; `None` if reports are to be judged or others to be told first.
@@ -264,7 +329,7 @@
     ) -> Option<Result<Message, flume::RecvError>> {
         let due_ms = self.coordinator.due_ms();
         let judged_in = due_ms.map(|it| Duration::from_millis(it.saturating_sub(self.now_ms())));
-        let tells = self.handle.has_suspects();
+        let tells = self.handle.has_suspects() || !self.kept.is_empty();
         let told_in = tells.then(|| self.tell_again_at.saturating_duration_since(Instant::now()));
         match judged_in.into_iter().chain(told_in).min() {
             Some(left) => within(left, inbox.recv_async()).await,
@@ -273,11 +338,14 @@
     }
 
     fn now_ms(&self) -> u64 {
-        self.task.clock.now().mono_ms
+        self.handle.now_ms()
     }
 
     /// Sends news to the coordinators of the service; this process may be one of them.
     async fn report(&mut self, news: CrashNews) {
+        if let CrashNews::Lost(report) = &news {
+            self.keep(report.clone());
+        }
         let coordinators = self.task.roster.coordinators(news.service()).chosen;
         let others = coordinators.iter().filter(|it| **it != self.own_key);
         let others = others.filter_map(|it| self.task.roster.address_of_hash(*it)).collect();
@@ -288,6 +356,13 @@
         }
     }
 
+    fn keep(&mut self, report: CrashReport) {
+        if self.kept.len() == MAX_KEPT_REPORTS {
+            self.kept.pop_front();
+        }
+        self.kept.push_back((Instant::now(), report));
+    }
+
     /// Handles news as the coordinator of the service.
     async fn coordinate(&mut self, news: CrashNews) {
         match news {
@@ -314,6 +389,15 @@
     }
 }
 
+/// A report that was true some time ago.
+fn aged(report: &CrashReport, age_ms: u32) -> CrashReport {
+    CrashReport {
+        sent_ago_ms: report.sent_ago_ms.saturating_add(age_ms),
+        lost_ago_ms: report.lost_ago_ms.saturating_add(age_ms),
+        ..report.clone()
+    }
+}
+
 /// A fingerprint as it is written in logs.
 pub struct Hex(pub u64);
 
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -269,6 +269,32 @@
     assert_eq!(crashed(), CRASHES_KNOWN);
 }
 
+// Guards against crashes that are forgotten with the gateways that have counted them.
+#[test]
+fn crashes_are_counted_across_restarts_of_the_gateways_that_count_them() {
+    const GATEWAYS: usize = 4;
+    let (mut platform, targets) = fleet_of_targets(GATEWAYS);
+    let wait_live = |platform: &Platform, gateway: usize| {
+        wait_until("all gateways know each other", || {
+            platform.times_logged(gateway, "peers: peer is live") >= GATEWAYS - 1
+        });
+    };
+    (0..GATEWAYS).for_each(|it| wait_live(&platform, it));
+    targets.iter().for_each(|it| it.fail_always(CRASHING, TargetFault::Crashes));
+    let crashed = || targets.iter().map(|it| it.runs_of(CRASHING)).sum::<usize>();
+    for number in 0..CRASHES_KNOWN + MOST_LATER_CRASHES + 1 {
+        platform.send(0, "/stream/check", &format!("id-{number}"), CRASHING);
+        thread::sleep(CRASHES_TOLD_WITHIN / 8);
+        for gateway in 1..GATEWAYS {
+            platform.gateway(gateway).kill();
+            platform.restart_gateway(gateway);
+        }
+        (1..GATEWAYS).for_each(|it| wait_live(&platform, it));
+        thread::sleep(CRASHES_TOLD_WITHIN / 4);
+    }
+    assert_eq!(crashed(), CRASHES_KNOWN);
+}
+
 // Guards against sound content that many callers send, blamed for targets that crash beneath it.
 #[test]
 fn content_that_was_answered_is_not_quarantined_for_crashes_beneath_it() {
