Requests that crash targets: a whole answer ends a quarantine; causes that share a part are told apart

A part is blamed only if deeper parts that several requests have, and one request, do not explain its crashes.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -172,14 +172,10 @@
         verdicts
     }
 
-    /// Clears a suspect that got a whole answer. A quarantined request stays: that answer is of a run that began before. A part
-    /// is shared by many requests, and an answer to any of them shows that it is sound.
+    /// Clears a suspect that was in a whole answer: what crashes each target that runs it gets none. That also ends a
+    /// quarantine, under which no further answer could show that it is sound.
     pub fn clear(&mut self, suspect: Suspect) -> Option<CrashVerdict> {
-        let evidence = self.evidence.get(&suspect)?;
-        if evidence.is_quarantined && suspect.kind == SuspectKind::Request {
-            return None;
-        }
-        self.evidence.remove(&suspect);
+        self.evidence.remove(&suspect)?;
         Some(CrashVerdict { suspect, crashes: 0, age_ms: 0 })
     }
 
@@ -271,12 +267,37 @@
         if suspect.kind == SuspectKind::Request {
             return count >= QUARANTINE_CRASHES;
         }
-        let own = || evidence.crashes.iter().filter(|it| crashes.contains(it)).copied().collect();
-        let by_one_request = || {
-            let own = own();
-            self.requests().map(|(_, it)| count_of(it, &own)).max().unwrap_or(0)
-        };
-        count >= PART_QUARANTINE_CRASHES && count >= by_one_request() + PART_MARGIN
+        let own = among(evidence, crashes);
+        count >= PART_QUARANTINE_CRASHES
+            && count >= self.most_of_one_request(&own) + PART_MARGIN
+            && !self.is_explained_otherwise(evidence, own)
+    }
+
+    /// Most of these crashes in which one request was lost.
+    fn most_of_one_request(&self, crashes: &BTreeSet<CrashId>) -> u32 {
+        self.requests().map(|(_, it)| count_of(it, crashes)).max().unwrap_or(0)
+    }
+
+    /// Whether deeper parts, and one request, may be the causes of a part's crashes. Most requests share the first parts, which
+    /// explain the crashes of several causes together.
+    fn is_explained_otherwise(&self, part: &Evidence, mut crashes: BTreeSet<CrashId>) -> bool {
+        let deeper = self.evidence.iter().filter(|(it, by)| {
+            it.kind == SuspectKind::Part && by.depth > part.depth && self.is_shared(by)
+        });
+        for (_, by) in deeper {
+            by.crashes.iter().for_each(|it| _ = crashes.remove(it));
+        }
+        let left = crashes.len() as u32;
+        left == 0 || left >= QUARANTINE_CRASHES && self.most_of_one_request(&crashes) == left
+    }
+
+    /// Whether several requests with a part were lost.
+    fn is_shared(&self, part: &Evidence) -> bool {
+        if part.crashes.len() < SUSPECTED_CRASHES as usize {
+            return false;
+        }
+        let crashes: BTreeSet<CrashId> = part.crashes.iter().copied().collect();
+        crashes.len() as u32 > self.most_of_one_request(&crashes)
     }
 
     fn forget(&mut self, now_ms: u64) {
@@ -290,3 +311,8 @@
 fn count_of(evidence: &Evidence, among: &BTreeSet<CrashId>) -> u32 {
     evidence.crashes.iter().filter(|it| among.contains(it)).count() as u32
 }
+
+/// Those of these crashes that count for a suspect.
+fn among(evidence: &Evidence, crashes: &BTreeSet<CrashId>) -> BTreeSet<CrashId> {
+    evidence.crashes.iter().filter(|it| crashes.contains(it)).copied().collect()
+}
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashVerdict, QUARANTINE_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms};
+use super::{CrashVerdict, QUARANTINE_CRASHES, Suspect, limit_len, remembered_ms};
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -49,10 +49,7 @@
         self.forget(now_ms);
         let was_quarantined = self.is_quarantined(now_ms, verdict.suspect);
         if verdict.crashes == 0 {
-            // The two coordinators may have counted differently; the quarantine of a request stands.
-            if !was_quarantined || verdict.suspect.kind == SuspectKind::Part {
-                self.suspects.remove(&verdict.suspect);
-            }
+            self.suspects.remove(&verdict.suspect);
             return false;
         }
         let known = self.suspects.entry(verdict.suspect);
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -138,10 +138,8 @@
         let mut answered = self.answered.borrow_mut();
         content.suspects().for_each(|it| answered.keys(it.kind).insert(now_ms, it.hash));
         let known = self.known.borrow();
-        let is_suspect = |it: &Suspect| {
-            let is_part = it.kind == SuspectKind::Part;
-            known.is_suspected(now_ms, *it) || is_part && known.is_quarantined(now_ms, *it)
-        };
+        let is_suspect =
+            |it: &Suspect| known.is_suspected(now_ms, *it) || known.is_quarantined(now_ms, *it);
         let suspects: Suspects = content.suspects().filter(is_suspect).collect();
         let is_any = !suspects.is_empty();
         if is_any {
