--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -40,6 +40,8 @@
 const BROKEN_ANSWERS_SEED: u64 = 8001;
 /// A seed whose streams went on at another software version while targets were chosen without regard to it.
 const RELEASES_SEED: u64 = 8102;
+/// A seed whose part of prompts crashed targets without a bound, and whose sound content was quarantined.
+const CRASHES_SEED: u64 = 9001;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -403,3 +405,10 @@
     let options = soak::Options { releases: true, gateways: 6, ..options("releases", 15) };
     run_soak(&options, RELEASES_SEED..RELEASES_SEED + 1);
 }
+
+// Guards against content, and a part of prompts, that crash one target after the other, and blame for what shares them.
+#[test]
+fn requests_that_crash_targets_are_stopped_and_sound_ones_are_served() {
+    let options = soak::Options { crashes: true, gateways: 6, ..options("crashes", 15) };
+    run_soak(&options, CRASHES_SEED..CRASHES_SEED + 1);
+}
