Streams: what follows from software versions reaches back as far as a stream of its route may

A version was remembered for 20 s after its last target had gone, taken as longer than any stream lasts. Streams of routes with timeouts above 5 s, taken up several times by their callers, may last longer: from the one version that was left a gateway concluded where such a stream had begun (the new test with timeouts of 60 s and 300 s was red: the version followed after 20 s). A gateway asks and concludes for four timeouts of the route, 20 s at least, and concludes nothing for streams that last longer than versions are remembered. Routes with timeouts up to 5 s are served as before.

--- a/crates/samphiredoor-core/src/software_versions/history.rs
+++ b/crates/samphiredoor-core/src/software_versions/history.rs
@@ -2,11 +2,20 @@
 
 use std::collections::BTreeMap;
 
+use super::MAX_KEEP_MS;
 use crate::Name;
 
-/// Time for which a version is remembered after its last target has gone: longer than a caller waits for a stream, so that
-/// one that goes on now was begun within it.
-pub const HISTORY_MS: u64 = 20_000;
+/// Shortest time within which a stream that goes on now may have begun.
+pub const MIN_HISTORY_MS: u64 = 20_000;
+/// Time for which a version is remembered after its last target has gone.
+const MAX_HISTORY_MS: u64 = history_ms(MAX_KEEP_MS);
+
+/// Time within which a stream that goes on now may have begun, if requests of its route end after `timeout_ms`. It has gone
+/// on with several requests of its caller at most.
+pub const fn history_ms(timeout_ms: u64) -> u64 {
+    let history_ms = timeout_ms.saturating_mul(4);
+    if history_ms < MIN_HISTORY_MS { MIN_HISTORY_MS } else { history_ms }
+}
 
 /// Versions of the targets of each service, by the hash of the service's name.
 #[derive(Debug, Default)]
@@ -41,7 +50,7 @@
             }
         }
         for versions in self.services.values_mut() {
-            versions.retain(|_, it| it.is_listed || now_ms < it.last_ms + HISTORY_MS);
+            versions.retain(|_, it| it.is_listed || now_ms < it.last_ms + MAX_HISTORY_MS);
         }
         self.services.retain(|_, it| !it.is_empty());
     }
@@ -52,22 +61,20 @@
         self.known_since_ms = if is_current { self.known_since_ms.or(Some(now_ms)) } else { None };
     }
 
-    /// The only version that targets of a service have had for [`HISTORY_MS`]; `None` if there were several, or others may
-    /// have been missed.
-    pub fn sole(&self, now_ms: u64, service: u64) -> Option<&Name> {
+    /// The only version that targets of a service have had for `within_ms`; `None` if there were several, others may have
+    /// been missed, or versions are not remembered for so long.
+    pub fn sole(&self, now_ms: u64, service: u64, within_ms: u64) -> Option<&Name> {
         let known_ms = now_ms.saturating_sub(self.known_since_ms?);
-        let versions = self.services.get(&service)?;
-        let mut recent =
-            versions.iter().filter(|(_, it)| it.is_listed || now_ms < it.last_ms + HISTORY_MS);
-        let (version, _) = recent.next()?;
-        (recent.next().is_none() && known_ms >= HISTORY_MS).then_some(version)
+        let is_remembered = within_ms <= known_ms.min(MAX_HISTORY_MS);
+        self.only_known(now_ms, service, within_ms).filter(|_| is_remembered)
     }
 
-    /// The only version that targets of a service have as far as is known, also if others may have been missed.
-    pub fn only_known(&self, now_ms: u64, service: u64) -> Option<&Name> {
+    /// The only version that targets of a service have had for `within_ms` as far as is known, also if others may have been
+    /// missed.
+    pub fn only_known(&self, now_ms: u64, service: u64, within_ms: u64) -> Option<&Name> {
         let versions = self.services.get(&service)?;
-        let mut recent =
-            versions.iter().filter(|(_, it)| it.is_listed || now_ms < it.last_ms + HISTORY_MS);
+        let is_recent = |it: &Listed| it.is_listed || now_ms - it.last_ms.min(now_ms) < within_ms;
+        let mut recent = versions.iter().filter(|(_, it)| is_recent(it));
         let (version, _) = recent.next()?;
         recent.next().is_none().then_some(version)
     }
--- a/crates/samphiredoor-core/src/software_versions/lookup.rs
+++ b/crates/samphiredoor-core/src/software_versions/lookup.rs
@@ -10,7 +10,7 @@
     Recorded(StreamOrigin),
     /// It has a record, and the origin is uncertain.
     Ambiguous,
-    /// It has no record. With a version if all targets of the service have been of it for longer than a stream lasts.
+    /// It has no record. With a version if all targets of the service have been of it for as long as the stream may have lasted.
     NoRecord(Option<Name>),
 }
 
--- a/crates/samphiredoor-core/src/software_versions/mod.rs
+++ b/crates/samphiredoor-core/src/software_versions/mod.rs
@@ -4,14 +4,14 @@
 //! A caller may take a stream up at a gateway that has never seen it, while the one that has may be gone. So the gateway that
 //! begins a stream records its [`StreamOrigin`] and sends it to a few others, the [`holders`] of the stream, which any
 //! gateway can find by the id of the caller's first attempt. Where all targets of a service have been of one version for
-//! longer than a stream lasts, no record is needed, and none is sent ([`VersionHistory`]). What is neither recorded nor
+//! as long as a stream may have lasted, no record is needed, and none is sent ([`VersionHistory`]). What is neither recorded nor
 //! follows from that is unknown, and the stream must not go on.
 
 mod history;
 mod lookup;
 mod records;
 
-pub use history::{HISTORY_MS, VersionHistory};
+pub use history::{MIN_HISTORY_MS, VersionHistory, history_ms};
 pub use lookup::{Answer, Found, Lookup};
 pub use records::{MAX_RECORDS, OriginRecords, Record};
 
@@ -23,7 +23,7 @@
 /// begun is known to none of the others.
 pub const HOLDERS: usize = 3;
 /// Longest time for which the version of a stream is remembered after it began or went on.
-pub const MAX_KEEP_MS: u64 = 60_000;
+pub const MAX_KEEP_MS: u64 = 300_000;
 /// `Retry-After` of a request whose version is gone or unknown; another gateway may know more.
 pub const RETRY_AFTER_MS: u64 = 120;
 
--- a/crates/samphiredoor-core/tests/software_versions/history.rs
+++ b/crates/samphiredoor-core/tests/software_versions/history.rs
@@ -2,7 +2,7 @@
 
 use samphiredoor_core::{
     Name,
-    software_versions::{HISTORY_MS, VersionHistory},
+    software_versions::{MAX_KEEP_MS, MIN_HISTORY_MS, VersionHistory, history_ms},
 };
 
 const SERVICE: u64 = 3;
@@ -14,11 +14,11 @@
 }
 
 fn sole(history: &VersionHistory, now_ms: u64) -> Option<&str> {
-    history.sole(now_ms, SERVICE).map(|it| &**it)
+    history.sole(now_ms, SERVICE, MIN_HISTORY_MS).map(|it| &**it)
 }
 
 fn only_known(history: &VersionHistory, now_ms: u64) -> Option<&str> {
-    history.only_known(now_ms, SERVICE).map(|it| &**it)
+    history.only_known(now_ms, SERVICE, MIN_HISTORY_MS).map(|it| &**it)
 }
 
 /// Guards against a process that has just started and takes the version that is left for that of all streams.
@@ -26,9 +26,9 @@
 fn a_version_is_sole_only_after_it_was_known_for_longer_than_streams_last() {
     let mut history = VersionHistory::default();
     list(&mut history, 1_000, &["v1", "v1"]);
-    assert_eq!(sole(&history, 1_000 + HISTORY_MS - 1), None);
+    assert_eq!(sole(&history, 1_000 + MIN_HISTORY_MS - 1), None);
     assert_eq!(only_known(&history, 1_000), Some("v1"));
-    assert_eq!(sole(&history, 1_000 + HISTORY_MS), Some("v1"));
+    assert_eq!(sole(&history, 1_000 + MIN_HISTORY_MS), Some("v1"));
 }
 
 /// Guards against streams of a version whose last target has just gone.
@@ -39,9 +39,42 @@
     list(&mut history, 30_000, &["v1", "v2"]);
     assert_eq!(sole(&history, 30_000), None);
     list(&mut history, 40_000, &["v2"]);
-    assert_eq!(sole(&history, 40_000 + HISTORY_MS - 1), None);
-    assert_eq!(only_known(&history, 40_000 + HISTORY_MS - 1), None);
-    assert_eq!(sole(&history, 40_000 + HISTORY_MS), Some("v2"));
+    assert_eq!(sole(&history, 40_000 + MIN_HISTORY_MS - 1), None);
+    assert_eq!(only_known(&history, 40_000 + MIN_HISTORY_MS - 1), None);
+    assert_eq!(sole(&history, 40_000 + MIN_HISTORY_MS), Some("v2"));
+}
+
+/// Guards against streams of routes with long timeouts, which begin at a version and are taken up long after its last target
+/// has gone.
+#[test]
+fn a_version_is_remembered_for_as_long_as_streams_of_its_route_may_last() {
+    for timeout_ms in [60_000, MAX_KEEP_MS] {
+        let within_ms = history_ms(timeout_ms);
+        assert!(within_ms > timeout_ms);
+        let mut history = VersionHistory::default();
+        list(&mut history, 0, &["v1"]);
+        let changed_ms = 2 * within_ms;
+        list(&mut history, changed_ms, &["v2"]);
+        for now_ms in [changed_ms + MIN_HISTORY_MS, changed_ms + within_ms - 1] {
+            list(&mut history, now_ms, &["v2"]);
+            assert_eq!(sole(&history, now_ms), Some("v2"));
+            assert_eq!(history.sole(now_ms, SERVICE, within_ms), None);
+            assert_eq!(history.only_known(now_ms, SERVICE, within_ms), None);
+        }
+        let sole = history.sole(changed_ms + within_ms, SERVICE, within_ms);
+        assert_eq!(sole.map(|it| &**it), Some("v2"));
+    }
+}
+
+/// Guards against conclusions from a history that doesn't reach back to the begin of a stream.
+#[test]
+fn nothing_follows_for_streams_that_last_longer_than_versions_are_remembered() {
+    let mut history = VersionHistory::default();
+    list(&mut history, 0, &["v1"]);
+    let now_ms = 100 * MAX_KEEP_MS;
+    assert_eq!(sole(&history, now_ms), Some("v1"));
+    assert_eq!(history.sole(now_ms, SERVICE, history_ms(MAX_KEEP_MS + 1)), None);
+    assert_eq!(history.sole(now_ms, SERVICE, history_ms(u64::MAX)), None);
 }
 
 /// Guards against lists that are out of date while the store is lost.
@@ -53,8 +86,8 @@
     assert_eq!(sole(&history, 50_000), None);
     assert_eq!(only_known(&history, 50_000), Some("v1"));
     history.set_current(60_000, true);
-    assert_eq!(sole(&history, 60_000 + HISTORY_MS - 1), None);
-    assert_eq!(sole(&history, 60_000 + HISTORY_MS), Some("v1"));
+    assert_eq!(sole(&history, 60_000 + MIN_HISTORY_MS - 1), None);
+    assert_eq!(sole(&history, 60_000 + MIN_HISTORY_MS), Some("v1"));
 }
 
 #[test]
--- a/crates/samphiredoor-gateway/examples/stream_record_bytes.rs
+++ b/crates/samphiredoor-gateway/examples/stream_record_bytes.rs
@@ -24,7 +24,10 @@
     let answer = OriginAnswer { stream, holder: hash(4), answer: Answer::Recorded(origin) };
     let messages = [
         ("record", Datagram::StreamOrigin(record)),
-        ("question", Datagram::OriginQuestion(OriginQuestion { stream, service })),
+        (
+            "question",
+            Datagram::OriginQuestion(OriginQuestion { stream, service, within_ms: 20_000 }),
+        ),
         ("answer", Datagram::OriginAnswer(answer)),
     ];
     println!("message,bytes,bytes_with_headers");
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -1,13 +1,11 @@
 //! Resumptions of streams: what a caller says of the stream that it takes up, at which software version it may go on, and what
 //! other gateways have to know of a stream that begins here.
 
-use std::time::Duration;
-
 use hyper::{HeaderMap, header::HeaderName};
 use samphiredoor_core::{
     Name,
     routes::RouteKind,
-    software_versions::{Found, MAX_KEEP_MS, RETRY_AFTER_MS, StreamOrigin},
+    software_versions::{Found, RETRY_AFTER_MS, StreamOrigin},
     verdict::Refusal,
 };
 
@@ -77,9 +75,9 @@
         let service = self.service.as_deref().unwrap_or_default();
         let origins = &self.front.stream_origins;
         let found = match &taken_up.first_attempt {
-            Some(first) => origins.find(first, service).await,
+            Some(first) => origins.find(first, service, self.route.timeout_ms).await,
             // The caller does not know of versions.
-            None => match origins.only_known_version(service) {
+            None => match origins.only_known_version(service, self.route.timeout_ms) {
                 Some(version) => Found::Origin(StreamOrigin::of_version(version)),
                 None => Found::Unknown,
             },
@@ -138,7 +136,6 @@
             return;
         }
         let service = self.service.as_deref().unwrap_or_default();
-        let keep = Duration::from_millis(self.route.timeout_ms.min(MAX_KEEP_MS));
-        self.front.stream_origins.begun(first_attempt, service, origin, keep);
+        self.front.stream_origins.begun(first_attempt, service, origin, self.route.timeout_ms);
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/origin_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/origin_messages.rs
@@ -26,6 +26,8 @@
     pub stream: u64,
     /// Hash of the service's name.
     pub service: u64,
+    /// How long ago the stream may have begun, in milliseconds.
+    pub within_ms: u32,
 }
 
 /// Answer of a holder.
@@ -72,10 +74,15 @@
 pub(super) fn write_question(question: &OriginQuestion, mut root: origin_question::Builder<'_>) {
     root.set_stream(question.stream);
     root.set_service(question.service);
+    root.set_within_ms(question.within_ms);
 }
 
 pub(super) fn read_question(root: origin_question::Reader<'_>) -> OriginQuestion {
-    OriginQuestion { stream: root.get_stream(), service: root.get_service() }
+    OriginQuestion {
+        stream: root.get_stream(),
+        service: root.get_service(),
+        within_ms: root.get_within_ms(),
+    }
 }
 
 pub(super) fn write_answer(answer: &OriginAnswer, mut root: origin_answer::Builder<'_>) {
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -16,8 +16,8 @@
     Name,
     placement::{TargetEntry, name_hash},
     software_versions::{
-        Answer, Found, HISTORY_MS, HOLDERS, Lookup, MAX_KEEP_MS, OriginRecords, Record,
-        StreamOrigin, VersionHistory, holders,
+        Answer, Found, HOLDERS, Lookup, MAX_KEEP_MS, MIN_HISTORY_MS, OriginRecords, Record,
+        StreamOrigin, VersionHistory, history_ms, holders,
     },
 };
 use samphiredoor_net::{clock::Clock, pool::within};
@@ -41,10 +41,10 @@
     Begun {
         stream: u64,
         record: Record,
+        within_ms: u64,
     },
     Find {
-        stream: u64,
-        service: u64,
+        question: OriginQuestion,
         reply: flume::Sender<Found>,
     },
     /// Service and origin of each listed target.
@@ -98,27 +98,40 @@
     }
 
     /// Records that this process begins a stream, or goes on with it: `first_attempt` is the id of the caller's attempt that
-    /// brings or brought its first event, which the caller may take up within `keep`.
-    pub fn begun(&self, first_attempt: &str, service: &str, origin: &StreamOrigin, keep: Duration) {
-        let until_ms = self.clock.now().mono_ms + keep.as_millis() as u64;
+    /// brings or brought its first event, `timeout_ms` that of the route, within which the caller may take it up.
+    pub fn begun(
+        &self,
+        first_attempt: &str,
+        service: &str,
+        origin: &StreamOrigin,
+        timeout_ms: u64,
+    ) {
+        let until_ms = self.clock.now().mono_ms + timeout_ms.min(MAX_KEEP_MS);
         let origin = Some(origin.clone());
         let record = Record { service: name_hash(service), origin, until_ms, is_unsent: true };
-        self.send(Message::Begun { stream: name_hash(first_attempt), record });
+        let (stream, within_ms) = (name_hash(first_attempt), history_ms(timeout_ms));
+        self.send(Message::Begun { stream, record, within_ms });
     }
 
-    /// Finds out at which version a stream was begun.
-    pub async fn find(&self, first_attempt: &str, service: &str) -> Found {
+    /// Finds out at which version a stream was begun. `timeout_ms` is that of its route.
+    pub async fn find(&self, first_attempt: &str, service: &str, timeout_ms: u64) -> Found {
         let (reply, found) = flume::bounded(1);
-        let (stream, service) = (name_hash(first_attempt), name_hash(service));
-        self.send(Message::Find { stream, service, reply });
+        let question = OriginQuestion {
+            stream: name_hash(first_attempt),
+            service: name_hash(service),
+            within_ms: u32::try_from(history_ms(timeout_ms)).unwrap_or(u32::MAX),
+        };
+        self.send(Message::Find { question, reply });
         // The task runs until the process ends, and answers each lookup.
         found.recv_async().await.unwrap_or(Found::Unknown)
     }
 
-    /// The only version that targets of a service have, as far as is known.
-    pub fn only_known_version(&self, service: &str) -> Option<Name> {
+    /// The only version that targets of a service have, as far as is known, for as long as streams of a route with this
+    /// timeout may have lasted.
+    pub fn only_known_version(&self, service: &str, timeout_ms: u64) -> Option<Name> {
         let history = self.history.borrow();
-        history.only_known(self.clock.now().mono_ms, name_hash(service)).cloned()
+        let (now_ms, within_ms) = (self.clock.now().mono_ms, history_ms(timeout_ms));
+        history.only_known(now_ms, name_hash(service), within_ms).cloned()
     }
 
     /// Takes over the list of all targets.
@@ -151,7 +164,7 @@
 /// A lookup that waits for answers.
 struct WaitingLookup {
     lookup: Lookup,
-    service: u64,
+    question: OriginQuestion,
     replies: Vec<flume::Sender<Found>>,
     ask_again_ms: Option<u64>,
     ends_ms: u64,
@@ -186,12 +199,14 @@
 
     async fn handle(&mut self, message: Message) {
         match message {
-            Message::Begun { stream, record } => self.begun(stream, record).await,
-            Message::Find { stream, service, reply } => self.find(stream, service, reply).await,
+            Message::Begun { stream, record, within_ms } => {
+                self.begun(stream, record, within_ms).await;
+            }
+            Message::Find { question, reply } => self.find(question, reply).await,
             Message::Listed(targets) => self.set_targets(targets).await,
             Message::Record(record) => self.hold(record),
             Message::Question(question, from) => {
-                let answer = self.own_answer(question.stream, question.service);
+                let answer = self.own_answer(question);
                 let answer = OriginAnswer { stream: question.stream, holder: self.own_key, answer };
                 let bytes = Datagram::OriginAnswer(answer).encode();
                 send_to_all(&self.task.socket, bytes, vec![from]).await;
@@ -205,22 +220,18 @@
         }
     }
 
-    /// Whether each stream of a service is of a version that follows without a record.
-    fn is_sole(&self, service: u64) -> bool {
-        self.sole(service).is_some()
-    }
-
-    fn sole(&self, service: u64) -> Option<Name> {
+    /// Version of each stream of a service that has begun within `within_ms`; `None` if it does not follow without records.
+    fn sole(&self, service: u64, within_ms: u64) -> Option<Name> {
         let (now_ms, is_current) = (self.now_ms(), self.is_listed && !self.task.health.is_lost());
         let mut history = self.history.borrow_mut();
         history.set_current(now_ms, is_current);
         // A loss of the store between two calls of this function is not in the history.
-        let is_seen = self.task.health.is_reached_for(Duration::from_millis(HISTORY_MS));
-        history.sole(now_ms, service).filter(|_| is_seen).cloned()
+        let is_seen = self.task.health.is_reached_for(Duration::from_millis(within_ms));
+        history.sole(now_ms, service, within_ms).filter(|_| is_seen).cloned()
     }
 
-    async fn begun(&mut self, stream: u64, mut record: Record) {
-        record.is_unsent = self.is_sole(record.service);
+    async fn begun(&mut self, stream: u64, mut record: Record, within_ms: u64) {
+        record.is_unsent = self.sole(record.service, within_ms).is_some();
         let (now_ms, is_unsent) = (self.now_ms(), record.is_unsent);
         self.records.insert(now_ms, stream, record.clone());
         if !is_unsent {
@@ -263,42 +274,45 @@
     }
 
     /// What this process knows of a stream.
-    fn own_answer(&self, stream: u64, service: u64) -> Answer {
+    fn own_answer(&self, question: OriginQuestion) -> Answer {
+        let OriginQuestion { stream, service, within_ms } = question;
         match self.records.get(self.now_ms(), stream) {
             Some(Record { origin: Some(origin), .. }) if !self.is_ambiguous(origin) => {
                 Answer::Recorded(origin.clone())
             }
             Some(_) => Answer::Ambiguous,
-            None => Answer::NoRecord(self.sole(service)),
+            // A gateway of an earlier version sends no time.
+            None => Answer::NoRecord(self.sole(service, u64::from(within_ms).max(MIN_HISTORY_MS))),
         }
     }
 
-    async fn find(&mut self, stream: u64, service: u64, reply: flume::Sender<Found>) {
+    async fn find(&mut self, question: OriginQuestion, reply: flume::Sender<Found>) {
+        let stream = question.stream;
         if let Some(waiting) = self.lookups.get_mut(&stream) {
             waiting.replies.push(reply);
             return;
         }
         let asked = self.holder_addresses(stream, HOLDERS + 1);
-        let own = self.own_answer(stream, service);
+        let own = self.own_answer(question);
         match Lookup::new(asked.iter().map(|(key, _)| *key).collect(), own) {
             Err(found) => _ = reply.send(found),
             Ok(lookup) => {
                 let now_ms = self.now_ms();
                 let waiting = WaitingLookup {
                     lookup,
-                    service,
+                    question,
                     replies: vec![reply],
                     ask_again_ms: Some(now_ms + ASK_AGAIN_MS),
                     ends_ms: now_ms + LOOKUP_TIMEOUT_MS,
                 };
                 self.lookups.insert(stream, waiting);
-                self.ask(stream, service, asked.into_iter().map(|(_, it)| it).collect()).await;
+                self.ask(question, asked.into_iter().map(|(_, it)| it).collect()).await;
             }
         }
     }
 
-    async fn ask(&self, stream: u64, service: u64, addresses: Vec<SocketAddr>) {
-        let bytes = Datagram::OriginQuestion(OriginQuestion { stream, service }).encode();
+    async fn ask(&self, question: OriginQuestion, addresses: Vec<SocketAddr>) {
+        let bytes = Datagram::OriginQuestion(question).encode();
         send_to_all(&self.task.socket, bytes, addresses).await;
     }
 
@@ -324,16 +338,16 @@
             if now_ms >= waiting.ends_ms {
                 ended.push((*stream, waiting.lookup.conclude()));
             } else if waiting.ask_again_ms.take_if(|it| now_ms >= *it).is_some() {
-                asked_again.push((*stream, waiting.service, waiting.lookup.waiting().to_vec()));
+                asked_again.push((waiting.question, waiting.lookup.waiting().to_vec()));
             }
         }
         for (stream, found) in ended {
             self.end_lookup(stream, found);
         }
-        for (stream, service, holders) in asked_again {
+        for (question, holders) in asked_again {
             let roster = &self.task.roster;
             let addresses = holders.iter().filter_map(|it| roster.address_of_hash(*it)).collect();
-            self.ask(stream, service, addresses).await;
+            self.ask(question, addresses).await;
         }
     }
 
@@ -353,7 +367,8 @@
         }
         let services: BTreeSet<u64> = listed.iter().map(|(service, _)| *service).collect();
         self.targets = listed.into_iter().map(|(_, it)| (it.target, it)).collect();
-        let mixed: Vec<u64> = services.into_iter().filter(|it| !self.is_sole(*it)).collect();
+        let is_mixed = |it: &u64| self.sole(*it, MIN_HISTORY_MS).is_none();
+        let mixed: Vec<u64> = services.into_iter().filter(is_mixed).collect();
         for (stream, record) in self.records.take_unsent(now_ms, |it| mixed.contains(&it.service)) {
             self.send_record(stream, &record).await;
         }
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -102,7 +102,7 @@
         stream: hash(1), service: hash(2), origin: origin(), keep_ms: 5_000,
     });
     a_question_arrives_as_it_was_sent:
-        Datagram::OriginQuestion(OriginQuestion { stream: hash(1), service: hash(2) });
+        Datagram::OriginQuestion(OriginQuestion { stream: hash(1), service: hash(2), within_ms: 20_000 });
     an_answer_with_a_record_arrives_as_it_was_sent: answer(Answer::Recorded(origin()));
     an_answer_without_a_record_arrives_as_it_was_sent: answer(Answer::NoRecord(None));
     an_answer_with_a_sole_version_arrives_as_it_was_sent:
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -137,6 +137,8 @@
 
   stream @0 :UInt64;
   service @1 :UInt64;
+  withinMs @2 :UInt32;
+  # How long ago it may have begun.
 }
 
 struct OriginAnswer {
@@ -149,7 +151,7 @@
     noRecord @2 :Void;
     # It has no record of it.
     soleVersion @3 :Text;
-    # It has no record of it, and all targets of the service have been of this version for longer than a stream lasts.
+    # It has no record of it, and all targets of the service have been of this version for as long.
     ambiguous @4 :Void;
     # It is uncertain which version has begun it.
     recorded @5 :StreamOrigin;
