Requests that crash targets: coordinators also end quarantines that others have judged

The answer that shows its quarantine to be false goes to the coordinators, which knew nothing of it and told nobody, so that sound content stayed refused for ten minutes. They tell all gateways now, and who has judged forgets its evidence. No test brings just this about.

Tried and not kept: judging nothing in the first two seconds of a process.

--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -22,6 +22,11 @@
         self.suspects.is_empty()
     }
 
+    /// Whether it is suspected or quarantined, as far as this process was told.
+    pub fn contains(&self, suspect: Suspect) -> bool {
+        self.suspects.contains_key(&suspect)
+    }
+
     /// Whether requests must not be sent that are this suspect, or have it in their prompts.
     pub fn is_quarantined(&self, now_ms: u64, suspect: Suspect) -> bool {
         self.get(now_ms, suspect).is_some_and(|it| it.crashes >= QUARANTINE_CRASHES)
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -43,6 +43,8 @@
     News(CrashNews),
     /// News of this process, which go to all coordinators.
     Own(CrashNews),
+    /// Another gateway has cleared a suspect, which this one may have judged.
+    Cleared(Suspect),
 }
 
 /// What was lately in whole answers. Different requests are many, and must not drive out the parts that they share.
@@ -200,6 +202,9 @@
     pub(super) fn told(&self, verdict: CrashVerdict) {
         let (now_ms, suspect) = (self.now_ms(), verdict.suspect);
         let is_new = self.known.borrow_mut().apply(now_ms, verdict);
+        if verdict.crashes == 0 {
+            self.send(Message::Cleared(suspect));
+        }
         if verdict.crashes > 0 && self.answered.borrow().contains(suspect) {
             self.send(Message::Own(CrashNews::Answered(Suspects::from_elem(suspect, 1))));
         }
@@ -238,6 +243,7 @@
             match self.next_message(&inbox).await {
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
+                Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
                 Some(Err(flume::RecvError::Disconnected)) => return,
                 None => {}
             }
@@ -367,8 +373,11 @@
             CrashNews::Lost(report) => self.coordinator.report(self.now_ms(), &report),
             CrashNews::Answered(suspects) => {
                 for suspect in suspects {
-                    if let Some(cleared) = self.coordinator.clear(suspect) {
-                        self.tell_all(cleared).await;
+                    // Another gateway may have judged it, which had too few others in sight to ask a coordinator.
+                    let was_told = self.handle.known.borrow().contains(suspect);
+                    let cleared = self.coordinator.clear(suspect);
+                    if was_told || cleared.is_some() {
+                        self.tell_all(CrashVerdict { suspect, crashes: 0, age_ms: 0 }).await;
                     }
                 }
             }
