Requests that crash targets: kept reports are sent again without what has been answered since

A gateway sent its reports of the last minute to coordinators that came later as they were, so that content and parts which it had itself answered since were suspected anew. Found on reading the change; no test shows it red.

--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -299,6 +299,7 @@
         }
     }
 
+    /// Sends the kept reports of a service, without what has been answered since.
     async fn report_kept(&mut self, service: u64, mut to: Vec<SocketAddr>) {
         let is_self = |it: &SocketAddr| *it == self.task.local.address;
         let is_own = to.iter().any(is_self);
@@ -306,7 +307,12 @@
         let of_service = self.kept.iter().filter(|(_, it)| it.content.service == service);
         let reports: Vec<CrashReport> =
             of_service.map(|(at, it)| aged(it, elapsed_ms(*at))).collect();
-        for report in reports {
+        for mut report in reports {
+            let (content, was_answered) = self.handle.without_answered(report.content);
+            if was_answered {
+                continue;
+            }
+            report.content = content;
             if is_own {
                 self.coordinator.report(self.now_ms(), &report);
             }
