--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -5,8 +5,8 @@
 use smallvec::SmallVec;
 
 use super::{
-    Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES,
-    SUSPECTED_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms,
+    COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
+    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms,
 };
 
 /// Time after the first report of a crash in which its other reports arrive, and answers that clear suspects. Judged
@@ -28,6 +28,8 @@
 pub struct CrashReport {
     /// What the request consists of; without the parts that its gateway has lately seen in a whole answer.
     pub content: Content,
+    /// Whether the first of these parts is the first of the prompt.
+    pub has_first_part: bool,
     /// Hash of the target's address.
     pub target: u64,
     /// Time since it was sent to the target.
@@ -55,6 +57,8 @@
     last_at_ms: u64,
     /// Position of a part in the prompt. Deeper parts are shared by fewer requests.
     depth: usize,
+    /// Whether it is the first part of a prompt, with further parts that other requests may share.
+    is_common: bool,
     /// When it was first told as suspected.
     suspected_at_ms: Option<u64>,
     /// Whether it has been quarantined.
@@ -116,6 +120,8 @@
         for (depth, suspect) in report.content.suspects().enumerate() {
             let evidence = self.evidence.entry(suspect).or_default();
             evidence.depth = depth;
+            evidence.is_common =
+                depth == 1 && report.has_first_part && report.content.parts.len() > 1;
             evidence.count(crash, sent_at_ms, lost_at_ms);
         }
         let request = Suspect::request(report.content.service, report.content.fingerprint);
@@ -268,7 +274,8 @@
             return count >= QUARANTINE_CRASHES;
         }
         let own = among(evidence, crashes);
-        count >= PART_QUARANTINE_CRASHES
+        let needed = if evidence.is_common { COMMON_PART_CRASHES } else { PART_QUARANTINE_CRASHES };
+        count >= needed
             && count >= self.most_of_one_request(&own) + PART_MARGIN
             && !self.is_explained_otherwise(evidence, own)
     }
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -38,6 +38,9 @@
 const QUARANTINE_CRASHES: u32 = 3;
 /// Crashes after which no request with a part is sent any more. That refuses requests of many callers.
 const PART_QUARANTINE_CRASHES: u32 = 4;
+/// The same for a first part with further ones behind it. Most requests to a service share it, so that its quarantine refuses
+/// them all, and after a start of all gateways nobody may have answered any of them.
+const COMMON_PART_CRASHES: u32 = 12;
 /// Crashes that a part has to explain beyond those of any one request: a request that crashes targets has the same parts
 /// each time.
 const PART_MARGIN: u32 = 2;
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -34,6 +34,7 @@
         CrashNews::Lost(report) => {
             root.set_fingerprint(report.content.fingerprint);
             root.set_target(report.target);
+            root.set_has_first_part(report.has_first_part);
             root.set_sent_ago_ms(report.sent_ago_ms);
             root.set_lost_ago_ms(report.lost_ago_ms);
             report.content.parts.clone()
@@ -62,6 +63,7 @@
     }
     Ok(CrashNews::Lost(CrashReport {
         content: Content { service, fingerprint, parts },
+        has_first_part: root.get_has_first_part(),
         target: root.get_target(),
         sent_ago_ms: root.get_sent_ago_ms(),
         lost_ago_ms: root.get_lost_ago_ms(),
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -159,6 +159,7 @@
                 return;
             }
             handle.metrics.target_crashed();
+            let first_part = content.parts.first().copied();
             let (content, was_answered) = handle.without_answered(content);
             log::info!(
                 fingerprint:% = Hex(content.fingerprint), parts:% = HexList(&content.parts), target:% = target,
@@ -169,6 +170,7 @@
                 return;
             }
             let report = CrashReport {
+                has_first_part: content.parts.first().copied() == first_part,
                 content,
                 target: name_hash(&target.to_string()),
                 sent_ago_ms: elapsed_ms(sent_at),
@@ -308,10 +310,12 @@
         let reports: Vec<CrashReport> =
             of_service.map(|(at, it)| aged(it, elapsed_ms(*at))).collect();
         for mut report in reports {
+            let first_part = report.content.parts.first().copied();
             let (content, was_answered) = self.handle.without_answered(report.content);
             if was_answered {
                 continue;
             }
+            report.has_first_part &= content.parts.first().copied() == first_part;
             report.content = content;
             if is_own {
                 self.coordinator.report(self.now_ms(), &report);
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -174,6 +174,8 @@
   parts @6 :List(UInt64);
   # Hashes of parts of its prompt that may be to blame, in order; of an answer, those that are suspected. The fingerprint
   # of an answer is 0 if the request itself is not suspected.
+  hasFirstPart @7 :Bool;
+  # Whether the first of these parts is the first of the prompt.
 }
 
 struct CrashVerdict {
