Crash reports: logs and reports tell how long a lost request had run

Whether a crash beneath a request was its doing or chance could not be told from the logs: nothing said how long the lost run had lasted. The line of a lost request has ran_ms and has_output now, and the report to the coordinators carries the time. No decision uses it yet.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -36,6 +36,8 @@
     pub sent_ago_ms: u32,
     /// Time since it was lost.
     pub lost_ago_ms: u32,
+    /// Time for which it ran, as far as its gateway can tell.
+    pub ran_ms: u32,
 }
 
 /// Number of a crash, in the order of first reports.
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -21,7 +21,14 @@
 /// A request that is lost just now with a target.
 fn crash(fingerprint: u64, target: u64, sent_ago_ms: u32) -> CrashReport {
     let content = Content { service: SERVICE, fingerprint, parts: Parts::new() };
-    CrashReport { content, has_first_part: true, target, sent_ago_ms, lost_ago_ms: 0 }
+    CrashReport {
+        content,
+        has_first_part: true,
+        target,
+        sent_ago_ms,
+        lost_ago_ms: 0,
+        ran_ms: sent_ago_ms,
+    }
 }
 
 fn request(fingerprint: u64) -> Suspect {
--- a/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
+++ b/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
@@ -18,8 +18,14 @@
     let report = |parts: u64| {
         let parts = (4..4 + parts).map(hash).collect();
         let content = Content { service, fingerprint, parts };
-        let report =
-            CrashReport { content, has_first_part: true, target, sent_ago_ms: 200, lost_ago_ms: 2 };
+        let report = CrashReport {
+            content,
+            has_first_part: true,
+            target,
+            sent_ago_ms: 200,
+            lost_ago_ms: 2,
+            ran_ms: 150,
+        };
         Datagram::CrashReport(CrashNews::Lost(report))
     };
     let suspect = Suspect::part(service, hash(4));
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -111,7 +111,7 @@
     ) -> Option<BoxError> {
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
-        self.request.note_lost(end, active.address, active.sent);
+        self.request.note_lost(end, active.lost_run());
         let framing = active.stream.framing();
         self.request.front.metrics.stream_ended(framing, label);
         log::info!(
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -46,7 +46,7 @@
 use crate::{
     event_stream::EventStream,
     metrics::Stage,
-    peers::{Hex, OverLimit, RunPermit},
+    peers::{Hex, LostRun, OverLimit, RunPermit},
     placement::{Decision, Ticket},
 };
 
@@ -138,6 +138,15 @@
     pub(super) address: SocketAddr,
     /// When the request was sent to the target.
     pub(super) sent: Instant,
+    /// When its first event arrived.
+    pub(super) began: Instant,
+}
+
+impl ActiveStream {
+    /// The run that makes the stream, once its connection is lost.
+    pub(super) fn lost_run(&self) -> LostRun {
+        LostRun { target: self.address, sent_at: self.sent, began_at: Some(self.began) }
+    }
 }
 
 /// Result of sending a request to one target after another.
@@ -393,7 +402,8 @@
                 ticket.report_first_event();
                 self.report_load(&target, &parts.headers);
                 self.note_version(&target, origin);
-                let active = ActiveStream { stream, ticket, target, address, sent };
+                let began = Instant::now();
+                let active = ActiveStream { stream, ticket, target, address, sent, began };
                 Some(Outcome::Stream(parts, Box::new(active)))
             }
             AttemptOutcome::Whole(parts, body) => {
@@ -420,7 +430,7 @@
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
-                self.note_lost(end, address, sent);
+                self.note_lost(end, LostRun { target: address, sent_at: sent, began_at: None });
                 self.tried.push(target);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
@@ -516,9 +526,9 @@
     }
 
     /// Notes the end of an attempt that may have crashed its target.
-    pub(super) fn note_lost(&self, end: AttemptEnd, target: SocketAddr, sent: Instant) {
+    pub(super) fn note_lost(&self, end: AttemptEnd, run: LostRun) {
         if end == AttemptEnd::Lost {
-            self.front.crash_reports.connection_lost(self.content().clone(), target, sent);
+            self.front.crash_reports.connection_lost(self.content().clone(), run);
         }
     }
 
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -1,6 +1,6 @@
 //! Output of a batch item: what its runs have received, what of it is saved, and whether its target has answered.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Instant};
 
 use samphiredoor_core::{
     Name,
@@ -29,6 +29,8 @@
     ran_ms: u64,
     /// Whether the item is at a target that has not answered yet: it may have failed there.
     awaits_answer: bool,
+    /// When the first event of the current attempt arrived.
+    began_at: Option<Instant>,
     /// Whether the run ends once the target has answered.
     is_stopping: bool,
     /// Account of the text in the buffer budget; `None` without a budget or text.
@@ -42,6 +44,7 @@
     /// Appends the data of events that have not been received before.
     pub fn consume(&mut self, stream: &mut EventStream) {
         while let Some(event) = stream.next_event() {
+            self.began_at.get_or_insert_with(Instant::now);
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
@@ -65,6 +68,7 @@
             saved_event: last_event,
             ran_ms: 0,
             awaits_answer: false,
+            began_at: None,
             is_stopping: false,
             held: None,
         }
@@ -141,6 +145,12 @@
     /// Notes that the item is about to be sent to a target.
     pub fn begin_attempt(&mut self) {
         self.awaits_answer = true;
+        self.began_at = None;
+    }
+
+    /// When the first event of the current attempt arrived, if one did.
+    pub fn began_at(&self) -> Option<Instant> {
+        self.began_at
     }
 
     /// Notes that the target has answered, or did not get the item.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -37,7 +37,7 @@
 use crate::{
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
-    peers::Hex,
+    peers::{Hex, LostRun},
     placement::{Decision, Ticket},
     target_client,
 };
@@ -283,7 +283,9 @@
             );
         }
         if end == AttemptEnd::Lost {
-            self.env.crash_reports.connection_lost(content, address, sent_at);
+            let began_at = self.output.borrow().began_at();
+            let run = LostRun { target: address, sent_at, began_at };
+            self.env.crash_reports.connection_lost(content, run);
         } else if before.is_none()
             && matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }))
         {
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -37,6 +37,7 @@
             root.set_has_first_part(report.has_first_part);
             root.set_sent_ago_ms(report.sent_ago_ms);
             root.set_lost_ago_ms(report.lost_ago_ms);
+            root.set_ran_ms(report.ran_ms);
             report.content.parts.clone()
         }
         CrashNews::Answered(suspects) => {
@@ -67,6 +68,7 @@
         target: root.get_target(),
         sent_ago_ms: root.get_sent_ago_ms(),
         lost_ago_ms: root.get_lost_ago_ms(),
+        ran_ms: root.get_ran_ms(),
     }))
 }
 
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -38,6 +38,8 @@
 const REPORT_AGAIN: Duration = Duration::from_secs(60);
 /// Most reports that are kept for that.
 const MAX_KEPT_REPORTS: usize = 256;
+/// Most time for which a run without output counts as having run: a target that has a slot writes the first output sooner.
+const MAX_RUN_WITHOUT_OUTPUT_MS: u32 = 250;
 
 enum Message {
     News(CrashNews),
@@ -70,6 +72,27 @@
     }
 }
 
+/// A run of a request whose connection was lost.
+#[derive(Debug, Clone, Copy)]
+pub struct LostRun {
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// When the request was sent to it.
+    pub sent_at: Instant,
+    /// When its first event arrived, if one did.
+    pub began_at: Option<Instant>,
+}
+
+impl LostRun {
+    /// Time from its first output; without any, a part of the time since its sending, most of which it may have waited.
+    fn ran_ms(&self) -> u32 {
+        match self.began_at {
+            Some(began_at) => elapsed_ms(began_at),
+            None => elapsed_ms(self.sent_at).min(MAX_RUN_WITHOUT_OUTPUT_MS),
+        }
+    }
+}
+
 /// Handle to the task.
 #[derive(Clone)]
 pub struct CrashReports {
@@ -152,18 +175,18 @@
 
     /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
     /// connections.
-    pub fn connection_lost(&self, content: Content, target: SocketAddr, sent_at: Instant) {
-        let (handle, lost_at) = (self.clone(), Instant::now());
+    pub fn connection_lost(&self, content: Content, run: LostRun) {
+        let (handle, lost_at, ran_ms) = (self.clone(), Instant::now(), run.ran_ms());
         compio::runtime::spawn(async move {
-            if !refuses_connections(target).await {
+            if !refuses_connections(run.target).await {
                 return;
             }
             handle.metrics.target_crashed();
             let first_part = content.parts.first().copied();
             let (content, was_answered) = handle.without_answered(content);
             log::info!(
-                fingerprint:% = Hex(content.fingerprint), parts:% = HexList(&content.parts), target:% = target,
-                was_answered;
+                fingerprint:% = Hex(content.fingerprint), parts:% = HexList(&content.parts), target:% = run.target,
+                ran_ms, has_output = run.began_at.is_some(), was_answered;
                 "crashes: target crashed under a request"
             );
             if was_answered {
@@ -172,9 +195,10 @@
             let report = CrashReport {
                 has_first_part: content.parts.first().copied() == first_part,
                 content,
-                target: name_hash(&target.to_string()),
-                sent_ago_ms: elapsed_ms(sent_at),
+                target: name_hash(&run.target.to_string()),
+                sent_ago_ms: elapsed_ms(run.sent_at),
                 lost_ago_ms: elapsed_ms(lost_at),
+                ran_ms,
             };
             handle.send(Message::Own(CrashNews::Lost(report)));
         })
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -31,7 +31,7 @@
 
 pub use cell_statuses::CellStatuses;
 pub use crash_messages::CrashNews;
-pub use crash_reports::{CrashReports, CrashReportsTask, Hex};
+pub use crash_reports::{CrashReports, CrashReportsTask, Hex, LostRun};
 pub use listener::Listener;
 pub use origin_messages::{OriginAnswer, OriginQuestion, OriginRecord};
 pub use owners::{JobOwners, Owner};
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -112,7 +112,7 @@
     a_report_of_a_crash_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Lost(CrashReport {
             content: Content { service: hash(1), fingerprint: hash(2), parts: parts(MAX_PARTS) },
-            has_first_part: true, target: hash(3), sent_ago_ms: 70_000, lost_ago_ms: 3,
+            has_first_part: true, target: hash(3), sent_ago_ms: 70_000, lost_ago_ms: 3, ran_ms: 40_000,
         }));
     an_answer_to_suspects_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Answered(
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -176,6 +176,8 @@
   # of an answer is 0 if the request itself is not suspected.
   hasFirstPart @7 :Bool;
   # Whether the first of these parts is the first of the prompt.
+  ranMs @8 :UInt32;
+  # Time for which it ran, as far as its gateway can tell.
 }
 
 struct CrashVerdict {
