Items of jobs are no suspects by their content

Cause: an item that was lost with three targets was quarantined by its content, as a request is. Items that are handed in for later never crash targets by themselves.

Now reports of lost items have no fingerprint: only parts of their prompts are suspects, and an item without shared parts is not reported.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -119,15 +119,18 @@
         let crash = self.crash(now_ms, report.target, lost_at_ms);
         // Both times are late by the delays of their reports. So a request that was sent up to the delay between regions before
         // the last crash may count as sent after it, which is rare and needs to happen twice for a false quarantine.
-        for (depth, suspect) in report.content.suspects().enumerate() {
-            let evidence = self.evidence.entry(suspect).or_default();
-            evidence.depth = depth;
+        if let Some(request) = report.content.request() {
+            self.evidence.entry(request).or_default().count(crash, sent_at_ms, lost_at_ms);
+        }
+        for (index, part) in report.content.part_suspects().enumerate() {
+            let evidence = self.evidence.entry(part).or_default();
+            evidence.depth = index + 1;
             evidence.is_common =
-                depth == 1 && report.has_first_part && report.content.parts.len() > 1;
+                index == 0 && report.has_first_part && report.content.parts.len() > 1;
             evidence.count(crash, sent_at_ms, lost_at_ms);
         }
-        let request = Suspect::request(report.content.service, report.content.fingerprint);
-        let must_wait = !report.content.parts.is_empty() || self.has_rival(request);
+        let has_rival = report.content.request().is_some_and(|it| self.has_rival(it));
+        let must_wait = !report.content.parts.is_empty() || has_rival;
         let wait_ms = if must_wait { SETTLE_MS } else { 0 };
         limit_len(&mut self.evidence, Evidence::rank);
         let due_ms = now_ms + wait_ms;
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -104,8 +104,8 @@
 pub struct Content {
     /// Hash of the name of its service.
     pub service: u64,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
+    /// Fingerprint of the request; `None` for an item of a job, which never crashes targets by its content alone.
+    pub fingerprint: Option<u64>,
     /// Parts of its prompt that other requests may share, [`MAX_PARTS`] at most.
     pub parts: Parts,
 }
@@ -113,8 +113,17 @@
 impl Content {
     /// The suspects that it consists of.
     pub fn suspects(&self) -> impl Iterator<Item = Suspect> {
-        let parts = self.parts.iter().map(|it| Suspect::part(self.service, *it));
-        std::iter::once(Suspect::request(self.service, self.fingerprint)).chain(parts)
+        self.request().into_iter().chain(self.part_suspects())
+    }
+
+    /// The request itself, if it may be the cause of a crash.
+    pub fn request(&self) -> Option<Suspect> {
+        self.fingerprint.map(|it| Suspect::request(self.service, it))
+    }
+
+    /// The parts of its prompt.
+    pub fn part_suspects(&self) -> impl Iterator<Item = Suspect> {
+        self.parts.iter().map(|it| Suspect::part(self.service, *it))
     }
 }
 
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -20,7 +20,7 @@
 
 /// A request that is lost just now with a target.
 fn crash(fingerprint: u64, target: u64, sent_ago_ms: u32) -> CrashReport {
-    let content = Content { service: SERVICE, fingerprint, parts: Parts::new() };
+    let content = Content { service: SERVICE, fingerprint: Some(fingerprint), parts: Parts::new() };
     CrashReport {
         content,
         has_first_part: true,
@@ -69,7 +69,9 @@
 ) -> Option<CrashVerdict> {
     coordinator.report(at_ms, &report);
     let verdicts = coordinator.verdicts(at_ms + SETTLE_MS);
-    verdicts.into_iter().find(|it| it.suspect == request(report.content.fingerprint))
+    verdicts
+        .into_iter()
+        .find(|it| it.suspect == request(report.content.fingerprint.expect("a request")))
 }
 
 fn crashes(verdict: Option<CrashVerdict>) -> Option<u32> {
--- a/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
+++ b/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
@@ -17,7 +17,7 @@
     let (service, fingerprint, target) = (hash(1), hash(2), hash(3));
     let report = |parts: u64| {
         let parts = (4..4 + parts).map(hash).collect();
-        let content = Content { service, fingerprint, parts };
+        let content = Content { service, fingerprint: Some(fingerprint), parts };
         let report = CrashReport {
             content,
             has_first_part: true,
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -475,7 +475,7 @@
         self.front.metrics.retried(label);
         // Finds all requests with the same content, which each have an id of their own.
         let fingerprint = match end {
-            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.content().fingerprint).to_string(),
+            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.fingerprint()).to_string(),
             _ => String::new(),
         };
         log::info!(
@@ -487,19 +487,21 @@
 
     /// What stays the same when the caller sends the request again, or others send a part of its prompt.
     fn content(&self) -> &Content {
-        self.content.get_or_init(|| {
-            let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
-            let workspace = header(&self.front.dialect.headers().workspace);
-            let path = self.call.uri.path().as_bytes();
-            let host = header(&header::HOST);
-            Content {
-                service: name_hash(self.service.as_deref().unwrap_or_default()),
-                fingerprint: quarantine::fingerprint([workspace, host, path, &self.call.body]),
-                parts: self.front.dialect.shared_parts(&self.call.headers),
-            }
+        self.content.get_or_init(|| Content {
+            service: name_hash(self.service.as_deref().unwrap_or_default()),
+            fingerprint: Some(self.fingerprint()),
+            parts: self.front.dialect.shared_parts(&self.call.headers),
         })
     }
 
+    /// What stays the same when the caller sends the request again.
+    fn fingerprint(&self) -> u64 {
+        let header = |name| self.call.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+        let workspace = header(&self.front.dialect.headers().workspace);
+        let (path, host) = (self.call.uri.path().as_bytes(), header(&header::HOST));
+        quarantine::fingerprint([workspace, host, path, &self.call.body])
+    }
+
     /// Whether the request must not be sent, as it or a part of its prompt crashes targets.
     fn is_quarantined(&self) -> bool {
         let reports = &self.front.crash_reports;
@@ -519,7 +521,7 @@
     pub(super) fn note_answered(&self) {
         if !self.is_resumed && self.front.crash_reports.answered(self.content()) {
             log::info!(
-                request = self.id, fingerprint:% = Hex(self.content().fingerprint);
+                request = self.id, fingerprint:% = Hex(self.fingerprint());
                 "front: suspected request was answered"
             );
         }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -22,7 +22,6 @@
     dispatch::Class,
     ordered::{Item, ItemEnd, JobName},
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
-    quarantine,
     routes::{Route, RouteKind, RouteTable},
     software_versions::StreamOrigin,
 };
@@ -300,13 +299,12 @@
         outcome
     }
 
-    /// What stays the same when the item is sent again, or others have a part of its prompt.
+    /// What may crash targets: parts of its prompt. The item itself is no suspect, as an item under which targets crash by
+    /// chance is still owed.
     fn content(&self, service: &Name, call: &Call) -> Content {
-        let workspace = self.workspace.as_deref().unwrap_or_default().as_bytes();
-        let (host, path) = (self.host.as_bytes(), call.uri.path().as_bytes());
         Content {
             service: name_hash(service),
-            fingerprint: quarantine::fingerprint([workspace, host, path, &call.body]),
+            fingerprint: None,
             parts: self.env.platform.dialect.shared_parts(&call.headers),
         }
     }
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -32,7 +32,7 @@
     root.set_service(news.service());
     let parts: Parts = match news {
         CrashNews::Lost(report) => {
-            root.set_fingerprint(report.content.fingerprint);
+            root.set_fingerprint(report.content.fingerprint.unwrap_or(0));
             root.set_target(report.target);
             root.set_has_first_part(report.has_first_part);
             root.set_sent_ago_ms(report.sent_ago_ms);
@@ -62,6 +62,7 @@
         let parts = parts.iter().map(|it| Suspect::part(service, *it));
         return Ok(CrashNews::Answered(request.into_iter().chain(parts).collect()));
     }
+    let fingerprint = (fingerprint != 0).then_some(fingerprint);
     Ok(CrashNews::Lost(CrashReport {
         content: Content { service, fingerprint, parts },
         has_first_part: root.get_has_first_part(),
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -185,11 +185,11 @@
             let first_part = content.parts.first().copied();
             let (content, was_answered) = handle.without_answered(content);
             log::info!(
-                fingerprint:% = Hex(content.fingerprint), parts:% = HexList(&content.parts), target:% = run.target,
+                fingerprint:% = Hex(content.fingerprint.unwrap_or(0)), parts:% = HexList(&content.parts), target:% = run.target,
                 ran_ms, has_output = run.began_at.is_some(), was_answered;
                 "crashes: target crashed under a request"
             );
-            if was_answered {
+            if was_answered || content.suspects().next().is_none() {
                 return;
             }
             let report = CrashReport {
@@ -210,7 +210,7 @@
         let answered = self.answered.borrow();
         let service = content.service;
         content.parts.retain(|it| !answered.contains(Suspect::part(service, *it)));
-        let was_answered = answered.contains(Suspect::request(service, content.fingerprint));
+        let was_answered = content.request().is_some_and(|it| answered.contains(it));
         (content, was_answered)
     }
 
@@ -336,7 +336,7 @@
         for mut report in reports {
             let first_part = report.content.parts.first().copied();
             let (content, was_answered) = self.handle.without_answered(report.content);
-            if was_answered {
+            if was_answered || content.suspects().next().is_none() {
                 continue;
             }
             report.has_first_part &= content.parts.first().copied() == first_part;
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -111,9 +111,14 @@
     an_uncertain_answer_arrives_as_it_was_sent: answer(Answer::Ambiguous);
     a_report_of_a_crash_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Lost(CrashReport {
-            content: Content { service: hash(1), fingerprint: hash(2), parts: parts(MAX_PARTS) },
+            content: Content { service: hash(1), fingerprint: Some(hash(2)), parts: parts(MAX_PARTS) },
             has_first_part: true, target: hash(3), sent_ago_ms: 70_000, lost_ago_ms: 3, ran_ms: 40_000,
         }));
+    a_report_of_an_item_that_was_lost_arrives_as_it_was_sent:
+        Datagram::CrashReport(CrashNews::Lost(CrashReport {
+            content: Content { service: hash(1), fingerprint: None, parts: parts(1) },
+            has_first_part: false, target: hash(3), sent_ago_ms: 5, lost_ago_ms: 3, ran_ms: 2,
+        }));
     an_answer_to_suspects_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Answered(
             [Suspect::request(hash(1), hash(2)), Suspect::part(hash(1), hash(3))].into(),
