Crashes count whatever the order of their reports

What crashes targets could stay unknown: a crash that a gateway reported after a later one of another gateway was taken for the same loss as that, and not counted. So a part whose crashes several gateways have counted before they knew each other, and report together, seemed to have caused fewer.

Cause: a crash counted if it came 250 ms after the crash that was reported last, or its request was sent after that. Now the losses of a suspect are kept in the order of their times, and it is decided for all of them anew.

Evidence: crashes_count_whose_reports_come_out_of_order, red before.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use smallvec::SmallVec;
-
 use super::{
     COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
-    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, limit_len, remembered_ms,
+    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind,
+    evidence::{CrashId, Evidence, Loss},
+    limit_len, remembered_ms,
 };
 
 /// Time after the first report of a crash in which its other reports arrive, and answers that clear suspects. Judged
@@ -17,11 +17,6 @@
 const CONFIRM_MS: u64 = SETTLE_MS;
 /// Losses at one target within this time are of one crash: a target takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
-/// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
-/// one crash, which gateways notice within less.
-const SEPARATE_MS: u64 = 250;
-/// Most crashes that are remembered of one suspect.
-const MAX_CRASHES: usize = 16;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,9 +35,6 @@
     pub ran_ms: u32,
 }
 
-/// Number of a crash, in the order of first reports.
-type CrashId = u64;
-
 /// A crash of a target.
 #[derive(Debug, Clone, Copy)]
 struct Crash {
@@ -51,44 +43,7 @@
     reported_ms: u64,
 }
 
-/// What speaks against a suspect.
-#[derive(Debug, Default)]
-struct Evidence {
-    /// Crashes that count for it, in order.
-    crashes: SmallVec<[CrashId; 4]>,
-    last_at_ms: u64,
-    /// Position of a part in the prompt. Deeper parts are shared by fewer requests.
-    depth: usize,
-    /// Whether it is the first part of a prompt, with further parts that other requests may share.
-    is_common: bool,
-    /// When it was first told as suspected.
-    suspected_at_ms: Option<u64>,
-    /// Whether it has been quarantined.
-    is_quarantined: bool,
-    /// Whether it was reported or quarantined since it was last told.
-    is_reported: bool,
-}
-
 impl Evidence {
-    /// Counts a crash under which a request was lost, unless it is one loss of several targets.
-    fn count(&mut self, crash: CrashId, sent_at_ms: u64, at_ms: u64) {
-        if self.crashes.contains(&crash) {
-            return;
-        }
-        self.is_reported = true;
-        let is_separate = self.crashes.is_empty()
-            || sent_at_ms > self.last_at_ms
-            || at_ms >= self.last_at_ms + SEPARATE_MS;
-        if !is_separate {
-            return;
-        }
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(crash);
-        self.last_at_ms = at_ms;
-    }
-
     /// Whether no gateway has cleared it although all had time to.
     fn is_confirmed(&self, now_ms: u64) -> bool {
         self.suspected_at_ms.is_some_and(|it| it + CONFIRM_MS <= now_ms)
@@ -117,17 +72,18 @@
         let sent_at_ms = now_ms.saturating_sub(report.sent_ago_ms.into());
         let lost_at_ms = now_ms.saturating_sub(report.lost_ago_ms.into());
         let crash = self.crash(now_ms, report.target, lost_at_ms);
+        let loss = Loss { crash, sent_at_ms, at_ms: lost_at_ms };
         // Both times are late by the delays of their reports. So a request that was sent up to the delay between regions before
         // the last crash may count as sent after it, which is rare and needs to happen twice for a false quarantine.
         if let Some(request) = report.content.request() {
-            self.evidence.entry(request).or_default().count(crash, sent_at_ms, lost_at_ms);
+            self.evidence.entry(request).or_default().count(loss);
         }
         for (index, part) in report.content.part_suspects().enumerate() {
             let evidence = self.evidence.entry(part).or_default();
             evidence.depth = index + 1;
             evidence.is_common =
                 index == 0 && report.has_first_part && report.content.parts.len() > 1;
-            evidence.count(crash, sent_at_ms, lost_at_ms);
+            evidence.count(loss);
         }
         let has_rival = report.content.request().is_some_and(|it| self.has_rival(it));
         let must_wait = !report.content.parts.is_empty() || has_rival;
--- /dev/null
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -0,0 +1,74 @@
+//! What speaks against one suspect: the crashes of targets under which it was lost.
+
+use smallvec::SmallVec;
+
+/// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
+/// one crash, which gateways notice within less.
+const SEPARATE_MS: u64 = 250;
+/// Most losses that are remembered of one suspect.
+const MAX_LOSSES: usize = 24;
+
+/// Number of a crash, in the order of first reports.
+pub(super) type CrashId = u64;
+
+/// Loss of a suspect with a target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Loss {
+    pub crash: CrashId,
+    /// When it was last sent to the target.
+    pub sent_at_ms: u64,
+    pub at_ms: u64,
+}
+
+/// What speaks against a suspect.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    /// In the order of their times, which is not that of their reports.
+    losses: SmallVec<[Loss; 4]>,
+    /// Crashes that count for it, in order.
+    pub crashes: SmallVec<[CrashId; 4]>,
+    pub last_at_ms: u64,
+    /// Position of a part in the prompt. Deeper parts are shared by fewer requests.
+    pub depth: usize,
+    /// Whether it is the first part of a prompt, with further parts that other requests may share.
+    pub is_common: bool,
+    /// When it was first told as suspected.
+    pub suspected_at_ms: Option<u64>,
+    /// Whether it has been quarantined.
+    pub is_quarantined: bool,
+    /// Whether it was reported or quarantined since it was last told.
+    pub is_reported: bool,
+}
+
+impl Evidence {
+    /// Counts a crash under which it was lost, unless it is one loss of several targets.
+    pub fn count(&mut self, loss: Loss) {
+        if self.losses.iter().any(|it| it.crash == loss.crash) {
+            return;
+        }
+        self.is_reported = true;
+        if self.losses.len() == MAX_LOSSES {
+            self.losses.remove(0);
+        }
+        let index = self.losses.partition_point(|it| it.at_ms <= loss.at_ms);
+        self.losses.insert(index, loss);
+        self.last_at_ms = self.last_at_ms.max(loss.at_ms);
+        self.crashes = separate_crashes(&self.losses);
+    }
+}
+
+/// The crashes that count, of losses in order of time: a request that was sent before a crash to another target that
+/// crashes at the same time has not crashed that one too.
+fn separate_crashes(losses: &[Loss]) -> SmallVec<[CrashId; 4]> {
+    let mut last_at_ms = None;
+    let mut crashes = SmallVec::new();
+    for loss in losses {
+        let is_separate =
+            last_at_ms.is_none_or(|it| loss.sent_at_ms > it || loss.at_ms >= it + SEPARATE_MS);
+        if is_separate {
+            last_at_ms = Some(loss.at_ms);
+            crashes.push(loss.crash);
+        }
+    }
+    crashes
+}
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -22,6 +22,7 @@
 
 mod answered;
 mod coordinator;
+mod evidence;
 mod known;
 
 use std::collections::BTreeMap;
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -329,6 +329,49 @@
     assert!(answered.contains(1) && !answered.contains(100_999));
 }
 
+/// Losses of requests with a part, each in one of several crashes of targets: when, at which target, and how long it had run.
+struct Burst<'a> {
+    lost: &'a [(u64, u64, u32)],
+    /// Crashes of other targets, at these times, under other requests.
+    others: &'a [u64],
+}
+
+/// Whether a part is quarantined after a burst.
+fn is_part_quarantined_after(burst: &Burst<'_>) -> bool {
+    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    for (number, (at_ms, target, ran_ms)) in (0..).zip(burst.lost) {
+        let report = CrashReport { ran_ms: *ran_ms, ..crash_with(number, &[SOUND], *target) };
+        coordinator.report(*at_ms, &report);
+    }
+    for (number, at_ms) in (1_000..).zip(burst.others) {
+        coordinator.report(*at_ms, &crash(number, number, 200));
+    }
+    while let Some(due_ms) = coordinator.due_ms() {
+        coordinator.verdicts(due_ms).into_iter().for_each(|it| _ = known.apply(due_ms, it));
+    }
+    known.is_quarantined(10_000, part(SOUND))
+}
+
+macro_rules! bursts {
+    ($($(#[doc = $guards:literal])+ $name:ident: $burst:expr => $expected:expr;)*) => {
+        $(
+            $(#[doc = $guards])+
+            #[test]
+            fn $name() {
+                assert_eq!(is_part_quarantined_after(&$burst), $expected);
+            }
+        )*
+    };
+}
+
+bursts! {
+    /// Guards against crashes that are not counted because their gateways report them after later ones.
+    crashes_count_whose_reports_come_out_of_order: Burst {
+        lost: &[(5_900, 4, 40), (5_600, 3, 40), (5_300, 2, 40), (5_000, 1, 40)],
+        others: &[],
+    } => true;
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     /// The caller sends the request to a gateway, which sends it to a target unless it is quarantined there.
