Crashes are weighed against chance before a quarantine

Cause: three or four crashes were proof, whatever else crashed meanwhile. What runs on many targets for long is lost with many of them by chance.

Now a suspect is only blamed if as many crashes beneath anything that ran for as long would come by chance with a probability of at most 1 in 2,000: the time that its lost runs had lasted, times the rate at which targets of the service crash, on average or about the time of each loss, whichever is higher (Poisson). What crashes targets does so within some tens of milliseconds of its beginning.

The tests of the coordinator tell it a number of targets now, as a gateway does; what they check is the same.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -4,7 +4,7 @@
 
 use super::{
     COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
-    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind,
+    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, chance,
     evidence::{CrashId, Evidence, Loss},
     limit_len, remembered_ms,
 };
@@ -17,6 +17,12 @@
 const CONFIRM_MS: u64 = SETTLE_MS;
 /// Losses at one target within this time are of one crash: a target takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
+/// Probability up to which crashes beneath a suspect are no chance.
+const MAX_CHANCE: f64 = 0.000_5;
+/// Shortest time over which crashes of targets are counted to tell how often they crash.
+const MIN_WINDOW_MS: u64 = 1_000;
+/// Shortest run that is assumed; times of reports are no more precise than this.
+const MIN_RUN_MS: u32 = 20;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +44,7 @@
 /// A crash of a target.
 #[derive(Debug, Clone, Copy)]
 struct Crash {
+    service: u64,
     target: u64,
     at_ms: u64,
     reported_ms: u64,
@@ -61,18 +68,25 @@
     crashes: BTreeMap<CrashId, Crash>,
     last_crash: CrashId,
     evidence: BTreeMap<Suspect, Evidence>,
+    /// Number of targets of each service.
+    targets: BTreeMap<u64, usize>,
     /// When reports are to be judged.
     due_ms: Option<u64>,
 }
 
 impl CrashCoordinator {
+    /// Sets the number of targets of a service, which tells how many of them crash by chance.
+    pub fn set_targets(&mut self, service: u64, targets: usize) {
+        self.targets.insert(service, targets);
+    }
+
     /// Records a reported loss; [`CrashCoordinator::verdicts`] judges it.
     pub fn report(&mut self, now_ms: u64, report: &CrashReport) {
         self.forget(now_ms);
         let sent_at_ms = now_ms.saturating_sub(report.sent_ago_ms.into());
         let lost_at_ms = now_ms.saturating_sub(report.lost_ago_ms.into());
-        let crash = self.crash(now_ms, report.target, lost_at_ms);
-        let loss = Loss { crash, sent_at_ms, at_ms: lost_at_ms };
+        let crash = self.crash(now_ms, report, lost_at_ms);
+        let loss = Loss { crash, sent_at_ms, at_ms: lost_at_ms, ran_ms: report.ran_ms };
         // Both times are late by the delays of their reports. So a request that was sent up to the delay between regions before
         // the last crash may count as sent after it, which is rare and needs to happen twice for a false quarantine.
         if let Some(request) = report.content.request() {
@@ -85,8 +99,8 @@
                 index == 0 && report.has_first_part && report.content.parts.len() > 1;
             evidence.count(loss);
         }
-        let has_rival = report.content.request().is_some_and(|it| self.has_rival(it));
-        let must_wait = !report.content.parts.is_empty() || has_rival;
+        let rival = report.content.request().is_some_and(|it| self.has_rival(it));
+        let must_wait = !report.content.parts.is_empty() || rival;
         let wait_ms = if must_wait { SETTLE_MS } else { 0 };
         limit_len(&mut self.evidence, Evidence::rank);
         let due_ms = now_ms + wait_ms;
@@ -165,13 +179,14 @@
     }
 
     /// The crash of a target at a time; it is new if no loss was reported of it.
-    fn crash(&mut self, now_ms: u64, target: u64, at_ms: u64) -> CrashId {
+    fn crash(&mut self, now_ms: u64, report: &CrashReport, at_ms: u64) -> CrashId {
+        let (service, target) = (report.content.service, report.target);
         let is_same = |it: &Crash| it.target == target && it.at_ms.abs_diff(at_ms) < SAME_CRASH_MS;
         if let Some((id, _)) = self.crashes.iter().rev().find(|(_, it)| is_same(it)) {
             return *id;
         }
         self.last_crash += 1;
-        self.crashes.insert(self.last_crash, Crash { target, at_ms, reported_ms: now_ms });
+        self.crashes.insert(self.last_crash, Crash { service, target, at_ms, reported_ms: now_ms });
         if self.crashes.len() > MAX_SUSPECTS {
             self.crashes.pop_first();
         }
@@ -188,10 +203,45 @@
 
     /// Whether a request was lost in enough crashes, of which no other one may be the cause.
     fn is_sole_cause(&self, suspect: Suspect) -> bool {
-        let count = self.evidence.get(&suspect).map_or(0, |it| it.crashes.len());
+        let Some(evidence) = self.evidence.get(&suspect) else { return false };
+        let crashes: BTreeSet<CrashId> = evidence.crashes.iter().copied().collect();
         suspect.kind == SuspectKind::Request
-            && count >= QUARANTINE_CRASHES as usize
+            && crashes.len() >= QUARANTINE_CRASHES as usize
             && !self.has_rival(suspect)
+            && !self.may_be_chance(suspect.service, evidence, &crashes)
+    }
+
+    /// Whether it may have been lost in these crashes by chance: as many would be expected of anything that ran for as long
+    /// while so many targets crashed.
+    fn may_be_chance(
+        &self,
+        service: u64,
+        evidence: &Evidence,
+        crashes: &BTreeSet<CrashId>,
+    ) -> bool {
+        let times = evidence.losses_in(crashes).map(|it| it.at_ms);
+        let first_ms = times.clone().min().unwrap_or(0);
+        let last_ms = times.max().unwrap_or(0);
+        let mean =
+            self.crash_rate(service, first_ms.min(last_ms.saturating_sub(MIN_WINDOW_MS)), last_ms);
+        let mut count = 0;
+        let mut expected = 0.0;
+        for loss in evidence.losses_in(crashes) {
+            // Crashes by chance come in bursts, in which their mean over a longer time says little.
+            let from_ms = loss.at_ms.saturating_sub(MIN_WINDOW_MS / 2);
+            let local = self.crash_rate(service, from_ms, from_ms + MIN_WINDOW_MS);
+            count += 1;
+            expected += mean.max(local) * f64::from(loss.ran_ms.max(MIN_RUN_MS));
+        }
+        chance::at_least(count, expected) > MAX_CHANCE
+    }
+
+    /// Crashes of a target of a service in a millisecond, on average over a time.
+    fn crash_rate(&self, service: u64, from_ms: u64, until_ms: u64) -> f64 {
+        let of_service = self.crashes.values().filter(|it| it.service == service);
+        let crashes = of_service.filter(|it| (from_ms..=until_ms).contains(&it.at_ms)).count();
+        let targets = self.targets.get(&service).copied().unwrap_or(1).max(1);
+        crashes as f64 / (targets as f64 * until_ms.saturating_sub(from_ms).max(1) as f64)
     }
 
     fn requests(&self) -> impl Iterator<Item = (&Suspect, &Evidence)> {
@@ -231,8 +281,11 @@
         crashes: &BTreeSet<CrashId>,
     ) -> bool {
         let count = count_of(evidence, crashes);
+        if count < QUARANTINE_CRASHES || self.may_be_chance(suspect.service, evidence, crashes) {
+            return false;
+        }
         if suspect.kind == SuspectKind::Request {
-            return count >= QUARANTINE_CRASHES;
+            return true;
         }
         let own = among(evidence, crashes);
         let needed = if evidence.is_common { COMMON_PART_CRASHES } else { PART_QUARANTINE_CRASHES };
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -1,5 +1,7 @@
 //! What speaks against one suspect: the crashes of targets under which it was lost.
 
+use std::collections::BTreeSet;
+
 use smallvec::SmallVec;
 
 /// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
@@ -18,6 +20,8 @@
     /// When it was last sent to the target.
     pub sent_at_ms: u64,
     pub at_ms: u64,
+    /// Longest time for which it had run on the target.
+    pub ran_ms: u32,
 }
 
 /// What speaks against a suspect.
@@ -43,7 +47,8 @@
 impl Evidence {
     /// Counts a crash under which it was lost, unless it is one loss of several targets.
     pub fn count(&mut self, loss: Loss) {
-        if self.losses.iter().any(|it| it.crash == loss.crash) {
+        if let Some(known) = self.losses.iter_mut().find(|it| it.crash == loss.crash) {
+            known.ran_ms = known.ran_ms.max(loss.ran_ms);
             return;
         }
         self.is_reported = true;
@@ -55,6 +60,12 @@
         self.last_at_ms = self.last_at_ms.max(loss.at_ms);
         self.crashes = separate_crashes(&self.losses);
     }
+
+    /// Losses of these crashes that count for it, in order of time.
+    pub fn losses_in(&self, crashes: &BTreeSet<CrashId>) -> impl Iterator<Item = &Loss> + Clone {
+        let counts = |it: &&Loss| self.crashes.contains(&it.crash) && crashes.contains(&it.crash);
+        self.losses.iter().filter(counts)
+    }
 }
 
 /// The crashes that count, of losses in order of time: a request that was sent before a crash to another target that
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -21,6 +21,7 @@
 //! the same time, as in the loss of a rack, are one reason for suspicion, not several.
 
 mod answered;
+mod chance;
 mod coordinator;
 mod evidence;
 mod known;
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -17,6 +17,9 @@
 /// Crashes after which a request is not sent any more.
 const CRASHES: u32 = 3;
 const GATEWAYS: usize = 3;
+const TARGETS: usize = 9;
+/// Most time that a run without output counts as having run.
+const MAX_WAIT_MS: u32 = 250;
 
 /// A request that is lost just now with a target.
 fn crash(fingerprint: u64, target: u64, sent_ago_ms: u32) -> CrashReport {
@@ -27,10 +30,17 @@
         target,
         sent_ago_ms,
         lost_ago_ms: 0,
-        ran_ms: sent_ago_ms,
+        ran_ms: sent_ago_ms.min(MAX_WAIT_MS),
     }
 }
 
+/// Coordinator of a service with several targets.
+fn coordinator() -> CrashCoordinator {
+    let mut coordinator = CrashCoordinator::default();
+    coordinator.set_targets(SERVICE, TARGETS);
+    coordinator
+}
+
 fn request(fingerprint: u64) -> Suspect {
     Suspect::request(SERVICE, fingerprint)
 }
@@ -48,7 +58,7 @@
 
 /// Reports the losses of one crash each second, and returns the suspects that are quarantined by them.
 fn quarantined_after(crashes: &[&[(u64, &[u64])]]) -> Vec<Suspect> {
-    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    let (mut coordinator, mut known) = (coordinator(), KnownSuspects::default());
     let mut now_ms = 0;
     for lost in crashes {
         now_ms += 1_000;
@@ -80,7 +90,7 @@
 
 #[test]
 fn gateways_are_told_from_the_second_crash_on() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     let told =
         [1_000, 2_000, 3_000, 4_000].map(|it| judged(&mut coordinator, it, crash(REQUEST, it, 50)));
     assert_eq!(told.map(crashes), [None, Some(2), Some(3), Some(4)]);
@@ -89,7 +99,7 @@
 // Guards against blame for one loss of several targets: the same content was on its way to each of them.
 #[test]
 fn targets_that_crash_at_the_same_time_count_once() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     for after_ms in 0..10 {
         coordinator.report(1_000 + after_ms, &crash(REQUEST, after_ms, 50));
     }
@@ -99,7 +109,7 @@
 // Guards against copies of a request that wait at targets for seconds, and of which all but the first were not counted.
 #[test]
 fn copies_that_were_sent_before_the_first_crash_count_when_they_crash_later() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     let told = [1_000, 2_000, 3_000]
         .map(|it| judged(&mut coordinator, it, crash(REQUEST, it, it as u32 - 900)));
     assert_eq!(told.map(crashes), [None, Some(2), Some(3)]);
@@ -109,7 +119,7 @@
 #[test]
 fn a_request_that_is_lost_beside_the_cause_is_not_blamed() {
     const BESIDE: u64 = 8;
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     judged(&mut coordinator, 500, crash(REQUEST, 500, 50));
     for at_ms in [1_000, 2_000, 3_000] {
         coordinator.report(at_ms, &crash(BESIDE, at_ms, 50));
@@ -123,7 +133,7 @@
 
 #[test]
 fn a_whole_answer_clears_a_suspected_request() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     let mut known = KnownSuspects::default();
     judged(&mut coordinator, 1_000, crash(REQUEST, 1, 50));
     let told = judged(&mut coordinator, 2_000, crash(REQUEST, 2, 50)).expect("it is suspected");
@@ -143,7 +153,7 @@
 // that ends without an answer.
 #[test]
 fn a_quarantine_ends_with_a_whole_answer_and_with_nothing_else() {
-    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    let (mut coordinator, mut known) = (coordinator(), KnownSuspects::default());
     for at_ms in [1_000, 2_000, 3_000] {
         let told = judged(&mut coordinator, at_ms, crash(REQUEST, at_ms, 50));
         told.into_iter().for_each(|it| _ = known.apply(at_ms, it));
@@ -189,7 +199,7 @@
 // nothing, although others have.
 #[test]
 fn a_request_is_quarantined_only_after_gateways_that_answered_it_could_say_so() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     for at_ms in [1_000, 1_020, 1_040] {
         coordinator.report(at_ms, &crash(REQUEST, at_ms, 5));
     }
@@ -203,7 +213,7 @@
 // Guards against memory that grows with the number of different requests that crash targets.
 #[test]
 fn requests_with_the_fewest_crashes_are_forgotten_first() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     let mut known = KnownSuspects::default();
     for at_ms in [1_000, 2_000, 3_000] {
         if let Some(told) = judged(&mut coordinator, at_ms, crash(REQUEST, at_ms, 50)) {
@@ -288,7 +298,7 @@
 // Guards against a part that was told as suspected before all its crashes were judged, and is not told again.
 #[test]
 fn a_part_is_told_as_quarantined_as_soon_as_all_its_crashes_are_judged() {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     for number in 1..=4 {
         let report = CrashReport { target: number, ..crash_with(number, &[BAD], number) };
         coordinator.report(1_000 + number * 10, &CrashReport { sent_ago_ms: 2, ..report });
@@ -303,7 +313,7 @@
 // Guards against a quarantine of a sound part that lasts although requests with it are answered.
 #[test]
 fn a_whole_answer_ends_the_quarantine_of_a_part() {
-    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    let (mut coordinator, mut known) = (coordinator(), KnownSuspects::default());
     for number in 1..=4 {
         coordinator.report(number * 1_000, &crash_with(number, &[SOUND], number));
         let verdicts = coordinator.verdicts(number * 1_000 + SETTLE_MS);
@@ -338,7 +348,7 @@
 
 /// Whether a part is quarantined after a burst.
 fn is_part_quarantined_after(burst: &Burst<'_>) -> bool {
-    let (mut coordinator, mut known) = (CrashCoordinator::default(), KnownSuspects::default());
+    let (mut coordinator, mut known) = (coordinator(), KnownSuspects::default());
     for (number, (at_ms, target, ran_ms)) in (0..).zip(burst.lost) {
         let report = CrashReport { ran_ms: *ran_ms, ..crash_with(number, &[SOUND], *target) };
         coordinator.report(*at_ms, &report);
@@ -365,6 +375,19 @@
 }
 
 bursts! {
+    /// Guards against a quarantine of sound items that share a part, and run at most targets while these crash by chance.
+    a_part_is_not_blamed_for_crashes_beneath_long_runs: Burst {
+        lost: &[
+            (5_000, 1, 1_900), (5_000, 2, 700), (5_400, 3, 350), (5_400, 4, 2_300), (5_800, 5, 380),
+            (5_800, 1, 400), (6_200, 6, 2_900),
+        ],
+        others: &[5_000, 5_400, 5_800, 6_200, 6_200],
+    } => false;
+    /// Guards against a part that does crash targets and is taken for one that is there by chance, as others crash as well.
+    a_part_is_blamed_for_crashes_beneath_short_runs_although_other_targets_crash: Burst {
+        lost: &[(5_000, 1, 40), (5_300, 2, 60), (5_700, 3, 30), (6_100, 4, 50), (6_500, 5, 40)],
+        others: &[5_000, 5_400, 5_800, 6_200],
+    } => true;
     /// Guards against crashes that are not counted because their gateways report them after later ones.
     crashes_count_whose_reports_come_out_of_order: Burst {
         lost: &[(5_900, 4, 40), (5_600, 3, 40), (5_300, 2, 40), (5_000, 1, 40)],
@@ -392,7 +415,7 @@
 
 /// Plays a request that crashes each target at once, and checks how many it crashes.
 fn play(steps: Vec<Step>) {
-    let mut coordinator = CrashCoordinator::default();
+    let mut coordinator = coordinator();
     let mut gateways: Vec<KnownSuspects> =
         (0..GATEWAYS).map(|_| KnownSuspects::default()).collect();
     let (mut now_ms, mut sent) = (1_000, 0);
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -342,7 +342,7 @@
             report.has_first_part &= content.parts.first().copied() == first_part;
             report.content = content;
             if is_own {
-                self.coordinator.report(self.now_ms(), &report);
+                self.count(&report);
             }
             let bytes = Datagram::CrashReport(CrashNews::Lost(report)).encode();
             send_to_all(&self.task.socket, bytes, to.clone()).await;
@@ -404,7 +404,7 @@
     /// Handles news as the coordinator of the service.
     async fn coordinate(&mut self, news: CrashNews) {
         match news {
-            CrashNews::Lost(report) => self.coordinator.report(self.now_ms(), &report),
+            CrashNews::Lost(report) => self.count(&report),
             CrashNews::Answered(suspects) => {
                 for suspect in suspects {
                     // Another gateway may have judged it, which had too few others in sight to ask a coordinator.
@@ -418,6 +418,12 @@
         }
     }
 
+    fn count(&mut self, report: &CrashReport) {
+        let service = report.content.service;
+        self.coordinator.set_targets(service, self.task.roster.target_count(service));
+        self.coordinator.report(self.now_ms(), report);
+    }
+
     async fn tell_all(&self, verdict: CrashVerdict) {
         log::info!(
             kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
--- a/crates/samphiredoor-gateway/src/peers/roster/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/mod.rs
@@ -53,6 +53,8 @@
     names: Rc<RefCell<BTreeMap<u64, Name>>>,
     /// Locations of the targets by [`name_hash`] of their names.
     targets: Rc<RefCell<BTreeMap<u64, Location>>>,
+    /// Number of targets of each service, by [`name_hash`] of its name.
+    services: Rc<RefCell<BTreeMap<u64, usize>>>,
     /// Cached assignment of gateways and targets to cells; `None` after a change of either.
     cells: Rc<RefCell<Option<Rc<Cells>>>>,
     seen_versions: SeenVersions,
@@ -80,6 +82,7 @@
             peers: Rc::default(),
             names: Rc::default(),
             targets: Rc::default(),
+            services: Rc::default(),
             cells: Rc::default(),
             seen_versions: SeenVersions::default(),
         }
@@ -138,7 +141,10 @@
     }
 
     /// Replaces the known targets, whose locations the cells depend on.
-    pub fn set_targets<'a>(&self, targets: impl Iterator<Item = &'a TargetEntry>) {
+    pub fn set_targets<'a>(&self, targets: impl Iterator<Item = &'a TargetEntry> + Clone) {
+        let mut services = BTreeMap::new();
+        targets.clone().for_each(|it| *services.entry(name_hash(&it.service)).or_default() += 1);
+        self.services.replace(services);
         let locations: BTreeMap<u64, Location> =
             targets.map(|it| (name_hash(&it.name), it.location.clone())).collect();
         if *self.targets.borrow() != locations {
@@ -147,6 +153,11 @@
         }
     }
 
+    /// Number of known targets of a service.
+    pub fn target_count(&self, service: u64) -> usize {
+        self.services.borrow().get(&service).copied().unwrap_or(0)
+    }
+
     /// Whether this process sends its cell's summaries: the first live gateways in order of name do.
     pub fn sends_summaries(&self) -> bool {
         let has_statuses =
