What is quarantined is tried again, one request at a time over the fleet

Callers saw: sound requests and items whose content or prompt part had been quarantined stayed refused and held for ten minutes, long after all was calm.

Cause: only a whole answer ends a quarantine, and nothing that is quarantined was sent, so that nothing could be answered.

Now one request or item at a time is sent as a trial (half-open state of a circuit breaker). Whoever has a slot for one asks a coordinator of its service, which grants it and tells all gateways when the next one may follow: after 1 and 3 s while the quarantine is new, then 8, 12 and 16 s apart, then 200 s. So no more than three trials begin within three minutes of the time from which what crashes targets may crash only three more. A trial that no target has run is given back. A coordinator that does not answer or does not know of the quarantine is followed by the other one, then by the gateway itself. Refusals tell callers when the next trial is due.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -4,7 +4,7 @@
 
 use super::{
     COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
-    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, chance,
+    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, Trials, chance,
     evidence::{CrashId, Evidence, Loss},
     limit_len, remembered_ms,
 };
@@ -23,6 +23,12 @@
 const MIN_WINDOW_MS: u64 = 1_000;
 /// Shortest run that is assumed; times of reports are no more precise than this.
 const MIN_RUN_MS: u32 = 20;
+/// Number of crashes after which a request may crash few more targets.
+const REQUEST_BOUND_FROM: u32 = 3;
+/// The same for a part.
+const PART_BOUND_FROM: u32 = 5;
+/// Age of the crash after which a suspect may crash few more targets, from which its quarantine counts as late.
+const LATE_MS: u64 = 500;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -109,7 +115,7 @@
 
     /// Whether it was quarantined here.
     pub fn has_quarantined(&self, suspect: Suspect) -> bool {
-        self.evidence.get(&suspect).is_some_and(|it| it.is_quarantined)
+        self.evidence.get(&suspect).is_some_and(Evidence::is_quarantined)
     }
 
     /// When reports are to be judged next, if there are any.
@@ -128,22 +134,26 @@
         let mut verdicts = self.lift_explained_parts(&causes);
         causes.extend(self.evidence.keys().filter(|it| self.is_sole_cause(**it)));
         for suspect in causes {
-            if let Some(evidence) = self.evidence.get_mut(&suspect).filter(|it| !it.is_quarantined)
-            {
-                evidence.is_quarantined = evidence.is_confirmed(now_ms);
-                evidence.is_reported |= evidence.is_quarantined;
+            let Some(evidence) = self.evidence.get_mut(&suspect) else { continue };
+            if !evidence.is_quarantined() && evidence.is_confirmed(now_ms) {
+                let is_late = evidence
+                    .nth_crash_at_ms(bounded_from(suspect.kind))
+                    .is_some_and(|it| now_ms > it + LATE_MS);
+                evidence.quarantine = Some(Trials::of_new(is_late));
+                evidence.is_reported = true;
             }
         }
         for (suspect, evidence) in &mut self.evidence {
             let count = evidence.crashes.len() as u32;
-            let crashes = if evidence.is_quarantined {
+            let crashes = if evidence.is_quarantined() {
                 count.max(QUARANTINE_CRASHES)
             } else {
                 count.min(SUSPECTED_CRASHES)
             };
             if crashes >= SUSPECTED_CRASHES && std::mem::take(&mut evidence.is_reported) {
                 evidence.suspected_at_ms.get_or_insert(now_ms);
-                verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms: 0 });
+                let trials = evidence.quarantine.unwrap_or_default();
+                verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms: 0, trials });
             }
         }
         let settled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
@@ -157,7 +167,7 @@
     /// quarantine, under which no further answer could show that it is sound.
     pub fn clear(&mut self, suspect: Suspect) -> Option<CrashVerdict> {
         self.evidence.remove(&suspect)?;
-        Some(CrashVerdict { suspect, crashes: 0, age_ms: 0 })
+        Some(CrashVerdict::cleared(suspect))
     }
 
     /// Ends the quarantine of parts that were taken for a cause, and all of whose crashes other causes explain by now.
@@ -166,13 +176,13 @@
             causes.iter().flat_map(|it| self.evidence[it].crashes.iter().copied()).collect();
         let mut lifted = Vec::new();
         for (suspect, evidence) in &mut self.evidence {
-            let is_lifted = evidence.is_quarantined
+            let is_lifted = evidence.is_quarantined()
                 && suspect.kind == SuspectKind::Part
                 && !causes.contains(suspect)
                 && evidence.crashes.iter().all(|it| explained.contains(it));
             if is_lifted {
-                evidence.is_quarantined = false;
-                lifted.push(CrashVerdict { suspect: *suspect, crashes: 0, age_ms: 0 });
+                evidence.quarantine = None;
+                lifted.push(CrashVerdict::cleared(*suspect));
             }
         }
         lifted
@@ -322,12 +332,20 @@
     }
 
     fn forget(&mut self, now_ms: u64) {
-        let crashes = |it: &Evidence| if it.is_quarantined { QUARANTINE_CRASHES } else { 0 };
+        let crashes = |it: &Evidence| if it.is_quarantined() { QUARANTINE_CRASHES } else { 0 };
         self.evidence.retain(|_, it| it.last_at_ms + remembered_ms(crashes(it)) > now_ms);
         self.crashes.retain(|_, it| it.at_ms + remembered_ms(0) > now_ms);
     }
 }
 
+/// Number of crashes after which a suspect may crash few more targets.
+fn bounded_from(kind: SuspectKind) -> u32 {
+    match kind {
+        SuspectKind::Request => REQUEST_BOUND_FROM,
+        SuspectKind::Part => PART_BOUND_FROM,
+    }
+}
+
 /// Number of these crashes that count for a suspect.
 fn count_of(evidence: &Evidence, among: &BTreeSet<CrashId>) -> u32 {
     evidence.crashes.iter().filter(|it| among.contains(it)).count() as u32
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -4,6 +4,8 @@
 
 use smallvec::SmallVec;
 
+use super::Trials;
+
 /// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
 /// one crash, which gateways notice within less.
 const SEPARATE_MS: u64 = 250;
@@ -38,8 +40,8 @@
     pub is_common: bool,
     /// When it was first told as suspected.
     pub suspected_at_ms: Option<u64>,
-    /// Whether it has been quarantined.
-    pub is_quarantined: bool,
+    /// Its trials as its quarantine began, if it is quarantined.
+    pub quarantine: Option<Trials>,
     /// Whether it was reported or quarantined since it was last told.
     pub is_reported: bool,
 }
@@ -61,11 +63,22 @@
         self.crashes = separate_crashes(&self.losses);
     }
 
+    /// Whether it is quarantined.
+    pub fn is_quarantined(&self) -> bool {
+        self.quarantine.is_some()
+    }
+
     /// Losses of these crashes that count for it, in order of time.
     pub fn losses_in(&self, crashes: &BTreeSet<CrashId>) -> impl Iterator<Item = &Loss> + Clone {
         let counts = |it: &&Loss| self.crashes.contains(&it.crash) && crashes.contains(&it.crash);
         self.losses.iter().filter(counts)
     }
+
+    /// When the crash with this number, from 1, happened.
+    pub fn nth_crash_at_ms(&self, number: u32) -> Option<u64> {
+        let crash = self.crashes.get(number as usize - 1)?;
+        self.losses.iter().find(|it| it.crash == *crash).map(|it| it.at_ms)
+    }
 }
 
 /// The crashes that count, of losses in order of time: a request that was sent before a crash to another target that
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -2,12 +2,38 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashVerdict, QUARANTINE_CRASHES, Suspect, limit_len, remembered_ms};
+use super::{
+    CrashVerdict, QUARANTINE_CRASHES, Suspect, TrialOutcome, Trials, limit_len, remembered_ms,
+    trials::NEW_MS,
+};
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
     crashes: u32,
     judged_at_ms: u64,
+    trials: Trials,
+    /// When the next trial may be granted.
+    next_trial_ms: u64,
+    /// Until when its quarantine is new.
+    new_until_ms: u64,
+}
+
+impl Known {
+    fn set_trials(&mut self, now_ms: u64, trials: Trials) {
+        self.trials = trials;
+        self.next_trial_ms = now_ms + u64::from(trials.in_ms);
+    }
+
+    /// What other gateways are told.
+    fn verdict(&self, now_ms: u64, suspect: Suspect) -> CrashVerdict {
+        let in_ms = self.next_trial_ms.saturating_sub(now_ms) as u32;
+        CrashVerdict {
+            suspect,
+            crashes: self.crashes,
+            age_ms: now_ms.saturating_sub(self.judged_at_ms) as u32,
+            trials: Trials { in_ms, ..self.trials },
+        }
+    }
 }
 
 /// Suspected and quarantined requests and parts.
@@ -41,11 +67,65 @@
     pub fn quarantined(&mut self, now_ms: u64) -> impl Iterator<Item = CrashVerdict> {
         self.forget(now_ms);
         let quarantined = self.suspects.iter().filter(|(_, it)| it.crashes >= QUARANTINE_CRASHES);
-        quarantined.map(move |(suspect, it)| CrashVerdict {
-            suspect: *suspect,
-            crashes: it.crashes,
-            age_ms: now_ms.saturating_sub(it.judged_at_ms) as u32,
-        })
+        quarantined.map(move |(suspect, it)| it.verdict(now_ms, *suspect))
+    }
+
+    /// Whether a trial of a quarantined suspect may be granted now, as far as this process was told.
+    pub fn is_trial_due(&self, now_ms: u64, suspect: Suspect) -> bool {
+        self.get(now_ms, suspect).is_some_and(|it| it.next_trial_ms <= now_ms)
+    }
+
+    /// Time until a trial of a suspect may be granted.
+    pub fn next_trial_in_ms(&self, now_ms: u64, suspect: Suspect) -> u64 {
+        self.get(now_ms, suspect).map_or(0, |it| it.next_trial_ms.saturating_sub(now_ms))
+    }
+
+    /// Decides whether a request may be sent as a trial of all these suspects. Returns what all gateways have to be told.
+    pub fn grant_trial(
+        &mut self,
+        now_ms: u64,
+        suspects: &[Suspect],
+    ) -> (TrialOutcome, Vec<CrashVerdict>) {
+        let (known, unknown): (Vec<Suspect>, Vec<Suspect>) =
+            suspects.iter().partition(|it| self.is_quarantined(now_ms, **it));
+        if !unknown.is_empty() {
+            return (TrialOutcome::Unknown, Vec::new());
+        }
+        if !known.iter().all(|it| self.is_trial_due(now_ms, *it)) {
+            return (TrialOutcome::Denied, Vec::new());
+        }
+        let grant = |it: &Known| it.trials.after_grant(now_ms < it.new_until_ms);
+        (TrialOutcome::Granted, self.change_trials(now_ms, suspects, grant))
+    }
+
+    /// Takes back a granted trial that no target has run. Returns what all gateways have to be told.
+    pub fn return_trial(&mut self, now_ms: u64, suspects: &[Suspect]) -> Vec<CrashVerdict> {
+        self.change_trials(now_ms, suspects, |it| it.trials.after_return())
+    }
+
+    /// Lets this process ask for no trial of these suspects for a time.
+    pub fn defer_trial(&mut self, now_ms: u64, suspects: &[Suspect], pause_ms: u64) {
+        for suspect in suspects {
+            if let Some(known) = self.suspects.get_mut(suspect) {
+                known.next_trial_ms = known.next_trial_ms.max(now_ms + pause_ms);
+            }
+        }
+    }
+
+    fn change_trials(
+        &mut self,
+        now_ms: u64,
+        suspects: &[Suspect],
+        change: impl Fn(&Known) -> Trials,
+    ) -> Vec<CrashVerdict> {
+        let mut verdicts = Vec::new();
+        for suspect in suspects {
+            if let Some(known) = self.suspects.get_mut(suspect) {
+                known.set_trials(now_ms, change(known));
+                verdicts.push(known.verdict(now_ms, *suspect));
+            }
+        }
+        verdicts
     }
 
     /// Takes over what a coordinator tells. Returns whether the suspect is quarantined by it and was not
@@ -59,9 +139,22 @@
         }
         let known = self.suspects.entry(verdict.suspect);
         let judged_at_ms = now_ms.saturating_sub(verdict.age_ms.into());
-        let known = known.or_insert(Known { crashes: 0, judged_at_ms });
+        let unknown = Known {
+            crashes: 0,
+            judged_at_ms,
+            trials: Trials::default(),
+            next_trial_ms: 0,
+            new_until_ms: 0,
+        };
+        let known = known.or_insert(unknown);
         known.crashes = known.crashes.max(verdict.crashes);
         known.judged_at_ms = known.judged_at_ms.max(judged_at_ms);
+        if verdict.trials.is_later_than(known.trials) {
+            known.set_trials(now_ms, verdict.trials);
+            if verdict.trials.version == 1 {
+                known.new_until_ms = judged_at_ms + NEW_MS;
+            }
+        }
         limit_len(&mut self.suspects, |it| (it.crashes, it.judged_at_ms));
         !was_quarantined && verdict.crashes >= QUARANTINE_CRASHES
     }
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -25,6 +25,7 @@
 mod coordinator;
 mod evidence;
 mod known;
+mod trials;
 
 use std::collections::BTreeMap;
 
@@ -33,6 +34,7 @@
 pub use answered::AnsweredKeys;
 pub use coordinator::{CrashCoordinator, CrashReport, SETTLE_MS};
 pub use known::KnownSuspects;
+pub use trials::{TrialOutcome, Trials};
 
 /// Crashes after which all gateways are told of a suspect.
 const SUSPECTED_CRASHES: u32 = 2;
@@ -138,6 +140,15 @@
     pub crashes: u32,
     /// Time since this was judged.
     pub age_ms: u32,
+    /// Trials of it, if it is quarantined.
+    pub trials: Trials,
+}
+
+impl CrashVerdict {
+    /// That a suspect is cleared.
+    pub fn cleared(suspect: Suspect) -> CrashVerdict {
+        CrashVerdict { suspect, crashes: 0, age_ms: 0, trials: Trials::default() }
+    }
 }
 
 /// How long a suspect with this number of crashes is remembered.
--- a/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
+++ b/crates/samphiredoor-gateway/examples/crash_report_bytes.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p samphiredoor-gateway --example crash_report_bytes`
 
-use samphiredoor_core::crash_reports::{Content, CrashReport, CrashVerdict, Suspect};
+use samphiredoor_core::crash_reports::{Content, CrashReport, CrashVerdict, Suspect, Trials};
 use samphiredoor_gateway::peers::{CrashNews, datagram::Datagram};
 
 /// IPv4 and UDP headers of a datagram.
@@ -33,7 +33,15 @@
         ("report without parts", report(0)),
         ("report with two parts", report(2)),
         ("answer", Datagram::CrashReport(CrashNews::Answered([suspect].as_slice().into()))),
-        ("verdict", Datagram::CrashVerdict(CrashVerdict { suspect, crashes: 4, age_ms: 0 })),
+        (
+            "verdict",
+            Datagram::CrashVerdict(CrashVerdict {
+                suspect,
+                crashes: 4,
+                age_ms: 0,
+                trials: Trials::of_new(false),
+            }),
+        ),
     ];
     println!("message,bytes,bytes_with_headers");
     for (name, message) in messages {
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -19,7 +19,7 @@
 use samphiredoor_core::{
     Name,
     access::Workspace,
-    crash_reports::{Content, QUARANTINE_MS},
+    crash_reports::{Content, Suspect},
     dispatch::Class,
     overload::{
         admission::Rejection,
@@ -46,7 +46,7 @@
 use crate::{
     event_stream::EventStream,
     metrics::Stage,
-    peers::{Hex, LostRun, OverLimit, RunPermit},
+    peers::{Clearance, Hex, LostRun, OverLimit, RunPermit, Suspects},
     placement::{Decision, Ticket},
 };
 
@@ -351,8 +351,8 @@
             if self.sends >= MAX_SENDS || self.timeouts().remaining() < MIN_TIME_TO_SEND {
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
-            if self.is_quarantined() {
-                return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
+            if let Some(suspect) = self.quarantined() {
+                return self.refuse_quarantined(suspect);
             }
             let mut ticket = self.front.placement.request(self.request_spec());
             let queued = Instant::now();
@@ -370,9 +370,11 @@
                 Decision::Preempted => continue,
             };
             // It may have been quarantined while it waited.
-            if self.is_quarantined() {
-                return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
-            }
+            let trial = match self.clearance().await {
+                Clearance::Sound => Suspects::new(),
+                Clearance::Trial(suspects) => suspects,
+                Clearance::Quarantined(suspect) => return self.refuse_quarantined(suspect),
+            };
             self.sends += 1;
             self.note_run(true);
             let names = self.front.dialect.headers();
@@ -381,6 +383,9 @@
             let sent = Instant::now();
             let outcome = run_attempt(&self.front, names, at, &mut self.call, timeouts).await;
             self.stages.first_event += sent.elapsed();
+            if matches!(outcome, AttemptOutcome::NotRun(_)) && !trial.is_empty() {
+                self.front.crash_reports.return_trial(trial);
+            }
             match self.handle_attempt(outcome, ticket, (target, address, sent), origin) {
                 Some(outcome) => return outcome,
                 None => continue,
@@ -502,18 +507,31 @@
         quarantine::fingerprint([workspace, host, path, &self.call.body])
     }
 
-    /// Whether the request must not be sent, as it or a part of its prompt crashes targets.
-    fn is_quarantined(&self) -> bool {
+    /// Why the request must not be sent, if it or a part of its prompt is quarantined and no trial is due.
+    fn quarantined(&self) -> Option<Suspect> {
+        let reports = &self.front.crash_reports;
+        if reports.has_suspects() { reports.quarantined(self.content()) } else { None }
+    }
+
+    /// Whether the request may be sent now that it has a slot.
+    async fn clearance(&self) -> Clearance {
         let reports = &self.front.crash_reports;
-        if !reports.has_suspects() {
-            return false;
+        if reports.has_suspects() {
+            reports.clearance(self.content()).await
+        } else {
+            Clearance::Sound
         }
-        let Some(suspect) = reports.quarantined(self.content()) else { return false };
+    }
+
+    /// Ends the request, which may be sent again when the next trial is due.
+    fn refuse_quarantined(&mut self, suspect: Suspect) -> Outcome {
+        let retry_after_ms = self.front.crash_reports.next_trial_in_ms(suspect);
         log::info!(
-            request = self.id, kind = suspect.kind.label(), fingerprint:% = Hex(suspect.hash);
+            request = self.id, kind = suspect.kind.label(), fingerprint:% = Hex(suspect.hash),
+            retry_after_ms;
             "front: request is quarantined"
         );
-        true
+        self.final_outcome(Refusal::Quarantined, retry_after_ms)
     }
 
     /// Notes that the request got a whole answer with success. One that several runs make up proves nothing: the others may
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -36,7 +36,7 @@
 use crate::{
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
-    peers::{Hex, LostRun},
+    peers::{Clearance, Hex, LostRun, Suspects},
     placement::{Decision, Ticket},
     target_client,
 };
@@ -243,8 +243,14 @@
             return Outcome::Resume;
         }
         // It may have been quarantined while it waited.
-        if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
-            return Outcome::Held(suspect);
+        let trial = match self.env.crash_reports.clearance(&content).await {
+            Clearance::Sound => Suspects::new(),
+            Clearance::Trial(suspects) => suspects,
+            Clearance::Quarantined(suspect) => return Outcome::Held(suspect),
+        };
+        if !self.permit.is_valid() {
+            self.return_trial(trial);
+            return Outcome::Resume;
         }
         self.begin_or_go_on(&target, origin, goes_on);
         self.set_headers(call, &target);
@@ -291,6 +297,9 @@
             // A text that several runs make up proves nothing: the others may have crashed their targets.
             self.env.crash_reports.answered(&content);
         }
+        if matches!(end, AttemptEnd::Refused | AttemptEnd::WrongTarget | AttemptEnd::Unreachable) {
+            self.return_trial(trial);
+        }
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
@@ -309,6 +318,13 @@
         }
     }
 
+    /// Gives a trial back that no target has run, if the attempt was one.
+    fn return_trial(&self, suspects: Suspects) {
+        if !suspects.is_empty() {
+            self.env.crash_reports.return_trial(suspects);
+        }
+    }
+
     fn log_held(&self, suspect: Suspect) {
         log::info!(
             job = &*self.job, item = &*self.item.id, kind = suspect.kind.label(),
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -123,6 +123,7 @@
     invalid_entries: ReasonCounters,
     target_crashes: Counter,
     quarantined: Counter,
+    trials: ReasonCounters,
     dispatched: Gauge,
     recalled: Gauge,
     waiting_online: Gauge,
@@ -172,6 +173,7 @@
         let job_events = family("job_events", "What became of jobs");
         let invalid_entries = family("foreign_entries", "Stored objects that were ignored");
         let invalid_speeds = family("invalid_speeds", "Ignored speeds of targets, by source");
+        let trials = family("trials", "Trials of what is quarantined, by what became of them");
         let (target_crashes, quarantined) = (Counter::default(), Counter::default());
         let help = "Requests that were lost together with their target";
         registry.register("target_crashes", help, target_crashes.clone());
@@ -233,6 +235,7 @@
             invalid_entries,
             target_crashes,
             quarantined,
+            trials,
             slowest_targets,
             invalid_speeds,
             dispatched: gauge(&mut registry, "dispatched", "Requests sent to targets"),
@@ -358,6 +361,11 @@
         self.target_crashes.inc();
     }
 
+    /// Counts what became of the wish to send a request as a trial.
+    pub fn trial(&self, outcome: &'static str) {
+        self.trials.count(outcome);
+    }
+
     /// Counts a request that is quarantined.
     pub fn quarantined(&self) {
         self.quarantined.inc();
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -16,7 +16,7 @@
 use samphiredoor_core::{
     crash_reports::{
         AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
-        QUARANTINE_MS, Suspect, SuspectKind,
+        QUARANTINE_MS, Suspect, SuspectKind, TrialOutcome,
     },
     placement::name_hash,
 };
@@ -24,9 +24,10 @@
 
 use super::{
     LocalGateway, Roster,
-    crash_messages::{CrashNews, Suspects},
+    crash_messages::{CrashNews, Suspects, TrialAnswer, TrialPurpose, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
+    trials::{PendingTrial, PendingTrials},
 };
 use crate::metrics::Metrics;
 
@@ -40,6 +41,8 @@
 const MAX_KEPT_REPORTS: usize = 256;
 /// Most time for which a run without output counts as having run: a target that has a slot writes the first output sooner.
 const MAX_RUN_WITHOUT_OUTPUT_MS: u32 = 250;
+/// Time for which a gateway whose trial was denied asks for no other one, if it is told of no later time.
+const DENIED_PAUSE_MS: u64 = 200;
 
 enum Message {
     News(CrashNews),
@@ -47,6 +50,26 @@
     Own(CrashNews),
     /// Another gateway has cleared a suspect, which this one may have judged.
     Cleared(Suspect),
+    /// A request of this process asks whether it may be sent as a trial.
+    Ask {
+        suspects: Suspects,
+        reply: flume::Sender<bool>,
+    },
+    /// A granted trial of this process was not run.
+    Return(Suspects),
+    Question(TrialQuestion, SocketAddr),
+    Answer(TrialAnswer),
+}
+
+/// Whether a request may be sent to a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Clearance {
+    /// Nothing of it is quarantined.
+    Sound,
+    /// These suspects are quarantined, and it is the trial of them.
+    Trial(Suspects),
+    /// It must not be sent: this is quarantined, and another request is the trial of it.
+    Quarantined(Suspect),
 }
 
 /// What was lately in whole answers. Different requests are many, and must not drive out the parts that they share.
@@ -141,6 +164,7 @@
             reported_to: BTreeMap::new(),
             told,
             tell_again_at,
+            trials: PendingTrials::default(),
         };
         compio::runtime::spawn(running.run(inbox)).detach();
         handle
@@ -151,10 +175,50 @@
         !self.known.borrow().is_empty()
     }
 
-    /// Why a request must not be sent, if it or a part of its prompt crashes targets.
+    /// Why a request must not be sent, if it or a part of its prompt is quarantined and no trial is due.
     pub fn quarantined(&self, content: &Content) -> Option<Suspect> {
         let (known, now_ms) = (self.known.borrow(), self.now_ms());
-        content.suspects().find(|it| known.is_quarantined(now_ms, *it))
+        let is_held =
+            |it: &Suspect| known.is_quarantined(now_ms, *it) && !known.is_trial_due(now_ms, *it);
+        content.suspects().find(is_held)
+    }
+
+    /// Decides whether a request that has a slot may be sent. Asks a coordinator if it could be a trial of what is quarantined.
+    pub async fn clearance(&self, content: &Content) -> Clearance {
+        if !self.has_suspects() {
+            return Clearance::Sound;
+        }
+        let suspects: Suspects = {
+            let (known, now_ms) = (self.known.borrow(), self.now_ms());
+            content.suspects().filter(|it| known.is_quarantined(now_ms, *it)).collect()
+        };
+        let Some(first) = suspects.first().copied() else { return Clearance::Sound };
+        if let Some(held) = self.quarantined(content) {
+            return Clearance::Quarantined(held);
+        }
+        let (reply, granted) = flume::bounded(1);
+        self.send(Message::Ask { suspects: suspects.clone(), reply });
+        let is_granted = granted.recv_async().await.unwrap_or(false);
+        self.metrics.trial(if is_granted { "granted" } else { "denied" });
+        match is_granted {
+            true => Clearance::Trial(suspects),
+            false => {
+                let mut known = self.known.borrow_mut();
+                known.defer_trial(self.now_ms(), &suspects, DENIED_PAUSE_MS);
+                Clearance::Quarantined(first)
+            }
+        }
+    }
+
+    /// Gives a granted trial back that no target has run.
+    pub fn return_trial(&self, suspects: Suspects) {
+        self.metrics.trial("returned");
+        self.send(Message::Return(suspects));
+    }
+
+    /// Time until a trial of a quarantined suspect may be granted.
+    pub fn next_trial_in_ms(&self, suspect: Suspect) -> u64 {
+        self.known.borrow().next_trial_in_ms(self.now_ms(), suspect)
     }
 
     /// Notes a whole answer to a request, which clears it and the parts of its prompt. Returns whether any was suspected.
@@ -224,6 +288,16 @@
         self.send(Message::News(news));
     }
 
+    /// Passes on the question of another gateway.
+    pub(super) fn asked(&self, question: TrialQuestion, from: SocketAddr) {
+        self.send(Message::Question(question, from));
+    }
+
+    /// Passes on the answer of a coordinator.
+    pub(super) fn answered_trial(&self, answer: TrialAnswer) {
+        self.send(Message::Answer(answer));
+    }
+
     /// Takes over what a coordinator tells.
     pub(super) fn told(&self, verdict: CrashVerdict) {
         let (now_ms, suspect) = (self.now_ms(), verdict.suspect);
@@ -261,6 +335,7 @@
     /// Live gateways, by address and incarnation, that were told what is quarantined.
     told: BTreeSet<(SocketAddr, u64)>,
     tell_again_at: Instant,
+    trials: PendingTrials,
 }
 
 impl Running {
@@ -270,9 +345,16 @@
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
                 Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
+                Some(Ok(Message::Ask { suspects, reply })) => self.ask(suspects, reply).await,
+                Some(Ok(Message::Return(suspects))) => self.return_trial(suspects).await,
+                Some(Ok(Message::Question(question, from))) => self.answer(question, from).await,
+                Some(Ok(Message::Answer(answer))) => self.answered(answer).await,
                 Some(Err(flume::RecvError::Disconnected)) => return,
                 None => {}
             }
+            for trial in self.trials.take_late() {
+                self.ask_next(trial).await;
+            }
             for verdict in self.coordinator.verdicts(self.now_ms()) {
                 self.tell_all(verdict).await;
             }
@@ -369,7 +451,9 @@
         let judged_in = due_ms.map(|it| Duration::from_millis(it.saturating_sub(self.now_ms())));
         let tells = self.handle.has_suspects() || !self.kept.is_empty();
         let told_in = tells.then(|| self.tell_again_at.saturating_duration_since(Instant::now()));
-        match judged_in.into_iter().chain(told_in).min() {
+        let answered_in = self.trials.next_timeout();
+        let answered_in = answered_in.map(|it| it.saturating_duration_since(Instant::now()));
+        match judged_in.into_iter().chain(told_in).chain(answered_in).min() {
             Some(left) => within(left, inbox.recv_async()).await,
             None => Some(inbox.recv_async().await),
         }
@@ -411,7 +495,7 @@
                     let was_told = self.handle.known.borrow().contains(suspect);
                     let cleared = self.coordinator.clear(suspect);
                     if was_told || cleared.is_some() {
-                        self.tell_all(CrashVerdict { suspect, crashes: 0, age_ms: 0 }).await;
+                        self.tell_all(CrashVerdict::cleared(suspect)).await;
                     }
                 }
             }
@@ -424,6 +508,97 @@
         self.coordinator.report(self.now_ms(), report);
     }
 
+    /// Asks the first coordinator of the service whether a request may be sent as a trial.
+    async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<bool>) {
+        let service = suspects.first().map_or(0, |it| it.service);
+        let left = self.task.roster.coordinators(service).chosen.iter().copied().collect();
+        self.ask_next(PendingTrial { suspects, reply, left, until: Instant::now() }).await;
+    }
+
+    /// Asks the next coordinator, or decides here if this process is that or none is left.
+    async fn ask_next(&mut self, mut trial: PendingTrial) {
+        while let Some(coordinator) = trial.left.pop_front().filter(|it| *it != self.own_key) {
+            let Some(address) = self.task.roster.address_of_hash(coordinator) else { continue };
+            let suspects = trial.suspects.clone();
+            let id = self.trials.insert(trial);
+            let question = TrialQuestion { id, suspects, purpose: TrialPurpose::Ask };
+            let bytes = Datagram::TrialQuestion(question).encode();
+            return send_to_all(&self.task.socket, bytes, vec![address]).await;
+        }
+        // What is not quarantined any more needs no trial.
+        let is_granted = self.grant(&trial.suspects).await != TrialOutcome::Denied;
+        let _ = trial.reply.send(is_granted);
+    }
+
+    /// Answers the question of another gateway as a coordinator.
+    async fn answer(&mut self, question: TrialQuestion, from: SocketAddr) {
+        match question.purpose {
+            TrialPurpose::Ask => {
+                let outcome = self.grant(&question.suspects).await;
+                let answer = TrialAnswer { id: question.id, outcome };
+                let bytes = Datagram::TrialAnswer(answer).encode();
+                send_to_all(&self.task.socket, bytes, vec![from]).await;
+            }
+            TrialPurpose::Return => self.take_back(&question.suspects).await,
+        }
+    }
+
+    async fn answered(&mut self, answer: TrialAnswer) {
+        let Some(trial) = self.trials.take(answer.id) else { return };
+        match answer.outcome {
+            TrialOutcome::Unknown => self.ask_next(trial).await,
+            outcome => _ = trial.reply.send(outcome == TrialOutcome::Granted),
+        }
+    }
+
+    /// Decides on a trial, and tells all gateways when the next one may be granted.
+    async fn grant(&mut self, suspects: &[Suspect]) -> TrialOutcome {
+        let now_ms = self.now_ms();
+        let (outcome, verdicts) = self.handle.known.borrow_mut().grant_trial(now_ms, suspects);
+        for verdict in verdicts {
+            log::info!(
+                kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
+                trials = verdict.trials.granted, next_in_ms = verdict.trials.in_ms;
+                "crashes: trial granted"
+            );
+            self.tell_others(verdict).await;
+        }
+        outcome
+    }
+
+    /// Gives a trial back to the first coordinator of the service.
+    async fn return_trial(&mut self, suspects: Suspects) {
+        let service = suspects.first().map_or(0, |it| it.service);
+        let first = self.task.roster.coordinators(service).chosen.first().copied();
+        let other = first.filter(|it| *it != self.own_key);
+        match other.and_then(|it| self.task.roster.address_of_hash(it)) {
+            Some(address) => {
+                let question = TrialQuestion { id: 0, suspects, purpose: TrialPurpose::Return };
+                let bytes = Datagram::TrialQuestion(question).encode();
+                send_to_all(&self.task.socket, bytes, vec![address]).await;
+            }
+            None => self.take_back(&suspects).await,
+        }
+    }
+
+    async fn take_back(&mut self, suspects: &[Suspect]) {
+        let now_ms = self.now_ms();
+        let verdicts = self.handle.known.borrow_mut().return_trial(now_ms, suspects);
+        for verdict in verdicts {
+            log::info!(
+                kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
+                trials = verdict.trials.granted;
+                "crashes: trial returned"
+            );
+            self.tell_others(verdict).await;
+        }
+    }
+
+    async fn tell_others(&self, verdict: CrashVerdict) {
+        let bytes = Datagram::CrashVerdict(verdict).encode();
+        send_to_all(&self.task.socket, bytes, self.task.roster.live_addresses()).await;
+    }
+
     async fn tell_all(&self, verdict: CrashVerdict) {
         log::info!(
             kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
@@ -431,8 +606,7 @@
             "crashes: all gateways are told"
         );
         self.handle.told(verdict);
-        let bytes = Datagram::CrashVerdict(verdict).encode();
-        send_to_all(&self.task.socket, bytes, self.task.roster.live_addresses()).await;
+        self.tell_others(verdict).await;
     }
 }
 
--- a/crates/samphiredoor-gateway/src/peers/datagram.rs
+++ b/crates/samphiredoor-gateway/src/peers/datagram.rs
@@ -7,7 +7,10 @@
 use samphiredoor_schema::peer_capnp::gateway_datagram;
 
 use super::{
-    crash_messages::{CrashNews, read_news, read_verdict, write_news, write_verdict},
+    crash_messages::{
+        CrashNews, TrialAnswer, TrialQuestion, read_news, read_trial_answer, read_trial_question,
+        read_verdict, write_news, write_trial_answer, write_trial_question, write_verdict,
+    },
     origin_messages::{
         OriginAnswer, OriginQuestion, OriginRecord, read_answer, read_question, read_record,
         write_answer, write_question, write_record,
@@ -41,6 +44,10 @@
     OriginQuestion(OriginQuestion),
     /// Answer of a holder.
     OriginAnswer(OriginAnswer),
+    /// Question whether a quarantined request may be sent as a trial.
+    TrialQuestion(TrialQuestion),
+    /// Answer of a coordinator.
+    TrialAnswer(TrialAnswer),
 }
 
 impl Datagram {
@@ -73,6 +80,10 @@
                 write_question(question, root.init_origin_question())
             }
             Datagram::OriginAnswer(answer) => write_answer(answer, root.init_origin_answer()),
+            Datagram::TrialQuestion(question) => {
+                write_trial_question(question, root.init_trial_question());
+            }
+            Datagram::TrialAnswer(answer) => write_trial_answer(*answer, root.init_trial_answer()),
         }
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         // Writing to a vector cannot fail.
@@ -99,6 +110,10 @@
             gateway_datagram::StreamOrigin(it) => Datagram::StreamOrigin(read_record(it?)?),
             gateway_datagram::OriginQuestion(it) => Datagram::OriginQuestion(read_question(it?)),
             gateway_datagram::OriginAnswer(it) => Datagram::OriginAnswer(read_answer(it?)?),
+            gateway_datagram::TrialQuestion(it) => {
+                Datagram::TrialQuestion(read_trial_question(it?)?)
+            }
+            gateway_datagram::TrialAnswer(it) => Datagram::TrialAnswer(read_trial_answer(it?)?),
         })
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -67,6 +67,8 @@
             Ok(Datagram::RunGrant(grant)) => self.run_limits.granted(grant),
             Ok(Datagram::CrashReport(news)) => self.crash_reports.reported(news),
             Ok(Datagram::CrashVerdict(verdict)) => self.crash_reports.told(verdict),
+            Ok(Datagram::TrialQuestion(question)) => self.crash_reports.asked(question, from),
+            Ok(Datagram::TrialAnswer(answer)) => self.crash_reports.answered_trial(answer),
             Ok(Datagram::StreamOrigin(record)) => self.stream_origins.recorded(record),
             Ok(Datagram::OriginQuestion(question)) => self.stream_origins.asked(question, from),
             Ok(Datagram::OriginAnswer(answer)) => self.stream_origins.answered(answer),
--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -23,6 +23,7 @@
 mod stream_origins;
 mod summary;
 mod summary_sender;
+mod trials;
 pub mod watch_relay;
 
 use std::{net::SocketAddr, time::Duration};
@@ -30,8 +31,8 @@
 use samphiredoor_core::{Name, dispatch::Location};
 
 pub use cell_statuses::CellStatuses;
-pub use crash_messages::CrashNews;
-pub use crash_reports::{CrashReports, CrashReportsTask, Hex, LostRun};
+pub use crash_messages::{CrashNews, Suspects, TrialAnswer, TrialPurpose, TrialQuestion};
+pub use crash_reports::{Clearance, CrashReports, CrashReportsTask, Hex, LostRun};
 pub use listener::Listener;
 pub use origin_messages::{OriginAnswer, OriginQuestion, OriginRecord};
 pub use owners::{JobOwners, Owner};
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -114,6 +114,8 @@
     streamOrigin @6 :StreamOrigin;
     originQuestion @7 :OriginQuestion;
     originAnswer @8 :OriginAnswer;
+    trialQuestion @9 :TrialQuestion;
+    trialAnswer @10 :TrialAnswer;
   }
 }
 
@@ -192,6 +194,41 @@
   service @3 :UInt64;
   # Hash of the service's name.
   isPart @4 :Bool;
+  trialVersion @5 :UInt16;
+  # Grows with each change of the next three fields.
+  trials @6 :UInt8;
+  # Number of trials that were granted, or that its quarantine began without.
+  trialInMs @7 :UInt32;
+  # Time until the next trial may be granted.
+}
+
+struct TrialQuestion {
+  # Asks a coordinator whether a request may be sent although it, or parts of its prompt, are quarantined.
+
+  id @0 :UInt64;
+  service @1 :UInt64;
+  # Hash of the service's name.
+  fingerprint @2 :UInt64;
+  # Of the request, if it is quarantined; 0 if not.
+  parts @3 :List(UInt64);
+  # Hashes of the parts that are quarantined.
+  isReturned @4 :Bool;
+  # Whether a granted trial is given back, as no target has run the request.
+}
+
+struct TrialAnswer {
+  # A coordinator's answer to a question.
+
+  id @0 :UInt64;
+  outcome @1 :TrialOutcome;
+}
+
+enum TrialOutcome {
+  denied @0;
+  # Another trial is under way, or the pause after it is not over.
+  granted @1;
+  unknown @2;
+  # The coordinator does not know of the quarantine.
 }
 
 struct RunReport {
