Silent targets: logs and counters tell how long they were silent and what else was there

A request that ends without an answer beside a change of the configuration can have three causes, which no log told apart: its target was silent, its connection was idle, or its route changed. The lines of a request now tell how long its target had been silent, in which part of the answer, whether it could be sent again, whether another target had a free slot, and the versions of the routes under which it came and ended.

What is done about a silence is unchanged: the wait for a part of an answer has one place now, front/silence.rs, and asks the placement for another target only once the limit has passed.

--- a/crates/samphiredoor-core/src/lib.rs
+++ b/crates/samphiredoor-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod renewal;
 pub mod requests;
 pub mod routes;
+pub mod silence;
 pub mod software_versions;
 pub mod store;
 pub mod target_entry;
--- a/crates/samphiredoor-core/src/placement/choice.rs
+++ b/crates/samphiredoor-core/src/placement/choice.rs
@@ -12,12 +12,14 @@
 };
 use crate::{
     Name,
+    dispatch::Class,
     overload::{
         Overload,
         target_risk::{Trust, TrustChange},
         target_speed::USUAL_PERCENT,
     },
     rendezvous,
+    silence::OtherTarget,
 };
 
 /// Requests that may wait at a target beyond its slots. With eight slots and streams of 0.7 s one ends every 90 ms, so
@@ -110,8 +112,18 @@
 
     /// Target for an online request; `None` if none has capacity for it.
     pub(super) fn best_online(&mut self, now_ms: u64, spec: &RequestSpec) -> Option<u64> {
+        self.best_online_with(now_ms, spec, Capacity::Waiting)
+    }
+
+    /// Target for an online request that has this capacity or a better one; `None` if none has.
+    fn best_online_with(
+        &mut self,
+        now_ms: u64,
+        spec: &RequestSpec,
+        least: Capacity,
+    ) -> Option<u64> {
         if let Some(overload) = self.overload_of(&spec.service) {
-            let candidates = self.online_candidates(now_ms, spec, overload);
+            let candidates = self.online_candidates(now_ms, spec, overload, least);
             return self.pick_by_cost(spec.affinity, candidates);
         }
         let ranked: Vec<_> = self
@@ -121,6 +133,7 @@
                 let found = online_capacity(waiting, now_ms, it)?;
                 Some(((found.capacity, it.distance()), found.load, key))
             })
+            .filter(|((capacity, _), ..)| *capacity <= least)
             .collect();
         let best = ranked.iter().map(|(rank, ..)| *rank).min()?;
         let group = ranked.into_iter().filter(|(rank, ..)| *rank == best);
@@ -147,18 +160,38 @@
         self.pick(spec.affinity, &group)
     }
 
+    /// Target with a free slot for a request, other than those that it was tried at and those in backoff.
+    pub(super) fn free_other_target(&mut self, now_ms: u64, spec: &RequestSpec) -> Option<u64> {
+        let key = match spec.class {
+            Class::Online => self.best_online_with(now_ms, spec, Capacity::FreeSlot),
+            Class::Batch => self.best_batch(now_ms, spec),
+        }?;
+        let target = self.targets.get(&key)?;
+        let is_tried = spec.tried_targets.contains(&target.entry.name);
+        (!is_tried && !target.health.in_backoff(now_ms)).then_some(key)
+    }
+
+    /// Whether a target can run a request at once that it was not tried at.
+    pub fn other_target(&mut self, now_ms: u64, spec: &RequestSpec) -> OtherTarget {
+        match self.free_other_target(now_ms, spec) {
+            Some(_) => OtherTarget::FreeSlot,
+            None => OtherTarget::None,
+        }
+    }
+
     fn online_candidates(
         &self,
         now_ms: u64,
         spec: &RequestSpec,
         overload: &Overload,
+        least: Capacity,
     ) -> Candidates {
         let open = self.open(now_ms, spec);
         open.filter_map(|(key, target)| {
             let percent = overload.target_speeds.current_percent(now_ms, key);
             let waiting = waiting_by_speed(self.margins, percent);
             let OnlineCapacity { capacity, load, spare_slots } =
-                online_capacity(waiting, now_ms, target)?;
+                online_capacity(waiting, now_ms, target).filter(|it| it.capacity <= least)?;
             let trust = overload.target_risks.trust(now_ms, key);
             let candidate = Candidate::new(key, target, load, percent);
             let candidate = candidate.with_capacity(capacity, spare_slots);
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -1,21 +1,20 @@
 //! One attempt of a request at one target, up to the first event or the whole body of its answer.
 
-use std::{
-    cell::Cell,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::cell::Cell;
 
 use hyper::{Response, http::response};
 use samphiredoor_core::{
-    Name, overload::buffer_budget::Holder, placement::AttemptEnd, verdict::MayHaveRunReason,
+    overload::buffer_budget::Holder, placement::AttemptEnd, verdict::MayHaveRunReason,
 };
 use samphiredoor_net::{
     Call,
-    pool::{ResponseBody, SendError, within, within_or_late, within_or_ready},
+    pool::{ResponseBody, SendError, within},
 };
 
-use super::Front;
+use super::{
+    Front,
+    silence::{Attempt, Awaited, Loss},
+};
 use crate::{
     event_stream::{EventStream, Received, StreamEnd, is_cut_by_crash},
     events::is_event_stream,
@@ -36,101 +35,67 @@
     /// The target certainly did not run the request.
     NotRun(AttemptEnd),
     /// The target may have run the request, but its answer was lost.
-    MayHaveRun(AttemptEnd, MayHaveRunReason),
-}
-
-/// Time limits of an attempt.
-#[derive(Debug, Clone, Copy)]
-pub struct Timeouts {
-    /// When the caller stops waiting.
-    pub deadline: Instant,
-    /// How long the target may send nothing before the attempt fails.
-    pub idle: Duration,
-}
-
-impl Timeouts {
-    /// Time until the deadline.
-    pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    /// Outcome of a wait that timed out: the deadline has passed, or the target sent nothing for too long.
-    pub fn expired(&self) -> (AttemptEnd, MayHaveRunReason) {
-        match self.remaining().is_zero() {
-            true => (AttemptEnd::Cut, MayHaveRunReason::DeadlinePassed),
-            false => (AttemptEnd::Silent, MayHaveRunReason::ConnectionLost),
-        }
-    }
-
-    /// Time limit for the next part of the answer.
-    pub fn next_read(&self) -> Duration {
-        self.remaining().min(self.idle)
-    }
+    MayHaveRun(Loss),
 }
 
 /// Sends a call to a target and waits for the first event of its answer, or for the whole answer if it is no stream.
 pub async fn run_attempt(
     front: &Front,
     names: &HeaderNames,
-    (target, address): (&Name, SocketAddr),
-    call: &mut Call,
-    timeouts: Timeouts,
+    call: &Call,
+    attempt: &Attempt<'_>,
 ) -> AttemptOutcome {
-    target_client::set_target_headers(call, names, target, timeouts.remaining());
+    let Attempt { target, address, .. } = *attempt;
     let sending = front.targets.send(target, address, call);
-    let response = match within_or_late(timeouts.next_read(), sending).await {
-        Some(Ok(response)) => response,
-        Some(Err(SendError::NotSent(err))) => {
+    let response = match attempt.hear(Awaited::Head, sending).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendError::NotSent(err))) => {
             log::info!(target = &**target, problem:% = err; "target: connection failed");
             return AttemptOutcome::NotRun(AttemptEnd::Unreachable);
         }
-        Some(Err(SendError::MayHaveRun(err))) => {
+        Ok(Err(SendError::MayHaveRun(err))) => {
             log::info!(target = &**target, problem:% = err; "target: answer lost");
-            return AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::ConnectionLost);
-        }
-        None => {
-            let (end, cause) = timeouts.expired();
-            return AttemptOutcome::MayHaveRun(end, cause);
+            return lost(MayHaveRunReason::ConnectionLost);
         }
+        Err(loss) => return AttemptOutcome::MayHaveRun(loss),
     };
     if let Some(end) = target_client::not_run_reason(names, &response) {
         return AttemptOutcome::NotRun(end);
     }
-    read_answer(front, request_id(names, call), address, response, timeouts).await
+    read_answer(front, response, attempt).await
 }
 
-/// Id of a request, for logs.
-fn request_id<'a>(names: &HeaderNames, call: &'a Call) -> &'a str {
-    call.headers.get(&names.request_id).and_then(|it| it.to_str().ok()).unwrap_or_default()
+fn lost(cause: MayHaveRunReason) -> AttemptOutcome {
+    AttemptOutcome::MayHaveRun(Loss { end: AttemptEnd::Lost, cause })
 }
 
 async fn read_answer(
     front: &Front,
-    request: &str,
-    target: SocketAddr,
     response: Response<ResponseBody>,
-    timeouts: Timeouts,
+    attempt: &Attempt<'_>,
 ) -> AttemptOutcome {
+    let Attempt { request, address, .. } = *attempt;
+    let request = &*request.id;
     let (parts, body) = response.into_parts();
     if parts.status.is_success() && is_event_stream(&parts.headers) {
-        let stream = EventStream::new(body, target);
-        return read_first_event(front, request, Box::new(parts), stream, timeouts).await;
+        let stream = EventStream::new(body, address);
+        return read_first_event(front, Box::new(parts), stream, attempt).await;
     }
     let framing = body.framing();
     let is_waiting = Cell::new(false);
     let whole = front.read_whole(Holder::WholeAnswer, body, MAX_WHOLE_BYTES, &is_waiting);
-    match within(timeouts.remaining(), whole).await {
+    match within(attempt.request.remaining(), whole).await {
         Some(Ok(body)) if is_broken_off(framing, &parts.headers, &body) => {
             log::info!(request, framing = framing.label(), bytes = body.len(); "front: answer ended inside its value");
-            AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
+            lost(MayHaveRunReason::AnswerCut)
         }
-        Some(Ok(_)) if is_cut_by_crash(framing, target).await => {
+        Some(Ok(_)) if is_cut_by_crash(framing, address).await => {
             log::info!(request, framing = framing.label(); "front: target gone at the end of its answer");
-            AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
+            lost(MayHaveRunReason::AnswerCut)
         }
         Some(Ok(body)) => AttemptOutcome::Whole(Box::new(parts), body),
-        Some(Err(_)) => AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut),
-        None => AttemptOutcome::MayHaveRun(AttemptEnd::Cut, MayHaveRunReason::DeadlinePassed),
+        Some(Err(_)) => lost(MayHaveRunReason::AnswerCut),
+        None => AttemptOutcome::MayHaveRun(Loss::deadline()),
     }
 }
 
@@ -138,27 +103,24 @@
 /// be retried at another target.
 async fn read_first_event(
     front: &Front,
-    request: &str,
     parts: Box<response::Parts>,
     mut stream: EventStream,
-    timeouts: Timeouts,
+    attempt: &Attempt<'_>,
 ) -> AttemptOutcome {
     loop {
         if stream.has_event() {
             return AttemptOutcome::Stream(parts, stream);
         }
-        match receive(&mut stream, timeouts).await {
+        match attempt.hear(Awaited::Event, stream.receive()).await {
             Ok(Received::Data) => {}
             Ok(Received::End(end)) => {
-                note_empty_stream(front, request, &stream, end);
+                note_empty_stream(front, &attempt.request.id, &stream, end);
                 return match end {
                     StreamEnd::Whole => AttemptOutcome::Whole(parts, stream.take_rest()),
-                    StreamEnd::BrokenOff(_) => {
-                        AttemptOutcome::MayHaveRun(AttemptEnd::Lost, MayHaveRunReason::AnswerCut)
-                    }
+                    StreamEnd::BrokenOff(_) => lost(MayHaveRunReason::AnswerCut),
                 };
             }
-            Err((end, cause)) => return AttemptOutcome::MayHaveRun(end, cause),
+            Err(loss) => return AttemptOutcome::MayHaveRun(loss),
         }
     }
 }
@@ -172,12 +134,3 @@
         "front: stream ended without an event"
     );
 }
-
-/// Waits for the next part of a stream; the error tells why none came in time.
-pub async fn receive(
-    stream: &mut EventStream,
-    timeouts: Timeouts,
-) -> Result<Received, (AttemptEnd, MayHaveRunReason)> {
-    let received = within_or_ready(timeouts.next_read(), stream.receive()).await;
-    received.ok_or_else(|| timeouts.expired())
-}
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -9,8 +9,8 @@
 use samphiredoor_net::{Body, BoxError, pool::Framing};
 
 use super::{
-    attempt::receive,
     online::{ActiveStream, NoAnswer, OnlineRequest},
+    silence::{Attempt, Awaited, Loss},
 };
 use crate::{
     event_stream::{Received, StreamEnd},
@@ -61,16 +61,25 @@
             if let Some(piece) = take_events(active, &mut self.last_event) {
                 return Some(Ok(piece));
             }
-            let timeouts = self.request.timeouts();
-            let (end, cause, label) = match receive(&mut active.stream, timeouts).await {
+            let attempt = Attempt {
+                request: &self.request,
+                target: &active.target,
+                address: active.address,
+                next_run: self.request.next_run_after(self.last_event),
+            };
+            let (loss, label) = match attempt.hear(Awaited::Event, active.stream.receive()).await {
                 Ok(Received::Data) => continue,
                 Ok(Received::End(StreamEnd::Whole)) => return self.finish(),
-                Ok(Received::End(end)) => {
-                    (AttemptEnd::Lost, MayHaveRunReason::AnswerCut, end.label())
+                Ok(Received::End(end)) => (
+                    Loss { end: AttemptEnd::Lost, cause: MayHaveRunReason::AnswerCut },
+                    end.label(),
+                ),
+                Err(loss) => {
+                    let label = loss.cause.label();
+                    (loss, label)
                 }
-                Err((end, cause)) => (end, cause, cause.label()),
             };
-            if let Some(err) = self.resume_or_fail(end, cause, label).await {
+            if let Some(err) = self.resume_or_fail(loss, label).await {
                 return Some(Err(err));
             }
         }
@@ -103,12 +112,8 @@
     }
 
     /// Resumes an interrupted stream at another target; returns the error that ends the answer if it cannot be resumed.
-    async fn resume_or_fail(
-        &mut self,
-        end: AttemptEnd,
-        cause: MayHaveRunReason,
-        label: &'static str,
-    ) -> Option<BoxError> {
+    async fn resume_or_fail(&mut self, loss: Loss, label: &'static str) -> Option<BoxError> {
+        let Loss { end, cause } = loss;
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
         self.request.note_lost(end, active.address, active.sent);
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod hop_by_hop;
 mod online;
 mod resumption;
+mod silence;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -152,7 +153,8 @@
         RouteKind::Repeatable | RouteKind::Once | RouteKind::Stream { .. } => {
             let name = workspace.as_ref().map(|it| &*it.name);
             target_client::set_workspace(&mut parts.headers, front.dialect.headers(), name);
-            let mut request = OnlineRequest::new(Rc::clone(front), route, parts, body);
+            let mut request =
+                OnlineRequest::new(Rc::clone(front), (route, table.version), parts, body);
             if let Some(workspace) = workspace {
                 request = match request.with_workspace(&workspace, table.version).await {
                     Ok(request) => request,
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -27,7 +27,8 @@
     },
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
     quarantine,
-    routes::Route,
+    routes::{Route, RouteKind},
+    silence::NextRun,
     software_versions::StreamOrigin,
     verdict::{MayHaveRunReason, Refusal},
 };
@@ -37,17 +38,19 @@
 use super::{
     Front,
     answers::{may_have_run_response, refusal_response},
-    attempt::{AttemptOutcome, Timeouts, run_attempt},
+    attempt::{AttemptOutcome, run_attempt},
     forwarded_stream::ForwardedStream,
     header_number,
     hop_by_hop::strip_hop_by_hop_headers,
     resumption::TakenUp,
+    silence::{Attempt, Loss},
 };
 use crate::{
     event_stream::EventStream,
     metrics::Stage,
     peers::{Hex, OverLimit, RunPermit},
     placement::{Decision, Ticket},
+    target_client::set_target_headers,
 };
 
 /// Deadline of a request that has no deadline header.
@@ -62,9 +65,6 @@
 /// A request that goes on with a stream may wait for a slot at a target of its version for this time: the work that the
 /// stream has cost would be lost, and callers bear a pause of about this length.
 const RESUMPTION_WAIT_MS: u64 = 500;
-/// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
-/// output every 25 ms and a full one starts within 300 ms.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// An online request and the state of its retries.
 pub struct OnlineRequest {
@@ -72,6 +72,10 @@
     pub(super) route: Arc<Route>,
     pub(super) id: String,
     pub(super) started: Instant,
+    /// Version of the routes under which the request came.
+    routes_version: u64,
+    /// Silences of its targets that were logged.
+    pub(super) logged_silences: Cell<u32>,
     /// Number of targets that ran the request or may have run it.
     pub(super) runs: u32,
     /// Time spent in each stage so far.
@@ -169,7 +173,7 @@
     /// Creates a request from its parts as received; hop-by-hop headers are removed.
     pub fn new(
         front: Rc<Front>,
-        route: Arc<Route>,
+        (route, routes_version): (Arc<Route>, u64),
         mut parts: request::Parts,
         body: Bytes,
     ) -> OnlineRequest {
@@ -196,6 +200,8 @@
             route,
             id,
             started,
+            routes_version,
+            logged_silences: Cell::new(0),
             runs: 0,
             stages: StageTimes::default(),
             affinity,
@@ -297,17 +303,15 @@
             request = self.id, route = &*self.route.name, outcome, status, runs = self.runs, sends = self.sends,
             elapsed_ms = self.started.elapsed().as_millis() as u64,
             limit_ms = self.stages.limit.as_millis() as u64, queue_ms = self.stages.queue.as_millis() as u64,
-            first_event_ms = self.stages.first_event.as_millis() as u64;
+            first_event_ms = self.stages.first_event.as_millis() as u64,
+            routes_version = self.routes_version, routes_version_at_end = self.front.routes.version();
             "front: request ended"
         );
     }
 
-    /// Time limits of the next attempt or read. A request that must not run twice has no other target to go to, so its
-    /// target may send nothing until the deadline.
-    pub(super) fn timeouts(&self) -> Timeouts {
-        let idle =
-            if self.route.kind.is_repeatable() { IDLE_TIMEOUT } else { Duration::from_secs(3_600) };
-        Timeouts { deadline: self.deadline, idle }
+    /// Time until the deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 
     /// Resumes an interrupted stream at another target, after the event with number `after`.
@@ -336,10 +340,41 @@
         self.route.kind.is_repeatable() && self.runs < self.route.attempts
     }
 
+    /// Whether the request may be sent again once the attempt that is being sent has ended.
+    fn next_run(&self) -> NextRun {
+        // That attempt counts as a run when it ends.
+        self.next_run_after_runs(self.runs + 1)
+    }
+
+    /// Whether another target can go on with the answer's stream after this event.
+    pub(super) fn next_run_after(&self, last_event: Option<u64>) -> NextRun {
+        match (self.route.kind, last_event) {
+            (RouteKind::Stream { resumable: true }, Some(_)) => self.next_run_after_runs(self.runs),
+            (RouteKind::Stream { resumable: true }, None) | (RouteKind::Repeatable, _) => {
+                NextRun::NotResumable
+            }
+            (RouteKind::Stream { resumable: false } | RouteKind::Once | RouteKind::Batch(_), _) => {
+                NextRun::RunsOnce
+            }
+        }
+    }
+
+    fn next_run_after_runs(&self, runs: u32) -> NextRun {
+        if !self.route.kind.is_repeatable() {
+            NextRun::RunsOnce
+        } else if runs >= self.route.attempts {
+            NextRun::AttemptsUsed
+        } else if self.sends >= MAX_SENDS || self.remaining() < MIN_TIME_TO_SEND {
+            NextRun::Late
+        } else {
+            NextRun::Allowed
+        }
+    }
+
     /// Sends the request to one target after another until one answers or a limit is reached.
     async fn try_targets(&mut self) -> Outcome {
         loop {
-            if self.sends >= MAX_SENDS || self.timeouts().remaining() < MIN_TIME_TO_SEND {
+            if self.sends >= MAX_SENDS || self.remaining() < MIN_TIME_TO_SEND {
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if self.is_quarantined() {
@@ -367,10 +402,12 @@
             self.sends += 1;
             self.note_run(true);
             let names = self.front.dialect.headers();
-            let timeouts = self.timeouts();
-            let at = (&target, address);
+            let remaining = self.remaining();
+            set_target_headers(&mut self.call, names, &target, remaining);
             let sent = Instant::now();
-            let outcome = run_attempt(&self.front, names, at, &mut self.call, timeouts).await;
+            let attempt =
+                Attempt { request: self, target: &target, address, next_run: self.next_run() };
+            let outcome = run_attempt(&self.front, names, &self.call, &attempt).await;
             self.stages.first_event += sent.elapsed();
             match self.handle_attempt(outcome, ticket, (target, address, sent), origin) {
                 Some(outcome) => return outcome,
@@ -415,7 +452,7 @@
                 self.tried.push(target);
                 None
             }
-            AttemptOutcome::MayHaveRun(end, cause) => {
+            AttemptOutcome::MayHaveRun(Loss { end, cause }) => {
                 self.runs += 1;
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
@@ -544,16 +581,16 @@
             share_key: self.share_key,
             arrived_ms: now_ms.saturating_sub(elapsed_ms),
             objective_ms: self.route.objective_ms,
-            deadline_ms: now_ms + self.timeouts().remaining().as_millis() as u64,
+            deadline_ms: now_ms + self.remaining().as_millis() as u64,
             full_wait_ms: self.route.timeout_ms,
             is_repeatable: self.route.kind.is_repeatable(),
         }
     }
 
-    fn request_spec(&self) -> RequestSpec {
+    pub(super) fn request_spec(&self) -> RequestSpec {
         let resumes = self.origin.clone().map(|origin| Resumption { origin, until_ms: u64::MAX });
         let queue_ms = match resumes {
-            Some(_) => RESUMPTION_WAIT_MS.min(self.timeouts().remaining().as_millis() as u64),
+            Some(_) => RESUMPTION_WAIT_MS.min(self.remaining().as_millis() as u64),
             None => self.route.objective_ms / QUEUE_WAIT_DIVISOR,
         };
         let now = self.front.clock.now();
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     Name,
     overload::admission::RejectReason,
     placement::{Counters, ServicePrediction},
+    silence::SilenceEnd,
     store::Kind,
     verdict::Refusal,
 };
@@ -110,6 +111,7 @@
     refusals: ReasonCounters,
     rejections: ReasonCounters,
     retries: ReasonCounters,
+    silences: ReasonCounters,
     ends: ReasonCounters,
     first_piece_s: Histogram,
     whole_s: Histogram,
@@ -161,6 +163,9 @@
         let reasons = RejectReason::ALL.map(RejectReason::label);
         let help = "Requests rejected by overload control";
         let rejections = ReasonCounters::new(&mut registry, "overload_rejections", help, &reasons);
+        let ends = SilenceEnd::ALL.map(SilenceEnd::label);
+        let help = "Times that a target sent nothing for over a second, by how this ended";
+        let silences = ReasonCounters::new(&mut registry, "silences", help, &ends);
         let mut family = |name, help| ReasonCounters::new(&mut registry, name, help, &[]);
         let retries = family("retries", "Requests sent again, by reason");
         let ends = family("ends", "Ends of requests that were sent");
@@ -220,6 +225,7 @@
             refusals,
             rejections,
             retries,
+            silences,
             ends,
             first_piece_s,
             whole_s,
@@ -297,6 +303,11 @@
         self.retries.count(reason);
     }
 
+    /// Counts the end of a target's silence.
+    pub fn silence_ended(&self, end: SilenceEnd) {
+        self.silences.count(end.label());
+    }
+
     /// Counts the end of a request that was sent.
     pub fn ended(&self, end: &'static str) {
         self.ends.count(end);
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -19,6 +19,7 @@
     placement::{
         Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec, TargetEntry,
     },
+    silence::OtherTarget,
     software_versions::StreamOrigin,
     verdict::Refusal,
 };
@@ -71,6 +72,7 @@
     Request(RequestSpec, flume::Sender<Decision>),
     Input(Input),
     Job(JobDemand, flume::Sender<JobVerdict>),
+    OtherTarget(RequestSpec, flume::Sender<OtherTarget>),
 }
 
 /// Handle to the placement task.
@@ -151,6 +153,13 @@
         verdict.recv_async().await.unwrap_or(JobVerdict::AdmitUnknown)
     }
 
+    /// Whether a target can run a request at once that it was not tried at.
+    pub async fn other_target(&self, spec: RequestSpec) -> OtherTarget {
+        let (reply, found) = flume::bounded(1);
+        self.send(Message::OtherTarget(spec, reply));
+        found.recv_async().await.unwrap_or(OtherTarget::None)
+    }
+
     /// Replaces the list of all known targets.
     pub fn set_targets(&self, targets: Vec<TargetEntry>) {
         self.send(Message::Input(Input::Targets(targets)));
@@ -278,6 +287,12 @@
                     let _ = reply.send(self.task.placement.admit_job(now_ms, &job));
                     continue;
                 }
+                Some(Ok(Message::OtherTarget(spec, reply))) => {
+                    let now_ms = self.task.clock.now().mono_ms;
+                    // Fails if the target has sent data meanwhile.
+                    let _ = reply.send(self.task.placement.other_target(now_ms, &spec));
+                    continue;
+                }
                 Some(Err(_)) => return,
                 None => Input::Tick,
             };
