Stand-in: a target whose answer pauses once

TargetFault::Pauses: the answer pauses before its first byte or after a number of events, and the target accepts connections meanwhile, as a sound one does that sends nothing for a second and goes on.

--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -53,6 +53,13 @@
     Stray,
     /// The request runs and is not answered.
     Silent,
+    /// The request runs, and the answer pauses once; new connections are accepted meanwhile.
+    Pauses {
+        /// Number of events before the pause; `None` for a pause before the first byte.
+        after: Option<u64>,
+        /// Length of the pause.
+        ms: u64,
+    },
     /// The answer has neither a length nor chunked framing; it ends with the connection.
     Unframed,
     /// The same, but the connection is closed in order inside the event after this number of events.
@@ -402,6 +409,10 @@
                 thread::sleep(NO_ANSWER_TIME);
                 return Ok(false);
             }
+            TargetFault::Pauses { after: None, ms } => {
+                thread::sleep(Duration::from_millis(ms));
+                return self.answer_events(stream, request, after, fault);
+            }
             TargetFault::Stray => {
                 write_answer(
                     stream,
@@ -465,6 +476,11 @@
                 self.crash();
                 return Ok(false);
             }
+            if let TargetFault::Pauses { after: Some(events), ms } = fault
+                && events == sent as u64
+            {
+                thread::sleep(Duration::from_millis(ms));
+            }
             if fault.breaks_off_after() == Some(sent as u64) {
                 return break_off(stream, fault, number);
             }
