--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -11,6 +11,7 @@
 mod prompt_parts;
 mod reads_after_cancellation;
 mod repeats;
+mod silent_targets;
 mod slow_callers;
 mod slow_link;
 mod soak;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -0,0 +1,252 @@
+//! Targets that send nothing for a while: a sound one goes on, and ends no answer by its silence.
+
+use std::{
+    io::{Read, Write},
+    net::{Ipv4Addr, TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use samphiredoor_standin::{
+    fleet::EVENTS,
+    platform_target::{PlatformTarget, TargetFault},
+};
+use serde_json::json;
+
+use super::env::{BINARY, Platform, whole_stream};
+
+const PAUSE: Duration = Duration::from_millis(2);
+/// Longer than the time after which a target counts as silent.
+const SILENCE_MS: u64 = 1_300;
+/// Part of that silence in which the target counts as silent.
+const INTO_SILENCE: Duration = Duration::from_millis(1_150);
+/// Longer than callers bear.
+const LONG_SILENCE_MS: u64 = 6_000;
+/// Pause within an answer that callers bear.
+const BORNE: Duration = Duration::from_secs(2);
+/// Time for a loaded machine.
+const SLACK: Duration = Duration::from_millis(1_500);
+/// Longest time for which two targets may work on a request.
+const BOTH_AT_WORK: Duration = Duration::from_millis(400);
+const REQUESTS: usize = 4;
+const NEAR: &str = "brisbane-north";
+const FAR: &str = "brisbane-south";
+
+/// Pause after this number of events, or before the first byte.
+fn pause(after: Option<u64>, ms: u64) -> TargetFault {
+    TargetFault::Pauses { after, ms }
+}
+
+/// Starts a target in a zone.
+fn platform_target(platform: &Platform, name: &str, zone: &str) -> PlatformTarget {
+    let target = PlatformTarget::start(name, EVENTS, PAUSE).expect("a target starts");
+    platform.store.put("servers", name, target.entry("reader", zone, "ready"));
+    target
+}
+
+/// Starts a gateway with two targets, of which the first is nearer; routes allow this number of attempts.
+fn near_and_far(attempts: u32) -> (Platform, [PlatformTarget; 2]) {
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, attempts);
+    let targets = [("t-near", NEAR), ("t-far", FAR)];
+    let targets = targets.map(|(name, zone)| platform_target(&platform, name, zone));
+    platform.start_gateway();
+    platform.wait_logged(0, "routes: activated version=2");
+    (platform, targets)
+}
+
+/// Sends requests at once while each run at a target pauses; all answers have to be whole.
+fn answers_are_whole(path: &str, attempts: u32, after: Option<u64>) {
+    let (platform, targets) = near_and_far(attempts);
+    targets.iter().for_each(|it| it.fail_next(1_000, pause(after, SILENCE_MS)));
+    let answers: Vec<_> = thread::scope(|scope| {
+        let platform = &platform;
+        let send =
+            |number| scope.spawn(move || platform.send(0, path, &format!("id-{number}"), ""));
+        let sent: Vec<_> = (0..REQUESTS).map(send).collect();
+        sent.into_iter().map(|it| it.join().expect("a request ends")).collect()
+    });
+    let statuses: Vec<u16> = answers.iter().map(|it| it.status).collect();
+    assert_eq!(statuses, [200; REQUESTS]);
+    assert!(answers.iter().all(|it| it.text == whole_stream()));
+    let runs: usize = targets.iter().map(|it| it.runs().len()).sum();
+    assert!(runs <= REQUESTS * attempts as usize, "{runs} runs");
+}
+
+macro_rules! silences {
+    ($($name:ident: $path:expr, $attempts:expr, $after:expr;)*) => {
+        $(
+            // Guards against answers that are broken off while their targets are silent, with nothing better at hand.
+            #[test]
+            fn $name() {
+                answers_are_whole($path, $attempts, $after);
+            }
+        )*
+    };
+}
+
+silences! {
+    a_stream_with_one_attempt_outlasts_a_silence_before_its_head: "/stream-resumable/a", 1, None;
+    a_stream_with_one_attempt_outlasts_a_silence_before_its_first_event: "/stream-resumable/a", 1, Some(0);
+    a_stream_with_one_attempt_outlasts_a_silence_between_events: "/stream-resumable/a", 1, Some(3);
+    a_stream_on_its_last_attempt_outlasts_a_silence_before_its_head: "/stream-resumable/a", 2, None;
+    a_stream_on_its_last_attempt_outlasts_a_silence_before_its_first_event: "/stream-resumable/a", 2, Some(0);
+    a_stream_on_its_last_attempt_outlasts_a_silence_between_events: "/stream-resumable/a", 2, Some(2);
+    a_repeatable_request_with_one_attempt_outlasts_a_silence_before_its_head: "/safe/a", 1, None;
+    a_repeatable_request_with_one_attempt_outlasts_a_silence_within_its_answer: "/safe/a", 1, Some(3);
+    a_repeatable_request_on_its_last_attempt_outlasts_a_silence_before_its_head: "/safe/a", 2, None;
+    a_repeatable_request_with_attempts_left_outlasts_a_silence_within_its_answer: "/safe/a", 2, Some(3);
+    a_request_that_runs_once_outlasts_a_silence_before_its_head: "/unsafe/a", 2, None;
+}
+
+/// Sends a request whose target stays silent; another one has to answer in time.
+fn moves(path: &str, after: Option<u64>) {
+    let (platform, [near, far]) = near_and_far(3);
+    near.fail_next(1, pause(after, LONG_SILENCE_MS));
+    let sent = Instant::now();
+    let answer = platform.send(0, path, "id-1", "");
+    assert_eq!((answer.status, answer.text), (200, whole_stream()));
+    assert!(sent.elapsed() < BORNE + SLACK, "{:?}", sent.elapsed());
+    let resumed_after: Vec<_> = far.runs().iter().map(|it| it.after).collect();
+    assert_eq!(resumed_after, [after.filter(|it| *it > 0)]);
+    assert_eq!(near.runs().len(), 1);
+}
+
+macro_rules! moved {
+    ($($name:ident: $path:expr, $after:expr;)*) => {
+        $(
+            // Guards against requests that wait for a silent target while another one has free slots.
+            #[test]
+            fn $name() {
+                moves($path, $after);
+            }
+        )*
+    };
+}
+
+moved! {
+    a_repeatable_request_leaves_a_silent_target_for_a_free_one: "/safe/a", None;
+    a_stream_leaves_a_silent_target_for_a_free_one_before_its_first_event: "/stream-resumable/a", Some(0);
+    a_stream_leaves_a_silent_target_for_a_free_one_between_events: "/stream-resumable/a", Some(3);
+}
+
+/// Registers a listener as the nearest target.
+fn register(platform: &Platform, listener: &TcpListener) {
+    let address = listener.local_addr().expect("an address");
+    let entry = json!({
+        "service": "reader", "addr": address.to_string(), "zone": NEAR, "version": "v1", "slots": 8,
+        "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
+    });
+    platform.store.put("servers", "t-near", entry);
+}
+
+/// A target that accepts one connection, sends this answer and nothing more; its listener is gone then.
+fn start_gone(platform: &Platform, answer: &'static str) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    register(platform, &listener);
+    thread::spawn(move || {
+        let mut stream = accept_request(&listener);
+        drop(listener);
+        stream.write_all(answer.as_bytes()).expect("the answer is sent");
+        // Keeps the connection open.
+        thread::sleep(Duration::from_secs(60));
+    });
+}
+
+/// Waits for a connection on which a request comes.
+fn accept_request(listener: &TcpListener) -> TcpStream {
+    loop {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        if stream.read(&mut [0; 4_096]).expect("a request") > 0 {
+            return stream;
+        }
+    }
+}
+
+// Guards against a request that runs at two targets at once after it has left a silent one.
+#[test]
+fn a_request_that_leaves_a_silent_target_closes_its_connection() {
+    let mut platform = Platform::new(BINARY);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    register(&platform, &listener);
+    let far = platform_target(&platform, "t-far", FAR);
+    platform.start_gateway();
+    let closed = thread::spawn(move || {
+        let mut stream = accept_request(&listener);
+        // Ends with the connection, also if it is reset.
+        let _ = stream.read(&mut [0; 1]);
+        Instant::now()
+    });
+    assert_eq!(platform.send(0, "/safe/a", "id-1", "").text, whole_stream());
+    let closed_at = closed.join().expect("the connection ends");
+    assert!(closed_at < far.runs()[0].at + BOTH_AT_WORK);
+}
+
+/// Begin of a stream, with one event.
+const BEGIN: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Stamp: stamp-id-1\r\n\
+                     Transfer-Encoding: chunked\r\nX-Request-Id: id-1\r\n\r\n17\r\nid: 1\ndata: piece-1\n\n\n\r\n";
+
+/// Sends a request to a target that is gone, without another target; it has to end long before its deadline.
+fn ends_early(path: &str, attempts: u32, begin: &'static str, status: u16) {
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, attempts);
+    start_gone(&platform, begin);
+    platform.start_gateway();
+    platform.wait_logged(0, "routes: activated version=2");
+    let sent = Instant::now();
+    assert_eq!(platform.send(0, path, "id-1", "").status, status);
+    assert!(sent.elapsed() < BORNE + SLACK, "{:?}", sent.elapsed());
+}
+
+macro_rules! gone {
+    ($($name:ident: $path:expr, $attempts:expr, $begin:expr => $status:expr;)*) => {
+        $(
+            // Guards against callers that wait until their deadline for a target that is gone.
+            #[test]
+            fn $name() {
+                ends_early($path, $attempts, $begin, $status);
+            }
+        )*
+    };
+}
+
+gone! {
+    a_stream_whose_target_is_gone_ends_before_its_deadline: "/stream-resumable/a", 1, BEGIN => 0;
+    a_repeatable_request_whose_target_is_gone_ends_before_its_deadline: "/safe/a", 1, "" => 502;
+    a_repeatable_request_whose_only_target_is_gone_ends_before_its_deadline: "/safe/a", 3, "" => 502;
+}
+
+// Guards against new requests for a target while it is silent, and against one that is avoided after it has gone on.
+#[test]
+fn a_silent_target_is_avoided_until_it_goes_on() {
+    let (platform, [near, far]) = near_and_far(1);
+    near.fail_next(1, pause(Some(3), SILENCE_MS));
+    thread::scope(|scope| {
+        let first = scope.spawn(|| platform.send(0, "/stream-resumable/a", "id-1", ""));
+        thread::sleep(INTO_SILENCE);
+        assert_eq!(platform.send(0, "/safe/a", "id-2", "").status, 200);
+        assert_eq!((near.runs().len(), far.runs().len()), (1, 1));
+        assert_eq!(first.join().expect("it ends").text, whole_stream());
+    });
+    assert_eq!(platform.send(0, "/safe/a", "id-3", "").status, 200);
+    assert_eq!((near.runs().len(), far.runs().len()), (2, 1));
+}
+
+// Guards against a target that stays avoided although it has gone on for another request.
+#[test]
+fn a_target_that_a_request_has_left_is_used_again_once_it_goes_on() {
+    let (platform, [near, far]) = near_and_far(2);
+    near.fail_next(1, pause(Some(3), SILENCE_MS));
+    near.fail_then(1, pause(None, SILENCE_MS));
+    thread::scope(|scope| {
+        // It may run only once, so it stays.
+        let stays = scope.spawn(|| platform.send(0, "/stream/a", "id-1", ""));
+        thread::sleep(Duration::from_millis(50));
+        let leaves = scope.spawn(|| platform.send(0, "/safe/a", "id-2", ""));
+        assert_eq!(stays.join().expect("it ends").text, whole_stream());
+        assert_eq!(leaves.join().expect("it ends").text, whole_stream());
+    });
+    assert_eq!((near.runs().len(), far.runs().len()), (2, 1));
+    assert_eq!(platform.send(0, "/safe/a", "id-3", "").status, 200);
+    assert_eq!((near.runs().len(), far.runs().len()), (3, 1));
+}
