Online requests: a target's silence ends an attempt only if something better is at hand

Seen by callers: beside targets that sent nothing for 1.3 s and went on, streams that can be resumed were cut, or ended with 502 before their first event, once their attempts were used; repeatable requests ended with 502 connection_lost, or were cut in their answers.

Cause: a second of silence ended the attempt, whatever was left to try, and the target was in backoff for a second or more although it had gone on.

Now: after a second, and every 250 ms from then on, the placement is told of the silence. If the request may run again and another target has a free slot, the slot is claimed in the same step, and the request goes there once its connection is closed; requests that leave a target together do not share one slot. Otherwise the attempt lasts until its deadline, unless the target is gone: it refuses two probes in a row, fails three, has started again, or is not listed and silent for two seconds. Probes are connections, one in 200 ms for each target, whatever the number of its silent requests. A stream whose target is cut off ends after 1.7 s, before its caller leaves after two.

A silent target is avoided until it sends data on any connection, and for one second after a request has left it; that time does not grow, and its cell does not doubt it. A target that is gone gets the backoff and the doubt that silence had (AttemptEnd::Gone). Neither is reported as a crash. Idle connections to both are closed: each would cost another request a second if the target is gone.

Why it works: what ends an attempt by silence is now the claim of a slot, which replaces it, or a sign other than silence. A request that may run once has neither, and waits as before.

--- a/crates/samphiredoor-core/src/overload/target_risk.rs
+++ b/crates/samphiredoor-core/src/overload/target_risk.rs
@@ -245,13 +245,15 @@
     pub fn record_end(&mut self, now_ms: u64, target: u64, end: AttemptEnd) {
         let Some(risk) = self.risks.get_mut(&target) else { return };
         match end {
-            AttemptEnd::Lost | AttemptEnd::Unreachable | AttemptEnd::Silent => {
+            AttemptEnd::Lost | AttemptEnd::Unreachable | AttemptEnd::Gone => {
                 risk.record_failure(now_ms);
                 self.noted.insert(target);
             }
             AttemptEnd::Answered if self.noted.contains(&target) => risk.record_answer(now_ms),
-            // These say nothing about the health of the target.
+            // These say nothing about the health of the target. A silent one is probably sound, and its doubt would last for
+            // seconds after it has gone on.
             AttemptEnd::Answered
+            | AttemptEnd::Silent
             | AttemptEnd::Refused
             | AttemptEnd::WrongTarget
             | AttemptEnd::Cut => {}
--- a/crates/samphiredoor-core/src/placement/choice.rs
+++ b/crates/samphiredoor-core/src/placement/choice.rs
@@ -19,7 +19,6 @@
         target_speed::USUAL_PERCENT,
     },
     rendezvous,
-    silence::OtherTarget,
 };
 
 /// Requests that may wait at a target beyond its slots. With eight slots and streams of 0.7 s one ends every 90 ms, so
@@ -160,7 +159,8 @@
         self.pick(spec.affinity, &group)
     }
 
-    /// Target with a free slot for a request, other than those that it was tried at and those in backoff.
+    /// Target with a free slot for a request, other than those that it was tried at and those in backoff. It goes on with the
+    /// request's stream, if there is one.
     pub(super) fn free_other_target(&mut self, now_ms: u64, spec: &RequestSpec) -> Option<u64> {
         let key = match spec.class {
             Class::Online => self.best_online_with(now_ms, spec, Capacity::FreeSlot),
@@ -168,15 +168,9 @@
         }?;
         let target = self.targets.get(&key)?;
         let is_tried = spec.tried_targets.contains(&target.entry.name);
-        (!is_tried && !target.health.in_backoff(now_ms)).then_some(key)
-    }
-
-    /// Whether a target can run a request at once that it was not tried at.
-    pub fn other_target(&mut self, now_ms: u64, spec: &RequestSpec) -> OtherTarget {
-        match self.free_other_target(now_ms, spec) {
-            Some(_) => OtherTarget::FreeSlot,
-            None => OtherTarget::None,
-        }
+        let goes_on =
+            spec.resumes.is_none() || self.goes_on_at(spec, &target.entry.stream_origin());
+        (!is_tried && goes_on && !target.health.in_backoff(now_ms)).then_some(key)
     }
 
     fn online_candidates(
--- a/crates/samphiredoor-core/src/placement/messages.rs
+++ b/crates/samphiredoor-core/src/placement/messages.rs
@@ -62,6 +62,11 @@
         /// Request of the attempt.
         request: RequestId,
     },
+    /// The target has sent data to a request for which it was silent.
+    SilenceEnded {
+        /// Request of the attempt.
+        request: RequestId,
+    },
     /// The caller no longer waits for a decision on a request, which may have been dispatched meanwhile.
     Cancelled {
         /// Request to remove from its queue, or whose slot to free.
--- a/crates/samphiredoor-core/src/placement/mod.rs
+++ b/crates/samphiredoor-core/src/placement/mod.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod resumption;
 mod shares;
+mod silence;
 mod target;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -38,6 +39,7 @@
 pub use fairness::ShareReport;
 pub use messages::{Action, GatewayLoad, GatewayState, Input, WaitingItems};
 pub use predictions::ServicePrediction;
+pub use silence::{SilenceReport, SilentAttempt, SlotUse};
 pub use target::{Distance, Load};
 
 use crate::{
@@ -69,6 +71,10 @@
     class: Class,
     service: Name,
     target: u64,
+    /// Start of the target's process.
+    target_started_unix_ms: u64,
+    /// Whether the target has been silent since it last sent data.
+    is_silent: bool,
     preempted: bool,
     started_ms: u64,
     /// Predicted wait at the target; 0 without overload control.
@@ -187,7 +193,11 @@
             Input::Request(spec) => self.place_request(now_ms, spec, out),
             Input::Ended { request, end } => self.attempt_ended(now_ms, request, end),
             // It changes no load, so no waiting request can be dispatched after it.
-            Input::FirstEvent { request } => return self.record_first_event(now_ms, request),
+            Input::FirstEvent { request } => {
+                self.end_silence(request);
+                return self.record_first_event(now_ms, request);
+            }
+            Input::SilenceEnded { request } => self.end_silence(request),
             Input::Cancelled { request } => self.cancel(now_ms, request),
             Input::LoadReport { target, load } => {
                 let key = name_hash(&target);
@@ -501,6 +511,8 @@
             class: spec.class,
             service: Name::clone(&spec.service),
             target: key,
+            target_started_unix_ms: target.entry.started_unix_ms,
+            is_silent: false,
             preempted: false,
             started_ms: now_ms,
             expected_wait_ms,
--- a/crates/samphiredoor-core/src/placement/target.rs
+++ b/crates/samphiredoor-core/src/placement/target.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
+
 use super::{AttemptEnd, GatewayLoad, ReportedLoad, TargetEntry, health::Health};
 use crate::{
     Name,
@@ -68,6 +70,8 @@
     own: Load,
     /// Items of this gateway, oldest first, and whether each is being preempted.
     items: Vec<(RequestId, bool)>,
+    /// Requests of this gateway that wait for it while it is silent.
+    silent: SmallVec<[RequestId; 2]>,
     /// Loads of peers, by peer.
     peers: BTreeMap<Name, Load>,
     /// Load beyond all known requests when the target last reported.
@@ -86,6 +90,7 @@
             health: Health::default(),
             own: Load::default(),
             items: Vec::new(),
+            silent: SmallVec::new(),
             peers: BTreeMap::new(),
             unaccounted: 0,
             reported_at_ms: 0,
@@ -104,6 +109,7 @@
     pub fn update(&mut self, entry: TargetEntry) {
         if entry.started_unix_ms != self.entry.started_unix_ms {
             self.health = Health::default();
+            self.silent.clear();
             self.unaccounted = 0;
         }
         self.entry = entry;
@@ -163,7 +169,34 @@
                 self.items.retain(|(it, _)| *it != request);
             }
         }
+        let was_silent = self.silent.contains(&request);
+        self.silent.retain(|it| *it != request);
         self.health.record(now_ms, end);
+        match end {
+            AttemptEnd::Answered | AttemptEnd::Refused => self.end_silence(),
+            AttemptEnd::WrongTarget
+            | AttemptEnd::Unreachable
+            | AttemptEnd::Lost
+            | AttemptEnd::Silent
+            | AttemptEnd::Gone
+            | AttemptEnd::Cut => {
+                if was_silent && self.silent.is_empty() {
+                    self.health.leave_silence(now_ms);
+                }
+            }
+        }
+    }
+
+    /// Notes that the target sends nothing to a request.
+    pub fn begin_silence(&mut self, request: RequestId) {
+        self.silent.push(request);
+        self.health.begin_silence();
+    }
+
+    /// Notes that the target has sent data to a request. Those that still wait do not make it silent again: it works.
+    pub fn end_silence(&mut self) {
+        self.silent.clear();
+        self.health.end_silence();
     }
 
     /// Sets the load of a peer at the target.
--- a/crates/samphiredoor-core/src/requests.rs
+++ b/crates/samphiredoor-core/src/requests.rs
@@ -73,8 +73,10 @@
     Unreachable,
     /// The request was sent, and its answer was lost or truncated.
     Lost,
-    /// The request was sent, and its answer timed out.
+    /// The request was sent, and went on elsewhere as the target sent nothing for a while.
     Silent,
-    /// Cancelled by this gateway: preempted, or its caller disconnected.
+    /// The request was sent, and the target sent nothing and is known to be gone.
+    Gone,
+    /// Cancelled by this gateway: preempted, its time was up, or its caller disconnected.
     Cut,
 }
--- a/crates/samphiredoor-core/src/silence.rs
+++ b/crates/samphiredoor-core/src/silence.rs
@@ -1,8 +1,23 @@
-//! Targets that send nothing for a while: when an attempt counts as silent, and what is known of the alternatives.
+//! Targets that send nothing for a while: what becomes of the attempt there.
+//!
+//! A sound target may send nothing for a second or so and go on, so silence alone is no loss. It ends an attempt only if the
+//! request may run again and another target has a free slot for it. Otherwise the attempt lasts until its deadline, unless the
+//! target is known to be gone: a sound target accepts connections while it is silent, one that has ended refuses them, and one
+//! that is cut off does not answer.
 
 /// Time without data from a target after which it counts as silent. A working target sends output every 25 ms and a full one
 /// starts within 300 ms.
 pub const SILENCE_LIMIT_MS: u64 = 1_000;
+/// Time between two checks of a silent target. A slot that becomes free elsewhere is used soon, and a target that is gone is
+/// left within the two seconds that callers of streams bear.
+pub const CHECK_INTERVAL_MS: u64 = 250;
+/// Refused probes in a row after which a target is gone. A single one may fall into a restart of what forwards connections.
+const REFUSED_PROBES: u32 = 2;
+/// Failed probes in a row after which a target is gone. An unanswered one may be a lost packet or a short cut of the link.
+const FAILED_PROBES: u32 = 3;
+/// Silence after which a target that discovery no longer lists is gone. One that leaves may be removed while it still serves,
+/// and its silence counts like any other.
+const UNLISTED_LIMIT_MS: u64 = 2_000;
 
 /// Whether a request may be sent to another target once its attempt has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,14 +66,121 @@
     }
 }
 
+/// Result of a connection that was opened to find out whether a target is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// It was accepted.
+    Accepted,
+    /// It was refused.
+    Refused,
+    /// There was no answer in time.
+    Unanswered,
+}
+
+/// Failed probes of a target since the last one that was accepted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FailedProbes {
+    refused: u32,
+    unanswered: u32,
+}
+
+impl FailedProbes {
+    /// Adds the result of the next probe.
+    pub fn record(&mut self, probe: Probe) {
+        match probe {
+            Probe::Accepted => *self = FailedProbes::default(),
+            Probe::Refused => self.refused += 1,
+            Probe::Unanswered => self.unanswered += 1,
+        }
+    }
+
+    fn show_end(&self) -> bool {
+        self.refused >= REFUSED_PROBES || self.refused + self.unanswered >= FAILED_PROBES
+    }
+}
+
+/// What discovery says of the process that a request was sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// It is listed.
+    Listed,
+    /// Its target is listed with a later start.
+    Restarted,
+    /// Its target is not listed.
+    Unlisted,
+}
+
+/// What is known of a silent target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Signs {
+    /// Time since it last sent data.
+    pub silence_ms: u64,
+    /// Whether discovery lists it.
+    pub listing: Listing,
+    /// Probes of it that failed.
+    pub failed_probes: FailedProbes,
+}
+
+/// What becomes of an attempt at a silent target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes on.
+    Wait,
+    /// It ends, and the request goes to the other target.
+    Move,
+    /// It ends, as the target is gone.
+    Gone(GoneSign),
+}
+
+/// Why a target counts as gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GoneSign {
+    /// It accepts no connections.
+    NoConnection,
+    /// It has started again.
+    Restarted,
+    /// It is not listed, and silent for long.
+    Unlisted,
+}
+
+impl GoneSign {
+    /// Label in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            GoneSign::NoConnection => "no_connection",
+            GoneSign::Restarted => "restarted",
+            GoneSign::Unlisted => "unlisted",
+        }
+    }
+}
+
+/// Decides on an attempt at a silent target. `claimed` is another target at which a slot is claimed for the request, which is
+/// done only if it may run again.
+pub fn verdict(claimed: OtherTarget, signs: Signs) -> Verdict {
+    match (claimed, gone_sign(signs)) {
+        (OtherTarget::FreeSlot, _) => Verdict::Move,
+        (OtherTarget::None, Some(sign)) => Verdict::Gone(sign),
+        (OtherTarget::None, None) => Verdict::Wait,
+    }
+}
+
+fn gone_sign(signs: Signs) -> Option<GoneSign> {
+    match signs.listing {
+        _ if signs.failed_probes.show_end() => Some(GoneSign::NoConnection),
+        Listing::Restarted => Some(GoneSign::Restarted),
+        Listing::Unlisted if signs.silence_ms >= UNLISTED_LIMIT_MS => Some(GoneSign::Unlisted),
+        Listing::Unlisted | Listing::Listed => None,
+    }
+}
+
 /// How the silence of a target has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceEnd {
-    /// It sent data again, or the connection failed.
+    /// It sent data again.
     Resumed,
     /// The request went on at another target.
     Moved,
-    /// The target is gone.
+    /// The target is gone, or its connection failed.
     Gone,
     /// The time of the request was up.
     Deadline,
--- a/crates/samphiredoor-core/tests/placement/harness.rs
+++ b/crates/samphiredoor-core/tests/placement/harness.rs
@@ -5,7 +5,8 @@
     dispatch::{Class, Location, RequestId},
     placement::{
         Action, AttemptEnd, CallerTerms, GatewayLoad, GatewayState, Input, Placement, ReportedLoad,
-        RequestSpec, Resumption, TargetEntry, TargetState, WaitingItems, name_hash,
+        RequestSpec, Resumption, SilenceReport, SilentAttempt, SlotUse, TargetEntry, TargetState,
+        WaitingItems, name_hash,
     },
 };
 use smallvec::SmallVec;
@@ -94,7 +95,7 @@
         (spec.request, self.input(Input::Request(spec)))
     }
 
-    fn new_spec(&mut self, class: Class, deadline_ms: u64) -> RequestSpec {
+    pub fn new_spec(&mut self, class: Class, deadline_ms: u64) -> RequestSpec {
         let request = RequestId(self.next_request);
         self.next_request += 1;
         RequestSpec {
@@ -115,6 +116,28 @@
         self.input(Input::Ended { request, end })
     }
 
+    /// Reports that the target of a request is silent; returns the id under which it would go on elsewhere.
+    pub fn silence(
+        &mut self,
+        request: RequestId,
+        class: Class,
+        tried: &[&str],
+        slot_use: SlotUse,
+    ) -> (RequestId, SilenceReport, Vec<Action>) {
+        let mut next = self.new_spec(class, self.now_ms + 60);
+        next.tried_targets = tried.iter().map(|it| Name::from(*it)).collect();
+        self.silence_of(SilentAttempt { request, next, slot_use })
+    }
+
+    pub fn silence_of(
+        &mut self,
+        attempt: SilentAttempt,
+    ) -> (RequestId, SilenceReport, Vec<Action>) {
+        let mut out = Vec::new();
+        let report = self.placement.handle_silence(self.now_ms, &attempt, &mut out);
+        (attempt.next.request, report, out)
+    }
+
     /// Delivers the loads of a peer: target, online requests, items.
     pub fn peer(&mut self, peer: &str, loads: &[(&str, u32, u32)]) -> Vec<Action> {
         let load = |&(target, online, batch): &(&str, u32, u32)| GatewayLoad {
--- a/crates/samphiredoor-core/tests/placement/invariants.rs
+++ b/crates/samphiredoor-core/tests/placement/invariants.rs
@@ -10,7 +10,7 @@
 };
 use samphiredoor_core::{
     dispatch::{Class, RequestId},
-    placement::{Action, AttemptEnd, Input, TargetState},
+    placement::{Action, AttemptEnd, Input, SlotUse, TargetState},
 };
 
 use crate::{
@@ -30,6 +30,8 @@
     Peer(u8, u32, u32),
     Report(usize, u32),
     Targets(u8, u8),
+    Silence(usize, SlotUse),
+    SilenceEnded(usize),
     Wait(u64),
 }
 
@@ -41,10 +43,15 @@
         AttemptEnd::Unreachable,
         AttemptEnd::Lost,
         AttemptEnd::Silent,
+        AttemptEnd::Gone,
         AttemptEnd::Cut,
     ])
 }
 
+fn slot_use() -> impl Strategy<Value = SlotUse> {
+    prop::sample::select(vec![SlotUse::Claim, SlotUse::Report])
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         8 => any::<bool>().prop_map(Step::Request),
@@ -54,6 +61,8 @@
         2 => (0..3_u8, 0..12_u32, 0..6_u32).prop_map(|(d, o, b)| Step::Peer(d, o, b)),
         1 => (0..TARGETS, 0..20_u32).prop_map(|(target, load)| Step::Report(target, load)),
         1 => (any::<u8>(), any::<u8>()).prop_map(|(present, ready)| Step::Targets(present, ready)),
+        2 => (any::<usize>(), slot_use()).prop_map(|(which, it)| Step::Silence(which, it)),
+        1 => any::<usize>().prop_map(Step::SilenceEnded),
         2 => (0..2_000_u64).prop_map(Step::Wait),
     ]
 }
@@ -147,7 +156,31 @@
                 let (request, _) = model.running.remove(which % model.running.len());
                 fixture.input(Input::Cancelled { request })
             }
-            Step::End(..) | Step::Cancel(_) | Step::CancelDispatched(_) => Vec::new(),
+            // The claimed slot is that of another request, which runs beside the silent one until that has ended.
+            Step::Silence(which, slot_use) if !model.running.is_empty() => {
+                let (request, target) = model.running[which % model.running.len()].clone();
+                let class = match model.online.contains(&request) {
+                    true => Class::Online,
+                    false => Class::Batch,
+                };
+                let (next, _, actions) = fixture.silence(request, class, &[&target], slot_use);
+                model.waiting.push(next);
+                if class == Class::Online {
+                    model.online.insert(next);
+                }
+                model.apply(actions);
+                model.waiting.retain(|it| *it != next);
+                Vec::new()
+            }
+            Step::SilenceEnded(which) if !model.running.is_empty() => {
+                let (request, _) = model.running[which % model.running.len()].clone();
+                fixture.input(Input::SilenceEnded { request })
+            }
+            Step::End(..)
+            | Step::Cancel(_)
+            | Step::CancelDispatched(_)
+            | Step::Silence(..)
+            | Step::SilenceEnded(_) => Vec::new(),
             Step::Peer(peer, online, batch) => fixture
                 .peer(["a", "p", "z"][usize::from(peer)], &[("t-0", online, batch), ("t-9", 1, 1)]),
             Step::Report(target, load) => fixture.report(&format!("t-{target}"), load, 0),
--- a/crates/samphiredoor-core/tests/placement/main.rs
+++ b/crates/samphiredoor-core/tests/placement/main.rs
@@ -13,6 +13,7 @@
 mod resumptions;
 mod risk;
 mod scenarios;
+mod silences;
 mod speed;
 mod surges;
 mod uneven_fleet;
--- a/crates/samphiredoor-core/tests/placement/risk.rs
+++ b/crates/samphiredoor-core/tests/placement/risk.rs
@@ -275,6 +275,7 @@
         AttemptEnd::Unreachable,
         AttemptEnd::Lost,
         AttemptEnd::Silent,
+        AttemptEnd::Gone,
         AttemptEnd::Cut,
     ]);
     let doubts = prop::collection::vec((0..6_usize, any::<u32>()), 0..20);
--- a/crates/samphiredoor-core/tests/placement/scenarios.rs
+++ b/crates/samphiredoor-core/tests/placement/scenarios.rs
@@ -195,6 +195,7 @@
 backoff_tests! {
     an_unreachable_target_is_backed_off_at_once: AttemptEnd::Unreachable, 1 => 250;
     a_target_that_times_out_is_backed_off_at_once: AttemptEnd::Silent, 1 => 1_000;
+    a_target_that_is_gone_is_backed_off_at_once: AttemptEnd::Gone, 1 => 1_000;
     a_target_that_loses_answers_is_backed_off_after_three: AttemptEnd::Lost, 3 => 250;
     a_target_that_refused_a_request_counts_as_full: AttemptEnd::Refused, 1 => 80;
     a_target_whose_address_was_reused_is_backed_off_until_discovery_updates: AttemptEnd::WrongTarget, 1 => 5_000;
--- a/crates/samphiredoor-gateway/src/event_stream.rs
+++ b/crates/samphiredoor-gateway/src/event_stream.rs
@@ -35,6 +35,16 @@
     End(StreamEnd),
 }
 
+impl Received {
+    /// Whether the target has sent it, as opposed to a connection that has failed.
+    pub fn is_data(&self) -> bool {
+        match self {
+            Received::Data | Received::End(StreamEnd::Whole) => true,
+            Received::End(StreamEnd::BrokenOff(_)) => false,
+        }
+    }
+}
+
 /// How a stream has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamEnd {
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -65,15 +65,16 @@
                 request: &self.request,
                 target: &active.target,
                 address: active.address,
+                ticket: &active.ticket,
                 next_run: self.request.next_run_after(self.last_event),
             };
-            let (loss, label) = match attempt.hear(Awaited::Event, active.stream.receive()).await {
+            let (loss, label) = match attempt
+                .hear(Awaited::Event, active.stream.receive(), Received::is_data)
+                .await
+            {
                 Ok(Received::Data) => continue,
                 Ok(Received::End(StreamEnd::Whole)) => return self.finish(),
-                Ok(Received::End(end)) => (
-                    Loss { end: AttemptEnd::Lost, cause: MayHaveRunReason::AnswerCut },
-                    end.label(),
-                ),
+                Ok(Received::End(end)) => (Loss::lost(MayHaveRunReason::AnswerCut), end.label()),
                 Err(loss) => {
                     let label = loss.cause.label();
                     (loss, label)
@@ -113,7 +114,7 @@
 
     /// Resumes an interrupted stream at another target; returns the error that ends the answer if it cannot be resumed.
     async fn resume_or_fail(&mut self, loss: Loss, label: &'static str) -> Option<BoxError> {
-        let Loss { end, cause } = loss;
+        let Loss { end, cause, claim } = loss;
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
         self.request.note_lost(end, active.address, active.sent);
@@ -125,6 +126,7 @@
             unfinished_bytes = active.stream.unfinished_bytes();
             "front: stream interrupted"
         );
+        self.request.note_silent(end, &active.target, claim);
         // Closes the connection, so that the target stops before another one continues the stream.
         drop(active);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -42,6 +42,7 @@
     platform_api::{Dialect, JobCall},
     routes::Routes,
     target_client::{self, TargetClient},
+    target_probes::TargetProbes,
 };
 use access::{authorize, limit_response};
 use answers::unavailable;
@@ -68,6 +69,8 @@
     pub placement: PlacementHandle,
     /// Connections to targets.
     pub targets: TargetClient,
+    /// Probes of silent targets.
+    pub target_probes: TargetProbes,
     /// Batch jobs.
     pub jobs: Jobs,
     /// Rate limits of workspaces.
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -49,7 +49,7 @@
     event_stream::EventStream,
     metrics::Stage,
     peers::{Hex, OverLimit, RunPermit},
-    placement::{Decision, Ticket},
+    placement::{Claim, Decision, Ticket},
     target_client::set_target_headers,
 };
 
@@ -93,6 +93,8 @@
     /// Number of times that the request was sent.
     sends: u32,
     tried: SmallVec<[Name; 2]>,
+    /// Slot for the next attempt, if one was claimed while the target of the last one was silent.
+    claim: Option<Claim>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     may_have_run: Option<MayHaveRunReason>,
     /// What stays the same when the request comes again, once it was needed.
@@ -208,6 +210,7 @@
             deadline: started + Duration::from_millis(deadline_ms),
             sends: 0,
             tried: SmallVec::new(),
+            claim: None,
             may_have_run: None,
             content: OnceCell::new(),
             taken_up,
@@ -364,26 +367,28 @@
             NextRun::RunsOnce
         } else if runs >= self.route.attempts {
             NextRun::AttemptsUsed
-        } else if self.sends >= MAX_SENDS || self.remaining() < MIN_TIME_TO_SEND {
-            NextRun::Late
-        } else {
+        } else if self.may_send() {
             NextRun::Allowed
+        } else {
+            NextRun::Late
         }
     }
 
+    /// Whether there is time to send the request, and it was not sent too often.
+    pub(super) fn may_send(&self) -> bool {
+        self.sends < MAX_SENDS && self.remaining() >= MIN_TIME_TO_SEND
+    }
+
     /// Sends the request to one target after another until one answers or a limit is reached.
     async fn try_targets(&mut self) -> Outcome {
         loop {
-            if self.sends >= MAX_SENDS || self.remaining() < MIN_TIME_TO_SEND {
+            if !self.may_send() {
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if self.is_quarantined() {
                 return self.final_outcome(Refusal::Quarantined, QUARANTINE_MS);
             }
-            let mut ticket = self.front.placement.request(self.request_spec());
-            let queued = Instant::now();
-            let decision = ticket.next_decision().await;
-            self.stages.queue += queued.elapsed();
+            let (ticket, decision) = self.next_target().await;
             let (target, address, origin) = match decision {
                 Decision::Dispatch { target, address, origin, .. } => (target, address, origin),
                 Decision::Refused { reason, retry_after_ms, rejection } => {
@@ -405,8 +410,13 @@
             let remaining = self.remaining();
             set_target_headers(&mut self.call, names, &target, remaining);
             let sent = Instant::now();
-            let attempt =
-                Attempt { request: self, target: &target, address, next_run: self.next_run() };
+            let attempt = Attempt {
+                request: self,
+                target: &target,
+                address,
+                ticket: &ticket,
+                next_run: self.next_run(),
+            };
             let outcome = run_attempt(&self.front, names, &self.call, &attempt).await;
             self.stages.first_event += sent.elapsed();
             match self.handle_attempt(outcome, ticket, (target, address, sent), origin) {
@@ -416,6 +426,18 @@
         }
     }
 
+    /// Waits for a target, unless a slot was claimed already.
+    async fn next_target(&mut self) -> (Ticket, Decision) {
+        if let Some(Claim { ticket, decision }) = self.claim.take() {
+            return (ticket, decision);
+        }
+        let mut ticket = self.front.placement.request(self.request_spec());
+        let queued = Instant::now();
+        let decision = ticket.next_decision().await;
+        self.stages.queue += queued.elapsed();
+        (ticket, decision)
+    }
+
     /// Records the outcome of an attempt; `None` if the request can be sent to another target.
     fn handle_attempt(
         &mut self,
@@ -452,13 +474,14 @@
                 self.tried.push(target);
                 None
             }
-            AttemptOutcome::MayHaveRun(Loss { end, cause }) => {
+            AttemptOutcome::MayHaveRun(Loss { end, cause, claim }) => {
                 self.runs += 1;
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
                 self.note_lost(end, address, sent);
-                self.tried.push(target);
+                self.tried.push(Name::clone(&target));
+                self.note_silent(end, &target, claim);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
         }
@@ -497,12 +520,15 @@
             AttemptEnd::Unreachable => "unreachable",
             AttemptEnd::Lost => "lost",
             AttemptEnd::Silent => "silent",
+            AttemptEnd::Gone => "gone",
             AttemptEnd::Cut => "deadline",
         };
         self.front.metrics.retried(label);
         // Finds all requests with the same content, which each have an id of their own.
         let fingerprint = match end {
-            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.content().fingerprint).to_string(),
+            AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Gone => {
+                Hex(self.content().fingerprint).to_string()
+            }
             _ => String::new(),
         };
         log::info!(
@@ -559,6 +585,17 @@
         }
     }
 
+    /// Notes the end of an attempt at a silent target, and the slot that was claimed for the next one.
+    pub(super) fn note_silent(&mut self, end: AttemptEnd, target: &Name, claim: Option<Claim>) {
+        self.claim = claim;
+        if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
+            self.front.targets.close_idle(target);
+            if !self.tried.contains(target) {
+                self.tried.push(Name::clone(target));
+            }
+        }
+    }
+
     fn report_load(&self, target: &Name, headers: &HeaderMap) {
         if let Some(load) = self.front.dialect.reported_load(headers) {
             self.front.placement.report_load(target, load);
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod signals;
 mod store_health;
 mod target_client;
+mod target_probes;
 mod target_state;
 mod watch;
 mod watch_schedule;
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -17,9 +17,10 @@
         batch_admission::{JobDemand, JobVerdict},
     },
     placement::{
-        Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec, TargetEntry,
+        Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec,
+        SilenceReport, SilentAttempt, TargetEntry,
     },
-    silence::OtherTarget,
+    silence::{Listing, OtherTarget},
     software_versions::StreamOrigin,
     verdict::Refusal,
 };
@@ -72,7 +73,7 @@
     Request(RequestSpec, flume::Sender<Decision>),
     Input(Input),
     Job(JobDemand, flume::Sender<JobVerdict>),
-    OtherTarget(RequestSpec, flume::Sender<OtherTarget>),
+    Silent(SilentAttempt, flume::Sender<Decision>, flume::Sender<SilenceReport>),
 }
 
 /// Handle to the placement task.
@@ -153,11 +154,31 @@
         verdict.recv_async().await.unwrap_or(JobVerdict::AdmitUnknown)
     }
 
-    /// Whether a target can run a request at once that it was not tried at.
-    pub async fn other_target(&self, spec: RequestSpec) -> OtherTarget {
-        let (reply, found) = flume::bounded(1);
-        self.send(Message::OtherTarget(spec, reply));
-        found.recv_async().await.unwrap_or(OtherTarget::None)
+    /// Reports that the target of a request is silent; returns what is known of it, and the slot that was claimed elsewhere.
+    pub async fn silent(&self, attempt: SilentAttempt) -> (SilenceReport, Option<Claim>) {
+        let (sender, decisions) = flume::unbounded();
+        let mut ticket = Ticket {
+            request: attempt.next.request,
+            decisions,
+            messages: self.messages.clone(),
+            stage: Stage::Waiting,
+            has_overload: self.has_overload,
+        };
+        let (reply, report) = flume::bounded(1);
+        self.send(Message::Silent(attempt, sender, reply));
+        // The task runs until the process ends.
+        let unknown = SilenceReport { listing: Listing::Listed, other: OtherTarget::None };
+        let report = report.recv_async().await.unwrap_or(unknown);
+        match ticket.decisions.try_recv() {
+            Ok(decision) => {
+                ticket.stage = Stage::AtTarget;
+                (report, Some(Claim { ticket, decision }))
+            }
+            Err(_) => {
+                ticket.stage = Stage::Ended;
+                (report, None)
+            }
+        }
     }
 
     /// Replaces the list of all known targets.
@@ -237,6 +258,19 @@
         }
     }
 
+    /// Id of the request for the placement.
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
+    /// Records that the target has sent data after a silence.
+    pub fn report_silence_ended(&self) {
+        if self.stage == Stage::AtTarget {
+            let input = Input::SilenceEnded { request: self.request };
+            let _ = self.messages.send(Message::Input(input));
+        }
+    }
+
     /// Frees the slot and records how the attempt ended. Only the first call after a dispatch counts.
     pub fn report_end(&mut self, end: AttemptEnd) {
         if std::mem::replace(&mut self.stage, Stage::Ended) == Stage::AtTarget {
@@ -258,6 +292,14 @@
     }
 }
 
+/// A slot that was claimed at another target, while the attempt at a silent one goes on.
+pub struct Claim {
+    /// Holds the slot.
+    pub ticket: Ticket,
+    /// The target.
+    pub decision: Decision,
+}
+
 /// The placement task and the state of its channels.
 struct Running {
     task: PlacementTask,
@@ -287,10 +329,10 @@
                     let _ = reply.send(self.task.placement.admit_job(now_ms, &job));
                     continue;
                 }
-                Some(Ok(Message::OtherTarget(spec, reply))) => {
-                    let now_ms = self.task.clock.now().mono_ms;
+                Some(Ok(Message::Silent(attempt, decisions, reply))) => {
+                    let report = self.handle_silence(&attempt, decisions, &mut actions);
                     // Fails if the target has sent data meanwhile.
-                    let _ = reply.send(self.task.placement.other_target(now_ms, &spec));
+                    let _ = reply.send(report);
                     continue;
                 }
                 Some(Err(_)) => return,
@@ -309,6 +351,24 @@
         }
     }
 
+    fn handle_silence(
+        &mut self,
+        attempt: &SilentAttempt,
+        decisions: flume::Sender<Decision>,
+        actions: &mut Vec<Action>,
+    ) -> SilenceReport {
+        let now_ms = self.task.clock.now().mono_ms;
+        let report = self.task.placement.handle_silence(now_ms, attempt, actions);
+        if !actions.is_empty() {
+            self.reply_channels.insert(attempt.next.request, decisions);
+        }
+        for action in actions.drain(..) {
+            self.send_decision(action, &[]);
+        }
+        self.report_load();
+        report
+    }
+
     /// Updates what operators see of the shares of workspaces and of the capacity of services, once a second where overload
     /// control is on.
     fn report_shares(&mut self, now_ms: u64) {
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -36,6 +36,7 @@
     signals::{SIGHUP, keep_from_ending, wait_for, wait_for_stop},
     store_health::StoreHealth,
     target_client::TargetClient,
+    target_probes::TargetProbes,
     watch::Watcher,
     watch_schedule::WatchSchedule,
 };
@@ -316,6 +317,7 @@
     };
     let jobs = jobs::start(env);
     let front = Front {
+        target_probes: TargetProbes::default(),
         dialect: Rc::clone(&platform.dialect),
         routes: routes.clone(),
         placement,
--- a/crates/samphiredoor-gateway/src/target_client.rs
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -111,6 +111,14 @@
         self.pools.borrow_mut().retain(|target, _| targets.contains(target));
     }
 
+    /// Closes the idle connections to a target that was silent: if it is gone, each would cost another request the time until
+    /// the target counts as silent, while a new connection shows it at once.
+    pub fn close_idle(&self, target: &Name) {
+        if let Some(pool) = self.pools.borrow().get(target) {
+            pool.close_idle();
+        }
+    }
+
     fn pool(&self, target: &Name, address: SocketAddr) -> Pool {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(Name::clone(target)).or_insert_with(|| self.new_pool(address));
--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{Ipv4Addr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -12,6 +12,7 @@
     platform_target::{PlatformTarget, TargetFault},
 };
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 
 use super::env::{BINARY, Platform, whole_stream};
 
@@ -140,19 +141,48 @@
     platform.store.put("servers", "t-near", entry);
 }
 
-/// A target that accepts one connection, sends this answer and nothing more; its listener is gone then.
-fn start_gone(platform: &Platform, answer: &'static str) {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+/// What becomes of new connections to a target that is gone, while those that it had stay open.
+#[derive(Debug, Clone, Copy)]
+enum NewConnections {
+    Refused,
+    Unanswered,
+}
+
+/// A target that accepts one connection, sends this answer and nothing more, and is gone then.
+fn start_gone(platform: &Platform, answer: &'static str, new: NewConnections) {
+    let listener = listener_without_queue();
     register(platform, &listener);
     thread::spawn(move || {
         let mut stream = accept_request(&listener);
-        drop(listener);
+        let _open = match new {
+            NewConnections::Refused => {
+                drop(listener);
+                None
+            }
+            NewConnections::Unanswered => Some((fill_queue(&listener), listener)),
+        };
         stream.write_all(answer.as_bytes()).expect("the answer is sent");
-        // Keeps the connection open.
+        // Keeps the connections open.
         thread::sleep(Duration::from_secs(60));
     });
 }
 
+/// A listener at which hardly any connection can wait to be accepted.
+fn listener_without_queue() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(&any.into()).expect("a port");
+    socket.listen(0).expect("it listens");
+    socket.into()
+}
+
+/// Opens connections until the listener answers no more of them.
+fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
+    let address = listener.local_addr().expect("an address");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+    std::iter::from_fn(connect).collect()
+}
+
 /// Waits for a connection on which a request comes.
 fn accept_request(listener: &TcpListener) -> TcpStream {
     loop {
@@ -187,10 +217,15 @@
                      Transfer-Encoding: chunked\r\nX-Request-Id: id-1\r\n\r\n17\r\nid: 1\ndata: piece-1\n\n\n\r\n";
 
 /// Sends a request to a target that is gone, without another target; it has to end long before its deadline.
-fn ends_early(path: &str, attempts: u32, begin: &'static str, status: u16) {
+fn ends_early(
+    path: &str,
+    attempts: u32,
+    (begin, new): (&'static str, NewConnections),
+    status: u16,
+) {
     let mut platform = Platform::new(BINARY);
     platform.put_routes(2, attempts);
-    start_gone(&platform, begin);
+    start_gone(&platform, begin, new);
     platform.start_gateway();
     platform.wait_logged(0, "routes: activated version=2");
     let sent = Instant::now();
@@ -199,21 +234,23 @@
 }
 
 macro_rules! gone {
-    ($($name:ident: $path:expr, $attempts:expr, $begin:expr => $status:expr;)*) => {
+    ($($name:ident: $path:expr, $attempts:expr, $begin:expr, $new:expr => $status:expr;)*) => {
         $(
             // Guards against callers that wait until their deadline for a target that is gone.
             #[test]
             fn $name() {
-                ends_early($path, $attempts, $begin, $status);
+                ends_early($path, $attempts, ($begin, $new), $status);
             }
         )*
     };
 }
 
 gone! {
-    a_stream_whose_target_is_gone_ends_before_its_deadline: "/stream-resumable/a", 1, BEGIN => 0;
-    a_repeatable_request_whose_target_is_gone_ends_before_its_deadline: "/safe/a", 1, "" => 502;
-    a_repeatable_request_whose_only_target_is_gone_ends_before_its_deadline: "/safe/a", 3, "" => 502;
+    a_stream_whose_target_is_gone_ends_before_its_deadline: "/stream-resumable/a", 1, BEGIN, NewConnections::Refused => 0;
+    a_stream_whose_target_is_cut_off_ends_before_its_deadline: "/stream-resumable/a", 1, BEGIN, NewConnections::Unanswered => 0;
+    a_repeatable_request_whose_target_is_gone_ends_before_its_deadline: "/safe/a", 1, "", NewConnections::Refused => 502;
+    a_repeatable_request_whose_target_is_cut_off_ends_before_its_deadline: "/safe/a", 1, "", NewConnections::Unanswered => 502;
+    a_repeatable_request_whose_only_target_is_gone_ends_before_its_deadline: "/safe/a", 3, "", NewConnections::Refused => 502;
 }
 
 // Guards against new requests for a target while it is silent, and against one that is avoided after it has gone on.
