Silent targets: the answer of a target that is gone is sent with the right chunk length

The two tests of streams whose targets are gone were green for another reason: the chunk was two bytes shorter than announced, and the parse error ended the stream.

--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -214,7 +214,7 @@
 
 /// Begin of a stream, with one event.
 const BEGIN: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Stamp: stamp-id-1\r\n\
-                     Transfer-Encoding: chunked\r\nX-Request-Id: id-1\r\n\r\n17\r\nid: 1\ndata: piece-1\n\n\n\r\n";
+                     Transfer-Encoding: chunked\r\nX-Request-Id: id-1\r\n\r\n15\r\nid: 1\ndata: piece-1\n\n\r\n";
 
 /// Sends a request to a target that is gone, without another target; it has to end long before its deadline.
 fn ends_early(
@@ -231,6 +231,7 @@
     let sent = Instant::now();
     assert_eq!(platform.send(0, path, "id-1", "").status, status);
     assert!(sent.elapsed() < BORNE + SLACK, "{:?}", sent.elapsed());
+    assert_eq!(platform.times_logged(0, "front: silent target is gone"), 1);
 }
 
 macro_rules! gone {
