Items: silence ends a run only if another target has a free slot

Seen: an item whose target sent nothing for 2.5 s and went on was run again, while the first target was at work, also where there was no other target.

Cause: the same as for online requests, with a longer limit.

Now: after the limit, items wait as online requests do (silence.rs of the gateway, which front/silence.rs uses too): until another target has a free slot for them, the target is gone, or the time that it was given is up. The free slot is held until the attempt has ended, so that items do not leave one target for one slot; the next run is placed like any other, and counts as before. An item whose text was begun leaves only for a target that goes on with it. The limit stays at 2.5 s, as nobody waits for a single event of an item.

Evidence: an_item_outlasts_a_silence_before_its_head and _between_events had two runs instead of one, and an_item_whose_target_is_gone_is_run_again ended as silent; they are green, as are platform jobs, repeats, cancellations, item_outputs, software_versions, stops and reads_after_cancellation.

--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -312,6 +312,11 @@
         );
     }
 
+    /// When the caller stops waiting.
+    pub(super) fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Time until the deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/samphiredoor-gateway/src/front/silence.rs
+++ b/crates/samphiredoor-gateway/src/front/silence.rs
@@ -8,23 +8,21 @@
     time::{Duration, Instant},
 };
 
-use futures_util::future::{Either, select};
 use samphiredoor_core::{
     Name,
-    placement::{AttemptEnd, SilentAttempt, SlotUse},
-    silence::{
-        CHECK_INTERVAL_MS, FailedProbes, NextRun, OtherTarget, SILENCE_LIMIT_MS, Signs, SilenceEnd,
-        Verdict, verdict,
-    },
+    placement::{AttemptEnd, RequestSpec},
+    silence::{NextRun, OtherTarget, SILENCE_LIMIT_MS, SilenceEnd},
     verdict::MayHaveRunReason,
 };
 use samphiredoor_net::pool::{within_or_late, within_or_ready};
 
 use super::online::OnlineRequest;
-use crate::placement::{Claim, Ticket};
+use crate::{
+    placement::{Claim, Ticket},
+    silence::{Outlasted, SilentTarget},
+};
 
 const SILENCE_LIMIT: Duration = Duration::from_millis(SILENCE_LIMIT_MS);
-const CHECK_INTERVAL: Duration = Duration::from_millis(CHECK_INTERVAL_MS);
 /// Most silences of one request that are logged; metrics count all.
 const MAX_LOGGED: u32 = 4;
 
@@ -103,12 +101,6 @@
     other: OtherTarget,
 }
 
-/// Result of a check of a silent target.
-struct Checked {
-    verdict: Verdict,
-    claim: Option<Claim>,
-}
-
 impl Attempt<'_> {
     /// Waits for the next part of the answer; `is_data` tells whether it came from the target, as opposed to a failure of the
     /// connection.
@@ -147,79 +139,55 @@
             Err(_) => SilenceEnd::Gone,
         };
         if end == SilenceEnd::Resumed {
-            self.ticket.report_silence_ended();
+            self.request.front.placement.silence_ended(self.ticket.request());
         }
         self.note_end(end, &silence);
         heard
     }
 
-    /// Waits on at a silent target, and checks at intervals whether to leave it.
+    /// Waits on at a silent target until there is a reason to leave it.
     async fn outlast<F: Future + Unpin>(
         &self,
         silence: &mut Silence,
         mut wait: F,
     ) -> Result<F::Output, Loss> {
-        loop {
-            let begun = Instant::now();
-            let checked = {
-                let check = std::pin::pin!(self.check(silence));
-                match select(&mut wait, check).await {
-                    Either::Left((heard, _)) => return Ok(heard),
-                    Either::Right((checked, _)) => checked,
-                }
-            };
-            match checked.verdict {
-                Verdict::Wait => {}
-                Verdict::Move => return Err(Loss::silent(AttemptEnd::Silent, checked.claim)),
-                Verdict::Gone(sign) => {
-                    log::info!(
-                        request = self.request.id, target = &**self.target, sign = sign.label();
-                        "front: silent target is gone"
-                    );
-                    return Err(Loss::silent(AttemptEnd::Gone, None));
-                }
-            }
-            let pause = CHECK_INTERVAL.saturating_sub(begun.elapsed());
-            let pause = pause.min(self.request.remaining());
-            if let Some(heard) = within_or_ready(pause, &mut wait).await {
-                return Ok(heard);
+        let front = &self.request.front;
+        let silent = SilentTarget {
+            placement: &front.placement,
+            probes: &front.target_probes,
+            request: self.ticket.request(),
+            address: self.address,
+            since: silence.since,
+            until: self.request.deadline(),
+        };
+        let (outlasted, other) = silent.outlast(|| self.next(), &mut wait).await;
+        silence.other = other;
+        match outlasted {
+            Outlasted::Heard(heard) => Ok(heard),
+            Outlasted::Move(claim) => Err(Loss::silent(AttemptEnd::Silent, Some(claim))),
+            Outlasted::Gone(sign) => {
+                log::info!(
+                    request = self.request.id, target = &**self.target, sign = sign.label();
+                    "front: silent target is gone"
+                );
+                Err(Loss::silent(AttemptEnd::Gone, None))
             }
-            if self.request.remaining().is_zero() {
+            Outlasted::TimeUp => {
                 let heard = silence.awaited.within(Duration::ZERO, wait).await;
-                return heard.ok_or_else(Loss::deadline);
+                heard.ok_or_else(Loss::deadline)
             }
         }
     }
 
-    /// Reports the silence, and finds out whether another target can take the request over or this one is gone.
-    async fn check(&self, silence: &mut Silence) -> Checked {
-        let slot_use = match self.next_run {
-            NextRun::Allowed if !self.request.may_send() => SlotUse::Report,
-            NextRun::Allowed => SlotUse::Claim,
-            NextRun::AttemptsUsed | NextRun::RunsOnce | NextRun::NotResumable | NextRun::Late => {
-                SlotUse::Report
-            }
-        };
-        let mut next = self.request.request_spec();
-        next.tried_targets.push(Name::clone(self.target));
-        let front = &self.request.front;
-        let attempt = SilentAttempt { request: self.ticket.request(), next, slot_use };
-        let (report, claim) = front.placement.silent(attempt).await;
-        silence.other = report.other;
-        if self.next_run == NextRun::RunsOnce {
-            return Checked { verdict: Verdict::Wait, claim: None };
-        }
-        let claimed = if claim.is_some() { OtherTarget::FreeSlot } else { OtherTarget::None };
-        let failed_probes = match claimed {
-            OtherTarget::FreeSlot => FailedProbes::default(),
-            OtherTarget::None => front.target_probes.failed(self.address).await,
-        };
-        let signs = Signs {
-            silence_ms: silence.since.elapsed().as_millis() as u64,
-            listing: report.listing,
-            failed_probes,
+    /// The request as it would be sent to another target, and whether it may be.
+    fn next(&self) -> (RequestSpec, NextRun) {
+        let mut spec = self.request.request_spec();
+        spec.tried_targets.push(Name::clone(self.target));
+        let next_run = match self.next_run {
+            NextRun::Allowed if !self.request.may_send() => NextRun::Late,
+            next_run => next_run,
         };
-        Checked { verdict: verdict(claimed, signs), claim }
+        (spec, next_run)
     }
 
     /// Counts the end of a silence, and logs it unless the request has logged many.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -19,11 +19,12 @@
 use samphiredoor_core::{
     Name,
     crash_reports::{Content, Suspect},
-    dispatch::Class,
+    dispatch::{Class, RequestId},
     ordered::{Item, ItemEnd, JobName},
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
     quarantine,
     routes::{Route, RouteKind, RouteTable},
+    silence::NextRun,
     software_versions::StreamOrigin,
 };
 use samphiredoor_net::{
@@ -38,14 +39,16 @@
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
     peers::Hex,
-    placement::{Decision, Ticket},
+    placement::{Claim, Decision, Ticket},
+    silence::{Outlasted, SilentTarget},
     target_client,
 };
 
-/// Time without any data from the target after which the attempt counts as lost and the item is sent again. Online
-/// requests that join a batch delay its events by a few hundred milliseconds at most; an engine short of memory may
-/// delay one for longer.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without any data after which a target counts as silent. Online requests that join a batch delay its events by a few
+/// hundred milliseconds at most; an engine short of memory may delay one for longer.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time limit for the body of a failure, whose status has arrived.
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a run whose answer must not be missed goes on after its preemption or the handover of its job. A target that has
 /// a slot for the item answers in some tens of milliseconds; meanwhile an online request may wait for that slot.
 pub const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
@@ -116,14 +119,27 @@
     is_preempted: bool,
 }
 
+/// An attempt at a target.
+struct AtTarget<'a> {
+    target: &'a Name,
+    address: SocketAddr,
+    service: &'a Name,
+    headers: &'a HeaderMap,
+    /// When the time that the target was given is up.
+    until: Instant,
+    /// Slot at another target for which the item leaves this one. It keeps other items from leaving for the same slot until
+    /// the attempt has ended; the next run is placed like any other.
+    claim: Option<Claim>,
+}
+
 /// Why the head of a response did not arrive.
 enum NoResponse {
     /// The item was not sent.
     NotSent,
     /// The connection failed after the item was sent.
     Lost,
-    /// Nothing arrived in time.
-    Silent,
+    /// The target was silent, and has been left.
+    Left(AttemptEnd),
     /// The attempt was preempted first.
     Preempted,
 }
@@ -248,18 +264,26 @@
             return Outcome::Held(suspect);
         }
         self.begin_or_go_on(&target, origin, goes_on);
-        self.set_headers(call, &target);
+        let until = Instant::now() + self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
         let sent_at = Instant::now();
         self.output.borrow_mut().begin_attempt();
-        let sent = self.send(&mut ticket, (&target, address), call).await;
+        let mut at = AtTarget {
+            target: &target,
+            address,
+            service,
+            headers: &call.headers,
+            until,
+            claim: None,
+        };
+        let sent = self.send(&mut ticket, &mut at, call).await;
         let (outcome, end) = match sent.head {
             Ok(response) => {
                 if let Some(load) = self.env.platform.dialect.reported_load(response.headers()) {
                     self.env.placement.report_load(&target, load);
                 }
                 let ended =
-                    self.read_response(response, address, &mut ticket, sent.is_preempted).await;
+                    self.read_response(response, &mut at, &mut ticket, sent.is_preempted).await;
                 self.output.borrow_mut().note_answered();
                 ended
             }
@@ -268,7 +292,7 @@
                 (Outcome::RetryLater, AttemptEnd::Unreachable)
             }
             Err(NoResponse::Lost) => (Outcome::ResponseLost, AttemptEnd::Lost),
-            Err(NoResponse::Silent) => (Outcome::ResponseLost, AttemptEnd::Silent),
+            Err(NoResponse::Left(end)) => (Outcome::ResponseLost, end),
             Err(NoResponse::Preempted) => (Outcome::Preempted, AttemptEnd::Cut),
         };
         let was_answered = self.output.borrow_mut().end_attempt();
@@ -294,6 +318,9 @@
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
         }
+        if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
+            self.env.targets.close_idle(&target);
+        }
         ticket.report_end(end);
         outcome
     }
@@ -320,17 +347,15 @@
 
     /// Sends the item and waits for the head of its response. A preemption ends the wait, but not at once if an earlier run of
     /// the item may have failed unread.
-    async fn send(
-        &self,
-        ticket: &mut Ticket,
-        (target, address): (&Name, SocketAddr),
-        call: &Call,
-    ) -> Sent {
-        let mut send = std::pin::pin!(self.env.targets.send(target, address, call));
-        let in_time = or_preempted(ticket, within_or_late(IDLE_TIMEOUT, send.as_mut())).await;
+    async fn send(&self, ticket: &mut Ticket, at: &mut AtTarget<'_>, call: &Call) -> Sent {
+        let mut send = std::pin::pin!(self.env.targets.send(at.target, at.address, call));
+        let request = ticket.request();
+        let hearing = self.hear(request, at, send.as_mut(), Result::is_ok);
+        let in_time = or_preempted(ticket, hearing).await;
         let is_preempted = in_time.is_none();
         let (head, missing) = match in_time {
-            Some(head) => (head, NoResponse::Silent),
+            Some(Ok(head)) => (Some(head), NoResponse::NotSent),
+            Some(Err(end)) => (None, NoResponse::Left(end)),
             None if self.must_be_answered && self.last_event().is_none() => {
                 (within(ANSWER_WAIT, send).await, NoResponse::Preempted)
             }
@@ -380,7 +405,8 @@
         output.begin_text(origin);
     }
 
-    fn set_headers(&self, call: &mut Call, target: &Name) {
+    /// Returns the time that is given to the target.
+    fn set_headers(&self, call: &mut Call, target: &Name) -> Duration {
         let names = self.env.platform.dialect.headers();
         let left = self.give_up_at.saturating_duration_since(Instant::now()).min(MAX_ATTEMPT_TIME);
         target_client::set_target_headers(call, names, target, left);
@@ -390,12 +416,13 @@
             }
             None => _ = call.headers.remove(&names.last_event_id),
         }
+        left
     }
 
     async fn read_response(
         &self,
         response: hyper::Response<ResponseBody>,
-        target: SocketAddr,
+        at: &mut AtTarget<'_>,
         ticket: &mut Ticket,
         is_preempted: bool,
     ) -> (Outcome, AttemptEnd) {
@@ -409,10 +436,10 @@
             self.output.borrow_mut().note_answered();
             return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
-                false => self.read_events(EventStream::new(body, target), ticket).await,
+                false => self.read_events(EventStream::new(body, at.address), at, ticket).await,
             };
         }
-        let whole = within_or_late(IDLE_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
+        let whole = within_or_late(FAILURE_BODY_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
         let is_whole = matches!(whole, Some(Ok(_)));
         let end = if is_whole { AttemptEnd::Answered } else { AttemptEnd::Lost };
         let outcome = match parts.status {
@@ -445,19 +472,24 @@
     async fn read_events(
         &self,
         mut stream: EventStream,
+        at: &mut AtTarget<'_>,
         ticket: &mut Ticket,
     ) -> (Outcome, AttemptEnd) {
+        let request = ticket.request();
         loop {
-            let received = within_or_late(IDLE_TIMEOUT, stream.receive());
-            match or_preempted(ticket, received).await {
+            let received = {
+                let receiving = std::pin::pin!(stream.receive());
+                or_preempted(ticket, self.hear(request, at, receiving, Received::is_data)).await
+            };
+            match received {
                 None => return (Outcome::Resume, AttemptEnd::Cut),
-                Some(None) => return (Outcome::ResponseLost, AttemptEnd::Silent),
-                Some(Some(Received::Data)) => {
+                Some(Err(end)) => return (Outcome::ResponseLost, end),
+                Some(Ok(Received::Data)) => {
                     let mut output = self.output.borrow_mut();
                     output.consume(&mut stream);
                     output.count(self.env.buffers.as_ref());
                 }
-                Some(Some(Received::End(end))) => {
+                Some(Ok(Received::End(end))) => {
                     self.note_stream_end(&stream, end);
                     return match end {
                         StreamEnd::Whole => {
@@ -472,11 +504,70 @@
     }
 }
 
+impl ItemRun {
+    /// Waits for the next part of the response. If the target is silent, the item stays there unless another target has a free
+    /// slot: a run that is broken off while its target works is done again.
+    ///
+    /// # Errors
+    ///
+    /// The target has been silent, and the item is better off elsewhere, the target is gone, or the time that it was given
+    /// is up.
+    async fn hear<F: Future + Unpin>(
+        &self,
+        request: RequestId,
+        at: &mut AtTarget<'_>,
+        mut wait: F,
+        is_data: fn(&F::Output) -> bool,
+    ) -> Result<F::Output, AttemptEnd> {
+        let since = Instant::now();
+        if let Some(heard) = within_or_late(SILENCE_LIMIT, &mut wait).await {
+            return Ok(heard);
+        }
+        let silent = SilentTarget {
+            placement: &self.env.placement,
+            probes: &self.env.target_probes,
+            request,
+            address: at.address,
+            since,
+            until: at.until,
+        };
+        let next = || (self.next_spec(at), NextRun::Allowed);
+        let (outlasted, _) = Box::pin(silent.outlast(next, wait)).await;
+        match outlasted {
+            Outlasted::Heard(heard) => {
+                if is_data(&heard) {
+                    self.env.placement.silence_ended(request);
+                    log::info!(
+                        job = &*self.job, item = &*self.item.id, target = &**at.target,
+                        silence_ms = since.elapsed().as_millis() as u64;
+                        "item: target spoke again"
+                    );
+                }
+                Ok(heard)
+            }
+            Outlasted::Move(claim) => {
+                at.claim = Some(claim);
+                Err(AttemptEnd::Silent)
+            }
+            Outlasted::Gone(_) => Err(AttemptEnd::Gone),
+            Outlasted::TimeUp => Err(AttemptEnd::Silent),
+        }
+    }
+
+    /// The item as it would be sent to another target.
+    fn next_spec(&self, at: &AtTarget<'_>) -> RequestSpec {
+        let mut spec = self.request_spec(at.service, at.headers);
+        spec.tried_targets.push(Name::clone(at.target));
+        spec
+    }
+}
+
 /// Label in metrics of an attempt that ended before its target had answered.
 fn unanswered_label(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Cut => "preempted",
         AttemptEnd::Silent => "silent",
+        AttemptEnd::Gone => "gone",
         _ => "lost",
     }
 }
--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -41,6 +41,7 @@
     routes::Routes,
     store_health::StoreHealth,
     target_client::TargetClient,
+    target_probes::TargetProbes,
 };
 use directory::Directory;
 use stored::{ReadError, StoredJobs};
@@ -66,6 +67,8 @@
     pub placement: PlacementHandle,
     /// Connections to targets.
     pub targets: TargetClient,
+    /// Probes of silent targets.
+    pub target_probes: TargetProbes,
     /// Requests, items and parts of prompts that crash targets.
     pub crash_reports: CrashReports,
     /// Other gateways and their liveness.
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod service_gauges;
 mod share_log;
 mod signals;
+mod silence;
 mod store_health;
 mod target_client;
 mod target_probes;
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Reports that the silent target of a request has sent data.
+    pub fn silence_ended(&self, request: RequestId) {
+        self.send(Message::Input(Input::SilenceEnded { request }));
+    }
+
     /// Replaces the list of all known targets.
     pub fn set_targets(&self, targets: Vec<TargetEntry>) {
         self.send(Message::Input(Input::Targets(targets)));
@@ -263,14 +268,6 @@
         self.request
     }
 
-    /// Records that the target has sent data after a silence.
-    pub fn report_silence_ended(&self) {
-        if self.stage == Stage::AtTarget {
-            let input = Input::SilenceEnded { request: self.request };
-            let _ = self.messages.send(Message::Input(input));
-        }
-    }
-
     /// Frees the slot and records how the attempt ended. Only the first call after a dispatch counts.
     pub fn report_end(&mut self, end: AttemptEnd) {
         if std::mem::replace(&mut self.stage, Stage::Ended) == Stage::AtTarget {
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -296,7 +296,9 @@
     compio::runtime::spawn(status_sender.run(loads_to_send, announcements_to_send)).detach();
 
     let liveness_gaps = LivenessGaps::new(clock, roster.clone(), health.clone());
+    let target_probes = TargetProbes::default();
     let env = JobEnv {
+        target_probes: target_probes.clone(),
         name: local.name.clone(),
         incarnation: local.incarnation,
         platform: platform.clone(),
@@ -317,7 +319,7 @@
     };
     let jobs = jobs::start(env);
     let front = Front {
-        target_probes: TargetProbes::default(),
+        target_probes,
         dialect: Rc::clone(&platform.dialect),
         routes: routes.clone(),
         placement,
--- /dev/null
+++ b/crates/samphiredoor-gateway/src/silence.rs
@@ -0,0 +1,119 @@
+//! Waits for targets that are silent, see [`samphiredoor_core::silence`] for the rules. Online requests and items of jobs wait
+//! alike.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::{Either, select};
+use samphiredoor_core::{
+    dispatch::RequestId,
+    placement::{RequestSpec, SilentAttempt, SlotUse},
+    silence::{
+        CHECK_INTERVAL_MS, FailedProbes, GoneSign, NextRun, OtherTarget, Signs, Verdict, verdict,
+    },
+};
+use samphiredoor_net::pool::within_or_ready;
+
+use crate::{
+    placement::{Claim, PlacementHandle},
+    target_probes::TargetProbes,
+};
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(CHECK_INTERVAL_MS);
+
+/// An attempt whose target is silent.
+pub struct SilentTarget<'a> {
+    /// Placement of requests.
+    pub placement: &'a PlacementHandle,
+    /// Probes that all attempts share.
+    pub probes: &'a TargetProbes,
+    /// Request at the target.
+    pub request: RequestId,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// When the target last sent data.
+    pub since: Instant,
+    /// When the time of the attempt is up.
+    pub until: Instant,
+}
+
+/// How the wait for a silent target has ended.
+pub enum Outlasted<T> {
+    /// The awaited part has arrived, or the connection failed.
+    Heard(T),
+    /// Another target can take the request over, in the slot that was claimed there.
+    Move(Claim),
+    /// The target is gone.
+    Gone(GoneSign),
+    /// The time is up.
+    TimeUp,
+}
+
+impl SilentTarget<'_> {
+    /// Waits on for a silent target, and checks at intervals whether to leave it. `next` is the request as it would be sent to
+    /// another target, with the silent one among those tried, and whether it may be. The second value of the result is
+    /// whether another target had a free slot at the last check.
+    pub async fn outlast<F: Future + Unpin>(
+        &self,
+        next: impl Fn() -> (RequestSpec, NextRun),
+        mut wait: F,
+    ) -> (Outlasted<F::Output>, OtherTarget) {
+        let mut other = OtherTarget::None;
+        loop {
+            let begun = Instant::now();
+            let checked = {
+                let (spec, next_run) = next();
+                let check = std::pin::pin!(self.check(spec, next_run, &mut other));
+                match select(&mut wait, check).await {
+                    Either::Left((heard, _)) => Err(heard),
+                    Either::Right((checked, _)) => Ok(checked),
+                }
+            };
+            match checked {
+                Err(heard) => return (Outlasted::Heard(heard), other),
+                Ok((_, Some(claim))) => return (Outlasted::Move(claim), other),
+                Ok((Verdict::Gone(sign), None)) => return (Outlasted::Gone(sign), other),
+                Ok((Verdict::Wait | Verdict::Move, None)) => {}
+            }
+            let left = self.until.saturating_duration_since(Instant::now());
+            let pause = CHECK_INTERVAL.saturating_sub(begun.elapsed()).min(left);
+            if let Some(heard) = within_or_ready(pause, &mut wait).await {
+                return (Outlasted::Heard(heard), other);
+            }
+            if Instant::now() >= self.until {
+                return (Outlasted::TimeUp, other);
+            }
+        }
+    }
+
+    /// Reports the silence, and finds out whether another target can take the request over or this one is gone.
+    async fn check(
+        &self,
+        next: RequestSpec,
+        next_run: NextRun,
+        other: &mut OtherTarget,
+    ) -> (Verdict, Option<Claim>) {
+        let slot_use = match next_run {
+            NextRun::Allowed => SlotUse::Claim,
+            NextRun::AttemptsUsed | NextRun::RunsOnce | NextRun::NotResumable | NextRun::Late => {
+                SlotUse::Report
+            }
+        };
+        let attempt = SilentAttempt { request: self.request, next, slot_use };
+        let (report, claim) = self.placement.silent(attempt).await;
+        *other = report.other;
+        if next_run == NextRun::RunsOnce {
+            return (Verdict::Wait, None);
+        }
+        let claimed = if claim.is_some() { OtherTarget::FreeSlot } else { OtherTarget::None };
+        let failed_probes = match claimed {
+            OtherTarget::FreeSlot => FailedProbes::default(),
+            OtherTarget::None => self.probes.failed(self.address).await,
+        };
+        let silence_ms = self.since.elapsed().as_millis() as u64;
+        let signs = Signs { silence_ms, listing: report.listing, failed_probes };
+        (verdict(claimed, signs), claim)
+    }
+}
--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -288,3 +288,59 @@
     assert_eq!(platform.send(0, "/safe/a", "id-3", "").status, 200);
     assert_eq!((near.runs().len(), far.runs().len()), (3, 1));
 }
+
+/// Longer than the time after which a target counts as silent for an item.
+const ITEM_SILENCE_MS: u64 = 4_000;
+/// Longer than a test runs.
+const ENDLESS_MS: u64 = 120_000;
+const ITEM: &str = "item-a";
+
+macro_rules! item_silences {
+    ($($name:ident: $after:expr;)*) => {
+        $(
+            // Guards against items that are run again although their targets are at work, with no other target.
+            #[test]
+            fn $name() {
+                let mut platform = Platform::new(BINARY);
+                let target = platform.start_target("t-1", PAUSE);
+                target.fail_next(1, pause($after, ITEM_SILENCE_MS));
+                platform.start_gateway();
+                assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
+                let results = platform.all_results(0, "job-1", 1);
+                assert_eq!(results[0]["text"], target.text());
+                assert_eq!(target.runs_of(ITEM), 1);
+            }
+        )*
+    };
+}
+
+item_silences! {
+    an_item_outlasts_a_silence_before_its_head: None;
+    an_item_outlasts_a_silence_between_events: Some(3);
+}
+
+// Guards against an item that waits for a target which is silent for long, while another one has free slots.
+#[test]
+fn an_item_leaves_a_silent_target_for_a_free_one() {
+    let (platform, [near, far]) = near_and_far(3);
+    near.fail_always(ITEM, pause(Some(3), ENDLESS_MS));
+    assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
+    assert_eq!(platform.all_results(0, "job-1", 1)[0]["text"], near.text());
+    let runs = far.runs();
+    assert_eq!(runs.iter().map(|it| it.after).collect::<Vec<_>>(), [Some(3)]);
+    assert_eq!(near.runs_of(ITEM), 1);
+}
+
+// Guards against an item that stays at a target which is gone until its time there is up.
+#[test]
+fn an_item_whose_target_is_gone_is_run_again() {
+    let mut platform = Platform::new(BINARY);
+    start_gone(&platform, "", NewConnections::Refused);
+    platform.start_gateway();
+    assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
+    platform.wait_logged(0, "item: attempt ended");
+    let target = platform_target(&platform, "t-new", FAR);
+    let results = platform.all_results(0, "job-1", 1);
+    assert_eq!(results[0]["text"], target.text());
+    assert_eq!(platform.times_logged(0, "end=Gone"), 1);
+}
