--- a/crates/samphiredoor-core/src/placement/silence.rs
+++ b/crates/samphiredoor-core/src/placement/silence.rs
@@ -1,7 +1,7 @@
 //! Requests whose targets are silent: the targets are avoided meanwhile, and other targets take the requests over if they have
 //! free slots.
 //!
-//! A slot at another target is claimed in one step with the question whether there is one. Otherwise all requests of a silent
+//! A free slot at another target is found and held in one step. Otherwise all requests of a silent
 //! target would leave it for the same slot, and those that do not get it would have lost their runs.
 
 use super::{Action, Placement, RequestSpec};
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotUse {
     /// The request is dispatched there.
-    Claim,
+    Hold,
     /// It is only reported.
     Report,
 }
@@ -53,7 +53,7 @@
             return SilenceReport { listing, other: OtherTarget::None };
         };
         match attempt.slot_use {
-            SlotUse::Claim => self.dispatch(now_ms, key, &attempt.next, out),
+            SlotUse::Hold => self.dispatch(now_ms, key, &attempt.next, out),
             SlotUse::Report => {}
         }
         SilenceReport { listing, other: OtherTarget::FreeSlot }
--- a/crates/samphiredoor-core/src/silence.rs
+++ b/crates/samphiredoor-core/src/silence.rs
@@ -154,10 +154,10 @@
     }
 }
 
-/// Decides on an attempt at a silent target. `claimed` is another target at which a slot is claimed for the request, which is
+/// Decides on an attempt at a silent target. `held` is another target at which a slot is held for the request, which is
 /// done only if it may run again.
-pub fn verdict(claimed: OtherTarget, signs: Signs) -> Verdict {
-    match (claimed, gone_sign(signs)) {
+pub fn verdict(held: OtherTarget, signs: Signs) -> Verdict {
+    match (held, gone_sign(signs)) {
         (OtherTarget::FreeSlot, _) => Verdict::Move,
         (OtherTarget::None, Some(sign)) => Verdict::Gone(sign),
         (OtherTarget::None, None) => Verdict::Wait,
--- a/crates/samphiredoor-core/tests/placement/invariants.rs
+++ b/crates/samphiredoor-core/tests/placement/invariants.rs
@@ -49,7 +49,7 @@
 }
 
 fn slot_use() -> impl Strategy<Value = SlotUse> {
-    prop::sample::select(vec![SlotUse::Claim, SlotUse::Report])
+    prop::sample::select(vec![SlotUse::Hold, SlotUse::Report])
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -156,7 +156,7 @@
                 let (request, _) = model.running.remove(which % model.running.len());
                 fixture.input(Input::Cancelled { request })
             }
-            // The claimed slot is that of another request, which runs beside the silent one until that has ended.
+            // The held slot is that of another request, which runs beside the silent one until that has ended.
             Step::Silence(which, slot_use) if !model.running.is_empty() => {
                 let (request, target) = model.running[which % model.running.len()].clone();
                 let class = match model.online.contains(&request) {
--- a/crates/samphiredoor-core/tests/placement/silences.rs
+++ b/crates/samphiredoor-core/tests/placement/silences.rs
@@ -29,16 +29,16 @@
     request
 }
 
-/// Reports the silence of the nearer target; returns where a slot was claimed.
-fn claimed(fixture: &mut Fixture, request: RequestId, tried: &[&str]) -> Option<String> {
-    let (next, _, actions) = fixture.silence(request, Class::Online, tried, SlotUse::Claim);
+/// Reports the silence of the nearer target; returns where a slot is held.
+fn held(fixture: &mut Fixture, request: RequestId, tried: &[&str]) -> Option<String> {
+    let (next, _, actions) = fixture.silence(request, Class::Online, tried, SlotUse::Hold);
     sent_to(next, &actions)
 }
 
 #[test]
-fn a_request_claims_a_free_slot_of_another_target() {
+fn a_free_slot_is_held_at_another_target() {
     let (mut fixture, request) = near_and_far();
-    assert_eq!(claimed(&mut fixture, request, &["near"]).as_deref(), Some("far"));
+    assert_eq!(held(&mut fixture, request, &["near"]).as_deref(), Some("far"));
 }
 
 // Guards against a slot that is taken for a request which may not be sent again.
@@ -52,7 +52,7 @@
 
 // Guards against requests that all leave a silent target for the same free slot.
 #[test]
-fn a_free_slot_is_claimed_once() {
+fn a_free_slot_is_held_once() {
     let mut fixture = Fixture::with_targets(2);
     let requests: Vec<_> = (0..2 * SLOTS - 1).map(|_| fixture.request(Class::Online)).collect();
     let at_first =
@@ -60,11 +60,11 @@
     let at_first: Vec<RequestId> = at_first.map(|(it, _)| *it).collect();
     let free = 2 * SLOTS as usize - 1 - at_first.len();
     let free_at_second = SLOTS as usize - free;
-    let claims = at_first.iter().filter(|it| claimed(&mut fixture, **it, &["t-0"]).is_some());
-    assert_eq!(claims.count(), free_at_second);
+    let holds = at_first.iter().filter(|it| held(&mut fixture, **it, &["t-0"]).is_some());
+    assert_eq!(holds.count(), free_at_second);
 }
 
-macro_rules! not_claimed {
+macro_rules! not_held {
     ($($name:ident: $prepare:expr, $tried:expr;)*) => {
         $(
             // Guards against requests that leave a silent target with nothing better at hand.
@@ -73,7 +73,7 @@
                 let (mut fixture, request) = near_and_far();
                 let prepare: fn(&mut Fixture) = $prepare;
                 prepare(&mut fixture);
-                assert_eq!(claimed(&mut fixture, request, $tried), None);
+                assert_eq!(held(&mut fixture, request, $tried), None);
             }
         )*
     };
@@ -94,7 +94,7 @@
     fixture.end(request, end);
 }
 
-not_claimed! {
+not_held! {
     a_request_does_not_go_back_to_a_target_that_it_was_tried_at: |_| {}, &["near", "far"];
     a_request_does_not_go_to_a_full_target: |it| drop(it.peer("a", &[("far", SLOTS, 0)])), &["near"];
     a_request_does_not_go_to_a_target_that_items_fill: |it| drop(it.peer("a", &[("far", 0, SLOTS)])), &["near"];
@@ -105,8 +105,8 @@
     a_request_does_not_go_to_a_target_that_has_just_refused_one: |it| fail_at_far(it, AttemptEnd::Refused), &["near"];
 }
 
-/// Reports the silence of a target at which a stream of version `v1` runs; returns where a slot was claimed.
-fn claimed_for_stream(class: Class, version: &str) -> Option<String> {
+/// Reports the silence of a target at which a stream of version `v1` runs; returns where a slot is held.
+fn held_for_stream(class: Class, version: &str) -> Option<String> {
     let mut fixture = Fixture::with_targets(2);
     let (request, actions) = fixture.request(class);
     let tried = sent_to(request, &actions).expect("it is dispatched");
@@ -122,7 +122,7 @@
     let mut next = fixture.new_spec(class, fixture.now_ms + 60);
     next.resumes = Some(Resumption { origin, until_ms: 0 });
     next.tried_targets.push(Name::from(tried));
-    let attempt = SilentAttempt { request, next, slot_use: SlotUse::Claim };
+    let attempt = SilentAttempt { request, next, slot_use: SlotUse::Hold };
     let (next, _, actions) = fixture.silence_of(attempt);
     sent_to(next, &actions)
 }
@@ -131,8 +131,8 @@
 #[test]
 fn a_stream_leaves_a_silent_target_only_for_one_of_its_version() {
     for class in [Class::Online, Class::Batch] {
-        assert!(claimed_for_stream(class, "v1").is_some(), "{class:?}");
-        assert_eq!(claimed_for_stream(class, "v2"), None, "{class:?}");
+        assert!(held_for_stream(class, "v1").is_some(), "{class:?}");
+        assert_eq!(held_for_stream(class, "v2"), None, "{class:?}");
     }
 }
 
@@ -149,7 +149,7 @@
 fn the_only_target_is_used_though_it_is_silent() {
     let mut fixture = Fixture::with_targets(1);
     let request = send(&mut fixture, "t-0");
-    fixture.silence(request, Class::Online, &["t-0"], SlotUse::Claim);
+    fixture.silence(request, Class::Online, &["t-0"], SlotUse::Hold);
     send(&mut fixture, "t-0");
 }
 
@@ -269,9 +269,9 @@
 verdicts! {
     a_silent_target_that_accepts_connections_is_waited_for:
         OtherTarget::None, Listed, 30_000, [Accepted, Accepted, Accepted] => Verdict::Wait;
-    a_silent_target_is_left_for_a_claimed_slot:
+    a_silent_target_is_left_for_a_held_slot:
         OtherTarget::FreeSlot, Listed, SILENT_MS, [] => Verdict::Move;
-    a_claimed_slot_is_used_though_the_target_is_gone:
+    a_held_slot_is_used_though_the_target_is_gone:
         OtherTarget::FreeSlot, Restarted, SILENT_MS, [] => Verdict::Move;
     one_refused_probe_proves_nothing:
         OtherTarget::None, Listed, SILENT_MS, [Refused] => Verdict::Wait;
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -47,7 +47,7 @@
 ) -> AttemptOutcome {
     let Attempt { target, address, .. } = *attempt;
     let sending = front.targets.send(target, address, call);
-    let response = match attempt.hear(Awaited::Head, sending, Result::is_ok).await {
+    let response = match attempt.receive(Awaited::Head, sending, Result::is_ok).await {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::NotSent(err))) => {
             log::info!(target = &**target, problem:% = err; "target: connection failed");
@@ -111,7 +111,7 @@
         if stream.has_event() {
             return AttemptOutcome::Stream(parts, stream);
         }
-        match attempt.hear(Awaited::Event, stream.receive(), Received::is_data).await {
+        match attempt.receive(Awaited::Event, stream.receive(), Received::is_data).await {
             Ok(Received::Data) => {}
             Ok(Received::End(end)) => {
                 note_empty_stream(front, &attempt.request.id, &stream, end);
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -69,7 +69,7 @@
                 next_run: self.request.next_run_after(self.last_event),
             };
             let (loss, label) = match attempt
-                .hear(Awaited::Event, active.stream.receive(), Received::is_data)
+                .receive(Awaited::Event, active.stream.receive(), Received::is_data)
                 .await
             {
                 Ok(Received::Data) => continue,
@@ -114,7 +114,7 @@
 
     /// Resumes an interrupted stream at another target; returns the error that ends the answer if it cannot be resumed.
     async fn resume_or_fail(&mut self, loss: Loss, label: &'static str) -> Option<BoxError> {
-        let Loss { end, cause, claim } = loss;
+        let Loss { end, cause, held } = loss;
         let mut active = self.active.take()?;
         active.ticket.report_end(end);
         self.request.note_lost(end, active.address, active.sent);
@@ -126,7 +126,7 @@
             unfinished_bytes = active.stream.unfinished_bytes();
             "front: stream interrupted"
         );
-        self.request.note_silent(end, &active.target, claim);
+        self.request.note_silent(end, &active.target, held);
         // Closes the connection, so that the target stops before another one continues the stream.
         drop(active);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -49,7 +49,7 @@
     event_stream::EventStream,
     metrics::Stage,
     peers::{Hex, OverLimit, RunPermit},
-    placement::{Claim, Decision, Ticket},
+    placement::{Decision, HeldSlot, Ticket},
     target_client::set_target_headers,
 };
 
@@ -93,8 +93,8 @@
     /// Number of times that the request was sent.
     sends: u32,
     tried: SmallVec<[Name; 2]>,
-    /// Slot for the next attempt, if one was claimed while the target of the last one was silent.
-    claim: Option<Claim>,
+    /// Slot for the next attempt, if one is held since the target of the last one was silent.
+    held: Option<HeldSlot>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     may_have_run: Option<MayHaveRunReason>,
     /// What stays the same when the request comes again, once it was needed.
@@ -210,7 +210,7 @@
             deadline: started + Duration::from_millis(deadline_ms),
             sends: 0,
             tried: SmallVec::new(),
-            claim: None,
+            held: None,
             may_have_run: None,
             content: OnceCell::new(),
             taken_up,
@@ -431,9 +431,9 @@
         }
     }
 
-    /// Waits for a target, unless a slot was claimed already.
+    /// Waits for a target, unless a slot is held already.
     async fn next_target(&mut self) -> (Ticket, Decision) {
-        if let Some(Claim { ticket, decision }) = self.claim.take() {
+        if let Some(HeldSlot { ticket, decision }) = self.held.take() {
             return (ticket, decision);
         }
         let mut ticket = self.front.placement.request(self.request_spec());
@@ -479,14 +479,14 @@
                 self.tried.push(target);
                 None
             }
-            AttemptOutcome::MayHaveRun(Loss { end, cause, claim }) => {
+            AttemptOutcome::MayHaveRun(Loss { end, cause, held }) => {
                 self.runs += 1;
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
                 self.note_lost(end, address, sent);
                 self.tried.push(Name::clone(&target));
-                self.note_silent(end, &target, claim);
+                self.note_silent(end, &target, held);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
         }
@@ -590,9 +590,9 @@
         }
     }
 
-    /// Notes the end of an attempt at a silent target, and the slot that was claimed for the next one.
-    pub(super) fn note_silent(&mut self, end: AttemptEnd, target: &Name, claim: Option<Claim>) {
-        self.claim = claim;
+    /// Notes the end of an attempt at a silent target, and the slot that is held for the next one.
+    pub(super) fn note_silent(&mut self, end: AttemptEnd, target: &Name, held: Option<HeldSlot>) {
+        self.held = held;
         if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
             self.front.targets.close_idle(target);
             if !self.tried.contains(target) {
--- a/crates/samphiredoor-gateway/src/front/silence.rs
+++ b/crates/samphiredoor-gateway/src/front/silence.rs
@@ -18,8 +18,8 @@
 
 use super::online::OnlineRequest;
 use crate::{
-    placement::{Claim, Ticket},
-    silence::{Outlasted, SilentTarget},
+    placement::{HeldSlot, Ticket},
+    silence::{SilentTarget, WaitEnd},
 };
 
 const SILENCE_LIMIT: Duration = Duration::from_millis(SILENCE_LIMIT_MS);
@@ -58,24 +58,24 @@
     pub end: AttemptEnd,
     /// Why it is unknown whether the request ran.
     pub cause: MayHaveRunReason,
-    /// Slot that was claimed for the next attempt.
-    pub claim: Option<Claim>,
+    /// Slot that is held for the next attempt.
+    pub held: Option<HeldSlot>,
 }
 
 impl Loss {
     /// The connection failed.
     pub fn lost(cause: MayHaveRunReason) -> Loss {
-        Loss { end: AttemptEnd::Lost, cause, claim: None }
+        Loss { end: AttemptEnd::Lost, cause, held: None }
     }
 
     /// The caller stops waiting.
     pub fn deadline() -> Loss {
-        Loss { end: AttemptEnd::Cut, cause: MayHaveRunReason::DeadlinePassed, claim: None }
+        Loss { end: AttemptEnd::Cut, cause: MayHaveRunReason::DeadlinePassed, held: None }
     }
 
     /// The target is silent: the request goes on elsewhere, or the target is gone.
-    fn silent(end: AttemptEnd, claim: Option<Claim>) -> Loss {
-        Loss { end, cause: MayHaveRunReason::ConnectionLost, claim }
+    fn silent(end: AttemptEnd, held: Option<HeldSlot>) -> Loss {
+        Loss { end, cause: MayHaveRunReason::ConnectionLost, held }
     }
 }
 
@@ -109,7 +109,7 @@
     ///
     /// The request is better off elsewhere than at the silent target, the target is gone, or the deadline has passed. The
     /// connection has to be dropped before the request is sent again.
-    pub async fn hear<F: Future>(
+    pub async fn receive<F: Future>(
         &self,
         awaited: Awaited,
         wait: F,
@@ -118,21 +118,21 @@
         let mut wait = std::pin::pin!(wait);
         let since = Instant::now();
         let remaining = self.request.remaining();
-        let heard = match remaining > SILENCE_LIMIT {
+        let received = match remaining > SILENCE_LIMIT {
             true => within_or_late(SILENCE_LIMIT, wait.as_mut()).await,
             false => awaited.within(remaining, wait.as_mut()).await,
         };
-        if let Some(heard) = heard {
-            return Ok(heard);
+        if let Some(received) = received {
+            return Ok(received);
         }
         if remaining <= SILENCE_LIMIT {
             return Err(Loss::deadline());
         }
         let mut silence = Silence { since, awaited, other: OtherTarget::None };
         // Boxed, as it would make the future of each stream larger, and silences are rare.
-        let heard = Box::pin(self.outlast(&mut silence, wait)).await;
-        let end = match &heard {
-            Ok(heard) if is_data(heard) => SilenceEnd::Resumed,
+        let received = Box::pin(self.wait_silent(&mut silence, wait)).await;
+        let end = match &received {
+            Ok(received) if is_data(received) => SilenceEnd::Resumed,
             Ok(_) => SilenceEnd::Gone,
             Err(Loss { end: AttemptEnd::Cut, .. }) => SilenceEnd::Deadline,
             Err(Loss { end: AttemptEnd::Silent, .. }) => SilenceEnd::Moved,
@@ -142,11 +142,11 @@
             self.request.front.placement.silence_ended(self.ticket.request());
         }
         self.note_end(end, &silence);
-        heard
+        received
     }
 
     /// Waits on at a silent target until there is a reason to leave it.
-    async fn outlast<F: Future + Unpin>(
+    async fn wait_silent<F: Future + Unpin>(
         &self,
         silence: &mut Silence,
         mut wait: F,
@@ -160,21 +160,21 @@
             since: silence.since,
             until: self.request.deadline(),
         };
-        let (outlasted, other) = silent.outlast(|| self.next(), &mut wait).await;
+        let (ended, other) = silent.wait(|| self.next(), &mut wait).await;
         silence.other = other;
-        match outlasted {
-            Outlasted::Heard(heard) => Ok(heard),
-            Outlasted::Move(claim) => Err(Loss::silent(AttemptEnd::Silent, Some(claim))),
-            Outlasted::Gone(sign) => {
+        match ended {
+            WaitEnd::Received(received) => Ok(received),
+            WaitEnd::Move(held) => Err(Loss::silent(AttemptEnd::Silent, Some(held))),
+            WaitEnd::Gone(sign) => {
                 log::info!(
                     request = self.request.id, target = &**self.target, sign = sign.label();
                     "front: silent target is gone"
                 );
                 Err(Loss::silent(AttemptEnd::Gone, None))
             }
-            Outlasted::TimeUp => {
-                let heard = silence.awaited.within(Duration::ZERO, wait).await;
-                heard.ok_or_else(Loss::deadline)
+            WaitEnd::TimeUp => {
+                let received = silence.awaited.within(Duration::ZERO, wait).await;
+                received.ok_or_else(Loss::deadline)
             }
         }
     }
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -39,8 +39,8 @@
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
     peers::Hex,
-    placement::{Claim, Decision, Ticket},
-    silence::{Outlasted, SilentTarget},
+    placement::{Decision, HeldSlot, Ticket},
+    silence::{SilentTarget, WaitEnd},
     target_client,
 };
 
@@ -129,7 +129,7 @@
     until: Instant,
     /// Slot at another target for which the item leaves this one. It keeps other items from leaving for the same slot until
     /// the attempt has ended; the next run is placed like any other.
-    claim: Option<Claim>,
+    held: Option<HeldSlot>,
 }
 
 /// Why the head of a response did not arrive.
@@ -274,7 +274,7 @@
             service,
             headers: &call.headers,
             until,
-            claim: None,
+            held: None,
         };
         let sent = self.send(&mut ticket, &mut at, call).await;
         let (outcome, end) = match sent.head {
@@ -350,8 +350,8 @@
     async fn send(&self, ticket: &mut Ticket, at: &mut AtTarget<'_>, call: &Call) -> Sent {
         let mut send = std::pin::pin!(self.env.targets.send(at.target, at.address, call));
         let request = ticket.request();
-        let hearing = self.hear(request, at, send.as_mut(), Result::is_ok);
-        let in_time = or_preempted(ticket, hearing).await;
+        let receiving = self.receive(request, at, send.as_mut(), Result::is_ok);
+        let in_time = or_preempted(ticket, receiving).await;
         let is_preempted = in_time.is_none();
         let (head, missing) = match in_time {
             Some(Ok(head)) => (Some(head), NoResponse::NotSent),
@@ -479,7 +479,7 @@
         loop {
             let received = {
                 let receiving = std::pin::pin!(stream.receive());
-                or_preempted(ticket, self.hear(request, at, receiving, Received::is_data)).await
+                or_preempted(ticket, self.receive(request, at, receiving, Received::is_data)).await
             };
             match received {
                 None => return (Outcome::Resume, AttemptEnd::Cut),
@@ -512,7 +512,7 @@
     ///
     /// The target has been silent, and the item is better off elsewhere, the target is gone, or the time that it was given
     /// is up.
-    async fn hear<F: Future + Unpin>(
+    async fn receive<F: Future + Unpin>(
         &self,
         request: RequestId,
         at: &mut AtTarget<'_>,
@@ -520,8 +520,8 @@
         is_data: fn(&F::Output) -> bool,
     ) -> Result<F::Output, AttemptEnd> {
         let since = Instant::now();
-        if let Some(heard) = within_or_late(SILENCE_LIMIT, &mut wait).await {
-            return Ok(heard);
+        if let Some(received) = within_or_late(SILENCE_LIMIT, &mut wait).await {
+            return Ok(received);
         }
         let silent = SilentTarget {
             placement: &self.env.placement,
@@ -532,10 +532,10 @@
             until: at.until,
         };
         let next = || (self.next_spec(at), NextRun::Allowed);
-        let (outlasted, _) = Box::pin(silent.outlast(next, wait)).await;
-        match outlasted {
-            Outlasted::Heard(heard) => {
-                if is_data(&heard) {
+        let (ended, _) = Box::pin(silent.wait(next, wait)).await;
+        match ended {
+            WaitEnd::Received(received) => {
+                if is_data(&received) {
                     self.env.placement.silence_ended(request);
                     log::info!(
                         job = &*self.job, item = &*self.item.id, target = &**at.target,
@@ -543,14 +543,14 @@
                         "item: target spoke again"
                     );
                 }
-                Ok(heard)
+                Ok(received)
             }
-            Outlasted::Move(claim) => {
-                at.claim = Some(claim);
+            WaitEnd::Move(held) => {
+                at.held = Some(held);
                 Err(AttemptEnd::Silent)
             }
-            Outlasted::Gone(_) => Err(AttemptEnd::Gone),
-            Outlasted::TimeUp => Err(AttemptEnd::Silent),
+            WaitEnd::Gone(_) => Err(AttemptEnd::Gone),
+            WaitEnd::TimeUp => Err(AttemptEnd::Silent),
         }
     }
 
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -154,8 +154,8 @@
         verdict.recv_async().await.unwrap_or(JobVerdict::AdmitUnknown)
     }
 
-    /// Reports that the target of a request is silent; returns what is known of it, and the slot that was claimed elsewhere.
-    pub async fn silent(&self, attempt: SilentAttempt) -> (SilenceReport, Option<Claim>) {
+    /// Reports that the target of a request is silent; returns what is known of it, and the slot that is held elsewhere.
+    pub async fn silent(&self, attempt: SilentAttempt) -> (SilenceReport, Option<HeldSlot>) {
         let (sender, decisions) = flume::unbounded();
         let mut ticket = Ticket {
             request: attempt.next.request,
@@ -172,7 +172,7 @@
         match ticket.decisions.try_recv() {
             Ok(decision) => {
                 ticket.stage = Stage::AtTarget;
-                (report, Some(Claim { ticket, decision }))
+                (report, Some(HeldSlot { ticket, decision }))
             }
             Err(_) => {
                 ticket.stage = Stage::Ended;
@@ -289,8 +289,8 @@
     }
 }
 
-/// A slot that was claimed at another target, while the attempt at a silent one goes on.
-pub struct Claim {
+/// A slot that is held at another target while the attempt at a silent one goes on.
+pub struct HeldSlot {
     /// Holds the slot.
     pub ticket: Ticket,
     /// The target.
--- a/crates/samphiredoor-gateway/src/silence.rs
+++ b/crates/samphiredoor-gateway/src/silence.rs
@@ -17,7 +17,7 @@
 use samphiredoor_net::pool::within_or_ready;
 
 use crate::{
-    placement::{Claim, PlacementHandle},
+    placement::{HeldSlot, PlacementHandle},
     target_probes::TargetProbes,
 };
 
@@ -40,11 +40,11 @@
 }
 
 /// How the wait for a silent target has ended.
-pub enum Outlasted<T> {
+pub enum WaitEnd<T> {
     /// The awaited part has arrived, or the connection failed.
-    Heard(T),
-    /// Another target can take the request over, in the slot that was claimed there.
-    Move(Claim),
+    Received(T),
+    /// Another target can take the request over, in the slot that is held there.
+    Move(HeldSlot),
     /// The target is gone.
     Gone(GoneSign),
     /// The time is up.
@@ -52,14 +52,14 @@
 }
 
 impl SilentTarget<'_> {
-    /// Waits on for a silent target, and checks at intervals whether to leave it. `next` is the request as it would be sent to
+    /// Waits for the next part of the answer, and checks at intervals whether to leave it. `next` is the request as it would be sent to
     /// another target, with the silent one among those tried, and whether it may be. The second value of the result is
     /// whether another target had a free slot at the last check.
-    pub async fn outlast<F: Future + Unpin>(
+    pub async fn wait<F: Future + Unpin>(
         &self,
         next: impl Fn() -> (RequestSpec, NextRun),
         mut wait: F,
-    ) -> (Outlasted<F::Output>, OtherTarget) {
+    ) -> (WaitEnd<F::Output>, OtherTarget) {
         let mut other = OtherTarget::None;
         loop {
             let begun = Instant::now();
@@ -67,23 +67,23 @@
                 let (spec, next_run) = next();
                 let check = std::pin::pin!(self.check(spec, next_run, &mut other));
                 match select(&mut wait, check).await {
-                    Either::Left((heard, _)) => Err(heard),
+                    Either::Left((received, _)) => Err(received),
                     Either::Right((checked, _)) => Ok(checked),
                 }
             };
             match checked {
-                Err(heard) => return (Outlasted::Heard(heard), other),
-                Ok((_, Some(claim))) => return (Outlasted::Move(claim), other),
-                Ok((Verdict::Gone(sign), None)) => return (Outlasted::Gone(sign), other),
+                Err(received) => return (WaitEnd::Received(received), other),
+                Ok((_, Some(held))) => return (WaitEnd::Move(held), other),
+                Ok((Verdict::Gone(sign), None)) => return (WaitEnd::Gone(sign), other),
                 Ok((Verdict::Wait | Verdict::Move, None)) => {}
             }
             let left = self.until.saturating_duration_since(Instant::now());
             let pause = CHECK_INTERVAL.saturating_sub(begun.elapsed()).min(left);
-            if let Some(heard) = within_or_ready(pause, &mut wait).await {
-                return (Outlasted::Heard(heard), other);
+            if let Some(received) = within_or_ready(pause, &mut wait).await {
+                return (WaitEnd::Received(received), other);
             }
             if Instant::now() >= self.until {
-                return (Outlasted::TimeUp, other);
+                return (WaitEnd::TimeUp, other);
             }
         }
     }
@@ -94,26 +94,26 @@
         next: RequestSpec,
         next_run: NextRun,
         other: &mut OtherTarget,
-    ) -> (Verdict, Option<Claim>) {
+    ) -> (Verdict, Option<HeldSlot>) {
         let slot_use = match next_run {
-            NextRun::Allowed => SlotUse::Claim,
+            NextRun::Allowed => SlotUse::Hold,
             NextRun::AttemptsUsed | NextRun::RunsOnce | NextRun::NotResumable | NextRun::Late => {
                 SlotUse::Report
             }
         };
         let attempt = SilentAttempt { request: self.request, next, slot_use };
-        let (report, claim) = self.placement.silent(attempt).await;
+        let (report, held) = self.placement.silent(attempt).await;
         *other = report.other;
         if next_run == NextRun::RunsOnce {
             return (Verdict::Wait, None);
         }
-        let claimed = if claim.is_some() { OtherTarget::FreeSlot } else { OtherTarget::None };
-        let failed_probes = match claimed {
+        let held_at = if held.is_some() { OtherTarget::FreeSlot } else { OtherTarget::None };
+        let failed_probes = match held_at {
             OtherTarget::FreeSlot => FailedProbes::default(),
             OtherTarget::None => self.probes.failed(self.address).await,
         };
         let silence_ms = self.since.elapsed().as_millis() as u64;
         let signs = Signs { silence_ms, listing: report.listing, failed_probes };
-        (verdict(claimed, signs), claim)
+        (verdict(held_at, signs), held)
     }
 }
