--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod hop_by_hop;
 mod online;
 mod resumption;
+mod silence;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -41,6 +42,7 @@
     platform_api::{Dialect, JobCall},
     routes::Routes,
     target_client::{self, TargetClient},
+    target_probes::TargetProbes,
 };
 use access::{authorize, limit_response};
 use answers::unavailable;
@@ -67,6 +69,8 @@
     pub placement: PlacementHandle,
     /// Connections to targets.
     pub targets: TargetClient,
+    /// Probes of silent targets.
+    pub target_probes: TargetProbes,
     /// Batch jobs.
     pub jobs: Jobs,
     /// Rate limits of workspaces.
@@ -152,7 +156,8 @@
         RouteKind::Repeatable | RouteKind::Once | RouteKind::Stream { .. } => {
             let name = workspace.as_ref().map(|it| &*it.name);
             target_client::set_workspace(&mut parts.headers, front.dialect.headers(), name);
-            let mut request = OnlineRequest::new(Rc::clone(front), route, parts, body);
+            let mut request =
+                OnlineRequest::new(Rc::clone(front), (route, table.version), parts, body);
             if let Some(workspace) = workspace {
                 request = match request.with_workspace(&workspace, table.version).await {
                     Ok(request) => request,
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -27,7 +27,8 @@
     },
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
     quarantine,
-    routes::Route,
+    routes::{Route, RouteKind},
+    silence::NextRun,
     software_versions::StreamOrigin,
     verdict::{MayHaveRunReason, Refusal},
 };
@@ -37,17 +38,19 @@
 use super::{
     Front,
     answers::{may_have_run_response, refusal_response},
-    attempt::{AttemptOutcome, Timeouts, run_attempt},
+    attempt::{AttemptOutcome, run_attempt},
     forwarded_stream::ForwardedStream,
     header_number,
     hop_by_hop::strip_hop_by_hop_headers,
     resumption::TakenUp,
+    silence::{Attempt, Loss},
 };
 use crate::{
     event_stream::EventStream,
     metrics::Stage,
     peers::{Clearance, Hex, LostRun, OverLimit, RunPermit, Suspects},
-    placement::{Decision, Ticket},
+    placement::{Decision, HeldSlot, Ticket},
+    target_client::set_target_headers,
 };
 
 /// Deadline of a request that has no deadline header.
@@ -62,9 +65,6 @@
 /// A request that goes on with a stream may wait for a slot at a target of its version for this time: the work that the
 /// stream has cost would be lost, and callers bear a pause of about this length.
 const RESUMPTION_WAIT_MS: u64 = 500;
-/// A repeatable request is sent to another target when its target sends nothing for this time. A working target sends
-/// output every 25 ms and a full one starts within 300 ms.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// An online request and the state of its retries.
 pub struct OnlineRequest {
@@ -72,6 +72,10 @@
     pub(super) route: Arc<Route>,
     pub(super) id: String,
     pub(super) started: Instant,
+    /// Version of the routes under which the request came.
+    routes_version: u64,
+    /// Silences of its targets that were logged.
+    pub(super) logged_silences: Cell<u32>,
     /// Number of targets that ran the request or may have run it.
     pub(super) runs: u32,
     /// Time spent in each stage so far.
@@ -89,6 +93,8 @@
     /// Number of times that the request was sent.
     sends: u32,
     tried: SmallVec<[Name; 2]>,
+    /// Slot for the next attempt, if one is held since the target of the last one was silent.
+    held: Option<HeldSlot>,
     /// Why it is unknown whether an earlier attempt ran, if one may have.
     may_have_run: Option<MayHaveRunReason>,
     /// What stays the same when the request comes again, once it was needed.
@@ -178,7 +184,7 @@
     /// Creates a request from its parts as received; hop-by-hop headers are removed.
     pub fn new(
         front: Rc<Front>,
-        route: Arc<Route>,
+        (route, routes_version): (Arc<Route>, u64),
         mut parts: request::Parts,
         body: Bytes,
     ) -> OnlineRequest {
@@ -205,12 +211,15 @@
             route,
             id,
             started,
+            routes_version,
+            logged_silences: Cell::new(0),
             runs: 0,
             stages: StageTimes::default(),
             affinity,
             deadline: started + Duration::from_millis(deadline_ms),
             sends: 0,
             tried: SmallVec::new(),
+            held: None,
             may_have_run: None,
             content: OnceCell::new(),
             taken_up,
@@ -306,17 +315,20 @@
             request = self.id, route = &*self.route.name, outcome, status, runs = self.runs, sends = self.sends,
             elapsed_ms = self.started.elapsed().as_millis() as u64,
             limit_ms = self.stages.limit.as_millis() as u64, queue_ms = self.stages.queue.as_millis() as u64,
-            first_event_ms = self.stages.first_event.as_millis() as u64;
+            first_event_ms = self.stages.first_event.as_millis() as u64,
+            routes_version = self.routes_version, routes_version_at_end = self.front.routes.version();
             "front: request ended"
         );
     }
 
-    /// Time limits of the next attempt or read. A request that must not run twice has no other target to go to, so its
-    /// target may send nothing until the deadline.
-    pub(super) fn timeouts(&self) -> Timeouts {
-        let idle =
-            if self.route.kind.is_repeatable() { IDLE_TIMEOUT } else { Duration::from_secs(3_600) };
-        Timeouts { deadline: self.deadline, idle }
+    /// When the caller stops waiting.
+    pub(super) fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Time until the deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 
     /// Resumes an interrupted stream at another target, after the event with number `after`.
@@ -345,19 +357,52 @@
         self.route.kind.is_repeatable() && self.runs < self.route.attempts
     }
 
+    /// Whether the request may be sent again once the attempt that is being sent has ended.
+    fn next_run(&self) -> NextRun {
+        // That attempt counts as a run when it ends.
+        self.next_run_after_runs(self.runs + 1)
+    }
+
+    /// Whether another target can go on with the answer's stream after this event.
+    pub(super) fn next_run_after(&self, last_event: Option<u64>) -> NextRun {
+        match (self.route.kind, last_event) {
+            (RouteKind::Stream { resumable: true }, Some(_)) => self.next_run_after_runs(self.runs),
+            (RouteKind::Stream { resumable: true }, None) | (RouteKind::Repeatable, _) => {
+                NextRun::NotResumable
+            }
+            (RouteKind::Stream { resumable: false } | RouteKind::Once | RouteKind::Batch(_), _) => {
+                NextRun::RunsOnce
+            }
+        }
+    }
+
+    fn next_run_after_runs(&self, runs: u32) -> NextRun {
+        if !self.route.kind.is_repeatable() {
+            NextRun::RunsOnce
+        } else if runs >= self.route.attempts {
+            NextRun::AttemptsUsed
+        } else if self.may_send() {
+            NextRun::Allowed
+        } else {
+            NextRun::Late
+        }
+    }
+
+    /// Whether there is time to send the request, and it was not sent too often.
+    pub(super) fn may_send(&self) -> bool {
+        self.sends < MAX_SENDS && self.remaining() >= MIN_TIME_TO_SEND
+    }
+
     /// Sends the request to one target after another until one answers or a limit is reached.
     async fn try_targets(&mut self) -> Outcome {
         loop {
-            if self.sends >= MAX_SENDS || self.timeouts().remaining() < MIN_TIME_TO_SEND {
+            if !self.may_send() {
                 return self.final_outcome(Refusal::DeadlineTooShort, 0);
             }
             if let Some(suspect) = self.quarantined() {
                 return self.refuse_quarantined(suspect);
             }
-            let mut ticket = self.front.placement.request(self.request_spec());
-            let queued = Instant::now();
-            let decision = ticket.next_decision().await;
-            self.stages.queue += queued.elapsed();
+            let (ticket, decision) = self.next_target().await;
             let (target, address, origin) = match decision {
                 Decision::Dispatch { target, address, origin, .. } => (target, address, origin),
                 Decision::Refused { reason, retry_after_ms, rejection } => {
@@ -378,10 +423,17 @@
             self.sends += 1;
             self.note_run(true);
             let names = self.front.dialect.headers();
-            let timeouts = self.timeouts();
-            let at = (&target, address);
+            let remaining = self.remaining();
+            set_target_headers(&mut self.call, names, &target, remaining);
             let sent = Instant::now();
-            let outcome = run_attempt(&self.front, names, at, &mut self.call, timeouts).await;
+            let attempt = Attempt {
+                request: self,
+                target: &target,
+                address,
+                ticket: &ticket,
+                next_run: self.next_run(),
+            };
+            let outcome = run_attempt(&self.front, names, &self.call, &attempt).await;
             self.stages.first_event += sent.elapsed();
             if matches!(outcome, AttemptOutcome::NotRun(_)) && !trial.is_empty() {
                 self.front.crash_reports.return_trial(trial);
@@ -393,6 +445,18 @@
         }
     }
 
+    /// Waits for a target, unless a slot is held already.
+    async fn next_target(&mut self) -> (Ticket, Decision) {
+        if let Some(HeldSlot { ticket, decision }) = self.held.take() {
+            return (ticket, decision);
+        }
+        let mut ticket = self.front.placement.request(self.request_spec());
+        let queued = Instant::now();
+        let decision = ticket.next_decision().await;
+        self.stages.queue += queued.elapsed();
+        (ticket, decision)
+    }
+
     /// Records the outcome of an attempt; `None` if the request can be sent to another target.
     fn handle_attempt(
         &mut self,
@@ -430,13 +494,14 @@
                 self.tried.push(target);
                 None
             }
-            AttemptOutcome::MayHaveRun(end, cause) => {
+            AttemptOutcome::MayHaveRun(Loss { end, cause, held }) => {
                 self.runs += 1;
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
                 self.note_lost(end, LostRun { target: address, sent_at: sent, began_at: None });
-                self.tried.push(target);
+                self.tried.push(Name::clone(&target));
+                self.note_silent(end, &target, held);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
         }
@@ -475,12 +540,15 @@
             AttemptEnd::Unreachable => "unreachable",
             AttemptEnd::Lost => "lost",
             AttemptEnd::Silent => "silent",
+            AttemptEnd::Gone => "gone",
             AttemptEnd::Cut => "deadline",
         };
         self.front.metrics.retried(label);
         // Finds all requests with the same content, which each have an id of their own.
         let fingerprint = match end {
-            AttemptEnd::Lost | AttemptEnd::Silent => Hex(self.fingerprint()).to_string(),
+            AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Gone => {
+                Hex(self.fingerprint()).to_string()
+            }
             _ => String::new(),
         };
         log::info!(
@@ -552,6 +620,17 @@
         }
     }
 
+    /// Notes the end of an attempt at a silent target, and the slot that is held for the next one.
+    pub(super) fn note_silent(&mut self, end: AttemptEnd, target: &Name, held: Option<HeldSlot>) {
+        self.held = held;
+        if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
+            self.front.targets.close_idle(target);
+            if !self.tried.contains(target) {
+                self.tried.push(Name::clone(target));
+            }
+        }
+    }
+
     fn report_load(&self, target: &Name, headers: &HeaderMap) {
         if let Some(load) = self.front.dialect.reported_load(headers) {
             self.front.placement.report_load(target, load);
@@ -574,16 +653,16 @@
             share_key: self.share_key,
             arrived_ms: now_ms.saturating_sub(elapsed_ms),
             objective_ms: self.route.objective_ms,
-            deadline_ms: now_ms + self.timeouts().remaining().as_millis() as u64,
+            deadline_ms: now_ms + self.remaining().as_millis() as u64,
             full_wait_ms: self.route.timeout_ms,
             is_repeatable: self.route.kind.is_repeatable(),
         }
     }
 
-    fn request_spec(&self) -> RequestSpec {
+    pub(super) fn request_spec(&self) -> RequestSpec {
         let resumes = self.origin.clone().map(|origin| Resumption { origin, until_ms: u64::MAX });
         let queue_ms = match resumes {
-            Some(_) => RESUMPTION_WAIT_MS.min(self.timeouts().remaining().as_millis() as u64),
+            Some(_) => RESUMPTION_WAIT_MS.min(self.remaining().as_millis() as u64),
             None => self.route.objective_ms / QUEUE_WAIT_DIVISOR,
         };
         let now = self.front.clock.now();
--- a/crates/samphiredoor-gateway/src/placement.rs
+++ b/crates/samphiredoor-gateway/src/placement.rs
@@ -17,8 +17,10 @@
         batch_admission::{JobDemand, JobVerdict},
     },
     placement::{
-        Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec, TargetEntry,
+        Action, AttemptEnd, GatewayState, Input, Placement, ReportedLoad, RequestSpec,
+        SilenceReport, SilentAttempt, TargetEntry,
     },
+    silence::{Listing, OtherTarget},
     software_versions::StreamOrigin,
     verdict::Refusal,
 };
@@ -71,6 +73,7 @@
     Request(RequestSpec, flume::Sender<Decision>),
     Input(Input),
     Job(JobDemand, flume::Sender<JobVerdict>),
+    Silent(SilentAttempt, flume::Sender<Decision>, flume::Sender<SilenceReport>),
 }
 
 /// Handle to the placement task.
@@ -151,6 +154,38 @@
         verdict.recv_async().await.unwrap_or(JobVerdict::AdmitUnknown)
     }
 
+    /// Reports that the target of a request is silent; returns what is known of it, and the slot that is held elsewhere.
+    pub async fn silent(&self, attempt: SilentAttempt) -> (SilenceReport, Option<HeldSlot>) {
+        let (sender, decisions) = flume::unbounded();
+        let mut ticket = Ticket {
+            request: attempt.next.request,
+            decisions,
+            messages: self.messages.clone(),
+            stage: Stage::Waiting,
+            has_overload: self.has_overload,
+        };
+        let (reply, report) = flume::bounded(1);
+        self.send(Message::Silent(attempt, sender, reply));
+        // The task runs until the process ends.
+        let unknown = SilenceReport { listing: Listing::Listed, other: OtherTarget::None };
+        let report = report.recv_async().await.unwrap_or(unknown);
+        match ticket.decisions.try_recv() {
+            Ok(decision) => {
+                ticket.stage = Stage::AtTarget;
+                (report, Some(HeldSlot { ticket, decision }))
+            }
+            Err(_) => {
+                ticket.stage = Stage::Ended;
+                (report, None)
+            }
+        }
+    }
+
+    /// Reports that the silent target of a request has sent data.
+    pub fn silence_ended(&self, request: RequestId) {
+        self.send(Message::Input(Input::SilenceEnded { request }));
+    }
+
     /// Replaces the list of all known targets.
     pub fn set_targets(&self, targets: Vec<TargetEntry>) {
         self.send(Message::Input(Input::Targets(targets)));
@@ -228,6 +263,11 @@
         }
     }
 
+    /// Id of the request for the placement.
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// Frees the slot and records how the attempt ended. Only the first call after a dispatch counts.
     pub fn report_end(&mut self, end: AttemptEnd) {
         if std::mem::replace(&mut self.stage, Stage::Ended) == Stage::AtTarget {
@@ -249,6 +289,14 @@
     }
 }
 
+/// A slot that is held at another target while the attempt at a silent one goes on.
+pub struct HeldSlot {
+    /// Holds the slot.
+    pub ticket: Ticket,
+    /// The target.
+    pub decision: Decision,
+}
+
 /// The placement task and the state of its channels.
 struct Running {
     task: PlacementTask,
@@ -278,6 +326,12 @@
                     let _ = reply.send(self.task.placement.admit_job(now_ms, &job));
                     continue;
                 }
+                Some(Ok(Message::Silent(attempt, decisions, reply))) => {
+                    let report = self.handle_silence(&attempt, decisions, &mut actions);
+                    // Fails if the target has sent data meanwhile.
+                    let _ = reply.send(report);
+                    continue;
+                }
                 Some(Err(_)) => return,
                 None => Input::Tick,
             };
@@ -294,6 +348,24 @@
         }
     }
 
+    fn handle_silence(
+        &mut self,
+        attempt: &SilentAttempt,
+        decisions: flume::Sender<Decision>,
+        actions: &mut Vec<Action>,
+    ) -> SilenceReport {
+        let now_ms = self.task.clock.now().mono_ms;
+        let report = self.task.placement.handle_silence(now_ms, attempt, actions);
+        if !actions.is_empty() {
+            self.reply_channels.insert(attempt.next.request, decisions);
+        }
+        for action in actions.drain(..) {
+            self.send_decision(action, &[]);
+        }
+        self.report_load();
+        report
+    }
+
     /// Updates what operators see of the shares of workspaces and of the capacity of services, once a second where overload
     /// control is on.
     fn report_shares(&mut self, now_ms: u64) {
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -36,6 +36,7 @@
     signals::{SIGHUP, keep_from_ending, wait_for, wait_for_stop},
     store_health::StoreHealth,
     target_client::TargetClient,
+    target_probes::TargetProbes,
     watch::Watcher,
     watch_schedule::WatchSchedule,
 };
@@ -295,7 +296,9 @@
     compio::runtime::spawn(status_sender.run(loads_to_send, announcements_to_send)).detach();
 
     let liveness_gaps = LivenessGaps::new(clock, roster.clone(), health.clone());
+    let target_probes = TargetProbes::default();
     let env = JobEnv {
+        target_probes: target_probes.clone(),
         name: local.name.clone(),
         incarnation: local.incarnation,
         platform: platform.clone(),
@@ -316,6 +319,7 @@
     };
     let jobs = jobs::start(env);
     let front = Front {
+        target_probes,
         dialect: Rc::clone(&platform.dialect),
         routes: routes.clone(),
         placement,
