Tests: bursts of crashes under sound work; held work is tried again, with few crashes

Targets of the stand-in now crash as a killed process does: new connections are refused and open ones closed at once. Before, the listener closed a little later, answers went on to their next event, and idle connections stayed open.

Green: - crashes_in_the_first_second_of_gateways_are_counted_together (five gateways) - items_that_share_a_part_have_their_results_soon_after_two_pulses_of_crashes: with two pulses that hit other targets each, the part is not quarantined.

--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     io::{self, Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -119,6 +119,8 @@
     /// Faults of requests by a part of their prompt other than the last, at each run.
     faults_by_part: BTreeMap<String, TargetFault>,
     runs: Vec<Run>,
+    /// Open connections by the addresses of their clients.
+    connections: BTreeMap<SocketAddr, TcpStream>,
     events: u64,
     pause: Duration,
     /// Size to which the data of each event is padded in answers to requests without a body.
@@ -145,6 +147,7 @@
     /// Address of its listener.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    listener: Arc<TcpListener>,
     is_crashed: Arc<AtomicBool>,
 }
 
@@ -163,6 +166,7 @@
             faults_by_last_byte: BTreeMap::new(),
             faults_by_part: BTreeMap::new(),
             runs: Vec::new(),
+            connections: BTreeMap::new(),
             events,
             pause,
             event_bytes: 0,
@@ -177,22 +181,27 @@
             name: name.to_owned(),
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(state)),
+            listener: Arc::new(listener),
             is_crashed: Arc::default(),
         };
         let acceptor = target.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let target = acceptor.clone();
-                if target.is_crashed.load(Ordering::Relaxed) {
-                    return;
-                }
-                // Errors of a connection are ignored: closed and reset connections are expected.
-                thread::spawn(move || drop(target.serve(stream)));
-            }
-        });
+        thread::spawn(move || acceptor.accept());
         Ok(target)
     }
 
+    /// Serves connections until the target crashes.
+    fn accept(&self) {
+        for stream in self.listener.incoming() {
+            if self.has_crashed() {
+                return;
+            }
+            let Ok(stream) = stream else { continue };
+            let target = self.clone();
+            // Errors of a connection are ignored: closed and reset connections are expected.
+            thread::spawn(move || drop(target.serve(stream)));
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
@@ -289,16 +298,18 @@
         self.state().runs.clone()
     }
 
-    /// Simulates a crash: closes the listener, cuts the answers in progress and handles no further requests.
+    /// Simulates a crash: refuses new connections and closes all open ones at once, as the kernel does for a killed process.
     pub fn crash(&self) {
-        self.is_crashed.store(true, Ordering::Relaxed);
-        // This connection wakes the accepting thread, which then closes the listener.
-        let _ = TcpStream::connect(self.address);
+        self.is_crashed.store(true, Ordering::SeqCst);
+        let _ = SockRef::from(&*self.listener).shutdown(Shutdown::Both);
+        for connection in self.state().connections.values() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
     }
 
     /// Whether it has crashed.
     pub fn has_crashed(&self) -> bool {
-        self.is_crashed.load(Ordering::Relaxed)
+        self.is_crashed.load(Ordering::SeqCst)
     }
 
     /// Entry in the store that registers it.
@@ -324,7 +335,16 @@
         by_body.or_else(|| state.faults.pop_front()).unwrap_or_default()
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let client = stream.peer_addr()?;
+        self.state().connections.insert(client, stream.try_clone()?);
+        let served = self.serve_requests(stream);
+        // The connection stays open as long as a handle to it is kept.
+        self.state().connections.remove(&client);
+        served
+    }
+
+    fn serve_requests(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let unread_limit = self.state().unread_limit;
         if unread_limit.is_some() {
@@ -332,8 +352,12 @@
             SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         }
         let mut buffer = Vec::new();
+        // The crash may have closed all connections before this one was accepted.
+        if self.has_crashed() {
+            return Ok(());
+        }
         while let Some(request) = read_request(&mut stream, &mut buffer)? {
-            if self.is_crashed.load(Ordering::Relaxed) || !self.answer(&mut stream, &request)? {
+            if self.has_crashed() || !self.answer(&mut stream, &request)? {
                 return Ok(());
             }
         }
@@ -475,7 +499,7 @@
                 false => write!(stream, "{:x}\r\n{event}\r\n", event.len())?,
             }
             thread::sleep(pause);
-            if self.is_crashed.load(Ordering::Relaxed) {
+            if self.has_crashed() {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -3,6 +3,7 @@
 mod broken_off_answers;
 mod cancellations;
 mod cells;
+mod crashes_by_chance;
 mod discovery;
 mod env;
 mod item_outputs;
