Soak: bursts of crashes by chance under sound work, with changes of limits beside them

The steps have a generator of their own (Plan::with_bursts), so the plans of existing seeds stay the same. Faults of gateways and of the store are left out of plans with bursts, as the time bounds hold for gateways in touch.

Checks: no sound request that was sent more than 5 s after the last crash is refused as quarantined, and all items of accepted jobs that were not cancelled have a result 10 s after the end of the load.

Not built: targets that fall silent once a request and go on.

--- a/crates/samphiredoor-standin/src/cli.rs
+++ b/crates/samphiredoor-standin/src/cli.rs
@@ -134,6 +134,8 @@
         releases: bool,
         /// Also let callers send content, and a part of prompts, that crash targets
         crashes: bool,
+        /// Also let targets crash by chance in bursts, under work that shares parts of prompts; spares the gateways other faults
+        bursts: bool,
         /// The `samphiredoor` program
         #[bpaf(positional("PROGRAM"))]
         binary: PathBuf,
--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -151,6 +151,16 @@
         self.store.put("config", "main", Platform::config(version, attempts));
     }
 
+    /// Writes a configuration with routes of all kinds, this idle limit of connections and this timeout of requests.
+    pub fn put_limits(&self, version: u64, attempts: u32, idle_ms: u64, timeout_ms: u64) {
+        let mut config = Platform::config(version, attempts);
+        config["limits"]["idleTimeoutMs"] = json!(idle_ms);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["timeoutMs"] = json!(timeout_ms);
+        }
+        self.store.put("config", "main", config);
+    }
+
     /// Writes a configuration with routes of all kinds and one public route, whose callers need a key of a workspace.
     pub fn put_workspaces(&self, version: u64, tenants: &Value) {
         let mut config = Platform::config(version, 3);
--- a/crates/samphiredoor-standin/src/serve.rs
+++ b/crates/samphiredoor-standin/src/serve.rs
@@ -34,6 +34,7 @@
         broken_answers,
         releases,
         crashes,
+        bursts,
         binary,
     } = opts
     {
@@ -48,6 +49,7 @@
             broken_answers,
             releases,
             crashes,
+            bursts,
         };
         return run_soak(&options, seed, seeds.as_deref(), plan.as_deref(), shrink);
     }
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, value::RawValue};
 
 use super::{
+    bursts::Bursts,
     connection::Reply,
     crashes::Crashes,
     plan::Disturbed,
@@ -63,6 +64,10 @@
     ServesAfterFaults,
     /// Streams that callers take up go on.
     StreamsGoOn,
+    /// Sound requests are not held for crashes by chance once all is calm.
+    SoundServed,
+    /// All items of accepted jobs have results soon after the last fault.
+    ItemsFinish,
     /// An acknowledged configuration becomes active at every gateway, and no older one becomes active again.
     ConfigurationActive,
 }
@@ -82,6 +87,8 @@
             Invariant::CancellationStopsRuns => "no item of a job starts after its cancellation",
             Invariant::RepeatsBounded => "the same work is not repeated without a bound",
             Invariant::DeadlinesKept => "targets are not handed more time than is left",
+            Invariant::SoundServed => "sound requests are served soon after a burst of crashes",
+            Invariant::ItemsFinish => "all items have results soon after the last fault",
             Invariant::StreamsGoOn => "streams that callers take up go on",
             Invariant::ServesAfterFaults => "requests are served again after the last fault",
             Invariant::ConfigurationActive => "a configuration is active at every gateway",
@@ -180,6 +187,7 @@
     versions: Versions,
     /// Requests that crash targets, and sound ones beside them.
     crashes: Crashes,
+    bursts: Bursts,
 }
 
 impl Checks {
@@ -188,6 +196,11 @@
         &mut self.crashes
     }
 
+    /// Crashes by chance.
+    pub fn bursts(&mut self) -> &mut Bursts {
+        &mut self.bursts
+    }
+
     /// Checks how many targets were crashed by requests that gateways had to know.
     pub fn check_crashes(&mut self, runs: &[Run]) {
         let mut crashes = std::mem::take(&mut self.crashes);
@@ -299,6 +312,11 @@
     /// Records and checks the answer to a request.
     pub fn check_answer(&mut self, id: &str, reply: &Reply) {
         self.crashes.count_answer(id, reply);
+        let allowance = self.requests.get(id).and_then(|it| it.allowance);
+        let sent_at = allowance.map_or_else(Instant::now, |it| it.sent_at);
+        if let Some(observed) = self.bursts.problem(sent_at, reply) {
+            self.record_violation(Invariant::SoundServed, id, observed);
+        }
         match reply.status {
             200 => self.check_success(id, reply),
             _ if reply.is_refusal() => {
--- a/crates/samphiredoor-standin/src/soak/clients.rs
+++ b/crates/samphiredoor-standin/src/soak/clients.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use super::{
-    Pressure,
+    Pressure, bursts,
     checks::{FAILS, IMPOSSIBLE, ITEM_SEPARATOR, Invariant},
     connection::{Connection, Reply, Request, call},
     crashes::Effect,
@@ -55,6 +55,8 @@
 const JOB_CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum numbers of items of small and large jobs.
 const MAX_ITEMS: [usize; 2] = [20, 150];
+/// The same with bursts of crashes, where runs are longer.
+const MAX_ITEMS_OF_BURSTS: [usize; 2] = [20, 40];
 /// Probability that an item always fails with 500, and that it always fails with 422.
 const FAILS_PROBABILITY: f64 = 0.04;
 /// The same under [`Pressure::Repeats`].
@@ -66,6 +68,8 @@
 const RESUBMIT_PROBABILITY: f64 = 0.3;
 /// Probability that a job is cancelled while it runs.
 const CANCEL_PROBABILITY: f64 = 0.6;
+/// The same with bursts of crashes: a cancelled job does not show that items are held.
+const BURSTS_CANCEL_PROBABILITY: f64 = 0.1;
 /// Time from the acceptance of a job to its cancellation, if it is cancelled at its start.
 const CANCEL_AT_START_MS: std::ops::Range<u64> = 0..400;
 /// The same for a job that is cancelled at any moment.
@@ -115,6 +119,7 @@
     takes_up: bool,
     sends_streams_only: bool,
     has_prompts: bool,
+    has_bursts: bool,
     next: u64,
 }
 
@@ -132,6 +137,7 @@
             takes_up: false,
             sends_streams_only: false,
             has_prompts: false,
+            has_bursts: false,
             next: 0,
         }
     }
@@ -160,6 +166,11 @@
         Client { has_prompts, ..self }
     }
 
+    /// Lets requests, and the items of a job, share parts of their prompts that are new when targets crash.
+    pub fn with_bursts(self, has_bursts: bool) -> Client<'a> {
+        Client { has_bursts, ..self }
+    }
+
     fn next_id(&mut self) -> String {
         self.next += 1;
         format!("{}-{}", self.name, self.next)
@@ -209,9 +220,15 @@
         let deadline = Duration::from_millis(deadline_ms);
         let (id, deadline_ms) = (self.next_id(), deadline_ms.to_string());
         let mut headers = vec![("X-Request-Id", id.as_str()), ("X-Deadline-Ms", &deadline_ms)];
-        let prompt = Effect::Sound.prompt(self.next);
-        if self.has_prompts {
+        let prompt = if self.has_bursts {
+            bursts::prompt(self.shared.elapsed_ms(), self.next, &mut self.rng)
+        } else {
+            Effect::Sound.prompt(self.next)
+        };
+        if self.has_prompts || self.has_bursts {
             headers.push(("X-Prompt-Prefix", &prompt));
+        }
+        if self.has_prompts {
             self.shared.checks().crashes().record(&id, Effect::Sound, gateway);
         }
         let request = Request { method: "POST", path, headers: &headers, body: "", timeout };
@@ -334,7 +351,8 @@
     pub fn send_jobs(mut self) {
         while !self.shared.is_stopped() {
             let job = self.next_id();
-            let most = *MAX_ITEMS.choose(&mut self.rng).expect("a number");
+            let sizes = if self.has_bursts { &MAX_ITEMS_OF_BURSTS } else { &MAX_ITEMS };
+            let most = *sizes.choose(&mut self.rng).expect("a number");
             let count = self.rng.random_range(1..=most);
             let items: Vec<String> = (0..count).map(|it| self.item_id(&job, it)).collect();
             if self.submit(&job, &items) {
@@ -355,7 +373,7 @@
 
     /// Submits a job until it is accepted, at most [`SUBMISSION_TRIES`] times.
     fn submit(&mut self, job: &str, items: &[String]) -> bool {
-        let body = submission(items);
+        let body = self.submission(job, items);
         for _ in 0..SUBMISSION_TRIES {
             if self.submit_once(job, items, &body) {
                 return true;
@@ -365,6 +383,10 @@
         false
     }
 
+    fn submission(&self, job: &str, items: &[String]) -> String {
+        if self.has_bursts { bursts::submission(job, items) } else { submission(items) }
+    }
+
     fn submit_once(&mut self, job: &str, items: &[String], body: &str) -> bool {
         self.shared.checks().record_submission(job, items);
         let headers = [("X-Request-Id", job)];
@@ -379,7 +401,7 @@
         let cancellation = self.random_cancel_moment();
         let mut available = 0;
         if self.rng.random_bool(RESUBMIT_PROBABILITY) {
-            self.submit_once(job, items, &submission(items));
+            self.submit_once(job, items, &self.submission(job, items));
         }
         while available < items.len()
             && accepted_at.elapsed() < MAX_READ_TIME
@@ -410,7 +432,9 @@
             CancelMoment::BeforeLast,
         ];
         let moment = *moments.choose(&mut self.rng).expect("a moment");
-        self.rng.random_bool(CANCEL_PROBABILITY).then_some(moment)
+        let probability =
+            if self.has_bursts { BURSTS_CANCEL_PROBABILITY } else { CANCEL_PROBABILITY };
+        self.rng.random_bool(probability).then_some(moment)
     }
 
     /// Reads results of all jobs again at one gateway, until the run ends. Each gateway has a client of its own, so
--- a/crates/samphiredoor-standin/src/soak/connection.rs
+++ b/crates/samphiredoor-standin/src/soak/connection.rs
@@ -55,6 +55,11 @@
     pub fn is_refusal(&self) -> bool {
         matches!(self.status, 408 | 421 | 429 | 503)
     }
+
+    /// Whether the request was refused as it is suspected of crashing targets.
+    pub fn is_quarantined(&self) -> bool {
+        self.status == 503 && String::from_utf8_lossy(&self.body).contains("quarantined")
+    }
 }
 
 /// Keep-alive connection that stays open until the gateway closes it.
--- a/crates/samphiredoor-standin/src/soak/crashes.rs
+++ b/crates/samphiredoor-standin/src/soak/crashes.rs
@@ -101,8 +101,7 @@
         if !matches!(self.sent.get(id), Some((Effect::Sound, _))) || reply.status == 0 {
             return;
         }
-        let is_refused =
-            reply.status == 503 && String::from_utf8_lossy(&reply.body).contains("quarantined");
+        let is_refused = reply.is_quarantined();
         self.all_refused_sound += u64::from(is_refused);
         if self.known_at.is_some_and(|it| Instant::now() > it + KNOWN_WITHIN) {
             self.sound += 1;
--- a/crates/samphiredoor-standin/src/soak/final_checks.rs
+++ b/crates/samphiredoor-standin/src/soak/final_checks.rs
@@ -24,6 +24,8 @@
 const CONFIG_ACTIVE_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time within which all results of all jobs must be readable at each gateway.
 const RESULTS_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time after the end of the load within which all items have results after bursts of crashes.
+const ITEMS_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -71,6 +73,25 @@
         }
     }
 
+    /// Checks that no item of an accepted job is left without a result now that all is calm.
+    pub fn check_items_finish(&self) {
+        let deadline = Instant::now() + ITEMS_TIMEOUT;
+        let jobs = self.shared.checks().jobs().clone();
+        for (name, job) in jobs.iter().filter(|(_, it)| it.accepted && !it.cancelling) {
+            let (mut available, expected) = (0, job.items.len());
+            // Reads of other jobs may have taken all the time.
+            let until = deadline.max(Instant::now() + CALL_TIMEOUT);
+            let is_complete = self.wait_for(until, || {
+                available += self.read(0, name, available).unwrap_or(0);
+                available >= expected
+            });
+            if !is_complete {
+                let observed = format!("{available} of {expected} results");
+                return self.record_violation(Invariant::ItemsFinish, name, observed);
+            }
+        }
+    }
+
     /// Reads all results of a job at one gateway; of a cancelled job, only the results that were read before must
     /// exist.
     fn check_job(&self, deadline: Instant, gateway: usize, name: &str, job: &Job) {
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -25,6 +25,8 @@
 
 /// Time between two events of a target's answer.
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// The same with bursts of crashes: several pulses of a series hit one run.
+const LONG_EVENT_PAUSE: Duration = Duration::from_millis(200);
 /// Time for which a request runs before it fails, as long as an engine takes to its first event.
 const FAILURE_PAUSE: Duration = Duration::from_millis(20);
 /// Together the events of an answer are more than the kernel holds for a caller who does not read.
@@ -52,6 +54,18 @@
     Mixed,
 }
 
+/// How targets are started.
+#[derive(Debug, Clone, Copy)]
+struct TargetSettings {
+    /// Software versions of targets, by turns.
+    versions: &'static [&'static str],
+    /// How requests crash targets.
+    crashes: Crashing,
+    /// Whether targets are reached through links. A link would accept connections for a target that has crashed.
+    is_linked: bool,
+    event_pause: Duration,
+}
+
 /// Store, targets, gateways and the process of a storage host; the child processes are killed when this value is
 /// dropped.
 pub struct Injector<'a> {
@@ -65,10 +79,9 @@
     targets: Vec<PlatformTarget>,
     /// Index into `targets` for each target number of the plan; changes when a target is replaced.
     current: Vec<usize>,
-    /// Software versions of targets, by turns.
-    versions: &'static [&'static str],
-    /// How requests crash targets.
-    crashes: Crashing,
+    target_settings: TargetSettings,
+    /// Whether targets crash by chance only, in bursts, so that all requests are sound.
+    has_bursts: bool,
     /// Since when each target number of the plan has been down.
     crashed: Vec<Option<Instant>>,
     /// Gateways that received SIGTERM, with the time of the signal.
@@ -103,13 +116,16 @@
         }
         shared.checks().versions().set_event_bytes(EVENT_BYTES);
         shared.checks().versions().set_versions(versions);
-        // A link would accept connections for a target that has crashed.
-        platform.linked = crashes == Crashing::Off;
-        platform.watch_ms = WATCH_MS;
-        let targets = (0..sizes.targets)
-            .map(|it| start_target(&mut platform, it, versions, crashes))
-            .collect();
         platform.linked = true;
+        platform.watch_ms = WATCH_MS;
+        let target_settings = TargetSettings {
+            versions,
+            crashes,
+            is_linked: crashes == Crashing::Off && !options.bursts,
+            event_pause: if options.bursts { LONG_EVENT_PAUSE } else { EVENT_PAUSE },
+        };
+        let targets =
+            (0..sizes.targets).map(|it| start_target(&mut platform, it, target_settings)).collect();
         let storage = platform.start_storage("storage-0");
         for _ in 0..sizes.gateways {
             platform.start_gateway();
@@ -123,8 +139,8 @@
             storages_started: 1,
             targets,
             current,
-            versions,
-            crashes,
+            target_settings,
+            has_bursts: options.bursts && crashes == Crashing::Off,
             crashed: vec![None; sizes.targets],
             stopping: Vec::new(),
             paused: BTreeSet::new(),
@@ -188,6 +204,12 @@
                 self.routes_version += 1;
                 self.platform.put_routes(self.routes_version, ROUTE_ATTEMPTS);
             }
+            Fault::ChangeLimits(idle_ms, timeout_ms) => {
+                self.routes_version += 1;
+                let version = self.routes_version;
+                self.platform.put_limits(version, ROUTE_ATTEMPTS, idle_ms, timeout_ms);
+            }
+            Fault::CrashTarget(target) => self.crash(target),
         }
     }
 
@@ -216,8 +238,11 @@
                 self.platform.set_store_path_fault(gateway, StoreFault::None);
             }
             Fault::Target(target, ..) => self.target(target).fail_next(0, TargetFault::None),
-            Fault::ReplaceTarget(target) => self.replace(target),
-            Fault::StopGateway(_) | Fault::ForgetHistory | Fault::ChangeRoutes => {}
+            Fault::ReplaceTarget(target) | Fault::CrashTarget(target) => self.replace(target),
+            Fault::StopGateway(_)
+            | Fault::ForgetHistory
+            | Fault::ChangeRoutes
+            | Fault::ChangeLimits(..) => {}
         }
     }
 
@@ -225,7 +250,7 @@
     /// gateway is still shutting down.
     pub fn tick(&mut self) -> bool {
         self.starve();
-        if self.crashes != Crashing::Off {
+        if self.target_settings.crashes != Crashing::Off {
             self.restart_targets();
         }
         for (gateway, since) in std::mem::take(&mut self.stopping) {
@@ -313,14 +338,19 @@
         self.platform.target_link(&self.target(number).name)
     }
 
+    fn crash(&self, number: usize) {
+        let is_by_chance = self.has_bursts && !self.target(number).has_crashed();
+        self.target(number).crash();
+        if is_by_chance {
+            self.shared.checks().bursts().record_crash(Instant::now());
+        }
+    }
+
     fn replace(&mut self, number: usize) {
-        let previous = self.target(number);
-        previous.crash();
-        self.platform.store.remove("servers", &previous.name);
+        self.crash(number);
+        self.platform.store.remove("servers", &self.target(number).name);
         let number_of_all = self.targets.len();
-        self.platform.linked = self.crashes == Crashing::Off;
-        let target = start_target(&mut self.platform, number_of_all, self.versions, self.crashes);
-        self.platform.linked = true;
+        let target = start_target(&mut self.platform, number_of_all, self.target_settings);
         self.current[number] = self.targets.len();
         self.targets.push(target);
     }
@@ -330,16 +360,18 @@
 fn start_target(
     platform: &mut Platform,
     number: usize,
-    versions: &[&str],
-    crashes: Crashing,
+    settings: TargetSettings,
 ) -> PlatformTarget {
+    let TargetSettings { versions, crashes, is_linked, event_pause } = settings;
+    let were_linked = std::mem::replace(&mut platform.linked, is_linked);
     let target = platform
-        .start_target_at(versions[number % versions.len()], &format!("t-{number}"), EVENT_PAUSE)
+        .start_target_at(versions[number % versions.len()], &format!("t-{number}"), event_pause)
         .with_event_bytes(EVENT_BYTES)
         .with_unread_limit(UNREAD_LIMIT)
         .with_failure_pause(FAILURE_PAUSE)
         .with_fault_of_bodies_ending(FAILS, TargetFault::Fails)
         .with_fault_of_bodies_ending(IMPOSSIBLE, TargetFault::Impossible);
+    platform.linked = were_linked;
     match crashes {
         Crashing::Off => {}
         Crashing::AtOnce => set_faults(&target, true),
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! The fault plan of a seed is generated before its run and written to a file beside the trace. The timing inside the
 //! processes is not part of the plan, so that several runs may be needed to reproduce a violation.
 
+mod bursts;
 mod checks;
 mod clients;
 mod connection;
@@ -52,18 +53,24 @@
 const TARGETS_OF_TWO_VERSIONS: usize = 4;
 /// Targets where some requests crash them: enough that they are not all down at once.
 const TARGETS_THAT_CRASH: usize = 8;
+/// Targets where some crash by chance: a third of them can be down at once.
+const TARGETS_OF_BURSTS: usize = 12;
 /// Clients that send requests that crash targets.
 const CRASHING_CLIENTS: usize = 4;
 const ONLINE_CLIENTS: usize = 24;
 const BATCH_CLIENTS: usize = 4;
 /// Clients whose requests come together, as many as the targets have slots.
 const SURGE_CLIENTS: usize = 24;
-/// Clients that only send streams that may be resumed, with two software versions: kills and breaks have to interrupt many.
+/// Clients that only send streams that may be resumed, with two software versions or bursts of crashes: kills, breaks and
+/// crashes have to interrupt many.
 const STREAM_CLIENTS: usize = 16;
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the last fault for which clients continue.
 const CLIENT_TIME_AFTER_FAULTS: Duration = Duration::from_secs(4);
+/// The same with bursts of crashes. The check that all gateways serve precedes it, so that together they are longer than the
+/// time in which sound requests may still be refused.
+const CLIENT_TIME_AFTER_BURSTS: Duration = Duration::from_secs(5);
 /// Runs without a given fault that have to pass before the fault counts as necessary for the violation.
 const SHRINK_RUNS: usize = 2;
 
@@ -88,6 +95,8 @@
     pub releases: bool,
     /// Whether callers send content, and a part of prompts, that crash targets, which start again.
     pub crashes: bool,
+    /// Whether targets crash by chance in bursts, under work that shares parts of prompts, and gateways have no other faults.
+    pub bursts: bool,
 }
 
 /// What the load of a run is to bring about beside its faults.
@@ -111,14 +120,18 @@
         if self.releases {
             plan = plan.with_interrupted_streams(seed, seconds, sizes);
         }
+        if self.bursts {
+            plan = plan.with_bursts(seed, seconds, sizes);
+        }
         plan
     }
 
     fn sizes(&self) -> Sizes {
-        let targets = match (self.crashes, self.releases) {
-            (true, _) => TARGETS_THAT_CRASH,
-            (false, true) => TARGETS_OF_TWO_VERSIONS,
-            (false, false) => TARGETS,
+        let targets = match (self.bursts, self.crashes, self.releases) {
+            (true, _, _) => TARGETS_OF_BURSTS,
+            (_, true, _) => TARGETS_THAT_CRASH,
+            (_, _, true) => TARGETS_OF_TWO_VERSIONS,
+            (false, false, false) => TARGETS,
         };
         Sizes { gateways: self.gateways, targets }
     }
@@ -215,6 +228,9 @@
             if options.crashes {
                 report::print_crashes(checks.crashes());
             }
+            if options.bursts {
+                report::print_bursts(checks.bursts());
+            }
         }
         Some(violation) => {
             let lines = injector.platform.log_lines_with(&violation.id);
@@ -240,6 +256,7 @@
                 .with_pressure(options.pressure)
                 .with_take_ups(options.releases)
                 .with_prompts(options.crashes)
+                .with_bursts(options.bursts)
         };
         // Stops the clients also when this thread panics, because the scope waits for all of them.
         let _stop = StopOnDrop(shared);
@@ -264,7 +281,7 @@
             let client = client(offset + number, format!("s{number}"));
             scope.spawn(move || client.send_surges());
         }
-        let stream_clients = if options.releases { STREAM_CLIENTS } else { 0 };
+        let stream_clients = if options.releases || options.bursts { STREAM_CLIENTS } else { 0 };
         for number in 0..stream_clients {
             let offset = ONLINE_CLIENTS + BATCH_CLIENTS + gateways + surge_clients;
             let client = client(offset + number, format!("v{number}")).with_streams_only();
@@ -280,13 +297,18 @@
         injector.end_starvation();
         let final_checks = FinalChecks::new(shared, gateways);
         final_checks.check_gateways_serve(&mut recovery.served_ms);
-        wait_and_check(shared, injector, Instant::now() + CLIENT_TIME_AFTER_FAULTS);
+        let client_time =
+            if options.bursts { CLIENT_TIME_AFTER_BURSTS } else { CLIENT_TIME_AFTER_FAULTS };
+        wait_and_check(shared, injector, Instant::now() + client_time);
         final_checks
     });
     if options.drills && !shared.is_over() {
         drills::measure(&final_checks, injector, recovery);
         isolation::check(&final_checks, injector, seed);
     }
+    if options.bursts {
+        final_checks.check_items_finish();
+    }
     final_checks.check_jobs(seed);
     check_runs(shared, injector);
     shared.checks().check_take_ups();
--- a/crates/samphiredoor-standin/src/soak/plan.rs
+++ b/crates/samphiredoor-standin/src/soak/plan.rs
@@ -36,6 +36,20 @@
 /// Probability that such a fault is the kill of a gateway, after which callers take their streams up at others.
 const KILL_PROBABILITY: f64 = 0.4;
 
+/// Number of pulses in a series of [`Plan::with_bursts`], and the time from one to the next.
+const PULSES: std::ops::RangeInclusive<u64> = 3..=5;
+const PULSE_INTERVAL_MS: std::ops::Range<u64> = 200..600;
+/// Probability that a target crashes in a pulse, and the time from the start of the pulse to its crash.
+const PULSE_CRASH_PROBABILITY: f64 = 0.3;
+const PULSE_SPREAD_MS: std::ops::Range<u64> = 0..80;
+/// Time after which a target that has crashed by chance starts again.
+const DOWN_MS: std::ops::Range<u64> = 100..300;
+/// Time between two series: longer than that in which sound requests may still be refused.
+const CALM_MS: std::ops::Range<u64> = 7_000..9_000;
+/// Time between two changes of limits beside a series, and their values. Runs take nearly a second.
+const LIMITS_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+const LIMITS_MS: [u64; 4] = [1_500, 3_000, 8_000, 20_000];
+
 /// Fault of a link, as written in plans.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -97,6 +111,10 @@
     ReplaceTarget(usize),
     /// The configuration is written again, with a higher version.
     ChangeRoutes,
+    /// The same with this idle limit of connections and this timeout of routes, in milliseconds.
+    ChangeLimits(u64, u64),
+    /// A target crashes, and a new one replaces it.
+    CrashTarget(usize),
 }
 
 /// Gateways whose processes or paths to the store a fault disturbs.
@@ -126,7 +144,9 @@
             | Fault::ForgetHistory
             | Fault::Target(..)
             | Fault::ReplaceTarget(_)
-            | Fault::ChangeRoutes => Disturbed::None,
+            | Fault::ChangeRoutes
+            | Fault::ChangeLimits(..)
+            | Fault::CrashTarget(_) => Disturbed::None,
         }
     }
 }
@@ -215,6 +235,45 @@
         self
     }
 
+    /// The plan with bursts of crashes by chance, and changes of limits beside them. Their generator is one of its own, too. The
+    /// faults of gateways and of the store are left out: the time in which all is served again counts for gateways in touch.
+    pub fn with_bursts(mut self, seed: u64, seconds: u64, sizes: Sizes) -> Plan {
+        self.0.retain(|it| it.fault.disturbs() == Disturbed::None);
+        let mut rng = SmallRng::seed_from_u64(seed.reverse_bits());
+        let (mut at_ms, end_ms) = (FIRST_FAULT_MS, seconds * 1_000);
+        while at_ms < end_ms {
+            let started_ms = at_ms;
+            for _ in 0..rng.random_range(PULSES) {
+                self.add_pulse(&mut rng, at_ms, sizes);
+                at_ms += rng.random_range(PULSE_INTERVAL_MS);
+            }
+            self.add_changes_of_limits(&mut rng, started_ms..at_ms);
+            at_ms += rng.random_range(CALM_MS);
+        }
+        self.0.sort_by_key(|it| it.at_ms);
+        self
+    }
+
+    fn add_pulse(&mut self, rng: &mut SmallRng, pulse_ms: u64, sizes: Sizes) {
+        for target in 0..sizes.targets {
+            if rng.random_bool(PULSE_CRASH_PROBABILITY) {
+                let at_ms = pulse_ms + rng.random_range(PULSE_SPREAD_MS);
+                let for_ms = rng.random_range(DOWN_MS);
+                self.0.push(Step { at_ms, for_ms, fault: Fault::CrashTarget(target) });
+            }
+        }
+    }
+
+    fn add_changes_of_limits(&mut self, rng: &mut SmallRng, span_ms: std::ops::Range<u64>) {
+        let mut at_ms = span_ms.start;
+        while at_ms < span_ms.end {
+            let mut limit_ms = || *LIMITS_MS.choose(rng).expect("a limit");
+            let fault = Fault::ChangeLimits(limit_ms(), limit_ms());
+            self.0.push(Step { at_ms, for_ms: 0, fault });
+            at_ms += rng.random_range(LIMITS_INTERVAL_MS);
+        }
+    }
+
     /// Reads a plan from a file.
     ///
     /// # Errors
--- a/crates/samphiredoor-standin/src/soak/report.rs
+++ b/crates/samphiredoor-standin/src/soak/report.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 
 use super::{
+    bursts::Bursts,
     checks::{Counts, Violation},
     crashes::Crashes,
     versions::TakeUps,
@@ -106,3 +107,8 @@
         crashes.all_refused_sound
     );
 }
+
+/// Prints how many targets crashed by chance, and how many sound requests were refused for it.
+pub fn print_bursts(bursts: &Bursts) {
+    println!("  crashed_by_chance={} refused_sound={}", bursts.crashed, bursts.refused);
+}
--- a/crates/samphiredoor-standin/tests/soak_checks.rs
+++ b/crates/samphiredoor-standin/tests/soak_checks.rs
@@ -13,7 +13,7 @@
     http::{start, wait_until},
     platform_store::{PlatformStore, StoreFault},
     platform_target::Run,
-    soak::{Checks, Disturbed, Invariant, Plan, Reply, Sizes},
+    soak::{Checks, Disturbed, Fault, Invariant, Plan, Reply, Sizes},
 };
 use serde_json::{Value, json};
 
@@ -388,3 +388,33 @@
     std::fs::remove_file(&file).expect("the plan is removed");
     assert_eq!(read, plan);
 }
+
+/// Plan of a seed with bursts of crashes.
+fn plan_with_bursts(seed: u64) -> Plan {
+    Plan::of_seed(seed, 60, SIZES).with_bursts(seed, 60, SIZES)
+}
+
+#[test]
+fn a_plan_with_bursts_is_the_same_each_time_and_spares_the_gateways() {
+    let plan = plan_with_bursts(7);
+    assert_eq!(plan, plan_with_bursts(7));
+    assert!(plan.0.iter().all(|it| it.fault.disturbs() == Disturbed::None));
+    let crashes = plan.0.iter().filter(|it| matches!(it.fault, Fault::CrashTarget(_))).count();
+    assert!(crashes > 10, "{crashes} crashes");
+}
+
+/// Checks after a sound request was refused as quarantined, this long after the last crash by chance.
+fn refused_after_crash(since: Duration) -> Option<Invariant> {
+    let mut checks = Checks::default();
+    checks.bursts().record_crash(Instant::now() - since);
+    checks.record_request("id-1", true);
+    checks.record_deadline("id-1", Duration::from_secs(1));
+    checks.check_answer("id-1", &reply(503, r#"{"error":"quarantined"}"#));
+    checks.violation().map(|it| it.invariant)
+}
+
+#[test]
+fn a_sound_request_that_is_quarantined_long_after_the_last_crash_is_found() {
+    assert_eq!(refused_after_crash(Duration::from_secs(4)), None);
+    assert_eq!(refused_after_crash(Duration::from_secs(6)), Some(Invariant::SoundServed));
+}
--- a/crates/samphiredoor/tests/it/platform/soak.rs
+++ b/crates/samphiredoor/tests/it/platform/soak.rs
@@ -42,6 +42,8 @@
 const RELEASES_SEED: u64 = 8102;
 /// A seed whose part of prompts crashed targets without a bound, and whose sound content was quarantined.
 const CRASHES_SEED: u64 = 9001;
+/// A seed whose items stayed held after a burst of crashes.
+const BURSTS_SEED: u64 = 9108;
 
 #[derive(Debug, Default)]
 struct Job {
@@ -364,6 +366,7 @@
         broken_answers: false,
         releases: false,
         crashes: false,
+        bursts: false,
     }
 }
 
@@ -412,3 +415,10 @@
     let options = soak::Options { crashes: true, gateways: 6, ..options("crashes", 15) };
     run_soak(&options, CRASHES_SEED..CRASHES_SEED + 1);
 }
+
+// Guards against sound requests and items that are held after a burst of crashes by chance.
+#[test]
+fn sound_work_is_served_soon_after_bursts_of_crashes() {
+    let options = soak::Options { bursts: true, ..options("bursts", 3) };
+    run_soak(&options, BURSTS_SEED..BURSTS_SEED + 1);
+}
