Gateways: connections of callers that a limit closes are counted and logged by reason

A connection that is closed for being idle, and one whose request head takes too long, looked the same from outside and left no line or figure, so that closes beside a change of the limits could not be told from closes by callers.

A connection now records whether it is idle, has begun to receive a head, or serves a request. _caller_connections_closed{reason} counts the closes (idle, head), and the line "serve: connection closed" at level debug has the limit that applied. closed_connections_are_counted_by_reason fails when the two are mixed up.

--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     verdict::Refusal,
 };
 use samphiredoor_net::{
+    activity::Wait,
     metrics::{self, ReasonCounters, gauge},
     pool::Framing,
 };
@@ -109,6 +110,7 @@
     registry: Registry,
     refusals: ReasonCounters,
     rejections: ReasonCounters,
+    caller_closes: ReasonCounters,
     retries: ReasonCounters,
     ends: ReasonCounters,
     first_piece_s: Histogram,
@@ -161,6 +163,12 @@
         let reasons = RejectReason::ALL.map(RejectReason::label);
         let help = "Requests rejected by overload control";
         let rejections = ReasonCounters::new(&mut registry, "overload_rejections", help, &reasons);
+        let caller_closes = ReasonCounters::new(
+            &mut registry,
+            "caller_connections_closed",
+            "Connections of callers that were idle, or sent a request's head, for too long",
+            &[Wait::Idle, Wait::Head].map(Wait::label),
+        );
         let mut family = |name, help| ReasonCounters::new(&mut registry, name, help, &[]);
         let retries = family("retries", "Requests sent again, by reason");
         let ends = family("ends", "Ends of requests that were sent");
@@ -219,6 +227,7 @@
         Rc::new(Metrics {
             refusals,
             rejections,
+            caller_closes,
             retries,
             ends,
             first_piece_s,
@@ -440,6 +449,11 @@
         self.store_answered_at.borrow_mut().insert(kind.path(), Instant::now());
     }
 
+    /// Counters of callers' connections that a limit on a wait has closed.
+    pub fn caller_closes(&self) -> ReasonCounters {
+        self.caller_closes.clone()
+    }
+
     /// Exports the use of a budget.
     pub fn set_buffers(&self, buffers: Buffers) {
         *self.buffers.borrow_mut() = Some(buffers);
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -93,6 +93,7 @@
         .with_context(|| format!("peers.address: cannot bind {peers} for UDP"))?;
     let stop_callers = callers.stop_handle();
     let parts = start(&config, overload, &platform, peers, Rc::new(socket));
+    let callers = callers.with_close_counters(parts.metrics.caller_closes());
     keep_from_ending(SIGHUP);
     log::info!(
         name = &*config.common.name, callers:% = callers.local_addr()?,
--- a/crates/samphiredoor-net/src/lib.rs
+++ b/crates/samphiredoor-net/src/lib.rs
@@ -4,10 +4,11 @@
 //! connections to one address and never reuses one whose response is incomplete. `body` has the body type of all requests
 //! and responses, `fetch` reads complete responses under idle timeouts, `read_ahead` buffers bodies for slow readers,
 //! `call` is a request to a target that can be sent again, and `answers` builds the responses of the process itself.
-//! `socket` sets the timeouts that detect an unreachable remote end, `stall` detects clients that do not read, and
-//! `stream` connects hyper to compio. `timed_inbox` is the message
+//! `socket` sets the timeouts that detect an unreachable remote end, `stall` detects clients that do not read, `activity`
+//! records what a connection waits for, and `stream` connects hyper to compio. `timed_inbox` is the message
 //! queue of a task that also does periodic work. `clock` reads the time, and `metrics` creates and registers metrics.
 
+pub mod activity;
 pub mod answers;
 pub mod body;
 pub mod call;
--- a/crates/samphiredoor-net/src/metrics.rs
+++ b/crates/samphiredoor-net/src/metrics.rs
@@ -12,7 +12,8 @@
     reason: &'static str,
 }
 
-/// Counters with the label `reason`, whose values also appear in responses and logs.
+/// Counters with the label `reason`, whose values also appear in responses and logs. Clones share the counters.
+#[derive(Clone)]
 pub struct ReasonCounters(Family<ReasonLabel, Counter>);
 
 impl ReasonCounters {
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -19,14 +19,16 @@
 use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{
     Request, Response, Version,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{self, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 
 use crate::{
+    activity::{Activity, RecordedBody, Wait},
     body::{Body, BoxError},
+    metrics::ReasonCounters,
     read_ahead::ReadAhead,
     socket::{self, SocketTimeouts},
     stall::{MonitoredStream, WriteStall},
@@ -84,6 +86,7 @@
     limits: Rc<RefCell<ServeLimits>>,
     open_connections: Rc<Cell<usize>>,
     draining: Rc<Cell<bool>>,
+    close_counters: Option<ReasonCounters>,
     stop: flume::Receiver<()>,
     // Dropping it closes the channel `stop`, of which every connection holds a clone; they end after the current request.
     stop_guard: Option<flume::Sender<()>>,
@@ -120,6 +123,7 @@
             limits: Rc::new(RefCell::new(limits)),
             open_connections: Rc::default(),
             draining: Rc::default(),
+            close_counters: None,
             stop,
             stop_guard: Some(stop_guard),
         })
@@ -135,6 +139,11 @@
         Rc::clone(&self.limits)
     }
 
+    /// Counts connections that a limit on a wait closes, by [`Wait::label`].
+    pub fn with_close_counters(self, counters: ReasonCounters) -> Server {
+        Server { close_counters: Some(counters), ..self }
+    }
+
     /// Handle that stops the server when dropped: no new connection is accepted, and each open one ends after its current
     /// request. `None` after the first call.
     pub fn stop_handle(&mut self) -> Option<StopHandle> {
@@ -206,11 +215,18 @@
         let handler = Rc::clone(handler);
         let stop = self.stop.clone();
         let draining = Rc::clone(&self.draining);
+        let close_counters = self.close_counters.clone();
+        let activity = Rc::new(Activity::new());
         let guard = ConnectionGuard::new(&self.open_connections);
         compio::runtime::spawn(async move {
             let _guard = guard;
-            if let Err(err) = serve_connection(accepted, limits, stop, draining, handler).await {
-                log::debug!("serve: connection ended: {err}");
+            let limit = limits.header_read_timeout;
+            let serving =
+                serve_connection(accepted, limits, stop, draining, Rc::clone(&activity), handler);
+            let Err(err) = serving.await else { return };
+            match activity.wait().filter(|_| is_timeout(&err)) {
+                Some((wait, _)) => note_close(wait, limit, close_counters.as_ref()),
+                None => log::debug!("serve: connection ended: {err}"),
             }
         })
         .detach();
@@ -257,6 +273,18 @@
     .await
 }
 
+fn is_timeout(err: &BoxError) -> bool {
+    err.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_timeout)
+}
+
+/// Counts and logs that a connection is closed as a wait for its client has exceeded a limit.
+fn note_close(wait: Wait, limit: Duration, counters: Option<&ReasonCounters>) {
+    if let Some(counters) = counters {
+        counters.count(wait.label());
+    }
+    log::debug!(reason = wait.label(), limit_ms = limit.as_millis() as u64; "serve: connection closed");
+}
+
 async fn wait_for_stop(stop: flume::Receiver<()>) {
     let mut stop = stop.into_stream();
     while stop.next().await.is_some() {}
@@ -267,6 +295,7 @@
     limits: ServeLimits,
     stop: flume::Receiver<()>,
     draining: Rc<Cell<bool>>,
+    activity: Rc<Activity>,
     handler: Rc<H>,
 ) -> Result<(), BoxError>
 where
@@ -277,16 +306,19 @@
     let socket = stream.clone();
     let is_close_delimited = Rc::new(Cell::new(false));
     let by_close = Rc::clone(&is_close_delimited);
-    let (stream, stall) = MonitoredStream::new(Stream::new(stream));
+    let (stream, stall) =
+        MonitoredStream::new(Stream::new(stream).with_activity(Rc::clone(&activity)));
     let is_draining = Rc::clone(&draining);
     let read_ahead = Rc::new(RefCell::new(ReadAhead::default()));
     let current = Rc::clone(&read_ahead);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(PeerAddress(peer));
         by_close.set(request.version() == Version::HTTP_10);
+        activity.start_request(!request.body().is_end_stream());
         // Boxed, so that its memory is freed before the response body is streamed.
         let response = Box::pin(handler(request));
         let (draining, current) = (Rc::clone(&is_draining), Rc::clone(&current));
+        let activity = Rc::clone(&activity);
         async move {
             let mut response = response.await;
             *current.borrow_mut() = response.body().read_ahead_handle();
@@ -294,7 +326,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, BoxError>(response)
+            Ok::<_, BoxError>(response.map(|body| RecordedBody::new(body, activity)))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/samphiredoor-net/src/stream.rs
+++ b/crates/samphiredoor-net/src/stream.rs
@@ -6,6 +6,7 @@
 use std::{
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 
@@ -13,16 +14,27 @@
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::activity::Activity;
+
 const BUFFER_BYTES: usize = 2_048;
 const SCRATCH_BYTES: usize = 2_048;
 
 /// TCP connection that implements hyper's `Read` and `Write`.
-pub struct Stream(Pin<Box<AsyncStream<TcpStream>>>);
+pub struct Stream {
+    socket: Pin<Box<AsyncStream<TcpStream>>>,
+    activity: Option<Rc<Activity>>,
+}
 
 impl Stream {
     /// Wraps a connected socket.
     pub fn new(socket: TcpStream) -> Stream {
-        Stream(Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, socket)))
+        let socket = Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, socket));
+        Stream { socket, activity: None }
+    }
+
+    /// Records reads in `activity`.
+    pub fn with_activity(self, activity: Rc<Activity>) -> Stream {
+        Stream { activity: Some(activity), ..self }
     }
 }
 
@@ -34,8 +46,11 @@
     ) -> Poll<io::Result<()>> {
         let mut scratch = [0; SCRATCH_BYTES];
         let wanted = buf.remaining().min(SCRATCH_BYTES);
-        let read = ready!(self.0.as_mut().poll_read(cx, &mut scratch[..wanted]))?;
+        let read = ready!(self.socket.as_mut().poll_read(cx, &mut scratch[..wanted]))?;
         buf.put_slice(&scratch[..read]);
+        if let Some(activity) = self.activity.as_ref().filter(|_| read > 0) {
+            activity.record_read();
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -46,7 +61,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write(cx, buf)
+        self.socket.as_mut().poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -54,7 +69,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write_vectored(cx, bufs)
+        self.socket.as_mut().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -62,10 +77,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_flush(cx)
+        self.socket.as_mut().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_close(cx)
+        self.socket.as_mut().poll_close(cx)
     }
 }
--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -11,7 +11,11 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, body::Incoming};
-use samphiredoor_net::{Body, BoxError, PeerAddress, ServeLimits, Server};
+use prometheus_client::registry::Registry;
+use samphiredoor_net::{
+    Body, BoxError, PeerAddress, ServeLimits, Server,
+    metrics::{self, ReasonCounters},
+};
 
 /// Connections of each late caller; they last longer than a server that stops waits for the next one.
 const CONNECTIONS: usize = 200;
@@ -218,3 +222,85 @@
     let read = client.read_to_end(&mut response);
     assert!(read.is_err(), "{}", String::from_utf8_lossy(&response));
 }
+
+/// Server that answers each request at once, whose limits can be changed.
+struct LimitedServer {
+    address: SocketAddr,
+    _changes: flume::Sender<ServeLimits>,
+    metrics: Registry,
+}
+
+impl LimitedServer {
+    fn start(limits: ServeLimits) -> LimitedServer {
+        let (sender, receiver) = flume::bounded(1);
+        let (changes, changed) = flume::bounded::<ServeLimits>(0);
+        let mut metrics = Registry::default();
+        let counters = ReasonCounters::new(&mut metrics, "closed", "Closed connections", &[]);
+        thread::spawn(move || {
+            let runtime = compio::runtime::Runtime::new().expect("a runtime");
+            runtime.block_on(async move {
+                let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                let server = Server::bind(any, limits).await.expect("a port");
+                let server = server.with_close_counters(counters);
+                sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+                let limits = server.limits();
+                let serving = server.run(|_| async { Response::new(Body::full("answer")) });
+                compio::runtime::spawn(serving).detach();
+                while let Ok(new) = changed.recv_async().await {
+                    *limits.borrow_mut() = new;
+                }
+            });
+        });
+        let address = receiver.recv().expect("the server starts");
+        LimitedServer { address, _changes: changes, metrics }
+    }
+
+    /// Sends a request and reads its answer; returns whether the connection was still open.
+    fn call(&self, client: &mut TcpStream) -> bool {
+        let sent = client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+        sent.is_ok() && read_answer(client)
+    }
+
+    fn closes(&self, reason: &str) -> u64 {
+        let text = metrics::text(&self.metrics);
+        let prefix = format!("closed_total{{reason=\"{reason}\"}} ");
+        let value = text.lines().find_map(|it| it.strip_prefix(&prefix)?.parse().ok());
+        value.unwrap_or(0)
+    }
+}
+
+/// Reads an answer up to its end; returns whether there was one.
+fn read_answer(client: &mut TcpStream) -> bool {
+    let mut answer = Vec::new();
+    let mut piece = [0; 256];
+    while !answer.ends_with(b"answer") {
+        match client.read(&mut piece) {
+            Ok(0) | Err(_) => return false,
+            Ok(read) => answer.extend_from_slice(&piece[..read]),
+        }
+    }
+    true
+}
+
+/// Waits until the server closes a connection; returns what it sent before.
+fn wait_for_close(client: &mut TcpStream) -> Vec<u8> {
+    let mut rest = Vec::new();
+    let _ = client.read_to_end(&mut rest);
+    rest
+}
+
+/// Guards against closed connections that operators cannot tell from those that callers close.
+#[test]
+fn closed_connections_are_counted_by_reason() {
+    let wait = Duration::from_millis(100);
+    let limits = ServeLimits { header_read_timeout: wait, ..ServeLimits::default() };
+    let server = LimitedServer::start(limits);
+    let mut idle = TcpStream::connect(server.address).expect("a connection");
+    assert!(server.call(&mut idle));
+    assert_eq!(wait_for_close(&mut idle), b"");
+    assert_eq!((server.closes("idle"), server.closes("head")), (1, 0));
+    let mut slow = TcpStream::connect(server.address).expect("a connection");
+    slow.write_all(b"GET / HTTP/1.1\r\nhost:").expect("half of a request");
+    wait_for_close(&mut slow);
+    assert_eq!((server.closes("idle"), server.closes("head")), (1, 1));
+}
