Gateways: limits on callers' waits apply to open connections, idle time and heads each have their own

What callers saw: after the idle limit had been raised, a connection that was accepted before closed sooner than four fifths of the limit in force, which callers go by. Where the limit goes up and down in series, each new connection kept the one of its start. A request whose head had begun to arrive was cut when the connection's idle time was over, and a head could take as long as a connection may be idle.

Cause: the limits were copied when a connection was accepted, and one timer, hyper's header_read_timeout, ran from the end of a response to the end of the next head.

Why it works: one task of the listener compares what all connections wait for with the limits in force, once a second, and wakes those that exceed one. A connection then reads what has arrived before it closes. The limit in force is the highest of the last five seconds with a grace of two, as callers and gateways learn of changes at different times; its rules are tested by gateway/tests/idle_limit.rs. There is no timer for each connection any more.

What was ruled out beside it: that a route which changes under a request cuts it. A request keeps the route of its arrival.

--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod config;
 pub mod event_stream;
 pub mod events;
+pub mod idle_limit;
 pub mod logging;
 pub mod peers;
 pub mod platform_api;
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
@@ -20,6 +20,7 @@
     config::{ActiveOverload, CommonConfig, GatewayConfig},
     discovery::{RoutesTask, TargetsTask},
     front::{self, Front},
+    idle_limit::IdleLimit,
     jobs::{self, JobEnv, Jobs, LivenessGaps},
     metrics::Metrics,
     mirror::Mirrors,
@@ -42,8 +43,9 @@
 
 /// Most connections of callers at once. With two sockets for each request this stays below common file descriptor limits.
 const MAX_CALLER_CONNECTIONS: usize = 1_500;
-/// Time limit for request heads on the internal listeners: those for peers, health checks, metrics and mirrors.
-const INTERNAL_HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for idle connections and for request heads on the internal listeners: those for peers, health checks, metrics
+/// and mirrors.
+const INTERNAL_TIMEOUT: Duration = Duration::from_secs(30);
 /// How often the limits on callers are copied from the active routes to the listener.
 const LIMITS_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which a gateway that starts has to be known to its peers.
@@ -138,7 +140,11 @@
 
 /// Limits of the internal listeners.
 pub(crate) fn internal_limits() -> ServeLimits {
-    ServeLimits { header_read_timeout: INTERNAL_HEADER_TIMEOUT, ..ServeLimits::default() }
+    ServeLimits {
+        idle_timeout: INTERNAL_TIMEOUT,
+        header_read_timeout: INTERNAL_TIMEOUT,
+        ..ServeLimits::default()
+    }
 }
 
 /// Creates the parts of a gateway and spawns their tasks.
@@ -392,14 +398,15 @@
 }
 
 /// Copies the limits on callers from the active routes to the listener, for as long as the process runs.
-async fn update_limits(routes: Routes, limits: Rc<std::cell::RefCell<ServeLimits>>) {
+async fn update_limits(routes: Routes, limits: Rc<RefCell<ServeLimits>>) {
+    let mut idle_limit = IdleLimit::new(limits.borrow().idle_timeout, Instant::now());
     loop {
         if let Some(table) = routes.current() {
             let mut limits = limits.borrow_mut();
             limits.max_header_bytes = table.limits.header_bytes;
-            // One timer covers both the idle time before a request and the time to read its head.
-            let wait_ms = table.limits.idle_ms.max(table.limits.header_ms);
-            limits.header_read_timeout = Duration::from_millis(wait_ms);
+            limits.header_read_timeout = Duration::from_millis(table.limits.header_ms);
+            let operators = Duration::from_millis(table.limits.idle_ms);
+            limits.idle_timeout = idle_limit.update(operators, Instant::now());
         }
         compio::time::sleep(LIMITS_UPDATE_INTERVAL).await;
     }
--- a/crates/samphiredoor-net/src/activity.rs
+++ b/crates/samphiredoor-net/src/activity.rs
@@ -1,17 +1,24 @@
 //! What a server's connection waits for: a request, the rest of a request's head, or a response.
+//!
+//! One task of the server checks the waits of all its connections against the limits in force, and wakes those that exceed
+//! one. So a change of a limit reaches open connections, and thousands of idle ones need no timers.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    future::poll_fn,
     pin::Pin,
-    rc::Rc,
-    task::{Context, Poll},
-    time::Instant,
+    rc::{Rc, Weak},
+    task::{Context, Poll, Waker},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::{Body, BoxError};
+use crate::{Body, BoxError, ServeLimits, stall::WriteStall};
+
+/// Time between two checks of all connections. Limits are exceeded by up to this time.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Wait of a connection for its client, which a limit applies to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,62 +37,90 @@
             Wait::Head => "head",
         }
     }
+
+    /// Limit that applies to the wait.
+    pub fn limit(self, limits: &ServeLimits) -> Duration {
+        match self {
+            Wait::Idle => limits.idle_timeout,
+            Wait::Head => limits.header_read_timeout,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     Waiting(Wait, Instant),
     /// A request is handled, or its response is sent.
-    Request {
-        has_body: bool,
-        /// When the first bytes of the next request arrived, if they have.
-        next_head: Option<Instant>,
-    },
+    Request,
 }
 
 /// Current phase of a connection.
 #[derive(Debug)]
-pub struct Activity(Cell<Phase>);
+pub struct Activity {
+    phase: Cell<Phase>,
+    /// Task of the connection.
+    waker: RefCell<Option<Waker>>,
+}
 
 impl Activity {
     /// Activity of a connection that was just accepted.
     pub fn new() -> Activity {
-        Activity(Cell::new(Phase::Waiting(Wait::Idle, Instant::now())))
+        let phase = Cell::new(Phase::Waiting(Wait::Idle, Instant::now()));
+        Activity { phase, waker: RefCell::default() }
+    }
+
+    /// Completes when a wait has exceeded its limit. Must be polled after the connection, so that bytes which have arrived
+    /// count.
+    pub async fn limit_exceeded(&self, limits: &RefCell<ServeLimits>, stall: &WriteStall) -> Wait {
+        poll_fn(|cx| {
+            self.restart_wait_while(stall.is_pending());
+            if let Some(wait) = self.exceeded(&limits.borrow()) {
+                return Poll::Ready(wait);
+            }
+            let mut waker = self.waker.borrow_mut();
+            if waker.as_ref().is_none_or(|it| !it.will_wake(cx.waker())) {
+                *waker = Some(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// A client is not idle before it has read the end of its response.
+    fn restart_wait_while(&self, is_sending: bool) {
+        if let (true, Phase::Waiting(Wait::Idle, _)) = (is_sending, self.phase.get()) {
+            self.phase.set(Phase::Waiting(Wait::Idle, Instant::now()));
+        }
+    }
+
+    /// The wait that has exceeded its limit, if there is one.
+    fn exceeded(&self, limits: &ServeLimits) -> Option<Wait> {
+        let Phase::Waiting(wait, since) = self.phase.get() else { return None };
+        (since.elapsed() >= wait.limit(limits)).then_some(wait)
     }
 
-    /// What the connection waits for, and since when; `None` while a request is handled.
-    pub fn wait(&self) -> Option<(Wait, Instant)> {
-        match self.0.get() {
-            Phase::Waiting(wait, since) => Some((wait, since)),
-            Phase::Request { .. } => None,
+    fn wake_if_exceeded(&self, limits: &ServeLimits) {
+        if self.exceeded(limits).is_some()
+            && let Some(waker) = &*self.waker.borrow()
+        {
+            waker.wake_by_ref();
         }
     }
 
     /// Records that bytes were read.
     pub fn record_read(&self) {
-        match self.0.get() {
-            Phase::Waiting(Wait::Idle, _) => {
-                self.0.set(Phase::Waiting(Wait::Head, Instant::now()));
-            }
-            Phase::Request { has_body: false, next_head: None } => {
-                let next_head = Some(Instant::now());
-                self.0.set(Phase::Request { has_body: false, next_head });
-            }
-            Phase::Waiting(Wait::Head, _) | Phase::Request { .. } => {}
+        if let Phase::Waiting(Wait::Idle, _) = self.phase.get() {
+            self.phase.set(Phase::Waiting(Wait::Head, Instant::now()));
         }
     }
 
     /// Records that the head of a request is complete.
-    pub fn start_request(&self, has_body: bool) {
-        self.0.set(Phase::Request { has_body, next_head: None });
+    pub fn start_request(&self) {
+        self.phase.set(Phase::Request);
     }
 
     fn end_response(&self) {
-        let Phase::Request { next_head, .. } = self.0.get() else { return };
-        self.0.set(match next_head {
-            Some(since) => Phase::Waiting(Wait::Head, since),
-            None => Phase::Waiting(Wait::Idle, Instant::now()),
-        });
+        self.phase.set(Phase::Waiting(Wait::Idle, Instant::now()));
     }
 }
 
@@ -95,6 +130,32 @@
     }
 }
 
+/// Activities of the open connections of a server.
+#[derive(Debug, Clone, Default)]
+pub struct Activities(Rc<RefCell<Vec<Weak<Activity>>>>);
+
+impl Activities {
+    /// Adds a connection that was just accepted.
+    pub fn start(&self) -> Rc<Activity> {
+        let activity = Rc::new(Activity::new());
+        self.0.borrow_mut().push(Rc::downgrade(&activity));
+        activity
+    }
+
+    /// Wakes the connections that exceed a limit, for as long as the server runs.
+    pub async fn check(self, limits: Rc<RefCell<ServeLimits>>) {
+        loop {
+            compio::time::sleep(CHECK_INTERVAL).await;
+            let limits = limits.borrow();
+            self.0.borrow_mut().retain(|it| {
+                let Some(activity) = it.upgrade() else { return false };
+                activity.wake_if_exceeded(&limits);
+                true
+            });
+        }
+    }
+}
+
 /// Body of a response; records the end of the response when it is dropped.
 pub struct RecordedBody {
     body: Body,
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -1,8 +1,9 @@
 //! HTTP server: accepts connections and responds to requests on them.
 //!
 //! Every wait is limited, so that slow clients and half-open connections do not occupy the server forever: connections
-//! above `max_connections` are closed at once, a client that sends its headers slowly is disconnected after
-//! `header_read_timeout`, and one that does not read its response after `stall_timeout`.
+//! above `max_connections` are closed at once, a connection without a request is closed after `idle_timeout`, a client that
+//! sends its headers slowly is disconnected after `header_read_timeout`, and one that does not read its response after
+//! `stall_timeout`.
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,18 +16,17 @@
 };
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::CompioTimer;
 use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{
     Request, Response, Version,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 
 use crate::{
-    activity::{Activity, RecordedBody, Wait},
+    activity::{Activities, Activity, RecordedBody, Wait},
     body::{Body, BoxError},
     metrics::ReasonCounters,
     read_ahead::ReadAhead,
@@ -47,7 +47,9 @@
 pub struct ServeLimits {
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Limits the wait for a request's headers, also between two requests.
+    /// How long a connection may stay idle: from its start or the end of a response to the first byte of a request.
+    pub idle_timeout: Duration,
+    /// Limits the time from the first byte of a request to the end of its headers.
     pub header_read_timeout: Duration,
     /// Maximum size of a request's headers; at least 8192 bytes are allowed.
     pub max_header_bytes: usize,
@@ -66,6 +68,7 @@
     fn default() -> ServeLimits {
         ServeLimits {
             max_connections: 8_192,
+            idle_timeout: Duration::from_secs(60),
             header_read_timeout: Duration::from_secs(60),
             max_header_bytes: 32 * 1024,
             stall_timeout: Duration::from_secs(30),
@@ -85,6 +88,7 @@
     listener: TcpListener,
     limits: Rc<RefCell<ServeLimits>>,
     open_connections: Rc<Cell<usize>>,
+    activities: Activities,
     draining: Rc<Cell<bool>>,
     close_counters: Option<ReasonCounters>,
     stop: flume::Receiver<()>,
@@ -122,6 +126,7 @@
             listener,
             limits: Rc::new(RefCell::new(limits)),
             open_connections: Rc::default(),
+            activities: Activities::default(),
             draining: Rc::default(),
             close_counters: None,
             stop,
@@ -134,7 +139,8 @@
         self.listener.local_addr()
     }
 
-    /// Shared limits; changes apply to connections that are accepted afterwards.
+    /// Shared limits. Changes of `idle_timeout` and `header_read_timeout` apply to open connections, too, those of the others
+    /// to connections that are accepted afterwards.
     pub fn limits(&self) -> Rc<RefCell<ServeLimits>> {
         Rc::clone(&self.limits)
     }
@@ -158,6 +164,9 @@
         F: Future<Output = Response<Body>> + 'static,
     {
         let handler = Rc::new(handler);
+        let checking = self.activities.clone().check(Rc::clone(&self.limits));
+        // Dropping the handle cancels the task.
+        let _checking = compio::runtime::spawn(checking);
         let mut stopped = pin!(wait_for_stop(self.stop.clone()).fuse());
         loop {
             let accepted = {
@@ -207,32 +216,48 @@
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        let limits = self.limits.borrow().clone();
-        if self.open_connections.get() >= limits.max_connections {
+        if self.open_connections.get() >= self.limits.borrow().max_connections {
             log::warn!("serve: connection limit reached, new connection closed");
             return;
         }
         let handler = Rc::clone(handler);
+        let shared = Shared {
+            limits: Rc::clone(&self.limits),
+            activity: self.activities.start(),
+            draining: Rc::clone(&self.draining),
+            close_counters: self.close_counters.clone(),
+        };
         let stop = self.stop.clone();
-        let draining = Rc::clone(&self.draining);
-        let close_counters = self.close_counters.clone();
-        let activity = Rc::new(Activity::new());
         let guard = ConnectionGuard::new(&self.open_connections);
         compio::runtime::spawn(async move {
             let _guard = guard;
-            let limit = limits.header_read_timeout;
-            let serving =
-                serve_connection(accepted, limits, stop, draining, Rc::clone(&activity), handler);
-            let Err(err) = serving.await else { return };
-            match activity.wait().filter(|_| is_timeout(&err)) {
-                Some((wait, _)) => note_close(wait, limit, close_counters.as_ref()),
-                None => log::debug!("serve: connection ended: {err}"),
+            if let Err(err) = serve_connection(accepted, shared, stop, handler).await {
+                log::debug!("serve: connection ended: {err}");
             }
         })
         .detach();
     }
 }
 
+/// What a connection shares with its server.
+struct Shared {
+    limits: Rc<RefCell<ServeLimits>>,
+    activity: Rc<Activity>,
+    draining: Rc<Cell<bool>>,
+    close_counters: Option<ReasonCounters>,
+}
+
+impl Shared {
+    /// Counts and logs that the connection is closed as a wait for its client has exceeded its limit.
+    fn note_close(&self, wait: Wait) {
+        if let Some(counters) = &self.close_counters {
+            counters.count(wait.label());
+        }
+        let limit_ms = wait.limit(&self.limits.borrow()).as_millis() as u64;
+        log::debug!(reason = wait.label(), limit_ms; "serve: connection closed");
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 struct ConnectionGuard(Rc<Cell<usize>>);
 
@@ -273,18 +298,6 @@
     .await
 }
 
-fn is_timeout(err: &BoxError) -> bool {
-    err.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_timeout)
-}
-
-/// Counts and logs that a connection is closed as a wait for its client has exceeded a limit.
-fn note_close(wait: Wait, limit: Duration, counters: Option<&ReasonCounters>) {
-    if let Some(counters) = counters {
-        counters.count(wait.label());
-    }
-    log::debug!(reason = wait.label(), limit_ms = limit.as_millis() as u64; "serve: connection closed");
-}
-
 async fn wait_for_stop(stop: flume::Receiver<()>) {
     let mut stop = stop.into_stream();
     while stop.next().await.is_some() {}
@@ -292,33 +305,34 @@
 
 async fn serve_connection<H, F>(
     (stream, peer): (TcpStream, SocketAddr),
-    limits: ServeLimits,
+    shared: Shared,
     stop: flume::Receiver<()>,
-    draining: Rc<Cell<bool>>,
-    activity: Rc<Activity>,
     handler: Rc<H>,
 ) -> Result<(), BoxError>
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    socket::configure(&stream, limits.socket_timeouts)?;
+    let ServeLimits { socket_timeouts, max_header_bytes, stall_timeout, .. } =
+        shared.limits.borrow().clone();
+    socket::configure(&stream, socket_timeouts)?;
     let socket = stream.clone();
     let is_close_delimited = Rc::new(Cell::new(false));
     let by_close = Rc::clone(&is_close_delimited);
     let (stream, stall) =
-        MonitoredStream::new(Stream::new(stream).with_activity(Rc::clone(&activity)));
-    let is_draining = Rc::clone(&draining);
+        MonitoredStream::new(Stream::new(stream).with_activity(Rc::clone(&shared.activity)));
+    let is_draining = Rc::clone(&shared.draining);
+    let current_activity = Rc::clone(&shared.activity);
     let read_ahead = Rc::new(RefCell::new(ReadAhead::default()));
     let current = Rc::clone(&read_ahead);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(PeerAddress(peer));
         by_close.set(request.version() == Version::HTTP_10);
-        activity.start_request(!request.body().is_end_stream());
+        current_activity.start_request();
         // Boxed, so that its memory is freed before the response body is streamed.
         let response = Box::pin(handler(request));
         let (draining, current) = (Rc::clone(&is_draining), Rc::clone(&current));
-        let activity = Rc::clone(&activity);
+        let activity = Rc::clone(&current_activity);
         async move {
             let mut response = response.await;
             *current.borrow_mut() = response.body().read_ahead_handle();
@@ -330,23 +344,30 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_read_timeout)
-        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .header_read_timeout(None)
+        .max_buf_size(max_header_bytes.max(8_192))
         .half_close(false)
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
-    let mut stalled = pin!(stall.reaches(limits.stall_timeout).fuse());
+    let mut stalled = pin!(stall.reaches(stall_timeout).fuse());
     // A request may already be in transit on a new or idle connection; closing the connection at once would lose it.
     let closing = async {
         wait_for_stop(stop).await;
-        draining.set(true);
+        shared.draining.set(true);
         compio::time::sleep(LINGER).await;
     };
     let mut closing = pin!(closing.fuse());
+    let mut exceeded = pin!(shared.activity.limit_exceeded(&shared.limits, &stall).fuse());
     let ended = loop {
         select_biased! {
             ended = or_aborted(connection.as_mut(), &read_ahead, &stall).fuse() => break ended,
+            wait = exceeded => {
+                shared.note_close(wait);
+                match wait {
+                    Wait::Idle => connection.as_mut().graceful_shutdown(),
+                    Wait::Head => break Err("the client sends its headers too slowly".into()),
+                }
+            }
             () = closing => connection.as_mut().graceful_shutdown(),
             () = stalled => break Err("the client does not read its response".into()),
         }
--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
     rc::Rc,
     thread,
@@ -21,6 +21,14 @@
 const CONNECTIONS: usize = 200;
 /// Longer than any test.
 const LONG: Duration = Duration::from_secs(600);
+/// Limit that a test waits for.
+const SHORT: Duration = Duration::from_millis(100);
+/// Longer than the time after which a server has noticed that a limit is exceeded.
+const SWEEP: Duration = Duration::from_millis(1_500);
+/// Time within which a connection has to be closed for a limit of [`SHORT`].
+const CLOSE_WAIT: Duration = Duration::from_secs(20);
+const HALF_HEAD: &[u8] = b"GET / HTTP/1.1\r\nhost:";
+const REST_OF_HEAD: &[u8] = b" x\r\n\r\n";
 const PIECE: &[u8] = &[b'x'; 64 * 1024];
 
 /// Counts the streams that have ended: adds one when it is dropped.
@@ -226,7 +234,7 @@
 /// Server that answers each request at once, whose limits can be changed.
 struct LimitedServer {
     address: SocketAddr,
-    _changes: flume::Sender<ServeLimits>,
+    changes: flume::Sender<ServeLimits>,
     metrics: Registry,
 }
 
@@ -252,7 +260,7 @@
             });
         });
         let address = receiver.recv().expect("the server starts");
-        LimitedServer { address, _changes: changes, metrics }
+        LimitedServer { address, changes, metrics }
     }
 
     /// Sends a request and reads its answer; returns whether the connection was still open.
@@ -282,25 +290,113 @@
     true
 }
 
-/// Waits until the server closes a connection; returns what it sent before.
-fn wait_for_close(client: &mut TcpStream) -> Vec<u8> {
-    let mut rest = Vec::new();
-    let _ = client.read_to_end(&mut rest);
-    rest
+/// Whether the server closes a connection, and sends nothing before.
+fn is_closed(client: &mut TcpStream) -> bool {
+    match client.read(&mut [0; 1]) {
+        Ok(read) => read == 0,
+        Err(err) => err.kind() == ErrorKind::ConnectionReset,
+    }
+}
+
+/// Limits that close no connection within a test.
+fn wide_limits() -> ServeLimits {
+    ServeLimits { idle_timeout: LONG, header_read_timeout: LONG, ..ServeLimits::default() }
+}
+
+/// Connection on which a test fails instead of waiting forever.
+fn connect(server: &LimitedServer) -> TcpStream {
+    let client = TcpStream::connect(server.address).expect("a connection");
+    client.set_read_timeout(Some(CLOSE_WAIT)).expect("a timeout");
+    client
 }
 
 /// Guards against closed connections that operators cannot tell from those that callers close.
 #[test]
 fn closed_connections_are_counted_by_reason() {
-    let wait = Duration::from_millis(100);
-    let limits = ServeLimits { header_read_timeout: wait, ..ServeLimits::default() };
+    let limits =
+        ServeLimits { idle_timeout: SHORT, header_read_timeout: SHORT, ..ServeLimits::default() };
     let server = LimitedServer::start(limits);
-    let mut idle = TcpStream::connect(server.address).expect("a connection");
+    let mut idle = connect(&server);
     assert!(server.call(&mut idle));
-    assert_eq!(wait_for_close(&mut idle), b"");
+    assert!(is_closed(&mut idle));
     assert_eq!((server.closes("idle"), server.closes("head")), (1, 0));
-    let mut slow = TcpStream::connect(server.address).expect("a connection");
-    slow.write_all(b"GET / HTTP/1.1\r\nhost:").expect("half of a request");
-    wait_for_close(&mut slow);
+    let mut slow = connect(&server);
+    slow.write_all(HALF_HEAD).expect("half of a request");
+    assert!(is_closed(&mut slow));
     assert_eq!((server.closes("idle"), server.closes("head")), (1, 1));
 }
+
+/// Guards against connections that close sooner than callers expect, who go by the limit that is in force.
+#[test]
+fn a_raised_idle_limit_applies_to_open_connections() {
+    let limit = Duration::from_secs(2);
+    let limits = ServeLimits { idle_timeout: limit, header_read_timeout: limit, ..wide_limits() };
+    let server = LimitedServer::start(limits);
+    let mut client = connect(&server);
+    assert!(server.call(&mut client));
+    server.changes.send(wide_limits()).expect("a running server");
+    thread::sleep(limit + SWEEP);
+    assert!(server.call(&mut client));
+}
+
+#[test]
+fn a_lowered_idle_limit_applies_to_open_connections() {
+    let server = LimitedServer::start(wide_limits());
+    let mut client = connect(&server);
+    assert!(server.call(&mut client));
+    server.changes.send(ServeLimits { idle_timeout: SHORT, ..wide_limits() }).expect("a server");
+    assert!(is_closed(&mut client));
+}
+
+/// A caller sends a request when its connection has been idle for nearly as long as allowed, and the head arrives in two
+/// parts. The connection must not be closed between them.
+#[test]
+fn a_request_whose_head_has_begun_to_arrive_is_not_cut_by_the_idle_limit() {
+    let (limit, part) = (Duration::from_secs(3), Duration::from_secs(2));
+    let limits = ServeLimits { idle_timeout: limit, header_read_timeout: limit, ..wide_limits() };
+    let server = LimitedServer::start(limits);
+    let mut client = connect(&server);
+    assert!(server.call(&mut client));
+    thread::sleep(part);
+    client.write_all(HALF_HEAD).expect("half of a request");
+    thread::sleep(part);
+    assert!(client.write_all(REST_OF_HEAD).is_ok() && read_answer(&mut client));
+}
+
+/// Guards against clients that may send a head as slowly as they may be idle.
+#[test]
+fn the_limit_of_a_head_is_not_that_of_an_idle_connection() {
+    let limits = ServeLimits { header_read_timeout: SHORT, ..wide_limits() };
+    let server = LimitedServer::start(limits);
+    let mut client = connect(&server);
+    assert!(server.call(&mut client));
+    thread::sleep(SHORT + SWEEP);
+    assert!(server.call(&mut client));
+    client.write_all(HALF_HEAD).expect("half of a request");
+    assert!(is_closed(&mut client));
+}
+
+/// Guards against connections that stay open after their caller has failed while it sent the head of its second request.
+#[test]
+fn a_begun_head_is_limited_although_it_arrived_with_the_request_before_it() {
+    let limits = ServeLimits { idle_timeout: SHORT, header_read_timeout: SHORT, ..wide_limits() };
+    let server = LimitedServer::start(limits);
+    let mut client = connect(&server);
+    client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\nGET / HTTP").expect("a request and a half");
+    assert!(read_answer(&mut client));
+    assert!(is_closed(&mut client));
+}
+
+/// Guards against responses that are cut because they last longer than a connection may be idle.
+#[test]
+fn a_response_may_last_longer_than_a_connection_may_be_idle() {
+    let limits = ServeLimits { idle_timeout: SHORT, header_read_timeout: SHORT, ..wide_limits() };
+    let (address, _ends) = serve(limits);
+    let mut client = send_request(address);
+    client.read_exact(&mut [0; 64]).expect("the start of the stream");
+    thread::sleep(SHORT + SWEEP);
+    let mut piece = vec![0; PIECE.len()];
+    for _ in 0..100 {
+        client.read_exact(&mut piece).expect("more of the stream");
+    }
+}
--- a/crates/samphiredoor-standin/src/soak/connection.rs
+++ b/crates/samphiredoor-standin/src/soak/connection.rs
@@ -121,6 +121,15 @@
         self.stream.write_all(request_head(method, path, headers).as_bytes())
     }
 
+    /// Sends a part of a request's body.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be sent.
+    pub fn send_part(&mut self, part: &str) -> io::Result<()> {
+        self.stream.write_all(part.as_bytes())
+    }
+
     /// Reads the answer to the request that was sent; also returns whether the connection can be reused.
     pub fn receive(&mut self, timeout: Duration) -> (Reply, bool) {
         let deadline = Instant::now() + timeout;
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -3,6 +3,7 @@
 mod broken_off_answers;
 mod cancellations;
 mod cells;
+mod configuration_changes;
 mod discovery;
 mod env;
 mod item_outputs;
