Gateways: a request that is refused by its head gets its answer after its body has arrived

What callers saw: a request with a body that takes more than a moment to arrive failed in the middle of it, with a broken pipe or a reset, where its route had just been removed, where the gateway had no routes yet, or where its key was unknown. The answer (404, 503, 401) was sent, and a caller that gave up after the failed write did not read it: it had neither an answer nor a refusal.

Cause: these answers are known from the head of a request. They were sent at once and the body was dropped unread, so hyper closed the connection after the answer, and the rest of the body met a closed socket.

Why it works: the body is read and dropped before the answer, up to the size and the time that a body may have anyway. A caller that waits for permission to send its body (Expect) still gets the answer at once. Bodies above the size limit are still answered before their end.

--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -20,12 +20,12 @@
     Name,
     ordered::{JobName, job_name},
     overload::buffer_budget::Holder,
-    routes::{BatchTimes, Route, RouteKind, RouteTable},
+    routes::{BatchTimes, CallerLimits, Route, RouteKind, RouteTable},
     verdict::Refusal,
 };
 use samphiredoor_net::{
     Body, BoxError,
-    body::{ReadError, read_whole},
+    body::{ReadError, next_piece, read_whole},
     clock::Clock,
     pool::within,
 };
@@ -119,6 +119,7 @@
 async fn route_request(front: &Rc<Front>, request: Request<Incoming>) -> Response<Body> {
     let Some(table) = front.routes.current() else {
         front.metrics.refused(Refusal::NotReady);
+        discard_body(request, CallerLimits::default().body_bytes).await;
         return refusal_response(Refusal::NotReady, NOT_READY_RETRY_MS);
     };
     match front.dialect.job_call(request.method(), request.uri()) {
@@ -129,13 +130,17 @@
     let host = request_host(&request).unwrap_or_default().to_owned();
     let Some(route) = table.find(&host, request.uri().path()).cloned() else {
         log::info!(host, path = request.uri().path(), routes_version = table.version; "front: no matching route");
+        discard_body(request, table.limits.body_bytes).await;
         return json_message(StatusCode::NOT_FOUND, "no route serves this host and path");
     };
-    let (mut parts, body) = request.into_parts();
-    let workspace = match authorize(front, &table, route.is_public, &parts.headers) {
+    let workspace = match authorize(front, &table, route.is_public, request.headers()) {
         Ok(workspace) => workspace,
-        Err(answer) => return *answer,
+        Err(answer) => {
+            discard_body(request, table.limits.body_bytes).await;
+            return *answer;
+        }
     };
+    let (mut parts, body) = request.into_parts();
     let body = match read_body(front, &table, body).await {
         Ok(body) => body,
         Err(answer) => return *answer,
@@ -259,6 +264,27 @@
     }
 }
 
+/// Reads the body of a request that is answered by its head. An answer before the end of the body closes the connection; the
+/// caller's write fails then, and many callers read no answer after that. A caller that waits for permission to send its body
+/// gets the answer instead.
+async fn discard_body(request: Request<Incoming>, max_bytes: usize) {
+    if request.headers().contains_key(header::EXPECT) {
+        return;
+    }
+    let mut body = request.into_body();
+    let reading = async {
+        let mut read = 0;
+        while let Ok(Some(piece)) = next_piece(&mut body, BODY_TIMEOUT).await {
+            read += piece.len();
+            if read > max_bytes {
+                return;
+            }
+        }
+    };
+    // After the timeout the answer is sent all the same.
+    let _ = within(BODY_TIMEOUT, reading).await;
+}
+
 fn request_host<B>(request: &Request<B>) -> Option<&str> {
     let header = request.headers().get(header::HOST).and_then(|it| it.to_str().ok());
     header.or_else(|| request.uri().host())
--- a/crates/samphiredoor/tests/it/platform/configuration_changes.rs
+++ b/crates/samphiredoor/tests/it/platform/configuration_changes.rs
@@ -209,6 +209,50 @@
     }
 }
 
+// The answer to a request is known from its head, as its route is gone or no configuration is known yet. A connection that
+// closes while the body arrives fails the caller's write, and many callers read no answer after that.
+#[test]
+fn a_request_with_a_long_body_that_is_refused_by_its_head_gets_its_answer() {
+    let (platform, _target) = start(FAST);
+    put_after(&platform);
+    let mut caller = connect(&platform);
+    let reply = send_long_body(&mut caller, "/removed/run");
+    assert!(reply.is_complete && reply.status == 404, "{reply:?}");
+    send(&mut caller, "/stays/run", "id-2").expect("an open connection");
+    assert!(is_whole_stream(&caller.receive(ANSWER_TIMEOUT).0));
+}
+
+#[test]
+fn a_request_with_a_long_body_at_a_gateway_without_routes_gets_its_refusal() {
+    let mut platform = Platform::without_routes(BINARY);
+    platform.spawn_gateway();
+    let reply = send_long_body(&mut connect(&platform), "/stays/run");
+    assert!(reply.is_complete && reply.status == 503, "{reply:?}");
+}
+
+#[test]
+fn a_request_with_a_long_body_and_without_a_key_gets_its_answer() {
+    let mut platform = Platform::without_routes(BINARY);
+    platform.put_workspaces(1, &json!([{ "name": "w", "apiKeys": ["key"] }]));
+    platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    let reply = send_long_body(&mut connect(&platform), "/safe/run");
+    assert!(reply.is_complete && reply.status == 401, "{reply:?}");
+}
+
+/// Sends a request whose body takes some time, and reads its answer.
+fn send_long_body(caller: &mut Connection, path: &str) -> Reply {
+    let part = "x".repeat(64 * 1024);
+    let length = (part.len() * 16).to_string();
+    let headers = [("X-Request-Id", "id-1"), ("Content-Length", length.as_str())];
+    caller.send_head("POST", path, &headers).expect("a new connection");
+    for number in 0..16 {
+        caller.send_part(&part).unwrap_or_else(|err| panic!("part {number}: {err}"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    caller.receive(ANSWER_TIMEOUT).0
+}
+
 // The entry of the only target is written again and again, and removed for a moment, while a stream runs and others wait.
 #[test]
 fn requests_keep_their_places_while_the_table_of_targets_is_rebuilt() {
