Servers: a stop waits for a head that has begun to arrive

What callers saw: a request that arrived in parts beside a stop, on a connection that had served others before, was cut between its parts a second after the listener had closed.

Cause: after that second each connection is shut down gracefully, which closes one that hyper considers idle, and it does so until a head is complete.

Evidence: a_request_whose_head_has_begun_to_arrive_at_a_stop_is_answered (net/tests/serve.rs) failed before and passes now.

Why it works: the shutdown of a connection waits while a head arrives, which the limit of heads and the time for running requests bound.

--- a/crates/samphiredoor-net/src/activity.rs
+++ b/crates/samphiredoor-net/src/activity.rs
@@ -86,6 +86,15 @@
         .await
     }
 
+    /// Completes when no head of a request is arriving. Must be polled by the task of the connection, after it.
+    pub async fn no_head_arrives(&self) {
+        poll_fn(|_| match self.phase.get() {
+            Phase::Waiting(Wait::Head, _) => Poll::Pending,
+            Phase::Waiting(Wait::Idle, _) | Phase::Request => Poll::Ready(()),
+        })
+        .await;
+    }
+
     /// A client is not idle before it has read the end of its response.
     fn restart_wait_while(&self, is_sending: bool) {
         if let (true, Phase::Waiting(Wait::Idle, _)) = (is_sending, self.phase.get()) {
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -355,6 +355,8 @@
         wait_for_stop(stop).await;
         shared.draining.set(true);
         compio::time::sleep(LINGER).await;
+        // Otherwise a connection whose next request has begun to arrive would be closed as idle.
+        shared.activity.no_head_arrives().await;
     };
     let mut closing = pin!(closing.fuse());
     let mut exceeded = pin!(shared.activity.limit_exceeded(&shared.limits, &stall).fuse());
--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -400,3 +400,40 @@
         client.read_exact(&mut piece).expect("more of the stream");
     }
 }
+
+/// Server that answers at once, and stops when told to; returns its address and what stops it.
+fn serve_until_stopped() -> (SocketAddr, flume::Sender<()>) {
+    let (sender, receiver) = flume::bounded(1);
+    let (stopper, stopped) = flume::bounded(0);
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let limits = ServeLimits { late_callers: Duration::ZERO, ..wide_limits() };
+            let mut server = Server::bind(any, limits).await.expect("a port");
+            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+            let stop = server.stop_handle().expect("the first handle");
+            let serving = server.run(|_| async { Response::new(Body::full("answer")) });
+            let serving = compio::runtime::spawn(serving);
+            let _ = stopped.recv_async().await;
+            drop(stop);
+            let _ = serving.await;
+        });
+    });
+    (receiver.recv().expect("the server starts"), stopper)
+}
+
+/// Guards against requests that are cut because the server stops while their heads arrive.
+#[test]
+fn a_request_whose_head_has_begun_to_arrive_at_a_stop_is_answered() {
+    let (address, stopper) = serve_until_stopped();
+    let mut client = send_request(address);
+    assert!(read_answer(&mut client));
+    client.write_all(HALF_HEAD).expect("half of a request");
+    thread::sleep(SHORT);
+    stopper.send(()).expect("a running server");
+    // Idle connections are closed a second after the stop.
+    thread::sleep(Duration::from_secs(2));
+    assert!(client.write_all(REST_OF_HEAD).is_ok() && read_answer(&mut client));
+    assert!(is_closed(&mut client));
+}
