Test: a request that is read is answered although its connection is closed for being idle

Guards against requests that the server reads and drops in the instant in which it closes their connection. What crosses a close was not read.

--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -5,8 +5,12 @@
     io::{ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -21,6 +25,9 @@
 const CONNECTIONS: usize = 200;
 /// Longer than any test.
 const LONG: Duration = Duration::from_secs(600);
+/// Connections of a caller that is idle for about as long as allowed; with those of two others below the usual limit of open
+/// files.
+const IDLE_CONNECTIONS: usize = 100;
 /// Limit that a test waits for.
 const SHORT: Duration = Duration::from_millis(100);
 /// Longer than the time after which a server has noticed that a limit is exceeded.
@@ -236,6 +243,8 @@
     address: SocketAddr,
     changes: flume::Sender<ServeLimits>,
     metrics: Registry,
+    /// Number of requests that were read.
+    handled: Arc<AtomicUsize>,
 }
 
 impl LimitedServer {
@@ -243,6 +252,8 @@
         let (sender, receiver) = flume::bounded(1);
         let (changes, changed) = flume::bounded::<ServeLimits>(0);
         let mut metrics = Registry::default();
+        let handled = Arc::new(AtomicUsize::new(0));
+        let reads = Arc::clone(&handled);
         let counters = ReasonCounters::new(&mut metrics, "closed", "Closed connections", &[]);
         thread::spawn(move || {
             let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -252,7 +263,10 @@
                 let server = server.with_close_counters(counters);
                 sender.send(server.local_addr().expect("an address")).expect("a waiting test");
                 let limits = server.limits();
-                let serving = server.run(|_| async { Response::new(Body::full("answer")) });
+                let serving = server.run(move |_| {
+                    reads.fetch_add(1, Ordering::Relaxed);
+                    async { Response::new(Body::full("answer")) }
+                });
                 compio::runtime::spawn(serving).detach();
                 while let Ok(new) = changed.recv_async().await {
                     *limits.borrow_mut() = new;
@@ -260,7 +274,7 @@
             });
         });
         let address = receiver.recv().expect("the server starts");
-        LimitedServer { address, changes, metrics }
+        LimitedServer { address, changes, metrics, handled }
     }
 
     /// Sends a request and reads its answer; returns whether the connection was still open.
@@ -437,3 +451,43 @@
     assert!(client.write_all(REST_OF_HEAD).is_ok() && read_answer(&mut client));
     assert!(is_closed(&mut client));
 }
+
+/// Sends a request on each of many connections at once, again and again after a pause; returns how many were answered and how
+/// many were not.
+fn call_on_idle_connections(server: &LimitedServer, end: Instant) -> (usize, usize) {
+    let (mut answered, mut cut) = (0, 0);
+    let mut clients: Vec<TcpStream> = (0..IDLE_CONNECTIONS).map(|_| connect(server)).collect();
+    while Instant::now() < end {
+        let requests =
+            clients.iter_mut().map(|it| it.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"));
+        let sent: Vec<bool> = requests.map(|it| it.is_ok()).collect();
+        for (client, is_sent) in clients.iter_mut().zip(sent) {
+            if is_sent && read_answer(client) {
+                answered += 1;
+            } else {
+                cut += 1;
+                *client = connect(server);
+            }
+        }
+        thread::sleep(SHORT * 3 / 2);
+    }
+    (answered, cut)
+}
+
+/// Requests arrive while their connections are closed for being idle. One that the server has read must be answered: nobody
+/// else knows whether it has run.
+#[test]
+fn a_request_that_is_read_is_answered_although_its_connection_was_idle_for_too_long() {
+    let limits = ServeLimits { idle_timeout: SHORT, header_read_timeout: SHORT, ..wide_limits() };
+    let server = LimitedServer::start(limits);
+    let end = Instant::now() + Duration::from_secs(5);
+    let calls = thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..3).map(|_| scope.spawn(|| call_on_idle_connections(&server, end))).collect();
+        callers.into_iter().map(|it| it.join().expect("no panic")).collect::<Vec<_>>()
+    });
+    let answered: usize = calls.iter().map(|(it, _)| it).sum();
+    let cut: usize = calls.iter().map(|(_, it)| it).sum();
+    assert!(server.closes("idle") > 0, "connections are closed");
+    assert_eq!(answered, server.handled.load(Ordering::Relaxed), "{cut} cut");
+}
