Jobs: items that wait for a slot follow their route

What callers saw: a job whose route was moved to another service, while its items waited for a slot at the one before, made no progress when that service had no targets left. Its items were given up at the end of their time although the new service was idle. Items of a removed route waited in the same way.

Cause: an item looks its route up before it asks for a slot, and waits in the queue of that service until there is one.

Why it works: when another table of routes becomes active, an item that waits looks its route up again, and leaves the queue if the service is no part of it. The change is signalled, so that waiting items need no timers.

--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -5,6 +5,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -233,12 +234,12 @@
             return Outcome::Held(suspect);
         }
         let mut ticket = self.env.placement.request(self.request_spec(service, &call.headers));
-        let (target, address, origin, goes_on) = match ticket.next_decision().await {
-            Decision::Dispatch { target, address, origin, goes_on } => {
+        let (target, address, origin, goes_on) = match self.place(&mut ticket, service).await {
+            Some(Decision::Dispatch { target, address, origin, goes_on }) => {
                 (target, address, origin, goes_on)
             }
-            Decision::Refused { .. } => return Outcome::RetryLater,
-            Decision::Preempted => return Outcome::Resume,
+            Some(Decision::Refused { .. }) => return Outcome::RetryLater,
+            Some(Decision::Preempted) | None => return Outcome::Resume,
         };
         if !self.permit.is_valid() {
             return Outcome::Resume;
@@ -340,6 +341,26 @@
         Sent { head, is_preempted }
     }
 
+    /// Waits for a target; `None` if the operators have taken the service from the route meanwhile, whose targets may be gone.
+    async fn place(&self, ticket: &mut Ticket, service: &Name) -> Option<Decision> {
+        let mut decision = pin!(ticket.next_decision());
+        loop {
+            let changed = pin!(self.env.routes.changed());
+            match select(decision.as_mut(), changed).await {
+                Either::Left((decision, _)) => return Some(decision),
+                Either::Right(_) if self.is_served_by(service) => {}
+                Either::Right(_) => return None,
+            }
+        }
+    }
+
+    /// Whether the current route sends items to a service.
+    fn is_served_by(&self, service: &Name) -> bool {
+        let Some(table) = self.env.routes.current() else { return true };
+        let Some(route) = self.route(&table) else { return false };
+        route.splits.iter().any(|it| it.weight > 0 && it.service == *service)
+    }
+
     fn request_spec(&self, service: &Name, headers: &HeaderMap) -> RequestSpec {
         RequestSpec {
             request: self.env.placement.next_request(),
--- a/crates/samphiredoor-gateway/src/routes.rs
+++ b/crates/samphiredoor-gateway/src/routes.rs
@@ -8,10 +8,22 @@
 };
 
 /// Handle to the active routes; only `discovery` updates them.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Routes {
     latest: Rc<RefCell<LatestRoutes>>,
     source: Rc<RefCell<Option<Stored>>>,
+    /// Channel that carries no message and is replaced, which closes it, at the next change.
+    change: Rc<RefCell<(flume::Sender<()>, flume::Receiver<()>)>>,
+}
+
+impl Default for Routes {
+    fn default() -> Routes {
+        Routes {
+            latest: Rc::default(),
+            source: Rc::default(),
+            change: Rc::new(RefCell::new(flume::bounded(0))),
+        }
+    }
 }
 
 impl Routes {
@@ -31,10 +43,18 @@
         let activated = self.latest.borrow_mut().update_if_newer(table);
         if activated {
             *self.source.borrow_mut() = Some(source.clone());
+            *self.change.borrow_mut() = flume::bounded(0);
         }
         activated
     }
 
+    /// Waits until another table is active.
+    pub async fn changed(&self) {
+        let change = self.change.borrow().1.clone();
+        // Fails at the change, as nothing is ever sent.
+        let _ = change.recv_async().await;
+    }
+
     /// Stored object that the active table was parsed from, to be served to peers.
     pub fn source(&self) -> Option<Stored> {
         self.source.borrow().clone()
--- a/crates/samphiredoor/tests/it/platform/configuration_changes.rs
+++ b/crates/samphiredoor/tests/it/platform/configuration_changes.rs
@@ -253,6 +253,46 @@
     caller.receive(ANSWER_TIMEOUT).0
 }
 
+/// Starts a job of three items on a batch route whose service has no targets, and writes a configuration with `changed` instead
+/// of that route once the items wait. The last configuration is followed by a target of the service `reader`.
+fn change_route_of_waiting_items(changed: Option<Value>) -> (Platform, PlatformTarget) {
+    let mut batch = route("batch", 3, false);
+    batch["service"] = json!("elsewhere");
+    batch["maxWaitS"] = json!(36_000);
+    batch["batchSloMs"] = json!(36_000_000);
+    let mut platform = Platform::without_routes(BINARY);
+    let limits = limits(5_000, 15_000);
+    platform.store.put("config", "main", config(1, [batch].into_iter(), &limits));
+    let target = platform.start_target("t-1", FAST);
+    platform.start_gateway();
+    assert_eq!(platform.submit(0, "job-1", &["a", "b", "c"]).status, 202);
+    // The items are queued right after the answer; this leaves time for it on a busy machine.
+    thread::sleep(Duration::from_millis(500));
+    assert!(platform.available_results(0, "job-1").is_empty());
+    platform.store.put("config", "main", config(2, changed.into_iter(), &limits));
+    (platform, target)
+}
+
+// A batch route is moved away from a service without targets while its items wait there. They waited for that service for as long
+// as their job existed.
+#[test]
+fn waiting_items_are_run_by_the_service_that_their_route_is_moved_to() {
+    let mut moved = route("batch", 3, false);
+    moved["maxWaitS"] = json!(36_000);
+    let (platform, target) = change_route_of_waiting_items(Some(moved));
+    let results = platform.all_results(0, "job-1", 3);
+    assert!(results.iter().all(|it| it["state"] == "completed"), "{results:?}");
+    assert_eq!(target.runs().len(), 3);
+}
+
+#[test]
+fn waiting_items_whose_route_is_removed_are_given_up() {
+    let (platform, target) = change_route_of_waiting_items(None);
+    let results = platform.all_results(0, "job-1", 3);
+    assert!(results.iter().all(|it| it["state"] == "errored"), "{results:?}");
+    assert!(target.runs().is_empty());
+}
+
 // The entry of the only target is written again and again, and removed for a moment, while a stream runs and others wait.
 #[test]
 fn requests_keep_their_places_while_the_table_of_targets_is_rebuilt() {
