--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     verdict::Refusal,
 };
 use samphiredoor_net::{
+    activity::Wait,
     metrics::{self, ReasonCounters, gauge},
     pool::Framing,
 };
@@ -110,6 +111,7 @@
     registry: Registry,
     refusals: ReasonCounters,
     rejections: ReasonCounters,
+    caller_closes: ReasonCounters,
     retries: ReasonCounters,
     silences: ReasonCounters,
     ends: ReasonCounters,
@@ -167,6 +169,12 @@
         let ends = SilenceEnd::ALL.map(SilenceEnd::label);
         let help = "Times that a target sent nothing for over a second, by how this ended";
         let silences = ReasonCounters::new(&mut registry, "silences", help, &ends);
+        let caller_closes = ReasonCounters::new(
+            &mut registry,
+            "caller_connections_closed",
+            "Connections of callers that were idle, or sent a request's head, for too long",
+            &[Wait::Idle, Wait::Head].map(Wait::label),
+        );
         let mut family = |name, help| ReasonCounters::new(&mut registry, name, help, &[]);
         let retries = family("retries", "Requests sent again, by reason");
         let ends = family("ends", "Ends of requests that were sent");
@@ -226,6 +234,7 @@
         Rc::new(Metrics {
             refusals,
             rejections,
+            caller_closes,
             retries,
             silences,
             ends,
@@ -459,6 +468,11 @@
         self.store_answered_at.borrow_mut().insert(kind.path(), Instant::now());
     }
 
+    /// Counters of callers' connections that a limit on a wait has closed.
+    pub fn caller_closes(&self) -> ReasonCounters {
+        self.caller_closes.clone()
+    }
+
     /// Exports the use of a budget.
     pub fn set_buffers(&self, buffers: Buffers) {
         *self.buffers.borrow_mut() = Some(buffers);
--- /dev/null
+++ b/crates/samphiredoor-net/src/activity.rs
@@ -0,0 +1,205 @@
+//! What a server's connection waits for: a request, the rest of a request's head, or a response.
+//!
+//! One task of the server checks the waits of all its connections against the limits in force, and wakes those that exceed
+//! one. So a change of a limit reaches open connections, and thousands of idle ones need no timers.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::poll_fn,
+    pin::Pin,
+    rc::{Rc, Weak},
+    task::{Context, Poll, Waker},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+
+use crate::{Body, BoxError, ServeLimits, stall::WriteStall};
+
+/// Time between two checks of all connections. Limits are exceeded by up to this time.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Wait of a connection for its client, which a limit applies to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// No byte of a request has arrived.
+    Idle,
+    /// A part of a request's head has arrived.
+    Head,
+}
+
+impl Wait {
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Wait::Idle => "idle",
+            Wait::Head => "head",
+        }
+    }
+
+    /// Limit that applies to the wait.
+    pub fn limit(self, limits: &ServeLimits) -> Duration {
+        match self {
+            Wait::Idle => limits.idle_timeout,
+            Wait::Head => limits.header_read_timeout,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    Waiting(Wait, Instant),
+    /// A request is handled, or its response is sent.
+    Request,
+}
+
+/// Current phase of a connection.
+#[derive(Debug)]
+pub struct Activity {
+    phase: Cell<Phase>,
+    /// Task of the connection.
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Activity {
+    /// Activity of a connection that was just accepted.
+    pub fn new() -> Activity {
+        let phase = Cell::new(Phase::Waiting(Wait::Idle, Instant::now()));
+        Activity { phase, waker: RefCell::default() }
+    }
+
+    /// Completes when a wait has exceeded its limit. Must be polled after the connection, so that bytes which have arrived
+    /// count.
+    pub async fn limit_exceeded(&self, limits: &RefCell<ServeLimits>, stall: &WriteStall) -> Wait {
+        poll_fn(|cx| {
+            self.restart_wait_while(stall.is_pending());
+            if let Some(wait) = self.exceeded(&limits.borrow()) {
+                return Poll::Ready(wait);
+            }
+            let mut waker = self.waker.borrow_mut();
+            if waker.as_ref().is_none_or(|it| !it.will_wake(cx.waker())) {
+                *waker = Some(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Completes when no head of a request is arriving. Must be polled by the task of the connection, after it.
+    pub async fn no_head_arrives(&self) {
+        poll_fn(|_| match self.phase.get() {
+            Phase::Waiting(Wait::Head, _) => Poll::Pending,
+            Phase::Waiting(Wait::Idle, _) | Phase::Request => Poll::Ready(()),
+        })
+        .await;
+    }
+
+    /// A client is not idle before it has read the end of its response.
+    fn restart_wait_while(&self, is_sending: bool) {
+        if let (true, Phase::Waiting(Wait::Idle, _)) = (is_sending, self.phase.get()) {
+            self.phase.set(Phase::Waiting(Wait::Idle, Instant::now()));
+        }
+    }
+
+    /// The wait that has exceeded its limit, if there is one.
+    fn exceeded(&self, limits: &ServeLimits) -> Option<Wait> {
+        let Phase::Waiting(wait, since) = self.phase.get() else { return None };
+        (since.elapsed() >= wait.limit(limits)).then_some(wait)
+    }
+
+    fn wake_if_exceeded(&self, limits: &ServeLimits) {
+        if self.exceeded(limits).is_some()
+            && let Some(waker) = &*self.waker.borrow()
+        {
+            waker.wake_by_ref();
+        }
+    }
+
+    /// Records that bytes were read.
+    pub fn record_read(&self) {
+        if let Phase::Waiting(Wait::Idle, _) = self.phase.get() {
+            self.phase.set(Phase::Waiting(Wait::Head, Instant::now()));
+        }
+    }
+
+    /// Records that the head of a request is complete.
+    pub fn start_request(&self) {
+        self.phase.set(Phase::Request);
+    }
+
+    fn end_response(&self) {
+        self.phase.set(Phase::Waiting(Wait::Idle, Instant::now()));
+    }
+}
+
+impl Default for Activity {
+    fn default() -> Activity {
+        Activity::new()
+    }
+}
+
+/// Activities of the open connections of a server.
+#[derive(Debug, Clone, Default)]
+pub struct Activities(Rc<RefCell<Vec<Weak<Activity>>>>);
+
+impl Activities {
+    /// Adds a connection that was just accepted.
+    pub fn start(&self) -> Rc<Activity> {
+        let activity = Rc::new(Activity::new());
+        self.0.borrow_mut().push(Rc::downgrade(&activity));
+        activity
+    }
+
+    /// Wakes the connections that exceed a limit, for as long as the server runs.
+    pub async fn check(self, limits: Rc<RefCell<ServeLimits>>) {
+        loop {
+            compio::time::sleep(CHECK_INTERVAL).await;
+            let limits = limits.borrow();
+            self.0.borrow_mut().retain(|it| {
+                let Some(activity) = it.upgrade() else { return false };
+                activity.wake_if_exceeded(&limits);
+                true
+            });
+        }
+    }
+}
+
+/// Body of a response; records the end of the response when it is dropped.
+pub struct RecordedBody {
+    body: Body,
+    activity: Rc<Activity>,
+}
+
+impl RecordedBody {
+    /// Wraps the body of a response.
+    pub fn new(body: Body, activity: Rc<Activity>) -> RecordedBody {
+        RecordedBody { body, activity }
+    }
+}
+
+impl Drop for RecordedBody {
+    fn drop(&mut self) {
+        self.activity.end_response();
+    }
+}
+
+impl HttpBody for RecordedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -1,8 +1,9 @@
 //! HTTP server: accepts connections and responds to requests on them.
 //!
 //! Every wait is limited, so that slow clients and half-open connections do not occupy the server forever: connections
-//! above `max_connections` are closed at once, a client that sends its headers slowly is disconnected after
-//! `header_read_timeout`, and one that does not read its response after `stall_timeout`.
+//! above `max_connections` are closed at once, a connection without a request is closed after `idle_timeout`, a client that
+//! sends its headers slowly is disconnected after `header_read_timeout`, and one that does not read its response after
+//! `stall_timeout`.
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,7 +16,6 @@
 };
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::CompioTimer;
 use futures_util::{FutureExt, StreamExt, future::Either, select_biased};
 use hyper::{
     Request, Response, Version,
@@ -26,7 +26,9 @@
 };
 
 use crate::{
+    activity::{Activities, Activity, RecordedBody, Wait},
     body::{Body, BoxError},
+    metrics::ReasonCounters,
     read_ahead::ReadAhead,
     socket::{self, SocketTimeouts},
     stall::{MonitoredStream, WriteStall},
@@ -45,7 +47,9 @@
 pub struct ServeLimits {
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Limits the wait for a request's headers, also between two requests.
+    /// How long a connection may stay idle: from its start or the end of a response to the first byte of a request.
+    pub idle_timeout: Duration,
+    /// Limits the time from the first byte of a request to the end of its headers.
     pub header_read_timeout: Duration,
     /// Maximum size of a request's headers; at least 8192 bytes are allowed.
     pub max_header_bytes: usize,
@@ -64,6 +68,7 @@
     fn default() -> ServeLimits {
         ServeLimits {
             max_connections: 8_192,
+            idle_timeout: Duration::from_secs(60),
             header_read_timeout: Duration::from_secs(60),
             max_header_bytes: 32 * 1024,
             stall_timeout: Duration::from_secs(30),
@@ -83,7 +88,9 @@
     listener: TcpListener,
     limits: Rc<RefCell<ServeLimits>>,
     open_connections: Rc<Cell<usize>>,
+    activities: Activities,
     draining: Rc<Cell<bool>>,
+    close_counters: Option<ReasonCounters>,
     stop: flume::Receiver<()>,
     // Dropping it closes the channel `stop`, of which every connection holds a clone; they end after the current request.
     stop_guard: Option<flume::Sender<()>>,
@@ -119,7 +126,9 @@
             listener,
             limits: Rc::new(RefCell::new(limits)),
             open_connections: Rc::default(),
+            activities: Activities::default(),
             draining: Rc::default(),
+            close_counters: None,
             stop,
             stop_guard: Some(stop_guard),
         })
@@ -130,11 +139,17 @@
         self.listener.local_addr()
     }
 
-    /// Shared limits; changes apply to connections that are accepted afterwards.
+    /// Shared limits. Changes of `idle_timeout` and `header_read_timeout` apply to open connections, too, those of the others
+    /// to connections that are accepted afterwards.
     pub fn limits(&self) -> Rc<RefCell<ServeLimits>> {
         Rc::clone(&self.limits)
     }
 
+    /// Counts connections that a limit on a wait closes, by [`Wait::label`].
+    pub fn with_close_counters(self, counters: ReasonCounters) -> Server {
+        Server { close_counters: Some(counters), ..self }
+    }
+
     /// Handle that stops the server when dropped: no new connection is accepted, and each open one ends after its current
     /// request. `None` after the first call.
     pub fn stop_handle(&mut self) -> Option<StopHandle> {
@@ -149,6 +164,9 @@
         F: Future<Output = Response<Body>> + 'static,
     {
         let handler = Rc::new(handler);
+        let checking = self.activities.clone().check(Rc::clone(&self.limits));
+        // Dropping the handle cancels the task.
+        let _checking = compio::runtime::spawn(checking);
         let mut stopped = pin!(wait_for_stop(self.stop.clone()).fuse());
         loop {
             let accepted = {
@@ -198,18 +216,22 @@
         H: Fn(Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
     {
-        let limits = self.limits.borrow().clone();
-        if self.open_connections.get() >= limits.max_connections {
+        if self.open_connections.get() >= self.limits.borrow().max_connections {
             log::warn!("serve: connection limit reached, new connection closed");
             return;
         }
         let handler = Rc::clone(handler);
+        let shared = Shared {
+            limits: Rc::clone(&self.limits),
+            activity: self.activities.start(),
+            draining: Rc::clone(&self.draining),
+            close_counters: self.close_counters.clone(),
+        };
         let stop = self.stop.clone();
-        let draining = Rc::clone(&self.draining);
         let guard = ConnectionGuard::new(&self.open_connections);
         compio::runtime::spawn(async move {
             let _guard = guard;
-            if let Err(err) = serve_connection(accepted, limits, stop, draining, handler).await {
+            if let Err(err) = serve_connection(accepted, shared, stop, handler).await {
                 log::debug!("serve: connection ended: {err}");
             }
         })
@@ -217,6 +239,25 @@
     }
 }
 
+/// What a connection shares with its server.
+struct Shared {
+    limits: Rc<RefCell<ServeLimits>>,
+    activity: Rc<Activity>,
+    draining: Rc<Cell<bool>>,
+    close_counters: Option<ReasonCounters>,
+}
+
+impl Shared {
+    /// Counts and logs that the connection is closed as a wait for its client has exceeded its limit.
+    fn note_close(&self, wait: Wait) {
+        if let Some(counters) = &self.close_counters {
+            counters.count(wait.label());
+        }
+        let limit_ms = wait.limit(&self.limits.borrow()).as_millis() as u64;
+        log::debug!(reason = wait.label(), limit_ms; "serve: connection closed");
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 struct ConnectionGuard(Rc<Cell<usize>>);
 
@@ -264,29 +305,34 @@
 
 async fn serve_connection<H, F>(
     (stream, peer): (TcpStream, SocketAddr),
-    limits: ServeLimits,
+    shared: Shared,
     stop: flume::Receiver<()>,
-    draining: Rc<Cell<bool>>,
     handler: Rc<H>,
 ) -> Result<(), BoxError>
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    socket::configure(&stream, limits.socket_timeouts)?;
+    let ServeLimits { socket_timeouts, max_header_bytes, stall_timeout, .. } =
+        shared.limits.borrow().clone();
+    socket::configure(&stream, socket_timeouts)?;
     let socket = stream.clone();
     let is_close_delimited = Rc::new(Cell::new(false));
     let by_close = Rc::clone(&is_close_delimited);
-    let (stream, stall) = MonitoredStream::new(Stream::new(stream));
-    let is_draining = Rc::clone(&draining);
+    let (stream, stall) =
+        MonitoredStream::new(Stream::new(stream).with_activity(Rc::clone(&shared.activity)));
+    let is_draining = Rc::clone(&shared.draining);
+    let current_activity = Rc::clone(&shared.activity);
     let read_ahead = Rc::new(RefCell::new(ReadAhead::default()));
     let current = Rc::clone(&read_ahead);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(PeerAddress(peer));
         by_close.set(request.version() == Version::HTTP_10);
+        current_activity.start_request();
         // Boxed, so that its memory is freed before the response body is streamed.
         let response = Box::pin(handler(request));
         let (draining, current) = (Rc::clone(&is_draining), Rc::clone(&current));
+        let activity = Rc::clone(&current_activity);
         async move {
             let mut response = response.await;
             *current.borrow_mut() = response.body().read_ahead_handle();
@@ -294,27 +340,36 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, BoxError>(response)
+            Ok::<_, BoxError>(response.map(|body| RecordedBody::new(body, activity)))
         }
     });
     let connection = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_read_timeout)
-        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .header_read_timeout(None)
+        .max_buf_size(max_header_bytes.max(8_192))
         .half_close(false)
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
-    let mut stalled = pin!(stall.reaches(limits.stall_timeout).fuse());
+    let mut stalled = pin!(stall.reaches(stall_timeout).fuse());
     // A request may already be in transit on a new or idle connection; closing the connection at once would lose it.
     let closing = async {
         wait_for_stop(stop).await;
-        draining.set(true);
+        shared.draining.set(true);
         compio::time::sleep(LINGER).await;
+        // Otherwise a connection whose next request has begun to arrive would be closed as idle.
+        shared.activity.no_head_arrives().await;
     };
     let mut closing = pin!(closing.fuse());
+    let mut exceeded = pin!(shared.activity.limit_exceeded(&shared.limits, &stall).fuse());
     let ended = loop {
         select_biased! {
             ended = or_aborted(connection.as_mut(), &read_ahead, &stall).fuse() => break ended,
+            wait = exceeded => {
+                shared.note_close(wait);
+                match wait {
+                    Wait::Idle => connection.as_mut().graceful_shutdown(),
+                    Wait::Head => break Err("the client sends its headers too slowly".into()),
+                }
+            }
             () = closing => connection.as_mut().graceful_shutdown(),
             () = stalled => break Err("the client does not read its response".into()),
         }
