A run that lasts without a crash shows a quarantined part to be sound

Cause: trials by items never cleared the part. An item is preempted by online requests, so that its text is made up by several runs, of which an answer proves nothing; and an item may fail with 500. Each such trial was spent.

Now the trial of an item tells the coordinator how long it has run without a crash. A part is cleared if that is a second at least and twice as long as the longest of the runs that were lost with targets: what crashes targets would have crashed this one long before. A preempted trial is given back.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -23,6 +23,10 @@
 const MIN_WINDOW_MS: u64 = 1_000;
 /// Shortest run that is assumed; times of reports are no more precise than this.
 const MIN_RUN_MS: u32 = 20;
+/// Shortest run without a crash that shows a part to be sound.
+const MIN_SURVIVED_MS: u32 = 1_000;
+/// How much longer such a run is than those that ended with a crash.
+const SURVIVED_FACTOR: u32 = 2;
 /// Number of crashes after which a request may crash few more targets.
 const REQUEST_BOUND_FROM: u32 = 3;
 /// The same for a part.
@@ -170,6 +174,14 @@
         Some(CrashVerdict::cleared(suspect))
     }
 
+    /// Whether a run that its target has survived for this time shows that a part is sound: what crashes targets would have
+    /// crashed this one long before. Trials by items of jobs are often preempted before their whole answers.
+    pub fn is_sound_after(&self, suspect: Suspect, ran_ms: u32) -> bool {
+        let longest_ms = self.evidence.get(&suspect).map_or(0, Evidence::longest_run_ms);
+        suspect.kind == SuspectKind::Part
+            && ran_ms >= MIN_SURVIVED_MS.max(SURVIVED_FACTOR * longest_ms)
+    }
+
     /// Ends the quarantine of parts that were taken for a cause, and all of whose crashes other causes explain by now.
     fn lift_explained_parts(&mut self, causes: &[Suspect]) -> Vec<CrashVerdict> {
         let explained: BTreeSet<CrashId> =
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -74,6 +74,12 @@
         self.losses.iter().filter(counts)
     }
 
+    /// Longest time for which it had run before a loss that counts.
+    pub fn longest_run_ms(&self) -> u32 {
+        let counted = self.losses.iter().filter(|it| self.crashes.contains(&it.crash));
+        counted.map(|it| it.ran_ms).max().unwrap_or(0)
+    }
+
     /// When the crash with this number, from 1, happened.
     pub fn nth_crash_at_ms(&self, number: u32) -> Option<u64> {
         let crash = self.crashes.get(number as usize - 1)?;
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -149,6 +149,21 @@
     assert_eq!(told, None, "counted from the start");
 }
 
+// Guards against a sound part that stays quarantined because the items that are its trials are preempted, or go on with a text
+// that several runs make up; and against one that crashes targets late in its runs and is taken for sound.
+#[test]
+fn a_run_that_lasts_much_longer_than_those_that_were_lost_shows_a_part_to_be_sound() {
+    let mut coordinator = coordinator();
+    for number in 1..=4 {
+        let report = CrashReport { ran_ms: 700, ..crash_with(number, &[SOUND], number) };
+        coordinator.report(number * 1_000, &report);
+    }
+    assert!(!coordinator.is_sound_after(part(SOUND), 1_399));
+    assert!(coordinator.is_sound_after(part(SOUND), 1_400));
+    assert!(!coordinator.is_sound_after(part(BAD), 999));
+    assert!(!coordinator.is_sound_after(request(1), 100_000));
+}
+
 // Guards against a quarantine of sound content that lasts, as nothing of it is sent that could be answered; and against one
 // that ends without an answer.
 #[test]
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -322,9 +322,7 @@
             // A text that several runs make up proves nothing: the others may have crashed their targets.
             self.env.crash_reports.answered(&content);
         }
-        if matches!(end, AttemptEnd::Refused | AttemptEnd::WrongTarget | AttemptEnd::Unreachable) {
-            self.return_trial(trial);
-        }
+        self.end_trial(trial, end);
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
@@ -346,6 +344,27 @@
         }
     }
 
+    /// Notes what a trial has shown, if the attempt was one.
+    fn end_trial(&self, trial: Suspects, end: AttemptEnd) {
+        if trial.is_empty() {
+            return;
+        }
+        match end {
+            AttemptEnd::Refused | AttemptEnd::WrongTarget | AttemptEnd::Unreachable => {
+                self.return_trial(trial);
+            }
+            AttemptEnd::Answered | AttemptEnd::Cut => {
+                let began_at = self.output.borrow().began_at();
+                let ran_ms = began_at.map_or(0, |it| it.elapsed().as_millis() as u32);
+                self.env.crash_reports.survived(&trial, ran_ms);
+                if end == AttemptEnd::Cut {
+                    self.return_trial(trial);
+                }
+            }
+            AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Gone => {}
+        }
+    }
+
     /// Gives a trial back that no target has run, if the attempt was one.
     fn return_trial(&self, suspects: Suspects) {
         if !suspects.is_empty() {
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -16,6 +16,8 @@
     Lost(CrashReport),
     /// These suspects of one service were in a whole answer.
     Answered(Suspects),
+    /// These suspects of one service have run for this time without a crash, in milliseconds.
+    Survived(Suspects, u32),
 }
 
 /// Suspects of one service.
@@ -55,7 +57,9 @@
     pub(super) fn service(&self) -> u64 {
         match self {
             CrashNews::Lost(report) => report.content.service,
-            CrashNews::Answered(suspects) => suspects.first().map_or(0, |it| it.service),
+            CrashNews::Answered(suspects) | CrashNews::Survived(suspects, _) => {
+                suspects.first().map_or(0, |it| it.service)
+            }
         }
     }
 }
@@ -77,6 +81,12 @@
             root.set_is_answered(true);
             parts_of(suspects)
         }
+        CrashNews::Survived(suspects, ran_ms) => {
+            root.set_fingerprint(fingerprint_of(suspects));
+            root.set_is_answered(true);
+            root.set_ran_ms(*ran_ms);
+            parts_of(suspects)
+        }
     };
     write_parts(&parts, root.init_parts(parts.len().min(MAX_PARTS) as u32));
 }
@@ -105,7 +115,11 @@
     let (service, fingerprint) = (root.get_service(), root.get_fingerprint());
     let parts: Parts = root.get_parts()?.iter().take(MAX_PARTS).collect();
     if root.get_is_answered() {
-        return Ok(CrashNews::Answered(suspects_of(service, fingerprint, &parts)));
+        let suspects = suspects_of(service, fingerprint, &parts);
+        return Ok(match root.get_ran_ms() {
+            0 => CrashNews::Answered(suspects),
+            ran_ms => CrashNews::Survived(suspects, ran_ms),
+        });
     }
     let fingerprint = (fingerprint != 0).then_some(fingerprint);
     Ok(CrashNews::Lost(CrashReport {
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -210,7 +210,14 @@
         }
     }
 
-    /// Gives a granted trial back that no target has run.
+    /// Notes how long a trial that was not answered in full has run without a crash.
+    pub fn survived(&self, trial: &Suspects, ran_ms: u32) {
+        if ran_ms > 0 {
+            self.send(Message::Own(CrashNews::Survived(trial.clone(), ran_ms)));
+        }
+    }
+
+    /// Gives a granted trial back that no target has run, or that was preempted.
     pub fn return_trial(&self, suspects: Suspects) {
         self.metrics.trial("returned");
         self.send(Message::Return(suspects));
@@ -491,17 +498,28 @@
             CrashNews::Lost(report) => self.count(&report),
             CrashNews::Answered(suspects) => {
                 for suspect in suspects {
-                    // Another gateway may have judged it, which had too few others in sight to ask a coordinator.
-                    let was_told = self.handle.known.borrow().contains(suspect);
-                    let cleared = self.coordinator.clear(suspect);
-                    if was_told || cleared.is_some() {
-                        self.tell_all(CrashVerdict::cleared(suspect)).await;
+                    self.clear(suspect).await;
+                }
+            }
+            CrashNews::Survived(suspects, ran_ms) => {
+                for suspect in suspects {
+                    if self.coordinator.is_sound_after(suspect, ran_ms) {
+                        self.clear(suspect).await;
                     }
                 }
             }
         }
     }
 
+    async fn clear(&mut self, suspect: Suspect) {
+        // Another gateway may have judged it, which had too few others in sight to ask a coordinator.
+        let was_told = self.handle.known.borrow().contains(suspect);
+        let cleared = self.coordinator.clear(suspect);
+        if was_told || cleared.is_some() {
+            self.tell_all(CrashVerdict::cleared(suspect)).await;
+        }
+    }
+
     fn count(&mut self, report: &CrashReport) {
         let service = report.content.service;
         self.coordinator.set_targets(service, self.task.roster.target_count(service));
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -126,6 +126,8 @@
         Datagram::CrashReport(CrashNews::Answered(
             [Suspect::request(hash(1), hash(2)), Suspect::part(hash(1), hash(3))].into(),
         ));
+    a_part_that_ran_without_a_crash_arrives_as_it_was_sent:
+        Datagram::CrashReport(CrashNews::Survived([Suspect::part(hash(1), hash(3))].as_slice().into(), 1_400));
     an_answer_with_a_suspected_part_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Answered([Suspect::part(hash(1), hash(3))].as_slice().into()));
     a_verdict_on_a_part_arrives_as_it_was_sent: Datagram::CrashVerdict(CrashVerdict {
