--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -177,9 +177,9 @@
     /// Whether a run that its target has survived for this time shows that a part is sound: what crashes targets would have
     /// crashed this one long before. Trials by items of jobs are often preempted before their whole answers.
     pub fn is_sound_after(&self, suspect: Suspect, ran_ms: u32) -> bool {
-        let longest_ms = self.evidence.get(&suspect).map_or(0, Evidence::longest_run_ms);
-        suspect.kind == SuspectKind::Part
-            && ran_ms >= MIN_SURVIVED_MS.max(SURVIVED_FACTOR * longest_ms)
+        let longest_ms = self.evidence.get(&suspect).map(Evidence::longest_run_ms);
+        let needed_ms = longest_ms.map(|it| MIN_SURVIVED_MS.max(SURVIVED_FACTOR * it));
+        suspect.kind == SuspectKind::Part && needed_ms.is_some_and(|it| ran_ms >= it)
     }
 
     /// Ends the quarantine of parts that were taken for a cause, and all of whose crashes other causes explain by now.
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -66,6 +66,10 @@
 /// stream has cost would be lost, and callers bear a pause of about this length.
 const RESUMPTION_WAIT_MS: u64 = 500;
 
+/// Longest time after which a caller whose request is quarantined may come again. An answer elsewhere may have ended the
+/// quarantine by then.
+const MAX_QUARANTINE_RETRY_MS: u64 = 2_000;
+
 /// An online request and the state of its retries.
 pub struct OnlineRequest {
     pub(super) front: Rc<Front>,
@@ -593,7 +597,8 @@
 
     /// Ends the request, which may be sent again when the next trial is due.
     fn refuse_quarantined(&mut self, suspect: Suspect) -> Outcome {
-        let retry_after_ms = self.front.crash_reports.next_trial_in_ms(suspect);
+        let next_trial_ms = self.front.crash_reports.next_trial_in_ms(suspect);
+        let retry_after_ms = next_trial_ms.min(MAX_QUARANTINE_RETRY_MS);
         log::info!(
             request = self.id, kind = suspect.kind.label(), fingerprint:% = Hex(suspect.hash),
             retry_after_ms;
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -530,32 +530,46 @@
     async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<bool>) {
         let service = suspects.first().map_or(0, |it| it.service);
         let left = self.task.roster.coordinators(service).chosen.iter().copied().collect();
-        self.ask_next(PendingTrial { suspects, reply, left, until: Instant::now() }).await;
+        let (was_asked, until) = (false, Instant::now());
+        self.ask_next(PendingTrial { suspects, reply, left, was_asked, until }).await;
     }
 
     /// Asks the next coordinator, or decides here if this process is that or none is left.
     async fn ask_next(&mut self, mut trial: PendingTrial) {
-        while let Some(coordinator) = trial.left.pop_front().filter(|it| *it != self.own_key) {
+        let mut tells = !trial.was_asked;
+        while let Some(coordinator) = trial.left.pop_front() {
+            if coordinator == self.own_key {
+                tells = true;
+                break;
+            }
             let Some(address) = self.task.roster.address_of_hash(coordinator) else { continue };
             let suspects = trial.suspects.clone();
+            trial.was_asked = true;
             let id = self.trials.insert(trial);
             let question = TrialQuestion { id, suspects, purpose: TrialPurpose::Ask };
             let bytes = Datagram::TrialQuestion(question).encode();
             return send_to_all(&self.task.socket, bytes, vec![address]).await;
         }
+        let (outcome, verdicts) = self.grant(&trial.suspects);
         // What is not quarantined any more needs no trial.
-        let is_granted = self.grant(&trial.suspects).await != TrialOutcome::Denied;
-        let _ = trial.reply.send(is_granted);
+        let is_granted = outcome != TrialOutcome::Denied;
+        if trial.reply.send(is_granted).is_err() && is_granted {
+            self.handle.known.borrow_mut().return_trial(self.now_ms(), &trial.suspects);
+        } else if tells {
+            self.tell_granted(verdicts).await;
+        }
     }
 
     /// Answers the question of another gateway as a coordinator.
     async fn answer(&mut self, question: TrialQuestion, from: SocketAddr) {
         match question.purpose {
             TrialPurpose::Ask => {
-                let outcome = self.grant(&question.suspects).await;
+                let (outcome, verdicts) = self.grant(&question.suspects);
                 let answer = TrialAnswer { id: question.id, outcome };
                 let bytes = Datagram::TrialAnswer(answer).encode();
+                // The answer precedes the other messages, which are many in a large fleet.
                 send_to_all(&self.task.socket, bytes, vec![from]).await;
+                self.tell_granted(verdicts).await;
             }
             TrialPurpose::Return => self.take_back(&question.suspects).await,
         }
@@ -565,14 +579,22 @@
         let Some(trial) = self.trials.take(answer.id) else { return };
         match answer.outcome {
             TrialOutcome::Unknown => self.ask_next(trial).await,
-            outcome => _ = trial.reply.send(outcome == TrialOutcome::Granted),
+            outcome => {
+                let is_granted = outcome == TrialOutcome::Granted;
+                if trial.reply.send(is_granted).is_err() && is_granted {
+                    self.return_trial(trial.suspects).await;
+                }
+            }
         }
     }
 
-    /// Decides on a trial, and tells all gateways when the next one may be granted.
-    async fn grant(&mut self, suspects: &[Suspect]) -> TrialOutcome {
-        let now_ms = self.now_ms();
-        let (outcome, verdicts) = self.handle.known.borrow_mut().grant_trial(now_ms, suspects);
+    /// Decides on a trial. Returns what all gateways have to be told.
+    fn grant(&mut self, suspects: &[Suspect]) -> (TrialOutcome, Vec<CrashVerdict>) {
+        self.handle.known.borrow_mut().grant_trial(self.now_ms(), suspects)
+    }
+
+    /// Tells all gateways of a granted trial, and when the next one may follow.
+    async fn tell_granted(&self, verdicts: Vec<CrashVerdict>) {
         for verdict in verdicts {
             log::info!(
                 kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
@@ -581,7 +603,6 @@
             );
             self.tell_others(verdict).await;
         }
-        outcome
     }
 
     /// Gives a trial back to the first coordinator of the service.
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -22,6 +22,9 @@
     pub reply: flume::Sender<bool>,
     /// Hashes of the coordinators that have not been asked.
     pub left: VecDeque<u64>,
+    /// Whether a coordinator was asked. If none of them knows of the quarantine, it may have ended without this process being
+    /// told, and a trial that this process grants itself must not spread it again.
+    pub was_asked: bool,
     /// When the one that was asked last is given up.
     pub until: Instant,
 }
