Crash reports: one iterator of counted losses, one judgement of evidence, one scan of crashes

The losses of a suspect that count were filtered in two places, whether a request is the only cause was judged by a copy of the judgement for the others, and each loss scanned all crashes for the rate at which targets crash.

No change in behaviour: the 34 tests of core/crash_reports pass as before.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -136,7 +136,8 @@
         let settled = self.settled(now_ms);
         let mut causes = self.causes(&settled);
         let mut verdicts = self.lift_explained_parts(&causes);
-        causes.extend(self.evidence.keys().filter(|it| self.is_sole_cause(**it)));
+        let sole = self.evidence.iter().filter(|(it, by)| self.is_sole_cause(it, by));
+        causes.extend(sole.map(|(suspect, _)| *suspect));
         for suspect in causes {
             let Some(evidence) = self.evidence.get_mut(&suspect) else { continue };
             if !evidence.is_quarantined() && evidence.is_confirmed(now_ms) {
@@ -223,14 +224,12 @@
         others.any(|(_, it)| count_of(it, &crashes) >= SUSPECTED_CRASHES)
     }
 
-    /// Whether a request was lost in enough crashes, of which no other one may be the cause.
-    fn is_sole_cause(&self, suspect: Suspect) -> bool {
-        let Some(evidence) = self.evidence.get(&suspect) else { return false };
-        let crashes: BTreeSet<CrashId> = evidence.crashes.iter().copied().collect();
+    /// Whether it is a request with enough evidence of which no other request may be the cause, whether or not its crashes
+    /// are settled.
+    fn is_sole_cause(&self, suspect: &Suspect, evidence: &Evidence) -> bool {
         suspect.kind == SuspectKind::Request
-            && crashes.len() >= QUARANTINE_CRASHES as usize
-            && !self.has_rival(suspect)
-            && !self.may_be_chance(suspect.service, evidence, &crashes)
+            && self.suffices(suspect, evidence, &evidence.crashes.iter().copied().collect())
+            && !self.has_rival(*suspect)
     }
 
     /// Whether it may have been lost in these crashes by chance: as many would be expected of anything that ran for as long
@@ -241,31 +240,24 @@
         evidence: &Evidence,
         crashes: &BTreeSet<CrashId>,
     ) -> bool {
-        let times = evidence.losses_in(crashes).map(|it| it.at_ms);
+        let losses = evidence.counted_losses().filter(|it| crashes.contains(&it.crash));
+        let times = losses.clone().map(|it| it.at_ms);
         let first_ms = times.clone().min().unwrap_or(0);
         let last_ms = times.max().unwrap_or(0);
-        let mean =
-            self.crash_rate(service, first_ms.min(last_ms.saturating_sub(MIN_WINDOW_MS)), last_ms);
+        let rate = CrashRate::new(self, service);
+        let mean = rate.between(first_ms.min(last_ms.saturating_sub(MIN_WINDOW_MS)), last_ms);
         let mut count = 0;
         let mut expected = 0.0;
-        for loss in evidence.losses_in(crashes) {
+        for loss in losses {
             // Crashes by chance come in bursts, in which their mean over a longer time says little.
             let from_ms = loss.at_ms.saturating_sub(MIN_WINDOW_MS / 2);
-            let local = self.crash_rate(service, from_ms, from_ms + MIN_WINDOW_MS);
+            let local = rate.between(from_ms, from_ms + MIN_WINDOW_MS);
             count += 1;
             expected += mean.max(local) * f64::from(loss.ran_ms.max(MIN_RUN_MS));
         }
         chance::at_least(count, expected) > MAX_CHANCE
     }
 
-    /// Crashes of a target of a service in a millisecond, on average over a time.
-    fn crash_rate(&self, service: u64, from_ms: u64, until_ms: u64) -> f64 {
-        let of_service = self.crashes.values().filter(|it| it.service == service);
-        let crashes = of_service.filter(|it| (from_ms..=until_ms).contains(&it.at_ms)).count();
-        let targets = self.targets.get(&service).copied().unwrap_or(1).max(1);
-        crashes as f64 / (targets as f64 * until_ms.saturating_sub(from_ms).max(1) as f64)
-    }
-
     fn requests(&self) -> impl Iterator<Item = (&Suspect, &Evidence)> {
         self.evidence.iter().filter(|(it, _)| it.kind == SuspectKind::Request)
     }
@@ -350,6 +342,30 @@
     }
 }
 
+/// How often targets of a service crash.
+struct CrashRate {
+    /// Times of the crashes, in order.
+    times_ms: Vec<u64>,
+    targets: usize,
+}
+
+impl CrashRate {
+    fn new(coordinator: &CrashCoordinator, service: u64) -> CrashRate {
+        let of_service = coordinator.crashes.values().filter(|it| it.service == service);
+        let mut times_ms: Vec<u64> = of_service.map(|it| it.at_ms).collect();
+        times_ms.sort_unstable();
+        let targets = coordinator.targets.get(&service).copied().unwrap_or(1).max(1);
+        CrashRate { times_ms, targets }
+    }
+
+    /// Crashes of a target in a millisecond, on average over a time.
+    fn between(&self, from_ms: u64, until_ms: u64) -> f64 {
+        let before = self.times_ms.partition_point(|it| *it < from_ms);
+        let crashes = self.times_ms.partition_point(|it| *it <= until_ms).saturating_sub(before);
+        crashes as f64 / (self.targets as f64 * until_ms.saturating_sub(from_ms).max(1) as f64)
+    }
+}
+
 /// Number of crashes after which a suspect may crash few more targets.
 fn bounded_from(kind: SuspectKind) -> u32 {
     match kind {
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -1,7 +1,5 @@
 //! What speaks against one suspect: the crashes of targets under which it was lost.
 
-use std::collections::BTreeSet;
-
 use smallvec::SmallVec;
 
 use super::Trials;
@@ -68,22 +66,20 @@
         self.quarantine.is_some()
     }
 
-    /// Losses of these crashes that count for it, in order of time.
-    pub fn losses_in(&self, crashes: &BTreeSet<CrashId>) -> impl Iterator<Item = &Loss> + Clone {
-        let counts = |it: &&Loss| self.crashes.contains(&it.crash) && crashes.contains(&it.crash);
-        self.losses.iter().filter(counts)
+    /// Losses that count for it, in order of time.
+    pub fn counted_losses(&self) -> impl Iterator<Item = &Loss> + Clone {
+        self.losses.iter().filter(|it| self.crashes.contains(&it.crash))
     }
 
     /// Longest time for which it had run before a loss that counts.
     pub fn longest_run_ms(&self) -> u32 {
-        let counted = self.losses.iter().filter(|it| self.crashes.contains(&it.crash));
-        counted.map(|it| it.ran_ms).max().unwrap_or(0)
+        self.counted_losses().map(|it| it.ran_ms).max().unwrap_or(0)
     }
 
     /// When the crash with this number, from 1, happened.
     pub fn nth_crash_at_ms(&self, number: u32) -> Option<u64> {
         let crash = self.crashes.get(number as usize - 1)?;
-        self.losses.iter().find(|it| it.crash == *crash).map(|it| it.at_ms)
+        self.counted_losses().find(|it| it.crash == *crash).map(|it| it.at_ms)
     }
 }
 
