Crash reports: a suspect's own crashes are no rate at which targets crash without it

Callers saw: at a service with two to four targets, what crashes targets crashed one or two more than its bound before it was known, and so did it anywhere while a coordinator did not know the number of targets.

Cause, found by reading: the rate at which targets crash by chance was counted with the suspect's own crashes, so that each of them raised the number that chance explains; and a number of targets that is not known was taken as one.

Now each crash of the service is an event that hits the suspect with a probability of its share of the time of all targets, and it is blamed if at least as many hits would come by chance at most once in 2,000. Its own crashes are such events and no longer raise the rate; others of its losses at the same time are none. While the number of targets is unknown, those that have crashed count. No floor of the rate is needed: with no other crash the probability is the product of the shares.

--- a/crates/samphiredoor-core/src/crash_reports/chance.rs
+++ b/crates/samphiredoor-core/src/crash_reports/chance.rs
@@ -1,15 +1,73 @@
 //! How likely crashes would be beneath a suspect if it had nothing to do with them.
 //!
 //! What crashes targets does so as it begins to run, and the time that it has run on targets in total is short. What is
-//! sound meets crashes in proportion to the time for which it runs while targets crash for other reasons.
+//! sound meets crashes in proportion to the time for which it runs: a target that crashes for another reason runs it with a
+//! probability of its share of the time of all targets. Crashes of the suspect itself are events under this hypothesis, as
+//! all others are; they do not raise the share.
 
-/// Probability of at least `count` events of a Poisson process of which `expected` are expected.
-pub fn at_least(count: u32, expected: f64) -> f64 {
-    let mut term = (-expected).exp();
-    let mut fewer = 0.0;
-    for number in 0..count {
-        fewer += term;
-        term *= expected / f64::from(number + 1);
+use smallvec::SmallVec;
+
+/// Time about a crash in which a suspect's share of the time of all targets counts. Crashes by chance come in bursts, in
+/// which its share over a longer time says little.
+const WINDOW_MS: u64 = 1_000;
+/// Shortest run that is assumed; times of reports are no more precise than this.
+const MIN_RUN_MS: u32 = 20;
+
+/// When a suspect ran on targets that crashed.
+#[derive(Debug, Default)]
+pub(super) struct Exposure {
+    /// Begin and end of each run.
+    runs: SmallVec<[(u64, u64); 4]>,
+}
+
+impl Exposure {
+    /// Adds a run that was lost at this time.
+    pub fn add(&mut self, lost_at_ms: u64, ran_ms: u32) {
+        self.runs.push((lost_at_ms.saturating_sub(ran_ms.max(MIN_RUN_MS).into()), lost_at_ms));
+    }
+
+    /// Probability that at least `count` of the crashes of a service hit targets on which the suspect runs, by chance. It was
+    /// lost with the first of these at `first_ms` and with the last at `last_ms`.
+    pub fn chance_of(
+        &self,
+        count: u32,
+        (first_ms, last_ms): (u64, u64),
+        crashes_ms: impl Iterator<Item = u64>,
+        targets: usize,
+    ) -> f64 {
+        let whole = (window(first_ms).0, window(last_ms).1);
+        let mean = self.share(whole, targets);
+        let hit = |it: u64| mean.max(self.share(window(it), targets));
+        let crashes_ms = crashes_ms.filter(|it| (whole.0..=whole.1).contains(it));
+        at_least(count, crashes_ms.map(hit))
+    }
+
+    /// Share of the time of all targets in which it ran.
+    fn share(&self, (from_ms, until_ms): (u64, u64), targets: usize) -> f64 {
+        let within =
+            |(begin, end): &(u64, u64)| until_ms.min(*end).saturating_sub(from_ms.max(*begin));
+        let ran_ms: u64 = self.runs.iter().map(within).sum();
+        let all_ms = (until_ms - from_ms).max(1) as f64 * targets.max(1) as f64;
+        (ran_ms as f64 / all_ms).min(1.0)
+    }
+}
+
+/// The time about a crash.
+fn window(at_ms: u64) -> (u64, u64) {
+    (at_ms.saturating_sub(WINDOW_MS / 2), at_ms + WINDOW_MS / 2)
+}
+
+/// Probability that at least `count` independent events happen, of which each has its own probability.
+fn at_least(count: u32, probabilities: impl Iterator<Item = f64>) -> f64 {
+    let mut exactly: SmallVec<[f64; 16]> = SmallVec::from_elem(0.0, count as usize + 1);
+    exactly[0] = 1.0;
+    for probability in probabilities {
+        // The last entry holds the probability of `count` and more.
+        for number in (0..=count as usize).rev() {
+            let from_fewer = if number == 0 { 0.0 } else { exactly[number - 1] * probability };
+            let stays = if number == count as usize { 1.0 } else { 1.0 - probability };
+            exactly[number] = exactly[number] * stays + from_fewer;
+        }
     }
-    (1.0 - fewer).max(0.0)
+    exactly[count as usize]
 }
--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -4,7 +4,7 @@
 
 use super::{
     COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
-    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, Trials, chance,
+    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, Trials,
     evidence::{CrashId, Evidence, Loss},
     limit_len, remembered_ms,
 };
@@ -19,10 +19,6 @@
 const SAME_CRASH_MS: u64 = 1_000;
 /// Probability up to which crashes beneath a suspect are no chance.
 const MAX_CHANCE: f64 = 0.000_5;
-/// Shortest time over which crashes of targets are counted to tell how often they crash.
-const MIN_WINDOW_MS: u64 = 1_000;
-/// Shortest run that is assumed; times of reports are no more precise than this.
-const MIN_RUN_MS: u32 = 20;
 /// Shortest run without a crash that shows a part to be sound.
 const MIN_SURVIVED_MS: u32 = 1_000;
 /// How much longer such a run is than those that ended with a crash.
@@ -242,20 +238,29 @@
     ) -> bool {
         let losses = evidence.counted_losses().filter(|it| crashes.contains(&it.crash));
         let times = losses.clone().map(|it| it.at_ms);
-        let first_ms = times.clone().min().unwrap_or(0);
-        let last_ms = times.max().unwrap_or(0);
-        let rate = CrashRate::new(self, service);
-        let mean = rate.between(first_ms.min(last_ms.saturating_sub(MIN_WINDOW_MS)), last_ms);
-        let mut count = 0;
-        let mut expected = 0.0;
-        for loss in losses {
-            // Crashes by chance come in bursts, in which their mean over a longer time says little.
-            let from_ms = loss.at_ms.saturating_sub(MIN_WINDOW_MS / 2);
-            let local = rate.between(from_ms, from_ms + MIN_WINDOW_MS);
-            count += 1;
-            expected += mean.max(local) * f64::from(loss.ran_ms.max(MIN_RUN_MS));
-        }
-        chance::at_least(count, expected) > MAX_CHANCE
+        let (Some(first_ms), Some(last_ms)) = (times.clone().min(), times.max()) else {
+            return true;
+        };
+        // Its other losses are no further events: targets that crash at the same time are one, as those of a rack.
+        let of_service = self.crashes.iter().filter(|(_, it)| it.service == service);
+        let without_it = of_service.filter(|(id, _)| !evidence.was_lost_in(**id));
+        let events = without_it.map(|(_, it)| it.at_ms).chain(losses.clone().map(|it| it.at_ms));
+        let chance = evidence.exposure().chance_of(
+            losses.count() as u32,
+            (first_ms, last_ms),
+            events,
+            self.target_count(service),
+        );
+        chance > MAX_CHANCE
+    }
+
+    /// Number of targets of a service; those that have crashed while it is not known.
+    fn target_count(&self, service: u64) -> usize {
+        let known = self.targets.get(&service).copied().filter(|it| *it > 0);
+        known.unwrap_or_else(|| {
+            let of_service = self.crashes.values().filter(|it| it.service == service);
+            of_service.map(|it| it.target).collect::<BTreeSet<u64>>().len()
+        })
     }
 
     fn requests(&self) -> impl Iterator<Item = (&Suspect, &Evidence)> {
@@ -342,30 +347,6 @@
     }
 }
 
-/// How often targets of a service crash.
-struct CrashRate {
-    /// Times of the crashes, in order.
-    times_ms: Vec<u64>,
-    targets: usize,
-}
-
-impl CrashRate {
-    fn new(coordinator: &CrashCoordinator, service: u64) -> CrashRate {
-        let of_service = coordinator.crashes.values().filter(|it| it.service == service);
-        let mut times_ms: Vec<u64> = of_service.map(|it| it.at_ms).collect();
-        times_ms.sort_unstable();
-        let targets = coordinator.targets.get(&service).copied().unwrap_or(1).max(1);
-        CrashRate { times_ms, targets }
-    }
-
-    /// Crashes of a target in a millisecond, on average over a time.
-    fn between(&self, from_ms: u64, until_ms: u64) -> f64 {
-        let before = self.times_ms.partition_point(|it| *it < from_ms);
-        let crashes = self.times_ms.partition_point(|it| *it <= until_ms).saturating_sub(before);
-        crashes as f64 / (self.targets as f64 * until_ms.saturating_sub(from_ms).max(1) as f64)
-    }
-}
-
 /// Number of crashes after which a suspect may crash few more targets.
 fn bounded_from(kind: SuspectKind) -> u32 {
     match kind {
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::Trials;
+use super::{Trials, chance::Exposure};
 
 /// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
 /// one crash, which gateways notice within less.
@@ -71,6 +71,18 @@
         self.losses.iter().filter(|it| self.crashes.contains(&it.crash))
     }
 
+    /// Whether it was lost in a crash, counted or not.
+    pub fn was_lost_in(&self, crash: CrashId) -> bool {
+        self.losses.iter().any(|it| it.crash == crash)
+    }
+
+    /// When it ran on targets that crashed, also in crashes that do not count.
+    pub fn exposure(&self) -> Exposure {
+        let mut exposure = Exposure::default();
+        self.losses.iter().for_each(|it| exposure.add(it.at_ms, it.ran_ms));
+        exposure
+    }
+
     /// Longest time for which it had run before a loss that counts.
     pub fn longest_run_ms(&self) -> u32 {
         self.counted_losses().map(|it| it.ran_ms).max().unwrap_or(0)
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -410,6 +410,58 @@
     } => true;
 }
 
+/// Number of the crash by which a suspect is quarantined that is lost once a second, at one target of a service after the other.
+/// `known_targets` is what the coordinator is told of their number.
+fn crashes_until_quarantine(
+    suspect: Suspect,
+    targets: u64,
+    known_targets: usize,
+    ran_ms: u32,
+) -> Option<u64> {
+    let mut coordinator = CrashCoordinator::default();
+    coordinator.set_targets(SERVICE, known_targets);
+    (1..=8).find(|number| {
+        let fingerprint = if suspect == request(REQUEST) { REQUEST } else { 1_000 + number };
+        let report = crash_with(fingerprint, &[SOUND], number % targets);
+        coordinator.report(number * 1_000, &CrashReport { ran_ms, ..report });
+        let until_ms = number * 1_000 + 2 * SETTLE_MS;
+        while let Some(due_ms) = coordinator.due_ms().filter(|it| *it <= until_ms) {
+            coordinator.verdicts(due_ms);
+        }
+        coordinator.has_quarantined(suspect)
+    })
+}
+
+macro_rules! few_targets {
+    ($($(#[doc = $guards:literal])+ $name:ident: ($($argument:expr),*) => $expected:expr;)*) => {
+        $(
+            $(#[doc = $guards])+
+            #[test]
+            fn $name() {
+                assert_eq!(crashes_until_quarantine($($argument),*), $expected);
+            }
+        )*
+    };
+}
+
+few_targets! {
+    /// Guards against crashes of a cause that are taken for the rate at which targets crash without it.
+    a_request_that_crashes_two_targets_in_turn_is_quarantined_at_once: (request(REQUEST), 2, 2, 100) => Some(3);
+    /// Guards against the same for a part.
+    a_part_that_crashes_two_targets_in_turn_is_quarantined_at_once: (part(SOUND), 2, 2, 150) => Some(4);
+    /// Guards against the same for runs of which nothing is known but that they were waited for.
+    a_request_that_crashes_four_targets_without_output_is_quarantined_at_once:
+        (request(REQUEST), 4, 4, MAX_WAIT_MS) => Some(3);
+    /// Guards against a number of targets that is not known yet, and is taken for one target.
+    a_request_that_crashes_targets_of_unknown_number_is_quarantined_at_once: (request(REQUEST), 3, 0, 100) => Some(3);
+    /// Guards against blame for what runs half of the time at targets that crash by chance.
+    a_request_that_runs_long_at_two_targets_is_not_blamed: (request(REQUEST), 2, 2, 800) => None;
+    /// Guards against the same for a part, which many requests have.
+    a_part_that_runs_long_at_two_targets_is_not_blamed: (part(SOUND), 2, 2, 800) => None;
+    /// Guards against a single target, at which everything runs, that crashes by chance.
+    a_request_that_runs_long_at_the_only_target_is_not_blamed: (request(REQUEST), 1, 0, 800) => None;
+}
+
 /// A request that is quarantined at this time, as its coordinator tells it.
 fn quarantined_request(now_ms: u64, is_late: bool) -> KnownSuspects {
     let mut known = KnownSuspects::default();
