A target that has left the list is given up by failed probes, not by a short silence

What callers saw: with the last attempt of a request at a target that was removed from the list, and that sent nothing for two seconds although it was at work, a stream was cut and a repeatable request got 502. Items were run again.

Cause: not being listed together with a silence of two seconds counted as the end of the target. Targets that leave are removed from the list while they serve for some seconds more, and may pause like any other.

Change: an unlisted target is left when probes fail, as a listed one is: two refused or three failed connections, or a later start. Kept is a bound for a frozen process, whose kernel goes on to accept connections: it is gone once it has been silent and not listed, both at once, for ten seconds. Weighed: one failed probe of an unlisted target (hardly sooner than two or three at 250 ms each, and a single one may be a lost packet); no bound at all (an item would wait for the 30 s of its attempt, a request for its deadline, at a process of which nothing says that it lives); ten seconds of silence from before the removal (a request that computes for long would be cut at the removal). Ten seconds are longer than targets that leave serve by a drain period of 2.5 s. Requests that may run again still leave at once for a free slot elsewhere, and those that may run once wait for their deadline.

Result: three new tests in platform/silent_targets.rs failed before (stream cut, 502, item without its text) and pass now, as do the 27 others there. The test of the frozen process is new and passed before, by the shorter limit. Of the verdicts of core/tests/placement/silences.rs one changes: two seconds unlisted with accepted probes was the end of a target; now 9,999 ms are none and 10,000 ms are. The other tests of that crate were not run.

--- a/crates/samphiredoor-core/src/silence.rs
+++ b/crates/samphiredoor-core/src/silence.rs
@@ -3,7 +3,8 @@
 //! A sound target may send nothing for a second or so and go on, so silence alone is no loss. It ends an attempt only if the
 //! request may run again and another target has a free slot for it. Otherwise the attempt lasts until its deadline, unless the
 //! target is known to be gone: a sound target accepts connections while it is silent, one that has ended refuses them, and one
-//! that is cut off does not answer.
+//! that is cut off does not answer. Discovery is no such sign: a target that leaves is removed from the list while it still
+//! works. It only bounds the wait for a process that is frozen, whose kernel goes on to accept connections.
 
 /// Time without data from a target after which it counts as silent. A working target sends output every 25 ms and a full one
 /// starts within 300 ms.
@@ -15,9 +16,10 @@
 const REFUSED_PROBES: u32 = 2;
 /// Failed probes in a row after which a target is gone. An unanswered one may be a lost packet or a short cut of the link.
 const FAILED_PROBES: u32 = 3;
-/// Silence after which a target that discovery no longer lists is gone. One that leaves may be removed while it still serves,
-/// and its silence counts like any other.
-const UNLISTED_LIMIT_MS: u64 = 2_000;
+/// Time for which a target may be silent and not listed at once. One that leaves serves for some seconds after its removal
+/// from the list, and then closes its connections; a frozen process does not. At 2 s, answers of targets that were leaving and
+/// paused were cut.
+const UNLISTED_LIMIT_MS: u64 = 10_000;
 
 /// Whether a request may be sent to another target once its attempt has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,10 +115,10 @@
 /// What is known of a silent target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Signs {
-    /// Time since it last sent data.
-    pub silence_ms: u64,
     /// Whether discovery lists it.
     pub listing: Listing,
+    /// Time for which it has been silent and not listed.
+    pub unlisted_ms: u64,
     /// Probes of it that failed.
     pub failed_probes: FailedProbes,
 }
@@ -139,7 +141,7 @@
     NoConnection,
     /// It has started again.
     Restarted,
-    /// It is not listed, and silent for long.
+    /// It has been silent and not listed for long.
     Unlisted,
 }
 
@@ -168,7 +170,7 @@
     match signs.listing {
         _ if signs.failed_probes.show_end() => Some(GoneSign::NoConnection),
         Listing::Restarted => Some(GoneSign::Restarted),
-        Listing::Unlisted if signs.silence_ms >= UNLISTED_LIMIT_MS => Some(GoneSign::Unlisted),
+        Listing::Unlisted if signs.unlisted_ms >= UNLISTED_LIMIT_MS => Some(GoneSign::Unlisted),
         Listing::Unlisted | Listing::Listed => None,
     }
 }
--- a/crates/samphiredoor-core/tests/placement/silences.rs
+++ b/crates/samphiredoor-core/tests/placement/silences.rs
@@ -246,17 +246,15 @@
     assert_eq!(report(&mut fixture), Listing::Unlisted);
 }
 
-const SILENT_MS: u64 = 1_500;
-
 macro_rules! verdicts {
-    ($($name:ident: $other:expr, $listing:expr, $silence_ms:expr, $probes:expr => $verdict:expr;)*) => {
+    ($($name:ident: $other:expr, $listing:expr, $unlisted_ms:expr, $probes:expr => $verdict:expr;)*) => {
         $(
             #[test]
             fn $name() {
                 let mut failed_probes = FailedProbes::default();
                 let probes: &[Probe] = &$probes;
                 probes.iter().for_each(|it| failed_probes.record(*it));
-                let signs = Signs { silence_ms: $silence_ms, listing: $listing, failed_probes };
+                let signs = Signs { listing: $listing, unlisted_ms: $unlisted_ms, failed_probes };
                 assert_eq!(verdict($other, signs), $verdict);
             }
         )*
@@ -268,25 +266,29 @@
 
 verdicts! {
     a_silent_target_that_accepts_connections_is_waited_for:
-        OtherTarget::None, Listed, 30_000, [Accepted, Accepted, Accepted] => Verdict::Wait;
+        OtherTarget::None, Listed, 0, [Accepted, Accepted, Accepted] => Verdict::Wait;
     a_silent_target_is_left_for_a_held_slot:
-        OtherTarget::FreeSlot, Listed, SILENT_MS, [] => Verdict::Move;
+        OtherTarget::FreeSlot, Listed, 0, [] => Verdict::Move;
     a_held_slot_is_used_though_the_target_is_gone:
-        OtherTarget::FreeSlot, Restarted, SILENT_MS, [] => Verdict::Move;
+        OtherTarget::FreeSlot, Restarted, 0, [] => Verdict::Move;
     one_refused_probe_proves_nothing:
-        OtherTarget::None, Listed, SILENT_MS, [Refused] => Verdict::Wait;
+        OtherTarget::None, Listed, 0, [Refused] => Verdict::Wait;
     a_target_that_refuses_two_probes_is_gone:
-        OtherTarget::None, Listed, SILENT_MS, [Refused, Refused] => Verdict::Gone(GoneSign::NoConnection);
+        OtherTarget::None, Listed, 0, [Refused, Refused] => Verdict::Gone(GoneSign::NoConnection);
     two_unanswered_probes_prove_nothing:
-        OtherTarget::None, Listed, SILENT_MS, [Unanswered, Unanswered] => Verdict::Wait;
+        OtherTarget::None, Listed, 0, [Unanswered, Unanswered] => Verdict::Wait;
     a_target_that_answers_none_of_three_probes_is_gone:
-        OtherTarget::None, Listed, SILENT_MS, [Unanswered, Refused, Unanswered] => Verdict::Gone(GoneSign::NoConnection);
+        OtherTarget::None, Listed, 0, [Unanswered, Refused, Unanswered] => Verdict::Gone(GoneSign::NoConnection);
     failed_probes_count_only_in_a_row:
-        OtherTarget::None, Listed, SILENT_MS, [Unanswered, Unanswered, Accepted, Unanswered] => Verdict::Wait;
+        OtherTarget::None, Listed, 0, [Unanswered, Unanswered, Accepted, Unanswered] => Verdict::Wait;
     a_target_that_has_started_again_is_gone:
-        OtherTarget::None, Restarted, SILENT_MS, [Accepted] => Verdict::Gone(GoneSign::Restarted);
+        OtherTarget::None, Restarted, 0, [Accepted] => Verdict::Gone(GoneSign::Restarted);
     a_target_that_leaves_may_be_silent_for_a_moment:
-        OtherTarget::None, Unlisted, SILENT_MS, [Accepted] => Verdict::Wait;
+        OtherTarget::None, Unlisted, 1_500, [Accepted] => Verdict::Wait;
+    a_target_that_leaves_and_accepts_connections_is_waited_for:
+        OtherTarget::None, Unlisted, 9_999, [Accepted] => Verdict::Wait;
+    a_target_that_leaves_and_refuses_two_probes_is_gone:
+        OtherTarget::None, Unlisted, 0, [Refused, Refused] => Verdict::Gone(GoneSign::NoConnection);
     a_target_that_is_not_listed_and_silent_for_long_is_gone:
-        OtherTarget::None, Unlisted, 2_000, [Accepted] => Verdict::Gone(GoneSign::Unlisted);
+        OtherTarget::None, Unlisted, 10_000, [Accepted] => Verdict::Gone(GoneSign::Unlisted);
 }
--- a/crates/samphiredoor-gateway/src/front/silence.rs
+++ b/crates/samphiredoor-gateway/src/front/silence.rs
@@ -157,7 +157,6 @@
             probes: &front.target_probes,
             request: self.ticket.request(),
             address: self.address,
-            since: silence.since,
             until: self.request.deadline(),
         };
         let (ended, other) = silent.wait(|| self.next(), &mut wait).await;
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -582,7 +582,6 @@
             probes: &self.env.target_probes,
             request,
             address: at.address,
-            since,
             until: at.until,
         };
         let next = || (self.next_spec(at), NextRun::Allowed);
--- a/crates/samphiredoor-gateway/src/silence.rs
+++ b/crates/samphiredoor-gateway/src/silence.rs
@@ -9,9 +9,10 @@
 use futures_util::future::{Either, select};
 use samphiredoor_core::{
     dispatch::RequestId,
-    placement::{RequestSpec, SilentAttempt, SlotUse},
+    placement::{RequestSpec, SilenceReport, SilentAttempt, SlotUse},
     silence::{
-        CHECK_INTERVAL_MS, FailedProbes, GoneSign, NextRun, OtherTarget, Signs, Verdict, verdict,
+        CHECK_INTERVAL_MS, FailedProbes, GoneSign, Listing, NextRun, OtherTarget, Signs, Verdict,
+        verdict,
     },
 };
 use samphiredoor_net::pool::within_or_ready;
@@ -33,12 +34,35 @@
     pub request: RequestId,
     /// Address of the target.
     pub address: SocketAddr,
-    /// When the target last sent data.
-    pub since: Instant,
     /// When the time of the attempt is up.
     pub until: Instant,
 }
 
+/// What the checks of a silent target have found.
+struct Found {
+    /// Whether another target had a free slot at the last check.
+    other: OtherTarget,
+    /// Since when no check has found the target listed.
+    unlisted_since: Option<Instant>,
+}
+
+impl Found {
+    /// Notes what a check has found, and returns for how long the target has not been listed.
+    fn note(&mut self, report: SilenceReport) -> u64 {
+        self.other = report.other;
+        match report.listing {
+            Listing::Unlisted => {
+                let since = *self.unlisted_since.get_or_insert_with(Instant::now);
+                since.elapsed().as_millis() as u64
+            }
+            Listing::Listed | Listing::Restarted => {
+                self.unlisted_since = None;
+                0
+            }
+        }
+    }
+}
+
 /// How the wait for a silent target has ended.
 pub enum WaitEnd<T> {
     /// The awaited part has arrived, or the connection failed.
@@ -60,30 +84,30 @@
         next: impl Fn() -> (RequestSpec, NextRun),
         mut wait: F,
     ) -> (WaitEnd<F::Output>, OtherTarget) {
-        let mut other = OtherTarget::None;
+        let mut found = Found { other: OtherTarget::None, unlisted_since: None };
         loop {
             let begun = Instant::now();
             let checked = {
                 let (spec, next_run) = next();
-                let check = std::pin::pin!(self.check(spec, next_run, &mut other));
+                let check = std::pin::pin!(self.check(spec, next_run, &mut found));
                 match select(&mut wait, check).await {
                     Either::Left((received, _)) => Err(received),
                     Either::Right((checked, _)) => Ok(checked),
                 }
             };
             match checked {
-                Err(received) => return (WaitEnd::Received(received), other),
-                Ok((_, Some(held))) => return (WaitEnd::Move(held), other),
-                Ok((Verdict::Gone(sign), None)) => return (WaitEnd::Gone(sign), other),
+                Err(received) => return (WaitEnd::Received(received), found.other),
+                Ok((_, Some(held))) => return (WaitEnd::Move(held), found.other),
+                Ok((Verdict::Gone(sign), None)) => return (WaitEnd::Gone(sign), found.other),
                 Ok((Verdict::Wait | Verdict::Move, None)) => {}
             }
             let left = self.until.saturating_duration_since(Instant::now());
             let pause = CHECK_INTERVAL.saturating_sub(begun.elapsed()).min(left);
             if let Some(received) = within_or_ready(pause, &mut wait).await {
-                return (WaitEnd::Received(received), other);
+                return (WaitEnd::Received(received), found.other);
             }
             if Instant::now() >= self.until {
-                return (WaitEnd::TimeUp, other);
+                return (WaitEnd::TimeUp, found.other);
             }
         }
     }
@@ -93,7 +117,7 @@
         &self,
         next: RequestSpec,
         next_run: NextRun,
-        other: &mut OtherTarget,
+        found: &mut Found,
     ) -> (Verdict, Option<HeldSlot>) {
         let slot_use = match next_run {
             NextRun::Allowed => SlotUse::Hold,
@@ -103,7 +127,7 @@
         };
         let attempt = SilentAttempt { request: self.request, next, slot_use };
         let (report, held) = self.placement.silent(attempt).await;
-        *other = report.other;
+        let unlisted_ms = found.note(report);
         if next_run == NextRun::RunsOnce {
             return (Verdict::Wait, None);
         }
@@ -112,8 +136,7 @@
             OtherTarget::FreeSlot => FailedProbes::default(),
             OtherTarget::None => self.probes.failed(self.address).await,
         };
-        let silence_ms = self.since.elapsed().as_millis() as u64;
-        let signs = Signs { silence_ms, listing: report.listing, failed_probes };
+        let signs = Signs { listing: report.listing, unlisted_ms, failed_probes };
         (verdict(held_at, signs), held)
     }
 }
--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -15,6 +15,7 @@
 use socket2::{Domain, Socket, Type};
 
 use super::env::{BINARY, Platform, whole_stream};
+use crate::env::wait_until;
 
 const PAUSE: Duration = Duration::from_millis(2);
 /// Longer than the time after which a target counts as silent.
@@ -292,6 +293,52 @@
     assert_eq!((near.runs().len(), far.runs().len()), (3, 1));
 }
 
+/// Sends a request to a target that pauses for long and is removed from the list meanwhile, while it accepts connections.
+fn outlasts_removal(path: &str, after: Option<u64>) {
+    let (platform, [near, far]) = near_and_far(1);
+    near.fail_next(1, pause(after, LONG_SILENCE_MS));
+    thread::scope(|scope| {
+        let sent = scope.spawn(|| platform.send(0, path, "id-1", ""));
+        wait_until("it runs", || near.runs().len() == 1);
+        platform.store.remove("servers", "t-near");
+        let answer = sent.join().expect("it ends");
+        assert_eq!((answer.status, answer.text), (200, whole_stream()));
+    });
+    platform.wait_logged(0, "front: target spoke again");
+    assert_eq!((near.runs().len(), far.runs().len()), (1, 0));
+}
+
+macro_rules! removals {
+    ($($name:ident: $path:expr, $after:expr;)*) => {
+        $(
+            // Guards against answers that are broken off because their target is leaving and silent for a few seconds.
+            #[test]
+            fn $name() {
+                outlasts_removal($path, $after);
+            }
+        )*
+    };
+}
+
+removals! {
+    a_stream_outlasts_a_silence_of_a_target_that_leaves: "/stream-resumable/a", Some(3);
+    a_repeatable_request_outlasts_a_silence_of_a_target_that_leaves: "/safe/a", None;
+}
+
+// Guards against callers that wait until their deadline for a frozen process: its kernel still accepts connections.
+#[test]
+fn a_request_whose_target_has_left_long_ago_ends_before_its_deadline() {
+    let (platform, [near, _]) = near_and_far(1);
+    near.fail_next(1, pause(None, ENDLESS_MS));
+    thread::scope(|scope| {
+        let sent = scope.spawn(|| platform.send(0, "/safe/a", "id-1", ""));
+        wait_until("it runs", || near.runs().len() == 1);
+        platform.store.remove("servers", "t-near");
+        assert_eq!(sent.join().expect("it ends").status, 502);
+    });
+    platform.wait_logged(0, "sign=unlisted");
+}
+
 /// Longer than the time after which a target counts as silent for an item.
 const ITEM_SILENCE_MS: u64 = 4_000;
 /// Longer than a test runs.
@@ -322,6 +369,21 @@
     an_item_outlasts_a_silence_between_events: Some(3);
 }
 
+// Guards against an item that is run again although its target, which is leaving, is at work.
+#[test]
+fn an_item_outlasts_a_silence_of_a_target_that_leaves() {
+    let mut platform = Platform::new(BINARY);
+    let target = platform.start_target("t-1", PAUSE);
+    target.fail_next(1, pause(Some(3), LONG_SILENCE_MS));
+    platform.start_gateway();
+    assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
+    wait_until("it runs", || target.runs_of(ITEM) == 1);
+    platform.store.remove("servers", "t-1");
+    assert_eq!(platform.all_results(0, "job-1", 1)[0]["text"], target.text());
+    platform.wait_logged(0, "item: target spoke again");
+    assert_eq!(target.runs_of(ITEM), 1);
+}
+
 // Guards against an item that waits for a target which is silent for long, while another one has free slots.
 #[test]
 fn an_item_leaves_a_silent_target_for_a_free_one() {
