Streams: an answer whose last event was forwarded is whole once another target has nothing to add

What callers saw: all events of a stream that may be resumed, and then a broken connection, although no target had failed. The target was silent for over a second between its last event and the end of its body; the gateway left it for another one, which answered `Last-Event-Id` of the last event with a whole stream without an event.

Cause: `resume` took every answer that is no stream with an event for one that cannot be forwarded, also a whole event stream that is empty.

Change: a successful, whole event stream without an event ends a resumed stream as complete. A stream that is broken off without an event still is a loss (framing decides, as before), and so is a failure.

The stand-in's pause could not come after the last event; it can now.

--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -73,30 +73,39 @@
                 .await
             {
                 Ok(Received::Data) => continue,
-                Ok(Received::End(StreamEnd::Whole)) => return self.finish(),
+                Ok(Received::End(StreamEnd::Whole)) => return self.finish_stream(),
                 Ok(Received::End(end)) => (Loss::lost(MayHaveRunReason::AnswerCut), end.label()),
                 Err(loss) => {
                     let label = loss.cause.label();
                     (loss, label)
                 }
             };
-            if let Some(err) = self.resume_or_fail(loss, label).await {
-                return Some(Err(err));
+            match self.resume_or_fail(loss, label).await {
+                Ok(Some(active)) => self.active = Some(active),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(err) => return Some(Err(err)),
             }
         }
     }
 
-    fn finish(&mut self) -> Option<Piece> {
+    fn finish_stream(&mut self) -> Option<Piece> {
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
-        self.request.note_answered();
         self.note_whole(&active);
+        self.finish();
+        let rest = active.stream.take_rest();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn finish(&self) {
+        self.request.note_answered();
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
         metrics.stage(Stage::Rest, self.started.elapsed());
         self.request.log_end("streamed", 200);
-        let rest = active.stream.take_rest();
-        (!rest.is_empty()).then_some(Ok(rest))
     }
 
     /// Counts a whole stream, and logs it if nothing but the close of its connection says that it is whole.
@@ -112,10 +121,15 @@
         }
     }
 
-    /// Resumes an interrupted stream at another target; returns the error that ends the answer if it cannot be resumed.
-    async fn resume_or_fail(&mut self, loss: Loss, label: &'static str) -> Option<BoxError> {
+    /// Resumes an interrupted stream at another target; `None` if its last event was forwarded already. The error ends the
+    /// answer.
+    async fn resume_or_fail(
+        &mut self,
+        loss: Loss,
+        label: &'static str,
+    ) -> Result<Option<ActiveStream>, BoxError> {
         let Loss { end, cause, held } = loss;
-        let mut active = self.active.take()?;
+        let Some(mut active) = self.active.take() else { return Ok(None) };
         active.ticket.report_end(end);
         self.request.note_lost(end, active.lost_run());
         let framing = active.stream.framing();
@@ -132,17 +146,14 @@
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
         let why = match (resumable, self.last_event) {
             (true, Some(last)) => match self.request.resume(last, cause).await {
-                Ok(active) => {
-                    self.active = Some(active);
-                    return None;
-                }
+                Ok(active) => return Ok(active),
                 Err(why) => why,
             },
             _ => NoAnswer::MayHaveRun(cause),
         };
         let outcome = why.label();
         self.request.log_end(outcome, 0);
-        Some(format!("the stream was cut: {outcome}").into())
+        Err(format!("the stream was cut: {outcome}").into())
     }
 }
 
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -47,6 +47,7 @@
 };
 use crate::{
     event_stream::EventStream,
+    events::is_event_stream,
     metrics::Stage,
     peers::{Clearance, Hex, LostRun, OverLimit, RunPermit, Suspects},
     placement::{Decision, HeldSlot, Ticket},
@@ -335,12 +336,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Resumes an interrupted stream at another target, after the event with number `after`.
+    /// Resumes an interrupted stream at another target, after the event with number `after`. `None` if that was the last event:
+    /// the other target has sent a whole stream without a further one.
     pub(super) async fn resume(
         &mut self,
         after: u64,
         cause: MayHaveRunReason,
-    ) -> Result<ActiveStream, NoAnswer> {
+    ) -> Result<Option<ActiveStream>, NoAnswer> {
         self.may_have_run = Some(cause);
         self.is_resumed = true;
         if !self.may_run_again() {
@@ -350,7 +352,12 @@
         let name = self.front.dialect.headers().last_event_id.clone();
         self.call.headers.insert(name, HeaderValue::from(after));
         match self.try_targets().await {
-            Outcome::Stream(_, stream) => Ok(*stream),
+            Outcome::Stream(_, stream) => Ok(Some(*stream)),
+            Outcome::Whole(parts, _)
+                if parts.status.is_success() && is_event_stream(&parts.headers) =>
+            {
+                Ok(None)
+            }
             // The headers of the stream have been sent to the caller, so another answer cannot be forwarded.
             Outcome::Whole(..) => Err(NoAnswer::MayHaveRun(cause)),
             Outcome::NoAnswer(why) => Err(why),
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -79,6 +79,16 @@
         )
     }
 
+    /// Pauses if the answer does so after this number of events.
+    fn pause_after(self, sent: u64) {
+        match self {
+            TargetFault::Pauses { after: Some(events), ms } if events == sent => {
+                thread::sleep(Duration::from_millis(ms));
+            }
+            _ => {}
+        }
+    }
+
     /// Number of events after which the answer breaks off, if it does.
     fn breaks_off_after(self) -> Option<u64> {
         match self {
@@ -500,11 +510,7 @@
                 self.crash();
                 return Ok(false);
             }
-            if let TargetFault::Pauses { after: Some(events), ms } = fault
-                && events == sent as u64
-            {
-                thread::sleep(Duration::from_millis(ms));
-            }
+            fault.pause_after(sent as u64);
             if fault.breaks_off_after() == Some(sent as u64) {
                 return break_off(stream, fault, number);
             }
@@ -519,6 +525,7 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
+        fault.pause_after((events + 1).saturating_sub(first));
         if !is_unframed {
             stream.write_all(b"0\r\n\r\n")?;
         }
--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -132,6 +132,7 @@
     a_repeatable_request_leaves_a_silent_target_for_a_free_one: "/safe/a", None;
     a_stream_leaves_a_silent_target_for_a_free_one_before_its_first_event: "/stream-resumable/a", Some(0);
     a_stream_leaves_a_silent_target_for_a_free_one_between_events: "/stream-resumable/a", Some(3);
+    a_stream_leaves_a_silent_target_for_a_free_one_after_its_last_event: "/stream-resumable/a", Some(EVENTS);
 }
 
 /// Registers a listener as the nearest target.
