Stand-in: the port of a crashed target is not used by another process

The system's own listeners never share addresses with targets on the platform; only other targets use an address again, and these answer 421. So it was a fault of the stand-in.

Cause: the standard library's listeners set SO_REUSEADDR, so the port of a listener that is shut down can be bound again while its socket is open. Now targets bind without it, and their ports stay taken as long as their handles live.

--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -15,13 +15,14 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Time without an answer; longer than the timeout of any request in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(120);
 /// Send buffer of a target that aborts unread answers. By default the kernel takes megabytes that nobody has read.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
+const MAX_PENDING_CONNECTIONS: i32 = 128;
 /// Version of targets that are started without one. The data of its events does not name it.
 pub const FIRST_VERSION: &str = "v1";
 
@@ -175,7 +176,7 @@
     ///
     /// No port can be listened on.
     pub fn start(name: &str, events: u64, pause: Duration) -> io::Result<PlatformTarget> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = listen()?;
         let state = State {
             version: Arc::from(FIRST_VERSION),
             faults: VecDeque::new(),
@@ -533,6 +534,15 @@
     }
 }
 
+/// Listens on a free port that nothing else can use while the listener exists, also after a crash has shut it down: a process
+/// that is started then must not be taken for the target.
+fn listen() -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    socket.listen(MAX_PENDING_CONNECTIONS)?;
+    Ok(socket.into())
+}
+
 /// Sends a part of an event and ends the answer; returns whether the connection stays open.
 fn break_off(stream: &mut TcpStream, fault: TargetFault, number: u64) -> io::Result<bool> {
     let part = format!("id: {number}\n");
