Trials: the gateway's side of them in its own module

No change of behaviour. The questions to coordinators, their answers and the decisions on trials move from peers/crash_reports.rs into peers/trials.rs, as `TrialRequests`. `grant_trial` checks the suspects instead of splitting them into two lists of which one was only a test.

--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -86,12 +86,10 @@
         now_ms: u64,
         suspects: &[Suspect],
     ) -> (TrialOutcome, Vec<CrashVerdict>) {
-        let (known, unknown): (Vec<Suspect>, Vec<Suspect>) =
-            suspects.iter().partition(|it| self.is_quarantined(now_ms, **it));
-        if !unknown.is_empty() {
+        if !suspects.iter().all(|it| self.is_quarantined(now_ms, *it)) {
             return (TrialOutcome::Unknown, Vec::new());
         }
-        if !known.iter().all(|it| self.is_trial_due(now_ms, *it)) {
+        if !suspects.iter().all(|it| self.is_trial_due(now_ms, *it)) {
             return (TrialOutcome::Denied, Vec::new());
         }
         let grant = |it: &Known| it.trials.after_grant(now_ms < it.new_until_ms);
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -16,7 +16,7 @@
 use samphiredoor_core::{
     crash_reports::{
         AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
-        QUARANTINE_MS, Suspect, SuspectKind, TrialOutcome,
+        QUARANTINE_MS, Suspect, SuspectKind,
     },
     placement::name_hash,
 };
@@ -24,10 +24,10 @@
 
 use super::{
     LocalGateway, Roster,
-    crash_messages::{CrashNews, Suspects, TrialAnswer, TrialPurpose, TrialQuestion},
+    crash_messages::{CrashNews, Suspects, TrialAnswer, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
-    trials::{PendingTrial, PendingTrials},
+    trials::TrialRequests,
 };
 use crate::metrics::Metrics;
 
@@ -120,7 +120,7 @@
 #[derive(Clone)]
 pub struct CrashReports {
     messages: flume::Sender<Message>,
-    known: Rc<RefCell<KnownSuspects>>,
+    pub(super) known: Rc<RefCell<KnownSuspects>>,
     answered: Rc<RefCell<Answered>>,
     clock: Clock,
     metrics: Rc<Metrics>,
@@ -155,6 +155,7 @@
         let own_key = name_hash(&task.local.name);
         let told = BTreeSet::new();
         let tell_again_at = Instant::now();
+        let trials = TrialRequests::new(&task, handle.clone());
         let running = Running {
             task,
             own_key,
@@ -164,7 +165,7 @@
             reported_to: BTreeMap::new(),
             told,
             tell_again_at,
-            trials: PendingTrials::default(),
+            trials,
         };
         compio::runtime::spawn(running.run(inbox)).detach();
         handle
@@ -286,7 +287,7 @@
     }
 
     /// Time since the start of the process, from a number on that reports and verdicts of before the start don't reach.
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.clock.now().mono_ms + QUARANTINE_MS
     }
 
@@ -342,7 +343,7 @@
     /// Live gateways, by address and incarnation, that were told what is quarantined.
     told: BTreeSet<(SocketAddr, u64)>,
     tell_again_at: Instant,
-    trials: PendingTrials,
+    trials: TrialRequests,
 }
 
 impl Running {
@@ -352,16 +353,18 @@
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
                 Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
-                Some(Ok(Message::Ask { suspects, reply })) => self.ask(suspects, reply).await,
-                Some(Ok(Message::Return(suspects))) => self.return_trial(suspects).await,
-                Some(Ok(Message::Question(question, from))) => self.answer(question, from).await,
-                Some(Ok(Message::Answer(answer))) => self.answered(answer).await,
+                Some(Ok(Message::Ask { suspects, reply })) => {
+                    self.trials.ask(suspects, reply).await
+                }
+                Some(Ok(Message::Return(suspects))) => self.trials.give_back(suspects).await,
+                Some(Ok(Message::Question(question, from))) => {
+                    self.trials.answer(question, from).await;
+                }
+                Some(Ok(Message::Answer(answer))) => self.trials.answered(answer).await,
                 Some(Err(flume::RecvError::Disconnected)) => return,
                 None => {}
             }
-            for trial in self.trials.take_late() {
-                self.ask_next(trial).await;
-            }
+            self.trials.ask_others().await;
             for verdict in self.coordinator.verdicts(self.now_ms()) {
                 self.tell_all(verdict).await;
             }
@@ -526,113 +529,6 @@
         self.coordinator.report(self.now_ms(), report);
     }
 
-    /// Asks the first coordinator of the service whether a request may be sent as a trial.
-    async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<bool>) {
-        let service = suspects.first().map_or(0, |it| it.service);
-        let left = self.task.roster.coordinators(service).chosen.iter().copied().collect();
-        let (was_asked, until) = (false, Instant::now());
-        self.ask_next(PendingTrial { suspects, reply, left, was_asked, until }).await;
-    }
-
-    /// Asks the next coordinator, or decides here if this process is that or none is left.
-    async fn ask_next(&mut self, mut trial: PendingTrial) {
-        let mut tells = !trial.was_asked;
-        while let Some(coordinator) = trial.left.pop_front() {
-            if coordinator == self.own_key {
-                tells = true;
-                break;
-            }
-            let Some(address) = self.task.roster.address_of_hash(coordinator) else { continue };
-            let suspects = trial.suspects.clone();
-            trial.was_asked = true;
-            let id = self.trials.insert(trial);
-            let question = TrialQuestion { id, suspects, purpose: TrialPurpose::Ask };
-            let bytes = Datagram::TrialQuestion(question).encode();
-            return send_to_all(&self.task.socket, bytes, vec![address]).await;
-        }
-        let (outcome, verdicts) = self.grant(&trial.suspects);
-        // What is not quarantined any more needs no trial.
-        let is_granted = outcome != TrialOutcome::Denied;
-        if trial.reply.send(is_granted).is_err() && is_granted {
-            self.handle.known.borrow_mut().return_trial(self.now_ms(), &trial.suspects);
-        } else if tells {
-            self.tell_granted(verdicts).await;
-        }
-    }
-
-    /// Answers the question of another gateway as a coordinator.
-    async fn answer(&mut self, question: TrialQuestion, from: SocketAddr) {
-        match question.purpose {
-            TrialPurpose::Ask => {
-                let (outcome, verdicts) = self.grant(&question.suspects);
-                let answer = TrialAnswer { id: question.id, outcome };
-                let bytes = Datagram::TrialAnswer(answer).encode();
-                // The answer precedes the other messages, which are many in a large fleet.
-                send_to_all(&self.task.socket, bytes, vec![from]).await;
-                self.tell_granted(verdicts).await;
-            }
-            TrialPurpose::Return => self.take_back(&question.suspects).await,
-        }
-    }
-
-    async fn answered(&mut self, answer: TrialAnswer) {
-        let Some(trial) = self.trials.take(answer.id) else { return };
-        match answer.outcome {
-            TrialOutcome::Unknown => self.ask_next(trial).await,
-            outcome => {
-                let is_granted = outcome == TrialOutcome::Granted;
-                if trial.reply.send(is_granted).is_err() && is_granted {
-                    self.return_trial(trial.suspects).await;
-                }
-            }
-        }
-    }
-
-    /// Decides on a trial. Returns what all gateways have to be told.
-    fn grant(&mut self, suspects: &[Suspect]) -> (TrialOutcome, Vec<CrashVerdict>) {
-        self.handle.known.borrow_mut().grant_trial(self.now_ms(), suspects)
-    }
-
-    /// Tells all gateways of a granted trial, and when the next one may follow.
-    async fn tell_granted(&self, verdicts: Vec<CrashVerdict>) {
-        for verdict in verdicts {
-            log::info!(
-                kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
-                trials = verdict.trials.granted, next_in_ms = verdict.trials.in_ms;
-                "crashes: trial granted"
-            );
-            self.tell_others(verdict).await;
-        }
-    }
-
-    /// Gives a trial back to the first coordinator of the service.
-    async fn return_trial(&mut self, suspects: Suspects) {
-        let service = suspects.first().map_or(0, |it| it.service);
-        let first = self.task.roster.coordinators(service).chosen.first().copied();
-        let other = first.filter(|it| *it != self.own_key);
-        match other.and_then(|it| self.task.roster.address_of_hash(it)) {
-            Some(address) => {
-                let question = TrialQuestion { id: 0, suspects, purpose: TrialPurpose::Return };
-                let bytes = Datagram::TrialQuestion(question).encode();
-                send_to_all(&self.task.socket, bytes, vec![address]).await;
-            }
-            None => self.take_back(&suspects).await,
-        }
-    }
-
-    async fn take_back(&mut self, suspects: &[Suspect]) {
-        let now_ms = self.now_ms();
-        let verdicts = self.handle.known.borrow_mut().return_trial(now_ms, suspects);
-        for verdict in verdicts {
-            log::info!(
-                kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
-                trials = verdict.trials.granted;
-                "crashes: trial returned"
-            );
-            self.tell_others(verdict).await;
-        }
-    }
-
     async fn tell_others(&self, verdict: CrashVerdict) {
         let bytes = Datagram::CrashVerdict(verdict).encode();
         send_to_all(&self.task.socket, bytes, self.task.roster.live_addresses()).await;
