Streams and texts of items stay with the service that began them

What callers saw: a stream that its caller takes up after its route has moved, or on a route that is split between services, went on at another service if that had targets of the same version; the halves are by two services. Texts of items did the same at each new run.

Cause: the origin of a stream named the version and the target that began it, but not the service, and the service of each new run was drawn anew from the route.

Change: an origin holds the service, which records and answers between gateways already had a field for. A stream or an item goes on at the service that began it as long as the route sends requests there. Otherwise a stream is refused as not run (version_gone), and its caller begins anew, as it may not run at the old service any more; an item begins anew at the new service. Within one answer a stream already stayed with its service.

Not covered: where only the version is known. That is a saved text that another owner goes on with, and a stream without a record whose version follows from the only one that its route's service has had.

--- a/crates/samphiredoor-core/src/placement/resumption.rs
+++ b/crates/samphiredoor-core/src/placement/resumption.rs
@@ -7,6 +7,7 @@
 use super::{Action, Class, Placement, RequestSpec, queue::Queue};
 use crate::{
     Name,
+    names::name_hash,
     software_versions::{RETRY_AFTER_MS, StreamOrigin},
     verdict::Refusal,
 };
@@ -65,6 +66,7 @@
             Class::Online => true,
             Class::Batch => {
                 now_ms < resumption.until_ms
+                    && resumption.origin.is_of_service(name_hash(&spec.service))
                     && !self.is_ambiguous(&resumption.origin)
                     && self
                         .ready(&spec.service)
@@ -76,9 +78,11 @@
 
     /// Whether a request goes on with its stream at a target.
     pub(super) fn goes_on_at(&self, spec: &RequestSpec, target: &StreamOrigin) -> bool {
-        spec.resumes
-            .as_ref()
-            .is_some_and(|it| it.origin.version == target.version && !self.is_ambiguous(&it.origin))
+        spec.resumes.as_ref().is_some_and(|it| {
+            it.origin.version == target.version
+                && it.origin.is_of_service(target.service)
+                && !self.is_ambiguous(&it.origin)
+        })
     }
 
     /// Whether the target of an origin has started again at another version.
--- a/crates/samphiredoor-core/src/routes.rs
+++ b/crates/samphiredoor-core/src/routes.rs
@@ -8,7 +8,7 @@
 
 use smallvec::SmallVec;
 
-use crate::{Name, access::Workspaces};
+use crate::{Name, access::Workspaces, names::name_hash};
 
 /// Form of a route's responses, and whether its requests can be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +83,12 @@
         splits.max_by_key(|it| it.weight).map(|it| &it.service)
     }
 
+    /// The service with this hash from [`name_hash`], if requests of the route are sent to it.
+    pub fn service_with_hash(&self, hash: u64) -> Option<&Name> {
+        let splits = self.splits.iter().filter(|it| it.weight > 0);
+        splits.map(|it| &it.service).find(|it| name_hash(it) == hash)
+    }
+
     /// Picks the service for one request by weight; `draw` is a random number, uniform in 0..1.
     pub fn service(&self, draw: f64) -> Option<&Name> {
         let total: u32 = self.splits.iter().map(|it| it.weight).sum();
--- a/crates/samphiredoor-core/src/software_versions/mod.rs
+++ b/crates/samphiredoor-core/src/software_versions/mod.rs
@@ -1,5 +1,6 @@
 //! Versions of the software of targets. Targets of several versions may serve one service side by side, and what two
-//! versions write does not fit together: a stream may go on only at the version that began it.
+//! versions write does not fit together: a stream may go on only at the version that began it. It also stays with its service
+//! when its route is split between several or moves to another one, as versions of two services have nothing in common.
 //!
 //! A caller may take a stream up at a gateway that has never seen it, while the one that has may be gone. So the gateway that
 //! begins a stream records its [`StreamOrigin`] and sends it to a few others, the [`holders`] of the stream, which any
@@ -32,6 +33,8 @@
 pub struct StreamOrigin {
     /// Software version of its target; empty if the target's entry told none.
     pub version: Name,
+    /// Hash of the name of its target's service, from [`crate::names::name_hash`]; 0 if it is not known.
+    pub service: u64,
     /// Hash of the target's name, from [`crate::names::name_hash`]; 0 if only the version is known.
     pub target: u64,
     /// Wall-clock start time of the target, in milliseconds since 1970.
@@ -41,7 +44,12 @@
 impl StreamOrigin {
     /// Origin of which only the version is known.
     pub fn of_version(version: Name) -> StreamOrigin {
-        StreamOrigin { version, target: 0, target_started_unix_ms: 0 }
+        StreamOrigin { version, service: 0, target: 0, target_started_unix_ms: 0 }
+    }
+
+    /// Whether the stream may go on at targets of a service. Those of another one may have the same version by chance.
+    pub fn is_of_service(&self, service: u64) -> bool {
+        self.service == 0 || self.service == service
     }
 
     /// Whether it is uncertain which version ran, as the target has started again under its name at another version: the
--- a/crates/samphiredoor-core/src/target_entry.rs
+++ b/crates/samphiredoor-core/src/target_entry.rs
@@ -39,6 +39,7 @@
     pub fn stream_origin(&self) -> StreamOrigin {
         StreamOrigin {
             version: Name::clone(&self.software_version),
+            service: name_hash(&self.service),
             target: name_hash(&self.name),
             target_started_unix_ms: self.started_unix_ms,
         }
--- a/crates/samphiredoor-gateway/examples/stream_record_bytes.rs
+++ b/crates/samphiredoor-gateway/examples/stream_record_bytes.rs
@@ -17,10 +17,11 @@
     let (stream, service) = (hash(1), hash(2));
     let origin = StreamOrigin {
         version: "v12.3".into(),
+        service,
         target: hash(3),
         target_started_unix_ms: 1_796_000_000_123,
     };
-    let record = OriginRecord { stream, service, origin: origin.clone(), keep_ms: 5_000 };
+    let record = OriginRecord { stream, origin: origin.clone(), keep_ms: 5_000 };
     let answer = OriginAnswer { stream, holder: hash(4), answer: Answer::Recorded(origin) };
     let messages = [
         ("record", Datagram::StreamOrigin(record)),
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -4,6 +4,7 @@
 use hyper::{HeaderMap, header::HeaderName};
 use samphiredoor_core::{
     Name,
+    placement::name_hash,
     routes::RouteKind,
     software_versions::{Found, RETRY_AFTER_MS, StreamOrigin},
     verdict::Refusal,
@@ -83,10 +84,7 @@
             },
         };
         match found {
-            Found::Origin(origin) => {
-                self.origin = Some(origin);
-                Ok(())
-            }
+            Found::Origin(origin) => self.go_on_from(origin),
             Found::Unknown => {
                 log::info!(
                     request = self.id, resumes = taken_up.first_attempt.as_deref().unwrap_or_default(),
@@ -101,6 +99,23 @@
         }
     }
 
+    /// Sets the origin of the stream that is taken up, and chooses its service unless the route no longer sends requests there.
+    fn go_on_from(&mut self, origin: StreamOrigin) -> Result<(), NoAnswer> {
+        let chosen = self.service.as_deref().unwrap_or_default();
+        if !origin.is_of_service(name_hash(chosen)) {
+            let Some(service) = self.route.service_with_hash(origin.service) else {
+                log::info!(request = self.id, chosen; "front: route of a stream has moved");
+                return Err(NoAnswer::Refused {
+                    reason: Refusal::VersionGone,
+                    retry_after_ms: RETRY_AFTER_MS,
+                });
+            };
+            self.service = Some(Name::clone(service));
+        }
+        self.origin = Some(origin);
+        Ok(())
+    }
+
     /// Notes the version at which a stream begins or goes on.
     pub(super) fn note_version(&mut self, target: &Name, origin: StreamOrigin) {
         let Some(began) = &self.origin else {
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -238,12 +238,20 @@
         Some(Call { method: Method::POST, uri, headers, body })
     }
 
+    /// Service for the next run: the one that began the text, as long as the route sends items there.
+    fn service<'a>(&self, route: &'a Route) -> Option<&'a Name> {
+        let output = self.output.borrow();
+        let began = output.origin().filter(|_| output.last_event().is_some());
+        let began = began.and_then(|it| route.service_with_hash(it.service));
+        began.or_else(|| route.service(rand::random()))
+    }
+
     fn last_event(&self) -> Option<u64> {
         self.output.borrow().last_event()
     }
 
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
-        let Some(service) = route.service(rand::random()) else { return Outcome::RetryLater };
+        let Some(service) = self.service(route) else { return Outcome::RetryLater };
         let content = self.content(service, call);
         if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
             return Outcome::Held(suspect);
@@ -445,7 +453,7 @@
         Some(Resumption { origin, until_ms: self.env.clock.now().mono_ms + wait_ms })
     }
 
-    /// Drops the text of an earlier run if the target has another version than the one that wrote it.
+    /// Drops the text of an earlier run if the target is of another version or service than the one that wrote it.
     fn begin_or_go_on(&self, target: &Name, origin: StreamOrigin, goes_on: bool) {
         let mut output = self.output.borrow_mut();
         if let Some(after) = output.last_event().filter(|_| !goes_on) {
@@ -453,7 +461,7 @@
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &**target, after,
                 began_at_version = &*began, version = &*origin.version;
-                "item: begun anew at another version"
+                "item: begun anew at another version or service"
             );
             self.env.metrics.job_event("item_begun_anew");
             output.drop_text();
--- a/crates/samphiredoor-gateway/src/peers/origin_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/origin_messages.rs
@@ -11,8 +11,6 @@
 pub struct OriginRecord {
     /// Hash of the id of the caller's first attempt.
     pub stream: u64,
-    /// Hash of the service's name.
-    pub service: u64,
     /// Origin of the stream.
     pub origin: StreamOrigin,
     /// How long its caller may take it up, in milliseconds.
@@ -43,13 +41,13 @@
 
 pub(super) fn write_record(record: &OriginRecord, mut root: stream_origin::Builder<'_>) {
     root.set_stream(record.stream);
-    root.set_service(record.service);
     root.set_keep_ms(record.keep_ms);
     write_origin(&record.origin, root);
 }
 
 fn write_origin(origin: &StreamOrigin, mut root: stream_origin::Builder<'_>) {
     root.set_version(&*origin.version);
+    root.set_service(origin.service);
     root.set_target(origin.target);
     root.set_target_started_unix_ms(origin.target_started_unix_ms);
 }
@@ -57,7 +55,6 @@
 pub(super) fn read_record(root: stream_origin::Reader<'_>) -> capnp::Result<OriginRecord> {
     Ok(OriginRecord {
         stream: root.get_stream(),
-        service: root.get_service(),
         keep_ms: root.get_keep_ms(),
         origin: read_origin(root)?,
     })
@@ -66,6 +63,7 @@
 fn read_origin(root: stream_origin::Reader<'_>) -> capnp::Result<StreamOrigin> {
     Ok(StreamOrigin {
         version: Name::from(root.get_version()?.to_str()?),
+        service: root.get_service(),
         target: root.get_target(),
         target_started_unix_ms: root.get_target_started_unix_ms(),
     })
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -243,7 +243,7 @@
     async fn send_record(&self, stream: u64, record: &Record) {
         let Some(origin) = record.origin.clone() else { return };
         let keep_ms = record.until_ms.saturating_sub(self.now_ms()) as u32;
-        let message = OriginRecord { stream, service: record.service, origin, keep_ms };
+        let message = OriginRecord { stream, origin, keep_ms };
         let addresses = self.holder_addresses(stream, HOLDERS);
         self.task.metrics.stream_records_sent(addresses.len());
         let bytes = Datagram::StreamOrigin(message).encode();
@@ -261,7 +261,8 @@
 
     /// Adds the record of another gateway.
     fn hold(&mut self, record: OriginRecord) {
-        let OriginRecord { stream, service, origin, keep_ms } = record;
+        let OriginRecord { stream, origin, keep_ms } = record;
+        let service = origin.service;
         let now_ms = self.now_ms();
         let until_ms = now_ms + u64::from(keep_ms).min(MAX_KEEP_MS);
         let origin = Some(origin).filter(|it| !self.is_ambiguous(it));
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -81,7 +81,12 @@
 }
 
 fn origin() -> StreamOrigin {
-    StreamOrigin { version: "v1.2".into(), target: hash(3), target_started_unix_ms: u64::MAX }
+    StreamOrigin {
+        version: "v1.2".into(),
+        service: hash(2),
+        target: hash(3),
+        target_started_unix_ms: u64::MAX,
+    }
 }
 
 macro_rules! messages {
@@ -102,7 +107,7 @@
 
 messages! {
     a_record_of_a_stream_arrives_as_it_was_sent: Datagram::StreamOrigin(OriginRecord {
-        stream: hash(1), service: hash(2), origin: origin(), keep_ms: 5_000,
+        stream: hash(1), origin: origin(), keep_ms: 5_000,
     });
     a_question_arrives_as_it_was_sent:
         Datagram::OriginQuestion(OriginQuestion { stream: hash(1), service: hash(2), within_ms: 20_000 });
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -4,10 +4,11 @@
 use std::{collections::BTreeSet, net::SocketAddr, thread, time::Duration};
 
 use samphiredoor_standin::{
-    fleet::stream_after,
+    fleet::{EVENTS, route, stream_after},
     platform_target::{PlatformTarget, TargetFault},
     soak,
 };
+use serde_json::{Value, json};
 
 use super::env::{BINARY, Platform, metric, metrics_address};
 use crate::env::wait_until;
@@ -246,3 +247,111 @@
     assert_eq!((answer.status, answer.text), (200, stream_after("v1", 0, 2)));
     assert_eq!(records_sent(), before);
 }
+
+const SERVICES: [&str; 2] = ["reader", "elsewhere"];
+
+/// Starts a gateway, and a target of the same version in each of two services; all routes go to the first one.
+fn two_services() -> (Platform, [PlatformTarget; 2]) {
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, 1);
+    let targets = SERVICES.map(|service| {
+        let name = format!("t-{service}");
+        let target = PlatformTarget::start(&name, EVENTS, FAST).expect("a target starts");
+        platform.store.put("servers", &name, target.entry(service, "brisbane-north", "ready"));
+        target
+    });
+    platform.start_gateway();
+    platform.wait_logged(0, "routes: activated version=2");
+    (platform, targets)
+}
+
+/// Changes a route, which becomes the only one, and waits until that is active.
+fn change_route(platform: &Platform, kind: &str, change: impl Fn(&mut Value)) {
+    let mut changed = route(kind, 3, kind == "stream");
+    change(&mut changed);
+    platform.store.put("config", "main", json!({ "version": 3, "routes": [changed] }));
+    platform.wait_logged(0, "routes: activated version=3");
+}
+
+fn move_route(route: &mut Value) {
+    route["service"] = json!(SERVICES[1]);
+}
+
+fn split_route(route: &mut Value) {
+    let split = SERVICES.map(|service| json!({ "service": service, "weight": 1 }));
+    route["trafficSplit"] = json!(split);
+}
+
+/// Runs of a request in the order of their starts: the event after which each went on, and its target.
+fn runs_of(targets: &[PlatformTarget; 2], id: &str) -> Vec<(Option<u64>, String)> {
+    let mut runs: Vec<_> = targets
+        .iter()
+        .flat_map(|target| target.runs().into_iter().map(|run| (run, target.name.clone())))
+        .filter(|(run, _)| run.id == id)
+        .collect();
+    runs.sort_by_key(|(run, _)| run.at);
+    runs.into_iter().map(|(run, target)| (run.after, target)).collect()
+}
+
+/// Guards against streams that go on at a service which has not begun them: its targets may have the same version by chance.
+#[test]
+fn a_stream_whose_route_has_moved_does_not_go_on_at_another_service() {
+    let (platform, targets) = two_services();
+    targets[0].fail_next(1, TargetFault::CutAfter(2));
+    assert_eq!(platform.send(0, RESUMABLE, "first", "").status, 0);
+    change_route(&platform, "stream", move_route);
+    let headers = [("last-event-id", "2"), ("resumes", "first")];
+    let answer = platform.send_with(0, RESUMABLE, "second", &headers, "");
+    assert_eq!(answer.status, 503, "{}", answer.text);
+    assert!(answer.text.contains("version_gone"), "{}", answer.text);
+    assert!(runs_of(&targets, "second").is_empty());
+}
+
+/// Guards against the same on a route that is split between services.
+#[test]
+fn a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() {
+    let (platform, targets) = two_services();
+    change_route(&platform, "stream", |route| {
+        split_route(route);
+        route["attempts"] = json!(1);
+    });
+    for number in 0..STREAMS {
+        let (first, second) = (format!("first-{number}"), format!("second-{number}"));
+        fail_each_run(&targets, TargetFault::CutAfter(2));
+        assert_eq!(platform.send(0, RESUMABLE, &first, "").status, 0);
+        fail_each_run(&targets, TargetFault::None);
+        let headers = [("last-event-id", "2"), ("resumes", &*first)];
+        assert_eq!(platform.send_with(0, RESUMABLE, &second, &headers, "").status, 200);
+        assert_eq!(runs_of(&targets, &first)[0].1, runs_of(&targets, &second)[0].1, "{first}");
+    }
+}
+
+/// Guards against results whose text is by targets of two services.
+#[test]
+fn an_item_whose_route_has_moved_begins_anew_at_the_other_service() {
+    let (platform, targets) = two_services();
+    targets[0].set_pause(Duration::from_millis(1_000));
+    targets[0].fail_next(1, TargetFault::CutAfter(3));
+    assert_eq!(platform.submit(0, "job", &["a"]).status, 202);
+    wait_until("it runs", || targets[0].runs().len() == 1);
+    change_route(&platform, "batch", move_route);
+    let results = platform.all_results(0, "job", 1);
+    assert_eq!(results[0]["text"], targets[1].text());
+    let id = results[0]["id"].as_str().expect("an id");
+    let runs = [(None, "t-reader".to_owned()), (None, "t-elsewhere".to_owned())];
+    assert_eq!(runs_of(&targets, id), runs);
+}
+
+/// Guards against the same on a route that is split between services, where it would happen without a change.
+#[test]
+fn an_item_of_a_split_route_goes_on_at_the_service_that_began_it() {
+    let (platform, targets) = two_services();
+    change_route(&platform, "batch", split_route);
+    targets.iter().for_each(|it| it.fail_next(STREAMS as u32, TargetFault::CutAfter(2)));
+    platform.submit_many(0, "job", STREAMS);
+    for result in platform.all_results(0, "job", STREAMS) {
+        let id = result["id"].as_str().expect("an id");
+        let runs = runs_of(&targets, id);
+        assert!(runs.iter().all(|(_, target)| *target == runs[0].1), "{id}: {runs:?}");
+    }
+}
