--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    COMMON_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN, PART_QUARANTINE_CRASHES,
-    QUARANTINE_CRASHES, SUSPECTED_CRASHES, Suspect, SuspectKind, Trials,
+    CERTAIN_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN,
+    PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES, QuarantineRule, SUSPECTED_CRASHES, Suspect,
+    SuspectKind, Trials,
     evidence::{CrashId, Evidence, Loss},
     limit_len, remembered_ms,
 };
@@ -17,8 +18,6 @@
 const CONFIRM_MS: u64 = SETTLE_MS;
 /// Losses at one target within this time are of one crash: a target takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
-/// Probability up to which crashes beneath a suspect are no chance.
-const MAX_CHANCE: f64 = 0.000_5;
 /// Shortest run without a crash that shows a part to be sound.
 const MIN_SURVIVED_MS: u32 = 1_000;
 /// How much longer such a run is than those that ended with a crash.
@@ -71,6 +70,7 @@
 /// Crashes of targets, and what was lost with them.
 #[derive(Debug, Default)]
 pub struct CrashCoordinator {
+    rule: QuarantineRule,
     crashes: BTreeMap<CrashId, Crash>,
     last_crash: CrashId,
     evidence: BTreeMap<Suspect, Evidence>,
@@ -81,6 +81,11 @@
 }
 
 impl CrashCoordinator {
+    /// A coordinator that judges by this rule.
+    pub fn with_rule(rule: QuarantineRule) -> CrashCoordinator {
+        CrashCoordinator { rule, ..CrashCoordinator::default() }
+    }
+
     /// Sets the number of targets of a service, which tells how many of them crash by chance.
     pub fn set_targets(&mut self, service: u64, targets: usize) {
         self.targets.insert(service, targets);
@@ -251,7 +256,11 @@
             events,
             self.target_count(service),
         );
-        chance > MAX_CHANCE
+        let max_chance = match evidence.is_common {
+            true => self.rule.common_part_max_chance,
+            false => self.rule.max_chance,
+        };
+        chance > max_chance
     }
 
     /// Number of targets of a service; those that have crashed while it is not known.
@@ -307,12 +316,45 @@
             return true;
         }
         let own = among(evidence, crashes);
-        let needed = if evidence.is_common { COMMON_PART_CRASHES } else { PART_QUARANTINE_CRASHES };
-        count >= needed
+        let has_enough = match evidence.is_common {
+            true => count >= CERTAIN_PART_CRASHES || self.is_simplest(evidence, &own),
+            false => count >= PART_QUARANTINE_CRASHES,
+        };
+        has_enough
             && count >= self.most_of_one_request(&own) + PART_MARGIN
             && !self.is_explained_otherwise(evidence, own)
     }
 
+    /// Whether a first part has crashed enough targets, and several others would have to be the causes if it were not.
+    fn is_simplest(&self, part: &Evidence, crashes: &BTreeSet<CrashId>) -> bool {
+        crashes.len() as u32 >= self.rule.common_part_crashes
+            && self.fewest_others(part, crashes) >= self.rule.common_part_causes
+    }
+
+    /// Number of requests and deeper parts that explain these crashes without a part: the one that was lost with most of them
+    /// first.
+    fn fewest_others(&self, part: &Evidence, crashes: &BTreeSet<CrashId>) -> u32 {
+        let mut unexplained = crashes.clone();
+        let mut others = 0;
+        while !unexplained.is_empty() {
+            others += 1;
+            let possible = self
+                .evidence
+                .iter()
+                .filter(|(it, by)| it.kind == SuspectKind::Request || by.depth > part.depth);
+            let Some((_, best)) = possible.max_by_key(|(_, by)| count_of(by, &unexplained)) else {
+                return others;
+            };
+            let left = unexplained.len();
+            best.crashes.iter().for_each(|it| _ = unexplained.remove(it));
+            if unexplained.len() == left {
+                // Items of jobs with this part alone: each crash of theirs has a cause of its own.
+                return others + left as u32 - 1;
+            }
+        }
+        others
+    }
+
     /// Most of these crashes in which one request was lost.
     fn most_of_one_request(&self, crashes: &BTreeSet<CrashId>) -> u32 {
         self.requests().map(|(_, it)| count_of(it, crashes)).max().unwrap_or(0)
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -25,6 +25,7 @@
 mod coordinator;
 mod evidence;
 mod known;
+mod rule;
 mod trials;
 
 use std::collections::BTreeMap;
@@ -34,6 +35,7 @@
 pub use answered::AnsweredKeys;
 pub use coordinator::{CrashCoordinator, CrashReport, SETTLE_MS};
 pub use known::KnownSuspects;
+pub use rule::QuarantineRule;
 pub use trials::{TrialOutcome, Trials};
 
 /// Crashes after which all gateways are told of a suspect.
@@ -42,9 +44,9 @@
 const QUARANTINE_CRASHES: u32 = 3;
 /// Crashes after which no request with a part is sent any more. That refuses requests of many callers.
 const PART_QUARANTINE_CRASHES: u32 = 4;
-/// The same for a first part with further ones behind it. Most requests to a service share it, so that its quarantine refuses
-/// them all, and after a start of all gateways nobody may have answered any of them.
-const COMMON_PART_CRASHES: u32 = 12;
+/// Crashes after which a first part with further ones behind it is taken for their cause, however few others may be. Several
+/// causes that crashed as many targets are known themselves.
+const CERTAIN_PART_CRASHES: u32 = 12;
 /// Crashes that a part has to explain beyond those of any one request: a request that crashes targets has the same parts
 /// each time.
 const PART_MARGIN: u32 = 2;
