Quarantine: a first part that crashes targets is known at its fifth crash

Callers saw: requests with a first part of their prompts that crashes each target, with other parts behind it, ended twelve targets before it was refused; sound parts behind it were blamed meanwhile.

Cause: a first part needed twelve crashes, whatever else spoke for or against it, as most requests share it and nobody has answered it after a start.

Now five crashes suffice if at least three requests or deeper parts would be needed to explain them otherwise, and as many would come by chance at most once in 100,000.

--- a/crates/samphiredoor-core/src/crash_reports/rule.rs
+++ b/crates/samphiredoor-core/src/crash_reports/rule.rs
@@ -21,9 +21,9 @@
     fn default() -> QuarantineRule {
         QuarantineRule {
             max_chance: 0.000_5,
-            common_part_crashes: 12,
-            common_part_max_chance: 0.000_5,
-            common_part_causes: 1,
+            common_part_crashes: 5,
+            common_part_max_chance: 0.000_01,
+            common_part_causes: 3,
         }
     }
 }
