A request that is answered by its head gets the answer before the end of its body

What callers saw: a refusal that the head alone decides (404, 401, 503 of a gateway without routes) came after the body, for a slow one after up to ten seconds, though it was known from the start.

Cause: the handler read the body before it returned the answer, as hyper closes a connection whose body is dropped unread, and the close fails the write of a caller that still sends.

Change: the answer carries the unread body (Body::before_end_of). It is sent at once, and the task of the connection reads and drops the rest of the body after that, within the same ten seconds and size as before. Until the rest has arrived, neither the idle limit nor that of a head applies; then the connection is idle and can be reused. A caller that waits for permission to send its body is answered and given none, as before. Ruled out: a shorter wait, which again closes connections under bodies that take longer.

Result: a_request_that_is_refused_by_its_head_gets_its_answer_before_the_rest_of_its_body failed before (no answer within 5 s) and passes now, with the 12 others of platform/configuration_changes.rs, unchanged. Three new tests and the 15 others of net/tests/serve.rs pass; the new ones use the new function and were not seen red. Not covered: 413, 408 and 503 for lack of memory, which still close the connection, and refusals of calls for jobs.

--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -26,7 +26,7 @@
 };
 use samphiredoor_net::{
     Body, BoxError,
-    body::{ReadError, next_piece, read_whole},
+    body::{ReadError, UnreadBody, read_whole},
     clock::Clock,
     pool::within,
 };
@@ -123,8 +123,8 @@
 async fn route_request(front: &Rc<Front>, request: Request<Incoming>) -> Response<Body> {
     let Some(table) = front.routes.current() else {
         front.metrics.refused(Refusal::NotReady);
-        discard_body(request, CallerLimits::default().body_bytes).await;
-        return refusal_response(Refusal::NotReady, NOT_READY_RETRY_MS);
+        let refusal = refusal_response(Refusal::NotReady, NOT_READY_RETRY_MS);
+        return answer_head(request, CallerLimits::default().body_bytes, refusal);
     };
     match front.dialect.job_call(request.method(), request.uri()) {
         Some(Ok(call)) => return answer_job_call(front, &table, call, &request).await,
@@ -134,15 +134,12 @@
     let host = request_host(&request).unwrap_or_default().to_owned();
     let Some(route) = table.find(&host, request.uri().path()).cloned() else {
         log::info!(host, path = request.uri().path(), routes_version = table.version; "front: no matching route");
-        discard_body(request, table.limits.body_bytes).await;
-        return json_message(StatusCode::NOT_FOUND, "no route serves this host and path");
+        let answer = json_message(StatusCode::NOT_FOUND, "no route serves this host and path");
+        return answer_head(request, table.limits.body_bytes, answer);
     };
     let workspace = match authorize(front, &table, route.is_public, request.headers()) {
         Ok(workspace) => workspace,
-        Err(answer) => {
-            discard_body(request, table.limits.body_bytes).await;
-            return *answer;
-        }
+        Err(answer) => return answer_head(request, table.limits.body_bytes, *answer),
     };
     let (mut parts, body) = request.into_parts();
     let body = match read_body(front, &table, body).await {
@@ -269,25 +266,18 @@
     }
 }
 
-/// Reads the body of a request that is answered by its head. An answer before the end of the body closes the connection; the
-/// caller's write fails then, and many callers read no answer after that. A caller that waits for permission to send its body
-/// gets the answer instead.
-async fn discard_body(request: Request<Incoming>, max_bytes: usize) {
+/// Answers a request by its head. The answer is sent at once, and the body is read after it. A caller that waits for permission
+/// to send its body is given none.
+fn answer_head(
+    request: Request<Incoming>,
+    max_bytes: usize,
+    answer: Response<Body>,
+) -> Response<Body> {
     if request.headers().contains_key(header::EXPECT) {
-        return;
+        return answer;
     }
-    let mut body = request.into_body();
-    let reading = async {
-        let mut read = 0;
-        while let Ok(Some(piece)) = next_piece(&mut body, BODY_TIMEOUT).await {
-            read += piece.len();
-            if read > max_bytes {
-                return;
-            }
-        }
-    };
-    // After the timeout the answer is sent all the same.
-    let _ = within(BODY_TIMEOUT, reading).await;
+    let unread = UnreadBody::new(request.into_body(), max_bytes, BODY_TIMEOUT);
+    answer.map(|it| it.before_end_of(unread))
 }
 
 fn request_host<B>(request: &Request<B>) -> Option<&str> {
--- a/crates/samphiredoor-net/src/activity.rs
+++ b/crates/samphiredoor-net/src/activity.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::{Body, BoxError, ServeLimits, stall::WriteStall};
+use crate::{Body, BoxError, ServeLimits, body::UnreadBody, stall::WriteStall};
 
 /// Time between two checks of all connections. Limits are exceeded by up to this time.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,14 +50,15 @@
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     Waiting(Wait, Instant),
-    /// A request is handled, or its response is sent.
+    /// A request is handled, its response is sent, or the rest of its body arrives after that.
     Request,
 }
 
 /// Current phase of a connection.
-#[derive(Debug)]
 pub struct Activity {
     phase: Cell<Phase>,
+    /// Reads the rest of a request's body whose response has been sent.
+    discarding: RefCell<Option<Pin<Box<dyn Future<Output = ()>>>>>,
     /// Task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -66,13 +67,14 @@
     /// Activity of a connection that was just accepted.
     pub fn new() -> Activity {
         let phase = Cell::new(Phase::Waiting(Wait::Idle, Instant::now()));
-        Activity { phase, waker: RefCell::default() }
+        Activity { phase, discarding: RefCell::default(), waker: RefCell::default() }
     }
 
-    /// Completes when a wait has exceeded its limit. Must be polled after the connection, so that bytes which have arrived
-    /// count.
+    /// Completes when a wait has exceeded its limit, and reads the rests of bodies meanwhile. Must be polled after the
+    /// connection, so that bytes which have arrived count.
     pub async fn limit_exceeded(&self, limits: &RefCell<ServeLimits>, stall: &WriteStall) -> Wait {
         poll_fn(|cx| {
+            self.poll_discarding(cx);
             self.restart_wait_while(stall.is_pending());
             if let Some(wait) = self.exceeded(&limits.borrow()) {
                 return Poll::Ready(wait);
@@ -123,14 +125,30 @@
         }
     }
 
-    /// Records that the head of a request is complete.
+    /// Records that the head of a request is complete, and thus the body of the one before.
     pub fn start_request(&self) {
+        *self.discarding.borrow_mut() = None;
         self.phase.set(Phase::Request);
     }
 
-    fn end_response(&self) {
+    fn end_response(&self, unread: Option<UnreadBody>) {
+        match unread {
+            Some(unread) => *self.discarding.borrow_mut() = Some(Box::pin(unread.discard())),
+            None => self.end_request(),
+        }
+    }
+
+    fn end_request(&self) {
         self.phase.set(Phase::Waiting(Wait::Idle, Instant::now()));
     }
+
+    fn poll_discarding(&self, cx: &mut Context<'_>) {
+        let mut discarding = self.discarding.borrow_mut();
+        if discarding.as_mut().is_some_and(|it| it.as_mut().poll(cx).is_ready()) {
+            *discarding = None;
+            self.end_request();
+        }
+    }
 }
 
 impl Default for Activity {
@@ -140,7 +158,7 @@
 }
 
 /// Activities of the open connections of a server.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct Activities(Rc<RefCell<Vec<Weak<Activity>>>>);
 
 impl Activities {
@@ -180,7 +198,7 @@
 
 impl Drop for RecordedBody {
     fn drop(&mut self) {
-        self.activity.end_response();
+        self.activity.end_response(self.body.take_unread());
     }
 }
 
--- a/crates/samphiredoor-net/src/body.rs
+++ b/crates/samphiredoor-net/src/body.rs
@@ -12,10 +12,10 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
 use crate::{
-    pool::within_or_ready,
+    pool::{within, within_or_ready},
     read_ahead::{ReadAhead, ReadAheadBody, ReadAheadLimit},
 };
 
@@ -32,6 +32,39 @@
     Stream(BoxedBody),
     /// Content that is read ahead of a slow reader.
     ReadAhead(ReadAheadBody),
+    /// Content of a response that precedes the end of its request's body.
+    Early(Box<(Body, UnreadBody)>),
+}
+
+/// Rest of a request's body whose response does not depend on it. It is read and dropped once the response has been sent: a
+/// connection that closes before fails the client's write, and many clients read no response after that.
+pub struct UnreadBody {
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+}
+
+impl UnreadBody {
+    /// Rest of a body that is read for at most this time and up to this size; the connection closes if it is longer.
+    pub fn new(body: Incoming, max_bytes: usize, timeout: Duration) -> UnreadBody {
+        UnreadBody { body, max_bytes, timeout }
+    }
+
+    /// Reads the rest of the body.
+    pub(crate) async fn discard(self) {
+        let UnreadBody { mut body, max_bytes, timeout } = self;
+        let reading = async {
+            let mut read = 0;
+            while let Ok(Some(piece)) = read_piece(&mut body).await {
+                read += piece.len();
+                if read > max_bytes {
+                    return;
+                }
+            }
+        };
+        // The body is dropped after the timeout, which closes the connection.
+        let _ = within(timeout, reading).await;
+    }
 }
 
 impl Body {
@@ -74,10 +107,31 @@
         Body::ReadAhead(ReadAheadBody::new(pieces, limit))
     }
 
+    /// Body of a response that is sent before the end of its request's body has arrived.
+    pub fn before_end_of(self, unread: UnreadBody) -> Body {
+        Body::Early(Box::new((self, unread)))
+    }
+
+    /// Splits off the rest of the request's body that is still to be read.
+    pub(crate) fn take_unread(&mut self) -> Option<UnreadBody> {
+        match std::mem::replace(self, Body::empty()) {
+            Body::Early(early) => {
+                let (body, unread) = *early;
+                *self = body;
+                Some(unread)
+            }
+            body => {
+                *self = body;
+                None
+            }
+        }
+    }
+
     /// Handle that reads the body ahead; does nothing for other bodies.
     pub fn read_ahead_handle(&self) -> ReadAhead {
         match self {
             Body::ReadAhead(body) => body.read_ahead(),
+            Body::Early(early) => early.0.read_ahead_handle(),
             Body::Full(_) | Body::Stream(_) => ReadAhead::default(),
         }
     }
@@ -95,6 +149,7 @@
             Body::Full(content) => Poll::Ready(content.take().map(|it| Ok(Frame::data(it)))),
             Body::Stream(body) => body.as_mut().poll_frame(cx),
             Body::ReadAhead(body) => Pin::new(body).poll_frame(cx),
+            Body::Early(early) => Pin::new(&mut early.0).poll_frame(cx),
         }
     }
 
@@ -103,6 +158,7 @@
             Body::Full(content) => content.is_none(),
             Body::Stream(body) => body.is_end_stream(),
             Body::ReadAhead(body) => body.is_end_stream(),
+            Body::Early(early) => early.0.is_end_stream(),
         }
     }
 
@@ -113,6 +169,7 @@
             }
             Body::Stream(body) => body.size_hint(),
             Body::ReadAhead(body) => body.size_hint(),
+            Body::Early(early) => early.0.size_hint(),
         }
     }
 }
--- a/crates/samphiredoor-net/tests/serve.rs
+++ b/crates/samphiredoor-net/tests/serve.rs
@@ -18,6 +18,7 @@
 use prometheus_client::registry::Registry;
 use samphiredoor_net::{
     Body, BoxError, PeerAddress, ServeLimits, Server,
+    body::UnreadBody,
     metrics::{self, ReasonCounters},
 };
 
@@ -491,3 +492,68 @@
     assert!(server.closes("idle") > 0, "connections are closed");
     assert_eq!(answered, server.handled.load(Ordering::Relaxed), "{cut} cut");
 }
+
+const HEAD_OF_POST: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\n";
+
+/// Server that answers each request by its head, and reads its body after that for at most `timeout`. Open connections may wait
+/// for a request or the rest of a head for a [`SHORT`] time.
+fn serve_early(timeout: Duration) -> SocketAddr {
+    let (sender, receiver) = flume::bounded(1);
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let limits = ServeLimits {
+                idle_timeout: SHORT,
+                header_read_timeout: SHORT,
+                ..ServeLimits::default()
+            };
+            let server = Server::bind(any, limits).await.expect("a port");
+            sender.send(server.local_addr().expect("an address")).expect("a waiting test");
+            let handler = move |request: Request<Incoming>| {
+                let unread = UnreadBody::new(request.into_body(), PIECE.len(), timeout);
+                async { Response::new(Body::full("answer").before_end_of(unread)) }
+            };
+            server.run(handler).await;
+        });
+    });
+    receiver.recv().expect("the server starts")
+}
+
+fn begin_body(address: SocketAddr) -> TcpStream {
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client.set_read_timeout(Some(CLOSE_WAIT)).expect("a timeout");
+    client.write_all(HEAD_OF_POST).expect("a head");
+    client.write_all(b"half").expect("half of a body");
+    assert!(read_answer(&mut client));
+    client
+}
+
+/// Guards against connections that close under a body that still arrives after its answer, and against limits that count from its
+/// start.
+#[test]
+fn a_connection_is_not_idle_while_the_rest_of_an_answered_body_arrives() {
+    let mut client = begin_body(serve_early(LONG));
+    thread::sleep(SHORT + SWEEP);
+    client.write_all(b"half").expect("the rest of the body");
+    client.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").expect("another request");
+    assert!(read_answer(&mut client));
+    assert!(is_closed(&mut client));
+}
+
+/// Guards against connections that stay open for a body whose caller has failed.
+#[test]
+fn an_answered_body_that_does_not_end_closes_its_connection() {
+    let mut client = begin_body(serve_early(SHORT));
+    assert!(is_closed(&mut client));
+}
+
+#[test]
+fn an_answered_body_that_is_too_long_closes_its_connection() {
+    let mut client = TcpStream::connect(serve_early(LONG)).expect("a connection");
+    client.set_read_timeout(Some(CLOSE_WAIT)).expect("a timeout");
+    let head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100000000\r\n\r\n";
+    client.write_all(head).expect("a head");
+    assert!(read_answer(&mut client));
+    while client.write_all(PIECE).is_ok() {}
+}
--- a/crates/samphiredoor/src/keyed.rs
+++ b/crates/samphiredoor/src/keyed.rs
@@ -135,7 +135,7 @@
             handle.ended(KeyOutcome::Answered(saved));
             Body::Full(content)
         }
-        Body::Stream(_) | Body::ReadAhead(_) => {
+        Body::Stream(_) | Body::ReadAhead(_) | Body::Early(_) => {
             record_stream(body, parts.extensions.get().cloned(), saved, handle)
         }
     };
--- a/crates/samphiredoor/tests/it/platform/configuration_changes.rs
+++ b/crates/samphiredoor/tests/it/platform/configuration_changes.rs
@@ -240,6 +240,22 @@
     assert!(reply.is_complete && reply.status == 401, "{reply:?}");
 }
 
+// The answer is known from the head, and a caller whose body takes long must not wait for it. Its connection stays usable.
+#[test]
+fn a_request_that_is_refused_by_its_head_gets_its_answer_before_the_rest_of_its_body() {
+    let (platform, _target) = start(FAST);
+    put_after(&platform);
+    let mut caller = connect(&platform);
+    let headers = [("X-Request-Id", "id-1"), ("Content-Length", "8")];
+    caller.send_head("POST", "/removed/run", &headers).expect("a new connection");
+    caller.send_part("half").expect("an open connection");
+    let reply = caller.receive(Duration::from_secs(5)).0;
+    assert!(reply.is_complete && reply.status == 404, "{reply:?}");
+    caller.send_part("half").expect("an open connection");
+    send(&mut caller, "/stays/run", "id-2").expect("an open connection");
+    assert!(is_whole_stream(&caller.receive(ANSWER_TIMEOUT).0));
+}
+
 /// Sends a request whose body takes some time, and reads its answer.
 fn send_long_body(caller: &mut Connection, path: &str) -> Reply {
     let part = "x".repeat(64 * 1024);
