Silences: a silent target is not left for one that refuses connections

What callers saw: a stream that may be resumed was cut after 1.1 of its 3 seconds, although its target was sound and only silent. Its gateway left the silent target for a slot at one that had crashed a moment before and was still listed; then it tried the crashed targets of the service seven times within three milliseconds, which used up the sends of a request.

Cause: a free slot in the table of targets was taken for a target that takes the request over. The silent one was given up, and its connection closed, before the other one had accepted any.

Change: before a silent target is left, a connection to the held target is probed. If it is not accepted, the slot is given back as unreachable, and the request stays, as if there were no other target. Online requests and items of jobs go by the same check.

--- a/crates/samphiredoor-gateway/src/silence.rs
+++ b/crates/samphiredoor-gateway/src/silence.rs
@@ -9,16 +9,19 @@
 use futures_util::future::{Either, select};
 use samphiredoor_core::{
     dispatch::RequestId,
-    placement::{RequestSpec, SilenceReport, SilentAttempt, SlotUse},
+    placement::{AttemptEnd, RequestSpec, SilenceReport, SilentAttempt, SlotUse},
     silence::{
         CHECK_INTERVAL_MS, FailedProbes, GoneSign, Listing, NextRun, OtherTarget, Signs, Verdict,
         verdict,
     },
 };
-use samphiredoor_net::pool::within_or_ready;
+use samphiredoor_net::{
+    pool::within_or_ready,
+    probe::{ProbeResult, probe},
+};
 
 use crate::{
-    placement::{HeldSlot, PlacementHandle},
+    placement::{Decision, HeldSlot, PlacementHandle},
     target_probes::TargetProbes,
 };
 
@@ -131,6 +134,10 @@
         if next_run == NextRun::RunsOnce {
             return (Verdict::Wait, None);
         }
+        let held = match held {
+            Some(held) => accepting(held).await,
+            None => None,
+        };
         let held_at = if held.is_some() { OtherTarget::FreeSlot } else { OtherTarget::None };
         let failed_probes = match held_at {
             OtherTarget::FreeSlot => FailedProbes::default(),
@@ -140,3 +147,16 @@
         (verdict(held_at, signs), held)
     }
 }
+
+/// The held slot if its target accepts connections, so that a silent target, which may go on, is not left for one that has
+/// crashed; otherwise gives the slot back.
+async fn accepting(mut held: HeldSlot) -> Option<HeldSlot> {
+    let Decision::Dispatch { address, .. } = held.decision else { return None };
+    match probe(address).await {
+        ProbeResult::Accepted => Some(held),
+        ProbeResult::Refused | ProbeResult::Unanswered => {
+            held.ticket.report_end(AttemptEnd::Unreachable);
+            None
+        }
+    }
+}
--- a/crates/samphiredoor/tests/it/platform/silent_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/silent_targets.rs
@@ -135,6 +135,28 @@
     a_stream_leaves_a_silent_target_for_a_free_one_after_its_last_event: "/stream-resumable/a", Some(EVENTS);
 }
 
+macro_rules! stays {
+    ($($name:ident: $path:expr, $after:expr;)*) => {
+        $(
+            // Guards against an answer that leaves a silent target for one that refuses connections, and is cut then.
+            #[test]
+            fn $name() {
+                let (platform, [near, far]) = near_and_far(3);
+                far.crash();
+                near.fail_next(1, pause($after, SILENCE_MS));
+                let answer = platform.send(0, $path, "id-1", "");
+                assert_eq!((answer.status, answer.text), (200, whole_stream()));
+                assert_eq!(near.runs().len(), 1);
+            }
+        )*
+    };
+}
+
+stays! {
+    a_stream_stays_at_a_silent_target_while_the_other_one_refuses_connections: "/stream-resumable/a", Some(3);
+    a_repeatable_request_stays_at_a_silent_target_while_the_other_one_refuses_connections: "/safe/a", None;
+}
+
 /// Registers a listener as the nearest target.
 fn register(platform: &Platform, listener: &TcpListener) {
     let address = listener.local_addr().expect("an address");
