Trials: an attempt that was left gives its trial back

If the caller left in the middle of such an attempt, or its item's task was dropped, nobody gave the trial back, and the others waited for the next, longer pause although nothing had spoken against the content.

Cause: a granted trial was a list of suspects. Each place that saw the end of an attempt had to give it back, and front/online.rs and jobs/item_run.rs decided by different rules: a trial that failed with 500 or ran into its deadline was spent online, while a preempted item gave it back. A dropped future gave back nothing.

Change: a trial is a permit (`Trial`, peers/sent_run.rs) that is given back on drop. `SentRun` is the attempt that holds it; `SentRun::ended` alone decides, for requests and items, what an end means: - a whole answer with success of one run concludes the trial; - a lost connection counts if the target refuses connections, by the same probe that reports the crash; if it still accepts them, the trial is given back; - a target that falls silent counts, as before; - a refusal, or a failure, gives it back; the time it ran is told first; - a deadline, a preemption or a dropped run is an attempt that was left: the target is probed 100 ms later, so that a request that crashes its target while its caller leaves does not get the trial for nothing. A reply to a request that is gone needs no case of its own: the permit is dropped with it. `_trials{reason}` also counts `counted` and `answered`.

--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -95,13 +95,13 @@
         let mut active = self.active.take()?;
         active.ticket.report_end(AttemptEnd::Answered);
         self.note_whole(&active);
-        self.finish();
         let rest = active.stream.take_rest();
+        self.request.note_answer(active.run, true);
+        self.finish();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
     fn finish(&self) {
-        self.request.note_answered();
         let metrics = &self.request.front.metrics;
         metrics.answer_completed(self.request.started.elapsed());
         metrics.stage(Stage::Rest, self.started.elapsed());
@@ -129,20 +129,21 @@
         label: &'static str,
     ) -> Result<Option<ActiveStream>, BoxError> {
         let Loss { end, cause, held } = loss;
-        let Some(mut active) = self.active.take() else { return Ok(None) };
-        active.ticket.report_end(end);
-        self.request.note_lost(end, active.lost_run());
-        let framing = active.stream.framing();
+        let Some(active) = self.active.take() else { return Ok(None) };
+        let ActiveStream { stream, mut ticket, target, run, .. } = active;
+        ticket.report_end(end);
+        self.request.note_run_end(run, end);
+        let framing = stream.framing();
         self.request.front.metrics.stream_ended(framing, label);
         log::info!(
-            request = self.request.id, target = &*active.target, after = self.last_event.unwrap_or(0),
+            request = self.request.id, target = &*target, after = self.last_event.unwrap_or(0),
             reason = cause.label(), framing = framing.label(), end = label,
-            unfinished_bytes = active.stream.unfinished_bytes();
+            unfinished_bytes = stream.unfinished_bytes();
             "front: stream interrupted"
         );
-        self.request.note_silent(end, &active.target, held);
+        self.request.note_silent(end, &target, held);
         // Closes the connection, so that the target stops before another one continues the stream.
-        drop(active);
+        drop(stream);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
         let why = match (resumable, self.last_event) {
             (true, Some(last)) => match self.request.resume(last, cause).await {
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -49,7 +49,7 @@
     event_stream::EventStream,
     events::is_event_stream,
     metrics::Stage,
-    peers::{Clearance, Hex, LostRun, OverLimit, RunPermit, Suspects},
+    peers::{Hex, OverLimit, RunEnd, RunPermit, SentRun, Trial},
     placement::{Decision, HeldSlot, Ticket},
     target_client::set_target_headers,
 };
@@ -147,17 +147,8 @@
     pub(super) ticket: Ticket,
     pub(super) target: Name,
     pub(super) address: SocketAddr,
-    /// When the request was sent to the target.
-    pub(super) sent: Instant,
-    /// When its first event arrived.
-    pub(super) began: Instant,
-}
-
-impl ActiveStream {
-    /// The run that makes the stream, once its connection is lost.
-    pub(super) fn lost_run(&self) -> LostRun {
-        LostRun { target: self.address, sent_at: self.sent, began_at: Some(self.began) }
-    }
+    /// The run that makes the stream.
+    pub(super) run: SentRun,
 }
 
 /// Result of sending a request to one target after another.
@@ -289,10 +280,6 @@
             Outcome::Whole(mut parts, body) => {
                 strip_hop_by_hop_headers(&mut parts.headers);
                 parts.headers.remove(header::CONTENT_LENGTH);
-                // A target may fail a request that it does not run, so a failure proves nothing of the request.
-                if parts.status.is_success() {
-                    self.note_answered();
-                }
                 self.log_end("answered", parts.status.as_u16());
                 self.front.metrics.answer_completed(self.started.elapsed());
                 Response::from_parts(*parts, Body::full(body))
@@ -427,9 +414,8 @@
             };
             // It may have been quarantined while it waited.
             let trial = match self.clearance().await {
-                Clearance::Sound => Suspects::new(),
-                Clearance::Trial(suspects) => suspects,
-                Clearance::Quarantined(suspect) => return self.refuse_quarantined(suspect),
+                Ok(trial) => trial,
+                Err(suspect) => return self.refuse_quarantined(suspect),
             };
             self.sends += 1;
             self.note_run(true);
@@ -437,6 +423,7 @@
             let remaining = self.remaining();
             set_target_headers(&mut self.call, names, &target, remaining);
             let sent = Instant::now();
+            let run = self.front.crash_reports.sent(address, trial);
             let attempt = Attempt {
                 request: self,
                 target: &target,
@@ -446,10 +433,7 @@
             };
             let outcome = run_attempt(&self.front, names, &self.call, &attempt).await;
             self.stages.first_event += sent.elapsed();
-            if matches!(outcome, AttemptOutcome::NotRun(_)) && !trial.is_empty() {
-                self.front.crash_reports.return_trial(trial);
-            }
-            match self.handle_attempt(outcome, ticket, (target, address, sent), origin) {
+            match self.handle_attempt(outcome, ticket, (target, address, run), origin) {
                 Some(outcome) => return outcome,
                 None => continue,
             }
@@ -473,7 +457,7 @@
         &mut self,
         outcome: AttemptOutcome,
         mut ticket: Ticket,
-        (target, address, sent): (Name, SocketAddr, Instant),
+        (target, address, mut run): (Name, SocketAddr, SentRun),
         origin: StreamOrigin,
     ) -> Option<Outcome> {
         match outcome {
@@ -482,13 +466,15 @@
                 ticket.report_first_event();
                 self.report_load(&target, &parts.headers);
                 self.note_version(&target, origin);
-                let began = Instant::now();
-                let active = ActiveStream { stream, ticket, target, address, sent, began };
+                run.note_event();
+                let active = ActiveStream { stream, ticket, target, address, run };
                 Some(Outcome::Stream(parts, Box::new(active)))
             }
             AttemptOutcome::Whole(parts, body) => {
                 self.runs += 1;
                 ticket.report_end(AttemptEnd::Answered);
+                // A target may fail a request that it does not run, so a failure proves nothing of the request.
+                self.note_answer(run, parts.status.is_success());
                 self.report_load(&target, &parts.headers);
                 if parts.status.is_server_error() && self.may_run_again() {
                     self.front.metrics.retried("target_failed");
@@ -500,6 +486,7 @@
             }
             AttemptOutcome::NotRun(end) => {
                 ticket.report_end(end);
+                self.note_run_end(run, end);
                 self.note_run(self.runs > 0);
                 self.log_attempt_end(&target, end);
                 self.tried.push(target);
@@ -510,7 +497,7 @@
                 ticket.report_end(end);
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
-                self.note_lost(end, LostRun { target: address, sent_at: sent, began_at: None });
+                self.note_run_end(run, end);
                 self.tried.push(Name::clone(&target));
                 self.note_silent(end, &target, held);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
@@ -593,13 +580,9 @@
     }
 
     /// Whether the request may be sent now that it has a slot.
-    async fn clearance(&self) -> Clearance {
+    async fn clearance(&self) -> Result<Option<Trial>, Suspect> {
         let reports = &self.front.crash_reports;
-        if reports.has_suspects() {
-            reports.clearance(self.content()).await
-        } else {
-            Clearance::Sound
-        }
+        if reports.has_suspects() { reports.clearance(self.content()).await } else { Ok(None) }
     }
 
     /// Ends the request, which may be sent again when the next trial is due.
@@ -614,10 +597,14 @@
         self.final_outcome(Refusal::Quarantined, retry_after_ms)
     }
 
-    /// Notes that the request got a whole answer with success. One that several runs make up proves nothing: the others may
-    /// have crashed their targets.
-    pub(super) fn note_answered(&self) {
-        if !self.is_resumed && self.front.crash_reports.answered(self.content()) {
+    /// Notes the end of a run with a whole answer. One with success to which several runs have contributed proves nothing of
+    /// the request: the others may have crashed their targets.
+    pub(super) fn note_answer(&self, run: SentRun, is_success: bool) {
+        if !is_success || self.is_resumed {
+            return self.note_run_end(run, AttemptEnd::Answered);
+        }
+        run.ended(RunEnd::Sound, || self.content().clone());
+        if self.front.crash_reports.answered(self.content()) {
             log::info!(
                 request = self.id, fingerprint:% = Hex(self.fingerprint());
                 "front: suspected request was answered"
@@ -625,11 +612,9 @@
         }
     }
 
-    /// Notes the end of an attempt that may have crashed its target.
-    pub(super) fn note_lost(&self, end: AttemptEnd, run: LostRun) {
-        if end == AttemptEnd::Lost {
-            self.front.crash_reports.connection_lost(self.content().clone(), run);
-        }
+    /// Notes the end of a run without a whole answer that shows that the request is sound.
+    pub(super) fn note_run_end(&self, run: SentRun, end: AttemptEnd) {
+        run.ended(RunEnd::Other(end), || self.content().clone());
     }
 
     /// Notes the end of an attempt at a silent target, and the slot that is held for the next one.
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -1,6 +1,6 @@
 //! Output of a batch item: what its runs have received, what of it is saved, and whether its target has answered.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Instant};
+use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use samphiredoor_core::{
     Name,
@@ -29,8 +29,6 @@
     ran_ms: u64,
     /// Whether the item is at a target that has not answered yet: it may have failed there.
     awaits_answer: bool,
-    /// When the first event of the current attempt arrived.
-    began_at: Option<Instant>,
     /// Whether the run ends once the target has answered.
     is_stopping: bool,
     /// Account of the text in the buffer budget; `None` without a budget or text.
@@ -41,10 +39,11 @@
 pub type SharedOutput = Rc<RefCell<Output>>;
 
 impl Output {
-    /// Appends the data of events that have not been received before.
-    pub fn consume(&mut self, stream: &mut EventStream) {
+    /// Appends the data of events that have not been received before. Returns whether any event has arrived.
+    pub fn consume(&mut self, stream: &mut EventStream) -> bool {
+        let mut has_event = false;
         while let Some(event) = stream.next_event() {
-            self.began_at.get_or_insert_with(Instant::now);
+            has_event = true;
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
@@ -52,6 +51,7 @@
             event.append_data(&mut self.text, !self.has_data);
             self.has_data |= event.has_data();
         }
+        has_event
     }
 
     /// Restores the output that was read from the job's log. Without its version it can't be continued, and the item begins
@@ -68,7 +68,6 @@
             saved_event: last_event,
             ran_ms: 0,
             awaits_answer: false,
-            began_at: None,
             is_stopping: false,
             held: None,
         }
@@ -145,12 +144,6 @@
     /// Notes that the item is about to be sent to a target.
     pub fn begin_attempt(&mut self) {
         self.awaits_answer = true;
-        self.began_at = None;
-    }
-
-    /// When the first event of the current attempt arrived, if one did.
-    pub fn began_at(&self) -> Option<Instant> {
-        self.began_at
     }
 
     /// Notes that the target has answered, or did not get the item.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -38,7 +38,7 @@
 use crate::{
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
-    peers::{Clearance, Hex, LostRun, Suspects},
+    peers::{Hex, RunEnd, SentRun},
     placement::{Decision, HeldSlot, Ticket},
     silence::{SilentTarget, WaitEnd},
     target_client,
@@ -127,6 +127,7 @@
     headers: &'a HeaderMap,
     /// When the time that the target was given is up.
     until: Instant,
+    run: SentRun,
     /// Slot at another target for which the item leaves this one. It keeps other items from leaving for the same slot until
     /// the attempt has ended; the next run is placed like any other.
     held: Option<HeldSlot>,
@@ -269,18 +270,16 @@
         }
         // It may have been quarantined while it waited.
         let trial = match self.env.crash_reports.clearance(&content).await {
-            Clearance::Sound => Suspects::new(),
-            Clearance::Trial(suspects) => suspects,
-            Clearance::Quarantined(suspect) => return Outcome::Held(suspect),
+            Ok(trial) => trial,
+            Err(suspect) => return Outcome::Held(suspect),
         };
         if !self.permit.is_valid() {
-            self.return_trial(trial);
             return Outcome::Resume;
         }
         self.begin_or_go_on(&target, origin, goes_on);
         let until = Instant::now() + self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
-        let sent_at = Instant::now();
+        let run = self.env.crash_reports.sent(address, trial);
         self.output.borrow_mut().begin_attempt();
         let mut at = AtTarget {
             target: &target,
@@ -288,6 +287,7 @@
             service,
             headers: &call.headers,
             until,
+            run,
             held: None,
         };
         let sent = self.send(&mut ticket, &mut at, call).await;
@@ -320,17 +320,16 @@
                 "item: attempt ended"
             );
         }
-        if end == AttemptEnd::Lost {
-            let began_at = self.output.borrow().began_at();
-            let run = LostRun { target: address, sent_at, began_at };
-            self.env.crash_reports.connection_lost(content, run);
-        } else if before.is_none()
-            && matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }))
-        {
-            // A text that several runs make up proves nothing: the others may have crashed their targets.
+        // A text that several runs make up proves nothing: the others may have crashed their targets.
+        let is_completed = matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }));
+        let run_end = match before.is_none() && is_completed {
+            true => RunEnd::Sound,
+            false => RunEnd::Other(end),
+        };
+        if run_end == RunEnd::Sound {
             self.env.crash_reports.answered(&content);
         }
-        self.end_trial(trial, end);
+        at.run.ended(run_end, || content);
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
@@ -352,34 +351,6 @@
         }
     }
 
-    /// Notes what a trial has shown, if the attempt was one.
-    fn end_trial(&self, trial: Suspects, end: AttemptEnd) {
-        if trial.is_empty() {
-            return;
-        }
-        match end {
-            AttemptEnd::Refused | AttemptEnd::WrongTarget | AttemptEnd::Unreachable => {
-                self.return_trial(trial);
-            }
-            AttemptEnd::Answered | AttemptEnd::Cut => {
-                let began_at = self.output.borrow().began_at();
-                let ran_ms = began_at.map_or(0, |it| it.elapsed().as_millis() as u32);
-                self.env.crash_reports.survived(&trial, ran_ms);
-                if end == AttemptEnd::Cut {
-                    self.return_trial(trial);
-                }
-            }
-            AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Gone => {}
-        }
-    }
-
-    /// Gives a trial back that no target has run, if the attempt was one.
-    fn return_trial(&self, suspects: Suspects) {
-        if !suspects.is_empty() {
-            self.env.crash_reports.return_trial(suspects);
-        }
-    }
-
     fn log_held(&self, suspect: Suspect) {
         log::info!(
             job = &*self.job, item = &*self.item.id, kind = suspect.kind.label(),
@@ -550,7 +521,9 @@
                 Some(Err(end)) => return (Outcome::ResponseLost, end),
                 Some(Ok(Received::Data)) => {
                     let mut output = self.output.borrow_mut();
-                    output.consume(&mut stream);
+                    if output.consume(&mut stream) {
+                        at.run.note_event();
+                    }
                     output.count(self.env.buffers.as_ref());
                 }
                 Some(Ok(Received::End(end))) => {
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -27,6 +27,7 @@
     crash_messages::{CrashNews, Suspects, TrialAnswer, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
+    sent_run::{ReturnedTrial, SentRun, Trial},
     trials::TrialRequests,
 };
 use crate::metrics::Metrics;
@@ -44,7 +45,7 @@
 /// Time for which a gateway whose trial was denied asks for no other one, if it is told of no later time.
 const DENIED_PAUSE_MS: u64 = 200;
 
-enum Message {
+pub(super) enum Message {
     News(CrashNews),
     /// News of this process, which go to all coordinators.
     Own(CrashNews),
@@ -53,25 +54,21 @@
     /// A request of this process asks whether it may be sent as a trial.
     Ask {
         suspects: Suspects,
-        reply: flume::Sender<bool>,
+        reply: flume::Sender<Option<Trial>>,
+    },
+    /// A granted trial of this process is given back.
+    Return(ReturnedTrial),
+    /// The caller or the task of a trial of this process has left in the middle of its attempt.
+    Left {
+        trial: Trial,
+        target: SocketAddr,
+        /// Time from its first event.
+        ran_ms: u32,
     },
-    /// A granted trial of this process was not run.
-    Return(Suspects),
     Question(TrialQuestion, SocketAddr),
     Answer(TrialAnswer),
 }
 
-/// Whether a request may be sent to a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Clearance {
-    /// Nothing of it is quarantined.
-    Sound,
-    /// These suspects are quarantined, and it is the trial of them.
-    Trial(Suspects),
-    /// It must not be sent: this is quarantined, and another request is the trial of it.
-    Quarantined(Suspect),
-}
-
 /// What was lately in whole answers. Different requests are many, and must not drive out the parts that they share.
 #[derive(Default)]
 struct Answered {
@@ -97,7 +94,7 @@
 
 /// A run of a request whose connection was lost.
 #[derive(Debug, Clone, Copy)]
-pub struct LostRun {
+pub(super) struct LostRun {
     /// Address of the target.
     pub target: SocketAddr,
     /// When the request was sent to it.
@@ -185,43 +182,50 @@
     }
 
     /// Decides whether a request that has a slot may be sent. Asks a coordinator if it could be a trial of what is quarantined.
-    pub async fn clearance(&self, content: &Content) -> Clearance {
+    /// Returns that trial, if it is one.
+    ///
+    /// # Errors
+    ///
+    /// It must not be sent: this is quarantined, and another request is the trial of it.
+    pub async fn clearance(&self, content: &Content) -> Result<Option<Trial>, Suspect> {
         if !self.has_suspects() {
-            return Clearance::Sound;
+            return Ok(None);
         }
         let suspects: Suspects = {
             let (known, now_ms) = (self.known.borrow(), self.now_ms());
             content.suspects().filter(|it| known.is_quarantined(now_ms, *it)).collect()
         };
-        let Some(first) = suspects.first().copied() else { return Clearance::Sound };
+        let Some(first) = suspects.first().copied() else { return Ok(None) };
         if let Some(held) = self.quarantined(content) {
-            return Clearance::Quarantined(held);
+            return Err(held);
         }
         let (reply, granted) = flume::bounded(1);
         self.send(Message::Ask { suspects: suspects.clone(), reply });
-        let is_granted = granted.recv_async().await.unwrap_or(false);
-        self.metrics.trial(if is_granted { "granted" } else { "denied" });
-        match is_granted {
-            true => Clearance::Trial(suspects),
-            false => {
-                let mut known = self.known.borrow_mut();
-                known.defer_trial(self.now_ms(), &suspects, DENIED_PAUSE_MS);
-                Clearance::Quarantined(first)
-            }
+        let trial = granted.recv_async().await.ok().flatten();
+        self.count_trial(if trial.is_some() { "granted" } else { "denied" });
+        if trial.is_none() {
+            let mut known = self.known.borrow_mut();
+            known.defer_trial(self.now_ms(), &suspects, DENIED_PAUSE_MS);
+            return Err(first);
         }
+        Ok(trial)
+    }
+
+    /// Notes that a request or an item is sent to a target now, and the trial that it is.
+    pub fn sent(&self, target: SocketAddr, trial: Option<Trial>) -> SentRun {
+        SentRun::new(self.clone(), target, trial)
     }
 
     /// Notes how long a trial that was not answered in full has run without a crash.
-    pub fn survived(&self, trial: &Suspects, ran_ms: u32) {
+    pub(super) fn survived(&self, trial: &Suspects, ran_ms: u32) {
         if ran_ms > 0 {
             self.send(Message::Own(CrashNews::Survived(trial.clone(), ran_ms)));
         }
     }
 
-    /// Gives a granted trial back that no target has run, or that was preempted.
-    pub fn return_trial(&self, suspects: Suspects) {
-        self.metrics.trial("returned");
-        self.send(Message::Return(suspects));
+    /// Counts what became of a trial.
+    pub(super) fn count_trial(&self, outcome: &'static str) {
+        self.metrics.trial(outcome);
     }
 
     /// Time until a trial of a quarantined suspect may be granted.
@@ -245,14 +249,15 @@
         is_any
     }
 
-    /// Reports a request whose connection was lost, if its target has crashed. A target that was only cut off does not refuse
-    /// connections.
-    pub fn connection_lost(&self, content: Content, run: LostRun) {
+    /// Reports a request whose connection was lost, if its target has crashed, which counts for the trial that it may be. A
+    /// target that was only cut off does not refuse connections.
+    pub(super) fn connection_lost(&self, content: Content, run: LostRun, trial: Option<Trial>) {
         let (handle, lost_at, ran_ms) = (self.clone(), Instant::now(), run.ran_ms());
         compio::runtime::spawn(async move {
             if !refuses_connections(run.target).await {
                 return;
             }
+            trial.into_iter().for_each(Trial::count);
             handle.metrics.target_crashed();
             let first_part = content.parts.first().copied();
             let (content, was_answered) = handle.without_answered(content);
@@ -326,7 +331,7 @@
     }
 
     // The task runs until the process ends, so the channel is never closed.
-    fn send(&self, message: Message) {
+    pub(super) fn send(&self, message: Message) {
         let _ = self.messages.send(message);
     }
 }
@@ -356,7 +361,10 @@
                 Some(Ok(Message::Ask { suspects, reply })) => {
                     self.trials.ask(suspects, reply).await
                 }
-                Some(Ok(Message::Return(suspects))) => self.trials.give_back(suspects).await,
+                Some(Ok(Message::Return(trial))) => self.trials.give_back(trial).await,
+                Some(Ok(Message::Left { trial, target, ran_ms })) => {
+                    compio::runtime::spawn(trial.end_left(target, ran_ms)).detach();
+                }
                 Some(Ok(Message::Question(question, from))) => {
                     self.trials.answer(question, from).await;
                 }
@@ -576,6 +584,6 @@
     }
 }
 
-fn elapsed_ms(since: Instant) -> u32 {
+pub(super) fn elapsed_ms(since: Instant) -> u32 {
     u32::try_from(since.elapsed().as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -22,6 +22,7 @@
     crash_messages::{Suspects, TrialAnswer, TrialPurpose, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
+    sent_run::{ReturnedTrial, Trial},
 };
 
 /// Time for an answer: a coordinator in another region is 24 ms away.
@@ -32,7 +33,7 @@
     /// The quarantined suspects of the request.
     suspects: Suspects,
     /// Gets whether the request may be sent.
-    reply: flume::Sender<bool>,
+    reply: flume::Sender<Option<Trial>>,
     /// Hashes of the coordinators that have not been asked.
     left: VecDeque<u64>,
     /// Whether a coordinator was asked. If none of them knows of the quarantine, it may have ended without this process being
@@ -85,7 +86,7 @@
     }
 
     /// Asks the first coordinator of the service whether a request may be sent as a trial.
-    pub async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<bool>) {
+    pub async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<Option<Trial>>) {
         let service = suspects.first().map_or(0, |it| it.service);
         let left = self.roster.coordinators(service).chosen.iter().copied().collect();
         let (was_asked, until) = (false, Instant::now());
@@ -112,15 +113,28 @@
             return send_to_all(&self.socket, bytes, vec![address]).await;
         }
         let (outcome, verdicts) = self.grant(&trial.suspects);
-        // What is not quarantined any more needs no trial.
-        let is_granted = outcome != TrialOutcome::Denied;
-        if trial.reply.send(is_granted).is_err() && is_granted {
-            self.reports.known.borrow_mut().return_trial(self.reports.now_ms(), &trial.suspects);
-        } else if tells {
+        self.decide(trial, outcome, tells);
+        if tells {
             self.tell_granted(verdicts).await;
         }
     }
 
+    /// Tells a request of this process what was decided. The trial is given back if the request is gone.
+    fn decide(
+        &self,
+        PendingTrial { suspects, reply, .. }: PendingTrial,
+        outcome: TrialOutcome,
+        is_told: bool,
+    ) {
+        let reports = self.reports.clone();
+        let _ = reply.send(match outcome {
+            TrialOutcome::Denied => None,
+            TrialOutcome::Granted => Some(Trial::granted(reports, suspects, is_told)),
+            // What is not quarantined any more needs no trial.
+            TrialOutcome::Unknown => Some(Trial::not_needed(reports)),
+        });
+    }
+
     /// Answers the question of another gateway as a coordinator.
     pub async fn answer(&mut self, question: TrialQuestion, from: SocketAddr) {
         match question.purpose {
@@ -141,12 +155,7 @@
         let Some(trial) = self.pending.remove(&answer.id) else { return };
         match answer.outcome {
             TrialOutcome::Unknown => self.ask_next(trial).await,
-            outcome => {
-                let is_granted = outcome == TrialOutcome::Granted;
-                if trial.reply.send(is_granted).is_err() && is_granted {
-                    self.give_back(trial.suspects).await;
-                }
-            }
+            outcome => self.decide(trial, outcome, true),
         }
     }
 
@@ -167,8 +176,13 @@
         }
     }
 
-    /// Gives a trial back to the first coordinator of the service.
-    pub async fn give_back(&mut self, suspects: Suspects) {
+    /// Gives a trial back to the first coordinator of the service, or here if no coordinator knows of the quarantine.
+    pub async fn give_back(&mut self, ReturnedTrial { suspects, is_told }: ReturnedTrial) {
+        if !is_told {
+            let now_ms = self.reports.now_ms();
+            self.reports.known.borrow_mut().return_trial(now_ms, &suspects);
+            return;
+        }
         let service = suspects.first().map_or(0, |it| it.service);
         let first = self.roster.coordinators(service).chosen.first().copied();
         let other = first.filter(|it| *it != self.own_key);
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -20,4 +20,5 @@
 mod software_versions;
 mod stops;
 mod streams;
+mod trials;
 mod workspaces;
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -0,0 +1,188 @@
+//! Trials of quarantined content whose callers or jobs leave before the attempt has shown anything.
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use samphiredoor_standin::{
+    fleet::HOST,
+    platform_target::{PlatformTarget, TargetFault},
+};
+use serde_json::json;
+
+use super::env::{BINARY, Platform, metric, metrics_address};
+use crate::env::wait_until;
+
+const EVENTS: u64 = 20;
+const PAUSE: Duration = Duration::from_millis(50);
+const TARGETS: usize = 12;
+/// Body of the request, and part of prompts, that crash targets.
+const CRASHING: &str = "c0";
+/// Time between requests, so that the crashes count as separate.
+const RESEND_INTERVAL: Duration = Duration::from_millis(300);
+/// Most times that a request is sent again until it is served.
+const MAX_RESENDS: u32 = 60;
+
+/// Two gateways, of which the first has metrics, and targets.
+struct Fleet {
+    platform: Platform,
+    targets: Vec<PlatformTarget>,
+    metrics: SocketAddr,
+    sent: usize,
+}
+
+impl Fleet {
+    fn start() -> Fleet {
+        let mut platform = Platform::new(BINARY);
+        let targets: Vec<PlatformTarget> = (0..TARGETS)
+            .map(|it| PlatformTarget::start(&format!("t-{it}"), EVENTS, PAUSE).expect("a target"))
+            .collect();
+        targets.iter().for_each(|it| platform.register(it, "ready"));
+        let metrics = metrics_address();
+        platform.more_settings = format!("metrics.address = \"{metrics}\"");
+        platform.start_gateway();
+        platform.more_settings = String::new();
+        platform.start_gateway();
+        for (by, of) in [(0, 1), (1, 0)] {
+            platform.wait_logged(by, &format!("peers: peer is live peer=gateway-{of} "));
+        }
+        Fleet { platform, targets, metrics, sent: 0 }
+    }
+
+    /// Sets what becomes of requests with the body and of those with the part.
+    fn set_fault(&self, fault: TargetFault) {
+        for target in &self.targets {
+            target.fail_always(CRASHING, fault);
+            target.fail_part(CRASHING, fault);
+        }
+    }
+
+    /// Sends requests that crash targets until their content is quarantined at both gateways, and lets them crash no more.
+    fn quarantine(&mut self, body: Option<&str>) {
+        self.set_fault(TargetFault::Crashes);
+        let is_known =
+            |it: &Fleet| (0..2).all(|at| it.platform.times_logged(at, "crashes: quarantined") > 0);
+        while !is_known(self) {
+            assert!(self.targets.iter().any(|it| !it.has_crashed()), "all targets have crashed");
+            self.send(body);
+            thread::sleep(RESEND_INTERVAL);
+        }
+        self.set_fault(TargetFault::None);
+        self.withdraw_crashed();
+    }
+
+    fn withdraw_crashed(&self) {
+        for crashed in self.targets.iter().filter(|it| it.has_crashed()) {
+            self.platform.store.remove("servers", &crashed.name);
+        }
+    }
+
+    /// Sends this body, or another one each time whose prompt has the part; returns the status of the answer.
+    fn send(&mut self, body: Option<&str>) -> u16 {
+        self.sent += 1;
+        let own = format!("own-{}", self.sent);
+        let prompt = prompt(&own);
+        let part = [("x-prompt-prefix", &*prompt)];
+        let headers = if body.is_some() { &[] } else { &part[..] };
+        self.platform.send_with(0, "/stream/check", &own, headers, body.unwrap_or(&own)).status
+    }
+
+    /// Sends the request that was quarantined until it runs as a trial; returns its connection.
+    fn begin_trial(&mut self) -> TcpStream {
+        for _ in 0..MAX_RESENDS {
+            let caller = self.send_unread();
+            thread::sleep(RESEND_INTERVAL);
+            if self.running().is_some() {
+                return caller;
+            }
+        }
+        panic!("no trial runs");
+    }
+
+    /// Sends a request as [`Fleet::send`] does until it is served.
+    fn wait_served(&mut self, body: Option<&str>) {
+        for _ in 0..MAX_RESENDS {
+            if self.send(body) == 200 {
+                return;
+            }
+            thread::sleep(RESEND_INTERVAL);
+        }
+        panic!("not served");
+    }
+
+    fn send_unread(&mut self) -> TcpStream {
+        self.sent += 1;
+        let mut caller = TcpStream::connect(self.platform.callers(0)).expect("a connection");
+        let length = CRASHING.len();
+        write!(
+            caller,
+            "POST /stream/check HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: id-{}\r\n\
+             Content-Length: {length}\r\n\r\n{CRASHING}",
+            self.sent
+        )
+        .expect("it is sent");
+        caller
+    }
+
+    /// The target that runs something.
+    fn running(&self) -> Option<&PlatformTarget> {
+        self.targets.iter().find(|it| it.running() > 0)
+    }
+
+    /// Number of trials of which the first gateway has noted this.
+    fn trials(&self, reason: &str) -> u64 {
+        metric(self.metrics, &format!("trials_total{{reason=\"{reason}\"}}")).unwrap_or(0)
+    }
+}
+
+/// Prompt with the part that crashes targets, between parts of its own.
+fn prompt(own: &str) -> String {
+    format!("a-{own}:100,{CRASHING}:100,z-{own}:100")
+}
+
+// Guards against a trial that is spent although its caller has left before its end.
+#[test]
+fn a_trial_whose_caller_leaves_is_given_back() {
+    let mut fleet = Fleet::start();
+    fleet.quarantine(Some(CRASHING));
+    let caller = fleet.begin_trial();
+    drop(caller);
+    wait_until("the trial is given back", || fleet.trials("returned") == 1);
+    fleet.wait_served(Some(CRASHING));
+}
+
+// Guards against a trial that is spent although the task of its item was dropped before its end.
+#[test]
+fn a_trial_whose_job_is_cancelled_is_given_back() {
+    let mut fleet = Fleet::start();
+    fleet.quarantine(None);
+    let item = json!({
+        "id": "item-1", "path": "/batch/item", "body": STANDARD.encode("item-1"), "tokenCount": 10,
+        "headers": { "X-Model": "m", "X-Prompt-Prefix": prompt("item") },
+    });
+    let body = json!({ "items": [item] }).to_string();
+    assert_eq!(fleet.platform.send(0, "/batch/submit", "job-1", &body).status, 202);
+    wait_until("the trial has output", || fleet.running().is_some());
+    wait_until("it is cancelled", || fleet.platform.cancel(0, "job-1").status == 200);
+    wait_until("the trial is given back", || fleet.trials("returned") == 1);
+    fleet.wait_served(None);
+}
+
+// Guards against trials that cost nothing as each caller leaves when the request crashes its target.
+#[test]
+fn a_trial_whose_target_crashes_as_its_caller_leaves_counts() {
+    let mut fleet = Fleet::start();
+    fleet.quarantine(Some(CRASHING));
+    let caller = fleet.begin_trial();
+    // The gateway sees both at once.
+    fleet.platform.signal(0, "STOP");
+    drop(caller);
+    fleet.running().expect("a target runs the trial").crash();
+    fleet.platform.signal(0, "CONT");
+    wait_until("the trial counts", || fleet.trials("counted") == 1);
+    assert_eq!(fleet.trials("returned"), 0);
+}
