--- a/crates/samphiredoor/tests/it/platform/slow_link.rs
+++ b/crates/samphiredoor/tests/it/platform/slow_link.rs
@@ -60,6 +60,18 @@
 /// Targets of which a list has two pages.
 const TWO_PAGES: usize = 600;
 
+/// Starts gateways that share a link to the store.
+fn gateways_behind_link(gateways: usize, bytes_per_s: u64) -> (Platform, SharedBandwidth) {
+    let mut platform = Platform::new(BINARY);
+    platform.linked = true;
+    let link = SharedBandwidth::new(bytes_per_s);
+    platform.store_bandwidth = Some(link.clone());
+    for _ in 0..gateways {
+        platform.spawn_gateway();
+    }
+    (platform, link)
+}
+
 fn put_target(platform: &Platform, number: usize) {
     put_target_of(platform, "reader", &format!("target-{number:05}"));
 }
@@ -360,13 +372,7 @@
 // Guards against gateways that each ask for all changes of targets, whose answers then begin later than their time limit.
 #[test]
 fn new_routes_arrive_while_all_targets_register() {
-    let mut platform = Platform::new(BINARY);
-    platform.linked = true;
-    let link = SharedBandwidth::new(FLEET_LINK_BYTES_PER_S);
-    platform.store_bandwidth = Some(link.clone());
-    for _ in 0..FLEET {
-        platform.spawn_gateway();
-    }
+    let (platform, link) = gateways_behind_link(FLEET, FLEET_LINK_BYTES_PER_S);
     for number in 0..STARTING_TARGETS {
         put_target(&platform, number);
         std::thread::sleep(REGISTRATION_INTERVAL);
@@ -404,13 +410,7 @@
 // Guards against a whole cell that asks the store for the same changes because its watch relay is late for a moment.
 #[test]
 fn few_gateways_of_a_cell_ask_the_store_while_its_watch_relay_is_frozen() {
-    let mut platform = Platform::new(BINARY);
-    platform.linked = true;
-    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
-    platform.store_bandwidth = Some(link.clone());
-    for _ in 0..FEW_OF_MANY {
-        platform.spawn_gateway();
-    }
+    let (platform, link) = gateways_behind_link(FEW_OF_MANY, LINK_BYTES_PER_S);
     let relays = [0, FIRST_OF_SECOND_CELL];
     let others: Vec<usize> = (0..FEW_OF_MANY).filter(|it| !relays.contains(it)).collect();
     for number in &others {
@@ -434,13 +434,7 @@
 // Guards against gateways behind a narrow link that each read the entries of all others from the store.
 #[test]
 fn entries_of_many_gateways_come_through_one_that_has_read_them() {
-    let mut platform = Platform::new(BINARY);
-    platform.linked = true;
-    let link = SharedBandwidth::new(LINK_BYTES_PER_S);
-    platform.store_bandwidth = Some(link.clone());
-    for _ in 0..FEW_OF_MANY {
-        platform.spawn_gateway();
-    }
+    let (platform, link) = gateways_behind_link(FEW_OF_MANY, LINK_BYTES_PER_S);
     put_far_gateways(&platform);
     for number in 0..FEW_OF_MANY {
         platform.wait_logged(number, &format!("peers: cells computed cells={CELLS} "));
