Logs: with which Last-Event-Id a run was asked, and who wrote a saved text

- item: attempt ended has asked_after, also for a run that completes an item from a saved text.
- front: stream resumed has asked_after of the run, beside the event the caller asked for.
- Segments of a job's log name the process that wrote them. item: output restored names it when an owner goes on with a saved text, and job: items started how many saved parts fitted no text (ignored_outputs).

--- a/crates/samphiredoor-core/src/ordered/codec.rs
+++ b/crates/samphiredoor-core/src/ordered/codec.rs
@@ -167,6 +167,8 @@
     outputs: Vec<OutputPart>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     failures: Vec<ItemFailure>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    writer: Option<JobOwner>,
 }
 
 /// Content of one segment of a job's log.
@@ -178,6 +180,8 @@
     pub outputs: Vec<OutputPart>,
     /// Failures of items at targets since the segment before of the same writer.
     pub failures: Vec<ItemFailure>,
+    /// Process that wrote it; `None` in segments of builds that did not name it.
+    pub writer: Option<JobOwner>,
 }
 
 /// Encodes a segment as a stored value.
@@ -188,8 +192,13 @@
         completed: it.outcome == Outcome::Completed,
         text: Arc::clone(&it.text),
     });
-    let (outputs, failures) = (segment.outputs.clone(), segment.failures.clone());
-    to_value(&StoredSegment { format: FORMAT, results: results.collect(), outputs, failures })
+    to_value(&StoredSegment {
+        format: FORMAT,
+        results: results.collect(),
+        outputs: segment.outputs.clone(),
+        failures: segment.failures.clone(),
+        writer: segment.writer.clone(),
+    })
 }
 
 /// Decodes a segment.
@@ -205,6 +214,10 @@
         outcome: if it.completed { Outcome::Completed } else { Outcome::Failed },
         text: it.text,
     });
-    let (outputs, failures) = (segment.outputs, segment.failures);
-    Ok(Segment { results: results.collect(), outputs, failures })
+    Ok(Segment {
+        results: results.collect(),
+        outputs: segment.outputs,
+        failures: segment.failures,
+        writer: segment.writer,
+    })
 }
--- a/crates/samphiredoor-core/src/ordered/log.rs
+++ b/crates/samphiredoor-core/src/ordered/log.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    codec::{self, Segment},
+    codec::{self, JobOwner, Segment},
     failures::{Failures, ItemFailure},
     job::{ItemResult, JobName, segment_key},
     outputs::{OUTPUT_BYTES, OutputPart, PartialOutput, PartialOutputs},
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ResultLog {
     job: JobName,
+    /// This process, which is named in the segments that it writes.
+    writer: Option<JobOwner>,
     committed: Vec<ItemResult>,
     /// Items that have a committed result.
     committed_items: BTreeSet<u32>,
@@ -62,6 +64,7 @@
     pub fn new(job: JobName) -> ResultLog {
         ResultLog {
             job,
+            writer: None,
             committed: Vec::new(),
             committed_items: BTreeSet::new(),
             pending: Vec::new(),
@@ -80,6 +83,11 @@
         ResultLog { next: Next::Read, ..ResultLog::new(job) }
     }
 
+    /// Names the process that writes in its segments.
+    pub fn with_writer(self, writer: JobOwner) -> ResultLog {
+        ResultLog { writer: Some(writer), ..self }
+    }
+
     /// Committed results, in the order of their positions.
     pub fn committed(&self) -> &[ItemResult] {
         &self.committed
@@ -150,6 +158,11 @@
         self.partial_outputs.take()
     }
 
+    /// Number of parts of outputs, as read from segments, that continue no output.
+    pub fn ignored_outputs(&self) -> u32 {
+        self.partial_outputs.ignored()
+    }
+
     /// Whether a segment that this log did not write has been read since the last call.
     pub fn take_other_writer_seen(&mut self) -> bool {
         std::mem::take(&mut self.other_writer_seen)
@@ -190,7 +203,7 @@
                 Ok(segment) => {
                     self.other_writer_seen |= segment != self.in_flight;
                     for part in &segment.outputs {
-                        self.partial_outputs.add(part);
+                        self.partial_outputs.add(part, segment.writer.as_ref());
                     }
                     self.commit(segment);
                 }
@@ -226,6 +239,7 @@
             results: self.pending[..results].to_vec(),
             outputs: self.outputs[..outputs].to_vec(),
             failures: self.failures.next_segment(),
+            writer: self.writer.clone(),
         }
     }
 }
--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::codec::JobOwner;
 use crate::Name;
 
 /// Maximum bytes of partial outputs in one segment, in addition to its results.
@@ -43,36 +44,47 @@
     pub text: String,
     /// Software version that wrote it, if that is known.
     pub version: Option<Name>,
+    /// Process that saved the last part, if that is known.
+    pub writer: Option<JobOwner>,
 }
 
 /// Partial outputs that were read from a log, by item.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct PartialOutputs {
     by_item: BTreeMap<u32, PartialOutput>,
+    /// Number of parts that were ignored.
+    ignored: u32,
 }
 
 impl PartialOutputs {
     /// Adds a part that continues the known output. A first part that reaches further replaces it, or one of another version:
     /// the item was begun anew. Others are ignored.
-    pub fn add(&mut self, part: &OutputPart) {
+    pub fn add(&mut self, part: &OutputPart, writer: Option<&JobOwner>) {
         let first = || PartialOutput {
             last: part.last,
             text: part.text.clone(),
             version: part.version.clone(),
+            writer: writer.cloned(),
         };
         match (self.by_item.get_mut(&part.item), part.after) {
             (Some(known), Some(after)) if known.last == after && known.version == part.version => {
                 known.text.push_str(&part.text);
                 known.last = part.last;
+                known.writer = writer.cloned();
             }
             (Some(known), None) if known.last < part.last || known.version != part.version => {
                 *known = first();
             }
             (None, None) => _ = self.by_item.insert(part.item, first()),
-            _ => {}
+            _ => self.ignored += 1,
         }
     }
 
+    /// Number of parts that continue no output.
+    pub fn ignored(&self) -> u32 {
+        self.ignored
+    }
+
     /// Drops the output of an item that has a committed result.
     pub fn remove(&mut self, item: u32) {
         self.by_item.remove(&item);
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -351,6 +351,11 @@
         }
     }
 
+    /// Number of the event after which the targets are asked to go on.
+    pub(super) fn asked_after(&self) -> Option<u64> {
+        header_number(self.call.headers.get(&self.front.dialect.headers().last_event_id))
+    }
+
     fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.attempts
     }
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -139,7 +139,7 @@
             request = self.id, target = &**target, by = resumed_by.label(), version = &*origin.version,
             began_at_version = &*began.version, compared = label,
             resumes = taken_up.and_then(|it| it.first_attempt.as_deref()).unwrap_or_default(),
-            after = taken_up.map_or(0, |it| it.after);
+            after = taken_up.map_or(0, |it| it.after), asked_after = self.asked_after().unwrap_or(0);
             "front: stream resumed"
         );
         self.has_begun = true;
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -313,15 +313,15 @@
         if !was_answered {
             self.env.metrics.item_unanswered(unanswered_label(end));
         }
-        if !matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. })) {
+        let is_completed = matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }));
+        if !is_completed || before.is_some() {
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &*target, end:? = end,
-                after = self.last_event().unwrap_or(0), was_answered;
+                asked_after = before.unwrap_or(0), after = self.last_event().unwrap_or(0), was_answered;
                 "item: attempt ended"
             );
         }
         // A text that several runs make up proves nothing: the others may have crashed their targets.
-        let is_completed = matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }));
         let run_end = match before.is_none() && is_completed {
             true => RunEnd::Sound,
             false => RunEnd::Other(end),
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -10,7 +10,8 @@
 use futures_util::future::join;
 use samphiredoor_core::{
     ordered::{
-        ItemEnd, ItemFailure, ItemResult, ItemStep, JobName, Outcome, header_key, read_header,
+        ItemEnd, ItemFailure, ItemResult, ItemStep, JobName, Outcome, PartialOutput, header_key,
+        read_header,
     },
     store::{StoreAnswer, StoreOp},
 };
@@ -158,6 +159,7 @@
         }
         self.items_started = true;
         for (item, output) in self.log.take_saved_outputs() {
+            self.log_restored(item, &output);
             let restored = self
                 .outputs
                 .entry(item)
@@ -175,7 +177,8 @@
         let open: Vec<u32> = (0..self.items.len()).filter(is_open).collect();
         log::info!(
             job = &*self.ownership.job, open = open.len(), standing = self.log.committed().len(),
-            unwritten = self.log.pending_results(), gap_count = self.owned_at_gap_count;
+            unwritten = self.log.pending_results(), ignored_outputs = self.log.ignored_outputs(),
+            gap_count = self.owned_at_gap_count;
             "job: items started"
         );
         for item in open {
@@ -187,6 +190,20 @@
         }
     }
 
+    /// Logs a saved output with which an item goes on here, and who wrote it.
+    fn log_restored(&self, item: u32, output: &PartialOutput) {
+        let id = self.items.get(item).map_or("", |it| &*it.id);
+        let writer = output.writer.as_ref();
+        self.env.metrics.job_event("output_restored");
+        log::info!(
+            job = &*self.ownership.job, item = id, after = output.last,
+            version = output.version.as_deref().unwrap_or_default(),
+            writer = writer.map_or("", |it| &*it.process),
+            writer_incarnation = writer.map_or(0, |it| it.incarnation);
+            "item: output restored from the log"
+        );
+    }
+
     pub(super) fn start_run(&mut self, number: u32) {
         let Some(item) = self.items.get(number) else { return };
         let output = Rc::clone(self.outputs.entry(number).or_default());
--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -267,7 +267,7 @@
 fn start(env: &Rc<JobEnv>, directory: &Directory, owned: JobOwnership, items: Vec<Item>) {
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.announce_ownership(&owned.job, owned.header.items);
-    let log = ResultLog::unread(JobName::clone(&owned.job));
+    let log = ResultLog::unread(JobName::clone(&owned.job)).with_writer(env.owner());
     let items = Items::new(items, owned.header.attempts).with_former_owner();
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -349,7 +349,7 @@
     let Some((messages, inbox)) = directory.open(&owned.job) else { return };
     env.metrics.job_event("accepted");
     env.announce_ownership(&owned.job, owned.header.items);
-    let log = ResultLog::new(JobName::clone(&owned.job));
+    let log = ResultLog::new(JobName::clone(&owned.job)).with_writer(env.owner());
     let items = Items::new(items, owned.header.attempts);
     let task = JobTask::new(Rc::clone(env), owned, items, log, messages);
     let directory = directory.clone();
