Tests, red: a saved text changes to a run that did not continue it

The writers' events now name the run that made them, and a text that is read back must be one that an owner had. Until now all writers gave the same text, so that a text of two runs looked whole.

--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -1,8 +1,12 @@
 //! Several processes append to the log of one job as its owner, while the store loses answers and calls take effect long
 //! after they timed out. Positions must never change, no item may have two results, and a partial output that is read back
-//! must be a prefix of the item's output.
+//! must be a text that one of the processes had.
 
-use std::collections::BTreeMap;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use proptest::{
     prelude::*,
@@ -20,13 +24,15 @@
 const SEED: [u8; 32] = *b"samphiredoor-ordered-log-writers";
 const WRITERS: usize = 3;
 const ITEMS: u32 = 12;
+/// Items that emit events; few, so that parts of several writers meet.
+const EMITTING_ITEMS: u32 = 2;
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 #[derive(Debug, Clone)]
 enum Step {
     Push(usize, u32),
-    /// The item emits one more event, which is pushed to the log.
-    Output(usize, u32),
+    /// The item emits one or more events, which are pushed to the log.
+    Output(usize, u32, u64),
     /// The item is begun anew at a version.
     BeginAnew(usize, u32, usize),
     Call(usize, CallOutcome),
@@ -35,44 +41,93 @@
     Restart(usize),
 }
 
+/// Runs of items by all writers.
+#[derive(Default)]
+struct Runs {
+    count: u32,
+    /// All texts that a writer has had, by item.
+    texts: BTreeSet<(u32, String)>,
+}
+
+type SharedRuns = Rc<RefCell<Runs>>;
+
+impl Runs {
+    /// Number of a run that begins or goes on with a text.
+    fn begin(&mut self) -> u32 {
+        self.count += 1;
+        self.count
+    }
+}
+
+/// Text of an item at its writer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct ItemText {
+    run: u32,
+    version: usize,
+    last: u64,
+    text: String,
+}
+
+impl ItemText {
+    /// Adds the next event, and returns its data.
+    fn add_event(&mut self) -> String {
+        self.last += 1;
+        let event = format!("<{} run {} event {}>", VERSIONS[self.version], self.run, self.last);
+        self.text.push_str(&event);
+        event
+    }
+}
+
 struct Writer {
     log: ResultLog,
     /// Last step that the log returned.
     step: LogStep,
     /// Committed results at the last check.
     seen: Vec<ItemResult>,
-    /// Last event of each item that this writer runs, and the version that runs it; `None` before the log is read.
-    events: Option<BTreeMap<u32, (u64, usize)>>,
+    runs: SharedRuns,
+    /// Texts of the items that this writer runs; `None` before the log is read.
+    texts: Option<BTreeMap<u32, ItemText>>,
 }
 
 impl Writer {
-    fn new() -> Writer {
+    fn new(runs: &SharedRuns) -> Writer {
         let mut log = ResultLog::unread("job".into());
         let step = log.step();
-        Writer { log, step, seen: Vec::new(), events: None }
+        Writer { log, step, seen: Vec::new(), runs: Rc::clone(runs), texts: None }
     }
 
-    /// Runs an item for one more event, resuming from its saved output.
-    fn emit_event(&mut self, item: u32) {
+    /// Runs an item for some more events, resuming from its saved output, and passes them to the log as one part.
+    fn emit_events(&mut self, item: u32, events: u64) {
         if !self.log.is_caught_up() {
             return;
         }
-        let log = &mut self.log;
-        let events = self.events.get_or_insert_with(|| last_saved_events(log));
-        let (last, version) = events.get(&item).copied().unwrap_or_default();
-        let after = Some(last).filter(|it| *it > 0);
-        events.insert(item, (last + 1, version));
-        let text = event(version, last + 1);
-        let version = Some(VERSIONS[version].into());
-        log.push_output(OutputPart { item, after, last: last + 1, text, version });
+        self.restore_texts();
+        let mut runs = self.runs.borrow_mut();
+        let texts = self.texts.get_or_insert_default();
+        let known = texts
+            .entry(item)
+            .or_insert_with(|| ItemText { run: runs.begin(), ..ItemText::default() });
+        let after = Some(known.last).filter(|it| *it > 0);
+        let text = (0..events).map(|_| known.add_event()).collect();
+        runs.texts.insert((item, known.text.clone()));
+        let version = Some(VERSIONS[known.version].into());
+        self.log.push_output(OutputPart { item, after, last: known.last, text, version });
     }
 
     /// Begins an item anew at a version.
     fn begin_anew(&mut self, item: u32, version: usize) {
         if self.log.is_caught_up() {
-            let log = &mut self.log;
-            let events = self.events.get_or_insert_with(|| last_saved_events(log));
-            events.insert(item, (0, version));
+            self.restore_texts();
+            let run = self.runs.borrow_mut().begin();
+            let anew = ItemText { run, version, ..ItemText::default() };
+            self.texts.get_or_insert_default().insert(item, anew);
+        }
+    }
+
+    /// Takes the saved outputs when the first item is run.
+    fn restore_texts(&mut self) {
+        if self.texts.is_none() {
+            self.texts = Some(saved_texts(&mut self.log, &self.runs));
         }
     }
 
@@ -84,21 +139,17 @@
     }
 }
 
-fn event(version: usize, number: u64) -> String {
-    format!("<{}-{number}>", VERSIONS[version])
-}
-
-/// Last event of each partial output that a log has read, and its version; checks that the output is complete up to it, and
-/// by one version.
-fn last_saved_events(log: &mut ResultLog) -> BTreeMap<u32, (u64, usize)> {
-    let last = |(item, PartialOutput { last, text, version })| {
+/// Partial outputs that a log has read, each with a new run that goes on with it; checks that each is a text which a writer
+/// has had.
+fn saved_texts(log: &mut ResultLog, runs: &SharedRuns) -> BTreeMap<u32, ItemText> {
+    let mut runs = runs.borrow_mut();
+    let text = |(item, PartialOutput { last, text, version, .. })| {
         let version = VERSIONS.iter().position(|it| version.as_deref() == Some(it));
         let version = version.expect("a version that was written");
-        let whole: String = (1..=last).map(|it| event(version, it)).collect();
-        assert_eq!(text, whole, "item {item}");
-        (item, (last, version))
+        assert!(runs.texts.contains(&(item, text.clone())), "item {item}: nobody had {text}");
+        (item, ItemText { run: runs.begin(), version, last, text })
     };
-    log.take_saved_outputs().into_iter().map(last).collect()
+    log.take_saved_outputs().into_iter().map(text).collect()
 }
 
 fn result(writer: usize, item: u32) -> ItemResult {
@@ -113,8 +164,9 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Push(writer, item)),
-        4 => (0..WRITERS, 0..ITEMS).prop_map(|(writer, item)| Step::Output(writer, item)),
-        1 => (0..WRITERS, 0..ITEMS, 0..VERSIONS.len())
+        4 => (0..WRITERS, 0..EMITTING_ITEMS, 1..4u64)
+            .prop_map(|(writer, item, events)| Step::Output(writer, item, events)),
+        1 => (0..WRITERS, 0..EMITTING_ITEMS, 0..VERSIONS.len())
             .prop_map(|(writer, item, version)| Step::BeginAnew(writer, item, version)),
         8 => (0..WRITERS, call_outcome()).prop_map(|(writer, outcome)| Step::Call(writer, outcome)),
         2 => Just(Step::ApplyDelayed),
@@ -129,11 +181,12 @@
 
 fn play(steps: Vec<Step>) {
     let mut store = Store::default();
-    let mut writers: Vec<Writer> = (0..WRITERS).map(|_| Writer::new()).collect();
+    let runs = SharedRuns::default();
+    let mut writers: Vec<Writer> = (0..WRITERS).map(|_| Writer::new(&runs)).collect();
     for step in steps {
         match step {
             Step::Push(writer, item) => writers[writer].log.push(result(writer, item)),
-            Step::Output(writer, item) => writers[writer].emit_event(item),
+            Step::Output(writer, item, events) => writers[writer].emit_events(item, events),
             Step::BeginAnew(writer, item, version) => writers[writer].begin_anew(item, version),
             Step::Call(writer, outcome) => call(&mut store, &mut writers[writer], outcome),
             Step::ApplyDelayed => {
@@ -145,28 +198,29 @@
                 writers[writer].log.request_reread();
             }
             Step::Reread(_) => {}
-            Step::Restart(writer) => writers[writer] = Writer::new(),
+            Step::Restart(writer) => writers[writer] = Writer::new(&runs),
         }
         writers.iter_mut().for_each(Writer::check_positions);
     }
     for op in std::mem::take(&mut store.delayed) {
         store.apply(&op);
     }
-    check_outputs(&mut store);
+    read_back(&mut store, &runs);
     check_completion(&mut store);
 }
 
-fn check_outputs(store: &mut Store) {
-    let mut reader = Writer::new();
+/// Texts that a new writer finds in the log.
+fn read_back(store: &mut Store, runs: &SharedRuns) -> BTreeMap<u32, ItemText> {
+    let mut reader = Writer::new(runs);
     while !reader.log.is_caught_up() {
         call(store, &mut reader, CallOutcome::Answered);
     }
-    last_saved_events(&mut reader.log);
+    saved_texts(&mut reader.log, runs)
 }
 
 /// Checks that a new writer can finish the job, and that each item then has one result.
 fn check_completion(store: &mut Store) {
-    let mut last = Writer::new();
+    let mut last = Writer::new(&SharedRuns::default());
     for item in 0..ITEMS {
         last.log.push(result(WRITERS, item));
     }
@@ -195,7 +249,8 @@
 #[test]
 fn a_reread_finds_a_segment_of_the_former_owner() {
     let mut store = Store::default();
-    let (mut former, mut next) = (Writer::new(), Writer::new());
+    let runs = SharedRuns::default();
+    let (mut former, mut next) = (Writer::new(&runs), Writer::new(&runs));
     call(&mut store, &mut next, CallOutcome::Answered);
     call(&mut store, &mut former, CallOutcome::Answered);
     former.log.push(result(0, 4));
@@ -207,46 +262,80 @@
     assert!(next.log.take_other_writer_seen());
 }
 
+/// Owners that each have read the empty log.
+fn owners<const N: usize>(store: &mut Store, runs: &SharedRuns) -> [Writer; N] {
+    std::array::from_fn(|_| {
+        let mut owner = Writer::new(runs);
+        call(store, &mut owner, CallOutcome::Answered);
+        owner
+    })
+}
+
+/// Runs an item for some events, and appends them to the log as one part.
+fn append(store: &mut Store, owner: &mut Writer, item: u32, events: u64) {
+    owner.emit_events(item, events);
+    (0..6).for_each(|_| call(store, owner, CallOutcome::Answered));
+    assert!(owner.log.is_flushed());
+}
+
+/// Text of an item at its owner, as read back if that part is not lost.
+fn text_at(owner: &Writer, item: u32) -> String {
+    owner.texts.as_ref().expect("it has run items")[&item].text.clone()
+}
+
 // An owner is killed while its items are half done. Their outputs so far are in the log in several parts, and the next owner
 // resumes from the last committed one.
 #[test]
 fn partial_outputs_are_read_back_up_to_the_last_committed_part() {
-    let mut store = Store::default();
-    let mut owner = Writer::new();
-    call(&mut store, &mut owner, CallOutcome::Answered);
-    for events in [3, 2] {
-        (0..events).for_each(|_| owner.emit_event(7));
-        call(&mut store, &mut owner, CallOutcome::Answered);
-    }
-    owner.emit_event(7);
-    let mut next = Writer::new();
-    while !next.log.is_caught_up() {
-        call(&mut store, &mut next, CallOutcome::Answered);
-    }
-    assert_eq!(last_saved_events(&mut next.log), BTreeMap::from([(7, (5, 0))]));
+    let (mut store, runs) = (Store::default(), SharedRuns::default());
+    let [mut owner] = owners(&mut store, &runs);
+    append(&mut store, &mut owner, 7, 3);
+    append(&mut store, &mut owner, 7, 2);
+    let committed = text_at(&owner, 7);
+    owner.emit_events(7, 1);
+    let read = read_back(&mut store, &runs);
+    assert_eq!((read[&7].last, &*read[&7].text), (5, &*committed));
 }
 
 // An owner begins an item anew at another version, and a former one still appends what the first version writes. Guards
 // against a saved text of two versions.
 #[test]
 fn parts_of_another_version_do_not_continue_a_text() {
-    let mut store = Store::default();
-    let (mut former, mut owner) = (Writer::new(), Writer::new());
-    for writer in [&mut former, &mut owner] {
-        call(&mut store, writer, CallOutcome::Answered);
-    }
-    let append = |store: &mut Store, writer: &mut Writer, events: u64| {
-        (0..events).for_each(|_| writer.emit_event(7));
-        (0..4).for_each(|_| call(store, writer, CallOutcome::Answered));
-    };
-    append(&mut store, &mut former, 2);
+    let (mut store, runs) = (Store::default(), SharedRuns::default());
+    let [mut former, mut owner] = owners(&mut store, &runs);
+    append(&mut store, &mut former, 7, 2);
     owner.begin_anew(7, 1);
-    append(&mut store, &mut owner, 2);
-    append(&mut store, &mut former, 1);
-    append(&mut store, &mut owner, 1);
-    let mut next = Writer::new();
-    while !next.log.is_caught_up() {
-        call(&mut store, &mut next, CallOutcome::Answered);
-    }
-    assert_eq!(last_saved_events(&mut next.log), BTreeMap::from([(7, (3, 1))]));
+    append(&mut store, &mut owner, 7, 2);
+    append(&mut store, &mut former, 7, 1);
+    append(&mut store, &mut owner, 7, 1);
+    let read = read_back(&mut store, &runs);
+    assert_eq!((read[&7].last, read[&7].version), (3, 1));
+    assert_eq!(read[&7].text, text_at(&owner, 7));
+}
+
+/// Guards against a text that changes at an event to a run which was asked to go on after an earlier one: two owners append
+/// to the log, and a part of one begins at the number at which a part of the other ends.
+#[test]
+fn a_text_does_not_go_on_with_a_part_of_another_owner_that_begins_at_its_number() {
+    let (mut store, runs) = (Store::default(), SharedRuns::default());
+    let [mut former] = owners(&mut store, &runs);
+    append(&mut store, &mut former, 7, 5);
+    let mut next = Writer::new(&runs);
+    (0..4).for_each(|_| call(&mut store, &mut next, CallOutcome::Answered));
+    append(&mut store, &mut former, 7, 3);
+    append(&mut store, &mut next, 7, 3);
+    append(&mut store, &mut next, 7, 2);
+    assert_eq!(read_back(&mut store, &runs)[&7].text, text_at(&next, 7));
+}
+
+/// Guards against the same where an item is begun anew, and a part of the text before ends at a number of the new one.
+#[test]
+fn a_text_that_was_begun_anew_does_not_go_on_with_a_part_of_the_one_before() {
+    let (mut store, runs) = (Store::default(), SharedRuns::default());
+    let [mut former, mut owner] = owners(&mut store, &runs);
+    append(&mut store, &mut former, 7, 2);
+    append(&mut store, &mut owner, 7, 3);
+    append(&mut store, &mut former, 7, 1);
+    append(&mut store, &mut former, 7, 4);
+    assert_eq!(read_back(&mut store, &runs)[&7].text, text_at(&former, 7));
 }
