Saved outputs: a part goes on with the text of the part that it names

Cause: parts of an unfinished text in a job's log were joined by the number of the last event and the version. Two owners of one job, or an item that is begun anew, write parts with equal numbers: the former owner's 6 to 8 after 5 is joined, the next owner's 6 to 8 after 5 is ignored, and then its 9 and 10 continue the former's 8. A number was taken for the identity of the text before it.

Change: each part has a random id and names the part that it continues. A text is the longest chain of parts; at another version or service than the latest first part it counts no more. All chains are kept until they are taken, so that a part of one owner no longer hides those of another. Parts without an id, of older builds, are ignored: the item begins anew.

Why this holds: an owner's next run is asked to go on after the last event of its own text, and its next part names the part with which that text ended. A chain is therefore always a text that one owner had.

--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -3,8 +3,10 @@
 //! The output of a run is in memory only, and is lost when its process is killed; on a fully loaded fleet a hundred items
 //! are half done at that time. Therefore the log's segments hold, beside results, the events received since the segment
 //! before. A process that takes over the job reads the log anyway, and its runs resume after the last saved event.
-//! Correctness does not depend on this: an output that is missing, or that does not continue the saved one, costs a run
-//! from the beginning.
+//! An output that is missing costs a run from the beginning.
+//!
+//! Several owners may append to the log, and one of them may begin an item anew. Their events have the same numbers, so a
+//! number does not tell which text a part continues: each part names the part that stands before it.
 //!
 //! When all targets are full and all gateways are killed at once, this saves a tenth of the work from being done again.
 
@@ -18,65 +20,141 @@
 /// Maximum bytes of partial outputs in one segment, in addition to its results.
 pub(super) const OUTPUT_BYTES: usize = 250_000;
 
+/// Identifies a part among those of all writers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(u64);
+
+impl PartId {
+    /// Id made of a random number.
+    pub fn new(random: u64) -> PartId {
+        PartId(random)
+    }
+}
+
+/// What wrote the text of an item.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct TextOrigin {
+    /// Software version; `None` in parts of builds that did not know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Name>,
+    /// Hash of the service's name; `None` in parts of builds that did not save it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<u64>,
+}
+
 /// Events of an item that follow those of an earlier part.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct OutputPart {
     /// Index of the item in the submission.
     pub item: u32,
+    /// Id of this part; `None` in parts of builds that joined them by the numbers of their events.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<PartId>,
+    /// Part that this one continues; `None` for the first part of a text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub follows: Option<PartId>,
     /// Number of the last event of the previous part; `None` for the first part.
     pub after: Option<u64>,
     /// Number of the last event of this part.
     pub last: u64,
     /// Bytes that these events add to the item's text.
     pub text: String,
-    /// Software version that wrote the item's text; `None` in parts of builds that did not know it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub version: Option<Name>,
+    /// What wrote the text.
+    #[serde(flatten)]
+    pub origin: TextOrigin,
 }
 
 /// Saved output of an unfinished item.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct PartialOutput {
+    /// Last saved part, which the next one has to name.
+    pub part: PartId,
     /// Number of the last saved event.
     pub last: u64,
     /// Data of all events up to the last, separated by line feeds.
     pub text: String,
-    /// Software version that wrote it, if that is known.
-    pub version: Option<Name>,
+    /// What wrote the text.
+    pub origin: TextOrigin,
     /// Process that saved the last part, if that is known.
     pub writer: Option<JobOwner>,
 }
 
+/// A part that was read from a log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct SavedPart {
+    id: PartId,
+    part: OutputPart,
+    writer: Option<JobOwner>,
+}
+
+impl SavedPart {
+    /// Whether a part goes on with the text that ends with this one.
+    fn is_continued_by(&self, next: &OutputPart) -> bool {
+        next.follows == Some(self.id)
+            && next.after == Some(self.part.last)
+            && next.origin == self.part.origin
+    }
+}
+
+/// Parts of one item, in the order of the log. Each begins a text or continues a part before it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct ItemParts(Vec<SavedPart>);
+
+impl ItemParts {
+    fn fits(&self, part: &OutputPart) -> bool {
+        match part.follows {
+            None => part.after.is_none(),
+            Some(_) => self.0.iter().any(|it| it.is_continued_by(part)),
+        }
+    }
+
+    /// The longest text. If an item was begun anew at another version or service, texts of the former one count no more.
+    fn longest_text(self) -> Option<PartialOutput> {
+        let latest_first = self.0.iter().rfind(|it| it.part.follows.is_none())?;
+        let origin = latest_first.part.origin.clone();
+        let of_origin = self.0.iter().filter(|it| it.part.origin == origin);
+        let last = of_origin.rev().max_by_key(|it| it.part.last)?;
+        let output = PartialOutput {
+            part: last.id,
+            last: last.part.last,
+            text: self.text_up_to(last),
+            origin,
+            writer: last.writer.clone(),
+        };
+        Some(output)
+    }
+
+    fn text_up_to(&self, last: &SavedPart) -> String {
+        let before = |it: &&SavedPart| {
+            let id = it.part.follows?;
+            self.0.iter().find(|it| it.id == id)
+        };
+        let parts: Vec<&SavedPart> = std::iter::successors(Some(last), before).collect();
+        parts.iter().rev().map(|it| &*it.part.text).collect()
+    }
+}
+
 /// Partial outputs that were read from a log, by item.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct PartialOutputs {
-    by_item: BTreeMap<u32, PartialOutput>,
+    by_item: BTreeMap<u32, ItemParts>,
     /// Number of parts that were ignored.
     ignored: u32,
 }
 
 impl PartialOutputs {
-    /// Adds a part that continues the known output. A first part that reaches further replaces it, or one of another version:
-    /// the item was begun anew. Others are ignored.
+    /// Adds a part that begins a text or continues a known part. Others are ignored.
     pub fn add(&mut self, part: &OutputPart, writer: Option<&JobOwner>) {
-        let first = || PartialOutput {
-            last: part.last,
-            text: part.text.clone(),
-            version: part.version.clone(),
-            writer: writer.cloned(),
-        };
-        match (self.by_item.get_mut(&part.item), part.after) {
-            (Some(known), Some(after)) if known.last == after && known.version == part.version => {
-                known.text.push_str(&part.text);
-                known.last = part.last;
-                known.writer = writer.cloned();
-            }
-            (Some(known), None) if known.last < part.last || known.version != part.version => {
-                *known = first();
+        let known = self.by_item.entry(part.item).or_default();
+        match part.id.filter(|_| known.fits(part)) {
+            Some(id) => {
+                known.0.push(SavedPart { id, part: part.clone(), writer: writer.cloned() });
             }
-            (None, None) => _ = self.by_item.insert(part.item, first()),
-            _ => self.ignored += 1,
+            None => self.ignored += 1,
         }
     }
 
@@ -92,6 +170,7 @@
 
     /// Takes all partial outputs.
     pub fn take(&mut self) -> BTreeMap<u32, PartialOutput> {
-        std::mem::take(&mut self.by_item)
+        let parts = std::mem::take(&mut self.by_item).into_iter();
+        parts.filter_map(|(item, parts)| Some((item, parts.longest_text()?))).collect()
     }
 }
--- a/crates/samphiredoor-core/tests/ordered/failures.rs
+++ b/crates/samphiredoor-core/tests/ordered/failures.rs
@@ -5,7 +5,7 @@
     prelude::*,
     test_runner::{RngAlgorithm, TestRng},
 };
-use samphiredoor_core::ordered::{ItemFailure, LogStep, OutputPart, ResultLog};
+use samphiredoor_core::ordered::{ItemFailure, LogStep, OutputPart, PartId, ResultLog, TextOrigin};
 
 use super::{
     property,
@@ -173,7 +173,16 @@
     let mut store = Store::default();
     let mut owner = owner_with_failures(&mut store, 1, 0);
     let text = "text".to_owned();
-    owner.log.push_output(OutputPart { item: 1, after: None, last: 1, text, version: None });
+    let (id, origin) = (Some(PartId::new(1)), TextOrigin::default());
+    owner.log.push_output(OutputPart {
+        item: 1,
+        id,
+        follows: None,
+        after: None,
+        last: 1,
+        text,
+        origin,
+    });
     store.call(&mut owner.log, &mut owner.step, CallOutcome::Answered);
     let written = store.texts();
     assert!(written.iter().all(|it| !it.contains("failures")), "{written:?}");
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -13,7 +13,7 @@
     test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::ordered::{
-    ItemResult, LogStep, Outcome, OutputPart, PartialOutput, ResultLog,
+    ItemResult, LogStep, Outcome, OutputPart, PartId, PartialOutput, ResultLog, TextOrigin,
 };
 
 use super::{
@@ -45,6 +45,7 @@
 #[derive(Default)]
 struct Runs {
     count: u32,
+    parts: u64,
     /// All texts that a writer has had, by item.
     texts: BTreeSet<(u32, String)>,
 }
@@ -57,6 +58,11 @@
         self.count += 1;
         self.count
     }
+
+    fn next_part(&mut self) -> PartId {
+        self.parts += 1;
+        PartId::new(self.parts)
+    }
 }
 
 /// Text of an item at its writer.
@@ -66,6 +72,8 @@
     version: usize,
     last: u64,
     text: String,
+    /// Last part that was passed to the log or read from it.
+    part: Option<PartId>,
 }
 
 impl ItemText {
@@ -110,8 +118,11 @@
         let after = Some(known.last).filter(|it| *it > 0);
         let text = (0..events).map(|_| known.add_event()).collect();
         runs.texts.insert((item, known.text.clone()));
-        let version = Some(VERSIONS[known.version].into());
-        self.log.push_output(OutputPart { item, after, last: known.last, text, version });
+        let origin = TextOrigin { version: Some(VERSIONS[known.version].into()), service: None };
+        let id = Some(runs.next_part());
+        let follows = std::mem::replace(&mut known.part, id);
+        let last = known.last;
+        self.log.push_output(OutputPart { item, id, follows, after, last, text, origin });
     }
 
     /// Begins an item anew at a version.
@@ -143,11 +154,11 @@
 /// has had.
 fn saved_texts(log: &mut ResultLog, runs: &SharedRuns) -> BTreeMap<u32, ItemText> {
     let mut runs = runs.borrow_mut();
-    let text = |(item, PartialOutput { last, text, version, .. })| {
-        let version = VERSIONS.iter().position(|it| version.as_deref() == Some(it));
+    let text = |(item, PartialOutput { part, last, text, origin, .. })| {
+        let version = VERSIONS.iter().position(|it| origin.version.as_deref() == Some(it));
         let version = version.expect("a version that was written");
         assert!(runs.texts.contains(&(item, text.clone())), "item {item}: nobody had {text}");
-        (item, ItemText { run: runs.begin(), version, last, text })
+        (item, ItemText { run: runs.begin(), version, last, text, part: Some(part) })
     };
     log.take_saved_outputs().into_iter().map(text).collect()
 }
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_core::{
     Name,
-    ordered::{ItemEnd, OutputPart, PartialOutput},
+    ordered::{ItemEnd, OutputPart, PartId, PartialOutput, TextOrigin},
     software_versions::StreamOrigin,
 };
 
@@ -25,6 +25,8 @@
     saved_bytes: usize,
     /// Last event that was passed to the job's log.
     saved_event: Option<u64>,
+    /// Part with which it was passed.
+    saved_part: Option<PartId>,
     /// Total time of the attempts in this process that produced output.
     ran_ms: u64,
     /// Whether the item is at a target that has not answered yet: it may have failed there.
@@ -57,15 +59,17 @@
     /// Restores the output that was read from the job's log. Without its version it can't be continued, and the item begins
     /// anew.
     pub fn from_saved(partial: PartialOutput) -> Output {
-        let Some(version) = partial.version else { return Output::default() };
+        let Some(version) = partial.origin.version else { return Output::default() };
+        let origin = StreamOrigin::of_version(version);
         let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
         Output {
             text: partial.text.into_bytes(),
             has_data: saved_bytes > 0,
             last_event,
-            origin: Some(StreamOrigin::of_version(version)),
+            origin: Some(origin),
             saved_bytes,
             saved_event: last_event,
+            saved_part: Some(partial.part),
             ran_ms: 0,
             awaits_answer: false,
             is_stopping: false,
@@ -167,8 +171,13 @@
         let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
         let after = self.saved_event.replace(last);
         self.saved_bytes = self.text.len();
-        let version = self.origin.as_ref().map(|it| Name::clone(&it.version));
-        Some(OutputPart { item, after, last, text, version })
+        let id = PartId::new(rand::random());
+        let follows = self.saved_part.replace(id);
+        let origin = TextOrigin {
+            version: self.origin.as_ref().map(|it| Name::clone(&it.version)),
+            service: None,
+        };
+        Some(OutputPart { item, id: Some(id), follows, after, last, text, origin })
     }
 
     /// Outcome of the item whose output this is the whole of.
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -197,7 +197,7 @@
         self.env.metrics.job_event("output_restored");
         log::info!(
             job = &*self.ownership.job, item = id, after = output.last,
-            version = output.version.as_deref().unwrap_or_default(),
+            version = output.origin.version.as_deref().unwrap_or_default(),
             writer = writer.map_or("", |it| &*it.process),
             writer_incarnation = writer.map_or(0, |it| it.incarnation);
             "item: output restored from the log"
