Saved outputs: a text stays with the service that began it at another owner, too

Cause: a saved text told its version and not its service. Two services may have the same version by chance, and the next owner drew a service anew and took the version for the origin.

Change: a saved part holds the hash of its service's name. The next owner goes on at that service if the route still sends items there, and begins anew otherwise, as within one process.

--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -59,8 +59,11 @@
     /// Restores the output that was read from the job's log. Without its version it can't be continued, and the item begins
     /// anew.
     pub fn from_saved(partial: PartialOutput) -> Output {
-        let Some(version) = partial.origin.version else { return Output::default() };
-        let origin = StreamOrigin::of_version(version);
+        let TextOrigin { version: Some(version), service } = partial.origin else {
+            return Output::default();
+        };
+        let origin =
+            StreamOrigin { service: service.unwrap_or(0), ..StreamOrigin::of_version(version) };
         let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
         Output {
             text: partial.text.into_bytes(),
@@ -175,7 +178,7 @@
         let follows = self.saved_part.replace(id);
         let origin = TextOrigin {
             version: self.origin.as_ref().map(|it| Name::clone(&it.version)),
-            service: None,
+            service: self.origin.as_ref().map(|it| it.service).filter(|it| *it != 0),
         };
         Some(OutputPart { item, id: Some(id), follows, after, last, text, origin })
     }
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -355,3 +355,27 @@
         assert!(runs.iter().all(|(_, target)| *target == runs[0].1), "{id}: {runs:?}");
     }
 }
+
+/// Guards against a text by two services when another owner goes on with what is saved of it.
+#[test]
+fn an_item_of_a_split_route_that_another_owner_resumes_stays_with_the_service_that_began_it() {
+    let (mut platform, targets) = two_services();
+    (0..2).for_each(|_| _ = platform.start_gateway());
+    change_route(&platform, "batch", split_route);
+    (1..3).for_each(|it| platform.wait_logged(it, "routes: activated version=3"));
+    wait_for_peers(&platform, 3);
+    targets.iter().for_each(|it| it.set_pause(Duration::from_millis(700)));
+    platform.submit_many(0, "job", STREAMS);
+    wait_until("outputs are saved", || !platform.store.names("jobsegments").is_empty());
+    platform.gateway(0).kill();
+    targets.iter().for_each(|it| it.set_pause(FAST));
+    platform.all_results(1, "job", STREAMS);
+    let ids = (0..STREAMS).map(|it| format!("item-{it}"));
+    let runs: Vec<_> = ids.map(|it| runs_of(&targets, &it)).collect();
+    assert!(runs.iter().flatten().any(|(after, _)| after.is_some()), "some texts went on");
+    for runs in runs {
+        for pair in runs.windows(2).filter(|it| it[1].0.is_some()) {
+            assert_eq!(pair[0].1, pair[1].1, "{runs:?}");
+        }
+    }
+}
