Failures of items: each has a random number, not the count that its process knew

Cause: a saved failure was told from others by the process, its incarnation and the number of failures that the process knew. A process that loses a job while a write of a failure is under way, and takes the job over again in the same start, does not know of that failure. It gives the next one the same number, and the late write of the first removes the second from what is to be written.

Change: the number is random.

--- a/crates/samphiredoor-core/src/ordered/failures.rs
+++ b/crates/samphiredoor-core/src/ordered/failures.rs
@@ -23,7 +23,8 @@
     pub process: String,
     /// Incarnation of that process.
     pub incarnation: u64,
-    /// Number of failures of the item that this process knew, with this one.
+    /// Random number that distinguishes it from other failures of the item at this process. A count would not: a process
+    /// that takes a job over again does not know of its own writes that are yet to take effect.
     pub number: u32,
 }
 
--- a/crates/samphiredoor-core/tests/ordered/failures.rs
+++ b/crates/samphiredoor-core/tests/ordered/failures.rs
@@ -1,6 +1,8 @@
 //! Failures of items in the log of results: however many owners there are, an item that always fails is sent a bounded
 //! number of times.
 
+use std::sync::atomic::{AtomicU32, Ordering};
+
 use proptest::{
     prelude::*,
     test_runner::{RngAlgorithm, TestRng},
@@ -28,6 +30,8 @@
     Restart(usize),
 }
 
+static NEXT_FAILURE: AtomicU32 = AtomicU32::new(1);
+
 struct Owner {
     log: ResultLog,
     step: LogStep,
@@ -48,7 +52,7 @@
     }
 
     fn fail(&mut self, item: u32) {
-        let number = self.log.failures(item) + 1;
+        let number = NEXT_FAILURE.fetch_add(1, Ordering::Relaxed);
         let (process, incarnation) = ("gateway".to_owned(), self.incarnation);
         self.log.push_failure(ItemFailure { item, process, incarnation, number });
     }
@@ -188,3 +192,23 @@
     assert!(written.iter().all(|it| !it.contains("failures")), "{written:?}");
     assert_eq!(owner_with_failures(&mut store, 2, 0).log.failures(1), 0);
 }
+
+/// Guards against failures that are not counted: a process loses a job and takes it over again, and a late write of its first
+/// failure would stand for the next one.
+#[test]
+fn a_late_write_of_an_earlier_failure_does_not_stand_for_a_later_one() {
+    let mut store = Store::default();
+    let call = |store: &mut Store, owner: &mut Owner, outcome| {
+        store.call(&mut owner.log, &mut owner.step, outcome);
+    };
+    let mut first = Owner::new(7);
+    call(&mut store, &mut first, CallOutcome::Answered);
+    first.fail(0);
+    call(&mut store, &mut first, CallOutcome::Delayed);
+    let mut second = Owner::new(7);
+    call(&mut store, &mut second, CallOutcome::Answered);
+    second.fail(0);
+    let late = store.delayed.pop().expect("a delayed write");
+    store.apply(&late);
+    check_counts(&mut store, &mut [second], [2, 0, 0], [0; 3]);
+}
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -10,8 +10,8 @@
 use futures_util::future::join;
 use samphiredoor_core::{
     ordered::{
-        ItemEnd, ItemFailure, ItemResult, ItemStep, JobName, Outcome, PartialOutput, header_key,
-        read_header,
+        ItemEnd, ItemFailure, ItemResult, ItemStep, JobName, JobOwner, Outcome, PartialOutput,
+        header_key, read_header,
     },
     store::{StoreAnswer, StoreOp},
 };
@@ -275,8 +275,8 @@
 
     /// Passes a failure of an item to the log. The item waits until that is written before it is sent again.
     fn push_failure(&mut self, item: u32) {
-        let (owner, number) = (self.env.owner(), self.log.failures(item) + 1);
-        let (process, incarnation) = (owner.process, owner.incarnation);
+        let (owner, number) = (self.env.owner(), rand::random());
+        let JobOwner { process, incarnation } = owner;
         self.log.push_failure(ItemFailure { item, process, incarnation, number });
         self.write_within(FAILURE_WRITE_DELAY);
     }
