Stand-in: events name their run, and the soak checks the chain of runs

Events carried only their number and version, so a stream or a text that was joined from two runs looked whole to every test and to the soak.

- Targets with `with_named_runs` name, after the data of each event, the run that made it (unique within the process) and the Last-Event-Id that it was asked with.
- `run_chain::RunChain` tells the first break of a stream or a text: a missing event, one that comes twice, a run that was not asked to go on there, a second version, or data without a name.
It goes on over several answers.
- The soak's targets name their runs.
The streams that callers receive (over all attempts of one that is taken up; also of requests that crash targets and of the final checks) and the texts of results are checked under the new invariant `RunsChained`.
The checks of the bytes apply as before to what is left without the names.
- `PlatformTarget::hold_after` holds back events with greater numbers, so that a test decides how far each run gets.

--- a/crates/samphiredoor-standin/src/lib.rs
+++ b/crates/samphiredoor-standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod platform_store;
 pub mod platform_target;
 pub mod process;
+pub mod run_chain;
 pub mod soak;
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -1,6 +1,9 @@
 //! Simulated replica of the platform (a target), over plain sockets, so that it can send invalid and incomplete
 //! answers.
 
+mod holds;
+mod runs;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     io::{self, Read, Write},
@@ -17,6 +20,8 @@
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 
+pub use runs::{NamedRun, stream_without_names, text_without_names};
+
 /// Time without an answer; longer than the timeout of any request in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(120);
 /// Send buffer of a target that aborts unread answers. By default the kernel takes megabytes that nobody has read.
@@ -146,6 +151,10 @@
     pause: Duration,
     /// Size to which the data of each event is padded in answers to requests without a body.
     event_bytes: usize,
+    /// Whether the data of each event names its run.
+    names_runs: bool,
+    /// Number after which events are held back.
+    held_after: Option<u64>,
     /// Size to which the body of a failure is padded.
     failure_bytes: usize,
     /// How long a request runs before it fails with [`TargetFault::Fails`] or [`TargetFault::Impossible`].
@@ -196,6 +205,8 @@
             events,
             pause,
             event_bytes: 0,
+            names_runs: false,
+            held_after: None,
             failure_bytes: 0,
             failure_pause: Duration::ZERO,
             unread_limit: None,
@@ -279,6 +290,13 @@
         self
     }
 
+    /// Names the run that made an event, and the `Last-Event-Id` that it was asked with, after the data of each event. The
+    /// padding of the data does not count the name.
+    pub fn with_named_runs(self) -> PlatformTarget {
+        self.state().names_runs = true;
+        self
+    }
+
     /// Pads the answers to requests that fail with [`TargetFault::Fails`] to a size.
     pub fn with_failure_bytes(self, bytes: usize) -> PlatformTarget {
         self.state().failure_bytes = bytes;
@@ -372,7 +390,7 @@
         })
     }
 
-    /// Output of a complete run, as the text of an item's result.
+    /// Output of a complete run, as the text of an item's result, without the name of the run.
     pub fn text(&self) -> String {
         let events = self.state().events;
         text_of(&self.version(), events)
@@ -532,11 +550,11 @@
         fault: TargetFault,
     ) -> io::Result<bool> {
         let id = request.header("x-request-id").unwrap_or_default();
-        let (version, events, pause, event_bytes) = {
+        let (version, events, pause, event_bytes, run) = {
             let state = self.state();
-            let is_padded = request.body.is_empty();
-            let version = Arc::clone(&state.version);
-            (version, state.events, state.pause, if is_padded { state.event_bytes } else { 0 })
+            let event_bytes = if request.body.is_empty() { state.event_bytes } else { 0 };
+            let run = state.names_runs.then(|| NamedRun::begin(after));
+            (Arc::clone(&state.version), state.events, state.pause, event_bytes, run)
         };
         let is_unframed = fault.is_unframed();
         let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
@@ -548,6 +566,7 @@
         )?;
         let first = after.unwrap_or(0) + 1;
         for (sent, number) in (first..=events).enumerate() {
+            self.wait_while_held(number);
             self.wait_while_silent();
             if fault == TargetFault::UnframedCrashAfter(sent as u64) {
                 self.crash();
@@ -557,8 +576,9 @@
             if fault.breaks_off_after() == Some(sent as u64) {
                 return break_off(stream, fault, number);
             }
-            let event =
-                format!("id: {number}\ndata: {}\n\n", event_data(&version, number, event_bytes));
+            let data = event_data(&version, number, event_bytes);
+            let data = run.map_or_else(|| data.clone(), |it| it.add_to(&data));
+            let event = format!("id: {number}\ndata: {data}\n\n");
             match is_unframed {
                 true => stream.write_all(event.as_bytes())?,
                 false => write!(stream, "{:x}\r\n{event}\r\n", event.len())?,
--- a/crates/samphiredoor-standin/src/soak/checks.rs
+++ b/crates/samphiredoor-standin/src/soak/checks.rs
@@ -10,6 +10,7 @@
 
 use super::{
     bursts::Bursts,
+    chains::Chains,
     connection::Reply,
     crashes::Crashes,
     invariant::{Invariant, Violation},
@@ -112,6 +113,8 @@
     counts: Counts,
     /// Streams and the software versions that wrote them.
     versions: Versions,
+    /// Streams and the runs that made them.
+    chains: Chains,
     /// Requests that crash targets, and sound ones beside them.
     crashes: Crashes,
     bursts: Bursts,
@@ -173,6 +176,22 @@
         &mut self.versions
     }
 
+    /// Streams and the runs that made them.
+    pub fn chains(&mut self) -> &mut Chains {
+        &mut self.chains
+    }
+
+    /// Checks the runs that made the body of an answer.
+    pub fn check_chain(&mut self, id: &str, reply: &Reply) {
+        if reply.status != 200 {
+            return;
+        }
+        let take_up = self.versions.take_up(id);
+        if let Some(found) = self.chains.stream_break(id, take_up, &reply.body) {
+            self.record_violation(Invariant::RunsChained, id, found.to_string());
+        }
+    }
+
     /// Checks how many of the streams that callers took up went on.
     pub fn check_take_ups(&mut self) {
         let Counts { served, refused, doubtful, .. } = self.counts;
@@ -298,14 +317,18 @@
                 let observed = "an answer of a target that crashed looks whole";
                 self.record_violation(Invariant::AnswerComplete, id, observed);
             }
-            200 => self.counts.doubtful += 1,
+            200 => {
+                self.counts.doubtful += 1;
+                self.check_chain(id, reply);
+            }
             _ => self.check_answer(id, reply),
         }
     }
 
     fn check_success(&mut self, id: &str, reply: &Reply) {
         self.counts.served += 1;
-        if !self.versions.check_body(id, reply) {
+        self.check_chain(id, reply);
+        if !self.versions.check_body(id, &self.chains.reply_without_names(reply)) {
             let body = String::from_utf8_lossy(&reply.body);
             self.record_violation(
                 Invariant::AnswerComplete,
@@ -379,7 +402,7 @@
             return 0;
         }
         let missing = job.results.missing(read, page.outputs.len());
-        let violation = job.check_outputs(read, &self.versions, &page.outputs);
+        let violation = job.check_outputs(read, (&self.versions, &self.chains), &page.outputs);
         let cancellation = job.cancellation();
         self.counts.reads += 1;
         self.counts.short_pages += u64::from(read.is_short(page.outputs.len()));
@@ -501,20 +524,19 @@
     fn check_outputs(
         &mut self,
         read: &SentRead,
-        versions: &Versions,
+        seen: (&Versions, &Chains),
         outputs: &[Box<RawValue>],
     ) -> Option<(Invariant, String)> {
         let mut outputs = outputs.iter().zip(read.after..);
-        outputs.find_map(|(output, position)| {
-            self.check_result(read, versions, (position, output.get()))
-        })
+        outputs
+            .find_map(|(output, position)| self.check_result(read, seen, (position, output.get())))
     }
 
     /// Checks and records the result at a position.
     fn check_result(
         &mut self,
         read: &SentRead,
-        versions: &Versions,
+        (versions, chains): (&Versions, &Chains),
         (position, bytes): (usize, &str),
     ) -> Option<(Invariant, String)> {
         if let Some(compared) = self.results.compare(read, position, bytes) {
@@ -527,8 +549,13 @@
         if !self.items.contains(id) || self.results.has_item(id) {
             return Some((Invariant::ResultsStable, observed()));
         }
-        let is_text_of_one = output["text"].as_str().is_some_and(|it| versions.is_text_of_one(it));
-        if output["state"] == "completed" && !is_text_of_one {
+        let (text, is_completed) = (output["text"].as_str(), output["state"] == "completed");
+        if let Some(found) = text.filter(|_| is_completed).and_then(|it| chains.text_break(it)) {
+            let observed = format!("{found}; {}", observed());
+            return Some((Invariant::RunsChained, observed));
+        }
+        let is_whole = |it| versions.is_text_of_one(&chains.text_without_names(it));
+        if is_completed && !text.is_some_and(is_whole) {
             return Some((Invariant::AnswerComplete, observed()));
         }
         self.results.push(id, bytes, read.gateway);
--- a/crates/samphiredoor-standin/src/soak/final_checks.rs
+++ b/crates/samphiredoor-standin/src/soak/final_checks.rs
@@ -171,7 +171,9 @@
 
     fn send(&self, gateway: usize, path: &str, id: &str) -> Reply {
         let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
-        self.call(gateway, "POST", path, &headers, "")
+        let reply = self.call(gateway, "POST", path, &headers, "");
+        self.shared.checks().check_chain(id, &reply);
+        reply
     }
 
     /// Reads and checks results of a job; returns their number, or `None` if the gateway returned no page.
--- a/crates/samphiredoor-standin/src/soak/injector.rs
+++ b/crates/samphiredoor-standin/src/soak/injector.rs
@@ -123,6 +123,7 @@
         }
         shared.checks().versions().set_event_bytes(EVENT_BYTES);
         shared.checks().versions().set_versions(versions);
+        shared.checks().chains().expect_names();
         platform.linked = true;
         platform.watch_ms = WATCH_MS;
         let target_settings = TargetSettings {
@@ -426,6 +427,7 @@
         false => platform.start_target_at(versions[number % versions.len()], &name, event_pause),
     };
     let target = target
+        .with_named_runs()
         .with_event_bytes(EVENT_BYTES)
         .with_unread_limit(UNREAD_LIMIT)
         .with_failure_pause(FAILURE_PAUSE)
--- a/crates/samphiredoor-standin/src/soak/invariant.rs
+++ b/crates/samphiredoor-standin/src/soak/invariant.rs
@@ -13,6 +13,9 @@
     RunWasRequested,
     /// An answer is complete or visibly cut, and its events are in order.
     AnswerComplete,
+    /// The run changes within a stream or a text only where the next run was asked to go on, and no event is missing or comes
+    /// twice.
+    RunsChained,
     /// A caller receives the answer to its own request.
     AnswerMatchesRequest,
     /// A request that the configuration allows gets no permanent error.
@@ -53,6 +56,7 @@
             Invariant::RejectedNeverRuns => "a request rejected as not run never runs",
             Invariant::RunWasRequested => "targets run only what callers requested",
             Invariant::AnswerComplete => "an answer is complete and in order, or visibly cut",
+            Invariant::RunsChained => "a stream or text goes on only with a run that was asked to",
             Invariant::AnswerMatchesRequest => "an answer belongs to its request",
             Invariant::NoPermanentError => "an allowed request gets no permanent error",
             Invariant::ResultsStable => "a result keeps its position and content",
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! processes is not part of the plan, so that several runs may be needed to reproduce a violation.
 
 mod bursts;
+mod chains;
 mod checks;
 mod clients;
 mod connection;
@@ -38,6 +39,7 @@
 pub use plan::{Disturbed, Fault, Plan, PlannedLinkFault, Sizes, Step};
 pub use read_history::SentRead;
 pub use silences::{Ending, MOVED_PATH, REMOVED_PATH, RunEnd};
+pub use versions::TakeUp;
 
 use clients::Client;
 use final_checks::FinalChecks;
--- a/crates/samphiredoor-standin/src/soak/versions.rs
+++ b/crates/samphiredoor-standin/src/soak/versions.rs
@@ -89,6 +89,11 @@
         self.counts
     }
 
+    /// What a request takes up, if it does.
+    pub fn take_up(&self, id: &str) -> Option<&TakeUp> {
+        self.taken_up.get(id)
+    }
+
     /// Whether a request takes up a stream.
     pub fn is_take_up(&self, id: &str) -> bool {
         self.taken_up.contains_key(id)
