Test: the text of an item changes runs only where the next one was asked to

Five gateways and one target, as real processes:

Gateway 0 owns the job and saves events 1 to 5 of run 1. 2. It is cut off from the store: its next part (6 to 8 of run 1) is on its way, and the process is paused. 3. The next owner reads events 1 to 5. Run 2 is asked with Last-Event-Id 5. Then the held part takes effect. 4. The next owner saves 6 to 8 of run 2, then 9 to 10, and is killed. 5. A third owner reads the log and finishes the item with run 3.

The third owner ignores 6 to 8 of run 2, and joins its 9 to 10 to 6 to 8 of run 1, as parts are joined by the number of the last event and the version only (ordered/outputs.rs).

The target holds events back between the steps, and the held write is released by the test, so that the order does not depend on time. Nothing is asserted about time.

--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -20,5 +20,6 @@
 mod software_versions;
 mod stops;
 mod streams;
+mod texts_of_runs;
 mod trials;
 mod workspaces;
