Streams and items: an answer that does not go on where it was asked to is broken off

Cause: ForwardedStream and Output took what the target of a resumption sent by its numbers only. Events up to the last one were skipped and any gap was accepted, so a run that begins elsewhere than after Last-Event-Id n was joined to what came before: a late answer of an earlier run of the request, which has the same request id, or a target that begins elsewhere.

Change: EventSequence judges each event by what its run was asked with. After a resumption at n, by the gateway or by the caller, the first numbered event must be n + 1; after that, numbers rise. Another event ends the stream as broken off (end=other_run), it and what follows are not taken, and the next attempt goes on after the last good event. A wrong first event is seen before the head of the answer is sent, so that the request is still retried or answered 502.

Order is promised for stream routes and items alone; answers of other routes are event streams of unknown kind and are forwarded as they are (until now, events whose numbers did not rise were left out of them).

Before (13 tests of platform::event_order, all failed), for example:

no_event_is_missing_in_a_stream_that_its_caller_takes_up left: (200, "id: 4\ndata: piece-4\n\nid: 5\ndata: piece-5\n\nid: 6\ndata: piece-6\n\n") right: (200, "id: 3\ndata: piece-3\n\nid: 4\ndata: piece-4\n\n...") no_event_is_missing_in_an_item_that_is_resumed_too_late left: String("piece-1\npiece-2\npiece-4\npiece-5\npiece-6") right: "piece-1\npiece-2\npiece-3\npiece-4\npiece-5\npiece-6" an_item_is_not_joined_to_a_run_from_its_beginning after a run that began at 1, no other run was asked to go on after 2 test result: FAILED. 0 passed; 13 failed

After: 13 passed, and 12 tests of the module (new with it, so they were never red).

--- a/crates/samphiredoor-gateway/src/event_stream.rs
+++ b/crates/samphiredoor-gateway/src/event_stream.rs
@@ -15,13 +15,21 @@
     probe::refuses_connections,
 };
 
-use crate::events::{Event, EventBuffer};
+use crate::{
+    event_sequence::EventSequence,
+    events::{Event, EventBuffer},
+};
 
 /// Event stream that a target sends.
 pub struct EventStream {
     body: ResponseBody,
     target: SocketAddr,
     buffer: EventBuffer,
+    sequence: EventSequence,
+    /// Next event, once it has been accepted.
+    accepted: Option<Event>,
+    /// Whether an event was not of the run that was asked for; nothing after it is taken.
+    is_other_run: bool,
     /// Whether an event was taken.
     has_taken: bool,
 }
@@ -65,6 +73,8 @@
     NoEvent,
     /// The connection was closed in order after a whole event, which may be the end of the body, and the target is gone.
     TargetGone,
+    /// An event is not of the run that was asked for.
+    OtherRun,
 }
 
 impl StreamEnd {
@@ -87,18 +97,30 @@
             StreamEnd::BrokenOff(BreakOff::InsideEvent) => "inside_event",
             StreamEnd::BrokenOff(BreakOff::NoEvent) => "no_event",
             StreamEnd::BrokenOff(BreakOff::TargetGone) => "target_gone",
+            StreamEnd::BrokenOff(BreakOff::OtherRun) => "other_run",
         }
     }
 }
 
 impl EventStream {
-    /// Stream in the body of a response of a target.
-    pub fn new(body: ResponseBody, target: SocketAddr) -> EventStream {
-        EventStream { body, target, buffer: EventBuffer::default(), has_taken: false }
+    /// Stream in the body of a response of a target, whose events have to be of this sequence.
+    pub fn new(body: ResponseBody, target: SocketAddr, sequence: EventSequence) -> EventStream {
+        EventStream {
+            body,
+            target,
+            buffer: EventBuffer::default(),
+            sequence,
+            accepted: None,
+            is_other_run: false,
+            has_taken: false,
+        }
     }
 
     /// Waits for further bytes or the end of the stream. Nothing is lost if the future is dropped.
     pub async fn receive(&mut self) -> Received {
+        if self.is_other_run {
+            return Received::End(StreamEnd::BrokenOff(BreakOff::OtherRun));
+        }
         match self.body.frame().await {
             Some(Ok(frame)) => {
                 // Trailers are skipped.
@@ -114,7 +136,7 @@
     }
 
     /// Decides whether the stream is whole, after its body has ended in order.
-    async fn end(&self) -> StreamEnd {
+    async fn end(&mut self) -> StreamEnd {
         let has_event = self.has_taken || self.has_event();
         match StreamEnd::of_body(self.framing(), has_event, &self.buffer) {
             StreamEnd::Whole if is_cut_by_crash(self.framing(), self.target).await => {
@@ -125,17 +147,30 @@
     }
 
     /// Whether a whole event can be taken.
-    pub fn has_event(&self) -> bool {
-        self.buffer.has_event()
+    pub fn has_event(&mut self) -> bool {
+        self.accept_next();
+        self.accepted.is_some()
     }
 
-    /// Takes the next whole event; `None` until it has been received.
+    /// Takes the next whole event; `None` until it has been received, and once an event is of another run.
     pub fn next_event(&mut self) -> Option<Event> {
-        let event = self.buffer.take_event()?;
+        self.accept_next();
+        let event = self.accepted.take()?;
         self.has_taken = true;
         Some(event)
     }
 
+    fn accept_next(&mut self) {
+        if self.accepted.is_some() || self.is_other_run {
+            return;
+        }
+        let Some(event) = self.buffer.take_event() else { return };
+        match self.sequence.accept(&event) {
+            true => self.accepted = Some(event),
+            false => self.is_other_run = true,
+        }
+    }
+
     /// Takes the blank lines and comments after the last event of a whole stream.
     pub fn take_rest(&mut self) -> bytes::Bytes {
         self.buffer.take_rest()
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -78,7 +78,7 @@
     let request = &*request.id;
     let (parts, body) = response.into_parts();
     if parts.status.is_success() && is_event_stream(&parts.headers) {
-        let stream = EventStream::new(body, address);
+        let stream = EventStream::new(body, address, attempt.request.event_sequence());
         return read_first_event(front, Box::new(parts), stream, attempt).await;
     }
     let framing = body.framing();
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -22,7 +22,7 @@
     request: OnlineRequest,
     /// `None` after the end of the stream.
     active: Option<ActiveStream>,
-    /// Number of the last event that was forwarded.
+    /// Number of the last event that the caller has, of this answer or of the one that it takes up.
     last_event: Option<u64>,
     /// When the first event arrived.
     started: Instant,
@@ -34,7 +34,8 @@
     /// Creates a stream of which nothing has been forwarded.
     pub fn new(request: OnlineRequest, active: ActiveStream) -> ForwardedStream {
         let started = Instant::now();
-        ForwardedStream { request, active: Some(active), last_event: None, started }
+        let last_event = request.taken_up.as_ref().map(|it| it.after);
+        ForwardedStream { request, active: Some(active), last_event, started }
     }
 
     /// Body for the caller, read ahead if there is a memory budget.
@@ -158,14 +159,11 @@
     }
 }
 
-/// Takes all whole events that have arrived; events up to number `last` were forwarded before and are skipped.
+/// Takes all whole events that have arrived.
 fn take_events(active: &mut ActiveStream, last: &mut Option<u64>) -> Option<Bytes> {
     let mut first: Option<Bytes> = None;
     let mut more = BytesMut::new();
     while let Some(event) = active.stream.next_event() {
-        if event.id.is_some() && event.id <= *last {
-            continue;
-        }
         *last = event.id.or(*last);
         match &first {
             None => first = Some(event.raw),
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -46,6 +46,7 @@
     silence::{Attempt, Loss},
 };
 use crate::{
+    event_sequence::EventSequence,
     event_stream::EventStream,
     events::is_event_stream,
     metrics::Stage,
@@ -351,6 +352,21 @@
         }
     }
 
+    /// What the events of the next run have to be. Only those of stream routes have numbers with a meaning, and only those of
+    /// resumable ones follow the `Last-Event-Id` that is sent.
+    pub(super) fn event_sequence(&self) -> EventSequence {
+        match self.route.kind {
+            RouteKind::Stream { resumable: true } => {
+                let name = &self.front.dialect.headers().last_event_id;
+                EventSequence::asked_with(header_number(self.call.headers.get(name)))
+            }
+            RouteKind::Stream { resumable: false } => EventSequence::asked_with(None),
+            RouteKind::Repeatable | RouteKind::Once | RouteKind::Batch(_) => {
+                EventSequence::Unchecked
+            }
+        }
+    }
+
     fn may_run_again(&self) -> bool {
         self.route.kind.is_repeatable() && self.runs < self.route.attempts
     }
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -39,14 +39,11 @@
 pub type SharedOutput = Rc<RefCell<Output>>;
 
 impl Output {
-    /// Appends the data of events that have not been received before. Returns whether any event has arrived.
+    /// Appends the data of the events that have arrived. Returns whether there was any.
     pub fn consume(&mut self, stream: &mut EventStream) -> bool {
         let mut has_event = false;
         while let Some(event) = stream.next_event() {
             has_event = true;
-            if event.id.is_some() && event.id <= self.last_event {
-                continue;
-            }
             self.last_event = event.id.or(self.last_event);
             event.append_data(&mut self.text, !self.has_data);
             self.has_data |= event.has_data();
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -36,6 +36,7 @@
 
 use super::{JobEnv, item_output::SharedOutput, send_permit::SendPermit};
 use crate::{
+    event_sequence::EventSequence,
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
     peers::{Hex, RunEnd, SentRun},
@@ -471,7 +472,11 @@
             self.output.borrow_mut().note_answered();
             return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
-                false => self.read_events(EventStream::new(body, at.address), at, ticket).await,
+                false => {
+                    let sequence = EventSequence::asked_with(self.last_event());
+                    let stream = EventStream::new(body, at.address, sequence);
+                    self.read_events(stream, at, ticket).await
+                }
             };
         }
         let whole = within_or_late(FAILURE_BODY_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! - a **request** arrives at `front`, gets its target from `placement`, is sent by `target_client`, and its answer is
 //!   forwarded event by event by `front::forwarded_stream`;
 //! - `event_stream` reads the **answers** of targets that are event streams, and decides whether they are whole;
-//!   `whole_answer` does so for others;
+//!   `whole_answer` does so for others; `event_sequence` tells events of another run from those that were asked for;
 //! - a **job** arrives at `jobs::submit`, is owned by a `jobs::job_task`, its items run through `jobs::item_run`, and
 //!   its results can be read through `jobs::reads` at any gateway;
 //! - **routes** and **targets** come from the store through `discovery`, which watches them with `watch`;
@@ -18,6 +18,7 @@
 //! `process` starts all parts from a [`config::GatewayConfig`], and `settings` reads the settings files of any process.
 
 pub mod config;
+pub mod event_sequence;
 pub mod event_stream;
 pub mod events;
 pub mod idle_limit;
--- a/crates/samphiredoor-standin/src/lib.rs
+++ b/crates/samphiredoor-standin/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod platform_target;
 pub mod process;
 pub mod soak;
+pub mod wrong_resumption;
--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -17,6 +17,8 @@
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 
+use crate::wrong_resumption::WrongResumption;
+
 /// Time without an answer; longer than the timeout of any request in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(120);
 /// Send buffer of a target that aborts unread answers. By default the kernel takes megabytes that nobody has read.
@@ -70,6 +72,8 @@
     UnframedCutAfter(u64),
     /// The chunks end in order inside the event after this number of events.
     ChunksEndAfter(u64),
+    /// The answer to a request with `Last-Event-Id` begins at another event than the next one.
+    Resumes(WrongResumption),
 }
 
 impl TargetFault {
@@ -546,7 +550,7 @@
              X-Server-Load: 1,0,8\r\n{}\r\n",
             stamp_header(id)
         )?;
-        let first = after.unwrap_or(0) + 1;
+        let first = fault.first_event(after);
         for (sent, number) in (first..=events).enumerate() {
             self.wait_while_silent();
             if fault == TargetFault::UnframedCrashAfter(sent as u64) {
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -7,6 +7,7 @@
 mod crashes_by_chance;
 mod discovery;
 mod env;
+mod event_order;
 mod item_outputs;
 mod jobs;
 mod overload_metrics;
