Streams and items: nothing is joined to data without a number

Cause: an event without a number was appended whatever stood before. A text of such events has no last event, so the next attempt was sent without Last-Event-Id and its whole answer was appended to what was there. After a numbered event, the next attempt was asked to go on after that number, so data without a number behind it came twice; and an answer without any number was joined to any resumption.

Change: LastEvent knows whether data without a number came last. An item drops such a text and begins anew with its next attempt, and does not save it; a stream ends as cut instead of being resumed. Events without data (comments) change nothing.

Before (platform::event_order, 5 of the 6 new tests failed):

an_item_whose_events_have_no_numbers_begins_anew left: String("a\na\nb") right: "a\nb" a_run_without_numbers_is_not_joined_to_an_item left: String("a\nz") right: "a\nb" a_stream_is_not_joined_to_a_run_without_numbers left: (200, "id: 1\ndata: a\n\ndata: z\n\n") right: (200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") a_stream_is_not_resumed_after_an_event_without_a_number left: (200, 2) right: (0, 1) an_event_without_a_number_does_not_come_twice_in_an_item left: String("") right: "a\nb\nc"

After: all 19 tests of platform::event_order and 17 of the module passed. Not solved: a part of a text that was saved before data without a number came is restored by another owner without that data, and goes on after the part's last number.

--- a/crates/samphiredoor-gateway/src/event_sequence.rs
+++ b/crates/samphiredoor-gateway/src/event_sequence.rs
@@ -2,7 +2,8 @@
 //!
 //! A target that is asked to go on after event n sends n + 1 first, and the numbers of a run increase, though not
 //! necessarily by one. Another event shows an answer that was not asked for, such as a late one of an earlier run, and must
-//! not be joined to what came before. All runs of a request have the same id, so only the numbers tell them apart.
+//! not be joined to what came before. All runs of a request have the same id, so only the numbers tell them apart. Nothing can
+//! go on after data without a number, as its place is unknown.
 
 use crate::events::Event;
 
@@ -28,7 +29,10 @@
     /// Judges the next event; returns whether it belongs to the run.
     #[must_use]
     pub fn accept(&mut self, event: &Event) -> bool {
-        let Some(id) = event.id else { return true };
+        let Some(id) = event.id else {
+            // Its place after the last event is unknown.
+            return !(event.has_data() && matches!(self, EventSequence::Next(_)));
+        };
         let (is_expected, next) = match *self {
             EventSequence::Unchecked => return true,
             EventSequence::First => (true, EventSequence::Later(id)),
@@ -43,3 +47,41 @@
         is_expected
     }
 }
+
+/// Event after which another run can go on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LastEvent {
+    number: Option<u64>,
+    /// Whether data without a number has come after it.
+    is_passed: bool,
+}
+
+impl LastEvent {
+    /// Last event with this number, after which nothing has come.
+    pub fn with_number(number: Option<u64>) -> LastEvent {
+        LastEvent { number, is_passed: false }
+    }
+
+    /// Notes the next event.
+    pub fn note(&mut self, event: &Event) {
+        match event.id {
+            Some(id) => *self = LastEvent::with_number(Some(id)),
+            None => self.is_passed |= event.has_data(),
+        }
+    }
+
+    /// Number of the last event that has one.
+    pub fn number(&self) -> Option<u64> {
+        self.number
+    }
+
+    /// Whether data without a number came last, so that no other run can go on.
+    pub fn is_passed(&self) -> bool {
+        self.is_passed
+    }
+
+    /// Number after which another run can go on; `None` if it can't, or there was no event.
+    pub fn resumable(&self) -> Option<u64> {
+        self.number.filter(|_| !self.is_passed)
+    }
+}
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -13,6 +13,7 @@
     silence::{Attempt, Awaited, Loss},
 };
 use crate::{
+    event_sequence::LastEvent,
     event_stream::{Received, StreamEnd},
     metrics::Stage,
 };
@@ -22,8 +23,8 @@
     request: OnlineRequest,
     /// `None` after the end of the stream.
     active: Option<ActiveStream>,
-    /// Number of the last event that the caller has, of this answer or of the one that it takes up.
-    last_event: Option<u64>,
+    /// Last event that the caller has, of this answer or of the one that it takes up.
+    last_event: LastEvent,
     /// When the first event arrived.
     started: Instant,
 }
@@ -34,7 +35,7 @@
     /// Creates a stream of which nothing has been forwarded.
     pub fn new(request: OnlineRequest, active: ActiveStream) -> ForwardedStream {
         let started = Instant::now();
-        let last_event = request.taken_up.as_ref().map(|it| it.after);
+        let last_event = LastEvent::with_number(request.taken_up.as_ref().map(|it| it.after));
         ForwardedStream { request, active: Some(active), last_event, started }
     }
 
@@ -67,7 +68,7 @@
                 target: &active.target,
                 address: active.address,
                 ticket: &active.ticket,
-                next_run: self.request.next_run_after(self.last_event),
+                next_run: self.request.next_run_after(self.last_event.resumable()),
             };
             let (loss, label) = match attempt
                 .receive(Awaited::Event, active.stream.receive(), Received::is_data)
@@ -116,7 +117,7 @@
         if framing == Framing::Close {
             log::info!(
                 request = self.request.id, target = &*active.target, framing = framing.label(),
-                after = self.last_event.unwrap_or(0);
+                after = self.last_event.number().unwrap_or(0);
                 "front: stream ended"
             );
         }
@@ -137,7 +138,7 @@
         let framing = stream.framing();
         self.request.front.metrics.stream_ended(framing, label);
         log::info!(
-            request = self.request.id, target = &*target, after = self.last_event.unwrap_or(0),
+            request = self.request.id, target = &*target, after = self.last_event.number().unwrap_or(0),
             reason = cause.label(), framing = framing.label(), end = label,
             unfinished_bytes = stream.unfinished_bytes();
             "front: stream interrupted"
@@ -146,7 +147,7 @@
         // Closes the connection, so that the target stops before another one continues the stream.
         drop(stream);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
-        let why = match (resumable, self.last_event) {
+        let why = match (resumable, self.last_event.resumable()) {
             (true, Some(last)) => match self.request.resume(last, cause).await {
                 Ok(active) => return Ok(active),
                 Err(why) => why,
@@ -160,11 +161,11 @@
 }
 
 /// Takes all whole events that have arrived.
-fn take_events(active: &mut ActiveStream, last: &mut Option<u64>) -> Option<Bytes> {
+fn take_events(active: &mut ActiveStream, last: &mut LastEvent) -> Option<Bytes> {
     let mut first: Option<Bytes> = None;
     let mut more = BytesMut::new();
     while let Some(event) = active.stream.next_event() {
-        *last = event.id.or(*last);
+        last.note(&event);
         match &first {
             None => first = Some(event.raw),
             Some(first) => {
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     buffers::{Buffers, HeldOutput},
+    event_sequence::LastEvent,
     event_stream::EventStream,
 };
 
@@ -18,7 +19,7 @@
 pub struct Output {
     text: Vec<u8>,
     has_data: bool,
-    last_event: Option<u64>,
+    last_event: LastEvent,
     /// Run that began the text; `None` before its first event.
     origin: Option<StreamOrigin>,
     /// Length of the text that was passed to the job's log to be saved.
@@ -44,7 +45,7 @@
         let mut has_event = false;
         while let Some(event) = stream.next_event() {
             has_event = true;
-            self.last_event = event.id.or(self.last_event);
+            self.last_event.note(&event);
             event.append_data(&mut self.text, !self.has_data);
             self.has_data |= event.has_data();
         }
@@ -59,7 +60,7 @@
         Output {
             text: partial.text.into_bytes(),
             has_data: saved_bytes > 0,
-            last_event,
+            last_event: LastEvent::with_number(last_event),
             origin: Some(StreamOrigin::of_version(version)),
             saved_bytes,
             saved_event: last_event,
@@ -77,7 +78,7 @@
 
     /// Sets the run that begins the text, unless one has begun it already.
     pub fn begin_text(&mut self, origin: StreamOrigin) {
-        if self.last_event.is_none() {
+        if self.last_event().is_none() {
             self.origin = Some(origin);
         }
     }
@@ -113,7 +114,7 @@
     /// Lets the run end once the target has answered; returns whether it goes on until then. An item with output does not
     /// fail at each run, and its run can be dropped.
     pub fn stop_once_answered(&mut self) -> bool {
-        self.is_stopping = self.awaits_answer && self.last_event.is_none();
+        self.is_stopping = self.awaits_answer && self.last_event().is_none();
         self.is_stopping
     }
 
@@ -135,7 +136,16 @@
 
     /// Number of the last event that was received.
     pub fn last_event(&self) -> Option<u64> {
-        self.last_event
+        self.last_event.number()
+    }
+
+    /// Drops a text that no other run can go on with. Returns whether there was one.
+    pub fn drop_unresumable(&mut self) -> bool {
+        let is_unresumable = self.last_event.is_passed();
+        if is_unresumable {
+            self.drop_text();
+        }
+        is_unresumable
     }
 
     /// Notes that the item is about to be sent to a target.
@@ -160,7 +170,7 @@
 
     /// Takes the output received since the last call; `None` if there was no new event.
     pub fn take_unsaved(&mut self, item: u32) -> Option<OutputPart> {
-        let last = self.last_event.filter(|it| Some(*it) > self.saved_event)?;
+        let last = self.last_event.resumable().filter(|it| Some(*it) > self.saved_event)?;
         let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
         let after = self.saved_event.replace(last);
         self.saved_bytes = self.text.len();
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -253,6 +253,10 @@
     }
 
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
+        if self.output.borrow_mut().drop_unresumable() {
+            log::info!(job = &*self.job, item = &*self.item.id; "item: begun anew, as its last events have no numbers");
+            self.env.metrics.job_event("item_begun_anew");
+        }
         let Some(service) = self.service(route) else { return Outcome::RetryLater };
         let content = self.content(service, call);
         if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
--- a/crates/samphiredoor-gateway/tests/event_sequence.rs
+++ b/crates/samphiredoor-gateway/tests/event_sequence.rs
@@ -1,6 +1,9 @@
 //! Checks which events belong to the run that was asked for.
 
-use samphiredoor_gateway::{event_sequence::EventSequence, events::EventBuffer};
+use samphiredoor_gateway::{
+    event_sequence::{EventSequence, LastEvent},
+    events::EventBuffer,
+};
 
 /// Number of events of a body that are accepted before the first one that is not.
 fn accepted(mut sequence: EventSequence, body: &str) -> usize {
@@ -50,3 +53,33 @@
     let body = "data: a\n\nid: 1\ndata: b\n\ndata: c\n\nid: 2\n\n";
     assert_eq!(accepted(EventSequence::asked_with(None), body), 4);
 }
+
+/// Guards against runs without numbers that are joined to others.
+#[test]
+fn data_without_a_number_does_not_go_on() {
+    let sequence = EventSequence::asked_with(Some(3));
+    assert_eq!(accepted(sequence, "data: a\n\nid: 4\ndata: b\n\n"), 0);
+    assert_eq!(accepted(sequence, ": ping\n\nid: 4\ndata: b\n\ndata: c\n\n"), 3);
+}
+
+macro_rules! last_events {
+    ($($name:ident: $body:expr => $resumable:expr, $is_passed:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut buffer = EventBuffer::default();
+                buffer.push($body);
+                let mut last = LastEvent::default();
+                std::iter::from_fn(|| buffer.take_event()).for_each(|it| last.note(&it));
+                assert_eq!((last.resumable(), last.is_passed()), ($resumable, $is_passed));
+            }
+        )*
+    };
+}
+
+last_events! {
+    nothing_goes_on_without_an_event: b": ping\n\n" => None, false;
+    a_run_goes_on_after_the_last_number: b"data: a\n\nid: 1\n\nid: 2\ndata: b\n\n" => Some(2), false;
+    a_run_goes_on_after_a_comment: b"id: 1\ndata: a\n\n: ping\n\n" => Some(1), false;
+    nothing_goes_on_after_data_without_a_number: b"id: 1\n\ndata: a\n\n" => None, true;
+}
--- a/crates/samphiredoor/tests/it/platform/event_order.rs
+++ b/crates/samphiredoor/tests/it/platform/event_order.rs
@@ -8,8 +8,10 @@
     platform_target::{FIRST_VERSION, PlatformTarget, TargetFault},
     wrong_resumption::WrongResumption,
 };
+use serde_json::json;
 
 use super::env::{BINARY, Platform, whole_stream};
+use crate::raw_target::{RawTarget, Reply};
 
 const FAST: Duration = Duration::from_millis(2);
 /// Attempts of a request: more than the targets' faults.
@@ -108,3 +110,69 @@
     assert_eq!(results[0]["text"], whole_text(FIRST_VERSION));
     assert!(is_asked_again(&targets), "{:?}", targets.map(|it| it.runs()));
 }
+
+/// A stream of these events, which its connection ends `missing` bytes before its length.
+fn stream(events: &str, missing: usize) -> Reply {
+    let length = events.len() + missing;
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\r\n{events}"
+    );
+    Reply::SendAndClose(answer.leak())
+}
+
+/// Starts a gateway with one target that cuts its first answer, and then answers with whole streams.
+fn cut_then(first: &str, later: &[&str]) -> (Platform, RawTarget) {
+    let later = later.iter().map(|it| stream(it, 0));
+    let target = RawTarget::start(std::iter::once(stream(first, 1)).chain(later));
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, ATTEMPTS);
+    let entry = json!({
+        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
+        "version": "v1", "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", "raw", entry);
+    platform.start_gateway();
+    (platform, target)
+}
+
+macro_rules! item_texts {
+    ($($name:ident: $first:expr, $later:expr => $text:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (platform, _target) = cut_then($first, &$later);
+                platform.submit(0, "job", &["item-0"]);
+                assert_eq!(platform.all_results(0, "job", 1)[0]["text"], $text);
+            }
+        )*
+    };
+}
+
+item_texts! {
+    an_item_whose_events_have_no_numbers_begins_anew:
+        "data: a\n\n", ["data: a\n\ndata: b\n\n"] => "a\nb";
+    an_event_without_a_number_does_not_come_twice_in_an_item:
+        "id: 1\ndata: a\n\ndata: b\n\n", ["id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\n"] => "a\nb\nc";
+    a_run_without_numbers_is_not_joined_to_an_item:
+        "id: 1\ndata: a\n\n", ["data: z\n\n", "id: 2\ndata: b\n\n"] => "a\nb";
+    an_item_is_resumed_after_a_number_although_an_event_before_has_none:
+        "data: a\n\nid: 1\ndata: b\n\n", ["id: 2\ndata: c\n\n"] => "a\nb\nc";
+}
+
+/// Guards against streams in which events without a number come twice.
+#[test]
+fn a_stream_is_not_resumed_after_an_event_without_a_number() {
+    let (platform, target) =
+        cut_then("id: 1\ndata: a\n\ndata: b\n\n", &["data: b\n\nid: 2\ndata: c\n\n"]);
+    let answer = platform.send(0, RESUMABLE, "id-1", "");
+    assert_eq!((answer.status, target.ran().len()), (0, 1), "{}", answer.text);
+}
+
+/// Guards against streams that are joined to runs whose events have no numbers.
+#[test]
+fn a_stream_is_not_joined_to_a_run_without_numbers() {
+    let (platform, target) = cut_then("id: 1\ndata: a\n\n", &["data: z\n\n", "id: 2\ndata: b\n\n"]);
+    let answer = platform.send(0, RESUMABLE, "id-1", "");
+    assert_eq!((answer.status, &*answer.text), (200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    assert_eq!(target.ran().len(), 3);
+}
