--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     buffers::{Buffers, HeldOutput},
+    event_sequence::LastEvent,
     event_stream::EventStream,
 };
 
@@ -18,7 +19,7 @@
 pub struct Output {
     text: Vec<u8>,
     has_data: bool,
-    last_event: Option<u64>,
+    last_event: LastEvent,
     /// Run that began the text; `None` before its first event.
     origin: Option<StreamOrigin>,
     /// Length of the text that was passed to the job's log to be saved.
@@ -41,15 +42,12 @@
 pub type SharedOutput = Rc<RefCell<Output>>;
 
 impl Output {
-    /// Appends the data of events that have not been received before. Returns whether any event has arrived.
+    /// Appends the data of the events that have arrived. Returns whether there was any.
     pub fn consume(&mut self, stream: &mut EventStream) -> bool {
         let mut has_event = false;
         while let Some(event) = stream.next_event() {
             has_event = true;
-            if event.id.is_some() && event.id <= self.last_event {
-                continue;
-            }
-            self.last_event = event.id.or(self.last_event);
+            self.last_event.note(&event);
             event.append_data(&mut self.text, !self.has_data);
             self.has_data |= event.has_data();
         }
@@ -68,7 +66,7 @@
         Output {
             text: partial.text.into_bytes(),
             has_data: saved_bytes > 0,
-            last_event,
+            last_event: LastEvent::with_number(last_event),
             origin: Some(origin),
             saved_bytes,
             saved_event: last_event,
@@ -87,7 +85,7 @@
 
     /// Sets the run that begins the text, unless one has begun it already.
     pub fn begin_text(&mut self, origin: StreamOrigin) {
-        if self.last_event.is_none() {
+        if self.last_event().is_none() {
             self.origin = Some(origin);
         }
     }
@@ -123,7 +121,7 @@
     /// Lets the run end once the target has answered; returns whether it goes on until then. An item with output does not
     /// fail at each run, and its run can be dropped.
     pub fn stop_once_answered(&mut self) -> bool {
-        self.is_stopping = self.awaits_answer && self.last_event.is_none();
+        self.is_stopping = self.awaits_answer && self.last_event().is_none();
         self.is_stopping
     }
 
@@ -145,7 +143,16 @@
 
     /// Number of the last event that was received.
     pub fn last_event(&self) -> Option<u64> {
-        self.last_event
+        self.last_event.number()
+    }
+
+    /// Drops a text that no other run can go on with. Returns whether there was one.
+    pub fn drop_unresumable(&mut self) -> bool {
+        let is_unresumable = self.last_event.is_passed();
+        if is_unresumable {
+            self.drop_text();
+        }
+        is_unresumable
     }
 
     /// Notes that the item is about to be sent to a target.
@@ -170,7 +177,7 @@
 
     /// Takes the output received since the last call; `None` if there was no new event.
     pub fn take_unsaved(&mut self, item: u32) -> Option<OutputPart> {
-        let last = self.last_event.filter(|it| Some(*it) > self.saved_event)?;
+        let last = self.last_event.resumable().filter(|it| Some(*it) > self.saved_event)?;
         let text = String::from_utf8_lossy(&self.text[self.saved_bytes..]).into_owned();
         let after = self.saved_event.replace(last);
         self.saved_bytes = self.text.len();
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -36,6 +36,7 @@
 
 use super::{JobEnv, item_output::SharedOutput, send_permit::SendPermit};
 use crate::{
+    event_sequence::EventSequence,
     event_stream::{BreakOff, EventStream, Received, StreamEnd},
     events::is_event_stream,
     peers::{Hex, RunEnd, SentRun},
@@ -252,6 +253,10 @@
     }
 
     async fn attempt(&self, route: &Route, call: &mut Call) -> Outcome {
+        if self.output.borrow_mut().drop_unresumable() {
+            log::info!(job = &*self.job, item = &*self.item.id; "item: begun anew, as its last events have no numbers");
+            self.env.metrics.job_event("item_begun_anew");
+        }
         let Some(service) = self.service(route) else { return Outcome::RetryLater };
         let content = self.content(service, call);
         if let Some(suspect) = self.env.crash_reports.quarantined(&content) {
@@ -471,7 +476,11 @@
             self.output.borrow_mut().note_answered();
             return match is_preempted || self.output.borrow().is_stopping() {
                 true => (Outcome::Resume, AttemptEnd::Cut),
-                false => self.read_events(EventStream::new(body, at.address), at, ticket).await,
+                false => {
+                    let sequence = EventSequence::asked_with(self.last_event());
+                    let stream = EventStream::new(body, at.address, sequence);
+                    self.read_events(stream, at, ticket).await
+                }
             };
         }
         let whole = within_or_late(FAILURE_BODY_TIMEOUT, read_whole(body, MAX_ERROR_BYTES)).await;
--- a/crates/samphiredoor-standin/src/lib.rs
+++ b/crates/samphiredoor-standin/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod process;
 pub mod run_chain;
 pub mod soak;
+pub mod wrong_resumption;
