--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -285,6 +285,13 @@
         let until = Instant::now() + self.set_headers(call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
         let run = self.env.crash_reports.sent(address, trial);
+        // Logged before the run, as an owner that loses its job drops its runs.
+        if let Some(asked_after) = before {
+            log::info!(
+                job = &*self.job, item = &*self.item.id, target = &*target, asked_after;
+                "item: sent to go on"
+            );
+        }
         self.output.borrow_mut().begin_attempt();
         let mut at = AtTarget {
             target: &target,
@@ -319,7 +326,7 @@
             self.env.metrics.item_unanswered(unanswered_label(end));
         }
         let is_completed = matches!(outcome, Outcome::Finished(ItemEnd::Completed { .. }));
-        if !is_completed || before.is_some() {
+        if !is_completed {
             log::info!(
                 job = &*self.job, item = &*self.item.id, target = &*target, end:? = end,
                 asked_after = before.unwrap_or(0), after = self.last_event().unwrap_or(0), was_answered;
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -159,7 +159,9 @@
         }
         self.items_started = true;
         for (item, output) in self.log.take_saved_outputs() {
-            self.log_restored(item, &output);
+            if !self.outputs.contains_key(&item) {
+                self.log_restored(item, &output);
+            }
             let restored = self
                 .outputs
                 .entry(item)
