--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -36,5 +36,5 @@
 };
 pub use log::{LogStep, ResultLog};
 pub use log_end::{LATE_WRITE_MS, LogCall, LogEnd};
-pub use outputs::{OutputPart, PartId, PartialOutput, TextOrigin};
+pub use outputs::{OutputPart, PartId, PartialOutput, ServiceHash, TextOrigin};
 pub use reader::{Answer, KnownResults, Ownership, Reader};
--- a/crates/samphiredoor-core/src/ordered/outputs.rs
+++ b/crates/samphiredoor-core/src/ordered/outputs.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct PartId(u64);
+pub struct PartId(#[serde(with = "hex")] u64);
 
 impl PartId {
     /// Id made of a random number.
@@ -33,16 +33,22 @@
     }
 }
 
-/// What wrote the text of an item.
+/// Hash of a service's name, from [`crate::names::name_hash`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceHash(#[serde(with = "hex")] pub u64);
+
+/// Version and service that produced the text of an item.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct TextOrigin {
     /// Software version; `None` in parts of builds that did not know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<Name>,
-    /// Hash of the service's name; `None` in parts of builds that did not save it.
+    /// Service; `None` in parts of builds that did not save it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub service: Option<u64>,
+    pub service: Option<ServiceHash>,
 }
 
 /// Events of an item that follow those of an earlier part.
@@ -63,7 +69,7 @@
     pub last: u64,
     /// Bytes that these events add to the item's text.
     pub text: String,
-    /// What wrote the text.
+    /// What produced the text.
     #[serde(flatten)]
     pub origin: TextOrigin,
 }
@@ -77,7 +83,7 @@
     pub last: u64,
     /// Data of all events up to the last, separated by line feeds.
     pub text: String,
-    /// What wrote the text.
+    /// What produced the text.
     pub origin: TextOrigin,
     /// Process that saved the last part, if that is known.
     pub writer: Option<JobOwner>,
@@ -112,7 +118,7 @@
         }
     }
 
-    /// The longest text. If an item was begun anew at another version or service, texts of the former one count no more.
+    /// The longest text. If an item was begun anew at another version or service, texts of another origin are not considered.
     fn longest_text(self) -> Option<PartialOutput> {
         let latest_first = self.0.iter().rfind(|it| it.part.follows.is_none())?;
         let origin = latest_first.part.origin.clone();
@@ -174,3 +180,17 @@
         parts.filter_map(|(item, parts)| Some((item, parts.longest_text()?))).collect()
     }
 }
+
+/// 64-bit numbers as hexadecimal text: not every reader of JSON keeps numbers above 2^53 exactly.
+mod hex {
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    pub fn serialize<S: Serializer>(number: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{number:016x}"))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+        u64::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
--- a/crates/samphiredoor-core/tests/ordered/log.rs
+++ b/crates/samphiredoor-core/tests/ordered/log.rs
@@ -13,7 +13,8 @@
     test_runner::{RngAlgorithm, TestRng},
 };
 use samphiredoor_core::ordered::{
-    ItemResult, LogStep, Outcome, OutputPart, PartId, PartialOutput, ResultLog, TextOrigin,
+    ItemResult, LogStep, Outcome, OutputPart, PartId, PartialOutput, ResultLog, ServiceHash,
+    TextOrigin,
 };
 
 use super::{
@@ -46,7 +47,7 @@
 struct Runs {
     count: u32,
     parts: u64,
-    /// All texts that a writer has had, by item.
+    /// All texts that writers have produced, by item.
     texts: BTreeSet<(u32, String)>,
 }
 
@@ -150,14 +151,17 @@
     }
 }
 
-/// Partial outputs that a log has read, each with a new run that goes on with it; checks that each is a text which a writer
-/// has had.
+/// Partial outputs that a log has read, each with a new run that goes on with it; checks that each is a text that a
+/// writer produced.
 fn saved_texts(log: &mut ResultLog, runs: &SharedRuns) -> BTreeMap<u32, ItemText> {
     let mut runs = runs.borrow_mut();
     let text = |(item, PartialOutput { part, last, text, origin, .. })| {
         let version = VERSIONS.iter().position(|it| origin.version.as_deref() == Some(it));
         let version = version.expect("a version that was written");
-        assert!(runs.texts.contains(&(item, text.clone())), "item {item}: nobody had {text}");
+        assert!(
+            runs.texts.contains(&(item, text.clone())),
+            "item {item}: no writer produced {text}"
+        );
         (item, ItemText { run: runs.begin(), version, last, text, part: Some(part) })
     };
     log.take_saved_outputs().into_iter().map(text).collect()
@@ -350,3 +354,20 @@
     append(&mut store, &mut former, 7, 4);
     assert_eq!(read_back(&mut store, &runs)[&7].text, text_at(&former, 7));
 }
+
+/// Guards against segments that another reader of JSON changes: it may keep numbers as doubles.
+#[test]
+fn saved_parts_hold_no_number_above_what_a_double_keeps() {
+    let (mut store, runs) = (Store::default(), SharedRuns::default());
+    let [mut owner] = owners(&mut store, &runs);
+    let id = Some(PartId::new(u64::MAX));
+    let origin = TextOrigin { version: None, service: Some(ServiceHash(u64::MAX)) };
+    let part =
+        OutputPart { item: 1, id, follows: id, after: Some(1), last: 2, text: "a".into(), origin };
+    owner.log.push_output(part);
+    call(&mut store, &mut owner, CallOutcome::Answered);
+    let written = store.texts().concat();
+    assert!(written.contains("\"ffffffffffffffff\""), "{written}");
+    let words = written.split(|it: char| !it.is_ascii_alphanumeric());
+    assert!(words.filter_map(|it| it.parse::<u64>().ok()).all(|it| it < 1 << 53));
+}
--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -4,7 +4,7 @@
 
 use samphiredoor_core::{
     Name,
-    ordered::{ItemEnd, OutputPart, PartId, PartialOutput, TextOrigin},
+    ordered::{ItemEnd, OutputPart, PartId, PartialOutput, ServiceHash, TextOrigin},
     software_versions::StreamOrigin,
 };
 
@@ -60,8 +60,10 @@
         let TextOrigin { version: Some(version), service } = partial.origin else {
             return Output::default();
         };
-        let origin =
-            StreamOrigin { service: service.unwrap_or(0), ..StreamOrigin::of_version(version) };
+        let origin = StreamOrigin {
+            service: service.map_or(0, |it| it.0),
+            ..StreamOrigin::of_version(version)
+        };
         let (last_event, saved_bytes) = (Some(partial.last), partial.text.len());
         Output {
             text: partial.text.into_bytes(),
@@ -185,7 +187,12 @@
         let follows = self.saved_part.replace(id);
         let origin = TextOrigin {
             version: self.origin.as_ref().map(|it| Name::clone(&it.version)),
-            service: self.origin.as_ref().map(|it| it.service).filter(|it| *it != 0),
+            service: self
+                .origin
+                .as_ref()
+                .map(|it| it.service)
+                .filter(|it| *it != 0)
+                .map(ServiceHash),
         };
         Some(OutputPart { item, id: Some(id), follows, after, last, text, origin })
     }
