Connections: a task that always finds bytes to read yields

Cause: reads of compio's polling driver complete at once while the socket holds bytes. hyper parses in a loop until a read is pending, so a peer that sends interim heads or a chunk size without end kept the task running for as long as it sent: no other task ran and no timer fired, neither at a client nor at a server.

The drivers of both sides mark the start of each turn, so that a server's check of idle connections still counts bytes that have arrived.

--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -221,12 +221,12 @@
         if let Some(bytes) = self.socket_buffer_bytes {
             socket::limit_buffers(&stream, bytes)?;
         }
-        let (sender, driver) = Builder::new()
-            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-            .handshake(Stream::new(stream))
-            .await?;
+        let stream = Stream::new(stream);
+        let budget = stream.read_budget();
+        let (sender, driver) =
+            Builder::new().read_buf_exact_size(Some(READ_BUFFER_BYTES)).handshake(stream).await?;
         let driver = compio::runtime::spawn(async move {
-            if let Err(err) = driver.await {
+            if let Err(err) = budget.per_turn(driver).await {
                 log::debug!("pool: connection ended: {err}");
             }
         });
--- a/crates/samphiredoor-net/src/serve.rs
+++ b/crates/samphiredoor-net/src/serve.rs
@@ -32,7 +32,7 @@
     read_ahead::ReadAhead,
     socket::{self, SocketTimeouts},
     stall::{MonitoredStream, WriteStall},
-    stream::Stream,
+    stream::{ReadBudget, Stream},
 };
 
 /// Backoff after a failed accept, and interval of the checks during a shutdown.
@@ -279,11 +279,14 @@
     mut connection: Pin<&mut C>,
     current: &RefCell<ReadAhead>,
     stall: &WriteStall,
+    budget: &ReadBudget,
 ) -> Result<(), BoxError>
 where
     C: Future<Output = hyper::Result<()>>,
 {
     poll_fn(|cx| {
+        // At least one read per turn: a limit on a wait is checked at its end, and bytes that have arrived must count.
+        budget.start_turn();
         loop {
             current.borrow().start_turn(stall.is_pending());
             if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
@@ -319,8 +322,9 @@
     let socket = stream.clone();
     let is_close_delimited = Rc::new(Cell::new(false));
     let by_close = Rc::clone(&is_close_delimited);
-    let (stream, stall) =
-        MonitoredStream::new(Stream::new(stream).with_activity(Rc::clone(&shared.activity)));
+    let stream = Stream::new(stream).with_activity(Rc::clone(&shared.activity));
+    let budget = stream.read_budget();
+    let (stream, stall) = MonitoredStream::new(stream);
     let is_draining = Rc::clone(&shared.draining);
     let current_activity = Rc::clone(&shared.activity);
     let read_ahead = Rc::new(RefCell::new(ReadAhead::default()));
@@ -362,7 +366,7 @@
     let mut exceeded = pin!(shared.activity.limit_exceeded(&shared.limits, &stall).fuse());
     let ended = loop {
         select_biased! {
-            ended = or_aborted(connection.as_mut(), &read_ahead, &stall).fuse() => break ended,
+            ended = or_aborted(connection.as_mut(), &read_ahead, &stall, &budget).fuse() => break ended,
             wait = exceeded => {
                 shared.note_close(wait);
                 match wait {
