Pool: a response whose head or framing never ends fails

Cause: nothing bounded what a server sends before the head of its response. hyper skips interim heads without a limit, and a chunk's size of any number of zeros is no content, so no limit on a body applies to it. Requests waited for their own deadline while the process parsed at full speed.

Change: a connection fails after 16 interim heads, or 32 KB without a complete head or a piece of a body: hyper reports the failed read to the request as one that may have run, and closes the connection. A handful of interim heads stays legal.

--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     Body, BoxError,
+    response_limits::ResponseLimits,
     socket::{self, SocketTimeouts},
     stream::Stream,
 };
@@ -92,6 +93,7 @@
     sender: SendRequest<Body>,
     // Dropping the handle cancels the task that drives the connection, which closes the socket.
     _driver: JoinHandle<()>,
+    limits: ResponseLimits,
     /// When the connection must no longer be used, as the server may close it; `None` for no limit.
     usable_until: Option<Instant>,
 }
@@ -181,6 +183,7 @@
         let echoed_value = self.echoed_value(&request);
         // The server may have closed an idle connection; hyper returns the request if it has written nothing of it.
         while let Some(mut connection) = self.take_idle() {
+            connection.limits.start(&mut request);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.response(connection, response, echoed_value.as_ref()),
                 Err(mut err) => match err.take_message() {
@@ -190,6 +193,7 @@
             }
         }
         let mut connection = self.connect().await.map_err(SendError::NotSent)?;
+        connection.limits.start(&mut request);
         match connection.sender.try_send_request(request).await {
             Ok(response) => self.response(connection, response, echoed_value.as_ref()),
             Err(mut err) => match err.take_message() {
@@ -221,7 +225,8 @@
         if let Some(bytes) = self.socket_buffer_bytes {
             socket::limit_buffers(&stream, bytes)?;
         }
-        let stream = Stream::new(stream);
+        let limits = ResponseLimits::default();
+        let stream = Stream::new(stream).with_limits(limits.clone());
         let budget = stream.read_budget();
         let (sender, driver) =
             Builder::new().read_buf_exact_size(Some(READ_BUFFER_BYTES)).handshake(stream).await?;
@@ -230,7 +235,7 @@
                 log::debug!("pool: connection ended: {err}");
             }
         });
-        Ok(Connection { sender, _driver: driver, usable_until: None })
+        Ok(Connection { sender, _driver: driver, limits, usable_until: None })
     }
 
     fn response(
@@ -240,6 +245,7 @@
         echoed_value: Option<&HeaderValue>,
     ) -> Result<Response<ResponseBody>, SendError> {
         let (head, body) = response.into_parts();
+        connection.limits.record_content();
         if let (Some(name), Some(sent)) = (&self.echoed, echoed_value)
             && head.headers.get(name).is_some_and(|it| it != sent)
         {
@@ -322,6 +328,9 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Ok(frame))) => {
+                if let Some(connection) = &this.connection {
+                    connection.limits.record_content();
+                }
                 if this.body.is_end_stream() {
                     this.release();
                 }
--- a/crates/samphiredoor-net/src/stream.rs
+++ b/crates/samphiredoor-net/src/stream.rs
@@ -19,7 +19,7 @@
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
-use crate::activity::Activity;
+use crate::{activity::Activity, response_limits::ResponseLimits};
 
 const BUFFER_BYTES: usize = 2_048;
 const SCRATCH_BYTES: usize = 2_048;
@@ -64,6 +64,7 @@
 pub struct Stream {
     socket: Pin<Box<AsyncStream<TcpStream>>>,
     activity: Option<Rc<Activity>>,
+    limits: Option<ResponseLimits>,
     budget: ReadBudget,
 }
 
@@ -71,7 +72,7 @@
     /// Wraps a connected socket.
     pub fn new(socket: TcpStream) -> Stream {
         let socket = Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, socket));
-        Stream { socket, activity: None, budget: ReadBudget::default() }
+        Stream { socket, activity: None, limits: None, budget: ReadBudget::default() }
     }
 
     /// Budget of its reads, for the task that drives the connection.
@@ -83,6 +84,11 @@
     pub fn with_activity(self, activity: Rc<Activity>) -> Stream {
         Stream { activity: Some(activity), ..self }
     }
+
+    /// Fails reads that exceed `limits`.
+    pub fn with_limits(self, limits: ResponseLimits) -> Stream {
+        Stream { limits: Some(limits), ..self }
+    }
 }
 
 impl Read for Stream {
@@ -91,6 +97,9 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(limits) = &self.limits {
+            limits.check()?;
+        }
         let mut scratch = [0; SCRATCH_BYTES];
         let wanted = buf.remaining().min(SCRATCH_BYTES);
         ready!(self.budget.poll_spend(cx));
@@ -100,6 +109,9 @@
         };
         let read = read?;
         buf.put_slice(&scratch[..read]);
+        if let Some(limits) = &self.limits {
+            limits.record_read(read);
+        }
         if let Some(activity) = self.activity.as_ref().filter(|_| read > 0) {
             activity.record_read();
         }
--- a/crates/samphiredoor-net/tests/flood.rs
+++ b/crates/samphiredoor-net/tests/flood.rs
@@ -17,13 +17,18 @@
     rt::{Read as _, ReadBuf},
 };
 use samphiredoor_net::{
-    Body, Pool, ServeLimits, Server, body::read_whole, pool::within, stream::Stream,
+    Body, Pool, ServeLimits, Server,
+    body::read_whole,
+    pool::{SendError, within},
+    stream::Stream,
 };
 
 /// Timeout of the tests. It is kept by a thread of its own, as a flood may stop the timers of a runtime.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of a request whose response does not end.
 const DEADLINE: Duration = Duration::from_millis(300);
+const INTERIM_HEAD: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const HINT: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a>; rel=preload\r\n\r\n";
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
@@ -107,6 +112,60 @@
     is_answered(&sound).await
 }
 
+macro_rules! floods_before_a_response {
+    ($($name:ident: $start:expr, $endless:expr, $pause_ms:expr;)*) => {$(
+        /// The request must fail and its connection close, without harm to a request to another target.
+        #[test]
+        fn $name() {
+            let (faulty, closes) = start_target($start, $endless, Duration::from_millis($pause_ms));
+            run(async move || {
+                let pool = Pool::new(faulty);
+                let (flooded, is_answered) = join(pool.send(get()), is_answered_beside()).await;
+                assert!(matches!(flooded, Err(SendError::MayHaveRun(_))), "{:?}", flooded.err());
+                assert!(is_answered);
+                assert_eq!(pool.idle_len(), 0);
+                closes.recv_async().await.expect("the target sees the close");
+            });
+        }
+    )*};
+}
+
+floods_before_a_response! {
+    interim_heads_without_end_fail_the_request: "", INTERIM_HEAD, 0;
+    interim_heads_that_arrive_slowly_fail_the_request: "", INTERIM_HEAD, 20;
+    long_interim_heads_without_end_fail_the_request: "", HINT, 0;
+    a_head_without_end_fails_the_request: "HTTP/1.1 200 OK\r\n", "x: y\r\n", 0;
+    empty_lines_without_end_fail_the_request: "", "\r\n", 0;
+}
+
+/// Guards against limits that reject the interim heads of sound servers.
+#[test]
+fn a_few_interim_heads_precede_a_response() {
+    let start = format!("{INTERIM_HEAD}{}{RESPONSE}", HINT.repeat(5)).leak();
+    let (address, _closes) = start_target(start, "", Duration::ZERO);
+    run(async move || {
+        let pool = Pool::new(address);
+        for _ in 0..100 {
+            assert!(is_answered(&pool).await);
+        }
+        assert_eq!(pool.idle_len(), 1);
+    });
+}
+
+/// Guards against limits that count the content of a sound response.
+#[test]
+fn many_small_chunks_are_read_completely() {
+    const CHUNKS: usize = 20_000;
+    let start = format!("{CHUNKED_HEAD}{}0\r\n\r\n", "1\r\nx\r\n".repeat(CHUNKS)).leak();
+    let (address, _closes) = start_target(start, "", Duration::ZERO);
+    run(async move || {
+        let pool = Pool::new(address);
+        let body = pool.send(get()).await.expect("a head").into_body();
+        assert_eq!(read_whole(body, CHUNKS).await.map(|it| it.len()).ok(), Some(CHUNKS));
+        assert_eq!(pool.idle_len(), 1);
+    });
+}
+
 macro_rules! floods_within_a_body {
     ($($name:ident: $start:expr, $endless:expr;)*) => {$(
         /// The deadline of the request must be kept, without harm to a request to another target.
@@ -137,6 +196,16 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n";
 }
 
+/// A chunk size without end is no progress: it must fail the response before the deadline of its reader.
+#[test]
+fn a_chunk_size_without_end_fails_the_response() {
+    let (address, _closes) = start_target(CHUNKED_HEAD, "0", Duration::ZERO);
+    run(async move || {
+        let body = Pool::new(address).send(get()).await.expect("a head").into_body();
+        assert!(read_whole(body, usize::MAX).await.is_err());
+    });
+}
+
 /// Starts a server that reads the body of a request of method POST, and responds to others at once.
 fn start_server() -> SocketAddr {
     let (sender, address) = flume::bounded(1);
