Tests: a kept connection on which bytes arrive without end is closed

The pool holds no reader for an idle connection, but hyper's driver does: it ends at the first byte that belongs to no request, which drops the socket and the buffers. So no change was needed.

--- a/crates/samphiredoor-net/tests/flood.rs
+++ b/crates/samphiredoor-net/tests/flood.rs
@@ -206,6 +206,37 @@
     });
 }
 
+macro_rules! floods_after_a_response {
+    ($($name:ident: $start:expr, $endless:expr, $body:expr;)*) => {$(
+        /// The response must be complete, and its connection close although no further request is sent.
+        #[test]
+        fn $name() {
+            let (address, closes) = start_target($start, $endless, Duration::ZERO);
+            run(async move || {
+                let pool = Pool::new(address);
+                for _ in 0..20 {
+                    let response = pool.send(get()).await.expect("a response");
+                    let body = read_whole(response.into_body(), 100).await.expect("complete");
+                    assert_eq!(body, $body);
+                    closes.recv_async().await.expect("the target sees the close");
+                    assert!(pool.idle_len() <= 1);
+                }
+            });
+        }
+    )*};
+}
+
+floods_after_a_response! {
+    bytes_without_end_after_a_response_close_its_connection: RESPONSE, "x", "ok";
+    empty_lines_without_end_after_a_response_close_its_connection: RESPONSE, "\r\n", "ok";
+    interim_heads_without_end_after_a_response_close_its_connection: RESPONSE, INTERIM_HEAD, "ok";
+    responses_without_end_after_a_response_close_its_connection: RESPONSE, RESPONSE, "ok";
+    bytes_without_end_after_an_empty_response_close_its_connection:
+        "HTTP/1.1 204 No Content\r\n\r\n", "x", "";
+    bytes_without_end_after_the_last_chunk_close_its_connection:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "x", "ok";
+}
+
 /// Starts a server that reads the body of a request of method POST, and responds to others at once.
 fn start_server() -> SocketAddr {
     let (sender, address) = flume::bounded(1);
