Pool: a late second response never goes to the next attempt of its request

Cause: the pool matches a response to its request by the echoed id, but all attempts of a request have the same id. A server's second response to one attempt, late enough to arrive after the next attempt was sent on the same connection, was taken for the response to that one.

Ruled out: a value per attempt in the echoed header; the id is the caller's, and targets know requests by it.

Change: a connection keeps the echoed value that it carried last, and is not reused for a request with the same one. The request takes another idle connection or a new one; the connection stays in the pool for others.

Left: only the last value is kept. A second response that arrives after yet another request was answered on the connection is still matched by its id alone.

Red before: test a_second_response_to_an_attempt_never_goes_to_the_next_attempt ... FAILED assertion `left == right` failed left: Ok("0/0") right: Ok("1/1") test a_connection_is_reused_for_requests_with_other_ids ... FAILED left: ["0", "0", "0", "0", "0", "0"]

--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -94,10 +94,24 @@
     // Dropping the handle cancels the task that drives the connection, which closes the socket.
     _driver: JoinHandle<()>,
     limits: ResponseLimits,
+    /// Echoed header of the request that the connection carried last.
+    carried: Option<HeaderValue>,
     /// When the connection must no longer be used, as the server may close it; `None` for no limit.
     usable_until: Option<Instant>,
 }
 
+impl Connection {
+    fn is_usable(&self) -> bool {
+        self.usable_until.is_none_or(|it| Instant::now() < it) && self.sender.is_ready()
+    }
+
+    /// Prepares the connection to carry a request.
+    fn start(&mut self, request: &mut Request<Body>, echoed_value: Option<&HeaderValue>) {
+        self.limits.start(request);
+        self.carried = echoed_value.cloned();
+    }
+}
+
 /// Pool of connections to one address. Clones share the connections.
 #[derive(Clone)]
 pub struct Pool {
@@ -132,7 +146,8 @@
 
     /// Sets a request header that responses echo. A response with another value belongs to an earlier request: HTTP/1.1
     /// matches responses to requests by order alone, so if a server responds twice to one request, the second response
-    /// would be taken for the response to the next request.
+    /// would be taken for the response to the next request. Attempts of one request share the value, so a connection is not
+    /// reused for the value that it carried last.
     pub fn with_echoed_header(mut self, echoed: HeaderName) -> Pool {
         self.echoed = Some(echoed);
         self
@@ -182,8 +197,8 @@
         let mut request = request;
         let echoed_value = self.echoed_value(&request);
         // The server may have closed an idle connection; hyper returns the request if it has written nothing of it.
-        while let Some(mut connection) = self.take_idle() {
-            connection.limits.start(&mut request);
+        while let Some(mut connection) = self.take_idle(echoed_value.as_ref()) {
+            connection.start(&mut request, echoed_value.as_ref());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.response(connection, response, echoed_value.as_ref()),
                 Err(mut err) => match err.take_message() {
@@ -193,7 +208,7 @@
             }
         }
         let mut connection = self.connect().await.map_err(SendError::NotSent)?;
-        connection.limits.start(&mut request);
+        connection.start(&mut request, echoed_value.as_ref());
         match connection.sender.try_send_request(request).await {
             Ok(response) => self.response(connection, response, echoed_value.as_ref()),
             Err(mut err) => match err.take_message() {
@@ -207,12 +222,15 @@
         request.headers().get(self.echoed.as_ref()?).cloned()
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    /// Takes the connection that was used last of those that can carry a request with this value, and drops the unusable ones
+    /// that it finds before.
+    fn take_idle(&self, echoed_value: Option<&HeaderValue>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
-            let in_time = connection.usable_until.is_none_or(|it| Instant::now() < it);
-            if in_time && connection.sender.is_ready() {
-                return Some(connection);
+        for at in (0..idle.len()).rev() {
+            if !idle[at].is_usable() {
+                idle.remove(at);
+            } else if echoed_value.is_none() || idle[at].carried.as_ref() != echoed_value {
+                return Some(idle.remove(at));
             }
         }
         None
@@ -235,7 +253,7 @@
                 log::debug!("pool: connection ended: {err}");
             }
         });
-        Ok(Connection { sender, _driver: driver, limits, usable_until: None })
+        Ok(Connection { sender, _driver: driver, limits, carried: None, usable_until: None })
     }
 
     fn response(
--- a/crates/samphiredoor-net/tests/pool.rs
+++ b/crates/samphiredoor-net/tests/pool.rs
@@ -7,7 +7,10 @@
 };
 
 use http_body_util::BodyExt;
-use hyper::{Request, Response};
+use hyper::{
+    Request, Response,
+    header::{HeaderName, HeaderValue},
+};
 use samphiredoor_net::{
     Body, Pool,
     body::read_whole,
@@ -211,6 +214,72 @@
     });
 }
 
+const ID: HeaderName = HeaderName::from_static("x-id");
+
+fn get_with_id(path: &str, id: &str) -> Request<Body> {
+    let mut request = get(path);
+    request.headers_mut().insert(ID, HeaderValue::from_str(id).expect("a value"));
+    request
+}
+
+/// Starts a target that echoes the number "1" as the id of each request, and responds again to the request before each one on
+/// the same connection. Responses have the number of the connection and the path of the request.
+fn start_target_that_repeats() -> SocketAddr {
+    start_target(|number, mut stream| {
+        thread::spawn(move || {
+            let mut earlier = String::new();
+            while let Some(path) = read_request(&mut stream) {
+                let body = format!("{number}{path}");
+                let length = body.len();
+                let own =
+                    format!("HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: {length}\r\n\r\n{body}");
+                write(&mut stream, if earlier.is_empty() { &own } else { &earlier });
+                earlier = own;
+            }
+        });
+    })
+}
+
+/// All attempts of a request have the same id, so the id does not tell a late second response to an earlier attempt from that
+/// to a later one.
+#[test]
+fn a_second_response_to_an_attempt_never_goes_to_the_next_attempt() {
+    let address = start_target_that_repeats();
+    run(async {
+        let pool = Pool::new(address).with_echoed_header(ID);
+        for number in 0..20 {
+            let path = format!("/{number}");
+            let response = pool.send(get_with_id(&path, "1")).await.expect("a response");
+            assert_eq!(text(response).await, Ok(format!("{number}{path}")));
+        }
+    });
+}
+
+/// Guards against a new connection for each request, and against the loss of those that one request can't use.
+#[test]
+fn a_connection_is_reused_for_requests_with_other_ids() {
+    let address = start_target(|number, mut stream| {
+        thread::spawn(move || {
+            while read_request(&mut stream).is_some() {
+                write(&mut stream, &complete_response(&number.to_string()));
+            }
+        });
+    });
+    run(async {
+        let pool = Pool::new(address).with_echoed_header(ID);
+        let mut connections = Vec::new();
+        for id in ["1", "2", "2", "1", "3", "3"] {
+            let response = pool.send(get_with_id("/", id)).await.expect("a response");
+            connections.push(text(response).await.expect("a body"));
+        }
+        assert_eq!(connections, ["0", "0", "1", "1", "1", "0"]);
+        for _ in 0..2 {
+            let response = pool.send(get("/")).await.expect("a response");
+            assert_eq!(text(response).await.as_deref(), Ok("0"), "without an id");
+        }
+    });
+}
+
 macro_rules! incomplete_responses {
     ($($name:ident: $sent:expr;)*) => {
         $(
