Tests: a stream is taken up at a gateway that knows the other one

a_stream_that_its_caller_takes_up_at_another_gateway_goes_on_at_its_version failed once, at a load of 16 (second-0: 503 version_unknown). A trial printed how many peers each gateway had logged as live at the first request: none, in 8 of 8 runs beside 12 busy processes, all of which passed. So the test begins before the gateways have found each other, and a gateway that hears of no holder refuses, as it must. The failure itself did not come again.

The test now waits until both gateways know each other, as the tests beside it do. What it checks is unchanged.

--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -64,6 +64,7 @@
 #[test]
 fn a_stream_that_its_caller_takes_up_at_another_gateway_goes_on_at_its_version() {
     let (platform, targets) = two_versions(1, 2);
+    wait_for_peers(&platform, 2);
     for number in 0..STREAMS {
         let (first, second) = (format!("first-{number}"), format!("second-{number}"));
         fail_each_run(&targets, TargetFault::CutAfter(2));
