Orders: the time limit of an order covers the body of its answer

The limit ended with the head of the answer. A target that sent a head and stopped, or sent its body slowly, kept the order open for as long as the connection lived, and its weights were never ordered again.

Red before: an_order_whose_answer_stops_is_sent_again: timed out waiting: the order is sent again

--- a/crates/samphiredoor/src/orders_task.rs
+++ b/crates/samphiredoor/src/orders_task.rs
@@ -195,18 +195,19 @@
     let Some(declared) = manifest.targets.get(target) else { return OrderEnd::NotDone };
     let call = order_call(fence, order);
     let limit = Duration::from_millis(manifest.weight_store.longest_order_ms);
-    let sent = within(limit, env.targets.send(declared.address, &call)).await;
-    match sent {
-        Some(Ok(response)) => {
-            let status = response.status();
-            match read_whole(response.into_body(), MAX_ANSWER_BYTES).await {
-                Ok(_) => order_end(status),
-                Err(_) => OrderEnd::Unknown,
-            }
+    let exchange = async {
+        let response = match env.targets.send(declared.address, &call).await {
+            Ok(response) => response,
+            Err(SendError::NotSent(_)) => return OrderEnd::NotDone,
+            Err(SendError::MayHaveRun(_)) => return OrderEnd::Unknown,
+        };
+        let status = response.status();
+        match read_whole(response.into_body(), MAX_ANSWER_BYTES).await {
+            Ok(_) => order_end(status),
+            Err(_) => OrderEnd::Unknown,
         }
-        Some(Err(SendError::NotSent(_))) => OrderEnd::NotDone,
-        Some(Err(SendError::MayHaveRun(_))) | None => OrderEnd::Unknown,
-    }
+    };
+    within(limit, exchange).await.unwrap_or(OrderEnd::Unknown)
 }
 
 fn order_call(fence: u64, order: &Order) -> Call {
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests with real processes; the store and the targets run in threads of the test.
 
 mod dispatch;
+mod endless_answers;
 mod env;
 mod fleet;
 mod jobs;
--- a/crates/samphiredoor/tests/it/raw_target.rs
+++ b/crates/samphiredoor/tests/it/raw_target.rs
@@ -21,6 +21,8 @@
     SendAndClose(&'static str),
     /// The request runs; these bytes are sent and the connection stays open.
     Send(&'static str),
+    /// The request runs; the first bytes are sent, and then the second ones again and again until the client closes.
+    Endless(&'static str, String),
     /// The request runs, and gets an answer with this body after a message at the receiver.
     Gated(flume::Receiver<()>, &'static str),
 }
@@ -170,6 +172,11 @@
             false
         }
         Reply::Send(text) => stream.write_all(text.as_bytes()).is_ok(),
+        Reply::Endless(start, repeated) => {
+            let _ = stream.write_all(start.as_bytes());
+            while stream.write_all(repeated.as_bytes()).is_ok() {}
+            true
+        }
         Reply::Gated(gate, body) => {
             let _ = gate.recv();
             stream.write_all(complete_answer(body).as_bytes()).is_ok()
