Items: a stream without output or after its last event ends

A stream was bounded only by the size of its text and of one event. Comments or empty events without end held the item and its slot for the ten minutes of an attempt, and what followed the last event made a complete answer a lost one, or kept it open. The whole buffer was searched for the end of an event after each read, so one event of 512 KB cost the square of its length. Bytes since the last output are now limited, the last event ends the answer, and each byte is searched once.

--- a/crates/samphiredoor/src/item_call.rs
+++ b/crates/samphiredoor/src/item_call.rs
@@ -16,12 +16,20 @@
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
 
-use crate::{door::Door, online::pushback, targets::Call};
+use crate::{door::Door, online::pushback, splitter::Splitter, targets::Call};
 
 /// Timeout of one attempt, and of the wait for a target.
 pub const ITEM_DEADLINE: Duration = Duration::from_secs(600);
 
 const MAX_RESULT_BYTES: usize = 512 * 1024;
+/// Most bytes of a stream since the last event with output. Keep-alive comments of a whole attempt are far fewer, and the
+/// largest event that is accepted fits.
+const MAX_BYTES_WITHOUT_OUTPUT: usize = 2 * MAX_RESULT_BYTES;
+/// How long the end of the framing may follow the last event. Engines send both at once; the connection of an engine that
+/// does not is closed.
+const END_TIMEOUT: Duration = Duration::from_millis(100);
+/// Separator of two events.
+const EVENT_END: &[u8] = b"\n\n";
 const RESUME_FIELD: &str = "resume_from_token";
 /// A call with one of these fields is not resumed: its answer cannot be assembled from the texts of stream events.
 const UNRESUMABLE_FIELDS: [&str; 6] = ["stream", "n", "best_of", "logprobs", "echo", "tools"];
@@ -195,19 +203,36 @@
 
 async fn read_events(partial: &RefCell<Partial>, mut body: ResponseBody) -> Result<(), AttemptEnd> {
     let cut = AttemptEnd::AnswerLost(MayHaveRunReason::AnswerCut);
-    let mut unparsed = Vec::new();
+    let mut events = Splitter::new(EVENT_END);
+    let mut tokens = partial.borrow().tokens;
+    let mut without_output = 0;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| cut)?.into_data() else { continue };
-        unparsed.extend_from_slice(&data);
-        while let Some(end) = unparsed.windows(2).position(|it| it == b"\n\n") {
-            apply_event(&mut partial.borrow_mut(), &unparsed[..end]);
-            unparsed.drain(..end + 2);
+        events.push(&data);
+        without_output += data.len();
+        let mut partial = partial.borrow_mut();
+        while let Some(event) = events.next_part() {
+            apply_event(&mut partial, event);
         }
-        if unparsed.len() + partial.borrow().text.len() > MAX_RESULT_BYTES {
+        if std::mem::replace(&mut tokens, partial.tokens) != partial.tokens {
+            without_output = 0;
+        }
+        if partial.done {
+            break;
+        }
+        if events.unfinished_bytes() + partial.text.len() > MAX_RESULT_BYTES
+            || without_output > MAX_BYTES_WITHOUT_OUTPUT
+        {
+            log::warn!("items: a stream without an end of its event or output is cut");
             return Err(cut);
         }
     }
-    if partial.borrow().done { Ok(()) } else { Err(cut) }
+    if !partial.borrow().done {
+        return Err(cut);
+    }
+    // Lets the connection be used again; whatever else arrives on it closes it.
+    let _ = within(END_TIMEOUT, body.frame()).await;
+    Ok(())
 }
 
 fn apply_event(partial: &mut Partial, event: &[u8]) {
--- a/crates/samphiredoor/src/main.rs
+++ b/crates/samphiredoor/src/main.rs
@@ -46,6 +46,7 @@
 mod query_rows;
 mod request_body;
 mod request_spec;
+mod splitter;
 mod store_client;
 mod stream_end;
 mod stream_forwarding;
