Streams of engines end after their last event, and at a line without end

A stream ended only with its framing, so bytes after `data: [DONE]` were forwarded to the caller until the deadline, and the complete answer was then kept open; a keyed request was not answered from its key meanwhile. A line without end was forwarded, too. Bytes after the last event now end the answer and close the connection, the end of the framing is waited for 500 ms, and a line of more than 1 MB cuts the answer.

That a stream ends at its deadline while events pour in was already so; two tests guard it.

Red before: a_stream_ends_after_its_last_event: the answer goes on with "aaaa" after the last event a_stream_ends_after_its_last_event_before_empty_lines: the last event is followed by empty lines until the deadline a_stream_whose_event_does_not_end_is_cut: the answer ends at its deadline, not with "answer_cut" a_keyed_stream_is_answered_after_its_last_event: read_stream(..).is_some_and(..contains("[DONE]")) does not hold

--- a/crates/samphiredoor/src/stream_forwarding.rs
+++ b/crates/samphiredoor/src/stream_forwarding.rs
@@ -1,6 +1,9 @@
 //! Forwards a streamed answer from a target to the caller.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use samphiredoor_core::{
@@ -21,6 +24,9 @@
     stream_end::{DoneDetector, StreamEnd},
 };
 
+/// How long the end of the framing may follow the last event of an engine, which sends both at once.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A streamed answer that is being forwarded. It is dropped when the caller disconnects, which closes the connection to
 /// the target.
 pub struct ForwardedStream {
@@ -56,17 +62,13 @@
         forwarded: Option<ForwardedStream>,
     ) -> Option<(Piece, Option<ForwardedStream>)> {
         let mut this = forwarded?;
+        let deadline = this.read_deadline();
         let piece = match this.first.take() {
             Some(first) => Ok(Some(first)),
-            None => next_piece(&mut this.body, this.deadline).await,
+            None => next_piece(&mut this.body, deadline).await,
         };
-        let ended = match piece {
-            Ok(Some(piece)) => {
-                if let Some(detector) = &mut this.done_detector {
-                    detector.push(&piece);
-                }
-                return Some((Ok(piece), Some(this)));
-            }
+        let ended = match piece.and_then(|it| this.checked(it)) {
+            Ok(Some(piece)) => return Some((Ok(piece), Some(this))),
             Ok(None) => Ok(()),
             Err(reason) => Err(reason),
         };
@@ -82,6 +84,27 @@
         }
     }
 
+    /// Until when the next piece, or the end of the framing, is waited for.
+    fn read_deadline(&self) -> Instant {
+        match &self.done_detector {
+            Some(detector) if detector.is_seen() => self.deadline.min(Instant::now() + END_TIMEOUT),
+            _ => self.deadline,
+        }
+    }
+
+    /// The part of a piece that belongs to the answer; `None` at its end.
+    fn checked(&mut self, piece: Option<Bytes>) -> Result<Option<Bytes>, MayHaveRunReason> {
+        let Some(detector) = &mut self.done_detector else { return Ok(piece) };
+        let Some(mut piece) = piece else { return Ok(None) };
+        piece.truncate(detector.push(&piece));
+        if detector.is_line_too_large() {
+            log::warn!("streams: an event of an engine does not end");
+            return Err(MayHaveRunReason::AnswerCut);
+        }
+        let is_after_end = piece.is_empty() && detector.is_seen();
+        Ok((!is_after_end).then_some(piece))
+    }
+
     fn completed(mut self) -> Option<(Piece, Option<ForwardedStream>)> {
         if let Some(admitted) = self.admitted.take() {
             admitted.answered();
