Store client: a watch that sends no events is closed

Lines that are no events were skipped without end, with a line in the log for each, and the watch brought no change any more. A watch that the store never ended had no limit in time. The whole buffer was searched for the end of a line after each read, so an event of 4 MB cost the square of its length. Ten unreadable lines in a row close the watch, and so does a minute beyond the time that the store is asked for; the caller lists and watches again, as after any end.

The limit in time has no test: it takes five minutes.

Red before: a_watch_whose_events_cannot_be_read_is_closed: timed out waiting: the watch is closed a_watch_of_empty_lines_is_closed: timed out waiting: the watch is closed

--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -3,7 +3,12 @@
 //! Distinguishes a call that had no effect (refused, or never sent) from one whose response was lost and that may have
 //! taken effect. Connections are opened as needed, so that a slow call never delays another.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode, header};
@@ -18,9 +23,19 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use crate::splitter::Splitter;
+
 const ROOT: &str = "/apis/samphiredoor.dev/v1";
 const WATCH_TIMEOUT_S: u32 = 240;
+/// Time after which a watch that the store has not ended is closed: what the store is asked for, and a minute for a slow one.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(WATCH_TIMEOUT_S as u64 + 60);
+/// Largest event; an object has at most one megabyte.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+/// Events in a row that cannot be read after which a watch is closed. A foreign writer's object is one of them; bytes that
+/// are no events come without end.
+const MAX_UNREADABLE_EVENTS: u32 = 10;
+/// Largest response. A page has at most a hundred objects of the ledger, mostly of some kilobytes and of at most one megabyte,
+/// or 500 small ones.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Client of the object API; clones share connections.
@@ -85,26 +100,35 @@
 /// An open watch. It may end at any time, and events may be missing or duplicated.
 pub struct Watch {
     body: ResponseBody,
-    buffer: Vec<u8>,
+    lines: Splitter,
+    /// Consecutive events that could not be read.
+    unreadable: u32,
+    until: Instant,
 }
 
 impl Watch {
     /// Waits for the next event; `None` when the watch has ended. Cancel safe: received bytes stay in the buffer.
     pub async fn next(&mut self) -> Option<WatchEvent> {
         loop {
-            while let Some(end) = self.buffer.iter().position(|it| *it == b'\n') {
-                let line: Vec<u8> = self.buffer.drain(..=end).collect();
-                if let Some(event) = watch_event(&line) {
+            while let Some(line) = self.lines.next_part() {
+                if let Some(event) = watch_event(line) {
+                    self.unreadable = 0;
                     return Some(event);
                 }
+                self.unreadable += 1;
+                if self.unreadable >= MAX_UNREADABLE_EVENTS {
+                    log::warn!("store: a watch sends no events, closed");
+                    return None;
+                }
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
+            if self.lines.unfinished_bytes() > MAX_EVENT_BYTES {
                 log::warn!("store: a watch event exceeds {MAX_EVENT_BYTES} bytes");
                 return None;
             }
-            let frame = self.body.frame().await?.ok()?;
+            let left = self.until.saturating_duration_since(Instant::now());
+            let frame = within(left, self.body.frame()).await??.ok()?;
             if let Ok(data) = frame.into_data() {
-                self.buffer.extend_from_slice(&data);
+                self.lines.push(&data);
             }
         }
     }
@@ -167,8 +191,9 @@
         );
         let request = Request::get(path).header(header::HOST, "store").body(Body::empty()).ok()?;
         let response = within(self.timeout, self.pool.send(request)).await?.ok()?;
-        let watch = Watch { body: response.into_body(), buffer: Vec::new() };
-        Some(watch)
+        let until = Instant::now() + MAX_WATCH_TIME;
+        let lines = Splitter::new(b"\n");
+        Some(Watch { body: response.into_body(), lines, unreadable: 0, until })
     }
 }
 
--- a/crates/samphiredoor/tests/it/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/endless_answers.rs
@@ -2,14 +2,19 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
 use serde_json::json;
 
 use crate::{
-    env::{TestEnv, job_lines, target, wait_until},
+    env::{DoorLocation, TestEnv, get, job_lines, target, wait_until},
     raw_target::{RawTarget, Reply},
 };
 
@@ -146,3 +151,64 @@
     assert!(again.contains("x-replayed: true"), "{again}");
     assert_eq!(target.ran().len(), 1);
 }
+
+/// Passes all calls to a store except watches, which it answers with the same bytes without end; counts those that the
+/// gateway closed.
+fn start_endless_watches(store: SocketAddr, repeated: &str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let repeated = repeated.repeat(1_000);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let closed = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&closed);
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let (repeated, closed) = (repeated.clone(), Arc::clone(&counter));
+            thread::spawn(move || relay_calls(client, store, &repeated, &closed));
+        }
+    });
+    (address, closed)
+}
+
+fn relay_calls(mut client: TcpStream, store: SocketAddr, repeated: &str, closed: &AtomicUsize) {
+    let mut upstream = TcpStream::connect(store).expect("the store listens");
+    let (mut answers, mut to_client) =
+        (upstream.try_clone().expect("a handle"), client.try_clone().expect("a handle"));
+    thread::spawn(move || std::io::copy(&mut answers, &mut to_client));
+    let mut buffer = [0; 16 * 1024];
+    while let Some(read) = client.read(&mut buffer).ok().filter(|it| *it > 0) {
+        if String::from_utf8_lossy(&buffer[..read]).contains("/manifests?watch=1") {
+            let _ = client.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+            while client.write_all(repeated.as_bytes()).is_ok() {}
+            closed.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        if upstream.write_all(&buffer[..read]).is_err() {
+            return;
+        }
+    }
+}
+
+macro_rules! watches {
+    ($($name:ident: $repeated:expr;)*) => {
+        $(
+            /// Guards against watches that are busy forever with bytes that are no events, so that no change arrives.
+            #[test]
+            fn $name() {
+                let mut env = TestEnv::new();
+                let (store, closed) = start_endless_watches(env.store, $repeated);
+                env.start_door_at(&DoorLocation { store, ..DoorLocation::default() }, "");
+                env.declare(&json!({ "services": [], "targets": [] }));
+                wait_until("the watch is closed", || closed.load(Ordering::SeqCst) > 0);
+                wait_until("the gateway is ready", || {
+                    get(env.door(0).operators, "/ready").status == 200
+                });
+            }
+        )*
+    };
+}
+
+watches! {
+    a_watch_whose_event_does_not_end_is_closed: "a";
+    a_watch_whose_events_cannot_be_read_is_closed: "a\n";
+    a_watch_of_empty_lines_is_closed: "\n";
+}
