samphirectl: answers are limited in size and time

An answer was read into memory to its end, whatever its size and time.

Red before, with 3 GB of address space: an_answer_without_end_exits_with_4: left: None, right: Some(4): memory allocation of 16384 bytes failed

--- a/crates/samphirectl/src/client.rs
+++ b/crates/samphirectl/src/client.rs
@@ -1,10 +1,18 @@
 //! HTTP client for a gateway, which the options call a door.
 
+use std::time::Duration;
+
 use cyper::{Client, RequestBuilder};
+use futures_util::StreamExt;
 use serde_json::Value;
 
 use crate::{config::Config, exit_codes::Failure};
 
+/// Longest time of a call. The upload of a large job takes longest.
+const CALL_TIMEOUT: Duration = Duration::from_secs(300);
+/// Largest answer, many times a page of results.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
 /// Client of a gateway's APIs for operators and callers.
 pub struct OperatorClient {
     client: Client,
@@ -89,16 +97,40 @@
             Some(token) => request.bearer_auth(token)?,
             None => request,
         };
-        let response = request.send().await.map_err(|err| no_answer(&err))?;
-        let status = response.status();
-        let after = response.headers().get("x-after-chunk");
-        let after_chunk = after.and_then(|it| it.to_str().ok()).map(str::to_owned);
-        let text = response.text().await.map_err(|err| no_answer(&err))?;
-        if status.is_success() {
-            return Ok(Response { text, after_chunk });
+        match compio::time::timeout(CALL_TIMEOUT, exchange(request)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                let limit_s = CALL_TIMEOUT.as_secs();
+                Err(Failure::NoAnswer(format!("the answer takes longer than {limit_s} s")).into())
+            }
+        }
+    }
+}
+
+async fn exchange(request: RequestBuilder) -> anyhow::Result<Response> {
+    let response = request.send().await.map_err(|err| no_answer(&err))?;
+    let status = response.status();
+    let after = response.headers().get("x-after-chunk");
+    let after_chunk = after.and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let text = read_text(response).await?;
+    if status.is_success() {
+        return Ok(Response { text, after_chunk });
+    }
+    Err(Failure::Refused(error_message(&text)).into())
+}
+
+async fn read_text(response: cyper::Response) -> Result<String, Failure> {
+    let mut pieces = response.bytes_stream();
+    let mut bytes = Vec::new();
+    while let Some(piece) = pieces.next().await {
+        bytes.extend_from_slice(&piece.map_err(|err| no_answer(&err))?);
+        if bytes.len() > MAX_ANSWER_BYTES {
+            return Err(Failure::NoAnswer(format!(
+                "the answer is larger than {MAX_ANSWER_BYTES} bytes"
+            )));
         }
-        Err(Failure::Refused(error_message(&text)).into())
     }
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
 fn no_answer(err: &cyper::Error) -> Failure {
--- a/crates/samphirectl/tests/cli.rs
+++ b/crates/samphirectl/tests/cli.rs
@@ -1,6 +1,11 @@
 //! Exit codes and messages of the binary when no gateway is running.
 
-use std::process::{Command, Output};
+use std::{
+    io::{Read, Write},
+    net::TcpListener,
+    process::{Command, Output},
+    thread,
+};
 
 fn run(args: &[&str]) -> Output {
     let binary = env!("CARGO_BIN_EXE_samphirectl");
@@ -29,3 +34,20 @@
     a_missing_file_exits_with_1:
         ["apply", "no-such-file.toml"] => 1, "no-such-file.toml: cannot be read";
 }
+
+/// Guards against a tool that never ends, or that fills the memory, at a gateway that sends without end.
+#[test]
+fn an_answer_without_end_exits_with_4() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let door = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+        while stream.write_all(&[b'a'; 64 * 1024]).is_ok() {}
+    });
+    let output = run(&["--door", &door, "jobs"]);
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(4), "{text}");
+    assert!(text.contains("larger than"), "{text}");
+}
