Lists: a list that repeats its last page or grows without end fails

Pages were read for as long as the store said that there were more. A store that ignores the name from which a page starts filled the memory of a gateway, and its watch never began. Such a list now fails like any call without an answer, and so does one of more than 512 MB.

Red before: a_list_that_does_not_go_on_fails: the list does not end a_list_without_end_fails: the list does not end

--- a/crates/samphiredoor-gateway/src/lists.rs
+++ b/crates/samphiredoor-gateway/src/lists.rs
@@ -12,6 +12,9 @@
 /// Greater than all names of objects.
 const AFTER_ALL_NAMES: &str = "~";
 
+/// Size of all objects of a list above which it fails: five hundred pages of the largest size.
+const MAX_LIST_BYTES: usize = 512 * 1024 * 1024;
+
 /// All objects of a kind, at one version of the store.
 #[derive(Debug, Clone)]
 pub struct ObjectList {
@@ -54,6 +57,7 @@
     /// `None` before the first page.
     version: Option<Version>,
     pages: usize,
+    bytes: usize,
     has_more: bool,
 }
 
@@ -61,7 +65,7 @@
     /// List of which no page has been read.
     pub fn new(kind: Kind, freshness: Freshness) -> PagedList {
         let (objects, version) = (Vec::new(), None);
-        PagedList { kind, freshness, objects, version, pages: 0, has_more: true }
+        PagedList { kind, freshness, objects, version, pages: 0, bytes: 0, has_more: true }
     }
 
     /// Whether pages remain to be read.
@@ -69,10 +73,17 @@
         self.has_more
     }
 
-    /// Reads the next page; `None` if it could not be read.
+    /// Reads the next page; `None` if it could not be read, or if the list has no end.
     pub async fn read_page(&mut self, store: &dyn ObjectStore) -> Option<()> {
         let after = self.objects.last().map(|it| Name::clone(&it.name));
-        let page = store.list(self.kind, after, self.freshness).await?;
+        let page = store.list(self.kind, after.clone(), self.freshness).await?;
+        self.bytes += page.items.iter().map(|it| it.value.len()).sum::<usize>();
+        let last = page.items.last().map(|it| &it.name);
+        let is_repeated = page.has_more && last.is_some() && last == after.as_ref();
+        if is_repeated || self.bytes > MAX_LIST_BYTES {
+            log::warn!(kind = self.kind.path(), pages = self.pages, bytes = self.bytes; "store: list has no end");
+            return None;
+        }
         self.pages += 1;
         self.has_more = page.has_more && !page.items.is_empty();
         self.version = Some(self.version.map_or(page.version, |it| it.min(page.version)));
