Datagrams: a message that unpacks to more than 256 KB is unreadable

Runs of zeros are packed to a thousandth of their size, so a datagram of 1.4 KB took up to 64 MB by its segment table, for each datagram that a faulty sender sends.

Red before: a_datagram_that_unpacks_to_a_large_message_is_unreadable: assertion failed: Datagram::decode(&bytes).is_err()

--- a/crates/samphiredoor-gateway/src/peers/datagram.rs
+++ b/crates/samphiredoor-gateway/src/peers/datagram.rs
@@ -23,6 +23,10 @@
 /// Bytes of the largest datagram, which fits into one packet on common links.
 pub const MAX_BYTES: usize = 1_400;
 
+/// Words of the largest message in a datagram, of 8 bytes each. A run of 256 zero words is packed into two bytes; messages of
+/// gateways have few of them and take some kilobytes.
+const MAX_WORDS: usize = 32 * 1024;
+
 /// Content of one datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Datagram {
@@ -97,7 +101,8 @@
     ///
     /// The bytes are not a packed message, or their content is of no known kind.
     pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
-        let options = message::ReaderOptions::new();
+        let mut options = message::ReaderOptions::new();
+        options.traversal_limit_in_words(Some(MAX_WORDS));
         let message = serialize_packed::read_message(bytes, options)?;
         let root = message.get_root::<gateway_datagram::Reader<'_>>()?;
         Ok(match root.which()? {
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -154,3 +154,18 @@
     an_unknown_quarantine_arrives_as_it_was_sent:
         Datagram::TrialAnswer(TrialAnswer { id: 10, outcome: TrialOutcome::Unknown });
 }
+
+/// Guards against a datagram of packed zeros that takes a thousand times its size in memory.
+#[test]
+fn a_datagram_that_unpacks_to_a_large_message_is_unreadable() {
+    // Packed: the segment table, then words of zeros in runs of 256.
+    let runs = 400_u32;
+    let message_words = runs * 256;
+    let mut bytes = vec![0b0111_0000];
+    bytes.extend_from_slice(&message_words.to_le_bytes()[..3]);
+    for _ in 0..runs {
+        bytes.extend([0, 255]);
+    }
+    assert!(bytes.len() <= MAX_BYTES);
+    assert!(Datagram::decode(&bytes).is_err());
+}
