--- a/crates/samphiredoor/tests/it/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/endless_answers.rs
@@ -212,3 +212,25 @@
     a_watch_whose_events_cannot_be_read_is_closed: "a\n";
     a_watch_of_empty_lines_is_closed: "\n";
 }
+
+macro_rules! links {
+    ($($name:ident: $byte:expr;)*) => {
+        $(
+            /// Guards against a gateway that stands still, or keeps a link, while bytes that are no call pour in.
+            #[test]
+            fn $name() {
+                let mut env = TestEnv::new();
+                env.start_door();
+                let mut link = TcpStream::connect(env.door(0).peers).expect("the gateway listens");
+                let sending = thread::spawn(move || while link.write_all(&[$byte; 64 * 1024]).is_ok() {});
+                env.declare(&json!({ "services": [], "targets": [] }));
+                wait_until("the link is closed", || sending.is_finished());
+            }
+        )*
+    };
+}
+
+links! {
+    a_link_of_empty_messages_is_closed: 0_u8;
+    a_link_without_messages_is_closed: b'a';
+}
