Operators: a statement or manifest of which half is sent is answered and closed

The bodies of the operators' listener had a limit of size and none of time, so a client on a broken link held its connection and what had been read for good. They are read like callers' bodies, with their timeout. A body that is too large or cut is now told with the words of callers' bodies.

Red before: half_a_statement_is_answered_and_closed: an answer, and the end: Resource temporarily unavailable half_a_manifest_is_answered_and_closed: an answer, and the end: Resource temporarily unavailable

--- a/crates/samphiredoor/src/manifest_http.rs
+++ b/crates/samphiredoor/src/manifest_http.rs
@@ -4,12 +4,13 @@
 
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use samphiredoor_core::manifest::Manifest;
-use samphiredoor_net::{Body, answers, body::read_whole};
+use samphiredoor_net::{Body, answers};
 
 use crate::{
     answers::{bad_request, not_found},
     door::Door,
     manifest_change::{change, change_response},
+    request_body::RequestBody,
     request_spec::header_text,
 };
 
@@ -31,8 +32,10 @@
         Err(answer) => return answer,
     };
     let operator = header_text(request.headers(), OPERATOR_HEADER).unwrap_or("operator").to_owned();
-    let Ok(body) = read_whole(request.into_body(), MAX_MANIFEST_BYTES).await else {
-        return bad_request("body", "is too large or was cut");
+    let body = RequestBody::new(request.into_body(), MAX_MANIFEST_BYTES, door.config.body_timeout);
+    let body = match body.read_to_end().await {
+        Ok(body) => body,
+        Err(err) => return err.answer(),
     };
     let declared = match serde_json::from_slice(&body) {
         Ok(declared) => declared,
--- a/crates/samphiredoor/src/operators.rs
+++ b/crates/samphiredoor/src/operators.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use samphiredoor_net::{Body, body::read_whole};
+use samphiredoor_net::Body;
 use samphiredoor_query::Statement;
 use serde_json::json;
 
@@ -16,6 +16,7 @@
     door::Door,
     manifest_http,
     query_rows::{self, QueryError},
+    request_body::RequestBody,
 };
 
 const MAX_STATEMENT_BYTES: usize = 16 * 1024;
@@ -53,8 +54,10 @@
 }
 
 async fn statement(door: &Rc<Door>, request: Request<Incoming>) -> Response<Body> {
-    let Ok(body) = read_whole(request.into_body(), MAX_STATEMENT_BYTES).await else {
-        return bad_request("statement", "is too long or was cut");
+    let body = RequestBody::new(request.into_body(), MAX_STATEMENT_BYTES, door.config.body_timeout);
+    let body = match body.read_to_end().await {
+        Ok(body) => body,
+        Err(err) => return err.answer(),
     };
     match samphiredoor_query::parse(&String::from_utf8_lossy(&body)) {
         Err(err) => bad_request("statement", &err.to_string()),
