Peers: a call, and the search for a mirror, end while an answer arrives slowly

The limits were on pauses only, and on half a minute for a whole answer, so one process that sends a byte at a time delayed the scan for orphaned jobs, an offer, or the start of a gateway for that long. The whole answer of a peer now has 5 s, and that with a mirror's region 600 ms. The modules are public for their test.

Red before, after 30 s each: a_call_to_a_peer_ends_while_its_answer_arrives_slowly: assertion failed: elapsed(checked) < MAX_WAIT a_search_for_a_mirror_ends_while_an_answer_arrives_slowly: assertion failed: elapsed(listed) < MAX_WAIT

--- a/crates/samphiredoor-gateway/src/jobs/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/mod.rs
@@ -13,7 +13,7 @@
 mod job_task;
 mod liveness_gaps;
 mod orphan_scan;
-mod peer_call;
+pub mod peer_call;
 mod reads;
 mod send_permit;
 mod stored;
--- a/crates/samphiredoor-gateway/src/jobs/peer_call.rs
+++ b/crates/samphiredoor-gateway/src/jobs/peer_call.rs
@@ -5,10 +5,13 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode, Uri, header};
 use samphiredoor_core::ordered::JobName;
-use samphiredoor_net::{Body, Pool, fetch::FetchLimits};
+use samphiredoor_net::{Body, Pool, fetch::FetchLimits, pool::within};
 
 /// Longest pause within a response body. The whole body may take longer, as a page of results may be large.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time of a whole response body: a page of one megabyte over a busy link between regions, at 200 bytes per
+/// millisecond.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -118,8 +121,8 @@
     }
 }
 
-/// Sends one call to another gateway. `None` if the response does not begin within `timeout`, stalls, is too large or
-/// fails.
+/// Sends one call to another gateway. `None` if the response does not begin within `timeout`, stalls, takes too long, is too
+/// large or fails.
 pub async fn exchange(
     pool: &Pool,
     call: &PeerCall,
@@ -128,6 +131,7 @@
     let (method, uri) = call.request();
     let request = Request::builder().method(method).uri(uri).header(header::HOST, "gateway");
     let limits = FetchLimits::new(IDLE_TIMEOUT, MAX_RESPONSE_BYTES).with_head_timeout(timeout);
-    let fetched = pool.fetch(request.body(Body::empty()).ok()?, limits).await.ok()?;
+    let fetching = pool.fetch(request.body(Body::empty()).ok()?, limits);
+    let fetched = within(timeout + BODY_TIMEOUT, fetching).await?.ok()?;
     Some((fetched.status, fetched.body))
 }
--- a/crates/samphiredoor-gateway/src/mirror.rs
+++ b/crates/samphiredoor-gateway/src/mirror.rs
@@ -37,7 +37,7 @@
     Name,
     store::{Kind, Labels, Stored, Version},
 };
-use samphiredoor_net::{Body, Pool, fetch::FetchLimits};
+use samphiredoor_net::{Body, Pool, fetch::FetchLimits, pool::within};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -95,6 +95,8 @@
 const LARGE_ONLY: &str = "large";
 /// Query with which a gateway also takes the first part of such a copy.
 const FIRST_PART: &str = "first";
+/// Longest wait for the whole answer with the region of a mirror, which fits into one packet.
+const REGION_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest name of a region.
 const MAX_REGION_BYTES: usize = 1_024;
 /// Size limit of a copy. Entries of a few thousand targets take less than a megabyte, a configuration up to one.
@@ -525,8 +527,8 @@
     let request =
         Request::get(REGION_PATH).header(header::HOST, "mirror").body(Body::empty()).ok()?;
     let pool = Pool::new(address).with_connect_timeout(CONNECT_TIMEOUT);
-    let fetched =
-        pool.fetch(request, FetchLimits::new(IDLE_TIMEOUT, MAX_REGION_BYTES)).await.ok()?;
+    let limits = FetchLimits::new(IDLE_TIMEOUT, MAX_REGION_BYTES);
+    let fetched = within(REGION_TIMEOUT, pool.fetch(request, limits)).await?.ok()?;
     (fetched.status == StatusCode::OK).then_some(fetched.body)
 }
 
