Store client: a list that repeats its page fails

Every reader of a list asks for the next page until there is none. A store that gave the same place to continue again and again kept the reader, and an operator's call, busy without end. Such a page is now a call without an answer.

Red before: a_list_that_repeats_a_page_fails: timed out waiting: the operator is answered

--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -157,12 +157,23 @@
     pub async fn call(&self, op: StoreOp) -> StoreAnswer {
         let write = op.is_write();
         let delete = matches!(op, StoreOp::Delete { .. });
+        let after = match &op {
+            StoreOp::List { after, .. } => after.clone(),
+            _ => None,
+        };
         let Some(request) = request(op) else { return StoreAnswer::Unavailable };
         let lost = if write { StoreAnswer::Unknown } else { StoreAnswer::Unavailable };
         let limits = FetchLimits::new(self.timeout, MAX_RESPONSE_BYTES);
         match self.pool.fetch(request, limits).await {
             Ok(fetched) if fetched.status == StatusCode::OK && delete => StoreAnswer::Deleted,
-            Ok(fetched) => answer(fetched.status, &fetched.body, &lost),
+            Ok(fetched) => match answer(fetched.status, &fetched.body, &lost) {
+                // Callers read on until there is no next page.
+                StoreAnswer::Page { next: Some(next), .. } if Some(&next) == after.as_ref() => {
+                    log::warn!("store: a list repeats its page after {next}");
+                    lost
+                }
+                answer => answer,
+            },
             Err(FetchError::NotSent(err)) => {
                 log::debug!("store: not reachable: {err}");
                 StoreAnswer::Unavailable
--- a/crates/samphiredoor/tests/it/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/endless_answers.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::{
-    env::{DoorLocation, TestEnv, get, job_lines, target, wait_until},
+    env::{DoorLocation, TestEnv, get, job_lines, post, target, wait_until},
     raw_target::{RawTarget, Reply},
 };
 
@@ -152,52 +152,72 @@
     assert_eq!(target.ran().len(), 1);
 }
 
-/// Passes all calls to a store except watches, which it answers with the same bytes without end; counts those that the
-/// gateway closed.
-fn start_endless_watches(store: SocketAddr, repeated: &str) -> (SocketAddr, Arc<AtomicUsize>) {
-    let repeated = repeated.repeat(1_000);
+/// Answer to some of the calls to a store.
+#[derive(Clone)]
+struct StoreReply {
+    /// Part of the head of these calls.
+    to: &'static str,
+    answer: &'static str,
+    /// Sent after the answer until the gateway closes the connection, unless it is empty.
+    repeated: String,
+}
+
+/// Passes calls to a store, except those that get a reply; counts the connections of endless replies that the gateway closed.
+fn start_store(store: SocketAddr, reply: StoreReply) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let closed = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&closed);
     thread::spawn(move || {
         for client in listener.incoming().flatten() {
-            let (repeated, closed) = (repeated.clone(), Arc::clone(&counter));
-            thread::spawn(move || relay_calls(client, store, &repeated, &closed));
+            let (reply, closed) = (reply.clone(), Arc::clone(&counter));
+            thread::spawn(move || relay_calls(client, store, &reply, &closed));
         }
     });
     (address, closed)
 }
 
-fn relay_calls(mut client: TcpStream, store: SocketAddr, repeated: &str, closed: &AtomicUsize) {
+fn relay_calls(mut client: TcpStream, store: SocketAddr, reply: &StoreReply, closed: &AtomicUsize) {
     let mut upstream = TcpStream::connect(store).expect("the store listens");
     let (mut answers, mut to_client) =
         (upstream.try_clone().expect("a handle"), client.try_clone().expect("a handle"));
     thread::spawn(move || std::io::copy(&mut answers, &mut to_client));
     let mut buffer = [0; 16 * 1024];
     while let Some(read) = client.read(&mut buffer).ok().filter(|it| *it > 0) {
-        if String::from_utf8_lossy(&buffer[..read]).contains("/manifests?watch=1") {
-            let _ = client.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
-            while client.write_all(repeated.as_bytes()).is_ok() {}
-            closed.fetch_add(1, Ordering::SeqCst);
-            return;
+        if !String::from_utf8_lossy(&buffer[..read]).contains(reply.to) {
+            if upstream.write_all(&buffer[..read]).is_err() {
+                return;
+            }
+            continue;
         }
-        if upstream.write_all(&buffer[..read]).is_err() {
+        let _ = client.write_all(reply.answer.as_bytes());
+        if !reply.repeated.is_empty() {
+            while client.write_all(reply.repeated.as_bytes()).is_ok() {}
+            closed.fetch_add(1, Ordering::SeqCst);
             return;
         }
     }
 }
 
+fn gateway_at(reply: StoreReply) -> (TestEnv, Arc<AtomicUsize>) {
+    let mut env = TestEnv::new();
+    let (store, closed) = start_store(env.store, reply);
+    env.start_door_at(&DoorLocation { store, ..DoorLocation::default() }, "");
+    env.declare(&json!({ "services": [], "targets": [] }));
+    (env, closed)
+}
+
 macro_rules! watches {
     ($($name:ident: $repeated:expr;)*) => {
         $(
             /// Guards against watches that are busy forever with bytes that are no events, so that no change arrives.
             #[test]
             fn $name() {
-                let mut env = TestEnv::new();
-                let (store, closed) = start_endless_watches(env.store, $repeated);
-                env.start_door_at(&DoorLocation { store, ..DoorLocation::default() }, "");
-                env.declare(&json!({ "services": [], "targets": [] }));
+                let (mut env, closed) = gateway_at(StoreReply {
+                    to: "/manifests?watch=1",
+                    answer: "HTTP/1.1 200 OK\r\n\r\n",
+                    repeated: $repeated.repeat(1_000),
+                });
                 wait_until("the watch is closed", || closed.load(Ordering::SeqCst) > 0);
                 wait_until("the gateway is ready", || {
                     get(env.door(0).operators, "/ready").status == 200
@@ -213,6 +233,19 @@
     a_watch_of_empty_lines_is_closed: "\n";
 }
 
+/// Guards against a list that reads the same page forever, and a call of an operator that is never answered.
+#[test]
+fn a_list_that_repeats_a_page_fails() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 62\r\n\r\n\
+        {\"metadata\":{\"resourceVersion\":\"1\",\"continue\":\"a\"},\"items\":[]}";
+    let reply = StoreReply { to: "/jobs?limit=", answer, repeated: String::new() };
+    let (mut env, _) = gateway_at(reply);
+    let operators = env.door(0).operators;
+    let asking = thread::spawn(move || post(operators, "/statement", &[], "jobs"));
+    wait_until("the operator is answered", || asking.is_finished());
+    assert_eq!(asking.join().expect("an answer").status, 503);
+}
+
 macro_rules! links {
     ($($name:ident: $byte:expr;)*) => {
         $(
