Soak: targets that crash while the gateways are awaited start again

Trace: after the last fault nothing restarted targets while the check waited for the gateways to serve, and callers went on sending what crashes them, so that all were down and every answer was 503 for the whole wait.

The check now lets the injector act, as all other waits do.

--- a/crates/samphiredoor-standin/src/soak/final_checks.rs
+++ b/crates/samphiredoor-standin/src/soak/final_checks.rs
@@ -45,11 +45,16 @@
         FinalChecks { shared, gateways, started_at: Instant::now() }
     }
 
-    /// Waits until each gateway serves a request, and records the times.
-    pub fn check_gateways_serve(&self, times: &mut Times) {
+    /// Waits until each gateway serves a request, and records the times. Targets that crash meanwhile start again, as callers
+    /// go on sending what crashes them.
+    pub fn check_gateways_serve(&self, injector: &mut Injector<'_>, times: &mut Times) {
         for gateway in 0..self.gateways {
             let id = format!("settle-{gateway}");
-            if !self.wait_for(self.started_at + SERVES_TIMEOUT, || self.is_served(gateway, &id)) {
+            let is_served = || {
+                injector.tick();
+                self.is_served(gateway, &id)
+            };
+            if !self.wait_for(self.started_at + SERVES_TIMEOUT, is_served) {
                 let observed = format!("gateway {gateway} does not serve");
                 return self.record_violation(Invariant::ServesAfterFaults, &id, observed);
             }
--- a/crates/samphiredoor-standin/src/soak/mod.rs
+++ b/crates/samphiredoor-standin/src/soak/mod.rs
@@ -312,7 +312,7 @@
         inject_faults(shared, injector, plan);
         injector.end_starvation();
         let final_checks = FinalChecks::new(shared, gateways);
-        final_checks.check_gateways_serve(&mut recovery.served_ms);
+        final_checks.check_gateways_serve(injector, &mut recovery.served_ms);
         let client_time =
             if options.bursts { CLIENT_TIME_AFTER_BURSTS } else { CLIENT_TIME_AFTER_FAULTS };
         wait_and_check(shared, injector, Instant::now() + client_time);
