Stand-in target: answers without end; tests that one of two such targets costs an attempt

Red on the present code, with one of two targets endless (twelve cases of eight requests with two attempts, nine items; at four tests at once; the run was ended after 500 s). FAILED: endless first event (both routes), second event, lines of data, comment lines, comments, blank lines; whole answer and failure (memory); items at an endless head, bytes in place of a head, first and second event, comments, blank lines, lines of data, whole answer: all 'errored' after 60 s or timed out, as the item is sent to the same target each time. ok: an endless head and bytes in place of a head online. Interim heads: more than 60 s, not ended.

--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -1,6 +1,8 @@
 //! Simulated replica of the platform (a target), over plain sockets, so that it can send invalid and incomplete
 //! answers.
 
+mod endless;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     io::{self, Read, Write},
@@ -17,6 +19,8 @@
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
 
+pub use endless::EndlessBytes;
+
 /// Time without an answer; longer than the timeout of any request in tests.
 const NO_ANSWER_TIME: Duration = Duration::from_secs(120);
 /// Send buffer of a target that aborts unread answers. By default the kernel takes megabytes that nobody has read.
@@ -70,6 +74,8 @@
     UnframedCutAfter(u64),
     /// The chunks end in order inside the event after this number of events.
     ChunksEndAfter(u64),
+    /// The request runs, and bytes are sent until the caller closes the connection.
+    Endless(EndlessBytes),
 }
 
 impl TargetFault {
@@ -485,6 +491,10 @@
                 thread::sleep(NO_ANSWER_TIME);
                 return Ok(false);
             }
+            TargetFault::Endless(bytes) => {
+                bytes.send(stream, id, after)?;
+                return Ok(false);
+            }
             TargetFault::Pauses { after: None, ms } => {
                 thread::sleep(Duration::from_millis(ms));
                 return self.answer_events(stream, request, after, fault);
--- a/crates/samphiredoor-standin/src/process.rs
+++ b/crates/samphiredoor-standin/src/process.rs
@@ -19,6 +19,15 @@
         assert!(sent.success(), "signal {name} was not sent");
     }
 
+    /// A value in kilobytes of the process's status, such as `VmHWM`.
+    pub fn status_kb(&self, name: &str) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("the status of a running process");
+        let value = status.lines().find_map(|it| it.strip_prefix(name)?.strip_prefix(':'));
+        let value = value.and_then(|it| it.trim().strip_suffix("kB")?.trim().parse().ok());
+        value.expect("a value in kilobytes")
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         self.0.try_wait().expect("the process can be asked").is_some()
--- /dev/null
+++ b/crates/samphiredoor/tests/it/platform/endless_answers.rs
@@ -0,0 +1,151 @@
+//! Targets that send bytes which are no answer without end: one of them costs an attempt, and nothing else.
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
+
+use samphiredoor_standin::{
+    fleet::EVENTS,
+    platform_target::{EndlessBytes, PlatformTarget, TargetFault},
+};
+use serde_json::json;
+
+use super::env::{BINARY, Platform, route, whole_stream};
+use crate::env::wait_until;
+
+const PAUSE: Duration = Duration::from_millis(2);
+const REQUESTS: usize = 8;
+const ATTEMPTS: u32 = 2;
+/// Timeout of the routes.
+const TIMEOUT_MS: u64 = 20_000;
+const IDLE_MS: u64 = 15_000;
+/// Most by which endless answers may increase the memory of a gateway: the limit of all answers that are being read at once,
+/// as much again where a buffer moves to a larger place, and a few megabytes for everything else.
+const MAX_GROWTH_KB: u64 = 80 * 1024;
+/// Time in which an item is completed elsewhere; much less than the time after which it is given up.
+const ITEM_TIME: Duration = Duration::from_secs(15);
+const ITEM: &str = "item-a";
+
+/// Starts a gateway with two targets, of which the nearer one always has this fault, and a sound target of another service.
+fn endless_and_sound(bytes: EndlessBytes) -> (Platform, [PlatformTarget; 2]) {
+    let mut platform = Platform::new(BINARY);
+    let mut sound = route("safe", ATTEMPTS, false);
+    sound["pathPrefix"] = json!("/sound/");
+    sound["service"] = json!("writer");
+    platform.put_limits_and_routes(2, ATTEMPTS, (IDLE_MS, TIMEOUT_MS), vec![sound]);
+    platform.start_target_of("writer", "t-sound", PAUSE);
+    let targets = [("t-near", "brisbane-north"), ("t-far", "brisbane-south")];
+    let targets = targets.map(|(name, zone)| {
+        let target = PlatformTarget::start(name, EVENTS, PAUSE).expect("a target starts");
+        platform.store.put("servers", name, target.entry("reader", zone, "ready"));
+        target
+    });
+    targets[0].fail_next(1_000, TargetFault::Endless(bytes));
+    platform.start_gateway();
+    platform.wait_logged(0, "routes: activated version=2");
+    (platform, targets)
+}
+
+/// Sends sound requests one after another until told to stop; all have to be answered.
+fn send_sound(platform: &Platform, has_ended: &AtomicBool) -> usize {
+    let mut sent = 0;
+    while sent == 0 || !has_ended.load(Ordering::Relaxed) {
+        let answer = platform.send(0, "/sound/a", &format!("sound-{sent}"), "");
+        assert_eq!((answer.status, answer.text), (200, whole_stream()));
+        sent += 1;
+    }
+    sent
+}
+
+/// Sends requests of which the first attempts get an endless answer; all have to be answered whole by the other target.
+fn costs_an_attempt(bytes: EndlessBytes, path: &str) {
+    let (mut platform, [endless, sound]) = endless_and_sound(bytes);
+    assert_eq!(platform.send(0, "/sound/a", "first", "").status, 200);
+    let before_kb = platform.gateway(0).status_kb("VmRSS");
+    let has_ended = AtomicBool::new(false);
+    let answers: Vec<_> = thread::scope(|scope| {
+        let (platform, has_ended) = (&platform, &has_ended);
+        let beside = scope.spawn(move || send_sound(platform, has_ended));
+        let send =
+            |number| scope.spawn(move || platform.send(0, path, &format!("id-{number}"), ""));
+        let sent: Vec<_> = (0..REQUESTS).map(send).collect();
+        let answers = sent.into_iter().map(|it| it.join().expect("a request ends")).collect();
+        has_ended.store(true, Ordering::Relaxed);
+        assert!(beside.join().expect("sound requests are answered") > 0);
+        answers
+    });
+    let statuses: Vec<u16> = answers.iter().map(|it| it.status).collect();
+    assert_eq!(statuses, [200; REQUESTS]);
+    assert!(answers.iter().all(|it| it.text == whole_stream()));
+    assert!(!endless.runs().is_empty() && !sound.runs().is_empty());
+    let growth_kb = platform.gateway(0).status_kb("VmHWM").saturating_sub(before_kb);
+    assert!(growth_kb <= MAX_GROWTH_KB, "{growth_kb} KB");
+}
+
+/// Submits an item of which the first attempts get an endless answer; it has to be completed by the other target.
+fn item_is_completed(bytes: EndlessBytes) {
+    let (platform, [endless, sound]) = endless_and_sound(bytes);
+    assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
+    let submitted = std::time::Instant::now();
+    wait_until("the item has a result", || !platform.available_results(0, "job-1").is_empty());
+    let results = platform.available_results(0, "job-1");
+    assert_eq!(
+        (&results[0]["state"], &results[0]["text"]),
+        (&json!("completed"), &json!(sound.text()))
+    );
+    assert!(submitted.elapsed() < ITEM_TIME, "{:?}", submitted.elapsed());
+    assert_eq!((endless.runs_of(ITEM) > 0, sound.runs_of(ITEM)), (true, 1));
+}
+
+macro_rules! endless_answers {
+    ($($name:ident: $bytes:ident, $path:expr;)*) => {
+        $(
+            // Guards against requests that fail, and a gateway that stalls or grows, at a target that never stops sending.
+            #[test]
+            fn $name() {
+                costs_an_attempt(EndlessBytes::$bytes, $path);
+            }
+        )*
+    };
+}
+
+endless_answers! {
+    endless_bytes_in_place_of_a_head_cost_an_attempt: NoHead, "/safe/a";
+    an_endless_head_costs_an_attempt: Head, "/safe/a";
+    endless_interim_heads_cost_an_attempt: InterimHeads, "/safe/a";
+    an_endless_first_event_costs_an_attempt: FirstEvent, "/safe/a";
+    an_endless_first_event_of_a_resumable_stream_costs_an_attempt: FirstEvent, "/stream-resumable/a";
+    endless_lines_of_data_cost_an_attempt: DataLines, "/stream-resumable/a";
+    an_endless_second_event_costs_an_attempt: SecondEvent, "/stream-resumable/a";
+    endless_comment_lines_cost_an_attempt: CommentLines, "/stream-resumable/a";
+    endless_comments_cost_an_attempt: Comments, "/stream-resumable/a";
+    endless_blank_lines_cost_an_attempt: BlankLines, "/stream-resumable/a";
+    an_endless_whole_answer_costs_an_attempt: WholeAnswer, "/safe/a";
+    an_endless_failure_costs_an_attempt: Failure, "/safe/a";
+}
+
+macro_rules! endless_answers_to_items {
+    ($($name:ident: $bytes:ident;)*) => {
+        $(
+            // Guards against an item that ends with an error, or late, although another target is sound.
+            #[test]
+            fn $name() {
+                item_is_completed(EndlessBytes::$bytes);
+            }
+        )*
+    };
+}
+
+endless_answers_to_items! {
+    an_item_leaves_endless_bytes_in_place_of_a_head: NoHead;
+    an_item_leaves_an_endless_head: Head;
+    an_item_leaves_endless_interim_heads: InterimHeads;
+    an_item_leaves_an_endless_first_event: FirstEvent;
+    an_item_leaves_endless_lines_of_data: DataLines;
+    an_item_leaves_an_endless_second_event: SecondEvent;
+    an_item_leaves_endless_comments: Comments;
+    an_item_leaves_endless_blank_lines: BlankLines;
+    an_item_leaves_an_endless_whole_answer: WholeAnswer;
+}
--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -6,6 +6,7 @@
 mod configuration_changes;
 mod crashes_by_chance;
 mod discovery;
+mod endless_answers;
 mod env;
 mod item_outputs;
 mod jobs;
