Bodies of responses tell their length

ResponseBody kept the default size hint, so that an answer that announces its length counted as one of unknown length: it was not rejected at once above the limit, and did not wait for memory before its first byte, as Buffers::read_whole says.

--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -19,7 +19,7 @@
 use futures_util::{FutureExt, select_biased};
 use hyper::{
     Request, Response,
-    body::{Body as HttpBody, Frame, Incoming},
+    body::{Body as HttpBody, Frame, Incoming, SizeHint},
     client::conn::http1::{Builder, SendRequest},
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
@@ -338,6 +338,10 @@
     fn is_end_stream(&self) -> bool {
         self.body.is_end_stream()
     }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 /// Time for which [`within_or_late`] still waits after its limit: long enough for the tasks of the connections to read what
