Event streams: bytes that end no event are no sign of life, and break a stream off after 256 KB

Cause: EventBuffer had no limit and was searched from its beginning at each read, and each byte ended the wait for a target, so that neither the silence limit nor the deadline ended an attempt. A stream now waits for whole events: one that has a line of data or an id. Comments, blank lines and other text are returned with the next event, and count as bytes without one. The search goes on where it stopped. Past 256 KB the stream is broken off (end=bytes_without_event), and the attempt is lost like that of a target that crashed.

--- a/crates/samphiredoor-gateway/src/event_stream.rs
+++ b/crates/samphiredoor-gateway/src/event_stream.rs
@@ -4,6 +4,9 @@
 //! a length or chunks ends, and a proxy in front of it may end the chunks in order. Online requests and items of jobs read
 //! streams through this module, so that both decide alike.
 //!
+//! A target may also send bytes without end that are no event. They are no sign that it works, so waits last until a whole event
+//! has been received, and a stream breaks off once too many bytes have come without one.
+//!
 //! A body that only the close of its connection ends, after a whole event, looks the same whether the target has finished
 //! it or has crashed. A target that has crashed refuses new connections, so such an end is whole only if it accepts one.
 
@@ -29,17 +32,17 @@
 /// What was received of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Received {
-    /// Bytes, which may end an event.
-    Data,
+    /// A whole event.
+    Event,
     /// The end of the stream.
     End(StreamEnd),
 }
 
 impl Received {
-    /// Whether the target has sent it, as opposed to a connection that has failed.
-    pub fn is_data(&self) -> bool {
+    /// Whether the target goes on with its answer, or has ended it.
+    pub fn is_progress(&self) -> bool {
         match self {
-            Received::Data | Received::End(StreamEnd::Whole) => true,
+            Received::Event | Received::End(StreamEnd::Whole) => true,
             Received::End(StreamEnd::BrokenOff(_)) => false,
         }
     }
@@ -65,6 +68,8 @@
     NoEvent,
     /// The connection was closed in order after a whole event, which may be the end of the body, and the target is gone.
     TargetGone,
+    /// Too many bytes came without a whole event.
+    BytesWithoutEvent,
 }
 
 impl StreamEnd {
@@ -87,6 +92,7 @@
             StreamEnd::BrokenOff(BreakOff::InsideEvent) => "inside_event",
             StreamEnd::BrokenOff(BreakOff::NoEvent) => "no_event",
             StreamEnd::BrokenOff(BreakOff::TargetGone) => "target_gone",
+            StreamEnd::BrokenOff(BreakOff::BytesWithoutEvent) => "bytes_without_event",
         }
     }
 }
@@ -97,20 +103,23 @@
         EventStream { body, target, buffer: EventBuffer::default(), has_taken: false }
     }
 
-    /// Waits for further bytes or the end of the stream. Nothing is lost if the future is dropped.
+    /// Waits for a whole event or the end of the stream. Nothing is lost if the future is dropped.
     pub async fn receive(&mut self) -> Received {
-        match self.body.frame().await {
-            Some(Ok(frame)) => {
-                // Trailers are skipped.
-                self.buffer.push(&frame.into_data().unwrap_or_default());
-                Received::Data
+        while !self.has_event() {
+            if self.buffer.is_overlong() {
+                return Received::End(StreamEnd::BrokenOff(BreakOff::BytesWithoutEvent));
             }
-            Some(Err(err)) => {
-                log::debug!("stream: connection failed: {err}");
-                Received::End(StreamEnd::BrokenOff(BreakOff::ConnectionFailed))
+            match self.body.frame().await {
+                // Trailers are skipped.
+                Some(Ok(frame)) => self.buffer.push(&frame.into_data().unwrap_or_default()),
+                Some(Err(err)) => {
+                    log::debug!("stream: connection failed: {err}");
+                    return Received::End(StreamEnd::BrokenOff(BreakOff::ConnectionFailed));
+                }
+                None => return Received::End(self.end().await),
             }
-            None => Received::End(self.end().await),
         }
+        Received::Event
     }
 
     /// Decides whether the stream is whole, after its body has ended in order.
--- a/crates/samphiredoor-gateway/src/events.rs
+++ b/crates/samphiredoor-gateway/src/events.rs
@@ -59,37 +59,55 @@
     })
 }
 
+/// Bytes that may come without a whole event before a stream counts as broken off. An event holds a few tokens, or a result of
+/// at most a few tens of kilobytes; the eight streams of a target that never ends an event hold 2 MB with this limit.
+pub const MAX_EVENTLESS_BYTES: usize = 256 * 1024;
+
 /// Collects bytes as they arrive and returns whole events.
+///
+/// A whole event has a line of data or an id, and a blank line ends it. Comments, blank lines and other fields are no event of
+/// their own: they are returned with the next one.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     rest: BytesMut,
+    /// End of the first whole event; `None` if there is none before `searched`.
+    event_end: Option<usize>,
+    /// Length of the part of `rest` that was searched for the end of the first event.
+    searched: usize,
+    /// Begin of the line in which the search stopped.
+    line_start: usize,
+    /// Whether the event in which the search stopped has a line of data or an id.
+    has_content: bool,
 }
 
 impl EventBuffer {
     /// Appends received bytes.
     pub fn push(&mut self, data: &[u8]) {
         self.rest.extend_from_slice(data);
+        self.search();
     }
 
     /// Whether a whole event has arrived.
     pub fn has_event(&self) -> bool {
-        end_of_event(&self.rest).is_some()
+        self.event_end.is_some()
     }
 
     /// Takes the next whole event; `None` until it has arrived.
     pub fn take_event(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.rest)?;
-        Some(Event::new(self.rest.split_to(end).freeze()))
+        let end = self.event_end?;
+        let raw = self.rest.split_to(end).freeze();
+        self.restart_search();
+        Some(Event::new(raw))
     }
 
-    /// Whether the bytes that are left are a part of an event. Blank lines and whole comments are none.
+    /// Whether the bytes that are left end inside an event. Blank lines and whole comments are none.
     pub fn is_inside_event(&self) -> bool {
-        let mut lines = self.rest.split_inclusive(|it| *it == b'\n');
-        lines.any(|line| {
-            let Some(line) = line.strip_suffix(b"\n") else { return true };
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            !line.is_empty() && !line.starts_with(b":")
-        })
+        let mut is_inside = false;
+        for line in self.rest.split_inclusive(|it| *it == b'\n') {
+            let Some(line) = whole_line(line) else { return true };
+            is_inside = !line.is_empty() && (is_inside || !line.starts_with(b":"));
+        }
+        is_inside
     }
 
     /// Number of bytes after the last whole event.
@@ -97,18 +115,52 @@
         self.rest.len()
     }
 
+    /// Whether more bytes have come without a whole event than a sound target sends.
+    pub fn is_overlong(&self) -> bool {
+        !self.has_event() && self.rest.len() > MAX_EVENTLESS_BYTES
+    }
+
     /// Takes all bytes that are left, as at the end of the stream.
     pub fn take_rest(&mut self) -> Bytes {
-        self.rest.split().freeze()
+        let rest = self.rest.split().freeze();
+        self.restart_search();
+        rest
+    }
+
+    fn restart_search(&mut self) {
+        (self.event_end, self.searched, self.line_start) = (None, 0, 0);
+        self.has_content = false;
+        self.search();
+    }
+
+    /// Searches the bytes that were not searched before for the end of the first event.
+    fn search(&mut self) {
+        while self.event_end.is_none() {
+            let unsearched = &self.rest[self.searched..];
+            let Some(feed) = unsearched.iter().position(|it| *it == b'\n') else {
+                self.searched = self.rest.len();
+                return;
+            };
+            let line_end = self.searched + feed + 1;
+            let line = whole_line(&self.rest[self.line_start..line_end]).unwrap_or_default();
+            match line.is_empty() {
+                true if self.has_content => self.event_end = Some(line_end),
+                true => {}
+                false => self.has_content |= is_content(line),
+            }
+            (self.searched, self.line_start) = (line_end, line_end);
+        }
     }
 }
 
-/// Index after the blank line that ends the first event.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let feeds = bytes.iter().enumerate().filter(|(_, it)| **it == b'\n').map(|(at, _)| at);
-    feeds.into_iter().find_map(|at| match &bytes[at + 1..] {
-        [b'\n', ..] => Some(at + 2),
-        [b'\r', b'\n', ..] => Some(at + 3),
-        _ => None,
-    })
+/// A line without its end; `None` if that has not arrived.
+fn whole_line(line: &[u8]) -> Option<&[u8]> {
+    let line = line.strip_suffix(b"\n")?;
+    Some(line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Whether a line is the data or the id of an event.
+fn is_content(line: &[u8]) -> bool {
+    let name = line.split(|it| *it == b':').next().unwrap_or_default();
+    matches!(name, b"data" | b"id")
 }
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -107,18 +107,13 @@
     mut stream: EventStream,
     attempt: &Attempt<'_>,
 ) -> AttemptOutcome {
-    loop {
-        if stream.has_event() {
-            return AttemptOutcome::Stream(parts, stream);
-        }
-        match attempt.receive(Awaited::Event, stream.receive(), Received::is_data).await {
-            Ok(Received::Data) => {}
-            Ok(Received::End(end)) => {
-                note_empty_stream(front, &attempt.request.id, &stream, end);
-                return match end {
-                    StreamEnd::Whole => AttemptOutcome::Whole(parts, stream.take_rest()),
-                    StreamEnd::BrokenOff(_) => lost(MayHaveRunReason::AnswerCut),
-                };
+    match attempt.receive(Awaited::Event, stream.receive(), Received::is_progress).await {
+        Ok(Received::Event) => AttemptOutcome::Stream(parts, stream),
+        Ok(Received::End(end)) => {
+            note_empty_stream(front, &attempt.request.id, &stream, end);
+            match end {
+                StreamEnd::Whole => AttemptOutcome::Whole(parts, stream.take_rest()),
+                StreamEnd::BrokenOff(_) => lost(MayHaveRunReason::AnswerCut),
             }
             Err(loss) => return AttemptOutcome::MayHaveRun(loss),
         }
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -69,7 +69,7 @@
                 next_run: self.request.next_run_after(self.last_event),
             };
             let (loss, label) = match attempt
-                .receive(Awaited::Event, active.stream.receive(), Received::is_data)
+                .receive(Awaited::Event, active.stream.receive(), Received::is_progress)
                 .await
             {
                 Ok(Received::Data) => continue,
--- a/crates/samphiredoor-gateway/src/front/silence.rs
+++ b/crates/samphiredoor-gateway/src/front/silence.rs
@@ -31,7 +31,7 @@
 pub enum Awaited {
     /// Its head.
     Head,
-    /// The next data of its event stream.
+    /// The next whole event of its stream.
     Event,
 }
 
@@ -43,7 +43,8 @@
         }
     }
 
-    /// Runs a wait for at most `limit`. Data of a stream has to be there by then, as more of it may follow all the time.
+    /// Runs a wait for at most `limit`. An event of a stream has to be there by then, as more of them may follow all the
+    /// time.
     async fn within<F: Future>(self, limit: Duration, wait: F) -> Option<F::Output> {
         match self {
             Awaited::Head => within_or_late(limit, wait).await,
@@ -102,8 +103,8 @@
 }
 
 impl Attempt<'_> {
-    /// Waits for the next part of the answer; `is_data` tells whether it came from the target, as opposed to a failure of the
-    /// connection.
+    /// Waits for the next part of the answer; `is_progress` tells whether the target goes on with it, as opposed to a failure of
+    /// the connection.
     ///
     /// # Errors
     ///
@@ -113,7 +114,7 @@
         &self,
         awaited: Awaited,
         wait: F,
-        is_data: fn(&F::Output) -> bool,
+        is_progress: fn(&F::Output) -> bool,
     ) -> Result<F::Output, Loss> {
         let mut wait = std::pin::pin!(wait);
         let since = Instant::now();
@@ -132,7 +133,7 @@
         // Boxed, as it would make the future of each stream larger, and silences are rare.
         let received = Box::pin(self.wait_silent(&mut silence, wait)).await;
         let end = match &received {
-            Ok(received) if is_data(received) => SilenceEnd::Resumed,
+            Ok(received) if is_progress(received) => SilenceEnd::Resumed,
             Ok(_) => SilenceEnd::Gone,
             Err(Loss { end: AttemptEnd::Cut, .. }) => SilenceEnd::Deadline,
             Err(Loss { end: AttemptEnd::Silent, .. }) => SilenceEnd::Moved,
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -44,7 +44,7 @@
     target_client,
 };
 
-/// Time without any data after which a target counts as silent. Online requests that join a batch delay its events by a few
+/// Time without a whole event after which a target counts as silent. Online requests that join a batch delay its events by a few
 /// hundred milliseconds at most; an engine short of memory may delay one for longer.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time limit for the body of a failure, whose status has arrived.
@@ -514,12 +514,13 @@
         loop {
             let received = {
                 let receiving = std::pin::pin!(stream.receive());
-                or_preempted(ticket, self.receive(request, at, receiving, Received::is_data)).await
+                or_preempted(ticket, self.receive(request, at, receiving, Received::is_progress))
+                    .await
             };
             match received {
                 None => return (Outcome::Resume, AttemptEnd::Cut),
                 Some(Err(end)) => return (Outcome::ResponseLost, end),
-                Some(Ok(Received::Data)) => {
+                Some(Ok(Received::Event)) => {
                     let mut output = self.output.borrow_mut();
                     if output.consume(&mut stream) {
                         at.run.note_event();
@@ -552,7 +553,7 @@
         request: RequestId,
         at: &mut AtTarget<'_>,
         mut wait: F,
-        is_data: fn(&F::Output) -> bool,
+        is_progress: fn(&F::Output) -> bool,
     ) -> Result<F::Output, AttemptEnd> {
         let since = Instant::now();
         if let Some(received) = within_or_late(SILENCE_LIMIT, &mut wait).await {
@@ -569,7 +570,7 @@
         let (ended, _) = Box::pin(silent.wait(next, wait)).await;
         match ended {
             WaitEnd::Received(received) => {
-                if is_data(&received) {
+                if is_progress(&received) {
                     self.env.placement.silence_ended(request);
                     log::info!(
                         job = &*self.job, item = &*self.item.id, target = &**at.target,
--- a/crates/samphiredoor-gateway/tests/event_stream.rs
+++ b/crates/samphiredoor-gateway/tests/event_stream.rs
@@ -8,7 +8,7 @@
 };
 use samphiredoor_gateway::{
     event_stream::{BreakOff, StreamEnd},
-    events::EventBuffer,
+    events::{EventBuffer, MAX_EVENTLESS_BYTES},
 };
 use samphiredoor_net::pool::Framing;
 
@@ -71,3 +71,59 @@
     });
     result.expect("each cut is judged by its place");
 }
+
+/// Whether a stream of this text, sent in pieces without end, is given up, and after how many events.
+fn given_up_after(text: &str) -> (bool, usize) {
+    let (mut buffer, mut events) = (EventBuffer::default(), 0);
+    for _ in 0..=MAX_EVENTLESS_BYTES / text.len() {
+        buffer.push(text.as_bytes());
+        events += std::iter::from_fn(|| buffer.take_event()).count();
+    }
+    (buffer.is_overlong(), events)
+}
+
+macro_rules! endless {
+    ($($name:ident: $text:expr => $is_given_up:expr;)*) => {
+        $(
+            // Guards against memory that grows, and waits that last, while a target sends bytes that are no event.
+            #[test]
+            fn $name() {
+                let (is_given_up, events) = given_up_after($text);
+                assert_eq!((is_given_up, events == 0), ($is_given_up, $is_given_up));
+            }
+        )*
+    };
+}
+
+endless! {
+    bytes_without_a_line_are_no_event: "-" => true;
+    lines_of_data_are_no_event: "data: a\n" => true;
+    comment_lines_are_no_event: ": ping\n" => true;
+    comments_are_no_event: ": ping\r\n\r\n" => true;
+    blank_lines_are_no_event: "\n" => true;
+    lines_of_other_text_are_no_event: "-\n\n" => true;
+    events_go_on: "id: 1\n\n" => false;
+    events_with_comments_go_on: ": ping\n\ndata: a\n\n" => false;
+}
+
+/// Guards against comments that are lost, and against an event that is passed on before its end.
+#[test]
+fn a_comment_is_returned_with_the_next_event() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b"\n: ping\n\nid: 1\n");
+    assert_eq!(buffer.take_event(), None);
+    buffer.push(b"\n: done\n\n");
+    let event = buffer.take_event().expect("a whole event");
+    assert_eq!((&*event.raw, event.id), (&b"\n: ping\n\nid: 1\n\n"[..], Some(1)));
+    assert!(!buffer.is_inside_event());
+    assert_eq!(buffer.take_rest(), ": done\n\n");
+}
+
+/// Guards against a search that begins anew with each piece: a stream of large events would keep the process busy.
+#[test]
+fn an_event_is_found_in_pieces_of_one_byte() {
+    let event = format!("data: {}\n\n", "-".repeat(MAX_EVENTLESS_BYTES - 8));
+    let mut buffer = EventBuffer::default();
+    event.as_bytes().chunks(1).for_each(|it| buffer.push(it));
+    assert_eq!(buffer.take_event().map(|it| it.raw.len()), Some(event.len()));
+}
