A stream that has broken off goes on at another target than the one that broke it off

Only a silent target was avoided when a stream was resumed; one that had broken off got the request again, and used up its attempts.

--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -141,7 +141,7 @@
             unfinished_bytes = stream.unfinished_bytes();
             "front: stream interrupted"
         );
-        self.request.note_silent(end, &target, held);
+        self.request.note_left(end, &target, held);
         // Closes the connection, so that the target stops before another one continues the stream.
         drop(stream);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -498,8 +498,7 @@
                 self.may_have_run = Some(cause);
                 self.log_attempt_end(&target, end);
                 self.note_run_end(run, end);
-                self.tried.push(Name::clone(&target));
-                self.note_silent(end, &target, held);
+                self.note_left(end, &target, held);
                 (!self.may_run_again()).then_some(Outcome::NoAnswer(NoAnswer::MayHaveRun(cause)))
             }
         }
@@ -617,14 +616,14 @@
         run.ended(RunEnd::Other(end), || self.content().clone());
     }
 
-    /// Notes the end of an attempt at a silent target, and the slot that is held for the next one.
-    pub(super) fn note_silent(&mut self, end: AttemptEnd, target: &Name, held: Option<HeldSlot>) {
+    /// Notes the end of an attempt without a whole answer, and the slot that is held for the next one if the target was silent.
+    pub(super) fn note_left(&mut self, end: AttemptEnd, target: &Name, held: Option<HeldSlot>) {
         self.held = held;
         if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
             self.front.targets.close_idle(target);
-            if !self.tried.contains(target) {
-                self.tried.push(Name::clone(target));
-            }
+        }
+        if !self.tried.contains(target) {
+            self.tried.push(Name::clone(target));
         }
     }
 
