Whole answers that are being read hold 32 MB at most together

Cause: each answer could hold 16 MB, with no bound for all, as no budget is on by default. All whole answers that are being read now share a budget of 32 MB, two of the largest. One that announces its length waits for memory before its first byte; one that does not waits 250 ms in all for more and is lost then (reason=no_memory), which closes its connection. An own limit for each answer by its expected size was ruled out: an answer without a length, as the endless ones are, has none. _whole_answers_lost{reason} and 'front: answer not read whole' say what happened.

--- a/crates/samphiredoor-gateway/src/buffers.rs
+++ b/crates/samphiredoor-gateway/src/buffers.rs
@@ -8,7 +8,7 @@
     future::poll_fn,
     sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, Waker},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -18,7 +18,11 @@
     Abort, BufferBudget, BufferUse, Holder, HolderId, Verdict,
 };
 use samphiredoor_net::{
-    BoxError, body::ReadError, clock::Clock, pool::within, read_ahead::ReadAheadLimit,
+    BoxError,
+    body::ReadError,
+    clock::Clock,
+    pool::{within, within_or_ready},
+    read_ahead::ReadAheadLimit,
 };
 
 /// Limit of the kernel's buffers of each connection while there is a budget: the kernel counts them as memory of the process,
@@ -29,6 +33,9 @@
 /// Waiting holders are woken when this part of the limit has been released: waking all of them for each piece that a slow
 /// caller takes would use up a small gateway's processor.
 const WAKE_DIVISOR: u64 = 32;
+/// Longest time for which a whole answer waits in all for memory beyond the length that it has announced. Sound answers that
+/// are read meanwhile release theirs in this time; one that never ends must not keep its memory until its deadline.
+const UNANNOUNCED_WAIT: Duration = Duration::from_millis(250);
 /// Longest wait of a request body or whole answer before it asks again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
@@ -50,6 +57,37 @@
     released_bytes: u64,
 }
 
+/// Why a body was not read whole.
+#[derive(Debug)]
+pub enum UnreadReason {
+    /// It has more bytes than allowed.
+    TooLarge,
+    /// The connection failed or was closed before its end.
+    Cut(BoxError),
+    /// It is an answer that has announced no length, and there was no memory for its rest.
+    NoMemory,
+}
+
+impl UnreadReason {
+    /// Label in logs and metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            UnreadReason::TooLarge => "too_large",
+            UnreadReason::Cut(_) => "connection_failed",
+            UnreadReason::NoMemory => "no_memory",
+        }
+    }
+}
+
+impl From<ReadError> for UnreadReason {
+    fn from(err: ReadError) -> UnreadReason {
+        match err {
+            ReadError::TooLarge => UnreadReason::TooLarge,
+            ReadError::Cut(err) => UnreadReason::Cut(err),
+        }
+    }
+}
+
 /// Account of one holder; closed when dropped.
 struct Account {
     buffers: Buffers,
@@ -108,45 +146,85 @@
 
     /// Reads a complete body of at most `max_bytes`, and waits while there is no memory for it. A body whose length is
     /// known waits before its first byte: if many were read in parts, none might get the memory for its rest. `is_waiting`
-    /// tells whether it waits for memory.
+    /// tells whether it waits for memory. The body is counted until it is dropped.
     ///
     /// # Errors
     ///
-    /// The body is too large or was cut.
+    /// See [`UnreadReason`].
     pub async fn read_whole<B>(
         &self,
         holder: Holder,
         body: B,
         max_bytes: usize,
         is_waiting: &Cell<bool>,
-    ) -> Result<Bytes, ReadError>
+    ) -> Result<Bytes, UnreadReason>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+        B::Error: Into<BoxError>,
+    {
+        let (read, account) = self.read(holder, body, max_bytes, is_waiting).await?;
+        Ok(account.attach(read))
+    }
+
+    /// The same for a body that is counted only while it is read.
+    pub async fn read_whole_uncounted<B>(
+        &self,
+        holder: Holder,
+        body: B,
+        max_bytes: usize,
+        is_waiting: &Cell<bool>,
+    ) -> Result<Bytes, UnreadReason>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+        B::Error: Into<BoxError>,
+    {
+        let (read, _) = self.read(holder, body, max_bytes, is_waiting).await?;
+        Ok(read)
+    }
+
+    async fn read<B>(
+        &self,
+        holder: Holder,
+        body: B,
+        max_bytes: usize,
+        is_waiting: &Cell<bool>,
+    ) -> Result<(Bytes, Arc<Account>), UnreadReason>
     where
         B: HttpBody<Data = Bytes> + Unpin,
         B::Error: Into<BoxError>,
     {
         let expected = body.size_hint().lower();
         if expected > max_bytes as u64 {
-            return Err(ReadError::TooLarge);
+            return Err(UnreadReason::TooLarge);
         }
         let mut body = http_body_util::Limited::new(body, max_bytes);
         let account = Arc::new(self.open(holder));
         account.reserve(expected, is_waiting).await;
         let (mut held, mut read) = (expected, BytesMut::with_capacity(expected as usize));
+        let mut wait_left = UNANNOUNCED_WAIT;
         while let Some(frame) = body.frame().await {
             let frame =
                 frame.map_err(|err| match err.is::<http_body_util::LengthLimitError>() {
-                    true => ReadError::TooLarge,
-                    false => ReadError::Cut(err),
+                    true => UnreadReason::TooLarge,
+                    false => UnreadReason::Cut(err),
                 })?;
             let Ok(piece) = frame.into_data() else { continue };
             let missing = ((read.len() + piece.len()) as u64).saturating_sub(held);
             if missing > 0 {
-                account.reserve(missing, is_waiting).await;
+                let (reserving, begun) = (account.reserve(missing, is_waiting), Instant::now());
+                match holder {
+                    Holder::WholeAnswer => {
+                        let reserved = within_or_ready(wait_left, reserving).await;
+                        reserved.ok_or(UnreadReason::NoMemory)?;
+                    }
+                    _ => reserving.await,
+                }
+                wait_left = wait_left.saturating_sub(begun.elapsed());
                 held += missing;
             }
             read.extend_from_slice(&piece);
         }
-        Ok(account.attach(read.freeze()))
+        Ok((read.freeze(), account))
     }
 
     fn open(&self, holder: Holder) -> Account {
--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -25,6 +25,9 @@
 
 /// Size limit of answers that are buffered before they are forwarded: all but event streams.
 pub const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+/// Memory of all such answers that are being read, where the settings have no budget for buffered data: two of the largest.
+/// More wait if they have announced their length.
+pub const WHOLE_ANSWERS_BYTES: u64 = 2 * MAX_WHOLE_BYTES as u64;
 
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
@@ -94,7 +97,14 @@
             lost(MayHaveRunReason::AnswerCut)
         }
         Some(Ok(body)) => AttemptOutcome::Whole(Box::new(parts), body),
-        Some(Err(_)) => lost(MayHaveRunReason::AnswerCut),
+        Some(Err(err)) => {
+            front.metrics.whole_answer_lost(err.label());
+            log::info!(
+                request, target = &**attempt.target, framing = framing.label(), reason = err.label();
+                "front: answer not read whole"
+            );
+            lost(MayHaveRunReason::AnswerCut)
+        }
         None => AttemptOutcome::MayHaveRun(Loss::deadline()),
     }
 }
--- a/crates/samphiredoor-gateway/src/front/mod.rs
+++ b/crates/samphiredoor-gateway/src/front/mod.rs
@@ -26,15 +26,16 @@
 };
 use samphiredoor_net::{
     Body, BoxError,
-    body::{ReadError, UnreadBody, read_whole},
+    body::{UnreadBody, read_whole},
     clock::Clock,
     pool::within,
 };
 
 pub use answers::{json_message, refusal_response};
+pub use attempt::WHOLE_ANSWERS_BYTES;
 
 use crate::{
-    buffers::Buffers,
+    buffers::{Buffers, UnreadReason},
     jobs::{Forwarding, Jobs, SubmittedJob, forward},
     metrics::Metrics,
     peers::{CrashReports, RunLimits, StreamOrigins},
@@ -87,25 +88,31 @@
     pub open_requests: Rc<Cell<usize>>,
     /// Budget for buffered data, if there is one.
     pub buffers: Option<Buffers>,
+    /// Budget for whole answers while they are read, if there is none for all data.
+    pub whole_answers: Buffers,
 }
 
 impl Front {
-    /// Reads a complete body of at most `max_bytes`, within the budget for buffered data if there is one. `is_waiting` tells
-    /// whether it waits for memory.
+    /// Reads a complete body of at most `max_bytes`, within the budget for buffered data if there is one, or a whole answer
+    /// within that for such answers. `is_waiting` tells whether it waits for memory.
     async fn read_whole<B>(
         &self,
         holder: Holder,
         body: B,
         max_bytes: usize,
         is_waiting: &Cell<bool>,
-    ) -> Result<Bytes, ReadError>
+    ) -> Result<Bytes, UnreadReason>
     where
         B: HttpBody<Data = Bytes> + Unpin,
         B::Error: Into<BoxError>,
     {
-        match &self.buffers {
-            Some(buffers) => buffers.read_whole(holder, body, max_bytes, is_waiting).await,
-            None => read_whole(body, max_bytes).await,
+        match (&self.buffers, holder) {
+            (Some(buffers), _) => buffers.read_whole(holder, body, max_bytes, is_waiting).await,
+            (None, Holder::WholeAnswer) => {
+                let answers = &self.whole_answers;
+                answers.read_whole_uncounted(holder, body, max_bytes, is_waiting).await
+            }
+            (None, _) => Ok(read_whole(body, max_bytes).await?),
         }
     }
 }
@@ -247,14 +254,18 @@
     let reading = front.read_whole(Holder::RequestBody, body, max_bytes, &is_waiting);
     match within(BODY_TIMEOUT, reading).await {
         Some(Ok(body)) => Ok(body),
-        Some(Err(ReadError::TooLarge)) => Err(Box::new(json_message(
+        Some(Err(UnreadReason::TooLarge)) => Err(Box::new(json_message(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the body is above the limit",
         ))),
-        Some(Err(ReadError::Cut(err))) => {
+        Some(Err(UnreadReason::Cut(err))) => {
             log::info!(problem:% = err; "front: request body incomplete");
             Err(Box::new(json_message(StatusCode::BAD_REQUEST, "the body was cut")))
         }
+        // Only the wait of an answer for memory has a limit of its own.
+        Some(Err(UnreadReason::NoMemory)) => {
+            Err(Box::new(unavailable(NO_MEMORY, NO_MEMORY_RETRY_MS)))
+        }
         None if is_waiting.get() => {
             front.metrics.body_without_memory();
             log::info!(max_bytes; "front: no memory for a request body");
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -120,6 +120,7 @@
     stage_s: Family<StageLabel, Histogram>,
     stream_ends: Family<StreamLabel, Counter>,
     stream_resumptions: Family<ResumptionLabel, Counter>,
+    whole_answers_lost: ReasonCounters,
     stream_records_sent: Counter,
     item_ends: ReasonCounters,
     unanswered_attempts: ReasonCounters,
@@ -178,6 +179,8 @@
         let mut family = |name, help| ReasonCounters::new(&mut registry, name, help, &[]);
         let retries = family("retries", "Requests sent again, by reason");
         let ends = family("ends", "Ends of requests that were sent");
+        let help = "Answers of targets, other than event streams, that were not read whole";
+        let whole_answers_lost = family("whole_answers_lost", help);
         let item_ends = family("item_ends", "Ends of runs of items");
         let unanswered_attempts = family(
             "unanswered_item_attempts",
@@ -243,6 +246,7 @@
             stage_s,
             stream_ends,
             stream_resumptions,
+            whole_answers_lost,
             stream_records_sent,
             item_ends,
             unanswered_attempts,
@@ -346,6 +350,11 @@
         self.stream_ends.get_or_create(&StreamLabel { framing: framing.label(), end }).inc();
     }
 
+    /// Counts an answer that is no event stream and was not read whole.
+    pub fn whole_answer_lost(&self, reason: &'static str) {
+        self.whole_answers_lost.count(reason);
+    }
+
     /// Counts a stream that goes on after an interruption.
     pub fn stream_resumed(&self, by: &'static str, version: &'static str) {
         self.stream_resumptions.get_or_create(&ResumptionLabel { by, version }).inc();
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -19,7 +19,7 @@
     buffers::{Buffers, SOCKET_BUFFER_BYTES},
     config::{ActiveOverload, CommonConfig, GatewayConfig},
     discovery::{RoutesTask, TargetsTask},
-    front::{self, Front},
+    front::{self, Front, WHOLE_ANSWERS_BYTES},
     idle_limit::IdleLimit,
     jobs::{self, JobEnv, Jobs, LivenessGaps},
     metrics::Metrics,
@@ -339,6 +339,7 @@
         clock,
         open_requests: Rc::default(),
         buffers,
+        whole_answers: Buffers::new(WHOLE_ANSWERS_BYTES, clock),
     };
     Parts { front: Rc::new(front), jobs, metrics, routes, watch_relay, known_targets, stopping }
 }
