Items whose answer was lost go on at another target

The item now avoids the target that lost its answer last, for 2 s at most of each wait, as that one may have the only free slot.

--- a/crates/samphiredoor-gateway/src/jobs/item_output.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_output.rs
@@ -31,6 +31,8 @@
     awaits_answer: bool,
     /// Whether the run ends once the target has answered.
     is_stopping: bool,
+    /// Target at which the last answer was lost, as long as others are better.
+    avoided: Option<Name>,
     /// Account of the text in the buffer budget; `None` without a budget or text.
     held: Option<HeldOutput>,
 }
@@ -69,6 +71,7 @@
             ran_ms: 0,
             awaits_answer: false,
             is_stopping: false,
+            avoided: None,
             held: None,
         }
     }
@@ -88,7 +91,8 @@
     /// Drops the text, so that the item begins anew.
     pub fn drop_text(&mut self) {
         let (awaits_answer, is_stopping) = (self.awaits_answer, self.is_stopping);
-        *self = Output { awaits_answer, is_stopping, ..Output::default() };
+        let avoided = self.avoided.take();
+        *self = Output { awaits_answer, is_stopping, avoided, ..Output::default() };
     }
 
     /// Counts the text in the buffer budget, if there is one.
@@ -120,6 +124,16 @@
         self.is_stopping
     }
 
+    /// Target that the next run avoids if there is another one.
+    pub fn avoided(&self) -> Option<&Name> {
+        self.avoided.as_ref()
+    }
+
+    /// Sets the target that the next run avoids if there is another one.
+    pub fn set_avoided(&mut self, target: Option<Name>) {
+        self.avoided = target;
+    }
+
     /// Notes that a run begins. An earlier one may have been dropped at its target.
     pub fn begin_run(&mut self) {
         self.awaits_answer = false;
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -55,6 +55,9 @@
 /// Shortest time for which an item waits for a target of the version that wrote its text, before it begins anew at another
 /// one.
 const MIN_VERSION_WAIT_MS: u64 = 1_000;
+/// Longest time for which an item waits for another target than the one at which its answer was lost. That one may have the
+/// only free slot, and may be sound again.
+const OTHER_TARGET_WAIT: Duration = Duration::from_secs(2);
 /// Pause before an item is sent again that was not run by the target, or got no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval at which an item that crashes targets, or a part of whose prompt does, checks whether it may be sent again.
@@ -258,7 +261,17 @@
             return Outcome::Held(suspect);
         }
         let mut ticket = self.env.placement.request(self.request_spec(service, &call.headers));
-        let (target, address, origin, goes_on) = match self.place(&mut ticket, service).await {
+        let is_avoiding = self.output.borrow().avoided().is_some();
+        let placing = self.place(&mut ticket, service);
+        let placed = match is_avoiding {
+            true => within(OTHER_TARGET_WAIT, placing).await,
+            false => Some(placing.await),
+        };
+        let Some(placed) = placed else {
+            self.output.borrow_mut().set_avoided(None);
+            return Outcome::Resume;
+        };
+        let (target, address, origin, goes_on) = match placed {
             Some(Decision::Dispatch { target, address, origin, goes_on }) => {
                 (target, address, origin, goes_on)
             }
@@ -337,6 +350,8 @@
         if matches!(end, AttemptEnd::Silent | AttemptEnd::Gone) {
             self.env.targets.close_idle(&target);
         }
+        let is_lost = matches!(outcome, Outcome::ResponseLost);
+        self.output.borrow_mut().set_avoided(is_lost.then_some(target));
         ticket.report_end(end);
         outcome
     }
@@ -407,7 +422,7 @@
             service: Name::clone(service),
             priority: 0,
             affinity: self.env.platform.dialect.affinity(headers),
-            tried_targets: SmallVec::new(),
+            tried_targets: self.output.borrow().avoided().cloned().into_iter().collect(),
             deadline_ms: self.due_at_ms,
             prior_run_ms: self.output.borrow().prior_run_ms(),
             terms: CallerTerms::default(),
@@ -592,7 +607,7 @@
     /// The item as it would be sent to another target.
     fn next_spec(&self, at: &AtTarget<'_>) -> RequestSpec {
         let mut spec = self.request_spec(at.service, at.headers);
-        spec.tried_targets.push(Name::clone(at.target));
+        spec.tried_targets = SmallVec::from_iter([Name::clone(at.target)]);
         spec
     }
 }
