--- a/crates/samphiredoor-gateway/src/front/attempt.rs
+++ b/crates/samphiredoor-gateway/src/front/attempt.rs
@@ -125,8 +125,8 @@
                 StreamEnd::Whole => AttemptOutcome::Whole(parts, stream.take_rest()),
                 StreamEnd::BrokenOff(_) => lost(MayHaveRunReason::AnswerCut),
             }
-            Err(loss) => return AttemptOutcome::MayHaveRun(loss),
         }
+        Err(loss) => AttemptOutcome::MayHaveRun(loss),
     }
 }
 
--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -72,7 +72,7 @@
                 .receive(Awaited::Event, active.stream.receive(), Received::is_progress)
                 .await
             {
-                Ok(Received::Data) => continue,
+                Ok(Received::Event) => continue,
                 Ok(Received::End(StreamEnd::Whole)) => return self.finish_stream(),
                 Ok(Received::End(end)) => (Loss::lost(MayHaveRunReason::AnswerCut), end.label()),
                 Err(loss) => {
--- a/crates/samphiredoor-standin/src/platform_target/endless.rs
+++ b/crates/samphiredoor-standin/src/platform_target/endless.rs
@@ -1,6 +1,10 @@
 //! Answers that never end: the target sends bytes until the caller closes the connection.
 
-use std::io::{self, Write};
+use std::{
+    io::{self, Write},
+    thread,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +14,8 @@
 const PIECE_BYTES: usize = 16 * 1024;
 /// Length of a header, line or comment that is sent again and again.
 const LINE_BYTES: usize = 64;
+/// Pause after each piece of bytes that come slowly.
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
 
 /// What a target sends without end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +40,10 @@
     Comments,
     /// Blank lines after the first event of a run.
     BlankLines,
+    /// Single bytes inside the first event of a run, with pauses.
+    SlowFirstEvent,
+    /// Comments after the first event of a run, with pauses.
+    SlowComments,
     /// The body of a success that is no event stream.
     WholeAnswer,
     /// The body of a failure (500).
@@ -65,6 +75,12 @@
                 (stream_head(id) + &event(first), endless_chunk(&(line(": ") + "\n")))
             }
             EndlessBytes::BlankLines => (stream_head(id) + &event(first), endless_chunk("\n")),
+            EndlessBytes::SlowFirstEvent => {
+                (stream_head(id) + &chunk("data: "), chunk("-").into_bytes())
+            }
+            EndlessBytes::SlowComments => {
+                (stream_head(id) + &event(first), chunk(":\n\n").into_bytes())
+            }
             EndlessBytes::WholeAnswer => (head("200 OK", "text/plain", id), endless_chunk("-")),
             EndlessBytes::Failure => {
                 (head("500 Internal Server Error", "text/plain", id), endless_chunk("-"))
@@ -72,6 +88,14 @@
         }
     }
 
+    /// Pause after each piece.
+    fn pause(self) -> Duration {
+        match self {
+            EndlessBytes::SlowFirstEvent | EndlessBytes::SlowComments => SLOW_PAUSE,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Sends bytes until the caller closes the connection, as the error tells.
     pub(super) fn send(
         self,
@@ -83,6 +107,7 @@
         stream.write_all(begin.as_bytes())?;
         loop {
             stream.write_all(&more)?;
+            thread::sleep(self.pause());
         }
     }
 }
--- a/crates/samphiredoor/tests/it/platform/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/platform/endless_answers.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::atomic::{AtomicBool, Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use samphiredoor_standin::{
@@ -13,7 +13,10 @@
 use serde_json::json;
 
 use super::env::{BINARY, Platform, route, whole_stream};
-use crate::env::wait_until;
+use crate::{
+    env::wait_until,
+    raw_target::{RawTarget, Reply},
+};
 
 const PAUSE: Duration = Duration::from_millis(2);
 const REQUESTS: usize = 8;
@@ -21,8 +24,8 @@
 /// Timeout of the routes.
 const TIMEOUT_MS: u64 = 20_000;
 const IDLE_MS: u64 = 15_000;
-/// Most by which endless answers may increase the memory of a gateway: the limit of all answers that are being read at once,
-/// as much again where a buffer moves to a larger place, and a few megabytes for everything else.
+/// Most by which endless answers may increase the memory of a gateway: the limit of all answers that are being read at once
+/// (32 MB), as much again where a buffer moves to a larger place, and a few megabytes for everything else.
 const MAX_GROWTH_KB: u64 = 80 * 1024;
 /// Time in which an item is completed elsewhere; much less than the time after which it is given up.
 const ITEM_TIME: Duration = Duration::from_secs(15);
@@ -88,7 +91,7 @@
 fn item_is_completed(bytes: EndlessBytes) {
     let (platform, [endless, sound]) = endless_and_sound(bytes);
     assert_eq!(platform.submit(0, "job-1", &[ITEM]).status, 202);
-    let submitted = std::time::Instant::now();
+    let submitted = Instant::now();
     wait_until("the item has a result", || !platform.available_results(0, "job-1").is_empty());
     let results = platform.available_results(0, "job-1");
     assert_eq!(
@@ -122,6 +125,8 @@
     endless_comment_lines_cost_an_attempt: CommentLines, "/stream-resumable/a";
     endless_comments_cost_an_attempt: Comments, "/stream-resumable/a";
     endless_blank_lines_cost_an_attempt: BlankLines, "/stream-resumable/a";
+    a_first_event_that_comes_slowly_without_end_costs_an_attempt: SlowFirstEvent, "/safe/a";
+    slow_comments_without_end_cost_an_attempt: SlowComments, "/stream-resumable/a";
     an_endless_whole_answer_costs_an_attempt: WholeAnswer, "/safe/a";
     an_endless_failure_costs_an_attempt: Failure, "/safe/a";
 }
@@ -147,5 +152,81 @@
     an_item_leaves_an_endless_second_event: SecondEvent;
     an_item_leaves_endless_comments: Comments;
     an_item_leaves_endless_blank_lines: BlankLines;
+    an_item_leaves_a_first_event_that_comes_slowly_without_end: SlowFirstEvent;
+    an_item_leaves_slow_comments_without_end: SlowComments;
     an_item_leaves_an_endless_whole_answer: WholeAnswer;
 }
+
+/// Shorter than the time that the target goes on sending.
+const SHORT_TIMEOUT_MS: u64 = 1_500;
+
+macro_rules! single_attempts {
+    ($($name:ident: $bytes:ident => $status:expr;)*) => {
+        $(
+            // Guards against callers that wait longer than the route's timeout for a target that never stops sending.
+            #[test]
+            fn $name() {
+                let (platform, [endless, _]) = endless_and_sound(EndlessBytes::$bytes);
+                platform.put_limits(3, 1, IDLE_MS, SHORT_TIMEOUT_MS);
+                platform.wait_logged(0, "routes: activated version=3");
+                assert_eq!(platform.send(0, "/stream/a", "id-1", "").status, $status);
+                assert_eq!(endless.runs().len(), 1);
+            }
+        )*
+    };
+}
+
+single_attempts! {
+    an_endless_first_event_ends_a_single_attempt: FirstEvent => 502;
+    a_first_event_that_comes_slowly_ends_a_single_attempt_at_its_deadline: SlowFirstEvent => 504;
+    slow_comments_end_a_single_attempt_at_its_deadline: SlowComments => 0;
+}
+
+// Guards against a log and metrics that don't tell why an answer was given up.
+#[test]
+fn what_an_endless_answer_was_is_logged() {
+    let (platform, _) = endless_and_sound(EndlessBytes::SecondEvent);
+    assert_eq!(platform.send(0, "/stream-resumable/a", "id-1", "").status, 200);
+    platform.wait_logged(0, "end=bytes_without_event");
+    let (platform, _) = endless_and_sound(EndlessBytes::WholeAnswer);
+    assert_eq!(platform.send(0, "/safe/a", "id-1", "").status, 200);
+    platform.wait_logged(0, "reason=too_large");
+}
+
+/// Size of an answer that is read whole, a little below the limit.
+const LARGE_BYTES: usize = 15 * 1024 * 1024;
+
+// Guards against large answers of sound targets that are lost as too many come at once.
+#[test]
+fn large_answers_that_announce_their_length_wait_for_memory() {
+    let mut platform = Platform::new(BINARY);
+    let target = platform.start_target("t-1", PAUSE).with_failure_bytes(LARGE_BYTES);
+    target.fail_next(REQUESTS as u32, TargetFault::Fails);
+    platform.start_gateway();
+    thread::scope(|scope| {
+        let platform = &platform;
+        let send = |number| {
+            scope.spawn(move || platform.send(0, "/unsafe/a", &format!("id-{number}"), ""))
+        };
+        let sent: Vec<_> = (0..REQUESTS).map(send).collect();
+        for answer in sent.into_iter().map(|it| it.join().expect("a request ends")) {
+            assert_eq!((answer.status, answer.text.len()), (500, LARGE_BYTES));
+        }
+    });
+}
+
+// Guards against a large answer that is lost although there is memory for it.
+#[test]
+fn a_large_answer_without_a_length_is_read_whole() {
+    let answer = format!("HTTP/1.1 200 OK\r\n\r\n{}", "-".repeat(LARGE_BYTES));
+    let target = RawTarget::start([Reply::SendAndClose(answer.leak())]);
+    let mut platform = Platform::new(BINARY);
+    let entry = json!({
+        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north", "version": "v1",
+        "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", "raw", entry);
+    platform.start_gateway();
+    let answer = platform.send(0, "/unsafe/a", "id-1", "monday");
+    assert_eq!((answer.status, answer.text.len()), (200, LARGE_BYTES));
+}
