--- a/crates/samphiredoor-standin/src/platform_target.rs
+++ b/crates/samphiredoor-standin/src/platform_target.rs
@@ -1,6 +1,7 @@
 //! Simulated replica of the platform (a target), over plain sockets, so that it can send invalid and incomplete
 //! answers.
 
+mod endless;
 mod holds;
 mod runs;
 
@@ -22,6 +23,7 @@
 
 use crate::wrong_resumption::WrongResumption;
 
+pub use endless::EndlessBytes;
 pub use runs::{NamedRun, stream_without_names, text_without_names};
 
 /// Time without an answer; longer than the timeout of any request in tests.
@@ -79,6 +81,8 @@
     ChunksEndAfter(u64),
     /// The answer to a request with `Last-Event-Id` begins at another event than the next one.
     Resumes(WrongResumption),
+    /// The request runs, and bytes are sent until the caller closes the connection.
+    Endless(EndlessBytes),
 }
 
 impl TargetFault {
@@ -507,6 +511,10 @@
                 thread::sleep(NO_ANSWER_TIME);
                 return Ok(false);
             }
+            TargetFault::Endless(bytes) => {
+                bytes.send(stream, id, after)?;
+                return Ok(false);
+            }
             TargetFault::Pauses { after: None, ms } => {
                 thread::sleep(Duration::from_millis(ms));
                 return self.answer_events(stream, request, after, fault);
