--- a/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
+++ b/crates/samphiredoor-gateway/src/front/forwarded_stream.rs
@@ -71,10 +71,10 @@
                 next_run: self.request.next_run_after(self.last_event.resumable()),
             };
             let (loss, label) = match attempt
-                .receive(Awaited::Event, active.stream.receive(), Received::is_data)
+                .receive(Awaited::Event, active.stream.receive(), Received::is_progress)
                 .await
             {
-                Ok(Received::Data) => continue,
+                Ok(Received::Event) => continue,
                 Ok(Received::End(StreamEnd::Whole)) => return self.finish_stream(),
                 Ok(Received::End(end)) => (Loss::lost(MayHaveRunReason::AnswerCut), end.label()),
                 Err(loss) => {
@@ -143,7 +143,7 @@
             unfinished_bytes = stream.unfinished_bytes();
             "front: stream interrupted"
         );
-        self.request.note_silent(end, &target, held);
+        self.request.note_left(end, &target, held);
         // Closes the connection, so that the target stops before another one continues the stream.
         drop(stream);
         let resumable = matches!(self.request.route.kind, RouteKind::Stream { resumable: true });
