--- /dev/null
+++ b/review/stand/muted_store.rs
@@ -0,0 +1,181 @@
+//! All connections to the store that are open at one moment go silent for good, while new ones work. Soon after, a replica that
+//! never reports `draining` leaves: its entry is removed, and it serves on for `drainMs` and a little longer. Checks the rule
+//! DRAIN: no request reaches the replica later than `drainMs` after the store has acknowledged the removal, if it was taken from
+//! its client and sent on by machines in touch, that is `stableMs` after the connections went silent at the earliest.
+
+use std::{
+    collections::HashMap,
+    io::BufReader,
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use crate::{
+    Outcome, Setup,
+    kit::{
+        Gateway, HOST, Record, Replica, Runs, SERVICE, STREAM_PREFIX, configuration, read_chunk,
+        read_head, wait_until_ready,
+    },
+};
+
+const GATEWAYS: [(&str, &str); 6] = [
+    ("front-brisbane-north-1", "brisbane-north"),
+    ("front-brisbane-north-2", "brisbane-north"),
+    ("front-brisbane-north-3", "brisbane-north"),
+    ("front-brisbane-south-1", "brisbane-south"),
+    ("front-cairns-port-1", "cairns-port"),
+    ("front-cairns-port-2", "cairns-port"),
+];
+const REPLICAS: usize = 9;
+/// Bounds of the deployment.
+const STABLE_S: f64 = 4.0;
+const DRAIN_S: f64 = 2.5;
+/// How long after the connections went silent the entry is removed.
+const REMOVED_AFTER_S: f64 = 1.5;
+/// How much longer than `drainMs` the replica serves.
+const LONGER_S: f64 = 1.0;
+const EVENTS: u64 = 30;
+const GAP_MS: u64 = 20;
+/// Pause between two requests at one gateway.
+const PAUSE_MS: u64 = 80;
+
+/// What became of one request.
+#[derive(Clone)]
+struct Sent {
+    gateway: String,
+    at: f64,
+    status: u16,
+    is_whole: bool,
+}
+
+type AllSent = Arc<Mutex<HashMap<String, Sent>>>;
+
+pub fn play(setup: &Setup) -> Outcome {
+    let Setup { record, store, deployment, .. } = setup;
+    store.put("config", "main", &configuration(2));
+    let runs = Runs::default();
+    let zones = ["brisbane-north", "brisbane-south", "cairns-port"];
+    let replicas: Vec<Replica> = (0..REPLICAS)
+        .map(|it| Replica::start(&format!("i-{it:08x}"), SERVICE, zones[it % 3], 8, &runs, record))
+        .collect();
+    replicas.iter().for_each(|it| it.register(store));
+    let gateways: Vec<Gateway> =
+        GATEWAYS.iter().map(|(name, zone)| deployment.start(name, zone)).collect();
+    if !wait_until_ready(&gateways.iter().collect::<Vec<_>>(), record) {
+        return Outcome::CouldNotRun("the gateways are not ready");
+    }
+    let sent = AllSent::default();
+    let until = record.now() + 20.0;
+    for (number, gateway) in gateways.iter().enumerate() {
+        let (name, address) = (gateway.name.clone(), gateway.callers);
+        let (record, sent) = (record.clone(), Arc::clone(&sent));
+        thread::spawn(move || {
+            for request in 0.. {
+                if record.now() >= until {
+                    return;
+                }
+                let id = format!("{number:02x}{request:014x}");
+                let (record, sent, name) = (record.clone(), Arc::clone(&sent), name.clone());
+                thread::spawn(move || send(id, name, address, &record, &sent));
+                thread::sleep(Duration::from_millis(PAUSE_MS));
+            }
+        });
+    }
+    // Replicas have left and come before; the watches of the gateways are spread.
+    thread::sleep(Duration::from_millis(9_000));
+    let muted_at = record.now();
+    if setup.has_trouble {
+        store.mute_open_connections();
+        record.say("all open connections to the store go silent");
+    }
+    sleep_until(record, muted_at + REMOVED_AFTER_S);
+    let leaving = &replicas[0];
+    store.delete("servers", &leaving.id);
+    let removed_at = record.now();
+    record.say(format!("the entry of {} is removed", leaving.id));
+    sleep_until(record, removed_at + DRAIN_S + LONGER_S);
+    leaving.exit();
+    record.say(format!("{} exits", leaving.id));
+    sleep_until(record, until + 1.5);
+    if store.names("servers").len() != REPLICAS - 1 {
+        return Outcome::CouldNotRun("the entry is still there");
+    }
+    check(record, &sent.lock().unwrap(), &runs, &leaving.id, (muted_at, removed_at))
+}
+
+fn check(
+    record: &Record,
+    sent: &HashMap<String, Sent>,
+    runs: &Runs,
+    leaving: &str,
+    (muted_at, removed_at): (f64, f64),
+) -> Outcome {
+    let whole = sent.values().filter(|it| it.is_whole).count();
+    record.say(format!("{} requests were sent, {whole} were answered whole", sent.len()));
+    if whole * 10 < sent.len() * 9 {
+        return Outcome::CouldNotRun("too few requests are served");
+    }
+    let in_touch_from = muted_at + STABLE_S;
+    let (mut late, mut cut) = (0, 0);
+    for run in runs.all().iter().filter(|it| it.replica == leaving && it.began > removed_at) {
+        let Some(it) = sent.get(&run.id) else { continue };
+        let is_late = it.at >= in_touch_from && run.began > removed_at + DRAIN_S;
+        record.note(format!(
+            "{} came to {} {:.3} s after the connections went silent and reached {leaving} {:.3} s after the removal: {}; its client got {} {}",
+            run.id,
+            it.gateway,
+            it.at - muted_at,
+            run.began - removed_at,
+            if is_late { "late, from a machine in touch" } else { "allowed" },
+            it.status,
+            if it.is_whole { "whole" } else { "and a cut stream" },
+        ));
+        late += usize::from(is_late);
+        cut += usize::from(is_late && !it.is_whole);
+    }
+    record.say(format!(
+        "{late} requests reached {leaving} later than {DRAIN_S} s after its removal, from machines in touch; {cut} of them were cut by its exit"
+    ));
+    if late > 0 { Outcome::Broken } else { Outcome::Held }
+}
+
+fn send(id: String, gateway: String, address: SocketAddr, record: &Record, sent: &AllSent) {
+    let at = record.now();
+    let (status, is_whole) = exchange(&id, address).unwrap_or((0, false));
+    record.note(format!("request {id}, sent to {gateway} at {at:.3} s: {status}, whole {is_whole}"));
+    sent.lock().unwrap().insert(id, Sent { gateway, at, status, is_whole });
+}
+
+fn exchange(id: &str, address: SocketAddr) -> Option<(u16, bool)> {
+    let body = format!("events={EVENTS};gap_ms={GAP_MS}");
+    let request = format!(
+        "POST {STREAM_PREFIX}2f HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-model: m\r\nx-token-count: 450,{EVENTS}\r\nx-prompt-prefix: 5c1e07a2:200,{id}:250\r\nx-deadline-ms: 5000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let head = read_head(&mut reader)?;
+    let status = head.status();
+    if status != 200 {
+        return Some((status, false));
+    }
+    let mut text = Vec::new();
+    loop {
+        match read_chunk(&mut reader) {
+            Some(chunk) if chunk.is_empty() => break,
+            Some(chunk) => text.extend(chunk),
+            None => return Some((status, false)),
+        }
+    }
+    let last = format!("id: {EVENTS}\n");
+    Some((status, String::from_utf8_lossy(&text).contains(&last)))
+}
+
+fn sleep_until(record: &Record, at: f64) {
+    thread::sleep(Duration::from_secs_f64((at - record.now()).max(0.0)));
+}
