--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if the case could not run. Without `TROUBLE=0` in the environment there is a disruption.
 
 mod kit;
+mod late_on_kept;
 mod lost_half;
 mod muted_store;
 
@@ -39,6 +40,7 @@
     record.say(if has_trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
         "lost-half" => lost_half::play(&setup),
+        "late-on-kept" => late_on_kept::play(&setup),
         "muted-store" => muted_store::play(&setup),
         _ => Outcome::CouldNotRun("no such case"),
     };
--- a/review/stand/muted_store.rs
+++ b/review/stand/muted_store.rs
@@ -1,7 +1,7 @@
-//! All connections to the store that are open at one moment go silent for good, while new ones work. Soon after, a replica that
-//! never reports `draining` leaves: its entry is removed, and it serves on for `drainMs` and a little longer. Checks the rule
-//! DRAIN: no request reaches the replica later than `drainMs` after the store has acknowledged the removal, if it was taken from
-//! its client and sent on by machines in touch, that is `stableMs` after the connections went silent at the earliest.
+//! All connections to the store that are open at one moment go silent for good, while new ones work. Soon after, two of 18
+//! replicas leave that never report `draining`: their entries are removed, and they serve on for `drainMs` and a little longer.
+//! Checks the rule DRAIN: no request reaches them later than `drainMs` after the store has acknowledged the removal, if it was
+//! taken from its client and sent on by machines in touch, that is `stableMs` after the connections went silent at the earliest.
 
 use std::{
     collections::HashMap,
@@ -29,16 +29,18 @@
     ("front-cairns-port-1", "cairns-port"),
     ("front-cairns-port-2", "cairns-port"),
 ];
-const REPLICAS: usize = 9;
+const REPLICAS: usize = 18;
+/// Replicas that leave, by their numbers; both are in brisbane-north.
+const LEAVING: [usize; 2] = [0, 3];
 /// Bounds of the deployment.
 const STABLE_S: f64 = 4.0;
 const DRAIN_S: f64 = 2.5;
-/// How long after the connections went silent the entry is removed.
+/// How long after the connections went silent the entries are removed.
 const REMOVED_AFTER_S: f64 = 1.5;
-/// How much longer than `drainMs` the replica serves.
+/// How much longer than `drainMs` these replicas serve.
 const LONGER_S: f64 = 1.0;
 const EVENTS: u64 = 30;
-const GAP_MS: u64 = 20;
+const GAP_MS: u64 = 40;
 /// Pause between two requests at one gateway.
 const PAUSE_MS: u64 = 80;
 
@@ -85,32 +87,35 @@
         });
     }
     // Replicas have left and come before; the watches of the gateways are spread.
-    thread::sleep(Duration::from_millis(9_000));
+    thread::sleep(Duration::from_millis(9_250));
     let muted_at = record.now();
     if setup.has_trouble {
         store.mute_open_connections();
         record.say("all open connections to the store go silent");
     }
     sleep_until(record, muted_at + REMOVED_AFTER_S);
-    let leaving = &replicas[0];
-    store.delete("servers", &leaving.id);
+    let leaving: Vec<&Replica> = LEAVING.iter().map(|it| &replicas[*it]).collect();
+    for replica in &leaving {
+        store.delete("servers", &replica.id);
+    }
     let removed_at = record.now();
-    record.say(format!("the entry of {} is removed", leaving.id));
+    let names: Vec<String> = leaving.iter().map(|it| it.id.clone()).collect();
+    record.say(format!("the entries of {} are removed", names.join(" and ")));
     sleep_until(record, removed_at + DRAIN_S + LONGER_S);
-    leaving.exit();
-    record.say(format!("{} exits", leaving.id));
+    leaving.iter().for_each(|it| it.exit());
+    record.say(format!("{} exit", names.join(" and ")));
     sleep_until(record, until + 1.5);
-    if store.names("servers").len() != REPLICAS - 1 {
-        return Outcome::CouldNotRun("the entry is still there");
+    if store.names("servers").len() != REPLICAS - LEAVING.len() {
+        return Outcome::CouldNotRun("the entries are still there");
     }
-    check(record, &sent.lock().unwrap(), &runs, &leaving.id, (muted_at, removed_at))
+    check(record, &sent.lock().unwrap(), &runs, &names, (muted_at, removed_at))
 }
 
 fn check(
     record: &Record,
     sent: &HashMap<String, Sent>,
     runs: &Runs,
-    leaving: &str,
+    leaving: &[String],
     (muted_at, removed_at): (f64, f64),
 ) -> Outcome {
     let whole = sent.values().filter(|it| it.is_whole).count();
@@ -120,14 +125,15 @@
     }
     let in_touch_from = muted_at + STABLE_S;
     let (mut late, mut cut) = (0, 0);
-    for run in runs.all().iter().filter(|it| it.replica == leaving && it.began > removed_at) {
+    for run in runs.all().iter().filter(|it| leaving.contains(&it.replica) && it.began > removed_at) {
         let Some(it) = sent.get(&run.id) else { continue };
         let is_late = it.at >= in_touch_from && run.began > removed_at + DRAIN_S;
         record.note(format!(
-            "{} came to {} {:.3} s after the connections went silent and reached {leaving} {:.3} s after the removal: {}; its client got {} {}",
+            "{} came to {} {:.3} s after the connections went silent and reached {} {:.3} s after the removal: {}; its client got {} {}",
             run.id,
             it.gateway,
             it.at - muted_at,
+            run.replica,
             run.began - removed_at,
             if is_late { "late, from a machine in touch" } else { "allowed" },
             it.status,
@@ -137,7 +143,7 @@
         cut += usize::from(is_late && !it.is_whole);
     }
     record.say(format!(
-        "{late} requests reached {leaving} later than {DRAIN_S} s after its removal, from machines in touch; {cut} of them were cut by its exit"
+        "{late} requests reached these replicas later than {DRAIN_S} s after their removal, from machines in touch; {cut} of them were cut as the replicas exited"
     ));
     if late > 0 { Outcome::Broken } else { Outcome::Held }
 }
