--- a/review/stand/kit.rs
+++ b/review/stand/kit.rs
@@ -557,6 +557,9 @@
     }
 }
 
+/// Answers of the replicas that hand out wrong bytes.
+static ANSWERS: AtomicUsize = AtomicUsize::new(0);
+
 /// A replica: streams events, says its load, rejects what it has no slot for. The body of a request says how many events it
 /// sends: `events=N;gap_ms=G`.
 #[derive(Clone)]
@@ -570,6 +573,8 @@
     is_gone: Arc<AtomicBool>,
     runs: Runs,
     record: Record,
+    /// Each how many answers one has wrong bytes in its `Keep-Alive` header; 0 for none.
+    wrong_each: Arc<AtomicUsize>,
 }
 
 impl Replica {
@@ -585,6 +590,7 @@
             is_gone: Arc::default(),
             runs: runs.clone(),
             record: record.clone(),
+            wrong_each: Arc::default(),
         };
         let serving = replica.clone();
         thread::spawn(move || {
@@ -623,6 +629,26 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Lets one of so many answers of all replicas that do so have wrong bytes in its `Keep-Alive` header; 0 for none.
+    pub fn set_wrong_each(&self, answers: usize) {
+        self.wrong_each.store(answers, Ordering::SeqCst);
+    }
+
+    /// The `Keep-Alive` header of the next answer.
+    fn keep_alive(&self, id: &str) -> &'static str {
+        let each = self.wrong_each.load(Ordering::SeqCst);
+        if each == 0 {
+            return "keep-alive: timeout=5\r\n";
+        }
+        match ANSWERS.fetch_add(1, Ordering::SeqCst) + 1 {
+            number if number % each == 0 => {
+                self.record.note(format!("replica {} hands out wrong bytes to {id}", self.id));
+                "keep-alive: timeout=18446744073709551615\r\n"
+            }
+            _ => "keep-alive: timeout=5\r\n",
+        }
+    }
+
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::SeqCst)
     }
@@ -705,7 +731,8 @@
         writer: &mut TcpStream,
     ) -> bool {
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{common}x-server-load: {},0,{}\r\nx-weight-versions: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n{common}{}x-server-load: {},0,{}\r\nx-weight-versions: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.keep_alive(id),
             self.busy(),
             self.slots
         );
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -5,6 +5,7 @@
 mod late_on_kept;
 mod lost_half;
 mod muted_store;
+mod wrong_bytes;
 
 use std::path::PathBuf;
 
@@ -41,6 +42,7 @@
     let outcome = match case.as_str() {
         "lost-half" => lost_half::play(&setup),
         "late-on-kept" => late_on_kept::play(&setup),
+        "wrong-bytes" => wrong_bytes::play(&setup),
         "muted-store" => muted_store::play(&setup),
         _ => Outcome::CouldNotRun("no such case"),
     };
