--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Case 4: see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-case=wrong-bytes
+case=muted-store
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 stand="$root/target/review/stand"
--- a/review/stand/kit.rs
+++ b/review/stand/kit.rs
@@ -561,7 +561,7 @@
 static ANSWERS: AtomicUsize = AtomicUsize::new(0);
 
 /// A replica: streams events, says its load, rejects what it has no slot for. The body of a request says how many events it
-/// sends: `events=N;gap_ms=G`.
+/// sends: `events=N;gap_ms=G`, and `first_empty=1` if the first has no text.
 #[derive(Clone)]
 pub struct Replica {
     pub id: String,
@@ -697,6 +697,7 @@
             pairs.find(|(it, _)| *it == key).and_then(|(_, it)| it.parse().ok()).unwrap_or(default)
         };
         let (events, gap) = (number("events", 10), number("gap_ms", 20));
+        let is_first_empty = number("first_empty", 0) == 1;
         if self.busy.fetch_add(1, Ordering::SeqCst) >= self.slots {
             self.busy.fetch_sub(1, Ordering::SeqCst);
             let load = format!("{common}x-not-run: full\r\nx-server-load: {0},0,{0}\r\n", self.slots);
@@ -713,7 +714,11 @@
         };
         self.record.note(format!("replica {} runs {id} after event {after}", self.id));
         let index = self.runs.begin(run);
-        let is_whole = self.stream(&common, &id, after, events, gap, writer);
+        let data = |event| match is_first_empty && event == 1 {
+            true => String::new(),
+            false => event_data(&id, event),
+        };
+        let is_whole = self.stream(&common, &id, after, (events, gap, &data), writer);
         self.busy.fetch_sub(1, Ordering::SeqCst);
         self.runs.end(index, self.record.now(), is_whole);
         let how = if is_whole { "whole" } else { "cut" };
@@ -726,8 +731,7 @@
         common: &str,
         id: &str,
         after: u64,
-        events: u64,
-        gap: u64,
+        (events, gap, data): (u64, u64, &dyn Fn(u64) -> String),
         writer: &mut TcpStream,
     ) -> bool {
         let head = format!(
@@ -744,7 +748,7 @@
             if self.is_gone.load(Ordering::SeqCst) || is_closed(writer) {
                 return false;
             }
-            let text = format!("id: {event}\ndata: {}\n\n", event_data(id, event));
+            let text = format!("id: {event}\ndata: {}\n\n", data(event));
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if writer.write_all(chunk.as_bytes()).is_err() {
                 return false;
@@ -806,8 +810,19 @@
         Deployment { program, folder, store, zones, record: record.clone() }
     }
 
-    /// Starts a gateway with `deploy/gateway.toml` filled in for a host.
+    /// Starts a gateway with `deploy/gateway.toml` filled in for a host, with other ports if one of them was taken meanwhile.
     pub fn start(&self, name: &str, zone: &str) -> Gateway {
+        loop {
+            let mut gateway = self.start_once(name, zone);
+            thread::sleep(Duration::from_millis(150));
+            match gateway.ended() {
+                None => return gateway,
+                Some(how) => self.record.say(format!("{name} has ended at its start: {how}")),
+            }
+        }
+    }
+
+    fn start_once(&self, name: &str, zone: &str) -> Gateway {
         let (callers, readiness, peers, metrics) =
             (free_port(), free_port(), free_port(), free_port());
         let region = self.zones.iter().find(|(it, _)| *it == zone).expect("a zone").1;
@@ -964,11 +979,16 @@
 
     /// Submits the job; returns the status, or 0 without an answer.
     pub fn submit(&mut self, gateway: &Gateway, events: u64, gap_ms: u64, record: &Record) -> u16 {
+        self.submit_body(gateway, events, &format!("events={events};gap_ms={gap_ms}"), record)
+    }
+
+    /// Submits the job with a body of its own for its items.
+    pub fn submit_body(&mut self, gateway: &Gateway, events: u64, body: &str, record: &Record) -> u16 {
+        let body = base64(body.as_bytes());
         let items: Vec<String> = self
             .items
             .iter()
             .map(|it| {
-                let body = base64(format!("events={events};gap_ms={gap_ms}").as_bytes());
                 format!(
                     "{{\"id\":\"{it}\",\"path\":\"{BATCH_PREFIX}3/{it}\",\"headers\":{{\"X-Model\":\"m\",\"X-Token-Count\":\"350,{events}\",\"X-Prompt-Prefix\":\"9c2e41:100,{it}:250\"}},\"body\":\"{body}\",\"tokenCount\":{}}}",
                     350 + events
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,6 +1,7 @@
 //! Plays the scripted cases of the review: `stand CASE FOLDER PROGRAM RECORD`. It exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. Without `TROUBLE=0` in the environment there is a disruption.
 
+mod empty_first;
 mod kit;
 mod late_on_kept;
 mod lost_half;
@@ -43,6 +44,7 @@
         "lost-half" => lost_half::play(&setup),
         "late-on-kept" => late_on_kept::play(&setup),
         "wrong-bytes" => wrong_bytes::play(&setup),
+        "empty-first" => empty_first::play(&setup),
         "muted-store" => muted_store::play(&setup),
         _ => Outcome::CouldNotRun("no such case"),
     };
