--- a/review/stand/empty_first.rs
+++ b/review/stand/empty_first.rs
@@ -67,11 +67,16 @@
             // A line feed is two characters in JSON.
             let is_whole = *text == whole.join("\\n");
             let begin: String = text.chars().take(24).collect();
-            record.note(format!("item {id} is {state}, its text begins with {begin:?}, whole: {is_whole}"));
+            record.note(format!(
+                "item {id} is {state}, its text begins with {begin:?}, whole: {is_whole}"
+            ));
             wrong += usize::from(!is_whole);
         }
     }
-    record.say(format!("{completed} of {} items are completed, {wrong} without their whole text", JOBS * ITEMS));
+    record.say(format!(
+        "{completed} of {} items are completed, {wrong} without their whole text",
+        JOBS * ITEMS
+    ));
     match (completed, wrong) {
         (0, _) => Outcome::CouldNotRun("no item is completed"),
         (_, 0) => Outcome::Held,
--- a/review/stand/kit.rs
+++ b/review/stand/kit.rs
@@ -274,7 +274,10 @@
         let (listener, address) = listen();
         let store = Store {
             address,
-            state: Arc::new((Mutex::new(StoreState { revision: 1, ..Default::default() }), Condvar::new())),
+            state: Arc::new((
+                Mutex::new(StoreState { revision: 1, ..Default::default() }),
+                Condvar::new(),
+            )),
             mute: Arc::default(),
             is_down: Arc::default(),
             record,
@@ -351,7 +354,8 @@
                 }
                 None => self.list(&kind, &parameter("after").unwrap_or_default()),
             },
-            ("GET", false) => match self.state.0.lock().unwrap().objects.get(&(kind, name.clone())) {
+            ("GET", false) => match self.state.0.lock().unwrap().objects.get(&(kind, name.clone()))
+            {
                 Some(object) => ("200 OK", object_json(&name, object)),
                 None => ("404 Not Found", "{}".into()),
             },
@@ -378,7 +382,8 @@
 
     fn list(&self, kind: &str, after: &str) -> (&'static str, String) {
         let state = self.state.0.lock().unwrap();
-        let items = state.objects.iter().filter(|((it, name), _)| it == kind && name.as_str() > after);
+        let items =
+            state.objects.iter().filter(|((it, name), _)| it == kind && name.as_str() > after);
         let items: Vec<String> = items.map(|((_, name), it)| object_json(name, it)).collect();
         let text = format!(
             "{{\"items\":[{}],\"hasMore\":false,\"currentRev\":{}}}",
@@ -413,7 +418,8 @@
                 );
                 return ("200 OK", text);
             }
-            let left = until.saturating_duration_since(Instant::now()).min(Duration::from_millis(20));
+            let left =
+                until.saturating_duration_since(Instant::now()).min(Duration::from_millis(20));
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
     }
@@ -578,7 +584,14 @@
 }
 
 impl Replica {
-    pub fn start(id: &str, service: &str, zone: &str, slots: usize, runs: &Runs, record: &Record) -> Replica {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        runs: &Runs,
+        record: &Record,
+    ) -> Replica {
         let (listener, address) = listen();
         let replica = Replica {
             id: id.into(),
@@ -700,7 +713,8 @@
         let is_first_empty = number("first_empty", 0) == 1;
         if self.busy.fetch_add(1, Ordering::SeqCst) >= self.slots {
             self.busy.fetch_sub(1, Ordering::SeqCst);
-            let load = format!("{common}x-not-run: full\r\nx-server-load: {0},0,{0}\r\n", self.slots);
+            let load =
+                format!("{common}x-not-run: full\r\nx-server-load: {0},0,{0}\r\n", self.slots);
             return write_response(writer, "503 Service Unavailable", &load, "");
         }
         let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
@@ -895,7 +909,8 @@
 
     pub fn is_ready(&self) -> bool {
         let request = "GET /samphiredoor/ready HTTP/1.1\r\nhost: ready\r\n\r\n";
-        exchange(self.readiness, request, Duration::from_secs(1)).is_some_and(|it| it.status() == 200)
+        exchange(self.readiness, request, Duration::from_secs(1))
+            .is_some_and(|it| it.status() == 200)
     }
 }
 
@@ -937,7 +952,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0u32, |sum, it| (sum << 8) | u32::from(*it)) << (8 * (3 - chunk.len()));
+        let group = chunk.iter().fold(0u32, |sum, it| (sum << 8) | u32::from(*it))
+            << (8 * (3 - chunk.len()));
         for index in 0..4 {
             let digit = DIGITS[(group >> (18 - 6 * index)) as usize & 63] as char;
             text.push(if index <= chunk.len() { digit } else { '=' });
@@ -983,7 +999,13 @@
     }
 
     /// Submits the job with a body of its own for its items.
-    pub fn submit_body(&mut self, gateway: &Gateway, events: u64, body: &str, record: &Record) -> u16 {
+    pub fn submit_body(
+        &mut self,
+        gateway: &Gateway,
+        events: u64,
+        body: &str,
+        record: &Record,
+    ) -> u16 {
         let body = base64(body.as_bytes());
         let items: Vec<String> = self
             .items
@@ -1001,8 +1023,14 @@
             self.id,
             body.len()
         );
-        record.note(format!("job {} with {} items is sent to {}", self.id, self.items.len(), gateway.name));
-        let status = exchange(gateway.callers, &request, Duration::from_secs(4)).map_or(0, |it| it.status());
+        record.note(format!(
+            "job {} with {} items is sent to {}",
+            self.id,
+            self.items.len(),
+            gateway.name
+        ));
+        let status =
+            exchange(gateway.callers, &request, Duration::from_secs(4)).map_or(0, |it| it.status());
         record.note(format!("job {}: {} answers {status}", self.id, gateway.name));
         if status == 202 && self.accepted_at.is_none() {
             self.accepted_at = Some(record.now());
--- a/review/stand/late_on_kept.rs
+++ b/review/stand/late_on_kept.rs
@@ -84,7 +84,8 @@
         .map(|(number, mut reader)| {
             let (record, late) = (record.clone(), Arc::clone(&late));
             thread::spawn(move || {
-                let at = stopped_at + SENT_FROM_S + SENT_SPAN_S * number as f64 / CONNECTIONS as f64;
+                let at =
+                    stopped_at + SENT_FROM_S + SENT_SPAN_S * number as f64 / CONNECTIONS as f64;
                 sleep_until(&record, at);
                 let id = format!("b{number:015x}");
                 let sent_at = record.now();
--- a/review/stand/lost_half.rs
+++ b/review/stand/lost_half.rs
@@ -2,11 +2,7 @@
 //! `finishS` is over, an item of an open job is listed neither as completed nor as errored, though in the last 5 s no replica had
 //! an unlisted item of that job, the replicas were under half full, and in the last 3 s no item was finished.
 
-use std::{
-    collections::HashSet,
-    thread,
-    time::Duration,
-};
+use std::{collections::HashSet, thread, time::Duration};
 
 use crate::{
     Outcome, Setup,
@@ -46,7 +42,8 @@
         return Outcome::CouldNotRun("the gateways are not ready");
     }
     // The same share of the jobs comes to each gateway.
-    let mut jobs: Vec<Job> = (0..JOBS).map(|it| Job::new(&format!("{it:02x}7c41e09b52d6"), ITEMS)).collect();
+    let mut jobs: Vec<Job> =
+        (0..JOBS).map(|it| Job::new(&format!("{it:02x}7c41e09b52d6"), ITEMS)).collect();
     for (index, job) in jobs.iter_mut().enumerate() {
         let gateway = &gateways[index % gateways.len()];
         if job.submit(gateway, EVENTS, GAP_MS, record) != 202 {
@@ -72,9 +69,12 @@
     record.say("finishS is over, or all items are listed");
     let mut left_lying = 0;
     for job in &jobs {
-        let Some(results) = job.read(reader) else { return Outcome::CouldNotRun("a job can't be read") };
+        let Some(results) = job.read(reader) else {
+            return Outcome::CouldNotRun("a job can't be read");
+        };
         let listed: HashSet<&str> = results.iter().map(|(id, _, _)| id.as_str()).collect();
-        let unlisted: Vec<&String> = job.items.iter().filter(|it| !listed.contains(it.as_str())).collect();
+        let unlisted: Vec<&String> =
+            job.items.iter().filter(|it| !listed.contains(it.as_str())).collect();
         for (id, state, text) in &results {
             if state != "completed" || !is_whole(id, text) {
                 record.say(format!("job {}: item {id} is {state}, not whole", job.id));
@@ -105,7 +105,10 @@
     while record.now() < checked_at + 40.0 {
         thread::sleep(Duration::from_millis(500));
         if jobs.iter().all(|it| it.read(reader).is_some_and(|it| it.len() == ITEMS)) {
-            record.say(format!("all items are listed {:.1} s after the loss", record.now() - traffic_ended));
+            record.say(format!(
+                "all items are listed {:.1} s after the loss",
+                record.now() - traffic_ended
+            ));
             break;
         }
     }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -36,9 +36,11 @@
     };
     let record = Record::new(&PathBuf::from(record));
     let store = Store::start(record.clone());
-    let deployment = Deployment::new(program.clone(), PathBuf::from(folder), store.address, &record);
+    let deployment =
+        Deployment::new(program.clone(), PathBuf::from(folder), store.address, &record);
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let setup = Setup { record: record.clone(), store, deployment, program: program.clone(), has_trouble };
+    let setup =
+        Setup { record: record.clone(), store, deployment, program: program.clone(), has_trouble };
     record.say(if has_trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
         "lost-half" => lost_half::play(&setup),
--- a/review/stand/muted_store.rs
+++ b/review/stand/muted_store.rs
@@ -1,5 +1,5 @@
-//! All connections to the store that are open at one moment go silent for good, while new ones work. Soon after, two of 18
-//! replicas leave that never report `draining`: their entries are removed, and they serve on for `drainMs` and a little longer.
+//! In each of five rounds, all connections to the store that are open at one moment go silent for good, while new ones work. Soon
+//! after, two of 18 replicas leave that never report `draining`: their entries are removed, and they serve on for `drainMs` and a little longer.
 //! Checks the rule DRAIN: no request reaches them later than `drainMs` after the store has acknowledged the removal, if it was
 //! taken from its client and sent on by machines in touch, that is `stableMs` after the connections went silent at the earliest.
 
@@ -30,8 +30,15 @@
     ("front-cairns-port-2", "cairns-port"),
 ];
 const REPLICAS: usize = 18;
-/// Replicas that leave, by their numbers; both are in brisbane-north.
-const LEAVING: [usize; 2] = [0, 3];
+/// Replicas that leave in each round, both in brisbane-north, and are replaced after it.
+const LEAVING: usize = 2;
+const ROUNDS: usize = 5;
+/// Time before the connections go silent, and how much longer it is in each round: gateways renew their watches in turns of
+/// half a second, and the rounds meet different moments of a turn.
+const WAIT_S: f64 = 5.0;
+const WAIT_STEP_S: f64 = 0.12;
+/// Length of the rest of a round.
+const ROUND_S: f64 = 7.0;
 /// Bounds of the deployment.
 const STABLE_S: f64 = 4.0;
 const DRAIN_S: f64 = 2.5;
@@ -53,6 +60,14 @@
     is_whole: bool,
 }
 
+/// One round of the case.
+struct Round {
+    /// Replicas that left.
+    names: Vec<String>,
+    muted_at: f64,
+    removed_at: f64,
+}
+
 type AllSent = Arc<Mutex<HashMap<String, Sent>>>;
 
 pub fn play(setup: &Setup) -> Outcome {
@@ -60,17 +75,22 @@
     store.put("config", "main", &configuration(2));
     let runs = Runs::default();
     let zones = ["brisbane-north", "brisbane-south", "cairns-port"];
-    let replicas: Vec<Replica> = (0..REPLICAS)
-        .map(|it| Replica::start(&format!("i-{it:08x}"), SERVICE, zones[it % 3], 8, &runs, record))
-        .collect();
-    replicas.iter().for_each(|it| it.register(store));
+    let start = |number: usize, zone: &str| {
+        let replica = Replica::start(&format!("i-{number:08x}"), SERVICE, zone, 8, &runs, record);
+        replica.register(store);
+        replica
+    };
+    let replicas: Vec<Replica> = (0..REPLICAS).map(|it| start(it, zones[it % 3])).collect();
+    let mut in_north: Vec<Replica> =
+        replicas.iter().filter(|it| it.zone == zones[0]).cloned().collect();
     let gateways: Vec<Gateway> =
         GATEWAYS.iter().map(|(name, zone)| deployment.start(name, zone)).collect();
     if !wait_until_ready(&gateways.iter().collect::<Vec<_>>(), record) {
         return Outcome::CouldNotRun("the gateways are not ready");
     }
     let sent = AllSent::default();
-    let until = record.now() + 20.0;
+    let rounds_s = ROUNDS as f64 * (WAIT_S + WAIT_STEP_S * ROUNDS as f64 + ROUND_S);
+    let until = record.now() + rounds_s;
     for (number, gateway) in gateways.iter().enumerate() {
         let (name, address) = (gateway.name.clone(), gateway.callers);
         let (record, sent) = (record.clone(), Arc::clone(&sent));
@@ -86,64 +106,69 @@
             }
         });
     }
-    // Replicas have left and come before; the watches of the gateways are spread.
-    thread::sleep(Duration::from_millis(9_250));
-    let muted_at = record.now();
-    if setup.has_trouble {
-        store.mute_open_connections();
-        record.say("all open connections to the store go silent");
-    }
-    sleep_until(record, muted_at + REMOVED_AFTER_S);
-    let leaving: Vec<&Replica> = LEAVING.iter().map(|it| &replicas[*it]).collect();
-    for replica in &leaving {
-        store.delete("servers", &replica.id);
+    let mut rounds = Vec::new();
+    for round in 0..ROUNDS {
+        thread::sleep(Duration::from_secs_f64(WAIT_S + WAIT_STEP_S * round as f64));
+        let muted_at = record.now();
+        if setup.has_trouble {
+            store.mute_open_connections();
+            record.say("all open connections to the store go silent");
+        }
+        sleep_until(record, muted_at + REMOVED_AFTER_S);
+        let leaving: Vec<Replica> = in_north.drain(..LEAVING).collect();
+        for replica in &leaving {
+            store.delete("servers", &replica.id);
+        }
+        let removed_at = record.now();
+        let names: Vec<String> = leaving.iter().map(|it| it.id.clone()).collect();
+        record.say(format!("the entries of {} are removed", names.join(" and ")));
+        sleep_until(record, removed_at + DRAIN_S + LONGER_S);
+        leaving.iter().for_each(|it| it.exit());
+        record.say(format!("{} exit", names.join(" and ")));
+        sleep_until(record, muted_at + ROUND_S);
+        let first = REPLICAS + round * LEAVING;
+        in_north.extend((0..LEAVING).map(|it| start(first + it, zones[0])));
+        rounds.push(Round { names, muted_at, removed_at });
     }
-    let removed_at = record.now();
-    let names: Vec<String> = leaving.iter().map(|it| it.id.clone()).collect();
-    record.say(format!("the entries of {} are removed", names.join(" and ")));
-    sleep_until(record, removed_at + DRAIN_S + LONGER_S);
-    leaving.iter().for_each(|it| it.exit());
-    record.say(format!("{} exit", names.join(" and ")));
     sleep_until(record, until + 1.5);
-    if store.names("servers").len() != REPLICAS - LEAVING.len() {
-        return Outcome::CouldNotRun("the entries are still there");
+    if store.names("servers").len() != REPLICAS {
+        return Outcome::CouldNotRun("the entries are not as they should be");
     }
-    check(record, &sent.lock().unwrap(), &runs, &names, (muted_at, removed_at))
+    check(record, &sent.lock().unwrap(), &runs, &rounds)
 }
 
-fn check(
-    record: &Record,
-    sent: &HashMap<String, Sent>,
-    runs: &Runs,
-    leaving: &[String],
-    (muted_at, removed_at): (f64, f64),
-) -> Outcome {
+fn check(record: &Record, sent: &HashMap<String, Sent>, runs: &Runs, rounds: &[Round]) -> Outcome {
     let whole = sent.values().filter(|it| it.is_whole).count();
     record.say(format!("{} requests were sent, {whole} were answered whole", sent.len()));
     if whole * 10 < sent.len() * 9 {
         return Outcome::CouldNotRun("too few requests are served");
     }
-    let in_touch_from = muted_at + STABLE_S;
-    let (mut late, mut cut) = (0, 0);
-    for run in runs.all().iter().filter(|it| leaving.contains(&it.replica) && it.began > removed_at) {
-        let Some(it) = sent.get(&run.id) else { continue };
-        let is_late = it.at >= in_touch_from && run.began > removed_at + DRAIN_S;
-        record.note(format!(
-            "{} came to {} {:.3} s after the connections went silent and reached {} {:.3} s after the removal: {}; its client got {} {}",
-            run.id,
-            it.gateway,
-            it.at - muted_at,
-            run.replica,
-            run.began - removed_at,
-            if is_late { "late, from a machine in touch" } else { "allowed" },
-            it.status,
-            if it.is_whole { "whole" } else { "and a cut stream" },
-        ));
-        late += usize::from(is_late);
-        cut += usize::from(is_late && !it.is_whole);
+    let (mut late, mut cut, mut late_rounds) = (0, 0, 0);
+    for Round { names, muted_at, removed_at } in rounds {
+        let before = late;
+        let in_touch_from = muted_at + STABLE_S;
+        let all = runs.all();
+        for run in all.iter().filter(|it| names.contains(&it.replica) && it.began > *removed_at) {
+            let Some(it) = sent.get(&run.id) else { continue };
+            let is_late = it.at >= in_touch_from && run.began > removed_at + DRAIN_S;
+            record.note(format!(
+                "{} came to {} {:.3} s after the connections went silent and reached {} {:.3} s after the removal: {}; its client got {} {}",
+                run.id,
+                it.gateway,
+                it.at - muted_at,
+                run.replica,
+                run.began - removed_at,
+                if is_late { "late, from a machine in touch" } else { "allowed" },
+                it.status,
+                if it.is_whole { "whole" } else { "and a cut stream" },
+            ));
+            late += usize::from(is_late);
+            cut += usize::from(is_late && !it.is_whole);
+        }
+        late_rounds += usize::from(late > before);
     }
     record.say(format!(
-        "{late} requests reached these replicas later than {DRAIN_S} s after their removal, from machines in touch; {cut} of them were cut as the replicas exited"
+        "in {late_rounds} of {ROUNDS} rounds, {late} requests reached these replicas later than {DRAIN_S} s after their removal, from machines in touch; {cut} of them were cut as the replicas exited"
     ));
     if late > 0 { Outcome::Broken } else { Outcome::Held }
 }
@@ -151,7 +176,8 @@
 fn send(id: String, gateway: String, address: SocketAddr, record: &Record, sent: &AllSent) {
     let at = record.now();
     let (status, is_whole) = exchange(&id, address).unwrap_or((0, false));
-    record.note(format!("request {id}, sent to {gateway} at {at:.3} s: {status}, whole {is_whole}"));
+    record
+        .note(format!("request {id}, sent to {gateway} at {at:.3} s: {status}, whole {is_whole}"));
     sent.lock().unwrap().insert(id, Sent { gateway, at, status, is_whole });
 }
 
--- a/review/stand/wrong_bytes.rs
+++ b/review/stand/wrong_bytes.rs
@@ -47,7 +47,9 @@
     }
     if setup.has_trouble {
         replicas.iter().take(WRONG).for_each(|it| it.set_wrong_each(WRONG_EACH));
-        record.say(format!("{WRONG} of {REPLICAS} replicas hand out wrong bytes in one of {WRONG_EACH} answers"));
+        record.say(format!(
+            "{WRONG} of {REPLICAS} replicas hand out wrong bytes in one of {WRONG_EACH} answers"
+        ));
     }
     let began = record.now();
     let mut jobs: Vec<Job> =
