--- a/crates/samphiredoor-gateway/src/discovery.rs
+++ b/crates/samphiredoor-gateway/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashSet},
+    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -20,7 +20,7 @@
     store_health::StoreHealth,
     target_client::TargetClient,
     target_table::TargetTable,
-    watch::{StoreEvent, Watcher},
+    watch::{EventOrigin, StoreEvent, Watcher},
 };
 
 /// Wait while no entry is about to expire; any event ends it.
@@ -113,7 +113,7 @@
             match within(left, watcher.next()).await {
                 Some(StoreEvent::FirstPart(part)) => {
                     table.replace(self.read_all(part), Instant::now());
-                    self.publish(&table);
+                    self.publish(&table, watcher.origin());
                     *self.known.borrow_mut() = KnownTargets::FirstPart(table.services());
                     continue;
                 }
@@ -128,7 +128,7 @@
                 }
                 None => table.remove_expired(Instant::now()),
             }
-            self.publish(&table);
+            self.publish(&table, watcher.origin());
             *self.known.borrow_mut() = KnownTargets::All;
         }
     }
@@ -153,16 +153,28 @@
         }
     }
 
-    fn publish(&self, table: &TargetTable) {
+    fn publish(&self, table: &TargetTable, origin: EventOrigin) {
         let targets: Vec<TargetEntry> = table.entries().values().cloned().collect();
         self.metrics.targets(targets.len());
-        let names: HashSet<Name> = table.entries().keys().cloned().collect();
-        self.client.keep_only(&names);
+        let departed = self.client.set_targets(&targets);
+        if departed > 0 {
+            self.note_departures(departed, origin);
+        }
         self.roster.set_targets(targets.iter());
         self.stream_origins.set_targets(&targets);
         self.placement.set_targets(targets);
         self.placement.set_cell_targets(self.roster.own_cell_targets());
     }
+
+    /// Reports that targets get no more requests from now on, and how long ago they may have left at most.
+    fn note_departures(&self, departed: usize, origin: EventOrigin) {
+        let left_ago = origin.complete_at.elapsed();
+        self.metrics.departures(left_ago);
+        log::info!(
+            departed, at_most_ms_ago = left_ago.as_millis() as u64, source = origin.source.label();
+            "targets: departures applied"
+        );
+    }
 }
 
 fn read_entry(dialect: &dyn Dialect, stored: &Stored, metrics: &Metrics) -> Option<TargetEntry> {
--- a/crates/samphiredoor-gateway/src/metrics.rs
+++ b/crates/samphiredoor-gateway/src/metrics.rs
@@ -117,6 +117,7 @@
     ends: ReasonCounters,
     first_piece_s: Histogram,
     whole_s: Histogram,
+    departures_s: Histogram,
     stage_s: Family<StageLabel, Histogram>,
     stream_ends: Family<StreamLabel, Counter>,
     stream_resumptions: Family<ResumptionLabel, Counter>,
@@ -201,6 +202,9 @@
         let (first_piece_s, whole_s) = (latency(), latency());
         registry.register("first_piece_seconds", "Time to the first piece", first_piece_s.clone());
         registry.register("whole_seconds", "Time to the whole answer", whole_s.clone());
+        let departures_s = latency();
+        let help = "Longest time since targets left when they were taken out of use";
+        registry.register("departure_seconds", help, departures_s.clone());
         let stage_s = Family::new_with_constructor(latency as fn() -> Histogram);
         let help = "Time of online requests in each stage";
         registry.register("stage_seconds", help, Family::clone(&stage_s));
@@ -246,6 +250,7 @@
             ends,
             first_piece_s,
             whole_s,
+            departures_s,
             stage_s,
             stream_ends,
             stream_resumptions,
@@ -343,6 +348,11 @@
         self.whole_s.observe(elapsed.as_secs_f64());
     }
 
+    /// Records for how long targets may have left when they are taken out of use.
+    pub fn departures(&self, at_most: Duration) {
+        self.departures_s.observe(at_most.as_secs_f64());
+    }
+
     /// Records the time that an online request has spent in a stage.
     pub fn stage(&self, stage: Stage, elapsed: Duration) {
         let label = StageLabel { stage: stage.label() };
--- a/crates/samphiredoor-gateway/src/target_client.rs
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -14,7 +14,10 @@
     HeaderMap, Response, StatusCode,
     header::{HeaderName, HeaderValue},
 };
-use samphiredoor_core::{Name, placement::AttemptEnd};
+use samphiredoor_core::{
+    Name,
+    placement::{AttemptEnd, TargetEntry, TargetState},
+};
 use samphiredoor_net::{
     Call, Pool,
     pool::{CloseDelimited, ResponseBody, SendError},
@@ -77,12 +80,15 @@
     echoed: HeaderName,
     socket_buffer_bytes: Option<usize>,
     pools: Rc<RefCell<HashMap<Name, Pool>>>,
+    /// Targets that accept work, by the newest list.
+    accepting: Rc<RefCell<HashSet<Name>>>,
 }
 
 impl TargetClient {
     /// Client without connections. Targets echo the header `echoed`, which matches an answer to its request.
     pub fn new(echoed: HeaderName) -> TargetClient {
-        TargetClient { echoed, socket_buffer_bytes: None, pools: Rc::default() }
+        let (pools, accepting) = (Rc::default(), Rc::default());
+        TargetClient { echoed, socket_buffer_bytes: None, pools, accepting }
     }
 
     /// Limits the kernel's buffers of each connection, in each direction.
@@ -102,13 +108,27 @@
         address: SocketAddr,
         call: &Call,
     ) -> Result<Response<ResponseBody>, SendError> {
+        if !self.accepts_work(target) {
+            log::warn!(target = &**target; "target: sent to although it has left");
+        }
         let pool = self.pool(target, address);
         pool.send(call.request()).await
     }
 
-    /// Closes the idle connections to all other targets. Running calls keep their connections.
-    pub fn keep_only(&self, targets: &HashSet<Name>) {
-        self.pools.borrow_mut().retain(|target, _| targets.contains(target));
+    /// Replaces the list of all known targets; returns how many no longer accept work. Closes the idle connections to targets
+    /// that are not listed; running calls keep theirs.
+    pub fn set_targets(&self, all: &[TargetEntry]) -> usize {
+        let listed: HashSet<&Name> = all.iter().map(|it| &it.name).collect();
+        self.pools.borrow_mut().retain(|target, _| listed.contains(target));
+        let accepting = all.iter().filter(|it| it.state == TargetState::Ready);
+        let accepting = accepting.map(|it| Name::clone(&it.name)).collect();
+        let before = self.accepting.replace(accepting);
+        before.difference(&self.accepting.borrow()).count()
+    }
+
+    /// Whether a target accepts work, by the newest list.
+    pub fn accepts_work(&self, target: &Name) -> bool {
+        self.accepting.borrow().contains(target)
     }
 
     /// Closes the idle connections to a target that was silent: if it is gone, each would cost another request the time until
--- a/crates/samphiredoor-gateway/src/watch/mod.rs
+++ b/crates/samphiredoor-gateway/src/watch/mod.rs
@@ -103,6 +103,37 @@
     }
 }
 
+/// Where the last event of a watcher came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventSource {
+    /// The store.
+    Store,
+    /// The watch relay of the cell.
+    Relay,
+    /// The mirror of a storage host.
+    Mirror,
+}
+
+impl EventSource {
+    /// Label in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            EventSource::Store => "store",
+            EventSource::Relay => "relay",
+            EventSource::Mirror => "mirror",
+        }
+    }
+}
+
+/// What is known of the changes in the last event of a watcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventOrigin {
+    /// Where they came from.
+    pub source: EventSource,
+    /// When the answer before them arrived; they were made after it.
+    pub complete_at: Instant,
+}
+
 /// Why the store may have dropped a watch that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StallReason {
@@ -177,11 +208,16 @@
     metrics: Option<Rc<Metrics>>,
     /// When the store last answered.
     answered_at: Instant,
+    /// Source of the last answer, and when the last one without and with changes arrived.
+    source: EventSource,
+    complete_at: Instant,
+    origin: EventOrigin,
 }
 
 impl Watcher {
     /// Creates a watcher; its first event is a list. A watch waits for changes for at most `max_wait`.
     pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, max_wait: Duration) -> Watcher {
+        let (source, now) = (EventSource::Store, Instant::now());
         Watcher {
             store,
             kind,
@@ -211,7 +247,10 @@
             wants_first_part: false,
             has_first_part: false,
             metrics: None,
-            answered_at: Instant::now(),
+            answered_at: now,
+            source,
+            complete_at: now,
+            origin: EventOrigin { source, complete_at: now },
         }
     }
 
@@ -286,6 +325,11 @@
         self.since
     }
 
+    /// Origin of the last event with changes.
+    pub fn origin(&self) -> EventOrigin {
+        self.origin
+    }
+
     /// Waits for the next event.
     pub async fn next(&mut self) -> StoreEvent {
         if let Some(event) = self.queued.take() {
@@ -319,6 +363,7 @@
             let has_content = !matches!(&event, StoreEvent::Changes(changes) if changes.is_empty());
             self.had_changes = has_content && matches!(event, StoreEvent::Changes(_));
             let interruption = self.interruption(has_content);
+            self.note_answer(has_content);
             (self.failures, self.was_refused) = (0, false);
             (self.is_behind, self.relay_epoch_changed) = (false, false);
             self.answered_probes = 0;
@@ -332,6 +377,14 @@
         }
     }
 
+    /// Notes that an answer has arrived, after which this process knows all changes so far.
+    fn note_answer(&mut self, has_content: bool) {
+        let complete_at = std::mem::replace(&mut self.complete_at, Instant::now());
+        if has_content {
+            self.origin = EventOrigin { source: self.source, complete_at };
+        }
+    }
+
     /// What kept changes from this process until now, if anything did. The first failure may be due to the connection of that
     /// call alone; a second one shows that the store is away, as it was made on a new connection.
     fn interruption(&self, has_content: bool) -> Option<Interruption> {
@@ -341,16 +394,24 @@
             return None;
         }
         let peers_lost_store = self.schedule.as_ref().is_some_and(WatchSchedule::peers_lost_store);
-        match self.failures > 1 || self.was_refused || peers_lost_store {
-            true => Some(Interruption::StoreAway),
-            false => Some(Interruption::CallsSilent),
-        }
+        let interruption = match self.failures > 1 || self.was_refused || peers_lost_store {
+            true => Interruption::StoreAway,
+            false => Interruption::CallsSilent,
+        };
+        log::info!(
+            kind = self.kind.path(), cause = interruption.label(), failures = self.failures,
+            refused = self.was_refused, behind = missed_changes, relay_changed = self.relay_epoch_changed,
+            peers_lost_store, known_ms_ago = self.complete_at.elapsed().as_millis() as u64;
+            "store: changes may have been missed"
+        );
+        Some(interruption)
     }
 
     /// Lists the kind at a mirror, in place of the first list; later changes come from the store.
     async fn list_from_mirror(&mut self, mirror_use: MirrorUse) -> Option<StoreEvent> {
         let copy = self.mirrors.as_ref()?.list(self.kind, mirror_use).await?;
         let list = copy.list;
+        self.source = EventSource::Mirror;
         if copy.is_partial {
             self.has_first_part = true;
             return Some(StoreEvent::FirstPart(list.objects));
@@ -448,6 +509,7 @@
     /// Records that the store has answered. During an outage it may keep connections open, so the time since its last answer
     /// is the only sign of a watcher that receives nothing.
     fn record_answer(&mut self) {
+        self.source = EventSource::Store;
         let unanswered = std::mem::replace(&mut self.answered_at, Instant::now()).elapsed();
         if self.failures > 0 {
             let silent_ms = unanswered.as_millis() as u64;
--- a/crates/samphiredoor-gateway/src/watch/relayed.rs
+++ b/crates/samphiredoor-gateway/src/watch/relayed.rs
@@ -8,7 +8,7 @@
 };
 use samphiredoor_net::pool::within;
 
-use super::{BEHIND_TOLERANCE, RelayWatch, StoreEvent, Watcher};
+use super::{BEHIND_TOLERANCE, EventSource, RelayWatch, StoreEvent, Watcher};
 use crate::{
     lists::current_version,
     peers::{WatchRelay, WatchRole, watch_relay::RelayedChanges},
@@ -106,6 +106,7 @@
     /// Converts the answer of the relay. If the relay lost the store since its last answer, entries may have expired
     /// meanwhile.
     pub(super) fn apply_relayed_changes(&mut self, relayed: RelayedChanges) -> StoreEvent {
+        self.source = EventSource::Relay;
         let before = self.relay_epoch.replace(relayed.epoch);
         self.relay_epoch_changed = before.is_some_and(|it| it != relayed.epoch);
         match relayed.delta {
