Tests of targets that leave while other gateways fail, red

Two cells of seven gateways, callers that ask all the while, and a target that leaves: beside a frozen relay, after one was killed, after another change, while two relays fail. In all of them the store refuses one gateway of the other cell. The same without relays for three gateways whose watches are silent.

Red on this code: the last request comes 2.54 and 2.61 s after the removal beside a frozen relay, and the removal is applied after 3.0 to 3.5 s while the store refuses another gateway; 2.5 s are allowed. The others are green; they guard what the fix must keep.

--- a/crates/samphiredoor/tests/it/platform/mod.rs
+++ b/crates/samphiredoor/tests/it/platform/mod.rs
@@ -11,6 +11,7 @@
 mod event_order;
 mod item_outputs;
 mod jobs;
+mod leaving_targets;
 mod lost_gateways;
 mod overload_metrics;
 mod prompt_parts;
