A removal is held back only if the store was away for most that watch it

Cause: a process took one report of one gateway for a state of the store. Any interruption of a watch (a silent call, a new relay, peers that were ahead) then started 2.2 s in which removals are held back, and each further interruption started them anew. The logs showed `removal held back cause=store_away` with `failures=1 refused=false peers_lost_store=true`.

Now the store was away if calls of the process show it (refused, or a second call failed, by any of its watches), or if most of the gateways that watch the store say so: all live ones, or the first live one of each cell. The 2.2 s count from the last of these signs and not from the interruption, so that nothing prolongs them; and as the signs are facts about the store, they count for all changes, also where no call was made here.

Ruled out: relays' own testimony (a relay that was turned away and comes back looks like an outage to its cell); a veto by any answer to another gateway (others are answered up to 2 s earlier after a real outage).

--- a/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/liveness.rs
@@ -153,12 +153,6 @@
         peers.values().filter(|it| it.is_expected_at(now, self.started)).count()
     }
 
-    /// Whether a gateway has reported within some time that it does not reach the store.
-    pub fn has_peer_lost_store_within(&self, time: Duration) -> bool {
-        let peers = self.peers.borrow();
-        peers.values().any(|it| it.store_lost_at.is_some_and(|at| at.elapsed() < time))
-    }
-
     /// Number of live gateways, without this one.
     pub fn live_count(&self) -> usize {
         let peers = self.peers.borrow();
--- a/crates/samphiredoor-gateway/src/peers/roster/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    cmp::Reverse,
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -190,6 +191,28 @@
         }
     }
 
+    /// When most of the gateways that watch the store last said that they do not reach it.
+    pub fn watchers_lost_store_until(&self) -> Option<Instant> {
+        let mut lost_at = self.watchers_lost_store_at();
+        lost_at.sort_unstable_by_key(|it| Reverse(*it));
+        lost_at.get(lost_at.len() / 2).copied().flatten()
+    }
+
+    /// When each gateway that watches the store last said that it does not reach it: all live gateways, or in a fleet of several
+    /// cells the first live one of each. `None` for this process, which knows that by itself.
+    fn watchers_lost_store_at(&self) -> Vec<Option<Instant>> {
+        let (cells, peers) = (self.cells(), self.peers.borrow());
+        if cells.len() < 2 {
+            let live = peers.values().filter(|it| it.is_live());
+            return live.map(|it| it.store_lost_at).chain([None]).collect();
+        }
+        let is_own = |name: &Name| *name == self.local.name;
+        let is_live = |name: &Name| is_own(name) || peers.get(name).is_some_and(Peer::is_live);
+        let first_live = |cell| cells.gateways(cell).iter().find(|it| is_live(it));
+        let first = cells.ids().map(|it| first_live(it).and_then(|it| peers.get(it)));
+        first.map(|it| it.and_then(|it| it.store_lost_at)).collect()
+    }
+
     /// Addresses of the gateways of the own cell whose names come before this one's and which match; `None` without a
     /// cell.
     fn preceding_peers(&self, matches: impl Fn(&Peer) -> bool) -> Option<Vec<SocketAddr>> {
--- a/crates/samphiredoor-gateway/src/store_health.rs
+++ b/crates/samphiredoor-gateway/src/store_health.rs
@@ -22,6 +22,8 @@
     /// When the store first answered another process after this one had lost it.
     peer_answered_at: Cell<Option<Instant>>,
     lost_only_here: Cell<bool>,
+    /// When a call of this process last showed that the store was away.
+    outage_seen_at: Cell<Option<Instant>>,
     suspicions: Cell<u64>,
     recoveries: Cell<u64>,
 }
@@ -79,6 +81,17 @@
         }
     }
 
+    /// Records that the store is away for this process: it refused a call, or a call that was made after one without an answer
+    /// got none either.
+    pub fn record_outage(&self) {
+        self.state.outage_seen_at.set(Some(Instant::now()));
+    }
+
+    /// When this process last saw that the store was away for it.
+    pub fn outage_seen_at(&self) -> Option<Instant> {
+        self.state.outage_seen_at.get()
+    }
+
     /// Records that a call got no answer. Waiting watches are then issued again, as the store may have dropped them too.
     pub fn raise_suspicion(&self) {
         self.state.suspicions.set(self.state.suspicions.get() + 1);
--- a/crates/samphiredoor-gateway/src/target_table.rs
+++ b/crates/samphiredoor-gateway/src/target_table.rs
@@ -36,7 +36,7 @@
         let removed = self.removed.entry(Name::clone(service)).or_default();
         *removed += 1;
         match self.interruption {
-            Interruption::StoreAway => true,
+            Interruption::StoreAway { .. } => true,
             Interruption::CallsSilent => {
                 *removed * 2 > self.targets_before.get(service).copied().unwrap_or(0)
             }
@@ -54,18 +54,31 @@
 }
 
 impl TargetTable {
-    /// Starts the time in which missing entries may have expired. A silence in the grace period of an outage changes nothing.
+    /// Starts the time in which missing entries may have expired. A silence in the grace period of an outage changes nothing, nor
+    /// do further signs of the same outage.
     pub fn start_grace(&mut self, interruption: Interruption, now: Instant) {
-        let runs = self.grace.as_ref().filter(|it| now < it.until).map(|it| it.interruption);
-        if runs == Some(Interruption::StoreAway) && interruption == Interruption::CallsSilent {
+        let until = match interruption {
+            Interruption::StoreAway { until } => until + EXPIRY_GRACE,
+            Interruption::CallsSilent => now + EXPIRY_GRACE,
+        };
+        let runs = self.grace.as_mut().filter(|it| now < it.until);
+        if let Some(Grace {
+            until: runs_until, interruption: Interruption::StoreAway { .. }, ..
+        }) = runs
+        {
+            if interruption != Interruption::CallsSilent {
+                *runs_until = until.max(*runs_until);
+            }
+            return;
+        }
+        if until <= now {
             return;
         }
         let mut targets_before = BTreeMap::new();
         for entry in self.entries.values() {
             *targets_before.entry(Name::clone(&entry.service)).or_default() += 1;
         }
-        let (until, removed) = (now + EXPIRY_GRACE, BTreeMap::new());
-        self.grace = Some(Grace { until, interruption, targets_before, removed });
+        self.grace = Some(Grace { until, interruption, targets_before, removed: BTreeMap::new() });
     }
 
     /// Entries by name.
--- a/crates/samphiredoor-gateway/src/watch/mod.rs
+++ b/crates/samphiredoor-gateway/src/watch/mod.rs
@@ -13,6 +13,7 @@
 //! fill the link for good. So a gateway that other gateways of its cell precede checks with a small read whether the store
 //! answers, and leaves the changes to them; it asks for them itself only if none of them reaches the store.
 
+mod interruption;
 mod relayed;
 
 use std::{
@@ -35,6 +36,8 @@
     watch_schedule::WatchSchedule,
 };
 
+pub use interruption::Interruption;
+
 /// Base of the exponential backoff after calls without a usable answer; the first pause is twice as long.
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 /// Longest pause between retries. Changes that were written during an outage have to take effect soon after it.
@@ -84,25 +87,6 @@
     Recovered(Interruption),
 }
 
-/// What kept the changes of the store from this process for a while.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Interruption {
-    /// The store was away: it refused calls, or new ones failed as well, here or at a peer.
-    StoreAway,
-    /// Calls that were under way got no answer, and the next one did. Their connections may have gone silent by themselves.
-    CallsSilent,
-}
-
-impl Interruption {
-    /// Label in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            Interruption::StoreAway => "store_away",
-            Interruption::CallsSilent => "calls_silent",
-        }
-    }
-}
-
 /// Where the last event of a watcher came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventSource {
@@ -208,16 +192,17 @@
     metrics: Option<Rc<Metrics>>,
     /// When the store last answered.
     answered_at: Instant,
-    /// Source of the last answer, and when the last one without and with changes arrived.
-    source: EventSource,
+    /// When this process last knew all changes, and the time before.
     complete_at: Instant,
+    complete_before: Instant,
+    /// Origin of the last event with changes.
     origin: EventOrigin,
 }
 
 impl Watcher {
     /// Creates a watcher; its first event is a list. A watch waits for changes for at most `max_wait`.
     pub fn new(store: Rc<dyn ObjectStore>, kind: Kind, max_wait: Duration) -> Watcher {
-        let (source, now) = (EventSource::Store, Instant::now());
+        let now = Instant::now();
         Watcher {
             store,
             kind,
@@ -248,9 +233,9 @@
             has_first_part: false,
             metrics: None,
             answered_at: now,
-            source,
             complete_at: now,
-            origin: EventOrigin { source, complete_at: now },
+            complete_before: now,
+            origin: EventOrigin { source: EventSource::Store, complete_at: now },
         }
     }
 
@@ -346,6 +331,7 @@
             };
             let Some(event) = event else {
                 self.failures += 1;
+                self.record_outage();
                 if let Some(event) = self.list_from_mirror(MirrorUse::StoreLost).await {
                     if self.failures > 1 {
                         return event;
@@ -363,7 +349,6 @@
             let has_content = !matches!(&event, StoreEvent::Changes(changes) if changes.is_empty());
             self.had_changes = has_content && matches!(event, StoreEvent::Changes(_));
             let interruption = self.interruption(has_content);
-            self.note_answer(has_content);
             (self.failures, self.was_refused) = (0, false);
             (self.is_behind, self.relay_epoch_changed) = (false, false);
             self.answered_probes = 0;
@@ -378,40 +363,18 @@
     }
 
     /// Notes that an answer has arrived, after which this process knows all changes so far.
-    fn note_answer(&mut self, has_content: bool) {
-        let complete_at = std::mem::replace(&mut self.complete_at, Instant::now());
+    fn note_complete(&mut self, source: EventSource, has_content: bool) {
+        self.complete_before = std::mem::replace(&mut self.complete_at, Instant::now());
         if has_content {
-            self.origin = EventOrigin { source: self.source, complete_at };
-        }
-    }
-
-    /// What kept changes from this process until now, if anything did. The first failure may be due to the connection of that
-    /// call alone; a second one shows that the store is away, as it was made on a new connection.
-    fn interruption(&self, has_content: bool) -> Option<Interruption> {
-        // Changes that only peers had seen were missed here, too.
-        let missed_changes = self.is_behind && has_content;
-        if self.failures == 0 && !missed_changes && !self.relay_epoch_changed {
-            return None;
+            self.origin = EventOrigin { source, complete_at: self.complete_before };
         }
-        let peers_lost_store = self.schedule.as_ref().is_some_and(WatchSchedule::peers_lost_store);
-        let interruption = match self.failures > 1 || self.was_refused || peers_lost_store {
-            true => Interruption::StoreAway,
-            false => Interruption::CallsSilent,
-        };
-        log::info!(
-            kind = self.kind.path(), cause = interruption.label(), failures = self.failures,
-            refused = self.was_refused, behind = missed_changes, relay_changed = self.relay_epoch_changed,
-            peers_lost_store, known_ms_ago = self.complete_at.elapsed().as_millis() as u64;
-            "store: changes may have been missed"
-        );
-        Some(interruption)
     }
 
     /// Lists the kind at a mirror, in place of the first list; later changes come from the store.
     async fn list_from_mirror(&mut self, mirror_use: MirrorUse) -> Option<StoreEvent> {
         let copy = self.mirrors.as_ref()?.list(self.kind, mirror_use).await?;
         let list = copy.list;
-        self.source = EventSource::Mirror;
+        self.origin.source = EventSource::Mirror;
         if copy.is_partial {
             self.has_first_part = true;
             return Some(StoreEvent::FirstPart(list.objects));
@@ -491,6 +454,12 @@
         listed.map(|it| self.accept_list(it))
     }
 
+    fn record_outage(&self) {
+        if let Some(health) = self.health.as_ref().filter(|_| self.has_failed_repeatedly()) {
+            health.record_outage();
+        }
+    }
+
     fn record_list_failure(&self, sent: Instant) {
         if let Some(health) = &self.health {
             health.record_failure(sent);
@@ -503,13 +472,13 @@
         self.mirrors = None;
         self.record_list(&list.objects, list.version);
         self.record_answer();
+        self.note_complete(EventSource::Store, true);
         StoreEvent::Snapshot(list.objects)
     }
 
     /// Records that the store has answered. During an outage it may keep connections open, so the time since its last answer
     /// is the only sign of a watcher that receives nothing.
     fn record_answer(&mut self) {
-        self.source = EventSource::Store;
         let unanswered = std::mem::replace(&mut self.answered_at, Instant::now()).elapsed();
         if self.failures > 0 {
             let silent_ms = unanswered.as_millis() as u64;
@@ -585,6 +554,7 @@
         match answer {
             WatchAnswer::Changes { changes, version } => {
                 self.record_changes(&changes, version);
+                self.note_complete(EventSource::Store, !changes.is_empty());
                 Some(StoreEvent::Changes(changes))
             }
             WatchAnswer::HistoryGone => {
--- a/crates/samphiredoor-gateway/src/watch/relayed.rs
+++ b/crates/samphiredoor-gateway/src/watch/relayed.rs
@@ -106,11 +106,13 @@
     /// Converts the answer of the relay. If the relay lost the store since its last answer, entries may have expired
     /// meanwhile.
     pub(super) fn apply_relayed_changes(&mut self, relayed: RelayedChanges) -> StoreEvent {
-        self.source = EventSource::Relay;
         let before = self.relay_epoch.replace(relayed.epoch);
         self.relay_epoch_changed = before.is_some_and(|it| it != relayed.epoch);
         match relayed.delta {
-            Delta::None => StoreEvent::Changes(Vec::new()),
+            Delta::None => {
+                self.note_complete(EventSource::Relay, false);
+                StoreEvent::Changes(Vec::new())
+            }
             Delta::Changed { objects, version } => {
                 let changes = objects.into_iter().map(|(name, stored)| match stored {
                     Some(stored) => Change::Written(stored),
@@ -119,11 +121,13 @@
                 let changes: Vec<Change> = changes.collect();
                 self.relayed_changes_at = Some(Instant::now());
                 self.record_changes(&changes, version);
+                self.note_complete(EventSource::Relay, !changes.is_empty());
                 StoreEvent::Changes(changes)
             }
             Delta::Snapshot { objects, version } => {
                 self.record_list(&objects, version);
                 self.since = Some(version);
+                self.note_complete(EventSource::Relay, true);
                 StoreEvent::Snapshot(objects)
             }
         }
--- a/crates/samphiredoor-gateway/src/watch_schedule.rs
+++ b/crates/samphiredoor-gateway/src/watch_schedule.rs
@@ -3,7 +3,10 @@
 //! Gateways stagger the ends of their watches (`samphiredoor_core::renewal`) and send each other the newest version that
 //! they have seen, so that a watch that the store has dropped is detected without many calls.
 
-use std::{cell::Cell, time::Duration};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use samphiredoor_core::{
     renewal::{LastAnswer, Renewal},
@@ -12,10 +15,6 @@
 
 use crate::{peers::Roster, platform_api::Change, seen_versions::SeenVersion};
 
-/// Time for which reports of peers that they do not reach the store count as an outage. Gateways notice its end up to two
-/// seconds apart.
-const OUTAGE_REMEMBERED: Duration = Duration::from_secs(5);
-
 /// Schedule for the watches of one kind at this gateway.
 pub struct WatchSchedule {
     roster: Roster,
@@ -69,9 +68,9 @@
         self.seen_version.newest_of_peers() > since.max(self.queried_for.get())
     }
 
-    /// Whether a peer has lately reported that it does not reach the store.
-    pub fn peers_lost_store(&self) -> bool {
-        self.roster.has_peer_lost_store_within(OUTAGE_REMEMBERED)
+    /// When most of the gateways that watch the store last said that they do not reach it.
+    pub fn watchers_lost_store_until(&self) -> Option<Instant> {
+        self.roster.watchers_lost_store_until()
     }
 
     /// Records that the store is queried for the newest version of the peers.
--- a/crates/samphiredoor-gateway/tests/target_table.rs
+++ b/crates/samphiredoor-gateway/tests/target_table.rs
@@ -35,11 +35,25 @@
     table
 }
 
+/// What happened before targets were removed.
+enum Interrupted {
+    No,
+    Silence,
+    Outage { ago: Duration },
+}
+
+const JUST_OVER: Interrupted = Interrupted::Outage { ago: Duration::ZERO };
+
 /// Numbers of targets right after some of ten were removed, and once the grace period is over.
-fn left_of_ten(interruption: Option<Interruption>, removed: usize) -> (usize, usize) {
+fn left_of_ten(interrupted: Interrupted, removed: usize) -> (usize, usize) {
     let (mut table, now) = (table(10), Instant::now());
-    if let Some(interruption) = interruption {
-        table.start_grace(interruption, now);
+    match interrupted {
+        Interrupted::No => {}
+        Interrupted::Silence => table.start_grace(Interruption::CallsSilent, now),
+        Interrupted::Outage { ago } => {
+            let until = now.checked_sub(ago).expect("the clock runs for long");
+            table.start_grace(Interruption::StoreAway { until }, now);
+        }
     }
     (0..removed).for_each(|it| table.remove(&target(it).name, now));
     let at_once = table.entries().len();
@@ -59,19 +73,21 @@
 }
 
 removals! {
-    a_removal_takes_effect_at_once: None, 2 => (8, 8);
+    a_removal_takes_effect_at_once: Interrupted::No, 2 => (8, 8);
     // Guards against a service without targets, as their entries expired while the store was away.
-    entries_that_may_have_expired_in_an_outage_are_kept_for_a_while: Some(Interruption::StoreAway), 10 => (10, 0);
+    entries_that_may_have_expired_in_an_outage_are_kept_for_a_while: JUST_OVER, 10 => (10, 0);
+    // Guards against requests to targets that left long after an outage, which others still report.
+    a_removal_long_after_an_outage_takes_effect_at_once: Interrupted::Outage { ago: GRACE_IS_OVER }, 2 => (8, 8);
     // Guards against requests to targets that left while only the connections to the store were silent.
-    a_removal_that_a_silent_watch_missed_takes_effect_at_once: Some(Interruption::CallsSilent), 2 => (8, 8);
+    a_removal_that_a_silent_watch_missed_takes_effect_at_once: Interrupted::Silence, 2 => (8, 8);
     // Guards against a service without targets after an outage in which no new call was made.
-    most_targets_are_kept_for_a_while_after_a_silence: Some(Interruption::CallsSilent), 10 => (5, 0);
+    most_targets_are_kept_for_a_while_after_a_silence: Interrupted::Silence, 10 => (5, 0);
 }
 
 #[test]
 fn a_silence_after_an_outage_does_not_end_its_grace_period() {
     let (mut table, now) = (table(10), Instant::now());
-    table.start_grace(Interruption::StoreAway, now);
+    table.start_grace(Interruption::StoreAway { until: now }, now);
     table.start_grace(Interruption::CallsSilent, now);
     table.remove(&target(0).name, now);
     assert_eq!(table.entries().len(), 10);
@@ -86,3 +102,17 @@
     table.replace(listed, now);
     assert_eq!(table.entries().len(), 8);
 }
+
+// Guards against a grace period that each further interruption begins anew.
+#[test]
+fn later_interruptions_do_not_prolong_the_grace_period_of_an_outage() {
+    let (mut table, now) = (table(10), Instant::now());
+    let outage = Interruption::StoreAway { until: now };
+    table.start_grace(outage, now);
+    table.remove(&target(0).name, now);
+    table.start_grace(outage, now + GRACE_IS_OVER / 2);
+    table.start_grace(outage, now + GRACE_IS_OVER);
+    table.remove(&target(1).name, now + GRACE_IS_OVER);
+    table.remove_expired(now + GRACE_IS_OVER);
+    assert_eq!(table.entries().len(), 8);
+}
--- a/crates/samphiredoor/tests/it/platform/leaving_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/leaving_targets.rs
@@ -182,3 +182,34 @@
     }
     assert!(removed_at.elapsed() < WITHIN, "{:?}", removed_at.elapsed());
 }
+
+/// Longer than gateways take to report that they have lost the store, and the others to hear of it.
+const OUTAGE: Duration = Duration::from_secs(6);
+/// Time in which targets whose entries have expired register again after an outage.
+const REGISTERED_AGAIN: Duration = Duration::from_millis(1_200);
+
+macro_rules! entries_that_expire_are_kept {
+    ($($name:ident: $fault:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (platform, targets) = start_two_cells();
+            platform.store.set_fault($fault);
+            thread::sleep(OUTAGE);
+            platform.store.remove("servers", "t-1");
+            platform.store.set_fault(StoreFault::None);
+            thread::sleep(REGISTERED_AGAIN);
+            platform.register(&targets[0], "ready");
+            thread::sleep(WITHIN * 2);
+            for number in SENDING {
+                assert_eq!(platform.times_logged(number, "targets: removed target=t-1"), 0, "gateway {number}");
+            }
+        }
+    )*};
+}
+
+// The store is away for all, and the entry of one of four targets expires. Guards against losing targets that live, at gateways
+// that watch through others.
+entries_that_expire_are_kept! {
+    entries_that_expire_while_the_store_refuses_all_are_kept: StoreFault::Busy;
+    entries_that_expire_while_the_store_is_silent_are_kept: StoreFault::Silent;
+}
