A request whose target has left in the meantime gets another one

Between the choice of a target and the sending of a request lie a trial's clearance (up to 80 ms), the queue of decisions and, in a process that gets little processor time, any time.

Now the newest list is looked up right before a request or an item is sent, without a message to the placement task, which handles lists after the requests that came before them.

--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -440,6 +440,10 @@
                 Ok(trial) => trial,
                 Err(suspect) => return self.refuse_quarantined(suspect),
             };
+            if !self.front.targets.accepts_work(&target) {
+                self.note_departure(&target);
+                continue;
+            }
             self.sends += 1;
             self.note_run(true);
             let names = self.front.dialect.headers();
@@ -463,6 +467,12 @@
         }
     }
 
+    /// Notes that a target has left since the request was placed there. Its slot is freed with the ticket.
+    fn note_departure(&self, target: &Name) {
+        self.front.metrics.retried("target_left");
+        log::info!(request = self.id, target = &**target; "front: target left before the request was sent");
+    }
+
     /// Waits for a target, unless a slot is held already.
     async fn next_target(&mut self) -> (Ticket, Decision) {
         if let Some(HeldSlot { ticket, decision }) = self.held.take() {
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -291,7 +291,7 @@
             Ok(trial) => trial,
             Err(suspect) => return Outcome::Held(suspect),
         };
-        if !self.permit.is_valid() {
+        if !self.permit.is_valid() || !self.env.targets.accepts_work(&target) {
             return Outcome::Resume;
         }
         self.begin_or_go_on(&target, origin, goes_on);
--- a/crates/samphiredoor-gateway/src/target_client.rs
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -108,9 +108,6 @@
         address: SocketAddr,
         call: &Call,
     ) -> Result<Response<ResponseBody>, SendError> {
-        if !self.accepts_work(target) {
-            log::warn!(target = &**target; "target: sent to although it has left");
-        }
         let pool = self.pool(target, address);
         pool.send(call.request()).await
     }
