Tests: an answer whose head breaks off is no answer, whoever reads it

Operators of other systems report clients that got a 200 with an empty body when a replica stopped in the middle of its answer's head. Tried here: each part of four heads (a length, chunks, an event stream, an interim head first) at the pool that all clients use, with both rules for bodies without a length (targets; the store, mirrors and other gateways): none is a response. Not reproduced; the tests stay.

--- a/crates/samphiredoor-net/tests/pool.rs
+++ b/crates/samphiredoor-net/tests/pool.rs
@@ -14,7 +14,8 @@
 use samphiredoor_net::{
     Body, Pool,
     body::read_whole,
-    pool::{ResponseBody, SendError, within},
+    fetch::{FetchError, FetchLimits},
+    pool::{CloseDelimited, ResponseBody, SendError, within},
 };
 
 /// Timeout of the test, not of the pool.
@@ -321,6 +322,45 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2\r\n\r\nhalf";
 }
 
+/// Heads with a length, with chunks, of an event stream that its connection ends, and after an interim one.
+const HEADS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+];
+
+macro_rules! heads_that_break_off {
+    ($($name:ident: $close_delimited:expr;)*) => {
+        $(
+            /// Guards against an empty response in place of one whose head breaks off at any byte.
+            #[test]
+            fn $name() {
+                let parts = HEADS.iter().flat_map(|head| (1..head.len()).map(|it| &head[..it]));
+                let parts: Vec<&'static str> = parts.collect();
+                let count = parts.len();
+                let address = start_target(move |number, mut stream| {
+                    read_request(&mut stream);
+                    write(&mut stream, parts[number]);
+                });
+                run(async {
+                    let pool = Pool::new(address).with_close_delimited($close_delimited);
+                    for number in 0..count {
+                        let limits = FetchLimits::new(TEST_TIMEOUT, 100);
+                        let fetched = pool.fetch(get("/"), limits).await;
+                        assert!(matches!(fetched, Err(FetchError::MayHaveRun(_))), "{number}: {fetched:?}");
+                    }
+                });
+            }
+        )*
+    };
+}
+
+heads_that_break_off! {
+    a_part_of_a_head_is_no_response_of_a_target: CloseDelimited::Complete;
+    a_part_of_a_head_is_no_response_of_the_store_or_a_gateway: CloseDelimited::Incomplete;
+}
+
 /// Target that announces a keep-alive timeout with each response, which has the number of its connection.
 fn start_target_that_announces(seconds: &'static str) -> SocketAddr {
     start_target(move |number, mut stream| {
--- a/crates/samphiredoor/tests/it/main.rs
+++ b/crates/samphiredoor/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests with real processes; the store and the targets run in threads of the test.
 
+mod broken_off_heads;
 mod dispatch;
 mod endless_answers;
 mod env;
--- a/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
+++ b/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
@@ -118,3 +118,40 @@
         "application/json; charset=utf-8", r#"{"seats": [1, 2]}"# => 200;
     text_that_its_connection_ends_is_an_answer: "text/plain", r#"{"seats": [1, 2"# => 200;
 }
+
+/// Heads of event streams with a length, with chunks, without either, and after an interim head.
+const HEADS: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 31\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n",
+];
+/// Distance between two parts of a head; one of them ends with each head.
+const PART_STEP: usize = 9;
+const WHOLE_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 31\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: bc\n\n";
+
+fn parts_of_heads() -> impl Iterator<Item = Reply> {
+    HEADS.iter().flat_map(|head| {
+        let ends = (1..=head.len()).rev().step_by(PART_STEP);
+        ends.map(|it| Reply::SendAndClose(&head[..it]))
+    })
+}
+
+// Guards against items that are completed with an empty text, as heads of their answers broke off.
+#[test]
+fn items_whose_answers_break_off_inside_their_heads_are_sent_again() {
+    let broken_off = parts_of_heads().count();
+    let whole = std::iter::repeat_n(Reply::SendAndClose(WHOLE_ANSWER), broken_off);
+    let target = RawTarget::start(parts_of_heads().chain(whole));
+    let mut platform = Platform::new(BINARY);
+    let entry = json!({
+        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
+        "version": "v1", "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", "raw", entry);
+    platform.start_gateway();
+    platform.submit_many(0, "job", broken_off);
+    for result in platform.all_results(0, "job", broken_off) {
+        assert_eq!((&result["state"], &result["text"]), (&json!("completed"), &json!("a\nbc")));
+    }
+}
