Streams begin once the versions of the first list are recorded

Cause: a record of versions that isn't there counted as "no stream was ever begun", but it was written only 1.5 s and more after the list of gateways, and streams began before.

Now each gateway that starts makes sure that the versions in its first list are recorded, and its first streams that may be taken up wait for that, at most 1 s after the list and not while the store is lost. It costs a read at each start, and a write where versions are missing; starts at the same moment spread their writes over 100 ms and read again before. Nothing is asked where no route has such streams.

Weighed: a record that says since when it is complete (refuses streams of a service that never had but one version for 20 s after its first start); the age of gateways' entries (clocks differ by more than the time in question).

--- a/crates/samphiredoor-core/src/software_versions/history.rs
+++ b/crates/samphiredoor-core/src/software_versions/history.rs
@@ -111,6 +111,11 @@
         self.first_listed_ms.is_some()
     }
 
+    /// Time since targets were first listed.
+    pub fn listed_for_ms(&self, now_ms: u64) -> Option<u64> {
+        self.first_listed_ms.map(|it| now_ms.saturating_sub(it))
+    }
+
     /// Versions to be recorded for later processes.
     pub fn to_record(&self, now: Now) -> RecordedVersions {
         let mut all = RecordedVersions::default();
--- a/crates/samphiredoor-core/src/software_versions/recorded.rs
+++ b/crates/samphiredoor-core/src/software_versions/recorded.rs
@@ -67,6 +67,26 @@
             .eq(other.iter().map(|(service, version, it)| (service, version, states(it))))
     }
 
+    /// Whether all versions that another record shows as listed are listed in this one.
+    pub fn lists_all_of(&self, other: &RecordedVersions) -> bool {
+        let is_listed = |service: u64, version: &str| {
+            let known = self.services.get(&service).and_then(|it| it.get(version));
+            known.is_some_and(|it| it.left_unix_ms.is_none())
+        };
+        let mut listed = other.iter().filter(|(_, _, it)| it.left_unix_ms.is_none());
+        listed.all(|(service, version, _)| is_listed(service, version))
+    }
+
+    /// This with the versions that another record shows as listed.
+    pub fn with_listed_of(mut self, other: &RecordedVersions) -> RecordedVersions {
+        for (service, version, recorded) in
+            other.iter().filter(|(_, _, it)| it.left_unix_ms.is_none())
+        {
+            self.services.entry(service).or_default().insert(version.to_owned(), recorded);
+        }
+        self
+    }
+
     /// This with the versions of an older record that streams may still be of. Those that were listed there have left by now.
     pub fn with_older(mut self, older: &RecordedVersions, unix_ms: u64) -> RecordedVersions {
         for (service, version, recorded) in older.iter() {
--- a/crates/samphiredoor-core/tests/software_versions/history.rs
+++ b/crates/samphiredoor-core/tests/software_versions/history.rs
@@ -173,3 +173,24 @@
     assert_eq!(RecordedVersions::parse(&new.value()), Some(expected));
     assert!(!new.has_same_versions(&older));
 }
+
+macro_rules! listed_versions {
+    ($($name:ident: $stored:expr, $listed:expr => $lists_all:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (stored, listed) = (recorded(&$stored), recorded(&$listed));
+                assert_eq!(stored.lists_all_of(&listed), $lists_all);
+                assert!(stored.with_listed_of(&listed).lists_all_of(&listed));
+            }
+        )*
+    };
+}
+
+listed_versions! {
+    a_record_without_versions_lists_none: [], [("v1", None)] => false;
+    a_record_lists_its_versions: [("v1", None), ("v2", None)], [("v1", None)] => true;
+    // Guards against a version that has come back and counts as left.
+    a_version_that_has_left_is_not_listed: [("v1", Some(5_000))], [("v1", None)] => false;
+    versions_that_have_left_need_not_be_listed: [("v2", None)], [("v1", Some(5_000)), ("v2", None)] => true;
+}
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -266,7 +266,12 @@
     /// Sends the request to targets and returns the answer for the caller.
     pub async fn answer(mut self) -> Response<Body> {
         let outcome = match self.find_origin().await {
-            Ok(()) => self.try_targets().await,
+            Ok(()) => {
+                if matches!(self.route.kind, RouteKind::Stream { resumable: true }) {
+                    self.front.stream_origins.wait_until_recorded().await;
+                }
+                self.try_targets().await
+            }
             Err(why) => Outcome::NoAnswer(why),
         };
         self.front.metrics.stage(Stage::Queue, self.stages.queue);
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -41,6 +41,10 @@
 const PAST_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Pause after an attempt to read them that failed.
 const PAST_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time after the first list of targets for which streams wait until the versions in it are recorded, and how often they
+/// check. It takes two or three calls to the store.
+const MAX_RECORD_WAIT_MS: u64 = 1_000;
+const RECORD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Wait while no lookup is due; any message ends it.
 const FOREVER: Duration = Duration::from_secs(3_600);
 
@@ -71,6 +75,8 @@
     health: StoreHealth,
     /// Whether a task reads what earlier processes have recorded.
     is_reading_past: Rc<Cell<bool>>,
+    /// Whether the versions that were listed first are recorded.
+    is_recorded: Rc<Cell<bool>>,
 }
 
 /// Configuration of the task.
@@ -103,6 +109,7 @@
             store: Rc::clone(&task.store),
             health: task.health.clone(),
             is_reading_past: Rc::default(),
+            is_recorded: Rc::default(),
         };
         let running = Running {
             own_key: name_hash(&task.local.name),
@@ -187,6 +194,23 @@
         self.is_reading_past.set(false);
     }
 
+    /// Waits until the versions at which streams begin are recorded. A record that is not there when all gateways have ended
+    /// would mean that no stream was ever begun. The wait is short, as streams are served without a store too.
+    pub async fn wait_until_recorded(&self) {
+        let is_young = || {
+            let listed_for_ms = self.history.borrow().listed_for_ms(self.clock.now().mono_ms);
+            listed_for_ms.is_none_or(|it| it < MAX_RECORD_WAIT_MS)
+        };
+        while !self.is_recorded.get() && !self.health.is_lost() && is_young() {
+            compio::time::sleep(RECORD_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Notes that the versions that were listed first are recorded, or need no record.
+    pub(super) fn mark_recorded(&self) {
+        self.is_recorded.set(true);
+    }
+
     /// Versions to be recorded for later processes; `None` before the first list of targets.
     pub(super) fn versions_to_record(&self) -> Option<RecordedVersions> {
         let history = self.history.borrow();
--- a/crates/samphiredoor-gateway/src/peers/version_record.rs
+++ b/crates/samphiredoor-gateway/src/peers/version_record.rs
@@ -1,7 +1,8 @@
 //! Records the software versions of each service in the store, and reads what earlier processes have recorded.
 //!
 //! One gateway of the fleet writes, when a version comes or the last target of one leaves. Only streams that callers may take up
-//! need the record, so none is written without routes for such streams.
+//! need the record, so none is written without routes for such streams. A gateway that starts makes sure by itself that the
+//! versions in its first list are recorded, as it begins streams at them before it knows the others.
 
 use std::{rc::Rc, time::Duration};
 
@@ -18,6 +19,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a call to the store that failed.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// How often a gateway that starts checks for its first routes and targets.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest random delay before a gateway that starts writes versions. If all start at once, the first ones write for the others.
+const MAX_FIRST_DELAY: Duration = Duration::from_millis(100);
 /// Time after the first list of gateways by which their statuses have arrived, so that one of them writes.
 const STATUSES_ARRIVED: Duration = Duration::from_millis(1_500);
 
@@ -38,6 +43,7 @@
 impl VersionRecorder {
     /// Records changes for as long as the process runs.
     pub async fn run(self) {
+        self.record_first().await;
         let mut recorded = None;
         loop {
             compio::time::sleep(CHECK_INTERVAL).await;
@@ -57,6 +63,40 @@
         }
     }
 
+    /// Makes sure that the versions of the first targets are recorded.
+    async fn record_first(&self) {
+        loop {
+            let routes = self.routes.current();
+            match (routes, self.stream_origins.versions_to_record()) {
+                (Some(routes), _) if !routes.has_resumable_streams() => break,
+                (Some(_), Some(versions)) if self.add_listed(&versions).await => break,
+                _ => compio::time::sleep(START_CHECK_INTERVAL).await,
+            }
+        }
+        self.stream_origins.mark_recorded();
+    }
+
+    /// Adds listed versions to the record unless they are there; returns whether it has them.
+    async fn add_listed(&self, versions: &RecordedVersions) -> bool {
+        let Some((stored, _)) = read(&*self.store).await else {
+            compio::time::sleep(RETRY_PAUSE).await;
+            return false;
+        };
+        if stored.lists_all_of(versions) {
+            return true;
+        }
+        compio::time::sleep(MAX_FIRST_DELAY.mul_f64(rand::random())).await;
+        let Some((stored, version)) = read(&*self.store).await else { return false };
+        if stored.lists_all_of(versions) {
+            return true;
+        }
+        let new = stored.with_listed_of(versions);
+        let write = StoreOp::write(RecordedVersions::key(), version, Labels::new(), new.value());
+        let StoreAnswer::Object(_) = self.store.call(write).await else { return false };
+        log::info!(versions = new.iter().count(); "versions: first ones recorded");
+        true
+    }
+
     fn has_to_record(&self) -> bool {
         let has_resumable = || self.routes.current().is_some_and(|it| it.has_resumable_streams());
         self.roster.is_listed_for(STATUSES_ARRIVED)
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -474,3 +474,26 @@
         }
     }
 }
+
+/// The same for gateways that have only just started. Guards against taking the version that is left for the only one that there
+/// ever was, as no record was written yet.
+#[test]
+fn streams_of_gateways_that_had_just_started_go_on_at_no_other_version() {
+    let mut platform = Platform::new(BINARY);
+    platform.put_routes(2, 1);
+    let old = platform.start_target_at("v1", "t-1", FAST);
+    (0..RESTARTED).for_each(|_| _ = platform.spawn_gateway());
+    (0..RESTARTED).for_each(|it| platform.wait_ready(it));
+    break_off_streams(&platform, std::slice::from_ref(&old));
+    let new = platform.start_target_at("v2", "t-2", FAST);
+    platform.store.remove("servers", "t-1");
+    (0..RESTARTED).for_each(|it| platform.wait_logged(it, "targets: removed target=t-1"));
+    restart_all(&mut platform);
+    for is_named in [false, true] {
+        for number in 0..STREAMS {
+            let answer = take_up(&platform, &format!("first-{number}"), is_named);
+            assert_eq!(answer.status, 503, "{number}: {}", answer.text);
+        }
+    }
+    assert!(new.runs().is_empty(), "nothing ran at the version that is left");
+}
