--- a/crates/samphiredoor-gateway/src/watch/mod.rs
+++ b/crates/samphiredoor-gateway/src/watch/mod.rs
@@ -14,6 +14,7 @@
 //! answers, and leaves the changes to them; it asks for them itself only if none of them reaches the store.
 
 mod budget;
+mod event;
 mod interruption;
 mod relayed;
 
@@ -24,7 +25,7 @@
     time::{Duration, Instant},
 };
 
-use samphiredoor_core::store::{Kind, Stored, Version};
+use samphiredoor_core::store::{Kind, Version};
 use samphiredoor_net::pool::within;
 
 use crate::{
@@ -32,12 +33,16 @@
     metrics::Metrics,
     mirror::{MirrorUse, Mirrors},
     peers::{WatchRelay, watch_relay},
-    platform_api::{Change, Freshness, ObjectStore, WatchAnswer},
+    platform_api::{Freshness, ObjectStore, WatchAnswer},
     store_health::StoreHealth,
     watch_schedule::WatchSchedule,
 };
 
-pub use self::{budget::WatchBudget, interruption::Interruption};
+pub use self::{
+    budget::WatchBudget,
+    event::{EventOrigin, EventSource, StoreEvent},
+    interruption::Interruption,
+};
 use budget::BEHIND_TOLERANCE;
 
 /// Base of the exponential backoff after calls without a usable answer; the first pause is twice as long.
@@ -65,52 +70,6 @@
 /// read thousands of objects from a store in another region, the link between the regions would be full for many seconds.
 const MAX_FIRST_LIST_PAGES: usize = 4;
 
-/// What a watcher reports.
-#[derive(Debug, Clone)]
-pub enum StoreEvent {
-    /// The first objects of the kind; a snapshot follows. Reported only if requested.
-    FirstPart(Vec<Stored>),
-    /// All objects of the kind; replaces everything that was reported before.
-    Snapshot(Vec<Stored>),
-    /// Changes since the last report, in order.
-    Changes(Vec<Change>),
-    /// The store gives no usable answers from now on.
-    Lost,
-    /// The store answers again; [`StoreEvent::Snapshot`] or [`StoreEvent::Changes`] may follow.
-    Recovered(Interruption),
-}
-
-/// Where the last event of a watcher came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EventSource {
-    /// The store.
-    Store,
-    /// The watch relay of the cell.
-    Relay,
-    /// The mirror of a storage host.
-    Mirror,
-}
-
-impl EventSource {
-    /// Label in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            EventSource::Store => "store",
-            EventSource::Relay => "relay",
-            EventSource::Mirror => "mirror",
-        }
-    }
-}
-
-/// What is known of the changes in the last event of a watcher.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EventOrigin {
-    /// Where they came from.
-    pub source: EventSource,
-    /// When the answer before them arrived; they were made after it.
-    pub complete_at: Instant,
-}
-
 /// Why the store may have dropped a watch that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StallReason {
--- a/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
+++ b/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
@@ -6,7 +6,7 @@
 use samphiredoor_standin::platform_target::{PlatformTarget, Run, TargetFault};
 use serde_json::json;
 
-use super::env::{BINARY, Platform, whole_stream};
+use super::env::{BINARY, Platform, register_raw, whole_stream};
 use crate::raw_target::{RawTarget, Reply};
 
 const FAST: Duration = Duration::from_millis(2);
@@ -95,11 +95,7 @@
                 let answer = concat!("HTTP/1.1 200 OK\r\ncontent-type: ", $content_type, "\r\n\r\n", $body);
                 let target = RawTarget::start([Reply::SendAndClose(answer)]);
                 let mut platform = Platform::new(BINARY);
-                let entry = json!({
-                    "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
-                    "version": "v1", "slots": 8, "state": "ready", "born": 1,
-                });
-                platform.store.put("servers", "raw", entry);
+                register_raw(&platform, &target);
                 platform.start_gateway();
                 let answer = platform.send(0, "/unsafe/book", "id-1", "monday");
                 assert_eq!(answer.status, $status, "{}", answer.text);
@@ -144,11 +140,7 @@
     let whole = std::iter::repeat_n(Reply::SendAndClose(WHOLE_ANSWER), broken_off);
     let target = RawTarget::start(parts_of_heads().chain(whole));
     let mut platform = Platform::new(BINARY);
-    let entry = json!({
-        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
-        "version": "v1", "slots": 8, "state": "ready", "born": 1,
-    });
-    platform.store.put("servers", "raw", entry);
+    register_raw(&platform, &target);
     platform.start_gateway();
     platform.submit_many(0, "job", broken_off);
     for result in platform.all_results(0, "job", broken_off) {
--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -1,6 +1,6 @@
 //! Changes of routes and targets, also around outages of the store.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use samphiredoor_standin::platform_store::StoreFault;
 use serde_json::json;
@@ -301,31 +301,3 @@
     platform.wait_logged(0, "peers: cells computed");
     assert_eq!(creates(&platform), before);
 }
-
-/// Bound of the test below; leaving targets may get no new requests after it.
-const WITHDRAWN_WITHIN: Duration = Duration::from_millis(2_500);
-/// Time that watches have been silent for when a target leaves.
-const SILENCE: Duration = Duration::from_millis(400);
-
-// The watches of all gateways are never answered, while the store answers new calls, and a target leaves. Guards against
-// holding the removal back as after an outage of the store, in which entries expire.
-#[test]
-fn a_removal_that_silent_watches_missed_takes_effect_in_time() {
-    let mut platform = Platform::new(BINARY);
-    (platform.watch_ms, platform.within_ms) = (2_500, 2_500);
-    (1..=4).for_each(|it| drop(platform.start_target(&format!("t-{it}"), FAST)));
-    platform.start_gateway();
-    platform.start_gateway();
-    (0..2).for_each(|it| platform.wait_logged(it, "peers: peer is live"));
-    let silenced = || platform.store.silenced_watches().get("servers").copied().unwrap_or(0);
-    platform.store.set_fault(StoreFault::WatchesSilent);
-    wait_until("the watches are silent", || silenced() >= 2);
-    std::thread::sleep(SILENCE);
-    platform.store.set_fault(StoreFault::None);
-    platform.store.remove("servers", "t-1");
-    let removed_at = Instant::now();
-    for number in 0..2 {
-        platform.wait_logged(number, "targets: removed target=t-1");
-    }
-    assert!(removed_at.elapsed() < WITHDRAWN_WITHIN, "{:?}", removed_at.elapsed());
-}
--- a/crates/samphiredoor/tests/it/platform/env.rs
+++ b/crates/samphiredoor/tests/it/platform/env.rs
@@ -6,9 +6,11 @@
     sync::atomic::{AtomicU8, Ordering},
 };
 
-pub use samphiredoor_standin::fleet::{HOST, Platform, route, whole_stream};
+use serde_json::json;
+
+use crate::{env::get, raw_target::RawTarget};
 
-use crate::env::get;
+pub use samphiredoor_standin::fleet::{HOST, Platform, route, whole_stream};
 
 /// The `samphiredoor` program.
 pub const BINARY: &str = env!("CARGO_BIN_EXE_samphiredoor");
@@ -22,6 +24,15 @@
     free.local_addr().expect("an address")
 }
 
+/// Registers a simulated target on a plain socket as ready.
+pub fn register_raw(platform: &Platform, target: &RawTarget) {
+    let entry = json!({
+        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
+        "version": "v1", "slots": 8, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", "raw", entry);
+}
+
 /// Value of a gateway's metric, whose name includes its labels; `None` if it has none.
 pub fn metric<T: FromStr>(metrics: SocketAddr, name: &str) -> Option<T> {
     let text = get(metrics, "/metrics").text;
--- a/crates/samphiredoor/tests/it/platform/event_order.rs
+++ b/crates/samphiredoor/tests/it/platform/event_order.rs
@@ -7,9 +7,8 @@
     fleet::{stream_after, whole_text},
     platform_target::{FIRST_VERSION, PlatformTarget, TargetFault, WrongResumption},
 };
-use serde_json::json;
 
-use super::env::{BINARY, Platform, whole_stream};
+use super::env::{BINARY, Platform, register_raw, whole_stream};
 use crate::raw_target::{RawTarget, Reply};
 
 const FAST: Duration = Duration::from_millis(2);
@@ -125,11 +124,7 @@
     let target = RawTarget::start(std::iter::once(stream(first, 1)).chain(later));
     let mut platform = Platform::new(BINARY);
     platform.put_routes(2, ATTEMPTS);
-    let entry = json!({
-        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north",
-        "version": "v1", "slots": 8, "state": "ready", "born": 1,
-    });
-    platform.store.put("servers", "raw", entry);
+    register_raw(&platform, &target);
     platform.start_gateway();
     (platform, target)
 }
--- a/crates/samphiredoor/tests/it/platform/leaving_targets.rs
+++ b/crates/samphiredoor/tests/it/platform/leaving_targets.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Has the store turn a gateway of another cell away, and waits until the others know that it has lost the store.
+/// Has the store turn a gateway away, and waits until the others know that it has lost the store.
 fn turn_away(platform: &Platform, number: usize) {
     platform.set_store_path_fault(number, StoreFault::Busy);
     thread::sleep(STATUSES_ARRIVE);
@@ -170,13 +170,8 @@
 /// Time that watches have been silent for when a target leaves.
 const SILENCE: Duration = Duration::from_millis(400);
 
-// The store refuses one of three gateways, and watches of the others are never answered. Guards against holding a removal back
-// as after an outage of the store, since one gateway reports one.
-#[test]
-fn a_removal_takes_effect_in_time_while_the_store_refuses_another_gateway() {
-    let (platform, _targets) = start_fleet(3);
-    platform.set_store_path_fault(2, StoreFault::Busy);
-    thread::sleep(STATUSES_ARRIVE);
+/// Removes a target of a fleet without relays while the watches of the first two gateways are silent.
+fn remove_beside_silent_watches(platform: &Platform) {
     let silenced = || platform.store.silenced_watches().get("servers").copied().unwrap_or(0);
     platform.store.set_fault(StoreFault::WatchesSilent);
     wait_until("the watches are silent", || silenced() >= 2);
@@ -190,6 +185,21 @@
     assert!(removed_at.elapsed() < WITHIN, "{:?}", removed_at.elapsed());
 }
 
+// Guards against holding the removal back as after an outage of the store, in which entries expire.
+#[test]
+fn a_removal_that_silent_watches_missed_takes_effect_in_time() {
+    let (platform, _targets) = start_fleet(2);
+    remove_beside_silent_watches(&platform);
+}
+
+// Guards against the same, as one gateway that the store refuses reports an outage.
+#[test]
+fn a_removal_takes_effect_in_time_while_the_store_refuses_another_gateway() {
+    let (platform, _targets) = start_fleet(3);
+    turn_away(&platform, 2);
+    remove_beside_silent_watches(&platform);
+}
+
 /// Longer than gateways take to report that they have lost the store, and the others to hear of it.
 const OUTAGE: Duration = Duration::from_secs(6);
 /// Time in which targets whose entries have expired register again after an outage.
