Waits for other gateways are no failed calls; the list of gateways has no pause

A gateway whose relays have all lost the store lets three small reads be answered before it takes their turn, and counted the first two as failures: after one lost call that looked like an outage of the store, though it answered all the while. Only calls that failed count now. Not brought about in a test: it needs a lost call of its own beside relays that are turned away.

The tolerance for a relay that is behind counted a pause after changes also for the list of gateways, which is watched without one (0.5 s before the budget, 2.5 s with it). The budget has the pause only where the watcher makes one; a unit test holds that.

--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -211,7 +211,7 @@
     });
     let routes_watcher = new_watcher(Kind::Routes, common.routes_within, &seen_versions.routes)
         .with_stale_start()
-        .with_pause_after_changes(common.routes_within);
+        .with_pause_after_changes();
     let (peer_routes, routes_from_peers) = flume::unbounded();
     compio::runtime::spawn(Rc::clone(&routes_task).run_peer_routes(routes_from_peers)).detach();
     compio::runtime::spawn(routes_task.run(routes_watcher)).detach();
@@ -253,7 +253,7 @@
         .with_recovery_by_another(health.clone())
         .with_first_part()
         .with_wait_for_fleet()
-        .with_pause_after_changes(common.targets_within);
+        .with_pause_after_changes();
     compio::runtime::spawn(targets_task.run(targets_watcher)).detach();
 
     let gateways_watcher = new_watcher(Kind::Door, GATEWAYS_WITHIN, &seen_versions.gateways)
--- a/crates/samphiredoor-gateway/src/watch/budget.rs
+++ b/crates/samphiredoor-gateway/src/watch/budget.rs
@@ -22,17 +22,23 @@
 #[derive(Debug, Clone, Copy)]
 pub struct WatchBudget {
     within: Duration,
+    pause: Duration,
 }
 
 impl WatchBudget {
-    /// Budget for changes that have to take effect `within` some time.
+    /// Budget for changes that have to take effect `within` some time, without a pause after changes.
     pub fn new(within: Duration) -> WatchBudget {
-        WatchBudget { within }
+        WatchBudget { within, pause: Duration::ZERO }
+    }
+
+    /// Adds a pause after changes.
+    pub fn with_pause(self) -> WatchBudget {
+        WatchBudget { pause: self.within.mul_f64(PAUSE_PART), ..self }
     }
 
     /// Pause after changes.
     pub fn pause(self) -> Duration {
-        self.within.mul_f64(PAUSE_PART)
+        self.pause
     }
 
     /// How long a watch through the relay waits for changes if this process knew all changes some time ago. The relay may take
@@ -42,12 +48,12 @@
         left.min(self.within.mul_f64(RELAY_WATCH_PART))
     }
 
-    /// How long peers may be ahead of a watch through a relay that sent changes some time ago. A relay that has had changes
-    /// pauses before its next watch, and sees by itself that its peers are ahead; if the whole cell asked the store meanwhile, each
+    /// How long peers may be ahead of a watch through a relay that sent changes some time ago. A relay that has had changes may
+    /// pause before its next watch, and sees by itself that its peers are ahead; if the whole cell asked the store meanwhile, each
     /// change would cost one answer per gateway again.
     pub fn relay_tolerance(self, changed_ago: Option<Duration>) -> Duration {
         let pause_left =
-            changed_ago.map(|it| (self.pause() + BEHIND_TOLERANCE * 2).saturating_sub(it));
+            changed_ago.map(|it| (self.pause + BEHIND_TOLERANCE * 2).saturating_sub(it));
         pause_left.unwrap_or_default().max(BEHIND_TOLERANCE)
     }
 }
--- a/crates/samphiredoor-gateway/src/watch/interruption.rs
+++ b/crates/samphiredoor-gateway/src/watch/interruption.rs
@@ -53,7 +53,7 @@
         };
         if is_interrupted {
             log::info!(
-                kind = self.kind.path(), cause = interruption.label(), failures = self.failures,
+                kind = self.kind.path(), cause = interruption.label(), failures = self.failed_calls,
                 refused = self.was_refused, behind = missed_changes, relay_changed = self.relay_epoch_changed,
                 known_ms_ago = self.complete_before.elapsed().as_millis() as u64;
                 "store: changes may have been missed"
@@ -79,6 +79,6 @@
     /// The first failure may be due to the connection of that call alone; a second one shows that the store is away, as it was
     /// made on a new connection.
     pub(super) fn has_failed_repeatedly(&self) -> bool {
-        self.failures > 1 || self.was_refused
+        self.failed_calls > 1 || self.was_refused
     }
 }
--- a/crates/samphiredoor-gateway/src/watch/mod.rs
+++ b/crates/samphiredoor-gateway/src/watch/mod.rs
@@ -99,16 +99,18 @@
     since: Option<Version>,
     /// How current the next list has to be. Lists after the first one follow a loss of history and are always current.
     list_freshness: Freshness,
-    /// Consecutive calls without a usable answer.
+    /// Consecutive attempts without a usable answer.
     failures: u32,
+    /// Those of them in which a call failed; in the others the store answered, and this process waits for those that precede it.
+    failed_calls: u32,
+    /// Whether the last attempt was one of the others.
+    waits_for_others: bool,
     /// Whether the store refused one of them.
     was_refused: bool,
     /// Event to return by the next call of `next`.
     queued: Option<StoreEvent>,
     /// Whether the last event had changes, so that the next watch starts after a pause.
     had_changes: bool,
-    /// Pause after changes.
-    pause: Duration,
     /// Health that another watcher updates; while it shows the store as lost, this one does not retry.
     recovery_by: Option<StoreHealth>,
     health: Option<StoreHealth>,
@@ -122,7 +124,7 @@
     answered_probes: u32,
     /// Access to the relay of the cell, and a cache of what this process has seen for peers that use it as their relay.
     watch_relay: Option<WatchRelay>,
-    /// Division of the time within which a change has to take effect, among the waits for the relay.
+    /// Division of the time within which a change has to take effect.
     budget: WatchBudget,
     /// Until when watches wait for the list of gateways.
     fleet_wait_until: Option<Instant>,
@@ -164,10 +166,11 @@
             since: None,
             list_freshness: Freshness::Current,
             failures: 0,
+            failed_calls: 0,
+            waits_for_others: false,
             was_refused: false,
             queued: None,
             had_changes: false,
-            pause: Duration::ZERO,
             recovery_by: None,
             health: None,
             schedule: None,
@@ -246,9 +249,9 @@
         self
     }
 
-    /// Pauses after changes, for a part of the time `within` which a change has to take effect.
-    pub fn with_pause_after_changes(mut self, within: Duration) -> Watcher {
-        self.pause = WatchBudget::new(within).pause();
+    /// Pauses after changes, for a part of the time within which they have to take effect.
+    pub fn with_pause_after_changes(mut self) -> Watcher {
+        self.budget = self.budget.with_pause();
         self
     }
 
@@ -276,7 +279,7 @@
         }
         loop {
             if std::mem::take(&mut self.had_changes) {
-                compio::time::sleep(self.pause).await;
+                compio::time::sleep(self.budget.pause()).await;
             }
             let event = match self.since {
                 None if self.mirrors.is_some() => self.first_list().await,
@@ -285,6 +288,7 @@
             };
             let Some(event) = event else {
                 self.failures += 1;
+                self.failed_calls += u32::from(!std::mem::take(&mut self.waits_for_others));
                 self.record_outage();
                 if let Some(event) = self.list_from_mirror(MirrorUse::StoreLost).await {
                     if self.failures > 1 {
@@ -303,7 +307,7 @@
             let has_content = !matches!(&event, StoreEvent::Changes(changes) if changes.is_empty());
             self.had_changes = has_content && matches!(event, StoreEvent::Changes(_));
             let interruption = self.interruption(has_content);
-            (self.failures, self.was_refused) = (0, false);
+            (self.failures, self.failed_calls, self.was_refused) = (0, 0, false);
             (self.is_behind, self.relay_epoch_changed) = (false, false);
             self.answered_probes = 0;
             if let Some(interruption) = interruption {
--- a/crates/samphiredoor-gateway/src/watch/relayed.rs
+++ b/crates/samphiredoor-gateway/src/watch/relayed.rs
@@ -53,6 +53,7 @@
         };
         self.is_behind = false;
         self.answered_probes = if self.probe_store().await { self.answered_probes + 1 } else { 0 };
+        self.waits_for_others = (1..probes_needed).contains(&self.answered_probes);
         self.answered_probes >= probes_needed
     }
 
--- a/crates/samphiredoor-gateway/tests/watch_budget.rs
+++ b/crates/samphiredoor-gateway/tests/watch_budget.rs
@@ -15,7 +15,7 @@
         #[test]
         fn $name() {
             let within = Duration::from_millis($within_ms);
-            let budget = WatchBudget::new(within);
+            let budget = WatchBudget::new(within).with_pause();
             for known_ago in [Duration::ZERO, budget.pause() / 2, budget.pause()] {
                 let asked_after = known_ago + budget.relay_wait(known_ago, MARGIN) + MARGIN;
                 assert!(asked_after <= within.mul_f64(ASKED_WITHIN_PART), "{asked_after:?}");
@@ -36,7 +36,14 @@
 // Guards against calls without end to a relay that has been behind for long.
 #[test]
 fn a_relay_is_given_time_to_answer_when_the_budget_is_used_up() {
-    let budget = WatchBudget::new(Duration::from_millis(2_500));
+    let budget = WatchBudget::new(Duration::from_millis(2_500)).with_pause();
     assert_eq!(budget.relay_wait(Duration::from_secs(9), MARGIN), Duration::ZERO);
     assert!(!budget.relay_tolerance(Some(Duration::from_secs(9))).is_zero());
 }
+
+// Guards against waiting for the pause of a relay that makes none.
+#[test]
+fn a_relay_without_pauses_may_not_be_behind_for_long() {
+    let budget = WatchBudget::new(Duration::from_millis(5_000));
+    assert!(budget.relay_tolerance(Some(Duration::ZERO)) <= Duration::from_millis(500));
+}
