Show that trials are not one at a time while coordinators are slow (red)

Seven gateways know a quarantined request, and its next trial is due. While its two coordinators get no processor time for 600 ms, the request comes at the five others: each asks both for 80 ms, decides for itself and sends it, and five targets crash. One trial at a time is what the quarantine rests on, three retries in all are allowed.

--- a/crates/samphiredoor/tests/it/platform/trials.rs
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -27,9 +27,18 @@
 /// Most times that a request is sent again until it is served.
 const MAX_RESENDS: u32 = 60;
 
-/// Two gateways, of which the first has metrics, and targets.
+/// Gateways of a fleet in which most are no coordinators.
+const SEVERAL_GATEWAYS: usize = 7;
+/// Time after which all gateways have to know what is quarantined.
+const KNOWN_WITHIN: Duration = Duration::from_secs(4);
+/// Time for which coordinators get no processor time: longer than a gateway waits for their answers, and too short for them to
+/// count as gone.
+const SLOW_FOR: Duration = Duration::from_millis(600);
+
+/// Gateways, of which the first has metrics, and targets.
 struct Fleet {
     platform: Platform,
+    gateways: usize,
     targets: Vec<PlatformTarget>,
     metrics: SocketAddr,
     sent: usize,
@@ -37,6 +46,10 @@
 
 impl Fleet {
     fn start() -> Fleet {
+        Fleet::with_gateways(2)
+    }
+
+    fn with_gateways(gateways: usize) -> Fleet {
         let mut platform = Platform::new(BINARY);
         let targets: Vec<PlatformTarget> = (0..TARGETS)
             .map(|it| PlatformTarget::start(&format!("t-{it}"), EVENTS, PAUSE).expect("a target"))
@@ -46,11 +59,17 @@
         platform.more_settings = format!("metrics.address = \"{metrics}\"");
         platform.start_gateway();
         platform.more_settings = String::new();
-        platform.start_gateway();
-        for (by, of) in [(0, 1), (1, 0)] {
-            platform.wait_logged(by, &format!("peers: peer is live peer=gateway-{of} "));
+        (1..gateways).for_each(|_| _ = platform.start_gateway());
+        let fleet = Fleet { platform, gateways, targets, metrics, sent: 0 };
+        (0..gateways).for_each(|it| fleet.wait_for_peers(it));
+        fleet
+    }
+
+    /// Waits until a gateway has heard of all others.
+    fn wait_for_peers(&self, by: usize) {
+        for of in (0..self.gateways).filter(|it| *it != by) {
+            self.platform.wait_logged(by, &format!("peers: peer is live peer=gateway-{of} "));
         }
-        Fleet { platform, targets, metrics, sent: 0 }
     }
 
     /// Sets what becomes of requests with the body and of those with the part.
@@ -64,8 +83,9 @@
     /// Sends requests that crash targets until their content is quarantined at both gateways, and lets them crash no more.
     fn quarantine(&mut self, body: Option<&str>) {
         self.set_fault(TargetFault::Crashes);
-        let is_known =
-            |it: &Fleet| (0..2).all(|at| it.platform.times_logged(at, "crashes: quarantined") > 0);
+        let is_known = |it: &Fleet| {
+            (0..it.gateways).all(|at| it.platform.times_logged(at, "crashes: quarantined") > 0)
+        };
         while !is_known(self) {
             assert!(self.targets.iter().any(|it| !it.has_crashed()), "all targets have crashed");
             self.send(body);
@@ -115,8 +135,12 @@
     }
 
     fn send_unread(&mut self) -> TcpStream {
+        self.send_unread_to(0)
+    }
+
+    fn send_unread_to(&mut self, gateway: usize) -> TcpStream {
         self.sent += 1;
-        let mut caller = TcpStream::connect(self.platform.callers(0)).expect("a connection");
+        let mut caller = TcpStream::connect(self.platform.callers(gateway)).expect("a connection");
         let length = CRASHING.len();
         write!(
             caller,
@@ -128,6 +152,11 @@
         caller
     }
 
+    /// Targets that have crashed since they were withdrawn.
+    fn crashed(&self) -> usize {
+        self.targets.iter().filter(|it| it.has_crashed()).count()
+    }
+
     /// The target that runs something.
     fn running(&self) -> Option<&PlatformTarget> {
         self.targets.iter().find(|it| it.running() > 0)
@@ -186,3 +215,28 @@
     wait_until("the trial counts", || fleet.trials("counted") == 1);
     assert_eq!(fleet.trials("returned"), 0);
 }
+
+// Guards against a trial by each gateway at once, when the coordinators are too slow to say which of them may send it.
+#[test]
+fn trials_stay_one_at_a_time_while_their_coordinators_are_slow() {
+    let mut fleet = Fleet::with_gateways(SEVERAL_GATEWAYS);
+    fleet.quarantine(Some(CRASHING));
+    thread::sleep(KNOWN_WITHIN);
+    fleet.set_fault(TargetFault::Crashes);
+    let crashed = fleet.crashed();
+    let is_coordinator =
+        |it: &usize| fleet.platform.times_logged(*it, "crashes: all gateways are told") > 0;
+    let (coordinators, others): (Vec<usize>, Vec<usize>) =
+        (0..SEVERAL_GATEWAYS).partition(is_coordinator);
+    coordinators.iter().for_each(|it| fleet.platform.signal(*it, "STOP"));
+    let callers: Vec<TcpStream> = others.iter().map(|it| fleet.send_unread_to(*it)).collect();
+    thread::sleep(SLOW_FOR);
+    coordinators.iter().for_each(|it| fleet.platform.signal(*it, "CONT"));
+    thread::sleep(SLOW_FOR);
+    drop(callers);
+    let trials = fleet.crashed() - crashed;
+    assert!(trials <= 1, "{trials} trials at once");
+    fleet.set_fault(TargetFault::None);
+    fleet.withdraw_crashed();
+    fleet.wait_served(Some(CRASHING));
+}
