Only the first live coordinator grants trials of what is quarantined

What callers saw: nothing; targets did.

Cause: a gateway whose question to a coordinator was not answered in 80 ms asked the second one, and decided for itself after another 80 ms, without telling anybody. All gateways know when the next trial is due, and processes that share a machine are late together, so that each of them granted itself the same trial. Class: silence of the one who decides is taken for permission.

A coordinator that does not know of the quarantine is told of it, in place of a decision without it. As that could bring back what has ended, gateways remember what was cleared and do not take over what was judged before; whoever tells less than is known is told in return. Coordinators tell the state of the trials as it is, not as it was when the quarantine began.

A denied trial is logged with its reason.

--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{
-    CrashVerdict, QUARANTINE_CRASHES, Suspect, TrialOutcome, Trials, limit_len, remembered_ms,
-    trials::NEW_MS,
+    CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS, Suspect, TrialOutcome, Trials,
+    limit_len, remembered_ms, trials::NEW_MS,
 };
 
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct KnownSuspects {
     suspects: BTreeMap<Suspect, Known>,
+    /// When suspects were cleared. What was judged before is out of date, whoever tells it.
+    cleared_at_ms: BTreeMap<Suspect, u64>,
 }
 
 impl KnownSuspects {
@@ -70,6 +72,29 @@
         quarantined.map(move |(suspect, it)| it.verdict(now_ms, *suspect))
     }
 
+    /// What is known of a suspect; `None` if it is neither suspected nor quarantined.
+    pub fn verdict(&self, now_ms: u64, suspect: Suspect) -> Option<CrashVerdict> {
+        self.get(now_ms, suspect).map(|it| it.verdict(now_ms, suspect))
+    }
+
+    /// What is known of a suspect beyond what another gateway tells: that it was cleared since, or further trials.
+    pub fn newer_than(&self, now_ms: u64, told: &CrashVerdict) -> Option<CrashVerdict> {
+        if told.crashes == 0 {
+            return None;
+        }
+        if self.is_cleared_since(now_ms, told) {
+            return Some(CrashVerdict::cleared(told.suspect));
+        }
+        let known = self.get(now_ms, told.suspect)?;
+        let is_newer = known.trials.is_later_than(told.trials);
+        is_newer.then(|| known.verdict(now_ms, told.suspect))
+    }
+
+    fn is_cleared_since(&self, now_ms: u64, told: &CrashVerdict) -> bool {
+        let judged_at_ms = now_ms.saturating_sub(told.age_ms.into());
+        self.cleared_at_ms.get(&told.suspect).is_some_and(|it| judged_at_ms < *it)
+    }
+
     /// Whether a trial of a quarantined suspect may be granted now, as far as this process was told.
     pub fn is_trial_due(&self, now_ms: u64, suspect: Suspect) -> bool {
         self.get(now_ms, suspect).is_some_and(|it| it.next_trial_ms <= now_ms)
@@ -132,7 +157,10 @@
         self.forget(now_ms);
         let was_quarantined = self.is_quarantined(now_ms, verdict.suspect);
         if verdict.crashes == 0 {
-            self.suspects.remove(&verdict.suspect);
+            self.clear(now_ms, verdict.suspect);
+            return false;
+        }
+        if self.is_cleared_since(now_ms, &verdict) {
             return false;
         }
         let known = self.suspects.entry(verdict.suspect);
@@ -157,7 +185,18 @@
         !was_quarantined && verdict.crashes >= QUARANTINE_CRASHES
     }
 
+    fn clear(&mut self, now_ms: u64, suspect: Suspect) {
+        self.suspects.remove(&suspect);
+        self.cleared_at_ms.insert(suspect, now_ms);
+        while self.cleared_at_ms.len() > MAX_SUSPECTS {
+            let oldest = self.cleared_at_ms.iter().min_by_key(|(_, it)| **it);
+            let Some(oldest) = oldest.map(|(suspect, _)| *suspect) else { return };
+            self.cleared_at_ms.remove(&oldest);
+        }
+    }
+
     fn forget(&mut self, now_ms: u64) {
+        self.cleared_at_ms.retain(|_, it| *it + QUARANTINE_MS > now_ms);
         self.suspects.retain(|_, it| it.judged_at_ms + remembered_ms(it.crashes) > now_ms);
     }
 
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -536,6 +536,38 @@
     assert_eq!(first.grant_trial(6_000, &[request(REQUEST)]).0, TrialOutcome::Denied);
 }
 
+// Guards against a coordinator that has just started, judges anew and grants all trials once more.
+#[test]
+fn a_coordinator_that_judges_anew_is_told_of_the_trials_before() {
+    let (mut knows, mut starts) = (quarantined_request(0, false), KnownSuspects::default());
+    knows.grant_trial(1_000, &[request(REQUEST)]);
+    let judged = CrashVerdict { trials: Trials::of_new(true), ..verdict(REQUEST, CRASHES) };
+    starts.apply(1_500, judged);
+    let correction = knows.newer_than(1_520, &judged).expect("it knows of a trial");
+    starts.apply(1_540, correction);
+    assert_eq!(
+        starts.verdict(1_540, request(REQUEST)).map(|it| it.trials),
+        Some(correction.trials)
+    );
+    assert_eq!(knows.newer_than(1_560, &correction), None, "both know the same");
+}
+
+// Guards against a quarantine that a gateway brings back because it was not told of its end.
+#[test]
+fn a_quarantine_that_was_cleared_is_not_brought_back_by_what_was_judged_before() {
+    let (mut cleared, mut missed_it) =
+        (quarantined_request(0, false), quarantined_request(0, false));
+    cleared.apply(1_000, CrashVerdict::cleared(request(REQUEST)));
+    let told = missed_it.verdict(2_000, request(REQUEST)).expect("it is quarantined there");
+    let correction = cleared.newer_than(2_000, &told).expect("it was cleared");
+    cleared.apply(2_000, told);
+    missed_it.apply(2_000, correction);
+    let is_quarantined = |it: &KnownSuspects| it.is_quarantined(2_000, request(REQUEST));
+    assert!(!is_quarantined(&cleared) && !is_quarantined(&missed_it));
+    cleared.apply(3_000, verdict(REQUEST, CRASHES));
+    assert!(cleared.is_quarantined(3_000, request(REQUEST)), "what is judged later counts");
+}
+
 // Guards against a pause that grows although targets rejected the trials.
 #[test]
 fn a_trial_that_no_target_ran_is_granted_again_soon() {
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -27,7 +27,7 @@
     crash_messages::{CrashNews, Suspects, TrialAnswer, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
-    sent_run::{ReturnedTrial, SentRun, Trial},
+    sent_run::{SentRun, Trial},
     trials::TrialRequests,
 };
 use crate::metrics::Metrics;
@@ -51,13 +51,15 @@
     Own(CrashNews),
     /// Another gateway has cleared a suspect, which this one may have judged.
     Cleared(Suspect),
+    /// The gateway at this address knows less than this about a suspect.
+    Correct(CrashVerdict, SocketAddr),
     /// A request of this process asks whether it may be sent as a trial.
     Ask {
         suspects: Suspects,
         reply: flume::Sender<Option<Trial>>,
     },
-    /// A granted trial of this process is given back.
-    Return(ReturnedTrial),
+    /// A granted trial of these suspects is given back by this process.
+    Return(Suspects),
     /// The caller or the task of a trial of this process has left in the middle of its attempt.
     Left {
         trial: Trial,
@@ -311,8 +313,18 @@
         self.send(Message::Answer(answer));
     }
 
+    /// Takes over what another gateway tells. One that knows less is told in return: a coordinator that has started anew would
+    /// grant all trials once more.
+    pub(super) fn told_by(&self, verdict: CrashVerdict, from: SocketAddr) {
+        let newer = self.known.borrow().newer_than(self.now_ms(), &verdict);
+        self.told(verdict);
+        if let Some(newer) = newer {
+            self.send(Message::Correct(newer, from));
+        }
+    }
+
     /// Takes over what a coordinator tells.
-    pub(super) fn told(&self, verdict: CrashVerdict) {
+    fn told(&self, verdict: CrashVerdict) {
         let (now_ms, suspect) = (self.now_ms(), verdict.suspect);
         let is_new = self.known.borrow_mut().apply(now_ms, verdict);
         if verdict.crashes == 0 {
@@ -358,10 +370,14 @@
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
                 Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
+                Some(Ok(Message::Correct(verdict, to))) => {
+                    let bytes = Datagram::CrashVerdict(verdict).encode();
+                    send_to_all(&self.task.socket, bytes, vec![to]).await;
+                }
                 Some(Ok(Message::Ask { suspects, reply })) => {
                     self.trials.ask(suspects, reply).await
                 }
-                Some(Ok(Message::Return(trial))) => self.trials.give_back(trial).await,
+                Some(Ok(Message::Return(suspects))) => self.trials.give_back(suspects).await,
                 Some(Ok(Message::Left { trial, target, ran_ms })) => {
                     compio::runtime::spawn(trial.end_left(target, ran_ms)).detach();
                 }
@@ -372,7 +388,7 @@
                 Some(Err(flume::RecvError::Disconnected)) => return,
                 None => {}
             }
-            self.trials.ask_others().await;
+            self.trials.drop_late();
             for verdict in self.coordinator.verdicts(self.now_ms()) {
                 self.tell_all(verdict).await;
             }
@@ -549,7 +565,9 @@
             "crashes: all gateways are told"
         );
         self.handle.told(verdict);
-        self.tell_others(verdict).await;
+        // Its trials may have gone on since it was judged.
+        let known = self.handle.known.borrow().verdict(self.now_ms(), verdict.suspect);
+        self.tell_others(known.unwrap_or(verdict)).await;
     }
 }
 
--- a/crates/samphiredoor-gateway/src/peers/listener.rs
+++ b/crates/samphiredoor-gateway/src/peers/listener.rs
@@ -66,7 +66,7 @@
             Ok(Datagram::RunReport(report)) => self.run_limits.reported(report, from),
             Ok(Datagram::RunGrant(grant)) => self.run_limits.granted(grant),
             Ok(Datagram::CrashReport(news)) => self.crash_reports.reported(news),
-            Ok(Datagram::CrashVerdict(verdict)) => self.crash_reports.told(verdict),
+            Ok(Datagram::CrashVerdict(verdict)) => self.crash_reports.told_by(verdict, from),
             Ok(Datagram::TrialQuestion(question)) => self.crash_reports.asked(question, from),
             Ok(Datagram::TrialAnswer(answer)) => self.crash_reports.answered_trial(answer),
             Ok(Datagram::StreamOrigin(record)) => self.stream_origins.recorded(record),
--- a/crates/samphiredoor-gateway/src/peers/sent_run.rs
+++ b/crates/samphiredoor-gateway/src/peers/sent_run.rs
@@ -27,26 +27,17 @@
     reports: CrashReports,
     /// Empty if there is nothing to give back.
     suspects: Suspects,
-    is_told: bool,
-}
-
-/// A granted trial that is given back.
-pub(super) struct ReturnedTrial {
-    /// What it was a trial of.
-    pub suspects: Suspects,
-    /// Whether other gateways were told that it was granted.
-    pub is_told: bool,
 }
 
 impl Trial {
-    /// A trial that was granted. `is_told` if other gateways were told of it.
-    pub(super) fn granted(reports: CrashReports, suspects: Suspects, is_told: bool) -> Trial {
-        Trial { reports, suspects, is_told }
+    /// A trial that was granted.
+    pub(super) fn granted(reports: CrashReports, suspects: Suspects) -> Trial {
+        Trial { reports, suspects }
     }
 
     /// Permission to send suspects whose quarantine has ended.
     pub(super) fn not_needed(reports: CrashReports) -> Trial {
-        Trial { reports, suspects: Suspects::new(), is_told: false }
+        Trial { reports, suspects: Suspects::new() }
     }
 
     /// Ends a trial that is not given back. `outcome` is its label in metrics.
@@ -81,8 +72,7 @@
         let suspects = std::mem::take(&mut self.suspects);
         if !suspects.is_empty() {
             self.reports.count_trial("returned");
-            let returned = ReturnedTrial { suspects, is_told: self.is_told };
-            self.reports.send(Message::Return(returned));
+            self.reports.send(Message::Return(suspects));
         }
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -1,11 +1,11 @@
 //! Questions to coordinators whether a quarantined request may be sent as a trial.
 //!
-//! The coordinators of a service are asked one after the other, so that one of them grants each trial as long as it lives.
-//! If neither answers or knows of the quarantine, the gateway decides for itself: then the coordinators have just started,
-//! or are out of reach.
+//! The first coordinator of the service alone grants trials, as long as it is live. A gateway whose question is not answered
+//! in time sends no trial: a coordinator that is only slow may grant the same one to another gateway, and so would each
+//! gateway that decided for itself. A coordinator that does not know of the quarantine, as it has just started, is told of it.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -22,24 +22,21 @@
     crash_messages::{Suspects, TrialAnswer, TrialPurpose, TrialQuestion},
     datagram::Datagram,
     listener::send_to_all,
-    sent_run::{ReturnedTrial, Trial},
+    sent_run::Trial,
 };
 
 /// Time for an answer: a coordinator in another region is 24 ms away.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// A question to which no coordinator has given a verdict yet.
+/// A question that the coordinator has not answered yet.
 struct PendingTrial {
     /// The quarantined suspects of the request.
     suspects: Suspects,
     /// Gets whether the request may be sent.
     reply: flume::Sender<Option<Trial>>,
-    /// Hashes of the coordinators that have not been asked.
-    left: VecDeque<u64>,
-    /// Whether a coordinator was asked. If none of them knows of the quarantine, it may have ended without this process being
-    /// told, and a trial that this process grants itself must not spread it again.
-    was_asked: bool,
-    /// When the one that was asked last is given up.
+    /// Address of the coordinator.
+    coordinator: SocketAddr,
+    /// When it is given up.
     until: Instant,
 }
 
@@ -68,15 +65,15 @@
         }
     }
 
-    /// Asks the next coordinators of own questions that were not answered in time.
-    pub async fn ask_others(&mut self) {
+    /// Gives up own questions that were not answered in time.
+    pub fn drop_late(&mut self) {
         let now = Instant::now();
         let late: Vec<u64> =
             self.pending.iter().filter(|(_, it)| it.until <= now).map(|(id, _)| *id).collect();
         for id in late {
-            if let Some(trial) = self.pending.remove(&id) {
-                self.ask_next(trial).await;
-            }
+            let Some(trial) = self.pending.remove(&id) else { continue };
+            self.log_denied(&trial.suspects, trial.coordinator, "no answer");
+            self.decide(trial.suspects, &trial.reply, TrialOutcome::Denied);
         }
     }
 
@@ -85,56 +82,53 @@
         self.pending.values().map(|it| it.until).min()
     }
 
-    /// Asks the first coordinator of the service whether a request may be sent as a trial.
+    /// Asks the first coordinator of the service whether a request may be sent as a trial. Decides here if that is this
+    /// process, or if too few other gateways are in sight for there to be one.
     pub async fn ask(&mut self, suspects: Suspects, reply: flume::Sender<Option<Trial>>) {
-        let service = suspects.first().map_or(0, |it| it.service);
-        let left = self.roster.coordinators(service).chosen.iter().copied().collect();
-        let (was_asked, until) = (false, Instant::now());
-        self.ask_next(PendingTrial { suspects, reply, left, was_asked, until }).await;
+        let Some(coordinator) = self.coordinator_of(&suspects) else {
+            let (outcome, verdicts) = self.grant(&suspects);
+            self.decide(suspects, &reply, outcome);
+            return self.tell_granted(verdicts).await;
+        };
+        self.last_id += 1;
+        let id = self.last_id;
+        let question = TrialQuestion { id, suspects: suspects.clone(), purpose: TrialPurpose::Ask };
+        let until = Instant::now() + ANSWER_TIMEOUT;
+        self.pending.insert(id, PendingTrial { suspects, reply, coordinator, until });
+        let bytes = Datagram::TrialQuestion(question).encode();
+        send_to_all(&self.socket, bytes, vec![coordinator]).await;
     }
 
-    /// Asks the next coordinator, or decides here if this process is that or none is left.
-    async fn ask_next(&mut self, mut trial: PendingTrial) {
-        let mut tells = !trial.was_asked;
-        while let Some(coordinator) = trial.left.pop_front() {
-            if coordinator == self.own_key {
-                tells = true;
-                break;
-            }
-            let Some(address) = self.roster.address_of_hash(coordinator) else { continue };
-            let suspects = trial.suspects.clone();
-            trial.was_asked = true;
-            trial.until = Instant::now() + ANSWER_TIMEOUT;
-            self.last_id += 1;
-            let id = self.last_id;
-            self.pending.insert(id, trial);
-            let question = TrialQuestion { id, suspects, purpose: TrialPurpose::Ask };
-            let bytes = Datagram::TrialQuestion(question).encode();
-            return send_to_all(&self.socket, bytes, vec![address]).await;
-        }
-        let (outcome, verdicts) = self.grant(&trial.suspects);
-        self.decide(trial, outcome, tells);
-        if tells {
-            self.tell_granted(verdicts).await;
-        }
+    /// Address of the first coordinator of the suspects' service; `None` if it is this process or there is none.
+    fn coordinator_of(&self, suspects: &[Suspect]) -> Option<SocketAddr> {
+        let service = suspects.first().map_or(0, |it| it.service);
+        let first = self.roster.coordinators(service).chosen.first().copied();
+        self.roster.address_of_hash(first.filter(|it| *it != self.own_key)?)
     }
 
     /// Tells a request of this process what was decided. The trial is given back if the request is gone.
     fn decide(
         &self,
-        PendingTrial { suspects, reply, .. }: PendingTrial,
+        suspects: Suspects,
+        reply: &flume::Sender<Option<Trial>>,
         outcome: TrialOutcome,
-        is_told: bool,
     ) {
         let reports = self.reports.clone();
         let _ = reply.send(match outcome {
             TrialOutcome::Denied => None,
-            TrialOutcome::Granted => Some(Trial::granted(reports, suspects, is_told)),
+            TrialOutcome::Granted => Some(Trial::granted(reports, suspects)),
             // What is not quarantined any more needs no trial.
             TrialOutcome::Unknown => Some(Trial::not_needed(reports)),
         });
     }
 
+    fn log_denied(&self, suspects: &[Suspect], coordinator: SocketAddr, reason: &'static str) {
+        log::info!(
+            fingerprint:% = Hex(suspects.first().map_or(0, |it| it.hash)), coordinator:%, reason;
+            "crashes: trial not sent"
+        );
+    }
+
     /// Answers the question of another gateway as a coordinator.
     pub async fn answer(&mut self, question: TrialQuestion, from: SocketAddr) {
         match question.purpose {
@@ -150,12 +144,23 @@
         }
     }
 
-    /// Takes the answer of a coordinator to an own question.
+    /// Takes the answer of a coordinator to an own question. One that does not know of the quarantine is told of it; if that has
+    /// ended, it says so in return.
     pub async fn answered(&mut self, answer: TrialAnswer) {
         let Some(trial) = self.pending.remove(&answer.id) else { return };
-        match answer.outcome {
-            TrialOutcome::Unknown => self.ask_next(trial).await,
-            outcome => self.decide(trial, outcome, true),
+        let PendingTrial { suspects, reply, coordinator, .. } = trial;
+        if answer.outcome != TrialOutcome::Unknown {
+            return self.decide(suspects, &reply, answer.outcome);
+        }
+        self.log_denied(&suspects, coordinator, "coordinator does not know of the quarantine");
+        let known: Vec<CrashVerdict> = {
+            let (known, now_ms) = (self.reports.known.borrow(), self.reports.now_ms());
+            suspects.iter().filter_map(|it| known.verdict(now_ms, *it)).collect()
+        };
+        self.decide(suspects, &reply, TrialOutcome::Denied);
+        for verdict in known {
+            let bytes = Datagram::CrashVerdict(verdict).encode();
+            send_to_all(&self.socket, bytes, vec![coordinator]).await;
         }
     }
 
@@ -176,17 +181,9 @@
         }
     }
 
-    /// Gives a trial back to the first coordinator of the service, or here if no coordinator knows of the quarantine.
-    pub async fn give_back(&mut self, ReturnedTrial { suspects, is_told }: ReturnedTrial) {
-        if !is_told {
-            let now_ms = self.reports.now_ms();
-            self.reports.known.borrow_mut().return_trial(now_ms, &suspects);
-            return;
-        }
-        let service = suspects.first().map_or(0, |it| it.service);
-        let first = self.roster.coordinators(service).chosen.first().copied();
-        let other = first.filter(|it| *it != self.own_key);
-        match other.and_then(|it| self.roster.address_of_hash(it)) {
+    /// Gives a trial back to the first coordinator of the service, or here if it is this process or there is none.
+    pub async fn give_back(&mut self, suspects: Suspects) {
+        match self.coordinator_of(&suspects) {
             Some(address) => {
                 let question = TrialQuestion { id: 0, suspects, purpose: TrialPurpose::Return };
                 let bytes = Datagram::TrialQuestion(question).encode();
--- a/crates/samphiredoor/tests/it/platform/trials.rs
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -152,7 +152,14 @@
         caller
     }
 
-    /// Targets that have crashed since they were withdrawn.
+    /// Gateways that have counted the crashes, and all others.
+    fn coordinators_and_others(&self) -> (Vec<usize>, Vec<usize>) {
+        let has_told =
+            |it: &usize| self.platform.times_logged(*it, "crashes: all gateways are told") > 0;
+        (0..self.gateways).partition(has_told)
+    }
+
+    /// Number of targets that have crashed.
     fn crashed(&self) -> usize {
         self.targets.iter().filter(|it| it.has_crashed()).count()
     }
@@ -224,10 +231,7 @@
     thread::sleep(KNOWN_WITHIN);
     fleet.set_fault(TargetFault::Crashes);
     let crashed = fleet.crashed();
-    let is_coordinator =
-        |it: &usize| fleet.platform.times_logged(*it, "crashes: all gateways are told") > 0;
-    let (coordinators, others): (Vec<usize>, Vec<usize>) =
-        (0..SEVERAL_GATEWAYS).partition(is_coordinator);
+    let (coordinators, others) = fleet.coordinators_and_others();
     coordinators.iter().for_each(|it| fleet.platform.signal(*it, "STOP"));
     let callers: Vec<TcpStream> = others.iter().map(|it| fleet.send_unread_to(*it)).collect();
     thread::sleep(SLOW_FOR);
