Trials stay within their bound when a crash is noticed late

What callers saw: nothing; targets did.

Cause: two trials were planned within 4 s of the third crash and three after it, from when the crash was noticed. A gateway that gets too little processor time notices it a second or more late, and the second of the early trials counts with the later ones. Class: an allowance is spent in full by plan, measured on the clock of the one who learns of it last.

Change: two trials later than the early ones, not three, before the pause of 200 s; one is left for what no plan knows of. A quarantine also counts as late from 2.5 s after the request of that crash was sent. Cost: sound content whose first four trials are all lost by chance waits 200 s, not 16 s.

Evidence: trials_after_a_crash_that_was_noticed_late_stay_within_the_bound was red before: noticed 2,000 ms late, trials at 3, 5, 13, 25 and 41 s after the crash.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -28,6 +28,9 @@
 const PART_BOUND_FROM: u32 = 5;
 /// Age of the crash after which a suspect may crash few more targets, from which its quarantine counts as late.
 const LATE_MS: u64 = 500;
+/// The same from when the request of that crash was sent: most run for less, and a gateway that is short of processor time
+/// notices a crash late.
+const LATE_AFTER_SEND_MS: u64 = 2_500;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -142,9 +145,9 @@
         for suspect in causes {
             let Some(evidence) = self.evidence.get_mut(&suspect) else { continue };
             if !evidence.is_quarantined() && evidence.is_confirmed(now_ms) {
-                let is_late = evidence
-                    .nth_crash_at_ms(bounded_from(suspect.kind))
-                    .is_some_and(|it| now_ms > it + LATE_MS);
+                let is_late = evidence.nth_loss(bounded_from(suspect.kind)).is_some_and(|it| {
+                    now_ms > it.at_ms + LATE_MS || now_ms > it.sent_at_ms + LATE_AFTER_SEND_MS
+                });
                 evidence.quarantine = Some(Trials::of_new(is_late));
                 evidence.is_reported = true;
             }
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -88,10 +88,10 @@
         self.counted_losses().map(|it| it.ran_ms).max().unwrap_or(0)
     }
 
-    /// When the crash with this number, from 1, happened.
-    pub fn nth_crash_at_ms(&self, number: u32) -> Option<u64> {
+    /// Its loss in the crash with this number, from 1.
+    pub fn nth_loss(&self, number: u32) -> Option<&Loss> {
         let crash = self.crashes.get(number as usize - 1)?;
-        self.counted_losses().find(|it| it.crash == *crash).map(|it| it.at_ms)
+        self.counted_losses().find(|it| it.crash == *crash)
     }
 }
 
--- a/crates/samphiredoor-core/src/crash_reports/trials.rs
+++ b/crates/samphiredoor-core/src/crash_reports/trials.rs
@@ -5,9 +5,10 @@
 //! it with a longer pause before the next trial.
 
 /// Pauses before the trials of a suspect; the last one recurs. The first two trials take place only while a quarantine is
-/// new, and gateways may not know it yet. Of the others three begin within three minutes, as what crashes targets may crash
-/// no more than that. Each trial of it costs a target for some seconds.
-const PAUSES_MS: [u32; 6] = [1_000, 2_000, 8_000, 12_000, 16_000, 200_000];
+/// new, and gateways may not know it yet. Of the others two begin within three minutes: what crashes targets may crash three
+/// more, and one is left for a request that is sent without being known as a trial. Each trial of it costs a target for some
+/// seconds.
+const PAUSES_MS: [u32; 5] = [1_000, 2_000, 8_000, 12_000, 200_000];
 /// Number of trials that take place only while a quarantine is new.
 const NEW_TRIALS: u8 = 2;
 /// Time for which a quarantine is new.
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -614,6 +614,31 @@
     }
 }
 
+// Guards against trials that are planned from when a gateway that was short of processor time noticed the third crash.
+#[test]
+fn trials_after_a_crash_that_was_noticed_late_stay_within_the_bound() {
+    for late_ms in [0, 300, 700, 1_000, 2_000, 3_500] {
+        let mut coordinator = coordinator();
+        // Times of the crashes, of which the last is noticed late.
+        for (target, crashed_ms) in [(1, 1_000), (2, 3_000)] {
+            judged(&mut coordinator, crashed_ms, crash(REQUEST, target, 50));
+        }
+        let (third_ms, noticed_ms) = (5_000, 5_000 + late_ms);
+        coordinator.report(noticed_ms, &crash(REQUEST, 3, 50 + late_ms as u32));
+        let mut known = KnownSuspects::default();
+        let mut granted = Vec::new();
+        for now_ms in (noticed_ms..third_ms + 180_000).step_by(10) {
+            let verdicts = coordinator.verdicts(now_ms);
+            verdicts.into_iter().for_each(|it| _ = known.apply(now_ms, it));
+            if known.grant_trial(now_ms, &[request(REQUEST)]).0 == TrialOutcome::Granted {
+                granted.push(now_ms - third_ms);
+            }
+        }
+        let later = granted.iter().filter(|it| **it > 4_000).count();
+        assert!(!granted.is_empty() && later <= 3, "noticed {late_ms} ms late: {granted:?}");
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     /// The caller sends the request to a gateway, which sends it to a target unless it is quarantined there.
