A trial that may still crash its target is not given back

What callers saw: nothing; targets did. A request that crashes targets was sent to one more of them every 1.2 s.

Cause: a trial whose caller left before the first output was given back if its target accepted a connection 100 ms later. A target that is slow to begin, or notices late that nobody reads its answer, crashes after that; the trial had cost nothing, and the next one followed 500 ms later, without an end. The same for a failure without any output. Class: an attempt whose outcome is open is taken for one that did not happen.

Change: a trial is given back only if no target ran it or it has had output; else it counts.

Two tests of trials that are given back wait now until their runs have had output, which is what they say.

--- a/crates/samphiredoor-gateway/src/peers/sent_run.rs
+++ b/crates/samphiredoor-gateway/src/peers/sent_run.rs
@@ -1,8 +1,8 @@
 //! An attempt at a target as the search for what crashes targets sees it, and what its end means for the trial that it may
 //! be.
 //!
-//! A [`Trial`] is a permit: it is given back when it is dropped, so that the next request may be the trial, unless the end
-//! of its attempt has shown something of its suspects.
+//! A [`Trial`] is a permit: it is given back when it is dropped, so that the next request may be the trial, unless its target
+//! may run it, or the end of its attempt has shown something of its suspects.
 
 use std::{
     net::SocketAddr,
@@ -52,8 +52,12 @@
         self.conclude("counted");
     }
 
-    /// Gives back a trial that has run for a time without a crash.
+    /// Gives back a trial that has run for a time without a crash. One without output counts: its target may be slow to begin
+    /// or to notice that nobody reads its answer, and crash after that.
     fn survive(self, ran_ms: u32) {
+        if ran_ms == 0 {
+            return self.count();
+        }
         self.reports.survived(&self.suspects, ran_ms);
     }
 
@@ -133,9 +137,9 @@
         }
     }
 
-    /// Time from its first event.
+    /// Time from its first event, a millisecond at least; 0 without one.
     fn ran_ms(&self) -> u32 {
-        self.began_at.map_or(0, elapsed_ms)
+        self.began_at.map_or(0, |it| elapsed_ms(it).max(1))
     }
 }
 
--- a/crates/samphiredoor/tests/it/platform/trials.rs
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -4,7 +4,7 @@
     io::Write,
     net::{SocketAddr, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
@@ -24,6 +24,8 @@
 const CRASHING: &str = "c0";
 /// Time between requests, so that the crashes count as separate.
 const RESEND_INTERVAL: Duration = Duration::from_millis(300);
+/// Time in which the first output of a run reaches its gateway.
+const OUTPUT_WITHIN: Duration = Duration::from_millis(200);
 /// Most times that a request is sent again until it is served.
 const MAX_RESENDS: u32 = 60;
 
@@ -35,6 +37,14 @@
 /// count as gone.
 const SLOW_FOR: Duration = Duration::from_millis(600);
 
+/// Time in which a target sends no output.
+const NO_OUTPUT_MS: u64 = 60_000;
+/// Time from when a caller has left until the target crashes under the request.
+const CRASHES_AFTER: Duration = Duration::from_millis(300);
+/// Time in which trials are counted, and how many are due in it: after one and three seconds.
+const TRIALS_FOR: Duration = Duration::from_millis(10_500);
+const TRIALS_MEANWHILE: usize = 2;
+
 /// Gateways, of which the first has metrics, and targets.
 struct Fleet {
     platform: Platform,
@@ -111,12 +121,13 @@
         self.platform.send_with(0, "/stream/check", &own, headers, body.unwrap_or(&own)).status
     }
 
-    /// Sends the request that was quarantined until it runs as a trial; returns its connection.
+    /// Sends the request that was quarantined until it runs as a trial, with output; returns its connection.
     fn begin_trial(&mut self) -> TcpStream {
         for _ in 0..MAX_RESENDS {
             let caller = self.send_unread();
             thread::sleep(RESEND_INTERVAL);
             if self.running().is_some() {
+                thread::sleep(OUTPUT_WITHIN);
                 return caller;
             }
         }
@@ -202,7 +213,8 @@
     });
     let body = json!({ "items": [item] }).to_string();
     assert_eq!(fleet.platform.send(0, "/batch/submit", "job-1", &body).status, 202);
-    wait_until("the trial has output", || fleet.running().is_some());
+    wait_until("the trial runs", || fleet.running().is_some());
+    thread::sleep(OUTPUT_WITHIN);
     wait_until("it is cancelled", || fleet.platform.cancel(0, "job-1").status == 200);
     wait_until("the trial is given back", || fleet.trials("returned") == 1);
     fleet.wait_served(None);
@@ -244,3 +256,27 @@
     fleet.withdraw_crashed();
     fleet.wait_served(Some(CRASHING));
 }
+
+// Guards against trials that cost nothing as their callers leave before their targets have begun to answer, and then crash.
+#[test]
+fn trials_that_crash_their_targets_after_their_callers_have_left_stay_within_the_bound() {
+    let mut fleet = Fleet::start();
+    fleet.quarantine(Some(CRASHING));
+    let quarantined_at = Instant::now();
+    fleet.set_fault(TargetFault::Pauses { after: None, ms: NO_OUTPUT_MS });
+    let mut trials = 0;
+    while quarantined_at.elapsed() < TRIALS_FOR {
+        let caller = fleet.send_unread();
+        thread::sleep(RESEND_INTERVAL);
+        let holds_it = |it: &&PlatformTarget| !it.has_crashed() && it.runs_of(CRASHING) > 0;
+        let holder = fleet.targets.iter().find(holds_it);
+        drop(caller);
+        if let Some(holder) = holder {
+            thread::sleep(CRASHES_AFTER);
+            holder.crash();
+            trials += 1;
+            fleet.withdraw_crashed();
+        }
+    }
+    assert!(trials <= TRIALS_MEANWHILE, "{trials} trials");
+}
