An item whose answers were missed twice is not preempted before its target has answered

What callers saw: nothing; targets did.

Cause: an item whose answer nobody read is kept from preemption for a second in its next run. A target that takes longer than that answers nobody each time: the bound rested on how fast targets answer. Class: a bound on a side effect is a time limit on its outcome.

Change: from the third run on, that of a former owner counted, the item is not preempted before its target has answered. An online request may wait for that slot; items that two runs have not answered are rare. A target that falls silent is left as before.

The tests of must_be_answered check the same steps and one more.

--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -12,6 +12,10 @@
 /// Doublings after which the backoff is above [`MAX_BACKOFF_MS`].
 const MAX_DOUBLINGS: u32 = 9;
 
+/// Runs without an answer, of which a former owner counts as one, after which the next one is not preempted before its answer.
+/// An item may be sent three times in all if its target says each time that it can never be done.
+const HELD_UNTIL_ANSWERED_FROM: u32 = 2;
+
 /// Outcome of a run of an item.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -48,6 +52,17 @@
     },
 }
 
+/// For how long the next run of an item is not preempted. It has no part in that once its target has answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PreemptionHold {
+    /// It may be preempted at once.
+    None,
+    /// A moment in which most targets answer.
+    Moment,
+    /// Until its target has answered.
+    UntilAnswered,
+}
+
 /// The items of one job, and how often each was tried.
 #[derive(Debug)]
 pub struct Items {
@@ -109,10 +124,14 @@
         self.unanswered.get(&item).copied().unwrap_or_default()
     }
 
-    /// Whether an item may have failed in a run whose answer nobody read. Its next run must not be preempted before its target
-    /// has answered: otherwise an item that always fails would be sent again and again.
-    pub fn must_be_answered(&self, item: u32) -> bool {
-        self.had_former_owner || self.unanswered(item) > 0
+    /// For how long the next run of an item is not preempted. It may have failed in runs whose answers nobody read, and an item
+    /// that always fails would be sent again and again. A slow target may take longer than a moment each time.
+    pub fn preemption_hold(&self, item: u32) -> PreemptionHold {
+        match self.unanswered(item) + u32::from(self.had_former_owner) {
+            0 => PreemptionHold::None,
+            unread if unread < HELD_UNTIL_ANSWERED_FROM => PreemptionHold::Moment,
+            _ => PreemptionHold::UntilAnswered,
+        }
     }
 
     /// Records the outcome of a run. `failures` is the number of failures that targets reported of the item, by any owner
--- a/crates/samphiredoor-core/src/ordered/mod.rs
+++ b/crates/samphiredoor-core/src/ordered/mod.rs
@@ -29,7 +29,7 @@
     split_into_parts,
 };
 pub use failures::ItemFailure;
-pub use items::{ItemEnd, ItemStep, Items};
+pub use items::{ItemEnd, ItemStep, Items, PreemptionHold};
 pub use job::{
     Item, ItemResult, JobName, Outcome, cancellation_key, header_key, job_name, part_key,
     segment_key,
--- a/crates/samphiredoor-core/tests/ordered/items.rs
+++ b/crates/samphiredoor-core/tests/ordered/items.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use samphiredoor_core::ordered::{Item, ItemEnd, ItemStep, Items, Outcome};
+use samphiredoor_core::ordered::{Item, ItemEnd, ItemStep, Items, Outcome, PreemptionHold};
 
 fn items(attempts: u32) -> Items {
     let item = Item {
@@ -88,15 +88,23 @@
 fn an_item_must_be_answered_after_a_run_without_an_answer() {
     for end in [ItemEnd::NoAnswer, ItemEnd::Interrupted, ItemEnd::Preempted] {
         let mut items = items(3);
-        assert!(!items.must_be_answered(0));
-        items.run_ended(0, end, 0);
-        assert!(items.must_be_answered(0));
+        let mut holds = vec![items.preemption_hold(0)];
+        for _ in 0..3 {
+            items.run_ended(0, end.clone(), 0);
+            holds.push(items.preemption_hold(0));
+        }
+        let (none, moment, until) =
+            (PreemptionHold::None, PreemptionHold::Moment, PreemptionHold::UntilAnswered);
+        assert_eq!(holds, [none, moment, until, until]);
     }
 }
 
 #[test]
 fn an_item_that_a_former_owner_may_have_run_must_be_answered() {
-    assert!(items(3).with_former_owner().must_be_answered(0));
+    let mut items = items(3).with_former_owner();
+    assert_eq!(items.preemption_hold(0), PreemptionHold::Moment);
+    items.run_ended(0, ItemEnd::Preempted, 0);
+    assert_eq!(items.preemption_hold(0), PreemptionHold::UntilAnswered);
 }
 
 #[test]
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -20,7 +20,7 @@
     Name,
     crash_reports::{Content, Suspect},
     dispatch::{Class, RequestId},
-    ordered::{Item, ItemEnd, JobName},
+    ordered::{Item, ItemEnd, JobName, PreemptionHold},
     overload::buffer_budget::Holder,
     placement::{AttemptEnd, CallerTerms, RequestSpec, Resumption, name_hash},
     routes::{Route, RouteKind, RouteTable},
@@ -102,10 +102,8 @@
     pub output: SharedOutput,
     /// Permit that must be valid whenever the item is sent.
     pub permit: Rc<SendPermit>,
-    /// Whether an earlier run of the item may have failed unread, see [`Items::must_be_answered`].
-    ///
-    /// [`Items::must_be_answered`]: samphiredoor_core::ordered::Items::must_be_answered
-    pub must_be_answered: bool,
+    /// For how long it is not preempted, as an earlier run of the item may have failed unread.
+    pub preemption_hold: PreemptionHold,
 }
 
 /// Outcome of one attempt to run the item at a target.
@@ -404,13 +402,20 @@
     async fn send(&self, ticket: &mut Ticket, at: &mut AtTarget<'_>, call: &Call) -> Sent {
         let mut send = std::pin::pin!(self.env.targets.send(at.target, at.address, call));
         let request = ticket.request();
+        let hold = match self.last_event() {
+            Some(_) => PreemptionHold::None,
+            None => self.preemption_hold,
+        };
         let receiving = self.receive(request, at, send.as_mut(), Result::is_ok);
-        let in_time = or_preempted(ticket, receiving).await;
+        let in_time = match hold {
+            PreemptionHold::UntilAnswered => Some(receiving.await),
+            PreemptionHold::None | PreemptionHold::Moment => or_preempted(ticket, receiving).await,
+        };
         let is_preempted = in_time.is_none();
         let (head, missing) = match in_time {
             Some(Ok(head)) => (Some(head), NoResponse::NotSent),
             Some(Err(end)) => (None, NoResponse::Left(end)),
-            None if self.must_be_answered && self.last_event().is_none() => {
+            None if hold == PreemptionHold::Moment => {
                 (within(ANSWER_WAIT, send).await, NoResponse::Preempted)
             }
             None => (None, NoResponse::Preempted),
--- a/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/runs.rs
@@ -224,7 +224,7 @@
             due_at_ms: self.due_at_ms,
             give_up_at: self.give_up_at,
             permit: Rc::clone(&self.permit),
-            must_be_answered: self.items.must_be_answered(number),
+            preemption_hold: self.items.preemption_hold(number),
         };
         let messages = self.messages.clone();
         let (job, id, to_task) =
--- a/crates/samphiredoor/tests/it/platform/repeats.rs
+++ b/crates/samphiredoor/tests/it/platform/repeats.rs
@@ -79,6 +79,8 @@
 const FAILURE_BYTES: usize = 60_000;
 /// Time after which the body of such a failure is being read.
 const READING_AFTER: Duration = Duration::from_millis(450);
+/// Time after which a slow target answers: longer than a preempted item waits for an answer that must be read.
+const SLOW_FAILURE: Duration = Duration::from_millis(2_000);
 /// Online requests that together take all slots of a target.
 const SURGE: usize = 8;
 
@@ -112,6 +114,16 @@
     target.runs_of(FAILING)
 }
 
+/// Sends online requests that take all slots of a target and preempt its items.
+fn send_surge(platform: &Platform, number: usize) {
+    thread::scope(|scope| {
+        for request in 0..SURGE {
+            let id = format!("online-{number}-{request}");
+            scope.spawn(move || platform.send(0, "/stream/check", &id, ""));
+        }
+    });
+}
+
 /// Waits until the item has a result in the store, for at most [`RECORDED_WITHIN`].
 fn wait_recorded(platform: &Platform) {
     let until = Instant::now() + RECORDED_WITHIN;
@@ -335,15 +347,18 @@
 fn failures_that_cross_preemptions_do_not_repeat_an_item_without_a_bound() {
     let (platform, target) = fleet_with_slow_link(1);
     assert_eq!(platform.submit(0, "job-1", &[FAILING, OPEN]).status, 202);
-    let runs = runs_if_interrupted(&target, |number| {
-        thread::scope(|scope| {
-            for request in 0..SURGE {
-                let id = format!("online-{number}-{request}");
-                let platform = &platform;
-                scope.spawn(move || platform.send(0, "/stream/check", &id, ""));
-            }
-        });
-    });
+    let runs = runs_if_interrupted(&target, |number| send_surge(&platform, number));
+    assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
+}
+
+// Guards against an item that is preempted again and again before a slow target has answered, and is sent again each time.
+#[test]
+fn failures_of_a_slow_target_that_cross_preemptions_do_not_repeat_an_item_without_a_bound() {
+    let (platform, target) = fleet(1);
+    let target = target.with_failure_pause(SLOW_FAILURE);
+    target.fail_always(FAILING, TargetFault::Impossible);
+    assert_eq!(platform.submit(0, "job-1", &[FAILING]).status, 202);
+    let runs = runs_if_interrupted(&target, |number| send_surge(&platform, number));
     assert!(runs <= MOST_IMPOSSIBLE, "{runs} runs");
 }
 
