Streams of callers who name no first attempt go on only at a version that other gateways confirm

Cause: without a named first attempt a gateway took the only version of its own list for the only one that there is, however old the list, and asked nobody. With one, the answer of a gateway that has no record *because it has seen several versions* was taken for an answer that contradicts nothing, and a gateway that stood still at the end of its wait concluded before it read the answers that had arrived. Class: what a process does not know is taken for what does not exist.

Change: other gateways are asked in both cases. They say if they have seen several versions (a new answer on the wire), and then nothing follows from one version. A lookup that ends late because its process was paused reads on for 50 ms.

Cost: a round trip between gateways for such a resumption; a gateway that hears no other one refuses it.

--- a/crates/samphiredoor-core/src/software_versions/history.rs
+++ b/crates/samphiredoor-core/src/software_versions/history.rs
@@ -140,12 +140,21 @@
         self.only_known(now_ms, service, within_ms).filter(|_| is_remembered)
     }
 
+    /// Whether targets of a service are known to have had several versions in `within_ms`.
+    pub fn has_several(&self, now_ms: u64, service: u64, within_ms: u64) -> bool {
+        self.recent(now_ms, service, within_ms).nth(1).is_some()
+    }
+
     /// The only version that targets of a service have had for `within_ms` as far as is known, also if others may have been
     /// missed.
     pub fn only_known(&self, now_ms: u64, service: u64, within_ms: u64) -> Option<&Name> {
-        let versions = self.services.get(&service)?;
-        let mut recent = versions.iter().filter(|(_, it)| it.is_recent(now_ms, within_ms));
-        let (version, _) = recent.next()?;
+        let mut recent = self.recent(now_ms, service, within_ms);
+        let version = recent.next()?;
         recent.next().is_none().then_some(version)
     }
+
+    fn recent(&self, now_ms: u64, service: u64, within_ms: u64) -> impl Iterator<Item = &Name> {
+        let versions = self.services.get(&service).into_iter().flatten();
+        versions.filter(move |(_, it)| it.is_recent(now_ms, within_ms)).map(|(version, _)| version)
+    }
 }
--- a/crates/samphiredoor-core/src/software_versions/lookup.rs
+++ b/crates/samphiredoor-core/src/software_versions/lookup.rs
@@ -12,6 +12,8 @@
     Ambiguous,
     /// It has no record. With a version if all targets of the service have been of it for as long as the stream may have lasted.
     NoRecord(Option<Name>),
+    /// It has no record, and targets of the service have been of several versions in that time.
+    SeveralVersions,
 }
 
 /// What was found out.
@@ -32,7 +34,7 @@
     has_answer: bool,
     /// The version that a gateway without a record has named.
     sole: Option<Name>,
-    /// Whether two gateways have named different versions.
+    /// Whether two gateways have named different versions, or one has seen several.
     is_contradicted: bool,
 }
 
@@ -90,6 +92,10 @@
             Answer::Recorded(origin) => Some(Found::Origin(origin)),
             Answer::Ambiguous => Some(Found::Unknown),
             Answer::NoRecord(None) => None,
+            Answer::SeveralVersions => {
+                self.is_contradicted = true;
+                None
+            }
             Answer::NoRecord(Some(version)) => {
                 self.is_contradicted |= self.sole.as_ref().is_some_and(|it| *it != version);
                 self.sole = Some(version);
--- a/crates/samphiredoor-core/tests/software_versions/lookup.rs
+++ b/crates/samphiredoor-core/tests/software_versions/lookup.rs
@@ -52,6 +52,9 @@
     without_an_answer_an_own_sole_version_may_be_out_of_date: sole("v1"), [] => Found::Unknown;
     with_any_answer_the_own_sole_version_follows: sole("v1"), [Answer::NoRecord(None)] => follows();
     gateways_that_contradict_each_other_know_nothing: sole("v1"), [sole("v2")] => Found::Unknown;
+    the_own_sole_version_does_not_follow_beside_several: sole("v1"), [sole("v1"), Answer::SeveralVersions] => Found::Unknown;
+    nor_does_that_of_a_holder_beside_several_here: Answer::SeveralVersions, [sole("v1")] => Found::Unknown;
+    a_record_goes_before_several_versions: Answer::SeveralVersions, [Answer::SeveralVersions, recorded()] => known();
     without_any_knowledge_the_version_is_unknown:
         Answer::NoRecord(None), [Answer::NoRecord(None), Answer::NoRecord(None), Answer::NoRecord(None)] => Found::Unknown;
 }
--- a/crates/samphiredoor-gateway/src/front/resumption.rs
+++ b/crates/samphiredoor-gateway/src/front/resumption.rs
@@ -78,10 +78,7 @@
         let found = match &taken_up.first_attempt {
             Some(first) => origins.find(first, service, self.route.timeout_ms).await,
             // The caller does not know of versions.
-            None => match origins.only_known_version(service, self.route.timeout_ms).await {
-                Some(version) => Found::Origin(StreamOrigin::of_version(version)),
-                None => Found::Unknown,
-            },
+            None => origins.find_unnamed(&self.id, service, self.route.timeout_ms).await,
         };
         match found {
             Found::Origin(origin) => self.go_on_from(origin),
--- a/crates/samphiredoor-gateway/src/peers/origin_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/origin_messages.rs
@@ -89,6 +89,7 @@
     match &answer.answer {
         Answer::NoRecord(None) => root.set_no_record(()),
         Answer::NoRecord(Some(version)) => root.set_sole_version(&**version),
+        Answer::SeveralVersions => root.set_several_versions(()),
         Answer::Ambiguous => root.set_ambiguous(()),
         Answer::Recorded(origin) => write_origin(origin, root.init_recorded()),
     }
@@ -100,6 +101,7 @@
         origin_answer::SoleVersion(version) => {
             Answer::NoRecord(Some(Name::from(version?.to_str()?)))
         }
+        origin_answer::SeveralVersions(()) => Answer::SeveralVersions,
         origin_answer::Ambiguous(()) => Answer::Ambiguous,
         origin_answer::Recorded(origin) => Answer::Recorded(read_origin(origin?)?),
     };
--- a/crates/samphiredoor-gateway/src/peers/stream_origins.rs
+++ b/crates/samphiredoor-gateway/src/peers/stream_origins.rs
@@ -35,6 +35,10 @@
 const ASK_AGAIN_MS: u64 = 40;
 /// Time after which a lookup ends without further answers.
 const LOOKUP_TIMEOUT_MS: u64 = 120;
+/// Delay of the end of a lookup from which this process counts as paused, and the time in which it then reads the answers that
+/// have arrived: an older list of targets is contradicted by them.
+const PAUSED_FROM_MS: u64 = 20;
+const LATE_READ_MS: u64 = 50;
 /// Longest wait for the versions that earlier processes have recorded, and how often a request checks whether another one has
 /// read them. The store answers within some milliseconds.
 const PAST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -56,6 +60,8 @@
     },
     Find {
         question: OriginQuestion,
+        /// What this process knows, if it is not to look for a record.
+        own: Option<Answer>,
         reply: flume::Sender<Found>,
     },
     /// Service and origin of each listed target.
@@ -144,26 +150,46 @@
     pub async fn find(&self, first_attempt: &str, service: &str, timeout_ms: u64) -> Found {
         // Without them, the other gateways may still have a record of the stream.
         let _ = self.learn_past(history_ms(timeout_ms)).await;
+        self.ask(first_attempt, service, timeout_ms, None).await
+    }
+
+    /// `own` is what this process knows, if it is not to look for a record.
+    async fn ask(
+        &self,
+        attempt: &str,
+        service: &str,
+        timeout_ms: u64,
+        own: Option<Answer>,
+    ) -> Found {
         let (reply, found) = flume::bounded(1);
         let question = OriginQuestion {
-            stream: name_hash(first_attempt),
+            stream: name_hash(attempt),
             service: name_hash(service),
             within_ms: u32::try_from(history_ms(timeout_ms)).unwrap_or(u32::MAX),
         };
-        self.send(Message::Find { question, reply });
+        self.send(Message::Find { question, own, reply });
         // The task runs until the process ends, and answers each lookup.
         found.recv_async().await.unwrap_or(Found::Unknown)
     }
 
-    /// The only version that targets of a service have, as far as is known, for as long as streams of a route with this
-    /// timeout may have lasted. `None` too if this process has started since, and does not find out what was before.
-    pub async fn only_known_version(&self, service: &str, timeout_ms: u64) -> Option<Name> {
+    /// Finds out at which version a stream was begun whose first attempt is not named: at the only one that targets of the
+    /// service have had, as far as is known, for as long as streams of a route with this timeout may have lasted. Unknown too if
+    /// this process has started since, and does not find out what was before. Other gateways are asked, as this one may have
+    /// missed the latest changes; `attempt` tells which.
+    pub async fn find_unnamed(&self, attempt: &str, service: &str, timeout_ms: u64) -> Found {
         let within_ms = history_ms(timeout_ms);
         if !self.learn_past(within_ms).await {
-            return None;
+            return Found::Unknown;
+        }
+        let now_ms = self.clock.now().mono_ms;
+        let only = self.history.borrow().only_known(now_ms, name_hash(service), within_ms).cloned();
+        match only {
+            Some(version) => {
+                let own = Some(Answer::NoRecord(Some(version)));
+                self.ask(attempt, service, timeout_ms, own).await
+            }
+            None => Found::Unknown,
         }
-        let (now_ms, history) = (self.clock.now().mono_ms, self.history.borrow());
-        history.only_known(now_ms, name_hash(service), within_ms).cloned()
     }
 
     /// Makes sure that the versions of the last `within_ms` are known also if this process has started since; `false` if what
@@ -256,6 +282,8 @@
     replies: Vec<flume::Sender<Found>>,
     ask_again_ms: Option<u64>,
     ends_ms: u64,
+    /// Whether its end was put off after a pause of this process.
+    reads_late: bool,
 }
 
 struct Running {
@@ -290,7 +318,7 @@
             Message::Begun { stream, record, within_ms } => {
                 self.begun(stream, record, within_ms).await;
             }
-            Message::Find { question, reply } => self.find(question, reply).await,
+            Message::Find { question, own, reply } => self.find(question, own, reply).await,
             Message::Listed(targets) => self.set_targets(targets).await,
             Message::Record(record) => self.hold(record),
             Message::Question(question, from) => {
@@ -370,19 +398,32 @@
                 Answer::Recorded(origin.clone())
             }
             Some(_) => Answer::Ambiguous,
-            // A gateway of an earlier version sends no time.
-            None => Answer::NoRecord(self.sole(service, u64::from(within_ms).max(MIN_HISTORY_MS))),
+            None => {
+                // A gateway of an earlier version sends no time.
+                let within_ms = u64::from(within_ms).max(MIN_HISTORY_MS);
+                let has_several =
+                    self.history.borrow().has_several(self.now_ms(), service, within_ms);
+                match has_several {
+                    true => Answer::SeveralVersions,
+                    false => Answer::NoRecord(self.sole(service, within_ms)),
+                }
+            }
         }
     }
 
-    async fn find(&mut self, question: OriginQuestion, reply: flume::Sender<Found>) {
+    async fn find(
+        &mut self,
+        question: OriginQuestion,
+        own: Option<Answer>,
+        reply: flume::Sender<Found>,
+    ) {
         let stream = question.stream;
         if let Some(waiting) = self.lookups.get_mut(&stream) {
             waiting.replies.push(reply);
             return;
         }
         let asked = self.holder_addresses(stream, HOLDERS + 1);
-        let own = self.own_answer(question);
+        let own = own.unwrap_or_else(|| self.own_answer(question));
         match Lookup::new(asked.iter().map(|(key, _)| *key).collect(), own) {
             Err(found) => _ = reply.send(found),
             Ok(lookup) => {
@@ -393,6 +434,7 @@
                     replies: vec![reply],
                     ask_again_ms: Some(now_ms + ASK_AGAIN_MS),
                     ends_ms: now_ms + LOOKUP_TIMEOUT_MS,
+                    reads_late: false,
                 };
                 self.lookups.insert(stream, waiting);
                 self.ask(question, asked.into_iter().map(|(_, it)| it).collect()).await;
@@ -424,7 +466,10 @@
         let mut ended = Vec::new();
         let mut asked_again = Vec::new();
         for (stream, waiting) in &mut self.lookups {
-            if now_ms >= waiting.ends_ms {
+            let was_paused = now_ms >= waiting.ends_ms + PAUSED_FROM_MS;
+            if was_paused && !std::mem::replace(&mut waiting.reads_late, true) {
+                waiting.ends_ms = now_ms + LATE_READ_MS;
+            } else if now_ms >= waiting.ends_ms {
                 ended.push((*stream, waiting.lookup.conclude()));
             } else if waiting.ask_again_ms.take_if(|it| now_ms >= *it).is_some() {
                 asked_again.push((waiting.question, waiting.lookup.waiting().to_vec()));
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -151,12 +151,14 @@
   # Hash of the gateway's name.
   union {
     noRecord @2 :Void;
-    # It has no record of it.
+    # It has no record of it, and does not know of all versions in that time.
     soleVersion @3 :Text;
     # It has no record of it, and all targets of the service have been of this version for as long.
     ambiguous @4 :Void;
     # It is uncertain which version has begun it.
     recorded @5 :StreamOrigin;
+    severalVersions @6 :Void;
+    # It has no record of it, and targets of the service have been of several versions in that time.
   }
 }
 
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -3,9 +3,11 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, thread, time::Duration};
 
+use hyper::Method;
 use samphiredoor_standin::{
-    fleet::{EVENTS, route, stream_after},
-    http::Answer,
+    fleet::{EVENTS, HOST, route, stream_after},
+    http::{Answer, call},
+    platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
     soak,
 };
@@ -497,3 +499,95 @@
     }
     assert!(new.runs().is_empty(), "nothing ran at the version that is left");
 }
+
+/// Gateways of the tests of one that is out of step, which is the last of them.
+const IN_STEP: usize = 3;
+/// Timeout of the routes.
+const TIMEOUT_MS: u64 = 5_000;
+/// Age of a gateway from which it takes the versions that it has seen for all that its streams may be of.
+const GROWN_UP: Duration = Duration::from_secs(22);
+
+/// What keeps a gateway from learning of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OutOfStep {
+    /// It gets no processor time until streams are taken up.
+    Stopped,
+    /// The store answers none of its calls.
+    CutOff,
+    /// The same until streams are taken up.
+    CutOffBefore,
+}
+
+/// Plays a release that one of four gateways misses: streams that began at the new version break off at the others, and are taken up
+/// there. None may go on at the old version.
+fn missed_release(how: OutOfStep) {
+    let mut platform = Platform::new(BINARY);
+    platform.put_limits(2, 1, 15_000, TIMEOUT_MS);
+    let old: Vec<_> =
+        (0..2).map(|it| platform.start_target_at("v1", &format!("old-{it}"), FAST)).collect();
+    (0..=IN_STEP).for_each(|_| _ = platform.start_gateway());
+    wait_for_peers(&platform, IN_STEP + 1);
+    thread::sleep(GROWN_UP);
+    match how {
+        OutOfStep::Stopped => platform.signal(IN_STEP, "STOP"),
+        _ => platform.set_store_path_fault(IN_STEP, StoreFault::Silent),
+    }
+    let new: Vec<_> =
+        (0..4).map(|it| platform.start_target_at("v2", &format!("new-{it}"), FAST)).collect();
+    (0..IN_STEP).for_each(|it| platform.wait_logged(it, "target=new-3"));
+    fail_each_run(&new, TargetFault::CutAfter(2));
+    let begun: Vec<String> = (0..4 * STREAMS)
+        .map(|number| (format!("first-{number}"), number % IN_STEP))
+        .filter(|(id, gateway)| platform.send(*gateway, RESUMABLE, id, "").status == 0)
+        .map(|(id, _)| id)
+        .collect();
+    assert!(begun.len() >= STREAMS, "{} streams began at the new version", begun.len());
+    fail_each_run(&new, TargetFault::None);
+    match how {
+        OutOfStep::Stopped => platform.signal(IN_STEP, "CONT"),
+        OutOfStep::CutOffBefore => platform.set_store_path_fault(IN_STEP, StoreFault::None),
+        OutOfStep::CutOff => {}
+    }
+    let callers = platform.callers(IN_STEP);
+    let taken_up: Vec<_> = begun
+        .iter()
+        .flat_map(|first| [false, true].map(|it| (first, it)))
+        .map(|(first, is_named)| {
+            let (id, first) = (format!("again-{is_named}-{first}"), first.clone());
+            thread::spawn(move || take_up_at(callers, &id, &first, is_named))
+        })
+        .collect();
+    taken_up.into_iter().for_each(|it| _ = it.join());
+    let ids: BTreeSet<String> = old
+        .iter()
+        .flat_map(PlatformTarget::runs)
+        .filter(|it| it.after.is_some())
+        .map(|it| it.id)
+        .collect();
+    assert!(ids.is_empty(), "went on at the old version: {ids:?}");
+}
+
+fn take_up_at(gateway: SocketAddr, id: &str, first: &str, is_named: bool) {
+    let headers =
+        [("host", HOST), ("x-request-id", id), ("last-event-id", "2"), ("resumes", first)];
+    let headers = if is_named { &headers[..] } else { &headers[..3] };
+    call(Method::POST, gateway, RESUMABLE, headers, "");
+}
+
+macro_rules! missed_releases {
+    ($($name:ident: $how:expr;)*) => {
+        $(
+            /// Guards against streams that go on at another version at a gateway that was out of step while that version joined.
+            #[test]
+            fn $name() {
+                missed_release($how);
+            }
+        )*
+    };
+}
+
+missed_releases! {
+    a_gateway_that_stood_still_joins_no_streams_of_two_versions: OutOfStep::Stopped;
+    a_gateway_without_the_store_joins_no_streams_of_two_versions: OutOfStep::CutOff;
+    a_gateway_that_was_without_the_store_joins_no_streams_of_two_versions: OutOfStep::CutOffBefore;
+}
