--- a/crates/samphiredoor/tests/it/platform/discovery.rs
+++ b/crates/samphiredoor/tests/it/platform/discovery.rs
@@ -99,6 +99,27 @@
     }
 }
 
+// Guards against processes that end, or stop following the list, because of entries with numbers that they add up.
+#[test]
+fn entries_with_huge_numbers_are_ignored() {
+    let mut platform = Platform::new(BINARY);
+    platform.start_gateway();
+    for number in 0..3 {
+        let entry = json!({
+            "service": "reader", "addr": "127.0.0.1:1", "zone": "brisbane-north", "slots": u32::MAX,
+            "state": "ready", "born": u64::MAX, "seq": u64::MAX, "coldLeftMs": u64::MAX,
+        });
+        platform.store.put("servers", &format!("foreign-{number}"), entry);
+    }
+    platform.start_target("t-1", FAST);
+    platform.wait_logged(0, "target=t-1");
+    for number in 0..10 {
+        assert_eq!(platform.send(0, "/unsafe/book", &format!("id-{number}"), "").status, 200);
+    }
+    assert_eq!(platform.submit_many(0, "job", 5).status, 202);
+    platform.all_results(0, "job", 5);
+}
+
 // Guards against lists of which only the first page is read, as its last name has characters that a path has not.
 #[test]
 fn targets_after_an_odd_name_at_the_end_of_a_page_are_found() {
