serve: a list with odd objects is read

What callers saw: operators got 503 ("the store is not reachable"), and takeovers did not see their jobs, while one object of another writer without spec, with an odd version or with labels that are no text stood in a list, or bytes that are no UTF-8 anywhere in it.

Cause: a list was parsed as a whole, where the platform's client parses each object on its own since it met such entries.

Change: objects of a list are parsed one by one, and odd ones are ignored with a log line; bytes that are no text are replaced first, also in events of a watch.

Evidence: a_list_with_odd_objects_is_read was red at the first of five objects (503), green now; 68 tests of operators, endless answers and the whole path are green.

--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -69,10 +69,11 @@
     next: String,
 }
 
+// Each object is parsed on its own, so that an odd one of another writer does not hide the others.
 #[derive(Deserialize)]
 struct List {
     metadata: ListMetadata,
-    items: Vec<Object>,
+    items: Vec<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
@@ -135,7 +136,7 @@
 }
 
 fn watch_event(line: &[u8]) -> Option<WatchEvent> {
-    match serde_json::from_slice::<Event>(line) {
+    match serde_json::from_str::<Event>(&String::from_utf8_lossy(line)) {
         Ok(event) if event.kind == "DELETED" => {
             Some(WatchEvent::Deleted(event.object.metadata.name.into()))
         }
@@ -290,16 +291,27 @@
 }
 
 fn success(body: &[u8]) -> Option<StoreAnswer> {
-    if let Ok(object) = serde_json::from_slice::<Object>(body) {
+    // Other writers may have stored bytes that are no UTF-8.
+    let body = String::from_utf8_lossy(body);
+    if let Ok(object) = serde_json::from_str::<Object>(&body) {
         return stored(object).map(StoreAnswer::Object);
     }
-    let list = serde_json::from_slice::<List>(body).ok()?;
-    let items = list.items.into_iter().map(stored).collect::<Option<Vec<Stored>>>()?;
+    let list = serde_json::from_str::<List>(&body).ok()?;
+    let items = list.items.iter().filter_map(|it| listed(it)).collect();
     let next = (!list.metadata.next.is_empty()).then(|| Arc::from(list.metadata.next));
     let version = Version(list.metadata.resource_version.parse().ok()?);
     Some(StoreAnswer::Page { items, next, version })
 }
 
+fn listed(raw: &RawValue) -> Option<Stored> {
+    let object = serde_json::from_str::<Object>(raw.get());
+    let stored = object.ok().and_then(stored);
+    if stored.is_none() {
+        log::warn!("store: odd object in a list ignored");
+    }
+    stored
+}
+
 fn stored(object: Object) -> Option<Stored> {
     Some(Stored {
         name: object.metadata.name.into(),
--- a/crates/samphiredoor/tests/it/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/endless_answers.rs
@@ -246,6 +246,29 @@
     assert_eq!(asking.join().expect("an answer").status, 503);
 }
 
+/// Objects of other writers, of which none is a job.
+const ODD_OBJECTS: [&str; 5] = [
+    "null",
+    "{\"metadata\":{\"name\":\"a\",\"resourceVersion\":\"3\"}}",
+    "{\"metadata\":{\"name\":\"b\",\"resourceVersion\":\"1e99\"},\"spec\":{}}",
+    "{\"metadata\":{\"name\":\"c\",\"labels\":{\"a\":7}},\"spec\":{}}",
+    "{\"metadata\":{\"name\":[[[[[[[[]]]]]]]]},\"spec\":{}}",
+];
+
+/// Guards against a list that fails as a whole because of an object in it that another writer left.
+#[test]
+fn a_list_with_odd_objects_is_read() {
+    for odd in ODD_OBJECTS {
+        let body = format!("{{\"metadata\":{{\"resourceVersion\":\"1\"}},\"items\":[{odd}]}}");
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        let answer = answer.leak();
+        let reply = StoreReply { to: "/jobs?limit=", answer, repeated: String::new() };
+        let (mut env, _) = gateway_at(reply);
+        let asked = post(env.door(0).operators, "/statement", &[], "jobs");
+        assert_eq!(asked.status, 200, "{odd}: {}", asked.text);
+    }
+}
+
 macro_rules! links {
     ($($name:ident: $byte:expr;)*) => {
         $(
