What is quarantined is told again every few seconds

Cause, by reading: a verdict went to all gateways twice, within half a second, and after that to gateways that were new or had been silent for 2.5 s. One that lost these two datagrams, in a shorter cut or one of its incoming direction alone, never learned of the quarantine: it sent the request to as many targets as its route allows, which counts against the three retries of all. Class: a bound that is told once.

Change: coordinators tell all others again every 3 s, or less often in larger fleets so that this takes a kilobyte a second at most.

Evidence: a_quarantine_is_told_again_in_time_and_within_the_traffic_allowed checks the interval. The loss itself was not played: the tests have no way to lose datagrams between gateways.

--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -57,6 +57,12 @@
 const SUSPICION_MS: u64 = 60_000;
 /// Time since its last crash for which a suspect is quarantined. After that it may crash some more targets.
 pub const QUARANTINE_MS: u64 = 600_000;
+/// Shortest interval at which verdicts are repeated: gateways in touch have to know them within four seconds.
+const REPEAT_INTERVAL_MS: u64 = 3_000;
+/// Bytes a second that a coordinator sends for that at most, of the three thousand for all control traffic.
+const REPEAT_BYTES_PER_S: u64 = 1_000;
+/// Size of a verdict with the headers of its datagram.
+const VERDICT_BYTES: u64 = 100;
 /// Most suspects that are remembered; those with the fewest crashes are dropped first, of these the oldest.
 const MAX_SUSPECTS: usize = 1_000;
 
@@ -140,7 +146,8 @@
     pub suspect: Suspect,
     /// Number of targets that it has crashed: 0 if it is cleared, 2 if it is suspected, more if it is quarantined.
     pub crashes: u32,
-    /// Time since this was judged.
+    /// Time since this was judged. Of a new quarantine, time since the request was sent that crashed the last target by which it
+    /// became known.
     pub age_ms: u32,
     /// Trials of it, if it is quarantined.
     pub trials: Trials,
@@ -153,6 +160,13 @@
     }
 }
 
+/// Interval at which a coordinator tells all others again what is quarantined. Verdicts may be lost on their way, also while the
+/// other direction works, and a gateway that missed one sends the request to as many targets as its route allows.
+pub fn repeat_interval_ms(suspects: usize, gateways: usize) -> u64 {
+    let bytes = suspects as u64 * gateways as u64 * VERDICT_BYTES;
+    REPEAT_INTERVAL_MS.max(bytes * 1_000 / REPEAT_BYTES_PER_S)
+}
+
 /// How long a suspect with this number of crashes is remembered.
 fn remembered_ms(crashes: u32) -> u64 {
     if crashes >= QUARANTINE_CRASHES { QUARANTINE_MS } else { SUSPICION_MS }
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -8,7 +8,7 @@
 };
 use samphiredoor_core::crash_reports::{
     AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, Parts,
-    SETTLE_MS, Suspect, TrialOutcome, Trials,
+    SETTLE_MS, Suspect, TrialOutcome, Trials, repeat_interval_ms,
 };
 
 const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
@@ -568,6 +568,20 @@
     assert!(cleared.is_quarantined(3_000, request(REQUEST)), "what is judged later counts");
 }
 
+// Guards against a gateway that was cut off when a request was quarantined, and never learns of it; and against control traffic
+// that grows with the fleet.
+#[test]
+fn a_quarantine_is_told_again_in_time_and_within_the_traffic_allowed() {
+    for (suspects, gateways) in [(1, 2), (1, 8), (3, 8), (1, 29)] {
+        assert!(repeat_interval_ms(suspects, gateways) < 4_000, "{suspects}, {gateways}");
+    }
+    for (suspects, gateways) in [(1, 48), (10, 299), (1_000, 919)] {
+        let interval_ms = repeat_interval_ms(suspects, gateways);
+        let bytes = (suspects * gateways * 100) as u64;
+        assert!(bytes * 1_000 / interval_ms <= 1_000, "{suspects}, {gateways}");
+    }
+}
+
 // Guards against a pause that grows although targets rejected the trials.
 #[test]
 fn a_trial_that_no_target_ran_is_granted_again_soon() {
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -16,7 +16,7 @@
 use samphiredoor_core::{
     crash_reports::{
         AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
-        QUARANTINE_MS, Suspect, SuspectKind,
+        QUARANTINE_MS, Suspect, SuspectKind, repeat_interval_ms,
     },
     placement::name_hash,
 };
@@ -164,6 +164,7 @@
             reported_to: BTreeMap::new(),
             told,
             tell_again_at,
+            repeat_at: tell_again_at,
             trials,
         };
         compio::runtime::spawn(running.run(inbox)).detach();
@@ -360,6 +361,8 @@
     /// Live gateways, by address and incarnation, that were told what is quarantined.
     told: BTreeSet<(SocketAddr, u64)>,
     tell_again_at: Instant,
+    /// When all are told again what is quarantined.
+    repeat_at: Instant,
     trials: TrialRequests,
 }
 
@@ -407,11 +410,17 @@
         let new: Vec<SocketAddr> = live.iter().filter(is_new).map(|(it, _)| *it).collect();
         let all: Vec<SocketAddr> = live.iter().map(|(it, _)| *it).collect();
         self.told = live;
-        let quarantined: Vec<CrashVerdict> =
+        let mut quarantined: Vec<CrashVerdict> =
             self.handle.known.borrow_mut().quarantined(self.now_ms()).collect();
-        for verdict in quarantined.into_iter().filter(|it| self.is_responsible(it.suspect)) {
+        quarantined.retain(|it| self.is_responsible(it.suspect));
+        let is_repeated = Instant::now() >= self.repeat_at;
+        if is_repeated {
+            let interval_ms = repeat_interval_ms(quarantined.len(), all.len());
+            self.repeat_at = Instant::now() + Duration::from_millis(interval_ms);
+        }
+        for verdict in quarantined {
             let is_recent = u128::from(verdict.age_ms) < TELL_AGAIN.as_millis();
-            let to = if is_recent { &all } else { &new };
+            let to = if is_recent || is_repeated { &all } else { &new };
             let bytes = Datagram::CrashVerdict(verdict).encode();
             send_to_all(&self.task.socket, bytes, to.clone()).await;
         }
