Trials: the early ones end four seconds after the crashing request was sent, and a late grant is given back

Change: after the early trials at 1 and 3 s there are two, at 19 and 39 s, in place of 11 and 23 s; one of three retries is left. The early ones are granted until 3.8 s after the request was sent that crashed the last target, whenever that was noticed, in place of a quarantine that counts as late 2.5 s after it. A trial that a slow coordinator grants after its question was given up is given back; else the pause after it would pass for nothing.

Evidence: trials_after_a_crash_that_was_noticed_late_stay_within_the_bound is green without late notice and with up to 3.5 s of it; 37 tests of repeats, trials, prompt parts and crashes by chance and the 49 of crash reports are green. Cost: sound content whose early trials are lost waits until 19 s, not 11 s.

--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -28,9 +28,6 @@
 const PART_BOUND_FROM: u32 = 5;
 /// Age of the crash after which a suspect may crash few more targets, from which its quarantine counts as late.
 const LATE_MS: u64 = 500;
-/// The same from when the request of that crash was sent: most run for less, and a gateway that is short of processor time
-/// notices a crash late.
-const LATE_AFTER_SEND_MS: u64 = 2_500;
 
 /// A request that was lost together with its target. Times are relative, as clocks of gateways differ.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -142,12 +139,15 @@
         let mut verdicts = self.lift_explained_parts(&causes);
         let sole = self.evidence.iter().filter(|(it, by)| self.is_sole_cause(it, by));
         causes.extend(sole.map(|(suspect, _)| *suspect));
+        let mut ages_ms = BTreeMap::new();
         for suspect in causes {
             let Some(evidence) = self.evidence.get_mut(&suspect) else { continue };
             if !evidence.is_quarantined() && evidence.is_confirmed(now_ms) {
-                let is_late = evidence.nth_loss(bounded_from(suspect.kind)).is_some_and(|it| {
-                    now_ms > it.at_ms + LATE_MS || now_ms > it.sent_at_ms + LATE_AFTER_SEND_MS
-                });
+                let bounding = evidence.nth_loss(bounded_from(suspect.kind));
+                let is_late = bounding.is_some_and(|it| now_ms > it.at_ms + LATE_MS);
+                // A gateway that is short of processor time notices a crash late.
+                let since_ms = bounding.map_or(now_ms, |it| it.sent_at_ms);
+                ages_ms.insert(suspect, now_ms.saturating_sub(since_ms) as u32);
                 evidence.quarantine = Some(Trials::of_new(is_late));
                 evidence.is_reported = true;
             }
@@ -162,7 +162,8 @@
             if crashes >= SUSPECTED_CRASHES && std::mem::take(&mut evidence.is_reported) {
                 evidence.suspected_at_ms.get_or_insert(now_ms);
                 let trials = evidence.quarantine.unwrap_or_default();
-                verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms: 0, trials });
+                let age_ms = ages_ms.get(suspect).copied().unwrap_or(0);
+                verdicts.push(CrashVerdict { suspect: *suspect, crashes, age_ms, trials });
             }
         }
         let settled = self.crashes.values().map(|it| it.reported_ms + SETTLE_MS);
--- a/crates/samphiredoor-core/src/crash_reports/trials.rs
+++ b/crates/samphiredoor-core/src/crash_reports/trials.rs
@@ -8,11 +8,11 @@
 /// new, and gateways may not know it yet. Of the others two begin within three minutes: what crashes targets may crash three
 /// more, and one is left for a request that is sent without being known as a trial. Each trial of it costs a target for some
 /// seconds.
-const PAUSES_MS: [u32; 5] = [1_000, 2_000, 8_000, 12_000, 200_000];
+const PAUSES_MS: [u32; 5] = [1_000, 2_000, 16_000, 20_000, 200_000];
 /// Number of trials that take place only while a quarantine is new.
 const NEW_TRIALS: u8 = 2;
-/// Time for which a quarantine is new.
-pub(super) const NEW_MS: u64 = 3_200;
+/// Time for which a quarantine is new, from when the request was sent that crashed the last target by which it became known.
+pub(super) const NEW_MS: u64 = 3_800;
 /// Pause before the first trial of a suspect that has crashed targets for long.
 const LATE_PAUSE_MS: u32 = 1_000;
 /// Pause after a trial that no target has run.
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -28,6 +28,9 @@
 /// Time for an answer: a coordinator in another region is 24 ms away.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// Most questions that were given up and may be answered yet. A trial that is granted by such an answer is given back.
+const MAX_GIVEN_UP: usize = 64;
+
 /// A question that the coordinator has not answered yet.
 struct PendingTrial {
     /// The quarantined suspects of the request.
@@ -49,6 +52,8 @@
     roster: Roster,
     /// Own questions that wait for answers, by id.
     pending: BTreeMap<u64, PendingTrial>,
+    /// Suspects of the last questions that were given up, by id.
+    given_up: BTreeMap<u64, Suspects>,
     last_id: u64,
 }
 
@@ -61,6 +66,7 @@
             socket: Rc::clone(&task.socket),
             roster: task.roster.clone(),
             pending: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             last_id: 0,
         }
     }
@@ -73,6 +79,10 @@
         for id in late {
             let Some(trial) = self.pending.remove(&id) else { continue };
             self.log_denied(&trial.suspects, trial.coordinator, "no answer");
+            self.given_up.insert(id, trial.suspects.clone());
+            if self.given_up.len() > MAX_GIVEN_UP {
+                self.given_up.pop_first();
+            }
             self.decide(trial.suspects, &trial.reply, TrialOutcome::Denied);
         }
     }
@@ -147,7 +157,13 @@
     /// Takes the answer of a coordinator to an own question. One that does not know of the quarantine is told of it; if that has
     /// ended, it says so in return.
     pub async fn answered(&mut self, answer: TrialAnswer) {
-        let Some(trial) = self.pending.remove(&answer.id) else { return };
+        let Some(trial) = self.pending.remove(&answer.id) else {
+            let given_up = self.given_up.remove(&answer.id);
+            if let Some(suspects) = given_up.filter(|_| answer.outcome == TrialOutcome::Granted) {
+                self.give_back(suspects).await;
+            }
+            return;
+        };
         let PendingTrial { suspects, reply, coordinator, .. } = trial;
         if answer.outcome != TrialOutcome::Unknown {
             return self.decide(suspects, &reply, answer.outcome);
