--- a/crates/samphiredoor-core/src/ordered/items.rs
+++ b/crates/samphiredoor-core/src/ordered/items.rs
@@ -52,12 +52,12 @@
     },
 }
 
-/// For how long the next run of an item is not preempted. It has no part in that once its target has answered.
+/// For how long the next run of an item is not preempted. After the answer of its target it may always be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PreemptionHold {
     /// It may be preempted at once.
     None,
-    /// A moment in which most targets answer.
+    /// For the time in which most targets answer.
     Moment,
     /// Until its target has answered.
     UntilAnswered,
--- a/crates/samphiredoor/src/store_client.rs
+++ b/crates/samphiredoor/src/store_client.rs
@@ -69,7 +69,7 @@
     next: String,
 }
 
-// Each object is parsed on its own, so that an odd one of another writer does not hide the others.
+// Each object is parsed on its own, so that an invalid one of another writer does not hide the others.
 #[derive(Deserialize)]
 struct List {
     metadata: ListMetadata,
@@ -307,7 +307,7 @@
     let object = serde_json::from_str::<Object>(raw.get());
     let stored = object.ok().and_then(stored);
     if stored.is_none() {
-        log::warn!("store: odd object in a list ignored");
+        log::warn!("store: invalid object in a list ignored");
     }
     stored
 }
