--- a/crates/samphiredoor-standin/src/fleet.rs
+++ b/crates/samphiredoor-standin/src/fleet.rs
@@ -4,12 +4,12 @@
 use std::{
     collections::BTreeMap,
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU8, AtomicU32, Ordering},
     },
     thread,
     time::Duration,
@@ -104,6 +104,19 @@
 /// Lines of each process that are printed when a test fails.
 const LAST_LINES: usize = 150;
 
+/// Address for the metrics of a gateway that is about to start. Its IP address is used only once, as another test could
+/// otherwise listen at the free port before the gateway does.
+///
+/// # Panics
+///
+/// No port is free.
+pub fn metrics_address() -> SocketAddr {
+    static USED: AtomicU8 = AtomicU8::new(0);
+    let number = USED.fetch_add(1, Ordering::Relaxed);
+    let free = TcpListener::bind((Ipv4Addr::new(127, 0, 1, number), 0)).expect("a port");
+    free.local_addr().expect("an address")
+}
+
 /// Route of a kind under `/kind/`, or `/kind-resumable/` for resumable streams.
 pub fn route(kind: &str, attempts: u32, resumable: bool) -> Value {
     json!({
--- a/crates/samphiredoor/tests/clients/host.rs
+++ b/crates/samphiredoor/tests/clients/host.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use samphiredoor_standin::{fleet::Platform, platform_target::PlatformTarget};
+use samphiredoor_standin::{
+    fleet::{Platform, metrics_address},
+    platform_target::PlatformTarget,
+};
 
 /// The `samphiredoor` program.
 pub const BINARY: &str = env!("CARGO_BIN_EXE_samphiredoor");
@@ -67,7 +70,7 @@
     /// Starts a gateway on a platform that has routes.
     pub fn start_with(kind: HostKind, mut platform: Platform) -> Host {
         let turn = Turn::wait();
-        let metrics = free_address();
+        let metrics = metrics_address();
         platform.more_settings = format!("metrics.address = \"{metrics}\"\n{}", kind.settings());
         let targets: Vec<PlatformTarget> = (0..TARGETS)
             .map(|number| platform.start_target(&format!("t-{number}"), EVENT_PAUSE))
@@ -104,11 +107,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    free.local_addr().expect("an address")
-}
-
 /// Kills a process that uses more memory than allowed. Bytes that have arrived for it and are not read count.
 pub struct MemoryWatch {
     highest_bytes: Arc<AtomicU64>,
