Call what exists in place of writing it again

- Cleared suspects are limited by limit_len, which limits the others.
- A coordinator that does not know of a quarantine is told by the message that corrects any gateway that knows less; verdicts go to all others by one function.
- Submissions and takeovers start the task of a job by JobTask::start; they differed in the log, the items and one metric, which stay with them.

--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{
-    CrashVerdict, MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS, Suspect, TrialOutcome, Trials,
-    limit_len, remembered_ms, trials::NEW_MS,
+    CrashVerdict, QUARANTINE_CRASHES, QUARANTINE_MS, Suspect, TrialOutcome, Trials, limit_len,
+    remembered_ms, trials::NEW_MS,
 };
 
 #[derive(Debug, Clone, Copy)]
@@ -188,11 +188,7 @@
     fn clear(&mut self, now_ms: u64, suspect: Suspect) {
         self.suspects.remove(&suspect);
         self.cleared_at_ms.insert(suspect, now_ms);
-        while self.cleared_at_ms.len() > MAX_SUSPECTS {
-            let oldest = self.cleared_at_ms.iter().min_by_key(|(_, it)| **it);
-            let Some(oldest) = oldest.map(|(suspect, _)| *suspect) else { return };
-            self.cleared_at_ms.remove(&oldest);
-        }
+        limit_len(&mut self.cleared_at_ms, |it| (0, *it));
     }
 
     fn forget(&mut self, now_ms: u64) {
--- a/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
+++ b/crates/samphiredoor-gateway/src/jobs/job_task/mod.rs
@@ -198,8 +198,25 @@
 }
 
 impl JobTask {
+    /// Starts the task of a job that this process owns, and announces that; `false` if the job has a task here already.
+    pub fn start(
+        env: &Rc<JobEnv>,
+        directory: &Directory,
+        ownership: JobOwnership,
+        items: Items,
+        log: ResultLog,
+        memory: HeldMemory,
+    ) -> bool {
+        let Some((messages, inbox)) = directory.open(&ownership.job) else { return false };
+        env.announce_ownership(&ownership.job, ownership.header.items);
+        let log = log.with_writer(env.owner());
+        let task = JobTask::new(Rc::clone(env), ownership, items, log, messages);
+        compio::runtime::spawn(task.with_memory(memory).run(inbox, directory.clone())).detach();
+        true
+    }
+
     /// Creates the task of a job; `messages` sends to its own inbox.
-    pub fn new(
+    fn new(
         env: Rc<JobEnv>,
         ownership: JobOwnership,
         items: Items,
@@ -253,12 +270,12 @@
     }
 
     /// Holds the memory of the items until none is run any more.
-    pub fn with_memory(self, memory: HeldMemory) -> JobTask {
+    fn with_memory(self, memory: HeldMemory) -> JobTask {
         JobTask { memory: Some(memory), ..self }
     }
 
     /// Runs the task until the job is finished and no longer retained, handed over, or owned by another process.
-    pub async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
+    async fn run(mut self, inbox: flume::Receiver<JobMessage>, directory: Directory) {
         self.advance();
         while self.phase != Phase::Done {
             let left = self.next_wakeup().saturating_duration_since(Instant::now());
--- a/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
+++ b/crates/samphiredoor-gateway/src/jobs/orphan_scan.rs
@@ -29,7 +29,6 @@
     stored::{ReadError, StoredJobs},
 };
 use crate::{
-    buffers::HeldMemory,
     lists::list_all,
     peers::{Liveness, PresenceCheck, registered_address},
     platform_api::Freshness,
@@ -244,7 +243,9 @@
     };
     let owned = take_over(env, job, header, version, items.is_none()).await;
     if let (Some(owned), Some((items, memory))) = (owned, items) {
-        start(env, directory, owned, items, memory);
+        let log = ResultLog::unread(JobName::clone(&owned.job));
+        let items = Items::new(items, owned.header.attempts).with_former_owner();
+        JobTask::start(env, directory, owned, items, log, memory);
     }
 }
 
@@ -278,21 +279,6 @@
     Some(JobOwnership { job, header, version, gap_count, written_after, is_new: false })
 }
 
-fn start(
-    env: &Rc<JobEnv>,
-    directory: &Directory,
-    owned: JobOwnership,
-    items: Vec<Item>,
-    memory: HeldMemory,
-) {
-    let Some((messages, inbox)) = directory.open(&owned.job) else { return };
-    env.announce_ownership(&owned.job, owned.header.items);
-    let log = ResultLog::unread(JobName::clone(&owned.job)).with_writer(env.owner());
-    let items = Items::new(items, owned.header.attempts).with_former_owner();
-    let task = JobTask::new(Rc::clone(env), owned, items, log, messages).with_memory(memory);
-    compio::runtime::spawn(task.run(inbox, directory.clone())).detach();
-}
-
 /// Offers a job that was handed over to the nearest live processes, until one of three answers.
 pub async fn offer(env: Rc<JobEnv>, job: JobName) {
     for address in env.roster.takeover_candidates().into_iter().take(3) {
--- a/crates/samphiredoor-gateway/src/jobs/submit.rs
+++ b/crates/samphiredoor-gateway/src/jobs/submit.rs
@@ -252,7 +252,11 @@
                 let is_new = began.elapsed() < FORWARD_DELAY;
                 let written_after = began;
                 let owned = JobOwnership { job, header, version, gap_count, written_after, is_new };
-                start(&env, &directory, owned, items, memory);
+                let log = ResultLog::new(JobName::clone(&owned.job));
+                let items = Items::new(items, owned.header.attempts);
+                if JobTask::start(&env, &directory, owned, items, log, memory) {
+                    env.metrics.job_event("accepted");
+                }
                 SubmissionOutcome::Accepted
             }
             Acceptance::Earlier(found) if found.digest == header.digest => {
@@ -359,23 +363,6 @@
     })
 }
 
-fn start(
-    env: &Rc<JobEnv>,
-    directory: &Directory,
-    owned: JobOwnership,
-    items: Vec<Item>,
-    memory: HeldMemory,
-) {
-    let Some((messages, inbox)) = directory.open(&owned.job) else { return };
-    env.metrics.job_event("accepted");
-    env.announce_ownership(&owned.job, owned.header.items);
-    let log = ResultLog::new(JobName::clone(&owned.job)).with_writer(env.owner());
-    let items = Items::new(items, owned.header.attempts);
-    let task = JobTask::new(Rc::clone(env), owned, items, log, messages).with_memory(memory);
-    let directory = directory.clone();
-    compio::runtime::spawn(task.run(inbox, directory)).detach();
-}
-
 /// Time from now until a wall-clock time; zero if that has passed.
 pub fn duration_until(env: &JobEnv, unix_ms: u64) -> Duration {
     Duration::from_millis(unix_ms.saturating_sub(env.clock.now().unix_ms))
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -562,11 +562,6 @@
         self.coordinator.report(self.now_ms(), report);
     }
 
-    async fn tell_others(&self, verdict: CrashVerdict) {
-        let bytes = Datagram::CrashVerdict(verdict).encode();
-        send_to_all(&self.task.socket, bytes, self.task.roster.live_addresses()).await;
-    }
-
     async fn tell_all(&self, verdict: CrashVerdict) {
         log::info!(
             kind = verdict.suspect.kind.label(), fingerprint:% = Hex(verdict.suspect.hash),
@@ -576,7 +571,7 @@
         self.handle.told(verdict);
         // Its trials may have gone on since it was judged.
         let known = self.handle.known.borrow().verdict(self.now_ms(), verdict.suspect);
-        self.tell_others(known.unwrap_or(verdict)).await;
+        self.trials.tell_others(known.unwrap_or(verdict)).await;
     }
 }
 
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -20,6 +20,7 @@
 use super::{
     CrashReports, CrashReportsTask, Hex, Roster,
     crash_messages::{Suspects, TrialAnswer, TrialPurpose, TrialQuestion},
+    crash_reports::Message,
     datagram::Datagram,
     listener::send_to_all,
     sent_run::Trial,
@@ -169,15 +170,13 @@
             return self.decide(suspects, &reply, answer.outcome);
         }
         self.log_denied(&suspects, coordinator, "coordinator does not know of the quarantine");
-        let known: Vec<CrashVerdict> = {
-            let (known, now_ms) = (self.reports.known.borrow(), self.reports.now_ms());
-            suspects.iter().filter_map(|it| known.verdict(now_ms, *it)).collect()
-        };
-        self.decide(suspects, &reply, TrialOutcome::Denied);
-        for verdict in known {
-            let bytes = Datagram::CrashVerdict(verdict).encode();
-            send_to_all(&self.socket, bytes, vec![coordinator]).await;
+        let now_ms = self.reports.now_ms();
+        for suspect in &suspects {
+            if let Some(verdict) = self.reports.known.borrow().verdict(now_ms, *suspect) {
+                self.reports.send(Message::Correct(verdict, coordinator));
+            }
         }
+        self.decide(suspects, &reply, TrialOutcome::Denied);
     }
 
     /// Decides on a trial. Returns what all gateways have to be told.
@@ -222,7 +221,8 @@
         }
     }
 
-    async fn tell_others(&self, verdict: CrashVerdict) {
+    /// Tells all other gateways what was judged or decided.
+    pub async fn tell_others(&self, verdict: CrashVerdict) {
         let bytes = Datagram::CrashVerdict(verdict).encode();
         send_to_all(&self.socket, bytes, self.roster.live_addresses()).await;
     }
--- a/crates/samphiredoor/tests/it/platform/software_versions.rs
+++ b/crates/samphiredoor/tests/it/platform/software_versions.rs
@@ -3,10 +3,9 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, thread, time::Duration};
 
-use hyper::Method;
 use samphiredoor_standin::{
-    fleet::{EVENTS, HOST, route, stream_after},
-    http::{Answer, call},
+    fleet::{EVENTS, route, stream_after},
+    http::Answer,
     platform_store::StoreFault,
     platform_target::{PlatformTarget, TargetFault},
     soak,
@@ -405,11 +404,11 @@
     wait_for_peers(platform, RESTARTED);
 }
 
-/// Takes a stream up at gateway 1 after its second event, with or without the id of its first attempt.
-fn take_up(platform: &Platform, first: &str, is_named: bool) -> Answer {
+/// Takes a stream up after its second event, with or without the id of its first attempt.
+fn take_up(platform: &Platform, gateway: usize, first: &str, is_named: bool) -> Answer {
     let headers = [("last-event-id", "2"), ("resumes", first)];
     let headers = if is_named { &headers[..] } else { &headers[..1] };
-    platform.send_with(1, RESUMABLE, &format!("again-{is_named}-{first}"), headers, "")
+    platform.send_with(gateway, RESUMABLE, &format!("again-{is_named}-{first}"), headers, "")
 }
 
 /// Platform with gateways that have recorded a version.
@@ -438,7 +437,7 @@
     restart_all(&mut platform);
     for is_named in [false, true] {
         for number in 0..STREAMS {
-            let answer = take_up(&platform, &format!("first-{number}"), is_named);
+            let answer = take_up(&platform, 1, &format!("first-{number}"), is_named);
             assert_eq!(answer.status, 503, "{number}: {}", answer.text);
             assert!(answer.text.contains("version_unknown"), "{}", answer.text);
         }
@@ -457,7 +456,7 @@
     (0..RESTARTED).for_each(|it| platform.restart_gateway(it));
     (0..RESTARTED).for_each(|it| platform.wait_ready(it));
     for number in 0..STREAMS {
-        let answer = take_up(&platform, &format!("first-{number}"), false);
+        let answer = take_up(&platform, 1, &format!("first-{number}"), false);
         assert_eq!(answer.status, 503, "{number}: {}", answer.text);
     }
     assert!(new.runs().is_empty(), "nothing ran at the version that is left");
@@ -471,7 +470,7 @@
     restart_all(&mut platform);
     for is_named in [false, true] {
         for number in 0..STREAMS {
-            let answer = take_up(&platform, &format!("first-{number}"), is_named);
+            let answer = take_up(&platform, 1, &format!("first-{number}"), is_named);
             assert_eq!((answer.status, answer.text), (200, stream_after("v1", 0, 2)), "{number}");
         }
     }
@@ -493,7 +492,7 @@
     restart_all(&mut platform);
     for is_named in [false, true] {
         for number in 0..STREAMS {
-            let answer = take_up(&platform, &format!("first-{number}"), is_named);
+            let answer = take_up(&platform, 1, &format!("first-{number}"), is_named);
             assert_eq!(answer.status, 503, "{number}: {}", answer.text);
         }
     }
@@ -548,16 +547,14 @@
         OutOfStep::CutOffBefore => platform.set_store_path_fault(IN_STEP, StoreFault::None),
         OutOfStep::CutOff => {}
     }
-    let callers = platform.callers(IN_STEP);
-    let taken_up: Vec<_> = begun
-        .iter()
-        .flat_map(|first| [false, true].map(|it| (first, it)))
-        .map(|(first, is_named)| {
-            let (id, first) = (format!("again-{is_named}-{first}"), first.clone());
-            thread::spawn(move || take_up_at(callers, &id, &first, is_named))
-        })
-        .collect();
-    taken_up.into_iter().for_each(|it| _ = it.join());
+    thread::scope(|scope| {
+        for first in &begun {
+            for is_named in [false, true] {
+                let platform = &platform;
+                scope.spawn(move || take_up(platform, IN_STEP, first, is_named));
+            }
+        }
+    });
     let ids: BTreeSet<String> = old
         .iter()
         .flat_map(PlatformTarget::runs)
@@ -567,13 +564,6 @@
     assert!(ids.is_empty(), "went on at the old version: {ids:?}");
 }
 
-fn take_up_at(gateway: SocketAddr, id: &str, first: &str, is_named: bool) {
-    let headers =
-        [("host", HOST), ("x-request-id", id), ("last-event-id", "2"), ("resumes", first)];
-    let headers = if is_named { &headers[..] } else { &headers[..3] };
-    call(Method::POST, gateway, RESUMABLE, headers, "");
-}
-
 macro_rules! missed_releases {
     ($($name:ident: $how:expr;)*) => {
         $(
