--- a/review/stand-2/src/crashing_item.rs
+++ b/review/stand-2/src/crashing_item.rs
@@ -1,11 +1,12 @@
 //! An item of a job crashes each replica that begins to run it. How often is it sent to replicas later than `stableMs` after its
 //! third crash?
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::{
     Verdict,
     fleet::{CRASHING_BODY, Fleet},
+    has_trouble,
     record::Record,
 };
 
@@ -19,7 +20,7 @@
 const WATCHED: Duration = Duration::from_secs(64);
 
 pub fn run(record: &Record) -> Verdict {
-    let mut fleet = Fleet::start(record);
+    let mut fleet = Fleet::start(record, has_trouble());
     fleet.pass(IN_TOUCH);
     let status = fleet.submit(0, "crashing", &["crashing-0".to_owned()], CRASHING_BODY);
     assert_eq!(status, 202, "the job is accepted");
@@ -29,7 +30,7 @@
 
 /// Counts the retries later than `stableMs` after the third crash and later than `since` after the start.
 pub fn judge(record: &Record, fleet: &Fleet<'_>, since: Duration) -> Verdict {
-    let start = std::time::Instant::now() - record.elapsed();
+    let start = Instant::now() - record.elapsed();
     let runs = fleet.crashing_runs();
     for (run, replica) in &runs {
         record.note_at(run.at, format!("request {} reaches {}", run.id, replica.name));
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -15,7 +15,7 @@
 };
 use serde_json::json;
 
-use crate::{has_trouble, record::Record};
+use crate::record::Record;
 
 pub const GATEWAYS: usize = 6;
 const STORAGE_HOSTS: usize = 3;
@@ -41,6 +41,8 @@
 pub struct Fleet<'a> {
     pub platform: Platform,
     record: &'a Record,
+    /// Whether [`CRASHING_BODY`] crashes the replicas that run it.
+    has_crashing_content: bool,
     _storage: Vec<ChildProcess>,
     /// All replicas that were ever started.
     replicas: Vec<PlatformTarget>,
@@ -54,7 +56,7 @@
 
 impl<'a> Fleet<'a> {
     /// Starts everything and waits until all gateways are ready and in touch.
-    pub fn start(record: &'a Record) -> Fleet<'a> {
+    pub fn start(record: &'a Record, has_crashing_content: bool) -> Fleet<'a> {
         let binary =
             env::var("SAMPHIREDOOR").unwrap_or_else(|_| "target/release/samphiredoor".into());
         let mut platform = Platform::new(binary);
@@ -67,6 +69,7 @@
         let mut fleet = Fleet {
             platform,
             record,
+            has_crashing_content,
             _storage: storage,
             replicas: Vec::new(),
             down: Vec::new(),
@@ -85,17 +88,12 @@
     fn start_replica(&mut self) {
         let name = format!("replica-{}", self.replicas.len());
         let replica = self.platform.start_target(&name, EVENT_PAUSE);
-        if has_trouble() || self.crashes_always() {
+        if self.has_crashing_content {
             replica.fail_always(CRASHING_BODY, TargetFault::Crashes);
         }
         self.replicas.push(replica);
     }
 
-    /// Whether content crashes replicas also without the disruption, as it is not the disruption of the case.
-    fn crashes_always(&self) -> bool {
-        env::args().nth(1).as_deref() == Some("killed-gateways")
-    }
-
     /// Lets time pass, in which sound work is sent and replicas come back.
     pub fn pass(&mut self, time: Duration) {
         let until = Instant::now() + time;
--- a/review/stand-2/src/killed_gateways.rs
+++ b/review/stand-2/src/killed_gateways.rs
@@ -20,7 +20,7 @@
 const DOWN: Duration = Duration::from_millis(660);
 
 pub fn run(record: &Record) -> Verdict {
-    let mut fleet = Fleet::start(record);
+    let mut fleet = Fleet::start(record, true);
     fleet.pass(IN_TOUCH);
     send(record, &mut fleet, 0..SENT_BEFORE);
     if has_trouble() {
