--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,3 +8,4 @@
 # Stand-ins of the third review: the standard library only.
 mkdir -p target/review-3
 rustc --edition 2024 -O -o target/review-3/late_answers review/stand-3/late_answers.rs
+rustc --edition 2024 -O -o target/review-3/lost_halves review/stand-3/lost_halves.rs
--- a/review/stand-3/platform.rs
+++ b/review/stand-3/platform.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     fs,
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -389,6 +389,12 @@
         if expected.is_some_and(|it| it != object.revision) {
             return (409, object.json(name));
         }
+        // "A PUT that changes nothing does not increase the revision and produces no event." For comparison, a store that gives
+        // each write a revision can be asked for.
+        let each_counts = std::env::var("EACH_WRITE_COUNTS").as_deref() == Ok("1");
+        if !each_counts && value == if is_status { &object.status } else { &object.spec } {
+            return (200, object.json(name));
+        }
         let written = state.write(kind, name, |it| match is_status {
             true => value.clone_into(&mut it.status),
             false => value.clone_into(&mut it.spec),
@@ -428,6 +434,8 @@
 pub struct Gateway {
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    file: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -438,8 +446,18 @@
     }
 }
 
+/// A free port for TCP and UDP, below those that the system gives to connections, so that a process that is started again finds it
+/// free. Plays beside each other begin at different ports.
 fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static TRIED: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + ((u64::from(std::process::id()) * 48 + tried) % 18_000) as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
+            return port;
+        }
+    }
 }
 
 impl Gateway {
@@ -459,17 +477,38 @@
              deployment_features = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\",\"platform\"]\n\
              memory_limit_bytes = 260000000\n\n[regions]\nquay-north = \"quay\"\n"
         );
-        let file: PathBuf = folder.join(format!("gateway-{number}.toml"));
+        let file = folder.join(format!("gateway-{number}.toml"));
+        let log = folder.join(format!("gateway-{number}.log"));
         fs::write(&file, settings)?;
-        let log = fs::File::create(folder.join(format!("gateway-{number}.log")))?;
-        let child = Command::new("target/release/samphiredoor")
+        let child = Gateway::spawn(&file, &log)?;
+        Ok(Gateway { callers, readiness, file, log, child })
+    }
+
+    fn spawn(file: &Path, log: &Path) -> io::Result<Child> {
+        let log = fs::File::options().create(true).append(true).open(log)?;
+        Command::new("target/release/samphiredoor")
             .arg("gateway")
-            .arg(&file)
+            .arg(file)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()?;
-        Ok(Gateway { callers, readiness, child })
+            .spawn()
+    }
+
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again at its addresses.
+    ///
+    /// # Errors
+    ///
+    /// The process doesn't start.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = Gateway::spawn(&self.file, &self.log)?;
+        Ok(())
     }
 
     /// Whether its readiness check succeeds within a time.
