--- a/review/stand-3/lost_halves.rs
+++ b/review/stand-3/lost_halves.rs
@@ -1,8 +1,9 @@
-//! Case: half of the gateways are lost, then the other half, then the first half once more, for good. Those that are left have to
-//! take over the jobs of those that are gone.
+//! Case: half of the gateways stand still for some seconds; later the same half is lost for good. Those that are left have to take
+//! over the jobs of those that are gone.
 //!
-//! `lost_halves FOLDER`: plays six gateways and nine replicas; writes FOLDER/record.txt. `TROUBLE=0` loses no gateway,
-//! `ONLY_LAST=1` only the last half. Exit: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+//! `lost_halves FOLDER`: plays six gateways and nine replicas; writes FOLDER/record.txt. `TROUBLE=0` leaves all gateways alone,
+//! `ONLY_LAST=1` stops none before the loss. `KILLS=1` has each half killed and back after some seconds instead, one after the other.
+//! Exit: 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
 mod platform;
 
@@ -167,6 +168,16 @@
     Ok(())
 }
 
+/// Stops a half of the gateways for a time, and waits until all know each other again.
+fn freeze(world: &World, gateways: &[Gateway], half: &[usize]) {
+    world.note(&format!("gateways {half:?} get SIGSTOP"));
+    half.iter().for_each(|it| gateways[*it].signal("STOP"));
+    thread::sleep(AWAY);
+    half.iter().for_each(|it| gateways[*it].signal("CONT"));
+    world.note(&format!("gateways {half:?} get SIGCONT"));
+    thread::sleep(SETTLED);
+}
+
 fn play(folder: &Path, temporary: &Path) -> Result<i32, String> {
     let is_set = |name: &str, value: &str| std::env::var(name).as_deref() == Ok(value);
     let (has_trouble, only_last) = (!is_set("TROUBLE", "0"), is_set("ONLY_LAST", "1"));
@@ -208,9 +219,13 @@
     }
     world.note("six gateways are ready");
     thread::sleep(SETTLED);
-    if has_trouble && !only_last {
-        lose(&world, &mut gateways, &[0, 1, 2])?;
-        lose(&world, &mut gateways, &[3, 4, 5])?;
+    match is_set("KILLS", "1") {
+        _ if !has_trouble || only_last => {}
+        true => {
+            lose(&world, &mut gateways, &[0, 1, 2])?;
+            lose(&world, &mut gateways, &[3, 4, 5])?;
+        }
+        false => freeze(&world, &gateways, &[0, 1, 2]),
     }
     let mut jobs = Vec::new();
     for job in 0..JOBS {
--- a/review/stand-3/platform.rs
+++ b/review/stand-3/platform.rs
@@ -501,6 +501,11 @@
         let _ = self.child.wait();
     }
 
+    /// Sends the process a signal by its name without `SIG`.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+    }
+
     /// Starts the process again at its addresses.
     ///
     /// # Errors
