Count the time without a crash before a part is blamed for crashes in a row

Cause: the chance of a suspect's crashes was taken from the time of its lost runs alone. A part that runs at half of the targets looked like one that seldom runs and is hit each time.

Fix: gateways remember the runs of the last ten seconds and tell the coordinators of a suspect for how long it ran at targets that did not crash. That counts like the time of lost runs, clears a part by a long run, and ends a quarantine that it explains. What crashes each target that runs it has no such time, so it is blamed as before.

Test, red before: items_that_share_a_part_are_not_held_during_crashes_in_a_row.

--- a/crates/samphiredoor-core/src/crash_reports/chance.rs
+++ b/crates/samphiredoor-core/src/crash_reports/chance.rs
@@ -2,7 +2,7 @@
 //!
 //! What crashes targets does so as it begins to run, and the time that it has run on targets in total is short. What is
 //! sound meets crashes in proportion to the time for which it runs: a target that crashes for another reason runs it with a
-//! probability of its share of the time of all targets. Crashes of the suspect itself are events under this hypothesis, as
+//! probability of its share of the time of all targets. The time in which it met no crash counts like that of its lost runs. Crashes of the suspect itself are events under this hypothesis, as
 //! all others are; they do not raise the share.
 
 use smallvec::SmallVec;
@@ -13,17 +13,31 @@
 /// Shortest run that is assumed; times of reports are no more precise than this.
 const MIN_RUN_MS: u32 = 20;
 
-/// When a suspect ran on targets that crashed.
+/// A time in which a suspect ran.
+#[derive(Debug, Clone, Copy)]
+struct Period {
+    began_ms: u64,
+    ended_ms: u64,
+    /// Mean number of targets at which it ran.
+    targets: f64,
+}
+
+/// When a suspect ran.
 #[derive(Debug, Default)]
 pub(super) struct Exposure {
-    /// Begin and end of each run.
-    runs: SmallVec<[(u64, u64); 4]>,
+    periods: SmallVec<[Period; 8]>,
 }
 
 impl Exposure {
     /// Adds a run that was lost at this time.
     pub fn add(&mut self, lost_at_ms: u64, ran_ms: u32) {
-        self.runs.push((lost_at_ms.saturating_sub(ran_ms.max(MIN_RUN_MS).into()), lost_at_ms));
+        let began_ms = lost_at_ms.saturating_sub(ran_ms.max(MIN_RUN_MS).into());
+        self.periods.push(Period { began_ms, ended_ms: lost_at_ms, targets: 1.0 });
+    }
+
+    /// Adds a time in which it ran at this many targets on average that did not crash.
+    pub fn add_survived(&mut self, began_ms: u64, ended_ms: u64, targets: f64) {
+        self.periods.push(Period { began_ms, ended_ms, targets });
     }
 
     /// Probability that at least `count` of the crashes of a service hit targets on which the suspect runs, by chance. It was
@@ -44,11 +58,13 @@
 
     /// Share of the time of all targets in which it ran.
     fn share(&self, (from_ms, until_ms): (u64, u64), targets: usize) -> f64 {
-        let within =
-            |(begin, end): &(u64, u64)| until_ms.min(*end).saturating_sub(from_ms.max(*begin));
-        let ran_ms: u64 = self.runs.iter().map(within).sum();
+        let within = |it: &Period| {
+            let ms = until_ms.min(it.ended_ms).saturating_sub(from_ms.max(it.began_ms));
+            ms as f64 * it.targets
+        };
+        let ran_ms: f64 = self.periods.iter().map(within).sum();
         let all_ms = (until_ms - from_ms).max(1) as f64 * targets.max(1) as f64;
-        (ran_ms as f64 / all_ms).min(1.0)
+        (ran_ms / all_ms).min(1.0)
     }
 }
 
--- a/crates/samphiredoor-core/src/crash_reports/coordinator.rs
+++ b/crates/samphiredoor-core/src/crash_reports/coordinator.rs
@@ -4,8 +4,8 @@
 
 use super::{
     CERTAIN_PART_CRASHES, Content, CrashVerdict, MAX_SUSPECTS, PART_MARGIN,
-    PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES, QuarantineRule, SUSPECTED_CRASHES, Suspect,
-    SuspectKind, Trials,
+    PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES, QuarantineRule, RunTime, SUSPECTED_CRASHES,
+    Suspect, SuspectKind, Trials,
     evidence::{CrashId, Evidence, Loss},
     limit_len, remembered_ms,
 };
@@ -180,8 +180,27 @@
         Some(CrashVerdict::cleared(suspect))
     }
 
+    /// Counts time for which a suspect ran without a crash. Returns what all gateways have to be told, if that ends its
+    /// suspicion or quarantine: a run shows that it is sound, or its crashes are no more than others meet that run as much.
+    pub fn survived(
+        &mut self,
+        now_ms: u64,
+        suspect: Suspect,
+        run_time: RunTime,
+    ) -> Option<CrashVerdict> {
+        if self.is_sound_after(suspect, run_time.longest_ms) {
+            return self.clear(suspect);
+        }
+        self.evidence.get_mut(&suspect)?.survived(now_ms, run_time);
+        let evidence = &self.evidence[&suspect];
+        let crashes = evidence.crashes.iter().copied().collect();
+        let is_lifted =
+            evidence.is_quarantined() && self.may_be_chance(suspect.service, evidence, &crashes);
+        if is_lifted { self.clear(suspect) } else { None }
+    }
+
     /// Whether a run that its target has survived for this time shows that a part is sound: what crashes targets would have
-    /// crashed this one long before. Trials by items of jobs are often preempted before their whole answers.
+    /// crashed this one long before. Items of jobs are often preempted before their whole answers.
     pub fn is_sound_after(&self, suspect: Suspect, ran_ms: u32) -> bool {
         let longest_ms = self.evidence.get(&suspect).map(Evidence::longest_run_ms);
         let needed_ms = longest_ms.map(|it| MIN_SURVIVED_MS.max(SURVIVED_FACTOR * it));
--- a/crates/samphiredoor-core/src/crash_reports/evidence.rs
+++ b/crates/samphiredoor-core/src/crash_reports/evidence.rs
@@ -1,14 +1,20 @@
 //! What speaks against one suspect: the crashes of targets under which it was lost.
 
+use std::collections::BTreeMap;
+
 use smallvec::SmallVec;
 
-use super::{Trials, chance::Exposure};
+use super::{RunTime, Trials, chance::Exposure};
 
 /// Crashes count for a suspect that was on several targets at once only if they are this far apart. The loss of a rack is
 /// one crash, which gateways notice within less.
 const SEPARATE_MS: u64 = 250;
 /// Most losses that are remembered of one suspect.
 const MAX_LOSSES: usize = 24;
+/// Time over which runs without a crash are added up.
+const SURVIVED_INTERVAL_MS: u64 = 1_000;
+/// Most such intervals that are remembered of one suspect.
+const MAX_SURVIVED_INTERVALS: usize = 60;
 
 /// Number of a crash, in the order of first reports.
 pub(super) type CrashId = u64;
@@ -29,6 +35,8 @@
 pub(super) struct Evidence {
     /// In the order of their times, which is not that of their reports.
     losses: SmallVec<[Loss; 4]>,
+    /// Time in milliseconds for which it ran without a crash, over all targets, by the number of the interval.
+    survived_ms: BTreeMap<u64, f64>,
     /// Crashes that count for it, in order.
     pub crashes: SmallVec<[CrashId; 4]>,
     pub last_at_ms: u64,
@@ -76,10 +84,30 @@
         self.losses.iter().any(|it| it.crash == crash)
     }
 
-    /// When it ran on targets that crashed, also in crashes that do not count.
+    /// Adds the time of the last seconds for which it ran without a crash.
+    pub fn survived(&mut self, now_ms: u64, run_time: RunTime) {
+        let period_ms = u64::from(run_time.period_ms.max(1));
+        let began_ms = now_ms.saturating_sub(period_ms);
+        for interval in began_ms / SURVIVED_INTERVAL_MS..=now_ms / SURVIVED_INTERVAL_MS {
+            let from_ms = began_ms.max(interval * SURVIVED_INTERVAL_MS);
+            let until_ms = now_ms.min((interval + 1) * SURVIVED_INTERVAL_MS);
+            let share = until_ms.saturating_sub(from_ms) as f64 / period_ms as f64;
+            *self.survived_ms.entry(interval).or_default() += share * f64::from(run_time.total_ms);
+        }
+        while self.survived_ms.len() > MAX_SURVIVED_INTERVALS {
+            self.survived_ms.pop_first();
+        }
+    }
+
+    /// When it ran on targets that crashed, also in crashes that do not count, and on those that did not.
     pub fn exposure(&self) -> Exposure {
         let mut exposure = Exposure::default();
         self.losses.iter().for_each(|it| exposure.add(it.at_ms, it.ran_ms));
+        for (interval, ms) in &self.survived_ms {
+            let began_ms = interval * SURVIVED_INTERVAL_MS;
+            let targets = ms / SURVIVED_INTERVAL_MS as f64;
+            exposure.add_survived(began_ms, began_ms + SURVIVED_INTERVAL_MS, targets);
+        }
         exposure
     }
 
--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -1,6 +1,6 @@
 //! The suspects, suspected and quarantined, that this process was told of.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use super::{
     CrashVerdict, QUARANTINE_CRASHES, QUARANTINE_MS, Suspect, TrialOutcome, Trials, limit_len,
@@ -72,6 +72,15 @@
         quarantined.map(move |(suspect, it)| it.verdict(now_ms, *suspect))
     }
 
+    /// The suspects with the most crashes, quarantined or not.
+    pub fn worst(&self, now_ms: u64, limit: usize) -> Vec<Suspect> {
+        let known =
+            self.suspects.keys().filter_map(|it| Some((self.get(now_ms, *it)?.crashes, it)));
+        let mut by_crashes: Vec<(u32, &Suspect)> = known.collect();
+        by_crashes.sort_unstable_by_key(|(crashes, _)| Reverse(*crashes));
+        by_crashes.into_iter().take(limit).map(|(_, it)| *it).collect()
+    }
+
     /// What is known of a suspect; `None` if it is neither suspected nor quarantined.
     pub fn verdict(&self, now_ms: u64, suspect: Suspect) -> Option<CrashVerdict> {
         self.get(now_ms, suspect).map(|it| it.verdict(now_ms, suspect))
--- a/crates/samphiredoor-core/src/crash_reports/mod.rs
+++ b/crates/samphiredoor-core/src/crash_reports/mod.rs
@@ -26,6 +26,7 @@
 mod evidence;
 mod known;
 mod rule;
+mod run_times;
 mod trials;
 
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
 pub use coordinator::{CrashCoordinator, CrashReport, SETTLE_MS};
 pub use known::KnownSuspects;
 pub use rule::QuarantineRule;
+pub use run_times::{RunId, RunSuspects, RunTime, RunTimes};
 pub use trials::{TrialOutcome, Trials};
 
 /// Crashes after which all gateways are told of a suspect.
--- a/crates/samphiredoor-core/tests/crash_reports.rs
+++ b/crates/samphiredoor-core/tests/crash_reports.rs
@@ -8,7 +8,7 @@
 };
 use samphiredoor_core::crash_reports::{
     AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects, Parts,
-    SETTLE_MS, Suspect, TrialOutcome, Trials, repeat_interval_ms,
+    RunTime, SETTLE_MS, Suspect, TrialOutcome, Trials, repeat_interval_ms,
 };
 
 const SEED: [u8; 32] = *b"samphiredoor-requests-that-crash";
@@ -164,6 +164,45 @@
     assert!(!coordinator.is_sound_after(request(1), 100_000));
 }
 
+/// Crashes two targets each second, one of them under a request with a part that runs at this many other targets all the time.
+/// Returns whether the part was quarantined.
+fn is_blamed_for_crashes_in_a_row(coordinator: &mut CrashCoordinator, other_targets: u32) -> bool {
+    let mut is_blamed = false;
+    for number in 1..=12 {
+        let now_ms = number * 1_000;
+        // Too short to show by itself that the part is sound.
+        let longest_ms = 500.min(other_targets * 500);
+        let run_time = RunTime { longest_ms, total_ms: other_targets * 1_000, period_ms: 1_000 };
+        coordinator.survived(now_ms, part(SOUND), run_time);
+        let report = CrashReport { ran_ms: 400, ..crash_with(number, &[SOUND], number) };
+        coordinator.report(now_ms, &report);
+        coordinator.report(now_ms, &crash(100 + number, 100 + number, 50));
+        let verdicts = coordinator.verdicts(now_ms + SETTLE_MS);
+        is_blamed |= verdicts.iter().any(|it| it.suspect == part(SOUND) && it.crashes >= CRASHES);
+    }
+    is_blamed
+}
+
+// Guards against a part that is blamed for crashes in a row because it runs at most targets; and against one that crashes each
+// target and is not blamed.
+#[test]
+fn the_time_without_a_crash_counts_for_a_part() {
+    assert!(!is_blamed_for_crashes_in_a_row(&mut coordinator(), TARGETS as u32 / 2));
+    assert!(is_blamed_for_crashes_in_a_row(&mut coordinator(), 0));
+}
+
+// Guards against a quarantine that outlasts the news of how long its part ran at targets that did not crash.
+#[test]
+fn a_quarantine_ends_when_the_time_without_a_crash_explains_it() {
+    let mut coordinator = coordinator();
+    assert!(is_blamed_for_crashes_in_a_row(&mut coordinator, 0));
+    let short = RunTime { longest_ms: 300, total_ms: 300, period_ms: 10_000 };
+    assert_eq!(coordinator.survived(12_200, part(SOUND), short), None);
+    let long = RunTime { longest_ms: 500, total_ms: 50_000, period_ms: 10_000 };
+    let told = coordinator.survived(12_200, part(SOUND), long);
+    assert_eq!(told, Some(CrashVerdict::cleared(part(SOUND))));
+}
+
 // Guards against a quarantine of sound content that lasts, as nothing of it is sent that could be answered; and against one
 // that ends without an answer.
 #[test]
--- a/crates/samphiredoor-gateway/src/front/online.rs
+++ b/crates/samphiredoor-gateway/src/front/online.rs
@@ -463,7 +463,7 @@
             let remaining = self.remaining();
             set_target_headers(&mut self.call, names, &target, remaining);
             let sent = Instant::now();
-            let run = self.front.crash_reports.sent(address, trial);
+            let run = self.front.crash_reports.sent(address, self.content().clone(), trial);
             let attempt = Attempt {
                 request: self,
                 target: &target,
@@ -648,7 +648,7 @@
         if !is_success || self.is_resumed {
             return self.note_run_end(run, AttemptEnd::Answered);
         }
-        run.ended(RunEnd::Sound, || self.content().clone());
+        run.ended(RunEnd::Sound);
         if self.front.crash_reports.answered(self.content()) {
             log::info!(
                 request = self.id, fingerprint:% = Hex(self.fingerprint());
@@ -659,7 +659,7 @@
 
     /// Notes the end of a run without a whole answer that shows that the request is sound.
     pub(super) fn note_run_end(&self, run: SentRun, end: AttemptEnd) {
-        run.ended(RunEnd::Other(end), || self.content().clone());
+        run.ended(RunEnd::Other(end));
     }
 
     /// Notes the end of an attempt without a whole answer, and the slot that is held for the next one if the target was silent.
--- a/crates/samphiredoor-gateway/src/jobs/item_run.rs
+++ b/crates/samphiredoor-gateway/src/jobs/item_run.rs
@@ -325,7 +325,7 @@
         self.begin_or_go_on(&target, origin, goes_on);
         let until = Instant::now() + self.set_headers(&mut call, &target);
         let (began_ms, before) = (self.env.clock.now().mono_ms, self.last_event());
-        let run = self.env.crash_reports.sent(address, trial);
+        let run = self.env.crash_reports.sent(address, content.clone(), trial);
         // Logged before the run, as an owner that loses its job drops its runs.
         if let Some(asked_after) = before {
             log::info!(
@@ -374,7 +374,7 @@
         if run_end == RunEnd::Sound {
             self.env.crash_reports.answered(&content);
         }
-        at.run.ended(run_end, || content);
+        at.run.ended(run_end);
         if self.last_event() > before {
             let ran_ms = self.env.clock.now().mono_ms - began_ms;
             self.output.borrow_mut().add_run_time(ran_ms);
--- a/crates/samphiredoor-gateway/src/peers/crash_messages.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_messages.rs
@@ -1,8 +1,8 @@
 //! Messages about requests, and parts of prompts, that crash targets.
 
 use samphiredoor_core::crash_reports::{
-    Content, CrashReport, CrashVerdict, MAX_PARTS, Parts, Suspect, SuspectKind, TrialOutcome,
-    Trials,
+    Content, CrashReport, CrashVerdict, MAX_PARTS, Parts, RunTime, Suspect, SuspectKind,
+    TrialOutcome, Trials,
 };
 use samphiredoor_schema::peer_capnp::{
     self, crash_report, crash_verdict, trial_answer, trial_question,
@@ -16,8 +16,8 @@
     Lost(CrashReport),
     /// These suspects of one service were in a whole answer.
     Answered(Suspects),
-    /// These suspects of one service have run for this time without a crash, in milliseconds.
-    Survived(Suspects, u32),
+    /// These suspects of one service have run for this time without a crash.
+    Survived(Suspects, RunTime),
 }
 
 /// Suspects of one service.
@@ -81,10 +81,12 @@
             root.set_is_answered(true);
             parts_of(suspects)
         }
-        CrashNews::Survived(suspects, ran_ms) => {
+        CrashNews::Survived(suspects, run_time) => {
             root.set_fingerprint(fingerprint_of(suspects));
             root.set_is_answered(true);
-            root.set_ran_ms(*ran_ms);
+            root.set_ran_ms(run_time.longest_ms);
+            root.set_total_ran_ms(run_time.total_ms);
+            root.set_period_ms(run_time.period_ms);
             parts_of(suspects)
         }
     };
@@ -118,7 +120,10 @@
         let suspects = suspects_of(service, fingerprint, &parts);
         return Ok(match root.get_ran_ms() {
             0 => CrashNews::Answered(suspects),
-            ran_ms => CrashNews::Survived(suspects, ran_ms),
+            longest_ms => {
+                let (total_ms, period_ms) = (root.get_total_ran_ms(), root.get_period_ms());
+                CrashNews::Survived(suspects, RunTime { longest_ms, total_ms, period_ms })
+            }
         });
     }
     let fingerprint = (fingerprint != 0).then_some(fingerprint);
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -16,7 +16,7 @@
 use samphiredoor_core::{
     crash_reports::{
         AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
-        QUARANTINE_MS, Suspect, SuspectKind, repeat_interval_ms,
+        QUARANTINE_MS, RunId, RunTime, RunTimes, Suspect, SuspectKind, repeat_interval_ms,
     },
     placement::name_hash,
 };
@@ -40,6 +40,8 @@
 const REPORT_AGAIN: Duration = Duration::from_secs(60);
 /// Most reports that are kept for that.
 const MAX_KEPT_REPORTS: usize = 256;
+/// Most suspects whose run times are told at once. Each costs two datagrams.
+const MAX_RUN_TIMES: usize = 8;
 /// Most time for which a run without output counts as having run: a target that has a slot writes the first output sooner.
 const MAX_RUN_WITHOUT_OUTPUT_MS: u32 = 250;
 /// Time for which a gateway whose trial was denied asks for no other one, if it is told of no later time.
@@ -51,6 +53,8 @@
     Own(CrashNews),
     /// Another gateway has cleared a suspect, which this one may have judged.
     Cleared(Suspect),
+    /// A coordinator suspects what this process did not know of.
+    Suspected(Suspect),
     /// The gateway at this address knows less than this about a suspect.
     Correct(CrashVerdict, SocketAddr),
     /// A request of this process asks whether it may be sent as a trial.
@@ -121,6 +125,7 @@
     messages: flume::Sender<Message>,
     pub(super) known: Rc<RefCell<KnownSuspects>>,
     answered: Rc<RefCell<Answered>>,
+    run_times: Rc<RefCell<RunTimes>>,
     clock: Clock,
     metrics: Rc<Metrics>,
 }
@@ -147,6 +152,7 @@
             messages,
             known: Rc::default(),
             answered: Rc::default(),
+            run_times: Rc::default(),
             clock: task.clock,
             metrics: Rc::clone(&task.metrics),
         };
@@ -215,17 +221,34 @@
     }
 
     /// Notes that a request or an item is sent to a target now, and the trial that it is.
-    pub fn sent(&self, target: SocketAddr, trial: Option<Trial>) -> SentRun {
-        SentRun::new(self.clone(), target, trial)
+    pub fn sent(&self, target: SocketAddr, content: Content, trial: Option<Trial>) -> SentRun {
+        SentRun::new(self.clone(), content, target, trial)
     }
 
     /// Notes how long a trial that was not answered in full has run without a crash.
     pub(super) fn survived(&self, trial: &Suspects, ran_ms: u32) {
         if ran_ms > 0 {
-            self.send(Message::Own(CrashNews::Survived(trial.clone(), ran_ms)));
+            let run_time = RunTime { longest_ms: ran_ms, ..RunTime::default() };
+            self.send(Message::Own(CrashNews::Survived(trial.clone(), run_time)));
         }
     }
 
+    /// Notes the first output of a run.
+    pub(super) fn run_began(&self, content: &Content, target: SocketAddr) -> RunId {
+        let target = name_hash(&target.to_string());
+        self.run_times.borrow_mut().began(self.now_ms(), content.suspects().collect(), target)
+    }
+
+    /// Notes that a run has ended while its target went on.
+    pub(super) fn run_survived(&self, id: RunId) {
+        self.run_times.borrow_mut().survived(self.now_ms(), id);
+    }
+
+    /// Notes that a run has ended in a way that says nothing of its target.
+    pub(super) fn run_lost(&self, id: RunId) {
+        self.run_times.borrow_mut().lost(id);
+    }
+
     /// Counts what became of a trial.
     pub(super) fn count_trial(&self, outcome: &'static str) {
         self.metrics.trial(outcome);
@@ -327,7 +350,11 @@
     /// Takes over what a coordinator tells.
     fn told(&self, verdict: CrashVerdict) {
         let (now_ms, suspect) = (self.now_ms(), verdict.suspect);
+        let was_known = self.known.borrow().contains(suspect);
         let is_new = self.known.borrow_mut().apply(now_ms, verdict);
+        if !was_known && verdict.crashes > 0 {
+            self.send(Message::Suspected(suspect));
+        }
         if verdict.crashes == 0 {
             self.send(Message::Cleared(suspect));
         }
@@ -373,6 +400,7 @@
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
                 Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
+                Some(Ok(Message::Suspected(suspect))) => self.report_run_time(suspect).await,
                 Some(Ok(Message::Correct(verdict, to))) => {
                     let bytes = Datagram::CrashVerdict(verdict).encode();
                     send_to_all(&self.task.socket, bytes, vec![to]).await;
@@ -398,6 +426,7 @@
             if Instant::now() >= self.tell_again_at {
                 self.tell_again().await;
                 self.report_again().await;
+                self.report_run_times().await;
                 self.tell_again_at = Instant::now() + TELL_AGAIN;
             }
         }
@@ -521,6 +550,22 @@
         }
     }
 
+    /// Tells the coordinators for how long the worst suspects have run here without a crash.
+    async fn report_run_times(&mut self) {
+        let suspects = self.handle.known.borrow().worst(self.now_ms(), MAX_RUN_TIMES);
+        for suspect in suspects {
+            self.report_run_time(suspect).await;
+        }
+    }
+
+    async fn report_run_time(&mut self, suspect: Suspect) {
+        let run_time = self.handle.run_times.borrow_mut().take(self.now_ms(), suspect);
+        if let Some(run_time) = run_time {
+            let suspects = Suspects::from_elem(suspect, 1);
+            self.report(CrashNews::Survived(suspects, run_time)).await;
+        }
+    }
+
     fn keep(&mut self, report: CrashReport) {
         if self.kept.len() == MAX_KEPT_REPORTS {
             self.kept.pop_front();
@@ -537,10 +582,10 @@
                     self.clear(suspect).await;
                 }
             }
-            CrashNews::Survived(suspects, ran_ms) => {
+            CrashNews::Survived(suspects, run_time) => {
                 for suspect in suspects {
-                    if self.coordinator.is_sound_after(suspect, ran_ms) {
-                        self.clear(suspect).await;
+                    if self.coordinator.survived(self.now_ms(), suspect, run_time).is_some() {
+                        self.tell_all(CrashVerdict::cleared(suspect)).await;
                     }
                 }
             }
--- a/crates/samphiredoor-gateway/src/peers/sent_run.rs
+++ b/crates/samphiredoor-gateway/src/peers/sent_run.rs
@@ -9,7 +9,10 @@
     time::{Duration, Instant},
 };
 
-use samphiredoor_core::{crash_reports::Content, placement::AttemptEnd};
+use samphiredoor_core::{
+    crash_reports::{Content, RunId},
+    placement::AttemptEnd,
+};
 use samphiredoor_net::probe::refuses_connections;
 
 use super::{
@@ -93,33 +96,48 @@
 /// A request or an item that was sent to a target. Dropped before its end, it was left, as by its caller.
 pub struct SentRun {
     reports: CrashReports,
+    content: Content,
     target: SocketAddr,
     sent_at: Instant,
     /// When its first event arrived, if one did.
     began_at: Option<Instant>,
+    /// Its number among the runs with output that have not ended.
+    id: Option<RunId>,
     /// The trial that it is, until it ends.
     trial: Option<Trial>,
 }
 
 impl SentRun {
     /// A run that begins now.
-    pub(super) fn new(reports: CrashReports, target: SocketAddr, trial: Option<Trial>) -> SentRun {
-        SentRun { reports, target, sent_at: Instant::now(), began_at: None, trial }
+    pub(super) fn new(
+        reports: CrashReports,
+        content: Content,
+        target: SocketAddr,
+        trial: Option<Trial>,
+    ) -> SentRun {
+        let sent_at = Instant::now();
+        SentRun { reports, content, target, sent_at, began_at: None, id: None, trial }
     }
 
     /// Notes that an event has arrived.
     pub fn note_event(&mut self) {
-        self.began_at.get_or_insert_with(Instant::now);
+        if self.began_at.is_none() {
+            self.began_at = Some(Instant::now());
+            self.id = Some(self.reports.run_began(&self.content, self.target));
+        }
     }
 
     /// Reports its target if it has crashed, and decides whether its trial is given back.
-    pub fn ended(mut self, end: RunEnd, content: impl FnOnce() -> Content) {
+    pub fn ended(mut self, end: RunEnd) {
         let trial = self.trial.take();
+        if let RunEnd::Other(AttemptEnd::Lost | AttemptEnd::Silent | AttemptEnd::Gone) = end {
+            self.id.take().into_iter().for_each(|it| self.reports.run_lost(it));
+        }
         match (end, trial) {
             (RunEnd::Other(AttemptEnd::Lost), trial) => {
                 let (target, sent_at, began_at) = (self.target, self.sent_at, self.began_at);
                 let run = LostRun { target, sent_at, began_at };
-                self.reports.connection_lost(content(), run, trial);
+                self.reports.connection_lost(self.content.clone(), run, trial);
             }
             (_, None) => {}
             (RunEnd::Sound, Some(trial)) => trial.conclude("answered"),
@@ -145,6 +163,7 @@
 
 impl Drop for SentRun {
     fn drop(&mut self) {
+        self.id.take().into_iter().for_each(|it| self.reports.run_survived(it));
         if let Some(trial) = self.trial.take() {
             let ran_ms = self.ran_ms();
             self.reports.send(Message::Left { trial, target: self.target, ran_ms });
--- a/crates/samphiredoor-gateway/tests/datagram.rs
+++ b/crates/samphiredoor-gateway/tests/datagram.rs
@@ -2,7 +2,8 @@
 
 use samphiredoor_core::{
     crash_reports::{
-        Content, CrashReport, CrashVerdict, MAX_PARTS, Parts, Suspect, TrialOutcome, Trials,
+        Content, CrashReport, CrashVerdict, MAX_PARTS, Parts, RunTime, Suspect, TrialOutcome,
+        Trials,
     },
     overload::{
         ExpectedReturns, FailingTarget, ItemRunTime, MAX_ENTRIES, OverloadNews, OwedItems,
@@ -132,7 +133,10 @@
             [Suspect::request(hash(1), hash(2)), Suspect::part(hash(1), hash(3))].into(),
         ));
     a_part_that_ran_without_a_crash_arrives_as_it_was_sent:
-        Datagram::CrashReport(CrashNews::Survived([Suspect::part(hash(1), hash(3))].as_slice().into(), 1_400));
+        Datagram::CrashReport(CrashNews::Survived(
+            [Suspect::part(hash(1), hash(3))].as_slice().into(),
+            RunTime { longest_ms: 1_400, total_ms: 70_000, period_ms: 10_000 },
+        ));
     an_answer_with_a_suspected_part_arrives_as_it_was_sent:
         Datagram::CrashReport(CrashNews::Answered([Suspect::part(hash(1), hash(3))].as_slice().into()));
     a_verdict_on_a_part_arrives_as_it_was_sent: Datagram::CrashVerdict(CrashVerdict {
--- a/crates/samphiredoor-schema/schemas/peer.capnp
+++ b/crates/samphiredoor-schema/schemas/peer.capnp
@@ -181,7 +181,12 @@
   hasFirstPart @7 :Bool;
   # Whether the first of these parts is the first of the prompt.
   ranMs @8 :UInt32;
-  # Time for which it ran, as far as its gateway can tell.
+  # Time for which it ran, as far as its gateway can tell. With isAnswered: the longest run of these suspects that its target
+  # survived; 0 if there was a whole answer.
+  totalRanMs @9 :UInt32;
+  # With isAnswered: time without a crash at each target, added up over all of them.
+  periodMs @10 :UInt32;
+  # Time up to now to which totalRanMs belongs.
 }
 
 struct CrashVerdict {
--- a/crates/samphiredoor/tests/it/platform/crashes_by_chance.rs
+++ b/crates/samphiredoor/tests/it/platform/crashes_by_chance.rs
@@ -133,6 +133,12 @@
         (0..self.running.len()).max_by_key(losses).expect("a target runs")
     }
 
+    /// Index of the target whose last run began last.
+    fn with_youngest_run(&self) -> usize {
+        let began_at = |index: &usize| self.running[*index].runs().last().map(|it| it.at);
+        (0..self.running.len()).max_by_key(began_at).expect("a target runs")
+    }
+
     /// Crashes targets shortly one after the other, and starts others in their place.
     fn pulse(&mut self, platform: &Platform, hit: Hit) {
         let (lost, before) = (self.lost(), self.crashed.len());
@@ -300,6 +306,28 @@
     items_with_a_part_have_results_after_pulses(3, Hit::SameRuns);
 }
 
+// Guards against a part of the prompts of a whole job that is blamed for crashes in a row, as only the time of its lost runs
+// counts and not that of its runs at all other targets.
+#[test]
+fn items_that_share_a_part_are_not_held_during_crashes_in_a_row() {
+    const ITEMS: usize = 24;
+    const CRASHES: usize = 12;
+    // Longer than all crashes, so that no whole answer clears the part.
+    let (platform, mut targets) = fleet_with_answers_of(10 * EVENTS);
+    submit(&platform, "job-1", &[SHARED; ITEMS]);
+    wait_until("all items run", || targets.runs() >= ITEMS);
+    for _ in 0..CRASHES {
+        thread::sleep(PULSE_INTERVAL);
+        targets.crash(targets.with_youngest_run());
+        thread::sleep(DOWN_TIME);
+        let crashed = targets.crashed.last().expect("a target has crashed");
+        platform.store.remove("servers", &crashed.name);
+        targets.start_one(&platform);
+    }
+    let held: usize = (0..GATEWAYS).map(|it| platform.times_logged(it, "item: held")).sum();
+    assert_eq!(held, 0, "items held");
+}
+
 /// Sends a resumable stream.
 ///
 /// # Errors
