Give back trials that are left before their first output

Cause: a trial without output counted as one that may have crashed its target, because the target may notice late that nobody reads its answer. An item that is preempted while it waits at its target is such a trial.

Fix: such a trial is given back, unless its target refuses connections within 1.6 s. A target that it does crash is down for longer.

Test, red before: a_trial_that_is_left_before_its_first_output_is_given_back. The tests of callers who leave before their target crashes stay green.

--- a/crates/samphiredoor-gateway/src/peers/sent_run.rs
+++ b/crates/samphiredoor-gateway/src/peers/sent_run.rs
@@ -24,6 +24,10 @@
 /// Time after which the target of an attempt that was left is probed. It goes on until it notices that nobody reads its
 /// answer, and may crash before that.
 const LEFT_PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Number of probes if there was no output: the target may be slow to begin, or to notice.
+const PROBES_WITHOUT_OUTPUT: usize = 6;
+/// Pause between them. A target that has crashed takes longer to start again.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Permission to send quarantined suspects once. It is given back on drop.
 pub struct Trial {
@@ -55,22 +59,25 @@
         self.conclude("counted");
     }
 
-    /// Gives back a trial that has run for a time without a crash. One without output counts: its target may be slow to begin
-    /// or to notice that nobody reads its answer, and crash after that.
+    /// Gives back a trial that has run for a time without a crash.
     fn survive(self, ran_ms: u32) {
-        if ran_ms == 0 {
-            return self.count();
-        }
         self.reports.survived(&self.suspects, ran_ms);
     }
 
-    /// Ends a trial whose caller or task has left in the middle of its attempt.
+    /// Ends a trial whose caller or task has left in the middle of its attempt. It is given back unless its target crashes:
+    /// most are left by a preemption, which says nothing of the suspects.
     pub(super) async fn end_left(self, target: SocketAddr, ran_ms: u32) {
         compio::time::sleep(LEFT_PROBE_DELAY).await;
-        match refuses_connections(target).await {
-            true => self.count(),
-            false => self.survive(ran_ms),
+        let probes = if ran_ms > 0 { 1 } else { PROBES_WITHOUT_OUTPUT };
+        for number in 0..probes {
+            if number > 0 {
+                compio::time::sleep(PROBE_PAUSE).await;
+            }
+            if refuses_connections(target).await {
+                return self.count();
+            }
         }
+        self.survive(ran_ms);
     }
 }
 
@@ -146,6 +153,7 @@
                     drop(trial);
                 }
                 // A failure may be of a request that the target did not run.
+                AttemptEnd::Answered if self.began_at.is_none() => trial.count(),
                 AttemptEnd::Answered => trial.survive(self.ran_ms()),
                 // The attempt was left, at the deadline or for another one.
                 AttemptEnd::Cut => self.trial = Some(trial),
--- a/crates/samphiredoor/tests/it/platform/trials.rs
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -180,6 +180,11 @@
         self.targets.iter().find(|it| it.running() > 0)
     }
 
+    /// The target that holds the request without having crashed under it.
+    fn holder(&self) -> Option<&PlatformTarget> {
+        self.targets.iter().find(|it| !it.has_crashed() && it.runs_of(CRASHING) > 0)
+    }
+
     /// Number of trials of which the first gateway has noted this.
     fn trials(&self, reason: &str) -> u64 {
         metric(self.metrics, &format!("trials_total{{reason=\"{reason}\"}}")).unwrap_or(0)
@@ -202,6 +207,26 @@
     fleet.wait_served(Some(CRASHING));
 }
 
+// Guards against trials that are spent by what is left before its first output, as items are that online requests preempt.
+#[test]
+fn a_trial_that_is_left_before_its_first_output_is_given_back() {
+    let mut fleet = Fleet::start();
+    fleet.quarantine(Some(CRASHING));
+    fleet.set_fault(TargetFault::Pauses { after: None, ms: NO_OUTPUT_MS });
+    for _ in 0..MAX_RESENDS {
+        let caller = fleet.send_unread();
+        thread::sleep(RESEND_INTERVAL);
+        drop(caller);
+        if fleet.holder().is_some() {
+            break;
+        }
+    }
+    wait_until("the trial is given back", || fleet.trials("returned") == 1);
+    assert_eq!(fleet.trials("counted"), 0);
+    fleet.set_fault(TargetFault::None);
+    fleet.wait_served(Some(CRASHING));
+}
+
 // Guards against a trial that is spent although the task of its item was dropped before its end.
 #[test]
 fn a_trial_whose_job_is_cancelled_is_given_back() {
@@ -268,8 +293,7 @@
     while quarantined_at.elapsed() < TRIALS_FOR {
         let caller = fleet.send_unread();
         thread::sleep(RESEND_INTERVAL);
-        let holds_it = |it: &&PlatformTarget| !it.has_crashed() && it.runs_of(CRASHING) > 0;
-        let holder = fleet.targets.iter().find(holds_it);
+        let holder = fleet.holder();
         drop(caller);
         if let Some(holder) = holder {
             thread::sleep(CRASHES_AFTER);
