Record quarantines and their trials in the store

Cause: what is quarantined, and how many trials of it there were, lived in the memory of gateways alone. With the last of them the count began anew.

Fix: the first coordinator of a service records its quarantines and the trials that may have been granted, the next one included, in one object of the store, and grants no later trial that is not recorded. A gateway that becomes first coordinator reads the records and tells the others.

--- a/crates/samphiredoor-core/src/crash_reports/known.rs
+++ b/crates/samphiredoor-core/src/crash_reports/known.rs
@@ -16,6 +16,8 @@
     next_trial_ms: u64,
     /// Until when its quarantine is new.
     new_until_ms: u64,
+    /// Number of trials that the store has a record of.
+    recorded_trials: u8,
 }
 
 impl Known {
@@ -109,6 +111,26 @@
         self.get(now_ms, suspect).is_some_and(|it| it.next_trial_ms <= now_ms)
     }
 
+    /// Whether the next trial of a suspect is recorded, or may do without a record as its quarantine is new.
+    pub fn is_next_trial_recorded(&self, now_ms: u64, suspect: Suspect) -> bool {
+        self.get(now_ms, suspect).is_none_or(|it| {
+            let is_new = now_ms < it.new_until_ms;
+            is_new || it.trials.after_grant(false).granted <= it.recorded_trials
+        })
+    }
+
+    /// Notes that the store has a record of this number of trials.
+    pub fn mark_recorded(&mut self, suspect: Suspect, trials: u8) {
+        if let Some(known) = self.suspects.get_mut(&suspect) {
+            known.recorded_trials = trials;
+        }
+    }
+
+    /// Whether it was cleared within the time for which quarantines last.
+    pub fn was_cleared(&self, suspect: Suspect) -> bool {
+        self.cleared_at_ms.contains_key(&suspect)
+    }
+
     /// Time until a trial of a suspect may be granted.
     pub fn next_trial_in_ms(&self, now_ms: u64, suspect: Suspect) -> u64 {
         self.get(now_ms, suspect).map_or(0, |it| it.next_trial_ms.saturating_sub(now_ms))
@@ -180,6 +202,7 @@
             trials: Trials::default(),
             next_trial_ms: 0,
             new_until_ms: 0,
+            recorded_trials: 0,
         };
         let known = known.or_insert(unknown);
         known.crashes = known.crashes.max(verdict.crashes);
--- a/crates/samphiredoor-core/src/crash_reports/trials.rs
+++ b/crates/samphiredoor-core/src/crash_reports/trials.rs
@@ -15,6 +15,9 @@
 pub(super) const NEW_MS: u64 = 3_800;
 /// Pause before the first trial of a suspect that has crashed targets for long.
 const LATE_PAUSE_MS: u32 = 1_000;
+/// Version of trials that were read from the store: later than that of a new quarantine, and earlier than all that gateways
+/// which were live meanwhile may know.
+const RECORDED_VERSION: u16 = 2;
 /// Pause after a trial that no target has run.
 const RETURNED_PAUSE_MS: u32 = 500;
 
@@ -38,6 +41,12 @@
         }
     }
 
+    /// The trials of a suspect of which only the record in the store is left.
+    pub fn of_recorded(granted: u8) -> Trials {
+        let granted = granted.max(NEW_TRIALS);
+        Trials { version: RECORDED_VERSION, granted, in_ms: pause_ms(granted) }
+    }
+
     /// Whether this state replaces another one. Of two that are equally new, as after grants by coordinators of which one had
     /// just started, the one with more trials holds.
     pub fn is_later_than(self, other: Trials) -> bool {
--- a/crates/samphiredoor-core/src/store.rs
+++ b/crates/samphiredoor-core/src/store.rs
@@ -46,6 +46,8 @@
     Retirement,
     /// Software versions of the targets of each service.
     TargetVersions,
+    /// What is quarantined as it crashes targets of a service.
+    Quarantines,
 }
 
 impl Kind {
@@ -71,6 +73,7 @@
             Kind::Targets => "targets",
             Kind::Retirement => "retirements",
             Kind::TargetVersions => "targetversions",
+            Kind::Quarantines => "quarantines",
         }
     }
 }
--- a/crates/samphiredoor-gateway/src/peers/crash_reports.rs
+++ b/crates/samphiredoor-gateway/src/peers/crash_reports.rs
@@ -16,7 +16,8 @@
 use samphiredoor_core::{
     crash_reports::{
         AnsweredKeys, Content, CrashCoordinator, CrashReport, CrashVerdict, KnownSuspects,
-        QUARANTINE_MS, RunId, RunTime, RunTimes, Suspect, SuspectKind, repeat_interval_ms,
+        QUARANTINE_MS, RecordedQuarantines, RunId, RunTime, RunTimes, Suspect, SuspectKind,
+        repeat_interval_ms,
     },
     placement::name_hash,
 };
@@ -53,6 +54,8 @@
     Own(CrashNews),
     /// Another gateway has cleared a suspect, which this one may have judged.
     Cleared(Suspect),
+    /// The store has a record of what was quarantined before this process started.
+    Recorded(CrashVerdict),
     /// A coordinator suspects what this process did not know of.
     Suspected(Suspect),
     /// The gateway at this address knows less than this about a suspect.
@@ -259,6 +262,30 @@
         self.known.borrow().next_trial_in_ms(self.now_ms(), suspect)
     }
 
+    /// What is quarantined of a service, as the store is to have it.
+    pub(super) fn quarantines_to_record(&self, service: u64) -> RecordedQuarantines {
+        let mut known = self.known.borrow_mut();
+        let quarantined = known.quarantined(self.now_ms());
+        RecordedQuarantines::of(quarantined.filter(|it| it.suspect.service == service))
+    }
+
+    /// Takes over what the store has a record of, and tells all gateways what this one did not know.
+    pub(super) fn recorded(&self, service: u64, record: &RecordedQuarantines) {
+        let now_ms = self.now_ms();
+        for recorded in record.iter() {
+            let suspect = recorded.suspect(service);
+            let mut known = self.known.borrow_mut();
+            if !known.is_quarantined(now_ms, suspect) {
+                if known.was_cleared(suspect) {
+                    continue;
+                }
+                known.apply(now_ms, recorded.verdict(service));
+                self.send(Message::Recorded(recorded.verdict(service)));
+            }
+            known.mark_recorded(suspect, recorded.trials);
+        }
+    }
+
     /// Notes a whole answer to a request, which clears it and the parts of its prompt. Returns whether any was suspected.
     pub fn answered(&self, content: &Content) -> bool {
         let now_ms = self.now_ms();
@@ -400,6 +427,7 @@
                 Some(Ok(Message::News(news))) => self.coordinate(news).await,
                 Some(Ok(Message::Own(news))) => self.report(news).await,
                 Some(Ok(Message::Cleared(suspect))) => _ = self.coordinator.clear(suspect),
+                Some(Ok(Message::Recorded(verdict))) => self.tell_all(verdict).await,
                 Some(Ok(Message::Suspected(suspect))) => self.report_run_time(suspect).await,
                 Some(Ok(Message::Correct(verdict, to))) => {
                     let bytes = Datagram::CrashVerdict(verdict).encode();
--- a/crates/samphiredoor-gateway/src/peers/roster/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/roster/mod.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Services that have targets.
+    pub fn services(&self) -> Vec<u64> {
+        self.services.borrow().keys().copied().collect()
+    }
+
     /// Number of known targets of a service.
     pub fn target_count(&self, service: u64) -> usize {
         self.services.borrow().get(&service).copied().unwrap_or(0)
--- a/crates/samphiredoor-gateway/src/peers/trials.rs
+++ b/crates/samphiredoor-gateway/src/peers/trials.rs
@@ -179,9 +179,17 @@
         self.decide(suspects, &reply, TrialOutcome::Denied);
     }
 
-    /// Decides on a trial. Returns what all gateways have to be told.
+    /// Decides on a trial. Returns what all gateways have to be told. A trial that the store has no record of is denied: if all
+    /// gateways ended during it, the next ones would grant it again.
     fn grant(&mut self, suspects: &[Suspect]) -> (TrialOutcome, Vec<CrashVerdict>) {
-        self.reports.known.borrow_mut().grant_trial(self.reports.now_ms(), suspects)
+        let now_ms = self.reports.now_ms();
+        let mut known = self.reports.known.borrow_mut();
+        if let Some(first) = suspects.iter().find(|it| !known.is_next_trial_recorded(now_ms, **it))
+        {
+            log::info!(fingerprint:% = Hex(first.hash); "crashes: trial is not recorded yet");
+            return (TrialOutcome::Denied, Vec::new());
+        }
+        known.grant_trial(now_ms, suspects)
     }
 
     /// Tells all gateways of a granted trial, and when the next one may follow.
--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -27,9 +27,9 @@
     metrics::Metrics,
     mirror::Mirrors,
     peers::{
-        self, CellStatuses, CrashReports, CrashReportsTask, JobOwners, LocalGateway, Roster,
-        RunLimits, RunLimitsTask, StatusSender, StreamOrigins, StreamOriginsTask, SummarySender,
-        VersionRecorder, WatchRelay, routes_relay::RoutesRelay,
+        self, CellStatuses, CrashReports, CrashReportsTask, JobOwners, LocalGateway,
+        QuarantineRecorder, Roster, RunLimits, RunLimitsTask, StatusSender, StreamOrigins,
+        StreamOriginsTask, SummarySender, VersionRecorder, WatchRelay, routes_relay::RoutesRelay,
     },
     placement::{PlacementHandle, PlacementTask},
     platform_api::{Dialect, Platform},
@@ -298,6 +298,13 @@
         roster: roster.clone(),
         metrics: Rc::clone(&metrics),
     });
+    let quarantine_recorder = QuarantineRecorder::new(
+        &local,
+        Rc::clone(&platform.store),
+        roster.clone(),
+        crash_reports.clone(),
+    );
+    compio::runtime::spawn(quarantine_recorder.run()).detach();
     let (owners, cell_statuses) = (JobOwners::default(), CellStatuses::default());
     let listener = peers::Listener {
         socket: Rc::clone(&socket),
--- a/crates/samphiredoor/tests/it/platform/trials.rs
+++ b/crates/samphiredoor/tests/it/platform/trials.rs
@@ -191,6 +191,28 @@
     }
 }
 
+// Guards against content that is quarantined, and is sent to as many targets again once all gateways have been killed.
+#[test]
+fn a_quarantine_outlasts_a_kill_of_all_gateways() {
+    let mut fleet = Fleet::with_gateways(3);
+    fleet.quarantine(Some(CRASHING));
+    thread::sleep(KNOWN_WITHIN);
+    (0..fleet.gateways).for_each(|it| fleet.platform.gateway(it).kill());
+    (0..fleet.gateways).for_each(|it| fleet.platform.restart_gateway(it));
+    (0..fleet.gateways).for_each(|it| fleet.platform.wait_ready(it));
+    thread::sleep(KNOWN_WITHIN);
+    fleet.set_fault(TargetFault::Crashes);
+    let crashed = fleet.crashed();
+    let until = Instant::now() + TRIALS_FOR;
+    while Instant::now() < until {
+        fleet.send(Some(CRASHING));
+        thread::sleep(RESEND_INTERVAL);
+    }
+    assert_eq!(fleet.crashed(), crashed, "crashes after the kill");
+    fleet.set_fault(TargetFault::None);
+    fleet.wait_served(Some(CRASHING));
+}
+
 /// Prompt with the part that crashes targets, between parts of its own.
 fn prompt(own: &str) -> String {
     format!("a-{own}:100,{CRASHING}:100,z-{own}:100")
