Take answers with a status that ends no request for lost

Callers saw: an answer of a faulty target with status 600 or 999, or a 101 without a body, in place of 502.

Cause: the HTTP library accepts each status of three digits from 100 on, and takes 101 for the end of a request. Nothing looked at the class.

Fix: the pool of connections takes an answer with a status outside of 200 to 599 for lost, on all paths. The request may have run, so it is sent again only where it may be.

Test: statuses_that_end_no_request; 101, 600 and 999 were red before, 000, 099 and 1000 were 502 already.

--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -8,6 +8,7 @@
     cell::RefCell,
     future::Future,
     net::SocketAddr,
+    ops::RangeInclusive,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -58,6 +59,10 @@
     Complete,
 }
 
+/// Statuses of responses that end a request. An upgrade (101), which is never asked for, and statuses without a class are
+/// what a faulty server sends.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the end of a response body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Framing {
@@ -272,6 +277,10 @@
             // Dropping the connection closes it and so cancels this request, whose own response has not arrived yet.
             return Err(SendError::MayHaveRun("the response belongs to another request".into()));
         }
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            let status = head.status.as_u16();
+            return Err(SendError::MayHaveRun(format!("status {status} ends no request").into()));
+        }
         let framing = Framing::of(&head.headers, &body);
         let announced = keep_alive_timeout(&head.headers).map(|it| it.saturating_sub(CLOSE_MARGIN));
         let idle_for = announced.or(self.idle_limit);
--- a/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
+++ b/crates/samphiredoor/tests/it/platform/broken_off_answers.rs
@@ -115,6 +115,34 @@
     text_that_its_connection_ends_is_an_answer: "text/plain", r#"{"seats": [1, 2"# => 200;
 }
 
+macro_rules! statuses_that_end_no_request {
+    ($($name:ident: $head:expr;)*) => {
+        $(
+            // Guards against an answer of a faulty target that callers get as one, with a status that ends no request.
+            #[test]
+            fn $name() {
+                let answer = concat!("HTTP/1.1 ", $head, "\r\ncontent-length: 4\r\n\r\nnone");
+                let target = RawTarget::start([Reply::SendAndClose(answer)]);
+                let mut platform = Platform::new(BINARY);
+                register_raw(&platform, &target);
+                platform.start_gateway();
+                let answer = platform.send(0, "/unsafe/book", "id-1", "monday");
+                assert_eq!(answer.status, 502, "{}", answer.text);
+                assert_eq!(target.ran(), ["monday"]);
+            }
+        )*
+    };
+}
+
+statuses_that_end_no_request! {
+    a_status_of_zeros_is_no_answer: "000 None";
+    a_status_below_the_first_class_is_no_answer: "099 Low";
+    an_upgrade_that_was_not_asked_for_is_no_answer: "101 Switching Protocols";
+    a_status_above_the_last_class_is_no_answer: "600 High";
+    the_highest_status_of_three_digits_is_no_answer: "999 Highest";
+    a_status_of_four_digits_is_no_answer: "1000 Long";
+}
+
 /// Heads of event streams with a length, with chunks, without either, and after an interim head.
 const HEADS: [&str; 4] = [
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 31\r\n\r\n",
