Read whole answers without a length in segments

Operators of a system like this one saw: a target that sends without end filled the memory of the host that had called it.

Cause: each was read into one buffer that doubles. Its content is counted; its place is up to twice as large, moves, and leaves places that are too small for the others.

Fix: segments of 64 KB, put together at the end. Lengths that are announced get one buffer, as before.

--- a/crates/samphiredoor-gateway/src/buffers.rs
+++ b/crates/samphiredoor-gateway/src/buffers.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body as HttpBody;
 use samphiredoor_core::overload::buffer_budget::{
@@ -25,6 +25,8 @@
     read_ahead::ReadAheadLimit,
 };
 
+use crate::segments::Segments;
+
 /// Limit of the kernel's buffers of each connection to a target while streams are read ahead: the kernel counts them as memory
 /// of the process, and by default holds up to some megabytes for each. Enough for 2 MB/s over a round trip of 24 ms between
 /// regions.
@@ -315,7 +317,7 @@
     {
         let mut body = http_body_util::Limited::new(body, max_bytes);
         self.reserve(expected, is_waiting).await;
-        let (mut held, mut read) = (expected, BytesMut::with_capacity(expected as usize));
+        let (mut held, mut read) = (expected, Segments::new(expected as usize));
         let mut wait_left = UNANNOUNCED_WAIT;
         while let Some(frame) = body.frame().await {
             let frame =
@@ -324,7 +326,7 @@
                     false => UnreadReason::Cut(err),
                 })?;
             let Ok(piece) = frame.into_data() else { continue };
-            let missing = ((read.len() + piece.len()) as u64).saturating_sub(held);
+            let missing = ((read.len_bytes() + piece.len()) as u64).saturating_sub(held);
             if missing > 0 {
                 let (reserving, begun) = (self.reserve(missing, is_waiting), Instant::now());
                 match holder {
@@ -337,9 +339,9 @@
                 wait_left = wait_left.saturating_sub(begun.elapsed());
                 held += missing;
             }
-            read.extend_from_slice(&piece);
+            read.push(piece);
         }
-        Ok(read.freeze())
+        Ok(read.into_bytes())
     }
 
     /// Reads a request body until it is aborted for another one.
--- a/crates/samphiredoor-gateway/src/lib.rs
+++ b/crates/samphiredoor-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod readiness;
 mod routes;
 mod seen_versions;
+pub mod segments;
 mod service_gauges;
 mod share_log;
 mod signals;
--- a/crates/samphiredoor/tests/it/platform/endless_answers.rs
+++ b/crates/samphiredoor/tests/it/platform/endless_answers.rs
@@ -157,6 +157,59 @@
     an_item_leaves_an_endless_whole_answer: WholeAnswer;
 }
 
+/// Kinds of routes to the target, and requests that are sent to each at the same time.
+const PATHS: [&str; 4] = ["/safe/a", "/unsafe/a", "/stream/a", "/stream-resumable/a"];
+const REQUESTS_EACH: usize = 8;
+
+/// Sends requests on all kinds of routes to a target whose whole answers begin with this head and never end.
+fn whole_answers_take_limited_memory(head: &'static str) {
+    let requests = PATHS.len() * REQUESTS_EACH;
+    let values = "[1,2,3],".repeat(512);
+    let replies = std::iter::repeat_with(|| Reply::Endless(head, values.clone()));
+    let target = RawTarget::start(replies.take(4 * requests));
+    let mut platform = Platform::new(BINARY);
+    let entry = json!({
+        "service": "reader", "addr": target.address.to_string(), "zone": "brisbane-north", "version": "v1",
+        "slots": requests, "state": "ready", "born": 1,
+    });
+    platform.store.put("servers", "raw", entry);
+    platform.put_limits(2, ATTEMPTS, IDLE_MS, TIMEOUT_MS);
+    platform.start_gateway();
+    platform.wait_logged(0, "routes: activated version=2");
+    let before_kb = platform.gateway(0).status_kb("VmRSS");
+    thread::scope(|scope| {
+        let platform = &platform;
+        for number in 0..requests {
+            let path = PATHS[number % PATHS.len()];
+            scope.spawn(move || {
+                let answer = platform.send(0, path, &format!("id-{number}"), "");
+                assert!([502, 503].contains(&answer.status), "{path}: {}", answer.status);
+            });
+        }
+    });
+    let growth_kb = platform.gateway(0).status_kb("VmHWM").saturating_sub(before_kb);
+    assert!(growth_kb <= MAX_GROWTH_KB, "{growth_kb} KB");
+}
+
+macro_rules! many_endless_whole_answers {
+    ($($name:ident: $head:expr;)*) => {
+        $(
+            // Guards against a gateway that runs out of memory at whole answers without a length, whose buffers are larger than
+            // what they hold.
+            #[test]
+            fn $name() {
+                whole_answers_take_limited_memory(concat!("HTTP/1.1 ", $head, "\r\n\r\n"));
+            }
+        )*
+    };
+}
+
+many_endless_whole_answers! {
+    many_endless_json_answers_take_limited_memory: "200 OK\r\ncontent-type: application/json";
+    many_endless_texts_take_limited_memory: "200 OK\r\ncontent-type: text/plain";
+    many_endless_timeouts_take_limited_memory: "408 Request Timeout\r\ncontent-type: application/json";
+}
+
 /// Shorter than the time that the target goes on sending.
 const SHORT_TIMEOUT_MS: u64 = 1_500;
 
