Close connections after refusals without the id of their request

Cause: answers are matched by the id that targets echo. A refusal without one was accepted for whatever request the connection carried, and its late copy proved that the next request had not run, so that it was sent again.

Fix: a connection ends after a refusal without the id. The late copy of it arrives nowhere. Others stay open.

--- a/crates/samphiredoor-gateway/src/process.rs
+++ b/crates/samphiredoor-gateway/src/process.rs
@@ -205,7 +205,7 @@
         buffers: item_buffers.clone(),
         load_reports,
     });
-    let client = TargetClient::new(platform.dialect.headers().request_id.clone())
+    let client = TargetClient::new(platform.dialect.headers())
         .with_socket_buffer_bytes(overload.reads_ahead.then_some(SOCKET_BUFFER_BYTES));
     let known_targets = Rc::default();
     let mirrors = Mirrors::new(&common.mirrors, Name::clone(&common.location.region));
--- a/crates/samphiredoor-gateway/src/target_client.rs
+++ b/crates/samphiredoor-gateway/src/target_client.rs
@@ -78,6 +78,7 @@
 #[derive(Clone)]
 pub struct TargetClient {
     echoed: HeaderName,
+    refused: HeaderName,
     socket_buffer_bytes: Option<usize>,
     pools: Rc<RefCell<HashMap<Name, Pool>>>,
     /// Targets that accept work, by the newest list.
@@ -85,10 +86,11 @@
 }
 
 impl TargetClient {
-    /// Client without connections. Targets echo the header `echoed`, which matches an answer to its request.
-    pub fn new(echoed: HeaderName) -> TargetClient {
+    /// Client without connections. Targets echo the id of a request, which matches an answer to it.
+    pub fn new(names: &HeaderNames) -> TargetClient {
+        let (echoed, refused) = (names.request_id.clone(), names.not_run.clone());
         let (pools, accepting) = (Rc::default(), Rc::default());
-        TargetClient { echoed, socket_buffer_bytes: None, pools, accepting }
+        TargetClient { echoed, refused, socket_buffer_bytes: None, pools, accepting }
     }
 
     /// Limits the kernel's buffers of each connection, in each direction.
@@ -150,6 +152,7 @@
             .with_connect_timeout(CONNECT_TIMEOUT)
             .with_close_delimited(CloseDelimited::Complete)
             .with_echoed_header(self.echoed.clone())
+            .with_refusal_header(self.refused.clone())
             .with_idle_limit(IDLE_LIMIT)
             .with_socket_buffer_bytes(self.socket_buffer_bytes)
     }
--- a/crates/samphiredoor-net/src/pool.rs
+++ b/crates/samphiredoor-net/src/pool.rs
@@ -19,10 +19,11 @@
 use compio::{net::TcpStream, runtime::JoinHandle};
 use futures_util::{FutureExt, select_biased};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Body as HttpBody, Frame, Incoming, SizeHint},
     client::conn::http1::{Builder, SendRequest},
     header::{self, HeaderMap, HeaderName, HeaderValue},
+    http::response,
 };
 
 use crate::{
@@ -126,6 +127,7 @@
     connect_timeout: Duration,
     close_delimited: CloseDelimited,
     echoed: Option<HeaderName>,
+    refused: Option<HeaderName>,
     idle_limit: Option<Duration>,
     socket_buffer_bytes: Option<usize>,
     idle: Rc<RefCell<Vec<Connection>>>,
@@ -139,6 +141,7 @@
             connect_timeout: Duration::from_millis(1_000),
             close_delimited: CloseDelimited::Incomplete,
             echoed: None,
+            refused: None,
             idle_limit: None,
             socket_buffer_bytes: None,
             idle: Rc::default(),
@@ -160,6 +163,13 @@
         self
     }
 
+    /// Sets a header with which a server says that it did not run the request. Such a response without the echoed header ends
+    /// its connection: a second copy of it, which comes late, would say so of the next request.
+    pub fn with_refusal_header(mut self, refused: HeaderName) -> Pool {
+        self.refused = Some(refused);
+        self
+    }
+
     /// Sets how long a connection is kept idle if the server announces no keep-alive timeout.
     pub fn with_idle_limit(mut self, idle_limit: Duration) -> Pool {
         self.idle_limit = Some(idle_limit);
@@ -225,6 +235,12 @@
         }
     }
 
+    /// Whether the server says that it did not run the request.
+    fn is_refusal(&self, head: &response::Parts) -> bool {
+        let has_header = self.refused.as_ref().is_some_and(|it| head.headers.contains_key(it));
+        has_header || head.status == StatusCode::MISDIRECTED_REQUEST
+    }
+
     fn echoed_value(&self, request: &Request<Body>) -> Option<HeaderValue> {
         request.headers().get(self.echoed.as_ref()?).cloned()
     }
@@ -271,11 +287,17 @@
     ) -> Result<Response<ResponseBody>, SendError> {
         let (head, body) = response.into_parts();
         connection.limits.record_content();
-        if let (Some(name), Some(sent)) = (&self.echoed, echoed_value)
-            && head.headers.get(name).is_some_and(|it| it != sent)
-        {
-            // Dropping the connection closes it and so cancels this request, whose own response has not arrived yet.
-            return Err(SendError::MayHaveRun("the response belongs to another request".into()));
+        let mut is_reusable = true;
+        if let (Some(name), Some(sent)) = (&self.echoed, echoed_value) {
+            let echoed = head.headers.get(name);
+            if echoed.is_some_and(|it| it != sent) {
+                // Dropping the connection closes it and so cancels this request, whose own response has not arrived yet.
+                return Err(SendError::MayHaveRun(
+                    "the response belongs to another request".into(),
+                ));
+            }
+            // A late copy of this refusal would prove that the next request did not run.
+            is_reusable = echoed.is_some() || !self.is_refusal(&head);
         }
         if !FINAL_STATUSES.contains(&head.status.as_u16()) {
             let status = head.status.as_u16();
@@ -287,8 +309,15 @@
         let (connection, idle) = (Some(connection), Rc::clone(&self.idle));
         let is_cut_by_close =
             framing == Framing::Close && self.close_delimited == CloseDelimited::Incomplete;
-        let mut response_body =
-            ResponseBody { body, connection, idle, idle_for, framing, is_cut_by_close };
+        let mut response_body = ResponseBody {
+            body,
+            connection,
+            idle,
+            idle_for,
+            framing,
+            is_cut_by_close,
+            is_reusable,
+        };
         if response_body.body.is_end_stream() {
             response_body.release();
         }
@@ -315,6 +344,8 @@
     framing: Framing,
     /// Whether the body ends only by the close of the connection, and this counts as a truncation.
     is_cut_by_close: bool,
+    /// Whether the connection may carry another request after the body.
+    is_reusable: bool,
 }
 
 impl ResponseBody {
@@ -325,7 +356,9 @@
 
     /// Returns the connection to the pool.
     fn release(&mut self) {
-        let Some(mut connection) = self.connection.take() else { return };
+        let Some(mut connection) = self.connection.take().filter(|_| self.is_reusable) else {
+            return;
+        };
         connection.usable_until = self.idle_for.map(|it| Instant::now() + it);
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE && !connection.sender.is_closed() {
--- a/crates/samphiredoor-net/tests/pool.rs
+++ b/crates/samphiredoor-net/tests/pool.rs
@@ -216,6 +216,7 @@
 }
 
 const ID: HeaderName = HeaderName::from_static("x-id");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 
 fn get_with_id(path: &str, id: &str) -> Request<Body> {
     let mut request = get(path);
@@ -281,6 +282,42 @@
     });
 }
 
+/// Number of connections that may be used again after a response with this status and header.
+async fn reusable_after(status: &str, header: &str) -> usize {
+    let response = format!("HTTP/1.1 {status}\r\n{header}content-length: 0\r\n\r\n");
+    let address = start_target(move |_, mut stream| {
+        let response = response.clone();
+        thread::spawn(move || {
+            while read_request(&mut stream).is_some() {
+                write(&mut stream, &response);
+            }
+        });
+    });
+    let pool = Pool::new(address).with_echoed_header(ID).with_refusal_header(NOT_RUN);
+    let received = pool.send(get_with_id("/", "1")).await.expect("a response");
+    assert_eq!(text(received).await.as_deref(), Ok(""));
+    pool.idle_len()
+}
+
+macro_rules! connections_after_refusals {
+    ($($name:ident: $status:expr, $header:expr => $reusable:expr;)*) => {
+        $(
+            // Guards against a request that runs twice, as the late second copy of a refusal is taken for the response to it.
+            #[test]
+            fn $name() {
+                run(async { assert_eq!(reusable_after($status, $header).await, $reusable) });
+            }
+        )*
+    };
+}
+
+connections_after_refusals! {
+    a_connection_is_not_reused_after_a_refusal_without_an_id: "503 Busy", "x-not-run: 1\r\n" => 0;
+    a_connection_is_not_reused_after_a_wrong_target_without_an_id: "421 Misdirected", "" => 0;
+    a_connection_is_reused_after_a_refusal_with_its_id: "503 Busy", "x-not-run: 1\r\nx-id: 1\r\n" => 1;
+    a_connection_is_reused_after_a_failure_without_an_id: "503 Busy", "" => 1;
+}
+
 macro_rules! incomplete_responses {
     ($($name:ident: $sent:expr;)*) => {
         $(
