Number queries for live gateways, so that each is a change

Cause: a query is a field of the asking gateway's entry. One that is like the last one changes nothing, and the store gives it no version and no event: the answers to the last one counted as new, and the gateways that were left took themselves for cut off.

Fix: each query and answer has the next number.

--- a/crates/samphiredoor-gateway/src/peers/mod.rs
+++ b/crates/samphiredoor-gateway/src/peers/mod.rs
@@ -40,7 +40,7 @@
 pub use listener::Listener;
 pub use origin_messages::{OriginAnswer, OriginQuestion, OriginRecord};
 pub use owners::{JobOwners, Owner};
-pub use presence::PresenceCheck;
+pub use presence::{Presence, PresenceCheck};
 pub use quarantine_record::QuarantineRecorder;
 pub use registration::registered_address;
 pub use roster::{Liveness, Roster, WatchRole};
--- a/crates/samphiredoor-gateway/src/peers/presence.rs
+++ b/crates/samphiredoor-gateway/src/peers/presence.rs
@@ -36,6 +36,8 @@
 
 /// Field of an entry with the last query or answer.
 const FIELD: &str = "presence";
+/// Field of these with their number in this entry. A write that changes nothing has no version and no event in the store.
+const NUMBER: &str = "number";
 
 /// Query or answer in the entry of a gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,9 +58,12 @@
     }
 
     /// An entry with this in place of the last query or answer; `None` if the entry is invalid.
-    fn set_in(self, value: &[u8]) -> Option<Vec<u8>> {
+    pub fn set_in(self, value: &[u8]) -> Option<Vec<u8>> {
         let mut entry: Json = serde_json::from_slice(value).ok()?;
-        let field = json!({ "is_query": self.is_query, "group_size": self.group_size });
+        let last = entry.get(FIELD).and_then(|it| it.get(NUMBER)).and_then(Json::as_u64);
+        let number = last.unwrap_or(0).wrapping_add(1);
+        let field =
+            json!({ "is_query": self.is_query, "group_size": self.group_size, NUMBER: number });
         entry.as_object_mut()?.insert(FIELD.to_owned(), field);
         Some(entry.to_string().into_bytes())
     }
--- a/crates/samphiredoor-standin/src/platform_store.rs
+++ b/crates/samphiredoor-standin/src/platform_store.rs
@@ -461,6 +461,13 @@
             return answer(StatusCode::CONFLICT, &object.json(name));
         }
         let is_status = segments.len() == 3;
+        let (current, new) = match is_status {
+            true => (&object.status, &body["status"]),
+            false => (&object.spec, &body["spec"]),
+        };
+        if current == new {
+            return answer(StatusCode::OK, &object.json(name));
+        }
         let object = self.write(kind, name, |object| match is_status {
             true => object.status = body["status"].clone(),
             false => object.spec = body["spec"].clone(),
