--- a/crates/samphiredoor-core/src/crash_reports/chance.rs
+++ b/crates/samphiredoor-core/src/crash_reports/chance.rs
@@ -2,8 +2,8 @@
 //!
 //! What crashes targets does so as it begins to run, and the time that it has run on targets in total is short. What is
 //! sound meets crashes in proportion to the time for which it runs: a target that crashes for another reason runs it with a
-//! probability of its share of the time of all targets. The time in which it met no crash counts like that of its lost runs. Crashes of the suspect itself are events under this hypothesis, as
-//! all others are; they do not raise the share.
+//! probability of its share of the time of all targets. The time in which it met no crash counts like that of its lost
+//! runs. Crashes of the suspect itself are events under this hypothesis, as all others are; they do not raise the share.
 
 use smallvec::SmallVec;
 
